Lay out the workspace and the shared records

Cause: the thin path needs one set of ids, error kinds and records before its parts can be built side by side. Ruled out: a package per record kind, since nothing would use one alone.

--- /dev/null
+++ b/packages/core/src/mod.ts
@@ -0,0 +1,17 @@
+/**
+Ids, error kinds and their answers, clocks, money, and the typed records that the other packages share.
+
+@module
+*/
+export * from './announcement.js';
+export type * from './bill.js';
+export type * from './brand.js';
+export type * from './clock.js';
+export * from './configuration.js';
+export * from './error-kinds.js';
+export * from './failure.js';
+export * from './hybrid-clock.js';
+export * from './ids.js';
+export * from './money.js';
+export type * from './request.js';
+export * from './timeline-event.js';
