--- /dev/null
+++ b/packages/control/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+The replicated state and the commands that change it.
+
+@module
+*/
+export type * from './command.js';
+export * from './control-state.js';
