Add the links between daemons and the HTTP adapters

Cause: the thin path crosses processes. Ruled out: one connection per request between daemons; the handshakes would cost more than the messages.

--- /dev/null
+++ b/packages/transport/src/_peer-link.ts
@@ -0,0 +1,126 @@
+import {type InstanceId} from '@valehitch/core';
+import {WebSocket} from 'ws';
+import {type Frame, readFrame} from './_frame.js';
+import {type PeerAddress} from './peer-network.js';
+
+type Waiting = {
+	readonly settle: (frame: (Frame & {type: 'reply'}) | undefined) => void;
+	readonly timer: NodeJS.Timeout;
+};
+
+type PeerLinkOptions = {
+	readonly self: InstanceId;
+	readonly key: string;
+	/** Told the size of each reply in bytes. */
+	readonly onReceived: (bytes: number) => void;
+};
+
+const handshakeTimeoutMilliseconds = 1500;
+const maximumBufferedBytes = 32 * 1024 * 1024;
+const maximumQueuedFrames = 1000;
+
+/** One outgoing link; it is opened when it is used and opened again after it broke. */
+export class PeerLink {
+	readonly #to: PeerAddress;
+	readonly #options: PeerLinkOptions;
+	readonly #waiting = new Map<number, Waiting>();
+	#socket: WebSocket | undefined;
+	#queue: Uint8Array[] = [];
+	#lastId = 0;
+
+	constructor(to: PeerAddress, options: PeerLinkOptions) {
+		this.#to = to;
+		this.#options = options;
+	}
+
+	isFor(to: PeerAddress): boolean {
+		return to.host === this.#to.host && to.port === this.#to.port;
+	}
+
+	send(data: Uint8Array): void {
+		const socket = this.#open();
+		if (socket.readyState === WebSocket.OPEN) {
+			if (socket.bufferedAmount < maximumBufferedBytes) {
+				socket.send(data);
+			}
+
+			return;
+		}
+
+		if (this.#queue.length < maximumQueuedFrames) {
+			this.#queue.push(data);
+		}
+	}
+
+	async request(write: (id: number) => Uint8Array, timeoutMilliseconds: number): Promise<(Frame & {type: 'reply'}) | undefined> {
+		const id = ++this.#lastId;
+		return new Promise(resolve => {
+			const settle = (frame: (Frame & {type: 'reply'}) | undefined): void => {
+				this.#forget(id);
+				resolve(frame);
+			};
+
+			const timer = setTimeout(settle, timeoutMilliseconds, undefined);
+			this.#waiting.set(id, {settle, timer});
+			this.send(write(id));
+		});
+	}
+
+	close(): void {
+		this.#socket?.terminate();
+		this.#lose(this.#socket);
+	}
+
+	#open(): WebSocket {
+		if (this.#socket !== undefined) {
+			return this.#socket;
+		}
+
+		const socket = new WebSocket(`ws://${this.#to.host}:${this.#to.port}/`, {
+			headers: {authorization: `Bearer ${this.#options.key}`, 'valehitch-instance': this.#options.self},
+			handshakeTimeout: handshakeTimeoutMilliseconds,
+			perMessageDeflate: false,
+		});
+		this.#socket = socket;
+		socket.on('open', () => {
+			for (const data of this.#queue.splice(0)) {
+				socket.send(data);
+			}
+		});
+		socket.on('message', data => {
+			this.#receive(data as Uint8Array);
+		});
+		socket.on('error', () => {
+			socket.terminate();
+		});
+		socket.on('close', () => {
+			this.#lose(socket);
+		});
+		return socket;
+	}
+
+	#receive(data: Uint8Array): void {
+		const frame = readFrame(data);
+		if (frame?.type === 'reply') {
+			this.#options.onReceived(data.byteLength);
+			this.#waiting.get(frame.id)?.settle(frame);
+		}
+	}
+
+	#lose(socket: WebSocket | undefined): void {
+		if (this.#socket !== socket) {
+			return;
+		}
+
+		this.#socket = undefined;
+		this.#queue = [];
+		for (const {settle} of this.#waiting.values()) {
+			settle(undefined);
+		}
+	}
+
+	#forget(id: number): void {
+		clearTimeout(this.#waiting.get(id)?.timer);
+		this.#waiting.delete(id);
+	}
+}
--- /dev/null
+++ b/packages/transport/src/problem.ts
@@ -0,0 +1,74 @@
+import {type ServerResponse} from 'node:http';
+import {errorAnswers, type Failure, outcomeOf} from '@valehitch/core';
+
+const millisecondsPerSecond = 1000;
+
+/** What goes into a problem besides the failure. */
+export type ProblemOptions = {
+	/** The id of the request, where one was given out. */
+	readonly requestId?: string;
+};
+
+/** Problem details (RFC 9457) with the members of valehitch. */
+export type Problem = {
+	readonly type: string;
+	readonly title: string;
+	readonly status: number;
+	readonly detail: string;
+	readonly kind: string;
+	readonly outcome: string;
+	readonly requestId?: string;
+	readonly details?: Readonly<Record<string, unknown>>;
+};
+
+/**
+Turns a failure into problem details.
+
+@param failed The failure.
+@param options The request's id.
+@returns The problem.
+@example
+```ts
+toProblem(failure('no-server', 'Got no server')).status; // 503
+```
+*/
+export function toProblem(failed: Failure, options: ProblemOptions = {}): Problem {
+	const {status, title} = errorAnswers[failed.kind];
+	return {
+		type: `urn:valehitch:error:${failed.kind}`,
+		title,
+		status,
+		detail: failed.message,
+		kind: failed.kind,
+		outcome: outcomeOf(failed),
+		...(options.requestId !== undefined && {requestId: options.requestId}),
+		...(failed.details !== undefined && {details: failed.details}),
+	};
+}
+
+/**
+Answers an HTTP request with a failure, unless an answer has begun.
+
+@param response The response.
+@param failed The failure.
+@param options The request's id.
+@example
+```ts
+answerProblem(response, failure('not-found', 'Got path /x'));
+```
+*/
+export function answerProblem(response: ServerResponse, failed: Failure, options: ProblemOptions = {}): void {
+	if (response.headersSent || response.destroyed) {
+		response.destroy();
+		return;
+	}
+
+	const problem = toProblem(failed, options);
+	response.statusCode = problem.status;
+	response.setHeader('Content-Type', 'application/problem+json');
+	if (failed.retryAfterMilliseconds !== undefined) {
+		response.setHeader('Retry-After', String(Math.max(1, Math.ceil(failed.retryAfterMilliseconds / millisecondsPerSecond))));
+	}
+
+	response.end(JSON.stringify(problem));
+}
