Add the thin daemon: callers, back ends, operators and a control role in memory

Cause: the whole path has to run as separate processes before anything else is built. Change: valehitchd with its ports, the chat and service paths, bills through the link, session tokens, time line, metrics and logs; the control role stands on the first control instance, in memory.

--- /dev/null
+++ b/packages/daemon/src/backends/handle-backend.ts
@@ -0,0 +1,70 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Announcement, announcementSchema, failure} from '@valehitch/core';
+import {type Settings} from '@valehitch/settings';
+import {answerProblem, readBody} from '@valehitch/transport';
+import {answerJson} from '../answer-json.js';
+import {bearerDigest} from '../bearer.js';
+
+const maximumAnnouncementBytes = 65_536;
+
+/** What the back ends' port works with. */
+export type BackendContext = {
+	readonly settings: Settings;
+	/** Takes an announcement and hands it on. */
+	readonly onAnnouncement: (announcement: Announcement) => void;
+};
+
+/**
+Handles each request on the back ends' port.
+
+@param request The request.
+@param response The response.
+@param context What the port works with.
+@example
+```ts
+await handleBackend(request, response, {settings, onAnnouncement});
+```
+*/
+export async function handleBackend(request: IncomingMessage, response: ServerResponse, {settings, onAnnouncement}: BackendContext): Promise<void> {
+	if (request.method !== 'POST' || request.url !== '/v1/announcements') {
+		answerProblem(response, failure('not-found', `Got ${request.method ?? ''} ${request.url ?? ''}, wanted POST /v1/announcements`));
+		return;
+	}
+
+	if (!settings.keys.backends.includes(bearerDigest(request) ?? '')) {
+		answerProblem(response, failure('unauthenticated', 'Got no key of a back end, wanted Authorization: Bearer KEY'));
+		return;
+	}
+
+	const body = await readBody(request, maximumAnnouncementBytes);
+	if (body.isLeft()) {
+		answerProblem(response, failure('malformed-request', 'Got no whole announcement'));
+		return;
+	}
+
+	const announcement = parseAnnouncement(body.extract() as Uint8Array);
+	if (typeof announcement === 'string') {
+		answerProblem(response, failure('malformed-request', announcement));
+		return;
+	}
+
+	onAnnouncement(announcement);
+	answerJson(response, {renewAfterMilliseconds: settings.timing.announcementRenewMilliseconds});
+}
+
+function parseAnnouncement(bytes: Uint8Array): Announcement | string {
+	let json: unknown;
+	try {
+		json = JSON.parse(new TextDecoder().decode(bytes));
+	} catch {
+		return 'Got a body that is not JSON';
+	}
+
+	const parsed = announcementSchema.safeParse(json);
+	if (parsed.success) {
+		return parsed.data;
+	}
+
+	const [issue] = parsed.error.issues;
+	return `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'not valid'}`;
+}
--- /dev/null
+++ b/packages/daemon/src/entry/handle-caller.ts
@@ -0,0 +1,91 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {failure, type RequestId, toId} from '@valehitch/core';
+import {answerJson} from '../answer-json.js';
+import {bearerDigest} from '../bearer.js';
+import {type EntryContext} from './entry-context.js';
+import {type AuthenticatedCall, handleChat} from './handle-chat.js';
+import {handleService} from './handle-service.js';
+import {refuse} from './refuse.js';
+
+const unavailable = 503;
+const retryAfterStopMilliseconds = 1000;
+
+/**
+Handles each request on the callers' port.
+
+@param request The request.
+@param response The response.
+@param context What the entry works with.
+@example
+```ts
+await handleCaller(request, response, context);
+```
+*/
+export async function handleCaller(request: IncomingMessage, response: ServerResponse, context: EntryContext): Promise<void> {
+	if (request.url === '/healthz') {
+		answerHealth(response, context);
+		return;
+	}
+
+	const requestId = toId<RequestId>(context.newId());
+	const started = context.clock.monotonic();
+	context.requests.begin();
+	response.on('close', () => {
+		context.requests.end();
+		context.metrics.timing('request.duration', context.clock.monotonic() - started);
+	});
+	context.timeline.record('request-received', {requestId, details: {method: request.method, path: request.url}});
+	const call = authenticate({request, response, requestId}, context);
+	if (call === undefined) {
+		return;
+	}
+
+	if (request.url === '/v1/chat/completions') {
+		await handleChatPath(call, context);
+	} else if (request.url?.startsWith('/services/') === true) {
+		await handleService(call, context);
+	} else {
+		refuse(call, failure('not-found', `Got path ${request.url ?? ''}, wanted /v1/chat/completions or /services/NAME/...`), context);
+	}
+
+	context.timeline.record('request-answered', {requestId, workspace: call.workspace, details: {status: response.statusCode}});
+}
+
+async function handleChatPath(call: AuthenticatedCall, context: EntryContext): Promise<void> {
+	const {method} = call.request;
+	if (method !== 'POST') {
+		refuse(call, failure('method-not-allowed', `Got ${method ?? ''}, wanted POST`), context);
+		return;
+	}
+
+	await handleChat(call, context);
+}
+
+type Arrival = Pick<AuthenticatedCall, 'request' | 'response' | 'requestId'>;
+
+function authenticate(arrival: Arrival, context: EntryContext): AuthenticatedCall | undefined {
+	if (context.requests.stopping) {
+		refuse(arrival, failure('shutting-down', 'Got a request during a planned stop', {retryAfterMilliseconds: retryAfterStopMilliseconds}), context);
+		return undefined;
+	}
+
+	const active = context.active();
+	if (active === undefined) {
+		refuse(arrival, failure('no-configuration', 'Got a request before the first configuration', {retryAfterMilliseconds: retryAfterStopMilliseconds}), context);
+		return undefined;
+	}
+
+	const workspace = active.workspaces.get(bearerDigest(arrival.request) ?? '');
+	if (workspace === undefined) {
+		refuse(arrival, failure('unauthenticated', 'Got no key of a workspace, wanted Authorization: Bearer KEY'), context);
+		return undefined;
+	}
+
+	return {...arrival, workspace, active};
+}
+
+function answerHealth(response: ServerResponse, context: EntryContext): void {
+	answerJson(response, {stopping: context.requests.stopping, inProgress: context.requests.inProgress}, {
+		status: context.requests.stopping ? unavailable : 200,
+	});
+}
--- /dev/null
+++ b/packages/daemon/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+The daemon: settings in, a running instance out.
+
+@module
+*/
+export * from './wire.js';
--- /dev/null
+++ b/packages/daemon/src/operators/apply-configuration.ts
@@ -0,0 +1,93 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	type ChangeId, type Configuration, configurationSchema, type Failure, failure, type Revision, toId, toRevision,
+} from '@valehitch/core';
+import {compilePolicies} from '@valehitch/policy';
+import {checkReferences} from '@valehitch/settings';
+import {answerProblem, readBody} from '@valehitch/transport';
+import {type Either, Left, Right} from 'purify-ts';
+import {answerJson} from '../answer-json.js';
+import {sha256} from '../digest.js';
+import {type OperatorContext} from './operator-context.js';
+
+const entityTagPattern = /^"(?<revision>\d{1,15})"$/v;
+const maximumConfigurationBytes = 4_194_304;
+
+type Change = {
+	readonly changeId: ChangeId;
+	readonly expectedRevision: Revision;
+	readonly document: Configuration;
+};
+
+/**
+Checks a new document and has the control role commit it.
+
+@param request The operator's request.
+@param response The response.
+@param context What the port works with.
+@example
+```ts
+await applyConfiguration(request, response, context);
+```
+*/
+export async function applyConfiguration(request: IncomingMessage, response: ServerResponse, context: OperatorContext): Promise<void> {
+	const body = await readBody(request, maximumConfigurationBytes);
+	const change = body.chain(bytes => readChange(request, bytes));
+	if (change.isLeft()) {
+		answerProblem(response, change.extract());
+		return;
+	}
+
+	const {changeId, expectedRevision, document} = change.extract() as Change;
+	const result = await context.control.propose({
+		type: 'apply-configuration', changeId, expectedRevision, document, digest: sha256(JSON.stringify(document)),
+	});
+	if (result.isLeft()) {
+		answerProblem(response, result.extract());
+		return;
+	}
+
+	const {revision} = result.unsafeCoerce();
+	const inForce = await context.control.inForce();
+	answerJson(response, {revision, committed: true, inForce: inForce.orDefault({complete: false, waitingFor: []})}, {
+		headers: {ETag: `"${revision}"`},
+	});
+}
+
+function readChange(request: IncomingMessage, bytes: Uint8Array): Either<Failure, Change> {
+	const changeId = request.headers['valehitch-change-id'];
+	if (typeof changeId !== 'string' || changeId.length > 128) {
+		return Left(failure('malformed-request', 'Got no header Valehitch-Change-Id, wanted 1 to 128 characters'));
+	}
+
+	const revision = entityTagPattern.exec(request.headers['if-match'] ?? '')?.groups?.revision;
+	if (revision === undefined) {
+		return Left(failure('malformed-request', `Got If-Match ${request.headers['if-match'] ?? 'absent'}, wanted the revision in quotes`));
+	}
+
+	return readDocument(bytes).map(document => ({
+		changeId: toId<ChangeId>(changeId), expectedRevision: toRevision(Number(revision)), document,
+	}));
+}
+
+function readDocument(bytes: Uint8Array): Either<Failure, Configuration> {
+	let json: unknown;
+	try {
+		json = JSON.parse(new TextDecoder().decode(bytes));
+	} catch {
+		return Left(failure('malformed-request', 'Got a body that is not JSON'));
+	}
+
+	const parsed = configurationSchema.safeParse(json);
+	if (!parsed.success) {
+		const [issue] = parsed.error.issues;
+		return Left(failure('invalid-configuration', `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'not valid'}`));
+	}
+
+	const [finding] = checkReferences(parsed.data);
+	if (finding !== undefined) {
+		return Left(failure('invalid-configuration', `${finding.path.join('.')}: got ${finding.got}, wanted ${finding.wanted}`));
+	}
+
+	return compilePolicies(parsed.data).chain(() => Right(parsed.data));
+}
--- /dev/null
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -0,0 +1,92 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {failure} from '@valehitch/core';
+import {answerProblem} from '@valehitch/transport';
+import {answerJson} from '../answer-json.js';
+import {bearerDigest} from '../bearer.js';
+import {applyConfiguration} from './apply-configuration.js';
+import {type OperatorContext} from './operator-context.js';
+
+/**
+Handles each request on the operators' port.
+
+@param request The request.
+@param response The response.
+@param context What the port works with.
+@example
+```ts
+await handleOperator(request, response, context);
+```
+*/
+export async function handleOperator(request: IncomingMessage, response: ServerResponse, context: OperatorContext): Promise<void> {
+	if (!context.settings.keys.operators.includes(bearerDigest(request) ?? '')) {
+		answerProblem(response, failure('unauthenticated', 'Got no key of an operator, wanted Authorization: Bearer KEY'));
+		return;
+	}
+
+	const url = new URL(request.url ?? '/', 'http://operators.invalid');
+	const route = `${request.method ?? ''} ${url.pathname}`;
+	switch (route) {
+		case 'GET /v1/configuration': {
+			answerConfiguration(response, context);
+			return;
+		}
+
+		case 'PUT /v1/configuration': {
+			await applyConfiguration(request, response, context);
+			return;
+		}
+
+		case 'GET /v1/status': {
+			await answerStatus(response, context);
+			return;
+		}
+
+		case 'GET /v1/ledger': {
+			await answerLedger(url, response, context);
+			return;
+		}
+
+		default: {
+			answerProblem(response, failure('not-found', `Got ${route}, wanted a call that docs/API.md lists`));
+		}
+	}
+}
+
+function answerConfiguration(response: ServerResponse, {effective}: OperatorContext): void {
+	const current = effective();
+	answerJson(response, current, {headers: {ETag: `"${current.revision}"`}});
+}
+
+async function answerStatus(response: ServerResponse, context: OperatorContext): Promise<void> {
+	const {settings, servers, requests, effective, control} = context;
+	const inForce = await control.inForce();
+	answerJson(response, {
+		instance: settings.instance,
+		zone: settings.zone,
+		roles: settings.roles,
+		revision: effective().revision,
+		leader: settings.control[0]?.instance,
+		inProgress: requests.inProgress,
+		stopping: requests.stopping,
+		waitingFor: inForce.map(({waitingFor}) => waitingFor).orDefault([]),
+		servers: servers.current().map(({announcement, inFlight}) => ({...announcement, inFlight})),
+	});
+}
+
+async function answerLedger(url: URL, response: ServerResponse, {control}: OperatorContext): Promise<void> {
+	const after = Number(url.searchParams.get('after') ?? '0');
+	if (!Number.isSafeInteger(after) || after < 0) {
+		answerProblem(response, failure('malformed-request', `after: got ${url.searchParams.get('after') ?? ''}, wanted a whole number from 0`));
+		return;
+	}
+
+	const page = await control.ledger({workspace: url.searchParams.get('workspace') ?? undefined, after});
+	page.caseOf({
+		Left(failed) {
+			answerProblem(response, failed);
+		},
+		Right(found) {
+			answerJson(response, found);
+		},
+	});
+}
