Parse settings and configuration, with the line of each problem

Cause: the daemon and the command line need settings and operators' documents checked before use, with problems that name the line and field.

Change: parseDocument reads YAML 1.2 or JSON (unique keys, no custom tags, at most 100 aliases, 1 MiB) and maps every zod issue to file, line and column. parseSettings adds the checks over several fields; parseConfiguration adds checkReferences, also exported alone, and checks conditions by a function passed in. A value under a key that holds secrets is named by its length only.

--- /dev/null
+++ b/packages/settings/src/_check-settings.ts
@@ -0,0 +1,65 @@
+import {type FieldPath, type Finding} from './finding.js';
+import {type Settings} from './settings.js';
+
+const mostControlInstances = 6;
+
+/** Checks what reaches over several fields of the settings. */
+export function checkSettings(settings: Settings): readonly Finding[] {
+	return [
+		...checkControlRole(settings),
+		...checkControlCount(settings),
+		...checkControlPorts(settings),
+		...checkPorts(settings),
+		...repeated(settings.roles, index => ['roles', index]),
+		...repeated(settings.control.map(entry => entry.instance), index => ['control', index, 'instance']),
+		...repeated(settings.keys.sessions.map(session => session.id), index => ['keys', 'sessions', index, 'id']),
+	];
+}
+
+function * checkControlRole({roles, dataFolder, control, instance}: Settings): Iterable<Finding> {
+	if (!roles.includes('control')) {
+		return;
+	}
+
+	if (dataFolder === undefined) {
+		yield {path: ['dataFolder'], got: 'nothing', wanted: 'a folder, since the roles have control'};
+	}
+
+	if (!control.some(entry => entry.instance === instance)) {
+		yield {path: ['control'], got: `a list without ${instance}`, wanted: `${instance} in the list, since its roles have control`};
+	}
+}
+
+function * checkControlCount({control}: Settings): Iterable<Finding> {
+	if (control.length > mostControlInstances || control.length % 2 === 0) {
+		yield {path: ['control'], got: `a list of ${control.length}`, wanted: `an odd number of instances, at most ${mostControlInstances}`};
+	}
+}
+
+function * checkControlPorts({control, instance}: Settings): Iterable<Finding> {
+	for (const [index, entry] of control.entries()) {
+		if (entry.port === 0 && entry.instance !== instance) {
+			yield {path: ['control', index, 'port'], got: '0', wanted: 'the port of another instance, a whole number from 1 to 65535'};
+		}
+	}
+}
+
+function * checkPorts({listen}: Settings): Iterable<Finding> {
+	const seen = new Map<number, string>();
+	for (const [name, {port}] of Object.entries(listen)) {
+		const earlier = seen.get(port);
+		if (earlier !== undefined && port !== 0) {
+			yield {path: ['listen', name, 'port'], got: `${port}, the port of listen.${earlier}`, wanted: 'a port of its own'};
+		}
+
+		seen.set(port, name);
+	}
+}
+
+function * repeated(values: readonly string[], pathOf: (index: number) => FieldPath): Iterable<Finding> {
+	for (const [index, value] of values.entries()) {
+		if (values.indexOf(value) < index) {
+			yield {path: pathOf(index), got: `${JSON.stringify(value)} once more`, wanted: 'each only once'};
+		}
+	}
+}
--- /dev/null
+++ b/packages/settings/src/_describe-issue.ts
@@ -0,0 +1,55 @@
+import {match, P} from 'ts-pattern';
+import {type z} from 'zod';
+import {describeValue} from './_describe-value.js';
+import {type FieldPath, type Finding} from './finding.js';
+
+type Issue = z.core.$ZodIssue;
+
+const wantedMark = 'Wanted ';
+const typeNames: ReadonlyMap<string, string> = new Map([
+	['string', 'a text'],
+	['number', 'a number'],
+	['int', 'a whole number'],
+	['boolean', 'true or false'],
+	['array', 'a list'],
+	['object', 'a mapping'],
+	['record', 'a mapping'],
+]);
+
+/** Turns one issue of a schema into findings: one for each unknown key, else a single one. */
+export function describeIssue(issue: Issue): readonly Finding[] {
+	const path = fieldPath(issue.path);
+	return match(issue)
+		.with({code: 'unrecognized_keys'}, ({keys}) => keys.map(key => ({
+			path: [...path, key], got: `the key ${JSON.stringify(key)}`, wanted: 'a key that is known here', atKey: true,
+		})))
+		.with({code: 'invalid_key'}, ({issues}) => [{
+			path, got: `the key ${JSON.stringify(String(path.at(-1)))}`, wanted: issues[0] ? wantedOf(issues[0]) : 'another key', atKey: true,
+		}])
+		.otherwise(other => [{path, got: describeValue(other.input, path), wanted: wantedOf(other)}]);
+}
+
+function fieldPath(path: readonly PropertyKey[]): FieldPath {
+	return path.map(step => typeof step === 'symbol' ? String(step) : step);
+}
+
+function wantedOf(issue: Issue): string {
+	if (issue.message.startsWith(wantedMark)) {
+		return issue.message.slice(wantedMark.length);
+	}
+
+	return match(issue)
+		.with({code: 'invalid_type'}, ({expected}) => typeNames.get(expected) ?? expected)
+		.with({code: 'invalid_value'}, ({values}) => `one of ${values.map(String).join(', ')}`)
+		.with({code: 'too_small'}, ({minimum, inclusive, origin}) => sizeOf(origin, `${inclusive ? 'at least' : 'more than'} ${minimum}`))
+		.with({code: 'too_big'}, ({maximum, inclusive, origin}) => sizeOf(origin, `${inclusive ? 'at most' : 'less than'} ${maximum}`))
+		.with({code: 'invalid_format', prefix: P.string}, ({prefix}) => `a text that starts with ${JSON.stringify(prefix)}`)
+		.otherwise(({message}) => message);
+}
+
+function sizeOf(origin: string, bound: string): string {
+	return match(origin)
+		.with('string', () => `${bound} characters`)
+		.with('array', () => `${bound} entries`)
+		.otherwise(() => `a number of ${bound}`);
+}
