Escape the dash in the id pattern

Cause: Node 20 refuses a bare dash in a character class under the flag v; the daemon died on start. Change: the dash is escaped.

--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -103,7 +103,7 @@
 	readonly rollouts: Readonly<Record<string, RolloutProgress>>;
 };
 
-const idPattern = /^[a-z\d][a-z\d._-]{0,63}$/v;
+const idPattern = /^[a-z\d][a-z\d._\-]{0,63}$/v;
 const idText = z.string().regex(idPattern, 'Wanted 1 to 64 of a to z, 0 to 9, dot, dash and underscore, starting with a letter or digit');
 const share = z.number().min(0).max(1);
 const price = z.number().min(0).max(1_000_000);
