Split the wiring by part: control, distribution, entry

Cause: one wiring file and one list of messages would be changed by every part at once. Ruled out: one message type per sender; the receiver decides by scope. Change: each part has its start function, its messages and its stop; wire.ts puts the three together. Conclusion: the parts can be replaced one by one.

--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -3,10 +3,10 @@
 	type Bill, type Clock, type EffectiveConfiguration, type Failure, type InstanceId, type ZoneId,
 } from '@valehitch/core';
 import {type Either} from 'purify-ts';
-import {
-	type InForce, type LedgerMessage, type LedgerPage, type Member, type SubscribeMessage, type SubscribeReply,
-} from '../messages.js';
+import {type SubscribeMessage, type SubscribeReply} from '../distribution/messages.js';
+import {type Member} from '../member.js';
 import {type Timeline} from '../timeline.js';
+import {type InForce, type LedgerMessage, type LedgerPage} from './messages.js';
 
 const ledgerPageSize = 1000;
 
--- a/packages/daemon/src/entry/handle-chat.ts
+++ b/packages/daemon/src/entry/handle-chat.ts
@@ -4,13 +4,13 @@
 } from '@valehitch/core';
 import {readBody} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
-import {type ActiveConfiguration} from './active-configuration.js';
+import {type ActiveConfiguration} from '../distribution/active-configuration.js';
+import {type KnownServer} from '../distribution/server-table.js';
 import {parseChatBody} from './chat-body.js';
 import {callEngine, type EngineAnswer} from './engine-call.js';
 import {type EntryContext} from './entry-context.js';
 import {type ChatPlan, planChat} from './plan-chat.js';
 import {refuse} from './refuse.js';
-import {type KnownServer} from './server-table.js';
 
 /** An authenticated request of a caller. */
 export type AuthenticatedCall = {
--- a/packages/daemon/src/entry/plan-chat.ts
+++ b/packages/daemon/src/entry/plan-chat.ts
@@ -4,7 +4,7 @@
 } from '@valehitch/core';
 import {chooseVersion} from '@valehitch/policy';
 import {type Either, Left, Right} from 'purify-ts';
-import {type ActiveConfiguration} from './active-configuration.js';
+import {type ActiveConfiguration} from '../distribution/active-configuration.js';
 import {type ChatBody, factsOf} from './chat-body.js';
 import {type EntryContext} from './entry-context.js';
 import {readSessionToken, writeSessionToken} from './session-token.js';
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -18,7 +18,7 @@
 ```
 */
 export async function handleOperator(request: IncomingMessage, response: ServerResponse, context: OperatorContext): Promise<void> {
-	if (!context.settings.keys.operators.includes(bearerDigest(request) ?? '')) {
+	if (!context.base.settings.keys.operators.includes(bearerDigest(request) ?? '')) {
 		answerProblem(response, failure('unauthenticated', 'Got no key of an operator, wanted Authorization: Bearer KEY'));
 		return;
 	}
@@ -52,24 +52,24 @@
 	}
 }
 
-function answerConfiguration(response: ServerResponse, {effective}: OperatorContext): void {
-	const current = effective();
+function answerConfiguration(response: ServerResponse, {distribution}: OperatorContext): void {
+	const current = distribution.effective();
 	answerJson(response, current, {headers: {ETag: `"${current.revision}"`}});
 }
 
 async function answerStatus(response: ServerResponse, context: OperatorContext): Promise<void> {
-	const {settings, servers, requests, effective, control} = context;
+	const {base: {settings}, distribution, entry: {requests}, control} = context;
 	const inForce = await control.inForce();
 	answerJson(response, {
 		instance: settings.instance,
 		zone: settings.zone,
 		roles: settings.roles,
-		revision: effective().revision,
+		revision: distribution.effective().revision,
 		leader: settings.control[0]?.instance,
 		inProgress: requests.inProgress,
 		stopping: requests.stopping,
 		waitingFor: inForce.map(({waitingFor}) => waitingFor).orDefault([]),
-		servers: servers.current().map(({announcement, inFlight}) => ({...announcement, inFlight})),
+		servers: distribution.servers.current().map(({announcement, inFlight}) => ({...announcement, inFlight})),
 	});
 }
 
--- a/packages/daemon/src/operators/operator-context.ts
+++ b/packages/daemon/src/operators/operator-context.ts
@@ -1,15 +1,12 @@
-import {type EffectiveConfiguration} from '@valehitch/core';
-import {type Settings} from '@valehitch/settings';
-import {type ControlLink} from '../control/control-link.js';
-import {type RequestCounter} from '../entry/request-counter.js';
-import {type ServerTable} from '../entry/server-table.js';
+import {type ControlClient} from '../control/control-client.js';
+import {type DaemonBase} from '../daemon-base.js';
+import {type DistributionPart} from '../distribution/start-distribution.js';
+import {type EntryContext} from '../entry/entry-context.js';
 
 /** What the operators' port works with. */
 export type OperatorContext = {
-	readonly settings: Settings;
-	readonly control: ControlLink;
-	readonly servers: ServerTable;
-	readonly requests: RequestCounter;
-	/** The newest configuration known here. */
-	readonly effective: () => EffectiveConfiguration;
+	readonly base: DaemonBase;
+	readonly control: ControlClient;
+	readonly distribution: DistributionPart;
+	readonly entry: EntryContext;
 };
