Add the fakes, the test deployment and the demonstration

Cause: nothing could be tried from caller to ledger without models, a plain service, and a way to run several daemons as real processes.

Change: packages/testing holds a fake engine and a fake service with behaviour that is changed while they run, an announcer, a caller client, a deployment of daemons and fakes as processes, and `npm run demo`.

--- /dev/null
+++ b/packages/testing/src/_demo-report.ts
@@ -0,0 +1,109 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+import {type DemoResult, headerText} from './_demo-traffic.js';
+import {type LedgerBill} from './deployment.js';
+
+export type DemoReport = {
+	/** The lines of the table. */
+	readonly lines: readonly string[];
+	readonly isMatch: boolean;
+};
+
+type Match = {
+	readonly unbilled: readonly string[];
+	readonly unanswered: readonly string[];
+	/** Answers or bills that come more than once, or answers without a request id. */
+	readonly repeated: number;
+	readonly isMatch: boolean;
+};
+
+const labelWidth = 34;
+const microsInUnit = 1_000_000;
+const microsecondsInMillisecond = 1000;
+
+/** Compares the whole answers with the bills, request by request. */
+export function matchBills(results: readonly DemoResult[], bills: readonly LedgerBill[]): Match {
+	const answered = results.filter(({isWhole}) => isWhole).map(({requestId}) => requestId);
+	const billed = bills.map(({request}) => request);
+	const answeredSet = new Set(answered.filter(id => id !== ''));
+	const billedSet = new Set(billed);
+	const unbilled = [...answeredSet].filter(id => !billedSet.has(id));
+	const unanswered = [...billedSet].filter(id => !answeredSet.has(id));
+	const repeated = (answered.length - answeredSet.size) + (billed.length - billedSet.size);
+	const isMatch = answeredSet.size > 0 && unbilled.length === 0 && unanswered.length === 0 && repeated === 0;
+	return {
+		unbilled, unanswered, repeated, isMatch,
+	};
+}
+
+/** Makes the table that the demonstration prints. */
+export function reportOf(results: readonly DemoResult[], bills: readonly LedgerBill[]): DemoReport {
+	const whole = results.filter(({isWhole}) => isWhole);
+	const match = matchBills(results, bills);
+	const latencies = latenciesOf(whole);
+	let cost = 0;
+	for (const {total} of bills) {
+		cost += total;
+	}
+
+	const lines = [
+		row('requests', results.length),
+		row('whole answers', whole.length),
+		row('bills', bills.length),
+		row('cost in units of account', (cost / microsInUnit).toFixed(6)),
+		row('latency p50 in milliseconds', percentile(latencies, 50)),
+		row('latency p95 in milliseconds', percentile(latencies, 95)),
+		...countRows('requests to', whole.map(result => targetOf(result))),
+		...countRows('refused or failed:', results.filter(({isWhole}) => !isWhole).map(result => reasonOf(result))),
+		row('answers without a bill', match.unbilled.length),
+		row('bills without an answer', match.unanswered.length),
+		row('repeated or unnamed', match.repeated),
+		row('answers and bills match', match.isMatch ? 'yes' : 'NO'),
+	];
+	return {lines, isMatch: match.isMatch};
+}
+
+function row(label: string, value: number | string): string {
+	return `${label.padEnd(labelWidth)} ${String(value).padStart(12)}`;
+}
+
+function countRows(label: string, names: readonly string[]): readonly string[] {
+	const counts = new Map<string, number>();
+	for (const name of names) {
+		counts.set(name, (counts.get(name) ?? 0) + 1);
+	}
+
+	return [...counts].toSorted(([left], [right]) => left.localeCompare(right)).map(([name, count]) => row(`${label} ${name}`, count));
+}
+
+function targetOf(result: DemoResult): string {
+	return result.kind === 'print' ? 'the labels service' : `${headerText(result, 'valehitch-model')} ${headerText(result, 'valehitch-version')}`;
+}
+
+function reasonOf({problem, status, done, connectionError}: DemoResult): string {
+	if (problem) {
+		return problem.kind;
+	}
+
+	if (status === 0) {
+		return 'no connection';
+	}
+
+	if (done) {
+		return 'another text';
+	}
+
+	return connectionError === undefined ? `status ${status}` : 'cut answer';
+}
+
+function latenciesOf(results: readonly DemoResult[]): Histogram {
+	const histogram = build();
+	for (const {totalMilliseconds} of results) {
+		histogram.recordValue(Math.round(totalMilliseconds * microsecondsInMillisecond));
+	}
+
+	return histogram;
+}
+
+function percentile(histogram: Histogram, share: number): string {
+	return (histogram.getValueAtPercentile(share) / microsecondsInMillisecond).toFixed(1);
+}
--- /dev/null
+++ b/packages/testing/src/_demo-traffic.ts
@@ -0,0 +1,107 @@
+import {
+	type DemoErrand, type DemoRequest, workspaceKey,
+} from './_demo-plan.js';
+import {type ChatMessage, fakeAnswer} from './fake-answer.js';
+import {
+	callService, type CallResult, chatStreamed, chatWhole,
+} from './http-client.js';
+
+/** What came of one request. */
+export type DemoResult = CallResult & {
+	readonly kind: DemoRequest['kind'];
+	/** Whether the answer is whole: it came to its end with the text that the fake gives. */
+	readonly isWhole: boolean;
+};
+
+export type DemoTrafficOptions = {
+	/** The callers' addresses, taken in turn. */
+	readonly entries: readonly string[];
+	/** Errands in progress at the same time. */
+	readonly concurrency: number;
+	readonly onResult: (result: DemoResult) => void;
+};
+
+type Conversation = {
+	readonly messages: ChatMessage[];
+	session: string;
+};
+
+const defaultAnswerTokens = 16;
+
+/** Sends the requests of all errands. */
+export async function sendTraffic(errands: readonly DemoErrand[], options: DemoTrafficOptions): Promise<void> {
+	const traffic = new Traffic(options);
+	const queue = errands.values();
+	await Promise.all(Array.from({length: options.concurrency}, async () => traffic.work(queue)));
+}
+
+class Traffic {
+	readonly #options: DemoTrafficOptions;
+	#sent = 0;
+
+	constructor(options: DemoTrafficOptions) {
+		this.#options = options;
+	}
+
+	async work(queue: Iterator<DemoErrand, undefined>): Promise<void> {
+		const next = queue.next();
+		if (next.done) {
+			return;
+		}
+
+		await this.#follow(next.value, {messages: [], session: 'new'});
+		return this.work(queue);
+	}
+
+	async #follow([request, ...later]: DemoErrand, conversation: Conversation): Promise<void> {
+		if (!request) {
+			return;
+		}
+
+		this.#options.onResult(await this.#send(request, conversation));
+		return this.#follow(later, conversation);
+	}
+
+	async #send({kind, text}: DemoRequest, conversation: Conversation): Promise<DemoResult> {
+		const number = this.#sent++;
+		const entry = this.#options.entries[number % this.#options.entries.length] ?? '';
+		if (kind === 'print') {
+			return print(entry, {text, number});
+		}
+
+		conversation.messages.push({role: 'user', content: text});
+		const messages = [...conversation.messages];
+		const result = kind === 'turn'
+			? await sendTurn(entry, conversation)
+			: await chatWhole(entry, {key: workspaceKey, messages, headers: {'Valehitch-Class': kind}});
+		conversation.messages.push({role: 'assistant', content: result.text});
+		return {...result, kind, isWhole: result.done && result.text === wantedText(result, messages)};
+	}
+}
+
+async function print(entry: string, {text, number}: {readonly text: string; readonly number: number}): Promise<DemoResult> {
+	const body = JSON.stringify({text});
+	const result = await callService(entry, {
+		key: workspaceKey, service: 'labels', path: '/print', body, headers: {'Idempotency-Key': `print-${number}`},
+	});
+	return {...result, kind: 'print', isWhole: result.done && result.text.includes(JSON.stringify(body))};
+}
+
+async function sendTurn(entry: string, conversation: Conversation): Promise<CallResult> {
+	const result = await chatStreamed(entry, {
+		key: workspaceKey, messages: conversation.messages, headers: {'Valehitch-Class': 'turn', 'Valehitch-Session': conversation.session},
+	});
+	conversation.session = headerText(result, 'valehitch-session') || conversation.session;
+	return result;
+}
+
+function wantedText(result: CallResult, messages: readonly ChatMessage[]): string {
+	const version = `${headerText(result, 'valehitch-model')}@${headerText(result, 'valehitch-version')}`;
+	return fakeAnswer({version, messages, tokens: defaultAnswerTokens}).join('');
+}
+
+/** Gives a header of an answer, or an empty text. */
+export function headerText({headers}: CallResult, name: string): string {
+	const value = headers[name];
+	return typeof value === 'string' ? value : '';
+}
--- /dev/null
+++ b/packages/testing/src/_fake-server.ts
@@ -0,0 +1,117 @@
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {text} from 'node:stream/consumers';
+import {type Behaviour, behaviourSchema, defaultBehaviour} from './behaviour.js';
+
+/** What the common part of the fakes needs. */
+export type FakeServerOptions = {
+	readonly port: number;
+	readonly behaviour: Behaviour;
+	/** The records that `GET /test/runs` shows. */
+	readonly runs: readonly unknown[];
+	/** Answers everything but the control calls; the signal is raised when the caller goes away. */
+	readonly answer: (exchange: Exchange) => Promise<void>;
+};
+
+/** One request to a fake. */
+export type Exchange = {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly signal: AbortSignal;
+};
+
+/** A listening fake. */
+export type FakeServer = {
+	readonly port: number;
+	readonly address: string;
+	readonly close: () => Promise<void>;
+	readonly kill: () => Promise<void>;
+};
+
+const host = '127.0.0.1';
+
+export async function startFakeServer(options: FakeServerOptions): Promise<FakeServer> {
+	const server = createServer((request, response) => {
+		void serve(options, {request, response, signal: signalOfClose(response)});
+	});
+	server.listen(options.port, host);
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const close = async () => {
+		if (!server.listening) {
+			return;
+		}
+
+		const closed = once(server, 'close');
+		server.close();
+		server.closeIdleConnections();
+		await closed;
+	};
+
+	const kill = async () => {
+		const closed = close();
+		server.closeAllConnections();
+		await closed;
+	};
+
+	return {
+		port, address: `http://${host}:${port}`, close, kill,
+	};
+}
+
+export function sendJson(response: ServerResponse, answer: {readonly status: number; readonly body: unknown; readonly headers?: Readonly<Record<string, string>>}): void {
+	response.writeHead(answer.status, {'content-type': 'application/json', ...answer.headers});
+	response.end(JSON.stringify(answer.body));
+}
+
+export function sendNotRun(response: ServerResponse, message: string): void {
+	sendJson(response, {status: 503, body: {error: {message}}, headers: {'Valehitch-Outcome': 'notRun'}});
+}
+
+export function headerOf(request: IncomingMessage, name: string): string {
+	const value = request.headers[name];
+	return (Array.isArray(value) ? value[0] : value) ?? '';
+}
+
+function signalOfClose(response: ServerResponse): AbortSignal {
+	const controller = new AbortController();
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			controller.abort();
+		}
+	});
+	return controller.signal;
+}
+
+async function serve(options: FakeServerOptions, exchange: Exchange): Promise<void> {
+	const {request, response} = exchange;
+	try {
+		await route(options, exchange);
+	} catch (error) {
+		if (exchange.signal.aborted || response.headersSent) {
+			response.destroy();
+			return;
+		}
+
+		sendJson(response, {status: 400, body: {error: {message: `${request.method} ${request.url}: ${String(error)}`}}});
+	}
+}
+
+async function route(options: FakeServerOptions, exchange: Exchange): Promise<void> {
+	const {request, response} = exchange;
+	const call = `${request.method} ${request.url}`;
+	if (call === 'GET /test/runs') {
+		sendJson(response, {status: 200, body: options.runs});
+		return;
+	}
+
+	if (call === 'POST /test/behaviour') {
+		const given = behaviourSchema.parse(JSON.parse(await text(request)));
+		Object.assign(options.behaviour, defaultBehaviour, given);
+		sendJson(response, {status: 200, body: options.behaviour});
+		return;
+	}
+
+	await options.answer(exchange);
+}
--- /dev/null
+++ b/packages/testing/src/_run-fake.ts
@@ -0,0 +1,80 @@
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {type Announcer, startAnnouncer} from './announcer.js';
+
+/** The flags of both fakes. */
+export type FakeFlags = {
+	readonly port: number;
+	readonly server: string;
+	readonly zone: string;
+	readonly models: readonly string[];
+	readonly service: string;
+	readonly announce: readonly string[];
+	readonly key: string;
+	readonly capacity: number;
+};
+
+/** What a fake process runs. */
+export type FakeProcessOptions = {
+	readonly flags: FakeFlags;
+	/** The service's name; undefined for an engine. */
+	readonly service?: string;
+	readonly fake: {
+		readonly address: string;
+		readonly active: () => number;
+		readonly close: () => Promise<void>;
+	};
+};
+
+export function readFakeFlags(): FakeFlags {
+	const {values} = parseArgs({
+		options: {
+			port: {type: 'string', default: '0'},
+			server: {type: 'string', default: 'fake-1'},
+			zone: {type: 'string', default: 'prairie-south-a'},
+			models: {type: 'string', default: ''},
+			service: {type: 'string', default: 'labels'},
+			announce: {type: 'string', default: ''},
+			key: {type: 'string', default: 'backend-key'},
+			capacity: {type: 'string', default: '8'},
+		},
+	});
+	return {
+		...values,
+		port: Number(values.port),
+		capacity: Number(values.capacity),
+		models: listOf(values.models),
+		announce: listOf(values.announce),
+	};
+}
+
+export function runFake({flags, service, fake}: FakeProcessOptions): void {
+	const announcer = startAnnouncer({
+		daemons: flags.announce,
+		key: flags.key,
+		server: flags.server,
+		zone: flags.zone,
+		address: fake.address,
+		models: flags.models,
+		service,
+		capacity: flags.capacity,
+		active: fake.active,
+	});
+	process.stdout.write(`${flags.server} listens on ${fake.address}\n`);
+	const stop = () => {
+		void shutDown(announcer, fake.close);
+	};
+
+	process.once('SIGTERM', stop);
+	process.once('SIGINT', stop);
+}
+
+async function shutDown(announcer: Announcer, close: () => Promise<void>): Promise<void> {
+	await announcer.announceShutdown();
+	await close();
+	await announcer.stop();
+}
+
+function listOf(text: string): readonly string[] {
+	return text.split(',').filter(part => part !== '');
+}
--- /dev/null
+++ b/packages/testing/src/bin/demo.ts
@@ -0,0 +1,123 @@
+#!/usr/bin/env node
+import {once} from 'node:events';
+import {rm} from 'node:fs/promises';
+import process from 'node:process';
+import {inspect, parseArgs} from 'node:util';
+import {
+	demoBackends, demoConfiguration, demoDaemons, planErrands, workspace, workspaceKey,
+} from '../_demo-plan.js';
+import {type DemoReport, matchBills, reportOf} from '../_demo-report.js';
+import {type DemoResult, sendTraffic} from '../_demo-traffic.js';
+import {deploymentKeys} from '../_settings-file.js';
+import {type Deployment, type LedgerBill, startDeployment} from '../deployment.js';
+import {waitUntil} from '../wait-until.js';
+
+const folder = 'demo-output';
+const requestCount = 200;
+const concurrency = 16;
+const progressEvery = 25;
+const ledgerMilliseconds = 10_000;
+const interruptedCode = 130;
+const {values: flags} = parseArgs({options: {keep: {type: 'boolean', default: false}}});
+
+process.on('SIGINT', interrupt);
+process.on('SIGTERM', interrupt);
+await rm(folder, {recursive: true, force: true});
+say(`Starting ${demoDaemons.length} daemons and ${demoBackends.length} fakes; logs are in ${folder}/`);
+const deployment = await startDeployment({
+	daemons: demoDaemons, backends: demoBackends, configuration: demoConfiguration, folder,
+});
+process.exitCode = await runOrStop(deployment);
+
+async function runOrStop(running: Deployment): Promise<number> {
+	const interrupted = nextSignal();
+	const ended = await Promise.race([run(running), interrupted]);
+	if (flags.keep && typeof ended !== 'number') {
+		showTable(ended);
+		showCalls(running);
+		await interrupted;
+	}
+
+	say('Stopping all processes with SIGTERM');
+	const unclean = await running.stop();
+	for (const name of unclean) {
+		say(`${name} did not end with code 0; see ${folder}/${name}.log`);
+	}
+
+	if (typeof ended === 'number') {
+		return ended;
+	}
+
+	showTable(ended);
+	return ended.isMatch ? 0 : 1;
+}
+
+function showTable({lines}: DemoReport): void {
+	for (const line of lines) {
+		say(line);
+	}
+}
+
+async function run(running: Deployment): Promise<DemoReport> {
+	const results: DemoResult[] = [];
+	say(`Sending ${requestCount} requests, ${concurrency} at a time`);
+	await sendTraffic(planErrands(requestCount), {
+		entries: running.daemons.map(({callers}) => callers),
+		concurrency,
+		onResult(result) {
+			results.push(result);
+			if (results.length % progressEvery === 0) {
+				const whole = results.filter(({isWhole}) => isWhole).length;
+				say(`${results.length} of ${requestCount} requests ended, ${whole} with a whole answer`);
+			}
+		},
+	});
+	return reportOf(results, await readBills(running, results));
+}
+
+/** Reads the ledger until it matches; bills may come a little after the answers. */
+async function readBills(running: Deployment, results: readonly DemoResult[]): Promise<readonly LedgerBill[]> {
+	let bills: readonly LedgerBill[] = [];
+	try {
+		await waitUntil(async () => {
+			bills = await running.ledger(workspace);
+			return matchBills(results, bills).isMatch || undefined;
+		}, {what: 'bills that match the answers', timeoutMilliseconds: ledgerMilliseconds, everyMilliseconds: 200});
+	} catch (error) {
+		say(inspect(error));
+	}
+
+	return bills;
+}
+
+function showCalls(running: Deployment): void {
+	const [daemon] = running.daemons;
+	if (!daemon) {
+		return;
+	}
+
+	const callerKey = `-H 'Authorization: Bearer ${workspaceKey}'`;
+	const operatorKey = `-H 'Authorization: Bearer ${deploymentKeys.operators}'`;
+	const body = '{"model":"auto","messages":[{"role":"user","content":"Tag crate 17"}]}';
+	say(`Everything runs until Ctrl-C. Try:
+curl ${callerKey} -H 'Content-Type: application/json' -H 'Valehitch-Class: lookup' -d '${body}' ${daemon.callers}/v1/chat/completions
+curl -X POST ${callerKey} -H 'Idempotency-Key: mine-1' -d '{"text":"Crate 17"}' ${daemon.callers}/services/labels/print
+curl ${operatorKey} ${daemon.operators}/v1/status
+curl ${operatorKey} '${daemon.operators}/v1/ledger?workspace=${workspace}&after=0'`);
+}
+
+async function nextSignal(): Promise<number> {
+	process.off('SIGINT', interrupt);
+	process.off('SIGTERM', interrupt);
+	await Promise.race([once(process, 'SIGINT'), once(process, 'SIGTERM')]);
+	return interruptedCode;
+}
+
+// While the processes start: they are killed on exit.
+function interrupt(): void {
+	process.exit(interruptedCode);
+}
+
+function say(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
--- /dev/null
+++ b/packages/testing/src/demo-report.test.ts
@@ -0,0 +1,50 @@
+import test from 'ava';
+import {planErrands} from './_demo-plan.js';
+import {matchBills, reportOf} from './_demo-report.js';
+import {type DemoResult} from './_demo-traffic.js';
+
+function resultOf(requestId: string): DemoResult {
+	return {
+		status: 200, headers: {}, requestId, text: '', done: true, totalMilliseconds: 2, kind: 'print', isWhole: true,
+	};
+}
+
+function billOf(request: string) {
+	return {
+		workspace: 'yard', request, total: 100, outcome: 'answered', lines: [],
+	};
+}
+
+test('answers and bills match only one to one', t => {
+	const results = [resultOf('r1'), resultOf('r2')];
+	const bills = [billOf('r2'), billOf('r1')];
+	t.true(matchBills(results, bills).isMatch);
+	t.deepEqual(matchBills(results, [billOf('r1')]).unbilled, ['r2']);
+	t.false(matchBills(results, [billOf('r1')]).isMatch);
+	t.deepEqual(matchBills(results, [...bills, billOf('r3')]).unanswered, ['r3']);
+	t.false(matchBills(results, [...bills, billOf('r3')]).isMatch);
+	t.false(matchBills(results, [...bills, billOf('r1')]).isMatch);
+	t.false(matchBills([...results, resultOf('r1')], bills).isMatch);
+	t.false(matchBills([...results, resultOf('')], bills).isMatch);
+	t.false(matchBills([{...resultOf('r1'), isWhole: false}, resultOf('r2')], bills).isMatch);
+	t.false(matchBills([], []).isMatch);
+});
+
+test('the table counts requests, refusals and cost', t => {
+	const refused: DemoResult = {
+		...resultOf('r2'), isWhole: false, done: false, status: 503, problem: {kind: 'no-server'},
+	};
+	const {lines, isMatch} = reportOf([resultOf('r1'), refused], [billOf('r1')]);
+	const table = lines.join('\n');
+	t.true(isMatch);
+	t.regex(table, /refused or failed: no-server +1/v);
+	t.regex(table, /requests to the labels service +1/v);
+	t.regex(table, /cost in units of account +0\.000100/v);
+});
+
+test('the plan holds as many requests as wanted, is the same each time and holds all kinds', t => {
+	const requests = planErrands(200).flat();
+	t.is(requests.length, 200);
+	t.deepEqual(requests, planErrands(200).flat());
+	t.deepEqual([...new Set(requests.map(({kind}) => kind))].toSorted(), ['lookup', 'print', 'reconcile', 'turn']);
+});
--- /dev/null
+++ b/packages/testing/src/deployment.ts
@@ -0,0 +1,367 @@
+import {randomUUID} from 'node:crypto';
+import {mkdir, mkdtemp, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {z} from 'zod';
+import {
+	type DaemonPorts, type DaemonRole, deploymentKeys, type PlacedDaemon, settingsFile,
+} from './_settings-file.js';
+import {freePorts} from './free-ports.js';
+import {callOperator} from './http-client.js';
+import {ManagedProcess} from './managed-process.js';
+import {sendRequest} from './send-request.js';
+import {waitUntil} from './wait-until.js';
+
+/** A daemon of a deployment. */
+export type DaemonPlan = {
+	readonly instance: string;
+	readonly zone: string;
+	readonly roles: readonly DaemonRole[];
+};
+
+/** A fake engine or a fake service of a deployment. */
+export type BackendPlan = {
+	readonly server: string;
+	readonly zone: string;
+	/** For an engine: its versions, such as `tag-small@1.0`. */
+	readonly models?: readonly string[];
+	/** For a plain service: its name. */
+	readonly service?: string;
+	/** 8 by default. */
+	readonly capacity?: number;
+};
+
+/** What to start. */
+export type DeploymentOptions = {
+	readonly daemons: readonly DaemonPlan[];
+	readonly backends: readonly BackendPlan[];
+	/** The operators' document, as in examples/configuration.yaml. */
+	readonly configuration: unknown;
+	/** For settings, data and logs; a new one under the system's temporary folder by default. */
+	readonly folder?: string;
+	/** Top-level members of the settings that replace the generated ones. */
+	readonly settings?: Readonly<Record<string, unknown>>;
+	/** The daemon's script; the workspace's own by default. */
+	readonly daemonScript?: string;
+	/** How long each step of the start may take; 20 000 by default. */
+	readonly startMilliseconds?: number;
+};
+
+/** A daemon that was started. */
+export type RunningDaemon = DaemonPlan & {
+	readonly ports: DaemonPorts;
+	/** The address for callers. */
+	readonly callers: string;
+	/** The address for operators. */
+	readonly operators: string;
+	/** Stop, kill and start it here. */
+	readonly process: ManagedProcess;
+};
+
+/** A fake that was started. */
+export type RunningBackend = BackendPlan & {
+	readonly address: string;
+	/** Stop, kill and start it here. */
+	readonly process: ManagedProcess;
+};
+
+/** A line of the ledger, as far as tests ask about it. */
+export type LedgerBill = z.infer<typeof billSchema>;
+
+/** A daemon's answer to `GET /v1/status`, as far as tests ask about it. */
+export type DaemonStatus = z.infer<typeof statusSchema>;
+
+const billSchema = z.looseObject({
+	workspace: z.string(),
+	request: z.string(),
+	total: z.number(),
+	outcome: z.string(),
+	lines: z.array(z.looseObject({server: z.string(), purpose: z.string()})),
+});
+const ledgerSchema = z.object({bills: z.array(billSchema), next: z.number().nullish()});
+const statusSchema = z.looseObject({
+	instance: z.string(), revision: z.number(), servers: z.array(z.looseObject({server: z.string()})),
+});
+const committedSchema = z.object({revision: z.number()});
+const portsEach = 4;
+const defaultCapacity = 8;
+const packageFolder = fileURLToPath(new URL('..', import.meta.url));
+const workspaceDaemon = path.join(packageFolder, '../daemon/dist/bin/valehitchd.js');
+
+/**
+Starts daemons and fakes as processes, applies a configuration, and waits until every daemon knows it and all servers.
+
+@param options What to start.
+@returns The running deployment; the caller stops it.
+@throws When a step takes too long; everything is stopped before.
+@example
+```ts
+const deployment = await startDeployment({daemons, backends, configuration});
+await deployment.daemons[0]?.process.kill('SIGKILL');
+await deployment.stop();
+```
+*/
+export async function startDeployment(options: DeploymentOptions): Promise<Deployment> {
+	const folder = path.resolve(options.folder ?? await mkdtemp(path.join(tmpdir(), 'valehitch-')));
+	await mkdir(path.join(folder, 'data'), {recursive: true});
+	const placed = await placeDaemons(options.daemons);
+	const daemons = await Promise.all(placed.map(async daemon => writeDaemon(daemon, {placed, folder, options})));
+	const backends = await placeBackends({daemons, folder, plans: options.backends});
+	const deployment = new Deployment({
+		folder, daemons, backends, startMilliseconds: options.startMilliseconds,
+	});
+	try {
+		await deployment.start(options.configuration);
+	} catch (error) {
+		await deployment.stop();
+		throw error;
+	}
+
+	return deployment;
+}
+
+/** Daemons and fakes that run as processes; made by `startDeployment`. */
+export class Deployment {
+	/** Holds the settings files, the data and a log `NAME.log` of each process. */
+	readonly folder: string;
+	readonly daemons: readonly RunningDaemon[];
+	readonly backends: readonly RunningBackend[];
+	readonly #timeoutMilliseconds: number | undefined;
+
+	constructor(parts: {
+		readonly folder: string;
+		readonly daemons: readonly RunningDaemon[];
+		readonly backends: readonly RunningBackend[];
+		readonly startMilliseconds?: number | undefined;
+	}) {
+		this.folder = parts.folder;
+		this.daemons = parts.daemons;
+		this.backends = parts.backends;
+		this.#timeoutMilliseconds = parts.startMilliseconds;
+	}
+
+	/** All processes, the daemons first. */
+	get processes(): readonly ManagedProcess[] {
+		return [...this.daemons, ...this.backends].map(part => part.process);
+	}
+
+	/**
+	Starts all processes and waits until requests can be sent.
+
+	@param configuration The operators' document.
+	*/
+	async start(configuration: unknown): Promise<void> {
+		for (const part of this.processes) {
+			part.start();
+		}
+
+		await Promise.all(this.daemons.map(async daemon => this.waitUntilHealthy(daemon)));
+		const revision = await this.apply(configuration);
+		const servers = this.backends.map(({server}) => server);
+		await Promise.all(this.daemons.map(async daemon => this.waitUntilReady(daemon, {revision, servers})));
+	}
+
+	/**
+	Applies a configuration, sending it again under the same change id until a daemon commits it.
+
+	@param configuration The operators' document.
+	@param options The revision it replaces, 0 by default, and the daemon asked, the first that runs by default.
+	@returns The new revision.
+	*/
+	async apply(configuration: unknown, options: {readonly replaces?: number; readonly by?: RunningDaemon} = {}): Promise<number> {
+		const changeId = randomUUID();
+		return waitUntil(async () => {
+			const daemon = options.by ?? this.#anyDaemon();
+			const {status, body} = await callOperator(`${daemon.operators}/v1/configuration`, {
+				key: deploymentKeys.operators,
+				headers: {'If-Match': `"${options.replaces ?? 0}"`, 'Valehitch-Change-Id': changeId},
+				document: configuration,
+			});
+			if (status !== 200) {
+				throw new Error(`Got ${status} ${JSON.stringify(body)}, wanted 200`);
+			}
+
+			return committedSchema.parse(body).revision;
+		}, this.#wait('a committed configuration'));
+	}
+
+	/**
+	Waits until a daemon takes requests.
+
+	@param daemon The daemon.
+	*/
+	async waitUntilHealthy(daemon: RunningDaemon): Promise<void> {
+		await waitUntil(async () => {
+			if (!daemon.process.isRunning) {
+				throw new Error(`${daemon.instance} ended; see ${daemon.process.logFile}`);
+			}
+
+			const {status} = await sendRequest(`${daemon.callers}/healthz`, {timeoutMilliseconds: 1000});
+			return status === 200 || undefined;
+		}, this.#wait(`${daemon.instance} to be healthy`));
+	}
+
+	/**
+	Waits until a daemon knows a revision and servers.
+
+	@param daemon The daemon.
+	@param wanted The least revision, and the servers.
+	*/
+	async waitUntilReady(daemon: RunningDaemon, wanted: {readonly revision: number; readonly servers: readonly string[]}): Promise<void> {
+		await waitUntil(async () => {
+			const status = await this.status(daemon);
+			const known = new Set(status.servers.map(({server}) => server));
+			const missing = wanted.servers.filter(server => !known.has(server));
+			if (status.revision < wanted.revision || missing.length > 0) {
+				throw new Error(`Got revision ${status.revision} without the servers ${missing.join(', ') || 'none'}`);
+			}
+
+			return true;
+		}, this.#wait(`${daemon.instance} to know revision ${wanted.revision} and all servers`));
+	}
+
+	/**
+	Asks a daemon for its status.
+
+	@param daemon The daemon.
+	@returns The parsed status.
+	*/
+	async status(daemon: RunningDaemon): Promise<DaemonStatus> {
+		return statusSchema.parse(await this.#get(daemon, '/v1/status'));
+	}
+
+	/**
+	Reads all bills of a workspace.
+
+	@param workspace The workspace.
+	@param daemon The daemon asked; the first that runs by default.
+	@returns The bills in the ledger's order.
+	*/
+	async ledger(workspace: string, daemon: RunningDaemon = this.#anyDaemon()): Promise<readonly LedgerBill[]> {
+		return this.#ledgerAfter({workspace, daemon, after: 0});
+	}
+
+	/**
+	Stops everything with SIGTERM, the daemons before the fakes.
+
+	@returns The names of the processes that did not end with code 0.
+	*/
+	async stop(): Promise<readonly string[]> {
+		return [...await stopAll(this.daemons), ...await stopAll(this.backends)];
+	}
+
+	async #ledgerAfter({workspace, daemon, after}: {readonly workspace: string; readonly daemon: RunningDaemon; readonly after: number}): Promise<readonly LedgerBill[]> {
+		const {bills, next} = ledgerSchema.parse(await this.#get(daemon, `/v1/ledger?workspace=${workspace}&after=${after}`));
+		if (bills.length === 0 || typeof next !== 'number' || next <= after) {
+			return bills;
+		}
+
+		return [...bills, ...await this.#ledgerAfter({workspace, daemon, after: next})];
+	}
+
+	async #get(daemon: RunningDaemon, target: string): Promise<unknown> {
+		const {status, body} = await callOperator(`${daemon.operators}${target}`, {key: deploymentKeys.operators});
+		if (status !== 200) {
+			throw new Error(`Got ${status} from ${daemon.instance} for ${target}, wanted 200`);
+		}
+
+		return body;
+	}
+
+	#anyDaemon(): RunningDaemon {
+		const daemon = this.daemons.find(candidate => candidate.process.isRunning);
+		if (!daemon) {
+			throw new Error('No daemon runs');
+		}
+
+		return daemon;
+	}
+
+	#wait(what: string) {
+		return this.#timeoutMilliseconds === undefined ? {what} : {what, timeoutMilliseconds: this.#timeoutMilliseconds};
+	}
+}
+
+async function placeDaemons(plans: readonly DaemonPlan[]): Promise<readonly PlacedDaemon[]> {
+	const ports = await freePorts(plans.length * portsEach);
+	return plans.map((plan, index) => {
+		const [callers = 0, backends = 0, operators = 0, peers = 0] = ports.slice(index * portsEach);
+		return {
+			...plan, ports: {
+				callers, backends, operators, peers,
+			},
+		};
+	});
+}
+
+type DaemonSurroundings = {
+	readonly placed: readonly PlacedDaemon[];
+	readonly folder: string;
+	readonly options: DeploymentOptions;
+};
+
+type BackendSurroundings = {
+	readonly daemons: readonly RunningDaemon[];
+	readonly folder: string;
+	readonly plans: readonly BackendPlan[];
+};
+
+async function writeDaemon(daemon: PlacedDaemon, {placed, folder, options}: DaemonSurroundings): Promise<RunningDaemon> {
+	const {instance, ports} = daemon;
+	const file = path.join(folder, `${instance}.yaml`);
+	await writeFile(file, settingsFile(daemon, {folder, daemons: placed, overrides: options.settings}));
+	return {
+		...daemon,
+		callers: `http://127.0.0.1:${ports.callers}`,
+		operators: `http://127.0.0.1:${ports.operators}`,
+		process: new ManagedProcess({
+			name: instance,
+			command: [options.daemonScript ?? workspaceDaemon, '--settings', file],
+			logFile: path.join(folder, `${instance}.log`),
+		}),
+	};
+}
+
+async function placeBackends({daemons, folder, plans}: BackendSurroundings): Promise<readonly RunningBackend[]> {
+	const ports = await freePorts(plans.length);
+	const addresses = daemons.map(daemon => `http://127.0.0.1:${daemon.ports.backends}`);
+	return plans.map((plan, index) => {
+		const port = ports[index] ?? 0;
+		// Each begins with another daemon, so that announcements spread.
+		const start = index % Math.max(1, addresses.length);
+		const announce = [...addresses.slice(start), ...addresses.slice(0, start)];
+		return {
+			...plan,
+			address: `http://127.0.0.1:${port}`,
+			process: new ManagedProcess({
+				name: plan.server,
+				command: backendCommand(plan, {port, announce}),
+				logFile: path.join(folder, `${plan.server}.log`),
+			}),
+		};
+	});
+}
+
+function backendCommand(plan: BackendPlan, {port, announce}: {readonly port: number; readonly announce: readonly string[]}): readonly string[] {
+	const script = plan.service === undefined ? 'fake-engine.js' : 'fake-service.js';
+	const flags = {
+		port,
+		server: plan.server,
+		zone: plan.zone,
+		announce: announce.join(','),
+		key: deploymentKeys.backends,
+		capacity: plan.capacity ?? defaultCapacity,
+		...(plan.models && {models: plan.models.join(',')}),
+		...(plan.service !== undefined && {service: plan.service}),
+	};
+	return [path.join(packageFolder, 'dist/bin', script), ...Object.entries(flags).map(([name, value]) => `--${name}=${value}`)];
+}
+
+async function stopAll(parts: ReadonlyArray<{readonly process: ManagedProcess}>): Promise<readonly string[]> {
+	const names = await Promise.all(parts.map(async ({process}) => {
+		const end = await process.stop();
+		return end === undefined || end.code === 0 ? undefined : process.name;
+	}));
+	return names.filter(name => name !== undefined);
+}
--- /dev/null
+++ b/packages/testing/src/fake-engine.ts
@@ -0,0 +1,282 @@
+import {type IncomingMessage} from 'node:http';
+import {text} from 'node:stream/consumers';
+import {setInterval, setTimeout as delay} from 'node:timers/promises';
+import {z} from 'zod';
+import {
+	type Exchange, headerOf, sendJson, sendNotRun, startFakeServer,
+} from './_fake-server.js';
+import {wireNames} from './_wire-names.js';
+import {type Behaviour, defaultBehaviour} from './behaviour.js';
+import {countPromptTokens, fakeAnswer} from './fake-answer.js';
+
+/** How to start a fake engine. */
+export type FakeEngineOptions = {
+	/** The versions it has loaded, such as `tag-small@1.0`; it refuses others as not run. */
+	readonly models: readonly string[];
+	/** The port on 127.0.0.1; a free one by default. */
+	readonly port?: number;
+	/** Members of the behaviour that differ from the defaults. */
+	readonly behaviour?: Partial<Behaviour>;
+};
+
+/** One run, as seen from outside the router. */
+export type EngineRun = {
+	readonly requestId: string;
+	readonly attempt: string;
+	readonly model: string;
+	readonly version: string;
+	readonly streamed: boolean;
+	/** Whether the whole answer was handed to the connection. */
+	completed: boolean;
+	/** Whether the caller closed the connection first. */
+	cancelled: boolean;
+};
+
+/** A running fake engine. */
+export type FakeEngine = {
+	readonly address: string;
+	readonly port: number;
+	/** Change its members to change what the engine does. */
+	readonly behaviour: Behaviour;
+	readonly runs: readonly EngineRun[];
+	/** Requests it works on now. */
+	readonly active: () => number;
+	/** Stops listening and waits for the requests in progress. */
+	readonly close: () => Promise<void>;
+	/** Stops listening and destroys all connections. */
+	readonly kill: () => Promise<void>;
+};
+
+type State = {
+	readonly models: ReadonlySet<string>;
+	readonly behaviour: Behaviour;
+	readonly runs: EngineRun[];
+	active: number;
+};
+
+type ChatBody = z.infer<typeof chatSchema>;
+
+/** One answer in the making. */
+type Work = Exchange & {
+	readonly behaviour: Behaviour;
+	readonly run: EngineRun;
+	readonly id: string;
+	readonly versionKey: string;
+	readonly tokens: readonly string[];
+	readonly usage: Readonly<Record<string, number>>;
+};
+
+/** How fast tokens come, and where they go. */
+type Pace = {
+	readonly milliseconds: number;
+	readonly signal: AbortSignal;
+	readonly onToken: ((token: string) => void) | undefined;
+};
+
+const chatSchema = z.object({
+	model: z.string(),
+	messages: z.array(z.object({role: z.string(), content: z.string()})),
+	stream: z.boolean().default(false),
+	[wireNames.maxTokens]: z.int().min(0).optional(),
+	resume: z.object({text: z.string()}).optional(),
+});
+
+/**
+Starts a fake model engine in this process.
+
+@param options How to start it.
+@returns The running engine.
+@example
+```ts
+const engine = await startFakeEngine({models: ['tag-small@1.0']});
+engine.behaviour.stall = true;
+await engine.kill();
+```
+*/
+export async function startFakeEngine(options: FakeEngineOptions): Promise<FakeEngine> {
+	const state: State = {
+		models: new Set(options.models), behaviour: {...defaultBehaviour, ...options.behaviour}, runs: [], active: 0,
+	};
+	const {behaviour, runs} = state;
+	const server = await startFakeServer({
+		port: options.port ?? 0,
+		behaviour,
+		runs,
+		async answer(exchange) {
+			await answerChat(state, exchange);
+		},
+	});
+	return {
+		...server, behaviour, runs, active: () => state.active,
+	};
+}
+
+async function answerChat(state: State, exchange: Exchange): Promise<void> {
+	const {request, response} = exchange;
+	if (request.method !== 'POST' || request.url !== '/v1/chat/completions') {
+		sendJson(response, {status: 404, body: {error: {message: 'Wanted POST /v1/chat/completions'}}});
+		return;
+	}
+
+	const body = chatSchema.parse(JSON.parse(await text(request)));
+	if (state.behaviour.refuseNotRun || !state.models.has(body.model)) {
+		sendNotRun(response, `Got ${body.model}, which does not run here now`);
+		return;
+	}
+
+	const run = runOf(request, body);
+	state.runs.push(run);
+	state.active++;
+	try {
+		await work(workOf({behaviour: {...state.behaviour}, run, body}, exchange));
+	} finally {
+		run.cancelled = exchange.signal.aborted && !run.completed;
+		state.active--;
+	}
+}
+
+function runOf(request: IncomingMessage, body: ChatBody): EngineRun {
+	const [model = '', version = ''] = body.model.split('@');
+	return {
+		requestId: headerOf(request, 'valehitch-request-id'),
+		attempt: headerOf(request, 'valehitch-attempt'),
+		model,
+		version,
+		streamed: body.stream,
+		completed: false,
+		cancelled: false,
+	};
+}
+
+function workOf({behaviour, run, body}: {behaviour: Behaviour; run: EngineRun; body: ChatBody}, exchange: Exchange): Work {
+	const wanted = Math.min(body[wireNames.maxTokens] ?? behaviour.answerTokens, behaviour.answerTokens);
+	const tokens = fakeAnswer({
+		version: body.model, messages: body.messages, tokens: wanted, resumeText: body.resume?.text,
+	});
+	const promptTokens = countPromptTokens(body.messages) + (body.resume ? countPromptTokens([{role: 'assistant', content: body.resume.text}]) : 0);
+	return {
+		...exchange,
+		behaviour,
+		run,
+		id: `chatcmpl-${run.requestId}`,
+		versionKey: body.model,
+		tokens,
+		usage: {
+			[wireNames.promptTokens]: promptTokens,
+			[wireNames.completionTokens]: tokens.length,
+			[wireNames.totalTokens]: promptTokens + tokens.length,
+		},
+	};
+}
+
+async function work(job: Work): Promise<void> {
+	const {behaviour, response, signal} = job;
+	if (behaviour.stall) {
+		await raised(signal);
+		return;
+	}
+
+	if (behaviour.failStatus !== undefined) {
+		await delay(behaviour.firstTokenMilliseconds, undefined, {signal});
+		sendJson(response, {status: behaviour.failStatus, body: {error: {message: 'The fake was told to fail'}}});
+		return;
+	}
+
+	const answer = job.run.streamed ? streamAnswer : sendWhole;
+	await answer(job);
+}
+
+async function sendWhole(job: Work): Promise<void> {
+	const {response, run, tokens, usage, versionKey, id} = job;
+	await produce(job);
+	if (wasCut(job)) {
+		return;
+	}
+
+	const message = {role: 'assistant', content: tokens.join('')};
+	const choices = [{index: 0, message, [wireNames.finishReason]: 'stop'}];
+	sendJson(response, {
+		status: 200,
+		body: {
+			id, object: 'chat.completion', model: versionKey, choices, usage,
+		},
+	});
+	run.completed = true;
+}
+
+async function streamAnswer(job: Work): Promise<void> {
+	const {response, run, usage} = job;
+	response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-store'});
+	response.flushHeaders();
+	await produce(job, token => {
+		response.write(chunk(job, {choices: [{index: 0, delta: {content: token}}]}));
+	});
+	if (wasCut(job)) {
+		return;
+	}
+
+	response.write(chunk(job, {choices: [{index: 0, delta: {}, [wireNames.finishReason]: 'stop'}], usage}));
+	response.end('data: [DONE]\n\n');
+	run.completed = true;
+}
+
+function chunk({id, versionKey}: Work, members: Readonly<Record<string, unknown>>): string {
+	return `data: ${JSON.stringify({
+		id, object: 'chat.completion.chunk', model: versionKey, ...members,
+	})}\n\n`;
+}
+
+async function produce({behaviour, tokens, signal}: Work, onToken?: (token: string) => void): Promise<void> {
+	const pending = tokens.slice(0, behaviour.cutAfterTokens);
+	await delay(behaviour.firstTokenMilliseconds, undefined, {signal});
+	if (behaviour.tokenMilliseconds === 0) {
+		for (const token of pending) {
+			onToken?.(token);
+		}
+
+		return;
+	}
+
+	const [first, ...later] = pending;
+	if (first === undefined) {
+		return;
+	}
+
+	onToken?.(first);
+	await producePaced(later, {milliseconds: behaviour.tokenMilliseconds, signal, onToken});
+}
+
+async function producePaced(tokens: readonly string[], {milliseconds, signal, onToken}: Pace): Promise<void> {
+	const remaining = [...tokens];
+	if (remaining.length === 0) {
+		return;
+	}
+
+	for await (const queue of setInterval(milliseconds, remaining, {signal})) {
+		onToken?.(queue.shift() ?? '');
+		if (remaining.length === 0) {
+			return;
+		}
+	}
+}
+
+function wasCut({behaviour, tokens, response}: Work): boolean {
+	if (behaviour.cutAfterTokens === undefined || behaviour.cutAfterTokens >= tokens.length) {
+		return false;
+	}
+
+	response.socket?.destroySoon();
+	return true;
+}
+
+async function raised(signal: AbortSignal): Promise<void> {
+	if (signal.aborted) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		signal.addEventListener('abort', () => {
+			resolve();
+		}, {once: true});
+	});
+}
--- /dev/null
+++ b/packages/testing/src/mod.ts
@@ -0,0 +1,19 @@
+/**
+Fakes, processes and callers for tests and the demonstration; never shipped.
+
+@module
+*/
+export * from './announcer.js';
+export * from './behaviour.js';
+export * from './deployment.js';
+export * from './fake-answer.js';
+export * from './fake-engine.js';
+export * from './fake-service.js';
+export * from './free-ports.js';
+export * from './http-client.js';
+export * from './managed-process.js';
+export * from './send-request.js';
+export * from './wait-until.js';
+export {
+	deploymentKeys, digestOf, type DaemonPorts, type DaemonRole,
+} from './_settings-file.js';
