Open the packages of the heart with their contracts

Cause: consensus, storage, routing and membership are built side by side and need their borders first. Ruled out: letting each part define its own; the joints would not fit. Change: the types of the replicated log (entries, messages, events, actions), of the data folder, and the pure server table and session tokens in their packages. Conclusion: work on state and requests can begin.

--- /dev/null
+++ b/packages/consensus/src/replica-event.ts
@@ -0,0 +1,23 @@
+import {type ReplicaSet} from './log-entry.js';
+import {type ReplicaId} from './replica-id.js';
+import {type ReplicaMessage} from './replica-message.js';
+
+/** What can happen to a replica. */
+export type ReplicaEvent
+	= | {readonly type: 'tick'}
+		| {readonly type: 'message'; readonly from: ReplicaId; readonly message: ReplicaMessage}
+	/** Commands to put into the log in this order; `proposalId` comes back with the outcome. */
+		| {readonly type: 'propose'; readonly proposals: ReadonlyArray<{readonly proposalId: string; readonly data: Uint8Array}>}
+	/** Adds or removes one replica, or turns a learner into a voter. */
+		| {readonly type: 'change-replicas'; readonly change: ReplicaChange}
+	/** The host took a snapshot of the state machine at `lastIndex`; the log may be cut up to there. */
+		| {readonly type: 'snapshot-taken'; readonly lastIndex: number; readonly data: Uint8Array};
+
+/** One change of the replica set; only one is in progress at a time. */
+export type ReplicaChange
+	= | {readonly type: 'add-learner'; readonly replica: ReplicaId}
+		| {readonly type: 'promote'; readonly replica: ReplicaId}
+		| {readonly type: 'remove'; readonly replica: ReplicaId};
+
+/** The replica set that a new group begins with. */
+export type InitialReplicas = ReplicaSet;
--- a/packages/daemon/src/distribution/start-distribution.ts
+++ b/packages/daemon/src/distribution/start-distribution.ts
@@ -2,13 +2,13 @@
 	type Announcement, type EffectiveConfiguration, emptyConfiguration, toRevision,
 } from '@valehitch/core';
 import {match} from 'ts-pattern';
+import {ServerTable} from '@valehitch/membership';
 import {type ControlPart} from '../control/start-control.js';
 import {type DaemonBase} from '../daemon-base.js';
 import {type Member} from '../member.js';
 import {activate, type ActiveConfiguration} from './active-configuration.js';
 import {ConfigurationLink} from './configuration-link.js';
 import {type DistributionMessage} from './messages.js';
-import {ServerTable} from './server-table.js';
 
 /** The part of a daemon that knows the configuration, the members and the backend servers. */
 export type DistributionPart = {
--- a/packages/daemon/src/entry/entry-context.ts
+++ b/packages/daemon/src/entry/entry-context.ts
@@ -1,6 +1,6 @@
+import {type ServerTable} from '@valehitch/membership';
 import {type DaemonBase} from '../daemon-base.js';
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
-import {type ServerTable} from '../distribution/server-table.js';
 import {type BillOutbox} from './bill-outbox.js';
 import {type RequestCounter} from './request-counter.js';
 
--- a/packages/daemon/src/entry/handle-chat.ts
+++ b/packages/daemon/src/entry/handle-chat.ts
@@ -4,8 +4,8 @@
 } from '@valehitch/core';
 import {readBody} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
+import {type KnownServer} from '@valehitch/membership';
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
-import {type KnownServer} from '../distribution/server-table.js';
 import {parseChatBody} from './chat-body.js';
 import {callEngine, type EngineAnswer} from './engine-call.js';
 import {type EntryContext} from './entry-context.js';
--- a/packages/daemon/src/entry/plan-chat.ts
+++ b/packages/daemon/src/entry/plan-chat.ts
@@ -4,10 +4,10 @@
 } from '@valehitch/core';
 import {chooseVersion} from '@valehitch/policy';
 import {type Either, Left, Right} from 'purify-ts';
+import {readSessionToken, writeSessionToken} from '@valehitch/routing';
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
 import {type ChatBody, factsOf} from './chat-body.js';
 import {type EntryContext} from './entry-context.js';
-import {readSessionToken, writeSessionToken} from './session-token.js';
 
 /** A chat request with its model and version chosen. */
 export type ChatPlan = {
--- a/packages/daemon/src/entry/session-token.ts
+++ b/packages/routing/src/session-token.ts
@@ -3,9 +3,14 @@
 import {
 	type Failure, failure, type ModelId, type VersionId, type WorkspaceId,
 } from '@valehitch/core';
-import {type SessionKey} from '@valehitch/settings';
 import {type Either, Left, Right} from 'purify-ts';
 
+/** A key that signs session tokens. */
+export type SessionKey = {
+	readonly id: string;
+	readonly key: string;
+};
+
 /** What a session token says: nothing else about the session is kept anywhere. */
 export type Session = {
 	readonly workspace: WorkspaceId;
