Show the traffic between daemons in the status

Cause: the capacity measurement needs bytes per second of each daemon, and operators want the same figure beside the budget of 7 KB/s. Ruled out: counters over UDP, which can be lost. Change: GET /v1/status has the member peerTraffic. Before and after: the counters existed in the transport and could not be read from outside.

--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -58,7 +58,7 @@
 }
 
 async function answerStatus(response: ServerResponse, context: OperatorContext): Promise<void> {
-	const {base: {settings}, distribution, entry: {requests}, control} = context;
+	const {base: {settings, network}, distribution, entry: {requests}, control} = context;
 	const inForce = await control.inForce();
 	answerJson(response, {
 		instance: settings.instance,
@@ -67,6 +67,7 @@
 		revision: distribution.effective().revision,
 		leader: settings.control[0]?.instance,
 		inProgress: requests.inProgress,
+		peerTraffic: network.traffic,
 		stopping: requests.stopping,
 		waitingFor: inForce.map(({waitingFor}) => waitingFor).orDefault([]),
 		servers: distribution.servers.current().map(({announcement, inFlight}) => ({...announcement, inFlight})),
--- a/packages/testing/src/deployment.ts
+++ b/packages/testing/src/deployment.ts
@@ -82,6 +82,7 @@
 const ledgerSchema = z.object({bills: z.array(billSchema), next: z.number().nullish()});
 const statusSchema = z.looseObject({
 	instance: z.string(), revision: z.number(), servers: z.array(z.looseObject({server: z.string()})),
+	peerTraffic: z.object({bytesSent: z.number(), bytesReceived: z.number()}).optional(),
 });
 const committedSchema = z.object({revision: z.number()});
 const portsEach = 4;
