Add the naive router and the first measurement of capacity

Ruled out: a naive choice inside the daemon behind a flag, since shipped code would then carry it. Change: a naive router as a pure choice and as a process; least-squares fits over at least four sizes of servers, streams and daemons.

--- /dev/null
+++ b/packages/testing/src/bin/capacity.ts
@@ -0,0 +1,40 @@
+#!/usr/bin/env node
+import {mkdir, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {measureMembers, measureRequests, measureServers} from '../capacity/experiments.js';
+import {formatSeries, type Series} from '../capacity/series.js';
+
+const experiments = {servers: measureServers, requests: measureRequests, members: measureMembers} as const;
+
+const {values: flags} = parseArgs({
+	options: {
+		seconds: {type: 'string', default: '5'},
+		only: {type: 'string', default: Object.keys(experiments).join(',')},
+		sizes: {type: 'string', default: ''},
+		folder: {type: 'string', default: 'capacity-output'},
+	},
+});
+const sizes = flags.sizes === '' ? undefined : flags.sizes.split(',').map(Number);
+const wanted = new Set(flags.only.split(','));
+const found: Series[] = [];
+for (const [name, experiment] of Object.entries(experiments)) {
+	if (wanted.has(name)) {
+		const series = await experiment({
+			seconds: Number(flags.seconds), say: sayProgress, ...(sizes && {sizes}),
+		});
+		found.push(...series);
+	}
+}
+
+for (const series of found) {
+	process.stdout.write(`${formatSeries(series)}\n`);
+}
+
+await mkdir(flags.folder, {recursive: true});
+await writeFile(path.join(flags.folder, 'capacity.json'), `${JSON.stringify({node: process.version, series: found}, undefined, '\t')}\n`);
+
+function sayProgress(line: string): void {
+	process.stderr.write(`${line}\n`);
+}
--- /dev/null
+++ b/packages/testing/src/capacity/experiments.ts
@@ -0,0 +1,179 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	type BackendPlan, type DaemonPlan, type Deployment, startDeployment,
+} from '../deployment.js';
+import {deploymentKeys, digestOf} from '../_settings-file.js';
+import {startAnnouncer} from '../announcer.js';
+import {chatStreamed} from '../http-client.js';
+import {sendRequest} from '../send-request.js';
+import {waitUntil} from '../wait-until.js';
+import {observe} from './_observe.js';
+import {type Series, type SizedFigures, seriesOf} from './series.js';
+
+/** How long and how often an experiment measures. */
+export type ExperimentOptions = {
+	/** Seconds of each measurement. */
+	readonly seconds: number;
+	/** The sizes; those of the experiment by default. */
+	readonly sizes?: readonly number[];
+	/** Told what goes on. */
+	readonly say: (line: string) => void;
+};
+
+const workspaceKey = 'capacity-key';
+const zones = ['zone-a', 'zone-b', 'zone-c'] as const;
+const settleMilliseconds = 1500;
+const serverSizes = [0, 150, 300, 600] as const;
+const requestSizes = [0, 50, 100, 200] as const;
+const daemonSizes = [3, 7, 14, 28] as const;
+const tokenMilliseconds = 100;
+const answerTokens = 600;
+const startMilliseconds = 60_000;
+const controlDaemons = 3;
+
+const configuration = {
+	models: {small: {versions: {v1: {state: 'settled', quality: 0.9, prices: {input: 1, output: 1}}}}},
+	workspaces: {
+		desk: {
+			keyDigests: [digestOf(workspaceKey)],
+			allowed: {small: ['v1']},
+			policy: [{
+				name: 'any', models: ['small'], qualityTarget: 0.5, deadlineMilliseconds: 600_000,
+			}],
+		},
+	},
+};
+
+const engine: BackendPlan = {
+	server: 'engine-1', zone: zones[0], models: ['small@v1'], capacity: 1000,
+};
+
+/**
+Measures one daemon against the number of backend servers that announce themselves to it once a second.
+
+@param options How long to measure, and at which sizes.
+@returns Memory, processor time and traffic per known server.
+@example
+```ts
+await measureServers({seconds: 5, say: console.log});
+```
+*/
+export async function measureServers(options: ExperimentOptions): Promise<readonly Series[]> {
+	return measureAlone(options.sizes ?? serverSizes, {...options, per: 'known server that renews each second', load: announceMany});
+}
+
+/**
+Measures one daemon against the number of streams in progress, each with ten tokens a second.
+
+@param options How long to measure, and at which sizes.
+@returns Memory and processor time per stream in progress.
+@example
+```ts
+await measureRequests({seconds: 5, say: console.log});
+```
+*/
+export async function measureRequests(options: ExperimentOptions): Promise<readonly Series[]> {
+	return measureAlone(options.sizes ?? requestSizes, {...options, per: 'stream in progress at 10 tokens/s', load: streamMany});
+}
+
+/**
+Measures idle daemons against how many there are, with 13 engines that renew each second.
+
+@param options How long to measure, and at which sizes.
+@returns Memory, processor time and traffic of the mean daemon per daemon.
+@example
+```ts
+await measureMembers({seconds: 5, say: console.log});
+```
+*/
+export async function measureMembers(options: ExperimentOptions): Promise<readonly Series[]> {
+	const {seconds, say, sizes = daemonSizes} = options;
+	const measured: SizedFigures[] = [];
+	for (const size of sizes) {
+		say(`${size} daemons`);
+		const deployment = await start(daemonPlans(size));
+		try {
+			const stop = await announceMany(deployment, 13);
+			await delay(settleMilliseconds);
+			measured.push({size, figures: await observe({deployment, seconds})});
+			await stop();
+		} finally {
+			await deployment.stop();
+		}
+	}
+
+	return seriesOf('daemon', measured);
+}
+
+type LoneOptions = ExperimentOptions & {
+	readonly per: string;
+	/** Puts load on the deployment; what it gives takes it away. */
+	readonly load: (deployment: Deployment, size: number) => Promise<() => Promise<void>>;
+};
+
+async function measureAlone(sizes: readonly number[], {per, load, seconds, say}: LoneOptions): Promise<readonly Series[]> {
+	const measured: SizedFigures[] = [];
+	for (const size of sizes) {
+		say(`${size} × ${per}`);
+		const deployment = await start(daemonPlans(1));
+		try {
+			const stop = await load(deployment, size);
+			await delay(settleMilliseconds);
+			measured.push({size, figures: await observe({deployment, seconds})});
+			await stop();
+		} finally {
+			await deployment.stop();
+		}
+	}
+
+	return seriesOf(per, measured);
+}
+
+async function start(daemons: readonly DaemonPlan[]): Promise<Deployment> {
+	return startDeployment({
+		daemons, backends: [engine], configuration, startMilliseconds,
+	});
+}
+
+function daemonPlans(count: number): readonly DaemonPlan[] {
+	return Array.from({length: count}, (_, index) => ({
+		instance: `daemon-${index + 1}`,
+		zone: zones[index % zones.length] ?? zones[0],
+		roles: count === 1 || index < controlDaemons ? ['control', 'entry'] : ['entry'],
+	}));
+}
+
+async function announceMany(deployment: Deployment, count: number): Promise<() => Promise<void>> {
+	const addresses = deployment.daemons.map(({ports}) => `http://127.0.0.1:${ports.backends}`);
+	const announcers = Array.from({length: count}, (_, index) => startAnnouncer({
+		daemons: [addresses[index % addresses.length] ?? ''],
+		key: deploymentKeys.backends,
+		server: `announced-${index + 1}`,
+		zone: zones[index % zones.length] ?? zones[0],
+		address: `http://127.0.0.1:${index + 1}`,
+		models: ['other-small@v1', 'other-large@v1'],
+		capacity: 8,
+		active: () => 0,
+	}));
+	await waitUntil(async () => {
+		const statuses = await Promise.all(deployment.daemons.map(async daemon => deployment.status(daemon)));
+		return statuses.every(({servers}) => servers.length > count) || undefined;
+	}, {what: `${count} announced servers`, timeoutMilliseconds: startMilliseconds});
+	return async () => {
+		await Promise.all(announcers.map(async announcer => announcer.stop()));
+	};
+}
+
+async function streamMany(deployment: Deployment, count: number): Promise<() => Promise<void>> {
+	const [daemon] = deployment.daemons;
+	const [backend] = deployment.backends;
+	await sendRequest(`${backend?.address ?? ''}/test/behaviour`, {method: 'POST', body: JSON.stringify({tokenMilliseconds, answerTokens})});
+	const abort = new AbortController();
+	const streams = Array.from({length: count}, async (_, index) => chatStreamed(daemon?.callers ?? '', {
+		key: workspaceKey, messages: [{role: 'user', content: `Stream ${index}`}], signal: abort.signal, timeoutMilliseconds: startMilliseconds,
+	}));
+	return async () => {
+		abort.abort();
+		await Promise.all(streams);
+	};
+}
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -12,6 +12,9 @@
 export * from './free-ports.js';
 export * from './http-client.js';
 export * from './managed-process.js';
+export * from './naive-choice.js';
+export * from './naive-router.js';
+export * from './process-usage.js';
 export * from './send-request.js';
 export * from './wait-until.js';
 export {
--- /dev/null
+++ b/packages/testing/src/naive-router.test.ts
@@ -0,0 +1,55 @@
+import {configurationSchema} from '@valehitch/core';
+import test from 'ava';
+import {digestOf} from './_settings-file.js';
+import {fakeAnswer} from './fake-answer.js';
+import {startFakeEngine} from './fake-engine.js';
+import {startFakeService} from './fake-service.js';
+import {callService, chatStreamed, chatWhole} from './http-client.js';
+import {startNaiveRouter} from './naive-router.js';
+
+const key = 'naive-key';
+const messages = [{role: 'user', content: 'Tag this'}];
+const document = configurationSchema.parse({
+	models: {
+		small: {
+			versions: {
+				v1: {state: 'withdrawn', quality: 0.95, prices: {input: 1, output: 1}},
+				v2: {quality: 0.7, prices: {input: 1, output: 1}},
+				v3: {quality: 0.9, prices: {input: 1, output: 1}},
+			},
+		},
+	},
+	services: {labels: {}},
+	workspaces: {
+		desk: {
+			keyDigests: [digestOf(key)], allowed: {small: ['v1', 'v2', 'v3']}, services: ['labels'], policy: [{name: 'any', models: ['small'], qualityTarget: 0.8}],
+		},
+	},
+});
+
+test('the first version that meets the target serves, and another engine after an error', async t => {
+	const broken = await startFakeEngine({models: ['small@v3'], behaviour: {failStatus: 500}});
+	const sound = await startFakeEngine({models: ['small@v3']});
+	const router = await startNaiveRouter({document, servers: [broken, sound].map(({address}) => ({address, models: ['small@v3']}))});
+	t.teardown(async () => {
+		await Promise.all([router.close(), broken.kill(), sound.kill()]);
+	});
+	const wanted = fakeAnswer({version: 'small@v3', messages, tokens: 16}).join('');
+	t.like(await chatWhole(router.address, {key, messages}), {status: 200, text: wanted, done: true});
+	t.like(await chatStreamed(router.address, {key, messages}), {status: 200, text: wanted, done: true});
+	t.true(broken.runs.length > 0);
+	t.like(await chatWhole(router.address, {key: 'other', messages}), {status: 401});
+});
+
+test('a label print that fails after it ran is run again: the fault that valehitch is there for', async t => {
+	const cutting = await startFakeService({behaviour: {cutAfterTokens: 0}});
+	const sound = await startFakeService();
+	const router = await startNaiveRouter({document, servers: [cutting, sound].map(({address}) => ({address, service: 'labels'}))});
+	t.teardown(async () => {
+		await Promise.all([router.close(), cutting.kill(), sound.kill()]);
+	});
+	t.like(await callService(router.address, {
+		key, service: 'labels', path: '/print', body: '{}', headers: {'Idempotency-Key': 'print-1'},
+	}), {status: 200});
+	t.is(cutting.countRuns('print-1') + sound.countRuns('print-1'), 2);
+});
