Measure valehitch beside the naive router under each fault

Ruled out: firewall rules or network namespaces for the zone cut, which need privileges; a preloaded hook on outgoing sockets cuts by port instead. Change: npm run measure runs two seeded workloads, calm and under six faults, judged by what callers and engines recorded; the fake engine slows down once its batch is full.

--- a/packages/testing/src/behaviour.ts
+++ b/packages/testing/src/behaviour.ts
@@ -16,6 +16,8 @@
 	stall: boolean;
 	/** Tokens in an answer, where `max_tokens` does not ask for fewer. */
 	answerTokens: number;
+	/** Requests that an engine works on at full speed; with more, all delays of a new one grow in proportion. Undefined for no bound. */
+	fullSpeedRequests: number | undefined;
 };
 
 /** The behaviour of a fake that nobody has changed: sound and without delays. */
@@ -27,6 +29,7 @@
 	cutAfterTokens: undefined,
 	stall: false,
 	answerTokens: 16,
+	fullSpeedRequests: undefined,
 };
 
 /** The schema of `POST /test/behaviour`; members that are left out go back to their defaults. */
@@ -38,4 +41,5 @@
 	cutAfterTokens: z.int().min(0).optional(),
 	stall: z.boolean(),
 	answerTokens: z.int().min(0),
+	fullSpeedRequests: z.int().min(1).optional(),
 }).partial();
--- /dev/null
+++ b/packages/testing/src/bin/measure.ts
@@ -0,0 +1,100 @@
+#!/usr/bin/env node
+import {mkdir, rm, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {type Fault, faults} from '../measure/fault.js';
+import {judge, type Verdict} from '../measure/judge.js';
+import {measureOwnCost, type OwnCost} from '../measure/own-cost.js';
+import {type Comparison, formatComparison} from '../measure/report.js';
+import {runCell} from '../measure/run-cell.js';
+import {planRequests} from '../measure/schedule.js';
+import {startNaive, type StartSystem, startValehitch} from '../measure/system.js';
+import {type Workload} from '../measure/workload.js';
+import {workloads} from '../measure/workloads.js';
+
+const usageExitCode = 2;
+const all = 'all';
+const none = 'none';
+
+const {values: flags} = parseArgs({
+	options: {
+		workload: {type: 'string', default: all},
+		fault: {type: 'string', default: all},
+		seconds: {type: 'string', default: '12'},
+		seed: {type: 'string', default: '1'},
+		'own-cost-requests': {type: 'string', default: '1000'},
+		folder: {type: 'string', default: 'measure-output'},
+	},
+});
+const seconds = Number(flags.seconds);
+const seed = Number(flags.seed);
+const chosenWorkloads = workloads.filter(({name}) => flags.workload === all || flags.workload.split(',').includes(name));
+const chosenFaults = faults.filter(({name}) => flags.fault === all || flags.fault.split(',').includes(name));
+if (chosenWorkloads.length === 0 || (chosenFaults.length === 0 && flags.fault !== none) || !(seconds > 0) || !Number.isSafeInteger(seed)) {
+	const names = [...workloads, ...faults].map(({name}) => name).join(', ');
+	say(`Got --workload ${flags.workload} --fault ${flags.fault} --seconds ${flags.seconds} --seed ${flags.seed}, wanted names of ${names}, all, or none for the fault`);
+	process.exit(usageExitCode);
+}
+
+await rm(flags.folder, {recursive: true, force: true});
+await mkdir(flags.folder, {recursive: true});
+const ownCosts = await ownCostOf(chosenWorkloads);
+const comparisons: Comparison[] = [];
+for (const workload of chosenWorkloads) {
+	for (const fault of chosenFaults) {
+		const comparison = await compare(workload, fault);
+		comparisons.push(comparison);
+		await save();
+		for (const line of formatComparison(comparison)) {
+			say(line);
+		}
+
+		say('');
+	}
+}
+
+await save();
+
+async function ownCostOf([workload]: readonly Workload[]): Promise<readonly OwnCost[]> {
+	const requests = Number(flags['own-cost-requests']);
+	if (workload === undefined || requests === 0) {
+		return [];
+	}
+
+	const costs = await measureOwnCost(workload, {folder: path.join(flags.folder, 'own-cost'), requests});
+	for (const {router, form, cpuMicroseconds, logBytes, answered} of costs) {
+		say(`${router}, ${form}: ${cpuMicroseconds.toFixed(0)} microseconds of processor and ${logBytes.toFixed(0)} bytes of log a request, ${answered} of ${requests} answered`);
+	}
+
+	say('');
+	return costs;
+}
+
+async function compare(workload: Workload, fault: Fault): Promise<Comparison> {
+	const naive = await verdictOn(workload, fault, startNaive);
+	const valehitch = await verdictOn(workload, fault, startValehitch);
+	return {
+		workload: workload.name, fault: fault.name, naive, valehitch,
+	};
+}
+
+async function verdictOn(workload: Workload, fault: Fault, start: StartSystem): Promise<Verdict> {
+	const folder = path.join(flags.folder, `${workload.name}-${fault.name}-${start.name}`);
+	const requests = planRequests(workload, {seconds, seed});
+	const records = await runCell({
+		workload, fault, requests, seconds, folder, start,
+	});
+	return judge(records, workload);
+}
+
+async function save(): Promise<void> {
+	const report = {
+		node: process.version, seconds, seed, ownCosts, comparisons,
+	};
+	await writeFile(path.join(flags.folder, 'measure.json'), `${JSON.stringify(report, undefined, '\t')}\n`);
+}
+
+function say(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
--- a/packages/testing/src/fake-engine.ts
+++ b/packages/testing/src/fake-engine.ts
@@ -128,13 +128,23 @@
 	state.runs.push(run);
 	state.active++;
 	try {
-		await work(workOf({behaviour: {...state.behaviour}, run, body}, exchange));
+		await work(workOf({behaviour: slowedDown(state), run, body}, exchange));
 	} finally {
 		run.cancelled = exchange.signal.aborted && !run.completed;
 		state.active--;
 	}
 }
 
+/** Batching engines slow down in proportion once the batch is full. */
+function slowedDown({behaviour, active}: State): Behaviour {
+	const slowdown = Math.max(1, active / (behaviour.fullSpeedRequests ?? Infinity));
+	return {
+		...behaviour,
+		firstTokenMilliseconds: behaviour.firstTokenMilliseconds * slowdown,
+		tokenMilliseconds: behaviour.tokenMilliseconds * slowdown,
+	};
+}
+
 function runOf(request: IncomingMessage, body: ChatBody): EngineRun {
 	const [model = '', version = ''] = body.model.split('@');
 	return {
--- /dev/null
+++ b/packages/testing/src/measure/own-cost.ts
@@ -0,0 +1,156 @@
+import {stat} from 'node:fs/promises';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {type BackendPlan, type DaemonPlan} from '../deployment.js';
+import {freePorts} from '../free-ports.js';
+import {type CallResult, chatStreamed, chatWhole} from '../http-client.js';
+import {ManagedProcess} from '../managed-process.js';
+import {readUsage} from '../process-usage.js';
+import {sendRequest} from '../send-request.js';
+import {waitUntil} from '../wait-until.js';
+import {
+	startNaive, startValehitch, type System,
+} from './system.js';
+import {type Workload} from './workload.js';
+
+/** What one router costs for a request, over what the process does when idle. */
+export type OwnCost = {
+	readonly router: string;
+	readonly form: 'whole' | 'streamed';
+	/** Processor time of the router's process, in microseconds a request. */
+	readonly cpuMicroseconds: number;
+	/** Bytes that it wrote to its log, a request. */
+	readonly logBytes: number;
+	/** Whole answers, of as many requests. */
+	readonly answered: number;
+	readonly requests: number;
+};
+
+/** Where and how much to measure. */
+export type OwnCostOptions = {
+	readonly folder: string;
+	readonly requests: number;
+};
+
+type Router = {
+	readonly name: string;
+	readonly address: string;
+	readonly model: string;
+	readonly process: ManagedProcess;
+};
+
+const concurrency = 8;
+const zone = 'zone-a';
+const script = fileURLToPath(new URL('../bin/pass-through.js', import.meta.url));
+
+/**
+Measures the processor time and log of each router for a request, against a bare pass-through, with one engine that answers at once.
+
+@param workload Gives the configuration; its daemons and back ends are replaced by one each.
+@param options Where and how much.
+@returns The costs, whole answers and streamed ones.
+@throws Where a process does not start.
+@example
+```ts
+await measureOwnCost(workload, {folder: 'measure-output/own', requests: 1000});
+```
+*/
+export async function measureOwnCost(workload: Workload, {folder, requests}: OwnCostOptions): Promise<readonly OwnCost[]> {
+	const daemons: readonly DaemonPlan[] = [{instance: 'alone', zone, roles: ['control', 'entry']}];
+	const backends: readonly BackendPlan[] = [{
+		server: 'engine', zone, models: [workload.fragileVersion], capacity: 100,
+	}];
+	const small: Workload = {
+		...workload, daemons, backends, speeds: {},
+	};
+	const costs: OwnCost[] = [];
+	for (const start of [startNaive, startValehitch]) {
+		const system = await start(small, path.join(folder, start.name));
+		try {
+			if (start === startNaive) {
+				costs.push(...await measurePassThrough(system, {workload, folder, requests}));
+			}
+
+			costs.push(...await measureRouter(routerOf(system), {workload, folder, requests}));
+		} finally {
+			await system.stop();
+		}
+	}
+
+	return costs;
+}
+
+type Surroundings = OwnCostOptions & {readonly workload: Workload};
+
+async function measurePassThrough({backends: [engine]}: System, surroundings: Surroundings): Promise<readonly OwnCost[]> {
+	const [port = 0] = await freePorts(1);
+	const logFile = path.join(surroundings.folder, 'pass-through.log');
+	const managed = new ManagedProcess({name: 'pass-through', command: [script, `--port=${port}`, `--to=${engine?.address ?? ''}`], logFile});
+	const address = `http://127.0.0.1:${port}`;
+	managed.start();
+	try {
+		await waitUntil(async () => {
+			const {status} = await sendRequest(`${address}/test/runs`);
+			return status === 200 || undefined;
+		}, {what: 'the pass-through'});
+		return await measureRouter({
+			name: 'pass-through', address, model: surroundings.workload.fragileVersion, process: managed,
+		}, surroundings);
+	} finally {
+		await managed.stop();
+	}
+}
+
+function routerOf({name, entries: [entry]}: System): Router {
+	if (entry === undefined) {
+		throw new RangeError('Got a system without entries, wanted one');
+	}
+
+	return {
+		name, address: entry.callers, model: 'auto', process: entry.process,
+	};
+}
+
+async function measureRouter(router: Router, {workload, requests}: Surroundings): Promise<readonly OwnCost[]> {
+	const costs: OwnCost[] = [];
+	for (const form of ['whole', 'streamed'] as const) {
+		await sendMany(router, {workload, form, requests});
+		const before = await sampleOf(router);
+		const answered = await sendMany(router, {workload, form, requests});
+		const after = await sampleOf(router);
+		costs.push({
+			router: router.name,
+			form,
+			cpuMicroseconds: (after.cpuMicroseconds - before.cpuMicroseconds) / requests,
+			logBytes: (after.logBytes - before.logBytes) / requests,
+			answered,
+			requests,
+		});
+	}
+
+	return costs;
+}
+
+async function sampleOf({process}: Router): Promise<{readonly cpuMicroseconds: number; readonly logBytes: number}> {
+	const {cpuMicroseconds} = await readUsage(process.pid ?? 0);
+	const {size} = await stat(process.logFile);
+	return {cpuMicroseconds, logBytes: size};
+}
+
+async function sendMany({address, model}: Router, {workload, form, requests}: {readonly workload: Workload; readonly form: OwnCost['form']; readonly requests: number}): Promise<number> {
+	const key = workload.workspaces[0]?.key ?? '';
+	const lookup = workload.kinds[0]?.class ?? '';
+	const queue = Array.from({length: requests}, (_, index) => index).values();
+	const chat = form === 'whole' ? chatWhole : chatStreamed;
+	const results: CallResult[] = [];
+	const send = async (): Promise<void> => {
+		for (const number of queue) {
+			results.push(await chat(address, {
+				key, model, messages: [{role: 'user', content: `Request ${number}`}], headers: {'Valehitch-Class': lookup},
+			}));
+		}
+	};
+
+	await Promise.all(Array.from({length: concurrency}, send));
+	return results.filter(({done}) => done).length;
+}
--- /dev/null
+++ b/packages/testing/src/measure/run-cell.ts
@@ -0,0 +1,87 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {callAsCaller, type CallerRecord} from './caller.js';
+import {type Fault, readRuns, type RecordedRun} from './fault.js';
+import {startRater, type RatingCount} from './rater.js';
+import {type PlannedRequest} from './schedule.js';
+import {type StartSystem, type System} from './system.js';
+import {type Workload} from './workload.js';
+
+/** One system under one fault. */
+export type Cell = {
+	readonly workload: Workload;
+	readonly fault: Fault;
+	readonly requests: readonly PlannedRequest[];
+	readonly seconds: number;
+	readonly folder: string;
+	readonly start: StartSystem;
+};
+
+/** What was seen from outside. */
+export type CellRecords = {
+	readonly system: string;
+	readonly callers: readonly CallerRecord[];
+	readonly runs: readonly RecordedRun[];
+	readonly ratings: RatingCount;
+};
+
+const millisecondsPerSecond = 1000;
+const drainMilliseconds = 500;
+
+/**
+Starts a system, sends the requests at their times, brings the fault about, and gathers what callers and back ends saw.
+
+@param cell The system, the fault and the requests.
+@returns What was seen.
+@throws Where the system does not start.
+@example
+```ts
+const records = await runCell({workload, fault, requests, seconds: 10, folder, start: startNaive});
+```
+*/
+export async function runCell(cell: Cell): Promise<CellRecords> {
+	const system = await cell.start(cell.workload, cell.folder);
+	try {
+		return await observeCell(cell, system);
+	} finally {
+		await system.stop();
+	}
+}
+
+async function observeCell(cell: Cell, system: System): Promise<CellRecords> {
+	const {workload, requests} = cell;
+	const runs: RecordedRun[] = [];
+	const bad = new Set<string>();
+	const rater = startRater(system, workload);
+	const faulty = runFault(cell, {
+		system,
+		workload,
+		async keepRuns(backend) {
+			runs.push(...await readRuns(backend));
+		},
+		turnBad(version) {
+			bad.add(version);
+		},
+	});
+	const entries = system.entries.map(({callers}) => callers);
+	const callers = await Promise.all(requests.map(async request => {
+		await delay(request.atMilliseconds);
+		const record = await callAsCaller(request, {workload, entries, isBad: version => bad.has(version)});
+		rater.rate(record);
+		return record;
+	}));
+	await faulty;
+	rater.stop();
+	await delay(drainMilliseconds);
+	const recorded = await Promise.all(system.backends.map(async backend => readRuns(backend)));
+	return {
+		system: system.name, callers, runs: [...runs, ...recorded.flat()], ratings: rater.count,
+	};
+}
+
+async function runFault({fault, seconds}: Cell, stage: Parameters<Fault['begin']>[0]): Promise<void> {
+	const third = seconds * millisecondsPerSecond / 3;
+	await delay(third);
+	await fault.begin(stage);
+	await delay(third);
+	await fault.end?.(stage);
+}
