Publish the types of choice, estimates, exposure and evidence

Cause: the choice took the listed quality alone and knew neither roll-outs, cascades nor latency. Change: choice over direct versions and cascades by the lower confidence bound, roll-out exposure, one dispatch check, estimates with forward decay, signs that call for escalation; optional rule fields escalation, prefers and whenBelowTarget, optional stage field maximumInProgress. Conclusion: the types are ready to be built on.

--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -15,6 +15,8 @@
 	readonly minimumRatings: number;
 	/** Seconds that the stage lasts at least. */
 	readonly minimumSeconds: number;
+	/** The most requests that one instance has in progress on the version; 32 unless given. */
+	readonly maximumInProgress?: number | undefined;
 };
 
 /** One version of a model. */
@@ -48,6 +50,21 @@
 	readonly pricePerCall: number;
 };
 
+/** A sign in an answer that it is not good enough: cut off at the token limit, refused, without text, or of low confidence by the engine's own word. */
+export type EscalationSign = 'truncated' | 'refused' | 'empty' | 'low-confidence';
+
+/** When a cheaper version may answer first and a dearer one takes over. */
+export type EscalationConfiguration = {
+	/** The signs; any one of them escalates. */
+	readonly signs: readonly EscalationSign[];
+	/** The confidence, from 0 to 1, below which an answer counts as of low confidence. */
+	readonly minimumConfidence: number;
+	/** The share of answers expected to escalate, from 0 to 1; what is seen replaces it in time. */
+	readonly expectedShare: number;
+	/** The listed quality, from 0 to 1, of first answers that show no sign; what ratings say replaces it in time. */
+	readonly acceptedQuality: number;
+};
+
 /** One rule of a policy program; the first whose condition holds decides. */
 export type PolicyRule = {
 	readonly name: string;
@@ -61,6 +78,12 @@
 	readonly deadlineMilliseconds: number;
 	/** The priority handed to the engine; lower is sooner. */
 	readonly priority: number;
+	/** What decides between versions of nearly equal cost; `cost` unless given. */
+	readonly prefers?: 'cost' | 'latency' | undefined;
+	/** What happens when no version meets the quality target: the best one serves, or the request is refused; `serve` unless given. */
+	readonly whenBelowTarget?: 'serve' | 'refuse' | undefined;
+	/** When cascades are allowed; none unless given. */
+	readonly escalation?: EscalationConfiguration | undefined;
 };
 
 /** One workspace. */
@@ -117,9 +140,17 @@
 		share: z.number().gt(0).max(1),
 		minimumRatings: z.int().min(0).default(0),
 		minimumSeconds: z.number().min(0).default(0),
+		maximumInProgress: z.int().min(1).max(100_000).optional(),
 	})).min(1).max(20).optional(),
 });
 
+const escalationSchema = z.strictObject({
+	signs: z.array(z.enum(['truncated', 'refused', 'empty', 'low-confidence'])).min(1).max(4),
+	minimumConfidence: share.default(0.5),
+	expectedShare: share.default(0.3),
+	acceptedQuality: share,
+});
+
 const ruleSchema = z.strictObject({
 	name: idText,
 	when: z.string().max(4000).optional(),
@@ -127,6 +158,9 @@
 	qualityTarget: share,
 	deadlineMilliseconds: z.int().min(1).max(3_600_000).default(60_000),
 	priority: z.int().min(0).max(9).default(5),
+	prefers: z.enum(['cost', 'latency']).optional(),
+	whenBelowTarget: z.enum(['serve', 'refuse']).optional(),
+	escalation: escalationSchema.optional(),
 });
 
 const workspaceSchema = z.strictObject({
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -1,8 +1,19 @@
 /**
-Policy programs and the choice of a model and version for a request.
+Policy programs, the choice of a model and version for a request, quality estimates, and tests for bad versions.
 
 @module
 */
+export type * from './bad-version-evidence.js';
+export type * from './choice.js';
 export * from './choose-version.js';
 export * from './compile-condition.js';
 export * from './compile-policy.js';
+export * from './decayed-sums.js';
+export * from './escalation-sign.js';
+export * from './exposure.js';
+export * from './may-dispatch.js';
+export * from './quality-book.js';
+export * from './quality-class.js';
+export type * from './quality-digest.js';
+export * from './quality-estimate.js';
+export type * from './version-target.js';
