Test versions by an e-detector and prove the choice

Cause: nothing found a version that turns bad, and estimates, exposure and choice had no proofs. Ruled out: bets on pairs of new and old ratings, since the old rating's spread caps the bets and delays the alarm; a mixture test without restarts, since a long good time uses up its wealth. Change: a Shiryaev-Roberts e-detector over fixed bets, whose logarithms add up over instances; local stops; an evidence table for the leader; properties and seeded streams.

--- a/packages/policy/src/_evaluate-candidates.ts
+++ b/packages/policy/src/_evaluate-candidates.ts
@@ -116,7 +116,7 @@
 		expectedMilliseconds: expectedMilliseconds(target),
 	};
 	const barrier = findBarrier(question, target);
-	const replaces = details.state === 'rolling-out' && details.replaces !== undefined
+	const replaces = details.state === 'rolling-out' && details.replaces !== undefined && details.replaces !== target.version
 		? {replaces: versionKey(target.model, details.replaces)}
 		: {};
 	if (barrier !== undefined) {
--- /dev/null
+++ b/packages/policy/src/bad-version-monitor.ts
@@ -0,0 +1,131 @@
+import {type EffectiveConfiguration, type InstanceId, versionKey} from '@valehitch/core';
+import {alarmOf} from './_alarm-of.js';
+import {badVersionLimit} from './_bad-version-limit.js';
+import {type BadVersionAlarm, type EvidenceMeasure, type EvidenceReport} from './bad-version-evidence.js';
+import {type BadVersionSettingsByMeasure, defaultBadVersionSettings} from './bad-version-settings.js';
+import {ChangeDetector} from './change-detector.js';
+import {type QualityBook, type QualityObservation} from './quality-book.js';
+import {type VersionTarget} from './version-target.js';
+
+/** What a monitor works with. */
+export type BadVersionMonitorOptions = {
+	readonly instance: InstanceId;
+	/** When the instance started, in milliseconds since 1970. */
+	readonly startedAt: number;
+	/** Where observations are kept; the monitor adds them. */
+	readonly book: QualityBook;
+	/** `defaultBadVersionSettings` unless given. */
+	readonly settings?: BadVersionSettingsByMeasure;
+};
+
+/** When an observation comes. */
+export type ObservationMoment = {
+	readonly configuration: EffectiveConfiguration;
+	/** Milliseconds since 1970. */
+	readonly now: number;
+};
+
+type Watched = VersionTarget & {
+	readonly measure: EvidenceMeasure;
+	readonly detector: ChangeDetector;
+	badness: number;
+	/** Observations since the instance started. */
+	observations: number;
+};
+
+/**
+Tests the versions that this instance uses, on ratings and on failures, and sums up the evidence for the control replicas.
+
+@example
+```ts
+const alarm = monitor.observe({...key, measure: 'failure', value: 1, ranAt: now}, {configuration, now});
+if (alarm !== undefined) {
+	stops.stop(alarm, now);
+}
+```
+*/
+export class BadVersionMonitor {
+	readonly #options: BadVersionMonitorOptions;
+	readonly #settings: BadVersionSettingsByMeasure;
+	readonly #watched = new Map<string, Watched>();
+
+	constructor(options: BadVersionMonitorOptions) {
+		this.#options = options;
+		this.#settings = options.settings ?? defaultBadVersionSettings;
+	}
+
+	/**
+	Takes an observation into the book and, but for escalations, into the test.
+
+	@param observation The observation.
+	@param moment The configuration in force and the time.
+	@returns The alarm, once, where the version is found bad by this observation.
+	*/
+	observe(observation: QualityObservation, {configuration, now}: ObservationMoment): BadVersionAlarm | undefined {
+		const {book} = this.#options;
+		const measure = observation.measure === 'failure' ? 'failures' : 'ratings';
+		const limit = observation.measure === 'escalation'
+			? undefined
+			: badVersionLimit(observation, {
+				book, configuration, settings: this.#settings[measure], now,
+			});
+		if (!book.add(observation) || limit === undefined) {
+			return undefined;
+		}
+
+		const watched = this.#watch(observation, measure);
+		const {detector} = watched;
+		const wasAlarmed = detector.isAlarmed;
+		const badness = measure === 'failures' ? observation.value : 1 - observation.value;
+		watched.badness += badness;
+		watched.observations += 1;
+		detector.observe({badness, limit});
+		return detector.isAlarmed && !wasAlarmed
+			? alarmOf({...watched, count: watched.observations, source: 'this instance'})
+			: undefined;
+	}
+
+	/**
+	Sums up the evidence for the control replicas.
+
+	@returns A report for each version and measure.
+	*/
+	reports(): readonly EvidenceReport[] {
+		const {instance, startedAt} = this.#options;
+		const reports: EvidenceReport[] = [];
+		for (const {model, version, measure, detector, badness, observations} of this.#watched.values()) {
+			reports.push({
+				instance, startedAt, model, version, measure, badness, count: observations, logWealth: [...detector.logWealth],
+			});
+		}
+
+		return reports;
+	}
+
+	/**
+	Tests a version anew, after its local stop has ended.
+
+	@param target The version.
+	*/
+	reset({model, version}: VersionTarget): void {
+		for (const watched of this.#watched.values()) {
+			if (watched.model === model && watched.version === version) {
+				watched.detector.reset();
+			}
+		}
+	}
+
+	#watch({model, version}: VersionTarget, measure: EvidenceMeasure): Watched {
+		const key = `${versionKey(model, version)}|${measure}`;
+		const known = this.#watched.get(key);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const watched = {
+			model, version, measure, detector: new ChangeDetector(this.#settings[measure].detector), badness: 0, observations: 0,
+		};
+		this.#watched.set(key, watched);
+		return watched;
+	}
+}
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -4,13 +4,18 @@
 @module
 */
 export type * from './bad-version-evidence.js';
+export * from './bad-version-monitor.js';
+export * from './bad-version-settings.js';
+export * from './change-detector.js';
 export type * from './choice.js';
 export * from './choose-version.js';
 export * from './compile-condition.js';
 export * from './compile-policy.js';
 export * from './decayed-sums.js';
 export * from './escalation-sign.js';
+export * from './evidence-table.js';
 export * from './exposure.js';
+export * from './local-stops.js';
 export * from './may-dispatch.js';
 export * from './quality-book.js';
 export * from './quality-class.js';
--- /dev/null
+++ b/packages/policy/src/quality-book.test.ts
@@ -0,0 +1,116 @@
+import test from 'ava';
+import {type InstanceId, toId} from '@valehitch/core';
+import fc from 'fast-check';
+import {
+	estimate, QualityBook, type QualityDigest, type QualityKey,
+} from './mod.js';
+import {target, testSeed} from './_test-configuration.js';
+
+const hour = 3_600_000;
+const key: QualityKey = {...target('m', '1'), qualityClass: 'yard/lookup', measure: 'rating'};
+const drawnArbitrary = fc.array(fc.record({
+	instance: fc.nat(3), value: fc.float({min: 0, max: 1, noNaN: true}), ranAt: fc.integer({min: 0, max: 48 * hour}),
+}), {maxLength: 40});
+
+function bookOf(name: string): QualityBook {
+	return new QualityBook({instance: toId<InstanceId>(name), startedAt: 1});
+}
+
+test('sums of several instances are those of one, in any order of ratings and digests, and a digest that comes twice changes nothing', t => {
+	t.notThrows(() => {
+		fc.assert(fc.property(drawnArbitrary, fc.array(fc.nat(), {minLength: 6, maxLength: 30}), (drawn, order) => {
+			const together = bookOf('together');
+			const books = ['a', 'b', 'c', 'd'].map(name => bookOf(name));
+			const digests: QualityDigest[] = [];
+			for (const {instance, value, ranAt} of drawn) {
+				books[instance]?.add({...key, value, ranAt});
+				digests.push(...books.map(book => book.digest()));
+			}
+
+			for (const {value, ranAt} of drawn.toReversed()) {
+				together.add({...key, value, ranAt});
+			}
+
+			const merged = bookOf('merged');
+			for (const index of order) {
+				merged.merge(digests[index % Math.max(1, digests.length)] ?? bookOf('none').digest());
+			}
+
+			for (const book of books) {
+				merged.merge(book.digest());
+			}
+
+			const wanted = together.sums(key, 48 * hour);
+			const got = merged.sums(key, 48 * hour);
+			return got.count === wanted.count && Math.abs(got.weight - wanted.weight) < 1e-9 && Math.abs(got.sum - wanted.sum) < 1e-9;
+		}), {seed: testSeed, numRuns: 500});
+	});
+});
+
+test('a late rating counts by when its request ran, and old ratings fade to the listed quality', t => {
+	const book = bookOf('a');
+	book.add({...key, value: 0, ranAt: 0});
+	t.true(Math.abs(book.sums(key, 6 * hour).weight - 0.5) < 1e-9);
+	for (let index = 0; index < 200; index += 1) {
+		book.add({...key, value: 0.3, ranAt: hour});
+	}
+
+	const prior = {value: 0.9};
+	t.true(book.estimate(key, {prior, now: hour}).lowerBound < 0.4);
+	t.true(book.estimate(key, {prior, now: 100 * hour}).lowerBound > 0.88);
+	t.is(book.forget(1000 * hour), 1);
+	t.is(book.size, 0);
+	t.false(book.add({...key, value: Number.NaN, ranAt: 0}));
+	t.false(book.add({...key, value: 1.5, ranAt: 0}));
+});
+
+test('sums hold over years without overflow', t => {
+	const book = bookOf('a');
+	for (let day = 0; day < 1000; day += 1) {
+		book.add({...key, value: 0.5, ranAt: day * 24 * hour});
+	}
+
+	t.true(Math.abs(book.sums(key, 999 * 24 * hour).weight - (16 / 15)) < 1e-6);
+});
+
+test('the entries stay within the bound', t => {
+	const book = new QualityBook({instance: toId<InstanceId>('a'), startedAt: 1, maximumEntries: 10});
+	for (let index = 0; index < 50; index += 1) {
+		book.add({
+			...key, qualityClass: `yard/${index}`, value: 1, ranAt: 0,
+		});
+	}
+
+	t.is(book.size, 10);
+	t.is(book.digest().entries.length, 10);
+});
+
+test('the totals for an instance leave out its own and replace those before', t => {
+	const leader = bookOf('leader');
+	const entry = bookOf('entry');
+	const other = bookOf('other');
+	for (const book of [entry, other]) {
+		book.add({...key, value: 0.5, ranAt: 0});
+		leader.merge(book.digest());
+	}
+
+	for (let round = 0; round < 3; round += 1) {
+		entry.replaceOthers(leader.totals(toId<InstanceId>('entry'), 0));
+		t.is(entry.sums(key, 0).count, 2);
+	}
+});
+
+test('the listed quality holds without ratings, and the bound is below the mean with them', t => {
+	t.is(estimate(undefined, {value: 0.82}).lowerBound, 0.82);
+	t.notThrows(() => {
+		fc.assert(fc.property(fc.float({min: 0, max: 1, noNaN: true}), fc.array(fc.double({min: 0, max: 1, noNaN: true}), {minLength: 1}), (value, ratings) => {
+			const book = bookOf('a');
+			for (const rating of ratings) {
+				book.add({...key, value: rating, ranAt: 0});
+			}
+
+			const {lowerBound, mean, upperBound} = book.estimate(key, {prior: {value}, now: 0});
+			return lowerBound >= 0 && lowerBound <= mean && mean <= upperBound && upperBound <= 1;
+		}), {seed: testSeed});
+	});
+});
--- a/packages/policy/src/quality-book.ts
+++ b/packages/policy/src/quality-book.ts
@@ -12,7 +12,7 @@
 	readonly startedAt: number;
 	/** Milliseconds in which the weight of an observation halves; 6 hours unless given. */
 	readonly halfLife?: number;
-	/** The most entries kept over all instances; 20,000 unless given. The one that was changed longest ago is dropped. */
+	/** The most entries kept over all instances; 20,000 unless given. The estimate that was changed longest ago is dropped. */
 	readonly maximumEntries?: number;
 };
 
@@ -32,10 +32,16 @@
 };
 
 type Source = Pick<QualityDigest, 'instance' | 'startedAt'>;
-type KeptEntry = QualityEntry & {readonly source: string};
+
+/** The sums of one estimate, by source. */
+type Kept = {
+	readonly key: QualityKey;
+	readonly bySource: Map<string, DecayedSums>;
+};
 
 const defaultHalfLife = 21_600_000;
 const defaultMaximumEntries = 20_000;
+const leastWeight = 0.001;
 
 /**
 Quality estimates by class and version, from the observations of this instance and the digests of others.
@@ -49,22 +55,23 @@
 */
 export class QualityBook {
 	readonly #source: Source;
+	readonly #ownSource: string;
 	readonly #halfLife: number;
 	readonly #maximumEntries: number;
-	/** By source and key; the order is that of the last change. */
-	readonly #entries = new Map<string, KeptEntry>();
-	/** The sources that have an entry, by key. */
-	readonly #sourcesOf = new Map<string, Set<string>>();
+	/** By key; the order is that of the last change. */
+	readonly #kept = new Map<string, Kept>();
+	#size = 0;
 
 	constructor({instance, startedAt, halfLife = defaultHalfLife, maximumEntries = defaultMaximumEntries}: QualityBookOptions) {
 		this.#source = {instance, startedAt};
+		this.#ownSource = sourceText(this.#source);
 		this.#halfLife = halfLife;
 		this.#maximumEntries = maximumEntries;
 	}
 
 	/** How many entries are kept. */
 	get size(): number {
-		return this.#entries.size;
+		return this.#size;
 	}
 
 	/**
@@ -74,14 +81,13 @@
 	@returns Whether it was added.
 	*/
 	add(observation: QualityObservation): boolean {
-		const {value, ranAt, ...key} = observation;
+		const {value, ranAt} = observation;
 		if (!(value >= 0 && value <= 1) || !Number.isFinite(ranAt)) {
 			return false;
 		}
 
-		const source = sourceText(this.#source);
-		const earlier = this.#entries.get(entryText(source, key))?.sums;
-		this.#put({...key, source, sums: addObservation(earlier, {value, at: ranAt, halfLife: this.#halfLife})});
+		const earlier = this.#kept.get(keyText(observation))?.bySource.get(this.#ownSource);
+		this.#put(observation, {source: this.#ownSource, sums: addObservation(earlier, {value, at: ranAt, halfLife: this.#halfLife})});
 		return true;
 	}
 
@@ -93,15 +99,15 @@
 	*/
 	merge(digest: QualityDigest): number {
 		const source = sourceText(digest);
-		if (source === sourceText(this.#source)) {
+		if (source === this.#ownSource) {
 			return 0;
 		}
 
 		let taken = 0;
 		for (const entry of digest.entries) {
-			const earlier = this.#entries.get(entryText(source, entry))?.sums;
+			const earlier = this.#kept.get(keyText(entry))?.bySource.get(source);
 			if (earlier === undefined || entry.sums.count > earlier.count) {
-				this.#put({...entry, source});
+				this.#put(entry, {source, sums: entry.sums});
 				taken += 1;
 			}
 		}
@@ -115,16 +121,17 @@
 	@param digest What `totals` gave there.
 	*/
 	replaceOthers(digest: QualityDigest): void {
-		const own = sourceText(this.#source);
-		for (const [text, entry] of this.#entries) {
-			if (entry.source !== own) {
-				this.#drop(text, entry);
+		for (const [text, {bySource}] of this.#kept) {
+			for (const source of bySource.keys()) {
+				if (source !== this.#ownSource) {
+					this.#drop(text, source);
+				}
 			}
 		}
 
 		const source = sourceText(digest);
 		for (const entry of digest.entries) {
-			this.#put({...entry, source});
+			this.#put(entry, {source, sums: entry.sums});
 		}
 	}
 
@@ -137,19 +144,11 @@
 	*/
 	totals(except: InstanceId, now: number): QualityDigest {
 		const excepted = `${except}#`;
-		const parts = new Map<string, KeptEntry[]>();
-		for (const entry of this.#entries.values()) {
-			if (!entry.source.startsWith(excepted)) {
-				const key = keyText(entry);
-				parts.set(key, [...(parts.get(key) ?? []), entry]);
-			}
-		}
-
 		const entries: QualityEntry[] = [];
-		for (const [first, ...rest] of parts.values()) {
-			if (first !== undefined) {
-				const sums = addSums([first, ...rest].map(part => part.sums), {at: now, halfLife: this.#halfLife});
-				entries.push({...withoutSource(first), sums});
+		for (const {key, bySource} of this.#kept.values()) {
+			const parts = [...bySource].filter(([source]) => !source.startsWith(excepted)).map(([, sums]) => sums);
+			if (parts.length > 0) {
+				entries.push({...key, sums: addSums(parts, {at: now, halfLife: this.#halfLife})});
 			}
 		}
 
@@ -163,12 +162,12 @@
 	@returns The digest.
 	*/
 	digest(keys?: Iterable<QualityKey>): QualityDigest {
-		const source = sourceText(this.#source);
 		const entries: QualityEntry[] = [];
-		for (const key of keys ?? this.#keysOf(source)) {
-			const entry = this.#entries.get(entryText(source, key));
-			if (entry !== undefined) {
-				entries.push(withoutSource(entry));
+		for (const wanted of keys ?? [...this.#kept.values()].map(({key}) => key)) {
+			const kept = this.#kept.get(keyText(wanted));
+			const sums = kept?.bySource.get(this.#ownSource);
+			if (kept !== undefined && sums !== undefined) {
+				entries.push({...kept.key, sums});
 			}
 		}
 
@@ -183,15 +182,7 @@
 	@returns The sums at that time.
 	*/
 	sums(key: QualityKey, now: number): DecayedSums {
-		const parts: DecayedSums[] = [];
-		for (const source of this.#sourcesOf.get(keyText(key)) ?? []) {
-			const entry = this.#entries.get(entryText(source, key));
-			if (entry !== undefined) {
-				parts.push(entry.sums);
-			}
-		}
-
-		return addSums(parts, {at: now, halfLife: this.#halfLife});
+		return addSums(this.#kept.get(keyText(key))?.bySource.values() ?? [], {at: now, halfLife: this.#halfLife});
 	}
 
 	/**
@@ -212,56 +203,51 @@
 	@returns How many entries were dropped.
 	*/
 	forget(now: number): number {
-		let dropped = 0;
-		for (const [text, entry] of this.#entries) {
-			if (decayTo(entry.sums, {at: now, halfLife: this.#halfLife}).weight < 0.001) {
-				this.#drop(text, entry);
-				dropped += 1;
+		const sizeBefore = this.#size;
+		for (const [text, {bySource}] of this.#kept) {
+			for (const [source, sums] of bySource) {
+				if (decayTo(sums, {at: now, halfLife: this.#halfLife}).weight < leastWeight) {
+					this.#drop(text, source);
+				}
 			}
 		}
 
-		return dropped;
+		return sizeBefore - this.#size;
 	}
 
-	#put(entry: KeptEntry): void {
-		const text = entryText(entry.source, entry);
-		this.#entries.delete(text);
-		this.#entries.set(text, entry);
-		const key = keyText(entry);
-		const sources = this.#sourcesOf.get(key) ?? new Set();
-		sources.add(entry.source);
-		this.#sourcesOf.set(key, sources);
-		for (const [oldest, dropped] of this.#entries) {
-			if (this.#entries.size <= this.#maximumEntries) {
+	#put(key: QualityKey, {source, sums}: {readonly source: string; readonly sums: DecayedSums}): void {
+		const text = keyText(key);
+		const kept = this.#kept.get(text) ?? {key: keyOf(key), bySource: new Map<string, DecayedSums>()};
+		const sizeBefore = kept.bySource.size;
+		kept.bySource.set(source, sums);
+		this.#size += kept.bySource.size - sizeBefore;
+		this.#kept.delete(text);
+		this.#kept.set(text, kept);
+		for (const [oldest, {bySource}] of this.#kept) {
+			if (this.#size <= this.#maximumEntries || oldest === text) {
 				break;
 			}
 
-			this.#drop(oldest, dropped);
+			this.#kept.delete(oldest);
+			this.#size -= bySource.size;
 		}
 	}
 
-	#drop(text: string, entry: KeptEntry): void {
-		this.#entries.delete(text);
-		const key = keyText(entry);
-		const sources = this.#sourcesOf.get(key);
-		sources?.delete(entry.source);
-		if (sources?.size === 0) {
-			this.#sourcesOf.delete(key);
+	#drop(text: string, source: string): void {
+		const bySource = this.#kept.get(text)?.bySource;
+		if (bySource?.delete(source) === true) {
+			this.#size -= 1;
 		}
-	}
 
-	* #keysOf(source: string): Iterable<QualityKey> {
-		for (const entry of this.#entries.values()) {
-			if (entry.source === source) {
-				yield entry;
-			}
+		if (bySource?.size === 0) {
+			this.#kept.delete(text);
 		}
 	}
 }
 
-function withoutSource({model, version, qualityClass, measure, sums}: KeptEntry): QualityEntry {
+function keyOf({model, version, qualityClass, measure}: QualityKey): QualityKey {
 	return {
-		model, version, qualityClass, measure, sums,
+		model, version, qualityClass, measure,
 	};
 }
 
@@ -272,7 +258,3 @@
 function keyText({qualityClass, model, version, measure}: QualityKey): string {
 	return `${qualityClass}|${model}@${version}|${measure}`;
 }
-
-function entryText(source: string, key: QualityKey): string {
-	return `${source}|${keyText(key)}`;
-}
