Test core and transport; let a destroyed server stop listening

Cause: the HTTP server's destroy ended the connections but went on listening, so a process that called it never ended (AVA: failed to exit); the cost of nothing came out as -0. Ruled out: ending the test process by force; the fault is the server's. Conclusion: both faults are mended and covered.

--- /dev/null
+++ b/packages/core/src/failure.test.ts
@@ -0,0 +1,15 @@
+import test from 'ava';
+import {errorAnswers} from './error-kinds.js';
+import {failure, outcomeOf} from './failure.js';
+
+test('a failure has the outcome of its kind unless it says otherwise', t => {
+	t.is(outcomeOf(failure('no-server', 'Got none')), 'notRun');
+	t.is(outcomeOf(failure('no-server', 'Got none', {outcome: 'unknown'})), 'unknown');
+});
+
+test('every kind has an error status and a title without a full stop', t => {
+	for (const [kind, {status, title}] of Object.entries(errorAnswers)) {
+		t.true(status >= 400 && status < 600, `The kind is ${kind}`);
+		t.regex(title, /^[A-Z].*[^.]$/v, `The kind is ${kind}`);
+	}
+});
--- /dev/null
+++ b/packages/core/src/money.test.ts
@@ -0,0 +1,19 @@
+import {fc, testProp} from '@fast-check/ava';
+import test from 'ava';
+import {costOf, type Micros, sumOf} from './money.js';
+
+test('a cost is rounded up to a whole millionth', t => {
+	t.is(costOf({input: 0.5, output: 2}, {input: 100, output: 10}), 70 as Micros);
+	t.is(costOf({input: 0.1, output: 0}, {input: 1, output: 0}), 1 as Micros);
+	t.is(costOf({input: 0, output: 0}, {input: 1_000_000, output: 1_000_000}), 0 as Micros);
+});
+
+testProp(
+	'a sum does not depend on the order',
+	[fc.array(fc.nat({max: 1_000_000_000}))],
+	(t, amounts) => {
+		const micros = amounts as Micros[];
+		t.is(sumOf(micros), sumOf(micros.toReversed()));
+	},
+	{seed: 1, numRuns: 200},
+);
--- a/packages/core/src/money.ts
+++ b/packages/core/src/money.ts
@@ -4,6 +4,8 @@
 export type Micros = Brand<number, 'Micros'>;
 
 const tokensPerPricedUnit = 1_000_000;
+/** Keeps an amount that is whole but for floating-point error from being rounded up. */
+const roundingTolerance = 1e-9;
 
 /** What a version charges, in units of account for a million tokens. */
 export type Prices = {
@@ -30,7 +32,7 @@
 */
 export function costOf(prices: Prices, usage: TokenUsage): Micros {
 	const micros = ((prices.input * usage.input) + (prices.output * usage.output)) * 1_000_000 / tokensPerPricedUnit;
-	return Math.ceil(micros - 1e-9) as Micros;
+	return Math.max(0, Math.ceil(micros - roundingTolerance)) as Micros;
 }
 
 /**
--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -22,7 +22,7 @@
 	readonly port: number;
 	/** Stops listening and waits until the requests in progress are answered. */
 	readonly close: () => Promise<void>;
-	/** Ends all connections at once. */
+	/** Stops listening and ends all connections at once. */
 	readonly destroy: () => void;
 };
 
@@ -64,6 +64,7 @@
 			});
 		},
 		destroy() {
+			server.close();
 			server.closeAllConnections();
 		},
 	};
--- /dev/null
+++ b/packages/transport/src/http.test.ts
@@ -0,0 +1,132 @@
+import {connect} from 'node:net';
+import {failure} from '@valehitch/core';
+import test from 'ava';
+import {type HttpServer, startHttpServer} from './http-server.js';
+import {answerProblem} from './problem.js';
+import {readBody} from './read-body.js';
+import {sendHttp} from './send-http.js';
+
+const bodyLimit = 100;
+
+function ignore(): void {
+	// What follows shows in the answer.
+}
+
+async function startEcho(): Promise<HttpServer> {
+	return startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler(request, response) {
+			if (request.url === '/throws') {
+				throw new Error('Broken on purpose');
+			}
+
+			const body = await readBody(request, bodyLimit);
+			body.caseOf({
+				Left(failed) {
+					answerProblem(response, failed);
+				},
+				Right(bytes) {
+					response.end(bytes);
+				},
+			});
+		},
+		onError: ignore,
+	});
+}
+
+async function send(server: HttpServer, path: string, body: string): Promise<{status: number; text: string}> {
+	const answer = await sendHttp({
+		address: `http://127.0.0.1:${server.port}`, method: 'POST', path, headers: {}, body: new TextEncoder().encode(body), signal: new AbortController().signal, reuseConnection: false,
+	});
+	const head = answer.unsafeCoerce();
+	const bytes = await readBody(head.message, 10_000);
+	return {status: head.status, text: new TextDecoder().decode(bytes.unsafeCoerce())};
+}
+
+async function sendRaw(server: HttpServer, text: string): Promise<string> {
+	return new Promise(resolve => {
+		const socket = connect(server.port, '127.0.0.1', () => {
+			socket.write(text);
+		});
+		let received = '';
+		socket.on('data', chunk => {
+			received += chunk.toString();
+		});
+		socket.on('error', ignore);
+		socket.on('close', () => {
+			resolve(received);
+		});
+	});
+}
+
+test('a body comes back whole, and one above the limit is refused', async t => {
+	const server = await startEcho();
+	t.deepEqual(await send(server, '/', 'hello'), {status: 200, text: 'hello'});
+	const refused = await send(server, '/', 'x'.repeat(bodyLimit + 1));
+	t.is(refused.status, 413);
+	t.like(JSON.parse(refused.text), {kind: 'too-large', outcome: 'notRun'});
+	server.destroy();
+});
+
+test('a handler that throws gives an answer whose outcome is unknown', async t => {
+	const server = await startEcho();
+	const answer = await send(server, '/throws', '');
+	t.is(answer.status, 500);
+	t.like(JSON.parse(answer.text), {kind: 'internal', outcome: 'unknown'});
+	server.destroy();
+});
+
+test('bytes that are not HTTP and headers that are too large get problem details', async t => {
+	const server = await startEcho();
+	t.regex(await sendRaw(server, 'HELLO\r\n\r\n'), /^HTTP\/1\.1 400 .*"kind":"malformed-request"/sv);
+	t.regex(await sendRaw(server, `GET / HTTP/1.1\r\nHost: x\r\nLong: ${'y'.repeat(4000)}\r\n\r\n`), /^HTTP\/1\.1 431 .*"kind":"headers-too-large"/sv);
+	server.destroy();
+});
+
+test('a call to a port where nobody listens was surely never sent', async t => {
+	const server = await startEcho();
+	await server.close();
+	const answer = await sendHttp({
+		address: `http://127.0.0.1:${server.port}`, method: 'POST', path: '/', headers: {}, body: new Uint8Array(), signal: new AbortController().signal, reuseConnection: false,
+	});
+	t.like(answer.extract(), {neverSent: true});
+});
+
+test('a call whose server hangs up after the request may have run', async t => {
+	const server = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler(request) {
+			request.socket.destroy();
+		},
+		onError: ignore,
+	});
+	const answer = await sendHttp({
+		address: `http://127.0.0.1:${server.port}`, method: 'POST', path: '/', headers: {}, body: new Uint8Array(), signal: new AbortController().signal, reuseConnection: false,
+	});
+	t.like(answer.extract(), {neverSent: false});
+	server.destroy();
+});
+
+test('a problem carries its kind, outcome and time to come back', async t => {
+	const server = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler(_request, response) {
+			answerProblem(response, failure('limit-reached', 'Got 11 tokens, wanted at most 10', {retryAfterMilliseconds: 1500}), {requestId: 'r1'});
+		},
+		onError: ignore,
+	});
+	const answer = await sendHttp({
+		address: `http://127.0.0.1:${server.port}`, method: 'GET', path: '/', headers: {}, body: new Uint8Array(), signal: new AbortController().signal, reuseConnection: false,
+	});
+	const head = answer.unsafeCoerce();
+	t.is(head.headers['retry-after'], '2');
+	const bytes = await readBody(head.message, 10_000);
+	t.like(JSON.parse(new TextDecoder().decode(bytes.unsafeCoerce())), {kind: 'limit-reached', outcome: 'notRun', requestId: 'r1'});
+	server.destroy();
+});
--- /dev/null
+++ b/packages/transport/src/peer-network.test.ts
@@ -0,0 +1,81 @@
+import {type InstanceId, toId} from '@valehitch/core';
+import test from 'ava';
+import {type PeerAddress, PeerNetwork} from './peer-network.js';
+
+type Message = {readonly text: string};
+
+type Peer = {
+	readonly network: PeerNetwork<Message>;
+	readonly address: PeerAddress;
+	readonly heard: string[];
+};
+
+function ignore(): void {
+	// Nothing to note.
+}
+
+async function isAnswered(from: Peer, to: Peer, text: string): Promise<boolean> {
+	const reply = await from.network.request(to.address, {text}, {timeoutMilliseconds: 500});
+	return reply.isRight();
+}
+
+async function listen(name: string, key = 'a-key-that-all-share'): Promise<Peer> {
+	const heard: string[] = [];
+	const network = await PeerNetwork.listen<Message>({
+		self: toId<InstanceId>(name),
+		key,
+		host: '127.0.0.1',
+		port: 0,
+		onMessage(from, {text}) {
+			heard.push(`${from}: ${text}`);
+		},
+		onRequest: async (from, {text}) => ({echo: text, from}),
+	});
+	return {network, heard, address: {instance: toId<InstanceId>(name), host: '127.0.0.1', port: network.port}};
+}
+
+test('a request gets its reply and says who asked', async t => {
+	const left = await listen('left');
+	const right = await listen('right');
+	const replies = await Promise.all(['one', 'two', 'three'].map(async text => left.network.request(right.address, {text})));
+	t.deepEqual(replies.map(reply => reply.extract()), [
+		{echo: 'one', from: 'left'}, {echo: 'two', from: 'left'}, {echo: 'three', from: 'left'},
+	]);
+	t.true(left.network.traffic.bytesSent > 0);
+	t.is(left.network.traffic.framesReceived, 3);
+	await Promise.all([left.network.close(), right.network.close()]);
+});
+
+test('a cut link neither sends nor replies, and works again once it is mended', async t => {
+	const left = await listen('left');
+	const right = await listen('right');
+	left.network.cut(new Set([right.address.instance]));
+	t.false(await isAnswered(left, right, 'lost'));
+	left.network.cut(new Set());
+	right.network.cut(new Set([left.address.instance]));
+	t.false(await isAnswered(left, right, 'unheard'));
+	right.network.cut(new Set());
+	t.true(await isAnswered(left, right, 'heard'));
+	await Promise.all([left.network.close(), right.network.close()]);
+});
+
+test('a peer with another key is not let in', async t => {
+	const left = await listen('left', 'another-key-than-the-rest');
+	const right = await listen('right');
+	const reply = await left.network.request(right.address, {text: 'let me in'}, {timeoutMilliseconds: 500});
+	t.true(reply.isLeft());
+	await Promise.all([left.network.close(), right.network.close()]);
+});
+
+test('a link is opened again after the peer came back on the same address', async t => {
+	const left = await listen('left');
+	const right = await listen('right');
+	t.true(await isAnswered(left, right, 'first'));
+	await right.network.close();
+	t.false(await isAnswered(left, right, 'nobody'));
+	const again = await PeerNetwork.listen<Message>({
+		self: right.address.instance, key: 'a-key-that-all-share', host: '127.0.0.1', port: right.address.port, onMessage: ignore, onRequest: async () => 'back',
+	});
+	t.true(await isAnswered(left, right, 'again'));
+	await Promise.all([left.network.close(), again.close()]);
+});
--- a/xo.config.js
+++ b/xo.config.js
@@ -26,6 +26,14 @@
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
 		},
 	},
+	{
+		files: ['**/*.test.ts'],
+		rules: {
+			// The test runner and fast-check are dependencies of the workspace, not of each package.
+			'import-x/no-extraneous-dependencies': 'off',
+			'n/no-extraneous-import': 'off',
+		},
+	},
 ];
 
 export default config;
