Publish the commands of claims, roll-outs and orders

Cause: the entry, the replicated log's host and the policy need the commands before the state carries them out. Ruled out: a failure for each way a claim can stand; the outcomes are answers, since a caller acts on each. Change: command types with their times, answers by command, the bounds as part of the state; apply takes the position in the log. Commands that are not carried out yet answer so.

--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -1,18 +1,9 @@
 import {
-	type Bill, type ChangeId, type EffectiveConfiguration, emptyConfiguration, type Failure, failure, toRevision,
+	type Bill, type ChangeId, type EffectiveConfiguration, emptyConfiguration, failure, toRevision,
 } from '@valehitch/core';
-import {type Either, Left, Right} from 'purify-ts';
-import {match} from 'ts-pattern';
+import {Left, Right} from 'purify-ts';
 import {type ApplyConfigurationCommand, type Command, type RecordBillsCommand} from './command.js';
-
-/** What a command gave. */
-export type CommandResult = Either<Failure, CommandAnswer>;
-
-/** The answer of a command that was carried out. */
-export type CommandAnswer = {
-	/** The revision after the command. */
-	readonly revision: number;
-};
+import {type CommandResult, type LogPosition} from './command-answer.js';
 
 /**
 The replicated state: configuration and ledger; a function of the commands in their order, without time or chance.
@@ -20,7 +11,7 @@
 @example
 ```ts
 const state = new ControlState();
-state.apply({type: 'record-bills', bills: []});
+state.apply({type: 'record-bills', bills: []}, {term: 1, index: 1});
 ```
 */
 export class ControlState {
@@ -42,13 +33,23 @@
 	Carries out one command.
 
 	@param command The next command of the log.
+	@param position Where the command stands in the log.
 	@returns The answer or the failure; both are the same on every replica.
 	*/
-	apply(command: Command): CommandResult {
-		return match(command)
-			.with({type: 'apply-configuration'}, change => this.#applyConfiguration(change))
-			.with({type: 'record-bills'}, record => this.#recordBills(record))
-			.exhaustive();
+	apply<Kind extends Command>(command: Kind, position: LogPosition): CommandResult<Kind> {
+		return this.#carryOut(command, position) as CommandResult<Kind>;
+	}
+
+	#carryOut(command: Command, {index}: LogPosition): CommandResult {
+		if (command.type === 'apply-configuration') {
+			return this.#applyConfiguration(command);
+		}
+
+		if (command.type === 'record-bills') {
+			return this.#recordBills(command);
+		}
+
+		return Left(failure('internal', `Got ${command.type} at index ${index}, wanted a command that this version carries out`));
 	}
 
 	#applyConfiguration(change: ApplyConfigurationCommand): CommandResult {
@@ -83,6 +84,6 @@
 			}
 		}
 
-		return Right({revision: this.#effective.revision});
+		return Right({revision: this.#effective.revision, recorded: bills.length, expired: []});
 	}
 }
--- a/packages/control/src/mod.ts
+++ b/packages/control/src/mod.ts
@@ -3,5 +3,10 @@
 
 @module
 */
+export type * from './claim.js';
 export type * from './command.js';
+export type * from './command-answer.js';
+export * from './control-limits.js';
 export * from './control-state.js';
+export type * from './ids.js';
+export type * from './order.js';
--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -34,6 +34,7 @@
 */
 export class ControlHost {
 	readonly #state = new ControlState();
+	#index = 0;
 	readonly #subscribers = new Map<InstanceId, Subscriber>();
 	readonly #options: ControlHostOptions;
 
@@ -95,7 +96,7 @@
 	*/
 	propose(command: Command): Either<Failure, CommandAnswer> {
 		const before = this.#state.effective.revision;
-		const result = this.#state.apply(command);
+		const result = this.#state.apply(command, {term: 1, index: ++this.#index});
 		if (this.#state.effective.revision !== before) {
 			this.#options.timeline.record('configuration-committed', {revision: this.#state.effective.revision});
 		}
--- a/packages/daemon/src/operators/apply-configuration.ts
+++ b/packages/daemon/src/operators/apply-configuration.ts
@@ -40,7 +40,7 @@
 
 	const {changeId, expectedRevision, document} = change.extract() as Change;
 	const result = await context.control.propose({
-		type: 'apply-configuration', changeId, expectedRevision, document, digest: sha256(JSON.stringify(document)),
+		type: 'apply-configuration', changeId, expectedRevision, document, digest: sha256(JSON.stringify(document)), at: context.base.clock.now().getTime(),
 	});
 	if (result.isLeft()) {
 		answerProblem(response, result.extract());
