Carry out claims, roll-out steps, orders and the bounded ledger

Cause: the replicated state knew configuration and bills only, and kept every bill in memory. Ruled out: a time window of bill ids; at 2,400 bills a second and ten minutes it is 1.4 million ids, and a bill that waits longer in a cut-off zone would be refused.

--- /dev/null
+++ b/packages/control/src/_claims.ts
@@ -0,0 +1,255 @@
+import {
+	type Failure, failure, type InstanceId, type RequestId, type WorkspaceId,
+} from '@valehitch/core';
+import {type Either, Left, Right} from 'purify-ts';
+import {type ClaimOutcome, type ClaimSettlement, type KeptAnswer} from './claim.js';
+import {type SettleClaimCommand, type TakeClaimCommand} from './command.js';
+import {type ControlLimits} from './control-limits.js';
+import {type IdempotencyKey} from './ids.js';
+
+/** One claim as the state keeps it. */
+export type Claim = {
+	readonly requestDigest: string;
+	readonly request: RequestId;
+	readonly instance: InstanceId;
+	readonly takenAt: number;
+	readonly settledAt?: number;
+	readonly settlement?: ClaimSettlement;
+	/** The requests that released it lately, so that a late copy of their `take-claim` does not take it again. */
+	readonly releasedBy: readonly RequestId[];
+};
+
+type Settled = Claim & {readonly settlement: ClaimSettlement; readonly settledAt: number};
+
+type Settling = {
+	readonly key: IdempotencyKey;
+	readonly claim: Claim;
+	readonly settlement: ClaimSettlement;
+	readonly at: number;
+};
+
+/** The claims of one workspace; settled ones are in the order in which they were settled. */
+type WorkspaceClaims = {
+	readonly open: Map<IdempotencyKey, Claim>;
+	readonly settled: Map<IdempotencyKey, Settled>;
+	/** Settled claims that keep a body, the oldest first. */
+	readonly withBody: Set<IdempotencyKey>;
+	bodyBytes: number;
+};
+
+/** The claims in a snapshot. */
+export type ClaimsData = ReadonlyArray<readonly [WorkspaceId, {
+	readonly open: ReadonlyArray<readonly [IdempotencyKey, Claim]>;
+	readonly settled: ReadonlyArray<readonly [IdempotencyKey, Settled]>;
+}]>;
+
+const mostReleasesRemembered = 8;
+
+/** The claims on idempotency keys of all workspaces. */
+export class Claims {
+	readonly #workspaces = new Map<WorkspaceId, WorkspaceClaims>();
+
+	constructor(data: ClaimsData = []) {
+		for (const [workspace, {open, settled}] of data) {
+			const claims = this.#claimsOf(workspace);
+			for (const [key, claim] of open) {
+				claims.open.set(key, claim);
+			}
+
+			for (const [key, claim] of settled) {
+				keep(claims, {key, claim: withOwnBody(claim)});
+			}
+		}
+	}
+
+	take(command: TakeClaimCommand, limits: ControlLimits): Either<Failure, ClaimOutcome> {
+		const {workspace, key, request, requestDigest} = command;
+		const claims = this.#claimsOf(workspace);
+		const known = claims.open.get(key) ?? claims.settled.get(key);
+		if (known !== undefined && known.requestDigest !== requestDigest) {
+			return Right({type: 'key-reused', request: known.request});
+		}
+
+		if (known !== undefined && (known.settlement?.type !== 'released' || known.releasedBy.includes(request))) {
+			return Right(outcomeFor(known, request));
+		}
+
+		return makeRoom(claims, {command, limits}).map(() => {
+			forget(claims, key);
+			claims.open.set(key, {
+				requestDigest, request, instance: command.instance, takenAt: command.at, releasedBy: known?.releasedBy ?? [],
+			});
+			return {type: 'taken', request};
+		});
+	}
+
+	settle(command: SettleClaimCommand, limits: ControlLimits): ClaimOutcome {
+		const {workspace, key, request} = command;
+		const claims = this.#claimsOf(workspace);
+		const known = claims.open.get(key) ?? claims.settled.get(key);
+		if (known === undefined) {
+			return {type: 'expired'};
+		}
+
+		if (known.request !== request || (known.settlement !== undefined && known.settlement.type !== 'unknown')) {
+			return outcomeFor(known, request);
+		}
+
+		settleClaim(claims, {
+			key, claim: known, settlement: withoutLargeBody(command.settlement, limits), at: command.at,
+		});
+		dropBodies(claims, limits);
+		return outcomeFor(claims.settled.get(key) ?? known, request);
+	}
+
+	/** Turns the open claims of a lost instance to unknown. */
+	instanceLost(instance: InstanceId, at: number): void {
+		this.#settleOpen({at, isOver: claim => claim.instance === instance});
+	}
+
+	expire(at: number, limits: ControlLimits): void {
+		this.#settleOpen({at, isOver: claim => claim.takenAt + limits.claimOpenMilliseconds <= at});
+		for (const [workspace, claims] of this.#workspaces) {
+			for (const [key, claim] of claims.settled) {
+				if (claim.settledAt + limits.claimMilliseconds > at) {
+					break;
+				}
+
+				forget(claims, key);
+			}
+
+			if (claims.open.size + claims.settled.size === 0) {
+				this.#workspaces.delete(workspace);
+			}
+		}
+	}
+
+	toData(): ClaimsData {
+		return [...this.#workspaces].map(([workspace, {open, settled}]) => [workspace, {open: [...open], settled: [...settled]}] as const);
+	}
+
+	#settleOpen({at, isOver}: {readonly at: number; readonly isOver: (claim: Claim) => boolean}): void {
+		for (const claims of this.#workspaces.values()) {
+			for (const [key, claim] of claims.open) {
+				if (isOver(claim)) {
+					settleClaim(claims, {
+						key, claim, settlement: {type: 'unknown'}, at,
+					});
+				}
+			}
+		}
+	}
+
+	#claimsOf(workspace: WorkspaceId): WorkspaceClaims {
+		const known = this.#workspaces.get(workspace);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const claims: WorkspaceClaims = {
+			open: new Map(), settled: new Map(), withBody: new Set(), bodyBytes: 0,
+		};
+		this.#workspaces.set(workspace, claims);
+		return claims;
+	}
+}
+
+function outcomeFor({settlement, request: owner}: Claim, asking: RequestId): ClaimOutcome {
+	if (settlement === undefined) {
+		return {type: owner === asking ? 'taken' : 'in-progress', request: owner};
+	}
+
+	return {...settlement, request: owner};
+}
+
+/** Makes room for one more claim, or tells when there will be. */
+function makeRoom(claims: WorkspaceClaims, {command: {key, at, workspace}, limits}: {readonly command: TakeClaimCommand; readonly limits: ControlLimits}): Either<Failure, undefined> {
+	if (claims.settled.has(key) || claims.open.size + claims.settled.size < limits.claimsPerWorkspace) {
+		return Right(undefined);
+	}
+
+	const [oldest] = claims.settled;
+	const free = oldest === undefined ? at + limits.claimMinimumMilliseconds : oldest[1].settledAt + limits.claimMinimumMilliseconds;
+	if (oldest === undefined || free > at) {
+		return Left(failure('limit-reached', `Got ${limits.claimsPerWorkspace} idempotency keys of workspace ${workspace} in ${limits.claimMinimumMilliseconds} ms, wanted fewer`, {retryAfterMilliseconds: free - at}));
+	}
+
+	forget(claims, oldest[0]);
+	return Right(undefined);
+}
+
+function settleClaim(claims: WorkspaceClaims, {key, claim, settlement, at}: Settling): void {
+	const releasedBy = settlement.type === 'released' ? [...claim.releasedBy, claim.request].slice(-mostReleasesRemembered) : claim.releasedBy;
+	forget(claims, key);
+	keep(claims, {
+		key, claim: {
+			...claim, settlement, settledAt: at, releasedBy,
+		},
+	});
+}
+
+function keep(claims: WorkspaceClaims, {key, claim}: {readonly key: IdempotencyKey; readonly claim: Settled}): void {
+	claims.settled.set(key, claim);
+	const bytes = bodyOf(claim)?.byteLength;
+	if (bytes !== undefined) {
+		claims.withBody.add(key);
+		claims.bodyBytes += bytes;
+	}
+}
+
+function forget(claims: WorkspaceClaims, key: IdempotencyKey): void {
+	const settled = claims.settled.get(key);
+	claims.open.delete(key);
+	claims.settled.delete(key);
+	if (claims.withBody.delete(key)) {
+		claims.bodyBytes -= bodyOf(settled)?.byteLength ?? 0;
+	}
+}
+
+function bodyOf(claim: Claim | undefined): Uint8Array | undefined {
+	return claim?.settlement?.type === 'done' ? claim.settlement.answer.body : undefined;
+}
+
+function dropBodies(claims: WorkspaceClaims, {keptAnswerBytesPerWorkspace}: ControlLimits): void {
+	for (const key of claims.withBody) {
+		if (claims.bodyBytes <= keptAnswerBytesPerWorkspace) {
+			return;
+		}
+
+		const claim = claims.settled.get(key);
+		claims.bodyBytes -= bodyOf(claim)?.byteLength ?? 0;
+		claims.withBody.delete(key);
+		if (claim?.settlement.type === 'done') {
+			claims.settled.set(key, {...claim, settlement: {type: 'done', answer: withoutBody(claim.settlement.answer)}});
+		}
+	}
+}
+
+function withoutBody({status, headers, digest, bytes}: KeptAnswer): KeptAnswer {
+	return {
+		status, headers, digest, bytes,
+	};
+}
+
+function withoutLargeBody(settlement: ClaimSettlement, {keptAnswerBytes}: ControlLimits): ClaimSettlement {
+	if (settlement.type !== 'done') {
+		return settlement;
+	}
+
+	const {answer} = settlement;
+	if (answer.body === undefined || answer.body.byteLength > keptAnswerBytes) {
+		return {type: 'done', answer: withoutBody(answer)};
+	}
+
+	return {type: 'done', answer: {...answer, body: new Uint8Array(answer.body)}};
+}
+
+/** Copies the body, which would else keep the whole snapshot in memory. */
+function withOwnBody(claim: Settled): Settled {
+	const {settlement} = claim;
+	if (settlement.type !== 'done' || settlement.answer.body === undefined) {
+		return claim;
+	}
+
+	return {...claim, settlement: {type: 'done', answer: {...settlement.answer, body: new Uint8Array(settlement.answer.body)}}};
+}
--- /dev/null
+++ b/packages/control/src/_ledger.ts
@@ -0,0 +1,177 @@
+import {
+	type Bill, type InstanceId, type RequestId, type WorkspaceId,
+} from '@valehitch/core';
+import {type ControlLimits} from './control-limits.js';
+import {type LedgerPage, type LedgerQuestion, type WorkspaceTotal} from './ledger-page.js';
+import {SequenceRanges, type SequenceRangesData} from './_sequence-ranges.js';
+
+type Origin = {
+	readonly startedAt: number;
+	/** The latest `settledAt` of its bills. */
+	lastAt: number;
+	readonly ranges: SequenceRanges;
+};
+
+/** The ledger in a snapshot. */
+export type LedgerData = {
+	readonly first: number;
+	readonly bills: readonly Bill[];
+	readonly totals: ReadonlyArray<readonly [WorkspaceId, WorkspaceTotal]>;
+	readonly origins: ReadonlyArray<readonly [string, {readonly startedAt: number; readonly lastAt: number; readonly ranges: SequenceRangesData}]>;
+	readonly forgottenOriginsBefore: number;
+	readonly window: ReadonlyArray<readonly [string, number]>;
+	readonly windowForgotten: number;
+};
+
+const emptyLedger: LedgerData = {
+	first: 1, bills: [], totals: [], origins: [], forgottenOriginsBefore: 0, window: [], windowForgotten: 0,
+};
+
+/** The set of bills: each is recorded once, and what would be doubtful is refused. */
+export class Ledger {
+	/** The position of the first bill that is still here; positions count from 1. */
+	#first: number;
+	#bills: Bill[];
+	readonly #totals: Map<WorkspaceId, WorkspaceTotal>;
+	readonly #origins = new Map<string, Origin>();
+	/** Origins that started before this were forgotten, where they are not known. */
+	#forgottenOriginsBefore: number;
+	/** When each bill without an origin was settled, in the order in which they came. */
+	readonly #window: Map<string, number>;
+	/** The latest `settledAt` of a bill that left the window. */
+	#windowForgotten: number;
+
+	constructor(data: LedgerData = emptyLedger) {
+		this.#first = data.first;
+		this.#bills = [...data.bills];
+		this.#totals = new Map(data.totals);
+		this.#forgottenOriginsBefore = data.forgottenOriginsBefore;
+		this.#window = new Map(data.window);
+		this.#windowForgotten = data.windowForgotten;
+		for (const [key, {startedAt, lastAt, ranges}] of data.origins) {
+			this.#origins.set(key, {startedAt, lastAt, ranges: new SequenceRanges(ranges)});
+		}
+	}
+
+	get bills(): readonly Bill[] {
+		return this.#bills;
+	}
+
+	record(bills: readonly Bill[], limits: ControlLimits): {readonly recorded: number; readonly expired: readonly RequestId[]} {
+		const expired: RequestId[] = [];
+		let recorded = 0;
+		for (const bill of bills) {
+			const addition = bill.origin === undefined ? this.#addToWindow(bill, limits) : this.#addToOrigin(bill, bill.origin);
+			if (addition === 'below-floor') {
+				expired.push(bill.request);
+			}
+
+			if (addition === 'added') {
+				this.#append(bill);
+				recorded++;
+			}
+		}
+
+		return {recorded, expired};
+	}
+
+	read({workspace, after, limit}: LedgerQuestion): LedgerPage {
+		const bills: Bill[] = [];
+		const start = Math.max(after + 1, this.#first);
+		for (const [offset, bill] of this.#bills.slice(start - this.#first).entries()) {
+			if (workspace !== undefined && bill.workspace !== workspace) {
+				continue;
+			}
+
+			bills.push(bill);
+			if (bills.length === limit) {
+				return {bills, archivedUpTo: this.#first - 1, next: start + offset};
+			}
+		}
+
+		return {bills, archivedUpTo: this.#first - 1};
+	}
+
+	total(workspace: WorkspaceId): WorkspaceTotal {
+		return this.#totals.get(workspace) ?? {bills: 0, micros: 0};
+	}
+
+	archivable({recentBills}: ControlLimits): {readonly firstPosition: number; readonly bills: readonly Bill[]} {
+		return {firstPosition: this.#first, bills: this.#bills.slice(0, Math.max(0, this.#bills.length - recentBills))};
+	}
+
+	dropArchived(lastPosition: number): void {
+		const dropped = Math.min(Math.max(0, lastPosition - this.#first + 1), this.#bills.length);
+		this.#bills = this.#bills.slice(dropped);
+		this.#first += dropped;
+	}
+
+	expire(at: number, {originMilliseconds}: ControlLimits): void {
+		const oldest = at - originMilliseconds;
+		for (const [key, {startedAt, lastAt}] of this.#origins) {
+			if (lastAt < oldest) {
+				this.#origins.delete(key);
+				this.#forgottenOriginsBefore = Math.max(this.#forgottenOriginsBefore, startedAt + 1);
+			}
+		}
+	}
+
+	toData(): LedgerData {
+		const origins = [...this.#origins].map(([key, {startedAt, lastAt, ranges}]) => [key, {startedAt, lastAt, ranges: ranges.toData()}] as const);
+		return {
+			first: this.#first,
+			bills: this.#bills,
+			totals: [...this.#totals],
+			origins,
+			forgottenOriginsBefore: this.#forgottenOriginsBefore,
+			window: [...this.#window],
+			windowForgotten: this.#windowForgotten,
+		};
+	}
+
+	#append(bill: Bill): void {
+		this.#bills.push(bill);
+		const {bills, micros} = this.total(bill.workspace);
+		this.#totals.set(bill.workspace, {bills: bills + 1, micros: micros + bill.total});
+	}
+
+	#addToOrigin(bill: Bill, {startedAt, sequence}: NonNullable<Bill['origin']>): 'added' | 'present' | 'below-floor' {
+		const key = originKey(bill.instance, startedAt);
+		const known = this.#origins.get(key);
+		if (known === undefined && startedAt < this.#forgottenOriginsBefore) {
+			return 'below-floor';
+		}
+
+		const origin = known ?? {startedAt, lastAt: bill.settledAt, ranges: new SequenceRanges()};
+		this.#origins.set(key, origin);
+		origin.lastAt = Math.max(origin.lastAt, bill.settledAt);
+		return origin.ranges.add(sequence);
+	}
+
+	#addToWindow(bill: Bill, {billWindow}: ControlLimits): 'added' | 'present' | 'below-floor' {
+		const key = `${bill.workspace}/${bill.request}`;
+		if (this.#window.has(key)) {
+			return 'present';
+		}
+
+		if (bill.settledAt <= this.#windowForgotten) {
+			return 'below-floor';
+		}
+
+		this.#window.set(key, bill.settledAt);
+		for (const [oldest, settledAt] of this.#window) {
+			if (this.#window.size <= billWindow) {
+				break;
+			}
+
+			this.#window.delete(oldest);
+			this.#windowForgotten = Math.max(this.#windowForgotten, settledAt);
+		}
+
+		return 'added';
+	}
+}
+
+function originKey(instance: InstanceId, startedAt: number): string {
+	return `${instance}/${startedAt}`;
+}
--- /dev/null
+++ b/packages/control/src/configuration-change.ts
@@ -0,0 +1,19 @@
+import {
+	type ChangeId, type ModelId, type Revision, type VersionId,
+} from '@valehitch/core';
+
+/** What raised the revision. */
+export type ChangeCause
+	= | {readonly type: 'operator'; readonly operator?: string | undefined; readonly changeId: ChangeId}
+		| {readonly type: 'rollout-advanced'; readonly model: ModelId; readonly version: VersionId}
+		| {readonly type: 'version-stopped'; readonly model: ModelId; readonly version: VersionId};
+
+/** One committed change, as a conflict reports it. */
+export type ConfigurationChange = {
+	readonly revision: Revision;
+	readonly cause: ChangeCause;
+	/** Milliseconds since 1970. */
+	readonly at: number;
+	/** What changed, such as `models.tag-small`; at most 20. */
+	readonly paths: readonly string[];
+};
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -1,12 +1,40 @@
 import {
-	type Bill, type ChangeId, type EffectiveConfiguration, emptyConfiguration, failure, toRevision,
+	type Bill, type EffectiveConfiguration, type Failure, type ServerId, type WorkspaceId,
 } from '@valehitch/core';
-import {Left, Right} from 'purify-ts';
-import {type ApplyConfigurationCommand, type Command, type RecordBillsCommand} from './command.js';
-import {type CommandResult, type LogPosition} from './command-answer.js';
+import {Packr} from 'msgpackr';
+import {type Either, Right} from 'purify-ts';
+import {match} from 'ts-pattern';
+import {Claims, type ClaimsData} from './_claims.js';
+import {ConfigurationChanges, type ConfigurationData} from './_configuration-changes.js';
+import {Ledger, type LedgerData} from './_ledger.js';
+import {Orders} from './_orders.js';
+import {
+	type Command, type ExpireCommand, type InstanceLostCommand, type SetLimitsCommand,
+} from './command.js';
+import {
+	type CommandAnswer, type CommandResult, type LogPosition, type RevisionAnswer,
+} from './command-answer.js';
+import {type ConfigurationChange} from './configuration-change.js';
+import {type ControlLimits, defaultControlLimits} from './control-limits.js';
+import {
+	type ArchivableBills, type LedgerPage, type LedgerQuestion, type WorkspaceTotal,
+} from './ledger-page.js';
+import {type OrderRecord} from './order.js';
+
+const format = 1;
+const packr = new Packr({useRecords: true, structuredClone: false});
+
+type SnapshotData = {
+	readonly format: number;
+	readonly limits: ControlLimits;
+	readonly configuration: ConfigurationData;
+	readonly claims: ClaimsData;
+	readonly ledger: LedgerData;
+	readonly orders: readonly OrderRecord[];
+};
 
 /**
-The replicated state: configuration and ledger; a function of the commands in their order, without time or chance.
+The replicated state: configuration, claims, ledger, roll-outs and orders; a function of the commands in their order, without time or chance.
 
 @example
 ```ts
@@ -15,18 +43,111 @@
 ```
 */
 export class ControlState {
-	#effective: EffectiveConfiguration = {revision: toRevision(0), document: emptyConfiguration, rollouts: {}};
-	readonly #changes = new Map<ChangeId, {digest: string; result: CommandResult}>();
-	readonly #ledger = new Map<string, Bill>();
+	/**
+	Reads a snapshot.
+
+	@param bytes What `toSnapshot` gave.
+	@returns The state.
+	@throws If the snapshot is of another format.
+	@example
+	```ts
+	const copy = ControlState.fromSnapshot(state.toSnapshot());
+	```
+	*/
+	static fromSnapshot(bytes: Uint8Array): ControlState {
+		const data = packr.unpack(bytes) as SnapshotData;
+		if (data.format !== format) {
+			throw new RangeError(`Got a snapshot of format ${data.format}, wanted format ${format}`);
+		}
+
+		return new ControlState(data);
+	}
+
+	#limits: ControlLimits;
+	readonly #configuration: ConfigurationChanges;
+	readonly #claims: Claims;
+	readonly #ledger: Ledger;
+	readonly #orders: Orders;
+
+	constructor(data?: SnapshotData) {
+		this.#limits = data?.limits ?? defaultControlLimits;
+		this.#configuration = new ConfigurationChanges(data?.configuration);
+		this.#claims = new Claims(data?.claims);
+		this.#ledger = new Ledger(data?.ledger);
+		this.#orders = new Orders(data?.orders);
+	}
 
 	/** The configuration that was committed last. */
 	get effective(): EffectiveConfiguration {
-		return this.#effective;
+		return this.#configuration.effective;
 	}
 
-	/** The bills in the order in which they came. */
+	/** The last changes of the configuration, the oldest first; at most 32. */
+	get history(): readonly ConfigurationChange[] {
+		return this.#configuration.history;
+	}
+
+	/** The bounds of what is kept. */
+	get limits(): ControlLimits {
+		return this.#limits;
+	}
+
+	/** The bills that are not archived yet, in the order in which they came. */
 	get bills(): Iterable<Bill> {
-		return this.#ledger.values();
+		return this.#ledger.bills;
+	}
+
+	/** The completed orders that are kept, the oldest first. */
+	get completedOrders(): readonly OrderRecord[] {
+		return this.#orders.completed;
+	}
+
+	/**
+	The open orders in the order in which they were issued.
+
+	@param server The server; all by default.
+	@returns The orders.
+	*/
+	openOrders(server?: ServerId): readonly OrderRecord[] {
+		return this.#orders.open(server);
+	}
+
+	/**
+	Reads a page of the bills that are not archived yet.
+
+	@param question The workspace, where to go on, and the size of the page.
+	@returns The page.
+	*/
+	readLedger(question: LedgerQuestion): LedgerPage {
+		return this.#ledger.read(question);
+	}
+
+	/**
+	What a workspace was billed in all.
+
+	@param workspace The workspace.
+	@returns The number of its bills and their sum.
+	*/
+	totalOf(workspace: WorkspaceId): WorkspaceTotal {
+		return this.#ledger.total(workspace);
+	}
+
+	/**
+	The oldest bills, beyond the number that is kept for reading; they stay until `dropArchived`.
+
+	@returns The bills, for the host to write to its archive.
+	*/
+	archivableBills(): ArchivableBills {
+		return this.#ledger.archivable(this.#limits);
+	}
+
+	/**
+	Drops bills that the host has synced to its archive.
+
+	@param lastPosition The position of the last of them.
+	*/
+	dropArchived(lastPosition: number): void {
+		this.#ledger.dropArchived(lastPosition);
 	}
 
 	/**
@@ -40,50 +161,58 @@
 		return this.#carryOut(command, position) as CommandResult<Kind>;
 	}
 
-	#carryOut(command: Command, {index}: LogPosition): CommandResult {
-		if (command.type === 'apply-configuration') {
-			return this.#applyConfiguration(command);
-		}
-
-		if (command.type === 'record-bills') {
-			return this.#recordBills(command);
-		}
+	/**
+	Writes the whole state.
 
-		return Left(failure('internal', `Got ${command.type} at index ${index}, wanted a command that this version carries out`));
+	@returns The state in MessagePack.
+	*/
+	toSnapshot(): Uint8Array {
+		const data: SnapshotData = {
+			format,
+			limits: this.#limits,
+			configuration: this.#configuration.toData(),
+			claims: this.#claims.toData(),
+			ledger: this.#ledger.toData(),
+			orders: this.#orders.toData(),
+		};
+		return new Uint8Array(packr.pack(data));
 	}
 
-	#applyConfiguration(change: ApplyConfigurationCommand): CommandResult {
-		const earlier = this.#changes.get(change.changeId);
-		if (earlier !== undefined) {
-			return earlier.digest === change.digest
-				? earlier.result
-				: Left(failure('change-id-reused', `Got change id ${change.changeId} with another document, wanted a new change id`));
-		}
-
-		const result = this.#compareAndSet(change);
-		this.#changes.set(change.changeId, {digest: change.digest, result});
-		return result;
+	#carryOut(command: Command, position: LogPosition): Either<Failure, CommandAnswer> {
+		const limits = this.#limits;
+		return match(command)
+			.with({type: 'apply-configuration'}, found => this.#configuration.apply(found, limits).map(revision => ({revision})))
+			.with({type: 'advance-rollout'}, found => this.#configuration.advance(found).map(rollout => this.#answer({rollout})))
+			.with({type: 'stop-version'}, found => this.#configuration.stop(found).map(rollout => this.#answer({rollout})))
+			.with({type: 'record-bills'}, ({bills}) => Right(this.#answer(this.#ledger.record(bills, limits))))
+			.with({type: 'take-claim'}, found => this.#claims.take(found, limits).map(claim => this.#answer({claim})))
+			.with({type: 'settle-claim'}, found => Right(this.#answer({claim: this.#claims.settle(found, limits)})))
+			.with({type: 'instance-lost'}, found => Right(this.#loseInstance(found)))
+			.with({type: 'issue-order'}, found => this.#orders.issue(found, {position, limits}).map(order => this.#answer({order})))
+			.with({type: 'complete-order'}, found => this.#orders.complete(found, limits).map(order => this.#answer({order})))
+			.with({type: 'expire'}, found => Right(this.#expire(found)))
+			.with({type: 'set-limits'}, found => Right(this.#setLimits(found)))
+			.exhaustive();
 	}
 
-	#compareAndSet({expectedRevision, document}: ApplyConfigurationCommand): CommandResult {
-		const {revision, rollouts} = this.#effective;
-		if (expectedRevision !== revision) {
-			return Left(failure('revision-conflict', `Got revision ${expectedRevision}, wanted the current revision ${revision}`, {details: {currentRevision: revision}}));
-		}
+	#loseInstance({instance, at}: InstanceLostCommand): RevisionAnswer {
+		this.#claims.instanceLost(instance, at);
+		return this.#answer({});
+	}
 
-		const next = toRevision(revision + 1);
-		this.#effective = {revision: next, document, rollouts};
-		return Right({revision: next});
+	#expire({at}: ExpireCommand): RevisionAnswer {
+		this.#configuration.expire(at, this.#limits);
+		this.#claims.expire(at, this.#limits);
+		this.#ledger.expire(at, this.#limits);
+		return this.#answer({});
 	}
 
-	#recordBills({bills}: RecordBillsCommand): CommandResult {
-		for (const bill of bills) {
-			const key = `${bill.workspace}/${bill.request}`;
-			if (!this.#ledger.has(key)) {
-				this.#ledger.set(key, bill);
-			}
-		}
+	#setLimits({limits}: SetLimitsCommand): RevisionAnswer {
+		this.#limits = limits;
+		return this.#answer({});
+	}
 
-		return Right({revision: this.#effective.revision, recorded: bills.length, expired: []});
+	#answer<Members extends Record<string, unknown>>(members: Members): Members & RevisionAnswer {
+		return {...members, revision: this.effective.revision};
 	}
 }
--- a/packages/control/src/mod.ts
+++ b/packages/control/src/mod.ts
@@ -6,7 +6,9 @@
 export type * from './claim.js';
 export type * from './command.js';
 export type * from './command-answer.js';
+export type * from './configuration-change.js';
 export * from './control-limits.js';
 export * from './control-state.js';
 export type * from './ids.js';
+export type * from './ledger-page.js';
 export type * from './order.js';
--- a/packages/core/src/bill.ts
+++ b/packages/core/src/bill.ts
@@ -15,6 +15,14 @@
 	readonly purpose: 'first' | 'retry' | 'hedge' | 'escalation' | 'resume';
 };
 
+/** Numbers the bills of one run of an instance without gaps, so that the ledger knows each with little memory. */
+export type BillOrigin = {
+	/** When the instance started, in milliseconds since 1970. */
+	readonly startedAt: number;
+	/** Counts the bills that this run of the instance opened, from 1; never given twice. */
+	readonly sequence: number;
+};
+
 /** How a request ended. */
 export type BillOutcome = 'answered' | 'failed' | 'cancelled' | 'unknown';
 
@@ -24,6 +32,8 @@
 	readonly request: RequestId;
 	/** The instance that served the request. */
 	readonly instance: InstanceId;
+	/** Given when the bill is opened and the same on every copy; without it the ledger remembers the bill for a short while only. */
+	readonly origin?: BillOrigin | undefined;
 	readonly lines: readonly BillLine[];
 	readonly total: Micros;
 	readonly outcome: BillOutcome;
