Take late ratings on the back ends' port and sum them up

Cause: nothing took the rating service's ratings. Ruled out: handing every rating on to all instances (messages grow with their number); bounded summaries to the leader, whose reply holds the sums of the others.

--- a/packages/daemon/src/backends/handle-backend.ts
+++ b/packages/daemon/src/backends/handle-backend.ts
@@ -4,6 +4,9 @@
 import {answerProblem, readBody} from '@valehitch/transport';
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
+import {handleRatings, ratingsPath} from '../ratings/handle-ratings.js';
+import {type IntakeCount} from '../ratings/rating-intake.js';
+import {type Rating} from '../ratings/rating.js';
 
 const maximumAnnouncementBytes = 65_536;
 
@@ -12,6 +15,8 @@
 	readonly settings: Settings;
 	/** Takes an announcement and hands it on. */
 	readonly onAnnouncement: (announcement: Announcement) => void;
+	/** Takes ratings and counts what became of them. */
+	readonly onRatings: (ratings: readonly Rating[]) => IntakeCount;
 };
 
 /**
@@ -22,12 +27,13 @@
 @param context What the port works with.
 @example
 ```ts
-await handleBackend(request, response, {settings, onAnnouncement});
+await handleBackend(request, response, {settings, onAnnouncement, onRatings});
 ```
 */
-export async function handleBackend(request: IncomingMessage, response: ServerResponse, {settings, onAnnouncement}: BackendContext): Promise<void> {
-	if (request.method !== 'POST' || request.url !== '/v1/announcements') {
-		answerProblem(response, failure('not-found', `Got ${request.method ?? ''} ${request.url ?? ''}, wanted POST /v1/announcements`));
+export async function handleBackend(request: IncomingMessage, response: ServerResponse, {settings, onAnnouncement, onRatings}: BackendContext): Promise<void> {
+	const isRatings = request.url === ratingsPath;
+	if (request.method !== 'POST' || (request.url !== '/v1/announcements' && !isRatings)) {
+		answerProblem(response, failure('not-found', `Got ${request.method ?? ''} ${request.url ?? ''}, wanted POST /v1/announcements or ${ratingsPath}`));
 		return;
 	}
 
@@ -36,6 +42,11 @@
 		return;
 	}
 
+	if (isRatings) {
+		await handleRatings(request, response, onRatings);
+		return;
+	}
+
 	const body = await readBody(request, maximumAnnouncementBytes);
 	if (body.isLeft()) {
 		answerProblem(response, failure('malformed-request', 'Got no whole announcement'));
--- /dev/null
+++ b/packages/daemon/src/ratings/rating.ts
@@ -0,0 +1,36 @@
+import {
+	type ModelId, type RequestId, type VersionId, type WorkspaceId,
+} from '@valehitch/core';
+import {z} from 'zod';
+
+/** A rating of one answer, as the rating service posts it. */
+export type Rating = {
+	readonly requestId: RequestId;
+	readonly model: ModelId;
+	readonly version: VersionId;
+	readonly workspace: WorkspaceId;
+	/** The name of the rule, or the class that the caller gave. */
+	readonly class: string;
+	/** From 0 (useless) to 1 (perfect). */
+	readonly rating: number;
+	/** Milliseconds since 1970. */
+	readonly ratedAt: number;
+};
+
+const mostRatings = 1000;
+const name = z.string().min(1).max(128);
+const ratingSchema = z.strictObject({
+	requestId: name,
+	model: name,
+	version: name,
+	workspace: name,
+	class: z.string().max(128).default(''),
+	rating: z.number().min(0).max(1),
+	ratedAt: z.int().min(0),
+});
+
+/** The schema of a post of the rating service: one rating or a list of up to 1,000; unknown fields are refused. */
+export const ratingsSchema = z.union([
+	z.array(ratingSchema).max(mostRatings),
+	ratingSchema.transform(rating => [rating]),
+]) as unknown as z.ZodType<readonly Rating[]>;
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -13,6 +13,7 @@
 import {type PeerMessage} from './messages.js';
 import {openMetrics} from './metrics.js';
 import {handleOperator} from './operators/handle-operator.js';
+import {startRatings} from './ratings/start-ratings.js';
 import {systemClock} from './system-clock.js';
 import {Timeline} from './timeline.js';
 
@@ -47,10 +48,11 @@
 	parts.control = control;
 	const distribution = startDistribution(base, control);
 	parts.distribution = distribution;
+	const ratings = startRatings(base, {configuration: distribution.effective, exchange: async () => undefined});
 	const entry = startEntry(base, {control: control.client, distribution});
 	const servers = await startServers(settings, log, {
 		callers: async (request, response) => handleCaller(request, response, entry),
-		backends: async (request, response) => handleBackend(request, response, {settings, onAnnouncement: distribution.announce}),
+		backends: async (request, response) => handleBackend(request, response, {settings, onAnnouncement: distribution.announce, onRatings: ratings.take}),
 		operators: async (request, response) => handleOperator(request, response, {
 			base, control: control.client, distribution, entry,
 		}),
@@ -64,6 +66,7 @@
 				await server.close();
 			}
 
+			ratings.stop();
 			distribution.stop();
 			await control.stop();
 			base.timeline.record('instance-stopped');
--- a/packages/policy/src/bad-version-monitor.ts
+++ b/packages/policy/src/bad-version-monitor.ts
@@ -1,6 +1,7 @@
 import {type EffectiveConfiguration, type InstanceId, versionKey} from '@valehitch/core';
 import {alarmOf} from './_alarm-of.js';
 import {badVersionLimit} from './_bad-version-limit.js';
+import {own} from './_own.js';
 import {type BadVersionAlarm, type EvidenceMeasure, type EvidenceReport} from './bad-version-evidence.js';
 import {type BadVersionSettingsByMeasure, defaultBadVersionSettings} from './bad-version-settings.js';
 import {ChangeDetector} from './change-detector.js';
@@ -115,6 +116,19 @@
 		}
 	}
 
+	/**
+	Drops what is kept of versions that are no longer configured.
+
+	@param configuration The configuration in force.
+	*/
+	retain({document}: EffectiveConfiguration): void {
+		for (const [key, {model, version}] of this.#watched) {
+			if (own(own(document.models, model)?.versions, version) === undefined) {
+				this.#watched.delete(key);
+			}
+		}
+	}
+
 	#watch({model, version}: VersionTarget, measure: EvidenceMeasure): Watched {
 		const key = `${versionKey(model, version)}|${measure}`;
 		const known = this.#watched.get(key);
--- a/packages/policy/src/quality-book.ts
+++ b/packages/policy/src/quality-book.ts
@@ -31,6 +31,13 @@
 	readonly now: number;
 };
 
+/** For whom sums are added up, and when. */
+export type OthersOptions = {
+	readonly except: Pick<QualityDigest, 'instance' | 'startedAt'>;
+	/** Milliseconds since 1970. */
+	readonly now: number;
+};
+
 type Source = Pick<QualityDigest, 'instance' | 'startedAt'>;
 
 /** The sums of one estimate, by source. */
@@ -42,6 +49,8 @@
 const defaultHalfLife = 21_600_000;
 const defaultMaximumEntries = 20_000;
 const leastWeight = 0.001;
+const roundingMargin = 0.999;
+const othersSource = 'others';
 
 /**
 Quality estimates by class and version, from the observations of this instance and the digests of others.
@@ -116,43 +125,40 @@
 	}
 
 	/**
-	Takes the sums of all other instances from the one that adds them up, in place of those taken before; not to be mixed with `merge`.
+	Takes sums over all other instances from the one that adds them up, each in place of the one taken before unless that one still weighs more; not to be mixed with `merge`.
 
-	@param digest What `totals` gave there.
+	@param entries What `others` gave there.
+	@param now Milliseconds since 1970.
 	*/
-	replaceOthers(digest: QualityDigest): void {
-		for (const [text, {bySource}] of this.#kept) {
-			for (const source of bySource.keys()) {
-				if (source !== this.#ownSource) {
-					this.#drop(text, source);
-				}
+	replaceOthers(entries: Iterable<QualityEntry>, now: number): void {
+		const moment = {at: now, halfLife: this.#halfLife};
+		for (const entry of entries) {
+			const earlier = this.#kept.get(keyText(entry))?.bySource.get(othersSource);
+			if (earlier === undefined || decayTo(entry.sums, moment).weight >= decayTo(earlier, moment).weight * roundingMargin) {
+				this.#put(entry, {source: othersSource, sums: entry.sums});
 			}
 		}
-
-		const source = sourceText(digest);
-		for (const entry of digest.entries) {
-			this.#put(entry, {source, sums: entry.sums});
-		}
 	}
 
 	/**
 	Adds up the sums of all instances but one, for that one.
 
-	@param except The instance that gets them.
-	@param now Milliseconds since 1970.
-	@returns A digest for `replaceOthers`.
+	@param keys The entries wanted.
+	@param options The instance that gets them, and the time.
+	@returns The entries of which something is known, for `replaceOthers`.
 	*/
-	totals(except: InstanceId, now: number): QualityDigest {
-		const excepted = `${except}#`;
+	others(keys: Iterable<QualityKey>, {except, now}: OthersOptions): readonly QualityEntry[] {
+		const excepted = sourceText(except);
 		const entries: QualityEntry[] = [];
-		for (const {key, bySource} of this.#kept.values()) {
-			const parts = [...bySource].filter(([source]) => !source.startsWith(excepted)).map(([, sums]) => sums);
-			if (parts.length > 0) {
-				entries.push({...key, sums: addSums(parts, {at: now, halfLife: this.#halfLife})});
+		for (const wanted of keys) {
+			const kept = this.#kept.get(keyText(wanted));
+			const parts = [...kept?.bySource ?? []].filter(([source]) => source !== excepted).map(([, sums]) => sums);
+			if (kept !== undefined && parts.length > 0) {
+				entries.push({...kept.key, sums: addSums(parts, {at: now, halfLife: this.#halfLife})});
 			}
 		}
 
-		return {...this.#source, entries};
+		return entries;
 	}
 
 	/**
