Choose by the estimates and stops of this instance

Cause: the choice on the entry used the listed quality only. Change: the ratings part is handed to the entry and to the choice. Conclusion: outcomes and remembered requests are still to be noted by the request life's adapter.

--- a/packages/daemon/src/entry/plan-chat.ts
+++ b/packages/daemon/src/entry/plan-chat.ts
@@ -97,7 +97,13 @@
 		{
 			id: requestId, workspace, facts, ...(named !== undefined && {namedModel: named}),
 		},
-		{configuration: active.effective, rule, isServed: (model, version) => context.servers.isServed(model, version)},
+		{
+			configuration: active.effective,
+			rule,
+			isServed: (model, version) => context.servers.isServed(model, version),
+			quality: context.ratings.quality,
+			isStoppedHere: context.ratings.isStoppedHere,
+		},
 	);
 	return choice.map(({chosen: {model, version}}) => ({
 		...planOf(arrival),
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -49,7 +49,7 @@
 	const distribution = startDistribution(base, control);
 	parts.distribution = distribution;
 	const ratings = startRatings(base, {configuration: distribution.effective, exchange: async () => undefined});
-	const entry = startEntry(base, {control: control.client, distribution});
+	const entry = startEntry(base, {control: control.client, distribution, ratings: ratings.part});
 	const servers = await startServers(settings, log, {
 		callers: async (request, response) => handleCaller(request, response, entry),
 		backends: async (request, response) => handleBackend(request, response, {settings, onAnnouncement: distribution.announce, onRatings: ratings.take}),
