End links whose peer no longer answers

Cause: behind a cut that drops packets, TCP goes on for minutes before it gives a connection up, and after the cut heals it still waits out its back-off; a link could stay dead long after the peer was back. Change: each outgoing link pings every 2 s and is ended when no pong came since the last; a closing socket is replaced at once; unused links are closed after a minute; at most 4 MB wait on a link. Conclusion: a healed cut is used again within two pings.

--- a/packages/transport/src/_peer-link.ts
+++ b/packages/transport/src/_peer-link.ts
@@ -13,10 +13,14 @@
 	readonly key: string;
 	/** Told the size of each reply in bytes. */
 	readonly onReceived: (bytes: number) => void;
+	/** Milliseconds between two checks that the peer still answers; 2000 unless given. */
+	readonly pingMilliseconds?: number;
 };
 
 const handshakeTimeoutMilliseconds = 1500;
-const maximumBufferedBytes = 32 * 1024 * 1024;
+const defaultPingMilliseconds = 2000;
+const idlePingsBeforeClose = 30;
+const maximumBufferedBytes = 4 * 1024 * 1024;
 const maximumQueuedFrames = 1000;
 
 /** One outgoing link; it is opened when it is used and opened again after it broke. */
@@ -27,6 +31,7 @@
 	#socket: WebSocket | undefined;
 	#queue: Uint8Array[] = [];
 	#lastId = 0;
+	#isUsed = false;
 
 	constructor(to: PeerAddress, options: PeerLinkOptions) {
 		this.#to = to;
@@ -38,6 +43,7 @@
 	}
 
 	send(data: Uint8Array): void {
+		this.#isUsed = true;
 		const socket = this.#open();
 		if (socket.readyState === WebSocket.OPEN) {
 			if (socket.bufferedAmount < maximumBufferedBytes) {
@@ -72,7 +78,7 @@
 	}
 
 	#open(): WebSocket {
-		if (this.#socket !== undefined) {
+		if (this.#socket !== undefined && this.#socket.readyState <= WebSocket.OPEN) {
 			return this.#socket;
 		}
 
@@ -83,6 +89,7 @@
 		});
 		this.#socket = socket;
 		socket.on('open', () => {
+			this.#watch(socket);
 			for (const data of this.#queue.splice(0)) {
 				socket.send(data);
 			}
@@ -99,6 +106,30 @@
 		return socket;
 	}
 
+	/** Ends a connection whose peer no longer answers, which TCP alone would notice after minutes, and one that is no longer used. */
+	#watch(socket: WebSocket): void {
+		let isAlive = true;
+		let idlePings = 0;
+		socket.on('pong', () => {
+			isAlive = true;
+		});
+		const timer = setInterval(() => {
+			idlePings = this.#isUsed ? 0 : idlePings + 1;
+			this.#isUsed = false;
+			if (!isAlive || idlePings > idlePingsBeforeClose) {
+				socket.terminate();
+				return;
+			}
+
+			isAlive = false;
+			socket.ping();
+		}, this.#options.pingMilliseconds ?? defaultPingMilliseconds);
+		timer.unref();
+		socket.on('close', () => {
+			clearInterval(timer);
+		});
+	}
+
 	#receive(data: Uint8Array): void {
 		const frame = readFrame(data);
 		if (frame?.type === 'reply') {
--- a/packages/transport/src/peer-network.test.ts
+++ b/packages/transport/src/peer-network.test.ts
@@ -1,5 +1,8 @@
+import {once} from 'node:events';
+import {type AddressInfo} from 'node:net';
 import {type InstanceId, toId} from '@valehitch/core';
 import test from 'ava';
+import {type WebSocket, WebSocketServer} from 'ws';
 import {type PeerAddress, PeerNetwork} from './peer-network.js';
 
 type Message = {readonly text: string};
@@ -79,3 +82,25 @@
 	t.true(await isAnswered(left, right, 'again'));
 	await Promise.all([left.network.close(), again.close()]);
 });
+
+test('a link whose peer no longer answers is ended and opened again', async t => {
+	const silent = new WebSocketServer({host: '127.0.0.1', port: 0, autoPong: false});
+	await once(silent, 'listening');
+	const {port} = silent.address() as AddressInfo;
+	const left = await PeerNetwork.listen<Message>({
+		self: toId<InstanceId>('left'), key: 'a-key-that-all-share', host: '127.0.0.1', port: 0, pingMilliseconds: 50, onMessage: ignore, onRequest: async () => undefined,
+	});
+	const to = {instance: toId<InstanceId>('silent'), host: '127.0.0.1', port};
+	left.send(to, {text: 'first'});
+	const [first] = await once(silent, 'connection') as [WebSocket];
+	await once(first, 'close');
+	left.send(to, {text: 'second'});
+	const [second] = await once(silent, 'connection') as [WebSocket];
+	t.not(first, second);
+	await left.close();
+	for (const socket of silent.clients) {
+		socket.terminate();
+	}
+
+	silent.close();
+});
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -21,6 +21,8 @@
 	readonly host: string;
 	/** The port to listen on; 0 takes a free one. */
 	readonly port: number;
+	/** Milliseconds between two checks that a peer still answers; 2000 unless given. */
+	readonly pingMilliseconds?: number;
 	/** Called with each message that wants no reply. */
 	readonly onMessage: (from: InstanceId, message: Message) => void;
 	/** Called with each request; what it gives is the reply. */
@@ -169,6 +171,7 @@
 		const link = new PeerLink(to, {
 			self: this.#options.self,
 			key: this.#options.key,
+			...(this.#options.pingMilliseconds !== undefined && {pingMilliseconds: this.#options.pingMilliseconds}),
 			onReceived: bytes => {
 				this.traffic.bytesReceived += bytes;
 				this.traffic.framesReceived++;
