--- a/packages/policy/src/bad-version-settings.ts
+++ b/packages/policy/src/bad-version-settings.ts
@@ -16,12 +16,12 @@
 /** The settings for each measure. */
 export type BadVersionSettingsByMeasure = Readonly<Record<EvidenceMeasure, BadVersionSettings>>;
 
-/** At most one false stop in 100,000 ratings and in 100 million outcomes. */
+/** At most one false stop in 20,000 ratings and in 2 million outcomes. */
 export const defaultBadVersionSettings: BadVersionSettingsByMeasure = {
 	ratings: {
-		tolerance: 0.05, coldTolerance: 0.25, knownWeight: 50, detector: {falseAlarmShare: 0.01, horizon: 1000},
+		tolerance: 0.05, coldTolerance: 0.25, knownWeight: 50, detector: {falseAlarmShare: 0.05, horizon: 1000},
 	},
 	failures: {
-		tolerance: 0.03, coldTolerance: 0.25, knownWeight: 50, detector: {falseAlarmShare: 0.01, horizon: 1_000_000},
+		tolerance: 0.03, coldTolerance: 0.25, knownWeight: 50, detector: {falseAlarmShare: 0.05, horizon: 100_000},
 	},
 };
--- a/packages/testing/src/_demo-plan.ts
+++ b/packages/testing/src/_demo-plan.ts
@@ -1,5 +1,6 @@
 import {digestOf} from './_settings-file.js';
 import {type BackendPlan, type DaemonPlan} from './deployment.js';
+import {seededRandom} from './_seeded-random.js';
 
 /** One request of the demonstration. */
 export type DemoRequest = {
@@ -14,8 +15,6 @@
 export const workspaceKey = 'yard-key';
 const seed = 20_240;
 const mostTurns = 4;
-const multiplier = 48_271;
-const modulus = (2 ** 31) - 1;
 const smallSettled = '1.0';
 const smallNext = '1.1';
 const largeSettled = '2.0';
@@ -90,7 +89,7 @@
 
 /** Plans exactly as many requests as wanted; the same in every run. */
 export function planErrands(count: number): readonly DemoErrand[] {
-	const random = randomFrom(seed);
+	const random = seededRandom(seed);
 	const errands: DemoErrand[] = [];
 	for (let planned = 0; planned < count;) {
 		const errand = planErrand(random, planned).slice(0, count - planned);
@@ -119,12 +118,3 @@
 	const turns = 2 + Math.floor(random() * (mostTurns - 1));
 	return Array.from({length: turns}, (_, turn) => ({kind: 'turn', text: `Question ${turn + 1} on load ${number}`}));
 }
-
-// The generator of Park and Miller: small, seeded, and good enough to mix requests.
-function randomFrom(start: number): () => number {
-	let state = start;
-	return () => {
-		state = (state * multiplier) % modulus;
-		return state / modulus;
-	};
-}
