Test a version anew when its roll-out begins anew

Cause: the leader's alarm on a version stayed after it was withdrawn and listed anew, and would have stopped it at once; ratings of its former self that come late counted too. Change: a told alarm ends with a later start of the stage; the monitor resets at a new first stage and passes over older observations.

--- a/packages/policy/src/bad-version-monitor.ts
+++ b/packages/policy/src/bad-version-monitor.ts
@@ -1,4 +1,6 @@
-import {type EffectiveConfiguration, type InstanceId, versionKey} from '@valehitch/core';
+import {
+	type EffectiveConfiguration, type InstanceId, type RolloutProgress, versionKey,
+} from '@valehitch/core';
 import {alarmOf} from './_alarm-of.js';
 import {badVersionLimit} from './_bad-version-limit.js';
 import {own} from './_own.js';
@@ -32,6 +34,8 @@
 	badness: number;
 	/** Observations since the instance started. */
 	observations: number;
+	/** When the roll-out began that the test is about, in milliseconds since 1970. */
+	rolloutStartedAt: number | undefined;
 };
 
 /**
@@ -76,6 +80,16 @@
 
 		const watched = this.#watch(observation, measure);
 		const {detector} = watched;
+		const startedAt = rolloutStart(configuration, observation);
+		if (startedAt !== undefined && observation.ranAt < startedAt) {
+			return undefined;
+		}
+
+		if (startedAt !== undefined && watched.rolloutStartedAt !== startedAt) {
+			watched.rolloutStartedAt = startedAt;
+			detector.reset();
+		}
+
 		const wasAlarmed = detector.isAlarmed;
 		const badness = measure === 'failures' ? observation.value : 1 - observation.value;
 		watched.badness += badness;
@@ -137,9 +151,15 @@
 		}
 
 		const watched = {
-			model, version, measure, detector: new ChangeDetector(this.#settings[measure].detector), badness: 0, observations: 0,
+			model, version, measure, detector: new ChangeDetector(this.#settings[measure].detector), badness: 0, observations: 0, rolloutStartedAt: undefined,
 		};
 		this.#watched.set(key, watched);
 		return watched;
 	}
 }
+
+/** When the roll-out of a version began, while it is in its first stage. */
+function rolloutStart({rollouts}: EffectiveConfiguration, {model, version}: VersionTarget): number | undefined {
+	const progress = own<string, RolloutProgress>(rollouts, versionKey(model, version));
+	return progress?.status === 'running' && progress.stage === 0 ? progress.stageStartedAt : undefined;
+}
--- a/packages/policy/src/bad-version.test.ts
+++ b/packages/policy/src/bad-version.test.ts
@@ -173,3 +173,45 @@
 	t.deepEqual(stops.release({configuration, now: 1009}), []);
 	t.deepEqual(stops.release({configuration, now: 1010}), [replaced]);
 });
+
+test('a version whose roll-out begins anew is tested anew, and old ratings that come late do not count against it', t => {
+	const table = new EvidenceTable();
+	const bad = reportsOf('a', Array.from({length: 60}, () => 0.1));
+	for (const report of bad) {
+		table.merge(report);
+	}
+
+	const firstStart = 10;
+	t.not(table.evidence(fresh, firstStart).alarm, undefined);
+	t.not(table.evidence(fresh, firstStart).alarm, undefined);
+	t.is(table.evidence(fresh, firstStart + 1000).alarm, undefined);
+	t.is(table.merge(bad.at(-1)!), undefined);
+	t.is(table.evidence(fresh, firstStart + 1000).alarm, undefined);
+
+	const monitor = monitorOf('b');
+	const observe = (startedAt: number, ranAt: number): BadVersionAlarm | undefined => {
+		const rollouts = {
+			'm@2': {
+				...fresh, stage: 0, status: 'running', stageStartedAt: startedAt,
+			} as const,
+		};
+		return monitor.observe({
+			...fresh, qualityClass: 'yard/lookup', measure: 'rating', value: 0.1, ranAt,
+		}, {configuration: {...configuration, rollouts}, now: ranAt});
+	};
+
+	const until = (startedAt: number, ranAt: number): number => {
+		let count = 1;
+		while (count < 100 && observe(startedAt, ranAt) === undefined) {
+			count += 1;
+		}
+
+		return count;
+	};
+
+	const first = until(0, 50);
+	t.true(first < 100);
+	t.is(until(100, 50), 100);
+	const second = until(100, 150);
+	t.true(second > 5 && second < 100, `Got an alarm after ${second} observations`);
+});
--- a/packages/policy/src/evidence-table.ts
+++ b/packages/policy/src/evidence-table.ts
@@ -19,7 +19,13 @@
 	alarm: BadVersionAlarm | undefined;
 };
 
-type Mark = {readonly stageStartedAt: number; readonly ratings: number};
+type Mark = {
+	readonly stageStartedAt: number;
+	/** Ratings at the first question with that start. */
+	readonly ratings: number;
+	/** Whether the alarm was told. */
+	isTold: boolean;
+};
 
 /**
 Adds up the evidence of all instances and tests each version on the sum; kept by the leader of the control replicas, and empty after a change of leader until the instances report again.
@@ -75,20 +81,26 @@
 	}
 
 	/**
-	Gives the evidence on a version, for the steps of its roll-out.
+	Gives the evidence on a version, for the steps of its roll-out. Once an alarm was told, a later start means that the version was stopped and listed anew: it is tested anew.
 
 	@param target The version.
 	@param stageStartedAt When the stage in force began, in milliseconds since 1970; ratings that were there at the first question with it are not counted.
 	@returns The evidence; `ratings` counts those since the stage began.
 	*/
 	evidence(target: VersionTarget, stageStartedAt: number): VersionEvidence {
+		const key = versionKey(target.model, target.version);
+		const earlier = this.#marks.get(key);
+		if (earlier?.isTold === true && earlier.stageStartedAt !== stageStartedAt) {
+			this.reset(target);
+		}
+
 		const ratings = this.#test(target, 'ratings');
 		const failures = this.#test(target, 'failures');
-		const key = versionKey(target.model, target.version);
+		const alarm = ratings.alarm ?? failures.alarm;
 		const known = this.#marks.get(key);
-		const mark = known?.stageStartedAt === stageStartedAt ? known : {stageStartedAt, ratings: ratings.count};
+		const mark = known?.stageStartedAt === stageStartedAt ? known : {stageStartedAt, ratings: ratings.count, isTold: false};
+		mark.isTold ||= alarm !== undefined;
 		this.#marks.set(key, mark);
-		const alarm = ratings.alarm ?? failures.alarm;
 		return {
 			ratings: ratings.count - mark.ratings,
 			meanRating: ratings.count === 0 ? 0 : 1 - (ratings.badness / ratings.count),
