--- a/packages/testing/src/fake-engine.test.ts
+++ b/packages/testing/src/fake-engine.test.ts
@@ -31,6 +31,19 @@
 	t.is(engine.active(), 0);
 });
 
+test('a whole answer whose tokens are paced comes to its end', async t => {
+	const engine = await startFakeEngine({models: [version], behaviour: {tokenMilliseconds: 1}});
+	t.teardown(engine.kill);
+	t.like(await chatWhole(engine.address, chat), {text: expected, done: true});
+});
+
+test('an engine with a full batch still answers each request whole', async t => {
+	const engine = await startFakeEngine({models: [version], behaviour: {tokenMilliseconds: 1, fullSpeedRequests: 1}});
+	t.teardown(engine.kill);
+	const answers = await Promise.all(Array.from({length: 5}, async () => chatStreamed(engine.address, chat)));
+	t.deepEqual(answers.map(({text}) => text), Array.from({length: 5}, () => expected));
+});
+
 test('another version gives another answer', t => {
 	t.not(fakeAnswer({version: 'tag-small@1.1', messages, tokens: 16}).join(''), expected);
 });
--- a/packages/testing/src/measure/rater.ts
+++ b/packages/testing/src/measure/rater.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
 import {deploymentKeys} from '../_settings-file.js';
 import {sendRequest} from '../send-request.js';
@@ -42,6 +43,8 @@
 */
 export function startRater(system: System, workload: Workload): Rater {
 	const abort = new AbortController();
+	// Each rating that waits listens for the end.
+	setMaxListeners(0, abort.signal);
 	const count: RatingCount = {sent: 0, taken: 0};
 	return {
 		count,
