Send time stamps between daemons and show the latest events to operators

Cause: events of several processes were stamped by clocks that never heard of each other, so a merged time line could show an effect before its cause. Ruled out: vector clocks, whose size grows with the daemons; a stamp a minute or more ahead is passed over, so one broken clock does not drag the others along. Before and after: the transport test of stamps fails to compile before and passes after. Conclusion: the merged order follows the messages between daemons.

--- a/packages/daemon/src/daemon-base.ts
+++ b/packages/daemon/src/daemon-base.ts
@@ -2,6 +2,7 @@
 import {type Settings} from '@valehitch/settings';
 import {type PeerNetwork} from '@valehitch/transport';
 import type Logger from 'bunyan';
+import {type EventRing} from './event-ring.js';
 import {type Member} from './member.js';
 import {type PeerMessage} from './messages.js';
 import {type Metrics} from './metrics.js';
@@ -14,6 +15,8 @@
 	readonly random: RandomSource;
 	readonly log: Logger;
 	readonly timeline: Timeline;
+	/** The latest events of the time line, for operators. */
+	readonly events: EventRing;
 	readonly metrics: Metrics;
 	readonly network: PeerNetwork<PeerMessage>;
 	/** This daemon as the others know it. */
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -46,6 +46,11 @@
 			return;
 		}
 
+		case 'GET /v1/timeline': {
+			answerTimeline(url, response, context);
+			return;
+		}
+
 		default: {
 			answerProblem(response, failure('not-found', `Got ${route}, wanted a call that docs/API.md lists`));
 		}
@@ -75,9 +80,8 @@
 }
 
 async function answerLedger(url: URL, response: ServerResponse, {control}: OperatorContext): Promise<void> {
-	const after = Number(url.searchParams.get('after') ?? '0');
-	if (!Number.isSafeInteger(after) || after < 0) {
-		answerProblem(response, failure('malformed-request', `after: got ${url.searchParams.get('after') ?? ''}, wanted a whole number from 0`));
+	const after = readAfter(url, response);
+	if (after === undefined) {
 		return;
 	}
 
@@ -91,3 +95,22 @@
 		},
 	});
 }
+
+function answerTimeline(url: URL, response: ServerResponse, {base: {events}}: OperatorContext): void {
+	const after = readAfter(url, response);
+	if (after !== undefined) {
+		answerJson(response, events.after(after));
+	}
+}
+
+/** Reads the query's `after`; answers with a problem and gives undefined where it is no whole number from 0. */
+function readAfter(url: URL, response: ServerResponse): number | undefined {
+	const text = url.searchParams.get('after') ?? '0';
+	const after = Number(text);
+	if (Number.isSafeInteger(after) && after >= 0) {
+		return after;
+	}
+
+	answerProblem(response, failure('malformed-request', `after: got ${text}, wanted a whole number from 0`));
+	return undefined;
+}
--- a/packages/daemon/src/timeline.ts
+++ b/packages/daemon/src/timeline.ts
@@ -11,6 +11,9 @@
 	readonly write: (event: TimelineEvent) => void;
 };
 
+/** A stamp further ahead of the own clock than this many milliseconds comes from a broken clock and is passed over. */
+const mostAheadMilliseconds = 60_000;
+
 /**
 Records this process's part of the time line of events.
 
@@ -47,11 +50,13 @@
 	}
 
 	/**
-	Takes note of a stamp that came with a message.
+	Takes note of a stamp that came with a message, unless it is a minute or more ahead of the own clock.
 
 	@param stamp The stamp.
 	*/
 	observe(stamp: HybridTimestamp): void {
-		this.#stamps.observe(stamp);
+		if (stamp.wall - this.#options.clock.now().getTime() < mostAheadMilliseconds) {
+			this.#stamps.observe(stamp);
+		}
 	}
 }
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -8,6 +8,7 @@
 import {type ControlPart, startControl} from './control/start-control.js';
 import {type DaemonBase} from './daemon-base.js';
 import {type DistributionPart, startDistribution} from './distribution/start-distribution.js';
+import {EventRing} from './event-ring.js';
 import {handleCaller} from './entry/handle-caller.js';
 import {startEntry} from './entry/start-entry.js';
 import {type PeerMessage} from './messages.js';
@@ -79,11 +80,13 @@
 async function startBase(settings: Settings, log: Logger, parts: Parts): Promise<DaemonBase> {
 	const {instance, zone} = settings;
 	const clock = systemClock;
+	const events = new EventRing();
 	const timeline = new Timeline({
 		clock,
 		instance,
 		zone,
 		write(event) {
+			events.add(event);
 			log.info({timeline: event}, event.event);
 		},
 	});
@@ -98,12 +101,16 @@
 			void answerPeer(message, parts);
 		},
 		onRequest: async (_from, message) => answerPeer(message, parts),
+		stamp: () => timeline.stamp(),
+		onStamp(stamp) {
+			timeline.observe(stamp);
+		},
 	});
 	const self = {
 		instance, zone, host: settings.listen.peers.host, port: network.port,
 	};
 	return {
-		settings, clock, random: Math.random, log, timeline, metrics, network, self, newId: randomUUID,
+		settings, clock, random: Math.random, log, timeline, events, metrics, network, self, newId: randomUUID,
 	};
 }
 
--- a/packages/testing/src/bin/capacity.ts
+++ b/packages/testing/src/bin/capacity.ts
@@ -4,10 +4,12 @@
 import process from 'node:process';
 import {parseArgs} from 'node:util';
 import {measureMembers, measureRequests, measureServers} from '../capacity/experiments.js';
+import {exitOnSignal} from '../exit-on-signal.js';
 import {formatSeries, type Series} from '../capacity/series.js';
 
 const experiments = {servers: measureServers, requests: measureRequests, members: measureMembers} as const;
 
+exitOnSignal();
 const {values: flags} = parseArgs({
 	options: {
 		seconds: {type: 'string', default: '5'},
--- a/packages/testing/src/bin/measure.ts
+++ b/packages/testing/src/bin/measure.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {exitOnSignal} from '../exit-on-signal.js';
 import {type Fault, faults} from '../measure/fault.js';
 import {judge, type Verdict} from '../measure/judge.js';
 import {measureOwnCost, type OwnCost} from '../measure/own-cost.js';
@@ -17,6 +18,7 @@
 const all = 'all';
 const none = 'none';
 
+exitOnSignal();
 const {values: flags} = parseArgs({
 	options: {
 		workload: {type: 'string', default: all},
--- a/packages/transport/src/_frame.ts
+++ b/packages/transport/src/_frame.ts
@@ -1,3 +1,4 @@
+import {type HybridTimestamp} from '@valehitch/core';
 import {Packr} from 'msgpackr';
 
 /** What goes over a link. */
@@ -9,18 +10,27 @@
 const frameTypes = ['message', 'request', 'reply'] as const;
 const packr = new Packr({useRecords: false, encodeUndefinedAsNil: false});
 
-/** Writes a frame as [type, id, body]. */
-export function writeFrame(frame: Frame): Uint8Array {
+/** Writes a frame as [type, id, body], or as [type, id, body, wall, counter] with the sender's time stamp. */
+export function writeFrame(frame: Frame, stamp?: HybridTimestamp): Uint8Array {
 	const id = frame.type === 'message' ? 0 : frame.id;
-	return packr.pack([frameTypes.indexOf(frame.type), id, frame.body]);
+	const plain = [frameTypes.indexOf(frame.type), id, frame.body];
+	return packr.pack(stamp === undefined ? plain : [...plain, stamp.wall, stamp.counter]);
 }
 
+/** A frame that was read, and the sender's time stamp where it came along. */
+export type ReadFrame = Frame & {readonly stamp?: HybridTimestamp};
+
 /** Reads a frame; undefined where the bytes are none. */
-export function readFrame(data: Uint8Array): Frame | undefined {
+export function readFrame(data: Uint8Array): ReadFrame | undefined {
 	try {
-		const [type, id, body] = packr.unpack(data) as [number, number, unknown];
+		const [type, id, body, wall, counter] = packr.unpack(data) as [number, number, unknown, unknown, unknown];
 		const name = frameTypes[type];
-		return name === undefined ? undefined : {type: name, id, body};
+		const stamp = typeof wall === 'number' && typeof counter === 'number' ? {wall, counter} : undefined;
+		return name === undefined
+			? undefined
+			: {
+				type: name, id, body, ...(stamp && {stamp}),
+			};
 	} catch {
 		return undefined;
 	}
--- a/packages/transport/src/_peer-link.ts
+++ b/packages/transport/src/_peer-link.ts
@@ -1,4 +1,4 @@
-import {type InstanceId} from '@valehitch/core';
+import {type HybridTimestamp, type InstanceId} from '@valehitch/core';
 import {WebSocket} from 'ws';
 import {type Frame, readFrame} from './_frame.js';
 import {type PeerAddress} from './peer-network.js';
@@ -11,8 +11,8 @@
 type PeerLinkOptions = {
 	readonly self: InstanceId;
 	readonly key: string;
-	/** Told the size of each reply in bytes. */
-	readonly onReceived: (bytes: number) => void;
+	/** Told the size of each reply in bytes, and the time stamp that came with it. */
+	readonly onReceived: (bytes: number, stamp: HybridTimestamp | undefined) => void;
 	/** Milliseconds between two checks that the peer still answers; 2000 unless given. */
 	readonly pingMilliseconds?: number;
 };
@@ -133,7 +133,7 @@
 	#receive(data: Uint8Array): void {
 		const frame = readFrame(data);
 		if (frame?.type === 'reply') {
-			this.#options.onReceived(data.byteLength);
+			this.#options.onReceived(data.byteLength, frame.stamp);
 			this.#waiting.get(frame.id)?.settle(frame);
 		}
 	}
--- a/packages/transport/src/peer-network.test.ts
+++ b/packages/transport/src/peer-network.test.ts
@@ -104,3 +104,27 @@
 
 	silent.close();
 });
+
+test('time stamps travel with messages, requests and replies', async t => {
+	const seen: string[] = [];
+	const networks = await Promise.all(['left', 'right'].map(async (name, index) => PeerNetwork.listen<Message>({
+		self: toId<InstanceId>(name),
+		key: 'a-key-that-all-share',
+		host: '127.0.0.1',
+		port: 0,
+		onMessage: ignore,
+		onRequest: async () => true,
+		stamp: () => ({wall: 1000 + index, counter: 7}),
+		onStamp({wall, counter}) {
+			seen.push(`${name} saw ${wall}.${counter}`);
+		},
+	})));
+	t.teardown(async () => {
+		await Promise.all(networks.map(async network => network.close()));
+	});
+	const [left, right] = networks;
+	const address = {instance: toId<InstanceId>('right'), host: '127.0.0.1', port: right?.port ?? 0};
+	left?.send(address, {text: 'a message'});
+	await left?.request(address, {text: 'a request'});
+	t.deepEqual(seen, ['right saw 1000.7', 'right saw 1000.7', 'left saw 1001.7']);
+});
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -1,5 +1,5 @@
 import {
-	type Failure, failure, type InstanceId, toId,
+	type Failure, failure, type HybridTimestamp, type InstanceId, toId,
 } from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
 import {WebSocketServer} from 'ws';
@@ -27,6 +27,10 @@
 	readonly onMessage: (from: InstanceId, message: Message) => void;
 	/** Called with each request; what it gives is the reply. */
 	readonly onRequest: (from: InstanceId, message: Message) => Promise<unknown>;
+	/** Gives the time stamp that goes with a frame; frames have none unless given. */
+	readonly stamp?: () => HybridTimestamp;
+	/** Called with the time stamp of each frame that came with one, before the frame's message. */
+	readonly onStamp?: (stamp: HybridTimestamp) => void;
 };
 
 /** Counts what went over the links, in bytes and frames. */
@@ -88,7 +92,7 @@
 			const from = toId<InstanceId>(String(request.headers['valehitch-instance'] ?? ''));
 			socket.on('message', data => {
 				void this.#receive(from, data as Uint8Array, frame => {
-					socket.send(this.#count(writeFrame(frame)));
+					socket.send(this.#write(frame));
 				});
 			});
 			socket.on('error', () => {
@@ -120,7 +124,7 @@
 	*/
 	send(to: PeerAddress, message: Message): void {
 		if (!this.#cut.has(to.instance)) {
-			this.#link(to).send(this.#count(writeFrame({type: 'message', body: message})));
+			this.#link(to).send(this.#write({type: 'message', body: message}));
 		}
 	}
 
@@ -138,7 +142,7 @@
 		}
 
 		const timeout = options.timeoutMilliseconds ?? defaultTimeoutMilliseconds;
-		const reply = await this.#link(to).request(id => this.#count(writeFrame({type: 'request', id, body: message})), timeout);
+		const reply = await this.#link(to).request(id => this.#write({type: 'request', id, body: message}), timeout);
 		return reply === undefined || this.#cut.has(to.instance)
 			? Left(failure('no-quorum', `Got no reply from ${to.instance} in ${timeout} ms`))
 			: Right(reply.body);
@@ -172,9 +176,8 @@
 			self: this.#options.self,
 			key: this.#options.key,
 			...(this.#options.pingMilliseconds !== undefined && {pingMilliseconds: this.#options.pingMilliseconds}),
-			onReceived: bytes => {
-				this.traffic.bytesReceived += bytes;
-				this.traffic.framesReceived++;
+			onReceived: (bytes, stamp) => {
+				this.#note(bytes, stamp);
 			},
 		});
 		this.#links.set(to.instance, link);
@@ -182,9 +185,8 @@
 	}
 
 	async #receive(from: InstanceId, data: Uint8Array, reply: (frame: Frame) => void): Promise<void> {
-		this.traffic.bytesReceived += data.byteLength;
-		this.traffic.framesReceived++;
 		const frame = readFrame(data);
+		this.#note(data.byteLength, frame?.stamp);
 		if (frame === undefined || this.#cut.has(from)) {
 			return;
 		}
@@ -200,7 +202,16 @@
 		}
 	}
 
-	#count(data: Uint8Array): Uint8Array {
+	#note(bytes: number, stamp: HybridTimestamp | undefined): void {
+		this.traffic.bytesReceived += bytes;
+		this.traffic.framesReceived++;
+		if (stamp !== undefined) {
+			this.#options.onStamp?.(stamp);
+		}
+	}
+
+	#write(frame: Frame): Uint8Array {
+		const data = writeFrame(frame, this.#options.stamp?.());
 		this.traffic.bytesSent += data.byteLength;
 		this.traffic.framesSent++;
 		return data;
