Store the replicated log in a data folder

Cause: the replicated log must survive a restart and a crash; so far the state lived in memory. Ruled out: physical truncation on a conflict (a crash window between cut and append), a lock file with a process id (stale after SIGKILL, and two starters can both steal it).

--- /dev/null
+++ b/packages/storage/src/_frame.ts
@@ -0,0 +1,79 @@
+import {crc32} from 'node:zlib';
+import {Packr} from 'msgpackr';
+
+/**
+A frame is what one write puts into a file: the payload's length, the CRC-32 of the length, the CRC-32 of the payload, then the payload.
+The length has a checksum of its own, so that a flipped bit in it cannot make a good record look like an unfinished one.
+*/
+export type ReadFrame
+	= | {readonly type: 'frame'; readonly body: unknown; readonly end: number}
+	/** An unfinished write: nothing behind it was ever synced. */
+		| {readonly type: 'torn'}
+	/** Bytes that were synced and have changed since. */
+		| {readonly type: 'damaged'; readonly reason: string};
+
+export const frameHeaderBytes = 12;
+const lengthChecksumOffset = 4;
+const payloadChecksumOffset = 8;
+const sectorBytes = 512;
+const leastZeroBytes = 64;
+const packr = new Packr({useRecords: false, encodeUndefinedAsNil: false, copyBuffers: true});
+
+/** Writes a frame. */
+export function writeFrame(body: unknown): Uint8Array {
+	const payload = packr.pack(body);
+	const frame = new Uint8Array(frameHeaderBytes + payload.length);
+	const view = new DataView(frame.buffer);
+	view.setUint32(0, payload.length, true);
+	view.setUint32(lengthChecksumOffset, crc32(frame.subarray(0, lengthChecksumOffset)), true);
+	view.setUint32(payloadChecksumOffset, crc32(payload), true);
+	frame.set(payload, frameHeaderBytes);
+	return frame;
+}
+
+/** Reads the frame at an offset; `offset` is before the end of the data. */
+export function readFrame(data: Uint8Array, offset: number): ReadFrame {
+	const bytes = data.subarray(offset);
+	if (bytes.length < frameHeaderBytes) {
+		return {type: 'torn'};
+	}
+
+	const view = new DataView(bytes.buffer, bytes.byteOffset);
+	if (crc32(bytes.subarray(0, lengthChecksumOffset)) !== view.getUint32(lengthChecksumOffset, true)) {
+		return isZero(bytes) ? {type: 'torn'} : {type: 'damaged', reason: 'the checksum of the length is wrong'};
+	}
+
+	const length = frameHeaderBytes + view.getUint32(0, true);
+	if (length > bytes.length) {
+		return {type: 'torn'};
+	}
+
+	const payload = bytes.subarray(frameHeaderBytes, length);
+	if (crc32(payload) === view.getUint32(payloadChecksumOffset, true)) {
+		return {type: 'frame', body: packr.unpack(payload), end: offset + length};
+	}
+
+	return length === bytes.length && hasUnwrittenSector(data, offset + frameHeaderBytes)
+		? {type: 'torn'}
+		: {type: 'damaged', reason: 'the checksum of the payload is wrong'};
+}
+
+/** Whether a sector of the last write never reached the disk and reads as zeros. */
+function hasUnwrittenSector(bytes: Uint8Array, from: number): boolean {
+	for (let start = from; start < bytes.length; start = nextSector(start)) {
+		const sector = bytes.subarray(start, Math.min(nextSector(start), bytes.length));
+		if (sector.length >= leastZeroBytes && isZero(sector)) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+function nextSector(offset: number): number {
+	return (Math.floor(offset / sectorBytes) + 1) * sectorBytes;
+}
+
+function isZero(bytes: Uint8Array): boolean {
+	return bytes.every(byte => byte === 0);
+}
--- /dev/null
+++ b/packages/storage/src/_log-image.ts
@@ -0,0 +1,46 @@
+import {type LogEntry} from '@valehitch/consensus';
+
+/** The entries of a log as they stand after some records; entries may begin after a snapshot. */
+export class LogImage {
+	#entries: LogEntry[] = [];
+	#previousIndex = 0;
+
+	/** The entries, without gaps. */
+	get entries(): readonly LogEntry[] {
+		return this.#entries;
+	}
+
+	get lastIndex(): number {
+		return this.#entries.at(-1)?.index ?? this.#previousIndex;
+	}
+
+	/** Forgets everything; the log goes on after an index. */
+	reset(previousIndex: number): void {
+		this.#entries = [];
+		this.#previousIndex = previousIndex;
+	}
+
+	/** Takes an entry, which replaces the ones at its index and after; false where it would leave a gap. */
+	take(entry: LogEntry): boolean {
+		if (entry.index > this.lastIndex + 1) {
+			return false;
+		}
+
+		const first = this.#entries[0]?.index;
+		if (first === undefined || entry.index < first) {
+			this.#entries = [entry];
+			this.#previousIndex = entry.index - 1;
+			return true;
+		}
+
+		this.#entries.length = entry.index - first;
+		this.#entries.push(entry);
+		return true;
+	}
+
+	/** The term of the entry at an index, where it is here. */
+	termAt(index: number): number | undefined {
+		const first = this.#entries[0]?.index ?? 0;
+		return this.#entries[index - first]?.term;
+	}
+}
--- /dev/null
+++ b/packages/storage/src/_place.ts
@@ -0,0 +1,7 @@
+import {type FileFunctions} from './file-functions.js';
+
+/** A folder and the functions that reach it. */
+export type Place = {
+	readonly folder: string;
+	readonly files: FileFunctions;
+};
--- a/packages/storage/src/mod.ts
+++ b/packages/storage/src/mod.ts
@@ -3,4 +3,8 @@
 
 @module
 */
+export {DataFolder, type WrittenCounts} from './data-folder.js';
+export * from './file-functions.js';
+export * from './lock-folder.js';
+export * from './open-data-folder.js';
 export type * from './stored-state.js';
