--- /dev/null
+++ b/packages/consensus/src/_snapshot.ts
@@ -0,0 +1,68 @@
+import {commitUpTo} from './_commit.js';
+import {type Draft, refreshReplicas, send} from './_draft.js';
+import {appendReply, followLeader} from './_follow.js';
+import {
+	entriesBetween, lastIndexOf, replicaSetAt, termAt,
+} from './_log.js';
+import {type Snapshot} from './log-entry.js';
+import {type ReplicaId} from './replica-id.js';
+import {type SnapshotRequest} from './replica-message.js';
+
+/** Takes a leader's snapshot in, unless the log holds all of it. */
+export function handleSnapshotRequest(draft: Draft, from: ReplicaId, request: SnapshotRequest): void {
+	if (!followLeader(draft, from, request)) {
+		return;
+	}
+
+	const {state} = draft;
+	const {snapshot, round} = request;
+	if (termAt(state.log, snapshot.lastIndex) === snapshot.lastTerm) {
+		commitUpTo(draft, snapshot.lastIndex);
+	} else if (snapshot.lastIndex > state.commitIndex) {
+		install(draft, snapshot);
+	}
+
+	send(draft, from, appendReply(draft, {success: true, matchIndex: snapshot.lastIndex, round}));
+}
+
+/** Keeps the host's snapshot, and cuts the log but for a tail. */
+export function keepSnapshot(draft: Draft, lastIndex: number, data: Uint8Array): void {
+	const {state} = draft;
+	const lastTerm = termAt(state.log, lastIndex);
+	const {replicas} = replicaSetAt(state.log, lastIndex);
+	if (lastIndex > state.commitIndex) {
+		throw new RangeError(`Got a snapshot at index ${lastIndex}, wanted one up to the commit index ${state.commitIndex}`);
+	}
+
+	if (lastTerm === undefined || !replicas || lastIndex <= (state.log.snapshot?.lastIndex ?? 0)) {
+		return;
+	}
+
+	const snapshot: Snapshot = {
+		lastIndex, lastTerm, replicas, data,
+	};
+	draft.persistedSnapshot = snapshot;
+	const baseIndex = Math.max(state.log.baseIndex, lastIndex - state.options.tailEntries);
+	state.log = {
+		baseIndex,
+		baseTerm: termAt(state.log, baseIndex) ?? lastTerm,
+		baseReplicas: replicaSetAt(state.log, baseIndex).replicas,
+		entries: entriesBetween(state.log, baseIndex + 1, lastIndexOf(state.log)),
+		snapshot,
+	};
+}
+
+function install(draft: Draft, snapshot: Snapshot): void {
+	const {state} = draft;
+	state.log = {
+		baseIndex: snapshot.lastIndex,
+		baseTerm: snapshot.lastTerm,
+		baseReplicas: snapshot.replicas,
+		entries: [],
+		snapshot,
+	};
+	state.commitIndex = snapshot.lastIndex;
+	refreshReplicas(draft);
+	draft.persistedSnapshot = snapshot;
+	draft.restore = snapshot;
+}
--- a/packages/consensus/src/mod.ts
+++ b/packages/consensus/src/mod.ts
@@ -3,8 +3,18 @@
 
 @module
 */
+export type {StepResult} from './_draft.js';
+export * from './create-replica.js';
+export * from './is-leader.js';
+export * from './known-leader.js';
+export * from './lease-valid-until.js';
 export type * from './log-entry.js';
+export * from './plan-replacement.js';
+export * from './read-index.js';
 export type * from './replica-action.js';
 export type * from './replica-event.js';
 export * from './replica-id.js';
 export type * from './replica-message.js';
+export * from './replica-options.js';
+export type * from './replica-state.js';
+export * from './replica.js';
--- /dev/null
+++ b/packages/consensus/src/read-index.ts
@@ -0,0 +1,23 @@
+import {leaseValidUntil} from './lease-valid-until.js';
+import {type ReplicaState} from './replica-state.js';
+
+/**
+The index that a state machine must have applied before it answers a linearizable read.
+
+@param state The replica.
+@param now Milliseconds on the monotonic clock, read after the request to read arrived.
+@returns The commit index, or undefined where the replica holds no valid lease or has not committed the first entry of its term.
+@example
+```ts
+readIndex(state, clock.monotonic());
+```
+*/
+export function readIndex(state: ReplicaState, now: number): number | undefined {
+	const {role, commitIndex} = state;
+	const until = leaseValidUntil(state);
+	if (role.type !== 'leader' || until === undefined || now >= until) {
+		return undefined;
+	}
+
+	return commitIndex >= role.termStartIndex ? commitIndex : undefined;
+}
--- a/packages/consensus/src/replica-action.ts
+++ b/packages/consensus/src/replica-action.ts
@@ -14,7 +14,7 @@
 	readonly restore: Snapshot | undefined;
 	/** Proposals that were taken into the log, with their index; they are done when that index is applied with the same term. */
 	readonly accepted: ReadonlyArray<{readonly proposalId: string; readonly index: number; readonly term: number}>;
-	/** Proposals that this replica cannot take, since it does not lead. */
+	/** Proposals that this replica cannot take, since it does not lead, and changes of the replica set that cannot be made now. */
 	readonly rejected: readonly string[];
 };
 
@@ -23,6 +23,8 @@
 	readonly hardState: HardState | undefined;
 	/** Entries to append; where the first one's index is in the log already, the log is cut there first. */
 	readonly entries: readonly LogEntry[];
-	/** A snapshot that replaces the log up to its index. */
+	/** A snapshot that replaces the log up to its index; entries before it may be kept as a tail. */
 	readonly snapshot: Snapshot | undefined;
+	/** Whether the snapshot came from a leader: the whole log on disk is then discarded, also the entries after the snapshot's index. */
+	readonly discardsLog: boolean;
 };
--- a/packages/consensus/src/replica-event.ts
+++ b/packages/consensus/src/replica-event.ts
@@ -8,8 +8,8 @@
 		| {readonly type: 'message'; readonly from: ReplicaId; readonly message: ReplicaMessage}
 	/** Commands to put into the log in this order; `proposalId` comes back with the outcome. */
 		| {readonly type: 'propose'; readonly proposals: ReadonlyArray<{readonly proposalId: string; readonly data: Uint8Array}>}
-	/** Adds or removes one replica, or turns a learner into a voter. */
-		| {readonly type: 'change-replicas'; readonly change: ReplicaChange}
+	/** Adds or removes one replica, or turns a learner into a voter; `proposalId`, where given, comes back with the outcome. */
+		| {readonly type: 'change-replicas'; readonly change: ReplicaChange; readonly proposalId?: string}
 	/** The host took a snapshot of the state machine at `lastIndex`; the log may be cut up to there. */
 		| {readonly type: 'snapshot-taken'; readonly lastIndex: number; readonly data: Uint8Array};
 
