--- a/packages/storage/src/data-folder.ts
+++ b/packages/storage/src/data-folder.ts
@@ -130,12 +130,9 @@
 		}
 	}
 
-	async #persist({hardState, entries, snapshot: given}: PersistAction): Promise<void> {
+	async #persist({hardState, entries, snapshot, discardsLog}: PersistAction): Promise<void> {
 		this.#hardState = hardState ?? this.#hardState;
-		// One that is older than the snapshot that is here says nothing new.
-		const snapshot = given !== undefined && given.lastIndex >= this.#base.index ? given : undefined;
-		const isInLog = snapshot !== undefined && this.#termAt(snapshot.lastIndex) === snapshot.lastTerm;
-		if (snapshot !== undefined && !isInLog) {
+		if (snapshot !== undefined && discardsLog) {
 			await this.#install(snapshot);
 		}
 
@@ -143,7 +140,7 @@
 			await this.#append({hardState, entries});
 		}
 
-		if (snapshot !== undefined && isInLog) {
+		if (snapshot !== undefined && !discardsLog) {
 			this.#snapshotInProgress = this.#writeInBackground(snapshot, this.#snapshotInProgress);
 		}
 	}
@@ -231,10 +228,6 @@
 		this.#failure ??= toStorageFailure(error, this.#place.folder);
 		return this.#failure;
 	}
-
-	#termAt(index: number): number | undefined {
-		return index === this.#base.index ? this.#base.term : this.#terms[index - this.#base.index - 1];
-	}
 }
 
 /** Turns what a file function threw into a failure. */
