--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -52,6 +52,12 @@
 	shutdownMilliseconds: wholeNumber({from: 0, to: 3_600_000}).default(30_000),
 });
 
+const controlLog = z.strictObject({
+	snapshotEntries: wholeNumber({from: 100, to: 10_000_000}).default(10_000),
+	snapshotBytes: wholeNumber({from: 65_536, to: 1_073_741_824}).default(8_388_608),
+	segmentBytes: wholeNumber({from: 4096, to: 1_073_741_824}).default(4_194_304),
+});
+
 const metrics = z.strictObject({
 	host,
 	port: wholeNumber({from: 1, to: largestPort}),
@@ -71,6 +77,8 @@
 		instance, zone, host, port,
 	})),
 	dataFolder: text({from: 1, to: longestFolder}).optional(),
+	controlLog: controlLog.prefault({}),
+	faults: z.boolean('Wanted true or false').default(false),
 	keys,
 	limits: limits.prefault({}),
 	timing: timing.prefault({}),
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -79,6 +79,16 @@
 	readonly shutdownMilliseconds: number;
 };
 
+/** The replicated log of the control role. */
+export type ControlLogSettings = {
+	/** Entries after which a snapshot is taken; 10000 by default, 100 to 10000000. */
+	readonly snapshotEntries: number;
+	/** Bytes of commands after which a snapshot is taken; 8388608 by default, 65536 to 1073741824. */
+	readonly snapshotBytes: number;
+	/** Bytes after which the next segment of the log is begun; 4194304 by default, 4096 to 1073741824. */
+	readonly segmentBytes: number;
+};
+
 /** What happens when an instance is cut off from the control role. */
 export type IsolationSettings = {
 	/** What is still served: `settled` versions only, `all` or `none`; `settled` by default. */
@@ -117,6 +127,10 @@
 	readonly control: readonly ControlInstance[];
 	/** The folder of the replicated log, 1 to 4096 characters; required with the role control, else absent by default. */
 	readonly dataFolder?: string | undefined;
+	/** The replicated log of the control role; has defaults. */
+	readonly controlLog: ControlLogSettings;
+	/** Whether operators may cut links between daemons, for failure tests; false by default. */
+	readonly faults: boolean;
 	/** The keys; required. */
 	readonly keys: KeySettings;
 	/** Bounds on requests; has defaults. */
