Ask the next control instance where one does not answer

Cause: the configuration came from the first control instance only, so its loss stopped every change from taking effect. Change: every question goes to the first instance that answers.

--- a/packages/daemon/src/distribution/configuration-link.ts
+++ b/packages/daemon/src/distribution/configuration-link.ts
@@ -8,8 +8,8 @@
 export type ConfigurationLinkOptions = {
 	readonly network: PeerNetwork<PeerMessage>;
 	readonly self: Member;
-	/** The instance that is asked. */
-	readonly source: PeerAddress;
+	/** The instances that can be asked, in this order, until one answers. */
+	readonly sources: readonly PeerAddress[];
 	/** Milliseconds between two questions for what is new. */
 	readonly pollMilliseconds: number;
 	/** Called with each newer configuration. */
@@ -62,19 +62,30 @@
 	}
 
 	async #refresh(): Promise<void> {
-		const {network, source, self, onConfiguration} = this.#options;
-		const reply = await network.request(source, {
-			scope: 'distribution', type: 'subscribe', member: self, revision: this.#revision,
-		});
-		if (reply.isLeft()) {
+		const body = await this.#ask();
+		if (body === undefined) {
 			return;
 		}
 
-		const body = reply.extract() as SubscribeReply;
 		this.#members = body.members;
 		if (body.effective !== undefined && body.effective.revision > this.#revision) {
 			this.#revision = body.effective.revision;
-			onConfiguration(body.effective);
+			this.#options.onConfiguration(body.effective);
 		}
 	}
+
+	async #ask(): Promise<SubscribeReply | undefined> {
+		const {network, sources, self} = this.#options;
+		for (const source of sources) {
+			const reply = await network.request(source, {
+				scope: 'distribution', type: 'subscribe', member: self, revision: this.#revision,
+			});
+			const body = reply.orDefault(undefined);
+			if (body !== undefined) {
+				return body as SubscribeReply;
+			}
+		}
+
+		return undefined;
+	}
 }
--- a/packages/daemon/src/distribution/start-distribution.ts
+++ b/packages/daemon/src/distribution/start-distribution.ts
@@ -47,7 +47,7 @@
 	const link = new ConfigurationLink({
 		network,
 		self,
-		source: controlInstances[0] ?? self,
+		sources: controlInstances,
 		pollMilliseconds: timing.configurationLeaseMilliseconds / pollsPerLease,
 		onConfiguration(effective) {
 			activate(effective).caseOf({
