--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -4,6 +4,7 @@
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
 import {applyConfiguration} from './apply-configuration.js';
+import {cutLinks} from './cut-links.js';
 import {type OperatorContext} from './operator-context.js';
 
 /**
@@ -36,6 +37,11 @@
 			return;
 		}
 
+		case 'POST /v1/faults/links': {
+			await cutLinks(request, response, context.base);
+			return;
+		}
+
 		case 'GET /v1/status': {
 			await answerStatus(response, context);
 			return;
@@ -65,7 +71,7 @@
 		zone: settings.zone,
 		roles: settings.roles,
 		revision: distribution.effective().revision,
-		leader: settings.control[0]?.instance,
+		leader: control.leader,
 		inProgress: requests.inProgress,
 		stopping: requests.stopping,
 		waitingFor: inForce.map(({waitingFor}) => waitingFor).orDefault([]),
