Host the control role on the replicated log

Cause: the control state lived in the memory of one instance. Change: a driver takes the steps of the replica, writes them with one sync and then sends and applies; a group is founded only when every control instance is empty; a wiped folder comes back as a new replica that the leader takes in; proposals wait for the state machine's result; the client tries the leader, then the others, in bounded time. Ruled out: founding with a majority (a group that lost one disk would be founded twice), answering from followers (stale).

--- /dev/null
+++ b/packages/daemon/src/control/candidates.ts
@@ -0,0 +1,47 @@
+import {instanceOf, type ReplicaId} from '@valehitch/consensus';
+import {type Clock} from '@valehitch/core';
+
+/** Which replicas count. */
+export type CandidatesOptions = {
+	readonly clock: Clock;
+	/** The instances that the settings list with the control role. */
+	readonly control: readonly string[];
+};
+
+const presentMilliseconds = 2000;
+
+/**
+The replicas without a vote that said lately that they are there, one an instance.
+
+@example
+```ts
+const candidates = new Candidates({clock, control});
+candidates.note(replica);
+```
+*/
+export class Candidates {
+	readonly #options: CandidatesOptions;
+	readonly #seen = new Map<string, {readonly replica: ReplicaId; readonly at: number}>();
+
+	constructor(options: CandidatesOptions) {
+		this.#options = options;
+	}
+
+	/** The replicas that are there. */
+	get present(): readonly ReplicaId[] {
+		const oldest = this.#options.clock.monotonic() - presentMilliseconds;
+		return [...this.#seen.values()].filter(({at}) => at >= oldest).map(({replica}) => replica);
+	}
+
+	/**
+	Notes that a replica is there.
+
+	@param replica The replica.
+	*/
+	note(replica: ReplicaId): void {
+		const instance = instanceOf(replica);
+		if (this.#options.control.includes(instance)) {
+			this.#seen.set(instance, {replica, at: this.#options.clock.monotonic()});
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/control/control-answers.ts
@@ -0,0 +1,115 @@
+import {type CommandAnswer} from '@valehitch/control';
+import {type Failure, failure, type ZoneId} from '@valehitch/core';
+import {type PeerAddress} from '@valehitch/transport';
+import {type Either, Left, Right} from 'purify-ts';
+import {match} from 'ts-pattern';
+import {type DaemonBase} from '../daemon-base.js';
+import {toResultReply} from '../result-reply.js';
+import {type ControlHost} from './control-host.js';
+import {
+	type ControlMessage, type ControlReply, type InForce, type LeaderQuestion, type LedgerMessage, type LedgerPage, type SubscriberReport,
+} from './messages.js';
+import {type Subscribers, toInForce} from './subscribers.js';
+
+/** What the answers come from. */
+export type ControlAnswersOptions = {
+	readonly base: DaemonBase;
+	readonly host: ControlHost;
+	readonly subscribers: Subscribers;
+	/** Asks another control instance. */
+	readonly ask: (to: PeerAddress, message: ControlMessage) => Promise<Either<Failure, unknown>>;
+};
+
+const ledgerPageSize = 1000;
+const retryMilliseconds = 1000;
+
+/**
+Answers the messages to the control role: the leader itself, any other replica by passing the question on once.
+
+@example
+```ts
+const answers = new ControlAnswers({base, host, subscribers, ask});
+```
+*/
+export class ControlAnswers {
+	readonly #options: ControlAnswersOptions;
+
+	constructor(options: ControlAnswersOptions) {
+		this.#options = options;
+	}
+
+	/**
+	Answers a message.
+
+	@param message The message.
+	@returns The reply; undefined for messages between replicas.
+	*/
+	async answer(message: ControlMessage): Promise<unknown> {
+		const {host, subscribers} = this.#options;
+		return match(message)
+			.with({type: 'replica'}, envelope => {
+				host.receive(envelope);
+				return undefined;
+			})
+			.with({type: 'join'}, question => host.join(question))
+			.with({type: 'subscribers'}, () => subscribers.report())
+			.with({type: 'propose'}, {type: 'in-force'}, {type: 'ledger'}, async question => this.#answerAsLeader(question))
+			.exhaustive();
+	}
+
+	async #answerAsLeader(question: LeaderQuestion): Promise<ControlReply<unknown>> {
+		const {host} = this.#options;
+		const {leader} = host;
+		if (host.isLeader || question.isForwarded === true || leader === undefined || leader === this.#options.base.settings.instance) {
+			const result = host.isLeader ? await this.#answerHere(question) : Left(this.#noQuorum());
+			return {result: toResultReply<unknown>(result), leader: host.leader};
+		}
+
+		return this.#forward(question, leader);
+	}
+
+	async #forward(question: LeaderQuestion, leader: string): Promise<ControlReply<unknown>> {
+		const {base: {settings}, ask} = this.#options;
+		const address = settings.control.find(({instance}) => instance === leader);
+		const reply = address === undefined
+			? Left(this.#noQuorum())
+			: await ask(address, {...question, isForwarded: true});
+		return reply.caseOf<ControlReply<unknown>>({
+			Left: failed => ({result: toResultReply<unknown>(Left(failed))}),
+			Right: body => body as ControlReply<unknown>,
+		});
+	}
+
+	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | InForce | LedgerPage>> {
+		return match(question)
+			.with({type: 'propose'}, async ({command}) => this.#options.host.propose(command))
+			.with({type: 'in-force'}, async () => Right(await this.#inForce()))
+			.with({type: 'ledger'}, async ledger => Right(this.#readLedger(ledger)))
+			.exhaustive();
+	}
+
+	#readLedger({workspace, after}: LedgerMessage): LedgerPage {
+		const {bills, next} = this.#options.host.state.readLedger({workspace, after, limit: ledgerPageSize});
+		return {bills, ...(next !== undefined && {next})};
+	}
+
+	async #inForce(): Promise<InForce> {
+		const {base: {settings}, host, subscribers, ask} = this.#options;
+		const {revision} = host.state.effective;
+		const unheard: ZoneId[] = [];
+		const others = settings.control.filter(({instance}) => instance !== settings.instance);
+		const reports = await Promise.all(others.map(async other => {
+			const reply = await ask(other, {scope: 'control', type: 'subscribers'});
+			if (reply.isLeft()) {
+				unheard.push(other.zone);
+			}
+
+			return reply.orDefault([]) as readonly SubscriberReport[];
+		}));
+		return toInForce([...subscribers.report(), ...reports.flat()], {revision, unheard});
+	}
+
+	#noQuorum(): Failure {
+		return failure('no-quorum', 'Got no leader with a valid lease, wanted one', {retryAfterMilliseconds: retryMilliseconds});
+	}
+}
--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -1,129 +1,290 @@
-import {type Command, type CommandAnswer, ControlState} from '@valehitch/control';
 import {
-	type Bill, type Clock, type EffectiveConfiguration, type Failure, type InstanceId, type ZoneId,
+	instanceOf, isLeader, knownLeader, leaseValidUntil, planReplacement, readIndex, type ReplicaId, type ReplicaMessage, type ReplicaSet, type ReplicaState, toReplicaId,
+} from '@valehitch/consensus';
+import {type Command, type CommandAnswer, type ControlState} from '@valehitch/control';
+import {
+	type Failure, failure, type InstanceId, toId,
 } from '@valehitch/core';
-import {type Either} from 'purify-ts';
-import {type SubscribeMessage, type SubscribeReply} from '../distribution/messages.js';
-import {type Member} from '../member.js';
-import {type Timeline} from '../timeline.js';
-import {type InForce, type LedgerMessage, type LedgerPage} from './messages.js';
-
-const ledgerPageSize = 1000;
-
-type Subscriber = {
-	readonly member: Member;
-	readonly revision: number;
-	readonly seenAt: number;
-};
+import {type DataFolder} from '@valehitch/storage';
+import {type Either, Left} from 'purify-ts';
+import {type DaemonBase} from '../daemon-base.js';
+import {encodeCommand} from './_encode-command.js';
+import {Candidates} from './candidates.js';
+import {searchGroup} from './group-search.js';
+import {type JoinMessage, type JoinReply, type ReplicaEnvelope} from './messages.js';
+import {LeadershipWatch} from './leadership-watch.js';
+import {ReplicaDriver} from './replica-driver.js';
+import {type AppliedCommand, StateMachine} from './state-machine.js';
 
 /** What the host of the control role needs. */
 export type ControlHostOptions = {
-	readonly clock: Clock;
-	readonly timeline: Timeline;
-	/** Milliseconds after which a silent subscriber's lease has run out. */
-	readonly leaseMilliseconds: number;
+	readonly base: DaemonBase;
+	readonly folder: DataFolder;
+	/** Asks another control instance a question of this host's own. */
+	readonly ask: (to: InstanceId, message: JoinMessage) => Promise<Either<Failure, JoinReply>>;
+	/** Sends a message between replicas; it may be lost. */
+	readonly send: (to: InstanceId, message: ReplicaEnvelope) => void;
+	/** Told once why the role stopped for good. */
+	readonly onFailure: (failed: Failure) => void;
 };
 
+/** Told of each command that was applied here. */
+export type AppliedListener = (applied: AppliedCommand) => void;
+
+const tickMilliseconds = 50;
+const searchMilliseconds = 250;
+const commitMilliseconds = 1500;
+const retryMilliseconds = 500;
+const tailEntries = 100;
+const seedRange = 2 ** 31;
+
 /**
-Hosts the control role on one instance, in memory; stands in until the replicated log is there.
+Hosts a replica of the control state: time, links and the data folder around the pure parts.
 
 @example
 ```ts
-const host = new ControlHost({clock, timeline, leaseMilliseconds: 5000});
+const host = new ControlHost(options);
+host.start();
+const result = await host.propose(command);
 ```
 */
 export class ControlHost {
-	readonly #state = new ControlState();
-	#index = 0;
-	readonly #subscribers = new Map<InstanceId, Subscriber>();
 	readonly #options: ControlHostOptions;
+	readonly #self: ReplicaId;
+	readonly #machine: StateMachine;
+	readonly #driver: ReplicaDriver;
+	readonly #candidates: Candidates;
+	readonly #watch: LeadershipWatch;
+	readonly #listeners = new Set<AppliedListener>();
+	#timers: NodeJS.Timeout[] = [];
+	#hasBegun = false;
+	#isStopped = false;
 
 	constructor(options: ControlHostOptions) {
+		const {base, folder} = options;
+		const {identity, hardState, snapshot, entries} = folder.takeStored();
 		this.#options = options;
+		this.#self = toReplicaId(base.settings.instance, identity);
+		this.#candidates = new Candidates({clock: base.clock, control: base.settings.control.map(({instance}) => instance)});
+		this.#watch = new LeadershipWatch(base);
+		this.#machine = new StateMachine({
+			onApplied: applied => {
+				this.#tell(applied);
+			},
+			onReplicas: replicas => {
+				this.#watch.noteReplicas(replicas);
+			},
+		});
+		if (snapshot !== undefined) {
+			this.#machine.restore(snapshot);
+		}
+
+		this.#driver = new ReplicaDriver({
+			start: {
+				id: this.#self, hardState, snapshot, entries, options: {tailEntries}, seed: Math.floor(base.random() * seedRange),
+			},
+			folder,
+			clock: base.clock,
+			send: (to, message) => {
+				this.#send(to, message);
+			},
+			apply: actions => {
+				this.#machine.apply(actions);
+			},
+			onStepped: state => {
+				this.#stepped(state);
+			},
+			onFailure: failed => {
+				this.#fail(failed);
+			},
+		});
+	}
+
+	/** The control state as far as it is applied here. */
+	get state(): ControlState {
+		return this.#machine.state;
+	}
+
+	/** The leader that this replica knows of. */
+	get leader(): InstanceId | undefined {
+		const leader = knownLeader(this.#driver.state);
+		return leader === undefined || this.#isStopped ? undefined : toId<InstanceId>(instanceOf(leader));
+	}
+
+	/** Milliseconds on the monotonic clock until which no other replica can lead; undefined where this one holds no lease. */
+	get leaseValidUntil(): number | undefined {
+		return this.#isStopped ? undefined : leaseValidUntil(this.#driver.state);
 	}
 
-	/** The configuration that was committed last. */
-	get effective(): EffectiveConfiguration {
-		return this.#state.effective;
+	/** Whether this replica leads under a valid lease and has applied all that was committed before its term. */
+	get isLeader(): boolean {
+		return this.#readableIndex() !== undefined;
+	}
+
+	/** Starts the ticks, and the search for a group where this replica has none. */
+	start(): void {
+		this.#timers = [
+			setInterval(() => {
+				this.#tick();
+			}, tickMilliseconds),
+			setInterval(() => {
+				void this.#search();
+			}, searchMilliseconds),
+		];
+		void this.#search();
+	}
+
+	/** Stops the replica once its steps in progress are on the disk, and closes the folder. */
+	async stop(): Promise<void> {
+		this.#isStopped = true;
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
+		await this.#driver.stop();
+		await this.#options.folder.close();
 	}
 
 	/**
-	Reads a page of the ledger.
+	Has a command committed and applied, where this replica leads.
 
-	@param question The workspace and how many bills to pass over.
-	@returns The page.
+	@param command The command.
+	@returns What it gave; a failure `no-quorum` says with its outcome whether it may still be committed.
 	*/
-	ledger({workspace, after}: LedgerMessage): LedgerPage {
-		const bills: Bill[] = [];
-		let index = 0;
-		for (const bill of this.#state.bills) {
-			index++;
-			if (index <= after || (workspace !== undefined && bill.workspace !== workspace)) {
-				continue;
-			}
-
-			bills.push(bill);
-			if (bills.length === ledgerPageSize) {
-				return {bills, next: index};
-			}
+	async propose(command: Command): Promise<Either<Failure, CommandAnswer>> {
+		if (!this.isLeader) {
+			return Left(failure('no-quorum', 'Got a command on a replica without a valid lease, wanted it on the leader', {retryAfterMilliseconds: retryMilliseconds}));
 		}
 
-		return {bills};
+		const proposalId = this.#options.base.newId();
+		const result = this.#machine.resultOf(proposalId);
+		this.#driver.push({type: 'propose', proposals: [{proposalId, data: encodeCommand(command)}]});
+		const timer = setTimeout(() => {
+			this.#machine.giveUp(proposalId, failure('no-quorum', `Got no quorum in ${commitMilliseconds} ms, wanted the command committed`, {
+				outcome: 'unknown', retryAfterMilliseconds: retryMilliseconds,
+			}));
+		}, commitMilliseconds);
+		const settled = await result;
+		clearTimeout(timer);
+		return settled;
 	}
 
 	/**
-	Answers a subscriber and notes what is in force there.
+	Adds a listener for the commands that are applied here.
 
-	@param message What the subscriber said.
-	@returns What is new for it.
+	@param listener Told of each command.
+	@returns Takes the listener away.
 	*/
-	subscribe({member, revision}: SubscribeMessage): SubscribeReply {
-		this.#subscribers.set(member.instance, {member, revision, seenAt: this.#options.clock.monotonic()});
-		const {effective} = this.#state;
-		const members = this.#current().map(subscriber => subscriber.member);
-		return {
-			revision: effective.revision,
-			members,
-			...(effective.revision > revision && {effective}),
+	onApplied(listener: AppliedListener): () => void {
+		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
 		};
 	}
 
 	/**
-	Carries out a command.
+	Takes a message of another replica; one to a former identity of this instance is dropped.
 
-	@param command The command.
-	@returns What it gave.
+	@param envelope The message.
 	*/
-	propose(command: Command): Either<Failure, CommandAnswer> {
-		const before = this.#state.effective.revision;
-		const result = this.#state.apply(command, {term: 1, index: ++this.#index});
-		if (this.#state.effective.revision !== before) {
-			this.#options.timeline.record('configuration-committed', {revision: this.#state.effective.revision});
+	receive({from, to, message}: ReplicaEnvelope): void {
+		if (to === this.#self && !this.#isStopped) {
+			this.#driver.push({type: 'message', from, message});
 		}
+	}
 
-		return result;
+	/**
+	Answers a replica that looks for its group, and remembers that it is there.
+
+	@param message Who asks.
+	@returns What this replica is.
+	*/
+	join({replica}: JoinMessage): JoinReply {
+		this.#candidates.note(replica);
+		const {log: {snapshot}} = this.#driver.state;
+		return {
+			replica: this.#self,
+			isEmpty: this.#isEmpty(),
+			...(snapshot?.lastIndex === 0 && {initial: snapshot.replicas}),
+		};
+	}
+
+	#isEmpty(): boolean {
+		const {replicas, hardState, log} = this.#driver.state;
+		return replicas === undefined && hardState.term === 0 && log.entries.length === 0 && !this.#hasBegun;
+	}
+
+	#readableIndex(): number | undefined {
+		const index = this.#isStopped ? undefined : readIndex(this.#driver.state, this.#options.base.clock.monotonic());
+		return index === undefined || index > this.#machine.appliedIndex ? undefined : index;
+	}
+
+	#tick(): void {
+		const {state} = this.#driver;
+		this.#driver.push({type: 'tick'});
+		this.#watch.note(state);
+		const change = isLeader(state) ? planReplacement(state, {present: this.#candidates.present}) : undefined;
+		if (change !== undefined) {
+			this.#driver.push({type: 'change-replicas', change});
+		}
 	}
 
-	/** Which zones still wait for the current revision. */
-	inForce(): InForce {
-		const waitingFor = new Set<ZoneId>();
-		for (const {member, revision} of this.#current()) {
-			if (revision < this.#state.effective.revision) {
-				waitingFor.add(member.zone);
-			}
+	/** A replica that does not vote asks until it does: without a group to find one, as a learner so that the leader knows that it is there. */
+	async #search(): Promise<void> {
+		const {replicas} = this.#driver.state;
+		if (this.#hasBegun || this.#isStopped || replicas?.voters.includes(this.#self) === true) {
+			return;
 		}
 
-		return {complete: waitingFor.size === 0, waitingFor: [...waitingFor]};
+		const isFounding = this.#isEmpty();
+		const {base: {settings}, ask} = this.#options;
+		const found = await searchGroup({
+			self: this.#self,
+			control: settings.control,
+			ask: async ({instance}) => ask(instance, {scope: 'control', type: 'join', replica: this.#self}),
+			isEmpty: () => isFounding && this.#isEmpty(),
+		});
+		if (found !== undefined && !this.#isStopped) {
+			this.#begin(found);
+		}
+	}
+
+	#begin(replicas: ReplicaSet): void {
+		// From here on this replica no longer says that it is empty.
+		this.#hasBegun = true;
+		this.#driver.begin({
+			lastIndex: 0, lastTerm: 0, replicas, data: new Uint8Array(),
+		});
+	}
+
+	#send(to: ReplicaId, message: ReplicaMessage): void {
+		this.#options.send(toId<InstanceId>(instanceOf(to)), {
+			scope: 'control', type: 'replica', from: this.#self, to, message,
+		});
+	}
+
+	#stepped(state: ReplicaState): void {
+		this.#watch.note(state);
+		const {base: {settings: {controlLog}}} = this.#options;
+		const {entries, bytes} = this.#machine.sinceSnapshot;
+		if (entries >= controlLog.snapshotEntries || bytes >= controlLog.snapshotBytes) {
+			this.#machine.snapshotTaken();
+			this.#driver.push({type: 'snapshot-taken', lastIndex: this.#machine.appliedIndex, data: this.#machine.state.toSnapshot()});
+		}
+	}
+
+	#tell(applied: AppliedCommand): void {
+		for (const listener of this.#listeners) {
+			listener(applied);
+		}
 	}
 
-	#current(): Subscriber[] {
-		const oldest = this.#options.clock.monotonic() - this.#options.leaseMilliseconds;
-		for (const [instance, {seenAt}] of this.#subscribers) {
-			if (seenAt < oldest) {
-				this.#subscribers.delete(instance);
-			}
+	#fail(failed: Failure): void {
+		this.#isStopped = true;
+		for (const timer of this.#timers) {
+			clearInterval(timer);
 		}
 
-		return [...this.#subscribers.values()];
+		this.#options.onFailure(failed);
 	}
 }
--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -1,5 +1,7 @@
-import {type Command, type CommandAnswer} from '@valehitch/control';
-import {type Bill, type ZoneId} from '@valehitch/core';
+import {type AnswerOf, type Command, type CommandAnswer} from '@valehitch/control';
+import {type ReplicaId, type ReplicaMessage, type ReplicaSet} from '@valehitch/consensus';
+import {type Bill, type InstanceId, type ZoneId} from '@valehitch/core';
+import {type Member} from '../member.js';
 import {type ResultReply} from '../result-reply.js';
 
 /** Asks the control role to carry out a command. */
@@ -7,15 +9,27 @@
 	readonly scope: 'control';
 	readonly type: 'propose';
 	readonly command: Command;
+	/** Whether a control instance passed it on; it is passed on only once. */
+	readonly isForwarded?: boolean;
 };
 
-/** What a proposer gets. */
-export type ProposeReply = ResultReply<CommandAnswer>;
+/** What a command gives over a link. */
+export type ProposeAnswer = CommandAnswer;
+
+/** A command's own answer. */
+export type AnswerOfCommand<Kind extends Command> = AnswerOf<Kind>;
+
+/** What every question to the control role gets: the result, and the leader where one is known. */
+export type ControlReply<Value> = {
+	readonly result: ResultReply<Value>;
+	readonly leader?: InstanceId | undefined;
+};
 
 /** Asks the control role which zones still wait for the current revision. */
 export type InForceMessage = {
 	readonly scope: 'control';
 	readonly type: 'in-force';
+	readonly isForwarded?: boolean;
 };
 
 /** Which zones do not have the current revision in force yet. */
@@ -30,8 +44,9 @@
 	readonly type: 'ledger';
 	/** Bills of this workspace only. */
 	readonly workspace?: string | undefined;
-	/** How many bills to pass over. */
+	/** The position after which to read. */
 	readonly after: number;
+	readonly isForwarded?: boolean;
 };
 
 /** A page of the ledger. */
@@ -41,5 +56,47 @@
 	readonly next?: number;
 };
 
+/** A message between two replicas; one to a former identity of an instance is dropped. */
+export type ReplicaEnvelope = {
+	readonly scope: 'control';
+	readonly type: 'replica';
+	readonly from: ReplicaId;
+	readonly to: ReplicaId;
+	readonly message: ReplicaMessage;
+};
+
+/** What a replica without a vote says of itself while it waits for a group. */
+export type JoinMessage = {
+	readonly scope: 'control';
+	readonly type: 'join';
+	readonly replica: ReplicaId;
+};
+
+/** What the asked instance says of itself. */
+export type JoinReply = {
+	readonly replica: ReplicaId;
+	/** Whether it never belonged to a group. */
+	readonly isEmpty: boolean;
+	/** The replicas that the group began with, while its log holds nothing else. */
+	readonly initial?: ReplicaSet | undefined;
+};
+
+/** Asks a control instance which subscribers it knows. */
+export type SubscribersMessage = {
+	readonly scope: 'control';
+	readonly type: 'subscribers';
+};
+
+/** A subscriber and the revision in force on it. */
+export type SubscriberReport = {
+	readonly member: Member;
+	readonly revision: number;
+	/** Milliseconds since it was heard. */
+	readonly age: number;
+};
+
+/** The questions that only the leader answers. */
+export type LeaderQuestion = ProposeMessage | InForceMessage | LedgerMessage;
+
 /** The closed list of messages to the control role. */
-export type ControlMessage = ProposeMessage | InForceMessage | LedgerMessage;
+export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | SubscribersMessage;
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -1,10 +1,15 @@
-import {match} from 'ts-pattern';
+import {type Command, type CommandAnswer, type ControlState} from '@valehitch/control';
+import {type Failure, failure, type InstanceId} from '@valehitch/core';
+import {type DataFolder, openDataFolder} from '@valehitch/storage';
+import {type PeerAddress} from '@valehitch/transport';
+import {type Either, Left, Right} from 'purify-ts';
 import {type DaemonBase} from '../daemon-base.js';
 import {type SubscribeMessage, type SubscribeReply} from '../distribution/messages.js';
-import {toResultReply} from '../result-reply.js';
+import {ControlAnswers} from './control-answers.js';
 import {ControlClient} from './control-client.js';
-import {ControlHost} from './control-host.js';
-import {type ControlMessage} from './messages.js';
+import {type AppliedListener, ControlHost} from './control-host.js';
+import {type ControlMessage, type ControlReply, type JoinReply} from './messages.js';
+import {Subscribers} from './subscribers.js';
 
 /** The control part of a daemon. */
 export type ControlPart = {
@@ -13,11 +18,28 @@
 	readonly answer: (message: ControlMessage) => Promise<unknown>;
 	/** Answers an instance that asks what is new; undefined where this instance cannot tell. */
 	readonly subscribe: (message: SubscribeMessage) => SubscribeReply | undefined;
+	/** Whether this instance leads under a valid lease, with everything applied that was committed before. */
+	readonly isLeader: () => boolean;
+	/** Milliseconds on the monotonic clock until which no other instance can lead; undefined where this one holds no lease. */
+	readonly leaseValidUntil: () => number | undefined;
+	/** The leader, where this instance knows one. */
+	readonly leader: () => InstanceId | undefined;
+	/** The control state as far as it is applied here; undefined without the control role. */
+	readonly state: () => ControlState | undefined;
+	/** Tells a listener of each command that is applied here; gives what takes the listener away. */
+	readonly onApplied: (listener: AppliedListener) => () => void;
+	/** Has a command committed where this instance leads; for tasks of the leader. */
+	readonly propose: (command: Command) => Promise<Either<Failure, CommandAnswer>>;
 	readonly stop: () => Promise<void>;
 };
 
+const askMilliseconds = 2500;
+const joinMilliseconds = 1000;
+
 /**
-Starts the control part: the client on every instance, the replicated state where the settings give the role.
+Starts the control part: the client on every instance, a replica of the control state where the settings give the role.
+
+A data folder that cannot be opened or written stops the role and not the daemon.
 
 @param base What every part works with.
 @returns The part.
@@ -26,23 +48,132 @@
 const control = await startControl(base);
 ```
 */
-export async function startControl({settings, clock, timeline, network}: DaemonBase): Promise<ControlPart> {
-	const isHost = settings.control[0]?.instance === settings.instance;
-	const host = isHost ? new ControlHost({clock, timeline, leaseMilliseconds: settings.timing.configurationLeaseMilliseconds}) : undefined;
+export async function startControl(base: DaemonBase): Promise<ControlPart> {
+	const {settings, clock} = base;
+	const subscribers = new Subscribers({clock, leaseMilliseconds: settings.timing.configurationLeaseMilliseconds});
+	const folder = await openFolder(base);
+	const host = folder === undefined ? undefined : startHost(base, folder);
+	const answers = host === undefined
+		? undefined
+		: new ControlAnswers({
+			base, host, subscribers, ask: async (to, message) => askPeer(base, to, message),
+		});
+	const answer = async (message: ControlMessage): Promise<unknown> => answers?.answer(message);
+	const zoneMate = settings.control.find(({zone}) => zone === settings.zone);
 	return {
-		client: new ControlClient({network, control: settings.control}),
-		answer: async message => host === undefined ? undefined : answerOn(host, message),
-		subscribe: message => host?.subscribe(message),
+		client: new ControlClient({
+			clock,
+			control: settings.control,
+			first: host === undefined ? zoneMate?.instance : settings.instance,
+			ask: async (to, message) => to.instance === settings.instance
+				? toReply(await answer(message))
+				: askPeer<ControlReply<unknown>>(base, to, message),
+			wait: elapsed,
+		}),
+		answer,
+		subscribe(message) {
+			subscribers.note(message);
+			return host === undefined ? undefined : replyTo(message, {host, subscribers});
+		},
+		isLeader: () => host?.isLeader ?? false,
+		leaseValidUntil: () => host?.leaseValidUntil,
+		leader: () => host?.leader,
+		state: () => host?.state,
+		onApplied: listener => host?.onApplied(listener) ?? nothing,
+		propose: async command => host?.propose(command) ?? Left(failure('no-quorum', 'Got a command on an instance without the control role, wanted it on the leader')),
 		async stop() {
-			// The state is in memory; there is nothing to close.
+			await host?.stop();
 		},
 	};
 }
 
-function answerOn(host: ControlHost, message: ControlMessage): unknown {
-	return match(message)
-		.with({type: 'propose'}, ({command}) => toResultReply(host.propose(command)))
-		.with({type: 'in-force'}, () => host.inForce())
-		.with({type: 'ledger'}, question => host.ledger(question))
-		.exhaustive();
+async function openFolder({settings, log}: DaemonBase): Promise<DataFolder | undefined> {
+	if (!settings.roles.includes('control') || settings.dataFolder === undefined) {
+		return undefined;
+	}
+
+	const opened = await openDataFolder(settings.dataFolder, {segmentBytes: settings.controlLog.segmentBytes});
+	return opened.caseOf<DataFolder | undefined>({
+		Left(failed) {
+			log.error({failure: failed, folder: settings.dataFolder}, 'The data folder could not be opened; the control role does not start');
+			return undefined;
+		},
+		Right(folder) {
+			for (const warning of folder.warnings) {
+				log.warn({folder: settings.dataFolder}, warning);
+			}
+
+			return folder;
+		},
+	});
+}
+
+function startHost(base: DaemonBase, folder: DataFolder): ControlHost {
+	const {settings: {control}, network, log, metrics, timeline} = base;
+	const addresses = new Map(control.map(address => [address.instance, address]));
+	const host = new ControlHost({
+		base,
+		folder,
+		async ask(to, message) {
+			const address = addresses.get(to);
+			return address === undefined
+				? Left(failure('no-quorum', `Got ${to}, wanted a control instance`))
+				: askPeer<JoinReply>(base, address, message, joinMilliseconds);
+		},
+		send(to, message) {
+			const address = addresses.get(to);
+			if (address !== undefined) {
+				network.send(address, message);
+			}
+		},
+		onFailure(failed) {
+			metrics.increment('control.failed');
+			log.error({failure: failed}, 'The control role stopped; the daemon goes on without it');
+		},
+	});
+	host.onApplied(({command, result}) => {
+		if (command.type === 'apply-configuration' && result.isRight()) {
+			const {revision} = result.unsafeCoerce();
+			timeline.record('configuration-committed', {revision, changeId: command.changeId});
+		}
+	});
+	host.start();
+	return host;
 }
+
+function replyTo({revision}: SubscribeMessage, {host, subscribers}: {readonly host: ControlHost; readonly subscribers: Subscribers}): SubscribeReply {
+	const {effective} = host.state;
+	return {
+		revision: effective.revision,
+		members: subscribers.members,
+		...(effective.revision > revision && {effective}),
+	};
+}
+
+async function askPeer<Reply>({network}: DaemonBase, to: PeerAddress, message: ControlMessage, timeoutMilliseconds: number = askMilliseconds): Promise<Either<Failure, Reply>> {
+	const reply = await network.request(to, message, {timeoutMilliseconds});
+	return reply
+		.mapLeft(failed => ({...failed, outcome: 'unknown' as const}))
+		.chain(body => body === undefined ? Left(withoutRole(to)) : Right(body as Reply));
+}
+
+function toReply(body: unknown): Either<Failure, ControlReply<unknown>> {
+	return body === undefined
+		? Left(failure('no-quorum', 'Got a question on an instance without the control role'))
+		: Right(body as ControlReply<unknown>);
+}
+
+function withoutRole({instance}: PeerAddress): Failure {
+	return failure('no-quorum', `Got ${instance} without the control role, wanted it to have a data folder that works`);
+}
+
+function nothing(): void {
+	// No listener was added.
+}
+
+async function elapsed(milliseconds: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
+
--- /dev/null
+++ b/packages/daemon/src/control/state-machine.ts
@@ -0,0 +1,199 @@
+import {type LogEntry, type ReplicaSet, type Snapshot} from '@valehitch/consensus';
+import {
+	type Command, type CommandAnswer, ControlState, type LogPosition,
+} from '@valehitch/control';
+import {type Failure, failure} from '@valehitch/core';
+import {type Either, Left} from 'purify-ts';
+import {decodeCommand} from './_encode-command.js';
+import {type CommittedActions} from './replica-driver.js';
+
+/** One command that was applied. */
+export type AppliedCommand = LogPosition & {
+	readonly command: Command;
+	readonly result: Either<Failure, CommandAnswer>;
+};
+
+/** What the state machine tells. */
+export type StateMachineOptions = {
+	/** Told of each command, after it was applied. */
+	readonly onApplied: (applied: AppliedCommand) => void;
+	/** Told of each replica set that was committed. */
+	readonly onReplicas: (replicas: ReplicaSet) => void;
+};
+
+type Waiting = {
+	readonly settle: (result: Either<Failure, CommandAnswer>) => void;
+	position?: LogPosition;
+};
+
+const retryMilliseconds = 500;
+
+/**
+Applies the committed entries of the log to the control state, and hands each proposer its result.
+
+@example
+```ts
+const machine = new StateMachine({onApplied, onReplicas});
+```
+*/
+export class StateMachine {
+	readonly #options: StateMachineOptions;
+	#state = new ControlState();
+	#appliedIndex = 0;
+	#bytesSinceSnapshot = 0;
+	#entriesSinceSnapshot = 0;
+	readonly #waiting = new Map<string, Waiting>();
+	readonly #byIndex = new Map<number, string>();
+
+	constructor(options: StateMachineOptions) {
+		this.#options = options;
+	}
+
+	/** The state after the last applied entry. */
+	get state(): ControlState {
+		return this.#state;
+	}
+
+	/** The index of the last applied entry. */
+	get appliedIndex(): number {
+		return this.#appliedIndex;
+	}
+
+	/** How much log a restart would have to read again. */
+	get sinceSnapshot(): {readonly entries: number; readonly bytes: number} {
+		return {entries: this.#entriesSinceSnapshot, bytes: this.#bytesSinceSnapshot};
+	}
+
+	/**
+	Waits for the result of a proposal.
+
+	@param proposalId The proposal, which is not pushed yet.
+	@returns Its result, once its entry was applied or is known to be lost.
+	*/
+	async resultOf(proposalId: string): Promise<Either<Failure, CommandAnswer>> {
+		return new Promise(settle => {
+			this.#waiting.set(proposalId, {settle});
+		});
+	}
+
+	/**
+	Ends the wait for a proposal.
+
+	@param proposalId The proposal.
+	@param failed What its proposer gets, where no result came before.
+	*/
+	giveUp(proposalId: string, failed: Failure): void {
+		this.#settle(proposalId, Left(failed));
+	}
+
+	/**
+	Applies what a batch of steps committed.
+
+	@param actions The batch.
+	*/
+	apply({accepted, rejected, restore, committed}: CommittedActions): void {
+		for (const {proposalId, index, term} of accepted) {
+			this.#noteAccepted(proposalId, {index, term});
+		}
+
+		for (const proposalId of rejected) {
+			this.#settle(proposalId, Left(notLeader()));
+		}
+
+		if (restore !== undefined) {
+			this.restore(restore);
+		}
+
+		for (const entry of committed) {
+			this.#applyEntry(entry);
+		}
+	}
+
+	/**
+	Replaces the state by a snapshot.
+
+	@param snapshot The snapshot.
+	*/
+	restore({lastIndex, data, replicas}: Snapshot): void {
+		this.#state = lastIndex === 0 ? new ControlState() : ControlState.fromSnapshot(data);
+		this.#appliedIndex = lastIndex;
+		this.snapshotTaken();
+		this.#options.onReplicas(replicas);
+		for (const [index, proposalId] of this.#byIndex) {
+			if (index <= lastIndex) {
+				this.#settle(proposalId, Left(unknownOutcome('Got a snapshot in place of the entry of the command, wanted its result')));
+			}
+		}
+	}
+
+	/** Begins to count anew how much log was applied. */
+	snapshotTaken(): void {
+		this.#bytesSinceSnapshot = 0;
+		this.#entriesSinceSnapshot = 0;
+	}
+
+	#noteAccepted(proposalId: string, position: LogPosition): void {
+		const waiting = this.#waiting.get(proposalId);
+		if (waiting === undefined) {
+			return;
+		}
+
+		// An entry of an older term was cut from the log here; another replica may still hold it and get it committed.
+		const earlier = this.#byIndex.get(position.index);
+		if (earlier !== undefined) {
+			this.#settle(earlier, Left(unknownOutcome('Got the entry of the command cut from the log, wanted its result')));
+		}
+
+		waiting.position = position;
+		this.#byIndex.set(position.index, proposalId);
+	}
+
+	#applyEntry({index, term, payload}: LogEntry): void {
+		this.#appliedIndex = index;
+		this.#entriesSinceSnapshot++;
+		const proposalId = this.#byIndex.get(index);
+		if (payload.type === 'replica-set') {
+			this.#options.onReplicas(payload.replicas);
+		}
+
+		if (payload.type === 'command') {
+			this.#bytesSinceSnapshot += payload.data.byteLength;
+			const command = decodeCommand(payload.data);
+			const result = this.#state.apply(command, {term, index});
+			if (proposalId !== undefined && this.#waiting.get(proposalId)?.position?.term === term) {
+				this.#settle(proposalId, result);
+			}
+
+			this.#options.onApplied({
+				command, result, term, index,
+			});
+		}
+
+		// The entry of another leader stands where the proposal would have stood.
+		if (proposalId !== undefined) {
+			this.#settle(proposalId, Left(notLeader()));
+		}
+	}
+
+	#settle(proposalId: string, result: Either<Failure, CommandAnswer>): void {
+		const waiting = this.#waiting.get(proposalId);
+		if (waiting === undefined) {
+			return;
+		}
+
+		this.#waiting.delete(proposalId);
+		if (waiting.position !== undefined && this.#byIndex.get(waiting.position.index) === proposalId) {
+			this.#byIndex.delete(waiting.position.index);
+		}
+
+		waiting.settle(result);
+	}
+}
+
+function unknownOutcome(message: string): Failure {
+	return failure('no-quorum', message, {outcome: 'unknown', retryAfterMilliseconds: retryMilliseconds});
+}
+
+function notLeader(): Failure {
+	return failure('no-quorum', 'Got a command on a replica that does not lead, wanted it on the leader', {retryAfterMilliseconds: retryMilliseconds});
+}
