Say truly that nothing ran where no leader was found

Cause: an isolated leader's client sent the command to the other instances on its own, so that its refusal could not say not run; a request that was never sent was reported like one that may have been. Change: the client asks who leads before it sends a command; the links tell a request that was not sent from one without a reply. Conclusion: a minority refuses with no-quorum and notRun.

--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -7,7 +7,7 @@
 import {toResultReply} from '../result-reply.js';
 import {type ControlHost} from './control-host.js';
 import {
-	type ControlMessage, type ControlReply, type InForce, type LeaderQuestion, type LedgerMessage, type LedgerPage, type SubscriberReport,
+	type ControlMessage, type ControlReply, type InForce, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type SubscriberReport,
 } from './messages.js';
 import {type Subscribers, toInForce} from './subscribers.js';
 
@@ -52,6 +52,7 @@
 				return undefined;
 			})
 			.with({type: 'join'}, question => host.join(question))
+			.with({type: 'leader'}, (): LeaderReply => ({leader: host.leader}))
 			.with({type: 'subscribers'}, () => subscribers.report())
 			.with({type: 'propose'}, {type: 'in-force'}, {type: 'ledger'}, async question => this.#answerAsLeader(question))
 			.exhaustive();
--- a/packages/daemon/src/control/control-client.ts
+++ b/packages/daemon/src/control/control-client.ts
@@ -6,14 +6,14 @@
 import {type Either, Left} from 'purify-ts';
 import {fromResultReply} from '../result-reply.js';
 import {
-	type ControlReply, type InForce, type LeaderQuestion, type LedgerMessage, type LedgerPage,
+	type ControlReply, type InForce, type LeaderMessage, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage,
 } from './messages.js';
 
 /** What a client of the control role needs. */
 export type ControlClientOptions = {
 	readonly clock: Clock;
-	/** Asks one control instance; a failure where no reply came in time. */
-	readonly ask: (to: PeerAddress, message: LeaderQuestion) => Promise<Either<Failure, ControlReply<unknown>>>;
+	/** Asks one control instance; a failure where no reply came in time, with the outcome `notRun` where nothing was sent. */
+	readonly ask: (to: PeerAddress, message: LeaderQuestion | LeaderMessage) => Promise<Either<Failure, unknown>>;
 	/** The instances with the control role. */
 	readonly control: readonly PeerAddress[];
 	/** The instance that is asked first while no leader is known: this one where it has the control role, else one of the own zone. */
@@ -30,11 +30,12 @@
 
 const defaultTimeoutMilliseconds = 5000;
 const pauseMilliseconds = 150;
+const retryMilliseconds = 1000;
 
 /**
-Passes commands and questions to the leader of the control role: the one it knows first, then the others, with the leader that they name.
+Passes commands and questions to the leader of the control role.
 
-Every command is idempotent by its own id, so that one whose answer was lost is sent again.
+Where no leader is known it asks the control instances who leads, and sends the command only then: a cut-off instance that finds none can say truly that nothing ran. A leader that does not answer is tried through the instance that named it. Every command is idempotent by its own id, so that one whose answer was lost is sent again.
 
 @example
 ```ts
@@ -87,48 +88,61 @@
 		const {clock, wait} = this.#options;
 		const deadline = clock.monotonic() + timeoutMilliseconds;
 		let mayHaveRun = false;
-		let last = failure('no-quorum', 'Got no control instance, wanted at least one');
-		while (clock.monotonic() < deadline) {
-			for (const target of this.#targets()) {
-				const result = await this.#askOne(target, message);
-				const failed = result.isLeft() ? result.extract() : undefined;
-				if (failed?.kind !== 'no-quorum') {
-					return result;
-				}
-
-				mayHaveRun ||= failed.outcome === 'unknown';
-				last = failed;
-				if (clock.monotonic() >= deadline) {
-					break;
-				}
+		let unreached: InstanceId | undefined;
+		do {
+			const target = await this.#findTarget(unreached);
+			const result = target === undefined ? Left(noLeader()) : await this.#ask(target, message);
+			const failed = result.isLeft() ? result.extract() : undefined;
+			if (failed?.kind !== 'no-quorum') {
+				return result;
 			}
 
+			mayHaveRun ||= failed.outcome === 'unknown';
+			unreached = target?.instance;
 			await wait(pauseMilliseconds);
+		} while (clock.monotonic() < deadline);
+
+		return Left({...noLeader(), outcome: mayHaveRun ? 'unknown' : 'notRun'});
+	}
+
+	/** The leader, or the instance that named it where the leader itself did not answer. */
+	async #findTarget(unreached: InstanceId | undefined): Promise<PeerAddress | undefined> {
+		const known = this.#addressOf(this.#leader);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const {control, first, ask} = this.#options;
+		const order = control.toSorted((left, right) => Number(right.instance === first) - Number(left.instance === first));
+		for (const asked of order) {
+			const reply = await ask(asked, {scope: 'control', type: 'leader'});
+			const leader = this.#addressOf((reply.orDefault({}) as LeaderReply).leader);
+			if (leader !== undefined) {
+				return leader.instance === unreached ? asked : leader;
+			}
 		}
 
-		return Left({...last, outcome: mayHaveRun ? 'unknown' : 'notRun', retryAfterMilliseconds: last.retryAfterMilliseconds ?? defaultTimeoutMilliseconds});
+		return undefined;
 	}
 
-	async #askOne(target: PeerAddress, message: LeaderQuestion): Promise<Either<Failure, unknown>> {
+	async #ask(target: PeerAddress, message: LeaderQuestion): Promise<Either<Failure, unknown>> {
 		const reply = await this.#options.ask(target, message);
 		if (reply.isLeft()) {
-			this.#leader = this.#leader === target.instance ? undefined : this.#leader;
+			this.#leader = undefined;
 			return reply;
 		}
 
 		const {result, leader} = reply.extract() as ControlReply<unknown>;
-		this.#leader = leader;
+		const isAnswered = result.ok || result.failure.kind !== 'no-quorum';
+		this.#leader = isAnswered ? leader : undefined;
 		return fromResultReply(result);
 	}
 
-	#targets(): readonly PeerAddress[] {
-		const {control, first} = this.#options;
-		const order = [this.#leader, first];
-		return control.toSorted((left, right) => rankOf(left, order) - rankOf(right, order));
+	#addressOf(instance: InstanceId | undefined): PeerAddress | undefined {
+		return this.#options.control.find(address => address.instance === instance);
 	}
 }
 
-function rankOf({instance}: PeerAddress, order: ReadonlyArray<InstanceId | undefined>): number {
-	const rank = order.indexOf(instance);
-	return rank === -1 ? order.length : rank;
+function noLeader(): Failure {
+	return failure('no-quorum', 'Got no leader that answers, wanted one with a quorum', {retryAfterMilliseconds: retryMilliseconds});
 }
--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -1,4 +1,4 @@
-import {type AnswerOf, type Command, type CommandAnswer} from '@valehitch/control';
+import {type Command} from '@valehitch/control';
 import {type ReplicaId, type ReplicaMessage, type ReplicaSet} from '@valehitch/consensus';
 import {type Bill, type InstanceId, type ZoneId} from '@valehitch/core';
 import {type Member} from '../member.js';
@@ -13,12 +13,6 @@
 	readonly isForwarded?: boolean;
 };
 
-/** What a command gives over a link. */
-export type ProposeAnswer = CommandAnswer;
-
-/** A command's own answer. */
-export type AnswerOfCommand<Kind extends Command> = AnswerOf<Kind>;
-
 /** What every question to the control role gets: the result, and the leader where one is known. */
 export type ControlReply<Value> = {
 	readonly result: ResultReply<Value>;
@@ -95,8 +89,19 @@
 	readonly age: number;
 };
 
+/** Asks a control instance which instance leads. */
+export type LeaderMessage = {
+	readonly scope: 'control';
+	readonly type: 'leader';
+};
+
+/** Which instance leads, as far as the asked one knows. */
+export type LeaderReply = {
+	readonly leader?: InstanceId | undefined;
+};
+
 /** The questions that only the leader answers. */
 export type LeaderQuestion = ProposeMessage | InForceMessage | LedgerMessage;
 
 /** The closed list of messages to the control role. */
-export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | SubscribersMessage;
+export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | SubscribersMessage | LeaderMessage;
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -8,7 +8,7 @@
 import {ControlAnswers} from './control-answers.js';
 import {ControlClient} from './control-client.js';
 import {type AppliedListener, ControlHost} from './control-host.js';
-import {type ControlMessage, type ControlReply, type JoinReply} from './messages.js';
+import {type ControlMessage, type JoinReply} from './messages.js';
 import {Subscribers} from './subscribers.js';
 
 /** The control part of a daemon. */
@@ -33,8 +33,8 @@
 	readonly stop: () => Promise<void>;
 };
 
-const askMilliseconds = 2500;
-const joinMilliseconds = 1000;
+const commitReplyMilliseconds = 2500;
+const replyMilliseconds = 1500;
 
 /**
 Starts the control part: the client on every instance, a replica of the control state where the settings give the role.
@@ -67,7 +67,7 @@
 			first: host === undefined ? zoneMate?.instance : settings.instance,
 			ask: async (to, message) => to.instance === settings.instance
 				? toReply(await answer(message))
-				: askPeer<ControlReply<unknown>>(base, to, message),
+				: askPeer<unknown>(base, to, message),
 			wait: elapsed,
 		}),
 		answer,
@@ -118,7 +118,7 @@
 			const address = addresses.get(to);
 			return address === undefined
 				? Left(failure('no-quorum', `Got ${to}, wanted a control instance`))
-				: askPeer<JoinReply>(base, address, message, joinMilliseconds);
+				: askPeer<JoinReply>(base, address, message);
 		},
 		send(to, message) {
 			const address = addresses.get(to);
@@ -150,17 +150,16 @@
 	};
 }
 
-async function askPeer<Reply>({network}: DaemonBase, to: PeerAddress, message: ControlMessage, timeoutMilliseconds: number = askMilliseconds): Promise<Either<Failure, Reply>> {
-	const reply = await network.request(to, message, {timeoutMilliseconds});
-	return reply
-		.mapLeft(failed => ({...failed, outcome: 'unknown' as const}))
-		.chain(body => body === undefined ? Left(withoutRole(to)) : Right(body as Reply));
+async function askPeer<Reply>({network}: DaemonBase, to: PeerAddress, message: ControlMessage): Promise<Either<Failure, Reply>> {
+	const needsCommit = message.type === 'propose';
+	const reply = await network.request(to, message, {timeoutMilliseconds: needsCommit ? commitReplyMilliseconds : replyMilliseconds});
+	return reply.chain(body => body === undefined ? Left(withoutRole(to)) : Right(body as Reply));
 }
 
-function toReply(body: unknown): Either<Failure, ControlReply<unknown>> {
+function toReply(body: unknown): Either<Failure, unknown> {
 	return body === undefined
 		? Left(failure('no-quorum', 'Got a question on an instance without the control role'))
-		: Right(body as ControlReply<unknown>);
+		: Right(body);
 }
 
 function withoutRole({instance}: PeerAddress): Failure {
--- a/packages/testing/src/control-failures.test.ts
+++ b/packages/testing/src/control-failures.test.ts
@@ -202,11 +202,10 @@
 			putUntilKnown(daemon, {replaces: revision, weight: (10 * revision) + index})));
 		const statuses = answers.map(({status}) => status).toSorted((left, right) => left - right);
 		t.deepEqual(statuses, [200, 412, 412]);
-		for (const {status, body} of answers) {
-			if (status === 412) {
-				t.like(problemSchema.parse(body), {kind: 'revision-conflict', details: {currentRevision: revision + 1}});
-			}
-		}
+		const refusals = answers.filter(({status}) => status === 412).map(({body}) => problemSchema.parse(body));
+		t.deepEqual(refusals.map(({kind, details}) => ({kind, currentRevision: details?.currentRevision})), [
+			{kind: 'revision-conflict', currentRevision: revision + 1}, {kind: 'revision-conflict', currentRevision: revision + 1},
+		]);
 	}
 });
 
--- a/packages/transport/src/_peer-link.ts
+++ b/packages/transport/src/_peer-link.ts
@@ -8,6 +8,9 @@
 	readonly timer: NodeJS.Timeout;
 };
 
+/** What came of a request: the reply, that it was surely not sent, or nothing where the receiver may have got it. */
+export type PeerReply = (Frame & {type: 'reply'}) | 'not-sent' | undefined;
+
 type PeerLinkOptions = {
 	readonly self: InstanceId;
 	readonly key: string;
@@ -58,17 +61,18 @@
 		}
 	}
 
-	async request(write: (id: number) => Uint8Array, timeoutMilliseconds: number): Promise<(Frame & {type: 'reply'}) | undefined> {
+	async request(write: (id: number) => Uint8Array, timeoutMilliseconds: number): Promise<PeerReply> {
 		const id = ++this.#lastId;
+		const data = write(id);
 		return new Promise(resolve => {
 			const settle = (frame: (Frame & {type: 'reply'}) | undefined): void => {
 				this.#forget(id);
-				resolve(frame);
+				resolve(frame ?? (this.#withdraw(data) ? 'not-sent' : undefined));
 			};
 
 			const timer = setTimeout(settle, timeoutMilliseconds, undefined);
 			this.#waiting.set(id, {settle, timer});
-			this.send(write(id));
+			this.send(data);
 		});
 	}
 
@@ -144,10 +148,22 @@
 		}
 
 		this.#socket = undefined;
-		this.#queue = [];
 		for (const {settle} of this.#waiting.values()) {
 			settle(undefined);
 		}
+
+		this.#queue = [];
+	}
+
+	/** Takes a frame back that still waits for the link to open. */
+	#withdraw(data: Uint8Array): boolean {
+		const index = this.#queue.indexOf(data);
+		if (index === -1) {
+			return false;
+		}
+
+		this.#queue.splice(index, 1);
+		return true;
 	}
 
 	#forget(id: number): void {
--- a/packages/transport/src/peer-network.test.ts
+++ b/packages/transport/src/peer-network.test.ts
@@ -104,3 +104,16 @@
 
 	silent.close();
 });
+
+test('a request that got no reply says whether it was sent', async t => {
+	const left = await listen('left');
+	const right = await listen('right');
+	right.network.cut(new Set([left.address.instance]));
+	const sent = await left.network.request(right.address, {text: 'unheard'}, {timeoutMilliseconds: 500});
+	t.like(sent.extract(), {kind: 'no-quorum', outcome: 'unknown'});
+	await right.network.close();
+	await left.network.request(right.address, {text: 'breaks the link'}, {timeoutMilliseconds: 500});
+	const unsent = await left.network.request(right.address, {text: 'nobody'}, {timeoutMilliseconds: 500});
+	t.like(unsent.extract(), {kind: 'no-quorum', outcome: undefined});
+	await left.network.close();
+});
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -130,7 +130,7 @@
 	@param to The receiver.
 	@param message The request.
 	@param options `timeoutMilliseconds`: how long to wait, 2000 unless given.
-	@returns The reply; a failure `no-quorum` where none came in time, since the receiver may have acted or not.
+	@returns The reply; a failure `no-quorum` where none came in time, with the outcome `unknown` unless the request was surely not sent.
 	*/
 	async request(to: PeerAddress, message: Message, options: {readonly timeoutMilliseconds?: number} = {}): Promise<Either<Failure, unknown>> {
 		if (this.#cut.has(to.instance)) {
@@ -139,8 +139,12 @@
 
 		const timeout = options.timeoutMilliseconds ?? defaultTimeoutMilliseconds;
 		const reply = await this.#link(to).request(id => this.#count(writeFrame({type: 'request', id, body: message})), timeout);
+		if (reply === 'not-sent') {
+			return Left(failure('no-quorum', `Got no link to ${to.instance} in ${timeout} ms, wanted a reply`));
+		}
+
 		return reply === undefined || this.#cut.has(to.instance)
-			? Left(failure('no-quorum', `Got no reply from ${to.instance} in ${timeout} ms`))
+			? Left(failure('no-quorum', `Got no reply from ${to.instance} in ${timeout} ms`, {outcome: 'unknown'}))
 			: Right(reply.body);
 	}
 
