--- a/packages/transport/src/peer-network.test.ts
+++ b/packages/transport/src/peer-network.test.ts
@@ -128,3 +128,16 @@
 	await left?.request(address, {text: 'a request'});
 	t.deepEqual(seen, ['right saw 1000.7', 'right saw 1000.7', 'left saw 1001.7']);
 });
+
+test('a request that got no reply says whether it was sent', async t => {
+	const left = await listen('left');
+	const right = await listen('right');
+	right.network.cut(new Set([left.address.instance]));
+	const sent = await left.network.request(right.address, {text: 'unheard'}, {timeoutMilliseconds: 500});
+	t.like(sent.extract(), {kind: 'no-quorum', outcome: 'unknown'});
+	await right.network.close();
+	await left.network.request(right.address, {text: 'breaks the link'}, {timeoutMilliseconds: 500});
+	const unsent = await left.network.request(right.address, {text: 'nobody'}, {timeoutMilliseconds: 500});
+	t.like(unsent.extract(), {kind: 'no-quorum', outcome: undefined});
+	await left.network.close();
+});
