--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -52,6 +52,11 @@
 			return;
 		}
 
+		case 'GET /v1/timeline': {
+			answerTimeline(url, response, context);
+			return;
+		}
+
 		default: {
 			answerProblem(response, failure('not-found', `Got ${route}, wanted a call that docs/API.md lists`));
 		}
@@ -64,7 +69,7 @@
 }
 
 async function answerStatus(response: ServerResponse, context: OperatorContext): Promise<void> {
-	const {base: {settings}, distribution, entry: {requests}, control} = context;
+	const {base: {settings, network}, distribution, entry: {requests}, control} = context;
 	const inForce = await control.inForce();
 	answerJson(response, {
 		instance: settings.instance,
@@ -73,6 +78,7 @@
 		revision: distribution.effective().revision,
 		leader: control.leader,
 		inProgress: requests.inProgress,
+		peerTraffic: network.traffic,
 		stopping: requests.stopping,
 		waitingFor: inForce.map(({waitingFor}) => waitingFor).orDefault([]),
 		servers: distribution.servers.current().map(({announcement, inFlight}) => ({...announcement, inFlight})),
@@ -80,9 +86,8 @@
 }
 
 async function answerLedger(url: URL, response: ServerResponse, {control}: OperatorContext): Promise<void> {
-	const after = Number(url.searchParams.get('after') ?? '0');
-	if (!Number.isSafeInteger(after) || after < 0) {
-		answerProblem(response, failure('malformed-request', `after: got ${url.searchParams.get('after') ?? ''}, wanted a whole number from 0`));
+	const after = readAfter(url, response);
+	if (after === undefined) {
 		return;
 	}
 
@@ -96,3 +101,22 @@
 		},
 	});
 }
+
+function answerTimeline(url: URL, response: ServerResponse, {base: {events}}: OperatorContext): void {
+	const after = readAfter(url, response);
+	if (after !== undefined) {
+		answerJson(response, events.after(after));
+	}
+}
+
+/** Reads the query's `after`; answers with a problem and gives undefined where it is no whole number from 0. */
+function readAfter(url: URL, response: ServerResponse): number | undefined {
+	const text = url.searchParams.get('after') ?? '0';
+	const after = Number(text);
+	if (Number.isSafeInteger(after) && after >= 0) {
+		return after;
+	}
+
+	answerProblem(response, failure('malformed-request', `after: got ${text}, wanted a whole number from 0`));
+	return undefined;
+}
