Take commands while a batch is on its way to the disk, and measure commits

Ruled out: a lost lease (the term did not change). Change: proposals need the lease only; reads wait until what was committed is applied. Conclusion: batches form while the disk works.

--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -82,11 +82,16 @@
 	}
 
 	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | InForce | LedgerPage>> {
-		return match(question)
-			.with({type: 'propose'}, async ({command}) => this.#options.host.propose(command))
-			.with({type: 'in-force'}, async () => Right(await this.#inForce()))
-			.with({type: 'ledger'}, async ledger => Right(this.#readLedger(ledger)))
-			.exhaustive();
+		const {host} = this.#options;
+		if (question.type === 'propose') {
+			return host.propose(question.command);
+		}
+
+		if (!await host.catchUp()) {
+			return Left(this.#noQuorum());
+		}
+
+		return Right(question.type === 'ledger' ? this.#readLedger(question) : await this.#inForce());
 	}
 
 	#readLedger({workspace, after}: LedgerMessage): LedgerPage {
--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -18,7 +18,7 @@
 
 /** What the host of the control role needs. */
 export type ControlHostOptions = {
-	readonly base: DaemonBase;
+	readonly base: Pick<DaemonBase, 'settings' | 'clock' | 'random' | 'log' | 'timeline' | 'newId'>;
 	readonly folder: DataFolder;
 	/** Asks another control instance a question of this host's own. */
 	readonly ask: (to: InstanceId, message: JoinMessage) => Promise<Either<Failure, JoinReply>>;
@@ -56,6 +56,7 @@
 	readonly #candidates: Candidates;
 	readonly #watch: LeadershipWatch;
 	readonly #listeners = new Set<AppliedListener>();
+	readonly #stepWaiters: Array<() => void> = [];
 	#timers: NodeJS.Timeout[] = [];
 	#hasBegun = false;
 	#isStopped = false;
@@ -116,9 +117,9 @@
 		return this.#isStopped ? undefined : leaseValidUntil(this.#driver.state);
 	}
 
-	/** Whether this replica leads under a valid lease and has applied all that was committed before its term. */
+	/** Whether this replica leads under a valid lease, and an entry of its term is committed. */
 	get isLeader(): boolean {
-		return this.#readableIndex() !== undefined;
+		return this.#readIndex() !== undefined;
 	}
 
 	/** Starts the ticks, and the search for a group where this replica has none. */
@@ -142,6 +143,7 @@
 		}
 
 		await this.#driver.stop();
+		this.#wakeWaiters();
 		await this.#options.folder.close();
 	}
 
@@ -169,6 +171,26 @@
 		return settled;
 	}
 
+	/**
+	Waits until everything is applied here that was committed when the call began.
+
+	@returns Whether the state may be read as the newest; false where this replica does not lead.
+	*/
+	async catchUp(): Promise<boolean> {
+		const index = this.#readIndex();
+		if (index === undefined) {
+			return false;
+		}
+
+		while (!this.#isStopped && this.#machine.appliedIndex < index) {
+			await new Promise<void>(resolve => {
+				this.#stepWaiters.push(resolve);
+			});
+		}
+
+		return !this.#isStopped;
+	}
+
 	/**
 	Adds a listener for the commands that are applied here.
 
@@ -214,9 +236,8 @@
 		return replicas === undefined && hardState.term === 0 && log.entries.length === 0 && !this.#hasBegun;
 	}
 
-	#readableIndex(): number | undefined {
-		const index = this.#isStopped ? undefined : readIndex(this.#driver.state, this.#options.base.clock.monotonic());
-		return index === undefined || index > this.#machine.appliedIndex ? undefined : index;
+	#readIndex(): number | undefined {
+		return this.#isStopped ? undefined : readIndex(this.#driver.state, this.#options.base.clock.monotonic());
 	}
 
 	#tick(): void {
@@ -265,6 +286,7 @@
 
 	#stepped(state: ReplicaState): void {
 		this.#watch.note(state);
+		this.#wakeWaiters();
 		const {base: {settings: {controlLog}}} = this.#options;
 		const {entries, bytes} = this.#machine.sinceSnapshot;
 		if (entries >= controlLog.snapshotEntries || bytes >= controlLog.snapshotBytes) {
@@ -279,8 +301,15 @@
 		}
 	}
 
+	#wakeWaiters(): void {
+		for (const resolve of this.#stepWaiters.splice(0)) {
+			resolve();
+		}
+	}
+
 	#fail(failed: Failure): void {
 		this.#isStopped = true;
+		this.#wakeWaiters();
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
--- /dev/null
+++ b/packages/daemon/src/control/replica-driver.test.ts
@@ -0,0 +1,106 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {type ReplicaId, toReplicaId} from '@valehitch/consensus';
+import {type Failure} from '@valehitch/core';
+import {type FileFunctions, openDataFolder, systemFiles} from '@valehitch/storage';
+import test, {type ExecutionContext} from 'ava';
+import {ReplicaDriver} from './replica-driver.js';
+
+/** A driver of the only voter of a group; its disk can be made to fail. */
+async function startDriver(t: ExecutionContext) {
+	const disk = {isFull: false, syncs: 0};
+	const files: FileFunctions = {
+		...systemFiles,
+		async create(file) {
+			const open = await systemFiles.create(file);
+			return {
+				...open,
+				async append(data) {
+					if (disk.isFull) {
+						throw new Error('ENOSPC: no space left on device');
+					}
+
+					await open.append(data);
+				},
+				async sync() {
+					disk.syncs++;
+					await open.sync();
+				},
+			};
+		},
+	};
+	const place = await mkdtemp(path.join(tmpdir(), 'valehitch-driver-'));
+	const opened = await openDataFolder(place, {files});
+	const folder = opened.unsafeCoerce();
+	const self: ReplicaId = toReplicaId('entry-1', folder.takeStored().identity);
+	const committed: string[] = [];
+	const failures: Failure[] = [];
+	const waiting: Array<() => void> = [];
+	const wake = (): void => {
+		for (const resolve of waiting.splice(0)) {
+			resolve();
+		}
+	};
+
+	const driver = new ReplicaDriver({
+		start: {id: self, replicas: {voters: [self], learners: []}, seed: 1},
+		folder,
+		clock: {now: () => new Date(0), monotonic: () => performance.now()},
+		send() {
+			t.fail('Got a message, wanted none from the only voter');
+		},
+		apply(actions) {
+			committed.push(...actions.committed.flatMap(({payload}) => payload.type === 'command' ? [new TextDecoder().decode(payload.data)] : []));
+		},
+		onStepped: wake,
+		onFailure(failed) {
+			failures.push(failed);
+			wake();
+		},
+	});
+	t.teardown(async () => {
+		await driver.stop();
+		await folder.close();
+		await rm(place, {recursive: true});
+	});
+	const propose = (text: string): void => {
+		driver.push({type: 'propose', proposals: [{proposalId: text, data: new TextEncoder().encode(text)}]});
+	};
+
+	const settled = async (): Promise<void> => new Promise(resolve => {
+		waiting.push(resolve);
+	});
+	driver.push({type: 'tick'});
+	await settled();
+	return {
+		disk, committed, failures, propose, settled, driver,
+	};
+}
+
+test('commands that wait share one sync', async t => {
+	const {disk, committed, propose, settled} = await startDriver(t);
+	const before = disk.syncs;
+	for (let number = 0; number < 100; number++) {
+		propose(`command ${number}`);
+	}
+
+	await settled();
+	t.is(committed.length, 100);
+	t.is(disk.syncs, before + 1);
+});
+
+test('a full disk stops the replica once, and what was not written is not acknowledged', async t => {
+	const {disk, committed, failures, propose, settled, driver} = await startDriver(t);
+	propose('kept');
+	await settled();
+	disk.isFull = true;
+	propose('lost');
+	await settled();
+	disk.isFull = false;
+	propose('late');
+	await driver.stop();
+	t.deepEqual(committed, ['kept']);
+	t.is(failures.length, 1);
+	t.regex(failures[0]?.message ?? '', /ENOSPC/v);
+});
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -18,7 +18,7 @@
 	readonly answer: (message: ControlMessage) => Promise<unknown>;
 	/** Answers an instance that asks what is new; undefined where this instance cannot tell. */
 	readonly subscribe: (message: SubscribeMessage) => SubscribeReply | undefined;
-	/** Whether this instance leads under a valid lease, with everything applied that was committed before. */
+	/** Whether this instance leads under a valid lease. */
 	readonly isLeader: () => boolean;
 	/** Milliseconds on the monotonic clock until which no other instance can lead; undefined where this one holds no lease. */
 	readonly leaseValidUntil: () => number | undefined;
--- a/packages/testing/src/control-failures.test.ts
+++ b/packages/testing/src/control-failures.test.ts
@@ -1,5 +1,7 @@
 import {randomUUID} from 'node:crypto';
-import {readFile, rm} from 'node:fs/promises';
+import {
+	readdir, readFile, rm, writeFile,
+} from 'node:fs/promises';
 import path from 'node:path';
 import test, {type ExecutionContext} from 'ava';
 import {z} from 'zod';
@@ -20,6 +22,7 @@
 	kind: z.string(), outcome: z.string(), details: z.object({currentRevision: z.number().optional()}).optional(),
 });
 const configurationSchema = z.looseObject({revision: z.number(), document: z.looseObject({workspaces: z.looseObject({yard: z.looseObject({weight: z.number()})})})});
+const identitySchema = z.object({identity: z.string()});
 const statusSchema = z.looseObject({leader: z.string()});
 
 type Change = {
@@ -105,6 +108,11 @@
 	}, {what: `revision ${wanted.revision} on ${daemon.instance}`, timeoutMilliseconds: generousMilliseconds});
 }
 
+async function identityOf(folder: string): Promise<string> {
+	const text = await readFile(path.join(folder, 'identity.json'), 'utf8');
+	return identitySchema.parse(JSON.parse(text)).identity;
+}
+
 async function cut(daemon: RunningDaemon, instances: readonly string[]): Promise<void> {
 	const {status} = await sendRequest(`${daemon.operators}/v1/faults/links`, {
 		method: 'POST', headers: {authorization: `Bearer ${deploymentKeys.operators}`}, body: JSON.stringify({cut: instances}),
@@ -160,17 +168,17 @@
 	const leader = await leaderOf(deployment);
 	const [wiped, second] = await othersThan(deployment, leader);
 	const folder = path.join(deployment.folder, 'data', wiped.instance);
-	const {identity} = z.object({identity: z.string()}).parse(JSON.parse(await readFile(path.join(folder, 'identity.json'), 'utf8')));
+	const identity = await identityOf(folder);
 	await wiped.process.kill('SIGKILL');
 	await rm(folder, {recursive: true});
 	t.is(revisionOf(await putUntilKnown(leader, {replaces: 1, weight: 2})), 2);
 
 	wiped.process.start();
 	await deployment.waitUntilHealthy(wiped);
-	const renewed = z.object({identity: z.string()}).parse(JSON.parse(await readFile(path.join(folder, 'identity.json'), 'utf8')));
-	t.not(renewed.identity, identity);
+	const renewed = await identityOf(folder);
+	t.not(renewed, identity);
 	await waitForEvent(deployment, {event: 'replica-removed', text: identity});
-	await waitForEvent(deployment, {event: 'replica-added', text: renewed.identity});
+	await waitForEvent(deployment, {event: 'replica-added', text: renewed});
 
 	await second.process.kill('SIGKILL');
 	t.is(revisionOf(await putUntilKnown(wiped, {replaces: 2, weight: 3})), 3);
@@ -225,6 +233,25 @@
 	await waitForWeight(other, {revision: 3, weight: 3});
 });
 
+test.serial('a damaged data folder stops the control role and not the daemon, and the others go on', async t => {
+	const deployment = await startControl(t);
+	const leader = await leaderOf(deployment);
+	const [damaged, other] = await othersThan(deployment, leader);
+	await damaged.process.kill('SIGKILL');
+	const folder = path.join(deployment.folder, 'data', damaged.instance);
+	const segment = (await readdir(folder)).find(name => name.endsWith('.segment'));
+	const file = path.join(folder, segment ?? '');
+	const data = await readFile(file);
+	data.writeUInt8(255 - data.readUInt8(20), 20);
+	await writeFile(file, data);
+
+	damaged.process.start();
+	await deployment.waitUntilHealthy(damaged);
+	t.regex(await readFile(damaged.process.logFile, 'utf8'), /damaged record .*at byte 0.*control role does not start/v);
+	t.is(revisionOf(await putUntilKnown(damaged, {replaces: 1, weight: 2})), 2);
+	await Promise.all([damaged, other].map(async daemon => waitForWeight(daemon, {revision: 2, weight: 2})));
+});
+
 test.serial('all changes are there after all instances were killed and started again', async t => {
 	const deployment = await startControl(t, {controlLog: {snapshotEntries: 100, segmentBytes: 4096}});
 	const leader = await leaderOf(deployment);
