--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -31,7 +31,7 @@
 /** Told of each command that was applied here. */
 export type AppliedListener = (applied: AppliedCommand) => void;
 
-const tickMilliseconds = 50;
+const tickMilliseconds = 100;
 const searchMilliseconds = 250;
 const commitMilliseconds = 1500;
 const retryMilliseconds = 500;
--- a/packages/testing/src/bin/bench-control.ts
+++ b/packages/testing/src/bin/bench-control.ts
@@ -1,11 +1,12 @@
 #!/usr/bin/env node
 import {randomUUID} from 'node:crypto';
 import {
-	mkdtemp, readdir, rm, stat,
+	mkdtemp, readdir, readFile, rm, stat,
 } from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import {setTimeout} from 'node:timers/promises';
 import {type Command, ControlState} from '@valehitch/control';
 import {type LogEntry, toReplicaId} from '@valehitch/consensus';
 import {
@@ -17,11 +18,16 @@
 import {deploymentKeys} from '../_settings-file.js';
 import {type DaemonPlan, type Deployment, startDeployment} from '../deployment.js';
 
-const plans: readonly DaemonPlan[] = ['a', 'b', 'c'].map(name => ({
+const controlPlans: readonly DaemonPlan[] = ['a', 'b', 'c'].map(name => ({
 	instance: `control-${name}`, zone: `prairie-south-${name}`, roles: ['control', 'entry'],
 }));
+const plans: readonly DaemonPlan[] = [...controlPlans, {instance: 'entry-a', zone: 'prairie-south-a', roles: ['entry']}];
 const concurrencies = [1, 8, 64, 256];
 const secondsEach = 5;
+const settleMilliseconds = 5000;
+const idleMilliseconds = 20_000;
+// Linux counts a process's time in hundredths of a second.
+const millisecondsPerTick = 10;
 const logLengths = [1000, 5000, 20_000, 80_000];
 const batchLength = 500;
 // Below the bound on the keys that the state keeps for a workspace.
@@ -38,6 +44,7 @@
 	daemons: plans, backends: [], configuration: {models: {}, services: {}, workspaces: {}}, settings: {controlLog: noSnapshots},
 });
 try {
+	await benchIdle(deployment);
 	await benchCommits(deployment);
 } finally {
 	await deployment.stop();
@@ -49,6 +56,23 @@
 	await benchRecovery(length);
 }
 
+/** The share of a core that a daemon takes while nothing but heartbeats goes on. */
+async function benchIdle(running: Deployment): Promise<void> {
+	await setTimeout(settleMilliseconds);
+	const before = await Promise.all(running.daemons.map(async daemon => processorTicks(daemon.process.pid)));
+	await setTimeout(idleMilliseconds);
+	const after = await Promise.all(running.daemons.map(async daemon => processorTicks(daemon.process.pid)));
+	console.table(running.daemons.map(({instance}, index) => ({
+		instance, percentOfCore: round((((after[index] ?? 0) - (before[index] ?? 0)) * millisecondsPerTick * 100) / idleMilliseconds),
+	})));
+}
+
+async function processorTicks(pid = 0): Promise<number> {
+	const fields = await readFile(`/proc/${pid}/stat`, 'utf8');
+	const [user = 0, system = 0] = fields.slice(fields.lastIndexOf(')')).split(' ').slice(12, 14).map(Number);
+	return user + system;
+}
+
 async function benchCommits(running: Deployment): Promise<void> {
 	const network = await PeerNetwork.listen<unknown>({
 		self: toId<InstanceId>('bench'), key: deploymentKeys.peers, host: '127.0.0.1', port: 0, onMessage: nothing, onRequest: async () => undefined,
--- a/packages/testing/src/control-failures.test.ts
+++ b/packages/testing/src/control-failures.test.ts
@@ -239,7 +239,8 @@
 	const [damaged, other] = await othersThan(deployment, leader);
 	await damaged.process.kill('SIGKILL');
 	const folder = path.join(deployment.folder, 'data', damaged.instance);
-	const segment = (await readdir(folder)).find(name => name.endsWith('.segment'));
+	const names = await readdir(folder);
+	const segment = names.find(name => name.endsWith('.segment'));
 	const file = path.join(folder, segment ?? '');
 	const data = await readFile(file);
 	data.writeUInt8(255 - data.readUInt8(20), 20);
