--- a/packages/testing/src/control-failures.test.ts
+++ b/packages/testing/src/control-failures.test.ts
@@ -164,14 +164,19 @@
 });
 
 test.serial('a wiped instance comes back as a new replica, and then a second one may be lost', async t => {
-	const deployment = await startControl(t);
+	// The log of the others no longer begins at 1, so the new replica needs a snapshot.
+	const deployment = await startControl(t, {controlLog: {snapshotEntries: 100}});
 	const leader = await leaderOf(deployment);
 	const [wiped, second] = await othersThan(deployment, leader);
+	for (let revision = 1; revision <= 220; revision++) {
+		t.is(revisionOf(await putUntilKnown(leader, {replaces: revision, weight: revision + 1})), revision + 1);
+	}
+
 	const folder = path.join(deployment.folder, 'data', wiped.instance);
 	const identity = await identityOf(folder);
 	await wiped.process.kill('SIGKILL');
 	await rm(folder, {recursive: true});
-	t.is(revisionOf(await putUntilKnown(leader, {replaces: 1, weight: 2})), 2);
+	t.is(revisionOf(await putUntilKnown(leader, {replaces: 221, weight: 222})), 222);
 
 	wiped.process.start();
 	await deployment.waitUntilHealthy(wiped);
@@ -180,10 +185,13 @@
 	await waitForEvent(deployment, {event: 'replica-removed', text: identity});
 	await waitForEvent(deployment, {event: 'replica-added', text: renewed});
 
+	const names = await readdir(folder);
+	t.true(names.some(name => name.endsWith('.snapshot')));
+
 	await second.process.kill('SIGKILL');
-	t.is(revisionOf(await putUntilKnown(wiped, {replaces: 2, weight: 3})), 3);
+	t.is(revisionOf(await putUntilKnown(wiped, {replaces: 222, weight: 223})), 223);
 	await leader.process.restart();
-	t.is(revisionOf(await putUntilKnown(wiped, {replaces: 3, weight: 4})), 4);
+	t.is(revisionOf(await putUntilKnown(wiped, {replaces: 223, weight: 224})), 224);
 });
 
 test.serial('a leader that is cut off commits nothing, the others go on, and after healing all agree', async t => {
