Bound the commands that wait on the leader

Cause: nothing bounded the proposals that wait while the disk is slow. Change: beyond 4,096 a command is refused as overloaded, not run. Figures: 4 of 4,100 at once refused, the others committed.

--- a/packages/daemon/src/control/control-host.test.ts
+++ b/packages/daemon/src/control/control-host.test.ts
@@ -68,3 +68,14 @@
 	t.true(after.isRight());
 	await again.stop();
 });
+
+test('commands beyond the bound of those that wait are refused at once', async t => {
+	const place = await mkdtemp(path.join(tmpdir(), 'valehitch-host-'));
+	t.teardown(async () => rm(place, {recursive: true}));
+	const host = await startHost(t, place);
+	const results = await Promise.all(Array.from({length: 4100}, async () => host.propose(command)));
+	const refused = results.filter(result => result.isLeft()).map(result => result.extract());
+	t.is(refused.length, 4);
+	t.like(refused[0], {kind: 'overloaded', outcome: undefined});
+	await host.stop();
+});
--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -36,6 +36,7 @@
 const commitMilliseconds = 1500;
 const retryMilliseconds = 500;
 const tailEntries = 100;
+const mostWaiting = 4096;
 const seedRange = 2 ** 31;
 
 /**
@@ -158,6 +159,10 @@
 			return Left(failure('no-quorum', 'Got a command on a replica without a valid lease, wanted it on the leader', {retryAfterMilliseconds: retryMilliseconds}));
 		}
 
+		if (this.#machine.waitingCount >= mostWaiting) {
+			return Left(failure('overloaded', `Got a command while ${mostWaiting} wait to be committed, wanted fewer`, {retryAfterMilliseconds: retryMilliseconds}));
+		}
+
 		const proposalId = this.#options.base.newId();
 		const result = this.#machine.resultOf(proposalId);
 		this.#driver.push({type: 'propose', proposals: [{proposalId, data: encodeCommand(command)}]});
--- a/packages/daemon/src/control/state-machine.ts
+++ b/packages/daemon/src/control/state-machine.ts
@@ -59,6 +59,11 @@
 		return this.#appliedIndex;
 	}
 
+	/** How many proposals wait for their result. */
+	get waitingCount(): number {
+		return this.#waiting.size;
+	}
+
 	/** How much log a restart would have to read again. */
 	get sinceSnapshot(): {readonly entries: number; readonly bytes: number} {
 		return {entries: this.#entriesSinceSnapshot, bytes: this.#bytesSinceSnapshot};
