Spread configuration, leases and members over relay trees

Cause: every daemon asked one control instance for the configuration and sent every announcement to every other daemon; a lease did not exist, so `in force` only meant that all subscribers had confirmed, and a cut-off instance could not know that it was.

Ruled out: gossip with random partners (no bound on the time until a lease arrives), and leases asked from the leader directly (370 daemons on one instance).

Change: in each zone a tree of bounded fan-out, computed by each daemon from its own view; each daemon asks its parent, and the answer brings the rest of the parent's lease, a newer configuration and the records that changed. Confirmations go up as the lowest revision by zone that any outstanding lease may run under. The leader calls a revision in force when none is left below it. Members are suspected before they are given up. Server records join as a semilattice: a drained server stays drained until a later start.

--- a/packages/daemon/src/control/control-client.ts
+++ b/packages/daemon/src/control/control-client.ts
@@ -4,9 +4,7 @@
 import {type Either} from 'purify-ts';
 import {type PeerMessage} from '../messages.js';
 import {fromResultReply} from '../result-reply.js';
-import {
-	type InForce, type LedgerMessage, type LedgerPage, type ProposeReply,
-} from './messages.js';
+import {type LedgerMessage, type LedgerPage, type ProposeReply} from './messages.js';
 
 /** What a client of the control role needs. */
 export type ControlClientOptions = {
@@ -41,12 +39,6 @@
 		return reply.chain(body => fromResultReply(body as ProposeReply));
 	}
 
-	/** Asks which zones still wait for the current revision. */
-	async inForce(): Promise<Either<Failure, InForce>> {
-		const reply = await this.#request({scope: 'control', type: 'in-force'});
-		return reply.map(body => body as InForce);
-	}
-
 	/**
 	Asks for a page of the ledger.
 
--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -1,27 +1,14 @@
 import {type Command, type CommandAnswer, ControlState} from '@valehitch/control';
-import {
-	type Bill, type Clock, type EffectiveConfiguration, type Failure, type InstanceId, type ZoneId,
-} from '@valehitch/core';
+import {type Bill, type EffectiveConfiguration, type Failure} from '@valehitch/core';
 import {type Either} from 'purify-ts';
-import {type SubscribeMessage, type SubscribeReply} from '../distribution/messages.js';
-import {type Member} from '../member.js';
 import {type Timeline} from '../timeline.js';
-import {type InForce, type LedgerMessage, type LedgerPage} from './messages.js';
+import {type LedgerMessage, type LedgerPage} from './messages.js';
 
 const ledgerPageSize = 1000;
 
-type Subscriber = {
-	readonly member: Member;
-	readonly revision: number;
-	readonly seenAt: number;
-};
-
 /** What the host of the control role needs. */
 export type ControlHostOptions = {
-	readonly clock: Clock;
 	readonly timeline: Timeline;
-	/** Milliseconds after which a silent subscriber's lease has run out. */
-	readonly leaseMilliseconds: number;
 };
 
 /**
@@ -29,12 +16,12 @@
 
 @example
 ```ts
-const host = new ControlHost({clock, timeline, leaseMilliseconds: 5000});
+const host = new ControlHost({timeline});
 ```
 */
 export class ControlHost {
 	readonly #state = new ControlState();
-	readonly #subscribers = new Map<InstanceId, Subscriber>();
+	readonly #listeners: Array<() => void> = [];
 	readonly #options: ControlHostOptions;
 
 	constructor(options: ControlHostOptions) {
@@ -70,23 +57,6 @@
 		return {bills};
 	}
 
-	/**
-	Answers a subscriber and notes what is in force there.
-
-	@param message What the subscriber said.
-	@returns What is new for it.
-	*/
-	subscribe({member, revision}: SubscribeMessage): SubscribeReply {
-		this.#subscribers.set(member.instance, {member, revision, seenAt: this.#options.clock.monotonic()});
-		const {effective} = this.#state;
-		const members = this.#current().map(subscriber => subscriber.member);
-		return {
-			revision: effective.revision,
-			members,
-			...(effective.revision > revision && {effective}),
-		};
-	}
-
 	/**
 	Carries out a command.
 
@@ -100,29 +70,19 @@
 			this.#options.timeline.record('configuration-committed', {revision: this.#state.effective.revision});
 		}
 
-		return result;
-	}
-
-	/** Which zones still wait for the current revision. */
-	inForce(): InForce {
-		const waitingFor = new Set<ZoneId>();
-		for (const {member, revision} of this.#current()) {
-			if (revision < this.#state.effective.revision) {
-				waitingFor.add(member.zone);
-			}
+		for (const listener of this.#listeners) {
+			listener();
 		}
 
-		return {complete: waitingFor.size === 0, waitingFor: [...waitingFor]};
+		return result;
 	}
 
-	#current(): Subscriber[] {
-		const oldest = this.#options.clock.monotonic() - this.#options.leaseMilliseconds;
-		for (const [instance, {seenAt}] of this.#subscribers) {
-			if (seenAt < oldest) {
-				this.#subscribers.delete(instance);
-			}
-		}
+	/**
+	Adds a listener.
 
-		return [...this.#subscribers.values()];
+	@param listener Called after each command.
+	*/
+	onApplied(listener: () => void): void {
+		this.#listeners.push(listener);
 	}
 }
--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -1,5 +1,5 @@
 import {type Command, type CommandAnswer} from '@valehitch/control';
-import {type Bill, type ZoneId} from '@valehitch/core';
+import {type Bill} from '@valehitch/core';
 import {type ResultReply} from '../result-reply.js';
 
 /** Asks the control role to carry out a command. */
@@ -12,18 +12,6 @@
 /** What a proposer gets. */
 export type ProposeReply = ResultReply<CommandAnswer>;
 
-/** Asks the control role which zones still wait for the current revision. */
-export type InForceMessage = {
-	readonly scope: 'control';
-	readonly type: 'in-force';
-};
-
-/** Which zones do not have the current revision in force yet. */
-export type InForce = {
-	readonly complete: boolean;
-	readonly waitingFor: readonly ZoneId[];
-};
-
 /** Asks the control role for a page of the ledger. */
 export type LedgerMessage = {
 	readonly scope: 'control';
@@ -42,4 +30,4 @@
 };
 
 /** The closed list of messages to the control role. */
-export type ControlMessage = ProposeMessage | InForceMessage | LedgerMessage;
+export type ControlMessage = ProposeMessage | LedgerMessage;
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -1,6 +1,6 @@
+import {type ControlState} from '@valehitch/control';
 import {match} from 'ts-pattern';
 import {type DaemonBase} from '../daemon-base.js';
-import {type SubscribeMessage, type SubscribeReply} from '../distribution/messages.js';
 import {toResultReply} from '../result-reply.js';
 import {ControlClient} from './control-client.js';
 import {ControlHost} from './control-host.js';
@@ -11,8 +11,14 @@
 	readonly client: ControlClient;
 	/** Answers a message to the control role; undefined where this instance does not have it. */
 	readonly answer: (message: ControlMessage) => Promise<unknown>;
-	/** Answers an instance that asks what is new; undefined where this instance cannot tell. */
-	readonly subscribe: (message: SubscribeMessage) => SubscribeReply | undefined;
+	/** Whether this instance leads the control replicas, as far as it knows. */
+	readonly isLeader: () => boolean;
+	/** Until when the leader's lease runs, on the monotonic clock. */
+	readonly leaseValidUntil: () => number;
+	/** The applied state; undefined where this instance does not have the role. */
+	readonly state: () => Pick<ControlState, 'effective'> | undefined;
+	/** Calls the listener after each applied command. */
+	readonly onApplied: (listener: () => void) => void;
 	readonly stop: () => Promise<void>;
 };
 
@@ -26,13 +32,18 @@
 const control = await startControl(base);
 ```
 */
-export async function startControl({settings, clock, timeline, network}: DaemonBase): Promise<ControlPart> {
+export async function startControl({settings, timeline, network}: DaemonBase): Promise<ControlPart> {
 	const isHost = settings.control[0]?.instance === settings.instance;
-	const host = isHost ? new ControlHost({clock, timeline, leaseMilliseconds: settings.timing.configurationLeaseMilliseconds}) : undefined;
+	const host = isHost ? new ControlHost({timeline}) : undefined;
 	return {
 		client: new ControlClient({network, control: settings.control}),
 		answer: async message => host === undefined ? undefined : answerOn(host, message),
-		subscribe: message => host?.subscribe(message),
+		isLeader: () => host !== undefined,
+		leaseValidUntil: () => Number.POSITIVE_INFINITY,
+		state: () => host,
+		onApplied(listener) {
+			host?.onApplied(listener);
+		},
 		async stop() {
 			// The state is in memory; there is nothing to close.
 		},
@@ -42,7 +53,6 @@
 function answerOn(host: ControlHost, message: ControlMessage): unknown {
 	return match(message)
 		.with({type: 'propose'}, ({command}) => toResultReply(host.propose(command)))
-		.with({type: 'in-force'}, () => host.inForce())
 		.with({type: 'ledger'}, question => host.ledger(question))
 		.exhaustive();
 }
--- a/packages/daemon/src/distribution/active-configuration.ts
+++ b/packages/daemon/src/distribution/active-configuration.ts
@@ -8,6 +8,8 @@
 	readonly policies: Policies;
 	/** The workspace of each key digest. */
 	readonly workspaces: ReadonlyMap<string, WorkspaceId>;
+	/** Whether the configuration lease has run out, so that a newer configuration may be in force elsewhere. */
+	readonly isolated: boolean;
 };
 
 /**
@@ -28,5 +30,7 @@
 		}
 	}
 
-	return compilePolicies(effective.document).map(policies => ({effective, policies, workspaces}));
+	return compilePolicies(effective.document).map(policies => ({
+		effective, policies, workspaces, isolated: false,
+	}));
 }
--- /dev/null
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -0,0 +1,368 @@
+import {
+	type Announcement, type Clock, type InstanceId, type ZoneId,
+} from '@valehitch/core';
+import {
+	type ConfigurationRelay, type InForceAnswer, type MemberRecord, parentCandidates, type ServerTable,
+} from '@valehitch/membership';
+import {type PeerAddress} from '@valehitch/transport';
+import {type ControlPart} from '../control/start-control.js';
+import {type DaemonBase} from '../daemon-base.js';
+import {type Member} from '../member.js';
+import {ChildNews} from './child-news.js';
+import {ConfigurationKeeper} from './configuration-keeper.js';
+import {ExchangeLoop} from './exchange-loop.js';
+import {LeaderView} from './leader-view.js';
+import {LostInstances} from './lost-instances.js';
+import {MemberWatch} from './member-watch.js';
+import {type ExchangeMessage, type ExchangeReply} from './messages.js';
+import {RelayNode} from './relay-node.js';
+import {ServerRegistry} from './server-registry.js';
+import {createLoadDigest, createRecordDigest, memberKey} from './shared-records.js';
+
+/** What the node is built on. */
+export type DistributionNodeOptions = {
+	readonly base: DaemonBase;
+	readonly control: ControlPart;
+	readonly relay: ConfigurationRelay;
+	/** When this start began, in milliseconds since 1970. */
+	readonly incarnation: number;
+};
+
+const renewalsBeforeExpiry = 3;
+const exchangesPerLease = 8;
+const periodsToForgetChild = 4;
+const ownZoneLoadMilliseconds = 5000;
+const otherZoneLoadMilliseconds = 30_000;
+
+/**
+Puts together the parts of the distribution on one instance, and holds its timers.
+
+@example
+```ts
+const node = new DistributionNode({base, control, relay, incarnation});
+node.start();
+```
+*/
+export class DistributionNode {
+	readonly keeper: ConfigurationKeeper;
+	readonly lost = new LostInstances();
+	readonly #options: DistributionNodeOptions;
+	readonly #clock: Clock;
+	readonly #zone: ZoneId;
+	readonly #periodMilliseconds: number;
+	readonly #records = createRecordDigest();
+	readonly #loads = createLoadDigest();
+	readonly #news: ChildNews;
+	readonly #view: LeaderView;
+	readonly #registry: ServerRegistry;
+	readonly #node: RelayNode;
+	readonly #loop: ExchangeLoop;
+	readonly #watch: MemberWatch;
+	#hint: InstanceId | undefined;
+	#wasLeaseValid = false;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(options: DistributionNodeOptions) {
+		const {base, control, relay} = options;
+		const {clock, log, timeline, settings: {timing, zone}} = base;
+		this.#options = options;
+		this.#clock = clock;
+		this.#zone = zone;
+		this.#periodMilliseconds = timing.configurationLeaseMilliseconds / exchangesPerLease;
+		this.keeper = new ConfigurationKeeper({
+			clock, log, timeline, relay, leaseMilliseconds: timing.configurationLeaseMilliseconds,
+		});
+		this.#view = new LeaderView({
+			base, control, keeper: this.keeper, relay, zones: () => this.#zones(),
+		});
+		this.#news = this.#makeNews();
+		this.#registry = this.#makeRegistry();
+		this.#node = this.#makeNode();
+		this.#loop = this.#makeLoop();
+		this.#watch = this.#makeWatch();
+	}
+
+	/** The backend servers. */
+	get servers(): ServerTable {
+		return this.#registry.servers;
+	}
+
+	/** The leader, where it is known. */
+	get leader(): InstanceId | undefined {
+		return this.#view.leader ?? this.#hint;
+	}
+
+	/** Starts to ask and to watch. */
+	start(): void {
+		this.#options.control.onApplied(() => {
+			this.#refresh();
+		});
+		this.#loop.start();
+		this.#timer = setInterval(() => {
+			this.#tick();
+		}, this.#periodMilliseconds);
+	}
+
+	/** Stops asking and watching. */
+	stop(): void {
+		clearInterval(this.#timer);
+		this.#loop.stop();
+		this.#news.stop();
+	}
+
+	/** Asks the parent soon. */
+	wake(): void {
+		this.#loop.wake();
+	}
+
+	/** The daemons that take part, this one included. */
+	members(): Member[] {
+		return this.#watch.members
+			.filter(({state}) => state === 'joined' || state === 'suspect')
+			.map(({instance, zone, host, port}) => ({
+				instance, zone, host, port,
+			}));
+	}
+
+	/**
+	Takes what a backend server said of itself.
+
+	@param announcement The announcement.
+	*/
+	announce(announcement: Announcement): void {
+		this.#registry.announce(announcement);
+	}
+
+	/** Tells the others that this instance is in a planned stop. */
+	drain(): void {
+		this.#watch.update({state: 'draining'});
+	}
+
+	/**
+	Answers a child.
+
+	@param message What it said.
+	@returns The answer.
+	*/
+	answer(message: ExchangeMessage): ExchangeReply {
+		const {relay} = this.#options;
+		const child = message.question.instance;
+		const now = this.#clock.monotonic();
+		this.#refresh();
+		const before = JSON.stringify(relay.confirmed(now));
+		const reply = this.#node.answer(message, now);
+		this.#watch.heard(child);
+		this.#news.heard(child);
+		if (JSON.stringify(relay.confirmed(now)) !== before) {
+			this.#loop.wake();
+		}
+
+		const {leader} = this;
+		return leader === undefined ? reply : {...reply, leader};
+	}
+
+	/** Whether the newest revision is in force everywhere; undefined where this instance does not lead. */
+	leaderInForce(): InForceAnswer | undefined {
+		return this.#view.inForce();
+	}
+
+	/** Asks the leader whether the newest revision is in force everywhere; undefined where none answers. */
+	async inForce(): Promise<InForceAnswer | undefined> {
+		const own = this.leaderInForce();
+		if (own !== undefined) {
+			return own;
+		}
+
+		const {base: {network, settings: {control, instance}}} = this.#options;
+		const asked = control.filter(seed => seed.instance !== instance)
+			.toSorted((left, right) => Number(right.instance === this.#hint) - Number(left.instance === this.#hint));
+		for (const seed of asked) {
+			const reply = await network.request(seed, {scope: 'distribution', type: 'in-force'});
+			const answer = reply.toMaybe().extractNullable();
+			if (answer !== null && answer !== undefined) {
+				return answer as InForceAnswer;
+			}
+		}
+
+		return undefined;
+	}
+
+	#tick(): void {
+		const leads = this.#refresh();
+		this.#watch.judge();
+		this.#registry.judge();
+		this.#node.prune(this.#clock.monotonic());
+		this.#noteLease();
+		if (leads) {
+			this.lost.look(this.#watch.members);
+		}
+	}
+
+	/** Takes what the control role committed; gives whether this instance leads. */
+	#refresh(): boolean {
+		const {relay} = this.#options;
+		const before = relay.revision;
+		const leads = this.#view.refresh();
+		this.keeper.settle({granted: false});
+		if (relay.revision !== before) {
+			this.#spread();
+		}
+
+		return leads;
+	}
+
+	#noteLease(): void {
+		const {base: {timeline}, relay} = this.#options;
+		const isValid = relay.isLeaseValid(this.#clock.monotonic());
+		if (isValid !== this.#wasLeaseValid) {
+			this.#wasLeaseValid = isValid;
+			timeline.record(isValid ? 'configuration-lease-renewed' : 'configuration-lease-lost', {revision: relay.revision});
+		}
+	}
+
+	/** Hands on what is new: to the children by a word, to the parent by the next question. */
+	#spread(from?: InstanceId): void {
+		this.#news.tell(from === undefined ? {} : {except: from});
+		this.#loop.wake();
+	}
+
+	#takeNews(keys: readonly string[], from: InstanceId): void {
+		for (const key of keys) {
+			const record = this.#records.get(key);
+			if (record?.kind === 'server') {
+				this.#registry.put(record.server);
+			}
+		}
+
+		this.#watch.refute();
+		this.#spread(from);
+	}
+
+	#takeReply(parent: InstanceId, reply: ExchangeReply): void {
+		this.#watch.heard(parent);
+		if (reply.leader !== undefined) {
+			this.#hint = reply.leader;
+		} else if (this.#hint === parent) {
+			this.#hint = undefined;
+		}
+
+		if (this.#watch.self.parent !== parent && this.#candidates()[0]?.instance === parent) {
+			this.#watch.update({parent});
+		}
+
+		this.#noteLease();
+	}
+
+	#candidates(): PeerAddress[] {
+		const {base: {settings}} = this.#options;
+		if (this.#view.leader !== undefined) {
+			return [];
+		}
+
+		const {members} = this.#watch;
+		const addresses = new Map<InstanceId, PeerAddress>([...members, ...settings.control].map(address => [address.instance, address]));
+		return parentCandidates({
+			self: this.#watch.self, members, seeds: settings.control, leader: this.#hint,
+		})
+			.map(instance => addresses.get(instance))
+			.filter(address => address !== undefined);
+	}
+
+	#zones(): ZoneId[] {
+		return [...new Set([this.#zone, ...this.members().map(({zone}) => zone)])];
+	}
+
+	#record(instance: InstanceId): MemberRecord | undefined {
+		const record = this.#records.get(memberKey(instance));
+		return record?.kind === 'member' ? record.member : undefined;
+	}
+
+	#makeNews(): ChildNews {
+		return new ChildNews({
+			clock: this.#clock,
+			forgetMilliseconds: this.#periodMilliseconds * periodsToForgetChild,
+			send: child => {
+				const address = this.#record(child);
+				if (address !== undefined) {
+					this.#options.base.network.send(address, {scope: 'distribution', type: 'news'});
+				}
+			},
+		});
+	}
+
+	#makeRegistry(): ServerRegistry {
+		const {timeline, settings: {instance, timing}} = this.#options.base;
+		return new ServerRegistry({
+			table: {
+				clock: this.#clock,
+				zone: this.#zone,
+				instance,
+				expiryMilliseconds: timing.announcementRenewMilliseconds * renewalsBeforeExpiry,
+				isLost: holder => this.#watch.isLost(holder),
+			},
+			timeline,
+			records: this.#records,
+			loads: this.#loads,
+			onChange: () => {
+				this.#spread();
+			},
+		});
+	}
+
+	#makeNode(): RelayNode {
+		const {relay, incarnation} = this.#options;
+		return new RelayNode({
+			keeper: this.keeper,
+			relay,
+			records: this.#records,
+			loads: this.#loads,
+			incarnation,
+			loadIntervalMilliseconds: peer => this.#record(peer)?.zone === this.#zone ? ownZoneLoadMilliseconds : otherZoneLoadMilliseconds,
+			onNews: (keys, from) => {
+				this.#takeNews(keys, from);
+			},
+			onLoads: servers => {
+				this.#registry.takeLoads(servers);
+			},
+			onRevision: from => {
+				this.#spread(from);
+			},
+		});
+	}
+
+	#makeLoop(): ExchangeLoop {
+		const {base: {network}, relay} = this.#options;
+		return new ExchangeLoop({
+			clock: this.#clock,
+			network,
+			node: this.#node,
+			periodMilliseconds: this.#periodMilliseconds,
+			candidates: () => this.#candidates(),
+			isLeaseValid: () => relay.isLeaseValid(this.#clock.monotonic()),
+			onReply: (parent, reply) => {
+				this.#takeReply(parent, reply);
+			},
+			onSilence: parent => {
+				if (parent === this.#hint) {
+					this.#hint = undefined;
+				}
+			},
+		});
+	}
+
+	#makeWatch(): MemberWatch {
+		const {base: {self, settings: {region}}, control, incarnation} = this.#options;
+		return new MemberWatch({
+			clock: this.#clock,
+			records: this.#records,
+			self: {
+				...self, region, startedAt: incarnation, sequence: 0, state: 'joined',
+			},
+			periodMilliseconds: this.#periodMilliseconds,
+			isLeader: () => control.isLeader(),
+			onChange: () => {
+				this.#spread();
+			},
+		});
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/distribution/leader-view.ts
@@ -0,0 +1,97 @@
+import {type InstanceId, type ZoneId} from '@valehitch/core';
+import {type ConfigurationRelay, InForceTracker, type InForceAnswer} from '@valehitch/membership';
+import {type ControlPart} from '../control/start-control.js';
+import {type DaemonBase} from '../daemon-base.js';
+import {type ConfigurationKeeper} from './configuration-keeper.js';
+
+/** What a leader's view needs. */
+export type LeaderViewOptions = {
+	readonly base: DaemonBase;
+	readonly control: ControlPart;
+	readonly keeper: ConfigurationKeeper;
+	readonly relay: ConfigurationRelay;
+	/** The zones that are known. */
+	readonly zones: () => readonly ZoneId[];
+};
+
+/**
+What an instance with the control role adds: the committed configuration, and as the leader the leases and what is in force.
+
+@example
+```ts
+leader.refresh();
+leader.inForce()?.complete;
+```
+*/
+export class LeaderView {
+	readonly #options: LeaderViewOptions;
+	#tracker: InForceTracker | undefined;
+	#reported = 0;
+
+	constructor(options: LeaderViewOptions) {
+		this.#options = options;
+	}
+
+	/** This instance where it is the leader. */
+	get leader(): InstanceId | undefined {
+		const {base, control} = this.#options;
+		return control.isLeader() ? base.settings.instance : undefined;
+	}
+
+	/**
+	Takes the committed configuration and renews the own lease where this instance leads.
+
+	@returns Whether this instance leads with a valid leader lease.
+	*/
+	refresh(): boolean {
+		const {base: {clock, settings}, control, keeper, relay} = this.#options;
+		const committed = control.state()?.effective;
+		if (committed === undefined) {
+			return false;
+		}
+
+		const now = clock.monotonic();
+		const leads = control.isLeader() && now < control.leaseValidUntil();
+		keeper.offer(committed);
+		keeper.settle({granted: leads});
+		if (!leads) {
+			this.#tracker = undefined;
+			return false;
+		}
+
+		this.#tracker ??= new InForceTracker({
+			relay, leaseMilliseconds: settings.timing.configurationLeaseMilliseconds, leaderSince: now,
+		});
+		relay.renewAsLeader({revision: committed.revision, validUntil: control.leaseValidUntil()}, now);
+		this.#report();
+		return true;
+	}
+
+	/**
+	Tells whether the newest revision is in force everywhere.
+
+	@returns The answer; undefined where this instance does not lead.
+	*/
+	inForce(): InForceAnswer | undefined {
+		if (!this.refresh()) {
+			return undefined;
+		}
+
+		return this.#look();
+	}
+
+	#look(): InForceAnswer | undefined {
+		const {base: {clock}, control, zones} = this.#options;
+		const revision = control.state()?.effective.revision;
+		return revision === undefined ? undefined : this.#tracker?.look({revision, now: clock.monotonic(), zones: zones()});
+	}
+
+	#report(): void {
+		const answer = this.#look();
+		const inForce = this.#tracker?.inForce ?? 0;
+		if (answer?.complete === true && inForce > this.#reported) {
+			this.#reported = inForce;
+			this.#options.base.timeline.record('configuration-in-force', {revision: inForce, details: {everywhere: true}});
+		}
+	}
+}
--- a/packages/daemon/src/distribution/messages.ts
+++ b/packages/daemon/src/distribution/messages.ts
@@ -1,29 +1,50 @@
-import {type Announcement, type EffectiveConfiguration, type Revision} from '@valehitch/core';
-import {type Member} from '../member.js';
+import {type InstanceId, type Revision} from '@valehitch/core';
+import {
+	type DigestPart, type LeaseGrant, type LeaseQuestion, type LoadRecord, type MemberRecord, type ServerRecord,
+} from '@valehitch/membership';
 
-/** Asks for what is new, and says what is in force on the sender. */
-export type SubscribeMessage = {
-	readonly scope: 'distribution';
-	readonly type: 'subscribe';
-	readonly member: Member;
-	/** The revision in force on the sender. */
+/** A record of the digest of members and servers. */
+export type SharedRecord
+	= | {readonly kind: 'member'; readonly member: MemberRecord}
+		| {readonly kind: 'server'; readonly server: ServerRecord};
+
+/** What both sides of an exchange say. */
+export type ExchangeParts = {
+	/** The newest revision that the sender holds. */
 	readonly revision: Revision;
+	/** The sender's configuration, packed, where the receiver's is older. */
+	readonly configuration?: Uint8Array | undefined;
+	readonly records: DigestPart<SharedRecord>;
+	/** Loads of backend servers; goes along now and then only. */
+	readonly loads?: DigestPart<LoadRecord> | undefined;
 };
 
-/** What a subscriber gets. */
-export type SubscribeReply = {
-	readonly revision: Revision;
-	/** The configuration, where the subscriber's is older. */
-	readonly effective?: EffectiveConfiguration;
-	readonly members: readonly Member[];
+/** Asks a parent for a lease and says what is new below. */
+export type ExchangeMessage = ExchangeParts & {
+	readonly scope: 'distribution';
+	readonly type: 'exchange';
+	readonly question: LeaseQuestion;
+};
+
+/** What a parent answers. */
+export type ExchangeReply = ExchangeParts & {
+	/** The lease, where the parent holds one. */
+	readonly grant?: LeaseGrant | undefined;
+	/** The leader, where the parent knows it. */
+	readonly leader?: InstanceId | undefined;
+};
+
+/** Tells a child that there is news, so that it asks at once. */
+export type NewsMessage = {
+	readonly scope: 'distribution';
+	readonly type: 'news';
 };
 
-/** Hands on what a backend server said of itself. */
-export type AnnouncementMessage = {
+/** Asks the leader whether the newest revision is in force everywhere. */
+export type InForceQuestion = {
 	readonly scope: 'distribution';
-	readonly type: 'announcement';
-	readonly announcement: Announcement;
+	readonly type: 'in-force';
 };
 
-/** The closed list of messages that spread configuration and announcements. */
-export type DistributionMessage = SubscribeMessage | AnnouncementMessage;
+/** The closed list of messages that spread configuration, leases, members and servers. */
+export type DistributionMessage = ExchangeMessage | NewsMessage | InForceQuestion;
--- /dev/null
+++ b/packages/daemon/src/distribution/server-registry.ts
@@ -0,0 +1,168 @@
+import {
+	type Announcement, type Clock, type InstanceId, type ServerId, toId,
+} from '@valehitch/core';
+import {
+	type Digest, type LoadRecord, saysMore, type ServerRecord, ServerTable, type ServerTableOptions, toLoadStep,
+} from '@valehitch/membership';
+import {type Timeline} from '../timeline.js';
+import {type SharedRecord} from './messages.js';
+import {serverKey} from './shared-records.js';
+
+/** What the registry needs. */
+export type ServerRegistryOptions = {
+	readonly table: ServerTableOptions & {readonly instance: InstanceId};
+	readonly timeline: Timeline;
+	readonly records: Digest<SharedRecord>;
+	readonly loads: Digest<LoadRecord>;
+	/** Told of each record that others must hear of. */
+	readonly onChange: () => void;
+};
+
+const loadMilliseconds = 5000;
+const forgetMilliseconds = 3_600_000;
+
+/**
+The backend servers: takes announcements made here, shares what others must hear of, and takes in what others share.
+
+@example
+```ts
+registry.announce(announcement);
+registry.judge();
+```
+*/
+export class ServerRegistry {
+	readonly servers: ServerTable;
+	readonly #options: ServerRegistryOptions;
+	readonly #clock: Clock;
+	readonly #lostSince = new Map<ServerId, number>();
+	#loadsAt = 0;
+
+	constructor(options: ServerRegistryOptions) {
+		this.#options = options;
+		this.#clock = options.table.clock;
+		this.servers = new ServerTable(options.table);
+	}
+
+	/**
+	Takes an announcement made to this instance.
+
+	@param announcement The announcement.
+	*/
+	announce(announcement: Announcement): void {
+		const before = this.servers.record(announcement.server);
+		if (this.servers.take(announcement)) {
+			this.#note(announcement.server, before);
+			this.#share(announcement.server);
+		}
+	}
+
+	/**
+	Takes in a record that the digest brought.
+
+	@param record The record.
+	*/
+	put(record: ServerRecord): void {
+		const {server} = record.announcement;
+		const before = this.servers.record(server);
+		if (this.servers.put(record)) {
+			this.#note(server, before);
+			// What is held here may be later than what came.
+			this.#share(server);
+		}
+	}
+
+	/**
+	Takes in loads that the digest brought.
+
+	@param servers The servers.
+	*/
+	takeLoads(servers: readonly string[]): void {
+		for (const server of servers) {
+			const step = (this.#options.loads.get(server) ?? [])[2];
+			if (step !== undefined) {
+				this.servers.setLoad(toId<ServerId>(server), step);
+			}
+		}
+	}
+
+	/** Gives up the servers whose renewals stopped, and shares the loads of those held here. */
+	judge(): void {
+		for (const {announcement: {server}} of this.servers.expire()) {
+			this.#options.timeline.record('server-lost', {server});
+			this.#share(server);
+		}
+
+		const now = this.#clock.monotonic();
+		if (now - this.#loadsAt >= loadMilliseconds) {
+			this.#loadsAt = now;
+			this.#shareLoads();
+			this.#forget(now);
+		}
+	}
+
+	#share(server: ServerId): void {
+		const {records, onChange} = this.#options;
+		const record = this.servers.record(server);
+		const shared = records.get(serverKey(server));
+		if (record === undefined || (shared?.kind === 'server' && !saysMore(shared.server, record))) {
+			return;
+		}
+
+		if (records.merge(serverKey(server), {item: {kind: 'server', server: record}})) {
+			onChange();
+		}
+	}
+
+	#shareLoads(): void {
+		const {loads, table: {instance}} = this.#options;
+		for (const {announcement, holder, state} of this.servers.current()) {
+			const {server, startedAt, sequence} = announcement;
+			const step = toLoadStep(announcement);
+			if (holder === instance && state === 'joined' && loads.get(server)?.[2] !== step) {
+				loads.merge(server, {item: [startedAt, sequence, step]});
+				this.servers.setLoad(server, step);
+			}
+		}
+	}
+
+	#note(server: ServerId, before: ServerRecord | undefined): void {
+		const {timeline} = this.#options;
+		const after = this.servers.record(server);
+		if (after === undefined) {
+			return;
+		}
+
+		const isNewStart = before === undefined || before.lost || before.announcement.startedAt !== after.announcement.startedAt;
+		if (after.lost) {
+			timeline.record('server-lost', {server});
+		} else if (after.announcement.shuttingDown && (isNewStart || !before.announcement.shuttingDown)) {
+			timeline.record('server-draining', {server});
+		} else if (isNewStart) {
+			timeline.record('server-joined', {server});
+		}
+	}
+
+	#forget(now: number): void {
+		const {records, loads} = this.#options;
+		for (const [key, record] of records.entries()) {
+			if (record.kind !== 'server') {
+				continue;
+			}
+
+			const {announcement: {server}, lost} = record.server;
+			if (!lost) {
+				this.#lostSince.delete(server);
+				continue;
+			}
+
+			const since = this.#lostSince.get(server) ?? now;
+			this.#lostSince.set(server, since);
+			if (now - since > forgetMilliseconds) {
+				records.forget(key);
+				loads.forget(server);
+				this.servers.forget(server);
+				this.#lostSince.delete(server);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/distribution/shared-records.ts
@@ -0,0 +1,76 @@
+import {type InstanceId, type ServerId} from '@valehitch/core';
+import {
+	Digest, joinLoads, joinMembers, joinServers, type LoadRecord, type MemberRecord,
+} from '@valehitch/membership';
+import {type SharedRecord} from './messages.js';
+
+/** The key of a member's record. */
+export function memberKey(instance: InstanceId): string {
+	return `m:${instance}`;
+}
+
+/** The key of a server's record. */
+export function serverKey(server: ServerId): string {
+	return `s:${server}`;
+}
+
+/**
+Makes the digest of members and servers.
+
+@returns An empty digest.
+@example
+```ts
+const digest = createRecordDigest();
+```
+*/
+export function createRecordDigest(): Digest<SharedRecord> {
+	return new Digest({join: joinShared, print: item => JSON.stringify(item)});
+}
+
+/**
+Makes the digest of loads.
+
+@returns An empty digest.
+@example
+```ts
+const loads = createLoadDigest();
+```
+*/
+export function createLoadDigest(): Digest<LoadRecord> {
+	return new Digest({join: joinLoads, print: item => item.join('.')});
+}
+
+/**
+The members in a digest, the lost ones included.
+
+@param digest The digest.
+@returns Their records.
+@example
+```ts
+membersOf(digest).length;
+```
+*/
+export function membersOf(digest: Digest<SharedRecord>): MemberRecord[] {
+	const members: MemberRecord[] = [];
+	for (const [, record] of digest.entries()) {
+		if (record.kind === 'member') {
+			members.push(record.member);
+		}
+	}
+
+	return members;
+}
+
+function joinShared(known: SharedRecord, next: SharedRecord): SharedRecord {
+	if (known.kind === 'member' && next.kind === 'member') {
+		const member = joinMembers(known.member, next.member);
+		return member === known.member ? known : {kind: 'member', member};
+	}
+
+	if (known.kind === 'server' && next.kind === 'server') {
+		const server = joinServers(known.server, next.server);
+		return server === known.server ? known : {kind: 'server', server};
+	}
+
+	return known;
+}
--- a/packages/daemon/src/distribution/start-distribution.ts
+++ b/packages/daemon/src/distribution/start-distribution.ts
@@ -1,35 +1,42 @@
 import {
-	type Announcement, type EffectiveConfiguration, emptyConfiguration, toRevision,
+	type Announcement, type EffectiveConfiguration, type InstanceId,
 } from '@valehitch/core';
+import {ConfigurationRelay, type InForceAnswer, type ServerTable} from '@valehitch/membership';
 import {match} from 'ts-pattern';
-import {ServerTable} from '@valehitch/membership';
 import {type ControlPart} from '../control/start-control.js';
 import {type DaemonBase} from '../daemon-base.js';
 import {type Member} from '../member.js';
-import {activate, type ActiveConfiguration} from './active-configuration.js';
-import {ConfigurationLink} from './configuration-link.js';
+import {type ActiveConfiguration} from './active-configuration.js';
+import {DistributionNode} from './distribution-node.js';
+import {type LostInstance} from './lost-instances.js';
 import {type DistributionMessage} from './messages.js';
 
 /** The part of a daemon that knows the configuration, the members and the backend servers. */
 export type DistributionPart = {
 	readonly servers: ServerTable;
-	/** The configuration that requests are served by; undefined before the first. */
+	/** The configuration that requests are served by, and whether it is isolated; undefined before the first. */
 	readonly active: () => ActiveConfiguration | undefined;
-	/** The newest configuration known here. */
+	/** The newest configuration in force here. */
 	readonly effective: () => EffectiveConfiguration;
+	/** The daemons that take part, this one included. */
 	readonly members: () => readonly Member[];
+	/** Whether the newest revision is in force everywhere, by the leader's word; undefined where no leader answers. */
+	readonly inForce: () => Promise<InForceAnswer | undefined>;
+	/** The leader, where it is known. */
+	readonly leader: () => InstanceId | undefined;
 	/** Takes what a backend server said of itself, and hands it on. */
 	readonly announce: (announcement: Announcement) => void;
+	/** Calls the listener on the leader for each instance that was given up; calls again after a change of leader. */
+	readonly onInstanceLost: (listener: (lost: LostInstance) => void) => void;
+	/** Tells the others that this instance is in a planned stop. */
+	readonly drain: () => void;
 	/** Answers a message of another daemon. */
 	readonly answer: (message: DistributionMessage) => Promise<unknown>;
 	readonly stop: () => void;
 };
 
-const renewalsBeforeExpiry = 3;
-const pollsPerLease = 10;
-
 /**
-Starts the distribution of configuration, members and announcements.
+Starts the distribution of configuration, leases, members and servers.
 
 @param base What every part works with.
 @param control The control part.
@@ -40,64 +47,41 @@
 ```
 */
 export function startDistribution(base: DaemonBase, control: ControlPart): DistributionPart {
-	const {settings: {timing, zone, control: controlInstances, instance}, clock, timeline, network, self, log} = base;
-	const servers = new ServerTable({clock, zone, expiryMilliseconds: timing.announcementRenewMilliseconds * renewalsBeforeExpiry});
-	let active: ActiveConfiguration | undefined;
-
-	const link = new ConfigurationLink({
-		network,
-		self,
-		source: controlInstances[0] ?? self,
-		pollMilliseconds: timing.configurationLeaseMilliseconds / pollsPerLease,
-		onConfiguration(effective) {
-			activate(effective).caseOf({
-				Left(failed) {
-					log.error({failure: failed}, 'The configuration could not be put in force');
-				},
-				Right(next) {
-					active = next;
-					timeline.record('configuration-in-force', {revision: effective.revision});
-				},
-			});
-		},
+	const {settings: {timing: {configurationLeaseMilliseconds: leaseMilliseconds}, zone, instance}, clock} = base;
+	const incarnation = clock.now().getTime();
+	const relay = new ConfigurationRelay({
+		instance, zone, incarnation, leaseMilliseconds,
 	});
-
-	function take(announcement: Announcement): boolean {
-		const known = servers.current().some(server => server.announcement.server === announcement.server);
-		const isNews = servers.take(announcement);
-		if (isNews && !known) {
-			timeline.record('server-joined', {server: announcement.server});
-		}
-
-		return isNews;
-	}
-
-	link.start();
+	const node = new DistributionNode({
+		base, control, relay, incarnation,
+	});
+	node.start();
 	return {
-		servers,
-		active: () => active,
-		effective: () => active?.effective ?? {revision: toRevision(0), document: emptyConfiguration, rollouts: {}},
-		members: () => link.members,
+		servers: node.servers,
+		active: () => node.keeper.active(),
+		effective: () => node.keeper.effective,
+		members: () => node.members(),
+		inForce: async () => node.inForce(),
+		leader: () => node.leader,
 		announce(announcement) {
-			if (!take(announcement)) {
-				return;
-			}
-
-			for (const member of link.members) {
-				if (member.instance !== instance) {
-					network.send(member, {scope: 'distribution', type: 'announcement', announcement});
-				}
-			}
+			node.announce(announcement);
+		},
+		onInstanceLost(listener) {
+			node.lost.listen(listener);
+		},
+		drain() {
+			node.drain();
 		},
 		answer: async message => match(message)
-			.with({type: 'subscribe'}, subscribe => control.subscribe(subscribe))
-			.with({type: 'announcement'}, ({announcement}) => {
-				take(announcement);
+			.with({type: 'exchange'}, exchange => node.answer(exchange))
+			.with({type: 'news'}, () => {
+				node.wake();
 				return undefined;
 			})
+			.with({type: 'in-force'}, () => node.leaderInForce())
 			.exhaustive(),
 		stop() {
-			link.stop();
+			node.stop();
 		},
 	};
 }
--- a/packages/daemon/src/operators/apply-configuration.ts
+++ b/packages/daemon/src/operators/apply-configuration.ts
@@ -48,8 +48,8 @@
 	}
 
 	const {revision} = result.unsafeCoerce();
-	const inForce = await context.control.inForce();
-	answerJson(response, {revision, committed: true, inForce: inForce.orDefault({complete: false, waitingFor: []})}, {
+	const inForce = await context.distribution.inForce();
+	answerJson(response, {revision, committed: true, inForce: inForce ?? {complete: false, waitingFor: []}}, {
 		headers: {ETag: `"${revision}"`},
 	});
 }
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -1,4 +1,5 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import process from 'node:process';
 import {failure} from '@valehitch/core';
 import {answerProblem} from '@valehitch/transport';
 import {answerJson} from '../answer-json.js';
@@ -58,21 +59,32 @@
 }
 
 async function answerStatus(response: ServerResponse, context: OperatorContext): Promise<void> {
-	const {base: {settings}, distribution, entry: {requests}, control} = context;
-	const inForce = await control.inForce();
+	const {base: {settings, network}, distribution, entry: {requests}} = context;
+	const inForce = await distribution.inForce();
 	answerJson(response, {
 		instance: settings.instance,
 		zone: settings.zone,
 		roles: settings.roles,
 		revision: distribution.effective().revision,
-		leader: settings.control[0]?.instance,
+		isolated: distribution.active()?.isolated ?? true,
+		leader: distribution.leader(),
 		inProgress: requests.inProgress,
 		stopping: requests.stopping,
-		waitingFor: inForce.map(({waitingFor}) => waitingFor).orDefault([]),
-		servers: distribution.servers.current().map(({announcement, inFlight}) => ({...announcement, inFlight})),
+		inForce: inForce ?? {complete: false, waitingFor: []},
+		waitingFor: inForce?.waitingFor ?? [],
+		members: distribution.members().length,
+		traffic: network.traffic,
+		process: {...cpuOf(process.cpuUsage()), residentBytes: process.memoryUsage.rss()},
+		servers: distribution.servers.current().map(({announcement, inFlight, state, load}) => ({
+			...announcement, inFlight, state, load,
+		})),
 	});
 }
 
+function cpuOf({user, system}: {readonly user: number; readonly system: number}): {readonly cpuMicroseconds: number} {
+	return {cpuMicroseconds: user + system};
+}
+
 async function answerLedger(url: URL, response: ServerResponse, {control}: OperatorContext): Promise<void> {
 	const after = Number(url.searchParams.get('after') ?? '0');
 	if (!Number.isSafeInteger(after) || after < 0) {
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -59,6 +59,7 @@
 	return {
 		async stop() {
 			base.timeline.record('instance-stopping');
+			distribution.drain();
 			await Promise.race([entry.requests.stop(), elapsed(settings.timing.shutdownMilliseconds)]);
 			for (const server of servers) {
 				await server.close();
--- /dev/null
+++ b/packages/membership/src/configuration-relay.ts
@@ -0,0 +1,199 @@
+import {
+	type InstanceId, type Revision, toRevision, type ZoneId,
+} from '@valehitch/core';
+
+/** The lowest revision that any lease of a zone may still run under. */
+export type ZoneMinimum = {
+	readonly zone: ZoneId;
+	readonly revision: Revision;
+};
+
+/** Asks a parent for a configuration lease. */
+export type LeaseQuestion = {
+	readonly instance: InstanceId;
+	/** Tells two starts of one instance apart. */
+	readonly incarnation: number;
+	/** Numbers the questions of one start; an answer to an earlier one is passed over. */
+	readonly number: number;
+	/** What the asker and all that it granted leases to confirm. */
+	readonly confirmed: readonly ZoneMinimum[];
+};
+
+/** A lease that is passed down. */
+export type LeaseGrant = {
+	/** The revision that the asker must have in force to use the lease. */
+	readonly revision: Revision;
+	/** How long the granter's own lease still ran when it answered; counts from when the asker sent the question. */
+	readonly remainingMilliseconds: number;
+};
+
+/** The leader's right to grant, as it stands now. */
+export type LeaderView = {
+	/** The newest committed revision. */
+	readonly revision: Revision;
+	/** Until when the leader's own lease runs, on the monotonic clock. */
+	readonly validUntil: number;
+};
+
+/** What a relay needs. */
+export type ConfigurationRelayOptions = {
+	readonly instance: InstanceId;
+	readonly zone: ZoneId;
+	readonly incarnation: number;
+	/** The length of a lease that the leader grants. */
+	readonly leaseMilliseconds: number;
+};
+
+type Outstanding = {
+	readonly minima: readonly ZoneMinimum[];
+	/** When the last lease granted to the asker has run out, on the monotonic clock. */
+	readonly expiresAt: number;
+};
+
+/** The share by which a lease is shortened, for clocks that run at unlike rates. */
+const driftAllowance = 0.01;
+
+/**
+The configuration leases of one instance: its own one, and those that it granted.
+
+Soundness: a lease is used only with a revision at least that of its grant; a grant carries the granter's own revision; a
+revision never goes back on an instance. So each outstanding lease under revision r is below a chain of granters each of which
+counts at most r for it until it has run out (Gray and Cheriton, 1989, for leases).
+
+@example
+```ts
+const question = relay.question();
+const {grant} = await ask(parent, question);
+relay.take({question, sentAt, grant});
+```
+*/
+export class ConfigurationRelay {
+	readonly #options: ConfigurationRelayOptions;
+	readonly #outstanding = new Map<string, Outstanding>();
+	#revision = toRevision(0);
+	#validUntil = Number.NEGATIVE_INFINITY;
+	#lastQuestion = 0;
+
+	constructor(options: ConfigurationRelayOptions) {
+		this.#options = options;
+	}
+
+	/** The revision in force here. */
+	get revision(): Revision {
+		return this.#revision;
+	}
+
+	/** Until when the own lease runs, on the monotonic clock. */
+	get validUntil(): number {
+		return this.#validUntil;
+	}
+
+	/**
+	Puts a revision in force; one that is not higher changes nothing.
+
+	@param revision The revision.
+	@returns Whether it was higher.
+	*/
+	adopt(revision: Revision): boolean {
+		if (revision <= this.#revision) {
+			return false;
+		}
+
+		this.#revision = revision;
+		return true;
+	}
+
+	/**
+	Tells whether the own lease is valid.
+
+	@param now The monotonic time.
+	*/
+	isLeaseValid(now: number): boolean {
+		return now < this.#validUntil;
+	}
+
+	/**
+	Makes the next question to a parent; answers to earlier ones are passed over from now on.
+
+	@param now The monotonic time.
+	@returns The question.
+	*/
+	question(now: number): LeaseQuestion {
+		const {instance, incarnation} = this.#options;
+		return {
+			instance, incarnation, number: ++this.#lastQuestion, confirmed: this.confirmed(now),
+		};
+	}
+
+	/**
+	Answers a question, with a lease where this instance can grant one.
+
+	@param question The question.
+	@param now The monotonic time.
+	@returns The grant; undefined where the own lease has run out.
+	*/
+	answer(question: LeaseQuestion, now: number): LeaseGrant | undefined {
+		const key = `${question.instance}/${question.incarnation}`;
+		const expiresAt = Math.max(this.#validUntil, this.#outstanding.get(key)?.expiresAt ?? Number.NEGATIVE_INFINITY);
+		if (now >= expiresAt) {
+			this.#outstanding.delete(key);
+			return undefined;
+		}
+
+		this.#outstanding.set(key, {minima: question.confirmed, expiresAt});
+		return now < this.#validUntil ? {revision: this.#revision, remainingMilliseconds: this.#validUntil - now} : undefined;
+	}
+
+	/**
+	Takes the answer to a question.
+
+	@param answer The question, when it was sent on the monotonic clock, and the grant.
+	@returns Whether the lease was taken; not for an earlier question or where the granted revision is not in force here yet.
+	*/
+	take({question, sentAt, grant}: {readonly question: LeaseQuestion; readonly sentAt: number; readonly grant: LeaseGrant}): boolean {
+		if (question.number !== this.#lastQuestion || grant.revision > this.#revision) {
+			return false;
+		}
+
+		this.#validUntil = Math.max(this.#validUntil, sentAt + (grant.remainingMilliseconds * (1 - driftAllowance)));
+		return true;
+	}
+
+	/**
+	Renews the own lease on the leader itself.
+
+	@param leader The leader's view.
+	@param now The monotonic time.
+	@returns Whether it was renewed; not where the leader's lease has run out or its revision is not in force here yet.
+	*/
+	renewAsLeader(leader: LeaderView, now: number): boolean {
+		if (now >= leader.validUntil || leader.revision > this.#revision) {
+			return false;
+		}
+
+		this.#validUntil = Math.max(this.#validUntil, now + this.#options.leaseMilliseconds);
+		return true;
+	}
+
+	/**
+	The lowest revision by zone that the own lease or one granted here may still run under.
+
+	@param now The monotonic time.
+	@returns One entry for each zone, the own one included.
+	*/
+	confirmed(now: number): ZoneMinimum[] {
+		const lowest = new Map<ZoneId, Revision>([[this.#options.zone, this.#revision]]);
+		for (const [key, {minima, expiresAt}] of this.#outstanding) {
+			if (now >= expiresAt) {
+				this.#outstanding.delete(key);
+				continue;
+			}
+
+			for (const {zone, revision} of minima) {
+				lowest.set(zone, toRevision(Math.min(revision, lowest.get(zone) ?? revision)));
+			}
+		}
+
+		return [...lowest].map(([zone, revision]) => ({zone, revision}));
+	}
+}
--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -1,6 +1,17 @@
 /**
-Who is there: backend servers and daemons, their failure detection, and the digests that spread it.
+Who is there: backend servers and daemons, their failure detection, the digests that spread it, and configuration leases.
 
 @module
 */
+export * from './configuration-relay.js';
+export * from './digest.js';
+export * from './digest-link.js';
+export * from './failure-detector.js';
+export * from './in-force-tracker.js';
+export * from './load-record.js';
+export * from './may-serve.js';
+export * from './member-record.js';
+export * from './parent-candidates.js';
+export * from './server-record.js';
 export * from './server-table.js';
+export * from './zone-tree.js';
