Serve in a cut-off zone only what was settled

Cause: the setting isolation.serve was read by nothing. Change: the choice of a version, a session's next request and a call to a plain service ask mayServe. Conclusion: the rule is one pure function; the handlers pass it the lease and the setting.

--- a/packages/daemon/src/entry/handle-service.ts
+++ b/packages/daemon/src/entry/handle-service.ts
@@ -1,6 +1,7 @@
 import {
 	type Failure, failure, type Micros, type ServerId, type ServiceId, toId,
 } from '@valehitch/core';
+import {mayServe} from '@valehitch/membership';
 import {
 	type HttpAnswer, readBody, sendHttp,
 } from '@valehitch/transport';
@@ -41,7 +42,7 @@
 		abort.abort();
 	});
 	const body = await readBody(call.request, context.settings.limits.bodyBytes);
-	const plan = body.chain(bytes => planService(call, bytes)).map(found => ({...found, signal: abort.signal}));
+	const plan = body.chain(bytes => planService({call, body: bytes}, context)).map(found => ({...found, signal: abort.signal}));
 	const result = plan.isLeft()
 		? Left(plan.extract())
 		: await dispatch(plan.extract() as ServiceCallPlan, context);
@@ -50,8 +51,8 @@
 	}
 }
 
-function planService(call: AuthenticatedCall, body: Uint8Array): Either<Failure, Omit<ServiceCallPlan, 'signal'>> {
-	const {request, active: {effective: {document}}, workspace} = call;
+function planService({call, body}: {readonly call: AuthenticatedCall; readonly body: Uint8Array}, {settings}: EntryContext): Either<Failure, Omit<ServiceCallPlan, 'signal'>> {
+	const {request, active: {effective: {document}, isolated}, workspace} = call;
 	const groups = servicePathPattern.exec(request.url ?? '')?.groups;
 	const service = toId<ServiceId>(groups?.service ?? '');
 	const path = groups?.path ?? '/';
@@ -64,6 +65,10 @@
 		return Left(failure('forbidden', `Got service ${service}, wanted one that workspace ${workspace} may use`));
 	}
 
+	if (!mayServe({leaseValid: !isolated, serve: settings.isolation.serve, versionState: 'plain-service'})) {
+		return Left(failure('no-configuration', 'Got a call on an instance without a configuration lease, which serves nothing', {retryAfterMilliseconds: 1000}));
+	}
+
 	const method = request.method ?? 'GET';
 	const repeatable = repeatableMethods.has(method)
 		|| configured.repeatable.some(known => known.method === method && path.startsWith(known.path));
--- a/packages/daemon/src/entry/plan-chat.ts
+++ b/packages/daemon/src/entry/plan-chat.ts
@@ -6,6 +6,7 @@
 import {type Either, Left, Right} from 'purify-ts';
 import {readSessionToken, writeSessionToken} from '@valehitch/routing';
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
+import {mayServeVersion} from '../distribution/may-serve-version.js';
 import {type ChatBody, factsOf} from './chat-body.js';
 import {type EntryContext} from './entry-context.js';
 
@@ -33,6 +34,7 @@
 
 const automaticModel = 'auto';
 const newSession = 'new';
+const retryAfterIsolationMilliseconds = 1000;
 
 /**
 Classifies a chat request and chooses its model and version.
@@ -80,6 +82,10 @@
 			return Left(failure('session-ended', `Got a session on ${model} ${version}, which is withdrawn or no longer allowed; wanted a new session`));
 		}
 
+		if (!mayServeVersion(arrival.active, {model, version, serve: context.settings.isolation.serve})) {
+			return Left(failure('no-configuration', `Got a session on ${model} ${version}, which an instance without a configuration lease may not serve`, {retryAfterMilliseconds: retryAfterIsolationMilliseconds}));
+		}
+
 		return Right({
 			...planOf(arrival), model, version, sessionToken: arrival.token,
 		});
@@ -97,7 +103,11 @@
 		{
 			id: requestId, workspace, facts, ...(named !== undefined && {namedModel: named}),
 		},
-		{configuration: active.effective, rule, isServed: (model, version) => context.servers.isServed(model, version)},
+		{
+			configuration: active.effective,
+			rule,
+			isServed: (model, version) => mayServeVersion(active, {model, version, serve: context.settings.isolation.serve}) && context.servers.isServed(model, version),
+		},
 	);
 	return choice.map(({chosen: {model, version}}) => ({
 		...planOf(arrival),
