--- a/packages/daemon/src/distribution/may-serve-version.ts
+++ b/packages/daemon/src/distribution/may-serve-version.ts
@@ -1,5 +1,6 @@
 import {type ModelId, type VersionId, versionKey} from '@valehitch/core';
 import {type IsolatedServing, mayServe, type MayServeOptions} from '@valehitch/membership';
+import {match} from 'ts-pattern';
 import {type ActiveConfiguration} from './active-configuration.js';
 
 /** A version, and the setting for cut-off instances. */
@@ -31,17 +32,9 @@
 		return listed;
 	}
 
-	switch (rollouts[versionKey(model, version)]?.status) {
-		case 'stopped': {
-			return 'stopped';
-		}
-
-		case 'completed': {
-			return 'settled';
-		}
-
-		default: {
-			return 'rolling-out';
-		}
-	}
+	return match(rollouts[versionKey(model, version)]?.status)
+		.with('stopped', () => 'stopped' as const)
+		.with('completed', () => 'settled' as const)
+		.with('running', undefined, () => 'rolling-out' as const)
+		.exhaustive();
 }
--- a/packages/daemon/src/entry/plan-chat.ts
+++ b/packages/daemon/src/entry/plan-chat.ts
@@ -83,7 +83,11 @@
 		}
 
 		if (!mayServeVersion(arrival.active, {model, version, serve: context.settings.isolation.serve})) {
-			return Left(failure('no-configuration', `Got a session on ${model} ${version}, which an instance without a configuration lease may not serve`, {retryAfterMilliseconds: retryAfterIsolationMilliseconds}));
+			return Left(failure(
+				'no-configuration',
+				`Got a session on ${model} ${version}, which an instance without a configuration lease may not serve`,
+				{retryAfterMilliseconds: retryAfterIsolationMilliseconds},
+			));
 		}
 
 		return Right({
--- a/packages/membership/src/digest-link.ts
+++ b/packages/membership/src/digest-link.ts
@@ -4,6 +4,8 @@
 export type DigestPart<Item> = {
 	/** Tells two starts of the sender apart. */
 	readonly incarnation: number;
+	/** The sender's change after which the records begin. */
+	readonly since: number;
 	/** The sender's last change that the records reach. */
 	readonly change: number;
 	readonly records: ReadonlyArray<readonly [string, Item]>;
@@ -54,6 +56,7 @@
 		const known = this.#confirmed;
 		return {
 			incarnation,
+			since: known ?? 0,
 			change: digest.change,
 			records: known === undefined ? [] : digest.since(known, {except: this.#source(this.#held[0])}),
 			held: this.#held,
@@ -84,15 +87,20 @@
 			}
 		}
 
-		if (part.hash === undefined || isSame) {
-			this.#held = [part.incarnation, part.change];
-		} else if (this.#held[0] !== part.incarnation) {
-			this.#held = [part.incarnation, 0];
-		}
-
+		this.#held = [part.incarnation, this.#heldAfter(part, isSame)];
 		return news;
 	}
 
+	/** The sender's change that is held after a part; not beyond a gap, such as after a new start of this side. */
+	#heldAfter(part: DigestPart<Item>, isSame: boolean): number {
+		const before = this.#held[0] === part.incarnation ? this.#held[1] : 0;
+		const [heldIncarnation] = part.held;
+		// What came from an earlier start of this side is left out of the records, though this start does not hold it.
+		const leavesOutMore = heldIncarnation !== 0 && heldIncarnation !== this.#options.incarnation;
+		const hasGap = part.hash !== undefined || part.since > before || leavesOutMore;
+		return hasGap && !isSame ? before : Math.max(before, part.change);
+	}
+
 	#source(incarnation: number): string {
 		return `${this.#options.peer}/${incarnation}`;
 	}
