--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -22,6 +22,7 @@
 export class ControlHost {
 	readonly #state = new ControlState();
 	readonly #listeners: Array<() => void> = [];
+	#index = 0;
 	readonly #options: ControlHostOptions;
 
 	constructor(options: ControlHostOptions) {
@@ -65,7 +66,7 @@
 	*/
 	propose(command: Command): Either<Failure, CommandAnswer> {
 		const before = this.#state.effective.revision;
-		const result = this.#state.apply(command);
+		const result = this.#state.apply(command, {term: 1, index: ++this.#index});
 		if (this.#state.effective.revision !== before) {
 			this.#options.timeline.record('configuration-committed', {revision: this.#state.effective.revision});
 		}
--- a/packages/membership/src/digest.test.ts
+++ b/packages/membership/src/digest.test.ts
@@ -53,12 +53,12 @@
 
 test('joining server records is commutative, associative and idempotent', t => {
 	const details = checkJoin(serverRecords, joinServers);
-	t.false(details.failed, fc.defaultReportMessage(details));
+	t.false(details.failed, String(fc.defaultReportMessage(details)));
 });
 
 test('joining member records is commutative, associative and idempotent', t => {
 	const details = checkJoin(memberRecords, joinMembers);
-	t.false(details.failed, fc.defaultReportMessage(details));
+	t.false(details.failed, String(fc.defaultReportMessage(details)));
 });
 
 test('the later start wins, and no order of arrival brings back a drained or lost server', t => {
@@ -91,11 +91,13 @@
 ), {minLength: 20, maxLength: 80});
 
 class Node {
-	digest = new Digest<number>({join: (known, next) => Math.max(next, known), print: String});
-	links = new Map<number, DigestLink<number>>();
+	readonly digest = new Digest<number>({join: (known, next) => Math.max(next, known), print: String});
+	readonly links = new Map<number, DigestLink<number>>();
+	readonly incarnation: number;
 
-	constructor(readonly incarnation: number) {
-}
+	constructor(incarnation: number) {
+		this.incarnation = incarnation;
+	}
 
 	link(peer: number): DigestLink<number> {
 		const link = this.links.get(peer) ?? new DigestLink({digest: this.digest, incarnation: this.incarnation, peer: `node-${peer}`});
