--- a/packages/daemon/src/distribution/start-distribution.ts
+++ b/packages/daemon/src/distribution/start-distribution.ts
@@ -55,6 +55,10 @@
 	const node = new DistributionNode({
 		base, control, relay, incarnation,
 	});
+	node.lost.listen(({instance: lost}) => {
+		base.log.warn({lost}, 'An instance was given up');
+		void control.client.propose({type: 'instance-lost', instance: lost, at: clock.now().getTime()});
+	});
 	node.start();
 	return {
 		servers: node.servers,
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -5,6 +5,7 @@
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
 import {applyConfiguration} from './apply-configuration.js';
+import {cutLinks} from './cut-links.js';
 import {type OperatorContext} from './operator-context.js';
 
 /**
@@ -47,6 +48,11 @@
 			return;
 		}
 
+		case 'POST /v1/faults/links': {
+			await cutLinks(request, response, context);
+			return;
+		}
+
 		default: {
 			answerProblem(response, failure('not-found', `Got ${route}, wanted a call that docs/API.md lists`));
 		}
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -76,5 +76,6 @@
 	timing: timing.prefault({}),
 	isolation: z.strictObject({serve: z.enum(['settled', 'all', 'none']).default('settled')}).prefault({}),
 	logging: z.strictObject({level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal']).default('info')}).prefault({}),
+	faults: z.boolean().default(false),
 	metrics: metrics.optional(),
 });
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -127,6 +127,8 @@
 	readonly isolation: IsolationSettings;
 	/** What is logged; has defaults. */
 	readonly logging: LoggingSettings;
+	/** Whether operators may cut the links to other daemons, for failure tests only; false by default. */
+	readonly faults: boolean;
 	/** Where metrics are sent; by default absent, and then none are sent. */
 	readonly metrics?: MetricsSettings | undefined;
 };
--- a/packages/testing/src/http-client.ts
+++ b/packages/testing/src/http-client.ts
@@ -134,17 +134,17 @@
 Calls an operators' interface.
 
 @param url The whole address.
-@param options The key, and the document to send by PUT where there is one.
+@param options The key, and the document to send where there is one, by PUT unless `method` says otherwise.
 @returns The status and the parsed body.
 @example
 ```ts
 const {body} = await callOperator('http://127.0.0.1:8082/v1/status', {key: 'operator-key'});
 ```
 */
-export async function callOperator(url: string, options: CallerOptions & {readonly document?: unknown}): Promise<{readonly status: number; readonly body: unknown}> {
+export async function callOperator(url: string, options: CallerOptions & {readonly document?: unknown; readonly method?: string}): Promise<{readonly status: number; readonly body: unknown}> {
 	const answer = await sendRequest(url, {
 		...passedOn(options),
-		...(options.document !== undefined && {method: 'PUT', body: JSON.stringify(options.document)}),
+		...(options.document !== undefined && {method: options.method ?? 'PUT', body: JSON.stringify(options.document)}),
 	});
 	return {status: answer.status, body: parseJson(answer.body)};
 }
