--- a/packages/daemon/src/entry/plan-chat.ts
+++ b/packages/daemon/src/entry/plan-chat.ts
@@ -111,6 +111,8 @@
 			configuration: active.effective,
 			rule,
 			isServed: (model, version) => mayServeVersion(active, {model, version, serve: context.settings.isolation.serve}) && context.servers.isServed(model, version),
+			quality: context.ratings.quality,
+			isStoppedHere: context.ratings.isStoppedHere,
 		},
 	);
 	return choice.map(({chosen: {model, version}}) => ({
--- a/packages/testing/src/_zone-trial.ts
+++ b/packages/testing/src/_zone-trial.ts
@@ -3,7 +3,7 @@
 import {
 	type BackendPlan, type DaemonPlan, type Deployment, type RunningDaemon, startDeployment,
 } from './deployment.js';
-import {callOperator, chatWhole, callService} from './http-client.js';
+import {callOperator, callService, chatStreamed, chatWhole} from './http-client.js';
 import {waitUntil} from './wait-until.js';
 
 /** What a daemon says of its part in the distribution. */
@@ -23,6 +23,8 @@
 	servers: z.array(z.looseObject({server: z.string(), state: z.string()})),
 });
 
+const askMilliseconds = 4000;
+const question = [{role: 'user' as const, content: 'Which heat?'}];
 const key = 'trial-key';
 const workspace = 'trial';
 
@@ -43,8 +45,8 @@
 	{server: 'labels-c', zone: 'zone-c', service: 'labels'},
 ];
 
-/** A document with a settled version, and one in the middle of a roll-out or withdrawn. */
-export function trialConfiguration(fresh: 'rolling-out' | 'withdrawn'): unknown {
+/** A document with a version that stays settled, and one whose state changes in the trial. */
+export function trialConfiguration(fresh: 'settled' | 'rolling-out' | 'withdrawn'): unknown {
 	const prices = {input: 1, output: 1};
 	return {
 		models: {
@@ -70,12 +72,21 @@
 	};
 }
 
-/** Starts 7 daemons in 3 zones and waits until all hold a lease. */
-export async function startZoneTrial({leaseMilliseconds, serve = 'settled'}: ZoneTrialOptions): Promise<Deployment> {
+/** A running deployment and a session on the version whose state changes. */
+export type ZoneTrial = {
+	readonly deployment: Deployment;
+	/** The token of a session on the version that is now in the middle of a roll-out. */
+	readonly session: string;
+	/** The revision of the document that says so. */
+	readonly revision: number;
+};
+
+/** Starts 7 daemons in 3 zones, begins a session, puts its version in the middle of a roll-out and waits until all hold a lease. */
+export async function startZoneTrial({leaseMilliseconds, serve = 'settled'}: ZoneTrialOptions): Promise<ZoneTrial> {
 	const deployment = await startDeployment({
 		daemons: trialDaemons,
 		backends: trialBackends,
-		configuration: trialConfiguration('rolling-out'),
+		configuration: trialConfiguration('settled'),
 		startMilliseconds: 60_000,
 		settings: {
 			faults: true,
@@ -84,7 +95,20 @@
 		},
 	});
 	await Promise.all(deployment.daemons.map(async daemon => waitUntilLeased(daemon)));
-	return deployment;
+	const session = await beginSession(findDaemon(deployment, 'entry-a'));
+	const revision = await deployment.apply(trialConfiguration('rolling-out'), {replaces: 1});
+	await Promise.all(deployment.daemons.map(async daemon => deployment.waitUntilReady(daemon, {revision, servers: []})));
+	return {deployment, session, revision};
+}
+
+async function beginSession(daemon: RunningDaemon): Promise<string> {
+	return waitUntil(async () => {
+		const {headers} = await chatWhole(daemon.callers, {
+			key, model: 'fresh', messages: question, headers: {'Valehitch-Session': 'new'},
+		});
+		const token = headers['valehitch-session'];
+		return typeof token === 'string' ? token : undefined;
+	}, {what: 'a session', timeoutMilliseconds: 60_000});
 }
 
 export async function distributionStatus(daemon: RunningDaemon): Promise<DistributionStatus> {
@@ -114,17 +138,39 @@
 	}));
 }
 
-/** Asks for the settled version, the one in roll-out, or the plain service; gives the status. */
-export async function askFor(daemon: RunningDaemon, what: 'steady' | 'fresh' | 'labels'): Promise<number> {
-	if (what === 'labels') {
-		const {status} = await callService(daemon.callers, {
-			key, service: 'labels', path: '/print', body: '{}',
-		});
-		return status;
+/** What came of a request, as far as the caller saw within some seconds. */
+export type Seen = 'served' | 'refused';
+
+/**
+Asks for the settled version, or goes on with a session on the version whose state changes.
+
+A stream that began counts as served, since a cut-off zone may not reach the ledger before its end.
+*/
+export async function askFor(daemon: RunningDaemon, session?: string): Promise<Seen> {
+	const {text, status, connectionError} = await chatStreamed(daemon.callers, {
+		key,
+		model: session === undefined ? 'steady' : 'fresh',
+		messages: question,
+		timeoutMilliseconds: askMilliseconds,
+		...(session !== undefined && {headers: {'Valehitch-Session': session}}),
+	});
+	if (status >= 400) {
+		return 'refused';
+	}
+
+	if (text === '') {
+		throw new Error(`Got neither an answer nor a refusal: ${connectionError ?? 'an empty stream'}`);
 	}
 
-	const {status} = await chatWhole(daemon.callers, {key, model: what, messages: [{role: 'user', content: 'Which heat?'}]});
-	return status;
+	return 'served';
+}
+
+/** Calls the plain service; gives whether the instance refused. */
+export async function askForLabels(daemon: RunningDaemon): Promise<Seen> {
+	const {status} = await callService(daemon.callers, {
+		key, service: 'labels', path: '/print', body: '{}', timeoutMilliseconds: askMilliseconds,
+	});
+	return status >= 400 ? 'refused' : 'served';
 }
 
 export function findDaemon(deployment: Deployment, instance: string): RunningDaemon {
--- a/packages/testing/src/distribution.test.ts
+++ b/packages/testing/src/distribution.test.ts
@@ -1,16 +1,17 @@
 import {readFile} from 'node:fs/promises';
 import test, {type ExecutionContext} from 'ava';
 import {
-	askFor, cutZone, distributionStatus, findDaemon, startZoneTrial, trialConfiguration, waitUntilLeased, type ZoneTrialOptions,
+	askFor, askForLabels, cutZone, distributionStatus, findDaemon, startZoneTrial, trialConfiguration, waitUntilLeased, type ZoneTrial, type ZoneTrialOptions,
 } from './_zone-trial.js';
-import {type Deployment, type RunningDaemon} from './deployment.js';
+import {type RunningDaemon} from './deployment.js';
 import {waitUntil} from './wait-until.js';
 
 const patience = {timeoutMilliseconds: 60_000};
 
-async function startTrial(t: ExecutionContext, options: ZoneTrialOptions): Promise<Deployment> {
+async function startTrial(t: ExecutionContext, options: ZoneTrialOptions): Promise<ZoneTrial> {
 	t.timeout(240_000);
-	const deployment = await startZoneTrial(options);
+	const trial = await startZoneTrial(options);
+	const {deployment} = trial;
 	t.teardown(async () => {
 		for (const {process} of deployment.daemons) {
 			process.signal('SIGCONT');
@@ -18,7 +19,7 @@
 
 		await deployment.stop();
 	});
-	return deployment;
+	return trial;
 }
 
 async function waitUntilInForce(daemon: RunningDaemon, revision: number): Promise<void> {
@@ -29,15 +30,15 @@
 }
 
 test.serial('a change is in force on all 7, and a server that shuts down is known to all', async t => {
-	const deployment = await startTrial(t, {leaseMilliseconds: 5000});
+	const {deployment, session, revision: before} = await startTrial(t, {leaseMilliseconds: 5000});
 	const leader = findDaemon(deployment, 'control-a');
-	const revision = await deployment.apply(trialConfiguration('withdrawn'), {replaces: 1, by: findDaemon(deployment, 'entry-c')});
+	const revision = await deployment.apply(trialConfiguration('withdrawn'), {replaces: before, by: findDaemon(deployment, 'entry-c')});
 	await waitUntilInForce(leader, revision);
 	for (const daemon of deployment.daemons) {
 		const {revision: held} = await distributionStatus(daemon);
 		t.is(held, revision, `${daemon.instance} is behind though the change is in force`);
-		t.not(await askFor(daemon, 'fresh'), 200);
-		t.is(await askFor(daemon, 'steady'), 200);
+		t.is(await askFor(daemon, session), 'refused');
+		t.is(await askFor(daemon), 'served');
 	}
 
 	const engine = deployment.backends.find(({server}) => server === 'engine-b');
@@ -53,28 +54,28 @@
 });
 
 test.serial('a frozen instance keeps a change from being in force until its lease has run out, and serves nothing withdrawn when it wakes', async t => {
-	const deployment = await startTrial(t, {leaseMilliseconds: 8000});
+	const {deployment, session, revision: before} = await startTrial(t, {leaseMilliseconds: 8000});
 	const leader = findDaemon(deployment, 'control-a');
 	const frozen = findDaemon(deployment, 'entry-b');
-	t.is(await askFor(frozen, 'fresh'), 200);
+	t.is(await askFor(frozen, session), 'served');
 	frozen.process.signal('SIGSTOP');
-	const revision = await deployment.apply(trialConfiguration('withdrawn'), {replaces: 1, by: leader});
+	const revision = await deployment.apply(trialConfiguration('withdrawn'), {replaces: before, by: leader});
 	await waitUntil(async () => {
 		const {inForce} = await distributionStatus(leader);
 		return !inForce.complete && inForce.waitingFor.join(',') === 'zone-b' ? true : undefined;
 	}, {what: 'only zone-b to be out', ...patience});
 	await waitUntilInForce(leader, revision);
 	frozen.process.signal('SIGCONT');
-	t.not(await askFor(frozen, 'fresh'), 200);
-	t.is(await askFor(frozen, 'steady'), 200);
+	t.is(await askFor(frozen, session), 'refused');
+	t.is(await askFor(frozen), 'served');
 	await waitUntilLeased(frozen);
 	const {revision: held} = await distributionStatus(frozen);
 	t.is(held, revision);
-	t.not(await askFor(frozen, 'fresh'), 200);
+	t.is(await askFor(frozen, session), 'refused');
 });
 
 test.serial('a zone that is cut off goes on with what was settled, refuses the version in roll-out, and catches up without going back', async t => {
-	const deployment = await startTrial(t, {leaseMilliseconds: 4000});
+	const {deployment, session, revision: before} = await startTrial(t, {leaseMilliseconds: 4000});
 	const leader = findDaemon(deployment, 'control-a');
 	const cutOff = findDaemon(deployment, 'entry-c');
 	const revisions: number[] = [];
@@ -85,12 +86,12 @@
 	};
 
 	await cutZone(deployment, 'zone-c');
-	const revision = await deployment.apply(trialConfiguration('withdrawn'), {replaces: 1, by: leader});
+	const revision = await deployment.apply(trialConfiguration('withdrawn'), {replaces: before, by: leader});
 	await waitUntilInForce(leader, revision);
 	t.true(await note());
-	t.not(await askFor(cutOff, 'fresh'), 200);
-	t.is(await askFor(cutOff, 'steady'), 200);
-	t.is(await askFor(cutOff, 'labels'), 200);
+	t.is(await askFor(cutOff, session), 'refused');
+	t.is(await askFor(cutOff), 'served');
+	t.is(await askForLabels(cutOff), 'served');
 
 	await cutZone(deployment);
 	await waitUntil(async () => await note() ? undefined : true, {what: 'the zone to hold a lease again', ...patience});
@@ -98,6 +99,6 @@
 		await note();
 		return revisions.at(-1) === revision || undefined;
 	}, {what: 'the zone to catch up', ...patience});
-	t.not(await askFor(cutOff, 'fresh'), 200);
+	t.is(await askFor(cutOff, session), 'refused');
 	t.deepEqual(revisions, revisions.toSorted((left, right) => left - right));
 });
