--- a/packages/testing/src/_zone-trial.ts
+++ b/packages/testing/src/_zone-trial.ts
@@ -3,7 +3,9 @@
 import {
 	type BackendPlan, type DaemonPlan, type Deployment, type RunningDaemon, startDeployment,
 } from './deployment.js';
-import {callOperator, callService, chatStreamed, chatWhole} from './http-client.js';
+import {
+	callOperator, callService, chatStreamed, chatWhole,
+} from './http-client.js';
 import {waitUntil} from './wait-until.js';
 
 /** What a daemon says of its part in the distribution. */
