Write exchanges short

Cause: an exchange named all its members; the leader's links took about 480 B/s each. Change: exchanges go over the links as tuples; the start of a daemon as a random number of 31 bits; other zones' loads each 60 s.

--- a/packages/daemon/src/distribution/distribution-node.ts
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -14,7 +14,7 @@
 import {LeaderView} from './leader-view.js';
 import {LostInstances} from './lost-instances.js';
 import {MemberWatch} from './member-watch.js';
-import {type ExchangeMessage, type ExchangeReply} from './messages.js';
+import {type Exchange, type ExchangeReply} from './messages.js';
 import {RelayNode} from './relay-node.js';
 import {ServerRegistry} from './server-registry.js';
 import {createLoadDigest, createRecordDigest, memberKey} from './shared-records.js';
@@ -25,6 +25,8 @@
 	readonly control: ControlPart;
 	readonly relay: ConfigurationRelay;
 	/** When this start began, in milliseconds since 1970. */
+	readonly startedAt: number;
+	/** Tells this start from others on the links, above 0. */
 	readonly incarnation: number;
 };
 
@@ -32,14 +34,14 @@
 const exchangesPerLease = 8;
 const periodsToForgetChild = 4;
 const ownZoneLoadMilliseconds = 5000;
-const otherZoneLoadMilliseconds = 30_000;
+const otherZoneLoadMilliseconds = 60_000;
 
 /**
 Puts together the parts of the distribution on one instance, and holds its timers.
 
 @example
 ```ts
-const node = new DistributionNode({base, control, relay, incarnation});
+const node = new DistributionNode({base, control, relay, startedAt, incarnation});
 node.start();
 ```
 */
@@ -141,16 +143,16 @@
 	/**
 	Answers a child.
 
-	@param message What it said.
+	@param exchange What it said.
 	@returns The answer.
 	*/
-	answer(message: ExchangeMessage): ExchangeReply {
+	answer(exchange: Exchange): ExchangeReply {
 		const {relay} = this.#options;
-		const child = message.question.instance;
+		const child = exchange.question.instance;
 		const now = this.#clock.monotonic();
 		this.#refresh();
 		const before = JSON.stringify(relay.confirmed(now));
-		const reply = this.#node.answer(message, now);
+		const reply = this.#node.answer(exchange, now);
 		this.#watch.heard(child);
 		this.#news.heard(child);
 		if (JSON.stringify(relay.confirmed(now)) !== before) {
@@ -351,12 +353,12 @@
 	}
 
 	#makeWatch(): MemberWatch {
-		const {base: {self, settings: {region}}, control, incarnation} = this.#options;
+		const {base: {self, settings: {region}}, control, startedAt} = this.#options;
 		return new MemberWatch({
 			clock: this.#clock,
 			records: this.#records,
 			self: {
-				...self, region, startedAt: incarnation, sequence: 0, state: 'joined',
+				...self, region, startedAt, sequence: 0, state: 'joined',
 			},
 			periodMilliseconds: this.#periodMilliseconds,
 			isLeader: () => control.isLeader(),
--- /dev/null
+++ b/packages/daemon/src/distribution/exchange-codec.ts
@@ -0,0 +1,117 @@
+import {type InstanceId, toRevision, type ZoneId} from '@valehitch/core';
+import {type DigestPart, type LoadRecord} from '@valehitch/membership';
+import {type Exchange, type ExchangeReply, type SharedRecord} from './messages.js';
+
+type PartTuple<Item> = readonly [
+	incarnation: number, since: number, change: number, heldIncarnation: number, heldChange: number,
+	hash: number | undefined, records: ReadonlyArray<readonly [string, Item]>,
+];
+
+type PartsTuple = readonly [
+	revision: number,
+	configuration: Uint8Array | undefined,
+	records: PartTuple<SharedRecord>,
+	loads: PartTuple<LoadRecord> | undefined,
+];
+
+/** An exchange as it goes over a link: without names, since it goes over several times a second. */
+export type ExchangeTuple = readonly [
+	instance: InstanceId, incarnation: number, number: number, confirmed: ReadonlyArray<readonly [ZoneId, number]>, parts: PartsTuple,
+];
+
+/** An answer as it goes over a link. */
+export type ReplyTuple = readonly [
+	parts: PartsTuple, grantRevision: number | undefined, remainingMilliseconds: number | undefined, leader: InstanceId | undefined,
+];
+
+/**
+Writes an exchange for a link.
+
+@param exchange The exchange.
+@returns The tuple.
+@example
+```ts
+network.request(parent, {scope: 'distribution', type: 'exchange', body: writeExchange(exchange)});
+```
+*/
+export function writeExchange({question: {instance, incarnation, number, confirmed}, ...parts}: Exchange): ExchangeTuple {
+	return [instance, incarnation, number, confirmed.map(({zone, revision}) => [zone, revision]), writeParts(parts)];
+}
+
+/**
+Reads an exchange that came over a link.
+
+@param tuple What `writeExchange` gave.
+@returns The exchange.
+@example
+```ts
+node.answer(readExchange(message.body));
+```
+*/
+export function readExchange([instance, incarnation, number, confirmed, parts]: ExchangeTuple): Exchange {
+	return {
+		question: {
+			instance, incarnation, number, confirmed: confirmed.map(([zone, revision]) => ({zone, revision: toRevision(revision)})),
+		},
+		...readParts(parts),
+	};
+}
+
+/**
+Writes an answer for a link; the rest of a lease is rounded down to milliseconds.
+
+@param reply The answer.
+@returns The tuple.
+@example
+```ts
+return writeReply(node.answer(exchange));
+```
+*/
+export function writeReply({grant, leader, ...parts}: ExchangeReply): ReplyTuple {
+	return [writeParts(parts), grant?.revision, grant === undefined ? undefined : Math.floor(grant.remainingMilliseconds), leader];
+}
+
+/**
+Reads an answer that came over a link.
+
+@param tuple What `writeReply` gave.
+@returns The answer.
+@example
+```ts
+const reply = readReply(tuple);
+```
+*/
+export function readReply([parts, grantRevision, remainingMilliseconds, leader]: ReplyTuple): ExchangeReply {
+	const grant = isGiven(grantRevision) && isGiven(remainingMilliseconds)
+		? {revision: toRevision(grantRevision), remainingMilliseconds}
+		: undefined;
+	return {...readParts(parts), grant, leader: leader ?? undefined};
+}
+
+function writeParts({revision, configuration, records, loads}: Omit<Exchange, 'question'>): PartsTuple {
+	return [revision, configuration, writePart(records), loads === undefined ? undefined : writePart(loads)];
+}
+
+function readParts([revision, configuration, records, loads]: PartsTuple): Omit<Exchange, 'question'> {
+	return {
+		revision: toRevision(revision),
+		configuration: configuration ?? undefined,
+		records: readPart(records),
+		loads: isGiven(loads) ? readPart(loads) : undefined,
+	};
+}
+
+function writePart<Item>({incarnation, since, change, held, hash, records}: DigestPart<Item>): PartTuple<Item> {
+	return [incarnation, since, change, ...held, hash, records];
+}
+
+function readPart<Item>([incarnation, since, change, heldIncarnation, heldChange, hash, records]: PartTuple<Item>): DigestPart<Item> {
+	return {
+		incarnation, since, change, held: [heldIncarnation, heldChange], hash: hash ?? undefined, records,
+	};
+}
+
+/** What is absent may come over a link as null. */
+function isGiven<Value>(value: Value | undefined): value is Value {
+	return (value ?? undefined) !== undefined;
+}
--- a/packages/daemon/src/distribution/exchange-loop.ts
+++ b/packages/daemon/src/distribution/exchange-loop.ts
@@ -1,6 +1,7 @@
 import {type Clock, type InstanceId} from '@valehitch/core';
 import {type PeerAddress, type PeerNetwork} from '@valehitch/transport';
 import {type PeerMessage} from '../messages.js';
+import {readReply, type ReplyTuple, writeExchange} from './exchange-codec.js';
 import {type ExchangeReply} from './messages.js';
 import {type RelayNode} from './relay-node.js';
 
@@ -97,15 +98,20 @@
 		const {clock, network, node, periodMilliseconds, onReply, onSilence} = this.#options;
 		const {instance} = parent;
 		const begun = node.begin(instance, clock.monotonic());
-		const answer = await network.request(parent, begun.message, {timeoutMilliseconds: periodMilliseconds * periodsToTimeout});
-		const reply = answer.toMaybe().extract() as ExchangeReply | undefined;
-		if (reply === undefined) {
+		const answer = await network.request(
+			parent,
+			{scope: 'distribution', type: 'exchange', body: writeExchange(begun.exchange)},
+			{timeoutMilliseconds: periodMilliseconds * periodsToTimeout},
+		);
+		const tuple = answer.toMaybe().extractNullable() as ReplyTuple | undefined;
+		if (tuple === null || tuple === undefined) {
 			this.#avoided.set(instance, clock.monotonic() + (periodMilliseconds * periodsToAvoid));
 			onSilence(instance);
 			return true;
 		}
 
 		this.#avoided.delete(instance);
+		const reply = readReply(tuple);
 		node.finish(begun, {parent: instance, reply, now: clock.monotonic()});
 		onReply(instance, reply);
 		return node.isSettled(instance);
--- a/packages/daemon/src/distribution/messages.ts
+++ b/packages/daemon/src/distribution/messages.ts
@@ -2,6 +2,7 @@
 import {
 	type DigestPart, type LeaseGrant, type LeaseQuestion, type LoadRecord, type MemberRecord, type ServerRecord,
 } from '@valehitch/membership';
+import {type ExchangeTuple} from './exchange-codec.js';
 
 /** A record of the digest of members and servers. */
 export type SharedRecord
@@ -20,10 +21,15 @@
 };
 
 /** Asks a parent for a lease and says what is new below. */
-export type ExchangeMessage = ExchangeParts & {
+export type Exchange = ExchangeParts & {
+	readonly question: LeaseQuestion;
+};
+
+/** Carries an exchange; the answer is a `ReplyTuple`. */
+export type ExchangeMessage = {
 	readonly scope: 'distribution';
 	readonly type: 'exchange';
-	readonly question: LeaseQuestion;
+	readonly body: ExchangeTuple;
 };
 
 /** What a parent answers. */
--- a/packages/daemon/src/distribution/relay-node.ts
+++ b/packages/daemon/src/distribution/relay-node.ts
@@ -4,7 +4,7 @@
 } from '@valehitch/membership';
 import {type ConfigurationKeeper} from './configuration-keeper.js';
 import {
-	type ExchangeMessage, type ExchangeParts, type ExchangeReply, type SharedRecord,
+	type Exchange, type ExchangeParts, type ExchangeReply, type SharedRecord,
 } from './messages.js';
 import {unpackConfiguration} from './pack-configuration.js';
 
@@ -25,7 +25,7 @@
 
 /** An exchange that was begun. */
 export type BegunExchange = {
-	readonly message: ExchangeMessage;
+	readonly exchange: Exchange;
 	/** When the question was sent, on the monotonic clock. */
 	readonly sentAt: number;
 };
@@ -64,15 +64,12 @@
 
 	@param parent The parent.
 	@param now The monotonic time.
-	@returns The message to send.
+	@returns What to send.
 	*/
 	begin(parent: InstanceId, now: number): BegunExchange {
 		const link = this.#link(parent, now);
 		const parts = this.#parts(link, {now, withLoads: this.#areLoadsDue(parent, link, now)});
-		const message: ExchangeMessage = {
-			scope: 'distribution', type: 'exchange', question: this.#options.relay.question(now), ...parts,
-		};
-		return {message, sentAt: now};
+		return {exchange: {question: this.#options.relay.question(now), ...parts}, sentAt: now};
 	}
 
 	/**
@@ -82,26 +79,26 @@
 	@param answer The parent, what it answered, and the monotonic time.
 	@returns Whether a lease came.
 	*/
-	finish({message, sentAt}: BegunExchange, {parent, reply, now}: {readonly parent: InstanceId; readonly reply: ExchangeReply; readonly now: number}): boolean {
+	finish({exchange, sentAt}: BegunExchange, {parent, reply, now}: {readonly parent: InstanceId; readonly reply: ExchangeReply; readonly now: number}): boolean {
 		const {grant} = reply;
 		this.#take(parent, reply, now);
 		this.#settle(parent, {granted: grant !== undefined});
-		return grant !== undefined && this.#options.relay.take({question: message.question, sentAt, grant});
+		return grant !== undefined && this.#options.relay.take({question: exchange.question, sentAt, grant});
 	}
 
 	/**
 	Answers a child's exchange.
 
-	@param message What it said.
+	@param exchange What it said.
 	@param now The monotonic time.
 	@returns The answer, without the leader.
 	*/
-	answer(message: ExchangeMessage, now: number): ExchangeReply {
-		const child = message.question.instance;
-		this.#take(child, message, now);
-		const grant = this.#options.relay.answer(message.question, now);
+	answer(exchange: Exchange, now: number): ExchangeReply {
+		const child = exchange.question.instance;
+		this.#take(child, exchange, now);
+		const grant = this.#options.relay.answer(exchange.question, now);
 		const link = this.#link(child, now);
-		const parts = this.#parts(link, {now, withLoads: message.loads !== undefined});
+		const parts = this.#parts(link, {now, withLoads: exchange.loads !== undefined});
 		return {...parts, ...(grant !== undefined && {grant})};
 	}
 
--- a/packages/daemon/src/distribution/server-registry.ts
+++ b/packages/daemon/src/distribution/server-registry.ts
@@ -19,6 +19,7 @@
 };
 
 const loadMilliseconds = 5000;
+const millisecondsPerSecond = 1000;
 const forgetMilliseconds = 3_600_000;
 
 /**
@@ -119,7 +120,7 @@
 			const {server, startedAt, sequence} = announcement;
 			const step = toLoadStep(announcement);
 			if (holder === instance && state === 'joined' && loads.get(server)?.[2] !== step) {
-				loads.merge(server, {item: [startedAt, sequence, step]});
+				loads.merge(server, {item: [Math.floor(startedAt / millisecondsPerSecond), sequence, step]});
 				this.servers.setLoad(server, step);
 			}
 		}
--- a/packages/daemon/src/distribution/start-distribution.ts
+++ b/packages/daemon/src/distribution/start-distribution.ts
@@ -8,6 +8,7 @@
 import {type Member} from '../member.js';
 import {type ActiveConfiguration} from './active-configuration.js';
 import {DistributionNode} from './distribution-node.js';
+import {readExchange, writeReply} from './exchange-codec.js';
 import {type LostInstance} from './lost-instances.js';
 import {type DistributionMessage} from './messages.js';
 
@@ -35,6 +36,8 @@
 	readonly stop: () => void;
 };
 
+const incarnationRange = 2_147_483_646;
+
 /**
 Starts the distribution of configuration, leases, members and servers.
 
@@ -48,12 +51,13 @@
 */
 export function startDistribution(base: DaemonBase, control: ControlPart): DistributionPart {
 	const {settings: {timing: {configurationLeaseMilliseconds: leaseMilliseconds}, zone, instance}, clock} = base;
-	const incarnation = clock.now().getTime();
+	// Short on the links; a start is told from another by chance.
+	const incarnation = 1 + Math.floor(base.random() * incarnationRange);
 	const relay = new ConfigurationRelay({
 		instance, zone, incarnation, leaseMilliseconds,
 	});
 	const node = new DistributionNode({
-		base, control, relay, incarnation,
+		base, control, relay, incarnation, startedAt: clock.now().getTime(),
 	});
 	node.lost.listen(({instance: lost}) => {
 		base.log.warn({lost}, 'An instance was given up');
@@ -77,7 +81,7 @@
 			node.drain();
 		},
 		answer: async message => match(message)
-			.with({type: 'exchange'}, exchange => node.answer(exchange))
+			.with({type: 'exchange'}, ({body}) => writeReply(node.answer(readExchange(body))))
 			.with({type: 'news'}, () => {
 				node.wake();
 				return undefined;
--- a/packages/membership/src/load-record.ts
+++ b/packages/membership/src/load-record.ts
@@ -1,4 +1,4 @@
-/** The load of a backend server, in steps, as the digests carry it. */
+/** The load of a backend server, in steps, as the digests carry it; the start in seconds since 1970, to be short. */
 export type LoadRecord = readonly [startedAt: number, sequence: number, step: number];
 
 /** The number of steps from idle to full. */
--- a/packages/testing/src/_distribution-trial.ts
+++ b/packages/testing/src/_distribution-trial.ts
@@ -91,7 +91,10 @@
 			models: ['steady@1.0', 'fresh@2.0'],
 			capacity,
 			// A load that moves by more than one step from one report to the next.
-			active: () => (calls += 5) % capacity,
+			active() {
+				calls += 5;
+				return calls % capacity;
+			},
 		});
 	});
 }
@@ -139,8 +142,9 @@
 	let revision = 1;
 	for (let change = 0; change < changes; change++) {
 		const startedAt = performance.now();
-		revision = await deployment.apply(trialConfiguration(change % 2 === 0 ? 'rolling-out' : 'settled'), {replaces: revision});
-		await Promise.all(deployment.daemons.map(async daemon => waitUntilHeld(daemon, revision)));
+		const next = await deployment.apply(trialConfiguration(change % 2 === 0 ? 'rolling-out' : 'settled'), {replaces: revision});
+		revision = next;
+		await Promise.all(deployment.daemons.map(async daemon => waitUntilHeld(daemon, next)));
 		heldMilliseconds.push(performance.now() - startedAt);
 		await waitUntilComplete(deployment);
 		inForceMilliseconds.push(performance.now() - startedAt);
