--- /dev/null
+++ b/packages/testing/src/_isolation-trial.ts
@@ -0,0 +1,78 @@
+import {type IsolationServe} from '@valehitch/settings';
+import {
+	askFor, askForLabels, cutZone, distributionStatus, findDaemon, type Seen, startZoneTrial, trialConfiguration,
+} from './_zone-trial.js';
+import {type RunningDaemon} from './deployment.js';
+import {waitUntil} from './wait-until.js';
+
+/** What a cut-off instance did with requests, by what they asked for. */
+export type IsolationFigures = {
+	readonly serve: IsolationServe;
+	/** While the change was not in force yet, or afterwards. */
+	readonly phase: 'before in force' | 'in force';
+	readonly settled: Counts;
+	/** Requests for a version that was withdrawn outside the cut. */
+	readonly withdrawn: Counts;
+	readonly plainService: Counts;
+};
+
+type Counts = Readonly<Record<Seen, number>>;
+
+const rounds = 5;
+const requestsEach = 10;
+
+/** Cuts a zone, withdraws a version outside, and counts what an entry instance in the zone serves. */
+export async function measureIsolation(serve: IsolationServe): Promise<readonly IsolationFigures[]> {
+	const {deployment, session, revision: before} = await startZoneTrial({leaseMilliseconds: 6000, serve});
+	try {
+		const leader = findDaemon(deployment, 'control-a');
+		const cutOff = findDaemon(deployment, 'entry-c');
+		await cutZone(deployment, 'zone-c');
+		const revision = await deployment.apply(trialConfiguration('withdrawn'), {replaces: before, by: leader});
+		const early = await countOnce(cutOff, session);
+		await waitUntil(async () => {
+			const status = await distributionStatus(leader);
+			return status.inForce.complete && status.revision >= revision ? true : undefined;
+		}, {what: 'the change in force', timeoutMilliseconds: 60_000});
+		const late = await countRounds(cutOff, session);
+		return [{serve, phase: 'before in force', ...early}, {serve, phase: 'in force', ...late}];
+	} finally {
+		await cutZone(deployment);
+		await deployment.stop();
+	}
+}
+
+type RoundCounts = Pick<IsolationFigures, 'settled' | 'withdrawn' | 'plainService'>;
+
+async function countRounds(daemon: RunningDaemon, session: string): Promise<RoundCounts> {
+	let all = await countOnce(daemon, session);
+	for (let round = 1; round < rounds; round++) {
+		const next = await countOnce(daemon, session);
+		all = {
+			settled: add(all.settled, next.settled),
+			withdrawn: add(all.withdrawn, next.withdrawn),
+			plainService: add(all.plainService, next.plainService),
+		};
+	}
+
+	return all;
+}
+
+async function countOnce(daemon: RunningDaemon, session: string): Promise<RoundCounts> {
+	const [settled, withdrawn, plainService] = await Promise.all([
+		count(async () => askFor(daemon)),
+		count(async () => askFor(daemon, session)),
+		count(async () => askForLabels(daemon)),
+	]);
+	return {settled, withdrawn, plainService};
+}
+
+async function count(ask: () => Promise<Seen>): Promise<Counts> {
+	const seen = await Promise.all(Array.from({length: requestsEach}, async () => ask()));
+	const served = seen.filter(one => one === 'served').length;
+	return {served, refused: seen.length - served};
+}
+
+function add(left: Counts, right: Counts): Counts {
+	return {served: left.served + right.served, refused: left.refused + right.refused};
+}
