--- a/packages/daemon/src/distribution/distribution-node.ts
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -177,7 +177,7 @@
 
 		const {base: {network, settings: {control, instance}}} = this.#options;
 		const asked = control.filter(seed => seed.instance !== instance)
-			.toSorted((left, right) => Number(right.instance === this.#hint) - Number(left.instance === this.#hint));
+			.toSorted((left, right) => Number(right.instance === this.leader) - Number(left.instance === this.leader));
 		for (const seed of asked) {
 			const reply = await network.request(seed, {scope: 'distribution', type: 'in-force'});
 			const answer = reply.toMaybe().extractNullable();
@@ -257,14 +257,14 @@
 
 	#candidates(): PeerAddress[] {
 		const {base: {settings}} = this.#options;
-		if (this.#view.leader !== undefined) {
+		if (this.#view.leads) {
 			return [];
 		}
 
 		const {members} = this.#watch;
 		const addresses = new Map<InstanceId, PeerAddress>([...members, ...settings.control].map(address => [address.instance, address]));
 		return parentCandidates({
-			self: this.#watch.self, members, seeds: settings.control, leader: this.#hint,
+			self: this.#watch.self, members, seeds: settings.control, leader: this.leader,
 		})
 			.map(instance => addresses.get(instance))
 			.filter(address => address !== undefined);
@@ -353,7 +353,7 @@
 	}
 
 	#makeWatch(): MemberWatch {
-		const {base: {self, settings: {region}}, control, startedAt} = this.#options;
+		const {base: {self, settings: {region}}, startedAt} = this.#options;
 		return new MemberWatch({
 			clock: this.#clock,
 			records: this.#records,
@@ -361,7 +361,7 @@
 				...self, region, startedAt, sequence: 0, state: 'joined',
 			},
 			periodMilliseconds: this.#periodMilliseconds,
-			isLeader: () => control.isLeader(),
+			isLeader: () => this.#view.leads,
 			onChange: () => {
 				this.#spread();
 			},
--- a/packages/daemon/src/operators/cut-links.ts
+++ b/packages/daemon/src/operators/cut-links.ts
@@ -1,45 +1,56 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {failure, type InstanceId, toId} from '@valehitch/core';
+import {
+	type Failure, failure, type InstanceId, toId,
+} from '@valehitch/core';
 import {answerProblem, readBody} from '@valehitch/transport';
+import {type Either, Left, Right} from 'purify-ts';
 import {z} from 'zod';
 import {answerJson} from '../answer-json.js';
-import {type OperatorContext} from './operator-context.js';
+import {type DaemonBase} from '../daemon-base.js';
 
 const maximumBytes = 65_536;
 const cutSchema = z.strictObject({cut: z.array(z.string())});
 
 /**
-Cuts the links with the named instances and mends all others; for failure tests, and only with the setting `faults`.
+Cuts the links of this instance with others, in both directions, until the next call; for failure tests, and only with the setting `faults`.
 
-@param request The operator's request, with the body `{cut: [INSTANCE]}`.
+@param request The operator's request, with a body `{cut: [INSTANCE]}`.
 @param response The response.
-@param context What the port works with.
+@param base What every part works with.
 @example
 ```ts
-await cutLinks(request, response, context);
+await cutLinks(request, response, base);
 ```
 */
-export async function cutLinks(request: IncomingMessage, response: ServerResponse, {base: {network, settings}}: OperatorContext): Promise<void> {
+export async function cutLinks(request: IncomingMessage, response: ServerResponse, {settings, network, log}: DaemonBase): Promise<void> {
 	if (!settings.faults) {
-		answerProblem(response, failure('forbidden', 'Got a fault to make, wanted the setting faults'));
+		answerProblem(response, failure('not-found', 'Got POST /v1/faults/links, wanted a call that docs/API.md lists'));
 		return;
 	}
 
 	const body = await readBody(request, maximumBytes);
-	const cut = body.toMaybe().map(bytes => cutSchema.safeParse(parseJson(bytes)).data?.cut).extract();
-	if (cut === undefined) {
-		answerProblem(response, failure('malformed-request', 'Got another body, wanted {cut: [INSTANCE]}'));
-		return;
-	}
-
-	network.cut(new Set(cut.map(instance => toId<InstanceId>(instance))));
-	answerJson(response, {cut});
+	body.chain(bytes => readCut(bytes)).caseOf({
+		Left(failed) {
+			answerProblem(response, failed);
+		},
+		Right(cut) {
+			network.cut(new Set(cut));
+			log.warn({cut}, 'Links were cut by a failure test');
+			answerJson(response, {cut});
+		},
+	});
 }
 
-function parseJson(bytes: Uint8Array): unknown {
+function readCut(bytes: Uint8Array): Either<Failure, readonly InstanceId[]> {
+	let json: unknown;
 	try {
-		return JSON.parse(new TextDecoder().decode(bytes));
+		json = JSON.parse(new TextDecoder().decode(bytes));
 	} catch {
-		return undefined;
+		return Left(failure('malformed-request', 'Got a body that is not JSON'));
 	}
+
+	const parsed = cutSchema.safeParse(json);
+	return parsed.success
+		? Right(parsed.data.cut.map(instance => toId<InstanceId>(instance)))
+		: Left(failure('malformed-request', 'Got a body without cut, wanted {"cut": [INSTANCE]}'));
 }
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -38,6 +38,11 @@
 			return;
 		}
 
+		case 'POST /v1/faults/links': {
+			await cutLinks(request, response, context.base);
+			return;
+		}
+
 		case 'GET /v1/status': {
 			await answerStatus(response, context);
 			return;
@@ -48,11 +53,6 @@
 			return;
 		}
 
-		case 'POST /v1/faults/links': {
-			await cutLinks(request, response, context);
-			return;
-		}
-
 		default: {
 			answerProblem(response, failure('not-found', `Got ${route}, wanted a call that docs/API.md lists`));
 		}
