--- a/packages/daemon/src/control/control-client.ts
+++ b/packages/daemon/src/control/control-client.ts
@@ -6,7 +6,7 @@
 import {type Either, Left} from 'purify-ts';
 import {fromResultReply} from '../result-reply.js';
 import {
-	type ControlReply, type InForce, type LeaderMessage, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage,
+	type ControlReply, type LeaderMessage, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage,
 } from './messages.js';
 
 /** What a client of the control role needs. */
@@ -67,12 +67,6 @@
 		return result.map(body => body as AnswerOf<Kind>);
 	}
 
-	/** Asks which zones still wait for the current revision. */
-	async inForce(): Promise<Either<Failure, InForce>> {
-		const result = await this.#request({scope: 'control', type: 'in-force'}, {});
-		return result.map(body => body as InForce);
-	}
-
 	/**
 	Asks for a page of the ledger.
 
