--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -1,5 +1,5 @@
 import {type CommandAnswer} from '@valehitch/control';
-import {type Failure, failure, type ZoneId} from '@valehitch/core';
+import {type Failure, failure} from '@valehitch/core';
 import {type PeerAddress} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import {match} from 'ts-pattern';
@@ -7,15 +7,13 @@
 import {toResultReply} from '../result-reply.js';
 import {type ControlHost} from './control-host.js';
 import {
-	type ControlMessage, type ControlReply, type InForce, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type SubscriberReport,
+	type ControlMessage, type ControlReply, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage,
 } from './messages.js';
-import {type Subscribers, toInForce} from './subscribers.js';
 
 /** What the answers come from. */
 export type ControlAnswersOptions = {
 	readonly base: DaemonBase;
 	readonly host: ControlHost;
-	readonly subscribers: Subscribers;
 	/** Asks another control instance. */
 	readonly ask: (to: PeerAddress, message: ControlMessage) => Promise<Either<Failure, unknown>>;
 };
@@ -28,7 +26,7 @@
 
 @example
 ```ts
-const answers = new ControlAnswers({base, host, subscribers, ask});
+const answers = new ControlAnswers({base, host, ask});
 ```
 */
 export class ControlAnswers {
@@ -45,7 +43,7 @@
 	@returns The reply; undefined for messages between replicas.
 	*/
 	async answer(message: ControlMessage): Promise<unknown> {
-		const {host, subscribers} = this.#options;
+		const {host} = this.#options;
 		return match(message)
 			.with({type: 'replica'}, envelope => {
 				host.receive(envelope);
@@ -53,8 +51,7 @@
 			})
 			.with({type: 'join'}, question => host.join(question))
 			.with({type: 'leader'}, (): LeaderReply => ({leader: host.leader}))
-			.with({type: 'subscribers'}, () => subscribers.report())
-			.with({type: 'propose'}, {type: 'in-force'}, {type: 'ledger'}, async question => this.#answerAsLeader(question))
+			.with({type: 'propose'}, {type: 'ledger'}, async question => this.#answerAsLeader(question))
 			.exhaustive();
 	}
 
@@ -81,7 +78,7 @@
 		});
 	}
 
-	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | InForce | LedgerPage>> {
+	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | LedgerPage>> {
 		const {host} = this.#options;
 		if (question.type === 'propose') {
 			return host.propose(question.command);
@@ -91,7 +88,7 @@
 			return Left(this.#noQuorum());
 		}
 
-		return Right(question.type === 'ledger' ? this.#readLedger(question) : await this.#inForce());
+		return Right(this.#readLedger(question));
 	}
 
 	#readLedger({workspace, after}: LedgerMessage): LedgerPage {
@@ -99,22 +96,6 @@
 		return {bills, ...(next !== undefined && {next})};
 	}
 
-	async #inForce(): Promise<InForce> {
-		const {base: {settings}, host, subscribers, ask} = this.#options;
-		const {revision} = host.state.effective;
-		const unheard: ZoneId[] = [];
-		const others = settings.control.filter(({instance}) => instance !== settings.instance);
-		const reports = await Promise.all(others.map(async other => {
-			const reply = await ask(other, {scope: 'control', type: 'subscribers'});
-			if (reply.isLeft()) {
-				unheard.push(other.zone);
-			}
-
-			return reply.orDefault([]) as readonly SubscriberReport[];
-		}));
-		return toInForce([...subscribers.report(), ...reports.flat()], {revision, unheard});
-	}
-
 	#noQuorum(): Failure {
 		return failure('no-quorum', 'Got no leader with a valid lease, wanted one', {retryAfterMilliseconds: retryMilliseconds});
 	}
