Lead only once everything from before the term is applied

Cause: a new leader whose first entry was committed and not applied yet could hand out an older configuration than was acknowledged, for as long as one sync takes. Change: isLeader also asks that the state holds everything up to the first entry of the term.

--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -118,9 +118,10 @@
 		return this.#isStopped ? undefined : leaseValidUntil(this.#driver.state);
 	}
 
-	/** Whether this replica leads under a valid lease, and an entry of its term is committed. */
+	/** Whether this replica leads under a valid lease, with everything applied that was committed before its term. */
 	get isLeader(): boolean {
-		return this.#readIndex() !== undefined;
+		const {role} = this.#driver.state;
+		return role.type === 'leader' && this.#machine.appliedIndex >= role.termStartIndex && this.#readIndex() !== undefined;
 	}
 
 	/** Starts the ticks, and the search for a group where this replica has none. */
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -14,7 +14,7 @@
 	readonly client: ControlClient;
 	/** Answers a message to the control role; undefined where this instance does not have it. */
 	readonly answer: (message: ControlMessage) => Promise<unknown>;
-	/** Whether this instance leads under a valid lease, with everything applied that was committed before. */
+	/** Whether this instance leads under a valid lease, with everything applied that was committed before its term. */
 	readonly isLeader: () => boolean;
 	/** Milliseconds on the monotonic clock until which no other instance can lead; undefined where this one holds no lease. */
 	readonly leaseValidUntil: () => number | undefined;
