--- a/packages/consensus/src/fuzz/_node.ts
+++ b/packages/consensus/src/fuzz/_node.ts
@@ -15,7 +15,7 @@
 
 /** Times in units; the drift margin covers the clock rates below. */
 export const options: ReplicaOptions = {
-	minimumElectionTimeout: 100, maximumElectionTimeout: 200, heartbeatInterval: 20, driftMargin: 10, maximumAppendBytes: 120, tailEntries: 3,
+	minimumElectionTimeout: 100, maximumElectionTimeout: 150, heartbeatInterval: 20, driftMargin: 10, maximumAppendBytes: 40, maximumInFlight: 2, tailEntries: 3,
 };
 const rates = [0.956, 1, 1.044, 0.97, 1.03];
 
@@ -40,6 +40,8 @@
 	frozenUntil = 0;
 	restartAt = 0;
 	syncDelay = 0;
+	/** Added to the way of each message that the host sends. */
+	lag = 0;
 	readonly disk: Disk = {
 		identity: 0, hardState: undefined, snapshot: undefined, entries: [],
 	};
@@ -168,6 +170,11 @@
 		}
 
 		for (const sent of messages) {
+			if (!this.state) {
+				// A trap crashed the host between two messages.
+				return;
+			}
+
 			this.#options.onMessage(this.id, sent);
 		}
 	}
--- a/packages/consensus/src/fuzz/_world.ts
+++ b/packages/consensus/src/fuzz/_world.ts
@@ -1,21 +1,22 @@
 import {Buffer} from 'node:buffer';
 import {isLeader} from '../is-leader.js';
-import {type ReplicaSet} from '../log-entry.js';
 import {planReplacement} from '../plan-replacement.js';
 import {type ReplicaActions} from '../replica-action.js';
-import {toReplicaId, type ReplicaId} from '../replica-id.js';
+import {instanceOf, type ReplicaId} from '../replica-id.js';
 import {type ReplicaMessage} from '../replica-message.js';
 import {nextRandom, seedRandom} from '../_random.js';
+import {
+	committedReplicas, firstReplicas, isSettled, leaseHolder, mayLose,
+} from './_group.js';
 import {Node} from './_node.js';
 import {Oracle} from './_oracle.js';
-import {type Operation} from './_operation.js';
+import {leaderSide, leaderTarget, type Operation} from './_operation.js';
 
 const instances = 5;
-const firstVoters = 3;
 const tickInterval = 10;
 const planInterval = 20;
 const convergenceUnits = 6000;
-const shortDelay = 8;
+const shortDelay = 6;
 const longDelay = 160;
 
 type Envelope = {readonly due: number; readonly from: ReplicaId; readonly to: ReplicaId; readonly message: ReplicaMessage};
@@ -29,14 +30,14 @@
 	#exchange: Envelope[] = [];
 	#cut: number | undefined;
 	#noise = 0;
+	#trap: Operation | undefined;
 	#proposals = 0;
 
 	constructor(seed: number) {
 		this.#random = seedRandom(seed);
-		const voters = Array.from({length: firstVoters}, (_, position) => toReplicaId(`i${position}`, '0'));
 		this.nodes = Array.from({length: instances}, (_, position) => new Node({
 			position,
-			replicas: position < firstVoters ? {voters, learners: []} : undefined,
+			replicas: position < firstReplicas.voters.length ? firstReplicas : undefined,
 			oracle: this.oracle,
 			onMessage: (from, sent) => {
 				this.#post(from, sent);
@@ -45,22 +46,11 @@
 	}
 
 	get leader(): Node | undefined {
-		return this.nodes.find(({state, hasLease}) => state && isLeader(state) && hasLease);
-	}
-
-	/** The replica set committed last, or the first one. */
-	get replicas(): ReplicaSet {
-		for (const {payload} of this.oracle.chosen.toReversed()) {
-			if (payload.type === 'replica-set') {
-				return payload.replicas;
-			}
-		}
-
-		return {voters: Array.from({length: firstVoters}, (_, position) => toReplicaId(`i${position}`, '0')), learners: []};
+		return leaseHolder(this.nodes);
 	}
 
 	perform(operation: Operation): void {
-		const node = this.nodes[operation.node]!;
+		const node = this.#target(operation);
 		switch (operation.type) {
 			case 'propose': {
 				this.propose(operation.units);
@@ -78,7 +68,7 @@
 			}
 
 			case 'wipe': {
-				if (this.#mayLose(node)) {
+				if (mayLose(node, {nodes: this.nodes, oracle: this.oracle})) {
 					node.wipe(this.#time + operation.units);
 				}
 
@@ -86,7 +76,22 @@
 			}
 
 			case 'cut': {
-				this.#cut = operation.units;
+				this.#part(operation.side);
+				break;
+			}
+
+			case 'isolate': {
+				this.#cut = 2 ** this.nodes.indexOf(node);
+				break;
+			}
+
+			case 'lag': {
+				node.lag = operation.units;
+				break;
+			}
+
+			case 'trap': {
+				this.#trap = operation;
 				break;
 			}
 
@@ -96,7 +101,7 @@
 			}
 
 			case 'noise': {
-				this.#noise = operation.units / 400;
+				this.#noise = operation.units / 600;
 				break;
 			}
 
@@ -106,7 +111,7 @@
 			}
 
 			case 'sync': {
-				node.syncDelay = operation.units / 4;
+				node.syncDelay = operation.units / 2;
 				break;
 			}
 
@@ -116,7 +121,7 @@
 			}
 
 			case 'remove': {
-				if (this.replicas.voters.length > firstVoters) {
+				if (committedReplicas(this.oracle).voters.length > firstReplicas.voters.length) {
 					this.leader?.take({type: 'change-replicas', change: {type: 'remove', replica: node.id}});
 				}
 
@@ -150,16 +155,18 @@
 	converge(): void {
 		this.#cut = undefined;
 		this.#noise = 0;
+		this.#trap = undefined;
 		for (const node of this.nodes) {
 			node.frozenUntil = 0;
 			node.restartAt = 0;
 			node.syncDelay = 0;
+			node.lag = 0;
 		}
 
 		const end = this.#time + convergenceUnits;
 		while (this.#time < end) {
 			this.run(planInterval);
-			if (this.#isSettled()) {
+			if (isSettled(this.nodes, this.oracle)) {
 				return;
 			}
 		}
@@ -168,30 +175,6 @@
 		throw new Error(`Got no settled group after ${convergenceUnits} units, wanted one: ${states.join('; ')}`);
 	}
 
-	#isSettled(): boolean {
-		const {leader, replicas} = this;
-		const {lastIndex} = this.oracle;
-		const isRepaired = replicas.learners.length === 0 && this.nodes.slice(0, firstVoters).length > 0
-			&& replicas.voters.every(voter => this.nodes.some(({id}) => id === voter));
-		const holders = this.nodes.filter(({id}) => replicas.voters.includes(id));
-		return leader?.state !== undefined && isRepaired
-			&& leader.state.commitIndex === leader.state.log.baseIndex + leader.state.log.entries.length
-			&& holders.every(({appliedIndex}) => appliedIndex === lastIndex) && lastIndex > 0;
-	}
-
-	/** A disk may be lost once all voters are present and no change is in progress, committed or not. */
-	#mayLose(node: Node): boolean {
-		const {voters, learners} = this.replicas;
-		if (!voters.includes(node.id) && !learners.includes(node.id)) {
-			return true;
-		}
-
-		const committed = this.oracle.chosen.findLastIndex(({payload}) => payload.type === 'replica-set') + 1;
-		const isChanging = this.nodes.some(({state, disk}) => [...state?.log.entries ?? [], ...disk.entries]
-			.some(({index, payload}) => payload.type === 'replica-set' && index > committed));
-		return !isChanging && learners.length === 0 && voters.every(voter => this.nodes.some(({id}) => id === voter));
-	}
-
 	#unit(): void {
 		for (const node of this.nodes) {
 			node.advance(this.#time);
@@ -236,27 +219,55 @@
 		}
 	}
 
+	/** The replica that leads the newest term, with or without a lease. */
+	#newestLeader(): Node | undefined {
+		const leaders = this.nodes.filter(({state}) => state && isLeader(state));
+		leaders.sort((left, right) => right.state!.hardState.term - left.state!.hardState.term);
+		return leaders[0];
+	}
+
+	#target({node}: Operation): Node {
+		return (node === leaderTarget ? this.#newestLeader() : this.nodes[node]) ?? this.nodes[0]!;
+	}
+
+	#part(side: number): void {
+		const leader = this.#newestLeader();
+		const leaderBit = leader ? 2 ** this.nodes.indexOf(leader) : 0;
+		this.#cut = side === leaderSide ? leaderBit : side;
+	}
+
+	/** Crashes a host right after it sent the message that the trap waits for, and parts the network. */
+	#spring(from: ReplicaId, message: ReplicaMessage): void {
+		const trap = this.#trap;
+		const node = trap && this.#target(trap);
+		if (node?.id !== from || trap?.message !== message.type) {
+			return;
+		}
+
+		this.#trap = undefined;
+		this.#part(trap.side);
+		node.crash(this.#time + trap.units);
+	}
+
 	#post(from: ReplicaId, {to, message}: ReplicaActions['messages'][number]): void {
+		const lag = this.nodes.find(({id}) => id === from)?.lag ?? 0;
 		const copies = this.#chance() < this.#noise / 2 ? 2 : 1;
 		for (let copy = 0; copy < copies; copy++) {
 			const spread = this.#chance() < this.#noise ? longDelay : shortDelay;
-			const isLost = this.#chance() < this.#noise;
+			const isLost = this.#chance() < this.#noise || this.#isCut(from, to);
 			if (!isLost) {
 				this.#exchange.push({
-					due: this.#time + 1 + Math.floor(this.#chance() * spread), from, to, message,
+					due: this.#time + 1 + lag + Math.floor(this.#chance() * spread), from, to, message,
 				});
 			}
 		}
+
+		this.#spring(from, message);
 	}
 
 	#deliver({from, to, message}: Envelope): void {
-		const sender = this.nodes.findIndex(({id}) => id.split('/')[0] === from.split('/')[0]);
 		const node = this.nodes.find(({id}) => id === to);
-		if (!node || this.#isCut(sender, this.nodes.indexOf(node))) {
-			return;
-		}
-
-		if (node.state && !node.isAwake) {
+		if (node?.state && !node.isAwake) {
 			// A frozen process finds the message in its socket when it wakes.
 			this.#exchange.push({
 				due: node.frozenUntil, from, to, message,
@@ -264,12 +275,17 @@
 			return;
 		}
 
-		node.take({type: 'message', from, message});
+		node?.take({type: 'message', from, message});
 	}
 
-	#isCut(left: number, right: number): boolean {
-		const side = (position: number) => Math.floor((this.#cut ?? 0) / (2 ** position)) % 2;
-		return side(left) !== side(right);
+	/** A partition stops what is sent from then on; what is on its way arrives. */
+	#isCut(from: ReplicaId, to: ReplicaId): boolean {
+		const side = (id: ReplicaId) => {
+			const position = this.nodes.findIndex(node => instanceOf(node.id) === instanceOf(id));
+			return Math.floor((this.#cut ?? 0) / (2 ** position)) % 2;
+		};
+
+		return side(from) !== side(to);
 	}
 
 	#chance(): number {
--- /dev/null
+++ b/packages/consensus/src/replica.test.ts
@@ -0,0 +1,92 @@
+import test from 'ava';
+import {createReplica} from './create-replica.js';
+import {isLeader} from './is-leader.js';
+import {leaseValidUntil} from './lease-valid-until.js';
+import {type LogEntry} from './log-entry.js';
+import {readIndex} from './read-index.js';
+import {type ReplicaId, toReplicaId} from './replica-id.js';
+import {type ReplicaState} from './replica-state.js';
+import {step} from './replica.js';
+
+const first = toReplicaId('a', '0');
+const second = toReplicaId('b', '0');
+const third = toReplicaId('c', '0');
+const replicas = {voters: [first, second, third], learners: []};
+const campaignTime = 5000;
+
+function started(entries: readonly LogEntry[] = [], id: ReplicaId = first): ReplicaState {
+	return createReplica({
+		id, replicas, hardState: {term: 2}, entries, options: {maximumAppendBytes: 1}, seed: 1,
+	}, 0);
+}
+
+function elected(entries: readonly LogEntry[] = []): ReplicaState {
+	let {state} = step(started(entries), {type: 'tick'}, campaignTime);
+	for (const isPreVote of [true, false]) {
+		state = step(state, {
+			type: 'message', from: second, message: {
+				type: 'vote-reply', term: 3, isPreVote, granted: true,
+			},
+		}, campaignTime).state;
+	}
+
+	return state;
+}
+
+function acknowledged(state: ReplicaState, matchIndex: number, now: number): ReturnType<typeof step> {
+	return step(state, {
+		type: 'message', from: second, message: {
+			type: 'append-reply', term: 3, success: true, matchIndex, round: 1,
+		},
+	}, now);
+}
+
+test('a leader does not commit an entry of an older term by count', t => {
+	const old: LogEntry = {index: 1, term: 2, payload: {type: 'command', data: new Uint8Array([1])}};
+	const {state, actions} = acknowledged(elected([old]), 1, campaignTime);
+	t.deepEqual(actions.committed, []);
+	t.deepEqual(acknowledged(state, 2, campaignTime).actions.committed.map(({index}) => index), [1, 2]);
+});
+
+test('a change is refused before an entry of the leader\'s own term is committed, and while one is in progress', t => {
+	const change = {type: 'change-replicas', change: {type: 'add-learner', replica: toReplicaId('d', '0')}, proposalId: 'p'} as const;
+	t.deepEqual(step(elected(), change, campaignTime).actions.rejected, ['p']);
+	const ready = acknowledged(elected(), 1, campaignTime).state;
+	const {state, actions} = step(ready, change, campaignTime);
+	t.deepEqual(actions.accepted, [{proposalId: 'p', index: 2, term: 3}]);
+	t.deepEqual(step(state, {...change, change: {type: 'remove', replica: third}}, campaignTime).actions.rejected, ['p']);
+});
+
+test('the lease runs from when the answered round was sent, less the margin', t => {
+	const later = step(elected(), {type: 'tick'}, campaignTime + 400).state;
+	const {state} = acknowledged(later, 1, campaignTime + 500);
+	t.is(leaseValidUntil(state), campaignTime + 900);
+	t.is(readIndex(state, campaignTime + 899), 1);
+	t.is(readIndex(state, campaignTime + 900), undefined);
+});
+
+test('a leader that wakes after a long time steps down before it says anything', t => {
+	const {state} = acknowledged(elected(), 1, campaignTime);
+	const woken = step(state, {type: 'propose', proposals: [{proposalId: 'p', data: new Uint8Array()}]}, campaignTime + 60_000);
+	t.false(isLeader(woken.state));
+	t.deepEqual(woken.actions.rejected, ['p']);
+	t.deepEqual(woken.actions.messages, []);
+});
+
+test('a replica refuses votes for a minimum election timeout after it starts', t => {
+	const request = {
+		type: 'message', from: second, message: {
+			type: 'vote-request', term: 3, isPreVote: false, lastIndex: 0, lastTerm: 0,
+		},
+	} as const;
+	const granted = [999, 1000].map(now => step(started(), request, now).actions.messages[0]?.message);
+	t.like(granted[0], {type: 'vote-reply', term: 2, granted: false});
+	t.like(granted[1], {type: 'vote-reply', term: 3, granted: true});
+});
+
+test('the only voter leads at its first tick', t => {
+	const alone = createReplica({id: first, replicas: {voters: [first], learners: []}, seed: 1}, 0);
+	const {state, actions} = step(alone, {type: 'tick'}, 0);
+	t.is(readIndex(state, 1), 1);
+	t.deepEqual(actions.persist?.hardState, {term: 1, votedFor: first});
+});
