Work out a cascade's beginning once and pair it with versions that meet the target only

Cause: each pair of versions estimated the same first version again. Ruled out: dropping verdicts of cascades, which explain needs.

--- a/packages/daemon/src/ratings/ratings-part.test.ts
+++ b/packages/daemon/src/ratings/ratings-part.test.ts
@@ -120,10 +120,21 @@
 	for (const [round, {part}] of instances.entries()) {
 		const ratings = Array.from({length: 8}, (_, index) => ratingOf(`r${round}-${index}`, 0.2));
 		part.take(ratings);
+		for (const target of [replaced, fresh]) {
+			for (const name of ['lookup', 'reconcile', 'summary']) {
+				part.noteOutcome({
+					...target, workspace, rule: name, ranAt: 900,
+				}, false);
+				part.noteEscalation({
+					...target, workspace, rule: name, ranAt: 900,
+				}, false);
+			}
+		}
+
 		part.summarize();
 	}
 
-	for (let second = 0; second < 4; second += 1) {
+	for (let second = 0; second < 12; second += 1) {
 		for (const {part} of instances) {
 			const summary = part.summarize();
 			if (summary !== undefined) {
--- a/packages/policy/src/_evaluate-candidates.ts
+++ b/packages/policy/src/_evaluate-candidates.ts
@@ -65,7 +65,7 @@
 }
 
 /**
-Pairs versions into cascades: a cheaper one first, a dearer one when the answer shows a sign of the rule.
+Pairs versions into cascades: a cheaper one first, and a dearer one that meets the target when the answer shows a sign of the rule.
 
 A streamed request and one of a session get none: bytes that have left cannot be taken back, and a session stays on its version.
 
@@ -83,15 +83,18 @@
 		return [];
 	}
 
-	const usable = versions.filter(({standing}) => standing === 'eligible' || standing === 'below-target');
 	const cascades: Evaluated[] = [];
-	for (const first of usable) {
-		for (const second of usable) {
-			if (first.candidate.expectedCost < second.candidate.expectedCost) {
-				cascades.push(evaluateCascade(question, {
-					first, second, escalation, order: versions.length + cascades.length,
-				}));
-			}
+	for (const first of versions.filter(({standing}) => standing === 'eligible' || standing === 'below-target')) {
+		const dearer = versions.filter(({standing, candidate}) => standing === 'eligible' && candidate.expectedCost > first.candidate.expectedCost);
+		if (dearer.length === 0) {
+			continue;
+		}
+
+		const beginning = beginCascade(question, {first: first.candidate, escalation});
+		for (const second of dearer) {
+			cascades.push(evaluateCascade(beginning, {
+				second: second.candidate, qualityTarget: question.options.rule.qualityTarget, order: versions.length + cascades.length,
+			}));
 		}
 	}
 
@@ -175,29 +178,39 @@
 		.exhaustive();
 }
 
-type Cascade = {
-	readonly first: Evaluated;
-	readonly second: Evaluated;
-	readonly escalation: EscalationConfiguration;
-	readonly order: number;
+type Beginning = {
+	readonly first: Candidate;
+	/** The lower bound of the quality of answers that show no sign. */
+	readonly accepted: number;
+	readonly escalationShare: Estimate;
 };
 
-function evaluateCascade(question: Question, cascade: Cascade): Evaluated {
-	const {first: {candidate: first}, second: {candidate: second}, escalation, order} = cascade;
-	const {rule: {qualityTarget}} = question.options;
+function beginCascade(question: Question, {first, escalation}: {readonly first: Candidate; readonly escalation: EscalationConfiguration}): Beginning {
 	const target = {model: first.model, version: first.version};
-	const accepted = estimateOf(question, {target, measure: 'accepted-rating', listed: escalation.acceptedQuality}).lowerBound;
-	const share = estimateOf(question, {target, measure: 'escalation', listed: escalation.expectedShare});
-	const worstShare = second.quality > accepted ? share.lowerBound : share.upperBound;
+	return {
+		first,
+		accepted: estimateOf(question, {target, measure: 'accepted-rating', listed: escalation.acceptedQuality}).lowerBound,
+		escalationShare: estimateOf(question, {target, measure: 'escalation', listed: escalation.expectedShare}),
+	};
+}
+
+type Ending = {
+	readonly second: Candidate;
+	readonly qualityTarget: number;
+	readonly order: number;
+};
+
+function evaluateCascade({first, accepted, escalationShare: {mean, lowerBound, upperBound}}: Beginning, {second, qualityTarget, order}: Ending): Evaluated {
+	const worstShare = second.quality > accepted ? lowerBound : upperBound;
 	const quality = ((1 - worstShare) * accepted) + (worstShare * second.quality);
 	const candidate: Candidate = {
 		...first,
 		kind: 'cascade',
 		escalatesTo: {model: second.model, version: second.version},
-		escalationShare: share.mean,
+		escalationShare: mean,
 		quality,
-		expectedCost: Math.ceil(first.expectedCost + (share.mean * second.expectedCost)) as Micros,
-		expectedMilliseconds: first.expectedMilliseconds + (share.mean * second.expectedMilliseconds),
+		expectedCost: Math.ceil(first.expectedCost + (mean * second.expectedCost)) as Micros,
+		expectedMilliseconds: first.expectedMilliseconds + (mean * second.expectedMilliseconds),
 	};
 	return {
 		candidate, order, standing: quality < qualityTarget ? 'below-target' : 'eligible', verdict: targetVerdict(quality, qualityTarget),
