Let late digests and reports come last in the tests of merging

Cause: broken variants that take older digests and reports passed, since the tests ended with the newest. Conclusion: no fault of the code found.

--- a/packages/policy/src/bad-version.test.ts
+++ b/packages/policy/src/bad-version.test.ts
@@ -117,17 +117,14 @@
 			const reports = [...reportsOf('a', first), ...reportsOf('b', second)];
 			const ordered = new EvidenceTable();
 			const shuffled = new EvidenceTable();
-			for (const index of order) {
-				const report = reports[index % reports.length];
-				if (report !== undefined) {
-					shuffled.merge(report);
-					shuffled.merge(report);
-				}
+			const late = order.map(index => reports[index % reports.length]).filter(report => report !== undefined);
+			for (const report of [...late, ...reports, ...late.toReversed()]) {
+				shuffled.merge(report);
+				shuffled.merge(report);
 			}
 
 			for (const report of reports) {
 				ordered.merge(report);
-				shuffled.merge(report);
 			}
 
 			const [wanted, got] = [ordered, shuffled].map(table => {
--- a/packages/policy/src/quality-book.test.ts
+++ b/packages/policy/src/quality-book.test.ts
@@ -32,12 +32,10 @@
 			}
 
 			const merged = bookOf('merged');
-			for (const index of order) {
-				merged.merge(digests[index % Math.max(1, digests.length)] ?? bookOf('none').digest());
-			}
-
-			for (const book of books) {
-				merged.merge(book.digest());
+			const late = order.map(index => digests[index % Math.max(1, digests.length)] ?? bookOf('none').digest());
+			const newest = books.map(book => book.digest());
+			for (const digest of [...late, ...newest, ...late.toReversed()]) {
+				merged.merge(digest);
 			}
 
 			const wanted = together.sums(key, 48 * hour);
