Make the bounds on false stops settings; cap what a long history starts

Cause: the bound was a constant, and a new leader that gets a history of 100 horizons at once would have started 100 units of wealth. Change: settings badVersions.ratings and badVersions.failures; at most one unit starts with a batch; a test that fails without the cap (evidence 1,000 at threshold 20). Conclusion: the evidence keeper takes the same settings by badVersionSettingsOf.

--- a/packages/daemon/src/ratings/start-ratings.ts
+++ b/packages/daemon/src/ratings/start-ratings.ts
@@ -1,5 +1,6 @@
 import {type EffectiveConfiguration} from '@valehitch/core';
 import {type DaemonBase} from '../daemon-base.js';
+import {badVersionSettingsOf} from './bad-version-settings-of.js';
 import {type IntakeCount} from './rating-intake.js';
 import {type RatingSummary, type RatingSummaryReply} from './rating-summary.js';
 import {type Rating} from './rating.js';
@@ -41,6 +42,7 @@
 		startedAt: clock.now().getTime(),
 		now: () => clock.now().getTime(),
 		configuration,
+		badVersions: badVersionSettingsOf(settings),
 		onAlarm({model, version, measure, count, reason}) {
 			metrics.increment('version.stopped_here', {model, version, measure});
 			log.warn({model, version, measure}, reason);
--- a/packages/policy/src/bad-version.test.ts
+++ b/packages/policy/src/bad-version.test.ts
@@ -17,6 +17,13 @@
 	return new BadVersionMonitor({...identity, book: new QualityBook(identity)});
 }
 
+test('the long history that a new leader gets at once is no evidence by its length', t => {
+	const detector = new ChangeDetector({falseAlarmShare: 0.05, horizon: 1000});
+	detector.advance({observations: 1_000_000, logWealth: detector.logWealth.map(() => 0)});
+	t.false(detector.isAlarmed);
+	t.is(detector.evidence, 1);
+});
+
 type Stream = {
 	readonly seed: number;
 	readonly measure: QualityMeasure;
--- a/packages/policy/src/change-detector.ts
+++ b/packages/policy/src/change-detector.ts
@@ -100,14 +100,14 @@
 	}
 
 	/**
-	Takes observations that were summed up.
+	Takes observations that were summed up; however many, at most one unit starts with them.
 
 	@param evidence What was added since the last time.
 	*/
 	advance({observations, logWealth}: SummedEvidence): void {
 		this.#count += observations;
 		for (const [index, added] of logWealth.entries()) {
-			this.#grow(index, {growth: Math.exp(added), started: observations / this.#horizon});
+			this.#grow(index, {growth: Math.exp(added), started: Math.min(1, observations / this.#horizon)});
 			this.#logWealth[index] = (this.#logWealth[index] ?? 0) + added;
 		}
 
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -64,6 +64,26 @@
 	prefix: z.string(prefixError).regex(/^[\w.\-]{1,64}$/v, prefixError).default('valehitch'),
 });
 
+type BadVersionDefaults = {readonly tolerance: number; readonly horizon: number};
+
+function numberFrom({from, to}: Bounds): z.ZodNumber {
+	const error = `Wanted a number from ${from} to ${to}`;
+	return z.number(error).min(from, error).max(to, error);
+}
+
+function badVersion({tolerance, horizon}: BadVersionDefaults) {
+	return z.strictObject({
+		tolerance: numberFrom({from: 0.001, to: 1}).default(tolerance),
+		falseAlarmShare: numberFrom({from: 0.000_001, to: 0.5}).default(0.05),
+		horizon: wholeNumber({from: 10, to: 1_000_000_000}).default(horizon),
+	});
+}
+
+const badVersions = z.strictObject({
+	ratings: badVersion({tolerance: 0.05, horizon: 1000}).prefault({}),
+	failures: badVersion({tolerance: 0.03, horizon: 100_000}).prefault({}),
+});
+
 /** The schema of the daemon's settings file; unknown keys are refused. `parseSettings` adds the checks over several fields. */
 export const settingsSchema: z.ZodType<Settings> = z.strictObject({
 	instance,
@@ -83,6 +103,7 @@
 	limits: limits.prefault({}),
 	timing: timing.prefault({}),
 	isolation: z.strictObject({serve: z.enum(['settled', 'all', 'none']).default('settled')}).prefault({}),
+	badVersions: badVersions.prefault({}),
 	logging: z.strictObject({level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal']).default('info')}).prefault({}),
 	metrics: metrics.optional(),
 });
--- a/packages/settings/src/settings.test.ts
+++ b/packages/settings/src/settings.test.ts
@@ -35,6 +35,10 @@
 	t.deepEqual(settings.limits, {bodyBytes: 4_194_304, headerBytes: 16_384});
 	t.deepEqual(settings.timing, {announcementRenewMilliseconds: 1000, configurationLeaseMilliseconds: 5000, shutdownMilliseconds: 30_000});
 	t.is(settings.isolation.serve, 'settled');
+	t.deepEqual(settings.badVersions, {
+		ratings: {tolerance: 0.05, falseAlarmShare: 0.05, horizon: 1000},
+		failures: {tolerance: 0.03, falseAlarmShare: 0.05, horizon: 100_000},
+	});
 	t.is(settings.logging.level, 'info');
 	t.is(settings.metrics, undefined);
 });
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -95,6 +95,24 @@
 	readonly serve: IsolationServe;
 };
 
+/** When a version counts as bad by one measure. */
+export type BadVersionSettings = {
+	/** How much worse than the version it replaces is still not bad; 0.05 for ratings and 0.03 for failures by default, 0.001 to 1. */
+	readonly tolerance: number;
+	/** The most false alarms, as a share, within each horizon; 0.05 by default, 0.000001 to 0.5. */
+	readonly falseAlarmShare: number;
+	/** The observations within which the share holds; 1000 ratings and 100000 outcomes by default, 10 to 1000000000. */
+	readonly horizon: number;
+};
+
+/** When a version counts as bad. */
+export type BadVersionsSettings = {
+	/** By its ratings; has defaults. */
+	readonly ratings: BadVersionSettings;
+	/** By its share of failures; has defaults. */
+	readonly failures: BadVersionSettings;
+};
+
 /** What is logged. */
 export type LoggingSettings = {
 	/** The level from which records are written: trace, debug, info, warn, error or fatal; `info` by default. */
@@ -139,6 +157,8 @@
 	readonly timing: TimingSettings;
 	/** What a cut-off instance serves; has defaults. */
 	readonly isolation: IsolationSettings;
+	/** When a version counts as bad; has defaults. */
+	readonly badVersions: BadVersionsSettings;
 	/** What is logged; has defaults. */
 	readonly logging: LoggingSettings;
 	/** Where metrics are sent; by default absent, and then none are sent. */
