Add the machine of a request's life

Cause: the thin path retries in a loop inside its handlers; hedges, resumes, claims and cascades have no place there. Ruled out: one class that holds sockets, since its order of steps cannot be fuzzed. Change: startRequest and stepRequest, pure functions of state, event and time.

--- /dev/null
+++ b/packages/routing/src/_request-change.ts
@@ -0,0 +1,99 @@
+import {type ServerId} from '@valehitch/core';
+import {type CallerAction, type RequestAction} from './request-action.js';
+import {type AttemptState, type RequestState} from './request-state.js';
+
+const maximumExcluded = 32;
+
+/** A step in the making: the state so far and the actions so far. */
+export class RequestChange {
+	/** Milliseconds on the monotonic clock. */
+	readonly now: number;
+	readonly #actions: RequestAction[] = [];
+	#state: RequestState;
+
+	constructor(state: RequestState, now: number) {
+		this.#state = state;
+		this.now = now;
+	}
+
+	get state(): RequestState {
+		return this.#state;
+	}
+
+	get actions(): readonly RequestAction[] {
+		return this.#actions;
+	}
+
+	/** The attempts that may still bring an answer. */
+	get live(): AttemptState[] {
+		return this.#state.attempts.filter(({status}) => status !== 'over');
+	}
+
+	/** Whether pieces are held until the answer is whole and accepted. */
+	get holds(): boolean {
+		const {plan, judged, callerLeft} = this.#state;
+		return !plan.streamed || judged || callerLeft;
+	}
+
+	/** Replaces members of the state. */
+	set(members: Partial<RequestState>): void {
+		this.#state = {...this.#state, ...members};
+	}
+
+	/** Asks for an action. */
+	act(action: RequestAction): void {
+		this.#actions.push(action);
+	}
+
+	/** Asks for an action towards the caller, unless it left. */
+	tell(action: CallerAction): void {
+		if (!this.#state.callerLeft) {
+			this.#actions.push(action);
+		}
+	}
+
+	/** Finds an attempt that stands where it should. */
+	attemptAt(number: number, status: AttemptState['status']): AttemptState | undefined {
+		return this.#state.attempts.find(attempt => attempt.number === number && attempt.status === status);
+	}
+
+	/** Replaces members of an attempt. */
+	setAttempt(number: number, members: Partial<AttemptState>): void {
+		const attempts = this.#state.attempts.map(attempt => attempt.number === number ? {...attempt, ...members} : attempt);
+		this.set({attempts});
+	}
+
+	/** Forgets an attempt that was never dispatched. */
+	removeAttempt(number: number): void {
+		this.set({attempts: this.#state.attempts.filter(attempt => attempt.number !== number)});
+	}
+
+	/** Gives no further attempt to a server. */
+	exclude(server: ServerId): void {
+		if (this.#state.excluded.length < maximumExcluded && !this.#state.excluded.includes(server)) {
+			this.set({excluded: [...this.#state.excluded, server]});
+		}
+	}
+
+	/** Cancels the attempts that are live, but for one. */
+	cancelOthers(kept?: number): void {
+		for (const attempt of this.live) {
+			if (attempt.number !== kept) {
+				this.#cancel(attempt);
+			}
+		}
+	}
+
+	#cancel({number, status, received, resumeFrom}: AttemptState): void {
+		if (status === 'choosing') {
+			this.removeAttempt(number);
+			return;
+		}
+
+		this.setAttempt(number, {status: 'over'});
+		this.act({type: 'cancel-attempt', attempt: number});
+		if (this.holds && received > resumeFrom) {
+			this.act({type: 'drop-held', attempt: number});
+		}
+	}
+}
--- /dev/null
+++ b/packages/routing/src/_start-attempt.ts
@@ -0,0 +1,177 @@
+import {failure} from '@valehitch/core';
+import {
+	giveUp, type GiveUpOptions, outcomeOfAttempts, refuseRequest,
+} from './_end-request.js';
+import {type RequestChange} from './_request-change.js';
+import {type AttemptPurpose} from './request-action.js';
+import {type AttemptState} from './request-state.js';
+
+const defaultMaximumAttempts = 4;
+const nothing = {input: 0, output: 0};
+
+/**
+Begins an attempt by asking for a server.
+
+@param change The step.
+@param purpose Why the attempt is made.
+*/
+export function startAttempt(change: RequestChange, purpose: AttemptPurpose): void {
+	change.set({stage: 'running'});
+	if (change.state.permissionLost) {
+		stopForPermission(change);
+		return;
+	}
+
+	const {nextAttempt, target, attempts, delivered} = change.state;
+	const attempt: AttemptState = {
+		number: nextAttempt,
+		purpose,
+		target,
+		status: 'choosing',
+		outcome: 'notRun',
+		server: undefined,
+		resumeFrom: delivered,
+		received: delivered,
+		progressAt: change.now,
+		usage: nothing,
+	};
+	change.set({nextAttempt: nextAttempt + 1, attempts: [...attempts, attempt]});
+	chooseServer(change, attempt);
+}
+
+/**
+Asks for a server for an attempt, without those that were tried or are in use for this request.
+
+@param change The step.
+@param attempt The attempt.
+*/
+export function chooseServer(change: RequestChange, {number, purpose, target}: AttemptState): void {
+	const excluded = [...change.state.excluded];
+	for (const {server} of change.live) {
+		if (server !== undefined) {
+			excluded.push(server);
+		}
+	}
+
+	change.act({
+		type: 'choose-server', attempt: number, purpose, target, excluded,
+	});
+}
+
+/**
+Tries again after an attempt came to nothing, where another is live, allowed and safe; else gives up.
+
+@param change The step.
+@param options What to say when the request is given up on.
+*/
+export function tryAgain(change: RequestChange, options: GiveUpOptions): void {
+	if (change.live.length > 0) {
+		return;
+	}
+
+	if (change.state.permissionLost) {
+		stopForPermission(change);
+		return;
+	}
+
+	if (!mayTryAgain(change)) {
+		giveUp(change, options);
+		return;
+	}
+
+	startAttempt(change, purposeOfNext(change));
+}
+
+/**
+Waits once for a server, where the plan allows it, or gives up.
+
+@param change The step.
+@param options What to say when the request is given up on.
+*/
+export function waitOrGiveUp(change: RequestChange, options: GiveUpOptions): void {
+	if (change.live.length > 0) {
+		return;
+	}
+
+	const {plan, cameBack, stopping} = change.state;
+	const wait = Math.min(plan.comeBackMilliseconds ?? 0, options.retryAfterMilliseconds);
+	if (wait <= 0 || cameBack || stopping || change.now + wait >= plan.deadline) {
+		giveUp(change, options);
+		return;
+	}
+
+	change.set({stage: 'waiting', cameBack: true});
+	change.act({type: 'set-timer', timer: 'come-back', at: change.now + wait});
+}
+
+/**
+Begins the next attempt after a wait; servers that were passed over may be asked again.
+
+@param change The step.
+*/
+export function comeBack(change: RequestChange): void {
+	change.set({excluded: []});
+	startAttempt(change, purposeOfNext(change));
+}
+
+/**
+Stops sending to the target that gets no new work: another version where nothing ran and no session holds it, else the end.
+
+@param change The step.
+*/
+export function stopForPermission(change: RequestChange): void {
+	const {plan, target, attempts} = change.state;
+	if (change.live.some(({status}) => status === 'sent')) {
+		return;
+	}
+
+	if (outcomeOfAttempts(attempts) !== 'notRun') {
+		giveUp(change, {message: `Got no whole answer, and ${nameOf(target)} takes no new work any more`, retryAfterMilliseconds: 0});
+		return;
+	}
+
+	if (plan.session !== 'none') {
+		refuseRequest(change, failure('session-ended', `Got a session on ${nameOf(target)}, which takes no new work any more; wanted a new session`));
+		return;
+	}
+
+	change.set({stage: 'planning'});
+	change.act({type: 'choose-version', lost: target});
+}
+
+/**
+Tells whether the target may get another attempt.
+
+@param change The step.
+@returns Whether the number of attempts allows it.
+*/
+export function hasAttemptsLeft({state}: RequestChange): boolean {
+	const {plan, target, attempts} = state;
+	const made = attempts.filter(attempt => attempt.target === target && attempt.server !== undefined).length;
+	return made < (plan.maximumAttempts ?? defaultMaximumAttempts);
+}
+
+function mayTryAgain(change: RequestChange): boolean {
+	const {plan, target, attempts, delivered} = change.state;
+	if (!hasAttemptsLeft(change) || change.now >= plan.deadline) {
+		return false;
+	}
+
+	if (!plan.repeatable) {
+		return outcomeOfAttempts(attempts) === 'notRun';
+	}
+
+	return delivered === 0 || target.type === 'version';
+}
+
+function purposeOfNext({state}: RequestChange): AttemptPurpose {
+	if (state.delivered > 0) {
+		return 'resume';
+	}
+
+	return state.attempts.length > 0 ? 'retry' : 'first';
+}
+
+function nameOf(target: AttemptState['target']): string {
+	return target.type === 'version' ? `${target.model} ${target.version}` : target.service;
+}
--- /dev/null
+++ b/packages/routing/src/_take-attempt-event.ts
@@ -0,0 +1,258 @@
+import {type TokenUsage} from '@valehitch/core';
+import {match} from 'ts-pattern';
+import {settleBill, settleClaim} from './_end-request.js';
+import {type RequestChange} from './_request-change.js';
+import {
+	chooseServer, startAttempt, stopForPermission, tryAgain, waitOrGiveUp,
+} from './_start-attempt.js';
+import {type AttemptEvent} from './request-event.js';
+import {type AttemptState} from './request-state.js';
+
+const defaultRetryAfterMilliseconds = 1000;
+const maximumDenials = 16;
+
+type EventOf<Type extends AttemptEvent['type']> = Extract<AttemptEvent, {readonly type: Type}>;
+type AttemptTaken<Type extends AttemptEvent['type']> = {
+	readonly attempt: AttemptState;
+	readonly event: EventOf<Type>;
+};
+
+/**
+Takes an event of an attempt; one of an attempt that is over changes nothing.
+
+@param change The step.
+@param event The event.
+*/
+export function takeAttemptEvent(change: RequestChange, event: AttemptEvent): void {
+	if (event.type === 'attempt-judged') {
+		takeVerdict(change, event);
+		return;
+	}
+
+	const status = event.type === 'server-chosen' || event.type === 'no-server' ? 'choosing' : 'sent';
+	const attempt = change.attemptAt(event.attempt, status);
+	if (attempt === undefined) {
+		return;
+	}
+
+	match(event)
+		.with({type: 'server-chosen'}, chosen => {
+			takeServer(change, {attempt, event: chosen});
+		})
+		.with({type: 'no-server'}, none => {
+			takeNoServer(change, {attempt, event: none});
+		})
+		.with({type: 'dispatch-denied'}, denied => {
+			takeDenial(change, {attempt, event: denied});
+		})
+		.with({type: 'attempt-never-sent'}, () => {
+			takeNotRun(change, {attempt, retryAfterMilliseconds: defaultRetryAfterMilliseconds});
+		})
+		.with({type: 'attempt-not-run'}, ({retryAfterMilliseconds}) => {
+			takeNotRun(change, {attempt, retryAfterMilliseconds: retryAfterMilliseconds ?? defaultRetryAfterMilliseconds});
+		})
+		.with({type: 'attempt-head'}, () => {
+			change.setAttempt(attempt.number, ranSoFar(change, attempt));
+		})
+		.with({type: 'attempt-piece'}, piece => {
+			takePiece(change, {attempt, event: piece});
+		})
+		.with({type: 'attempt-complete'}, complete => {
+			takeComplete(change, {attempt, event: complete});
+		})
+		.with({type: 'attempt-failed'}, ({message, usage}) => {
+			change.setAttempt(attempt.number, ranSoFar(change, attempt));
+			takeFailure(change, {attempt, message, usage});
+		})
+		.with({type: 'attempt-broken'}, ({message, usage}) => {
+			takeFailure(change, {attempt, message, usage});
+		})
+		.with({type: 'attempt-timed-out'}, () => {
+			cancelAndFail(change, {attempt, message: 'Got nothing from the server for too long'});
+		})
+		.exhaustive();
+}
+
+function takeServer(change: RequestChange, {attempt, event: {server}}: AttemptTaken<'server-chosen'>): void {
+	const {permissionLost, excluded, plan, stopping} = change.state;
+	if (permissionLost) {
+		change.removeAttempt(attempt.number);
+		stopForPermission(change);
+		return;
+	}
+
+	if (excluded.includes(server)) {
+		chooseServer(change, attempt);
+		return;
+	}
+
+	const {number, target, purpose, resumeFrom} = attempt;
+	change.setAttempt(number, {
+		status: 'sent', outcome: 'unknown', server, progressAt: change.now,
+	});
+	change.act({
+		type: 'dispatch', attempt: number, server, target, purpose, resumeFrom,
+	});
+	if (plan.hedge !== undefined && plan.repeatable && !stopping && !change.state.hedged) {
+		change.act({type: 'set-timer', timer: 'hedge', at: change.now + plan.hedge.prefillMilliseconds});
+	}
+}
+
+function takeNoServer(change: RequestChange, {attempt, event}: AttemptTaken<'no-server'>): void {
+	change.removeAttempt(attempt.number);
+	if (change.live.length > 0) {
+		return;
+	}
+
+	const {reason, retryAfterMilliseconds} = event;
+	const options = {message: noServerMessages[reason], retryAfterMilliseconds};
+	if (attempt.purpose === 'hedge') {
+		tryAgain(change, options);
+		return;
+	}
+
+	waitOrGiveUp(change, options);
+}
+
+const noServerMessages = {
+	none: 'Got no server that can take the request',
+	budget: 'Got no further attempt from the budget of retries',
+} as const;
+
+function takeDenial(change: RequestChange, {attempt, event: {reason}}: AttemptTaken<'dispatch-denied'>): void {
+	if (reason !== 'server-draining' && reason !== 'server-gone') {
+		change.removeAttempt(attempt.number);
+		change.set({permissionLost: true});
+		stopForPermission(change);
+		return;
+	}
+
+	if (attempt.server !== undefined) {
+		change.exclude(attempt.server);
+	}
+
+	change.set({denials: change.state.denials + 1});
+	if (change.state.denials > maximumDenials) {
+		change.removeAttempt(attempt.number);
+		waitOrGiveUp(change, {message: 'Got only servers that are shutting down', retryAfterMilliseconds: defaultRetryAfterMilliseconds});
+		return;
+	}
+
+	change.setAttempt(attempt.number, {status: 'choosing', outcome: 'notRun', server: undefined});
+	chooseServer(change, attempt);
+}
+
+type NotRun = {
+	readonly attempt: AttemptState;
+	readonly retryAfterMilliseconds: number;
+};
+
+function takeNotRun(change: RequestChange, {attempt, retryAfterMilliseconds}: NotRun): void {
+	if (attempt.outcome === 'ran') {
+		takeFailure(change, {attempt, message: 'Got the word that the request did not run from a server that had begun its answer'});
+		return;
+	}
+
+	change.setAttempt(attempt.number, {status: 'over', outcome: 'notRun'});
+	excludeServerOf(change, attempt);
+	tryAgain(change, {message: 'Got only servers that did not run the request', retryAfterMilliseconds});
+}
+
+function takePiece(change: RequestChange, {attempt, event: {offset, length, tokens}}: AttemptTaken<'attempt-piece'>): void {
+	const {number, received} = attempt;
+	if (offset !== received) {
+		cancelAndFail(change, {attempt, message: `Got a piece of the answer at offset ${offset}, wanted ${received}`});
+		return;
+	}
+
+	const ran = ranSoFar(change, attempt);
+	change.setAttempt(number, {
+		...ran,
+		received: offset + length,
+		progressAt: change.now,
+		usage: {input: ran.usage.input, output: ran.usage.output + tokens},
+	});
+	if (change.holds) {
+		change.act({type: 'hold-piece', attempt: number, offset});
+		return;
+	}
+
+	change.cancelOthers(number);
+	change.set({leader: number, delivered: offset + length});
+	change.tell({type: 'forward-piece', attempt: number, offset});
+}
+
+function takeComplete(change: RequestChange, {attempt, event: {offset, usage}}: AttemptTaken<'attempt-complete'>): void {
+	const {number, received} = attempt;
+	if (offset !== received) {
+		takeFailure(change, {attempt, message: `Got the end of the answer at offset ${offset}, wanted ${received}`, usage});
+		return;
+	}
+
+	change.setAttempt(number, {status: 'over', outcome: 'ran', usage});
+	change.cancelOthers(number);
+	change.set({leader: number});
+	if (!change.state.judged) {
+		settle(change);
+		return;
+	}
+
+	change.set({stage: 'judging'});
+	change.act({type: 'judge-attempt', attempt: number});
+}
+
+function takeVerdict(change: RequestChange, event: EventOf<'attempt-judged'>): void {
+	const {stage, leader} = change.state;
+	if (stage !== 'judging' || event.attempt !== leader) {
+		return;
+	}
+
+	if (event.verdict === 'accepted') {
+		settle(change);
+		return;
+	}
+
+	change.act({type: 'drop-held', attempt: event.attempt});
+	change.set({
+		target: event.target, judged: event.judged, leader: undefined, permissionLost: false,
+	});
+	startAttempt(change, 'escalation');
+}
+
+function settle(change: RequestChange): void {
+	change.set({stage: 'settling'});
+	settleBill(change, 'answered');
+	settleClaim(change, 'done');
+}
+
+type Failed = {
+	readonly attempt: AttemptState;
+	readonly message: string;
+	readonly usage?: TokenUsage | undefined;
+};
+
+function cancelAndFail(change: RequestChange, failed: Failed): void {
+	change.act({type: 'cancel-attempt', attempt: failed.attempt.number});
+	takeFailure(change, failed);
+}
+
+function takeFailure(change: RequestChange, {attempt, message, usage}: Failed): void {
+	const {number, received, resumeFrom} = attempt;
+	change.setAttempt(number, {status: 'over', ...(usage !== undefined && {usage, outcome: 'ran'})});
+	excludeServerOf(change, attempt);
+	if (change.holds && received > resumeFrom) {
+		change.act({type: 'drop-held', attempt: number});
+	}
+
+	tryAgain(change, {message, retryAfterMilliseconds: defaultRetryAfterMilliseconds});
+}
+
+function excludeServerOf(change: RequestChange, {server}: AttemptState): void {
+	if (server !== undefined) {
+		change.exclude(server);
+	}
+}
+
+function ranSoFar(change: RequestChange, {usage}: AttemptState): Pick<AttemptState, 'outcome' | 'usage'> {
+	return {outcome: 'ran', usage: {input: change.state.plan.promptTokens, output: usage.output}};
+}
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -5,7 +5,7 @@
 */
 export type * from './request-action.js';
 export type * from './request-event.js';
-export type * from './request-life.js';
+export * from './request-life.js';
 export type * from './request-plan.js';
 export type * from './request-state.js';
 export * from './session-token.js';
--- a/packages/routing/src/request-event.ts
+++ b/packages/routing/src/request-event.ts
@@ -25,7 +25,7 @@
 		| {readonly type: 'bill-opened'}
 		| {readonly type: 'bill-not-possible'; readonly failure: Failure}
 		/** Another version was chosen, after the first was withdrawn before any dispatch. */
-		| {readonly type: 'version-chosen'; readonly target: RequestTarget}
+		| {readonly type: 'version-chosen'; readonly target: RequestTarget; readonly judged: boolean}
 		| {readonly type: 'no-version'; readonly failure: Failure};
 
 /** What becomes of one attempt; an event of a cancelled attempt changes nothing. */
--- a/packages/routing/src/request-life.ts
+++ b/packages/routing/src/request-life.ts
@@ -1,5 +1,10 @@
+import {match, P} from 'ts-pattern';
+import {RequestChange} from './_request-change.js';
+import {takeAttemptEvent} from './_take-attempt-event.js';
+import {takePreparation} from './_take-preparation.js';
+import {takeSurroundings} from './_take-surroundings.js';
 import {type RequestAction} from './request-action.js';
-import {type RequestEvent} from './request-event.js';
+import {type RequestEvent, type SurroundingsEvent} from './request-event.js';
 import {type RequestPlan} from './request-plan.js';
 import {type RequestState} from './request-state.js';
 
@@ -16,8 +21,78 @@
 	readonly now: number;
 };
 
-/** Contract: begins the life of a request. */
-export type StartRequest = (plan: RequestPlan) => RequestStep;
+/**
+Begins the life of a request.
 
-/** Contract: takes one event. */
-export type StepRequest = (state: RequestState, options: StepRequestOptions) => RequestStep;
+@param plan What is settled about the request.
+@returns The first state, and the actions that ask for admission and set the deadline.
+@example
+```ts
+const {state, actions} = startRequest(plan);
+```
+*/
+export function startRequest(plan: RequestPlan): RequestStep {
+	return {
+		state: {
+			plan,
+			stage: 'admitting',
+			target: plan.target,
+			judged: plan.judged && plan.repeatable,
+			claim: 'none',
+			bill: 'none',
+			attempts: [],
+			nextAttempt: 1,
+			denials: 0,
+			excluded: [],
+			leader: undefined,
+			delivered: 0,
+			permissionLost: false,
+			hedged: false,
+			cameBack: false,
+			stopping: false,
+			callerLeft: false,
+		},
+		actions: [
+			{type: 'set-timer', timer: 'deadline', at: plan.deadline},
+			{type: 'request-admission'},
+		],
+	};
+}
+
+/**
+Takes one event in the life of a request; after the end, events change nothing.
+
+@param state The state before.
+@param options The event and the time.
+@returns The state after and the actions to carry out, in their order.
+@example
+```ts
+const {state, actions} = stepRequest(before, {event: {type: 'admitted'}, now: clock.monotonic()});
+```
+*/
+export function stepRequest(state: RequestState, {event, now}: StepRequestOptions): RequestStep {
+	if (state.stage === 'ended') {
+		return {state, actions: []};
+	}
+
+	const change = new RequestChange(state, now);
+	match(event)
+		.with({attempt: P.number}, taken => {
+			takeAttemptEvent(change, taken);
+		})
+		.with(P.when(isSurroundings), taken => {
+			takeSurroundings(change, taken);
+		})
+		.otherwise(taken => {
+			takePreparation(change, taken);
+		});
+	return {state: change.state, actions: change.actions};
+}
+
+const surroundingTypes: ReadonlySet<string> = new Set<SurroundingsEvent['type']>([
+	'timer', 'permission-lost', 'server-draining', 'caller-left', 'bill-settled', 'instance-stopping',
+]);
+
+function isSurroundings(event: RequestEvent): event is SurroundingsEvent {
+	return surroundingTypes.has(event.type);
+}
--- a/packages/routing/src/request-plan.ts
+++ b/packages/routing/src/request-plan.ts
@@ -31,10 +31,12 @@
 	readonly deadline: number;
 	/** The estimate of the prompt's tokens, billed for an attempt that ran and gave no usage. */
 	readonly promptTokens: number;
-	/** When a second attempt is made; undefined for never. */
+	/** When a second attempt is made; undefined for never. For an answer that is not streamed, `prefillMilliseconds` is about the whole answer. */
 	readonly hedge?: HedgeDelays;
-	/** The most attempts of a request, hedges and resumes included; 4 by default. */
+	/** The most attempts on one target, hedges and resumes included; 4 by default. */
 	readonly maximumAttempts?: number;
 	/** The most milliseconds to wait once for a server where none is free; 0, the default, refuses at once. */
 	readonly comeBackMilliseconds?: number;
+	/** Whether an attempt goes on when the caller leaves, so that the claim can keep its answer; false by default. */
+	readonly finishWithoutCaller?: boolean;
 };
--- a/packages/routing/src/request-state.ts
+++ b/packages/routing/src/request-state.ts
@@ -1,6 +1,4 @@
-import {
-	type Outcome, type ServerId, type TokenUsage,
-} from '@valehitch/core';
+import {type Outcome, type ServerId, type TokenUsage} from '@valehitch/core';
 import {type AttemptPurpose} from './request-action.js';
 import {type RequestPlan, type RequestTarget} from './request-plan.js';
 
@@ -16,16 +14,15 @@
 	readonly purpose: AttemptPurpose;
 	readonly target: RequestTarget;
 	readonly status: AttemptStatus;
-	/** Whether it ran; an attempt that was sent is not known to until the server says so. */
+	/** Whether it ran; `unknown` from the dispatch until the server says so. */
 	readonly outcome: Outcome;
-	readonly server?: ServerId;
+	/** The server, once one was chosen. */
+	readonly server: ServerId | undefined;
 	/** The offset at which it began. */
 	readonly resumeFrom: number;
 	/** The offset up to which its pieces came without a gap. */
 	readonly received: number;
-	/** When it was dispatched, in milliseconds on the monotonic clock. */
-	readonly dispatchedAt: number;
-	/** When the last piece came, or it was dispatched, in milliseconds on the monotonic clock. */
+	/** When the last piece came, or else it was dispatched, in milliseconds on the monotonic clock. */
 	readonly progressAt: number;
 	readonly usage: TokenUsage;
 };
@@ -37,18 +34,27 @@
 	readonly target: RequestTarget;
 	/** Whether the answer of the target is judged before the caller sees any of it. */
 	readonly judged: boolean;
-	readonly claim: 'none' | 'pending' | 'taken' | 'ended';
+	/** A claim is `settled` when its outcome was sent, or when it is another request's. */
+	readonly claim: 'none' | 'pending' | 'taken' | 'settled';
 	readonly bill: 'none' | 'opening' | 'open' | 'settled';
+	/** The attempts that were dispatched, and those whose server is being chosen. */
 	readonly attempts: readonly AttemptState[];
+	/** The number of the next attempt. */
+	readonly nextAttempt: number;
+	/** How many chosen servers the check right before the dispatch turned down. */
+	readonly denials: number;
 	/** Servers that get no further attempt of this request. */
 	readonly excluded: readonly ServerId[];
 	/** The attempt whose pieces make up the answer; undefined before its first piece. */
-	readonly leader?: number;
+	readonly leader: number | undefined;
 	/** Bytes of the answer that the caller has. */
 	readonly delivered: number;
 	/** Whether the target gets no new work. */
 	readonly permissionLost: boolean;
+	/** Whether the one hedge was asked for. */
+	readonly hedged: boolean;
 	/** Whether the one wait for a server was used. */
 	readonly cameBack: boolean;
 	readonly stopping: boolean;
+	readonly callerLeft: boolean;
 };
