Fuzz the life of a request against what callers and back ends see

Ruled out: a cluster simulator; a book of what was seen from outside is enough. Change: 4,000 cases with a fixed seed. Mended on the way: a hedge whose server was being chosen outlived the loss of its target; a wait for a server forgot which servers are shutting down; the number of a denied attempt was used again, so that a doubled denial hid a run; a session pinned to a lost target was sent. Conclusion: the events now name the target that was lost.

--- a/packages/routing/src/_request-change.ts
+++ b/packages/routing/src/_request-change.ts
@@ -1,8 +1,9 @@
 import {type ServerId} from '@valehitch/core';
 import {type CallerAction, type RequestAction} from './request-action.js';
+import {type RequestTarget} from './request-plan.js';
 import {type AttemptState, type RequestState} from './request-state.js';
 
-const maximumExcluded = 32;
+const maximumDraining = 32;
 
 /** A step in the making: the state so far and the actions so far. */
 export class RequestChange {
@@ -29,6 +30,12 @@
 		return this.#state.attempts.filter(({status}) => status !== 'over');
 	}
 
+	/** Whether the target gets no new work. */
+	get permissionLost(): boolean {
+		const {lost, target} = this.#state;
+		return lost.some(other => isSameTarget(other, target));
+	}
+
 	/** Whether pieces are held until the answer is whole and accepted. */
 	get holds(): boolean {
 		const {plan, judged, callerLeft} = this.#state;
@@ -68,10 +75,19 @@
 		this.set({attempts: this.#state.attempts.filter(attempt => attempt.number !== number)});
 	}
 
-	/** Gives no further attempt to a server. */
-	exclude(server: ServerId): void {
-		if (this.#state.excluded.length < maximumExcluded && !this.#state.excluded.includes(server)) {
-			this.set({excluded: [...this.#state.excluded, server]});
+	/** Sends no new work to a target. */
+	lose(target: RequestTarget): void {
+		const {lost} = this.#state;
+		if (!lost.some(other => isSameTarget(other, target))) {
+			this.set({lost: [...lost, target]});
+		}
+	}
+
+	/** Gives no attempt to a server that is shutting down or gone. */
+	avoid(server: ServerId): void {
+		const {draining} = this.#state;
+		if (draining.length < maximumDraining && !draining.includes(server)) {
+			this.set({draining: [...draining, server]});
 		}
 	}
 
@@ -97,3 +113,11 @@
 		}
 	}
 }
+
+function isSameTarget(one: RequestTarget, other: RequestTarget): boolean {
+	if (one.type === 'version') {
+		return other.type === 'version' && one.model === other.model && one.version === other.version;
+	}
+
+	return other.type === 'service' && one.service === other.service;
+}
--- a/packages/routing/src/_start-attempt.ts
+++ b/packages/routing/src/_start-attempt.ts
@@ -17,7 +17,7 @@
 */
 export function startAttempt(change: RequestChange, purpose: AttemptPurpose): void {
 	change.set({stage: 'running'});
-	if (change.state.permissionLost) {
+	if (change.permissionLost) {
 		stopForPermission(change);
 		return;
 	}
@@ -46,7 +46,7 @@
 @param attempt The attempt.
 */
 export function chooseServer(change: RequestChange, {number, purpose, target}: AttemptState): void {
-	const excluded = [...change.state.excluded];
+	const excluded = [...change.state.draining, ...change.state.tried];
 	for (const {server} of change.live) {
 		if (server !== undefined) {
 			excluded.push(server);
@@ -69,7 +69,7 @@
 		return;
 	}
 
-	if (change.state.permissionLost) {
+	if (change.permissionLost) {
 		stopForPermission(change);
 		return;
 	}
@@ -110,7 +110,7 @@
 @param change The step.
 */
 export function comeBack(change: RequestChange): void {
-	change.set({excluded: []});
+	change.set({tried: []});
 	startAttempt(change, purposeOfNext(change));
 }
 
@@ -120,8 +120,14 @@
 @param change The step.
 */
 export function stopForPermission(change: RequestChange): void {
+	for (const {number, status} of change.live) {
+		if (status === 'choosing') {
+			change.removeAttempt(number);
+		}
+	}
+
 	const {plan, target, attempts} = change.state;
-	if (change.live.some(({status}) => status === 'sent')) {
+	if (change.live.length > 0) {
 		return;
 	}
 
--- a/packages/routing/src/_take-attempt-event.ts
+++ b/packages/routing/src/_take-attempt-event.ts
@@ -74,14 +74,14 @@
 }
 
 function takeServer(change: RequestChange, {attempt, event: {server}}: AttemptTaken<'server-chosen'>): void {
-	const {permissionLost, excluded, plan, stopping} = change.state;
-	if (permissionLost) {
+	const {draining, plan, stopping} = change.state;
+	if (change.permissionLost) {
 		change.removeAttempt(attempt.number);
 		stopForPermission(change);
 		return;
 	}
 
-	if (excluded.includes(server)) {
+	if (draining.includes(server)) {
 		chooseServer(change, attempt);
 		return;
 	}
@@ -120,26 +120,25 @@
 } as const;
 
 function takeDenial(change: RequestChange, {attempt, event: {reason}}: AttemptTaken<'dispatch-denied'>): void {
+	change.removeAttempt(attempt.number);
 	if (reason !== 'server-draining' && reason !== 'server-gone') {
-		change.removeAttempt(attempt.number);
-		change.set({permissionLost: true});
+		change.lose(attempt.target);
 		stopForPermission(change);
 		return;
 	}
 
 	if (attempt.server !== undefined) {
-		change.exclude(attempt.server);
+		change.avoid(attempt.server);
 	}
 
 	change.set({denials: change.state.denials + 1});
 	if (change.state.denials > maximumDenials) {
-		change.removeAttempt(attempt.number);
 		waitOrGiveUp(change, {message: 'Got only servers that are shutting down', retryAfterMilliseconds: defaultRetryAfterMilliseconds});
 		return;
 	}
 
-	change.setAttempt(attempt.number, {status: 'choosing', outcome: 'notRun', server: undefined});
-	chooseServer(change, attempt);
+	// A new number, so that a late word on the denied attempt cannot be taken for one on the next.
+	startAttempt(change, attempt.purpose);
 }
 
 type NotRun = {
@@ -154,7 +153,7 @@
 	}
 
 	change.setAttempt(attempt.number, {status: 'over', outcome: 'notRun'});
-	excludeServerOf(change, attempt);
+	passOver(change, attempt);
 	tryAgain(change, {message: 'Got only servers that did not run the request', retryAfterMilliseconds});
 }
 
@@ -214,7 +213,7 @@
 
 	change.act({type: 'drop-held', attempt: event.attempt});
 	change.set({
-		target: event.target, judged: event.judged, leader: undefined, permissionLost: false,
+		target: event.target, judged: event.judged, leader: undefined,
 	});
 	startAttempt(change, 'escalation');
 }
@@ -239,7 +238,7 @@
 function takeFailure(change: RequestChange, {attempt, message, usage}: Failed): void {
 	const {number, received, resumeFrom} = attempt;
 	change.setAttempt(number, {status: 'over', ...(usage !== undefined && {usage, outcome: 'ran'})});
-	excludeServerOf(change, attempt);
+	passOver(change, attempt);
 	if (change.holds && received > resumeFrom) {
 		change.act({type: 'drop-held', attempt: number});
 	}
@@ -247,9 +246,9 @@
 	tryAgain(change, {message, retryAfterMilliseconds: defaultRetryAfterMilliseconds});
 }
 
-function excludeServerOf(change: RequestChange, {server}: AttemptState): void {
+function passOver(change: RequestChange, {server}: AttemptState): void {
 	if (server !== undefined) {
-		change.exclude(server);
+		change.set({tried: [...change.state.tried, server]});
 	}
 }
 
--- a/packages/routing/src/_take-preparation.ts
+++ b/packages/routing/src/_take-preparation.ts
@@ -4,6 +4,7 @@
 import {type RequestChange} from './_request-change.js';
 import {startAttempt} from './_start-attempt.js';
 import {type ClaimAnswer, type PreparationEvent} from './request-event.js';
+import {type RequestTarget} from './request-plan.js';
 import {type RequestStage} from './request-state.js';
 
 const stageOfEvent = {
@@ -34,7 +35,7 @@
 			pin(change);
 		})
 		.with({type: 'session-pinned'}, ({target}) => {
-			change.set({target, permissionLost: false});
+			change.set({target});
 			claim(change);
 		})
 		.with({type: 'claim-answered'}, ({answer, retryAfterMilliseconds}) => {
@@ -45,8 +46,7 @@
 			startAttempt(change, 'first');
 		})
 		.with({type: 'version-chosen'}, ({target, judged}) => {
-			change.set({target, judged: judged && change.state.plan.repeatable, permissionLost: false});
-			startAttempt(change, change.state.attempts.length > 0 ? 'retry' : 'first');
+			takeVersion(change, {target, judged});
 		})
 		.with({type: 'admission-refused'}, {type: 'session-refused'}, {type: 'bill-not-possible'}, {type: 'no-version'}, refused => {
 			refuseRequest(change, refused.failure);
@@ -54,6 +54,16 @@
 		.exhaustive();
 }
 
+function takeVersion(change: RequestChange, {target, judged}: {readonly target: RequestTarget; readonly judged: boolean}): void {
+	change.set({target, judged: judged && change.state.plan.repeatable});
+	if (change.permissionLost) {
+		refuseRequest(change, failure('no-server', 'Got only versions that take no new work', {retryAfterMilliseconds: defaultRetryAfterMilliseconds}));
+		return;
+	}
+
+	startAttempt(change, change.state.attempts.length > 0 ? 'retry' : 'first');
+}
+
 function pin(change: RequestChange): void {
 	const {plan, target} = change.state;
 	if (plan.session !== 'name') {
--- a/packages/routing/src/_take-surroundings.ts
+++ b/packages/routing/src/_take-surroundings.ts
@@ -5,6 +5,7 @@
 import {
 	comeBack, hasAttemptsLeft, startAttempt, stopForPermission,
 } from './_start-attempt.js';
+import {type RequestTarget} from './request-plan.js';
 import {type RequestTimer, type SurroundingsEvent} from './request-event.js';
 
 /**
@@ -18,11 +19,11 @@
 		.with({type: 'timer'}, ({timer}) => {
 			takeTimer(change, timer);
 		})
-		.with({type: 'permission-lost'}, () => {
-			losePermission(change);
+		.with({type: 'permission-lost'}, ({target}) => {
+			losePermission(change, target);
 		})
 		.with({type: 'server-draining'}, ({server}) => {
-			change.exclude(server);
+			change.avoid(server);
 		})
 		.with({type: 'caller-left'}, () => {
 			leave(change);
@@ -59,13 +60,13 @@
 }
 
 function hedge(change: RequestChange): void {
-	const {plan, stage, hedged, permissionLost, stopping} = change.state;
+	const {plan, stage, hedged, stopping} = change.state;
 	const [slow, ...others] = change.live;
 	if (plan.hedge === undefined || slow?.status !== 'sent' || others.length > 0) {
 		return;
 	}
 
-	if (stage !== 'running' || !plan.repeatable || hedged || permissionLost || stopping || !hasAttemptsLeft(change)) {
+	if (stage !== 'running' || !plan.repeatable || hedged || change.permissionLost || stopping || !hasAttemptsLeft(change)) {
 		return;
 	}
 
@@ -82,16 +83,20 @@
 	}
 }
 
-function losePermission(change: RequestChange): void {
+function losePermission(change: RequestChange, target: RequestTarget): void {
 	const {plan, stage} = change.state;
-	change.set({permissionLost: true});
+	change.lose(target);
+	if (!change.permissionLost) {
+		return;
+	}
+
 	if (stage === 'waiting') {
 		change.act({type: 'clear-timer', timer: 'come-back'});
 		change.set({stage: 'running'});
 	}
 
 	if (change.state.stage === 'running') {
-		stopChoosing(change);
+		stopForPermission(change);
 		return;
 	}
 
@@ -101,16 +106,6 @@
 	}
 }
 
-function stopChoosing(change: RequestChange): void {
-	for (const {number, status} of change.live) {
-		if (status === 'choosing') {
-			change.removeAttempt(number);
-		}
-	}
-
-	stopForPermission(change);
-}
-
 function leave(change: RequestChange): void {
 	const {plan, attempts, stage} = change.state;
 	const mayHaveRun = outcomeOfAttempts(attempts) !== 'notRun';
--- a/packages/routing/src/request-event.ts
+++ b/packages/routing/src/request-event.ts
@@ -57,7 +57,7 @@
 export type SurroundingsEvent
 	= | {readonly type: 'timer'; readonly timer: RequestTimer}
 		/** The target gets no new work from now on; attempts in progress go on. */
-		| {readonly type: 'permission-lost'; readonly reason: 'version-withdrawn' | 'version-stopped' | 'not-allowed'}
+		| {readonly type: 'permission-lost'; readonly target: RequestTarget}
 		| {readonly type: 'server-draining'; readonly server: ServerId}
 		| {readonly type: 'caller-left'}
 		/** A second instance holds the settled bill. */
--- /dev/null
+++ b/packages/routing/src/request-life.test.ts
@@ -0,0 +1,47 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {targets} from './_test-book.js';
+import {World} from './_test-world.js';
+import {type RequestPlan} from './request-plan.js';
+
+const seed = 20_261_202;
+const cases = 4000;
+const steps = 60;
+const leastOfEach = 20;
+
+const plans: fc.Arbitrary<RequestPlan> = fc.record({
+	target: fc.constantFrom(...targets),
+	session: fc.constantFrom('none', 'token', 'name'),
+	repeatable: fc.boolean(),
+	claimed: fc.boolean(),
+	streamed: fc.boolean(),
+	judged: fc.boolean(),
+	deadline: fc.constant(1000),
+	promptTokens: fc.constant(7),
+	hedge: fc.constant({prefillMilliseconds: 10, decodeMilliseconds: 5}),
+	maximumAttempts: fc.integer({min: 1, max: 5}),
+	comeBackMilliseconds: fc.constantFrom(0, 20),
+	finishWithoutCaller: fc.boolean(),
+});
+
+test('a request keeps every promise whatever happens round it', t => {
+	const endings = new Map<string, number>();
+	fc.assert(
+		fc.property(plans, fc.array(fc.nat(100_000), {minLength: 60, maxLength: 400}), (plan, choices) => {
+			const world = new World(plan, choices);
+			try {
+				world.play(steps);
+			} catch (error) {
+				throw new Error(`${String(error)}\n${world.trace.join('\n')}`, {cause: error});
+			}
+
+			const {ending} = world.book;
+			endings.set(ending, (endings.get(ending) ?? 0) + 1);
+		}),
+		{seed, numRuns: cases, includeErrorInReport: true},
+	);
+	t.log([...endings].map(([ending, count]) => `${ending} ${count}`).join(', '));
+	for (const ending of ['finish-answer', 'replay-answer', 'refuse notRun', 'refuse ran', 'refuse unknown', 'none']) {
+		t.true((endings.get(ending) ?? 0) > leastOfEach, `Got too few requests that ended with ${ending}`);
+	}
+});
--- a/packages/routing/src/request-state.ts
+++ b/packages/routing/src/request-state.ts
@@ -43,14 +43,16 @@
 	readonly nextAttempt: number;
 	/** How many chosen servers the check right before the dispatch turned down. */
 	readonly denials: number;
-	/** Servers that get no further attempt of this request. */
-	readonly excluded: readonly ServerId[];
+	/** Servers that get no attempt of this request any more, since they are shutting down or gone. */
+	readonly draining: readonly ServerId[];
+	/** Servers on which an attempt came to nothing; they may be asked again after a wait. */
+	readonly tried: readonly ServerId[];
 	/** The attempt whose pieces make up the answer; undefined before its first piece. */
 	readonly leader: number | undefined;
 	/** Bytes of the answer that the caller has. */
 	readonly delivered: number;
-	/** Whether the target gets no new work. */
-	readonly permissionLost: boolean;
+	/** Targets that get no new work of this request. */
+	readonly lost: readonly RequestTarget[];
 	/** Whether the one hedge was asked for. */
 	readonly hedged: boolean;
 	/** Whether the one wait for a server was used. */
