Add admission, server choice, budgets, stage history, ejection and decisions

Cause: the thin path takes every request, chooses by load alone and retries without a budget. Ruled out: deficit round robin, whose share is bounded only over whole rounds; the best of all servers, on which instances with one old report agree; a queue limit for each workspace, which is either too small alone or too large together. Change: start-time fair queueing by tokens, bounded loads with prefix affinity, ejection with a cap, retry budgets, quantile sketches for each stage, a ring of decisions. The comparison with a naive fair queue failed first on ties and on a small request before one that did not fit; both are mended.

--- /dev/null
+++ b/packages/routing/src/admission.test.ts
@@ -0,0 +1,192 @@
+import {type RequestId, toId, type WorkspaceId} from '@valehitch/core';
+import test from 'ava';
+import fc from 'fast-check';
+import {Admission, type AdmissionRequest} from './admission.js';
+
+const seed = 20_261_202;
+const never = Number.MAX_SAFE_INTEGER;
+
+function requestOf(id: number, members: Partial<AdmissionRequest> = {}): AdmissionRequest {
+	return {
+		id: toId<RequestId>(`r${id}`), workspace: toId<WorkspaceId>('mills'), weight: 1, priority: 5, cost: 100, deadline: never, serviceMilliseconds: 0, ...members,
+	};
+}
+
+function workspaceOf(index: number): WorkspaceId {
+	return toId<WorkspaceId>(`w${index}`);
+}
+
+/** Start-time fair queueing by the book: looks through everything at each step. */
+class NaiveAdmission {
+	readonly admitted = new Map<RequestId, AdmissionRequest>();
+	#waiting: AdmissionRequest[] = [];
+	readonly #next = new Map<WorkspaceId, number>();
+	readonly #since = new Map<WorkspaceId, number>();
+	readonly #capacity: number;
+	#virtualTime = 0;
+
+	constructor(capacity: number) {
+		this.#capacity = capacity;
+	}
+
+	offer(request: AdmissionRequest): RequestId[] {
+		if (!this.#waiting.some(({workspace}) => workspace === request.workspace)) {
+			this.#since.set(request.workspace, this.#since.size === 0 ? 1 : Math.max(...this.#since.values()) + 1);
+			this.#next.set(request.workspace, Math.max(this.#virtualTime, this.#next.get(request.workspace) ?? 0));
+		}
+
+		this.#waiting.push(request);
+		return this.#admit();
+	}
+
+	leave(id: RequestId): RequestId[] {
+		this.#waiting = this.#waiting.filter(request => request.id !== id);
+		return this.#admit();
+	}
+
+	release(id: RequestId, tokens: number): RequestId[] {
+		const request = this.admitted.get(id);
+		if (request === undefined) {
+			return [];
+		}
+
+		this.admitted.delete(id);
+		this.#next.set(request.workspace, (this.#next.get(request.workspace) ?? 0) + ((tokens - request.cost) / request.weight));
+		const next = this.#admit();
+		if (this.admitted.size === 0) {
+			this.#next.clear();
+			this.#virtualTime = 0;
+		}
+
+		return next;
+	}
+
+	#admit(): RequestId[] {
+		const ids: RequestId[] = [];
+		for (;;) {
+			const [first] = this.#waiting.toSorted((one, other) => this.#startOf(one) - this.#startOf(other) || this.#sinceOf(one) - this.#sinceOf(other) || one.priority - other.priority);
+			const inProgress = [...this.admitted.values()].reduce((sum, {cost}) => sum + cost, 0);
+			if (first === undefined || (this.admitted.size > 0 && inProgress + first.cost > this.#capacity)) {
+				return ids;
+			}
+
+			const start = this.#startOf(first);
+			this.#virtualTime = Math.max(this.#virtualTime, start);
+			this.#next.set(first.workspace, start + (first.cost / first.weight));
+			this.#waiting = this.#waiting.filter(request => request !== first);
+			this.admitted.set(first.id, first);
+			ids.push(first.id);
+		}
+	}
+
+	#sinceOf({workspace}: AdmissionRequest): number {
+		return this.#since.get(workspace) ?? 0;
+	}
+
+	#startOf({workspace}: AdmissionRequest): number {
+		return this.#next.get(workspace) ?? 0;
+	}
+}
+
+test('admits in the same order as a naive fair queue', t => {
+	const step = fc.record({
+		kind: fc.constantFrom('offer', 'offer', 'release', 'leave'),
+		workspace: fc.nat(4),
+		priority: fc.nat(3),
+		cost: fc.integer({min: 1, max: 400}),
+		pick: fc.nat(30),
+	});
+	fc.assert(fc.property(fc.array(step, {maxLength: 120}), steps => {
+		const admission = new Admission({capacity: 500, maximumWaiting: 100_000});
+		const naive = new NaiveAdmission(500);
+		// Irrational weights keep start times from being equal by chance.
+		const weights = [1, Math.SQRT2, Math.E, Math.PI, Math.sqrt(7)];
+		for (const [id, {kind, workspace, priority, cost, pick}] of steps.entries()) {
+			if (kind === 'offer') {
+				const request = requestOf(id, {
+					workspace: workspaceOf(workspace), weight: weights[workspace]!, priority, cost: cost + (id / 1009),
+				});
+				const answer = admission.offer(request, id);
+				t.is(naive.offer(request).length > 0, answer.type === 'admitted');
+			} else if (kind === 'leave') {
+				t.deepEqual(admission.leave(toId(`r${pick}`)), naive.admitted.has(toId(`r${pick}`)) ? [] : naive.leave(toId(`r${pick}`)));
+			} else {
+				const released = [...naive.admitted.keys()][pick % Math.max(1, naive.admitted.size)] ?? toId<RequestId>('none');
+				t.deepEqual(admission.release(released, {tokens: cost, now: id}), naive.release(released, cost));
+			}
+		}
+	}), {seed, numRuns: 500, includeErrorInReport: true});
+});
+
+test('shares tokens within the bound of fair queueing, and starves no one', t => {
+	const crowd = fc.array(fc.record({weight: fc.integer({min: 1, max: 9}), largest: fc.integer({min: 1, max: 500})}), {minLength: 2, maxLength: 10});
+	fc.assert(fc.property(crowd, fc.integer({min: 1, max: 1_000_000}), (workspaces, start) => {
+		const admission = new Admission({capacity: 1, maximumWaiting: never});
+		const served = workspaces.map(() => 0);
+		const requests = new Map<RequestId, {readonly index: number; readonly cost: number}>();
+		let draw = start;
+		let id = 0;
+		const offer = (index: number) => {
+			draw = (draw * 48_271) % 2_147_483_647;
+			const {weight, largest} = workspaces[index]!;
+			const request = requestOf(id++, {workspace: workspaceOf(index), weight, cost: 1 + (draw % largest)});
+			requests.set(request.id, {index, cost: request.cost});
+			return admission.offer(request, 0);
+		};
+
+		admission.offer(requestOf(never, {workspace: workspaceOf(99)}), 0);
+		for (const index of [...workspaces.keys(), ...workspaces.keys()]) {
+			t.is(offer(index).type, 'queued');
+		}
+
+		let running = [toId<RequestId>(`r${never}`)];
+		for (let round = 0; round < 300; round++) {
+			const released = running[0]!;
+			running = admission.release(released, {tokens: requests.get(released)?.cost ?? 100, now: round});
+			t.is(running.length, 1);
+			const {index, cost} = requests.get(running[0]!)!;
+			served[index] = served[index]! + cost;
+			offer(index);
+			for (const [one, {weight, largest}] of workspaces.entries()) {
+				for (const [other, rival] of workspaces.entries()) {
+					const apart = Math.abs((served[one]! / weight) - (served[other]! / rival.weight));
+					t.true(apart <= (largest / weight) + (rival.largest / rival.weight) + 1e-6);
+				}
+			}
+		}
+	}), {seed, numRuns: 60, includeErrorInReport: true});
+});
+
+test('refuses only what does not fit the deadline or the queue, and says when to come back', t => {
+	const admission = new Admission({capacity: 100, maximumWaiting: 4});
+	t.is(admission.offer(requestOf(0), 0).type, 'admitted');
+	t.is(admission.offer(requestOf(1), 0).type, 'queued');
+	t.deepEqual(admission.release(toId('r0'), {tokens: 100, now: 0}), ['r1']);
+	t.is(admission.offer(requestOf(2), 0).type, 'queued');
+	t.deepEqual(admission.release(toId('r1'), {tokens: 100, now: 1000}), ['r2'], 'the rate is now 0.2 tokens a millisecond');
+	const wait = admission.offer(requestOf(3, {deadline: 1600, serviceMilliseconds: 100}), 1000);
+	t.is(wait.type, 'queued');
+	t.is(wait.type === 'queued' && wait.waitMilliseconds, 500);
+	const late = admission.offer(requestOf(4, {deadline: 1600, serviceMilliseconds: 100}), 1000);
+	t.is(late.type === 'refused' && late.failure.kind, 'overloaded');
+	t.is(late.type === 'refused' && late.failure.retryAfterMilliseconds, 500);
+	t.is(admission.offer(requestOf(5), 1000).type, 'queued');
+	const greedy = admission.offer(requestOf(6), 1000);
+	t.is(greedy.type === 'refused' && greedy.failure.kind, 'limit-reached');
+	t.is(admission.offer(requestOf(7, {workspace: workspaceOf(2)}), 1000).type, 'queued', 'there is room for another workspace');
+});
+
+test('forgets the workspaces when nothing is in progress', t => {
+	const admission = new Admission({capacity: 100});
+	for (let id = 0; id < 50; id++) {
+		admission.offer(requestOf(id, {workspace: workspaceOf(id)}), 0);
+	}
+
+	let running: RequestId[] = [toId('r0')];
+	while (running[0] !== undefined) {
+		running = admission.release(running[0], {tokens: 100, now: 0});
+	}
+
+	t.is(admission.workspaces, 0);
+	t.is(admission.inProgress, 0);
+});
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -3,9 +3,19 @@
 
 @module
 */
+export * from './admission.js';
+export * from './decision-ring.js';
+export * from './hedge-policy.js';
+export * from './outlier-ejection.js';
+export * from './rendezvous-score.js';
 export type * from './request-action.js';
 export type * from './request-event.js';
 export * from './request-life.js';
 export type * from './request-plan.js';
 export type * from './request-state.js';
+export * from './retry-budget.js';
+export * from './server-choice.js';
+export * from './server-load.js';
+export type * from './server-view.js';
 export * from './session-token.js';
+export * from './stage-history.js';
--- /dev/null
+++ b/packages/routing/src/retry-budget.test.ts
@@ -0,0 +1,34 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {RetryBudget} from './retry-budget.js';
+
+const seed = 20_261_202;
+
+test('allows no more further attempts than the share of the traffic, the floor and the burst', t => {
+	fc.assert(fc.property(fc.array(fc.record({isRetry: fc.boolean(), elapsed: fc.nat(50)}), {maxLength: 500}), steps => {
+		const budget = new RetryBudget({share: 0.1, floorPerSecond: 0.2, burst: 10});
+		let now = 0;
+		let first = 0;
+		let further = 0;
+		for (const {isRetry, elapsed} of steps) {
+			now += elapsed;
+			if (isRetry) {
+				further += budget.withdraw('key', now) ? 1 : 0;
+			} else {
+				first++;
+				budget.deposit('key', now);
+			}
+
+			t.true(further <= 1 + (0.1 * first) + (0.2 * now / 1000) + 1e-9);
+		}
+	}), {seed, numRuns: 300, includeErrorInReport: true});
+});
+
+test('keeps a bounded number of keys', t => {
+	const budget = new RetryBudget({maximumKeys: 3});
+	for (let key = 0; key < 10; key++) {
+		budget.deposit(String(key), 0);
+	}
+
+	t.is(budget.size, 3);
+});
--- /dev/null
+++ b/packages/routing/src/server-choice.test.ts
@@ -0,0 +1,116 @@
+import {type ServerId, toId, type ZoneId} from '@valehitch/core';
+import test from 'ava';
+import fc from 'fast-check';
+import {chooseServer, type ServerChoiceOptions, type ServerWish} from './server-choice.js';
+import {serverLoad, startedCapacity} from './server-load.js';
+import {type ServerView} from './server-view.js';
+
+const seed = 20_261_202;
+const target = 'tag-small@1.0';
+const zones = ['a', 'b', 'c'].map(name => toId<ZoneId>(name));
+
+function viewOf(index: number, members: Partial<ServerView> = {}): ServerView {
+	return {
+		id: toId<ServerId>(`engine-${index}`),
+		zone: zones[0]!,
+		capacity: 8,
+		reportedActive: 0,
+		ownAtReport: 0,
+		reportAge: 100,
+		ownInFlight: 0,
+		draining: false,
+		expired: false,
+		ejected: false,
+		uptime: 60_000,
+		loaded: new Set([target]),
+		...members,
+	};
+}
+
+function choose(servers: readonly ServerView[], options: Partial<ServerWish & ServerChoiceOptions> = {}): string | undefined {
+	return chooseServer(servers, {
+		target, excluded: new Set(), zone: zones[0]!, random: () => 0.5, ...options,
+	}).map(({server}) => server).toMaybe().extract();
+}
+
+const anyServers = fc.array(fc.record({
+	zone: fc.constantFrom(...zones),
+	capacity: fc.integer({min: 1, max: 16}),
+	reportedActive: fc.nat(20),
+	ownAtReport: fc.nat(5),
+	reportAge: fc.nat(20_000),
+	ownInFlight: fc.nat(10),
+	draining: fc.boolean(),
+	expired: fc.boolean(),
+	ejected: fc.boolean(),
+	uptime: fc.nat(60_000),
+	isLoaded: fc.boolean(),
+}), {maxLength: 12}).map(members => members.map(({isLoaded, ...rest}, index) => viewOf(index, {...rest, loaded: new Set(isLoaded ? [target] : [])})));
+
+test('never chooses a server that is not eligible, and finds one where there is one', t => {
+	const options = fc.record({prefix: fc.option(fc.nat(60_000_000), {nil: undefined}), draw: fc.double({min: 0, max: 0.999, noNaN: true}), excluded: fc.nat(11)});
+	fc.assert(fc.property(anyServers, options, (servers, {prefix, draw, excluded}) => {
+		const isEligible = (server: ServerView) => server.loaded.has(target) && !server.draining && !server.expired && !server.ejected && server.id !== `engine-${excluded}`;
+		const chosen = choose(servers, {prefix, random: () => draw, excluded: new Set([toId<ServerId>(`engine-${excluded}`)])});
+		t.is(chosen !== undefined, servers.some(server => isEligible(server)));
+		t.true(chosen === undefined || isEligible(servers.find(({id}) => id === chosen)!));
+	}), {seed, numRuns: 2000, includeErrorInReport: true});
+});
+
+test('one hot prefix loads no server beyond the bound', t => {
+	fc.assert(fc.property(fc.array(fc.integer({min: 1, max: 16}), {minLength: 2, maxLength: 20}), fc.nat(60_000_000), (capacities, prefix) => {
+		const loads = capacities.map(() => 0);
+		const total = capacities.reduce((sum, capacity) => sum + capacity, 0);
+		for (let sent = 1; sent <= total; sent++) {
+			const servers = capacities.map((capacity, index) => viewOf(index, {capacity, ownInFlight: loads[index]!}));
+			const index = servers.findIndex(({id}) => id === choose(servers, {prefix}));
+			loads[index] = loads[index]! + 1;
+			t.true(loads[index] <= Math.max(1, Math.ceil((1.25 * sent * capacities[index]! / total) - 1e-9)));
+		}
+	}), {seed, numRuns: 100, includeErrorInReport: true});
+});
+
+test('a prefix keeps its home when other servers come and go', t => {
+	const servers = Array.from({length: 10}, (_, index) => viewOf(index));
+	const removed = toId<ServerId>('engine-3');
+	let moved = 0;
+	for (let prefix = 0; prefix < 1000; prefix++) {
+		const home = choose(servers, {prefix: prefix * 50_021});
+		const left = servers.filter(({id}) => id !== removed);
+		const after = choose(left, {prefix: prefix * 50_021});
+		moved += home === after ? 0 : 1;
+		t.true(home === after || home === removed);
+	}
+
+	t.true(moved > 50 && moved < 200, `Got ${moved} of 1,000 prefixes moved, wanted about 100`);
+});
+
+test('counts a request of its own once, whether or not the report knew it', t => {
+	t.is(serverLoad(viewOf(1, {reportedActive: 5, ownAtReport: 2, ownInFlight: 4})), 7);
+	t.is(serverLoad(viewOf(1, {reportedActive: 0, ownAtReport: 0, ownInFlight: 4})), 4);
+	t.is(serverLoad(viewOf(1, {reportedActive: 5, ownAtReport: 5, ownInFlight: 0})), 0);
+	t.is(serverLoad(viewOf(1, {
+		reportedActive: 6, ownAtReport: 0, ownInFlight: 1, reportAge: 10_000,
+	})), 4);
+});
+
+test('a new server starts slowly', t => {
+	t.is(startedCapacity(viewOf(1, {uptime: 0})), 0.8);
+	t.is(startedCapacity(viewOf(1, {uptime: 15_000})), 4);
+	t.is(startedCapacity(viewOf(1, {uptime: 90_000})), 8);
+});
+
+test('stays in its own zone until another helps', t => {
+	const own = [viewOf(1, {ownInFlight: 3}), viewOf(2, {ownInFlight: 3})];
+	const other = [viewOf(3, {zone: zones[1]!})];
+	t.not(choose([...own, ...other]), 'engine-3');
+	t.is(choose([...own.map(server => ({...server, ownInFlight: 8})), ...other]), 'engine-3');
+	t.is(choose(other), 'engine-3');
+});
+
+test('says why each server lost', t => {
+	const choice = chooseServer([viewOf(1, {draining: true}), viewOf(2, {ejected: true}), viewOf(3)], {
+		target, excluded: new Set(), zone: zones[0]!, random: () => 0.5,
+	});
+	t.deepEqual(choice.map(({considered}) => considered.map(({verdict}) => verdict)).extract(), ['is shutting down', 'is ejected for its failures', 'chosen']);
+});
--- /dev/null
+++ b/packages/routing/src/stage-history.test.ts
@@ -0,0 +1,59 @@
+import {type ModelId, toId, type VersionId} from '@valehitch/core';
+import test from 'ava';
+import fc from 'fast-check';
+import {hedgeDelays, stageKey} from './hedge-policy.js';
+import {StageHistory} from './stage-history.js';
+
+const seed = 20_261_202;
+const version = {model: toId<ModelId>('tag-small'), version: toId<VersionId>('1.0')};
+
+test('tells quantiles within 5 %', t => {
+	fc.assert(fc.property(fc.array(fc.integer({min: 1, max: 500_000}), {minLength: 30, maxLength: 1000}), fc.constantFrom(0.5, 0.9, 0.95, 1), (times, share) => {
+		const history = new StageHistory();
+		for (const milliseconds of times) {
+			history.record('v', {stage: 'prefill', milliseconds});
+		}
+
+		const exact = times.toSorted((one, other) => one - other)[Math.ceil(share * times.length) - 1]!;
+		const told = history.quantile('v', {stage: 'prefill', share})!;
+		t.true(Math.abs(told - exact) <= 0.05 * exact, `Got ${told}, wanted ${exact}`);
+	}), {seed, numRuns: 300, includeErrorInReport: true});
+});
+
+test('says nothing without enough history, and follows a change', t => {
+	const history = new StageHistory();
+	const record = (count: number, milliseconds: number) => {
+		for (let index = 0; index < count; index++) {
+			history.record('v', {stage: 'decode', milliseconds});
+		}
+	};
+
+	record(29, 100);
+	t.is(history.quantile('v', {stage: 'decode', share: 0.5}), undefined);
+	record(5000, 100);
+	record(2500, 400);
+	t.true(Math.abs(history.quantile('v', {stage: 'decode', share: 0.5})! - 400) <= 20);
+});
+
+test('keeps a bounded number of sketches', t => {
+	const history = new StageHistory({maximumKeys: 5});
+	for (let key = 0; key < 20; key++) {
+		history.record(String(key), {stage: 'whole', milliseconds: 1});
+	}
+
+	t.is(history.size, 5);
+});
+
+test('compares a long prompt with long prompts', t => {
+	const history = new StageHistory();
+	const short = {...version, promptTokens: 30, streamed: true};
+	const long = {...version, promptTokens: 9000, streamed: true};
+	t.is(hedgeDelays(short, {history}), undefined);
+	for (let index = 0; index < 100; index++) {
+		history.record(stageKey(short), {stage: 'prefill', milliseconds: 50});
+		history.record(stageKey(long), {stage: 'prefill', milliseconds: 900});
+	}
+
+	t.true(hedgeDelays(short, {history})!.prefillMilliseconds < 60);
+	t.true(hedgeDelays(long, {history})!.prefillMilliseconds > 850);
+});
