--- a/packages/routing/src/_workspace-queue.ts
+++ b/packages/routing/src/_workspace-queue.ts
@@ -1,5 +1,5 @@
 import {type RequestId, type WorkspaceId} from '@valehitch/core';
-import {type AdmissionRequest} from './admission.js';
+import {type AdmissionRequest} from './admission-request.js';
 
 /** The waiting requests of one workspace, by priority and then by arrival, and its place in the order of start times. */
 export class WorkspaceQueue {
--- a/packages/routing/src/admission.test.ts
+++ b/packages/routing/src/admission.test.ts
@@ -1,7 +1,8 @@
 import {type RequestId, toId, type WorkspaceId} from '@valehitch/core';
 import test from 'ava';
 import fc from 'fast-check';
-import {Admission, type AdmissionRequest} from './admission.js';
+import {type AdmissionRequest} from './admission-request.js';
+import {Admission} from './admission.js';
 
 const seed = 20_261_202;
 const never = Number.MAX_SAFE_INTEGER;
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -3,6 +3,7 @@
 
 @module
 */
+export type * from './admission-request.js';
 export * from './admission.js';
 export * from './decision-ring.js';
 export * from './hedge-policy.js';
