--- a/packages/routing/src/_take-attempt-event.ts
+++ b/packages/routing/src/_take-attempt-event.ts
@@ -35,6 +35,12 @@
 		return;
 	}
 
+	// Most events are pieces, so they do not go through the list.
+	if (event.type === 'attempt-piece') {
+		takePiece(change, {attempt, event});
+		return;
+	}
+
 	match(event)
 		.with({type: 'server-chosen'}, chosen => {
 			takeServer(change, {attempt, event: chosen});
@@ -54,9 +60,6 @@
 		.with({type: 'attempt-head'}, () => {
 			change.setAttempt(attempt.number, ranSoFar(change, attempt));
 		})
-		.with({type: 'attempt-piece'}, piece => {
-			takePiece(change, {attempt, event: piece});
-		})
 		.with({type: 'attempt-complete'}, complete => {
 			takeComplete(change, {attempt, event: complete});
 		})
--- a/packages/routing/src/_test-book.ts
+++ b/packages/routing/src/_test-book.ts
@@ -37,6 +37,10 @@
 	}
 }
 
+const claimAfter = {
+	taken: 'taken', done: 'kept', 'in-progress': 'foreign', unknown: 'foreign', 'key-reused': 'foreign',
+} as const;
+
 /** What the caller, the back ends and the ledger saw of one request; every entry is checked as it is made. */
 export class Book {
 	readonly runs: Run[] = [];
@@ -49,9 +53,12 @@
 	readonly draining = new Set<ServerId>();
 	readonly #plan: RequestPlan;
 	readonly #held = new Map<number, string>();
-	readonly #bill = {opened: 0, settled: 0, acknowledged: 0};
+	readonly #bill = {
+		opened: 0, held: 0, settled: 0, acknowledged: 0,
+	};
+
 	#delivered = '';
-	#claim: 'none' | 'pending' | 'taken' | 'foreign' | 'ended' = 'none';
+	#claim: 'none' | 'pending' | 'taken' | 'foreign' | 'kept' | 'ended' = 'none';
 
 	constructor(plan: RequestPlan) {
 		this.#plan = plan;
@@ -72,7 +79,7 @@
 
 	claimAnswered(answer: ClaimAnswer): void {
 		if (this.#claim === 'pending' && answer !== 'no-quorum') {
-			this.#claim = answer === 'taken' ? 'taken' : 'foreign';
+			this.#claim = claimAfter[answer];
 		}
 	}
 
@@ -86,6 +93,10 @@
 		this.#bill.opened++;
 	}
 
+	billOpened(): void {
+		this.#bill.held++;
+	}
+
 	settleBill(lines: readonly AttemptLine[]): void {
 		this.#bill.settled++;
 		check(new Set(lines.map(({attempt}) => attempt)).size === lines.length, 'billed an attempt twice');
@@ -106,7 +117,7 @@
 		const {target, server, purpose, attempt} = dispatch;
 		check(!this.stopped.has(target), 'dispatched to a target that gets no new work');
 		check(!this.draining.has(server), 'dispatched to a server that is draining');
-		check(this.#bill.opened === 1 && this.#bill.settled === 0, 'dispatched without an open bill');
+		check(this.#bill.opened === 1 && this.#bill.held > 0 && this.#bill.settled === 0, 'dispatched without a bill that is held');
 		check(!this.#plan.claimed || this.#claim === 'taken', 'dispatched without the claim');
 		check(this.ending === 'none', 'dispatched after the answer');
 		check(purpose !== 'hedge' || this.#plan.repeatable, 'hedged what may not be repeated');
@@ -155,13 +166,14 @@
 			case 'finish-answer': {
 				const run = this.runOf(action.attempt);
 				check(run?.ran === true && this.#delivered === textOf(run.dispatch.target), `finished with "${this.#delivered}"`);
+				check([...this.#held.keys()].every(attempt => attempt === action.attempt), 'kept the pieces of an attempt that came to nothing');
 				check(this.#bill.acknowledged > 0, 'finished before the bill was settled');
 				this.#end(action.type);
 				break;
 			}
 
 			case 'replay-answer': {
-				check(this.#claim === 'foreign', 'replayed an answer that no claim kept');
+				check(this.#claim === 'kept', 'replayed an answer that no claim kept');
 				this.#end(action.type);
 				break;
 			}
@@ -179,7 +191,7 @@
 		check(stage === 'ended', 'did not end by the deadline');
 		check(this.ending !== 'none' || this.callerLeft, 'gave no final answer');
 		check(this.#bill.opened <= 1 && this.#bill.opened === this.#bill.settled, 'did not settle the bill exactly once');
-		check(this.#claim === 'none' || this.#claim === 'ended' || this.#claim === 'foreign', 'left a claim without an end');
+		check(this.#claim !== 'pending' && this.#claim !== 'taken', 'left a claim without an end');
 	}
 
 	#end(ending: string): void {
--- a/packages/routing/src/hedge-policy.ts
+++ b/packages/routing/src/hedge-policy.ts
@@ -6,8 +6,8 @@
 export type HedgedRequest = {
 	readonly model: ModelId;
 	readonly version: VersionId;
-	/** The estimate of the prompt's tokens. */
-	readonly promptTokens: number;
+	/** The estimate of the prompt's tokens; not used, since histories by the size of the prompt were not better. */
+	readonly promptTokens?: number;
 	readonly streamed: boolean;
 };
 
@@ -19,12 +19,20 @@
 	readonly minimumMilliseconds?: number;
 };
 
-const promptClassBase = 4;
+/** The options of `hedgeDelays`. */
+export type HedgeDelaysOptions = HedgePolicyOptions & {
+	/** The history, with the stages under `stageKey`; a cancelled attempt is recorded with the time it had. */
+	readonly history: StageHistory;
+};
+
+// An answer has hundreds of gaps, so a gap is slow only far out in the tail.
+const gapsOfAnswer = 200;
+const decodeFactor = 2;
 
 /**
 Works out when a second attempt is due, from the history of each stage of the version.
 
-Comparing a stage only with its own history tells a slow attempt from one in a slow stage (after Chen, Zhang, Guo and Deng, 2010); prefill is compared among prompts of like size.
+Comparing a stage only with its own history tells a slow attempt from one in a slow stage (after Chen, Zhang, Guo and Deng, 2010); docs/design/retries-and-hedges.md has the measurement, and what of the paper it did not support.
 
 @param request The request.
 @param options The history, and when an attempt counts as slow.
@@ -34,42 +42,35 @@
 const hedge = hedgeDelays(request, {history});
 ```
 */
-export function hedgeDelays(request: HedgedRequest, {history, share = 0.95, minimumMilliseconds = 20}: HedgeDelaysOptions): HedgeDelays | undefined {
-	const firstStage: AttemptStage = request.streamed ? 'prefill' : 'whole';
-	const prefill = history.quantile(stageKey(request), {stage: firstStage, share});
-	if (prefill === undefined) {
+export function hedgeDelays(request: HedgedRequest, options: HedgeDelaysOptions): HedgeDelays | undefined {
+	const {history, share = 0.95, minimumMilliseconds = 20} = options;
+	const stage: AttemptStage = request.streamed ? 'prefill' : 'whole';
+	const key = stageKey(request);
+	const late = history.quantile(key, {stage, share});
+	if (late === undefined) {
 		return undefined;
 	}
 
-	const decode = history.quantile(versionKey(request.model, request.version), {stage: 'decode', share: gapShare(share)});
-	return {
-		prefillMilliseconds: Math.max(minimumMilliseconds, prefill),
-		decodeMilliseconds: Math.max(minimumMilliseconds, prefill, decodeFactor * (decode ?? 0)),
-	};
-}
-
-/** The options of `hedgeDelays`. */
-export type HedgeDelaysOptions = HedgePolicyOptions & {readonly history: StageHistory};
-
-// An answer has hundreds of gaps, so a gap is slow only far out in the tail.
-const gapsOfAnswer = 200;
-const decodeFactor = 2;
-
-function gapShare(share: number): number {
-	return 1 - ((1 - share) / gapsOfAnswer);
+	const prefillMilliseconds = Math.max(minimumMilliseconds, late);
+	const gap = history.quantile(key, {stage: 'decode', share: gapShare(share)}) ?? 0;
+	// A second attempt has to read the whole prompt again before it can take over.
+	return {prefillMilliseconds, decodeMilliseconds: Math.max(prefillMilliseconds, decodeFactor * gap)};
 }
 
 /**
-Names the history that the first stage of a request belongs to.
+Names the history that the stages of a request belong to.
 
 @param request The request.
-@returns The key for `StageHistory`, the same for prompts of like size.
+@returns The key for `StageHistory`.
 @example
 ```ts
 history.record(stageKey(request), {stage: 'prefill', milliseconds});
 ```
 */
-export function stageKey({model, version, promptTokens}: Omit<HedgedRequest, 'streamed'>): string {
-	const promptClass = Math.floor(Math.log(Math.max(1, promptTokens)) / Math.log(promptClassBase));
-	return `${versionKey(model, version)} ${promptClass}`;
+export function stageKey({model, version}: Omit<HedgedRequest, 'streamed'>): string {
+	return versionKey(model, version);
+}
+
+function gapShare(share: number): number {
+	return 1 - ((1 - share) / gapsOfAnswer);
 }
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -8,6 +8,7 @@
 export * from './decision-ring.js';
 export * from './hedge-policy.js';
 export * from './outlier-ejection.js';
+export * from './prefix-shares.js';
 export * from './rendezvous-score.js';
 export type * from './request-action.js';
 export type * from './request-event.js';
--- a/packages/routing/src/request-life.ts
+++ b/packages/routing/src/request-life.ts
@@ -1,10 +1,9 @@
-import {match, P} from 'ts-pattern';
 import {RequestChange} from './_request-change.js';
 import {takeAttemptEvent} from './_take-attempt-event.js';
 import {takePreparation} from './_take-preparation.js';
 import {takeSurroundings} from './_take-surroundings.js';
 import {type RequestAction} from './request-action.js';
-import {type RequestEvent, type SurroundingsEvent} from './request-event.js';
+import {type PreparationEvent, type RequestEvent, type SurroundingsEvent} from './request-event.js';
 import {type RequestPlan} from './request-plan.js';
 import {type RequestState} from './request-state.js';
 
@@ -77,16 +76,14 @@
 	}
 
 	const change = new RequestChange(state, now);
-	match(event)
-		.with({attempt: P.number}, taken => {
-			takeAttemptEvent(change, taken);
-		})
-		.with(P.when(isSurroundings), taken => {
-			takeSurroundings(change, taken);
-		})
-		.otherwise(taken => {
-			takePreparation(change, taken);
-		});
+	if ('attempt' in event) {
+		takeAttemptEvent(change, event);
+	} else if (isSurroundings(event)) {
+		takeSurroundings(change, event);
+	} else {
+		takePreparation(change, event);
+	}
+
 	return {state: change.state, actions: change.actions};
 }
 
@@ -94,6 +91,6 @@
 	'timer', 'permission-lost', 'server-draining', 'caller-left', 'bill-settled', 'instance-stopping',
 ]);
 
-function isSurroundings(event: RequestEvent): event is SurroundingsEvent {
+function isSurroundings(event: PreparationEvent | SurroundingsEvent): event is SurroundingsEvent {
 	return surroundingTypes.has(event.type);
 }
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -4,7 +4,9 @@
 import {type Either, Left, Right} from 'purify-ts';
 import {type ServerVerdict} from './decision-ring.js';
 import {rendezvousScore} from './rendezvous-score.js';
-import {serverLoad, type ServerLoadOptions, startedCapacity} from './server-load.js';
+import {
+	othersOn, serverLoad, type ServerLoadOptions, startedCapacity,
+} from './server-load.js';
 import {type ServerView} from './server-view.js';
 
 /** What is wanted of a server. */
@@ -14,6 +16,8 @@
 	readonly excluded: ReadonlySet<ServerId>;
 	/** The hash of the prompt's prefix; undefined where no cache matters. */
 	readonly prefix?: number | undefined;
+	/** The share of this instance's requests that have the prefix, from 0 to 1; 0 by default. */
+	readonly prefixShare?: number;
 };
 
 /** How a server is chosen. */
@@ -41,13 +45,18 @@
 	readonly capacity: number;
 };
 
+type Scored = {
+	readonly candidate: Candidate;
+	readonly score: number;
+};
+
 const maximumConsidered = 8;
 const retryAfterMilliseconds = 1000;
 /** Keeps a product of fractions from being rounded up to the next whole request. */
 const rounding = 1e-9;
 
 /**
-Chooses a server: the home of the prompt's prefix while its load is bounded, else the less busy of a few taken at random.
+Chooses a server: a home of the prompt's prefix while its load is bounded, else the less busy of a few taken at random.
 
 The bound is that of consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018); a few at random in place of the best of all keeps the instances that share an old report from all choosing the same server (Mitzenmacher, 2000).
 
@@ -61,16 +70,20 @@
 */
 export function chooseServer(servers: readonly ServerView[], options: ServerWish & ServerChoiceOptions): Either<Failure, ServerChoice> {
 	const considered: ServerVerdict[] = [];
-	const eligible: Candidate[] = [];
+	const views: ServerView[] = [];
 	for (const server of servers) {
 		const reason = ineligibility(server, options);
 		if (reason === undefined) {
-			eligible.push({server, load: serverLoad(server, options), capacity: startedCapacity(server, options)});
+			views.push(server);
 		} else if (reason !== notLoaded) {
 			consider(considered, server, reason);
 		}
 	}
 
+	const meanOthers = meanOthersOn(views);
+	const eligible = views.map(server => ({
+		server, load: serverLoad(server, {meanOthers, ...options}), capacity: startedCapacity(server, options),
+	}));
 	const pool = poolOf(eligible, options);
 	if (pool.length === 0) {
 		const reasons = considered.map(({server, verdict}) => `${server} ${verdict}`).join('; ');
@@ -96,28 +109,26 @@
 	return utilisation(own) > utilisation(others) + zonePenalty ? others : own;
 }
 
-/** The server with the highest score for the prefix among those whose load is within the bound. */
-function homeOf(pool: readonly Candidate[], {prefix, loadBound = 1.25}: ServerWish & ServerChoiceOptions): Candidate | undefined {
+/** The less busy of the prefix's homes, among those whose load is within the bound. */
+function homeOf(pool: readonly Candidate[], options: ServerWish & ServerChoiceOptions): Candidate | undefined {
+	const {prefix, prefixShare = 0, loadBound = 1.25} = options;
 	if (prefix === undefined) {
 		return undefined;
 	}
 
 	const bound = loadBound * utilisation(pool, 1);
-	let home: Candidate | undefined;
-	let highest = 0;
+	const scored: Scored[] = [];
 	for (const candidate of pool) {
-		if (candidate.load + 1 > Math.max(1, Math.ceil((bound * candidate.capacity) - rounding))) {
-			continue;
-		}
-
-		const score = rendezvousScore(prefix, {server: candidate.server.id, capacity: candidate.capacity});
-		if (score > highest) {
-			highest = score;
-			home = candidate;
+		const {load, capacity, server} = candidate;
+		if (load + 1 <= Math.max(1, Math.ceil((bound * capacity) - rounding))) {
+			scored.push({candidate, score: rendezvousScore(prefix, {server: server.id, capacity})});
 		}
 	}
 
-	return home;
+	// No home gets more than its share of the requests times the bound, though all instances choose alike.
+	const homes = Math.max(1, Math.ceil(prefixShare * pool.length / loadBound));
+	const chosen = scored.toSorted((one, other) => other.score - one.score).slice(0, homes).map(({candidate}) => candidate);
+	return chosen.length === 0 ? undefined : lessBusy(chosen, options);
 }
 
 function lessBusy(pool: readonly Candidate[], {random, samples = 2}: ServerChoiceOptions): Candidate {
@@ -158,6 +169,17 @@
 	return load / sumOfCapacity(candidates);
 }
 
+function meanOthersOn(servers: readonly ServerView[]): number {
+	let others = 0;
+	let capacity = 0;
+	for (const server of servers) {
+		others += othersOn(server);
+		capacity += server.capacity;
+	}
+
+	return capacity === 0 ? 0 : others / capacity;
+}
+
 function sumOfCapacity(candidates: readonly Candidate[]): number {
 	let sum = 0;
 	for (const {capacity} of candidates) {
--- a/packages/routing/src/server-load.ts
+++ b/packages/routing/src/server-load.ts
@@ -2,8 +2,10 @@
 
 /** How load is estimated. */
 export type ServerLoadOptions = {
-	/** Milliseconds after which what a report says of other instances begins to fade; 5000 by default. */
-	readonly staleMilliseconds?: number;
+	/** Milliseconds over which what a report says of other instances fades towards the mean of the servers; 500 by default, about the time of a request. */
+	readonly fadeMilliseconds?: number;
+	/** The mean load by other instances for each slot of capacity; 0 by default. */
+	readonly meanOthers?: number;
 	/** Milliseconds over which a new server gets up to its full share; 30,000 by default. */
 	readonly slowStartMilliseconds?: number;
 };
@@ -13,7 +15,7 @@
 /**
 Estimates the requests that a server works on: those of this instance as counted here, and those of others as reported.
 
-A request of this instance is counted once, whether or not the report knew it already.
+A request of this instance is counted once, whether or not the report knew it already. What an old report says of one server is worth little more than the mean (Mitzenmacher, 2000), so it fades towards it.
 
 @param server The server.
 @param options How load is estimated.
@@ -23,10 +25,23 @@
 serverLoad(server); // 5 of others by the report, and 3 of our own
 ```
 */
-export function serverLoad(server: ServerView, {staleMilliseconds = 5000}: ServerLoadOptions = {}): number {
-	const others = Math.max(0, server.reportedActive - server.ownAtReport);
-	const trust = Math.min(1, staleMilliseconds / Math.max(1, server.reportAge));
-	return server.ownInFlight + (others * trust);
+export function serverLoad(server: ServerView, {fadeMilliseconds = 500, meanOthers = 0}: ServerLoadOptions = {}): number {
+	const trust = Math.exp(-server.reportAge / fadeMilliseconds);
+	return server.ownInFlight + (othersOn(server) * trust) + (meanOthers * server.capacity * (1 - trust));
+}
+
+/**
+Tells what the last report says of the requests of other instances.
+
+@param server The server.
+@returns The requests.
+@example
+```ts
+othersOn({...server, reportedActive: 5, ownAtReport: 2}); // 3
+```
+*/
+export function othersOn(server: ServerView): number {
+	return Math.max(0, server.reportedActive - server.ownAtReport);
 }
 
 /**
--- /dev/null
+++ b/packages/testing/src/_bench-server-choice.ts
@@ -0,0 +1,190 @@
+import {performance} from 'node:perf_hooks';
+import {type ServerId, toId, type ZoneId} from '@valehitch/core';
+import {
+	chooseServer, prefixHash, PrefixShares, type ServerView,
+} from '@valehitch/routing';
+import {exponential, quantileOf, seededRandom} from './_bench-tools.js';
+
+const capacity = 8;
+const reportMilliseconds = 1000;
+const meanServiceMilliseconds = 600;
+const simulatedMilliseconds = 20_000;
+const slotsInUse = 0.75;
+const prefixes = 400;
+const cachedPrefixes = 20;
+const target = 'tag-small@1.0';
+const zone = toId<ZoneId>('a');
+const loaded = new Set([target]);
+const excluded = new Set<ServerId>();
+
+type Engine = {
+	readonly id: ServerId;
+	active: number;
+	reported: number;
+	reportedAt: number;
+	readonly own: number[];
+	readonly ownAtReport: number[];
+	readonly cache: Set<number>;
+};
+
+type Size = {
+	readonly engines: number;
+	readonly instances: number;
+};
+
+type Rule = {
+	readonly samples: number;
+	readonly affinity: boolean;
+	readonly loadBound: number;
+	readonly spread?: boolean;
+	readonly fadeMilliseconds?: number;
+};
+
+function viewOf(engine: Engine, {instance, now}: {readonly instance: number; readonly now: number}): ServerView {
+	return {
+		id: engine.id,
+		zone,
+		capacity,
+		reportedActive: engine.reported,
+		ownAtReport: engine.ownAtReport[instance] ?? 0,
+		reportAge: now - engine.reportedAt,
+		ownInFlight: engine.own[instance] ?? 0,
+		draining: false,
+		expired: false,
+		ejected: false,
+		uptime: 60_000,
+		loaded,
+	};
+}
+
+function play({seed, engines, instances}: Size & {readonly seed: number}, {
+	samples, affinity, loadBound, spread = true, fadeMilliseconds = 500,
+}: Rule): string {
+	const requestsPerSecond = slotsInUse * engines * capacity / meanServiceMilliseconds * 1000;
+	const random = seededRandom(seed);
+	const all: Engine[] = Array.from({length: engines}, (_, index) => ({
+		id: toId<ServerId>(`engine-${index}`), active: 0, reported: 0, reportedAt: 0, own: Array.from({length: instances}, () => 0), ownAtReport: Array.from({length: instances}, () => 0), cache: new Set(),
+	}));
+	const ends: Array<{at: number; engine: Engine; instance: number}> = [];
+	const shares = Array.from({length: instances}, () => new PrefixShares());
+	const loads: number[] = [];
+	let hits = 0;
+	for (let now = 0; now < simulatedMilliseconds; now += exponential(1000 / requestsPerSecond, random)) {
+		while (ends[0] !== undefined && ends[0].at <= now) {
+			const {engine, instance} = ends.shift()!;
+			engine.active--;
+			engine.own[instance] = engine.own[instance]! - 1;
+		}
+
+		for (const engine of all) {
+			if (now - engine.reportedAt >= reportMilliseconds) {
+				engine.reported = engine.active;
+				engine.reportedAt = now;
+				engine.ownAtReport.splice(0, instances, ...engine.own);
+			}
+		}
+
+		const instance = Math.floor(random() * instances);
+		const prefix = Math.floor(prefixes * (random() ** 3));
+		const views = all.map(engine => viewOf(engine, {instance, now}));
+		const hash = prefixHash(`prompt ${prefix}`);
+		const share = shares[instance]!.count(hash);
+		const choice = chooseServer(views, {
+			target, excluded, zone, random, samples, loadBound, fadeMilliseconds,
+			...(affinity && {prefix: hash, prefixShare: spread ? share : 0}),
+		});
+		const id = choice.map(({server}) => server).toMaybe().extract();
+		const engine = all.find(candidate => candidate.id === id)!;
+		engine.active++;
+		engine.own[instance] = engine.own[instance]! + 1;
+		loads.push(engine.active);
+		hits += engine.cache.delete(prefix) ? 1 : 0;
+		engine.cache.add(prefix);
+		if (engine.cache.size > cachedPrefixes) {
+			engine.cache.delete(engine.cache.values().next().value!);
+		}
+
+		const end = now + exponential(meanServiceMilliseconds, random);
+		const place = ends.findIndex(({at}) => at > end);
+		ends.splice(place === -1 ? ends.length : place, 0, {at: end, engine, instance});
+	}
+
+	const most = `requests at the chosen engine p50 ${quantileOf(loads, 0.5)}, p99 ${quantileOf(loads, 0.99)}, most ${Math.max(...loads)}`;
+	const above = `above its ${capacity} slots ${(100 * loads.filter(load => load > capacity).length / loads.length).toFixed(1)} %`;
+	return `${most}; ${above}; prefix cached ${Math.round(100 * hits / loads.length)} %`;
+}
+
+/**
+Measures the choice of servers: speed, spread of load under lagged reports, and hits of the prefix cache.
+
+@param seed The seed.
+@returns The lines of the report.
+@example
+```ts
+console.log(benchServerChoice(7).join('\n'));
+```
+*/
+export function benchServerChoice(seed: number): string[] {
+	const rules: ReadonlyArray<readonly [string, Rule]> = [
+		['one at random', {samples: 1, affinity: false, loadBound: 1.25}],
+		['best of 2', {samples: 2, affinity: false, loadBound: 1.25}],
+		['best of 2, reports not taken', {
+			samples: 2, affinity: false, loadBound: 1.25, fadeMilliseconds: 1,
+		}],
+		['best of 2, reports fade in 150 ms', {
+			samples: 2, affinity: false, loadBound: 1.25, fadeMilliseconds: 150,
+		}],
+		['best of 2, reports taken as new', {
+			samples: 2, affinity: false, loadBound: 1.25, fadeMilliseconds: 1e9,
+		}],
+		['best of 3', {samples: 3, affinity: false, loadBound: 1.25}],
+		['best of all', {samples: 400, affinity: false, loadBound: 1.25}],
+		['prefix, bound 1.25, one home', {
+			samples: 2, affinity: true, loadBound: 1.25, spread: false,
+		}],
+		['prefix, bound 1.25', {samples: 2, affinity: true, loadBound: 1.25}],
+		['prefix, bound 2', {samples: 2, affinity: true, loadBound: 2}],
+		['prefix, no bound, one home', {
+			samples: 2, affinity: true, loadBound: 1e9, spread: false,
+		}],
+	];
+	const lines = [benchSpeed(seed)];
+	for (const size of [{engines: 13, instances: 7}, {engines: 40, instances: 50}]) {
+		for (const [name, rule] of rules) {
+			lines.push(`server choice, ${size.instances} instances, ${size.engines} engines, ${name}: ${play({seed, ...size}, rule)}`);
+		}
+	}
+
+	return lines;
+}
+
+function benchSpeed(seed: number): string {
+	const random = seededRandom(seed);
+	const views = Array.from({length: 600}, (_, index): ServerView => ({
+		id: toId(`engine-${index}`),
+		zone: toId(`zone-${index % 7}`),
+		capacity,
+		reportedActive: index % 9,
+		ownAtReport: 0,
+		reportAge: 500,
+		ownInFlight: index % 3,
+		draining: false,
+		expired: false,
+		ejected: false,
+		uptime: 60_000,
+		loaded: index % 15 === 0 ? loaded : new Set(),
+	}));
+	const rate = (prefix: boolean) => {
+		const total = 20_000;
+		const start = performance.now();
+		for (let index = 0; index < total; index++) {
+			chooseServer(views, {
+				target, excluded, zone: toId('zone-0'), random, prefix: prefix ? prefixHash(`prompt ${index}`) : undefined,
+			});
+		}
+
+		return Math.round(total / (performance.now() - start) * 1000);
+	};
+
+	return `server choice: ${rate(false)} choices/s, with a prefix ${rate(true)}, among 600 servers of which 40 have the version`;
+}
--- /dev/null
+++ b/packages/testing/src/bin/bench-routing.ts
@@ -0,0 +1,17 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {benchAdmission} from '../_bench-admission.js';
+import {benchHedge} from '../_bench-hedge.js';
+import {benchLife} from '../_bench-life.js';
+import {benchServerChoice} from '../_bench-server-choice.js';
+
+const seed = Number(process.argv[2] ?? 20_261_202);
+const parts = {
+	life: benchLife, admission: benchAdmission, server: benchServerChoice, hedge: benchHedge,
+} as const;
+process.stdout.write(`seed ${seed}, Node ${process.version}\n`);
+for (const [name, part] of Object.entries(parts)) {
+	if ((process.argv[3] ?? name) === name) {
+		process.stdout.write(`${part(seed).join('\n')}\n`);
+	}
+}
