--- a/packages/cli/src/_operator-client.ts
+++ b/packages/cli/src/_operator-client.ts
@@ -44,8 +44,22 @@
 	readonly rollouts: unknown;
 };
 
+/** The part of the events that an instance still keeps. */
+export type LiveEvents = {
+	readonly events: readonly unknown[];
+	readonly next: number;
+	readonly dropped: number;
+};
+
+/** A page of the ledger. */
+export type LedgerPage = {
+	readonly bills: ReadonlyArray<Readonly<Record<string, unknown>>>;
+	/** What comes after this page; absent on the last. */
+	readonly next?: number;
+};
+
 type Call = {
-	readonly method: 'GET' | 'PUT';
+	readonly method: 'GET' | 'PUT' | 'POST';
 	readonly path: string;
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: string;
@@ -56,6 +70,9 @@
 const isCommitted = isMatching({revision: P.number, committed: true, inForce: {complete: P.boolean, waitingFor: P.array(P.string)}});
 const isCurrentConfiguration = isMatching({revision: P.number, document: P.nonNullable, rollouts: P.any});
 const isStatus = isMatching({instance: P.string, servers: P.array(P.any)});
+const isLedgerPage = isMatching({bills: P.array(P.any)});
+const isLiveEvents = isMatching({events: P.array(P.any), next: P.number, dropped: P.number});
+const isRecord = isMatching({});
 const isProblem = isMatching({kind: P.string, detail: P.string});
 const hasDetails = isMatching({details: P.nonNullable});
 const hasOutcome = isMatching({outcome: P.union('notRun', 'ran', 'unknown')});
@@ -72,6 +89,33 @@
 	return answer.chain(value => isStatus(value) ? Right(value) : Left(oddAnswer('a status with instance and servers')));
 }
 
+/** Reads a page of the ledger. */
+export async function getLedger(target: Target, {workspace, after}: {readonly workspace?: string | undefined; readonly after: number}): Promise<Either<Failure, LedgerPage>> {
+	const query = new URLSearchParams({...(workspace !== undefined && {workspace}), after: String(after)});
+	const answer = await call(target, {method: 'GET', path: `/v1/ledger?${query.toString()}`});
+	return answer.chain(value => isLedgerPage(value) ? Right(value as LedgerPage) : Left(oddAnswer('a page of the ledger')));
+}
+
+/** Reads the events that an instance keeps. */
+export async function getEvents(target: Target, after: number): Promise<Either<Failure, LiveEvents>> {
+	const answer = await call(target, {method: 'GET', path: `/v1/timeline?after=${after}`});
+	return answer.chain(value => isLiveEvents(value) ? Right(value) : Left(oddAnswer('a page of events')));
+}
+
+/** Reads the decisions of a request. */
+export async function getExplanation(target: Target, requestId: string): Promise<Either<Failure, Readonly<Record<string, unknown>>>> {
+	const answer = await call(target, {method: 'GET', path: `/v1/explain/${encodeURIComponent(requestId)}`});
+	return answer.chain(value => isRecord(value) ? Right({...value}) : Left(oddAnswer('the decisions of a request')));
+}
+
+/** Sends a command to a path of the operators' interface. */
+export async function postCommand(target: Target, {path, body}: {readonly path: string; readonly body: unknown}): Promise<Either<Failure, Readonly<Record<string, unknown>>>> {
+	const answer = await call(target, {
+		method: 'POST', path, headers: {'Content-Type': 'application/json'}, body: JSON.stringify(body),
+	});
+	return answer.chain(value => isRecord(value) ? Right({...value}) : Left(oddAnswer('a JSON object')));
+}
+
 /** Sends a change; sends it again with the same id when it is not known whether it was committed. */
 export async function putConfiguration(target: Target, change: Change): Promise<Either<Failure, Committed>> {
 	return putAtMost(sendsAtMost, {target, change});
--- /dev/null
+++ b/packages/cli/src/commands/ledger.ts
@@ -0,0 +1,61 @@
+import {Flags} from '@oclif/core';
+import {getLedger, type LedgerPage, type Target} from '../_operator-client.js';
+import {OperatorCommand, targetFlags} from '../_operator-command.js';
+import {formatTable} from '../_table.js';
+
+const columns: readonly string[] = ['workspace', 'request', 'outcome', 'total', 'attempts', 'instance', 'settledAt'];
+
+type Bill = LedgerPage['bills'][number];
+
+/** Prints the bills. */
+export class Ledger extends OperatorCommand {
+	static override readonly summary = 'Print the bills of the ledger.';
+	static override readonly description = 'Totals are in millionths of the unit of account; attempts counts the lines of a bill.';
+	static override readonly flags = {
+		...targetFlags,
+		workspace: Flags.string({summary: 'Bills of this workspace only.'}),
+		after: Flags.integer({summary: 'How many bills to pass over.', min: 0, default: 0}),
+		all: Flags.boolean({summary: 'Read all pages instead of one.', default: false}),
+	};
+
+	static override readonly examples = ['<%= config.bin %> ledger --workspace yard --all'];
+
+	/**
+	Reads and prints the bills.
+
+	@returns The bills, and what comes after them.
+	*/
+	async run(): Promise<LedgerPage> {
+		const {flags} = await this.parse(Ledger);
+		const page = await this.#read(flags, flags);
+		const rows = page.bills.map(bill => ({...bill, attempts: Array.isArray(bill.lines) ? bill.lines.length : undefined, settledAt: timeOf(bill)}));
+		for (const line of formatTable(rows, columns)) {
+			this.log(line);
+		}
+
+		if (page.next !== undefined) {
+			this.logToStderr(`More bills with --after ${page.next}`);
+		}
+
+		return page;
+	}
+
+	async #read(target: Target, {workspace, after, all}: {readonly workspace: string | undefined; readonly after: number; readonly all: boolean}): Promise<LedgerPage> {
+		const bills: Bill[] = [];
+		for (let next: number | undefined = after; next !== undefined;) {
+			const page: LedgerPage = this.unwrap(await getLedger(target, {workspace, after: next}));
+			bills.push(...page.bills);
+			if (!all) {
+				return page;
+			}
+
+			next = page.next;
+		}
+
+		return {bills};
+	}
+}
+
+function timeOf({settledAt}: Bill): string | undefined {
+	return typeof settledAt === 'number' ? new Date(settledAt).toISOString() : undefined;
+}
