Add the time line, roll-outs and drain to the command line

Ruled out: a page with time to scale, where hundreds of events of a second lay on top of each other; vector clocks, see docs/design/timeline.md. Change: timeline merges logs or running instances, filters them and writes text, JSON or one page; rollout and drain send to the calls of the operators' port.

--- a/packages/cli/src/_operator-client.ts
+++ b/packages/cli/src/_operator-client.ts
@@ -164,7 +164,7 @@
 
 function readAnswer(status: number, text: string): Either<Failure, unknown> {
 	const body = Either.encase((): unknown => JSON.parse(text));
-	if (status === 200) {
+	if (status >= 200 && status < 300) {
 		return body.mapLeft(() => oddAnswer('a JSON body'));
 	}
 
--- a/packages/cli/src/_operator-command.ts
+++ b/packages/cli/src/_operator-command.ts
@@ -39,9 +39,12 @@
 
 	/** Gives the right side, or ends the command with the failure. */
 	protected unwrap<Value>(result: Either<Failure, Value>): Value {
-		return result.ifLeft(failed => {
-			throw new CommandError(failed);
-		}).unsafeCoerce();
+		return result.ifLeft(failed => this.fail(failed)).unsafeCoerce();
+	}
+
+	/** Ends the command with a failure. */
+	protected fail(failed: Failure): never {
+		throw new CommandError(failed);
 	}
 
 	/** Prints problems of documents on the standard error, one a line. */
--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -183,3 +183,69 @@
 	t.is(await exitCode(['get', '--colour'], environment), 64);
 	t.is(await exitCode(['get'], {[keyVariable]: ''}), 64);
 });
+
+const withVersion: Reply = {
+	status: 200, body: {revision: 4, document: {models: {small: {versions: {v1: {state: 'settled', quality: 0.9, prices: {input: 1, output: 1}}}}}}, rollouts: {'small@v1': {status: 'running', stage: 1}}},
+};
+
+test('withdraw changes the one version against the revision it was read at', async t => {
+	const {seen, environment} = await standIn(t, [withVersion, committed(5, [])]);
+	const {code, stdout} = await run(['withdraw', 'small', 'v1'], environment);
+	t.is(code, 0);
+	t.is(stdout, 'Withdrawn with revision 5\nIn force in every zone\n');
+	t.like(seen[1], {method: 'PUT', match: '"4"'});
+	t.like(JSON.parse(seen[1]?.body ?? ''), {models: {small: {versions: {v1: {state: 'withdrawn', quality: 0.9}}}}});
+	t.is(await exitCode(['withdraw', 'small', 'v9'], environment), 1);
+});
+
+test('withdraw gives up on a conflict, and with --retry makes the change anew under a new id', async t => {
+	const without = await standIn(t, [withVersion, conflict]);
+	t.is(await exitCode(['withdraw', 'small', 'v1'], without.environment), 2);
+	t.is(without.seen.length, 2);
+	const {seen, environment} = await standIn(t, [withVersion, conflict, withVersion, committed(7, [])]);
+	t.is(await exitCode(['withdraw', 'small', 'v1', '--retry'], environment), 0);
+	t.not(seen[1]?.changeId, seen[3]?.changeId);
+});
+
+test('diff shows what a file would change', async t => {
+	const file = path.join(await mkdtemp(path.join(tmpdir(), 'valehitch-')), 'next.yaml');
+	await writeFile(file, 'models:\n  small:\n    versions:\n      v1: {state: withdrawn, quality: 0.9, prices: {input: 1, output: 1}}\n');
+	const {environment} = await standIn(t, [withVersion]);
+	const {stdout} = await run(['diff', file], environment);
+	t.true(stdout.includes('- models.small.versions.v1.state: settled\n+ models.small.versions.v1.state: withdrawn\n'));
+});
+
+test('rollout shows, stops, and advances from the stage in force', async t => {
+	const {seen, environment} = await standIn(t, [withVersion, {status: 200, body: {revision: 5}}, withVersion, {status: 200, body: {revision: 6}}, withVersion]);
+	t.is(await exitCode(['rollout', 'advance', 'small', 'v1'], environment), 0);
+	t.deepEqual(JSON.parse(seen[1]?.body ?? ''), {
+		model: 'small', version: 'v1', action: 'advance', fromStage: 1,
+	});
+	t.is(await exitCode(['rollout', 'stop', 'small', 'v1', '--reason', 'odd'], environment), 0);
+	t.like(JSON.parse(seen[3]?.body ?? ''), {action: 'stop', reason: 'odd'});
+	const shown = await run(['rollout'], environment);
+	t.true(shown.stdout.includes('small@v1  running  1'));
+	t.is(await exitCode(['rollout', 'stop'], environment), 1);
+});
+
+test('ledger reads all pages, explain prints decisions, drain names its order', async t => {
+	const ledger = await standIn(t, [{status: 200, body: {bills: [{workspace: 'w', request: 'r1', lines: [{}]}], next: 1}}, {status: 200, body: {bills: [{workspace: 'w', request: 'r2', lines: []}]}}]);
+	const bills = await run(['ledger', '--all'], ledger.environment);
+	t.true(bills.stdout.includes('r1') && bills.stdout.includes('r2'));
+	const explain = await standIn(t, [{status: 200, body: {request: 'r1', steps: [{verdict: 'eligible', model: 'small'}]}}]);
+	const {stdout} = await run(['explain', 'r1'], explain.environment);
+	t.is(stdout, 'request: r1\nsteps:\n  verdict eligible, model small\n');
+	const drain = await standIn(t, [{status: 202, body: {orderId: 'o1'}}]);
+	t.is(await exitCode(['drain', 'engine-1', '--order-id', 'o1'], drain.environment), 0);
+	t.deepEqual(JSON.parse(drain.seen[0]?.body ?? ''), {orderId: 'o1', server: 'engine-1', order: {type: 'set-role', role: 'drain'}});
+});
+
+test('timeline asks running instances', async t => {
+	const event = {
+		event: 'instance-started', instance: 'entry-1', zone: 'zone-a', stamp: {wall: 0, counter: 2},
+	};
+	const {environment} = await standIn(t, [{status: 200, body: {events: [event, {broken: true}], next: 2, dropped: 0}}]);
+	const {stdout} = await run(['timeline', '--servers', environment[serverVariable] ?? ''], environment);
+	t.is(stdout, 'TIME                        INSTANCE  ZONE    EVENT             SUBJECT\n1970-01-01T00:00:00.000Z+2  entry-1   zone-a  instance-started\n');
+	t.is(await exitCode(['timeline']), 1);
+});
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,14 +1,38 @@
 import {Apply} from './commands/apply.js';
 import {Check} from './commands/check.js';
+import {Diff} from './commands/diff.js';
+import {Drain} from './commands/drain.js';
+import {Explain} from './commands/explain.js';
 import {Get} from './commands/get.js';
+import {Ledger} from './commands/ledger.js';
+import {Rollout} from './commands/rollout.js';
 import {Status} from './commands/status.js';
+import {Timeline} from './commands/timeline.js';
+import {Withdraw} from './commands/withdraw.js';
 
 /** The commands of `valehitch`, by name. */
 export const commands: {
 	readonly apply: typeof Apply;
 	readonly check: typeof Check;
+	readonly diff: typeof Diff;
+	readonly drain: typeof Drain;
+	readonly explain: typeof Explain;
 	readonly get: typeof Get;
+	readonly ledger: typeof Ledger;
+	readonly rollout: typeof Rollout;
 	readonly status: typeof Status;
+	readonly timeline: typeof Timeline;
+	readonly withdraw: typeof Withdraw;
 } = {
-	apply: Apply, check: Check, get: Get, status: Status,
+	apply: Apply,
+	check: Check,
+	diff: Diff,
+	drain: Drain,
+	explain: Explain,
+	get: Get,
+	ledger: Ledger,
+	rollout: Rollout,
+	status: Status,
+	timeline: Timeline,
+	withdraw: Withdraw,
 };
