--- a/packages/routing/src/server-load.ts
+++ b/packages/routing/src/server-load.ts
@@ -2,7 +2,7 @@
 
 /** How load is estimated. */
 export type ServerLoadOptions = {
-	/** Milliseconds over which what a report says of other instances fades towards the mean of the servers; 500 by default, about the time of a request. */
+	/** Milliseconds over which what a report says of other instances fades towards the mean of the servers; 150 by default. */
 	readonly fadeMilliseconds?: number;
 	/** The mean load by other instances for each slot of capacity; 0 by default. */
 	readonly meanOthers?: number;
@@ -25,7 +25,7 @@
 serverLoad(server); // 5 of others by the report, and 3 of our own
 ```
 */
-export function serverLoad(server: ServerView, {fadeMilliseconds = 500, meanOthers = 0}: ServerLoadOptions = {}): number {
+export function serverLoad(server: ServerView, {fadeMilliseconds = 150, meanOthers = 0}: ServerLoadOptions = {}): number {
 	const trust = Math.exp(-server.reportAge / fadeMilliseconds);
 	return server.ownInFlight + (othersOn(server) * trust) + (meanOthers * server.capacity * (1 - trust));
 }
--- a/packages/testing/src/_bench-server-choice.ts
+++ b/packages/testing/src/_bench-server-choice.ts
@@ -58,12 +58,13 @@
 }
 
 function play({seed, engines, instances}: Size & {readonly seed: number}, {
-	samples, affinity, loadBound, spread = true, fadeMilliseconds = 500,
+	samples, affinity, loadBound, spread = true, fadeMilliseconds = 150,
 }: Rule): string {
 	const requestsPerSecond = slotsInUse * engines * capacity / meanServiceMilliseconds * 1000;
 	const random = seededRandom(seed);
 	const all: Engine[] = Array.from({length: engines}, (_, index) => ({
-		id: toId<ServerId>(`engine-${index}`), active: 0, reported: 0, reportedAt: 0, own: Array.from({length: instances}, () => 0), ownAtReport: Array.from({length: instances}, () => 0), cache: new Set(),
+		id: toId<ServerId>(`engine-${index}`), active: 0, reported: 0, reportedAt: 0,
+		own: Array.from({length: instances}, () => 0), ownAtReport: Array.from({length: instances}, () => 0), cache: new Set(),
 	}));
 	const ends: Array<{at: number; engine: Engine; instance: number}> = [];
 	const shares = Array.from({length: instances}, () => new PrefixShares());
@@ -131,8 +132,8 @@
 		['best of 2, reports not taken', {
 			samples: 2, affinity: false, loadBound: 1.25, fadeMilliseconds: 1,
 		}],
-		['best of 2, reports fade in 150 ms', {
-			samples: 2, affinity: false, loadBound: 1.25, fadeMilliseconds: 150,
+		['best of 2, reports fade in 500 ms', {
+			samples: 2, affinity: false, loadBound: 1.25, fadeMilliseconds: 500,
 		}],
 		['best of 2, reports taken as new', {
 			samples: 2, affinity: false, loadBound: 1.25, fadeMilliseconds: 1e9,
