--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -1,9 +1,11 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import process from 'node:process';
 import {failure} from '@valehitch/core';
 import {answerProblem} from '@valehitch/transport';
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
 import {applyConfiguration} from './apply-configuration.js';
+import {cutLinks} from './cut-links.js';
 import {type OperatorContext} from './operator-context.js';
 
 /**
@@ -36,6 +38,11 @@
 			return;
 		}
 
+		case 'POST /v1/faults/links': {
+			await cutLinks(request, response, context.base);
+			return;
+		}
+
 		case 'GET /v1/status': {
 			await answerStatus(response, context);
 			return;
@@ -46,6 +53,11 @@
 			return;
 		}
 
+		case 'GET /v1/timeline': {
+			answerTimeline(url, response, context);
+			return;
+		}
+
 		default: {
 			answerProblem(response, failure('not-found', `Got ${route}, wanted a call that docs/API.md lists`));
 		}
@@ -58,25 +70,35 @@
 }
 
 async function answerStatus(response: ServerResponse, context: OperatorContext): Promise<void> {
-	const {base: {settings}, distribution, entry: {requests}, control} = context;
-	const inForce = await control.inForce();
+	const {base: {settings, network}, distribution, entry: {requests}} = context;
+	const inForce = await distribution.inForce();
 	answerJson(response, {
 		instance: settings.instance,
 		zone: settings.zone,
 		roles: settings.roles,
 		revision: distribution.effective().revision,
-		leader: settings.control[0]?.instance,
+		isolated: distribution.active()?.isolated ?? true,
+		leader: distribution.leader(),
 		inProgress: requests.inProgress,
 		stopping: requests.stopping,
-		waitingFor: inForce.map(({waitingFor}) => waitingFor).orDefault([]),
-		servers: distribution.servers.current().map(({announcement, inFlight}) => ({...announcement, inFlight})),
+		inForce: inForce ?? {complete: false, waitingFor: []},
+		waitingFor: inForce?.waitingFor ?? [],
+		members: distribution.members().length,
+		traffic: network.traffic,
+		process: {...cpuOf(process.cpuUsage()), residentBytes: process.memoryUsage.rss()},
+		servers: distribution.servers.current().map(({announcement, inFlight, state, load}) => ({
+			...announcement, inFlight, state, load,
+		})),
 	});
 }
 
+function cpuOf({user, system}: {readonly user: number; readonly system: number}): {readonly cpuMicroseconds: number} {
+	return {cpuMicroseconds: user + system};
+}
+
 async function answerLedger(url: URL, response: ServerResponse, {control}: OperatorContext): Promise<void> {
-	const after = Number(url.searchParams.get('after') ?? '0');
-	if (!Number.isSafeInteger(after) || after < 0) {
-		answerProblem(response, failure('malformed-request', `after: got ${url.searchParams.get('after') ?? ''}, wanted a whole number from 0`));
+	const after = readAfter(url, response);
+	if (after === undefined) {
 		return;
 	}
 
@@ -90,3 +112,22 @@
 		},
 	});
 }
+
+function answerTimeline(url: URL, response: ServerResponse, {base: {events}}: OperatorContext): void {
+	const after = readAfter(url, response);
+	if (after !== undefined) {
+		answerJson(response, events.after(after));
+	}
+}
+
+/** Reads the query's `after`; answers with a problem and gives undefined where it is no whole number from 0. */
+function readAfter(url: URL, response: ServerResponse): number | undefined {
+	const text = url.searchParams.get('after') ?? '0';
+	const after = Number(text);
+	if (Number.isSafeInteger(after) && after >= 0) {
+		return after;
+	}
+
+	answerProblem(response, failure('malformed-request', `after: got ${text}, wanted a whole number from 0`));
+	return undefined;
+}
--- a/packages/policy/src/bad-version.test.ts
+++ b/packages/policy/src/bad-version.test.ts
@@ -17,20 +17,29 @@
 	return new BadVersionMonitor({...identity, book: new QualityBook(identity)});
 }
 
+test('the long history that a new leader gets at once is no evidence by its length', t => {
+	const detector = new ChangeDetector({falseAlarmShare: 0.05, horizon: 1000});
+	detector.advance({observations: 1_000_000, logWealth: detector.logWealth.map(() => 0)});
+	t.false(detector.isAlarmed);
+	t.is(detector.evidence, 1);
+});
+
 type Stream = {
 	readonly seed: number;
 	readonly measure: QualityMeasure;
 	/** Gives the value of an observation, from the version, its number and a random source. */
 	readonly valueOf: (isFresh: boolean, index: number, random: () => number) => number;
 	readonly length: number;
+	/** Observations of the replaced version for each of the new one; 3 unless given. */
+	readonly replacedShare?: number;
 };
 
-/** Runs a roll-out in which one of four observations is of the new version; gives the number of its observations at the alarm. */
-function runStream({seed, measure, valueOf, length}: Stream): number | undefined {
+/** Runs a roll-out of both versions side by side; gives the number of its observations at the alarm. */
+function runStream({seed, measure, valueOf, length, replacedShare = 3}: Stream): number | undefined {
 	const random = seededRandom(seed);
 	const monitor = monitorOf('a');
 	for (let index = 0; index < length; index += 1) {
-		for (const isFresh of [false, false, false, true]) {
+		for (const isFresh of [...Array.from({length: replacedShare}, () => false), true]) {
 			const alarm = monitor.observe({
 				...(isFresh ? fresh : replaced), qualityClass: 'yard/lookup', measure, value: valueOf(isFresh, index, random), ranAt: index,
 			}, {configuration, now: index});
@@ -66,7 +75,7 @@
 test('a roll-out as good as the version it replaces is not stopped in 2,000 streams but for the bound, by ratings or failures', t => {
 	let alarms = 0;
 	for (let stream = 0; stream < 1000; stream += 1) {
-		const options = {seed: testSeed + stream, length: 300};
+		const options = {seed: testSeed + stream, length: 300, replacedShare: 1};
 		const ratings = runStream({...options, measure: 'rating', valueOf: (_isFresh, _index, random) => graded(0.85, random)});
 		const failures = runStream({...options, measure: 'failure', valueOf: (_isFresh, _index, random) => random() < 0.02 ? 1 : 0});
 		alarms += Number(ratings !== undefined) + Number(failures !== undefined);
@@ -115,17 +124,14 @@
 			const reports = [...reportsOf('a', first), ...reportsOf('b', second)];
 			const ordered = new EvidenceTable();
 			const shuffled = new EvidenceTable();
-			for (const index of order) {
-				const report = reports[index % reports.length];
-				if (report !== undefined) {
-					shuffled.merge(report);
-					shuffled.merge(report);
-				}
+			const late = order.map(index => reports[index % reports.length]).filter(report => report !== undefined);
+			for (const report of [...late, ...reports, ...late.toReversed()]) {
+				shuffled.merge(report);
+				shuffled.merge(report);
 			}
 
 			for (const report of reports) {
 				ordered.merge(report);
-				shuffled.merge(report);
 			}
 
 			const [wanted, got] = [ordered, shuffled].map(table => {
@@ -171,3 +177,45 @@
 	t.deepEqual(stops.release({configuration, now: 1009}), []);
 	t.deepEqual(stops.release({configuration, now: 1010}), [replaced]);
 });
+
+test('a version whose roll-out begins anew is tested anew, and old ratings that come late do not count against it', t => {
+	const table = new EvidenceTable();
+	const bad = reportsOf('a', Array.from({length: 60}, () => 0.1));
+	for (const report of bad) {
+		table.merge(report);
+	}
+
+	const firstStart = 10;
+	t.not(table.evidence(fresh, firstStart).alarm, undefined);
+	t.not(table.evidence(fresh, firstStart).alarm, undefined);
+	t.is(table.evidence(fresh, firstStart + 1000).alarm, undefined);
+	t.is(table.merge(bad.at(-1)!), undefined);
+	t.is(table.evidence(fresh, firstStart + 1000).alarm, undefined);
+
+	const monitor = monitorOf('b');
+	const observe = (startedAt: number, ranAt: number): BadVersionAlarm | undefined => {
+		const rollouts = {
+			'm@2': {
+				...fresh, stage: 0, status: 'running', stageStartedAt: startedAt,
+			} as const,
+		};
+		return monitor.observe({
+			...fresh, qualityClass: 'yard/lookup', measure: 'rating', value: 0.1, ranAt,
+		}, {configuration: {...configuration, rollouts}, now: ranAt});
+	};
+
+	const until = (startedAt: number, ranAt: number): number => {
+		let count = 1;
+		while (count < 100 && observe(startedAt, ranAt) === undefined) {
+			count += 1;
+		}
+
+		return count;
+	};
+
+	const first = until(0, 50);
+	t.true(first < 100);
+	t.is(until(100, 50), 100);
+	const second = until(100, 150);
+	t.true(second > 5 && second < 100, `Got an alarm after ${second} observations`);
+});
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -79,12 +79,40 @@
 	readonly shutdownMilliseconds: number;
 };
 
+/** The replicated log of the control role. */
+export type ControlLogSettings = {
+	/** Entries after which a snapshot is taken; 10000 by default, 100 to 10000000. */
+	readonly snapshotEntries: number;
+	/** Bytes of commands after which a snapshot is taken; 8388608 by default, 65536 to 1073741824. */
+	readonly snapshotBytes: number;
+	/** Bytes after which the next segment of the log is begun; 4194304 by default, 4096 to 1073741824. */
+	readonly segmentBytes: number;
+};
+
 /** What happens when an instance is cut off from the control role. */
 export type IsolationSettings = {
 	/** What is still served: `settled` versions only, `all` or `none`; `settled` by default. */
 	readonly serve: IsolationServe;
 };
 
+/** When a version counts as bad by one measure. */
+export type BadVersionSettings = {
+	/** How much worse than the version it replaces is still not bad; 0.05 for ratings and 0.03 for failures by default, 0.001 to 1. */
+	readonly tolerance: number;
+	/** The most false alarms, as a share, within each horizon; 0.05 by default, 0.000001 to 0.5. */
+	readonly falseAlarmShare: number;
+	/** The observations within which the share holds; 1000 ratings and 100000 outcomes by default, 10 to 1000000000. */
+	readonly horizon: number;
+};
+
+/** When a version counts as bad. */
+export type BadVersionsSettings = {
+	/** By its ratings; has defaults. */
+	readonly ratings: BadVersionSettings;
+	/** By its share of failures; has defaults. */
+	readonly failures: BadVersionSettings;
+};
+
 /** What is logged. */
 export type LoggingSettings = {
 	/** The level from which records are written: trace, debug, info, warn, error or fatal; `info` by default. */
@@ -117,6 +145,10 @@
 	readonly control: readonly ControlInstance[];
 	/** The folder of the replicated log, 1 to 4096 characters; required with the role control, else absent by default. */
 	readonly dataFolder?: string | undefined;
+	/** The replicated log of the control role; has defaults. */
+	readonly controlLog: ControlLogSettings;
+	/** Whether operators may cut links between daemons, for failure tests; false by default. */
+	readonly faults: boolean;
 	/** The keys; required. */
 	readonly keys: KeySettings;
 	/** Bounds on requests; has defaults. */
@@ -125,6 +157,8 @@
 	readonly timing: TimingSettings;
 	/** What a cut-off instance serves; has defaults. */
 	readonly isolation: IsolationSettings;
+	/** When a version counts as bad; has defaults. */
+	readonly badVersions: BadVersionsSettings;
 	/** What is logged; has defaults. */
 	readonly logging: LoggingSettings;
 	/** Where metrics are sent; by default absent, and then none are sent. */
--- a/packages/transport/src/_peer-link.ts
+++ b/packages/transport/src/_peer-link.ts
@@ -1,4 +1,4 @@
-import {type InstanceId} from '@valehitch/core';
+import {type HybridTimestamp, type InstanceId} from '@valehitch/core';
 import {WebSocket} from 'ws';
 import {type Frame, readFrame} from './_frame.js';
 import {type PeerAddress} from './peer-network.js';
@@ -8,11 +8,14 @@
 	readonly timer: NodeJS.Timeout;
 };
 
+/** What came of a request: the reply, that it was surely not sent, or nothing where the receiver may have got it. */
+export type PeerReply = (Frame & {type: 'reply'}) | 'not-sent' | undefined;
+
 type PeerLinkOptions = {
 	readonly self: InstanceId;
 	readonly key: string;
-	/** Told the size of each reply in bytes. */
-	readonly onReceived: (bytes: number) => void;
+	/** Told the size of each reply in bytes, and the time stamp that came with it. */
+	readonly onReceived: (bytes: number, stamp: HybridTimestamp | undefined) => void;
 	/** Milliseconds between two checks that the peer still answers; 2000 unless given. */
 	readonly pingMilliseconds?: number;
 };
@@ -58,17 +61,18 @@
 		}
 	}
 
-	async request(write: (id: number) => Uint8Array, timeoutMilliseconds: number): Promise<(Frame & {type: 'reply'}) | undefined> {
+	async request(write: (id: number) => Uint8Array, timeoutMilliseconds: number): Promise<PeerReply> {
 		const id = ++this.#lastId;
+		const data = write(id);
 		return new Promise(resolve => {
 			const settle = (frame: (Frame & {type: 'reply'}) | undefined): void => {
 				this.#forget(id);
-				resolve(frame);
+				resolve(frame ?? (this.#withdraw(data) ? 'not-sent' : undefined));
 			};
 
 			const timer = setTimeout(settle, timeoutMilliseconds, undefined);
 			this.#waiting.set(id, {settle, timer});
-			this.send(write(id));
+			this.send(data);
 		});
 	}
 
@@ -133,7 +137,7 @@
 	#receive(data: Uint8Array): void {
 		const frame = readFrame(data);
 		if (frame?.type === 'reply') {
-			this.#options.onReceived(data.byteLength);
+			this.#options.onReceived(data.byteLength, frame.stamp);
 			this.#waiting.get(frame.id)?.settle(frame);
 		}
 	}
@@ -144,10 +148,22 @@
 		}
 
 		this.#socket = undefined;
-		this.#queue = [];
 		for (const {settle} of this.#waiting.values()) {
 			settle(undefined);
 		}
+
+		this.#queue = [];
+	}
+
+	/** Takes a frame back that still waits for the link to open. */
+	#withdraw(data: Uint8Array): boolean {
+		const index = this.#queue.indexOf(data);
+		if (index === -1) {
+			return false;
+		}
+
+		this.#queue.splice(index, 1);
+		return true;
 	}
 
 	#forget(id: number): void {
