--- a/packages/membership/src/configuration-relay.test.ts
+++ b/packages/membership/src/configuration-relay.test.ts
@@ -16,7 +16,7 @@
 const steps = fc.array(fc.oneof(
 	{
 		weight: 8, arbitrary: fc.record({
-			type: fc.constant('exchange' as const), child: nodeIndex, parent: nodeIndex, there: fc.nat(30), back: fc.nat(60), lost: fc.boolean(),
+			type: fc.constant('exchange' as const), child: nodeIndex, parent: nodeIndex, there: fc.nat(30), back: fc.nat(60), lost: fc.boolean(), adopts: fc.boolean(),
 		}),
 	},
 	{weight: 4, arbitrary: fc.record({type: fc.constant('wait' as const), milliseconds: fc.nat(40)})},
@@ -35,6 +35,8 @@
 	found = 0;
 	readonly #relays: ConfigurationRelay[] = [];
 	readonly #messages: Array<{readonly at: number; readonly deliver: () => void}> = [];
+	readonly #views = new Map<number, {readonly revision: number; readonly until: number}>();
+	#hasGoneBack = false;
 	#incarnation = 0;
 	#committed = 1;
 	#leader = 0;
@@ -93,6 +95,7 @@
 			case 'restart': {
 				if (step.node !== this.#leader) {
 					this.#relays[step.node] = this.#make(step.node);
+					this.#views.delete(step.node);
 				}
 
 				break;
@@ -102,6 +105,10 @@
 
 	/** The rule that must always hold: what the leader calls in force is in force wherever a lease is valid. */
 	violation(): string | undefined {
+		if (this.#hasGoneBack) {
+			return 'a revision went back';
+		}
+
 		this.#refresh();
 		if (this.now < this.#leaderUntil) {
 			const answer = this.#tracker.look({revision: toRevision(this.#committed), now: this.#clock(this.#leader), zones});
@@ -123,8 +130,8 @@
 	}
 
 	/** The monotonic clock of a node: another start and up to 0.4 % slower or faster. */
-	#clock(index: number): number {
-		return (1000 * index) + (this.now * (1 + ((index - 2.5) * 0.0016)));
+	#clock(index: number, at: number = this.now): number {
+		return (1000 * index) + (at * (1 + ((index - 2.5) * 0.0016)));
 	}
 
 	#lead(): InForceTracker {
@@ -133,16 +140,19 @@
 		return new InForceTracker({relay, leaseMilliseconds, leaderSince: this.#clock(this.#leader)});
 	}
 
+	/** Has the leader renew its own lease, and every former leader try to by what it knew last. */
 	#refresh(): void {
-		const relay = this.#relay(this.#leader);
 		if (this.now < this.#leaderUntil) {
-			relay.adopt(toRevision(this.#committed));
-			const now = this.#clock(this.#leader);
-			relay.renewAsLeader({revision: toRevision(this.#committed), validUntil: now + 1}, now);
+			this.#relay(this.#leader).adopt(toRevision(this.#committed));
+			this.#views.set(this.#leader, {revision: this.#committed, until: this.#leaderUntil});
+		}
+
+		for (const [index, {revision, until}] of this.#views) {
+			this.#relay(index).renewAsLeader({revision: toRevision(revision), validUntil: this.#clock(index, until)}, this.#clock(index));
 		}
 	}
 
-	#exchange({child, parent, there, back, lost}: Step & {type: 'exchange'}): void {
+	#exchange({child, parent, there, back, lost, adopts}: Step & {type: 'exchange'}): void {
 		const asker = this.#relay(child);
 		const sentAt = this.#clock(child);
 		const question = asker.question(sentAt);
@@ -153,7 +163,7 @@
 			if (!lost && grant !== undefined) {
 				this.#send(back, () => {
 					this.#take(child, {
-						asker, question, sentAt, grant, held,
+						asker, question, sentAt, grant, held: adopts ? held : toRevision(0),
 					});
 				});
 			}
@@ -162,8 +172,10 @@
 
 	#take(child: number, answer: {asker: ConfigurationRelay; question: LeaseQuestion; sentAt: number; grant: LeaseGrant; held: number}): void {
 		if (this.#relay(child) === answer.asker) {
+			const before = answer.asker.revision;
 			answer.asker.adopt(toRevision(answer.held));
 			answer.asker.take(answer);
+			this.#hasGoneBack ||= answer.asker.revision < before;
 		}
 	}
 
--- a/packages/membership/src/parent-candidates.ts
+++ b/packages/membership/src/parent-candidates.ts
@@ -24,7 +24,8 @@
 The instances that one may ask, the best first.
 
 Inside a zone these are the ancestors in its relay tree. The root, and whoever is left by all its ancestors, goes on with the
-leader, the other control instances and the other zones' roots, the own zone and the own region first.
+leader, the other control instances and the other zones' roots, the own zone and the own region first. The leader itself stands
+outside its zone's tree.
 
 @param options The own record and what is known of the others.
 @returns The instances without the own one; none twice.
@@ -35,7 +36,8 @@
 */
 export function parentCandidates({self, members, seeds, leader, fanOut = defaultFanOut}: ParentCandidatesOptions): InstanceId[] {
 	const usable = members.filter(({state}) => state === 'joined');
-	const own = usable.filter(({zone}) => zone === self.zone).map(({instance}) => instance);
+	// The leader has all zones' roots to answer already.
+	const own = usable.filter(({zone, instance}) => zone === self.zone && instance !== leader).map(({instance}) => instance);
 	const ancestors = ancestorsInTree({instances: own, self: self.instance, fanOut});
 	const exits = [
 		...(leader === undefined ? [] : [leader]),
