Go on after a message of another daemon that cannot be read

Cause: an exchange of another shape, as another release may send it, threw in the handler, and nobody took the error. Change: such a message gets no answer and a log record; such an answer counts as none. A process test stops an instance as planned and starts it again; all others know it gone and back, without a change of settings.

--- a/packages/daemon/src/distribution/distribution-node.ts
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -333,7 +333,7 @@
 	}
 
 	#makeLoop(): ExchangeLoop {
-		const {base: {network}, relay} = this.#options;
+		const {base: {log, network}, relay} = this.#options;
 		return new ExchangeLoop({
 			clock: this.#clock,
 			network,
@@ -349,6 +349,9 @@
 					this.#hint = undefined;
 				}
 			},
+			onError(error) {
+				log.error({err: error}, 'An answer of another daemon could not be taken');
+			},
 		});
 	}
 
--- a/packages/daemon/src/distribution/exchange-loop.ts
+++ b/packages/daemon/src/distribution/exchange-loop.ts
@@ -20,6 +20,8 @@
 	readonly onReply: (parent: InstanceId, reply: ExchangeReply) => void;
 	/** Told of each instance that did not answer. */
 	readonly onSilence: (parent: InstanceId) => void;
+	/** Told of each answer that could not be taken. */
+	readonly onError: (error: unknown) => void;
 };
 
 /** The least time between two exchanges, however much news there is. */
@@ -88,7 +90,7 @@
 		this.#isAwake = false;
 		this.#isBusy = true;
 		const parent = this.#choose();
-		const isSettled = parent === undefined || await this.#ask(parent);
+		const isSettled = parent === undefined || await this.#tryToAsk(parent);
 		this.#isBusy = false;
 		this.#schedule(this.#isAwake || !isSettled ? gapMilliseconds : this.#options.periodMilliseconds);
 	}
@@ -117,6 +119,18 @@
 		return node.isSettled(instance);
 	}
 
+	/** Asks one instance; an answer that cannot be read, such as one of another release, counts as none. */
+	async #tryToAsk(parent: PeerAddress): Promise<boolean> {
+		try {
+			return await this.#ask(parent);
+		} catch (error) {
+			const {clock, periodMilliseconds, onError} = this.#options;
+			this.#avoided.set(parent.instance, clock.monotonic() + (periodMilliseconds * periodsToAvoid));
+			onError(error);
+			return true;
+		}
+	}
+
 	#choose(): PeerAddress | undefined {
 		const {candidates, clock, isLeaseValid} = this.#options;
 		const all = candidates();
--- a/packages/daemon/src/distribution/start-distribution.ts
+++ b/packages/daemon/src/distribution/start-distribution.ts
@@ -80,16 +80,27 @@
 		drain() {
 			node.drain();
 		},
-		answer: async message => match(message)
-			.with({type: 'exchange'}, ({body}) => writeReply(node.answer(readExchange(body))))
-			.with({type: 'news'}, () => {
-				node.wake();
+		async answer(message) {
+			try {
+				return answerWith(node, message);
+			} catch (error) {
+				base.log.error({err: error, type: message.type}, 'A message of another daemon could not be answered');
 				return undefined;
-			})
-			.with({type: 'in-force'}, () => node.leaderInForce())
-			.exhaustive(),
+			}
+		},
 		stop() {
 			node.stop();
 		},
 	};
 }
+
+function answerWith(node: DistributionNode, message: DistributionMessage): unknown {
+	return match(message)
+		.with({type: 'exchange'}, ({body}) => writeReply(node.answer(readExchange(body))))
+		.with({type: 'news'}, () => {
+			node.wake();
+			return undefined;
+		})
+		.with({type: 'in-force'}, () => node.leaderInForce())
+		.exhaustive();
+}
--- a/packages/testing/src/_zone-trial.ts
+++ b/packages/testing/src/_zone-trial.ts
@@ -20,6 +20,7 @@
 const distributionStatusSchema = z.looseObject({
 	revision: z.number(),
 	isolated: z.boolean(),
+	members: z.number(),
 	leader: z.string().optional(),
 	inForce: z.object({complete: z.boolean(), waitingFor: z.array(z.string())}),
 	servers: z.array(z.looseObject({server: z.string(), state: z.string()})),
--- a/packages/testing/src/distribution.test.ts
+++ b/packages/testing/src/distribution.test.ts
@@ -53,6 +53,27 @@
 	}
 });
 
+test.serial('an instance in a planned stop takes itself out, and one that starts again is back without a change of settings', async t => {
+	const {deployment} = await startTrial(t, {leaseMilliseconds: 5000});
+	const stopped = findDaemon(deployment, 'entry-d');
+	const others = deployment.daemons.filter(daemon => daemon !== stopped);
+	const waitForMembers = async (daemons: readonly RunningDaemon[], wanted: number): Promise<void> => {
+		await Promise.all(daemons.map(async daemon => waitUntil(async () => {
+			const {members} = await distributionStatus(daemon);
+			return members === wanted || undefined;
+		}, {what: `${daemon.instance} to know ${wanted} members`, ...patience})));
+	};
+
+	await waitForMembers(deployment.daemons, deployment.daemons.length);
+	await stopped.process.stop();
+	await waitForMembers(others, others.length);
+	stopped.process.start();
+	await deployment.waitUntilHealthy(stopped);
+	await waitForMembers(deployment.daemons, deployment.daemons.length);
+	await waitUntilLeased(stopped);
+	t.is(await askFor(stopped), 'served');
+});
+
 test.serial('a frozen instance keeps a change from being in force until its lease has run out, and serves nothing withdrawn when it wakes', async t => {
 	const {deployment, session, revision: before} = await startTrial(t, {leaseMilliseconds: 8000});
 	const leader = findDaemon(deployment, 'control-a');
