--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -80,11 +80,11 @@
 		isolated: distribution.active()?.isolated ?? true,
 		leader: distribution.leader(),
 		inProgress: requests.inProgress,
-		peerTraffic: network.traffic,
 		stopping: requests.stopping,
 		inForce: inForce ?? {complete: false, waitingFor: []},
 		waitingFor: inForce?.waitingFor ?? [],
 		members: distribution.members().length,
+		traffic: network.traffic,
 		process: {...cpuOf(process.cpuUsage()), residentBytes: process.memoryUsage.rss()},
 		servers: distribution.servers.current().map(({announcement, inFlight, state, load}) => ({
 			...announcement, inFlight, state, load,
--- a/packages/testing/src/free-ports.ts
+++ b/packages/testing/src/free-ports.ts
@@ -1,12 +1,14 @@
 import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
-import {createServer, type Server} from 'node:net';
+import {createServer} from 'node:net';
 
-/** Below the ports that systems give to outgoing connections, one of which could take a port before its daemon listens. */
-const portRange = {from: 10_000, below: 32_000};
+const lowestPort = 10_000;
+/** Linux gives outgoing connections their ports from 32768 on; a port from there may be taken again before it is used. */
+const firstEphemeralPort = 32_768;
+const host = '127.0.0.1';
 
 /**
-Finds ports on 127.0.0.1 that nobody listens on.
+Finds ports on 127.0.0.1 that nobody listens on, below those that outgoing connections take.
 
 @param count How many.
 @returns The ports, all different.
@@ -16,29 +18,27 @@
 ```
 */
 export async function freePorts(count: number): Promise<readonly number[]> {
-	const held = new Map<number, Server>();
-	while (held.size < count) {
-		const port = randomInt(portRange.from, portRange.below);
-		const server = held.has(port) ? undefined : await tryToListen(port);
-		if (server !== undefined) {
-			held.set(port, server);
+	const ports: number[] = [];
+	for (let port = randomInt(lowestPort, firstEphemeralPort); ports.length < count; port = port + 1 < firstEphemeralPort ? port + 1 : lowestPort) {
+		if (!ports.includes(port) && await isFree(port)) {
+			ports.push(port);
 		}
 	}
 
-	await Promise.all([...held.values()].map(async server => {
-		const closed = once(server, 'close');
-		server.close();
-		await closed;
-	}));
-	return [...held.keys()];
+	return ports;
 }
 
-async function tryToListen(port: number): Promise<Server | undefined> {
-	const server = createServer().listen(port, '127.0.0.1');
+async function isFree(port: number): Promise<boolean> {
+	const server = createServer();
 	try {
+		server.listen(port, host);
 		await once(server, 'listening');
-		return server;
 	} catch {
-		return undefined;
+		return false;
 	}
+
+	const closed = once(server, 'close');
+	server.close();
+	await closed;
+	return true;
 }
