--- a/packages/daemon/src/distribution/leader-view.ts
+++ b/packages/daemon/src/distribution/leader-view.ts
@@ -14,6 +14,10 @@
 	readonly zones: () => readonly ZoneId[];
 };
 
+type Reign = {
+	hasCaughtUp: boolean;
+};
+
 /**
 What an instance with the control role adds: the committed configuration, and as the leader the leases and what is in force.
 
@@ -26,6 +30,8 @@
 export class LeaderView {
 	readonly #options: LeaderViewOptions;
 	#tracker: InForceTracker | undefined;
+	/** The stretch of leadership at hand. */
+	#reign: Reign | undefined;
 	#reported = 0;
 
 	constructor(options: LeaderViewOptions) {
@@ -59,9 +65,14 @@
 		const now = clock.monotonic();
 		const {leads} = this;
 		keeper.offer(committed);
-		keeper.settle({granted: leads});
+		keeper.settle({granted: leads && this.#reign?.hasCaughtUp === true});
 		if (!leads) {
 			this.#tracker = undefined;
+			this.#reign = undefined;
+			return false;
+		}
+
+		if (!this.#hasCaughtUp()) {
 			return false;
 		}
 
@@ -86,6 +97,22 @@
 		return this.#look();
 	}
 
+	/** A new leader grants nothing before all that was committed earlier is applied here. */
+	#hasCaughtUp(): boolean {
+		if (this.#reign === undefined) {
+			const reign: Reign = {hasCaughtUp: false};
+			this.#reign = reign;
+			void this.#options.control.catchUp().then(hasCaughtUp => {
+				reign.hasCaughtUp = hasCaughtUp;
+				if (!hasCaughtUp && this.#reign === reign) {
+					this.#reign = undefined;
+				}
+			});
+		}
+
+		return this.#reign.hasCaughtUp;
+	}
+
 	#look(): InForceAnswer | undefined {
 		const {base: {clock}, control, zones} = this.#options;
 		const revision = control.state()?.effective.revision;
