Fuzz the replicated state against plain lists

Cause: claims, roll-outs, orders and the ledger had no proof. Ruled out: an oracle inside the control package, since it would ship.

--- a/packages/control/src/_claims.ts
+++ b/packages/control/src/_claims.ts
@@ -171,7 +171,9 @@
 	const [oldest] = claims.settled;
 	const free = oldest === undefined ? at + limits.claimMinimumMilliseconds : oldest[1].settledAt + limits.claimMinimumMilliseconds;
 	if (oldest === undefined || free > at) {
-		return Left(failure('limit-reached', `Got ${limits.claimsPerWorkspace} idempotency keys of workspace ${workspace} in ${limits.claimMinimumMilliseconds} ms, wanted fewer`, {retryAfterMilliseconds: free - at}));
+		const {claimsPerWorkspace, claimMinimumMilliseconds} = limits;
+		const message = `Got ${claimsPerWorkspace} idempotency keys of workspace ${workspace} in ${claimMinimumMilliseconds} ms, wanted fewer`;
+		return Left(failure('limit-reached', message, {retryAfterMilliseconds: free - at}));
 	}
 
 	forget(claims, oldest[0]);
--- /dev/null
+++ b/packages/testing/src/_control-commands.ts
@@ -0,0 +1,83 @@
+import {
+	type ClaimSettlement, type Command, type IdempotencyKey, type OrderId,
+} from '@valehitch/control';
+import {
+	type Bill, type ChangeId, type Configuration, type InstanceId, type Micros, type RequestId, type ServerId, toId, toRevision, type VersionConfiguration, type VersionId, type WorkspaceId,
+} from '@valehitch/core';
+import fc from 'fast-check';
+import {type ControlOracle, type Listed, oracleModel as model} from './_control-oracle.js';
+
+const stages = [{share: 0.1, minimumRatings: 0, minimumSeconds: 0}, {share: 1, minimumRatings: 0, minimumSeconds: 0}];
+const name = (prefix: string, most: number) => fc.integer({min: 1, max: most}).map(number => `${prefix}${number}`);
+const listed = fc.constantFrom<Listed>('absent', 'settled', 'rolling-out', 'rolling-out', 'withdrawn');
+const version = fc.constantFrom(toId<VersionId>('a'), toId<VersionId>('b'));
+function documentOf(states: Readonly<Record<string, Listed>>): Configuration {
+	const versions: Record<string, VersionConfiguration> = {};
+	for (const [name, state] of Object.entries(states)) {
+		if (state !== 'absent') {
+			versions[name] = {
+				state, quality: 0.5, prices: {input: 1, output: 1}, stages,
+			};
+		}
+	}
+
+	return {models: {[model]: {versions}}, services: {}, workspaces: {}};
+}
+
+const billOf = (number: number, {hasOrigin, settledAt}: {hasOrigin: boolean; settledAt: number}): Bill => ({
+	workspace: toId<WorkspaceId>(`w${number % 2}`),
+	request: toId<RequestId>(`${hasOrigin ? 'o' : 'p'}${number}`),
+	instance: toId<InstanceId>(`i${number % 2}`),
+	lines: [],
+	total: number as Micros,
+	outcome: 'answered',
+	settledAt: hasOrigin ? settledAt : number,
+	...(hasOrigin && {origin: {startedAt: 1, sequence: number}}),
+});
+const claimed = {
+	workspace: name('w', 2).map(id => toId<WorkspaceId>(id)), key: name('k', 4).map(id => toId<IdempotencyKey>(id)),
+	request: name('r', 4).map(id => toId<RequestId>(id)),
+};
+const settlement = fc.oneof(
+	fc.constantFrom<ClaimSettlement>({type: 'released'}, {type: 'unknown'}),
+	fc.integer({min: 1, max: 10}).map((bytes): ClaimSettlement => ({
+		type: 'done', answer: {
+			status: 200, headers: {}, digest: `${bytes}`, bytes, body: new Uint8Array(bytes),
+		},
+	})),
+);
+
+/** Makes the command once its time and the state's revision are known. */
+export type Maker = (now: {readonly at: number; readonly oracle: ControlOracle}) => Command;
+/** Any command on a few names, so that commands meet. */
+export const anyCommand: fc.Arbitrary<Maker> = fc.oneof(
+	fc.record({
+		change: name('c', 6), a: listed, b: listed, isStale: fc.constantFrom(false, false, true),
+	}).map(({change, a, b, isStale}): Maker => ({at, oracle}) => ({
+		type: 'apply-configuration',
+		changeId: toId<ChangeId>(change),
+		digest: `${a}/${b}`,
+		expectedRevision: toRevision(oracle.revision - (isStale ? 1 : 0)),
+		document: documentOf({a, b}),
+		at,
+	})),
+	fc.record({version, fromStage: fc.integer({min: 0, max: 1})}).map((found): Maker => ({at}) => ({
+		type: 'advance-rollout', model, ...found, at,
+	})),
+	version.map((found): Maker => ({at}) => ({
+		type: 'stop-version', model, version: found, reason: 'bad', at,
+	})),
+	fc.record({...claimed, requestDigest: fc.constantFrom('d1', 'd1', 'd1', 'd2'), instance: name('i', 2).map(id => toId<InstanceId>(id))}).map((found): Maker => ({at}) => ({type: 'take-claim', ...found, at})),
+	fc.record({...claimed, settlement}).map((found): Maker => ({at}) => ({type: 'settle-claim', ...found, at})),
+	name('i', 2).map((instance): Maker => ({at}) => ({type: 'instance-lost', instance: toId<InstanceId>(instance), at})),
+	fc.array(fc.tuple(fc.integer({min: 1, max: 12}), fc.boolean()), {maxLength: 4}).map((bills): Maker => ({at}) => ({
+		type: 'record-bills', bills: bills.map(([number, hasOrigin]) => billOf(number, {hasOrigin, settledAt: at})),
+	})),
+	fc.record({orderId: name('o', 5).map(id => toId<OrderId>(id)), server: name('s', 2).map(id => toId<ServerId>(id)), role: name('role', 2)}).map(({role, ...found}): Maker => ({at}) => ({
+		type: 'issue-order', ...found, order: {type: 'set-role', role}, at,
+	})),
+	fc.record({orderId: name('o', 5).map(id => toId<OrderId>(id)), outcome: fc.constantFrom('done' as const, 'failed' as const)}).map((found): Maker => ({at, oracle}) => ({
+		type: 'complete-order', ...found, fencing: {term: 1, sequence: oracle.orders.find(({id}) => id === found.orderId)?.index ?? 0}, at,
+	})),
+	fc.constant<Maker>(({at}) => ({type: 'expire', at})),
+);
--- /dev/null
+++ b/packages/testing/src/_control-oracle.ts
@@ -0,0 +1,231 @@
+import {
+	type AdvanceRolloutCommand, type ApplyConfigurationCommand, type Command, type CommandResult, type CompleteOrderCommand,
+	type ControlLimits, defaultControlLimits, type IssueOrderCommand, type SettleClaimCommand, type StopVersionCommand, type TakeClaimCommand,
+} from '@valehitch/control';
+import {
+	type ModelId, toId, type VersionId, type VersionState,
+} from '@valehitch/core';
+import {match} from 'ts-pattern';
+
+/** Bounds so small that a short run meets them; the oracle repeats the figures. */
+export const oracleLimits: ControlLimits = {
+	...defaultControlLimits,
+	changeIds: 4,
+	claimsPerWorkspace: 3,
+	claimMilliseconds: 200,
+	claimMinimumMilliseconds: 50,
+	claimOpenMilliseconds: 300,
+	keptAnswerBytes: 8,
+	keptAnswerBytesPerWorkspace: 12,
+	recentBills: 2,
+	billWindow: 4,
+	openOrdersPerServer: 2,
+};
+/** The only model of the oracle's documents. */
+export const oracleModel = toId<ModelId>('m');
+
+/** How a document lists a version. */
+export type Listed = VersionState | 'absent';
+type Progress = {status: string; stage: number};
+type OracleClaim = {
+	workspace: string; key: string; digest: string; owner: string; instance: string; takenAt: number;
+	state: string; settledAt: number; order: number; size: number; hasBody: boolean; releasedBy: string[];
+};
+type OracleOrder = {id: string; server: string; role: string; index: number; outcome: string};
+/** What the oracle says of a command: an error kind, or the facts of the answer. */
+export type Verdict = Readonly<Record<string, unknown>>;
+
+/** The replicated state as plain lists, without any thought for size. */
+export class ControlOracle {
+	revision = 0;
+	listed: Record<string, Listed> = {};
+	progress: Record<string, Progress | undefined> = {};
+	remembered: Array<{id: string; digest: string; verdict: Verdict}> = [];
+	claims: OracleClaim[] = [];
+	orders: OracleOrder[] = [];
+	readonly billed = new Set<string>();
+	#settlements = 0;
+
+	carryOut(command: Command, index: number): Verdict | undefined {
+		return match(command)
+			.with({type: 'apply-configuration'}, found => this.#apply(found))
+			.with({type: 'advance-rollout'}, found => this.#advance(found))
+			.with({type: 'stop-version'}, found => this.#stop(found))
+			.with({type: 'take-claim'}, found => this.#take(found))
+			.with({type: 'settle-claim'}, found => this.#settle(found))
+			.with({type: 'instance-lost'}, ({instance, at}) => this.#giveUp(at, claim => claim.instance === instance))
+			.with({type: 'expire'}, ({at}) => this.#expire(at))
+			.with({type: 'issue-order'}, found => this.#issue(found, index))
+			.with({type: 'complete-order'}, found => this.#complete(found))
+			.with({type: 'record-bills'}, {type: 'set-limits'}, () => undefined)
+			.exhaustive();
+	}
+
+	#advance(command: AdvanceRolloutCommand): Verdict {
+		const progress = this.progress[command.version];
+		if (progress?.status !== 'running' || progress.stage !== command.fromStage) {
+			return {kind: progress === undefined ? 'not-found' : 'revision-conflict'};
+		}
+
+		this.revision++;
+		this.progress[command.version] = progress.stage === 1 ? {status: 'completed', stage: 1} : {status: 'running', stage: 1};
+		this.listed[command.version] = progress.stage === 1 ? 'settled' : 'rolling-out';
+		return {revision: this.revision};
+	}
+
+	#stop({version}: StopVersionCommand): Verdict {
+		if (['absent', 'withdrawn'].includes(this.listed[version] ?? 'absent')) {
+			return {kind: 'not-found'};
+		}
+
+		this.revision += this.progress[version]?.status === 'stopped' ? 0 : 1;
+		this.progress[version] = {status: 'stopped', stage: this.progress[version]?.stage ?? 0};
+		return {revision: this.revision};
+	}
+
+	#expire(at: number): Verdict {
+		this.#giveUp(at, claim => claim.takenAt + 300 <= at);
+		this.claims = this.claims.filter(claim => claim.state === 'open' || claim.settledAt + 200 > at);
+		return {revision: this.revision};
+	}
+
+	#issue(command: IssueOrderCommand, index: number): Verdict {
+		const known = this.orders.find(({id}) => id === command.orderId);
+		const role = command.order.type === 'set-role' ? command.order.role : '';
+		if (known !== undefined) {
+			return known.server === command.server && known.role === role ? {sequence: known.index, outcome: known.outcome} : {kind: 'change-id-reused'};
+		}
+
+		if (this.orders.filter(({server, outcome}) => server === command.server && outcome === 'open').length === 2) {
+			return {kind: 'limit-reached'};
+		}
+
+		this.orders.push({
+			id: command.orderId, server: command.server, role, index, outcome: 'open',
+		});
+		return {sequence: index, outcome: 'open'};
+	}
+
+	#complete(command: CompleteOrderCommand): Verdict {
+		const known = this.orders.find(({id, index: issued}) => id === command.orderId && issued === command.fencing.sequence);
+		if (known === undefined) {
+			return {kind: 'not-found'};
+		}
+
+		known.outcome = known.outcome === 'open' ? command.outcome : known.outcome;
+		return {sequence: known.index, outcome: known.outcome};
+	}
+
+	#apply({changeId, digest, expectedRevision, document}: ApplyConfigurationCommand): Verdict {
+		const earlier = this.remembered.find(({id}) => id === changeId);
+		if (earlier !== undefined) {
+			return earlier.digest === digest ? earlier.verdict : {kind: 'change-id-reused'};
+		}
+
+		const isCurrent = expectedRevision === this.revision;
+		const verdict = isCurrent ? {revision: ++this.revision} : {kind: 'revision-conflict', currentRevision: this.revision};
+		for (const version of isCurrent ? ['a', 'b'] : []) {
+			const wanted: Listed = document.models[oracleModel]?.versions[version as VersionId]?.state ?? 'absent';
+			const before = this.progress[version];
+			const isOver = before?.status === 'stopped' || before?.status === 'completed';
+			const following = wanted === 'settled' ? before && {...before, status: 'completed'} : before ?? {status: 'running', stage: 0};
+			this.progress[version] = ['absent', 'withdrawn'].includes(wanted) ? undefined : (isOver ? before : following);
+			this.listed[version] = wanted === 'rolling-out' && this.progress[version]?.status === 'completed' ? 'settled' : wanted;
+		}
+
+		this.remembered = [...this.remembered, {id: changeId, digest, verdict}].slice(-4);
+		return verdict;
+	}
+
+	#take({workspace, key, requestDigest, request, instance, at}: TakeClaimCommand): Verdict {
+		const known = this.#claim(workspace, key);
+		if (known !== undefined && known.digest !== requestDigest) {
+			return {claim: 'key-reused'};
+		}
+
+		if (known !== undefined && (known.state !== 'released' || known.releasedBy.includes(request))) {
+			return verdictOn(known, request);
+		}
+
+		const others = this.claims.filter(claim => claim.workspace === workspace);
+		if (known === undefined && others.length === 3) {
+			const oldest = others.filter(({state}) => state !== 'open').toSorted((left, right) => left.order - right.order)[0];
+			if (oldest === undefined || oldest.settledAt + 50 > at) {
+				return {kind: 'limit-reached'};
+			}
+
+			this.claims = this.claims.filter(claim => claim !== oldest);
+		}
+
+		this.claims = [...this.claims.filter(claim => claim !== known), {
+			workspace, key, digest: requestDigest, owner: request, instance, takenAt: at, state: 'open', settledAt: 0, order: 0, size: 0, hasBody: false, releasedBy: known?.releasedBy ?? [],
+		}];
+		return {claim: 'taken'};
+	}
+
+	#settle({workspace, key, request, settlement, at}: SettleClaimCommand): Verdict {
+		const known = this.#claim(workspace, key);
+		if (known === undefined) {
+			return {claim: 'expired'};
+		}
+
+		if (known.owner === request && ['open', 'unknown'].includes(known.state)) {
+			known.size = settlement.type === 'done' ? settlement.answer.bytes : 0;
+			known.hasBody = known.size > 0 && known.size <= 8;
+			known.releasedBy = settlement.type === 'released' ? [...known.releasedBy, request] : known.releasedBy;
+			this.#close(known, {state: settlement.type, at});
+			this.#dropBodies(workspace);
+		}
+
+		return verdictOn(known, request);
+	}
+
+	#dropBodies(workspace: string): void {
+		const kept = this.claims.filter(claim => claim.workspace === workspace && claim.hasBody).toSorted((left, right) => right.order - left.order);
+		let bytes = 0;
+		for (const claim of kept) {
+			bytes += claim.size;
+			claim.hasBody = bytes <= 12;
+		}
+	}
+
+	#giveUp(at: number, isOver: (claim: OracleClaim) => boolean): Verdict {
+		for (const claim of this.claims) {
+			if (claim.state === 'open' && isOver(claim)) {
+				this.#close(claim, {state: 'unknown', at});
+			}
+		}
+
+		return {revision: this.revision};
+	}
+
+	#close(claim: OracleClaim, {state, at}: {state: string; at: number}): void {
+		claim.state = state;
+		claim.settledAt = at;
+		claim.order = ++this.#settlements;
+	}
+
+	#claim(workspace: string, key: string): OracleClaim | undefined {
+		return this.claims.find(claim => claim.workspace === workspace && claim.key === key);
+	}
+}
+
+function verdictOn({state, owner, hasBody}: OracleClaim, asking: string): Verdict {
+	const open = owner === asking ? 'taken' : 'in-progress';
+	return {claim: state === 'open' ? open : state, ...(state === 'done' && {hasBody})};
+}
+
+/** The facts of an answer that the oracle speaks of. */
+export function factsOf(result: CommandResult): Verdict {
+	return result.caseOf<Verdict>({
+		Left: ({kind, details}) => ({kind, ...(details?.currentRevision !== undefined && {currentRevision: details.currentRevision})}),
+		Right(answer) {
+			if ('claim' in answer) {
+				return {claim: answer.claim.type, ...(answer.claim.type === 'done' && {hasBody: answer.claim.answer.body !== undefined})};
+			}
+
+			return 'order' in answer ? {sequence: answer.order.fencing.sequence, outcome: answer.order.outcome} : {revision: answer.revision};
+		},
+	});
+}
+
