--- a/packages/testing/src/_control-commands.ts
+++ b/packages/testing/src/_control-commands.ts
@@ -27,7 +27,8 @@
 const billOf = (number: number, {hasOrigin, settledAt}: {hasOrigin: boolean; settledAt: number}): Bill => ({
 	workspace: toId<WorkspaceId>(`w${number % 2}`),
 	request: toId<RequestId>(`${hasOrigin ? 'o' : 'p'}${number}`),
-	instance: toId<InstanceId>(`i${number % 2}`),
+	// Neighbours share an instance, so that ranges join.
+	instance: toId<InstanceId>(`i${Math.ceil(number / 6)}`),
 	lines: [],
 	total: number as Micros,
 	outcome: 'answered',
@@ -49,6 +50,15 @@
 
 /** Makes the command once its time and the state's revision are known. */
 export type Maker = (now: {readonly at: number; readonly oracle: ControlOracle}) => Command;
+/** Settles one of the open claims by its owner, so that long lives of claims are met. */
+function settleOpen(oracle: ControlOracle, {choice, settlement: given, at}: {readonly choice: number; readonly settlement: ClaimSettlement; readonly at: number}): Command {
+	const open = oracle.claims.filter(({state}) => state === 'open');
+	const {workspace, key, owner} = open[choice % open.length] ?? {workspace: 'w1', key: 'k1', owner: 'r1'};
+	return {
+		type: 'settle-claim', workspace: toId<WorkspaceId>(workspace), key: toId<IdempotencyKey>(key), request: toId<RequestId>(owner), settlement: given, at,
+	};
+}
+
 /** Any command on a few names, so that commands meet. */
 export const anyCommand: fc.Arbitrary<Maker> = fc.oneof(
 	fc.record({
@@ -69,6 +79,7 @@
 	})),
 	fc.record({...claimed, requestDigest: fc.constantFrom('d1', 'd1', 'd1', 'd2'), instance: name('i', 2).map(id => toId<InstanceId>(id))}).map((found): Maker => ({at}) => ({type: 'take-claim', ...found, at})),
 	fc.record({...claimed, settlement}).map((found): Maker => ({at}) => ({type: 'settle-claim', ...found, at})),
+	fc.record({choice: fc.nat(20), settlement}).map(({choice, settlement: given}): Maker => ({at, oracle}) => settleOpen(oracle, {choice, settlement: given, at})),
 	name('i', 2).map((instance): Maker => ({at}) => ({type: 'instance-lost', instance: toId<InstanceId>(instance), at})),
 	fc.array(fc.tuple(fc.integer({min: 1, max: 12}), fc.boolean()), {maxLength: 4}).map((bills): Maker => ({at}) => ({
 		type: 'record-bills', bills: bills.map(([number, hasOrigin]) => billOf(number, {hasOrigin, settledAt: at})),
