Carry out orders and roll-out steps on the leader

Cause: the replicated state held orders and roll-outs that nobody carried out. Ruled out: an executor on every instance; only the leader has the lease that engines without fencing rely on. Change: the order executor (one order at a time for each engine, lease looked at right before each send, state read back), the roll-out controller with the evidence of all instances, expiry once a minute; POST and GET /v1/orders; the fake engine's orders.

--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -7,7 +7,7 @@
 import {toResultReply} from '../result-reply.js';
 import {type ControlHost} from './control-host.js';
 import {
-	type ControlMessage, type ControlReply, type InForce, type LeaderQuestion, type LedgerMessage, type LedgerPage, type SubscriberReport,
+	type ControlMessage, type ControlReply, type InForce, type LeaderQuestion, type LedgerMessage, type LedgerPage, type OrderList, type SubscriberReport,
 } from './messages.js';
 import {type Subscribers, toInForce} from './subscribers.js';
 
@@ -53,7 +53,7 @@
 			})
 			.with({type: 'join'}, question => host.join(question))
 			.with({type: 'subscribers'}, () => subscribers.report())
-			.with({type: 'propose'}, {type: 'in-force'}, {type: 'ledger'}, async question => this.#answerAsLeader(question))
+			.with({type: 'propose'}, {type: 'in-force'}, {type: 'ledger'}, {type: 'orders'}, async question => this.#answerAsLeader(question))
 			.exhaustive();
 	}
 
@@ -80,14 +80,20 @@
 		});
 	}
 
-	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | InForce | LedgerPage>> {
+	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | InForce | LedgerPage | OrderList>> {
 		return match(question)
 			.with({type: 'propose'}, async ({command}) => this.#options.host.propose(command))
 			.with({type: 'in-force'}, async () => Right(await this.#inForce()))
 			.with({type: 'ledger'}, async ledger => Right(this.#readLedger(ledger)))
+			.with({type: 'orders'}, async () => Right(this.#readOrders()))
 			.exhaustive();
 	}
 
+	#readOrders(): OrderList {
+		const {state} = this.#options.host;
+		return {open: state.openOrders(), completed: state.completedOrders};
+	}
+
 	#readLedger({workspace, after}: LedgerMessage): LedgerPage {
 		const {bills, next} = this.#options.host.state.readLedger({workspace, after, limit: ledgerPageSize});
 		return {bills, ...(next !== undefined && {next})};
--- a/packages/daemon/src/control/control-client.ts
+++ b/packages/daemon/src/control/control-client.ts
@@ -6,7 +6,7 @@
 import {type Either, Left} from 'purify-ts';
 import {fromResultReply} from '../result-reply.js';
 import {
-	type ControlReply, type InForce, type LeaderQuestion, type LedgerMessage, type LedgerPage,
+	type ControlReply, type InForce, type LeaderQuestion, type LedgerMessage, type LedgerPage, type OrderList,
 } from './messages.js';
 
 /** What a client of the control role needs. */
@@ -83,6 +83,12 @@
 		return result.map(body => body as LedgerPage);
 	}
 
+	/** Asks for the orders to engines. */
+	async orders(): Promise<Either<Failure, OrderList>> {
+		const result = await this.#request({scope: 'control', type: 'orders'}, {});
+		return result.map(body => body as OrderList);
+	}
+
 	async #request(message: LeaderQuestion, {timeoutMilliseconds = defaultTimeoutMilliseconds}: AskOptions): Promise<Either<Failure, unknown>> {
 		const {clock, wait} = this.#options;
 		const deadline = clock.monotonic() + timeoutMilliseconds;
--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -1,4 +1,6 @@
-import {type AnswerOf, type Command, type CommandAnswer} from '@valehitch/control';
+import {
+	type AnswerOf, type Command, type CommandAnswer, type OrderRecord,
+} from '@valehitch/control';
 import {type ReplicaId, type ReplicaMessage, type ReplicaSet} from '@valehitch/consensus';
 import {type Bill, type InstanceId, type ZoneId} from '@valehitch/core';
 import {type Member} from '../member.js';
@@ -56,6 +58,21 @@
 	readonly next?: number;
 };
 
+/** Asks the control role for the orders to engines. */
+export type OrdersMessage = {
+	readonly scope: 'control';
+	readonly type: 'orders';
+	readonly isForwarded?: boolean;
+};
+
+/** The orders to engines. */
+export type OrderList = {
+	/** In the order in which they were issued. */
+	readonly open: readonly OrderRecord[];
+	/** Those of late, the oldest first. */
+	readonly completed: readonly OrderRecord[];
+};
+
 /** A message between two replicas; one to a former identity of an instance is dropped. */
 export type ReplicaEnvelope = {
 	readonly scope: 'control';
@@ -96,7 +113,7 @@
 };
 
 /** The questions that only the leader answers. */
-export type LeaderQuestion = ProposeMessage | InForceMessage | LedgerMessage;
+export type LeaderQuestion = ProposeMessage | InForceMessage | LedgerMessage | OrdersMessage;
 
 /** The closed list of messages to the control role. */
 export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | SubscribersMessage;
--- /dev/null
+++ b/packages/daemon/src/control/orders/engine-calls.ts
@@ -0,0 +1,79 @@
+import {type EngineState, type OrderRecord, type SendOutcome} from '@valehitch/control';
+import {readBody, sendHttp} from '@valehitch/transport';
+import {type Either} from 'purify-ts';
+import {z} from 'zod';
+
+/** How the executor reaches an engine; the address is its base address. */
+export type EngineCalls = {
+	/** Gives the engine's state, or undefined where it did not say. */
+	readonly readState: (address: string, signal: AbortSignal) => Promise<EngineState | undefined>;
+	readonly send: (address: string, order: OrderRecord, signal: AbortSignal) => Promise<SendOutcome>;
+};
+
+type Reply = {readonly status: number; readonly text: string};
+
+const maximumAnswerBytes = 1_048_576;
+const refusedStatus = 409;
+const name = z.string().min(1).max(128);
+const stateSchema = z.object({
+	models: z.array(z.object({model: name, version: name})),
+	role: name.optional(),
+	lastOrder: z.object({orderId: z.string(), term: z.int(), sequence: z.int()}).optional(),
+}) as unknown as z.ZodType<EngineState>;
+
+/** Calls engines over HTTP, each on a connection of its own, so that a call that is given up leaves nothing behind. */
+export const httpEngineCalls: EngineCalls = {
+	async readState(address, signal) {
+		const reply = await call({
+			address, method: 'GET', path: '/v1/state', body: '', signal,
+		});
+		return reply.map(({status, text}) => status === 200 ? parseState(text) : undefined).orDefault(undefined);
+	},
+	async send(address, {orderId, fencing, order}, signal) {
+		const reply = await call({
+			address, method: 'POST', path: '/v1/orders', body: JSON.stringify({orderId, ...fencing, order}), signal,
+		});
+		return reply.caseOf<SendOutcome>({
+			Left: detail => ({type: 'failed', detail}),
+			Right: ({status, text}) => outcomeOf(status, text),
+		});
+	},
+};
+
+type Call = {
+	readonly address: string;
+	readonly method: string;
+	readonly path: string;
+	readonly body: string;
+	readonly signal: AbortSignal;
+};
+
+async function call({body, ...to}: Call): Promise<Either<string, Reply>> {
+	const answer = await sendHttp({
+		...to, headers: {'content-type': 'application/json'}, body: new TextEncoder().encode(body), reuseConnection: false,
+	});
+	const head = answer.mapLeft(({message}) => message);
+	if (head.isLeft()) {
+		return head;
+	}
+
+	const {status, message} = head.unsafeCoerce();
+	const read = await readBody(message, maximumAnswerBytes);
+	return read.bimap(({message: failed}) => failed, bytes => ({status, text: new TextDecoder().decode(bytes)}));
+}
+
+function outcomeOf(status: number, text: string): SendOutcome {
+	if (status === refusedStatus) {
+		return {type: 'refused', detail: text.slice(0, 200)};
+	}
+
+	return status >= 200 && status < 300 ? {type: 'taken'} : {type: 'failed', detail: `Got status ${status}, wanted 200 or 202`};
+}
+
+function parseState(text: string): EngineState | undefined {
+	try {
+		return stateSchema.parse(JSON.parse(text));
+	} catch {
+		return undefined;
+	}
+}
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -3,6 +3,7 @@
 import {answerProblem} from '@valehitch/transport';
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
+import {issueOrder, listOrders} from '../control/orders/handle-orders.js';
 import {applyConfiguration} from './apply-configuration.js';
 import {cutLinks} from './cut-links.js';
 import {type OperatorContext} from './operator-context.js';
@@ -52,6 +53,16 @@
 			return;
 		}
 
+		case 'POST /v1/orders': {
+			await issueOrder(request, response, {clock: context.base.clock, control: context.control});
+			return;
+		}
+
+		case 'GET /v1/orders': {
+			await listOrders(response, {clock: context.base.clock, control: context.control});
+			return;
+		}
+
 		default: {
 			answerProblem(response, failure('not-found', `Got ${route}, wanted a call that docs/API.md lists`));
 		}
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -6,6 +6,7 @@
 import {match} from 'ts-pattern';
 import {handleBackend} from './backends/handle-backend.js';
 import {type ControlPart, startControl} from './control/start-control.js';
+import {type LeaderTasks, startLeaderTasks} from './control/leader-tasks.js';
 import {type DaemonBase} from './daemon-base.js';
 import {type DistributionPart, startDistribution} from './distribution/start-distribution.js';
 import {handleCaller} from './entry/handle-caller.js';
@@ -26,6 +27,7 @@
 type Parts = {
 	control?: ControlPart;
 	distribution?: DistributionPart;
+	tasks?: LeaderTasks;
 };
 
 /**
@@ -48,7 +50,9 @@
 	parts.control = control;
 	const distribution = startDistribution(base, control);
 	parts.distribution = distribution;
-	const ratings = startRatings(base, {configuration: distribution.effective, exchange: async () => undefined});
+	const tasks = startLeaderTasks(base, {control, distribution});
+	parts.tasks = tasks;
+	const ratings = startRatings(base, {configuration: distribution.effective, exchange: tasks.exchange});
 	const entry = startEntry(base, {control: control.client, distribution, ratings: ratings.part});
 	const servers = await startServers(settings, log, {
 		callers: async (request, response) => handleCaller(request, response, entry),
@@ -67,6 +71,7 @@
 			}
 
 			ratings.stop();
+			tasks.stop();
 			distribution.stop();
 			await control.stop();
 			base.timeline.record('instance-stopped');
@@ -107,10 +112,11 @@
 	};
 }
 
-async function answerPeer(message: PeerMessage, {control, distribution}: Parts): Promise<unknown> {
+async function answerPeer(message: PeerMessage, {control, distribution, tasks}: Parts): Promise<unknown> {
 	return match(message)
 		.with({scope: 'control'}, async found => control?.answer(found))
 		.with({scope: 'distribution'}, async found => distribution?.answer(found))
+		.with({scope: 'ratings'}, async ({summary}) => tasks?.takeSummary(summary))
 		.exhaustive();
 }
 
--- a/packages/testing/src/_run-fake.ts
+++ b/packages/testing/src/_run-fake.ts
@@ -12,6 +12,8 @@
 	readonly announce: readonly string[];
 	readonly key: string;
 	readonly capacity: number;
+	/** Whether the engine refuses orders that are older than the last. */
+	readonly checksFencing: boolean;
 };
 
 /** What a fake process runs. */
@@ -21,6 +23,9 @@
 	readonly service?: string;
 	readonly fake: {
 		readonly address: string;
+		/** An engine's loaded versions. */
+		readonly models?: () => readonly string[];
+		readonly checksFencing?: boolean;
 		readonly active: () => number;
 		readonly close: () => Promise<void>;
 	};
@@ -37,12 +42,14 @@
 			announce: {type: 'string', default: ''},
 			key: {type: 'string', default: 'backend-key'},
 			capacity: {type: 'string', default: '8'},
+			checksFencing: {type: 'string', default: 'true'},
 		},
 	});
 	return {
 		...values,
 		port: Number(values.port),
 		capacity: Number(values.capacity),
+		checksFencing: values.checksFencing === 'true',
 		models: listOf(values.models),
 		announce: listOf(values.announce),
 	};
@@ -55,7 +62,8 @@
 		server: flags.server,
 		zone: flags.zone,
 		address: fake.address,
-		models: flags.models,
+		models: fake.models ?? flags.models,
+		checksFencing: fake.checksFencing ?? false,
 		service,
 		capacity: flags.capacity,
 		active: fake.active,
--- a/packages/testing/src/announcer.ts
+++ b/packages/testing/src/announcer.ts
@@ -15,8 +15,10 @@
 	readonly zone: string;
 	/** The server's own address. */
 	readonly address: string;
-	/** For an engine: its versions, such as `tag-small@1.0`; none by default. */
-	readonly models?: readonly string[];
+	/** For an engine: its versions, such as `tag-small@1.0`, or what gives them at each announcement; none by default. */
+	readonly models?: readonly string[] | (() => readonly string[]);
+	/** Whether it refuses orders that are older than the last; false by default. */
+	readonly checksFencing?: boolean;
 	/** For a plain service: its name; an engine by default. */
 	readonly service?: string | undefined;
 	readonly capacity: number;
@@ -109,20 +111,20 @@
 	}
 
 	#next(): Announcement {
-		const {server, zone, service, address, models = [], capacity, active} = this.#options;
+		const {server, zone, service, address, models = [], capacity, active, checksFencing = false} = this.#options;
 		return {
 			server: toId<ServerId>(server),
 			zone: toId<ZoneId>(zone),
 			kind: service === undefined ? 'engine' : 'service',
 			address,
-			models: models.map(loaded => {
+			models: (typeof models === 'function' ? models() : models).map(loaded => {
 				const [model = '', version = ''] = loaded.split('@');
 				return {model: toId<ModelId>(model), version: toId<VersionId>(version)};
 			}),
 			...(service !== undefined && {service: toId<ServiceId>(service)}),
 			capacity,
 			active: active(),
-			checksFencing: false,
+			checksFencing,
 			shuttingDown: this.shuttingDown,
 			sequence: this.#sequence++,
 			startedAt: this.#startedAt,
--- a/packages/testing/src/bin/fake-engine.ts
+++ b/packages/testing/src/bin/fake-engine.ts
@@ -3,4 +3,4 @@
 import {startFakeEngine} from '../fake-engine.js';
 
 const flags = readFakeFlags();
-runFake({flags, fake: await startFakeEngine({models: flags.models, port: flags.port})});
+runFake({flags, fake: await startFakeEngine({models: flags.models, port: flags.port, checksFencing: flags.checksFencing})});
--- a/packages/testing/src/deployment.ts
+++ b/packages/testing/src/deployment.ts
@@ -26,6 +26,8 @@
 	readonly zone: string;
 	/** For an engine: its versions, such as `tag-small@1.0`. */
 	readonly models?: readonly string[];
+	/** For an engine: whether it refuses orders that are older than the last; true by default. */
+	readonly checksFencing?: boolean;
 	/** For a plain service: its name. */
 	readonly service?: string;
 	/** 8 by default. */
@@ -352,7 +354,7 @@
 		announce: announce.join(','),
 		key: deploymentKeys.backends,
 		capacity: plan.capacity ?? defaultCapacity,
-		...(plan.models && {models: plan.models.join(',')}),
+		...(plan.models && {models: plan.models.join(','), checksFencing: plan.checksFencing ?? true}),
 		...(plan.service !== undefined && {service: plan.service}),
 	};
 	return [path.join(packageFolder, 'dist/bin', script), ...Object.entries(flags).map(([name, value]) => `--${name}=${value}`)];
--- a/packages/testing/src/fake-engine.ts
+++ b/packages/testing/src/fake-engine.ts
@@ -8,6 +8,7 @@
 import {wireNames} from './_wire-names.js';
 import {type Behaviour, defaultBehaviour} from './behaviour.js';
 import {countPromptTokens, fakeAnswer} from './fake-answer.js';
+import {FakeEngineOrders, type ObeyedOrder} from './fake-engine-orders.js';
 
 /** How to start a fake engine. */
 export type FakeEngineOptions = {
@@ -15,6 +16,8 @@
 	readonly models: readonly string[];
 	/** The port on 127.0.0.1; a free one by default. */
 	readonly port?: number;
+	/** Whether it refuses an order that is older than the last one it obeyed; true by default. */
+	readonly checksFencing?: boolean;
 	/** Members of the behaviour that differ from the defaults. */
 	readonly behaviour?: Partial<Behaviour>;
 };
@@ -39,6 +42,11 @@
 	/** Change its members to change what the engine does. */
 	readonly behaviour: Behaviour;
 	readonly runs: readonly EngineRun[];
+	/** The orders that it obeyed. */
+	readonly orders: readonly ObeyedOrder[];
+	/** The versions it has loaded now. */
+	readonly models: () => readonly string[];
+	readonly checksFencing: boolean;
 	/** Requests it works on now. */
 	readonly active: () => number;
 	/** Stops listening and waits for the requests in progress. */
@@ -48,7 +56,7 @@
 };
 
 type State = {
-	readonly models: ReadonlySet<string>;
+	readonly models: Set<string>;
 	readonly behaviour: Behaviour;
 	readonly runs: EngineRun[];
 	active: number;
@@ -97,17 +105,22 @@
 	const state: State = {
 		models: new Set(options.models), behaviour: {...defaultBehaviour, ...options.behaviour}, runs: [], active: 0,
 	};
-	const {behaviour, runs} = state;
+	const {behaviour, runs, models} = state;
+	const checksFencing = options.checksFencing ?? true;
+	const orders = new FakeEngineOrders({models, checksFencing});
 	const server = await startFakeServer({
 		port: options.port ?? 0,
 		behaviour,
 		runs,
 		async answer(exchange) {
-			await answerChat(state, exchange);
+			const isOrder = await orders.answer(exchange);
+			if (!isOrder) {
+				await answerChat(state, exchange);
+			}
 		},
 	});
 	return {
-		...server, behaviour, runs, active: () => state.active,
+		...server, behaviour, runs, orders: orders.obeyed, models: () => [...models], checksFencing, active: () => state.active,
 	};
 }
 
