Test roll-outs and orders through the loss of the leader

Cause: that a roll-out and orders survive a leader change was shown for the pure parts only. Ruled out: durations in assertions; the tests wait for conditions. Change: process tests with three control daemons and two engines, one of which ignores fencing: leader killed halfway through a roll-out; leader killed and frozen while orders are issued and sent again. Conclusion: each roll-out step is taken once; orders end done and in order.

--- /dev/null
+++ b/packages/testing/src/rollouts-and-orders.test.ts
@@ -0,0 +1,154 @@
+import test from 'ava';
+import {z} from 'zod';
+import {deploymentKeys} from './_settings-file.js';
+import {type Deployment, type RunningDaemon, startDeployment} from './deployment.js';
+import {callOperator} from './http-client.js';
+import {sendRequest} from './send-request.js';
+import {waitUntil} from './wait-until.js';
+
+const zones = ['prairie-south-a', 'prairie-south-b', 'prairie-south-c'];
+const daemons = zones.map((zone, index) => ({instance: `control-${index}`, zone, roles: ['control', 'entry'] as const}));
+const backends = [
+	{
+		server: 'checks', zone: 'prairie-south-a', models: ['tag-small@1.0'], checksFencing: true,
+	},
+	{
+		server: 'ignores', zone: 'prairie-south-b', models: ['tag-small@1.0'], checksFencing: false,
+	},
+];
+const settled = {state: 'settled', quality: 0.8, prices: {input: 0.1, output: 0.4}};
+const stage = {minimumRatings: 0, minimumSeconds: 4};
+const configuration = {
+	models: {
+		'tag-small': {
+			versions: {
+				v1: settled,
+				v2: {
+					...settled, state: 'rolling-out', replaces: 'v1', stages: [{...stage, share: 0.1}, {...stage, share: 0.5}, {...stage, share: 1}],
+				},
+			},
+		},
+	},
+	services: {},
+	workspaces: {},
+};
+const rolloutKey = 'tag-small@v2';
+const configurationSchema = z.object({
+	revision: z.number(),
+	document: z.object({models: z.record(z.string(), z.object({versions: z.record(z.string(), z.looseObject({state: z.string()}))}))}),
+	rollouts: z.record(z.string(), z.looseObject({stage: z.number(), status: z.string()})),
+});
+const orderSchema = z.looseObject({orderId: z.string(), outcome: z.string()});
+const listSchema = z.object({open: z.array(orderSchema), completed: z.array(orderSchema)});
+const obeyedSchema = z.array(z.looseObject({orderId: z.string(), term: z.number(), sequence: z.number()}));
+const patient = {timeoutMilliseconds: 60_000};
+
+async function getConfiguration(daemon: RunningDaemon) {
+	const {body} = await callOperator(`${daemon.operators}/v1/configuration`, {key: deploymentKeys.operators});
+	return configurationSchema.parse(body);
+}
+
+async function findLeader(deployment: Deployment): Promise<RunningDaemon> {
+	return waitUntil(async () => {
+		for (const daemon of deployment.daemons.filter(({process}) => process.isRunning)) {
+			const {leader} = await deployment.status(daemon);
+			const found = deployment.daemons.find(({instance, process}) => instance === leader && process.isRunning);
+			if (found !== undefined) {
+				return found;
+			}
+		}
+
+		return undefined;
+	}, {what: 'a leader', ...patient});
+}
+
+async function issue(daemon: RunningDaemon, wanted: {readonly orderId: string; readonly server: string; readonly order: unknown}): Promise<void> {
+	await waitUntil(async () => {
+		const {status, body} = await sendRequest(`${daemon.operators}/v1/orders`, {
+			method: 'POST', headers: {authorization: `Bearer ${deploymentKeys.operators}`}, body: JSON.stringify(wanted),
+		});
+		if (status !== 202) {
+			throw new Error(`Got ${status} ${body}, wanted 202`);
+		}
+
+		return true;
+	}, {what: `order ${wanted.orderId}`, ...patient});
+}
+
+async function obeyedBy(deployment: Deployment, server: string) {
+	const backend = deployment.backends.find(found => found.server === server);
+	const {body} = await sendRequest(`${backend?.address}/test/orders`);
+	return obeyedSchema.parse(JSON.parse(body));
+}
+
+test('a roll-out goes on where it stopped when its leader is killed halfway', async t => {
+	const deployment = await startDeployment({daemons, backends, configuration});
+	t.teardown(async () => deployment.stop());
+	const leader = await findLeader(deployment);
+	const survivor = deployment.daemons.find(daemon => daemon !== leader) ?? leader;
+	await waitUntil(async () => {
+		const {rollouts} = await getConfiguration(survivor);
+		return rollouts[rolloutKey]?.stage === 1 || undefined;
+	}, {what: 'the second stage', ...patient});
+	await leader.process.kill('SIGKILL');
+
+	const stages: number[] = [];
+	const last = await waitUntil(async () => {
+		const found = await getConfiguration(survivor);
+		const progress = found.rollouts[rolloutKey];
+		stages.push(progress?.stage ?? -1);
+		return progress?.status === 'completed' ? found : undefined;
+	}, {what: 'the end of the roll-out', ...patient});
+	t.deepEqual(stages, stages.toSorted((left, right) => left - right), 'no stage comes back');
+	t.is(stages[0], 1);
+	t.is(last.document.models['tag-small']?.versions.v2?.state, 'settled');
+	// One change of the operator and three steps: none was taken twice.
+	t.is(last.revision, 4);
+});
+
+for (const failure of ['SIGKILL', 'SIGSTOP'] as const) {
+	test(`orders are carried out in order, and not twice out of order, through a ${failure} of the leader`, async t => {
+		const deployment = await startDeployment({daemons, backends, configuration});
+		t.teardown(async () => {
+			for (const {process} of deployment.daemons) {
+				process.signal('SIGCONT');
+			}
+
+			await deployment.stop();
+		});
+		const leader = await findLeader(deployment);
+		const survivor = deployment.daemons.find(daemon => daemon !== leader) ?? leader;
+		const wanted = ['checks', 'ignores'].flatMap(server => [1, 2, 3, 4].map(number => ({
+			orderId: `${server}-${number}`, server, order: {type: 'set-role', role: `role-${number}`},
+		})));
+		for (const [index, order] of wanted.entries()) {
+			if (index === wanted.length / 4) {
+				leader.process.signal(failure);
+			}
+
+			await issue(survivor, order);
+			// A resend under the same id is the same order.
+			await issue(survivor, order);
+		}
+
+		if (failure === 'SIGSTOP') {
+			leader.process.signal('SIGCONT');
+		}
+
+		const {completed} = await waitUntil(async () => {
+			const {body} = await callOperator(`${survivor.operators}/v1/orders`, {key: deploymentKeys.operators});
+			const list = listSchema.parse(body);
+			return list.open.length === 0 && list.completed.length === wanted.length ? list : undefined;
+		}, {what: 'all orders to be carried out', ...patient});
+		t.deepEqual(completed.map(({outcome}) => outcome), wanted.map(() => 'done'));
+		for (const server of ['checks', 'ignores']) {
+			const obeyed = await obeyedBy(deployment, server);
+			const sequences = obeyed.map(({sequence}) => sequence);
+			t.deepEqual(sequences, sequences.toSorted((left, right) => left - right), `${server}: no older order after a newer one`);
+			t.deepEqual([...new Set(obeyed.map(({orderId}) => orderId))], [1, 2, 3, 4].map(number => `${server}-${number}`));
+		}
+
+		const onChecking = await obeyedBy(deployment, 'checks');
+		t.is(onChecking.length, 4);
+	});
+}
