--- a/packages/control/src/_claims.ts
+++ b/packages/control/src/_claims.ts
@@ -8,18 +8,19 @@
 import {type IdempotencyKey} from './ids.js';
 
 /** One claim as the state keeps it. */
-export type Claim = {
+export type Claim = Open | Settled;
+
+type ClaimBase = {
 	readonly requestDigest: string;
 	readonly request: RequestId;
-	readonly instance: InstanceId;
-	readonly takenAt: number;
-	readonly settledAt?: number;
-	readonly settlement?: ClaimSettlement;
 	/** The requests that released it lately, so that a late copy of their `take-claim` does not take it again. */
-	readonly releasedBy: readonly RequestId[];
+	readonly releasedBy?: readonly RequestId[];
 };
 
-type Settled = Claim & {readonly settlement: ClaimSettlement; readonly settledAt: number};
+type Open = ClaimBase & {readonly instance: InstanceId; readonly takenAt: number; readonly settlement?: undefined};
+
+/** Most claims are settled, so these hold no more than they must. */
+type Settled = ClaimBase & {readonly settlement: ClaimSettlement; readonly settledAt: number};
 
 type Settling = {
 	readonly key: IdempotencyKey;
@@ -30,7 +31,7 @@
 
 /** The claims of one workspace; settled ones are in the order in which they were settled. */
 type WorkspaceClaims = {
-	readonly open: Map<IdempotencyKey, Claim>;
+	readonly open: Map<IdempotencyKey, Open>;
 	readonly settled: Map<IdempotencyKey, Settled>;
 	/** Settled claims that keep a body, the oldest first. */
 	readonly withBody: Set<IdempotencyKey>;
@@ -39,11 +40,14 @@
 
 /** The claims in a snapshot. */
 export type ClaimsData = ReadonlyArray<readonly [WorkspaceId, {
-	readonly open: ReadonlyArray<readonly [IdempotencyKey, Claim]>;
+	readonly open: ReadonlyArray<readonly [IdempotencyKey, Open]>;
 	readonly settled: ReadonlyArray<readonly [IdempotencyKey, Settled]>;
 }]>;
 
 const mostReleasesRemembered = 8;
+const mostSharedHeaders = 64;
+/** Changes nothing that anyone sees: equal headers in one object. */
+const sharedHeaders = new Map<string, KeptAnswer['headers']>();
 
 /** The claims on idempotency keys of all workspaces. */
 export class Claims {
@@ -57,7 +61,7 @@
 			}
 
 			for (const [key, claim] of settled) {
-				keep(claims, {key, claim: withOwnBody(claim)});
+				keep(claims, {key, claim: {...withOwnBody(claim), settlement: withSharedHeaders(withOwnBody(claim).settlement)}});
 			}
 		}
 	}
@@ -70,14 +74,14 @@
 			return Right({type: 'key-reused', request: known.request});
 		}
 
-		if (known !== undefined && (known.settlement?.type !== 'released' || known.releasedBy.includes(request))) {
+		if (known !== undefined && (known.settlement?.type !== 'released' || known.releasedBy?.includes(request) === true)) {
 			return Right(outcomeFor(known, request));
 		}
 
 		return makeRoom(claims, {command, limits}).map(() => {
 			forget(claims, key);
 			claims.open.set(key, {
-				requestDigest, request, instance: command.instance, takenAt: command.at, releasedBy: known?.releasedBy ?? [],
+				requestDigest, request, instance: command.instance, takenAt: command.at, ...(known?.releasedBy && {releasedBy: known.releasedBy}),
 			});
 			return {type: 'taken', request};
 		});
@@ -128,7 +132,7 @@
 		return [...this.#workspaces].map(([workspace, {open, settled}]) => [workspace, {open: [...open], settled: [...settled]}] as const);
 	}
 
-	#settleOpen({at, isOver}: {readonly at: number; readonly isOver: (claim: Claim) => boolean}): void {
+	#settleOpen({at, isOver}: {readonly at: number; readonly isOver: (claim: Open) => boolean}): void {
 		for (const claims of this.#workspaces.values()) {
 			for (const [key, claim] of claims.open) {
 				if (isOver(claim)) {
@@ -181,11 +185,12 @@
 }
 
 function settleClaim(claims: WorkspaceClaims, {key, claim, settlement, at}: Settling): void {
-	const releasedBy = settlement.type === 'released' ? [...claim.releasedBy, claim.request].slice(-mostReleasesRemembered) : claim.releasedBy;
+	const {requestDigest, request} = claim;
+	const releasedBy = settlement.type === 'released' ? [...claim.releasedBy ?? [], request].slice(-mostReleasesRemembered) : claim.releasedBy;
 	forget(claims, key);
 	keep(claims, {
 		key, claim: {
-			...claim, settlement, settledAt: at, releasedBy,
+			requestDigest, request, settlement: withSharedHeaders(settlement), settledAt: at, ...(releasedBy && {releasedBy}),
 		},
 	});
 }
@@ -246,6 +251,22 @@
 	return {type: 'done', answer: {...answer, body: new Uint8Array(answer.body)}};
 }
 
+/** Answers mostly have the same few headers; one object of each kind is kept. */
+function withSharedHeaders(settlement: ClaimSettlement): ClaimSettlement {
+	if (settlement.type !== 'done') {
+		return settlement;
+	}
+
+	const {headers} = settlement.answer;
+	const text = JSON.stringify(headers);
+	const shared = sharedHeaders.get(text) ?? headers;
+	if (sharedHeaders.size < mostSharedHeaders) {
+		sharedHeaders.set(text, shared);
+	}
+
+	return {type: 'done', answer: {...settlement.answer, headers: shared}};
+}
+
 /** Copies the body, which would else keep the whole snapshot in memory. */
 function withOwnBody(claim: Settled): Settled {
 	const {settlement} = claim;
--- a/packages/testing/src/_control-commands.ts
+++ b/packages/testing/src/_control-commands.ts
@@ -36,7 +36,7 @@
 	...(hasOrigin && {origin: {startedAt: 1, sequence: number}}),
 });
 const claimed = {
-	workspace: name('w', 2).map(id => toId<WorkspaceId>(id)), key: name('k', 4).map(id => toId<IdempotencyKey>(id)),
+	workspace: name('w', 2).map(id => toId<WorkspaceId>(id)), key: name('k', 6).map(id => toId<IdempotencyKey>(id)),
 	request: name('r', 4).map(id => toId<RequestId>(id)),
 };
 const settlement = fc.oneof(
