--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -5,6 +5,7 @@
 import {match} from 'ts-pattern';
 import {type DaemonBase} from '../daemon-base.js';
 import {toResultReply} from '../result-reply.js';
+import {type RunningArchive} from './archive/start-archive.js';
 import {type ControlHost} from './control-host.js';
 import {
 	type ControlMessage, type ControlReply, type InForce, type LeaderQuestion, type LedgerMessage, type LedgerPage, type OrderList, type SubscriberReport,
@@ -16,6 +17,8 @@
 	readonly base: DaemonBase;
 	readonly host: ControlHost;
 	readonly subscribers: Subscribers;
+	/** The bills that left the state; undefined where they cannot be read. */
+	readonly archive: RunningArchive | undefined;
 	/** Asks another control instance. */
 	readonly ask: (to: PeerAddress, message: ControlMessage) => Promise<Either<Failure, unknown>>;
 };
@@ -84,7 +87,7 @@
 		return match(question)
 			.with({type: 'propose'}, async ({command}) => this.#options.host.propose(command))
 			.with({type: 'in-force'}, async () => Right(await this.#inForce()))
-			.with({type: 'ledger'}, async ledger => Right(this.#readLedger(ledger)))
+			.with({type: 'ledger'}, async ledger => Right(await this.#readLedger(ledger)))
 			.with({type: 'orders'}, async () => Right(this.#readOrders()))
 			.exhaustive();
 	}
@@ -94,8 +97,11 @@
 		return {open: state.openOrders(), completed: state.completedOrders};
 	}
 
-	#readLedger({workspace, after}: LedgerMessage): LedgerPage {
-		const {bills, next} = this.#options.host.state.readLedger({workspace, after, limit: ledgerPageSize});
+	async #readLedger({workspace, after}: LedgerMessage): Promise<LedgerPage> {
+		const {host: {state}, archive} = this.#options;
+		const question = {workspace, after, limit: ledgerPageSize};
+		const recent = state.readLedger(question);
+		const {bills, next} = archive !== undefined && after < recent.archivedUpTo ? await archive.read(question) : recent;
 		return {bills, ...(next !== undefined && {next})};
 	}
 
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -5,6 +5,7 @@
 import {type Either, Left, Right} from 'purify-ts';
 import {type DaemonBase} from '../daemon-base.js';
 import {type SubscribeMessage, type SubscribeReply} from '../distribution/messages.js';
+import {startArchive} from './archive/start-archive.js';
 import {ControlAnswers} from './control-answers.js';
 import {ControlClient} from './control-client.js';
 import {type AppliedListener, ControlHost} from './control-host.js';
@@ -53,10 +54,11 @@
 	const subscribers = new Subscribers({clock, leaseMilliseconds: settings.timing.configurationLeaseMilliseconds});
 	const folder = await openFolder(base);
 	const host = folder === undefined ? undefined : startHost(base, folder);
+	const archive = host === undefined || settings.dataFolder === undefined ? undefined : await startArchive(base, {dataFolder: settings.dataFolder, state: () => host.state});
 	const answers = host === undefined
 		? undefined
 		: new ControlAnswers({
-			base, host, subscribers, ask: async (to, message) => askPeer(base, to, message),
+			base, host, subscribers, archive, ask: async (to, message) => askPeer(base, to, message),
 		});
 	const answer = async (message: ControlMessage): Promise<unknown> => answers?.answer(message);
 	const zoneMate = settings.control.find(({zone}) => zone === settings.zone);
@@ -82,6 +84,7 @@
 		onApplied: listener => host?.onApplied(listener) ?? nothing,
 		propose: async command => host?.propose(command) ?? Left(failure('no-quorum', 'Got a command on an instance without the control role, wanted it on the leader')),
 		async stop() {
+			await archive?.stop();
 			await host?.stop();
 		},
 	};
