--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -8,7 +8,7 @@
 import {type RunningArchive} from './archive/start-archive.js';
 import {type ControlHost} from './control-host.js';
 import {
-	type ControlMessage, type ControlReply, type InForce, type LeaderQuestion, type LedgerMessage, type LedgerPage, type OrderList, type SubscriberReport,
+	type ControlMessage, type ControlReply, type InForce, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type OrderList, type SubscriberReport,
 } from './messages.js';
 import {type Subscribers, toInForce} from './subscribers.js';
 
@@ -55,6 +55,7 @@
 				return undefined;
 			})
 			.with({type: 'join'}, question => host.join(question))
+			.with({type: 'leader'}, (): LeaderReply => ({leader: host.leader}))
 			.with({type: 'subscribers'}, () => subscribers.report())
 			.with({type: 'propose'}, {type: 'in-force'}, {type: 'ledger'}, {type: 'orders'}, async question => this.#answerAsLeader(question))
 			.exhaustive();
