--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -85,11 +85,19 @@
 	}
 
 	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | InForce | LedgerPage | OrderList>> {
+		const {host} = this.#options;
+		if (question.type === 'propose') {
+			return host.propose(question.command);
+		}
+
+		if (!await host.catchUp()) {
+			return Left(this.#noQuorum());
+		}
+
 		return match(question)
-			.with({type: 'propose'}, async ({command}) => this.#options.host.propose(command))
-			.with({type: 'in-force'}, async () => Right(await this.#inForce()))
 			.with({type: 'ledger'}, async ledger => Right(await this.#readLedger(ledger)))
 			.with({type: 'orders'}, async () => Right(this.#readOrders()))
+			.with({type: 'in-force'}, async () => Right(await this.#inForce()))
 			.exhaustive();
 	}
 
--- a/packages/daemon/src/operators/apply-configuration.ts
+++ b/packages/daemon/src/operators/apply-configuration.ts
@@ -43,7 +43,13 @@
 
 	const {changeId, expectedRevision, document} = change.extract() as Change;
 	const result = await context.control.propose({
-		type: 'apply-configuration', changeId, expectedRevision, document, digest: sha256(JSON.stringify(document)), operator: bearerDigest(request)?.slice(0, operatorNameDigits), at: context.base.clock.now().getTime(),
+		type: 'apply-configuration',
+		changeId,
+		expectedRevision,
+		document,
+		digest: sha256(JSON.stringify(document)),
+		operator: bearerDigest(request)?.slice(0, operatorNameDigits),
+		at: context.base.clock.now().getTime(),
 	});
 	if (result.isLeft()) {
 		answerProblem(response, result.extract());
--- a/packages/testing/src/_control-commands.ts
+++ b/packages/testing/src/_control-commands.ts
@@ -77,7 +77,9 @@
 	version.map((found): Maker => ({at}) => ({
 		type: 'stop-version', model, version: found, reason: 'bad', at,
 	})),
-	fc.record({...claimed, requestDigest: fc.constantFrom('d1', 'd1', 'd1', 'd2'), instance: name('i', 2).map(id => toId<InstanceId>(id))}).map((found): Maker => ({at}) => ({type: 'take-claim', ...found, at})),
+	fc.record({
+		...claimed, requestDigest: fc.constantFrom('d1', 'd1', 'd1', 'd2'), instance: name('i', 2).map(id => toId<InstanceId>(id)),
+	}).map((found): Maker => ({at}) => ({type: 'take-claim', ...found, at})),
 	fc.record({...claimed, settlement}).map((found): Maker => ({at}) => ({type: 'settle-claim', ...found, at})),
 	fc.record({choice: fc.nat(20), settlement}).map(({choice, settlement: given}): Maker => ({at, oracle}) => settleOpen(oracle, {choice, settlement: given, at})),
 	name('i', 2).map((instance): Maker => ({at}) => ({type: 'instance-lost', instance: toId<InstanceId>(instance), at})),
