--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -1,5 +1,5 @@
 import {type CommandAnswer} from '@valehitch/control';
-import {type Failure, failure, type ZoneId} from '@valehitch/core';
+import {type Failure, failure} from '@valehitch/core';
 import {type PeerAddress} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import {match} from 'ts-pattern';
@@ -8,15 +8,13 @@
 import {type RunningArchive} from './archive/start-archive.js';
 import {type ControlHost} from './control-host.js';
 import {
-	type ControlMessage, type ControlReply, type InForce, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type OrderList, type SubscriberReport,
+	type ControlMessage, type ControlReply, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type OrderList,
 } from './messages.js';
-import {type Subscribers, toInForce} from './subscribers.js';
 
 /** What the answers come from. */
 export type ControlAnswersOptions = {
 	readonly base: DaemonBase;
 	readonly host: ControlHost;
-	readonly subscribers: Subscribers;
 	/** The bills that left the state; undefined where they cannot be read. */
 	readonly archive: RunningArchive | undefined;
 	/** Asks another control instance. */
@@ -31,7 +29,7 @@
 
 @example
 ```ts
-const answers = new ControlAnswers({base, host, subscribers, ask});
+const answers = new ControlAnswers({base, host, ask});
 ```
 */
 export class ControlAnswers {
@@ -48,7 +46,7 @@
 	@returns The reply; undefined for messages between replicas.
 	*/
 	async answer(message: ControlMessage): Promise<unknown> {
-		const {host, subscribers} = this.#options;
+		const {host} = this.#options;
 		return match(message)
 			.with({type: 'replica'}, envelope => {
 				host.receive(envelope);
@@ -56,8 +54,7 @@
 			})
 			.with({type: 'join'}, question => host.join(question))
 			.with({type: 'leader'}, (): LeaderReply => ({leader: host.leader}))
-			.with({type: 'subscribers'}, () => subscribers.report())
-			.with({type: 'propose'}, {type: 'in-force'}, {type: 'ledger'}, {type: 'orders'}, async question => this.#answerAsLeader(question))
+			.with({type: 'propose'}, {type: 'ledger'}, {type: 'orders'}, async question => this.#answerAsLeader(question))
 			.exhaustive();
 	}
 
@@ -84,7 +81,7 @@
 		});
 	}
 
-	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | InForce | LedgerPage | OrderList>> {
+	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | LedgerPage | OrderList>> {
 		const {host} = this.#options;
 		if (question.type === 'propose') {
 			return host.propose(question.command);
@@ -94,11 +91,7 @@
 			return Left(this.#noQuorum());
 		}
 
-		return match(question)
-			.with({type: 'ledger'}, async ledger => Right(await this.#readLedger(ledger)))
-			.with({type: 'orders'}, async () => Right(this.#readOrders()))
-			.with({type: 'in-force'}, async () => Right(await this.#inForce()))
-			.exhaustive();
+		return Right(question.type === 'ledger' ? await this.#readLedger(question) : this.#readOrders());
 	}
 
 	#readOrders(): OrderList {
@@ -114,22 +107,6 @@
 		return {bills, ...(next !== undefined && {next})};
 	}
 
-	async #inForce(): Promise<InForce> {
-		const {base: {settings}, host, subscribers, ask} = this.#options;
-		const {revision} = host.state.effective;
-		const unheard: ZoneId[] = [];
-		const others = settings.control.filter(({instance}) => instance !== settings.instance);
-		const reports = await Promise.all(others.map(async other => {
-			const reply = await ask(other, {scope: 'control', type: 'subscribers'});
-			if (reply.isLeft()) {
-				unheard.push(other.zone);
-			}
-
-			return reply.orDefault([]) as readonly SubscriberReport[];
-		}));
-		return toInForce([...subscribers.report(), ...reports.flat()], {revision, unheard});
-	}
-
 	#noQuorum(): Failure {
 		return failure('no-quorum', 'Got no leader with a valid lease, wanted one', {retryAfterMilliseconds: retryMilliseconds});
 	}
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -4,22 +4,18 @@
 import {type PeerAddress} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import {type DaemonBase} from '../daemon-base.js';
-import {type SubscribeMessage, type SubscribeReply} from '../distribution/messages.js';
 import {startArchive} from './archive/start-archive.js';
 import {ControlAnswers} from './control-answers.js';
 import {ControlClient} from './control-client.js';
 import {type AppliedListener, ControlHost} from './control-host.js';
 import {type ControlMessage, type JoinReply} from './messages.js';
-import {Subscribers} from './subscribers.js';
 
 /** The control part of a daemon. */
 export type ControlPart = {
 	readonly client: ControlClient;
 	/** Answers a message to the control role; undefined where this instance does not have it. */
 	readonly answer: (message: ControlMessage) => Promise<unknown>;
-	/** Answers an instance that asks what is new; undefined where this instance cannot tell. */
-	readonly subscribe: (message: SubscribeMessage) => SubscribeReply | undefined;
-	/** Whether this instance leads under a valid lease. */
+	/** Whether this instance leads under a valid lease, with everything applied that was committed before. */
 	readonly isLeader: () => boolean;
 	/** Milliseconds on the monotonic clock until which no other instance can lead; undefined where this one holds no lease. */
 	readonly leaseValidUntil: () => number | undefined;
@@ -51,14 +47,13 @@
 */
 export async function startControl(base: DaemonBase): Promise<ControlPart> {
 	const {settings, clock} = base;
-	const subscribers = new Subscribers({clock, leaseMilliseconds: settings.timing.configurationLeaseMilliseconds});
 	const folder = await openFolder(base);
 	const host = folder === undefined ? undefined : startHost(base, folder);
 	const archive = host === undefined || settings.dataFolder === undefined ? undefined : await startArchive(base, {dataFolder: settings.dataFolder, state: () => host.state});
 	const answers = host === undefined
 		? undefined
 		: new ControlAnswers({
-			base, host, subscribers, archive, ask: async (to, message) => askPeer(base, to, message),
+			base, host, archive, ask: async (to, message) => askPeer(base, to, message),
 		});
 	const answer = async (message: ControlMessage): Promise<unknown> => answers?.answer(message);
 	const zoneMate = settings.control.find(({zone}) => zone === settings.zone);
@@ -73,10 +68,6 @@
 			wait: elapsed,
 		}),
 		answer,
-		subscribe(message) {
-			subscribers.note(message);
-			return host === undefined ? undefined : replyTo(message, {host, subscribers});
-		},
 		isLeader: () => host?.isLeader ?? false,
 		leaseValidUntil: () => host?.leaseValidUntil,
 		leader: () => host?.leader,
@@ -144,15 +135,6 @@
 	return host;
 }
 
-function replyTo({revision}: SubscribeMessage, {host, subscribers}: {readonly host: ControlHost; readonly subscribers: Subscribers}): SubscribeReply {
-	const {effective} = host.state;
-	return {
-		revision: effective.revision,
-		members: subscribers.members,
-		...(effective.revision > revision && {effective}),
-	};
-}
-
 async function askPeer<Reply>({network}: DaemonBase, to: PeerAddress, message: ControlMessage): Promise<Either<Failure, Reply>> {
 	const needsCommit = message.type === 'propose';
 	const reply = await network.request(to, message, {timeoutMilliseconds: needsCommit ? commitReplyMilliseconds : replyMilliseconds});
