--- a/packages/daemon/src/distribution/distribution-node.ts
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -1,22 +1,23 @@
 import {
-	type Announcement, type Clock, type InstanceId, type ZoneId,
+	type Clock, type InstanceId, type ZoneId,
 } from '@valehitch/core';
 import {
-	type ConfigurationRelay, type InForceAnswer, type MemberRecord, parentCandidates, type ServerTable,
+	type ConfigurationRelay, type MemberRecord,
 } from '@valehitch/membership';
 import {type PeerAddress} from '@valehitch/transport';
 import {type ControlPart} from '../control/start-control.js';
 import {type DaemonBase} from '../daemon-base.js';
-import {type Member} from '../member.js';
 import {ChildNews} from './child-news.js';
 import {ConfigurationKeeper} from './configuration-keeper.js';
+import {createRegistry} from './create-registry.js';
 import {ExchangeLoop} from './exchange-loop.js';
 import {LeaderView} from './leader-view.js';
 import {LostInstances} from './lost-instances.js';
 import {MemberWatch} from './member-watch.js';
 import {type Exchange, type ExchangeReply} from './messages.js';
+import {parentAddresses} from './parent-addresses.js';
 import {RelayNode} from './relay-node.js';
-import {ServerRegistry} from './server-registry.js';
+import {type ServerRegistry} from './server-registry.js';
 import {createLoadDigest, createRecordDigest, memberKey} from './shared-records.js';
 
 /** What the node is built on. */
@@ -30,7 +31,6 @@
 	readonly incarnation: number;
 };
 
-const renewalsBeforeExpiry = 3;
 const exchangesPerLease = 8;
 const periodsToForgetChild = 4;
 const ownZoneLoadMilliseconds = 5000;
@@ -46,7 +46,17 @@
 ```
 */
 export class DistributionNode {
+	/** The configuration. */
 	readonly keeper: ConfigurationKeeper;
+	/** What this instance adds as a control instance or as the leader. */
+	readonly view: LeaderView;
+	/** The backend servers. */
+	readonly registry: ServerRegistry;
+	/** The questions to the parent. */
+	readonly loop: ExchangeLoop;
+	/** The members. */
+	readonly watch: MemberWatch;
+	/** Who hears of instances that were given up. */
 	readonly lost = new LostInstances();
 	readonly #options: DistributionNodeOptions;
 	readonly #clock: Clock;
@@ -55,11 +65,7 @@
 	readonly #records = createRecordDigest();
 	readonly #loads = createLoadDigest();
 	readonly #news: ChildNews;
-	readonly #view: LeaderView;
-	readonly #registry: ServerRegistry;
 	readonly #node: RelayNode;
-	readonly #loop: ExchangeLoop;
-	readonly #watch: MemberWatch;
 	#hint: InstanceId | undefined;
 	#wasLeaseValid = false;
 	#timer: NodeJS.Timeout | undefined;
@@ -74,24 +80,19 @@
 		this.keeper = new ConfigurationKeeper({
 			clock, log, timeline, relay, leaseMilliseconds: timing.configurationLeaseMilliseconds,
 		});
-		this.#view = new LeaderView({
-			base, control, keeper: this.keeper, relay, zones: () => this.#zones(),
+		this.view = new LeaderView({
+			base, control, keeper: this.keeper, relay, zones: () => [...new Set([zone, ...this.watch.present.map(member => member.zone)])],
 		});
 		this.#news = this.#makeNews();
-		this.#registry = this.#makeRegistry();
+		this.registry = this.#makeRegistry();
 		this.#node = this.#makeNode();
-		this.#loop = this.#makeLoop();
-		this.#watch = this.#makeWatch();
-	}
-
-	/** The backend servers. */
-	get servers(): ServerTable {
-		return this.#registry.servers;
+		this.loop = this.#makeLoop();
+		this.watch = this.#makeWatch();
 	}
 
 	/** The leader, where it is known. */
 	get leader(): InstanceId | undefined {
-		return this.#view.leader ?? this.#hint;
+		return this.view.leader ?? this.#hint;
 	}
 
 	/** Starts to ask and to watch. */
@@ -99,7 +100,7 @@
 		this.#options.control.onApplied(() => {
 			this.#refresh();
 		});
-		this.#loop.start();
+		this.loop.start();
 		this.#timer = setInterval(() => {
 			this.#tick();
 		}, this.#periodMilliseconds);
@@ -108,38 +109,10 @@
 	/** Stops asking and watching. */
 	stop(): void {
 		clearInterval(this.#timer);
-		this.#loop.stop();
+		this.loop.stop();
 		this.#news.stop();
 	}
 
-	/** Asks the parent soon. */
-	wake(): void {
-		this.#loop.wake();
-	}
-
-	/** The daemons that take part, this one included. */
-	members(): Member[] {
-		return this.#watch.members
-			.filter(({state}) => state === 'joined' || state === 'suspect')
-			.map(({instance, zone, host, port}) => ({
-				instance, zone, host, port,
-			}));
-	}
-
-	/**
-	Takes what a backend server said of itself.
-
-	@param announcement The announcement.
-	*/
-	announce(announcement: Announcement): void {
-		this.#registry.announce(announcement);
-	}
-
-	/** Tells the others that this instance is in a planned stop. */
-	drain(): void {
-		this.#watch.update({state: 'draining'});
-	}
-
 	/**
 	Answers a child.
 
@@ -153,50 +126,24 @@
 		this.#refresh();
 		const before = JSON.stringify(relay.confirmed(now));
 		const reply = this.#node.answer(exchange, now);
-		this.#watch.heard(child);
+		this.watch.heard(child);
 		this.#news.heard(child);
 		if (JSON.stringify(relay.confirmed(now)) !== before) {
-			this.#loop.wake();
+			this.loop.wake();
 		}
 
 		const {leader} = this;
 		return leader === undefined ? reply : {...reply, leader};
 	}
 
-	/** Whether the newest revision is in force everywhere; undefined where this instance does not lead. */
-	leaderInForce(): InForceAnswer | undefined {
-		return this.#view.inForce();
-	}
-
-	/** Asks the leader whether the newest revision is in force everywhere; undefined where none answers. */
-	async inForce(): Promise<InForceAnswer | undefined> {
-		const own = this.leaderInForce();
-		if (own !== undefined) {
-			return own;
-		}
-
-		const {base: {network, settings: {control, instance}}} = this.#options;
-		const asked = control.filter(seed => seed.instance !== instance)
-			.toSorted((left, right) => Number(right.instance === this.leader) - Number(left.instance === this.leader));
-		for (const seed of asked) {
-			const reply = await network.request(seed, {scope: 'distribution', type: 'in-force'});
-			const answer = reply.toMaybe().extractNullable();
-			if (answer !== null && answer !== undefined) {
-				return answer as InForceAnswer;
-			}
-		}
-
-		return undefined;
-	}
-
 	#tick(): void {
 		const leads = this.#refresh();
-		this.#watch.judge();
-		this.#registry.judge();
+		this.watch.judge();
+		this.registry.judge();
 		this.#node.prune(this.#clock.monotonic());
 		this.#noteLease();
 		if (leads) {
-			this.lost.look(this.#watch.members);
+			this.lost.look(this.watch.members);
 		}
 	}
 
@@ -204,7 +151,7 @@
 	#refresh(): boolean {
 		const {relay} = this.#options;
 		const before = relay.revision;
-		const leads = this.#view.refresh();
+		const leads = this.view.refresh();
 		this.keeper.settle({granted: false});
 		if (relay.revision !== before) {
 			this.#spread();
@@ -225,31 +172,31 @@
 	/** Hands on what is new: to the children by a word, to the parent by the next question. */
 	#spread(from?: InstanceId): void {
 		this.#news.tell(from === undefined ? {} : {except: from});
-		this.#loop.wake();
+		this.loop.wake();
 	}
 
 	#takeNews(keys: readonly string[], from: InstanceId): void {
 		for (const key of keys) {
 			const record = this.#records.get(key);
 			if (record?.kind === 'server') {
-				this.#registry.put(record.server);
+				this.registry.put(record.server);
 			}
 		}
 
-		this.#watch.refute();
+		this.watch.refute();
 		this.#spread(from);
 	}
 
 	#takeReply(parent: InstanceId, reply: ExchangeReply): void {
-		this.#watch.heard(parent);
+		this.watch.heard(parent);
 		if (reply.leader !== undefined) {
 			this.#hint = reply.leader;
 		} else if (this.#hint === parent) {
 			this.#hint = undefined;
 		}
 
-		if (this.#watch.self.parent !== parent && this.#candidates()[0]?.instance === parent) {
-			this.#watch.update({parent});
+		if (this.watch.self.parent !== parent && this.#candidates()[0]?.instance === parent) {
+			this.watch.update({parent});
 		}
 
 		this.#noteLease();
@@ -257,21 +204,7 @@
 
 	#candidates(): PeerAddress[] {
 		const {base: {settings}} = this.#options;
-		if (this.#view.leads) {
-			return [];
-		}
-
-		const {members} = this.#watch;
-		const addresses = new Map<InstanceId, PeerAddress>([...members, ...settings.control].map(address => [address.instance, address]));
-		return parentCandidates({
-			self: this.#watch.self, members, seeds: settings.control, leader: this.leader,
-		})
-			.map(instance => addresses.get(instance))
-			.filter(address => address !== undefined);
-	}
-
-	#zones(): ZoneId[] {
-		return [...new Set([this.#zone, ...this.members().map(({zone}) => zone)])];
+		return this.view.leads ? [] : parentAddresses({watch: this.watch, settings, leader: this.leader});
 	}
 
 	#record(instance: InstanceId): MemberRecord | undefined {
@@ -293,18 +226,10 @@
 	}
 
 	#makeRegistry(): ServerRegistry {
-		const {timeline, settings: {instance, timing}} = this.#options.base;
-		return new ServerRegistry({
-			table: {
-				clock: this.#clock,
-				zone: this.#zone,
-				instance,
-				expiryMilliseconds: timing.announcementRenewMilliseconds * renewalsBeforeExpiry,
-				isLost: holder => this.#watch.isLost(holder),
-			},
-			timeline,
+		return createRegistry(this.#options.base, {
 			records: this.#records,
 			loads: this.#loads,
+			isLost: holder => this.watch.isLost(holder),
 			onChange: () => {
 				this.#spread();
 			},
@@ -324,7 +249,7 @@
 				this.#takeNews(keys, from);
 			},
 			onLoads: servers => {
-				this.#registry.takeLoads(servers);
+				this.registry.takeLoads(servers);
 			},
 			onRevision: from => {
 				this.#spread(from);
@@ -364,7 +289,7 @@
 				...self, region, startedAt, sequence: 0, state: 'joined',
 			},
 			periodMilliseconds: this.#periodMilliseconds,
-			isLeader: () => this.#view.leads,
+			isLeader: () => this.view.leads,
 			onChange: () => {
 				this.#spread();
 			},
--- a/packages/daemon/src/distribution/member-watch.ts
+++ b/packages/daemon/src/distribution/member-watch.ts
@@ -2,6 +2,7 @@
 import {
 	ancestorsInTree, type Digest, FailureDetector, type MemberRecord,
 } from '@valehitch/membership';
+import {type Member} from '../member.js';
 import {type SharedRecord} from './messages.js';
 import {memberKey, membersOf} from './shared-records.js';
 
@@ -57,6 +58,15 @@
 		return membersOf(this.#options.records);
 	}
 
+	/** The members that take part, this instance included unless it is in a planned stop. */
+	get present(): Member[] {
+		return this.members
+			.filter(({state}) => state === 'joined' || state === 'suspect')
+			.map(({instance, zone, host, port}) => ({
+				instance, zone, host, port,
+			}));
+	}
+
 	/**
 	Tells whether an instance is lost.
 
--- /dev/null
+++ b/packages/daemon/src/distribution/parent-addresses.ts
@@ -0,0 +1,32 @@
+import {type InstanceId} from '@valehitch/core';
+import {parentCandidates} from '@valehitch/membership';
+import {type Settings} from '@valehitch/settings';
+import {type PeerAddress} from '@valehitch/transport';
+import {type MemberWatch} from './member-watch.js';
+
+/** What the addresses come from. */
+export type ParentAddressesOptions = {
+	readonly watch: MemberWatch;
+	readonly settings: Settings;
+	readonly leader: InstanceId | undefined;
+};
+
+/**
+The addresses of the instances that this one may ask, the best first.
+
+@param options The members, the control instances and the leader.
+@returns The addresses.
+@example
+```ts
+const [parent] = parentAddresses({watch, settings, leader});
+```
+*/
+export function parentAddresses({watch, settings: {control}, leader}: ParentAddressesOptions): PeerAddress[] {
+	const {self, members} = watch;
+	const addresses = new Map<InstanceId, PeerAddress>([...members, ...control].map(address => [address.instance, address]));
+	return parentCandidates({
+		self, members, seeds: control, leader,
+	})
+		.map(instance => addresses.get(instance))
+		.filter(address => address !== undefined);
+}
--- a/packages/daemon/src/distribution/start-distribution.ts
+++ b/packages/daemon/src/distribution/start-distribution.ts
@@ -7,6 +7,7 @@
 import {type DaemonBase} from '../daemon-base.js';
 import {type Member} from '../member.js';
 import {type ActiveConfiguration} from './active-configuration.js';
+import {askInForce} from './ask-in-force.js';
 import {DistributionNode} from './distribution-node.js';
 import {readExchange, writeReply} from './exchange-codec.js';
 import {type LostInstance} from './lost-instances.js';
@@ -65,20 +66,20 @@
 	});
 	node.start();
 	return {
-		servers: node.servers,
+		servers: node.registry.servers,
 		active: () => node.keeper.active(),
 		effective: () => node.keeper.effective,
-		members: () => node.members(),
-		inForce: async () => node.inForce(),
+		members: () => node.watch.present,
+		inForce: async () => node.view.inForce() ?? askInForce(base, node.leader),
 		leader: () => node.leader,
 		announce(announcement) {
-			node.announce(announcement);
+			node.registry.announce(announcement);
 		},
 		onInstanceLost(listener) {
 			node.lost.listen(listener);
 		},
 		drain() {
-			node.drain();
+			node.watch.update({state: 'draining'});
 		},
 		async answer(message) {
 			try {
@@ -98,9 +99,9 @@
 	return match(message)
 		.with({type: 'exchange'}, ({body}) => writeReply(node.answer(readExchange(body))))
 		.with({type: 'news'}, () => {
-			node.wake();
+			node.loop.wake();
 			return undefined;
 		})
-		.with({type: 'in-force'}, () => node.leaderInForce())
+		.with({type: 'in-force'}, () => node.view.inForce())
 		.exhaustive();
 }
--- /dev/null
+++ b/packages/membership/src/may-serve.test.ts
@@ -0,0 +1,15 @@
+import test from 'ava';
+import {mayServe} from './may-serve.js';
+
+test('with a lease all but stopped and withdrawn versions are served; without one the setting decides', t => {
+	const states = ['settled', 'plain-service', 'rolling-out', 'stopped', 'withdrawn'] as const;
+	const served = (leaseValid: boolean, serve: 'settled' | 'all' | 'none'): readonly string[] =>
+		states.filter(versionState => mayServe({leaseValid, serve, versionState}));
+	for (const serve of ['settled', 'all', 'none'] as const) {
+		t.deepEqual(served(true, serve), ['settled', 'plain-service', 'rolling-out']);
+	}
+
+	t.deepEqual(served(false, 'settled'), ['settled', 'plain-service']);
+	t.deepEqual(served(false, 'all'), ['settled', 'plain-service', 'rolling-out']);
+	t.deepEqual(served(false, 'none'), []);
+});
