--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -14,7 +14,7 @@
 	readonly client: ControlClient;
 	/** Answers a message to the control role; undefined where this instance does not have it. */
 	readonly answer: (message: ControlMessage) => Promise<unknown>;
-	/** Whether this instance leads under a valid lease; `catchUp` says when all that was committed is applied. */
+	/** Whether this instance leads under a valid lease, with everything applied that was committed before its term. */
 	readonly isLeader: () => boolean;
 	/** Waits until all that was committed is applied here; false where this instance does not lead. */
 	readonly catchUp: () => Promise<boolean>;
