Report a failure of the fuzz test at once

Cause: with long lists fast-check shrinks for minutes, so that a failing run would end in a timeout without its report. Ruled out: a limit of time, which depends on the machine. Conclusion: a failure is as strict as before and quicker to read.

--- a/packages/routing/src/request-life.test.ts
+++ b/packages/routing/src/request-life.test.ts
@@ -42,7 +42,10 @@
 				endings.set(name, (endings.get(name) ?? 0) + 1);
 			}
 		}),
-		{seed, numRuns: cases, includeErrorInReport: true},
+		// Shrinking takes minutes; the report has the seed, the path and the whole trace, and shrinks without `endOnFailure`.
+		{
+			seed, numRuns: cases, includeErrorInReport: true, endOnFailure: true,
+		},
 	);
 	t.log([...endings].map(([ending, count]) => `${ending} ${count}`).join(', '));
 	for (const ending of [...wantedEndings, ...purposes.map(purpose => `finish-answer after ${purpose}`)]) {
