--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -16,6 +16,8 @@
 	readonly answer: (message: ControlMessage) => Promise<unknown>;
 	/** Whether this instance leads under a valid lease, with everything applied that was committed before its term. */
 	readonly isLeader: () => boolean;
+	/** Waits until all that was committed is applied here; false where this instance does not lead. */
+	readonly catchUp: () => Promise<boolean>;
 	/** Milliseconds on the monotonic clock until which no other instance can lead; undefined where this one holds no lease. */
 	readonly leaseValidUntil: () => number | undefined;
 	/** The leader, where this instance knows one. */
@@ -67,6 +69,7 @@
 		}),
 		answer,
 		isLeader: () => host?.isLeader ?? false,
+		catchUp: async () => await host?.catchUp() ?? false,
 		leaseValidUntil: () => host?.leaseValidUntil,
 		leader: () => host?.leader,
 		state: () => host?.state,
