--- /dev/null
+++ b/packages/daemon/src/entry/bills/ledger-outbox.ts
@@ -0,0 +1,99 @@
+import {type Command, type CommandAnswer} from '@valehitch/control';
+import {type Bill, type Failure, type RequestId} from '@valehitch/core';
+import {type Either} from 'purify-ts';
+
+/** What the outbox needs. */
+export type LedgerOutboxOptions = {
+	readonly propose: (command: Command) => Promise<Either<Failure, CommandAnswer>>;
+	/** Waits, so that bills share a command and a failed one is not sent again at once. */
+	readonly wait: (milliseconds: number) => Promise<void>;
+	/** Milliseconds in which bills gather for a command; 100 by default. */
+	readonly gatherMilliseconds?: number;
+	/** Milliseconds to wait before bills are sent again; 250 by default. */
+	readonly retryMilliseconds?: number;
+};
+
+type Waiting = {
+	readonly bill: Bill;
+	readonly onRecorded: () => void;
+};
+
+const batchSize = 200;
+const defaultGatherMilliseconds = 100;
+const defaultRetryMilliseconds = 250;
+
+/**
+Sends settled bills to the ledger in batches until they are acknowledged.
+
+@example
+```ts
+await outbox.add(bill);
+```
+*/
+export class LedgerOutbox {
+	readonly #options: LedgerOutboxOptions;
+	readonly #waiting = new Map<RequestId, Waiting>();
+	#sending = false;
+	#isReachable = true;
+	#closed = false;
+
+	constructor(options: LedgerOutboxOptions) {
+		this.#options = options;
+	}
+
+	/** How many bills are not acknowledged yet. */
+	get size(): number {
+		return this.#waiting.size;
+	}
+
+	/** Whether the ledger acknowledged what was sent last. */
+	get isReachable(): boolean {
+		return this.#isReachable;
+	}
+
+	/**
+	Adds a settled bill.
+
+	@param bill The bill.
+	@returns When the ledger has it.
+	*/
+	async add(bill: Bill): Promise<void> {
+		return new Promise(resolve => {
+			this.#waiting.set(bill.request, {bill, onRecorded: resolve});
+			void this.#send();
+		});
+	}
+
+	/** Ends the tries; nothing is sent any more. */
+	close(): void {
+		this.#closed = true;
+	}
+
+	async #send(): Promise<void> {
+		if (this.#sending) {
+			return;
+		}
+
+		this.#sending = true;
+		while (this.#waiting.size > 0 && !this.#closed) {
+			const {gatherMilliseconds = defaultGatherMilliseconds, retryMilliseconds = defaultRetryMilliseconds} = this.#options;
+			await this.#options.wait(this.#isReachable ? gatherMilliseconds : retryMilliseconds);
+			await this.#sendBatch([...this.#waiting.values()].slice(0, batchSize));
+		}
+
+		this.#sending = false;
+	}
+
+	async #sendBatch(batch: readonly Waiting[]): Promise<void> {
+		const result = await this.#options.propose({type: 'record-bills', bills: batch.map(({bill}) => bill)});
+		this.#isReachable = result.isRight();
+		if (!this.#isReachable) {
+			return;
+		}
+
+		for (const {bill, onRecorded} of batch) {
+			this.#waiting.delete(bill.request);
+			onRecorded();
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/entry/caller-headers.ts
@@ -0,0 +1,78 @@
+import {type IncomingMessage} from 'node:http';
+import {type Failure, failure} from '@valehitch/core';
+import {type Either, Left, Right} from 'purify-ts';
+
+/** What a caller's headers say besides its key. */
+export type CallerHeaders = {
+	/** The class for the policy program, or an empty text. */
+	readonly class: string;
+	/** `new`, a session token, or an empty text. */
+	readonly session: string;
+	/** The idempotency key; undefined where there is none. */
+	readonly key: string | undefined;
+	/** Milliseconds from arrival to the last byte; undefined where the caller does not say. */
+	readonly deadlineMilliseconds: number | undefined;
+};
+
+type HeaderRule = {
+	readonly name: string;
+	readonly pattern: RegExp;
+	readonly wanted: string;
+};
+
+const longestDeadlineMilliseconds = 3_600_000;
+const classRule = {name: 'Valehitch-Class', pattern: /^[\u0020-\u007E]{1,128}$/v, wanted: '1 to 128 visible characters'};
+const sessionRule = {name: 'Valehitch-Session', pattern: /^[\u0021-\u007E]{1,2048}$/v, wanted: '`new` or a token of up to 2048 visible characters'};
+const keyRule = {name: 'Idempotency-Key', pattern: /^[\u0021-\u007E]{1,256}$/v, wanted: '1 to 256 visible characters'};
+const deadlineRule = {name: 'Valehitch-Deadline-Milliseconds', pattern: /^[1-9]\d{0,6}$/v, wanted: `a whole number from 1 to ${longestDeadlineMilliseconds}`};
+const authorizationRule = {name: 'Authorization', pattern: /^.*$/sv, wanted: 'one Bearer key'};
+
+/**
+Reads the headers of a caller's request.
+
+@param request The request.
+@returns The headers, or `malformed-request` that names the header which is doubled or not valid.
+@example
+```ts
+readCallerHeaders(request).map(headers => headers.key);
+```
+*/
+export function readCallerHeaders(request: IncomingMessage): Either<Failure, CallerHeaders> {
+	return readHeader(request, authorizationRule)
+		.chain(() => readHeader(request, classRule))
+		.chain(requestClass => readHeader(request, sessionRule)
+			.chain(session => readHeader(request, keyRule)
+				.chain(key => readDeadline(request)
+					.map(deadlineMilliseconds => ({
+						class: requestClass ?? '', session: session ?? '', key, deadlineMilliseconds,
+					})))));
+}
+
+function readDeadline(request: IncomingMessage): Either<Failure, number | undefined> {
+	return readHeader(request, deadlineRule).chain(text => {
+		if (text === undefined) {
+			return Right(undefined);
+		}
+
+		const milliseconds = Number(text);
+		return milliseconds <= longestDeadlineMilliseconds ? Right(milliseconds) : malformed(deadlineRule, text);
+	});
+}
+
+function readHeader(request: IncomingMessage, rule: HeaderRule): Either<Failure, string | undefined> {
+	const values = request.headersDistinct[rule.name.toLowerCase()] ?? [];
+	const [value] = values;
+	if (values.length > 1) {
+		return malformed(rule, `${values.length} headers of this name`);
+	}
+
+	if (value === undefined || rule.pattern.test(value)) {
+		return Right(value);
+	}
+
+	return malformed(rule, value === '' ? 'an empty text' : `${value.slice(0, 32)} (${value.length} characters)`);
+}
+
+function malformed(rule: HeaderRule, got: string): Either<Failure, never> {
+	return Left(failure('malformed-request', `${rule.name}: got ${got}, wanted ${rule.wanted}`));
+}
--- a/packages/daemon/src/entry/engine-call.ts
+++ b/packages/daemon/src/entry/engine-call.ts
@@ -1,130 +1,151 @@
-import {type Failure, failure, type TokenUsage} from '@valehitch/core';
+import {type RequestId, type TokenUsage} from '@valehitch/core';
 import {type HttpAnswer, readBody, sendHttp} from '@valehitch/transport';
-import {createParser} from 'eventsource-parser';
-import {type Either, Left, Right} from 'purify-ts';
-import {type ChatPlan} from './plan-chat.js';
-
-/** An event of a streamed answer; `done` or `broken` is the last. */
-export type EngineEvent
-	= | {readonly type: 'data'; readonly data: string}
-		| {readonly type: 'done'; readonly usage: TokenUsage}
-		| {readonly type: 'broken'; readonly usage: TokenUsage};
-
-/** The answer of an engine. */
-export type EngineAnswer
-	= | {readonly type: 'whole'; readonly body: Uint8Array; readonly usage: TokenUsage}
-		| {readonly type: 'stream'; readonly events: AsyncIterable<EngineEvent>};
-
-/** A call to an engine. */
+import {type AttemptOutput} from './attempt-output.js';
+import {type ChatBody} from './chat-body.js';
+import {readWholeUsage} from './chat-chunk.js';
+import {readEngineEvents} from './engine-events.js';
+import {readNotRun} from './not-run.js';
+import {StallTimer} from './stall-timer.js';
+
+/** One attempt on an engine. */
 export type EngineCall = {
-	readonly plan: ChatPlan;
+	readonly requestId: RequestId;
+	readonly attempt: number;
+	/** The version, such as `tag-small@1.0`. */
+	readonly versionKey: string;
+	readonly body: ChatBody;
+	readonly streamed: boolean;
+	/** The priority handed to the engine; lower is sooner. */
+	readonly priority: number;
+	/** The text so far, which the engine goes on right after; empty for an answer from the start. */
+	readonly resumeText: string;
+	/** The tokens in that text. */
+	readonly tokensBefore: number;
+	/** The base address of the engine. */
 	readonly address: string;
+	/** Ends the attempt; its connection is destroyed. */
 	readonly signal: AbortSignal;
-	/** The most bytes that a whole answer may have. */
+	/** Milliseconds without a word after which the attempt is given up. */
+	readonly stallMilliseconds: number;
+	/** The most bytes that an answer may have. */
 	readonly maximumBytes: number;
 };
 
-type UsageJson = {
-	readonly usage?: {readonly prompt_tokens?: number; readonly completion_tokens?: number} | undefined;
-};
-
-const lastEvent = '[DONE]';
-const serviceUnavailable = 503;
+const streamHead = {status: 200, headers: {'Content-Type': 'text/event-stream', 'Cache-Control': 'no-store'}};
+const okStatus = 200;
 
 /**
 Calls an engine by the chat-completions protocol.
 
+The answer is read only as fast as the caller of the generator asks for more, so that a slow reader slows the engine down. Ending the generator early destroys the connection.
+
 @param call The call.
-@returns The answer; `no-server` where the request surely did not run; `outcome-unknown` or `backend-failed` otherwise.
+@returns What comes of the attempt; the last output tells how it ended.
 @example
 ```ts
-const answer = await callEngine({plan, address, signal, maximumBytes});
+for await (const output of callEngine(call)) { ... }
 ```
 */
-export async function callEngine(call: EngineCall): Promise<Either<Failure, EngineAnswer>> {
-	const {plan, address, signal} = call;
-	const body = new TextEncoder().encode(JSON.stringify({...plan.body, model: `${plan.model}@${plan.version}`}));
+export async function * callEngine(call: EngineCall): AsyncGenerator<AttemptOutput, void> {
+	const stall = new StallTimer(call.stallMilliseconds);
+	try {
+		for await (const output of attempt(call, stall)) {
+			const isStalled = stall.expired && output.type === 'broken';
+			// A reader that takes its time is no stall of the engine.
+			stall.clear();
+			yield isStalled ? {type: 'timed-out', message: `Got nothing from the engine for ${call.stallMilliseconds} ms`} : output;
+			stall.touch();
+		}
+	} finally {
+		stall.clear();
+	}
+}
+
+async function * attempt(call: EngineCall, stall: StallTimer): AsyncGenerator<AttemptOutput, void> {
 	const answer = await sendHttp({
-		address,
+		address: call.address,
 		method: 'POST',
 		path: '/v1/chat/completions',
 		headers: {
 			'content-type': 'application/json',
-			'valehitch-request-id': plan.requestId,
-			'valehitch-attempt': '1',
-			'valehitch-priority': String(plan.rule.priority),
+			'valehitch-request-id': call.requestId,
+			'valehitch-attempt': String(call.attempt),
+			'valehitch-priority': String(call.priority),
 		},
-		body,
-		signal,
+		body: new TextEncoder().encode(JSON.stringify(bodyOf(call))),
+		signal: AbortSignal.any([call.signal, stall.signal]),
 		reuseConnection: true,
 	});
-	return answer.caseOf<Promise<Either<Failure, EngineAnswer>>>({
-		Left: async ({neverSent, message}) => Left(neverSent
-			? failure('no-server', `Got no connection to the engine: ${message}`)
-			: failure('outcome-unknown', `Got no answer from the engine: ${message}`)),
-		Right: async head => readAnswer(head, call),
-	});
+	if (answer.isLeft()) {
+		const {neverSent, message} = answer.extract() as {neverSent: boolean; message: string};
+		yield {type: neverSent ? 'never-sent' : 'broken', message: `Got no answer from the engine: ${message}`};
+		return;
+	}
+
+	stall.touch();
+	yield * readAnswer(answer.unsafeCoerce(), call, stall);
+}
+
+function bodyOf({body, versionKey, streamed, resumeText}: EngineCall): Record<string, unknown> {
+	return {
+		...body,
+		model: versionKey,
+		stream: streamed,
+		...(resumeText !== '' && {resume: {text: resumeText}}),
+	};
 }
 
-async function readAnswer(head: HttpAnswer, {plan, maximumBytes}: EngineCall): Promise<Either<Failure, EngineAnswer>> {
-	if (head.status === serviceUnavailable && head.headers['valehitch-outcome'] === 'notRun') {
-		head.message.resume();
-		return Left(failure('no-server', 'Got a refusal from the engine, which did not run the request', {retryAfterMilliseconds: 1000}));
+async function * readAnswer(answer: HttpAnswer, call: EngineCall, stall: StallTimer): AsyncGenerator<AttemptOutput, void> {
+	const notRun = readNotRun(answer);
+	if (notRun !== undefined) {
+		yield notRun;
+		return;
 	}
 
-	if (head.status !== 200) {
-		head.message.resume();
-		return Left(failure('backend-failed', `Got status ${head.status} from the engine, wanted 200`));
+	if (answer.status !== okStatus) {
+		answer.message.resume();
+		yield {type: 'failed', message: `Got status ${answer.status} from the engine, wanted 200`};
+		return;
 	}
 
-	if (plan.facts.stream) {
-		return Right({type: 'stream', events: readEvents(head)});
+	if (call.streamed) {
+		yield {type: 'head', head: streamHead};
+		yield * readEngineEvents(answer.message, {
+			resumeFrom: call.resumeText.length,
+			tokensBefore: call.tokensBefore,
+			maximumBytes: call.maximumBytes,
+			onBytes() {
+				stall.touch();
+			},
+		});
+		return;
 	}
 
-	const body = await readBody(head.message, maximumBytes);
-	return body
-		.mapLeft(failed => failure('outcome-unknown', `Got no whole answer from the engine: ${failed.message}`))
-		.chain(bytes => readWhole(bytes));
+	yield * readWhole(answer, call);
 }
 
-function readWhole(body: Uint8Array): Either<Failure, EngineAnswer> {
-	try {
-		return Right({type: 'whole', body, usage: usageOf(JSON.parse(new TextDecoder().decode(body)) as UsageJson)});
-	} catch {
-		return Left(failure('backend-failed', 'Got an answer from the engine that is not JSON'));
+async function * readWhole({message}: HttpAnswer, {maximumBytes}: EngineCall): AsyncGenerator<AttemptOutput, void> {
+	const body = await readBody(message, maximumBytes);
+	if (body.isLeft()) {
+		yield {type: 'broken', message: 'Got no whole answer from the engine'};
+		return;
 	}
-}
 
-async function * readEvents({message}: HttpAnswer): AsyncGenerator<EngineEvent> {
-	const pending: string[] = [];
-	const parser = createParser({
-		onEvent({data}) {
-			pending.push(data);
-		},
-	});
-	const decoder = new TextDecoder();
-	let usage: TokenUsage = {input: 0, output: 0};
-	try {
-		for await (const chunk of message as AsyncIterable<Uint8Array>) {
-			parser.feed(decoder.decode(chunk, {stream: true}));
-			for (const data of pending.splice(0)) {
-				if (data === lastEvent) {
-					yield {type: 'done', usage};
-					return;
-				}
-
-				const json = JSON.parse(data) as UsageJson;
-				usage = json.usage ? usageOf(json) : {...usage, output: usage.output + 1};
-				yield {type: 'data', data};
-			}
-		}
-	} catch {
-		// The stream broke; what follows says so.
+	const payload = body.unsafeCoerce();
+	const usage: TokenUsage | undefined = readWholeUsage(payload);
+	if (usage === undefined) {
+		yield {type: 'failed', message: 'Got an answer from the engine that is no chat completion'};
+		return;
 	}
 
-	yield {type: 'broken', usage};
-}
-
-function usageOf({usage}: UsageJson): TokenUsage {
-	return {input: usage?.prompt_tokens ?? 0, output: usage?.completion_tokens ?? 0};
+	const length = payload.byteLength;
+	yield {type: 'head', head: {status: okStatus, headers: {'Content-Type': 'application/json', 'Content-Length': String(length)}}};
+	yield {
+		type: 'piece', piece: {
+			offset: 0, length, tokens: usage.output, payload,
+		},
+	};
+	yield {
+		type: 'complete', offset: length, usage, trailer: '',
+	};
 }
--- a/packages/daemon/src/entry/handle-caller.ts
+++ b/packages/daemon/src/entry/handle-caller.ts
@@ -1,7 +1,11 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {failure, type RequestId, toId} from '@valehitch/core';
+import {
+	type Failure, failure, type RequestId, toId,
+} from '@valehitch/core';
+import {type Either, Left, Right} from 'purify-ts';
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
+import {readCallerHeaders} from './caller-headers.js';
 import {type EntryContext} from './entry-context.js';
 import {type AuthenticatedCall, handleChat} from './handle-chat.js';
 import {handleService} from './handle-service.js';
@@ -35,11 +39,21 @@
 		context.metrics.timing('request.duration', context.clock.monotonic() - started);
 	});
 	context.timeline.record('request-received', {requestId, details: {method: request.method, path: request.url}});
-	const call = authenticate({request, response, requestId}, context);
-	if (call === undefined) {
+	const call = authenticate({
+		request, response, requestId, arrivedAt: started,
+	}, context);
+	if (call.isLeft()) {
+		request.resume();
+		refuse({response, requestId}, call.extract(), context);
 		return;
 	}
 
+	await route(call.unsafeCoerce(), context);
+}
+
+async function route(call: AuthenticatedCall, context: EntryContext): Promise<void> {
+	const {request, response, requestId} = call;
+
 	if (request.url === '/v1/chat/completions') {
 		await handleChatPath(call, context);
 	} else if (request.url?.startsWith('/services/') === true) {
@@ -61,27 +75,26 @@
 	await handleChat(call, context);
 }
 
-type Arrival = Pick<AuthenticatedCall, 'request' | 'response' | 'requestId'>;
+type Arrival = Pick<AuthenticatedCall, 'request' | 'response' | 'requestId' | 'arrivedAt'>;
 
-function authenticate(arrival: Arrival, context: EntryContext): AuthenticatedCall | undefined {
+function authenticate(arrival: Arrival, context: EntryContext): Either<Failure, AuthenticatedCall> {
 	if (context.requests.stopping) {
-		refuse(arrival, failure('shutting-down', 'Got a request during a planned stop', {retryAfterMilliseconds: retryAfterStopMilliseconds}), context);
-		return undefined;
+		return Left(failure('shutting-down', 'Got a request during a planned stop', {retryAfterMilliseconds: retryAfterStopMilliseconds}));
 	}
 
 	const active = context.active();
 	if (active === undefined) {
-		refuse(arrival, failure('no-configuration', 'Got a request before the first configuration', {retryAfterMilliseconds: retryAfterStopMilliseconds}), context);
-		return undefined;
+		return Left(failure('no-configuration', 'Got a request before the first configuration', {retryAfterMilliseconds: retryAfterStopMilliseconds}));
 	}
 
-	const workspace = active.workspaces.get(bearerDigest(arrival.request) ?? '');
-	if (workspace === undefined) {
-		refuse(arrival, failure('unauthenticated', 'Got no key of a workspace, wanted Authorization: Bearer KEY'), context);
-		return undefined;
-	}
-
-	return {...arrival, workspace, active};
+	return readCallerHeaders(arrival.request).chain(headers => {
+		const workspace = active.workspaces.get(bearerDigest(arrival.request) ?? '');
+		return workspace === undefined
+			? Left(failure('unauthenticated', 'Got no key of a workspace, wanted Authorization: Bearer KEY'))
+			: Right({
+				...arrival, workspace, headers, active,
+			});
+	});
 }
 
 function answerHealth(response: ServerResponse, context: EntryContext): void {
--- a/packages/daemon/src/entry/handle-chat.ts
+++ b/packages/daemon/src/entry/handle-chat.ts
@@ -1,15 +1,17 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {
-	costOf, type Failure, type RequestId, type ServerId, type TokenUsage, type WorkspaceId,
-} from '@valehitch/core';
-import {readBody} from '@valehitch/transport';
-import {type Either, Left, Right} from 'purify-ts';
-import {type KnownServer} from '@valehitch/membership';
+import {type RequestId, toId, type WorkspaceId} from '@valehitch/core';
+import {type IdempotencyKey} from '@valehitch/control';
+import {type RequestPlan} from '@valehitch/routing';
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
+import {sha256} from '../digest.js';
+import {type CallerHeaders} from './caller-headers.js';
+import {chatAdapter} from './chat-adapter.js';
 import {parseChatBody} from './chat-body.js';
-import {callEngine, type EngineAnswer} from './engine-call.js';
 import {type EntryContext} from './entry-context.js';
+import {type RequestKey} from './life/request-claim.js';
+import {RequestRun} from './life/request-run.js';
 import {type ChatPlan, planChat} from './plan-chat.js';
+import {readCallerBody} from './read-caller-body.js';
 import {refuse} from './refuse.js';
 
 /** An authenticated request of a caller. */
@@ -18,11 +20,12 @@
 	readonly response: ServerResponse;
 	readonly requestId: RequestId;
 	readonly workspace: WorkspaceId;
+	readonly headers: CallerHeaders;
 	readonly active: ActiveConfiguration;
+	/** When the request arrived, in milliseconds on the monotonic clock. */
+	readonly arrivedAt: number;
 };
 
-const maximumAttempts = 3;
-
 /**
 Serves one chat completion from the body to the settled bill.
 
@@ -34,134 +37,55 @@
 ```
 */
 export async function handleChat(call: AuthenticatedCall, context: EntryContext): Promise<void> {
-	const body = await readBody(call.request, context.settings.limits.bodyBytes);
+	const body = await readCallerBody(call.request, context.settings.limits.bodyBytes);
 	const planned = body.chain(parseChatBody).chain(parsed => planChat({...call, body: parsed}, context));
 	if (planned.isLeft()) {
 		refuse(call, planned.extract(), context);
 		return;
 	}
 
-	const plan = planned.extract() as ChatPlan;
-	const abort = new AbortController();
-	call.response.on('close', () => {
-		abort.abort();
-	});
-	const result = await dispatch({call, plan, signal: abort.signal}, context);
-	if (result.isLeft()) {
-		refuse(call, result.extract(), context);
-	}
+	const chat = planned.unsafeCoerce();
+	const key = requestKey(call, body.unsafeCoerce());
+	const plan = lifePlan(call, {chat, claimed: key !== undefined});
+	const adapter = chatAdapter(chat, {context, deadline: plan.deadline});
+	await new RequestRun({
+		...call, plan, adapter, key, context,
+	}).run();
 }
 
-type Dispatch = {
-	readonly call: AuthenticatedCall;
-	readonly plan: ChatPlan;
-	readonly signal: AbortSignal;
-};
-
-async function dispatch(work: Dispatch, context: EntryContext): Promise<Either<Failure, void>> {
-	const tried = new Set<ServerId>();
-	let lastFailure: Failure | undefined;
-	for (let attempt = 0; attempt < maximumAttempts; attempt++) {
-		const server = context.servers.chooseEngine(work.plan, tried);
-		if (server === undefined) {
-			break;
-		}
-
-		tried.add(server.announcement.server);
-		const result = await attemptOn(server, work, context);
-		if (result.isRight()) {
-			return Right(undefined);
-		}
-
-		const failed = result.extract() as Failure;
-		if (failed.kind !== 'no-server') {
-			return Left(failed);
-		}
-
-		lastFailure = failed;
-	}
-
-	return Left(lastFailure ?? {
-		kind: 'no-server', message: `Got no engine with ${work.plan.model} ${work.plan.version}`, retryAfterMilliseconds: 1000,
-	});
-}
+/**
+The idempotency key of a request, where it carries one, with the digest of method, path and body.
 
-async function attemptOn(server: KnownServer, {call, plan, signal}: Dispatch, context: EntryContext): Promise<Either<Failure, void>> {
-	context.timeline.record('request-dispatched', {
-		requestId: plan.requestId, workspace: plan.workspace, model: plan.model, version: plan.version, server: server.announcement.server,
-	});
-	server.inFlight++;
-	try {
-		const answer = await callEngine({
-			plan, address: server.announcement.address, signal, maximumBytes: context.settings.limits.bodyBytes,
-		});
-		return await answer.caseOf<Promise<Either<Failure, void>>>({
-			Left: async failed => Left(failed),
-			Right: async engineAnswer => relay({
-				call, plan, server, answer: engineAnswer,
-			}, context),
-		});
-	} finally {
-		server.inFlight--;
-	}
+@param call The request.
+@param body Its body.
+@returns The key, or undefined where there is none.
+@example
+```ts
+requestKey(call, body)?.digest;
+```
+*/
+export function requestKey({request, headers}: Pick<AuthenticatedCall, 'request' | 'headers'>, body: Uint8Array): RequestKey | undefined {
+	return headers.key === undefined
+		? undefined
+		: {key: toId<IdempotencyKey>(headers.key), digest: sha256(`${request.method ?? ''}\n${request.url ?? ''}\n${sha256(body)}`)};
 }
 
-type Relay = {
-	readonly call: AuthenticatedCall;
-	readonly plan: ChatPlan;
-	readonly server: KnownServer;
-	readonly answer: EngineAnswer;
+type ChatLife = {
+	readonly chat: ChatPlan;
+	readonly claimed: boolean;
 };
 
-async function relay(work: Relay, context: EntryContext): Promise<Either<Failure, void>> {
-	const {call: {response}, plan, answer} = work;
-	response.setHeader('Valehitch-Request-Id', plan.requestId);
-	response.setHeader('Valehitch-Model', plan.model);
-	response.setHeader('Valehitch-Version', plan.version);
-	if (plan.sessionToken !== undefined) {
-		response.setHeader('Valehitch-Session', plan.sessionToken);
-	}
-
-	if (answer.type === 'whole') {
-		await settle(work, answer.usage, context);
-		response.setHeader('Content-Type', 'application/json');
-		response.end(answer.body);
-		return Right(undefined);
-	}
-
-	response.setHeader('Content-Type', 'text/event-stream');
-	for await (const event of answer.events) {
-		if (event.type === 'data') {
-			response.write(`data: ${event.data}\n\n`);
-			continue;
-		}
-
-		if (event.type === 'broken') {
-			await settle(work, event.usage, context, 'failed');
-			response.destroy();
-			return Right(undefined);
-		}
-
-		await settle(work, event.usage, context);
-		response.end('data: [DONE]\n\n');
-	}
-
-	return Right(undefined);
+function lifePlan({headers, arrivedAt}: AuthenticatedCall, {chat, claimed}: ChatLife): RequestPlan {
+	const {model, version, rule, facts, sessionToken} = chat;
+	return {
+		target: {type: 'version', model, version},
+		session: sessionToken === undefined ? 'none' : 'token',
+		repeatable: true,
+		claimed,
+		finishWithoutCaller: claimed,
+		streamed: facts.stream,
+		judged: false,
+		deadline: arrivedAt + Math.min(rule.deadlineMilliseconds, headers.deadlineMilliseconds ?? rule.deadlineMilliseconds),
+		promptTokens: facts.promptTokens,
+	};
 }
-
-async function settle({plan, server}: Relay, usage: TokenUsage, context: EntryContext, outcome: 'answered' | 'failed' = 'answered'): Promise<void> {
-	const prices = context.active()?.effective.document.models[plan.model]?.versions[plan.version]?.prices ?? {input: 0, output: 0};
-	const cost = costOf(prices, usage);
-	await context.bills.settle({
-		workspace: plan.workspace,
-		request: plan.requestId,
-		instance: context.settings.instance,
-		lines: [{
-			server: server.announcement.server, model: plan.model, version: plan.version, usage, cost, purpose: 'first',
-		}],
-		total: cost,
-		outcome,
-		settledAt: context.clock.now().getTime(),
-	});
-}
-
--- /dev/null
+++ b/packages/daemon/src/entry/life/output-event.ts
@@ -0,0 +1,33 @@
+import {type AttemptEvent} from '@valehitch/routing';
+import {match} from 'ts-pattern';
+import {type AttemptOutput} from '../attempt-output.js';
+
+/**
+Makes the event in the life of a request from what came of an attempt.
+
+@param attempt The attempt's number.
+@param output What came of it.
+@returns The event.
+@example
+```ts
+toRequestEvent(1, {type: 'never-sent', message: 'Got no connection'}); // {type: 'attempt-never-sent', attempt: 1}
+```
+*/
+export function toRequestEvent(attempt: number, output: AttemptOutput): AttemptEvent {
+	return match<AttemptOutput, AttemptEvent>(output)
+		.with({type: 'never-sent'}, () => ({type: 'attempt-never-sent', attempt}))
+		.with({type: 'not-run'}, ({retryAfterMilliseconds}) => ({
+			type: 'attempt-not-run', attempt, ...(retryAfterMilliseconds !== undefined && {retryAfterMilliseconds}),
+		}))
+		.with({type: 'head'}, () => ({type: 'attempt-head', attempt}))
+		.with({type: 'piece'}, ({piece: {offset, length, tokens}}) => ({
+			type: 'attempt-piece', attempt, offset, length, tokens,
+		}))
+		.with({type: 'complete'}, ({offset, usage}) => ({
+			type: 'attempt-complete', attempt, offset, usage,
+		}))
+		.with({type: 'failed'}, ({message}) => ({type: 'attempt-failed', attempt, message}))
+		.with({type: 'broken'}, ({message}) => ({type: 'attempt-broken', attempt, message}))
+		.with({type: 'timed-out'}, () => ({type: 'attempt-timed-out', attempt}))
+		.exhaustive();
+}
--- /dev/null
+++ b/packages/daemon/src/entry/life/request-bill.ts
@@ -0,0 +1,87 @@
+import {
+	type Bill, type BillLine, type RequestId, sumOf, type WorkspaceId,
+} from '@valehitch/core';
+import {type AttemptLine, type PreparationAction, type RequestEvent} from '@valehitch/routing';
+import {type EntryContext} from '../entry-context.js';
+import {type RequestAdapter} from './request-adapter.js';
+
+/** Asks for the settlement of the bill. */
+export type SettleBillAction = Extract<PreparationAction, {readonly type: 'settle-bill'}>;
+
+/** What the bill of a request needs. */
+export type RequestBillOptions = {
+	readonly workspace: WorkspaceId;
+	readonly requestId: RequestId;
+	readonly costOf: RequestAdapter['costOf'];
+	readonly context: Pick<EntryContext, 'bills' | 'clock' | 'settings' | 'timeline'>;
+};
+
+/**
+The bill of one request: opened before the first dispatch, settled before the last byte.
+
+@example
+```ts
+const event = await bill.open();
+await bill.settle({type: 'settle-bill', outcome: 'answered', lines});
+```
+*/
+export class RequestBill {
+	readonly #options: RequestBillOptions;
+
+	constructor(options: RequestBillOptions) {
+		this.#options = options;
+	}
+
+	/**
+	Opens the bill.
+
+	@returns The event that tells whether a second instance holds it.
+	*/
+	async open(): Promise<RequestEvent> {
+		const {context: {bills, clock, timeline}, workspace, requestId} = this.#options;
+		const opened = await bills.open({workspace, request: requestId, openedAt: clock.now().getTime()});
+		timeline.record('bill-opened', {requestId, workspace, details: {opened: opened.isRight()}});
+		return opened.caseOf<RequestEvent>({
+			Left: failed => ({type: 'bill-not-possible', failure: failed}),
+			Right: () => ({type: 'bill-opened'}),
+		});
+	}
+
+	/**
+	Settles the bill with a line for each attempt that ran or may have run; one that provably did not run has no bill.
+
+	@param settlement How the request ended, and its attempts.
+	@returns When a second instance or the ledger has it.
+	*/
+	async settle({outcome, lines: attempts}: SettleBillAction): Promise<void> {
+		const {context: {bills, clock, settings, timeline}, workspace, requestId} = this.#options;
+		const lines = attempts.filter(attempt => attempt.outcome !== 'notRun').map(attempt => this.#toLine(attempt));
+		if (lines.length === 0) {
+			bills.discard(requestId);
+			return;
+		}
+
+		const bill: Bill = {
+			workspace,
+			request: requestId,
+			instance: settings.instance,
+			lines,
+			total: sumOf(lines.map(({cost}) => cost)),
+			outcome,
+			settledAt: clock.now().getTime(),
+		};
+		timeline.record('bill-settled', {requestId, workspace, details: {total: bill.total, outcome}});
+		await bills.settle(bill);
+	}
+
+	/** An attempt that may have run without a word from its server costs nothing. */
+	#toLine({target, server, usage, outcome, purpose}: AttemptLine): BillLine {
+		const cost = outcome === 'ran' ? this.#options.costOf(target, usage) : sumOf([]);
+		const line = {
+			server, usage, cost, purpose,
+		};
+		return target.type === 'version'
+			? {...line, model: target.model, version: target.version}
+			: {...line, service: target.service};
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/entry/life/request-claim.ts
@@ -0,0 +1,87 @@
+import {
+	type ClaimOutcome, type ClaimSettlement, type IdempotencyKey, type KeptAnswer,
+} from '@valehitch/control';
+import {type RequestId, type WorkspaceId} from '@valehitch/core';
+import {type ClaimOutcome as ClaimEnd, type RequestEvent} from '@valehitch/routing';
+import {match} from 'ts-pattern';
+import {type EntryContext} from '../entry-context.js';
+
+/** The idempotency key of a request, and the digest that tells it from another under the same key. */
+export type RequestKey = {
+	readonly key: IdempotencyKey;
+	readonly digest: string;
+};
+
+/** What the claim of a request needs. */
+export type RequestClaimOptions = RequestKey & {
+	readonly workspace: WorkspaceId;
+	readonly requestId: RequestId;
+	readonly context: Pick<EntryContext, 'claims' | 'timeline'>;
+};
+
+const retryAfterMilliseconds = 1000;
+
+/**
+The claim of one request on its idempotency key.
+
+@example
+```ts
+const event = await claim.take();
+claim.settle('released', undefined);
+```
+*/
+export class RequestClaim {
+	readonly #options: RequestClaimOptions;
+	#kept: KeptAnswer | undefined;
+
+	constructor(options: RequestClaimOptions) {
+		this.#options = options;
+	}
+
+	/** What the claim kept of an earlier request under the same key. */
+	get kept(): KeptAnswer | undefined {
+		return this.#kept;
+	}
+
+	/**
+	Takes the claim.
+
+	@returns The event that tells where it stands.
+	*/
+	async take(): Promise<RequestEvent> {
+		const {context, workspace, requestId, key, digest} = this.#options;
+		const outcome = await context.claims.take({
+			workspace, key, requestDigest: digest, request: requestId,
+		});
+		context.timeline.record('claim-taken', {requestId, workspace, details: {answer: outcome.map(({type}) => type as string).orDefault('no-quorum')}});
+		return outcome.caseOf<RequestEvent>({
+			Left: failed => ({type: 'claim-answered', answer: 'no-quorum', retryAfterMilliseconds: failed.retryAfterMilliseconds ?? retryAfterMilliseconds}),
+			Right: found => this.#answered(found),
+		});
+	}
+
+	/**
+	Settles the claim; the settlement is sent until it is acknowledged.
+
+	@param end How it ended.
+	@param answer The whole answer, where there is one.
+	*/
+	settle(end: ClaimEnd, answer: KeptAnswer | undefined): void {
+		const {context, workspace, requestId, key} = this.#options;
+		context.timeline.record('claim-settled', {requestId, workspace, details: {outcome: end}});
+		const settlement: ClaimSettlement = end === 'done' && answer !== undefined
+			? {type: 'done', answer}
+			: {type: end === 'released' ? 'released' : 'unknown'};
+		context.claims.settle({workspace, key, request: requestId}, settlement);
+	}
+
+	#answered(outcome: ClaimOutcome): RequestEvent {
+		return match<ClaimOutcome, RequestEvent>(outcome)
+			.with({type: 'done'}, ({answer}) => {
+				this.#kept = answer;
+				return {type: 'claim-answered', answer: 'done'};
+			})
+			.with({type: 'released'}, {type: 'expired'}, () => ({type: 'claim-answered', answer: 'no-quorum', retryAfterMilliseconds}))
+			.otherwise(({type}) => ({type: 'claim-answered', answer: type, retryAfterMilliseconds}));
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/entry/life/request-run.ts
@@ -0,0 +1,329 @@
+import {type ServerResponse} from 'node:http';
+import {type RequestId, type WorkspaceId} from '@valehitch/core';
+import {type KnownServer} from '@valehitch/membership';
+import {
+	type CallerAction, type ClaimOutcome, type DispatchDenial, type RequestAction, type RequestEvent, type RequestPlan, type RequestState, type RequestStep, type RequestTarget, startRequest, stepRequest,
+} from '@valehitch/routing';
+import {match} from 'ts-pattern';
+import {type AnswerPiece, type AttemptOutput} from '../attempt-output.js';
+import {type EntryContext} from '../entry-context.js';
+import {findServer} from '../find-server.js';
+import {type Attempt, AttemptSet} from './attempt-set.js';
+import {LifeTimers} from './life-timers.js';
+import {toRequestEvent} from './output-event.js';
+import {type ChooseServerAction, type DispatchAction, type RequestAdapter} from './request-adapter.js';
+import {RequestAnswer} from './request-answer.js';
+import {RequestBill, type SettleBillAction} from './request-bill.js';
+import {RequestClaim, type RequestKey} from './request-claim.js';
+
+/** One request to carry through its life. */
+export type RequestRunOptions = {
+	readonly response: ServerResponse;
+	readonly requestId: RequestId;
+	readonly workspace: WorkspaceId;
+	readonly plan: RequestPlan;
+	readonly adapter: RequestAdapter;
+	/** Given where the plan takes a claim. */
+	readonly key: RequestKey | undefined;
+	readonly context: EntryContext;
+};
+
+type Item = {
+	readonly event: RequestEvent;
+	readonly piece?: AnswerPiece | undefined;
+};
+
+const retryAfterMilliseconds = 1000;
+
+/**
+Carries one request through its life: the actions of the state machine become input and output, and what comes of them becomes its events.
+
+@example
+```ts
+await new RequestRun(options).run();
+```
+*/
+export class RequestRun {
+	readonly #options: RequestRunOptions;
+	readonly #answer: RequestAnswer;
+	readonly #claim: RequestClaim | undefined;
+	readonly #bill: RequestBill;
+	readonly #attempts: AttemptSet;
+	readonly #timers: LifeTimers;
+	readonly #queue: Item[] = [];
+	#onEnded: (() => void) | undefined;
+	#state: RequestState | undefined;
+	#stepping = false;
+	#inHand: AnswerPiece | undefined;
+
+	constructor(options: RequestRunOptions) {
+		const {requestId, context, plan, adapter, key} = options;
+		this.#options = options;
+		this.#answer = new RequestAnswer({...options, headersOf: adapter.headersOf, claimed: plan.claimed});
+		this.#bill = new RequestBill({...options, costOf: adapter.costOf});
+		this.#claim = key && new RequestClaim({...options, ...key});
+		this.#timers = new LifeTimers({
+			clock: context.clock,
+			onDue: timer => {
+				this.take({type: 'timer', timer});
+			},
+		});
+		this.#attempts = new AttemptSet({
+			onOutput: (attempt, output) => {
+				this.#takeOutput(attempt, output);
+			},
+			onError(error) {
+				context.log.error({err: error, requestId}, 'An attempt failed in its adapter');
+			},
+			drained: async () => this.#answer.drained(),
+		});
+	}
+
+	/**
+	Begins the life of the request.
+
+	@returns When it ended.
+	*/
+	async run(): Promise<void> {
+		const {response, plan, context} = this.#options;
+		const ended = new Promise<void>(resolve => {
+			this.#onEnded = resolve;
+		});
+		context.runs.add(this);
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				this.take({type: 'caller-left'});
+			}
+		});
+		this.#carryOut(startRequest(plan));
+		this.#drain();
+		await ended;
+		context.runs.delete(this);
+	}
+
+	/**
+	Takes an event; one that comes while actions are carried out waits for its turn.
+
+	@param event The event.
+	@param piece The piece that came with it.
+	*/
+	take(event: RequestEvent, piece?: AnswerPiece): void {
+		this.#queue.push({event, piece});
+		this.#drain();
+	}
+
+	#drain(): void {
+		while (!this.#stepping && this.#state !== undefined) {
+			const item = this.#queue.shift();
+			if (item === undefined) {
+				return;
+			}
+
+			this.#inHand = item.piece;
+			this.#carryOut(stepRequest(this.#state, {event: item.event, now: this.#options.context.clock.monotonic()}));
+		}
+	}
+
+	#carryOut({state, actions}: RequestStep): void {
+		this.#stepping = true;
+		const isEnd = state.stage === 'ended' && this.#state?.stage !== 'ended';
+		this.#state = state;
+		for (const action of actions) {
+			this.#act(action);
+		}
+
+		this.#stepping = false;
+		if (isEnd) {
+			this.#timers.clearAll();
+			this.#attempts.cancelAll();
+			this.#onEnded?.();
+		}
+	}
+
+	#act(action: RequestAction): void {
+		match(action)
+			.with({type: 'request-admission'}, () => {
+				void this.#admit();
+			})
+			.with({type: 'pin-session'}, ({target}) => {
+				this.take({type: 'session-pinned', target});
+			})
+			.with({type: 'take-claim'}, () => {
+				void this.#takeClaim();
+			})
+			.with({type: 'settle-claim'}, ({outcome: end}) => {
+				this.#settleClaim(end);
+			})
+			.with({type: 'open-bill'}, () => {
+				void this.#openBill();
+			})
+			.with({type: 'settle-bill'}, settlement => {
+				void this.#settleBill(settlement);
+			})
+			.with({type: 'choose-version'}, ({lost}) => {
+				this.#chooseVersion(lost);
+			})
+			.with({type: 'choose-server'}, choice => {
+				this.#chooseServer(choice);
+			})
+			.with({type: 'dispatch'}, dispatch => {
+				this.#dispatch(dispatch);
+			})
+			.with({type: 'cancel-attempt'}, ({attempt}) => {
+				this.#attempts.cancel(attempt);
+			})
+			.with({type: 'judge-attempt'}, ({attempt}) => {
+				this.#judge(attempt);
+			})
+			.with({type: 'set-timer'}, ({timer, at}) => {
+				this.#timers.set(timer, at);
+			})
+			.with({type: 'clear-timer'}, ({timer}) => {
+				this.#timers.clear(timer);
+			})
+			.otherwise(towardsCaller => {
+				this.#tell(towardsCaller);
+			});
+	}
+
+	#tell(action: CallerAction): void {
+		match(action)
+			.with({type: 'forward-piece'}, ({attempt}) => {
+				this.#forward(attempt, this.#inHand === undefined ? [] : [this.#inHand]);
+			})
+			.with({type: 'hold-piece'}, () => {
+				// The attempt keeps its pieces as they come.
+			})
+			.with({type: 'forward-held'}, ({attempt}) => {
+				this.#forward(attempt, this.#attempts.get(attempt)?.pieces ?? []);
+			})
+			.with({type: 'drop-held'}, ({attempt}) => {
+				this.#attempts.get(attempt)?.pieces.splice(0);
+			})
+			.with({type: 'finish-answer'}, ({attempt}) => {
+				this.#answer.finish(this.#attempts.get(attempt), this.#target);
+			})
+			.with({type: 'replay-answer'}, () => {
+				this.#answer.replay(this.#claim?.kept);
+			})
+			.with({type: 'refuse'}, ({failure: failed}) => {
+				this.#answer.refuse(failed);
+			})
+			.exhaustive();
+	}
+
+	async #admit(): Promise<void> {
+		this.take(await this.#options.context.admit(this.#options));
+	}
+
+	async #takeClaim(): Promise<void> {
+		this.take(await this.#claim?.take() ?? {type: 'claim-answered', answer: 'taken'});
+	}
+
+	#settleClaim(end: ClaimOutcome): void {
+		const leader = this.#state?.leader;
+		const attempt: Attempt | undefined = leader === undefined ? undefined : this.#attempts.get(leader);
+		this.#claim?.settle(end, this.#answer.keptAnswer(attempt, this.#target));
+	}
+
+	async #openBill(): Promise<void> {
+		this.take(await this.#bill.open());
+	}
+
+	async #settleBill(settlement: SettleBillAction): Promise<void> {
+		await this.#bill.settle(settlement);
+		this.take({type: 'bill-settled'});
+	}
+
+	#chooseVersion(lost: RequestTarget): void {
+		this.take(this.#options.adapter.chooseVersion(lost).caseOf<RequestEvent>({
+			Left: failed => ({type: 'no-version', failure: failed}),
+			Right: ({target, judged}) => ({type: 'version-chosen', target, judged}),
+		}));
+	}
+
+	#chooseServer(action: ChooseServerAction): void {
+		const {attempt, purpose} = action;
+		if (purpose === 'resume' && !this.#answer.isResumable) {
+			this.take({
+				type: 'no-server', attempt, reason: 'none', retryAfterMilliseconds,
+			});
+			return;
+		}
+
+		const choice = this.#options.adapter.chooseServer(action);
+		this.take(choice.type === 'chosen'
+			? {type: 'server-chosen', attempt, server: choice.server}
+			: {
+				type: 'no-server', attempt, reason: choice.reason, retryAfterMilliseconds: choice.retryAfterMilliseconds,
+			});
+	}
+
+	#dispatch(dispatch: DispatchAction): void {
+		const {context, adapter, workspace, requestId} = this.#options;
+		const {attempt, server, target, purpose, resumeFrom} = dispatch;
+		const known = findServer(context.servers, server);
+		const denial = adapter.denialOf(target) ?? denialOf(known);
+		if (denial !== undefined || known === undefined) {
+			this.take({type: 'dispatch-denied', attempt, reason: denial ?? 'server-gone'});
+			return;
+		}
+
+		context.timeline.record('request-dispatched', {
+			requestId, workspace, server, ...(target.type === 'version' && {model: target.model, version: target.version}), details: {attempt, purpose, resumeFrom},
+		});
+		void this.#send(dispatch, known);
+	}
+
+	async #send(dispatch: DispatchAction, server: KnownServer): Promise<void> {
+		const {adapter} = this.#options;
+		const {attempt: number, resumeFrom} = dispatch;
+		const before = resumeFrom === 0 ? {text: '', tokens: 0} : this.#answer.soFar;
+		server.inFlight++;
+		await this.#attempts.start({
+			number,
+			resumeFrom,
+			call: signal => adapter.send({
+				dispatch, address: server.announcement.address, signal, before,
+			}),
+		});
+		server.inFlight--;
+	}
+
+	#takeOutput(number: number, output: AttemptOutput): void {
+		if (output.type === 'piece' && this.#keepsPieces()) {
+			this.#attempts.get(number)?.pieces.push(output.piece);
+		}
+
+		this.take(toRequestEvent(number, output), output.type === 'piece' ? output.piece : undefined);
+	}
+
+	#keepsPieces(): boolean {
+		const {plan} = this.#options;
+		return plan.claimed || !plan.streamed || this.#state?.judged === true;
+	}
+
+	#judge(attempt: number): void {
+		const pieces = this.#attempts.get(attempt)?.pieces ?? [];
+		this.take({type: 'attempt-judged', attempt, ...this.#options.adapter.judge(this.#target, pieces)});
+	}
+
+	#forward(number: number, pieces: readonly AnswerPiece[]): void {
+		const attempt = this.#attempts.get(number);
+		for (const piece of pieces) {
+			this.#answer.forward(attempt, piece, this.#target);
+		}
+	}
+
+	get #target(): RequestTarget {
+		return this.#state?.target ?? this.#options.plan.target;
+	}
+}
+
+function denialOf(server: KnownServer | undefined): DispatchDenial | undefined {
+	if (server === undefined) {
+		return 'server-gone';
+	}
+
+	return server.announcement.shuttingDown ? 'server-draining' : undefined;
+}
--- a/packages/daemon/src/entry/plan-chat.ts
+++ b/packages/daemon/src/entry/plan-chat.ts
@@ -1,13 +1,14 @@
-import {type IncomingMessage} from 'node:http';
 import {
 	type Failure, failure, type ModelId, type PolicyRule, type RequestFacts, type RequestId, toId, type VersionId, type WorkspaceId,
 } from '@valehitch/core';
 import {chooseVersion} from '@valehitch/policy';
 import {type Either, Left, Right} from 'purify-ts';
-import {readSessionToken, writeSessionToken} from '@valehitch/routing';
+import {writeSessionToken} from '@valehitch/routing';
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
+import {type CallerHeaders} from './caller-headers.js';
 import {type ChatBody, factsOf} from './chat-body.js';
 import {type EntryContext} from './entry-context.js';
+import {sessionOf} from './session-of.js';
 
 /** A chat request with its model and version chosen. */
 export type ChatPlan = {
@@ -26,7 +27,7 @@
 export type ChatArrival = {
 	readonly requestId: RequestId;
 	readonly workspace: WorkspaceId;
-	readonly request: IncomingMessage;
+	readonly headers: CallerHeaders;
 	readonly body: ChatBody;
 	readonly active: ActiveConfiguration;
 };
@@ -46,50 +47,39 @@
 ```
 */
 export function planChat(arrival: ChatArrival, context: EntryContext): Either<Failure, ChatPlan> {
-	const {request, body, workspace, active} = arrival;
-	const sessionHeader = headerText(request, 'valehitch-session');
-	const facts = factsOf(body, {class: headerText(request, 'valehitch-class'), session: sessionHeader !== ''});
+	const {headers, body, workspace, active} = arrival;
+	const facts = factsOf(body, {class: headers.class, session: headers.session !== ''});
 	const rule = active.policies.get(workspace)?.(facts);
 	if (rule === undefined) {
 		return Left(failure('forbidden', `Got a request that no policy rule of workspace ${workspace} covers`));
 	}
 
-	if (sessionHeader !== '' && sessionHeader !== newSession) {
-		return continueSession({
-			...arrival, facts, rule, token: sessionHeader,
-		}, context);
-	}
-
-	return chooseFresh({
-		...arrival, facts, rule, session: sessionHeader === newSession,
-	}, context);
+	return headers.session === '' || headers.session === newSession
+		? chooseFresh({...arrival, facts, rule}, context)
+		: continueSession({...arrival, facts, rule}, context);
 }
 
 type Classified = ChatArrival & {readonly facts: RequestFacts; readonly rule: PolicyRule};
 
-function continueSession(arrival: Classified & {readonly token: string}, context: EntryContext): Either<Failure, ChatPlan> {
-	return readSessionToken(arrival.token, context.settings.keys.sessions).chain(session => {
-		if (session.workspace !== arrival.workspace) {
-			return Left(failure('session-invalid', 'Got a session token of another workspace'));
-		}
-
-		const {model, version} = session;
-		const {document} = arrival.active.effective;
+function continueSession(arrival: Classified, context: EntryContext): Either<Failure, ChatPlan> {
+	const {workspace, headers, active} = arrival;
+	return sessionOf(headers.session, {workspace, keys: context.settings.keys.sessions}).chain(({model, version}) => {
+		const {document} = active.effective;
 		const state = document.models[model]?.versions[version]?.state ?? 'withdrawn';
-		if (state === 'withdrawn' || document.workspaces[arrival.workspace]?.allowed[model]?.includes(version) !== true) {
+		if (state === 'withdrawn' || document.workspaces[workspace]?.allowed[model]?.includes(version) !== true) {
 			return Left(failure('session-ended', `Got a session on ${model} ${version}, which is withdrawn or no longer allowed; wanted a new session`));
 		}
 
 		return Right({
-			...planOf(arrival), model, version, sessionToken: arrival.token,
+			...planOf(arrival), model, version, sessionToken: headers.session,
 		});
 	});
 }
 
-function chooseFresh(arrival: Classified & {readonly session: boolean}, context: EntryContext): Either<Failure, ChatPlan> {
-	const {workspace, facts, rule, active, requestId} = arrival;
+function chooseFresh(arrival: Classified, context: EntryContext): Either<Failure, ChatPlan> {
+	const {workspace, facts, rule, active, requestId, headers} = arrival;
 	const named = facts.model === automaticModel ? undefined : toId<ModelId>(facts.model);
-	if (named !== undefined && active.effective.document.models[named] === undefined) {
+	if (named !== undefined && !Object.hasOwn(active.effective.document.models, named)) {
 		return Left(failure('unknown-model', `Got model ${facts.model}, wanted auto or a configured model`));
 	}
 
@@ -103,7 +93,7 @@
 		...planOf(arrival),
 		model,
 		version,
-		...(arrival.session && {
+		...(headers.session === newSession && {
 			sessionToken: writeSessionToken({
 				workspace, model, version, startedAt: context.clock.now().getTime(),
 			}, context.settings.keys.sessions),
@@ -116,8 +106,3 @@
 		requestId, workspace, rule, facts, body,
 	};
 }
-
-function headerText(request: IncomingMessage, name: string): string {
-	const value = request.headers[name];
-	return typeof value === 'string' ? value : '';
-}
--- /dev/null
+++ b/packages/daemon/src/entry/service-adapter.ts
@@ -0,0 +1,100 @@
+import {
+	failure, type Micros, type ServiceId, toId,
+} from '@valehitch/core';
+import {type DispatchDenial, type RequestTarget} from '@valehitch/routing';
+import {Left} from 'purify-ts';
+import {type EntryContext} from './entry-context.js';
+import {type AuthenticatedCall} from './handle-chat.js';
+import {
+	type ChooseServerAction, type RequestAdapter, type SendOptions, type ServerChoice,
+} from './life/request-adapter.js';
+import {callService} from './service-call.js';
+import {stallMillisecondsOf} from './stall-milliseconds.js';
+
+/** A call to a plain service that is ready to be sent. */
+export type ServicePlan = {
+	readonly call: AuthenticatedCall;
+	readonly service: ServiceId;
+	/** The path with its query, without the prefix of the service. */
+	readonly path: string;
+	readonly body: Uint8Array;
+	readonly repeatable: boolean;
+};
+
+/** What a service adapter needs besides the plan. */
+export type ServiceAdapterOptions = {
+	readonly context: EntryContext;
+	/** When the answer is due, in milliseconds on the monotonic clock. */
+	readonly deadline: number;
+};
+
+const retryAfterMilliseconds = 1000;
+const microsPerUnit = 1_000_000;
+
+/**
+Makes the adapter of a call to a plain service.
+
+@param plan The call.
+@param options What the entry works with, and the deadline.
+@returns The adapter.
+@example
+```ts
+const adapter = serviceAdapter(plan, {context, deadline});
+```
+*/
+export function serviceAdapter(plan: ServicePlan, {context, deadline}: ServiceAdapterOptions): RequestAdapter {
+	return {
+		chooseServer: action => chooseInstance(action, {plan, context}),
+		denialOf: () => denialOf(plan, context),
+		send: options => send(options, {plan, context, deadline}),
+		chooseVersion: lost => Left(failure('forbidden', `Got a call to service ${nameOf(lost)}, which the workspace may not use any more`)),
+		judge: () => ({verdict: 'accepted'}),
+		costOf: () => priceOf(plan.service, context),
+		headersOf: () => ({}),
+	};
+}
+
+type Surroundings = {
+	readonly plan: ServicePlan;
+	readonly context: EntryContext;
+};
+
+function chooseInstance({excluded}: ChooseServerAction, {plan, context}: Surroundings): ServerChoice {
+	const server = context.servers.chooseService(plan.service, new Set(excluded));
+	return server === undefined
+		? {type: 'none', reason: 'none', retryAfterMilliseconds}
+		: {type: 'chosen', server: server.announcement.server};
+}
+
+function denialOf({call: {workspace}, service}: ServicePlan, context: EntryContext): DispatchDenial | undefined {
+	const document = context.active()?.effective.document;
+	const isAllowed = document?.services[service] !== undefined && document.workspaces[workspace]?.services.includes(service) === true;
+	return isAllowed ? undefined : 'not-allowed';
+}
+
+function send({dispatch, address, signal}: SendOptions, {plan, context, deadline}: Surroundings & {readonly deadline: number}): ReturnType<typeof callService> {
+	const {call: {request, requestId}, path, body, repeatable} = plan;
+	const {settings, clock} = context;
+	const remainingMilliseconds = deadline - clock.monotonic();
+	return callService({
+		requestId,
+		attempt: dispatch.attempt,
+		method: request.method ?? 'GET',
+		path,
+		headers: request.headers,
+		body,
+		repeatable,
+		address,
+		signal,
+		stallMilliseconds: repeatable ? stallMillisecondsOf({streamed: false, remainingMilliseconds, settings}) : Math.max(1, remainingMilliseconds),
+		maximumBytes: settings.limits.bodyBytes,
+	});
+}
+
+function priceOf(service: ServiceId, context: EntryContext): Micros {
+	return Math.ceil((context.active()?.effective.document.services[service]?.pricePerCall ?? 0) * microsPerUnit) as Micros;
+}
+
+function nameOf(target: RequestTarget): ServiceId {
+	return target.type === 'service' ? target.service : toId<ServiceId>('');
+}
--- /dev/null
+++ b/packages/daemon/src/entry/service-call.ts
@@ -0,0 +1,121 @@
+import {type IncomingHttpHeaders, type OutgoingHttpHeaders} from 'node:http';
+import {type RequestId} from '@valehitch/core';
+import {type HttpAnswer, readBody, sendHttp} from '@valehitch/transport';
+import {type AnswerHead, type AttemptOutput} from './attempt-output.js';
+import {readNotRun} from './not-run.js';
+import {StallTimer} from './stall-timer.js';
+
+/** One attempt on an instance of a plain service. */
+export type ServiceCall = {
+	readonly requestId: RequestId;
+	readonly attempt: number;
+	readonly method: string;
+	/** The path with its query, without the prefix of the service. */
+	readonly path: string;
+	/** The caller's headers. */
+	readonly headers: IncomingHttpHeaders;
+	readonly body: Uint8Array;
+	/** Whether the call may be repeated; one that may not goes over a connection of its own. */
+	readonly repeatable: boolean;
+	/** The base address of the instance. */
+	readonly address: string;
+	/** Ends the attempt; its connection is destroyed. */
+	readonly signal: AbortSignal;
+	/** Milliseconds without an answer after which the attempt is given up. */
+	readonly stallMilliseconds: number;
+	/** The most bytes that an answer may have. */
+	readonly maximumBytes: number;
+};
+
+const headersToService = ['content-type', 'accept', 'idempotency-key'] as const;
+const headersToCaller = ['content-type', 'content-language', 'location', 'etag', 'last-modified', 'cache-control'] as const;
+
+/**
+Calls an instance of a plain service.
+
+Any answer but the word that the call did not run is the service's answer, whatever its status.
+
+@param call The call.
+@returns What comes of the attempt; the last output tells how it ended.
+@example
+```ts
+for await (const output of callService(call)) { ... }
+```
+*/
+export async function * callService(call: ServiceCall): AsyncGenerator<AttemptOutput, void> {
+	const stall = new StallTimer(call.stallMilliseconds);
+	try {
+		const answer = await sendHttp({
+			address: call.address,
+			method: call.method,
+			path: call.path,
+			headers: headersOf(call),
+			body: call.body,
+			signal: AbortSignal.any([call.signal, stall.signal]),
+			reuseConnection: call.repeatable,
+		});
+		if (answer.isRight()) {
+			yield * readAnswer(answer.extract(), call, stall);
+			return;
+		}
+
+		const {neverSent, message} = answer.extract() as {neverSent: boolean; message: string};
+		const type = stall.expired ? 'timed-out' : 'broken';
+		yield {type: neverSent ? 'never-sent' : type, message: `Got no answer from the service: ${message}`};
+	} finally {
+		stall.clear();
+	}
+}
+
+async function * readAnswer(answer: HttpAnswer, call: ServiceCall, stall: StallTimer): AsyncGenerator<AttemptOutput, void> {
+	const notRun = readNotRun(answer);
+	if (notRun !== undefined) {
+		yield notRun;
+		return;
+	}
+
+	const body = await readBody(answer.message, call.maximumBytes);
+	if (body.isLeft()) {
+		yield {type: stall.expired ? 'timed-out' : 'broken', message: 'Got no whole answer from the service'};
+		return;
+	}
+
+	const payload = body.extract() as Uint8Array;
+	const length = payload.byteLength;
+	yield {type: 'head', head: headOf(answer, length)};
+	if (length > 0) {
+		yield {
+			type: 'piece', piece: {
+				offset: 0, length, tokens: 0, payload,
+			},
+		};
+	}
+
+	yield {
+		type: 'complete', offset: length, usage: {input: 0, output: 0}, trailer: '',
+	};
+}
+
+function headOf({status, headers}: HttpAnswer, length: number): AnswerHead {
+	return {status, headers: {...pick(headers, headersToCaller), ...(length > 0 && {'content-length': String(length)})}};
+}
+
+function headersOf({headers, requestId, attempt}: ServiceCall): OutgoingHttpHeaders {
+	return {
+		...pick(headers, headersToService),
+		'valehitch-request-id': requestId,
+		'valehitch-attempt': String(attempt),
+	};
+}
+
+function pick(headers: IncomingHttpHeaders, names: readonly string[]): Record<string, string> {
+	const picked: Record<string, string> = {};
+	for (const name of names) {
+		const value = headers[name];
+		if (typeof value === 'string') {
+			picked[name] = value;
+		}
+	}
+
+	return picked;
+}
--- /dev/null
+++ b/packages/daemon/src/entry/stall-milliseconds.ts
@@ -0,0 +1,27 @@
+import {type Settings} from '@valehitch/settings';
+
+/** What the patience with a server depends on. */
+export type StallOptions = {
+	/** Whether the answer comes piece by piece. */
+	readonly streamed: boolean;
+	/** Milliseconds to the deadline of the request. */
+	readonly remainingMilliseconds: number;
+	readonly settings: Pick<Settings, 'timing'>;
+};
+
+/**
+Works out for how long a server may say nothing.
+
+A whole answer comes at its end only, so there it is half of the time that is left: another attempt can still be made.
+
+@param options The kind of answer and the time that is left.
+@returns Milliseconds without a word after which an attempt is given up.
+@example
+```ts
+stallMillisecondsOf({streamed: false, remainingMilliseconds: 60_000, settings}); // 30_000
+```
+*/
+export function stallMillisecondsOf({streamed, remainingMilliseconds, settings: {timing}}: StallOptions): number {
+	const half = Math.max(1, Math.floor(remainingMilliseconds / 2));
+	return streamed ? timing.stallMilliseconds : half;
+}
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -1,8 +1,18 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {type ClaimAnswer} from '@valehitch/control';
+import {type Failure, failure} from '@valehitch/core';
+import {type Either, Left, Right} from 'purify-ts';
+import {match} from 'ts-pattern';
 import {type ControlClient} from '../control/control-client.js';
 import {type DaemonBase} from '../daemon-base.js';
 import {type DistributionPart} from '../distribution/start-distribution.js';
-import {BillOutbox} from './bill-outbox.js';
+import {BillKeeper} from './bills/bill-keeper.js';
+import {HeldBills} from './bills/held-bills.js';
+import {LedgerOutbox} from './bills/ledger-outbox.js';
+import {watchBills} from './bills/watch-bills.js';
+import {type ClaimCommand, ClaimKeeper} from './claim-keeper.js';
 import {type EntryContext} from './entry-context.js';
+import {type EntryMessage, type HoldBillsReply} from './messages.js';
 import {RequestCounter} from './request-counter.js';
 
 /** What the entry part is built on. */
@@ -11,26 +21,123 @@
 	readonly distribution: DistributionPart;
 };
 
-const billRetryMilliseconds = 200;
+/** The part of a daemon that serves callers. */
+export type EntryPart = {
+	readonly context: EntryContext;
+	/** Answers a message of another daemon. */
+	readonly answer: (message: EntryMessage) => Promise<unknown>;
+	/** Ends the requests in progress whole and hands over the bills; new ones are refused. */
+	readonly stop: () => Promise<void>;
+	/** Ends all that is still tried; what is not handed over stays with the holders of the copies. */
+	readonly close: () => void;
+};
+
+const holdTimeoutMilliseconds = 750;
+const maximumCopies = 40_000;
+const lostAfterMilliseconds = 4000;
+const handOverPollMilliseconds = 50;
 
 /**
-Builds the part of a daemon that serves callers.
+Starts the part of a daemon that serves callers.
 
 @param base What every part works with.
 @param options The parts it is built on.
-@returns The context of the callers' handlers.
+@returns The part.
 @example
 ```ts
 const entry = startEntry(base, {control: control.client, distribution});
 ```
 */
-export function startEntry(base: DaemonBase, {control, distribution}: StartEntryOptions): EntryContext {
-	const {timeline} = base;
+export function startEntry(base: DaemonBase, options: StartEntryOptions): EntryPart {
+	const {control, distribution} = options;
+	const outbox = new LedgerOutbox({propose: async command => control.propose(command), wait});
+	const bills = billKeeper(base, {...options, outbox});
+	const held = heldBills(base, outbox);
+	const claims = claimKeeper(base, control);
+	const requests = new RequestCounter();
+	let closed = false;
+	const watch = watchBills({
+		bills, held, members: distribution.members, network: base.network,
+	});
 	return {
-		...base,
-		servers: distribution.servers,
-		active: distribution.active,
-		requests: new RequestCounter(),
-		bills: new BillOutbox({propose: async command => control.propose(command), timeline, retryMilliseconds: billRetryMilliseconds}),
+		context: {
+			...base,
+			servers: distribution.servers,
+			active: distribution.active,
+			admit: async () => ({type: 'admitted'}),
+			requests,
+			runs: new Set(),
+			bills,
+			held,
+			claims,
+		},
+		answer: async message => match(message)
+			.with({type: 'hold-bills'}, hold => held.hold(hold))
+			.with({type: 'owned-bills'}, question => bills.answerOwned(question))
+			.with({type: 'explain'}, () => undefined)
+			.exhaustive(),
+		async stop() {
+			await requests.stop();
+			held.stop();
+			while (!closed && bills.size + claims.size + held.size + outbox.size > 0) {
+				bills.renew();
+				await wait(handOverPollMilliseconds);
+			}
+		},
+		close() {
+			closed = true;
+			watch.stop();
+			outbox.close();
+			claims.close();
+		},
 	};
 }
+
+// A wait does not keep the process from ending.
+async function wait(milliseconds: number): Promise<void> {
+	await delay(milliseconds, undefined, {ref: false});
+}
+
+function billKeeper({self, clock, network, newId}: DaemonBase, {distribution, outbox}: StartEntryOptions & {readonly outbox: LedgerOutbox}): BillKeeper {
+	return new BillKeeper({
+		self,
+		start: newId(),
+		startedAt: clock.now().getTime(),
+		clock,
+		outbox,
+		members: distribution.members,
+		async request(to, message) {
+			const reply = await network.request(to, message, {timeoutMilliseconds: holdTimeoutMilliseconds});
+			return reply.map(body => body as HoldBillsReply | undefined ?? {accepted: false, count: 0});
+		},
+	});
+}
+
+function heldBills({clock, timeline}: DaemonBase, outbox: LedgerOutbox): HeldBills {
+	return new HeldBills({
+		clock,
+		maximumCopies,
+		lostAfterMilliseconds,
+		onRecovered(bill) {
+			timeline.record('bill-recovered', {requestId: bill.request, workspace: bill.workspace, details: {owner: bill.instance, outcome: bill.outcome}});
+			void outbox.add(bill);
+		},
+	});
+}
+
+function claimKeeper({clock, log, settings: {instance}}: DaemonBase, control: ControlClient): ClaimKeeper {
+	return new ClaimKeeper({
+		instance,
+		clock,
+		wait,
+		async propose(command: ClaimCommand): Promise<Either<Failure, ClaimAnswer>> {
+			const answer = await control.propose(command);
+			return answer.chain(found => 'claim' in found
+				? Right(found)
+				: Left(failure('internal', 'Got an answer of the control role without a claim, wanted one with it')));
+		},
+		onRefused(claim, failed) {
+			log.error({requestId: claim.request, workspace: claim.workspace, failure: failed}, 'The settlement of a claim was refused');
+		},
+	});
+}
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -9,7 +9,7 @@
 import {type DaemonBase} from './daemon-base.js';
 import {type DistributionPart, startDistribution} from './distribution/start-distribution.js';
 import {handleCaller} from './entry/handle-caller.js';
-import {startEntry} from './entry/start-entry.js';
+import {type EntryPart, startEntry} from './entry/start-entry.js';
 import {type PeerMessage} from './messages.js';
 import {openMetrics} from './metrics.js';
 import {handleOperator} from './operators/handle-operator.js';
@@ -25,6 +25,7 @@
 type Parts = {
 	control?: ControlPart;
 	distribution?: DistributionPart;
+	entry?: EntryPart;
 };
 
 /**
@@ -48,18 +49,20 @@
 	const distribution = startDistribution(base, control);
 	parts.distribution = distribution;
 	const entry = startEntry(base, {control: control.client, distribution});
+	parts.entry = entry;
 	const servers = await startServers(settings, log, {
-		callers: async (request, response) => handleCaller(request, response, entry),
+		callers: async (request, response) => handleCaller(request, response, entry.context),
 		backends: async (request, response) => handleBackend(request, response, {settings, onAnnouncement: distribution.announce}),
 		operators: async (request, response) => handleOperator(request, response, {
-			base, control: control.client, distribution, entry,
+			base, control: control.client, distribution, entry: entry.context,
 		}),
 	});
 	base.timeline.record('instance-started');
 	return {
 		async stop() {
 			base.timeline.record('instance-stopping');
-			await Promise.race([entry.requests.stop(), elapsed(settings.timing.shutdownMilliseconds)]);
+			await Promise.race([entry.stop(), elapsed(settings.timing.shutdownMilliseconds)]);
+			entry.close();
 			for (const server of servers) {
 				await server.close();
 			}
@@ -104,10 +107,11 @@
 	};
 }
 
-async function answerPeer(message: PeerMessage, {control, distribution}: Parts): Promise<unknown> {
+async function answerPeer(message: PeerMessage, {control, distribution, entry}: Parts): Promise<unknown> {
 	return match(message)
 		.with({scope: 'control'}, async found => control?.answer(found))
 		.with({scope: 'distribution'}, async found => distribution?.answer(found))
+		.with({scope: 'entry'}, async found => entry?.answer(found))
 		.exhaustive();
 }
 
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -50,6 +50,7 @@
 	announcementRenewMilliseconds: wholeNumber({from: 50, to: 60_000}).default(1000),
 	configurationLeaseMilliseconds: wholeNumber({from: 100, to: 600_000}).default(5000),
 	shutdownMilliseconds: wholeNumber({from: 0, to: 3_600_000}).default(30_000),
+	stallMilliseconds: wholeNumber({from: 50, to: 3_600_000}).default(10_000),
 });
 
 const metrics = z.strictObject({
--- a/packages/settings/src/settings.test.ts
+++ b/packages/settings/src/settings.test.ts
@@ -33,7 +33,9 @@
 	const text = settingsText.slice(0, settingsText.indexOf('limits:'));
 	const settings = parseSettings(text, 'a.yaml').unsafeCoerce();
 	t.deepEqual(settings.limits, {bodyBytes: 4_194_304, headerBytes: 16_384});
-	t.deepEqual(settings.timing, {announcementRenewMilliseconds: 1000, configurationLeaseMilliseconds: 5000, shutdownMilliseconds: 30_000});
+	t.deepEqual(settings.timing, {
+		announcementRenewMilliseconds: 1000, configurationLeaseMilliseconds: 5000, shutdownMilliseconds: 30_000, stallMilliseconds: 10_000,
+	});
 	t.is(settings.isolation.serve, 'settled');
 	t.is(settings.logging.level, 'info');
 	t.is(settings.metrics, undefined);
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -77,6 +77,8 @@
 	readonly configurationLeaseMilliseconds: number;
 	/** Milliseconds that a planned stop waits for requests in progress; 30000 by default, 0 to 3600000. */
 	readonly shutdownMilliseconds: number;
+	/** Milliseconds for which an engine may say nothing in the middle of a streamed answer; 10000 by default, 50 to 3600000. */
+	readonly stallMilliseconds: number;
 };
 
 /** What happens when an instance is cut off from the control role. */
--- a/packages/transport/src/read-body.ts
+++ b/packages/transport/src/read-body.ts
@@ -18,9 +18,11 @@
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	try {
-		for await (const chunk of message as AsyncIterable<Uint8Array>) {
+		// The connection stays open after a body that is too large, so that the answer can still be sent.
+		for await (const chunk of message.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
 			size += chunk.byteLength;
 			if (size > maximumBytes) {
+				message.resume();
 				return Left(failure('too-large', `Got a body of more than ${maximumBytes} bytes`));
 			}
 
