--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -4,6 +4,7 @@
 import {type KnownServer} from '@valehitch/membership';
 import {type DispatchDenial, type RequestTarget} from '@valehitch/routing';
 import {Left} from 'purify-ts';
+import {mayServeVersion} from '../distribution/may-serve-version.js';
 import {callEngine} from './engine-call.js';
 import {type EntryContext} from './entry-context.js';
 import {
@@ -67,13 +68,18 @@
 }
 
 function denialOf({model, version}: VersionTarget, {plan: {workspace}, context}: Surroundings): DispatchDenial | undefined {
-	const document = context.active()?.effective.document;
-	if (document?.workspaces[workspace]?.allowed[model]?.includes(version) !== true) {
+	const active = context.active();
+	const document = active?.effective.document;
+	if (active === undefined || document?.workspaces[workspace]?.allowed[model]?.includes(version) !== true) {
 		return 'not-allowed';
 	}
 
 	const state = document.models[model]?.versions[version]?.state ?? 'withdrawn';
-	return state === 'withdrawn' ? 'version-withdrawn' : undefined;
+	if (state === 'withdrawn') {
+		return 'version-withdrawn';
+	}
+
+	return mayServeVersion(active, {model, version, serve: context.settings.isolation.serve}) ? undefined : 'version-stopped';
 }
 
 function send({dispatch, address, signal, before}: SendOptions, {plan, context, deadline}: Surroundings & {readonly deadline: number}): ReturnType<typeof callEngine> {
--- a/packages/daemon/src/entry/handle-service.ts
+++ b/packages/daemon/src/entry/handle-service.ts
@@ -1,6 +1,7 @@
 import {
 	type Failure, failure, type ServiceId, toId,
 } from '@valehitch/core';
+import {mayServe} from '@valehitch/membership';
 import {type RequestPlan} from '@valehitch/routing';
 import {type Either, Left, Right} from 'purify-ts';
 import {type EntryContext} from './entry-context.js';
@@ -26,7 +27,7 @@
 */
 export async function handleService(call: AuthenticatedCall, context: EntryContext): Promise<void> {
 	const body = await readCallerBody(call.request, context.settings.limits.bodyBytes);
-	const planned = body.chain(bytes => planService(call, bytes));
+	const planned = body.chain(bytes => planService({call, body: bytes}, context));
 	if (planned.isLeft()) {
 		refuse(call, planned.extract(), context);
 		return;
@@ -41,8 +42,8 @@
 	}).run();
 }
 
-function planService(call: AuthenticatedCall, body: Uint8Array): Either<Failure, ServicePlan> {
-	const {request, active: {effective: {document}}, workspace} = call;
+function planService({call, body}: Pick<ServicePlan, 'call' | 'body'>, {settings}: EntryContext): Either<Failure, ServicePlan> {
+	const {request, active: {effective: {document}, isolated}, workspace} = call;
 	const groups = servicePathPattern.exec(request.url ?? '')?.groups;
 	const service = toId<ServiceId>(groups?.service ?? '');
 	const path = groups?.path ?? '/';
@@ -54,6 +55,10 @@
 		return Left(failure('forbidden', `Got service ${service}, wanted one that workspace ${workspace} may use`));
 	}
 
+	if (!mayServe({leaseValid: !isolated, serve: settings.isolation.serve, versionState: 'plain-service'})) {
+		return Left(failure('no-configuration', 'Got a call on an instance without a configuration lease, which serves nothing', {retryAfterMilliseconds: 1000}));
+	}
+
 	const method = request.method ?? 'GET';
 	const repeatable = repeatableMethods.has(method)
 		|| document.services[service]?.repeatable.some(known => known.method === method && path.startsWith(known.path)) === true;
--- a/packages/daemon/src/entry/life/request-run.ts
+++ b/packages/daemon/src/entry/life/request-run.ts
@@ -2,7 +2,10 @@
 import {type RequestId, type WorkspaceId} from '@valehitch/core';
 import {type KnownServer} from '@valehitch/membership';
 import {
-	type CallerAction, type ClaimOutcome, type DispatchDenial, type RequestAction, type RequestEvent, type RequestPlan, type RequestState, type RequestStep, type RequestTarget, startRequest, stepRequest,
+	type CallerAction,
+	type ClaimOutcome,
+	type DispatchDenial,
+	type RequestAction, type RequestEvent, type RequestPlan, type RequestState, type RequestStep, type RequestTarget, startRequest, stepRequest,
 } from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {type AnswerPiece, type AttemptOutput} from '../attempt-output.js';
@@ -325,5 +328,5 @@
 		return 'server-gone';
 	}
 
-	return server.announcement.shuttingDown ? 'server-draining' : undefined;
+	return server.state === 'joined' ? undefined : 'server-draining';
 }
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -55,7 +55,7 @@
 	const held = heldBills(base, outbox);
 	const claims = claimKeeper(base, control);
 	const requests = new RequestCounter();
-	let closed = false;
+	const closing = new AbortController();
 	const watch = watchBills({
 		bills, held, members: distribution.members, network: base.network,
 	});
@@ -79,13 +79,13 @@
 		async stop() {
 			await requests.stop();
 			held.stop();
-			while (!closed && bills.size + claims.size + held.size + outbox.size > 0) {
+			while (!closing.signal.aborted && bills.size + claims.size + held.size + outbox.size > 0) {
 				bills.renew();
 				await wait(handOverPollMilliseconds);
 			}
 		},
 		close() {
-			closed = true;
+			closing.abort();
 			watch.stop();
 			outbox.close();
 			claims.close();
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -61,6 +61,7 @@
 	return {
 		async stop() {
 			base.timeline.record('instance-stopping');
+			distribution.drain();
 			await Promise.race([entry.stop(), elapsed(settings.timing.shutdownMilliseconds)]);
 			entry.close();
 			for (const server of servers) {
