--- a/packages/daemon/src/entry/claim-keeper.ts
+++ b/packages/daemon/src/entry/claim-keeper.ts
@@ -22,6 +22,8 @@
 	readonly clock: Clock;
 	/** Passes a claim command to the control role. */
 	readonly propose: (command: ClaimCommand) => Promise<Either<Failure, {readonly claim: ClaimOutcome}>>;
+	/** Has the open claims of an instance that is gone turned to unknown. */
+	readonly forget: (instance: InstanceId) => Promise<Either<Failure, unknown>>;
 	/** Waits before a settlement is sent again. */
 	readonly wait: (milliseconds: number) => Promise<void>;
 	/** Told of a settlement that the control role refused; it is not sent again. */
@@ -34,6 +36,7 @@
 export type ClaimCommand = Command & {readonly type: 'take-claim' | 'settle-claim'};
 
 const defaultRetryMilliseconds = 250;
+const beginMilliseconds = 2000;
 
 /**
 Takes claims on idempotency keys and keeps their settlements until the control role has acknowledged them.
@@ -47,11 +50,35 @@
 export class ClaimKeeper {
 	readonly #options: ClaimKeeperOptions;
 	readonly #unsettled = new Set<OwnClaim>();
+	#begun: Promise<void> | undefined;
+	#closed = false;
 
 	constructor(options: ClaimKeeperOptions) {
 		this.#options = options;
 	}
 
+	/** Gives up what an earlier run of this instance left open; claims are taken after that. */
+	begin(): void {
+		this.#begun = this.forget(this.#options.instance);
+	}
+
+	/**
+	Has the open claims of an instance that is gone turned to unknown; tries until that is acknowledged.
+
+	@param instance The instance.
+	*/
+	async forget(instance: InstanceId): Promise<void> {
+		const {forget, wait, retryMilliseconds = defaultRetryMilliseconds} = this.#options;
+		while (!this.#closed) {
+			const answer = await forget(instance);
+			if (answer.isRight()) {
+				return;
+			}
+
+			await wait(retryMilliseconds);
+		}
+	}
+
 	/** How many settlements are not acknowledged yet. */
 	get size(): number {
 		return this.#unsettled.size;
@@ -64,7 +91,8 @@
 	@returns Where the claim stands; `no-quorum` where that is not known, and then it may have been taken.
 	*/
 	async take(claim: ClaimRequest): Promise<Either<Failure, ClaimOutcome>> {
-		const {propose, instance} = this.#options;
+		const {propose, instance, wait} = this.#options;
+		await Promise.race([this.#begun, wait(beginMilliseconds)]);
 		const answer = await propose({
 			type: 'take-claim', ...claim, instance, at: this.#now(),
 		});
@@ -84,6 +112,7 @@
 
 	/** Ends the tries; claims that are not settled turn to unknown in time. */
 	close(): void {
+		this.#closed = true;
 		this.#unsettled.clear();
 	}
 
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -36,6 +36,7 @@
 const maximumCopies = 40_000;
 const lostAfterMilliseconds = 4000;
 const handOverPollMilliseconds = 50;
+const lingerMilliseconds = 500;
 
 /**
 Starts the part of a daemon that serves callers.
@@ -54,6 +55,10 @@
 	const bills = billKeeper(base, {...options, outbox});
 	const held = heldBills(base, outbox);
 	const claims = claimKeeper(base, control);
+	claims.begin();
+	distribution.onInstanceLost(({instance}) => {
+		void claims.forget(instance);
+	});
 	const requests = new RequestCounter();
 	const closing = new AbortController();
 	const watch = watchBills({
@@ -79,6 +84,8 @@
 		async stop() {
 			await requests.stop();
 			held.stop();
+			// What others are about to send to the ledger still finds it here.
+			await wait(base.settings.roles.includes('control') ? lingerMilliseconds : 0);
 			while (!closing.signal.aborted && bills.size + claims.size + held.size + outbox.size > 0) {
 				bills.renew();
 				await wait(handOverPollMilliseconds);
@@ -130,6 +137,7 @@
 		instance,
 		clock,
 		wait,
+		forget: async lost => control.propose({type: 'instance-lost', instance: lost, at: clock.now().getTime()}),
 		async propose(command: ClaimCommand): Promise<Either<Failure, ClaimAnswer>> {
 			const answer = await control.propose(command);
 			return answer.chain(found => 'claim' in found
--- /dev/null
+++ b/packages/testing/src/_entry-deployment.ts
@@ -0,0 +1,131 @@
+import {type ExecutionContext} from 'ava';
+import {digestOf} from './_settings-file.js';
+import {
+	type BackendPlan, type Deployment, type RunningBackend, type RunningDaemon, startDeployment,
+} from './deployment.js';
+import {type Behaviour} from './behaviour.js';
+import {sendRequest} from './send-request.js';
+import {waitUntil} from './wait-until.js';
+
+/** The keys of the two workspaces of an entry deployment. */
+export const callerKeys = {yard: 'yard-key', mill: 'mill-key'} as const;
+
+const firstVersion = '1.0';
+const nextVersion = '1.1';
+const zones = ['prairie-south-a', 'prairie-south-b', 'prairie-south-c'] as const;
+
+/** The versions of the one model, as engines announce them. */
+export const versions = {first: `tag-small@${firstVersion}`, next: `tag-small@${nextVersion}`} as const;
+
+/** What an entry deployment is made of. */
+export type EntryDeploymentOptions = {
+	/** Engines that have both versions; two by default. */
+	readonly engines?: number;
+	/** How many requests an engine works on at the same time; 8 by default. */
+	readonly capacity?: number;
+	/** Settings that replace the generated ones. */
+	readonly settings?: Readonly<Record<string, unknown>>;
+};
+
+/**
+The operators' document of an entry deployment.
+
+@param states The states of the two versions; the first is settled and the next withdrawn by default.
+@returns The document.
+*/
+export function entryConfiguration(states: {readonly first?: string; readonly next?: string} = {}): unknown {
+	const workspace = (key: string) => ({
+		keyDigests: [digestOf(key)],
+		weight: 1,
+		allowed: {'tag-small': [firstVersion, nextVersion]},
+		services: ['labels'],
+		policy: [{
+			name: 'all', models: ['tag-small'], qualityTarget: 0.5, deadlineMilliseconds: 30_000, priority: 5,
+		}],
+	});
+	const prices = {input: 1, output: 2};
+	return {
+		models: {
+			'tag-small': {
+				versions: {
+					[firstVersion]: {state: states.first ?? 'settled', quality: 0.9, prices},
+					[nextVersion]: {state: states.next ?? 'withdrawn', quality: 0.9, prices},
+				},
+			},
+		},
+		services: {labels: {repeatable: [{method: 'POST', path: '/lookup'}], pricePerCall: 0.5}, closed: {}},
+		workspaces: {yard: workspace(callerKeys.yard), mill: {...workspace(callerKeys.mill), services: []}},
+	};
+}
+
+/** A deployment of three daemons, engines and a plain service, and what tests ask of it. */
+export class EntryDeployment {
+	readonly deployment: Deployment;
+
+	constructor(deployment: Deployment) {
+		this.deployment = deployment;
+	}
+
+	/** The callers' address of a daemon. */
+	callers(index: number): string {
+		return this.daemon(index).callers;
+	}
+
+	daemon(index: number): RunningDaemon {
+		return this.deployment.daemons[index]!;
+	}
+
+	backend(server: string): RunningBackend {
+		return this.deployment.backends.find(found => found.server === server)!;
+	}
+
+	async setBehaviour(server: string, behaviour: Partial<Behaviour>): Promise<void> {
+		await sendRequest(`${this.backend(server).address}/test/behaviour`, {method: 'POST', body: JSON.stringify(behaviour)});
+	}
+
+	async runs(server: string): Promise<ReadonlyArray<Readonly<Record<string, unknown>>>> {
+		const {body} = await sendRequest(`${this.backend(server).address}/test/runs`);
+		return JSON.parse(body) as ReadonlyArray<Readonly<Record<string, unknown>>>;
+	}
+
+	/** Waits for the bills of requests, and gives all bills of the workspace. */
+	async bills(requests: readonly string[], by = 0): Promise<ReadonlyArray<Readonly<Record<string, unknown>>>> {
+		return waitUntil(async () => {
+			const bills = await this.deployment.ledger('yard', this.daemon(by));
+			const known = new Set(bills.map(({request}) => request));
+			const missing = requests.filter(request => !known.has(request));
+			if (missing.length > 0) {
+				throw new Error(`Got ${bills.length} bills without those of ${missing.join(', ')}`);
+			}
+
+			return bills;
+		}, {what: 'the bills', timeoutMilliseconds: 40_000});
+	}
+}
+
+/**
+Starts an entry deployment; it is stopped when the test ends.
+
+@param t The test.
+@param options What it is made of.
+@returns The deployment.
+*/
+export async function startEntryDeployment(t: ExecutionContext, options: EntryDeploymentOptions = {}): Promise<EntryDeployment> {
+	const engines = Array.from({length: options.engines ?? 2}, (_, index): BackendPlan => ({
+		server: `engine-${index + 1}`, zone: zones[index % zones.length]!, models: [versions.first, versions.next], capacity: options.capacity ?? 8,
+	}));
+	const deployment = await startDeployment({
+		daemons: [
+			{instance: 'control-a', zone: zones[0], roles: ['control', 'entry']},
+			{instance: 'entry-b', zone: zones[1], roles: ['entry']},
+			{instance: 'entry-c', zone: zones[2], roles: ['entry']},
+		],
+		backends: [...engines, {server: 'labels-1', zone: zones[0], service: 'labels'}],
+		configuration: entryConfiguration(),
+		settings: options.settings ?? {},
+	});
+	t.teardown(async () => {
+		await deployment.stop();
+	});
+	return new EntryDeployment(deployment);
+}
