Serve cascades and check each dispatch by the policy's one rule

Cause: the entry chose a version once and checked only withdrawal before a dispatch. Change: the check right before every dispatch is mayDispatch with the isolation of the instance; a version lost before the first dispatch is chosen anew; whole answers of a cascade are judged by the rule's signs.

--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -1,14 +1,16 @@
 import {
-	costOf, type Failure, failure, type Prices, versionKey,
+	costOf, type Failure, type Prices, versionKey,
 } from '@valehitch/core';
-import {type KnownServer} from '@valehitch/membership';
+import {escalationSign, mayDispatch} from '@valehitch/policy';
 import {type DispatchDenial, type RequestTarget} from '@valehitch/routing';
-import {Left} from 'purify-ts';
-import {mayServeVersion} from '../distribution/may-serve-version.js';
+import {type Either} from 'purify-ts';
+import {match} from 'ts-pattern';
+import {type AttemptOutput} from './attempt-output.js';
+import {type JudgedAnswer, readCheckedAnswer} from './checked-answer.js';
 import {callEngine} from './engine-call.js';
 import {type EntryContext} from './entry-context.js';
 import {
-	type ChooseServerAction, type RequestAdapter, type SendOptions, type ServerChoice,
+	type ChooseServerAction, type Judgement, type RequestAdapter, type SendOptions, type ServerChoice,
 } from './life/request-adapter.js';
 import {type ChatPlan} from './plan-chat.js';
 import {stallMillisecondsOf} from './stall-milliseconds.js';
@@ -18,6 +20,8 @@
 	readonly context: EntryContext;
 	/** When the last byte is due, in milliseconds on the monotonic clock. */
 	readonly deadline: number;
+	/** Plans the request anew, by the configuration in force. */
+	readonly planAgain: () => Either<Failure, ChatPlan>;
 };
 
 type VersionTarget = Extract<RequestTarget, {readonly type: 'version'}>;
@@ -26,89 +30,97 @@
 const noPrices: Prices = {input: 0, output: 0};
 
 /**
-Makes the adapter of a chat request.
+The adapter of a chat request.
 
-@param plan The request with its version chosen.
-@param options What the entry works with, and the deadline.
-@returns The adapter.
 @example
 ```ts
-const adapter = chatAdapter(plan, {context, deadline});
+const adapter = new ChatAdapter(plan, {context, deadline, planAgain});
 ```
 */
-export function chatAdapter(plan: ChatPlan, {context, deadline}: ChatAdapterOptions): RequestAdapter {
-	return {
-		chooseServer: action => chooseEngine(action, context),
-		denialOf: target => denialOf(asVersion(target), {plan, context}),
-		send: options => send(options, {plan, context, deadline}),
-		chooseVersion: lost => Left(lostVersion(asVersion(lost))),
-		judge: () => ({verdict: 'accepted'}),
-		costOf: (target, usage) => costOf(pricesOf(asVersion(target), context), usage),
-		headersOf(target) {
-			const {model, version} = asVersion(target);
-			return {
-				'Valehitch-Model': model,
-				'Valehitch-Version': version,
-				...(plan.sessionToken !== undefined && {'Valehitch-Session': plan.sessionToken}),
-			};
-		},
-	};
-}
+export class ChatAdapter implements RequestAdapter {
+	readonly #options: ChatAdapterOptions;
+	#plan: ChatPlan;
 
-type Surroundings = {
-	readonly plan: ChatPlan;
-	readonly context: EntryContext;
-};
+	constructor(plan: ChatPlan, options: ChatAdapterOptions) {
+		this.#plan = plan;
+		this.#options = options;
+	}
 
-function chooseEngine({target, excluded}: ChooseServerAction, {servers}: EntryContext): ServerChoice {
-	const server: KnownServer | undefined = servers.chooseEngine(asVersion(target), new Set(excluded));
-	return server === undefined
-		? {type: 'none', reason: 'none', retryAfterMilliseconds}
-		: {type: 'chosen', server: server.announcement.server};
-}
+	chooseServer({target, excluded}: ChooseServerAction): ServerChoice {
+		const server = this.#options.context.servers.chooseEngine(asVersion(target), new Set(excluded));
+		return server === undefined
+			? {type: 'none', reason: 'none', retryAfterMilliseconds}
+			: {type: 'chosen', server: server.announcement.server};
+	}
+
+	denialOf(target: RequestTarget): DispatchDenial | undefined {
+		const {context} = this.#options;
+		const active = context.active();
+		if (active === undefined) {
+			return 'not-allowed';
+		}
 
-function denialOf({model, version}: VersionTarget, {plan: {workspace}, context}: Surroundings): DispatchDenial | undefined {
-	const active = context.active();
-	const document = active?.effective.document;
-	if (active === undefined || document?.workspaces[workspace]?.allowed[model]?.includes(version) !== true) {
-		return 'not-allowed';
+		const {model, version} = asVersion(target);
+		const verdict = mayDispatch(active.effective, {
+			workspace: this.#plan.workspace, model, version, isolated: active.isolated, isolatedServe: context.settings.isolation.serve, belowTarget: this.#plan.belowTarget,
+		});
+		return match(verdict)
+			.with('allowed', () => undefined)
+			.with('isolated', () => 'version-stopped' as const)
+			.otherwise(denial => denial);
 	}
 
-	const state = document.models[model]?.versions[version]?.state ?? 'withdrawn';
-	if (state === 'withdrawn') {
-		return 'version-withdrawn';
+	send({dispatch, address, signal, before}: SendOptions): AsyncIterable<AttemptOutput> {
+		const {context: {settings, clock}, deadline} = this.#options;
+		const {requestId, body, facts: {stream}, rule} = this.#plan;
+		const {model, version} = asVersion(dispatch.target);
+		return callEngine({
+			requestId,
+			attempt: dispatch.attempt,
+			versionKey: versionKey(model, version),
+			body,
+			streamed: stream,
+			priority: rule.priority,
+			resumeText: before.text,
+			tokensBefore: before.tokens,
+			address,
+			signal,
+			stallMilliseconds: stallMillisecondsOf({streamed: stream, remainingMilliseconds: deadline - clock.monotonic(), settings}),
+			maximumBytes: settings.limits.bodyBytes,
+		});
 	}
 
-	return mayServeVersion(active, {model, version, serve: context.settings.isolation.serve}) ? undefined : 'version-stopped';
-}
+	chooseVersion(): ReturnType<RequestAdapter['chooseVersion']> {
+		return this.#options.planAgain().map(plan => {
+			this.#plan = plan;
+			return {target: {type: 'version', model: plan.model, version: plan.version}, judged: plan.escalatesTo !== undefined};
+		});
+	}
 
-function send({dispatch, address, signal, before}: SendOptions, {plan, context, deadline}: Surroundings & {readonly deadline: number}): ReturnType<typeof callEngine> {
-	const {model, version} = asVersion(dispatch.target);
-	const {settings, clock} = context;
-	return callEngine({
-		requestId: plan.requestId,
-		attempt: dispatch.attempt,
-		versionKey: versionKey(model, version),
-		body: plan.body,
-		streamed: plan.facts.stream,
-		priority: plan.rule.priority,
-		resumeText: before.text,
-		tokensBefore: before.tokens,
-		address,
-		signal,
-		stallMilliseconds: stallMillisecondsOf({
-			streamed: plan.facts.stream, remainingMilliseconds: deadline - clock.monotonic(), settings,
-		}),
-		maximumBytes: settings.limits.bodyBytes,
-	});
-}
+	judge(_target: RequestTarget, answer: JudgedAnswer): Judgement {
+		const {escalatesTo, rule: {escalation}} = this.#plan;
+		const isEscalated = escalatesTo !== undefined && escalation !== undefined
+			&& escalationSign(readCheckedAnswer(answer), escalation) !== undefined;
+		return isEscalated
+			? {verdict: 'escalated', target: {type: 'version', ...escalatesTo}, judged: false}
+			: {verdict: 'accepted'};
+	}
 
-function pricesOf({model, version}: VersionTarget, context: EntryContext): Prices {
-	return context.active()?.effective.document.models[model]?.versions[version]?.prices ?? noPrices;
-}
+	costOf(target: RequestTarget, usage: Parameters<typeof costOf>[1]): ReturnType<typeof costOf> {
+		const {model, version} = asVersion(target);
+		const document = this.#options.context.active()?.effective.document;
+		return costOf(document?.models[model]?.versions[version]?.prices ?? noPrices, usage);
+	}
 
-function lostVersion({model, version}: VersionTarget): Failure {
-	return failure('no-server', `Got a request for ${model} ${version}, which was withdrawn before the request was sent`, {retryAfterMilliseconds});
+	headersOf(target: RequestTarget): Readonly<Record<string, string>> {
+		const {model, version} = asVersion(target);
+		const {sessionToken} = this.#plan;
+		return {
+			'Valehitch-Model': model,
+			'Valehitch-Version': version,
+			...(sessionToken !== undefined && {'Valehitch-Session': sessionToken}),
+		};
+	}
 }
 
 function asVersion(target: RequestTarget): VersionTarget {
--- /dev/null
+++ b/packages/daemon/src/entry/checked-answer.ts
@@ -0,0 +1,46 @@
+import {type CheckedAnswer} from '@valehitch/policy';
+import {z} from 'zod';
+import {type AnswerHead, type AnswerPiece} from './attempt-output.js';
+
+/** A whole answer that is to be judged. */
+export type JudgedAnswer = {
+	readonly head: AnswerHead | undefined;
+	readonly pieces: readonly AnswerPiece[];
+};
+
+const answerSchema = z.looseObject({
+	choices: z.array(z.looseObject({
+		finish_reason: z.string().nullish(),
+		message: z.looseObject({content: z.string().nullish(), refusal: z.string().nullish()}).nullish(),
+	})).min(1),
+});
+
+/**
+Reads from a whole chat answer what a cascade judges it by.
+
+@param answer The answer in one piece.
+@returns What the check of the answer looks at.
+@example
+```ts
+escalationSign(readCheckedAnswer(answer), rule.escalation);
+```
+*/
+export function readCheckedAnswer({head, pieces}: JudgedAnswer): CheckedAnswer {
+	const body = pieces.map(({payload}) => typeof payload === 'string' ? payload : new TextDecoder().decode(payload)).join('');
+	const choice = parse(body)?.choices[0];
+	const confidence = Number(head?.headers['Valehitch-Confidence'] ?? Number.NaN);
+	return {
+		finishReason: choice?.finish_reason ?? '',
+		text: choice?.message?.content ?? '',
+		refused: typeof choice?.message?.refusal === 'string',
+		...(Number.isFinite(confidence) && {confidence}),
+	};
+}
+
+function parse(body: string): z.infer<typeof answerSchema> | undefined {
+	try {
+		return answerSchema.safeParse(JSON.parse(body)).data;
+	} catch {
+		return undefined;
+	}
+}
--- a/packages/daemon/src/entry/engine-call.ts
+++ b/packages/daemon/src/entry/engine-call.ts
@@ -124,7 +124,7 @@
 	yield * readWhole(answer, call);
 }
 
-async function * readWhole({message}: HttpAnswer, {maximumBytes}: EngineCall): AsyncGenerator<AttemptOutput, void> {
+async function * readWhole({message, headers}: HttpAnswer, {maximumBytes}: EngineCall): AsyncGenerator<AttemptOutput, void> {
 	const body = await readBody(message, maximumBytes);
 	if (body.isLeft()) {
 		yield {type: 'broken', message: 'Got no whole answer from the engine'};
@@ -139,7 +139,7 @@
 	}
 
 	const length = payload.byteLength;
-	yield {type: 'head', head: {status: okStatus, headers: {'Content-Type': 'application/json', 'Content-Length': String(length)}}};
+	yield {type: 'head', head: {status: okStatus, headers: wholeHeaders(length, headers['valehitch-confidence'])}};
 	yield {
 		type: 'piece', piece: {
 			offset: 0, length, tokens: usage.output, payload,
@@ -149,3 +149,11 @@
 		type: 'complete', offset: length, usage, trailer: '',
 	};
 }
+
+function wholeHeaders(length: number, confidence: string | string[] | undefined): Record<string, string> {
+	return {
+		'Content-Type': 'application/json',
+		'Content-Length': String(length),
+		...(typeof confidence === 'string' && {'Valehitch-Confidence': confidence}),
+	};
+}
--- a/packages/daemon/src/entry/entry-context.ts
+++ b/packages/daemon/src/entry/entry-context.ts
@@ -6,6 +6,7 @@
 import {type BillKeeper} from './bills/bill-keeper.js';
 import {type HeldBills} from './bills/held-bills.js';
 import {type ClaimKeeper} from './claim-keeper.js';
+import {type InProgress} from './in-progress.js';
 import {type RequestRun} from './life/request-run.js';
 import {type RequestCounter} from './request-counter.js';
 
@@ -26,6 +27,8 @@
 	readonly requests: RequestCounter;
 	/** The requests in progress. */
 	readonly runs: Set<RequestRun>;
+	/** How many requests are in progress on each version. */
+	readonly inProgress: InProgress;
 	/** Admits a request when its turn comes, or refuses it. */
 	readonly admit: (request: AdmissionRequest) => Promise<RequestEvent>;
 	/** The configuration in force; undefined before the first. */
--- a/packages/daemon/src/entry/handle-chat.ts
+++ b/packages/daemon/src/entry/handle-chat.ts
@@ -5,12 +5,12 @@
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
 import {sha256} from '../digest.js';
 import {type CallerHeaders} from './caller-headers.js';
-import {chatAdapter} from './chat-adapter.js';
+import {ChatAdapter} from './chat-adapter.js';
 import {parseChatBody} from './chat-body.js';
 import {type EntryContext} from './entry-context.js';
 import {type RequestKey} from './life/request-claim.js';
 import {RequestRun} from './life/request-run.js';
-import {type ChatPlan, planChat} from './plan-chat.js';
+import {type ChatPlan, newSession, planChat} from './plan-chat.js';
 import {readCallerBody} from './read-caller-body.js';
 import {refuse} from './refuse.js';
 
@@ -38,7 +38,8 @@
 */
 export async function handleChat(call: AuthenticatedCall, context: EntryContext): Promise<void> {
 	const body = await readCallerBody(call.request, context.settings.limits.bodyBytes);
-	const planned = body.chain(parseChatBody).chain(parsed => planChat({...call, body: parsed}, context));
+	const parsed = body.chain(parseChatBody);
+	const planned = parsed.chain(chat => planChat({...call, body: chat}, context));
 	if (planned.isLeft()) {
 		refuse(call, planned.extract(), context);
 		return;
@@ -47,10 +48,16 @@
 	const chat = planned.unsafeCoerce();
 	const key = requestKey(call, body.unsafeCoerce());
 	const plan = lifePlan(call, {chat, claimed: key !== undefined});
-	const adapter = chatAdapter(chat, {context, deadline: plan.deadline});
+	const adapter = new ChatAdapter(chat, {
+		context,
+		deadline: plan.deadline,
+		planAgain: () => planChat({...call, active: context.active() ?? call.active, body: chat.body}, context),
+	});
+	const end = context.inProgress.begin(chat);
 	await new RequestRun({
 		...call, plan, adapter, key, context,
 	}).run();
+	end();
 }
 
 /**
@@ -76,15 +83,16 @@
 };
 
 function lifePlan({headers, arrivedAt}: AuthenticatedCall, {chat, claimed}: ChatLife): RequestPlan {
-	const {model, version, rule, facts, sessionToken} = chat;
+	const {model, version, rule, facts, escalatesTo} = chat;
+	const isPinned = headers.session !== '' && headers.session !== newSession;
 	return {
 		target: {type: 'version', model, version},
-		session: sessionToken === undefined ? 'none' : 'token',
+		session: isPinned ? 'token' : 'none',
 		repeatable: true,
 		claimed,
 		finishWithoutCaller: claimed,
 		streamed: facts.stream,
-		judged: false,
+		judged: escalatesTo !== undefined,
 		deadline: arrivedAt + Math.min(rule.deadlineMilliseconds, headers.deadlineMilliseconds ?? rule.deadlineMilliseconds),
 		promptTokens: facts.promptTokens,
 	};
--- a/packages/daemon/src/entry/life/request-adapter.ts
+++ b/packages/daemon/src/entry/life/request-adapter.ts
@@ -3,7 +3,8 @@
 } from '@valehitch/core';
 import {type AttemptAction, type DispatchDenial, type RequestTarget} from '@valehitch/routing';
 import {type Either} from 'purify-ts';
-import {type AnswerPiece, type AttemptOutput} from '../attempt-output.js';
+import {type AttemptOutput} from '../attempt-output.js';
+import {type JudgedAnswer} from '../checked-answer.js';
 
 /** Asks for a server for an attempt. */
 export type ChooseServerAction = Extract<AttemptAction, {readonly type: 'choose-server'}>;
@@ -46,7 +47,7 @@
 	/** Chooses another target after one was lost before any dispatch. */
 	readonly chooseVersion: (lost: RequestTarget) => Either<Failure, {readonly target: RequestTarget; readonly judged: boolean}>;
 	/** Judges the answer of a target of a cascade. */
-	readonly judge: (target: RequestTarget, pieces: readonly AnswerPiece[]) => Judgement;
+	readonly judge: (target: RequestTarget, answer: JudgedAnswer) => Judgement;
 	/** What an attempt on a target costs. */
 	readonly costOf: (target: RequestTarget, usage: TokenUsage) => Micros;
 	/** The headers that tell the caller what answered. */
--- a/packages/daemon/src/entry/life/request-answer.ts
+++ b/packages/daemon/src/entry/life/request-answer.ts
@@ -16,7 +16,7 @@
 	readonly response: ServerResponse;
 	readonly requestId: RequestId;
 	readonly workspace: WorkspaceId;
-	readonly headersOf: RequestAdapter['headersOf'];
+	readonly adapter: Pick<RequestAdapter, 'headersOf'>;
 	/** Whether a claim keeps the answer. */
 	readonly claimed: boolean;
 	readonly context: Pick<EntryContext, 'metrics' | 'timeline'>;
@@ -148,10 +148,10 @@
 	}
 
 	#headOf(attempt: Attempt | undefined, target: RequestTarget): AnswerHead | undefined {
-		const {requestId, headersOf} = this.#options;
+		const {requestId, adapter} = this.#options;
 		return attempt?.head && {
 			status: attempt.head.status,
-			headers: {'Valehitch-Request-Id': requestId, ...headersOf(target), ...attempt.head.headers},
+			headers: {'Valehitch-Request-Id': requestId, ...adapter.headersOf(target), ...attempt.head.headers},
 		};
 	}
 }
--- a/packages/daemon/src/entry/life/request-bill.ts
+++ b/packages/daemon/src/entry/life/request-bill.ts
@@ -12,7 +12,7 @@
 export type RequestBillOptions = {
 	readonly workspace: WorkspaceId;
 	readonly requestId: RequestId;
-	readonly costOf: RequestAdapter['costOf'];
+	readonly adapter: Pick<RequestAdapter, 'costOf'>;
 	readonly context: Pick<EntryContext, 'bills' | 'clock' | 'settings' | 'timeline'>;
 };
 
@@ -76,7 +76,7 @@
 
 	/** An attempt that may have run without a word from its server costs nothing. */
 	#toLine({target, server, usage, outcome, purpose}: AttemptLine): BillLine {
-		const cost = outcome === 'ran' ? this.#options.costOf(target, usage) : sumOf([]);
+		const cost = outcome === 'ran' ? this.#options.adapter.costOf(target, usage) : sumOf([]);
 		const line = {
 			server, usage, cost, purpose,
 		};
--- a/packages/daemon/src/entry/life/request-run.ts
+++ b/packages/daemon/src/entry/life/request-run.ts
@@ -60,10 +60,10 @@
 	#inHand: AnswerPiece | undefined;
 
 	constructor(options: RequestRunOptions) {
-		const {requestId, context, plan, adapter, key} = options;
+		const {requestId, context, plan, key} = options;
 		this.#options = options;
-		this.#answer = new RequestAnswer({...options, headersOf: adapter.headersOf, claimed: plan.claimed});
-		this.#bill = new RequestBill({...options, costOf: adapter.costOf});
+		this.#answer = new RequestAnswer({...options, claimed: plan.claimed});
+		this.#bill = new RequestBill(options);
 		this.#claim = key && new RequestClaim({...options, ...key});
 		this.#timers = new LifeTimers({
 			clock: context.clock,
@@ -307,8 +307,8 @@
 	}
 
 	#judge(attempt: number): void {
-		const pieces = this.#attempts.get(attempt)?.pieces ?? [];
-		this.take({type: 'attempt-judged', attempt, ...this.#options.adapter.judge(this.#target, pieces)});
+		const found = this.#attempts.get(attempt);
+		this.take({type: 'attempt-judged', attempt, ...this.#options.adapter.judge(this.#target, {head: found?.head, pieces: found?.pieces ?? []})});
 	}
 
 	#forward(number: number, pieces: readonly AnswerPiece[]): void {
--- a/packages/daemon/src/entry/plan-chat.ts
+++ b/packages/daemon/src/entry/plan-chat.ts
@@ -1,11 +1,12 @@
 import {
 	type Failure, failure, type ModelId, type PolicyRule, type RequestFacts, type RequestId, toId, type VersionId, type WorkspaceId,
 } from '@valehitch/core';
-import {chooseVersion} from '@valehitch/policy';
+import {
+	type Choice, chooseVersion, mayDispatch, type VersionTarget,
+} from '@valehitch/policy';
 import {type Either, Left, Right} from 'purify-ts';
 import {writeSessionToken} from '@valehitch/routing';
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
-import {mayServeVersion} from '../distribution/may-serve-version.js';
 import {type CallerHeaders} from './caller-headers.js';
 import {type ChatBody, factsOf} from './chat-body.js';
 import {type EntryContext} from './entry-context.js';
@@ -22,6 +23,12 @@
 	readonly body: ChatBody;
 	/** The token for the next request of the session, where there is one. */
 	readonly sessionToken?: string;
+	/** The version that takes over where the answer of the first shows a sign of the rule. */
+	readonly escalatesTo?: VersionTarget;
+	/** Whether nothing met the quality target. */
+	readonly belowTarget: boolean;
+	/** What was considered; none where a session decided. */
+	readonly considered: Choice['considered'];
 };
 
 /** An authenticated chat request. */
@@ -34,7 +41,10 @@
 };
 
 const automaticModel = 'auto';
-const newSession = 'new';
+
+/** What a caller sends for a session that is to begin. */
+export const newSession = 'new';
+
 const retryAfterIsolationMilliseconds = 1000;
 
 /**
@@ -66,13 +76,10 @@
 function continueSession(arrival: Classified, context: EntryContext): Either<Failure, ChatPlan> {
 	const {workspace, headers, active} = arrival;
 	return sessionOf(headers.session, {workspace, keys: context.settings.keys.sessions}).chain(({model, version}) => {
-		const {document} = active.effective;
-		const state = document.models[model]?.versions[version]?.state ?? 'withdrawn';
-		if (state === 'withdrawn' || document.workspaces[workspace]?.allowed[model]?.includes(version) !== true) {
-			return Left(failure('session-ended', `Got a session on ${model} ${version}, which is withdrawn or no longer allowed; wanted a new session`));
-		}
-
-		if (!mayServeVersion(active, {model, version, serve: context.settings.isolation.serve})) {
+		const verdict = mayDispatch(active.effective, {
+			workspace, model, version, isolated: active.isolated, isolatedServe: context.settings.isolation.serve,
+		});
+		if (verdict === 'isolated') {
 			return Left(failure(
 				'no-configuration',
 				`Got a session on ${model} ${version}, which an instance without a configuration lease may not serve`,
@@ -80,42 +87,64 @@
 			));
 		}
 
+		if (verdict !== 'allowed') {
+			return Left(failure('session-ended', `Got a session on ${model} ${version}, which is withdrawn, stopped or no longer allowed (${verdict}); wanted a new session`));
+		}
+
 		return Right({
-			...planOf(arrival), model, version, sessionToken: headers.session,
+			...planOf(arrival), model, version, sessionToken: headers.session, belowTarget: false, considered: [],
 		});
 	});
 }
 
 function chooseFresh(arrival: Classified, context: EntryContext): Either<Failure, ChatPlan> {
-	const {workspace, facts, rule, active, requestId, headers} = arrival;
+	const {workspace, facts, active, requestId, headers} = arrival;
 	const named = facts.model === automaticModel ? undefined : toId<ModelId>(facts.model);
 	if (named !== undefined && !Object.hasOwn(active.effective.document.models, named)) {
 		return Left(failure('unknown-model', `Got model ${facts.model}, wanted auto or a configured model`));
 	}
 
+	const isSession = headers.session === newSession;
 	const choice = chooseVersion(
 		{
 			id: requestId, workspace, facts, ...(named !== undefined && {namedModel: named}),
 		},
 		{
 			configuration: active.effective,
-			rule,
-			isServed: (model, version) => mayServeVersion(active, {model, version, serve: context.settings.isolation.serve}) && context.servers.isServed(model, version),
+			rule: arrival.rule,
+			isServed: (model, version) => context.servers.isServed(model, version),
+			isolated: active.isolated,
+			isolatedServe: context.settings.isolation.serve,
+			inProgress: target => context.inProgress.get(target),
 		},
 	);
-	return choice.map(({chosen: {model, version}}) => ({
+	return choice.map(found => toPlan(found, {arrival, isSession}, context));
+}
+
+type Fresh = {
+	readonly arrival: Classified;
+	readonly isSession: boolean;
+};
+
+function toPlan({chosen, belowTarget, considered}: Choice, {arrival, isSession}: Fresh, {clock, settings}: EntryContext): ChatPlan {
+	const {model, version} = chosen;
+	const {workspace} = arrival;
+	return {
 		...planOf(arrival),
 		model,
 		version,
-		...(headers.session === newSession && {
+		belowTarget,
+		considered,
+		...(chosen.kind === 'cascade' && {escalatesTo: chosen.escalatesTo}),
+		...(isSession && {
 			sessionToken: writeSessionToken({
-				workspace, model, version, startedAt: context.clock.now().getTime(),
-			}, context.settings.keys.sessions),
+				workspace, model, version, startedAt: clock.now().getTime(),
+			}, settings.keys.sessions),
 		}),
-	}));
+	};
 }
 
-function planOf({requestId, workspace, rule, facts, body}: Classified): Omit<ChatPlan, 'model' | 'version'> {
+function planOf({requestId, workspace, rule, facts, body}: Classified): Pick<ChatPlan, 'requestId' | 'workspace' | 'rule' | 'facts' | 'body'> {
 	return {
 		requestId, workspace, rule, facts, body,
 	};
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -12,6 +12,7 @@
 import {watchBills} from './bills/watch-bills.js';
 import {type ClaimCommand, ClaimKeeper} from './claim-keeper.js';
 import {type EntryContext} from './entry-context.js';
+import {InProgress} from './in-progress.js';
 import {type EntryMessage, type HoldBillsReply} from './messages.js';
 import {RequestCounter} from './request-counter.js';
 
@@ -71,6 +72,7 @@
 			active: distribution.active,
 			admit: async () => ({type: 'admitted'}),
 			requests,
+			inProgress: new InProgress(),
 			runs: new Set(),
 			bills,
 			held,
