Let the fake engine finish whole answers that are paced

Cause: the token was taken in the argument of a call that is skipped where nobody listens, so a whole answer with a delay between tokens never ended. Ruled out: a fault of the entry (its attempt timed out, as it should). Change: the token is taken first. Before and after: the new test fails before (1 failed, 8 passed) and passes after. Conclusion: only the fake was wrong.

--- a/packages/testing/src/fake-engine.test.ts
+++ b/packages/testing/src/fake-engine.test.ts
@@ -31,6 +31,13 @@
 	t.is(engine.active(), 0);
 });
 
+test('a whole answer that is paced comes to its end', async t => {
+	const engine = await startFakeEngine({models: [version], behaviour: {tokenMilliseconds: 1}});
+	t.teardown(engine.kill);
+	const whole = await chatWhole(engine.address, {...chat, timeoutMilliseconds: 10_000});
+	t.is(whole.text, expected);
+});
+
 test('another version gives another answer', t => {
 	t.not(fakeAnswer({version: 'tag-small@1.1', messages, tokens: 16}).join(''), expected);
 });
--- a/packages/testing/src/fake-engine.ts
+++ b/packages/testing/src/fake-engine.ts
@@ -253,7 +253,8 @@
 	}
 
 	for await (const queue of setInterval(milliseconds, remaining, {signal})) {
-		onToken?.(queue.shift() ?? '');
+		const token = queue.shift() ?? '';
+		onToken?.(token);
 		if (remaining.length === 0) {
 			return;
 		}
