--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -62,7 +62,7 @@
 
 		const {model, version} = asVersion(target);
 		const verdict = mayDispatch(active.effective, {
-			workspace: this.#plan.workspace, model, version, isolated: active.isolated, isolatedServe: context.settings.isolation.serve, belowTarget: this.#plan.belowTarget,
+			workspace: this.#plan.workspace, model, version, isolated: active.isolated, isolatedServe: context.settings.isolation.serve, isStoppedHere: context.ratings.isStoppedHere, belowTarget: this.#plan.belowTarget,
 		});
 		return match(verdict)
 			.with('allowed', () => undefined)
--- a/packages/daemon/src/entry/entry-context.ts
+++ b/packages/daemon/src/entry/entry-context.ts
@@ -3,6 +3,7 @@
 import {type RequestEvent, type RequestPlan} from '@valehitch/routing';
 import {type DaemonBase} from '../daemon-base.js';
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
+import {type RatingsPart} from '../ratings/ratings-part.js';
 import {type BillKeeper} from './bills/bill-keeper.js';
 import {type HeldBills} from './bills/held-bills.js';
 import {type ClaimKeeper} from './claim-keeper.js';
@@ -33,4 +34,6 @@
 	readonly admit: (request: AdmissionRequest) => Promise<RequestEvent>;
 	/** The configuration in force; undefined before the first. */
 	readonly active: () => ActiveConfiguration | undefined;
+	/** Estimates, local stops and what is seen of versions. */
+	readonly ratings: RatingsPart;
 };
--- a/packages/daemon/src/entry/life/request-run.ts
+++ b/packages/daemon/src/entry/life/request-run.ts
@@ -298,6 +298,13 @@
 			this.#attempts.get(number)?.pieces.push(output.piece);
 		}
 
+		if (output.type !== 'piece' && output.type !== 'head' && output.type !== 'complete') {
+			const {context, requestId} = this.#options;
+			context.log.info({
+				requestId, attempt: number, end: output.type, message: output.message,
+			}, 'An attempt brought no whole answer');
+		}
+
 		this.take(toRequestEvent(number, output), output.type === 'piece' ? output.piece : undefined);
 	}
 
--- a/packages/daemon/src/entry/plan-chat.ts
+++ b/packages/daemon/src/entry/plan-chat.ts
@@ -116,6 +116,8 @@
 			isolated: active.isolated,
 			isolatedServe: context.settings.isolation.serve,
 			inProgress: target => context.inProgress.get(target),
+			quality: context.ratings.quality,
+			isStoppedHere: context.ratings.isStoppedHere,
 		},
 	);
 	return choice.map(found => toPlan(found, {arrival, isSession}, context));
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -6,6 +6,7 @@
 import {type ControlClient} from '../control/control-client.js';
 import {type DaemonBase} from '../daemon-base.js';
 import {type DistributionPart} from '../distribution/start-distribution.js';
+import {type RatingsPart} from '../ratings/ratings-part.js';
 import {BillKeeper} from './bills/bill-keeper.js';
 import {HeldBills} from './bills/held-bills.js';
 import {LedgerOutbox} from './bills/ledger-outbox.js';
@@ -20,6 +21,7 @@
 export type StartEntryOptions = {
 	readonly control: ControlClient;
 	readonly distribution: DistributionPart;
+	readonly ratings: RatingsPart;
 };
 
 /** The part of a daemon that serves callers. */
@@ -47,7 +49,7 @@
 @returns The part.
 @example
 ```ts
-const entry = startEntry(base, {control: control.client, distribution});
+const entry = startEntry(base, {control: control.client, distribution, ratings});
 ```
 */
 export function startEntry(base: DaemonBase, options: StartEntryOptions): EntryPart {
@@ -70,6 +72,7 @@
 			...base,
 			servers: distribution.servers,
 			active: distribution.active,
+			ratings: options.ratings,
 			admit: async () => ({type: 'admitted'}),
 			requests,
 			inProgress: new InProgress(),
@@ -107,7 +110,7 @@
 	await delay(milliseconds, undefined, {ref: false});
 }
 
-function billKeeper({self, clock, network, newId}: DaemonBase, {distribution, outbox}: StartEntryOptions & {readonly outbox: LedgerOutbox}): BillKeeper {
+function billKeeper({self, clock, network, newId}: DaemonBase, {distribution, outbox}: Pick<StartEntryOptions, 'distribution'> & {readonly outbox: LedgerOutbox}): BillKeeper {
 	return new BillKeeper({
 		self,
 		start: newId(),
