Admit, place, hedge and explain requests by the routing package

Cause: the entry took any server with the least work, admitted everything and remembered no decision. Ruled out: one admission pool for all (a busy version would hold up the others); asking all members for a decision (the id of a request now shows its instance). Change: pools of admission by the capacity of the servers, server choice with prefix affinity, zones, budgets and ejection, hedges from the stages' history, outcomes to the ratings, decisions kept and shown by GET /v1/explain/REQUEST_ID; process tests of engines that are killed, stall or answer out of order, and of calls that may not be repeated.

--- /dev/null
+++ b/packages/daemon/src/entry/attempt-end.ts
@@ -0,0 +1,32 @@
+import {type Outcome} from '@valehitch/core';
+import {match} from 'ts-pattern';
+import {type AttemptOutput} from './attempt-output.js';
+
+/** How an attempt ended. */
+export type AttemptEnd = {
+	readonly outcome: Outcome;
+	/** What came of it, in words. */
+	readonly reason: string;
+	/** Whether it failed by the server's fault. */
+	readonly failed: boolean;
+};
+
+/**
+Tells from its last output how an attempt ended.
+
+@param output The output.
+@returns The end.
+@example
+```ts
+attemptEnd({type: 'never-sent', message: 'Got no connection'}).outcome; // 'notRun'
+```
+*/
+export function attemptEnd(output: AttemptOutput): AttemptEnd {
+	return match<AttemptOutput, AttemptEnd>(output)
+		.with({type: 'complete'}, {type: 'head'}, {type: 'piece'}, () => ({outcome: 'ran', reason: 'complete', failed: false}))
+		.with({type: 'not-run'}, ({message}) => ({outcome: 'notRun', reason: message, failed: false}))
+		.with({type: 'never-sent'}, ({message}) => ({outcome: 'notRun', reason: message, failed: true}))
+		.with({type: 'failed'}, ({message}) => ({outcome: 'ran', reason: message, failed: true}))
+		.with({type: 'broken'}, {type: 'timed-out'}, ({message}) => ({outcome: 'unknown', reason: message, failed: true}))
+		.exhaustive();
+}
--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -2,18 +2,23 @@
 	costOf, type Failure, type Prices, versionKey,
 } from '@valehitch/core';
 import {escalationSign, mayDispatch} from '@valehitch/policy';
-import {type DispatchDenial, type RequestTarget} from '@valehitch/routing';
+import {
+	type DispatchDenial, prefixHash, type RequestTarget, stageKey, type StageTime,
+} from '@valehitch/routing';
 import {type Either} from 'purify-ts';
 import {match} from 'ts-pattern';
 import {type AttemptOutput} from './attempt-output.js';
 import {type JudgedAnswer, readCheckedAnswer} from './checked-answer.js';
 import {callEngine} from './engine-call.js';
 import {type EntryContext} from './entry-context.js';
+import {attemptEnd} from './attempt-end.js';
+import {promptOf} from './chat-body.js';
 import {
-	type ChooseServerAction, type Judgement, type RequestAdapter, type SendOptions, type ServerChoice,
+	type ChooseServerAction, type DispatchAction, type Judgement, type RequestAdapter, type SendOptions, type ServerChoice,
 } from './life/request-adapter.js';
 import {type ChatPlan} from './plan-chat.js';
 import {stallMillisecondsOf} from './stall-milliseconds.js';
+import {observeAttempt} from './traffic/observe-attempt.js';
 
 /** What a chat adapter needs besides the plan. */
 export type ChatAdapterOptions = {
@@ -26,7 +31,6 @@
 
 type VersionTarget = Extract<RequestTarget, {readonly type: 'version'}>;
 
-const retryAfterMilliseconds = 1000;
 const noPrices: Prices = {input: 0, output: 0};
 
 /**
@@ -40,17 +44,20 @@
 export class ChatAdapter implements RequestAdapter {
 	readonly #options: ChatAdapterOptions;
 	#plan: ChatPlan;
+	readonly #prefix: number;
 
 	constructor(plan: ChatPlan, options: ChatAdapterOptions) {
 		this.#plan = plan;
 		this.#options = options;
+		this.#prefix = prefixHash(promptOf(plan.body));
 	}
 
-	chooseServer({target, excluded}: ChooseServerAction): ServerChoice {
-		const server = this.#options.context.servers.chooseEngine(asVersion(target), new Set(excluded));
-		return server === undefined
-			? {type: 'none', reason: 'none', retryAfterMilliseconds}
-			: {type: 'chosen', server: server.announcement.server};
+	chooseServer(action: ChooseServerAction): ServerChoice {
+		const {context: {picker}} = this.#options;
+		const {requestId, workspace} = this.#plan;
+		return picker.choose(action, {
+			requestId, workspace, target: keyOf(action.target), prefix: this.#prefix,
+		});
 	}
 
 	denialOf(target: RequestTarget): DispatchDenial | undefined {
@@ -62,7 +69,13 @@
 
 		const {model, version} = asVersion(target);
 		const verdict = mayDispatch(active.effective, {
-			workspace: this.#plan.workspace, model, version, isolated: active.isolated, isolatedServe: context.settings.isolation.serve, isStoppedHere: context.ratings.isStoppedHere, belowTarget: this.#plan.belowTarget,
+			workspace: this.#plan.workspace,
+			model,
+			version,
+			isolated: active.isolated,
+			isolatedServe: context.settings.isolation.serve,
+			isStoppedHere: context.ratings.isStoppedHere,
+			belowTarget: this.#plan.belowTarget,
 		});
 		return match(verdict)
 			.with('allowed', () => undefined)
@@ -73,11 +86,10 @@
 	send({dispatch, address, signal, before}: SendOptions): AsyncIterable<AttemptOutput> {
 		const {context: {settings, clock}, deadline} = this.#options;
 		const {requestId, body, facts: {stream}, rule} = this.#plan;
-		const {model, version} = asVersion(dispatch.target);
-		return callEngine({
+		const outputs = callEngine({
 			requestId,
 			attempt: dispatch.attempt,
-			versionKey: versionKey(model, version),
+			versionKey: keyOf(dispatch.target),
 			body,
 			streamed: stream,
 			priority: rule.priority,
@@ -88,6 +100,16 @@
 			stallMilliseconds: stallMillisecondsOf({streamed: stream, remainingMilliseconds: deadline - clock.monotonic(), settings}),
 			maximumBytes: settings.limits.bodyBytes,
 		});
+		return observeAttempt(outputs, {
+			clock,
+			streamed: stream,
+			onStage: (stage, milliseconds) => {
+				this.#recordStage(dispatch, {stage, milliseconds});
+			},
+			onEnd: output => {
+				this.#recordEnd(dispatch, output);
+			},
+		});
 	}
 
 	chooseVersion(): ReturnType<RequestAdapter['chooseVersion']> {
@@ -97,10 +119,13 @@
 		});
 	}
 
-	judge(_target: RequestTarget, answer: JudgedAnswer): Judgement {
-		const {escalatesTo, rule: {escalation}} = this.#plan;
+	judge(target: RequestTarget, answer: JudgedAnswer): Judgement {
+		const {escalatesTo, workspace, rule: {escalation, name}} = this.#plan;
 		const isEscalated = escalatesTo !== undefined && escalation !== undefined
 			&& escalationSign(readCheckedAnswer(answer), escalation) !== undefined;
+		this.#options.context.ratings.noteEscalation({
+			...asVersion(target), workspace, rule: name, ranAt: this.#options.context.clock.now().getTime(),
+		}, isEscalated);
 		return isEscalated
 			? {verdict: 'escalated', target: {type: 'version', ...escalatesTo}, judged: false}
 			: {verdict: 'accepted'};
@@ -121,6 +146,40 @@
 			...(sessionToken !== undefined && {'Valehitch-Session': sessionToken}),
 		};
 	}
+
+	#recordStage({target, resumeFrom}: DispatchAction, time: StageTime): void {
+		const {model, version} = asVersion(target);
+		const {facts: {promptTokens}} = this.#plan;
+		if (time.stage === 'decode') {
+			this.#options.context.history.record(keyOf(target), time);
+		} else if (resumeFrom === 0) {
+			this.#options.context.history.record(stageKey({model, version, promptTokens}), time);
+		}
+	}
+
+	#recordEnd({target, server, attempt, purpose}: DispatchAction, output: AttemptOutput): void {
+		const {context: {picker, ratings, decisions, clock}} = this.#options;
+		const {requestId, workspace, rule} = this.#plan;
+		const {outcome, reason, failed} = attemptEnd(output);
+		decisions.attempt(requestId, {
+			attempt, purpose, servers: decisions.get(requestId)?.attempts.find(known => known.attempt === attempt)?.servers ?? [], server, outcome, reason,
+		});
+		if (output.type !== 'not-run') {
+			picker.record(server, failed);
+		}
+
+		// A lost connection says nothing of the version.
+		if (output.type === 'complete' || output.type === 'failed') {
+			ratings.noteOutcome({
+				...asVersion(target), workspace, rule: rule.name, ranAt: clock.now().getTime(),
+			}, failed);
+		}
+	}
+}
+
+function keyOf(target: RequestTarget): string {
+	const {model, version} = asVersion(target);
+	return versionKey(model, version);
 }
 
 function asVersion(target: RequestTarget): VersionTarget {
--- a/packages/daemon/src/entry/chat-body.ts
+++ b/packages/daemon/src/entry/chat-body.ts
@@ -3,6 +3,7 @@
 import {z} from 'zod';
 
 const charactersPerToken = 4;
+const prefixCharacters = 256;
 
 const chatSchema = z.looseObject({
 	model: z.string().min(1).max(256),
@@ -76,3 +77,25 @@
 		session: options.session,
 	};
 }
+
+/**
+The beginning of a prompt, by which engines cache it.
+
+@param body The body.
+@returns The text of the messages up to the length that counts.
+@example
+```ts
+prefixHash(promptOf(body));
+```
+*/
+export function promptOf(body: ChatBody): string {
+	let prompt = '';
+	for (const {role, content} of body.messages) {
+		prompt += `${role}: ${typeof content === 'string' ? content.slice(0, prefixCharacters) : JSON.stringify(content ?? '').slice(0, prefixCharacters)}\n`;
+		if (prompt.length >= prefixCharacters) {
+			break;
+		}
+	}
+
+	return prompt;
+}
--- a/packages/daemon/src/entry/entry-context.ts
+++ b/packages/daemon/src/entry/entry-context.ts
@@ -1,6 +1,5 @@
-import {type WorkspaceId} from '@valehitch/core';
 import {type ServerTable} from '@valehitch/membership';
-import {type RequestEvent, type RequestPlan} from '@valehitch/routing';
+import {type DecisionRing, type StageHistory} from '@valehitch/routing';
 import {type DaemonBase} from '../daemon-base.js';
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
 import {type RatingsPart} from '../ratings/ratings-part.js';
@@ -10,12 +9,8 @@
 import {type InProgress} from './in-progress.js';
 import {type RequestRun} from './life/request-run.js';
 import {type RequestCounter} from './request-counter.js';
-
-/** A request that asks to be admitted. */
-export type AdmissionRequest = {
-	readonly workspace: WorkspaceId;
-	readonly plan: RequestPlan;
-};
+import {type AdmissionPools} from './traffic/admission-pools.js';
+import {type ServerPicker} from './traffic/server-picker.js';
 
 /** What the handlers of callers' requests work with. */
 export type EntryContext = DaemonBase & {
@@ -30,8 +25,14 @@
 	readonly runs: Set<RequestRun>;
 	/** How many requests are in progress on each version. */
 	readonly inProgress: InProgress;
-	/** Admits a request when its turn comes, or refuses it. */
-	readonly admit: (request: AdmissionRequest) => Promise<RequestEvent>;
+	/** Admits requests by the capacity of the servers. */
+	readonly admission: AdmissionPools;
+	/** Picks servers, and knows those whose requests fail. */
+	readonly picker: ServerPicker;
+	/** How long the stages of attempts took. */
+	readonly history: StageHistory;
+	/** Why the latest requests went where they went. */
+	readonly decisions: DecisionRing;
 	/** The configuration in force; undefined before the first. */
 	readonly active: () => ActiveConfiguration | undefined;
 	/** Estimates, local stops and what is seen of versions. */
--- a/packages/daemon/src/entry/handle-caller.ts
+++ b/packages/daemon/src/entry/handle-caller.ts
@@ -1,6 +1,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	type Failure, failure, type RequestId, toId,
+	type Failure, failure,
 } from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
 import {answerJson} from '../answer-json.js';
@@ -10,6 +10,7 @@
 import {type AuthenticatedCall, handleChat} from './handle-chat.js';
 import {handleService} from './handle-service.js';
 import {refuse} from './refuse.js';
+import {requestIdOn} from './request-id.js';
 
 const unavailable = 503;
 const retryAfterStopMilliseconds = 1000;
@@ -31,7 +32,7 @@
 		return;
 	}
 
-	const requestId = toId<RequestId>(context.newId());
+	const requestId = requestIdOn(context.settings.instance, context.newId());
 	const started = context.clock.monotonic();
 	context.requests.begin();
 	response.on('close', () => {
--- a/packages/daemon/src/entry/handle-chat.ts
+++ b/packages/daemon/src/entry/handle-chat.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type RequestId, toId, type WorkspaceId} from '@valehitch/core';
 import {type IdempotencyKey} from '@valehitch/control';
-import {type RequestPlan} from '@valehitch/routing';
+import {type HedgeDelays, hedgeDelays, type RequestPlan} from '@valehitch/routing';
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
 import {sha256} from '../digest.js';
 import {type CallerHeaders} from './caller-headers.js';
@@ -13,6 +13,9 @@
 import {type ChatPlan, newSession, planChat} from './plan-chat.js';
 import {readCallerBody} from './read-caller-body.js';
 import {refuse} from './refuse.js';
+import {type Demand} from './traffic/admission-pools.js';
+
+const expectedOutputTokens = 200;
 
 /** An authenticated request of a caller. */
 export type AuthenticatedCall = {
@@ -47,7 +50,8 @@
 
 	const chat = planned.unsafeCoerce();
 	const key = requestKey(call, body.unsafeCoerce());
-	const plan = lifePlan(call, {chat, claimed: key !== undefined});
+	const plan = lifePlan(call, {chat, claimed: key !== undefined, hedge: hedgeDelays({...chat.facts, ...chat, streamed: chat.facts.stream}, context)});
+	noteDecision(chat, context);
 	const adapter = new ChatAdapter(chat, {
 		context,
 		deadline: plan.deadline,
@@ -55,11 +59,34 @@
 	});
 	const end = context.inProgress.begin(chat);
 	await new RequestRun({
-		...call, plan, adapter, key, context,
+		...call, plan, adapter, key, demand: demandOf(call, {chat, plan}), context,
 	}).run();
 	end();
 }
 
+function noteDecision({requestId, workspace, considered}: ChatPlan, {decisions, clock}: EntryContext): void {
+	decisions.begin({
+		request: requestId, workspace, at: clock.now().getTime(), versions: considered.map(({model, version, verdict}) => ({model, version, verdict})), attempts: [],
+	});
+}
+
+type Planned = {
+	readonly chat: ChatPlan;
+	readonly plan: RequestPlan;
+};
+
+function demandOf({requestId, workspace, active}: AuthenticatedCall, {chat: {rule, facts}, plan}: Planned): Demand {
+	return {
+		id: requestId,
+		workspace,
+		target: plan.target,
+		weight: active.effective.document.workspaces[workspace]?.weight ?? 1,
+		priority: rule.priority,
+		cost: Math.max(1, facts.promptTokens + (facts.maxTokens === 0 ? expectedOutputTokens : Math.min(facts.maxTokens, expectedOutputTokens))),
+		deadline: plan.deadline,
+	};
+}
+
 /**
 The idempotency key of a request, where it carries one, with the digest of method, path and body.
 
@@ -80,9 +107,10 @@
 type ChatLife = {
 	readonly chat: ChatPlan;
 	readonly claimed: boolean;
+	readonly hedge: HedgeDelays | undefined;
 };
 
-function lifePlan({headers, arrivedAt}: AuthenticatedCall, {chat, claimed}: ChatLife): RequestPlan {
+function lifePlan({headers, arrivedAt}: AuthenticatedCall, {chat, claimed, hedge}: ChatLife): RequestPlan {
 	const {model, version, rule, facts, escalatesTo} = chat;
 	const isPinned = headers.session !== '' && headers.session !== newSession;
 	return {
@@ -95,5 +123,6 @@
 		judged: escalatesTo !== undefined,
 		deadline: arrivedAt + Math.min(rule.deadlineMilliseconds, headers.deadlineMilliseconds ?? rule.deadlineMilliseconds),
 		promptTokens: facts.promptTokens,
+		...(hedge !== undefined && {hedge}),
 	};
 }
--- a/packages/daemon/src/entry/handle-service.ts
+++ b/packages/daemon/src/entry/handle-service.ts
@@ -10,10 +10,12 @@
 import {readCallerBody} from './read-caller-body.js';
 import {refuse} from './refuse.js';
 import {serviceAdapter, type ServicePlan} from './service-adapter.js';
+import {type Demand} from './traffic/admission-pools.js';
 
 const servicePathPattern = /^\/services\/(?<service>[a-z\d][a-z\d._\-]{0,63})(?<path>\/.*)$/v;
 const repeatableMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS']);
 const defaultDeadlineMilliseconds = 30_000;
+const servicePriority = 5;
 
 /**
 Serves one call to a plain service.
@@ -37,8 +39,21 @@
 	const key = requestKey(call, service.body);
 	const plan = lifePlan(service, key !== undefined);
 	const adapter = serviceAdapter(service, {context, deadline: plan.deadline});
+	const {requestId, workspace} = call;
+	context.decisions.begin({
+		request: requestId, workspace, at: context.clock.now().getTime(), versions: [], attempts: [],
+	});
+	const demand: Demand = {
+		id: requestId,
+		workspace,
+		target: plan.target,
+		weight: call.active.effective.document.workspaces[workspace]?.weight ?? 1,
+		priority: servicePriority,
+		cost: 1,
+		deadline: plan.deadline,
+	};
 	await new RequestRun({
-		...call, plan, adapter, key, context,
+		...call, plan, adapter, key, demand, context,
 	}).run();
 }
 
--- a/packages/daemon/src/entry/life/request-run.ts
+++ b/packages/daemon/src/entry/life/request-run.ts
@@ -11,6 +11,7 @@
 import {type AnswerPiece, type AttemptOutput} from '../attempt-output.js';
 import {type EntryContext} from '../entry-context.js';
 import {findServer} from '../find-server.js';
+import {type Demand} from '../traffic/admission-pools.js';
 import {type Attempt, AttemptSet} from './attempt-set.js';
 import {LifeTimers} from './life-timers.js';
 import {toRequestEvent} from './output-event.js';
@@ -28,6 +29,8 @@
 	readonly adapter: RequestAdapter;
 	/** Given where the plan takes a claim. */
 	readonly key: RequestKey | undefined;
+	/** What it asks admission for. */
+	readonly demand: Demand;
 	readonly context: EntryContext;
 };
 
@@ -57,6 +60,8 @@
 	#onEnded: (() => void) | undefined;
 	#state: RequestState | undefined;
 	#stepping = false;
+	/** The tokens that the attempts used. */
+	#tokens = 0;
 	#inHand: AnswerPiece | undefined;
 
 	constructor(options: RequestRunOptions) {
@@ -88,7 +93,7 @@
 	@returns When it ended.
 	*/
 	async run(): Promise<void> {
-		const {response, plan, context} = this.#options;
+		const {response, plan, context, requestId} = this.#options;
 		const ended = new Promise<void>(resolve => {
 			this.#onEnded = resolve;
 		});
@@ -101,6 +106,8 @@
 		this.#carryOut(startRequest(plan));
 		this.#drain();
 		await ended;
+		context.admission.end(requestId, this.#tokens);
+		context.decisions.end(requestId, this.#state?.leader === undefined ? 'refused' : 'answered');
 		context.runs.delete(this);
 	}
 
@@ -216,7 +223,8 @@
 	}
 
 	async #admit(): Promise<void> {
-		this.take(await this.#options.context.admit(this.#options));
+		const {context: {admission}, demand} = this.#options;
+		this.take(await admission.admit(demand));
 	}
 
 	async #takeClaim(): Promise<void> {
@@ -234,6 +242,10 @@
 	}
 
 	async #settleBill(settlement: SettleBillAction): Promise<void> {
+		for (const {usage, outcome} of settlement.lines) {
+			this.#tokens += outcome === 'ran' ? Math.max(1, usage.input + usage.output) : 0;
+		}
+
 		await this.#bill.settle(settlement);
 		this.take({type: 'bill-settled'});
 	}
--- a/packages/daemon/src/entry/service-adapter.ts
+++ b/packages/daemon/src/entry/service-adapter.ts
@@ -1,15 +1,18 @@
 import {
-	failure, type Micros, type ServiceId, toId,
+	failure, type Micros, type RequestId, type ServiceId, toId,
 } from '@valehitch/core';
 import {type DispatchDenial, type RequestTarget} from '@valehitch/routing';
 import {Left} from 'purify-ts';
+import {attemptEnd} from './attempt-end.js';
+import {type AttemptOutput} from './attempt-output.js';
 import {type EntryContext} from './entry-context.js';
 import {type AuthenticatedCall} from './handle-chat.js';
 import {
-	type ChooseServerAction, type RequestAdapter, type SendOptions, type ServerChoice,
+	type ChooseServerAction, type DispatchAction, type RequestAdapter, type SendOptions, type ServerChoice,
 } from './life/request-adapter.js';
 import {callService} from './service-call.js';
 import {stallMillisecondsOf} from './stall-milliseconds.js';
+import {observeAttempt} from './traffic/observe-attempt.js';
 
 /** A call to a plain service that is ready to be sent. */
 export type ServicePlan = {
@@ -28,7 +31,6 @@
 	readonly deadline: number;
 };
 
-const retryAfterMilliseconds = 1000;
 const microsPerUnit = 1_000_000;
 
 /**
@@ -59,11 +61,8 @@
 	readonly context: EntryContext;
 };
 
-function chooseInstance({excluded}: ChooseServerAction, {plan, context}: Surroundings): ServerChoice {
-	const server = context.servers.chooseService(plan.service, new Set(excluded));
-	return server === undefined
-		? {type: 'none', reason: 'none', retryAfterMilliseconds}
-		: {type: 'chosen', server: server.announcement.server};
+function chooseInstance(action: ChooseServerAction, {plan: {call: {requestId, workspace}, service}, context}: Surroundings): ServerChoice {
+	return context.picker.choose(action, {requestId, workspace, target: service});
 }
 
 function denialOf({call: {workspace}, service}: ServicePlan, context: EntryContext): DispatchDenial | undefined {
@@ -72,11 +71,11 @@
 	return isAllowed ? undefined : 'not-allowed';
 }
 
-function send({dispatch, address, signal}: SendOptions, {plan, context, deadline}: Surroundings & {readonly deadline: number}): ReturnType<typeof callService> {
+function send({dispatch, address, signal}: SendOptions, {plan, context, deadline}: Surroundings & {readonly deadline: number}): AsyncIterable<AttemptOutput> {
 	const {call: {request, requestId}, path, body, repeatable} = plan;
 	const {settings, clock} = context;
 	const remainingMilliseconds = deadline - clock.monotonic();
-	return callService({
+	const outputs = callService({
 		requestId,
 		attempt: dispatch.attempt,
 		method: request.method ?? 'GET',
@@ -89,6 +88,32 @@
 		stallMilliseconds: repeatable ? stallMillisecondsOf({streamed: false, remainingMilliseconds, settings}) : Math.max(1, remainingMilliseconds),
 		maximumBytes: settings.limits.bodyBytes,
 	});
+	return observeAttempt(outputs, {
+		clock,
+		streamed: false,
+		onStage() {
+			// The times of a service's calls are too unlike to tell a slow one by them.
+		},
+		onEnd(output) {
+			recordEnd(dispatch, {output, requestId, context});
+		},
+	});
+}
+
+type Ended = {
+	readonly output: AttemptOutput;
+	readonly requestId: RequestId;
+	readonly context: EntryContext;
+};
+
+function recordEnd({server, attempt, purpose}: DispatchAction, {output, requestId, context: {picker, decisions}}: Ended): void {
+	const {outcome, reason, failed} = attemptEnd(output);
+	decisions.attempt(requestId, {
+		attempt, purpose, servers: decisions.get(requestId)?.attempts.find(known => known.attempt === attempt)?.servers ?? [], server, outcome, reason,
+	});
+	if (output.type !== 'not-run') {
+		picker.record(server, failed);
+	}
 }
 
 function priceOf(service: ServiceId, context: EntryContext): Micros {
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ClaimAnswer} from '@valehitch/control';
 import {type Failure, failure} from '@valehitch/core';
+import {DecisionRing, StageHistory} from '@valehitch/routing';
 import {type Either, Left, Right} from 'purify-ts';
 import {match} from 'ts-pattern';
 import {type ControlClient} from '../control/control-client.js';
@@ -16,6 +17,8 @@
 import {InProgress} from './in-progress.js';
 import {type EntryMessage, type HoldBillsReply} from './messages.js';
 import {RequestCounter} from './request-counter.js';
+import {AdmissionPools} from './traffic/admission-pools.js';
+import {ServerPicker} from './traffic/server-picker.js';
 
 /** What the entry part is built on. */
 export type StartEntryOptions = {
@@ -40,6 +43,7 @@
 const lostAfterMilliseconds = 4000;
 const handOverPollMilliseconds = 50;
 const lingerMilliseconds = 500;
+const admissionMilliseconds = 250;
 
 /**
 Starts the part of a daemon that serves callers.
@@ -63,6 +67,14 @@
 		void claims.forget(instance);
 	});
 	const requests = new RequestCounter();
+	const decisions = new DecisionRing();
+	const picker = new ServerPicker({
+		...base, servers: distribution.servers, zone: base.settings.zone, decisions,
+	});
+	const admission = new AdmissionPools({...base, servers: distribution.servers, members: distribution.members});
+	const admissionTimer = setInterval(() => {
+		admission.refresh();
+	}, admissionMilliseconds);
 	const closing = new AbortController();
 	const watch = watchBills({
 		bills, held, members: distribution.members, network: base.network,
@@ -73,7 +85,10 @@
 			servers: distribution.servers,
 			active: distribution.active,
 			ratings: options.ratings,
-			admit: async () => ({type: 'admitted'}),
+			admission,
+			picker,
+			history: new StageHistory(),
+			decisions,
 			requests,
 			inProgress: new InProgress(),
 			runs: new Set(),
@@ -84,7 +99,7 @@
 		answer: async message => match(message)
 			.with({type: 'hold-bills'}, hold => held.hold(hold))
 			.with({type: 'owned-bills'}, question => bills.answerOwned(question))
-			.with({type: 'explain'}, () => undefined)
+			.with({type: 'explain'}, ({request}) => decisions.get(request))
 			.exhaustive(),
 		async stop() {
 			await requests.stop();
@@ -99,6 +114,7 @@
 		close() {
 			closing.abort();
 			watch.stop();
+			clearInterval(admissionTimer);
 			outbox.close();
 			claims.close();
 		},
--- /dev/null
+++ b/packages/daemon/src/entry/traffic/server-picker.ts
@@ -0,0 +1,101 @@
+import {
+	type Clock, type RandomSource, type RequestId, type ServerId, type WorkspaceId, type ZoneId,
+} from '@valehitch/core';
+import {
+	chooseServer, type DecisionRing, OutlierEjection,
+} from '@valehitch/routing';
+import {type ServerTable} from '@valehitch/membership';
+import {type Timeline} from '../../timeline.js';
+import {type ChooseServerAction, type ServerChoice} from '../life/request-adapter.js';
+import {AttemptBudgets} from './attempt-budgets.js';
+import {ServerViews} from './server-views.js';
+
+/** What the picker works with. */
+export type ServerPickerOptions = {
+	readonly servers: ServerTable;
+	readonly zone: ZoneId;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly timeline: Timeline;
+	readonly decisions: DecisionRing;
+};
+
+/** Who asks for a server. */
+export type ServerRequest = {
+	readonly requestId: RequestId;
+	readonly workspace: WorkspaceId;
+	/** The version, as `versionKey` names it, or the service. */
+	readonly target: string;
+	/** The hash of the prompt's prefix; undefined where no cache matters. */
+	readonly prefix?: number | undefined;
+};
+
+const retryAfterMilliseconds = 1000;
+
+/**
+Picks a server for each attempt, within the budgets of retries and hedges, and leaves out servers whose requests fail.
+
+@example
+```ts
+const choice = picker.choose(action, {requestId, workspace, target});
+```
+*/
+export class ServerPicker {
+	readonly #options: ServerPickerOptions;
+	readonly #ejection = new OutlierEjection();
+	readonly #budgets = new AttemptBudgets();
+	readonly #views: ServerViews;
+
+	constructor(options: ServerPickerOptions) {
+		this.#options = options;
+		this.#views = new ServerViews({...options, ejection: this.#ejection});
+	}
+
+	/**
+	Picks a server for an attempt.
+
+	@param action What the life of the request asks for.
+	@param request Who asks.
+	@returns The server, or why there is none.
+	*/
+	choose({attempt, purpose, excluded}: ChooseServerAction, {requestId, workspace, target, prefix}: ServerRequest): ServerChoice {
+		const {clock, zone, random, decisions} = this.#options;
+		if (!this.#budgets.allows({purpose, workspace, target}, clock.monotonic())) {
+			decisions.attempt(requestId, {
+				attempt, purpose, servers: [], outcome: 'notRun', reason: 'the budget is used up',
+			});
+			return {type: 'none', reason: 'budget', retryAfterMilliseconds};
+		}
+
+		const choice = chooseServer(this.#views.current(), {
+			target, excluded: new Set(excluded), prefix, zone, random,
+		});
+		return choice.caseOf<ServerChoice>({
+			Left(failed) {
+				decisions.attempt(requestId, {
+					attempt, purpose, servers: [], outcome: 'notRun', reason: failed.message,
+				});
+				return {type: 'none', reason: 'none', retryAfterMilliseconds: failed.retryAfterMilliseconds ?? retryAfterMilliseconds};
+			},
+			Right({server, considered}) {
+				decisions.attempt(requestId, {
+					attempt, purpose, servers: considered, server,
+				});
+				return {type: 'chosen', server};
+			},
+		});
+	}
+
+	/**
+	Takes the outcome of an attempt.
+
+	@param server The server.
+	@param failed Whether it failed by the server's fault.
+	*/
+	record(server: ServerId, failed: boolean): void {
+		const {clock, servers, timeline} = this.#options;
+		if (this.#ejection.record(server, {failed, now: clock.monotonic(), servers: servers.current().length})) {
+			timeline.record('server-ejected', {server});
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/entry/traffic/server-views.ts
@@ -0,0 +1,96 @@
+import {
+	type Clock, type ServerId, versionKey,
+} from '@valehitch/core';
+import {type KnownServer, type ServerTable} from '@valehitch/membership';
+import {type OutlierEjection, type ServerView} from '@valehitch/routing';
+
+/** What the views of the servers are made from. */
+export type ServerViewsOptions = {
+	readonly servers: ServerTable;
+	readonly ejection: OutlierEjection;
+	readonly clock: Clock;
+};
+
+type Report = {
+	readonly seenAt: number;
+	/** Requests of this instance in progress there when the report was first seen. */
+	readonly ownAtReport: number;
+	readonly loaded: ReadonlySet<string>;
+};
+
+/**
+Shows the backend servers as the choice of a server wants to see them.
+
+@example
+```ts
+chooseServer(views.current(), wish);
+```
+*/
+export class ServerViews {
+	readonly #options: ServerViewsOptions;
+	readonly #reports = new Map<ServerId, Report>();
+
+	constructor(options: ServerViewsOptions) {
+		this.#options = options;
+	}
+
+	/** The servers that are there. */
+	current(): readonly ServerView[] {
+		const {servers, clock} = this.#options;
+		const now = clock.monotonic();
+		const wall = clock.now().getTime();
+		const current = servers.current();
+		this.#forgetGone(current);
+		return current.map(known => this.#view(known, {now, wall}));
+	}
+
+	#view(known: KnownServer, {now, wall}: {readonly now: number; readonly wall: number}): ServerView {
+		const {announcement, load, seenAt, inFlight, state} = known;
+		const {server, zone, capacity, startedAt} = announcement;
+		const report = this.#report(known);
+		return {
+			id: server,
+			zone,
+			capacity,
+			reportedActive: load * capacity,
+			ownAtReport: report.ownAtReport,
+			reportAge: now - seenAt,
+			ownInFlight: inFlight,
+			draining: state !== 'joined',
+			expired: false,
+			ejected: this.#options.ejection.isEjected(server, now),
+			uptime: Math.max(0, wall - startedAt),
+			loaded: report.loaded,
+		};
+	}
+
+	#report({announcement, seenAt, inFlight}: KnownServer): Report {
+		const known = this.#reports.get(announcement.server);
+		if (known?.seenAt === seenAt) {
+			return known;
+		}
+
+		const loaded = new Set(announcement.models.map(({model, version}) => versionKey(model, version)));
+		if (announcement.service !== undefined) {
+			loaded.add(announcement.service);
+		}
+
+		const report = {seenAt, ownAtReport: inFlight, loaded};
+		this.#reports.set(announcement.server, report);
+		return report;
+	}
+
+	#forgetGone(current: readonly KnownServer[]): void {
+		if (this.#reports.size <= current.length) {
+			return;
+		}
+
+		const there = new Set(current.map(({announcement}) => announcement.server));
+		for (const server of this.#reports.keys()) {
+			if (!there.has(server)) {
+				this.#reports.delete(server);
+				this.#options.ejection.forget(server);
+			}
+		}
+	}
+}
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -5,6 +5,7 @@
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
 import {applyConfiguration} from './apply-configuration.js';
+import {answerExplain, explainPath} from './explain.js';
 import {type OperatorContext} from './operator-context.js';
 
 /**
@@ -26,6 +27,11 @@
 
 	const url = new URL(request.url ?? '/', 'http://operators.invalid');
 	const route = `${request.method ?? ''} ${url.pathname}`;
+	if (request.method === 'GET' && url.pathname.startsWith(explainPath)) {
+		await answerExplain(response, url.pathname, context);
+		return;
+	}
+
 	switch (route) {
 		case 'GET /v1/configuration': {
 			answerConfiguration(response, context);
