--- a/packages/daemon/src/distribution/leader-view.ts
+++ b/packages/daemon/src/distribution/leader-view.ts
@@ -32,10 +32,16 @@
 		this.#options = options;
 	}
 
-	/** This instance where it is the leader. */
+	/** Whether this instance leads under a valid leader lease. */
+	get leads(): boolean {
+		const {base: {clock}, control} = this.#options;
+		return control.isLeader() && clock.monotonic() < (control.leaseValidUntil() ?? Number.NEGATIVE_INFINITY);
+	}
+
+	/** The leader, where the control role of this instance knows it. */
 	get leader(): InstanceId | undefined {
 		const {base, control} = this.#options;
-		return control.isLeader() ? base.settings.instance : undefined;
+		return this.leads ? base.settings.instance : control.leader();
 	}
 
 	/**
@@ -51,7 +57,7 @@
 		}
 
 		const now = clock.monotonic();
-		const leads = control.isLeader() && now < control.leaseValidUntil();
+		const {leads} = this;
 		keeper.offer(committed);
 		keeper.settle({granted: leads});
 		if (!leads) {
@@ -62,7 +68,7 @@
 		this.#tracker ??= new InForceTracker({
 			relay, leaseMilliseconds: settings.timing.configurationLeaseMilliseconds, leaderSince: now,
 		});
-		relay.renewAsLeader({revision: committed.revision, validUntil: control.leaseValidUntil()}, now);
+		relay.renewAsLeader({revision: committed.revision, validUntil: control.leaseValidUntil() ?? now}, now);
 		this.#report();
 		return true;
 	}
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -5,6 +5,7 @@
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
 import {applyConfiguration} from './apply-configuration.js';
+import {cutLinks} from './cut-links.js';
 import {answerExplain, explainPath} from './explain.js';
 import {type OperatorContext} from './operator-context.js';
 
@@ -43,6 +44,11 @@
 			return;
 		}
 
+		case 'POST /v1/faults/links': {
+			await cutLinks(request, response, context.base);
+			return;
+		}
+
 		case 'GET /v1/status': {
 			await answerStatus(response, context);
 			return;
--- /dev/null
+++ b/packages/testing/src/_zone-trial.ts
@@ -0,0 +1,185 @@
+import {z} from 'zod';
+import {deploymentKeys, digestOf} from './_settings-file.js';
+import {
+	type BackendPlan, type DaemonPlan, type Deployment, type RunningDaemon, startDeployment,
+} from './deployment.js';
+import {
+	callOperator, callService, chatStreamed, chatWhole,
+} from './http-client.js';
+import {waitUntil} from './wait-until.js';
+
+/** What a daemon says of its part in the distribution. */
+export type DistributionStatus = z.infer<typeof distributionStatusSchema>;
+
+/** How a deployment of three zones with a version in roll-out is set. */
+export type ZoneTrialOptions = {
+	readonly leaseMilliseconds: number;
+	readonly serve?: 'settled' | 'all' | 'none';
+};
+
+const distributionStatusSchema = z.looseObject({
+	revision: z.number(),
+	isolated: z.boolean(),
+	leader: z.string().optional(),
+	inForce: z.object({complete: z.boolean(), waitingFor: z.array(z.string())}),
+	servers: z.array(z.looseObject({server: z.string(), state: z.string()})),
+});
+
+const askMilliseconds = 4000;
+const question = [{role: 'user' as const, content: 'Which heat?'}];
+const key = 'trial-key';
+const workspace = 'trial';
+
+export const trialDaemons: readonly DaemonPlan[] = [
+	{instance: 'control-a', zone: 'zone-a', roles: ['control', 'entry']},
+	{instance: 'control-b', zone: 'zone-b', roles: ['control', 'entry']},
+	{instance: 'control-c', zone: 'zone-c', roles: ['control', 'entry']},
+	{instance: 'entry-a', zone: 'zone-a', roles: ['entry']},
+	{instance: 'entry-b', zone: 'zone-b', roles: ['entry']},
+	{instance: 'entry-c', zone: 'zone-c', roles: ['entry']},
+	{instance: 'entry-d', zone: 'zone-a', roles: ['entry']},
+];
+
+const trialBackends: readonly BackendPlan[] = [
+	{server: 'engine-a', zone: 'zone-a', models: ['steady@1.0', 'fresh@2.0']},
+	{server: 'engine-b', zone: 'zone-b', models: ['steady@1.0', 'fresh@2.0']},
+	{server: 'engine-c', zone: 'zone-c', models: ['steady@1.0', 'fresh@2.0']},
+	{server: 'labels-c', zone: 'zone-c', service: 'labels'},
+];
+
+/** A document with a version that stays settled, and one whose state changes in the trial. */
+export function trialConfiguration(fresh: 'settled' | 'rolling-out' | 'withdrawn'): unknown {
+	const prices = {input: 1, output: 1};
+	return {
+		models: {
+			steady: {versions: {'1.0': {state: 'settled', quality: 0.9, prices}}},
+			fresh: {
+				versions: {
+					'1.0': {state: 'withdrawn', quality: 0.9, prices},
+					'2.0': {
+						state: fresh, quality: 0.9, prices, replaces: '1.0', stages: [{share: 1, minimumRatings: 1_000_000, minimumSeconds: 86_400}],
+					},
+				},
+			},
+		},
+		services: {labels: {repeatable: [], pricePerCall: 0}},
+		workspaces: {
+			[workspace]: {
+				keyDigests: [digestOf(key)],
+				allowed: {steady: ['1.0'], fresh: ['2.0']},
+				services: ['labels'],
+				policy: [{name: 'all', models: ['steady', 'fresh'], qualityTarget: 0.5}],
+			},
+		},
+	};
+}
+
+/** A running deployment and a session on the version whose state changes. */
+export type ZoneTrial = {
+	readonly deployment: Deployment;
+	/** The token of a session on the version that is now in the middle of a roll-out. */
+	readonly session: string;
+	/** The revision of the document that says so. */
+	readonly revision: number;
+};
+
+/** Starts 7 daemons in 3 zones, begins a session, puts its version in the middle of a roll-out and waits until all hold a lease. */
+export async function startZoneTrial({leaseMilliseconds, serve = 'settled'}: ZoneTrialOptions): Promise<ZoneTrial> {
+	const deployment = await startDeployment({
+		daemons: trialDaemons,
+		backends: trialBackends,
+		configuration: trialConfiguration('settled'),
+		startMilliseconds: 60_000,
+		settings: {
+			faults: true,
+			isolation: {serve},
+			timing: {announcementRenewMilliseconds: 1000, configurationLeaseMilliseconds: leaseMilliseconds, shutdownMilliseconds: 10_000},
+		},
+	});
+	await Promise.all(deployment.daemons.map(async daemon => waitUntilLeased(daemon)));
+	const session = await beginSession(findDaemon(deployment, 'entry-a'));
+	const revision = await deployment.apply(trialConfiguration('rolling-out'), {replaces: 1});
+	await Promise.all(deployment.daemons.map(async daemon => deployment.waitUntilReady(daemon, {revision, servers: []})));
+	return {deployment, session, revision};
+}
+
+async function beginSession(daemon: RunningDaemon): Promise<string> {
+	return waitUntil(async () => {
+		const {headers} = await chatWhole(daemon.callers, {
+			key, model: 'fresh', messages: question, headers: {'Valehitch-Session': 'new'},
+		});
+		const token = headers['valehitch-session'];
+		return typeof token === 'string' ? token : undefined;
+	}, {what: 'a session', timeoutMilliseconds: 60_000});
+}
+
+export async function distributionStatus(daemon: RunningDaemon): Promise<DistributionStatus> {
+	const {body} = await callOperator(`${daemon.operators}/v1/status`, {key: deploymentKeys.operators});
+	return distributionStatusSchema.parse(body);
+}
+
+export async function waitUntilLeased(daemon: RunningDaemon): Promise<void> {
+	await waitUntil(async () => {
+		const {isolated} = await distributionStatus(daemon);
+		return isolated ? undefined : true;
+	}, {what: `${daemon.instance} to hold a lease`, timeoutMilliseconds: 60_000});
+}
+
+/** Cuts the links between the zone and all others, or mends all links where none is named. */
+export async function cutZone(deployment: Deployment, zone?: string): Promise<void> {
+	await Promise.all(deployment.daemons.map(async daemon => {
+		const cut = deployment.daemons
+			.filter(other => zone !== undefined && (other.zone === zone) !== (daemon.zone === zone))
+			.map(({instance}) => instance);
+		const {status} = await callOperator(`${daemon.operators}/v1/faults/links`, {
+			key: deploymentKeys.operators, method: 'POST', document: {cut},
+		});
+		if (status !== 200) {
+			throw new Error(`Got ${status} from ${daemon.instance}, wanted 200`);
+		}
+	}));
+}
+
+/** What came of a request, as far as the caller saw within some seconds. */
+export type Seen = 'served' | 'refused';
+
+/**
+Asks for the settled version, or goes on with a session on the version whose state changes.
+
+A stream that began counts as served, since a cut-off zone may not reach the ledger before its end.
+*/
+export async function askFor(daemon: RunningDaemon, session?: string): Promise<Seen> {
+	const {text, status, connectionError} = await chatStreamed(daemon.callers, {
+		key,
+		model: session === undefined ? 'steady' : 'fresh',
+		messages: question,
+		timeoutMilliseconds: askMilliseconds,
+		...(session !== undefined && {headers: {'Valehitch-Session': session}}),
+	});
+	if (status >= 400) {
+		return 'refused';
+	}
+
+	if (text === '') {
+		throw new Error(`Got neither an answer nor a refusal: ${connectionError ?? 'an empty stream'}`);
+	}
+
+	return 'served';
+}
+
+/** Calls the plain service; gives whether the instance refused. */
+export async function askForLabels(daemon: RunningDaemon): Promise<Seen> {
+	const {status} = await callService(daemon.callers, {
+		key, service: 'labels', path: '/print', body: '{}', timeoutMilliseconds: askMilliseconds,
+	});
+	return status >= 400 ? 'refused' : 'served';
+}
+
+export function findDaemon(deployment: Deployment, instance: string): RunningDaemon {
+	const daemon = deployment.daemons.find(candidate => candidate.instance === instance);
+	if (daemon === undefined) {
+		throw new Error(`Got no daemon ${instance}`);
+	}
+
+	return daemon;
+}
