--- a/packages/testing/src/_entry-deployment.ts
+++ b/packages/testing/src/_entry-deployment.ts
@@ -138,6 +138,8 @@
 		backends: [...engines, {server: 'labels-1', zone: zones[0], service: 'labels'}],
 		configuration: entryConfiguration(),
 		settings: options.settings ?? {},
+		// Generous, since a busy machine starts eight processes slowly.
+		startMilliseconds: 90_000,
 	});
 	t.teardown(async () => {
 		await deployment.stop();
