Estimate the wait before the first releases are counted

Cause: a pool that was idle knew no rate, so a burst was queued whole: 102 of 120 requests waited until their deadline passed instead of being refused at once. Ruled out: a larger share of early refusals by guess. Conclusion: what cannot be met is refused at once with a time to come back.

--- a/packages/routing/src/_drain-rate.ts
+++ b/packages/routing/src/_drain-rate.ts
@@ -31,5 +31,5 @@
 	}
 }
 
-const intervalMilliseconds = 250;
+const intervalMilliseconds = 1000;
 const latestWeight = 0.3;
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -243,9 +243,10 @@
 	}
 
 	/** The lesser of the wait behind its own workspace at its share, and that behind everything. */
-	#expectedWait(queue: WorkspaceQueue, {priority, weight}: AdmissionRequest): number {
-		const rate = this.#rate.perMillisecond;
-		if (rate === 0) {
+	#expectedWait(queue: WorkspaceQueue, {priority, weight, serviceMilliseconds}: AdmissionRequest): number {
+		// Before the first releases, what is in progress is taken to last as long as the request itself will.
+		const rate = this.#rate.perMillisecond || this.#inProgress / serviceMilliseconds;
+		if (!Number.isFinite(rate) || rate === 0) {
 			return 0;
 		}
 
