--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -79,10 +79,16 @@
 	}
 
 	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | LedgerPage>> {
-		return match(question)
-			.with({type: 'propose'}, async ({command}) => this.#options.host.propose(command))
-			.with({type: 'ledger'}, async ledger => Right(this.#readLedger(ledger)))
-			.exhaustive();
+		const {host} = this.#options;
+		if (question.type === 'propose') {
+			return host.propose(question.command);
+		}
+
+		if (!await host.catchUp()) {
+			return Left(this.#noQuorum());
+		}
+
+		return Right(this.#readLedger(question));
 	}
 
 	#readLedger({workspace, after}: LedgerMessage): LedgerPage {
--- a/packages/testing/src/_distribution-trial.ts
+++ b/packages/testing/src/_distribution-trial.ts
@@ -33,7 +33,7 @@
 	isolated: z.boolean(),
 	inForce: z.object({complete: z.boolean()}),
 	servers: z.array(z.unknown()),
-	traffic: z.object({
+	peerTraffic: z.object({
 		bytesSent: z.number(), bytesReceived: z.number(), framesSent: z.number(), framesReceived: z.number(),
 	}),
 	process: z.object({cpuMicroseconds: z.number(), residentBytes: z.number()}),
@@ -122,14 +122,14 @@
 		const earlier = before[index];
 		return earlier === undefined ? 0 : (read(status) - read(earlier)) / seconds;
 	});
-	const sent = rate(({traffic}) => traffic.bytesSent);
-	const received = rate(({traffic}) => traffic.bytesReceived);
+	const sent = rate(({peerTraffic}) => peerTraffic.bytesSent);
+	const received = rate(({peerTraffic}) => peerTraffic.bytesReceived);
 	const cpu = rate(({process}) => process.cpuMicroseconds / 1_000_000);
 	return {
 		meanSentBytes: mean(sent),
 		meanReceivedBytes: mean(received),
 		largestBytes: Math.max(...sent.map((bytes, index) => bytes + (received[index] ?? 0))),
-		meanFrames: mean(rate(({traffic}) => traffic.framesSent + traffic.framesReceived)),
+		meanFrames: mean(rate(({peerTraffic}) => peerTraffic.framesSent + peerTraffic.framesReceived)),
 		meanCpu: mean(cpu),
 		largestCpu: Math.max(...cpu),
 		meanResidentMegabytes: mean(after.map(({process}) => process.residentBytes)) / 1_048_576,
