--- a/packages/daemon/src/entry/bills/bill-keeper.test.ts
+++ b/packages/daemon/src/entry/bills/bill-keeper.test.ts
@@ -118,7 +118,7 @@
 		});
 		const held = new HeldBills({
 			clock, maximumCopies: 100, lostAfterMilliseconds, onRecovered(bill) {
-				void outbox.add(bill);
+				keeper.adopt(bill);
 			},
 		});
 		const keeper = new BillKeeper({
@@ -242,6 +242,25 @@
 	}), {seed, numRuns: 400}));
 });
 
+test('an instance may be lost at any moment, and another one after the copies were placed anew', async t => {
+	const calm = step.filter(({type}) => type !== 'cut');
+	await t.notThrowsAsync(async () => fc.assert(fc.asyncProperty(fc.array(calm, {maxLength: 40}), fc.shuffledSubarray([...names], {minLength: 2, maxLength: 2}), async (steps, victims) => {
+		const world = new World();
+		for (const next of steps) {
+			await take(world, next);
+		}
+
+		for (const victim of victims) {
+			world.kill(victim);
+			await world.pass();
+			await world.pass();
+		}
+
+		await heal(world);
+		check(world, new Set(victims));
+	}), {seed, numRuns: 400}));
+});
+
 test('bills are settled while the ledger is away, and reach it when it is back', async t => {
 	const world = new World();
 	world.ledgerIsThere = false;
--- a/packages/daemon/src/entry/bills/bill-keeper.ts
+++ b/packages/daemon/src/entry/bills/bill-keeper.ts
@@ -121,6 +121,18 @@
 		return isHeld ? undefined : recorded;
 	}
 
+	/**
+	Takes over the settled bill of an instance that is lost, with a copy in another process like one of its own.
+
+	@param bill The bill.
+	*/
+	adopt(bill: Bill): void {
+		const entry: Entry = {copy: {state: 'settled', bill}, link: undefined, isPlacing: false};
+		this.#entries.set(bill.request, entry);
+		void this.#record(bill);
+		void this.#place(entry);
+	}
+
 	/** Tells the holders that this instance is there, and finds new holders where one is lost; called every few seconds. */
 	renew(): void {
 		const members = new Set(this.#options.members().map(({instance}) => instance));
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -60,7 +60,7 @@
 	const {control, distribution} = options;
 	const outbox = new LedgerOutbox({propose: async command => control.propose(command), wait});
 	const bills = billKeeper(base, {...options, outbox});
-	const held = heldBills(base, outbox);
+	const held = heldBills(base, bills);
 	const claims = claimKeeper(base, control);
 	claims.begin();
 	distribution.onInstanceLost(({instance}) => {
@@ -141,14 +141,14 @@
 	});
 }
 
-function heldBills({clock, timeline}: DaemonBase, outbox: LedgerOutbox): HeldBills {
+function heldBills({clock, timeline}: DaemonBase, bills: BillKeeper): HeldBills {
 	return new HeldBills({
 		clock,
 		maximumCopies,
 		lostAfterMilliseconds,
 		onRecovered(bill) {
 			timeline.record('bill-recovered', {requestId: bill.request, workspace: bill.workspace, details: {owner: bill.instance, outcome: bill.outcome}});
-			void outbox.add(bill);
+			bills.adopt(bill);
 		},
 	});
 }
--- a/packages/daemon/src/entry/traffic/server-picker.ts
+++ b/packages/daemon/src/entry/traffic/server-picker.ts
@@ -2,7 +2,7 @@
 	type Clock, type RandomSource, type RequestId, type ServerId, type WorkspaceId, type ZoneId,
 } from '@valehitch/core';
 import {
-	chooseServer, type DecisionRing, OutlierEjection,
+	chooseServer, type DecisionRing, OutlierEjection, PrefixShares,
 } from '@valehitch/routing';
 import {type ServerTable} from '@valehitch/membership';
 import {type Timeline} from '../../timeline.js';
@@ -44,6 +44,7 @@
 	readonly #options: ServerPickerOptions;
 	readonly #ejection = new OutlierEjection();
 	readonly #budgets = new AttemptBudgets();
+	readonly #prefixes = new PrefixShares();
 	readonly #views: ServerViews;
 
 	constructor(options: ServerPickerOptions) {
@@ -68,7 +69,7 @@
 		}
 
 		const choice = chooseServer(this.#views.current(), {
-			target, excluded: new Set(excluded), prefix, zone, random,
+			target, excluded: new Set(excluded), zone, random, ...(prefix !== undefined && {prefix, prefixShare: this.#prefixes.count(prefix)}),
 		});
 		return choice.caseOf<ServerChoice>({
 			Left(failed) {
--- a/packages/settings/src/settings.test.ts
+++ b/packages/settings/src/settings.test.ts
@@ -37,6 +37,10 @@
 		announcementRenewMilliseconds: 1000, configurationLeaseMilliseconds: 5000, shutdownMilliseconds: 30_000, stallMilliseconds: 10_000,
 	});
 	t.is(settings.isolation.serve, 'settled');
+	t.deepEqual(settings.badVersions, {
+		ratings: {tolerance: 0.05, falseAlarmShare: 0.05, horizon: 1000},
+		failures: {tolerance: 0.03, falseAlarmShare: 0.05, horizon: 100_000},
+	});
 	t.is(settings.logging.level, 'info');
 	t.is(settings.metrics, undefined);
 });
