--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -52,6 +52,11 @@
 		this.#prefix = prefixHash(promptOf(plan.body));
 	}
 
+	/** The request with its version chosen; planned anew where the version was lost. */
+	get plan(): ChatPlan {
+		return this.#plan;
+	}
+
 	chooseServer(action: ChooseServerAction): ServerChoice {
 		const {context: {picker}} = this.#options;
 		const {requestId, workspace} = this.#plan;
--- a/packages/daemon/src/entry/handle-chat.ts
+++ b/packages/daemon/src/entry/handle-chat.ts
@@ -1,6 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type RequestId, toId, type WorkspaceId} from '@valehitch/core';
 import {type IdempotencyKey} from '@valehitch/control';
+import {type VersionTarget} from '@valehitch/policy';
 import {type HedgeDelays, hedgeDelays, type RequestPlan} from '@valehitch/routing';
 import {type ActiveConfiguration} from '../distribution/active-configuration.js';
 import {sha256} from '../digest.js';
@@ -58,10 +59,28 @@
 		planAgain: () => planChat({...call, active: context.active() ?? call.active, body: chat.body}, context),
 	});
 	const end = context.inProgress.begin(chat);
-	await new RequestRun({
+	const ranAt = context.clock.now().getTime();
+	const answeredBy = await new RequestRun({
 		...call, plan, adapter, key, demand: demandOf(call, {chat, plan}), context,
 	}).run();
 	end();
+	if (answeredBy?.type === 'version') {
+		rememberForRating(adapter.plan, {answeredBy, ranAt, context});
+	}
+}
+
+type Answered = {
+	readonly answeredBy: VersionTarget;
+	readonly ranAt: number;
+	readonly context: EntryContext;
+};
+
+/** The rating of an answer comes late, and tells the version by the request's id. */
+function rememberForRating({requestId, workspace, rule, escalatesTo, model: first}: ChatPlan, {answeredBy: {model, version}, ranAt, context}: Answered): void {
+	const isAccepted = escalatesTo !== undefined && model === first;
+	context.ratings.remember({
+		requestId, workspace, rule: rule.name, model, version, ranAt, measure: isAccepted ? 'accepted-rating' : 'rating',
+	});
 }
 
 function noteDecision({requestId, workspace, considered}: ChatPlan, {decisions, clock}: EntryContext): void {
--- a/packages/daemon/src/entry/life/request-run.ts
+++ b/packages/daemon/src/entry/life/request-run.ts
@@ -60,6 +60,7 @@
 	#onEnded: (() => void) | undefined;
 	#state: RequestState | undefined;
 	#stepping = false;
+	#isAnswered = false;
 	/** The tokens that the attempts used. */
 	#tokens = 0;
 	#inHand: AnswerPiece | undefined;
@@ -90,9 +91,9 @@
 	/**
 	Begins the life of the request.
 
-	@returns When it ended.
+	@returns When it ended: what answered it whole, or undefined where nothing did.
 	*/
-	async run(): Promise<void> {
+	async run(): Promise<RequestTarget | undefined> {
 		const {response, plan, context, requestId} = this.#options;
 		const ended = new Promise<void>(resolve => {
 			this.#onEnded = resolve;
@@ -107,8 +108,9 @@
 		this.#drain();
 		await ended;
 		context.admission.end(requestId, this.#tokens);
-		context.decisions.end(requestId, this.#state?.leader === undefined ? 'refused' : 'answered');
+		context.decisions.end(requestId, this.#isAnswered ? 'answered' : 'not answered whole');
 		context.runs.delete(this);
+		return this.#isAnswered ? this.#target : undefined;
 	}
 
 	/**
@@ -211,6 +213,7 @@
 				this.#attempts.get(attempt)?.pieces.splice(0);
 			})
 			.with({type: 'finish-answer'}, ({attempt}) => {
+				this.#isAnswered = true;
 				this.#answer.finish(this.#attempts.get(attempt), this.#target);
 			})
 			.with({type: 'replay-answer'}, () => {
