Merge the entry instance round the pure request life

Cause: the thin path had its own request handling, without claims, limits, hedges, resumes or copies of bills.

--- /dev/null
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -0,0 +1,196 @@
+import {
+	costOf, type Failure, type Prices, versionKey,
+} from '@valehitch/core';
+import {escalationSign, mayDispatch} from '@valehitch/policy';
+import {
+	type DispatchDenial, prefixHash, type RequestTarget, stageKey, type StageTime,
+} from '@valehitch/routing';
+import {type Either} from 'purify-ts';
+import {match} from 'ts-pattern';
+import {type AttemptOutput} from './attempt-output.js';
+import {type JudgedAnswer, readCheckedAnswer} from './checked-answer.js';
+import {callEngine} from './engine-call.js';
+import {type EntryContext} from './entry-context.js';
+import {attemptEnd} from './attempt-end.js';
+import {promptOf} from './chat-body.js';
+import {
+	type ChooseServerAction, type DispatchAction, type Judgement, type RequestAdapter, type SendOptions, type ServerChoice,
+} from './life/request-adapter.js';
+import {type ChatPlan} from './plan-chat.js';
+import {stallMillisecondsOf} from './stall-milliseconds.js';
+import {observeAttempt} from './traffic/observe-attempt.js';
+
+/** What a chat adapter needs besides the plan. */
+export type ChatAdapterOptions = {
+	readonly context: EntryContext;
+	/** When the last byte is due, in milliseconds on the monotonic clock. */
+	readonly deadline: number;
+	/** Plans the request anew, by the configuration in force. */
+	readonly planAgain: () => Either<Failure, ChatPlan>;
+};
+
+type VersionTarget = Extract<RequestTarget, {readonly type: 'version'}>;
+
+const noPrices: Prices = {input: 0, output: 0};
+
+/**
+The adapter of a chat request.
+
+@example
+```ts
+const adapter = new ChatAdapter(plan, {context, deadline, planAgain});
+```
+*/
+export class ChatAdapter implements RequestAdapter {
+	readonly #options: ChatAdapterOptions;
+	#plan: ChatPlan;
+	readonly #prefix: number;
+
+	constructor(plan: ChatPlan, options: ChatAdapterOptions) {
+		this.#plan = plan;
+		this.#options = options;
+		this.#prefix = prefixHash(promptOf(plan.body));
+	}
+
+	/** The request with its version chosen; planned anew where the version was lost. */
+	get plan(): ChatPlan {
+		return this.#plan;
+	}
+
+	chooseServer(action: ChooseServerAction): ServerChoice {
+		const {context: {picker}} = this.#options;
+		const {requestId, workspace} = this.#plan;
+		return picker.choose(action, {
+			requestId, workspace, target: keyOf(action.target), prefix: this.#prefix,
+		});
+	}
+
+	denialOf(target: RequestTarget): DispatchDenial | undefined {
+		const {context} = this.#options;
+		const active = context.active();
+		if (active === undefined) {
+			return 'not-allowed';
+		}
+
+		const {model, version} = asVersion(target);
+		const verdict = mayDispatch(active.effective, {
+			workspace: this.#plan.workspace,
+			model,
+			version,
+			isolated: active.isolated,
+			isolatedServe: context.settings.isolation.serve,
+			isStoppedHere: context.ratings.isStoppedHere,
+			belowTarget: this.#plan.belowTarget,
+		});
+		return match(verdict)
+			.with('allowed', () => undefined)
+			.with('isolated', () => 'version-stopped' as const)
+			.otherwise(denial => denial);
+	}
+
+	send({dispatch, address, signal, before}: SendOptions): AsyncIterable<AttemptOutput> {
+		const {context: {settings, clock}, deadline} = this.#options;
+		const {requestId, body, facts: {stream}, rule} = this.#plan;
+		const outputs = callEngine({
+			requestId,
+			attempt: dispatch.attempt,
+			versionKey: keyOf(dispatch.target),
+			body,
+			streamed: stream,
+			priority: rule.priority,
+			resumeText: before.text,
+			tokensBefore: before.tokens,
+			address,
+			signal,
+			stallMilliseconds: stallMillisecondsOf({streamed: stream, remainingMilliseconds: deadline - clock.monotonic(), settings}),
+			maximumBytes: settings.limits.bodyBytes,
+		});
+		return observeAttempt(outputs, {
+			clock,
+			streamed: stream,
+			onStage: (stage, milliseconds) => {
+				this.#recordStage(dispatch, {stage, milliseconds});
+			},
+			onEnd: output => {
+				this.#recordEnd(dispatch, output);
+			},
+		});
+	}
+
+	chooseVersion(): ReturnType<RequestAdapter['chooseVersion']> {
+		return this.#options.planAgain().map(plan => {
+			this.#plan = plan;
+			return {target: {type: 'version', model: plan.model, version: plan.version}, judged: plan.escalatesTo !== undefined};
+		});
+	}
+
+	judge(target: RequestTarget, answer: JudgedAnswer): Judgement {
+		const {escalatesTo, workspace, rule: {escalation, name}} = this.#plan;
+		const isEscalated = escalatesTo !== undefined && escalation !== undefined
+			&& escalationSign(readCheckedAnswer(answer), escalation) !== undefined;
+		this.#options.context.ratings.noteEscalation({
+			...asVersion(target), workspace, rule: name, ranAt: this.#options.context.clock.now().getTime(),
+		}, isEscalated);
+		return isEscalated
+			? {verdict: 'escalated', target: {type: 'version', ...escalatesTo}, judged: false}
+			: {verdict: 'accepted'};
+	}
+
+	costOf(target: RequestTarget, usage: Parameters<typeof costOf>[1]): ReturnType<typeof costOf> {
+		const {model, version} = asVersion(target);
+		const document = this.#options.context.active()?.effective.document;
+		return costOf(document?.models[model]?.versions[version]?.prices ?? noPrices, usage);
+	}
+
+	headersOf(target: RequestTarget): Readonly<Record<string, string>> {
+		const {model, version} = asVersion(target);
+		const {sessionToken} = this.#plan;
+		return {
+			'Valehitch-Model': model,
+			'Valehitch-Version': version,
+			...(sessionToken !== undefined && {'Valehitch-Session': sessionToken}),
+		};
+	}
+
+	#recordStage({target, resumeFrom}: DispatchAction, time: StageTime): void {
+		const {model, version} = asVersion(target);
+		const {facts: {promptTokens}} = this.#plan;
+		if (time.stage === 'decode') {
+			this.#options.context.history.record(keyOf(target), time);
+		} else if (resumeFrom === 0) {
+			this.#options.context.history.record(stageKey({model, version, promptTokens}), time);
+		}
+	}
+
+	#recordEnd({target, server, attempt, purpose}: DispatchAction, output: AttemptOutput): void {
+		const {context: {picker, ratings, decisions, clock}} = this.#options;
+		const {requestId, workspace, rule} = this.#plan;
+		const {outcome, reason, failed} = attemptEnd(output);
+		decisions.attempt(requestId, {
+			attempt, purpose, servers: decisions.get(requestId)?.attempts.find(known => known.attempt === attempt)?.servers ?? [], server, outcome, reason,
+		});
+		if (output.type !== 'not-run') {
+			picker.record(server, failed);
+		}
+
+		// A lost connection says nothing of the version.
+		if (output.type === 'complete' || output.type === 'failed') {
+			ratings.noteOutcome({
+				...asVersion(target), workspace, rule: rule.name, ranAt: clock.now().getTime(),
+			}, failed);
+		}
+	}
+}
+
+function keyOf(target: RequestTarget): string {
+	const {model, version} = asVersion(target);
+	return versionKey(model, version);
+}
+
+function asVersion(target: RequestTarget): VersionTarget {
+	if (target.type !== 'version') {
+		throw new TypeError(`Got service ${target.service}, wanted a version of a model`);
+	}
+
+	return target;
+}
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -7,6 +7,7 @@
 import {issueOrder, listOrders} from '../control/orders/handle-orders.js';
 import {applyConfiguration} from './apply-configuration.js';
 import {cutLinks} from './cut-links.js';
+import {answerExplain, explainPath} from './explain.js';
 import {type OperatorContext} from './operator-context.js';
 
 /**
@@ -28,6 +29,11 @@
 
 	const url = new URL(request.url ?? '/', 'http://operators.invalid');
 	const route = `${request.method ?? ''} ${url.pathname}`;
+	if (request.method === 'GET' && url.pathname.startsWith(explainPath)) {
+		await answerExplain(response, url.pathname, context);
+		return;
+	}
+
 	switch (route) {
 		case 'GET /v1/configuration': {
 			answerConfiguration(response, context);
