--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -1,4 +1,4 @@
-import {type Command} from '@valehitch/control';
+import {type Command, type OrderRecord} from '@valehitch/control';
 import {type ReplicaId, type ReplicaMessage, type ReplicaSet} from '@valehitch/consensus';
 import {type Bill, type InstanceId} from '@valehitch/core';
 import {type ResultReply} from '../result-reply.js';
@@ -36,6 +36,21 @@
 	readonly next?: number;
 };
 
+/** Asks the control role for the orders to engines. */
+export type OrdersMessage = {
+	readonly scope: 'control';
+	readonly type: 'orders';
+	readonly isForwarded?: boolean;
+};
+
+/** The orders to engines. */
+export type OrderList = {
+	/** In the order in which they were issued. */
+	readonly open: readonly OrderRecord[];
+	/** Those of late, the oldest first. */
+	readonly completed: readonly OrderRecord[];
+};
+
 /** A message between two replicas; one to a former identity of an instance is dropped. */
 export type ReplicaEnvelope = {
 	readonly scope: 'control';
@@ -73,7 +88,7 @@
 };
 
 /** The questions that only the leader answers. */
-export type LeaderQuestion = ProposeMessage | LedgerMessage;
+export type LeaderQuestion = ProposeMessage | LedgerMessage | OrdersMessage;
 
 /** The closed list of messages to the control role. */
 export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | LeaderMessage;
