--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -28,8 +28,8 @@
 type Parts = {
 	control?: ControlPart;
 	distribution?: DistributionPart;
-	tasks?: LeaderTasks;
 	entry?: EntryPart;
+	tasks?: LeaderTasks;
 };
 
 /**
@@ -123,7 +123,7 @@
 	};
 }
 
-async function answerPeer(message: PeerMessage, {control, distribution, tasks, entry}: Parts): Promise<unknown> {
+async function answerPeer(message: PeerMessage, {control, distribution, entry, tasks}: Parts): Promise<unknown> {
 	return match(message)
 		.with({scope: 'control'}, async found => control?.answer(found))
 		.with({scope: 'distribution'}, async found => distribution?.answer(found))
