Let operators advance and stop roll-outs

Cause: the replicated state has the commands, and no call led to them. Ruled out: editing the document, which would start the roll-out anew. Conclusion: a stage is advanced by compare-and-set, so two operators do not advance twice.

--- /dev/null
+++ b/packages/daemon/src/operators/change-rollout.ts
@@ -0,0 +1,82 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Command} from '@valehitch/control';
+import {
+	type Failure, failure, type ModelId, toId, type VersionId,
+} from '@valehitch/core';
+import {answerProblem, readBody} from '@valehitch/transport';
+import {type Either, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+import {answerJson} from '../answer-json.js';
+import {type OperatorContext} from './operator-context.js';
+
+const maximumBytes = 65_536;
+const name = z.string().min(1).max(64);
+const changeSchema = z.discriminatedUnion('action', [
+	z.strictObject({
+		action: z.literal('advance'), model: name, version: name, fromStage: z.int().min(0),
+	}),
+	z.strictObject({
+		action: z.literal('stop'), model: name, version: name, reason: z.string().min(1).max(500),
+	}),
+]);
+
+type RolloutChange = z.infer<typeof changeSchema>;
+
+/**
+Advances a roll-out by one stage or stops its version: `POST /v1/rollouts`.
+
+@param request The operator's request.
+@param response The response; it comes when the change is committed.
+@param context What the port works with.
+@example
+```ts
+await changeRollout(request, response, context);
+```
+*/
+export async function changeRollout(request: IncomingMessage, response: ServerResponse, {base, control}: OperatorContext): Promise<void> {
+	const body = await readBody(request, maximumBytes);
+	const change = body.chain(bytes => readChange(bytes));
+	if (change.isLeft()) {
+		answerProblem(response, change.extract());
+		return;
+	}
+
+	const result = await control.propose(commandOf(change.unsafeCoerce(), base.clock.now().getTime()));
+	result.caseOf({
+		Left(failed) {
+			answerProblem(response, failed);
+		},
+		Right({revision}) {
+			answerJson(response, {revision, committed: true});
+		},
+	});
+}
+
+function commandOf(change: RolloutChange, at: number): Command {
+	const model = toId<ModelId>(change.model);
+	const version = toId<VersionId>(change.version);
+	return change.action === 'advance'
+		? {
+			type: 'advance-rollout', model, version, fromStage: change.fromStage, at,
+		}
+		: {
+			type: 'stop-version', model, version, reason: change.reason, at,
+		};
+}
+
+function readChange(bytes: Uint8Array): Either<Failure, RolloutChange> {
+	let json: unknown;
+	try {
+		json = JSON.parse(new TextDecoder().decode(bytes));
+	} catch {
+		return Left(failure('malformed-request', 'Got a body that is not JSON, wanted a change of a roll-out'));
+	}
+
+	const parsed = changeSchema.safeParse(json);
+	if (parsed.success) {
+		return Right(parsed.data);
+	}
+
+	const [issue] = parsed.error.issues;
+	return Left(failure('malformed-request', `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'not valid'}`));
+}
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -4,6 +4,7 @@
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
 import {applyConfiguration} from './apply-configuration.js';
+import {changeRollout} from './change-rollout.js';
 import {cutLinks} from './cut-links.js';
 import {type OperatorContext} from './operator-context.js';
 
@@ -52,6 +53,11 @@
 			return;
 		}
 
+		case 'POST /v1/rollouts': {
+			await changeRollout(request, response, context);
+			return;
+		}
+
 		case 'GET /v1/timeline': {
 			answerTimeline(url, response, context);
 			return;
