--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -185,7 +185,10 @@
 });
 
 const withVersion: Reply = {
-	status: 200, body: {revision: 4, document: {models: {small: {versions: {v1: {state: 'settled', quality: 0.9, prices: {input: 1, output: 1}}}}}}, rollouts: {'small@v1': {status: 'running', stage: 1}}},
+	status: 200, body: {
+		revision: 4, document: {models: {small: {versions: {v1: {state: 'settled', quality: 0.9, prices: {input: 1, output: 1}}}}}},
+		rollouts: {'small@v1': {status: 'running', stage: 1}},
+	},
 };
 
 test('withdraw changes the one version against the revision it was read at', async t => {
@@ -229,7 +232,10 @@
 });
 
 test('ledger reads all pages, explain prints decisions, drain names its order', async t => {
-	const ledger = await standIn(t, [{status: 200, body: {bills: [{workspace: 'w', request: 'r1', lines: [{}]}], next: 1}}, {status: 200, body: {bills: [{workspace: 'w', request: 'r2', lines: []}]}}]);
+	const ledger = await standIn(t, [
+		{status: 200, body: {bills: [{workspace: 'w', request: 'r1', lines: [{}]}], next: 1}},
+		{status: 200, body: {bills: [{workspace: 'w', request: 'r2', lines: []}]}},
+	]);
 	const bills = await run(['ledger', '--all'], ledger.environment);
 	t.true(bills.stdout.includes('r1') && bills.stdout.includes('r2'));
 	const explain = await standIn(t, [{status: 200, body: {request: 'r1', steps: [{verdict: 'eligible', model: 'small'}]}}]);
