Keep the naive router running when an engine's connection is reset

Ruled out: the hook that cuts zones, since a plain reset does the same. Change: the request keeps a listener.

--- a/packages/testing/src/naive-router.test.ts
+++ b/packages/testing/src/naive-router.test.ts
@@ -1,3 +1,5 @@
+import {createServer as createTcpServer, type AddressInfo} from 'node:net';
+import {once} from 'node:events';
 import {configurationSchema} from '@valehitch/core';
 import test from 'ava';
 import {digestOf} from './_settings-file.js';
@@ -53,3 +55,23 @@
 	}), {status: 200});
 	t.is(cutting.countRuns('print-1') + sound.countRuns('print-1'), 2);
 });
+
+test('an engine whose connection is reset in the middle of an answer leaves the router running', async t => {
+	const engine = createTcpServer(socket => {
+		socket.once('data', () => {
+			socket.write('HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n: \r\n', () => {
+				socket.resetAndDestroy();
+			});
+		});
+	}).listen(0, '127.0.0.1');
+	await once(engine, 'listening');
+	const {port} = engine.address() as AddressInfo;
+	const router = await startNaiveRouter({document, servers: [{address: `http://127.0.0.1:${port}`, models: ['small@v3']}]});
+	t.teardown(async () => {
+		await router.close();
+		engine.close();
+	});
+	const {done} = await chatStreamed(router.address, {key, messages});
+	t.false(done);
+	t.like(await chatWhole(router.address, {key: 'other', messages}), {status: 401});
+});
--- a/packages/testing/src/naive-router.ts
+++ b/packages/testing/src/naive-router.ts
@@ -224,6 +224,8 @@
 	};
 
 	response.once('close', cancel);
+	// An error after the head of the answer reaches the reader of its body.
+	outgoing.on('error', cancel);
 	try {
 		outgoing.end(body);
 		const [answer] = await once(outgoing, 'response') as [IncomingMessage];
