--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -1,7 +1,6 @@
 import {type Command} from '@valehitch/control';
 import {type ReplicaId, type ReplicaMessage, type ReplicaSet} from '@valehitch/consensus';
-import {type Bill, type InstanceId, type ZoneId} from '@valehitch/core';
-import {type Member} from '../member.js';
+import {type Bill, type InstanceId} from '@valehitch/core';
 import {type ResultReply} from '../result-reply.js';
 
 /** Asks the control role to carry out a command. */
@@ -19,19 +18,6 @@
 	readonly leader?: InstanceId | undefined;
 };
 
-/** Asks the control role which zones still wait for the current revision. */
-export type InForceMessage = {
-	readonly scope: 'control';
-	readonly type: 'in-force';
-	readonly isForwarded?: boolean;
-};
-
-/** Which zones do not have the current revision in force yet. */
-export type InForce = {
-	readonly complete: boolean;
-	readonly waitingFor: readonly ZoneId[];
-};
-
 /** Asks the control role for a page of the ledger. */
 export type LedgerMessage = {
 	readonly scope: 'control';
@@ -75,20 +61,6 @@
 	readonly initial?: ReplicaSet | undefined;
 };
 
-/** Asks a control instance which subscribers it knows. */
-export type SubscribersMessage = {
-	readonly scope: 'control';
-	readonly type: 'subscribers';
-};
-
-/** A subscriber and the revision in force on it. */
-export type SubscriberReport = {
-	readonly member: Member;
-	readonly revision: number;
-	/** Milliseconds since it was heard. */
-	readonly age: number;
-};
-
 /** Asks a control instance which instance leads. */
 export type LeaderMessage = {
 	readonly scope: 'control';
@@ -101,7 +73,7 @@
 };
 
 /** The questions that only the leader answers. */
-export type LeaderQuestion = ProposeMessage | InForceMessage | LedgerMessage;
+export type LeaderQuestion = ProposeMessage | LedgerMessage;
 
 /** The closed list of messages to the control role. */
-export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | SubscribersMessage | LeaderMessage;
+export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | LeaderMessage;
--- a/packages/testing/src/capacity/_observe.ts
+++ b/packages/testing/src/capacity/_observe.ts
@@ -42,13 +42,13 @@
 }
 
 async function sampleOf(deployment: Deployment, daemon: RunningDaemon): Promise<Sample> {
-	const {peerTraffic} = await deployment.status(daemon);
+	const {traffic} = await deployment.status(daemon);
 	const usage = await readUsage(daemon.process.pid ?? 0);
 	return {
 		at: performance.now(),
 		...usage,
-		bytesSent: peerTraffic?.bytesSent ?? 0,
-		bytesReceived: peerTraffic?.bytesReceived ?? 0,
+		bytesSent: traffic?.bytesSent ?? 0,
+		bytesReceived: traffic?.bytesReceived ?? 0,
 	};
 }
 
