Test the judge of measured runs

Cause: its verdicts were trusted without a test. Change: calls run twice, phantom answers, false refusals, bad, late and lost answers are each shown to be seen.

--- /dev/null
+++ b/packages/testing/src/measure/judge.test.ts
@@ -0,0 +1,74 @@
+import test from 'ava';
+import {type CallResult} from '../http-client.js';
+import {type CallerRecord} from './caller.js';
+import {type RecordedRun} from './fault.js';
+import {judge} from './judge.js';
+import {type PlannedRequest, planRequests} from './schedule.js';
+import {workloads} from './workloads.js';
+
+const [workload = missing()] = workloads;
+const planned = planRequests(workload, {seconds: 10, seed: 1});
+
+function requestOf(form: 'call' | 'streamed'): PlannedRequest {
+	const found = planned.find(({kind}) => kind.form === form);
+	if (found === undefined) {
+		throw new Error(`Got no ${form} request, wanted one`);
+	}
+
+	return found;
+}
+
+function recordOf(request: PlannedRequest, members: Partial<CallerRecord> & {readonly send?: Partial<CallResult>} = {}): CallerRecord {
+	const {send, ...others} = members;
+	return {
+		request,
+		sends: [{
+			status: 200, headers: {}, requestId: 'r1', text: '', done: true, totalMilliseconds: 1, ...send,
+		}],
+		version: 'tag-small@1.1',
+		isWhole: true,
+		isWrong: false,
+		isBad: false,
+		firstTokenMilliseconds: 1,
+		totalMilliseconds: 2,
+		...others,
+	};
+}
+
+function runOf(members: Partial<RecordedRun>): RecordedRun {
+	return {
+		server: 's', requestId: 'r1', attempt: '1', completed: true, cancelled: false, ...members,
+	};
+}
+
+function verdictOn(callers: readonly CallerRecord[], runs: readonly RecordedRun[]) {
+	return judge({
+		system: 'x', callers, runs, ratings: {sent: 0, taken: 0},
+	}, workload);
+}
+
+test('the same seed plans the same requests, and another seed others', t => {
+	t.deepEqual(planRequests(workload, {seconds: 10, seed: 1}), planned);
+	t.notDeepEqual(planRequests(workload, {seconds: 10, seed: 2}), planned);
+});
+
+test('a call that ran twice, one that never ran, and a refusal that ran are seen', t => {
+	const request = requestOf('call');
+	t.like(verdictOn([recordOf(request)], [runOf({key: request.id}), runOf({key: request.id})]), {doubledCalls: 1, phantomCalls: 0});
+	t.like(verdictOn([recordOf(request)], []), {doubledCalls: 0, phantomCalls: 1});
+	const refused = recordOf(request, {isWhole: false, send: {done: false, problem: {kind: 'overloaded', outcome: 'notRun'}}});
+	t.like(verdictOn([refused], [runOf({key: request.id})]), {falseRefusals: 1, refusals: {overloaded: 1}, failed: 0});
+	t.like(verdictOn([refused], []), {falseRefusals: 0});
+});
+
+test('a bad answer, a late one and a lost one miss the target', t => {
+	const request = requestOf('streamed');
+	t.like(verdictOn([recordOf(request)], []), {metTarget: 1});
+	t.like(verdictOn([recordOf(request, {isBad: true})], []), {metTarget: 0, badAnswers: 1});
+	t.like(verdictOn([recordOf(request, {totalMilliseconds: request.kind.deadlineMilliseconds + 1})], []), {metTarget: 0, answered: 1});
+	t.like(verdictOn([recordOf(request, {isWhole: false, isWrong: true})], []), {failed: 1, wrongAnswers: 1});
+});
+
+function missing(): never {
+	throw new Error('Got no workloads, wanted two');
+}
