--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -5,15 +5,18 @@
 import {match} from 'ts-pattern';
 import {type DaemonBase} from '../daemon-base.js';
 import {toResultReply} from '../result-reply.js';
+import {type RunningArchive} from './archive/start-archive.js';
 import {type ControlHost} from './control-host.js';
 import {
-	type ControlMessage, type ControlReply, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage,
+	type ControlMessage, type ControlReply, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type OrderList,
 } from './messages.js';
 
 /** What the answers come from. */
 export type ControlAnswersOptions = {
 	readonly base: DaemonBase;
 	readonly host: ControlHost;
+	/** The bills that left the state; undefined where they cannot be read. */
+	readonly archive: RunningArchive | undefined;
 	/** Asks another control instance. */
 	readonly ask: (to: PeerAddress, message: ControlMessage) => Promise<Either<Failure, unknown>>;
 };
@@ -51,7 +54,7 @@
 			})
 			.with({type: 'join'}, question => host.join(question))
 			.with({type: 'leader'}, (): LeaderReply => ({leader: host.leader}))
-			.with({type: 'propose'}, {type: 'ledger'}, async question => this.#answerAsLeader(question))
+			.with({type: 'propose'}, {type: 'ledger'}, {type: 'orders'}, async question => this.#answerAsLeader(question))
 			.exhaustive();
 	}
 
@@ -78,7 +81,7 @@
 		});
 	}
 
-	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | LedgerPage>> {
+	async #answerHere(question: LeaderQuestion): Promise<Either<Failure, CommandAnswer | LedgerPage | OrderList>> {
 		const {host} = this.#options;
 		if (question.type === 'propose') {
 			return host.propose(question.command);
@@ -88,11 +91,19 @@
 			return Left(this.#noQuorum());
 		}
 
-		return Right(this.#readLedger(question));
+		return Right(question.type === 'ledger' ? await this.#readLedger(question) : this.#readOrders());
 	}
 
-	#readLedger({workspace, after}: LedgerMessage): LedgerPage {
-		const {bills, next} = this.#options.host.state.readLedger({workspace, after, limit: ledgerPageSize});
+	#readOrders(): OrderList {
+		const {state} = this.#options.host;
+		return {open: state.openOrders(), completed: state.completedOrders};
+	}
+
+	async #readLedger({workspace, after}: LedgerMessage): Promise<LedgerPage> {
+		const {host: {state}, archive} = this.#options;
+		const question = {workspace, after, limit: ledgerPageSize};
+		const recent = state.readLedger(question);
+		const {bills, next} = archive !== undefined && after < recent.archivedUpTo ? await archive.read(question) : recent;
 		return {bills, ...(next !== undefined && {next})};
 	}
 
--- /dev/null
+++ b/packages/daemon/src/control/rollouts/rollout-controller.ts
@@ -0,0 +1,78 @@
+import {type ControlState, rolloutCommands, type RolloutCommandsOptions} from '@valehitch/control';
+import {type Clock} from '@valehitch/core';
+import {type Timeline} from '../../timeline.js';
+import {type ControlPart} from '../start-control.js';
+
+/** What the controller needs. */
+export type RolloutControllerOptions = {
+	readonly clock: Clock;
+	readonly timeline: Pick<Timeline, 'record'>;
+	readonly control: Pick<ControlPart, 'isLeader' | 'propose'> & {readonly state: () => Pick<ControlState, 'effective'> | undefined};
+	/** The evidence on a version over all instances. */
+	readonly evidence: RolloutCommandsOptions['evidence'];
+	/** How long a new leader waits for the instances' evidence before its first step; 3,000 unless given. */
+	readonly evidenceMilliseconds?: number;
+};
+
+const defaultEvidenceMilliseconds = 3000;
+
+/**
+Takes roll-outs from stage to stage and stops bad versions, while this instance leads; it keeps nothing of its own, so a new leader goes on where the last one stopped.
+
+@example
+```ts
+const controller = new RolloutController(options);
+await controller.tick();
+```
+*/
+export class RolloutController {
+	readonly #options: RolloutControllerOptions;
+	#isBusy = false;
+	#leadingSince: number | undefined;
+
+	constructor(options: RolloutControllerOptions) {
+		this.#options = options;
+	}
+
+	/** Proposes the steps that are due; a call while one is in progress does nothing. */
+	async tick(): Promise<void> {
+		const {control, clock, evidence} = this.#options;
+		const effective = control.state()?.effective;
+		if (this.#isBusy || effective === undefined || !this.#hasEvidence()) {
+			return;
+		}
+
+		this.#isBusy = true;
+		try {
+			for (const command of rolloutCommands(effective, {evidence, now: clock.now().getTime()})) {
+				await this.#propose(command);
+			}
+		} finally {
+			this.#isBusy = false;
+		}
+	}
+
+	/** A new leader has no evidence yet, and would take a bad version for a good one. */
+	#hasEvidence(): boolean {
+		const {control, clock, evidenceMilliseconds = defaultEvidenceMilliseconds} = this.#options;
+		this.#leadingSince = control.isLeader() ? this.#leadingSince ?? clock.monotonic() : undefined;
+		return this.#leadingSince !== undefined && clock.monotonic() - this.#leadingSince >= evidenceMilliseconds;
+	}
+
+	async #propose(command: ReturnType<typeof rolloutCommands>[number]): Promise<void> {
+		const {control, timeline} = this.#options;
+		const {model, version} = command;
+		const result = await control.propose(command);
+		result.ifRight(({revision}) => {
+			if (command.type === 'advance-rollout') {
+				timeline.record('rollout-advanced', {
+					model, version, revision, details: {fromStage: command.fromStage},
+				});
+			} else {
+				timeline.record('version-stopped', {
+					model, version, revision, details: {reason: command.reason, scope: 'all'},
+				});
+			}
+		});
+	}
+}
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -4,6 +4,7 @@
 import {type PeerAddress} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import {type DaemonBase} from '../daemon-base.js';
+import {startArchive} from './archive/start-archive.js';
 import {ControlAnswers} from './control-answers.js';
 import {ControlClient} from './control-client.js';
 import {type AppliedListener, ControlHost} from './control-host.js';
@@ -50,10 +51,11 @@
 	const {settings, clock} = base;
 	const folder = await openFolder(base);
 	const host = folder === undefined ? undefined : startHost(base, folder);
+	const archive = host === undefined || settings.dataFolder === undefined ? undefined : await startArchive(base, {dataFolder: settings.dataFolder, state: () => host.state});
 	const answers = host === undefined
 		? undefined
 		: new ControlAnswers({
-			base, host, ask: async (to, message) => askPeer(base, to, message),
+			base, host, archive, ask: async (to, message) => askPeer(base, to, message),
 		});
 	const answer = async (message: ControlMessage): Promise<unknown> => answers?.answer(message);
 	const zoneMate = settings.control.find(({zone}) => zone === settings.zone);
@@ -76,6 +78,7 @@
 		onApplied: listener => host?.onApplied(listener) ?? nothing,
 		propose: async command => host?.propose(command) ?? Left(failure('no-quorum', 'Got a command on an instance without the control role, wanted it on the leader')),
 		async stop() {
+			await archive?.stop();
 			await host?.stop();
 		},
 	};
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -4,6 +4,7 @@
 import {answerProblem} from '@valehitch/transport';
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
+import {issueOrder, listOrders} from '../control/orders/handle-orders.js';
 import {applyConfiguration} from './apply-configuration.js';
 import {changeRollout} from './change-rollout.js';
 import {cutLinks} from './cut-links.js';
@@ -59,6 +60,16 @@
 			return;
 		}
 
+		case 'POST /v1/orders': {
+			await issueOrder(request, response, {clock: context.base.clock, control: context.control});
+			return;
+		}
+
+		case 'GET /v1/orders': {
+			await listOrders(response, {clock: context.base.clock, control: context.control});
+			return;
+		}
+
 		case 'GET /v1/timeline': {
 			answerTimeline(url, response, context);
 			return;
