--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -6,6 +6,7 @@
 import {bearerDigest} from '../bearer.js';
 import {issueOrder, listOrders} from '../control/orders/handle-orders.js';
 import {applyConfiguration} from './apply-configuration.js';
+import {changeRollout} from './change-rollout.js';
 import {cutLinks} from './cut-links.js';
 import {answerExplain, explainPath} from './explain.js';
 import {type OperatorContext} from './operator-context.js';
@@ -60,6 +61,11 @@
 			return;
 		}
 
+		case 'POST /v1/rollouts': {
+			await changeRollout(request, response, context);
+			return;
+		}
+
 		case 'POST /v1/orders': {
 			await issueOrder(request, response, {clock: context.base.clock, control: context.control});
 			return;
