Name the type of a schema in one place; propose a lost instance once

Cause: five schemas were cast through unknown, a test cast a set of ids, an example read the clock, and both the distribution and the entry part proposed instance-lost. Ruled out: zod's own brands; they differ from the ids of core. Change: typedSchema in core; the entry part alone proposes, since it sends again until it is acknowledged.

--- a/packages/core/src/announcement.ts
+++ b/packages/core/src/announcement.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {typedSchema} from './typed-schema.js';
 import {
 	type ModelId, type ServerId, type ServiceId, type VersionId, type ZoneId,
 } from './ids.js';
@@ -37,7 +38,7 @@
 const name = z.string().min(1).max(128);
 
 /** The schema of an announcement; unknown fields are refused. */
-export const announcementSchema: z.ZodType<Announcement> = z.strictObject({
+export const announcementSchema: z.ZodType<Announcement> = typedSchema<Announcement>(z.strictObject({
 	server: name,
 	zone: name,
 	kind: z.enum(['engine', 'service']),
@@ -50,4 +51,4 @@
 	shuttingDown: z.boolean().default(false),
 	sequence: z.int().min(0),
 	startedAt: z.int().min(0),
-}) as unknown as z.ZodType<Announcement>;
+}));
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {typedSchema} from './typed-schema.js';
 import {
 	type ModelId, type Revision, type ServiceId, type VersionId, type WorkspaceId,
 } from './ids.js';
@@ -180,11 +181,11 @@
 });
 
 /** The schema of the operators' document; unknown fields are refused. */
-export const configurationSchema: z.ZodType<Configuration> = z.strictObject({
+export const configurationSchema: z.ZodType<Configuration> = typedSchema<Configuration>(z.strictObject({
 	models: z.record(idText, z.strictObject({versions: z.record(idText, versionSchema)})).default({}),
 	services: z.record(idText, serviceSchema).default({}),
 	workspaces: z.record(idText, workspaceSchema).default({}),
-}) as unknown as z.ZodType<Configuration>;
+}));
 
 /**
 The key under which a version of a model is kept in maps.
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -15,3 +15,4 @@
 export * from './money.js';
 export type * from './request.js';
 export * from './timeline-event.js';
+export * from './typed-schema.js';
--- a/packages/daemon/src/control/orders/engine-calls.ts
+++ b/packages/daemon/src/control/orders/engine-calls.ts
@@ -1,4 +1,5 @@
 import {type EngineState, type OrderRecord, type SendOutcome} from '@valehitch/control';
+import {typedSchema} from '@valehitch/core';
 import {readBody, sendHttp} from '@valehitch/transport';
 import {type Either} from 'purify-ts';
 import {z} from 'zod';
@@ -15,11 +16,11 @@
 const maximumAnswerBytes = 1_048_576;
 const refusedStatus = 409;
 const name = z.string().min(1).max(128);
-const stateSchema = z.object({
+const stateSchema = typedSchema<EngineState>(z.object({
 	models: z.array(z.object({model: name, version: name})),
 	role: name.optional(),
 	lastOrder: z.object({orderId: z.string(), term: z.int(), sequence: z.int()}).optional(),
-}) as unknown as z.ZodType<EngineState>;
+}));
 
 /** Calls engines over HTTP, each on a connection of its own, so that a call that is given up leaves nothing behind. */
 export const httpEngineCalls: EngineCalls = {
--- a/packages/daemon/src/control/orders/order-schema.ts
+++ b/packages/daemon/src/control/orders/order-schema.ts
@@ -1,5 +1,5 @@
 import {type EngineOrder, type OrderId} from '@valehitch/control';
-import {type ServerId} from '@valehitch/core';
+import {type ServerId, typedSchema} from '@valehitch/core';
 import {z} from 'zod';
 
 /** What an operator posts to issue an order. */
@@ -14,7 +14,7 @@
 const loaded = {model: name, version: name};
 
 /** The schema of `POST /v1/orders`; unknown fields are refused. */
-export const orderRequestSchema: z.ZodType<OrderRequest> = z.strictObject({
+export const orderRequestSchema: z.ZodType<OrderRequest> = typedSchema<OrderRequest>(z.strictObject({
 	orderId: name,
 	server: name,
 	order: z.discriminatedUnion('type', [
@@ -22,4 +22,4 @@
 		z.strictObject({type: z.literal('unload'), ...loaded}),
 		z.strictObject({type: z.literal('set-role'), role: name}),
 	]),
-}) as unknown as z.ZodType<OrderRequest>;
+}));
--- a/packages/daemon/src/distribution/start-distribution.ts
+++ b/packages/daemon/src/distribution/start-distribution.ts
@@ -62,7 +62,6 @@
 	});
 	node.lost.listen(({instance: lost}) => {
 		base.log.warn({lost}, 'An instance was given up');
-		void control.client.propose({type: 'instance-lost', instance: lost, at: clock.now().getTime()});
 	});
 	node.start();
 	return {
--- a/packages/daemon/src/entry/bills/bill-keeper.test.ts
+++ b/packages/daemon/src/entry/bills/bill-keeper.test.ts
@@ -79,7 +79,7 @@
 		this.#now += lostAfterMilliseconds + 1;
 		for (const {keeper, held} of this.#instances.values()) {
 			keeper.renew();
-			held.recover(new Set(this.#instances.keys()) as unknown as ReadonlySet<InstanceId>);
+			held.recover(new Set([...this.#instances.keys()].map(name => toId<InstanceId>(name))));
 			for (const silent of held.silent()) {
 				const owner = this.#instances.get(String(silent.owner) as Name);
 				if (owner !== undefined) {
--- a/packages/daemon/src/ratings/rating.ts
+++ b/packages/daemon/src/ratings/rating.ts
@@ -1,5 +1,5 @@
 import {
-	type ModelId, type RequestId, type VersionId, type WorkspaceId,
+	type ModelId, type RequestId, type VersionId, type WorkspaceId, typedSchema,
 } from '@valehitch/core';
 import {z} from 'zod';
 
@@ -30,7 +30,7 @@
 });
 
 /** The schema of a post of the rating service: one rating or a list of up to 1,000; unknown fields are refused. */
-export const ratingsSchema = z.union([
+export const ratingsSchema = typedSchema<readonly Rating[]>(z.union([
 	z.array(ratingSchema).max(mostRatings),
 	ratingSchema.transform(rating => [rating]),
-]) as unknown as z.ZodType<readonly Rating[]>;
+]));
--- a/packages/routing/src/session-token.ts
+++ b/packages/routing/src/session-token.ts
@@ -28,7 +28,7 @@
 @returns The token: key id, payload and signature, separated by dots.
 @example
 ```ts
-writeSessionToken({workspace, model, version, startedAt: Date.now()}, settings.keys.sessions);
+writeSessionToken({workspace, model, version, startedAt: clock.now().getTime()}, settings.keys.sessions);
 ```
 */
 export function writeSessionToken(session: Session, keys: readonly SessionKey[]): string {
