--- /dev/null
+++ b/packages/daemon/src/entry/life/dispatch-attempt.ts
@@ -0,0 +1,69 @@
+import {type RequestId, type WorkspaceId} from '@valehitch/core';
+import {type KnownServer} from '@valehitch/membership';
+import {type DispatchDenial, type RequestEvent} from '@valehitch/routing';
+import {type EntryContext} from '../entry-context.js';
+import {findServer} from '../find-server.js';
+import {type AttemptSet} from './attempt-set.js';
+import {type AnswerSoFar, type DispatchAction, type RequestAdapter} from './request-adapter.js';
+
+/** What a dispatch works with. */
+export type DispatchAttemptOptions = {
+	readonly requestId: RequestId;
+	readonly workspace: WorkspaceId;
+	readonly adapter: RequestAdapter;
+	readonly attempts: AttemptSet;
+	/** What the caller got. */
+	readonly soFar: AnswerSoFar;
+	readonly context: Pick<EntryContext, 'servers' | 'timeline'>;
+};
+
+const fromTheStart: AnswerSoFar = {text: '', tokens: 0};
+
+/**
+Sends an attempt, after asking right before it whether the version and the server may still get work.
+
+@param dispatch The attempt.
+@param options What it works with.
+@returns The event of a denial; undefined where the attempt was sent.
+@example
+```ts
+const denied = dispatchAttempt(action, options);
+```
+*/
+export function dispatchAttempt(dispatch: DispatchAction, options: DispatchAttemptOptions): RequestEvent | undefined {
+	const {context, adapter, workspace, requestId} = options;
+	const {attempt, server, target, purpose, resumeFrom} = dispatch;
+	const known = findServer(context.servers, server);
+	const denial = adapter.denialOf(target) ?? denialOf(known);
+	if (denial !== undefined || known === undefined) {
+		return {type: 'dispatch-denied', attempt, reason: denial ?? 'server-gone'};
+	}
+
+	context.timeline.record('request-dispatched', {
+		requestId, workspace, server, ...(target.type === 'version' && {model: target.model, version: target.version}), details: {attempt, purpose, resumeFrom},
+	});
+	void send(dispatch, known, options);
+	return undefined;
+}
+
+async function send(dispatch: DispatchAction, server: KnownServer, {adapter, attempts, soFar}: DispatchAttemptOptions): Promise<void> {
+	const {attempt: number, resumeFrom} = dispatch;
+	const before = resumeFrom === 0 ? fromTheStart : soFar;
+	server.inFlight++;
+	await attempts.start({
+		number,
+		resumeFrom,
+		call: signal => adapter.send({
+			dispatch, address: server.announcement.address, signal, before,
+		}),
+	});
+	server.inFlight--;
+}
+
+function denialOf(server: KnownServer | undefined): DispatchDenial | undefined {
+	if (server === undefined) {
+		return 'server-gone';
+	}
+
+	return server.state === 'joined' ? undefined : 'server-draining';
+}
--- a/packages/daemon/src/entry/life/request-run.ts
+++ b/packages/daemon/src/entry/life/request-run.ts
@@ -1,21 +1,20 @@
 import {type ServerResponse} from 'node:http';
 import {type RequestId, type WorkspaceId} from '@valehitch/core';
-import {type KnownServer} from '@valehitch/membership';
 import {
 	type CallerAction,
 	type ClaimOutcome,
-	type DispatchDenial,
 	type RequestAction, type RequestEvent, type RequestPlan, type RequestState, type RequestStep, type RequestTarget, startRequest, stepRequest,
 } from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {type AnswerPiece, type AttemptOutput} from '../attempt-output.js';
 import {type EntryContext} from '../entry-context.js';
-import {findServer} from '../find-server.js';
 import {type Demand} from '../traffic/admission-pools.js';
 import {type Attempt, AttemptSet} from './attempt-set.js';
+import {chooseServerEvent, chooseVersionEvent} from './choose-events.js';
+import {dispatchAttempt} from './dispatch-attempt.js';
 import {LifeTimers} from './life-timers.js';
 import {toRequestEvent} from './output-event.js';
-import {type ChooseServerAction, type DispatchAction, type RequestAdapter} from './request-adapter.js';
+import {type DispatchAction, type RequestAdapter} from './request-adapter.js';
 import {RequestAnswer} from './request-answer.js';
 import {RequestBill, type SettleBillAction} from './request-bill.js';
 import {RequestClaim, type RequestKey} from './request-claim.js';
@@ -39,8 +38,6 @@
 	readonly piece?: AnswerPiece | undefined;
 };
 
-const retryAfterMilliseconds = 1000;
-
 /**
 Carries one request through its life: the actions of the state machine become input and output, and what comes of them becomes its events.
 
@@ -173,10 +170,10 @@
 				void this.#settleBill(settlement);
 			})
 			.with({type: 'choose-version'}, ({lost}) => {
-				this.#chooseVersion(lost);
+				this.take(chooseVersionEvent(this.#options.adapter, lost));
 			})
 			.with({type: 'choose-server'}, choice => {
-				this.#chooseServer(choice);
+				this.take(chooseServerEvent(choice, {adapter: this.#options.adapter, isResumable: this.#answer.isResumable}));
 			})
 			.with({type: 'dispatch'}, dispatch => {
 				this.#dispatch(dispatch);
@@ -253,59 +250,11 @@
 		this.take({type: 'bill-settled'});
 	}
 
-	#chooseVersion(lost: RequestTarget): void {
-		this.take(this.#options.adapter.chooseVersion(lost).caseOf<RequestEvent>({
-			Left: failed => ({type: 'no-version', failure: failed}),
-			Right: ({target, judged}) => ({type: 'version-chosen', target, judged}),
-		}));
-	}
-
-	#chooseServer(action: ChooseServerAction): void {
-		const {attempt, purpose} = action;
-		if (purpose === 'resume' && !this.#answer.isResumable) {
-			this.take({
-				type: 'no-server', attempt, reason: 'none', retryAfterMilliseconds,
-			});
-			return;
-		}
-
-		const choice = this.#options.adapter.chooseServer(action);
-		this.take(choice.type === 'chosen'
-			? {type: 'server-chosen', attempt, server: choice.server}
-			: {
-				type: 'no-server', attempt, reason: choice.reason, retryAfterMilliseconds: choice.retryAfterMilliseconds,
-			});
-	}
-
 	#dispatch(dispatch: DispatchAction): void {
-		const {context, adapter, workspace, requestId} = this.#options;
-		const {attempt, server, target, purpose, resumeFrom} = dispatch;
-		const known = findServer(context.servers, server);
-		const denial = adapter.denialOf(target) ?? denialOf(known);
-		if (denial !== undefined || known === undefined) {
-			this.take({type: 'dispatch-denied', attempt, reason: denial ?? 'server-gone'});
-			return;
+		const denied = dispatchAttempt(dispatch, {...this.#options, attempts: this.#attempts, soFar: this.#answer.soFar});
+		if (denied !== undefined) {
+			this.take(denied);
 		}
-
-		context.timeline.record('request-dispatched', {
-			requestId, workspace, server, ...(target.type === 'version' && {model: target.model, version: target.version}), details: {attempt, purpose, resumeFrom},
-		});
-		void this.#send(dispatch, known);
-	}
-
-	async #send(dispatch: DispatchAction, server: KnownServer): Promise<void> {
-		const {adapter} = this.#options;
-		const {attempt: number, resumeFrom} = dispatch;
-		const before = resumeFrom === 0 ? {text: '', tokens: 0} : this.#answer.soFar;
-		server.inFlight++;
-		await this.#attempts.start({
-			number,
-			resumeFrom,
-			call: signal => adapter.send({
-				dispatch, address: server.announcement.address, signal, before,
-			}),
-		});
-		server.inFlight--;
 	}
 
 	#takeOutput(number: number, output: AttemptOutput): void {
@@ -344,11 +293,3 @@
 		return this.#state?.target ?? this.#options.plan.target;
 	}
 }
-
-function denialOf(server: KnownServer | undefined): DispatchDenial | undefined {
-	if (server === undefined) {
-		return 'server-gone';
-	}
-
-	return server.state === 'joined' ? undefined : 'server-draining';
-}
