Split the test deployment and remove what nothing uses

Change: plans and placing in files of their own; dead code removed. Conclusion: no change in behaviour.

--- a/packages/consensus/src/replica-event.ts
+++ b/packages/consensus/src/replica-event.ts
@@ -1,4 +1,3 @@
-import {type ReplicaSet} from './log-entry.js';
 import {type ReplicaId} from './replica-id.js';
 import {type ReplicaMessage} from './replica-message.js';
 
@@ -18,6 +17,3 @@
 	= | {readonly type: 'add-learner'; readonly replica: ReplicaId}
 		| {readonly type: 'promote'; readonly replica: ReplicaId}
 		| {readonly type: 'remove'; readonly replica: ReplicaId};
-
-/** The replica set that a new group begins with. */
-export type InitialReplicas = ReplicaSet;
--- /dev/null
+++ b/packages/testing/src/_place-deployment.ts
@@ -0,0 +1,92 @@
+import {writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {deploymentKeys, type PlacedDaemon, settingsFile} from './_settings-file.js';
+import {
+	type BackendPlan, type DaemonPlan, type DeploymentOptions, type RunningBackend, type RunningDaemon,
+} from './deployment-plan.js';
+import {freePorts} from './free-ports.js';
+import {ManagedProcess} from './managed-process.js';
+
+const portsEach = 4;
+const defaultCapacity = 8;
+const packageFolder = fileURLToPath(new URL('..', import.meta.url));
+const workspaceDaemon = path.join(packageFolder, '../daemon/dist/bin/valehitchd.js');
+
+/** Gives each daemon free ports. */
+export async function placeDaemons(plans: readonly DaemonPlan[]): Promise<readonly PlacedDaemon[]> {
+	const ports = await freePorts(plans.length * portsEach);
+	return plans.map((plan, index) => {
+		const [callers = 0, backends = 0, operators = 0, peers = 0] = ports.slice(index * portsEach);
+		return {
+			...plan, ports: {
+				callers, backends, operators, peers,
+			},
+		};
+	});
+}
+
+type DaemonSurroundings = {
+	readonly placed: readonly PlacedDaemon[];
+	readonly folder: string;
+	readonly options: DeploymentOptions;
+};
+
+type BackendSurroundings = {
+	readonly daemons: readonly RunningDaemon[];
+	readonly folder: string;
+	readonly plans: readonly BackendPlan[];
+};
+
+/** Writes a daemon's settings file and readies its process. */
+export async function writeDaemon(daemon: PlacedDaemon, {placed, folder, options}: DaemonSurroundings): Promise<RunningDaemon> {
+	const {instance, ports} = daemon;
+	const file = path.join(folder, `${instance}.yaml`);
+	await writeFile(file, settingsFile(daemon, {folder, daemons: placed, overrides: options.settings}));
+	return {
+		...daemon,
+		callers: `http://127.0.0.1:${ports.callers}`,
+		operators: `http://127.0.0.1:${ports.operators}`,
+		process: new ManagedProcess({
+			name: instance,
+			command: [options.daemonScript ?? workspaceDaemon, '--settings', file],
+			logFile: path.join(folder, `${instance}.log`),
+		}),
+	};
+}
+
+/** Gives each fake a free port and readies its process. */
+export async function placeBackends({daemons, folder, plans}: BackendSurroundings): Promise<readonly RunningBackend[]> {
+	const ports = await freePorts(plans.length);
+	const addresses = daemons.map(daemon => `http://127.0.0.1:${daemon.ports.backends}`);
+	return plans.map((plan, index) => {
+		const port = ports[index] ?? 0;
+		// Each begins with another daemon, so that announcements spread.
+		const start = index % Math.max(1, addresses.length);
+		const announce = [...addresses.slice(start), ...addresses.slice(0, start)];
+		return {
+			...plan,
+			address: `http://127.0.0.1:${port}`,
+			process: new ManagedProcess({
+				name: plan.server,
+				command: backendCommand(plan, {port, announce}),
+				logFile: path.join(folder, `${plan.server}.log`),
+			}),
+		};
+	});
+}
+
+function backendCommand(plan: BackendPlan, {port, announce}: {readonly port: number; readonly announce: readonly string[]}): readonly string[] {
+	const script = plan.service === undefined ? 'fake-engine.js' : 'fake-service.js';
+	const flags = {
+		port,
+		server: plan.server,
+		zone: plan.zone,
+		announce: announce.join(','),
+		key: deploymentKeys.backends,
+		capacity: plan.capacity ?? defaultCapacity,
+		...(plan.models && {models: plan.models.join(','), checksFencing: plan.checksFencing ?? true}),
+		...(plan.service !== undefined && {service: plan.service}),
+	};
+	return [path.join(packageFolder, 'dist/bin', script), ...Object.entries(flags).map(([name, value]) => `--${name}=${value}`)];
+}
--- a/packages/testing/src/deployment.ts
+++ b/packages/testing/src/deployment.ts
@@ -1,72 +1,17 @@
 import {randomUUID} from 'node:crypto';
-import {mkdir, mkdtemp, writeFile} from 'node:fs/promises';
+import {mkdir, mkdtemp} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {fileURLToPath} from 'node:url';
 import {z} from 'zod';
-import {
-	type DaemonPorts, type DaemonRole, deploymentKeys, type PlacedDaemon, settingsFile,
-} from './_settings-file.js';
-import {freePorts} from './free-ports.js';
+import {placeBackends, placeDaemons, writeDaemon} from './_place-deployment.js';
+import {deploymentKeys} from './_settings-file.js';
+import {type DeploymentOptions, type RunningBackend, type RunningDaemon} from './deployment-plan.js';
 import {callOperator} from './http-client.js';
-import {ManagedProcess} from './managed-process.js';
+import {type ManagedProcess} from './managed-process.js';
 import {sendRequest} from './send-request.js';
 import {waitUntil} from './wait-until.js';
 
-/** A daemon of a deployment. */
-export type DaemonPlan = {
-	readonly instance: string;
-	readonly zone: string;
-	readonly roles: readonly DaemonRole[];
-};
-
-/** A fake engine or a fake service of a deployment. */
-export type BackendPlan = {
-	readonly server: string;
-	readonly zone: string;
-	/** For an engine: its versions, such as `tag-small@1.0`. */
-	readonly models?: readonly string[];
-	/** For an engine: whether it refuses orders that are older than the last; true by default. */
-	readonly checksFencing?: boolean;
-	/** For a plain service: its name. */
-	readonly service?: string;
-	/** 8 by default. */
-	readonly capacity?: number;
-};
-
-/** What to start. */
-export type DeploymentOptions = {
-	readonly daemons: readonly DaemonPlan[];
-	readonly backends: readonly BackendPlan[];
-	/** The operators' document, as in examples/configuration.yaml. */
-	readonly configuration: unknown;
-	/** For settings, data and logs; a new one under the system's temporary folder by default. */
-	readonly folder?: string;
-	/** Top-level members of the settings that replace the generated ones. */
-	readonly settings?: Readonly<Record<string, unknown>>;
-	/** The daemon's script; the workspace's own by default. */
-	readonly daemonScript?: string;
-	/** How long each step of the start may take; 20 000 by default. */
-	readonly startMilliseconds?: number;
-};
-
-/** A daemon that was started. */
-export type RunningDaemon = DaemonPlan & {
-	readonly ports: DaemonPorts;
-	/** The address for callers. */
-	readonly callers: string;
-	/** The address for operators. */
-	readonly operators: string;
-	/** Stop, kill and start it here. */
-	readonly process: ManagedProcess;
-};
-
-/** A fake that was started. */
-export type RunningBackend = BackendPlan & {
-	readonly address: string;
-	/** Stop, kill and start it here. */
-	readonly process: ManagedProcess;
-};
+export type * from './deployment-plan.js';
 
 /** A line of the ledger, as far as tests ask about it. */
 export type LedgerBill = z.infer<typeof billSchema>;
@@ -87,10 +32,6 @@
 	traffic: z.object({bytesSent: z.number(), bytesReceived: z.number()}).optional(),
 });
 const committedSchema = z.object({revision: z.number()});
-const portsEach = 4;
-const defaultCapacity = 8;
-const packageFolder = fileURLToPath(new URL('..', import.meta.url));
-const workspaceDaemon = path.join(packageFolder, '../daemon/dist/bin/valehitchd.js');
 
 /**
 Starts daemons and fakes as processes, applies a configuration, and waits until every daemon knows it and all servers.
@@ -286,81 +227,6 @@
 	}
 }
 
-async function placeDaemons(plans: readonly DaemonPlan[]): Promise<readonly PlacedDaemon[]> {
-	const ports = await freePorts(plans.length * portsEach);
-	return plans.map((plan, index) => {
-		const [callers = 0, backends = 0, operators = 0, peers = 0] = ports.slice(index * portsEach);
-		return {
-			...plan, ports: {
-				callers, backends, operators, peers,
-			},
-		};
-	});
-}
-
-type DaemonSurroundings = {
-	readonly placed: readonly PlacedDaemon[];
-	readonly folder: string;
-	readonly options: DeploymentOptions;
-};
-
-type BackendSurroundings = {
-	readonly daemons: readonly RunningDaemon[];
-	readonly folder: string;
-	readonly plans: readonly BackendPlan[];
-};
-
-async function writeDaemon(daemon: PlacedDaemon, {placed, folder, options}: DaemonSurroundings): Promise<RunningDaemon> {
-	const {instance, ports} = daemon;
-	const file = path.join(folder, `${instance}.yaml`);
-	await writeFile(file, settingsFile(daemon, {folder, daemons: placed, overrides: options.settings}));
-	return {
-		...daemon,
-		callers: `http://127.0.0.1:${ports.callers}`,
-		operators: `http://127.0.0.1:${ports.operators}`,
-		process: new ManagedProcess({
-			name: instance,
-			command: [options.daemonScript ?? workspaceDaemon, '--settings', file],
-			logFile: path.join(folder, `${instance}.log`),
-		}),
-	};
-}
-
-async function placeBackends({daemons, folder, plans}: BackendSurroundings): Promise<readonly RunningBackend[]> {
-	const ports = await freePorts(plans.length);
-	const addresses = daemons.map(daemon => `http://127.0.0.1:${daemon.ports.backends}`);
-	return plans.map((plan, index) => {
-		const port = ports[index] ?? 0;
-		// Each begins with another daemon, so that announcements spread.
-		const start = index % Math.max(1, addresses.length);
-		const announce = [...addresses.slice(start), ...addresses.slice(0, start)];
-		return {
-			...plan,
-			address: `http://127.0.0.1:${port}`,
-			process: new ManagedProcess({
-				name: plan.server,
-				command: backendCommand(plan, {port, announce}),
-				logFile: path.join(folder, `${plan.server}.log`),
-			}),
-		};
-	});
-}
-
-function backendCommand(plan: BackendPlan, {port, announce}: {readonly port: number; readonly announce: readonly string[]}): readonly string[] {
-	const script = plan.service === undefined ? 'fake-engine.js' : 'fake-service.js';
-	const flags = {
-		port,
-		server: plan.server,
-		zone: plan.zone,
-		announce: announce.join(','),
-		key: deploymentKeys.backends,
-		capacity: plan.capacity ?? defaultCapacity,
-		...(plan.models && {models: plan.models.join(','), checksFencing: plan.checksFencing ?? true}),
-		...(plan.service !== undefined && {service: plan.service}),
-	};
-	return [path.join(packageFolder, 'dist/bin', script), ...Object.entries(flags).map(([name, value]) => `--${name}=${value}`)];
-}
-
 async function stopAll(parts: ReadonlyArray<{readonly process: ManagedProcess}>): Promise<readonly string[]> {
 	const names = await Promise.all(parts.map(async ({process}) => {
 		const end = await process.stop();
