Hold the operators' list of settings to the schema

Cause: seven settings were not on the page; nothing noticed. Conclusion: a new setting without its row fails the tests.

--- /dev/null
+++ b/packages/settings/src/operations-page.test.ts
@@ -0,0 +1,37 @@
+import {readFile} from 'node:fs/promises';
+import test from 'ava';
+import {z} from 'zod';
+import {settingsSchema} from './settings-schema.js';
+
+const pageUrl = new URL('../../../docs/OPERATIONS.md', import.meta.url);
+
+type JsonSchema = {
+	readonly properties?: Readonly<Record<string, JsonSchema>>;
+};
+
+function * leavesOf(schema: JsonSchema, path = ''): Generator<string> {
+	for (const [name, field] of Object.entries(schema.properties ?? {})) {
+		const here = path === '' ? name : `${path}.${name}`;
+		if (field.properties === undefined) {
+			yield here;
+		} else {
+			yield * leavesOf(field, here);
+		}
+	}
+}
+
+function isListed(page: string, path: string): boolean {
+	const [block, ...rest] = path.split('.');
+	const last = rest.at(-1);
+	// `listen.callers.host` is covered by the row of `listen.callers`; later names of a row stand as `.name`.
+	const names = [path, `${block}.${rest[0] ?? ''}`, ...(last === undefined ? [] : [`.${last}`]), ...(rest[0] === undefined ? [] : [`.${rest[0]}`])];
+	return names.some(name => page.includes(`\`${name}\``));
+}
+
+test('the page for operators lists every setting', async t => {
+	const page = await readFile(pageUrl, 'utf8');
+	const schema = z.toJSONSchema(settingsSchema, {unrepresentable: 'any', io: 'input'}) as JsonSchema;
+	const leaves = [...leavesOf(schema)];
+	t.true(leaves.length > 20, `Got ${leaves.length} settings`);
+	t.deepEqual(leaves.filter(path => !isListed(page, path)), []);
+});
