Release former parents from counting leases that a new one covers

Cause: a parent counted a child that had moved to another parent by what it confirmed last, until the lease from there had run out, and reported that upwards. A trace of the process test with a frozen instance shows it on the leader: at revision 3 it still counted "zone-b@0 zone-a@0" through control-c for children that had moved away at the start, for 19.9 s of a lease of 20 s. Ruled out: counting each instance by name all the way up (the traffic of a root would grow with its zone); telling former parents of each revision (does not help while they are frozen, and costs a message for each change). Change: each question names its parent; once a lease from the parent at hand ends no earlier than all before, and everything below is at the granter's revision, the former parents are released by one message. Not proved yet: the process test over several runs.

--- a/packages/daemon/src/distribution/distribution-node.ts
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -12,6 +12,8 @@
 import {createRegistry} from './create-registry.js';
 import {ExchangeLoop} from './exchange-loop.js';
 import {LeaderView} from './leader-view.js';
+import {LeaseConfirmations} from './lease-confirmations.js';
+import {LeaseWatch} from './lease-watch.js';
 import {LostInstances} from './lost-instances.js';
 import {MemberWatch} from './member-watch.js';
 import {type Exchange, type ExchangeReply} from './messages.js';
@@ -56,6 +58,8 @@
 	readonly loop: ExchangeLoop;
 	/** The members. */
 	readonly watch: MemberWatch;
+	/** What is confirmed of leases. */
+	readonly confirmations: LeaseConfirmations;
 	/** Who hears of instances that were given up. */
 	readonly lost = new LostInstances();
 	readonly #options: DistributionNodeOptions;
@@ -65,9 +69,9 @@
 	readonly #records = createRecordDigest();
 	readonly #loads = createLoadDigest();
 	readonly #news: ChildNews;
+	readonly #leaseWatch: LeaseWatch;
 	readonly #node: RelayNode;
 	#hint: InstanceId | undefined;
-	#wasLeaseValid = false;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(options: DistributionNodeOptions) {
@@ -83,6 +87,8 @@
 		this.view = new LeaderView({
 			base, control, keeper: this.keeper, relay, zones: () => [...new Set([zone, ...this.watch.present.map(member => member.zone)])],
 		});
+		this.#leaseWatch = new LeaseWatch({clock, relay, timeline});
+		this.confirmations = this.#makeConfirmations();
 		this.#news = this.#makeNews();
 		this.registry = this.#makeRegistry();
 		this.#node = this.#makeNode();
@@ -120,17 +126,12 @@
 	@returns The answer.
 	*/
 	answer(exchange: Exchange): ExchangeReply {
-		const {relay} = this.#options;
 		const child = exchange.question.instance;
 		const now = this.#clock.monotonic();
 		this.#refresh();
-		const before = JSON.stringify(relay.confirmed(now));
-		const reply = this.#node.answer(exchange, now);
+		const reply = this.confirmations.track(() => this.#node.answer(exchange, now));
 		this.watch.heard(child);
 		this.#news.heard(child);
-		if (JSON.stringify(relay.confirmed(now)) !== before) {
-			this.loop.wake();
-		}
 
 		const {leader} = this;
 		return leader === undefined ? reply : {...reply, leader};
@@ -141,7 +142,7 @@
 		this.watch.judge();
 		this.registry.judge();
 		this.#node.prune(this.#clock.monotonic());
-		this.#noteLease();
+		this.#leaseWatch.note();
 		if (leads) {
 			this.lost.look(this.watch.members);
 		}
@@ -160,15 +161,6 @@
 		return leads;
 	}
 
-	#noteLease(): void {
-		const {base: {timeline}, relay} = this.#options;
-		const isValid = relay.isLeaseValid(this.#clock.monotonic());
-		if (isValid !== this.#wasLeaseValid) {
-			this.#wasLeaseValid = isValid;
-			timeline.record(isValid ? 'configuration-lease-renewed' : 'configuration-lease-lost', {revision: relay.revision});
-		}
-	}
-
 	/** Hands on what is new: to the children by a word, to the parent by the next question. */
 	#spread(from?: InstanceId): void {
 		this.#news.tell(from === undefined ? {} : {except: from});
@@ -188,6 +180,7 @@
 	}
 
 	#takeReply(parent: InstanceId, reply: ExchangeReply): void {
+		this.confirmations.releaseFormerParents();
 		this.watch.heard(parent);
 		if (reply.leader !== undefined) {
 			this.#hint = reply.leader;
@@ -199,7 +192,7 @@
 			this.watch.update({parent});
 		}
 
-		this.#noteLease();
+		this.#leaseWatch.note();
 	}
 
 	#candidates(): PeerAddress[] {
@@ -212,6 +205,26 @@
 		return record?.kind === 'member' ? record.member : undefined;
 	}
 
+	/** Where an instance is reached; a control instance also before it is known as a member. */
+	#addressOf(instance: InstanceId): PeerAddress | undefined {
+		return this.#record(instance) ?? this.#options.base.settings.control.find(seed => seed.instance === instance);
+	}
+
+	#makeConfirmations(): LeaseConfirmations {
+		const {base: {network}, relay} = this.#options;
+		return new LeaseConfirmations({
+			clock: this.#clock,
+			relay,
+			addressOf: instance => this.#addressOf(instance),
+			send(to, message) {
+				network.send(to, message);
+			},
+			onChange: () => {
+				this.loop.wake();
+			},
+		});
+	}
+
 	#makeNews(): ChildNews {
 		return new ChildNews({
 			clock: this.#clock,
--- a/packages/daemon/src/distribution/messages.ts
+++ b/packages/daemon/src/distribution/messages.ts
@@ -1,6 +1,6 @@
 import {type InstanceId, type Revision} from '@valehitch/core';
 import {
-	type DigestPart, type LeaseGrant, type LeaseQuestion, type LoadRecord, type MemberRecord, type ServerRecord,
+	type DigestPart, type LeaseGrant, type LeaseQuestion, type LeaseRelease, type LoadRecord, type MemberRecord, type ServerRecord,
 } from '@valehitch/membership';
 import {type ExchangeTuple} from './exchange-codec.js';
 
@@ -46,6 +46,13 @@
 	readonly type: 'news';
 };
 
+/** Tells a former parent that another one covers what it counted; goes once for each move. */
+export type ReleaseMessage = {
+	readonly scope: 'distribution';
+	readonly type: 'release';
+	readonly body: LeaseRelease;
+};
+
 /** Asks the leader whether the newest revision is in force everywhere. */
 export type InForceQuestion = {
 	readonly scope: 'distribution';
@@ -53,4 +60,4 @@
 };
 
 /** The closed list of messages that spread configuration, leases, members and servers. */
-export type DistributionMessage = ExchangeMessage | NewsMessage | InForceQuestion;
+export type DistributionMessage = ExchangeMessage | NewsMessage | ReleaseMessage | InForceQuestion;
--- a/packages/daemon/src/distribution/relay-node.ts
+++ b/packages/daemon/src/distribution/relay-node.ts
@@ -69,7 +69,7 @@
 	begin(parent: InstanceId, now: number): BegunExchange {
 		const link = this.#link(parent, now);
 		const parts = this.#parts(link, {now, withLoads: this.#areLoadsDue(parent, link, now)});
-		return {exchange: {question: this.#options.relay.question(now), ...parts}, sentAt: now};
+		return {exchange: {question: this.#options.relay.question(now, parent), ...parts}, sentAt: now};
 	}
 
 	/**
--- a/packages/daemon/src/distribution/start-distribution.ts
+++ b/packages/daemon/src/distribution/start-distribution.ts
@@ -102,6 +102,10 @@
 			node.loop.wake();
 			return undefined;
 		})
+		.with({type: 'release'}, ({body}) => {
+			node.confirmations.release(body);
+			return undefined;
+		})
 		.with({type: 'in-force'}, () => node.view.inForce())
 		.exhaustive();
 }
--- a/packages/membership/src/configuration-relay.ts
+++ b/packages/membership/src/configuration-relay.ts
@@ -19,6 +19,14 @@
 	readonly confirmed: readonly ZoneMinimum[];
 };
 
+/** Tells a former parent that the leases it granted need not be counted any longer. */
+export type LeaseRelease = {
+	readonly instance: InstanceId;
+	readonly incarnation: number;
+	/** The last question that it covers; a later one to the same parent counts anew. */
+	readonly number: number;
+};
+
 /** A lease that is passed down. */
 export type LeaseGrant = {
 	/** The revision that the asker must have in force to use the lease. */
@@ -46,6 +54,8 @@
 
 type Outstanding = {
 	readonly minima: readonly ZoneMinimum[];
+	/** The last question that was answered. */
+	readonly number: number;
 	/** When the last lease granted to the asker has run out, on the monotonic clock. */
 	readonly expiresAt: number;
 };
@@ -60,16 +70,25 @@
 revision never goes back on an instance. So each outstanding lease under revision r is below a chain of granters each of which
 counts at most r for it until it has run out (Gray and Cheriton, 1989, for leases).
 
+A former parent is released once a new one covers all that it counted: the new lease ends no earlier than any the asker had, and
+everything below the asker is at the new granter's revision at least. The granter reports a higher revision of its own only together
+with what the asker confirmed, and until then the chain above it counts its lower one.
+
 @example
 ```ts
-const question = relay.question();
+const question = relay.question(now, parent);
 const {grant} = await ask(parent, question);
 relay.take({question, sentAt, grant});
+for (const [former, release] of relay.takeReleases()) { ... }
 ```
 */
 export class ConfigurationRelay {
 	readonly #options: ConfigurationRelayOptions;
 	readonly #outstanding = new Map<string, Outstanding>();
+	/** The parents that may count leases for this instance. */
+	readonly #asked = new Set<InstanceId>();
+	readonly #releases: Array<readonly [InstanceId, LeaseRelease]> = [];
+	#parent: InstanceId | undefined;
 	#revision = toRevision(0);
 	#validUntil = Number.NEGATIVE_INFINITY;
 	#lastQuestion = 0;
@@ -116,10 +135,13 @@
 	Makes the next question to a parent; answers to earlier ones are passed over from now on.
 
 	@param now The monotonic time.
+	@param parent The parent.
 	@returns The question.
 	*/
-	question(now: number): LeaseQuestion {
+	question(now: number, parent: InstanceId): LeaseQuestion {
 		const {instance, incarnation} = this.#options;
+		this.#asked.add(parent);
+		this.#parent = parent;
 		return {
 			instance, incarnation, number: ++this.#lastQuestion, confirmed: this.confirmed(now),
 		};
@@ -133,17 +155,30 @@
 	@returns The grant; undefined where the own lease has run out.
 	*/
 	answer(question: LeaseQuestion, now: number): LeaseGrant | undefined {
-		const key = `${question.instance}/${question.incarnation}`;
+		const key = keyOf(question);
 		const expiresAt = Math.max(this.#validUntil, this.#outstanding.get(key)?.expiresAt ?? Number.NEGATIVE_INFINITY);
 		if (now >= expiresAt) {
 			this.#outstanding.delete(key);
 			return undefined;
 		}
 
-		this.#outstanding.set(key, {minima: question.confirmed, expiresAt});
+		this.#outstanding.set(key, {minima: question.confirmed, number: question.number, expiresAt});
 		return now < this.#validUntil ? {revision: this.#revision, remainingMilliseconds: this.#validUntil - now} : undefined;
 	}
 
+	/**
+	Counts the leases of a former child no longer, unless it asked again since.
+
+	@param release What the child said.
+	*/
+	release(release: LeaseRelease): void {
+		const key = keyOf(release);
+		const outstanding = this.#outstanding.get(key);
+		if (outstanding !== undefined && outstanding.number <= release.number) {
+			this.#outstanding.delete(key);
+		}
+	}
+
 	/**
 	Takes the answer to a question.
 
@@ -155,10 +190,24 @@
 			return false;
 		}
 
-		this.#validUntil = Math.max(this.#validUntil, sentAt + (grant.remainingMilliseconds * (1 - driftAllowance)));
+		const validUntil = sentAt + (grant.remainingMilliseconds * (1 - driftAllowance));
+		if (validUntil >= this.#validUntil && question.confirmed.every(({revision}) => revision >= grant.revision)) {
+			this.#releaseFormer();
+		}
+
+		this.#validUntil = Math.max(this.#validUntil, validUntil);
 		return true;
 	}
 
+	/**
+	Gives the former parents that the lease taken last covers, and forgets them.
+
+	@returns Whom to send which release.
+	*/
+	takeReleases(): Array<readonly [InstanceId, LeaseRelease]> {
+		return this.#releases.splice(0);
+	}
+
 	/**
 	Renews the own lease on the leader itself.
 
@@ -196,4 +245,18 @@
 
 		return [...lowest].map(([zone, revision]) => ({zone, revision}));
 	}
+
+	#releaseFormer(): void {
+		const {instance, incarnation} = this.#options;
+		for (const former of this.#asked) {
+			if (former !== this.#parent) {
+				this.#asked.delete(former);
+				this.#releases.push([former, {instance, incarnation, number: this.#lastQuestion}]);
+			}
+		}
+	}
+}
+
+function keyOf({instance, incarnation}: Pick<LeaseQuestion, 'instance' | 'incarnation'>): string {
+	return `${instance}/${incarnation}`;
 }
