--- a/packages/daemon/src/distribution/distribution-node.ts
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -132,7 +132,6 @@
 		const reply = this.confirmations.track(() => this.#node.answer(exchange, now));
 		this.watch.heard(child);
 		this.#news.heard(child);
-
 		const {leader} = this;
 		return leader === undefined ? reply : {...reply, leader};
 	}
@@ -168,13 +167,7 @@
 	}
 
 	#takeNews(keys: readonly string[], from: InstanceId): void {
-		for (const key of keys) {
-			const record = this.#records.get(key);
-			if (record?.kind === 'server') {
-				this.registry.put(record.server);
-			}
-		}
-
+		this.registry.takeRecords(keys);
 		this.watch.refute();
 		this.#spread(from);
 	}
@@ -205,20 +198,14 @@
 		return record?.kind === 'member' ? record.member : undefined;
 	}
 
-	/** Where an instance is reached; a control instance also before it is known as a member. */
-	#addressOf(instance: InstanceId): PeerAddress | undefined {
-		return this.#record(instance) ?? this.#options.base.settings.control.find(seed => seed.instance === instance);
-	}
-
 	#makeConfirmations(): LeaseConfirmations {
-		const {base: {network}, relay} = this.#options;
+		const {base: {network, settings}, relay} = this.#options;
 		return new LeaseConfirmations({
 			clock: this.#clock,
 			relay,
-			addressOf: instance => this.#addressOf(instance),
-			send(to, message) {
-				network.send(to, message);
-			},
+			network,
+			// A control instance is reached also before it is known as a member.
+			addressOf: instance => this.#record(instance) ?? settings.control.find(seed => seed.instance === instance),
 			onChange: () => {
 				this.loop.wake();
 			},
--- a/packages/daemon/src/distribution/lease-confirmations.ts
+++ b/packages/daemon/src/distribution/lease-confirmations.ts
@@ -1,7 +1,7 @@
 import {type Clock, type InstanceId} from '@valehitch/core';
 import {type ConfigurationRelay, type LeaseRelease} from '@valehitch/membership';
-import {type PeerAddress} from '@valehitch/transport';
-import {type ReleaseMessage} from './messages.js';
+import {type PeerAddress, type PeerNetwork} from '@valehitch/transport';
+import {type PeerMessage} from '../messages.js';
 
 /** What the confirmations need. */
 export type LeaseConfirmationsOptions = {
@@ -9,8 +9,7 @@
 	readonly relay: ConfigurationRelay;
 	/** Where an instance is reached, if that is known. */
 	readonly addressOf: (instance: InstanceId) => PeerAddress | undefined;
-	/** Sends a message to another daemon. */
-	readonly send: (to: PeerAddress, message: ReleaseMessage) => void;
+	readonly network: Pick<PeerNetwork<PeerMessage>, 'send'>;
 	/** Told when the parent must hear soon of what is confirmed here. */
 	readonly onChange: () => void;
 };
@@ -61,11 +60,11 @@
 
 	/** Tells the former parents that the present one covers what they count; a word that is lost costs them one lease. */
 	releaseFormerParents(): void {
-		const {relay, addressOf, send} = this.#options;
+		const {relay, addressOf, network} = this.#options;
 		for (const [former, body] of relay.takeReleases()) {
 			const address = addressOf(former);
 			if (address !== undefined) {
-				send(address, {scope: 'distribution', type: 'release', body});
+				network.send(address, {scope: 'distribution', type: 'release', body});
 			}
 		}
 	}
--- a/packages/daemon/src/distribution/server-registry.ts
+++ b/packages/daemon/src/distribution/server-registry.ts
@@ -58,17 +58,16 @@
 	}
 
 	/**
-	Takes in a record that the digest brought.
+	Takes in the server records that the digest brought.
 
-	@param record The record.
+	@param keys The keys of the records that changed; those of members are passed over.
 	*/
-	put(record: ServerRecord): void {
-		const {server} = record.announcement;
-		const before = this.servers.record(server);
-		if (this.servers.put(record)) {
-			this.#note(server, before);
-			// What is held here may be later than what came.
-			this.#share(server);
+	takeRecords(keys: readonly string[]): void {
+		for (const key of keys) {
+			const record = this.#options.records.get(key);
+			if (record?.kind === 'server') {
+				this.#put(record.server);
+			}
 		}
 	}
 
@@ -101,6 +100,16 @@
 		}
 	}
 
+	#put(record: ServerRecord): void {
+		const {server} = record.announcement;
+		const before = this.servers.record(server);
+		if (this.servers.put(record)) {
+			this.#note(server, before);
+			// What is held here may be later than what came.
+			this.#share(server);
+		}
+	}
+
 	#share(server: ServerId): void {
 		const {records, onChange} = this.#options;
 		const record = this.servers.record(server);
