--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -1,10 +1,24 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {type ClaimAnswer} from '@valehitch/control';
+import {type Failure, failure} from '@valehitch/core';
+import {DecisionRing, StageHistory} from '@valehitch/routing';
+import {type Either, Left, Right} from 'purify-ts';
+import {match} from 'ts-pattern';
 import {type ControlClient} from '../control/control-client.js';
 import {type DaemonBase} from '../daemon-base.js';
 import {type DistributionPart} from '../distribution/start-distribution.js';
 import {type RatingsPart} from '../ratings/ratings-part.js';
-import {BillOutbox} from './bill-outbox.js';
+import {BillKeeper} from './bills/bill-keeper.js';
+import {HeldBills} from './bills/held-bills.js';
+import {LedgerOutbox} from './bills/ledger-outbox.js';
+import {watchBills} from './bills/watch-bills.js';
+import {type ClaimCommand, ClaimKeeper} from './claim-keeper.js';
 import {type EntryContext} from './entry-context.js';
+import {InProgress} from './in-progress.js';
+import {type EntryMessage, type HoldBillsReply} from './messages.js';
 import {RequestCounter} from './request-counter.js';
+import {AdmissionPools} from './traffic/admission-pools.js';
+import {ServerPicker} from './traffic/server-picker.js';
 
 /** What the entry part is built on. */
 export type StartEntryOptions = {
@@ -13,27 +27,146 @@
 	readonly ratings: RatingsPart;
 };
 
-const billRetryMilliseconds = 200;
+/** The part of a daemon that serves callers. */
+export type EntryPart = {
+	readonly context: EntryContext;
+	/** Answers a message of another daemon. */
+	readonly answer: (message: EntryMessage) => Promise<unknown>;
+	/** Ends the requests in progress whole and hands over the bills; new ones are refused. */
+	readonly stop: () => Promise<void>;
+	/** Ends all that is still tried; what is not handed over stays with the holders of the copies. */
+	readonly close: () => void;
+};
+
+const holdTimeoutMilliseconds = 750;
+const maximumCopies = 40_000;
+const lostAfterMilliseconds = 4000;
+const handOverPollMilliseconds = 50;
+const lingerMilliseconds = 500;
+const admissionMilliseconds = 250;
 
 /**
-Builds the part of a daemon that serves callers.
+Starts the part of a daemon that serves callers.
 
 @param base What every part works with.
 @param options The parts it is built on.
-@returns The context of the callers' handlers.
+@returns The part.
 @example
 ```ts
 const entry = startEntry(base, {control: control.client, distribution, ratings});
 ```
 */
-export function startEntry(base: DaemonBase, {control, distribution, ratings}: StartEntryOptions): EntryContext {
-	const {timeline} = base;
+export function startEntry(base: DaemonBase, options: StartEntryOptions): EntryPart {
+	const {control, distribution} = options;
+	const outbox = new LedgerOutbox({propose: async command => control.propose(command), wait});
+	const bills = billKeeper(base, {...options, outbox});
+	const held = heldBills(base, bills);
+	const claims = claimKeeper(base, control);
+	claims.begin();
+	distribution.onInstanceLost(({instance}) => {
+		void claims.forget(instance);
+	});
+	const requests = new RequestCounter();
+	const decisions = new DecisionRing();
+	const picker = new ServerPicker({
+		...base, servers: distribution.servers, zone: base.settings.zone, decisions,
+	});
+	const admission = new AdmissionPools({...base, servers: distribution.servers, members: distribution.members});
+	const admissionTimer = setInterval(() => {
+		admission.refresh();
+	}, admissionMilliseconds);
+	const closing = new AbortController();
+	const watch = watchBills({
+		bills, held, members: distribution.members, network: base.network,
+	});
 	return {
-		...base,
-		servers: distribution.servers,
-		active: distribution.active,
-		ratings,
-		requests: new RequestCounter(),
-		bills: new BillOutbox({propose: async command => control.propose(command), timeline, retryMilliseconds: billRetryMilliseconds}),
+		context: {
+			...base,
+			servers: distribution.servers,
+			active: distribution.active,
+			ratings: options.ratings,
+			admission,
+			picker,
+			history: new StageHistory(),
+			decisions,
+			requests,
+			inProgress: new InProgress(),
+			runs: new Set(),
+			bills,
+			held,
+			claims,
+		},
+		answer: async message => match(message)
+			.with({type: 'hold-bills'}, hold => held.hold(hold))
+			.with({type: 'owned-bills'}, question => bills.answerOwned(question))
+			.with({type: 'explain'}, ({request}) => decisions.get(request))
+			.exhaustive(),
+		async stop() {
+			await requests.stop();
+			held.stop();
+			// What others are about to send to the ledger still finds it here.
+			await wait(base.settings.roles.includes('control') ? lingerMilliseconds : 0);
+			while (!closing.signal.aborted && bills.size + claims.size + held.size + outbox.size > 0) {
+				bills.renew();
+				await wait(handOverPollMilliseconds);
+			}
+		},
+		close() {
+			closing.abort();
+			watch.stop();
+			clearInterval(admissionTimer);
+			outbox.close();
+			claims.close();
+		},
 	};
 }
+
+// A wait does not keep the process from ending.
+async function wait(milliseconds: number): Promise<void> {
+	await delay(milliseconds, undefined, {ref: false});
+}
+
+function billKeeper({self, clock, network, newId}: DaemonBase, {distribution, outbox}: Pick<StartEntryOptions, 'distribution'> & {readonly outbox: LedgerOutbox}): BillKeeper {
+	return new BillKeeper({
+		self,
+		start: newId(),
+		startedAt: clock.now().getTime(),
+		clock,
+		outbox,
+		members: distribution.members,
+		async request(to, message) {
+			const reply = await network.request(to, message, {timeoutMilliseconds: holdTimeoutMilliseconds});
+			return reply.map(body => body as HoldBillsReply | undefined ?? {accepted: false, count: 0});
+		},
+	});
+}
+
+function heldBills({clock, timeline}: DaemonBase, bills: BillKeeper): HeldBills {
+	return new HeldBills({
+		clock,
+		maximumCopies,
+		lostAfterMilliseconds,
+		onRecovered(bill) {
+			timeline.record('bill-recovered', {requestId: bill.request, workspace: bill.workspace, details: {owner: bill.instance, outcome: bill.outcome}});
+			bills.adopt(bill);
+		},
+	});
+}
+
+function claimKeeper({clock, log, settings: {instance}}: DaemonBase, control: ControlClient): ClaimKeeper {
+	return new ClaimKeeper({
+		instance,
+		clock,
+		wait,
+		forget: async lost => control.propose({type: 'instance-lost', instance: lost, at: clock.now().getTime()}),
+		async propose(command: ClaimCommand): Promise<Either<Failure, ClaimAnswer>> {
+			const answer = await control.propose(command);
+			return answer.chain(found => 'claim' in found
+				? Right(found)
+				: Left(failure('internal', 'Got an answer of the control role without a claim, wanted one with it')));
+		},
+		onRefused(claim, failed) {
+			log.error({requestId: claim.request, workspace: claim.workspace, failure: failed}, 'The settlement of a claim was refused');
+		},
+	});
+}
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -6,7 +6,9 @@
 import {bearerDigest} from '../bearer.js';
 import {issueOrder, listOrders} from '../control/orders/handle-orders.js';
 import {applyConfiguration} from './apply-configuration.js';
+import {changeRollout} from './change-rollout.js';
 import {cutLinks} from './cut-links.js';
+import {answerExplain, explainPath} from './explain.js';
 import {type OperatorContext} from './operator-context.js';
 
 /**
@@ -28,6 +30,11 @@
 
 	const url = new URL(request.url ?? '/', 'http://operators.invalid');
 	const route = `${request.method ?? ''} ${url.pathname}`;
+	if (request.method === 'GET' && url.pathname.startsWith(explainPath)) {
+		await answerExplain(response, url.pathname, context);
+		return;
+	}
+
 	switch (route) {
 		case 'GET /v1/configuration': {
 			answerConfiguration(response, context);
@@ -54,6 +61,11 @@
 			return;
 		}
 
+		case 'POST /v1/rollouts': {
+			await changeRollout(request, response, context);
+			return;
+		}
+
 		case 'POST /v1/orders': {
 			await issueOrder(request, response, {clock: context.base.clock, control: context.control});
 			return;
