Ask an instance again once there is a sign of life from it

Cause: an instance that did not answer is passed over for one lease, also when it was only not listening yet. Ruled out: a shorter time for an instance that is passed over, since a frozen parent would be asked, at two periods each, until the lease is over. Change: a question from such an instance, or a new record that it joined, ends the time. The loop's options name only what it uses of the network and the node. Not proved yet: the process test over several runs.

--- a/packages/daemon/src/distribution/distribution-node.ts
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -20,7 +20,9 @@
 import {parentAddresses} from './parent-addresses.js';
 import {RelayNode} from './relay-node.js';
 import {type ServerRegistry} from './server-registry.js';
-import {createLoadDigest, createRecordDigest, memberKey} from './shared-records.js';
+import {
+	createLoadDigest, createRecordDigest, joinedAmong, memberKey,
+} from './shared-records.js';
 
 /** What the node is built on. */
 export type DistributionNodeOptions = {
@@ -131,6 +133,7 @@
 		this.#refresh();
 		const reply = this.confirmations.track(() => this.#node.answer(exchange, now));
 		this.watch.heard(child);
+		this.loop.noteAlive([child]);
 		this.#news.heard(child);
 		const {leader} = this;
 		return leader === undefined ? reply : {...reply, leader};
@@ -168,6 +171,7 @@
 
 	#takeNews(keys: readonly string[], from: InstanceId): void {
 		this.registry.takeRecords(keys);
+		this.loop.noteAlive(joinedAmong(this.#records, keys));
 		this.watch.refute();
 		this.#spread(from);
 	}
--- a/packages/daemon/src/distribution/exchange-loop.ts
+++ b/packages/daemon/src/distribution/exchange-loop.ts
@@ -8,8 +8,8 @@
 /** What the loop needs. */
 export type ExchangeLoopOptions = {
 	readonly clock: Clock;
-	readonly network: PeerNetwork<PeerMessage>;
-	readonly node: RelayNode;
+	readonly network: Pick<PeerNetwork<PeerMessage>, 'request'>;
+	readonly node: Pick<RelayNode, 'begin' | 'finish' | 'isSettled'>;
 	/** Milliseconds between two exchanges without news. */
 	readonly periodMilliseconds: number;
 	/** The instances that may be asked, the best first. */
@@ -77,6 +77,17 @@
 		}
 	}
 
+	/**
+	Takes signs of life: instances that were passed over for their silence may be asked again.
+
+	@param instances The instances.
+	*/
+	noteAlive(instances: readonly InstanceId[]): void {
+		for (const instance of instances) {
+			this.#avoided.delete(instance);
+		}
+	}
+
 	#schedule(milliseconds: number): void {
 		clearTimeout(this.#timer);
 		if (!this.#isStopped) {
--- a/packages/daemon/src/distribution/shared-records.ts
+++ b/packages/daemon/src/distribution/shared-records.ts
@@ -61,6 +61,29 @@
 	return members;
 }
 
+/**
+The members that have joined among records that changed.
+
+@param digest The digest.
+@param keys The keys of the records that changed.
+@returns The instances.
+@example
+```ts
+loop.noteAlive(joinedAmong(digest, keys));
+```
+*/
+export function joinedAmong(digest: Digest<SharedRecord>, keys: readonly string[]): InstanceId[] {
+	const joined: InstanceId[] = [];
+	for (const key of keys) {
+		const record = digest.get(key);
+		if (record?.kind === 'member' && record.member.state === 'joined') {
+			joined.push(record.member.instance);
+		}
+	}
+
+	return joined;
+}
+
 function joinShared(known: SharedRecord, next: SharedRecord): SharedRecord {
 	if (known.kind === 'member' && next.kind === 'member') {
 		const member = joinMembers(known.member, next.member);
