--- a/packages/daemon/src/distribution/exchange-loop.test.ts
+++ b/packages/daemon/src/distribution/exchange-loop.test.ts
@@ -59,7 +59,7 @@
 			t.is(instance, first!.instance);
 		},
 		onError(error) {
-			t.fail(String(error));
+			t.fail(`Got an error: ${String(error)}`);
 		},
 	});
 	t.teardown(() => {
