--- a/packages/control/src/_ledger.ts
+++ b/packages/control/src/_ledger.ts
@@ -57,6 +57,10 @@
 		return this.#bills;
 	}
 
+	get positions(): {readonly first: number; readonly last: number} {
+		return {first: this.#first, last: this.#first + this.#bills.length - 1};
+	}
+
 	record(bills: readonly Bill[], limits: ControlLimits): {readonly recorded: number; readonly expired: readonly RequestId[]} {
 		const expired: RequestId[] = [];
 		let recorded = 0;
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -97,6 +97,11 @@
 		return this.#ledger.bills;
 	}
 
+	/** The positions of the bills that are not archived yet; where there are none, `last` is one below `first`. */
+	get billPositions(): {readonly first: number; readonly last: number} {
+		return this.#ledger.positions;
+	}
+
 	/** The completed orders that are kept, the oldest first. */
 	get completedOrders(): readonly OrderRecord[] {
 		return this.#orders.completed;
--- a/packages/daemon/src/bin/valehitchd.ts
+++ b/packages/daemon/src/bin/valehitchd.ts
@@ -58,5 +58,6 @@
 	await main();
 } catch (error) {
 	process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
-	process.exitCode = failureExitCode;
+	// Parts that started before the failure, such as the links to other daemons, would keep the process alive.
+	process.exit(failureExitCode);
 }
--- a/packages/daemon/src/control/archive/archive-bills.ts
+++ b/packages/daemon/src/control/archive/archive-bills.ts
@@ -2,7 +2,7 @@
 import {type BillArchive} from './bill-archive.js';
 
 /** The part of the control state that the archive works with. */
-export type ArchivedState = Pick<ControlState, 'archivableBills' | 'dropArchived'>;
+export type ArchivedState = Pick<ControlState, 'archivableBills' | 'billPositions' | 'dropArchived' | 'readLedger'>;
 
 const batchSize = 500;
 
--- a/packages/daemon/src/control/archive/bill-archive.ts
+++ b/packages/daemon/src/control/archive/bill-archive.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {createReadStream} from 'node:fs';
 import {
 	mkdir, open, readdir, readFile, truncate,
@@ -10,6 +11,17 @@
 type Segment = {readonly first: number; last: number};
 type Line = {readonly position: number; readonly bill: Bill};
 
+/** Positions that are not in the archive, the first and the last of them included. */
+export type ArchiveGap = {readonly first: number; readonly last: number};
+
+/** How many bills of the archive are read in one piece. */
+export type ReadLinesOptions = {
+	/** The position of the first bill. */
+	readonly first: number;
+	/** The piece ends with the line that reaches this number of bytes. */
+	readonly bytes: number;
+};
+
 const billsPerSegment = 20_000;
 const namePattern = /^bills-(?<first>\d{15})\.ndjson$/v;
 const lineEnd = 0x0A;
@@ -62,6 +74,30 @@
 		return this.#segments.at(-1)?.last ?? 0;
 	}
 
+	/**
+	The first positions that are missing below a position.
+
+	@param position Bills from here on are in the replicated state.
+	@returns The gap; undefined where everything below the position is here.
+	*/
+	gapBefore(position: number): ArchiveGap | undefined {
+		let next = 1;
+		for (const {first, last} of this.#segments) {
+			if (first > next) {
+				break;
+			}
+
+			next = last + 1;
+		}
+
+		if (next >= position) {
+			return undefined;
+		}
+
+		const following = this.#segments.find(({first}) => first > next);
+		return {first: next, last: Math.min(position, following?.first ?? position) - 1};
+	}
+
 	/**
 	Writes the bills that are not here yet, and syncs them.
 
@@ -70,21 +106,22 @@
 	*/
 	async append({firstPosition, bills}: ArchivableBills): Promise<void> {
 		const fresh = bills.slice(Math.max(0, this.last + 1 - firstPosition));
-		const first = firstPosition + bills.length - fresh.length;
-		if (fresh.length === 0) {
-			return;
-		}
+		await this.#writeOnce(fresh, firstPosition + bills.length - fresh.length);
+	}
 
-		if (this.#failure !== undefined) {
-			throw new Error('Got bills after a failed write, wanted a restart', {cause: this.#failure});
-		}
+	/**
+	Writes bills into a gap, and syncs them.
 
-		try {
-			await this.#write(fresh, first);
-		} catch (error) {
-			this.#failure = error;
-			throw error;
+	@param page Bills that begin where the gap begins; those beyond its end are passed over.
+	@param gap The gap, from `gapBefore`.
+	@throws If the disk fails, or if the bills begin elsewhere.
+	*/
+	async fill({firstPosition, bills}: ArchivableBills, gap: ArchiveGap): Promise<void> {
+		if (firstPosition !== gap.first) {
+			throw new RangeError(`Got bills from position ${firstPosition}, wanted them from ${gap.first}`);
 		}
+
+		await this.#writeOnce(bills.slice(0, gap.last + 1 - gap.first), firstPosition);
 	}
 
 	/**
@@ -94,30 +131,79 @@
 	@returns The page; `next` goes on into the replicated state where the archive ends.
 	*/
 	async read({workspace, after, limit}: LedgerQuestion): Promise<LedgerPage> {
+		// Bills that are archived during the read belong to the next page.
+		const {last} = this;
 		const bills: Bill[] = [];
-		for (const segment of this.#segments) {
-			if (segment.last <= after) {
-				continue;
+		for await (const {text, position} of this.#lines(after + 1, last)) {
+			const {bill} = JSON.parse(text) as Line;
+			if (workspace === undefined || bill.workspace === workspace) {
+				bills.push(bill);
 			}
 
+			if (bills.length === limit) {
+				return {bills, archivedUpTo: last, next: position};
+			}
+		}
+
+		return {bills, archivedUpTo: last, next: Math.max(after, last)};
+	}
+
+	/**
+	Reads lines without a gap between them, as they are on the disk.
+
+	@param options Where to begin and how many.
+	@returns The lines, each with its end; empty where the first is not here.
+	*/
+	async readLines({first, bytes}: ReadLinesOptions): Promise<string> {
+		let lines = '';
+		let next = first;
+		for await (const {text, position} of this.#lines(first, this.last)) {
+			if (position !== next || Buffer.byteLength(lines) >= bytes) {
+				break;
+			}
+
+			lines += `${text}\n`;
+			next++;
+		}
+
+		return lines;
+	}
+
+	/** The lines from one position to another. */
+	async * #lines(first: number, last: number): AsyncGenerator<{readonly text: string; readonly position: number}> {
+		const segments = this.#segments.filter(segment => segment.last >= first && segment.first <= last).map(segment => ({...segment}));
+		for (const segment of segments) {
+			let position = segment.first;
 			for await (const text of createInterface({input: createReadStream(this.#nameOf(segment))})) {
-				const {position, bill} = JSON.parse(text) as Line;
-				if (position > after && (workspace === undefined || bill.workspace === workspace)) {
-					bills.push(bill);
+				if (position >= first) {
+					yield {text, position};
 				}
 
-				if (position === segment.last && bills.length < limit) {
-					// What follows is not synced yet.
+				if (position === segment.last) {
+					// What follows was not synced when the read began.
 					break;
 				}
 
-				if (bills.length === limit) {
-					return {bills, archivedUpTo: this.last, next: position};
-				}
+				position++;
 			}
 		}
+	}
 
-		return {bills, archivedUpTo: this.last, next: Math.max(after, this.last)};
+	async #writeOnce(bills: readonly Bill[], first: number): Promise<void> {
+		if (bills.length === 0) {
+			return;
+		}
+
+		if (this.#failure !== undefined) {
+			throw new Error('Got bills after a failed write, wanted a restart', {cause: this.#failure});
+		}
+
+		try {
+			await this.#write(bills, first);
+		} catch (error) {
+			this.#failure = error;
+			throw error;
+		}
 	}
 
 	async #write(fresh: readonly Bill[], first: number): Promise<void> {
@@ -132,18 +218,20 @@
 
 		await this.#syncFolder();
 		segment.last = first + fresh.length - 1;
+		if (!this.#segments.includes(segment)) {
+			this.#segments.push(segment);
+			this.#segments.sort((left, right) => left.first - right.first);
+		}
 	}
 
 	/** The segment that a bill belongs to; a gap, as on a replica that got a snapshot, begins a new one. */
 	#segmentFor(position: number): Segment {
-		const last = this.#segments.at(-1);
-		if (last?.last === position - 1 && position - last.first < billsPerSegment) {
-			return last;
+		const before = this.#segments.findLast(({first}) => first < position);
+		if (before?.last === position - 1 && position - before.first < billsPerSegment) {
+			return before;
 		}
 
-		const segment: Segment = {first: position, last: position - 1};
-		this.#segments.push(segment);
-		return segment;
+		return {first: position, last: position - 1};
 	}
 
 	async #syncFolder(): Promise<void> {
--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -53,6 +53,7 @@
 				return undefined;
 			})
 			.with({type: 'join'}, question => host.join(question))
+			.with({type: 'archived-bills'}, async ({first}) => this.#options.archive?.piece(first))
 			.with({type: 'leader'}, (): LeaderReply => ({leader: host.leader}))
 			.with({type: 'propose'}, {type: 'ledger'}, {type: 'orders'}, async question => this.#answerAsLeader(question))
 			.exhaustive();
@@ -91,7 +92,11 @@
 			return Left(this.#noQuorum());
 		}
 
-		return Right(question.type === 'ledger' ? await this.#readLedger(question) : this.#readOrders());
+		if (question.type === 'ledger') {
+			return this.#readLedger(question);
+		}
+
+		return Right(this.#readOrders());
 	}
 
 	#readOrders(): OrderList {
@@ -99,15 +104,26 @@
 		return {open: state.openOrders(), completed: state.completedOrders};
 	}
 
-	async #readLedger({workspace, after}: LedgerMessage): Promise<LedgerPage> {
+	async #readLedger({workspace, after}: LedgerMessage): Promise<Either<Failure, LedgerPage>> {
 		const {host: {state}, archive} = this.#options;
 		const question = {workspace, after, limit: ledgerPageSize};
 		const recent = state.readLedger(question);
-		const {bills, next} = archive !== undefined && after < recent.archivedUpTo ? await archive.read(question) : recent;
-		return {bills, ...(next !== undefined && {next})};
+		if (after >= recent.archivedUpTo) {
+			return Right(pageOf(recent));
+		}
+
+		if (archive === undefined || archive.heldUpTo() < recent.archivedUpTo) {
+			return Left(failure('no-quorum', 'Got a leader that still fetches older bills from another replica, wanted one that has all', {retryAfterMilliseconds: retryMilliseconds}));
+		}
+
+		return Right(pageOf(await archive.read(question)));
 	}
 
 	#noQuorum(): Failure {
 		return failure('no-quorum', 'Got no leader with a valid lease, wanted one', {retryAfterMilliseconds: retryMilliseconds});
 	}
 }
+
+function pageOf({bills, next}: Awaited<ReturnType<RunningArchive['read']>>): LedgerPage {
+	return {bills, ...(next !== undefined && {next})};
+}
--- a/packages/daemon/src/control/control-host.test.ts
+++ b/packages/daemon/src/control/control-host.test.ts
@@ -33,6 +33,7 @@
 		},
 		folder: folder.unsafeCoerce(),
 		ask: async () => Left(failure('no-quorum', 'Got a question, wanted none from the only instance')),
+		billsHeldUpTo: () => 0,
 		send: ignore,
 		onFailure(failed) {
 			t.fail(failed.message);
--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -22,6 +22,8 @@
 	readonly folder: DataFolder;
 	/** Asks another control instance a question of this host's own. */
 	readonly ask: (to: InstanceId, message: JoinMessage) => Promise<Either<Failure, JoinReply>>;
+	/** The position up to which this replica has every bill. */
+	readonly billsHeldUpTo: () => number;
 	/** Sends a message between replicas; it may be lost. */
 	readonly send: (to: InstanceId, message: ReplicaEnvelope) => void;
 	/** Told once why the role stopped for good. */
@@ -227,8 +229,8 @@
 	@param message Who asks.
 	@returns What this replica is.
 	*/
-	join({replica}: JoinMessage): JoinReply {
-		this.#candidates.note(replica);
+	join({replica, billsHeldUpTo}: JoinMessage): JoinReply {
+		this.#candidates.note(replica, billsHeldUpTo);
 		const {log: {snapshot}} = this.#driver.state;
 		return {
 			replica: this.#self,
@@ -250,7 +252,9 @@
 		const {state} = this.#driver;
 		this.#driver.push({type: 'tick'});
 		this.#watch.note(state);
-		const change = isLeader(state) ? planReplacement(state, {present: this.#candidates.present}) : undefined;
+		const learners = state.replicas?.learners ?? [];
+		const present = this.#candidates.ready(learners, this.#machine.state.billPositions.first - 1);
+		const change = isLeader(state) ? planReplacement(state, {present}) : undefined;
 		if (change !== undefined) {
 			this.#driver.push({type: 'change-replicas', change});
 		}
@@ -264,11 +268,13 @@
 		}
 
 		const isFounding = this.#isEmpty();
-		const {base: {settings}, ask} = this.#options;
+		const {base: {settings}, ask, billsHeldUpTo} = this.#options;
 		const found = await searchGroup({
 			self: this.#self,
 			control: settings.control,
-			ask: async ({instance}) => ask(instance, {scope: 'control', type: 'join', replica: this.#self}),
+			ask: async ({instance}) => ask(instance, {
+				scope: 'control', type: 'join', replica: this.#self, billsHeldUpTo: billsHeldUpTo(),
+			}),
 			isEmpty: () => isFounding && this.#isEmpty(),
 		});
 		if (found !== undefined && !this.#isStopped) {
--- a/packages/daemon/src/control/leader-tasks.ts
+++ b/packages/daemon/src/control/leader-tasks.ts
@@ -1,3 +1,4 @@
+import {type ControlLimits} from '@valehitch/control';
 import {type DaemonBase} from '../daemon-base.js';
 import {type DistributionPart} from '../distribution/start-distribution.js';
 import {type RatingSummary, type RatingSummaryReply} from '../ratings/rating-summary.js';
@@ -24,10 +25,11 @@
 
 const orderTickMilliseconds = 100;
 const rolloutTickMilliseconds = 500;
+const limitsMilliseconds = 500;
 const expireMilliseconds = 60_000;
 
 /**
-Starts what the leader of the control replicas does besides the log: orders, roll-outs and the expiry of what is kept.
+Starts what the leader of the control replicas does besides the log: orders, roll-outs, and the bounds and the expiry of what is kept.
 
 @param base What every part works with.
 @param options The control part and where engines are found.
@@ -60,6 +62,11 @@
 			executor.tick();
 		}),
 		every(rolloutTickMilliseconds, async () => rollouts.tick()),
+		every(limitsMilliseconds, async () => {
+			if (control.isLeader() && !isSame(control.state()?.limits, settings.controlLimits)) {
+				await control.propose({type: 'set-limits', limits: settings.controlLimits});
+			}
+		}),
 		every(expireMilliseconds, async () => {
 			evidence.tidy();
 			if (control.isLeader()) {
@@ -86,3 +93,8 @@
 		},
 	};
 }
+
+function isSame(found: ControlLimits | undefined, wanted: ControlLimits): boolean {
+	const names = Object.keys(wanted) as Array<keyof ControlLimits>;
+	return found !== undefined && names.every(name => found[name] === wanted[name]);
+}
--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -65,6 +65,8 @@
 	readonly scope: 'control';
 	readonly type: 'join';
 	readonly replica: ReplicaId;
+	/** The position up to which it has every bill, in its archive or in its state. */
+	readonly billsHeldUpTo: number;
 };
 
 /** What the asked instance says of itself. */
@@ -76,6 +78,14 @@
 	readonly initial?: ReplicaSet | undefined;
 };
 
+/** Asks a replica for a piece of its bills that begins at a position. */
+export type ArchivedBillsMessage = {
+	readonly scope: 'control';
+	readonly type: 'archived-bills';
+	/** Positions count from 1. */
+	readonly first: number;
+};
+
 /** Asks a control instance which instance leads. */
 export type LeaderMessage = {
 	readonly scope: 'control';
@@ -91,4 +101,4 @@
 export type LeaderQuestion = ProposeMessage | LedgerMessage | OrdersMessage;
 
 /** The closed list of messages to the control role. */
-export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | LeaderMessage;
+export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | LeaderMessage | ArchivedBillsMessage;
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -4,10 +4,12 @@
 import {type PeerAddress} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import {type DaemonBase} from '../daemon-base.js';
-import {startArchive} from './archive/start-archive.js';
+import {type ArchivedPiece} from './archive/archived-piece.js';
+import {type RunningArchive, startArchive} from './archive/start-archive.js';
 import {ControlAnswers} from './control-answers.js';
 import {ControlClient} from './control-client.js';
 import {type AppliedListener, ControlHost} from './control-host.js';
+import {reportExpiredBills} from './expired-bills.js';
 import {type ControlMessage, type JoinReply} from './messages.js';
 
 /** The control part of a daemon. */
@@ -50,8 +52,12 @@
 export async function startControl(base: DaemonBase): Promise<ControlPart> {
 	const {settings, clock} = base;
 	const folder = await openFolder(base);
-	const host = folder === undefined ? undefined : startHost(base, folder);
-	const archive = host === undefined || settings.dataFolder === undefined ? undefined : await startArchive(base, {dataFolder: settings.dataFolder, state: () => host.state});
+	const held: {archive?: RunningArchive | undefined} = {};
+	const host = folder === undefined ? undefined : startHost(base, {folder, billsHeldUpTo: () => held.archive?.heldUpTo() ?? 0});
+	const archive = host === undefined || settings.dataFolder === undefined
+		? undefined
+		: await startArchive(base, {dataFolder: settings.dataFolder, state: () => host.state, sources: billSources(base)});
+	held.archive = archive;
 	const answers = host === undefined
 		? undefined
 		: new ControlAnswers({
@@ -105,12 +111,20 @@
 	});
 }
 
-function startHost(base: DaemonBase, folder: DataFolder): ControlHost {
+/** The other control instances, each asked for a piece of its bills. */
+function billSources(base: DaemonBase) {
+	const {instance: self, control} = base.settings;
+	return control.filter(({instance}) => instance !== self).map(address => async (first: number) =>
+		askPeer<ArchivedPiece>(base, address, {scope: 'control', type: 'archived-bills', first}));
+}
+
+function startHost(base: DaemonBase, {folder, billsHeldUpTo}: {readonly folder: DataFolder; readonly billsHeldUpTo: () => number}): ControlHost {
 	const {settings: {control}, network, log, metrics, timeline} = base;
 	const addresses = new Map(control.map(address => [address.instance, address]));
 	const host = new ControlHost({
 		base,
 		folder,
+		billsHeldUpTo,
 		async ask(to, message) {
 			const address = addresses.get(to);
 			return address === undefined
@@ -128,7 +142,9 @@
 			log.error({failure: failed}, 'The control role stopped; the daemon goes on without it');
 		},
 	});
-	host.onApplied(({command, result}) => {
+	host.onApplied(applied => {
+		const {command, result} = applied;
+		reportExpiredBills(base, applied);
 		if (command.type === 'apply-configuration' && result.isRight()) {
 			const {revision} = result.unsafeCoerce();
 			timeline.record('configuration-committed', {revision, changeId: command.changeId});
--- a/packages/daemon/src/control/state-machine.ts
+++ b/packages/daemon/src/control/state-machine.ts
@@ -11,6 +11,8 @@
 export type AppliedCommand = LogPosition & {
 	readonly command: Command;
 	readonly result: Either<Failure, CommandAnswer>;
+	/** Whether its proposer waits for the result on this replica. */
+	readonly isAwaited: boolean;
 };
 
 /** What the state machine tells. */
@@ -165,12 +167,13 @@
 			this.#bytesSinceSnapshot += payload.data.byteLength;
 			const command = decodeCommand(payload.data);
 			const result = this.#state.apply(command, {term, index});
-			if (proposalId !== undefined && this.#waiting.get(proposalId)?.position?.term === term) {
+			const isAwaited = proposalId !== undefined && this.#waiting.get(proposalId)?.position?.term === term;
+			if (isAwaited) {
 				this.#settle(proposalId, result);
 			}
 
 			this.#options.onApplied({
-				command, result, term, index,
+				command, result, term, index, isAwaited,
 			});
 		}
 
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -1,3 +1,4 @@
+import {defaultControlLimits} from '@valehitch/control';
 import {toId, type InstanceId, type ZoneId} from '@valehitch/core';
 import {z} from 'zod';
 import {type Settings} from './settings.js';
@@ -58,6 +59,24 @@
 	segmentBytes: wholeNumber({from: 4096, to: 1_073_741_824}).default(4_194_304),
 });
 
+const longestMilliseconds = 31_622_400_000;
+
+const controlLimits = z.strictObject({
+	changeIds: wholeNumber({from: 1, to: 1_000_000}).default(defaultControlLimits.changeIds),
+	changeIdMilliseconds: wholeNumber({from: 1000, to: longestMilliseconds}).default(defaultControlLimits.changeIdMilliseconds),
+	claimsPerWorkspace: wholeNumber({from: 1, to: 1_000_000}).default(defaultControlLimits.claimsPerWorkspace),
+	claimMilliseconds: wholeNumber({from: 1000, to: longestMilliseconds}).default(defaultControlLimits.claimMilliseconds),
+	claimMinimumMilliseconds: wholeNumber({from: 1000, to: longestMilliseconds}).default(defaultControlLimits.claimMinimumMilliseconds),
+	claimOpenMilliseconds: wholeNumber({from: 1000, to: longestMilliseconds}).default(defaultControlLimits.claimOpenMilliseconds),
+	keptAnswerBytes: wholeNumber({from: 0, to: 1_048_576}).default(defaultControlLimits.keptAnswerBytes),
+	keptAnswerBytesPerWorkspace: wholeNumber({from: 0, to: 1_073_741_824}).default(defaultControlLimits.keptAnswerBytesPerWorkspace),
+	recentBills: wholeNumber({from: 1, to: 1_000_000}).default(defaultControlLimits.recentBills),
+	billWindow: wholeNumber({from: 1, to: 10_000_000}).default(defaultControlLimits.billWindow),
+	originMilliseconds: wholeNumber({from: 60_000, to: longestMilliseconds}).default(defaultControlLimits.originMilliseconds),
+	openOrdersPerServer: wholeNumber({from: 1, to: 10_000}).default(defaultControlLimits.openOrdersPerServer),
+	completedOrders: wholeNumber({from: 1, to: 1_000_000}).default(defaultControlLimits.completedOrders),
+});
+
 const metrics = z.strictObject({
 	host,
 	port: wholeNumber({from: 1, to: largestPort}),
@@ -98,6 +117,7 @@
 	})),
 	dataFolder: text({from: 1, to: longestFolder}).optional(),
 	controlLog: controlLog.prefault({}),
+	controlLimits: controlLimits.prefault({}),
 	faults: z.boolean('Wanted true or false').default(false),
 	keys,
 	limits: limits.prefault({}),
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -1,3 +1,4 @@
+import {type ControlLimits} from '@valehitch/control';
 import {type InstanceId, type ZoneId} from '@valehitch/core';
 
 /** What an instance does: `entry` takes callers' requests, `control` keeps the replicated configuration. */
@@ -151,6 +152,8 @@
 	readonly faults: boolean;
 	/** The keys; required. */
 	readonly keys: KeySettings;
+	/** Bounds of what the control role keeps in memory, the same in every file; has defaults. */
+	readonly controlLimits: ControlLimits;
 	/** Bounds on requests; has defaults. */
 	readonly limits: LimitSettings;
 	/** Leases and timeouts; has defaults. */
--- /dev/null
+++ b/packages/testing/src/bill-repair.test.ts
@@ -0,0 +1,127 @@
+import {readdir, readFile, rm} from 'node:fs/promises';
+import path from 'node:path';
+import test, {type ExecutionContext} from 'ava';
+import {type Command} from '@valehitch/control';
+import {
+	type Bill, type InstanceId, type Micros, type RequestId, toId, type WorkspaceId,
+} from '@valehitch/core';
+import {PeerNetwork} from '@valehitch/transport';
+import {z} from 'zod';
+import {deploymentKeys} from './_settings-file.js';
+import {
+	type DaemonPlan, type Deployment, type RunningDaemon, startDeployment,
+} from './deployment.js';
+import {callOperator} from './http-client.js';
+import {waitUntil} from './wait-until.js';
+
+const generousMilliseconds = 60_000;
+const bills = 2500;
+const billsEach = 10;
+const plans: readonly DaemonPlan[] = ['a', 'b', 'c'].map(name => ({
+	instance: `control-${name}`, zone: `prairie-south-${name}`, roles: ['control', 'entry'],
+}));
+const controlLimits = {recentBills: 100};
+const identitySchema = z.object({identity: z.string()});
+const replySchema = z.object({result: z.looseObject({ok: z.boolean()}), leader: z.string().optional()});
+const pageSchema = z.object({bills: z.array(z.looseObject({request: z.string()})), next: z.number().optional()});
+
+function billAt(sequence: number): Bill {
+	return {
+		workspace: toId<WorkspaceId>('yard'),
+		request: toId<RequestId>(`request-${sequence}`),
+		instance: toId<InstanceId>('entry-z'),
+		origin: {startedAt: 1, sequence},
+		lines: [],
+		total: 1 as Micros,
+		outcome: 'answered',
+		settledAt: 1000 + sequence,
+	};
+}
+
+async function openNetwork(t: ExecutionContext): Promise<PeerNetwork<unknown>> {
+	const network = await PeerNetwork.listen<unknown>({
+		self: toId<InstanceId>('recorder'), key: deploymentKeys.peers, host: '127.0.0.1', port: 0, onMessage() {
+			// No daemon sends to the recorder.
+		}, onRequest: async () => undefined,
+	});
+	t.teardown(async () => network.close());
+	return network;
+}
+
+async function record(network: PeerNetwork<unknown>, {deployment, command}: {readonly deployment: Deployment; readonly command: Command}): Promise<void> {
+	await waitUntil(async () => {
+		const daemon = deployment.daemons.find(({process}) => process.isRunning);
+		const reply = await network.request({instance: toId<InstanceId>(daemon?.instance ?? ''), host: '127.0.0.1', port: daemon?.ports.peers ?? 0}, {scope: 'control', type: 'propose', command});
+		const parsed = replySchema.safeParse(reply.orDefault(undefined));
+		return (parsed.success && parsed.data.result.ok) || undefined;
+	}, {what: 'bills to be recorded', timeoutMilliseconds: generousMilliseconds});
+}
+
+async function identityOf(folder: string): Promise<string> {
+	return identitySchema.parse(JSON.parse(await readFile(path.join(folder, 'identity.json'), 'utf8'))).identity;
+}
+
+/** Loses the disk of an instance and waits until it is repaired. */
+async function replaceDisk(deployment: Deployment, daemon: RunningDaemon): Promise<void> {
+	const folder = path.join(deployment.folder, 'data', daemon.instance);
+	await daemon.process.kill('SIGKILL');
+	await rm(folder, {recursive: true});
+	daemon.process.start();
+	await deployment.waitUntilHealthy(daemon);
+	const identity = await identityOf(folder);
+	await waitUntil(async () => {
+		const logs = await Promise.all(deployment.daemons.map(async ({process}) => readFile(process.logFile, 'utf8')));
+		return logs.some(log => log.split('\n').some(line => line.includes('"event":"replica-added"') && line.includes(identity))) || undefined;
+	}, {what: `the repair of ${daemon.instance}`, timeoutMilliseconds: generousMilliseconds});
+}
+
+async function pageAfter(daemon: RunningDaemon, after: number): Promise<z.infer<typeof pageSchema>> {
+	return waitUntil(async () => {
+		const {status, body} = await callOperator(`${daemon.operators}/v1/ledger?after=${after}`, {key: deploymentKeys.operators});
+		return status === 200 ? pageSchema.parse(body) : undefined;
+	}, {what: `the page after ${after}`, timeoutMilliseconds: generousMilliseconds});
+}
+
+async function allRequests(daemon: RunningDaemon): Promise<readonly string[]> {
+	const requests: string[] = [];
+	for (let after: number | undefined = 0; after !== undefined;) {
+		const page: z.infer<typeof pageSchema> = await pageAfter(daemon, after);
+		requests.push(...page.bills.map(({request}) => request));
+		after = page.next;
+	}
+
+	return requests;
+}
+
+test('every disk is lost in turn, each after the repair before it, and the ledger still lists every bill once', async t => {
+	t.timeout(6 * generousMilliseconds);
+	const deployment = await startDeployment({
+		daemons: plans, backends: [], configuration: {models: {}, services: {}, workspaces: {}}, startMilliseconds: generousMilliseconds, settings: {controlLimits, controlLog: {snapshotEntries: 100}},
+	});
+	t.teardown(async () => {
+		await deployment.stop();
+		await rm(deployment.folder, {recursive: true, force: true});
+	});
+	const network = await openNetwork(t);
+	for (let first = 1; first <= bills; first += billsEach) {
+		const batch = Array.from({length: billsEach}, (_, index) => billAt(first + index));
+		await record(network, {deployment, command: {type: 'record-bills', bills: batch}});
+	}
+
+	await Promise.all(deployment.daemons.map(async daemon => waitUntil(
+		async () => {
+			const names = await readdir(path.join(deployment.folder, 'data', daemon.instance, 'bills'));
+			return names.length > 0 || undefined;
+		},
+		{what: `archived bills on ${daemon.instance}`, timeoutMilliseconds: generousMilliseconds},
+	)));
+	// No pause: the next disk is lost as soon as the repair before it is reported as finished.
+	for (const daemon of deployment.daemons) {
+		await replaceDisk(deployment, daemon);
+	}
+
+	const expected = Array.from({length: bills}, (_, index) => `request-${index + 1}`);
+	for (const daemon of deployment.daemons) {
+		t.deepEqual(await allRequests(daemon), expected, `asked through ${daemon.instance}`);
+	}
+});
