--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -11,7 +11,7 @@
 import {type DistributionPart, startDistribution} from './distribution/start-distribution.js';
 import {EventRing} from './event-ring.js';
 import {handleCaller} from './entry/handle-caller.js';
-import {startEntry} from './entry/start-entry.js';
+import {type EntryPart, startEntry} from './entry/start-entry.js';
 import {type PeerMessage} from './messages.js';
 import {openMetrics} from './metrics.js';
 import {handleOperator} from './operators/handle-operator.js';
@@ -28,6 +28,7 @@
 type Parts = {
 	control?: ControlPart;
 	distribution?: DistributionPart;
+	entry?: EntryPart;
 	tasks?: LeaderTasks;
 };
 
@@ -55,11 +56,12 @@
 	parts.tasks = tasks;
 	const ratings = startRatings(base, {configuration: distribution.effective, exchange: tasks.exchange});
 	const entry = startEntry(base, {control: control.client, distribution, ratings: ratings.part});
+	parts.entry = entry;
 	const servers = await startServers(settings, log, {
-		callers: async (request, response) => handleCaller(request, response, entry),
+		callers: async (request, response) => handleCaller(request, response, entry.context),
 		backends: async (request, response) => handleBackend(request, response, {settings, onAnnouncement: distribution.announce, onRatings: ratings.take}),
 		operators: async (request, response) => handleOperator(request, response, {
-			base, control: control.client, distribution, entry,
+			base, control: control.client, distribution, entry: entry.context,
 		}),
 	});
 	base.timeline.record('instance-started');
@@ -67,7 +69,8 @@
 		async stop() {
 			base.timeline.record('instance-stopping');
 			distribution.drain();
-			await Promise.race([entry.requests.stop(), elapsed(settings.timing.shutdownMilliseconds)]);
+			await Promise.race([entry.stop(), elapsed(settings.timing.shutdownMilliseconds)]);
+			entry.close();
 			for (const server of servers) {
 				await server.close();
 			}
@@ -120,10 +123,11 @@
 	};
 }
 
-async function answerPeer(message: PeerMessage, {control, distribution, tasks}: Parts): Promise<unknown> {
+async function answerPeer(message: PeerMessage, {control, distribution, entry, tasks}: Parts): Promise<unknown> {
 	return match(message)
 		.with({scope: 'control'}, async found => control?.answer(found))
 		.with({scope: 'distribution'}, async found => distribution?.answer(found))
+		.with({scope: 'entry'}, async found => entry?.answer(found))
 		.with({scope: 'ratings'}, async ({summary}) => tasks?.takeSummary(summary))
 		.exhaustive();
 }
