--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -8,8 +8,9 @@
 import {type RunningArchive} from './archive/start-archive.js';
 import {type ControlHost} from './control-host.js';
 import {
-	type ControlMessage, type ControlReply, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type OrderList,
+	type ControlMessage, type ControlReply, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type OrderList, type SnapshotPieceReply,
 } from './messages.js';
+import {SnapshotPieces} from './snapshot-pieces.js';
 
 /** What the answers come from. */
 export type ControlAnswersOptions = {
@@ -34,6 +35,7 @@
 */
 export class ControlAnswers {
 	readonly #options: ControlAnswersOptions;
+	readonly #pieces = new SnapshotPieces();
 
 	constructor(options: ControlAnswersOptions) {
 		this.#options = options;
@@ -52,6 +54,14 @@
 				host.receive(envelope);
 				return undefined;
 			})
+			.with({type: 'snapshot-piece'}, (piece): SnapshotPieceReply => {
+				const envelope = this.#pieces.take(piece);
+				if (envelope !== undefined) {
+					host.receive(envelope);
+				}
+
+				return {isTaken: true};
+			})
 			.with({type: 'join'}, question => host.join(question))
 			.with({type: 'archived-bills'}, async ({first}) => this.#options.archive?.piece(first))
 			.with({type: 'leader'}, (): LeaderReply => ({leader: host.leader}))
--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -1,5 +1,7 @@
 import {type Command, type OrderRecord} from '@valehitch/control';
-import {type ReplicaId, type ReplicaMessage, type ReplicaSet} from '@valehitch/consensus';
+import {
+	type ReplicaId, type ReplicaMessage, type ReplicaSet, type SnapshotRequest,
+} from '@valehitch/consensus';
 import {type Bill, type InstanceId} from '@valehitch/core';
 import {type ResultReply} from '../result-reply.js';
 
@@ -60,6 +62,26 @@
 	readonly message: ReplicaMessage;
 };
 
+/** A piece of a snapshot, which may be larger than a frame. */
+export type SnapshotPieceMessage = {
+	readonly scope: 'control';
+	readonly type: 'snapshot-piece';
+	readonly from: ReplicaId;
+	readonly to: ReplicaId;
+	/** The message without the state. */
+	readonly message: SnapshotRequest;
+	/** Where the piece begins, in bytes. */
+	readonly offset: number;
+	/** The bytes of the whole state. */
+	readonly totalBytes: number;
+	readonly data: Uint8Array;
+};
+
+/** Answers a piece of a snapshot. */
+export type SnapshotPieceReply = {
+	readonly isTaken: boolean;
+};
+
 /** What a replica without a vote says of itself while it waits for a group. */
 export type JoinMessage = {
 	readonly scope: 'control';
@@ -101,4 +123,4 @@
 export type LeaderQuestion = ProposeMessage | LedgerMessage | OrdersMessage;
 
 /** The closed list of messages to the control role. */
-export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | LeaderMessage | ArchivedBillsMessage;
+export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | LeaderMessage | ArchivedBillsMessage | SnapshotPieceMessage;
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -1,5 +1,8 @@
 import {type Command, type CommandAnswer, type ControlState} from '@valehitch/control';
-import {type Failure, failure, type InstanceId} from '@valehitch/core';
+import {instanceOf} from '@valehitch/consensus';
+import {
+	type Failure, failure, type InstanceId, toId,
+} from '@valehitch/core';
 import {type DataFolder, openDataFolder} from '@valehitch/storage';
 import {type PeerAddress} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
@@ -10,7 +13,11 @@
 import {ControlClient} from './control-client.js';
 import {type AppliedListener, ControlHost} from './control-host.js';
 import {reportExpiredBills} from './expired-bills.js';
-import {type ControlMessage, type JoinReply} from './messages.js';
+import {
+	type ControlMessage, type JoinReply, type ReplicaEnvelope, type SnapshotPieceReply,
+} from './messages.js';
+import {type SnapshotEnvelope} from './snapshot-pieces.js';
+import {SnapshotSender} from './snapshot-sender.js';
 
 /** The control part of a daemon. */
 export type ControlPart = {
@@ -121,6 +128,14 @@
 function startHost(base: DaemonBase, {folder, billsHeldUpTo}: {readonly folder: DataFolder; readonly billsHeldUpTo: () => number}): ControlHost {
 	const {settings: {control}, network, log, metrics, timeline} = base;
 	const addresses = new Map(control.map(address => [address.instance, address]));
+	const snapshots = new SnapshotSender({
+		async ask(piece) {
+			const address = addresses.get(toId<InstanceId>(instanceOf(piece.to)));
+			return address === undefined
+				? Left(failure('no-quorum', `Got ${piece.to}, wanted a replica of a control instance`))
+				: askPeer<SnapshotPieceReply>(base, address, piece);
+		},
+	});
 	const host = new ControlHost({
 		base,
 		folder,
@@ -133,9 +148,16 @@
 		},
 		send(to, message) {
 			const address = addresses.get(to);
-			if (address !== undefined) {
-				network.send(address, message);
+			if (address === undefined) {
+				return;
+			}
+
+			if (isSnapshot(message)) {
+				void snapshots.send(message);
+				return;
 			}
+
+			network.send(address, message);
 		},
 		onFailure(failed) {
 			metrics.increment('control.failed');
@@ -160,6 +182,11 @@
 	return reply.chain(body => body === undefined ? Left(withoutRole(to)) : Right(body as Reply));
 }
 
+/** The first snapshot, at index 0, holds no state and goes as any other message. */
+function isSnapshot(envelope: ReplicaEnvelope): envelope is SnapshotEnvelope {
+	return envelope.message.type === 'snapshot-request' && envelope.message.snapshot.data.byteLength > 0;
+}
+
 function toReply(body: unknown): Either<Failure, unknown> {
 	return body === undefined
 		? Left(failure('no-quorum', 'Got a question on an instance without the control role'))
--- a/packages/settings/src/_check-settings.ts
+++ b/packages/settings/src/_check-settings.ts
@@ -10,6 +10,7 @@
 		...checkControlCount(settings),
 		...checkControlPorts(settings),
 		...checkPorts(settings),
+		...checkClaimTimes(settings),
 		...repeated(settings.roles, index => ['roles', index]),
 		...repeated(settings.control.map(entry => entry.instance), index => ['control', index, 'instance']),
 		...repeated(settings.keys.sessions.map(session => session.id), index => ['keys', 'sessions', index, 'id']),
@@ -56,6 +57,12 @@
 	}
 }
 
+function * checkClaimTimes({controlLimits: {claimMilliseconds, claimMinimumMilliseconds}}: Settings): Iterable<Finding> {
+	if (claimMinimumMilliseconds > claimMilliseconds) {
+		yield {path: ['controlLimits', 'claimMinimumMilliseconds'], got: String(claimMinimumMilliseconds), wanted: `at most claimMilliseconds, ${claimMilliseconds}`};
+	}
+}
+
 function * repeated(values: readonly string[], pathOf: (index: number) => FieldPath): Iterable<Finding> {
 	for (const [index, value] of values.entries()) {
 		if (values.indexOf(value) < index) {
--- a/packages/settings/src/settings.test.ts
+++ b/packages/settings/src/settings.test.ts
@@ -1,4 +1,5 @@
 import {readFile} from 'node:fs/promises';
+import {defaultControlLimits} from '@valehitch/control';
 import test from 'ava';
 import {Left, Right} from 'purify-ts';
 import {
@@ -41,10 +42,24 @@
 		ratings: {tolerance: 0.05, falseAlarmShare: 0.05, horizon: 1000},
 		failures: {tolerance: 0.03, falseAlarmShare: 0.05, horizon: 100_000},
 	});
+	t.deepEqual(settings.controlLimits, defaultControlLimits);
 	t.is(settings.logging.level, 'info');
 	t.is(settings.metrics, undefined);
 });
 
+test('the bounds of the control role are set one by one, and each has bounds of its own', t => {
+	const settings = parseSettings(`${settingsText}\ncontrolLimits: {recentBills: 100}\n`, 'a.yaml').unsafeCoerce();
+	t.deepEqual(settings.controlLimits, {...defaultControlLimits, recentBills: 100});
+	const problems = (block: string) => settingsProblems(`${settingsText}\ncontrolLimits: ${block}\n`).map(problem => problem.replace(/^\S+ /v, ''));
+	t.deepEqual(problems('{recentBills: 0, unknown: 1}'), [
+		'controlLimits.recentBills: got 0, wanted a whole number from 1 to 1000000',
+		'controlLimits.unknown: got the key "unknown", wanted a key that is known here',
+	]);
+	t.deepEqual(problems('{claimMilliseconds: 1000}'), [
+		'controlLimits.claimMinimumMilliseconds: got 600000, wanted at most claimMilliseconds, 1000',
+	]);
+});
+
 test('every problem names its line, field, what was got and wanted', t => {
 	const text = settingsText
 		.replace('port: 8080', 'port: x')
--- a/packages/testing/src/bill-repair.test.ts
+++ b/packages/testing/src/control-repair.test.ts
@@ -1,7 +1,10 @@
-import {readdir, readFile, rm} from 'node:fs/promises';
+import {randomBytes} from 'node:crypto';
+import {
+	readdir, readFile, rm, stat,
+} from 'node:fs/promises';
 import path from 'node:path';
 import test, {type ExecutionContext} from 'ava';
-import {type Command} from '@valehitch/control';
+import {type Command, type IdempotencyKey} from '@valehitch/control';
 import {
 	type Bill, type InstanceId, type Micros, type RequestId, toId, type WorkspaceId,
 } from '@valehitch/core';
@@ -20,7 +23,9 @@
 const plans: readonly DaemonPlan[] = ['a', 'b', 'c'].map(name => ({
 	instance: `control-${name}`, zone: `prairie-south-${name}`, roles: ['control', 'entry'],
 }));
-const controlLimits = {recentBills: 100};
+// More than the largest frame between daemons, which is 16 MiB.
+const largeBodies = 20;
+const bodyBytes = 1_000_000;
 const identitySchema = z.object({identity: z.string()});
 const replySchema = z.object({result: z.looseObject({ok: z.boolean()}), leader: z.string().optional()});
 const pageSchema = z.object({bills: z.array(z.looseObject({request: z.string()})), next: z.number().optional()});
@@ -38,6 +43,33 @@
 	};
 }
 
+async function startControl(t: ExecutionContext, controlLimits: Readonly<Record<string, number>>): Promise<Deployment> {
+	const deployment = await startDeployment({
+		daemons: plans, backends: [], configuration: {models: {}, services: {}, workspaces: {}}, startMilliseconds: generousMilliseconds, settings: {controlLimits, controlLog: {snapshotEntries: 100}},
+	});
+	t.teardown(async () => {
+		await deployment.stop();
+		await rm(deployment.folder, {recursive: true, force: true});
+	});
+	return deployment;
+}
+
+/** A claim and its settlement with a large body. */
+function claimWithBody(index: number): readonly Command[] {
+	const claim = {
+		workspace: toId<WorkspaceId>('yard'), key: toId<IdempotencyKey>(`key-${index}`), request: toId<RequestId>(`request-${index}`), at: Date.now(),
+	};
+	const answer = {
+		status: 200, headers: {}, digest: '0'.repeat(64), bytes: bodyBytes, body: randomBytes(bodyBytes),
+	};
+	return [
+		{
+			type: 'take-claim', ...claim, requestDigest: '0'.repeat(64), instance: toId<InstanceId>('entry-z'),
+		},
+		{type: 'settle-claim', ...claim, settlement: {type: 'done', answer}},
+	];
+}
+
 async function openNetwork(t: ExecutionContext): Promise<PeerNetwork<unknown>> {
 	const network = await PeerNetwork.listen<unknown>({
 		self: toId<InstanceId>('recorder'), key: deploymentKeys.peers, host: '127.0.0.1', port: 0, onMessage() {
@@ -75,6 +107,14 @@
 	}, {what: `the repair of ${daemon.instance}`, timeoutMilliseconds: generousMilliseconds});
 }
 
+function firstDaemon({daemons: [daemon]}: Deployment): RunningDaemon {
+	if (daemon === undefined) {
+		throw new RangeError('Got a deployment without daemons, wanted three');
+	}
+
+	return daemon;
+}
+
 async function pageAfter(daemon: RunningDaemon, after: number): Promise<z.infer<typeof pageSchema>> {
 	return waitUntil(async () => {
 		const {status, body} = await callOperator(`${daemon.operators}/v1/ledger?after=${after}`, {key: deploymentKeys.operators});
@@ -93,15 +133,9 @@
 	return requests;
 }
 
-test('every disk is lost in turn, each after the repair before it, and the ledger still lists every bill once', async t => {
+test.serial('every disk is lost in turn, each after the repair before it, and the ledger still lists every bill once', async t => {
 	t.timeout(6 * generousMilliseconds);
-	const deployment = await startDeployment({
-		daemons: plans, backends: [], configuration: {models: {}, services: {}, workspaces: {}}, startMilliseconds: generousMilliseconds, settings: {controlLimits, controlLog: {snapshotEntries: 100}},
-	});
-	t.teardown(async () => {
-		await deployment.stop();
-		await rm(deployment.folder, {recursive: true, force: true});
-	});
+	const deployment = await startControl(t, {recentBills: 100});
 	const network = await openNetwork(t);
 	for (let first = 1; first <= bills; first += billsEach) {
 		const batch = Array.from({length: billsEach}, (_, index) => billAt(first + index));
@@ -125,3 +159,29 @@
 		t.deepEqual(await allRequests(daemon), expected, `asked through ${daemon.instance}`);
 	}
 });
+
+test.serial('a state that is larger than a frame between daemons reaches a new replica', async t => {
+	t.timeout(6 * generousMilliseconds);
+	const deployment = await startControl(t, {keptAnswerBytes: 1_048_576, keptAnswerBytesPerWorkspace: 67_108_864});
+	const network = await openNetwork(t);
+	for (let index = 1; index <= largeBodies; index++) {
+		for (const command of claimWithBody(index)) {
+			await record(network, {deployment, command});
+		}
+	}
+
+	// Enough for two snapshots, so that the log no longer holds the bodies.
+	for (let sequence = 1; sequence <= 250; sequence++) {
+		await record(network, {deployment, command: {type: 'record-bills', bills: [billAt(sequence)]}});
+	}
+
+	const daemon = firstDaemon(deployment);
+	await replaceDisk(deployment, daemon);
+	const folder = path.join(deployment.folder, 'data', daemon.instance);
+	const names = await readdir(folder);
+	const sizes = await Promise.all(names.filter(name => name.endsWith('.snapshot')).map(async name => {
+		const {size} = await stat(path.join(folder, name));
+		return size;
+	}));
+	t.true(Math.max(...sizes) > largeBodies * bodyBytes);
+});
