Read a piece of the archive where the one before ended

Cause: each piece read its segment from the start, and measured the growing text anew for each line: 100,000 bills took 21.4 s to copy between two archives of one process. Change: the end of the last piece is remembered; bytes are counted on.

--- a/packages/daemon/src/control/archive/bill-archive.ts
+++ b/packages/daemon/src/control/archive/bill-archive.ts
@@ -10,6 +10,8 @@
 
 type Segment = {readonly first: number; last: number};
 type Line = {readonly position: number; readonly bill: Bill};
+type Bookmark = {readonly segment: number; readonly position: number; readonly offset: number};
+type ArchivedLine = {readonly text: string; readonly position: number; readonly segment: number; readonly end: number};
 
 /** Positions that are not in the archive, the first and the last of them included. */
 export type ArchiveGap = {readonly first: number; readonly last: number};
@@ -61,6 +63,8 @@
 
 	readonly #folder: string;
 	readonly #segments: Segment[];
+	/** Where the last piece for another replica ended, so that the next one need not search. */
+	#bookmark: Bookmark | undefined;
 	/** Set once a write failed: what is in the file is known again only after a restart. */
 	#failure: unknown;
 
@@ -155,28 +159,33 @@
 	@returns The lines, each with its end; empty where the first is not here.
 	*/
 	async readLines({first, bytes}: ReadLinesOptions): Promise<string> {
-		let lines = '';
-		let next = first;
-		for await (const {text, position} of this.#lines(first, this.last)) {
-			if (position !== next || Buffer.byteLength(lines) >= bytes) {
+		const lines: string[] = [];
+		let size = 0;
+		for await (const {text, position, segment, end} of this.#lines(first, this.last)) {
+			if (position !== first + lines.length || size >= bytes) {
 				break;
 			}
 
-			lines += `${text}\n`;
-			next++;
+			lines.push(`${text}\n`);
+			size += Buffer.byteLength(text) + 1;
+			this.#bookmark = {segment, position: position + 1, offset: end};
 		}
 
-		return lines;
+		return lines.join('');
 	}
 
-	/** The lines from one position to another. */
-	async * #lines(first: number, last: number): AsyncGenerator<{readonly text: string; readonly position: number}> {
+	/** The lines from one position to another, each with its segment and the offset at which it ends there. */
+	async * #lines(first: number, last: number): AsyncGenerator<ArchivedLine> {
 		const segments = this.#segments.filter(segment => segment.last >= first && segment.first <= last).map(segment => ({...segment}));
 		for (const segment of segments) {
-			let position = segment.first;
-			for await (const text of createInterface({input: createReadStream(this.#nameOf(segment))})) {
+			const start = this.#startIn(segment.first, first);
+			let {position, offset: end} = start;
+			for await (const text of createInterface({input: createReadStream(this.#nameOf(segment), {start: start.offset})})) {
+				end += Buffer.byteLength(text) + 1;
 				if (position >= first) {
-					yield {text, position};
+					yield {
+						text, position, segment: segment.first, end,
+					};
 				}
 
 				if (position === segment.last) {
@@ -189,6 +198,12 @@
 		}
 	}
 
+	/** Where to begin in a segment: where the last piece ended, or at its start. */
+	#startIn(segment: number, first: number): Pick<Bookmark, 'position' | 'offset'> {
+		const mark = this.#bookmark;
+		return mark?.segment === segment && mark.position === first ? mark : {position: segment, offset: 0};
+	}
+
 	async #writeOnce(bills: readonly Bill[], first: number): Promise<void> {
 		if (bills.length === 0) {
 			return;
