--- a/packages/daemon/src/control/archive/bill-archive.test.ts
+++ b/packages/daemon/src/control/archive/bill-archive.test.ts
@@ -93,3 +93,20 @@
 		t.is(bills.length, next - (last - 1000));
 	}
 });
+
+test('bills that operators took away are no gap', async t => {
+	const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-bills-'));
+	t.teardown(async () => rm(folder, {recursive: true}));
+	const archive = await BillArchive.open(folder, 31);
+	t.is(archive.gapBefore(31), undefined);
+	t.deepEqual(archive.gapBefore(61), {first: 31, last: 60});
+	await archive.append(page(51, 60));
+	t.deepEqual(archive.gapBefore(61), {first: 31, last: 50});
+	await archive.fill(page(31, 50), {first: 31, last: 50});
+	t.is(archive.gapBefore(61), undefined);
+	const {bills, next} = await archive.read({workspace: undefined, after: 0, limit: 100});
+	t.is(bills.length, 30);
+	t.is(next, 60);
+	const older = await BillArchive.open(folder, 41);
+	t.is(older.gapBefore(61), undefined);
+});
--- a/packages/daemon/src/control/archive/bill-archive.ts
+++ b/packages/daemon/src/control/archive/bill-archive.ts
@@ -43,10 +43,11 @@
 	Opens the archive, and cuts back a line that a crash left half written.
 
 	@param folder Where the segments are; made where it is missing.
+	@param firstBill The position of the first bill that must be here; 1 by default, later ones once operators took older bills away.
 	@returns The archive.
 	@throws If the folder cannot be read or written.
 	*/
-	static async open(folder: string): Promise<BillArchive> {
+	static async open(folder: string, firstBill = 1): Promise<BillArchive> {
 		await mkdir(folder, {recursive: true});
 		const segments: Segment[] = [];
 		const names = await readdir(folder);
@@ -58,19 +59,21 @@
 			}
 		}
 
-		return new BillArchive(folder, segments);
+		return new BillArchive(folder, {segments, firstBill});
 	}
 
 	readonly #folder: string;
 	readonly #segments: Segment[];
+	readonly #firstBill: number;
 	/** Where the last piece for another replica ended, so that the next one need not search. */
 	#bookmark: Bookmark | undefined;
 	/** Set once a write failed: what is in the file is known again only after a restart. */
 	#failure: unknown;
 
-	private constructor(folder: string, segments: Segment[]) {
+	private constructor(folder: string, {segments, firstBill}: {readonly segments: Segment[]; readonly firstBill: number}) {
 		this.#folder = folder;
 		this.#segments = segments;
+		this.#firstBill = firstBill;
 	}
 
 	/** The position of the last bill that is synced here; 0 while there is none. */
@@ -85,13 +88,13 @@
 	@returns The gap; undefined where everything below the position is here.
 	*/
 	gapBefore(position: number): ArchiveGap | undefined {
-		let next = 1;
+		let next = this.#firstBill;
 		for (const {first, last} of this.#segments) {
 			if (first > next) {
 				break;
 			}
 
-			next = last + 1;
+			next = Math.max(next, last + 1);
 		}
 
 		if (next >= position) {
--- a/packages/daemon/src/control/archive/start-archive.ts
+++ b/packages/daemon/src/control/archive/start-archive.ts
@@ -12,6 +12,8 @@
 /** What the archive needs. */
 export type StartArchiveOptions = {
 	readonly dataFolder: string;
+	/** The position of the first bill that the archive must hold. */
+	readonly firstBill: number;
 	/** The replicated state as far as it is applied here. */
 	readonly state: () => ArchivedState;
 	/** Asks each other replica for a piece of its bills. */
@@ -43,10 +45,12 @@
 @returns The running archive; undefined where it cannot be opened.
 @example
 ```ts
-const archive = await startArchive(base, {dataFolder, state: () => host.state, sources});
+const archive = await startArchive(base, {dataFolder, firstBill: 1, state: () => host.state, sources});
 ```
 */
-export async function startArchive({log, metrics}: Pick<DaemonBase, 'log' | 'metrics'>, {dataFolder, state, sources}: StartArchiveOptions): Promise<RunningArchive | undefined> {
+export async function startArchive({log, metrics}: Pick<DaemonBase, 'log' | 'metrics'>, {
+	dataFolder, firstBill, state, sources,
+}: StartArchiveOptions): Promise<RunningArchive | undefined> {
 	const folder = path.join(dataFolder, folderName);
 	const failed = (error: unknown) => {
 		metrics.increment('archive.failed');
@@ -54,7 +58,7 @@
 	};
 
 	try {
-		const archive = await BillArchive.open(folder);
+		const archive = await BillArchive.open(folder, firstBill);
 		let running = Promise.resolve();
 		let isBusy = false;
 		let isStopped = false;
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -63,7 +63,9 @@
 	const host = folder === undefined ? undefined : startHost(base, {folder, billsHeldUpTo: () => held.archive?.heldUpTo() ?? 0});
 	const archive = host === undefined || settings.dataFolder === undefined
 		? undefined
-		: await startArchive(base, {dataFolder: settings.dataFolder, state: () => host.state, sources: billSources(base)});
+		: await startArchive(base, {
+			dataFolder: settings.dataFolder, firstBill: settings.controlLog.firstArchivedBill, state: () => host.state, sources: billSources(base),
+		});
 	held.archive = archive;
 	const answers = host === undefined
 		? undefined
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -58,6 +58,7 @@
 	snapshotEntries: wholeNumber({from: 100, to: 10_000_000}).default(10_000),
 	snapshotBytes: wholeNumber({from: 65_536, to: 1_073_741_824}).default(8_388_608),
 	segmentBytes: wholeNumber({from: 4096, to: 1_073_741_824}).default(4_194_304),
+	firstArchivedBill: wholeNumber({from: 1, to: Number.MAX_SAFE_INTEGER}).default(1),
 });
 
 const longestMilliseconds = 31_622_400_000;
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -90,6 +90,8 @@
 	readonly snapshotBytes: number;
 	/** Bytes after which the next segment of the log is begun; 4194304 by default, 4096 to 1073741824. */
 	readonly segmentBytes: number;
+	/** The position of the first bill that every replica's archive must hold, the same in every file; 1 by default, 1 to 9007199254740991. Raise it before older segments of the archive are taken away. */
+	readonly firstArchivedBill: number;
 };
 
 /** What happens when an instance is cut off from the control role. */
