--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -11,9 +11,9 @@
 import {encodeCommand} from './_encode-command.js';
 import {Candidates} from './candidates.js';
 import {searchGroup} from './group-search.js';
-import {type JoinMessage, type JoinReply, type ReplicaEnvelope} from './messages.js';
+import {type JoinMessage, type JoinReply} from './messages.js';
 import {LeadershipWatch} from './leadership-watch.js';
-import {readReplicaMessage, writeReplicaMessage} from './replica-codec.js';
+import {type ReplicaDelivery} from './replica-codec.js';
 import {ReplicaDriver} from './replica-driver.js';
 import {replicaTiming} from './replica-timing.js';
 import {type AppliedCommand, StateMachine} from './state-machine.js';
@@ -24,8 +24,10 @@
 	readonly folder: DataFolder;
 	/** Asks another control instance a question of this host's own. */
 	readonly ask: (to: InstanceId, message: JoinMessage) => Promise<Either<Failure, JoinReply>>;
+	/** The position up to which this replica has every bill. */
+	readonly billsHeldUpTo: () => number;
 	/** Sends a message between replicas; it may be lost. */
-	readonly send: (to: InstanceId, message: ReplicaEnvelope) => void;
+	readonly send: (to: InstanceId, delivery: ReplicaDelivery) => void;
 	/** Told once why the role stopped for good. */
 	readonly onFailure: (failed: Failure) => void;
 };
@@ -218,9 +220,9 @@
 
 	@param envelope The message.
 	*/
-	receive({from, to, message}: ReplicaEnvelope): void {
+	receive({from, to, message}: ReplicaDelivery): void {
 		if (to === this.#self && !this.#isStopped) {
-			this.#driver.push({type: 'message', from, message: readReplicaMessage(message)});
+			this.#driver.push({type: 'message', from, message});
 		}
 	}
 
@@ -230,8 +232,8 @@
 	@param message Who asks.
 	@returns What this replica is.
 	*/
-	join({replica}: JoinMessage): JoinReply {
-		this.#candidates.note(replica);
+	join({replica, billsHeldUpTo}: JoinMessage): JoinReply {
+		this.#candidates.note(replica, billsHeldUpTo);
 		const {log: {snapshot}} = this.#driver.state;
 		return {
 			replica: this.#self,
@@ -253,7 +255,9 @@
 		const {state} = this.#driver;
 		this.#driver.push({type: 'tick'});
 		this.#watch.note(state);
-		const change = isLeader(state) ? planReplacement(state, {present: this.#candidates.present}) : undefined;
+		const learners = state.replicas?.learners ?? [];
+		const present = this.#candidates.ready(learners, this.#machine.state.billPositions.first - 1);
+		const change = isLeader(state) ? planReplacement(state, {present}) : undefined;
 		if (change !== undefined) {
 			this.#driver.push({type: 'change-replicas', change});
 		}
@@ -267,11 +271,13 @@
 		}
 
 		const isFounding = this.#isEmpty();
-		const {base: {settings}, ask} = this.#options;
+		const {base: {settings}, ask, billsHeldUpTo} = this.#options;
 		const found = await searchGroup({
 			self: this.#self,
 			control: settings.control,
-			ask: async ({instance}) => ask(instance, {scope: 'control', type: 'join', replica: this.#self}),
+			ask: async ({instance}) => ask(instance, {
+				scope: 'control', type: 'join', replica: this.#self, billsHeldUpTo: billsHeldUpTo(),
+			}),
 			isEmpty: () => isFounding && this.#isEmpty(),
 		});
 		if (found !== undefined && !this.#isStopped) {
@@ -288,9 +294,7 @@
 	}
 
 	#send(to: ReplicaId, message: ReplicaMessage): void {
-		this.#options.send(toId<InstanceId>(instanceOf(to)), {
-			scope: 'control', type: 'replica', from: this.#self, to, message: writeReplicaMessage(message),
-		});
+		this.#options.send(toId<InstanceId>(instanceOf(to)), {from: this.#self, to, message});
 	}
 
 	#stepped(state: ReplicaState): void {
