Test a settled version by its listed quality until its past is known

The leader also tested by the built-in settings in place of badVersions of the settings. Ruled out: the estimate with the listed quality as its prior, since the bad ratings themselves would raise the limit. Change: until the past is known the limit is the listed badness and the wide tolerance; the leader's table takes the settings.

--- a/packages/daemon/src/control/rollouts/leader-evidence.ts
+++ b/packages/daemon/src/control/rollouts/leader-evidence.ts
@@ -1,6 +1,7 @@
 import {type RolloutEvidence, type RolloutTarget} from '@valehitch/control';
 import {type RolloutProgress} from '@valehitch/core';
 import {type DaemonBase} from '../../daemon-base.js';
+import {badVersionSettingsOf} from '../../ratings/bad-version-settings-of.js';
 import {EvidenceKeeper} from '../../ratings/evidence-keeper.js';
 import {type RatingSummary, type RatingSummaryReply} from '../../ratings/rating-summary.js';
 import {type ControlPart} from '../start-control.js';
@@ -75,6 +76,7 @@
 			instance: settings.instance,
 			startedAt: clock.now().getTime(),
 			now: () => clock.now().getTime(),
+			badVersions: badVersionSettingsOf(settings),
 			onAlarm() {
 				// The controller reads the alarm with the evidence and proposes the stop.
 			},
--- a/packages/policy/src/_bad-version-limit.ts
+++ b/packages/policy/src/_bad-version-limit.ts
@@ -19,11 +19,11 @@
 const largestLimit = 0.99;
 
 /**
-Works out the mean badness up to which a version is not bad: that of the version it replaces, at the upper bound, and the tolerance; a settled version is measured against its own past.
+Works out the mean badness up to which a version is not bad: that of the version it replaces, at the upper bound, and the tolerance; a settled version is measured against its own past, and against its listed quality with a wide tolerance until enough of its past is known.
 
 @param key The version, the class and the measure.
 @param options The book, the configuration and the settings.
-@returns The limit, or undefined where a settled version has no past yet or the version is not configured.
+@returns The limit, or undefined where the version is not configured.
 @example
 ```ts
 badVersionLimit(key, {book, configuration, settings, now}); // 0.23
@@ -41,13 +41,12 @@
 	const against = isRollingOut ? details.replaces ?? key.version : key.version;
 	const listed = own(versions, against)?.quality ?? details.quality;
 	const isFailure = key.measure === 'failure';
-	const known = book.estimate({...key, version: against}, {
-		prior: {value: isFailure ? listedFailureShare : listed, confidence: boundConfidence},
-		now,
-	});
+	const value = isFailure ? listedFailureShare : listed;
+	const known = book.estimate({...key, version: against}, {prior: {value, confidence: boundConfidence}, now});
 	const isKnown = known.weight >= settings.knownWeight;
 	if (!isKnown && against === key.version) {
-		return undefined;
+		// A short past may be the bad time itself.
+		return Math.min(largestLimit, (isFailure ? value : 1 - value) + settings.coldTolerance);
 	}
 
 	const badness = isFailure ? known.upperBound : 1 - known.lowerBound;
--- a/packages/policy/src/bad-version.test.ts
+++ b/packages/policy/src/bad-version.test.ts
@@ -219,3 +219,30 @@
 	const second = until(100, 150);
 	t.true(second > 5 && second < 100, `Got an alarm after ${second} observations`);
 });
+
+test('a settled version that turns bad before enough of its past is known is found by its listed quality', t => {
+	let worst = 0;
+	for (let stream = 0; stream < 200; stream += 1) {
+		const random = seededRandom(testSeed + stream);
+		const monitor = monitorOf('a');
+		const observe = (index: number, mean: number): BadVersionAlarm | undefined => monitor.observe({
+			// Ten classes, so that none is known when the version turns.
+			...replaced, qualityClass: `desk-${index % 10}/lookup`, measure: 'rating', value: graded(mean, random), ranAt: index,
+		}, {configuration, now: index});
+		let count = 0;
+		while (count < 100 && observe(count, 0.85) === undefined) {
+			count += 1;
+		}
+
+		t.is(count, 100, `Got a false alarm after ${count} ratings from seed ${testSeed + stream}`);
+		let found = 1;
+		while (found < 100 && observe(count + found, 0.3) === undefined) {
+			found += 1;
+		}
+
+		worst = Math.max(worst, found);
+	}
+
+	t.log(`Found after at most ${worst} ratings over 200 streams from seed ${testSeed}`);
+	t.true(worst < 40, `Got ${worst} ratings until the alarm, wanted fewer than 40 from seed ${testSeed}`);
+});
