Propose the stop as soon as the sum goes off

Cause: the leader read alarms twice a second only. Change: the alarm of the summed evidence calls the controller at once; the steady tick stays, for what was missed.

--- a/packages/daemon/src/control/leader-tasks.ts
+++ b/packages/daemon/src/control/leader-tasks.ts
@@ -39,7 +39,19 @@
 */
 export function startLeaderTasks(base: DaemonBase, {control, distribution}: LeaderTasksOptions): LeaderTasks {
 	const {clock, timeline, settings, network, log} = base;
-	const evidence = new LeaderEvidence({base, control});
+	const run = (act: () => Promise<void>) => {
+		act().catch((error: unknown) => {
+			log.error({err: error}, 'A task of the leader failed');
+		});
+	};
+
+	const evidence = new LeaderEvidence({
+		base,
+		control,
+		onAlarm() {
+			run(async () => rollouts.tick());
+		},
+	});
 	const executor = new OrderExecutor({
 		clock,
 		timeline,
@@ -51,9 +63,7 @@
 		clock, timeline, control, evidence: (target, progress) => evidence.on(target, progress),
 	});
 	const every = (milliseconds: number, act: () => Promise<void>) => setInterval(() => {
-		act().catch((error: unknown) => {
-			log.error({err: error}, 'A task of the leader failed');
-		});
+		run(act);
 	}, milliseconds);
 	const timers = [
 		every(orderTickMilliseconds, async () => {
--- a/packages/daemon/src/control/rollouts/leader-evidence.ts
+++ b/packages/daemon/src/control/rollouts/leader-evidence.ts
@@ -10,6 +10,8 @@
 export type LeaderEvidenceOptions = {
 	readonly base: Pick<DaemonBase, 'clock' | 'settings'>;
 	readonly control: Pick<ControlPart, 'isLeader' | 'state'>;
+	/** Told at once of each version that is bad by the sum; the controller reads the alarm with the evidence and proposes the stop. */
+	readonly onAlarm: () => void;
 };
 
 const tidyMilliseconds = 300_000;
@@ -19,7 +21,7 @@
 
 @example
 ```ts
-const evidence = new LeaderEvidence({base, control});
+const evidence = new LeaderEvidence({base, control, onAlarm});
 evidence.take(summary);
 ```
 */
@@ -66,7 +68,7 @@
 	}
 
 	#current(): EvidenceKeeper | undefined {
-		const {base: {clock, settings}, control} = this.#options;
+		const {base: {clock, settings}, control, onAlarm} = this.#options;
 		if (!control.isLeader()) {
 			this.#keeper = undefined;
 			return undefined;
@@ -77,9 +79,7 @@
 			startedAt: clock.now().getTime(),
 			now: () => clock.now().getTime(),
 			badVersions: badVersionSettingsOf(settings),
-			onAlarm() {
-				// The controller reads the alarm with the evidence and proposes the stop.
-			},
+			onAlarm,
 		});
 		return this.#keeper;
 	}
