Report what looks bad ahead of all other evidence, twice a second

Cause: a summary holds 4 of the reports that changed, in turn; with three versions and two measures a report waited up to 2 s. Ruled out: a summary of everything twice a second, for the bytes. Change: reports whose evidence is 4 times that of a first observation go into each summary, and between two of them alone where they grew.

--- a/packages/daemon/src/ratings/ratings-part.test.ts
+++ b/packages/daemon/src/ratings/ratings-part.test.ts
@@ -158,6 +158,24 @@
 	t.is(keeper.table.evidence(fresh, 0).alarm, undefined);
 });
 
+test('what looks bad is reported at once and only when there is more of it, ahead of all that changed before', t => {
+	const {part} = ratingsOf('a');
+	for (const target of [replaced, fresh]) {
+		part.noteOutcome({
+			...target, workspace, rule: 'lookup', ranAt: 900,
+		}, false);
+	}
+
+	part.take([ratingOf('g1', 0.85, replaced), ratingOf('g2', 0.85)]);
+	t.is(part.summarizeSuspects(), undefined);
+	part.take([ratingOf('b1', 0.1), ratingOf('b2', 0.1), ratingOf('b3', 0.1)]);
+	t.like(part.summarizeSuspects()?.evidence, {0: {...fresh, measure: 'ratings', count: 4}, length: 1});
+	t.is(part.summarizeSuspects(), undefined);
+	part.take([ratingOf('b4', 0.1)]);
+	t.true(part.summarize()?.evidence.some(({version, count}) => version === fresh.version && count === 5));
+	t.is(part.summarizeSuspects(), undefined);
+});
+
 test('the memory of requests and the queue of changes stay within their bounds', t => {
 	const memory = new RequestMemory(10);
 	const queue = new SummaryQueue<number>({capacity: 10});
--- a/packages/daemon/src/ratings/ratings-part.ts
+++ b/packages/daemon/src/ratings/ratings-part.ts
@@ -40,7 +40,9 @@
 const defaultRemembered = 10_000;
 const mostKeys = 4096;
 const entriesPerSummary = 6;
-const reportsPerSummary = 4;
+const reportsPerSummary = 3;
+/** Reports on what looks bad do not wait for their turn. */
+const suspectsPerSummary = 2;
 
 /**
 The ratings of one daemon: takes them in, estimates qualities, tests versions and stops bad ones here, and sums up for the others.
@@ -59,6 +61,8 @@
 	readonly #stops = new LocalStops();
 	readonly #memory: RequestMemory;
 	readonly #keys = new SummaryQueue<QualityKey>({capacity: mostKeys});
+	/** How many observations the last report on a version and measure had. */
+	readonly #reported = new Map<string, number>();
 	readonly #reports = new SummaryQueue<string>({capacity: mostKeys});
 
 	constructor(options: RatingsOptions) {
@@ -147,12 +151,29 @@
 		const digest = this.#book.digest(keys);
 		const sent = new Set(digest.entries.map(entry => keyText(entry)));
 		const wanted = new Set(this.#reports.take(reportsPerSummary));
+		for (const suspect of this.#monitor.suspects().slice(0, suspectsPerSummary)) {
+			wanted.add(reportText(suspect));
+		}
+
 		const evidence = this.#monitor.reports().filter(report => wanted.has(reportText(report)));
+		this.#noteReported(evidence);
 		return keys.length === 0 && evidence.length === 0
 			? undefined
 			: {...digest, asked: keys.filter(key => !sent.has(keyText(key))), evidence};
 	}
 
+	/**
+	Makes a summary of the evidence on what looks bad and was observed since it was last reported; between the usual summaries.
+
+	@returns The summary, or undefined where nothing new looks bad.
+	*/
+	summarizeSuspects(): RatingSummary | undefined {
+		const suspects = new Set(this.#monitor.suspects().slice(0, suspectsPerSummary).map(suspect => reportText(suspect)));
+		const evidence = this.#monitor.reports().filter(report => suspects.has(reportText(report)) && this.#reported.get(reportText(report)) !== report.count);
+		this.#noteReported(evidence);
+		return evidence.length === 0 ? undefined : {...this.#book.digest([]), asked: [], evidence};
+	}
+
 	/**
 	Takes the leader's answer to a summary.
 
@@ -162,6 +183,12 @@
 		this.#book.replaceOthers(others, this.#options.now());
 	}
 
+	#noteReported(evidence: readonly EvidenceReport[]): void {
+		for (const report of evidence) {
+			this.#reported.set(reportText(report), report.count);
+		}
+	}
+
 	#observe(observation: QualityObservation): void {
 		const {configuration, now, onAlarm} = this.#options;
 		const time = now();
--- a/packages/daemon/src/ratings/start-ratings.ts
+++ b/packages/daemon/src/ratings/start-ratings.ts
@@ -23,9 +23,12 @@
 };
 
 const summaryMilliseconds = 1000;
+/** What looks bad is reported between two summaries as well. */
+const suspectMilliseconds = 500;
+const ticksPerSummary = summaryMilliseconds / suspectMilliseconds;
 
 /**
-Starts the ratings of a daemon; a summary goes out at most every second, and the next one only after the reply.
+Starts the ratings of a daemon; a summary goes out at most every second, and between two of them what looks bad; the next one only after the reply.
 
 @param base What every part works with.
 @param options Where the configuration comes from and where summaries go.
@@ -56,13 +59,20 @@
 
 	const totals: IntakeCount = {accepted: 0, doubled: 0, unknown: 0};
 	let isExchanging = false;
-	const timer = setInterval(() => {
-		const summary = isExchanging ? undefined : part.summarize();
+	const exchangeNext = (next: () => RatingSummary | undefined) => {
+		const summary = isExchanging ? undefined : next();
 		if (summary !== undefined) {
 			isExchanging = true;
 			void send(summary);
 		}
-	}, summaryMilliseconds);
+	};
+
+	let ticks = 0;
+	const timer = setInterval(() => {
+		ticks += 1;
+		const isWhole = ticks % ticksPerSummary === 0;
+		exchangeNext(() => isWhole ? part.summarize() : part.summarizeSuspects());
+	}, suspectMilliseconds);
 	timer.unref();
 
 	async function send(summary: RatingSummary): Promise<void> {
--- a/packages/policy/src/bad-version-monitor.ts
+++ b/packages/policy/src/bad-version-monitor.ts
@@ -38,6 +38,9 @@
 	rolloutStartedAt: number | undefined;
 };
 
+/** How many times the evidence of a first observation makes a version suspicious; two or three bad ratings do. */
+const suspicion = 4;
+
 /**
 Tests the versions that this instance uses, on ratings and on failures, and sums up the evidence for the control replicas.
 
@@ -117,6 +120,17 @@
 		return reports;
 	}
 
+	/**
+	Finds what looks worse than allowed, though not by enough to stop it; its reports are worth sending first.
+
+	@returns The versions and measures, the most suspicious first.
+	*/
+	suspects(): ReadonlyArray<Pick<EvidenceReport, 'model' | 'version' | 'measure'>> {
+		return [...this.#watched.values()]
+			.filter(({detector}) => detector.evidence >= suspicion * detector.startingEvidence)
+			.toSorted((left, right) => right.detector.evidence - left.detector.evidence);
+	}
+
 	/**
 	Tests a version anew, after its local stop has ended.
 
--- a/packages/policy/src/change-detector.ts
+++ b/packages/policy/src/change-detector.ts
@@ -68,6 +68,11 @@
 		return sum / this.#wealth.length;
 	}
 
+	/** What a new gambler starts with. */
+	get startingEvidence(): number {
+		return 1 / this.#horizon;
+	}
+
 	/** Whether the evidence has reached the threshold since the last reset. */
 	get isAlarmed(): boolean {
 		return this.#peak >= this.threshold;
