Call a version a suspect by the boldest bets alone

Cause: the summed evidence of a good stream stands above the first threshold all the time, as the smallest bets lose slowly, so that every instance sent evidence twice a second without need. Change: the wealth of the boldest bets, 8 times a start.

--- a/packages/policy/src/bad-version-monitor.ts
+++ b/packages/policy/src/bad-version-monitor.ts
@@ -38,8 +38,8 @@
 	rolloutStartedAt: number | undefined;
 };
 
-/** How many times the evidence of a first observation makes a version suspicious; two or three bad ratings do. */
-const suspicion = 4;
+/** The wealth of the boldest gamblers that makes a version suspicious; one to three bad ratings in a row do. */
+const suspicion = 8;
 
 /**
 Tests the versions that this instance uses, on ratings and on failures, and sums up the evidence for the control replicas.
@@ -127,8 +127,8 @@
 	*/
 	suspects(): ReadonlyArray<Pick<EvidenceReport, 'model' | 'version' | 'measure'>> {
 		return [...this.#watched.values()]
-			.filter(({detector}) => detector.evidence >= suspicion * detector.startingEvidence)
-			.toSorted((left, right) => right.detector.evidence - left.detector.evidence);
+			.filter(({detector}) => detector.boldWealth >= suspicion)
+			.toSorted((left, right) => right.detector.boldWealth - left.detector.boldWealth);
 	}
 
 	/**
--- a/packages/policy/src/bad-version.test.ts
+++ b/packages/policy/src/bad-version.test.ts
@@ -246,3 +246,35 @@
 	t.log(`Found after at most ${worst} ratings over 200 streams from seed ${testSeed}`);
 	t.true(worst < 40, `Got ${worst} ratings until the alarm, wanted fewer than 40 from seed ${testSeed}`);
 });
+
+test('a good version is seldom a suspect, and one that turns bad is one within a few ratings', t => {
+	let suspected = 0;
+	let worst = 0;
+	const ratings = 300;
+	for (let stream = 0; stream < 50; stream += 1) {
+		const random = seededRandom(testSeed + stream);
+		const monitor = monitorOf('a');
+		const observe = (index: number, mean: number): boolean => {
+			monitor.observe({
+				...replaced, qualityClass: 'yard/lookup', measure: 'rating', value: graded(mean, random), ranAt: index,
+			}, {configuration, now: index});
+			return monitor.suspects().length > 0;
+		};
+
+		for (let index = 0; index < ratings; index += 1) {
+			suspected += Number(observe(index, 0.85));
+		}
+
+		let found = 1;
+		while (found < ratings && !observe(ratings + found, 0.3)) {
+			found += 1;
+		}
+
+		worst = Math.max(worst, found);
+	}
+
+	const share = suspected / (50 * ratings);
+	t.log(`A suspect at ${share.toFixed(4)} of the good ratings, and after at most ${worst} bad ones, from seed ${testSeed}`);
+	t.true(share < 0.1, `Got ${share}, wanted less than 0.1 from seed ${testSeed}`);
+	t.true(worst <= 5, `Got ${worst} ratings, wanted at most 5 from seed ${testSeed}`);
+});
--- a/packages/policy/src/change-detector.ts
+++ b/packages/policy/src/change-detector.ts
@@ -68,9 +68,9 @@
 		return sum / this.#wealth.length;
 	}
 
-	/** What a new gambler starts with. */
-	get startingEvidence(): number {
-		return 1 / this.#horizon;
+	/** The wealth of the boldest gamblers, as a multiple of what one starts with: it falls back at once on good observations, and so shows what the latest ones look like. */
+	get boldWealth(): number {
+		return (this.#wealth.at(-1) ?? 0) * this.#horizon;
 	}
 
 	/** Whether the evidence has reached the threshold since the last reset. */
