--- a/packages/daemon/src/control/rollouts/leader-evidence.ts
+++ b/packages/daemon/src/control/rollouts/leader-evidence.ts
@@ -1,6 +1,7 @@
 import {type RolloutEvidence, type RolloutTarget} from '@valehitch/control';
 import {type RolloutProgress} from '@valehitch/core';
 import {type DaemonBase} from '../../daemon-base.js';
+import {badVersionSettingsOf} from '../../ratings/bad-version-settings-of.js';
 import {EvidenceKeeper} from '../../ratings/evidence-keeper.js';
 import {type RatingSummary, type RatingSummaryReply} from '../../ratings/rating-summary.js';
 import {type ControlPart} from '../start-control.js';
@@ -9,6 +10,8 @@
 export type LeaderEvidenceOptions = {
 	readonly base: Pick<DaemonBase, 'clock' | 'settings'>;
 	readonly control: Pick<ControlPart, 'isLeader' | 'state'>;
+	/** Told at once of each version that is bad by the sum; the controller reads the alarm with the evidence and proposes the stop. */
+	readonly onAlarm: () => void;
 };
 
 const tidyMilliseconds = 300_000;
@@ -18,7 +21,7 @@
 
 @example
 ```ts
-const evidence = new LeaderEvidence({base, control});
+const evidence = new LeaderEvidence({base, control, onAlarm});
 evidence.take(summary);
 ```
 */
@@ -65,7 +68,7 @@
 	}
 
 	#current(): EvidenceKeeper | undefined {
-		const {base: {clock, settings}, control} = this.#options;
+		const {base: {clock, settings}, control, onAlarm} = this.#options;
 		if (!control.isLeader()) {
 			this.#keeper = undefined;
 			return undefined;
@@ -75,9 +78,8 @@
 			instance: settings.instance,
 			startedAt: clock.now().getTime(),
 			now: () => clock.now().getTime(),
-			onAlarm() {
-				// The controller reads the alarm with the evidence and proposes the stop.
-			},
+			badVersions: badVersionSettingsOf(settings),
+			onAlarm,
 		});
 		return this.#keeper;
 	}
--- a/packages/policy/src/bad-version-monitor.ts
+++ b/packages/policy/src/bad-version-monitor.ts
@@ -38,6 +38,9 @@
 	rolloutStartedAt: number | undefined;
 };
 
+/** The wealth of the boldest gamblers that makes a version suspicious; one to three bad ratings in a row do. */
+const suspicion = 8;
+
 /**
 Tests the versions that this instance uses, on ratings and on failures, and sums up the evidence for the control replicas.
 
@@ -117,6 +120,17 @@
 		return reports;
 	}
 
+	/**
+	Finds what looks worse than allowed, though not by enough to stop it; its reports are worth sending first.
+
+	@returns The versions and measures, the most suspicious first.
+	*/
+	suspects(): ReadonlyArray<Pick<EvidenceReport, 'model' | 'version' | 'measure'>> {
+		return [...this.#watched.values()]
+			.filter(({detector}) => detector.boldWealth >= suspicion)
+			.toSorted((left, right) => right.detector.boldWealth - left.detector.boldWealth);
+	}
+
 	/**
 	Tests a version anew, after its local stop has ended.
 
