--- a/packages/testing/src/control-repair.test.ts
+++ b/packages/testing/src/control-repair.test.ts
@@ -28,6 +28,7 @@
 const bodyBytes = 1_000_000;
 const identitySchema = z.object({identity: z.string()});
 const replySchema = z.object({result: z.looseObject({ok: z.boolean()}), leader: z.string().optional()});
+const settledSchema = z.object({result: z.object({value: z.object({claim: z.object({answer: z.object({body: z.instanceof(Uint8Array).optional()})})})})});
 const pageSchema = z.object({bills: z.array(z.looseObject({request: z.string()})), next: z.number().optional()});
 
 function billAt(sequence: number): Bill {
@@ -80,6 +81,22 @@
 	return network;
 }
 
+/** Waits until the leader has set the bounds of the settings: only then are large bodies kept. */
+async function waitForLargeBodies(network: PeerNetwork<unknown>, deployment: Deployment): Promise<void> {
+	const daemon = firstDaemon(deployment);
+	let index = largeBodies;
+	await waitUntil(async () => {
+		index++;
+		const replies = [];
+		for (const command of claimWithBody(index)) {
+			const reply = await network.request({instance: toId<InstanceId>(daemon.instance), host: '127.0.0.1', port: daemon.ports.peers}, {scope: 'control', type: 'propose', command});
+			replies.push(settledSchema.safeParse(reply.orDefault(undefined)));
+		}
+
+		return replies.at(-1)?.data?.result.value.claim.answer.body === undefined ? undefined : true;
+	}, {what: 'the bounds of the settings', timeoutMilliseconds: generousMilliseconds});
+}
+
 async function record(network: PeerNetwork<unknown>, {deployment, command}: {readonly deployment: Deployment; readonly command: Command}): Promise<void> {
 	await waitUntil(async () => {
 		const daemon = deployment.daemons.find(({process}) => process.isRunning);
@@ -164,6 +181,7 @@
 	t.timeout(6 * generousMilliseconds);
 	const deployment = await startControl(t, {keptAnswerBytes: 1_048_576, keptAnswerBytesPerWorkspace: 67_108_864});
 	const network = await openNetwork(t);
+	await waitForLargeBodies(network, deployment);
 	for (let index = 1; index <= largeBodies; index++) {
 		for (const command of claimWithBody(index)) {
 			await record(network, {deployment, command});
