--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -10,6 +10,7 @@
 import {
 	type ControlMessage, type ControlReply, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type OrderList, type SnapshotPieceReply,
 } from './messages.js';
+import {readReplicaMessage} from './replica-codec.js';
 import {SnapshotPieces} from './snapshot-pieces.js';
 
 /** What the answers come from. */
@@ -51,7 +52,7 @@
 		const {host} = this.#options;
 		return match(message)
 			.with({type: 'replica'}, envelope => {
-				host.receive(envelope);
+				host.receive({...envelope, message: readReplicaMessage(envelope.message)});
 				return undefined;
 			})
 			.with({type: 'snapshot-piece'}, (piece): SnapshotPieceReply => {
--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -11,9 +11,11 @@
 import {encodeCommand} from './_encode-command.js';
 import {Candidates} from './candidates.js';
 import {searchGroup} from './group-search.js';
-import {type JoinMessage, type JoinReply, type ReplicaEnvelope} from './messages.js';
+import {type JoinMessage, type JoinReply} from './messages.js';
 import {LeadershipWatch} from './leadership-watch.js';
+import {type ReplicaDelivery} from './replica-codec.js';
 import {ReplicaDriver} from './replica-driver.js';
+import {replicaTiming} from './replica-timing.js';
 import {type AppliedCommand, StateMachine} from './state-machine.js';
 
 /** What the host of the control role needs. */
@@ -25,7 +27,7 @@
 	/** The position up to which this replica has every bill. */
 	readonly billsHeldUpTo: () => number;
 	/** Sends a message between replicas; it may be lost. */
-	readonly send: (to: InstanceId, message: ReplicaEnvelope) => void;
+	readonly send: (to: InstanceId, delivery: ReplicaDelivery) => void;
 	/** Told once why the role stopped for good. */
 	readonly onFailure: (failed: Failure) => void;
 };
@@ -33,7 +35,8 @@
 /** Told of each command that was applied here. */
 export type AppliedListener = (applied: AppliedCommand) => void;
 
-const tickMilliseconds = 100;
+/** A part of the heartbeat interval, so that a heartbeat is late by no more than that. */
+const tickMilliseconds = 250;
 const searchMilliseconds = 250;
 const commitMilliseconds = 1500;
 const retryMilliseconds = 500;
@@ -85,7 +88,7 @@
 
 		this.#driver = new ReplicaDriver({
 			start: {
-				id: this.#self, hardState, snapshot, entries, options: {tailEntries}, seed: Math.floor(base.random() * seedRange),
+				id: this.#self, hardState, snapshot, entries, options: {...replicaTiming, tailEntries}, seed: Math.floor(base.random() * seedRange),
 			},
 			folder,
 			clock: base.clock,
@@ -217,7 +220,7 @@
 
 	@param envelope The message.
 	*/
-	receive({from, to, message}: ReplicaEnvelope): void {
+	receive({from, to, message}: ReplicaDelivery): void {
 		if (to === this.#self && !this.#isStopped) {
 			this.#driver.push({type: 'message', from, message});
 		}
@@ -291,9 +294,7 @@
 	}
 
 	#send(to: ReplicaId, message: ReplicaMessage): void {
-		this.#options.send(toId<InstanceId>(instanceOf(to)), {
-			scope: 'control', type: 'replica', from: this.#self, to, message,
-		});
+		this.#options.send(toId<InstanceId>(instanceOf(to)), {from: this.#self, to, message});
 	}
 
 	#stepped(state: ReplicaState): void {
--- a/packages/daemon/src/control/snapshot-pieces.test.ts
+++ b/packages/daemon/src/control/snapshot-pieces.test.ts
@@ -11,8 +11,6 @@
 function envelopeAt(lastIndex: number): SnapshotEnvelope {
 	const data = Uint8Array.from({length: 1000}, (_, index) => (index + lastIndex) % 256);
 	return {
-		scope: 'control',
-		type: 'replica',
 		from,
 		to,
 		message: {
--- a/packages/daemon/src/control/snapshot-pieces.ts
+++ b/packages/daemon/src/control/snapshot-pieces.ts
@@ -1,8 +1,9 @@
 import {type ReplicaId, type SnapshotRequest} from '@valehitch/consensus';
-import {type ReplicaEnvelope, type SnapshotPieceMessage} from './messages.js';
+import {type SnapshotPieceMessage} from './messages.js';
+import {type ReplicaDelivery} from './replica-codec.js';
 
-/** A snapshot on its way to another replica, or a message of another kind. */
-export type SnapshotEnvelope = ReplicaEnvelope & {readonly message: SnapshotRequest};
+/** A snapshot on its way to another replica. */
+export type SnapshotEnvelope = ReplicaDelivery & {readonly message: SnapshotRequest};
 
 const defaultPieceBytes = 1_048_576;
 
@@ -71,7 +72,7 @@
 
 		this.#pending.delete(from);
 		return {
-			scope: 'control', type: 'replica', from, to, message: {...message, snapshot: {...message.snapshot, data: joined(pending.parts, totalBytes)}},
+			from, to, message: {...message, snapshot: {...message.snapshot, data: joined(pending.parts, totalBytes)}},
 		};
 	}
 }
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -14,8 +14,9 @@
 import {type AppliedListener, ControlHost} from './control-host.js';
 import {reportExpiredBills} from './expired-bills.js';
 import {
-	type ControlMessage, type JoinReply, type ReplicaEnvelope, type SnapshotPieceReply,
+	type ControlMessage, type JoinReply, type SnapshotPieceReply,
 } from './messages.js';
+import {type ReplicaDelivery, writeReplicaMessage} from './replica-codec.js';
 import {type SnapshotEnvelope} from './snapshot-pieces.js';
 import {SnapshotSender} from './snapshot-sender.js';
 
@@ -148,18 +149,20 @@
 				? Left(failure('no-quorum', `Got ${to}, wanted a control instance`))
 				: askPeer<JoinReply>(base, address, message);
 		},
-		send(to, message) {
+		send(to, delivery) {
 			const address = addresses.get(to);
 			if (address === undefined) {
 				return;
 			}
 
-			if (isSnapshot(message)) {
-				void snapshots.send(message);
+			if (isSnapshot(delivery)) {
+				void snapshots.send(delivery);
 				return;
 			}
 
-			network.send(address, message);
+			network.send(address, {
+				scope: 'control', type: 'replica', from: delivery.from, to: delivery.to, message: writeReplicaMessage(delivery.message),
+			});
 		},
 		onFailure(failed) {
 			metrics.increment('control.failed');
@@ -185,8 +188,8 @@
 }
 
 /** The first snapshot, at index 0, holds no state and goes as any other message. */
-function isSnapshot(envelope: ReplicaEnvelope): envelope is SnapshotEnvelope {
-	return envelope.message.type === 'snapshot-request' && envelope.message.snapshot.data.byteLength > 0;
+function isSnapshot(delivery: ReplicaDelivery): delivery is SnapshotEnvelope {
+	return delivery.message.type === 'snapshot-request' && delivery.message.snapshot.data.byteLength > 0;
 }
 
 function toReply(body: unknown): Either<Failure, unknown> {
