--- a/packages/daemon/src/control/replica-codec.ts
+++ b/packages/daemon/src/control/replica-codec.ts
@@ -1,4 +1,6 @@
-import {type AppendReply, type AppendRequest, type ReplicaMessage} from '@valehitch/consensus';
+import {
+	type AppendReply, type AppendRequest, type ReplicaId, type ReplicaMessage,
+} from '@valehitch/consensus';
 import {match} from 'ts-pattern';
 
 type AppendRequestTuple = readonly [
@@ -9,6 +11,13 @@
 
 type RareMessage = Exclude<ReplicaMessage, AppendRequest | AppendReply>;
 
+/** A message between replicas with its sender and receiver. */
+export type ReplicaDelivery = {
+	readonly from: ReplicaId;
+	readonly to: ReplicaId;
+	readonly message: ReplicaMessage;
+};
+
 /** A message between replicas as it goes over a link: heartbeats without names, since they go over all the time. */
 export type ReplicaWire = AppendRequestTuple | AppendReplyTuple | readonly [kind: 2, message: RareMessage];
 
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -1,14 +1,24 @@
 import {type Command, type CommandAnswer, type ControlState} from '@valehitch/control';
-import {type Failure, failure, type InstanceId} from '@valehitch/core';
+import {instanceOf} from '@valehitch/consensus';
+import {
+	type Failure, failure, type InstanceId, toId,
+} from '@valehitch/core';
 import {type DataFolder, openDataFolder} from '@valehitch/storage';
 import {type PeerAddress} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import {type DaemonBase} from '../daemon-base.js';
-import {startArchive} from './archive/start-archive.js';
+import {type ArchivedPiece} from './archive/archived-piece.js';
+import {type RunningArchive, startArchive} from './archive/start-archive.js';
 import {ControlAnswers} from './control-answers.js';
 import {ControlClient} from './control-client.js';
 import {type AppliedListener, ControlHost} from './control-host.js';
-import {type ControlMessage, type JoinReply} from './messages.js';
+import {reportExpiredBills} from './expired-bills.js';
+import {
+	type ControlMessage, type JoinReply, type SnapshotPieceReply,
+} from './messages.js';
+import {type ReplicaDelivery, writeReplicaMessage} from './replica-codec.js';
+import {type SnapshotEnvelope} from './snapshot-pieces.js';
+import {SnapshotSender} from './snapshot-sender.js';
 
 /** The control part of a daemon. */
 export type ControlPart = {
@@ -50,8 +60,14 @@
 export async function startControl(base: DaemonBase): Promise<ControlPart> {
 	const {settings, clock} = base;
 	const folder = await openFolder(base);
-	const host = folder === undefined ? undefined : startHost(base, folder);
-	const archive = host === undefined || settings.dataFolder === undefined ? undefined : await startArchive(base, {dataFolder: settings.dataFolder, state: () => host.state});
+	const held: {archive?: RunningArchive | undefined} = {};
+	const host = folder === undefined ? undefined : startHost(base, {folder, billsHeldUpTo: () => held.archive?.heldUpTo() ?? 0});
+	const archive = host === undefined || settings.dataFolder === undefined
+		? undefined
+		: await startArchive(base, {
+			dataFolder: settings.dataFolder, firstBill: settings.controlLog.firstArchivedBill, state: () => host.state, sources: billSources(base),
+		});
+	held.archive = archive;
 	const answers = host === undefined
 		? undefined
 		: new ControlAnswers({
@@ -105,30 +121,57 @@
 	});
 }
 
-function startHost(base: DaemonBase, folder: DataFolder): ControlHost {
+/** The other control instances, each asked for a piece of its bills. */
+function billSources(base: DaemonBase) {
+	const {instance: self, control} = base.settings;
+	return control.filter(({instance}) => instance !== self).map(address => async (first: number) =>
+		askPeer<ArchivedPiece>(base, address, {scope: 'control', type: 'archived-bills', first}));
+}
+
+function startHost(base: DaemonBase, {folder, billsHeldUpTo}: {readonly folder: DataFolder; readonly billsHeldUpTo: () => number}): ControlHost {
 	const {settings: {control}, network, log, metrics, timeline} = base;
 	const addresses = new Map(control.map(address => [address.instance, address]));
+	const snapshots = new SnapshotSender({
+		async ask(piece) {
+			const address = addresses.get(toId<InstanceId>(instanceOf(piece.to)));
+			return address === undefined
+				? Left(failure('no-quorum', `Got ${piece.to}, wanted a replica of a control instance`))
+				: askPeer<SnapshotPieceReply>(base, address, piece);
+		},
+	});
 	const host = new ControlHost({
 		base,
 		folder,
+		billsHeldUpTo,
 		async ask(to, message) {
 			const address = addresses.get(to);
 			return address === undefined
 				? Left(failure('no-quorum', `Got ${to}, wanted a control instance`))
 				: askPeer<JoinReply>(base, address, message);
 		},
-		send(to, message) {
+		send(to, delivery) {
 			const address = addresses.get(to);
-			if (address !== undefined) {
-				network.send(address, message);
+			if (address === undefined) {
+				return;
+			}
+
+			if (isSnapshot(delivery)) {
+				void snapshots.send(delivery);
+				return;
 			}
+
+			network.send(address, {
+				scope: 'control', type: 'replica', from: delivery.from, to: delivery.to, message: writeReplicaMessage(delivery.message),
+			});
 		},
 		onFailure(failed) {
 			metrics.increment('control.failed');
 			log.error({failure: failed}, 'The control role stopped; the daemon goes on without it');
 		},
 	});
-	host.onApplied(({command, result}) => {
+	host.onApplied(applied => {
+		const {command, result} = applied;
+		reportExpiredBills(base, applied);
 		if (command.type === 'apply-configuration' && result.isRight()) {
 			const {revision} = result.unsafeCoerce();
 			timeline.record('configuration-committed', {revision, changeId: command.changeId});
@@ -144,6 +187,11 @@
 	return reply.chain(body => body === undefined ? Left(withoutRole(to)) : Right(body as Reply));
 }
 
+/** The first snapshot, at index 0, holds no state and goes as any other message. */
+function isSnapshot(delivery: ReplicaDelivery): delivery is SnapshotEnvelope {
+	return delivery.message.type === 'snapshot-request' && delivery.message.snapshot.data.byteLength > 0;
+}
+
 function toReply(body: unknown): Either<Failure, unknown> {
 	return body === undefined
 		? Left(failure('no-quorum', 'Got a question on an instance without the control role'))
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -1,3 +1,4 @@
+import {type ControlLimits} from '@valehitch/control';
 import {type InstanceId, type ZoneId} from '@valehitch/core';
 
 /** What an instance does: `entry` takes callers' requests, `control` keeps the replicated configuration. */
@@ -89,6 +90,8 @@
 	readonly snapshotBytes: number;
 	/** Bytes after which the next segment of the log is begun; 4194304 by default, 4096 to 1073741824. */
 	readonly segmentBytes: number;
+	/** The position of the first bill that every replica's archive must hold, the same in every file; 1 by default, 1 to 9007199254740991. Raise it before older segments of the archive are taken away. */
+	readonly firstArchivedBill: number;
 };
 
 /** What happens when an instance is cut off from the control role. */
@@ -153,6 +156,8 @@
 	readonly faults: boolean;
 	/** The keys; required. */
 	readonly keys: KeySettings;
+	/** Bounds of what the control role keeps in memory, the same in every file; has defaults. */
+	readonly controlLimits: ControlLimits;
 	/** Bounds on requests; has defaults. */
 	readonly limits: LimitSettings;
 	/** Leases and timeouts; has defaults. */
