Shorten the control role's host

Change: its options and the waiting for steps in files of their own; two one-line methods put in place. Conclusion: no change in behaviour.

--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -1,39 +1,22 @@
 import {
-	instanceOf, isLeader, knownLeader, leaseValidUntil, planReplacement, readIndex, type ReplicaId, type ReplicaMessage, type ReplicaSet, type ReplicaState, toReplicaId,
+	instanceOf, isLeader, knownLeader, leaseValidUntil, planReplacement, readIndex, type ReplicaId, type ReplicaSet, type ReplicaState, toReplicaId,
 } from '@valehitch/consensus';
 import {type Command, type CommandAnswer, type ControlState} from '@valehitch/control';
 import {
 	type Failure, failure, type InstanceId, toId,
 } from '@valehitch/core';
-import {type DataFolder} from '@valehitch/storage';
 import {type Either, Left} from 'purify-ts';
-import {type DaemonBase} from '../daemon-base.js';
 import {encodeCommand} from './_encode-command.js';
+import {StepWaiters} from './_step-waiters.js';
 import {Candidates} from './candidates.js';
+import {type AppliedListener, type ControlHostOptions} from './control-host-options.js';
 import {searchGroup} from './group-search.js';
 import {type JoinMessage, type JoinReply} from './messages.js';
 import {LeadershipWatch} from './leadership-watch.js';
 import {type ReplicaDelivery} from './replica-codec.js';
 import {ReplicaDriver} from './replica-driver.js';
 import {replicaTiming} from './replica-timing.js';
-import {type AppliedCommand, StateMachine} from './state-machine.js';
-
-/** What the host of the control role needs. */
-export type ControlHostOptions = {
-	readonly base: Pick<DaemonBase, 'settings' | 'clock' | 'random' | 'log' | 'timeline' | 'newId'>;
-	readonly folder: DataFolder;
-	/** Asks another control instance a question of this host's own. */
-	readonly ask: (to: InstanceId, message: JoinMessage) => Promise<Either<Failure, JoinReply>>;
-	/** The position up to which this replica has every bill. */
-	readonly billsHeldUpTo: () => number;
-	/** Sends a message between replicas; it may be lost. */
-	readonly send: (to: InstanceId, delivery: ReplicaDelivery) => void;
-	/** Told once why the role stopped for good. */
-	readonly onFailure: (failed: Failure) => void;
-};
-
-/** Told of each command that was applied here. */
-export type AppliedListener = (applied: AppliedCommand) => void;
+import {StateMachine} from './state-machine.js';
 
 /** A part of the heartbeat interval, so that a heartbeat is late by no more than that. */
 const tickMilliseconds = 250;
@@ -62,7 +45,7 @@
 	readonly #candidates: Candidates;
 	readonly #watch: LeadershipWatch;
 	readonly #listeners = new Set<AppliedListener>();
-	readonly #stepWaiters: Array<() => void> = [];
+	readonly #steps = new StepWaiters();
 	#timers: NodeJS.Timeout[] = [];
 	#hasBegun = false;
 	#isStopped = false;
@@ -76,7 +59,9 @@
 		this.#watch = new LeadershipWatch(base);
 		this.#machine = new StateMachine({
 			onApplied: applied => {
-				this.#tell(applied);
+				for (const listener of this.#listeners) {
+					listener(applied);
+				}
 			},
 			onReplicas: replicas => {
 				this.#watch.noteReplicas(replicas);
@@ -93,7 +78,7 @@
 			folder,
 			clock: base.clock,
 			send: (to, message) => {
-				this.#send(to, message);
+				options.send(toId<InstanceId>(instanceOf(to)), {from: this.#self, to, message});
 			},
 			apply: actions => {
 				this.#machine.apply(actions);
@@ -150,7 +135,7 @@
 		}
 
 		await this.#driver.stop();
-		this.#wakeWaiters();
+		this.#steps.wake();
 		await this.#options.folder.close();
 	}
 
@@ -194,9 +179,7 @@
 		}
 
 		while (!this.#isStopped && this.#machine.appliedIndex < index) {
-			await new Promise<void>(resolve => {
-				this.#stepWaiters.push(resolve);
-			});
+			await this.#steps.next();
 		}
 
 		return !this.#isStopped;
@@ -293,13 +276,9 @@
 		});
 	}
 
-	#send(to: ReplicaId, message: ReplicaMessage): void {
-		this.#options.send(toId<InstanceId>(instanceOf(to)), {from: this.#self, to, message});
-	}
-
 	#stepped(state: ReplicaState): void {
 		this.#watch.note(state);
-		this.#wakeWaiters();
+		this.#steps.wake();
 		const {base: {settings: {controlLog}}} = this.#options;
 		const {entries, bytes} = this.#machine.sinceSnapshot;
 		if (entries >= controlLog.snapshotEntries || bytes >= controlLog.snapshotBytes) {
@@ -308,21 +287,9 @@
 		}
 	}
 
-	#tell(applied: AppliedCommand): void {
-		for (const listener of this.#listeners) {
-			listener(applied);
-		}
-	}
-
-	#wakeWaiters(): void {
-		for (const resolve of this.#stepWaiters.splice(0)) {
-			resolve();
-		}
-	}
-
 	#fail(failed: Failure): void {
 		this.#isStopped = true;
-		this.#wakeWaiters();
+		this.#steps.wake();
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -11,7 +11,8 @@
 import {type RunningArchive, startArchive} from './archive/start-archive.js';
 import {ControlAnswers} from './control-answers.js';
 import {ControlClient} from './control-client.js';
-import {type AppliedListener, ControlHost} from './control-host.js';
+import {ControlHost} from './control-host.js';
+import {type AppliedListener} from './control-host-options.js';
 import {reportExpiredBills} from './expired-bills.js';
 import {
 	type ControlMessage, type JoinReply, type SnapshotPieceReply,
