Use the connections of streamed answers again, and join what one read brings

Cause: a streamed answer ended its connection at the last event, since leaving the loop over the body destroys it, so that each stream paid for a new connection; each event of a stream went through five generators, the state machine and a write of its own; the schema of a whole answer was built anew for each answer; an attempt that was over was still aborted; and an instance alone waited 100 ms for other bills before the ledger got its own, with the caller waiting. Ruled out: the copy of the bill (one exchange of 1 to 3 ms, needed before the dispatch and before the last byte). Change: a body that came to its end is read out and its connection kept, any other is destroyed as before; pieces of one read are one piece; events are handed on byte for byte; one generator in place of three; a bill that nobody holds goes to the ledger at once.

--- a/packages/daemon/src/entry/bills/bill-keeper.ts
+++ b/packages/daemon/src/entry/bills/bill-keeper.ts
@@ -118,7 +118,10 @@
 		entry.copy = {state: 'settled', bill};
 		const recorded = this.#record(bill);
 		const isHeld = await Promise.race([this.#place(entry), recorded.then(() => true)]);
-		return isHeld ? undefined : recorded;
+		if (!isHeld) {
+			this.#options.outbox.hurry();
+			await recorded;
+		}
 	}
 
 	/**
--- a/packages/daemon/src/entry/bills/ledger-outbox.ts
+++ b/packages/daemon/src/entry/bills/ledger-outbox.ts
@@ -34,6 +34,8 @@
 	readonly #options: LedgerOutboxOptions;
 	readonly #waiting = new Map<RequestId, Waiting>();
 	#sending = false;
+	/** Ends the wait in which bills gather. */
+	#endGathering: (() => void) | undefined;
 	#isReachable = true;
 	#closed = false;
 
@@ -64,6 +66,11 @@
 		});
 	}
 
+	/** Sends what gathers at once: a caller waits for it. */
+	hurry(): void {
+		this.#endGathering?.();
+	}
+
 	/** Ends the tries; nothing is sent any more. */
 	close(): void {
 		this.#closed = true;
@@ -76,14 +83,22 @@
 
 		this.#sending = true;
 		while (this.#waiting.size > 0 && !this.#closed) {
-			const {gatherMilliseconds = defaultGatherMilliseconds, retryMilliseconds = defaultRetryMilliseconds} = this.#options;
-			await this.#options.wait(this.#isReachable ? gatherMilliseconds : retryMilliseconds);
+			await (this.#isReachable ? this.#gather() : this.#options.wait(this.#options.retryMilliseconds ?? defaultRetryMilliseconds));
 			await this.#sendBatch([...this.#waiting.values()].slice(0, batchSize));
 		}
 
 		this.#sending = false;
 	}
 
+	async #gather(): Promise<void> {
+		const {wait, gatherMilliseconds = defaultGatherMilliseconds} = this.#options;
+		const hurried = new Promise<void>(resolve => {
+			this.#endGathering = resolve;
+		});
+		await Promise.race([wait(gatherMilliseconds), hurried]);
+		this.#endGathering = undefined;
+	}
+
 	async #sendBatch(batch: readonly Waiting[]): Promise<void> {
 		const result = await this.#options.propose({type: 'record-bills', bills: batch.map(({bill}) => bill)});
 		this.#isReachable = result.isRight();
--- a/packages/daemon/src/entry/chat-chunk.ts
+++ b/packages/daemon/src/entry/chat-chunk.ts
@@ -18,9 +18,13 @@
 	error: z.unknown().optional(),
 });
 
+const wholeSchema = z.looseObject({choices: z.array(z.unknown()), usage: usageSchema.nullish()});
+
 /** One event of a streamed chat answer. */
 export type ChatChunk = {
-	/** The event as it came. */
+	/** The event as it is handed on where no usage is to be told: as it came, byte for byte, unless it tells of usage or has several lines. */
+	readonly event: string;
+	/** The event's members, without the usage. */
 	readonly json: Readonly<Record<string, unknown>>;
 	/** The text that it adds; empty for one that only frames the answer. */
 	readonly text: string;
@@ -49,8 +53,11 @@
 
 	const {choices, usage, ...others} = parsed.data;
 	const [choice] = choices;
+	const json = {...others, choices};
+	const isHandedOnAsItCame = !usage && !data.includes('\n');
 	return {
-		json: {...others, choices},
+		event: isHandedOnAsItCame ? `data: ${data}\n\n` : writeChatChunk(json),
+		json,
 		text: choice?.delta.content ?? '',
 		opaque: choices.length > 1 || choices.some(({index, delta}) => index !== 0 || hasMore(delta)),
 		...(usage && {usage: usageOf(usage)}),
@@ -68,8 +75,7 @@
 ```
 */
 export function readWholeUsage(body: Uint8Array): TokenUsage | undefined {
-	const parsed = z.looseObject({choices: z.array(z.unknown()), usage: usageSchema.nullish()})
-		.safeParse(parseJson(new TextDecoder().decode(body)));
+	const parsed = wholeSchema.safeParse(parseJson(new TextDecoder().decode(body)));
 	if (!parsed.success) {
 		return undefined;
 	}
--- a/packages/daemon/src/entry/engine-call.ts
+++ b/packages/daemon/src/entry/engine-call.ts
@@ -49,7 +49,7 @@
 export async function * callEngine(call: EngineCall): AsyncGenerator<AttemptOutput, void> {
 	const stall = new StallTimer(call.stallMilliseconds);
 	try {
-		for await (const output of attempt(call, stall)) {
+		for await (const output of await openAnswer(call, stall)) {
 			const isStalled = stall.expired && output.type === 'broken';
 			// A reader that takes its time is no stall of the engine.
 			stall.clear();
@@ -61,7 +61,9 @@
 	}
 }
 
-async function * attempt(call: EngineCall, stall: StallTimer): AsyncGenerator<AttemptOutput, void> {
+type Outputs = AsyncIterable<AttemptOutput> | readonly AttemptOutput[];
+
+async function openAnswer(call: EngineCall, stall: StallTimer): Promise<Outputs> {
 	const answer = await sendHttp({
 		address: call.address,
 		method: 'POST',
@@ -78,12 +80,11 @@
 	});
 	if (answer.isLeft()) {
 		const {neverSent, message} = answer.extract() as {neverSent: boolean; message: string};
-		yield {type: neverSent ? 'never-sent' : 'broken', message: `Got no answer from the engine: ${message}`};
-		return;
+		return [{type: neverSent ? 'never-sent' : 'broken', message: `Got no answer from the engine: ${message}`}];
 	}
 
 	stall.touch();
-	yield * readAnswer(answer.unsafeCoerce(), call, stall);
+	return readAnswer(answer.unsafeCoerce(), call, stall);
 }
 
 function bodyOf({body, versionKey, streamed, resumeText}: EngineCall): Record<string, unknown> {
@@ -95,22 +96,20 @@
 	};
 }
 
-async function * readAnswer(answer: HttpAnswer, call: EngineCall, stall: StallTimer): AsyncGenerator<AttemptOutput, void> {
+function readAnswer(answer: HttpAnswer, call: EngineCall, stall: StallTimer): Outputs | Promise<Outputs> {
 	const notRun = readNotRun(answer);
 	if (notRun !== undefined) {
-		yield notRun;
-		return;
+		return [notRun];
 	}
 
 	if (answer.status !== okStatus) {
 		answer.message.resume();
-		yield {type: 'failed', message: `Got status ${answer.status} from the engine, wanted 200`};
-		return;
+		return [{type: 'failed', message: `Got status ${answer.status} from the engine, wanted 200`}];
 	}
 
 	if (call.streamed) {
-		yield {type: 'head', head: streamHead};
-		yield * readEngineEvents(answer.message, {
+		return readEngineEvents(answer.message, {
+			head: streamHead,
 			resumeFrom: call.resumeText.length,
 			tokensBefore: call.tokensBefore,
 			maximumBytes: call.maximumBytes,
@@ -118,36 +117,35 @@
 				stall.touch();
 			},
 		});
-		return;
 	}
 
-	yield * readWhole(answer, call);
+	return readWhole(answer, call);
 }
 
-async function * readWhole({message, headers}: HttpAnswer, {maximumBytes}: EngineCall): AsyncGenerator<AttemptOutput, void> {
+async function readWhole({message, headers}: HttpAnswer, {maximumBytes}: EngineCall): Promise<readonly AttemptOutput[]> {
 	const body = await readBody(message, maximumBytes);
 	if (body.isLeft()) {
-		yield {type: 'broken', message: 'Got no whole answer from the engine'};
-		return;
+		return [{type: 'broken', message: 'Got no whole answer from the engine'}];
 	}
 
 	const payload = body.unsafeCoerce();
 	const usage: TokenUsage | undefined = readWholeUsage(payload);
 	if (usage === undefined) {
-		yield {type: 'failed', message: 'Got an answer from the engine that is no chat completion'};
-		return;
+		return [{type: 'failed', message: 'Got an answer from the engine that is no chat completion'}];
 	}
 
 	const length = payload.byteLength;
-	yield {type: 'head', head: {status: okStatus, headers: wholeHeaders(length, headers['valehitch-confidence'])}};
-	yield {
-		type: 'piece', piece: {
-			offset: 0, length, tokens: usage.output, payload,
+	return [
+		{type: 'head', head: {status: okStatus, headers: wholeHeaders(length, headers['valehitch-confidence'])}},
+		{
+			type: 'piece', piece: {
+				offset: 0, length, tokens: usage.output, payload,
+			},
 		},
-	};
-	yield {
-		type: 'complete', offset: length, usage, trailer: '',
-	};
+		{
+			type: 'complete', offset: length, usage, trailer: '',
+		},
+	];
 }
 
 function wholeHeaders(length: number, confidence: string | string[] | undefined): Record<string, string> {
--- a/packages/daemon/src/entry/engine-events.ts
+++ b/packages/daemon/src/entry/engine-events.ts
@@ -1,11 +1,14 @@
 import {type IncomingMessage} from 'node:http';
 import {type TokenUsage} from '@valehitch/core';
 import {createParser} from 'eventsource-parser';
-import {type AttemptOutput} from './attempt-output.js';
+import {type AnswerHead, type AttemptOutput} from './attempt-output.js';
 import {type ChatChunk, readChatChunk, writeChatChunk} from './chat-chunk.js';
+import {joinPieces} from './join-pieces.js';
 
 /** How a streamed answer is read. */
 export type EngineEventOptions = {
+	/** The head that the caller is answered with. */
+	readonly head: AnswerHead;
 	/** The length of the text that was there before, in UTF-16 code units. */
 	readonly resumeFrom: number;
 	/** The tokens in that text; added to the usage that the caller is told. */
@@ -21,7 +24,7 @@
 /**
 Reads a streamed chat answer: pieces with their exact offsets, and how it ended.
 
-An answer is whole only when `data: [DONE]` came; a malformed event is a failure of the engine.
+An answer is whole only when `data: [DONE]` came; a malformed event is a failure of the engine. Pieces that come with the same read are joined, and the connection of an answer that was read to its end is used again.
 
 @param message The answer.
 @param options How to read it.
@@ -32,6 +35,7 @@
 ```
 */
 export async function * readEngineEvents(message: IncomingMessage, options: EngineEventOptions): AsyncGenerator<AttemptOutput, void> {
+	yield {type: 'head', head: options.head};
 	const events: string[] = [];
 	const parser = createParser({
 		onEvent({data}) {
@@ -42,7 +46,7 @@
 	const reader = new AnswerReader(options);
 	let size = 0;
 	try {
-		for await (const bytes of message as AsyncIterable<Uint8Array>) {
+		for await (const bytes of message.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
 			options.onBytes();
 			size += bytes.byteLength;
 			if (size > options.maximumBytes) {
@@ -51,27 +55,35 @@
 			}
 
 			parser.feed(decoder.decode(bytes, {stream: true}));
-			for (const data of events.splice(0)) {
-				const output = reader.read(data);
-				if (output !== undefined) {
-					yield output;
-				}
-
-				if (reader.ended) {
-					return;
-				}
-
+			for (const output of joinPieces(reader.readAll(events.splice(0)))) {
+				yield output;
 				options.onBytes();
 			}
+
+			if (reader.ended) {
+				return;
+			}
 		}
 	} catch (error) {
 		yield {type: 'broken', message: `Got a broken stream from the engine: ${error instanceof Error ? error.message : 'not readable'}`};
 		return;
+	} finally {
+		release(message);
 	}
 
 	yield {type: 'broken', message: 'Got a stream from the engine that ended before its proper end'};
 }
 
+/** Leaves the connection of an answer that came to its end for other requests; any other is destroyed. */
+function release(message: IncomingMessage): void {
+	if (message.complete) {
+		message.resume();
+		return;
+	}
+
+	message.destroy();
+}
+
 /** Turns events into outputs; what only frames the answer is kept for the next piece or for the end. */
 class AnswerReader {
 	ended = false;
@@ -86,7 +98,24 @@
 		this.#tokensBefore = tokensBefore;
 	}
 
-	read(data: string): AttemptOutput | undefined {
+	/** Reads events up to the end of the answer; what comes after it is passed over. */
+	readAll(events: readonly string[]): readonly AttemptOutput[] {
+		const outputs: AttemptOutput[] = [];
+		for (const data of events) {
+			const output = this.#read(data);
+			if (output !== undefined) {
+				outputs.push(output);
+			}
+
+			if (this.ended) {
+				break;
+			}
+		}
+
+		return outputs;
+	}
+
+	#read(data: string): AttemptOutput | undefined {
 		if (data === lastEvent) {
 			this.ended = true;
 			return this.#complete();
@@ -113,7 +142,7 @@
 	}
 
 	#piece(chunk: ChatChunk): AttemptOutput {
-		const payload = [...this.#framing.splice(0), chunk].map(({json}) => writeChatChunk(json)).join('');
+		const payload = [...this.#framing.splice(0), chunk].map(({event}) => event).join('');
 		const length = chunk.opaque ? payload.length : chunk.text.length;
 		const offset = this.#offset;
 		this.#offset += length;
@@ -127,7 +156,7 @@
 
 	#complete(): AttemptOutput {
 		const usage = this.#usage ?? {input: 0, output: this.#tokens};
-		const trailer = this.#framing.map(({json, usage: reported}) => writeChatChunk(json, reported && this.#wholeUsage(reported))).join('');
+		const trailer = this.#framing.map(({event, json, usage: reported}) => reported ? writeChatChunk(json, this.#wholeUsage(reported)) : event).join('');
 		return {
 			type: 'complete', offset: this.#offset, usage, trailer: `${trailer}data: ${lastEvent}\n\n`,
 		};
--- /dev/null
+++ b/packages/daemon/src/entry/join-pieces.ts
@@ -0,0 +1,42 @@
+import {type AnswerPiece, type AttemptOutput} from './attempt-output.js';
+
+/**
+Joins pieces of text that follow one another, so that what came with one read costs one step and one write.
+
+@param outputs What came with one read, in order.
+@returns The same with neighbouring pieces of text in one.
+@example
+```ts
+joinPieces([first, second, complete]); // [firstAndSecond, complete]
+```
+*/
+export function joinPieces(outputs: readonly AttemptOutput[]): readonly AttemptOutput[] {
+	const joined: AttemptOutput[] = [];
+	let last: AnswerPiece | undefined;
+	for (const output of outputs) {
+		const piece = output.type === 'piece' ? output.piece : undefined;
+		const both = last && piece && join(last, piece);
+		if (both !== undefined) {
+			joined.pop();
+		}
+
+		joined.push(both === undefined ? output : {type: 'piece', piece: both});
+		last = both ?? piece;
+	}
+
+	return joined;
+}
+
+function join(left: AnswerPiece, right: AnswerPiece): AnswerPiece | undefined {
+	if (left.text === undefined || right.text === undefined || typeof left.payload !== 'string' || typeof right.payload !== 'string') {
+		return undefined;
+	}
+
+	return {
+		offset: left.offset,
+		length: left.length + right.length,
+		tokens: left.tokens + right.tokens,
+		payload: left.payload + right.payload,
+		text: left.text + right.text,
+	};
+}
--- a/packages/daemon/src/entry/life/attempt-set.ts
+++ b/packages/daemon/src/entry/life/attempt-set.ts
@@ -22,6 +22,8 @@
 	trailer: string;
 	/** The pieces that are held. */
 	pieces: AnswerPiece[];
+	/** Whether nothing more comes of it, so that nothing is left to cancel. */
+	isOver: boolean;
 };
 
 /** How to start an attempt. */
@@ -66,7 +68,7 @@
 	*/
 	async start({number, resumeFrom, call}: StartAttemptOptions): Promise<void> {
 		const attempt: Attempt = {
-			controller: new AbortController(), resumeFrom, head: undefined, trailer: '', pieces: [],
+			controller: new AbortController(), resumeFrom, head: undefined, trailer: '', pieces: [], isOver: false,
 		};
 		this.#attempts.set(number, attempt);
 		try {
@@ -75,6 +77,8 @@
 			this.#options.onError(error);
 			this.#handOn(number, attempt, {type: 'broken', message: 'The adapter failed'});
 		}
+
+		attempt.isOver = true;
 	}
 
 	/**
@@ -85,7 +89,9 @@
 	cancel(number: number): void {
 		const attempt = this.#attempts.get(number);
 		this.#attempts.delete(number);
-		attempt?.controller.abort();
+		if (attempt?.isOver === false) {
+			attempt.controller.abort();
+		}
 	}
 
 	/** Ends all attempts. */
--- a/packages/daemon/src/entry/life/output-event.ts
+++ b/packages/daemon/src/entry/life/output-event.ts
@@ -15,14 +15,14 @@
 */
 export function toRequestEvent(attempt: number, output: AttemptOutput): AttemptEvent {
 	return match<AttemptOutput, AttemptEvent>(output)
+		.with({type: 'piece'}, ({piece: {offset, length, tokens}}) => ({
+			type: 'attempt-piece', attempt, offset, length, tokens,
+		}))
 		.with({type: 'never-sent'}, () => ({type: 'attempt-never-sent', attempt}))
 		.with({type: 'not-run'}, ({retryAfterMilliseconds}) => ({
 			type: 'attempt-not-run', attempt, ...(retryAfterMilliseconds !== undefined && {retryAfterMilliseconds}),
 		}))
 		.with({type: 'head'}, () => ({type: 'attempt-head', attempt}))
-		.with({type: 'piece'}, ({piece: {offset, length, tokens}}) => ({
-			type: 'attempt-piece', attempt, offset, length, tokens,
-		}))
 		.with({type: 'complete'}, ({offset, usage}) => ({
 			type: 'attempt-complete', attempt, offset, usage,
 		}))
--- a/packages/daemon/src/entry/life/request-run.ts
+++ b/packages/daemon/src/entry/life/request-run.ts
@@ -154,6 +154,16 @@
 
 	#act(action: RequestAction): void {
 		match(action)
+			// The frequent ones come first, since the cases are tried in turn.
+			.with({type: 'forward-piece'}, ({attempt}) => {
+				this.#forward(attempt, this.#inHand === undefined ? [] : [this.#inHand]);
+			})
+			.with({type: 'set-timer'}, ({timer, at}) => {
+				this.#timers.set(timer, at);
+			})
+			.with({type: 'clear-timer'}, ({timer}) => {
+				this.#timers.clear(timer);
+			})
 			.with({type: 'request-admission'}, () => {
 				void this.#admit();
 			})
@@ -187,22 +197,13 @@
 			.with({type: 'judge-attempt'}, ({attempt}) => {
 				this.#judge(attempt);
 			})
-			.with({type: 'set-timer'}, ({timer, at}) => {
-				this.#timers.set(timer, at);
-			})
-			.with({type: 'clear-timer'}, ({timer}) => {
-				this.#timers.clear(timer);
-			})
 			.otherwise(towardsCaller => {
 				this.#tell(towardsCaller);
 			});
 	}
 
-	#tell(action: CallerAction): void {
+	#tell(action: Exclude<CallerAction, {readonly type: 'forward-piece'}>): void {
 		match(action)
-			.with({type: 'forward-piece'}, ({attempt}) => {
-				this.#forward(attempt, this.#inHand === undefined ? [] : [this.#inHand]);
-			})
 			.with({type: 'hold-piece'}, () => {
 				// The attempt keeps its pieces as they come.
 			})
