Keep nothing of what is counted where no metrics are set

Cause: without metrics settings the library ran as a mock, which keeps every message for good. Ruled out: clearing the mock's buffer by a timer, which still formats messages. Change: without settings the counters do nothing and the library is not loaded. Conclusion: a daemon without metrics no longer grows with its traffic by this.

--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -1,5 +1,4 @@
 import {type MetricsSettings} from '@valehitch/settings';
-import {StatsD} from 'hot-shots';
 
 /** Where counters and timings go. */
 export type Metrics = {
@@ -12,23 +11,44 @@
 	readonly close: () => void;
 };
 
+const silent: Metrics = {
+	increment() {
+		// Nothing is sent.
+	},
+	timing() {
+		// Nothing is sent.
+	},
+	gauge() {
+		// Nothing is sent.
+	},
+	close() {
+		// Nothing is open.
+	},
+};
+
 /**
 Opens the metrics over UDP.
 
+Without settings the library is not loaded: its mock keeps every message for good.
+
 @param settings Where to send them; nothing is sent without.
 @param onError Told of each error of the socket.
 @returns The metrics.
 @example
 ```ts
-const metrics = openMetrics(settings.metrics, error => log.warn(error));
+const metrics = await openMetrics(settings.metrics, error => log.warn(error));
 ```
 */
-export function openMetrics(settings: MetricsSettings | undefined, onError: (error: Error) => void): Metrics {
-	const client = new StatsD({
-		host: settings?.host ?? '127.0.0.1',
-		port: settings?.port ?? 0,
-		prefix: `${settings?.prefix ?? 'valehitch'}.`,
-		mock: settings === undefined,
+export async function openMetrics(settings: MetricsSettings | undefined, onError: (error: Error) => void): Promise<Metrics> {
+	if (settings === undefined) {
+		return silent;
+	}
+
+	const hotShots = await import('hot-shots');
+	const client = new hotShots.StatsD({
+		host: settings.host,
+		port: settings.port,
+		prefix: `${settings.prefix}.`,
 		maxBufferSize: 1400,
 		errorHandler: onError,
 	});
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -99,7 +99,7 @@
 			log.info({timeline: event}, event.event);
 		},
 	});
-	const metrics = openMetrics(settings.metrics, error => {
+	const metrics = await openMetrics(settings.metrics, error => {
 		log.warn({err: error}, 'Metrics could not be sent');
 	});
 	const network = await PeerNetwork.listen<PeerMessage>({
