Write the end of a streamed answer with one call

Cause: the last event and the end of the body were two writes. Change: the response is ended with the last event.

--- a/packages/daemon/src/entry/life/caller-writer.ts
+++ b/packages/daemon/src/entry/life/caller-writer.ts
@@ -57,11 +57,12 @@
 	@param trailer What comes after the last piece.
 	*/
 	finish(trailer: string): void {
-		if (trailer !== '') {
-			this.write(trailer);
+		if (trailer === '') {
+			this.#response.end();
+			return;
 		}
 
-		this.#response.end();
+		this.#response.end(trailer);
 	}
 
 	/**
