--- a/packages/daemon/src/control/leader-tasks.ts
+++ b/packages/daemon/src/control/leader-tasks.ts
@@ -1,3 +1,4 @@
+import {type ControlLimits} from '@valehitch/control';
 import {type DaemonBase} from '../daemon-base.js';
 import {type DistributionPart} from '../distribution/start-distribution.js';
 import {type RatingSummary, type RatingSummaryReply} from '../ratings/rating-summary.js';
@@ -24,10 +25,11 @@
 
 const orderTickMilliseconds = 100;
 const rolloutTickMilliseconds = 500;
+const limitsMilliseconds = 500;
 const expireMilliseconds = 60_000;
 
 /**
-Starts what the leader of the control replicas does besides the log: orders, roll-outs and the expiry of what is kept.
+Starts what the leader of the control replicas does besides the log: orders, roll-outs, and the bounds and the expiry of what is kept.
 
 @param base What every part works with.
 @param options The control part and where engines are found.
@@ -39,7 +41,19 @@
 */
 export function startLeaderTasks(base: DaemonBase, {control, distribution}: LeaderTasksOptions): LeaderTasks {
 	const {clock, timeline, settings, network, log} = base;
-	const evidence = new LeaderEvidence({base, control});
+	const run = (act: () => Promise<void>) => {
+		act().catch((error: unknown) => {
+			log.error({err: error}, 'A task of the leader failed');
+		});
+	};
+
+	const evidence = new LeaderEvidence({
+		base,
+		control,
+		onAlarm() {
+			run(async () => rollouts.tick());
+		},
+	});
 	const executor = new OrderExecutor({
 		clock,
 		timeline,
@@ -51,15 +65,18 @@
 		clock, timeline, control, evidence: (target, progress) => evidence.on(target, progress),
 	});
 	const every = (milliseconds: number, act: () => Promise<void>) => setInterval(() => {
-		act().catch((error: unknown) => {
-			log.error({err: error}, 'A task of the leader failed');
-		});
+		run(act);
 	}, milliseconds);
 	const timers = [
 		every(orderTickMilliseconds, async () => {
 			executor.tick();
 		}),
 		every(rolloutTickMilliseconds, async () => rollouts.tick()),
+		every(limitsMilliseconds, async () => {
+			if (control.isLeader() && !isSame(control.state()?.limits, settings.controlLimits)) {
+				await control.propose({type: 'set-limits', limits: settings.controlLimits});
+			}
+		}),
 		every(expireMilliseconds, async () => {
 			evidence.tidy();
 			if (control.isLeader()) {
@@ -86,3 +103,8 @@
 		},
 	};
 }
+
+function isSame(found: ControlLimits | undefined, wanted: ControlLimits): boolean {
+	const names = Object.keys(wanted) as Array<keyof ControlLimits>;
+	return found !== undefined && names.every(name => found[name] === wanted[name]);
+}
--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -1,7 +1,8 @@
 import {type Command, type OrderRecord} from '@valehitch/control';
-import {type ReplicaId, type ReplicaMessage, type ReplicaSet} from '@valehitch/consensus';
+import {type ReplicaId, type ReplicaSet, type SnapshotRequest} from '@valehitch/consensus';
 import {type Bill, type InstanceId} from '@valehitch/core';
 import {type ResultReply} from '../result-reply.js';
+import {type ReplicaWire} from './replica-codec.js';
 
 /** Asks the control role to carry out a command. */
 export type ProposeMessage = {
@@ -57,7 +58,27 @@
 	readonly type: 'replica';
 	readonly from: ReplicaId;
 	readonly to: ReplicaId;
-	readonly message: ReplicaMessage;
+	readonly message: ReplicaWire;
+};
+
+/** A piece of a snapshot, which may be larger than a frame. */
+export type SnapshotPieceMessage = {
+	readonly scope: 'control';
+	readonly type: 'snapshot-piece';
+	readonly from: ReplicaId;
+	readonly to: ReplicaId;
+	/** The message without the state. */
+	readonly message: SnapshotRequest;
+	/** Where the piece begins, in bytes. */
+	readonly offset: number;
+	/** The bytes of the whole state. */
+	readonly totalBytes: number;
+	readonly data: Uint8Array;
+};
+
+/** Answers a piece of a snapshot. */
+export type SnapshotPieceReply = {
+	readonly isTaken: boolean;
 };
 
 /** What a replica without a vote says of itself while it waits for a group. */
@@ -65,6 +86,8 @@
 	readonly scope: 'control';
 	readonly type: 'join';
 	readonly replica: ReplicaId;
+	/** The position up to which it has every bill, in its archive or in its state. */
+	readonly billsHeldUpTo: number;
 };
 
 /** What the asked instance says of itself. */
@@ -76,6 +99,14 @@
 	readonly initial?: ReplicaSet | undefined;
 };
 
+/** Asks a replica for a piece of its bills that begins at a position. */
+export type ArchivedBillsMessage = {
+	readonly scope: 'control';
+	readonly type: 'archived-bills';
+	/** Positions count from 1. */
+	readonly first: number;
+};
+
 /** Asks a control instance which instance leads. */
 export type LeaderMessage = {
 	readonly scope: 'control';
@@ -91,4 +122,4 @@
 export type LeaderQuestion = ProposeMessage | LedgerMessage | OrdersMessage;
 
 /** The closed list of messages to the control role. */
-export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | LeaderMessage;
+export type ControlMessage = LeaderQuestion | ReplicaEnvelope | JoinMessage | LeaderMessage | ArchivedBillsMessage | SnapshotPieceMessage;
--- a/packages/daemon/src/distribution/distribution-node.ts
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -12,13 +12,17 @@
 import {createRegistry} from './create-registry.js';
 import {ExchangeLoop} from './exchange-loop.js';
 import {LeaderView} from './leader-view.js';
+import {LeaseConfirmations} from './lease-confirmations.js';
+import {LeaseWatch} from './lease-watch.js';
 import {LostInstances} from './lost-instances.js';
 import {MemberWatch} from './member-watch.js';
 import {type Exchange, type ExchangeReply} from './messages.js';
 import {parentAddresses} from './parent-addresses.js';
 import {RelayNode} from './relay-node.js';
 import {type ServerRegistry} from './server-registry.js';
-import {createLoadDigest, createRecordDigest, memberKey} from './shared-records.js';
+import {
+	createLoadDigest, createRecordDigest, joinedAmong, memberKey,
+} from './shared-records.js';
 
 /** What the node is built on. */
 export type DistributionNodeOptions = {
@@ -56,6 +60,8 @@
 	readonly loop: ExchangeLoop;
 	/** The members. */
 	readonly watch: MemberWatch;
+	/** What is confirmed of leases. */
+	readonly confirmations: LeaseConfirmations;
 	/** Who hears of instances that were given up. */
 	readonly lost = new LostInstances();
 	readonly #options: DistributionNodeOptions;
@@ -65,9 +71,9 @@
 	readonly #records = createRecordDigest();
 	readonly #loads = createLoadDigest();
 	readonly #news: ChildNews;
+	readonly #leaseWatch: LeaseWatch;
 	readonly #node: RelayNode;
 	#hint: InstanceId | undefined;
-	#wasLeaseValid = false;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(options: DistributionNodeOptions) {
@@ -83,6 +89,8 @@
 		this.view = new LeaderView({
 			base, control, keeper: this.keeper, relay, zones: () => [...new Set([zone, ...this.watch.present.map(member => member.zone)])],
 		});
+		this.#leaseWatch = new LeaseWatch({clock, relay, timeline});
+		this.confirmations = this.#makeConfirmations();
 		this.#news = this.#makeNews();
 		this.registry = this.#makeRegistry();
 		this.#node = this.#makeNode();
@@ -120,18 +128,13 @@
 	@returns The answer.
 	*/
 	answer(exchange: Exchange): ExchangeReply {
-		const {relay} = this.#options;
 		const child = exchange.question.instance;
 		const now = this.#clock.monotonic();
 		this.#refresh();
-		const before = JSON.stringify(relay.confirmed(now));
-		const reply = this.#node.answer(exchange, now);
+		const reply = this.confirmations.track(() => this.#node.answer(exchange, now));
 		this.watch.heard(child);
+		this.loop.noteAlive([child]);
 		this.#news.heard(child);
-		if (JSON.stringify(relay.confirmed(now)) !== before) {
-			this.loop.wake();
-		}
-
 		const {leader} = this;
 		return leader === undefined ? reply : {...reply, leader};
 	}
@@ -141,7 +144,7 @@
 		this.watch.judge();
 		this.registry.judge();
 		this.#node.prune(this.#clock.monotonic());
-		this.#noteLease();
+		this.#leaseWatch.note();
 		if (leads) {
 			this.lost.look(this.watch.members);
 		}
@@ -160,15 +163,6 @@
 		return leads;
 	}
 
-	#noteLease(): void {
-		const {base: {timeline}, relay} = this.#options;
-		const isValid = relay.isLeaseValid(this.#clock.monotonic());
-		if (isValid !== this.#wasLeaseValid) {
-			this.#wasLeaseValid = isValid;
-			timeline.record(isValid ? 'configuration-lease-renewed' : 'configuration-lease-lost', {revision: relay.revision});
-		}
-	}
-
 	/** Hands on what is new: to the children by a word, to the parent by the next question. */
 	#spread(from?: InstanceId): void {
 		this.#news.tell(from === undefined ? {} : {except: from});
@@ -176,18 +170,14 @@
 	}
 
 	#takeNews(keys: readonly string[], from: InstanceId): void {
-		for (const key of keys) {
-			const record = this.#records.get(key);
-			if (record?.kind === 'server') {
-				this.registry.put(record.server);
-			}
-		}
-
+		this.registry.takeRecords(keys);
+		this.loop.noteAlive(joinedAmong(this.#records, keys));
 		this.watch.refute();
 		this.#spread(from);
 	}
 
 	#takeReply(parent: InstanceId, reply: ExchangeReply): void {
+		this.confirmations.releaseFormerParents();
 		this.watch.heard(parent);
 		if (reply.leader !== undefined) {
 			this.#hint = reply.leader;
@@ -199,7 +189,7 @@
 			this.watch.update({parent});
 		}
 
-		this.#noteLease();
+		this.#leaseWatch.note();
 	}
 
 	#candidates(): PeerAddress[] {
@@ -212,6 +202,20 @@
 		return record?.kind === 'member' ? record.member : undefined;
 	}
 
+	#makeConfirmations(): LeaseConfirmations {
+		const {base: {network, settings}, relay} = this.#options;
+		return new LeaseConfirmations({
+			clock: this.#clock,
+			relay,
+			network,
+			// A control instance is reached also before it is known as a member.
+			addressOf: instance => this.#record(instance) ?? settings.control.find(seed => seed.instance === instance),
+			onChange: () => {
+				this.loop.wake();
+			},
+		});
+	}
+
 	#makeNews(): ChildNews {
 		return new ChildNews({
 			clock: this.#clock,
--- a/packages/policy/src/change-detector.ts
+++ b/packages/policy/src/change-detector.ts
@@ -68,6 +68,11 @@
 		return sum / this.#wealth.length;
 	}
 
+	/** The wealth of the boldest gamblers, as a multiple of what one starts with: it falls back at once on good observations, and so shows what the latest ones look like. */
+	get boldWealth(): number {
+		return (this.#wealth.at(-1) ?? 0) * this.#horizon;
+	}
+
 	/** Whether the evidence has reached the threshold since the last reset. */
 	get isAlarmed(): boolean {
 		return this.#peak >= this.threshold;
