--- a/packages/daemon/src/entry/bills/bill-keeper.test.ts
+++ b/packages/daemon/src/entry/bills/bill-keeper.test.ts
@@ -297,30 +297,3 @@
 	t.is(refused.swap().toMaybe().extract()?.kind, 'no-quorum');
 	outbox.close();
 });
-
-test('a bill that no second instance holds goes to the ledger without the wait in which bills gather', async t => {
-	const outbox = new LedgerOutbox({
-		propose: async () => Right({revision: 0, recorded: 0, expired: []}),
-		async wait() {
-			await new Promise(() => {
-				// The time to gather never ends.
-			});
-		},
-	});
-	const keeper = new BillKeeper({
-		self: memberOf('a'),
-		start: 'a',
-		startedAt: 0,
-		clock: {now: () => new Date(0), monotonic: () => 0},
-		outbox,
-		members: () => [memberOf('a')],
-		request: async () => Left(failure('no-quorum', 'Got none')),
-	});
-	const request = toId<RequestId>('r1');
-	const workspace = toId<WorkspaceId>('yard');
-	await keeper.open({workspace, request, openedAt: 0});
-	await keeper.settle({
-		workspace, request, instance: toId<InstanceId>('a'), lines: [], total: 0 as Micros, outcome: 'answered', settledAt: 0,
-	});
-	t.is(keeper.size, 0);
-});
