--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -8,8 +8,10 @@
 import {type RunningArchive} from './archive/start-archive.js';
 import {type ControlHost} from './control-host.js';
 import {
-	type ControlMessage, type ControlReply, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type OrderList,
+	type ControlMessage, type ControlReply, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type OrderList, type SnapshotPieceReply,
 } from './messages.js';
+import {readReplicaMessage} from './replica-codec.js';
+import {SnapshotPieces} from './snapshot-pieces.js';
 
 /** What the answers come from. */
 export type ControlAnswersOptions = {
@@ -34,6 +36,7 @@
 */
 export class ControlAnswers {
 	readonly #options: ControlAnswersOptions;
+	readonly #pieces = new SnapshotPieces();
 
 	constructor(options: ControlAnswersOptions) {
 		this.#options = options;
@@ -49,10 +52,19 @@
 		const {host} = this.#options;
 		return match(message)
 			.with({type: 'replica'}, envelope => {
-				host.receive(envelope);
+				host.receive({...envelope, message: readReplicaMessage(envelope.message)});
 				return undefined;
 			})
+			.with({type: 'snapshot-piece'}, (piece): SnapshotPieceReply => {
+				const envelope = this.#pieces.take(piece);
+				if (envelope !== undefined) {
+					host.receive(envelope);
+				}
+
+				return {isTaken: true};
+			})
 			.with({type: 'join'}, question => host.join(question))
+			.with({type: 'archived-bills'}, async ({first}) => this.#options.archive?.piece(first))
 			.with({type: 'leader'}, (): LeaderReply => ({leader: host.leader}))
 			.with({type: 'propose'}, {type: 'ledger'}, {type: 'orders'}, async question => this.#answerAsLeader(question))
 			.exhaustive();
@@ -91,7 +103,11 @@
 			return Left(this.#noQuorum());
 		}
 
-		return Right(question.type === 'ledger' ? await this.#readLedger(question) : this.#readOrders());
+		if (question.type === 'ledger') {
+			return this.#readLedger(question);
+		}
+
+		return Right(this.#readOrders());
 	}
 
 	#readOrders(): OrderList {
@@ -99,15 +115,26 @@
 		return {open: state.openOrders(), completed: state.completedOrders};
 	}
 
-	async #readLedger({workspace, after}: LedgerMessage): Promise<LedgerPage> {
+	async #readLedger({workspace, after}: LedgerMessage): Promise<Either<Failure, LedgerPage>> {
 		const {host: {state}, archive} = this.#options;
 		const question = {workspace, after, limit: ledgerPageSize};
 		const recent = state.readLedger(question);
-		const {bills, next} = archive !== undefined && after < recent.archivedUpTo ? await archive.read(question) : recent;
-		return {bills, ...(next !== undefined && {next})};
+		if (after >= recent.archivedUpTo) {
+			return Right(pageOf(recent));
+		}
+
+		if (archive === undefined || archive.heldUpTo() < recent.archivedUpTo) {
+			return Left(failure('no-quorum', 'Got a leader that still fetches older bills from another replica, wanted one that has all', {retryAfterMilliseconds: retryMilliseconds}));
+		}
+
+		return Right(pageOf(await archive.read(question)));
 	}
 
 	#noQuorum(): Failure {
 		return failure('no-quorum', 'Got no leader with a valid lease, wanted one', {retryAfterMilliseconds: retryMilliseconds});
 	}
 }
+
+function pageOf({bills, next}: Awaited<ReturnType<RunningArchive['read']>>): LedgerPage {
+	return {bills, ...(next !== undefined && {next})};
+}
