--- a/packages/core/src/timeline-event.ts
+++ b/packages/core/src/timeline-event.ts
@@ -18,7 +18,6 @@
 	'server-draining',
 	'server-lost',
 	'server-ejected',
-	'server-restored',
 	'rollout-advanced',
 	'version-stopped',
 	'version-withdrawn',
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -188,7 +188,7 @@
 	return reply.chain(body => body === undefined ? Left(withoutRole(to)) : Right(body as Reply));
 }
 
-/** The first snapshot, at index 0, holds no state and goes as any other message. */
+/** The first snapshot, at index 0, holds no state and goes as the other messages do. */
 function isSnapshot(delivery: ReplicaDelivery): delivery is SnapshotEnvelope {
 	return delivery.message.type === 'snapshot-request' && delivery.message.snapshot.data.byteLength > 0;
 }
--- a/packages/daemon/src/distribution/distribution-node.ts
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -1,9 +1,5 @@
-import {
-	type Clock, type InstanceId, type ZoneId,
-} from '@valehitch/core';
-import {
-	type ConfigurationRelay, type MemberRecord,
-} from '@valehitch/membership';
+import {type Clock, type InstanceId, type ZoneId} from '@valehitch/core';
+import {type ConfigurationRelay, type MemberRecord} from '@valehitch/membership';
 import {type PeerAddress} from '@valehitch/transport';
 import {type ControlPart} from '../control/start-control.js';
 import {type DaemonBase} from '../daemon-base.js';
--- a/packages/daemon/src/entry/life/request-run.ts
+++ b/packages/daemon/src/entry/life/request-run.ts
@@ -98,6 +98,7 @@
 		context.runs.add(this);
 		response.once('close', () => {
 			if (!response.writableFinished) {
+				context.timeline.record('request-cancelled', {requestId, workspace: this.#options.workspace});
 				this.take({type: 'caller-left'});
 			}
 		});
--- a/packages/testing/src/_bench-admission.ts
+++ b/packages/testing/src/_bench-admission.ts
@@ -1,7 +1,8 @@
 import {performance} from 'node:perf_hooks';
 import {type RequestId, toId, type WorkspaceId} from '@valehitch/core';
 import {Admission, type AdmissionRequest} from '@valehitch/routing';
-import {exponential, quantileOf, seededRandom} from './_bench-tools.js';
+import {exponential, quantileOf} from './_bench-tools.js';
+import {seededRandom} from './_seeded-random.js';
 
 const capacityTokens = 40_000;
 const tokensPerSecondOfRequest = 200;
--- a/packages/testing/src/_bench-hedge.ts
+++ b/packages/testing/src/_bench-hedge.ts
@@ -4,7 +4,8 @@
 import {
 	hedgeDelays, type HedgeDelays, RetryBudget, StageHistory,
 } from '@valehitch/routing';
-import {exponential, quantileOf, seededRandom} from './_bench-tools.js';
+import {exponential, quantileOf} from './_bench-tools.js';
+import {seededRandom} from './_seeded-random.js';
 
 const requests = 40_000;
 const tokens = 150;
--- a/packages/testing/src/_bench-server-choice.ts
+++ b/packages/testing/src/_bench-server-choice.ts
@@ -3,7 +3,8 @@
 import {
 	chooseServer, prefixHash, PrefixShares, type ServerView,
 } from '@valehitch/routing';
-import {exponential, quantileOf, seededRandom} from './_bench-tools.js';
+import {exponential, quantileOf} from './_bench-tools.js';
+import {seededRandom} from './_seeded-random.js';
 
 const capacity = 8;
 const reportMilliseconds = 1000;
--- a/packages/testing/src/_bench-tools.ts
+++ b/packages/testing/src/_bench-tools.ts
@@ -3,27 +3,6 @@
 import {runInNewContext} from 'node:vm';
 import {type RandomSource} from '@valehitch/core';
 
-const modulus = 2_147_483_647;
-const multiplier = 48_271;
-
-/**
-Makes a random source that gives the same numbers for the same seed (Lehmer's generator).
-
-@param seed A whole number from 1.
-@returns The source.
-@example
-```ts
-const random = seededRandom(7);
-```
-*/
-export function seededRandom(seed: number): RandomSource {
-	let state = seed;
-	return () => {
-		state = (state * multiplier) % modulus;
-		return state / modulus;
-	};
-}
-
 /**
 Tells the value that a share of the values does not exceed.
 
