Parse the JSON bodies of operators and back ends in one place

Cause: reading bytes as JSON, checking them against a schema and naming the first problem stood six times in the daemon (announcements, ratings, configuration, roll-outs, orders, links). Ruled out: taking the callers' chat body in too; it refuses bytes that are not UTF-8 and tells the parser's message, which the others do not. Change: parseJsonBody with the kinds and messages as they were, and a test of them. Conclusion: no answer has changed.

--- a/packages/daemon/src/backends/handle-backend.ts
+++ b/packages/daemon/src/backends/handle-backend.ts
@@ -4,6 +4,7 @@
 import {answerProblem, readBody} from '@valehitch/transport';
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
+import {parseJsonBody} from '../parse-json-body.js';
 import {handleRatings, ratingsPath} from '../ratings/handle-ratings.js';
 import {type IntakeCount} from '../ratings/rating-intake.js';
 import {type Rating} from '../ratings/rating.js';
@@ -53,29 +54,13 @@
 		return;
 	}
 
-	const announcement = parseAnnouncement(body.extract() as Uint8Array);
-	if (typeof announcement === 'string') {
-		answerProblem(response, failure('malformed-request', announcement));
-		return;
-	}
-
-	onAnnouncement(announcement);
-	answerJson(response, {renewAfterMilliseconds: settings.timing.announcementRenewMilliseconds});
-}
-
-function parseAnnouncement(bytes: Uint8Array): Announcement | string {
-	let json: unknown;
-	try {
-		json = JSON.parse(new TextDecoder().decode(bytes));
-	} catch {
-		return 'Got a body that is not JSON';
-	}
-
-	const parsed = announcementSchema.safeParse(json);
-	if (parsed.success) {
-		return parsed.data;
-	}
-
-	const [issue] = parsed.error.issues;
-	return `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'not valid'}`;
+	parseJsonBody({bytes: body.extract() as Uint8Array, schema: announcementSchema}).caseOf({
+		Left(failed) {
+			answerProblem(response, failed);
+		},
+		Right(announcement) {
+			onAnnouncement(announcement);
+			answerJson(response, {renewAfterMilliseconds: settings.timing.announcementRenewMilliseconds});
+		},
+	});
 }
--- a/packages/daemon/src/control/orders/handle-orders.ts
+++ b/packages/daemon/src/control/orders/handle-orders.ts
@@ -1,8 +1,9 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {type Clock, type Failure, failure} from '@valehitch/core';
+import {type Clock, type Failure} from '@valehitch/core';
 import {answerProblem, readBody} from '@valehitch/transport';
-import {type Either, Left, Right} from 'purify-ts';
+import {type Either} from 'purify-ts';
 import {answerJson} from '../../answer-json.js';
+import {parseJsonBody} from '../../parse-json-body.js';
 import {type ControlClient} from '../control-client.js';
 import {type OrderRequest, orderRequestSchema} from './order-schema.js';
 
@@ -68,18 +69,5 @@
 }
 
 function parseOrder(bytes: Uint8Array): Either<Failure, OrderRequest> {
-	let json: unknown;
-	try {
-		json = JSON.parse(new TextDecoder().decode(bytes));
-	} catch {
-		return Left(failure('malformed-request', 'Got a body that is not JSON, wanted an order'));
-	}
-
-	const parsed = orderRequestSchema.safeParse(json);
-	if (parsed.success) {
-		return Right(parsed.data);
-	}
-
-	const [issue] = parsed.error.issues;
-	return Left(failure('malformed-request', `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'not valid'}`));
+	return parseJsonBody({bytes, schema: orderRequestSchema}, {notJson: 'Got a body that is not JSON, wanted an order'});
 }
--- a/packages/daemon/src/operators/apply-configuration.ts
+++ b/packages/daemon/src/operators/apply-configuration.ts
@@ -9,6 +9,7 @@
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
 import {sha256} from '../digest.js';
+import {parseJsonBody} from '../parse-json-body.js';
 import {type OperatorContext} from './operator-context.js';
 
 const entityTagPattern = /^"(?<revision>\d{1,15})"$/v;
@@ -80,23 +81,14 @@
 }
 
 function readDocument(bytes: Uint8Array): Either<Failure, Configuration> {
-	let json: unknown;
-	try {
-		json = JSON.parse(new TextDecoder().decode(bytes));
-	} catch {
-		return Left(failure('malformed-request', 'Got a body that is not JSON'));
-	}
-
-	const parsed = configurationSchema.safeParse(json);
-	if (!parsed.success) {
-		const [issue] = parsed.error.issues;
-		return Left(failure('invalid-configuration', `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'not valid'}`));
-	}
+	return parseJsonBody({bytes, schema: configurationSchema}, {misfitKind: 'invalid-configuration'}).chain(checkDocument);
+}
 
-	const [finding] = checkReferences(parsed.data);
+function checkDocument(document: Configuration): Either<Failure, Configuration> {
+	const [finding] = checkReferences(document);
 	if (finding !== undefined) {
 		return Left(failure('invalid-configuration', `${finding.path.join('.')}: got ${finding.got}, wanted ${finding.wanted}`));
 	}
 
-	return compilePolicies(parsed.data).chain(() => Right(parsed.data));
+	return compilePolicies(document).chain(() => Right(document));
 }
--- a/packages/daemon/src/operators/change-rollout.ts
+++ b/packages/daemon/src/operators/change-rollout.ts
@@ -1,12 +1,13 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Command} from '@valehitch/control';
 import {
-	type Failure, failure, type ModelId, toId, type VersionId,
+	type Failure, type ModelId, toId, type VersionId,
 } from '@valehitch/core';
 import {answerProblem, readBody} from '@valehitch/transport';
-import {type Either, Left, Right} from 'purify-ts';
+import {type Either} from 'purify-ts';
 import {z} from 'zod';
 import {answerJson} from '../answer-json.js';
+import {parseJsonBody} from '../parse-json-body.js';
 import {type OperatorContext} from './operator-context.js';
 
 const maximumBytes = 65_536;
@@ -65,18 +66,5 @@
 }
 
 function readChange(bytes: Uint8Array): Either<Failure, RolloutChange> {
-	let json: unknown;
-	try {
-		json = JSON.parse(new TextDecoder().decode(bytes));
-	} catch {
-		return Left(failure('malformed-request', 'Got a body that is not JSON, wanted a change of a roll-out'));
-	}
-
-	const parsed = changeSchema.safeParse(json);
-	if (parsed.success) {
-		return Right(parsed.data);
-	}
-
-	const [issue] = parsed.error.issues;
-	return Left(failure('malformed-request', `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'not valid'}`));
+	return parseJsonBody({bytes, schema: changeSchema}, {notJson: 'Got a body that is not JSON, wanted a change of a roll-out'});
 }
--- a/packages/daemon/src/operators/cut-links.ts
+++ b/packages/daemon/src/operators/cut-links.ts
@@ -3,10 +3,11 @@
 	type Failure, failure, type InstanceId, toId,
 } from '@valehitch/core';
 import {answerProblem, readBody} from '@valehitch/transport';
-import {type Either, Left, Right} from 'purify-ts';
+import {type Either} from 'purify-ts';
 import {z} from 'zod';
 import {answerJson} from '../answer-json.js';
 import {type DaemonBase} from '../daemon-base.js';
+import {parseJsonBody} from '../parse-json-body.js';
 
 const maximumBytes = 65_536;
 const cutSchema = z.strictObject({cut: z.array(z.string())});
@@ -42,15 +43,6 @@
 }
 
 function readCut(bytes: Uint8Array): Either<Failure, readonly InstanceId[]> {
-	let json: unknown;
-	try {
-		json = JSON.parse(new TextDecoder().decode(bytes));
-	} catch {
-		return Left(failure('malformed-request', 'Got a body that is not JSON'));
-	}
-
-	const parsed = cutSchema.safeParse(json);
-	return parsed.success
-		? Right(parsed.data.cut.map(instance => toId<InstanceId>(instance)))
-		: Left(failure('malformed-request', 'Got a body without cut, wanted {"cut": [INSTANCE]}'));
+	return parseJsonBody({bytes, schema: cutSchema}, {misfit: 'Got a body without cut, wanted {"cut": [INSTANCE]}'})
+		.map(({cut}) => cut.map(instance => toId<InstanceId>(instance)));
 }
--- /dev/null
+++ b/packages/daemon/src/parse-json-body.test.ts
@@ -0,0 +1,20 @@
+import test from 'ava';
+import {z} from 'zod';
+import {parseJsonBody, type ParseJsonBodyOptions} from './parse-json-body.js';
+
+const schema = z.strictObject({cut: z.array(z.string())});
+
+function parse(text: string, options?: ParseJsonBodyOptions): unknown {
+	return parseJsonBody({bytes: new TextEncoder().encode(text), schema}, options).extract();
+}
+
+test('a body that fits is given back', t => {
+	t.deepEqual(parse('{"cut": ["entry-1"]}'), {cut: ['entry-1']});
+});
+
+test('a body that is not JSON, and one that does not fit, get their kind and message', t => {
+	t.like(parse('{'), {kind: 'malformed-request', message: 'Got a body that is not JSON'});
+	t.like(parse('{', {notJson: 'Got no cut'}), {kind: 'malformed-request', message: 'Got no cut'});
+	t.like(parse('{"cut": [1]}'), {kind: 'malformed-request', message: 'cut.0: Invalid input: expected string, received number'});
+	t.like(parse('{}', {misfitKind: 'invalid-configuration', misfit: 'Got no cut'}), {kind: 'invalid-configuration', message: 'Got no cut'});
+});
--- a/packages/daemon/src/ratings/handle-ratings.ts
+++ b/packages/daemon/src/ratings/handle-ratings.ts
@@ -1,8 +1,9 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {failure} from '@valehitch/core';
+import {type Failure} from '@valehitch/core';
 import {answerProblem, readBody} from '@valehitch/transport';
-import {type Either, Left, Right} from 'purify-ts';
+import {type Either} from 'purify-ts';
 import {answerJson} from '../answer-json.js';
+import {parseJsonBody} from '../parse-json-body.js';
 import {type IntakeCount} from './rating-intake.js';
 import {type Rating, ratingsSchema} from './rating.js';
 
@@ -24,7 +25,7 @@
 */
 export async function handleRatings(request: IncomingMessage, response: ServerResponse, onRatings: (ratings: readonly Rating[]) => IntakeCount): Promise<void> {
 	const body = await readBody(request, maximumRatingsBytes);
-	const ratings = body.chain(bytes => parseRatings(bytes).mapLeft(message => failure('malformed-request', message)));
+	const ratings = body.chain(parseRatings);
 	ratings.caseOf({
 		Left(failed) {
 			answerProblem(response, failed);
@@ -35,16 +36,8 @@
 	});
 }
 
-function parseRatings(bytes: Uint8Array): Either<string, readonly Rating[]> {
-	let json: unknown;
-	try {
-		json = JSON.parse(new TextDecoder().decode(bytes));
-	} catch {
-		return Left('Got a body that is not JSON');
-	}
-
-	const parsed = ratingsSchema.safeParse(json);
-	return parsed.success
-		? Right(parsed.data)
-		: Left('Got a body that does not fit, wanted {requestId, model, version, workspace, class, rating, ratedAt} or a list of up to 1000 of them');
+function parseRatings(bytes: Uint8Array): Either<Failure, readonly Rating[]> {
+	return parseJsonBody({bytes, schema: ratingsSchema}, {
+		misfit: 'Got a body that does not fit, wanted {requestId, model, version, workspace, class, rating, ratedAt} or a list of up to 1000 of them',
+	});
 }
