--- a/packages/consensus/src/mod.ts
+++ b/packages/consensus/src/mod.ts
@@ -9,6 +9,7 @@
 export * from './known-leader.js';
 export * from './lease-valid-until.js';
 export type * from './log-entry.js';
+export * from './plan-membership.js';
 export * from './plan-replacement.js';
 export * from './read-index.js';
 export type * from './replica-action.js';
--- a/packages/core/src/error-kinds.ts
+++ b/packages/core/src/error-kinds.ts
@@ -36,6 +36,7 @@
 	overloaded: {status: 503, outcome: 'notRun', title: 'The queue cannot meet the deadline'},
 	'no-quorum': {status: 503, outcome: 'notRun', title: 'The control replicas cannot commit'},
 	'no-configuration': {status: 503, outcome: 'notRun', title: 'No configuration is in force on this instance yet'},
+	'configuration-expired': {status: 503, outcome: 'notRun', title: 'The configuration could not be confirmed in time'},
 	'shutting-down': {status: 503, outcome: 'notRun', title: 'The instance is shutting down'},
 	'deadline-exceeded': {status: 504, outcome: 'notRun', title: 'The deadline passed before the request was sent'},
 	'deadline-exceeded-after-dispatch': {status: 504, outcome: 'unknown', title: 'The deadline passed after the request was sent'},
--- a/packages/daemon/src/backends/handle-backend.ts
+++ b/packages/daemon/src/backends/handle-backend.ts
@@ -1,10 +1,9 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Announcement, announcementSchema, failure} from '@valehitch/core';
 import {type Settings} from '@valehitch/settings';
-import {answerProblem, readBody} from '@valehitch/transport';
+import {answerProblem, parseJsonBody, readBody} from '@valehitch/transport';
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
-import {parseJsonBody} from '../parse-json-body.js';
 import {handleRatings, ratingsPath} from '../ratings/handle-ratings.js';
 import {type IntakeCount} from '../ratings/rating-intake.js';
 import {type Rating} from '../ratings/rating.js';
--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -10,7 +10,7 @@
 import {
 	type ControlMessage, type ControlReply, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type OrderList, type SnapshotPieceReply,
 } from './messages.js';
-import {readReplicaMessage} from './replica-codec.js';
+import {readReplicaMessage} from '@valehitch/replication';
 import {SnapshotPieces} from './snapshot-pieces.js';
 
 /** What the answers come from. */
--- a/packages/daemon/src/control/control-host-options.ts
+++ b/packages/daemon/src/control/control-host-options.ts
@@ -1,10 +1,10 @@
+import {type Command, type CommandAnswer} from '@valehitch/control';
 import {type Failure, type InstanceId} from '@valehitch/core';
+import {type Applied, type ReplicaDelivery} from '@valehitch/replication';
 import {type DataFolder} from '@valehitch/storage';
 import {type Either} from 'purify-ts';
 import {type DaemonBase} from '../daemon-base.js';
 import {type JoinMessage, type JoinReply} from './messages.js';
-import {type ReplicaDelivery} from './replica-codec.js';
-import {type AppliedCommand} from './state-machine.js';
 
 /** What the host of the control role needs. */
 export type ControlHostOptions = {
@@ -20,5 +20,8 @@
 	readonly onFailure: (failed: Failure) => void;
 };
 
+/** One command that was applied to the control state. */
+export type AppliedCommand = Applied<Command, CommandAnswer>;
+
 /** Told of each command that was applied here. */
 export type AppliedListener = (applied: AppliedCommand) => void;
--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -1,22 +1,21 @@
 import {
 	instanceOf, isLeader, knownLeader, leaseValidUntil, planReplacement, readIndex, type ReplicaId, type ReplicaSet, type ReplicaState, toReplicaId,
 } from '@valehitch/consensus';
-import {type Command, type CommandAnswer, type ControlState} from '@valehitch/control';
+import {type Command, type CommandAnswer, ControlState} from '@valehitch/control';
 import {
 	type Failure, failure, type InstanceId, toId,
 } from '@valehitch/core';
+import {
+	type ReplicaDelivery, ReplicaDriver, StateMachine, StepWaiters,
+} from '@valehitch/replication';
 import {type Either, Left} from 'purify-ts';
-import {encodeCommand} from './_encode-command.js';
-import {StepWaiters} from './_step-waiters.js';
+import {decodeCommand, encodeCommand} from './_encode-command.js';
 import {Candidates} from './candidates.js';
 import {type AppliedListener, type ControlHostOptions} from './control-host-options.js';
 import {searchGroup} from './group-search.js';
 import {type JoinMessage, type JoinReply} from './messages.js';
 import {LeadershipWatch} from './leadership-watch.js';
-import {type ReplicaDelivery} from './replica-codec.js';
-import {ReplicaDriver} from './replica-driver.js';
 import {replicaTiming} from './replica-timing.js';
-import {StateMachine} from './state-machine.js';
 
 /** A part of the heartbeat interval, so that a heartbeat is late by no more than that. */
 const tickMilliseconds = 250;
@@ -40,7 +39,7 @@
 export class ControlHost {
 	readonly #options: ControlHostOptions;
 	readonly #self: ReplicaId;
-	readonly #machine: StateMachine;
+	readonly #machine: StateMachine<Command, CommandAnswer, ControlState>;
 	readonly #driver: ReplicaDriver;
 	readonly #candidates: Candidates;
 	readonly #watch: LeadershipWatch;
@@ -57,7 +56,9 @@
 		this.#self = toReplicaId(base.settings.instance, identity);
 		this.#candidates = new Candidates({clock: base.clock, control: base.settings.control.map(({instance}) => instance)});
 		this.#watch = new LeadershipWatch(base);
-		this.#machine = new StateMachine({
+		this.#machine = new StateMachine<Command, CommandAnswer, ControlState>({
+			create: data => data === undefined ? new ControlState() : ControlState.fromSnapshot(data),
+			decode: decodeCommand,
 			onApplied: applied => {
 				for (const listener of this.#listeners) {
 					listener(applied);
--- a/packages/daemon/src/control/expired-bills.ts
+++ b/packages/daemon/src/control/expired-bills.ts
@@ -1,7 +1,7 @@
 import {type BillsAnswer} from '@valehitch/control';
 import {type Bill} from '@valehitch/core';
 import {type DaemonBase} from '../daemon-base.js';
-import {type AppliedCommand} from './state-machine.js';
+import {type AppliedCommand} from './control-host-options.js';
 
 /**
 Raises the alarm for bills that the ledger refused as expired: nobody else keeps them.
--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -2,7 +2,7 @@
 import {type ReplicaId, type ReplicaSet, type SnapshotRequest} from '@valehitch/consensus';
 import {type Bill, type InstanceId} from '@valehitch/core';
 import {type ResultReply} from '../result-reply.js';
-import {type ReplicaWire} from './replica-codec.js';
+import {type ReplicaWire} from '@valehitch/replication';
 
 /** Asks the control role to carry out a command. */
 export type ProposeMessage = {
--- a/packages/daemon/src/control/orders/handle-orders.ts
+++ b/packages/daemon/src/control/orders/handle-orders.ts
@@ -1,9 +1,8 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Clock, type Failure} from '@valehitch/core';
-import {answerProblem, readBody} from '@valehitch/transport';
+import {answerProblem, parseJsonBody, readBody} from '@valehitch/transport';
 import {type Either} from 'purify-ts';
 import {answerJson} from '../../answer-json.js';
-import {parseJsonBody} from '../../parse-json-body.js';
 import {type ControlClient} from '../control-client.js';
 import {type OrderRequest, orderRequestSchema} from './order-schema.js';
 
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -17,7 +17,7 @@
 import {
 	type ControlMessage, type JoinReply, type SnapshotPieceReply,
 } from './messages.js';
-import {type ReplicaDelivery, writeReplicaMessage} from './replica-codec.js';
+import {type ReplicaDelivery, writeReplicaMessage} from '@valehitch/replication';
 import {type SnapshotEnvelope} from './snapshot-pieces.js';
 import {SnapshotSender} from './snapshot-sender.js';
 
--- a/packages/daemon/src/control/state-machine.test.ts
+++ b/packages/daemon/src/control/state-machine.test.ts
@@ -1,11 +1,11 @@
 import {type LogEntry} from '@valehitch/consensus';
+import {type Command, type CommandAnswer, ControlState} from '@valehitch/control';
 import {
 	type ChangeId, emptyConfiguration, toId, toRevision,
 } from '@valehitch/core';
+import {type CommittedActions, StateMachine} from '@valehitch/replication';
 import test from 'ava';
-import {encodeCommand} from './_encode-command.js';
-import {type CommittedActions} from './replica-driver.js';
-import {StateMachine} from './state-machine.js';
+import {decodeCommand, encodeCommand} from './_encode-command.js';
 
 const nothing: CommittedActions = {
 	accepted: [], rejected: [], restore: undefined, committed: [],
@@ -15,8 +15,10 @@
 	// Nothing to note.
 }
 
-function newMachine(): StateMachine {
-	return new StateMachine({onApplied: ignore, onReplicas: ignore});
+function newMachine(): StateMachine<Command, CommandAnswer, ControlState> {
+	return new StateMachine<Command, CommandAnswer, ControlState>({
+		create: data => data === undefined ? new ControlState() : ControlState.fromSnapshot(data), decode: decodeCommand, onApplied: ignore, onReplicas: ignore,
+	});
 }
 
 function change(index: number, term: number): LogEntry {
--- a/packages/daemon/src/operators/apply-configuration.ts
+++ b/packages/daemon/src/operators/apply-configuration.ts
@@ -4,12 +4,11 @@
 } from '@valehitch/core';
 import {compilePolicies} from '@valehitch/policy';
 import {checkReferences} from '@valehitch/settings';
-import {answerProblem, readBody} from '@valehitch/transport';
+import {answerProblem, parseJsonBody, readBody} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import {answerJson} from '../answer-json.js';
 import {bearerDigest} from '../bearer.js';
 import {sha256} from '../digest.js';
-import {parseJsonBody} from '../parse-json-body.js';
 import {type OperatorContext} from './operator-context.js';
 
 const entityTagPattern = /^"(?<revision>\d{1,15})"$/v;
--- a/packages/daemon/src/operators/change-rollout.ts
+++ b/packages/daemon/src/operators/change-rollout.ts
@@ -3,11 +3,10 @@
 import {
 	type Failure, type ModelId, toId, type VersionId,
 } from '@valehitch/core';
-import {answerProblem, readBody} from '@valehitch/transport';
+import {answerProblem, parseJsonBody, readBody} from '@valehitch/transport';
 import {type Either} from 'purify-ts';
 import {z} from 'zod';
 import {answerJson} from '../answer-json.js';
-import {parseJsonBody} from '../parse-json-body.js';
 import {type OperatorContext} from './operator-context.js';
 
 const maximumBytes = 65_536;
--- a/packages/daemon/src/operators/cut-links.ts
+++ b/packages/daemon/src/operators/cut-links.ts
@@ -2,12 +2,11 @@
 import {
 	type Failure, failure, type InstanceId, toId,
 } from '@valehitch/core';
-import {answerProblem, readBody} from '@valehitch/transport';
+import {answerProblem, parseJsonBody, readBody} from '@valehitch/transport';
 import {type Either} from 'purify-ts';
 import {z} from 'zod';
 import {answerJson} from '../answer-json.js';
 import {type DaemonBase} from '../daemon-base.js';
-import {parseJsonBody} from '../parse-json-body.js';
 
 const maximumBytes = 65_536;
 const cutSchema = z.strictObject({cut: z.array(z.string())});
--- a/packages/daemon/src/ratings/handle-ratings.ts
+++ b/packages/daemon/src/ratings/handle-ratings.ts
@@ -1,9 +1,8 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Failure} from '@valehitch/core';
-import {answerProblem, readBody} from '@valehitch/transport';
+import {answerProblem, parseJsonBody, readBody} from '@valehitch/transport';
 import {type Either} from 'purify-ts';
 import {answerJson} from '../answer-json.js';
-import {parseJsonBody} from '../parse-json-body.js';
 import {type IntakeCount} from './rating-intake.js';
 import {type Rating, ratingsSchema} from './rating.js';
 
--- /dev/null
+++ b/packages/gateway/src/control/control-instance.ts
@@ -0,0 +1,482 @@
+import {
+	type Clock, type Failure, failure, type InstanceId, type RandomSource, type ServerId, type ServiceId, type VersionId,
+} from '@valehitch/core';
+import {type DataFolder} from '@valehitch/storage';
+import {type Either, Left, Right} from 'purify-ts';
+import {match, P} from 'ts-pattern';
+import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
+import {type DecisionLog} from '../logs/decision-log.js';
+import {type GatewayMetrics} from '../logs/gateway-metrics.js';
+import {EvidenceTable} from '../rollouts/evidence-table.js';
+import {judgeRollout} from '../rollouts/judge-rollout.js';
+import {isEnded, type Rollout, type RunningRollout} from '../rollouts/rollout.js';
+import {type VersionEvidence} from '../rollouts/version-evidence.js';
+import {type ServerRecord} from '../servers/server-record.js';
+import {ControlGroup} from './control-group.js';
+import {type GatewayAnswer, type GatewayCommand} from './gateway-command.js';
+import {type ConfigurationDocument} from './gateway-state.js';
+import {
+	type ConfirmReply, type JoinReply, type PeerMessage, type ProposeReply, type ServersMessage, type WatchMessage, type WatchReply,
+} from './peer-message.js';
+import {digestOfRollouts, RolloutClock} from './rollout-clock.js';
+import {ServerNews} from './server-news.js';
+
+/** What a control instance needs. */
+export type ControlInstanceOptions = {
+	readonly self: InstanceId;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: DecisionLog;
+	readonly metrics: GatewayMetrics;
+	readonly isFounding: boolean;
+	/** The control instances that the settings name. */
+	readonly seeds: () => readonly InstanceId[];
+	/** The time between two announcements of a backend server, in milliseconds. */
+	readonly heartbeatMilliseconds: number;
+	/** Opens the data folder; asked again after a failure of the disk. */
+	readonly openFolder: () => Promise<Either<Failure, DataFolder>>;
+	/** Sends a message that wants no reply. */
+	readonly send: (to: InstanceId, message: PeerMessage) => void;
+	/** Asks another instance; undefined where no reply came within the timeout in milliseconds. */
+	readonly ask: (to: InstanceId, message: PeerMessage, timeout: number) => Promise<unknown>;
+	/** Names this run of the process. */
+	readonly run: string;
+};
+
+/** The time between two questions to the leader about what is newest. */
+const confirmMilliseconds = 200;
+const confirmTimeoutMilliseconds = 600;
+const joinTimeoutMilliseconds = 400;
+const proposeTimeoutMilliseconds = 950;
+/** How long a read waits to be applied here; a caller gives up after a second. */
+const readMilliseconds = 700;
+/** How long a question of an entry instance waits for news: well below the time after which its lease would end. */
+const watchMilliseconds = 400;
+/** The time until a data folder that failed is opened again. */
+const reopenMilliseconds = 500;
+const retryMilliseconds = 300;
+/** The time between two looks at the running roll-outs. */
+const judgeMilliseconds = 150;
+
+/**
+One control instance: its replica of the gateway's state, the directory of backend servers, and the answers to operators, backend servers and entry instances.
+
+@example
+```ts
+const control = new ControlInstance(options);
+await control.start();
+await control.submitConfiguration(configuration, document);
+```
+*/
+export class ControlInstance {
+	readonly #options: ControlInstanceOptions;
+	readonly #news: ServerNews;
+	readonly #rolloutClock: RolloutClock;
+	readonly #evidence = new EvidenceTable();
+	readonly #learned = new Set<InstanceId>();
+	readonly #watchers = new Set<() => void>();
+	#group: ControlGroup | undefined;
+	#confirmedAt: number | undefined;
+	#timers: NodeJS.Timeout[] = [];
+	#isStopped = false;
+	#isJudging = false;
+
+	constructor(options: ControlInstanceOptions) {
+		this.#options = options;
+		this.#rolloutClock = new RolloutClock(options.clock);
+		this.#news = new ServerNews({
+			...options,
+			others: () => this.#others(),
+			onChange: () => {
+				this.#wakeWatchers();
+			},
+		});
+	}
+
+	/** Opens the data folder and starts the replica and the rounds. */
+	async start(): Promise<void> {
+		this.#news.start();
+		this.#timers = [
+			setInterval(() => {
+				void this.#confirm();
+			}, confirmMilliseconds),
+			setInterval(() => {
+				void this.#judge();
+			}, judgeMilliseconds),
+		];
+		await this.#openGroup();
+	}
+
+	/** Stops the rounds, and the replica once its steps in progress are on the disk. */
+	async stop(): Promise<void> {
+		this.#isStopped = true;
+		this.#news.stop();
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
+		this.#wakeWatchers();
+		await this.#group?.stop();
+	}
+
+	/**
+	Takes a configuration that was checked.
+
+	@param configuration The configuration.
+	@param document The document as the operator sent it.
+	@returns Whether it is the newest, once it is committed; `no-quorum` where it may or may not be.
+	*/
+	async submitConfiguration({version}: RoutingConfiguration, document: string): Promise<Either<Failure, GatewayAnswer>> {
+		const result = await this.#propose({type: 'put-configuration', version, document});
+		this.#options.log('configuration-submitted', {version, result: describe(result)});
+		return result;
+	}
+
+	/** The newest configuration, once it is certain that there is no newer one. */
+	async readConfiguration(): Promise<Either<Failure, ConfigurationDocument>> {
+		const read = await this.#readState();
+		return read.chain(({state: {configuration}}) => configuration === undefined
+			? Left(failure('no-configuration', 'Got no configuration yet, wanted one to read', {retryAfterMilliseconds: retryMilliseconds}))
+			: Right(configuration));
+	}
+
+	/**
+	Begins a roll-out.
+
+	@param order The service, the version, and the duration in milliseconds.
+	@returns The roll-out, once it is committed.
+	*/
+	async startRollout(order: {readonly service: ServiceId; readonly target: VersionId; readonly duration: number}): Promise<Either<Failure, GatewayAnswer>> {
+		const result = await this.#propose({type: 'start-rollout', ...order});
+		this.#options.log('rollout-started', {service: order.service, target: order.target, duration: order.duration, result: describe(result)});
+		return result;
+	}
+
+	/**
+	Reads the newest roll-out of a service.
+
+	@param service The service.
+	@returns The roll-out; `not-found` where there was none.
+	*/
+	async readRollout(service: ServiceId): Promise<Either<Failure, Rollout>> {
+		const read = await this.#readState();
+		return read.chain(({state: {rollouts}}) => {
+			const rollout = rollouts.find(other => other.service === service);
+			return rollout === undefined ? Left(failure('not-found', `Got no roll-out of ${service}`)) : Right(rollout);
+		});
+	}
+
+	/**
+	Takes the announcement of a backend server; one of a shutdown is known to the other control instances when this returns.
+
+	@param record What the server said.
+	*/
+	async announce(record: ServerRecord): Promise<void> {
+		this.#options.metrics.announcements.inc({state: record.state});
+		await this.#news.announce(record);
+	}
+
+	/**
+	Takes the notice that a backend server ends.
+
+	@param server The server.
+	*/
+	async removeServer(server: ServerId): Promise<void> {
+		this.#options.metrics.announcements.inc({state: 'gone'});
+		await this.#news.remove(server);
+	}
+
+	/**
+	Answers another instance.
+
+	@param from The instance.
+	@param message The message.
+	@returns The reply; undefined where none is wanted.
+	*/
+	async answer(from: InstanceId, message: PeerMessage): Promise<unknown> {
+		return match(message)
+			.with({type: 'replica'}, envelope => {
+				this.#learned.add(from);
+				this.#group?.receive(envelope);
+			})
+			.with({type: 'join'}, join => {
+				this.#learned.add(from);
+				return this.#group?.join(join);
+			})
+			.with({type: 'confirm'}, ({evidence}): ConfirmReply => {
+				this.#evidence.take(evidence);
+				return {index: this.#group?.confirmedIndex()};
+			})
+			.with({type: 'propose'}, async ({command}): Promise<ProposeReply> => toReply(await this.#proposeHere(command)))
+			.with({type: 'servers'}, servers => {
+				this.#news.receive(servers);
+				return true;
+			})
+			.with({type: 'all-servers'}, (): ServersMessage => ({type: 'servers', records: this.#news.directory.records}))
+			.with({type: 'watch'}, async watch => this.#watch(watch))
+			.exhaustive();
+	}
+
+	async #openGroup(): Promise<void> {
+		const {openFolder, log, clock, random, self, isFounding} = this.#options;
+		const opened = await openFolder();
+		if (this.#isStopped) {
+			return;
+		}
+
+		opened.caseOf({
+			Left: failed => {
+				log('storage-failed', {reason: failed.message, retryMilliseconds: reopenMilliseconds}, 'error');
+				this.#reopenLater();
+			},
+			Right: folder => {
+				log('storage-opened', {warnings: folder.warnings});
+				this.#group = new ControlGroup({
+					self, folder, clock, random, log, isFounding,
+					founders: this.#options.seeds(),
+					peers: () => this.#others(),
+					send: (to, envelope) => {
+						this.#options.send(to, envelope);
+					},
+					join: async (to, message) => this.#join(to, message),
+					onApplied: ({command, result, index}) => {
+						this.#noteApplied({command, index, result: describe(result)});
+					},
+					onFailure: failed => {
+						log('storage-failed', {reason: failed.message, retryMilliseconds: reopenMilliseconds}, 'error');
+						this.#reopenLater();
+					},
+				});
+				this.#group.start();
+			},
+		});
+	}
+
+	#reopenLater(): void {
+		const broken = this.#group;
+		this.#group = undefined;
+		// The folder that is opened next may hold less than what was confirmed before.
+		this.#confirmedAt = undefined;
+		setTimeout(() => {
+			void this.#reopen(broken);
+		}, reopenMilliseconds);
+	}
+
+	async #reopen(broken: ControlGroup | undefined): Promise<void> {
+		await broken?.stop();
+		if (!this.#isStopped) {
+			await this.#openGroup();
+		}
+	}
+
+	async #join(to: InstanceId, message: PeerMessage): Promise<JoinReply | undefined> {
+		const reply = await this.#options.ask(to, message, joinTimeoutMilliseconds) as JoinReply | undefined;
+		for (const host of reply?.hosts ?? []) {
+			this.#learned.add(host as InstanceId);
+		}
+
+		return reply;
+	}
+
+	/** All other control instances that are known: by the settings, by the log and by their messages. */
+	#others(): readonly InstanceId[] {
+		const {self, seeds} = this.#options;
+		const members = this.#group?.members ?? [];
+		// Who is no longer in the log may be gone for good, so the log goes first where there is one.
+		const known = members.length > 0 ? [...seeds(), ...members] : [...seeds(), ...this.#learned];
+		return [...new Set(known)].filter(instance => instance !== self);
+	}
+
+	#noteApplied({command, index, result}: {readonly command: GatewayCommand; readonly index: number; readonly result: string}): void {
+		const {log} = this.#options;
+		match(command)
+			.with({type: 'put-configuration'}, ({version}) => {
+				log('configuration-adopted', {version, index, result});
+			})
+			.with({type: P.union('start-rollout', 'advance-rollout')}, ({service, target, ...rest}) => {
+				log('rollout-advanced', {
+					service, target, index, stage: 'stage' in rest ? rest.stage : 'canary', result,
+				});
+			})
+			.exhaustive();
+		this.#rolloutClock.running(this.#group?.state.rollouts ?? []);
+		this.#wakeWatchers();
+	}
+
+	/** Has a command committed, here or by the leader. */
+	async #propose(command: GatewayCommand): Promise<Either<Failure, GatewayAnswer>> {
+		const leader = this.#group?.leader;
+		const {self, ask, metrics} = this.#options;
+		if (leader === undefined) {
+			return Left(noLeader());
+		}
+
+		const result = leader === self
+			? await this.#proposeHere(command)
+			: fromReply(await ask(leader, {type: 'propose', command}, proposeTimeoutMilliseconds) as ProposeReply | undefined);
+		metrics.commands.inc({type: command.type, result: result.isRight() ? 'committed' : 'failed'});
+		return result;
+	}
+
+	async #proposeHere(command: GatewayCommand): Promise<Either<Failure, GatewayAnswer>> {
+		return await this.#group?.propose(command) ?? Left(noLeader());
+	}
+
+	/** The group once this instance has applied all that was committed when the call began. */
+	async #readState(): Promise<Either<Failure, ControlGroup>> {
+		const began = this.#options.clock.monotonic();
+		const group = this.#group;
+		const index = await this.#askIndex();
+		if (group === undefined || index === undefined || !await group.applied(index, began + readMilliseconds)) {
+			return Left(failure('no-quorum', 'Got no word of the leader about the newest index, wanted it for a read', {retryAfterMilliseconds: retryMilliseconds}));
+		}
+
+		return Right(group);
+	}
+
+	async #askIndex(): Promise<number | undefined> {
+		const leader = this.#group?.leader;
+		const {self, ask} = this.#options;
+		if (leader === undefined || leader === self) {
+			return this.#group?.confirmedIndex();
+		}
+
+		const reply = await ask(leader, {type: 'confirm', evidence: this.#neededEvidence()}, confirmTimeoutMilliseconds) as ConfirmReply | undefined;
+		return reply?.index;
+	}
+
+	/** What the leader needs to judge the roll-outs that run. */
+	#neededEvidence(): readonly VersionEvidence[] {
+		const rollouts = this.#group?.state.rollouts ?? [];
+		return rollouts.filter(rollout => !isEnded(rollout)).flatMap(({service}) => this.#evidence.of(service));
+	}
+
+	async #confirm(): Promise<void> {
+		const began = this.#options.clock.monotonic();
+		const group = this.#group;
+		const index = await this.#askIndex();
+		if (group !== undefined && index !== undefined && await group.applied(index, began + confirmTimeoutMilliseconds)) {
+			this.#confirmedAt = Math.max(began, this.#confirmedAt ?? began);
+		}
+	}
+
+	async #judge(): Promise<void> {
+		const group = this.#group;
+		if (this.#isJudging || group?.confirmedIndex() === undefined) {
+			return;
+		}
+
+		this.#isJudging = true;
+		for (const rollout of this.#rolloutClock.running(group.state.rollouts)) {
+			if (!isEnded(rollout)) {
+				await this.#judgeOne(rollout);
+			}
+		}
+
+		this.#isJudging = false;
+	}
+
+	async #judgeOne(rollout: RunningRollout): Promise<void> {
+		const {service, target, age} = rollout;
+		const evidence = this.#evidence.of(service);
+		const stage = judgeRollout(rollout, {evidence, age});
+		if (stage === undefined) {
+			return;
+		}
+
+		const fresh = evidence.filter(({version}) => version === target);
+		this.#options.log('rollout-advanced', {
+			service, target, stage, age,
+			answers: sum(fresh.map(({answers}) => answers)),
+			failures: sum(fresh.map(({failures}) => failures)),
+			routes: fresh.map(({route, model, answers, failures, latencySum}) => `${route} ${model}: ${failures} of ${answers} failed, ${Math.round(latencySum)} ms in all`),
+		}, 'warn');
+		await this.#proposeHere({
+			type: 'advance-rollout', service, target, stage,
+		});
+	}
+
+	async #watch(watch: WatchMessage): Promise<WatchReply> {
+		const {clock, run} = this.#options;
+		const arrived = clock.monotonic();
+		this.#evidence.take(watch.evidence);
+		if (!this.#hasNews(watch)) {
+			await this.#nextNews();
+		}
+
+		const now = clock.monotonic();
+		const state = this.#group?.state;
+		const {directory} = this.#news;
+		const isSameRun = watch.run === run;
+		const configuration = state?.configuration;
+		const rollouts = state?.rollouts ?? [];
+		return {
+			run,
+			cursor: directory.cursor,
+			records: directory.changedSince(isSameRun ? watch.cursor : 0),
+			configuration: configuration !== undefined && configuration.version > (watch.configurationVersion ?? Number.NEGATIVE_INFINITY) ? configuration : undefined,
+			rollouts: this.#rolloutClock.running(rollouts),
+			rolloutDigest: digestOfRollouts(rollouts),
+			held: now - arrived,
+			confirmedAgo: this.#confirmedAt === undefined || state === undefined ? undefined : now - this.#confirmedAt,
+			hosts: [this.#options.self, ...this.#others()],
+		};
+	}
+
+	#hasNews({run, cursor, configurationVersion, rolloutDigest}: WatchMessage): boolean {
+		const {configuration, rollouts = []} = this.#group?.state ?? {};
+		return run !== this.#options.run
+			|| cursor < this.#news.directory.cursor
+			|| (configuration !== undefined && configuration.version > (configurationVersion ?? Number.NEGATIVE_INFINITY))
+			|| rolloutDigest !== digestOfRollouts(rollouts);
+	}
+
+	async #nextNews(): Promise<void> {
+		await new Promise<void>(resolve => {
+			const wake = (): void => {
+				clearTimeout(timer);
+				this.#watchers.delete(wake);
+				resolve();
+			};
+
+			const timer = setTimeout(wake, watchMilliseconds);
+			this.#watchers.add(wake);
+		});
+	}
+
+	#wakeWatchers(): void {
+		for (const wake of this.#watchers) {
+			wake();
+		}
+	}
+}
+
+function noLeader(): Failure {
+	return failure('no-quorum', 'Got no leader, wanted one to commit the command', {retryAfterMilliseconds: retryMilliseconds});
+}
+
+function toReply(result: Either<Failure, GatewayAnswer>): ProposeReply {
+	return result.caseOf<ProposeReply>({
+		Left: failed => ({type: 'failure', failed}),
+		Right: answer => ({type: 'answer', answer}),
+	});
+}
+
+function fromReply(reply: ProposeReply | undefined): Either<Failure, GatewayAnswer> {
+	if (reply === undefined) {
+		return Left(failure('no-quorum', 'Got no reply of the leader in time, wanted the command committed', {outcome: 'unknown', retryAfterMilliseconds: retryMilliseconds}));
+	}
+
+	return reply.type === 'answer' ? Right(reply.answer) : Left(reply.failed);
+}
+
+function describe(result: Either<Failure, GatewayAnswer>): string {
+	return result.caseOf({
+		Left: ({kind, message}) => `${kind}: ${message}`,
+		Right: answer => answer.type === 'configuration' ? `held version ${answer.version}` : `stage ${answer.rollout.stage}`,
+	});
+}
+
+function sum(numbers: readonly number[]): number {
+	return numbers.reduce((total, number) => total + number, 0);
+}
--- /dev/null
+++ b/packages/gateway/src/control/server-news.ts
@@ -0,0 +1,159 @@
+import {type Clock, type InstanceId, type ServerId} from '@valehitch/core';
+import {type DecisionKind, type DecisionLog} from '../logs/decision-log.js';
+import {ServerDirectory} from '../servers/server-directory.js';
+import {type ServerRecord} from '../servers/server-record.js';
+import {type PeerMessage, type ServersMessage} from './peer-message.js';
+
+/** What the exchange of servers between control instances needs. */
+export type ServerNewsOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	/** The time between two announcements of a server, in milliseconds. */
+	readonly heartbeatMilliseconds: number;
+	/** The other control instances. */
+	readonly others: () => readonly InstanceId[];
+	/** Asks another control instance; undefined where no reply came within the timeout in milliseconds. */
+	readonly ask: (to: InstanceId, message: PeerMessage, timeout: number) => Promise<unknown>;
+	/** Told after each change of the directory. */
+	readonly onChange: () => void;
+};
+
+/** Announcements that may be missed before a server counts as silent; they may come seconds late. */
+const missedHeartbeats = 5;
+/** The time between two rounds that tell the others which servers were heard. */
+const shareMilliseconds = 500;
+/** How long the acknowledgement of a shutdown waits for the other control instances; the server waits a second. */
+const passOnMilliseconds = 600;
+/** The time that an instance which just started has to answer with all its servers. */
+const allServersMilliseconds = 1000;
+
+const logKinds: Readonly<Record<ServerRecord['state'], DecisionKind>> = {ready: 'server-joined', draining: 'server-draining', gone: 'server-gone'};
+
+/**
+Keeps the directory of backend servers the same on all control instances, by passing on what changes and what was heard.
+
+@example
+```ts
+const news = new ServerNews(options);
+await news.announce(record);
+```
+*/
+export class ServerNews {
+	readonly directory: ServerDirectory;
+	readonly #options: ServerNewsOptions;
+	readonly #heard = new Set<ServerId>();
+	#timers: NodeJS.Timeout[] = [];
+
+	constructor(options: ServerNewsOptions) {
+		this.#options = options;
+		this.directory = new ServerDirectory({silentMilliseconds: missedHeartbeats * options.heartbeatMilliseconds});
+	}
+
+	/** Starts the rounds, and asks the others for what they know. */
+	start(): void {
+		this.#timers = [setInterval(() => {
+			this.#share();
+		}, shareMilliseconds)];
+		void this.#askAll();
+	}
+
+	stop(): void {
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+	}
+
+	/**
+	Takes an announcement; one of a shutdown is passed on to the other control instances first.
+
+	@param record What the server said.
+	*/
+	async announce(record: ServerRecord): Promise<void> {
+		const changed = this.directory.announce(record, this.#options.clock.monotonic());
+		this.#heard.add(record.id);
+		await this.#passOn(changed);
+	}
+
+	/**
+	Takes the notice that a server ends.
+
+	@param server The server.
+	*/
+	async remove(server: ServerId): Promise<void> {
+		await this.#passOn(this.directory.remove(server));
+	}
+
+	/**
+	Takes what another control instance passes on.
+
+	@param message The news.
+	*/
+	receive({records}: ServersMessage): void {
+		const now = this.#options.clock.monotonic();
+		let isChanged = false;
+		for (const record of records) {
+			const changed = this.directory.announce(record, now);
+			isChanged ||= changed !== undefined;
+			this.#log(changed, 'peer');
+		}
+
+		if (isChanged) {
+			this.#options.onChange();
+		}
+	}
+
+	async #passOn(changed: ServerRecord | undefined): Promise<void> {
+		if (changed === undefined) {
+			return;
+		}
+
+		this.#log(changed, 'announcement');
+		this.#options.onChange();
+		const message: ServersMessage = {type: 'servers', records: [changed]};
+		const {others, ask} = this.#options;
+		const passedOn = others().map(async other => ask(other, message, passOnMilliseconds));
+		if (changed.state !== 'ready') {
+			await Promise.all(passedOn);
+		}
+	}
+
+	#share(): void {
+		const {clock, others, ask, onChange} = this.#options;
+		const silenced = this.directory.sweep(clock.monotonic());
+		for (const {id, service, sequence} of silenced) {
+			this.#options.log('server-silent', {server: id, service, sequence}, 'warn');
+		}
+
+		if (silenced.length > 0) {
+			onChange();
+		}
+
+		if (this.#heard.size === 0) {
+			return;
+		}
+
+		const message: ServersMessage = {type: 'servers', records: this.directory.records.filter(({id}) => this.#heard.has(id))};
+		this.#heard.clear();
+		for (const other of others()) {
+			void ask(other, message, passOnMilliseconds);
+		}
+	}
+
+	async #askAll(): Promise<void> {
+		const {others, ask} = this.#options;
+		await Promise.all(others().map(async other => {
+			const reply = await ask(other, {type: 'all-servers'}, allServersMilliseconds) as ServersMessage | undefined;
+			if (reply !== undefined) {
+				this.receive(reply);
+			}
+		}));
+	}
+
+	#log(record: ServerRecord | undefined, source: string): void {
+		if (record !== undefined) {
+			this.#options.log(logKinds[record.state], {
+				server: record.id, service: record.service, version: record.version, zone: record.zone, sequence: record.sequence, source,
+			});
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -0,0 +1,264 @@
+import {createServer, type Server} from 'node:http';
+import {
+	type Clock, type Failure, type InstanceId, type RandomSource, type ServiceId, type ZoneId,
+} from '@valehitch/core';
+import {RetryBudget} from '@valehitch/routing';
+import {type Either} from 'purify-ts';
+import {RouteTable} from '../configuration/route-table.js';
+import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
+import {type WatchMessage, type WatchReply} from '../control/peer-message.js';
+import {type DecisionLog} from '../logs/decision-log.js';
+import {type GatewayMetrics} from '../logs/gateway-metrics.js';
+import {isEnded, type RunningRollout} from '../rollouts/rollout.js';
+import {ConfigurationLease} from './configuration-lease.js';
+import {type ControlNews, ControlWatch} from './control-watch.js';
+import {type Dialect} from './dialect.js';
+import {type EntryBounds, type EntryContext} from './entry-context.js';
+import {EntryServers} from './entry-servers.js';
+import {EvidenceCounter} from './evidence-counter.js';
+import {handleRequest} from './handle-request.js';
+import {LatencyBook} from './latency-book.js';
+import {VersionPins} from './version-pins.js';
+
+/** Where the instance listens. */
+export type ListenAddress = {
+	readonly host: string;
+	readonly port: number;
+};
+
+/** What an entry instance needs. */
+export type EntryInstanceOptions = {
+	readonly self: InstanceId;
+	readonly zone: ZoneId;
+	readonly listen: ListenAddress;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: DecisionLog;
+	readonly metrics: GatewayMetrics;
+	readonly dialect: Dialect;
+	readonly bounds: EntryBounds;
+	/** How long a confirmation of the configuration counts, in milliseconds. */
+	readonly leaseMilliseconds: number;
+	/** The time without a request after which a session has ended, in milliseconds. */
+	readonly sessionMilliseconds: number;
+	/** The further sends for each request, over all instances alike. */
+	readonly retryShare: number;
+	/** Names this run of the process. */
+	readonly run: string;
+	/** The control instances that the settings name. */
+	readonly seeds: () => readonly InstanceId[];
+	readonly ask: (to: InstanceId, message: WatchMessage, timeout: number) => Promise<WatchReply | undefined>;
+	readonly wait: (milliseconds: number) => Promise<void>;
+	/** Reads a configuration as the operator wrote it. */
+	readonly parse: (document: string) => Either<Failure, RoutingConfiguration>;
+};
+
+/** Further sends that one instance can save up: small, since all instances share one bound. */
+const retryBurst = 5;
+const retriesPerSecondWithoutTraffic = 0.1;
+/** Headers of a request; the configuration's limit is of this size and cannot be changed on a running server. */
+const maximumHeaderBytes = 32_768;
+/** An idle connection is kept this many times longer than callers use it, so that none closes under a request. */
+const idleFactor = 2;
+const defaultIdleMilliseconds = 15_000;
+/** The time for which connections are kept open after a stop began, while the balancer takes this instance out. */
+const drainPollMilliseconds = 50;
+
+/**
+One entry instance: it takes requests, routes them by what control tells, and goes on with what it knows where control is not reached.
+
+@example
+```ts
+const entry = new EntryInstance(options);
+await entry.start();
+```
+*/
+export class EntryInstance {
+	readonly #options: EntryInstanceOptions;
+	readonly #context: EntryContext;
+	readonly #watch: ControlWatch;
+	readonly #server: Server;
+	#table: RouteTable | undefined;
+	#rollouts: readonly RunningRollout[] = [];
+	#rolloutsAt = 0;
+	#rolloutDigest = '';
+	#hadLease = false;
+	#inProgress = 0;
+	#isStopping = false;
+
+	constructor(options: EntryInstanceOptions) {
+		const {clock, random, zone, self, run} = options;
+		this.#options = options;
+		this.#context = {
+			...options,
+			lease: new ConfigurationLease({duration: options.leaseMilliseconds}),
+			servers: new EntryServers({zone, random}),
+			budget: new RetryBudget({share: options.retryShare, burst: retryBurst, floorPerSecond: retriesPerSecondWithoutTraffic}),
+			latencies: new LatencyBook(),
+			pins: new VersionPins(options),
+			evidence: new EvidenceCounter({entry: self, run}),
+			table: () => this.#table,
+			rolloutOf: service => this.#rolloutOf(service),
+			isStopping: () => this.#isStopping,
+		};
+		this.#watch = new ControlWatch({
+			...options,
+			question: () => this.#question(),
+			onNews: news => {
+				this.#takeNews(news, clock.monotonic());
+			},
+		});
+		this.#server = this.#createServer();
+	}
+
+	/** Whether requests should be sent here: there is a configuration that is known to be recent, and no stop has begun. */
+	get isReady(): boolean {
+		const now = this.#options.clock.monotonic();
+		return !this.#isStopping && this.#table !== undefined && (!this.#table.needsKeys || this.#context.lease.isValid(now));
+	}
+
+	/** Requests in progress. */
+	get inProgress(): number {
+		return this.#inProgress;
+	}
+
+	/**
+	Starts to ask control and to listen.
+
+	@throws If the port cannot be opened.
+	*/
+	async start(): Promise<void> {
+		this.#watch.start();
+		const {host, port} = this.#options.listen;
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, resolve);
+		});
+	}
+
+	/** Says from now on that the instance is not ready, and asks callers to close their connections with each answer. */
+	beginStop(): void {
+		this.#isStopping = true;
+	}
+
+	/**
+	Waits until no request is in progress.
+
+	@param until Milliseconds on the monotonic clock after which not to wait any more.
+	*/
+	async drained(until: number): Promise<void> {
+		while (this.#inProgress > 0 && this.#options.clock.monotonic() < until) {
+			await this.#options.wait(drainPollMilliseconds);
+		}
+	}
+
+	/** Closes all connections. */
+	close(): void {
+		this.#watch.stop();
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	#createServer(): Server {
+		const server = createServer({
+			maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: idleFactor * defaultIdleMilliseconds, requestTimeout: 0, headersTimeout: 0, insecureHTTPParser: false,
+		}, (message, response) => {
+			this.#inProgress++;
+			handleRequest(this.#context, message, response).catch((error: unknown) => {
+				const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+				this.#options.log('request-ended', {outcome: 'internal', reason}, 'error');
+				response.destroy();
+			}).finally(() => {
+				this.#inProgress--;
+			});
+		});
+		server.on('clientError', (error, socket) => {
+			this.#options.log('request-refused', {kind: 'malformed-request', reason: error.message}, 'warn');
+			if (socket.writable) {
+				socket.end('HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n');
+			} else {
+				socket.destroy();
+			}
+		});
+		return server;
+	}
+
+	#question(): Pick<WatchMessage, 'configurationVersion' | 'rolloutDigest' | 'evidence'> {
+		const running = this.#rollouts.filter(rollout => !isEnded(rollout)).map(({service}) => service);
+		return {
+			configurationVersion: this.#table?.version,
+			rolloutDigest: this.#rolloutDigest,
+			evidence: this.#context.evidence.of(new Set(running)),
+		};
+	}
+
+	#takeNews({source, reply, confirmedAt}: ControlNews, now: number): void {
+		const {log} = this.#options;
+		const {lease, servers} = this.#context;
+		const changed = servers.take(reply.records, {source, now});
+		for (const {id, state, service, version, sequence} of changed) {
+			log(state === 'ready' ? 'server-joined' : 'server-draining', {
+				server: id, service, version, state, sequence, source,
+			});
+		}
+
+		if (reply.configuration !== undefined) {
+			this.#adopt(reply.configuration.document, source);
+		}
+
+		if (confirmedAt !== undefined) {
+			lease.confirm(confirmedAt);
+		}
+
+		this.#takeRollouts(reply, {confirmedAt, now});
+		const hasLease = lease.isValid(now);
+		if (hasLease !== this.#hadLease) {
+			this.#hadLease = hasLease;
+			log(hasLease ? 'lease-regained' : 'lease-lost', {age: Math.round(lease.age(now)), configuration: this.#table?.version, source}, 'warn');
+		}
+	}
+
+	/** Roll-outs go forward only: an instance that is behind could tell an earlier stage. */
+	#takeRollouts({rollouts, rolloutDigest}: WatchReply, {confirmedAt, now}: {readonly confirmedAt: number | undefined; readonly now: number}): void {
+		const isSure = confirmedAt !== undefined && confirmedAt >= this.#rolloutsAt;
+		if (!isSure) {
+			return;
+		}
+
+		this.#rolloutsAt = confirmedAt;
+		if (rolloutDigest !== this.#rolloutDigest) {
+			for (const {service, target, stage, age} of rollouts) {
+				this.#options.log('rollout-advanced', {
+					service, target, stage, age: Math.round(age),
+				});
+			}
+		}
+
+		this.#rolloutDigest = rolloutDigest;
+		this.#rollouts = rollouts.map(rollout => ({...rollout, age: rollout.age - now}));
+	}
+
+	/** A roll-out with its age now; ages are kept as the time of the order on the own clock. */
+	#rolloutOf(service: ServiceId): RunningRollout | undefined {
+		const rollout = this.#rollouts.find(other => other.service === service);
+		return rollout && {...rollout, age: rollout.age + this.#options.clock.monotonic()};
+	}
+
+	#adopt(document: string, source: InstanceId): void {
+		const parsed = this.#options.parse(document);
+		parsed.caseOf({
+			Left: ({message}) => {
+				this.#options.log('configuration-refused', {reason: message, source}, 'error');
+			},
+			Right: configuration => {
+				if (configuration.version <= (this.#table?.version ?? Number.NEGATIVE_INFINITY)) {
+					return;
+				}
+
+				this.#table = new RouteTable(configuration);
+				this.#server.keepAliveTimeout = idleFactor * configuration.limits.idleTimeout;
+				this.#options.log('configuration-adopted', {version: configuration.version, routes: configuration.routes.length, source});
+			},
+		});
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -0,0 +1,237 @@
+import {
+	type InstanceId, type RandomSource, type ServerId, type ServiceId, type VersionId, type ZoneId,
+} from '@valehitch/core';
+import {
+	chooseServer, OutlierEjection, prefixHash, type ServerView,
+} from '@valehitch/routing';
+import {type ServerRecord} from '../servers/server-record.js';
+
+/** How an entry instance chooses among the servers. */
+export type EntryServersOptions = {
+	readonly zone: ZoneId;
+	readonly random: RandomSource;
+};
+
+/** What is wanted of a server. */
+export type FindServerOptions = {
+	readonly service: ServiceId;
+	/** The versions that will do; undefined for any. */
+	readonly isWanted: (version: VersionId) => boolean;
+	readonly excluded: ReadonlySet<ServerId>;
+	/** What the prompts of a conversation have in common; undefined where no cache matters. */
+	readonly subject: string | undefined;
+	/** Milliseconds on the monotonic clock. */
+	readonly now: number;
+};
+
+/** What a send to a server came to. */
+export type SendResult = 'answered' | 'failed' | 'unreachable' | 'gone';
+
+type Held = {
+	record: ServerRecord;
+	inFlight: number;
+	readonly addedAt: number;
+	/** The control instances that say it is silent. */
+	readonly silentFor: Set<InstanceId>;
+	/** No work goes there before this time, in milliseconds on the monotonic clock. */
+	avoidUntil: number;
+	unreachable: number;
+};
+
+const rankOfState = {ready: 0, draining: 1, gone: 2} as const;
+/** An engine batches: twice the mean load costs it little, a prompt that it must read again costs more. */
+const loadBound = 2.5;
+/** The pause after a connection that was not opened; doubles up to the longest. */
+const firstAvoidMilliseconds = 500;
+const longestAvoidMilliseconds = 8000;
+const forgetMilliseconds = 60_000;
+
+/**
+The backend servers as one entry instance knows them: what control says, what it has in flight itself, and how its own sends ended.
+
+@example
+```ts
+const servers = new EntryServers({zone, random});
+servers.take(records, {source, now});
+servers.find({service, isWanted: () => true, excluded: new Set(), subject: undefined, now});
+```
+*/
+export class EntryServers {
+	readonly #options: EntryServersOptions;
+	readonly #servers = new Map<ServerId, Held>();
+	readonly #ejection = new OutlierEjection({threshold: 0.5, baseMilliseconds: 2000, maximumMilliseconds: 8000, maximumShare: 0.4});
+
+	constructor(options: EntryServersOptions) {
+		this.#options = options;
+	}
+
+	/**
+	Takes records of a control instance.
+
+	@param records What changed.
+	@param options The control instance, and the time in milliseconds on the monotonic clock.
+	@returns The records that are new, or whose state is.
+	*/
+	take(records: readonly ServerRecord[], {source, now}: {readonly source: InstanceId; readonly now: number}): readonly ServerRecord[] {
+		const changed: ServerRecord[] = [];
+		for (const record of records) {
+			const held = this.#servers.get(record.id);
+			if (held === undefined) {
+				this.#servers.set(record.id, {
+					record, inFlight: 0, addedAt: now, silentFor: new Set(record.isSilent ? [source] : []), avoidUntil: 0, unreachable: 0,
+				});
+				changed.push(record);
+				continue;
+			}
+
+			if (record.isSilent) {
+				held.silentFor.add(source);
+			} else {
+				held.silentFor.clear();
+			}
+
+			const isLater = rankOfState[record.state] > rankOfState[held.record.state];
+			held.record = {...(record.sequence >= held.record.sequence ? record : held.record), state: isLater ? record.state : held.record.state};
+			if (isLater) {
+				changed.push(held.record);
+			}
+		}
+
+		this.#forget(now);
+		return changed;
+	}
+
+	/**
+	Chooses a server.
+
+	@param options What is wanted.
+	@returns The server, or undefined where none takes work.
+	*/
+	find({service, isWanted, excluded, subject, now}: FindServerOptions): ServerRecord | undefined {
+		const views: ServerView[] = [];
+		const fallback: ServerView[] = [];
+		for (const held of this.#servers.values()) {
+			if (held.record.service !== service || held.record.state !== 'ready' || !isWanted(held.record.version)) {
+				continue;
+			}
+
+			const view = this.#viewOf(held, now);
+			fallback.push({...view, expired: false, ejected: false});
+			views.push(view);
+		}
+
+		const wish = {
+			target: service, excluded, zone: this.#options.zone, random: this.#options.random, zonePenalty: zonePenalty, loadBound,
+			prefix: subject === undefined ? undefined : prefixHash(subject),
+		};
+		// Where every server is suspect, a suspect one is better than none.
+		const choice = chooseServer(views, wish).alt(chooseServer(fallback, wish));
+		return choice.map(({server}) => this.#servers.get(server)?.record).toMaybe().extractNullable() ?? undefined;
+	}
+
+	/** Whether a version of a service has a server that takes work. */
+	hasVersion(service: ServiceId, isWanted: (version: VersionId) => boolean): boolean {
+		for (const {record, silentFor} of this.#servers.values()) {
+			if (record.service === service && record.state === 'ready' && silentFor.size === 0 && isWanted(record.version)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/**
+	Looks a server up.
+
+	@param id The server.
+	@returns Its newest record.
+	*/
+	get(id: ServerId): ServerRecord | undefined {
+		return this.#servers.get(id)?.record;
+	}
+
+	/** Counts a request that was sent to a server. */
+	begin(id: ServerId): void {
+		const held = this.#servers.get(id);
+		if (held !== undefined) {
+			held.inFlight++;
+		}
+	}
+
+	/** Counts a request of a server as ended. */
+	end(id: ServerId): void {
+		const held = this.#servers.get(id);
+		if (held !== undefined) {
+			held.inFlight--;
+		}
+	}
+
+	/**
+	Learns how a send ended.
+
+	@param id The server.
+	@param result What it came to.
+	@param now Milliseconds on the monotonic clock.
+	@returns Whether the server gets no work for a while from now on.
+	*/
+	record(id: ServerId, result: SendResult, now: number): boolean {
+		const held = this.#servers.get(id);
+		if (held === undefined) {
+			return false;
+		}
+
+		if (result === 'gone') {
+			held.record = {...held.record, state: 'gone'};
+			return true;
+		}
+
+		if (result === 'unreachable') {
+			held.avoidUntil = now + Math.min(longestAvoidMilliseconds, firstAvoidMilliseconds * (2 ** held.unreachable));
+			held.unreachable++;
+			return true;
+		}
+
+		held.unreachable = 0;
+		return this.#ejection.record(id, {failed: result === 'failed', now, servers: this.#countOf(held.record.service)});
+	}
+
+	#viewOf({record, inFlight, addedAt, silentFor, avoidUntil}: Held, now: number): ServerView {
+		return {
+			id: record.id,
+			zone: record.zone,
+			capacity: Math.max(1, record.slots),
+			reportedActive: 0,
+			ownAtReport: 0,
+			reportAge: 0,
+			ownInFlight: inFlight,
+			draining: false,
+			expired: silentFor.size > 0 || avoidUntil > now,
+			ejected: this.#ejection.isEjected(record.id, now),
+			// Servers warm up within milliseconds here, so that the slow start of cold replicas would only unbalance them.
+			uptime: Math.max(warmMilliseconds, now - addedAt),
+			loaded: new Set([record.service]),
+		};
+	}
+
+	#countOf(service: ServiceId): number {
+		let count = 0;
+		for (const {record} of this.#servers.values()) {
+			count += record.service === service && record.state === 'ready' ? 1 : 0;
+		}
+
+		return count;
+	}
+
+	#forget(now: number): void {
+		for (const [id, {record, addedAt, inFlight}] of this.#servers) {
+			if (record.state === 'gone' && inFlight === 0 && now - addedAt > forgetMilliseconds) {
+				this.#servers.delete(id);
+			}
+		}
+	}
+}
+
+/** The busier the own zone must be before another helps, as a share of its slots. */
+const zonePenalty = 0.1;
+/** The uptime from which the server choice gives a full share. */
+const warmMilliseconds = 30_000;
--- /dev/null
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -0,0 +1,106 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type EventStream} from './event-stream.js';
+
+/** How the events of one backend server are passed on. */
+export type RelayStreamOptions = {
+	readonly message: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly events: EventStream;
+	/** The silence after which the server counts as stalled, in milliseconds; 0 for no bound. */
+	readonly stallTimeout: number;
+	/** Called before the first event of this server is passed on. */
+	readonly onFirstEvent: () => void;
+};
+
+/** How the stream of one backend server ended. */
+export type RelayEnd = 'complete' | 'broken' | 'stalled' | 'caller-left';
+
+/**
+Passes the events of a stream on as they arrive, whole events only, so that a stream that breaks can go on elsewhere.
+
+@param options The stream and the caller.
+@returns How it ended; the caller's response is ended only where it is complete.
+@example
+```ts
+const end = await relayStream({message, response, events, stallTimeout: 1500, onFirstEvent});
+```
+*/
+export async function relayStream({message, response, events, stallTimeout, onFirstEvent}: RelayStreamOptions): Promise<RelayEnd> {
+	return new Promise(resolve => {
+		let hasEvents = false;
+		let isOver = false;
+		let timer: NodeJS.Timeout | undefined;
+		const finish = (end: RelayEnd): void => {
+			if (isOver) {
+				return;
+			}
+
+			isOver = true;
+			clearTimeout(timer);
+			response.off('close', leave);
+			response.off('drain', goOn);
+			if (end !== 'complete') {
+				message.destroy();
+			}
+
+			resolve(end);
+		};
+
+		const leave = (): void => {
+			finish('caller-left');
+		};
+
+		const goOn = (): void => {
+			watch();
+			message.resume();
+		};
+
+		const watch = (): void => {
+			clearTimeout(timer);
+			timer = stallTimeout === 0 ? undefined : setTimeout(finish, stallTimeout, 'stalled');
+		};
+
+		const pass = (bytes: Uint8Array): void => {
+			if (!hasEvents) {
+				hasEvents = true;
+				onFirstEvent();
+			}
+
+			if (!response.write(bytes)) {
+				// While the caller does not read, the server's silence is our own.
+				clearTimeout(timer);
+				message.pause();
+			}
+		};
+
+		response.on('close', leave);
+		response.on('drain', goOn);
+		watch();
+		message.on('data', (chunk: Uint8Array) => {
+			watch();
+			const part = events.push(chunk);
+			if (part !== undefined && !isOver) {
+				pass(part.bytes);
+			}
+		});
+		message.on('end', () => {
+			if (!message.complete || isOver) {
+				finish('broken');
+				return;
+			}
+
+			// What follows the last empty line belongs to a complete body too.
+			if (events.rest.byteLength > 0) {
+				pass(events.rest);
+			}
+
+			finish('complete');
+		});
+		message.on('error', () => {
+			finish('broken');
+		});
+		message.on('close', () => {
+			finish('broken');
+		});
+	});
+}
--- /dev/null
+++ b/packages/gateway/src/entry/request-run.ts
@@ -0,0 +1,555 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	type Failure, failure, type ModelId, type ServerId, type ServiceId, type VersionId,
+} from '@valehitch/core';
+import {type Route} from '../configuration/routing-configuration.js';
+import {chooseSide, type RolloutSide} from '../rollouts/choose-side.js';
+import {type ServerRecord} from '../servers/server-record.js';
+import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
+import {chooseNextModel} from './choose-next-model.js';
+import {collectBody} from './collect-body.js';
+import {type EntryContext} from './entry-context.js';
+import {EventStream} from './event-stream.js';
+import {type AnswerHead, type GatewayRequest, type Header} from './gateway-request.js';
+import {relayStream} from './relay-stream.js';
+import {type SendOutcome, type SentAttempt, sendAttempt} from './send-attempt.js';
+
+/** One request of a caller, authorized, with its body. */
+export type RequestRunOptions = {
+	readonly request: GatewayRequest;
+	readonly body: Uint8Array;
+	readonly response: ServerResponse;
+	readonly authorized: AuthorizedRequest;
+	/** When the request arrived, in milliseconds on the monotonic clock. */
+	readonly arrivedAt: number;
+};
+
+/** What follows from one send. */
+type Next = 'again' | 'ended';
+
+/** A failed answer of a backend server that is passed on if no other succeeds. */
+type HeldAnswer = {
+	readonly status: number;
+	readonly headers: readonly Header[];
+	readonly body: Uint8Array;
+};
+
+/** A connection within a region opens in a few milliseconds; one that takes longer than this is not going to. */
+const connectTimeoutMilliseconds = 400;
+/** Connections that do not open use up no attempt, but a request does not go through all servers one by one. */
+const maximumUnreachable = 4;
+/** The share of the target latency after which a silent server is given up for another. */
+const silentShare = 0.75;
+/** How many times its usual time a server may take before it is given up. */
+const silentFactor = 4;
+/** The share of a plain route's timeout after which a silent server is given up. */
+const plainSilentShare = 0.4;
+/** How many times the longest pause that is on time a stream may stall before it goes on elsewhere. */
+const stallFactor = 1;
+/** The time after which a place should be free again, for a request that no server took. */
+const retryMilliseconds = 250;
+/** A deadline is passed on shorter by the way back, in milliseconds. */
+const wayBackMilliseconds = 5;
+/** The time to the first event of a model before any was seen, as a share of the target latency. */
+const unknownLatencyShare = 0.35;
+/** The highest number of an urgency that a server takes. */
+const leastUrgent = 9;
+
+/**
+Carries one request through: chooses servers and models, sends, sends again where that is safe, and answers exactly once.
+
+@example
+```ts
+await new RequestRun(context, {request, body, response, authorized, arrivedAt}).run();
+```
+*/
+export class RequestRun {
+	readonly #context: EntryContext;
+	readonly #request: GatewayRequest;
+	readonly #body: Uint8Array;
+	readonly #response: ServerResponse;
+	readonly #arrivedAt: number;
+	readonly #deadlineAt: number;
+	readonly #events: EventStream;
+	readonly #excluded = new Set<ServerId>();
+	readonly #service: ServiceId;
+	readonly #mayRepeat: boolean;
+	#authorized: AuthorizedRequest;
+	#model: ModelId | undefined;
+	#version: VersionId | undefined;
+	#sends = 0;
+	#unreachable = 0;
+	#mayHaveRun = false;
+	#hasBegun = false;
+	#isOver = false;
+	#attempt: SentAttempt | undefined;
+	#held: HeldAnswer | undefined;
+	#lastProblem = 'none';
+
+	constructor(context: EntryContext, {request, body, response, authorized, arrivedAt}: RequestRunOptions) {
+		const {route} = authorized;
+		this.#context = context;
+		this.#request = request;
+		this.#body = body;
+		this.#response = response;
+		this.#authorized = authorized;
+		this.#arrivedAt = arrivedAt;
+		this.#deadlineAt = arrivedAt + Math.min(request.patience ?? route.timeout, route.timeout);
+		this.#events = new EventStream(request.lastEventId);
+		this.#service = chooseService(route, context.random);
+		this.#mayRepeat = route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable);
+		this.#model = request.choosesModel ? route.sizes[0] : undefined;
+	}
+
+	/** Runs the request to its answer. */
+	async run(): Promise<void> {
+		const timer = setTimeout(() => {
+			this.#expire();
+		}, this.#deadlineAt - this.#now());
+		const leave = (): void => {
+			this.#leave();
+		};
+
+		this.#response.on('close', leave);
+		this.#context.budget.deposit(this.#service, this.#now());
+		let next: Next = 'again';
+		while (next === 'again' && !this.#isOver) {
+			next = await this.#send();
+		}
+
+		clearTimeout(timer);
+		this.#response.off('close', leave);
+	}
+
+	get #route(): Route {
+		return this.#authorized.route;
+	}
+
+	#now(): number {
+		return this.#context.clock.monotonic();
+	}
+
+	async #send(): Promise<Next> {
+		const authorized = authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
+		if (authorized.isLeft()) {
+			return this.#giveUp(authorized.extract() as Failure);
+		}
+
+		const server = this.#findServer();
+		if (server === undefined) {
+			return this.#giveUp(failure('no-server', `Got no server of ${this.#service} that takes the request (${this.#lastProblem}), wanted one`, {retryAfterMilliseconds: retryMilliseconds}));
+		}
+
+		return this.#sendTo(server, authorized.unsafeCoerce());
+	}
+
+	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<Next> {
+		const {dialect, servers, log, metrics} = this.#context;
+		const sentAt = this.#now();
+		const attempt = sendAttempt({
+			server,
+			method: this.#request.method,
+			target: this.#request.target,
+			headers: dialect.sendHeaders(this.#request, {
+				server: server.id,
+				model: this.#model,
+				patience: Math.max(1, Math.floor(this.#deadlineAt - sentAt - wayBackMilliseconds)),
+				workspace: authorized.workspace?.id,
+				urgency: Math.min(leastUrgent, authorized.workspace?.priority ?? authorized.route.priority),
+				lastEventId: this.#events.lastEventId,
+			}),
+			body: this.#body,
+			mayReuse: this.#mayRepeat,
+			connectTimeout: connectTimeoutMilliseconds,
+			headTimeout: this.#headTimeout(),
+		});
+		this.#attempt = attempt;
+		this.#sends++;
+		servers.begin(server.id);
+		log('request-dispatched', {
+			request: this.#request.id, server: server.id, version: server.version, model: this.#model, send: this.#sends, age: Math.round(sentAt - this.#arrivedAt), resumeAfter: this.#events.lastEventId,
+		});
+		const outcome = await attempt.outcome;
+		const next = await this.#takeOutcome(outcome, {server, sentAt});
+		servers.end(server.id);
+		metrics.attempts.inc({result: outcome.type});
+		return next;
+	}
+
+	async #takeOutcome(outcome: SendOutcome, sent: SentTo): Promise<Next> {
+		const {server} = sent;
+		if (this.#isOver) {
+			return 'ended';
+		}
+
+		if (outcome.type === 'head') {
+			return this.#takeHead(outcome.message, sent);
+		}
+
+		this.#lastProblem = outcome.type === 'unreachable' || outcome.type === 'lost' ? outcome.reason : outcome.type;
+		this.#context.log('request-attempt-ended', {request: this.#request.id, server: server.id, result: outcome.type, reason: this.#lastProblem}, 'warn');
+		if (outcome.type === 'unreachable') {
+			this.#sends--;
+			this.#unreachable++;
+			this.#excluded.add(server.id);
+			this.#judge(server, 'unreachable');
+			return this.#unreachable < maximumUnreachable
+				? 'again'
+				: this.#giveUp(failure('no-server', `Got no connection to ${this.#unreachable} servers of ${this.#service}`, {retryAfterMilliseconds: retryMilliseconds}));
+		}
+
+		this.#mayHaveRun = true;
+		this.#failed(server);
+		return this.#again(server, failure('outcome-unknown', `Got no answer of ${server.id} (${this.#lastProblem})`));
+	}
+
+	async #takeHead(message: IncomingMessage, sent: SentTo): Promise<Next> {
+		const {server} = sent;
+		const head = this.#context.dialect.readAnswer(message.statusCode ?? 0, message.headers);
+		if (head.requestId === undefined ? !head.isNotRun && head.status < 300 : head.requestId !== this.#request.id) {
+			message.destroy();
+			this.#mayHaveRun = true;
+			this.#failed(server);
+			return this.#again(server, failure('outcome-unknown', `Got an answer of ${server.id} to request ${head.requestId ?? 'without id'}, wanted that to ${this.#request.id}`));
+		}
+
+		if (head.isNotRun) {
+			return this.#takeNotRun(message, head, server);
+		}
+
+		this.#mayHaveRun = true;
+		const isSuccess = head.status >= 200 && head.status < 300;
+		if (isSuccess && (!head.isSigned || head.isEncoded)) {
+			message.destroy();
+			this.#failed(server);
+			return this.#again(server, failure('outcome-unknown', `Got an answer of ${server.id} that is not its own, wanted one with its signature`));
+		}
+
+		if (!isSuccess) {
+			return this.#takeFailedAnswer(message, head, server);
+		}
+
+		return this.#route.kind === 'streaming'
+			? this.#takeStream(message, head, sent)
+			: this.#takePlainAnswer(message, sent);
+	}
+
+	#takeNotRun(message: IncomingMessage, head: AnswerHead, server: ServerRecord): Next {
+		message.resume();
+		if (head.isOtherServer) {
+			this.#judge(server, 'gone');
+		}
+
+		this.#context.log('request-attempt-ended', {request: this.#request.id, server: server.id, result: 'not-run', status: head.status, isOtherServer: head.isOtherServer}, 'warn');
+		this.#lastProblem = `${server.id} answered ${head.status}`;
+		this.#excluded.add(server.id);
+		if (this.#maySendAgain()) {
+			return 'again';
+		}
+
+		return this.#giveUp(failure('overloaded', `Got ${head.status} of ${server.id}, which did not run the request, and no send is left`, {retryAfterMilliseconds: retryMilliseconds}));
+	}
+
+	async #takeFailedAnswer(message: IncomingMessage, head: AnswerHead, server: ServerRecord): Promise<Next> {
+		const headers = this.#context.dialect.answerHeaders(message);
+		const body = await collectBody(message);
+		if (head.status >= 500) {
+			this.#failed(server);
+		}
+
+		const saysNotRun = head.status === 503 || head.status === 429 || head.status === 408 || head.status === 421;
+		if (body === undefined || !head.isSigned || saysNotRun) {
+			return this.#again(server, failure('backend-failed', `Got ${head.status} of ${server.id}, which cannot be passed on`));
+		}
+
+		this.#held = {status: head.status, headers, body};
+		return head.status >= 500
+			? this.#again(server, failure('backend-failed', `Got ${head.status} of ${server.id}`))
+			: this.#passOn(this.#held);
+	}
+
+	async #takePlainAnswer(message: IncomingMessage, {server, sentAt}: SentTo): Promise<Next> {
+		const headers = this.#context.dialect.answerHeaders(message);
+		const status = message.statusCode ?? 0;
+		const body = await collectBody(message);
+		if (body === undefined) {
+			this.#failed(server);
+			return this.#again(server, failure('outcome-unknown', `Got a body of ${server.id} that ended early`));
+		}
+
+		this.#succeeded(server, this.#now() - sentAt);
+		return this.#passOn({status, headers, body});
+	}
+
+	async #takeStream(message: IncomingMessage, head: AnswerHead, {server, sentAt}: SentTo): Promise<Next> {
+		const latency = this.#now() - sentAt;
+		const larger = this.#largerModel(head, latency);
+		if (larger !== undefined) {
+			message.destroy();
+			this.#succeeded(server, latency);
+			this.#context.metrics.escalations.inc();
+			this.#context.log('request-escalated', {request: this.#request.id, from: this.#model, to: larger, confidence: head.confidence, latency: Math.round(latency)});
+			this.#model = larger;
+			return 'again';
+		}
+
+		this.#version = server.version;
+		const headers = this.#context.dialect.answerHeaders(message);
+		const end = await relayStream({
+			message,
+			response: this.#response,
+			events: this.#events,
+			stallTimeout: this.#mayRepeat ? stallFactor * (this.#route.targetGap ?? this.#route.targetLatency) : 0,
+			onFirstEvent: () => {
+				this.#beginStream(message.statusCode ?? 0, headers);
+			},
+		});
+		if (end === 'complete') {
+			this.#succeeded(server, latency);
+			this.#response.end();
+			return this.#ended('answered', {server: server.id, confidence: head.confidence});
+		}
+
+		if (this.#isOver || end === 'caller-left') {
+			return 'ended';
+		}
+
+		this.#failed(server);
+		this.#events.drop();
+		this.#context.log('request-resumed', {request: this.#request.id, server: server.id, end, lastEvent: this.#events.lastEventId}, 'warn');
+		return this.#again(server, failure('outcome-unknown', `Got a stream of ${server.id} that is ${end}`));
+	}
+
+	#beginStream(status: number, headers: readonly Header[]): void {
+		if (this.#hasBegun) {
+			return;
+		}
+
+		this.#hasBegun = true;
+		this.#writeHead(status, headers);
+		this.#context.metrics.firstByte.observe({kind: this.#route.kind}, (this.#now() - this.#arrivedAt) / 1000);
+	}
+
+	/** Sends again where that is safe and something is left to send with, else answers. */
+	#again(server: ServerRecord, failed: Failure): Next {
+		this.#excluded.add(server.id);
+		this.#lastProblem = failed.message;
+		if (this.#isOver) {
+			return 'ended';
+		}
+
+		return this.#mayRepeat && this.#maySendAgain() ? 'again' : this.#giveUp(failed);
+	}
+
+	#maySendAgain(): boolean {
+		return this.#sends < this.#route.maximumAttempts && this.#context.budget.withdraw(this.#service, this.#now());
+	}
+
+	#largerModel({confidence}: AnswerHead, latency: number): ModelId | undefined {
+		const {sizes, targetLatency} = this.#route;
+		const largest = sizes.at(-1);
+		if (this.#model === undefined || largest === undefined || this.#hasBegun || this.#events.lastEventId !== undefined) {
+			return undefined;
+		}
+
+		this.#context.latencies.note(this.#latencyKey(this.#model), latency);
+		const larger = chooseNextModel({
+			sizes,
+			current: this.#model,
+			confidence,
+			leastConfidence: this.#context.bounds.leastConfidence,
+			timeLeft: targetLatency - (this.#now() - this.#arrivedAt),
+			expectedTime: this.#context.latencies.expected(this.#latencyKey(largest), unknownLatencyShare * targetLatency),
+		});
+		return larger !== undefined && this.#maySendAgain() ? larger : undefined;
+	}
+
+	#latencyKey(model: ModelId | undefined): string {
+		return `${this.#route.id} ${model ?? ''}`;
+	}
+
+	#headTimeout(): number {
+		if (!this.#mayRepeat || this.#sends + 1 >= this.#route.maximumAttempts) {
+			return 0;
+		}
+
+		if (this.#route.kind === 'safe') {
+			return plainSilentShare * this.#route.timeout;
+		}
+
+		const usual = this.#context.latencies.expected(this.#latencyKey(this.#model), 0);
+		return Math.max(silentShare * this.#route.targetLatency, silentFactor * usual);
+	}
+
+	#findServer(): ServerRecord | undefined {
+		const {servers, pins} = this.#context;
+		const now = this.#now();
+		const {session, promptParts, id} = this.#request;
+		const subject = this.#route.usesPromptCache ? promptParts.at(-1) : undefined;
+		const side = this.#side(session ?? id, now);
+		const rollout = this.#context.rolloutOf(this.#service);
+		const wishes = this.#wishes(side, rollout?.target);
+		for (const isWanted of wishes) {
+			const server = servers.find({
+				service: this.#service, isWanted, excluded: this.#excluded, subject: subject === undefined ? undefined : `${subject} ${this.#model ?? ''}`, now,
+			});
+			if (server !== undefined) {
+				if (session !== undefined) {
+					pins.note(session, server.version, now);
+				}
+
+				return server;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Which versions will do, the best first. */
+	#wishes(side: RolloutSide, target: VersionId | undefined): ReadonlyArray<(version: VersionId) => boolean> {
+		const ofSide = (version: VersionId): boolean => side === 'any' || (side === 'target') === (version === target);
+		const begun = this.#version;
+		// A stream goes on at the version that began it, where that is still there.
+		const wishes = begun === undefined ? [ofSide] : [(version: VersionId) => version === begun, ofSide];
+		return side === 'target' ? [...wishes, () => true] : wishes;
+	}
+
+	#side(subject: string, now: number): RolloutSide {
+		const rollout = this.#context.rolloutOf(this.#service);
+		if (rollout === undefined) {
+			return 'any';
+		}
+
+		const {session} = this.#request;
+		return chooseSide(rollout, {
+			subject,
+			hasSession: session !== undefined,
+			pinned: session === undefined ? undefined : this.#context.pins.of(session, now),
+			canaryShare: this.#context.bounds.canaryShare,
+		});
+	}
+
+	#succeeded(server: ServerRecord, latency: number): void {
+		this.#judge(server, 'answered');
+		this.#context.evidence.note({
+			service: this.#service, version: server.version, route: this.#route.id, model: this.#model, isFailure: false, latency,
+		});
+	}
+
+	#failed(server: ServerRecord): void {
+		this.#judge(server, 'failed');
+		this.#context.evidence.note({
+			service: this.#service, version: server.version, route: this.#route.id, model: this.#model, isFailure: true, latency: undefined,
+		});
+	}
+
+	#judge(server: ServerRecord, result: 'answered' | 'failed' | 'unreachable' | 'gone'): void {
+		if (this.#context.servers.record(server.id, result, this.#now())) {
+			this.#context.log('server-suspected', {server: server.id, service: server.service, result, request: this.#request.id}, 'warn');
+		}
+	}
+
+	#passOn({status, headers, body}: HeldAnswer): Next {
+		if (this.#isOver) {
+			return 'ended';
+		}
+
+		this.#context.metrics.firstByte.observe({kind: this.#route.kind}, (this.#now() - this.#arrivedAt) / 1000);
+		this.#writeHead(status, [...headers, ['Content-Length', String(body.byteLength)]]);
+		this.#response.end(body);
+		return this.#ended('answered', {status});
+	}
+
+	#writeHead(status: number, headers: readonly Header[]): void {
+		if (this.#context.isStopping()) {
+			this.#response.shouldKeepAlive = false;
+		}
+
+		this.#response.sendDate = false;
+		this.#response.writeHead(status, headers.flat());
+	}
+
+	/** Answers with a failed answer of a backend server, where there is one, else with the failure. */
+	#giveUp(failed: Failure): Next {
+		if (this.#isOver) {
+			return 'ended';
+		}
+
+		if (this.#hasBegun) {
+			// An answer that ends early must not look complete.
+			this.#response.destroy();
+			return this.#ended('broken-off', {reason: failed.message});
+		}
+
+		if (this.#held !== undefined) {
+			return this.#passOn(this.#held);
+		}
+
+		const isUnsure = this.#mayHaveRun && !this.#mayRepeat;
+		this.#refuse(isUnsure && failed.kind !== 'deadline-exceeded-after-dispatch' ? failure('outcome-unknown', failed.message) : failed);
+		return this.#ended('refused', {kind: failed.kind, reason: failed.message, mayHaveRun: this.#mayHaveRun});
+	}
+
+	#refuse(failed: Failure): void {
+		const {dialect, metrics} = this.#context;
+		const {status, headers, body} = dialect.refuse(this.#request, failed);
+		metrics.refusals.inc({kind: failed.kind});
+		this.#writeHead(status, headers);
+		this.#response.end(body);
+	}
+
+	#expire(): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#attempt?.cancel();
+		const waited = Math.round(this.#now() - this.#arrivedAt);
+		this.#giveUp(this.#sends === 0
+			? failure('no-server', `Got no server within ${waited} ms`, {retryAfterMilliseconds: retryMilliseconds})
+			: failure('deadline-exceeded-after-dispatch', `Got no answer within ${waited} ms (${this.#lastProblem})`));
+	}
+
+	#leave(): void {
+		if (!this.#isOver && !this.#response.writableFinished) {
+			this.#attempt?.cancel();
+			this.#ended('caller-left', {});
+		}
+	}
+
+	#ended(outcome: string, fields: Readonly<Record<string, string | number | boolean | undefined>>): Next {
+		if (this.#isOver) {
+			return 'ended';
+		}
+
+		this.#isOver = true;
+		const milliseconds = this.#now() - this.#arrivedAt;
+		const {metrics, log} = this.#context;
+		metrics.requests.inc({kind: this.#route.kind, outcome});
+		metrics.duration.observe({kind: this.#route.kind}, milliseconds / 1000);
+		log('request-ended', {
+			request: this.#request.id, route: this.#route.id, service: this.#service, outcome, model: this.#model, sends: this.#sends, duration: Math.round(milliseconds), ...fields,
+		}, outcome === 'answered' ? 'info' : 'warn');
+		return 'ended';
+	}
+}
+
+type SentTo = {
+	readonly server: ServerRecord;
+	/** Milliseconds on the monotonic clock. */
+	readonly sentAt: number;
+};
+
+/** Draws a service of a route by its weight. */
+function chooseService({services}: Route, random: () => number): ServiceId {
+	const total = services.reduce((sum, {weight}) => sum + weight, 0);
+	let left = random() * total;
+	for (const {service, weight} of services) {
+		left -= weight;
+		if (left < 0) {
+			return service;
+		}
+	}
+
+	return services.at(-1)!.service;
+}
--- /dev/null
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -0,0 +1,142 @@
+import {
+	Agent, type ClientRequest, type IncomingMessage, request as openRequest,
+} from 'node:http';
+import {type ServerRecord} from '../servers/server-record.js';
+import {type Header} from './gateway-request.js';
+
+/** One send to a backend server. */
+export type SendAttemptOptions = {
+	readonly server: ServerRecord;
+	readonly method: string;
+	readonly target: string;
+	readonly headers: readonly Header[];
+	readonly body: Uint8Array;
+	/** Whether an idle connection may carry it; false where the request may not be repeated. */
+	readonly mayReuse: boolean;
+	/** Milliseconds within which the connection must open. */
+	readonly connectTimeout: number;
+	/** Milliseconds within which the head of the answer must arrive; 0 for no bound. */
+	readonly headTimeout: number;
+};
+
+/** What a send came to, up to the head of the answer. */
+export type SendOutcome
+	/** The connection never opened, so the request did not run. */
+	= | {readonly type: 'unreachable'; readonly reason: string}
+	/** The request may have run, and there is no answer. */
+		| {readonly type: 'lost'; readonly reason: string}
+		| {readonly type: 'silent'}
+		| {readonly type: 'cancelled'}
+		| {readonly type: 'head'; readonly message: IncomingMessage};
+
+/** A send in progress. */
+export type SentAttempt = {
+	readonly outcome: Promise<SendOutcome>;
+	/** Ends the send and destroys its connection; the server notices that. */
+	readonly cancel: () => void;
+};
+
+/** Idle connections to one server; more than that many requests at once to one server are rare. */
+const maximumIdleConnections = 8;
+/** The time that an idle connection is kept where the server names none, in milliseconds: below the usual idle timeouts of a few seconds. */
+const idleMilliseconds = 1500;
+
+const agent = new Agent({keepAlive: true, maxFreeSockets: maximumIdleConnections, timeout: 0, scheduling: 'lifo'});
+const usedAt = new WeakMap<object, number>();
+
+agent.on('free', socket => {
+	usedAt.set(socket, performance.now());
+});
+
+/**
+Sends a request to a backend server, and tells exactly whether it can have run.
+
+@param options The request and the server.
+@returns The send in progress.
+@example
+```ts
+const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuse: true, connectTimeout: 400, headTimeout: 0});
+```
+*/
+export function sendAttempt(options: SendAttemptOptions): SentAttempt {
+	const {server, method, target, headers, body, mayReuse} = options;
+	if (mayReuse) {
+		dropStaleConnections(server);
+	}
+
+	const request = openRequest({
+		host: server.host, port: server.port, method, path: target, agent: mayReuse ? agent : false, setHost: false, headers: headers.flat(),
+	});
+	let isCancelled = false;
+	const outcome = awaitHead(request, options, () => isCancelled);
+	request.end(body);
+	return {
+		outcome,
+		cancel() {
+			isCancelled = true;
+			request.destroy();
+		},
+	};
+}
+
+async function awaitHead(request: ClientRequest, {connectTimeout, headTimeout}: SendAttemptOptions, isCancelled: () => boolean): Promise<SendOutcome> {
+	return new Promise(resolve => {
+		let isOpen = false;
+		let isSilent = false;
+		const connectTimer = setTimeout(() => {
+			if (!isOpen) {
+				request.destroy(new Error(`Got no connection in ${connectTimeout} ms`));
+			}
+		}, connectTimeout);
+		const headTimer = headTimeout === 0 ? undefined : setTimeout(() => {
+			isSilent = true;
+			request.destroy();
+		}, headTimeout);
+		const settle = (outcome: SendOutcome): void => {
+			clearTimeout(connectTimer);
+			clearTimeout(headTimer);
+			resolve(outcome);
+		};
+
+		const fail = (reason: string): void => {
+			if (isCancelled()) {
+				settle({type: 'cancelled'});
+			} else if (!isOpen) {
+				settle({type: 'unreachable', reason});
+			} else {
+				settle(isSilent ? {type: 'silent'} : {type: 'lost', reason});
+			}
+		};
+
+		request.on('socket', socket => {
+			if (!socket.connecting) {
+				isOpen = true;
+				return;
+			}
+
+			socket.once('connect', () => {
+				isOpen = true;
+			});
+		});
+		request.on('response', message => {
+			settle({type: 'head', message});
+		});
+		request.on('error', error => {
+			fail(error.message);
+		});
+		request.on('close', () => {
+			fail('The connection closed before an answer');
+		});
+	});
+}
+
+/** A connection that idled for long may be closed by the server at this moment, and one with bytes waiting holds an answer that belongs to no request. */
+function dropStaleConnections({host, port}: ServerRecord): void {
+	const free = agent.freeSockets[agent.getName({host, port})] ?? [];
+	for (const socket of free) {
+		const idle = performance.now() - (usedAt.get(socket) ?? 0);
+		if (idle > idleMilliseconds || socket.readableLength > 0) {
+			socket.destroy();
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -0,0 +1,25 @@
+/** The closed list of what a log line can be about. */
+export type DecisionKind
+	= | 'process-started' | 'process-stopping' | 'process-stopped' | 'settings-reloaded'
+		| 'dependency-lost' | 'dependency-regained'
+		| 'configuration-adopted' | 'configuration-submitted' | 'configuration-refused' | 'lease-lost' | 'lease-regained'
+		| 'leader-changed' | 'membership-changed' | 'storage-failed' | 'storage-opened'
+		| 'server-joined' | 'server-draining' | 'server-gone' | 'server-silent' | 'server-suspected'
+		| 'rollout-started' | 'rollout-advanced'
+		| 'request-refused' | 'request-dispatched' | 'request-attempt-ended' | 'request-escalated' | 'request-resumed' | 'request-ended';
+
+/** What decided, with ages and versions, and the outcome. */
+export type DecisionFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>;
+
+/** How much a line matters; lines of `warn` are kept in preference. */
+export type DecisionLevel = 'info' | 'warn' | 'error';
+
+/**
+Takes a line for each decision.
+
+@example
+```ts
+log('request-refused', {request: 'a1', reason: 'no-server'}, 'warn');
+```
+*/
+export type DecisionLog = (kind: DecisionKind, fields: DecisionFields, level?: DecisionLevel) => void;
--- /dev/null
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -0,0 +1,60 @@
+import {Counter, Histogram, Registry} from 'prom-client';
+
+/** Seconds; from the shortest plain answer to the longest stream. */
+const latencyBuckets = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6];
+
+/**
+The counters and histograms of a gateway process; the label sets are closed lists, so their number is bounded.
+
+@example
+```ts
+const metrics = createGatewayMetrics();
+metrics.refusals.inc({kind: 'no-server'});
+await metrics.registry.metrics();
+```
+*/
+export type GatewayMetrics = ReturnType<typeof createGatewayMetrics>;
+
+/**
+Makes the metrics of a gateway process.
+
+@returns The metrics, all at zero.
+@example
+```ts
+createGatewayMetrics().requests.inc({kind: 'safe', outcome: 'answered'});
+```
+*/
+export function createGatewayMetrics() {
+	const registry = new Registry();
+	const registers = [registry];
+	return {
+		registry,
+		requests: new Counter({
+			name: 'valehitch_requests_total', help: 'Requests that ended, by kind of route and outcome', labelNames: ['kind', 'outcome'], registers,
+		}),
+		refusals: new Counter({
+			name: 'valehitch_refusals_total', help: 'Requests answered with an error of our own, by error kind', labelNames: ['kind'], registers,
+		}),
+		attempts: new Counter({
+			name: 'valehitch_attempts_total', help: 'Sends to backend servers, by result', labelNames: ['result'], registers,
+		}),
+		escalations: new Counter({
+			name: 'valehitch_escalations_total', help: 'Answers dropped for one of a larger model', registers,
+		}),
+		firstByte: new Histogram({
+			name: 'valehitch_first_byte_seconds', help: 'Time from a request to the first byte of its answer', labelNames: ['kind'], buckets: latencyBuckets, registers,
+		}),
+		duration: new Histogram({
+			name: 'valehitch_request_seconds', help: 'Time from a request to the end of its answer', labelNames: ['kind'], buckets: latencyBuckets, registers,
+		}),
+		commands: new Counter({
+			name: 'valehitch_commands_total', help: 'Commands proposed to the replicated log, by type and result', labelNames: ['type', 'result'], registers,
+		}),
+		announcements: new Counter({
+			name: 'valehitch_announcements_total', help: 'Announcements of backend servers, by state', labelNames: ['state'], registers,
+		}),
+		watches: new Counter({
+			name: 'valehitch_watches_total', help: 'Polls of control instances, by result', labelNames: ['result'], registers,
+		}),
+	};
+}
--- /dev/null
+++ b/packages/gateway/src/mod.ts
@@ -0,0 +1,21 @@
+/**
+A gateway: entry instances that pass requests through to backend servers, and control instances that hold what they route by.
+
+@module
+*/
+export * from './configuration/check-routing-configuration.js';
+export type * from './configuration/routing-configuration.js';
+export * from './configuration/route-table.js';
+export * from './control/control-instance.js';
+export type * from './control/peer-message.js';
+export * from './entry/configuration-lease.js';
+export type * from './entry/dialect.js';
+export * from './entry/entry-instance.js';
+export type * from './entry/entry-context.js';
+export type * from './entry/gateway-request.js';
+export * from './logs/bounded-output.js';
+export * from './logs/create-decision-log.js';
+export type * from './logs/decision-log.js';
+export * from './logs/gateway-metrics.js';
+export * from './rollouts/rollout.js';
+export type * from './servers/server-record.js';
--- /dev/null
+++ b/packages/gateway/src/rollouts/choose-side.ts
@@ -0,0 +1,51 @@
+import {type VersionId} from '@valehitch/core';
+import {prefixHash} from '@valehitch/routing';
+import {type RunningRollout} from './rollout.js';
+
+/** Which servers may take a request: those of the target, those of any other version, or all. */
+export type RolloutSide = 'target' | 'others' | 'any';
+
+/** What decides the side of a request. */
+export type ChooseSideOptions = {
+	/** The session, or the request where it belongs to none. */
+	readonly subject: string;
+	readonly hasSession: boolean;
+	/** The version that the session ran on last, where that is known. */
+	readonly pinned: VersionId | undefined;
+	/** The share of the requests that the target gets before it is judged. */
+	readonly canaryShare: number;
+};
+
+const hashRange = 67_108_859;
+/** Sessions stay on the old version for this share of the duration. */
+const sessionShare = 0.5;
+
+/**
+Chooses between the versions of a service in a roll-out.
+
+The choice is a hash of the session, so that all instances choose alike, and a session that reached the target stays there.
+
+@param rollout The newest roll-out of the service, with its age.
+@param options What decides.
+@returns The side.
+@example
+```ts
+chooseSide(rollout, {subject: 'crew-7', hasSession: true, pinned: undefined, canaryShare: 0.1});
+```
+*/
+export function chooseSide({target, duration, stage, age}: RunningRollout, {subject, hasSession, pinned, canaryShare}: ChooseSideOptions): RolloutSide {
+	if (stage === 'rolled-back') {
+		return 'others';
+	}
+
+	if (stage !== 'canary') {
+		return 'target';
+	}
+
+	if (pinned === target) {
+		return 'target';
+	}
+
+	const isPinnedToOld = hasSession && pinned !== undefined && age < sessionShare * duration;
+	return !isPinnedToOld && prefixHash(subject) < canaryShare * hashRange ? 'target' : 'others';
+}
--- /dev/null
+++ b/packages/platform/src/handle-control.ts
@@ -0,0 +1,119 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	errorAnswers, type Failure, failure, type ServerId, type ServiceId, toId, type VersionId,
+} from '@valehitch/core';
+import {type ControlInstance, type RolloutStage} from '@valehitch/gateway';
+import {parseJsonBody, readBody} from '@valehitch/transport';
+import {type Either, Left, Right} from 'purify-ts';
+import {z} from 'zod';
+import {decodeAnnouncement} from './decode-announcement.js';
+import {decodeConfiguration} from './decode-configuration.js';
+
+type Answer = {
+	readonly status: number;
+	readonly body: string;
+};
+
+const rolloutSchema = z.object({service: z.string(), target: z.string(), durationS: z.number().positive()});
+/** The states that the platform knows; the move of all new work to the new version is a part of running. */
+const stateNames: Readonly<Record<RolloutStage, string>> = {
+	canary: 'running', shifting: 'running', completed: 'completed', 'rolled-back': 'rolled_back',
+};
+const maximumBodyBytes = 8_388_608;
+const millisecondsPerSecond = 1000;
+const done: Answer = {status: 200, body: '{}'};
+
+/**
+Answers the calls of operators and backend servers.
+
+@param control The control instance.
+@param request The call.
+@param response The answer.
+@example
+```ts
+startHttpServer({host, port, headerBytes: 16384, handler: async (request, response) => handleControl(control, request, response), onError});
+```
+*/
+export async function handleControl(control: ControlInstance, request: IncomingMessage, response: ServerResponse): Promise<void> {
+	const body = await readBody(request, maximumBodyBytes);
+	const answer = body.isLeft() ? Left(body.extract() as Failure) : await answerCall(control, request, body.unsafeCoerce());
+	const {status, body: text} = answer.caseOf<Answer>({
+		Left: failed => ({status: errorAnswers[failed.kind].status, body: JSON.stringify({error: failed.kind, detail: failed.message})}),
+		Right: value => value,
+	});
+	response.writeHead(status, {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text)});
+	response.end(text);
+}
+
+async function answerCall(control: ControlInstance, {method, url = ''}: IncomingMessage, body: Uint8Array): Promise<Either<Failure, Answer>> {
+	const [, , collection, name, ...rest] = url.split('?', 1)[0]!.split('/');
+	const call = `${method} ${collection}${name === undefined ? '' : '/'}`;
+	if (!url.startsWith('/-/') || rest.length > 0) {
+		return Left(failure('not-found', `Got ${method} ${url}, wanted a call that is known here`));
+	}
+
+	switch (call) {
+		case 'PUT config': {
+			return putConfiguration(control, new TextDecoder().decode(body));
+		}
+
+		case 'GET config': {
+			const read = await control.readConfiguration();
+			return read.map(({document}) => ({status: 200, body: document}));
+		}
+
+		case 'POST rollouts': {
+			return startRollout(control, body);
+		}
+
+		case 'GET rollouts/': {
+			const read = await control.readRollout(toId<ServiceId>(name!));
+			return read.map(({stage, target}) => ({status: 200, body: JSON.stringify({state: stateNames[stage], target})}));
+		}
+
+		case 'PUT instances/': {
+			const record = decodeAnnouncement(name!, body);
+			return record.caseOf<Promise<Either<Failure, Answer>>>({
+				Left: async failed => Left(failed),
+				async Right(announced) {
+					await control.announce(announced);
+					return Right(done);
+				},
+			});
+		}
+
+		case 'DELETE instances/': {
+			await control.removeServer(toId<ServerId>(name!));
+			return Right(done);
+		}
+
+		default: {
+			return Left(failure('not-found', `Got ${method} ${url}, wanted a call that is known here`));
+		}
+	}
+}
+
+async function putConfiguration(control: ControlInstance, document: string): Promise<Either<Failure, Answer>> {
+	const decoded = decodeConfiguration(document);
+	return decoded.caseOf<Promise<Either<Failure, Answer>>>({
+		Left: async failed => Left(failed),
+		async Right(configuration) {
+			const submitted = await control.submitConfiguration(configuration, document);
+			return submitted.map(() => done);
+		},
+	});
+}
+
+async function startRollout(control: ControlInstance, body: Uint8Array): Promise<Either<Failure, Answer>> {
+	const parsed = parseJsonBody({bytes: body, schema: rolloutSchema});
+	return parsed.caseOf<Promise<Either<Failure, Answer>>>({
+		Left: async failed => Left(failed),
+		async Right({service, target, durationS}) {
+			const started = await control.startRollout({
+				service: toId<ServiceId>(service), target: toId<VersionId>(target), duration: durationS * millisecondsPerSecond,
+			});
+			return started.map(() => done);
+		},
+	});
+}
--- a/packages/daemon/src/control/state-machine.ts
+++ b/packages/replication/src/state-machine.ts
@@ -1,58 +1,72 @@
 import {type LogEntry, type ReplicaSet, type Snapshot} from '@valehitch/consensus';
-import {
-	type Command, type CommandAnswer, ControlState, type LogPosition,
-} from '@valehitch/control';
 import {type Failure, failure} from '@valehitch/core';
 import {type Either, Left} from 'purify-ts';
-import {decodeCommand} from './_encode-command.js';
 import {type CommittedActions} from './replica-driver.js';
 
+/** Where an entry stands in the log. */
+export type LogPosition = {
+	readonly term: number;
+	readonly index: number;
+};
+
+/** State that changes only by the commands of the log, in their order. */
+export type ReplicatedState<Command, Answer> = {
+	readonly apply: (command: Command, position: LogPosition) => Either<Failure, Answer>;
+	/** The whole state as bytes. */
+	readonly toSnapshot: () => Uint8Array;
+};
+
 /** One command that was applied. */
-export type AppliedCommand = LogPosition & {
+export type Applied<Command, Answer> = LogPosition & {
 	readonly command: Command;
-	readonly result: Either<Failure, CommandAnswer>;
+	readonly result: Either<Failure, Answer>;
 	/** Whether its proposer waits for the result on this replica. */
 	readonly isAwaited: boolean;
 };
 
-/** What the state machine tells. */
-export type StateMachineOptions = {
+/** What the state machine applies, and what it tells. */
+export type StateMachineOptions<Command, Answer, State> = {
+	/** Gives the state of a log without entries, or that of a snapshot. */
+	readonly create: (snapshot?: Uint8Array) => State;
+	/** Reads a command of the log. */
+	readonly decode: (data: Uint8Array) => Command;
 	/** Told of each command, after it was applied. */
-	readonly onApplied: (applied: AppliedCommand) => void;
+	readonly onApplied: (applied: Applied<Command, Answer>) => void;
 	/** Told of each replica set that was committed. */
 	readonly onReplicas: (replicas: ReplicaSet) => void;
 };
 
-type Waiting = {
-	readonly settle: (result: Either<Failure, CommandAnswer>) => void;
+type Waiting<Answer> = {
+	readonly settle: (result: Either<Failure, Answer>) => void;
 	position?: LogPosition;
 };
 
 const retryMilliseconds = 500;
 
 /**
-Applies the committed entries of the log to the control state, and hands each proposer its result.
+Applies the committed entries of the log to a replicated state, and hands each proposer its result.
 
 @example
 ```ts
-const machine = new StateMachine({onApplied, onReplicas});
+const machine = new StateMachine({create, decode, onApplied, onReplicas});
 ```
 */
-export class StateMachine {
-	readonly #options: StateMachineOptions;
-	#state = new ControlState();
+export class StateMachine<Command, Answer, State extends ReplicatedState<Command, Answer>> {
+	readonly #options: StateMachineOptions<Command, Answer, State>;
+	#state: State;
 	#appliedIndex = 0;
 	#bytesSinceSnapshot = 0;
 	#entriesSinceSnapshot = 0;
-	readonly #waiting = new Map<string, Waiting>();
+	readonly #waiting = new Map<string, Waiting<Answer>>();
 	readonly #byIndex = new Map<number, string>();
 
-	constructor(options: StateMachineOptions) {
+	constructor(options: StateMachineOptions<Command, Answer, State>) {
 		this.#options = options;
+		this.#state = options.create();
 	}
 
 	/** The state after the last applied entry. */
-	get state(): ControlState {
+	get state(): State {
 		return this.#state;
 	}
 
@@ -77,7 +91,7 @@
 	@param proposalId The proposal, which is not pushed yet.
 	@returns Its result, once its entry was applied or is known to be lost.
 	*/
-	async resultOf(proposalId: string): Promise<Either<Failure, CommandAnswer>> {
+	async resultOf(proposalId: string): Promise<Either<Failure, Answer>> {
 		return new Promise(settle => {
 			this.#waiting.set(proposalId, {settle});
 		});
@@ -122,7 +136,7 @@
 	@param snapshot The snapshot.
 	*/
 	restore({lastIndex, data, replicas}: Snapshot): void {
-		this.#state = lastIndex === 0 ? new ControlState() : ControlState.fromSnapshot(data);
+		this.#state = this.#options.create(lastIndex === 0 ? undefined : data);
 		this.#appliedIndex = lastIndex;
 		this.snapshotTaken();
 		this.#options.onReplicas(replicas);
@@ -165,7 +179,7 @@
 
 		if (payload.type === 'command') {
 			this.#bytesSinceSnapshot += payload.data.byteLength;
-			const command = decodeCommand(payload.data);
+			const command = this.#options.decode(payload.data);
 			const result = this.#state.apply(command, {term, index});
 			const isAwaited = proposalId !== undefined && this.#waiting.get(proposalId)?.position?.term === term;
 			if (isAwaited) {
@@ -183,7 +197,7 @@
 		}
 	}
 
-	#settle(proposalId: string, result: Either<Failure, CommandAnswer>): void {
+	#settle(proposalId: string, result: Either<Failure, Answer>): void {
 		const waiting = this.#waiting.get(proposalId);
 		if (waiting === undefined) {
 			return;
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -4,6 +4,7 @@
 @module
 */
 export * from './http-server.js';
+export * from './parse-json-body.js';
 export * from './peer-network.js';
 export * from './problem.js';
 export * from './read-body.js';
