--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -3,6 +3,7 @@
 import {type PeerAddress} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import {match} from 'ts-pattern';
+import {readReplicaMessage} from '@valehitch/replication';
 import {type DaemonBase} from '../daemon-base.js';
 import {toResultReply} from '../result-reply.js';
 import {type RunningArchive} from './archive/start-archive.js';
@@ -10,7 +11,6 @@
 import {
 	type ControlMessage, type ControlReply, type LeaderQuestion, type LeaderReply, type LedgerMessage, type LedgerPage, type OrderList, type SnapshotPieceReply,
 } from './messages.js';
-import {readReplicaMessage} from '@valehitch/replication';
 import {SnapshotPieces} from './snapshot-pieces.js';
 
 /** What the answers come from. */
--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -1,8 +1,8 @@
 import {type Command, type OrderRecord} from '@valehitch/control';
 import {type ReplicaId, type ReplicaSet, type SnapshotRequest} from '@valehitch/consensus';
 import {type Bill, type InstanceId} from '@valehitch/core';
-import {type ResultReply} from '../result-reply.js';
 import {type ReplicaWire} from '@valehitch/replication';
+import {type ResultReply} from '../result-reply.js';
 
 /** Asks the control role to carry out a command. */
 export type ProposeMessage = {
--- a/packages/daemon/src/control/snapshot-pieces.ts
+++ b/packages/daemon/src/control/snapshot-pieces.ts
@@ -1,6 +1,6 @@
 import {type ReplicaId, type SnapshotRequest} from '@valehitch/consensus';
-import {type SnapshotPieceMessage} from './messages.js';
 import {type ReplicaDelivery} from '@valehitch/replication';
+import {type SnapshotPieceMessage} from './messages.js';
 
 /** A snapshot on its way to another replica. */
 export type SnapshotEnvelope = ReplicaDelivery & {readonly message: SnapshotRequest};
--- a/packages/daemon/src/control/start-control.ts
+++ b/packages/daemon/src/control/start-control.ts
@@ -6,6 +6,7 @@
 import {type DataFolder, openDataFolder} from '@valehitch/storage';
 import {type PeerAddress} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
+import {type ReplicaDelivery, writeReplicaMessage} from '@valehitch/replication';
 import {type DaemonBase} from '../daemon-base.js';
 import {type ArchivedPiece} from './archive/archived-piece.js';
 import {type RunningArchive, startArchive} from './archive/start-archive.js';
@@ -17,7 +18,6 @@
 import {
 	type ControlMessage, type JoinReply, type SnapshotPieceReply,
 } from './messages.js';
-import {type ReplicaDelivery, writeReplicaMessage} from '@valehitch/replication';
 import {type SnapshotEnvelope} from './snapshot-pieces.js';
 import {SnapshotSender} from './snapshot-sender.js';
 
--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -9,7 +9,7 @@
 @example
 ```ts
 const table = new RouteTable(configuration);
-table.find('desk.example', '/labels/42');
+table.routeOf('desk.example', '/labels/42');
 ```
 */
 export class RouteTable {
@@ -53,7 +53,7 @@
 	@param path The path without the query.
 	@returns The route, or undefined where none matches.
 	*/
-	find(host: string, path: string): Route | undefined {
+	routeOf(host: string, path: string): Route | undefined {
 		return this.#routes.get(host.toLowerCase())?.find(({pathPrefix}) => path.startsWith(pathPrefix));
 	}
 
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -148,7 +148,9 @@
 	*/
 	async startRollout(order: {readonly service: ServiceId; readonly target: VersionId; readonly duration: number}): Promise<Either<Failure, GatewayAnswer>> {
 		const result = await this.#propose({type: 'start-rollout', ...order});
-		this.#options.log('rollout-started', {service: order.service, target: order.target, duration: order.duration, result: describe(result)});
+		this.#options.log('rollout-started', {
+			service: order.service, target: order.target, duration: order.duration, result: describe(result),
+		});
 		return result;
 	}
 
--- /dev/null
+++ b/packages/gateway/src/control/gateway-state.test.ts
@@ -0,0 +1,46 @@
+import {type ServiceId, type VersionId} from '@valehitch/core';
+import test from 'ava';
+import {GatewayState} from './gateway-state.js';
+
+const service = 'summaries' as ServiceId;
+const target = 'v2' as VersionId;
+
+test('the highest version wins, whatever the order, and a version keeps its content', t => {
+	const state = new GatewayState();
+	t.like(state.apply({type: 'put-configuration', version: 5, document: 'five'}).unsafeCoerce(), {isNewest: true});
+	t.like(state.apply({type: 'put-configuration', version: 3, document: 'three'}).unsafeCoerce(), {isNewest: false, version: 5});
+	t.like(state.apply({type: 'put-configuration', version: 5, document: 'other'}).unsafeCoerce(), {isNewest: false});
+	t.deepEqual(state.configuration, {version: 5, document: 'five'});
+});
+
+test('a snapshot holds everything', t => {
+	const state = new GatewayState();
+	state.apply({type: 'put-configuration', version: 5, document: 'five'});
+	state.apply({
+		type: 'start-rollout', service, target, duration: 1000,
+	});
+	const restored = new GatewayState(state.toSnapshot());
+	t.deepEqual(restored.configuration, state.configuration);
+	t.deepEqual(restored.rollouts, state.rollouts);
+});
+
+test('a resent order changes nothing, another one waits for the end, and an ended roll-out stays ended', t => {
+	const state = new GatewayState();
+	const start = {
+		type: 'start-rollout', service, target, duration: 1000,
+	} as const;
+	state.apply(start);
+	state.apply({
+		type: 'advance-rollout', service, target, stage: 'shifting',
+	});
+	t.like(state.apply(start).unsafeCoerce(), {rollout: {stage: 'shifting'}});
+	t.is(state.apply({...start, target: 'v3' as VersionId}).swap().unsafeCoerce().kind, 'revision-conflict');
+	state.apply({
+		type: 'advance-rollout', service, target, stage: 'rolled-back',
+	});
+	state.apply({
+		type: 'advance-rollout', service, target, stage: 'completed',
+	});
+	t.is(state.rollouts[0]?.stage, 'rolled-back');
+	t.true(state.apply({...start, target: 'v3' as VersionId}).isRight());
+});
--- /dev/null
+++ b/packages/gateway/src/entry/_test-request.ts
@@ -0,0 +1,22 @@
+import {type GatewayRequest} from './gateway-request.js';
+
+/** A plain request for tests. */
+export function testRequest(changes: Partial<GatewayRequest> = {}): GatewayRequest {
+	return {
+		id: 'a1',
+		method: 'GET',
+		target: '/labels/7',
+		path: '/labels/7',
+		host: 'desk.example',
+		headers: [],
+		key: 'k1',
+		patience: 1500,
+		choosesModel: false,
+		promptParts: [],
+		inputTokens: 0,
+		outputTokens: 0,
+		session: undefined,
+		lastEventId: undefined,
+		...changes,
+	};
+}
--- a/packages/gateway/src/entry/authorize-request.ts
+++ b/packages/gateway/src/entry/authorize-request.ts
@@ -40,7 +40,7 @@
 		return Left(failure('no-configuration', 'Got no configuration yet, wanted one to route by', {retryAfterMilliseconds: retryMilliseconds}));
 	}
 
-	const route = table.find(host, path);
+	const route = table.routeOf(host, path);
 	if (route === undefined) {
 		return Left(failure('not-found', `Got ${host} ${path}, wanted a route of configuration ${table.version}`));
 	}
@@ -56,5 +56,9 @@
 
 	return lease.isValid(now)
 		? Right({route, workspace})
-		: Left(failure('configuration-expired', `Got a configuration last confirmed ${Math.round(lease.age(now))} ms ago, wanted it recent enough to trust a key`, {retryAfterMilliseconds: retryMilliseconds}));
+		: Left(expired(lease.age(now)));
+}
+
+function expired(age: number): Failure {
+	return failure('configuration-expired', `Got a configuration last confirmed ${Math.round(age)} ms ago, wanted it recent enough to trust a key`, {retryAfterMilliseconds: retryMilliseconds});
 }
--- a/packages/gateway/src/entry/collect-body.ts
+++ b/packages/gateway/src/entry/collect-body.ts
@@ -5,20 +5,21 @@
 Reads the body of a backend server's answer.
 
 @param message The answer.
+@param isWhole Tells at the end whether the answer is complete.
 @returns The whole body; undefined where it ended early.
 @example
 ```ts
-const body = await collectBody(message);
+const body = await collectBody(message, isWhole);
 ```
 */
-export async function collectBody(message: IncomingMessage): Promise<Uint8Array | undefined> {
+export async function collectBody(message: IncomingMessage, isWhole: () => boolean): Promise<Uint8Array | undefined> {
 	return new Promise(resolve => {
 		const chunks: Uint8Array[] = [];
 		message.on('data', (chunk: Uint8Array) => {
 			chunks.push(chunk);
 		});
 		message.on('end', () => {
-			resolve(message.complete ? Buffer.concat(chunks) : undefined);
+			resolve(isWhole() ? Buffer.concat(chunks) : undefined);
 		});
 		message.on('error', () => {
 			resolve(undefined);
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -111,7 +111,9 @@
 		}
 
 		if (!source.isAnswering) {
-			log('dependency-regained', {dependency: 'control', instance: host, run: reply.run, failuresBefore: source.failures});
+			log('dependency-regained', {
+				dependency: 'control', instance: host, run: reply.run, failuresBefore: source.failures,
+			});
 		}
 
 		Object.assign(source, {
--- a/packages/gateway/src/entry/dialect.ts
+++ b/packages/gateway/src/entry/dialect.ts
@@ -1,6 +1,8 @@
-import {type Failure} from '@valehitch/core';
 import {type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
-import {type AnswerHead, type GatewayRequest, type Header, type SendFacts} from './gateway-request.js';
+import {type Failure} from '@valehitch/core';
+import {
+	type AnswerHead, type GatewayRequest, type Header, type SendFacts,
+} from './gateway-request.js';
 
 /** An answer of the gateway's own. */
 export type OwnAnswer = {
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -35,8 +35,10 @@
 	readonly evidence: EvidenceCounter;
 	/** The newest configuration; undefined before the first. */
 	readonly table: () => RouteTable | undefined;
+	/** Waits for the first configuration, for some milliseconds at the most. */
+	readonly firstConfiguration: (timeout: number) => Promise<void>;
 	/** The newest roll-out of a service. */
 	readonly rolloutOf: (service: ServiceId) => RunningRollout | undefined;
-	/** Whether the instance shuts down. */
-	readonly isStopping: () => boolean;
+	/** When the instance ends, in milliseconds on the monotonic clock; undefined while no stop has begun. */
+	readonly endsAt: () => number | undefined;
 };
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -2,6 +2,7 @@
 import {
 	type Clock, type Failure, type InstanceId, type RandomSource, type ServiceId, type ZoneId,
 } from '@valehitch/core';
+import {StepWaiters} from '@valehitch/replication';
 import {RetryBudget} from '@valehitch/routing';
 import {type Either} from 'purify-ts';
 import {RouteTable} from '../configuration/route-table.js';
@@ -78,13 +79,14 @@
 	readonly #context: EntryContext;
 	readonly #watch: ControlWatch;
 	readonly #server: Server;
+	readonly #configurations = new StepWaiters();
 	#table: RouteTable | undefined;
 	#rollouts: readonly RunningRollout[] = [];
 	#rolloutsAt = 0;
 	#rolloutDigest = '';
 	#hadLease = false;
 	#inProgress = 0;
-	#isStopping = false;
+	#endsAt: number | undefined;
 
 	constructor(options: EntryInstanceOptions) {
 		const {clock, random, zone, self, run} = options;
@@ -98,8 +100,9 @@
 			pins: new VersionPins(options),
 			evidence: new EvidenceCounter({entry: self, run}),
 			table: () => this.#table,
+			firstConfiguration: async timeout => Promise.race([this.#configurations.next(), options.wait(timeout)]),
 			rolloutOf: service => this.#rolloutOf(service),
-			isStopping: () => this.#isStopping,
+			endsAt: () => this.#endsAt,
 		};
 		this.#watch = new ControlWatch({
 			...options,
@@ -114,7 +117,7 @@
 	/** Whether requests should be sent here: there is a configuration that is known to be recent, and no stop has begun. */
 	get isReady(): boolean {
 		const now = this.#options.clock.monotonic();
-		return !this.#isStopping && this.#table !== undefined && (!this.#table.needsKeys || this.#context.lease.isValid(now));
+		return this.#endsAt === undefined && this.#table !== undefined && (!this.#table.needsKeys || this.#context.lease.isValid(now));
 	}
 
 	/** Requests in progress. */
@@ -136,9 +139,18 @@
 		});
 	}
 
-	/** Says from now on that the instance is not ready, and asks callers to close their connections with each answer. */
-	beginStop(): void {
-		this.#isStopping = true;
+	/**
+	Says from now on that the instance is not ready, and asks callers to close their connections with each answer.
+
+	@param endsAt Milliseconds on the monotonic clock when all connections will be closed.
+	*/
+	beginStop(endsAt: number): void {
+		this.#endsAt = endsAt;
+	}
+
+	/** Closes connections without a request, so that their callers go elsewhere before the end. */
+	closeIdle(): void {
+		this.#server.closeIdleConnections();
 	}
 
 	/**
@@ -148,6 +160,7 @@
 	*/
 	async drained(until: number): Promise<void> {
 		while (this.#inProgress > 0 && this.#options.clock.monotonic() < until) {
+			this.closeIdle();
 			await this.#options.wait(drainPollMilliseconds);
 		}
 	}
@@ -256,6 +269,7 @@
 				}
 
 				this.#table = new RouteTable(configuration);
+				this.#configurations.wake();
 				this.#server.keepAliveTimeout = idleFactor * configuration.limits.idleTimeout;
 				this.#options.log('configuration-adopted', {version: configuration.version, routes: configuration.routes.length, source});
 			},
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -59,7 +59,9 @@
 export class EntryServers {
 	readonly #options: EntryServersOptions;
 	readonly #servers = new Map<ServerId, Held>();
-	readonly #ejection = new OutlierEjection({threshold: 0.5, baseMilliseconds: 2000, maximumMilliseconds: 8000, maximumShare: 0.4});
+	readonly #ejection = new OutlierEjection({
+		threshold: 0.5, baseMilliseconds: 2000, maximumMilliseconds: 8000, maximumShare: 0.4,
+	});
 
 	constructor(options: EntryServersOptions) {
 		this.#options = options;
@@ -121,7 +123,7 @@
 		}
 
 		const wish = {
-			target: service, excluded, zone: this.#options.zone, random: this.#options.random, zonePenalty: zonePenalty, loadBound,
+			target: service, excluded, zone: this.#options.zone, random: this.#options.random, zonePenalty, loadBound,
 			prefix: subject === undefined ? undefined : prefixHash(subject),
 		};
 		// Where every server is suspect, a suspect one is better than none.
--- /dev/null
+++ b/packages/gateway/src/entry/event-stream.test.ts
@@ -0,0 +1,29 @@
+import {Buffer} from 'node:buffer';
+import test from 'ava';
+import {EventStream} from './event-stream.js';
+
+function textOf(bytes: Uint8Array | undefined): string | undefined {
+	return bytes && Buffer.from(bytes).toString();
+}
+
+test('only whole events come out, at whatever bytes the stream is cut', t => {
+	const whole = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n';
+	for (let cut = 1; cut < whole.length; cut++) {
+		const stream = new EventStream();
+		const first = textOf(stream.push(Buffer.from(whole.slice(0, cut)))?.bytes) ?? '';
+		const second = textOf(stream.push(Buffer.from(whole.slice(cut)))?.bytes) ?? '';
+		t.is(first + second, whole);
+		t.is(stream.lastEventId, '3');
+		t.is(stream.rest.byteLength, 0);
+	}
+});
+
+test('a stream that goes on elsewhere drops the event that was cut, and keeps the last whole one', t => {
+	const stream = new EventStream('4');
+	t.is(stream.lastEventId, '4');
+	t.is(textOf(stream.push(Buffer.from('id: 5\ndata: a\n\nid: 6\nda'))?.bytes), 'id: 5\ndata: a\n\n');
+	t.is(stream.rest.byteLength, 8);
+	stream.drop();
+	t.is(stream.lastEventId, '5');
+	t.is(textOf(stream.push(Buffer.from('id: 6\ndata: b\n\n'))?.bytes), 'id: 6\ndata: b\n\n');
+});
--- a/packages/gateway/src/entry/event-stream.ts
+++ b/packages/gateway/src/entry/event-stream.ts
@@ -9,7 +9,7 @@
 
 const newline = 10;
 const carriageReturn = 13;
-const idPattern = /^id:[ ]?(.*)$/gm;
+const idPattern = /^id: ?(.*)$/gmv;
 
 /**
 Cuts a stream of server-sent events into whole events, and remembers the id of the last one.
@@ -22,7 +22,7 @@
 ```
 */
 export class EventStream {
-	#rest: Buffer = Buffer.alloc(0);
+	#rest: Uint8Array = Buffer.alloc(0);
 	#lastEventId: string | undefined;
 
 	/**
@@ -58,7 +58,7 @@
 
 		const bytes = all.subarray(0, end);
 		this.#rest = Buffer.from(all.subarray(end));
-		const ids = [...bytes.toString('latin1').matchAll(idPattern)];
+		const ids = [...Buffer.from(bytes).toString('latin1').matchAll(idPattern)];
 		const last = ids.at(-1)?.[1]?.trim();
 		this.#lastEventId = last ?? this.#lastEventId;
 		return {bytes, events: Math.max(1, ids.length)};
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -1,11 +1,19 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {type Failure} from '@valehitch/core';
+import {type Failure, failure} from '@valehitch/core';
 import {readBody} from '@valehitch/transport';
+import {type Route} from '../configuration/routing-configuration.js';
 import {authorizeRequest} from './authorize-request.js';
 import {type EntryContext} from './entry-context.js';
 import {type GatewayRequest} from './gateway-request.js';
 import {RequestRun} from './request-run.js';
 
+/** A request that reaches an instance which just started waits this share of its patience for the first configuration, since that comes within a second. */
+const startWaitShare = 0.06;
+const longestStartWaitMilliseconds = 1000;
+/** The longest that all but a few streams last; those that arrive with less time left would be cut off. */
+const usualStreamMilliseconds = 4700;
+/** Other instances take the request at once. */
+const elsewhereMilliseconds = 10;
 /** The most bytes of a body before any configuration says otherwise. */
 const defaultBodyBytes = 4_194_304;
 
@@ -23,11 +31,23 @@
 export async function handleRequest(context: EntryContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
 	const arrivedAt = context.clock.monotonic();
 	const request = context.dialect.readRequest(message);
+	if (context.table() === undefined) {
+		await context.firstConfiguration(Math.min(longestStartWaitMilliseconds, startWaitShare * (request.patience ?? 0)));
+	}
+
 	const table = context.table();
-	const authorized = authorizeRequest(request, {...context, table, now: arrivedAt});
+	const authorized = authorizeRequest(request, {...context, table, now: context.clock.monotonic()});
 	if (authorized.isLeft()) {
 		message.resume();
-		refuse(context, {request, response, failed: authorized.extract() as Failure});
+		refuse(context, {request, response, failed: authorized.extract()});
+		return;
+	}
+
+	const {route} = authorized.unsafeCoerce();
+	if (!mayFinish(route, {endsAt: context.endsAt(), now: arrivedAt})) {
+		message.resume();
+		const failed = failure('shutting-down', 'Got a request shortly before the end of this instance, wanted it elsewhere', {retryAfterMilliseconds: elsewhereMilliseconds});
+		refuse(context, {request, response, failed});
 		return;
 	}
 
@@ -37,7 +57,7 @@
 	}
 
 	if (body.isLeft()) {
-		refuse(context, {request, response, failed: body.extract() as Failure});
+		refuse(context, {request, response, failed: body.extract()});
 		return;
 	}
 
@@ -46,19 +66,29 @@
 	}).run();
 }
 
+/** Whether a request that arrives now can be expected to end before the instance does. */
+function mayFinish({kind, timeout}: Route, {endsAt, now}: {readonly endsAt: number | undefined; readonly now: number}): boolean {
+	if (endsAt === undefined) {
+		return true;
+	}
+
+	const needed = kind === 'streaming' ? Math.min(timeout, usualStreamMilliseconds) : timeout;
+	return now + needed < endsAt;
+}
+
 type RefusedRequest = {
 	readonly request: GatewayRequest;
 	readonly response: ServerResponse;
 	readonly failed: Failure;
 };
 
-function refuse({dialect, log, metrics, table, lease, clock, isStopping}: EntryContext, {request, response, failed}: RefusedRequest): void {
+function refuse({dialect, log, metrics, table, lease, clock, endsAt}: EntryContext, {request, response, failed}: RefusedRequest): void {
 	const {status, headers, body} = dialect.refuse(request, failed);
 	metrics.refusals.inc({kind: failed.kind});
 	log('request-refused', {
 		request: request.id, kind: failed.kind, reason: failed.message, configuration: table()?.version, confirmedAgo: Math.round(lease.age(clock.monotonic())),
 	}, 'warn');
-	if (isStopping()) {
+	if (endsAt() !== undefined) {
 		response.shouldKeepAlive = false;
 	}
 
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -4,6 +4,8 @@
 /** How the events of one backend server are passed on. */
 export type RelayStreamOptions = {
 	readonly message: IncomingMessage;
+	/** Tells at the end whether the answer is complete. */
+	readonly isWhole: () => boolean;
 	readonly response: ServerResponse;
 	readonly events: EventStream;
 	/** The silence after which the server counts as stalled, in milliseconds; 0 for no bound. */
@@ -22,10 +24,10 @@
 @returns How it ended; the caller's response is ended only where it is complete.
 @example
 ```ts
-const end = await relayStream({message, response, events, stallTimeout: 1500, onFirstEvent});
+const end = await relayStream({message, isWhole, response, events, stallTimeout: 1500, onFirstEvent});
 ```
 */
-export async function relayStream({message, response, events, stallTimeout, onFirstEvent}: RelayStreamOptions): Promise<RelayEnd> {
+export async function relayStream({message, isWhole, response, events, stallTimeout, onFirstEvent}: RelayStreamOptions): Promise<RelayEnd> {
 	return new Promise(resolve => {
 		let hasEvents = false;
 		let isOver = false;
@@ -84,7 +86,7 @@
 			}
 		});
 		message.on('end', () => {
-			if (!message.complete || isOver) {
+			if (!isWhole() || isOver) {
 				finish('broken');
 				return;
 			}
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -74,7 +74,7 @@
 	readonly #excluded = new Set<ServerId>();
 	readonly #service: ServiceId;
 	readonly #mayRepeat: boolean;
-	#authorized: AuthorizedRequest;
+	readonly #authorized: AuthorizedRequest;
 	#model: ModelId | undefined;
 	#version: VersionId | undefined;
 	#sends = 0;
@@ -132,7 +132,7 @@
 	async #send(): Promise<Next> {
 		const authorized = authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
 		if (authorized.isLeft()) {
-			return this.#giveUp(authorized.extract() as Failure);
+			return this.#giveUp(authorized.extract());
 		}
 
 		const server = this.#findServer();
@@ -167,7 +167,13 @@
 		this.#sends++;
 		servers.begin(server.id);
 		log('request-dispatched', {
-			request: this.#request.id, server: server.id, version: server.version, model: this.#model, send: this.#sends, age: Math.round(sentAt - this.#arrivedAt), resumeAfter: this.#events.lastEventId,
+			request: this.#request.id,
+			server: server.id,
+			version: server.version,
+			model: this.#model,
+			send: this.#sends,
+			age: Math.round(sentAt - this.#arrivedAt),
+			resumeAfter: this.#events.lastEventId,
 		});
 		const outcome = await attempt.outcome;
 		const next = await this.#takeOutcome(outcome, {server, sentAt});
@@ -183,11 +189,13 @@
 		}
 
 		if (outcome.type === 'head') {
-			return this.#takeHead(outcome.message, sent);
+			return this.#takeHead(outcome, sent);
 		}
 
 		this.#lastProblem = outcome.type === 'unreachable' || outcome.type === 'lost' ? outcome.reason : outcome.type;
-		this.#context.log('request-attempt-ended', {request: this.#request.id, server: server.id, result: outcome.type, reason: this.#lastProblem}, 'warn');
+		this.#context.log('request-attempt-ended', {
+			request: this.#request.id, server: server.id, result: outcome.type, reason: this.#lastProblem,
+		}, 'warn');
 		if (outcome.type === 'unreachable') {
 			this.#sends--;
 			this.#unreachable++;
@@ -203,7 +211,7 @@
 		return this.#again(server, failure('outcome-unknown', `Got no answer of ${server.id} (${this.#lastProblem})`));
 	}
 
-	async #takeHead(message: IncomingMessage, sent: SentTo): Promise<Next> {
+	async #takeHead({message, isWhole}: ReceivedHead, sent: SentTo): Promise<Next> {
 		const {server} = sent;
 		const head = this.#context.dialect.readAnswer(message.statusCode ?? 0, message.headers);
 		if (head.requestId === undefined ? !head.isNotRun && head.status < 300 : head.requestId !== this.#request.id) {
@@ -226,12 +234,12 @@
 		}
 
 		if (!isSuccess) {
-			return this.#takeFailedAnswer(message, head, server);
+			return this.#takeFailedAnswer({message, isWhole}, head, server);
 		}
 
 		return this.#route.kind === 'streaming'
-			? this.#takeStream(message, head, sent)
-			: this.#takePlainAnswer(message, sent);
+			? this.#takeStream({message, isWhole}, head, sent)
+			: this.#takePlainAnswer({message, isWhole}, sent);
 	}
 
 	#takeNotRun(message: IncomingMessage, head: AnswerHead, server: ServerRecord): Next {
@@ -240,7 +248,9 @@
 			this.#judge(server, 'gone');
 		}
 
-		this.#context.log('request-attempt-ended', {request: this.#request.id, server: server.id, result: 'not-run', status: head.status, isOtherServer: head.isOtherServer}, 'warn');
+		this.#context.log('request-attempt-ended', {
+			request: this.#request.id, server: server.id, result: 'not-run', status: head.status, isOtherServer: head.isOtherServer,
+		}, 'warn');
 		this.#lastProblem = `${server.id} answered ${head.status}`;
 		this.#excluded.add(server.id);
 		if (this.#maySendAgain()) {
@@ -250,9 +260,9 @@
 		return this.#giveUp(failure('overloaded', `Got ${head.status} of ${server.id}, which did not run the request, and no send is left`, {retryAfterMilliseconds: retryMilliseconds}));
 	}
 
-	async #takeFailedAnswer(message: IncomingMessage, head: AnswerHead, server: ServerRecord): Promise<Next> {
+	async #takeFailedAnswer({message, isWhole}: ReceivedHead, head: AnswerHead, server: ServerRecord): Promise<Next> {
 		const headers = this.#context.dialect.answerHeaders(message);
-		const body = await collectBody(message);
+		const body = await collectBody(message, isWhole);
 		if (head.status >= 500) {
 			this.#failed(server);
 		}
@@ -268,10 +278,10 @@
 			: this.#passOn(this.#held);
 	}
 
-	async #takePlainAnswer(message: IncomingMessage, {server, sentAt}: SentTo): Promise<Next> {
+	async #takePlainAnswer({message, isWhole}: ReceivedHead, {server, sentAt}: SentTo): Promise<Next> {
 		const headers = this.#context.dialect.answerHeaders(message);
 		const status = message.statusCode ?? 0;
-		const body = await collectBody(message);
+		const body = await collectBody(message, isWhole);
 		if (body === undefined) {
 			this.#failed(server);
 			return this.#again(server, failure('outcome-unknown', `Got a body of ${server.id} that ended early`));
@@ -281,14 +291,16 @@
 		return this.#passOn({status, headers, body});
 	}
 
-	async #takeStream(message: IncomingMessage, head: AnswerHead, {server, sentAt}: SentTo): Promise<Next> {
+	async #takeStream({message, isWhole}: ReceivedHead, head: AnswerHead, {server, sentAt}: SentTo): Promise<Next> {
 		const latency = this.#now() - sentAt;
 		const larger = this.#largerModel(head, latency);
 		if (larger !== undefined) {
 			message.destroy();
 			this.#succeeded(server, latency);
 			this.#context.metrics.escalations.inc();
-			this.#context.log('request-escalated', {request: this.#request.id, from: this.#model, to: larger, confidence: head.confidence, latency: Math.round(latency)});
+			this.#context.log('request-escalated', {
+				request: this.#request.id, from: this.#model, to: larger, confidence: head.confidence, latency: Math.round(latency),
+			});
 			this.#model = larger;
 			return 'again';
 		}
@@ -297,6 +309,7 @@
 		const headers = this.#context.dialect.answerHeaders(message);
 		const end = await relayStream({
 			message,
+			isWhole,
 			response: this.#response,
 			events: this.#events,
 			stallTimeout: this.#mayRepeat ? stallFactor * (this.#route.targetGap ?? this.#route.targetLatency) : 0,
@@ -316,7 +329,9 @@
 
 		this.#failed(server);
 		this.#events.drop();
-		this.#context.log('request-resumed', {request: this.#request.id, server: server.id, end, lastEvent: this.#events.lastEventId}, 'warn');
+		this.#context.log('request-resumed', {
+			request: this.#request.id, server: server.id, end, lastEvent: this.#events.lastEventId,
+		}, 'warn');
 		return this.#again(server, failure('outcome-unknown', `Got a stream of ${server.id} that is ${end}`));
 	}
 
@@ -385,7 +400,7 @@
 		const {servers, pins} = this.#context;
 		const now = this.#now();
 		const {session, promptParts, id} = this.#request;
-		const subject = this.#route.usesPromptCache ? promptParts.at(-1) : undefined;
+		const subject = this.#route.usesPromptCache ? sharedPart(promptParts) : undefined;
 		const side = this.#side(session ?? id, now);
 		const rollout = this.#context.rolloutOf(this.#service);
 		const wishes = this.#wishes(side, rollout?.target);
@@ -445,7 +460,9 @@
 
 	#judge(server: ServerRecord, result: 'answered' | 'failed' | 'unreachable' | 'gone'): void {
 		if (this.#context.servers.record(server.id, result, this.#now())) {
-			this.#context.log('server-suspected', {server: server.id, service: server.service, result, request: this.#request.id}, 'warn');
+			this.#context.log('server-suspected', {
+				server: server.id, service: server.service, result, request: this.#request.id,
+			}, 'warn');
 		}
 	}
 
@@ -461,7 +478,7 @@
 	}
 
 	#writeHead(status: number, headers: readonly Header[]): void {
-		if (this.#context.isStopping()) {
+		if (this.#context.endsAt() !== undefined) {
 			this.#response.shouldKeepAlive = false;
 		}
 
@@ -534,12 +551,20 @@
 	}
 }
 
+/** The head of an answer, and whether its body is complete once it ended. */
+type ReceivedHead = Omit<Extract<SendOutcome, {type: 'head'}>, 'type'>;
+
 type SentTo = {
 	readonly server: ServerRecord;
 	/** Milliseconds on the monotonic clock. */
 	readonly sentAt: number;
 };
 
+/** The longest beginning that other requests can share: the last part belongs to the request alone, unless there is no other. */
+function sharedPart(parts: readonly string[]): string | undefined {
+	return parts.at(-2) ?? parts.at(-1);
+}
+
 /** Draws a service of a route by its weight. */
 function chooseService({services}: Route, random: () => number): ServiceId {
 	const total = services.reduce((sum, {weight}) => sum + weight, 0);
--- /dev/null
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -0,0 +1,101 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {type AddressInfo, createServer, type Socket} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import {testServer} from '../servers/_test-server.js';
+import {collectBody} from './collect-body.js';
+import {sendAttempt, type SendAttemptOptions} from './send-attempt.js';
+
+/** A server that treats each connection as told once it has read a request. */
+async function serve(t: ExecutionContext, treat: (socket: Socket) => void): Promise<SendAttemptOptions> {
+	const sockets = new Set<Socket>();
+	const server = createServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.on('data', () => {
+			treat(socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	return {
+		server: testServer({port: (server.address() as AddressInfo).port}), method: 'GET', target: '/x/', headers: [[
+			'Host',
+			'desk.example',
+		]], body: Buffer.alloc(0), mayReuse: true, connectTimeout: 1000, headTimeout: 0,
+	};
+}
+
+/** Whether the body of the answer is taken for whole. */
+async function isWhole(options: SendAttemptOptions): Promise<boolean> {
+	const outcome = await sendAttempt(options).outcome;
+	return outcome.type === 'head' && await collectBody(outcome.message, outcome.isWhole) !== undefined;
+}
+
+test('an answer without a length ends with its connection, and a reset is no such end', async t => {
+	const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of it';
+	t.true(await isWhole(await serve(t, socket => {
+		socket.end(head);
+	})));
+	t.false(await isWhole(await serve(t, socket => {
+		socket.write(head, () => {
+			// Only once the head has arrived does the kernel report the reset on its own.
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 50);
+		});
+	})));
+});
+
+test('an answer that is shorter than its length is not whole', async t => {
+	t.false(await isWhole(await serve(t, socket => {
+		socket.end('HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf of it');
+	})));
+});
+
+test('what did not open a connection is told from what may have run', async t => {
+	const options = await serve(t, socket => {
+		socket.destroy();
+	});
+	const lost = await sendAttempt(options).outcome;
+	t.is(lost.type, 'lost');
+	const unreachable = await sendAttempt({...options, server: testServer({port: 1})}).outcome;
+	t.is(unreachable.type, 'unreachable');
+});
+
+test('a server that says nothing is given up when told so, and a cancelled send is no fault of the server', async t => {
+	const options = await serve(t, () => {
+		// It never answers.
+	});
+	const silent = await sendAttempt({...options, headTimeout: 300}).outcome;
+	t.is(silent.type, 'silent');
+	const sent = sendAttempt(options);
+	sent.cancel();
+	const cancelled = await sent.outcome;
+	t.is(cancelled.type, 'cancelled');
+});
+
+test('bytes after an answer are not taken for the answer to the next request', async t => {
+	let connections = 0;
+	const options = await serve(t, socket => {
+		connections++;
+		socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 2\r\nNumber: ${connections}\r\n\r\nok`);
+		setTimeout(() => {
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\nNumber: stray\r\n\r\nlate');
+		}, 5);
+	});
+	t.true(await isWhole(options));
+	await new Promise(resolve => {
+		setTimeout(resolve, 60);
+	});
+	const outcome = await sendAttempt(options).outcome;
+	t.is(outcome.type === 'head' ? outcome.message.headers.number : outcome.type, '2');
+});
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,6 +1,7 @@
 import {
 	Agent, type ClientRequest, type IncomingMessage, request as openRequest,
 } from 'node:http';
+import {type Socket} from 'node:net';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Header} from './gateway-request.js';
 
@@ -27,7 +28,7 @@
 		| {readonly type: 'lost'; readonly reason: string}
 		| {readonly type: 'silent'}
 		| {readonly type: 'cancelled'}
-		| {readonly type: 'head'; readonly message: IncomingMessage};
+		| {readonly type: 'head'; readonly message: IncomingMessage; readonly isWhole: () => boolean};
 
 /** A send in progress. */
 export type SentAttempt = {
@@ -41,10 +42,12 @@
 /** The time that an idle connection is kept where the server names none, in milliseconds: below the usual idle timeouts of a few seconds. */
 const idleMilliseconds = 1500;
 
-const agent = new Agent({keepAlive: true, maxFreeSockets: maximumIdleConnections, timeout: 0, scheduling: 'lifo'});
-const usedAt = new WeakMap<object, number>();
+const agent = new Agent({
+	keepAlive: true, maxFreeSockets: maximumIdleConnections, timeout: 0, scheduling: 'lifo',
+});
+const usedAt = new WeakMap<Socket, number>();
 
-agent.on('free', socket => {
+agent.on('free', (socket: Socket) => {
 	usedAt.set(socket, performance.now());
 });
 
@@ -83,15 +86,18 @@
 	return new Promise(resolve => {
 		let isOpen = false;
 		let isSilent = false;
+		let wasReset = false;
 		const connectTimer = setTimeout(() => {
 			if (!isOpen) {
 				request.destroy(new Error(`Got no connection in ${connectTimeout} ms`));
 			}
 		}, connectTimeout);
-		const headTimer = headTimeout === 0 ? undefined : setTimeout(() => {
-			isSilent = true;
-			request.destroy();
-		}, headTimeout);
+		const headTimer = headTimeout === 0
+			? undefined
+			: setTimeout(() => {
+				isSilent = true;
+				request.destroy();
+			}, headTimeout);
 		const settle = (outcome: SendOutcome): void => {
 			clearTimeout(connectTimer);
 			clearTimeout(headTimer);
@@ -101,14 +107,17 @@
 		const fail = (reason: string): void => {
 			if (isCancelled()) {
 				settle({type: 'cancelled'});
-			} else if (!isOpen) {
-				settle({type: 'unreachable', reason});
-			} else {
+			} else if (isOpen) {
 				settle(isSilent ? {type: 'silent'} : {type: 'lost', reason});
+			} else {
+				settle({type: 'unreachable', reason});
 			}
 		};
 
 		request.on('socket', socket => {
+			socket.once('error', () => {
+				wasReset = true;
+			});
 			if (!socket.connecting) {
 				isOpen = true;
 				return;
@@ -119,7 +128,7 @@
 			});
 		});
 		request.on('response', message => {
-			settle({type: 'head', message});
+			settle({type: 'head', message, isWhole: () => message.complete && (isFramed(message) || !wasReset)});
 		});
 		request.on('error', error => {
 			fail(error.message);
@@ -130,6 +139,11 @@
 	});
 }
 
+/** Whether the answer says where it ends; any other ends with its connection, and the parser takes a reset for such an end. */
+function isFramed({headers}: IncomingMessage): boolean {
+	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
 /** A connection that idled for long may be closed by the server at this moment, and one with bytes waiting holds an answer that belongs to no request. */
 function dropStaleConnections({host, port}: ServerRecord): void {
 	const free = agent.freeSockets[agent.getName({host, port})] ?? [];
--- /dev/null
+++ b/packages/gateway/src/logs/bounded-output.test.ts
@@ -0,0 +1,32 @@
+import {Writable} from 'node:stream';
+import test from 'ava';
+import {toBoundedOutput} from './bounded-output.js';
+
+test('a reader that stalls costs bounded memory, and the lines it misses are counted', t => {
+	const stalled = new Writable({
+		write() {
+			// The reader never takes anything.
+		},
+	});
+	const output = toBoundedOutput(stalled);
+	const line = `${'x'.repeat(999)}\n`;
+	for (let index = 0; index < 2000; index++) {
+		output.write(line);
+	}
+
+	t.true(stalled.writableLength <= 262_144);
+	t.true(output.dropped() > 1700);
+});
+
+test('a reader that went away ends nothing', t => {
+	const gone = new Writable({
+		write(_chunk, _encoding, callback) {
+			callback(new Error('EPIPE'));
+		},
+	});
+	const output = toBoundedOutput(gone);
+	output.write('one\n');
+	t.notThrows(() => {
+		output.write('two\n');
+	});
+});
--- a/packages/gateway/src/logs/create-decision-log.ts
+++ b/packages/gateway/src/logs/create-decision-log.ts
@@ -24,13 +24,21 @@
 ```
 */
 export function createDecisionLog(name: string, {clock, output, fields, ...budgetOptions}: CreateDecisionLogOptions): DecisionLog {
-	const logger = bunyan.createLogger({name, ...fields, streams: [{level: 'info', stream: {write: (line: string) => {
-		output.write(line);
-	}} as unknown as NodeJS.WritableStream}]});
+	const logger = bunyan.createLogger({
+		name, ...fields, streams: [{
+			level: 'info', stream: {
+				write(line: string) {
+					output.write(line);
+				},
+			} as unknown as NodeJS.WritableStream,
+		}],
+	});
 	const budget = new LineBudget(budgetOptions);
 	return (kind, values, level = 'info') => {
 		for (const leftOut of budget.renew(clock.monotonic())) {
-			logger.warn({kind: 'lines-left-out', of: leftOut.kind, count: leftOut.count, dropped: output.dropped()}, 'lines-left-out');
+			logger.warn({
+				kind: 'lines-left-out', of: leftOut.kind, count: leftOut.count, dropped: output.dropped(),
+			}, 'lines-left-out');
 		}
 
 		if (budget.take(kind, {isUrgent: level !== 'info'})) {
--- /dev/null
+++ b/packages/gateway/src/rollouts/choose-side.test.ts
@@ -0,0 +1,40 @@
+import {type ServiceId, type VersionId} from '@valehitch/core';
+import test from 'ava';
+import {chooseSide} from './choose-side.js';
+import {type RunningRollout} from './rollout.js';
+
+const target = 'v2' as VersionId;
+const old = 'v1' as VersionId;
+const rollout: RunningRollout = {
+	service: 'summaries' as ServiceId, target, duration: 20_000, stage: 'canary', age: 4000,
+};
+
+test('the share of sessions that reach the target is near the wanted one, and each session always gets the same side', t => {
+	let onTarget = 0;
+	for (let index = 0; index < 4000; index++) {
+		const options = {
+			subject: `${index.toString(16)}f00d`, hasSession: true, pinned: undefined, canaryShare: 0.1,
+		};
+		const side = chooseSide(rollout, options);
+		t.is(chooseSide({...rollout, age: 9000}, options), side);
+		onTarget += side === 'target' ? 1 : 0;
+	}
+
+	t.true(onTarget > 320 && onTarget < 480, `${onTarget} of 4000`);
+});
+
+test('a session keeps its version through the first half, and one on the target keeps it after that', t => {
+	const options = {subject: 'any', hasSession: true, canaryShare: 1};
+	t.is(chooseSide(rollout, {...options, pinned: old}), 'others');
+	t.is(chooseSide({...rollout, age: 10_000}, {...options, pinned: old}), 'target');
+	t.is(chooseSide({...rollout, age: 10_000}, {...options, canaryShare: 0, pinned: target}), 'target');
+});
+
+test('all new work goes to a version that is shifted to or completed, and none to one that went back', t => {
+	const options = {
+		subject: 'any', hasSession: false, pinned: target, canaryShare: 0,
+	};
+	t.is(chooseSide({...rollout, stage: 'shifting'}, options), 'target');
+	t.is(chooseSide({...rollout, stage: 'completed'}, options), 'target');
+	t.is(chooseSide({...rollout, stage: 'rolled-back'}, options), 'others');
+});
--- /dev/null
+++ b/packages/gateway/src/rollouts/judge-rollout.test.ts
@@ -0,0 +1,50 @@
+import {
+	type InstanceId, type ServiceId, type VersionId,
+} from '@valehitch/core';
+import test from 'ava';
+import {type RouteId} from '../configuration/routing-configuration.js';
+import {judgeRollout} from './judge-rollout.js';
+import {type Rollout} from './rollout.js';
+import {type VersionEvidence} from './version-evidence.js';
+
+const rollout: Rollout = {
+	service: 'summaries' as ServiceId, target: 'v2' as VersionId, duration: 20_000, stage: 'canary',
+};
+
+function seen(version: string, changes: Partial<VersionEvidence> = {}): VersionEvidence {
+	return {
+		entry: 'entry-1' as InstanceId,
+		run: 'one',
+		service: rollout.service,
+		version: version as VersionId,
+		route: 'drafts' as RouteId,
+		model: 'small',
+		answers: 100,
+		failures: 0,
+		latencySum: 20_000,
+		...changes,
+	};
+}
+
+test('a version without faults goes on after a part of its duration, and is completed before the end', t => {
+	const evidence = [seen('v1'), seen('v2', {answers: 20, latencySum: 5000})];
+	t.is(judgeRollout(rollout, {evidence, age: 5000}), undefined);
+	t.is(judgeRollout(rollout, {evidence, age: 11_000}), 'shifting');
+	t.is(judgeRollout({...rollout, stage: 'shifting'}, {evidence, age: 11_000}), undefined);
+	t.is(judgeRollout({...rollout, stage: 'shifting'}, {evidence, age: 17_000}), 'completed');
+});
+
+test('a version that fails more than the old one goes back, well before its 50th failure', t => {
+	t.is(judgeRollout(rollout, {evidence: [seen('v1', {failures: 4}), seen('v2', {answers: 12, failures: 4})], age: 100}), 'rolled-back');
+	t.is(judgeRollout(rollout, {evidence: [seen('v1', {failures: 14}), seen('v2', {answers: 40, failures: 6})], age: 100}), undefined);
+});
+
+test('a fault on one route alone is enough, also while all new work goes to the version', t => {
+	const evidence = [seen('v1'), seen('v1', {route: 'labels' as RouteId}), seen('v2'), seen('v2', {route: 'labels' as RouteId, answers: 9, failures: 5})];
+	t.is(judgeRollout({...rollout, stage: 'shifting'}, {evidence, age: 13_000}), 'rolled-back');
+});
+
+test('a version that is several times slower goes back', t => {
+	t.is(judgeRollout(rollout, {evidence: [seen('v1'), seen('v2', {answers: 8, latencySum: 8 * 1600})], age: 100}), 'rolled-back');
+	t.is(judgeRollout(rollout, {evidence: [seen('v1'), seen('v2', {answers: 8, latencySum: 8 * 390})], age: 100}), undefined);
+});
--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -37,7 +37,7 @@
 */
 export async function handleControl(control: ControlInstance, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const body = await readBody(request, maximumBodyBytes);
-	const answer = body.isLeft() ? Left(body.extract() as Failure) : await answerCall(control, request, body.unsafeCoerce());
+	const answer = body.isLeft() ? Left(body.extract()) : await answerCall(control, request, body.unsafeCoerce());
 	const {status, body: text} = answer.caseOf<Answer>({
 		Left: failed => ({status: errorAnswers[failed.kind].status, body: JSON.stringify({error: failed.kind, detail: failed.message})}),
 		Right: value => value,
@@ -47,7 +47,7 @@
 }
 
 async function answerCall(control: ControlInstance, {method, url = ''}: IncomingMessage, body: Uint8Array): Promise<Either<Failure, Answer>> {
-	const [, , collection, name, ...rest] = url.split('?', 1)[0]!.split('/');
+	const [collection, name, ...rest] = url.split('?', 1)[0]!.split('/').slice(2);
 	const call = `${method} ${collection}${name === undefined ? '' : '/'}`;
 	if (!url.startsWith('/-/') || rest.length > 0) {
 		return Left(failure('not-found', `Got ${method} ${url}, wanted a call that is known here`));
--- /dev/null
+++ b/packages/platform/src/platform-dialect.test.ts
@@ -0,0 +1,96 @@
+import {type IncomingMessage} from 'node:http';
+import {failure, type ModelId} from '@valehitch/core';
+import test from 'ava';
+import {platformDialect} from './platform-dialect.js';
+
+/** A message with the parts that the dialect reads. */
+function message(pairs: ReadonlyArray<readonly [string, string]>): IncomingMessage {
+	const headers = Object.fromEntries(pairs.map(([name, value]) => [name.toLowerCase(), value]));
+	const parts: Pick<IncomingMessage, 'headers' | 'rawHeaders' | 'url' | 'method'> = {
+		headers, rawHeaders: pairs.flat(), url: '/lohu/2f?a=1', method: 'POST',
+	};
+	return parts as IncomingMessage;
+}
+
+const caller = message([
+	['Host', 'desk.example:80'], ['Attempt-Id', 'a1'], ['Model', '*'], ['Token-Usage', '1460,80'], [
+		'Prompt-Prefix',
+		'5c:800, 91:410,e4:250',
+	],
+		['Deadline-Ms', '8000'],
+		['Authorization', 'Bearer secret'],
+		['Connection', 'keep-alive,
+		X-Hop'],
+		['X-Hop', '1'],
+		['X-Own', '2'],
+		['Hold', 'h'],
+		['Pin-Ms', '9'],
+		['Kv-From', 'x'],
+		['Kv-Backup', 'x'],
+		['Kv-Fetch', 'x'],
+		['Tenant', 'other'],
+		['Request-Priority', '0'],
+		['Expect-Instance', 'i-1'],
+		['Expect-Version', '3'],
+		['Session', 's1'],
+]);
+
+test('a request is read once into typed fields', t => {
+	t.like(platformDialect.readRequest(caller), {
+		id: 'a1', host: 'desk.example', path: '/lohu/2f', target: '/lohu/2f?a=1', key: 'secret', patience: 8000, choosesModel: true, promptParts: [
+			'5c',
+			'91',
+			'e4',
+		], inputTokens: 1460, outputTokens: 80, session: 's1', lastEventId: undefined,
+	});
+});
+
+test('a server gets neither the key nor what only the gateway may set, and gets what the gateway sets once', t => {
+	const request = platformDialect.readRequest(caller);
+	const sent = platformDialect.sendHeaders(request, {
+		server: 'i-7', model: 'small' as ModelId, patience: 7500, workspace: 'mills', urgency: 1, lastEventId: '12',
+	});
+	const names = sent.map(([name]) => name.toLowerCase()).toSorted();
+	t.deepEqual(names, [
+		'attempt-id',
+		'connection',
+		'deadline-ms',
+		'expect-instance',
+		'host',
+		'last-event-id',
+		'model',
+		'prompt-prefix',
+		'request-priority',
+		'session',
+		'tenant',
+		'token-usage',
+		'x-own',
+	]);
+	const values = Object.fromEntries(sent.map(([name, value]) => [name.toLowerCase(), value]));
+	t.like(values, {
+		tenant: 'mills', model: 'small', 'expect-instance': 'i-7', 'deadline-ms': '7500', 'last-event-id': '12',
+	});
+});
+
+test('on a route without a key no workspace is named, whatever the caller sent', t => {
+	const request = platformDialect.readRequest(caller);
+	const sent = platformDialect.sendHeaders(request, {
+		server: 'i-7', model: undefined, patience: 7500, workspace: undefined, urgency: undefined, lastEventId: undefined,
+	});
+	t.false(sent.some(([name]) => ['tenant', 'hold', 'request-priority'].includes(name.toLowerCase())));
+});
+
+test('only what a server says itself counts as not run', t => {
+	t.like(platformDialect.readAnswer(503, {'not-executed': '1'}), {isNotRun: true, isOtherServer: false});
+	t.like(platformDialect.readAnswer(421, {'instance-id': 'i-2'}), {isNotRun: true, isOtherServer: true});
+	t.like(platformDialect.readAnswer(503, {}), {isNotRun: false});
+	t.like(platformDialect.readAnswer(200, {'response-signature': 's', confidence: '31', 'attempt-id': 'a1'}), {
+		isSigned: true, confidence: 31, requestId: 'a1', isEncoded: false,
+	});
+});
+
+test('a refusal says when to come back, in seconds with a fraction', t => {
+	const {status, headers} = platformDialect.refuse(platformDialect.readRequest(caller), failure('overloaded', 'Got a full queue', {retryAfterMilliseconds: 250}));
+	t.is(status, 503);
+	t.deepEqual(headers.find(([name]) => name === 'Retry-After'), ['Retry-After', '0.25']);
+});
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -32,7 +32,9 @@
 	answerHeaders: message => headersOf(message).filter(([name]) => !connectionHeaders.has(name.toLowerCase())),
 	refuse(request, failed) {
 		const {title, status} = errorAnswers[failed.kind];
-		const body = JSON.stringify({kind: failed.kind, title, detail: failed.message, outcome: outcomeOf(failed)});
+		const body = JSON.stringify({
+			kind: failed.kind, title, detail: failed.message, outcome: outcomeOf(failed),
+		});
 		const retryAfter: readonly Header[] = failed.retryAfterMilliseconds === undefined ? [] : [['Retry-After', String(failed.retryAfterMilliseconds / millisecondsPerSecond)]];
 		return {
 			status,
--- /dev/null
+++ b/packages/platform/src/platform-settings.test.ts
@@ -0,0 +1,45 @@
+import test from 'ava';
+import {formatProblem} from '@valehitch/settings';
+import {parsePlatformSettings} from './platform-settings.js';
+
+const text = `node: "front-hall-a-1"
+role: "my-front"
+ip: "10.1.0.40"
+zone: "hall-a"
+listen:
+  front: "10.1.0.40:8227"
+  ready: "10.1.0.40:8220"
+portRange:
+  - 7340
+  - 7355
+seeds:
+  - "10.1.0.43:8229"
+bootstrap: true
+dataDir: null
+heartbeatMs: 1200
+somethingNew: [1, 2]
+bounds:
+  graceS: 8
+  revokeMs: 5000
+  canaryShare: 0.15
+  retryBudgetRatio: 0.9
+  sessionS: 5
+`;
+
+test('the settings of the platform are read once into the words of the product', t => {
+	const settings = parsePlatformSettings(text, 'node.yaml').unsafeCoerce();
+	t.like(settings, {
+		instance: '10.1.0.40', zone: 'hall-a', callers: {host: '10.1.0.40', port: 8227}, control: undefined, peers: {
+			host: '10.1.0.40',
+			port: 7340,
+		}, seeds: ['10.1.0.43'], isFounding: true, dataFolder: undefined, grace: 8000,
+	});
+});
+
+test('a missing and a wrong field are named with their place', t => {
+	const problems = parsePlatformSettings(text.replace('heartbeatMs: 1200\n', '').replace('8227', 'x'), 'node.yaml').swap().unsafeCoerce();
+	const lines = problems.map(problem => formatProblem(problem));
+	t.is(lines.length, 2);
+	t.regex(lines.join('\n'), /node\.yaml:6:.*listen\.front/v);
+	t.regex(lines.join('\n'), /heartbeatMs/v);
+});
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -40,18 +40,22 @@
 	readonly sessionTimeout: number;
 };
 
+/** The platform writes `null` where a process has no such value. */
+function optional(schema: z.ZodType<string>) {
+	return schema.nullish().transform(value => value ?? undefined);
+}
+
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v, 'Wanted an address such as 10.1.0.40:8227');
-const absent = z.string().nullish();
 
 const fileSchema = z.object({
 	node: z.string(),
 	ip: z.string(),
 	zone: z.string(),
-	listen: z.object({front: address.nullish(), ready: address.nullish(), control: address.nullish()}),
+	listen: z.object({front: optional(address), ready: optional(address), control: optional(address)}),
 	portRange: z.tuple([z.int(), z.int()]),
 	seeds: z.array(address),
 	bootstrap: z.boolean().default(false),
-	dataDir: absent,
+	dataDir: optional(z.string()),
 	heartbeatMs: z.number().positive(),
 	bounds: z.object({
 		graceS: z.number().positive(),
@@ -90,7 +94,7 @@
 		peers: {host: ip, port: portRange[0]},
 		seeds: seeds.map(seed => toId<InstanceId>(hostOf(seed))),
 		isFounding: bootstrap,
-		dataFolder: dataDir ?? undefined,
+		dataFolder: dataDir,
 		heartbeat: heartbeatMs,
 		grace: bounds.graceS * millisecondsPerSecond,
 		revocation: bounds.revokeMs,
@@ -100,8 +104,8 @@
 	};
 }
 
-function toAddress(text: string | null | undefined): ListenAddress | undefined {
-	return typeof text === 'string' ? {host: hostOf(text), port: Number(text.slice(text.indexOf(':') + 1))} : undefined;
+function toAddress(text: string | undefined): ListenAddress | undefined {
+	return text === undefined ? undefined : {host: hostOf(text), port: Number(text.slice(text.indexOf(':') + 1))};
 }
 
 function hostOf(text: string): string {
--- a/packages/platform/src/wire-header.ts
+++ b/packages/platform/src/wire-header.ts
@@ -27,8 +27,19 @@
 
 /** The headers that only the gateway may set, so that a caller's are dropped. */
 export const reservedHeaders: ReadonlySet<string> = new Set([
-	wireHeader.expectedServer, 'expect-version', wireHeader.workspace, wireHeader.urgency, wireHeader.authorization, wireHeader.patience, wireHeader.lastEventId, wireHeader.model,
-	'hold', 'pin-ms', 'kv-fetch', 'kv-from', 'kv-backup',
+	wireHeader.expectedServer,
+	'expect-version',
+	wireHeader.workspace,
+	wireHeader.urgency,
+	wireHeader.authorization,
+	wireHeader.patience,
+	wireHeader.lastEventId,
+	wireHeader.model,
+	'hold',
+	'pin-ms',
+	'kv-fetch',
+	'kv-from',
+	'kv-backup',
 ]);
 
 /** The headers that concern one connection only (RFC 9110, section 7.6.1). */
--- a/packages/platform/src/wire-process.ts
+++ b/packages/platform/src/wire-process.ts
@@ -83,7 +83,9 @@
 		settings: () => current, log, metrics, network, run,
 	};
 	const metricsServer = await serveMetrics(metrics, {host: settings.peers.host, port: settings.peers.port + metricsPortOffset});
-	log('process-started', {name: settings.name, run, isFounding: settings.isFounding, seeds: settings.seeds, dataFolder: settings.dataFolder});
+	log('process-started', {
+		name: settings.name, run, isFounding: settings.isFounding, seeds: settings.seeds, dataFolder: settings.dataFolder,
+	});
 	const stopParts: Array<() => Promise<void>> = [];
 	if (settings.control !== undefined) {
 		const started = await startControlPart(base, settings.control);
@@ -170,7 +172,7 @@
 	const readinessServer = readiness === undefined ? undefined : await serveReadiness(entry, readiness);
 	return async () => {
 		const stopBy = clock.monotonic() + grace - closeMarginMilliseconds;
-		entry.beginStop();
+		entry.beginStop(stopBy);
 		await elapsed(Math.min(takenOutMilliseconds, grace - closeMarginMilliseconds));
 		await entry.drained(stopBy);
 		entry.close();
