Tell a reset from an end where the event loop reports both alike

Ruled out: the error handler of the socket (it is never called in this case, shown by a small program); the length in the signature, which is the platform's own.

Change: after the end of such an answer an empty line is written; the kernel refuses it on a connection that was reset. The test has both kinds of reset, and fails for one of them with the check before. Process tests of the whole path: real programs against stand-ins of the platform's callers, operators and backend servers.

--- a/packages/gateway/src/entry/collect-body.ts
+++ b/packages/gateway/src/entry/collect-body.ts
@@ -12,20 +12,24 @@
 const body = await collectBody(message, isWhole);
 ```
 */
-export async function collectBody(message: IncomingMessage, isWhole: () => boolean): Promise<Uint8Array | undefined> {
+export async function collectBody(message: IncomingMessage, isWhole: () => Promise<boolean>): Promise<Uint8Array | undefined> {
 	return new Promise(resolve => {
 		const chunks: Uint8Array[] = [];
 		message.on('data', (chunk: Uint8Array) => {
 			chunks.push(chunk);
 		});
 		message.on('end', () => {
-			resolve(isWhole() ? Buffer.concat(chunks) : undefined);
+			void isWhole().then(whole => {
+				resolve(whole ? Buffer.concat(chunks) : undefined);
+			});
 		});
 		message.on('error', () => {
 			resolve(undefined);
 		});
 		message.on('close', () => {
-			resolve(undefined);
+			if (!message.readableEnded) {
+				resolve(undefined);
+			}
 		});
 	});
 }
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -5,7 +5,7 @@
 export type RelayStreamOptions = {
 	readonly message: IncomingMessage;
 	/** Tells at the end whether the answer is complete. */
-	readonly isWhole: () => boolean;
+	readonly isWhole: () => Promise<boolean>;
 	readonly response: ServerResponse;
 	readonly events: EventStream;
 	/** The silence after which the server counts as stalled, in milliseconds; 0 for no bound. */
@@ -85,24 +85,30 @@
 				pass(part.bytes);
 			}
 		});
-		message.on('end', () => {
-			if (!isWhole() || isOver) {
+		const end = async (): Promise<void> => {
+			if (!await isWhole()) {
 				finish('broken');
 				return;
 			}
 
 			// What follows the last empty line belongs to a complete body too.
-			if (events.rest.byteLength > 0) {
+			if (events.rest.byteLength > 0 && !isOver) {
 				pass(events.rest);
 			}
 
 			finish('complete');
+		};
+
+		message.on('end', () => {
+			void end();
 		});
 		message.on('error', () => {
 			finish('broken');
 		});
 		message.on('close', () => {
-			finish('broken');
+			if (!message.readableEnded) {
+				finish('broken');
+			}
 		});
 	});
 }
--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -45,14 +45,16 @@
 	t.true(await isWhole(await serve(t, socket => {
 		socket.end(head);
 	})));
-	t.false(await isWhole(await serve(t, socket => {
-		socket.write(head, () => {
-			// Only once the head has arrived does the kernel report the reset on its own.
-			setTimeout(() => {
-				socket.resetAndDestroy();
-			}, 50);
-		});
-	})));
+	// The kernel reports a reset on its own, or as the end where it follows closely on data.
+	for (const delay of [0, 50]) {
+		t.false(await isWhole(await serve(t, socket => {
+			socket.write(head, () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, delay);
+			});
+		})));
+	}
 });
 
 test('an answer that is shorter than its length is not whole', async t => {
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -28,7 +28,7 @@
 		| {readonly type: 'lost'; readonly reason: string}
 		| {readonly type: 'silent'}
 		| {readonly type: 'cancelled'}
-		| {readonly type: 'head'; readonly message: IncomingMessage; readonly isWhole: () => boolean};
+		| {readonly type: 'head'; readonly message: IncomingMessage; readonly isWhole: () => Promise<boolean>};
 
 /** A send in progress. */
 export type SentAttempt = {
@@ -86,7 +86,6 @@
 	return new Promise(resolve => {
 		let isOpen = false;
 		let isSilent = false;
-		let wasReset = false;
 		const connectTimer = setTimeout(() => {
 			if (!isOpen) {
 				request.destroy(new Error(`Got no connection in ${connectTimeout} ms`));
@@ -115,9 +114,6 @@
 		};
 
 		request.on('socket', socket => {
-			socket.once('error', () => {
-				wasReset = true;
-			});
 			if (!socket.connecting) {
 				isOpen = true;
 				return;
@@ -128,7 +124,7 @@
 			});
 		});
 		request.on('response', message => {
-			settle({type: 'head', message, isWhole: () => message.complete && (isFramed(message) || !wasReset)});
+			settle({type: 'head', message, isWhole: isFramed(message) ? async () => message.complete : untilClosed(message)});
 		});
 		request.on('error', error => {
 			fail(error.message);
@@ -139,11 +135,35 @@
 	});
 }
 
-/** Whether the answer says where it ends; any other ends with its connection, and the parser takes a reset for such an end. */
+/** Whether the answer says where it ends; any other ends with its connection. */
 function isFramed({headers}: IncomingMessage): boolean {
 	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
 
+/**
+Tells a connection that was closed from one that was reset, which the event loop reports as closed where the reset follows closely on data.
+
+An empty line is written after the end: the kernel refuses it on a connection that was reset, and a server that closed ignores it (RFC 9112, section 2.2).
+*/
+function untilClosed(message: IncomingMessage): () => Promise<boolean> {
+	const {socket} = message;
+	const wasClosed = new Promise<boolean>(resolve => {
+		socket.once('error', () => {
+			resolve(false);
+		});
+		socket.once('close', () => {
+			resolve(false);
+		});
+		// Before the HTTP client's own listener, which ends the writable side.
+		socket.prependOnceListener('end', () => {
+			socket.write('\r\n', error => {
+				resolve(error === undefined || error === null);
+			});
+		});
+	});
+	return async () => message.complete && wasClosed;
+}
+
 /** A connection that idled for long may be closed by the server at this moment, and one with bytes waiting holds an answer that belongs to no request. */
 function dropStaleConnections({host, port}: ServerRecord): void {
 	const free = agent.freeSockets[agent.getName({host, port})] ?? [];
--- a/packages/testing/src/managed-process.ts
+++ b/packages/testing/src/managed-process.ts
@@ -10,6 +10,8 @@
 	readonly command: readonly string[];
 	/** Where its output goes; a restart appends. */
 	readonly logFile: string;
+	/** Variables of its environment besides those of this process. */
+	readonly environment?: Readonly<Record<string, string>>;
 };
 
 /** How a process ended. */
@@ -43,13 +45,15 @@
 	readonly name: string;
 	readonly logFile: string;
 	readonly #command: readonly string[];
+	readonly #environment: Readonly<Record<string, string>>;
 	#child: ChildProcess | undefined;
 	#ended: Promise<ProcessEnd> | undefined;
 
-	constructor({name, command, logFile}: ManagedProcessOptions) {
+	constructor({name, command, logFile, environment = {}}: ManagedProcessOptions) {
 		this.name = name;
 		this.logFile = logFile;
 		this.#command = command;
+		this.#environment = environment;
 	}
 
 	/** The process id; undefined while it does not run. */
@@ -67,7 +71,7 @@
 			return;
 		}
 
-		const child = spawn(process.execPath, this.#command, {stdio: ['ignore', 'pipe', 'pipe']});
+		const child = spawn(process.execPath, this.#command, {stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...this.#environment}});
 		const log = createWriteStream(this.logFile, {flags: 'a'});
 		child.stdout.pipe(log, {end: false});
 		child.stderr.pipe(log, {end: false});
--- /dev/null
+++ b/packages/testing/src/platform-path.test.ts
@@ -0,0 +1,209 @@
+import test, {type ExecutionContext} from 'ava';
+import {
+	ask, BackendStandIn, type BackendStandInOptions, call, type CallerAnswer,
+} from './platform/backend-stand-in.js';
+import {PlatformDeployment, type PlatformDeploymentOptions} from './platform/platform-deployment.js';
+import {waitUntil} from './wait-until.js';
+
+const host = 'desk.example';
+const limits = {
+	maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+};
+
+function configuration(version: number, keys: readonly string[] = ['k1']) {
+	const plain = {
+		host, timeoutMs: 2000, targetLatencyMs: 500, service: 'labels', public: false,
+	};
+	return {
+		version,
+		routes: [
+			{
+				...plain, name: 'drafts', pathPrefix: '/drafts/', kind: 'streaming', timeoutMs: 8000, targetLatencyMs: 4000, targetGapMs: 3000, sizes: ['small', 'middle', 'large'], service: 'models', maxAttempts: 3, sticky: true, resumable: true,
+			},
+			{
+				...plain, name: 'print', pathPrefix: '/print/', kind: 'unsafe', maxAttempts: 1,
+			},
+			{
+				...plain, name: 'look', pathPrefix: '/look/', kind: 'safe', maxAttempts: 2,
+			},
+			{
+				...plain, name: 'open', pathPrefix: '/open/', kind: 'safe', maxAttempts: 2, public: true,
+			},
+		],
+		services: [{name: 'models', engine: {models: [{name: 'small', cost: 0.01}, {name: 'large', cost: 0.3}]}}, {name: 'labels'}],
+		limits,
+		tenants: [{name: 'mills', apiKeys: keys, priority: 1}],
+	};
+}
+
+let attempts = 0;
+
+/** A caller's request through the first entry instance. */
+async function send(deployment: PlatformDeployment, path: string, headers: Readonly<Record<string, string>> = {}): Promise<CallerAnswer> {
+	attempts++;
+	return ask({
+		method: path.startsWith('/look/') || path.startsWith('/open/') ? 'GET' : 'POST', address: deployment.entries[0]!.address, path, headers: {
+			Host: host, 'Attempt-Id': `a${attempts}`, 'Deadline-Ms': '8000', Authorization: 'Bearer k1', ...(path.startsWith('/drafts/') && {Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': '1:50,2:50'}), ...headers,
+		},
+	});
+}
+
+type Started = {
+	readonly deployment: PlatformDeployment;
+	readonly backends: readonly BackendStandIn[];
+};
+
+/** A deployment with backend servers and configuration 1, ready to serve. */
+async function start(t: ExecutionContext, {servers, ...size}: PlatformDeploymentOptions & {readonly servers: ReadonlyArray<Omit<BackendStandInOptions, 'host'>>}): Promise<Started> {
+	const deployment = await PlatformDeployment.start(size);
+	const backends = await Promise.all(servers.map(async server => BackendStandIn.start({...server, host: '127.0.0.1'})));
+	const control = deployment.controls[0]!.address;
+	const beat = setInterval(() => {
+		for (const backend of backends) {
+			void backend.announce(control);
+		}
+	}, 300);
+	t.teardown(async () => {
+		clearInterval(beat);
+		for (const backend of backends) {
+			backend.close();
+		}
+
+		await deployment.stop();
+	});
+	await put(deployment, configuration(1));
+	await waitUntil(async () => {
+		const answer = await send(deployment, '/look/first/');
+		return answer.status === 200 || undefined;
+	}, {what: 'a first answer'});
+	return {deployment, backends};
+}
+
+async function put(deployment: PlatformDeployment, body: unknown): Promise<void> {
+	await waitUntil(async () => {
+		for (const {address} of deployment.controls) {
+			if (await call({
+				method: 'PUT', address, path: '/-/config', body,
+			}) === 200) {
+				return true;
+			}
+		}
+
+		return undefined;
+	}, {what: 'an acknowledged configuration'});
+}
+
+const labels = {id: 'i-labels', service: 'labels', answer: () => ({events: ['printed']})};
+
+test('requests of each kind are answered whole, by the model that they need, and refused with the right status', async t => {
+	const models = {
+		id: 'i-models', service: 'models', answer: ({model}: {readonly model: string | undefined}) => ({confidence: model === 'small' ? 20 : 90, events: [`by ${model}`, 'end']}),
+	};
+	const {deployment, backends} = await start(t, {servers: [labels, models]});
+	const draft = await waitUntil(async () => {
+		const answer = await send(deployment, '/drafts/7');
+		return answer.status === 200 ? answer : undefined;
+	}, {what: 'a draft'});
+	t.is(draft.text, 'id: 1\ndata: by large\n\nid: 2\ndata: end\n\n');
+	t.true(draft.isWhole);
+	t.deepEqual(backends[1]!.runs.map(({model}) => model), ['small', 'large']);
+	t.like(backends[1]!.runs[0], {workspace: 'mills'});
+	t.like(await send(deployment, '/print/7'), {status: 200, text: 'printed'});
+	t.like(await send(deployment, '/print/7', {Authorization: 'Bearer other'}), {status: 401});
+	t.like(await send(deployment, '/none/7'), {status: 404});
+	t.like(await send(deployment, '/open/7', {Authorization: ''}), {status: 200});
+});
+
+test('a stream that breaks in the middle of an event goes on elsewhere, and nothing comes twice', async t => {
+	const events = ['one', 'two', 'three', 'four'];
+	const broken = {id: 'i-1', service: 'models', answer: () => ({confidence: 90, events, breakAfter: 2})};
+	const {deployment, backends} = await start(t, {servers: [labels, broken, {...broken, id: 'i-2'}]});
+	const whole = events.map((event, index) => `id: ${index + 1}\ndata: ${event}\n\n`).join('');
+	const first = await send(deployment, '/drafts/7');
+	// Both break after two events, so that the second one, which goes on after the second event, breaks at once.
+	t.is(first.text, whole.slice(0, first.text.length));
+	t.false(first.isWhole);
+	const last = backends.flatMap(({runs}) => runs).find(({lastEventId}) => lastEventId !== undefined);
+	t.is(last?.lastEventId, '2');
+});
+
+test('an unsafe request that was sent is never sent again, and its outcome is not called not run', async t => {
+	const cut = {id: 'i-labels', service: 'labels', answer: ({path}: {readonly path: string}) => path.startsWith('/print/') ? {breakAfter: 0} : {}};
+	const {deployment, backends} = await start(t, {servers: [cut, {...cut, id: 'i-other'}]});
+	const answer = await send(deployment, '/print/7');
+	t.is(answer.status, 502);
+	t.is(backends.flatMap(({runs}) => runs).filter(({path}) => path.startsWith('/print/')).length, 1);
+});
+
+test('a server in shutdown gets no new work once that was acknowledged by any control instance', async t => {
+	const {deployment, backends} = await start(t, {servers: [labels, {...labels, id: 'i-other'}]});
+	t.is(await backends[0]!.announce(deployment.controls[2]!.address, 'draining'), 200);
+	const before = backends[0]!.runs.length;
+	for (let index = 0; index < 10; index++) {
+		const answer = await send(deployment, '/look/7');
+		t.is(answer.status, 200);
+	}
+
+	t.is(backends[0]!.runs.length, before);
+});
+
+test('a configuration that was acknowledged outlives the death of all control instances, and an older one never comes back', async t => {
+	const {deployment} = await start(t, {servers: [labels]});
+	await put(deployment, configuration(9, ['k1', 'k2']));
+	await Promise.all(deployment.controls.map(async ({process}) => process.kill('SIGKILL')));
+	for (const {writeSettings, process} of deployment.controls) {
+		await writeSettings({isFounding: false});
+		process.start();
+	}
+
+	await put(deployment, configuration(4));
+	for (const {address} of deployment.controls) {
+		const read = await waitUntil(async () => {
+			const answer = await ask({
+				method: 'GET', address, path: '/-/config', headers: {},
+			});
+			return answer.status === 200 ? answer : undefined;
+		}, {what: 'a read configuration'});
+		t.deepEqual(JSON.parse(read.text), configuration(9, ['k1', 'k2']));
+	}
+});
+
+test('a key that was taken away stops working, also at an entry instance that control no longer reaches; public routes go on', async t => {
+	const revocation = 2000;
+	const {deployment, backends} = await start(t, {servers: [labels], revocation});
+	await put(deployment, configuration(2, ['k2']));
+	const refused = await waitUntil(async () => {
+		const answer = await send(deployment, '/look/7');
+		return answer.status === 401 ? answer : undefined;
+	}, {what: 'the refusal of the old key'});
+	t.is(refused.status, 401);
+	await Promise.all(deployment.controls.map(async ({process}) => process.kill('SIGKILL')));
+	const expired = await waitUntil(async () => {
+		const answer = await send(deployment, '/look/7', {Authorization: 'Bearer k2'});
+		return answer.status === 503 ? answer : undefined;
+	}, {what: 'the end of the lease'});
+	t.not(expired.retryAfter, undefined);
+	const runs = backends[0]!.runs.length;
+	t.is((await send(deployment, '/open/7', {Authorization: ''})).status, 200);
+	t.is(backends[0]!.runs.length, runs + 1);
+});
+
+test('a stop lets the requests in progress end whole, and the process ends by itself', async t => {
+	const slow = {id: 'i-models', service: 'models', answer: () => ({confidence: 90, events: ['a', 'b', 'c', 'd'], gap: 300})};
+	const {deployment} = await start(t, {servers: [labels, slow]});
+	const streaming = send(deployment, '/drafts/7');
+	await new Promise(resolve => {
+		setTimeout(resolve, 200);
+	});
+	const ended = deployment.entries[0]!.process.kill('SIGTERM');
+	const ready = await waitUntil(async () => {
+		const answer = await ask({
+			method: 'GET', address: deployment.entries[0]!.readiness, path: '/-/readyz', headers: {},
+		});
+		return answer.status === 503 ? answer : undefined;
+	}, {what: 'the end of readiness'});
+	t.is(ready.status, 503);
+	const answer = await streaming;
+	t.true(answer.isWhole);
+	t.is((await ended)?.code, 0);
+});
--- /dev/null
+++ b/packages/testing/src/platform/platform-deployment.ts
@@ -0,0 +1,134 @@
+import {
+	mkdir, mkdtemp, rm, writeFile,
+} from 'node:fs/promises';
+import {createRequire} from 'node:module';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {ManagedProcess} from '../managed-process.js';
+
+/** How large the deployment is. */
+export type PlatformDeploymentOptions = {
+	/** Control instances; 3 by default. */
+	readonly controls?: number;
+	/** Entry instances; 2 by default. */
+	readonly entries?: number;
+	/** Milliseconds after which a key that was taken away must not work any more; 5000 by default. */
+	readonly revocation?: number;
+};
+
+/** One process of the deployment. */
+export type PlatformMember = {
+	readonly process: ManagedProcess;
+	/** Where callers, or operators and backend servers, connect. */
+	readonly address: string;
+	/** Where readiness is asked; the address itself on control instances. */
+	readonly readiness: string;
+	/** Writes the settings anew, as the platform does before each start. */
+	readonly writeSettings: (changes: {readonly isFounding: boolean}) => Promise<void>;
+};
+
+const ports = {
+	callers: 8227, readiness: 8220, control: 8229, peers: 7340, lastPeers: 7355,
+} as const;
+let deployments = 0;
+const program = createRequire(import.meta.url).resolve('@valehitch/platform').replace(/mod\.js$/v, 'bin/valehitch-platform.js');
+
+/**
+The real programs of the platform as separate processes on loopback addresses, with the settings that the platform writes.
+
+@example
+```ts
+const deployment = await PlatformDeployment.start();
+await deployment.stop();
+```
+*/
+export class PlatformDeployment {
+	/**
+	Starts all processes.
+
+	@param options How large it is.
+	@returns The deployment.
+	*/
+	static async start({controls = 3, entries = 2, revocation = 5000}: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
+		const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-platform-'));
+		// Each deployment has a network of its own, since the ports are the same on all instances.
+		const network = `127.${10 + (process.pid % 240)}.${deployments++ % 250}`;
+		const deployment = new PlatformDeployment(folder);
+		const seeds = Array.from({length: Math.min(3, controls)}, (_, index) => `${network}.${index + 1}:${ports.control}`);
+		for (let index = 0; index < controls + entries; index++) {
+			const isControl = index < controls;
+			const ip = `${network}.${index + 1}`;
+			const member = await deployment.#add({
+				name: `${isControl ? 'core' : 'front'}-${index + 1}`, ip, isControl, seeds, revocation,
+			});
+			(isControl ? deployment.controls : deployment.entries).push(member);
+		}
+
+		for (const member of deployment.members) {
+			member.process.start();
+		}
+
+		return deployment;
+	}
+
+	readonly controls: PlatformMember[] = [];
+	readonly entries: PlatformMember[] = [];
+	readonly #folder: string;
+
+	private constructor(folder: string) {
+		this.#folder = folder;
+	}
+
+	/** All processes. */
+	get members(): readonly PlatformMember[] {
+		return [...this.controls, ...this.entries];
+	}
+
+	/** Ends all processes and removes their files. */
+	async stop(): Promise<void> {
+		await Promise.all(this.members.map(async member => member.process.kill('SIGKILL')));
+		await rm(this.#folder, {recursive: true, force: true});
+	}
+
+	async #add({name, ip, isControl, seeds, revocation}: MemberOptions): Promise<PlatformMember> {
+		const file = path.join(this.#folder, `${name}.yaml`);
+		const dataFolder = path.join(this.#folder, name);
+		await mkdir(dataFolder, {recursive: true});
+		const writeSettings = async ({isFounding}: {readonly isFounding: boolean}): Promise<void> => {
+			await writeFile(file, JSON.stringify({
+				node: name,
+				role: name,
+				ip,
+				zone: 'hall-a',
+				listen: isControl ? {control: `${ip}:${ports.control}`} : {front: `${ip}:${ports.callers}`, ready: `${ip}:${ports.readiness}`},
+				portRange: [ports.peers, ports.lastPeers],
+				seeds,
+				bootstrap: isFounding,
+				dataDir: isControl ? dataFolder : null,
+				heartbeatMs: 1200,
+				bounds: {
+					graceS: 5, revokeMs: revocation, canaryShare: 0.15, retryBudgetRatio: 0.9, sessionS: 5,
+				},
+			}));
+		};
+
+		await writeSettings({isFounding: true});
+		return {
+			process: new ManagedProcess({
+				name, command: [program], logFile: path.join(this.#folder, `${name}.log`), environment: {VALEHITCH_CONFIG: file},
+			}),
+			address: `${ip}:${isControl ? ports.control : ports.callers}`,
+			readiness: `${ip}:${isControl ? ports.control : ports.readiness}`,
+			writeSettings,
+		};
+	}
+}
+
+type MemberOptions = {
+	readonly name: string;
+	readonly ip: string;
+	readonly isControl: boolean;
+	readonly seeds: readonly string[];
+	readonly revocation: number;
+};
