--- a/packages/testing/src/platform-path.test.ts
+++ b/packages/testing/src/platform-path.test.ts
@@ -18,7 +18,12 @@
 		version,
 		routes: [
 			{
-				...plain, name: 'drafts', pathPrefix: '/drafts/', kind: 'streaming', timeoutMs: 8000, targetLatencyMs: 4000, targetGapMs: 3000, sizes: ['small', 'middle', 'large'], service: 'models', maxAttempts: 3, sticky: true, resumable: true,
+				...plain,
+				name: 'drafts',
+				pathPrefix: '/drafts/',
+				kind: 'streaming',
+				timeoutMs: 8000,
+				targetLatencyMs: 4000, targetGapMs: 3000, sizes: ['small', 'middle', 'large'], service: 'models', maxAttempts: 3, sticky: true, resumable: true,
 			},
 			{
 				...plain, name: 'print', pathPrefix: '/print/', kind: 'unsafe', maxAttempts: 1,
@@ -43,7 +48,9 @@
 	attempts++;
 	return ask({
 		method: path.startsWith('/look/') || path.startsWith('/open/') ? 'GET' : 'POST', address: deployment.entries[0]!.address, path, headers: {
-			Host: host, 'Attempt-Id': `a${attempts}`, 'Deadline-Ms': '8000', Authorization: 'Bearer k1', ...(path.startsWith('/drafts/') && {Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': '1:50,2:50'}), ...headers,
+			Host: host,
+			'Attempt-Id': `a${attempts}`,
+			'Deadline-Ms': '8000', Authorization: 'Bearer k1', ...(path.startsWith('/drafts/') && {Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': '1:50,2:50'}), ...headers,
 		},
 	});
 }
@@ -184,7 +191,8 @@
 	}, {what: 'the end of the lease'});
 	t.not(expired.retryAfter, undefined);
 	const runs = backends[0]!.runs.length;
-	t.is((await send(deployment, '/open/7', {Authorization: ''})).status, 200);
+	const open = await send(deployment, '/open/7', {Authorization: ''});
+	t.is(open.status, 200);
 	t.is(backends[0]!.runs.length, runs + 1);
 });
 
@@ -205,5 +213,6 @@
 	t.is(ready.status, 503);
 	const answer = await streaming;
 	t.true(answer.isWhole);
-	t.is((await ended)?.code, 0);
+	const end = await ended;
+	t.is(end?.code, 0);
 });
--- a/packages/testing/src/platform/backend-stand-in.ts
+++ b/packages/testing/src/platform/backend-stand-in.ts
@@ -96,9 +96,8 @@
 	}
 
 	async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-		for await (const chunk of message) {
-			chunk;
-		}
+		message.resume();
+		await once(message, 'end');
 
 		const {headers, url = ''} = message;
 		if (headers['expect-instance'] !== this.#options.id) {
@@ -124,7 +123,9 @@
 		this.runs.push(run);
 		const isStream = run.model !== undefined;
 		response.writeHead(status, {
-			'Attempt-Id': run.id, 'Response-Signature': `signed-${this.#options.id}`, 'Content-Type': isStream ? 'text/event-stream' : 'text/plain', ...(confidence !== undefined && {Confidence: String(confidence)}),
+			'Attempt-Id': run.id,
+			'Response-Signature': `signed-${this.#options.id}`,
+			'Content-Type': isStream ? 'text/event-stream' : 'text/plain', ...(confidence !== undefined && {Confidence: String(confidence)}),
 		});
 		const first = Number(run.lastEventId ?? 0);
 		for (const [index, event] of events.entries()) {
