Share loads among entry instances, so that their choices do not meet

Ruled out: reports of the engines (half a second old, and priced); subsets of engines for each instance (uneven callers would meet full subsets).

Change: entry instances tell at most ten others, named by control, how much work they have at which server, 40 ms after it changed; work counts by the usual time of the model; servers are compared four at a time, homes of prompts up to 1.5 times the mean load.

--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -15,6 +15,7 @@
 import {ControlGroup} from './control-group.js';
 import {type GatewayAnswer, type GatewayCommand} from './gateway-command.js';
 import {type ConfigurationDocument} from './gateway-state.js';
+import {type KnownEntry, nearEntriesOf} from './near-entries.js';
 import {
 	type ConfirmReply, type JoinReply, type PeerMessage, type ProposeReply, type ServersMessage, type WatchMessage, type WatchReply,
 } from './peer-message.js';
@@ -52,6 +53,8 @@
 const readMilliseconds = 700;
 /** How long a question of an entry instance waits for news: well below the time after which its lease would end. */
 const watchMilliseconds = 400;
+/** An entry instance that asked nothing for this long is gone; it asks more than once a second. */
+const entryGoneMilliseconds = 3000;
 /** The time until a data folder that failed is opened again. */
 const reopenMilliseconds = 500;
 const retryMilliseconds = 300;
@@ -75,6 +78,7 @@
 	readonly #evidence = new EvidenceTable();
 	readonly #learned = new Set<InstanceId>();
 	readonly #watchers = new Set<() => void>();
+	readonly #entries = new Map<InstanceId, KnownEntry & {readonly at: number}>();
 	#group: ControlGroup | undefined;
 	#confirmedAt: number | undefined;
 	#timers: NodeJS.Timeout[] = [];
@@ -215,7 +219,8 @@
 				return true;
 			})
 			.with({type: 'all-servers'}, (): ServersMessage => ({type: 'servers', records: this.#news.directory.records}))
-			.with({type: 'watch'}, async watch => this.#watch(watch))
+			.with({type: 'watch'}, async watch => this.#watch(from, watch))
+			.with({type: 'load'}, () => undefined)
 			.exhaustive();
 	}
 
@@ -398,10 +403,12 @@
 		});
 	}
 
-	async #watch(watch: WatchMessage): Promise<WatchReply> {
+	async #watch(from: InstanceId, watch: WatchMessage): Promise<WatchReply> {
 		const {clock, run} = this.#options;
 		const arrived = clock.monotonic();
 		this.#evidence.take(watch.evidence);
+		const asker = {instance: from, zone: watch.zone};
+		this.#entries.set(from, {...asker, at: arrived});
 		if (!this.#hasNews(watch)) {
 			await this.#nextNews();
 		}
@@ -422,9 +429,20 @@
 			held: now - arrived,
 			confirmedAgo: this.#confirmedAt === undefined || state === undefined ? undefined : now - this.#confirmedAt,
 			hosts: [this.#options.self, ...this.#others()],
+			entries: nearEntriesOf(asker, this.#presentEntries(now)),
 		};
 	}
 
+	#presentEntries(now: number): readonly KnownEntry[] {
+		for (const [instance, {at}] of this.#entries) {
+			if (now - at > entryGoneMilliseconds) {
+				this.#entries.delete(instance);
+			}
+		}
+
+		return [...this.#entries.values()];
+	}
+
 	#hasNews({run, cursor, configurationVersion, rolloutDigest}: WatchMessage): boolean {
 		const {configuration, rollouts = []} = this.#group?.state ?? {};
 		return run !== this.#options.run
--- /dev/null
+++ b/packages/gateway/src/control/near-entries.test.ts
@@ -0,0 +1,21 @@
+import {type InstanceId, type ZoneId} from '@valehitch/core';
+import test from 'ava';
+import {type KnownEntry, nearEntriesOf} from './near-entries.js';
+
+function entries(count: number, zone: string): readonly KnownEntry[] {
+	return Array.from({length: count}, (_, index) => ({instance: `${zone}-${String(index).padStart(2, '0')}` as InstanceId, zone: zone as ZoneId}));
+}
+
+test('a small deployment shares with all', t => {
+	const all = [...entries(3, 'a'), ...entries(2, 'b')];
+	t.deepEqual(nearEntriesOf(all[1]!, all), ['a-02', 'a-00', 'b-00', 'b-01'] as never);
+});
+
+test('in a large one each tells ten of its availability zone, and each is told by ten', t => {
+	const all = [...entries(28, 'a'), ...entries(28, 'b')];
+	const told = all.flatMap(entry => nearEntriesOf(entry, all));
+	t.is(told.length, 560);
+	for (const {instance} of all) {
+		t.is(told.filter(other => other === instance).length, 10);
+	}
+});
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -1,5 +1,7 @@
 import {type ReplicaId, type ReplicaSet} from '@valehitch/consensus';
-import {type Failure} from '@valehitch/core';
+import {
+	type Failure, type InstanceId, type ServerId, type ZoneId,
+} from '@valehitch/core';
 import {type ReplicaWire} from '@valehitch/replication';
 import {type RunningRollout} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
@@ -72,6 +74,8 @@
 /** An entry instance asks for news, and brings what it counted. */
 export type WatchMessage = {
 	readonly type: 'watch';
+	/** The asker's availability zone. */
+	readonly zone: ZoneId;
 	/** The version of the configuration that the asker has; undefined for none. */
 	readonly configurationVersion: number | undefined;
 	/** Names the run of the control instance that `cursor` belongs to; empty for none. */
@@ -97,7 +101,15 @@
 	readonly confirmedAgo: number | undefined;
 	/** The hosts of the control instances. */
 	readonly hosts: readonly string[];
+	/** The entry instances with which the asker shares its loads. */
+	readonly entries: readonly InstanceId[];
+};
+
+/** An entry instance tells others how much work it has at which server. */
+export type LoadMessage = {
+	readonly type: 'load';
+	readonly loads: ReadonlyArray<readonly [server: ServerId, load: number]>;
 };
 
 /** The closed list of messages between the instances of a gateway. */
-export type PeerMessage = ReplicaEnvelope | JoinMessage | ConfirmMessage | ProposeMessage | ServersMessage | AllServersMessage | WatchMessage;
+export type PeerMessage = ReplicaEnvelope | JoinMessage | ConfirmMessage | ProposeMessage | ServersMessage | AllServersMessage | WatchMessage | LoadMessage;
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -19,7 +19,7 @@
 	/** The control instances that the settings name. */
 	readonly seeds: () => readonly InstanceId[];
 	/** What goes with a question, besides what is remembered for each source. */
-	readonly question: () => Pick<WatchMessage, 'configurationVersion' | 'rolloutDigest' | 'evidence'>;
+	readonly question: () => Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evidence'>;
 	/** Asks a control instance; undefined where no reply came within the timeout in milliseconds. */
 	readonly ask: (to: InstanceId, message: WatchMessage, timeout: number) => Promise<WatchReply | undefined>;
 	readonly onNews: (news: ControlNews) => void;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -7,7 +7,7 @@
 import {type Either} from 'purify-ts';
 import {RouteTable} from '../configuration/route-table.js';
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
-import {type WatchMessage, type WatchReply} from '../control/peer-message.js';
+import {type LoadMessage, type WatchMessage, type WatchReply} from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {isEnded, type RunningRollout} from '../rollouts/rollout.js';
@@ -19,6 +19,7 @@
 import {EvidenceCounter} from './evidence-counter.js';
 import {handleRequest} from './handle-request.js';
 import {LatencyBook} from './latency-book.js';
+import {LoadShare} from './load-share.js';
 import {VersionPins} from './version-pins.js';
 
 /** Where the instance listens. */
@@ -49,6 +50,8 @@
 	/** The control instances that the settings name. */
 	readonly seeds: () => readonly InstanceId[];
 	readonly ask: (to: InstanceId, message: WatchMessage, timeout: number) => Promise<WatchReply | undefined>;
+	/** Sends a message that wants no reply. */
+	readonly send: (to: InstanceId, message: LoadMessage) => void;
 	readonly wait: (milliseconds: number) => Promise<void>;
 	/** Reads a configuration as the operator wrote it. */
 	readonly parse: (document: string) => Either<Failure, RoutingConfiguration>;
@@ -62,6 +65,8 @@
 /** An idle connection is kept this many times longer than callers use it, so that none closes under a request. */
 const idleFactor = 2;
 const defaultIdleMilliseconds = 15_000;
+/** The time between two looks whether loads changed: well below the time that most requests take, in milliseconds. */
+const shareMilliseconds = 40;
 /** The time for which connections are kept open after a stop began, while the balancer takes this instance out. */
 const drainPollMilliseconds = 50;
 
@@ -78,10 +83,13 @@
 	readonly #options: EntryInstanceOptions;
 	readonly #context: EntryContext;
 	readonly #watch: ControlWatch;
+	readonly #share: LoadShare;
 	readonly #server: Server;
 	readonly #configurations = new StepWaiters();
 	#table: RouteTable | undefined;
 	#rollouts: readonly RunningRollout[] = [];
+	#peers: readonly InstanceId[] = [];
+	#shareTimer: NodeJS.Timeout | undefined;
 	#rolloutsAt = 0;
 	#rolloutDigest = '';
 	#hadLease = false;
@@ -91,10 +99,15 @@
 	constructor(options: EntryInstanceOptions) {
 		const {clock, random, zone, self, run} = options;
 		this.#options = options;
+		this.#share = new LoadShare({
+			own: () => this.#context.servers.loads,
+			peers: () => this.#peers,
+			send: options.send,
+		});
 		this.#context = {
 			...options,
 			lease: new ConfigurationLease({duration: options.leaseMilliseconds}),
-			servers: new EntryServers({zone, random}),
+			servers: new EntryServers({zone, random, share: this.#share}),
 			budget: new RetryBudget({share: options.retryShare, burst: retryBurst, floorPerSecond: retriesPerSecondWithoutTraffic}),
 			latencies: new LatencyBook(),
 			pins: new VersionPins(options),
@@ -132,6 +145,9 @@
 	*/
 	async start(): Promise<void> {
 		this.#watch.start();
+		this.#shareTimer = setInterval(() => {
+			this.#share.flush(this.#options.clock.monotonic());
+		}, shareMilliseconds);
 		const {host, port} = this.#options.listen;
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
@@ -148,6 +164,16 @@
 		this.#endsAt = endsAt;
 	}
 
+	/**
+	Takes a message of another entry instance.
+
+	@param from The instance.
+	@param message How much work it has at which server.
+	*/
+	receive(from: InstanceId, message: LoadMessage): void {
+		this.#share.receive(from, message, this.#options.clock.monotonic());
+	}
+
 	/** Closes connections without a request, so that their callers go elsewhere before the end. */
 	closeIdle(): void {
 		this.#server.closeIdleConnections();
@@ -168,6 +194,7 @@
 	/** Closes all connections. */
 	close(): void {
 		this.#watch.stop();
+		clearInterval(this.#shareTimer);
 		this.#server.close();
 		this.#server.closeAllConnections();
 	}
@@ -196,9 +223,10 @@
 		return server;
 	}
 
-	#question(): Pick<WatchMessage, 'configurationVersion' | 'rolloutDigest' | 'evidence'> {
+	#question(): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evidence'> {
 		const running = this.#rollouts.filter(rollout => !isEnded(rollout)).map(({service}) => service);
 		return {
+			zone: this.#options.zone,
 			configurationVersion: this.#table?.version,
 			rolloutDigest: this.#rolloutDigest,
 			evidence: this.#context.evidence.of(new Set(running)),
@@ -209,6 +237,7 @@
 		const {log} = this.#options;
 		const {lease, servers} = this.#context;
 		const changed = servers.take(reply.records, {source, now});
+		this.#peers = reply.entries;
 		for (const {id, state, service, version, sequence} of changed) {
 			log(state === 'ready' ? 'server-joined' : 'server-draining', {
 				server: id, service, version, state, sequence, source,
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -9,8 +9,12 @@
 const two = 'control-2' as InstanceId;
 const now = 1000;
 
+function ignore(): void {
+	// Nobody is told.
+}
+
 function servers(...records: ReadonlyArray<ReturnType<typeof testServer>>): EntryServers {
-	const held = new EntryServers({zone: 'hall-a' as ZoneId, random: () => 0.5});
+	const held = new EntryServers({zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore}});
 	held.take(records, {source: one, now});
 	return held;
 }
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -4,12 +4,16 @@
 import {
 	chooseServer, OutlierEjection, prefixHash, type ServerView,
 } from '@valehitch/routing';
+import {type LoadMessage} from '../control/peer-message.js';
 import {type ServerRecord} from '../servers/server-record.js';
+import {type LoadShare} from './load-share.js';
 
 /** How an entry instance chooses among the servers. */
 export type EntryServersOptions = {
 	readonly zone: ZoneId;
 	readonly random: RandomSource;
+	/** What the other entry instances have at each server. */
+	readonly share: Pick<LoadShare, 'othersOn' | 'noteChange'>;
 };
 
 /** What is wanted of a server. */
@@ -30,6 +34,8 @@
 type Held = {
 	record: ServerRecord;
 	inFlight: number;
+	/** The work of the requests in flight, in units of a short one. */
+	work: number;
 	readonly addedAt: number;
 	/** The control instances that say it is silent. */
 	readonly silentFor: Set<InstanceId>;
@@ -40,7 +46,9 @@
 
 const rankOfState = {ready: 0, draining: 1, gone: 2} as const;
 /** An engine batches: twice the mean load costs it little, a prompt that it must read again costs more. */
-const loadBound = 2.5;
+const loadBound = 1.5;
+/** With the loads of all instances known, comparing more servers costs nothing but the comparison. */
+const samples = 4;
 /** The pause after a connection that was not opened; doubles up to the longest. */
 const firstAvoidMilliseconds = 500;
 const longestAvoidMilliseconds = 8000;
@@ -80,7 +88,7 @@
 			const held = this.#servers.get(record.id);
 			if (held === undefined) {
 				this.#servers.set(record.id, {
-					record, inFlight: 0, addedAt: now, silentFor: new Set(record.isSilent ? [source] : []), avoidUntil: 0, unreachable: 0,
+					record, inFlight: 0, work: 0, addedAt: now, silentFor: new Set(record.isSilent ? [source] : []), avoidUntil: 0, unreachable: 0,
 				});
 				changed.push(record);
 				continue;
@@ -123,7 +131,7 @@
 		}
 
 		const wish = {
-			target: service, excluded, zone: this.#options.zone, random: this.#options.random, zonePenalty, loadBound,
+			target: service, excluded, zone: this.#options.zone, random: this.#options.random, zonePenalty, samples, loadBound,
 			prefix: subject === undefined ? undefined : prefixHash(subject),
 		};
 		// Where every server is suspect, a suspect one is better than none.
@@ -152,20 +160,30 @@
 		return this.#servers.get(id)?.record;
 	}
 
-	/** Counts a request that was sent to a server. */
-	begin(id: ServerId): void {
-		const held = this.#servers.get(id);
-		if (held !== undefined) {
-			held.inFlight++;
+	/** The work of this instance at each server that has any. */
+	get loads(): LoadMessage['loads'] {
+		const loads: Array<readonly [ServerId, number]> = [];
+		for (const [id, {inFlight, work}] of this.#servers) {
+			if (inFlight > 0) {
+				loads.push([id, work]);
+			}
 		}
+
+		return loads;
 	}
 
-	/** Counts a request of a server as ended. */
-	end(id: ServerId): void {
-		const held = this.#servers.get(id);
-		if (held !== undefined) {
-			held.inFlight--;
-		}
+	/**
+	Counts a request that is sent to a server.
+
+	@param id The server.
+	@param work Its work, in units of a short request.
+	@returns Counts the request as ended.
+	*/
+	begin(id: ServerId, work: number): () => void {
+		this.#count(id, {requests: 1, work});
+		return () => {
+			this.#count(id, {requests: -1, work: -work});
+		};
 	}
 
 	/**
@@ -197,15 +215,26 @@
 		return this.#ejection.record(id, {failed: result === 'failed', now, servers: this.#countOf(held.record.service)});
 	}
 
-	#viewOf({record, inFlight, addedAt, silentFor, avoidUntil}: Held, now: number): ServerView {
+	#count(id: ServerId, {requests, work}: {readonly requests: number; readonly work: number}): void {
+		const held = this.#servers.get(id);
+		if (held === undefined) {
+			return;
+		}
+
+		held.inFlight += requests;
+		held.work = held.inFlight === 0 ? 0 : held.work + work;
+		this.#options.share.noteChange();
+	}
+
+	#viewOf({record, work, addedAt, silentFor, avoidUntil}: Held, now: number): ServerView {
 		return {
 			id: record.id,
 			zone: record.zone,
 			capacity: Math.max(1, record.slots),
-			reportedActive: 0,
+			reportedActive: this.#options.share.othersOn(record.id),
 			ownAtReport: 0,
 			reportAge: 0,
-			ownInFlight: inFlight,
+			ownInFlight: work,
 			draining: false,
 			expired: silentFor.size > 0 || avoidUntil > now,
 			ejected: this.#ejection.isEjected(record.id, now),
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -52,6 +52,8 @@
 const wayBackMilliseconds = 5;
 /** The time to the first event of a model before any was seen, as a share of the target latency. */
 const unknownLatencyShare = 0.35;
+/** The time of one unit of work, in milliseconds: that of a short prompt on a small model. */
+const workUnitMilliseconds = 100;
 /** The highest number of an urgency that a server takes. */
 const leastUrgent = 9;
 
@@ -165,7 +167,7 @@
 		});
 		this.#attempt = attempt;
 		this.#sends++;
-		servers.begin(server.id);
+		const end = servers.begin(server.id, this.#work());
 		log('request-dispatched', {
 			request: this.#request.id,
 			server: server.id,
@@ -177,7 +179,7 @@
 		});
 		const outcome = await attempt.outcome;
 		const next = await this.#takeOutcome(outcome, {server, sentAt});
-		servers.end(server.id);
+		end();
 		metrics.attempts.inc({result: outcome.type});
 		return next;
 	}
@@ -383,6 +385,11 @@
 		return `${this.#route.id} ${model ?? ''}`;
 	}
 
+	/** The work of a send, by the time that the model usually takes to its first event. */
+	#work(): number {
+		return this.#model === undefined ? 1 : Math.max(1, this.#context.latencies.expected(this.#latencyKey(this.#model), workUnitMilliseconds) / workUnitMilliseconds);
+	}
+
 	#headTimeout(): number {
 		if (!this.#mayRepeat || this.#sends + 1 >= this.#route.maximumAttempts) {
 			return 0;
--- a/packages/platform/src/wire-process.ts
+++ b/packages/platform/src/wire-process.ts
@@ -20,6 +20,11 @@
 	readonly stop: () => Promise<void>;
 };
 
+type Parts = {
+	control?: ControlInstance;
+	entry?: EntryInstance;
+};
+
 type Base = {
 	readonly settings: () => PlatformSettings;
 	readonly log: DecisionLog;
@@ -68,16 +73,16 @@
 	const run = randomUUID();
 	const log = createDecisionLog('valehitch', {clock, output: openBoundedOutput(1), fields: {instance: settings.instance, zone: settings.zone}});
 	const metrics = createGatewayMetrics();
-	const parts: {control?: ControlInstance} = {};
+	const parts: Parts = {};
 	const network = await PeerNetwork.listen<PeerMessage>({
 		self: settings.instance,
 		key: peerKey,
 		...settings.peers,
 		pingMilliseconds,
 		onMessage(from, message) {
-			void parts.control?.answer(from, message);
+			void answerPeer(parts, from, message);
 		},
-		onRequest: async (from, message) => parts.control?.answer(from, message),
+		onRequest: async (from, message) => answerPeer(parts, from, message),
 	});
 	const base: Base = {
 		settings: () => current, log, metrics, network, run,
@@ -94,7 +99,9 @@
 	}
 
 	if (settings.callers !== undefined) {
-		stopParts.push(await startEntryPart(base, settings.callers));
+		const started = await startEntryPart(base, settings.callers);
+		parts.entry = started.entry;
+		stopParts.push(started.stop);
 	}
 
 	return {
@@ -112,6 +119,16 @@
 	};
 }
 
+/** Control instances answer everything but loads, which concern entry instances only. */
+async function answerPeer({control, entry}: Parts, from: InstanceId, message: PeerMessage): Promise<unknown> {
+	if (message.type === 'load') {
+		entry?.receive(from, message);
+		return undefined;
+	}
+
+	return control?.answer(from, message);
+}
+
 async function startControlPart(base: Base, listen: ListenAddress) {
 	const {settings, log, network} = base;
 	const {instance, isFounding, heartbeat, dataFolder = 'data'} = settings();
@@ -148,7 +165,7 @@
 	};
 }
 
-async function startEntryPart(base: Base, listen: ListenAddress): Promise<() => Promise<void>> {
+async function startEntryPart(base: Base, listen: ListenAddress) {
 	const {settings} = base;
 	const {instance, zone, revocation, canaryShare: bound, retryShare, sessionTimeout, grace, readiness} = settings();
 	const entry = new EntryInstance({
@@ -165,12 +182,15 @@
 		retryShare: retryBudgetShare * retryShare,
 		seeds: () => settings().seeds,
 		ask: async (to, message, timeout) => askPeer(base, to, {message, timeout}) as Promise<WatchReply | undefined>,
+		send(to, message) {
+			base.network.send(peerAddress(settings(), to), message);
+		},
 		wait: elapsed,
 		parse: decodeConfiguration,
 	});
 	await entry.start();
 	const readinessServer = readiness === undefined ? undefined : await serveReadiness(entry, readiness);
-	return async () => {
+	const stop = async (): Promise<void> => {
 		const stopBy = clock.monotonic() + grace - closeMarginMilliseconds;
 		entry.beginStop(stopBy);
 		await elapsed(Math.min(takenOutMilliseconds, grace - closeMarginMilliseconds));
@@ -178,6 +198,8 @@
 		entry.close();
 		readinessServer?.close();
 	};
+
+	return {entry, stop};
 }
 
 async function serveReadiness(entry: EntryInstance, listen: ListenAddress): Promise<Server> {
