--- a/packages/gateway/src/rollouts/choose-side.ts
+++ b/packages/gateway/src/rollouts/choose-side.ts
@@ -19,11 +19,14 @@
 const hashRange = 67_108_859;
 /** Sessions stay on the old version for this share of the duration. */
 const sessionShare = 0.5;
+/** Between these shares of the duration the target's share grows to all: its caches fill while the other servers still help, and what fails only under load shows before all depends on it. */
+const shiftStart = 0.5;
+const shiftEnd = 0.75;
 
 /**
 Chooses between the versions of a service in a roll-out.
 
-The choice is a hash of the session, so that all instances choose alike, and a session that reached the target stays there.
+The choice is a hash of the session, so that all instances choose alike, and a session that reached the target stays there: the target's share only grows.
 
 @param rollout The newest roll-out of the service, with its age.
 @param options What decides.
@@ -38,14 +41,12 @@
 		return 'others';
 	}
 
-	if (stage !== 'canary') {
+	if (stage === 'completed' || pinned === target) {
 		return 'target';
 	}
 
-	if (pinned === target) {
-		return 'target';
-	}
-
-	const isPinnedToOld = hasSession && pinned !== undefined && age < sessionShare * duration;
-	return !isPinnedToOld && prefixHash(subject) < canaryShare * hashRange ? 'target' : 'others';
+	const passed = age / duration;
+	const isPinnedToOld = hasSession && pinned !== undefined && passed < sessionShare;
+	const share = stage === 'canary' ? canaryShare : Math.max(canaryShare, (passed - shiftStart) / (shiftEnd - shiftStart));
+	return !isPinnedToOld && prefixHash(subject) < share * hashRange ? 'target' : 'others';
 }
--- a/packages/platform/src/bin/valehitch-platform.ts
+++ b/packages/platform/src/bin/valehitch-platform.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
+import {parseArgs} from 'node:util';
 import {formatProblem} from '@valehitch/settings';
 import {parsePlatformSettings, type PlatformSettings} from '../platform-settings.js';
 import {startProcess} from '../wire-process.js';
@@ -35,7 +36,8 @@
 		return;
 	}
 
-	const running = await startProcess(settings);
+	const {values: {'metrics-port': port}} = parseArgs({options: {'metrics-port': {type: 'string'}}});
+	const running = await startProcess(settings, {metricsPort: port === undefined ? undefined : Number(port)});
 	const reload = async (): Promise<void> => {
 		const newText = await readFile(file, 'utf8');
 		if (newText === text) {
--- a/packages/platform/src/wire-process.ts
+++ b/packages/platform/src/wire-process.ts
@@ -20,6 +20,12 @@
 	readonly stop: () => Promise<void>;
 };
 
+/** What the deploy file decides, and not the settings. */
+export type StartProcessOptions = {
+	/** The port of the metrics; none are served unless given. */
+	readonly metricsPort?: number | undefined;
+};
+
 type Parts = {
 	control?: ControlInstance;
 	entry?: EntryInstance;
@@ -33,8 +39,6 @@
 	readonly run: string;
 };
 
-/** The port beside that of the peers, named in the deploy file too, is found by its offset in the range. */
-const metricsPortOffset = 1;
 /** Every instance of a deployment may connect; the platform has no key that all share. */
 const peerKey = 'valehitch';
 /** A cut is noticed after two of these, well within the time that the platform allows. */
@@ -61,6 +65,7 @@
 Builds a process from its settings: the one place where the parts are put together.
 
 @param settings The settings.
+@param options Where metrics are served.
 @returns The running process.
 @throws If a port cannot be opened.
 @example
@@ -68,7 +73,7 @@
 const running = await startProcess(settings);
 ```
 */
-export async function startProcess(settings: PlatformSettings): Promise<RunningProcess> {
+export async function startProcess(settings: PlatformSettings, {metricsPort}: StartProcessOptions = {}): Promise<RunningProcess> {
 	let current = settings;
 	const run = randomUUID();
 	const log = createDecisionLog('valehitch', {clock, output: openBoundedOutput(1), fields: {instance: settings.instance, zone: settings.zone}});
@@ -87,7 +92,7 @@
 	const base: Base = {
 		settings: () => current, log, metrics, network, run,
 	};
-	const metricsServer = await serveMetrics(metrics, {host: settings.peers.host, port: settings.peers.port + metricsPortOffset});
+	const metricsServer = metricsPort === undefined ? undefined : await serveMetrics(metrics, {host: settings.peers.host, port: metricsPort});
 	log('process-started', {
 		name: settings.name, run, isFounding: settings.isFounding, seeds: settings.seeds, dataFolder: settings.dataFolder,
 	});
@@ -112,7 +117,7 @@
 		async stop() {
 			log('process-stopping', {grace: settings.grace});
 			await Promise.all(stopParts.map(async stop => stop()));
-			metricsServer.close();
+			metricsServer?.close();
 			await network.close();
 			log('process-stopped', {});
 		},
