--- a/packages/cli/src/commands/trace.ts
+++ b/packages/cli/src/commands/trace.ts
@@ -9,7 +9,7 @@
 /** Tells what happened to one request of a gateway, from the logs of its instances. */
 export class Trace extends OperatorCommand {
 	static override readonly summary = 'Tell what happened to a request, the cause first.';
-	static override readonly description = 'Reads the decision logs of the gateway\'s instances. Each of them bounds its lines; failures are kept in preference, and `lines-left-out` tells how many are missing.';
+	static override readonly description = 'Reads the decision logs of the gateway\'s instances. Each bounds its lines, and keeps failures in preference; `lines-left-out` tells how many are missing.';
 	static override readonly strict = false;
 	static override readonly args = {
 		request: Args.string({description: 'The caller\'s id of the request.', required: true}),
--- a/packages/gateway/src/control/control-group.ts
+++ b/packages/gateway/src/control/control-group.ts
@@ -47,7 +47,8 @@
 	seenAt: number;
 };
 
-const tickMilliseconds = 50;
+/** A third of the heartbeat interval, so that a heartbeat is late by no more than that. */
+const tickMilliseconds = 25;
 const searchMilliseconds = 250;
 /** Four searches; after that a replica that asked is taken to be gone. */
 const presentMilliseconds = 1000;
--- /dev/null
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -0,0 +1,137 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	type InstanceId, type ServiceId, type VersionId, type ZoneId,
+} from '@valehitch/core';
+import {type FileFunctions, openDataFolder, systemFiles} from '@valehitch/storage';
+import test, {type ExecutionContext} from 'ava';
+import {Right} from 'purify-ts';
+import {testConfiguration} from '../configuration/_test-configuration.js';
+import {createGatewayMetrics} from '../logs/gateway-metrics.js';
+import {testServer} from '../servers/_test-server.js';
+import {ControlInstance} from './control-instance.js';
+import {type WatchReply} from './peer-message.js';
+
+const self = '10.0.0.1' as InstanceId;
+const entry = '10.0.0.9' as InstanceId;
+
+/** The only control instance of a deployment; its disk can be filled. */
+async function startControl(t: ExecutionContext) {
+	const disk = {isFull: false};
+	const files: FileFunctions = {
+		...systemFiles,
+		async create(file) {
+			const open = await systemFiles.create(file);
+			return {
+				...open,
+				async append(data) {
+					if (disk.isFull) {
+						throw new Error('ENOSPC: no space left on device');
+					}
+
+					await open.append(data);
+				},
+			};
+		},
+	};
+	const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-control-'));
+	const control = new ControlInstance({
+		self,
+		clock: {now: () => new Date(), monotonic: () => performance.now()},
+		random: () => 0.5,
+		log: ignore,
+		metrics: createGatewayMetrics(),
+		isFounding: true,
+		seeds: () => [self],
+		heartbeatMilliseconds: 1200,
+		openFolder: async () => openDataFolder(folder, {files, lock: async () => Right(async () => undefined)}),
+		send: ignore,
+		ask: async () => undefined,
+		run: 'one',
+	});
+	await control.start();
+	t.teardown(async () => {
+		await control.stop();
+		await rm(folder, {recursive: true, force: true});
+	});
+	return {control, disk};
+}
+
+function ignore(): void {
+	// Nobody is there.
+}
+
+/** Tries until a call succeeds; the deadline of the test run bounds it. */
+async function eventually<Value>(attempt: () => Promise<Value | undefined>): Promise<Value> {
+	for (;;) {
+		const value = await attempt();
+		if (value !== undefined) {
+			return value;
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	}
+}
+
+async function submit(control: ControlInstance, version: number): Promise<true | undefined> {
+	const submitted = await control.submitConfiguration(testConfiguration({version}), `version ${version}`);
+	return submitted.isRight() ? true : undefined;
+}
+
+async function read(control: ControlInstance): Promise<string | undefined> {
+	const document = await control.readConfiguration();
+	return document.caseOf({Left: () => undefined, Right: value => value.document});
+}
+
+async function watch(control: ControlInstance, changes: Partial<Pick<WatchReply, 'run' | 'cursor'>> & {readonly configurationVersion?: number} = {}): Promise<WatchReply> {
+	return await control.answer(entry, {
+		type: 'watch', zone: 'hall-a' as ZoneId, configurationVersion: undefined, run: '', cursor: 0, rolloutDigest: '', evidence: [], ...changes,
+	}) as WatchReply;
+}
+
+test('a full disk refuses changes, and the replica comes back with all that was acknowledged once there is room', async t => {
+	const {control, disk} = await startControl(t);
+	await eventually(async () => submit(control, 3));
+	disk.isFull = true;
+	t.is(await submit(control, 5), undefined);
+	disk.isFull = false;
+	const document = await eventually(async () => read(control));
+	// The change that was refused may or may not be in the log; the acknowledged one is never older.
+	t.true(['version 3', 'version 5'].includes(document));
+	await eventually(async () => submit(control, 9));
+	t.is(await eventually(async () => read(control)), 'version 9');
+});
+
+test('an entry instance gets what it lacks with the time for which that is sure, and nothing twice', async t => {
+	const {control} = await startControl(t);
+	await eventually(async () => submit(control, 3));
+	await control.announce(testServer());
+	const first = await eventually(async () => {
+		const reply = await watch(control);
+		return reply.confirmedAgo === undefined ? undefined : reply;
+	});
+	t.is(first.configuration?.document, 'version 3');
+	t.deepEqual(first.records.map(({id}) => id), [testServer().id]);
+	const second = await watch(control, {run: first.run, cursor: first.cursor, configurationVersion: 3});
+	t.is(second.configuration, undefined);
+	t.deepEqual(second.records, []);
+	t.true(second.confirmedAgo! < 5000);
+});
+
+test('a roll-out is acknowledged again when it is resent, and unknown services have none', async t => {
+	const {control} = await startControl(t);
+	const order = {service: 'models' as ServiceId, target: 'v2' as VersionId, duration: 60_000};
+	await eventually(async () => {
+		const started = await control.startRollout(order);
+		return started.isRight() || undefined;
+	});
+	const again = await control.startRollout(order);
+	t.true(again.isRight());
+	const known = await control.readRollout(order.service);
+	t.is(known.unsafeCoerce().stage, 'canary');
+	const unknown = await control.readRollout('other' as ServiceId);
+	t.is(unknown.swap().unsafeCoerce().kind, 'not-found');
+});
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -49,6 +49,8 @@
 const confirmTimeoutMilliseconds = 600;
 const joinTimeoutMilliseconds = 400;
 const proposeTimeoutMilliseconds = 950;
+/** After this time without a confirmation entry instances are told of the next one at once, in milliseconds. */
+const regainedMilliseconds = 1000;
 /** How long a read waits to be applied here; a caller gives up after a second. */
 const readMilliseconds = 700;
 /** How long a question of an entry instance waits for news: well below the time after which its lease would end. */
@@ -151,7 +153,7 @@
 	@returns The roll-out, once it is committed.
 	*/
 	async startRollout(order: {readonly service: ServiceId; readonly target: VersionId; readonly duration: number}): Promise<Either<Failure, GatewayAnswer>> {
-		const result = await this.#propose({type: 'start-rollout', ...order});
+		const result = await this.#propose({type: 'start-rollout', ...order, orderedAt: this.#options.clock.now().getTime()});
 		this.#options.log('rollout-started', {
 			service: order.service, target: order.target, duration: order.duration, result: describe(result),
 		});
@@ -308,6 +310,7 @@
 			.exhaustive();
 		this.#rolloutClock.running(this.#group?.state.rollouts ?? []);
 		this.#wakeWatchers();
+		void this.#confirm();
 	}
 
 	/** Has a command committed, here or by the leader. */
@@ -363,7 +366,11 @@
 		const group = this.#group;
 		const index = await this.#askIndex();
 		if (group !== undefined && index !== undefined && await group.applied(index, began + confirmTimeoutMilliseconds)) {
+			const isRegained = this.#confirmedAt === undefined || began - this.#confirmedAt > regainedMilliseconds;
 			this.#confirmedAt = Math.max(began, this.#confirmedAt ?? began);
+			if (isRegained) {
+				this.#wakeWatchers();
+			}
 		}
 	}
 
--- a/packages/gateway/src/control/gateway-command.ts
+++ b/packages/gateway/src/control/gateway-command.ts
@@ -17,6 +17,8 @@
 	readonly target: VersionId;
 	/** Milliseconds. */
 	readonly duration: number;
+	/** Milliseconds of the wall clock of the instance that took the order. */
+	readonly orderedAt: number;
 };
 
 /** Takes a running roll-out to its next stage. */
--- a/packages/gateway/src/control/gateway-state.test.ts
+++ b/packages/gateway/src/control/gateway-state.test.ts
@@ -17,7 +17,7 @@
 	const state = new GatewayState();
 	state.apply({type: 'put-configuration', version: 5, document: 'five'});
 	state.apply({
-		type: 'start-rollout', service, target, duration: 1000,
+		type: 'start-rollout', service, target, duration: 1000, orderedAt: 0,
 	});
 	const restored = new GatewayState(state.toSnapshot());
 	t.deepEqual(restored.configuration, state.configuration);
@@ -27,7 +27,7 @@
 test('a resent order changes nothing, another one waits for the end, and an ended roll-out stays ended', t => {
 	const state = new GatewayState();
 	const start = {
-		type: 'start-rollout', service, target, duration: 1000,
+		type: 'start-rollout', service, target, duration: 1000, orderedAt: 0,
 	} as const;
 	state.apply(start);
 	state.apply({
--- a/packages/gateway/src/control/gateway-state.ts
+++ b/packages/gateway/src/control/gateway-state.ts
@@ -87,7 +87,7 @@
 		return Right({type: 'configuration', isNewest, version: this.#configuration?.version ?? version});
 	}
 
-	#start({service, target, duration}: StartRolloutCommand): Either<Failure, GatewayAnswer> {
+	#start({service, target, duration, orderedAt}: StartRolloutCommand): Either<Failure, GatewayAnswer> {
 		const current = this.#rollouts.get(service);
 		if (current?.target === target) {
 			return Right({type: 'rollout', rollout: current});
@@ -98,7 +98,7 @@
 		}
 
 		const rollout: Rollout = {
-			service, target, duration, stage: 'canary',
+			service, target, duration, stage: 'canary', orderedAt,
 		};
 		this.#rollouts.set(service, rollout);
 		return Right({type: 'rollout', rollout});
--- a/packages/gateway/src/control/rollout-clock.ts
+++ b/packages/gateway/src/control/rollout-clock.ts
@@ -1,6 +1,11 @@
 import {type Clock, type ServiceId} from '@valehitch/core';
 import {isEnded, type Rollout, type RunningRollout} from '../rollouts/rollout.js';
 
+/** The wall clocks of instances differ and jump by a few seconds. */
+const largestClockJumpMilliseconds = 4000;
+/** Even a clock that is far ahead leaves this process some of the duration to judge the version itself. */
+const mostOfDuration = 0.8;
+
 /**
 Remembers on the monotonic clock when this instance first saw each roll-out, since clocks of different instances cannot be compared.
 
@@ -32,10 +37,17 @@
 				return {...rollout, age: now - seen.at};
 			}
 
-			this.#seen.set(rollout.service, {target: rollout.target, at: now});
-			return {...rollout, age: 0};
+			const age = this.#ageBefore(rollout);
+			this.#seen.set(rollout.service, {target: rollout.target, at: now - age});
+			return {...rollout, age};
 		});
 	}
+
+	/** The age of a roll-out that was ordered before this process started; a difference that a jump of the clock can explain counts as none. */
+	#ageBefore({orderedAt, duration}: Rollout): number {
+		const age = this.#clock.now().getTime() - orderedAt;
+		return age < largestClockJumpMilliseconds ? 0 : Math.min(age, mostOfDuration * duration);
+	}
 }
 
 /** Names the roll-outs and their stages, so that an asker can tell whether it has them. */
--- a/packages/gateway/src/rollouts/choose-side.test.ts
+++ b/packages/gateway/src/rollouts/choose-side.test.ts
@@ -6,7 +6,7 @@
 const target = 'v2' as VersionId;
 const old = 'v1' as VersionId;
 const rollout: RunningRollout = {
-	service: 'summaries' as ServiceId, target, duration: 20_000, stage: 'canary', age: 4000,
+	service: 'summaries' as ServiceId, target, duration: 20_000, stage: 'canary', orderedAt: 0, age: 4000,
 };
 
 test('the share of sessions that reach the target is near the wanted one, and each session always gets the same side', t => {
--- a/packages/gateway/src/rollouts/judge-rollout.test.ts
+++ b/packages/gateway/src/rollouts/judge-rollout.test.ts
@@ -8,7 +8,7 @@
 import {type VersionEvidence} from './version-evidence.js';
 
 const rollout: Rollout = {
-	service: 'summaries' as ServiceId, target: 'v2' as VersionId, duration: 20_000, stage: 'canary',
+	service: 'summaries' as ServiceId, target: 'v2' as VersionId, duration: 20_000, stage: 'canary', orderedAt: 0,
 };
 
 function seen(version: string, changes: Partial<VersionEvidence> = {}): VersionEvidence {
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -10,6 +10,8 @@
 	/** The time within which it should be completed, in milliseconds. */
 	readonly duration: number;
 	readonly stage: RolloutStage;
+	/** The wall clock of the instance that took the order, in milliseconds; clocks differ and jump, so it only serves where all instances restarted. */
+	readonly orderedAt: number;
 };
 
 /** A roll-out with the time since it was ordered. */
--- a/packages/testing/src/platform-path.test.ts
+++ b/packages/testing/src/platform-path.test.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {
 	ask, BackendStandIn, type BackendStandInOptions, call, type CallerAnswer,
@@ -216,3 +217,19 @@
 	const end = await ended;
 	t.is(end?.code, 0);
 });
+
+test('a caller that leaves ends the work of the server', async t => {
+	const slow = {id: 'i-models', service: 'models', answer: () => ({confidence: 90, events: ['a', 'b', 'c', 'd', 'e', 'f'], gap: 1000})};
+	const {deployment, backends} = await start(t, {servers: [labels, slow]});
+	const [ip, port] = deployment.entries[0]!.address.split(':');
+	const caller = connect(Number(port), ip);
+	caller.on('error', () => {
+		caller.destroy();
+	});
+	caller.write(`POST /drafts/7 HTTP/1.1\r\nHost: ${host}\r\nAttempt-Id: leaving\r\nModel: *\r\nDeadline-Ms: 8000\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\n\r\n`);
+	caller.once('data', () => {
+		caller.destroy();
+	});
+	const abandoned = await waitUntil(async () => backends[1]!.abandoned[0], {what: 'the end of the work'});
+	t.is(abandoned, 'leaving');
+});
--- a/packages/testing/src/platform/backend-stand-in.ts
+++ b/packages/testing/src/platform/backend-stand-in.ts
@@ -62,6 +62,8 @@
 	}
 
 	readonly runs: StandInRun[] = [];
+	/** The requests whose connection ended before their answer did. */
+	readonly abandoned: string[] = [];
 	readonly #options: BackendStandInOptions;
 	readonly #server: Server;
 	#sequence = 0;
@@ -121,6 +123,11 @@
 		}
 
 		this.runs.push(run);
+		response.on('close', () => {
+			if (!response.writableFinished) {
+				this.abandoned.push(run.id);
+			}
+		});
 		const isStream = run.model !== undefined;
 		response.writeHead(status, {
 			'Attempt-Id': run.id,
