--- a/packages/gateway/src/control/control-group.ts
+++ b/packages/gateway/src/control/control-group.ts
@@ -1,5 +1,5 @@
 import {
-	instanceOf, isLeader, type JoiningReplica, knownLeader, planMembership, readIndex, type ReplicaId, type ReplicaSet, type ReplicaState, toReplicaId,
+	instanceOf, isLeader, knownLeader, planMembership, readIndex, type ReplicaId, type ReplicaSet, type ReplicaState, toReplicaId,
 } from '@valehitch/consensus';
 import {
 	type Clock, type Failure, failure, type InstanceId, type RandomSource, toId,
@@ -13,8 +13,10 @@
 import {
 	decodeGatewayCommand, encodeGatewayCommand, type GatewayAnswer, type GatewayCommand,
 } from './gateway-command.js';
+import {foundGroup} from './found-group.js';
 import {GatewayState} from './gateway-state.js';
 import {groupTiming} from './group-timing.js';
+import {JoiningReplicas} from './joining-replicas.js';
 import {type JoinMessage, type JoinReply, type ReplicaEnvelope} from './peer-message.js';
 
 /** What a replica of the group needs. */
@@ -40,18 +42,9 @@
 	readonly onFailure: (failed: Failure) => void;
 };
 
-type Candidate = {
-	readonly replica: ReplicaId;
-	readonly isFounding: boolean;
-	readonly since: number;
-	seenAt: number;
-};
-
 /** A third of the heartbeat interval, so that a heartbeat is late by no more than that. */
 const tickMilliseconds = 25;
 const searchMilliseconds = 250;
-/** Four searches; after that a replica that asked is taken to be gone. */
-const presentMilliseconds = 1000;
 /** Time to commit one command; the caller's own timeout is a second. */
 const commitMilliseconds = 900;
 const retryMilliseconds = 300;
@@ -78,7 +71,7 @@
 	readonly #machine: StateMachine<GatewayCommand, GatewayAnswer, GatewayState>;
 	readonly #driver: ReplicaDriver;
 	readonly #steps = new StepWaiters();
-	readonly #candidates = new Map<ReplicaId, Candidate>();
+	readonly #joining = new JoiningReplicas();
 	#timers: NodeJS.Timeout[] = [];
 	#lastLeader: ReplicaId | undefined;
 	#proposals = 0;
@@ -237,16 +230,7 @@
 	@returns What this replica is.
 	*/
 	join({replica, isFounding}: JoinMessage): JoinReply {
-		const now = this.#options.clock.monotonic();
-		const known = this.#candidates.get(replica);
-		if (known === undefined) {
-			this.#candidates.set(replica, {
-				replica, isFounding, since: now, seenAt: now,
-			});
-		} else {
-			known.seenAt = now;
-		}
-
+		this.#joining.note({replica, isFounding}, this.#options.clock.monotonic());
 		const {log: {snapshot}} = this.#driver.state;
 		return {
 			replica: this.#self,
@@ -269,22 +253,12 @@
 		}
 
 		const now = this.#options.clock.monotonic();
-		const change = planMembership(state, {joining: this.#joining(now), now});
+		const change = planMembership(state, {joining: this.#joining.present(now), now});
 		if (change !== undefined) {
 			this.#driver.push({type: 'change-replicas', change});
 		}
 	}
 
-	#joining(now: number): readonly JoiningReplica[] {
-		for (const [replica, {seenAt}] of this.#candidates) {
-			if (now - seenAt > presentMilliseconds) {
-				this.#candidates.delete(replica);
-			}
-		}
-
-		return [...this.#candidates.values()].map(({replica, isFounding, since}) => ({replica, isFounding, waiting: now - since}));
-	}
-
 	/** Asks the others until this replica has a vote and hears from a leader. */
 	async #search(): Promise<void> {
 		if (this.#isSearching || this.#isStopped || !this.#isWithoutGroup()) {
@@ -301,8 +275,9 @@
 			return;
 		}
 
-		const initial = found.find(reply => reply.initial?.voters.includes(this.#self))?.initial
-			?? (isFounding && founders.includes(self) ? this.#found(found) : undefined);
+		const initial = foundGroup({
+			self, replica: this.#self, isFounding, founders, replies: found,
+		});
 		if (initial !== undefined) {
 			this.#hasBegun = true;
 			this.#driver.begin({
@@ -311,17 +286,6 @@
 		}
 	}
 
-	/** The group that begins here: only where all founders say that they never belonged to one, and only at the one with the lowest name. */
-	#found(replies: readonly JoinReply[]): ReplicaSet | undefined {
-		const {self, founders} = this.#options;
-		const others = founders.filter(founder => founder !== self);
-		const empty = others.map(founder => replies.find(({replica, isEmpty}) => isEmpty && instanceOf(replica) === founder));
-		const isLowest = founders.every(founder => self <= founder);
-		return isLowest && !empty.includes(undefined)
-			? {voters: [this.#self, ...empty.map(reply => reply!.replica)], learners: []}
-			: undefined;
-	}
-
 	#isWithoutGroup(): boolean {
 		const {replicas, lastContact, role} = this.#driver.state;
 		if (replicas?.voters.includes(this.#self) !== true) {
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -8,18 +8,19 @@
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {EvidenceTable} from '../rollouts/evidence-table.js';
-import {judgeRollout} from '../rollouts/judge-rollout.js';
-import {isEnded, type Rollout, type RunningRollout} from '../rollouts/rollout.js';
+import {isEnded, type Rollout} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {ControlGroup} from './control-group.js';
 import {type GatewayAnswer, type GatewayCommand} from './gateway-command.js';
 import {type ConfigurationDocument} from './gateway-state.js';
-import {type KnownEntry, nearEntriesOf} from './near-entries.js';
+import {type EntryNews, EntryWatches} from './entry-watches.js';
+import {describeResult, LeaderClient} from './leader-client.js';
 import {
-	type ConfirmReply, type JoinReply, type PeerMessage, type ProposeReply, type ServersMessage, type WatchMessage, type WatchReply,
+	type ConfirmReply, type JoinReply, type PeerMessage, type ServersMessage,
 } from './peer-message.js';
-import {digestOfRollouts, RolloutClock} from './rollout-clock.js';
+import {RolloutClock} from './rollout-clock.js';
+import {RolloutJudge} from './rollout-judge.js';
 import {ServerNews} from './server-news.js';
 
 /** What a control instance needs. */
@@ -46,17 +47,13 @@
 
 /** The time between two questions to the leader about what is newest. */
 const confirmMilliseconds = 200;
-const confirmTimeoutMilliseconds = 600;
+/** How long a confirmation waits to be applied here. */
+const applyMilliseconds = 600;
 const joinTimeoutMilliseconds = 400;
-const proposeTimeoutMilliseconds = 950;
 /** After this time without a confirmation entry instances are told of the next one at once, in milliseconds. */
 const regainedMilliseconds = 1000;
 /** How long a read waits to be applied here; a caller gives up after a second. */
 const readMilliseconds = 700;
-/** How long a question of an entry instance waits for news: well below the time after which its lease would end. */
-const watchMilliseconds = 400;
-/** An entry instance that asked nothing for this long is gone; it asks more than once a second. */
-const entryGoneMilliseconds = 3000;
 /** The time until a data folder that failed is opened again. */
 const reopenMilliseconds = 500;
 const retryMilliseconds = 300;
@@ -79,13 +76,13 @@
 	readonly #rolloutClock: RolloutClock;
 	readonly #evidence = new EvidenceTable();
 	readonly #learned = new Set<InstanceId>();
-	readonly #watchers = new Set<() => void>();
-	readonly #entries = new Map<InstanceId, KnownEntry & {readonly at: number}>();
+	readonly #leader: LeaderClient;
+	readonly #watches: EntryWatches;
+	readonly #judge: RolloutJudge;
 	#group: ControlGroup | undefined;
 	#confirmedAt: number | undefined;
 	#timers: NodeJS.Timeout[] = [];
 	#isStopped = false;
-	#isJudging = false;
 
 	constructor(options: ControlInstanceOptions) {
 		this.#options = options;
@@ -94,9 +91,17 @@
 			...options,
 			others: () => this.#others(),
 			onChange: () => {
-				this.#wakeWatchers();
+				this.#watches.wake();
 			},
 		});
+		this.#leader = new LeaderClient({...options, group: () => this.#group, evidence: () => this.#neededEvidence()});
+		this.#watches = new EntryWatches({...options, directory: this.#news.directory, news: () => this.#entryNews()});
+		this.#judge = new RolloutJudge({
+			log: options.log,
+			evidence: this.#evidence,
+			rollouts: () => this.#group?.confirmedIndex() === undefined ? [] : this.#rolloutClock.running(this.#group.state.rollouts),
+			advance: async command => this.#leader.proposeHere(command),
+		});
 	}
 
 	/** Opens the data folder and starts the replica and the rounds. */
@@ -107,7 +112,7 @@
 				void this.#confirm();
 			}, confirmMilliseconds),
 			setInterval(() => {
-				void this.#judge();
+				void this.#judge.look();
 			}, judgeMilliseconds),
 		];
 		await this.#openGroup();
@@ -121,7 +126,7 @@
 			clearInterval(timer);
 		}
 
-		this.#wakeWatchers();
+		this.#watches.wake();
 		await this.#group?.stop();
 	}
 
@@ -133,8 +138,8 @@
 	@returns Whether it is the newest, once it is committed; `no-quorum` where it may or may not be.
 	*/
 	async submitConfiguration({version}: RoutingConfiguration, document: string): Promise<Either<Failure, GatewayAnswer>> {
-		const result = await this.#propose({type: 'put-configuration', version, document});
-		this.#options.log('configuration-submitted', {version, result: describe(result)});
+		const result = await this.#leader.propose({type: 'put-configuration', version, document});
+		this.#options.log('configuration-submitted', {version, result: describeResult(result)});
 		return result;
 	}
 
@@ -153,9 +158,9 @@
 	@returns The roll-out, once it is committed.
 	*/
 	async startRollout(order: {readonly service: ServiceId; readonly target: VersionId; readonly duration: number}): Promise<Either<Failure, GatewayAnswer>> {
-		const result = await this.#propose({type: 'start-rollout', ...order, orderedAt: this.#options.clock.now().getTime()});
+		const result = await this.#leader.propose({type: 'start-rollout', ...order, orderedAt: this.#options.clock.now().getTime()});
 		this.#options.log('rollout-started', {
-			service: order.service, target: order.target, duration: order.duration, result: describe(result),
+			service: order.service, target: order.target, duration: order.duration, result: describeResult(result),
 		});
 		return result;
 	}
@@ -215,13 +220,16 @@
 				this.#evidence.take(evidence);
 				return {index: this.#group?.confirmedIndex()};
 			})
-			.with({type: 'propose'}, async ({command}): Promise<ProposeReply> => toReply(await this.#proposeHere(command)))
+			.with({type: 'propose'}, async ({command}) => this.#leader.replyTo(command))
 			.with({type: 'servers'}, servers => {
 				this.#news.receive(servers);
 				return true;
 			})
 			.with({type: 'all-servers'}, (): ServersMessage => ({type: 'servers', records: this.#news.directory.records}))
-			.with({type: 'watch'}, async watch => this.#watch(from, watch))
+			.with({type: 'watch'}, async watch => {
+				this.#evidence.take(watch.evidence);
+				return this.#watches.answer(from, watch);
+			})
 			.with({type: 'load'}, () => undefined)
 			.exhaustive();
 	}
@@ -249,7 +257,7 @@
 					},
 					join: async (to, message) => this.#join(to, message),
 					onApplied: ({command, result, index}) => {
-						this.#noteApplied({command, index, result: describe(result)});
+						this.#noteApplied({command, index, result: describeResult(result)});
 					},
 					onFailure: failed => {
 						log('storage-failed', {reason: failed.message, retryMilliseconds: reopenMilliseconds}, 'error');
@@ -309,34 +317,15 @@
 			})
 			.exhaustive();
 		this.#rolloutClock.running(this.#group?.state.rollouts ?? []);
-		this.#wakeWatchers();
+		this.#watches.wake();
 		void this.#confirm();
 	}
 
-	/** Has a command committed, here or by the leader. */
-	async #propose(command: GatewayCommand): Promise<Either<Failure, GatewayAnswer>> {
-		const leader = this.#group?.leader;
-		const {self, ask, metrics} = this.#options;
-		if (leader === undefined) {
-			return Left(noLeader());
-		}
-
-		const result = leader === self
-			? await this.#proposeHere(command)
-			: fromReply(await ask(leader, {type: 'propose', command}, proposeTimeoutMilliseconds) as ProposeReply | undefined);
-		metrics.commands.inc({type: command.type, result: result.isRight() ? 'committed' : 'failed'});
-		return result;
-	}
-
-	async #proposeHere(command: GatewayCommand): Promise<Either<Failure, GatewayAnswer>> {
-		return await this.#group?.propose(command) ?? Left(noLeader());
-	}
-
 	/** The group once this instance has applied all that was committed when the call began. */
 	async #readState(): Promise<Either<Failure, ControlGroup>> {
 		const began = this.#options.clock.monotonic();
 		const group = this.#group;
-		const index = await this.#askIndex();
+		const index = await this.#leader.newestIndex();
 		if (group === undefined || index === undefined || !await group.applied(index, began + readMilliseconds)) {
 			return Left(failure('no-quorum', 'Got no word of the leader about the newest index, wanted it for a read', {retryAfterMilliseconds: retryMilliseconds}));
 		}
@@ -344,15 +333,14 @@
 		return Right(group);
 	}
 
-	async #askIndex(): Promise<number | undefined> {
-		const leader = this.#group?.leader;
-		const {self, ask} = this.#options;
-		if (leader === undefined || leader === self) {
-			return this.#group?.confirmedIndex();
-		}
-
-		const reply = await ask(leader, {type: 'confirm', evidence: this.#neededEvidence()}, confirmTimeoutMilliseconds) as ConfirmReply | undefined;
-		return reply?.index;
+	#entryNews(): EntryNews {
+		const state = this.#group?.state;
+		return {
+			configuration: state?.configuration,
+			rollouts: this.#rolloutClock.running(state?.rollouts ?? []),
+			confirmedAt: state === undefined ? undefined : this.#confirmedAt,
+			hosts: [this.#options.self, ...this.#others()],
+		};
 	}
 
 	/** What the leader needs to judge the roll-outs that run. */
@@ -364,146 +352,13 @@
 	async #confirm(): Promise<void> {
 		const began = this.#options.clock.monotonic();
 		const group = this.#group;
-		const index = await this.#askIndex();
-		if (group !== undefined && index !== undefined && await group.applied(index, began + confirmTimeoutMilliseconds)) {
+		const index = await this.#leader.newestIndex();
+		if (group !== undefined && index !== undefined && await group.applied(index, began + applyMilliseconds)) {
 			const isRegained = this.#confirmedAt === undefined || began - this.#confirmedAt > regainedMilliseconds;
 			this.#confirmedAt = Math.max(began, this.#confirmedAt ?? began);
 			if (isRegained) {
-				this.#wakeWatchers();
-			}
-		}
-	}
-
-	async #judge(): Promise<void> {
-		const group = this.#group;
-		if (this.#isJudging || group?.confirmedIndex() === undefined) {
-			return;
-		}
-
-		this.#isJudging = true;
-		for (const rollout of this.#rolloutClock.running(group.state.rollouts)) {
-			if (!isEnded(rollout)) {
-				await this.#judgeOne(rollout);
-			}
-		}
-
-		this.#isJudging = false;
-	}
-
-	async #judgeOne(rollout: RunningRollout): Promise<void> {
-		const {service, target, age} = rollout;
-		const evidence = this.#evidence.of(service);
-		const stage = judgeRollout(rollout, {evidence, age});
-		if (stage === undefined) {
-			return;
-		}
-
-		const fresh = evidence.filter(({version}) => version === target);
-		this.#options.log('rollout-advanced', {
-			service, target, stage, age,
-			answers: sum(fresh.map(({answers}) => answers)),
-			failures: sum(fresh.map(({failures}) => failures)),
-			routes: fresh.map(({route, model, answers, failures, latencySum}) => `${route} ${model}: ${failures} of ${answers} failed, ${Math.round(latencySum)} ms in all`),
-		}, 'warn');
-		await this.#proposeHere({
-			type: 'advance-rollout', service, target, stage,
-		});
-	}
-
-	async #watch(from: InstanceId, watch: WatchMessage): Promise<WatchReply> {
-		const {clock, run} = this.#options;
-		const arrived = clock.monotonic();
-		this.#evidence.take(watch.evidence);
-		const asker = {instance: from, zone: watch.zone};
-		this.#entries.set(from, {...asker, at: arrived});
-		if (!this.#hasNews(watch)) {
-			await this.#nextNews();
-		}
-
-		const now = clock.monotonic();
-		const state = this.#group?.state;
-		const {directory} = this.#news;
-		const isSameRun = watch.run === run;
-		const configuration = state?.configuration;
-		const rollouts = state?.rollouts ?? [];
-		return {
-			run,
-			cursor: directory.cursor,
-			records: directory.changedSince(isSameRun ? watch.cursor : 0),
-			configuration: configuration !== undefined && configuration.version > (watch.configurationVersion ?? Number.NEGATIVE_INFINITY) ? configuration : undefined,
-			rollouts: this.#rolloutClock.running(rollouts),
-			rolloutDigest: digestOfRollouts(rollouts),
-			held: now - arrived,
-			confirmedAgo: this.#confirmedAt === undefined || state === undefined ? undefined : now - this.#confirmedAt,
-			hosts: [this.#options.self, ...this.#others()],
-			entries: nearEntriesOf(asker, this.#presentEntries(now)),
-		};
-	}
-
-	#presentEntries(now: number): readonly KnownEntry[] {
-		for (const [instance, {at}] of this.#entries) {
-			if (now - at > entryGoneMilliseconds) {
-				this.#entries.delete(instance);
+				this.#watches.wake();
 			}
 		}
-
-		return [...this.#entries.values()];
-	}
-
-	#hasNews({run, cursor, configurationVersion, rolloutDigest}: WatchMessage): boolean {
-		const {configuration, rollouts = []} = this.#group?.state ?? {};
-		return run !== this.#options.run
-			|| cursor < this.#news.directory.cursor
-			|| (configuration !== undefined && configuration.version > (configurationVersion ?? Number.NEGATIVE_INFINITY))
-			|| rolloutDigest !== digestOfRollouts(rollouts);
-	}
-
-	async #nextNews(): Promise<void> {
-		await new Promise<void>(resolve => {
-			const wake = (): void => {
-				clearTimeout(timer);
-				this.#watchers.delete(wake);
-				resolve();
-			};
-
-			const timer = setTimeout(wake, watchMilliseconds);
-			this.#watchers.add(wake);
-		});
-	}
-
-	#wakeWatchers(): void {
-		for (const wake of this.#watchers) {
-			wake();
-		}
-	}
-}
-
-function noLeader(): Failure {
-	return failure('no-quorum', 'Got no leader, wanted one to commit the command', {retryAfterMilliseconds: retryMilliseconds});
-}
-
-function toReply(result: Either<Failure, GatewayAnswer>): ProposeReply {
-	return result.caseOf<ProposeReply>({
-		Left: failed => ({type: 'failure', failed}),
-		Right: answer => ({type: 'answer', answer}),
-	});
-}
-
-function fromReply(reply: ProposeReply | undefined): Either<Failure, GatewayAnswer> {
-	if (reply === undefined) {
-		return Left(failure('no-quorum', 'Got no reply of the leader in time, wanted the command committed', {outcome: 'unknown', retryAfterMilliseconds: retryMilliseconds}));
 	}
-
-	return reply.type === 'answer' ? Right(reply.answer) : Left(reply.failed);
-}
-
-function describe(result: Either<Failure, GatewayAnswer>): string {
-	return result.caseOf({
-		Left: ({kind, message}) => `${kind}: ${message}`,
-		Right: answer => answer.type === 'configuration' ? `held version ${answer.version}` : `stage ${answer.rollout.stage}`,
-	});
-}
-
-function sum(numbers: readonly number[]): number {
-	return numbers.reduce((total, number) => total + number, 0);
 }
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server} from 'node:http';
+import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {
 	type Clock, type Failure, type InstanceId, type RandomSource, type ServiceId, type ZoneId,
 } from '@valehitch/core';
@@ -11,6 +11,7 @@
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {isEnded, type RunningRollout} from '../rollouts/rollout.js';
+import {createCallerServer} from './caller-server.js';
 import {ConfigurationLease} from './configuration-lease.js';
 import {type ControlNews, ControlWatch} from './control-watch.js';
 import {type Dialect} from './dialect.js';
@@ -60,11 +61,8 @@
 /** Further sends that one instance can save up: small, since all instances share one bound. */
 const retryBurst = 5;
 const retriesPerSecondWithoutTraffic = 0.1;
-/** Headers of a request; the configuration's limit is of this size and cannot be changed on a running server. */
-const maximumHeaderBytes = 32_768;
 /** An idle connection is kept this many times longer than callers use it, so that none closes under a request. */
 const idleFactor = 2;
-const defaultIdleMilliseconds = 15_000;
 /** The time between two looks whether loads changed: well below the time that most requests take, in milliseconds. */
 const shareMilliseconds = 40;
 /** The time for which connections are kept open after a stop began, while the balancer takes this instance out. */
@@ -124,7 +122,10 @@
 				this.#takeNews(news, clock.monotonic());
 			},
 		});
-		this.#server = this.#createServer();
+		this.#server = createCallerServer({
+			log: options.log,
+			handle: async (message, response) => this.#handle(message, response),
+		});
 	}
 
 	/** Whether requests should be sent here: there is a configuration that is known to be recent, and no stop has begun. */
@@ -199,28 +200,17 @@
 		this.#server.closeAllConnections();
 	}
 
-	#createServer(): Server {
-		const server = createServer({
-			maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: idleFactor * defaultIdleMilliseconds, requestTimeout: 0, headersTimeout: 0, insecureHTTPParser: false,
-		}, (message, response) => {
-			this.#inProgress++;
-			handleRequest(this.#context, message, response).catch((error: unknown) => {
-				const reason = error instanceof Error ? error.stack ?? error.message : String(error);
-				this.#options.log('request-ended', {outcome: 'internal', reason}, 'error');
-				response.destroy();
-			}).finally(() => {
-				this.#inProgress--;
-			});
-		});
-		server.on('clientError', (error, socket) => {
-			this.#options.log('request-refused', {error: 'malformed-request', reason: error.message}, 'warn');
-			if (socket.writable) {
-				socket.end('HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n');
-			} else {
-				socket.destroy();
-			}
-		});
-		return server;
+	async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+		this.#inProgress++;
+		try {
+			await handleRequest(this.#context, message, response);
+		} catch (error) {
+			const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+			this.#options.log('request-ended', {outcome: 'internal', reason}, 'error');
+			response.destroy();
+		} finally {
+			this.#inProgress--;
+		}
 	}
 
 	#question(): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evidence'> {
--- /dev/null
+++ b/packages/gateway/src/entry/model-steps.ts
@@ -0,0 +1,103 @@
+import {type ModelId} from '@valehitch/core';
+import {type Route} from '../configuration/routing-configuration.js';
+import {chooseNextModel} from './choose-next-model.js';
+import {type EntryContext} from './entry-context.js';
+
+/** What decides on a larger model. */
+export type LargerModelOptions = {
+	/** The model's own opinion of its answer, from 0 to 100; undefined where it gives none. */
+	readonly confidence: number | undefined;
+	/** How long this send took to its head, in milliseconds. */
+	readonly latency: number;
+	/** How long the request has been here, in milliseconds. */
+	readonly age: number;
+};
+
+/** The share of the target latency after which a silent server is given up for another. */
+const silentShare = 0.75;
+/** How many times its usual time a server may take before it is given up: above the scatter under load. */
+const silentFactor = 4;
+/** The share of a plain route's timeout after which a silent server is given up. */
+const plainSilentShare = 0.4;
+/** The time to the first event of a model before any was seen, as a share of the target latency. */
+const unknownLatencyShare = 0.35;
+/** The time of one unit of work, in milliseconds: that of a short prompt on a small model. */
+const workUnitMilliseconds = 100;
+
+/**
+The models of one request, smallest first, and what their usual times say about a send.
+
+@example
+```ts
+const models = new ModelSteps(context, {route, choosesModel: true});
+models.current;
+```
+*/
+export class ModelSteps {
+	readonly #context: EntryContext;
+	readonly #route: Route;
+	#current: ModelId | undefined;
+
+	constructor(context: EntryContext, {route, choosesModel}: {readonly route: Route; readonly choosesModel: boolean}) {
+		this.#context = context;
+		this.#route = route;
+		this.#current = choosesModel ? route.sizes[0] : undefined;
+	}
+
+	/** The model of the next send; undefined where the caller named it or there is none. */
+	get current(): ModelId | undefined {
+		return this.#current;
+	}
+
+	/** The work of a send, by the time that the model usually takes to its first event. */
+	get work(): number {
+		const usual = this.#usual(this.#current, workUnitMilliseconds);
+		return this.#current === undefined ? 1 : Math.max(1, usual / workUnitMilliseconds);
+	}
+
+	/** The time after which a server that says nothing is given up for another, in milliseconds. */
+	get headTimeout(): number {
+		if (this.#route.kind === 'safe') {
+			return plainSilentShare * this.#route.timeout;
+		}
+
+		return Math.max(silentShare * this.#route.targetLatency, silentFactor * this.#usual(this.#current, 0));
+	}
+
+	/**
+	Learns from an answer, and tells which model should answer in place of the one that did.
+
+	@param options What decides.
+	@returns The larger model; undefined where the answer is good enough.
+	*/
+	larger({confidence, latency, age}: LargerModelOptions): ModelId | undefined {
+		const {sizes, targetLatency} = this.#route;
+		const largest = sizes.at(-1);
+		if (this.#current === undefined || largest === undefined) {
+			return undefined;
+		}
+
+		this.#context.latencies.note(this.#key(this.#current), latency);
+		return chooseNextModel({
+			sizes,
+			current: this.#current,
+			confidence,
+			leastConfidence: this.#context.bounds.leastConfidence,
+			timeLeft: targetLatency - age,
+			expectedTime: this.#usual(largest, unknownLatencyShare * targetLatency),
+		});
+	}
+
+	/** Moves on to a larger model. */
+	take(model: ModelId): void {
+		this.#current = model;
+	}
+
+	#usual(model: ModelId | undefined, fallback: number): number {
+		return this.#context.latencies.expected(this.#key(model), fallback);
+	}
+
+	#key(model: ModelId | undefined): string {
+		return `${this.#route.id} ${model ?? ''}`;
+	}
+}
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -5,12 +5,12 @@
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
 import {CallerAnswer, type WholeAnswer} from './caller-answer.js';
-import {chooseNextModel} from './choose-next-model.js';
 import {classifyAnswer} from './classify-answer.js';
 import {collectBody} from './collect-body.js';
 import {type EntryContext} from './entry-context.js';
 import {EventStream} from './event-stream.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
+import {ModelSteps} from './model-steps.js';
 import {Placement} from './placement.js';
 import {relayStream} from './relay-stream.js';
 import {type SendOutcome, type SentAttempt, sendAttempt} from './send-attempt.js';
@@ -33,22 +33,12 @@
 const connectTimeoutMilliseconds = 400;
 /** Connections that do not open use up no attempt, but a request does not go through all servers one by one. */
 const maximumUnreachable = 4;
-/** The share of the target latency after which a silent server is given up for another. */
-const silentShare = 0.75;
-/** How many times its usual time a server may take before it is given up. */
-const silentFactor = 4;
-/** The share of a plain route's timeout after which a silent server is given up. */
-const plainSilentShare = 0.4;
 /** How many times the longest pause that is on time a stream may stall before it goes on elsewhere. */
 const stallFactor = 1;
 /** The time after which a place should be free again, for a request that no server took. */
 const retryMilliseconds = 250;
 /** A deadline is passed on shorter by the way back, in milliseconds. */
 const wayBackMilliseconds = 5;
-/** The time to the first event of a model before any was seen, as a share of the target latency. */
-const unknownLatencyShare = 0.35;
-/** The time of one unit of work, in milliseconds: that of a short prompt on a small model. */
-const workUnitMilliseconds = 100;
 /** The highest number of an urgency that a server takes. */
 const leastUrgent = 9;
 
@@ -68,12 +58,12 @@
 	readonly #answer: CallerAnswer;
 	readonly #placement: Placement;
 	readonly #verdicts: ServerVerdicts;
+	readonly #models: ModelSteps;
 	readonly #arrivedAt: number;
 	readonly #deadlineAt: number;
 	readonly #events: EventStream;
 	readonly #mayRepeat: boolean;
 	readonly #authorized: AuthorizedRequest;
-	#model: ModelId | undefined;
 	#sends = 0;
 	#unreachable = 0;
 	#mayHaveRun = false;
@@ -99,7 +89,7 @@
 		this.#placement = new Placement(context, {request, route});
 		this.#verdicts = new ServerVerdicts(context, {request: request.id, route: route.id});
 		this.#mayRepeat = route.kind === 'safe' || (route.kind === 'streaming' && route.isResumable);
-		this.#model = request.choosesModel ? route.sizes[0] : undefined;
+		this.#models = new ModelSteps(context, {route, choosesModel: request.choosesModel});
 	}
 
 	/** Runs the request to its answer. */
@@ -136,7 +126,7 @@
 			return this.#giveUp(authorized.extract());
 		}
 
-		const server = this.#placement.choose(this.#model);
+		const server = this.#placement.choose(this.#models.current);
 		if (server === undefined) {
 			const message = `Got no server of ${this.#placement.service} that takes the request (${this.#lastProblem}), wanted one`;
 			return this.#giveUp(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
@@ -154,7 +144,7 @@
 			target: this.#request.target,
 			headers: dialect.sendHeaders(this.#request, {
 				server: server.id,
-				model: this.#model,
+				model: this.#models.current,
 				patience: Math.max(1, Math.floor(this.#deadlineAt - sentAt - wayBackMilliseconds)),
 				workspace: authorized.workspace?.id,
 				urgency: Math.min(leastUrgent, authorized.workspace?.priority ?? authorized.route.priority),
@@ -168,12 +158,12 @@
 		this.#attempt = attempt;
 		this.#server = server;
 		this.#sends++;
-		const end = servers.begin(server.id, this.#work());
+		const end = servers.begin(server.id, this.#models.work);
 		log('request-dispatched', {
 			request: this.#request.id,
 			server: server.id,
 			version: server.version,
-			model: this.#model,
+			model: this.#models.current,
 			send: this.#sends,
 			age: Math.round(sentAt - this.#arrivedAt),
 			resumeAfter: this.#events.lastEventId,
@@ -210,7 +200,7 @@
 		}
 
 		this.#mayHaveRun = true;
-		this.#verdicts.failed(server, this.#model);
+		this.#verdicts.failed(server, this.#models.current);
 		return this.#again(server, failure('outcome-unknown', `Got no answer of ${server.id} (${this.#lastProblem})`));
 	}
 
@@ -232,7 +222,7 @@
 	/** An answer that is not this server's to this request: what it did with the request is not known. */
 	#takeForeign(message: IncomingMessage, {requestId}: AnswerHead, server: ServerRecord): Next {
 		message.destroy();
-		this.#verdicts.failed(server, this.#model);
+		this.#verdicts.failed(server, this.#models.current);
 		return this.#again(server, failure('outcome-unknown', `Got an answer of ${server.id} to request ${requestId ?? 'without id'}, wanted a signed one to ${this.#request.id}`));
 	}
 
@@ -262,7 +252,7 @@
 		}
 
 		if (head.status >= 500) {
-			this.#verdicts.failed(server, this.#model);
+			this.#verdicts.failed(server, this.#models.current);
 		}
 
 		const saysNotRun = head.status === 503 || head.status === 429 || head.status === 408 || head.status === 421;
@@ -285,11 +275,11 @@
 		}
 
 		if (body === undefined) {
-			this.#verdicts.failed(server, this.#model);
+			this.#verdicts.failed(server, this.#models.current);
 			return this.#again(server, failure('outcome-unknown', `Got a body of ${server.id} that ended early`));
 		}
 
-		this.#verdicts.answered(server, {model: this.#model, latency: this.#now() - sentAt});
+		this.#verdicts.answered(server, {model: this.#models.current, latency: this.#now() - sentAt});
 		return this.#passOn({status, headers, body});
 	}
 
@@ -298,12 +288,12 @@
 		const larger = this.#largerModel(head, latency);
 		if (larger !== undefined) {
 			message.destroy();
-			this.#verdicts.answered(server, {model: this.#model, latency});
+			this.#verdicts.answered(server, {model: this.#models.current, latency});
 			this.#context.metrics.escalations.inc();
 			this.#context.log('request-escalated', {
-				request: this.#request.id, from: this.#model, to: larger, confidence: head.confidence, latency: Math.round(latency),
+				request: this.#request.id, from: this.#models.current, to: larger, confidence: head.confidence, latency: Math.round(latency),
 			});
-			this.#model = larger;
+			this.#models.take(larger);
 			return 'again';
 		}
 
@@ -320,7 +310,7 @@
 			},
 		});
 		if (end === 'complete') {
-			this.#verdicts.answered(server, {model: this.#model, latency});
+			this.#verdicts.answered(server, {model: this.#models.current, latency});
 			this.#answer.finish();
 			return this.#ended('answered', {server: server.id, confidence: head.confidence});
 		}
@@ -329,7 +319,7 @@
 			return 'ended';
 		}
 
-		this.#verdicts.failed(server, this.#model);
+		this.#verdicts.failed(server, this.#models.current);
 		this.#events.drop();
 		this.#context.log('request-resumed', {
 			request: this.#request.id, server: server.id, end, lastEvent: this.#events.lastEventId,
@@ -352,45 +342,19 @@
 		return this.#sends < this.#route.maximumAttempts && this.#context.budget.withdraw(this.#placement.service, this.#now());
 	}
 
+	/** The model that should answer in place of the one that did, as long as the caller has nothing of the answer. */
 	#largerModel({confidence}: AnswerHead, latency: number): ModelId | undefined {
-		const {sizes, targetLatency} = this.#route;
-		const largest = sizes.at(-1);
-		if (this.#model === undefined || largest === undefined || this.#answer.hasBegun || this.#events.lastEventId !== undefined) {
+		if (this.#answer.hasBegun || this.#events.lastEventId !== undefined) {
 			return undefined;
 		}
 
-		this.#context.latencies.note(this.#latencyKey(this.#model), latency);
-		const larger = chooseNextModel({
-			sizes,
-			current: this.#model,
-			confidence,
-			leastConfidence: this.#context.bounds.leastConfidence,
-			timeLeft: targetLatency - (this.#now() - this.#arrivedAt),
-			expectedTime: this.#context.latencies.expected(this.#latencyKey(largest), unknownLatencyShare * targetLatency),
-		});
+		const larger = this.#models.larger({confidence, latency, age: this.#now() - this.#arrivedAt});
 		return larger !== undefined && this.#maySendAgain() ? larger : undefined;
 	}
 
-	#latencyKey(model: ModelId | undefined): string {
-		return `${this.#route.id} ${model ?? ''}`;
-	}
-
-	/** The work of a send, by the time that the model usually takes to its first event. */
-	#work(): number {
-		return this.#model === undefined ? 1 : Math.max(1, this.#context.latencies.expected(this.#latencyKey(this.#model), workUnitMilliseconds) / workUnitMilliseconds);
-	}
-
 	#headTimeout(): number {
-		if (!this.#mayRepeat || this.#sends + 1 >= this.#route.maximumAttempts) {
-			return 0;
-		}
-
-		if (this.#route.kind === 'safe') {
-			return plainSilentShare * this.#route.timeout;
-		}
-
-		const usual = this.#context.latencies.expected(this.#latencyKey(this.#model), 0);
-		return Math.max(silentShare * this.#route.targetLatency, silentFactor * usual);
+		const isLast = this.#sends + 1 >= this.#route.maximumAttempts;
+		return this.#mayRepeat && !isLast ? this.#models.headTimeout : 0;
 	}
 
 	#passOn(held: WholeAnswer): Next {
@@ -431,7 +395,7 @@
 		this.#attempt?.cancel();
 		if (this.#server !== undefined) {
 			// A server that hangs shows in no other way where its requests may not be repeated.
-			this.#verdicts.failed(this.#server, this.#model);
+			this.#verdicts.failed(this.#server, this.#models.current);
 		}
 
 		const waited = Math.round(this.#now() - this.#arrivedAt);
@@ -458,7 +422,7 @@
 		metrics.requests.inc({kind: this.#route.kind, outcome});
 		metrics.duration.observe({kind: this.#route.kind}, milliseconds / 1000);
 		log('request-ended', {
-			request: this.#request.id, route: this.#route.id, service: this.#placement.service, outcome, model: this.#model, sends: this.#sends, duration: Math.round(milliseconds), ...fields,
+			request: this.#request.id, route: this.#route.id, service: this.#placement.service, outcome, model: this.#models.current, sends: this.#sends, duration: Math.round(milliseconds), ...fields,
 		}, outcome === 'answered' ? 'info' : 'warn');
 		return 'ended';
 	}
