--- a/packages/cli/src/trace/_tell-request.ts
+++ b/packages/cli/src/trace/_tell-request.ts
@@ -23,7 +23,7 @@
 
 	const beliefs = beliefsBefore(decisions, {own, until: last.at});
 	return [
-		`Cause: ${causeOf(own)}`,
+		`Cause: ${causeOf(own, decisions)}`,
 		'',
 		'What happened to it:',
 		...own.map(decision => describe(decision, first.at)),
@@ -33,15 +33,23 @@
 }
 
 /** The refusal, or else the last failure of a send, or else how it ended. */
-function causeOf(own: readonly Decision[]): string {
+function causeOf(own: readonly Decision[], all: readonly Decision[]): string {
 	const failures = own.filter(({level}) => level >= failureLevel);
 	const ended = own.findLast(({kind}) => kind === 'request-ended' || kind === 'request-refused');
 	const sent = failures.findLast(({kind}) => kind === 'request-attempt-ended' || kind === 'request-resumed');
-	const outcome = ended?.fields.get('outcome') ?? ended?.kind ?? 'it did not end in these logs';
+	const outcome = ended?.fields.get('outcome') ?? ended?.kind ?? endOfInstance(own.at(-1), all);
 	const reason = ended?.fields.get('reason') ?? sent?.fields.get('reason') ?? ended?.fields.get('error');
 	return reason === undefined ? outcome : `${outcome}: ${reason}`;
 }
 
+/** A request without an end was in progress when its instance ended, or its last line was left out. */
+function endOfInstance(last: Decision | undefined, all: readonly Decision[]): string {
+	const restart = all.find(({kind, instance, at}) => kind === 'process-started' && instance === last?.instance && at > last.at);
+	return last === undefined || restart === undefined
+		? 'it did not end in these logs'
+		: `its instance ended before it answered, and started again ${restart.at - last.at} ms after the last line about it`;
+}
+
 /** Lines about servers, leases, leaders and configurations, of the instances that handled the request. */
 function beliefsBefore(decisions: readonly Decision[], {own, until}: {readonly own: readonly Decision[]; readonly until: number}): readonly Decision[] {
 	const instances = new Set(own.map(({instance}) => instance));
--- a/packages/cli/src/trace/trace.test.ts
+++ b/packages/cli/src/trace/trace.test.ts
@@ -38,6 +38,16 @@
 	t.notRegex(text, /i-9|b2/v);
 });
 
+test('a request that its instance did not survive is told so', t => {
+	const {decisions} = readDecisions([
+		line(2000, {
+			kind: 'request-dispatched', request: 'c3', server: 'i-2', send: 1,
+		}),
+		line(6000, {kind: 'process-started', process: 'front-1'}),
+	].join('\n'));
+	t.is(tellRequest('c3', decisions)[0], 'Cause: its instance ended before it answered, and started again 4000 ms after the last line about it');
+});
+
 test('a request that no log has gives no story', t => {
 	t.deepEqual(tellRequest('none', readDecisions(log).decisions), []);
 });
