Say with each send whether its connection is kept, and give the logger a stream

Cause: the adapter derived the connection header from method and model, which is a decision; the log was given to bunyan by an unchecked cast. Ruled out: nothing. Change: SendFacts says it; a Writable takes the lines.

--- a/packages/gateway/src/entry/gateway-request.ts
+++ b/packages/gateway/src/entry/gateway-request.ts
@@ -39,6 +39,8 @@
 	/** Between 0 for the most urgent and 9; undefined for the default. */
 	readonly urgency: number | undefined;
 	readonly lastEventId: string | undefined;
+	/** Whether the connection may carry further requests. */
+	readonly keepsConnection: boolean;
 };
 
 /** What the head of a backend server's answer says. */
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -149,6 +149,7 @@
 				workspace: authorized.workspace?.id,
 				urgency: Math.min(leastUrgent, authorized.workspace?.priority ?? authorized.route.priority),
 				lastEventId: this.#events.lastEventId,
+				keepsConnection: this.#mayRepeat,
 			}),
 			body: this.#body,
 			mayReuse: this.#mayRepeat,
--- a/packages/gateway/src/logs/create-decision-log.ts
+++ b/packages/gateway/src/logs/create-decision-log.ts
@@ -1,3 +1,4 @@
+import {Writable} from 'node:stream';
 import {type Clock} from '@valehitch/core';
 import bunyan from 'bunyan';
 import {type BoundedOutput} from './bounded-output.js';
@@ -24,15 +25,7 @@
 ```
 */
 export function createDecisionLog(name: string, {clock, output, fields, ...budgetOptions}: CreateDecisionLogOptions): DecisionLog {
-	const logger = bunyan.createLogger({
-		name, ...fields, streams: [{
-			level: 'info', stream: {
-				write(line: string) {
-					output.write(line);
-				},
-			} as unknown as NodeJS.WritableStream,
-		}],
-	});
+	const logger = bunyan.createLogger({name, ...fields, streams: [{level: 'info', stream: toStream(output)}]});
 	const budget = new LineBudget(budgetOptions);
 	return (kind, values, level = 'info') => {
 		for (const leftOut of budget.renew(clock.monotonic())) {
@@ -46,3 +39,14 @@
 		}
 	};
 }
+
+/** The logger wants a stream; what it writes is taken or dropped at once. */
+function toStream(output: BoundedOutput): Writable {
+	return new Writable({
+		decodeStrings: false,
+		write(line: string, _encoding, done) {
+			output.write(line);
+			done();
+		},
+	});
+}
--- a/packages/platform/src/platform-dialect.test.ts
+++ b/packages/platform/src/platform-dialect.test.ts
@@ -48,7 +48,7 @@
 test('a server gets neither the key nor what only the gateway may set, and gets what the gateway sets once', t => {
 	const request = platformDialect.readRequest(caller);
 	const sent = platformDialect.sendHeaders(request, {
-		server: 'i-7', model: 'small' as ModelId, patience: 7500, workspace: 'mills', urgency: 1, lastEventId: '12',
+		server: 'i-7', model: 'small' as ModelId, patience: 7500, workspace: 'mills', urgency: 1, lastEventId: '12', keepsConnection: true,
 	});
 	const names = sent.map(([name]) => name.toLowerCase()).toSorted();
 	t.deepEqual(names, [
@@ -75,7 +75,7 @@
 test('on a route without a key no workspace is named, whatever the caller sent', t => {
 	const request = platformDialect.readRequest(caller);
 	const sent = platformDialect.sendHeaders(request, {
-		server: 'i-7', model: undefined, patience: 7500, workspace: undefined, urgency: undefined, lastEventId: undefined,
+		server: 'i-7', model: undefined, patience: 7500, workspace: undefined, urgency: undefined, lastEventId: undefined, keepsConnection: false,
 	});
 	t.false(sent.some(([name]) => ['tenant', 'hold', 'request-priority'].includes(name.toLowerCase())));
 });
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -81,7 +81,7 @@
 	return new Set(value.toLowerCase().split(',').map(name => name.trim()));
 }
 
-function sendHeaders({headers, method}: GatewayRequest, {server, model, patience, workspace, urgency, lastEventId}: SendFacts): readonly Header[] {
+function sendHeaders({headers}: GatewayRequest, {server, model, patience, workspace, urgency, lastEventId, keepsConnection}: SendFacts): readonly Header[] {
 	const own: Array<readonly [name: string, value: string | undefined]> = [
 		['Deadline-Ms', String(patience)],
 		['Expect-Instance', server],
@@ -97,7 +97,7 @@
 		}
 	}
 
-	return [...sent, ['Connection', method === 'GET' || model !== undefined ? 'keep-alive' : 'close']];
+	return [...sent, ['Connection', keepsConnection ? 'keep-alive' : 'close']];
 }
 
 /** The ids of the prompt's parts, without their lengths. */
