Let sessions try a new version only from half of its time on

Ruled out: the share (constant in the first half); a fallback.

Change: requests with a session count for the share from half of the time on; the share grows from 0.58 to 0.78.

--- a/packages/gateway/src/rollouts/choose-side.ts
+++ b/packages/gateway/src/rollouts/choose-side.ts
@@ -17,11 +17,11 @@
 };
 
 const hashRange = 67_108_859;
-/** Sessions stay on the old version for this share of the duration. */
+/** Sessions stay on the old version for this share of the duration; requests without a session try the target from its start. */
 const sessionShare = 0.5;
 /** Between these shares of the duration the target's share grows to all: its caches fill while the other servers still help, and what fails only under load shows before all depends on it. */
-const shiftStart = 0.5;
-const shiftEnd = 0.75;
+const shiftStart = 0.58;
+const shiftEnd = 0.78;
 
 /**
 Chooses between the versions of a service in a roll-out.
@@ -46,7 +46,8 @@
 	}
 
 	const passed = age / duration;
-	const isPinnedToOld = hasSession && pinned !== undefined && passed < sessionShare;
+	// Another instance may have begun the session on the old version; only the target can be known for sure.
+	const mayBeOld = hasSession && passed < sessionShare;
 	const share = stage === 'canary' ? canaryShare : Math.max(canaryShare, (passed - shiftStart) / (shiftEnd - shiftStart));
-	return !isPinnedToOld && prefixHash(subject) < share * hashRange ? 'target' : 'others';
+	return !mayBeOld && prefixHash(subject) < share * hashRange ? 'target' : 'others';
 }
