Merge server records in one place, and choose among suspects only when needed

Cause: reading the whole change: the rule that a shutdown sticks and the later announcement counts stood in the directory and in the entry's table; the second choice among suspect servers was worked out for each send though the first almost always succeeds; three members had no caller.

Ruled out: joining the control group of the gateway with the daemon's control host now (it changes how both wait; docs/OPEN.md has it); hiding unused fields of the configuration, which describe what the operator sent.

Change: mergeServerRecord serves both; the second choice is lazy; hasVersion, the lookup by id and the count of requests in progress are gone; the digest of roll-outs no longer repeats what the stage says.

--- a/packages/gateway/src/control/rollout-clock.ts
+++ b/packages/gateway/src/control/rollout-clock.ts
@@ -1,5 +1,5 @@
 import {type Clock, type ServiceId} from '@valehitch/core';
-import {isEnded, type Rollout, type RunningRollout} from '../rollouts/rollout.js';
+import {type Rollout, type RunningRollout} from '../rollouts/rollout.js';
 
 /** The wall clocks of instances differ and jump by a few seconds. */
 const largestClockJumpMilliseconds = 4000;
@@ -52,5 +52,5 @@
 
 /** Names the roll-outs and their stages, so that an asker can tell whether it has them. */
 export function digestOfRollouts(rollouts: readonly Rollout[]): string {
-	return rollouts.map(rollout => `${rollout.service} ${rollout.target} ${rollout.stage} ${String(isEnded(rollout))}`).join('; ');
+	return rollouts.map(rollout => `${rollout.service} ${rollout.target} ${rollout.stage}`).join('; ');
 }
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -134,11 +134,6 @@
 		return this.#endsAt === undefined && this.#table !== undefined && (!this.#table.needsKeys || this.#context.lease.isValid(now));
 	}
 
-	/** Requests in progress. */
-	get inProgress(): number {
-		return this.#inProgress;
-	}
-
 	/**
 	Starts to ask control and to listen.
 
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -5,6 +5,7 @@
 	chooseServer, OutlierEjection, prefixHash, type ServerView,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
+import {mergeServerRecord} from '../servers/merge-server-record.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type LoadShare} from './load-share.js';
 
@@ -19,7 +20,7 @@
 /** What is wanted of a server. */
 export type FindServerOptions = {
 	readonly service: ServiceId;
-	/** The versions that will do; undefined for any. */
+	/** Whether a version will do. */
 	readonly isWanted: (version: VersionId) => boolean;
 	readonly excluded: ReadonlySet<ServerId>;
 	/** What the prompts of a conversation have in common; undefined where no cache matters. */
@@ -44,7 +45,6 @@
 	unreachable: number;
 };
 
-const rankOfState = {ready: 0, draining: 1, gone: 2} as const;
 /** An engine batches: twice the mean load costs it little, a prompt that it must read again costs more. */
 const loadBound = 1.5;
 /** With the loads of all instances known, comparing more servers costs nothing but the comparison. */
@@ -100,9 +100,9 @@
 				held.silentFor.clear();
 			}
 
-			const isLater = rankOfState[record.state] > rankOfState[held.record.state];
-			held.record = {...(record.sequence >= held.record.sequence ? record : held.record), state: isLater ? record.state : held.record.state};
-			if (isLater) {
+			const {state} = held.record;
+			held.record = mergeServerRecord(held.record, record);
+			if (held.record.state !== state) {
 				changed.push(held.record);
 			}
 		}
@@ -119,15 +119,12 @@
 	*/
 	find({service, isWanted, excluded, subject, now}: FindServerOptions): ServerRecord | undefined {
 		const views: ServerView[] = [];
-		const fallback: ServerView[] = [];
 		for (const held of this.#servers.values()) {
 			if (held.record.service !== service || held.record.state !== 'ready' || !isWanted(held.record.version)) {
 				continue;
 			}
 
-			const view = this.#viewOf(held, now);
-			fallback.push({...view, expired: false, ejected: false});
-			views.push(view);
+			views.push(this.#viewOf(held, now));
 		}
 
 		const wish = {
@@ -135,31 +132,10 @@
 			prefix: subject === undefined ? undefined : prefixHash(subject),
 		};
 		// Where every server is suspect, a suspect one is better than none.
-		const choice = chooseServer(views, wish).alt(chooseServer(fallback, wish));
+		const choice = chooseServer(views, wish).altLazy(() => chooseServer(views.map(view => ({...view, expired: false, ejected: false})), wish));
 		return choice.map(({server}) => this.#servers.get(server)?.record).toMaybe().extractNullable() ?? undefined;
 	}
 
-	/** Whether a version of a service has a server that takes work. */
-	hasVersion(service: ServiceId, isWanted: (version: VersionId) => boolean): boolean {
-		for (const {record, silentFor} of this.#servers.values()) {
-			if (record.service === service && record.state === 'ready' && silentFor.size === 0 && isWanted(record.version)) {
-				return true;
-			}
-		}
-
-		return false;
-	}
-
-	/**
-	Looks a server up.
-
-	@param id The server.
-	@returns Its newest record.
-	*/
-	get(id: ServerId): ServerRecord | undefined {
-		return this.#servers.get(id)?.record;
-	}
-
 	/** The work of this instance at each server that has any. */
 	get loads(): LoadMessage['loads'] {
 		const loads: Array<readonly [ServerId, number]> = [];
--- /dev/null
+++ b/packages/gateway/src/servers/merge-server-record.ts
@@ -0,0 +1,20 @@
+import {type ServerRecord, type ServerState} from './server-record.js';
+
+const ranks: Readonly<Record<ServerState, number>> = {ready: 0, draining: 1, gone: 2};
+
+/**
+Merges what is held of a server with what was told of it: the later announcement counts, but a shutdown sticks.
+
+@param held What is held.
+@param told What was told, maybe late.
+@returns The merged record.
+@example
+```ts
+mergeServerRecord({...record, state: 'draining'}, record).state; // 'draining'
+```
+*/
+export function mergeServerRecord(held: ServerRecord, told: ServerRecord): ServerRecord {
+	const newer = told.sequence >= held.sequence ? told : held;
+	const state = ranks[told.state] > ranks[held.state] ? told.state : held.state;
+	return {...newer, state};
+}
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -1,5 +1,6 @@
 import {type ServerId} from '@valehitch/core';
-import {type ServerRecord, type ServerState} from './server-record.js';
+import {mergeServerRecord} from './merge-server-record.js';
+import {type ServerRecord} from './server-record.js';
 
 /** How a directory ages its servers. */
 export type ServerDirectoryOptions = {
@@ -15,7 +16,6 @@
 	changedAt: number;
 };
 
-const ranks: Readonly<Record<ServerState, number>> = {ready: 0, draining: 1, gone: 2};
 const defaultForgetMilliseconds = 60_000;
 
 /**
@@ -63,10 +63,8 @@
 		}
 
 		const {record: before} = held;
-		const newer = record.sequence >= before.sequence ? record : before;
-		const state = ranks[record.state] > ranks[before.state] ? record.state : before.state;
-		const merged = {...newer, state, isSilent: false};
-		const isChanged = before.state !== state || before.isSilent;
+		const merged = {...mergeServerRecord(before, record), isSilent: false};
+		const isChanged = before.state !== merged.state || before.isSilent;
 		held.record = merged;
 		if (record.sequence > before.sequence) {
 			held.heardAt = now;
