Open links anew after 300 ms, and count elections from the start of the process

The packet that opens a connection to an instance without power is lost, and the system repeats it only after a second; meanwhile votes and questions waited in the link's queue. The other part was the promise not to vote, which was counted from the opening of the data folder though the former process had ended before this one began.

Change: a link that is not open within 300 ms is given up for another one, five times, and keeps what waits; a replica is bound by what a former run can have acknowledged at the latest, which is the start of the process, and campaigns a random time after that. The fuzz restarts its hosts with the time of the crash. Tests: one of the link (fails with the former 1.5 s), one of the replica.

--- a/packages/consensus/src/create-replica.ts
+++ b/packages/consensus/src/create-replica.ts
@@ -18,6 +18,8 @@
 	readonly snapshot?: Snapshot | undefined;
 	/** The entries on disk, in order; those before the snapshot's index are kept as a tail. Default none. */
 	readonly entries?: readonly LogEntry[] | undefined;
+	/** The last time at which a former run of the replica can have acknowledged a lease, in milliseconds on the monotonic clock: no later than the start of this process. Default the time of the call. */
+	readonly lastAcknowledgedAt?: number | undefined;
 	/** Where settings differ from the defaults. */
 	readonly options?: ReplicaOptions | undefined;
 	/** The seed of the election timeouts; should differ between replicas. */
@@ -27,7 +29,7 @@
 /**
 Builds a replica from what is on disk.
 
-It refuses votes for one minimum election timeout, since it may have acknowledged a lease just before it stopped. A replica that is the only voter campaigns at its first tick.
+It refuses votes for one minimum election timeout from when it can last have acknowledged a lease, and campaigns a random time after that. A replica that is the only voter campaigns at its first tick.
 
 @param parts The settings and what the data folder holds.
 @param now Milliseconds on the monotonic clock.
@@ -41,14 +43,15 @@
 */
 export function createReplica(parts: CreateReplicaOptions, now: number): ReplicaState {
 	const {
-		id, replicas, hardState = {term: 0}, snapshot, entries = [], seed,
+		id, replicas, hardState = {term: 0}, snapshot, entries = [], seed, lastAcknowledgedAt = now,
 	} = parts;
 	const options = checked({...defaultReplicaOptions, ...parts.options});
 	const log = openLog({snapshot, entries, replicas});
 	const placed = replicaSetAt(log, lastIndexOf(log));
 	const random = nextRandom(seedRandom(seed));
 	const {minimumElectionTimeout, maximumElectionTimeout} = options;
-	const timeout = minimumElectionTimeout + (random.value * (maximumElectionTimeout - minimumElectionTimeout));
+	const boundUntil = Math.max(now, lastAcknowledgedAt + minimumElectionTimeout);
+	const scatter = random.value * (maximumElectionTimeout - minimumElectionTimeout);
 	const isAlone = placed.replicas?.voters.length === 1 && placed.replicas.voters[0] === id;
 	return {
 		id,
@@ -60,8 +63,8 @@
 		replicasIndex: placed.index,
 		role: {type: 'follower'},
 		leader: undefined,
-		lastContact: now,
-		electionDeadline: isAlone ? now : now + timeout,
+		lastContact: lastAcknowledgedAt,
+		electionDeadline: isAlone ? now : boundUntil + scatter,
 		randomState: random.state,
 	};
 }
--- a/packages/consensus/src/fuzz/_node.ts
+++ b/packages/consensus/src/fuzz/_node.ts
@@ -50,6 +50,8 @@
 	#time = 0;
 	#pending: Array<{readonly due: number; readonly actions: ReplicaActions}> = [];
 	#applied = 0;
+	/** On the own clock; a host that never ran acknowledged nothing, but its clock starts at zero. */
+	#crashedAt = 0;
 	#commands: string[] = [];
 
 	constructor(nodeOptions: NodeOptions) {
@@ -116,6 +118,7 @@
 
 	crash(restartAt: number): void {
 		this.state = undefined;
+		this.#crashedAt = this.clock;
 		this.#pending = [];
 		this.restartAt = restartAt;
 		this.frozenUntil = 0;
@@ -140,7 +143,7 @@
 		const {position, replicas} = this.#options;
 		this.#restore(snapshot);
 		this.state = createReplica({
-			id: this.id, replicas, hardState, snapshot, entries, options, seed: position + (this.#time * 7),
+			id: this.id, replicas, hardState, snapshot, entries, lastAcknowledgedAt: this.#crashedAt, options, seed: position + (this.#time * 7),
 		}, this.clock);
 	}
 
--- a/packages/consensus/src/replica-state.ts
+++ b/packages/consensus/src/replica-state.ts
@@ -73,7 +73,7 @@
 	readonly replicasIndex: number;
 	readonly role: ReplicaRole;
 	readonly leader: ReplicaId | undefined;
-	/** When the replica last heard from a leader, or started, in milliseconds. */
+	/** When the replica last heard from a leader, or a former run of it can have, in milliseconds. */
 	readonly lastContact: number;
 	/** When the replica asks for votes unless it hears from a leader before, in milliseconds. */
 	readonly electionDeadline: number;
--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -5,6 +5,7 @@
 import {type LogEntry} from './log-entry.js';
 import {readIndex} from './read-index.js';
 import {type ReplicaId, toReplicaId} from './replica-id.js';
+import {defaultReplicaOptions} from './replica-options.js';
 import {type ReplicaState} from './replica-state.js';
 import {step} from './replica.js';
 
@@ -90,3 +91,20 @@
 	t.is(readIndex(state, 1), 1);
 	t.deepEqual(actions.persist?.hardState, {term: 1, votedFor: first});
 });
+
+test('a replica that starts again is bound by what a former run can have acknowledged, and no longer', t => {
+	const {minimumElectionTimeout, maximumElectionTimeout} = defaultReplicaOptions;
+	const startedAt = 10_000;
+	const restarted = createReplica({
+		id: first, replicas, hardState: {term: 2}, lastAcknowledgedAt: startedAt - minimumElectionTimeout + 1, seed: 1,
+	}, startedAt);
+	const request = {
+		type: 'message', from: second, message: {
+			type: 'vote-request', term: 3, isPreVote: true, lastIndex: 0, lastTerm: 0,
+		},
+	} as const;
+	t.like(step(restarted, request, startedAt).actions.messages[0]?.message, {granted: false});
+	t.like(step(restarted, request, startedAt + 1).actions.messages[0]?.message, {granted: true});
+	t.true(restarted.electionDeadline >= startedAt + 1);
+	t.true(restarted.electionDeadline <= startedAt + 1 + maximumElectionTimeout - minimumElectionTimeout);
+});
--- a/packages/gateway/src/control/control-group.ts
+++ b/packages/gateway/src/control/control-group.ts
@@ -26,6 +26,8 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly log: DecisionLog;
+	/** The last time at which a former run of the replica can have acknowledged a lease, in milliseconds on the monotonic clock. */
+	readonly lastAcknowledgedAt: number;
 	/** Whether the whole system starts for the first time; only then a group may be founded. */
 	readonly isFounding: boolean;
 	/** The instances that found the group together. */
@@ -80,7 +82,7 @@
 	#isStopped = false;
 
 	constructor(options: ControlGroupOptions) {
-		const {self, folder, clock, random} = options;
+		const {self, folder, clock, random, lastAcknowledgedAt} = options;
 		const {identity, hardState, snapshot, entries} = folder.takeStored();
 		this.#options = options;
 		this.#self = toReplicaId(self, identity);
@@ -98,7 +100,7 @@
 
 		this.#driver = new ReplicaDriver({
 			start: {
-				id: this.#self, hardState, snapshot, entries, options: groupTiming, seed: Math.floor(random() * seedRange),
+				id: this.#self, hardState, snapshot, entries, lastAcknowledgedAt, options: groupTiming, seed: Math.floor(random() * seedRange),
 			},
 			folder,
 			clock,
--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -43,6 +43,7 @@
 		log: ignore,
 		metrics: createGatewayMetrics(),
 		isFounding: true,
+		processStartedAt: 0,
 		seeds: () => [self],
 		heartbeatMilliseconds: 1200,
 		openFolder: async () => openDataFolder(folder, {files, lock: async () => Right(async () => undefined)}),
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -43,6 +43,8 @@
 	readonly ask: (to: InstanceId, message: PeerMessage, timeout: number) => Promise<unknown>;
 	/** Names this run of the process. */
 	readonly run: string;
+	/** When this process started, in milliseconds on the monotonic clock; a former run acknowledged nothing after that. */
+	readonly processStartedAt: number;
 };
 
 /** The time between two questions to the leader about what is newest. */
@@ -115,7 +117,7 @@
 				void this.#judge.look();
 			}, judgeMilliseconds),
 		];
-		await this.#openGroup();
+		await this.#openGroup(this.#options.processStartedAt);
 	}
 
 	/** Stops the rounds, and the replica once its steps in progress are on the disk. */
@@ -234,7 +236,7 @@
 			.exhaustive();
 	}
 
-	async #openGroup(): Promise<void> {
+	async #openGroup(lastAcknowledgedAt: number): Promise<void> {
 		const {openFolder, log, clock, random, self, isFounding} = this.#options;
 		const opened = await openFolder();
 		if (this.#isStopped) {
@@ -249,7 +251,7 @@
 			Right: folder => {
 				log('storage-opened', {warnings: folder.warnings});
 				this.#group = new ControlGroup({
-					self, folder, clock, random, log, isFounding,
+					self, folder, clock, random, log, lastAcknowledgedAt, isFounding,
 					founders: this.#options.seeds(),
 					peers: () => this.#others(),
 					send: (to, envelope) => {
@@ -282,7 +284,7 @@
 	async #reopen(broken: ControlGroup | undefined): Promise<void> {
 		await broken?.stop();
 		if (!this.#isStopped) {
-			await this.#openGroup();
+			await this.#openGroup(this.#options.clock.monotonic());
 		}
 	}
 
--- a/packages/platform/src/wire-process.ts
+++ b/packages/platform/src/wire-process.ts
@@ -59,6 +59,9 @@
 /** The time that is left of the grace period for closing. */
 const closeMarginMilliseconds = 700;
 
+/** The origin of `performance.now()` is the start of the process. */
+const processStartedAt = 0;
+
 const clock: Clock = {now: () => new Date(), monotonic: () => performance.now()};
 
 /**
@@ -143,6 +146,7 @@
 		clock,
 		random: Math.random,
 		isFounding,
+		processStartedAt,
 		seeds: () => settings().seeds,
 		heartbeatMilliseconds: heartbeat,
 		// The platform starts one process for a folder, and knows no locks that hold.
--- a/packages/transport/src/_peer-link.ts
+++ b/packages/transport/src/_peer-link.ts
@@ -20,7 +20,10 @@
 	readonly pingMilliseconds?: number;
 };
 
-const handshakeTimeoutMilliseconds = 1500;
+/** A connection within a region opens in some milliseconds; the packet that opens one to an instance without power is lost, and the system repeats it only after a second. */
+const openTimeoutMilliseconds = 300;
+/** Together 1.5 s, for which frames wait for the link before they are dropped. */
+const maximumOpenAttempts = 5;
 const defaultPingMilliseconds = 2000;
 const idlePingsBeforeClose = 30;
 const maximumBufferedBytes = 4 * 1024 * 1024;
@@ -82,17 +85,23 @@
 	}
 
 	#open(): WebSocket {
-		if (this.#socket !== undefined && this.#socket.readyState <= WebSocket.OPEN) {
-			return this.#socket;
-		}
+		return this.#socket !== undefined && this.#socket.readyState <= WebSocket.OPEN ? this.#socket : this.#connect(1);
+	}
 
+	/** Opens a connection; one that is not open in time is given up for another, which keeps the frames that wait. */
+	#connect(attempt: number): WebSocket {
 		const socket = new WebSocket(`ws://${this.#to.host}:${this.#to.port}/`, {
 			headers: {authorization: `Bearer ${this.#options.key}`, 'valehitch-instance': this.#options.self},
-			handshakeTimeout: handshakeTimeoutMilliseconds,
 			perMessageDeflate: false,
 		});
 		this.#socket = socket;
+		let isTooSlow = false;
+		const timer = setTimeout(() => {
+			isTooSlow = true;
+			socket.terminate();
+		}, openTimeoutMilliseconds);
 		socket.on('open', () => {
+			clearTimeout(timer);
 			this.#watch(socket);
 			for (const data of this.#queue.splice(0)) {
 				socket.send(data);
@@ -105,7 +114,12 @@
 			socket.terminate();
 		});
 		socket.on('close', () => {
-			this.#lose(socket);
+			clearTimeout(timer);
+			if (isTooSlow && attempt < maximumOpenAttempts && this.#socket === socket) {
+				this.#connect(attempt + 1);
+			} else {
+				this.#lose(socket);
+			}
 		});
 		return socket;
 	}
--- a/packages/transport/src/peer-network.test.ts
+++ b/packages/transport/src/peer-network.test.ts
@@ -1,5 +1,7 @@
 import {once} from 'node:events';
-import {type AddressInfo} from 'node:net';
+import {
+	type AddressInfo, connect, createServer, type Socket,
+} from 'node:net';
 import {type InstanceId, toId} from '@valehitch/core';
 import test from 'ava';
 import {type WebSocket, WebSocketServer} from 'ws';
@@ -141,3 +143,27 @@
 	t.like(unsent.extract(), {kind: 'no-quorum', outcome: undefined});
 	await left.network.close();
 });
+
+test('a connection that does not open is given up for another, and what waits for it arrives', async t => {
+	const right = await listen('right');
+	const stalled: Socket[] = [];
+	// Takes the first connection and says nothing, as where the packet that opens one was lost; passes on the others.
+	const front = createServer(socket => {
+		socket.on('error', ignore);
+		if (stalled.length === 0) {
+			stalled.push(socket);
+			return;
+		}
+
+		const onward = connect(right.address.port, right.address.host);
+		onward.on('error', ignore);
+		socket.pipe(onward).pipe(socket);
+	});
+	front.listen(0, '127.0.0.1');
+	await once(front, 'listening');
+	const left = await listen('left');
+	const reply = await left.network.request({...right.address, port: (front.address() as AddressInfo).port}, {text: 'waiting'}, {timeoutMilliseconds: 1200});
+	t.deepEqual(reply.extract(), {echo: 'waiting', from: 'left'});
+	await Promise.all([left.network.close(), right.network.close()]);
+	front.close();
+});
