--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -1,5 +1,5 @@
 import {type Clock, type InstanceId} from '@valehitch/core';
-import {type RunningRollout} from '../rollouts/rollout.js';
+import {isEnded, type RunningRollout} from '../rollouts/rollout.js';
 import {type ServerDirectory} from '../servers/server-directory.js';
 import {type ConfigurationDocument} from './gateway-state.js';
 import {type KnownEntry, nearEntriesOf} from './near-entries.js';
@@ -26,7 +26,9 @@
 };
 
 /** How long a question waits for news, in milliseconds: well below the time after which the lease of the asker would end. */
-const watchMilliseconds = 400;
+const watchMilliseconds = 800;
+/** The same while a roll-out runs, since the counters for its judgement come with the questions. */
+const rolloutWatchMilliseconds = 400;
 /** An entry instance that asked nothing for this long is gone, in milliseconds; it asks more than once a second. */
 const entryGoneMilliseconds = 3000;
 
@@ -104,7 +106,9 @@
 				resolve();
 			};
 
-			const timer = setTimeout(wake, watchMilliseconds);
+			const {rollouts} = this.#options.news();
+			const isRunning = rollouts.some(rollout => !isEnded(rollout));
+			const timer = setTimeout(wake, isRunning ? rolloutWatchMilliseconds : watchMilliseconds);
 			this.#waiting.add(wake);
 		});
 	}
--- a/packages/gateway/src/control/leader-client.ts
+++ b/packages/gateway/src/control/leader-client.ts
@@ -1,6 +1,9 @@
-import {type Failure, failure, type InstanceId} from '@valehitch/core';
+import {
+	type Clock, type Failure, failure, type InstanceId,
+} from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
+import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
 import {type ControlGroup} from './control-group.js';
 import {type GatewayAnswer, type GatewayCommand} from './gateway-command.js';
@@ -11,10 +14,11 @@
 /** What the calls to the leader need. */
 export type LeaderClientOptions = {
 	readonly self: InstanceId;
+	readonly clock: Clock;
 	readonly metrics: GatewayMetrics;
 	/** The own replica; undefined while its disk fails. */
 	readonly group: () => ControlGroup | undefined;
-	/** What goes to the leader with each question about the newest index. */
+	/** What the leader needs of entry instances' counters; what changed goes with each question about the newest index. */
 	readonly evidence: () => readonly VersionEvidence[];
 	/** Asks another instance; undefined where no reply came within the timeout in milliseconds. */
 	readonly ask: (to: InstanceId, message: PeerMessage, timeout: number) => Promise<unknown>;
@@ -37,6 +41,7 @@
 */
 export class LeaderClient {
 	readonly #options: LeaderClientOptions;
+	#told: {readonly leader: InstanceId; readonly delta: EvidenceDelta} | undefined;
 
 	constructor(options: LeaderClientOptions) {
 		this.#options = options;
@@ -88,15 +93,24 @@
 
 	/** The newest committed index at the time of the call; undefined where no leader could be sure of it. */
 	async newestIndex(): Promise<number | undefined> {
-		const {self, ask, group, evidence} = this.#options;
+		const {self, ask, group} = this.#options;
 		const leader = group()?.leader;
 		if (leader === undefined || leader === self) {
 			return group()?.confirmedIndex();
 		}
 
-		const reply = await ask(leader, {type: 'confirm', evidence: evidence()}, confirmTimeoutMilliseconds) as ConfirmReply | undefined;
+		const reply = await ask(leader, {type: 'confirm', evidence: this.#newEvidence(leader)}, confirmTimeoutMilliseconds) as ConfirmReply | undefined;
 		return reply?.index;
 	}
+
+	#newEvidence(leader: InstanceId): readonly VersionEvidence[] {
+		if (this.#told?.leader !== leader) {
+			this.#told = {leader, delta: new EvidenceDelta()};
+		}
+
+		const {evidence, clock} = this.#options;
+		return this.#told.delta.next(evidence(), clock.monotonic());
+	}
 }
 
 /**
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -19,7 +19,7 @@
 	/** The control instances that the settings name. */
 	readonly seeds: () => readonly InstanceId[];
 	/** What goes with a question, besides what is remembered for each source. */
-	readonly question: () => Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evidence'>;
+	readonly question: (host: InstanceId) => Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evidence'>;
 	/** Asks a control instance; undefined where no reply came within the timeout in milliseconds. */
 	readonly ask: (to: InstanceId, message: WatchMessage, timeout: number) => Promise<WatchReply | undefined>;
 	readonly onNews: (news: ControlNews) => void;
@@ -36,8 +36,8 @@
 
 /** As many control instances are asked at the same time; enough that one answers while any two are lost. */
 const sourcesAtOnce = 3;
-/** A control instance holds a question for up to 400 ms; the rest is for the way. */
-const watchTimeoutMilliseconds = 1000;
+/** A control instance holds a question for up to 800 ms; the rest is for the way. */
+const watchTimeoutMilliseconds = 1400;
 /** The pause after a question without a reply. */
 const retryMilliseconds = 100;
 /** The pause between two questions, which bounds what a storm of changes costs. */
@@ -97,7 +97,7 @@
 		const source = this.#sourceOf(host);
 		const sentAt = clock.monotonic();
 		const reply = await ask(host, {
-			type: 'watch', run: source.run, cursor: source.cursor, ...question(),
+			type: 'watch', run: source.run, cursor: source.cursor, ...question(host),
 		}, watchTimeoutMilliseconds);
 		metrics.watches.inc({result: reply === undefined ? 'lost' : 'answered'});
 		if (reply === undefined) {
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -10,6 +10,7 @@
 import {type LoadMessage, type WatchMessage, type WatchReply} from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
+import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {isEnded, type RunningRollout} from '../rollouts/rollout.js';
 import {createCallerServer} from './caller-server.js';
 import {ConfigurationLease} from './configuration-lease.js';
@@ -84,6 +85,8 @@
 	readonly #share: LoadShare;
 	readonly #server: Server;
 	readonly #configurations = new StepWaiters();
+	/** What each control instance was told of the counters. */
+	readonly #told = new Map<InstanceId, EvidenceDelta>();
 	#table: RouteTable | undefined;
 	#rollouts: readonly RunningRollout[] = [];
 	#peers: readonly InstanceId[] = [];
@@ -117,7 +120,7 @@
 		};
 		this.#watch = new ControlWatch({
 			...options,
-			question: () => this.#question(),
+			question: host => this.#question(host),
 			onNews: news => {
 				this.#takeNews(news, clock.monotonic());
 			},
@@ -208,13 +211,15 @@
 		}
 	}
 
-	#question(): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evidence'> {
+	#question(host: InstanceId): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evidence'> {
+		const delta = this.#told.get(host) ?? new EvidenceDelta();
+		this.#told.set(host, delta);
 		const running = this.#rollouts.filter(rollout => !isEnded(rollout)).map(({service}) => service);
 		return {
 			zone: this.#options.zone,
 			configurationVersion: this.#table?.version,
 			rolloutDigest: this.#rolloutDigest,
-			evidence: this.#context.evidence.of(new Set(running)),
+			evidence: delta.next(this.#context.evidence.of(new Set(running)), this.#options.clock.monotonic()),
 		};
 	}
 
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -199,7 +199,7 @@
 
 		held.inFlight += requests;
 		held.work = held.inFlight === 0 ? 0 : held.work + work;
-		this.#options.share.noteChange();
+		this.#options.share.noteChange(work);
 	}
 
 	#viewOf({record, work, addedAt, silentFor, avoidUntil}: Held, now: number): ServerView {
--- a/packages/gateway/src/entry/load-share.ts
+++ b/packages/gateway/src/entry/load-share.ts
@@ -18,6 +18,11 @@
 
 /** After this time without a message a peer's loads count no more, in milliseconds: four times the longest pause between two messages. */
 const staleMilliseconds = 1200;
+/** Work that changed by less than this since the last message is not worth another, in units of a short request. */
+const leastChange = 2;
+/** The messages that one instance sends in a second at most, which bounds what the exchange costs where each has many peers. */
+const messagesPerSecond = 60;
+const millisecondsPerSecond = 1000;
 /** A load that does not change is told again after this time, in milliseconds, so that a lost message does not last. */
 const repeatMilliseconds = 300;
 
@@ -29,7 +34,7 @@
 @example
 ```ts
 const share = new LoadShare({own, peers, send});
-share.noteChange();
+share.noteChange(1);
 share.flush(now);
 ```
 */
@@ -37,7 +42,8 @@
 	readonly #options: LoadShareOptions;
 	readonly #peers = new Map<InstanceId, PeerLoads>();
 	#sums = new Map<ServerId, number>();
-	#isChanged = false;
+	/** How much the own work changed since the last message, up and down together. */
+	#changed = 0;
 	#sentAt = 0;
 	#wasIdle = true;
 
@@ -45,28 +51,35 @@
 		this.#options = options;
 	}
 
-	/** Notes that an own load changed. */
-	noteChange(): void {
-		this.#isChanged = true;
+	/**
+	Notes that an own load changed.
+
+	@param work By how much, in units of a short request.
+	*/
+	noteChange(work: number): void {
+		this.#changed += Math.abs(work);
 	}
 
 	/**
-	Sends the own loads where they changed, and drops those of peers that fell silent.
+	Sends the own loads where they changed enough, and drops those of peers that fell silent.
 
 	@param now Milliseconds on the monotonic clock.
 	*/
 	flush(now: number): void {
 		this.#expire(now);
-		const isDue = now - this.#sentAt >= repeatMilliseconds && !this.#wasIdle;
-		if (!this.#isChanged && !isDue) {
+		const peers = this.#options.peers();
+		const elapsed = now - this.#sentAt;
+		const mayTell = this.#changed >= leastChange && elapsed >= peers.length * millisecondsPerSecond / messagesPerSecond;
+		const mustTell = elapsed >= repeatMilliseconds && !(this.#wasIdle && this.#changed === 0);
+		if (!mayTell && !mustTell) {
 			return;
 		}
 
 		const message: LoadMessage = {type: 'load', loads: this.#options.own()};
-		this.#isChanged = false;
+		this.#changed = 0;
 		this.#sentAt = now;
 		this.#wasIdle = message.loads.length === 0;
-		for (const peer of this.#options.peers()) {
+		for (const peer of peers) {
 			this.#options.send(peer, message);
 		}
 	}
--- /dev/null
+++ b/packages/gateway/src/rollouts/evidence-delta.test.ts
@@ -0,0 +1,13 @@
+import test from 'ava';
+import {testEvidence} from './_test-evidence.js';
+import {EvidenceDelta} from './evidence-delta.js';
+
+test('a counter is told when it changed, and all are told again after a while', t => {
+	const delta = new EvidenceDelta();
+	const other = {...testEvidence, version: 'v1' as typeof testEvidence.version};
+	t.deepEqual(delta.next([testEvidence, other], 1000), [testEvidence, other]);
+	t.deepEqual(delta.next([testEvidence, other], 1400), []);
+	const grown = {...testEvidence, answers: testEvidence.answers + 1};
+	t.deepEqual(delta.next([grown, other], 1800), [grown]);
+	t.deepEqual(delta.next([grown, other], 3000), [grown, other]);
+});
--- a/packages/gateway/src/rollouts/evidence-table.ts
+++ b/packages/gateway/src/rollouts/evidence-table.ts
@@ -1,5 +1,5 @@
 import {type ServiceId} from '@valehitch/core';
-import {type VersionEvidence} from './version-evidence.js';
+import {evidenceKey, type VersionEvidence} from './version-evidence.js';
 
 /** Counters of entry instances that were replaced are dropped beyond this many. */
 const maximumCounters = 8192;
@@ -29,7 +29,7 @@
 	*/
 	take(evidence: readonly VersionEvidence[]): void {
 		for (const counter of evidence) {
-			const key = keyOf(counter);
+			const key = evidenceKey(counter);
 			const known = this.#counters.get(key);
 			if (known === undefined || counter.answers >= known.answers) {
 				this.#counters.set(key, counter);
@@ -55,7 +55,3 @@
 		return this.all.filter(counter => counter.service === service);
 	}
 }
-
-function keyOf({entry, run, service, version, route, model}: VersionEvidence): string {
-	return [entry, run, service, version, route, model].join(' ');
-}
--- a/packages/gateway/src/rollouts/version-evidence.ts
+++ b/packages/gateway/src/rollouts/version-evidence.ts
@@ -16,3 +16,17 @@
 	/** The sum of the times to the first byte of good answers, in milliseconds. */
 	readonly latencySum: number;
 };
+
+/**
+Names what a counter counts.
+
+@param evidence The counter.
+@returns A key that is the same for each state of the counter.
+@example
+```ts
+evidenceKey(counter);
+```
+*/
+export function evidenceKey({entry, run, service, version, route, model}: VersionEvidence): string {
+	return [entry, run, service, version, route, model].join(' ');
+}
