Give a founder its group also where a leader was faster, and soak the real programs

Cause: a randomized soak of the real programs (new, packages/soak) found three things.

Ruled out: the soak's proxies (they were not in use between instances then, which is mended too: the port came as a text).

Change: the initial replicas are an event of the replica, which keeps entries and what is committed; a replica goes on looking for them until it knows them. The settings file is read by a class of its own, and a problem with it is a log line. Loads: two messages for each change of work and six peers. The schema library is imported whole-module, so that the bundle drops its unused parts.

--- a/packages/consensus/src/replica-event.ts
+++ b/packages/consensus/src/replica-event.ts
@@ -1,3 +1,4 @@
+import {type Snapshot} from './log-entry.js';
 import {type ReplicaId} from './replica-id.js';
 import {type ReplicaMessage} from './replica-message.js';
 
@@ -9,6 +10,8 @@
 		| {readonly type: 'propose'; readonly proposals: ReadonlyArray<{readonly proposalId: string; readonly data: Uint8Array}>}
 	/** Adds or removes one replica, or turns a learner into a voter; `proposalId`, where given, comes back with the outcome. */
 		| {readonly type: 'change-replicas'; readonly change: ReplicaChange; readonly proposalId?: string}
+	/** Gives a replica that knows of no group the snapshot at index 0 that its group begins with; changes nothing on any other. */
+		| {readonly type: 'begin-group'; readonly initial: Snapshot}
 	/** The host took a snapshot of the state machine at `lastIndex`; the log may be cut up to there. */
 		| {readonly type: 'snapshot-taken'; readonly lastIndex: number; readonly data: Uint8Array};
 
--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -108,3 +108,28 @@
 	t.true(restarted.electionDeadline >= startedAt + 1);
 	t.true(restarted.electionDeadline <= startedAt + 1 + maximumElectionTimeout - minimumElectionTimeout);
 });
+
+test('a founder that a leader reached before it knew its group keeps the entries, and votes once it knows', t => {
+	const entry: LogEntry = {index: 1, term: 1, payload: {type: 'command', data: new Uint8Array([1])}};
+	const fresh = createReplica({id: first, seed: 1}, 0);
+	const {state: told} = step(fresh, {
+		type: 'message', from: second, message: {
+			type: 'append-request', term: 1, previousIndex: 0, previousTerm: 0, entries: [entry], commitIndex: 1, round: 1,
+		},
+	}, 1000);
+	const initial = {
+		lastIndex: 0, lastTerm: 0, replicas, data: new Uint8Array(),
+	};
+	const {state, actions} = step(told, {type: 'begin-group', initial}, 1010);
+	t.deepEqual(actions.persist?.snapshot, initial);
+	t.deepEqual(actions.committed, []);
+	t.is(state.commitIndex, 1);
+	t.deepEqual(state.replicas, replicas);
+	const {actions: {messages}} = step(state, {
+		type: 'message', from: third, message: {
+			type: 'vote-request', term: 2, isPreVote: true, lastIndex: 1, lastTerm: 1,
+		},
+	}, campaignTime);
+	t.like(messages[0]?.message, {type: 'vote-reply', granted: true});
+	t.is(step(state, {type: 'begin-group', initial: {...initial, replicas: {voters: [first], learners: []}}}, campaignTime).state.replicas, replicas);
+});
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -2,6 +2,7 @@
 import {
 	beginStep, type Draft, finishStep, type StepResult,
 } from './_draft.js';
+import {beginGroup} from './_begin-group.js';
 import {campaignWhenDue, handleVoteReply, handleVoteRequest} from './_election.js';
 import {handleAppendRequest} from './_follow.js';
 import {stepDownWithoutQuorum} from './_lease.js';
@@ -46,6 +47,9 @@
 		.with({type: 'change-replicas'}, ({change, proposalId}) => {
 			changeReplicas(draft, change, proposalId);
 		})
+		.with({type: 'begin-group'}, ({initial}) => {
+			beginGroup(draft, initial);
+		})
 		.with({type: 'snapshot-taken'}, ({lastIndex, data}) => {
 			keepSnapshot(draft, lastIndex, data);
 		})
--- a/packages/core/src/announcement.ts
+++ b/packages/core/src/announcement.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {typedSchema} from './typed-schema.js';
 import {
 	type ModelId, type ServerId, type ServiceId, type VersionId, type ZoneId,
--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -272,8 +272,10 @@
 	#begin(replicas: ReplicaSet): void {
 		// From here on this replica no longer says that it is empty.
 		this.#hasBegun = true;
-		this.#driver.begin({
-			lastIndex: 0, lastTerm: 0, replicas, data: new Uint8Array(),
+		this.#driver.push({
+			type: 'begin-group', initial: {
+				lastIndex: 0, lastTerm: 0, replicas, data: new Uint8Array(),
+			},
 		});
 	}
 
--- a/packages/daemon/src/control/orders/engine-calls.ts
+++ b/packages/daemon/src/control/orders/engine-calls.ts
@@ -2,7 +2,7 @@
 import {typedSchema} from '@valehitch/core';
 import {readBody, sendHttp} from '@valehitch/transport';
 import {type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** How the executor reaches an engine; the address is its base address. */
 export type EngineCalls = {
--- a/packages/daemon/src/control/orders/order-schema.ts
+++ b/packages/daemon/src/control/orders/order-schema.ts
@@ -1,6 +1,6 @@
 import {type EngineOrder, type OrderId} from '@valehitch/control';
 import {type ServerId, typedSchema} from '@valehitch/core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** What an operator posts to issue an order. */
 export type OrderRequest = {
--- a/packages/daemon/src/entry/chat-body.ts
+++ b/packages/daemon/src/entry/chat-body.ts
@@ -1,6 +1,6 @@
 import {type Failure, failure, type RequestFacts} from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const charactersPerToken = 4;
 const prefixCharacters = 256;
--- a/packages/daemon/src/entry/chat-chunk.ts
+++ b/packages/daemon/src/entry/chat-chunk.ts
@@ -1,5 +1,5 @@
 import {type TokenUsage} from '@valehitch/core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const usageSchema = z.looseObject({
 	prompt_tokens: z.int().min(0).default(0),
--- a/packages/daemon/src/entry/checked-answer.ts
+++ b/packages/daemon/src/entry/checked-answer.ts
@@ -1,5 +1,5 @@
 import {type CheckedAnswer} from '@valehitch/policy';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type AnswerHead, type AnswerPiece} from './attempt-output.js';
 
 /** A whole answer that is to be judged. */
--- a/packages/daemon/src/operators/cut-links.ts
+++ b/packages/daemon/src/operators/cut-links.ts
@@ -4,7 +4,7 @@
 } from '@valehitch/core';
 import {answerProblem, parseJsonBody, readBody} from '@valehitch/transport';
 import {type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {answerJson} from '../answer-json.js';
 import {type DaemonBase} from '../daemon-base.js';
 
--- a/packages/daemon/src/ratings/rating.ts
+++ b/packages/daemon/src/ratings/rating.ts
@@ -1,7 +1,7 @@
 import {
 	type ModelId, type RequestId, type VersionId, type WorkspaceId, typedSchema,
 } from '@valehitch/core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A rating of one answer, as the rating service posts it. */
 export type Rating = {
--- a/packages/gateway/src/control/control-group.ts
+++ b/packages/gateway/src/control/control-group.ts
@@ -273,17 +273,19 @@
 		const replies = await Promise.all(others.map(async peer => join(peer, {type: 'join', replica: this.#self, isFounding})));
 		this.#isSearching = false;
 		const found = replies.flatMap(reply => reply === undefined ? [] : [reply]);
-		if (this.#isStopped || !this.#isEmpty()) {
+		if (this.#isStopped || this.#driver.state.replicas !== undefined) {
 			return;
 		}
 
 		const initial = foundGroup({
-			self, replica: this.#self, isFounding, founders, replies: found,
+			self, replica: this.#self, isFounding: isFounding && this.#isEmpty(), founders, replies: found,
 		});
 		if (initial !== undefined) {
 			this.#hasBegun = true;
-			this.#driver.begin({
-				lastIndex: 0, lastTerm: 0, replicas: initial, data: new Uint8Array(),
+			this.#driver.push({
+				type: 'begin-group', initial: {
+					lastIndex: 0, lastTerm: 0, replicas: initial, data: new Uint8Array(),
+				},
 			});
 		}
 	}
--- a/packages/gateway/src/control/near-entries.ts
+++ b/packages/gateway/src/control/near-entries.ts
@@ -6,15 +6,15 @@
 	readonly zone: ZoneId;
 };
 
-/** As many entry instances share their loads with one; all of a small deployment. */
-const nearEntries = 10;
+/** As many entry instances share their loads with one; all others of a small deployment. */
+const nearEntries = 6;
 
 /**
 The entry instances with which one shares its loads: those that follow it in the order of names, its own availability zone first.
 
 @param self The instance that asks.
 @param entries All that asked lately.
-@returns At most ten others.
+@returns At most six others.
 @example
 ```ts
 nearEntriesOf({instance, zone}, entries);
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -64,8 +64,8 @@
 const retriesPerSecondWithoutTraffic = 0.1;
 /** An idle connection is kept this many times longer than callers use it, so that none closes under a request. */
 const idleFactor = 2;
-/** The time between two looks whether loads changed: well below the time that most requests take, in milliseconds. */
-const shareMilliseconds = 40;
+/** The time between two looks whether loads changed: below the time that most requests take, in milliseconds. */
+const shareMilliseconds = 80;
 /** The time for which connections are kept open after a stop began, while the balancer takes this instance out. */
 const drainPollMilliseconds = 50;
 
--- a/packages/gateway/src/entry/load-share.ts
+++ b/packages/gateway/src/entry/load-share.ts
@@ -20,11 +20,12 @@
 const staleMilliseconds = 1200;
 /** Work that changed by less than this since the last message is not worth another, in units of a short request. */
 const leastChange = 2;
-/** The messages that one instance sends in a second at most, which bounds what the exchange costs where each has many peers. */
-const messagesPerSecond = 60;
-const millisecondsPerSecond = 1000;
+/** The messages to peers for each change of the own work, so that the exchange costs a bounded part of what the requests do; about ten flushes a second on small deployments, three on large ones. */
+const messagesPerChange = 2;
+/** The messages that can be saved up: a few flushes. */
+const maximumSaved = 20;
 /** A load that does not change is told again after this time, in milliseconds, so that a lost message does not last. */
-const repeatMilliseconds = 300;
+const repeatMilliseconds = 500;
 
 /**
 Shares with the nearest entry instances how much work each has at which server, so that their choices do not meet at the same one.
@@ -44,6 +45,8 @@
 	#sums = new Map<ServerId, number>();
 	/** How much the own work changed since the last message, up and down together. */
 	#changed = 0;
+	/** The messages that may be sent now. */
+	#saved = 0;
 	#sentAt = 0;
 	#wasIdle = true;
 
@@ -58,6 +61,7 @@
 	*/
 	noteChange(work: number): void {
 		this.#changed += Math.abs(work);
+		this.#saved = Math.min(maximumSaved, this.#saved + messagesPerChange);
 	}
 
 	/**
@@ -69,7 +73,7 @@
 		this.#expire(now);
 		const peers = this.#options.peers();
 		const elapsed = now - this.#sentAt;
-		const mayTell = this.#changed >= leastChange && elapsed >= peers.length * millisecondsPerSecond / messagesPerSecond;
+		const mayTell = this.#changed >= leastChange && this.#saved >= peers.length;
 		const mustTell = elapsed >= repeatMilliseconds && !(this.#wasIdle && this.#changed === 0);
 		if (!mayTell && !mustTell) {
 			return;
@@ -77,6 +81,7 @@
 
 		const message: LoadMessage = {type: 'load', loads: this.#options.own()};
 		this.#changed = 0;
+		this.#saved = Math.max(0, this.#saved - peers.length);
 		this.#sentAt = now;
 		this.#wasIdle = message.loads.length === 0;
 		for (const peer of peers) {
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -1,6 +1,6 @@
 /** The closed list of what a log line can be about. */
 export type DecisionKind
-	= | 'process-started' | 'process-stopping' | 'process-stopped' | 'settings-reloaded'
+	= | 'process-started' | 'process-stopping' | 'process-stopped' | 'settings-reloaded' | 'settings-refused'
 		| 'dependency-lost' | 'dependency-regained'
 		| 'configuration-adopted' | 'configuration-submitted' | 'configuration-refused' | 'lease-lost' | 'lease-regained'
 		| 'leader-changed' | 'membership-changed' | 'storage-failed' | 'storage-opened'
--- a/packages/platform/src/decode-announcement.ts
+++ b/packages/platform/src/decode-announcement.ts
@@ -4,7 +4,7 @@
 import {type ServerRecord} from '@valehitch/gateway';
 import {parseJsonBody} from '@valehitch/transport';
 import {type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const announcementSchema = z.object({
 	service: z.string(),
--- a/packages/platform/src/decode-configuration.ts
+++ b/packages/platform/src/decode-configuration.ts
@@ -6,7 +6,7 @@
 } from '@valehitch/gateway';
 import {parseJsonBody} from '@valehitch/transport';
 import {type Either, Left} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const kinds = {safe: 'safe', unsafe: 'unsafe', streaming: 'streaming'} as const;
 
--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -6,7 +6,7 @@
 import {type ControlInstance, type RolloutStage} from '@valehitch/gateway';
 import {parseJsonBody, readBody} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 import {decodeAnnouncement} from './decode-announcement.js';
 import {decodeConfiguration} from './decode-configuration.js';
 
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -4,7 +4,7 @@
 import {type ListenAddress} from '@valehitch/gateway';
 import {type DocumentProblem, parseDocument} from '@valehitch/settings';
 import {type Either} from 'purify-ts';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** What a process is told by the platform, in the words of the product. */
 export type PlatformSettings = {
--- a/packages/platform/src/wire-process.ts
+++ b/packages/platform/src/wire-process.ts
@@ -11,11 +11,14 @@
 import {handleControl} from './handle-control.js';
 import {platformDialect} from './platform-dialect.js';
 import {type PlatformSettings} from './platform-settings.js';
+import {type SettingsProblems} from './settings-file.js';
 
 /** A running process. */
 export type RunningProcess = {
 	/** Takes settings that changed. */
 	readonly reload: (settings: PlatformSettings) => void;
+	/** Notes that changed settings could not be taken; the process goes on with those that it has. */
+	readonly keepSettings: (problems: SettingsProblems) => void;
 	/** Ends the requests in progress and everything else. */
 	readonly stop: () => Promise<void>;
 };
@@ -117,6 +120,9 @@
 			current = next;
 			log('settings-reloaded', {seeds: next.seeds});
 		},
+		keepSettings(problems) {
+			log('settings-refused', {problems}, 'warn');
+		},
 		async stop() {
 			log('process-stopping', {grace: settings.grace});
 			await Promise.all(stopParts.map(async stop => stop()));
--- a/packages/settings/src/operations-page.test.ts
+++ b/packages/settings/src/operations-page.test.ts
@@ -1,6 +1,6 @@
 import {readFile} from 'node:fs/promises';
 import test from 'ava';
-import {z} from 'zod';
+import * as z from 'zod';
 import {settingsSchema} from './settings-schema.js';
 
 const pageUrl = new URL('../../../docs/OPERATIONS.md', import.meta.url);
--- a/packages/settings/src/settings-schema.ts
+++ b/packages/settings/src/settings-schema.ts
@@ -1,6 +1,6 @@
 import {defaultControlLimits} from '@valehitch/control';
 import {toId, type InstanceId, type ZoneId} from '@valehitch/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Settings} from './settings.js';
 
 const longestHost = 255;
--- /dev/null
+++ b/packages/soak/src/bin/soak.ts
@@ -0,0 +1,44 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {runSoak} from '../run-soak.js';
+
+/** Runs soaks one after the other: `npm run soak -- --seed 7 --runs 50`, or `--minutes 5` for as many as fit. */
+const {values} = parseArgs({
+	options: {
+		seed: {type: 'string', default: '1'},
+		runs: {type: 'string'},
+		minutes: {type: 'string'},
+		seconds: {type: 'string', default: '12'},
+		gap: {type: 'string', default: '500'},
+		controls: {type: 'string', default: '3'},
+		entries: {type: 'string', default: '3'},
+	},
+});
+const millisecondsPerSecond = 1000;
+const millisecondsPerMinute = 60_000;
+const first = Number(values.seed);
+const runs = values.runs === undefined && values.minutes === undefined ? 1 : Number(values.runs ?? Number.POSITIVE_INFINITY);
+const until = values.minutes === undefined ? Number.POSITIVE_INFINITY : performance.now() + (Number(values.minutes) * millisecondsPerMinute);
+let failed = 0;
+for (let run = 0; run < runs && performance.now() < until; run++) {
+	const seed = first + run;
+	const {faults, record, broken} = await runSoak({
+		seed,
+		length: Number(values.seconds) * millisecondsPerSecond,
+		gap: Number(values.gap),
+		controls: Number(values.controls),
+		entries: Number(values.entries),
+	});
+	const served = record.requests.filter(({status, isWhole}) => status === 200 && isWhole).length;
+	const counts = `${faults.length} faults, ${record.requests.length} requests, ${served} served whole, ${record.configurations.length} configurations`;
+	process.stdout.write(`seed ${seed}: ${counts}, ${broken.length} broken\n`);
+	for (const line of broken) {
+		process.stdout.write(`  ${line}\n`);
+	}
+
+	failed += broken.length === 0 ? 0 : 1;
+}
+
+process.stdout.write(`${failed === 0 ? 'all promises held' : `${failed} runs broke a promise`}\n`);
+process.exit(failed === 0 ? 0 : 1);
--- /dev/null
+++ b/packages/soak/src/inflict-fault.ts
@@ -0,0 +1,139 @@
+import {rm, writeFile} from 'node:fs/promises';
+import {type PlatformDeployment, type PlatformMember} from '@valehitch/testing';
+import {match, P} from 'ts-pattern';
+import {type Fault} from './plan-faults.js';
+import {type SoakNetwork} from './soak-network.js';
+import {type SoakOperator} from './soak-operator.js';
+import {type SoakServers} from './soak-servers.js';
+
+/** What faults strike. */
+export type InflictFaultOptions = {
+	readonly deployment: PlatformDeployment;
+	readonly network: SoakNetwork;
+	readonly servers: SoakServers;
+	readonly operator: SoakOperator;
+	/** The address of the backend servers. */
+	readonly serverHost: string;
+};
+
+const delayMilliseconds = 400;
+
+/**
+Inflicts one fault and heals it after its time.
+
+@param fault The fault.
+@param options What it strikes.
+@example
+```ts
+await inflictFault(fault, {deployment, network, servers, operator, serverHost});
+```
+*/
+export async function inflictFault(fault: Fault, options: InflictFaultOptions): Promise<void> {
+	const {kind, duration, pick} = fault;
+	const {deployment, network, servers, operator, serverHost} = options;
+	const any = oneOf(deployment.members, pick);
+	const control = oneOf(deployment.controls, pick);
+	const entry = oneOf(deployment.entries, pick);
+	await match(kind)
+		.with('kill', async () => down([any], duration))
+		.with('kill-all-controls', async () => down(deployment.controls, duration))
+		.with('stop', async () => {
+			await any.process.kill('SIGTERM');
+			await startAgain(any);
+		})
+		.with('pause', async () => {
+			any.process.signal('SIGSTOP');
+			await elapsed(duration);
+			any.process.signal('SIGCONT');
+		})
+		.with('wipe', async () => {
+			await control.process.kill('SIGKILL');
+			await rm(control.folder, {recursive: true, force: true});
+			await elapsed(duration);
+			await startAgain(control);
+		})
+		.with('silence', async () => harm(network, {links: [{from: any.ip, to: undefined}, {from: undefined, to: any.ip}], duration}))
+		.with('silence-one-way', async () => harm(network, {links: [{from: any.ip, to: undefined}], duration}))
+		.with('server-silence', async () => harm(network, {links: [{from: serverHost, to: entry.ip}], duration}))
+		.with('delay', async () => harm(network, {links: [{from: undefined, to: any.ip}], duration, delay: delayMilliseconds}))
+		.with('reset', () => {
+			network.reset(any.ip);
+		})
+		.with(P.union('disk-full', 'disk-slow'), async () => {
+			const file = diskFileOf(control.folder);
+			await writeFile(file, kind === 'disk-full' ? 'full' : 'slow');
+			await elapsed(duration);
+			await rm(file, {force: true});
+		})
+		.with('clock-step', async () => {
+			any.process.signal('SIGUSR2');
+			await elapsed(duration);
+			any.process.signal('SIGUSR2');
+		})
+		.with('settings', async () => {
+			await any.writeSettings({isFounding: false, seeds: [control.address]});
+			any.process.signal('SIGHUP');
+			await elapsed(duration);
+			await any.writeSettings({isFounding: false});
+		})
+		.with('settings-missing', async () => {
+			await any.removeSettings();
+			any.process.signal('SIGHUP');
+			await elapsed(duration);
+			await any.writeSettings({isFounding: false});
+		})
+		.with('server-shutdown', async () => servers.shutDown(pick))
+		.with('server-crash', async () => servers.crash(pick))
+		.with('configuration', async () => operator.change())
+		.with('revoke', async () => operator.revoke())
+		.exhaustive();
+}
+
+/**
+The file that says how the disk of a data folder misbehaves; beside the folder, which a fault may remove.
+
+@param folder The data folder.
+@returns The file.
+@example
+```ts
+diskFileOf('/tmp/soak/core-1');
+```
+*/
+export function diskFileOf(folder: string): string {
+	return `${folder}.disk`;
+}
+
+async function down(members: readonly PlatformMember[], duration: number): Promise<void> {
+	await Promise.all(members.map(async ({process}) => process.kill('SIGKILL')));
+	await elapsed(duration);
+	await Promise.all(members.map(async member => startAgain(member)));
+}
+
+async function startAgain({process, writeSettings}: PlatformMember): Promise<void> {
+	await writeSettings({isFounding: false});
+	process.start();
+}
+
+type Harm = {
+	readonly links: ReadonlyArray<{readonly from: string | undefined; readonly to: string | undefined}>;
+	readonly duration: number;
+	readonly delay?: number;
+};
+
+async function harm(network: SoakNetwork, {links, duration, delay = 0}: Harm): Promise<void> {
+	const heals = links.map(link => network.harm(link, {isSilent: delay === 0, delay}));
+	await elapsed(duration);
+	for (const heal of heals) {
+		heal();
+	}
+}
+
+function oneOf<Item>(items: readonly Item[], pick: number): Item {
+	return items[Math.floor(pick * items.length)]!;
+}
+
+async function elapsed(milliseconds: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
--- /dev/null
+++ b/packages/soak/src/soak-network.ts
@@ -0,0 +1,83 @@
+import {LoopbackProxy, type LinkRule} from './loopback-proxy.js';
+
+/** One direction between two addresses; undefined stands for any. */
+export type Link = {
+	readonly from: string | undefined;
+	readonly to: string | undefined;
+};
+
+type Rule = Link & LinkRule;
+
+/**
+The proxies before all processes of a soak, and the rules that they follow now.
+
+@example
+```ts
+const network = new SoakNetwork();
+await network.protect({host, port, target});
+const heal = network.harm({from: host, to: undefined}, {isSilent: true, delay: 0});
+```
+*/
+export class SoakNetwork {
+	readonly #proxies = new Map<string, LoopbackProxy>();
+	readonly #rules = new Set<Rule>();
+
+	/**
+	Puts a proxy before an address.
+
+	@param options Where the proxy listens, and the address.
+	@returns The proxy.
+	*/
+	async protect(options: {readonly host: string; readonly port: number; readonly target: {readonly host: string; readonly port: number}}): Promise<LoopbackProxy> {
+		const proxy = await LoopbackProxy.start({...options, ruleOf: (from, to) => this.#ruleOf(from, to)});
+		this.#proxies.set(`${options.target.host}:${options.target.port}`, proxy);
+		return proxy;
+	}
+
+	/**
+	Harms a direction.
+
+	@param link The direction.
+	@param rule What happens to its bytes.
+	@returns Ends the harm.
+	*/
+	harm(link: Link, rule: LinkRule): () => void {
+		const added = {...link, ...rule};
+		this.#rules.add(added);
+		return () => {
+			this.#rules.delete(added);
+		};
+	}
+
+	/**
+	Resets the open connections to an address.
+
+	@param host The address.
+	*/
+	reset(host: string): void {
+		for (const [target, proxy] of this.#proxies) {
+			if (target.startsWith(`${host}:`)) {
+				proxy.reset();
+			}
+		}
+	}
+
+	close(): void {
+		for (const proxy of this.#proxies.values()) {
+			proxy.close();
+		}
+	}
+
+	#ruleOf(from: string, to: string): LinkRule {
+		let isSilent = false;
+		let delay = 0;
+		for (const rule of this.#rules) {
+			if ((rule.from ?? from) === from && (rule.to ?? to) === to) {
+				isSilent ||= rule.isSilent;
+				delay = Math.max(delay, rule.delay);
+			}
+		}
+
+		return {isSilent, delay};
+	}
+}
--- a/packages/testing/src/_distribution-trial.ts
+++ b/packages/testing/src/_distribution-trial.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {z} from 'zod';
+import * as z from 'zod';
 import {deploymentKeys} from './_settings-file.js';
 import {startAnnouncer, type Announcer} from './announcer.js';
 import {
--- a/packages/testing/src/_zone-trial.ts
+++ b/packages/testing/src/_zone-trial.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {deploymentKeys, digestOf} from './_settings-file.js';
 import {
 	type BackendPlan, type DaemonPlan, type Deployment, type RunningDaemon, startDeployment,
--- a/packages/testing/src/announcer.ts
+++ b/packages/testing/src/announcer.ts
@@ -2,7 +2,7 @@
 import {
 	type Announcement, type ModelId, type ServerId, type ServiceId, toId, type VersionId, type ZoneId,
 } from '@valehitch/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import {sendRequest} from './send-request.js';
 
 /** What an announcer says, and to whom. */
--- a/packages/testing/src/bad-version-process.test.ts
+++ b/packages/testing/src/bad-version-process.test.ts
@@ -1,6 +1,6 @@
 import {rm} from 'node:fs/promises';
 import test, {type ExecutionContext} from 'ava';
-import {z} from 'zod';
+import * as z from 'zod';
 import {deploymentKeys, digestOf} from './_settings-file.js';
 import {type Deployment, type RunningDaemon, startDeployment} from './deployment.js';
 import {callOperator, chatWhole} from './http-client.js';
--- a/packages/testing/src/behaviour.ts
+++ b/packages/testing/src/behaviour.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** How a fake behaves; every member may be changed while it runs. */
 export type Behaviour = {
--- a/packages/testing/src/control-failures.test.ts
+++ b/packages/testing/src/control-failures.test.ts
@@ -4,7 +4,7 @@
 } from 'node:fs/promises';
 import path from 'node:path';
 import test, {type ExecutionContext} from 'ava';
-import {z} from 'zod';
+import * as z from 'zod';
 import {digestOf, deploymentKeys} from './_settings-file.js';
 import {
 	type Deployment, type DaemonPlan, type RunningDaemon, startDeployment,
--- a/packages/testing/src/control-repair.test.ts
+++ b/packages/testing/src/control-repair.test.ts
@@ -9,7 +9,7 @@
 	type Bill, type InstanceId, type Micros, type RequestId, toId, type WorkspaceId,
 } from '@valehitch/core';
 import {PeerNetwork} from '@valehitch/transport';
-import {z} from 'zod';
+import * as z from 'zod';
 import {deploymentKeys} from './_settings-file.js';
 import {
 	type DaemonPlan, type Deployment, type RunningDaemon, startDeployment,
--- a/packages/testing/src/deployment.ts
+++ b/packages/testing/src/deployment.ts
@@ -2,7 +2,7 @@
 import {mkdir, mkdtemp} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {z} from 'zod';
+import * as z from 'zod';
 import {placeBackends, placeDaemons, writeDaemon} from './_place-deployment.js';
 import {deploymentKeys} from './_settings-file.js';
 import {type DeploymentOptions, type RunningBackend, type RunningDaemon} from './deployment-plan.js';
--- a/packages/testing/src/fake-engine-orders.ts
+++ b/packages/testing/src/fake-engine-orders.ts
@@ -1,5 +1,5 @@
 import {text} from 'node:stream/consumers';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Exchange, sendJson} from './_fake-server.js';
 
 /** An order that a fake engine obeyed. */
--- a/packages/testing/src/fake-engine.ts
+++ b/packages/testing/src/fake-engine.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage} from 'node:http';
 import {text} from 'node:stream/consumers';
 import {setInterval, setTimeout as delay} from 'node:timers/promises';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	type Exchange, headerOf, sendJson, sendNotRun, startFakeServer,
 } from './_fake-server.js';
--- a/packages/testing/src/http-client.ts
+++ b/packages/testing/src/http-client.ts
@@ -1,7 +1,7 @@
 import {type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {text} from 'node:stream/consumers';
 import {createParser} from 'eventsource-parser';
-import {z} from 'zod';
+import * as z from 'zod';
 import {wireNames} from './_wire-names.js';
 import {type ChatMessage} from './fake-answer.js';
 import {openRequest, sendRequest} from './send-request.js';
--- a/packages/testing/src/measure/fault.ts
+++ b/packages/testing/src/measure/fault.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {sendRequest} from '../send-request.js';
 import {type System, type SystemBackend} from './system.js';
 import {type Workload} from './workload.js';
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -14,9 +14,12 @@
 export * from './managed-process.js';
 export * from './naive-choice.js';
 export * from './naive-router.js';
+export * from './platform/backend-stand-in.js';
+export * from './platform/platform-deployment.js';
 export * from './process-usage.js';
 export * from './send-request.js';
 export * from './wait-until.js';
+export {seededRandom} from './_seeded-random.js';
 export {
 	deploymentKeys, digestOf, type DaemonPorts, type DaemonRole,
 } from './_settings-file.js';
--- a/packages/testing/src/platform-path.test.ts
+++ b/packages/testing/src/platform-path.test.ts
@@ -218,6 +218,21 @@
 	t.is(end?.code, 0);
 });
 
+test('a process goes on with its settings while the file is being replaced', async t => {
+	const {deployment} = await start(t, {servers: [labels]});
+	const {process, removeSettings, writeSettings} = deployment.entries[0]!;
+	const {pid} = process;
+	await removeSettings();
+	process.signal('SIGHUP');
+	// Longer than the process waits between two looks at the file.
+	await new Promise(resolve => {
+		setTimeout(resolve, 2500);
+	});
+	await writeSettings({isFounding: false});
+	t.like(await send(deployment, '/look/7'), {status: 200});
+	t.is(process.pid, pid);
+});
+
 test('a caller that leaves ends the work of the server', async t => {
 	const slow = {id: 'i-models', service: 'models', answer: () => ({confidence: 90, events: ['a', 'b', 'c', 'd', 'e', 'f'], gap: 1000})};
 	const {deployment, backends} = await start(t, {servers: [labels, slow]});
--- a/packages/testing/src/platform/backend-stand-in.ts
+++ b/packages/testing/src/platform/backend-stand-in.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {
-	createServer, type IncomingMessage, request, type Server, type ServerResponse,
+	type Agent, createServer, type IncomingMessage, request, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 
@@ -37,8 +37,13 @@
 	readonly host: string;
 	readonly version?: string;
 	readonly answer: (run: StandInRun) => StandInAnswer;
+	/** The port that it announces in place of its own, as where a proxy stands before it. */
+	readonly announcedPort?: () => number;
 };
 
+/** The platform's servers wait a second for an acknowledgement. */
+const announceMilliseconds = 1000;
+
 /**
 A backend server of the platform, as its protocol describes it, for tests.
 
@@ -75,6 +80,11 @@
 		});
 	}
 
+	/** The port that it listens on. */
+	get port(): number {
+		return (this.#server.address() as AddressInfo).port;
+	}
+
 	/**
 	Announces the server to a control instance.
 
@@ -83,12 +93,12 @@
 	@returns The status of the acknowledgement.
 	*/
 	async announce(control: string, state: 'ready' | 'draining' = 'ready'): Promise<number> {
-		const {id, service, host, version = 'v1'} = this.#options;
+		const {id, service, host, version = 'v1', announcedPort = () => this.port} = this.#options;
 		this.#sequence++;
 		return call({
 			method: 'PUT', address: control, path: `/-/instances/${id}`, body: {
-				service, address: `${host}:${(this.#server.address() as AddressInfo).port}`, zone: 'hall-a', version, slots: 8, state, coldRemainingMs: 0, seq: this.#sequence,
-			},
+				service, address: `${host}:${announcedPort()}`, zone: 'hall-a', version, slots: 8, state, coldRemainingMs: 0, seq: this.#sequence,
+			}, timeout: announceMilliseconds,
 		});
 	}
 
@@ -162,6 +172,10 @@
 	readonly address: string;
 	readonly path: string;
 	readonly body?: unknown;
+	/** Keeps connections; by default each call has its own. */
+	readonly agent?: Agent;
+	/** Milliseconds after which the call is given up; never by default. */
+	readonly timeout?: number;
 };
 
 /**
@@ -190,12 +204,12 @@
 @param options The request.
 @returns The answer; status 0 where the connection ended before one.
 */
-export async function ask({method, address, path, body, headers}: StandInCall & {readonly headers: Readonly<Record<string, string>>}): Promise<CallerAnswer> {
+export async function ask({method, address, path, body, headers, agent, timeout}: StandInCall & {readonly headers: Readonly<Record<string, string>>}): Promise<CallerAnswer> {
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const payload = body === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(body));
 		const outgoing = request({
-			host, port, method, path, agent: false, headers: {'Content-Length': payload.byteLength, ...headers},
+			host, port, method, path, agent: agent ?? false, headers: {'Content-Length': payload.byteLength, ...headers},
 		}, message => {
 			let text = '';
 			message.setEncoding('utf8');
@@ -206,12 +220,19 @@
 				// The close that follows tells that the body is not whole.
 			});
 			message.on('close', () => {
+				clearTimeout(timer);
 				resolve({
 					status: message.statusCode ?? 0, text, retryAfter: message.headers['retry-after'], isWhole: message.complete,
 				});
 			});
 		});
+		const timer = timeout === undefined
+			? undefined
+			: setTimeout(() => {
+				outgoing.destroy();
+			}, timeout);
 		outgoing.on('error', () => {
+			clearTimeout(timer);
 			resolve({
 				status: 0, text: '', retryAfter: undefined, isWhole: false,
 			});
--- a/packages/testing/src/platform/platform-deployment.ts
+++ b/packages/testing/src/platform/platform-deployment.ts
@@ -15,17 +15,25 @@
 	readonly entries?: number;
 	/** Milliseconds after which a key that was taken away must not work any more; 5000 by default. */
 	readonly revocation?: number;
+	/** Further variables of each process; none by default. */
+	readonly environment?: (member: {readonly ip: string; readonly folder: string}) => Readonly<Record<string, string>>;
 };
 
 /** One process of the deployment. */
 export type PlatformMember = {
+	readonly name: string;
+	readonly ip: string;
+	/** Its data folder; empty on entry instances. */
+	readonly folder: string;
 	readonly process: ManagedProcess;
 	/** Where callers, or operators and backend servers, connect. */
 	readonly address: string;
 	/** Where readiness is asked; the address itself on control instances. */
 	readonly readiness: string;
 	/** Writes the settings anew, as the platform does before each start. */
-	readonly writeSettings: (changes: {readonly isFounding: boolean}) => Promise<void>;
+	readonly writeSettings: (changes: {readonly isFounding: boolean; readonly seeds?: readonly string[]}) => Promise<void>;
+	/** Takes the settings file away, as where it is being replaced. */
+	readonly removeSettings: () => Promise<void>;
 };
 
 const ports = {
@@ -50,7 +58,22 @@
 	@param options How large it is.
 	@returns The deployment.
 	*/
-	static async start({controls = 3, entries = 2, revocation = 5000}: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
+	static async start(options: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
+		const deployment = await PlatformDeployment.prepare(options);
+		for (const member of deployment.members) {
+			member.process.start();
+		}
+
+		return deployment;
+	}
+
+	/**
+	Writes the settings of all processes and starts none.
+
+	@param options How large the deployment is.
+	@returns The deployment.
+	*/
+	static async prepare({controls = 3, entries = 2, revocation = 5000, environment = () => ({})}: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
 		const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-platform-'));
 		// Each deployment has a network of its own, since the ports are the same on all instances.
 		const network = `127.${10 + (process.pid % 240)}.${deployments++ % 250}`;
@@ -60,20 +83,17 @@
 			const isControl = index < controls;
 			const ip = `${network}.${index + 1}`;
 			const member = await deployment.#add({
-				name: `${isControl ? 'core' : 'front'}-${index + 1}`, ip, isControl, seeds, revocation,
+				name: `${isControl ? 'core' : 'front'}-${index + 1}`, ip, isControl, seeds, revocation, environment,
 			});
 			(isControl ? deployment.controls : deployment.entries).push(member);
 		}
 
-		for (const member of deployment.members) {
-			member.process.start();
-		}
-
 		return deployment;
 	}
 
 	readonly controls: PlatformMember[] = [];
 	readonly entries: PlatformMember[] = [];
+	/** Where settings, logs and data folders are. */
 	readonly #folder: string;
 
 	private constructor(folder: string) {
@@ -91,11 +111,11 @@
 		await rm(this.#folder, {recursive: true, force: true});
 	}
 
-	async #add({name, ip, isControl, seeds, revocation}: MemberOptions): Promise<PlatformMember> {
+	async #add({name, ip, isControl, seeds, revocation, environment}: MemberOptions): Promise<PlatformMember> {
 		const file = path.join(this.#folder, `${name}.yaml`);
 		const dataFolder = path.join(this.#folder, name);
 		await mkdir(dataFolder, {recursive: true});
-		const writeSettings = async ({isFounding}: {readonly isFounding: boolean}): Promise<void> => {
+		const writeSettings = async ({isFounding, seeds: newSeeds = seeds}: {readonly isFounding: boolean; readonly seeds?: readonly string[]}): Promise<void> => {
 			await writeFile(file, JSON.stringify({
 				node: name,
 				role: name,
@@ -103,7 +123,7 @@
 				zone: 'hall-a',
 				listen: isControl ? {control: `${ip}:${ports.control}`} : {front: `${ip}:${ports.callers}`, ready: `${ip}:${ports.readiness}`},
 				portRange: [ports.peers, ports.lastPeers],
-				seeds,
+				seeds: newSeeds,
 				bootstrap: isFounding,
 				dataDir: isControl ? dataFolder : null,
 				heartbeatMs: 1200,
@@ -115,12 +135,16 @@
 
 		await writeSettings({isFounding: true});
 		return {
+			name,
+			ip,
+			folder: dataFolder,
 			process: new ManagedProcess({
-				name, command: [program], logFile: path.join(this.#folder, `${name}.log`), environment: {VALEHITCH_CONFIG: file},
+				name, command: [program], logFile: path.join(this.#folder, `${name}.log`), environment: {...environment({ip, folder: dataFolder}), VALEHITCH_CONFIG: file},
 			}),
 			address: `${ip}:${isControl ? ports.control : ports.callers}`,
 			readiness: `${ip}:${isControl ? ports.control : ports.readiness}`,
 			writeSettings,
+			removeSettings: async () => rm(file, {force: true}),
 		};
 	}
 }
@@ -131,4 +155,5 @@
 	readonly isControl: boolean;
 	readonly seeds: readonly string[];
 	readonly revocation: number;
+	readonly environment: NonNullable<PlatformDeploymentOptions['environment']>;
 };
--- a/packages/testing/src/rollouts-and-orders.test.ts
+++ b/packages/testing/src/rollouts-and-orders.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {z} from 'zod';
+import * as z from 'zod';
 import {deploymentKeys} from './_settings-file.js';
 import {type Deployment, type RunningDaemon, startDeployment} from './deployment.js';
 import {callOperator} from './http-client.js';
--- a/packages/transport/src/parse-json-body.test.ts
+++ b/packages/transport/src/parse-json-body.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {z} from 'zod';
+import * as z from 'zod';
 import {parseJsonBody, type ParseJsonBodyOptions} from './parse-json-body.js';
 
 const schema = z.strictObject({cut: z.array(z.string())});
