Give a silent server of a fast model up sooner, and split the run of a request

Ruled out: a fixed bound (under load the usual time rises by ten).

Change: a server may take eight times the usual time of its model, 500 ms at the least, and never more than it could before.

--- a/packages/gateway/src/entry/caller-answer.ts
+++ b/packages/gateway/src/entry/caller-answer.ts
@@ -46,6 +46,11 @@
 		return this.#hasBegun;
 	}
 
+	/** The response that events are written to. */
+	get response(): ServerResponse {
+		return this.#options.response;
+	}
+
 	/** Whether the caller is gone before its answer was written. */
 	get isAbandoned(): boolean {
 		return !this.#options.response.writableFinished;
--- a/packages/gateway/src/entry/model-steps.ts
+++ b/packages/gateway/src/entry/model-steps.ts
@@ -1,7 +1,8 @@
 import {type ModelId} from '@valehitch/core';
 import {type Route} from '../configuration/routing-configuration.js';
 import {chooseNextModel} from './choose-next-model.js';
-import {type EntryContext} from './entry-context.js';
+import {type EntryBounds} from './entry-context.js';
+import {type LatencyBook} from './latency-book.js';
 
 /** What decides on a larger model. */
 export type LargerModelOptions = {
@@ -13,10 +14,20 @@
 	readonly age: number;
 };
 
+/** What the steps work with. */
+export type ModelStepsContext = {
+	readonly latencies: LatencyBook;
+	readonly bounds: Pick<EntryBounds, 'leastConfidence'>;
+};
+
 /** The share of the target latency after which a silent server is given up for another. */
 const silentShare = 0.75;
-/** How many times its usual time a server may take before it is given up: above the scatter under load. */
+/** How many times its usual time a server of a large model may take in any case: above the scatter under load. */
 const silentFactor = 4;
+/** How many times its usual time a server of a fast model may take: the longest prompts take four times as long as the mean, and wait for others. */
+const fastSilentFactor = 8;
+/** No server is given up earlier, in milliseconds: a pause of the engine or a lost packet is not an end. */
+const leastSilentMilliseconds = 500;
 /** The share of a plain route's timeout after which a silent server is given up. */
 const plainSilentShare = 0.4;
 /** The time to the first event of a model before any was seen, as a share of the target latency. */
@@ -34,11 +45,11 @@
 ```
 */
 export class ModelSteps {
-	readonly #context: EntryContext;
+	readonly #context: ModelStepsContext;
 	readonly #route: Route;
 	#current: ModelId | undefined;
 
-	constructor(context: EntryContext, {route, choosesModel}: {readonly route: Route; readonly choosesModel: boolean}) {
+	constructor(context: ModelStepsContext, {route, choosesModel}: {readonly route: Route; readonly choosesModel: boolean}) {
 		this.#context = context;
 		this.#route = route;
 		this.#current = choosesModel ? route.sizes[0] : undefined;
@@ -61,7 +72,10 @@
 			return plainSilentShare * this.#route.timeout;
 		}
 
-		return Math.max(silentShare * this.#route.targetLatency, silentFactor * this.#usual(this.#current, 0));
+		const {targetLatency} = this.#route;
+		const usual = this.#usual(this.#current, targetLatency);
+		const longest = Math.max(silentShare * targetLatency, silentFactor * this.#usual(this.#current, 0));
+		return Math.min(longest, Math.max(leastSilentMilliseconds, fastSilentFactor * usual));
 	}
 
 	/**
--- /dev/null
+++ b/packages/gateway/src/entry/send-allowance.test.ts
@@ -0,0 +1,37 @@
+import {type ServiceId} from '@valehitch/core';
+import test from 'ava';
+import {SendAllowance} from './send-allowance.js';
+
+const clock = {monotonic: () => 0};
+const service = 'summaries' as ServiceId;
+
+test('a route allows so many sends, and connections that did not open use up none', t => {
+	const allowance = new SendAllowance({
+		route: {kind: 'safe', isResumable: false, maximumAttempts: 2}, service, budget: {withdraw: () => true}, clock,
+	});
+	t.true(allowance.mayRepeat);
+	t.false(allowance.isNextLast);
+	allowance.begin();
+	t.true(allowance.takeBack());
+	allowance.begin();
+	t.true(allowance.isNextLast);
+	t.true(allowance.takeFurther());
+	allowance.begin();
+	t.false(allowance.takeFurther());
+	t.deepEqual([allowance.sends, allowance.unreachable], [2, 1]);
+});
+
+test('no send is allowed beyond the shared budget, nor to ever more servers that cannot be reached', t => {
+	const allowance = new SendAllowance({
+		route: {kind: 'streaming', isResumable: false, maximumAttempts: 9}, service, budget: {withdraw: () => false}, clock,
+	});
+	t.false(allowance.mayRepeat);
+	const tries: boolean[] = [];
+	for (let index = 0; index < 4; index++) {
+		allowance.begin();
+		tries.push(allowance.takeBack());
+	}
+
+	t.deepEqual(tries, [true, true, true, false]);
+	t.false(allowance.takeFurther());
+});
--- /dev/null
+++ b/packages/gateway/src/entry/take-outcome.ts
@@ -0,0 +1,222 @@
+import {type IncomingMessage} from 'node:http';
+import {type Failure, failure, type ModelId} from '@valehitch/core';
+import {match} from 'ts-pattern';
+import {type Route} from '../configuration/routing-configuration.js';
+import {type ServerRecord} from '../servers/server-record.js';
+import {type CallerAnswer, type WholeAnswer} from './caller-answer.js';
+import {classifyAnswer} from './classify-answer.js';
+import {collectBody} from './collect-body.js';
+import {type EntryContext} from './entry-context.js';
+import {type EventStream} from './event-stream.js';
+import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
+import {type ModelSteps} from './model-steps.js';
+import {relayStream} from './relay-stream.js';
+import {type SendOutcome} from './send-attempt.js';
+import {type ServerVerdicts} from './server-verdicts.js';
+
+/** What one send came to for its request, and what follows. */
+export type OutcomeStep
+	/** The request ended meanwhile. */
+	= | {readonly type: 'over'}
+	/** No connection opened: the request did not run there. */
+		| {readonly type: 'unreachable'}
+	/** The server says that it did not run the request. */
+		| {readonly type: 'not-run'; readonly failed: Failure}
+	/** The request may have run; with the failed answer where it can be passed on. */
+		| {readonly type: 'failed'; readonly failed: Failure; readonly answer?: WholeAnswer}
+	/** A whole answer to pass on. */
+		| {readonly type: 'whole'; readonly answer: WholeAnswer}
+	/** A larger model should answer instead. */
+		| {readonly type: 'escalated'; readonly model: ModelId}
+	/** All of the stream was passed on. */
+		| {readonly type: 'streamed'; readonly confidence: number | undefined};
+
+/** What the outcome of a send concerns. */
+export type TakeOutcomeOptions = {
+	readonly context: EntryContext;
+	readonly request: GatewayRequest;
+	readonly route: Route;
+	readonly models: ModelSteps;
+	readonly verdicts: ServerVerdicts;
+	readonly answer: CallerAnswer;
+	readonly events: EventStream;
+	/** The server, and when the request was sent to it in milliseconds on the monotonic clock. */
+	readonly server: ServerRecord;
+	readonly sentAt: number;
+	/** Whether the request ended meanwhile. */
+	readonly isOver: () => boolean;
+	/** Called once a stream of this server is taken, before its first event is passed on. */
+	readonly onStream: () => void;
+	/** The model that should answer in place of the one that did; undefined where the answer will do or no send is left. */
+	readonly chooseLarger: (head: AnswerHead, latency: number) => ModelId | undefined;
+};
+
+/** The head of an answer, and whether its body is complete once it ended. */
+type ReceivedHead = Omit<Extract<SendOutcome, {type: 'head'}>, 'type'>;
+
+/** How many times the longest pause that is on time a stream may stall before it goes on elsewhere. */
+const stallFactor = 1;
+const firstServerError = 500;
+/** With these a server would promise that a request has not run, which it did not say otherwise. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/**
+Takes the outcome of one send: reads the answer, passes a stream on, and notes what it says of the server.
+
+@param outcome What the send came to.
+@param options What it concerns.
+@returns What follows for the request.
+@example
+```ts
+const step = await takeOutcome(await attempt.outcome, options);
+```
+*/
+export async function takeOutcome(outcome: SendOutcome, options: TakeOutcomeOptions): Promise<OutcomeStep> {
+	const {context, request, verdicts, models, server, isOver} = options;
+	if (isOver()) {
+		return {type: 'over'};
+	}
+
+	if (outcome.type === 'head') {
+		return takeHead(outcome, options);
+	}
+
+	const reason = reasonOf(outcome);
+	context.log('request-attempt-ended', {
+		request: request.id, server: server.id, result: outcome.type, reason,
+	}, 'warn');
+	if (outcome.type === 'unreachable') {
+		verdicts.record(server, 'unreachable');
+		return {type: 'unreachable'};
+	}
+
+	verdicts.failed(server, models.current);
+	return unknownOutcome(`Got no answer of ${server.id} (${reason})`);
+}
+
+async function takeHead(received: ReceivedHead, options: TakeOutcomeOptions): Promise<OutcomeStep> {
+	const {context: {dialect}, request, route} = options;
+	const {message} = received;
+	const head = dialect.readAnswer(message.statusCode ?? 0, message.headers);
+	return match(classifyAnswer(head, request.id))
+		.with('other-request', 'foreign', () => takeForeign(message, head, options))
+		.with('not-run', () => takeNotRun(message, head, options))
+		.with('failed', async () => takeFailedAnswer(received, head, options))
+		.with('good', async () => route.kind === 'streaming' ? takeStream(received, head, options) : takePlainAnswer(received, options))
+		.exhaustive();
+}
+
+/** An answer that is not this server's to this request: what it did with the request is not known. */
+function takeForeign(message: IncomingMessage, {requestId}: AnswerHead, {request, verdicts, models, server}: TakeOutcomeOptions): OutcomeStep {
+	message.destroy();
+	verdicts.failed(server, models.current);
+	return unknownOutcome(`Got an answer of ${server.id} to request ${requestId ?? 'without id'}, wanted a signed one to ${request.id}`);
+}
+
+function takeNotRun(message: IncomingMessage, {status, isOtherServer}: AnswerHead, {context, request, verdicts, server}: TakeOutcomeOptions): OutcomeStep {
+	message.resume();
+	if (isOtherServer) {
+		verdicts.record(server, 'gone');
+	}
+
+	context.log('request-attempt-ended', {
+		request: request.id, server: server.id, result: 'not-run', status, isOtherServer,
+	}, 'warn');
+	return {type: 'not-run', failed: failure('overloaded', `${server.id} answered ${status} without running the request`)};
+}
+
+async function takeFailedAnswer({message, isWhole}: ReceivedHead, {status, isSigned}: AnswerHead, options: TakeOutcomeOptions): Promise<OutcomeStep> {
+	const {context: {dialect}, verdicts, models, server, isOver} = options;
+	const headers = dialect.answerHeaders(message);
+	const body = await collectBody(message, isWhole);
+	if (isOver()) {
+		return {type: 'over'};
+	}
+
+	if (status >= firstServerError) {
+		verdicts.failed(server, models.current);
+	}
+
+	if (body === undefined || !isSigned || notRunStatuses.has(status)) {
+		return {type: 'failed', failed: failure('backend-failed', `Got ${status} of ${server.id}, which cannot be passed on`)};
+	}
+
+	const answer = {status, headers, body};
+	return status >= firstServerError
+		? {type: 'failed', failed: failure('backend-failed', `Got ${status} of ${server.id}`), answer}
+		: {type: 'whole', answer};
+}
+
+async function takePlainAnswer({message, isWhole}: ReceivedHead, options: TakeOutcomeOptions): Promise<OutcomeStep> {
+	const {context: {dialect, clock}, verdicts, models, server, sentAt, isOver} = options;
+	const headers = dialect.answerHeaders(message);
+	const status = message.statusCode ?? 0;
+	const body = await collectBody(message, isWhole);
+	if (isOver()) {
+		return {type: 'over'};
+	}
+
+	if (body === undefined) {
+		verdicts.failed(server, models.current);
+		return unknownOutcome(`Got a body of ${server.id} that ended early`);
+	}
+
+	verdicts.answered(server, {model: models.current, latency: clock.monotonic() - sentAt});
+	return {type: 'whole', answer: {status, headers, body}};
+}
+
+async function takeStream(received: ReceivedHead, head: AnswerHead, options: TakeOutcomeOptions): Promise<OutcomeStep> {
+	const {context, request, verdicts, models, server, sentAt, chooseLarger} = options;
+	const latency = context.clock.monotonic() - sentAt;
+	const larger = chooseLarger(head, latency);
+	if (larger === undefined) {
+		return passStream(received, {...options, head, latency});
+	}
+
+	received.message.destroy();
+	verdicts.answered(server, {model: models.current, latency});
+	context.metrics.escalations.inc();
+	context.log('request-escalated', {
+		request: request.id, from: models.current, to: larger, confidence: head.confidence, latency: Math.round(latency),
+	});
+	return {type: 'escalated', model: larger};
+}
+
+async function passStream({message, isWhole}: ReceivedHead, options: TakeOutcomeOptions & {readonly head: AnswerHead; readonly latency: number}): Promise<OutcomeStep> {
+	const {context, request, route, verdicts, models, answer, events, server, isOver, onStream, head, latency} = options;
+	onStream();
+	const headers = context.dialect.answerHeaders(message);
+	const end = await relayStream({
+		message,
+		isWhole,
+		response: answer.response,
+		events,
+		stallTimeout: route.isResumable ? stallFactor * (route.targetGap ?? route.targetLatency) : 0,
+		onFirstEvent() {
+			answer.begin(message.statusCode ?? 0, headers);
+		},
+	});
+	if (end === 'complete') {
+		verdicts.answered(server, {model: models.current, latency});
+		return {type: 'streamed', confidence: head.confidence};
+	}
+
+	if (isOver() || end === 'caller-left') {
+		return {type: 'over'};
+	}
+
+	verdicts.failed(server, models.current);
+	events.drop();
+	context.log('request-resumed', {
+		request: request.id, server: server.id, end, lastEvent: events.lastEventId,
+	}, 'warn');
+	return unknownOutcome(`Got a stream of ${server.id} that is ${end}`);
+}
+
+function unknownOutcome(message: string): OutcomeStep {
+	return {type: 'failed', failed: failure('outcome-unknown', message)};
+}
+
+function reasonOf(outcome: Exclude<SendOutcome, {type: 'head'}>): string {
+	return outcome.type === 'unreachable' || outcome.type === 'lost' ? outcome.reason : outcome.type;
+}
