Wait a short while for the first server after a start

Ruled out: keeping the directory of servers on the disk: one that said that it shuts down could come back as ready.

Change: a request that was sent nowhere waits for the first server as it does for the first configuration: 0.06 of the caller's patience, a second at the most.

Tests: request-run.test.ts, the first of RequestRun without processes; it fails on the code before (503 in place of the answer).

--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -37,6 +37,8 @@
 	readonly table: () => RouteTable | undefined;
 	/** Waits for the first configuration, for some milliseconds at the most. */
 	readonly firstConfiguration: (timeout: number) => Promise<void>;
+	/** Waits until backend servers came or changed, for some milliseconds at the most. */
+	readonly nextServers: (timeout: number) => Promise<void>;
 	/** The newest roll-out of a service. */
 	readonly rolloutOf: (service: ServiceId) => RunningRollout | undefined;
 	/** When the instance ends, in milliseconds on the monotonic clock; undefined while no stop has begun. */
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -85,6 +85,7 @@
 	readonly #share: LoadShare;
 	readonly #server: Server;
 	readonly #configurations = new StepWaiters();
+	readonly #serverNews = new StepWaiters();
 	/** What each control instance was told of the counters. */
 	readonly #told = new Map<InstanceId, EvidenceDelta>();
 	#table: RouteTable | undefined;
@@ -115,6 +116,7 @@
 			evidence: new EvidenceCounter({entry: self, run}),
 			table: () => this.#table,
 			firstConfiguration: async timeout => Promise.race([this.#configurations.next(), options.wait(timeout)]),
+			nextServers: async timeout => Promise.race([this.#serverNews.next(), options.wait(timeout)]),
 			rolloutOf: service => this.#rolloutOf(service),
 			endsAt: () => this.#endsAt,
 		};
@@ -228,6 +230,10 @@
 		const {lease, servers} = this.#context;
 		const changed = servers.take(reply.records, {source, now});
 		this.#peers = reply.entries;
+		if (changed.length > 0) {
+			this.#serverNews.wake();
+		}
+
 		for (const {id, state, service, version, sequence} of changed) {
 			log(state === 'ready' ? 'server-joined' : 'server-draining', {
 				server: id, service, version, state, sequence, source,
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -6,10 +6,8 @@
 import {type EntryContext} from './entry-context.js';
 import {type GatewayRequest} from './gateway-request.js';
 import {RequestRun} from './request-run.js';
+import {startWait} from './start-wait.js';
 
-/** A request that reaches an instance which just started waits this share of its patience for the first configuration, since that comes within a second. */
-const startWaitShare = 0.06;
-const longestStartWaitMilliseconds = 1000;
 /** The longest that all but a few streams last; those that arrive with less time left would be cut off. */
 const usualStreamMilliseconds = 4700;
 /** Other instances take the request at once. */
@@ -32,7 +30,7 @@
 	const arrivedAt = context.clock.monotonic();
 	const request = context.dialect.readRequest(message);
 	if (context.table() === undefined) {
-		await context.firstConfiguration(Math.min(longestStartWaitMilliseconds, startWaitShare * (request.patience ?? 0)));
+		await context.firstConfiguration(startWait(request.patience ?? 0));
 	}
 
 	const table = context.table();
--- /dev/null
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -0,0 +1,118 @@
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, request as openRequest} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {
+	errorAnswers, type InstanceId, type ZoneId,
+} from '@valehitch/core';
+import {RetryBudget} from '@valehitch/routing';
+import test, {type ExecutionContext} from 'ava';
+import {testConfiguration} from '../configuration/_test-configuration.js';
+import {RouteTable} from '../configuration/route-table.js';
+import {createGatewayMetrics} from '../logs/gateway-metrics.js';
+import {testServer} from '../servers/_test-server.js';
+import {testRequest} from './_test-request.js';
+import {authorizeRequest} from './authorize-request.js';
+import {ConfigurationLease} from './configuration-lease.js';
+import {type Dialect} from './dialect.js';
+import {type EntryContext} from './entry-context.js';
+import {EntryServers} from './entry-servers.js';
+import {EvidenceCounter} from './evidence-counter.js';
+import {LatencyBook} from './latency-book.js';
+import {RequestRun} from './request-run.js';
+import {VersionPins} from './version-pins.js';
+
+const control = '10.0.0.1' as InstanceId;
+
+/** Requests and answers as plain as they can be: each answer is the server's own. */
+const plainDialect: Dialect = {
+	readRequest: () => testRequest(),
+	sendHeaders: () => [['Host', 'desk.example']],
+	readAnswer: status => ({
+		status, requestId: testRequest().id, isNotRun: false, isOtherServer: false, isSigned: true, isEncoded: false, confidence: undefined,
+	}),
+	answerHeaders: () => [],
+	refuse: (_request, {kind}) => ({status: errorAnswers[kind].status, headers: [], body: kind}),
+};
+
+async function listen(t: ExecutionContext, handle: Parameters<typeof createServer>[1]): Promise<number> {
+	const server = createServer(handle);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	return (server.address() as AddressInfo).port;
+}
+
+async function get(port: number): Promise<{readonly status: number; readonly text: string}> {
+	const outgoing = openRequest({host: '127.0.0.1', port, agent: false}).end();
+	const [message] = await once(outgoing, 'response') as [IncomingMessage];
+	let text = '';
+	for await (const chunk of message.setEncoding('utf8')) {
+		text += String(chunk);
+	}
+
+	return {status: message.statusCode ?? 0, text};
+}
+
+/** One caller's request through an instance that knows no server until `nextServers` says so. */
+async function askThrough(t: ExecutionContext, nextServers: (servers: EntryServers) => void) {
+	const clock = {now: () => new Date(), monotonic: () => performance.now()};
+	const servers = new EntryServers({zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore}});
+	const lease = new ConfigurationLease({duration: 60_000});
+	lease.confirm(clock.monotonic());
+	const table = new RouteTable(testConfiguration());
+	const context: EntryContext = {
+		clock,
+		random: () => 0.5,
+		log: ignore,
+		metrics: createGatewayMetrics(),
+		dialect: plainDialect,
+		bounds: {canaryShare: 0.1, leastConfidence: 50},
+		lease,
+		servers,
+		budget: new RetryBudget({share: 1, burst: 5, floorPerSecond: 1}),
+		latencies: new LatencyBook(),
+		pins: new VersionPins({sessionMilliseconds: 5000}),
+		evidence: new EvidenceCounter({entry: control, run: 'one'}),
+		table: () => table,
+		firstConfiguration: async () => undefined,
+		async nextServers() {
+			nextServers(servers);
+		},
+		rolloutOf: () => undefined,
+		endsAt: () => undefined,
+	};
+	const request = testRequest({patience: 60_000});
+	const authorized = authorizeRequest(request, {table, lease, now: clock.monotonic()}).unsafeCoerce();
+	const entry = await listen(t, (_message, response) => {
+		void new RequestRun(context, {
+			request, body: new Uint8Array(), response, authorized, arrivedAt: clock.monotonic(),
+		}).run();
+	});
+	return get(entry);
+}
+
+function ignore(): void {
+	// Nothing to note.
+}
+
+test('a request that finds no server waits for the first one', async t => {
+	const port = await listen(t, (_message, response) => {
+		response.end('printed');
+	});
+	const answer = await askThrough(t, servers => {
+		servers.take([testServer({port})], {source: control, now: performance.now()});
+	});
+	t.deepEqual(answer, {status: 200, text: 'printed'});
+});
+
+test('a request that still finds none after its wait is refused', async t => {
+	let asked = 0;
+	const answer = await askThrough(t, () => {
+		asked++;
+	});
+	t.deepEqual(answer, {status: 503, text: 'no-server'});
+	t.true(asked > 0);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -13,6 +13,7 @@
 import {SendAllowance} from './send-allowance.js';
 import {type SendOutcome, type SentAttempt, sendAttempt} from './send-attempt.js';
 import {ServerVerdicts} from './server-verdicts.js';
+import {startWait} from './start-wait.js';
 import {type OutcomeStep, takeOutcome} from './take-outcome.js';
 
 /** One request of a caller, authorized, with its body. */
@@ -118,6 +119,10 @@
 		}
 
 		const server = this.#placement.choose(this.#models.current);
+		if (server === undefined && await this.#awaitFirstServer()) {
+			return 'again';
+		}
+
 		if (server === undefined) {
 			const message = `Got no server of ${this.#placement.service} that takes the request (${this.#lastProblem}), wanted one`;
 			return this.#giveUp(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
@@ -126,6 +131,22 @@
 		return this.#sendTo(server, authorized.unsafeCoerce());
 	}
 
+	/**
+	Waits a short while for a server where none was tried: one that runs announces itself within about a second, and after the loss of all control instances each has to.
+
+	@returns Whether servers came or changed in time.
+	*/
+	async #awaitFirstServer(): Promise<boolean> {
+		const until = this.#arrivedAt + startWait(this.#deadlineAt - this.#arrivedAt);
+		const {sends, unreachable} = this.#allowance;
+		if (sends > 0 || unreachable > 0 || this.#now() >= until) {
+			return false;
+		}
+
+		await this.#context.nextServers(until - this.#now());
+		return !this.#isOver;
+	}
+
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<Next> {
 		const {dialect, servers, log, metrics} = this.#context;
 		const sentAt = this.#now();
@@ -323,7 +344,14 @@
 		metrics.requests.inc({kind: this.#route.kind, outcome});
 		metrics.duration.observe({kind: this.#route.kind}, milliseconds / 1000);
 		log('request-ended', {
-			request: this.#request.id, route: this.#route.id, service: this.#placement.service, outcome, model: this.#models.current, sends: this.#allowance.sends, duration: Math.round(milliseconds), ...fields,
+			request: this.#request.id,
+			route: this.#route.id,
+			service: this.#placement.service,
+			outcome,
+			model: this.#models.current,
+			sends: this.#allowance.sends,
+			duration: Math.round(milliseconds),
+			...fields,
 		}, outcome === 'answered' ? 'info' : 'warn');
 		return 'ended';
 	}
