Let the soak step clocks without a signal, and take a hang-up during the start

The signal that stepped its clock arrived before the preloaded module had its handler, and ended it. The same holds for a real SIGHUP: until the process had started its parts, the signal ended it.

Ruled out: a crash of the product (no line on standard error; the log ends with the start of the wiped instance).

Change: clocks are stepped by a file, as disks are; the program listens to SIGHUP before it reads its settings.

--- a/packages/platform/src/bin/valehitch-platform.ts
+++ b/packages/platform/src/bin/valehitch-platform.ts
@@ -10,7 +10,13 @@
 /** The settings file may change without a signal; the seeds in it matter only to a process that lost all others. */
 const rereadMilliseconds = 2000;
 
+/** What SIGHUP asks for; until the process runs, there is nothing to reload, and the signal must not end it. */
+let reload = async (): Promise<void> => undefined;
+
 async function main(): Promise<void> {
+	process.on('SIGHUP', () => {
+		void reload();
+	});
 	const file = new SettingsFile(process.env[variable] ?? defaultFile);
 	const read = await file.read();
 	if (read.isLeft()) {
@@ -21,7 +27,7 @@
 
 	const {values: {'metrics-port': port}} = parseArgs({options: {'metrics-port': {type: 'string'}}});
 	const running = await startProcess(read.unsafeCoerce(), {metricsPort: port === undefined ? undefined : Number(port)});
-	const reload = async (): Promise<void> => {
+	reload = async () => {
 		const change = await file.readChange();
 		change.caseOf({
 			Left(problems) {
@@ -36,9 +42,6 @@
 	};
 
 	let isStopping = false;
-	process.on('SIGHUP', () => {
-		void reload();
-	});
 	process.on('SIGTERM', () => {
 		if (!isStopping) {
 			isStopping = true;
--- a/packages/soak/src/inflict-fault.ts
+++ b/packages/soak/src/inflict-fault.ts
@@ -2,6 +2,7 @@
 import {type PlatformDeployment, type PlatformMember} from '@valehitch/testing';
 import {match, P} from 'ts-pattern';
 import {type Fault} from './plan-faults.js';
+import {misbehaviourFile} from './soak-environment.js';
 import {type SoakNetwork} from './soak-network.js';
 import {type SoakOperator} from './soak-operator.js';
 import {type SoakServers} from './soak-servers.js';
@@ -59,17 +60,8 @@
 		.with('reset', () => {
 			network.reset(any.ip);
 		})
-		.with(P.union('disk-full', 'disk-slow'), async () => {
-			const file = diskFileOf(control.folder);
-			await writeFile(file, kind === 'disk-full' ? 'full' : 'slow');
-			await elapsed(duration);
-			await rm(file, {force: true});
-		})
-		.with('clock-step', async () => {
-			any.process.signal('SIGUSR2');
-			await elapsed(duration);
-			any.process.signal('SIGUSR2');
-		})
+		.with(P.union('disk-full', 'disk-slow'), async () => misbehave(misbehaviourFile(control.folder, 'disk'), {text: kind === 'disk-full' ? 'full' : 'slow', duration}))
+		.with('clock-step', async () => misbehave(misbehaviourFile(any.folder, 'clock'), {text: '', duration}))
 		.with('settings', async () => {
 			await any.writeSettings({isFounding: false, seeds: [control.address]});
 			any.process.signal('SIGHUP');
@@ -89,18 +81,10 @@
 		.exhaustive();
 }
 
-/**
-The file that says how the disk of a data folder misbehaves; beside the folder, which a fault may remove.
-
-@param folder The data folder.
-@returns The file.
-@example
-```ts
-diskFileOf('/tmp/soak/core-1');
-```
-*/
-export function diskFileOf(folder: string): string {
-	return `${folder}.disk`;
+async function misbehave(file: string, {text, duration}: {readonly text: string; readonly duration: number}): Promise<void> {
+	await writeFile(file, text);
+	await elapsed(duration);
+	await rm(file, {force: true});
 }
 
 async function down(members: readonly PlatformMember[], duration: number): Promise<void> {
--- a/packages/soak/src/preload/misbehave.ts
+++ b/packages/soak/src/preload/misbehave.ts
@@ -8,7 +8,9 @@
 import {Socket} from 'node:net';
 import process from 'node:process';
 import {setTimeout as elapsed} from 'node:timers/promises';
-import {diskFileVariable, proxyPorts, selfVariable} from '../soak-environment.js';
+import {
+	folderVariable, misbehaviourFile, proxyPorts, selfVariable,
+} from '../soak-environment.js';
 
 type ConnectOptions = {
 	port?: number | string;
@@ -20,8 +22,12 @@
 /** How far the time of day jumps, in milliseconds. */
 const clockStepMilliseconds = 3_600_000;
 const slowDiskMilliseconds = 300;
+/** The time between two looks whether the clock misbehaves. */
+const lookMilliseconds = 100;
 
-const {[selfVariable]: self = '127.0.0.1', [diskFileVariable]: diskFile} = process.env;
+const {[selfVariable]: self = '127.0.0.1', [folderVariable]: folder = ''} = process.env;
+const diskFile = misbehaviourFile(folder, 'disk');
+const clockFile = misbehaviourFile(folder, 'clock');
 
 /** Proxies tell the instances apart by their addresses, so each connection leaves from its own. */
 function redirect(options: ConnectOptions): void {
@@ -47,17 +53,24 @@
 
 function stepClock(): void {
 	let offset = 0;
+	let lookedAt = Number.NEGATIVE_INFINITY;
+	const stepped = (plain: number): number => {
+		if (performance.now() - lookedAt >= lookMilliseconds) {
+			lookedAt = performance.now();
+			offset = existsSync(clockFile) ? clockStepMilliseconds : 0;
+		}
+
+		return plain + offset;
+	};
+
 	globalThis.Date = new Proxy(Date, {
-		construct: (target, parameters: unknown[], asked) => Reflect.construct(target, parameters.length === 0 ? [target.now() + offset] : parameters, asked) as Date,
-		get: (target, name): unknown => name === 'now' ? () => target.now() + offset : Reflect.get(target, name),
-	});
-	process.on('SIGUSR2', () => {
-		offset = offset === 0 ? clockStepMilliseconds : 0;
+		construct: (target, parameters: unknown[], asked) => Reflect.construct(target, parameters.length === 0 ? [stepped(target.now())] : parameters, asked) as Date,
+		get: (target, name): unknown => name === 'now' ? () => stepped(target.now()) : Reflect.get(target, name),
 	});
 }
 
 function diskState(): DiskState {
-	return diskFile !== undefined && existsSync(diskFile) ? readFileSync(diskFile, 'utf8') as DiskState : '';
+	return existsSync(diskFile) ? readFileSync(diskFile, 'utf8') as DiskState : '';
 }
 
 async function misbehave(): Promise<void> {
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -3,10 +3,10 @@
 	PlatformDeployment, type PlatformMember, seededRandom, waitUntil,
 } from '@valehitch/testing';
 import {findBrokenPromises} from './find-broken-promises.js';
-import {diskFileOf, inflictFault} from './inflict-fault.js';
+import {inflictFault} from './inflict-fault.js';
 import {type Fault, planFaults} from './plan-faults.js';
 import {SoakCallers} from './soak-callers.js';
-import {diskFileVariable, proxyPorts, selfVariable} from './soak-environment.js';
+import {folderVariable, proxyPorts, selfVariable} from './soak-environment.js';
 import {SoakNetwork} from './soak-network.js';
 import {SoakOperator} from './soak-operator.js';
 import {emptyRecord, type RequestKind, type SoakRecord} from './soak-record.js';
@@ -63,7 +63,7 @@
 	const network = new SoakNetwork();
 	const deployment = await PlatformDeployment.prepare({
 		controls, entries, revocation: revocationMilliseconds, environment: ({ip, folder}) => ({
-			NODE_OPTIONS: `--import ${fileURLToPath(new URL('preload/misbehave.js', import.meta.url))}`, [selfVariable]: ip, [diskFileVariable]: diskFileOf(folder),
+			NODE_OPTIONS: `--import ${fileURLToPath(new URL('preload/misbehave.js', import.meta.url))}`, [selfVariable]: ip, [folderVariable]: folder,
 		}),
 	});
 	const addresses = deployment.controls.map(({address}) => address);
