--- a/packages/gateway/src/logs/bounded-output.test.ts
+++ b/packages/gateway/src/logs/bounded-output.test.ts
@@ -30,3 +30,29 @@
 		output.write('two\n');
 	});
 });
+
+test('lines are gathered into one write, and a flush hands them over at once', async t => {
+	const writes: number[] = [];
+	const reader = new Writable({
+		decodeStrings: false,
+		write(_chunk, _encoding, done) {
+			writes.push(1);
+			done();
+		},
+		writev(chunks, done) {
+			writes.push(chunks.length);
+			done();
+		},
+	});
+	const output = toBoundedOutput(reader);
+	output.write('one\n');
+	output.write('two\n');
+	t.deepEqual(writes, []);
+	await output.flush();
+	t.is(writes[0], 2);
+	output.write('three\n');
+	await new Promise(resolve => {
+		setTimeout(resolve, 400);
+	});
+	t.is(reader.writableLength, 0);
+});
--- a/packages/gateway/src/logs/create-decision-log.ts
+++ b/packages/gateway/src/logs/create-decision-log.ts
@@ -37,6 +37,11 @@
 		if (budget.take(kind, {isUrgent: level !== 'info'})) {
 			logger[level]({kind, ...values}, kind);
 		}
+
+		if (level !== 'info') {
+			// What went wrong is written at once, and with it what led there.
+			void output.flush();
+		}
 	};
 }
 
--- a/packages/platform/src/wire-process.ts
+++ b/packages/platform/src/wire-process.ts
@@ -42,6 +42,7 @@
 	readonly run: string;
 };
 
+const standardOutput = 1;
 /** Every instance of a deployment may connect; the platform has no key that all share. */
 const peerKey = 'valehitch';
 /** A cut is noticed after two of these, well within the time that the platform allows. */
@@ -82,7 +83,8 @@
 export async function startProcess(settings: PlatformSettings, {metricsPort}: StartProcessOptions = {}): Promise<RunningProcess> {
 	let current = settings;
 	const run = randomUUID();
-	const log = createDecisionLog('valehitch', {clock, output: openBoundedOutput(1), fields: {instance: settings.instance, zone: settings.zone}});
+	const output = openBoundedOutput(standardOutput);
+	const log = createDecisionLog('valehitch', {clock, output, fields: {instance: settings.instance, zone: settings.zone}});
 	const metrics = createGatewayMetrics();
 	const parts: Parts = {};
 	const network = await PeerNetwork.listen<PeerMessage>({
@@ -129,6 +131,7 @@
 			metricsServer?.close();
 			await network.close();
 			log('process-stopped', {});
+			await output.flush();
 		},
 	};
 }
--- a/packages/soak/src/inflict-fault.ts
+++ b/packages/soak/src/inflict-fault.ts
@@ -18,6 +18,8 @@
 };
 
 const delayMilliseconds = 400;
+/** The time in which a process reads its settings for the first time, with room for a busy machine. */
+const startMilliseconds = 2000;
 
 /**
 Inflicts one fault and heals it after its time.
@@ -69,6 +71,11 @@
 			await any.writeSettings({isFounding: false});
 		})
 		.with('settings-missing', async () => {
+			if (any.process.runtime < startMilliseconds) {
+				// A process cannot start without settings, and the platform sees to it that it has them.
+				return;
+			}
+
 			await any.removeSettings();
 			any.process.signal('SIGHUP');
 			await elapsed(duration);
--- a/packages/testing/src/managed-process.ts
+++ b/packages/testing/src/managed-process.ts
@@ -48,6 +48,7 @@
 	readonly #environment: Readonly<Record<string, string>>;
 	#child: ChildProcess | undefined;
 	#ended: Promise<ProcessEnd> | undefined;
+	#startedAt = 0;
 
 	constructor({name, command, logFile, environment = {}}: ManagedProcessOptions) {
 		this.name = name;
@@ -61,6 +62,11 @@
 		return this.#child?.pid;
 	}
 
+	/** How long it has run, in milliseconds; 0 while it does not. */
+	get runtime(): number {
+		return this.#child === undefined ? 0 : performance.now() - this.#startedAt;
+	}
+
 	get isRunning(): boolean {
 		return this.#child !== undefined;
 	}
@@ -76,6 +82,7 @@
 		child.stdout.pipe(log, {end: false});
 		child.stderr.pipe(log, {end: false});
 		this.#child = child;
+		this.#startedAt = performance.now();
 		runningChildren.add(child);
 		this.#ended = this.#waitForEnd(child, log);
 	}
