--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -19,6 +19,7 @@
 import {
 	type ConfirmReply, type JoinReply, type PeerMessage, type ServersMessage,
 } from './peer-message.js';
+import {type OpenedFolder, ReopeningGroup} from './reopening-group.js';
 import {RolloutClock} from './rollout-clock.js';
 import {RolloutJudge} from './rollout-judge.js';
 import {ServerNews} from './server-news.js';
@@ -56,8 +57,6 @@
 const regainedMilliseconds = 1000;
 /** How long a read waits to be applied here; a caller gives up after a second. */
 const readMilliseconds = 700;
-/** The time until a data folder that failed is opened again. */
-const reopenMilliseconds = 500;
 const retryMilliseconds = 300;
 /** The time between two looks at the running roll-outs. */
 const judgeMilliseconds = 150;
@@ -81,13 +80,20 @@
 	readonly #leader: LeaderClient;
 	readonly #watches: EntryWatches;
 	readonly #judge: RolloutJudge;
-	#group: ControlGroup | undefined;
+	readonly #holder: ReopeningGroup;
 	#confirmedAt: number | undefined;
 	#timers: NodeJS.Timeout[] = [];
-	#isStopped = false;
 
 	constructor(options: ControlInstanceOptions) {
 		this.#options = options;
+		this.#holder = new ReopeningGroup({
+			...options,
+			createGroup: opened => this.#createGroup(opened),
+			onLost: () => {
+				// The folder that is opened next may hold less than what was confirmed before.
+				this.#confirmedAt = undefined;
+			},
+		});
 		this.#rolloutClock = new RolloutClock(options.clock);
 		this.#news = new ServerNews({
 			...options,
@@ -106,6 +112,11 @@
 		});
 	}
 
+	/** The replica; undefined while its disk fails. */
+	get #group(): ControlGroup | undefined {
+		return this.#holder.current;
+	}
+
 	/** Opens the data folder and starts the replica and the rounds. */
 	async start(): Promise<void> {
 		this.#news.start();
@@ -117,19 +128,18 @@
 				void this.#judge.look();
 			}, judgeMilliseconds),
 		];
-		await this.#openGroup(this.#options.processStartedAt);
+		await this.#holder.start();
 	}
 
 	/** Stops the rounds, and the replica once its steps in progress are on the disk. */
 	async stop(): Promise<void> {
-		this.#isStopped = true;
 		this.#news.stop();
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
 
 		this.#watches.wake();
-		await this.#group?.stop();
+		await this.#holder.stop();
 	}
 
 	/**
@@ -236,58 +246,20 @@
 			.exhaustive();
 	}
 
-	async #openGroup(lastAcknowledgedAt: number): Promise<void> {
-		const {openFolder, log, clock, random, self, isFounding} = this.#options;
-		const opened = await openFolder();
-		if (this.#isStopped) {
-			return;
-		}
-
-		opened.caseOf({
-			Left: failed => {
-				log('storage-failed', {reason: failed.message, retryMilliseconds: reopenMilliseconds}, 'error');
-				this.#reopenLater();
-			},
-			Right: folder => {
-				log('storage-opened', {warnings: folder.warnings});
-				this.#group = new ControlGroup({
-					self, folder, clock, random, log, lastAcknowledgedAt, isFounding,
-					founders: this.#options.seeds(),
-					peers: () => this.#others(),
-					send: (to, envelope) => {
-						this.#options.send(to, envelope);
-					},
-					join: async (to, message) => this.#join(to, message),
-					onApplied: ({command, result, index}) => {
-						this.#noteApplied({command, index, result: describeResult(result)});
-					},
-					onFailure: failed => {
-						log('storage-failed', {reason: failed.message, retryMilliseconds: reopenMilliseconds}, 'error');
-						this.#reopenLater();
-					},
-				});
-				this.#group.start();
+	#createGroup({folder, lastAcknowledgedAt, onFailure}: OpenedFolder): ControlGroup {
+		const {log, clock, random, self, isFounding, seeds, send} = this.#options;
+		return new ControlGroup({
+			self, folder, clock, random, log, lastAcknowledgedAt, isFounding, onFailure,
+			founders: seeds(),
+			peers: () => this.#others(),
+			send,
+			join: async (to, message) => this.#join(to, message),
+			onApplied: ({command, result, index}) => {
+				this.#noteApplied({command, index, result: describeResult(result)});
 			},
 		});
 	}
 
-	#reopenLater(): void {
-		const broken = this.#group;
-		this.#group = undefined;
-		// The folder that is opened next may hold less than what was confirmed before.
-		this.#confirmedAt = undefined;
-		setTimeout(() => {
-			void this.#reopen(broken);
-		}, reopenMilliseconds);
-	}
-
-	async #reopen(broken: ControlGroup | undefined): Promise<void> {
-		await broken?.stop();
-		if (!this.#isStopped) {
-			await this.#openGroup(this.#options.clock.monotonic());
-		}
-	}
-
 	async #join(to: InstanceId, message: PeerMessage): Promise<JoinReply | undefined> {
 		const reply = await this.#options.ask(to, message, joinTimeoutMilliseconds) as JoinReply | undefined;
 		for (const host of reply?.hosts ?? []) {
