Tell a caller whose request never left that it has not run

A zone was cut off; each connection to a server behind the cut took 400 ms to be given up, twice, and at the route's timeout the request counted as sent, so that its caller could not send it again.

Ruled out: the choice of servers (each is avoided after its first failed connection; those requests were on their way together).

Change: at the end of its time a request counts as sent only if a connection had opened, or a former send may have run; else it is refused as not run, with when to come back. A connection may take no longer than the whole answer should.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -7,6 +7,7 @@
 import {CallerAnswer, type WholeAnswer} from './caller-answer.js';
 import {type EntryContext} from './entry-context.js';
 import {EventStream} from './event-stream.js';
+import {expiryFailure} from './expiry-failure.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {ModelSteps} from './model-steps.js';
 import {Placement} from './placement.js';
@@ -29,7 +30,7 @@
 /** What follows from one send. */
 type Next = 'again' | 'ended';
 
-/** A connection within a region opens in a few milliseconds; one that takes longer than this is not going to. */
+/** A connection within a region opens in a few milliseconds; one that takes longer than this, or than the whole answer should, is not going to. */
 const connectTimeoutMilliseconds = 400;
 /** The time after which a place should be free again, for a request that no server took. */
 const retryMilliseconds = 250;
@@ -165,7 +166,7 @@
 			}),
 			body: this.#body,
 			mayReuse: this.#allowance.mayRepeat,
-			connectTimeout: connectTimeoutMilliseconds,
+			connectTimeout: Math.min(connectTimeoutMilliseconds, this.#route.targetLatency),
 			headTimeout: this.#headTimeout(),
 		});
 		this.#attempt = attempt;
@@ -314,16 +315,21 @@
 			return;
 		}
 
+		const hasLeft = this.#attempt?.hasOpened() === true;
 		this.#attempt?.cancel();
-		if (this.#server !== undefined) {
+		if (this.#server !== undefined && hasLeft) {
 			// A server that hangs shows in no other way where its requests may not be repeated.
 			this.#verdicts.failed(this.#server, this.#models.current);
+		} else if (this.#server !== undefined) {
+			this.#verdicts.record(this.#server, 'unreachable');
 		}
 
-		const waited = Math.round(this.#now() - this.#arrivedAt);
-		this.#giveUp(this.#allowance.sends === 0
-			? failure('no-server', `Got no server within ${waited} ms`, {retryAfterMilliseconds: retryMilliseconds})
-			: failure('deadline-exceeded-after-dispatch', `Got no answer within ${waited} ms (${this.#lastProblem})`));
+		this.#giveUp(expiryFailure({
+			mayHaveRun: this.#mayHaveRun || hasLeft,
+			waited: Math.round(this.#now() - this.#arrivedAt),
+			lastProblem: this.#lastProblem,
+			retryAfter: retryMilliseconds,
+		}));
 	}
 
 	#leave(): void {
--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -67,8 +67,11 @@
 	const options = await serve(t, socket => {
 		socket.destroy();
 	});
-	const lost = await sendAttempt(options).outcome;
+	const sent = sendAttempt(options);
+	t.false(sent.hasOpened());
+	const lost = await sent.outcome;
 	t.is(lost.type, 'lost');
+	t.true(sent.hasOpened());
 	const unreachable = await sendAttempt({...options, server: testServer({port: 1})}).outcome;
 	t.is(unreachable.type, 'unreachable');
 });
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -33,6 +33,8 @@
 /** A send in progress. */
 export type SentAttempt = {
 	readonly outcome: Promise<SendOutcome>;
+	/** Whether its connection has opened; until then nothing of the request has left. */
+	readonly hasOpened: () => boolean;
 	/** Ends the send and destroys its connection; the server notices that. */
 	readonly cancel: () => void;
 };
@@ -71,10 +73,18 @@
 		host: server.host, port: server.port, method, path: target, agent: mayReuse ? agent : false, setHost: false, headers: headers.flat(),
 	});
 	let isCancelled = false;
-	const outcome = awaitHead(request, options, () => isCancelled);
+	let isOpen = false;
+	request.on('socket', socket => {
+		isOpen = !socket.connecting;
+		socket.once('connect', () => {
+			isOpen = true;
+		});
+	});
+	const outcome = awaitHead(request, options, {isCancelled: () => isCancelled, isOpen: () => isOpen});
 	request.end(body);
 	return {
 		outcome,
+		hasOpened: () => isOpen,
 		cancel() {
 			isCancelled = true;
 			request.destroy();
@@ -82,12 +92,16 @@
 	};
 }
 
-async function awaitHead(request: ClientRequest, {connectTimeout, headTimeout}: SendAttemptOptions, isCancelled: () => boolean): Promise<SendOutcome> {
+type SendProgress = {
+	readonly isCancelled: () => boolean;
+	readonly isOpen: () => boolean;
+};
+
+async function awaitHead(request: ClientRequest, {connectTimeout, headTimeout}: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
 	return new Promise(resolve => {
-		let isOpen = false;
 		let isSilent = false;
 		const connectTimer = setTimeout(() => {
-			if (!isOpen) {
+			if (!isOpen()) {
 				request.destroy(new Error(`Got no connection in ${connectTimeout} ms`));
 			}
 		}, connectTimeout);
@@ -106,23 +120,13 @@
 		const fail = (reason: string): void => {
 			if (isCancelled()) {
 				settle({type: 'cancelled'});
-			} else if (isOpen) {
+			} else if (isOpen()) {
 				settle(isSilent ? {type: 'silent'} : {type: 'lost', reason});
 			} else {
 				settle({type: 'unreachable', reason});
 			}
 		};
 
-		request.on('socket', socket => {
-			if (!socket.connecting) {
-				isOpen = true;
-				return;
-			}
-
-			socket.once('connect', () => {
-				isOpen = true;
-			});
-		});
 		request.on('response', message => {
 			settle({type: 'head', message, isWhole: isFramed(message) ? async () => message.complete : untilClosed(message)});
 		});
--- a/packages/soak/src/plan-faults.ts
+++ b/packages/soak/src/plan-faults.ts
@@ -51,6 +51,9 @@
 	revoke: 3,
 };
 const kinds = Object.entries(weights) as ReadonlyArray<readonly [kind: FaultKind, weight: number]>;
+/** Cuts last longer than the lease on keys, or they would prove nothing about it. */
+const cuts: ReadonlySet<FaultKind> = new Set(['silence', 'silence-one-way']);
+const cutFactor = 2.5;
 const shortestMilliseconds = 300;
 const longestMilliseconds = 3500;
 /** A wiped instance must hold everything again before the next disk may be lost. */
@@ -81,8 +84,9 @@
 		const isTooSoon = drawn === 'wipe' && at - wipedAt < wipeGapMilliseconds;
 		const kind = isTooSoon ? 'kill' : drawn;
 		wipedAt = kind === 'wipe' ? at : wipedAt;
+		const duration = shortestMilliseconds + (random() * (longestMilliseconds - shortestMilliseconds));
 		faults.push({
-			kind, at, duration: shortestMilliseconds + (random() * (longestMilliseconds - shortestMilliseconds)), pick: random(),
+			kind, at, duration: cuts.has(kind) ? cutFactor * duration : duration, pick: random(),
 		});
 	}
 }
