--- a/packages/soak/src/inflict-fault.ts
+++ b/packages/soak/src/inflict-fault.ts
@@ -1,4 +1,5 @@
 import {rm, writeFile} from 'node:fs/promises';
+import {setTimeout as elapsed} from 'node:timers/promises';
 import {type PlatformDeployment, type PlatformMember} from '@valehitch/testing';
 import {match, P} from 'ts-pattern';
 import {type Fault} from './plan-faults.js';
@@ -122,9 +123,3 @@
 function oneOf<Item>(items: readonly Item[], pick: number): Item {
 	return items[Math.floor(pick * items.length)]!;
 }
-
-async function elapsed(milliseconds: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- a/packages/soak/src/loopback-proxy.ts
+++ b/packages/soak/src/loopback-proxy.ts
@@ -2,6 +2,7 @@
 import {
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
+import {setTimeout as elapsed} from 'node:timers/promises';
 
 /** Where a proxy stands. */
 export type LoopbackProxyOptions = {
@@ -134,9 +135,3 @@
 
 	step();
 }
-
-async function elapsed(milliseconds: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -1,3 +1,4 @@
+import {setTimeout as elapsed} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {
 	PlatformDeployment, type PlatformMember, seededRandom, waitUntil,
@@ -124,7 +125,7 @@
 async function inflictAll(faults: readonly Fault[], options: Parameters<typeof inflictFault>[1]): Promise<void> {
 	const start = performance.now();
 	await Promise.all(faults.map(async fault => {
-		await elapsed(fault.at - (performance.now() - start));
+		await elapsed(Math.max(0, fault.at - (performance.now() - start)));
 		await inflictFault(fault, options);
 	}));
 }
@@ -173,9 +174,3 @@
 
 	return undefined;
 }
-
-async function elapsed(milliseconds: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, Math.max(0, milliseconds));
-	});
-}
--- a/packages/soak/src/soak-callers.ts
+++ b/packages/soak/src/soak-callers.ts
@@ -1,4 +1,5 @@
 import {Agent} from 'node:http';
+import {setTimeout as elapsed} from 'node:timers/promises';
 import {type RandomSource} from '@valehitch/core';
 import {ask} from '@valehitch/testing';
 import {callerHost, pathOf} from './soak-configuration.js';
@@ -108,9 +109,3 @@
 function oneOf<Item>(items: readonly Item[], random: RandomSource): Item {
 	return items[Math.floor(random() * items.length)]!;
 }
-
-async function elapsed(milliseconds: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- a/packages/soak/src/soak-operator.ts
+++ b/packages/soak/src/soak-operator.ts
@@ -1,3 +1,4 @@
+import {setTimeout as elapsed} from 'node:timers/promises';
 import {ask, call} from '@valehitch/testing';
 import {soakConfiguration} from './soak-configuration.js';
 import {type SoakRecord} from './soak-record.js';
@@ -126,9 +127,7 @@
 				}
 			}
 
-			await new Promise(resolve => {
-				setTimeout(resolve, roundPauseMilliseconds);
-			});
+			await elapsed(roundPauseMilliseconds);
 		}
 
 		return false;
