Pass the head of a stream on that has no event left

Ruled out: an answer of another request; the check of signatures.

Change: a complete stream passes the head on in any case.

Tests: request-run.test.ts fails on the code before with just that answer.

--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -6,7 +6,7 @@
 } from '@valehitch/core';
 import {RetryBudget} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
-import {testConfiguration} from '../configuration/_test-configuration.js';
+import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
 import {RouteTable} from '../configuration/route-table.js';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
@@ -30,7 +30,7 @@
 	readAnswer: status => ({
 		status, requestId: testRequest().id, isNotRun: false, isOtherServer: false, isSigned: true, isEncoded: false, confidence: undefined,
 	}),
-	answerHeaders: () => [],
+	answerHeaders: ({headers: {signature}}) => typeof signature === 'string' ? [['Signature', signature]] : [],
 	refuse: (_request, {kind}) => ({status: errorAnswers[kind].status, headers: [], body: kind}),
 };
 
@@ -45,7 +45,7 @@
 	return (server.address() as AddressInfo).port;
 }
 
-async function get(port: number): Promise<{readonly status: number; readonly text: string}> {
+async function get(port: number): Promise<{readonly status: number; readonly text: string; readonly signature?: string}> {
 	const outgoing = openRequest({host: '127.0.0.1', port, agent: false}).end();
 	const [message] = await once(outgoing, 'response') as [IncomingMessage];
 	let text = '';
@@ -53,16 +53,17 @@
 		text += String(chunk);
 	}
 
-	return {status: message.statusCode ?? 0, text};
+	const {signature} = message.headers;
+	return {status: message.statusCode ?? 0, text, ...(typeof signature === 'string' && {signature})};
 }
 
 /** One caller's request through an instance that knows no server until `nextServers` says so. */
-async function askThrough(t: ExecutionContext, nextServers: (servers: EntryServers) => void) {
+async function askThrough(t: ExecutionContext, nextServers: (servers: EntryServers) => void, route = testRoute()) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore}});
 	const lease = new ConfigurationLease({duration: 60_000});
 	lease.confirm(clock.monotonic());
-	const table = new RouteTable(testConfiguration());
+	const table = new RouteTable(testConfiguration({routes: [route]}));
 	const context: EntryContext = {
 		clock,
 		random: () => 0.5,
@@ -116,3 +117,14 @@
 	t.deepEqual(answer, {status: 503, text: 'no-server'});
 	t.true(asked > 0);
 });
+
+test('a stream that has no events left is answered with the head of its server', async t => {
+	const port = await listen(t, (_message, response) => {
+		response.writeHead(200, {Signature: 'of-the-server'});
+		response.end();
+	});
+	const answer = await askThrough(t, servers => {
+		servers.take([testServer({port})], {source: control, now: performance.now()});
+	}, testRoute({kind: 'streaming', isResumable: true, timeout: 8000}));
+	t.deepEqual(answer, {status: 200, text: '', signature: 'of-the-server'});
+});
--- a/packages/gateway/src/entry/take-outcome.ts
+++ b/packages/gateway/src/entry/take-outcome.ts
@@ -197,6 +197,8 @@
 		},
 	});
 	if (end === 'complete') {
+		// A caller that resumes after the last event gets no further one, but the head of the server's answer.
+		answer.begin(message.statusCode ?? 0, headers);
 		verdicts.answered(server, {model: models.current, latency});
 		return {type: 'streamed', confidence: head.confidence};
 	}
