--- a/packages/gateway/src/entry/load-share.ts
+++ b/packages/gateway/src/entry/load-share.ts
@@ -20,7 +20,7 @@
 const staleMilliseconds = 1200;
 /** Work that changed by less than this since the last message is not worth another, in units of a short request. */
 const leastChange = 2;
-/** The messages to peers for each change of the own work, so that the exchange costs a bounded part of what the requests do; about ten flushes a second on small deployments, three on large ones. */
+/** The messages to peers for each change of the own work, so that the exchange costs a bounded part of what the requests do, however many peers there are. */
 const messagesPerChange = 2;
 /** The messages that can be saved up: a few flushes. */
 const maximumSaved = 20;
