Start with the code that the engine compiled at the build

Cause: a start took about 0.46 s on an entry instance and 0.57 s on a control instance, and every restart after a kill waits for it. A profile of the start shows 16 ms of 108 for compiling the bundle, further compiling of its functions as they are first called, and 8 ms for an optional part of the logger (mv, with rimraf behind it) that is found in node_modules beside the bundle.

Measured first and wrong: a trial loader that seemed as fast as an empty program had failed with a syntax error.

Change: the bundle is a script with the compiled code beside it, written at the build by a run of a second with the flags of the deploy file; optional packages are left out of it. The program is a function of its own, so that the bundle needs no module loader.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,22 +1,46 @@
-// Bundles the program of the platform into one file, since resolving some hundred files at each start is slow on small instances.
-import {readdirSync} from 'node:fs';
+// Bundles the program of the platform into one file, and keeps the code that the engine compiled for it beside it, since resolving and compiling some hundred files at each start is slow on small instances.
+import {execFileSync} from 'node:child_process';
+import {mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
 import {build} from 'esbuild';
 
-const packages = readdirSync('packages');
-const alias = Object.fromEntries(packages.map(name => [`@valehitch/${name}`, `./packages/${name}/src/mod.ts`]));
+const bundle = 'target/valehitch-platform.cjs';
+const cache = 'target/valehitch-platform.cache';
+const freePort = '127.0.0.1:0';
+/** Optional parts of libraries that the program has no use for; they are looked for at run time, and found only in some checkouts. */
+const optionalPackages = ['bufferutil', 'dtrace-provider', 'moment', 'msgpackr-extract', 'mv', 'safe-json-stringify', 'source-map-support', 'utf-8-validate'];
+
+const leaveOut = {
+	name: 'leave-out',
+	setup({onResolve, onLoad}) {
+		onResolve({filter: new RegExp(`^(?:${optionalPackages.join('|')})$`)}, ({path}) => ({path, namespace: 'left-out'}));
+		onLoad({filter: /.*/, namespace: 'left-out'}, ({path}) => ({contents: `throw new Error('${path} is left out of the bundle');`, loader: 'js'}));
+	},
+};
 
+const packages = readdirSync('packages');
 await build({
-	entryPoints: ['packages/platform/src/bin/valehitch-platform.ts'],
-	outfile: 'target/valehitch-platform.mjs',
+	stdin: {contents: 'import {runProgram} from \'./packages/platform/src/run-program.ts\'; void runProgram();', resolveDir: process.cwd()},
+	outfile: bundle,
 	bundle: true,
 	minify: true,
-	keepNames: false,
 	platform: 'node',
 	target: 'node20',
-	format: 'esm',
-	alias,
-	// Optional parts of libraries that are not installed, and are looked for at run time.
-	external: ['dtrace-provider', 'mv', 'source-map-support', 'moment', 'bufferutil', 'utf-8-validate', 'safe-json-stringify'],
-	banner: {js: 'import {createRequire as __createRequire} from "node:module"; import {fileURLToPath as __toPath} from "node:url"; import {dirname as __dirnameOf} from "node:path"; const require = __createRequire(import.meta.url); const __filename = __toPath(import.meta.url); const __dirname = __dirnameOf(__filename);'},
+	format: 'cjs',
+	alias: Object.fromEntries(packages.map(name => [`@valehitch/${name}`, `./packages/${name}/src/mod.ts`])),
+	plugins: [leaveOut],
 	logLevel: 'warning',
 });
+
+// Compiled code is taken only by an engine with the same flags, so the flags are those of the deploy file. The program runs for a moment with both roles on free ports, so that the code that a start needs is compiled too.
+const folder = mkdtempSync(path.join(tmpdir(), 'valehitch-build-'));
+const settings = path.join(folder, 'node.yaml');
+writeFileSync(settings, JSON.stringify({
+	node: 'build', ip: '127.0.0.1', zone: 'build', listen: {front: freePort, ready: freePort, control: freePort}, portRange: [0, 0], seeds: [freePort], bootstrap: true, dataDir: folder, heartbeatMs: 1200, bounds: {graceS: 8},
+}));
+rmSync(cache, {force: true});
+const [, flags] = /run = "node (.*) deploy\/start\.cjs/v.exec(readFileSync('deploy/system.toml', 'utf8'));
+execFileSync('node', [...flags.split(' '), 'deploy/start.cjs', '--write-cache'], {env: {...process.env, VALEHITCH_CONFIG: settings}, stdio: ['ignore', 'ignore', 'inherit']});
+rmSync(folder, {recursive: true});
