Let a start that failed end the process by its error

Change: the error of a start is thrown; an error that nobody catches ends the process with its trace and exit code 1, as before.

Before and after: a port that cannot be opened: exit code 1 and the trace in both; the linter is clean.

--- a/packages/platform/src/run-program.ts
+++ b/packages/platform/src/run-program.ts
@@ -15,21 +15,13 @@
 /**
 Runs the program: reads its settings, starts the process, and takes signals and changed settings until it is stopped.
 
+@throws If a port cannot be opened.
 @example
 ```ts
 await runProgram();
 ```
 */
 export async function runProgram(): Promise<void> {
-	try {
-		await run();
-	} catch (error) {
-		process.stderr.write(`${error instanceof Error ? error.stack ?? error.message : String(error)}\n`);
-		process.exit(failureExitCode);
-	}
-}
-
-async function run(): Promise<void> {
 	process.on('SIGHUP', () => {
 		void reload();
 	});
