Count further sends by window, and let times fade that nobody measures

Each instance could save up five further sends, and the larger models draw on the same budget.

Ruled out: a larger bucket of tokens, which would break the bound over all instances in a window that follows a quiet one.

Change: a budget by sliding window, of the length that the platform tells; further sends are a share of the requests of the same window, with five for each instance beside.

--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -1,5 +1,5 @@
 import {type Clock, type ServiceId, type RandomSource} from '@valehitch/core';
-import {type RetryBudget} from '@valehitch/routing';
+import {type RetryWindow} from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
@@ -29,7 +29,7 @@
 	readonly bounds: EntryBounds;
 	readonly lease: ConfigurationLease;
 	readonly servers: EntryServers;
-	readonly budget: RetryBudget;
+	readonly budget: RetryWindow;
 	readonly latencies: LatencyBook;
 	readonly pins: VersionPins;
 	readonly evidence: EvidenceCounter;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -3,7 +3,7 @@
 	type Clock, type Failure, type InstanceId, type RandomSource, type ServiceId, type ZoneId,
 } from '@valehitch/core';
 import {StepWaiters} from '@valehitch/replication';
-import {RetryBudget} from '@valehitch/routing';
+import {RetryWindow} from '@valehitch/routing';
 import {type Either} from 'purify-ts';
 import {RouteTable} from '../configuration/route-table.js';
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
@@ -47,6 +47,8 @@
 	readonly sessionMilliseconds: number;
 	/** The further sends for each request, over all instances alike. */
 	readonly retryShare: number;
+	/** The time over which further sends are a share of the requests, in milliseconds. */
+	readonly retryWindowMilliseconds: number;
 	/** Names this run of the process. */
 	readonly run: string;
 	/** The control instances that the settings name. */
@@ -59,9 +61,8 @@
 	readonly parse: (document: string) => Either<Failure, RoutingConfiguration>;
 };
 
-/** Further sends that one instance can save up: small, since all instances share one bound. */
-const retryBurst = 5;
-const retriesPerSecondWithoutTraffic = 0.1;
+/** Further sends that one instance may make in a window without any traffic: small, since all instances share one bound. */
+const retrySlack = 5;
 /** An idle connection is kept this many times longer than callers use it, so that none closes under a request. */
 const idleFactor = 2;
 /** The time between two looks whether loads changed: below the time that most requests take, in milliseconds. */
@@ -110,8 +111,8 @@
 			...options,
 			lease: new ConfigurationLease({duration: options.leaseMilliseconds}),
 			servers: new EntryServers({zone, random, share: this.#share}),
-			budget: new RetryBudget({share: options.retryShare, burst: retryBurst, floorPerSecond: retriesPerSecondWithoutTraffic}),
-			latencies: new LatencyBook(),
+			budget: new RetryWindow({share: options.retryShare, slack: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
+			latencies: new LatencyBook(clock),
 			pins: new VersionPins(options),
 			evidence: new EvidenceCounter({entry: self, run}),
 			table: () => this.#table,
--- a/packages/gateway/src/entry/model-steps.test.ts
+++ b/packages/gateway/src/entry/model-steps.test.ts
@@ -4,21 +4,22 @@
 import {LatencyBook} from './latency-book.js';
 import {ModelSteps} from './model-steps.js';
 
+const clock = {monotonic: () => 0};
 const route = testRoute({
 	kind: 'streaming', targetLatency: 3000, sizes: ['small', 'large'] as ModelId[],
 });
 
 test('a silent server of a fast model is given up after some times its usual time, a slow one after most of the target', t => {
-	const latencies = new LatencyBook();
+	const latencies = new LatencyBook(clock);
 	const models = new ModelSteps({latencies, bounds: {leastConfidence: 50}}, {route, choosesModel: true});
 	t.is(models.headTimeout, 2250, 'nothing is known of its times');
 	models.larger({confidence: 90, latency: 100, age: 100});
 	t.is(models.headTimeout, 800);
-	const quick = new LatencyBook();
+	const quick = new LatencyBook(clock);
 	const quickModels = new ModelSteps({latencies: quick, bounds: {leastConfidence: 50}}, {route, choosesModel: true});
 	quickModels.larger({confidence: 90, latency: 10, age: 10});
 	t.is(quickModels.headTimeout, 500);
-	const slow = new LatencyBook();
+	const slow = new LatencyBook(clock);
 	const slowModels = new ModelSteps({latencies: slow, bounds: {leastConfidence: 50}}, {route, choosesModel: true});
 	slowModels.larger({confidence: 90, latency: 1000, age: 1000});
 	t.is(slowModels.headTimeout, 4000);
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -4,7 +4,7 @@
 import {
 	errorAnswers, type InstanceId, type ZoneId,
 } from '@valehitch/core';
-import {RetryBudget} from '@valehitch/routing';
+import {RetryWindow} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
 import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
 import {RouteTable} from '../configuration/route-table.js';
@@ -73,8 +73,8 @@
 		bounds: {canaryShare: 0.1, leastConfidence: 50},
 		lease,
 		servers,
-		budget: new RetryBudget({share: 1, burst: 5, floorPerSecond: 1}),
-		latencies: new LatencyBook(),
+		budget: new RetryWindow({share: 1, slack: 5}),
+		latencies: new LatencyBook(clock),
 		pins: new VersionPins({sessionMilliseconds: 5000}),
 		evidence: new EvidenceCounter({entry: control, run: 'one'}),
 		table: () => table,
--- a/packages/gateway/src/entry/send-allowance.ts
+++ b/packages/gateway/src/entry/send-allowance.ts
@@ -1,12 +1,12 @@
 import {type Clock, type ServiceId} from '@valehitch/core';
-import {type RetryBudget} from '@valehitch/routing';
+import {type RetryWindow} from '@valehitch/routing';
 import {type Route} from '../configuration/routing-configuration.js';
 
 /** What bounds the sends of one request. */
 export type SendAllowanceOptions = {
 	readonly route: Pick<Route, 'kind' | 'isResumable' | 'maximumAttempts'>;
 	readonly service: ServiceId;
-	readonly budget: Pick<RetryBudget, 'withdraw'>;
+	readonly budget: Pick<RetryWindow, 'withdraw'>;
 	readonly clock: Pick<Clock, 'monotonic'>;
 };
 
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -36,6 +36,8 @@
 	readonly canaryShare: number;
 	/** The further sends for each request, over all instances. */
 	readonly retryShare: number;
+	/** The time over which further sends are counted, in milliseconds. */
+	readonly retryWindow: number;
 	/** The time without a request after which a session has ended, in milliseconds. */
 	readonly sessionTimeout: number;
 };
@@ -62,6 +64,7 @@
 		revokeMs: z.number().positive().default(5000),
 		canaryShare: z.number().positive().default(0.1),
 		retryBudgetRatio: z.number().nonnegative().default(0.2),
+		retryWindowS: z.number().positive().default(10),
 		sessionS: z.number().positive().default(5),
 	}),
 });
@@ -100,6 +103,7 @@
 		revocation: bounds.revokeMs,
 		canaryShare: bounds.canaryShare,
 		retryShare: bounds.retryBudgetRatio,
+		retryWindow: bounds.retryWindowS * millisecondsPerSecond,
 		sessionTimeout: bounds.sessionS * millisecondsPerSecond,
 	};
 }
--- a/packages/platform/src/wire-process.ts
+++ b/packages/platform/src/wire-process.ts
@@ -185,7 +185,7 @@
 
 async function startEntryPart(base: Base, listen: ListenAddress) {
 	const {settings} = base;
-	const {instance, zone, revocation, canaryShare: bound, retryShare, sessionTimeout, grace, readiness} = settings();
+	const {instance, zone, revocation, canaryShare: bound, retryShare, retryWindow, sessionTimeout, grace, readiness} = settings();
 	const entry = new EntryInstance({
 		...base,
 		self: instance,
@@ -198,6 +198,7 @@
 		leaseMilliseconds: Math.min(revocation - leaseMarginMilliseconds, leaseShare * revocation),
 		sessionMilliseconds: sessionTimeout,
 		retryShare: retryBudgetShare * retryShare,
+		retryWindowMilliseconds: retryWindow,
 		seeds: () => settings().seeds,
 		ask: async (to, message, timeout) => askPeer(base, to, {message, timeout}) as Promise<WatchReply | undefined>,
 		send(to, message) {
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -16,6 +16,7 @@
 export type * from './request-plan.js';
 export type * from './request-state.js';
 export * from './retry-budget.js';
+export * from './retry-window.js';
 export * from './server-choice.js';
 export * from './server-load.js';
 export type * from './server-view.js';
