Restore the servers of the run before, and decide nothing by an unconfirmed configuration

With the servers restored, another fault showed: entry instances got the configuration before its first confirmation, and the requests that had waited for it were refused at once, 129 of them with "configuration-expired"; most callers come back only once. The same way an older configuration of a control instance that is still reading its log could have answered 404 or 401 wrongly.

Also found by reading: the end of a server that was told to a control instance which, just started, did not know it was acknowledged and lost; a late announcement made a silent server count as heard.

Ruled out: the election (the leader was there before the servers), the restart itself (0.28 s).

Change: control instances save the directory of servers in a small file of the data folder, at most once a second and only as it changes, and begin with it; a server that was saved must announce itself within two heartbeats. Right after a start requests wait, up to a quarter of their time and a second, for a configuration that is confirmed; until then nothing is refused by it. The end of a server is passed on to all control instances by its id, and a late announcement does not bring it back.

--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -10,6 +10,7 @@
 import {EvidenceTable} from '../rollouts/evidence-table.js';
 import {isEnded, type Rollout} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
+import {type SavedServers} from '../servers/saved-servers.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {ControlGroup} from './control-group.js';
 import {type GatewayAnswer, type GatewayCommand} from './gateway-command.js';
@@ -38,6 +39,8 @@
 	readonly heartbeatMilliseconds: number;
 	/** Opens the data folder; asked again after a failure of the disk. */
 	readonly openFolder: () => Promise<Either<Failure, DataFolder>>;
+	/** Where the backend servers are saved for the next run. */
+	readonly savedServers: SavedServers;
 	/** Sends a message that wants no reply. */
 	readonly send: (to: InstanceId, message: PeerMessage) => void;
 	/** Asks another instance; undefined where no reply came within the timeout in milliseconds. */
@@ -97,6 +100,7 @@
 		this.#rolloutClock = new RolloutClock(options.clock);
 		this.#news = new ServerNews({
 			...options,
+			saved: options.savedServers,
 			others: () => this.#others(),
 			onChange: () => {
 				this.#watches.wake();
@@ -237,6 +241,10 @@
 				this.#news.receive(servers);
 				return true;
 			})
+			.with({type: 'server-ended'}, ({server}) => {
+				this.#news.end(server);
+				return true;
+			})
 			.with({type: 'all-servers'}, (): ServersMessage => ({type: 'servers', records: this.#news.directory.records}))
 			.with({type: 'watch'}, async watch => {
 				this.#evidence.take(watch.evidence);
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -66,6 +66,12 @@
 	readonly records: readonly ServerRecord[];
 };
 
+/** Tells that a backend server ended, whether or not the asked instance knows it. */
+export type ServerEndedMessage = {
+	readonly type: 'server-ended';
+	readonly server: ServerId;
+};
+
 /** Asks a control instance for all backend servers. */
 export type AllServersMessage = {
 	readonly type: 'all-servers';
@@ -112,4 +118,4 @@
 };
 
 /** The closed list of messages between the instances of a gateway. */
-export type PeerMessage = ReplicaEnvelope | JoinMessage | ConfirmMessage | ProposeMessage | ServersMessage | AllServersMessage | WatchMessage | LoadMessage;
+export type PeerMessage = ReplicaEnvelope | JoinMessage | ConfirmMessage | ProposeMessage | ServersMessage | ServerEndedMessage | AllServersMessage | WatchMessage | LoadMessage;
--- /dev/null
+++ b/packages/gateway/src/control/server-news.test.ts
@@ -0,0 +1,86 @@
+import {type InstanceId, type ServerId} from '@valehitch/core';
+import test from 'ava';
+import {testServer} from '../servers/_test-server.js';
+import {type ServerRecord} from '../servers/server-record.js';
+import {type PeerMessage} from './peer-message.js';
+import {ServerNews} from './server-news.js';
+
+const [first, second] = ['10.0.0.1', '10.0.0.2'] as InstanceId[];
+
+type Side = {
+	readonly self: InstanceId;
+	readonly other: InstanceId;
+	readonly saved?: readonly ServerRecord[];
+};
+
+/** Two control instances that hear each other at once. */
+function startPair(saved: readonly ServerRecord[] = []) {
+	const news = new Map<InstanceId, ServerNews>();
+	const written: Array<readonly ServerRecord[]> = [];
+	const start = ({self, other, saved: records = []}: Side): ServerNews => {
+		const made = new ServerNews({
+			clock: {now: () => new Date(0), monotonic: () => 1000},
+			log: ignore,
+			heartbeatMilliseconds: 1200,
+			others: () => [other],
+			ask: async (to, message) => answer(news.get(to), message),
+			onChange: ignore,
+			saved: {
+				read: async () => records,
+				async write(changed) {
+					written.push(changed);
+				},
+			},
+		});
+		news.set(self, made);
+		return made;
+	};
+
+	const pair = {one: start({self: first!, other: second!, saved}), other: start({self: second!, other: first!}), written};
+	return pair;
+}
+
+async function answer(news: ServerNews | undefined, message: PeerMessage): Promise<unknown> {
+	if (message.type === 'server-ended') {
+		news?.end(message.server);
+		return true;
+	}
+
+	if (message.type === 'servers') {
+		news?.receive(message);
+		return true;
+	}
+
+	return undefined;
+}
+
+function ignore(): void {
+	// Nobody reads it.
+}
+
+const states = ({directory}: ServerNews) => directory.records.map(({id, state}) => `${id} ${state}`);
+
+test('the end of a server that is told to an instance that does not know it reaches the one that does', async t => {
+	const {one, other} = startPair();
+	other.receive({type: 'servers', records: [testServer()]});
+	await one.remove(testServer().id);
+	t.deepEqual(states(other), ['server-1 gone']);
+	one.receive({type: 'servers', records: [testServer({sequence: 9})]});
+	t.deepEqual(states(one), ['server-1 gone']);
+});
+
+test('a restarted instance begins with the servers that it saved, and what it hears goes before them', async t => {
+	const {one} = startPair([testServer(), testServer({id: 'server-2' as ServerId})]);
+	await one.announce(testServer({state: 'draining', sequence: 2}));
+	await one.restore();
+	t.deepEqual(states(one).toSorted(), ['server-1 draining', 'server-2 ready']);
+});
+
+test('servers are saved as they change, and not otherwise', async t => {
+	const {one, written} = startPair();
+	await one.announce(testServer());
+	await one.save();
+	await one.announce(testServer({sequence: 2}));
+	await one.save();
+	t.deepEqual(written.map(records => records.map(({id}) => id)), [['server-1' as ServerId]]);
+});
--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -1,5 +1,6 @@
 import {type Clock, type InstanceId, type ServerId} from '@valehitch/core';
 import {type DecisionKind, type DecisionLog} from '../logs/decision-log.js';
+import {type SavedServers} from '../servers/saved-servers.js';
 import {ServerDirectory} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type PeerMessage, type ServersMessage} from './peer-message.js';
@@ -16,17 +17,24 @@
 	readonly ask: (to: InstanceId, message: PeerMessage, timeout: number) => Promise<unknown>;
 	/** Told after each change of the directory. */
 	readonly onChange: () => void;
+	/** What this instance saves of the directory, so that its next run need not wait for all servers to announce themselves. */
+	readonly saved: SavedServers;
 };
 
 /** Announcements that may be missed before a server counts as silent; they may come seconds late. */
 const missedHeartbeats = 5;
 /** The time between two rounds that tell the others which servers were heard. */
 const shareMilliseconds = 500;
+/** The time between two looks whether the directory must be saved: a save costs two syncs of the disk, and servers change within seconds at the most. */
+const saveMilliseconds = 1000;
 /** How long the acknowledgement of a shutdown waits for the other control instances; the server waits a second. */
 const passOnMilliseconds = 600;
 /** The time that an instance which just started has to answer with all its servers. */
 const allServersMilliseconds = 1000;
 
+/** A server that was saved must announce itself within this many heartbeats, else it counts as silent. */
+const restoredHeartbeats = 2;
+
 const logKinds: Readonly<Record<ServerRecord['state'], DecisionKind>> = {ready: 'server-joined', draining: 'server-draining', gone: 'server-gone'};
 
 /**
@@ -43,6 +51,9 @@
 	readonly #options: ServerNewsOptions;
 	readonly #heard = new Set<ServerId>();
 	#timers: NodeJS.Timeout[] = [];
+	/** The number of the last change that was saved. */
+	#savedCursor = 0;
+	#isSaving = false;
 
 	constructor(options: ServerNewsOptions) {
 		this.#options = options;
@@ -51,12 +62,42 @@
 
 	/** Starts the rounds, and asks the others for what they know. */
 	start(): void {
-		this.#timers = [setInterval(() => {
-			this.#share();
-		}, shareMilliseconds)];
+		this.#timers = [
+			setInterval(() => {
+				this.#share();
+			}, shareMilliseconds),
+			setInterval(() => {
+				void this.save();
+			}, saveMilliseconds),
+		];
+		void this.restore();
 		void this.#askAll();
 	}
 
+	/** Takes the servers that the run before saved, where nothing newer is known of them. */
+	async restore(): Promise<void> {
+		const {saved, clock, heartbeatMilliseconds, log, onChange} = this.#options;
+		const records = await saved.read();
+		const restored = this.directory.restore(records, {now: clock.monotonic(), graceMilliseconds: restoredHeartbeats * heartbeatMilliseconds});
+		log('servers-restored', {saved: records.length, restored: restored.length});
+		if (restored.length > 0) {
+			onChange();
+		}
+	}
+
+	/** Saves the directory where it changed; one save at a time. */
+	async save(): Promise<void> {
+		const {cursor, records} = this.directory;
+		if (this.#isSaving || cursor === this.#savedCursor) {
+			return;
+		}
+
+		this.#isSaving = true;
+		this.#savedCursor = cursor;
+		await this.#options.saved.write(records);
+		this.#isSaving = false;
+	}
+
 	stop(): void {
 		for (const timer of this.#timers) {
 			clearInterval(timer);
@@ -75,12 +116,27 @@
 	}
 
 	/**
-	Takes the notice that a server ends.
+	Takes the notice that a server ends, and passes it on before it returns: others may know a server that this instance, just started, does not.
 
 	@param server The server.
 	*/
 	async remove(server: ServerId): Promise<void> {
-		await this.#passOn(this.directory.remove(server));
+		this.end(server);
+		const {others, ask} = this.#options;
+		await Promise.all(others().map(async other => ask(other, {type: 'server-ended', server}, passOnMilliseconds)));
+	}
+
+	/**
+	Notes that a server ended.
+
+	@param server The server.
+	*/
+	end(server: ServerId): void {
+		const changed = this.directory.remove(server, this.#options.clock.monotonic());
+		this.#log(changed, 'notice');
+		if (changed !== undefined) {
+			this.#options.onChange();
+		}
 	}
 
 	/**
--- a/packages/gateway/src/entry/authorize-request.test.ts
+++ b/packages/gateway/src/entry/authorize-request.test.ts
@@ -28,3 +28,10 @@
 	t.is(kindOf({}, {confirmedAgo: 4500}), 'configuration-expired');
 	t.is(kindOf({key: undefined}, {confirmedAgo: 4500, table}), 'public');
 });
+
+test('a configuration that was never confirmed in this run decides nothing against a caller', t => {
+	const confirmedAgo = Number.POSITIVE_INFINITY;
+	t.is(kindOf({}, {confirmedAgo}), 'configuration-expired');
+	t.is(kindOf({path: '/none/'}, {confirmedAgo}), 'configuration-expired');
+	t.is(kindOf({key: 'other'}, {confirmedAgo}), 'configuration-expired');
+});
--- a/packages/gateway/src/entry/authorize-request.ts
+++ b/packages/gateway/src/entry/authorize-request.ts
@@ -35,11 +35,16 @@
 authorizeRequest(request, {table, lease, now});
 ```
 */
-export function authorizeRequest({host, path, key}: GatewayRequest, {table, lease, now}: AuthorizeRequestOptions): Either<Failure, AuthorizedRequest> {
+export function authorizeRequest(request: GatewayRequest, {table, lease, now}: AuthorizeRequestOptions): Either<Failure, AuthorizedRequest> {
 	if (table === undefined) {
 		return Left(failure('no-configuration', 'Got no configuration yet, wanted one to route by', {retryAfterMilliseconds: retryMilliseconds}));
 	}
 
+	// Right after a start the configuration may be older than the newest, so it does not decide yet that something is not allowed.
+	return authorizeBy(table, request, {lease, now}).mapLeft(failed => lease.wasConfirmed ? failed : expired(lease.age(now)));
+}
+
+function authorizeBy(table: RouteTable, {host, path, key}: GatewayRequest, {lease, now}: Omit<AuthorizeRequestOptions, 'table'>): Either<Failure, AuthorizedRequest> {
 	const route = table.routeOf(host, path);
 	if (route === undefined) {
 		return Left(failure('not-found', `Got ${host} ${path}, wanted a route of configuration ${table.version}`));
@@ -60,5 +65,6 @@
 }
 
 function expired(age: number): Failure {
-	return failure('configuration-expired', `Got a configuration last confirmed ${Math.round(age)} ms ago, wanted it recent enough to trust a key`, {retryAfterMilliseconds: retryMilliseconds});
+	const confirmed = age === Number.POSITIVE_INFINITY ? 'never confirmed' : `last confirmed ${Math.round(age)} ms ago`;
+	return failure('configuration-expired', `Got a configuration ${confirmed}, wanted it recent enough to decide by`, {retryAfterMilliseconds: retryMilliseconds});
 }
--- a/packages/gateway/src/entry/configuration-lease.ts
+++ b/packages/gateway/src/entry/configuration-lease.ts
@@ -33,6 +33,11 @@
 		this.#confirmedAt = Math.max(this.#confirmedAt, at);
 	}
 
+	/** Whether the configuration was ever confirmed in this run of the process. */
+	get wasConfirmed(): boolean {
+		return this.#confirmedAt !== Number.NEGATIVE_INFINITY;
+	}
+
 	/**
 	Tells whether the lease holds.
 
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -35,8 +35,8 @@
 	readonly evidence: EvidenceCounter;
 	/** The newest configuration; undefined before the first. */
 	readonly table: () => RouteTable | undefined;
-	/** Waits for the first configuration, for some milliseconds at the most. */
-	readonly firstConfiguration: (timeout: number) => Promise<void>;
+	/** Waits for news of control, for some milliseconds at the most. */
+	readonly nextNews: (timeout: number) => Promise<void>;
 	/** Waits until backend servers came or changed, for some milliseconds at the most. */
 	readonly nextServers: (timeout: number) => Promise<void>;
 	/** The newest roll-out of a service. */
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -85,7 +85,7 @@
 	readonly #watch: ControlWatch;
 	readonly #share: LoadShare;
 	readonly #server: Server;
-	readonly #configurations = new StepWaiters();
+	readonly #news = new StepWaiters();
 	readonly #serverNews = new StepWaiters();
 	/** What each control instance was told of the counters. */
 	readonly #told = new Map<InstanceId, EvidenceDelta>();
@@ -116,7 +116,7 @@
 			pins: new VersionPins(options),
 			evidence: new EvidenceCounter({entry: self, run}),
 			table: () => this.#table,
-			firstConfiguration: async timeout => Promise.race([this.#configurations.next(), options.wait(timeout)]),
+			nextNews: async timeout => Promise.race([this.#news.next(), options.wait(timeout)]),
 			nextServers: async timeout => Promise.race([this.#serverNews.next(), options.wait(timeout)]),
 			rolloutOf: service => this.#rolloutOf(service),
 			endsAt: () => this.#endsAt,
@@ -249,6 +249,7 @@
 			lease.confirm(confirmedAt);
 		}
 
+		this.#news.wake();
 		this.#takeRollouts(reply, {confirmedAt, now});
 		const hasLease = lease.isValid(now);
 		if (hasLease !== this.#hadLease) {
@@ -295,7 +296,6 @@
 				}
 
 				this.#table = new RouteTable(configuration);
-				this.#configurations.wake();
 				this.#server.keepAliveTimeout = idleFactor * configuration.limits.idleTimeout;
 				this.#options.log('configuration-adopted', {version: configuration.version, routes: configuration.routes.length, source});
 			},
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -2,11 +2,10 @@
 import {type Failure, failure} from '@valehitch/core';
 import {readBody} from '@valehitch/transport';
 import {type Route} from '../configuration/routing-configuration.js';
-import {authorizeRequest} from './authorize-request.js';
+import {authorizeAtStart} from './authorize-at-start.js';
 import {type EntryContext} from './entry-context.js';
 import {type GatewayRequest} from './gateway-request.js';
 import {RequestRun} from './request-run.js';
-import {startWait} from './start-wait.js';
 
 /** The longest that all but a few streams last; those that arrive with less time left would be cut off. */
 const usualStreamMilliseconds = 4700;
@@ -29,12 +28,7 @@
 export async function handleRequest(context: EntryContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
 	const arrivedAt = context.clock.monotonic();
 	const request = context.dialect.readRequest(message);
-	if (context.table() === undefined) {
-		await context.firstConfiguration(startWait(request.patience ?? 0));
-	}
-
-	const table = context.table();
-	const authorized = authorizeRequest(request, {...context, table, now: context.clock.monotonic()});
+	const authorized = await authorizeAtStart(request, {context, arrivedAt});
 	if (authorized.isLeft()) {
 		message.resume();
 		refuse(context, {request, response, failed: authorized.extract()});
@@ -49,7 +43,7 @@
 		return;
 	}
 
-	const body = await readBody(message, table?.limits.bodyBytes ?? defaultBodyBytes);
+	const body = await readBody(message, context.table()?.limits.bodyBytes ?? defaultBodyBytes);
 	if (response.destroyed) {
 		return;
 	}
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -78,7 +78,7 @@
 		pins: new VersionPins({sessionMilliseconds: 5000}),
 		evidence: new EvidenceCounter({entry: control, run: 'one'}),
 		table: () => table,
-		firstConfiguration: async () => undefined,
+		nextNews: async () => undefined,
 		async nextServers() {
 			nextServers(servers);
 		},
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -34,6 +34,8 @@
 const connectTimeoutMilliseconds = 400;
 /** The time after which a place should be free again, for a request that no server took. */
 const retryMilliseconds = 250;
+/** The part of the time of a request that it waits for the first server: one that runs announces itself within about a second. */
+const serverWaitShare = 0.06;
 /** A deadline is passed on shorter by the way back, in milliseconds. */
 const wayBackMilliseconds = 5;
 /** The highest number of an urgency that a server takes. */
@@ -138,7 +140,7 @@
 	@returns Whether servers came or changed in time.
 	*/
 	async #awaitFirstServer(): Promise<boolean> {
-		const until = this.#arrivedAt + startWait(this.#deadlineAt - this.#arrivedAt);
+		const until = this.#arrivedAt + startWait(this.#deadlineAt - this.#arrivedAt, serverWaitShare);
 		const {sends, unreachable} = this.#allowance;
 		if (sends > 0 || unreachable > 0 || this.#now() >= until) {
 			return false;
--- a/packages/gateway/src/entry/start-wait.ts
+++ b/packages/gateway/src/entry/start-wait.ts
@@ -1,17 +1,16 @@
-/** The part of a caller's patience that a request waits for what an instance lacks right after a start, since that comes within about a second. */
-const startWaitShare = 0.06;
 const longestStartWaitMilliseconds = 1000;
 
 /**
-Tells how long a request waits for the first configuration or the first backend server.
+Tells how long a request waits for what an instance lacks right after a start.
 
 @param patience How long the caller waits in all, in milliseconds.
+@param share The part of it that the request may wait.
 @returns Milliseconds.
 @example
 ```ts
-startWait(8000); // 480
+startWait(8000, 0.06); // 480
 ```
 */
-export function startWait(patience: number): number {
-	return Math.min(longestStartWaitMilliseconds, startWaitShare * patience);
+export function startWait(patience: number, share: number): number {
+	return Math.min(longestStartWaitMilliseconds, share * patience);
 }
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -18,4 +18,5 @@
 export type * from './logs/decision-log.js';
 export * from './logs/gateway-metrics.js';
 export * from './rollouts/rollout.js';
+export * from './servers/saved-servers.js';
 export type * from './servers/server-record.js';
--- a/packages/gateway/src/servers/server-directory.test.ts
+++ b/packages/gateway/src/servers/server-directory.test.ts
@@ -11,7 +11,7 @@
 	t.is(directory.announce(testServer({sequence: 6}), now), undefined);
 	t.is(directory.announce(testServer({sequence: 2}), now), undefined);
 	t.is(directory.records[0]?.state, 'draining');
-	t.is(directory.remove(testServer().id)?.state, 'gone');
+	t.is(directory.remove(testServer().id, now)?.state, 'gone');
 	t.is(directory.announce(testServer({state: 'draining', sequence: 7}), now), undefined);
 	t.is(directory.records[0]?.state, 'gone');
 });
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -31,6 +31,8 @@
 export class ServerDirectory {
 	readonly #options: Required<ServerDirectoryOptions>;
 	readonly #servers = new Map<ServerId, Held>();
+	/** When servers ended that were not known, in milliseconds on the monotonic clock: a late announcement must not bring them back. */
+	readonly #ended = new Map<ServerId, number>();
 	#changes = 0;
 
 	constructor(options: ServerDirectoryOptions) {
@@ -57,16 +59,15 @@
 	announce(record: ServerRecord, now: number): ServerRecord | undefined {
 		const held = this.#servers.get(record.id);
 		if (held === undefined) {
-			const added = {...record, isSilent: false};
-			this.#servers.set(record.id, {record: added, heardAt: now, changedAt: this.#next()});
-			return added;
+			return this.#add({...record, isSilent: false, state: this.#ended.has(record.id) ? 'gone' : record.state}, now);
 		}
 
 		const {record: before} = held;
-		const merged = {...mergeServerRecord(before, record), isSilent: false};
-		const isChanged = before.state !== merged.state || before.isSilent;
+		const isNews = record.sequence > before.sequence;
+		const merged = {...mergeServerRecord(before, record), isSilent: before.isSilent && !isNews};
+		const isChanged = before.state !== merged.state || before.isSilent !== merged.isSilent;
 		held.record = merged;
-		if (record.sequence > before.sequence) {
+		if (isNews) {
 			held.heardAt = now;
 		}
 
@@ -78,14 +79,33 @@
 	}
 
 	/**
-	Notes that a server ended.
+	Takes the records that an earlier run held; those that are known by now stay as they are.
+
+	@param records The records.
+	@param options `now`: milliseconds on the monotonic clock; `graceMilliseconds`: the time within which a server must announce itself to stay.
+	@returns Those that were added.
+	*/
+	restore(records: readonly ServerRecord[], {now, graceMilliseconds}: {readonly now: number; readonly graceMilliseconds: number}): readonly ServerRecord[] {
+		const heardAt = now + graceMilliseconds - this.#options.silentMilliseconds;
+		const unknown = records.filter(({id}) => !this.#servers.has(id) && !this.#ended.has(id));
+		return unknown.map(record => this.#add(record, heardAt));
+	}
+
+	/**
+	Notes that a server ended, also one that is not known.
 
 	@param server The server.
+	@param now Milliseconds on the monotonic clock.
 	@returns The record where this is new.
 	*/
-	remove(server: ServerId): ServerRecord | undefined {
+	remove(server: ServerId, now: number): ServerRecord | undefined {
 		const held = this.#servers.get(server);
-		if (held === undefined || held.record.state === 'gone') {
+		if (held === undefined) {
+			this.#ended.set(server, now);
+			return undefined;
+		}
+
+		if (held.record.state === 'gone') {
 			return undefined;
 		}
 
@@ -103,6 +123,12 @@
 	sweep(now: number): readonly ServerRecord[] {
 		const {silentMilliseconds, forgetMilliseconds} = this.#options;
 		const silenced: ServerRecord[] = [];
+		for (const [id, at] of this.#ended) {
+			if (now - at >= forgetMilliseconds) {
+				this.#ended.delete(id);
+			}
+		}
+
 		for (const [id, held] of this.#servers) {
 			const silence = now - held.heardAt;
 			if (silence >= forgetMilliseconds) {
@@ -137,6 +163,11 @@
 		return changed;
 	}
 
+	#add(record: ServerRecord, heardAt: number): ServerRecord {
+		this.#servers.set(record.id, {record, heardAt, changedAt: this.#next()});
+		return record;
+	}
+
 	#next(): number {
 		this.#changes++;
 		return this.#changes;
--- a/packages/platform/src/wire-process.ts
+++ b/packages/platform/src/wire-process.ts
@@ -1,10 +1,12 @@
 import {randomUUID} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
+import path from 'node:path';
 import {type Clock, type InstanceId} from '@valehitch/core';
 import {
-	ControlInstance, createDecisionLog, createGatewayMetrics, type DecisionLog, EntryInstance, type GatewayMetrics, type ListenAddress, openBoundedOutput, type PeerMessage, type WatchReply,
+	ControlInstance, createDecisionLog, createGatewayMetrics, type DecisionLog, EntryInstance, type GatewayMetrics,
+	type ListenAddress, openBoundedOutput, type PeerMessage, saveServers, type WatchReply,
 } from '@valehitch/gateway';
-import {openDataFolder} from '@valehitch/storage';
+import {openDataFolder, SmallFile} from '@valehitch/storage';
 import {PeerNetwork, startHttpServer} from '@valehitch/transport';
 import {Right} from 'purify-ts';
 import {decodeConfiguration} from './decode-configuration.js';
@@ -43,6 +45,8 @@
 };
 
 const standardOutput = 1;
+/** The file in the data folder that the directory of backend servers is saved in. */
+const savedServersName = 'servers.json';
 /** Every instance of a deployment may connect; the platform has no key that all share. */
 const peerKey = 'valehitch';
 /** A cut is noticed after two of these, well within the time that the platform allows. */
@@ -160,6 +164,7 @@
 		heartbeatMilliseconds: heartbeat,
 		// The platform starts one process for a folder, and knows no locks that hold.
 		openFolder: async () => openDataFolder(dataFolder, {lock: async () => Right(async () => undefined)}),
+		savedServers: saveServers({file: new SmallFile(path.join(dataFolder, savedServersName)), log}),
 		send(to, message) {
 			network.send(peerAddress(settings(), to), message);
 		},
--- a/packages/storage/src/mod.ts
+++ b/packages/storage/src/mod.ts
@@ -7,4 +7,5 @@
 export * from './file-functions.js';
 export * from './lock-folder.js';
 export * from './open-data-folder.js';
+export * from './small-file.js';
 export type * from './stored-state.js';
