Do not blame a server for a kept connection that was dropped

A request on such a connection counted as a failure of the server: it was excluded for the request, and the failures go into the judgement of a version on trial. After a silent one the next requests used the other kept connections, each for another time-out.

Ruled out: shorter idle times alone; the time after which a server drops a connection is not told.

Change: a request on a kept connection that is reset goes to the same server again, on a budget like any other further send, and nothing is counted against the server; once a send goes silent, all connections kept to that server are dropped.

Before and after: both tests failed before (a request answered 503 by "no-server", the send after a silent one silent again) and pass now.

--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -57,8 +57,8 @@
 	return {status: message.statusCode ?? 0, text, ...(typeof signature === 'string' && {signature})};
 }
 
-/** One caller's request through an instance that knows no server until `nextServers` says so. */
-async function askThrough(t: ExecutionContext, nextServers: (servers: EntryServers) => void, route = testRoute()) {
+/** A caller's requests, one after the other, through an instance that knows no server until `nextServers` says so. */
+async function askTimes(t: ExecutionContext, times: number, {nextServers, route = testRoute()}: AskOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore}});
 	const lease = new ConfigurationLease({duration: 60_000});
@@ -92,7 +92,22 @@
 			request, body: new Uint8Array(), response, authorized, arrivedAt: clock.monotonic(),
 		}).run();
 	});
-	return get(entry);
+	const answers: Array<Awaited<ReturnType<typeof get>>> = [];
+	while (answers.length < times) {
+		answers.push(await get(entry));
+	}
+
+	return {answers, evidence: context.evidence.of(new Set([route.services[0]!.service]))};
+}
+
+type AskOptions = {
+	readonly nextServers: (servers: EntryServers) => void;
+	readonly route?: ReturnType<typeof testRoute>;
+};
+
+async function askThrough(t: ExecutionContext, nextServers: (servers: EntryServers) => void, route = testRoute()) {
+	const {answers} = await askTimes(t, 1, {nextServers, route});
+	return answers[0];
 }
 
 function ignore(): void {
@@ -128,3 +143,26 @@
 	}, testRoute({kind: 'streaming', isResumable: true, timeout: 8000}));
 	t.deepEqual(answer, {status: 200, text: '', signature: 'of-the-server'});
 });
+
+test('a kept connection that was dropped is no fault of its server, and the request goes there again', async t => {
+	const requests = new Map<unknown, number>();
+	const port = await listen(t, (message, response) => {
+		const count = (requests.get(message.socket) ?? 0) + 1;
+		requests.set(message.socket, count);
+		if (count > 1) {
+			message.socket.resetAndDestroy();
+			return;
+		}
+
+		response.end('found');
+	});
+	const {answers, evidence} = await askTimes(t, 12, {
+		route: testRoute({kind: 'safe', timeout: 8000, maximumAttempts: 2}),
+		nextServers(known) {
+			known.take([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual(new Set(answers.map(({text}) => text)), new Set(['found']));
+	t.is(requests.size, 12);
+	t.deepEqual(evidence.map(({answers: count, failures}) => [count, failures]), [[12, 0]]);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -221,10 +221,15 @@
 			.with({type: 'over'}, (): Next => 'ended')
 			.with({type: 'unreachable'}, () => this.#followUnreachable(server))
 			.with({type: 'not-run'}, ({failed}) => this.#followNotRun(server, failed))
+			.with({type: 'connection-lost'}, ({failed}) => {
+				this.#mayHaveRun = true;
+				return this.#again(failed);
+			})
 			.with({type: 'failed'}, ({failed, answer}) => {
 				this.#mayHaveRun = true;
 				this.#held = answer ?? this.#held;
-				return this.#again(server, failed);
+				this.#placement.exclude(server.id);
+				return this.#again(failed);
 			})
 			.with({type: 'whole'}, ({answer}) => this.#passOn(answer))
 			.with({type: 'escalated'}, ({model}): Next => {
@@ -257,8 +262,7 @@
 	}
 
 	/** Sends again where that is safe and something is left to send with, else answers. */
-	#again(server: ServerRecord, failed: Failure): Next {
-		this.#placement.exclude(server.id);
+	#again(failed: Failure): Next {
 		this.#lastProblem = failed.message;
 		if (this.#isOver) {
 			return 'ended';
--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -104,3 +104,18 @@
 	const outcome = await sendAttempt(options).outcome;
 	t.is(outcome.type === 'head' ? outcome.message.headers.number : outcome.type, '2');
 });
+
+test('once a kept connection says nothing, no other one that was kept to that server is used again', async t => {
+	const answered = new Set<Socket>();
+	const options = await serve(t, socket => {
+		if (!answered.has(socket)) {
+			answered.add(socket);
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+		}
+	});
+	t.deepEqual(await Promise.all([isWhole(options), isWhole(options)]), [true, true]);
+	const silent = await sendAttempt({...options, headTimeout: 100}).outcome;
+	t.is(silent.type, 'silent');
+	const next = await sendAttempt({...options, headTimeout: 1000}).outcome;
+	t.is(next.type, 'head');
+});
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -26,6 +26,8 @@
 	= | {readonly type: 'unreachable'; readonly reason: string}
 	/** The request may have run, and there is no answer. */
 		| {readonly type: 'lost'; readonly reason: string}
+	/** The same on a connection that was kept from an earlier request: the server may have dropped it before it got anything. */
+		| {readonly type: 'kept-connection-lost'; readonly reason: string}
 		| {readonly type: 'silent'}
 		| {readonly type: 'cancelled'}
 		| {readonly type: 'head'; readonly message: IncomingMessage; readonly isWhole: () => Promise<boolean>};
@@ -97,7 +99,7 @@
 	readonly isOpen: () => boolean;
 };
 
-async function awaitHead(request: ClientRequest, {connectTimeout, headTimeout}: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
+async function awaitHead(request: ClientRequest, {server, connectTimeout, headTimeout}: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
 	return new Promise(resolve => {
 		let isSilent = false;
 		const connectTimer = setTimeout(() => {
@@ -110,6 +112,7 @@
 			: setTimeout(() => {
 				isSilent = true;
 				request.destroy();
+				dropIdleConnections(server);
 			}, headTimeout);
 		const settle = (outcome: SendOutcome): void => {
 			clearTimeout(connectTimer);
@@ -120,10 +123,12 @@
 		const fail = (reason: string): void => {
 			if (isCancelled()) {
 				settle({type: 'cancelled'});
-			} else if (isOpen()) {
-				settle(isSilent ? {type: 'silent'} : {type: 'lost', reason});
-			} else {
+			} else if (!isOpen()) {
 				settle({type: 'unreachable', reason});
+			} else if (isSilent) {
+				settle({type: 'silent'});
+			} else {
+				settle({type: request.reusedSocket ? 'kept-connection-lost' : 'lost', reason});
 			}
 		};
 
@@ -169,12 +174,22 @@
 }
 
 /** A connection that idled for long may be closed by the server at this moment, and one with bytes waiting holds an answer that belongs to no request. */
-function dropStaleConnections({host, port}: ServerRecord): void {
-	const free = agent.freeSockets[agent.getName({host, port})] ?? [];
-	for (const socket of free) {
+function dropStaleConnections(server: ServerRecord): void {
+	for (const socket of idleConnections(server)) {
 		const idle = performance.now() - (usedAt.get(socket) ?? 0);
 		if (idle > idleMilliseconds || socket.readableLength > 0) {
 			socket.destroy();
 		}
 	}
 }
+
+/** Where one connection has gone silent without a reset, those beside it may have too, while new ones work. */
+function dropIdleConnections(server: ServerRecord): void {
+	for (const socket of idleConnections(server)) {
+		socket.destroy();
+	}
+}
+
+function idleConnections({host, port}: ServerRecord): readonly Socket[] {
+	return [...agent.freeSockets[agent.getName({host, port})] ?? []];
+}
--- a/packages/gateway/src/entry/take-outcome.ts
+++ b/packages/gateway/src/entry/take-outcome.ts
@@ -20,6 +20,8 @@
 	= | {readonly type: 'over'}
 	/** No connection opened: the request did not run there. */
 		| {readonly type: 'unreachable'}
+	/** A kept connection ended without an answer: the request may have run, and the server need not be at fault. */
+		| {readonly type: 'connection-lost'; readonly failed: Failure}
 	/** The server says that it did not run the request. */
 		| {readonly type: 'not-run'; readonly failed: Failure}
 	/** The request may have run; with the failed answer where it can be passed on. */
@@ -90,8 +92,13 @@
 		return {type: 'unreachable'};
 	}
 
+	const message = `Got no answer of ${server.id} (${reason})`;
+	if (outcome.type === 'kept-connection-lost') {
+		return {type: 'connection-lost', failed: failure('outcome-unknown', message)};
+	}
+
 	verdicts.failed(server, models.current);
-	return unknownOutcome(`Got no answer of ${server.id} (${reason})`);
+	return unknownOutcome(message);
 }
 
 async function takeHead(received: ReceivedHead, options: TakeOutcomeOptions): Promise<OutcomeStep> {
@@ -220,5 +227,5 @@
 }
 
 function reasonOf(outcome: Exclude<SendOutcome, {type: 'head'}>): string {
-	return outcome.type === 'unreachable' || outcome.type === 'lost' ? outcome.reason : outcome.type;
+	return 'reason' in outcome ? outcome.reason : outcome.type;
 }
