Show the daemons' log lines with a stop that lost a request

Change: the message of the assertion holds the daemons' log lines about the request; the assertion is as it was.

--- a/packages/testing/src/_entry-deployment.ts
+++ b/packages/testing/src/_entry-deployment.ts
@@ -1,3 +1,4 @@
+import {readFile} from 'node:fs/promises';
 import {type ExecutionContext} from 'ava';
 import {digestOf} from './_settings-file.js';
 import {
@@ -103,6 +104,17 @@
 		return runs.length;
 	}
 
+	/** The log lines of all daemons about a request, so that a failure that shows once can be traced. */
+	async linesAbout(request: string): Promise<readonly string[]> {
+		const lines: string[] = [];
+		for (const {process: {logFile}} of this.deployment.daemons) {
+			const log = await readFile(logFile, 'utf8');
+			lines.push(...log.split('\n').filter(line => line.includes(request)));
+		}
+
+		return lines;
+	}
+
 	/** Waits for the bills of requests, and gives all bills of the workspace. */
 	async bills(requests: readonly string[], by = 0): Promise<ReadonlyArray<Readonly<Record<string, unknown>>>> {
 		return waitUntil(async () => {
--- a/packages/testing/src/entry-lifecycle.test.ts
+++ b/packages/testing/src/entry-lifecycle.test.ts
@@ -61,7 +61,8 @@
 		const isWhole = result.done && result.text === wholeAnswer(text);
 		const isRefused = result.status === 503 && result.problem?.kind === 'shutting-down' && result.problem.outcome === 'notRun' && result.headers['retry-after'] !== undefined;
 		const isUnreachable = result.status === 0 && result.text === '';
-		t.true(isWhole || isRefused || isUnreachable, `${text}: ${JSON.stringify(result)}`);
+		const lines = isWhole || isRefused || isUnreachable ? [] : await entry.linesAbout(result.problem?.requestId ?? text);
+		t.true(isWhole || isRefused || isUnreachable, `${text}: ${JSON.stringify(result)}\n${lines.join('\n')}`);
 	}
 
 	const whole = load.results.filter(([, {done}]) => done).map(([, {requestId}]) => requestId);
