Do not give up a server that is heard of on other connections

Ruled out: a longer time for all, since servers that go dark are found by it.

Change: the short time without a head counts only where nothing at all came from the server since the send, on any connection; one that is heard has the longer time, three quarters of the target or four times the usual.

--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -40,6 +40,8 @@
 	readonly addedAt: number;
 	/** The control instances that say it is silent. */
 	readonly silentFor: Set<InstanceId>;
+	/** When anything came from it last, in milliseconds on the monotonic clock; 0 for never. */
+	heardAt: number;
 	/** No work goes there before this time, in milliseconds on the monotonic clock. */
 	avoidUntil: number;
 	unreachable: number;
@@ -88,7 +90,7 @@
 			const held = this.#servers.get(record.id);
 			if (held === undefined) {
 				this.#servers.set(record.id, {
-					record, inFlight: 0, work: 0, addedAt: now, silentFor: new Set(record.isSilent ? [source] : []), avoidUntil: 0, unreachable: 0,
+					record, inFlight: 0, work: 0, addedAt: now, silentFor: new Set(record.isSilent ? [source] : []), heardAt: 0, avoidUntil: 0, unreachable: 0,
 				});
 				changed.push(record);
 				continue;
@@ -162,6 +164,29 @@
 		};
 	}
 
+	/**
+	Notes that something came from a server.
+
+	@param id The server.
+	@param now Milliseconds on the monotonic clock.
+	*/
+	hear(id: ServerId, now: number): void {
+		const held = this.#servers.get(id);
+		if (held !== undefined) {
+			held.heardAt = now;
+		}
+	}
+
+	/**
+	When anything came from a server last.
+
+	@param id The server.
+	@returns Milliseconds on the monotonic clock; 0 for never.
+	*/
+	heardAt(id: ServerId): number {
+		return this.#servers.get(id)?.heardAt ?? 0;
+	}
+
 	/**
 	Learns how a send ended.
 
--- a/packages/gateway/src/entry/model-steps.ts
+++ b/packages/gateway/src/entry/model-steps.ts
@@ -3,6 +3,7 @@
 import {chooseNextModel} from './choose-next-model.js';
 import {type EntryBounds} from './entry-context.js';
 import {type LatencyBook} from './latency-book.js';
+import {type SilenceBounds} from './send-attempt.js';
 
 /** What decides on a larger model. */
 export type LargerModelOptions = {
@@ -66,16 +67,17 @@
 		return this.#current === undefined ? 1 : Math.max(1, usual / workUnitMilliseconds);
 	}
 
-	/** The time after which a server that says nothing is given up for another, in milliseconds. */
-	get headTimeout(): number {
+	/** The times after which a server that sends no head is given up for another, in milliseconds: one that is not heard of at all, and any. */
+	get silence(): Omit<SilenceBounds, 'isHeard'> {
 		if (this.#route.kind === 'safe') {
-			return plainSilentShare * this.#route.timeout;
+			const quiet = plainSilentShare * this.#route.timeout;
+			return {quiet, longest: quiet};
 		}
 
 		const {targetLatency} = this.#route;
 		const usual = this.#usual(this.#current, targetLatency);
 		const longest = Math.max(silentShare * targetLatency, silentFactor * this.#usual(this.#current, 0));
-		return Math.min(longest, Math.max(leastSilentMilliseconds, fastSilentFactor * usual));
+		return {longest, quiet: Math.min(longest, Math.max(leastSilentMilliseconds, fastSilentFactor * usual))};
 	}
 
 	/**
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -10,6 +10,8 @@
 	readonly events: EventStream;
 	/** The silence after which the server counts as stalled, in milliseconds; 0 for no bound. */
 	readonly stallTimeout: number;
+	/** Called as bytes arrive. */
+	readonly onHeard: () => void;
 	/** Called before the first event of this server is passed on. */
 	readonly onFirstEvent: () => void;
 };
@@ -24,10 +26,10 @@
 @returns How it ended; the caller's response is ended only where it is complete.
 @example
 ```ts
-const end = await relayStream({message, isWhole, response, events, stallTimeout: 1500, onFirstEvent});
+const end = await relayStream({message, isWhole, response, events, stallTimeout: 1500, onHeard, onFirstEvent});
 ```
 */
-export async function relayStream({message, isWhole, response, events, stallTimeout, onFirstEvent}: RelayStreamOptions): Promise<RelayEnd> {
+export async function relayStream({message, isWhole, response, events, stallTimeout, onHeard, onFirstEvent}: RelayStreamOptions): Promise<RelayEnd> {
 	return new Promise(resolve => {
 		let hasEvents = false;
 		let isOver = false;
@@ -79,6 +81,7 @@
 		response.on('drain', goOn);
 		watch();
 		message.on('data', (chunk: Uint8Array) => {
+			onHeard();
 			watch();
 			const part = events.push(chunk);
 			if (part !== undefined && !isOver) {
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -12,7 +12,9 @@
 import {ModelSteps} from './model-steps.js';
 import {Placement} from './placement.js';
 import {SendAllowance} from './send-allowance.js';
-import {type SendOutcome, type SentAttempt, sendAttempt} from './send-attempt.js';
+import {
+	type SendOutcome, type SentAttempt, sendAttempt, type SilenceBounds,
+} from './send-attempt.js';
 import {ServerVerdicts} from './server-verdicts.js';
 import {startWait} from './start-wait.js';
 import {type OutcomeStep, takeOutcome} from './take-outcome.js';
@@ -169,7 +171,7 @@
 			body: this.#body,
 			mayReuse: this.#allowance.mayRepeat,
 			connectTimeout: Math.min(connectTimeoutMilliseconds, this.#route.targetLatency),
-			headTimeout: this.#headTimeout(),
+			silence: this.#silence(server),
 		});
 		this.#attempt = attempt;
 		this.#server = server;
@@ -282,8 +284,12 @@
 	}
 
 	/** The last send that is allowed waits as long as the caller does. */
-	#headTimeout(): number {
-		return this.#allowance.mayRepeat && !this.#allowance.isNextLast ? this.#models.headTimeout : 0;
+	#silence({id}: ServerRecord): SilenceBounds | undefined {
+		const {servers} = this.#context;
+		const heardBefore = servers.heardAt(id);
+		return this.#allowance.mayRepeat && !this.#allowance.isNextLast
+			? {...this.#models.silence, isHeard: () => servers.heardAt(id) !== heardBefore}
+			: undefined;
 	}
 
 	#passOn(held: WholeAnswer): Next {
--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -30,10 +30,14 @@
 		server: testServer({port: (server.address() as AddressInfo).port}), method: 'GET', target: '/x/', headers: [[
 			'Host',
 			'desk.example',
-		]], body: Buffer.alloc(0), mayReuse: true, connectTimeout: 1000, headTimeout: 0,
+		]], body: Buffer.alloc(0), mayReuse: true, connectTimeout: 1000, silence: undefined,
 	};
 }
 
+function giveUpAfter(quiet: number): SendAttemptOptions['silence'] {
+	return {quiet, longest: quiet, isHeard: () => false};
+}
+
 /** Whether the body of the answer is taken for whole. */
 async function isWhole(options: SendAttemptOptions): Promise<boolean> {
 	const outcome = await sendAttempt(options).outcome;
@@ -80,7 +84,7 @@
 	const options = await serve(t, () => {
 		// It never answers.
 	});
-	const silent = await sendAttempt({...options, headTimeout: 300}).outcome;
+	const silent = await sendAttempt({...options, silence: giveUpAfter(300)}).outcome;
 	t.is(silent.type, 'silent');
 	const sent = sendAttempt(options);
 	sent.cancel();
@@ -114,8 +118,22 @@
 		}
 	});
 	t.deepEqual(await Promise.all([isWhole(options), isWhole(options)]), [true, true]);
-	const silent = await sendAttempt({...options, headTimeout: 100}).outcome;
+	const silent = await sendAttempt({...options, silence: giveUpAfter(100)}).outcome;
 	t.is(silent.type, 'silent');
-	const next = await sendAttempt({...options, headTimeout: 1000}).outcome;
+	const next = await sendAttempt({...options, silence: giveUpAfter(1000)}).outcome;
 	t.is(next.type, 'head');
 });
+
+test('a server that is heard on other connections is not given up before the longest time', async t => {
+	const options = await serve(t, socket => {
+		setTimeout(() => {
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+		}, 200);
+	});
+	const given = async (isHeard: boolean, longest: number) => {
+		const {type} = await sendAttempt({...options, silence: {quiet: 50, longest, isHeard: () => isHeard}}).outcome;
+		return type;
+	};
+
+	t.deepEqual(await Promise.all([given(true, 60_000), given(false, 60_000), given(true, 100)]), ['head', 'silent', 'silent']);
+});
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -16,8 +16,18 @@
 	readonly mayReuse: boolean;
 	/** Milliseconds within which the connection must open. */
 	readonly connectTimeout: number;
-	/** Milliseconds within which the head of the answer must arrive; 0 for no bound. */
-	readonly headTimeout: number;
+	/** When a server that sends no head is given up; undefined for never. */
+	readonly silence: SilenceBounds | undefined;
+};
+
+/** How long a server may take to the head of its answer. */
+export type SilenceBounds = {
+	/** Milliseconds after which a server is given up that said nothing on any other connection either. */
+	readonly quiet: number;
+	/** Milliseconds after which it is given up in any case. */
+	readonly longest: number;
+	/** Whether the server was heard on any connection since the send: then it runs, and others are before this request. */
+	readonly isHeard: () => boolean;
 };
 
 /** What a send came to, up to the head of the answer. */
@@ -62,7 +72,7 @@
 @returns The send in progress.
 @example
 ```ts
-const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuse: true, connectTimeout: 400, headTimeout: 0});
+const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuse: true, connectTimeout: 400, silence: undefined});
 ```
 */
 export function sendAttempt(options: SendAttemptOptions): SentAttempt {
@@ -99,7 +109,7 @@
 	readonly isOpen: () => boolean;
 };
 
-async function awaitHead(request: ClientRequest, {server, connectTimeout, headTimeout}: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
+async function awaitHead(request: ClientRequest, {server, connectTimeout, silence}: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
 	return new Promise(resolve => {
 		let isSilent = false;
 		const connectTimer = setTimeout(() => {
@@ -107,16 +117,16 @@
 				request.destroy(new Error(`Got no connection in ${connectTimeout} ms`));
 			}
 		}, connectTimeout);
-		const headTimer = headTimeout === 0
-			? undefined
-			: setTimeout(() => {
-				isSilent = true;
-				request.destroy();
-				dropIdleConnections(server);
-			}, headTimeout);
+		const giveUp = (): void => {
+			isSilent = true;
+			request.destroy();
+			dropIdleConnections(server);
+		};
+
+		const stopWatching = silence === undefined ? undefined : watchSilence(silence, giveUp);
 		const settle = (outcome: SendOutcome): void => {
 			clearTimeout(connectTimer);
-			clearTimeout(headTimer);
+			stopWatching?.();
 			resolve(outcome);
 		};
 
@@ -144,6 +154,21 @@
 	});
 }
 
+/** Gives a server up after the quiet time, or after the longest where it was heard of meanwhile. */
+function watchSilence({quiet, longest, isHeard}: SilenceBounds, giveUp: () => void): () => void {
+	let timer = setTimeout(() => {
+		if (!isHeard() || longest <= quiet) {
+			giveUp();
+			return;
+		}
+
+		timer = setTimeout(giveUp, longest - quiet);
+	}, quiet);
+	return () => {
+		clearTimeout(timer);
+	};
+}
+
 /** Whether the answer says where it ends; any other ends with its connection. */
 function isFramed({headers}: IncomingMessage): boolean {
 	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
--- a/packages/gateway/src/entry/take-outcome.ts
+++ b/packages/gateway/src/entry/take-outcome.ts
@@ -102,8 +102,9 @@
 }
 
 async function takeHead(received: ReceivedHead, options: TakeOutcomeOptions): Promise<OutcomeStep> {
-	const {context: {dialect}, request, route} = options;
+	const {context: {dialect, servers, clock}, request, route, server} = options;
 	const {message} = received;
+	servers.hear(server.id, clock.monotonic());
 	const head = dialect.readAnswer(message.statusCode ?? 0, message.headers);
 	return match(classifyAnswer(head, request.id))
 		.with('other-request', 'foreign', () => takeForeign(message, head, options))
@@ -199,6 +200,9 @@
 		response: answer.response,
 		events,
 		stallTimeout: route.isResumable ? stallFactor * (route.targetGap ?? route.targetLatency) : 0,
+		onHeard() {
+			context.servers.hear(server.id, context.clock.monotonic());
+		},
 		onFirstEvent() {
 			answer.begin(message.statusCode ?? 0, headers);
 		},
