Let replicas that start together campaign in order

The bound of a former lease ends 0.3 s after the start of a process; after it each replica waited a random time of up to 0.3 s.

Ruled out: the links (open within milliseconds here) and the disk (two syncs of 2 ms).

Change: the first campaign after a start comes in the order of the replica set, 75 ms apart; later timeouts are random as before.

--- a/packages/consensus/src/create-replica.ts
+++ b/packages/consensus/src/create-replica.ts
@@ -1,5 +1,5 @@
 import {lastIndexOf, openLog, replicaSetAt} from './_log.js';
-import {nextRandom, seedRandom} from './_random.js';
+import {seedRandom} from './_random.js';
 import {
 	type HardState, type LogEntry, type ReplicaSet, type Snapshot,
 } from './log-entry.js';
@@ -26,10 +26,15 @@
 	readonly seed: number;
 };
 
+/** The time between the first campaigns of two replicas, in milliseconds: two round trips within a region, and a sync of the disk for the vote. */
+const firstCampaignStep = 75;
+/** The part of a step that the first replica waits, since the others may have started a moment later. */
+const firstCampaignShare = 0.25;
+
 /**
 Builds a replica from what is on disk.
 
-It refuses votes for one minimum election timeout from when it can last have acknowledged a lease, and campaigns a random time after that. A replica that is the only voter campaigns at its first tick.
+It refuses votes for one minimum election timeout from when it can last have acknowledged a lease, and campaigns after that in the order of the replica set. A replica that is the only voter campaigns at its first tick.
 
 @param parts The settings and what the data folder holds.
 @param now Milliseconds on the monotonic clock.
@@ -48,10 +53,7 @@
 	const options = checked({...defaultReplicaOptions, ...parts.options});
 	const log = openLog({snapshot, entries, replicas});
 	const placed = replicaSetAt(log, lastIndexOf(log));
-	const random = nextRandom(seedRandom(seed));
-	const {minimumElectionTimeout, maximumElectionTimeout} = options;
-	const boundUntil = Math.max(now, lastAcknowledgedAt + minimumElectionTimeout);
-	const scatter = random.value * (maximumElectionTimeout - minimumElectionTimeout);
+	const boundUntil = Math.max(now, lastAcknowledgedAt + options.minimumElectionTimeout);
 	const isAlone = placed.replicas?.voters.length === 1 && placed.replicas.voters[0] === id;
 	return {
 		id,
@@ -64,11 +66,22 @@
 		role: {type: 'follower'},
 		leader: undefined,
 		lastContact: lastAcknowledgedAt,
-		electionDeadline: isAlone ? now : boundUntil + scatter,
-		randomState: random.state,
+		electionDeadline: isAlone ? now : boundUntil + firstCampaignDelay(id, {...options, voters: placed.replicas?.voters ?? []}),
+		randomState: seedRandom(seed),
 	};
 }
 
+type FirstCampaignOptions = Pick<Required<ReplicaOptions>, 'minimumElectionTimeout' | 'maximumElectionTimeout'> & {
+	readonly voters: readonly ReplicaId[];
+};
+
+/** Replicas that start together campaign in the order of the replica set, each far enough after the one before that a calm election is over; only later timeouts are random. */
+function firstCampaignDelay(id: ReplicaId, {voters, minimumElectionTimeout, maximumElectionTimeout}: FirstCampaignOptions): number {
+	const longest = maximumElectionTimeout - minimumElectionTimeout;
+	const position = voters.indexOf(id);
+	return position === -1 ? longest : Math.min(longest, (position + firstCampaignShare) * firstCampaignStep);
+}
+
 function checked(options: Required<ReplicaOptions>): Required<ReplicaOptions> {
 	const {minimumElectionTimeout, maximumElectionTimeout, driftMargin} = options;
 	if (driftMargin >= minimumElectionTimeout) {
--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -109,6 +109,15 @@
 	t.true(restarted.electionDeadline <= startedAt + 1 + maximumElectionTimeout - minimumElectionTimeout);
 });
 
+test('replicas that start together campaign one after the other, each once an election before is over', t => {
+	const deadlines = [first, second, third].map(id => createReplica({id, replicas, seed: 1}, 0).electionDeadline);
+	const [one = 0, two = 0, three = 0] = deadlines;
+	const {minimumElectionTimeout, maximumElectionTimeout} = defaultReplicaOptions;
+	t.true(one > minimumElectionTimeout);
+	t.true(two - one >= 50 && three - two >= 50);
+	t.true(three <= maximumElectionTimeout);
+});
+
 test('a founder that a leader reached before it knew its group keeps the entries, and votes once it knows', t => {
 	const entry: LogEntry = {index: 1, term: 1, payload: {type: 'command', data: new Uint8Array([1])}};
 	const fresh = createReplica({id: first, seed: 1}, 0);
--- a/packages/gateway/src/control/group-timing.ts
+++ b/packages/gateway/src/control/group-timing.ts
@@ -3,7 +3,7 @@
 /**
 The times of the replicas, in milliseconds.
 
-A leader is replaced within about a second, and a group that was killed as a whole leads again a second after it started; instances without a disk cannot route before that. A single lost packet costs a follower 200 ms, and a pre-vote needs a quorum that heard nothing.
+A leader is replaced within about a second, and a group that was killed as a whole leads again about a tenth of a second after it opened its data; instances without a disk cannot route before that. A single lost packet costs a follower 200 ms, and a pre-vote needs a quorum that heard nothing.
 */
 export const groupTiming = {
 	minimumElectionTimeout: 300,
