Keep the slack of further sends below the platform's on large deployments

Ruled out: a number from the settings, which tell the slack of all instances but not how many there are.

Change: two for each instance; what is a share of the requests stays.

Before and after: 84 times 2 is 168 of 208, 7 times 2 is 14 of 54.

--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -61,8 +61,8 @@
 	readonly parse: (document: string) => Either<Failure, RoutingConfiguration>;
 };
 
-/** Further sends that one instance may make in a window without any traffic: small, since all instances share one bound. */
-const retrySlack = 5;
+/** Further sends that one instance may make in a window without any traffic: the platform allows between two and eight for each instance of its deployments. */
+const retrySlack = 2;
 /** An idle connection is kept this many times longer than callers use it, so that none closes under a request. */
 const idleFactor = 2;
 /** The time between two looks whether loads changed: below the time that most requests take, in milliseconds. */
