Give the end of a request a class of its own

Change: RequestEnd ends a request exactly once and keeps what decides how; a send is one record of attempt and server. Behaviour stays as it is.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -4,13 +4,14 @@
 import {type Route} from '../configuration/routing-configuration.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
-import {CallerAnswer, type WholeAnswer} from './caller-answer.js';
+import {CallerAnswer} from './caller-answer.js';
 import {type EntryContext} from './entry-context.js';
 import {EventStream} from './event-stream.js';
 import {expiryFailure} from './expiry-failure.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {ModelSteps} from './model-steps.js';
 import {Placement} from './placement.js';
+import {type Next, RequestEnd} from './request-end.js';
 import {SendAllowance} from './send-allowance.js';
 import {
 	type SendOutcome, type SentAttempt, sendAttempt, type SilenceBounds,
@@ -29,9 +30,6 @@
 	readonly arrivedAt: number;
 };
 
-/** What follows from one send. */
-type Next = 'again' | 'ended';
-
 /** A connection within a region opens in a few milliseconds; one that takes longer than this, or than the whole answer should, is not going to. */
 const connectTimeoutMilliseconds = 400;
 /** The time after which a place should be free again, for a request that no server took. */
@@ -64,12 +62,9 @@
 	readonly #events: EventStream;
 	readonly #allowance: SendAllowance;
 	readonly #authorized: AuthorizedRequest;
-	#mayHaveRun = false;
-	#isOver = false;
-	#attempt: SentAttempt | undefined;
-	#held: WholeAnswer | undefined;
-	#server: ServerRecord | undefined;
-	#lastProblem = 'none';
+	readonly #end: RequestEnd;
+	/** The send in progress, or the last one. */
+	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
 
 	constructor(context: EntryContext, {request, body, response, authorized, arrivedAt}: RequestRunOptions) {
 		const {route} = authorized;
@@ -87,6 +82,9 @@
 		this.#verdicts = new ServerVerdicts(context, {request: request.id, route: route.id});
 		this.#allowance = new SendAllowance({...context, route, service: this.#placement.service});
 		this.#models = new ModelSteps(context, {route, choosesModel: request.choosesModel});
+		this.#end = new RequestEnd(context, {
+			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models,
+		});
 	}
 
 	/** Runs the request to its answer. */
@@ -101,7 +99,7 @@
 		this.#answer.response.on('close', leave);
 		this.#context.budget.deposit(this.#placement.service, this.#now());
 		let next: Next = 'again';
-		while (next === 'again' && !this.#isOver) {
+		while (next === 'again' && !this.#end.isOver) {
 			next = await this.#send();
 		}
 
@@ -120,7 +118,7 @@
 	async #send(): Promise<Next> {
 		const authorized = authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
 		if (authorized.isLeft()) {
-			return this.#giveUp(authorized.extract());
+			return this.#end.giveUp(authorized.extract());
 		}
 
 		const server = this.#placement.choose(this.#models.current);
@@ -129,8 +127,8 @@
 		}
 
 		if (server === undefined) {
-			const message = `Got no server of ${this.#placement.service} that takes the request (${this.#lastProblem}), wanted one`;
-			return this.#giveUp(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
+			const message = `Got no server of ${this.#placement.service} that takes the request (${this.#end.lastProblem}), wanted one`;
+			return this.#end.giveUp(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
 		}
 
 		return this.#sendTo(server, authorized.unsafeCoerce());
@@ -149,7 +147,7 @@
 		}
 
 		await this.#context.nextServers(until - this.#now());
-		return !this.#isOver;
+		return !this.#end.isOver;
 	}
 
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<Next> {
@@ -173,8 +171,7 @@
 			connectTimeout: Math.min(connectTimeoutMilliseconds, this.#route.targetLatency),
 			silence: this.#silence(server),
 		});
-		this.#attempt = attempt;
-		this.#server = server;
+		this.#sent = {attempt, server};
 		this.#allowance.begin();
 		const end = servers.begin(server.id, this.#models.work);
 		log('request-dispatched', {
@@ -205,7 +202,7 @@
 			events: this.#events,
 			server,
 			sentAt,
-			isOver: () => this.#isOver,
+			isOver: () => this.#end.isOver,
 			onStream: () => {
 				this.#placement.begin(server.version);
 			},
@@ -215,7 +212,7 @@
 
 	/** What follows from one send; whether the request is sent again. */
 	#follow(step: OutcomeStep, server: ServerRecord): Next {
-		if (this.#isOver) {
+		if (this.#end.isOver) {
 			return 'ended';
 		}
 
@@ -224,53 +221,53 @@
 			.with({type: 'unreachable'}, () => this.#followUnreachable(server))
 			.with({type: 'not-run'}, ({failed}) => this.#followNotRun(server, failed))
 			.with({type: 'connection-lost'}, ({failed}) => {
-				this.#mayHaveRun = true;
+				this.#end.noteRun();
 				return this.#again(failed);
 			})
 			.with({type: 'failed'}, ({failed, answer}) => {
-				this.#mayHaveRun = true;
-				this.#held = answer ?? this.#held;
+				this.#end.noteRun();
+				this.#end.hold(answer);
 				this.#placement.exclude(server.id);
 				return this.#again(failed);
 			})
-			.with({type: 'whole'}, ({answer}) => this.#passOn(answer))
+			.with({type: 'whole'}, ({answer}) => this.#end.passOn(answer))
 			.with({type: 'escalated'}, ({model}): Next => {
-				this.#mayHaveRun = true;
+				this.#end.noteRun();
 				this.#models.take(model);
 				return 'again';
 			})
 			.with({type: 'streamed'}, ({confidence}) => {
 				this.#answer.finish();
-				return this.#ended('answered', {server: server.id, confidence});
+				return this.#end.end('answered', {server: server.id, confidence});
 			})
 			.exhaustive();
 	}
 
 	/** A connection that did not open uses up no send. */
 	#followUnreachable(server: ServerRecord): Next {
-		this.#lastProblem = `${server.id} is unreachable`;
+		this.#end.lastProblem = `${server.id} is unreachable`;
 		this.#placement.exclude(server.id);
 		return this.#allowance.takeBack()
 			? 'again'
-			: this.#giveUp(failure('no-server', `Got no connection to ${this.#allowance.unreachable} servers of ${this.#placement.service}`, {retryAfterMilliseconds: retryMilliseconds}));
+			: this.#end.giveUp(failure('no-server', `Got no connection to ${this.#allowance.unreachable} servers of ${this.#placement.service}`, {retryAfterMilliseconds: retryMilliseconds}));
 	}
 
 	#followNotRun(server: ServerRecord, {message}: Failure): Next {
-		this.#lastProblem = message;
+		this.#end.lastProblem = message;
 		this.#placement.exclude(server.id);
 		return this.#allowance.takeFurther()
 			? 'again'
-			: this.#giveUp(failure('overloaded', `${message}, and no send is left`, {retryAfterMilliseconds: retryMilliseconds}));
+			: this.#end.giveUp(failure('overloaded', `${message}, and no send is left`, {retryAfterMilliseconds: retryMilliseconds}));
 	}
 
 	/** Sends again where that is safe and something is left to send with, else answers. */
 	#again(failed: Failure): Next {
-		this.#lastProblem = failed.message;
-		if (this.#isOver) {
+		this.#end.lastProblem = failed.message;
+		if (this.#end.isOver) {
 			return 'ended';
 		}
 
-		return this.#allowance.mayRepeat && this.#allowance.takeFurther() ? 'again' : this.#giveUp(failed);
+		return this.#allowance.mayRepeat && this.#allowance.takeFurther() ? 'again' : this.#end.giveUp(failed);
 	}
 
 	/** The model that should answer in place of the one that did, as long as the caller has nothing of the answer. */
@@ -292,87 +289,34 @@
 			: undefined;
 	}
 
-	#passOn(held: WholeAnswer): Next {
-		if (this.#isOver) {
-			return 'ended';
-		}
-
-		this.#answer.passOn(held);
-		return this.#ended('answered', {status: held.status});
-	}
-
-	/** Answers with a failed answer of a backend server, where there is one, else with the failure. */
-	#giveUp(failed: Failure): Next {
-		if (this.#isOver) {
-			return 'ended';
-		}
-
-		if (this.#answer.hasBegun) {
-			// An answer that ends early must not look complete.
-			this.#answer.breakOff();
-			return this.#ended('broken-off', {reason: failed.message});
-		}
-
-		if (this.#held !== undefined) {
-			return this.#passOn(this.#held);
-		}
-
-		const isUnsure = this.#mayHaveRun && !this.#allowance.mayRepeat;
-		this.#answer.refuse(isUnsure && failed.kind !== 'deadline-exceeded-after-dispatch' ? failure('outcome-unknown', failed.message) : failed);
-		return this.#ended('refused', {error: failed.kind, reason: failed.message, mayHaveRun: this.#mayHaveRun});
-	}
-
 	#expire(): void {
-		if (this.#isOver) {
+		if (this.#end.isOver) {
 			return;
 		}
 
-		const hasLeft = this.#attempt?.hasOpened() === true;
-		this.#attempt?.cancel();
-		if (this.#server !== undefined && hasLeft) {
+		const hasLeft = this.#sent?.attempt.hasOpened() === true;
+		this.#sent?.attempt.cancel();
+		if (this.#sent !== undefined && hasLeft) {
 			// A server that hangs shows in no other way where its requests may not be repeated.
-			this.#verdicts.failed(this.#server, this.#models.current);
-		} else if (this.#server !== undefined) {
-			this.#verdicts.record(this.#server, 'unreachable');
+			this.#verdicts.failed(this.#sent.server, this.#models.current);
+		} else if (this.#sent !== undefined) {
+			this.#verdicts.record(this.#sent.server, 'unreachable');
 		}
 
-		this.#giveUp(expiryFailure({
-			mayHaveRun: this.#mayHaveRun || hasLeft,
+		this.#end.giveUp(expiryFailure({
+			mayHaveRun: this.#end.mayHaveRun || hasLeft,
 			waited: Math.round(this.#now() - this.#arrivedAt),
-			lastProblem: this.#lastProblem,
+			lastProblem: this.#end.lastProblem,
 			retryAfter: retryMilliseconds,
 		}));
 	}
 
 	#leave(): void {
-		if (!this.#isOver && this.#answer.isAbandoned) {
-			this.#attempt?.cancel();
-			this.#ended('caller-left', {});
+		if (!this.#end.isOver && this.#answer.isAbandoned) {
+			this.#sent?.attempt.cancel();
+			this.#end.end('caller-left', {});
 		}
 	}
-
-	#ended(outcome: string, fields: Readonly<Record<string, string | number | boolean | undefined>>): Next {
-		if (this.#isOver) {
-			return 'ended';
-		}
-
-		this.#isOver = true;
-		const milliseconds = this.#now() - this.#arrivedAt;
-		const {metrics, log} = this.#context;
-		metrics.requests.inc({kind: this.#route.kind, outcome});
-		metrics.duration.observe({kind: this.#route.kind}, milliseconds / 1000);
-		log('request-ended', {
-			request: this.#request.id,
-			route: this.#route.id,
-			service: this.#placement.service,
-			outcome,
-			model: this.#models.current,
-			sends: this.#allowance.sends,
-			duration: Math.round(milliseconds),
-			...fields,
-		}, outcome === 'answered' ? 'info' : 'warn');
-		return 'ended';
-	}
 }
 
 type SentTo = {
