Test that the deploy file's program starts with its compiled code

Ruled out: a check of the file alone, which does not say whether the engine takes it.

Change: a test builds by deploy/bundle.mjs and starts the program by the deploy file's command; any word on its error output fails it.

Before and after: passes; a start without the flags of the deploy file printed that the code is not taken when it was tried by hand.

--- /dev/null
+++ b/packages/testing/src/deploy.test.ts
@@ -0,0 +1,37 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {
+	mkdtemp, readFile, rm, writeFile,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import test from 'ava';
+
+const root = fileURLToPath(new URL('../../..', import.meta.url));
+const freePort = '127.0.0.1:0';
+
+test('the deploy file builds a program that starts with the code compiled for it', async t => {
+	const [code] = await once(spawn('node', ['deploy/bundle.mjs'], {cwd: root, stdio: 'inherit'}), 'exit') as [number];
+	t.is(code, 0);
+	const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-deploy-'));
+	const settings = path.join(folder, 'node.yaml');
+	await writeFile(settings, JSON.stringify({
+		node: 'core-1', ip: '127.0.0.1', zone: 'hall-a', listen: {control: freePort}, portRange: [0, 0], seeds: [freePort], bootstrap: true, dataDir: folder, heartbeatMs: 1200, bounds: {graceS: 8},
+	}));
+	const deployFile = await readFile(path.join(root, 'deploy/system.toml'), 'utf8');
+	const [, command = ''] = /run = "node (.*) --metrics-port/v.exec(deployFile) ?? [];
+	const child = spawn('node', command.split(' '), {cwd: root, env: {...process.env, VALEHITCH_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
+	t.teardown(async () => {
+		child.kill('SIGKILL');
+		await rm(folder, {recursive: true, force: true});
+	});
+	let errors = '';
+	child.stderr.setEncoding('utf8').on('data', text => {
+		errors += String(text);
+	});
+	const [lines] = await once(child.stdout.setEncoding('utf8'), 'data') as [string];
+	t.regex(lines, /"kind":"process-started"/v);
+	t.is(errors, '');
+});
