Give long prompts whose subjects repeat one home over all zones

Change: the scope of a prompt's home follows from its shared tokens, how often this instance saw subjects of the route repeat, and the bytes that would cross. A bounded map by last use serves the two retry budgets and the new counters; the end of a request tells the time to its head.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -13,6 +13,7 @@
 export * from './hybrid-clock.js';
 export * from './ids.js';
 export * from './money.js';
+export * from './recent-map.js';
 export type * from './request.js';
 export * from './timeline-event.js';
 export * from './typed-schema.js';
--- /dev/null
+++ b/packages/core/src/recent-map.test.ts
@@ -0,0 +1,21 @@
+import test from 'ava';
+import {RecentMap} from './recent-map.js';
+
+test('the least recently used entry goes first', t => {
+	const recent = new RecentMap<string, number>(2);
+	recent.set('a', 1);
+	recent.set('b', 2);
+	t.is(recent.touch('a', () => 0), 1);
+	recent.set('c', 3);
+	t.is(recent.size, 2);
+	t.is(recent.peek('b'), undefined);
+	t.is(recent.peek('a'), 1);
+});
+
+test('an entry that is only looked at does not count as used', t => {
+	const recent = new RecentMap<string, number>(1);
+	t.is(recent.touch('a', () => 1), 1);
+	t.is(recent.peek('a'), 1);
+	t.is(recent.touch('b', () => 2), 2);
+	t.is(recent.peek('a'), undefined);
+});
--- a/packages/gateway/src/entry/caller-answer.ts
+++ b/packages/gateway/src/entry/caller-answer.ts
@@ -35,6 +35,7 @@
 	readonly #context: EntryContext;
 	readonly #options: CallerAnswerOptions;
 	#hasBegun = false;
+	#headAfter: number | undefined;
 
 	constructor(context: EntryContext, options: CallerAnswerOptions) {
 		this.#context = context;
@@ -46,6 +47,11 @@
 		return this.#hasBegun;
 	}
 
+	/** The time from the arrival to the head of the answer, in milliseconds; undefined before it. */
+	get headAfter(): number | undefined {
+		return this.#headAfter;
+	}
+
 	/** The response that events are written to. */
 	get response(): ServerResponse {
 		return this.#options.response;
@@ -103,7 +109,8 @@
 			response.shouldKeepAlive = false;
 		}
 
-		metrics.firstByte.observe({kind}, (clock.monotonic() - arrivedAt) / millisecondsPerSecond);
+		this.#headAfter = clock.monotonic() - arrivedAt;
+		metrics.firstByte.observe({kind}, this.#headAfter / millisecondsPerSecond);
 		response.sendDate = false;
 		response.writeHead(status, headers.flat());
 	}
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -9,6 +9,7 @@
 import {type EntryServers} from './entry-servers.js';
 import {type EvidenceCounter} from './evidence-counter.js';
 import {type LatencyBook} from './latency-book.js';
+import {type RepeatBook} from './repeat-book.js';
 import {type VersionPins} from './version-pins.js';
 
 /** The bounds of a deployment that the handling of requests keeps. */
@@ -32,6 +33,7 @@
 	readonly budget: RetryWindow;
 	readonly latencies: LatencyBook;
 	readonly pins: VersionPins;
+	readonly repeats: RepeatBook;
 	readonly evidence: EvidenceCounter;
 	/** The newest configuration; undefined before the first. */
 	readonly table: () => RouteTable | undefined;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -22,6 +22,7 @@
 import {handleRequest} from './handle-request.js';
 import {LatencyBook} from './latency-book.js';
 import {LoadShare} from './load-share.js';
+import {RepeatBook} from './repeat-book.js';
 import {VersionPins} from './version-pins.js';
 
 /** Where the instance listens. */
@@ -114,6 +115,7 @@
 			budget: new RetryWindow({share: options.retryShare, slack: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
 			latencies: new LatencyBook(clock),
 			pins: new VersionPins(options),
+			repeats: new RepeatBook(),
 			evidence: new EvidenceCounter({entry: self, run}),
 			table: () => this.#table,
 			nextNews: async timeout => Promise.race([this.#news.next(), options.wait(timeout)]),
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -2,7 +2,7 @@
 	type InstanceId, type RandomSource, type ServerId, type ServiceId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {
-	chooseServer, OutlierEjection, prefixHash, type ServerView,
+	chooseServer, type HomeScope, OutlierEjection, prefixHash, type ServerView,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
@@ -17,14 +17,20 @@
 	readonly share: Pick<LoadShare, 'othersOn' | 'noteChange'>;
 };
 
+/** What a prompt has in common with others, and where its home is looked for. */
+export type PromptSubject = {
+	readonly name: string;
+	readonly homeScope: HomeScope;
+};
+
 /** What is wanted of a server. */
 export type FindServerOptions = {
 	readonly service: ServiceId;
 	/** Whether a version will do. */
 	readonly isWanted: (version: VersionId) => boolean;
 	readonly excluded: ReadonlySet<ServerId>;
-	/** What the prompts of a conversation have in common; undefined where no cache matters. */
-	readonly subject: string | undefined;
+	/** What the prompt has in common with others; undefined where no cache matters. */
+	readonly subject: PromptSubject | undefined;
 	/** Milliseconds on the monotonic clock. */
 	readonly now: number;
 };
@@ -131,7 +137,8 @@
 
 		const wish = {
 			target: service, excluded, zone: this.#options.zone, random: this.#options.random, zonePenalty, samples, loadBound,
-			prefix: subject === undefined ? undefined : prefixHash(subject),
+			prefix: subject === undefined ? undefined : prefixHash(subject.name),
+			homeScope: subject?.homeScope ?? 'zone',
 		};
 		// Where every server is suspect, a suspect one is better than none.
 		const choice = chooseServer(views, wish).altLazy(() => chooseServer(views.map(view => ({...view, expired: false, ejected: false})), wish));
--- a/packages/gateway/src/entry/gateway-request.ts
+++ b/packages/gateway/src/entry/gateway-request.ts
@@ -3,6 +3,13 @@
 /** A header as it came: name and value. */
 export type Header = readonly [name: string, value: string];
 
+/** A part of a prompt. */
+export type PromptPart = {
+	readonly id: string;
+	/** Its length in tokens. */
+	readonly tokens: number;
+};
+
 /** What a caller asks for, read once from the wire. */
 export type GatewayRequest = {
 	/** The caller's id of this request; the backend server echoes it. */
@@ -20,7 +27,7 @@
 	/** Whether the gateway chooses the model. */
 	readonly choosesModel: boolean;
 	/** The parts of the prompt that other requests share, in order; empty for plain requests. */
-	readonly promptParts: readonly string[];
+	readonly promptParts: readonly PromptPart[];
 	readonly inputTokens: number;
 	readonly outputTokens: number;
 	readonly session: string | undefined;
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -1,11 +1,21 @@
 import {
 	type ModelId, type ServerId, type ServiceId, type VersionId,
 } from '@valehitch/core';
+import {chooseHomeScope, type HomeScope} from '@valehitch/routing';
 import {type Route} from '../configuration/routing-configuration.js';
 import {chooseSide, type RolloutSide} from '../rollouts/choose-side.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type EntryContext} from './entry-context.js';
-import {type GatewayRequest} from './gateway-request.js';
+import {type PromptSubject} from './entry-servers.js';
+import {type GatewayRequest, type PromptPart} from './gateway-request.js';
+
+/** Which request is placed. */
+export type PlacementOptions = {
+	readonly request: GatewayRequest;
+	readonly route: Route;
+	/** The bytes of its body. */
+	readonly bytes: number;
+};
 
 type VersionWish = (version: VersionId) => boolean;
 
@@ -14,7 +24,7 @@
 
 @example
 ```ts
-const placement = new Placement(context, {request, route});
+const placement = new Placement(context, {request, route, bytes: body.byteLength});
 const server = placement.choose(model);
 ```
 */
@@ -25,13 +35,17 @@
 	readonly #request: GatewayRequest;
 	readonly #route: Route;
 	readonly #excluded = new Set<ServerId>();
+	readonly #shared: readonly PromptPart[];
+	readonly #homeScope: HomeScope;
 	#begunVersion: VersionId | undefined;
 
-	constructor(context: EntryContext, {request, route}: {readonly request: GatewayRequest; readonly route: Route}) {
+	constructor(context: EntryContext, {request, route, bytes}: PlacementOptions) {
 		this.#context = context;
 		this.#request = request;
 		this.#route = route;
 		this.service = drawService(route, context.random);
+		this.#shared = route.usesPromptCache ? sharedParts(request.promptParts) : [];
+		this.#homeScope = this.#chooseHomeScope(bytes);
 	}
 
 	/**
@@ -43,9 +57,8 @@
 	choose(model: ModelId | undefined): ServerRecord | undefined {
 		const {servers, pins, clock} = this.#context;
 		const now = clock.monotonic();
-		const {session, promptParts} = this.#request;
-		const shared = this.#route.usesPromptCache ? sharedPart(promptParts) : undefined;
-		const subject = shared === undefined ? undefined : `${shared} ${model ?? ''}`;
+		const {session} = this.#request;
+		const subject = this.#subject(model);
 		for (const isWanted of this.#wishes(now)) {
 			const server = servers.find({
 				service: this.service, isWanted, excluded: this.#excluded, subject, now,
@@ -72,6 +85,23 @@
 		this.#begunVersion = version;
 	}
 
+	#chooseHomeScope(bytes: number): HomeScope {
+		const last = this.#shared.at(-1);
+		if (last === undefined) {
+			return 'zone';
+		}
+
+		const {repeats, clock} = this.#context;
+		const sharedTokens = this.#shared.reduce((sum, {tokens}) => sum + tokens, 0);
+		return chooseHomeScope({sharedTokens, repeatShare: repeats.note(this.#route.id, {subject: last.id, now: clock.monotonic()}), bytes});
+	}
+
+	/** What the prompt has in common with others on the model; each model has a cache of its own. */
+	#subject(model: ModelId | undefined): PromptSubject | undefined {
+		const last = this.#shared.at(-1);
+		return last === undefined ? undefined : {name: `${last.id} ${model ?? ''}`, homeScope: this.#homeScope};
+	}
+
 	/** Which versions will do, the best first. */
 	#wishes(now: number): readonly VersionWish[] {
 		const target = this.#context.rolloutOf(this.service)?.target;
@@ -98,9 +128,9 @@
 	}
 }
 
-/** The longest beginning that other requests can share: the last part belongs to the request alone, unless there is no other. */
-function sharedPart(parts: readonly string[]): string | undefined {
-	return parts.at(-2) ?? parts.at(-1);
+/** The parts that other requests can share: the last one belongs to the request alone, unless there is no other. */
+function sharedParts(parts: readonly PromptPart[]): readonly PromptPart[] {
+	return parts.length > 1 ? parts.slice(0, -1) : parts;
 }
 
 /** Draws a service of a route by its weight. */
--- a/packages/gateway/src/entry/request-end.ts
+++ b/packages/gateway/src/entry/request-end.ts
@@ -127,7 +127,7 @@
 		}
 
 		this.#isOver = true;
-		const {request, route, service, arrivedAt, allowance, models} = this.#options;
+		const {request, route, service, arrivedAt, answer, allowance, models} = this.#options;
 		const {metrics, log, clock} = this.#context;
 		const milliseconds = clock.monotonic() - arrivedAt;
 		metrics.requests.inc({kind: route.kind, outcome});
@@ -139,6 +139,7 @@
 			outcome,
 			model: models.current,
 			sends: allowance.sends,
+			headAfter: answer.headAfter === undefined ? undefined : Math.round(answer.headAfter),
 			duration: Math.round(milliseconds),
 			...fields,
 		}, outcome === 'answered' ? 'info' : 'warn');
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -19,6 +19,7 @@
 import {EvidenceCounter} from './evidence-counter.js';
 import {LatencyBook} from './latency-book.js';
 import {RequestRun} from './request-run.js';
+import {RepeatBook} from './repeat-book.js';
 import {VersionPins} from './version-pins.js';
 
 const control = '10.0.0.1' as InstanceId;
@@ -76,6 +77,7 @@
 		budget: new RetryWindow({share: 1, slack: 5}),
 		latencies: new LatencyBook(clock),
 		pins: new VersionPins({sessionMilliseconds: 5000}),
+		repeats: new RepeatBook(),
 		evidence: new EvidenceCounter({entry: control, run: 'one'}),
 		table: () => table,
 		nextNews: async () => undefined,
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -78,7 +78,7 @@
 		this.#answer = new CallerAnswer(context, {
 			request, response, kind: route.kind, arrivedAt,
 		});
-		this.#placement = new Placement(context, {request, route});
+		this.#placement = new Placement(context, {request, route, bytes: body.byteLength});
 		this.#verdicts = new ServerVerdicts(context, {request: request.id, route: route.id});
 		this.#allowance = new SendAllowance({...context, route, service: this.#placement.service});
 		this.#models = new ModelSteps(context, {route, choosesModel: request.choosesModel});
--- a/packages/platform/src/platform-dialect.test.ts
+++ b/packages/platform/src/platform-dialect.test.ts
@@ -38,9 +38,9 @@
 test('a request is read once into typed fields', t => {
 	t.like(platformDialect.readRequest(caller), {
 		id: 'a1', host: 'desk.example', path: '/lohu/2f', target: '/lohu/2f?a=1', key: 'secret', patience: 8000, choosesModel: true, promptParts: [
-			'5c',
-			'91',
-			'e4',
+			{id: '5c', tokens: 800},
+			{id: '91', tokens: 410},
+			{id: 'e4', tokens: 250},
 		], inputTokens: 1460, outputTokens: 80, session: 's1', lastEventId: undefined,
 	});
 });
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -2,7 +2,7 @@
 import {type IncomingMessage} from 'node:http';
 import {errorAnswers, outcomeOf} from '@valehitch/core';
 import {
-	type Dialect, type GatewayRequest, type Header, type SendFacts,
+	type Dialect, type GatewayRequest, type Header, type PromptPart, type SendFacts,
 } from '@valehitch/gateway';
 import {connectionHeaders, reservedHeaders, wireHeader} from './wire-header.js';
 
@@ -100,9 +100,16 @@
 	return [...sent, ['Connection', keepsConnection ? 'keep-alive' : 'close']];
 }
 
-/** The ids of the prompt's parts, without their lengths. */
-function promptParts(value: string | undefined): readonly string[] {
-	return value === undefined ? [] : value.split(',').map(part => part.split(':', 1)[0]?.trim() ?? '');
+/** The prompt's parts; one without a length counts as empty. */
+function promptParts(value: string | undefined): readonly PromptPart[] {
+	if (value === undefined) {
+		return [];
+	}
+
+	return value.split(',').map(part => {
+		const [id = '', tokens = '0'] = part.split(':');
+		return {id: id.trim(), tokens: Number(tokens) || 0};
+	});
 }
 
 function headersOf({rawHeaders}: IncomingMessage): readonly Header[] {
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -5,6 +5,7 @@
 */
 export type * from './admission-request.js';
 export * from './admission.js';
+export * from './choose-home-scope.js';
 export * from './decision-ring.js';
 export * from './hedge-policy.js';
 export * from './outlier-ejection.js';
@@ -15,6 +16,7 @@
 export * from './request-life.js';
 export type * from './request-plan.js';
 export type * from './request-state.js';
+export * from './repeat-share.js';
 export * from './retry-budget.js';
 export * from './retry-window.js';
 export * from './server-choice.js';
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -1,3 +1,5 @@
+import {RecentMap} from '@valehitch/core';
+
 /** How much a budget allows. */
 export type RetryBudgetOptions = {
 	/** Further attempts for each first attempt; 0.1 by default. */
@@ -31,12 +33,13 @@
 */
 export class RetryBudget {
 	readonly #options: Required<RetryBudgetOptions>;
-	readonly #buckets = new Map<string, Bucket>();
+	readonly #buckets: RecentMap<string, Bucket>;
 
 	constructor(options: RetryBudgetOptions = {}) {
 		this.#options = {
 			share: 0.1, floorPerSecond: 0.2, burst: 10, maximumKeys: 4096, ...options,
 		};
+		this.#buckets = new RecentMap(this.#options.maximumKeys);
 	}
 
 	/** How many keys are kept. */
@@ -73,19 +76,11 @@
 	}
 
 	#bucketOf(key: string, now: number): Bucket {
-		const {floorPerSecond, burst, maximumKeys} = this.#options;
-		const known = this.#buckets.get(key);
-		const bucket = known ?? {tokens: 1, filledAt: now};
+		const {floorPerSecond, burst} = this.#options;
+		const bucket = this.#buckets.touch(key, () => ({tokens: 1, filledAt: now}));
 		const elapsed = Math.max(0, now - bucket.filledAt);
 		bucket.tokens = Math.min(burst, bucket.tokens + (floorPerSecond * elapsed / millisecondsPerSecond));
 		bucket.filledAt = Math.max(bucket.filledAt, now);
-		this.#buckets.delete(key);
-		this.#buckets.set(key, bucket);
-		const oldest = this.#buckets.keys().next();
-		if (this.#buckets.size > maximumKeys && !oldest.done) {
-			this.#buckets.delete(oldest.value);
-		}
-
 		return bucket;
 	}
 }
--- a/packages/routing/src/retry-window.ts
+++ b/packages/routing/src/retry-window.ts
@@ -1,3 +1,5 @@
+import {RecentMap} from '@valehitch/core';
+
 /** How much a window allows. */
 export type RetryWindowOptions = {
 	/** Further attempts for each first attempt of the window; 0.1 by default. */
@@ -35,12 +37,13 @@
 */
 export class RetryWindow {
 	readonly #options: Required<RetryWindowOptions>;
-	readonly #keys = new Map<string, Slot[]>();
+	readonly #keys: RecentMap<string, readonly Slot[]>;
 
 	constructor(options: RetryWindowOptions = {}) {
 		this.#options = {
 			share: 0.1, slack: 2, windowMilliseconds: 10_000, maximumKeys: 4096, ...options,
 		};
+		this.#keys = new RecentMap(this.#options.maximumKeys);
 	}
 
 	/** How many keys are kept. */
@@ -70,7 +73,7 @@
 		const current = this.#currentSlot(key, now);
 		let first = 0;
 		let further = 0;
-		for (const slot of this.#keys.get(key) ?? []) {
+		for (const slot of this.#keys.peek(key) ?? []) {
 			first += slot.number > current.number - slotsOfWindow ? slot.first : 0;
 			further += slot.further;
 		}
@@ -85,21 +88,16 @@
 
 	/** The slot of this time; slots that no window reaches any more are dropped. */
 	#currentSlot(key: string, now: number): Slot {
-		const {windowMilliseconds, maximumKeys} = this.#options;
+		const {windowMilliseconds} = this.#options;
 		const number = Math.floor(now * slotsOfWindow / windowMilliseconds);
-		const slots = (this.#keys.get(key) ?? []).filter(slot => slot.number >= number - slotsOfWindow);
+		const slots = (this.#keys.peek(key) ?? []).filter(slot => slot.number >= number - slotsOfWindow);
 		const last = slots.at(-1);
 		const current = last?.number === number ? last : {number, first: 0, further: 0};
 		if (current !== last) {
 			slots.push(current);
 		}
 
-		this.#keys.delete(key);
 		this.#keys.set(key, slots);
-		const oldest = this.#keys.keys().next();
-		if (this.#keys.size > maximumKeys && !oldest.done) {
-			this.#keys.delete(oldest.value);
-		}
 
 		return current;
 	}
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -2,6 +2,7 @@
 	type Failure, failure, type RandomSource, type ServerId, type ZoneId,
 } from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
+import {type HomeScope} from './choose-home-scope.js';
 import {type ServerVerdict} from './decision-ring.js';
 import {rendezvousScore} from './rendezvous-score.js';
 import {
@@ -18,6 +19,8 @@
 	readonly prefix?: number | undefined;
 	/** The share of this instance's requests that have the prefix, from 0 to 1; 0 by default. */
 	readonly prefixShare?: number;
+	/** Among which servers the prefix has its home; `zone` by default: those that work would go to without it. */
+	readonly homeScope?: HomeScope;
 };
 
 /** How a server is chosen. */
@@ -90,7 +93,7 @@
 		return Left(failure('no-server', `Got no server for ${options.target}, wanted one that takes work (${reasons || 'none has it'})`, {retryAfterMilliseconds}));
 	}
 
-	const chosen = homeOf(pool, options) ?? lessBusy(pool, options);
+	const chosen = homeOf(options.homeScope === 'all' ? eligible : pool, options) ?? lessBusy(pool, options);
 	for (const {server} of eligible) {
 		consider(considered, server, verdictOn(server, {chosen, pool}));
 	}
