Give silent servers up by the size of the prompt, after looking whether they are reached

Change: times are learned in proportion to the prompt; a server is given up after eight times the expected time, four on a kept connection; before that only one that is neither heard nor takes a new connection. A test that took every unheard server for silent now tells reached from unreached.

--- a/packages/gateway/src/entry/latency-book.ts
+++ b/packages/gateway/src/entry/latency-book.ts
@@ -7,23 +7,46 @@
 /** After this time without an answer half of what the mean is above the calm time is forgotten, in milliseconds: queues of servers empty within seconds, and what is not used because it was slow would never be seen to be fast again. */
 const halfLifeMilliseconds = 2000;
 
+/** The part of a time that does not grow with the prompt, as tokens: the wait for the step in progress and for the first token. */
+const fixedTokens = 1000;
+
+/** A time that was measured. */
+export type MeasuredTime = {
+	/** Milliseconds to the first byte. */
+	readonly milliseconds: number;
+	/** The tokens of the prompt; 0 where there is none. */
+	readonly tokens: number;
+};
+
+/** The time that is asked for. */
+export type ExpectedTimeOptions = {
+	/** The tokens of the prompt, 0 where there is none; those of the mean prompt by default. */
+	readonly tokens?: number;
+	/** The time where none was seen, in milliseconds. */
+	readonly fallback: number;
+};
+
 type Times = {
-	/** Milliseconds. */
+	/** Milliseconds, for a prompt of the mean size. */
 	readonly mean: number;
 	/** The lowest mean of late, in milliseconds. */
 	readonly calm: number;
+	/** The mean size of the prompts, in tokens with the fixed part. */
+	readonly size: number;
 	/** When the mean was brought up to date, in milliseconds on the monotonic clock. */
 	readonly at: number;
 };
 
 /**
-Mean times to the first byte, by what they depend on; without answers they fade to the calm times.
+Mean times to the first byte, by what they depend on, in proportion to the prompt; without answers they fade to the calm times.
+
+Prompts of one route differ a hundredfold, and a server reads the longest for seconds: by the mean alone 95 % of the servers that were given up as silent were at work, in two days played with every line logged.
 
 @example
 ```ts
 const book = new LatencyBook(clock);
-book.note('route-1 large', 640);
-book.expected('route-1 large', 500);
+book.note('route-1 large', {milliseconds: 640, tokens: 2000});
+book.expected('route-1 large', {tokens: 5000, fallback: 500});
 ```
 */
 export class LatencyBook {
@@ -41,24 +64,34 @@
 	Takes a time.
 
 	@param key What it depends on.
-	@param milliseconds The time.
+	@param time The time, and the size of the prompt.
 	*/
-	note(key: string, milliseconds: number): void {
+	note(key: string, {milliseconds, tokens}: MeasuredTime): void {
 		const at = this.#clock.monotonic();
-		const before = this.#timesOf(key) ?? {mean: milliseconds, calm: milliseconds, at};
+		const before = this.#timesOf(key) ?? {
+			mean: milliseconds, calm: milliseconds, size: fixedTokens + tokens, at,
+		};
 		const mean = before.mean + (weight * (milliseconds - before.mean));
-		this.#times.set(key, {mean, calm: Math.min(mean, before.calm + (calmWeight * (mean - before.calm))), at});
+		const size = before.size + (weight * (fixedTokens + tokens - before.size));
+		this.#times.set(key, {
+			mean, calm: Math.min(mean, before.calm + (calmWeight * (mean - before.calm))), size, at,
+		});
 	}
 
 	/**
-	The mean time.
+	The time that a prompt of some size takes on the mean.
 
 	@param key What it depends on.
-	@param fallback The time where none was seen, in milliseconds.
+	@param options The size, and the time where none was seen.
 	@returns Milliseconds.
 	*/
-	expected(key: string, fallback: number): number {
-		return this.#timesOf(key)?.mean ?? fallback;
+	expected(key: string, {tokens, fallback}: ExpectedTimeOptions): number {
+		const times = this.#timesOf(key);
+		if (times === undefined) {
+			return fallback;
+		}
+
+		return tokens === undefined ? times.mean : times.mean * (fixedTokens + tokens) / times.size;
 	}
 
 	/** The times as they have faded until now. */
--- a/packages/gateway/src/entry/model-steps.test.ts
+++ b/packages/gateway/src/entry/model-steps.test.ts
@@ -9,18 +9,37 @@
 	kind: 'streaming', targetLatency: 3000, sizes: ['small', 'large'] as ModelId[],
 });
 
-test('a silent server of a fast model is given up after some times its usual time, a slow one after most of the target', t => {
+function stepsAfter(latency: number | undefined, tokens = 0): ModelSteps {
+	const models = new ModelSteps({latencies: new LatencyBook(clock), bounds: {leastConfidence: 50}}, {route, choosesModel: true, tokens});
+	if (latency !== undefined) {
+		models.larger({confidence: 90, latency, age: latency});
+	}
+
+	return models;
+}
+
+test('a silent server is looked for soon, and one that is reached is given up after some times its expected time', t => {
+	t.deepEqual(stepsAfter(undefined).silence, {quiet: 500, longest: 3000, longestKept: 1500}, 'nothing is known of its times');
+	t.deepEqual(stepsAfter(10).silence, {quiet: 500, longest: 500, longestKept: 500});
+	t.deepEqual(stepsAfter(100).silence, {quiet: 500, longest: 800, longestKept: 500});
+	t.deepEqual(stepsAfter(1000).silence, {quiet: 500, longest: 8000, longestKept: 4000});
+});
+
+test('a server with a long prompt gets more time and counts as busier than one with a short prompt', t => {
 	const latencies = new LatencyBook(clock);
-	const models = new ModelSteps({latencies, bounds: {leastConfidence: 50}}, {route, choosesModel: true});
-	t.deepEqual(models.silence, {quiet: 2250, longest: 2250}, 'nothing is known of its times');
-	models.larger({confidence: 90, latency: 100, age: 100});
-	t.deepEqual(models.silence, {quiet: 800, longest: 2250});
-	const quick = new LatencyBook(clock);
-	const quickModels = new ModelSteps({latencies: quick, bounds: {leastConfidence: 50}}, {route, choosesModel: true});
-	quickModels.larger({confidence: 90, latency: 10, age: 10});
-	t.deepEqual(quickModels.silence, {quiet: 500, longest: 2250});
-	const slow = new LatencyBook(clock);
-	const slowModels = new ModelSteps({latencies: slow, bounds: {leastConfidence: 50}}, {route, choosesModel: true});
-	slowModels.larger({confidence: 90, latency: 1000, age: 1000});
-	t.deepEqual(slowModels.silence, {quiet: 4000, longest: 4000});
+	const stepsOf = (tokens: number) => new ModelSteps({latencies, bounds: {leastConfidence: 50}}, {route, choosesModel: true, tokens});
+	stepsOf(4000).larger({confidence: 90, latency: 500, age: 500});
+	t.deepEqual(stepsOf(49_000).silence, {quiet: 500, longest: 40_000, longestKept: 20_000});
+	t.deepEqual([0, 4000, 49_000].map(tokens => stepsOf(tokens).work), [1, 5, 50]);
+});
+
+test('a long prompt gets the larger model as a short one does', t => {
+	const largerFor = (tokens: number) => {
+		const latencies = new LatencyBook(clock);
+		latencies.note(`${route.id} large`, {milliseconds: 600, tokens: 4000});
+		const models = new ModelSteps({latencies, bounds: {leastConfidence: 50}}, {route, choosesModel: true, tokens});
+		return models.larger({confidence: 40, latency: 100, age: 100});
+	};
+
+	t.deepEqual([400, 4000, 49_000].map(tokens => largerFor(tokens)), ['large', 'large', 'large'] as ModelId[]);
 });
--- a/packages/gateway/src/entry/model-steps.ts
+++ b/packages/gateway/src/entry/model-steps.ts
@@ -15,20 +15,26 @@
 	readonly age: number;
 };
 
+/** Which request takes the steps. */
+export type ModelStepsOptions = {
+	readonly route: Route;
+	readonly choosesModel: boolean;
+	/** The tokens of the prompt; 0 where there is none. */
+	readonly tokens: number;
+};
+
 /** What the steps work with. */
 export type ModelStepsContext = {
 	readonly latencies: LatencyBook;
 	readonly bounds: Pick<EntryBounds, 'leastConfidence'>;
 };
 
-/** The share of the target latency after which a silent server is given up for another. */
-const silentShare = 0.75;
-/** How many times its usual time a server of a large model may take in any case: above the scatter under load. */
-const silentFactor = 4;
-/** How many times its usual time a server of a fast model may take: the longest prompts take four times as long as the mean, and wait for others. */
-const fastSilentFactor = 8;
-/** No server is given up earlier, in milliseconds: a pause of the engine or a lost packet is not an end. */
-const leastSilentMilliseconds = 500;
+/** How many times its expected time a server that is reached may take: a short prompt that waits behind long ones is sooner answered elsewhere, a long one that is being read is not. */
+const silentFactor = 8;
+/** The same on a kept connection, which may be silent for good while the server works. */
+const keptSilentFactor = 4;
+/** After this time without a word of a server it is looked whether it is reached at all, in milliseconds: a pause of the engine or a lost packet is not an end. */
+const quietMilliseconds = 500;
 /** The share of a plain route's timeout after which a silent server is given up. */
 const plainSilentShare = 0.4;
 /** The time to the first event of a model before any was seen, as a share of the target latency. */
@@ -37,22 +43,24 @@
 const workUnitMilliseconds = 100;
 
 /**
-The models of one request, smallest first, and what their usual times say about a send.
+The models of one request, smallest first, and what their expected times say about a send.
 
 @example
 ```ts
-const models = new ModelSteps(context, {route, choosesModel: true});
+const models = new ModelSteps(context, {route, choosesModel: true, tokens: 1460});
 models.current;
 ```
 */
 export class ModelSteps {
 	readonly #context: ModelStepsContext;
 	readonly #route: Route;
+	readonly #tokens: number;
 	#current: ModelId | undefined;
 
-	constructor(context: ModelStepsContext, {route, choosesModel}: {readonly route: Route; readonly choosesModel: boolean}) {
+	constructor(context: ModelStepsContext, {route, choosesModel, tokens}: ModelStepsOptions) {
 		this.#context = context;
 		this.#route = route;
+		this.#tokens = tokens;
 		this.#current = choosesModel ? route.sizes[0] : undefined;
 	}
 
@@ -61,23 +69,25 @@
 		return this.#current;
 	}
 
-	/** The work of a send, by the time that the model usually takes to its first event. */
+	/** The work of a send, by the time that the model is expected to take to its first event. */
 	get work(): number {
-		const usual = this.#usual(this.#current, workUnitMilliseconds);
-		return this.#current === undefined ? 1 : Math.max(1, usual / workUnitMilliseconds);
+		const expected = this.#expected(this.#current, workUnitMilliseconds);
+		return this.#current === undefined ? 1 : Math.max(1, expected / workUnitMilliseconds);
 	}
 
-	/** The times after which a server that sends no head is given up for another, in milliseconds: one that is not heard of at all, and any. */
-	get silence(): Omit<SilenceBounds, 'isHeard'> {
+	/** The times after which a server that sends no head is given up for another, in milliseconds: one that is neither heard of nor reached, and any. */
+	get silence(): Omit<SilenceBounds, 'isHeard' | 'isReached'> {
 		if (this.#route.kind === 'safe') {
 			const quiet = plainSilentShare * this.#route.timeout;
-			return {quiet, longest: quiet};
+			return {quiet, longest: quiet, longestKept: quiet};
 		}
 
-		const {targetLatency} = this.#route;
-		const usual = this.#usual(this.#current, targetLatency);
-		const longest = Math.max(silentShare * targetLatency, silentFactor * this.#usual(this.#current, 0));
-		return {longest, quiet: Math.min(longest, Math.max(leastSilentMilliseconds, fastSilentFactor * usual))};
+		const expected = this.#expected(this.#current, this.#route.targetLatency / silentFactor);
+		return {
+			quiet: quietMilliseconds,
+			longest: Math.max(quietMilliseconds, silentFactor * expected),
+			longestKept: Math.max(quietMilliseconds, keptSilentFactor * expected),
+		};
 	}
 
 	/**
@@ -87,20 +97,22 @@
 	@returns The larger model; undefined where the answer is good enough.
 	*/
 	larger({confidence, latency, age}: LargerModelOptions): ModelId | undefined {
+		const {latencies, bounds: {leastConfidence}} = this.#context;
 		const {sizes, targetLatency} = this.#route;
 		const largest = sizes.at(-1);
 		if (this.#current === undefined || largest === undefined) {
 			return undefined;
 		}
 
-		this.#context.latencies.note(this.#key(this.#current), latency);
+		latencies.note(this.#key(this.#current), {milliseconds: latency, tokens: this.#tokens});
 		return chooseNextModel({
 			sizes,
 			current: this.#current,
 			confidence,
-			leastConfidence: this.#context.bounds.leastConfidence,
+			leastConfidence,
 			timeLeft: targetLatency - age,
-			expectedTime: this.#usual(largest, unknownLatencyShare * targetLatency),
+			// By the mean prompt: the step is held back for the load, and a long prompt that is late is still better answered well.
+			expectedTime: latencies.expected(this.#key(largest), {fallback: unknownLatencyShare * targetLatency}),
 		});
 	}
 
@@ -109,8 +121,8 @@
 		this.#current = model;
 	}
 
-	#usual(model: ModelId | undefined, fallback: number): number {
-		return this.#context.latencies.expected(this.#key(model), fallback);
+	#expected(model: ModelId | undefined, fallback: number): number {
+		return this.#context.latencies.expected(this.#key(model), {tokens: this.#tokens, fallback});
 	}
 
 	#key(model: ModelId | undefined): string {
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -11,6 +11,7 @@
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {ModelSteps} from './model-steps.js';
 import {Placement} from './placement.js';
+import {reachServer} from './reach-server.js';
 import {type Next, RequestEnd} from './request-end.js';
 import {SendAllowance} from './send-allowance.js';
 import {
@@ -32,6 +33,8 @@
 
 /** A connection within a region opens in a few milliseconds; one that takes longer than this, or than the whole answer should, is not going to. */
 const connectTimeoutMilliseconds = 400;
+/** A server that is at work takes a connection within some milliseconds; a lost opening packet is repeated only after a second. */
+const reachMilliseconds = 200;
 /** The time after which a place should be free again, for a request that no server took. */
 const retryMilliseconds = 250;
 /** The part of the time of a request that it waits for the first server: one that runs announces itself within about a second. */
@@ -81,7 +84,7 @@
 		this.#placement = new Placement(context, {request, route, bytes: body.byteLength});
 		this.#verdicts = new ServerVerdicts(context, {request: request.id, route: route.id});
 		this.#allowance = new SendAllowance({...context, route, service: this.#placement.service});
-		this.#models = new ModelSteps(context, {route, choosesModel: request.choosesModel});
+		this.#models = new ModelSteps(context, {route, choosesModel: request.choosesModel, tokens: request.inputTokens});
 		this.#end = new RequestEnd(context, {
 			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models,
 		});
@@ -281,12 +284,18 @@
 	}
 
 	/** The last send that is allowed waits as long as the caller does. */
-	#silence({id}: ServerRecord): SilenceBounds | undefined {
+	#silence(server: ServerRecord): SilenceBounds | undefined {
+		if (!this.#allowance.mayRepeat || this.#allowance.isNextLast) {
+			return undefined;
+		}
+
 		const {servers} = this.#context;
-		const heardBefore = servers.heardAt(id);
-		return this.#allowance.mayRepeat && !this.#allowance.isNextLast
-			? {...this.#models.silence, isHeard: () => servers.heardAt(id) !== heardBefore}
-			: undefined;
+		const heardBefore = servers.heardAt(server.id);
+		return {
+			...this.#models.silence,
+			isHeard: () => servers.heardAt(server.id) !== heardBefore,
+			isReached: async () => reachServer(server, reachMilliseconds),
+		};
 	}
 
 	#expire(): void {
--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -35,7 +35,9 @@
 }
 
 function giveUpAfter(quiet: number): SendAttemptOptions['silence'] {
-	return {quiet, longest: quiet, isHeard: () => false};
+	return {
+		quiet, longest: quiet, longestKept: quiet, isHeard: () => false, isReached: async () => false,
+	};
 }
 
 /** Whether the body of the answer is taken for whole. */
@@ -124,16 +126,41 @@
 	t.is(next.type, 'head');
 });
 
-test('a server that is heard on other connections is not given up before the longest time', async t => {
+test('a server that is heard on other connections, or takes new ones, is not given up before the longest time', async t => {
 	const options = await serve(t, socket => {
 		setTimeout(() => {
 			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
 		}, 200);
 	});
-	const given = async (isHeard: boolean, longest: number) => {
-		const {type} = await sendAttempt({...options, silence: {quiet: 50, longest, isHeard: () => isHeard}}).outcome;
+	const given = async (longest: number, {isHeard = false, isReached = false}: {readonly isHeard?: boolean; readonly isReached?: boolean}) => {
+		const {type} = await sendAttempt({
+			...options, mayReuse: false, silence: {
+				quiet: 50, longest, longestKept: longest, isHeard: () => isHeard, isReached: async () => isReached,
+			},
+		}).outcome;
 		return type;
 	};
 
-	t.deepEqual(await Promise.all([given(true, 60_000), given(false, 60_000), given(true, 100)]), ['head', 'silent', 'silent']);
+	const outcomes = await Promise.all([
+		given(60_000, {isHeard: true}), given(60_000, {isReached: true}), given(60_000, {}), given(100, {isHeard: true}), given(100, {isReached: true}),
+	]);
+	t.deepEqual(outcomes, ['head', 'head', 'silent', 'silent', 'silent']);
+});
+
+test('a kept connection that says nothing has a shorter longest time than a new one', async t => {
+	const answered = new Set<Socket>();
+	const options = await serve(t, socket => {
+		if (!answered.has(socket)) {
+			answered.add(socket);
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+		}
+	});
+	t.true(await isWhole(options));
+	const silence = {
+		quiet: 50, longest: 60_000, longestKept: 100, isHeard: () => true, isReached: async () => true,
+	};
+	const kept = await sendAttempt({...options, silence}).outcome;
+	t.is(kept.type, 'silent');
+	const opened = await sendAttempt({...options, silence}).outcome;
+	t.is(opened.type, 'head');
 });
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -22,12 +22,16 @@
 
 /** How long a server may take to the head of its answer. */
 export type SilenceBounds = {
-	/** Milliseconds after which a server is given up that said nothing on any other connection either. */
+	/** Milliseconds after which a server is given up that said nothing on any other connection either and takes no new one. */
 	readonly quiet: number;
 	/** Milliseconds after which it is given up in any case. */
 	readonly longest: number;
+	/** The same where the request went out on a connection that was kept. */
+	readonly longestKept: number;
 	/** Whether the server was heard on any connection since the send: then it runs, and others are before this request. */
 	readonly isHeard: () => boolean;
+	/** Whether the server takes a new connection. */
+	readonly isReached: () => Promise<boolean>;
 };
 
 /** What a send came to, up to the head of the answer. */
@@ -123,7 +127,7 @@
 			dropIdleConnections(server);
 		};
 
-		const stopWatching = silence === undefined ? undefined : watchSilence(silence, giveUp);
+		const stopWatching = silence === undefined ? undefined : watchSilence(silence, {isKept: () => request.reusedSocket, giveUp});
 		const settle = (outcome: SendOutcome): void => {
 			clearTimeout(connectTimer);
 			stopWatching?.();
@@ -154,17 +158,35 @@
 	});
 }
 
-/** Gives a server up after the quiet time, or after the longest where it was heard of meanwhile. */
-function watchSilence({quiet, longest, isHeard}: SilenceBounds, giveUp: () => void): () => void {
-	let timer = setTimeout(() => {
-		if (!isHeard() || longest <= quiet) {
-			giveUp();
+type SilenceWatch = {
+	/** Whether the request went out on a connection that was kept. */
+	readonly isKept: () => boolean;
+	readonly giveUp: () => void;
+};
+
+/** Gives a server up after the quiet time, or after the longest where it was heard of or reached meanwhile. */
+function watchSilence({quiet, longest, longestKept, isHeard, isReached}: SilenceBounds, {isKept, giveUp}: SilenceWatch): () => void {
+	let isOver = false;
+	let timer: NodeJS.Timeout | undefined;
+	const look = async (): Promise<void> => {
+		const left = (isKept() ? longestKept : longest) - quiet;
+		const isAlive = left > 0 && (isHeard() || await isReached());
+		if (isOver) {
 			return;
 		}
 
-		timer = setTimeout(giveUp, longest - quiet);
+		if (isAlive) {
+			timer = setTimeout(giveUp, left);
+		} else {
+			giveUp();
+		}
+	};
+
+	timer = setTimeout(() => {
+		void look();
 	}, quiet);
 	return () => {
+		isOver = true;
 		clearTimeout(timer);
 	};
 }
