Count a request as one unit of work once its answer has begun

Cause: a server that had read a long prompt counted as busy as while it read it, for all the seconds of its stream, so that prompts went to servers that were still reading others.

--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -58,3 +58,15 @@
 	held.take([testServer({sequence: 9})], {source: one, now});
 	t.is(found(held), undefined);
 });
+
+test('a server that reads a long prompt is passed over, and counts for little once its answer has begun', t => {
+	const other = testServer({id: 'server-2' as ServerId});
+	const held = servers(testServer(), other);
+	const load = held.begin(testServer().id, 50);
+	held.begin(other.id, 10);
+	t.deepEqual(held.loads, [[testServer().id, 50], [other.id, 10]]);
+	load.answerBegins();
+	t.deepEqual(held.loads, [[testServer().id, 1], [other.id, 10]]);
+	load.end();
+	t.deepEqual(held.loads, [[other.id, 10]]);
+});
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -35,6 +35,14 @@
 	readonly now: number;
 };
 
+/** The load of one send at its server. */
+export type SendLoad = {
+	/** Counts the prompt as read: from now on the server only generates, beside others. */
+	readonly answerBegins: () => void;
+	/** Counts the request as ended. */
+	readonly end: () => void;
+};
+
 /** What a send to a server came to. */
 export type SendResult = 'answered' | 'failed' | 'unreachable' | 'gone';
 
@@ -57,6 +65,8 @@
 const loadBound = 1.5;
 /** With the loads of all instances known, comparing more servers costs nothing but the comparison. */
 const samples = 4;
+/** The work of a request whose answer has begun, in units of a short request: a batch generates for many at once, while it reads one prompt after the other. */
+const streamingWork = 1;
 /** The pause after a connection that was not opened; doubles up to the longest. */
 const firstAvoidMilliseconds = 500;
 const longestAvoidMilliseconds = 8000;
@@ -161,13 +171,21 @@
 	Counts a request that is sent to a server.
 
 	@param id The server.
-	@param work Its work, in units of a short request.
-	@returns Counts the request as ended.
+	@param work Its work until its answer begins, in units of a short request.
+	@returns Counts what is left of it.
 	*/
-	begin(id: ServerId, work: number): () => void {
+	begin(id: ServerId, work: number): SendLoad {
 		this.#count(id, {requests: 1, work});
-		return () => {
-			this.#count(id, {requests: -1, work: -work});
+		let left = work;
+		return {
+			answerBegins: () => {
+				const less = Math.max(0, left - streamingWork);
+				left -= less;
+				this.#count(id, {requests: 0, work: -less});
+			},
+			end: () => {
+				this.#count(id, {requests: -1, work: -left});
+			},
 		};
 	}
 
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -6,6 +6,7 @@
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
 import {CallerAnswer} from './caller-answer.js';
 import {type EntryContext} from './entry-context.js';
+import {type SendLoad} from './entry-servers.js';
 import {EventStream} from './event-stream.js';
 import {expiryFailure} from './expiry-failure.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
@@ -176,7 +177,7 @@
 		});
 		this.#sent = {attempt, server};
 		this.#allowance.begin();
-		const end = servers.begin(server.id, this.#models.work);
+		const load = servers.begin(server.id, this.#models.work);
 		log('request-dispatched', {
 			request: this.#request.id,
 			server: server.id,
@@ -187,14 +188,14 @@
 			resumeAfter: this.#events.lastEventId,
 		});
 		const outcome = await attempt.outcome;
-		const step = await this.#takeOutcome(outcome, {server, sentAt});
+		const step = await this.#takeOutcome(outcome, {server, sentAt, load});
 		const next = this.#follow(step, server);
-		end();
+		load.end();
 		metrics.attempts.inc({result: outcome.type});
 		return next;
 	}
 
-	async #takeOutcome(outcome: SendOutcome, {server, sentAt}: SentTo): Promise<OutcomeStep> {
+	async #takeOutcome(outcome: SendOutcome, {server, sentAt, load}: SentTo): Promise<OutcomeStep> {
 		return takeOutcome(outcome, {
 			context: this.#context,
 			request: this.#request,
@@ -207,6 +208,7 @@
 			sentAt,
 			isOver: () => this.#end.isOver,
 			onStream: () => {
+				load.answerBegins();
 				this.#placement.begin(server.version);
 			},
 			chooseLarger: (head, latency) => this.#largerModel(head, latency),
@@ -330,6 +332,7 @@
 
 type SentTo = {
 	readonly server: ServerRecord;
+	readonly load: SendLoad;
 	/** Milliseconds on the monotonic clock. */
 	readonly sentAt: number;
 };
