Keep the small model's answer until a better one has begun, and tell truly what may have run

Cause: a request whose small answer (confidence 23) was dropped for the largest model met servers behind a cut, and its caller got 503, a promise that it had not run, though it had, and though an answer was there.

Change: the stream of the smaller model is kept unread; it is passed on where no server takes the request for the larger one, or where the larger one has not begun 200 ms before the end of the caller's time. A request that any server may have run is never refused as not run, also where it may be repeated.

--- a/packages/gateway/src/entry/model-steps.ts
+++ b/packages/gateway/src/entry/model-steps.ts
@@ -116,6 +116,11 @@
 		});
 	}
 
+	/** Goes back to the model of an answer that was kept. */
+	takeBack(model: ModelId | undefined): void {
+		this.#current = model;
+	}
+
 	/** Moves on to a larger model. */
 	take(model: ModelId): void {
 		this.#current = model;
--- a/packages/gateway/src/entry/request-end.ts
+++ b/packages/gateway/src/entry/request-end.ts
@@ -1,4 +1,4 @@
-import {type Failure, failure, type ServiceId} from '@valehitch/core';
+import {type Failure, type ServiceId} from '@valehitch/core';
 import {type Route} from '../configuration/routing-configuration.js';
 import {type CallerAnswer, type WholeAnswer} from './caller-answer.js';
 import {type EntryContext} from './entry-context.js';
@@ -17,7 +17,7 @@
 	/** When the request arrived, in milliseconds on the monotonic clock. */
 	readonly arrivedAt: number;
 	readonly answer: CallerAnswer;
-	readonly allowance: Pick<SendAllowance, 'mayRepeat' | 'sends'>;
+	readonly allowance: Pick<SendAllowance, 'sends'>;
 	readonly models: Pick<ModelSteps, 'current'>;
 };
 
@@ -98,7 +98,7 @@
 			return 'ended';
 		}
 
-		const {answer, allowance} = this.#options;
+		const {answer} = this.#options;
 		if (answer.hasBegun) {
 			// An answer that ends early must not look complete.
 			answer.breakOff();
@@ -109,8 +109,7 @@
 			return this.passOn(this.#held);
 		}
 
-		const isUnsure = this.#mayHaveRun && !allowance.mayRepeat;
-		answer.refuse(isUnsure && failed.kind !== 'deadline-exceeded-after-dispatch' ? failure('outcome-unknown', failed.message) : failed);
+		answer.refuse(this.#truthful(failed));
 		return this.end('refused', {error: failed.kind, reason: failed.message, mayHaveRun: this.#mayHaveRun});
 	}
 
@@ -145,4 +144,9 @@
 		}, outcome === 'answered' ? 'info' : 'warn');
 		return 'ended';
 	}
+
+	/** A failure that promises that the request has not run is told only where no server may have run it, also where it may be repeated. */
+	#truthful(failed: Failure): Failure {
+		return this.#mayHaveRun && failed.kind !== 'deadline-exceeded-after-dispatch' ? {...failed, kind: 'outcome-unknown'} : failed;
+	}
 }
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -1,8 +1,10 @@
 import {once} from 'node:events';
-import {createServer, type IncomingMessage, request as openRequest} from 'node:http';
+import {
+	createServer, type IncomingMessage, request as openRequest, type ServerResponse,
+} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {
-	errorAnswers, type InstanceId, type ZoneId,
+	errorAnswers, type InstanceId, type ModelId, type ZoneId,
 } from '@valehitch/core';
 import {RetryWindow} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
@@ -27,9 +29,15 @@
 /** Requests and answers as plain as they can be: each answer is the server's own. */
 const plainDialect: Dialect = {
 	readRequest: () => testRequest(),
-	sendHeaders: () => [['Host', 'desk.example']],
-	readAnswer: status => ({
-		status, requestId: testRequest().id, isNotRun: false, isOtherServer: false, isSigned: true, isEncoded: false, confidence: undefined,
+	sendHeaders: (_request, {model}) => [['Host', 'desk.example'], ['Model', model ?? 'none']],
+	readAnswer: (status, headers) => ({
+		status,
+		requestId: testRequest().id,
+		isNotRun: status === 429,
+		isOtherServer: false,
+		isSigned: true,
+		isEncoded: false,
+		confidence: typeof headers.confidence === 'string' ? Number(headers.confidence) : undefined,
 	}),
 	answerHeaders: ({headers: {signature}}) => typeof signature === 'string' ? [['Signature', signature]] : [],
 	refuse: (_request, {kind}) => ({status: errorAnswers[kind].status, headers: [], body: kind}),
@@ -59,7 +67,7 @@
 }
 
 /** A caller's requests, one after the other, through an instance that knows no server until `nextServers` says so. */
-async function askTimes(t: ExecutionContext, times: number, {nextServers, route = testRoute()}: AskOptions) {
+async function askTimes(t: ExecutionContext, times: number, {nextServers, route = testRoute(), patience = 60_000}: AskOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore}});
 	const lease = new ConfigurationLease({duration: 60_000});
@@ -87,7 +95,7 @@
 		rolloutOf: () => undefined,
 		endsAt: () => undefined,
 	};
-	const request = testRequest({patience: 60_000});
+	const request = testRequest({patience, choosesModel: route.sizes.length > 0});
 	const authorized = authorizeRequest(request, {table, lease, now: clock.monotonic()}).unsafeCoerce();
 	const entry = await listen(t, (_message, response) => {
 		void new RequestRun(context, {
@@ -105,6 +113,8 @@
 type AskOptions = {
 	readonly nextServers: (servers: EntryServers) => void;
 	readonly route?: ReturnType<typeof testRoute>;
+	/** How long the caller waits, in milliseconds. */
+	readonly patience?: number;
 };
 
 async function askThrough(t: ExecutionContext, nextServers: (servers: EntryServers) => void, route = testRoute()) {
@@ -168,3 +178,73 @@
 	t.is(requests.size, 12);
 	t.deepEqual(evidence.map(({answers: count, failures}) => [count, failures]), [[12, 0]]);
 });
+
+test('a request that may have run is not refused as not run, also where it may be repeated', async t => {
+	const port = await listen(t, message => {
+		message.socket.destroy();
+	});
+	const {answers} = await askTimes(t, 1, {
+		route: testRoute({kind: 'safe', timeout: 8000, maximumAttempts: 3}),
+		nextServers(known) {
+			known.take([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual(answers.map(({status, text}) => [status, text]), [[502, 'outcome-unknown']]);
+});
+
+/** A server of two models: the small one is unsure, and the large one does as told. */
+async function listenForModels(t: ExecutionContext, answerLarge: (message: IncomingMessage, response: ServerResponse) => void): Promise<number> {
+	return listen(t, (message, response) => {
+		if (message.headers.model === 'large') {
+			answerLarge(message, response);
+			return;
+		}
+
+		response.writeHead(200, {Confidence: '5'});
+		response.end('id: 1\ndata: small\n\n');
+	});
+}
+
+const modelRoute = testRoute({
+	kind: 'streaming', isResumable: true, timeout: 60_000, targetLatency: 2000, maximumAttempts: 3, sizes: ['small', 'large'] as ModelId[],
+});
+
+test('the answer of a smaller model is kept until a better one has begun', async t => {
+	const port = await listenForModels(t, (_message, response) => {
+		response.end('id: 1\ndata: large\n\n');
+	});
+	const {answers} = await askTimes(t, 1, {
+		route: modelRoute,
+		nextServers(known) {
+			known.take([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual(answers.map(({text}) => text), ['id: 1\ndata: large\n\n']);
+});
+
+test('the answer of a smaller model is passed on where no server takes the better one', async t => {
+	const port = await listenForModels(t, (_message, response) => {
+		response.writeHead(429).end();
+	});
+	const {answers} = await askTimes(t, 1, {
+		route: modelRoute,
+		nextServers(known) {
+			known.take([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual(answers.map(({status, text}) => [status, text]), [[200, 'id: 1\ndata: small\n\n']]);
+});
+
+test('the answer of a smaller model is passed on where the better one does not come in time', async t => {
+	const port = await listenForModels(t, () => {
+		// It never answers.
+	});
+	const {answers} = await askTimes(t, 1, {
+		route: modelRoute,
+		patience: 1000,
+		nextServers(known) {
+			known.take([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual(answers.map(({status, text}) => [status, text]), [[200, 'id: 1\ndata: small\n\n']]);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -20,7 +20,9 @@
 } from './send-attempt.js';
 import {ServerVerdicts} from './server-verdicts.js';
 import {startWait} from './start-wait.js';
-import {type OutcomeStep, takeOutcome} from './take-outcome.js';
+import {
+	type OutcomeStep, passSpare, type SpareStream, takeOutcome, type TakeOutcomeOptions,
+} from './take-outcome.js';
 
 /** One request of a caller, authorized, with its body. */
 export type RequestRunOptions = {
@@ -36,6 +38,8 @@
 const connectTimeoutMilliseconds = 400;
 /** A server that is at work takes a connection within some milliseconds; a lost opening packet is repeated only after a second. */
 const reachMilliseconds = 200;
+/** The time before the end of a request at which the answer of a smaller model that is there is passed on, in milliseconds: it was generated meanwhile, and a caller behind slow links still gets it. */
+const spareMilliseconds = 200;
 /** The time after which a place should be free again, for a request that no server took. */
 const retryMilliseconds = 250;
 /** The part of the time of a request that it waits for the first server: one that runs announces itself within about a second. */
@@ -67,6 +71,10 @@
 	readonly #allowance: SendAllowance;
 	readonly #authorized: AuthorizedRequest;
 	readonly #end: RequestEnd;
+	/** The answer of a smaller model, until a better one has begun. */
+	#spare: SpareStream | undefined;
+	/** Whether there is no time for a better answer than the spare one. */
+	#isSpareDue = false;
 	/** The send in progress, or the last one. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
 
@@ -96,6 +104,9 @@
 		const timer = setTimeout(() => {
 			this.#expire();
 		}, this.#deadlineAt - this.#now());
+		const spareTimer = setTimeout(() => {
+			this.#useSpare();
+		}, this.#deadlineAt - this.#now() - spareMilliseconds);
 		const leave = (): void => {
 			this.#leave();
 		};
@@ -108,6 +119,8 @@
 		}
 
 		clearTimeout(timer);
+		clearTimeout(spareTimer);
+		this.#dropSpare();
 		this.#answer.response.off('close', leave);
 	}
 
@@ -132,7 +145,7 @@
 
 		if (server === undefined) {
 			const message = `Got no server of ${this.#placement.service} that takes the request (${this.#end.lastProblem}), wanted one`;
-			return this.#end.giveUp(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
+			return this.#giveUp(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
 		}
 
 		return this.#sendTo(server, authorized.unsafeCoerce());
@@ -189,14 +202,18 @@
 		});
 		const outcome = await attempt.outcome;
 		const step = await this.#takeOutcome(outcome, {server, sentAt, load});
-		const next = this.#follow(step, server);
+		const next = await this.#follow(step, server);
 		load.end();
 		metrics.attempts.inc({result: outcome.type});
 		return next;
 	}
 
-	async #takeOutcome(outcome: SendOutcome, {server, sentAt, load}: SentTo): Promise<OutcomeStep> {
-		return takeOutcome(outcome, {
+	async #takeOutcome(outcome: SendOutcome, sentTo: SentTo): Promise<OutcomeStep> {
+		return takeOutcome(outcome, this.#outcomeOptions(sentTo));
+	}
+
+	#outcomeOptions({server, sentAt, load}: SentTo): TakeOutcomeOptions {
+		return {
 			context: this.#context,
 			request: this.#request,
 			route: this.#route,
@@ -208,40 +225,42 @@
 			sentAt,
 			isOver: () => this.#end.isOver,
 			onStream: () => {
-				load.answerBegins();
+				load?.answerBegins();
+				this.#dropSpare();
 				this.#placement.begin(server.version);
 			},
 			chooseLarger: (head, latency) => this.#largerModel(head, latency),
-		});
+		};
 	}
 
 	/** What follows from one send; whether the request is sent again. */
-	#follow(step: OutcomeStep, server: ServerRecord): Next {
+	async #follow(step: OutcomeStep, server: ServerRecord): Promise<Next> {
 		if (this.#end.isOver) {
 			return 'ended';
 		}
 
 		return match(step)
-			.with({type: 'over'}, (): Next => 'ended')
-			.with({type: 'unreachable'}, () => this.#followUnreachable(server))
-			.with({type: 'not-run'}, ({failed}) => this.#followNotRun(server, failed))
-			.with({type: 'connection-lost'}, ({failed}) => {
+			.with({type: 'over'}, async (): Promise<Next> => 'ended')
+			.with({type: 'unreachable'}, async () => this.#followUnreachable(server))
+			.with({type: 'not-run'}, async ({failed}) => this.#followNotRun(server, failed))
+			.with({type: 'connection-lost'}, async ({failed}) => {
 				this.#end.noteRun();
 				return this.#again(failed);
 			})
-			.with({type: 'failed'}, ({failed, answer}) => {
+			.with({type: 'failed'}, async ({failed, answer}) => {
 				this.#end.noteRun();
 				this.#end.hold(answer);
 				this.#placement.exclude(server.id);
 				return this.#again(failed);
 			})
-			.with({type: 'whole'}, ({answer}) => this.#end.passOn(answer))
-			.with({type: 'escalated'}, ({model}): Next => {
+			.with({type: 'whole'}, async ({answer}) => this.#end.passOn(answer))
+			.with({type: 'escalated'}, async ({model, spare}): Promise<Next> => {
 				this.#end.noteRun();
+				this.#spare = spare;
 				this.#models.take(model);
 				return 'again';
 			})
-			.with({type: 'streamed'}, ({confidence}) => {
+			.with({type: 'streamed'}, async ({confidence}) => {
 				this.#answer.finish();
 				return this.#end.end('answered', {server: server.id, confidence});
 			})
@@ -249,30 +268,56 @@
 	}
 
 	/** A connection that did not open uses up no send. */
-	#followUnreachable(server: ServerRecord): Next {
+	async #followUnreachable(server: ServerRecord): Promise<Next> {
 		this.#end.lastProblem = `${server.id} is unreachable`;
 		this.#placement.exclude(server.id);
 		return this.#allowance.takeBack()
 			? 'again'
-			: this.#end.giveUp(failure('no-server', `Got no connection to ${this.#allowance.unreachable} servers of ${this.#placement.service}`, {retryAfterMilliseconds: retryMilliseconds}));
+			: this.#giveUp(failure('no-server', `Got no connection to ${this.#allowance.unreachable} servers of ${this.#placement.service}`, {retryAfterMilliseconds: retryMilliseconds}));
 	}
 
-	#followNotRun(server: ServerRecord, {message}: Failure): Next {
+	async #followNotRun(server: ServerRecord, {message}: Failure): Promise<Next> {
 		this.#end.lastProblem = message;
 		this.#placement.exclude(server.id);
 		return this.#allowance.takeFurther()
 			? 'again'
-			: this.#end.giveUp(failure('overloaded', `${message}, and no send is left`, {retryAfterMilliseconds: retryMilliseconds}));
+			: this.#giveUp(failure('overloaded', `${message}, and no send is left`, {retryAfterMilliseconds: retryMilliseconds}));
 	}
 
 	/** Sends again where that is safe and something is left to send with, else answers. */
-	#again(failed: Failure): Next {
+	async #again(failed: Failure): Promise<Next> {
 		this.#end.lastProblem = failed.message;
 		if (this.#end.isOver) {
 			return 'ended';
 		}
 
-		return this.#allowance.mayRepeat && this.#allowance.takeFurther() ? 'again' : this.#end.giveUp(failed);
+		return !this.#isSpareDue && this.#allowance.mayRepeat && this.#allowance.takeFurther() ? 'again' : this.#giveUp(failed);
+	}
+
+	/** Passes on the answer of a smaller model where there is one, else says why there is none. */
+	async #giveUp(failed: Failure): Promise<Next> {
+		const spare = this.#spare;
+		if (spare === undefined || this.#end.isOver || this.#answer.hasBegun) {
+			return this.#end.giveUp(failed);
+		}
+
+		this.#spare = undefined;
+		this.#models.takeBack(spare.model);
+		const step = await passSpare(spare, this.#outcomeOptions({server: spare.server, sentAt: this.#now()}));
+		return this.#follow(step, spare.server);
+	}
+
+	/** The time is too short for a better answer: the send in progress gives way to the one that is there. */
+	#useSpare(): void {
+		if (this.#spare !== undefined && !this.#answer.hasBegun) {
+			this.#isSpareDue = true;
+			this.#sent?.attempt.cancel();
+		}
+	}
+
+	#dropSpare(): void {
+		this.#spare?.received.message.destroy();
+		this.#spare = undefined;
 	}
 
 	/** The model that should answer in place of the one that did, as long as the caller has nothing of the answer. */
@@ -332,7 +377,8 @@
 
 type SentTo = {
 	readonly server: ServerRecord;
-	readonly load: SendLoad;
+	/** Its load there; undefined where it is counted no more. */
+	readonly load?: SendLoad;
 	/** Milliseconds on the monotonic clock. */
 	readonly sentAt: number;
 };
--- a/packages/gateway/src/entry/take-outcome.ts
+++ b/packages/gateway/src/entry/take-outcome.ts
@@ -29,10 +29,20 @@
 	/** A whole answer to pass on. */
 		| {readonly type: 'whole'; readonly answer: WholeAnswer}
 	/** A larger model should answer instead. */
-		| {readonly type: 'escalated'; readonly model: ModelId}
+		| {readonly type: 'escalated'; readonly model: ModelId; readonly spare: SpareStream}
 	/** All of the stream was passed on. */
 		| {readonly type: 'streamed'; readonly confidence: number | undefined};
 
+/** A stream of a smaller model that has begun: nothing of it was passed on, and it is kept until a better one has begun. */
+export type SpareStream = {
+	readonly server: ServerRecord;
+	readonly model: ModelId | undefined;
+	readonly received: ReceivedHead;
+	readonly head: AnswerHead;
+	/** The time to its head, in milliseconds. */
+	readonly latency: number;
+};
+
 /** What the outcome of a send concerns. */
 export type TakeOutcomeOptions = {
 	readonly context: EntryContext;
@@ -54,7 +64,7 @@
 };
 
 /** The head of an answer, and whether its body is complete once it ended. */
-type ReceivedHead = Omit<Extract<SendOutcome, {type: 'head'}>, 'type'>;
+export type ReceivedHead = Omit<Extract<SendOutcome, {type: 'head'}>, 'type'>;
 
 /** How many times the longest pause that is on time a stream may stall before it goes on elsewhere. */
 const stallFactor = 1;
@@ -181,13 +191,37 @@
 		return passStream(received, {...options, head, latency});
 	}
 
-	received.message.destroy();
+	received.message.on('error', ignoreEnd);
 	verdicts.answered(server, {model: models.current, latency});
 	context.metrics.escalations.inc();
 	context.log('request-escalated', {
 		request: request.id, from: models.current, to: larger, confidence: head.confidence, latency: Math.round(latency),
 	});
-	return {type: 'escalated', model: larger};
+	return {
+		type: 'escalated', model: larger, spare: {
+			server, model: models.current, received, head, latency,
+		},
+	};
+}
+
+/**
+Passes on a stream that was kept, since no better one has begun.
+
+@param spare The stream.
+@param options What it concerns.
+@returns What follows for the request.
+@example
+```ts
+const step = await passSpare(spare, options);
+```
+*/
+export async function passSpare({received, head, latency}: SpareStream, options: TakeOutcomeOptions): Promise<OutcomeStep> {
+	return passStream(received, {...options, head, latency});
+}
+
+/** A stream that ends before anyone reads it is found to be broken when it is read. */
+function ignoreEnd(): void {
+	// Whoever reads the stream has a listener of its own.
 }
 
 async function passStream({message, isWhole}: ReceivedHead, options: TakeOutcomeOptions & {readonly head: AnswerHead; readonly latency: number}): Promise<OutcomeStep> {
