Suspect a zone as a whole once two of its servers cannot be reached

Change: once connections to two servers of another zone did not open, with no word of that zone between, its servers are passed over for 1 s, twice as long each further time up to 4 s, while others take work.

--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -70,3 +70,17 @@
 	load.end();
 	t.deepEqual(held.loads, [[other.id, 10]]);
 });
+
+test('once two servers of another zone are unreachable, no third one of it is tried while others take work', t => {
+	const far = ['server-2', 'server-3', 'server-4'].map(id => testServer({id: id as ServerId, zone: 'hall-b' as ZoneId}));
+	const near = ['server-1', 'server-5'].map(id => testServer({id: id as ServerId}));
+	const held = servers(...far, ...near);
+	const tried = new Set(near.map(({id}) => id));
+	t.true(far.some(({id}) => id === found(held, {excluded: tried})));
+	held.record(far[0]!.id, 'unreachable', now);
+	held.record(far[1]!.id, 'unreachable', now);
+	t.not(found(held, {excluded: new Set([near[0]!.id])}), far[2]!.id);
+	t.is(found(held, {excluded: new Set([near[0]!.id])}), near[1]!.id);
+	held.hear(far[2]!.id, now);
+	t.is(found(held, {excluded: tried}), far[2]!.id);
+});
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -2,7 +2,7 @@
 	type InstanceId, type RandomSource, type ServerId, type ServiceId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {
-	chooseServer, type HomeScope, OutlierEjection, prefixHash, type ServerView,
+	chooseServer, type HomeScope, OutlierEjection, prefixHash, type ServerView, ZoneSuspicion,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
@@ -89,6 +89,8 @@
 		threshold: 0.5, baseMilliseconds: 2000, maximumMilliseconds: 8000, maximumShare: 0.4,
 	});
 
+	readonly #zones = new ZoneSuspicion();
+
 	constructor(options: EntryServersOptions) {
 		this.#options = options;
 	}
@@ -199,6 +201,7 @@
 		const held = this.#servers.get(id);
 		if (held !== undefined) {
 			held.heardAt = now;
+			this.#zones.heard(held.record.zone);
 		}
 	}
 
@@ -234,6 +237,7 @@
 		if (result === 'unreachable') {
 			held.avoidUntil = now + Math.min(longestAvoidMilliseconds, firstAvoidMilliseconds * (2 ** held.unreachable));
 			held.unreachable++;
+			this.#zones.unreachable(held.record.zone, {server: id, now});
 			return true;
 		}
 
@@ -253,6 +257,7 @@
 	}
 
 	#viewOf({record, work, addedAt, silentFor, avoidUntil}: Held, now: number): ServerView {
+		const {zone} = this.#options;
 		return {
 			id: record.id,
 			zone: record.zone,
@@ -262,7 +267,7 @@
 			reportAge: 0,
 			ownInFlight: work,
 			draining: false,
-			expired: silentFor.size > 0 || avoidUntil > now,
+			expired: silentFor.size > 0 || avoidUntil > now || (record.zone !== zone && this.#zones.isSuspect(record.zone, now)),
 			ejected: this.#ejection.isEjected(record.id, now),
 			// Servers warm up within milliseconds here, so that the slow start of cold replicas would only unbalance them.
 			uptime: Math.max(warmMilliseconds, now - addedAt),
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -24,3 +24,4 @@
 export type * from './server-view.js';
 export * from './session-token.js';
 export * from './stage-history.js';
+export * from './zone-suspicion.js';
