Split the run of a request, and save servers again that the disk did not take

A save of the servers that failed was tried again only after the next change, since its cursor was noted before the write; a test shows that. The look whether the request is over stood twice.

--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -47,7 +47,7 @@
 		seeds: () => [self],
 		heartbeatMilliseconds: 1200,
 		openFolder: async () => openDataFolder(folder, {files, lock: async () => Right(async () => undefined)}),
-		savedServers: {read: async () => [], write: async () => undefined},
+		savedServers: {read: async () => [], write: async () => true},
 		send: ignore,
 		ask: async () => undefined,
 		run: 'one',
--- a/packages/gateway/src/control/server-news.test.ts
+++ b/packages/gateway/src/control/server-news.test.ts
@@ -14,7 +14,7 @@
 };
 
 /** Two control instances that hear each other at once. */
-function startPair(saved: readonly ServerRecord[] = []) {
+function startPair(saved: readonly ServerRecord[] = [], takes: () => boolean = () => true) {
 	const news = new Map<InstanceId, ServerNews>();
 	const written: Array<readonly ServerRecord[]> = [];
 	const start = ({self, other, saved: records = []}: Side): ServerNews => {
@@ -29,6 +29,7 @@
 				read: async () => records,
 				async write(changed) {
 					written.push(changed);
+					return takes();
 				},
 			},
 		});
@@ -84,3 +85,14 @@
 	await one.save();
 	t.deepEqual(written.map(records => records.map(({id}) => id)), [['server-1' as ServerId]]);
 });
+
+test('servers that the disk did not take are saved again though nothing changed', async t => {
+	let takes = false;
+	const {one, written} = startPair([], () => takes);
+	await one.announce(testServer());
+	await one.save();
+	takes = true;
+	await one.save();
+	await one.save();
+	t.is(written.length, 2);
+});
--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -93,8 +93,9 @@
 		}
 
 		this.#isSaving = true;
-		this.#savedCursor = cursor;
-		await this.#options.saved.write(records);
+		const isSaved = await this.#options.saved.write(records);
+		// What a failing disk did not take is tried again with the next round.
+		this.#savedCursor = isSaved ? cursor : this.#savedCursor;
 		this.#isSaving = false;
 	}
 
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -4,6 +4,7 @@
 import {type Route} from '../configuration/routing-configuration.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
+import {awaitFirstServer} from './await-first-server.js';
 import {CallerAnswer} from './caller-answer.js';
 import {type EntryContext} from './entry-context.js';
 import {type SendLoad} from './entry-servers.js';
@@ -19,9 +20,9 @@
 	type SendOutcome, type SentAttempt, sendAttempt, type SilenceBounds,
 } from './send-attempt.js';
 import {ServerVerdicts} from './server-verdicts.js';
-import {startWait} from './start-wait.js';
+import {SpareAnswer} from './spare-answer.js';
 import {
-	type OutcomeStep, passSpare, type SpareStream, takeOutcome, type TakeOutcomeOptions,
+	type OutcomeStep, passSpare, takeOutcome, type TakeOutcomeOptions,
 } from './take-outcome.js';
 
 /** One request of a caller, authorized, with its body. */
@@ -42,8 +43,6 @@
 const spareMilliseconds = 200;
 /** The time after which a place should be free again, for a request that no server took. */
 const retryMilliseconds = 250;
-/** The part of the time of a request that it waits for the first server: one that runs announces itself within about a second. */
-const serverWaitShare = 0.06;
 /** A deadline is passed on shorter by the way back, in milliseconds. */
 const wayBackMilliseconds = 5;
 /** The highest number of an urgency that a server takes. */
@@ -71,8 +70,7 @@
 	readonly #allowance: SendAllowance;
 	readonly #authorized: AuthorizedRequest;
 	readonly #end: RequestEnd;
-	/** The answer of a smaller model, until a better one has begun. */
-	#spare: SpareStream | undefined;
+	readonly #spare = new SpareAnswer();
 	/** Whether there is no time for a better answer than the spare one. */
 	#isSpareDue = false;
 	/** The send in progress, or the last one. */
@@ -120,7 +118,7 @@
 
 		clearTimeout(timer);
 		clearTimeout(spareTimer);
-		this.#dropSpare();
+		this.#spare.drop();
 		this.#answer.response.off('close', leave);
 	}
 
@@ -139,7 +137,7 @@
 		}
 
 		const server = this.#placement.choose(this.#models.current);
-		if (server === undefined && await this.#awaitFirstServer()) {
+		if (server === undefined && await awaitFirstServer(this.#context, {allowance: this.#allowance, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt})) {
 			return 'again';
 		}
 
@@ -151,22 +149,6 @@
 		return this.#sendTo(server, authorized.unsafeCoerce());
 	}
 
-	/**
-	Waits a short while for a server where none was tried: one that runs announces itself within about a second, and after the loss of all control instances each has to.
-
-	@returns Whether servers came or changed in time.
-	*/
-	async #awaitFirstServer(): Promise<boolean> {
-		const until = this.#arrivedAt + startWait(this.#deadlineAt - this.#arrivedAt, serverWaitShare);
-		const {sends, unreachable} = this.#allowance;
-		if (sends > 0 || unreachable > 0 || this.#now() >= until) {
-			return false;
-		}
-
-		await this.#context.nextServers(until - this.#now());
-		return !this.#end.isOver;
-	}
-
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<Next> {
 		const {dialect, servers, log, metrics} = this.#context;
 		const sentAt = this.#now();
@@ -226,7 +208,7 @@
 			isOver: () => this.#end.isOver,
 			onStream: () => {
 				load?.answerBegins();
-				this.#dropSpare();
+				this.#spare.drop();
 				this.#placement.begin(server.version);
 			},
 			chooseLarger: (head, latency) => this.#largerModel(head, latency),
@@ -256,7 +238,7 @@
 			.with({type: 'whole'}, async ({answer}) => this.#end.passOn(answer))
 			.with({type: 'escalated'}, async ({model, spare}): Promise<Next> => {
 				this.#end.noteRun();
-				this.#spare = spare;
+				this.#spare.keep(spare);
 				this.#models.take(model);
 				return 'again';
 			})
@@ -287,21 +269,16 @@
 	/** Sends again where that is safe and something is left to send with, else answers. */
 	async #again(failed: Failure): Promise<Next> {
 		this.#end.lastProblem = failed.message;
-		if (this.#end.isOver) {
-			return 'ended';
-		}
-
 		return !this.#isSpareDue && this.#allowance.mayRepeat && this.#allowance.takeFurther() ? 'again' : this.#giveUp(failed);
 	}
 
 	/** Passes on the answer of a smaller model where there is one, else says why there is none. */
 	async #giveUp(failed: Failure): Promise<Next> {
-		const spare = this.#spare;
-		if (spare === undefined || this.#end.isOver || this.#answer.hasBegun) {
+		const spare = this.#spare.take();
+		if (spare === undefined || this.#end.isOver) {
 			return this.#end.giveUp(failed);
 		}
 
-		this.#spare = undefined;
 		this.#models.takeBack(spare.model);
 		const step = await passSpare(spare, this.#outcomeOptions({server: spare.server, sentAt: this.#now()}));
 		return this.#follow(step, spare.server);
@@ -309,17 +286,12 @@
 
 	/** The time is too short for a better answer: the send in progress gives way to the one that is there. */
 	#useSpare(): void {
-		if (this.#spare !== undefined && !this.#answer.hasBegun) {
+		if (this.#spare.isKept) {
 			this.#isSpareDue = true;
 			this.#sent?.attempt.cancel();
 		}
 	}
 
-	#dropSpare(): void {
-		this.#spare?.received.message.destroy();
-		this.#spare = undefined;
-	}
-
 	/** The model that should answer in place of the one that did, as long as the caller has nothing of the answer. */
 	#largerModel({confidence}: AnswerHead, latency: number): ModelId | undefined {
 		if (this.#answer.hasBegun || this.#events.lastEventId !== undefined) {
--- a/packages/gateway/src/entry/take-outcome.ts
+++ b/packages/gateway/src/entry/take-outcome.ts
@@ -12,6 +12,7 @@
 import {type ModelSteps} from './model-steps.js';
 import {relayStream} from './relay-stream.js';
 import {type SendOutcome} from './send-attempt.js';
+import {type SpareStream} from './spare-answer.js';
 import {type ServerVerdicts} from './server-verdicts.js';
 
 /** What one send came to for its request, and what follows. */
@@ -33,16 +34,6 @@
 	/** All of the stream was passed on. */
 		| {readonly type: 'streamed'; readonly confidence: number | undefined};
 
-/** A stream of a smaller model that has begun: nothing of it was passed on, and it is kept until a better one has begun. */
-export type SpareStream = {
-	readonly server: ServerRecord;
-	readonly model: ModelId | undefined;
-	readonly received: ReceivedHead;
-	readonly head: AnswerHead;
-	/** The time to its head, in milliseconds. */
-	readonly latency: number;
-};
-
 /** What the outcome of a send concerns. */
 export type TakeOutcomeOptions = {
 	readonly context: EntryContext;
--- a/packages/gateway/src/servers/saved-servers.ts
+++ b/packages/gateway/src/servers/saved-servers.ts
@@ -11,7 +11,8 @@
 export type SavedServers = {
 	/** The records of the run before; none where there are none. */
 	readonly read: () => Promise<readonly ServerRecord[]>;
-	readonly write: (records: readonly ServerRecord[]) => Promise<void>;
+	/** Writes all records; tells whether the disk took them. */
+	readonly write: (records: readonly ServerRecord[]) => Promise<boolean>;
 };
 
 /** What the saving of servers needs. */
@@ -60,6 +61,7 @@
 			written.ifLeft(({message}) => {
 				log('servers-not-saved', {reason: message, servers: records.length}, 'warn');
 			});
+			return written.isRight();
 		},
 	};
 }
