--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -4,7 +4,7 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {
-	errorAnswers, type InstanceId, type ModelId, type ZoneId,
+	errorAnswers, type InstanceId, type ModelId, type ServerId, type ZoneId,
 } from '@valehitch/core';
 import {RetryWindow} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
@@ -67,7 +67,7 @@
 }
 
 /** A caller's requests, one after the other, through an instance that knows no server until `nextServers` says so. */
-async function askTimes(t: ExecutionContext, times: number, {nextServers, route = testRoute(), patience = 60_000}: AskOptions) {
+async function askTimes(t: ExecutionContext, times: number, {nextServers, route = testRoute(), patience = 60_000, inputTokens = 0, latencies}: AskOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore}});
 	const lease = new ConfigurationLease({duration: 60_000});
@@ -83,7 +83,7 @@
 		lease,
 		servers,
 		budget: new RetryWindow({share: 1, slack: 5}),
-		latencies: new LatencyBook(clock),
+		latencies: latencies ?? new LatencyBook(clock),
 		pins: new VersionPins({sessionMilliseconds: 5000}),
 		repeats: new RepeatBook(),
 		evidence: new EvidenceCounter({entry: control, run: 'one'}),
@@ -95,7 +95,7 @@
 		rolloutOf: () => undefined,
 		endsAt: () => undefined,
 	};
-	const request = testRequest({patience, choosesModel: route.sizes.length > 0});
+	const request = testRequest({patience, inputTokens, choosesModel: route.sizes.length > 0});
 	const authorized = authorizeRequest(request, {table, lease, now: clock.monotonic()}).unsafeCoerce();
 	const entry = await listen(t, (_message, response) => {
 		void new RequestRun(context, {
@@ -115,6 +115,10 @@
 	readonly route?: ReturnType<typeof testRoute>;
 	/** How long the caller waits, in milliseconds. */
 	readonly patience?: number;
+	/** The tokens of the prompt. */
+	readonly inputTokens?: number;
+	/** The times that are known; none unless given. */
+	readonly latencies?: LatencyBook;
 };
 
 async function askThrough(t: ExecutionContext, nextServers: (servers: EntryServers) => void, route = testRoute()) {
@@ -248,3 +252,32 @@
 	});
 	t.deepEqual(answers.map(({status, text}) => [status, text]), [[200, 'id: 1\ndata: small\n\n']]);
 });
+
+/** The requests that reach a server which takes a while for a prompt, where short prompts usually take 100 ms. */
+async function sendsOf(t: ExecutionContext, inputTokens: number): Promise<number> {
+	let sends = 0;
+	const port = await listen(t, (_message, response) => {
+		sends++;
+		setTimeout(() => {
+			response.writeHead(200, {Confidence: '95'});
+			response.end('id: 1\ndata: read\n\n');
+		}, 1400);
+	});
+	const latencies = new LatencyBook({monotonic: () => performance.now()});
+	latencies.note(`${modelRoute.id} small`, {milliseconds: 100, tokens: 1000});
+	const {answers} = await askTimes(t, 1, {
+		route: modelRoute,
+		inputTokens,
+		latencies,
+		nextServers(known) {
+			known.take(['server-1', 'server-2', 'server-3'].map(id => testServer({id: id as ServerId, port})), {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual(answers.map(({text}) => text), ['id: 1\ndata: read\n\n']);
+	return sends;
+}
+
+test('a long prompt is read by one server to its end, and a short one that waits there is sent elsewhere', async t => {
+	t.is(await sendsOf(t, 50_000), 1);
+	t.true(await sendsOf(t, 1000) > 1);
+});
