Find a kept answer broken whose connection ended before it was needed

Cause, found by reading the change: a stream that is kept unread emits its close before anyone listens, so that a request that fell back on it waited until its stall, or to its deadline where it cannot be resumed.

Change: such a stream is broken at once; no further send begins once the kept answer is due. Seen failing before: the new test got the deadline in place of the explicit failure.

--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -79,6 +79,12 @@
 
 		response.on('close', leave);
 		response.on('drain', goOn);
+		if (message.destroyed) {
+			// It was kept unread, and its connection ended meanwhile: nothing more comes of it, not even an end.
+			finish('broken');
+			return;
+		}
+
 		watch();
 		message.on('data', (chunk: Uint8Array) => {
 			onHeard();
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -281,3 +281,28 @@
 	t.is(await sendsOf(t, 50_000), 1);
 	t.true(await sendsOf(t, 1000) > 1);
 });
+
+test('a kept answer whose connection ends before it is needed is no answer, and the caller is told so', async t => {
+	const port = await listen(t, (message, response) => {
+		if (message.headers.model === 'large') {
+			setTimeout(() => {
+				response.writeHead(429).end();
+			}, 100);
+			return;
+		}
+
+		response.writeHead(200, {Confidence: '5'});
+		response.write('id: 1\ndata: sm');
+		setTimeout(() => {
+			message.socket.resetAndDestroy();
+		}, 20);
+	});
+	const {answers} = await askTimes(t, 1, {
+		route: {...modelRoute, isResumable: false},
+		patience: 5000,
+		nextServers(known) {
+			known.take([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual(answers.map(({status, text}) => [status, text]), [[502, 'outcome-unknown']]);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -131,6 +131,10 @@
 	}
 
 	async #send(): Promise<Next> {
+		if (this.#isSpareDue) {
+			return this.#giveUp(failure('deadline-exceeded-after-dispatch', `Got no better answer in time (${this.#end.lastProblem})`));
+		}
+
 		const authorized = authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
 		if (authorized.isLeft()) {
 			return this.#end.giveUp(authorized.extract());
@@ -269,7 +273,7 @@
 	/** Sends again where that is safe and something is left to send with, else answers. */
 	async #again(failed: Failure): Promise<Next> {
 		this.#end.lastProblem = failed.message;
-		return !this.#isSpareDue && this.#allowance.mayRepeat && this.#allowance.takeFurther() ? 'again' : this.#giveUp(failed);
+		return this.#allowance.mayRepeat && this.#allowance.takeFurther() ? 'again' : this.#giveUp(failed);
 	}
 
 	/** Passes on the answer of a smaller model where there is one, else says why there is none. */
