Bound what is remembered of subjects by what its window needs

A route kept up to 4,096 subjects though 30 s at the rate of one instance hold a thousand at the most; the head of an answer stands beside the send that brings it, so that two files no longer need each other's types.

--- a/packages/gateway/src/entry/model-steps.ts
+++ b/packages/gateway/src/entry/model-steps.ts
@@ -116,7 +116,11 @@
 		});
 	}
 
-	/** Goes back to the model of an answer that was kept. */
+	/**
+	Goes back to the model of an answer that was kept.
+
+	@param model The model.
+	*/
 	takeBack(model: ModelId | undefined): void {
 		this.#current = model;
 	}
--- a/packages/gateway/src/entry/repeat-book.ts
+++ b/packages/gateway/src/entry/repeat-book.ts
@@ -10,8 +10,8 @@
 	readonly now: number;
 };
 
-/** The most routes that are kept, the least recently used going first: each remembers up to some thousand subjects. */
-const maximumRoutes = 64;
+/** The most routes that are kept, the least recently used going first: few have prompts, and each remembers up to a thousand subjects. */
+const maximumRoutes = 32;
 
 /**
 How often the subjects of prompts repeat, by route.
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -46,6 +46,9 @@
 		| {readonly type: 'cancelled'}
 		| {readonly type: 'head'; readonly message: IncomingMessage; readonly isWhole: () => Promise<boolean>};
 
+/** The head of an answer, and whether its body is complete once it ended. */
+export type ReceivedHead = Omit<Extract<SendOutcome, {type: 'head'}>, 'type'>;
+
 /** A send in progress. */
 export type SentAttempt = {
 	readonly outcome: Promise<SendOutcome>;
--- a/packages/gateway/src/entry/spare-answer.ts
+++ b/packages/gateway/src/entry/spare-answer.ts
@@ -1,7 +1,7 @@
 import {type ModelId} from '@valehitch/core';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type AnswerHead} from './gateway-request.js';
-import {type ReceivedHead} from './take-outcome.js';
+import {type ReceivedHead} from './send-attempt.js';
 
 /** A stream of a smaller model that has begun: nothing of it was passed on. */
 export type SpareStream = {
--- a/packages/gateway/src/entry/take-outcome.ts
+++ b/packages/gateway/src/entry/take-outcome.ts
@@ -11,7 +11,7 @@
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {type ModelSteps} from './model-steps.js';
 import {relayStream} from './relay-stream.js';
-import {type SendOutcome} from './send-attempt.js';
+import {type ReceivedHead, type SendOutcome} from './send-attempt.js';
 import {type SpareStream} from './spare-answer.js';
 import {type ServerVerdicts} from './server-verdicts.js';
 
@@ -54,8 +54,6 @@
 	readonly chooseLarger: (head: AnswerHead, latency: number) => ModelId | undefined;
 };
 
-/** The head of an answer, and whether its body is complete once it ended. */
-export type ReceivedHead = Omit<Extract<SendOutcome, {type: 'head'}>, 'type'>;
 
 /** How many times the longest pause that is on time a stream may stall before it goes on elsewhere. */
 const stallFactor = 1;
--- a/packages/routing/src/repeat-share.ts
+++ b/packages/routing/src/repeat-share.ts
@@ -4,7 +4,7 @@
 export type RepeatShareOptions = {
 	/** The time for which a subject is remembered after its last request, in milliseconds; 30,000 by default, for which a server of usual size and traffic keeps a part of a prompt. */
 	readonly memoryMilliseconds?: number;
-	/** The most subjects that are remembered; 4096 by default. */
+	/** The most subjects that are remembered; 1024 by default: those of 30 s at 34 requests a second, some 100 KB. */
 	readonly maximumSubjects?: number;
 };
 
@@ -33,7 +33,7 @@
 	#repeats = initialRepeats;
 	#count = initialCount;
 
-	constructor({memoryMilliseconds = 30_000, maximumSubjects = 4096}: RepeatShareOptions = {}) {
+	constructor({memoryMilliseconds = 30_000, maximumSubjects = 1024}: RepeatShareOptions = {}) {
 		this.#memoryMilliseconds = memoryMilliseconds;
 		this.#seenAt = new RecentMap(maximumSubjects);
 	}
