--- a/packages/gateway/src/entry/take-outcome.ts
+++ b/packages/gateway/src/entry/take-outcome.ts
@@ -54,7 +54,6 @@
 	readonly chooseLarger: (head: AnswerHead, latency: number) => ModelId | undefined;
 };
 
-
 /** How many times the longest pause that is on time a stream may stall before it goes on elsewhere. */
 const stallFactor = 1;
 const firstServerError = 500;
