Say when the instance that holds a request's decisions gave no answer

Looped beside a load of five such tests, the test failed 1 of 15 times, with the members that each daemon knew logged: 3, 3 and 2. The third daemon knew all servers and the revision, the wait of the test deployment, but not yet the member whose mark the id bears. Ruled out: a lost record (the two others told it) and a link that did not open in time (that daemon asked nobody).

Change: the test deployment waits until each daemon knows all daemons too. Reading the path showed a fault beside it: an instance that gives no answer was passed over, so that its requests were told as served by nobody.

An instance that does not know the member at all still answers 404, as for any id that nobody gave out.

--- a/packages/daemon/src/operators/explain.ts
+++ b/packages/daemon/src/operators/explain.ts
@@ -1,14 +1,16 @@
 import {type ServerResponse} from 'node:http';
-import {failure, type RequestId, toId} from '@valehitch/core';
+import {type RequestId, toId} from '@valehitch/core';
 import {type DecisionRecord} from '@valehitch/routing';
 import {answerProblem} from '@valehitch/transport';
 import {answerJson} from '../answer-json.js';
 import {mayBeFrom} from '../entry/request-id.js';
+import {findDecisions} from './find-decisions.js';
 import {type OperatorContext} from './operator-context.js';
 
 /** Where the decisions of a request are asked for. */
 export const explainPath = '/v1/explain/';
 
+/** The most instances that are asked for one id: nearly never do two bear the same mark. */
 const mostAsked = 4;
 
 /**
@@ -24,26 +26,23 @@
 await answerExplain(response, '/v1/explain/REQUEST_ID', context);
 ```
 */
-export async function answerExplain(response: ServerResponse, pathname: string, context: OperatorContext): Promise<void> {
+export async function answerExplain(response: ServerResponse, pathname: string, {base: {network, self}, distribution, entry}: OperatorContext): Promise<void> {
 	const request = toId<RequestId>(pathname.slice(explainPath.length));
-	const found = context.entry.decisions.get(request) ?? await askOthers(request, context);
-	if (found === undefined) {
-		answerProblem(response, failure('not-found', `Got request ${request.slice(0, 64)}, wanted one that an instance served lately`));
-		return;
-	}
-
-	answerJson(response, found);
-}
-
-async function askOthers(request: RequestId, {base: {network, self}, distribution}: OperatorContext): Promise<DecisionRecord | undefined> {
 	const others = distribution.members().filter(({instance}) => instance !== self.instance && mayBeFrom(request, instance));
-	for (const other of others.slice(0, mostAsked)) {
-		const reply = await network.request(other, {scope: 'entry', type: 'explain', request});
-		const record = reply.toMaybe().extractNullable() as DecisionRecord | undefined;
-		if (record) {
-			return record;
-		}
-	}
-
-	return undefined;
+	const found = await findDecisions(request, {
+		own: entry.decisions.get(request),
+		others: others.slice(0, mostAsked),
+		async ask(other) {
+			const reply = await network.request(other, {scope: 'entry', type: 'explain', request});
+			return reply.map(record => (record ?? undefined) as DecisionRecord | undefined);
+		},
+	});
+	found.caseOf({
+		Left(failed) {
+			answerProblem(response, failed);
+		},
+		Right(record) {
+			answerJson(response, record);
+		},
+	});
 }
--- a/packages/testing/src/deployment.ts
+++ b/packages/testing/src/deployment.ts
@@ -28,13 +28,13 @@
 });
 const ledgerSchema = z.object({bills: z.array(billSchema), next: z.number().nullish()});
 const statusSchema = z.looseObject({
-	instance: z.string(), revision: z.number(), servers: z.array(z.looseObject({server: z.string()})),
+	instance: z.string(), revision: z.number(), servers: z.array(z.looseObject({server: z.string()})), members: z.number(),
 	traffic: z.object({bytesSent: z.number(), bytesReceived: z.number()}).optional(),
 });
 const committedSchema = z.object({revision: z.number()});
 
 /**
-Starts daemons and fakes as processes, applies a configuration, and waits until every daemon knows it and all servers.
+Starts daemons and fakes as processes, applies a configuration, and waits until every daemon knows it, all servers and all daemons.
 
 @param options What to start.
 @returns The running deployment; the caller stops it.
@@ -103,7 +103,7 @@
 		await Promise.all(this.daemons.map(async daemon => this.waitUntilHealthy(daemon)));
 		const revision = await this.apply(configuration);
 		const servers = this.backends.map(({server}) => server);
-		await Promise.all(this.daemons.map(async daemon => this.waitUntilReady(daemon, {revision, servers})));
+		await Promise.all(this.daemons.map(async daemon => this.waitUntilReady(daemon, {revision, servers, members: this.daemons.length})));
 	}
 
 	/**
@@ -147,22 +147,22 @@
 	}
 
 	/**
-	Waits until a daemon knows a revision and servers.
+	Waits until a daemon knows a revision, servers and members.
 
 	@param daemon The daemon.
-	@param wanted The least revision, and the servers.
+	@param wanted The least revision, the servers, and the least number of members, none by default.
 	*/
-	async waitUntilReady(daemon: RunningDaemon, wanted: {readonly revision: number; readonly servers: readonly string[]}): Promise<void> {
+	async waitUntilReady(daemon: RunningDaemon, wanted: {readonly revision: number; readonly servers: readonly string[]; readonly members?: number}): Promise<void> {
 		await waitUntil(async () => {
 			const status = await this.status(daemon);
 			const known = new Set(status.servers.map(({server}) => server));
 			const missing = wanted.servers.filter(server => !known.has(server));
-			if (status.revision < wanted.revision || missing.length > 0) {
-				throw new Error(`Got revision ${status.revision} without the servers ${missing.join(', ') || 'none'}`);
+			if (status.revision < wanted.revision || missing.length > 0 || status.members < (wanted.members ?? 0)) {
+				throw new Error(`Got revision ${status.revision} and ${status.members} members without the servers ${missing.join(', ') || 'none'}`);
 			}
 
 			return true;
-		}, this.#wait(`${daemon.instance} to know revision ${wanted.revision} and all servers`));
+		}, this.#wait(`${daemon.instance} to know revision ${wanted.revision}, all servers and members`));
 	}
 
 	/**
