--- a/packages/soak/src/inflict-fault.ts
+++ b/packages/soak/src/inflict-fault.ts
@@ -1,6 +1,6 @@
 import {rm, writeFile} from 'node:fs/promises';
 import {setTimeout as elapsed} from 'node:timers/promises';
-import {type PlatformDeployment, type PlatformMember} from '@valehitch/testing';
+import {catchesSignal, type PlatformDeployment, type PlatformMember} from '@valehitch/testing';
 import {match, P} from 'ts-pattern';
 import {type Fault, type FaultKind} from './plan-faults.js';
 import {misbehaviourFile} from './soak-environment.js';
@@ -27,6 +27,8 @@
 const delayMilliseconds = 400;
 /** The time in which a process reads its settings for the first time, with room for a busy machine. */
 const startMilliseconds = 2000;
+/** The time between two looks whether a process listens: short, so that the signal comes early in its start. */
+const listenPollMilliseconds = 2;
 
 /**
 Inflicts one fault and heals it after its time.
@@ -74,7 +76,7 @@
 		.with('clock-step', async () => misbehave(misbehaviourFile(any.folder, 'clock'), {text: '', duration}))
 		.with('settings', async () => {
 			await any.writeSettings({isFounding: false, seeds: [control.address]});
-			any.process.signal('SIGHUP');
+			await reload(any);
 			await elapsed(duration);
 			await any.writeSettings({isFounding: false});
 		})
@@ -85,7 +87,7 @@
 			}
 
 			await any.removeSettings();
-			any.process.signal('SIGHUP');
+			await reload(any);
 			await elapsed(duration);
 			await any.writeSettings({isFounding: false});
 		})
@@ -125,6 +127,19 @@
 	process.start();
 }
 
+/**
+Asks a process to read its settings again, as soon as it listens.
+
+While the runtime itself starts, before any code of the program, no program can listen and the signal ends it; beside a load of 45 on 8 cores that lasted 0.5 to 0.7 s. That the program listens before it loads anything else is a test of its own (start-signals.test.ts).
+*/
+async function reload({process}: PlatformMember): Promise<void> {
+	while (process.pid !== undefined && !(await catchesSignal(process.pid, 'SIGHUP'))) {
+		await elapsed(listenPollMilliseconds);
+	}
+
+	process.signal('SIGHUP');
+}
+
 type Harm = {
 	readonly links: ReadonlyArray<{readonly from: string | undefined; readonly to: string | undefined}>;
 	readonly duration: number;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -104,7 +104,7 @@
 			record.unrecovered.push(entry);
 		});
 		record.finalVersion = await readLast(operator, addresses);
-		record.ends.push(...deployment.members.filter(({process}) => !process.isRunning).map(({name}) => `${name} does not run at the end`));
+		record.ends.push(...deployment.members.filter(({process}) => !process.isRunning).map(member => describeEnd(member)));
 	} finally {
 		callers.close();
 		servers.close();
@@ -115,6 +115,12 @@
 	return {faults, record, broken: findBrokenPromises(record, bounds)};
 }
 
+/** How a process that should run ended, so that a fault that still holds it down is told from an end of its own. */
+function describeEnd({name, process: {lastEnd}}: PlatformMember): string {
+	const {code, signal, runtime} = lastEnd ?? {};
+	return `${name} does not run at the end: ended by ${signal ?? `code ${code ?? 'unknown'}`} after ${Math.round(runtime ?? 0)} ms`;
+}
+
 async function protect(members: readonly PlatformMember[], network: SoakNetwork): Promise<void> {
 	for (const {ip} of members) {
 		await network.protect({host: ip, port: proxyPorts.proxied, target: {host: ip, port: proxyPorts.peers}});
--- a/packages/testing/src/entry-failures.test.ts
+++ b/packages/testing/src/entry-failures.test.ts
@@ -45,6 +45,7 @@
 	const whole = results.filter(({done}) => done);
 	t.true(whole.length > 0);
 	const requests = results.map(({requestId, problem}) => requestId === '' ? String(problem?.requestId) : requestId);
+	t.log(JSON.stringify(results));
 	const bills = await entry.bills(requests);
 	t.deepEqual(sorted(bills.map(({request}) => request)), sorted(requests));
 	const resumed = bills.filter(({lines}) => (lines as ReadonlyArray<{readonly purpose: string}>).some(({purpose}) => purpose === 'resume'));
--- a/packages/testing/src/managed-process.ts
+++ b/packages/testing/src/managed-process.ts
@@ -20,6 +20,9 @@
 	readonly signal: string | undefined;
 };
 
+/** How a process ended, and after how many milliseconds. */
+export type LastEnd = ProcessEnd & {readonly runtime: number};
+
 const defaultStopMilliseconds = 20_000;
 const runningChildren = new Set<ChildProcess>();
 
@@ -49,6 +52,7 @@
 	#child: ChildProcess | undefined;
 	#ended: Promise<ProcessEnd> | undefined;
 	#startedAt = 0;
+	#lastEnd: LastEnd | undefined;
 
 	constructor({name, command, logFile, environment = {}}: ManagedProcessOptions) {
 		this.name = name;
@@ -71,6 +75,11 @@
 		return this.#child !== undefined;
 	}
 
+	/** How it ended the last time; undefined before. */
+	get lastEnd(): LastEnd | undefined {
+		return this.#lastEnd;
+	}
+
 	/** Starts the process; does nothing while it runs. */
 	start(): void {
 		if (this.#child) {
@@ -133,6 +142,8 @@
 		log.end();
 		runningChildren.delete(child);
 		this.#child = undefined;
-		return {code: code ?? undefined, signal: signal ?? undefined};
+		const end = {code: code ?? undefined, signal: signal ?? undefined};
+		this.#lastEnd = {...end, runtime: performance.now() - this.#startedAt};
+		return end;
 	}
 }
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -5,6 +5,7 @@
 */
 export * from './announcer.js';
 export * from './behaviour.js';
+export * from './catches-signal.js';
 export * from './deployment.js';
 export * from './fake-answer.js';
 export * from './fake-engine.js';
--- a/packages/testing/src/wait-until.ts
+++ b/packages/testing/src/wait-until.ts
@@ -16,7 +16,7 @@
 @param look Gives what is waited for, or undefined; an error counts as undefined.
 @param options How long, and for what.
 @returns What `look` gave.
-@throws When the time is over, with the last error as the cause.
+@throws When the time is over, with the last error as the cause and its message in the own one, since not every reporter shows causes.
 @example
 ```ts
 await waitUntil(async () => await isHealthy() || undefined, {what: 'a healthy daemon'});
@@ -42,5 +42,6 @@
 		}
 	}
 
-	throw new Error(`Waited in vain for ${options.what}`, {cause});
+	const detail = cause instanceof Error ? ` (${cause.message})` : '';
+	throw new Error(`Waited in vain for ${options.what}${detail}`, {cause});
 }
