Split the start of a send from the run of a request, and time the kept answer only where there is one

No decision changes, but for one edge: a step that begins within the last 200 ms before the deadline now ends with the kept answer too, which the timer of the whole request had missed.

--- a/packages/gateway/src/entry/await-first-server.ts
+++ b/packages/gateway/src/entry/await-first-server.ts
@@ -19,10 +19,10 @@
 
 @param context What tells of servers.
 @param options The request.
-@returns Whether servers came or changed in time.
+@returns Whether it waited, until servers came or changed or the wait ran out; false where it has waited or tried one before.
 @example
 ```ts
-const hasNews = await awaitFirstServer(context, {allowance, arrivedAt, deadlineAt});
+const hasWaited = await awaitFirstServer(context, {allowance, arrivedAt, deadlineAt});
 ```
 */
 export async function awaitFirstServer({clock, nextServers}: Pick<EntryContext, 'clock' | 'nextServers'>, {allowance, arrivedAt, deadlineAt}: AwaitFirstServerOptions): Promise<boolean> {
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -92,8 +92,10 @@
 		}
 
 		const {repeats, clock} = this.#context;
+		const repeatsOnRoute = repeats.of(this.#route.id);
+		repeatsOnRoute.note(last.id, clock.monotonic());
 		const sharedTokens = this.#shared.reduce((sum, {tokens}) => sum + tokens, 0);
-		return chooseHomeScope({sharedTokens, repeatShare: repeats.note(this.#route.id, {subject: last.id, now: clock.monotonic()}), bytes});
+		return chooseHomeScope({sharedTokens, repeatShare: repeatsOnRoute.share, bytes});
 	}
 
 	/** What the prompt has in common with others on the model; each model has a cache of its own. */
--- a/packages/gateway/src/entry/repeat-book.ts
+++ b/packages/gateway/src/entry/repeat-book.ts
@@ -2,14 +2,6 @@
 import {RepeatShare} from '@valehitch/routing';
 import {type RouteId} from '../configuration/routing-configuration.js';
 
-/** The request that is counted. */
-export type NoteRepeatOptions = {
-	/** What its prompt is about. */
-	readonly subject: string;
-	/** Milliseconds on the monotonic clock. */
-	readonly now: number;
-};
-
 /** The most routes that are kept, the least recently used going first: few have prompts, and each remembers up to a thousand subjects. */
 const maximumRoutes = 32;
 
@@ -19,22 +11,19 @@
 @example
 ```ts
 const repeats = new RepeatBook();
-const share = repeats.note(route.id, {subject: '5c1e07a2', now});
+repeats.of(route.id).note('5c1e07a2', now);
 ```
 */
 export class RepeatBook {
 	readonly #shares = new RecentMap<RouteId, RepeatShare>(maximumRoutes);
 
 	/**
-	Counts a request.
+	The repeats on a route.
 
-	@param route Its route.
-	@param options What it is about, and when it came.
-	@returns The share of the route's requests whose subject was known, from 0 to 1.
+	@param route The route.
+	@returns Its counts, which count further requests too.
 	*/
-	note(route: RouteId, {subject, now}: NoteRepeatOptions): number {
-		const repeats = this.#shares.touch(route, () => new RepeatShare());
-		repeats.note(subject, now);
-		return repeats.share;
+	of(route: RouteId): RepeatShare {
+		return this.#shares.touch(route, () => new RepeatShare());
 	}
 }
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,7 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
 import {match} from 'ts-pattern';
-import {type Route} from '../configuration/routing-configuration.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
 import {awaitFirstServer} from './await-first-server.js';
@@ -13,14 +12,12 @@
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {ModelSteps} from './model-steps.js';
 import {Placement} from './placement.js';
-import {reachServer} from './reach-server.js';
 import {type Next, RequestEnd} from './request-end.js';
 import {SendAllowance} from './send-allowance.js';
-import {
-	type SendOutcome, type SentAttempt, sendAttempt, type SilenceBounds,
-} from './send-attempt.js';
+import {type SentAttempt} from './send-attempt.js';
 import {ServerVerdicts} from './server-verdicts.js';
 import {SpareAnswer} from './spare-answer.js';
+import {startSend} from './start-send.js';
 import {
 	type OutcomeStep, passSpare, takeOutcome, type TakeOutcomeOptions,
 } from './take-outcome.js';
@@ -35,19 +32,8 @@
 	readonly arrivedAt: number;
 };
 
-/** A connection within a region opens in a few milliseconds; one that takes longer than this, or than the whole answer should, is not going to. */
-const connectTimeoutMilliseconds = 400;
-/** A server that is at work takes a connection within some milliseconds; a lost opening packet is repeated only after a second. */
-const reachMilliseconds = 200;
-/** The time before the end of a request at which the answer of a smaller model that is there is passed on, in milliseconds: it was generated meanwhile, and a caller behind slow links still gets it. */
-const spareMilliseconds = 200;
 /** The time after which a place should be free again, for a request that no server took. */
 const retryMilliseconds = 250;
-/** A deadline is passed on shorter by the way back, in milliseconds. */
-const wayBackMilliseconds = 5;
-/** The highest number of an urgency that a server takes. */
-const leastUrgent = 9;
-
 /**
 Carries one request through: chooses servers and models, sends, sends again where that is safe, and answers exactly once.
 
@@ -70,9 +56,7 @@
 	readonly #allowance: SendAllowance;
 	readonly #authorized: AuthorizedRequest;
 	readonly #end: RequestEnd;
-	readonly #spare = new SpareAnswer();
-	/** Whether there is no time for a better answer than the spare one. */
-	#isSpareDue = false;
+	readonly #spare: SpareAnswer;
 	/** The send in progress, or the last one. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
 
@@ -95,6 +79,13 @@
 		this.#end = new RequestEnd(context, {
 			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models,
 		});
+		this.#spare = new SpareAnswer({
+			clock: context.clock,
+			deadlineAt: this.#deadlineAt,
+			onDue: () => {
+				this.#sent?.attempt.cancel();
+			},
+		});
 	}
 
 	/** Runs the request to its answer. */
@@ -102,9 +93,6 @@
 		const timer = setTimeout(() => {
 			this.#expire();
 		}, this.#deadlineAt - this.#now());
-		const spareTimer = setTimeout(() => {
-			this.#useSpare();
-		}, this.#deadlineAt - this.#now() - spareMilliseconds);
 		const leave = (): void => {
 			this.#leave();
 		};
@@ -117,21 +105,16 @@
 		}
 
 		clearTimeout(timer);
-		clearTimeout(spareTimer);
 		this.#spare.drop();
 		this.#answer.response.off('close', leave);
 	}
 
-	get #route(): Route {
-		return this.#authorized.route;
-	}
-
 	#now(): number {
 		return this.#context.clock.monotonic();
 	}
 
 	async #send(): Promise<Next> {
-		if (this.#isSpareDue) {
+		if (this.#spare.isDue) {
 			return this.#giveUp(failure('deadline-exceeded-after-dispatch', `Got no better answer in time (${this.#end.lastProblem})`));
 		}
 
@@ -141,68 +124,46 @@
 		}
 
 		const server = this.#placement.choose(this.#models.current);
-		if (server === undefined && await awaitFirstServer(this.#context, {allowance: this.#allowance, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt})) {
-			return 'again';
+		if (server !== undefined) {
+			return this.#sendTo(server, authorized.unsafeCoerce());
 		}
 
-		if (server === undefined) {
-			const message = `Got no server of ${this.#placement.service} that takes the request (${this.#end.lastProblem}), wanted one`;
-			return this.#giveUp(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
+		if (await awaitFirstServer(this.#context, {allowance: this.#allowance, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt})) {
+			return 'again';
 		}
 
-		return this.#sendTo(server, authorized.unsafeCoerce());
+		const message = `Got no server of ${this.#placement.service} that takes the request (${this.#end.lastProblem}), wanted one`;
+		return this.#giveUp(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
 	}
 
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<Next> {
-		const {dialect, servers, log, metrics} = this.#context;
 		const sentAt = this.#now();
-		const attempt = sendAttempt({
-			server,
-			method: this.#request.method,
-			target: this.#request.target,
-			headers: dialect.sendHeaders(this.#request, {
-				server: server.id,
-				model: this.#models.current,
-				patience: Math.max(1, Math.floor(this.#deadlineAt - sentAt - wayBackMilliseconds)),
-				workspace: authorized.workspace?.id,
-				urgency: Math.min(leastUrgent, authorized.workspace?.priority ?? authorized.route.priority),
-				lastEventId: this.#events.lastEventId,
-				keepsConnection: this.#allowance.mayRepeat,
-			}),
+		const attempt = startSend(this.#context, {
+			request: this.#request,
 			body: this.#body,
-			mayReuse: this.#allowance.mayRepeat,
-			connectTimeout: Math.min(connectTimeoutMilliseconds, this.#route.targetLatency),
-			silence: this.#silence(server),
+			server,
+			authorized,
+			models: this.#models,
+			allowance: this.#allowance,
+			arrivedAt: this.#arrivedAt,
+			deadlineAt: this.#deadlineAt,
+			lastEventId: this.#events.lastEventId,
 		});
 		this.#sent = {attempt, server};
-		this.#allowance.begin();
-		const load = servers.begin(server.id, this.#models.work);
-		log('request-dispatched', {
-			request: this.#request.id,
-			server: server.id,
-			version: server.version,
-			model: this.#models.current,
-			send: this.#allowance.sends,
-			age: Math.round(sentAt - this.#arrivedAt),
-			resumeAfter: this.#events.lastEventId,
-		});
+		const load = this.#context.servers.begin(server.id, this.#models.work);
 		const outcome = await attempt.outcome;
-		const step = await this.#takeOutcome(outcome, {server, sentAt, load});
+		const step = await takeOutcome(outcome, this.#outcomeOptions({server, sentAt, load}));
 		const next = await this.#follow(step, server);
 		load.end();
-		metrics.attempts.inc({result: outcome.type});
+		this.#context.metrics.attempts.inc({result: outcome.type});
 		return next;
 	}
 
-	async #takeOutcome(outcome: SendOutcome, sentTo: SentTo): Promise<OutcomeStep> {
-		return takeOutcome(outcome, this.#outcomeOptions(sentTo));
-	}
-
 	#outcomeOptions({server, sentAt, load}: SentTo): TakeOutcomeOptions {
 		return {
 			context: this.#context,
 			request: this.#request,
-			route: this.#route,
+			route: this.#authorized.route,
 			models: this.#models,
 			verdicts: this.#verdicts,
 			answer: this.#answer,
@@ -288,14 +249,6 @@
 		return this.#follow(step, spare.server);
 	}
 
-	/** The time is too short for a better answer: the send in progress gives way to the one that is there. */
-	#useSpare(): void {
-		if (this.#spare.isKept) {
-			this.#isSpareDue = true;
-			this.#sent?.attempt.cancel();
-		}
-	}
-
 	/** The model that should answer in place of the one that did, as long as the caller has nothing of the answer. */
 	#largerModel({confidence}: AnswerHead, latency: number): ModelId | undefined {
 		if (this.#answer.hasBegun || this.#events.lastEventId !== undefined) {
@@ -306,21 +259,6 @@
 		return larger !== undefined && this.#allowance.takeFurther() ? larger : undefined;
 	}
 
-	/** The last send that is allowed waits as long as the caller does. */
-	#silence(server: ServerRecord): SilenceBounds | undefined {
-		if (!this.#allowance.mayRepeat || this.#allowance.isNextLast) {
-			return undefined;
-		}
-
-		const {servers} = this.#context;
-		const heardBefore = servers.heardAt(server.id);
-		return {
-			...this.#models.silence,
-			isHeard: () => servers.heardAt(server.id) !== heardBefore,
-			isReached: async () => reachServer(server, reachMilliseconds),
-		};
-	}
-
 	#expire(): void {
 		if (this.#end.isOver) {
 			return;
--- a/packages/gateway/src/entry/spare-answer.ts
+++ b/packages/gateway/src/entry/spare-answer.ts
@@ -1,4 +1,4 @@
-import {type ModelId} from '@valehitch/core';
+import {type Clock, type ModelId} from '@valehitch/core';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type AnswerHead} from './gateway-request.js';
 import {type ReceivedHead} from './send-attempt.js';
@@ -13,22 +13,41 @@
 	readonly latency: number;
 };
 
+/** Until when an answer is kept, and what then happens. */
+export type SpareAnswerOptions = {
+	readonly clock: Pick<Clock, 'monotonic'>;
+	/** When the request ends, in milliseconds on the monotonic clock. */
+	readonly deadlineAt: number;
+	/** Called once when there is no time left for a better answer than the one that is kept. */
+	readonly onDue: () => void;
+};
+
+/** The time before the end of a request at which a kept answer is passed on, in milliseconds: it was generated meanwhile, and a caller behind slow links still gets it. */
+const passOnMilliseconds = 200;
+
 /**
-Keeps the answer of a smaller model, unread, until a better one has begun.
+Keeps the answer of a smaller model, unread, until a better one has begun or there is no time left for one.
 
 @example
 ```ts
-const spare = new SpareAnswer();
+const spare = new SpareAnswer({clock, deadlineAt, onDue});
 spare.keep(stream);
 const stream = spare.take(); // where no better one comes
 ```
 */
 export class SpareAnswer {
+	readonly #options: SpareAnswerOptions;
 	#stream: SpareStream | undefined;
+	#timer: NodeJS.Timeout | undefined;
+	#isDue = false;
+
+	constructor(options: SpareAnswerOptions) {
+		this.#options = options;
+	}
 
-	/** Whether there is an answer. */
-	get isKept(): boolean {
-		return this.#stream !== undefined;
+	/** Whether there is no time left for a better answer than the one that was kept. */
+	get isDue(): boolean {
+		return this.#isDue;
 	}
 
 	/**
@@ -37,7 +56,12 @@
 	@param stream The answer.
 	*/
 	keep(stream: SpareStream): void {
+		const {clock, deadlineAt, onDue} = this.#options;
 		this.#stream = stream;
+		this.#timer ??= setTimeout(() => {
+			this.#isDue = true;
+			onDue();
+		}, Math.max(0, deadlineAt - passOnMilliseconds - clock.monotonic()));
 	}
 
 	/**
@@ -46,6 +70,8 @@
 	@returns The answer, or undefined where there is none.
 	*/
 	take(): SpareStream | undefined {
+		clearTimeout(this.#timer);
+		this.#timer = undefined;
 		const stream = this.#stream;
 		this.#stream = undefined;
 		return stream;
