--- a/packages/routing/src/_start-attempt.ts
+++ b/packages/routing/src/_start-attempt.ts
@@ -58,13 +58,16 @@
 	});
 }
 
+/** What to say when the request is given up on, and why the next attempt is made; by default as its state says. */
+export type TryAgainOptions = GiveUpOptions & {readonly purpose?: AttemptPurpose};
+
 /**
 Tries again after an attempt came to nothing, where another is live, allowed and safe; else gives up.
 
 @param change The step.
-@param options What to say when the request is given up on.
+@param options What follows.
 */
-export function tryAgain(change: RequestChange, options: GiveUpOptions): void {
+export function tryAgain(change: RequestChange, {purpose, ...options}: TryAgainOptions): void {
 	if (change.live.length > 0) {
 		return;
 	}
@@ -79,7 +82,7 @@
 		return;
 	}
 
-	startAttempt(change, purposeOfNext(change));
+	startAttempt(change, purpose ?? purposeOfNext(change));
 }
 
 /**
--- a/packages/routing/src/_take-attempt-event.ts
+++ b/packages/routing/src/_take-attempt-event.ts
@@ -52,7 +52,7 @@
 			takeDenial(change, {attempt, event: denied});
 		})
 		.with({type: 'attempt-never-sent'}, () => {
-			takeNotRun(change, {attempt, retryAfterMilliseconds: defaultRetryAfterMilliseconds});
+			takeNeverSent(change, attempt);
 		})
 		.with({type: 'attempt-not-run'}, ({retryAfterMilliseconds}) => {
 			takeNotRun(change, {attempt, retryAfterMilliseconds: retryAfterMilliseconds ?? defaultRetryAfterMilliseconds});
@@ -149,6 +149,17 @@
 	readonly retryAfterMilliseconds: number;
 };
 
+/** Nothing was sent, so that the next attempt costs no server more than the first and is no retry: with an empty budget of retries, a caller would be refused for a server that had just ended while another one is free. */
+function takeNeverSent(change: RequestChange, attempt: AttemptState): void {
+	change.setAttempt(attempt.number, {status: 'over', outcome: 'notRun'});
+	passOver(change, attempt);
+	tryAgain(change, {
+		message: 'Got no connection to any server that was tried',
+		retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+		...(attempt.purpose === 'first' && {purpose: 'first'}),
+	});
+}
+
 function takeNotRun(change: RequestChange, {attempt, retryAfterMilliseconds}: NotRun): void {
 	if (attempt.outcome === 'ran') {
 		takeFailure(change, {attempt, message: 'Got the word that the request did not run from a server that had begun its answer'});
--- a/packages/routing/src/request-life.test.ts
+++ b/packages/routing/src/request-life.test.ts
@@ -1,7 +1,10 @@
+import {type ServerId} from '@valehitch/core';
 import test from 'ava';
 import fc from 'fast-check';
 import {targets} from './_test-book.js';
 import {World} from './_test-world.js';
+import {type RequestEvent} from './request-event.js';
+import {startRequest, stepRequest} from './request-life.js';
 import {type RequestPlan} from './request-plan.js';
 
 const seed = 20_261_202;
@@ -52,3 +55,24 @@
 		t.true((endings.get(ending) ?? 0) > leastOfEach, `Got too few requests that ended with ${ending}`);
 	}
 });
+
+const server = 'engine-1' as ServerId;
+const plainPlan: RequestPlan = {
+	target: targets[0]!, session: 'none', repeatable: false, claimed: false, streamed: false, judged: false, deadline: 1000, promptTokens: 7,
+};
+
+/** What a request asks for after some events. */
+function askedAfter(events: readonly RequestEvent[]) {
+	let step = startRequest(plainPlan);
+	for (const event of events) {
+		step = stepRequest(step.state, {event, now: 1});
+	}
+
+	return step.actions.filter(({type}) => type === 'choose-server');
+}
+
+test('a request whose connection never opened goes to another server as its first attempt, and one that a server did not run as a retry', t => {
+	const begun: readonly RequestEvent[] = [{type: 'admitted'}, {type: 'bill-opened'}, {type: 'server-chosen', attempt: 1, server}];
+	t.like(askedAfter([...begun, {type: 'attempt-never-sent', attempt: 1}]), [{attempt: 2, purpose: 'first', excluded: [server]}]);
+	t.like(askedAfter([...begun, {type: 'attempt-not-run', attempt: 1}]), [{attempt: 2, purpose: 'retry', excluded: [server]}]);
+});
