--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -5,6 +5,7 @@
 import {Explain} from './commands/explain.js';
 import {Get} from './commands/get.js';
 import {Ledger} from './commands/ledger.js';
+import {Losses} from './commands/losses.js';
 import {Rollout} from './commands/rollout.js';
 import {Status} from './commands/status.js';
 import {Timeline} from './commands/timeline.js';
@@ -20,6 +21,7 @@
 	readonly explain: typeof Explain;
 	readonly get: typeof Get;
 	readonly ledger: typeof Ledger;
+	readonly losses: typeof Losses;
 	readonly rollout: typeof Rollout;
 	readonly status: typeof Status;
 	readonly timeline: typeof Timeline;
@@ -33,6 +35,7 @@
 	explain: Explain,
 	get: Get,
 	ledger: Ledger,
+	losses: Losses,
 	rollout: Rollout,
 	status: Status,
 	timeline: Timeline,
--- a/packages/cli/src/commands/trace.ts
+++ b/packages/cli/src/commands/trace.ts
@@ -1,9 +1,7 @@
-import {readFile} from 'node:fs/promises';
 import {Args} from '@oclif/core';
 import {failure} from '@valehitch/core';
-import {EitherAsync} from 'purify-ts';
 import {OperatorCommand} from '../_operator-command.js';
-import {type Decision, readDecisions} from '../trace/_decision.js';
+import {readDecisionFiles} from '../trace/_read-decision-files.js';
 import {tellRequest} from '../trace/_tell-request.js';
 
 /** Tells what happened to one request of a gateway, from the logs of its instances. */
@@ -25,11 +23,10 @@
 	*/
 	async run(): Promise<readonly string[]> {
 		const {argv, args} = await this.parse(Trace);
-		const decisions: Decision[] = [];
-		for (const file of argv.slice(1)) {
-			decisions.push(...await this.#readFile(String(file)));
-		}
-
+		const read = await readDecisionFiles(argv.slice(1).map(String), (file, lines) => {
+			this.logToStderr(`${file}: ${lines} lines could not be read`);
+		});
+		const decisions = this.unwrap(read);
 		const story = tellRequest(args.request, decisions);
 		if (story.length === 0) {
 			this.fail(failure('not-found', `Got no line about request ${args.request} in ${argv.length - 1} files, wanted the logs of the instance that took it`));
@@ -41,14 +38,4 @@
 
 		return story;
 	}
-
-	async #readFile(file: string): Promise<readonly Decision[]> {
-		const text = await EitherAsync<Error, string>(async () => readFile(file, 'utf8')).run();
-		const {decisions, unreadable} = readDecisions(this.unwrap(text.mapLeft(({message}) => failure('not-found', `Got an error (${message}), wanted a log file that can be read`))));
-		if (unreadable > 0) {
-			this.logToStderr(`${file}: ${unreadable} lines could not be read`);
-		}
-
-		return decisions;
-	}
 }
