--- a/packages/testing/src/entry-failures.test.ts
+++ b/packages/testing/src/entry-failures.test.ts
@@ -35,6 +35,7 @@
 	t.true(victim);
 	await entry.backend('engine-1').process.kill('SIGKILL');
 	const results = await Promise.all(answers);
+	t.log(JSON.stringify(results));
 	for (const [index, result] of results.entries()) {
 		const expected = wholeAnswer(texts[index]!);
 		// A stream that had not begun when the engine died fails with a status and the problem alone.
@@ -47,7 +48,6 @@
 	// A request that provably did not run has no bill, and all others have one.
 	const ran = results.filter(({problem}) => problem?.outcome !== 'notRun');
 	const requests = ran.map(({requestId, problem}) => requestId === '' ? String(problem?.requestId) : requestId);
-	t.log(JSON.stringify(results));
 	const bills = await entry.bills(requests);
 	t.deepEqual(sorted(bills.map(({request}) => request)), sorted(requests));
 	const resumed = bills.filter(({lines}) => (lines as ReadonlyArray<{readonly purpose: string}>).some(({purpose}) => purpose === 'resume'));
