Judge decisions over emulated loads of all three customers

Change: packages/testing/src/emulator: an engine in simulated time (batches, prompts read in chunks beside the answers in progress, parts of prompts kept by model with the least recently used going first, bounded queue, models with pace and ability), loads drawn at random from figures in the manner of the three sheets (weight, mix, engines that stop or turn slow), and callers and entry instances that decide by the gateway's own modules. npm run bench:decisions prints what callers get under eight policies. The gateway's door hands out the modules that it plays. Ruled out: loads and decisions from one source of random numbers; the first version had that, and each policy met other requests. Not in it: requests that are put back for want of memory, streams after their first token, crossing prices, admission.

--- /dev/null
+++ b/packages/testing/src/bin/bench-decisions.ts
@@ -0,0 +1,70 @@
+/**
+Compares policies over emulated loads of the three customers, drawn at random: `node bench-decisions.js [LOADS] [SECONDS] [TIMES]`; TIMES multiplies entry instances, engines and requests.
+
+@module
+*/
+import process from 'node:process';
+import {seededRandom} from '../_seeded-random.js';
+import {customerSheets} from '../emulator/customers.js';
+import {type CustomerSheet, drawLoad} from '../emulator/load-shape.js';
+import {type LoadResult, playLoad} from '../emulator/play-load.js';
+import {comparedPolicies} from '../emulator/policies.js';
+
+const [loads, seconds, times] = [process.argv[2] ?? 10, process.argv[3] ?? 20, process.argv[4] ?? 1].map(Number);
+const firstSeed = 20_261_202;
+const seedStep = 104_729;
+
+function grown({entries, engines, calmRequestsPerSecond, ...sheet}: CustomerSheet, factor: number): CustomerSheet {
+	return {
+		...sheet, entries: entries * factor, engines: engines * factor, calmRequestsPerSecond: calmRequestsPerSecond * factor,
+	};
+}
+
+function percent(count: number, {requests}: LoadResult): string {
+	return `${(100 * count / requests).toFixed(1)} %`;
+}
+
+function addUp(results: readonly LoadResult[]): LoadResult {
+	const sum = {
+		requests: 0, good: 0, late: 0, tooHard: 0, lost: 0, sends: 0, tokensRead: 0, tokensKept: 0,
+	};
+	for (const result of results) {
+		for (const name of Object.keys(sum) as Array<keyof LoadResult>) {
+			sum[name] += result[name];
+		}
+	}
+
+	return sum;
+}
+
+/** The share of good answers of single loads: its mean, and how far it scatters. */
+function spread(results: readonly LoadResult[]): string {
+	const shares = results.map(({good, requests}) => 100 * good / requests);
+	const mean = shares.reduce((sum, share) => sum + share, 0) / shares.length;
+	const variance = shares.reduce((sum, share) => sum + ((share - mean) ** 2), 0) / shares.length;
+	return `${mean.toFixed(1)} ± ${Math.sqrt(variance).toFixed(1)}`;
+}
+
+for (const [customer, sheet] of Object.entries(customerSheets)) {
+	console.log(`\n${customer}: ${loads} loads of ${seconds} s, ${sheet.entries * times!} entry instances, ${sheet.engines * times!} engines`);
+	console.log(['policy'.padEnd(34), 'good, % of a load'.padEnd(19), 'late'.padEnd(8), 'too hard'.padEnd(10), 'lost'.padEnd(8), 'sends'.padEnd(7), 'tokens read'].join(' '));
+	for (const policy of comparedPolicies) {
+		const results: LoadResult[] = [];
+		for (let index = 0; index < loads!; index++) {
+			const loadRandom = seededRandom(firstSeed + (index * seedStep));
+			const shape = drawLoad(grown(sheet, times!), {random: loadRandom, milliseconds: seconds! * 1000});
+			results.push(playLoad(shape, {policy, loadRandom, decisionRandom: seededRandom(firstSeed + index)}));
+		}
+
+		const sum = addUp(results);
+		console.log([
+			policy.name.padEnd(34),
+			spread(results).padEnd(19),
+			percent(sum.late, sum).padEnd(8),
+			percent(sum.tooHard, sum).padEnd(10),
+			percent(sum.lost, sum).padEnd(8),
+			(sum.sends / sum.requests).toFixed(2).padEnd(7),
+			`${Math.round(sum.tokensRead / sum.requests)} a request, ${Math.round(100 * sum.tokensKept / (sum.tokensRead + sum.tokensKept))} % kept`,
+		].join(' '));
+	}
+}
--- /dev/null
+++ b/packages/testing/src/emulator/play-load.test.ts
@@ -0,0 +1,55 @@
+import test from 'ava';
+import {seededRandom} from '../_seeded-random.js';
+import {customerSheets} from './customers.js';
+import {type CustomerSheet, drawLoad} from './load-shape.js';
+import {type DecisionPolicy, type LoadResult, playLoad} from './play-load.js';
+import {productPolicy} from './policies.js';
+
+const loads = 12;
+const milliseconds = 8000;
+
+/** What callers got of some loads under a policy, in all. */
+function playAll(sheet: CustomerSheet, policy: DecisionPolicy): LoadResult {
+	const sum = {
+		requests: 0, good: 0, late: 0, tooHard: 0, lost: 0, sends: 0, tokensRead: 0, tokensKept: 0,
+	};
+	for (let index = 1; index <= loads; index++) {
+		const loadRandom = seededRandom(index);
+		const result = playLoad(drawLoad(sheet, {random: loadRandom, milliseconds}), {policy, loadRandom, decisionRandom: seededRandom(1000 + index)});
+		for (const name of Object.keys(sum) as Array<keyof LoadResult>) {
+			sum[name] += result[name];
+		}
+	}
+
+	return sum;
+}
+
+function shareOf(count: number, {requests}: LoadResult): number {
+	return Math.round(1000 * count / requests) / 10;
+}
+
+const {railcarLeasing} = customerSheets;
+const product = playAll(railcarLeasing, productPolicy);
+
+test('the same random numbers give the same load, and every request comes to an end', t => {
+	t.deepEqual(playAll(railcarLeasing, productPolicy), product);
+	t.is(product.good + product.late + product.tooHard + product.lost, product.requests);
+});
+
+test('long prompts whose subjects repeat are read less often where they have homes', t => {
+	const without = playAll(railcarLeasing, {...productPolicy, homeScope: undefined});
+	t.log(`tokens kept: ${without.tokensKept} without homes, ${product.tokensKept} with; good ${shareOf(without.good, without)} % and ${shareOf(product.good, product)} %`);
+	t.true(product.tokensKept > 1.5 * without.tokensKept);
+});
+
+test('fewer answers are late where entry instances tell each other their loads', t => {
+	const without = playAll(railcarLeasing, {...productPolicy, sharesLoads: false});
+	t.log(`late: ${shareOf(without.late, without)} % without, ${shareOf(product.late, product)} % with`);
+	t.true(product.late < without.late);
+});
+
+test('a step to the larger model halves the answers that are too hard, at least', t => {
+	const without = playAll(railcarLeasing, {...productPolicy, steps: false});
+	t.log(`too hard: ${shareOf(without.tooHard, without)} % without, ${shareOf(product.tooHard, product)} % with`);
+	t.true(product.tooHard < without.tooHard / 2);
+});
