--- a/packages/testing/src/deployment.ts
+++ b/packages/testing/src/deployment.ts
@@ -1,5 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {mkdir, mkdtemp} from 'node:fs/promises';
+import {mkdir, mkdtemp, readFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import * as z from 'zod';
@@ -13,6 +13,9 @@
 
 export type * from './deployment-plan.js';
 
+/** How much of a log an error tells. */
+const toldLogCharacters = 2000;
+
 /** A line of the ledger, as far as tests ask about it. */
 export type LedgerBill = z.infer<typeof billSchema>;
 
@@ -136,14 +139,21 @@
 	@param daemon The daemon.
 	*/
 	async waitUntilHealthy(daemon: RunningDaemon): Promise<void> {
-		await waitUntil(async () => {
-			if (!daemon.process.isRunning) {
-				throw new Error(`${daemon.instance} ended; see ${daemon.process.logFile}`);
-			}
-
-			const {status} = await sendRequest(`${daemon.callers}/healthz`, {timeoutMilliseconds: 1000});
-			return status === 200 || undefined;
-		}, this.#wait(`${daemon.instance} to be healthy`));
+		const {process, callers, instance} = daemon;
+		try {
+			await waitUntil(async () => {
+				if (!process.isRunning) {
+					throw new Error(`${instance} ended`);
+				}
+
+				const {status} = await sendRequest(`${callers}/healthz`, {timeoutMilliseconds: 1000});
+				return status === 200 || undefined;
+			}, this.#wait(`${instance} to be healthy`));
+		} catch (error) {
+			// The log goes with the deployment, so that a failure that shows once could not be traced without its last lines.
+			const log = await readFile(process.logFile, 'utf8');
+			throw new Error(`${instance} is not healthy; the end of its log:\n${log.slice(-toldLogCharacters)}`, {cause: error});
+		}
 	}
 
 	/**
