--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -67,7 +67,7 @@
 }
 
 /** A caller's requests, one after the other, through an instance that knows no server until `nextServers` says so. */
-async function askTimes(t: ExecutionContext, times: number, {nextServers, route = testRoute(), patience = 60_000, inputTokens = 0, latencies}: AskOptions) {
+async function askTimes(t: ExecutionContext, times: number, {nextServers, route = testRoute(), patience = 60_000, inputTokens = 0, latencies, log = ignore}: AskOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore}});
 	const lease = new ConfigurationLease({duration: 60_000});
@@ -76,7 +76,7 @@
 	const context: EntryContext = {
 		clock,
 		random: () => 0.5,
-		log: ignore,
+		log,
 		metrics: createGatewayMetrics(),
 		dialect: plainDialect,
 		bounds: {canaryShare: 0.1, leastConfidence: 50},
@@ -113,6 +113,8 @@
 type AskOptions = {
 	readonly nextServers: (servers: EntryServers) => void;
 	readonly route?: ReturnType<typeof testRoute>;
+	/** Takes the log lines; nothing unless given. */
+	readonly log?: EntryContext['log'];
 	/** How long the caller waits, in milliseconds. */
 	readonly patience?: number;
 	/** The tokens of the prompt. */
@@ -306,3 +308,20 @@
 	});
 	t.deepEqual(answers.map(({status, text}) => [status, text]), [[502, 'outcome-unknown']]);
 });
+
+test('the last line of a request that a server got and did not answer in time says that it may have run, as the answer does', async t => {
+	const port = await listen(t, ignore);
+	const lines: Array<readonly [string, Readonly<Record<string, unknown>>]> = [];
+	const {answers} = await askTimes(t, 1, {
+		route: testRoute({kind: 'unsafe'}),
+		patience: 300,
+		nextServers(servers) {
+			servers.take([testServer({port})], {source: control, now: 0});
+		},
+		log(kind, fields) {
+			lines.push([kind, fields]);
+		},
+	});
+	t.is(answers[0]?.text, 'deadline-exceeded-after-dispatch');
+	t.like(lines.find(([kind]) => kind === 'request-ended')?.[1], {error: 'deadline-exceeded-after-dispatch', mayHaveRun: true});
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -269,12 +269,13 @@
 		if (this.#sent !== undefined && hasLeft) {
 			// A server that hangs shows in no other way where its requests may not be repeated.
 			this.#verdicts.failed(this.#sent.server, this.#models.current);
+			this.#end.noteRun();
 		} else if (this.#sent !== undefined) {
 			this.#verdicts.record(this.#sent.server, 'unreachable');
 		}
 
 		this.#end.giveUp(expiryFailure({
-			mayHaveRun: this.#end.mayHaveRun || hasLeft,
+			mayHaveRun: this.#end.mayHaveRun,
 			waited: Math.round(this.#now() - this.#arrivedAt),
 			lastProblem: this.#end.lastProblem,
 			retryAfter: retryMilliseconds,
