Split the play of a load, and add results up in one place

Change: requests are drawn, engines stepped, loads told and entry instances made in files of their own; load-result.ts adds up.

--- a/packages/testing/src/bin/bench-decisions.ts
+++ b/packages/testing/src/bin/bench-decisions.ts
@@ -7,7 +7,8 @@
 import {seededRandom} from '../_seeded-random.js';
 import {customerSheets} from '../emulator/customers.js';
 import {type CustomerSheet, drawLoad} from '../emulator/load-shape.js';
-import {type LoadResult, playLoad} from '../emulator/play-load.js';
+import {addResults, type LoadResult} from '../emulator/load-result.js';
+import {playLoad} from '../emulator/play-load.js';
 import {comparedPolicies} from '../emulator/policies.js';
 
 const [loads, seconds, times] = [process.argv[2] ?? 10, process.argv[3] ?? 20, process.argv[4] ?? 1].map(Number);
@@ -24,19 +25,6 @@
 	return `${(100 * count / requests).toFixed(1)} %`;
 }
 
-function addUp(results: readonly LoadResult[]): LoadResult {
-	const sum = {
-		requests: 0, good: 0, late: 0, tooHard: 0, lost: 0, sends: 0, tokensRead: 0, tokensKept: 0,
-	};
-	for (const result of results) {
-		for (const name of Object.keys(sum) as Array<keyof LoadResult>) {
-			sum[name] += result[name];
-		}
-	}
-
-	return sum;
-}
-
 /** The share of good answers of single loads: its mean, and how far it scatters. */
 function spread(results: readonly LoadResult[]): string {
 	const shares = results.map(({good, requests}) => 100 * good / requests);
@@ -56,7 +44,7 @@
 			results.push(playLoad(shape, {policy, loadRandom, decisionRandom: seededRandom(firstSeed + index)}));
 		}
 
-		const sum = addUp(results);
+		const sum = addResults(results);
 		console.log([
 			policy.name.padEnd(34),
 			spread(results).padEnd(19),
--- a/packages/testing/src/emulator/play-load.test.ts
+++ b/packages/testing/src/emulator/play-load.test.ts
@@ -1,8 +1,10 @@
 import test from 'ava';
 import {seededRandom} from '../_seeded-random.js';
 import {customerSheets} from './customers.js';
+import {type DecisionPolicy} from './decision-policy.js';
 import {type CustomerSheet, drawLoad} from './load-shape.js';
-import {type DecisionPolicy, type LoadResult, playLoad} from './play-load.js';
+import {addResults, type LoadResult} from './load-result.js';
+import {playLoad} from './play-load.js';
 import {productPolicy} from './policies.js';
 
 const loads = 12;
@@ -10,18 +12,13 @@
 
 /** What callers got of some loads under a policy, in all. */
 function playAll(sheet: CustomerSheet, policy: DecisionPolicy): LoadResult {
-	const sum = {
-		requests: 0, good: 0, late: 0, tooHard: 0, lost: 0, sends: 0, tokensRead: 0, tokensKept: 0,
-	};
+	const results: LoadResult[] = [];
 	for (let index = 1; index <= loads; index++) {
 		const loadRandom = seededRandom(index);
-		const result = playLoad(drawLoad(sheet, {random: loadRandom, milliseconds}), {policy, loadRandom, decisionRandom: seededRandom(1000 + index)});
-		for (const name of Object.keys(sum) as Array<keyof LoadResult>) {
-			sum[name] += result[name];
-		}
+		results.push(playLoad(drawLoad(sheet, {random: loadRandom, milliseconds}), {policy, loadRandom, decisionRandom: seededRandom(1000 + index)}));
 	}
 
-	return sum;
+	return addResults(results);
 }
 
 function shareOf(count: number, {requests}: LoadResult): number {
--- a/packages/testing/src/emulator/play-load.ts
+++ b/packages/testing/src/emulator/play-load.ts
@@ -1,43 +1,20 @@
 import {
-	type Clock, type ModelId, type RandomSource, type ServerId, toId, type ZoneId,
+	type ModelId, type RandomSource, type ServerId, toId, type ZoneId,
 } from '@valehitch/core';
 import {
-	chooseNextModel, EntryServers, LatencyBook, RepeatBook, type Route, type SendLoad, type ServerRecord,
+	chooseNextModel, type Route, type SendLoad,
 } from '@valehitch/gateway';
-import {type chooseHomeScope, type HomeScope} from '@valehitch/routing';
+import {type HomeScope} from '@valehitch/routing';
 import {exponential} from '../_bench-tools.js';
-import {EmulatedEngine, type EmulatedModel} from './emulated-engine.js';
+import {type DecisionPolicy} from './decision-policy.js';
+import {type CallerRequest, drawRequest} from './draw-request.js';
+import {type EmulatedModel} from './emulated-engine.js';
+import {type EmulatedEntry, emulatedService, makeEntry} from './emulated-entry.js';
 import {EventQueue} from './event-queue.js';
-import {type LoadShape, type RequestKind} from './load-shape.js';
-
-/** What a play is decided by; each member is one mechanism. */
-export type DecisionPolicy = {
-	readonly name: string;
-	/** Where prompts have their homes; undefined where they have none. */
-	readonly homeScope: typeof chooseHomeScope | undefined;
-	/** Whether entry instances tell each other their loads. */
-	readonly sharesLoads: boolean;
-	/** Whether times are taken in proportion to the prompt. */
-	readonly countsTokens: boolean;
-	/** Whether a server without a word is given up for another. */
-	readonly givesUp: boolean;
-	/** Whether an unsure answer is asked for again of the largest model. */
-	readonly steps: boolean;
-};
-
-/** What callers got, and what it took. */
-export type LoadResult = {
-	readonly requests: number;
-	/** Answers whose first token was on time and whose model was able to give them. */
-	readonly good: number;
-	readonly late: number;
-	readonly tooHard: number;
-	readonly lost: number;
-	readonly sends: number;
-	/** Prompt tokens that engines read, and those that they had kept. */
-	readonly tokensRead: number;
-	readonly tokensKept: number;
-};
+import {emptyResult, type LoadResult} from './load-result.js';
+import {type LoadShape} from './load-shape.js';
+import {SteppingEngine} from './stepping-engine.js';
+import {ToldLoads} from './told-loads.js';
 
 /** What a load is decided by, and the random numbers. */
 export type PlayLoadOptions = {
@@ -48,30 +25,9 @@
 	readonly decisionRandom: RandomSource;
 };
 
-type Engine = {
-	readonly id: ServerId;
-	readonly zone: ZoneId;
-	readonly engine: EmulatedEngine;
-	isStepping: boolean;
-	slower: number;
-};
-
-type Entry = {
-	readonly zone: ZoneId;
-	readonly servers: EntryServers;
-	readonly latencies: LatencyBook;
-	readonly repeats: RepeatBook;
-};
-
-type Request = {
-	readonly kind: RequestKind;
+type Request = Omit<CallerRequest, 'entry'> & {
 	readonly route: Route['id'];
-	readonly entry: Entry;
-	readonly subject: string;
-	readonly ownTokens: number;
-	readonly hardness: number;
-	/** What models add to their opinions of their answers to it. */
-	readonly doubt: number;
+	readonly entry: EmulatedEntry;
 	readonly homeScope: HomeScope | undefined;
 	readonly arrivedAt: number;
 	readonly excluded: Set<ServerId>;
@@ -81,15 +37,13 @@
 
 type Send = {
 	readonly request: Request;
-	readonly engine: Engine;
+	readonly engine: SteppingEngine;
 	readonly load: SendLoad;
 	readonly sentAt: number;
 	/** Whether its answer has begun, with which it counts: what ends later is not played. */
 	hasBegun: boolean;
 };
 
-const service = toId<ServerRecord['service']>('models');
-const controlInstance = toId<Parameters<EntryServers['take']>[1]['source']>('control');
 const maximumSends = 3;
 const leastConfidence = 50;
 /** Loads are told this long after they changed, in milliseconds. */
@@ -97,8 +51,6 @@
 /** The bounds of the product's own silence: a server is given up after eight times its expected time, 500 ms at least. */
 const silentFactor = 8;
 const quietMilliseconds = 500;
-/** How far a model's opinion of itself scatters, from 0 to 1. */
-const opinionScatter = 0.15;
 const bytesPerToken = 4;
 /** The time after the last request in which answers are still counted, in milliseconds. */
 const lastAnswersMilliseconds = 10_000;
@@ -126,16 +78,12 @@
 	readonly #loadRandom: RandomSource;
 	readonly #decisionRandom: RandomSource;
 	readonly #queue = new EventQueue();
-	readonly #engines: readonly Engine[];
-	readonly #entries: readonly Entry[];
+	readonly #engines: readonly SteppingEngine[];
+	readonly #entries: readonly EmulatedEntry[];
 	readonly #sends = new Map<number, Send>();
-	/** The work at each server as it was told last, of all entries and of each. */
-	#told = new Map<ServerId, number>();
-	#toldBy = new Map<EntryServers, ReadonlyMap<ServerId, number>>();
+	readonly #told = new ToldLoads();
 	#lastSend = 0;
-	readonly #result = {
-		requests: 0, good: 0, late: 0, tooHard: 0, lost: 0, sends: 0, tokensRead: 0, tokensKept: 0,
-	};
+	readonly #result = emptyResult();
 
 	constructor(shape: LoadShape, {policy, loadRandom, decisionRandom}: PlayLoadOptions) {
 		this.#shape = shape;
@@ -150,11 +98,12 @@
 		for (const fault of this.#shape.faults) {
 			const engine = this.#engines[fault.engine]!;
 			this.#queue.add(fault.at, () => {
-				this.#beginFault(engine, fault.slower);
+				for (const id of engine.slowDown(fault.slower)) {
+					this.#sendElsewhere(id);
+				}
 			});
 			this.#queue.add(fault.at + fault.milliseconds, () => {
-				engine.slower = 1;
-				this.#work(engine);
+				engine.recover();
 			});
 		}
 
@@ -167,40 +116,32 @@
 		return this.#result;
 	}
 
-	#makeEngine(index: number): Engine {
-		const engine = new EmulatedEngine(this.#shape.sheet, {
-			onFirst: (id, prompt) => {
-				this.#takeFirst(id, prompt);
-			},
-			onDone: id => {
-				this.#end(id);
+	#makeEngine(index: number): SteppingEngine {
+		return new SteppingEngine({
+			id: toId<ServerId>(`engine-${index}`),
+			zone: this.#zoneOf(index),
+			sheet: this.#shape.sheet,
+			queue: this.#queue,
+			events: {
+				onFirst: (id, prompt) => {
+					this.#takeFirst(id, prompt);
+				},
+				onDone: id => {
+					this.#end(id);
+				},
 			},
 		});
-		return {
-			id: toId<ServerId>(`engine-${index}`), zone: this.#zoneOf(index), engine, isStepping: false, slower: 1,
-		};
 	}
 
-	#makeEntry(index: number): Entry {
-		const zone = this.#zoneOf(index);
-		const clock: Pick<Clock, 'monotonic'> = {monotonic: () => this.#queue.now};
-		const servers: EntryServers = new EntryServers({
-			zone,
+	#makeEntry(index: number): EmulatedEntry {
+		return makeEntry({
+			zone: this.#zoneOf(index),
+			clock: {monotonic: () => this.#queue.now},
 			random: this.#decisionRandom,
-			share: {
-				othersOn: server => (this.#told.get(server) ?? 0) - (this.#toldBy.get(servers)?.get(server) ?? 0),
-				noteChange() {
-					// All loads are told together.
-				},
-			},
+			engines: this.#engines,
+			slots: this.#shape.sheet.slots,
+			othersOn: (server, servers) => this.#told.othersOn(server, servers),
 		});
-		const records = this.#engines.map(({id, zone: engineZone}): ServerRecord => ({
-			id, service, host: '127.0.0.1', port: 1, zone: engineZone, version: toId('v1'), slots: this.#shape.sheet.slots, state: 'ready', sequence: 1, isSilent: false,
-		}));
-		servers.take(records, {source: controlInstance, now: 0});
-		return {
-			zone, servers, latencies: new LatencyBook(clock), repeats: new RepeatBook(),
-		};
 	}
 
 	#zoneOf(index: number): ZoneId {
@@ -208,18 +149,7 @@
 	}
 
 	#tell(): void {
-		const told = new Map<ServerId, number>();
-		const toldBy = new Map<EntryServers, ReadonlyMap<ServerId, number>>();
-		for (const {servers} of this.#entries) {
-			const own = new Map(servers.loads);
-			toldBy.set(servers, own);
-			for (const [server, load] of own) {
-				told.set(server, (told.get(server) ?? 0) + load);
-			}
-		}
-
-		this.#told = told;
-		this.#toldBy = toldBy;
+		this.#told.tell(this.#entries.map(({servers}) => servers));
 		this.#queue.add(tellMilliseconds, () => {
 			this.#tell();
 		});
@@ -230,47 +160,29 @@
 			return;
 		}
 
-		this.#send(this.#drawRequest());
+		this.#send(this.#takeRequest());
 		this.#result.requests++;
 		this.#queue.add(exponential(1000 / this.#shape.requestsPerSecond, this.#loadRandom), () => {
 			this.#arrive();
 		});
 	}
 
-	#drawRequest(): Request {
-		const {kinds, models} = this.#shape;
-		const kind = this.#drawKind(kinds);
-		const entry = this.#entries[Math.floor(this.#loadRandom() * this.#entries.length)]!;
-		const subject = `${kind.name} ${Math.floor(this.#loadRandom() * kind.subjects)}`;
-		const ownTokens = Math.ceil(exponential(kind.ownTokens, this.#loadRandom));
-		const route = toId<Route['id']>(kind.name);
+	#takeRequest(): Request {
+		const request = drawRequest(this.#shape, this.#loadRandom);
+		const entry = this.#entries[request.entry]!;
+		const route = toId<Route['id']>(request.kind.name);
 		return {
-			kind, entry, subject, ownTokens, route, hardness: this.#loadRandom(), doubt: (this.#loadRandom() - 0.5) * 2 * opinionScatter, homeScope: this.#homeScope(entry, {
-				kind, subject, ownTokens, route,
-			}),
-			arrivedAt: this.#queue.now, excluded: new Set(), model: models[0]!, sends: 0,
+			...request, entry, route, homeScope: this.#homeScope(entry, request), arrivedAt: this.#queue.now, excluded: new Set(), model: this.#shape.models[0]!, sends: 0,
 		};
 	}
 
-	#drawKind(kinds: readonly RequestKind[]): RequestKind {
-		let left = this.#loadRandom() * kinds.reduce((sum, {weight}) => sum + weight, 0);
-		for (const kind of kinds) {
-			left -= kind.weight;
-			if (left < 0) {
-				return kind;
-			}
-		}
-
-		return kinds.at(-1)!;
-	}
-
-	#homeScope({repeats}: Entry, {kind, subject, ownTokens, route}: Pick<Request, 'kind' | 'subject' | 'ownTokens' | 'route'>): HomeScope | undefined {
+	#homeScope({repeats}: EmulatedEntry, {kind, subject, ownTokens}: CallerRequest): HomeScope | undefined {
 		const {homeScope} = this.#policy;
 		if (homeScope === undefined || kind.sharedTokens === 0) {
 			return undefined;
 		}
 
-		const repeatsOnRoute = repeats.of(route);
+		const repeatsOnRoute = repeats.of(toId<Route['id']>(kind.name));
 		repeatsOnRoute.note(subject, this.#queue.now);
 		return homeScope({sharedTokens: kind.sharedTokens, repeatShare: repeatsOnRoute.share, bytes: bytesPerToken * (kind.sharedTokens + ownTokens)});
 	}
@@ -284,7 +196,7 @@
 		}
 
 		const record = servers.find({
-			service, isWanted: () => true, excluded, now, subject: homeScope === undefined ? undefined : {name: `${subject} ${model.id}`, homeScope},
+			service: emulatedService, isWanted: () => true, excluded, now, subject: homeScope === undefined ? undefined : {name: `${subject} ${model.id}`, homeScope},
 		});
 		const engine = this.#engines.find(({id}) => id === record?.id);
 		if (engine === undefined) {
@@ -316,23 +228,21 @@
 	}
 
 	/** The request arrives at the engine, which may be stopped or full. */
-	#reach(id: number, engine: Engine): void {
+	#reach(id: number, engine: SteppingEngine): void {
 		const send = this.#sends.get(id);
 		if (send === undefined) {
 			return;
 		}
 
 		const {request: {model, kind, subject, ownTokens, entry}} = send;
-		const isStopped = engine.slower === Number.POSITIVE_INFINITY;
 		const parts = kind.sharedTokens === 0 ? [] : [{id: subject, tokens: kind.sharedTokens}];
-		if (!isStopped && engine.engine.offer({
+		if (engine.offer({
 			id, model, parts, ownTokens, outputTokens: kind.outputTokens,
 		})) {
-			this.#work(engine);
 			return;
 		}
 
-		if (isStopped) {
+		if (engine.isStopped) {
 			entry.servers.record(engine.id, 'unreachable', this.#queue.now);
 		}
 
@@ -351,24 +261,11 @@
 	#giveUp(id: number): void {
 		const send = this.#sends.get(id);
 		if (send?.hasBegun === false) {
-			send.engine.engine.cancel(id);
+			send.engine.cancel(id);
 			this.#sendElsewhere(id);
 		}
 	}
 
-	#work(engine: Engine): void {
-		if (engine.isStepping || !engine.engine.isBusy || engine.slower === Number.POSITIVE_INFINITY) {
-			return;
-		}
-
-		engine.isStepping = true;
-		this.#queue.add(engine.slower * engine.engine.step(), () => {
-			engine.isStepping = false;
-			engine.engine.finishStep();
-			this.#work(engine);
-		});
-	}
-
 	#takeFirst(id: number, {kept, read}: {readonly kept: number; readonly read: number}): void {
 		this.#result.tokensRead += read;
 		this.#result.tokensKept += kept;
@@ -389,7 +286,7 @@
 		if (larger !== undefined) {
 			request.model = larger;
 			request.excluded.clear();
-			engine.engine.cancel(id);
+			engine.cancel(id);
 			this.#end(id);
 			this.#send(request);
 			return;
@@ -424,13 +321,4 @@
 		this.#sends.get(id)?.load.end();
 		this.#sends.delete(id);
 	}
-
-	#beginFault(engine: Engine, slower: number): void {
-		engine.slower = slower;
-		if (slower === Number.POSITIVE_INFINITY) {
-			for (const id of engine.engine.crash()) {
-				this.#sendElsewhere(id);
-			}
-		}
-	}
 }
--- a/packages/testing/src/emulator/policies.ts
+++ b/packages/testing/src/emulator/policies.ts
@@ -1,5 +1,5 @@
 import {chooseHomeScope} from '@valehitch/routing';
-import {type DecisionPolicy} from './play-load.js';
+import {type DecisionPolicy} from './decision-policy.js';
 
 /** What the product does. */
 export const productPolicy: DecisionPolicy = {
