--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -34,6 +34,7 @@
 
 /** The time after which a place should be free again, for a request that no server took. */
 const retryMilliseconds = 250;
+
 /**
 Carries one request through: chooses servers and models, sends, sends again where that is safe, and answers exactly once.
 
