Tell processes of one server apart by when they started

Cause: a server may start again under its id; its counters begin anew. What was held of the former process counted on: its shutdown stuck, its higher sequence numbers made the new heartbeats look late, so that the server went silent after five of them, and suspicion, loads of peers, kept connections and sends in progress of the former process stayed.

Ruled out: comparing the ids alone (the id is the same), and a jump back of the sequence number as the sign (a late heartbeat looks the same).

Change: a record holds when its process started. The later process counts alone, in whatever order news come, at control and entry instances; what is believed of the former is dropped at once, its sends in progress end and go elsewhere, and its kept connections close. A server that starts at the address of another ends that one for all instances, in place of one refusal for each of them. What an entry instance holds of one process is a class of its own now, and the kept connections have a file of their own.

--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -134,8 +134,8 @@
 	*/
 	end(server: ServerId): void {
 		const changed = this.directory.remove(server, this.#options.clock.monotonic());
-		this.#log(changed, 'notice');
 		if (changed !== undefined) {
+			this.#log([changed], 'notice');
 			this.#options.onChange();
 		}
 	}
@@ -150,7 +150,7 @@
 		let isChanged = false;
 		for (const record of records) {
 			const changed = this.directory.announce(record, now);
-			isChanged ||= changed !== undefined;
+			isChanged ||= changed.length > 0;
 			this.#log(changed, 'peer');
 		}
 
@@ -159,17 +159,17 @@
 		}
 	}
 
-	async #passOn(changed: ServerRecord | undefined): Promise<void> {
-		if (changed === undefined) {
+	async #passOn(changed: readonly ServerRecord[]): Promise<void> {
+		if (changed.length === 0) {
 			return;
 		}
 
 		this.#log(changed, 'announcement');
 		this.#options.onChange();
-		const message: ServersMessage = {type: 'servers', records: [changed]};
+		const message: ServersMessage = {type: 'servers', records: changed};
 		const {others, ask} = this.#options;
 		const passedOn = others().map(async other => ask(other, message, passOnMilliseconds));
-		if (changed.state !== 'ready') {
+		if (changed.some(({state}) => state !== 'ready')) {
 			await Promise.all(passedOn);
 		}
 	}
@@ -206,10 +206,10 @@
 		}));
 	}
 
-	#log(record: ServerRecord | undefined, source: string): void {
-		if (record !== undefined) {
-			this.#options.log(logKinds[record.state], {
-				server: record.id, service: record.service, version: record.version, serverZone: record.zone, sequence: record.sequence, source,
+	#log(records: readonly ServerRecord[], source: string): void {
+		for (const {id, state, service, version, zone, startedAt, sequence} of records) {
+			this.#options.log(logKinds[state], {
+				server: id, service, version, serverZone: zone, startedAt, sequence, source,
 			});
 		}
 	}
--- a/packages/gateway/src/entry/decision-shapes.test.ts
+++ b/packages/gateway/src/entry/decision-shapes.test.ts
@@ -42,7 +42,9 @@
 
 /** The servers of a shape, dealt out over its zones in turn. */
 function serversOf({zones, servers}: Shape): EntryServers {
-	const held = new EntryServers({zone: ownZone, random: repeatedRandom(), share: {othersOn: () => 0, noteChange: ignore}});
+	const held = new EntryServers({
+		zone: ownZone, random: repeatedRandom(), share: {othersOn: () => 0, noteChange: ignore, forget: ignore}, onReplaced: ignore,
+	});
 	const records = Array.from({length: servers}, (_, index) => testServer({id: idOf(index), zone: zones[index % zones.length]!}));
 	held.take(records, {source: control, now});
 	return held;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -20,6 +20,7 @@
 import {EntryServers} from './entry-servers.js';
 import {EvidenceCounter} from './evidence-counter.js';
 import {handleRequest} from './handle-request.js';
+import {dropIdleConnections} from './kept-connections.js';
 import {LatencyBook} from './latency-book.js';
 import {LoadShare} from './load-share.js';
 import {RepeatBook} from './repeat-book.js';
@@ -111,7 +112,9 @@
 		this.#context = {
 			...options,
 			lease: new ConfigurationLease({duration: options.leaseMilliseconds}),
-			servers: new EntryServers({zone, random, share: this.#share}),
+			servers: new EntryServers({
+				zone, random, share: this.#share, onReplaced: dropIdleConnections,
+			}),
 			budget: new RetryWindow({share: options.retryShare, slack: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
 			latencies: new LatencyBook(clock),
 			pins: new VersionPins(options),
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -4,6 +4,7 @@
 import test from 'ava';
 import {testServer} from '../servers/_test-server.js';
 import {EntryServers} from './entry-servers.js';
+import {LoadShare} from './load-share.js';
 
 const one = 'control-1' as InstanceId;
 const two = 'control-2' as InstanceId;
@@ -14,7 +15,9 @@
 }
 
 function servers(...records: ReadonlyArray<ReturnType<typeof testServer>>): EntryServers {
-	const held = new EntryServers({zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore}});
+	const held = new EntryServers({
+		zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore, forget: ignore}, onReplaced: ignore,
+	});
 	held.take(records, {source: one, now});
 	return held;
 }
@@ -84,3 +87,67 @@
 	held.hear(far[2]!.id, now);
 	t.is(found(held, {excluded: tried}), far[2]!.id);
 });
+
+/** Servers with the loads of peers, and the processes that were replaced. */
+function withPeers(...records: ReadonlyArray<ReturnType<typeof testServer>>) {
+	const replaced: string[] = [];
+	const share = new LoadShare({own: () => [], peers: () => [], send: ignore});
+	const held = new EntryServers({
+		zone: 'hall-a' as ZoneId, random: () => 0.5, share, onReplaced({id, startedAt}) {
+			replaced.push(`${id} ${startedAt}`);
+		},
+	});
+	held.take(records, {source: one, now});
+	return {held, share, replaced};
+}
+
+test('a server that starts again under its id is taken up at once, with nothing of its former process', t => {
+	const {held, share, replaced} = withPeers(testServer({startedAt: 1000, sequence: 80}));
+	const load = held.begin(testServer().id, 50);
+	share.receive('entry-2' as InstanceId, {type: 'load', loads: [[testServer().id, 30]]}, now);
+	held.record(testServer().id, 'gone', now);
+	held.record(testServer().id, 'unreachable', now);
+	const [changed] = held.take([testServer({startedAt: 2000})], {source: two, now});
+	t.like(changed, {state: 'ready', startedAt: 2000});
+	t.is(found(held), testServer().id);
+	t.true(load.processEnd.aborted);
+	t.deepEqual(replaced, ['server-1 1000']);
+	t.is(share.othersOn(testServer().id), 0);
+	held.begin(testServer().id, 3);
+	load.end();
+	t.deepEqual(held.loads, [[testServer().id, 3]]);
+});
+
+test('news of a former process that comes later changes nothing', t => {
+	const {held, replaced} = withPeers(testServer({startedAt: 2000}));
+	const former = testServer({
+		startedAt: 1000, sequence: 99, state: 'gone', isSilent: true,
+	});
+	t.deepEqual(held.take([former], {source: two, now}), []);
+	t.is(found(held), testServer().id);
+	t.deepEqual(replaced, []);
+});
+
+test('a server that starts at the address of another ends what is sent there', t => {
+	const {held, replaced} = withPeers(testServer({startedAt: 1000}));
+	const load = held.begin(testServer().id, 1);
+	held.take([testServer({id: 'server-2' as ServerId, startedAt: 2000})], {source: one, now});
+	t.true(load.processEnd.aborted);
+	t.deepEqual(replaced, ['server-1 1000']);
+	t.is(found(held), 'server-2' as ServerId);
+	t.is(found(held, {excluded: new Set(['server-2' as ServerId])}), undefined);
+});
+
+test('failures and lost connections of a former process do not count against the next one', t => {
+	const other = testServer({id: 'server-2' as ServerId});
+	const {held} = withPeers(testServer({startedAt: 1000}), other, ...['server-3', 'server-4'].map(id => testServer({id: id as ServerId})));
+	for (let failures = 0; failures < 8; failures++) {
+		held.record(testServer().id, 'failed', now);
+	}
+
+	const excluded = new Set(['server-3', 'server-4'] as ServerId[]);
+	t.is(found(held, {excluded}), other.id);
+	held.take([testServer({startedAt: 2000})], {source: one, now});
+	held.record(other.id, 'unreachable', now);
+	t.is(found(held, {excluded}), testServer().id);
+});
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -5,8 +5,11 @@
 	chooseServer, type HomeScope, OutlierEjection, prefixHash, type ServerView, ZoneSuspicion,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
+import {compareStarts} from '../servers/compare-starts.js';
+import {hasReplaced} from '../servers/has-replaced.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
 import {type ServerRecord} from '../servers/server-record.js';
+import {HeldServer, type SendLoad} from './held-server.js';
 import {type LoadShare} from './load-share.js';
 
 /** How an entry instance chooses among the servers. */
@@ -14,7 +17,9 @@
 	readonly zone: ZoneId;
 	readonly random: RandomSource;
 	/** What the other entry instances have at each server. */
-	readonly share: Pick<LoadShare, 'othersOn' | 'noteChange'>;
+	readonly share: Pick<LoadShare, 'othersOn' | 'noteChange' | 'forget'>;
+	/** Told of a process that another one has replaced, at the same address or under the same id. */
+	readonly onReplaced: (record: ServerRecord) => void;
 };
 
 /** What a prompt has in common with others, and where its home is looked for. */
@@ -35,38 +40,13 @@
 	readonly now: number;
 };
 
-/** The load of one send at its server. */
-export type SendLoad = {
-	/** Counts the prompt as read: from now on the server only generates, beside others. */
-	readonly answerBegins: () => void;
-	/** Counts the request as ended. */
-	readonly end: () => void;
-};
-
 /** What a send to a server came to. */
 export type SendResult = 'answered' | 'failed' | 'unreachable' | 'gone';
 
-type Held = {
-	record: ServerRecord;
-	inFlight: number;
-	/** The work of the requests in flight, in units of a short one. */
-	work: number;
-	readonly addedAt: number;
-	/** The control instances that say it is silent. */
-	readonly silentFor: Set<InstanceId>;
-	/** When anything came from it last, in milliseconds on the monotonic clock; 0 for never. */
-	heardAt: number;
-	/** No work goes there before this time, in milliseconds on the monotonic clock. */
-	avoidUntil: number;
-	unreachable: number;
-};
-
 /** An engine batches: twice the mean load costs it little, a prompt that it must read again costs more. */
 const loadBound = 1.5;
 /** With the loads of all instances known, comparing more servers costs nothing but the comparison. */
 const samples = 4;
-/** The work of a request whose answer has begun, in units of a short request: a batch generates for many at once, while it reads one prompt after the other. */
-const streamingWork = 1;
 /** The pause after a connection that was not opened; doubles up to the longest. */
 const firstAvoidMilliseconds = 500;
 const longestAvoidMilliseconds = 8000;
@@ -84,7 +64,7 @@
 */
 export class EntryServers {
 	readonly #options: EntryServersOptions;
-	readonly #servers = new Map<ServerId, Held>();
+	readonly #servers = new Map<ServerId, HeldServer>();
 	readonly #ejection = new OutlierEjection({
 		threshold: 0.5, baseMilliseconds: 2000, maximumMilliseconds: 8000, maximumShare: 0.4,
 	});
@@ -106,23 +86,10 @@
 		const changed: ServerRecord[] = [];
 		for (const record of records) {
 			const held = this.#servers.get(record.id);
-			if (held === undefined) {
-				this.#servers.set(record.id, {
-					record, inFlight: 0, work: 0, addedAt: now, silentFor: new Set(record.isSilent ? [source] : []), heardAt: 0, avoidUntil: 0, unreachable: 0,
-				});
+			if (held === undefined || compareStarts(record, held.record) > 0) {
+				this.#join(record, {source, now});
 				changed.push(record);
-				continue;
-			}
-
-			if (record.isSilent) {
-				held.silentFor.add(source);
-			} else {
-				held.silentFor.clear();
-			}
-
-			const {state} = held.record;
-			held.record = mergeServerRecord(held.record, record);
-			if (held.record.state !== state) {
+			} else if (this.#update(held, record, source)) {
 				changed.push(held.record);
 			}
 		}
@@ -177,18 +144,7 @@
 	@returns Counts what is left of it.
 	*/
 	begin(id: ServerId, work: number): SendLoad {
-		this.#count(id, {requests: 1, work});
-		let left = work;
-		return {
-			answerBegins: () => {
-				const less = Math.max(0, left - streamingWork);
-				left -= less;
-				this.#count(id, {requests: 0, work: -less});
-			},
-			end: () => {
-				this.#count(id, {requests: -1, work: -left});
-			},
-		};
+		return this.#servers.get(id)?.begin(work) ?? unknownLoad;
 	}
 
 	/**
@@ -245,18 +201,52 @@
 		return this.#ejection.record(id, {failed: result === 'failed', now, servers: this.#countOf(held.record.service)});
 	}
 
-	#count(id: ServerId, {requests, work}: {readonly requests: number; readonly work: number}): void {
-		const held = this.#servers.get(id);
-		if (held === undefined) {
-			return;
+	/** Takes a process that was not known, and drops what is known of the one before it, under its id or at its address. */
+	#join(record: ServerRecord, {source, now}: {readonly source: InstanceId; readonly now: number}): void {
+		for (const [id, former] of this.#servers) {
+			if (id === record.id || hasReplaced(record, former.record)) {
+				former.record = {...former.record, state: 'gone'};
+				this.#drop(former);
+			}
 		}
 
-		held.inFlight += requests;
-		held.work = held.inFlight === 0 ? 0 : held.work + work;
-		this.#options.share.noteChange(work);
+		this.#servers.set(record.id, new HeldServer(record, {
+			source,
+			now,
+			onWork: change => {
+				this.#options.share.noteChange(change);
+			},
+		}));
 	}
 
-	#viewOf({record, work, addedAt, silentFor, avoidUntil}: Held, now: number): ServerView {
+	/** Takes a further record of a process that is known; tells whether its state is new. */
+	#update(held: HeldServer, record: ServerRecord, source: InstanceId): boolean {
+		if (compareStarts(record, held.record) < 0) {
+			return false;
+		}
+
+		if (record.isSilent) {
+			held.silentFor.add(source);
+		} else {
+			held.silentFor.clear();
+		}
+
+		const {state} = held.record;
+		held.record = mergeServerRecord(held.record, record);
+		return held.record.state !== state;
+	}
+
+	/** Drops what is believed of a process that has ended: suspicion, loads of peers, kept connections, sends in progress. */
+	#drop(held: HeldServer): void {
+		const {id, zone} = held.record;
+		this.#ejection.forget(id);
+		this.#zones.forget(zone, id);
+		this.#options.share.forget(id);
+		this.#options.onReplaced(held.record);
+		held.endProcess();
+	}
+
+	#viewOf({record, work, addedAt, silentFor, avoidUntil}: HeldServer, now: number): ServerView {
 		const {zone} = this.#options;
 		return {
 			id: record.id,
@@ -293,6 +283,16 @@
 	}
 }
 
+/** Of a server that control told no more of while the request was placed, nothing is counted. */
+const unknownLoad: SendLoad = {
+	answerBegins() {
+		// Nothing was counted.
+	},
+	end() {
+		// Nothing was counted.
+	},
+	processEnd: new AbortController().signal,
+};
 /** The busier the own zone must be before another helps, as a share of its slots. */
 const zonePenalty = 0.1;
 /** The uptime from which the server choice gives a full share. */
--- /dev/null
+++ b/packages/gateway/src/entry/held-server.ts
@@ -0,0 +1,107 @@
+import {setMaxListeners} from 'node:events';
+import {type InstanceId} from '@valehitch/core';
+import {type ServerRecord} from '../servers/server-record.js';
+
+/** The load of one send at its server. */
+export type SendLoad = {
+	/** Counts the prompt as read: from now on the server only generates, beside others. */
+	readonly answerBegins: () => void;
+	/** Counts the request as ended. */
+	readonly end: () => void;
+	/** Aborted once the process that got the request is known to have ended. */
+	readonly processEnd: AbortSignal;
+};
+
+/** How a server is first held. */
+export type HeldServerOptions = {
+	/** The control instance that told of it. */
+	readonly source: InstanceId;
+	/** Milliseconds on the monotonic clock. */
+	readonly now: number;
+	/** Told by how much the work changed, in units of a short request. */
+	readonly onWork: (change: number) => void;
+};
+
+/** The work of a request whose answer has begun, in units of a short request: a batch generates for many at once, while it reads one prompt after the other. */
+const streamingWork = 1;
+
+/**
+One process of a backend server as an entry instance knows it: what control says, what is in flight there, and how it was reached of late.
+
+A server that starts again under its id is held anew, so that nothing of its former process counts against it or for it.
+
+@example
+```ts
+const held = new HeldServer(record, {source, now, onWork});
+const load = held.begin(1);
+load.end();
+```
+*/
+export class HeldServer {
+	record: ServerRecord;
+	readonly addedAt: number;
+	/** The control instances that say it is silent. */
+	readonly silentFor: Set<InstanceId>;
+	/** When anything came from it last, in milliseconds on the monotonic clock; 0 for never. */
+	heardAt = 0;
+	/** No work goes there before this time, in milliseconds on the monotonic clock. */
+	avoidUntil = 0;
+	/** The connections in a row that did not open. */
+	unreachable = 0;
+	readonly #onWork: HeldServerOptions['onWork'];
+	readonly #processEnd = new AbortController();
+	#inFlight = 0;
+	#work = 0;
+
+	constructor(record: ServerRecord, {source, now, onWork}: HeldServerOptions) {
+		this.record = record;
+		this.addedAt = now;
+		this.silentFor = new Set(record.isSilent ? [source] : []);
+		this.#onWork = onWork;
+		// Each send in progress listens; hundreds at once are usual.
+		setMaxListeners(0, this.#processEnd.signal);
+	}
+
+	/** The requests in flight. */
+	get inFlight(): number {
+		return this.#inFlight;
+	}
+
+	/** The work of the requests in flight, in units of a short request. */
+	get work(): number {
+		return this.#work;
+	}
+
+	/**
+	Counts a request that is sent to it.
+
+	@param work Its work until its answer begins, in units of a short request.
+	@returns Counts what is left of it.
+	*/
+	begin(work: number): SendLoad {
+		this.#count(1, work);
+		let left = work;
+		return {
+			answerBegins: () => {
+				const less = Math.max(0, left - streamingWork);
+				left -= less;
+				this.#count(0, -less);
+			},
+			end: () => {
+				this.#count(-1, -left);
+			},
+			processEnd: this.#processEnd.signal,
+		};
+	}
+
+	/** Ends all sends in progress: their process has ended, and nothing on their connections tells it where it lost its power. */
+	endProcess(): void {
+		this.#processEnd.abort();
+	}
+
+	#count(requests: number, work: number): void {
+		this.#inFlight += requests;
+		this.#work = this.#inFlight === 0 ? 0 : this.#work + work;
+		this.#onWork(work);
+	}
+}
--- a/packages/gateway/src/entry/load-share.test.ts
+++ b/packages/gateway/src/entry/load-share.test.ts
@@ -68,3 +68,14 @@
 	share.flush(3200);
 	t.is(share.othersOn(server), 0);
 });
+
+test('loads at a server that started again are forgotten, and those at others are kept', t => {
+	const {share} = shareWith({peers: [peer], loads: () => []});
+	const other = 'server-2' as ServerId;
+	share.receive(peer, {type: 'load', loads: [[server, 4], [other, 5]]}, 1000);
+	share.forget(server);
+	t.is(share.othersOn(server), 0);
+	t.is(share.othersOn(other), 5);
+	share.flush(2000);
+	t.is(share.othersOn(other), 5);
+});
--- a/packages/gateway/src/entry/load-share.ts
+++ b/packages/gateway/src/entry/load-share.ts
@@ -111,6 +111,19 @@
 		return this.#sums.get(server) ?? 0;
 	}
 
+	/**
+	Forgets what peers told of a server whose process has ended.
+
+	@param server The server.
+	*/
+	forget(server: ServerId): void {
+		for (const [peer, {loads, at}] of this.#peers) {
+			this.#peers.set(peer, {loads: new Map([...loads].filter(([id]) => id !== server)), at});
+		}
+
+		this.#sum();
+	}
+
 	#expire(now: number): void {
 		let isExpired = false;
 		for (const [peer, {at}] of this.#peers) {
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -69,7 +69,9 @@
 /** A caller's requests, one after the other, through an instance that knows no server until `nextServers` says so. */
 async function askTimes(t: ExecutionContext, times: number, {nextServers, route = testRoute(), patience = 60_000, inputTokens = 0, latencies, log = ignore}: AskOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
-	const servers = new EntryServers({zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore}});
+	const servers = new EntryServers({
+		zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore, forget: ignore}, onReplaced: ignore,
+	});
 	const lease = new ConfigurationLease({duration: 60_000});
 	lease.confirm(clock.monotonic());
 	const table = new RouteTable(testConfiguration({routes: [route]}));
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -6,12 +6,12 @@
 import {awaitFirstServer} from './await-first-server.js';
 import {CallerAnswer} from './caller-answer.js';
 import {type EntryContext} from './entry-context.js';
-import {type SendLoad} from './entry-servers.js';
 import {EventStream} from './event-stream.js';
 import {expiryFailure} from './expiry-failure.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {ModelSteps} from './model-steps.js';
 import {Placement} from './placement.js';
+import {type SendLoad} from './held-server.js';
 import {type Next, RequestEnd} from './request-end.js';
 import {SendAllowance} from './send-allowance.js';
 import {type SentAttempt} from './send-attempt.js';
@@ -139,6 +139,7 @@
 
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<Next> {
 		const sentAt = this.#now();
+		const load = this.#context.servers.begin(server.id, this.#models.work);
 		const attempt = startSend(this.#context, {
 			request: this.#request,
 			body: this.#body,
@@ -149,9 +150,9 @@
 			arrivedAt: this.#arrivedAt,
 			deadlineAt: this.#deadlineAt,
 			lastEventId: this.#events.lastEventId,
+			processEnd: load.processEnd,
 		});
 		this.#sent = {attempt, server};
-		const load = this.#context.servers.begin(server.id, this.#models.work);
 		const outcome = await attempt.outcome;
 		const step = await takeOutcome(outcome, this.#outcomeOptions({server, sentAt, load}));
 		const next = await this.#follow(step, server);
--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -30,7 +30,7 @@
 		server: testServer({port: (server.address() as AddressInfo).port}), method: 'GET', target: '/x/', headers: [[
 			'Host',
 			'desk.example',
-		]], body: Buffer.alloc(0), mayReuse: true, connectTimeout: 1000, silence: undefined,
+		]], body: Buffer.alloc(0), mayReuse: true, connectTimeout: 1000, silence: undefined, processEnd: new AbortController().signal,
 	};
 }
 
@@ -164,3 +164,26 @@
 	const opened = await sendAttempt({...options, silence}).outcome;
 	t.is(opened.type, 'head');
 });
+
+test('a send whose server is known to have started again ends at once, before and within its answer', async t => {
+	const head = 'HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf of it';
+	for (const reply of ['', head]) {
+		const process = new AbortController();
+		const options = await serve(t, socket => {
+			socket.write(reply);
+		});
+		const {outcome} = sendAttempt({...options, processEnd: process.signal});
+		if (reply === '') {
+			setTimeout(() => {
+				process.abort();
+			}, 50);
+			const {type} = await outcome;
+			t.is(type, 'lost');
+		} else {
+			const answer = await outcome;
+			const body = answer.type === 'head' ? collectBody(answer.message, answer.isWhole) : undefined;
+			process.abort();
+			t.is(await body, undefined);
+		}
+	}
+});
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,9 +1,7 @@
-import {
-	Agent, type ClientRequest, type IncomingMessage, request as openRequest,
-} from 'node:http';
-import {type Socket} from 'node:net';
+import {type ClientRequest, type IncomingMessage, request as openRequest} from 'node:http';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Header} from './gateway-request.js';
+import {dropIdleConnections, dropStaleConnections, keptConnections} from './kept-connections.js';
 
 /** One send to a backend server. */
 export type SendAttemptOptions = {
@@ -18,6 +16,8 @@
 	readonly connectTimeout: number;
 	/** When a server that sends no head is given up; undefined for never. */
 	readonly silence: SilenceBounds | undefined;
+	/** Aborted once the server's process is known to have ended: nothing more comes on this connection. */
+	readonly processEnd: AbortSignal;
 };
 
 /** How long a server may take to the head of its answer. */
@@ -58,20 +58,6 @@
 	readonly cancel: () => void;
 };
 
-/** Idle connections to one server; more than that many requests at once to one server are rare. */
-const maximumIdleConnections = 8;
-/** The time that an idle connection is kept where the server names none, in milliseconds: below the usual idle timeouts of a few seconds. */
-const idleMilliseconds = 1500;
-
-const agent = new Agent({
-	keepAlive: true, maxFreeSockets: maximumIdleConnections, timeout: 0, scheduling: 'lifo',
-});
-const usedAt = new WeakMap<Socket, number>();
-
-agent.on('free', (socket: Socket) => {
-	usedAt.set(socket, performance.now());
-});
-
 /**
 Sends a request to a backend server, and tells exactly whether it can have run.
 
@@ -79,17 +65,17 @@
 @returns The send in progress.
 @example
 ```ts
-const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuse: true, connectTimeout: 400, silence: undefined});
+const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuse: true, connectTimeout: 400, silence: undefined, processEnd});
 ```
 */
 export function sendAttempt(options: SendAttemptOptions): SentAttempt {
-	const {server, method, target, headers, body, mayReuse} = options;
+	const {server, method, target, headers, body, mayReuse, processEnd} = options;
 	if (mayReuse) {
 		dropStaleConnections(server);
 	}
 
 	const request = openRequest({
-		host: server.host, port: server.port, method, path: target, agent: mayReuse ? agent : false, setHost: false, headers: headers.flat(),
+		host: server.host, port: server.port, method, path: target, agent: mayReuse ? keptConnections : false, setHost: false, headers: headers.flat(), signal: processEnd,
 	});
 	let isCancelled = false;
 	let isOpen = false;
@@ -222,24 +208,3 @@
 	});
 	return async () => message.complete && wasClosed;
 }
-
-/** A connection that idled for long may be closed by the server at this moment, and one with bytes waiting holds an answer that belongs to no request. */
-function dropStaleConnections(server: ServerRecord): void {
-	for (const socket of idleConnections(server)) {
-		const idle = performance.now() - (usedAt.get(socket) ?? 0);
-		if (idle > idleMilliseconds || socket.readableLength > 0) {
-			socket.destroy();
-		}
-	}
-}
-
-/** Where one connection has gone silent without a reset, those beside it may have too, while new ones work. */
-function dropIdleConnections(server: ServerRecord): void {
-	for (const socket of idleConnections(server)) {
-		socket.destroy();
-	}
-}
-
-function idleConnections({host, port}: ServerRecord): readonly Socket[] {
-	return [...agent.freeSockets[agent.getName({host, port})] ?? []];
-}
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -21,6 +21,8 @@
 	readonly deadlineAt: number;
 	/** The last event that the caller has; undefined where it has none. */
 	readonly lastEventId: string | undefined;
+	/** Aborted once the server's process is known to have ended. */
+	readonly processEnd: AbortSignal;
 };
 
 /** A connection within a region opens in a few milliseconds; one that takes longer than this, or than the whole answer should, is not going to. */
@@ -40,12 +42,12 @@
 @returns The send in progress.
 @example
 ```ts
-const attempt = startSend(context, {request, body, server, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId});
+const attempt = startSend(context, {request, body, server, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd});
 const outcome = await attempt.outcome;
 ```
 */
 export function startSend(context: EntryContext, options: StartSendOptions): SentAttempt {
-	const {request, body, server, authorized: {route, workspace}, models, allowance, arrivedAt, deadlineAt, lastEventId} = options;
+	const {request, body, server, authorized: {route, workspace}, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd} = options;
 	const {dialect, clock, log} = context;
 	const sentAt = clock.monotonic();
 	const attempt = sendAttempt({
@@ -65,6 +67,7 @@
 		mayReuse: allowance.mayRepeat,
 		connectTimeout: Math.min(connectTimeoutMilliseconds, route.targetLatency),
 		silence: silenceOf(options, context),
+		processEnd,
 	});
 	allowance.begin();
 	log('request-dispatched', {
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -15,6 +15,7 @@
 export * from './entry/entry-servers.js';
 export type * from './entry/entry-context.js';
 export type * from './entry/gateway-request.js';
+export type * from './entry/held-server.js';
 export * from './entry/latency-book.js';
 export * from './entry/repeat-book.js';
 export * from './logs/bounded-output.js';
--- a/packages/gateway/src/servers/merge-server-record.ts
+++ b/packages/gateway/src/servers/merge-server-record.ts
@@ -1,9 +1,10 @@
+import {compareStarts} from './compare-starts.js';
 import {type ServerRecord, type ServerState} from './server-record.js';
 
 const ranks: Readonly<Record<ServerState, number>> = {ready: 0, draining: 1, gone: 2};
 
 /**
-Merges what is held of a server with what was told of it: the later announcement counts, but a shutdown sticks.
+Merges what is held of a server with what was told of it: the later process counts alone; of one process the later announcement counts, but a shutdown sticks.
 
 @param held What is held.
 @param told What was told, maybe late.
@@ -14,6 +15,11 @@
 ```
 */
 export function mergeServerRecord(held: ServerRecord, told: ServerRecord): ServerRecord {
+	const order = compareStarts(told, held);
+	if (order !== 0) {
+		return order > 0 ? told : held;
+	}
+
 	const newer = told.sequence >= held.sequence ? told : held;
 	const state = ranks[told.state] > ranks[held.state] ? told.state : held.state;
 	return {...newer, state};
--- a/packages/gateway/src/servers/saved-servers.ts
+++ b/packages/gateway/src/servers/saved-servers.ts
@@ -30,6 +30,7 @@
 	version: z.string().transform(value => toId<VersionId>(value)),
 	slots: z.number(),
 	state: z.enum(['ready', 'draining', 'gone']),
+	startedAt: z.int().optional(),
 	sequence: z.int(),
 	isSilent: z.boolean(),
 }));
--- a/packages/gateway/src/servers/server-directory.test.ts
+++ b/packages/gateway/src/servers/server-directory.test.ts
@@ -1,3 +1,4 @@
+import {type ServerId} from '@valehitch/core';
 import test from 'ava';
 import {testServer} from './_test-server.js';
 import {ServerDirectory} from './server-directory.js';
@@ -7,12 +8,12 @@
 test('a shutdown sticks, also against later and late announcements', t => {
 	const directory = new ServerDirectory({silentMilliseconds: 6000});
 	directory.announce(testServer({sequence: 4}), now);
-	t.is(directory.announce(testServer({state: 'draining', sequence: 5}), now)?.state, 'draining');
-	t.is(directory.announce(testServer({sequence: 6}), now), undefined);
-	t.is(directory.announce(testServer({sequence: 2}), now), undefined);
+	t.is(directory.announce(testServer({state: 'draining', sequence: 5}), now)[0]?.state, 'draining');
+	t.deepEqual(directory.announce(testServer({sequence: 6}), now), []);
+	t.deepEqual(directory.announce(testServer({sequence: 2}), now), []);
 	t.is(directory.records[0]?.state, 'draining');
 	t.is(directory.remove(testServer().id, now)?.state, 'gone');
-	t.is(directory.announce(testServer({state: 'draining', sequence: 7}), now), undefined);
+	t.deepEqual(directory.announce(testServer({state: 'draining', sequence: 7}), now), []);
 	t.is(directory.records[0]?.state, 'gone');
 });
 
@@ -33,7 +34,37 @@
 	directory.announce(testServer(), now);
 	t.deepEqual(directory.sweep(now + 5999), []);
 	t.is(directory.sweep(now + 6000).length, 1);
-	t.false(directory.announce(testServer({sequence: 2}), now + 7000)?.isSilent);
+	t.false(directory.announce(testServer({sequence: 2}), now + 7000)[0]?.isSilent);
 	directory.sweep(now + 27_000);
 	t.deepEqual(directory.records, []);
 });
+
+test('a server that starts again under its id is a new one, though it drained, ended or counted far before', t => {
+	const directory = new ServerDirectory({silentMilliseconds: 6000});
+	directory.announce(testServer({startedAt: 1000, sequence: 80}), now);
+	directory.announce(testServer({startedAt: 1000, sequence: 81, state: 'draining'}), now);
+	directory.remove(testServer().id, now);
+	t.like(directory.announce(testServer({startedAt: 2000, sequence: 1}), now + 5000)[0], {state: 'ready', isSilent: false});
+	// Its own heartbeats keep it from going silent, though the former process counted further.
+	directory.announce(testServer({startedAt: 2000, sequence: 2}), now + 9000);
+	t.deepEqual(directory.sweep(now + 12_000), []);
+});
+
+test('a late heartbeat of a former process changes nothing, and does not count as heard', t => {
+	const directory = new ServerDirectory({silentMilliseconds: 6000});
+	directory.announce(testServer({startedAt: 2000, sequence: 1}), now);
+	t.deepEqual(directory.announce(testServer({startedAt: 1000, sequence: 99, state: 'draining'}), now + 5000), []);
+	t.like(directory.records[0], {state: 'ready', startedAt: 2000, sequence: 1});
+	t.is(directory.sweep(now + 6000).length, 1);
+});
+
+test('a server that starts at an address ends those that were there, in whatever order they are heard', t => {
+	const former = testServer({startedAt: 1000, sequence: 40});
+	const next = testServer({id: 'server-2' as ServerId, startedAt: 2000});
+	const [first, second] = [new ServerDirectory({silentMilliseconds: 6000}), new ServerDirectory({silentMilliseconds: 6000})];
+	first.announce(former, now);
+	t.deepEqual(first.announce(next, now).map(({id, state}) => [id, state]), [[next.id, 'ready'], [former.id, 'gone']]);
+	second.announce(next, now);
+	t.like(second.announce(former, now)[0], {id: former.id, state: 'gone'});
+	t.deepEqual(second.announce({...former, sequence: 41}, now), []);
+});
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -1,4 +1,6 @@
 import {type ServerId} from '@valehitch/core';
+import {compareStarts} from './compare-starts.js';
+import {hasReplaced} from './has-replaced.js';
 import {mergeServerRecord} from './merge-server-record.js';
 import {type ServerRecord} from './server-record.js';
 
@@ -54,28 +56,20 @@
 
 	@param record What the server said.
 	@param now Milliseconds on the monotonic clock.
-	@returns The record where it changed anything but the sequence number, else undefined.
+	@returns The records that changed in anything but the sequence number: that of the server, and those of servers that it replaced.
 	*/
-	announce(record: ServerRecord, now: number): ServerRecord | undefined {
+	announce(record: ServerRecord, now: number): readonly ServerRecord[] {
 		const held = this.#servers.get(record.id);
 		if (held === undefined) {
-			return this.#add({...record, isSilent: false, state: this.#ended.has(record.id) ? 'gone' : record.state}, now);
+			return this.#join({...record, isSilent: false, state: this.#ended.has(record.id) ? 'gone' : record.state}, now);
 		}
 
-		const {record: before} = held;
-		const isNews = record.sequence > before.sequence;
-		const merged = {...mergeServerRecord(before, record), isSilent: before.isSilent && !isNews};
-		const isChanged = before.state !== merged.state || before.isSilent !== merged.isSilent;
-		held.record = merged;
-		if (isNews) {
-			held.heardAt = now;
-		}
-
-		if (isChanged) {
-			held.changedAt = this.#next();
+		const order = compareStarts(record, held.record);
+		if (order > 0) {
+			return this.#join({...record, isSilent: false}, now);
 		}
 
-		return isChanged ? merged : undefined;
+		return order === 0 ? this.#update(held, record, now) : [];
 	}
 
 	/**
@@ -163,6 +157,40 @@
 		return changed;
 	}
 
+	/** Takes a process that was not known, and ends those whose address it has. */
+	#join(record: ServerRecord, now: number): readonly ServerRecord[] {
+		const isReplaced = this.records.some(other => hasReplaced(other, record));
+		const joined = this.#add(isReplaced ? {...record, state: 'gone'} : record, now);
+		const ended: ServerRecord[] = [];
+		for (const held of this.#servers.values()) {
+			if (held.record.state !== 'gone' && hasReplaced(joined, held.record)) {
+				held.record = {...held.record, state: 'gone'};
+				held.changedAt = this.#next();
+				ended.push(held.record);
+			}
+		}
+
+		return [joined, ...ended];
+	}
+
+	/** Takes a further announcement of a process that is known. */
+	#update(held: Held, record: ServerRecord, now: number): readonly ServerRecord[] {
+		const {record: before} = held;
+		const isNews = record.sequence > before.sequence;
+		const merged = {...mergeServerRecord(before, record), isSilent: before.isSilent && !isNews};
+		const isChanged = before.state !== merged.state || before.isSilent !== merged.isSilent;
+		held.record = merged;
+		if (isNews) {
+			held.heardAt = now;
+		}
+
+		if (isChanged) {
+			held.changedAt = this.#next();
+		}
+
+		return isChanged ? [merged] : [];
+	}
+
 	#add(record: ServerRecord, heardAt: number): ServerRecord {
 		this.#servers.set(record.id, {record, heardAt, changedAt: this.#next()});
 		return record;
--- a/packages/gateway/src/servers/server-record.ts
+++ b/packages/gateway/src/servers/server-record.ts
@@ -16,7 +16,9 @@
 	/** Requests it works on at the same time. */
 	readonly slots: number;
 	readonly state: ServerState;
-	/** Grows with each announcement, so that a late one can be told. */
+	/** When its process started, in milliseconds since the epoch on its own clock; missing where it does not say. */
+	readonly startedAt?: number | undefined;
+	/** Grows with each announcement of one process, so that a late one can be told. */
 	readonly sequence: number;
 	/** Whether it has announced itself to no control instance for long. */
 	readonly isSilent: boolean;
--- a/packages/routing/src/zone-suspicion.test.ts
+++ b/packages/routing/src/zone-suspicion.test.ts
@@ -40,3 +40,11 @@
 	t.true(zones.isSuspect(zone, 5900));
 	t.false(zones.isSuspect(zone, 6000));
 });
+
+test('a server that started again is not counted for its former process', t => {
+	const zones = new ZoneSuspicion();
+	zones.unreachable(zone, {server: one, now: 0});
+	zones.forget(zone, one);
+	zones.unreachable(zone, {server: two, now: 10});
+	t.false(zones.isSuspect(zone, 10));
+});
--- a/packages/routing/src/zone-suspicion.ts
+++ b/packages/routing/src/zone-suspicion.ts
@@ -67,6 +67,16 @@
 		this.#zones.delete(zone);
 	}
 
+	/**
+	Forgets a server that started again: that its former process was unreachable says nothing of the zone.
+
+	@param zone The zone.
+	@param server The server.
+	*/
+	forget(zone: ZoneId, server: ServerId): void {
+		this.#zones.get(zone)?.unreachable.delete(server);
+	}
+
 	/**
 	Tells whether a zone is suspected.
 
--- a/packages/testing/src/emulator/emulated-entry.ts
+++ b/packages/testing/src/emulator/emulated-entry.ts
@@ -45,6 +45,12 @@
 			noteChange() {
 				// All loads are told together.
 			},
+			forget() {
+				// Emulated engines do not start again under their ids.
+			},
+		},
+		onReplaced() {
+			// Emulated engines have no connections.
 		},
 	});
 	const records = engines.map((engine): ServerRecord => ({
