Refuse heartbeats with fields that are missing or of another type

Cause: another writer may send to the address of heartbeats. Missing slots, state and sequence number had defaults, so that such a message could name a server to use; an empty id and port 0 were taken; nothing was logged.

Generated bytes and JSON in the tests.

Before: the test of fields fails for slots, state and seq; after: passes.

--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -205,6 +205,16 @@
 		await this.#news.announce(record);
 	}
 
+	/**
+	Notes an announcement that could not be read: it changes nothing of what servers said.
+
+	@param refusal The id that it was sent for, and the first problem with its field.
+	*/
+	refuseAnnouncement({server, reason}: {readonly server: string; readonly reason: string}): void {
+		this.#options.metrics.announcements.inc({state: 'refused'});
+		this.#options.log('announcement-refused', {server, reason}, 'warn');
+	}
+
 	/**
 	Takes the notice that a backend server ends.
 
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -4,7 +4,7 @@
 		| 'dependency-lost' | 'dependency-regained'
 		| 'configuration-adopted' | 'configuration-submitted' | 'configuration-refused' | 'lease-lost' | 'lease-regained'
 		| 'leader-changed' | 'membership-changed' | 'storage-failed' | 'storage-opened'
-		| 'server-joined' | 'server-draining' | 'server-gone' | 'server-silent' | 'server-suspected'
+		| 'server-joined' | 'server-draining' | 'server-gone' | 'server-silent' | 'server-suspected' | 'announcement-refused'
 		| 'servers-restored' | 'servers-not-restored' | 'servers-not-saved'
 		| 'rollout-started' | 'rollout-advanced'
 		| 'request-refused' | 'request-dispatched' | 'request-attempt-ended' | 'request-escalated' | 'request-resumed' | 'request-ended';
--- a/packages/platform/src/decode-announcement.ts
+++ b/packages/platform/src/decode-announcement.ts
@@ -1,20 +1,25 @@
 import {
-	type Failure, type ServerId, type ServiceId, toId, type VersionId, type ZoneId,
+	type Failure, failure, type ServerId, type ServiceId, toId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {type ServerRecord} from '@valehitch/gateway';
 import {parseJsonBody} from '@valehitch/transport';
-import {type Either} from 'purify-ts';
+import {type Either, Left} from 'purify-ts';
 import * as z from 'zod';
 
+const highestPort = 65_535;
+
+// Anything may write to this address. What does not fit names no server, so no field has a default.
 const announcementSchema = z.object({
-	service: z.string(),
-	address: z.string().regex(/^[^:]+:\d+$/v, 'Wanted a host and a port'),
-	zone: z.string(),
-	version: z.string(),
-	slots: z.number().positive().default(1),
-	state: z.enum(['ready', 'draining']).default('ready'),
-	// Counts the announcements of one server, not those of all.
-	seq: z.number().default(0),
+	service: z.string().min(1),
+	address: z.string().regex(/^[^\s:]+:\d{1,5}$/v, 'Wanted a host and a port').refine(isPortInRange, 'Wanted a port from 1 to 65535'),
+	zone: z.string().min(1),
+	version: z.string().min(1),
+	slots: z.int().positive(),
+	state: z.enum(['ready', 'draining']),
+	// Counts the announcements of one process of the server, not those of all servers.
+	seq: z.int().nonnegative(),
+	// When the process of the server started; not all deployments say it.
+	born: z.int().positive().optional(),
 });
 
 /**
@@ -29,16 +34,34 @@
 ```
 */
 export function decodeAnnouncement(server: string, bytes: Uint8Array): Either<Failure, ServerRecord> {
-	return parseJsonBody({bytes, schema: announcementSchema}).map(({service, address, zone, version, slots, state, seq}) => ({
+	if (server === '') {
+		return Left(failure('malformed-request', 'Got no id in the path, wanted that of a server'));
+	}
+
+	return parseJsonBody({bytes, schema: announcementSchema}).map(({address, seq, born, ...announced}) => ({
 		id: toId<ServerId>(server),
-		service: toId<ServiceId>(service),
-		host: address.slice(0, address.lastIndexOf(':')),
-		port: Number(address.slice(address.lastIndexOf(':') + 1)),
-		zone: toId<ZoneId>(zone),
-		version: toId<VersionId>(version),
-		slots,
-		state,
+		service: toId<ServiceId>(announced.service),
+		host: hostOf(address),
+		port: portOf(address),
+		zone: toId<ZoneId>(announced.zone),
+		version: toId<VersionId>(announced.version),
+		slots: announced.slots,
+		state: announced.state,
+		startedAt: born,
 		sequence: seq,
 		isSilent: false,
 	}));
 }
+
+function isPortInRange(address: string): boolean {
+	const port = portOf(address);
+	return port >= 1 && port <= highestPort;
+}
+
+function hostOf(address: string): string {
+	return address.slice(0, address.lastIndexOf(':'));
+}
+
+function portOf(address: string): number {
+	return Number(address.slice(address.lastIndexOf(':') + 1));
+}
--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -75,7 +75,10 @@
 		case 'PUT instances/': {
 			const record = decodeAnnouncement(name!, body);
 			return record.caseOf<Promise<Either<Failure, Answer>>>({
-				Left: async failed => Left(failed),
+				async Left(failed) {
+					control.refuseAnnouncement({server: name!, reason: failed.message});
+					return Left(failed);
+				},
 				async Right(announced) {
 					await control.announce(announced);
 					return Right(done);
