Count the repeats of subjects over all entry instances

Cause: whether a prompt gets a home, one server that keeps what it shares, follows from how often its subject repeats, and each entry instance counted only its own requests. One of hundreds sees hardly any subject twice: after 12 requests without a repeat prompts had no home any more, though their subjects came again every 20 s in the deployment.

Ruled out: more peers in the exchange of loads (seven of 195 instances see 4 % of the traffic), cache events of the servers (few may listen to each), a fixed rule (where subjects do not repeat, homes deal out work unevenly).

--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -1,4 +1,5 @@
 import {type Clock, type InstanceId} from '@valehitch/core';
+import {type RouteRepeats} from '../repeats/route-repeats.js';
 import {isEnded, type RunningRollout} from '../rollouts/rollout.js';
 import {type ServerDirectory} from '../servers/server-directory.js';
 import {type ConfigurationDocument} from './gateway-state.js';
@@ -14,6 +15,8 @@
 	readonly confirmedAt: number | undefined;
 	/** The hosts of the control instances. */
 	readonly hosts: readonly InstanceId[];
+	/** How often subjects repeat on the routes, over all that ask. */
+	readonly repeats: readonly RouteRepeats[];
 };
 
 /** What the answers to entry instances need. */
@@ -74,7 +77,7 @@
 		}
 
 		const now = clock.monotonic();
-		const {configuration, rollouts, confirmedAt, hosts} = news();
+		const {configuration, rollouts, confirmedAt, hosts, repeats} = news();
 		return {
 			run,
 			cursor: directory.cursor,
@@ -85,6 +88,7 @@
 			held: now - arrived,
 			confirmedAgo: confirmedAt === undefined ? undefined : now - confirmedAt,
 			hosts,
+			repeats,
 			entries: nearEntriesOf(asker, this.#presentEntries(now)),
 		};
 	}
