--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -25,6 +25,7 @@
 import {RolloutClock} from './rollout-clock.js';
 import {RolloutJudge} from './rollout-judge.js';
 import {ServerNews} from './server-news.js';
+import {StateConfirmation} from './state-confirmation.js';
 
 /** What a control instance needs. */
 export type ControlInstanceOptions = {
@@ -54,13 +55,7 @@
 
 /** The time between two questions to the leader about what is newest. */
 const confirmMilliseconds = 200;
-/** How long a confirmation waits to be applied here. */
-const applyMilliseconds = 600;
 const joinTimeoutMilliseconds = 400;
-/** After this time without a confirmation entry instances are told of the next one at once, in milliseconds. */
-const regainedMilliseconds = 1000;
-/** How long a read waits to be applied here; a caller gives up after a second. */
-const readMilliseconds = 700;
 const retryMilliseconds = 300;
 /** The time between two looks at the running roll-outs. */
 const judgeMilliseconds = 150;
@@ -88,7 +83,7 @@
 	readonly #watches: EntryWatches;
 	readonly #judge: RolloutJudge;
 	readonly #holder: ReopeningGroup;
-	#confirmedAt: number | undefined;
+	readonly #confirmation: StateConfirmation;
 	#timers: NodeJS.Timeout[] = [];
 
 	constructor(options: ControlInstanceOptions) {
@@ -97,8 +92,7 @@
 			...options,
 			createGroup: opened => this.#createGroup(opened),
 			onLost: () => {
-				// The folder that is opened next may hold less than what was confirmed before.
-				this.#confirmedAt = undefined;
+				this.#confirmation.forget();
 			},
 		});
 		this.#rolloutClock = new RolloutClock(options.clock);
@@ -111,6 +105,14 @@
 			},
 		});
 		this.#leader = new LeaderClient({...options, group: () => this.#group, evidence: () => this.#neededEvidence()});
+		this.#confirmation = new StateConfirmation({
+			clock: options.clock,
+			group: () => this.#group,
+			newestIndex: async () => this.#leader.newestIndex(),
+			onRegained: () => {
+				this.#watches.wake();
+			},
+		});
 		this.#watches = new EntryWatches({...options, directory: this.#news.directory, news: () => this.#entryNews()});
 		this.#judge = new RolloutJudge({
 			log: options.log,
@@ -130,7 +132,7 @@
 		this.#news.start();
 		this.#timers = [
 			setInterval(() => {
-				void this.#confirm();
+				void this.#confirmation.confirm();
 			}, confirmMilliseconds),
 			setInterval(() => {
 				void this.#judge.look();
@@ -165,7 +167,7 @@
 
 	/** The newest configuration, once it is certain that there is no newer one. */
 	async readConfiguration(): Promise<Either<Failure, ConfigurationDocument>> {
-		const read = await this.#readState();
+		const read = await this.#confirmation.newest();
 		return read.chain(({state: {configuration}}) => configuration === undefined
 			? Left(failure('no-configuration', 'Got no configuration yet, wanted one to read', {retryAfterMilliseconds: retryMilliseconds}))
 			: Right(configuration));
@@ -192,7 +194,7 @@
 	@returns The roll-out; `not-found` where there was none.
 	*/
 	async readRollout(service: ServiceId): Promise<Either<Failure, Rollout>> {
-		const read = await this.#readState();
+		const read = await this.#confirmation.newest();
 		return read.chain(({state: {rollouts}}) => {
 			const rollout = rollouts.find(other => other.service === service);
 			return rollout === undefined ? Left(failure('not-found', `Got no roll-out of ${service}`)) : Right(rollout);
@@ -315,19 +317,7 @@
 			.exhaustive();
 		this.#rolloutClock.running(this.#group?.state.rollouts ?? []);
 		this.#watches.wake();
-		void this.#confirm();
-	}
-
-	/** The group once this instance has applied all that was committed when the call began. */
-	async #readState(): Promise<Either<Failure, ControlGroup>> {
-		const began = this.#options.clock.monotonic();
-		const group = this.#group;
-		const index = await this.#leader.newestIndex();
-		if (group === undefined || index === undefined || !await group.applied(index, began + readMilliseconds)) {
-			return Left(failure('no-quorum', 'Got no word of the leader about the newest index, wanted it for a read', {retryAfterMilliseconds: retryMilliseconds}));
-		}
-
-		return Right(group);
+		void this.#confirmation.confirm();
 	}
 
 	#entryNews(): EntryNews {
@@ -335,7 +325,7 @@
 		return {
 			configuration: state?.configuration,
 			rollouts: this.#rolloutClock.running(state?.rollouts ?? []),
-			confirmedAt: state === undefined ? undefined : this.#confirmedAt,
+			confirmedAt: state === undefined ? undefined : this.#confirmation.confirmedAt,
 			hosts: [this.#options.self, ...this.#others()],
 			repeats: this.#repeats.counted,
 		};
@@ -346,17 +336,4 @@
 		const rollouts = this.#group?.state.rollouts ?? [];
 		return rollouts.filter(rollout => !isEnded(rollout)).flatMap(({service}) => this.#evidence.of(service));
 	}
-
-	async #confirm(): Promise<void> {
-		const began = this.#options.clock.monotonic();
-		const group = this.#group;
-		const index = await this.#leader.newestIndex();
-		if (group !== undefined && index !== undefined && await group.applied(index, began + applyMilliseconds)) {
-			const isRegained = this.#confirmedAt === undefined || began - this.#confirmedAt > regainedMilliseconds;
-			this.#confirmedAt = Math.max(began, this.#confirmedAt ?? began);
-			if (isRegained) {
-				this.#watches.wake();
-			}
-		}
-	}
 }
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,6 +1,6 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {
-	type Clock, type Failure, type InstanceId, type RandomSource, type ServiceId, type ZoneId,
+	type Clock, type Failure, type InstanceId, type RandomSource, type ZoneId,
 } from '@valehitch/core';
 import {StepWaiters} from '@valehitch/replication';
 import {RetryWindow} from '@valehitch/routing';
@@ -13,7 +13,7 @@
 import {RepeatBook} from '../repeats/repeat-book.js';
 import {SubjectLog} from '../repeats/subject-log.js';
 import {EvidenceDelta} from '../rollouts/evidence-delta.js';
-import {isEnded, type RunningRollout} from '../rollouts/rollout.js';
+import {KnownRollouts} from '../rollouts/known-rollouts.js';
 import {createCallerServer} from './caller-server.js';
 import {ConfigurationLease} from './configuration-lease.js';
 import {type ControlNews, type ControlQuestion, ControlWatch} from './control-watch.js';
@@ -87,17 +87,15 @@
 	readonly #context: EntryContext;
 	readonly #watch: ControlWatch;
 	readonly #share: LoadShare;
+	readonly #rollouts: KnownRollouts;
 	readonly #server: Server;
 	readonly #news = new StepWaiters();
 	readonly #serverNews = new StepWaiters();
 	/** What each control instance was told of the counters. */
 	readonly #told = new Map<InstanceId, EvidenceDelta>();
 	#table: RouteTable | undefined;
-	#rollouts: readonly RunningRollout[] = [];
 	#peers: readonly InstanceId[] = [];
 	#shareTimer: NodeJS.Timeout | undefined;
-	#rolloutsAt = 0;
-	#rolloutDigest = '';
 	#hadLease = false;
 	#inProgress = 0;
 	#endsAt: number | undefined;
@@ -105,6 +103,7 @@
 	constructor(options: EntryInstanceOptions) {
 		const {clock, random, zone, self, run} = options;
 		this.#options = options;
+		this.#rollouts = new KnownRollouts(options);
 		this.#share = new LoadShare({
 			own: () => this.#context.servers.loads,
 			peers: () => this.#peers,
@@ -125,7 +124,7 @@
 			table: () => this.#table,
 			nextNews: async timeout => Promise.race([this.#news.next(), options.wait(timeout)]),
 			nextServers: async timeout => Promise.race([this.#serverNews.next(), options.wait(timeout)]),
-			rolloutOf: service => this.#rolloutOf(service),
+			rolloutOf: service => this.#rollouts.of(service),
 			endsAt: () => this.#endsAt,
 		};
 		this.#watch = new ControlWatch({
@@ -225,12 +224,11 @@
 		const now = this.#options.clock.monotonic();
 		const delta = this.#told.get(host) ?? new EvidenceDelta();
 		this.#told.set(host, delta);
-		const running = this.#rollouts.filter(rollout => !isEnded(rollout)).map(({service}) => service);
 		return {
 			zone: this.#options.zone,
 			configurationVersion: this.#table?.version,
-			rolloutDigest: this.#rolloutDigest,
-			evidence: delta.next(this.#context.evidence.of(new Set(running)), now),
+			rolloutDigest: this.#rollouts.digest,
+			evidence: delta.next(this.#context.evidence.of(this.#rollouts.runningServices), now),
 			subjects: this.#context.subjects.next(host, now),
 		};
 	}
@@ -245,9 +243,9 @@
 			this.#serverNews.wake();
 		}
 
-		for (const {id, state, service, version, sequence} of changed) {
+		for (const {id, state, service, version, startedAt, sequence} of changed) {
 			log(state === 'ready' ? 'server-joined' : 'server-draining', {
-				server: id, service, version, state, sequence, source,
+				server: id, service, version, state, startedAt, sequence, source,
 			});
 		}
 
@@ -260,7 +258,7 @@
 		}
 
 		this.#news.wake();
-		this.#takeRollouts(reply, {confirmedAt, now});
+		this.#rollouts.take(reply, {confirmedAt, now});
 		const hasLease = lease.isValid(now);
 		if (hasLease !== this.#hadLease) {
 			this.#hadLease = hasLease;
@@ -268,32 +266,6 @@
 		}
 	}
 
-	/** Roll-outs go forward only: an instance that is behind could tell an earlier stage. */
-	#takeRollouts({rollouts, rolloutDigest}: WatchReply, {confirmedAt, now}: {readonly confirmedAt: number | undefined; readonly now: number}): void {
-		const isSure = confirmedAt !== undefined && confirmedAt >= this.#rolloutsAt;
-		if (!isSure) {
-			return;
-		}
-
-		this.#rolloutsAt = confirmedAt;
-		if (rolloutDigest !== this.#rolloutDigest) {
-			for (const {service, target, stage, age} of rollouts) {
-				this.#options.log('rollout-advanced', {
-					service, target, stage, age: Math.round(age),
-				});
-			}
-		}
-
-		this.#rolloutDigest = rolloutDigest;
-		this.#rollouts = rollouts.map(rollout => ({...rollout, age: rollout.age - now}));
-	}
-
-	/** A roll-out with its age now; ages are kept as the time of the order on the own clock. */
-	#rolloutOf(service: ServiceId): RunningRollout | undefined {
-		const rollout = this.#rollouts.find(other => other.service === service);
-		return rollout && {...rollout, age: rollout.age + this.#options.clock.monotonic()};
-	}
-
 	#adopt(document: string, source: InstanceId): void {
 		const parsed = this.#options.parse(document);
 		parsed.caseOf({
--- /dev/null
+++ b/packages/gateway/src/rollouts/known-rollouts.test.ts
@@ -0,0 +1,44 @@
+import {type ServiceId, type VersionId} from '@valehitch/core';
+import test from 'ava';
+import {KnownRollouts} from './known-rollouts.js';
+import {type RolloutStage, type RunningRollout} from './rollout.js';
+
+const service = 'models' as ServiceId;
+
+function rolloutAt(stage: RolloutStage, age = 0): RunningRollout {
+	return {
+		service, target: 'v2' as VersionId, duration: 10_000, stage, orderedAt: 0, age,
+	};
+}
+
+function start() {
+	const clock = {now: 1000, monotonic: () => clock.now};
+	const lines: string[] = [];
+	const known = new KnownRollouts({
+		clock, log(kind) {
+			lines.push(kind);
+		},
+	});
+	return {known, clock, lines};
+}
+
+test('a roll-out ages on the own clock, and is logged when it changes', t => {
+	const {known, clock, lines} = start();
+	known.take({rollouts: [rolloutAt('canary', 300)], rolloutDigest: 'a'}, {confirmedAt: 900, now: 1000});
+	known.take({rollouts: [rolloutAt('canary', 300)], rolloutDigest: 'a'}, {confirmedAt: 950, now: 1000});
+	clock.now = 1500;
+	t.is(known.of(service)?.age, 800);
+	t.is(known.digest, 'a');
+	t.deepEqual([...known.runningServices], [service]);
+	t.deepEqual(lines, ['rollout-advanced']);
+});
+
+test('what is told by an instance that is behind, or not sure, changes nothing', t => {
+	const {known} = start();
+	known.take({rollouts: [rolloutAt('completed')], rolloutDigest: 'b'}, {confirmedAt: 900, now: 1000});
+	known.take({rollouts: [rolloutAt('canary')], rolloutDigest: 'a'}, {confirmedAt: 800, now: 1000});
+	known.take({rollouts: [rolloutAt('canary')], rolloutDigest: 'a'}, {confirmedAt: undefined, now: 1000});
+	t.is(known.of(service)?.stage, 'completed');
+	t.is(known.runningServices.size, 0);
+	t.is(known.of('labels' as ServiceId), undefined);
+});
