--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -26,8 +26,6 @@
 export type PromptSubject = {
 	readonly name: string;
 	readonly homeScope: HomeScope;
-	/** Its share of the requests, from 0 to 1, where it is frequent: it has as many homes as it takes; one by default. */
-	readonly share?: number;
 };
 
 /** What is wanted of a server. */
@@ -119,7 +117,6 @@
 		const wish = {
 			target: service, excluded, zone: this.#options.zone, random: this.#options.random, zonePenalty, samples, loadBound,
 			prefix: subject === undefined ? undefined : prefixHash(subject.name),
-			prefixShare: subject?.share ?? 0,
 			homeScope: subject?.homeScope ?? 'none',
 		};
 		// Where every server is suspect, a suspect one is better than none.
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -1,7 +1,7 @@
 import {
 	type ModelId, type ServerId, type ServiceId, type VersionId,
 } from '@valehitch/core';
-import {chooseHomeScope, prefixHash} from '@valehitch/routing';
+import {chooseHomeScope, type HomeScope, prefixHash} from '@valehitch/routing';
 import {type Route} from '../configuration/routing-configuration.js';
 import {chooseSide, type RolloutSide} from '../rollouts/choose-side.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -35,8 +35,8 @@
 	readonly #request: GatewayRequest;
 	readonly #route: Route;
 	readonly #excluded = new Set<ServerId>();
-	/** The subject of the prompt, for any model; undefined where no cache matters. */
-	readonly #prompt: PromptSubject | undefined;
+	readonly #shared: readonly PromptPart[];
+	readonly #homeScope: HomeScope;
 	#begunVersion: VersionId | undefined;
 
 	constructor(context: EntryContext, {request, route, bytes}: PlacementOptions) {
@@ -44,7 +44,8 @@
 		this.#request = request;
 		this.#route = route;
 		this.service = drawService(route, context.random);
-		this.#prompt = route.usesPromptCache ? this.#placePrompt(sharedParts(request.promptParts), bytes) : undefined;
+		this.#shared = route.usesPromptCache ? sharedParts(request.promptParts) : [];
+		this.#homeScope = this.#chooseHomeScope(bytes);
 	}
 
 	/**
@@ -84,30 +85,26 @@
 		this.#begunVersion = version;
 	}
 
-	/** Counts the prompt, and decides on its place by what is known of its subject and route. */
-	#placePrompt(parts: readonly PromptPart[], bytes: number): PromptSubject | undefined {
-		const last = parts.at(-1);
+	#chooseHomeScope(bytes: number): HomeScope {
+		const last = this.#shared.at(-1);
 		if (last === undefined) {
-			return undefined;
+			return 'none';
 		}
 
 		const {repeats, subjects, clock} = this.#context;
 		const {id: route} = this.#route;
 		const now = clock.monotonic();
 		const subject = prefixHash(last.id);
-		repeats.note(route, {subject, now});
+		repeats.of(route).note(subject, now);
 		subjects.note(route, {subject, now});
-		const sharedTokens = parts.reduce((sum, {tokens}) => sum + tokens, 0);
-		return {
-			name: last.id,
-			homeScope: chooseHomeScope({sharedTokens, repeatShare: repeats.shareOf(route), bytes}),
-			share: repeats.frequencyOf(route, subject),
-		};
+		const sharedTokens = this.#shared.reduce((sum, {tokens}) => sum + tokens, 0);
+		return chooseHomeScope({sharedTokens, repeatShare: repeats.shareOf(route), bytes});
 	}
 
 	/** What the prompt has in common with others on the model; each model has a cache of its own. */
 	#subject(model: ModelId | undefined): PromptSubject | undefined {
-		return this.#prompt && {...this.#prompt, name: `${this.#prompt.name} ${model ?? ''}`};
+		const last = this.#shared.at(-1);
+		return last === undefined ? undefined : {name: `${last.id} ${model ?? ''}`, homeScope: this.#homeScope};
 	}
 
 	/** Which versions will do, the best first. */
--- a/packages/gateway/src/repeats/repeat-book.ts
+++ b/packages/gateway/src/repeats/repeat-book.ts
@@ -1,58 +1,48 @@
 import {RecentMap} from '@valehitch/core';
+import {RepeatShare, type RepeatShareOptions} from '@valehitch/routing';
 import {type RouteId} from '../configuration/routing-configuration.js';
 import {type RouteRepeats, type RouteSubjects} from './route-repeats.js';
-import {SubjectCounts, type SubjectCountsOptions} from './subject-counts.js';
 
 /** The most routes that are kept, the least recently used going first: few have prompts, and each remembers up to a thousand subjects. */
 const maximumRoutes = 32;
-/** A subject below this share of its route's requests is not told: a server in fifty can keep up with it alone. */
-const leastFrequentShare = 0.02;
-
-type ToldRoute = {
-	readonly share: number;
-	/** The shares of the frequent subjects, by their hashes. */
-	readonly frequent: ReadonlyMap<number, number>;
-};
 
 /**
-How often the subjects of prompts repeat and which are frequent, by route: as counted here, and as told by control.
+How often the subjects of prompts repeat, by route: as counted here, and as told by control.
 
-One of hundreds of entry instances sees hardly any subject twice: with 195 of them, 133 requests a second and 2448 subjects, 12 of its own requests were enough to take subjects that all repeat within 20 s for new ones, and prompts were sent to servers that had never read them. Nor can it see that everybody asks about the same subject, whose one home would be swamped.
+One of hundreds of entry instances sees hardly any subject twice: with 195 of them, 133 requests a second and 2448 subjects, 12 of its own requests were enough to take subjects that all repeat within 20 s for new ones, and prompts were sent to servers that had never read them.
 
 @example
 ```ts
 const repeats = new RepeatBook();
-repeats.note(route.id, {subject: 5137, now});
+repeats.of(route.id).note('5c1e07a2', now);
 repeats.shareOf(route.id);
 ```
 */
 export class RepeatBook {
-	readonly #options: SubjectCountsOptions;
-	readonly #counts = new RecentMap<RouteId, SubjectCounts>(maximumRoutes);
-	readonly #told = new RecentMap<RouteId, ToldRoute>(maximumRoutes);
+	readonly #options: RepeatShareOptions;
+	readonly #shares = new RecentMap<RouteId, RepeatShare>(maximumRoutes);
+	readonly #told = new RecentMap<RouteId, number>(maximumRoutes);
 
 	/**
 	@param options How much is remembered of each route.
 	*/
-	constructor(options: SubjectCountsOptions = {}) {
+	constructor(options: RepeatShareOptions = {}) {
 		this.#options = options;
 	}
 
-	/** What is counted here, by route. */
+	/** The repeats on all routes, as counted here. */
 	get counted(): readonly RouteRepeats[] {
-		return this.#counts.entries.map(([route, {repeats, frequency}]) => ({
-			route, share: repeats.share, frequent: frequency.above(leastFrequentShare),
-		}));
+		return this.#shares.entries.map(([route, {share}]) => ({route, share}));
 	}
 
 	/**
-	Counts a request.
+	The repeats on a route, as counted here.
 
-	@param route Its route.
-	@param noted The hash of what it is about, and when it came, in milliseconds on the monotonic clock.
+	@param route The route.
+	@returns Its counts, which count further requests too.
 	*/
-	note(route: RouteId, {subject, now}: {readonly subject: number; readonly now: number}): void {
-		this.#countsOf(route).note(subject, now);
+	of(route: RouteId): RepeatShare {
+		return this.#shares.touch(route, () => new RepeatShare(this.#options));
 	}
 
 	/**
@@ -62,18 +52,7 @@
 	@returns The share, from 0 to 1.
 	*/
 	shareOf(route: RouteId): number {
-		return Math.max(this.#countsOf(route).repeats.share, this.#told.peek(route)?.share ?? 0);
-	}
-
-	/**
-	The share that a subject has of the requests on its route over the whole deployment.
-
-	@param route The route.
-	@param subject The hash of the subject.
-	@returns The share, from 0 to 1; 0 where it is not frequent, or control told nothing yet.
-	*/
-	frequencyOf(route: RouteId, subject: number): number {
-		return this.#told.peek(route)?.frequent.get(subject) ?? 0;
+		return Math.max(this.of(route).share, this.#told.peek(route) ?? 0);
 	}
 
 	/**
@@ -82,8 +61,8 @@
 	@param repeats The repeats by route.
 	*/
 	take(repeats: readonly RouteRepeats[]): void {
-		for (const {route, share, frequent} of repeats) {
-			this.#told.set(route, {share, frequent: new Map(frequent.map(({prefix, share: frequency}) => [prefix, frequency]))});
+		for (const {route, share} of repeats) {
+			this.#told.set(route, share);
 		}
 	}
 
@@ -95,14 +74,10 @@
 	*/
 	hear(asked: readonly RouteSubjects[], now: number): void {
 		for (const {route, subjects} of asked) {
-			const counts = this.#countsOf(route);
+			const share = this.of(route);
 			for (const subject of subjects) {
-				counts.note(subject, now);
+				share.note(subject, now);
 			}
 		}
 	}
-
-	#countsOf(route: RouteId): SubjectCounts {
-		return this.#counts.touch(route, () => new SubjectCounts(this.#options));
-	}
 }
--- a/packages/gateway/src/repeats/route-repeats.ts
+++ b/packages/gateway/src/repeats/route-repeats.ts
@@ -1,4 +1,3 @@
-import {type PrefixShare} from '@valehitch/routing';
 import {type RouteId} from '../configuration/routing-configuration.js';
 
 /** The subjects that an entry instance was asked about on one route since it last told them. */
@@ -13,6 +12,4 @@
 	readonly route: RouteId;
 	/** The share of the requests whose subject was asked about shortly before, from 0 to 1. */
 	readonly share: number;
-	/** The subjects with so large a share of the requests that one server is not enough for them. */
-	readonly frequent: readonly PrefixShare[];
 };
--- a/packages/routing/src/prefix-shares.ts
+++ b/packages/routing/src/prefix-shares.ts
@@ -6,18 +6,10 @@
 	readonly halvingCount?: number;
 };
 
-/** How frequent a prefix is. */
-export type PrefixShare = {
-	/** The hash of the prefix. */
-	readonly prefix: number;
-	/** Its share of the requests, from 0 to 1. */
-	readonly share: number;
-};
-
 /**
 The shares of the requests that the most frequent prefixes have, by the Space-Saving algorithm (Metwally, Agrawal and El Abbadi, 2005).
 
-A prefix with a large share needs more than one home, and whoever counts enough of the traffic can tell so.
+A prefix with a large share needs more than one home, and this instance can tell so from its own traffic alone.
 
 @example
 ```ts
@@ -59,24 +51,6 @@
 		return share;
 	}
 
-	/**
-	The prefixes with a large share.
-
-	@param leastShare The share from which a prefix is told, from 0 to 1.
-	@returns The prefixes and their shares.
-	*/
-	above(leastShare: number): readonly PrefixShare[] {
-		const frequent: PrefixShare[] = [];
-		for (const [prefix, count] of this.#counts) {
-			const share = count / this.#total;
-			if (share >= leastShare) {
-				frequent.push({prefix, share});
-			}
-		}
-
-		return frequent;
-	}
-
 	/** Frees the place of the least frequent prefix, and gives its count. */
 	#takePlace(): number {
 		if (this.#counts.size < this.#maximumPrefixes) {
--- a/packages/routing/src/repeat-share.ts
+++ b/packages/routing/src/repeat-share.ts
@@ -22,14 +22,14 @@
 @example
 ```ts
 const repeats = new RepeatShare();
-repeats.note(5137, now);
+repeats.note('5c1e07a2', now);
 repeats.share; // lower with each subject that is new
 ```
 */
 export class RepeatShare {
 	readonly #memoryMilliseconds: number;
 	/** When each subject was asked about last. */
-	readonly #seenAt: RecentMap<number, number>;
+	readonly #seenAt: RecentMap<string | number, number>;
 	#repeats = initialRepeats;
 	#count = initialCount;
 
@@ -46,10 +46,10 @@
 	/**
 	Counts a request.
 
-	@param subject The hash of what it is about.
+	@param subject What it is about, or a hash of that.
 	@param now Milliseconds on the monotonic clock.
 	*/
-	note(subject: number, now: number): void {
+	note(subject: string | number, now: number): void {
 		const seenAt = this.#seenAt.peek(subject);
 		const isRepeat = seenAt !== undefined && now - seenAt <= this.#memoryMilliseconds;
 		this.#repeats += isRepeat ? 1 : 0;
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -17,7 +17,7 @@
 	readonly excluded: ReadonlySet<ServerId>;
 	/** The hash of the prompt's prefix; undefined where no cache matters. */
 	readonly prefix?: number | undefined;
-	/** The share of the requests that have the prefix, from 0 to 1, as far as it is known; 0 by default. */
+	/** The share of this instance's requests that have the prefix, from 0 to 1; 0 by default. */
 	readonly prefixShare?: number;
 	/** Among which servers the prefix has its home; `zone` by default: those that work would go to without it. */
 	readonly homeScope?: HomeScope;
--- a/packages/testing/src/emulator/play-load.ts
+++ b/packages/testing/src/emulator/play-load.ts
@@ -4,7 +4,7 @@
 import {
 	chooseNextModel, RepeatBook, type Route, type SendLoad,
 } from '@valehitch/gateway';
-import {type HomeScope, prefixHash} from '@valehitch/routing';
+import {type HomeScope} from '@valehitch/routing';
 import {exponential} from '../_bench-tools.js';
 import {type DecisionPolicy} from './decision-policy.js';
 import {type CallerRequest, drawRequest} from './draw-request.js';
@@ -203,9 +203,8 @@
 		}
 
 		const route = toId<Route['id']>(kind.name);
-		const noted = {subject: prefixHash(subject), now: this.#queue.now};
-		repeats.note(route, noted);
-		this.#allRepeats.note(route, noted);
+		repeats.of(route).note(subject, this.#queue.now);
+		this.#allRepeats.of(route).note(subject, this.#queue.now);
 		return homeScope({sharedTokens: kind.sharedTokens, repeatShare: repeats.shareOf(route), bytes: bytesPerToken * (kind.sharedTokens + ownTokens)});
 	}
 
