Revert "Count the repeats of subjects over all entry instances"

Conclusion: the emulation that spoke for it gives each instance the loads of all others; an instance knows those of six others of its own zone. A home over all zones takes a request away from servers whose loads are known a little to one whose load is not. It can come back with a picture of loads.

--- a/packages/core/src/recent-map.ts
+++ b/packages/core/src/recent-map.ts
@@ -23,11 +23,6 @@
 		return this.#entries.size;
 	}
 
-	/** All entries, the least recently used first. */
-	get entries(): ReadonlyArray<readonly [Key, Value]> {
-		return [...this.#entries];
-	}
-
 	/**
 	Reads an entry without counting that as use.
 
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -7,7 +7,6 @@
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
-import {RepeatBook} from '../repeats/repeat-book.js';
 import {EvidenceTable} from '../rollouts/evidence-table.js';
 import {isEnded, type Rollout} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
@@ -59,8 +58,6 @@
 const retryMilliseconds = 300;
 /** The time between two looks at the running roll-outs. */
 const judgeMilliseconds = 150;
-/** The subjects of each route whose repeats are counted: those of 30 s at 270 requests a second, some 800 KB. */
-const maximumSubjects = 8192;
 
 /**
 One control instance: its replica of the gateway's state, the directory of backend servers, and the answers to operators, backend servers and entry instances.
@@ -77,7 +74,6 @@
 	readonly #news: ServerNews;
 	readonly #rolloutClock: RolloutClock;
 	readonly #evidence = new EvidenceTable();
-	readonly #repeats = new RepeatBook({maximumSubjects});
 	readonly #learned = new Set<InstanceId>();
 	readonly #leader: LeaderClient;
 	readonly #watches: EntryWatches;
@@ -264,7 +260,6 @@
 			.with({type: 'all-servers'}, (): ServersMessage => ({type: 'servers', records: this.#news.directory.records}))
 			.with({type: 'watch'}, async watch => {
 				this.#evidence.take(watch.evidence);
-				this.#repeats.hear(watch.subjects ?? [], this.#options.clock.monotonic());
 				return this.#watches.answer(from, watch);
 			})
 			.with({type: 'load'}, () => undefined)
@@ -327,7 +322,6 @@
 			rollouts: this.#rolloutClock.running(state?.rollouts ?? []),
 			confirmedAt: state === undefined ? undefined : this.#confirmation.confirmedAt,
 			hosts: [this.#options.self, ...this.#others()],
-			repeats: this.#repeats.counted,
 		};
 	}
 
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -1,5 +1,4 @@
 import {type Clock, type InstanceId} from '@valehitch/core';
-import {type RouteRepeats} from '../repeats/route-repeats.js';
 import {isEnded, type RunningRollout} from '../rollouts/rollout.js';
 import {type ServerDirectory} from '../servers/server-directory.js';
 import {type ConfigurationDocument} from './gateway-state.js';
@@ -15,8 +14,6 @@
 	readonly confirmedAt: number | undefined;
 	/** The hosts of the control instances. */
 	readonly hosts: readonly InstanceId[];
-	/** How often subjects repeat on the routes, over all that ask. */
-	readonly repeats: readonly RouteRepeats[];
 };
 
 /** What the answers to entry instances need. */
@@ -77,7 +74,7 @@
 		}
 
 		const now = clock.monotonic();
-		const {configuration, rollouts, confirmedAt, hosts, repeats} = news();
+		const {configuration, rollouts, confirmedAt, hosts} = news();
 		return {
 			run,
 			cursor: directory.cursor,
@@ -88,7 +85,6 @@
 			held: now - arrived,
 			confirmedAgo: confirmedAt === undefined ? undefined : now - confirmedAt,
 			hosts,
-			repeats,
 			entries: nearEntriesOf(asker, this.#presentEntries(now)),
 		};
 	}
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -3,7 +3,6 @@
 	type Failure, type InstanceId, type ServerId, type ZoneId,
 } from '@valehitch/core';
 import {type ReplicaWire} from '@valehitch/replication';
-import {type RouteRepeats, type RouteSubjects} from '../repeats/route-repeats.js';
 import {type RunningRollout} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -92,8 +91,6 @@
 	/** The digest of the roll-outs that the asker has. */
 	readonly rolloutDigest: string;
 	readonly evidence: readonly VersionEvidence[];
-	/** What the asker was asked about since its last question; missing from an earlier release. */
-	readonly subjects?: readonly RouteSubjects[];
 };
 
 /** The news. */
@@ -112,8 +109,6 @@
 	readonly hosts: readonly string[];
 	/** The entry instances with which the asker shares its loads. */
 	readonly entries: readonly InstanceId[];
-	/** How often subjects repeat, over all entry instances that ask here; missing from an earlier release. */
-	readonly repeats?: readonly RouteRepeats[];
 };
 
 /** An entry instance tells others how much work it has at which server. */
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -11,9 +11,6 @@
 	readonly confirmedAt: number | undefined;
 };
 
-/** What an entry instance has, and what it tells of itself. */
-export type ControlQuestion = Omit<WatchMessage, 'type' | 'run' | 'cursor'>;
-
 /** What the watch on control needs. */
 export type ControlWatchOptions = {
 	readonly clock: Clock;
@@ -22,7 +19,7 @@
 	/** The control instances that the settings name. */
 	readonly seeds: () => readonly InstanceId[];
 	/** What goes with a question, besides what is remembered for each source. */
-	readonly question: (host: InstanceId) => ControlQuestion;
+	readonly question: (host: InstanceId) => Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evidence'>;
 	/** Asks a control instance; undefined where no reply came within the timeout in milliseconds. */
 	readonly ask: (to: InstanceId, message: WatchMessage, timeout: number) => Promise<WatchReply | undefined>;
 	readonly onNews: (news: ControlNews) => void;
--- a/packages/gateway/src/entry/decision-shapes.test.ts
+++ b/packages/gateway/src/entry/decision-shapes.test.ts
@@ -4,11 +4,11 @@
 import {chooseHomeScope} from '@valehitch/routing';
 import test from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
-import {RepeatBook} from '../repeats/repeat-book.js';
 import {testServer} from '../servers/_test-server.js';
 import {EntryServers, type SendResult} from './entry-servers.js';
 import {LatencyBook} from './latency-book.js';
 import {ModelSteps} from './model-steps.js';
+import {RepeatBook} from './repeat-book.js';
 
 /** Deployments of other shapes than those that the thresholds were measured on: each decision must still be a sensible one. */
 
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -3,14 +3,13 @@
 import {type RouteTable} from '../configuration/route-table.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
-import {type RepeatBook} from '../repeats/repeat-book.js';
-import {type SubjectLog} from '../repeats/subject-log.js';
 import {type RunningRollout} from '../rollouts/rollout.js';
 import {type ConfigurationLease} from './configuration-lease.js';
 import {type Dialect} from './dialect.js';
 import {type EntryServers} from './entry-servers.js';
 import {type EvidenceCounter} from './evidence-counter.js';
 import {type LatencyBook} from './latency-book.js';
+import {type RepeatBook} from './repeat-book.js';
 import {type VersionPins} from './version-pins.js';
 
 /** The bounds of a deployment that the handling of requests keeps. */
@@ -35,8 +34,6 @@
 	readonly latencies: LatencyBook;
 	readonly pins: VersionPins;
 	readonly repeats: RepeatBook;
-	/** What is told to control, so that repeats are counted over all entry instances. */
-	readonly subjects: SubjectLog;
 	readonly evidence: EvidenceCounter;
 	/** The newest configuration; undefined before the first. */
 	readonly table: () => RouteTable | undefined;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -10,13 +10,11 @@
 import {type LoadMessage, type WatchMessage, type WatchReply} from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
-import {RepeatBook} from '../repeats/repeat-book.js';
-import {SubjectLog} from '../repeats/subject-log.js';
 import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {KnownRollouts} from '../rollouts/known-rollouts.js';
 import {createCallerServer} from './caller-server.js';
 import {ConfigurationLease} from './configuration-lease.js';
-import {type ControlNews, type ControlQuestion, ControlWatch} from './control-watch.js';
+import {type ControlNews, ControlWatch} from './control-watch.js';
 import {type Dialect} from './dialect.js';
 import {type EntryBounds, type EntryContext} from './entry-context.js';
 import {EntryServers} from './entry-servers.js';
@@ -25,6 +23,7 @@
 import {dropIdleConnections} from './kept-connections.js';
 import {LatencyBook} from './latency-book.js';
 import {LoadShare} from './load-share.js';
+import {RepeatBook} from './repeat-book.js';
 import {VersionPins} from './version-pins.js';
 
 /** Where the instance listens. */
@@ -119,7 +118,6 @@
 			latencies: new LatencyBook(clock),
 			pins: new VersionPins(options),
 			repeats: new RepeatBook(),
-			subjects: new SubjectLog(),
 			evidence: new EvidenceCounter({entry: self, run}),
 			table: () => this.#table,
 			nextNews: async timeout => Promise.race([this.#news.next(), options.wait(timeout)]),
@@ -220,16 +218,14 @@
 		}
 	}
 
-	#question(host: InstanceId): ControlQuestion {
-		const now = this.#options.clock.monotonic();
+	#question(host: InstanceId): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evidence'> {
 		const delta = this.#told.get(host) ?? new EvidenceDelta();
 		this.#told.set(host, delta);
 		return {
 			zone: this.#options.zone,
 			configurationVersion: this.#table?.version,
 			rolloutDigest: this.#rollouts.digest,
-			evidence: delta.next(this.#context.evidence.of(this.#rollouts.runningServices), now),
-			subjects: this.#context.subjects.next(host, now),
+			evidence: delta.next(this.#context.evidence.of(this.#rollouts.runningServices), this.#options.clock.monotonic()),
 		};
 	}
 
@@ -238,7 +234,6 @@
 		const {lease, servers} = this.#context;
 		const changed = servers.take(reply.records, {source, now});
 		this.#peers = reply.entries;
-		this.#context.repeats.take(reply.repeats ?? []);
 		if (changed.length > 0) {
 			this.#serverNews.wake();
 		}
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -1,7 +1,7 @@
 import {
 	type ModelId, type ServerId, type ServiceId, type VersionId,
 } from '@valehitch/core';
-import {chooseHomeScope, type HomeScope, prefixHash} from '@valehitch/routing';
+import {chooseHomeScope, type HomeScope} from '@valehitch/routing';
 import {type Route} from '../configuration/routing-configuration.js';
 import {chooseSide, type RolloutSide} from '../rollouts/choose-side.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -91,14 +91,11 @@
 			return 'none';
 		}
 
-		const {repeats, subjects, clock} = this.#context;
-		const {id: route} = this.#route;
-		const now = clock.monotonic();
-		const subject = prefixHash(last.id);
-		repeats.of(route).note(subject, now);
-		subjects.note(route, {subject, now});
+		const {repeats, clock} = this.#context;
+		const repeatsOnRoute = repeats.of(this.#route.id);
+		repeatsOnRoute.note(last.id, clock.monotonic());
 		const sharedTokens = this.#shared.reduce((sum, {tokens}) => sum + tokens, 0);
-		return chooseHomeScope({sharedTokens, repeatShare: repeats.shareOf(route), bytes});
+		return chooseHomeScope({sharedTokens, repeatShare: repeatsOnRoute.share, bytes});
 	}
 
 	/** What the prompt has in common with others on the model; each model has a cache of its own. */
--- a/packages/routing/src/repeat-share.ts
+++ b/packages/routing/src/repeat-share.ts
@@ -17,7 +17,7 @@
 /**
 Tells which share of the requests are about a subject that was asked about shortly before.
 
-One of many instances sees only its own requests, so that its share is never above that of the whole deployment.
+An instance sees only its own requests, so that the share is never above that of the whole deployment.
 
 @example
 ```ts
@@ -29,7 +29,7 @@
 export class RepeatShare {
 	readonly #memoryMilliseconds: number;
 	/** When each subject was asked about last. */
-	readonly #seenAt: RecentMap<string | number, number>;
+	readonly #seenAt: RecentMap<string, number>;
 	#repeats = initialRepeats;
 	#count = initialCount;
 
@@ -46,10 +46,10 @@
 	/**
 	Counts a request.
 
-	@param subject What it is about, or a hash of that.
+	@param subject What it is about.
 	@param now Milliseconds on the monotonic clock.
 	*/
-	note(subject: string | number, now: number): void {
+	note(subject: string, now: number): void {
 		const seenAt = this.#seenAt.peek(subject);
 		const isRepeat = seenAt !== undefined && now - seenAt <= this.#memoryMilliseconds;
 		this.#repeats += isRepeat ? 1 : 0;
--- a/packages/testing/src/emulator/decision-policy.ts
+++ b/packages/testing/src/emulator/decision-policy.ts
@@ -7,8 +7,6 @@
 	readonly homeScope: typeof chooseHomeScope | undefined;
 	/** Whether entry instances tell each other their loads. */
 	readonly sharesLoads: boolean;
-	/** Whether control tells entry instances how often subjects repeat over all of them. */
-	readonly sharesRepeats: boolean;
 	/** Whether times are taken in proportion to the prompt. */
 	readonly countsTokens: boolean;
 	/** Whether a server without a word is given up for another. */
--- a/packages/testing/src/emulator/play-load.ts
+++ b/packages/testing/src/emulator/play-load.ts
@@ -2,7 +2,7 @@
 	type ModelId, type RandomSource, type ServerId, toId, type ZoneId,
 } from '@valehitch/core';
 import {
-	chooseNextModel, RepeatBook, type Route, type SendLoad,
+	chooseNextModel, type Route, type SendLoad,
 } from '@valehitch/gateway';
 import {type HomeScope} from '@valehitch/routing';
 import {exponential} from '../_bench-tools.js';
@@ -48,10 +48,6 @@
 const leastConfidence = 50;
 /** Loads are told this long after they changed, in milliseconds. */
 const tellMilliseconds = 40;
-/** Repeats of subjects are told this often, as control answers the questions of entry instances, in milliseconds. */
-const repeatsMilliseconds = 800;
-/** The subjects of a route that control remembers. */
-const maximumSubjects = 8192;
 /** The bounds of the product's own silence: a server is given up after eight times its expected time, 500 ms at least. */
 const silentFactor = 8;
 const quietMilliseconds = 500;
@@ -86,8 +82,6 @@
 	readonly #entries: readonly EmulatedEntry[];
 	readonly #sends = new Map<number, Send>();
 	readonly #told = new ToldLoads();
-	/** The repeats over all entry instances, as control counts them. */
-	readonly #allRepeats = new RepeatBook({maximumSubjects});
 	#lastSend = 0;
 	readonly #result = emptyResult();
 
@@ -117,10 +111,6 @@
 			this.#tell();
 		}
 
-		if (this.#policy.sharesRepeats) {
-			this.#tellRepeats();
-		}
-
 		this.#arrive();
 		this.#queue.runUntil(this.#shape.milliseconds + lastAnswersMilliseconds);
 		return this.#result;
@@ -165,16 +155,6 @@
 		});
 	}
 
-	#tellRepeats(): void {
-		for (const {repeats} of this.#entries) {
-			repeats.take(this.#allRepeats.counted);
-		}
-
-		this.#queue.add(repeatsMilliseconds, () => {
-			this.#tellRepeats();
-		});
-	}
-
 	#arrive(): void {
 		if (this.#queue.now > this.#shape.milliseconds) {
 			return;
@@ -202,10 +182,9 @@
 			return undefined;
 		}
 
-		const route = toId<Route['id']>(kind.name);
-		repeats.of(route).note(subject, this.#queue.now);
-		this.#allRepeats.of(route).note(subject, this.#queue.now);
-		return homeScope({sharedTokens: kind.sharedTokens, repeatShare: repeats.shareOf(route), bytes: bytesPerToken * (kind.sharedTokens + ownTokens)});
+		const repeatsOnRoute = repeats.of(toId<Route['id']>(kind.name));
+		repeatsOnRoute.note(subject, this.#queue.now);
+		return homeScope({sharedTokens: kind.sharedTokens, repeatShare: repeatsOnRoute.share, bytes: bytesPerToken * (kind.sharedTokens + ownTokens)});
 	}
 
 	#send(request: Request): void {
--- a/packages/testing/src/emulator/policies.ts
+++ b/packages/testing/src/emulator/policies.ts
@@ -3,7 +3,7 @@
 
 /** What the product does. */
 export const productPolicy: DecisionPolicy = {
-	name: 'as the product decides', homeScope: chooseHomeScope, sharesLoads: true, sharesRepeats: true, countsTokens: true, givesUp: true, steps: true,
+	name: 'as the product decides', homeScope: chooseHomeScope, sharesLoads: true, countsTokens: true, givesUp: true, steps: true,
 };
 
 /** The product with one mechanism taken out each, and two with one in its place. */
@@ -13,7 +13,6 @@
 	{...productPolicy, name: 'homes in each zone', homeScope: () => 'zone'},
 	{...productPolicy, name: 'homes over all zones', homeScope: () => 'all'},
 	{...productPolicy, name: 'without shared loads', sharesLoads: false},
-	{...productPolicy, name: 'repeats as one instance sees them', sharesRepeats: false},
 	{...productPolicy, name: 'times blind to the prompt', countsTokens: false},
 	{...productPolicy, name: 'without giving servers up', givesUp: false},
 	{...productPolicy, name: 'without steps to a larger model', steps: false},
