Give emulated instances the loads that real ones know, those of six others near them

Cause: the emulation gave each entry instance the loads of all others, so that at hundreds of instances it decided better than the product can.

Change: an instance knows the loads of the six that the product's own rule names, of all, or of none. The test of homes keeps the case that it was written on, every load known; its check is unchanged.

--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -7,6 +7,7 @@
 export type * from './configuration/routing-configuration.js';
 export * from './configuration/route-table.js';
 export * from './control/control-instance.js';
+export * from './control/near-entries.js';
 export type * from './control/peer-message.js';
 export * from './entry/choose-next-model.js';
 export * from './entry/configuration-lease.js';
--- a/packages/testing/src/emulator/decision-policy.ts
+++ b/packages/testing/src/emulator/decision-policy.ts
@@ -5,8 +5,8 @@
 	readonly name: string;
 	/** Where prompts have their homes; undefined where they have none. */
 	readonly homeScope: typeof chooseHomeScope | undefined;
-	/** Whether entry instances tell each other their loads. */
-	readonly sharesLoads: boolean;
+	/** Whose loads an entry instance knows beside its own: nobody's, those of the instances near it, or those of all. */
+	readonly knownLoads: 'none' | 'near' | 'all';
 	/** Whether times are taken in proportion to the prompt. */
 	readonly countsTokens: boolean;
 	/** Whether a server without a word is given up for another. */
--- a/packages/testing/src/emulator/play-load.test.ts
+++ b/packages/testing/src/emulator/play-load.test.ts
@@ -34,8 +34,10 @@
 });
 
 test('long prompts whose subjects repeat are read less often where they have homes over all zones, and answers come no later', t => {
-	const without = playAll(railcarLeasing, {...productPolicy, homeScope: undefined});
-	const withHomes = playAll(railcarLeasing, {...productPolicy, homeScope: () => 'all'});
+	// With every load known: what a home costs where it is not, the decisions at size tell.
+	const informed: DecisionPolicy = {...productPolicy, knownLoads: 'all'};
+	const without = playAll(railcarLeasing, {...informed, homeScope: undefined});
+	const withHomes = playAll(railcarLeasing, {...informed, homeScope: () => 'all'});
 	t.log(`tokens kept: ${without.tokensKept} without homes, ${withHomes.tokensKept} with homes for all`);
 	t.log(`late: ${shareOf(without.late, without)} % and ${shareOf(withHomes.late, withHomes)} %`);
 	t.true(withHomes.tokensKept > 3 * without.tokensKept);
@@ -52,7 +54,7 @@
 });
 
 test('fewer answers are late where entry instances tell each other their loads', t => {
-	const without = playAll(railcarLeasing, {...productPolicy, sharesLoads: false});
+	const without = playAll(railcarLeasing, {...productPolicy, knownLoads: 'none'});
 	t.log(`late: ${shareOf(without.late, without)} % without, ${shareOf(product.late, product)} % with`);
 	t.true(product.late < without.late);
 });
--- a/packages/testing/src/emulator/play-load.ts
+++ b/packages/testing/src/emulator/play-load.ts
@@ -81,7 +81,7 @@
 	readonly #engines: readonly SteppingEngine[];
 	readonly #entries: readonly EmulatedEntry[];
 	readonly #sends = new Map<number, Send>();
-	readonly #told = new ToldLoads();
+	readonly #told: ToldLoads | undefined;
 	#lastSend = 0;
 	readonly #result = emptyResult();
 
@@ -92,6 +92,7 @@
 		this.#decisionRandom = decisionRandom;
 		this.#engines = Array.from({length: shape.engines}, (_, index) => this.#makeEngine(index));
 		this.#entries = Array.from({length: shape.entries}, (_, index) => this.#makeEntry(index));
+		this.#told = policy.knownLoads === 'none' ? undefined : new ToldLoads(this.#entries, policy.knownLoads);
 	}
 
 	play(): LoadResult {
@@ -107,10 +108,7 @@
 			});
 		}
 
-		if (this.#policy.sharesLoads) {
-			this.#tell();
-		}
-
+		this.#tell();
 		this.#arrive();
 		this.#queue.runUntil(this.#shape.milliseconds + lastAnswersMilliseconds);
 		return this.#result;
@@ -140,7 +138,7 @@
 			random: this.#decisionRandom,
 			engines: this.#engines,
 			slots: this.#shape.sheet.slots,
-			othersOn: (server, servers) => this.#told.othersOn(server, servers),
+			othersOn: (server, servers) => this.#told?.othersOn(server, servers) ?? 0,
 		});
 	}
 
@@ -149,7 +147,7 @@
 	}
 
 	#tell(): void {
-		this.#told.tell(this.#entries.map(({servers}) => servers));
+		this.#told?.tell();
 		this.#queue.add(tellMilliseconds, () => {
 			this.#tell();
 		});
