Hold a former process's failures against nobody, and go on at the next one

Cause: a send that ended since its server had started again was recorded as a failure of that server, whose next process had done nothing, and kept the request from it; a service with one server was answered 502 though the next process was there.

Change: how a send ended counts only where the server has not started again since; a request is kept from processes, not from ids.

Before: the new test of a request in progress gets 502; after: its answer, by the next process, at once.

--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -111,6 +111,8 @@
 	t.like(changed, {state: 'ready', startedAt: 2000});
 	t.is(found(held), testServer().id);
 	t.true(load.processEnd.aborted);
+	t.false(held.isCurrent(testServer({startedAt: 1000, sequence: 80})), 'the end of its sends is no fault of the next process');
+	t.true(held.isCurrent(testServer({startedAt: 2000, sequence: 7})));
 	t.deepEqual(replaced, ['server-1 1000']);
 	t.is(share.othersOn(testServer().id), 0);
 	held.begin(testServer().id, 3);
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -9,7 +9,7 @@
 import {hasReplaced} from '../servers/has-replaced.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
 import {type ServerRecord} from '../servers/server-record.js';
-import {HeldServer, type SendLoad} from './held-server.js';
+import {HeldServer, type SendLoad, unknownLoad} from './held-server.js';
 import {type LoadShare} from './load-share.js';
 
 /** How an entry instance chooses among the servers. */
@@ -57,7 +57,7 @@
 
 @example
 ```ts
-const servers = new EntryServers({zone, random});
+const servers = new EntryServers({zone, random, share, onReplaced});
 servers.take(records, {source, now});
 servers.find({service, isWanted: () => true, excluded: new Set(), subject: undefined, now});
 ```
@@ -171,6 +171,17 @@
 		return this.#servers.get(id)?.heardAt ?? 0;
 	}
 
+	/**
+	Tells whether a record is of the process that is known now: how a send to a former one ended says nothing of the next.
+
+	@param server The record.
+	@returns Whether no later process of the server is known.
+	*/
+	isCurrent(server: ServerRecord): boolean {
+		const held = this.#servers.get(server.id);
+		return held !== undefined && compareStarts(held.record, server) === 0;
+	}
+
 	/**
 	Learns how a send ended.
 
@@ -283,16 +294,6 @@
 	}
 }
 
-/** Of a server that control told no more of while the request was placed, nothing is counted. */
-const unknownLoad: SendLoad = {
-	answerBegins() {
-		// Nothing was counted.
-	},
-	end() {
-		// Nothing was counted.
-	},
-	processEnd: new AbortController().signal,
-};
 /** The busier the own zone must be before another helps, as a share of its slots. */
 const zonePenalty = 0.1;
 /** The uptime from which the server choice gives a full share. */
--- a/packages/gateway/src/entry/held-server.ts
+++ b/packages/gateway/src/entry/held-server.ts
@@ -25,6 +25,17 @@
 /** The work of a request whose answer has begun, in units of a short request: a batch generates for many at once, while it reads one prompt after the other. */
 const streamingWork = 1;
 
+/** The load at a server that is not known any more: nothing is counted. */
+export const unknownLoad: SendLoad = {
+	answerBegins() {
+		// Nothing was counted.
+	},
+	end() {
+		// Nothing was counted.
+	},
+	processEnd: new AbortController().signal,
+};
+
 /**
 One process of a backend server as an entry instance knows it: what control says, what is in flight there, and how it was reached of late.
 
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -75,9 +75,11 @@
 		return undefined;
 	}
 
-	/** Keeps the further sends from a server. */
-	exclude(server: ServerId): void {
-		this.#excluded.add(server);
+	/** Keeps the further sends from a server that was tried; where it has started again since, its next process was not. */
+	exclude(server: ServerRecord): void {
+		if (this.#context.servers.isCurrent(server)) {
+			this.#excluded.add(server.id);
+		}
 	}
 
 	/** Notes the version that began the stream; it goes on there while that version has servers. */
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -164,6 +164,28 @@
 	t.deepEqual(answer, {status: 200, text: '', signature: 'of-the-server'});
 });
 
+test('a request whose server starts again goes to its next process at once, and the former one counts against nobody', async t => {
+	let known: EntryServers | undefined;
+	const requests: string[] = [];
+	const port = await listen(t, (message, response) => {
+		requests.push(message.url ?? '');
+		if (requests.length > 1) {
+			response.end('printed');
+			return;
+		}
+
+		// The former process says nothing more; control hears of the next one, at the same address.
+		known?.take([testServer({port, startedAt: 2000})], {source: control, now: performance.now()});
+	});
+	const answer = await askThrough(t, servers => {
+		known = servers;
+		servers.take([testServer({port, startedAt: 1000, sequence: 40})], {source: control, now: performance.now()});
+	}, testRoute({kind: 'safe', maximumAttempts: 2, timeout: 8000}));
+	t.deepEqual(answer, {status: 200, text: 'printed'});
+	t.is(requests.length, 2);
+	t.true(known?.isCurrent(testServer({port, startedAt: 2000})));
+});
+
 test('a kept connection that was dropped is no fault of its server, and the request goes there again', async t => {
 	const requests = new Map<unknown, number>();
 	const port = await listen(t, (message, response) => {
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -9,9 +9,9 @@
 import {EventStream} from './event-stream.js';
 import {expiryFailure} from './expiry-failure.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
+import {type SendLoad} from './held-server.js';
 import {ModelSteps} from './model-steps.js';
 import {Placement} from './placement.js';
-import {type SendLoad} from './held-server.js';
 import {type Next, RequestEnd} from './request-end.js';
 import {SendAllowance} from './send-allowance.js';
 import {type SentAttempt} from './send-attempt.js';
@@ -199,7 +199,7 @@
 			.with({type: 'failed'}, async ({failed, answer}) => {
 				this.#end.noteRun();
 				this.#end.hold(answer);
-				this.#placement.exclude(server.id);
+				this.#placement.exclude(server);
 				return this.#again(failed);
 			})
 			.with({type: 'whole'}, async ({answer}) => this.#end.passOn(answer))
@@ -219,7 +219,7 @@
 	/** A connection that did not open uses up no send. */
 	async #followUnreachable(server: ServerRecord): Promise<Next> {
 		this.#end.lastProblem = `${server.id} is unreachable`;
-		this.#placement.exclude(server.id);
+		this.#placement.exclude(server);
 		return this.#allowance.takeBack()
 			? 'again'
 			: this.#giveUp(failure('no-server', `Got no connection to ${this.#allowance.unreachable} servers of ${this.#placement.service}`, {retryAfterMilliseconds: retryMilliseconds}));
@@ -227,7 +227,7 @@
 
 	async #followNotRun(server: ServerRecord, {message}: Failure): Promise<Next> {
 		this.#end.lastProblem = message;
-		this.#placement.exclude(server.id);
+		this.#placement.exclude(server);
 		return this.#allowance.takeFurther()
 			? 'again'
 			: this.#giveUp(failure('overloaded', `${message}, and no send is left`, {retryAfterMilliseconds: retryMilliseconds}));
--- a/packages/gateway/src/entry/server-verdicts.ts
+++ b/packages/gateway/src/entry/server-verdicts.ts
@@ -58,7 +58,7 @@
 	*/
 	record(server: ServerRecord, result: SendResult): void {
 		const {servers, log, clock} = this.#context;
-		if (servers.record(server.id, result, clock.monotonic())) {
+		if (servers.isCurrent(server) && servers.record(server.id, result, clock.monotonic())) {
 			log('server-suspected', {
 				server: server.id, service: server.service, result, request: this.#options.request,
 			}, 'warn');
