Refuse calls of servers without an id, or with one beyond any sense

Cause, found by reading: a removal without an id was taken and remembered for a minute, and an id of any length was. Heartbeats had a check of the empty id alone.

--- a/packages/platform/src/decode-announcement.ts
+++ b/packages/platform/src/decode-announcement.ts
@@ -1,10 +1,11 @@
 import {
-	type Failure, failure, type ServerId, type ServiceId, toId, type VersionId, type ZoneId,
+	type Failure, type ServerId, type ServiceId, toId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {type ServerRecord} from '@valehitch/gateway';
 import {parseJsonBody} from '@valehitch/transport';
-import {type Either, Left} from 'purify-ts';
+import {type Either} from 'purify-ts';
 import * as z from 'zod';
+import {decodeServerId} from './decode-server-id.js';
 
 const highestPort = 65_535;
 
@@ -34,12 +35,13 @@
 ```
 */
 export function decodeAnnouncement(server: string, bytes: Uint8Array): Either<Failure, ServerRecord> {
-	if (server === '') {
-		return Left(failure('malformed-request', 'Got no id in the path, wanted that of a server'));
-	}
+	const id = decodeServerId(server);
+	return id.chain(known => parseJsonBody({bytes, schema: announcementSchema}).map(announcement => recordOf(known, announcement)));
+}
 
-	return parseJsonBody({bytes, schema: announcementSchema}).map(({address, seq, born, ...announced}) => ({
-		id: toId<ServerId>(server),
+function recordOf(id: ServerId, {address, seq, born, ...announced}: z.output<typeof announcementSchema>): ServerRecord {
+	return {
+		id,
 		service: toId<ServiceId>(announced.service),
 		host: hostOf(address),
 		port: portOf(address),
@@ -50,7 +52,7 @@
 		startedAt: born,
 		sequence: seq,
 		isSilent: false,
-	}));
+	};
 }
 
 function isPortInRange(address: string): boolean {
--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	errorAnswers, type Failure, failure, type ServerId, type ServiceId, toId, type VersionId,
+	errorAnswers, type Failure, failure, type ServiceId, toId, type VersionId,
 } from '@valehitch/core';
 import {type ControlInstance, type RolloutStage} from '@valehitch/gateway';
 import {parseJsonBody, readBody} from '@valehitch/transport';
@@ -9,6 +9,7 @@
 import * as z from 'zod';
 import {decodeAnnouncement} from './decode-announcement.js';
 import {decodeConfiguration} from './decode-configuration.js';
+import {decodeServerId} from './decode-server-id.js';
 
 type Answer = {
 	readonly status: number;
@@ -87,8 +88,14 @@
 		}
 
 		case 'DELETE instances/': {
-			await control.removeServer(toId<ServerId>(name!));
-			return Right(done);
+			const server = decodeServerId(name!);
+			return server.caseOf<Promise<Either<Failure, Answer>>>({
+				Left: async failed => Left(failed),
+				async Right(ended) {
+					await control.removeServer(ended);
+					return Right(done);
+				},
+			});
 		}
 
 		default: {
