--- a/packages/testing/src/emulator/play-load.ts
+++ b/packages/testing/src/emulator/play-load.ts
@@ -108,7 +108,10 @@
 			});
 		}
 
-		this.#tell();
+		if (this.#told !== undefined) {
+			this.#tell(this.#told);
+		}
+
 		this.#arrive();
 		this.#queue.runUntil(this.#shape.milliseconds + lastAnswersMilliseconds);
 		return this.#result;
@@ -146,10 +149,10 @@
 		return toId<ZoneId>(`zone-${index % this.#shape.zones}`);
 	}
 
-	#tell(): void {
-		this.#told?.tell();
+	#tell(told: ToldLoads): void {
+		told.tell();
 		this.#queue.add(tellMilliseconds, () => {
-			this.#tell();
+			this.#tell(told);
 		});
 	}
 
