--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -23,6 +23,8 @@
 };
 const maximumBodyBytes = 8_388_608;
 const millisecondsPerSecond = 1000;
+/** What is logged of an id that may be anything: those of servers are shorter, and a line stays small. */
+const loggedCharacters = 64;
 const done: Answer = {status: 200, body: '{}'};
 
 /**
@@ -77,7 +79,7 @@
 			const record = decodeAnnouncement(name!, body);
 			return record.caseOf<Promise<Either<Failure, Answer>>>({
 				async Left(failed) {
-					control.refuseAnnouncement({server: name!, reason: failed.message});
+					control.refuseAnnouncement({server: name!.slice(0, loggedCharacters), reason: failed.message});
 					return Left(failed);
 				},
 				async Right(announced) {
