--- a/packages/gateway/src/control/state-confirmation.ts
+++ b/packages/gateway/src/control/state-confirmation.ts
@@ -51,11 +51,9 @@
 
 	/** Asks the leader once, and waits until what it names is applied here. */
 	async confirm(): Promise<void> {
-		const {clock, group, newestIndex, onRegained} = this.#options;
+		const {clock, onRegained} = this.#options;
 		const began = clock.monotonic();
-		const replica = group();
-		const index = await newestIndex();
-		if (replica === undefined || index === undefined || !await replica.applied(index, began + applyMilliseconds)) {
+		if (await this.#caughtUp(began + applyMilliseconds) === undefined) {
 			return;
 		}
 
@@ -72,14 +70,19 @@
 	@returns The replica, or `no-quorum`.
 	*/
 	async newest(): Promise<Either<Failure, ControlGroup>> {
-		const {clock, group, newestIndex} = this.#options;
-		const began = clock.monotonic();
-		const replica = group();
-		const index = await newestIndex();
-		if (replica === undefined || index === undefined || !await replica.applied(index, began + readMilliseconds)) {
+		const replica = await this.#caughtUp(this.#options.clock.monotonic() + readMilliseconds);
+		if (replica === undefined) {
 			return Left(failure('no-quorum', 'Got no word of the leader about the newest index, wanted it for a read', {retryAfterMilliseconds: retryMilliseconds}));
 		}
 
 		return Right(replica);
 	}
+
+	/** The replica once it has applied what the leader names as newest; undefined where that did not come about by a time on the monotonic clock. */
+	async #caughtUp(until: number): Promise<ControlGroup | undefined> {
+		const {group, newestIndex} = this.#options;
+		const replica = group();
+		const index = await newestIndex();
+		return replica !== undefined && index !== undefined && await replica.applied(index, until) ? replica : undefined;
+	}
 }
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -103,9 +103,7 @@
 			return undefined;
 		}
 
-		held.record = {...held.record, state: 'gone'};
-		held.changedAt = this.#next();
-		return held.record;
+		return this.#end(held);
 	}
 
 	/**
@@ -164,9 +162,7 @@
 		const ended: ServerRecord[] = [];
 		for (const held of this.#servers.values()) {
 			if (held.record.state !== 'gone' && hasReplaced(joined, held.record)) {
-				held.record = {...held.record, state: 'gone'};
-				held.changedAt = this.#next();
-				ended.push(held.record);
+				ended.push(this.#end(held));
 			}
 		}
 
@@ -191,6 +187,12 @@
 		return isChanged ? [merged] : [];
 	}
 
+	#end(held: Held): ServerRecord {
+		held.record = {...held.record, state: 'gone'};
+		held.changedAt = this.#next();
+		return held.record;
+	}
+
 	#add(record: ServerRecord, heardAt: number): ServerRecord {
 		this.#servers.set(record.id, {record, heardAt, changedAt: this.#next()});
 		return record;
