Say in the log which sends that broke are of the same request

Ruled out: the key or the path alone, which tell nothing apart; the body itself, which does not belong in a log. Conclusion: two lines with one fingerprint and two processes are the same request at two servers that ended.

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -16,6 +16,8 @@
 export type ServerId = Brand<string, 'ServerId'>;
 /** Names one arrival of a request; the ledger is keyed by it. */
 export type RequestId = Brand<string, 'RequestId'>;
+/** Names what a caller asks, the same for each of its tries. */
+export type RequestFingerprint = Brand<string, 'RequestFingerprint'>;
 /** Names one change of an operator, so that a resend can be told from a new change. */
 export type ChangeId = Brand<string, 'ChangeId'>;
 /** Numbers the configurations in the order in which they were committed; the first is 1. */
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,5 +1,8 @@
 import {type ServerResponse} from 'node:http';
-import {type Failure, failure, type ModelId} from '@valehitch/core';
+import {
+	type Failure, failure, type ModelId, type RequestFingerprint,
+} from '@valehitch/core';
+import {fingerprintRequest} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
@@ -60,6 +63,7 @@
 	readonly #spare: SpareAnswer;
 	/** The send in progress, or the last one. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
+	#knownFingerprint: RequestFingerprint | undefined;
 
 	constructor(context: EntryContext, {request, body, response, authorized, arrivedAt}: RequestRunOptions) {
 		const {route} = authorized;
@@ -114,6 +118,15 @@
 		return this.#context.clock.monotonic();
 	}
 
+	/** Worked out where it is needed first: most requests never need it. */
+	#fingerprint(): RequestFingerprint {
+		const {method, host, target} = this.#request;
+		this.#knownFingerprint ??= fingerprintRequest({
+			workspace: this.#authorized.workspace?.id, method, host, target, body: this.#body,
+		});
+		return this.#knownFingerprint;
+	}
+
 	async #send(): Promise<Next> {
 		if (this.#spare.isDue) {
 			return this.#giveUp(failure('deadline-exceeded-after-dispatch', `Got no better answer in time (${this.#end.lastProblem})`));
@@ -165,6 +178,7 @@
 		return {
 			context: this.#context,
 			request: this.#request,
+			fingerprint: () => this.#fingerprint(),
 			route: this.#authorized.route,
 			models: this.#models,
 			verdicts: this.#verdicts,
--- a/packages/gateway/src/entry/take-outcome.ts
+++ b/packages/gateway/src/entry/take-outcome.ts
@@ -1,5 +1,7 @@
 import {type IncomingMessage} from 'node:http';
-import {type Failure, failure, type ModelId} from '@valehitch/core';
+import {
+	type Failure, failure, type ModelId, type RequestFingerprint,
+} from '@valehitch/core';
 import {match} from 'ts-pattern';
 import {type Route} from '../configuration/routing-configuration.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -38,6 +40,8 @@
 export type TakeOutcomeOptions = {
 	readonly context: EntryContext;
 	readonly request: GatewayRequest;
+	/** Names what the caller asks, the same for each of its tries. */
+	readonly fingerprint: () => RequestFingerprint;
 	readonly route: Route;
 	readonly models: ModelSteps;
 	readonly verdicts: ServerVerdicts;
@@ -72,7 +76,7 @@
 ```
 */
 export async function takeOutcome(outcome: SendOutcome, options: TakeOutcomeOptions): Promise<OutcomeStep> {
-	const {context, request, verdicts, models, server, isOver} = options;
+	const {context, request, fingerprint, verdicts, models, server, isOver} = options;
 	if (isOver()) {
 		return {type: 'over'};
 	}
@@ -83,7 +87,7 @@
 
 	const reason = reasonOf(outcome);
 	context.log('request-attempt-ended', {
-		request: request.id, server: server.id, result: outcome.type, reason,
+		request: request.id, fingerprint: fingerprint(), server: server.id, startedAt: server.startedAt, result: outcome.type, reason,
 	}, 'warn');
 	if (outcome.type === 'unreachable') {
 		verdicts.record(server, 'unreachable');
@@ -213,7 +217,7 @@
 }
 
 async function passStream({message, isWhole}: ReceivedHead, options: TakeOutcomeOptions & {readonly head: AnswerHead; readonly latency: number}): Promise<OutcomeStep> {
-	const {context, request, route, verdicts, models, answer, events, server, isOver, onStream, head, latency} = options;
+	const {context, request, fingerprint, route, verdicts, models, answer, events, server, isOver, onStream, head, latency} = options;
 	onStream();
 	const headers = context.dialect.answerHeaders(message);
 	const end = await relayStream({
@@ -243,7 +247,7 @@
 	verdicts.failed(server, models.current);
 	events.drop();
 	context.log('request-resumed', {
-		request: request.id, server: server.id, end, lastEvent: events.lastEventId,
+		request: request.id, fingerprint: fingerprint(), server: server.id, startedAt: server.startedAt, end, lastEvent: events.lastEventId,
 	}, 'warn');
 	return unknownOutcome(`Got a stream of ${server.id} that is ${end}`);
 }
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -7,6 +7,7 @@
 export * from './admission.js';
 export * from './choose-home-scope.js';
 export * from './decision-ring.js';
+export * from './fingerprint-request.js';
 export * from './hedge-policy.js';
 export * from './outlier-ejection.js';
 export * from './prefix-shares.js';
