Bring about servers that end one after the other under one request

Change: a test with real processes (three control, three entry instances) and stand-ins that end when they begin one request and are back as new processes. The stand-in can send its head before the first event, say when its process started, and take over a port.

--- /dev/null
+++ b/packages/testing/src/crashing-requests.test.ts
@@ -0,0 +1,178 @@
+/*
+What users saw: over a tenth of a service's streams failed for seconds, three times within a minute and a half, while its servers ended one after the other, a quarter to half a second apart; up to 42 ended in one wave. No instance of the gateway was at fault or under load.
+
+The order of events: one request ended each server that began to run it. The entry instance sent it to the next server, three in all, and answered 502. Its caller came again, with a new request id and at another instance, where it was a request like any other; and so on. Each server that ended took 3 to 18 other requests with it.
+
+The cause: a request had no identity beyond its arrival, and what an instance learned from its sends ended with that arrival. Bounds on sends held for each arrival alone.
+
+The evidence: the sends that broke as servers ended carry one fingerprint (workspace, method, host, path and body) over many request ids and all entry instances, and no server ends without it.
+*/
+import test, {type ExecutionContext} from 'ava';
+import {ask, BackendStandIn, call} from './platform/backend-stand-in.js';
+import {PlatformDeployment} from './platform/platform-deployment.js';
+import {waitUntil} from './wait-until.js';
+
+const host = 'desk.example';
+const deadlyPath = '/drafts/deadly';
+const serverCount = 8;
+/** How long a server takes to end after it began the request, and to be back as a new process, in milliseconds. */
+const endsAfter = 30;
+const backAfter = 400;
+/** A request that ended this many servers is known for what it is. */
+const provenEnds = 3;
+/** The time in which all instances must know it, in milliseconds, and the sends that are still allowed after it. */
+const windowMilliseconds = 3000;
+const allowedSends = 3;
+
+/** Servers of one service that end when they begin the deadly request, and are back after a while as new processes. */
+class CrashingServers {
+	/** When the deadly request reached a server, in milliseconds. */
+	readonly sends: number[] = [];
+	/** When servers ended under it, in milliseconds. */
+	readonly ends: number[] = [];
+	readonly #running = new Set<BackendStandIn>();
+	#started = 0;
+	#isStopped = false;
+
+	/**
+	Starts a server.
+
+	@param port The port of the process before it, which it takes over.
+	*/
+	async start(port?: number): Promise<void> {
+		this.#started++;
+		const server: BackendStandIn = await BackendStandIn.start({
+			id: `i-${this.#started}`,
+			service: 'models',
+			host: '127.0.0.1',
+			startedAt: Date.now(),
+			...(port !== undefined && {port}),
+			answer: ({path}) => {
+				if (path !== deadlyPath) {
+					return {confidence: 90, events: ['one', 'two'], gap: 20};
+				}
+
+				this.sends.push(performance.now());
+				setTimeout(() => {
+					void this.#end(server);
+				}, endsAfter);
+				return {confidence: 90, firstAfter: 10 * endsAfter};
+			},
+		});
+		this.#running.add(server);
+	}
+
+	async announce(control: string): Promise<void> {
+		await Promise.all([...this.#running].map(async server => server.announce(control)));
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+		for (const server of this.#running) {
+			server.close();
+		}
+	}
+
+	async #end(server: BackendStandIn): Promise<void> {
+		if (!this.#running.delete(server)) {
+			return;
+		}
+
+		const {port} = server;
+		server.close();
+		this.ends.push(performance.now());
+		await elapsed(backAfter);
+		if (!this.#isStopped) {
+			await this.start(port);
+		}
+	}
+}
+
+type Started = {
+	readonly deployment: PlatformDeployment;
+	readonly servers: CrashingServers;
+};
+
+async function start(t: ExecutionContext): Promise<Started> {
+	const deployment = await PlatformDeployment.start({entries: 3});
+	const servers = new CrashingServers();
+	await Promise.all(Array.from({length: serverCount}, async () => servers.start()));
+	const beat = setInterval(() => {
+		void servers.announce(deployment.controls[0]!.address);
+	}, 200);
+	t.teardown(async () => {
+		clearInterval(beat);
+		servers.stop();
+		await deployment.stop();
+	});
+	await waitUntil(async () => {
+		const statuses = await Promise.all(deployment.controls.map(async ({address}) => call({
+			method: 'PUT', address, path: '/-/config', body: configuration,
+		})));
+		return statuses.includes(200) || undefined;
+	}, {what: 'an acknowledged configuration'});
+	await waitUntil(async () => {
+		const answers = await Promise.all(deployment.entries.map(async (_, index) => draft(deployment, {entry: index, path: '/drafts/first'})));
+		return answers.every(({status}) => status === 200) || undefined;
+	}, {what: 'an answer of each entry instance'});
+	return {deployment, servers};
+}
+
+const configuration = {
+	version: 1,
+	routes: [{
+		name: 'drafts', host, pathPrefix: '/drafts/', kind: 'streaming', timeoutMs: 8000, targetLatencyMs: 2000, targetGapMs: 1000,
+		sizes: ['small', 'large'], service: 'models', maxAttempts: 3, sticky: true, resumable: true, public: false,
+	}],
+	services: [{name: 'models', engine: {models: [{name: 'small', cost: 0.01}, {name: 'large', cost: 0.3}]}}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}],
+};
+
+let attempts = 0;
+
+async function draft({entries}: PlatformDeployment, {entry, path}: {readonly entry: number; readonly path: string}) {
+	attempts++;
+	return ask({
+		method: 'POST', address: entries[entry % entries.length]!.address, path, body: {draft: path}, headers: {
+			Host: host, 'Attempt-Id': `a${attempts}`, 'Deadline-Ms': '8000', Authorization: 'Bearer k1', Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': `1:50,${attempts}:50`,
+		},
+	});
+}
+
+async function elapsed(milliseconds: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
+
+/** The sends of the deadly request later than the window after it ended the third server. */
+function lateSends({sends, ends}: CrashingServers): number {
+	const proven = ends[provenEnds - 1] ?? Number.POSITIVE_INFINITY;
+	return sends.filter(at => at > proven + windowMilliseconds).length;
+}
+
+test('a request that ends each server it runs on is soon sent to none, whichever instance its caller comes to', async t => {
+	const {deployment, servers} = await start(t);
+	const tries: Array<ReturnType<typeof draft>> = [];
+	for (let entry = 0; entry < 32; entry++) {
+		tries.push(draft(deployment, {entry, path: deadlyPath}));
+		await elapsed(250);
+	}
+
+	const answers = await Promise.all(tries);
+	t.true(servers.ends.length >= provenEnds);
+	t.true(lateSends(servers) <= allowedSends, `${lateSends(servers)} late sends, ${servers.ends.length} servers ended, the caller got ${answers.map(({status}) => status).join(' ')}`);
+
+	// The last tries are told at once that they fail, without a promise that they did not run or an invitation to come back.
+	for (const {status, retryAfter} of answers.slice(-3)) {
+		t.false([200, 408, 421, 429, 503].includes(status));
+		t.is(retryAfter, undefined);
+	}
+
+	// And the other requests are served again, by all instances.
+	const others = await Promise.all(Array.from({length: 12}, async (_, entry) => draft(deployment, {entry, path: `/drafts/${entry}`})));
+	t.deepEqual(others.map(({status}) => status), others.map(() => 200));
+});
--- a/packages/testing/src/platform/backend-stand-in.ts
+++ b/packages/testing/src/platform/backend-stand-in.ts
@@ -12,6 +12,8 @@
 	readonly confidence?: number;
 	/** The events of a stream, or one body. */
 	readonly events?: readonly string[];
+	/** Milliseconds between the head of the answer and the first event. */
+	readonly firstAfter?: number;
 	/** Milliseconds between two events. */
 	readonly gap?: number;
 	/** The connection is reset after as many events, in the middle of the next. */
@@ -37,6 +39,10 @@
 	readonly host: string;
 	readonly version?: string;
 	readonly answer: (run: StandInRun) => StandInAnswer;
+	/** The port that it listens on; a free one by default. */
+	readonly port?: number;
+	/** When its process started, in milliseconds since the epoch; it does not say by default. */
+	readonly startedAt?: number;
 	/** The port that it announces in place of its own, as where a proxy stands before it. */
 	readonly announcedPort?: () => number;
 };
@@ -61,7 +67,7 @@
 	*/
 	static async start(options: BackendStandInOptions): Promise<BackendStandIn> {
 		const standIn = new BackendStandIn(options);
-		standIn.#server.listen(0, options.host);
+		standIn.#server.listen(options.port ?? 0, options.host);
 		await once(standIn.#server, 'listening');
 		return standIn;
 	}
@@ -93,11 +99,11 @@
 	@returns The status of the acknowledgement.
 	*/
 	async announce(control: string, state: 'ready' | 'draining' = 'ready'): Promise<number> {
-		const {id, service, host, version = 'v1', announcedPort = () => this.port} = this.#options;
+		const {id, service, host, version = 'v1', startedAt, announcedPort = () => this.port} = this.#options;
 		this.#sequence++;
 		return call({
 			method: 'PUT', address: control, path: `/-/instances/${id}`, body: {
-				service, address: `${host}:${announcedPort()}`, zone: 'hall-a', version, slots: 8, state, coldRemainingMs: 0, seq: this.#sequence,
+				service, address: `${host}:${announcedPort()}`, zone: 'hall-a', version, slots: 8, state, coldRemainingMs: 0, seq: this.#sequence, born: startedAt,
 			}, timeout: announceMilliseconds,
 		});
 	}
@@ -125,7 +131,7 @@
 	}
 
 	async #answer(run: StandInRun, response: ServerResponse): Promise<void> {
-		const {status = 200, confidence, events = ['done'], gap = 0, breakAfter, isNotRun = false} = this.#options.answer(run);
+		const {status = 200, confidence, events = ['done'], firstAfter, gap = 0, breakAfter, isNotRun = false} = this.#options.answer(run);
 		if (isNotRun) {
 			response.writeHead(503, {'Not-Executed': '1'});
 			response.end();
@@ -144,6 +150,11 @@
 			'Response-Signature': `signed-${this.#options.id}`,
 			'Content-Type': isStream ? 'text/event-stream' : 'text/plain', ...(confidence !== undefined && {Confidence: String(confidence)}),
 		});
+		if (firstAfter !== undefined) {
+			response.flushHeaders();
+			await elapsed(firstAfter);
+		}
+
 		const first = Number(run.lastEventId ?? 0);
 		for (const [index, event] of events.entries()) {
 			if (index < first) {
