Remember requests that end servers, over all their arrivals and instances

Cause: a request had no identity beyond its arrival, and what an instance learned from its sends ended with that arrival. A request that ends each server that begins it was sent to three servers, answered 502, and was a new request at the next instance. Ruled out: bounds on sends in one instance alone (each arrival kept its own); the replicated log as the place to remember (a verdict would wait for a leader and a quorum, and what is remembered is a union that needs neither); an owner by hash (one more hop for each arrival, and nothing while the owner is gone). Change: the ends of server processes are counted by the fingerprint of the request (routing/suspect-book.ts). An end counts where the connection broke and the machine refuses a new one, or a later process has the address or the id; not for drained servers, resets, silence and cuts. A whole answer clears what was counted. At two ends the request leaves its home and gets no second server beside the first; at three it is sent to none for ten minutes and answered 400, by all instances. Entry instances tell control at once, control instances tell each other and the entries that wait for news, save what they know, and list it (GET /-/quarantine) or lift it (DELETE /-/quarantine/FINGERPRINT). The end of a process counts once against its version, however many requests it had.

--- a/packages/core/src/error-kinds.ts
+++ b/packages/core/src/error-kinds.ts
@@ -14,6 +14,7 @@
 /** The closed list of error kinds, each with its answer; docs/API.md shows the same table. */
 export const errorAnswers = {
 	'malformed-request': {status: 400, outcome: 'notRun', title: 'The request is malformed'},
+	'request-quarantined': {status: 400, outcome: 'unknown', title: 'Backend servers end when they run the request'},
 	unauthenticated: {status: 401, outcome: 'notRun', title: 'The key is missing or not known'},
 	forbidden: {status: 403, outcome: 'notRun', title: 'The workspace does not allow this'},
 	'not-found': {status: 404, outcome: 'notRun', title: 'There is nothing at this path'},
--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -48,6 +48,7 @@
 		heartbeatMilliseconds: 1200,
 		openFolder: async () => openDataFolder(folder, {files, lock: async () => Right(async () => undefined)}),
 		savedServers: {read: async () => [], write: async () => true},
+		savedSuspects: {read: async () => [], write: async () => true},
 		send: ignore,
 		ask: async () => undefined,
 		run: 'one',
@@ -90,7 +91,7 @@
 
 async function watch(control: ControlInstance, changes: Partial<Pick<WatchReply, 'run' | 'cursor'>> & {readonly configurationVersion?: number} = {}): Promise<WatchReply> {
 	return await control.answer(entry, {
-		type: 'watch', zone: 'hall-a' as ZoneId, configurationVersion: undefined, run: '', cursor: 0, rolloutDigest: '', evidence: [], ...changes,
+		type: 'watch', zone: 'hall-a' as ZoneId, configurationVersion: undefined, run: '', cursor: 0, suspectCursor: 0, rolloutDigest: '', evidence: [], ...changes,
 	}) as WatchReply;
 }
 
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -1,6 +1,7 @@
 import {
-	type Clock, type Failure, failure, type InstanceId, type RandomSource, type ServerId, type ServiceId, type VersionId,
+	type Clock, type Failure, failure, type InstanceId, type RandomSource, type RequestFingerprint, type ServerId, type ServiceId, type VersionId,
 } from '@valehitch/core';
+import {type SuspectRecord} from '@valehitch/routing';
 import {type DataFolder} from '@valehitch/storage';
 import {type Either, Left, Right} from 'purify-ts';
 import {match, P} from 'ts-pattern';
@@ -10,7 +11,7 @@
 import {EvidenceTable} from '../rollouts/evidence-table.js';
 import {isEnded, type Rollout} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
-import {type SavedServers} from '../servers/saved-servers.js';
+import {type SavedList} from '../servers/saved-list.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {ControlGroup} from './control-group.js';
 import {type GatewayAnswer, type GatewayCommand} from './gateway-command.js';
@@ -18,13 +19,14 @@
 import {type EntryNews, EntryWatches} from './entry-watches.js';
 import {describeResult, LeaderClient} from './leader-client.js';
 import {
-	type ConfirmReply, type JoinReply, type PeerMessage, type ServersMessage,
+	type ConfirmReply, type JoinReply, type PeerMessage, type ServersMessage, type SuspectsMessage,
 } from './peer-message.js';
 import {type OpenedFolder, ReopeningGroup} from './reopening-group.js';
 import {RolloutClock} from './rollout-clock.js';
 import {RolloutJudge} from './rollout-judge.js';
 import {ServerNews} from './server-news.js';
 import {StateConfirmation} from './state-confirmation.js';
+import {SuspectNews} from './suspect-news.js';
 
 /** What a control instance needs. */
 export type ControlInstanceOptions = {
@@ -41,7 +43,9 @@
 	/** Opens the data folder; asked again after a failure of the disk. */
 	readonly openFolder: () => Promise<Either<Failure, DataFolder>>;
 	/** Where the backend servers are saved for the next run. */
-	readonly savedServers: SavedServers;
+	readonly savedServers: SavedList<ServerRecord>;
+	/** Where the requests that end servers are saved for the next run. */
+	readonly savedSuspects: SavedList<SuspectRecord>;
 	/** Sends a message that wants no reply. */
 	readonly send: (to: InstanceId, message: PeerMessage) => void;
 	/** Asks another instance; undefined where no reply came within the timeout in milliseconds. */
@@ -72,6 +76,7 @@
 export class ControlInstance {
 	readonly #options: ControlInstanceOptions;
 	readonly #news: ServerNews;
+	readonly #suspects: SuspectNews;
 	readonly #rolloutClock: RolloutClock;
 	readonly #evidence = new EvidenceTable();
 	readonly #learned = new Set<InstanceId>();
@@ -100,6 +105,14 @@
 				this.#watches.wake();
 			},
 		});
+		this.#suspects = new SuspectNews({
+			...options,
+			saved: options.savedSuspects,
+			others: () => this.#others(),
+			onChange: () => {
+				this.#watches.wake();
+			},
+		});
 		this.#leader = new LeaderClient({...options, group: () => this.#group, evidence: () => this.#neededEvidence()});
 		this.#confirmation = new StateConfirmation({
 			clock: options.clock,
@@ -109,7 +122,9 @@
 				this.#watches.wake();
 			},
 		});
-		this.#watches = new EntryWatches({...options, directory: this.#news.directory, news: () => this.#entryNews()});
+		this.#watches = new EntryWatches({
+			...options, directory: this.#news.directory, suspects: this.#suspects.book, news: () => this.#entryNews(),
+		});
 		this.#judge = new RolloutJudge({
 			log: options.log,
 			evidence: this.#evidence,
@@ -126,6 +141,7 @@
 	/** Opens the data folder and starts the replica and the rounds. */
 	async start(): Promise<void> {
 		this.#news.start();
+		this.#suspects.start();
 		this.#timers = [
 			setInterval(() => {
 				void this.#confirmation.confirm();
@@ -140,6 +156,7 @@
 	/** Stops the rounds, and the replica once its steps in progress are on the disk. */
 	async stop(): Promise<void> {
 		this.#news.stop();
+		this.#suspects.stop();
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
@@ -227,6 +244,21 @@
 		await this.#news.remove(server);
 	}
 
+	/** The requests that end servers, as far as instances are told of them. */
+	get suspects(): readonly SuspectRecord[] {
+		return this.#suspects.book.told;
+	}
+
+	/**
+	Lifts the quarantine of a request.
+
+	@param fingerprint The request.
+	@returns Whether anything was known of it.
+	*/
+	liftQuarantine(fingerprint: RequestFingerprint): boolean {
+		return this.#suspects.lift(fingerprint);
+	}
+
 	/**
 	Answers another instance.
 
@@ -258,6 +290,11 @@
 				return true;
 			})
 			.with({type: 'all-servers'}, (): ServersMessage => ({type: 'servers', records: this.#news.directory.records}))
+			.with({type: 'suspects'}, suspects => {
+				this.#suspects.receive(suspects);
+				return true;
+			})
+			.with({type: 'all-suspects'}, (): SuspectsMessage => ({type: 'suspects', records: this.#suspects.book.told, isRelayed: true}))
 			.with({type: 'watch'}, async watch => {
 				this.#evidence.take(watch.evidence);
 				return this.#watches.answer(from, watch);
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -1,4 +1,5 @@
 import {type Clock, type InstanceId} from '@valehitch/core';
+import {type SuspectBook} from '@valehitch/routing';
 import {isEnded, type RunningRollout} from '../rollouts/rollout.js';
 import {type ServerDirectory} from '../servers/server-directory.js';
 import {type ConfigurationDocument} from './gateway-state.js';
@@ -22,6 +23,8 @@
 	/** Names this run of the process. */
 	readonly run: string;
 	readonly directory: ServerDirectory;
+	/** The requests that end servers. */
+	readonly suspects: Pick<SuspectBook, 'cursor' | 'changedSince'>;
 	readonly news: () => EntryNews;
 };
 
@@ -65,7 +68,7 @@
 	@returns What it lacks.
 	*/
 	async answer(from: InstanceId, watch: WatchMessage): Promise<WatchReply> {
-		const {clock, run, directory, news} = this.#options;
+		const {clock, run, directory, suspects, news} = this.#options;
 		const arrived = clock.monotonic();
 		const asker = {instance: from, zone: watch.zone};
 		this.#entries.set(from, {...asker, at: arrived});
@@ -79,6 +82,8 @@
 			run,
 			cursor: directory.cursor,
 			records: directory.changedSince(watch.run === run ? watch.cursor : 0),
+			suspectCursor: suspects.cursor,
+			suspects: suspects.changedSince(watch.run === run ? watch.suspectCursor : 0),
 			configuration: isNewer(configuration, watch) ? configuration : undefined,
 			rollouts,
 			rolloutDigest: digestOfRollouts(rollouts),
@@ -90,10 +95,11 @@
 	}
 
 	#hasNews(watch: WatchMessage): boolean {
-		const {run, directory, news} = this.#options;
+		const {run, directory, suspects, news} = this.#options;
 		const {configuration, rollouts} = news();
 		return watch.run !== run
 			|| watch.cursor < directory.cursor
+			|| watch.suspectCursor < suspects.cursor
 			|| isNewer(configuration, watch)
 			|| watch.rolloutDigest !== digestOfRollouts(rollouts);
 	}
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -3,6 +3,7 @@
 	type Failure, type InstanceId, type ServerId, type ZoneId,
 } from '@valehitch/core';
 import {type ReplicaWire} from '@valehitch/replication';
+import {type SuspectRecord} from '@valehitch/routing';
 import {type RunningRollout} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -77,6 +78,19 @@
 	readonly type: 'all-servers';
 };
 
+/** Tells what is known of requests under which backend servers ended. */
+export type SuspectsMessage = {
+	readonly type: 'suspects';
+	readonly records: readonly SuspectRecord[];
+	/** Whether a control instance passes it on, so that it goes no further. */
+	readonly isRelayed: boolean;
+};
+
+/** Asks a control instance for all such requests that concern others. */
+export type AllSuspectsMessage = {
+	readonly type: 'all-suspects';
+};
+
 /** An entry instance asks for news, and brings what it counted. */
 export type WatchMessage = {
 	readonly type: 'watch';
@@ -88,6 +102,8 @@
 	readonly run: string;
 	/** The last change of the directory that the asker has. */
 	readonly cursor: number;
+	/** The last change of the requests that end servers that the asker has. */
+	readonly suspectCursor: number;
 	/** The digest of the roll-outs that the asker has. */
 	readonly rolloutDigest: string;
 	readonly evidence: readonly VersionEvidence[];
@@ -98,6 +114,9 @@
 	readonly run: string;
 	readonly cursor: number;
 	readonly records: readonly ServerRecord[];
+	readonly suspectCursor: number;
+	/** The requests that end servers of which something is new. */
+	readonly suspects: readonly SuspectRecord[];
 	readonly configuration: ConfigurationDocument | undefined;
 	readonly rollouts: readonly RunningRollout[];
 	readonly rolloutDigest: string;
@@ -118,4 +137,7 @@
 };
 
 /** The closed list of messages between the instances of a gateway. */
-export type PeerMessage = ReplicaEnvelope | JoinMessage | ConfirmMessage | ProposeMessage | ServersMessage | ServerEndedMessage | AllServersMessage | WatchMessage | LoadMessage;
+export type PeerMessage
+	= ReplicaEnvelope | JoinMessage | ConfirmMessage | ProposeMessage
+		| ServersMessage | ServerEndedMessage | AllServersMessage | SuspectsMessage | AllSuspectsMessage
+		| WatchMessage | LoadMessage;
--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -1,6 +1,6 @@
 import {type Clock, type InstanceId, type ServerId} from '@valehitch/core';
 import {type DecisionKind, type DecisionLog} from '../logs/decision-log.js';
-import {type SavedServers} from '../servers/saved-servers.js';
+import {type SavedList} from '../servers/saved-list.js';
 import {ServerDirectory} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type PeerMessage, type ServersMessage} from './peer-message.js';
@@ -18,7 +18,7 @@
 	/** Told after each change of the directory. */
 	readonly onChange: () => void;
 	/** What this instance saves of the directory, so that its next run need not wait for all servers to announce themselves. */
-	readonly saved: SavedServers;
+	readonly saved: SavedList<ServerRecord>;
 };
 
 /** Announcements that may be missed before a server counts as silent; they may come seconds late. */
--- /dev/null
+++ b/packages/gateway/src/control/suspect-news.ts
@@ -0,0 +1,180 @@
+import {type Clock, type InstanceId, type RequestFingerprint} from '@valehitch/core';
+import {SuspectBook, type SuspectRecord} from '@valehitch/routing';
+import {type DecisionLog} from '../logs/decision-log.js';
+import {type SavedList} from '../servers/saved-list.js';
+import {type PeerMessage, type SuspectsMessage} from './peer-message.js';
+
+/** What the exchange between control instances needs. */
+export type SuspectNewsOptions = {
+	readonly clock: Pick<Clock, 'now'>;
+	readonly log: DecisionLog;
+	/** The other control instances. */
+	readonly others: () => readonly InstanceId[];
+	/** Asks another control instance; undefined where no reply came within the timeout in milliseconds. */
+	readonly ask: (to: InstanceId, message: PeerMessage, timeout: number) => Promise<unknown>;
+	/** Told after each change that concerns entry instances. */
+	readonly onChange: () => void;
+	/** What this instance saves, so that a request stays known after the end of all processes. */
+	readonly saved: SavedList<SuspectRecord>;
+};
+
+/** Reports within this time are passed on together: those of all entry instances that had requests at a server which ended. In milliseconds. */
+const relayMilliseconds = 30;
+/** The time between two rounds that tell the others what is known, for those that missed it behind a cut. In milliseconds. */
+const roundMilliseconds = 1000;
+/** The requests of one round, so that a round stays below 4 KB. */
+const roundSize = 16;
+const askMilliseconds = 600;
+
+/**
+Keeps what is known of requests that end servers the same on all control instances, and on their disks.
+
+Records are merged by their union, so that it needs no leader and no quorum: it holds in a zone that is cut off, and while there is no leader.
+
+@example
+```ts
+const news = new SuspectNews(options);
+news.receive({type: 'suspects', records, isRelayed: false});
+```
+*/
+export class SuspectNews {
+	readonly book = new SuspectBook();
+	readonly #options: SuspectNewsOptions;
+	readonly #unsent = new Set<RequestFingerprint>();
+	#relayTimer: NodeJS.Timeout | undefined;
+	#roundTimer: NodeJS.Timeout | undefined;
+	/** Where the next round begins. */
+	#nextOfRound = 0;
+	#savedCursor = 0;
+	#isSaving = false;
+
+	constructor(options: SuspectNewsOptions) {
+		this.#options = options;
+	}
+
+	/** Starts the rounds, and takes what the run before saved and the others know. */
+	start(): void {
+		this.#roundTimer = setInterval(() => {
+			this.#round();
+		}, roundMilliseconds);
+		void this.restore();
+		void this.#askAll();
+	}
+
+	stop(): void {
+		clearInterval(this.#roundTimer);
+		clearTimeout(this.#relayTimer);
+	}
+
+	/** Takes what the run before saved. */
+	async restore(): Promise<void> {
+		const records = await this.#options.saved.read();
+		this.#merge(records, 'disk');
+	}
+
+	/**
+	Takes what another instance tells; what an entry instance tells is passed on.
+
+	@param message The records.
+	*/
+	receive({records, isRelayed}: SuspectsMessage): void {
+		for (const {fingerprint} of this.#merge(records, isRelayed ? 'control' : 'entry')) {
+			if (!isRelayed) {
+				this.#relay(fingerprint);
+			}
+		}
+	}
+
+	/**
+	Lifts the quarantine of a request, as an operator wants it; the ends so far count against it no more.
+
+	@param fingerprint The request.
+	@returns Whether anything was known of it.
+	*/
+	lift(fingerprint: RequestFingerprint): boolean {
+		if (!this.book.clear(fingerprint)) {
+			return false;
+		}
+
+		this.#options.log('request-cleared', {fingerprint, source: 'operator'});
+		this.#relay(fingerprint);
+		this.#options.onChange();
+		return true;
+	}
+
+	/** Saves what concerns others where it changed; one save at a time. */
+	async save(): Promise<void> {
+		const {cursor, told} = this.book;
+		if (this.#isSaving || cursor === this.#savedCursor) {
+			return;
+		}
+
+		this.#isSaving = true;
+		const isSaved = await this.#options.saved.write(told);
+		// What a failing disk did not take is tried again with the next round.
+		this.#savedCursor = isSaved ? cursor : this.#savedCursor;
+		this.#isSaving = false;
+	}
+
+	#merge(records: readonly SuspectRecord[], source: string): readonly SuspectRecord[] {
+		const {cursor} = this.book;
+		const changed = this.book.merge(records);
+		const now = this.#now();
+		for (const {fingerprint, ends} of changed) {
+			if (this.book.standing(fingerprint, now) === 'quarantined') {
+				this.#options.log('request-quarantined', {fingerprint, processes: ends.map(({process}) => process), source}, 'warn');
+			}
+		}
+
+		if (this.book.cursor !== cursor) {
+			this.#options.onChange();
+		}
+
+		return changed;
+	}
+
+	#relay(fingerprint: RequestFingerprint): void {
+		this.#unsent.add(fingerprint);
+		this.#relayTimer ??= setTimeout(() => {
+			this.#relayTimer = undefined;
+			this.#tellOthers([...this.#unsent]);
+			this.#unsent.clear();
+			void this.save();
+		}, relayMilliseconds);
+	}
+
+	#round(): void {
+		this.book.forget(this.#now());
+		void this.save();
+		const known = this.book.told.map(({fingerprint}) => fingerprint);
+		if (known.length === 0) {
+			return;
+		}
+
+		const first = this.#nextOfRound >= known.length ? 0 : this.#nextOfRound;
+		this.#nextOfRound = first + roundSize;
+		this.#tellOthers(known.slice(first, this.#nextOfRound));
+	}
+
+	#tellOthers(fingerprints: readonly RequestFingerprint[]): void {
+		const {others, ask} = this.#options;
+		const records = fingerprints.flatMap(fingerprint => this.book.get(fingerprint) ?? []);
+		for (const other of others()) {
+			void ask(other, {type: 'suspects', records, isRelayed: true}, askMilliseconds);
+		}
+	}
+
+	async #askAll(): Promise<void> {
+		const {others, ask} = this.#options;
+		await Promise.all(others().map(async other => {
+			const reply = await ask(other, {type: 'all-suspects'}, askMilliseconds) as SuspectsMessage | undefined;
+			if (reply !== undefined) {
+				this.receive(reply);
+			}
+		}));
+	}
+
+	#now(): number {
+		return this.#options.clock.now().getTime();
+	}
+}
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -30,6 +30,7 @@
 type Source = {
 	run: string;
 	cursor: number;
+	suspectCursor: number;
 	isAnswering: boolean;
 	failures: number;
 };
@@ -97,7 +98,7 @@
 		const source = this.#sourceOf(host);
 		const sentAt = clock.monotonic();
 		const reply = await ask(host, {
-			type: 'watch', run: source.run, cursor: source.cursor, ...question(host),
+			type: 'watch', run: source.run, cursor: source.cursor, suspectCursor: source.suspectCursor, ...question(host),
 		}, watchTimeoutMilliseconds);
 		metrics.watches.inc({result: reply === undefined ? 'lost' : 'answered'});
 		if (reply === undefined) {
@@ -117,7 +118,7 @@
 		}
 
 		Object.assign(source, {
-			run: reply.run, cursor: reply.cursor, isAnswering: true, failures: 0,
+			run: reply.run, cursor: reply.cursor, suspectCursor: reply.suspectCursor, isAnswering: true, failures: 0,
 		});
 		this.#hosts = reply.hosts as readonly InstanceId[];
 		// The reply left no earlier than the question and the time that it was held, so this is the earliest time of the confirmation.
@@ -140,7 +141,7 @@
 		}
 
 		const source: Source = {
-			run: '', cursor: 0, isAnswering: false, failures: 0,
+			run: '', cursor: 0, suspectCursor: 0, isAnswering: false, failures: 0,
 		};
 		this.#sources.set(host, source);
 		return source;
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -7,6 +7,7 @@
 import {type ConfigurationLease} from './configuration-lease.js';
 import {type Dialect} from './dialect.js';
 import {type EntryServers} from './entry-servers.js';
+import {type EntrySuspects} from './entry-suspects.js';
 import {type EvidenceCounter} from './evidence-counter.js';
 import {type LatencyBook} from './latency-book.js';
 import {type RepeatBook} from './repeat-book.js';
@@ -30,6 +31,7 @@
 	readonly bounds: EntryBounds;
 	readonly lease: ConfigurationLease;
 	readonly servers: EntryServers;
+	readonly suspects: EntrySuspects;
 	readonly budget: RetryWindow;
 	readonly latencies: LatencyBook;
 	readonly pins: VersionPins;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -7,23 +7,28 @@
 import {type Either} from 'purify-ts';
 import {RouteTable} from '../configuration/route-table.js';
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
-import {type LoadMessage, type WatchMessage, type WatchReply} from '../control/peer-message.js';
+import {
+	type LoadMessage, type SuspectsMessage, type WatchMessage, type WatchReply,
+} from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {KnownRollouts} from '../rollouts/known-rollouts.js';
 import {createCallerServer} from './caller-server.js';
+import {confirmServerEnd} from './confirm-server-end.js';
 import {ConfigurationLease} from './configuration-lease.js';
 import {type ControlNews, ControlWatch} from './control-watch.js';
 import {type Dialect} from './dialect.js';
 import {type EntryBounds, type EntryContext} from './entry-context.js';
 import {EntryServers} from './entry-servers.js';
+import {EntrySuspects} from './entry-suspects.js';
 import {EvidenceCounter} from './evidence-counter.js';
 import {handleRequest} from './handle-request.js';
 import {dropIdleConnections} from './kept-connections.js';
 import {LatencyBook} from './latency-book.js';
 import {LoadShare} from './load-share.js';
 import {RepeatBook} from './repeat-book.js';
+import {SuspectReporter} from './suspect-reporter.js';
 import {VersionPins} from './version-pins.js';
 
 /** Where the instance listens. */
@@ -58,6 +63,8 @@
 	readonly ask: (to: InstanceId, message: WatchMessage, timeout: number) => Promise<WatchReply | undefined>;
 	/** Sends a message that wants no reply. */
 	readonly send: (to: InstanceId, message: LoadMessage) => void;
+	/** Tells a control instance; whether it said that it has it within the timeout in milliseconds. */
+	readonly tell: (to: InstanceId, message: SuspectsMessage, timeout: number) => Promise<boolean>;
 	readonly wait: (milliseconds: number) => Promise<void>;
 	/** Reads a configuration as the operator wrote it. */
 	readonly parse: (document: string) => Either<Failure, RoutingConfiguration>;
@@ -86,6 +93,7 @@
 	readonly #context: EntryContext;
 	readonly #watch: ControlWatch;
 	readonly #share: LoadShare;
+	readonly #reporter: SuspectReporter;
 	readonly #rollouts: KnownRollouts;
 	readonly #server: Server;
 	readonly #news = new StepWaiters();
@@ -108,12 +116,23 @@
 			peers: () => this.#peers,
 			send: options.send,
 		});
+		const servers = new EntryServers({
+			zone, random, share: this.#share, onReplaced: dropIdleConnections,
+		});
+		const suspects = new EntrySuspects({
+			...options,
+			servers,
+			confirmEnd: confirmServerEnd,
+			onLearned: fingerprint => {
+				this.#reporter.note(fingerprint);
+			},
+		});
+		this.#reporter = new SuspectReporter({book: suspects.book, tell: options.tell});
 		this.#context = {
 			...options,
 			lease: new ConfigurationLease({duration: options.leaseMilliseconds}),
-			servers: new EntryServers({
-				zone, random, share: this.#share, onReplaced: dropIdleConnections,
-			}),
+			servers,
+			suspects,
 			budget: new RetryWindow({share: options.retryShare, slack: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
 			latencies: new LatencyBook(clock),
 			pins: new VersionPins(options),
@@ -231,7 +250,9 @@
 
 	#takeNews({source, reply, confirmedAt}: ControlNews, now: number): void {
 		const {log} = this.#options;
-		const {lease, servers} = this.#context;
+		const {lease, servers, suspects} = this.#context;
+		suspects.take(reply.suspects, source);
+		this.#reporter.hear(source, reply.run);
 		const changed = servers.take(reply.records, {source, now});
 		this.#peers = reply.entries;
 		if (changed.length > 0) {
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -8,7 +8,7 @@
 import {compareStarts} from '../servers/compare-starts.js';
 import {hasReplaced} from '../servers/has-replaced.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
-import {type ServerRecord} from '../servers/server-record.js';
+import {type ServerRecord, type ServerState} from '../servers/server-record.js';
 import {HeldServer, type SendLoad, unknownLoad} from './held-server.js';
 import {type LoadShare} from './load-share.js';
 
@@ -40,8 +40,11 @@
 	readonly now: number;
 };
 
-/** What a send to a server came to. */
-export type SendResult = 'answered' | 'failed' | 'unreachable' | 'gone';
+/** What a send to a server came to; `ended` where its process ended meanwhile. */
+export type SendResult = 'answered' | 'failed' | 'unreachable' | 'ended' | 'gone';
+
+/** What is known of one process of a server: what it said of itself, that a later one has taken its place, or nothing. */
+export type ProcessState = ServerState | 'replaced' | 'unknown';
 
 /** An engine batches: twice the mean load costs it little, a prompt that it must read again costs more. */
 const loadBound = 1.5;
@@ -182,6 +185,29 @@
 		return held !== undefined && compareStarts(held.record, server) === 0;
 	}
 
+	/**
+	Tells what is known of the process of a record.
+
+	@param server The record.
+	@returns Its state; `draining` also where it has ended since.
+	*/
+	processStateOf(server: ServerRecord): ProcessState {
+		const held = this.#servers.get(server.id);
+		if (held === undefined) {
+			return 'unknown';
+		}
+
+		if (compareStarts(held.record, server) > 0) {
+			return 'replaced';
+		}
+
+		if (held.isLeaving) {
+			return 'draining';
+		}
+
+		return held.hasEnded ? 'replaced' : held.record.state;
+	}
+
 	/**
 	Learns how a send ended.
 
@@ -201,10 +227,13 @@
 			return true;
 		}
 
-		if (result === 'unreachable') {
+		if (result === 'unreachable' || result === 'ended') {
 			held.avoidUntil = now + Math.min(longestAvoidMilliseconds, firstAvoidMilliseconds * (2 ** held.unreachable));
 			held.unreachable++;
-			this.#zones.unreachable(held.record.zone, {server: id, now});
+			if (result === 'unreachable') {
+				this.#zones.unreachable(held.record.zone, {server: id, now});
+			}
+
 			return true;
 		}
 
@@ -243,6 +272,7 @@
 		}
 
 		const {state} = held.record;
+		held.isLeaving ||= record.state === 'draining';
 		held.record = mergeServerRecord(held.record, record);
 		return held.record.state !== state;
 	}
--- a/packages/gateway/src/entry/held-server.ts
+++ b/packages/gateway/src/entry/held-server.ts
@@ -57,6 +57,8 @@
 	heardAt = 0;
 	/** No work goes there before this time, in milliseconds on the monotonic clock. */
 	avoidUntil = 0;
+	/** Whether the process said that it shuts down. */
+	isLeaving = false;
 	/** The connections in a row that did not open. */
 	unreachable = 0;
 	readonly #onWork: HeldServerOptions['onWork'];
@@ -73,6 +75,11 @@
 		setMaxListeners(0, this.#processEnd.signal);
 	}
 
+	/** Whether the process is known to have ended, since a later one has taken its place. */
+	get hasEnded(): boolean {
+		return this.#processEnd.signal.aborted;
+	}
+
 	/** The requests in flight. */
 	get inFlight(): number {
 		return this.#inFlight;
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -52,13 +52,14 @@
 	Chooses a server.
 
 	@param model The model that should answer; undefined where the caller named it or there is none.
+	@param options `isSuspect`: whether a server ended under the request. It leaves the home of its prompt then, so that requests that were beside it there do not meet it again at the next server, and are told from it.
 	@returns The server, or undefined where none takes the request.
 	*/
-	choose(model: ModelId | undefined): ServerRecord | undefined {
+	choose(model: ModelId | undefined, {isSuspect = false}: {readonly isSuspect?: boolean} = {}): ServerRecord | undefined {
 		const {servers, pins, clock} = this.#context;
 		const now = clock.monotonic();
 		const {session} = this.#request;
-		const subject = this.#subject(model);
+		const subject = isSuspect ? undefined : this.#subject(model);
 		for (const isWanted of this.#wishes(now)) {
 			const server = servers.find({
 				service: this.service, isWanted, excluded: this.#excluded, subject, now,
--- a/packages/gateway/src/entry/request-end.ts
+++ b/packages/gateway/src/entry/request-end.ts
@@ -1,4 +1,4 @@
-import {type Failure, type ServiceId} from '@valehitch/core';
+import {type ErrorKind, type Failure, type ServiceId} from '@valehitch/core';
 import {type Route} from '../configuration/routing-configuration.js';
 import {type CallerAnswer, type WholeAnswer} from './caller-answer.js';
 import {type EntryContext} from './entry-context.js';
@@ -24,6 +24,8 @@
 /** What goes into the last line about a request, beside what each has. */
 type EndFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
+/** These say nothing that a run would make untrue. */
+const alwaysTrue: ReadonlySet<ErrorKind> = new Set(['deadline-exceeded-after-dispatch', 'request-quarantined']);
 const millisecondsPerSecond = 1000;
 
 /**
@@ -147,6 +149,6 @@
 
 	/** A failure that promises that the request has not run is told only where no server may have run it, also where it may be repeated. */
 	#truthful(failed: Failure): Failure {
-		return this.#mayHaveRun && failed.kind !== 'deadline-exceeded-after-dispatch' ? {...failed, kind: 'outcome-unknown'} : failed;
+		return this.#mayHaveRun && !alwaysTrue.has(failed.kind) ? {...failed, kind: 'outcome-unknown'} : failed;
 	}
 }
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -18,6 +18,7 @@
 import {type Dialect} from './dialect.js';
 import {type EntryContext} from './entry-context.js';
 import {EntryServers} from './entry-servers.js';
+import {EntrySuspects} from './entry-suspects.js';
 import {EvidenceCounter} from './evidence-counter.js';
 import {LatencyBook} from './latency-book.js';
 import {RequestRun} from './request-run.js';
@@ -84,6 +85,9 @@
 		bounds: {canaryShare: 0.1, leastConfidence: 50},
 		lease,
 		servers,
+		suspects: new EntrySuspects({
+			clock, log, servers, confirmEnd: async () => false, onLearned: ignore,
+		}),
 		budget: new RetryWindow({share: 1, slack: 5}),
 		latencies: latencies ?? new LatencyBook(clock),
 		pins: new VersionPins({sessionMilliseconds: 5000}),
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,8 +1,5 @@
 import {type ServerResponse} from 'node:http';
-import {
-	type Failure, failure, type ModelId, type RequestFingerprint,
-} from '@valehitch/core';
-import {fingerprintRequest} from '@valehitch/routing';
+import {type Failure, failure, type ModelId} from '@valehitch/core';
 import {match} from 'ts-pattern';
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
@@ -16,6 +13,7 @@
 import {ModelSteps} from './model-steps.js';
 import {Placement} from './placement.js';
 import {type Next, RequestEnd} from './request-end.js';
+import {RequestSuspicion} from './request-suspicion.js';
 import {SendAllowance} from './send-allowance.js';
 import {type SentAttempt} from './send-attempt.js';
 import {ServerVerdicts} from './server-verdicts.js';
@@ -61,9 +59,9 @@
 	readonly #authorized: AuthorizedRequest;
 	readonly #end: RequestEnd;
 	readonly #spare: SpareAnswer;
+	readonly #suspicion: RequestSuspicion;
 	/** The send in progress, or the last one. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
-	#knownFingerprint: RequestFingerprint | undefined;
 
 	constructor(context: EntryContext, {request, body, response, authorized, arrivedAt}: RequestRunOptions) {
 		const {route} = authorized;
@@ -84,6 +82,7 @@
 		this.#end = new RequestEnd(context, {
 			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models,
 		});
+		this.#suspicion = new RequestSuspicion(context.suspects, {...request, workspace: authorized.workspace?.id, body});
 		this.#spare = new SpareAnswer({
 			clock: context.clock,
 			deadlineAt: this.#deadlineAt,
@@ -102,6 +101,9 @@
 			this.#leave();
 		};
 
+		const stopListening = this.#suspicion.onQuarantine(() => {
+			this.#cancelUnanswered();
+		});
 		this.#answer.response.on('close', leave);
 		this.#context.budget.deposit(this.#placement.service, this.#now());
 		let next: Next = 'again';
@@ -110,6 +112,7 @@
 		}
 
 		clearTimeout(timer);
+		stopListening();
 		this.#spare.drop();
 		this.#answer.response.off('close', leave);
 	}
@@ -118,16 +121,12 @@
 		return this.#context.clock.monotonic();
 	}
 
-	/** Worked out where it is needed first: most requests never need it. */
-	#fingerprint(): RequestFingerprint {
-		const {method, host, target} = this.#request;
-		this.#knownFingerprint ??= fingerprintRequest({
-			workspace: this.#authorized.workspace?.id, method, host, target, body: this.#body,
-		});
-		return this.#knownFingerprint;
-	}
-
 	async #send(): Promise<Next> {
+		const {standing} = this.#suspicion;
+		if (standing === 'quarantined') {
+			return this.#giveUp(this.#suspicion.refusal);
+		}
+
 		if (this.#spare.isDue) {
 			return this.#giveUp(failure('deadline-exceeded-after-dispatch', `Got no better answer in time (${this.#end.lastProblem})`));
 		}
@@ -137,7 +136,7 @@
 			return this.#end.giveUp(authorized.extract());
 		}
 
-		const server = this.#placement.choose(this.#models.current);
+		const server = this.#placement.choose(this.#models.current, {isSuspect: standing !== 'unknown'});
 		if (server !== undefined) {
 			return this.#sendTo(server, authorized.unsafeCoerce());
 		}
@@ -178,7 +177,7 @@
 		return {
 			context: this.#context,
 			request: this.#request,
-			fingerprint: () => this.#fingerprint(),
+			suspicion: this.#suspicion,
 			route: this.#authorized.route,
 			models: this.#models,
 			verdicts: this.#verdicts,
@@ -250,6 +249,10 @@
 	/** Sends again where that is safe and something is left to send with, else answers. */
 	async #again(failed: Failure): Promise<Next> {
 		this.#end.lastProblem = failed.message;
+		if (this.#suspicion.standing === 'quarantined') {
+			return this.#giveUp(this.#suspicion.refusal);
+		}
+
 		return this.#allowance.mayRepeat && this.#allowance.takeFurther() ? 'again' : this.#giveUp(failed);
 	}
 
@@ -267,7 +270,9 @@
 
 	/** The model that should answer in place of the one that did, as long as the caller has nothing of the answer. */
 	#largerModel({confidence}: AnswerHead, latency: number): ModelId | undefined {
-		if (this.#answer.hasBegun || this.#events.lastEventId !== undefined) {
+		// Of a request under which two servers ended, no second one is put at risk beside the first.
+		const isHeldBack = ['doubtful', 'quarantined'].includes(this.#suspicion.standing);
+		if (isHeldBack || this.#answer.hasBegun || this.#events.lastEventId !== undefined) {
 			return undefined;
 		}
 
@@ -275,6 +280,13 @@
 		return larger !== undefined && this.#allowance.takeFurther() ? larger : undefined;
 	}
 
+	/** A copy that waits at a server when the request is quarantined ends before that server begins it; an answer that goes well goes on. */
+	#cancelUnanswered(): void {
+		if (!this.#answer.hasBegun) {
+			this.#sent?.attempt.cancel();
+		}
+	}
+
 	#expire(): void {
 		if (this.#end.isOver) {
 			return;
--- a/packages/gateway/src/entry/server-verdicts.ts
+++ b/packages/gateway/src/entry/server-verdicts.ts
@@ -3,6 +3,7 @@
 import {type ServerRecord} from '../servers/server-record.js';
 import {type EntryContext} from './entry-context.js';
 import {type SendResult} from './entry-servers.js';
+import {type LossFinding} from './entry-suspects.js';
 
 /** Which request the verdicts come from. */
 export type ServerVerdictsOptions = {
@@ -50,6 +51,26 @@
 		this.#note(server, {model, latency: undefined});
 	}
 
+	/**
+	Notes that a connection broke while the server had the request.
+
+	The end of a process fails all its requests at once, 3 to 18 of them in a deployment of 18 engines; as evidence against the version it counts once, so that one request that ends servers does not roll back a good version.
+
+	@param server The server.
+	@param options The model, and what became of the server.
+	*/
+	lost(server: ServerRecord, {model, finding}: {readonly model: ModelId | undefined; readonly finding: LossFinding}): void {
+		if (finding === 'runs') {
+			this.failed(server, model);
+			return;
+		}
+
+		this.record(server, 'ended');
+		if (finding === 'ended') {
+			this.#note(server, {model, latency: undefined});
+		}
+	}
+
 	/**
 	Notes a result that says nothing of the version.
 
--- a/packages/gateway/src/entry/take-outcome.ts
+++ b/packages/gateway/src/entry/take-outcome.ts
@@ -1,7 +1,5 @@
 import {type IncomingMessage} from 'node:http';
-import {
-	type Failure, failure, type ModelId, type RequestFingerprint,
-} from '@valehitch/core';
+import {type Failure, failure, type ModelId} from '@valehitch/core';
 import {match} from 'ts-pattern';
 import {type Route} from '../configuration/routing-configuration.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -13,6 +11,7 @@
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {type ModelSteps} from './model-steps.js';
 import {relayStream} from './relay-stream.js';
+import {type RequestSuspicion} from './request-suspicion.js';
 import {type ReceivedHead, type SendOutcome} from './send-attempt.js';
 import {type SpareStream} from './spare-answer.js';
 import {type ServerVerdicts} from './server-verdicts.js';
@@ -40,8 +39,8 @@
 export type TakeOutcomeOptions = {
 	readonly context: EntryContext;
 	readonly request: GatewayRequest;
-	/** Names what the caller asks, the same for each of its tries. */
-	readonly fingerprint: () => RequestFingerprint;
+	/** What is known of the request from its other arrivals. */
+	readonly suspicion: RequestSuspicion;
 	readonly route: Route;
 	readonly models: ModelSteps;
 	readonly verdicts: ServerVerdicts;
@@ -76,7 +75,7 @@
 ```
 */
 export async function takeOutcome(outcome: SendOutcome, options: TakeOutcomeOptions): Promise<OutcomeStep> {
-	const {context, request, fingerprint, verdicts, models, server, isOver} = options;
+	const {context, request, suspicion, verdicts, server, isOver} = options;
 	if (isOver()) {
 		return {type: 'over'};
 	}
@@ -87,7 +86,7 @@
 
 	const reason = reasonOf(outcome);
 	context.log('request-attempt-ended', {
-		request: request.id, fingerprint: fingerprint(), server: server.id, startedAt: server.startedAt, result: outcome.type, reason,
+		request: request.id, fingerprint: suspicion.fingerprint, server: server.id, startedAt: server.startedAt, result: outcome.type, reason,
 	}, 'warn');
 	if (outcome.type === 'unreachable') {
 		verdicts.record(server, 'unreachable');
@@ -96,10 +95,31 @@
 
 	const message = `Got no answer of ${server.id} (${reason})`;
 	if (outcome.type === 'kept-connection-lost') {
+		// Where the process goes on, it dropped an idle connection, which is no fault.
+		const finding = await suspicion.noteLoss(server);
+		if (finding !== 'runs') {
+			verdicts.lost(server, {model: options.models.current, finding});
+		}
+
 		return {type: 'connection-lost', failed: failure('outcome-unknown', message)};
 	}
 
-	verdicts.failed(server, models.current);
+	if (outcome.type === 'lost') {
+		return takeLoss(message, options);
+	}
+
+	// A send that was cancelled for the quarantine of its request says nothing of the server.
+	if (outcome.type !== 'cancelled' || suspicion.standing !== 'quarantined') {
+		verdicts.failed(server, options.models.current);
+	}
+
+	return unknownOutcome(message);
+}
+
+/** A connection that broke while the server had the request. */
+async function takeLoss(message: string, {suspicion, verdicts, models, server}: TakeOutcomeOptions): Promise<OutcomeStep> {
+	const finding = await suspicion.noteLoss(server);
+	verdicts.lost(server, {model: models.current, finding});
 	return unknownOutcome(message);
 }
 
@@ -136,14 +156,16 @@
 }
 
 async function takeFailedAnswer({message, isWhole}: ReceivedHead, {status, isSigned}: AnswerHead, options: TakeOutcomeOptions): Promise<OutcomeStep> {
-	const {context: {dialect}, verdicts, models, server, isOver} = options;
+	const {context: {dialect}, suspicion, verdicts, models, server, isOver} = options;
 	const headers = dialect.answerHeaders(message);
 	const body = await collectBody(message, isWhole);
 	if (isOver()) {
 		return {type: 'over'};
 	}
 
-	if (status >= firstServerError) {
+	if (body === undefined) {
+		verdicts.lost(server, {model: models.current, finding: await suspicion.noteLoss(server)});
+	} else if (status >= firstServerError) {
 		verdicts.failed(server, models.current);
 	}
 
@@ -158,7 +180,7 @@
 }
 
 async function takePlainAnswer({message, isWhole}: ReceivedHead, options: TakeOutcomeOptions): Promise<OutcomeStep> {
-	const {context: {dialect, clock}, verdicts, models, server, sentAt, isOver} = options;
+	const {context: {dialect, clock}, suspicion, verdicts, models, server, sentAt, isOver} = options;
 	const headers = dialect.answerHeaders(message);
 	const status = message.statusCode ?? 0;
 	const body = await collectBody(message, isWhole);
@@ -167,23 +189,26 @@
 	}
 
 	if (body === undefined) {
-		verdicts.failed(server, models.current);
-		return unknownOutcome(`Got a body of ${server.id} that ended early`);
+		return takeLoss(`Got a body of ${server.id} that ended early`, options);
 	}
 
+	suspicion.noteAnswered();
 	verdicts.answered(server, {model: models.current, latency: clock.monotonic() - sentAt});
 	return {type: 'whole', answer: {status, headers, body}};
 }
 
 async function takeStream(received: ReceivedHead, head: AnswerHead, options: TakeOutcomeOptions): Promise<OutcomeStep> {
-	const {context, request, verdicts, models, server, sentAt, chooseLarger} = options;
+	const {context, request, suspicion, verdicts, models, server, sentAt, chooseLarger} = options;
 	const latency = context.clock.monotonic() - sentAt;
 	const larger = chooseLarger(head, latency);
 	if (larger === undefined) {
 		return passStream(received, {...options, head, latency});
 	}
 
-	received.message.on('error', ignoreEnd);
+	// Nobody reads it as long as a better one may come, but its server may end meanwhile.
+	received.message.on('error', () => {
+		void suspicion.noteLoss(server);
+	});
 	verdicts.answered(server, {model: models.current, latency});
 	context.metrics.escalations.inc();
 	context.log('request-escalated', {
@@ -211,13 +236,8 @@
 	return passStream(received, {...options, head, latency});
 }
 
-/** A stream that ends before anyone reads it is found to be broken when it is read. */
-function ignoreEnd(): void {
-	// Whoever reads the stream has a listener of its own.
-}
-
 async function passStream({message, isWhole}: ReceivedHead, options: TakeOutcomeOptions & {readonly head: AnswerHead; readonly latency: number}): Promise<OutcomeStep> {
-	const {context, request, fingerprint, route, verdicts, models, answer, events, server, isOver, onStream, head, latency} = options;
+	const {context, request, suspicion, route, verdicts, models, answer, events, server, isOver, onStream, head, latency} = options;
 	onStream();
 	const headers = context.dialect.answerHeaders(message);
 	const end = await relayStream({
@@ -236,6 +256,7 @@
 	if (end === 'complete') {
 		// A caller that resumes after the last event gets no further one, but the head of the server's answer.
 		answer.begin(message.statusCode ?? 0, headers);
+		suspicion.noteAnswered();
 		verdicts.answered(server, {model: models.current, latency});
 		return {type: 'streamed', confidence: head.confidence};
 	}
@@ -244,12 +265,17 @@
 		return {type: 'over'};
 	}
 
-	verdicts.failed(server, models.current);
 	events.drop();
 	context.log('request-resumed', {
-		request: request.id, fingerprint: fingerprint(), server: server.id, startedAt: server.startedAt, end, lastEvent: events.lastEventId,
+		request: request.id, fingerprint: suspicion.fingerprint, server: server.id, startedAt: server.startedAt, end, lastEvent: events.lastEventId,
 	}, 'warn');
-	return unknownOutcome(`Got a stream of ${server.id} that is ${end}`);
+	const reason = `Got a stream of ${server.id} that is ${end}`;
+	if (end === 'broken') {
+		return takeLoss(reason, options);
+	}
+
+	verdicts.failed(server, models.current);
+	return unknownOutcome(reason);
 }
 
 function unknownOutcome(message: string): OutcomeStep {
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -5,9 +5,10 @@
 		| 'configuration-adopted' | 'configuration-submitted' | 'configuration-refused' | 'lease-lost' | 'lease-regained'
 		| 'leader-changed' | 'membership-changed' | 'storage-failed' | 'storage-opened'
 		| 'server-joined' | 'server-draining' | 'server-gone' | 'server-silent' | 'server-suspected' | 'announcement-refused'
-		| 'servers-restored' | 'servers-not-restored' | 'servers-not-saved'
+		| 'servers-restored' | 'list-not-restored' | 'list-not-saved'
 		| 'rollout-started' | 'rollout-advanced'
-		| 'request-refused' | 'request-dispatched' | 'request-attempt-ended' | 'request-escalated' | 'request-resumed' | 'request-ended';
+		| 'request-refused' | 'request-dispatched' | 'request-attempt-ended' | 'request-escalated' | 'request-resumed' | 'request-ended'
+		| 'request-suspected' | 'request-quarantined' | 'request-cleared';
 
 /** What decided, with ages and versions, and the outcome. */
 export type DecisionFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>> & {
--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	errorAnswers, type Failure, failure, type ServiceId, toId, type VersionId,
+	errorAnswers, type Failure, failure, type RequestFingerprint, type ServiceId, toId, type VersionId,
 } from '@valehitch/core';
 import {type ControlInstance, type RolloutStage} from '@valehitch/gateway';
 import {parseJsonBody, readBody} from '@valehitch/transport';
@@ -89,6 +89,16 @@
 			});
 		}
 
+		case 'GET quarantine': {
+			return Right({status: 200, body: JSON.stringify({requests: control.suspects})});
+		}
+
+		case 'DELETE quarantine/': {
+			return control.liftQuarantine(toId<RequestFingerprint>(name!))
+				? Right(done)
+				: Left(failure('not-found', `Got ${name!.slice(0, loggedCharacters)}, wanted the fingerprint of a request that is listed`));
+		}
+
 		case 'DELETE instances/': {
 			const server = decodeServerId(name!);
 			return server.caseOf<Promise<Either<Failure, Answer>>>({
--- a/packages/platform/src/wire-process.ts
+++ b/packages/platform/src/wire-process.ts
@@ -4,7 +4,7 @@
 import {type Clock, type InstanceId} from '@valehitch/core';
 import {
 	ControlInstance, createDecisionLog, createGatewayMetrics, type DecisionLog, EntryInstance, type GatewayMetrics,
-	type ListenAddress, openBoundedOutput, type PeerMessage, saveServers, type WatchReply,
+	type ListenAddress, openBoundedOutput, type PeerMessage, saveList, serverRecordSchema, suspectRecordSchema, type WatchReply,
 } from '@valehitch/gateway';
 import {openDataFolder, SmallFile} from '@valehitch/storage';
 import {PeerNetwork, startHttpServer} from '@valehitch/transport';
@@ -47,6 +47,8 @@
 const standardOutput = 1;
 /** The file in the data folder that the directory of backend servers is saved in. */
 const savedServersName = 'servers.json';
+/** The same for the requests that end servers. */
+const savedSuspectsName = 'suspects.json';
 /** Every instance of a deployment may connect; the platform has no key that all share. */
 const peerKey = 'valehitch';
 /** A cut is noticed after two of these, well within the time that the platform allows. */
@@ -164,7 +166,12 @@
 		heartbeatMilliseconds: heartbeat,
 		// The platform starts one process for a folder, and knows no locks that hold.
 		openFolder: async () => openDataFolder(dataFolder, {lock: async () => Right(async () => undefined)}),
-		savedServers: saveServers({file: new SmallFile(path.join(dataFolder, savedServersName)), log}),
+		savedServers: saveList({
+			list: 'servers', file: new SmallFile(path.join(dataFolder, savedServersName)), log, schema: serverRecordSchema,
+		}),
+		savedSuspects: saveList({
+			list: 'suspects', file: new SmallFile(path.join(dataFolder, savedSuspectsName)), log, schema: suspectRecordSchema,
+		}),
 		send(to, message) {
 			network.send(peerAddress(settings(), to), message);
 		},
@@ -209,6 +216,7 @@
 		send(to, message) {
 			base.network.send(peerAddress(settings(), to), message);
 		},
+		tell: async (to, message, timeout) => await askPeer(base, to, {message, timeout}) !== undefined,
 		wait: elapsed,
 		parse: decodeConfiguration,
 	});
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -25,4 +25,6 @@
 export type * from './server-view.js';
 export * from './session-token.js';
 export * from './stage-history.js';
+export * from './suspect-book.js';
+export type * from './suspect-record.js';
 export * from './zone-suspicion.js';
