Test the parts that remember requests that end servers, and save what they know at once

Cause: the parts of the mend had one test from outside; with it in place a test of the end of all processes showed that what was learned in the last 0.1 s before it was lost (6 more sends after the restart), since control saved it with a round. Ruled out: a verdict that waits for the disk (servers would end meanwhile). Change: control saves as soon as something concerns others. The harness of request-run.test.ts has a file of its own.

--- a/packages/gateway/src/control/suspect-news.ts
+++ b/packages/gateway/src/control/suspect-news.ts
@@ -99,6 +99,7 @@
 		this.#options.log('request-cleared', {fingerprint, source: 'operator'});
 		this.#relay(fingerprint);
 		this.#options.onChange();
+		void this.save();
 		return true;
 	}
 
@@ -128,6 +129,8 @@
 
 		if (this.book.cursor !== cursor) {
 			this.#options.onChange();
+			// At once: the instances may end together, as one request after the other meets them.
+			void this.save();
 		}
 
 		return changed;
@@ -139,7 +142,6 @@
 			this.#relayTimer = undefined;
 			this.#tellOthers([...this.#unsent]);
 			this.#unsent.clear();
-			void this.save();
 		}, relayMilliseconds);
 	}
 
--- /dev/null
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -0,0 +1,149 @@
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, request as openRequest,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {
+	errorAnswers, type InstanceId, type ZoneId,
+} from '@valehitch/core';
+import {RetryWindow} from '@valehitch/routing';
+import {type ExecutionContext} from 'ava';
+import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
+import {RouteTable} from '../configuration/route-table.js';
+import {createGatewayMetrics} from '../logs/gateway-metrics.js';
+import {testRequest} from './_test-request.js';
+import {authorizeRequest} from './authorize-request.js';
+import {ConfigurationLease} from './configuration-lease.js';
+import {type Dialect} from './dialect.js';
+import {type EntryContext} from './entry-context.js';
+import {EntryServers} from './entry-servers.js';
+import {EntrySuspects, type EntrySuspectsOptions} from './entry-suspects.js';
+import {EvidenceCounter} from './evidence-counter.js';
+import {LatencyBook} from './latency-book.js';
+import {RequestRun} from './request-run.js';
+import {RepeatBook} from './repeat-book.js';
+import {VersionPins} from './version-pins.js';
+
+/** The control instance that tells of the servers. */
+export const control = '10.0.0.1' as InstanceId;
+
+/** Requests and answers as plain as they can be: each answer is the server's own. */
+const plainDialect: Dialect = {
+	readRequest: () => testRequest(),
+	sendHeaders: (_request, {model}) => [['Host', 'desk.example'], ['Model', model ?? 'none']],
+	readAnswer: (status, headers) => ({
+		status,
+		requestId: testRequest().id,
+		isNotRun: status === 429,
+		isOtherServer: false,
+		isSigned: true,
+		isEncoded: false,
+		confidence: typeof headers.confidence === 'string' ? Number(headers.confidence) : undefined,
+	}),
+	answerHeaders: ({headers: {signature}}) => typeof signature === 'string' ? [['Signature', signature]] : [],
+	refuse: (_request, {kind}) => ({status: errorAnswers[kind].status, headers: [], body: kind}),
+};
+
+/** Starts a server on a free port of the loopback interface. */
+export async function listen(t: ExecutionContext, handle: Parameters<typeof createServer>[1]): Promise<number> {
+	const server = createServer(handle);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+	return (server.address() as AddressInfo).port;
+}
+
+async function get(port: number): Promise<{readonly status: number; readonly text: string; readonly signature?: string}> {
+	const outgoing = openRequest({host: '127.0.0.1', port, agent: false}).end();
+	const [message] = await once(outgoing, 'response') as [IncomingMessage];
+	let text = '';
+	for await (const chunk of message.setEncoding('utf8')) {
+		text += String(chunk);
+	}
+
+	const {signature} = message.headers;
+	return {status: message.statusCode ?? 0, text, ...(typeof signature === 'string' && {signature})};
+}
+
+/** A caller's requests, one after the other, through an instance that knows no server until `nextServers` says so. */
+export async function askTimes(t: ExecutionContext, times: number, options: AskOptions) {
+	const {nextServers, route = testRoute(), patience = 60_000, inputTokens = 0, latencies, log = ignore, confirmEnd = async () => false, prepare = ignore} = options;
+	const clock = {now: () => new Date(), monotonic: () => performance.now()};
+	const servers = new EntryServers({
+		zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore, forget: ignore}, onReplaced: ignore,
+	});
+	const lease = new ConfigurationLease({duration: 60_000});
+	lease.confirm(clock.monotonic());
+	const table = new RouteTable(testConfiguration({routes: [route]}));
+	const context: EntryContext = {
+		clock,
+		random: () => 0.5,
+		log,
+		metrics: createGatewayMetrics(),
+		dialect: plainDialect,
+		bounds: {canaryShare: 0.1, leastConfidence: 50},
+		lease,
+		servers,
+		suspects: new EntrySuspects({
+			clock, log, servers, confirmEnd, onLearned: ignore,
+		}),
+		budget: new RetryWindow({share: 1, slack: 5}),
+		latencies: latencies ?? new LatencyBook(clock),
+		pins: new VersionPins({sessionMilliseconds: 5000}),
+		repeats: new RepeatBook(),
+		evidence: new EvidenceCounter({entry: control, run: 'one'}),
+		table: () => table,
+		nextNews: async () => undefined,
+		async nextServers() {
+			nextServers(servers);
+		},
+		rolloutOf: () => undefined,
+		endsAt: () => undefined,
+	};
+	prepare(context);
+	const request = testRequest({patience, inputTokens, choosesModel: route.sizes.length > 0});
+	const authorized = authorizeRequest(request, {table, lease, now: clock.monotonic()}).unsafeCoerce();
+	const entry = await listen(t, (_message, response) => {
+		void new RequestRun(context, {
+			request, body: new Uint8Array(), response, authorized, arrivedAt: clock.monotonic(),
+		}).run();
+	});
+	const answers: Array<Awaited<ReturnType<typeof get>>> = [];
+	while (answers.length < times) {
+		answers.push(await get(entry));
+	}
+
+	return {answers, evidence: context.evidence.of(new Set([route.services[0]!.service]))};
+}
+
+/** What is asked, and of which servers. */
+export type AskOptions = {
+	readonly nextServers: (servers: EntryServers) => void;
+	readonly route?: ReturnType<typeof testRoute>;
+	/** Takes the log lines; nothing unless given. */
+	readonly log?: EntryContext['log'];
+	/** How long the caller waits, in milliseconds. */
+	readonly patience?: number;
+	/** The tokens of the prompt. */
+	readonly inputTokens?: number;
+	/** The times that are known; none unless given. */
+	readonly latencies?: LatencyBook;
+	/** Looks whether the process of a server has ended; none has unless given. */
+	readonly confirmEnd?: EntrySuspectsOptions['confirmEnd'];
+	/** Called with what the instance works with, before the first request. */
+	readonly prepare?: (context: EntryContext) => void;
+};
+
+/** One request through such an instance. */
+export async function askThrough(t: ExecutionContext, nextServers: (servers: EntryServers) => void, route = testRoute()) {
+	const {answers} = await askTimes(t, 1, {nextServers, route});
+	return answers[0];
+}
+
+/** Takes what nobody reads. */
+export function ignore(): void {
+	// Nothing to note.
+}
--- a/packages/routing/src/suspect-book.test.ts
+++ b/packages/routing/src/suspect-book.test.ts
@@ -90,3 +90,63 @@
 	t.is(book.get(fingerprint)?.ends.at(-1)?.process, 'p39');
 	t.false(book.noteEnd(fingerprint, {process: 'p0', at: start}));
 });
+
+/** The same numbers each time, from 0 to 1 (Park and Miller, 1988). */
+function repeatedRandom(): () => number {
+	let state = 1;
+	return () => {
+		state = state * 48_271 % 2_147_483_647;
+		return state / 2_147_483_647;
+	};
+}
+
+/** The requests that a server had when it ended in a deployment of 18 engines: at most. */
+const requestsPerServer = 18;
+
+/** The share of the requests beside a deadly one that are refused with it, over many deadly ones; each is sent on at random as long as its servers end. */
+function refusedBesideDeadly(servers: number): number {
+	const random = repeatedRandom();
+	const waves = 2000;
+	let refused = 0;
+	for (let wave = 0; wave < waves; wave++) {
+		const book = new SuspectBook();
+		let beside = Array.from({length: requestsPerServer}, (_, index) => `beside ${index}` as RequestFingerprint);
+		for (let end = 0; end < 3; end++) {
+			const deadlyAt = Math.floor(random() * servers);
+			// All of them are at the first server; those that are not at the next one are answered there.
+			beside = beside.filter(() => end === 0 || Math.floor(random() * servers) === deadlyAt);
+			for (const known of [fingerprint, ...beside]) {
+				book.noteEnd(known, {process: `${end}`, at: start});
+			}
+		}
+
+		refused += book.records.filter(record => record.fingerprint !== fingerprint && book.standing(record.fingerprint, start) === 'quarantined').length;
+	}
+
+	return refused / (waves * requestsPerServer);
+}
+
+for (const {instances, servers} of [{instances: 7, servers: 18}, {instances: 195, servers: 600}]) {
+	test(`with ${instances} instances and ${servers} servers, under one in a hundred of the requests beside a deadly one is refused with it`, t => {
+		t.true(refusedBesideDeadly(servers) < 0.01);
+	});
+
+	test(`with ${instances} instances and ${servers} servers, a zone of servers that ends at once refuses no request, and other instances hear of none`, t => {
+		const book = new SuspectBook({capacity: servers * requestsPerServer});
+		for (let server = 0; server < servers / 3; server++) {
+			for (let request = 0; request < requestsPerServer; request++) {
+				book.noteEnd(`${server} ${request}` as RequestFingerprint, {process: `${server}`, at: start});
+			}
+		}
+
+		t.true(book.records.every(record => book.standing(record.fingerprint, start) === 'suspect'));
+		t.deepEqual(book.told, []);
+	});
+}
+
+test('a request that many ask at the same time is refused while a zone of its servers is gone only until one of the others has answered it', t => {
+	const book = bookWith(['a', 'b', 'c', 'd']);
+	t.is(book.standing(fingerprint, start), 'quarantined');
+	book.clear(fingerprint);
+	t.is(book.standing(fingerprint, start), 'unknown');
+});
--- a/packages/testing/src/crashing-requests.test.ts
+++ b/packages/testing/src/crashing-requests.test.ts
@@ -23,6 +23,7 @@
 /** The time in which all instances must know it, in milliseconds, and the sends that are still allowed after it. */
 const windowMilliseconds = 3000;
 const allowedSends = 3;
+const saveMilliseconds = 300;
 
 /** Servers of one service that end when they begin the deadly request, and are back after a while as new processes. */
 class CrashingServers {
@@ -142,6 +143,13 @@
 	});
 }
 
+async function listQuarantine(address: string): Promise<string> {
+	const {text} = await ask({
+		method: 'GET', address, path: '/-/quarantine', headers: {},
+	});
+	return text;
+}
+
 async function elapsed(milliseconds: number): Promise<void> {
 	return new Promise(resolve => {
 		setTimeout(resolve, milliseconds);
@@ -176,3 +184,40 @@
 	const others = await Promise.all(Array.from({length: 12}, async (_, entry) => draft(deployment, {entry, path: `/drafts/${entry}`})));
 	t.deepEqual(others.map(({status}) => status), others.map(() => 200));
 });
+
+test('a request that came in many copies at once is still known after the end of all processes, until an operator lifts it', async t => {
+	const {deployment, servers} = await start(t);
+	const copies = await Promise.all(Array.from({length: 9}, async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
+	t.true(copies.every(({status, isWhole}) => status !== 200 || !isWhole));
+	await waitUntil(async () => {
+		const lists = await Promise.all(deployment.controls.map(async ({address}) => listQuarantine(address)));
+		return lists.every(list => list.includes('process')) || undefined;
+	}, {what: 'a request that all control instances list'});
+	// The save begins with the listing, and takes two syncs.
+	await elapsed(saveMilliseconds);
+	await Promise.all(deployment.members.map(async member => member.process.kill('SIGKILL')));
+	for (const member of deployment.members) {
+		await member.writeSettings({isFounding: false});
+		member.process.start();
+	}
+
+	await waitUntil(async () => {
+		const answers = await Promise.all(deployment.entries.map(async (_, entry) => draft(deployment, {entry, path: `/drafts/after-${entry}`})));
+		return answers.every(({status}) => status === 200) || undefined;
+	}, {what: 'an answer of each entry instance after the end of all'});
+	const sends = servers.sends.length;
+	const refused = await Promise.all(deployment.entries.map(async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
+	t.deepEqual(refused.map(({status}) => status), [400, 400, 400]);
+	t.is(servers.sends.length, sends);
+
+	const fingerprint = /\((?<fingerprint>[\da-f]{32})\)/v.exec(refused[0]!.text)?.groups?.fingerprint;
+	const {address} = (deployment.controls[1]!);
+	const listed = await listQuarantine(address);
+	t.true(listed.includes(fingerprint!));
+	t.is(await call({method: 'DELETE', address, path: '/-/quarantine/other'}), 404);
+	t.is(await call({method: 'DELETE', address, path: `/-/quarantine/${fingerprint}`}), 200);
+	await waitUntil(async () => {
+		await draft(deployment, {entry: 0, path: deadlyPath});
+		return servers.sends.length > sends || undefined;
+	}, {what: 'a send after the quarantine was lifted'});
+});
