Trust no lease across a suspension of the machine

Cause: every lease rests on the monotonic clock, which stands still while a machine is suspended, so that one that ran out meanwhile looks valid on wake: a leader that was replaced answered a read with an older configuration, and an entry instance would have taken keys that were withdrawn. Ruled out: the runtime's uptime as a clock (it reads a file of the system, and on a machine that shows another system's it told 1,301 s as 2.1 s had passed since the start); the time of day as the monotonic clock (each step would end leaderships). After that a leader's lease needs a round of heartbeats sent since (both control hosts), control's confirmation a question asked since, and the lease of an entry instance a reply to a question sent since, which it asks for at once and which is not held; requests wait for it a few milliseconds. A step of the time of day costs that and no more. Not covered: the configuration lease between valehitchd's own instances (membership/configuration-relay.ts), which is listed as open.

--- a/packages/consensus/src/_lease.ts
+++ b/packages/consensus/src/_lease.ts
@@ -4,8 +4,12 @@
 
 /** When the lease of a leader ends, in milliseconds; minus infinity where no round was answered by a quorum. */
 export function leaseEndOf(state: ReplicaState, role: LeaderRole): number {
-	const sentAt = quorumContact(state, role, currentRound(role).sentAt);
-	return sentAt + state.options.minimumElectionTimeout - state.options.driftMargin;
+	return leaseBeginOf(state, role) + state.options.minimumElectionTimeout - state.options.driftMargin;
+}
+
+/** When the newest round was sent that a quorum has answered, in milliseconds; minus infinity where there was none. */
+export function leaseBeginOf(state: ReplicaState, role: LeaderRole): number {
+	return quorumContact(state, role, currentRound(role).sentAt);
 }
 
 /** The current heartbeat round of a leader. */
--- a/packages/consensus/src/read-index.ts
+++ b/packages/consensus/src/read-index.ts
@@ -1,4 +1,4 @@
-import {leaseValidUntil} from './lease-valid-until.js';
+import {type LeaseOptions, leaseValidUntil} from './lease-valid-until.js';
 import {type ReplicaState} from './replica-state.js';
 
 /**
@@ -6,15 +6,16 @@
 
 @param state The replica.
 @param now Milliseconds on the monotonic clock, read after the request to read arrived.
+@param options Which rounds the lease may rest on.
 @returns The commit index, or undefined where the replica holds no valid lease or has not committed the first entry of its term.
 @example
 ```ts
 readIndex(state, clock.monotonic());
 ```
 */
-export function readIndex(state: ReplicaState, now: number): number | undefined {
+export function readIndex(state: ReplicaState, now: number, options: LeaseOptions = {}): number | undefined {
 	const {role, commitIndex} = state;
-	const until = leaseValidUntil(state);
+	const until = leaseValidUntil(state, options);
 	if (role.type !== 'leader' || until === undefined || now >= until) {
 		return undefined;
 	}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -16,4 +16,5 @@
 export * from './recent-map.js';
 export type * from './request.js';
 export * from './timeline-event.js';
+export * from './suspension-watch.js';
 export * from './typed-schema.js';
--- a/packages/daemon/src/control/control-host.ts
+++ b/packages/daemon/src/control/control-host.ts
@@ -3,7 +3,7 @@
 } from '@valehitch/consensus';
 import {type Command, type CommandAnswer, ControlState} from '@valehitch/control';
 import {
-	type Failure, failure, type InstanceId, toId,
+	type Failure, failure, type InstanceId, SuspensionWatch, toId,
 } from '@valehitch/core';
 import {
 	type ReplicaDelivery, ReplicaDriver, StateMachine, StepWaiters,
@@ -43,6 +43,7 @@
 	readonly #driver: ReplicaDriver;
 	readonly #candidates: Candidates;
 	readonly #watch: LeadershipWatch;
+	readonly #suspension: SuspensionWatch;
 	readonly #listeners = new Set<AppliedListener>();
 	readonly #steps = new StepWaiters();
 	#timers: NodeJS.Timeout[] = [];
@@ -56,6 +57,7 @@
 		this.#self = toReplicaId(base.settings.instance, identity);
 		this.#candidates = new Candidates({clock: base.clock, control: base.settings.control.map(({instance}) => instance)});
 		this.#watch = new LeadershipWatch(base);
+		this.#suspension = new SuspensionWatch(base.clock);
 		this.#machine = new StateMachine<Command, CommandAnswer, ControlState>({
 			create: data => data === undefined ? new ControlState() : ControlState.fromSnapshot(data),
 			decode: decodeCommand,
@@ -106,7 +108,7 @@
 
 	/** Milliseconds on the monotonic clock until which no other replica can lead; undefined where this one holds no lease. */
 	get leaseValidUntil(): number | undefined {
-		return this.#isStopped ? undefined : leaseValidUntil(this.#driver.state);
+		return this.#isStopped ? undefined : leaseValidUntil(this.#driver.state, {validSince: this.#suspension.lastWake()});
 	}
 
 	/** Whether this replica leads under a valid lease, with everything applied that was committed before its term. */
@@ -232,7 +234,8 @@
 	}
 
 	#readIndex(): number | undefined {
-		return this.#isStopped ? undefined : readIndex(this.#driver.state, this.#options.base.clock.monotonic());
+		const now = this.#options.base.clock.monotonic();
+		return this.#isStopped ? undefined : readIndex(this.#driver.state, now, {validSince: this.#suspension.lastWake()});
 	}
 
 	#tick(): void {
--- a/packages/gateway/src/control/control-group.ts
+++ b/packages/gateway/src/control/control-group.ts
@@ -2,7 +2,7 @@
 	instanceOf, isLeader, knownLeader, planMembership, readIndex, type ReplicaId, type ReplicaSet, type ReplicaState, toReplicaId,
 } from '@valehitch/consensus';
 import {
-	type Clock, type Failure, failure, type InstanceId, type RandomSource, toId,
+	type Clock, type Failure, failure, type InstanceId, type RandomSource, type SuspensionWatch, toId,
 } from '@valehitch/core';
 import {
 	type Applied, readReplicaMessage, ReplicaDriver, StateMachine, StepWaiters, writeReplicaMessage,
@@ -24,6 +24,7 @@
 	readonly self: InstanceId;
 	readonly folder: DataFolder;
 	readonly clock: Clock;
+	readonly suspension: Pick<SuspensionWatch, 'lastWake'>;
 	readonly random: RandomSource;
 	readonly log: DecisionLog;
 	/** The last time at which a former run of the replica can have acknowledged a lease, in milliseconds on the monotonic clock. */
@@ -172,7 +173,9 @@
 
 	/** The index that was committed at the time of the call; undefined where this replica holds no valid lease. */
 	confirmedIndex(): number | undefined {
-		return this.#isStopped ? undefined : readIndex(this.#driver.state, this.#options.clock.monotonic());
+		const {clock, suspension} = this.#options;
+		// A leader that was suspended may have been replaced: one round of heartbeats shows it.
+		return this.#isStopped ? undefined : readIndex(this.#driver.state, clock.monotonic(), {validSince: suspension.lastWake()});
 	}
 
 	/**
--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -91,7 +91,7 @@
 
 async function watch(control: ControlInstance, changes: Partial<Pick<WatchReply, 'run' | 'cursor'>> & {readonly configurationVersion?: number} = {}): Promise<WatchReply> {
 	return await control.answer(entry, {
-		type: 'watch', zone: 'hall-a' as ZoneId, configurationVersion: undefined, run: '', cursor: 0, suspectCursor: 0, rolloutDigest: '', evidence: [], ...changes,
+		type: 'watch', isUrgent: false, zone: 'hall-a' as ZoneId, configurationVersion: undefined, run: '', cursor: 0, suspectCursor: 0, rolloutDigest: '', evidence: [], ...changes,
 	}) as WatchReply;
 }
 
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type Failure, failure, type InstanceId, type RandomSource, type RequestFingerprint, type ServerId, type ServiceId, type VersionId,
+	type Clock, type Failure, failure, type InstanceId, type RandomSource, type RequestFingerprint, type ServerId, type ServiceId, SuspensionWatch, type VersionId,
 } from '@valehitch/core';
 import {type SuspectRecord} from '@valehitch/routing';
 import {type DataFolder} from '@valehitch/storage';
@@ -75,6 +75,7 @@
 */
 export class ControlInstance {
 	readonly #options: ControlInstanceOptions;
+	readonly #suspension: SuspensionWatch;
 	readonly #news: ServerNews;
 	readonly #suspects: SuspectNews;
 	readonly #rolloutClock: RolloutClock;
@@ -89,6 +90,7 @@
 
 	constructor(options: ControlInstanceOptions) {
 		this.#options = options;
+		this.#suspension = new SuspensionWatch(options.clock);
 		this.#holder = new ReopeningGroup({
 			...options,
 			createGroup: opened => this.#createGroup(opened),
@@ -116,6 +118,7 @@
 		this.#leader = new LeaderClient({...options, group: () => this.#group, evidence: () => this.#neededEvidence()});
 		this.#confirmation = new StateConfirmation({
 			clock: options.clock,
+			suspension: this.#suspension,
 			group: () => this.#group,
 			newestIndex: async () => this.#leader.newestIndex(),
 			onRegained: () => {
@@ -307,6 +310,7 @@
 		const {log, clock, random, self, isFounding, seeds, send} = this.#options;
 		return new ControlGroup({
 			self, folder, clock, random, log, lastAcknowledgedAt, isFounding, onFailure,
+			suspension: this.#suspension,
 			founders: seeds(),
 			peers: () => this.#others(),
 			send,
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -72,7 +72,7 @@
 		const arrived = clock.monotonic();
 		const asker = {instance: from, zone: watch.zone};
 		this.#entries.set(from, {...asker, at: arrived});
-		if (!this.#hasNews(watch)) {
+		if (!watch.isUrgent && !this.#hasNews(watch)) {
 			await this.#nextNews();
 		}
 
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -94,6 +94,8 @@
 /** An entry instance asks for news, and brings what it counted. */
 export type WatchMessage = {
 	readonly type: 'watch';
+	/** Whether it is answered at once, also where there is no news. */
+	readonly isUrgent: boolean;
 	/** The asker's availability zone. */
 	readonly zone: ZoneId;
 	/** The version of the configuration that the asker has; undefined for none. */
--- a/packages/gateway/src/control/state-confirmation.test.ts
+++ b/packages/gateway/src/control/state-confirmation.test.ts
@@ -5,11 +5,12 @@
 /** A replica that has applied up to an index, and a leader that names one. */
 function start({applied}: {readonly applied: number}) {
 	const state = {
-		now: 1000, index: 5 as number | undefined, applied, regained: 0,
+		now: 1000, index: 5 as number | undefined, applied, regained: 0, wokeAt: Number.NEGATIVE_INFINITY,
 	};
 	const group: Pick<ControlGroup, 'applied'> = {applied: async index => index <= state.applied};
 	const confirmation = new StateConfirmation({
 		clock: {monotonic: () => state.now},
+		suspension: {lastWake: () => state.wokeAt},
 		group: () => group as ControlGroup,
 		newestIndex: async () => state.index,
 		onRegained() {
@@ -46,3 +47,15 @@
 	const silent = await confirmation.newest();
 	t.true(silent.isLeft());
 });
+
+test('nothing is sure after a suspension until a question that was asked since', async t => {
+	const {confirmation, state} = start({applied: 5});
+	await confirmation.confirm();
+	state.wokeAt = 1200;
+	t.is(confirmation.confirmedAt, undefined);
+	await confirmation.confirm();
+	t.is(confirmation.confirmedAt, undefined);
+	state.now = 1200;
+	await confirmation.confirm();
+	t.is(confirmation.confirmedAt, 1200);
+});
--- a/packages/gateway/src/control/state-confirmation.ts
+++ b/packages/gateway/src/control/state-confirmation.ts
@@ -1,10 +1,13 @@
-import {type Clock, type Failure, failure} from '@valehitch/core';
+import {
+	type Clock, type Failure, failure, type SuspensionWatch,
+} from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
 import {type ControlGroup} from './control-group.js';
 
 /** What the confirmation of the state needs. */
 export type StateConfirmationOptions = {
 	readonly clock: Pick<Clock, 'monotonic'>;
+	readonly suspension: Pick<SuspensionWatch, 'lastWake'>;
 	/** The replica; undefined while its disk fails. */
 	readonly group: () => ControlGroup | undefined;
 	/** Asks the leader for the newest committed index; undefined where it gave no word under its lease. */
@@ -26,7 +29,7 @@
 
 @example
 ```ts
-const confirmation = new StateConfirmation({clock, group, newestIndex, onRegained});
+const confirmation = new StateConfirmation({clock, suspension, group, newestIndex, onRegained});
 await confirmation.confirm();
 confirmation.confirmedAt;
 ```
@@ -39,9 +42,9 @@
 		this.#options = options;
 	}
 
-	/** When the state was last known to be the newest, in milliseconds on the monotonic clock; undefined where it never was. */
+	/** When the state was last known to be the newest, in milliseconds on the monotonic clock; undefined where it never was, or not since the machine was suspended: its age is not known then. */
 	get confirmedAt(): number | undefined {
-		return this.#confirmedAt;
+		return this.#confirmedAt === undefined || this.#confirmedAt < this.#options.suspension.lastWake() ? undefined : this.#confirmedAt;
 	}
 
 	/** Forgets the confirmation: the folder that is opened next may hold less than what was confirmed before. */
@@ -51,9 +54,9 @@
 
 	/** Asks the leader once, and waits until what it names is applied here. */
 	async confirm(): Promise<void> {
-		const {clock, onRegained} = this.#options;
+		const {clock, suspension, onRegained} = this.#options;
 		const began = clock.monotonic();
-		if (await this.#caughtUp(began + applyMilliseconds) === undefined) {
+		if (await this.#caughtUp(began + applyMilliseconds) === undefined || began < suspension.lastWake()) {
 			return;
 		}
 
--- /dev/null
+++ b/packages/gateway/src/control/suspended-leader.test.ts
@@ -0,0 +1,132 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {instanceOf, type ReplicaId} from '@valehitch/consensus';
+import {type Clock, type InstanceId} from '@valehitch/core';
+import {openDataFolder} from '@valehitch/storage';
+import test, {type ExecutionContext} from 'ava';
+import {Right} from 'purify-ts';
+import {testConfiguration} from '../configuration/_test-configuration.js';
+import {createGatewayMetrics} from '../logs/gateway-metrics.js';
+import {ControlInstance} from './control-instance.js';
+
+const instances = ['10.0.0.1', '10.0.0.2', '10.0.0.3'] as InstanceId[];
+
+/** A clock whose monotonic side stands still while its machine is suspended. */
+class SuspendedClock implements Clock {
+	#suspendedAt: number | undefined;
+	#lost = 0;
+
+	get isSuspended(): boolean {
+		return this.#suspendedAt !== undefined;
+	}
+
+	now(): Date {
+		return new Date();
+	}
+
+	monotonic(): number {
+		return (this.#suspendedAt ?? performance.now()) - this.#lost;
+	}
+
+	suspend(): void {
+		this.#suspendedAt = performance.now();
+	}
+
+	wake(): void {
+		this.#lost += performance.now() - this.#suspendedAt!;
+		this.#suspendedAt = undefined;
+	}
+}
+
+type Member = {
+	readonly control: ControlInstance;
+	readonly clock: SuspendedClock;
+	readonly leaders: string[];
+};
+
+/** Three control instances that reach each other at once, but for those that are suspended. */
+async function startGroup(t: ExecutionContext): Promise<ReadonlyMap<InstanceId, Member>> {
+	const members = new Map<InstanceId, Member>();
+	const isCut = (one: InstanceId, other: InstanceId): boolean => [one, other].some(instance => members.get(instance)?.clock.isSuspended !== false);
+	for (const self of instances) {
+		const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-suspended-'));
+		const clock = new SuspendedClock();
+		const leaders: string[] = [];
+		const control = new ControlInstance({
+			self,
+			clock: {now: () => clock.now(), monotonic: () => clock.monotonic()},
+			random: Math.random,
+			log(kind, {leader}) {
+				if (kind === 'leader-changed') {
+					leaders.push(String(leader));
+				}
+			},
+			metrics: createGatewayMetrics(),
+			isFounding: true,
+			processStartedAt: 0,
+			seeds: () => instances,
+			heartbeatMilliseconds: 1200,
+			openFolder: async () => openDataFolder(folder, {lock: async () => Right(async () => undefined)}),
+			savedServers: {read: async () => [], write: async () => true},
+			savedSuspects: {read: async () => [], write: async () => true},
+			send(to, message) {
+				if (!isCut(self, to)) {
+					void members.get(to)?.control.answer(self, message);
+				}
+			},
+			async ask(to, message) {
+				return isCut(self, to) ? undefined : members.get(to)?.control.answer(self, message);
+			},
+			run: self,
+		});
+		members.set(self, {control, clock, leaders});
+		t.teardown(async () => {
+			await control.stop();
+			await rm(folder, {recursive: true, force: true});
+		});
+	}
+
+	await Promise.all([...members.values()].map(async ({control}) => control.start()));
+	return members;
+}
+
+/** Tries until a call succeeds; the deadline of the test run bounds it. */
+async function eventually<Value>(attempt: () => Promise<Value | undefined>): Promise<Value> {
+	for (;;) {
+		const value = await attempt();
+		if (value !== undefined) {
+			return value;
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	}
+}
+
+async function submit(control: ControlInstance, version: number): Promise<true | undefined> {
+	const submitted = await control.submitConfiguration(testConfiguration({version}), `version ${version}`);
+	return submitted.isRight() ? true : undefined;
+}
+
+test('a leader that was suspended answers no read from its lease once it wakes', async t => {
+	const members = await startGroup(t);
+	const first = members.get(instances[0]!)!;
+	await eventually(async () => submit(first.control, 3));
+	const former = await eventually(async () => {
+		const leader = first.leaders.at(-1);
+		return leader === undefined || leader === 'none' ? undefined : members.get(instanceOf(leader as ReplicaId) as InstanceId);
+	});
+	former.clock.suspend();
+	const other = [...members.values()].find(member => member !== former)!;
+	await eventually(async () => submit(other.control, 5));
+
+	former.clock.wake();
+	const read = await former.control.readConfiguration();
+	t.not(read.caseOf({Left: () => undefined, Right: ({document}) => document}), 'version 3');
+	t.is(await eventually(async () => {
+		const later = await former.control.readConfiguration();
+		return later.caseOf({Left: () => undefined, Right: ({document}) => document});
+	}), 'version 5');
+});
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -13,7 +13,7 @@
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testRequest} from './_test-request.js';
 import {authorizeRequest} from './authorize-request.js';
-import {ConfigurationLease} from './configuration-lease.js';
+import {testLease} from './_test-lease.js';
 import {type Dialect} from './dialect.js';
 import {type EntryContext} from './entry-context.js';
 import {EntryServers} from './entry-servers.js';
@@ -75,7 +75,7 @@
 	const servers = new EntryServers({
 		zone: 'hall-a' as ZoneId, random: () => 0.5, share: {othersOn: () => 0, noteChange: ignore, forget: ignore}, onReplaced: ignore,
 	});
-	const lease = new ConfigurationLease({duration: 60_000});
+	const lease = testLease({duration: 60_000});
 	lease.confirm(clock.monotonic());
 	const table = new RouteTable(testConfiguration({routes: [route]}));
 	const context: EntryContext = {
--- a/packages/gateway/src/entry/authorize-at-start.ts
+++ b/packages/gateway/src/entry/authorize-at-start.ts
@@ -16,7 +16,7 @@
 const configurationWaitShare = 0.25;
 
 /**
-Authorizes a request, and lets it wait a short while where this instance has only just started and has no confirmed configuration.
+Authorizes a request, and lets it wait a short while where this instance has only just started, or woken, and has no confirmed configuration yet.
 
 @param request The request.
 @param options What it waits for.
@@ -32,7 +32,8 @@
 	for (;;) {
 		const now = clock.monotonic();
 		const authorized = authorizeRequest(request, {lease, table: context.table(), now});
-		if (authorized.isRight() || lease.wasConfirmed || now >= until) {
+		const isOnItsWay = !lease.wasConfirmed || lease.isDoubted;
+		if (authorized.isRight() || !isOnItsWay || now >= until) {
 			return authorized;
 		}
 
--- a/packages/gateway/src/entry/authorize-request.test.ts
+++ b/packages/gateway/src/entry/authorize-request.test.ts
@@ -3,10 +3,10 @@
 import {RouteTable} from '../configuration/route-table.js';
 import {testRequest} from './_test-request.js';
 import {authorizeRequest} from './authorize-request.js';
-import {ConfigurationLease} from './configuration-lease.js';
+import {testLease} from './_test-lease.js';
 
 function kindOf(changes: Parameters<typeof testRequest>[0], {confirmedAgo = 100, table = new RouteTable(testConfiguration()), isNew = false} = {}): string {
-	const lease = new ConfigurationLease({duration: 4500});
+	const lease = testLease({duration: 4500});
 	lease.confirm(10_000 - confirmedAgo);
 	return authorizeRequest(testRequest(changes), {table: isNew ? undefined : table, lease, now: 10_000}).caseOf<string>({
 		Left: ({kind}) => kind,
--- /dev/null
+++ b/packages/gateway/src/entry/configuration-lease.test.ts
@@ -0,0 +1,26 @@
+import test from 'ava';
+import {testLease} from './_test-lease.js';
+
+test('a confirmation counts for the time of the lease', t => {
+	const lease = testLease({duration: 4500});
+	t.deepEqual([lease.isValid(1000), lease.wasConfirmed], [false, false]);
+	lease.confirm(1000);
+	lease.confirm(900);
+	t.deepEqual([lease.isValid(5499), lease.isValid(5500), lease.age(1500)], [true, false, 500]);
+});
+
+test('a confirmation from before a suspension counts no more, and the next one is asked for once', t => {
+	let wokeAt = Number.NEGATIVE_INFINITY;
+	let doubts = 0;
+	const lease = testLease({
+		suspension: {lastWake: () => wokeAt},
+		onDoubt() {
+			doubts++;
+		},
+	});
+	lease.confirm(1000);
+	wokeAt = 1010;
+	t.deepEqual([lease.isValid(1010), lease.isDoubted, lease.wasConfirmed, doubts], [false, true, true, 1]);
+	lease.confirm(1012);
+	t.deepEqual([lease.isValid(1020), lease.isDoubted, doubts], [true, false, 1]);
+});
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -1,4 +1,4 @@
-import {type Clock, type InstanceId} from '@valehitch/core';
+import {type Clock, type InstanceId, type SuspensionWatch} from '@valehitch/core';
 import {type WatchMessage, type WatchReply} from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
@@ -14,6 +14,7 @@
 /** What the watch on control needs. */
 export type ControlWatchOptions = {
 	readonly clock: Clock;
+	readonly suspension: Pick<SuspensionWatch, 'lastWake'>;
 	readonly log: DecisionLog;
 	readonly metrics: GatewayMetrics;
 	/** The control instances that the settings name. */
@@ -75,6 +76,13 @@
 		this.#isStopped = true;
 	}
 
+	/** Asks the control instances that are asked anyway for a confirmation at once, since the questions in progress may be held. */
+	confirm(): void {
+		for (const host of this.#inUse) {
+			void this.#askOnce(host, {isUrgent: true});
+		}
+	}
+
 	async #ask(): Promise<void> {
 		while (!this.#isStopped) {
 			const host = this.#next();
@@ -93,12 +101,12 @@
 		}
 	}
 
-	async #askOnce(host: InstanceId): Promise<boolean> {
-		const {clock, question, ask, onNews, metrics, log} = this.#options;
+	async #askOnce(host: InstanceId, {isUrgent = false} = {}): Promise<boolean> {
+		const {clock, suspension, question, ask, onNews, metrics, log} = this.#options;
 		const source = this.#sourceOf(host);
 		const sentAt = clock.monotonic();
 		const reply = await ask(host, {
-			type: 'watch', run: source.run, cursor: source.cursor, suspectCursor: source.suspectCursor, ...question(host),
+			type: 'watch', isUrgent, run: source.run, cursor: source.cursor, suspectCursor: source.suspectCursor, ...question(host),
 		}, watchTimeoutMilliseconds);
 		metrics.watches.inc({result: reply === undefined ? 'lost' : 'answered'});
 		if (reply === undefined) {
@@ -122,7 +130,9 @@
 		});
 		this.#hosts = reply.hosts as readonly InstanceId[];
 		// The reply left no earlier than the question and the time that it was held, so this is the earliest time of the confirmation.
-		const confirmedAt = reply.confirmedAgo === undefined ? undefined : sentAt + reply.held - reply.confirmedAgo;
+		// Where the machine was suspended since the question, nobody knows how old the reply is.
+		const isAgeKnown = reply.confirmedAgo !== undefined && sentAt >= suspension.lastWake();
+		const confirmedAt = isAgeKnown ? sentAt + reply.held - reply.confirmedAgo : undefined;
 		onNews({source: host, reply, confirmedAt});
 		return true;
 	}
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,6 +1,6 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {
-	type Clock, type Failure, type InstanceId, type RandomSource, type ZoneId,
+	type Clock, type Failure, type InstanceId, type RandomSource, SuspensionWatch, type ZoneId,
 } from '@valehitch/core';
 import {StepWaiters} from '@valehitch/replication';
 import {RetryWindow} from '@valehitch/routing';
@@ -116,6 +116,7 @@
 			peers: () => this.#peers,
 			send: options.send,
 		});
+		const suspension = new SuspensionWatch(clock);
 		const servers = new EntryServers({
 			zone, random, share: this.#share, onReplaced: dropIdleConnections,
 		});
@@ -130,7 +131,13 @@
 		this.#reporter = new SuspectReporter({book: suspects.book, tell: options.tell});
 		this.#context = {
 			...options,
-			lease: new ConfigurationLease({duration: options.leaseMilliseconds}),
+			lease: new ConfigurationLease({
+				duration: options.leaseMilliseconds,
+				suspension,
+				onDoubt: () => {
+					this.#watch.confirm();
+				},
+			}),
 			servers,
 			suspects,
 			budget: new RetryWindow({share: options.retryShare, slack: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
@@ -146,6 +153,7 @@
 		};
 		this.#watch = new ControlWatch({
 			...options,
+			suspension,
 			question: host => this.#question(host),
 			onNews: news => {
 				this.#takeNews(news, clock.monotonic());
