Split what had grown: operators' calls, options, the view of a server, the end of an expired request

Change: OperatorCalls (control.operators), the two option types, FindServerOptions, HeldServer.view and stateOf, endExpired. No behaviour is changed.

--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -80,12 +80,12 @@
 }
 
 async function submit(control: ControlInstance, version: number): Promise<true | undefined> {
-	const submitted = await control.submitConfiguration(testConfiguration({version}), `version ${version}`);
+	const submitted = await control.operators.submitConfiguration(testConfiguration({version}), `version ${version}`);
 	return submitted.isRight() ? true : undefined;
 }
 
 async function read(control: ControlInstance): Promise<string | undefined> {
-	const document = await control.readConfiguration();
+	const document = await control.operators.readConfiguration();
 	return document.caseOf({Left: () => undefined, Right: value => value.document});
 }
 
@@ -128,13 +128,13 @@
 	const {control} = await startControl(t);
 	const order = {service: 'models' as ServiceId, target: 'v2' as VersionId, duration: 60_000};
 	await eventually(async () => {
-		const started = await control.startRollout(order);
+		const started = await control.operators.startRollout(order);
 		return started.isRight() || undefined;
 	});
-	const again = await control.startRollout(order);
+	const again = await control.operators.startRollout(order);
 	t.true(again.isRight());
-	const known = await control.readRollout(order.service);
+	const known = await control.operators.readRollout(order.service);
 	t.is(known.unsafeCoerce().stage, 'canary');
-	const unknown = await control.readRollout('other' as ServiceId);
+	const unknown = await control.operators.readRollout('other' as ServiceId);
 	t.is(unknown.swap().unsafeCoerce().kind, 'not-found');
 });
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -1,23 +1,18 @@
 import {
-	type Clock, type Failure, failure, type InstanceId, type RandomSource, type RequestFingerprint, type ServerId, type ServiceId, SuspensionWatch, type VersionId,
+	type InstanceId, type RequestFingerprint, type ServerId, SuspensionWatch,
 } from '@valehitch/core';
 import {type SuspectRecord} from '@valehitch/routing';
-import {type DataFolder} from '@valehitch/storage';
-import {type Either, Left, Right} from 'purify-ts';
 import {match, P} from 'ts-pattern';
-import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
-import {type DecisionLog} from '../logs/decision-log.js';
-import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {EvidenceTable} from '../rollouts/evidence-table.js';
-import {isEnded, type Rollout} from '../rollouts/rollout.js';
+import {isEnded} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
-import {type SavedList} from '../servers/saved-list.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {ControlGroup} from './control-group.js';
-import {type GatewayAnswer, type GatewayCommand} from './gateway-command.js';
-import {type ConfigurationDocument} from './gateway-state.js';
+import {type ControlInstanceOptions} from './control-instance-options.js';
+import {type GatewayCommand} from './gateway-command.js';
 import {type EntryNews, EntryWatches} from './entry-watches.js';
 import {describeResult, LeaderClient} from './leader-client.js';
+import {OperatorCalls} from './operator-calls.js';
 import {
 	type ConfirmReply, type JoinReply, type PeerMessage, type ServersMessage, type SuspectsMessage,
 } from './peer-message.js';
@@ -28,38 +23,9 @@
 import {StateConfirmation} from './state-confirmation.js';
 import {SuspectNews} from './suspect-news.js';
 
-/** What a control instance needs. */
-export type ControlInstanceOptions = {
-	readonly self: InstanceId;
-	readonly clock: Clock;
-	readonly random: RandomSource;
-	readonly log: DecisionLog;
-	readonly metrics: GatewayMetrics;
-	readonly isFounding: boolean;
-	/** The control instances that the settings name. */
-	readonly seeds: () => readonly InstanceId[];
-	/** The time between two announcements of a backend server, in milliseconds. */
-	readonly heartbeatMilliseconds: number;
-	/** Opens the data folder; asked again after a failure of the disk. */
-	readonly openFolder: () => Promise<Either<Failure, DataFolder>>;
-	/** Where the backend servers are saved for the next run. */
-	readonly savedServers: SavedList<ServerRecord>;
-	/** Where the requests that end servers are saved for the next run. */
-	readonly savedSuspects: SavedList<SuspectRecord>;
-	/** Sends a message that wants no reply. */
-	readonly send: (to: InstanceId, message: PeerMessage) => void;
-	/** Asks another instance; undefined where no reply came within the timeout in milliseconds. */
-	readonly ask: (to: InstanceId, message: PeerMessage, timeout: number) => Promise<unknown>;
-	/** Names this run of the process. */
-	readonly run: string;
-	/** When this process started, in milliseconds on the monotonic clock; a former run acknowledged nothing after that. */
-	readonly processStartedAt: number;
-};
-
 /** The time between two questions to the leader about what is newest. */
 const confirmMilliseconds = 200;
 const joinTimeoutMilliseconds = 400;
-const retryMilliseconds = 300;
 /** The time between two looks at the running roll-outs. */
 const judgeMilliseconds = 150;
 
@@ -70,10 +36,12 @@
 ```ts
 const control = new ControlInstance(options);
 await control.start();
-await control.submitConfiguration(configuration, document);
+await control.operators.submitConfiguration(configuration, document);
 ```
 */
 export class ControlInstance {
+	/** What operators ask for. */
+	readonly operators: OperatorCalls;
 	readonly #options: ControlInstanceOptions;
 	readonly #suspension: SuspensionWatch;
 	readonly #news: ServerNews;
@@ -125,6 +93,7 @@
 				this.#watches.wake();
 			},
 		});
+		this.operators = new OperatorCalls({...options, leader: this.#leader, confirmation: this.#confirmation});
 		this.#watches = new EntryWatches({
 			...options, directory: this.#news.directory, suspects: this.#suspects.book, news: () => this.#entryNews(),
 		});
@@ -168,55 +137,6 @@
 		await this.#holder.stop();
 	}
 
-	/**
-	Takes a configuration that was checked.
-
-	@param configuration The configuration.
-	@param document The document as the operator sent it.
-	@returns Whether it is the newest, once it is committed; `no-quorum` where it may or may not be.
-	*/
-	async submitConfiguration({version}: RoutingConfiguration, document: string): Promise<Either<Failure, GatewayAnswer>> {
-		const result = await this.#leader.propose({type: 'put-configuration', version, document});
-		this.#options.log('configuration-submitted', {version, result: describeResult(result)});
-		return result;
-	}
-
-	/** The newest configuration, once it is certain that there is no newer one. */
-	async readConfiguration(): Promise<Either<Failure, ConfigurationDocument>> {
-		const read = await this.#confirmation.newest();
-		return read.chain(({state: {configuration}}) => configuration === undefined
-			? Left(failure('no-configuration', 'Got no configuration yet, wanted one to read', {retryAfterMilliseconds: retryMilliseconds}))
-			: Right(configuration));
-	}
-
-	/**
-	Begins a roll-out.
-
-	@param order The service, the version, and the duration in milliseconds.
-	@returns The roll-out, once it is committed.
-	*/
-	async startRollout(order: {readonly service: ServiceId; readonly target: VersionId; readonly duration: number}): Promise<Either<Failure, GatewayAnswer>> {
-		const result = await this.#leader.propose({type: 'start-rollout', ...order, orderedAt: this.#options.clock.now().getTime()});
-		this.#options.log('rollout-started', {
-			service: order.service, target: order.target, duration: order.duration, result: describeResult(result),
-		});
-		return result;
-	}
-
-	/**
-	Reads the newest roll-out of a service.
-
-	@param service The service.
-	@returns The roll-out; `not-found` where there was none.
-	*/
-	async readRollout(service: ServiceId): Promise<Either<Failure, Rollout>> {
-		const read = await this.#confirmation.newest();
-		return read.chain(({state: {rollouts}}) => {
-			const rollout = rollouts.find(other => other.service === service);
-			return rollout === undefined ? Left(failure('not-found', `Got no roll-out of ${service}`)) : Right(rollout);
-		});
-	}
-
 	/**
 	Takes the announcement of a backend server; one of a shutdown is known to the other control instances when this returns.
 
--- a/packages/gateway/src/control/suspended-leader.test.ts
+++ b/packages/gateway/src/control/suspended-leader.test.ts
@@ -106,7 +106,7 @@
 }
 
 async function submit(control: ControlInstance, version: number): Promise<true | undefined> {
-	const submitted = await control.submitConfiguration(testConfiguration({version}), `version ${version}`);
+	const submitted = await control.operators.submitConfiguration(testConfiguration({version}), `version ${version}`);
 	return submitted.isRight() ? true : undefined;
 }
 
@@ -123,10 +123,10 @@
 	await eventually(async () => submit(other.control, 5));
 
 	former.clock.wake();
-	const read = await former.control.readConfiguration();
+	const read = await former.control.operators.readConfiguration();
 	t.not(read.caseOf({Left: () => undefined, Right: ({document}) => document}), 'version 3');
 	t.is(await eventually(async () => {
-		const later = await former.control.readConfiguration();
+		const later = await former.control.operators.readConfiguration();
 		return later.caseOf({Left: () => undefined, Right: ({document}) => document});
 	}), 'version 5');
 });
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,25 +1,17 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
-import {
-	type Clock, type Failure, type InstanceId, type RandomSource, SuspensionWatch, type ZoneId,
-} from '@valehitch/core';
+import {type InstanceId, SuspensionWatch} from '@valehitch/core';
 import {StepWaiters} from '@valehitch/replication';
 import {RetryWindow} from '@valehitch/routing';
-import {type Either} from 'purify-ts';
 import {RouteTable} from '../configuration/route-table.js';
-import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
-import {
-	type LoadMessage, type SuspectsMessage, type WatchMessage, type WatchReply,
-} from '../control/peer-message.js';
-import {type DecisionLog} from '../logs/decision-log.js';
-import {type GatewayMetrics} from '../logs/gateway-metrics.js';
+import {type LoadMessage, type WatchMessage} from '../control/peer-message.js';
 import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {KnownRollouts} from '../rollouts/known-rollouts.js';
 import {createCallerServer} from './caller-server.js';
 import {confirmServerEnd} from './confirm-server-end.js';
 import {ConfigurationLease} from './configuration-lease.js';
 import {type ControlNews, ControlWatch} from './control-watch.js';
-import {type Dialect} from './dialect.js';
-import {type EntryBounds, type EntryContext} from './entry-context.js';
+import {type EntryContext} from './entry-context.js';
+import {type EntryInstanceOptions} from './entry-instance-options.js';
 import {EntryServers} from './entry-servers.js';
 import {EntrySuspects} from './entry-suspects.js';
 import {EvidenceCounter} from './evidence-counter.js';
@@ -31,45 +23,6 @@
 import {SuspectReporter} from './suspect-reporter.js';
 import {VersionPins} from './version-pins.js';
 
-/** Where the instance listens. */
-export type ListenAddress = {
-	readonly host: string;
-	readonly port: number;
-};
-
-/** What an entry instance needs. */
-export type EntryInstanceOptions = {
-	readonly self: InstanceId;
-	readonly zone: ZoneId;
-	readonly listen: ListenAddress;
-	readonly clock: Clock;
-	readonly random: RandomSource;
-	readonly log: DecisionLog;
-	readonly metrics: GatewayMetrics;
-	readonly dialect: Dialect;
-	readonly bounds: EntryBounds;
-	/** How long a confirmation of the configuration counts, in milliseconds. */
-	readonly leaseMilliseconds: number;
-	/** The time without a request after which a session has ended, in milliseconds. */
-	readonly sessionMilliseconds: number;
-	/** The further sends for each request, over all instances alike. */
-	readonly retryShare: number;
-	/** The time over which further sends are a share of the requests, in milliseconds. */
-	readonly retryWindowMilliseconds: number;
-	/** Names this run of the process. */
-	readonly run: string;
-	/** The control instances that the settings name. */
-	readonly seeds: () => readonly InstanceId[];
-	readonly ask: (to: InstanceId, message: WatchMessage, timeout: number) => Promise<WatchReply | undefined>;
-	/** Sends a message that wants no reply. */
-	readonly send: (to: InstanceId, message: LoadMessage) => void;
-	/** Tells a control instance; whether it said that it has it within the timeout in milliseconds. */
-	readonly tell: (to: InstanceId, message: SuspectsMessage, timeout: number) => Promise<boolean>;
-	readonly wait: (milliseconds: number) => Promise<void>;
-	/** Reads a configuration as the operator wrote it. */
-	readonly parse: (document: string) => Either<Failure, RoutingConfiguration>;
-};
-
 /** Further sends that one instance may make in a window without any traffic: the platform allows between two and eight for each instance of its deployments. */
 const retrySlack = 2;
 /** An idle connection is kept this many times longer than callers use it, so that none closes under a request. */
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -1,15 +1,18 @@
 import {
-	type InstanceId, type RandomSource, type ServerId, type ServiceId, type VersionId, type ZoneId,
+	type InstanceId, type RandomSource, type ServerId, type ServiceId, type ZoneId,
 } from '@valehitch/core';
 import {
-	chooseServer, type HomeScope, OutlierEjection, prefixHash, type ServerView, ZoneSuspicion,
+	chooseServer, OutlierEjection, prefixHash, type ServerView, ZoneSuspicion,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
 import {compareStarts} from '../servers/compare-starts.js';
 import {hasReplaced} from '../servers/has-replaced.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
-import {type ServerRecord, type ServerState} from '../servers/server-record.js';
-import {HeldServer, type SendLoad, unknownLoad} from './held-server.js';
+import {type ServerRecord} from '../servers/server-record.js';
+import {type FindServerOptions} from './find-server-options.js';
+import {
+	HeldServer, type ProcessState, type SendLoad, unknownLoad,
+} from './held-server.js';
 import {type LoadShare} from './load-share.js';
 
 /** How an entry instance chooses among the servers. */
@@ -22,30 +25,9 @@
 	readonly onReplaced: (record: ServerRecord) => void;
 };
 
-/** What a prompt has in common with others, and where its home is looked for. */
-export type PromptSubject = {
-	readonly name: string;
-	readonly homeScope: HomeScope;
-};
-
-/** What is wanted of a server. */
-export type FindServerOptions = {
-	readonly service: ServiceId;
-	/** Whether a version will do. */
-	readonly isWanted: (version: VersionId) => boolean;
-	readonly excluded: ReadonlySet<ServerId>;
-	/** What the prompt has in common with others; undefined where no cache matters. */
-	readonly subject: PromptSubject | undefined;
-	/** Milliseconds on the monotonic clock. */
-	readonly now: number;
-};
-
 /** What a send to a server came to; `ended` where its process ended meanwhile. */
 export type SendResult = 'answered' | 'failed' | 'unreachable' | 'ended' | 'gone';
 
-/** What is known of one process of a server: what it said of itself, that a later one has taken its place, or nothing. */
-export type ProcessState = ServerState | 'replaced' | 'unknown';
-
 /** An engine batches: twice the mean load costs it little, a prompt that it must read again costs more. */
 const loadBound = 1.5;
 /** With the loads of all instances known, comparing more servers costs nothing but the comparison. */
@@ -192,20 +174,7 @@
 	@returns Its state; `draining` also where it has ended since.
 	*/
 	processStateOf(server: ServerRecord): ProcessState {
-		const held = this.#servers.get(server.id);
-		if (held === undefined) {
-			return 'unknown';
-		}
-
-		if (compareStarts(held.record, server) > 0) {
-			return 'replaced';
-		}
-
-		if (held.isLeaving) {
-			return 'draining';
-		}
-
-		return held.hasEnded ? 'replaced' : held.record.state;
+		return this.#servers.get(server.id)?.stateOf(server) ?? 'unknown';
 	}
 
 	/**
@@ -287,23 +256,15 @@
 		held.endProcess();
 	}
 
-	#viewOf({record, work, addedAt, silentFor, avoidUntil}: HeldServer, now: number): ServerView {
-		const {zone} = this.#options;
-		return {
-			id: record.id,
-			zone: record.zone,
-			capacity: Math.max(1, record.slots),
-			reportedActive: this.#options.share.othersOn(record.id),
-			ownAtReport: 0,
-			reportAge: 0,
-			ownInFlight: work,
-			draining: false,
-			expired: silentFor.size > 0 || avoidUntil > now || (record.zone !== zone && this.#zones.isSuspect(record.zone, now)),
-			ejected: this.#ejection.isEjected(record.id, now),
-			// Servers warm up within milliseconds here, so that the slow start of cold replicas would only unbalance them.
-			uptime: Math.max(warmMilliseconds, now - addedAt),
-			loaded: new Set([record.service]),
-		};
+	#viewOf(held: HeldServer, now: number): ServerView {
+		const {zone, share} = this.#options;
+		const {id, zone: serverZone} = held.record;
+		return held.view({
+			now,
+			othersLoad: share.othersOn(id),
+			isBehindCut: serverZone !== zone && this.#zones.isSuspect(serverZone, now),
+			isEjected: this.#ejection.isEjected(id, now),
+		});
 	}
 
 	#countOf(service: ServiceId): number {
@@ -326,5 +287,3 @@
 
 /** The busier the own zone must be before another helps, as a share of its slots. */
 const zonePenalty = 0.1;
-/** The uptime from which the server choice gives a full share. */
-const warmMilliseconds = 30_000;
--- a/packages/gateway/src/entry/entry-suspects.test.ts
+++ b/packages/gateway/src/entry/entry-suspects.test.ts
@@ -2,8 +2,8 @@
 import test from 'ava';
 import {testServer} from '../servers/_test-server.js';
 import {type ServerRecord} from '../servers/server-record.js';
-import {type ProcessState} from './entry-servers.js';
 import {EntrySuspects} from './entry-suspects.js';
+import {type ProcessState} from './held-server.js';
 
 const fingerprint = 'f1' as RequestFingerprint;
 const other = 'f2' as RequestFingerprint;
--- a/packages/gateway/src/entry/held-server.ts
+++ b/packages/gateway/src/entry/held-server.ts
@@ -1,6 +1,8 @@
 import {setMaxListeners} from 'node:events';
 import {type InstanceId} from '@valehitch/core';
-import {type ServerRecord} from '../servers/server-record.js';
+import {type ServerView} from '@valehitch/routing';
+import {compareStarts} from '../servers/compare-starts.js';
+import {type ServerRecord, type ServerState} from '../servers/server-record.js';
 
 /** The load of one send at its server. */
 export type SendLoad = {
@@ -12,6 +14,20 @@
 	readonly processEnd: AbortSignal;
 };
 
+/** What is known of one process of a server: what it said of itself, that a later one has taken its place, or nothing. */
+export type ProcessState = ServerState | 'replaced' | 'unknown';
+
+/** What an entry instance knows of a server besides its own sends in flight. */
+export type ServerSurroundings = {
+	/** Milliseconds on the monotonic clock. */
+	readonly now: number;
+	/** The work of the other entry instances there. */
+	readonly othersLoad: number;
+	/** Whether its zone seems to be cut off from this one. */
+	readonly isBehindCut: boolean;
+	readonly isEjected: boolean;
+};
+
 /** How a server is first held. */
 export type HeldServerOptions = {
 	/** The control instance that told of it. */
@@ -25,6 +41,9 @@
 /** The work of a request whose answer has begun, in units of a short request: a batch generates for many at once, while it reads one prompt after the other. */
 const streamingWork = 1;
 
+/** The uptime from which the server choice gives a full share. */
+const warmMilliseconds = 30_000;
+
 /** The load at a server that is not known any more: nothing is counted. */
 export const unknownLoad: SendLoad = {
 	answerBegins() {
@@ -112,6 +131,49 @@
 		};
 	}
 
+	/**
+	Tells what is known of the process of a record.
+
+	@param server A record of this server.
+	@returns The state of its process; `draining` also where that has ended since.
+	*/
+	stateOf(server: ServerRecord): ProcessState {
+		if (compareStarts(this.record, server) > 0) {
+			return 'replaced';
+		}
+
+		if (this.isLeaving) {
+			return 'draining';
+		}
+
+		return this.hasEnded ? 'replaced' : this.record.state;
+	}
+
+	/**
+	The server as the choice of servers sees it.
+
+	@param surroundings What is known of it besides.
+	@returns The view.
+	*/
+	view({now, othersLoad, isBehindCut, isEjected}: ServerSurroundings): ServerView {
+		const {id, zone, slots, service} = this.record;
+		return {
+			id,
+			zone,
+			capacity: Math.max(1, slots),
+			reportedActive: othersLoad,
+			ownAtReport: 0,
+			reportAge: 0,
+			ownInFlight: this.#work,
+			draining: false,
+			expired: this.silentFor.size > 0 || this.avoidUntil > now || isBehindCut,
+			ejected: isEjected,
+			// Servers warm up within milliseconds here, so that the slow start of cold replicas would only unbalance them.
+			uptime: Math.max(warmMilliseconds, now - this.addedAt),
+			loaded: new Set([service]),
+		};
+	}
+
 	/** Ends all sends in progress: their process has ended, and nothing on their connections tells it where it lost its power. */
 	endProcess(): void {
 		this.#processEnd.abort();
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -6,7 +6,7 @@
 import {chooseSide, type RolloutSide} from '../rollouts/choose-side.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type EntryContext} from './entry-context.js';
-import {type PromptSubject} from './entry-servers.js';
+import {type PromptSubject} from './find-server-options.js';
 import {type GatewayRequest, type PromptPart} from './gateway-request.js';
 
 /** Which request is placed. */
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -6,8 +6,8 @@
 import {awaitFirstServer} from './await-first-server.js';
 import {CallerAnswer} from './caller-answer.js';
 import {type EntryContext} from './entry-context.js';
+import {endExpired} from './end-expired.js';
 import {EventStream} from './event-stream.js';
-import {expiryFailure} from './expiry-failure.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {type SendLoad} from './held-server.js';
 import {ModelSteps} from './model-steps.js';
@@ -95,7 +95,13 @@
 	/** Runs the request to its answer. */
 	async run(): Promise<void> {
 		const timer = setTimeout(() => {
-			this.#expire();
+			endExpired(this.#end, {
+				sent: this.#sent,
+				verdicts: this.#verdicts,
+				model: this.#models.current,
+				waited: this.#now() - this.#arrivedAt,
+				retryAfter: retryMilliseconds,
+			});
 		}, this.#deadlineAt - this.#now());
 		const leave = (): void => {
 			this.#leave();
@@ -287,29 +293,6 @@
 		}
 	}
 
-	#expire(): void {
-		if (this.#end.isOver) {
-			return;
-		}
-
-		const hasLeft = this.#sent?.attempt.hasOpened() === true;
-		this.#sent?.attempt.cancel();
-		if (this.#sent !== undefined && hasLeft) {
-			// A server that hangs shows in no other way where its requests may not be repeated.
-			this.#verdicts.failed(this.#sent.server, this.#models.current);
-			this.#end.noteRun();
-		} else if (this.#sent !== undefined) {
-			this.#verdicts.record(this.#sent.server, 'unreachable');
-		}
-
-		this.#end.giveUp(expiryFailure({
-			mayHaveRun: this.#end.mayHaveRun,
-			waited: Math.round(this.#now() - this.#arrivedAt),
-			lastProblem: this.#end.lastProblem,
-			retryAfter: retryMilliseconds,
-		}));
-	}
-
 	#leave(): void {
 		if (!this.#end.isOver && this.#answer.isAbandoned) {
 			this.#sent?.attempt.cancel();
--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -62,7 +62,7 @@
 		}
 
 		case 'GET config': {
-			const read = await control.readConfiguration();
+			const read = await control.operators.readConfiguration();
 			return read.map(({document}) => ({status: 200, body: document}));
 		}
 
@@ -71,7 +71,7 @@
 		}
 
 		case 'GET rollouts/': {
-			const read = await control.readRollout(toId<ServiceId>(name!));
+			const read = await control.operators.readRollout(toId<ServiceId>(name!));
 			return read.map(({stage, target}) => ({status: 200, body: JSON.stringify({state: stateNames[stage], target})}));
 		}
 
@@ -121,7 +121,7 @@
 	return decoded.caseOf<Promise<Either<Failure, Answer>>>({
 		Left: async failed => Left(failed),
 		async Right(configuration) {
-			const submitted = await control.submitConfiguration(configuration, document);
+			const submitted = await control.operators.submitConfiguration(configuration, document);
 			return submitted.map(() => done);
 		},
 	});
@@ -132,7 +132,7 @@
 	return parsed.caseOf<Promise<Either<Failure, Answer>>>({
 		Left: async failed => Left(failed),
 		async Right({service, target, durationS}) {
-			const started = await control.startRollout({
+			const started = await control.operators.startRollout({
 				service: toId<ServiceId>(service), target: toId<VersionId>(target), duration: durationS * millisecondsPerSecond,
 			});
 			return started.map(() => done);
