End no process for a message of a peer that cannot be handled

A message whose handler throws, as one of a later version that the closed list does not hold, was an unhandled rejection and ended the process; its sender sends it again, also to the next one. Ruled out: checking each message against a schema at the door (what a handler throws on is not only its shape). Change: PeerNetwork catches what handlers throw, tells onFailure, and gives no reply; both programs log it (peer-message-failed). Instances of the version before are still ended by the messages that are new in this one: control instances are to be brought up first.

--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -106,10 +106,11 @@
 		self: instance,
 		key: settings.keys.peers,
 		...settings.listen.peers,
-		onMessage(_from, message) {
-			void answerPeer(message, parts);
-		},
+		onMessage: async (_from, message) => answerPeer(message, parts),
 		onRequest: async (_from, message) => answerPeer(message, parts),
+		onFailure(from, error) {
+			log.error({err: error, from}, 'A peer message could not be handled');
+		},
 		stamp: () => timeline.stamp(),
 		onStamp(stamp) {
 			timeline.observe(stamp);
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -1,7 +1,7 @@
 /** The closed list of what a log line can be about. */
 export type DecisionKind
 	= | 'process-started' | 'process-stopping' | 'process-stopped' | 'settings-reloaded' | 'settings-refused'
-		| 'dependency-lost' | 'dependency-regained'
+		| 'dependency-lost' | 'dependency-regained' | 'peer-message-failed'
 		| 'configuration-adopted' | 'configuration-submitted' | 'configuration-refused' | 'lease-lost' | 'lease-regained'
 		| 'leader-changed' | 'membership-changed' | 'storage-failed' | 'storage-opened'
 		| 'server-joined' | 'server-draining' | 'server-gone' | 'server-silent' | 'server-suspected' | 'announcement-refused'
--- a/packages/platform/src/wire-process.ts
+++ b/packages/platform/src/wire-process.ts
@@ -98,10 +98,11 @@
 		key: peerKey,
 		...settings.peers,
 		pingMilliseconds,
-		onMessage(from, message) {
-			void answerPeer(parts, from, message);
-		},
+		onMessage: async (from, message) => answerPeer(parts, from, message),
 		onRequest: async (from, message) => answerPeer(parts, from, message),
+		onFailure(from, error) {
+			log('peer-message-failed', {from, reason: error instanceof Error ? error.stack ?? error.message : String(error)}, 'error');
+		},
 	});
 	const base: Base = {
 		settings: () => current, log, metrics, network, run,
--- a/packages/testing/src/bin/bench-control.ts
+++ b/packages/testing/src/bin/bench-control.ts
@@ -75,7 +75,7 @@
 
 async function benchCommits(running: Deployment): Promise<void> {
 	const network = await PeerNetwork.listen<unknown>({
-		self: toId<InstanceId>('bench'), key: deploymentKeys.peers, host: '127.0.0.1', port: 0, onMessage: nothing, onRequest: async () => undefined,
+		self: toId<InstanceId>('bench'), key: deploymentKeys.peers, host: '127.0.0.1', port: 0, onMessage: nothing, onRequest: async () => undefined, onFailure: nothing,
 	});
 	const ask = async (instance: string, message: unknown): Promise<unknown> => {
 		const daemon = running.daemons.find(candidate => candidate.instance === instance);
--- a/packages/testing/src/control-repair.test.ts
+++ b/packages/testing/src/control-repair.test.ts
@@ -75,7 +75,9 @@
 	const network = await PeerNetwork.listen<unknown>({
 		self: toId<InstanceId>('recorder'), key: deploymentKeys.peers, host: '127.0.0.1', port: 0, onMessage() {
 			// No daemon sends to the recorder.
-		}, onRequest: async () => undefined,
+		}, onRequest: async () => undefined, onFailure(_from, error) {
+			throw error;
+		},
 	});
 	t.teardown(async () => network.close());
 	return network;
--- a/packages/testing/src/platform-path.test.ts
+++ b/packages/testing/src/platform-path.test.ts
@@ -1,4 +1,6 @@
 import {connect} from 'node:net';
+import {type InstanceId} from '@valehitch/core';
+import {PeerNetwork} from '@valehitch/transport';
 import test, {type ExecutionContext} from 'ava';
 import {
 	ask, BackendStandIn, type BackendStandInOptions, call, type CallerAnswer,
@@ -248,3 +250,23 @@
 	const abandoned = await waitUntil(async () => backends[1]!.abandoned[0], {what: 'the end of the work'});
 	t.is(abandoned, 'leaving');
 });
+
+test('a message of another instance that cannot be handled ends no process, however often it comes', async t => {
+	const {deployment} = await start(t, {servers: [labels]});
+	const {ip} = deployment.controls[0]!;
+	const network = await PeerNetwork.listen<unknown>({
+		self: 'other' as InstanceId, key: 'valehitch', host: ip.replace(/\d+$/v, '99'), port: 0, onMessage: () => undefined, onRequest: async () => undefined, onFailure: () => undefined,
+	});
+	const targets = deployment.members.map(member => ({instance: member.ip as InstanceId, host: member.ip, port: 7340}));
+	for (const message of [{type: 'of a later version'}, {type: 'suspects', records: 'none'}, {type: 'watch'}, undefined, 7]) {
+		for (const target of targets) {
+			network.send(target, message);
+			await network.request(target, message, {timeoutMilliseconds: 100});
+		}
+	}
+
+	await network.close();
+	const statuses = await Promise.all(deployment.controls.map(async ({address}) => call({method: 'GET', address, path: '/-/quarantine'})));
+	t.deepEqual(statuses, [200, 200, 200]);
+	t.like(await send(deployment, '/look/7'), {status: 200});
+});
--- a/packages/transport/src/peer-network.test.ts
+++ b/packages/transport/src/peer-network.test.ts
@@ -35,6 +35,9 @@
 			heard.push(`${from}: ${text}`);
 		},
 		onRequest: async (from, {text}) => ({echo: text, from}),
+		onFailure(from, error) {
+			heard.push(`${from} failed: ${String(error)}`);
+		},
 	});
 	return {network, heard, address: {instance: toId<InstanceId>(name), host: '127.0.0.1', port: network.port}};
 }
@@ -51,6 +54,17 @@
 	await Promise.all([left.network.close(), right.network.close()]);
 });
 
+test('a message that its handler fails on is reported and gets no reply, and the link goes on', async t => {
+	const left = await listen('left');
+	const right = await listen('right');
+	left.network.send(right.address, JSON.parse('null') as Message);
+	const failed = await left.network.request(right.address, JSON.parse('null') as Message, {timeoutMilliseconds: 100});
+	t.true(failed.isLeft());
+	t.true(await isAnswered(left, right, 'next'));
+	t.is(right.heard.filter(line => line.startsWith('left failed: TypeError')).length, 2);
+	await Promise.all([left.network.close(), right.network.close()]);
+});
+
 test('a cut link neither sends nor replies, and works again once it is mended', async t => {
 	const left = await listen('left');
 	const right = await listen('right');
@@ -79,7 +93,7 @@
 	await right.network.close();
 	t.false(await isAnswered(left, right, 'nobody'));
 	const again = await PeerNetwork.listen<Message>({
-		self: right.address.instance, key: 'a-key-that-all-share', host: '127.0.0.1', port: right.address.port, onMessage: ignore, onRequest: async () => 'back',
+		self: right.address.instance, key: 'a-key-that-all-share', host: '127.0.0.1', port: right.address.port, onMessage: ignore, onRequest: async () => 'back', onFailure: ignore,
 	});
 	t.true(await isAnswered(left, right, 'again'));
 	await Promise.all([left.network.close(), again.close()]);
@@ -90,7 +104,7 @@
 	await once(silent, 'listening');
 	const {port} = silent.address() as AddressInfo;
 	const left = await PeerNetwork.listen<Message>({
-		self: toId<InstanceId>('left'), key: 'a-key-that-all-share', host: '127.0.0.1', port: 0, pingMilliseconds: 50, onMessage: ignore, onRequest: async () => undefined,
+		self: toId<InstanceId>('left'), key: 'a-key-that-all-share', host: '127.0.0.1', port: 0, pingMilliseconds: 50, onMessage: ignore, onRequest: async () => undefined, onFailure: ignore,
 	});
 	const to = {instance: toId<InstanceId>('silent'), host: '127.0.0.1', port};
 	left.send(to, {text: 'first'});
@@ -116,6 +130,7 @@
 		port: 0,
 		onMessage: ignore,
 		onRequest: async () => true,
+		onFailure: ignore,
 		stamp: () => ({wall: 1000 + index, counter: 7}),
 		onStamp({wall, counter}) {
 			seen.push(`${name} saw ${wall}.${counter}`);
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -24,9 +24,11 @@
 	/** Milliseconds between two checks that a peer still answers; 2000 unless given. */
 	readonly pingMilliseconds?: number;
 	/** Called with each message that wants no reply. */
-	readonly onMessage: (from: InstanceId, message: Message) => void;
+	readonly onMessage: (from: InstanceId, message: Message) => unknown;
 	/** Called with each request; what it gives is the reply. */
 	readonly onRequest: (from: InstanceId, message: Message) => Promise<unknown>;
+	/** Told why a message could not be handled; it gets no reply. */
+	readonly onFailure: (from: InstanceId, error: unknown) => void;
 	/** Gives the time stamp that goes with a frame; frames have none unless given. */
 	readonly stamp?: () => HybridTimestamp;
 	/** Called with the time stamp of each frame that came with one, before the frame's message. */
@@ -195,8 +197,17 @@
 			return;
 		}
 
+		try {
+			await this.#handle(from, frame, reply);
+		} catch (error) {
+			// A peer of another version, or a broken one, sends it again: it must not end one process after the other.
+			this.#options.onFailure(from, error);
+		}
+	}
+
+	async #handle(from: InstanceId, frame: Frame, reply: (frame: Frame) => void): Promise<void> {
 		if (frame.type === 'message') {
-			this.#options.onMessage(from, frame.body as Message);
+			await this.#options.onMessage(from, frame.body as Message);
 			return;
 		}
 
