Test that a suspect leaves the home of its prompt, and share what two control tests had twice

Cause: the design says that a request under which a server ended leaves its home; no test held it. Ruled out: nothing. Change: placement.test.ts; Placement names what it works with; _test-control.ts. Figures: 40 requests about one subject go to one of eight servers, as suspects to more than four.

--- /dev/null
+++ b/packages/gateway/src/control/_test-control.ts
@@ -0,0 +1,22 @@
+import {testConfiguration} from '../configuration/_test-configuration.js';
+import {type ControlInstance} from './control-instance.js';
+
+/** Tries until a call succeeds; the deadline of the test run bounds it. */
+export async function eventually<Value>(attempt: () => Promise<Value | undefined>): Promise<Value> {
+	for (;;) {
+		const value = await attempt();
+		if (value !== undefined) {
+			return value;
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	}
+}
+
+/** Submits a small configuration of a version; true where it was acknowledged. */
+export async function submit(control: ControlInstance, version: number): Promise<true | undefined> {
+	const submitted = await control.operators.submitConfiguration(testConfiguration({version}), `version ${version}`);
+	return submitted.isRight() ? true : undefined;
+}
--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -7,9 +7,9 @@
 import {type FileFunctions, openDataFolder, systemFiles} from '@valehitch/storage';
 import test, {type ExecutionContext} from 'ava';
 import {Right} from 'purify-ts';
-import {testConfiguration} from '../configuration/_test-configuration.js';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
+import {eventually, submit} from './_test-control.js';
 import {ControlInstance} from './control-instance.js';
 import {type WatchReply} from './peer-message.js';
 
@@ -65,25 +65,6 @@
 	// Nobody is there.
 }
 
-/** Tries until a call succeeds; the deadline of the test run bounds it. */
-async function eventually<Value>(attempt: () => Promise<Value | undefined>): Promise<Value> {
-	for (;;) {
-		const value = await attempt();
-		if (value !== undefined) {
-			return value;
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, 20);
-		});
-	}
-}
-
-async function submit(control: ControlInstance, version: number): Promise<true | undefined> {
-	const submitted = await control.operators.submitConfiguration(testConfiguration({version}), `version ${version}`);
-	return submitted.isRight() ? true : undefined;
-}
-
 async function read(control: ControlInstance): Promise<string | undefined> {
 	const document = await control.operators.readConfiguration();
 	return document.caseOf({Left: () => undefined, Right: value => value.document});
--- a/packages/gateway/src/control/suspended-leader.test.ts
+++ b/packages/gateway/src/control/suspended-leader.test.ts
@@ -6,8 +6,8 @@
 import {openDataFolder} from '@valehitch/storage';
 import test, {type ExecutionContext} from 'ava';
 import {Right} from 'purify-ts';
-import {testConfiguration} from '../configuration/_test-configuration.js';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
+import {eventually, submit} from './_test-control.js';
 import {ControlInstance} from './control-instance.js';
 
 const instances = ['10.0.0.1', '10.0.0.2', '10.0.0.3'] as InstanceId[];
@@ -91,25 +91,6 @@
 	return members;
 }
 
-/** Tries until a call succeeds; the deadline of the test run bounds it. */
-async function eventually<Value>(attempt: () => Promise<Value | undefined>): Promise<Value> {
-	for (;;) {
-		const value = await attempt();
-		if (value !== undefined) {
-			return value;
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, 20);
-		});
-	}
-}
-
-async function submit(control: ControlInstance, version: number): Promise<true | undefined> {
-	const submitted = await control.operators.submitConfiguration(testConfiguration({version}), `version ${version}`);
-	return submitted.isRight() ? true : undefined;
-}
-
 test('a leader that was suspended answers no read from its lease once it wakes', async t => {
 	const members = await startGroup(t);
 	const first = members.get(instances[0]!)!;
--- /dev/null
+++ b/packages/gateway/src/entry/placement.test.ts
@@ -0,0 +1,52 @@
+import {type InstanceId, type ServerId, type ZoneId} from '@valehitch/core';
+import test from 'ava';
+import {testRoute} from '../configuration/_test-configuration.js';
+import {testServer} from '../servers/_test-server.js';
+import {testRequest} from './_test-request.js';
+import {EntryServers} from './entry-servers.js';
+import {Placement} from './placement.js';
+import {RepeatBook} from './repeat-book.js';
+import {VersionPins} from './version-pins.js';
+
+/** The servers that requests about one subject of a long prompt are sent to. */
+function serversChosen({isSuspect}: {readonly isSuspect: boolean}): ReadonlySet<ServerId> {
+	let draws = 0;
+	const random = (): number => {
+		draws++;
+		return draws * 0.618 % 1;
+	};
+
+	const servers = new EntryServers({
+		zone: 'hall-a' as ZoneId, random, share: {othersOn: () => 0, noteChange: ignore, forget: ignore}, onReplaced: ignore,
+	});
+	servers.take(Array.from({length: 8}, (_, index) => testServer({id: `server-${index}` as ServerId})), {source: '10.0.0.1' as InstanceId, now: 0});
+	const context = {
+		clock: {now: () => new Date(0), monotonic: () => 0},
+		random,
+		servers,
+		repeats: new RepeatBook(),
+		pins: new VersionPins({sessionMilliseconds: 5000}),
+		rolloutOf: () => undefined,
+		bounds: {canaryShare: 0.1, leastConfidence: 50},
+	};
+	const chosen = new Set<ServerId>();
+	for (let request = 0; request < 40; request++) {
+		const placement = new Placement(context, {
+			request: testRequest({promptParts: [{id: 'shared', tokens: 6000}, {id: `own ${request}`, tokens: 100}]}),
+			route: testRoute({usesPromptCache: true}),
+			bytes: 1000,
+		});
+		chosen.add(placement.choose(undefined, {isSuspect})!.id);
+	}
+
+	return chosen;
+}
+
+function ignore(): void {
+	// Nobody is told.
+}
+
+test('a subject that is asked about often has a home, and a request that a server ended under leaves it', t => {
+	t.is(serversChosen({isSuspect: false}).size, 1);
+	t.true(serversChosen({isSuspect: true}).size > 4);
+});
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -17,6 +17,9 @@
 	readonly bytes: number;
 };
 
+/** What the choice of servers works with. */
+export type PlacementContext = Pick<EntryContext, 'servers' | 'pins' | 'repeats' | 'clock' | 'random' | 'bounds' | 'rolloutOf'>;
+
 type VersionWish = (version: VersionId) => boolean;
 
 /**
@@ -31,7 +34,7 @@
 export class Placement {
 	/** The service of the route that was drawn for the request. */
 	readonly service: ServiceId;
-	readonly #context: EntryContext;
+	readonly #context: PlacementContext;
 	readonly #request: GatewayRequest;
 	readonly #route: Route;
 	readonly #excluded = new Set<ServerId>();
@@ -39,7 +42,7 @@
 	readonly #homeScope: HomeScope;
 	#begunVersion: VersionId | undefined;
 
-	constructor(context: EntryContext, {request, route, bytes}: PlacementOptions) {
+	constructor(context: PlacementContext, {request, route, bytes}: PlacementOptions) {
 		this.#context = context;
 		this.#request = request;
 		this.#route = route;
--- a/packages/routing/src/suspect-record.ts
+++ b/packages/routing/src/suspect-record.ts
@@ -20,7 +20,7 @@
 What follows from the ends under a request:
 
 - `unknown`: nothing;
-- `suspect`: one end; it is sent on, but not to where the requests are that were beside it;
+- `suspect`: one end; it is sent on, away from the home of its prompt, where the requests are that were beside it;
 - `doubtful`: two; besides, one server at a time works on it;
 - `quarantined`: three; it is sent to no server.
 */
