Try a new connection to a server in one place

Cause: confirmServerEnd wrote again what reachServer had: open a connection, bound it by a timer, tell what came of it; they differ only in the outcome that they ask for. Ruled out: one function with a flag for both (each has its own bound and its own reason, which stay where they are). Behaviour and tests are as before.

--- /dev/null
+++ b/packages/gateway/src/entry/_probe-server.ts
@@ -0,0 +1,27 @@
+import {connect} from 'node:net';
+import {type ServerRecord} from '../servers/server-record.js';
+
+/** What a new connection came to; `unanswered` where it was neither opened nor refused in time. */
+export type ProbeResult = 'open' | 'refused' | 'unanswered';
+
+/** Tries to open a connection to a server, within a time in milliseconds; no request is sent. */
+export async function probeServer({host, port}: Pick<ServerRecord, 'host' | 'port'>, timeout: number): Promise<ProbeResult> {
+	return new Promise(resolve => {
+		const socket = connect({host, port});
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, timeout);
+		let result: ProbeResult = 'unanswered';
+		socket.on('connect', () => {
+			result = 'open';
+			socket.destroy();
+		});
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			result = error.code === 'ECONNREFUSED' ? 'refused' : 'unanswered';
+		});
+		socket.on('close', () => {
+			clearTimeout(timer);
+			resolve(result);
+		});
+	});
+}
--- a/packages/gateway/src/entry/confirm-server-end.ts
+++ b/packages/gateway/src/entry/confirm-server-end.ts
@@ -1,5 +1,5 @@
-import {connect} from 'node:net';
 import {type ServerRecord} from '../servers/server-record.js';
+import {probeServer} from './_probe-server.js';
 
 /** A machine that runs refuses or opens a connection within a round trip; where neither comes in this time it is behind a cut or without power, and whether the process ended is not known. In milliseconds. */
 const answerMilliseconds = 100;
@@ -16,22 +16,6 @@
 const hasEnded = await confirmServerEnd({host: '10.0.0.7', port: 8740});
 ```
 */
-export async function confirmServerEnd({host, port}: Pick<ServerRecord, 'host' | 'port'>): Promise<boolean> {
-	return new Promise(resolve => {
-		const socket = connect({host, port});
-		let isRefused = false;
-		const timer = setTimeout(() => {
-			socket.destroy();
-		}, answerMilliseconds);
-		socket.on('connect', () => {
-			socket.destroy();
-		});
-		socket.on('error', (error: NodeJS.ErrnoException) => {
-			isRefused = error.code === 'ECONNREFUSED';
-		});
-		socket.on('close', () => {
-			clearTimeout(timer);
-			resolve(isRefused);
-		});
-	});
+export async function confirmServerEnd(server: Pick<ServerRecord, 'host' | 'port'>): Promise<boolean> {
+	return await probeServer(server, answerMilliseconds) === 'refused';
 }
