Forget runs of instances by the time of the log, not by the dates of their bills

The bills after that were acknowledged and are in no ledger.

Cause: the ledger forgets a run of an instance a month after its last bill, reckoned as the leader's time of day less the date of the bill, which is the time of day of another machine. The test's bills are dated 1970. The command that forgets is sent each minute, so that it falls into the recording only where that takes over a minute. After it each bill of the forgotten run is below the floor: refused, with the command a success.

Ruled out: a leader with a short log, and pages that do not fit between archive and state. Both foretell no refused bills.

Change: the state keeps a time of the log, the sum of the bounded steps between the readings of the leaders' clocks. A run is forgotten by when the ledger last heard of it in that time, and leaves a floor for its own instance in place of one for all. The test of a silent month gave a month in one reading of a clock, which no longer counts for one; it now passes the month in minutes, with the same expectations. The fuzz held that no bill with an origin is ever refused; its oracle now says of each whether it must be, with wrong clocks and with runs that are forgotten.

It holds since no date of a bill and no single reading of a clock enters the age any more.

--- /dev/null
+++ b/packages/control/src/_bill-origins.ts
@@ -0,0 +1,111 @@
+import {type InstanceId, toId} from '@valehitch/core';
+import {type Addition, SequenceRanges, type SequenceRangesData} from './_sequence-ranges.js';
+
+/** One bill of one run of an instance. */
+export type BillIdentity = {
+	readonly instance: InstanceId;
+	/** When the run began, by the clock of the instance; it tells runs apart and is no time to reckon with. */
+	readonly startedAt: number;
+	/** The number of the bill in that run. */
+	readonly sequence: number;
+};
+
+type Origin = {
+	readonly instance: InstanceId;
+	readonly startedAt: number;
+	/** The time of the log at which the ledger heard of it last, in milliseconds. */
+	heardAt: number;
+	readonly ranges: SequenceRanges;
+};
+
+/** The origins in a snapshot. */
+export type BillOriginsData = {
+	readonly origins: ReadonlyArray<readonly [string, {readonly startedAt: number; readonly lastAt: number; readonly ranges: SequenceRangesData}]>;
+	readonly forgottenOriginsBefore: number;
+	/** Missing in snapshots of versions that had one floor for all instances; their `lastAt` is a date and no time of the log. */
+	readonly originFloors?: ReadonlyArray<readonly [InstanceId, number]>;
+};
+
+export const emptyBillOrigins: BillOriginsData = {origins: [], forgottenOriginsBefore: 0, originFloors: []};
+
+/** Bounds the memory for names that never come back. */
+const mostFloors = 10_000;
+
+/**
+The bills that were recorded, by the runs of the instances that settled them.
+
+A run is forgotten by when the ledger last heard of it in the time of the log: the dates of its bills are those of another machine's clock, and one that is behind would have a running instance forgotten, and its next bills refused.
+*/
+export class BillOrigins {
+	readonly #origins = new Map<string, Origin>();
+	/** For each instance, the start before which its runs are forgotten: a floor for all would refuse the first bill of a run that is older than another's. */
+	readonly #floors: Map<InstanceId, number>;
+	/** The floor of the instances whose own one was given up. */
+	#commonFloor: number;
+
+	constructor({origins, forgottenOriginsBefore, originFloors}: BillOriginsData) {
+		this.#commonFloor = forgottenOriginsBefore;
+		this.#floors = new Map(originFloors);
+		for (const [key, {startedAt, lastAt, ranges}] of origins) {
+			this.#origins.set(key, {
+				instance: instanceOfKey(key), startedAt, heardAt: originFloors === undefined ? 0 : lastAt, ranges: new SequenceRanges(ranges),
+			});
+		}
+	}
+
+	add({instance, startedAt, sequence}: BillIdentity, time: number): Addition {
+		const origin = this.#heardOf({instance, startedAt}, time);
+		return origin === undefined ? 'below-floor' : origin.ranges.add(sequence);
+	}
+
+	/** Forgets the runs that the ledger heard of last before a time of the log. */
+	forgetIdle(oldest: number): void {
+		for (const [key, {instance, startedAt, heardAt}] of this.#origins) {
+			if (heardAt < oldest) {
+				this.#origins.delete(key);
+				this.#raiseFloor(instance, startedAt + 1);
+			}
+		}
+	}
+
+	toData(): BillOriginsData {
+		const origins = [...this.#origins].map(([key, {startedAt, heardAt, ranges}]) => [key, {startedAt, lastAt: heardAt, ranges: ranges.toData()}] as const);
+		return {origins, forgottenOriginsBefore: this.#commonFloor, originFloors: [...this.#floors]};
+	}
+
+	/** The run, which counts as heard of now; undefined where it may be one that was forgotten. */
+	#heardOf({instance, startedAt}: Omit<BillIdentity, 'sequence'>, time: number): Origin | undefined {
+		const key = `${instance}/${startedAt}`;
+		const known = this.#origins.get(key);
+		if (known !== undefined) {
+			known.heardAt = Math.max(known.heardAt, time);
+			return known;
+		}
+
+		if (startedAt < Math.max(this.#commonFloor, this.#floors.get(instance) ?? 0)) {
+			return undefined;
+		}
+
+		const origin = {
+			instance, startedAt, heardAt: time, ranges: new SequenceRanges(),
+		};
+		this.#origins.set(key, origin);
+		return origin;
+	}
+
+	#raiseFloor(instance: InstanceId, floor: number): void {
+		this.#floors.set(instance, Math.max(floor, this.#floors.get(instance) ?? 0));
+		for (const [oldest, given] of this.#floors) {
+			if (this.#floors.size <= mostFloors) {
+				return;
+			}
+
+			this.#floors.delete(oldest);
+			this.#commonFloor = Math.max(this.#commonFloor, given);
+		}
+	}
+}
+
+function instanceOfKey(key: string): InstanceId {
+	return toId<InstanceId>(key.slice(0, key.lastIndexOf('/')));
+}
--- a/packages/control/src/_ledger.ts
+++ b/packages/control/src/_ledger.ts
@@ -1,30 +1,27 @@
-import {
-	type Bill, type InstanceId, type RequestId, type WorkspaceId,
-} from '@valehitch/core';
+import {type Bill, type RequestId, type WorkspaceId} from '@valehitch/core';
+import {BillOrigins, type BillOriginsData, emptyBillOrigins} from './_bill-origins.js';
 import {type ControlLimits} from './control-limits.js';
 import {type LedgerPage, type LedgerQuestion, type WorkspaceTotal} from './ledger-page.js';
-import {SequenceRanges, type SequenceRangesData} from './_sequence-ranges.js';
-
-type Origin = {
-	readonly startedAt: number;
-	/** The latest `settledAt` of its bills. */
-	lastAt: number;
-	readonly ranges: SequenceRanges;
-};
+import {type Addition} from './_sequence-ranges.js';
 
 /** The ledger in a snapshot. */
-export type LedgerData = {
+export type LedgerData = BillOriginsData & {
 	readonly first: number;
 	readonly bills: readonly Bill[];
 	readonly totals: ReadonlyArray<readonly [WorkspaceId, WorkspaceTotal]>;
-	readonly origins: ReadonlyArray<readonly [string, {readonly startedAt: number; readonly lastAt: number; readonly ranges: SequenceRangesData}]>;
-	readonly forgottenOriginsBefore: number;
 	readonly window: ReadonlyArray<readonly [string, number]>;
 	readonly windowForgotten: number;
 };
 
 const emptyLedger: LedgerData = {
-	first: 1, bills: [], totals: [], origins: [], forgottenOriginsBefore: 0, window: [], windowForgotten: 0,
+	...emptyBillOrigins, first: 1, bills: [], totals: [], window: [], windowForgotten: 0,
+};
+
+/** What recording depends on besides the bills. */
+export type RecordOptions = {
+	readonly limits: ControlLimits;
+	/** The time of the log in milliseconds. */
+	readonly time: number;
 };
 
 /** The set of bills: each is recorded once, and what would be doubtful is refused. */
@@ -33,9 +30,7 @@
 	#first: number;
 	#bills: Bill[];
 	readonly #totals: Map<WorkspaceId, WorkspaceTotal>;
-	readonly #origins = new Map<string, Origin>();
-	/** Origins that started before this were forgotten, where they are not known. */
-	#forgottenOriginsBefore: number;
+	readonly #origins: BillOrigins;
 	/** When each bill without an origin was settled, in the order in which they came. */
 	readonly #window: Map<string, number>;
 	/** The latest `settledAt` of a bill that left the window. */
@@ -45,12 +40,9 @@
 		this.#first = data.first;
 		this.#bills = [...data.bills];
 		this.#totals = new Map(data.totals);
-		this.#forgottenOriginsBefore = data.forgottenOriginsBefore;
+		this.#origins = new BillOrigins(data);
 		this.#window = new Map(data.window);
 		this.#windowForgotten = data.windowForgotten;
-		for (const [key, {startedAt, lastAt, ranges}] of data.origins) {
-			this.#origins.set(key, {startedAt, lastAt, ranges: new SequenceRanges(ranges)});
-		}
 	}
 
 	get bills(): readonly Bill[] {
@@ -61,11 +53,11 @@
 		return {first: this.#first, last: this.#first + this.#bills.length - 1};
 	}
 
-	record(bills: readonly Bill[], limits: ControlLimits): {readonly recorded: number; readonly expired: readonly RequestId[]} {
+	record(bills: readonly Bill[], {limits, time}: RecordOptions): {readonly recorded: number; readonly expired: readonly RequestId[]} {
 		const expired: RequestId[] = [];
 		let recorded = 0;
 		for (const bill of bills) {
-			const addition = bill.origin === undefined ? this.#addToWindow(bill, limits) : this.#addToOrigin(bill, bill.origin);
+			const addition = bill.origin === undefined ? this.#addToWindow(bill, limits) : this.#origins.add({instance: bill.instance, ...bill.origin}, time);
 			if (addition === 'below-floor') {
 				expired.push(bill.request);
 			}
@@ -110,24 +102,16 @@
 		this.#first += dropped;
 	}
 
-	expire(at: number, {originMilliseconds}: ControlLimits): void {
-		const oldest = at - originMilliseconds;
-		for (const [key, {startedAt, lastAt}] of this.#origins) {
-			if (lastAt < oldest) {
-				this.#origins.delete(key);
-				this.#forgottenOriginsBefore = Math.max(this.#forgottenOriginsBefore, startedAt + 1);
-			}
-		}
+	expire(time: number, {originMilliseconds}: ControlLimits): void {
+		this.#origins.forgetIdle(time - originMilliseconds);
 	}
 
 	toData(): LedgerData {
-		const origins = [...this.#origins].map(([key, {startedAt, lastAt, ranges}]) => [key, {startedAt, lastAt, ranges: ranges.toData()}] as const);
 		return {
+			...this.#origins.toData(),
 			first: this.#first,
 			bills: this.#bills,
 			totals: [...this.#totals],
-			origins,
-			forgottenOriginsBefore: this.#forgottenOriginsBefore,
 			window: [...this.#window],
 			windowForgotten: this.#windowForgotten,
 		};
@@ -139,20 +123,7 @@
 		this.#totals.set(bill.workspace, {bills: bills + 1, micros: micros + bill.total});
 	}
 
-	#addToOrigin(bill: Bill, {startedAt, sequence}: NonNullable<Bill['origin']>): 'added' | 'present' | 'below-floor' {
-		const key = originKey(bill.instance, startedAt);
-		const known = this.#origins.get(key);
-		if (known === undefined && startedAt < this.#forgottenOriginsBefore) {
-			return 'below-floor';
-		}
-
-		const origin = known ?? {startedAt, lastAt: bill.settledAt, ranges: new SequenceRanges()};
-		this.#origins.set(key, origin);
-		origin.lastAt = Math.max(origin.lastAt, bill.settledAt);
-		return origin.ranges.add(sequence);
-	}
-
-	#addToWindow(bill: Bill, {billWindow}: ControlLimits): 'added' | 'present' | 'below-floor' {
+	#addToWindow(bill: Bill, {billWindow}: ControlLimits): Addition {
 		const key = `${bill.workspace}/${bill.request}`;
 		if (this.#window.has(key)) {
 			return 'present';
@@ -175,7 +146,3 @@
 		return 'added';
 	}
 }
-
-function originKey(instance: InstanceId, startedAt: number): string {
-	return `${instance}/${startedAt}`;
-}
--- a/packages/control/src/control-state.test.ts
+++ b/packages/control/src/control-state.test.ts
@@ -8,7 +8,8 @@
 import {ControlState} from './control-state.js';
 import {type IdempotencyKey} from './ids.js';
 
-const day = 86_400_000;
+const minute = 60_000;
+const day = 1440 * minute;
 const workspace = toId<WorkspaceId>('yard');
 const position = {term: 1, index: 1};
 
@@ -24,17 +25,81 @@
 	return state.apply({type: 'record-bills', bills}, position).map(({recorded, expired}) => ({recorded, expired: expired.length})).extract();
 }
 
+/** Sends what a leader sends each minute while some time passes, with the clock of the leader ahead by an error. */
+function passTime(state: ControlState, {from, to, error = 0}: {readonly from: number; readonly to: number; readonly error?: number}): void {
+	for (let at = from; at <= to; at += minute) {
+		state.apply({type: 'expire', at: at + error}, position);
+	}
+}
+
 test('bills of an instance that was silent for a month are refused as expired and never recorded twice', t => {
 	const state = new ControlState();
 	t.deepEqual(record(state, billOf(1, 1000)), {recorded: 1, expired: 0});
-	state.apply({type: 'expire', at: 29 * day}, position);
+	passTime(state, {from: 0, to: 29 * day});
 	t.deepEqual(record(state, billOf(1, 1000)), {recorded: 0, expired: 0});
-	state.apply({type: 'expire', at: 31 * day}, position);
+	passTime(state, {from: 29 * day, to: 60 * day});
 	t.deepEqual(record(state, billOf(1, 1000), billOf(2, 1000)), {recorded: 0, expired: 2});
 	t.deepEqual(record(state, billOf(1, 2000)), {recorded: 1, expired: 0});
 	t.deepEqual(state.totalOf(workspace), {bills: 2, micros: 2});
 });
 
+/*
+What an operator saw: an instance served on, and from some minute on the ledger had none of its bills.
+The instance's clock was behind by more than a month. The leader compared its own clock with the dates of the bills, took the running instance for one that was silent for a month, and refused its next bills as expired.
+*/
+test('a running instance whose clock is behind by years is not forgotten', t => {
+	const state = new ControlState();
+	passTime(state, {from: 10_000 * day, to: (10_000 * day) + (5 * minute)});
+	t.deepEqual(record(state, billOf(1, 1000)), {recorded: 1, expired: 0});
+	passTime(state, {from: (10_000 * day) + (6 * minute), to: 10_001 * day});
+	t.deepEqual(record(state, billOf(2, 1000), billOf(1, 1000)), {recorded: 1, expired: 0});
+});
+
+test('a leader whose clock is wrong by a year for a while makes no running instance a year old', t => {
+	const state = new ControlState();
+	passTime(state, {from: 10_000 * day, to: 10_001 * day});
+	t.deepEqual(record(state, billOf(1, 1000)), {recorded: 1, expired: 0});
+	passTime(state, {from: 10_001 * day, to: 10_002 * day, error: 366 * day});
+	passTime(state, {from: 10_002 * day, to: 10_003 * day});
+	passTime(state, {from: 10_003 * day, to: 10_004 * day, error: -366 * day});
+	t.deepEqual(record(state, billOf(1, 1000), billOf(2, 1000)), {recorded: 1, expired: 0});
+});
+
+test('the first bill of an instance that started before another that was forgotten is recorded', t => {
+	const state = new ControlState();
+	const first = {...billOf(1, 1000), instance: toId<InstanceId>('entry-2')};
+	t.deepEqual(record(state, billOf(1, 2000)), {recorded: 1, expired: 0});
+	passTime(state, {from: 0, to: 31 * day});
+	t.deepEqual(record(state, billOf(2, 2000)), {recorded: 0, expired: 1});
+	t.deepEqual(record(state, first), {recorded: 1, expired: 0});
+	t.deepEqual(record(ControlState.fromSnapshot(state.toSnapshot()), first, billOf(2, 2000)), {recorded: 0, expired: 1});
+});
+
+test('a snapshot of a version that went by dates keeps what it knows of the bills', t => {
+	const packr = new Packr({useRecords: true, structuredClone: false});
+	const state = new ControlState();
+	t.deepEqual(record(state, billOf(1, 1000)), {recorded: 1, expired: 0});
+	const {time, ledger: {originFloors, ...ledger}, ...data} = packr.unpack(state.toSnapshot()) as {
+		time: unknown; ledger: {originFloors: unknown; origins: ReadonlyArray<readonly [string, Readonly<Record<string, unknown>>]>};
+	};
+	t.deepEqual([time, originFloors], [{elapsed: 0, readAt: undefined}, []]);
+	const origins = ledger.origins.map(([key, origin]) => [key, {...origin, lastAt: 10_000 * day}]);
+	const restored = ControlState.fromSnapshot(packr.pack({...data, ledger: {...ledger, origins, forgottenOriginsBefore: 500}}));
+	t.deepEqual(record(restored, billOf(1, 1000), billOf(2, 1000), billOf(1, 499)), {recorded: 1, expired: 1});
+	passTime(restored, {from: 0, to: 31 * day});
+	t.deepEqual(record(restored, billOf(3, 1000)), {recorded: 0, expired: 1});
+});
+
+test('of thousands of names that never come back none is billed twice', t => {
+	const state = new ControlState();
+	state.apply({type: 'set-limits', limits: {...defaultControlLimits, originMilliseconds: 10 * minute}}, position);
+	const names = 10_001;
+	const billsOfNames = Array.from({length: names}, (_, index) => ({...billOf(1, 1000 + index), instance: toId<InstanceId>(`entry-${index}`)}));
+	t.deepEqual(record(state, ...billsOfNames), {recorded: names, expired: 0});
+	passTime(state, {from: 0, to: 12 * minute});
+	t.deepEqual(record(state, ...billsOfNames), {recorded: 0, expired: names});
+});
+
 test('an origin with thousands of holes closes the lowest, and tells that it did', t => {
 	const state = new ControlState();
 	for (let sequence = 1; sequence <= 10_000; sequence += 2) {
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -7,6 +7,7 @@
 import {Claims, type ClaimsData} from './_claims.js';
 import {ConfigurationChanges, type ConfigurationData} from './_configuration-changes.js';
 import {Ledger, type LedgerData} from './_ledger.js';
+import {LogTime, type LogTimeData} from './_log-time.js';
 import {Orders} from './_orders.js';
 import {
 	type Command, type ExpireCommand, type InstanceLostCommand, type SetLimitsCommand,
@@ -31,6 +32,8 @@
 	readonly claims: ClaimsData;
 	readonly ledger: LedgerData;
 	readonly orders: readonly OrderRecord[];
+	/** Missing in snapshots of versions that went by the clock of the leader alone. */
+	readonly time?: LogTimeData;
 };
 
 /**
@@ -68,8 +71,10 @@
 	readonly #claims: Claims;
 	readonly #ledger: Ledger;
 	readonly #orders: Orders;
+	readonly #time: LogTime;
 
 	constructor(data?: SnapshotData) {
+		this.#time = new LogTime(data?.time);
 		this.#limits = data?.limits ?? defaultControlLimits;
 		this.#configuration = new ConfigurationChanges(data?.configuration);
 		this.#claims = new Claims(data?.claims);
@@ -179,6 +184,7 @@
 			claims: this.#claims.toData(),
 			ledger: this.#ledger.toData(),
 			orders: this.#orders.toData(),
+			time: this.#time.toData(),
 		};
 		return new Uint8Array(packr.pack(data));
 	}
@@ -189,7 +195,7 @@
 			.with({type: 'apply-configuration'}, found => this.#configuration.apply(found, limits).map(revision => ({revision})))
 			.with({type: 'advance-rollout'}, found => this.#configuration.advance(found).map(rollout => this.#answer({rollout})))
 			.with({type: 'stop-version'}, found => this.#configuration.stop(found).map(rollout => this.#answer({rollout})))
-			.with({type: 'record-bills'}, ({bills}) => Right(this.#answer(this.#ledger.record(bills, limits))))
+			.with({type: 'record-bills'}, ({bills}) => Right(this.#answer(this.#ledger.record(bills, {limits, time: this.#time.elapsed}))))
 			.with({type: 'take-claim'}, found => this.#claims.take(found, limits).map(claim => this.#answer({claim})))
 			.with({type: 'settle-claim'}, found => Right(this.#answer({claim: this.#claims.settle(found, limits)})))
 			.with({type: 'instance-lost'}, found => Right(this.#loseInstance(found)))
@@ -206,9 +212,10 @@
 	}
 
 	#expire({at}: ExpireCommand): RevisionAnswer {
+		this.#time.advance(at);
 		this.#configuration.expire(at, this.#limits);
 		this.#claims.expire(at, this.#limits);
-		this.#ledger.expire(at, this.#limits);
+		this.#ledger.expire(this.#time.elapsed, this.#limits);
 		return this.#answer({});
 	}
 
--- a/packages/testing/src/_control-commands.ts
+++ b/packages/testing/src/_control-commands.ts
@@ -24,7 +24,9 @@
 	return {models: {[model]: {versions}}, services: {}, workspaces: {}};
 }
 
-const billOf = (number: number, {hasOrigin, settledAt}: {hasOrigin: boolean; settledAt: number}): Bill => ({
+// Instances whose clocks are right, far behind and far ahead.
+const clockErrors = [0, -1_000_000_000, 1_000_000_000] as const;
+const billOf = (number: number, {hasOrigin, at}: {hasOrigin: boolean; at: number}): Bill => ({
 	workspace: toId<WorkspaceId>(`w${number % 2}`),
 	request: toId<RequestId>(`${hasOrigin ? 'o' : 'p'}${number}`),
 	// Neighbours share an instance, so that ranges join.
@@ -32,8 +34,9 @@
 	lines: [],
 	total: number as Micros,
 	outcome: 'answered',
-	settledAt: hasOrigin ? settledAt : number,
-	...(hasOrigin && {origin: {startedAt: 1, sequence: number}}),
+	settledAt: hasOrigin ? at + clockErrors[number % clockErrors.length]! : number,
+	// Neighbours are of two runs each, so that ranges join and runs are forgotten one by one.
+	...(hasOrigin && {origin: {startedAt: Math.ceil(number / 3), sequence: number}}),
 });
 const claimed = {
 	workspace: name('w', 2).map(id => toId<WorkspaceId>(id)), key: name('k', 6).map(id => toId<IdempotencyKey>(id)),
@@ -84,7 +87,7 @@
 	fc.record({choice: fc.nat(20), settlement}).map(({choice, settlement: given}): Maker => ({at, oracle}) => settleOpen(oracle, {choice, settlement: given, at})),
 	name('i', 2).map((instance): Maker => ({at}) => ({type: 'instance-lost', instance: toId<InstanceId>(instance), at})),
 	fc.array(fc.tuple(fc.integer({min: 1, max: 12}), fc.boolean()), {maxLength: 4}).map((bills): Maker => ({at}) => ({
-		type: 'record-bills', bills: bills.map(([number, hasOrigin]) => billOf(number, {hasOrigin, settledAt: at})),
+		type: 'record-bills', bills: bills.map(([number, hasOrigin]) => billOf(number, {hasOrigin, at})),
 	})),
 	fc.record({orderId: name('o', 5).map(id => toId<OrderId>(id)), server: name('s', 2).map(id => toId<ServerId>(id)), role: name('role', 2)}).map(({role, ...found}): Maker => ({at}) => ({
 		type: 'issue-order', ...found, order: {type: 'set-role', role}, at,
--- a/packages/testing/src/_control-oracle.ts
+++ b/packages/testing/src/_control-oracle.ts
@@ -3,7 +3,7 @@
 	type ControlLimits, defaultControlLimits, type IssueOrderCommand, type SettleClaimCommand, type StopVersionCommand, type TakeClaimCommand,
 } from '@valehitch/control';
 import {
-	type ModelId, toId, type VersionId, type VersionState,
+	type Bill, type ModelId, toId, type VersionId, type VersionState,
 } from '@valehitch/core';
 import {match} from 'ts-pattern';
 
@@ -19,6 +19,7 @@
 	keptAnswerBytesPerWorkspace: 12,
 	recentBills: 2,
 	billWindow: 4,
+	originMilliseconds: 250,
 	openOrdersPerServer: 2,
 };
 /** The only model of the oracle's documents. */
@@ -31,6 +32,8 @@
 	workspace: string; key: string; digest: string; owner: string; instance: string; takenAt: number;
 	state: string; settledAt: number; order: number; size: number; hasBody: boolean; releasedBy: string[];
 };
+/** One run of an instance that settles bills. */
+type OracleRun = {instance: string; startedAt: number; heardAt: number; isForgotten: boolean};
 type OracleOrder = {id: string; server: string; role: string; index: number; outcome: string};
 /** What the oracle says of a command: an error kind, or the facts of the answer. */
 export type Verdict = Readonly<Record<string, unknown>>;
@@ -45,6 +48,33 @@
 	orders: OracleOrder[] = [];
 	readonly billed = new Set<string>();
 	#settlements = 0;
+	readonly #runs: OracleRun[] = [];
+	#elapsed = 0;
+	#readAt: number | undefined;
+
+	/** Whether the ledger must refuse a bill: its run was forgotten, or began before one of the same instance that was. */
+	isRefused({instance, origin}: Bill): boolean {
+		if (origin === undefined) {
+			return false;
+		}
+
+		const {startedAt} = origin;
+		const own = this.#runs.filter(run => run.instance === instance);
+		const known = own.find(run => run.startedAt === startedAt && !run.isForgotten);
+		if (known !== undefined) {
+			known.heardAt = this.#elapsed;
+			return false;
+		}
+
+		const isRefused = own.some(run => run.isForgotten && run.startedAt >= startedAt);
+		if (!isRefused) {
+			this.#runs.push({
+				instance, startedAt, heardAt: this.#elapsed, isForgotten: false,
+			});
+		}
+
+		return isRefused;
+	}
 
 	carryOut(command: Command, index: number): Verdict | undefined {
 		return match(command)
@@ -84,6 +114,12 @@
 	}
 
 	#expire(at: number): Verdict {
+		this.#elapsed += Math.min(Math.max(0, at - (this.#readAt ?? at)), 120_000);
+		this.#readAt = at;
+		for (const run of this.#runs) {
+			run.isForgotten ||= run.heardAt < this.#elapsed - 250;
+		}
+
 		this.#giveUp(at, claim => claim.takenAt + 300 <= at);
 		this.claims = this.claims.filter(claim => claim.state === 'open' || claim.settledAt + 200 > at);
 		return {revision: this.revision};
--- a/packages/testing/src/control-state.test.ts
+++ b/packages/testing/src/control-state.test.ts
@@ -58,11 +58,15 @@
 function checkBills(result: CommandResult, {bills, oracle}: {bills: readonly Bill[]; oracle: ControlOracle}): void {
 	const answer = result.unsafeCoerce() as {recorded: number; expired: readonly RequestId[]};
 	let recorded = 0;
-	for (const {request, origin} of bills) {
-		const isNew = !oracle.billed.has(request) && !answer.expired.includes(request);
-		assert.ok(origin === undefined || !answer.expired.includes(request), 'a bill with an origin never expires here');
+	for (const bill of bills) {
+		const {request, origin} = bill;
+		const isRefused = answer.expired.includes(request);
+		const isNew = !oracle.billed.has(request) && !isRefused;
+		assert.ok(origin === undefined || isRefused === oracle.isRefused(bill), 'a bill with an origin expires just when its run was forgotten');
 		recorded += isNew ? 1 : 0;
-		oracle.billed.add(request);
+		if (!isRefused) {
+			oracle.billed.add(request);
+		}
 	}
 
 	assert.equal(answer.recorded, recorded);
