Send a request again over a connection of its own where a kept one was closed under it

Cause: a server closes an idle connection at the moment in which a request goes out on it. The attempt counted as one that a server had failed: the server was passed over, the next attempt drew on the budget of retries, and two such connections left no server of two.

Ruled out, by reading: the bound on silence (10 s, above the 4.2 s), the bound on opening a connection (not run, so 503), the stop (nothing of it ends an attempt before its head).

Change: the end of a kept connection before the head of an answer has an event of its own. A request that may be repeated goes out again over its own connection, to any server, and draws on no budget; its outcome stays unknown where no answer follows. A retry whose server shuts down draws on its budget once, not again for each server.

It holds since a connection of its own cannot have been closed for idling.

--- a/packages/daemon/src/entry/attempt-end.ts
+++ b/packages/daemon/src/entry/attempt-end.ts
@@ -27,6 +27,8 @@
 		.with({type: 'not-run'}, ({message}) => ({outcome: 'notRun', reason: message, failed: false}))
 		.with({type: 'never-sent'}, ({message}) => ({outcome: 'notRun', reason: message, failed: true}))
 		.with({type: 'failed'}, ({message}) => ({outcome: 'ran', reason: message, failed: true}))
+		// Where the server has ended, the next attempt finds that out.
+		.with({type: 'kept-connection-lost'}, ({message}) => ({outcome: 'unknown', reason: message, failed: false}))
 		.with({type: 'broken'}, {type: 'timed-out'}, ({message}) => ({outcome: 'unknown', reason: message, failed: true}))
 		.exhaustive();
 }
--- a/packages/daemon/src/entry/attempt-output.ts
+++ b/packages/daemon/src/entry/attempt-output.ts
@@ -33,5 +33,7 @@
 		| {readonly type: 'failed'; readonly message: string}
 		/** The connection broke after the request was sent. */
 		| {readonly type: 'broken'; readonly message: string}
+		/** A kept connection broke before the answer began: the server closed it at that moment, or ended. */
+		| {readonly type: 'kept-connection-lost'; readonly message: string}
 		/** Nothing came for too long. */
 		| {readonly type: 'timed-out'; readonly message: string};
--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -101,6 +101,7 @@
 			resumeText: before.text,
 			tokensBefore: before.tokens,
 			address,
+			freshConnection: dispatch.freshConnection,
 			signal,
 			stallMilliseconds: stallMillisecondsOf({streamed: stream, remainingMilliseconds: deadline - clock.monotonic(), settings}),
 			maximumBytes: settings.limits.bodyBytes,
--- a/packages/daemon/src/entry/engine-call.ts
+++ b/packages/daemon/src/entry/engine-call.ts
@@ -6,6 +6,7 @@
 import {readEngineEvents} from './engine-events.js';
 import {readNotRun} from './not-run.js';
 import {StallTimer} from './stall-timer.js';
+import {unansweredOutput} from './unanswered-output.js';
 
 /** One attempt on an engine. */
 export type EngineCall = {
@@ -23,6 +24,8 @@
 	readonly tokensBefore: number;
 	/** The base address of the engine. */
 	readonly address: string;
+	/** Whether the attempt opens a connection of its own. */
+	readonly freshConnection: boolean;
 	/** Ends the attempt; its connection is destroyed. */
 	readonly signal: AbortSignal;
 	/** Milliseconds without a word after which the attempt is given up. */
@@ -50,7 +53,7 @@
 	const stall = new StallTimer(call.stallMilliseconds);
 	try {
 		for await (const output of await openAnswer(call, stall)) {
-			const isStalled = stall.expired && output.type === 'broken';
+			const isStalled = stall.expired && (output.type === 'broken' || output.type === 'kept-connection-lost');
 			// A reader that takes its time is no stall of the engine.
 			stall.clear();
 			yield isStalled ? {type: 'timed-out', message: `Got nothing from the engine for ${call.stallMilliseconds} ms`} : output;
@@ -76,11 +79,10 @@
 		},
 		body: new TextEncoder().encode(JSON.stringify(bodyOf(call))),
 		signal: AbortSignal.any([call.signal, stall.signal]),
-		reuseConnection: true,
+		reuseConnection: !call.freshConnection,
 	});
 	if (answer.isLeft()) {
-		const {neverSent, message} = answer.extract() as {neverSent: boolean; message: string};
-		return [{type: neverSent ? 'never-sent' : 'broken', message: `Got no answer from the engine: ${message}`}];
+		return [unansweredOutput(answer.extract(), 'engine')];
 	}
 
 	stall.touch();
--- a/packages/daemon/src/entry/service-adapter.ts
+++ b/packages/daemon/src/entry/service-adapter.ts
@@ -83,6 +83,7 @@
 		headers: request.headers,
 		body,
 		repeatable,
+		freshConnection: dispatch.freshConnection,
 		address,
 		signal,
 		stallMilliseconds: repeatable ? stallMillisecondsOf({streamed: false, remainingMilliseconds, settings}) : Math.max(1, remainingMilliseconds),
--- a/packages/daemon/src/entry/service-call.ts
+++ b/packages/daemon/src/entry/service-call.ts
@@ -1,9 +1,12 @@
 import {type IncomingHttpHeaders, type OutgoingHttpHeaders} from 'node:http';
 import {type RequestId} from '@valehitch/core';
-import {type HttpAnswer, readBody, sendHttp} from '@valehitch/transport';
+import {
+	type HttpAnswer, type HttpCallFailure, readBody, sendHttp,
+} from '@valehitch/transport';
 import {type AnswerHead, type AttemptOutput} from './attempt-output.js';
 import {readNotRun} from './not-run.js';
 import {StallTimer} from './stall-timer.js';
+import {unansweredOutput} from './unanswered-output.js';
 
 /** One attempt on an instance of a plain service. */
 export type ServiceCall = {
@@ -17,6 +20,8 @@
 	readonly body: Uint8Array;
 	/** Whether the call may be repeated; one that may not goes over a connection of its own. */
 	readonly repeatable: boolean;
+	/** Whether the attempt opens a connection of its own, also where it may be repeated. */
+	readonly freshConnection: boolean;
 	/** The base address of the instance. */
 	readonly address: string;
 	/** Ends the attempt; its connection is destroyed. */
@@ -52,16 +57,15 @@
 			headers: headersOf(call),
 			body: call.body,
 			signal: AbortSignal.any([call.signal, stall.signal]),
-			reuseConnection: call.repeatable,
+			reuseConnection: call.repeatable && !call.freshConnection,
 		});
 		if (answer.isRight()) {
 			yield * readAnswer(answer.extract(), call, stall);
 			return;
 		}
 
-		const {neverSent, message} = answer.extract() as {neverSent: boolean; message: string};
-		const type = stall.expired ? 'timed-out' : 'broken';
-		yield {type: neverSent ? 'never-sent' : type, message: `Got no answer from the service: ${message}`};
+		const output = unansweredOutput(answer.extract() as HttpCallFailure, 'service');
+		yield stall.expired && output.type !== 'never-sent' ? {type: 'timed-out', message: `Got nothing from the service for ${call.stallMilliseconds} ms`} : output;
 	} finally {
 		stall.clear();
 	}
--- a/packages/daemon/src/entry/traffic/server-picker.ts
+++ b/packages/daemon/src/entry/traffic/server-picker.ts
@@ -59,9 +59,11 @@
 	@param request Who asks.
 	@returns The server, or why there is none.
 	*/
-	choose({attempt, purpose, excluded}: ChooseServerAction, {requestId, workspace, target, prefix}: ServerRequest): ServerChoice {
+	choose({
+		attempt, purpose, excluded, budgeted,
+	}: ChooseServerAction, {requestId, workspace, target, prefix}: ServerRequest): ServerChoice {
 		const {clock, zone, random, decisions} = this.#options;
-		if (!this.#budgets.allows({purpose, workspace, target}, clock.monotonic())) {
+		if (budgeted && !this.#budgets.allows({purpose, workspace, target}, clock.monotonic())) {
 			decisions.attempt(requestId, {
 				attempt, purpose, servers: [], outcome: 'notRun', reason: 'the budget is used up',
 			});
--- a/packages/routing/src/_start-attempt.ts
+++ b/packages/routing/src/_start-attempt.ts
@@ -14,8 +14,9 @@
 
 @param change The step.
 @param purpose Why the attempt is made.
+@param options Whether it draws on the budget of its purpose.
 */
-export function startAttempt(change: RequestChange, purpose: AttemptPurpose): void {
+export function startAttempt(change: RequestChange, purpose: AttemptPurpose, {budgeted = true}: StartAttemptOptions = {}): void {
 	change.set({stage: 'running'});
 	if (change.permissionLost) {
 		stopForPermission(change);
@@ -26,6 +27,7 @@
 	const attempt: AttemptState = {
 		number: nextAttempt,
 		purpose,
+		budgeted,
 		target,
 		status: 'choosing',
 		outcome: 'notRun',
@@ -39,13 +41,21 @@
 	chooseServer(change, attempt);
 }
 
+/** How an attempt begins. */
+export type StartAttemptOptions = {
+	/** Whether it draws on the budget of its purpose; true by default. */
+	readonly budgeted?: boolean;
+};
+
 /**
 Asks for a server for an attempt, without those that were tried or are in use for this request.
 
 @param change The step.
 @param attempt The attempt.
 */
-export function chooseServer(change: RequestChange, {number, purpose, target}: AttemptState): void {
+export function chooseServer(change: RequestChange, {
+	number, purpose, target, budgeted,
+}: AttemptState): void {
 	const excluded = [...change.state.draining, ...change.state.tried];
 	for (const {server} of change.live) {
 		if (server !== undefined) {
@@ -54,12 +64,15 @@
 	}
 
 	change.act({
-		type: 'choose-server', attempt: number, purpose, target, excluded,
+		type: 'choose-server', attempt: number, purpose, target, excluded, budgeted,
 	});
 }
 
-/** What to say when the request is given up on, and why the next attempt is made; by default as its state says. */
-export type TryAgainOptions = GiveUpOptions & {readonly purpose?: AttemptPurpose};
+/** What to say when the request is given up on, and how the next attempt is made. */
+export type TryAgainOptions = GiveUpOptions & StartAttemptOptions & {
+	/** Why it is made; by default as the state of the request says. */
+	readonly purpose?: AttemptPurpose;
+};
 
 /**
 Tries again after an attempt came to nothing, where another is live, allowed and safe; else gives up.
@@ -67,7 +80,7 @@
 @param change The step.
 @param options What follows.
 */
-export function tryAgain(change: RequestChange, {purpose, ...options}: TryAgainOptions): void {
+export function tryAgain(change: RequestChange, {purpose, budgeted, ...options}: TryAgainOptions): void {
 	if (change.live.length > 0) {
 		return;
 	}
@@ -82,7 +95,7 @@
 		return;
 	}
 
-	startAttempt(change, purpose ?? purposeOfNext(change));
+	startAttempt(change, purpose ?? purposeOfNext(change), {...(budgeted !== undefined && {budgeted})});
 }
 
 /**
--- a/packages/routing/src/_take-attempt-event.ts
+++ b/packages/routing/src/_take-attempt-event.ts
@@ -70,6 +70,9 @@
 		.with({type: 'attempt-broken'}, ({message, usage}) => {
 			takeFailure(change, {attempt, message, usage});
 		})
+		.with({type: 'attempt-connection-lost'}, ({message}) => {
+			takeConnectionLoss(change, {attempt, message});
+		})
 		.with({type: 'attempt-timed-out'}, () => {
 			cancelAndFail(change, {attempt, message: 'Got nothing from the server for too long'});
 		})
@@ -77,7 +80,7 @@
 }
 
 function takeServer(change: RequestChange, {attempt, event: {server}}: AttemptTaken<'server-chosen'>): void {
-	const {draining, plan, stopping} = change.state;
+	const {draining, plan, stopping, freshConnection} = change.state;
 	if (change.permissionLost) {
 		change.removeAttempt(attempt.number);
 		stopForPermission(change);
@@ -85,7 +88,8 @@
 	}
 
 	if (draining.includes(server)) {
-		chooseServer(change, attempt);
+		// Its budget is drawn already.
+		chooseServer(change, {...attempt, budgeted: false});
 		return;
 	}
 
@@ -94,7 +98,7 @@
 		status: 'sent', outcome: 'unknown', server, progressAt: change.now,
 	});
 	change.act({
-		type: 'dispatch', attempt: number, server, target, purpose, resumeFrom,
+		type: 'dispatch', attempt: number, server, target, purpose, resumeFrom, freshConnection,
 	});
 	if (plan.hedge !== undefined && plan.repeatable && !stopping && !change.state.hedged) {
 		change.act({type: 'set-timer', timer: 'hedge', at: change.now + plan.hedge.prefillMilliseconds});
@@ -140,8 +144,8 @@
 		return;
 	}
 
-	// A new number, so that a late word on the denied attempt cannot be taken for one on the next.
-	startAttempt(change, attempt.purpose);
+	// A new number, so that a late word on the denied attempt cannot be taken for one on the next; its budget is drawn already.
+	startAttempt(change, attempt.purpose, {budgeted: false});
 }
 
 type NotRun = {
@@ -160,6 +164,15 @@
 	});
 }
 
+/** A server may close an idle connection while a request goes out on it. The server stays in the choice and no budget is asked, since two such connections would else lose a request though both servers are up; over a connection of its own this cannot happen again. */
+function takeConnectionLoss(change: RequestChange, {attempt, message}: Failed): void {
+	change.setAttempt(attempt.number, {status: 'over'});
+	change.set({freshConnection: true});
+	tryAgain(change, {
+		message, retryAfterMilliseconds: defaultRetryAfterMilliseconds, purpose: attempt.purpose, budgeted: false,
+	});
+}
+
 function takeNotRun(change: RequestChange, {attempt, retryAfterMilliseconds}: NotRun): void {
 	if (attempt.outcome === 'ran') {
 		takeFailure(change, {attempt, message: 'Got the word that the request did not run from a server that had begun its answer'});
--- a/packages/routing/src/_test-book.ts
+++ b/packages/routing/src/_test-book.ts
@@ -45,6 +45,8 @@
 export class Book {
 	readonly runs: Run[] = [];
 	callerLeft = false;
+	/** Whether a kept connection broke under an attempt. */
+	isConnectionLost = false;
 	/** The last answer to the caller, or `none`. */
 	ending = 'none';
 	/** Targets that the machine knows to get no new work. */
@@ -121,6 +123,7 @@
 		check(!this.#plan.claimed || this.#claim === 'taken', 'dispatched without the claim');
 		check(this.ending === 'none', 'dispatched after the answer');
 		check(purpose !== 'hedge' || this.#plan.repeatable, 'hedged what may not be repeated');
+		check(!this.isConnectionLost || dispatch.freshConnection, 'took a kept connection after one had broken');
 		check(this.runOf(attempt) === undefined, 'used the number of an attempt twice');
 		const run = {dispatch, ran: false, cancelled: false};
 		this.runs.push(run);
--- a/packages/routing/src/_test-world.ts
+++ b/packages/routing/src/_test-world.ts
@@ -136,6 +136,9 @@
 					this.book.stopped.add(run.dispatch.target);
 				}
 			})
+			.with({type: 'attempt-connection-lost'}, ({attempt}) => {
+				this.book.isConnectionLost ||= this.book.runOf(attempt)?.cancelled === false;
+			})
 			.otherwise(() => undefined);
 	}
 
@@ -236,6 +239,11 @@
 			return;
 		}
 
+		if (this.#plan.repeatable && !dispatch.freshConnection && this.#oneIn(12)) {
+			this.#loseConnection(run);
+			return;
+		}
+
 		const fate = this.#next() % 10;
 		if (fate < 2) {
 			this.#later({type: fate === 0 ? 'attempt-never-sent' : 'attempt-not-run', attempt});
@@ -246,6 +254,15 @@
 		this.#answer(run, fate);
 	}
 
+	/** A kept connection breaks before the answer begins; whether the server ran the request is not to be seen. */
+	#loseConnection(run: Run): void {
+		if (this.#oneIn(2)) {
+			this.book.start(run);
+		}
+
+		this.#later({type: 'attempt-connection-lost', attempt: run.dispatch.attempt, message: 'Closed'});
+	}
+
 	#denialOf(target: RequestTarget, server: ServerId): DispatchDenial | undefined {
 		if (this.#stopped.has(target)) {
 			return 'version-stopped';
--- a/packages/routing/src/request-action.ts
+++ b/packages/routing/src/request-action.ts
@@ -38,12 +38,23 @@
 		/** Answered by `version-chosen` or `no-version`. */
 		| {readonly type: 'choose-version'; readonly lost: RequestTarget};
 
+/** Check permission, version state and drain state now; then send, or answer `dispatch-denied`. */
+export type DispatchAttempt = {
+	readonly type: 'dispatch';
+	readonly attempt: number;
+	readonly server: ServerId;
+	readonly target: RequestTarget;
+	readonly purpose: AttemptPurpose;
+	readonly resumeFrom: number;
+	/** Whether it opens a connection of its own. */
+	readonly freshConnection: boolean;
+};
+
 /** What is to be done about attempts. */
 export type AttemptAction
-	/** Answered by `server-chosen` or `no-server`; budgets of retries and hedges are asked here. */
-	= | {readonly type: 'choose-server'; readonly attempt: number; readonly purpose: AttemptPurpose; readonly target: RequestTarget; readonly excluded: readonly ServerId[]}
-		/** Check permission, version state and drain state now; then send, or answer `dispatch-denied`. */
-		| {readonly type: 'dispatch'; readonly attempt: number; readonly server: ServerId; readonly target: RequestTarget; readonly purpose: AttemptPurpose; readonly resumeFrom: number}
+	/** Answered by `server-chosen` or `no-server`; the budget of the purpose is asked here where `budgeted` says so. */
+	= | {readonly type: 'choose-server'; readonly attempt: number; readonly purpose: AttemptPurpose; readonly target: RequestTarget; readonly excluded: readonly ServerId[]; readonly budgeted: boolean}
+		| DispatchAttempt
 		/** Destroy the connection; nothing of the attempt is wanted any more. */
 		| {readonly type: 'cancel-attempt'; readonly attempt: number}
 		/** Answered by `attempt-judged`. */
--- a/packages/routing/src/request-event.ts
+++ b/packages/routing/src/request-event.ts
@@ -47,6 +47,8 @@
 		| {readonly type: 'attempt-failed'; readonly attempt: number; readonly message: string; readonly usage?: TokenUsage}
 		/** The connection broke after the request was sent; it may have run. */
 		| {readonly type: 'attempt-broken'; readonly attempt: number; readonly message: string; readonly usage?: TokenUsage}
+		/** A kept connection broke before the answer began; it may have run, and is no fault of a server that goes on. */
+		| {readonly type: 'attempt-connection-lost'; readonly attempt: number; readonly message: string}
 		/** Nothing came for longer than the adapter waits; it may have run. */
 		| {readonly type: 'attempt-timed-out'; readonly attempt: number}
 		| {readonly type: 'attempt-judged'; readonly attempt: number; readonly verdict: 'accepted'}
--- a/packages/routing/src/request-life.test.ts
+++ b/packages/routing/src/request-life.test.ts
@@ -62,8 +62,8 @@
 };
 
 /** What a request asks for after some events. */
-function askedAfter(events: readonly RequestEvent[]) {
-	let step = startRequest(plainPlan);
+function askedAfter(events: readonly RequestEvent[], plan = plainPlan) {
+	let step = startRequest(plan);
 	for (const event of events) {
 		step = stepRequest(step.state, {event, now: 1});
 	}
@@ -76,3 +76,40 @@
 	t.like(askedAfter([...begun, {type: 'attempt-never-sent', attempt: 1}]), [{attempt: 2, purpose: 'first', excluded: [server]}]);
 	t.like(askedAfter([...begun, {type: 'attempt-not-run', attempt: 1}]), [{attempt: 2, purpose: 'retry', excluded: [server]}]);
 });
+
+test('a request whose kept connection broke goes out again over a connection of its own, to any server and without the budget of retries', t => {
+	const plan = {...plainPlan, repeatable: true};
+	const begun: readonly RequestEvent[] = [{type: 'admitted'}, {type: 'bill-opened'}, {type: 'server-chosen', attempt: 1, server}];
+	const lost: RequestEvent = {type: 'attempt-connection-lost', attempt: 1, message: 'Closed'};
+	t.like(askedAfter([...begun, lost], plan), [{
+		attempt: 2, purpose: 'first', excluded: [], budgeted: false,
+	}]);
+	let step = startRequest(plan);
+	for (const event of [...begun, lost, {type: 'server-chosen', attempt: 2, server} as const]) {
+		step = stepRequest(step.state, {event, now: 1});
+	}
+
+	t.like(step.actions, [{
+		type: 'dispatch', attempt: 2, server, freshConnection: true,
+	}]);
+	step = stepRequest(step.state, {event: {type: 'attempt-never-sent', attempt: 2}, now: 2});
+	step = stepRequest(step.state, {
+		event: {
+			type: 'no-server', attempt: 3, reason: 'none', retryAfterMilliseconds: 10,
+		}, now: 3,
+	});
+	// The first attempt may have run, though nothing of the second was sent.
+	t.like(step.actions.at(-1), {type: 'refuse', failure: {kind: 'outcome-unknown', outcome: 'unknown'}});
+});
+
+test('a retry whose server turns out to be shutting down draws on its budget once', t => {
+	const plan = {...plainPlan, repeatable: true};
+	const other = 'engine-2' as ServerId;
+	const begun: readonly RequestEvent[] = [
+		{type: 'admitted'}, {type: 'bill-opened'}, {type: 'server-chosen', attempt: 1, server}, {type: 'attempt-broken', attempt: 1, message: 'Cut'},
+	];
+	t.like(askedAfter(begun, plan), [{attempt: 2, purpose: 'retry', budgeted: true}]);
+	const chosen = [...begun, {type: 'server-chosen', attempt: 2, server: other}] as const;
+	t.like(askedAfter([...chosen, {type: 'dispatch-denied', attempt: 2, reason: 'server-draining'}], plan), [{attempt: 3, purpose: 'retry', budgeted: false}]);
+	t.like(askedAfter([...begun, {type: 'server-draining', server: other}, {type: 'server-chosen', attempt: 2, server: other}], plan), [{attempt: 2, purpose: 'retry', budgeted: false}]);
+});
--- a/packages/routing/src/request-life.ts
+++ b/packages/routing/src/request-life.ts
@@ -44,6 +44,7 @@
 			denials: 0,
 			draining: [],
 			tried: [],
+			freshConnection: false,
 			leader: undefined,
 			delivered: 0,
 			lost: [],
--- a/packages/routing/src/request-state.ts
+++ b/packages/routing/src/request-state.ts
@@ -12,6 +12,8 @@
 export type AttemptState = {
 	readonly number: number;
 	readonly purpose: AttemptPurpose;
+	/** Whether it draws on the budget of its purpose. */
+	readonly budgeted: boolean;
 	readonly target: RequestTarget;
 	readonly status: AttemptStatus;
 	/** Whether it ran; `unknown` from the dispatch until the server says so. */
@@ -47,6 +49,8 @@
 	readonly draining: readonly ServerId[];
 	/** Servers on which an attempt came to nothing; they may be asked again after a wait. */
 	readonly tried: readonly ServerId[];
+	/** Whether a kept connection broke under the request, so that its further attempts open connections of their own. */
+	readonly freshConnection: boolean;
 	/** The attempt whose pieces make up the answer; undefined before its first piece. */
 	readonly leader: number | undefined;
 	/** Bytes of the answer that the caller has. */
--- a/packages/testing/src/_fake-server.ts
+++ b/packages/testing/src/_fake-server.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import {text} from 'node:stream/consumers';
 import {type Behaviour, behaviourSchema, defaultBehaviour} from './behaviour.js';
 
@@ -32,7 +32,15 @@
 const host = '127.0.0.1';
 
 export async function startFakeServer(options: FakeServerOptions): Promise<FakeServer> {
+	const used = new WeakSet<Socket>();
 	const server = createServer((request, response) => {
+		const {socket} = request;
+		if (used.has(socket) && options.behaviour.closesKeptConnections && !isControlCall(request)) {
+			socket.destroy();
+			return;
+		}
+
+		used.add(socket);
 		void serve(options, {request, response, signal: signalOfClose(response)});
 	});
 	server.listen(options.port, host);
@@ -98,6 +106,11 @@
 	}
 }
 
+/** Tells whether a test speaks to the fake itself. */
+function isControlCall({url}: IncomingMessage): boolean {
+	return url?.startsWith('/test/') === true;
+}
+
 async function route(options: FakeServerOptions, exchange: Exchange): Promise<void> {
 	const {request, response} = exchange;
 	const call = `${request.method} ${request.url}`;
--- a/packages/testing/src/behaviour.ts
+++ b/packages/testing/src/behaviour.ts
@@ -14,6 +14,8 @@
 	cutAfterTokens: number | undefined;
 	/** Whether requests are accepted and never answered. */
 	stall: boolean;
+	/** Whether a request on a connection that has carried one before finds it closed, as where it idled for too long. */
+	closesKeptConnections: boolean;
 	/** Tokens in an answer, where `max_tokens` does not ask for fewer. */
 	answerTokens: number;
 	/** Requests that an engine works on at full speed; with more, all delays of a new one grow in proportion. Undefined for no bound. */
@@ -28,6 +30,7 @@
 	refuseNotRun: false,
 	cutAfterTokens: undefined,
 	stall: false,
+	closesKeptConnections: false,
 	answerTokens: 16,
 	fullSpeedRequests: undefined,
 };
@@ -40,6 +43,7 @@
 	refuseNotRun: z.boolean(),
 	cutAfterTokens: z.int().min(0).optional(),
 	stall: z.boolean(),
+	closesKeptConnections: z.boolean(),
 	answerTokens: z.int().min(0),
 	fullSpeedRequests: z.int().min(1).optional(),
 }).partial();
--- /dev/null
+++ b/packages/testing/src/kept-connections.test.ts
@@ -0,0 +1,78 @@
+import test from 'ava';
+import {
+	callerKeys, type EntryDeployment, startEntryDeployment, versions,
+} from './_entry-deployment.js';
+import {fakeAnswer} from './fake-answer.js';
+import {
+	callService, type CallResult, chatStreamed, chatWhole,
+} from './http-client.js';
+import {waitUntil} from './wait-until.js';
+
+const key = callerKeys.yard;
+const tokens = 12;
+const callers = 6;
+
+function messagesOf(text: string) {
+	return [{role: 'user', content: text}];
+}
+
+function wholeAnswer(text: string): string {
+	return fakeAnswer({version: versions.first, messages: messagesOf(text), tokens}).join('');
+}
+
+/** Has connections from the second instance to all back ends open and idle, and the back ends close each of them as the next request goes out on it. */
+async function closeKeptConnections(entry: EntryDeployment, tokenMilliseconds: number): Promise<void> {
+	await Promise.all(['engine-1', 'engine-2'].map(async server => entry.setBehaviour(server, {answerTokens: tokens, firstTokenMilliseconds: 50})));
+	await Promise.all(Array.from({length: 3 * callers}, async (_, index) => chatStreamed(entry.callers(1), {key, messages: messagesOf(`Warm ${index}`)})));
+	await Promise.all(['engine-1', 'engine-2'].map(async server => entry.setBehaviour(server, {answerTokens: tokens, tokenMilliseconds, closesKeptConnections: true})));
+}
+
+/*
+What callers saw: a streamed request was answered 502, outcome unknown, though both engines were up and idle.
+A server closes a kept connection that was idle for its bound, at the moment in which the next request goes out on it; on a busy machine that moment is as long as a process waits for its turn. The request counted as one that may have run on a server that failed it, so that two such connections left no server of two.
+Evidence: with engines that close each kept connection at its next request, the log tells 'Got no answer from the engine: socket hang up' for one attempt on either engine, and then the answer 502.
+*/
+test.serial('engines that close kept connections as requests go out on them: every request is answered whole', async t => {
+	const entry = await startEntryDeployment(t);
+	await closeKeptConnections(entry, 0);
+	const results: CallResult[] = [];
+	for (let turn = 0; turn < 2 * callers; turn++) {
+		const ask = turn % 2 === 0 ? chatStreamed : chatWhole;
+		results.push(await ask(entry.callers(1), {key, messages: messagesOf(`Coil ${turn}`)}));
+	}
+
+	t.deepEqual(results.map(({status, done, text}) => [status, done, text]), results.map((_, turn) => [200, true, wholeAnswer(`Coil ${turn}`)]));
+	const requests = results.map(({requestId}) => requestId);
+	const bills = await entry.bills(requests);
+	t.deepEqual(requests.map(request => bills.filter(bill => bill.request === request).length), requests.map(() => 1));
+});
+
+test.serial('a planned stop while engines close kept connections loses no request', async t => {
+	const entry = await startEntryDeployment(t);
+	await closeKeptConnections(entry, 50);
+	const answers = Promise.all(Array.from({length: callers}, async (_, caller) => chatStreamed(entry.callers(1), {key, messages: messagesOf(`Coil ${caller}`)})));
+	await Promise.race([answers, waitUntil(async () => {
+		const {inProgress} = await entry.deployment.status(entry.daemon(1));
+		return inProgress === callers || undefined;
+	}, {what: 'all requests in progress'})]);
+	const end = await entry.daemon(1).process.stop();
+	t.is(end?.code, 0);
+	const results = await answers;
+	t.deepEqual(results.map(({status, done, text}) => [status, done, text]), results.map((_, caller) => [200, true, wholeAnswer(`Coil ${caller}`)]));
+});
+
+test.serial('a service that closes kept connections: what may be repeated is answered, and the rest is sent once', async t => {
+	const entry = await startEntryDeployment(t);
+	const call = async (path: string) => callService(entry.callers(1), {
+		key, service: 'labels', path, body: '{"label":7}',
+	});
+	const first = await call('/lookup');
+	t.is(first.status, 200);
+	await entry.setBehaviour('labels-1', {closesKeptConnections: true});
+	for (const path of ['/lookup', '/print', '/lookup', '/print']) {
+		const {status, text} = await call(path);
+		t.is(status, 200, `${path}: ${text}`);
+	}
+
+	t.is(await entry.countRuns('labels-1'), 5);
+});
--- a/packages/transport/src/send-http.ts
+++ b/packages/transport/src/send-http.ts
@@ -22,6 +22,8 @@
 export type HttpCallFailure = {
 	/** Whether no byte of the request can have reached the server. */
 	readonly neverSent: boolean;
+	/** Whether it went out on a kept connection, which the server may have closed at that moment without a fault. */
+	readonly onKeptConnection: boolean;
 	readonly message: string;
 };
 
@@ -76,7 +78,7 @@
 		});
 		outgoing.on('error', error => {
 			clearTimeout(connectTimer);
-			resolve(Left({neverSent: !connected, message: error.message}));
+			resolve(Left({neverSent: !connected, onKeptConnection: outgoing.reusedSocket, message: error.message}));
 		});
 		outgoing.end(call.body);
 	});
