Put the estimates of requests right before they are admitted

What callers saw: six callers of one instance, with engines that had places for sixteen, were served one after the other.

Cause: the capacity was the places by the mean of the tokens that requests really use, and a request that waits counted with its estimate, which is several times as high where callers do not bound their answers. One request fitted at a time.

Found in the logs of the planned stop: six dispatches within 10 ms at first, and from the first answers on each 1 to 2 ms after the one before it ended.

Change: an estimate is multiplied by what requests used over what was estimated for them, both as the means that the pool keeps.

Before, with 16 places, 38 tokens and an estimate of 208: 5 of 16 requests admitted at once (the test, red). After: 16 of 16.

--- /dev/null
+++ b/packages/daemon/src/entry/traffic/admission-pools.test.ts
@@ -0,0 +1,69 @@
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {
+	type Clock, type InstanceId, type ModelId, type RequestId, type ServerId, toId, type VersionId, type WorkspaceId, type ZoneId,
+} from '@valehitch/core';
+import {ServerTable} from '@valehitch/membership';
+import {type RequestEvent} from '@valehitch/routing';
+import test from 'ava';
+import {AdmissionPools, type Demand} from './admission-pools.js';
+
+const zone = toId<ZoneId>('prairie-south-a');
+const model = toId<ModelId>('tag-small');
+const version = toId<VersionId>('1.0');
+const servers = 2;
+const places = 8;
+/** What is expected of an answer whose length the caller does not bound, and what it turns out to be. */
+const estimatedTokens = 208;
+const realTokens = 38;
+
+function startPools(clock: Clock): AdmissionPools {
+	const table = new ServerTable({clock, zone, expiryMilliseconds: 60_000});
+	for (let index = 1; index <= servers; index++) {
+		table.take({
+			server: toId<ServerId>(`engine-${index}`), zone, kind: 'engine', address: `http://127.0.0.1:${index}`, models: [{model, version}],
+			capacity: places, active: 0, checksFencing: true, shuttingDown: false, sequence: 1, startedAt: 1,
+		});
+	}
+
+	const self = {
+		instance: toId<InstanceId>('entry-a'), zone, host: '127.0.0.1', port: 1,
+	};
+	return new AdmissionPools({
+		clock, servers: table, self, members: () => [self],
+	});
+}
+
+function demandOf(id: number): Demand {
+	return {
+		id: toId<RequestId>(`r${id}`), workspace: toId<WorkspaceId>('yard'), target: {type: 'version', model, version}, weight: 1, priority: 5, cost: estimatedTokens, deadline: 30_000,
+	};
+}
+
+/*
+What callers saw: six callers of one instance, with engines that had places for sixteen, were served one after the other, so that the sixth waited for over three seconds in place of half a second.
+The capacity was the number of places by the mean of the tokens that requests really use, and a request that waits counted with its estimate, which is five times as high where callers do not bound their answers: only one fitted at a time.
+Evidence: in the log of a planned stop six requests are dispatched within 10 ms at first, and from the first answers on each is dispatched 1 to 2 ms after the one before it has ended.
+*/
+test('answers that are shorter than expected leave no places of the servers empty', async t => {
+	let now = 0;
+	const pools = startPools({monotonic: () => now, now: () => new Date(now)});
+	for (let round = 0; round < 5; round++) {
+		const ids = Array.from({length: servers * places}, (_, index) => (round * servers * places) + index);
+		let admitted = 0;
+		for (const id of ids) {
+			void count(pools.admit(demandOf(id)));
+		}
+
+		async function count(event: Promise<RequestEvent>): Promise<void> {
+			const {type} = await event;
+			admitted += type === 'admitted' ? 1 : 0;
+		}
+
+		await nextTurn();
+		t.is(admitted, ids.length, `round ${round}`);
+		now += 1000;
+		for (const id of ids) {
+			pools.end(toId<RequestId>(`r${id}`), realTokens);
+		}
+	}
+});
--- a/packages/daemon/src/entry/traffic/admission-pools.ts
+++ b/packages/daemon/src/entry/traffic/admission-pools.ts
@@ -32,8 +32,9 @@
 type Pool = {
 	readonly admission: Admission;
 	readonly target: RequestTarget;
-	/** Means of what requests cost and how long they take, in which recent ones weigh more. */
+	/** Means of what requests cost, of what they were expected to cost and of how long they take, in which recent ones weigh more. */
 	meanCost: number;
+	meanEstimate: number;
 	meanMilliseconds: number;
 	/** How many requests the means are made of. */
 	seen: number;
@@ -42,6 +43,13 @@
 	readonly began: Map<RequestId, number>;
 };
 
+/** A request that was offered to its pool and has not ended. */
+type Offered = {
+	readonly pool: Pool;
+	/** What it was expected to cost. */
+	readonly estimate: number;
+};
+
 const headroom = 2;
 const leastMeanWeight = 0.05;
 const refreshMilliseconds = 250;
@@ -60,7 +68,7 @@
 export class AdmissionPools {
 	readonly #options: AdmissionPoolsOptions;
 	readonly #pools = new Map<string, Pool>();
-	readonly #poolOf = new Map<RequestId, Pool>();
+	readonly #offered = new Map<RequestId, Offered>();
 	readonly #waiting = new Map<RequestId, (event: RequestEvent) => void>();
 
 	constructor(options: AdmissionPoolsOptions) {
@@ -85,12 +93,12 @@
 			return {type: 'admitted'};
 		}
 
-		const answer = pool.admission.offer({...demand, serviceMilliseconds: pool.meanMilliseconds}, now);
+		const answer = pool.admission.offer({...demand, cost: likelyCost(pool, demand.cost), serviceMilliseconds: pool.meanMilliseconds}, now);
 		if (answer.type === 'refused') {
 			return {type: 'admission-refused', failure: answer.failure};
 		}
 
-		this.#poolOf.set(demand.id, pool);
+		this.#offered.set(demand.id, {pool, estimate: demand.cost});
 		if (answer.type === 'admitted') {
 			pool.began.set(demand.id, now);
 			return {type: 'admitted'};
@@ -108,12 +116,13 @@
 	@param tokens The tokens that it really used.
 	*/
 	end(id: RequestId, tokens: number): void {
-		const pool = this.#poolOf.get(id);
-		if (pool === undefined) {
+		const offered = this.#offered.get(id);
+		if (offered === undefined) {
 			return;
 		}
 
-		this.#poolOf.delete(id);
+		const {pool, estimate} = offered;
+		this.#offered.delete(id);
 		const now = this.#options.clock.monotonic();
 		const began = pool.began.get(id);
 		if (began === undefined) {
@@ -127,6 +136,7 @@
 			pool.seen++;
 			const weight = Math.max(leastMeanWeight, 1 / pool.seen);
 			pool.meanCost += weight * (tokens - pool.meanCost);
+			pool.meanEstimate += weight * (estimate - pool.meanEstimate);
 			pool.meanMilliseconds += weight * (now - began - pool.meanMilliseconds);
 		}
 
@@ -153,7 +163,7 @@
 		}
 
 		const pool: Pool = {
-			admission: new Admission({capacity: 0}), target, meanCost: cost, meanMilliseconds: 0, seen: 0, refreshedAt: Number.NEGATIVE_INFINITY, began: new Map(),
+			admission: new Admission({capacity: 0}), target, meanCost: cost, meanEstimate: cost, meanMilliseconds: 0, seen: 0, refreshedAt: Number.NEGATIVE_INFINITY, began: new Map(),
 		};
 		this.#pools.set(key, pool);
 		return pool;
@@ -195,3 +205,8 @@
 		}
 	}
 }
+
+/** The estimate put right by how far those before it were wrong: the capacity is in real tokens, and requests that are expected to be several times as large would leave most places empty. */
+function likelyCost({meanCost, meanEstimate}: Pool, estimate: number): number {
+	return estimate * meanCost / meanEstimate;
+}
