Measure the rate of a pool only while requests wait in it

What callers saw: 'Got a wait of 54565 ms and 1090 ms of work, wanted them within 30000 ms', with six callers in all and engines with places for sixteen, after processes had been held up for up to 5.5 s.

Cause: the rate at which requests are worked off was measured at all times but in complete idleness, so that a small demand, or a halt, passed for what the servers can do.

--- a/packages/routing/src/admission.test.ts
+++ b/packages/routing/src/admission.test.ts
@@ -191,3 +191,48 @@
 	t.is(admission.workspaces, 0);
 	t.is(admission.inProgress, 0);
 });
+
+/*
+What callers saw: with engines that had places for sixteen, six callers of one instance were refused with 'Got a wait of 54565 ms and 1090 ms of work, wanted them within 30000 ms', a few seconds after the processes had been held up for up to 5.5 s.
+The rate at which requests are worked off was measured also while nothing waited. A few requests at a time, or none for some seconds, then passed for all that the servers can do, and the next rush was refused.
+*/
+test('what a few requests at a time were worked off is not taken for what the servers can do', t => {
+	const admission = new Admission({capacity: 1000});
+	const serviceMilliseconds = 500;
+	let now = 0;
+	for (let id = 0; id < 20; id++) {
+		t.is(admission.offer(requestOf(id, {serviceMilliseconds}), now).type, 'admitted');
+		now += serviceMilliseconds;
+		// Two at a time, so that the busy period never ends.
+		if (id > 0) {
+			admission.release(toId(`r${id - 1}`), {tokens: 100, now});
+		}
+	}
+
+	const rush = Array.from({length: 29}, (_, index) => admission.offer(requestOf(100 + index, {serviceMilliseconds, deadline: now + 3000}), now));
+	t.deepEqual(rush.filter(({type}) => type === 'refused'), []);
+});
+
+test('a rate from before a halt of the servers is not taken for what they can do after it', t => {
+	const admission = new Admission({capacity: 100});
+	const serviceMilliseconds = 100;
+	let now = 0;
+	let id = 0;
+	admission.offer(requestOf(id, {serviceMilliseconds}), now);
+	const work = (milliseconds: number) => {
+		t.is(admission.offer(requestOf(id + 1, {serviceMilliseconds}), now).type, 'queued');
+		now += milliseconds;
+		admission.release(toId(`r${id}`), {tokens: 100, now});
+		id++;
+	};
+
+	for (let turn = 0; turn < 40; turn++) {
+		work(serviceMilliseconds);
+	}
+
+	work(6000);
+	work(serviceMilliseconds);
+	// Ten stand before it, of 100 ms each.
+	const rush = Array.from({length: 10}, (_, index) => admission.offer(requestOf(1000 + index, {serviceMilliseconds, deadline: now + 2000}), now));
+	t.deepEqual(rush.filter(({type}) => type === 'refused'), []);
+});
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -80,7 +80,7 @@
 			return {type: 'admitted'};
 		}
 
-		const waitMilliseconds = this.#expectedWait(queue, request);
+		const waitMilliseconds = this.#expectedWait(queue, request, now);
 		const refusal = refusalOf(request, {
 			waitMilliseconds, now, free, others: queue.count - 1,
 		});
@@ -109,7 +109,7 @@
 		this.#admitted.delete(id);
 		this.#inProgress -= cost;
 		queue.inFlight--;
-		this.#rate.count(tokens, now);
+		this.#measure(tokens, now);
 		this.#correct(queue, tokens - cost);
 		const next = this.#admitWhatFits();
 		this.#forgetIdle(queue);
@@ -154,9 +154,17 @@
 		return this.#admitWhatFits();
 	}
 
-	/** Ends a busy period: idle time says nothing about the rate, and what was had in it gives no one an advantage. */
+	/** Counts what was worked off, where the pool is full. */
+	#measure(tokens: number, now: number): void {
+		if (this.#waiting.size > 0) {
+			this.#rate.count(tokens, now);
+		} else {
+			this.#rate.pause();
+		}
+	}
+
+	/** Ends a busy period: what was had in it gives no one an advantage. */
 	#restWhenIdle(): void {
-		this.#rate.pause();
 		if (this.#waiting.size === 0) {
 			this.#queues.clear();
 			this.#virtualTime = 0;
@@ -243,9 +251,9 @@
 	}
 
 	/** The lesser of the wait behind its own workspace at its share, and that behind everything. */
-	#expectedWait(queue: WorkspaceQueue, {priority, weight, serviceMilliseconds}: AdmissionRequest): number {
-		// Before the first releases, what is in progress is taken to last as long as the request itself will.
-		const rate = this.#rate.perMillisecond || this.#inProgress / serviceMilliseconds;
+	#expectedWait(queue: WorkspaceQueue, {priority, weight, serviceMilliseconds}: AdmissionRequest, now: number): number {
+		// Where the rate is not known, what is in progress is taken to last as long as the request itself will.
+		const rate = this.#rate.perMillisecond(now) || this.#inProgress / serviceMilliseconds;
 		if (!Number.isFinite(rate) || rate === 0) {
 			return 0;
 		}
