Read what has arrived before silence is judged

What callers saw: a stream that was cut with 'Got nothing from the engine for 1500 ms' by an instance that had itself been held up for 4 s, with the whole answer in its socket.

Cause: an event loop runs the timers that are due before it reads its sockets, so that after a hold-up each bound on silence that fell into it is taken for somebody else's fault.

Ruled out: the engine (its record has all six runs completed) and the order of the answers (4 of 4 runs cut one of six, the log tells the time-out in the millisecond in which the instance goes on).

Change: two functions of transport whose timers are due once the input that had arrived is read, used wherever the silence of others is judged: attempts and relayed streams, openings, probes, deadlines, links between instances, members and servers, owners of bills; in both entry stacks.

--- a/packages/daemon/src/distribution/distribution-node.ts
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -1,6 +1,6 @@
 import {type Clock, type InstanceId, type ZoneId} from '@valehitch/core';
 import {type ConfigurationRelay, type MemberRecord} from '@valehitch/membership';
-import {type PeerAddress} from '@valehitch/transport';
+import {intervalAfterInput, type PeerAddress} from '@valehitch/transport';
 import {type ControlPart} from '../control/start-control.js';
 import {type DaemonBase} from '../daemon-base.js';
 import {ChildNews} from './child-news.js';
@@ -70,7 +70,7 @@
 	readonly #leaseWatch: LeaseWatch;
 	readonly #node: RelayNode;
 	#hint: InstanceId | undefined;
-	#timer: NodeJS.Timeout | undefined;
+	#stopTicking: (() => void) | undefined;
 
 	constructor(options: DistributionNodeOptions) {
 		const {base, control, relay} = options;
@@ -105,14 +105,15 @@
 			this.#refresh();
 		});
 		this.loop.start();
-		this.#timer = setInterval(() => {
+		// The tick judges others by their silence.
+		this.#stopTicking = intervalAfterInput(this.#periodMilliseconds, () => {
 			this.#tick();
-		}, this.#periodMilliseconds);
+		});
 	}
 
 	/** Stops asking and watching. */
 	stop(): void {
-		clearInterval(this.#timer);
+		this.#stopTicking?.();
 		this.loop.stop();
 		this.#news.stop();
 	}
--- a/packages/daemon/src/entry/bills/watch-bills.ts
+++ b/packages/daemon/src/entry/bills/watch-bills.ts
@@ -1,4 +1,4 @@
-import {type PeerNetwork} from '@valehitch/transport';
+import {intervalAfterInput, type PeerNetwork} from '@valehitch/transport';
 import {type Member} from '../../member.js';
 import {type PeerMessage} from '../../messages.js';
 import {type OwnedBillsReply} from '../messages.js';
@@ -34,7 +34,8 @@
 ```
 */
 export function watchBills(options: WatchBillsOptions): BillsWatch {
-	const timer = setInterval(() => {
+	// An owner whose word waits to be read is not silent: its open bills would be settled as unknown.
+	const stop = intervalAfterInput(options.everyMilliseconds ?? defaultEveryMilliseconds, () => {
 		const members = options.members();
 		options.bills.renew();
 		if (members.length > 0) {
@@ -42,12 +43,8 @@
 		}
 
 		void askOwners(options, members);
-	}, options.everyMilliseconds ?? defaultEveryMilliseconds);
-	return {
-		stop() {
-			clearInterval(timer);
-		},
-	};
+	});
+	return {stop};
 }
 
 async function askOwners({held, network}: WatchBillsOptions, members: readonly Member[]): Promise<void> {
--- a/packages/daemon/src/entry/life/life-timers.ts
+++ b/packages/daemon/src/entry/life/life-timers.ts
@@ -1,5 +1,6 @@
 import {type Clock} from '@valehitch/core';
 import {type RequestTimer} from '@valehitch/routing';
+import {timeoutAfterInput} from '@valehitch/transport';
 
 /** What the timers need. */
 export type LifeTimersOptions = {
@@ -19,7 +20,7 @@
 */
 export class LifeTimers {
 	readonly #options: LifeTimersOptions;
-	readonly #timers = new Map<RequestTimer, NodeJS.Timeout>();
+	readonly #timers = new Map<RequestTimer, () => void>();
 
 	constructor(options: LifeTimersOptions) {
 		this.#options = options;
@@ -35,10 +36,11 @@
 		this.clear(timer);
 		const {clock, onDue} = this.#options;
 		const milliseconds = Math.max(0, at - clock.monotonic());
-		this.#timers.set(timer, setTimeout(() => {
+		// An answer that is here by the deadline is taken, also where this process was held up.
+		this.#timers.set(timer, timeoutAfterInput(milliseconds, () => {
 			this.#timers.delete(timer);
 			onDue(timer);
-		}, milliseconds));
+		}));
 	}
 
 	/**
@@ -47,7 +49,7 @@
 	@param timer The timer.
 	*/
 	clear(timer: RequestTimer): void {
-		clearTimeout(this.#timers.get(timer));
+		this.#timers.get(timer)?.();
 		this.#timers.delete(timer);
 	}
 
--- a/packages/daemon/src/entry/stall-timer.ts
+++ b/packages/daemon/src/entry/stall-timer.ts
@@ -1,5 +1,7 @@
+import {timeoutAfterInput} from '@valehitch/transport';
+
 /**
-Raises a signal when nothing has happened for a while.
+Raises a signal when nothing has happened for a while; what arrived while this process was held up counts as having happened.
 
 @example
 ```ts
@@ -11,7 +13,7 @@
 export class StallTimer {
 	readonly #controller = new AbortController();
 	readonly #milliseconds: number;
-	#timer: NodeJS.Timeout | undefined;
+	#stopTimeout: (() => void) | undefined;
 
 	/** @param milliseconds How long nothing may happen. */
 	constructor(milliseconds: number) {
@@ -31,14 +33,14 @@
 
 	/** Notes that something happened. */
 	touch(): void {
-		clearTimeout(this.#timer);
-		this.#timer = setTimeout(() => {
+		this.clear();
+		this.#stopTimeout = timeoutAfterInput(this.#milliseconds, () => {
 			this.#controller.abort();
-		}, this.#milliseconds);
+		});
 	}
 
 	/** Ends the timer, until something happens. */
 	clear(): void {
-		clearTimeout(this.#timer);
+		this.#stopTimeout?.();
 	}
 }
--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -1,4 +1,5 @@
 import {type Clock, type InstanceId, type ServerId} from '@valehitch/core';
+import {intervalAfterInput} from '@valehitch/transport';
 import {type DecisionKind, type DecisionLog} from '../logs/decision-log.js';
 import {type SavedList} from '../servers/saved-list.js';
 import {ServerDirectory} from '../servers/server-directory.js';
@@ -50,7 +51,8 @@
 	readonly directory: ServerDirectory;
 	readonly #options: ServerNewsOptions;
 	readonly #heard = new Set<ServerId>();
-	#timers: NodeJS.Timeout[] = [];
+	#stopSharing: (() => void) | undefined;
+	#saveTimer: NodeJS.Timeout | undefined;
 	/** The number of the last change that was saved. */
 	#savedCursor = 0;
 	#isSaving = false;
@@ -62,14 +64,13 @@
 
 	/** Starts the rounds, and asks the others for what they know. */
 	start(): void {
-		this.#timers = [
-			setInterval(() => {
-				this.#share();
-			}, shareMilliseconds),
-			setInterval(() => {
-				void this.save();
-			}, saveMilliseconds),
-		];
+		// A round says which servers are silent.
+		this.#stopSharing = intervalAfterInput(shareMilliseconds, () => {
+			this.#share();
+		});
+		this.#saveTimer = setInterval(() => {
+			void this.save();
+		}, saveMilliseconds);
 		void this.restore();
 		void this.#askAll();
 	}
@@ -100,9 +101,8 @@
 	}
 
 	stop(): void {
-		for (const timer of this.#timers) {
-			clearInterval(timer);
-		}
+		this.#stopSharing?.();
+		clearInterval(this.#saveTimer);
 	}
 
 	/**
--- a/packages/gateway/src/entry/_probe-server.ts
+++ b/packages/gateway/src/entry/_probe-server.ts
@@ -1,4 +1,5 @@
 import {connect} from 'node:net';
+import {timeoutAfterInput} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 
 /** What a new connection came to; `unanswered` where it was neither opened nor refused in time. */
@@ -8,9 +9,9 @@
 export async function probeServer({host, port}: Pick<ServerRecord, 'host' | 'port'>, timeout: number): Promise<ProbeResult> {
 	return new Promise(resolve => {
 		const socket = connect({host, port});
-		const timer = setTimeout(() => {
+		const stopTimeout = timeoutAfterInput(timeout, () => {
 			socket.destroy();
-		}, timeout);
+		});
 		let result: ProbeResult = 'unanswered';
 		socket.on('connect', () => {
 			result = 'open';
@@ -20,7 +21,7 @@
 			result = error.code === 'ECONNREFUSED' ? 'refused' : 'unanswered';
 		});
 		socket.on('close', () => {
-			clearTimeout(timer);
+			stopTimeout();
 			resolve(result);
 		});
 	});
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -1,4 +1,5 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {timeoutAfterInput} from '@valehitch/transport';
 import {type EventStream} from './event-stream.js';
 
 /** How the events of one backend server are passed on. */
@@ -33,14 +34,14 @@
 	return new Promise(resolve => {
 		let hasEvents = false;
 		let isOver = false;
-		let timer: NodeJS.Timeout | undefined;
+		let stopTimeout: (() => void) | undefined;
 		const finish = (end: RelayEnd): void => {
 			if (isOver) {
 				return;
 			}
 
 			isOver = true;
-			clearTimeout(timer);
+			stopTimeout?.();
 			response.off('close', leave);
 			response.off('drain', goOn);
 			if (end !== 'complete') {
@@ -60,8 +61,12 @@
 		};
 
 		const watch = (): void => {
-			clearTimeout(timer);
-			timer = stallTimeout === 0 ? undefined : setTimeout(finish, stallTimeout, 'stalled');
+			stopTimeout?.();
+			stopTimeout = stallTimeout === 0
+				? undefined
+				: timeoutAfterInput(stallTimeout, () => {
+					finish('stalled');
+				});
 		};
 
 		const pass = (bytes: Uint8Array): void => {
@@ -72,7 +77,7 @@
 
 			if (!response.write(bytes)) {
 				// While the caller does not read, the server's silence is our own.
-				clearTimeout(timer);
+				stopTimeout?.();
 				message.pause();
 			}
 		};
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,5 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
+import {timeoutAfterInput} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
@@ -94,7 +95,7 @@
 
 	/** Runs the request to its answer. */
 	async run(): Promise<void> {
-		const timer = setTimeout(() => {
+		const stopTimeout = timeoutAfterInput(this.#deadlineAt - this.#now(), () => {
 			endExpired(this.#end, {
 				sent: this.#sent,
 				verdicts: this.#verdicts,
@@ -102,7 +103,7 @@
 				waited: this.#now() - this.#arrivedAt,
 				retryAfter: retryMilliseconds,
 			});
-		}, this.#deadlineAt - this.#now());
+		});
 		const leave = (): void => {
 			this.#leave();
 		};
@@ -117,7 +118,7 @@
 			next = await this.#send();
 		}
 
-		clearTimeout(timer);
+		stopTimeout();
 		stopListening();
 		this.#spare.drop();
 		this.#answer.response.off('close', leave);
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,4 +1,5 @@
 import {type ClientRequest, type IncomingMessage, request as openRequest} from 'node:http';
+import {timeoutAfterInput} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Header} from './gateway-request.js';
 import {dropIdleConnections, dropStaleConnections, keptConnections} from './kept-connections.js';
@@ -105,11 +106,11 @@
 async function awaitHead(request: ClientRequest, {server, connectTimeout, silence}: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
 	return new Promise(resolve => {
 		let isSilent = false;
-		const connectTimer = setTimeout(() => {
+		const stopConnectTimeout = timeoutAfterInput(connectTimeout, () => {
 			if (!isOpen()) {
 				request.destroy(new Error(`Got no connection in ${connectTimeout} ms`));
 			}
-		}, connectTimeout);
+		});
 		const giveUp = (): void => {
 			isSilent = true;
 			request.destroy();
@@ -118,7 +119,7 @@
 
 		const stopWatching = silence === undefined ? undefined : watchSilence(silence, {isKept: () => request.reusedSocket, giveUp});
 		const settle = (outcome: SendOutcome): void => {
-			clearTimeout(connectTimer);
+			stopConnectTimeout();
 			stopWatching?.();
 			resolve(outcome);
 		};
@@ -156,7 +157,7 @@
 /** Gives a server up after the quiet time, or after the longest where it was heard of or reached meanwhile. */
 function watchSilence({quiet, longest, longestKept, isHeard, isReached}: SilenceBounds, {isKept, giveUp}: SilenceWatch): () => void {
 	let isOver = false;
-	let timer: NodeJS.Timeout | undefined;
+	let stopTimeout: (() => void) | undefined;
 	const look = async (): Promise<void> => {
 		const left = (isKept() ? longestKept : longest) - quiet;
 		const isAlive = left > 0 && (isHeard() || await isReached());
@@ -165,18 +166,18 @@
 		}
 
 		if (isAlive) {
-			timer = setTimeout(giveUp, left);
+			stopTimeout = timeoutAfterInput(left, giveUp);
 		} else {
 			giveUp();
 		}
 	};
 
-	timer = setTimeout(() => {
+	stopTimeout = timeoutAfterInput(quiet, () => {
 		void look();
-	}, quiet);
+	});
 	return () => {
 		isOver = true;
-		clearTimeout(timer);
+		stopTimeout?.();
 	};
 }
 
--- /dev/null
+++ b/packages/testing/src/held-up-processes.test.ts
@@ -0,0 +1,43 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import test from 'ava';
+import {
+	callerKeys, startEntryDeployment, versions,
+} from './_entry-deployment.js';
+import {fakeAnswer} from './fake-answer.js';
+import {chatStreamed} from './http-client.js';
+import {waitUntil} from './wait-until.js';
+
+const key = callerKeys.yard;
+const tokens = 60;
+const stallMilliseconds = 1500;
+const heldUpMilliseconds = 4000;
+const timing = {
+	announcementRenewMilliseconds: 1000, configurationLeaseMilliseconds: 5000, shutdownMilliseconds: 10_000, stallMilliseconds,
+};
+
+function messagesOf(text: string) {
+	return [{role: 'user', content: text}];
+}
+
+/*
+What callers saw, on a busy machine: streams were cut, though their engine had gone on and the answers were there.
+The instance had been held up for longer than it waits for a word of a server. A process runs its timers before it reads its sockets, so that it gave the attempts up with the answers waiting to be read.
+Evidence: the log of the instance, stopped and continued by signals, tells 'Got nothing from the engine for 1500 ms' in the instant in which it goes on, while the engine has completed the run.
+*/
+test.serial('an instance that is held up for longer than it waits for a server goes on with what came meanwhile', async t => {
+	const entry = await startEntryDeployment(t, {engines: 1, settings: {timing}});
+	await entry.setBehaviour('engine-1', {answerTokens: tokens, tokenMilliseconds: 25});
+	const texts = Array.from({length: 6}, (_, index) => `Coil ${index}`);
+	const answers = Promise.all(texts.map(async text => chatStreamed(entry.callers(1), {key, messages: messagesOf(text)})));
+	await waitUntil(async () => {
+		const runs = await entry.runs('engine-1');
+		return runs.length === texts.length || undefined;
+	}, {what: 'all streams at the engine'});
+	entry.daemon(1).process.signal('SIGSTOP');
+	await delay(heldUpMilliseconds);
+	entry.daemon(1).process.signal('SIGCONT');
+	const results = await answers;
+	const wanted = texts.map(text => [200, true, fakeAnswer({version: versions.first, messages: messagesOf(text), tokens}).join('')]);
+	t.deepEqual(results.map(({status, done, text}) => [status, done, text]), wanted);
+	t.is(await entry.countRuns('engine-1'), texts.length);
+});
--- a/packages/transport/src/_peer-link.ts
+++ b/packages/transport/src/_peer-link.ts
@@ -2,10 +2,12 @@
 import {WebSocket} from 'ws';
 import {type Frame, readFrame} from './_frame.js';
 import {type PeerAddress} from './peer-network.js';
+import {intervalAfterInput} from './interval-after-input.js';
+import {timeoutAfterInput} from './timeout-after-input.js';
 
 type Waiting = {
 	readonly settle: (frame: (Frame & {type: 'reply'}) | undefined) => void;
-	readonly timer: NodeJS.Timeout;
+	readonly stopTimeout: () => void;
 };
 
 /** What came of a request: the reply, that it was surely not sent, or nothing where the receiver may have got it. */
@@ -74,8 +76,10 @@
 				resolve(frame ?? (this.#withdraw(data) ? 'not-sent' : undefined));
 			};
 
-			const timer = setTimeout(settle, timeoutMilliseconds, undefined);
-			this.#waiting.set(id, {settle, timer});
+			const stopTimeout = timeoutAfterInput(timeoutMilliseconds, () => {
+				settle(undefined);
+			});
+			this.#waiting.set(id, {settle, stopTimeout});
 			this.send(data);
 		});
 	}
@@ -97,12 +101,12 @@
 		});
 		this.#socket = socket;
 		let isTooSlow = false;
-		const timer = setTimeout(() => {
+		const stopTimeout = timeoutAfterInput(openTimeoutMilliseconds * (openBackoff ** (attempt - 1)), () => {
 			isTooSlow = true;
 			socket.terminate();
-		}, openTimeoutMilliseconds * (openBackoff ** (attempt - 1)));
+		});
 		socket.on('open', () => {
-			clearTimeout(timer);
+			stopTimeout();
 			this.#watch(socket);
 			for (const data of this.#queue.splice(0)) {
 				socket.send(data);
@@ -115,7 +119,7 @@
 			socket.terminate();
 		});
 		socket.on('close', () => {
-			clearTimeout(timer);
+			stopTimeout();
 			if (isTooSlow && attempt < maximumOpenAttempts && this.#socket === socket) {
 				this.#connect(attempt + 1);
 			} else {
@@ -132,7 +136,7 @@
 		socket.on('pong', () => {
 			isAlive = true;
 		});
-		const timer = setInterval(() => {
+		const look = (): void => {
 			idlePings = this.#isUsed ? 0 : idlePings + 1;
 			this.#isUsed = false;
 			if (!isAlive || idlePings > idlePingsBeforeClose) {
@@ -142,11 +146,10 @@
 
 			isAlive = false;
 			socket.ping();
-		}, this.#options.pingMilliseconds ?? defaultPingMilliseconds);
-		timer.unref();
-		socket.on('close', () => {
-			clearInterval(timer);
-		});
+		};
+
+		const stopLooking = intervalAfterInput(this.#options.pingMilliseconds ?? defaultPingMilliseconds, look);
+		socket.on('close', stopLooking);
 	}
 
 	#receive(data: Uint8Array): void {
@@ -182,7 +185,7 @@
 	}
 
 	#forget(id: number): void {
-		clearTimeout(this.#waiting.get(id)?.timer);
+		this.#waiting.get(id)?.stopTimeout();
 		this.#waiting.delete(id);
 	}
 }
--- a/packages/transport/src/send-http.ts
+++ b/packages/transport/src/send-http.ts
@@ -2,6 +2,7 @@
 	Agent, type IncomingHttpHeaders, type IncomingMessage, type OutgoingHttpHeaders, request as sendRequest,
 } from 'node:http';
 import {type Either, Left, Right} from 'purify-ts';
+import {timeoutAfterInput} from './timeout-after-input.js';
 
 /** A call to a backend server. */
 export type HttpCall = {
@@ -57,11 +58,11 @@
 			agent: call.reuseConnection ? keptAlive : false,
 			signal: call.signal,
 		});
-		const connectTimer = setTimeout(() => {
+		const stopConnectTimeout = timeoutAfterInput(connectTimeoutMilliseconds, () => {
 			if (!connected) {
 				outgoing.destroy(new Error(`Got no connection in ${connectTimeoutMilliseconds} ms`));
 			}
-		}, connectTimeoutMilliseconds);
+		});
 		outgoing.on('socket', socket => {
 			if (!socket.connecting) {
 				connected = true;
@@ -73,11 +74,11 @@
 			});
 		});
 		outgoing.on('response', message => {
-			clearTimeout(connectTimer);
+			stopConnectTimeout();
 			resolve(Right({status: message.statusCode ?? 0, headers: message.headers, message}));
 		});
 		outgoing.on('error', error => {
-			clearTimeout(connectTimer);
+			stopConnectTimeout();
 			resolve(Left({neverSent: !connected, onKeptConnection: outgoing.reusedSocket, message: error.message}));
 		});
 		outgoing.end(call.body);
