Wait once for a server where a request may have run, and draw on budgets for what is sent

Cause: the other engine was held up for longer than an attempt waits for it. A request that had tried each server once was given up at once, with most of its time left; and an attempt drew on its budget before a server was looked for, so that what could not be sent used up what was needed later.

Change: a request that may have run waits once, 1 s, and asks all servers again; one that did not run is refused at once with a time to come back, one that ran and failed fails at once. The budget is asked once a server is there, and not again after a connection that never opened.

--- a/packages/daemon/src/entry/handle-chat.ts
+++ b/packages/daemon/src/entry/handle-chat.ts
@@ -17,6 +17,8 @@
 import {type Demand} from './traffic/admission-pools.js';
 
 const expectedOutputTokens = 200;
+/** A server that was held up is back within a second or two; a stream that waits so long can still go on. */
+const comeBackMilliseconds = 1000;
 
 /** An authenticated request of a caller. */
 export type AuthenticatedCall = {
@@ -142,6 +144,7 @@
 		judged: escalatesTo !== undefined,
 		deadline: arrivedAt + Math.min(rule.deadlineMilliseconds, headers.deadlineMilliseconds ?? rule.deadlineMilliseconds),
 		promptTokens: facts.promptTokens,
+		comeBackMilliseconds,
 		...(hedge !== undefined && {hedge}),
 	};
 }
--- a/packages/daemon/src/entry/traffic/server-picker.ts
+++ b/packages/daemon/src/entry/traffic/server-picker.ts
@@ -63,30 +63,32 @@
 		attempt, purpose, excluded, budgeted,
 	}: ChooseServerAction, {requestId, workspace, target, prefix}: ServerRequest): ServerChoice {
 		const {clock, zone, random, decisions} = this.#options;
-		if (budgeted && !this.#budgets.allows({purpose, workspace, target}, clock.monotonic())) {
+		const choice = chooseServer(this.#views.current(), {
+			target, excluded: new Set(excluded), zone, random, ...(prefix !== undefined && {prefix, prefixShare: this.#prefixes.count(prefix)}),
+		});
+		const notMade = (reason: string) => {
 			decisions.attempt(requestId, {
-				attempt, purpose, servers: [], outcome: 'notRun', reason: 'the budget is used up',
+				attempt, purpose, servers: [], outcome: 'notRun', reason,
 			});
+		};
+
+		if (choice.isLeft()) {
+			const failed = choice.extract();
+			notMade(failed.message);
+			return {type: 'none', reason: 'none', retryAfterMilliseconds: failed.retryAfterMilliseconds ?? retryAfterMilliseconds};
+		}
+
+		// Asked last, so that an attempt for which there is no server leaves the budget to those that come back a moment later.
+		if (budgeted && !this.#budgets.allows({purpose, workspace, target}, clock.monotonic())) {
+			notMade('the budget is used up');
 			return {type: 'none', reason: 'budget', retryAfterMilliseconds};
 		}
 
-		const choice = chooseServer(this.#views.current(), {
-			target, excluded: new Set(excluded), zone, random, ...(prefix !== undefined && {prefix, prefixShare: this.#prefixes.count(prefix)}),
-		});
-		return choice.caseOf<ServerChoice>({
-			Left(failed) {
-				decisions.attempt(requestId, {
-					attempt, purpose, servers: [], outcome: 'notRun', reason: failed.message,
-				});
-				return {type: 'none', reason: 'none', retryAfterMilliseconds: failed.retryAfterMilliseconds ?? retryAfterMilliseconds};
-			},
-			Right({server, considered}) {
-				decisions.attempt(requestId, {
-					attempt, purpose, servers: considered, server,
-				});
-				return {type: 'chosen', server};
-			},
+		const {server, considered} = choice.unsafeCoerce();
+		decisions.attempt(requestId, {
+			attempt, purpose, servers: considered, server,
 		});
+		return {type: 'chosen', server};
 	}
 
 	/**
--- a/packages/routing/src/_start-attempt.ts
+++ b/packages/routing/src/_start-attempt.ts
@@ -99,7 +99,7 @@
 }
 
 /**
-Waits once for a server, where the plan allows it, or gives up.
+Waits once for a server, where the plan allows it and the caller could not get the answer by coming again, or gives up.
 
 @param change The step.
 @param options What to say when the request is given up on.
@@ -111,7 +111,7 @@
 
 	const {plan, cameBack, stopping} = change.state;
 	const wait = Math.min(plan.comeBackMilliseconds ?? 0, options.retryAfterMilliseconds);
-	if (wait <= 0 || cameBack || stopping || change.now + wait >= plan.deadline) {
+	if (wait <= 0 || cameBack || stopping || change.now + wait >= plan.deadline || !isWorthWaiting(change)) {
 		giveUp(change, options);
 		return;
 	}
@@ -120,6 +120,11 @@
 	change.act({type: 'set-timer', timer: 'come-back', at: change.now + wait});
 }
 
+/** Whether a server that is back a moment later saves the request: what did not run is refused at once, so that its caller can come again, and what ran and failed would fail again. */
+function isWorthWaiting({state: {attempts, delivered}}: RequestChange): boolean {
+	return delivered > 0 || outcomeOfAttempts(attempts) === 'unknown';
+}
+
 /**
 Begins the next attempt after a wait; servers that were passed over may be asked again.
 
--- a/packages/routing/src/_take-attempt-event.ts
+++ b/packages/routing/src/_take-attempt-event.ts
@@ -153,13 +153,14 @@
 	readonly retryAfterMilliseconds: number;
 };
 
-/** Nothing was sent, so that the next attempt costs no server more than the first and is no retry: with an empty budget of retries, a caller would be refused for a server that had just ended while another one is free. */
+/** Nothing was sent, so that the next attempt costs no server more than this one and draws on no budget again: with an empty one, a caller would be refused for a server that had just ended while another one is free. */
 function takeNeverSent(change: RequestChange, attempt: AttemptState): void {
 	change.setAttempt(attempt.number, {status: 'over', outcome: 'notRun'});
 	passOver(change, attempt);
 	tryAgain(change, {
 		message: 'Got no connection to any server that was tried',
 		retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+		budgeted: false,
 		...(attempt.purpose === 'first' && {purpose: 'first'}),
 	});
 }
--- a/packages/routing/src/request-life.test.ts
+++ b/packages/routing/src/request-life.test.ts
@@ -113,3 +113,32 @@
 	t.like(askedAfter([...chosen, {type: 'dispatch-denied', attempt: 2, reason: 'server-draining'}], plan), [{attempt: 3, purpose: 'retry', budgeted: false}]);
 	t.like(askedAfter([...begun, {type: 'server-draining', server: other}, {type: 'server-chosen', attempt: 2, server: other}], plan), [{attempt: 2, purpose: 'retry', budgeted: false}]);
 });
+
+test('a retry whose connection never opened draws on its budget once', t => {
+	const begun: readonly RequestEvent[] = [{type: 'admitted'}, {type: 'bill-opened'}, {type: 'server-chosen', attempt: 1, server}];
+	const cut: RequestEvent = {type: 'attempt-broken', attempt: 1, message: 'Cut'};
+	const chosen: RequestEvent = {type: 'server-chosen', attempt: 2, server: 'engine-2' as ServerId};
+	t.like(askedAfter([...begun, cut, chosen, {type: 'attempt-never-sent', attempt: 2}], {...plainPlan, repeatable: true}), [{attempt: 3, purpose: 'retry', budgeted: false}]);
+});
+
+test('a request without a server left waits once where it may have run, and is refused at once where it did not or where it ran and failed', t => {
+	const plan = {
+		...plainPlan, repeatable: true, streamed: true, comeBackMilliseconds: 50,
+	};
+	const begun: readonly RequestEvent[] = [{type: 'admitted'}, {type: 'bill-opened'}, {type: 'server-chosen', attempt: 1, server}];
+	const none: RequestEvent = {
+		type: 'no-server', attempt: 2, reason: 'none', retryAfterMilliseconds: 500,
+	};
+	const endOf = (event: RequestEvent): string => {
+		let step = startRequest(plan);
+		for (const next of [...begun, event, none]) {
+			step = stepRequest(step.state, {event: next, now: 1});
+		}
+
+		return step.state.stage;
+	};
+
+	t.is(endOf({type: 'attempt-timed-out', attempt: 1}), 'waiting');
+	t.is(endOf({type: 'attempt-not-run', attempt: 1}), 'ended');
+	t.is(endOf({type: 'attempt-failed', attempt: 1, message: 'Failed'}), 'ended');
+});
--- a/packages/routing/src/request-plan.ts
+++ b/packages/routing/src/request-plan.ts
@@ -35,7 +35,7 @@
 	readonly hedge?: HedgeDelays;
 	/** The most attempts on one target, hedges and resumes included; 4 by default. */
 	readonly maximumAttempts?: number;
-	/** The most milliseconds to wait once for a server where none is free; 0, the default, refuses at once. */
+	/** The most milliseconds to wait once for a server where none is left and the request may have run; 0, the default, gives up at once. */
 	readonly comeBackMilliseconds?: number;
 	/** Whether an attempt goes on when the caller leaves, so that the claim can keep its answer; false by default. */
 	readonly finishWithoutCaller?: boolean;
--- a/packages/testing/src/held-up-processes.test.ts
+++ b/packages/testing/src/held-up-processes.test.ts
@@ -11,6 +11,8 @@
 const tokens = 60;
 const stallMilliseconds = 1500;
 const heldUpMilliseconds = 4000;
+/** Longer than an attempt waits for a server, and shorter than that and the wait before servers are asked again. */
+const engineHeldUpMilliseconds = 2000;
 const timing = {
 	announcementRenewMilliseconds: 1000, configurationLeaseMilliseconds: 5000, shutdownMilliseconds: 10_000, stallMilliseconds,
 };
@@ -41,3 +43,30 @@
 	t.deepEqual(results.map(({status, done, text}) => [status, done, text]), wanted);
 	t.is(await entry.countRuns('engine-1'), texts.length);
 });
+
+/*
+What callers saw, once on a busy machine: one of two engines was killed, and not one of eight streams came to its end.
+The other engine was held up meanwhile, for longer than an attempt waits for it. Each stream had then tried both, and was given up at once, with most of its time left; a second later the engine went on.
+Evidence: with one engine killed and the other stopped for 2 s by a signal all eight end with 'Got no server that can take the request' within 1.6 s.
+*/
+test.serial('one engine is killed and the other is held up: the streams go on once it does', async t => {
+	const entry = await startEntryDeployment(t, {settings: {timing}});
+	const behaviour = {answerTokens: tokens, tokenMilliseconds: 25};
+	await Promise.all([entry.setBehaviour('engine-1', behaviour), entry.setBehaviour('engine-2', behaviour)]);
+	const texts = Array.from({length: 8}, (_, index) => `Coil ${index}`);
+	const answers = Promise.all(texts.map(async (text, index) => chatStreamed(entry.callers(index % 3), {key, messages: messagesOf(text)})));
+	await waitUntil(async () => {
+		const runs = await Promise.all([entry.runs('engine-1'), entry.runs('engine-2')]);
+		return runs.flat().length === texts.length || undefined;
+	}, {what: 'all streams at the engines'});
+	entry.backend('engine-2').process.signal('SIGSTOP');
+	await entry.backend('engine-1').process.kill('SIGKILL');
+	await delay(engineHeldUpMilliseconds);
+	entry.backend('engine-2').process.signal('SIGCONT');
+	const results = await answers;
+	const wanted = texts.map(text => [200, true, fakeAnswer({version: versions.first, messages: messagesOf(text), tokens}).join('')]);
+	t.deepEqual(results.map(({status, done, text}) => [status, done, text]), wanted);
+	const requests = results.map(({requestId}) => requestId);
+	const bills = await entry.bills(requests);
+	t.deepEqual(requests.map(request => bills.filter(bill => bill.request === request).length), requests.map(() => 1));
+});
