Let claims and change ids age by the time of the log

A claim's age was the leader's time of day less the date that another machine gave it: a leader that is ahead forgot every settled claim and turned every open one to unknown; a claim of an instance that is ahead was never forgotten and filled its workspace.

Change: claims and remembered change ids carry times of the log. What must be kept for a least time counts from the next reading.

--- a/packages/control/src/_bill-origins.ts
+++ b/packages/control/src/_bill-origins.ts
@@ -22,7 +22,7 @@
 export type BillOriginsData = {
 	readonly origins: ReadonlyArray<readonly [string, {readonly startedAt: number; readonly lastAt: number; readonly ranges: SequenceRangesData}]>;
 	readonly forgottenOriginsBefore: number;
-	/** Missing in snapshots of versions that had one floor for all instances; their `lastAt` is a date and no time of the log. */
+	/** Missing in snapshots of versions that had one floor for all instances. */
 	readonly originFloors?: ReadonlyArray<readonly [InstanceId, number]>;
 };
 
@@ -48,7 +48,7 @@
 		this.#floors = new Map(originFloors);
 		for (const [key, {startedAt, lastAt, ranges}] of origins) {
 			this.#origins.set(key, {
-				instance: instanceOfKey(key), startedAt, heardAt: originFloors === undefined ? 0 : lastAt, ranges: new SequenceRanges(ranges),
+				instance: instanceOfKey(key), startedAt, heardAt: lastAt, ranges: new SequenceRanges(ranges),
 			});
 		}
 	}
--- a/packages/control/src/_claims.ts
+++ b/packages/control/src/_claims.ts
@@ -6,6 +6,7 @@
 import {type SettleClaimCommand, type TakeClaimCommand} from './command.js';
 import {type ControlLimits} from './control-limits.js';
 import {type IdempotencyKey} from './ids.js';
+import {type LogTime} from './_log-time.js';
 
 /** One claim as the state keeps it. */
 export type Claim = Open | Settled;
@@ -17,6 +18,7 @@
 	readonly releasedBy?: readonly RequestId[];
 };
 
+/** Times are those of the log, in milliseconds: the dates of commands are other machines' clocks, and one leader's wrong date must not let a call run twice. */
 type Open = ClaimBase & {readonly instance: InstanceId; readonly takenAt: number; readonly settlement?: undefined};
 
 /** Most claims are settled, so these hold no more than they must. */
@@ -26,7 +28,7 @@
 	readonly key: IdempotencyKey;
 	readonly claim: Claim;
 	readonly settlement: ClaimSettlement;
-	readonly at: number;
+	readonly time: number;
 };
 
 /** The claims of one workspace; settled ones are in the order in which they were settled. */
@@ -49,6 +51,13 @@
 /** Changes nothing that anyone sees: equal headers in one object. */
 const sharedHeaders = new Map<string, KeptAnswer['headers']>();
 
+/** What carrying out a command on claims depends on. */
+export type ClaimOptions = {
+	readonly limits: ControlLimits;
+	/** The time of the log. */
+	readonly time: LogTime;
+};
+
 /** The claims on idempotency keys of all workspaces. */
 export class Claims {
 	readonly #workspaces = new Map<WorkspaceId, WorkspaceClaims>();
@@ -66,7 +75,7 @@
 		}
 	}
 
-	take(command: TakeClaimCommand, limits: ControlLimits): Either<Failure, ClaimOutcome> {
+	take(command: TakeClaimCommand, options: ClaimOptions): Either<Failure, ClaimOutcome> {
 		const {workspace, key, request, requestDigest} = command;
 		const claims = this.#claimsOf(workspace);
 		const known = claims.open.get(key) ?? claims.settled.get(key);
@@ -78,16 +87,16 @@
 			return Right(outcomeFor(known, request));
 		}
 
-		return makeRoom(claims, {command, limits}).map(() => {
+		return makeRoom(claims, {command, ...options}).map(() => {
 			forget(claims, key);
 			claims.open.set(key, {
-				requestDigest, request, instance: command.instance, takenAt: command.at, ...(known?.releasedBy && {releasedBy: known.releasedBy}),
+				requestDigest, request, instance: command.instance, takenAt: options.time.latest, ...(known?.releasedBy && {releasedBy: known.releasedBy}),
 			});
 			return {type: 'taken', request};
 		});
 	}
 
-	settle(command: SettleClaimCommand, limits: ControlLimits): ClaimOutcome {
+	settle(command: SettleClaimCommand, {limits, time}: ClaimOptions): ClaimOutcome {
 		const {workspace, key, request} = command;
 		const claims = this.#claimsOf(workspace);
 		const known = claims.open.get(key) ?? claims.settled.get(key);
@@ -100,22 +109,22 @@
 		}
 
 		settleClaim(claims, {
-			key, claim: known, settlement: withoutLargeBody(command.settlement, limits), at: command.at,
+			key, claim: known, settlement: withoutLargeBody(command.settlement, limits), time: time.latest,
 		});
 		dropBodies(claims, limits);
 		return outcomeFor(claims.settled.get(key) ?? known, request);
 	}
 
 	/** Turns the open claims of a lost instance to unknown. */
-	instanceLost(instance: InstanceId, at: number): void {
-		this.#settleOpen({at, isOver: claim => claim.instance === instance});
+	instanceLost(instance: InstanceId, time: LogTime): void {
+		this.#settleOpen({time, isOver: claim => claim.instance === instance});
 	}
 
-	expire(at: number, limits: ControlLimits): void {
-		this.#settleOpen({at, isOver: claim => claim.takenAt + limits.claimOpenMilliseconds <= at});
+	expire({limits, time}: ClaimOptions): void {
+		this.#settleOpen({time, isOver: claim => claim.takenAt + limits.claimOpenMilliseconds <= time.elapsed});
 		for (const [workspace, claims] of this.#workspaces) {
 			for (const [key, claim] of claims.settled) {
-				if (claim.settledAt + limits.claimMilliseconds > at) {
+				if (claim.settledAt + limits.claimMilliseconds > time.elapsed) {
 					break;
 				}
 
@@ -132,12 +141,12 @@
 		return [...this.#workspaces].map(([workspace, {open, settled}]) => [workspace, {open: [...open], settled: [...settled]}] as const);
 	}
 
-	#settleOpen({at, isOver}: {readonly at: number; readonly isOver: (claim: Open) => boolean}): void {
+	#settleOpen({time, isOver}: {readonly time: LogTime; readonly isOver: (claim: Open) => boolean}): void {
 		for (const claims of this.#workspaces.values()) {
 			for (const [key, claim] of claims.open) {
 				if (isOver(claim)) {
 					settleClaim(claims, {
-						key, claim, settlement: {type: 'unknown'}, at,
+						key, claim, settlement: {type: 'unknown'}, time: time.latest,
 					});
 				}
 			}
@@ -167,30 +176,33 @@
 }
 
 /** Makes room for one more claim, or tells when there will be. */
-function makeRoom(claims: WorkspaceClaims, {command: {key, at, workspace}, limits}: {readonly command: TakeClaimCommand; readonly limits: ControlLimits}): Either<Failure, undefined> {
+function makeRoom(claims: WorkspaceClaims, {command: {key, workspace}, limits, time}: ClaimOptions & {readonly command: TakeClaimCommand}): Either<Failure, undefined> {
+	const now = time.elapsed;
 	if (claims.settled.has(key) || claims.open.size + claims.settled.size < limits.claimsPerWorkspace) {
 		return Right(undefined);
 	}
 
 	const [oldest] = claims.settled;
-	const free = oldest === undefined ? at + limits.claimMinimumMilliseconds : oldest[1].settledAt + limits.claimMinimumMilliseconds;
-	if (oldest === undefined || free > at) {
+	const free = oldest === undefined ? now + limits.claimMinimumMilliseconds : oldest[1].settledAt + limits.claimMinimumMilliseconds;
+	if (oldest === undefined || free > now) {
 		const {claimsPerWorkspace, claimMinimumMilliseconds} = limits;
 		const message = `Got ${claimsPerWorkspace} idempotency keys of workspace ${workspace} in ${claimMinimumMilliseconds} ms, wanted fewer`;
-		return Left(failure('limit-reached', message, {retryAfterMilliseconds: free - at}));
+		return Left(failure('limit-reached', message, {retryAfterMilliseconds: free - now}));
 	}
 
 	forget(claims, oldest[0]);
 	return Right(undefined);
 }
 
-function settleClaim(claims: WorkspaceClaims, {key, claim, settlement, at}: Settling): void {
+function settleClaim(claims: WorkspaceClaims, {
+	key, claim, settlement, time,
+}: Settling): void {
 	const {requestDigest, request} = claim;
 	const releasedBy = settlement.type === 'released' ? [...claim.releasedBy ?? [], request].slice(-mostReleasesRemembered) : claim.releasedBy;
 	forget(claims, key);
 	keep(claims, {
 		key, claim: {
-			requestDigest, request, settlement: withSharedHeaders(settlement), settledAt: at, ...(releasedBy && {releasedBy}),
+			requestDigest, request, settlement: withSharedHeaders(settlement), settledAt: time, ...(releasedBy && {releasedBy}),
 		},
 	});
 }
--- a/packages/control/src/_configuration-changes.ts
+++ b/packages/control/src/_configuration-changes.ts
@@ -8,10 +8,12 @@
 import {type AdvanceRolloutCommand, type ApplyConfigurationCommand, type StopVersionCommand} from './command.js';
 import {type ChangeCause, type ConfigurationChange} from './configuration-change.js';
 import {type ControlLimits} from './control-limits.js';
+import {type LogTime} from './_log-time.js';
 
 /** The first answer to a change id. */
 type Remembered = {
 	readonly digest: string;
+	/** The time of the log, in milliseconds. */
 	readonly at: number;
 	readonly revision: number;
 	/** The failure, where the change was refused. */
@@ -25,6 +27,13 @@
 	readonly history: readonly ConfigurationChange[];
 };
 
+/** What a change depends on. */
+export type ApplyOptions = {
+	readonly limits: ControlLimits;
+	/** The time of the log. */
+	readonly time: LogTime;
+};
+
 const historyLength = 32;
 const emptyData: ConfigurationData = {
 	effective: {revision: toRevision(0), document: emptyConfiguration, rollouts: {}}, remembered: [], history: [],
@@ -50,8 +59,8 @@
 		return this.#history;
 	}
 
-	apply(command: ApplyConfigurationCommand, limits: ControlLimits): Either<Failure, number> {
-		const {changeId, digest, at} = command;
+	apply(command: ApplyConfigurationCommand, {limits, time}: ApplyOptions): Either<Failure, number> {
+		const {changeId, digest} = command;
 		const earlier = this.#remembered.get(changeId);
 		if (earlier !== undefined) {
 			return earlier.digest === digest
@@ -61,7 +70,7 @@
 
 		const result = this.#compareAndSet(command);
 		this.#remember(changeId, {
-			digest, at, revision: this.#effective.revision, ...(result.isLeft() && {failed: result.extract()}),
+			digest, at: time.latest, revision: this.#effective.revision, ...(result.isLeft() && {failed: result.extract()}),
 		}, limits);
 		return result;
 	}
@@ -99,9 +108,9 @@
 		return Right(stopped);
 	}
 
-	expire(at: number, {changeIdMilliseconds}: ControlLimits): void {
+	expire({limits: {changeIdMilliseconds}, time}: ApplyOptions): void {
 		for (const [changeId, earlier] of this.#remembered) {
-			if (earlier.at + changeIdMilliseconds > at) {
+			if (earlier.at + changeIdMilliseconds > time.elapsed) {
 				break;
 			}
 
--- a/packages/control/src/_log-time.ts
+++ b/packages/control/src/_log-time.ts
@@ -1,3 +1,5 @@
+import {clockReadingMilliseconds} from './clock-reading.js';
+
 /** The time of the log in a snapshot. */
 export type LogTimeData = {
 	readonly elapsed: number;
@@ -5,8 +7,8 @@
 	readonly readAt?: number | undefined;
 };
 
-/** Twice the interval between two readings of a leader. */
-const mostMillisecondsBetweenReadings = 120_000;
+/** Room for a change of the leader. */
+const mostMillisecondsBetweenReadings = 2 * clockReadingMilliseconds;
 
 /**
 The time that has passed in the log, in milliseconds, from the readings of its leaders' clocks.
@@ -22,10 +24,16 @@
 		this.#readAt = data?.readAt;
 	}
 
+	/** The time at the last reading: no more than has passed. */
 	get elapsed(): number {
 		return this.#elapsed;
 	}
 
+	/** The time at the next reading: no less than has passed. What is kept for a least time counts from here. */
+	get latest(): number {
+		return this.#elapsed + clockReadingMilliseconds;
+	}
+
 	/** Takes a reading of the leader's clock, in milliseconds since 1970. */
 	advance(readAt: number): void {
 		const step = readAt - (this.#readAt ?? readAt);
--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -101,10 +101,10 @@
 	readonly at: number;
 };
 
-/** Drops what is older than its bound; the leader sends it about once a minute. */
+/** Reads the leader's clock into the log, and drops what is older than its bound; sent every few seconds. */
 export type ExpireCommand = {
 	readonly type: 'expire';
-	/** Milliseconds since 1970. */
+	/** What the leader's clock says, in milliseconds since 1970. */
 	readonly at: number;
 };
 
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -15,6 +15,7 @@
 import {
 	type CommandAnswer, type CommandResult, type LogPosition, type RevisionAnswer,
 } from './command-answer.js';
+import {undateSnapshot} from './_undate-snapshot.js';
 import {type ConfigurationChange} from './configuration-change.js';
 import {type ControlLimits, defaultControlLimits} from './control-limits.js';
 import {
@@ -32,7 +33,7 @@
 	readonly claims: ClaimsData;
 	readonly ledger: LedgerData;
 	readonly orders: readonly OrderRecord[];
-	/** Missing in snapshots of versions that went by the clock of the leader alone. */
+	/** Missing in snapshots of versions that went by dates. */
 	readonly time?: LogTimeData;
 };
 
@@ -63,7 +64,7 @@
 			throw new RangeError(`Got a snapshot of format ${data.format}, wanted format ${format}`);
 		}
 
-		return new ControlState(data);
+		return new ControlState(data.time === undefined ? undateSnapshot(data) : data);
 	}
 
 	#limits: ControlLimits;
@@ -191,13 +192,14 @@
 
 	#carryOut(command: Command, position: LogPosition): Either<Failure, CommandAnswer> {
 		const limits = this.#limits;
+		const options = {limits, time: this.#time};
 		return match(command)
-			.with({type: 'apply-configuration'}, found => this.#configuration.apply(found, limits).map(revision => ({revision})))
+			.with({type: 'apply-configuration'}, found => this.#configuration.apply(found, options).map(revision => ({revision})))
 			.with({type: 'advance-rollout'}, found => this.#configuration.advance(found).map(rollout => this.#answer({rollout})))
 			.with({type: 'stop-version'}, found => this.#configuration.stop(found).map(rollout => this.#answer({rollout})))
 			.with({type: 'record-bills'}, ({bills}) => Right(this.#answer(this.#ledger.record(bills, {limits, time: this.#time.elapsed}))))
-			.with({type: 'take-claim'}, found => this.#claims.take(found, limits).map(claim => this.#answer({claim})))
-			.with({type: 'settle-claim'}, found => Right(this.#answer({claim: this.#claims.settle(found, limits)})))
+			.with({type: 'take-claim'}, found => this.#claims.take(found, options).map(claim => this.#answer({claim})))
+			.with({type: 'settle-claim'}, found => Right(this.#answer({claim: this.#claims.settle(found, options)})))
 			.with({type: 'instance-lost'}, found => Right(this.#loseInstance(found)))
 			.with({type: 'issue-order'}, found => this.#orders.issue(found, {position, limits}).map(order => this.#answer({order})))
 			.with({type: 'complete-order'}, found => this.#orders.complete(found, limits).map(order => this.#answer({order})))
@@ -206,15 +208,16 @@
 			.exhaustive();
 	}
 
-	#loseInstance({instance, at}: InstanceLostCommand): RevisionAnswer {
-		this.#claims.instanceLost(instance, at);
+	#loseInstance({instance}: InstanceLostCommand): RevisionAnswer {
+		this.#claims.instanceLost(instance, this.#time);
 		return this.#answer({});
 	}
 
 	#expire({at}: ExpireCommand): RevisionAnswer {
 		this.#time.advance(at);
-		this.#configuration.expire(at, this.#limits);
-		this.#claims.expire(at, this.#limits);
+		const options = {limits: this.#limits, time: this.#time};
+		this.#configuration.expire(options);
+		this.#claims.expire(options);
 		this.#ledger.expire(this.#time.elapsed, this.#limits);
 		return this.#answer({});
 	}
--- a/packages/control/src/mod.ts
+++ b/packages/control/src/mod.ts
@@ -4,6 +4,7 @@
 @module
 */
 export type * from './claim.js';
+export * from './clock-reading.js';
 export type * from './command.js';
 export type * from './command-answer.js';
 export type * from './configuration-change.js';
--- a/packages/daemon/src/control/leader-tasks.ts
+++ b/packages/daemon/src/control/leader-tasks.ts
@@ -1,4 +1,4 @@
-import {type ControlLimits} from '@valehitch/control';
+import {clockReadingMilliseconds, type ControlLimits} from '@valehitch/control';
 import {type DaemonBase} from '../daemon-base.js';
 import {type DistributionPart} from '../distribution/start-distribution.js';
 import {type RatingSummary, type RatingSummaryReply} from '../ratings/rating-summary.js';
@@ -26,7 +26,7 @@
 const orderTickMilliseconds = 100;
 const rolloutTickMilliseconds = 500;
 const limitsMilliseconds = 500;
-const expireMilliseconds = 60_000;
+const tidyMilliseconds = 60_000;
 
 /**
 Starts what the leader of the control replicas does besides the log: orders, roll-outs, and the bounds and the expiry of what is kept.
@@ -77,8 +77,10 @@
 				await control.propose({type: 'set-limits', limits: settings.controlLimits});
 			}
 		}),
-		every(expireMilliseconds, async () => {
+		every(tidyMilliseconds, async () => {
 			evidence.tidy();
+		}),
+		every(clockReadingMilliseconds, async () => {
 			if (control.isLeader()) {
 				await control.propose({type: 'expire', at: clock.now().getTime()});
 			}
--- a/packages/testing/src/_control-commands.ts
+++ b/packages/testing/src/_control-commands.ts
@@ -95,5 +95,6 @@
 	fc.record({orderId: name('o', 5).map(id => toId<OrderId>(id)), outcome: fc.constantFrom('done' as const, 'failed' as const)}).map((found): Maker => ({at, oracle}) => ({
 		type: 'complete-order', ...found, fencing: {term: 1, sequence: oracle.orders.find(({id}) => id === found.orderId)?.index ?? 0}, at,
 	})),
-	fc.constant<Maker>(({at}) => ({type: 'expire', at})),
+	// Readings of a clock are as many as all other commands, by leaders whose clocks are right, or wrong by seconds, by hours and by years.
+	{weight: 12, arbitrary: fc.constantFrom(0, 0, 0, 0, 0, 0, 5000, -5000, 10_000_000, -10_000_000, 100_000_000_000).map((error): Maker => ({at}) => ({type: 'expire', at: at + error}))},
 );
