Have each instance tell the ledger that its run goes on

What an operator would see: the first bills of an instance that ran on without work for over a month are in no ledger.

Cause: the ledger heard of a run by its bills only, and refuses those of a run that it has forgotten.

Change: an instance tells the ledger at its start and every hour (four times within the bound, where that is shorter) that its run goes on. The word is a member of the command that records bills, so that a replica of the version before ignores it in place of ending on an unknown command.

Before: the new test of the state red (its bills refused).

--- a/packages/control/src/_bill-origins.ts
+++ b/packages/control/src/_bill-origins.ts
@@ -1,18 +1,14 @@
 import {type InstanceId, toId} from '@valehitch/core';
+import {type InstanceRun} from './command.js';
 import {type Addition, SequenceRanges, type SequenceRangesData} from './_sequence-ranges.js';
 
 /** One bill of one run of an instance. */
-export type BillIdentity = {
-	readonly instance: InstanceId;
-	/** When the run began, by the clock of the instance; it tells runs apart and is no time to reckon with. */
-	readonly startedAt: number;
+export type BillIdentity = InstanceRun & {
 	/** The number of the bill in that run. */
 	readonly sequence: number;
 };
 
-type Origin = {
-	readonly instance: InstanceId;
-	readonly startedAt: number;
+type Origin = InstanceRun & {
 	/** The time of the log at which the ledger heard of it last, in milliseconds. */
 	heardAt: number;
 	readonly ranges: SequenceRanges;
@@ -53,8 +49,8 @@
 		}
 	}
 
-	add({instance, startedAt, sequence}: BillIdentity, time: number): Addition {
-		const origin = this.#heardOf({instance, startedAt}, time);
+	add({sequence, ...run}: BillIdentity, time: number): Addition {
+		const origin = this.heardOf(run, time);
 		return origin === undefined ? 'below-floor' : origin.ranges.add(sequence);
 	}
 
@@ -74,7 +70,7 @@
 	}
 
 	/** The run, which counts as heard of now; undefined where it may be one that was forgotten. */
-	#heardOf({instance, startedAt}: Omit<BillIdentity, 'sequence'>, time: number): Origin | undefined {
+	heardOf({instance, startedAt}: InstanceRun, time: number): Origin | undefined {
 		const key = `${instance}/${startedAt}`;
 		const known = this.#origins.get(key);
 		if (known !== undefined) {
--- a/packages/control/src/_ledger.ts
+++ b/packages/control/src/_ledger.ts
@@ -1,5 +1,6 @@
 import {type Bill, type RequestId, type WorkspaceId} from '@valehitch/core';
 import {BillOrigins, type BillOriginsData, emptyBillOrigins} from './_bill-origins.js';
+import {type RecordBillsCommand} from './command.js';
 import {type ControlLimits} from './control-limits.js';
 import {type LedgerPage, type LedgerQuestion, type WorkspaceTotal} from './ledger-page.js';
 import {type Addition} from './_sequence-ranges.js';
@@ -53,7 +54,11 @@
 		return {first: this.#first, last: this.#first + this.#bills.length - 1};
 	}
 
-	record(bills: readonly Bill[], {limits, time}: RecordOptions): {readonly recorded: number; readonly expired: readonly RequestId[]} {
+	record({bills, running}: RecordBillsCommand, {limits, time}: RecordOptions): {readonly recorded: number; readonly expired: readonly RequestId[]} {
+		if (running !== undefined) {
+			this.#origins.heardOf(running, time);
+		}
+
 		const expired: RequestId[] = [];
 		let recorded = 0;
 		for (const bill of bills) {
--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -20,10 +20,19 @@
 	readonly at: number;
 };
 
+/** One run of an instance, from its start to its end. */
+export type InstanceRun = {
+	readonly instance: InstanceId;
+	/** When it began, by the clock of the instance, in milliseconds since 1970; it tells runs apart. */
+	readonly startedAt: number;
+};
+
 /** Puts settled bills into the ledger; one that is there already is passed over. */
 export type RecordBillsCommand = {
 	readonly type: 'record-bills';
 	readonly bills: readonly Bill[];
+	/** The run that sends them; the ledger remembers it from here on, also where it has no bills. */
+	readonly running?: InstanceRun | undefined;
 };
 
 /** Takes the claim of an idempotency key for one request; the first request wins. Safe to send again. */
--- a/packages/control/src/control-state.test.ts
+++ b/packages/control/src/control-state.test.ts
@@ -56,6 +56,26 @@
 	t.deepEqual(record(state, billOf(2, 1000), billOf(1, 1000)), {recorded: 1, expired: 0});
 });
 
+/*
+What an operator would see: the first bills of an instance that ran on without work for over a month are in no ledger.
+Only bills told the ledger that a run goes on.
+*/
+test('an instance that is idle for longer than runs are remembered stays known by its word, and one that was never heard of begins anew', t => {
+	const state = new ControlState();
+	state.apply({type: 'set-limits', limits: {...defaultControlLimits, originMilliseconds: 10 * minute}}, position);
+	const running = {instance: toId<InstanceId>('entry-1'), startedAt: 1000};
+	t.deepEqual(record(state, billOf(1, 1000)), {recorded: 1, expired: 0});
+	for (let from = 0; from < day; from += 5 * minute) {
+		passTime(state, {from, to: from + (5 * minute)});
+		state.apply({type: 'record-bills', bills: [], running}, position);
+	}
+
+	t.deepEqual(record(state, billOf(1, 1000), billOf(2, 1000)), {recorded: 1, expired: 0});
+	passTime(state, {from: day, to: day + (12 * minute)});
+	state.apply({type: 'record-bills', bills: [], running}, position);
+	t.deepEqual(record(state, billOf(2, 1000)), {recorded: 0, expired: 1});
+});
+
 test('a leader whose clock is wrong by a year for a while makes no running instance a year old', t => {
 	const state = new ControlState();
 	passTime(state, {from: 10_000 * day, to: 10_001 * day});
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -197,7 +197,7 @@
 			.with({type: 'apply-configuration'}, found => this.#configuration.apply(found, options).map(revision => ({revision})))
 			.with({type: 'advance-rollout'}, found => this.#configuration.advance(found).map(rollout => this.#answer({rollout})))
 			.with({type: 'stop-version'}, found => this.#configuration.stop(found).map(rollout => this.#answer({rollout})))
-			.with({type: 'record-bills'}, ({bills}) => Right(this.#answer(this.#ledger.record(bills, {limits, time: this.#time.elapsed}))))
+			.with({type: 'record-bills'}, found => Right(this.#answer(this.#ledger.record(found, {limits, time: this.#time.elapsed}))))
 			.with({type: 'take-claim'}, found => this.#claims.take(found, options).map(claim => this.#answer({claim})))
 			.with({type: 'settle-claim'}, found => Right(this.#answer({claim: this.#claims.settle(found, options)})))
 			.with({type: 'instance-lost'}, found => Right(this.#loseInstance(found)))
--- /dev/null
+++ b/packages/daemon/src/entry/bills/keep-run-known.test.ts
@@ -0,0 +1,34 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {type InstanceRun} from '@valehitch/control';
+import {
+	failure, type InstanceId, toId,
+} from '@valehitch/core';
+import test from 'ava';
+import {Left, Right} from 'purify-ts';
+import {keepRunKnown} from './keep-run-known.js';
+
+test('the ledger is told at once and several times in its memory, and a word that is lost is told', async t => {
+	const running = {instance: toId<InstanceId>('entry-1'), startedAt: 1000};
+	const told: InstanceRun[] = [];
+	const failures: string[] = [];
+	const stop = keepRunKnown(running, {
+		rememberedMilliseconds: 200,
+		async tell(run) {
+			told.push(run);
+			return told.length === 1 ? Left(failure('no-quorum', 'Got none')) : Right(undefined);
+		},
+		onFailure({message}) {
+			failures.push(message);
+		},
+	});
+	t.deepEqual(told, [running]);
+	while (told.length < 4) {
+		await delay(10);
+	}
+
+	stop();
+	const {length} = told;
+	await delay(150);
+	t.is(told.length, length);
+	t.deepEqual(failures, ['Got none']);
+});
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -10,6 +10,7 @@
 import {type RatingsPart} from '../ratings/ratings-part.js';
 import {BillKeeper} from './bills/bill-keeper.js';
 import {HeldBills} from './bills/held-bills.js';
+import {keepRunKnown} from './bills/keep-run-known.js';
 import {LedgerOutbox} from './bills/ledger-outbox.js';
 import {watchBills} from './bills/watch-bills.js';
 import {type ClaimCommand, ClaimKeeper} from './claim-keeper.js';
@@ -59,7 +60,15 @@
 export function startEntry(base: DaemonBase, options: StartEntryOptions): EntryPart {
 	const {control, distribution} = options;
 	const outbox = new LedgerOutbox({propose: async command => control.propose(command), wait});
-	const bills = billKeeper(base, {...options, outbox});
+	const startedAt = base.clock.now().getTime();
+	const bills = billKeeper(base, {...options, outbox, startedAt});
+	const stopTelling = keepRunKnown({instance: base.settings.instance, startedAt}, {
+		rememberedMilliseconds: base.settings.controlLimits.originMilliseconds,
+		tell: async running => control.propose({type: 'record-bills', bills: [], running}),
+		onFailure(failed) {
+			base.log.info({failure: failed}, 'The ledger was not told that this run goes on');
+		},
+	});
 	const held = heldBills(base, bills);
 	const claims = claimKeeper(base, control);
 	claims.begin();
@@ -115,6 +124,7 @@
 			closing.abort();
 			watch.stop();
 			clearInterval(admissionTimer);
+			stopTelling();
 			outbox.close();
 			claims.close();
 		},
@@ -126,11 +136,16 @@
 	await delay(milliseconds, undefined, {ref: false});
 }
 
-function billKeeper({self, clock, network, newId}: DaemonBase, {distribution, outbox}: Pick<StartEntryOptions, 'distribution'> & {readonly outbox: LedgerOutbox}): BillKeeper {
+type BillKeeperParts = Pick<StartEntryOptions, 'distribution'> & {
+	readonly outbox: LedgerOutbox;
+	readonly startedAt: number;
+};
+
+function billKeeper({self, clock, network, newId}: DaemonBase, {distribution, outbox, startedAt}: BillKeeperParts): BillKeeper {
 	return new BillKeeper({
 		self,
 		start: newId(),
-		startedAt: clock.now().getTime(),
+		startedAt,
 		clock,
 		outbox,
 		members: distribution.members,
