--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -155,11 +155,10 @@
 
 	#recordStage({target, resumeFrom}: DispatchAction, time: StageTime): void {
 		const {model, version} = asVersion(target);
-		const {facts: {promptTokens}} = this.#plan;
 		if (time.stage === 'decode') {
 			this.#options.context.history.record(keyOf(target), time);
 		} else if (resumeFrom === 0) {
-			this.#options.context.history.record(stageKey({model, version, promptTokens}), time);
+			this.#options.context.history.record(stageKey({model, version}), time);
 		}
 	}
 
--- a/packages/gateway/src/entry/latency-book.ts
+++ b/packages/gateway/src/entry/latency-book.ts
@@ -40,7 +40,7 @@
 /**
 Mean times to the first byte, by what they depend on, in proportion to the prompt; without answers they fade to the calm times.
 
-Prompts of one route differ a hundredfold, and a server reads the longest for seconds: by the mean alone 95 % of the servers that were given up as silent were at work, in two days played with every line logged.
+Prompts of one route differ a hundredfold, and a server reads the longest for seconds: by the mean alone, servers that are at work would be given up as silent.
 
 @example
 ```ts
--- a/packages/routing/src/hedge-policy.ts
+++ b/packages/routing/src/hedge-policy.ts
@@ -6,8 +6,6 @@
 export type HedgedRequest = {
 	readonly model: ModelId;
 	readonly version: VersionId;
-	/** The estimate of the prompt's tokens; not used, since histories by the size of the prompt were not better. */
-	readonly promptTokens?: number;
 	readonly streamed: boolean;
 };
 
