Refuse the bills of a forgotten run only, not those of runs that began before it

What an operator would see: an instance starts again with its clock behind, and none of the bills of that run are in the ledger.

Cause: a forgotten run left a floor for its instance, and a start below it was taken for a forgotten one, though it went on.

Change: the last 10,000 forgotten runs are known by themselves; the floor comes only from older ones.

--- a/packages/control/src/_bill-origins.ts
+++ b/packages/control/src/_bill-origins.ts
@@ -18,12 +18,17 @@
 export type BillOriginsData = {
 	readonly origins: ReadonlyArray<readonly [string, {readonly startedAt: number; readonly lastAt: number; readonly ranges: SequenceRangesData}]>;
 	readonly forgottenOriginsBefore: number;
-	/** Missing in snapshots of versions that had one floor for all instances. */
+	/** This and the next are missing in snapshots of versions that had one floor for all instances. */
 	readonly originFloors?: ReadonlyArray<readonly [InstanceId, number]>;
+	readonly forgottenOrigins?: ReadonlyArray<readonly [string, InstanceRun]>;
 };
 
-export const emptyBillOrigins: BillOriginsData = {origins: [], forgottenOriginsBefore: 0, originFloors: []};
+export const emptyBillOrigins: BillOriginsData = {
+	origins: [], forgottenOriginsBefore: 0, originFloors: [], forgottenOrigins: [],
+};
 
+/** Bounds the memory for runs that are over, some hundred bytes each. */
+const mostForgotten = 10_000;
 /** Bounds the memory for names that never come back. */
 const mostFloors = 10_000;
 
@@ -34,12 +39,15 @@
 */
 export class BillOrigins {
 	readonly #origins = new Map<string, Origin>();
-	/** For each instance, the start before which its runs are forgotten: a floor for all would refuse the first bill of a run that is older than another's. */
+	/** The runs that were forgotten last. Each is known by itself: below a floor there may also be a run that goes on, of an instance whose clock was behind as it started. */
+	readonly #forgotten: Map<string, InstanceRun>;
+	/** For each instance, the start before which runs are refused, once more than the last ones were forgotten. */
 	readonly #floors: Map<InstanceId, number>;
 	/** The floor of the instances whose own one was given up. */
 	#commonFloor: number;
 
-	constructor({origins, forgottenOriginsBefore, originFloors}: BillOriginsData) {
+	constructor({origins, forgottenOriginsBefore, originFloors, forgottenOrigins}: BillOriginsData) {
+		this.#forgotten = new Map(forgottenOrigins);
 		this.#commonFloor = forgottenOriginsBefore;
 		this.#floors = new Map(originFloors);
 		for (const [key, {startedAt, lastAt, ranges}] of origins) {
@@ -59,14 +67,25 @@
 		for (const [key, {instance, startedAt, heardAt}] of this.#origins) {
 			if (heardAt < oldest) {
 				this.#origins.delete(key);
-				this.#raiseFloor(instance, startedAt + 1);
+				this.#forgotten.set(key, {instance, startedAt});
 			}
 		}
+
+		for (const [key, run] of this.#forgotten) {
+			if (this.#forgotten.size <= mostForgotten) {
+				return;
+			}
+
+			this.#forgotten.delete(key);
+			this.#raiseFloor(run);
+		}
 	}
 
 	toData(): BillOriginsData {
 		const origins = [...this.#origins].map(([key, {startedAt, heardAt, ranges}]) => [key, {startedAt, lastAt: heardAt, ranges: ranges.toData()}] as const);
-		return {origins, forgottenOriginsBefore: this.#commonFloor, originFloors: [...this.#floors]};
+		return {
+			origins, forgottenOriginsBefore: this.#commonFloor, originFloors: [...this.#floors], forgottenOrigins: [...this.#forgotten],
+		};
 	}
 
 	/** The run, which counts as heard of now; undefined where it may be one that was forgotten. */
@@ -78,7 +97,8 @@
 			return known;
 		}
 
-		if (startedAt < Math.max(this.#commonFloor, this.#floors.get(instance) ?? 0)) {
+		const floor = Math.max(this.#commonFloor, this.#floors.get(instance) ?? 0);
+		if (this.#forgotten.has(key) || startedAt < floor) {
 			return undefined;
 		}
 
@@ -89,8 +109,8 @@
 		return origin;
 	}
 
-	#raiseFloor(instance: InstanceId, floor: number): void {
-		this.#floors.set(instance, Math.max(floor, this.#floors.get(instance) ?? 0));
+	#raiseFloor({instance, startedAt}: InstanceRun): void {
+		this.#floors.set(instance, Math.max(startedAt + 1, this.#floors.get(instance) ?? 0));
 		for (const [oldest, given] of this.#floors) {
 			if (this.#floors.size <= mostFloors) {
 				return;
