Use and grant no configuration lease from before a suspension

What callers would see: a machine that was suspended serves by a configuration that was replaced meanwhile, such as a key that was taken away, though the operator was told that the new one is in force everywhere.

Cause: the monotonic clock stands still while a machine is suspended, so that a lease looks valid for as long again; the leader has counted it as over.

Change: a lease counts only where it was asked for since the machine last woke; an answer to a question from before is not taken.

Before: with the comparison taken out, the fuzz with suspended machines finds a node that may serve an earlier revision than the one in force, and the new test is red.

Played by clocks only; no machine was suspended.

--- a/packages/daemon/src/distribution/start-distribution.ts
+++ b/packages/daemon/src/distribution/start-distribution.ts
@@ -1,5 +1,5 @@
 import {
-	type Announcement, type EffectiveConfiguration, type InstanceId,
+	type Announcement, type EffectiveConfiguration, type InstanceId, SuspensionWatch,
 } from '@valehitch/core';
 import {ConfigurationRelay, type InForceAnswer, type ServerTable} from '@valehitch/membership';
 import {match} from 'ts-pattern';
@@ -55,7 +55,7 @@
 	// Short on the links; a start is told from another by chance.
 	const incarnation = 1 + Math.floor(base.random() * incarnationRange);
 	const relay = new ConfigurationRelay({
-		instance, zone, incarnation, leaseMilliseconds,
+		instance, zone, incarnation, leaseMilliseconds, suspension: new SuspensionWatch(clock),
 	});
 	const node = new DistributionNode({
 		base, control, relay, incarnation, startedAt: clock.now().getTime(),
--- a/packages/membership/src/configuration-relay.test.ts
+++ b/packages/membership/src/configuration-relay.test.ts
@@ -7,6 +7,7 @@
 import {InForceTracker} from './in-force-tracker.js';
 
 const seed = 43;
+const neverSuspended = {lastWake: () => Number.NEGATIVE_INFINITY};
 const nodes = 6;
 const leaseMilliseconds = 100;
 const leaderLeaseMilliseconds = 40;
@@ -20,6 +21,10 @@
 	mostNode: 3, mostThere: 6, mostBack: 6, mostWait: 12, adopts: mostly(true), lost: mostly(false), size: 'max',
 });
 
+const suspendedSteps = makeSteps({
+	mostNode: 3, mostThere: 6, mostBack: 6, mostWait: 12, adopts: mostly(true), lost: mostly(false), size: 'max', suspends: true,
+});
+
 type StepsOptions = {
 	readonly mostNode: number;
 	readonly mostThere: number;
@@ -28,13 +33,16 @@
 	readonly adopts: fc.Arbitrary<boolean>;
 	readonly lost: fc.Arbitrary<boolean>;
 	readonly size?: 'max';
+	readonly suspends?: boolean;
 };
 
 function mostly(value: boolean): fc.Arbitrary<boolean> {
 	return fc.nat(9).map(drawn => (drawn > 0) === value);
 }
 
-function makeSteps({mostNode, mostThere, mostBack, mostWait, adopts, lost, size}: StepsOptions) {
+function makeSteps({
+	mostNode, mostThere, mostBack, mostWait, adopts, lost, size, suspends,
+}: StepsOptions) {
 	const nodeIndex = fc.nat(mostNode);
 	return fc.array(fc.oneof(
 		{
@@ -47,6 +55,7 @@
 		{weight: 3, arbitrary: fc.record({type: fc.constant('renew-leader' as const)})},
 		{weight: 1, arbitrary: fc.record({type: fc.constant('elect' as const), node: nodeIndex})},
 		{weight: 1, arbitrary: fc.record({type: fc.constant('restart' as const), node: nodeIndex})},
+		...(suspends === true ? [{weight: 1, arbitrary: fc.record({type: fc.constant('suspend' as const), node: nodeIndex, milliseconds: fc.integer({min: 1, max: 2 * leaseMilliseconds})})}] : []),
 	), {minLength: 60, maxLength: 250, ...(size !== undefined && {size})});
 }
 
@@ -60,6 +69,10 @@
 	/** How often a former parent was released. */
 	released = 0;
 	readonly #relays: ConfigurationRelay[] = [];
+	/** How long each machine was suspended in all. */
+	readonly #slept: number[] = [];
+	/** When each woke last, by its own clock. */
+	readonly #wokeAt: number[] = [];
 	readonly #messages: Array<{readonly at: number; readonly deliver: () => void}> = [];
 	readonly #views = new Map<number, {readonly revision: number; readonly until: number}>();
 	#hasGoneBack = false;
@@ -118,6 +131,14 @@
 				break;
 			}
 
+			case 'suspend': {
+				// Nothing arrives anywhere meanwhile.
+				this.#slept[step.node] = (this.#slept[step.node] ?? 0) + step.milliseconds;
+				this.now += step.milliseconds;
+				this.#wokeAt[step.node] = this.#clock(step.node);
+				break;
+			}
+
 			case 'restart': {
 				if (step.node !== this.#leader) {
 					this.#relays[step.node] = this.#make(step.node);
@@ -152,12 +173,13 @@
 	#make(index: number): ConfigurationRelay {
 		return new ConfigurationRelay({
 			instance: toId<InstanceId>(`node-${index}`), zone: zones[index % zones.length]!, incarnation: ++this.#incarnation, leaseMilliseconds,
+			suspension: {lastWake: () => this.#wokeAt[index] ?? Number.NEGATIVE_INFINITY},
 		});
 	}
 
-	/** The monotonic clock of a node: another start and up to 0.4 % slower or faster. */
+	/** The monotonic clock of a node: another start, up to 0.4 % slower or faster, and still while the machine is suspended. */
 	#clock(index: number, at: number = this.now): number {
-		return (1000 * index) + (at * (1 + ((index - 2.5) * 0.0016)));
+		return (1000 * index) + ((at - (this.#slept[index] ?? 0)) * (1 + ((index - 2.5) * 0.0016)));
 	}
 
 	#lead(): InForceTracker {
@@ -227,7 +249,7 @@
 			}
 
 			this.#messages.splice(this.#messages.indexOf(next), 1);
-			this.now = next.at;
+			this.now = Math.max(this.now, next.at);
 			next.deliver();
 		}
 
@@ -270,9 +292,15 @@
 	t.true(released > 1000);
 });
 
+test('the same while machines are suspended', t => {
+	const {found} = check(suspendedSteps, 5000);
+	t.log(`${found} times in force`);
+	t.true(found > 100);
+});
+
 test('a lease counts from when the question was sent, and an answer to an earlier question is passed over', t => {
 	const make = (name: string): ConfigurationRelay => new ConfigurationRelay({
-		instance: toId<InstanceId>(name), zone: zones[0]!, incarnation: 1, leaseMilliseconds,
+		instance: toId<InstanceId>(name), zone: zones[0]!, incarnation: 1, leaseMilliseconds, suspension: neverSuspended,
 	});
 	const leader = make('leader');
 	leader.adopt(toRevision(1));
@@ -291,7 +319,7 @@
 
 const relayAt = (name: string, revision: number): ConfigurationRelay => {
 	const relay = new ConfigurationRelay({
-		instance: toId<InstanceId>(name), zone: zones[0]!, incarnation: 1, leaseMilliseconds,
+		instance: toId<InstanceId>(name), zone: zones[0]!, incarnation: 1, leaseMilliseconds, suspension: neverSuspended,
 	});
 	relay.adopt(toRevision(revision));
 	return relay;
@@ -347,3 +375,22 @@
 	ask(below, {parent: child, name: 'child', at: 8});
 	t.deepEqual(ask(child, {parent: granter, name: 'granter', at: 9}).map(([name]) => name), [toId<InstanceId>('leader')]);
 });
+
+test('a lease from before a suspension is neither used nor passed on, and the answer to a question from before it is not taken', t => {
+	let wokeAt = Number.NEGATIVE_INFINITY;
+	const leader = relayAt('leader', 1);
+	leader.renewAsLeader({revision: toRevision(1), validUntil: 1}, 0);
+	const child = new ConfigurationRelay({
+		instance: toId<InstanceId>('child'), zone: zones[0]!, incarnation: 1, leaseMilliseconds, suspension: {lastWake: () => wokeAt},
+	});
+	ask(child, {parent: leader, name: 'leader', at: 0});
+	t.true(child.isLeaseValid(10));
+	const question = child.question(11, toId<InstanceId>('leader'));
+	const grant = leader.answer(question, 11)!;
+	wokeAt = 12;
+	t.false(child.isLeaseValid(12));
+	t.is(child.answer(relayAt('below', 1).question(13, toId<InstanceId>('child')), 13), undefined);
+	t.false(child.take({question, sentAt: 11, grant}));
+	ask(child, {parent: leader, name: 'leader', at: 14});
+	t.true(child.isLeaseValid(15));
+});
--- a/packages/membership/src/configuration-relay.ts
+++ b/packages/membership/src/configuration-relay.ts
@@ -1,5 +1,5 @@
 import {
-	type InstanceId, type Revision, toRevision, type ZoneId,
+	type InstanceId, type Revision, type SuspensionWatch, toRevision, type ZoneId,
 } from '@valehitch/core';
 
 /** The lowest revision that any lease of a zone may still run under. */
@@ -50,6 +50,8 @@
 	readonly incarnation: number;
 	/** The length of a lease that the leader grants. */
 	readonly leaseMilliseconds: number;
+	/** The monotonic clock stands still while the machine is suspended, and leases end meanwhile all the same. */
+	readonly suspension: Pick<SuspensionWatch, 'lastWake'>;
 };
 
 type Outstanding = {
@@ -90,7 +92,10 @@
 	readonly #releases: Array<readonly [InstanceId, LeaseRelease]> = [];
 	#parent: InstanceId | undefined;
 	#revision = toRevision(0);
-	#validUntil = Number.NEGATIVE_INFINITY;
+	/** Until when the own lease runs, on the monotonic clock. */
+	#leasedUntil = Number.NEGATIVE_INFINITY;
+	/** When the question for it was sent, or the leader renewed it. */
+	#leasedAt = Number.NEGATIVE_INFINITY;
 	#lastQuestion = 0;
 
 	constructor(options: ConfigurationRelayOptions) {
@@ -102,9 +107,9 @@
 		return this.#revision;
 	}
 
-	/** Until when the own lease runs, on the monotonic clock. */
+	/** Until when the own lease runs, on the monotonic clock; minus infinity where the machine was suspended since it was asked for. */
 	get validUntil(): number {
-		return this.#validUntil;
+		return this.#leasedAt < this.#options.suspension.lastWake() ? Number.NEGATIVE_INFINITY : this.#leasedUntil;
 	}
 
 	/**
@@ -128,7 +133,7 @@
 	@param now The monotonic time.
 	*/
 	isLeaseValid(now: number): boolean {
-		return now < this.#validUntil;
+		return now < this.validUntil;
 	}
 
 	/**
@@ -156,14 +161,15 @@
 	*/
 	answer(question: LeaseQuestion, now: number): LeaseGrant | undefined {
 		const key = keyOf(question);
-		const expiresAt = Math.max(this.#validUntil, this.#outstanding.get(key)?.expiresAt ?? Number.NEGATIVE_INFINITY);
+		const {validUntil} = this;
+		const expiresAt = Math.max(validUntil, this.#outstanding.get(key)?.expiresAt ?? Number.NEGATIVE_INFINITY);
 		if (now >= expiresAt) {
 			this.#outstanding.delete(key);
 			return undefined;
 		}
 
 		this.#outstanding.set(key, {minima: question.confirmed, number: question.number, expiresAt});
-		return now < this.#validUntil ? {revision: this.#revision, remainingMilliseconds: this.#validUntil - now} : undefined;
+		return now < validUntil ? {revision: this.#revision, remainingMilliseconds: validUntil - now} : undefined;
 	}
 
 	/**
@@ -183,19 +189,20 @@
 	Takes the answer to a question.
 
 	@param answer The question, when it was sent on the monotonic clock, and the grant.
-	@returns Whether the lease was taken; not for an earlier question or where the granted revision is not in force here yet.
+	@returns Whether the lease was taken; not for an earlier question, for one from before the machine was suspended, or where the granted revision is not in force here yet.
 	*/
 	take({question, sentAt, grant}: {readonly question: LeaseQuestion; readonly sentAt: number; readonly grant: LeaseGrant}): boolean {
-		if (question.number !== this.#lastQuestion || grant.revision > this.#revision) {
+		const isStale = question.number !== this.#lastQuestion || sentAt < this.#options.suspension.lastWake();
+		if (isStale || grant.revision > this.#revision) {
 			return false;
 		}
 
 		const validUntil = sentAt + (grant.remainingMilliseconds * (1 - driftAllowance));
-		if (validUntil >= this.#validUntil && question.confirmed.every(({revision}) => revision >= grant.revision)) {
+		if (validUntil >= this.validUntil && question.confirmed.every(({revision}) => revision >= grant.revision)) {
 			this.#releaseFormer();
 		}
 
-		this.#validUntil = Math.max(this.#validUntil, validUntil);
+		this.#lease(validUntil, sentAt);
 		return true;
 	}
 
@@ -220,7 +227,7 @@
 			return false;
 		}
 
-		this.#validUntil = Math.max(this.#validUntil, now + this.#options.leaseMilliseconds);
+		this.#lease(now + this.#options.leaseMilliseconds, now);
 		return true;
 	}
 
@@ -246,6 +253,11 @@
 		return [...lowest].map(([zone, revision]) => ({zone, revision}));
 	}
 
+	#lease(until: number, askedAt: number): void {
+		this.#leasedUntil = Math.max(this.validUntil, until);
+		this.#leasedAt = Math.max(this.#leasedAt, askedAt);
+	}
+
 	#releaseFormer(): void {
 		const {instance, incarnation} = this.#options;
 		for (const former of this.#asked) {
