--- a/packages/soak/src/run-soak.test.ts
+++ b/packages/soak/src/run-soak.test.ts
@@ -14,19 +14,24 @@
 ];
 const program = fileURLToPath(new URL('bin/soak.js', import.meta.url));
 
-/** The output of a soak that runs as a process of its own. */
-async function outputOf(soakArguments: readonly string[]): Promise<string> {
+/** What a soak that runs as a process of its own said; one that ends before its verdict says why on its standard error. */
+type SoakOutput = {
+	readonly output: string;
+	readonly errors: string;
+};
+
+async function outputOf(soakArguments: readonly string[]): Promise<SoakOutput> {
 	return new Promise(resolve => {
-		execFile(process.execPath, [program, ...soakArguments], (_error, stdout) => {
-			resolve(stdout);
+		execFile(process.execPath, [program, ...soakArguments], (error, output, errors) => {
+			resolve({output, errors: error === null ? errors : `${errors}\n${error.message}`});
 		});
 	});
 }
 
 for (const {seed, seconds, cause} of soaks) {
 	test.serial(`seed ${seed} breaks no promise: ${cause}`, async t => {
-		const output = await outputOf(['--seed', String(seed), '--seconds', String(seconds)]);
+		const {output, errors} = await outputOf(['--seed', String(seed), '--seconds', String(seconds)]);
 		t.log(output);
-		t.regex(output, /all promises held/v);
+		t.regex(output, /all promises held/v, `Got no verdict that all promises held: ${errors}`);
 	});
 }
