--- a/packages/control/src/_claims.ts
+++ b/packages/control/src/_claims.ts
@@ -5,6 +5,7 @@
 import {type ClaimOutcome, type ClaimSettlement, type KeptAnswer} from './claim.js';
 import {type SettleClaimCommand, type TakeClaimCommand} from './command.js';
 import {type ControlLimits} from './control-limits.js';
+import {type CommandContext} from './_command-context.js';
 import {type IdempotencyKey} from './ids.js';
 import {type LogTime} from './_log-time.js';
 
@@ -18,7 +19,7 @@
 	readonly releasedBy?: readonly RequestId[];
 };
 
-/** Times are those of the log, in milliseconds: the dates of commands are other machines' clocks, and one leader's wrong date must not let a call run twice. */
+/** Times are those of the log, in milliseconds. */
 type Open = ClaimBase & {readonly instance: InstanceId; readonly takenAt: number; readonly settlement?: undefined};
 
 /** Most claims are settled, so these hold no more than they must. */
@@ -51,13 +52,6 @@
 /** Changes nothing that anyone sees: equal headers in one object. */
 const sharedHeaders = new Map<string, KeptAnswer['headers']>();
 
-/** What carrying out a command on claims depends on. */
-export type ClaimOptions = {
-	readonly limits: ControlLimits;
-	/** The time of the log. */
-	readonly time: LogTime;
-};
-
 /** The claims on idempotency keys of all workspaces. */
 export class Claims {
 	readonly #workspaces = new Map<WorkspaceId, WorkspaceClaims>();
@@ -75,7 +69,7 @@
 		}
 	}
 
-	take(command: TakeClaimCommand, options: ClaimOptions): Either<Failure, ClaimOutcome> {
+	take(command: TakeClaimCommand, options: CommandContext): Either<Failure, ClaimOutcome> {
 		const {workspace, key, request, requestDigest} = command;
 		const claims = this.#claimsOf(workspace);
 		const known = claims.open.get(key) ?? claims.settled.get(key);
@@ -96,7 +90,7 @@
 		});
 	}
 
-	settle(command: SettleClaimCommand, {limits, time}: ClaimOptions): ClaimOutcome {
+	settle(command: SettleClaimCommand, {limits, time}: CommandContext): ClaimOutcome {
 		const {workspace, key, request} = command;
 		const claims = this.#claimsOf(workspace);
 		const known = claims.open.get(key) ?? claims.settled.get(key);
@@ -120,7 +114,7 @@
 		this.#settleOpen({time, isOver: claim => claim.instance === instance});
 	}
 
-	expire({limits, time}: ClaimOptions): void {
+	expire({limits, time}: CommandContext): void {
 		this.#settleOpen({time, isOver: claim => claim.takenAt + limits.claimOpenMilliseconds <= time.elapsed});
 		for (const [workspace, claims] of this.#workspaces) {
 			for (const [key, claim] of claims.settled) {
@@ -176,7 +170,7 @@
 }
 
 /** Makes room for one more claim, or tells when there will be. */
-function makeRoom(claims: WorkspaceClaims, {command: {key, workspace}, limits, time}: ClaimOptions & {readonly command: TakeClaimCommand}): Either<Failure, undefined> {
+function makeRoom(claims: WorkspaceClaims, {command: {key, workspace}, limits, time}: CommandContext & {readonly command: TakeClaimCommand}): Either<Failure, undefined> {
 	const now = time.elapsed;
 	if (claims.settled.has(key) || claims.open.size + claims.settled.size < limits.claimsPerWorkspace) {
 		return Right(undefined);
--- a/packages/control/src/_configuration-changes.ts
+++ b/packages/control/src/_configuration-changes.ts
@@ -7,8 +7,8 @@
 import {advance, type Reconciled, reconcileRollouts} from './_rollouts.js';
 import {type AdvanceRolloutCommand, type ApplyConfigurationCommand, type StopVersionCommand} from './command.js';
 import {type ChangeCause, type ConfigurationChange} from './configuration-change.js';
+import {type CommandContext} from './_command-context.js';
 import {type ControlLimits} from './control-limits.js';
-import {type LogTime} from './_log-time.js';
 
 /** The first answer to a change id. */
 type Remembered = {
@@ -27,13 +27,6 @@
 	readonly history: readonly ConfigurationChange[];
 };
 
-/** What a change depends on. */
-export type ApplyOptions = {
-	readonly limits: ControlLimits;
-	/** The time of the log. */
-	readonly time: LogTime;
-};
-
 const historyLength = 32;
 const emptyData: ConfigurationData = {
 	effective: {revision: toRevision(0), document: emptyConfiguration, rollouts: {}}, remembered: [], history: [],
@@ -59,7 +52,7 @@
 		return this.#history;
 	}
 
-	apply(command: ApplyConfigurationCommand, {limits, time}: ApplyOptions): Either<Failure, number> {
+	apply(command: ApplyConfigurationCommand, {limits, time}: CommandContext): Either<Failure, number> {
 		const {changeId, digest} = command;
 		const earlier = this.#remembered.get(changeId);
 		if (earlier !== undefined) {
@@ -108,7 +101,7 @@
 		return Right(stopped);
 	}
 
-	expire({limits: {changeIdMilliseconds}, time}: ApplyOptions): void {
+	expire({limits: {changeIdMilliseconds}, time}: CommandContext): void {
 		for (const [changeId, earlier] of this.#remembered) {
 			if (earlier.at + changeIdMilliseconds > time.elapsed) {
 				break;
--- a/packages/control/src/_ledger.ts
+++ b/packages/control/src/_ledger.ts
@@ -1,5 +1,6 @@
 import {type Bill, type RequestId, type WorkspaceId} from '@valehitch/core';
 import {BillOrigins, type BillOriginsData, emptyBillOrigins} from './_bill-origins.js';
+import {type CommandContext} from './_command-context.js';
 import {type RecordBillsCommand} from './command.js';
 import {type ControlLimits} from './control-limits.js';
 import {type LedgerPage, type LedgerQuestion, type WorkspaceTotal} from './ledger-page.js';
@@ -18,13 +19,6 @@
 	...emptyBillOrigins, first: 1, bills: [], totals: [], window: [], windowForgotten: 0,
 };
 
-/** What recording depends on besides the bills. */
-export type RecordOptions = {
-	readonly limits: ControlLimits;
-	/** The time of the log in milliseconds. */
-	readonly time: number;
-};
-
 /** The set of bills: each is recorded once, and what would be doubtful is refused. */
 export class Ledger {
 	/** The position of the first bill that is still here; positions count from 1. */
@@ -54,15 +48,15 @@
 		return {first: this.#first, last: this.#first + this.#bills.length - 1};
 	}
 
-	record({bills, running}: RecordBillsCommand, {limits, time}: RecordOptions): {readonly recorded: number; readonly expired: readonly RequestId[]} {
+	record({bills, running}: RecordBillsCommand, {limits, time}: CommandContext): {readonly recorded: number; readonly expired: readonly RequestId[]} {
 		if (running !== undefined) {
-			this.#origins.heardOf(running, time);
+			this.#origins.heardOf(running, time.elapsed);
 		}
 
 		const expired: RequestId[] = [];
 		let recorded = 0;
 		for (const bill of bills) {
-			const addition = bill.origin === undefined ? this.#addToWindow(bill, limits) : this.#origins.add({instance: bill.instance, ...bill.origin}, time);
+			const addition = bill.origin === undefined ? this.#addToWindow(bill, limits) : this.#origins.add({instance: bill.instance, ...bill.origin}, time.elapsed);
 			if (addition === 'below-floor') {
 				expired.push(bill.request);
 			}
@@ -107,8 +101,8 @@
 		this.#first += dropped;
 	}
 
-	expire(time: number, {originMilliseconds}: ControlLimits): void {
-		this.#origins.forgetIdle(time - originMilliseconds);
+	expire({limits: {originMilliseconds}, time}: CommandContext): void {
+		this.#origins.forgetIdle(time.elapsed - originMilliseconds);
 	}
 
 	toData(): LedgerData {
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -192,14 +192,14 @@
 
 	#carryOut(command: Command, position: LogPosition): Either<Failure, CommandAnswer> {
 		const limits = this.#limits;
-		const options = {limits, time: this.#time};
+		const context = {limits, time: this.#time};
 		return match(command)
-			.with({type: 'apply-configuration'}, found => this.#configuration.apply(found, options).map(revision => ({revision})))
+			.with({type: 'apply-configuration'}, found => this.#configuration.apply(found, context).map(revision => ({revision})))
 			.with({type: 'advance-rollout'}, found => this.#configuration.advance(found).map(rollout => this.#answer({rollout})))
 			.with({type: 'stop-version'}, found => this.#configuration.stop(found).map(rollout => this.#answer({rollout})))
-			.with({type: 'record-bills'}, found => Right(this.#answer(this.#ledger.record(found, {limits, time: this.#time.elapsed}))))
-			.with({type: 'take-claim'}, found => this.#claims.take(found, options).map(claim => this.#answer({claim})))
-			.with({type: 'settle-claim'}, found => Right(this.#answer({claim: this.#claims.settle(found, options)})))
+			.with({type: 'record-bills'}, found => Right(this.#answer(this.#ledger.record(found, context))))
+			.with({type: 'take-claim'}, found => this.#claims.take(found, context).map(claim => this.#answer({claim})))
+			.with({type: 'settle-claim'}, found => Right(this.#answer({claim: this.#claims.settle(found, context)})))
 			.with({type: 'instance-lost'}, found => Right(this.#loseInstance(found)))
 			.with({type: 'issue-order'}, found => this.#orders.issue(found, {position, limits}).map(order => this.#answer({order})))
 			.with({type: 'complete-order'}, found => this.#orders.complete(found, limits).map(order => this.#answer({order})))
@@ -215,10 +215,10 @@
 
 	#expire({at}: ExpireCommand): RevisionAnswer {
 		this.#time.advance(at);
-		const options = {limits: this.#limits, time: this.#time};
-		this.#configuration.expire(options);
-		this.#claims.expire(options);
-		this.#ledger.expire(this.#time.elapsed, this.#limits);
+		const context = {limits: this.#limits, time: this.#time};
+		this.#configuration.expire(context);
+		this.#claims.expire(context);
+		this.#ledger.expire(context);
 		return this.#answer({});
 	}
 
