Give each test deployment a network that no other one has

Cause: the loopback addresses of a deployment followed from its process id modulo 240, and its ports are the same everywhere, so that two deployments of processes a multiple of 240 apart collide. Shown: with one address of a soak taken before its start it ends with code 1, prints nothing, and says listen EADDRINUSE on its standard error.

Change: a network is reserved by a listener for as long as its deployment lasts. Before, two deployments could have one; after, 300 reserved networks differ and one that is taken cannot be taken again.

--- a/packages/testing/src/platform/platform-deployment.ts
+++ b/packages/testing/src/platform/platform-deployment.ts
@@ -4,8 +4,8 @@
 import {createRequire} from 'node:module';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import process from 'node:process';
 import {ManagedProcess} from '../managed-process.js';
+import {type ReservedNetwork, reserveNetwork} from './reserve-network.js';
 
 /** How large the deployment is. */
 export type PlatformDeploymentOptions = {
@@ -39,7 +39,6 @@
 const ports = {
 	callers: 8227, readiness: 8220, control: 8229, peers: 7340, lastPeers: 7355,
 } as const;
-let deployments = 0;
 const program = createRequire(import.meta.url).resolve('@valehitch/platform').replace(/mod\.js$/v, 'bin/valehitch-platform.js');
 
 /**
@@ -76,12 +75,12 @@
 	static async prepare({controls = 3, entries = 2, revocation = 5000, environment = () => ({})}: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
 		const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-platform-'));
 		// Each deployment has a network of its own, since the ports are the same on all instances.
-		const network = `127.${10 + (process.pid % 240)}.${deployments++ % 250}`;
-		const deployment = new PlatformDeployment(folder);
-		const seeds = Array.from({length: Math.min(3, controls)}, (_, index) => `${network}.${index + 1}:${ports.control}`);
+		const network = await reserveNetwork();
+		const deployment = new PlatformDeployment(folder, network);
+		const seeds = Array.from({length: Math.min(3, controls)}, (_, index) => `${network.prefix}.${index + 1}:${ports.control}`);
 		for (let index = 0; index < controls + entries; index++) {
 			const isControl = index < controls;
-			const ip = `${network}.${index + 1}`;
+			const ip = `${network.prefix}.${index + 1}`;
 			const member = await deployment.#add({
 				name: `${isControl ? 'core' : 'front'}-${index + 1}`, ip, isControl, seeds, revocation, environment,
 			});
@@ -95,9 +94,11 @@
 	readonly entries: PlatformMember[] = [];
 	/** Where settings, logs and data folders are. */
 	readonly #folder: string;
+	readonly #network: ReservedNetwork;
 
-	private constructor(folder: string) {
+	private constructor(folder: string, network: ReservedNetwork) {
 		this.#folder = folder;
+		this.#network = network;
 	}
 
 	/** All processes. */
@@ -109,6 +110,7 @@
 	async stop(): Promise<void> {
 		await Promise.all(this.members.map(async member => member.process.kill('SIGKILL')));
 		await rm(this.#folder, {recursive: true, force: true});
+		this.#network.release();
 	}
 
 	async #add({name, ip, isControl, seeds, revocation, environment}: MemberOptions): Promise<PlatformMember> {
