Tell which control instance missed the notice of a server that leaves, and who contradicts it

The record of the incident cannot tell whether an entry instance never learned that a server leaves, learned it and lost it again, or learned it late. A control instance acknowledges such a notice after 600 ms also where another one did not answer, and no line said so; an entry instance that is told less than it knows kept silent.

No decision is changed.

--- a/packages/gateway/src/control/server-news.test.ts
+++ b/packages/gateway/src/control/server-news.test.ts
@@ -1,5 +1,6 @@
 import {type InstanceId, type ServerId} from '@valehitch/core';
 import test from 'ava';
+import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type PeerMessage} from './peer-message.js';
@@ -17,13 +18,18 @@
 function startPair(saved: readonly ServerRecord[] = [], takes: () => boolean = () => true) {
 	const news = new Map<InstanceId, ServerNews>();
 	const written: Array<readonly ServerRecord[]> = [];
+	const lines: Array<Readonly<Record<string, unknown>>> = [];
+	const link = {isCut: false};
 	const start = ({self, other, saved: records = []}: Side): ServerNews => {
 		const made = new ServerNews({
 			clock: {now: () => new Date(0), monotonic: () => 1000},
-			log: ignore,
+			log(kind, fields) {
+				lines.push({...fields, line: kind});
+			},
+			metrics: createGatewayMetrics(),
 			heartbeatMilliseconds: 1200,
 			others: () => [other],
-			ask: async (to, message) => answer(news.get(to), message),
+			ask: async (to, message) => link.isCut ? undefined : answer(news.get(to), message),
 			onChange: ignore,
 			saved: {
 				read: async () => records,
@@ -37,8 +43,9 @@
 		return made;
 	};
 
-	const pair = {one: start({self: first!, other: second!, saved}), other: start({self: second!, other: first!}), written};
-	return pair;
+	return {
+		one: start({self: first!, other: second!, saved}), other: start({self: second!, other: first!}), written, lines, link,
+	};
 }
 
 async function answer(news: ServerNews | undefined, message: PeerMessage): Promise<unknown> {
@@ -96,3 +103,13 @@
 	await one.save();
 	t.is(written.length, 2);
 });
+
+test('a notice that another control instance did not take is logged with the name of that instance', async t => {
+	const {one, lines, link} = startPair();
+	await one.announce(testServer());
+	link.isCut = true;
+	await one.announce(testServer({state: 'draining', sequence: 2}));
+	await one.remove(testServer().id);
+	const missed = {server: testServer().id, missed: [second], line: 'server-notice-missed'};
+	t.deepEqual(lines.filter(({line}) => line === 'server-notice-missed'), [missed, missed]);
+});
--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -1,6 +1,7 @@
 import {type Clock, type InstanceId, type ServerId} from '@valehitch/core';
 import {intervalAfterInput} from '@valehitch/transport';
 import {type DecisionKind, type DecisionLog} from '../logs/decision-log.js';
+import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {type SavedList} from '../servers/saved-list.js';
 import {ServerDirectory} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -10,6 +11,7 @@
 export type ServerNewsOptions = {
 	readonly clock: Clock;
 	readonly log: DecisionLog;
+	readonly metrics: Pick<GatewayMetrics, 'missedNotices'>;
 	/** The time between two announcements of a server, in milliseconds. */
 	readonly heartbeatMilliseconds: number;
 	/** The other control instances. */
@@ -123,8 +125,7 @@
 	*/
 	async remove(server: ServerId): Promise<void> {
 		this.end(server);
-		const {others, ask} = this.#options;
-		await Promise.all(others().map(async other => ask(other, {type: 'server-ended', server}, passOnMilliseconds)));
+		await this.#tellOthers({type: 'server-ended', server}, [server]);
 	}
 
 	/**
@@ -166,11 +167,29 @@
 
 		this.#log(changed, 'announcement');
 		this.#options.onChange();
-		const message: ServersMessage = {type: 'servers', records: changed};
-		const {others, ask} = this.#options;
-		const passedOn = others().map(async other => ask(other, message, passOnMilliseconds));
-		if (changed.some(({state}) => state !== 'ready')) {
-			await Promise.all(passedOn);
+		const leaving = changed.filter(({state}) => state !== 'ready').map(({id}) => id);
+		const passedOn = this.#tellOthers({type: 'servers', records: changed}, leaving);
+		if (leaving.length > 0) {
+			await passedOn;
+		}
+	}
+
+	/** Tells the other control instances, and logs the servers whose shutdown one of them did not take in time. */
+	async #tellOthers(message: PeerMessage, leaving: readonly ServerId[]): Promise<void> {
+		const {others, ask, log, metrics} = this.#options;
+		const missed: InstanceId[] = [];
+		await Promise.all(others().map(async other => {
+			if (await ask(other, message, passOnMilliseconds) === undefined) {
+				missed.push(other);
+			}
+		}));
+		if (missed.length === 0) {
+			return;
+		}
+
+		for (const server of leaving) {
+			metrics.missedNotices.inc(missed.length);
+			log('server-notice-missed', {server, missed}, 'warn');
 		}
 	}
 
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -71,7 +71,16 @@
 		});
 		const suspension = new SuspensionWatch(clock);
 		const servers = new EntryServers({
-			zone, random, share: this.#share, onReplaced: dropIdleConnections,
+			zone,
+			random,
+			share: this.#share,
+			onReplaced: dropIdleConnections,
+			onOutdated({id, state}, {held, source}) {
+				options.metrics.outdatedRecords.inc();
+				options.log('server-record-outdated', {
+					server: id, told: state, held: held.state, source,
+				});
+			},
 		});
 		const suspects = new EntrySuspects({
 			...options,
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -36,6 +36,23 @@
 	t.is(found(held), undefined);
 });
 
+test('a record that says less than what is held is told with its source', t => {
+	const outdated: unknown[] = [];
+	const held = new EntryServers({
+		zone: 'hall-a' as ZoneId,
+		random: () => 0.5,
+		share: {othersOn: () => 0, noteChange: ignore, forget: ignore},
+		onReplaced: ignore,
+		onOutdated(told, {held: {state}, source}) {
+			outdated.push([told.state, state, source]);
+		},
+	});
+	held.take([testServer({state: 'draining'})], {source: one, now});
+	held.take([testServer({state: 'draining'})], {source: two, now});
+	held.take([testServer()], {source: two, now});
+	t.deepEqual(outdated, [['ready', 'draining', two]]);
+});
+
 test('versions, and servers that were tried, are left out as wished', t => {
 	const other = testServer({id: 'server-2' as ServerId, version: 'v2' as VersionId});
 	const held = servers(testServer(), other);
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -7,6 +7,7 @@
 import {type LoadMessage} from '../control/peer-message.js';
 import {compareStarts} from '../servers/compare-starts.js';
 import {hasReplaced} from '../servers/has-replaced.js';
+import {isGraver} from '../servers/is-graver.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type FindServerOptions} from './find-server-options.js';
@@ -21,6 +22,8 @@
 	readonly random: RandomSource;
 	/** What the other entry instances have at each server. */
 	readonly share: Pick<LoadShare, 'othersOn' | 'noteChange' | 'forget'>;
+	/** Told of a record that says less than what is held of the process, with the control instance that sent it; nobody unless given. */
+	readonly onOutdated?: (told: ServerRecord, options: {readonly held: ServerRecord; readonly source: InstanceId}) => void;
 	/** Told of a process that another one has replaced, at the same address or under the same id. */
 	readonly onReplaced: (record: ServerRecord) => void;
 };
@@ -241,6 +244,10 @@
 		}
 
 		const {state} = held.record;
+		if (isGraver(state, record.state)) {
+			this.#options.onOutdated?.(record, {held: held.record, source});
+		}
+
 		held.isLeaving ||= record.state === 'draining';
 		held.record = mergeServerRecord(held.record, record);
 		return held.record.state !== state;
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -5,6 +5,7 @@
 		| 'configuration-adopted' | 'configuration-submitted' | 'configuration-refused' | 'lease-lost' | 'lease-regained'
 		| 'leader-changed' | 'membership-changed' | 'storage-failed' | 'storage-opened'
 		| 'server-joined' | 'server-draining' | 'server-gone' | 'server-silent' | 'server-suspected' | 'announcement-refused'
+		| 'server-notice-missed' | 'server-record-outdated'
 		| 'servers-restored' | 'list-not-restored' | 'list-not-saved'
 		| 'rollout-started' | 'rollout-advanced'
 		| 'request-refused' | 'request-dispatched' | 'request-attempt-ended' | 'request-escalated' | 'request-resumed' | 'request-ended'
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -53,6 +53,12 @@
 		announcements: new Counter({
 			name: 'valehitch_announcements_total', help: 'Announcements of backend servers, by state', labelNames: ['state'], registers,
 		}),
+		missedNotices: new Counter({
+			name: 'valehitch_missed_notices_total', help: 'Notices of a shutdown that another control instance did not take in time', registers,
+		}),
+		outdatedRecords: new Counter({
+			name: 'valehitch_outdated_records_total', help: 'Records of a control instance that say less than what is known of the server', registers,
+		}),
 		watches: new Counter({
 			name: 'valehitch_watches_total', help: 'Polls of control instances, by result', labelNames: ['result'], registers,
 		}),
--- a/packages/gateway/src/servers/merge-server-record.ts
+++ b/packages/gateway/src/servers/merge-server-record.ts
@@ -1,7 +1,6 @@
 import {compareStarts} from './compare-starts.js';
-import {type ServerRecord, type ServerState} from './server-record.js';
-
-const ranks: Readonly<Record<ServerState, number>> = {ready: 0, draining: 1, gone: 2};
+import {isGraver} from './is-graver.js';
+import {type ServerRecord} from './server-record.js';
 
 /**
 Merges what is held of a server with what was told of it: the later process counts alone; of one process the later announcement counts, but a shutdown sticks.
@@ -21,6 +20,6 @@
 	}
 
 	const newer = told.sequence >= held.sequence ? told : held;
-	const state = ranks[told.state] > ranks[held.state] ? told.state : held.state;
+	const state = isGraver(told.state, held.state) ? told.state : held.state;
 	return {...newer, state};
 }
