--- a/packages/gateway/src/control/server-news.test.ts
+++ b/packages/gateway/src/control/server-news.test.ts
@@ -113,3 +113,15 @@
 	const missed = {server: testServer().id, missed: [second], line: 'server-notice-missed'};
 	t.deepEqual(lines.filter(({line}) => line === 'server-notice-missed'), [missed, missed]);
 });
+
+test('a server whose end was missed behind a cut is ended there once the cut is over', async t => {
+	const {one, other, link} = startPair();
+	await one.announce(testServer());
+	one.share();
+	link.isCut = true;
+	await one.remove(testServer().id);
+	t.deepEqual(states(other), ['server-1 ready']);
+	link.isCut = false;
+	one.share();
+	t.deepEqual(states(other), ['server-1 gone']);
+});
--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -68,7 +68,7 @@
 	start(): void {
 		// A round says which servers are silent.
 		this.#stopSharing = intervalAfterInput(shareMilliseconds, () => {
-			this.#share();
+			this.share();
 		});
 		this.#saveTimer = setInterval(() => {
 			void this.save();
@@ -160,6 +160,29 @@
 		}
 	}
 
+	/** Marks the servers that have gone silent, and tells the others which were heard; one round. */
+	share(): void {
+		const {clock, others, ask, onChange} = this.#options;
+		const silenced = this.directory.sweep(clock.monotonic());
+		for (const {id, service, sequence} of silenced) {
+			this.#options.log('server-silent', {server: id, service, sequence}, 'warn');
+		}
+
+		if (silenced.length > 0) {
+			onChange();
+		}
+
+		if (this.#heard.size === 0) {
+			return;
+		}
+
+		const message: ServersMessage = {type: 'servers', records: this.directory.records.filter(({id}) => this.#heard.has(id))};
+		this.#heard.clear();
+		for (const other of others()) {
+			void ask(other, message, passOnMilliseconds);
+		}
+	}
+
 	async #passOn(changed: readonly ServerRecord[]): Promise<void> {
 		if (changed.length === 0) {
 			return;
@@ -193,28 +216,6 @@
 		}
 	}
 
-	#share(): void {
-		const {clock, others, ask, onChange} = this.#options;
-		const silenced = this.directory.sweep(clock.monotonic());
-		for (const {id, service, sequence} of silenced) {
-			this.#options.log('server-silent', {server: id, service, sequence}, 'warn');
-		}
-
-		if (silenced.length > 0) {
-			onChange();
-		}
-
-		if (this.#heard.size === 0) {
-			return;
-		}
-
-		const message: ServersMessage = {type: 'servers', records: this.directory.records.filter(({id}) => this.#heard.has(id))};
-		this.#heard.clear();
-		for (const other of others()) {
-			void ask(other, message, passOnMilliseconds);
-		}
-	}
-
 	async #askAll(): Promise<void> {
 		const {others, ask} = this.#options;
 		await Promise.all(others().map(async other => {
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -36,6 +36,17 @@
 	t.is(found(held), undefined);
 });
 
+test('a server that has ended is not taken back from a control instance that missed its end', t => {
+	const held = servers(testServer(), testServer({id: 'server-2' as ServerId}));
+	const later = now + 65_000;
+	const load = held.begin(testServer().id, 1);
+	held.take([testServer({state: 'gone'})], {source: one, now: later});
+	load.end();
+	held.take([testServer({id: 'server-2' as ServerId, sequence: 2})], {source: one, now: later + 500});
+	held.take([testServer({isSilent: true})], {source: two, now: later + 2000});
+	t.is(found(held, {excluded: new Set(['server-2' as ServerId]), now: later + 2100}), undefined);
+});
+
 test('a record that says less than what is held is told with its source', t => {
 	const outdated: unknown[] = [];
 	const held = new EntryServers({
