Remember the end of a server from its end on, not from its start on

Callers' requests were sent to a backend server more than two seconds after the acknowledged notice of its end. The entry instance had learned the end within milliseconds and had stopped sending. It forgot a server that had ended 60 s after it had first heard of it, so that the end of any server older than that was forgotten with the next news. A control instance that was cut off when the notice came then called the server silent, six seconds into the cut, in a record that says ready; the entry instance took it for a new server.

Now the time counts from what was last told of the server, and is twice the one for which a control instance holds a server that it no longer hears.

--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -9,6 +9,7 @@
 import {hasReplaced} from '../servers/has-replaced.js';
 import {isGraver} from '../servers/is-graver.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
+import {defaultForgetMilliseconds} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type FindServerOptions} from './find-server-options.js';
 import {
@@ -38,7 +39,8 @@
 /** The pause after a connection that was not opened; doubles up to the longest. */
 const firstAvoidMilliseconds = 500;
 const longestAvoidMilliseconds = 8000;
-const forgetMilliseconds = 60_000;
+/** The end of a server is remembered for longer than any control instance that missed it goes on telling of the server. */
+const forgetMilliseconds = 2 * defaultForgetMilliseconds;
 
 /**
 The backend servers as one entry instance knows them: what control says, what it has in flight itself, and how its own sends ended.
@@ -77,7 +79,7 @@
 			if (held === undefined || compareStarts(record, held.record) > 0) {
 				this.#join(record, {source, now});
 				changed.push(record);
-			} else if (this.#update(held, record, source)) {
+			} else if (this.#update(held, record, {source, now})) {
 				changed.push(held.record);
 			}
 		}
@@ -196,6 +198,7 @@
 
 		if (result === 'gone') {
 			held.record = {...held.record, state: 'gone'};
+			held.toldAt = now;
 			return true;
 		}
 
@@ -218,6 +221,7 @@
 		for (const [id, former] of this.#servers) {
 			if (id === record.id || hasReplaced(record, former.record)) {
 				former.record = {...former.record, state: 'gone'};
+				former.toldAt = now;
 				this.#drop(former);
 			}
 		}
@@ -232,7 +236,8 @@
 	}
 
 	/** Takes a further record of a process that is known; tells whether its state is new. */
-	#update(held: HeldServer, record: ServerRecord, source: InstanceId): boolean {
+	#update(held: HeldServer, record: ServerRecord, {source, now}: {readonly source: InstanceId; readonly now: number}): boolean {
+		held.toldAt = now;
 		if (compareStarts(record, held.record) < 0) {
 			return false;
 		}
@@ -284,8 +289,8 @@
 	}
 
 	#forget(now: number): void {
-		for (const [id, {record, addedAt, inFlight}] of this.#servers) {
-			if (record.state === 'gone' && inFlight === 0 && now - addedAt > forgetMilliseconds) {
+		for (const [id, {record, toldAt, inFlight}] of this.#servers) {
+			if (record.state === 'gone' && inFlight === 0 && now - toldAt > forgetMilliseconds) {
 				this.#servers.delete(id);
 			}
 		}
--- a/packages/gateway/src/entry/held-server.ts
+++ b/packages/gateway/src/entry/held-server.ts
@@ -70,6 +70,8 @@
 export class HeldServer {
 	record: ServerRecord;
 	readonly addedAt: number;
+	/** When anything was last told of it or of its end, in milliseconds on the monotonic clock. */
+	toldAt: number;
 	/** The control instances that say it is silent. */
 	readonly silentFor: Set<InstanceId>;
 	/** When anything came from it last, in milliseconds on the monotonic clock; 0 for never. */
@@ -88,6 +90,7 @@
 	constructor(record: ServerRecord, {source, now, onWork}: HeldServerOptions) {
 		this.record = record;
 		this.addedAt = now;
+		this.toldAt = now;
 		this.silentFor = new Set(record.isSilent ? [source] : []);
 		this.#onWork = onWork;
 		// Each send in progress listens; hundreds at once are usual.
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -18,7 +18,8 @@
 	changedAt: number;
 };
 
-const defaultForgetMilliseconds = 60_000;
+/** How long a control instance holds a server that it no longer hears, in milliseconds. */
+export const defaultForgetMilliseconds = 60_000;
 
 /**
 The backend servers that announced themselves to any control instance, with a counter of changes from which others read what is new.
