Tell a control instance the changes of servers that it missed

An entry instance that starts, or that asks a control instance which has just come back from a cut, was told that a server takes work which had left during the cut. News of servers went out once; what was heard from servers was told again each 0.5 s, but a server that has ended announces nothing more. The instance that was cut off kept it as ready until it fell silent, 6 s after its last heartbeat, and as silent for a minute.

Each control instance now remembers up to which change each other one has taken its directory, and tells the rest with the next round, until a reply comes. The reply names the run of the process, so that one that started again is told everything. Ruled out: repeating ends for a fixed time, since cuts have none; telling everything each round, since 600 servers would cost 90 KB each half second for each other instance.

--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -14,7 +14,7 @@
 import {describeResult, LeaderClient} from './leader-client.js';
 import {OperatorCalls} from './operator-calls.js';
 import {
-	type ConfirmReply, type JoinReply, type PeerMessage, type ServersMessage, type SuspectsMessage,
+	type ConfirmReply, type JoinReply, type PeerMessage, type ServersMessage, type ServersReply, type SuspectsMessage,
 } from './peer-message.js';
 import {type OpenedFolder, ReopeningGroup} from './reopening-group.js';
 import {RolloutClock} from './rollout-clock.js';
@@ -204,9 +204,9 @@
 				return {index: this.#group?.confirmedIndex()};
 			})
 			.with({type: 'propose'}, async ({command}) => this.#leader.replyTo(command))
-			.with({type: 'servers'}, servers => {
+			.with({type: 'servers'}, (servers): ServersReply => {
 				this.#news.receive(servers);
-				return true;
+				return {run: this.#options.run};
 			})
 			.with({type: 'server-ended'}, ({server}) => {
 				this.#news.end(server);
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -67,6 +67,12 @@
 	readonly records: readonly ServerRecord[];
 };
 
+/** Says that news of backend servers were taken. */
+export type ServersReply = {
+	/** Names the run of the process that took them. */
+	readonly run: string;
+};
+
 /** Tells that a backend server ended, whether or not the asked instance knows it. */
 export type ServerEndedMessage = {
 	readonly type: 'server-ended';
--- a/packages/gateway/src/control/server-news.test.ts
+++ b/packages/gateway/src/control/server-news.test.ts
@@ -19,7 +19,8 @@
 	const news = new Map<InstanceId, ServerNews>();
 	const written: Array<readonly ServerRecord[]> = [];
 	const lines: Array<Readonly<Record<string, unknown>>> = [];
-	const link = {isCut: false};
+	const link = {isCut: false, run: 'one'};
+	const sent: PeerMessage[] = [];
 	const start = ({self, other, saved: records = []}: Side): ServerNews => {
 		const made = new ServerNews({
 			clock: {now: () => new Date(0), monotonic: () => 1000},
@@ -29,7 +30,10 @@
 			metrics: createGatewayMetrics(),
 			heartbeatMilliseconds: 1200,
 			others: () => [other],
-			ask: async (to, message) => link.isCut ? undefined : answer(news.get(to), message),
+			async ask(to, message) {
+				sent.push(message);
+				return link.isCut ? undefined : answer(news.get(to), message, link.run);
+			},
 			onChange: ignore,
 			saved: {
 				read: async () => records,
@@ -44,11 +48,11 @@
 	};
 
 	return {
-		one: start({self: first!, other: second!, saved}), other: start({self: second!, other: first!}), written, lines, link,
+		one: start({self: first!, other: second!, saved}), other: start({self: second!, other: first!}), written, lines, link, sent,
 	};
 }
 
-async function answer(news: ServerNews | undefined, message: PeerMessage): Promise<unknown> {
+async function answer(news: ServerNews | undefined, message: PeerMessage, run: string): Promise<unknown> {
 	if (message.type === 'server-ended') {
 		news?.end(message.server);
 		return true;
@@ -56,14 +60,25 @@
 
 	if (message.type === 'servers') {
 		news?.receive(message);
-		return true;
+		return {run};
 	}
 
 	return undefined;
 }
 
 function ignore(): void {
-	// Nobody reads it.
+	// Nobody is told.
+}
+
+async function settled(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
+
+/** The servers of each message of news, in the order in which they were sent. */
+function serversOf(sent: readonly PeerMessage[]): ReadonlyArray<readonly string[]> {
+	return sent.flatMap(message => message.type === 'servers' ? [message.records.map(({id}) => id)] : []);
 }
 
 const states = ({directory}: ServerNews) => directory.records.map(({id, state}) => `${id} ${state}`);
@@ -125,3 +140,20 @@
 	one.share();
 	t.deepEqual(states(other), ['server-1 gone']);
 });
+
+test('what another control instance has taken is not told again, but all of it to its next process', async t => {
+	const {one, link, sent} = startPair();
+	await one.announce(testServer());
+	one.share();
+	await settled();
+	await one.announce(testServer({id: 'server-2' as ServerId}));
+	sent.length = 0;
+	for (const run of ['one', 'one', 'two', 'two', 'two']) {
+		link.run = run;
+		one.share();
+		await settled();
+		await one.announce(testServer({id: 'server-2' as ServerId, sequence: 2}));
+	}
+
+	t.deepEqual(serversOf(sent), [['server-2'], ['server-2'], ['server-2'], ['server-1', 'server-2'], ['server-2']]);
+});
--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -5,7 +5,7 @@
 import {type SavedList} from '../servers/saved-list.js';
 import {ServerDirectory} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
-import {type PeerMessage, type ServersMessage} from './peer-message.js';
+import {type PeerMessage, type ServersMessage, type ServersReply} from './peer-message.js';
 
 /** What the exchange of servers between control instances needs. */
 export type ServerNewsOptions = {
@@ -24,6 +24,12 @@
 	readonly saved: SavedList<ServerRecord>;
 };
 
+/** A point in the changes of a directory up to which a run of another process has taken them. */
+type PeerPosition = {
+	readonly run: string;
+	readonly cursor: number;
+};
+
 /** Announcements that may be missed before a server counts as silent; they may come seconds late. */
 const missedHeartbeats = 5;
 /** The time between two rounds that tell the others which servers were heard. */
@@ -53,6 +59,8 @@
 	readonly directory: ServerDirectory;
 	readonly #options: ServerNewsOptions;
 	readonly #heard = new Set<ServerId>();
+	/** How far each other control instance has taken the changes of this directory. */
+	readonly #taken = new Map<InstanceId, PeerPosition>();
 	#stopSharing: (() => void) | undefined;
 	#saveTimer: NodeJS.Timeout | undefined;
 	/** The number of the last change that was saved. */
@@ -160,9 +168,9 @@
 		}
 	}
 
-	/** Marks the servers that have gone silent, and tells the others which were heard; one round. */
+	/** Marks the servers that have gone silent, and tells the others which were heard and what they have not taken yet; one round. */
 	share(): void {
-		const {clock, others, ask, onChange} = this.#options;
+		const {clock, others, onChange} = this.#options;
 		const silenced = this.directory.sweep(clock.monotonic());
 		for (const {id, service, sequence} of silenced) {
 			this.#options.log('server-silent', {server: id, service, sequence}, 'warn');
@@ -172,14 +180,28 @@
 			onChange();
 		}
 
-		if (this.#heard.size === 0) {
+		const heard = new Set(this.#heard);
+		this.#heard.clear();
+		for (const other of others()) {
+			void this.#catchUp(other, heard);
+		}
+	}
+
+	/** Tells another control instance which servers were heard, and all changes that it has not taken yet. */
+	async #catchUp(other: InstanceId, heard: ReadonlySet<ServerId>): Promise<void> {
+		const {run, cursor} = this.#taken.get(other) ?? {run: undefined, cursor: 0};
+		const {cursor: newest, records: all} = this.directory;
+		const changed = new Set(this.directory.changedSince(cursor));
+		const records = all.filter(record => changed.has(record) || heard.has(record.id));
+		if (records.length === 0) {
 			return;
 		}
 
-		const message: ServersMessage = {type: 'servers', records: this.directory.records.filter(({id}) => this.#heard.has(id))};
-		this.#heard.clear();
-		for (const other of others()) {
-			void ask(other, message, passOnMilliseconds);
+		const reply = await this.#options.ask(other, {type: 'servers', records}, passOnMilliseconds) as ServersReply | undefined;
+		if (reply !== undefined) {
+			// A process that started meanwhile has only what it was told since.
+			const isComplete = cursor === 0 || run === reply.run;
+			this.#taken.set(other, {run: reply.run, cursor: isComplete ? newest : 0});
 		}
 	}
 
