Hold the end of a server for longer than instances that missed it hold the server

A heartbeat that was delayed, at an instance that had missed the end, made that instance hold the server longer than the end was held; told again, the server would have been taken for a new one.

Ends are now held for two minutes from when they were learned, also those of servers that were not known. The test has a heartbeat 24 s after the end with servers forgotten after 20 s; before, both servers were ready again.

--- a/packages/gateway/src/servers/server-directory.test.ts
+++ b/packages/gateway/src/servers/server-directory.test.ts
@@ -68,3 +68,16 @@
 	t.like(second.announce(former, now)[0], {id: former.id, state: 'gone'});
 	t.deepEqual(second.announce({...former, sequence: 41}, now), []);
 });
+
+test('the end of a server is held for longer than an instance that missed it holds the server', t => {
+	const directory = new ServerDirectory({silentMilliseconds: 6000, forgetMilliseconds: 20_000});
+	directory.announce(testServer(), now);
+	directory.remove(testServer().id, now + 1000);
+	directory.remove('server-2' as ServerId, now + 1000);
+	directory.sweep(now + 25_000);
+	directory.announce(testServer({sequence: 2}), now + 25_000);
+	directory.announce(testServer({id: 'server-2' as ServerId}), now + 25_000);
+	t.deepEqual(directory.records.map(({state}) => state), ['gone', 'gone']);
+	directory.sweep(now + 66_000);
+	t.deepEqual(directory.records, []);
+});
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -8,7 +8,7 @@
 export type ServerDirectoryOptions = {
 	/** The time without an announcement after which a server counts as silent, in milliseconds. */
 	readonly silentMilliseconds: number;
-	/** The time after which a silent or gone server is forgotten, in milliseconds; 60,000 by default. */
+	/** The time after which a silent server is forgotten, in milliseconds; an ended one is after twice as long. 60,000 by default. */
 	readonly forgetMilliseconds?: number;
 };
 
@@ -16,6 +16,8 @@
 	record: ServerRecord;
 	heardAt: number;
 	changedAt: number;
+	/** When its end was learned; undefined while it runs. */
+	endedAt: number | undefined;
 };
 
 /** How long a control instance holds a server that it no longer hears, in milliseconds. */
@@ -33,6 +35,8 @@
 */
 export class ServerDirectory {
 	readonly #options: Required<ServerDirectoryOptions>;
+	/** The end of a server is held for longer than an instance that missed it holds the server. */
+	readonly #forgetEndedMilliseconds: number;
 	readonly #servers = new Map<ServerId, Held>();
 	/** When servers ended that were not known, in milliseconds on the monotonic clock: a late announcement must not bring them back. */
 	readonly #ended = new Map<ServerId, number>();
@@ -40,6 +44,7 @@
 
 	constructor(options: ServerDirectoryOptions) {
 		this.#options = {forgetMilliseconds: defaultForgetMilliseconds, ...options};
+		this.#forgetEndedMilliseconds = 2 * this.#options.forgetMilliseconds;
 	}
 
 	/** The number of the last change. */
@@ -83,7 +88,7 @@
 	restore(records: readonly ServerRecord[], {now, graceMilliseconds}: {readonly now: number; readonly graceMilliseconds: number}): readonly ServerRecord[] {
 		const heardAt = now + graceMilliseconds - this.#options.silentMilliseconds;
 		const unknown = records.filter(({id}) => !this.#servers.has(id) && !this.#ended.has(id));
-		return unknown.map(record => this.#add(record, heardAt));
+		return unknown.map(record => this.#add(record, {heardAt, now}));
 	}
 
 	/**
@@ -104,7 +109,7 @@
 			return undefined;
 		}
 
-		return this.#end(held);
+		return this.#end(held, now);
 	}
 
 	/**
@@ -117,14 +122,15 @@
 		const {silentMilliseconds, forgetMilliseconds} = this.#options;
 		const silenced: ServerRecord[] = [];
 		for (const [id, at] of this.#ended) {
-			if (now - at >= forgetMilliseconds) {
+			if (now - at >= this.#forgetEndedMilliseconds) {
 				this.#ended.delete(id);
 			}
 		}
 
 		for (const [id, held] of this.#servers) {
 			const silence = now - held.heardAt;
-			if (silence >= forgetMilliseconds) {
+			const isOver = held.endedAt === undefined ? silence >= forgetMilliseconds : now - held.endedAt >= this.#forgetEndedMilliseconds;
+			if (isOver) {
 				this.#servers.delete(id);
 				continue;
 			}
@@ -159,11 +165,11 @@
 	/** Takes a process that was not known, and ends those whose address it has. */
 	#join(record: ServerRecord, now: number): readonly ServerRecord[] {
 		const isReplaced = this.records.some(other => hasReplaced(other, record));
-		const joined = this.#add(isReplaced ? {...record, state: 'gone'} : record, now);
+		const joined = this.#add(isReplaced ? {...record, state: 'gone'} : record, {heardAt: now, now});
 		const ended: ServerRecord[] = [];
 		for (const held of this.#servers.values()) {
 			if (held.record.state !== 'gone' && hasReplaced(joined, held.record)) {
-				ended.push(this.#end(held));
+				ended.push(this.#end(held, now));
 			}
 		}
 
@@ -177,6 +183,10 @@
 		const merged = {...mergeServerRecord(before, record), isSilent: before.isSilent && !isNews};
 		const isChanged = before.state !== merged.state || before.isSilent !== merged.isSilent;
 		held.record = merged;
+		if (merged.state === 'gone') {
+			held.endedAt ??= now;
+		}
+
 		if (isNews) {
 			held.heardAt = now;
 		}
@@ -188,14 +198,18 @@
 		return isChanged ? [merged] : [];
 	}
 
-	#end(held: Held): ServerRecord {
+	#end(held: Held, now: number): ServerRecord {
 		held.record = {...held.record, state: 'gone'};
+		held.endedAt = now;
 		held.changedAt = this.#next();
 		return held.record;
 	}
 
-	#add(record: ServerRecord, heardAt: number): ServerRecord {
-		this.#servers.set(record.id, {record, heardAt, changedAt: this.#next()});
+	#add(record: ServerRecord, {heardAt, now}: {readonly heardAt: number; readonly now: number}): ServerRecord {
+		const endedAt = record.state === 'gone' ? now : undefined;
+		this.#servers.set(record.id, {
+			record, heardAt, changedAt: this.#next(), endedAt,
+		});
 		return record;
 	}
 
