Take a server that others call silent for silent, and no ended server for it

A control instance that starts, or comes back from a cut, is told everything by the others. It took a server that they call silent, and that it did not know, for one that runs, for six seconds until it fell silent here too; entry instances were told so. With the changes that are told again after a cut this would come more often. And a server that had ended was logged as silent six seconds later, and sent to every entry instance once more for it.

Both tests failed before.

--- a/packages/gateway/src/servers/server-directory.test.ts
+++ b/packages/gateway/src/servers/server-directory.test.ts
@@ -81,3 +81,16 @@
 	directory.sweep(now + 66_000);
 	t.deepEqual(directory.records, []);
 });
+
+test('a server that others call silent is not taken for alive by an instance that does not know it', t => {
+	const directory = new ServerDirectory({silentMilliseconds: 6000});
+	t.like(directory.announce(testServer({isSilent: true}), now)[0], {isSilent: true});
+	t.like(directory.announce(testServer({sequence: 2}), now + 100)[0], {isSilent: false});
+});
+
+test('a server that has ended does not fall silent', t => {
+	const directory = new ServerDirectory({silentMilliseconds: 6000});
+	directory.announce(testServer(), now);
+	directory.remove(testServer().id, now);
+	t.deepEqual(directory.sweep(now + 7000), []);
+});
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -67,12 +67,12 @@
 	announce(record: ServerRecord, now: number): readonly ServerRecord[] {
 		const held = this.#servers.get(record.id);
 		if (held === undefined) {
-			return this.#join({...record, isSilent: false, state: this.#ended.has(record.id) ? 'gone' : record.state}, now);
+			return this.#join({...record, state: this.#ended.has(record.id) ? 'gone' : record.state}, now);
 		}
 
 		const order = compareStarts(record, held.record);
 		if (order > 0) {
-			return this.#join({...record, isSilent: false}, now);
+			return this.#join(record, now);
 		}
 
 		return order === 0 ? this.#update(held, record, now) : [];
@@ -135,7 +135,7 @@
 				continue;
 			}
 
-			if (silence >= silentMilliseconds && !held.record.isSilent) {
+			if (silence >= silentMilliseconds && !held.record.isSilent && held.endedAt === undefined) {
 				held.record = {...held.record, isSilent: true};
 				held.changedAt = this.#next();
 				silenced.push(held.record);
