Call a server silent once all control instances that answer do

While a control instance was cut off from the others, entry instances took each server for suspect that announced itself on the other side: the instance that is cut off calls those silent that it hears no more, the others call silent those that announce themselves to it, and the word of one was enough. With all servers suspect, one that cannot be reached, or that has ended, is chosen like any other; in the incident that is how a server that had been taken back got requests at all.

A server is silent now once all control instances that answer, and tell of it, call it so. The word of one that does not answer counts again when it does; one that started again begins anew. A server that no control instance calls alive is forgotten after two minutes, which until now no server that had crashed ever was.

The test with one control instance behind a cut failed before (an unreachable server was chosen).

--- a/packages/gateway/src/entry/control-watch.test.ts
+++ b/packages/gateway/src/entry/control-watch.test.ts
@@ -29,6 +29,7 @@
 		onNews({confirmedAt}) {
 			confirmed.push(confirmedAt);
 		},
+		onLost: ignore,
 		wait: async () => settled(),
 	});
 	watch.start();
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -7,6 +7,8 @@
 export type ControlNews = {
 	readonly source: InstanceId;
 	readonly reply: WatchReply;
+	/** Whether the reply holds all that the source knows, since its process is another one than at the last reply. */
+	readonly isWhole: boolean;
 	/** The time at which the source's state was surely the newest, in milliseconds on the own monotonic clock; undefined where it is not known. */
 	readonly confirmedAt: number | undefined;
 };
@@ -24,6 +26,8 @@
 	/** Asks a control instance; undefined where no reply came within the timeout in milliseconds. */
 	readonly ask: (to: InstanceId, message: WatchMessage, timeout: number) => Promise<WatchReply | undefined>;
 	readonly onNews: (news: ControlNews) => void;
+	/** Told of a control instance that answered before and does not any more. */
+	readonly onLost: (source: InstanceId) => void;
 	/** Waits, in milliseconds. */
 	readonly wait: (milliseconds: number) => Promise<void>;
 };
@@ -113,6 +117,7 @@
 			source.failures++;
 			if (source.isAnswering) {
 				log('dependency-lost', {dependency: 'control', control: host, timeout: watchTimeoutMilliseconds}, 'warn');
+				this.#options.onLost(host);
 			}
 
 			source.isAnswering = false;
@@ -125,6 +130,7 @@
 			});
 		}
 
+		const isWhole = reply.run !== source.run;
 		Object.assign(source, {
 			run: reply.run, cursor: reply.cursor, suspectCursor: reply.suspectCursor, isAnswering: true, failures: 0,
 		});
@@ -133,7 +139,9 @@
 		// Where the machine was suspended since the question, nobody knows how old the reply is.
 		const isAgeKnown = reply.confirmedAgo !== undefined && sentAt >= suspension.lastWake();
 		const confirmedAt = isAgeKnown ? sentAt + reply.held - reply.confirmedAgo : undefined;
-		onNews({source: host, reply, confirmedAt});
+		onNews({
+			source: host, reply, isWhole, confirmedAt,
+		});
 		return true;
 	}
 
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -120,6 +120,9 @@
 			onNews: news => {
 				this.#takeNews(news, clock.monotonic());
 			},
+			onLost(source) {
+				servers.loseSource(source);
+			},
 		});
 		this.#server = createCallerServer({
 			log: options.log,
@@ -218,12 +221,12 @@
 		};
 	}
 
-	#takeNews({source, reply, confirmedAt}: ControlNews, now: number): void {
+	#takeNews({source, reply, isWhole, confirmedAt}: ControlNews, now: number): void {
 		const {log} = this.#options;
 		const {lease, servers, suspects} = this.#context;
 		suspects.take(reply.suspects, source);
 		this.#reporter.hear(source, reply.run);
-		const changed = servers.take(reply.records, {source, now});
+		const changed = servers.take(reply.records, {source, now, isWhole});
 		this.#peers = reply.entries;
 		if (changed.length > 0) {
 			this.#serverNews.wake();
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -83,6 +83,40 @@
 	t.is(found(held, {now: now + 1000, excluded: new Set([testServer().id])}), other.id);
 });
 
+test('a server that only a control instance behind a cut calls silent is not passed over', t => {
+	const other = testServer({id: 'server-2' as ServerId});
+	const held = servers(testServer(), other);
+	held.take([testServer(), other], {source: two, now});
+	held.take([testServer({isSilent: true})], {source: two, now});
+	held.record(other.id, 'unreachable', now);
+	t.is(found(held), testServer().id);
+});
+
+test('what a control instance said counts neither while it does not answer nor after it started again', t => {
+	const other = testServer({id: 'server-2' as ServerId});
+	const held = servers(testServer(), other);
+	held.take([testServer(), other], {source: two, now});
+	held.take([testServer({isSilent: true})], {source: one, now});
+	held.record(other.id, 'unreachable', now);
+	held.loseSource(two);
+	t.is(found(held, {now: now + 600}), other.id);
+	held.take([], {source: two, now});
+	held.record(other.id, 'unreachable', now);
+	t.is(found(held), testServer().id);
+	held.take([other], {source: two, now, isWhole: true});
+	t.is(found(held, {now: now + 1100}), other.id);
+});
+
+test('a server that nobody calls alive any more is forgotten, and one that somebody does is not', t => {
+	const other = testServer({id: 'server-2' as ServerId});
+	const held = servers(testServer(), other);
+	held.take([testServer({isSilent: true})], {source: one, now});
+	t.is(found(held, {excluded: new Set([other.id])}), testServer().id);
+	held.take([], {source: one, now: now + 200_000});
+	t.is(found(held, {excluded: new Set([other.id]), now: now + 200_000}), undefined);
+	t.is(found(held, {now: now + 200_000}), other.id);
+});
+
 test('an address that another server took over is never used under the old name again', t => {
 	const held = servers(testServer());
 	held.record(testServer().id, 'gone', now);
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -1,5 +1,5 @@
 import {
-	type InstanceId, type RandomSource, type ServerId, type ServiceId, type ZoneId,
+	type InstanceId, type ServerId, type ServiceId,
 } from '@valehitch/core';
 import {
 	chooseServer, OutlierEjection, prefixHash, type ServerView, ZoneSuspicion,
@@ -11,26 +11,12 @@
 import {mergeServerRecord} from '../servers/merge-server-record.js';
 import {defaultForgetMilliseconds} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
+import {type EntryServersOptions, type SendResult, type TakeRecordsOptions} from './entry-servers-options.js';
 import {type FindServerOptions} from './find-server-options.js';
 import {
 	HeldServer, type ProcessState, type SendLoad, unknownLoad,
 } from './held-server.js';
-import {type LoadShare} from './load-share.js';
-
-/** How an entry instance chooses among the servers. */
-export type EntryServersOptions = {
-	readonly zone: ZoneId;
-	readonly random: RandomSource;
-	/** What the other entry instances have at each server. */
-	readonly share: Pick<LoadShare, 'othersOn' | 'noteChange' | 'forget'>;
-	/** Told of a record that says less than what is held of the process, with the control instance that sent it; nobody unless given. */
-	readonly onOutdated?: (told: ServerRecord, options: {readonly held: ServerRecord; readonly source: InstanceId}) => void;
-	/** Told of a process that another one has replaced, at the same address or under the same id. */
-	readonly onReplaced: (record: ServerRecord) => void;
-};
-
-/** What a send to a server came to; `ended` where its process ended meanwhile. */
-export type SendResult = 'answered' | 'failed' | 'unreachable' | 'ended' | 'gone';
+import {ServerStandings} from './server-standings.js';
 
 /** An engine batches: twice the mean load costs it little, a prompt that it must read again costs more. */
 const loadBound = 1.5;
@@ -60,6 +46,7 @@
 	});
 
 	readonly #zones = new ZoneSuspicion();
+	readonly #standings = new ServerStandings();
 
 	constructor(options: EntryServersOptions) {
 		this.#options = options;
@@ -69,10 +56,11 @@
 	Takes records of a control instance.
 
 	@param records What changed.
-	@param options The control instance, and the time in milliseconds on the monotonic clock.
+	@param options The control instance, the time, and whether the records are all that it has.
 	@returns The records that are new, or whose state is.
 	*/
-	take(records: readonly ServerRecord[], {source, now}: {readonly source: InstanceId; readonly now: number}): readonly ServerRecord[] {
+	take(records: readonly ServerRecord[], {source, now, isWhole = false}: TakeRecordsOptions): readonly ServerRecord[] {
+		this.#standings.hear(source, {isWhole});
 		const changed: ServerRecord[] = [];
 		for (const record of records) {
 			const held = this.#servers.get(record.id);
@@ -88,6 +76,15 @@
 		return changed;
 	}
 
+	/**
+	Notes that a control instance does not answer: what it said of servers counts again once it does.
+
+	@param source The control instance.
+	*/
+	loseSource(source: InstanceId): void {
+		this.#standings.lose(source);
+	}
+
 	/**
 	Chooses a server.
 
@@ -226,8 +223,9 @@
 			}
 		}
 
+		this.#standings.forget(record.id);
+		this.#standings.tell(record.id, {source, isSilent: record.isSilent});
 		this.#servers.set(record.id, new HeldServer(record, {
-			source,
 			now,
 			onWork: change => {
 				this.#options.share.noteChange(change);
@@ -242,12 +240,7 @@
 			return false;
 		}
 
-		if (record.isSilent) {
-			held.silentFor.add(source);
-		} else {
-			held.silentFor.clear();
-		}
-
+		this.#standings.tell(record.id, {source, isSilent: record.isSilent});
 		const {state} = held.record;
 		if (isGraver(state, record.state)) {
 			this.#options.onOutdated?.(record, {held: held.record, source});
@@ -274,6 +267,7 @@
 		return held.view({
 			now,
 			othersLoad: share.othersOn(id),
+			isSilent: this.#standings.of(id) === 'silent',
 			isBehindCut: serverZone !== zone && this.#zones.isSuspect(serverZone, now),
 			isEjected: this.#ejection.isEjected(id, now),
 		});
@@ -289,9 +283,11 @@
 	}
 
 	#forget(now: number): void {
-		for (const [id, {record, toldAt, inFlight}] of this.#servers) {
-			if (record.state === 'gone' && inFlight === 0 && now - toldAt > forgetMilliseconds) {
+		for (const [id, held] of this.#servers) {
+			const isOver = held.record.state === 'gone' || !this.#standings.isHeldByAny(id);
+			if (isOver && held.inFlight === 0 && now - held.toldAt > forgetMilliseconds) {
 				this.#servers.delete(id);
+				this.#standings.forget(id);
 			}
 		}
 	}
--- a/packages/gateway/src/entry/held-server.test.ts
+++ b/packages/gateway/src/entry/held-server.test.ts
@@ -1,11 +1,10 @@
-import {type InstanceId} from '@valehitch/core';
 import test from 'ava';
 import {testServer} from '../servers/_test-server.js';
 import {HeldServer} from './held-server.js';
 
 function hold(changes: number[] = []): HeldServer {
 	return new HeldServer(testServer(), {
-		source: 'control-1' as InstanceId, now: 1000, onWork(change) {
+		now: 1000, onWork(change) {
 			changes.push(change);
 		},
 	});
--- a/packages/gateway/src/entry/held-server.ts
+++ b/packages/gateway/src/entry/held-server.ts
@@ -1,5 +1,4 @@
 import {setMaxListeners} from 'node:events';
-import {type InstanceId} from '@valehitch/core';
 import {type ServerView} from '@valehitch/routing';
 import {compareStarts} from '../servers/compare-starts.js';
 import {type ServerRecord, type ServerState} from '../servers/server-record.js';
@@ -23,6 +22,8 @@
 	readonly now: number;
 	/** The work of the other entry instances there. */
 	readonly othersLoad: number;
+	/** Whether all control instances that answer call it silent. */
+	readonly isSilent: boolean;
 	/** Whether its zone seems to be cut off from this one. */
 	readonly isBehindCut: boolean;
 	readonly isEjected: boolean;
@@ -30,8 +31,6 @@
 
 /** How a server is first held. */
 export type HeldServerOptions = {
-	/** The control instance that told of it. */
-	readonly source: InstanceId;
 	/** Milliseconds on the monotonic clock. */
 	readonly now: number;
 	/** Told by how much the work changed, in units of a short request. */
@@ -62,7 +61,7 @@
 
 @example
 ```ts
-const held = new HeldServer(record, {source, now, onWork});
+const held = new HeldServer(record, {now, onWork});
 const load = held.begin(1);
 load.end();
 ```
@@ -72,8 +71,6 @@
 	readonly addedAt: number;
 	/** When anything was last told of it or of its end, in milliseconds on the monotonic clock. */
 	toldAt: number;
-	/** The control instances that say it is silent. */
-	readonly silentFor: Set<InstanceId>;
 	/** When anything came from it last, in milliseconds on the monotonic clock; 0 for never. */
 	heardAt = 0;
 	/** No work goes there before this time, in milliseconds on the monotonic clock. */
@@ -87,11 +84,10 @@
 	#inFlight = 0;
 	#work = 0;
 
-	constructor(record: ServerRecord, {source, now, onWork}: HeldServerOptions) {
+	constructor(record: ServerRecord, {now, onWork}: HeldServerOptions) {
 		this.record = record;
 		this.addedAt = now;
 		this.toldAt = now;
-		this.silentFor = new Set(record.isSilent ? [source] : []);
 		this.#onWork = onWork;
 		// Each send in progress listens; hundreds at once are usual.
 		setMaxListeners(0, this.#processEnd.signal);
@@ -158,7 +154,7 @@
 	@param surroundings What is known of it besides.
 	@returns The view.
 	*/
-	view({now, othersLoad, isBehindCut, isEjected}: ServerSurroundings): ServerView {
+	view({now, othersLoad, isSilent, isBehindCut, isEjected}: ServerSurroundings): ServerView {
 		const {id, zone, slots, service} = this.record;
 		return {
 			id,
@@ -169,7 +165,7 @@
 			reportAge: 0,
 			ownInFlight: this.#work,
 			draining: false,
-			expired: this.silentFor.size > 0 || this.avoidUntil > now || isBehindCut,
+			expired: isSilent || this.avoidUntil > now || isBehindCut,
 			ejected: isEjected,
 			// Servers warm up within milliseconds here, so that the slow start of cold replicas would only unbalance them.
 			uptime: Math.max(warmMilliseconds, now - this.addedAt),
--- a/packages/gateway/src/entry/server-verdicts.ts
+++ b/packages/gateway/src/entry/server-verdicts.ts
@@ -2,7 +2,7 @@
 import {type RouteId} from '../configuration/routing-configuration.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type EntryContext} from './entry-context.js';
-import {type SendResult} from './entry-servers.js';
+import {type SendResult} from './entry-servers-options.js';
 import {type LossFinding} from './entry-suspects.js';
 
 /** Which request the verdicts come from. */
