Save ends of servers that come while the list is being saved

A request that had ended three servers was sent to a server once more by each entry instance after the end of all processes.

Cause: a save that was asked for during another one was dropped, and nothing looked again before the next round, up to a second later. The third end was in memory only, and a request with two ends may be sent once more. Ruled out: that control instances answer before they have read what they saved (the test asks after each entry instance has answered another request); that a timer keeps the save back (the two ends were on the disk).

A new test of the news of suspects fails before: of two reports in a row only the first is written. The two savers of lists were twins; ListSaver serves both now.

--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -2,6 +2,7 @@
 import {intervalAfterInput} from '@valehitch/transport';
 import {type DecisionKind, type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
+import {ListSaver} from '../servers/list-saver.js';
 import {type SavedList} from '../servers/saved-list.js';
 import {ServerDirectory} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -58,18 +59,20 @@
 export class ServerNews {
 	readonly directory: ServerDirectory;
 	readonly #options: ServerNewsOptions;
+	readonly #saver: ListSaver<ServerRecord>;
 	readonly #heard = new Set<ServerId>();
 	/** How far each other control instance has taken the changes of this directory. */
 	readonly #taken = new Map<InstanceId, PeerPosition>();
 	#stopSharing: (() => void) | undefined;
 	#saveTimer: NodeJS.Timeout | undefined;
-	/** The number of the last change that was saved. */
-	#savedCursor = 0;
-	#isSaving = false;
 
 	constructor(options: ServerNewsOptions) {
 		this.#options = options;
 		this.directory = new ServerDirectory({silentMilliseconds: missedHeartbeats * options.heartbeatMilliseconds});
+		this.#saver = new ListSaver({
+			current: () => ({cursor: this.directory.cursor, items: this.directory.records}),
+			saved: options.saved,
+		});
 	}
 
 	/** Starts the rounds, and asks the others for what they know. */
@@ -96,18 +99,9 @@
 		}
 	}
 
-	/** Saves the directory where it changed; one save at a time. */
+	/** Saves the directory where it changed. */
 	async save(): Promise<void> {
-		const {cursor, records} = this.directory;
-		if (this.#isSaving || cursor === this.#savedCursor) {
-			return;
-		}
-
-		this.#isSaving = true;
-		const isSaved = await this.#options.saved.write(records);
-		// What a failing disk did not take is tried again with the next round.
-		this.#savedCursor = isSaved ? cursor : this.#savedCursor;
-		this.#isSaving = false;
+		await this.#saver.save();
 	}
 
 	stop(): void {
--- a/packages/gateway/src/control/suspect-news.test.ts
+++ b/packages/gateway/src/control/suspect-news.test.ts
@@ -99,3 +99,11 @@
 	t.true(sent.some(message => message.type === 'suspects' && message.records.every(({ends}) => ends.every(({isCleared}) => isCleared))));
 	news.stop();
 });
+
+test('an end that comes while the list is being saved is saved right after it', async t => {
+	const {news, written} = startNews();
+	news.receive({type: 'suspects', records: [record(['a', 'b'])], isRelayed: true});
+	news.receive({type: 'suspects', records: [record(['c'])], isRelayed: true});
+	await elapsed(20);
+	t.deepEqual(written.map(([saved]) => saved?.ends.length), [2, 3]);
+});
--- a/packages/gateway/src/control/suspect-news.ts
+++ b/packages/gateway/src/control/suspect-news.ts
@@ -1,6 +1,7 @@
 import {type Clock, type InstanceId, type RequestFingerprint} from '@valehitch/core';
 import {SuspectBook, type SuspectRecord} from '@valehitch/routing';
 import {type DecisionLog} from '../logs/decision-log.js';
+import {ListSaver} from '../servers/list-saver.js';
 import {type SavedList} from '../servers/saved-list.js';
 import {type PeerMessage, type SuspectsMessage} from './peer-message.js';
 
@@ -40,16 +41,19 @@
 export class SuspectNews {
 	readonly book = new SuspectBook();
 	readonly #options: SuspectNewsOptions;
+	readonly #saver: ListSaver<SuspectRecord>;
 	readonly #unsent = new Set<RequestFingerprint>();
 	#relayTimer: NodeJS.Timeout | undefined;
 	#roundTimer: NodeJS.Timeout | undefined;
 	/** Where the next round begins. */
 	#nextOfRound = 0;
-	#savedCursor = 0;
-	#isSaving = false;
 
 	constructor(options: SuspectNewsOptions) {
 		this.#options = options;
+		this.#saver = new ListSaver({
+			current: () => ({cursor: this.book.cursor, items: this.book.told}),
+			saved: options.saved,
+		});
 	}
 
 	/** Starts the rounds, and takes what the run before saved and the others know. */
@@ -103,18 +107,9 @@
 		return true;
 	}
 
-	/** Saves what concerns others where it changed; one save at a time. */
+	/** Saves what concerns others where it changed. */
 	async save(): Promise<void> {
-		const {cursor, told} = this.book;
-		if (this.#isSaving || cursor === this.#savedCursor) {
-			return;
-		}
-
-		this.#isSaving = true;
-		const isSaved = await this.#options.saved.write(told);
-		// What a failing disk did not take is tried again with the next round.
-		this.#savedCursor = isSaved ? cursor : this.#savedCursor;
-		this.#isSaving = false;
+		await this.#saver.save();
 	}
 
 	#merge(records: readonly SuspectRecord[], source: string): readonly SuspectRecord[] {
--- /dev/null
+++ b/packages/gateway/src/servers/list-saver.test.ts
@@ -0,0 +1,59 @@
+import test from 'ava';
+import {ListSaver} from './list-saver.js';
+
+/** A list whose saves end by hand. */
+function startSaver() {
+	const list = {cursor: 0, items: [] as readonly string[]};
+	const writes: Array<{readonly items: readonly string[]; readonly end: (isTaken: boolean) => void}> = [];
+	const saver = new ListSaver<string>({
+		current: () => list,
+		saved: {
+			write: async items => new Promise(resolve => {
+				writes.push({items, end: resolve});
+			}),
+		},
+	});
+	const change = (...items: readonly string[]): void => {
+		list.items = items;
+		list.cursor++;
+	};
+
+	return {saver, writes, change};
+}
+
+async function settled(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
+
+test('what changes during a save is saved right after it, once', async t => {
+	const {saver, writes, change} = startSaver();
+	change('a');
+	const first = saver.save();
+	change('a', 'b');
+	void saver.save();
+	change('a', 'b', 'c');
+	void saver.save();
+	t.is(writes.length, 1);
+	writes[0]!.end(true);
+	await settled();
+	writes[1]!.end(true);
+	await first;
+	t.deepEqual(writes.map(({items}) => items.length), [1, 3]);
+});
+
+test('a list without a change is not saved, and one that the disk did not take is with the next call', async t => {
+	const {saver, writes, change} = startSaver();
+	await saver.save();
+	change('a');
+	void saver.save();
+	writes[0]!.end(false);
+	await settled();
+	t.is(writes.length, 1);
+	void saver.save();
+	writes[1]!.end(true);
+	await settled();
+	await saver.save();
+	t.is(writes.length, 2);
+});
