Answer nobody before the saved lists are read

A control instance that started answered entry instances as soon as its data folder was open, whether or not it had read which requests end servers and which servers there are. An entry instance that asked in between was told of none, and might send a proven request once. The start now waits for both; the folder is on the same disk, so that a disk that stands still holds up the start as before.

The new test has a read that takes 300 ms, and failed before: the started instance knew nothing.

--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -1,10 +1,12 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {setTimeout} from 'node:timers/promises';
 import {
-	type InstanceId, type ServiceId, type VersionId, type ZoneId,
+	type InstanceId, type ServiceId, toId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {type FileFunctions, openDataFolder, systemFiles} from '@valehitch/storage';
+import {type SuspectRecord} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
 import {Right} from 'purify-ts';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
@@ -16,8 +18,13 @@
 const self = '10.0.0.1' as InstanceId;
 const entry = '10.0.0.9' as InstanceId;
 
+type ControlOptions = {
+	/** Reads the requests that end servers which the run before saved; there are none unless given. */
+	readonly readSuspects?: () => Promise<readonly SuspectRecord[]>;
+};
+
 /** The only control instance of a deployment; its disk can be filled. */
-async function startControl(t: ExecutionContext) {
+async function startControl(t: ExecutionContext, {readSuspects = async () => []}: ControlOptions = {}) {
 	const disk = {isFull: false};
 	const files: FileFunctions = {
 		...systemFiles,
@@ -48,7 +55,7 @@
 		heartbeatMilliseconds: 1200,
 		openFolder: async () => openDataFolder(folder, {files, lock: async () => Right(async () => undefined)}),
 		savedServers: {read: async () => [], write: async () => true},
-		savedSuspects: {read: async () => [], write: async () => true},
+		savedSuspects: {read: readSuspects, write: async () => true},
 		send: ignore,
 		ask: async () => undefined,
 		run: 'one',
@@ -76,6 +83,19 @@
 	}) as WatchReply;
 }
 
+test('an instance that has started knows the requests that ended servers in its run before', async t => {
+	const saved: SuspectRecord = {
+		fingerprint: toId('f1'), ends: ['a', 'b', 'c'].map(process => ({process, at: Date.now(), isCleared: false})),
+	};
+	const {control} = await startControl(t, {
+		async readSuspects() {
+			await setTimeout(300);
+			return [saved];
+		},
+	});
+	t.deepEqual(control.suspects, [saved]);
+});
+
 test('a full disk refuses changes, and the replica comes back with all that was acknowledged once there is room', async t => {
 	const {control, disk} = await startControl(t);
 	await eventually(async () => submit(control, 3));
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -110,10 +110,9 @@
 		return this.#holder.current;
 	}
 
-	/** Opens the data folder and starts the replica and the rounds. */
+	/** Opens the data folder, reads the saved lists, and starts the replica and the rounds. */
 	async start(): Promise<void> {
-		this.#news.start();
-		this.#suspects.start();
+		const lists = [this.#news.start(), this.#suspects.start()];
 		this.#timers = [
 			setInterval(() => {
 				void this.#confirmation.confirm();
@@ -122,7 +121,7 @@
 				void this.#judge.look();
 			}, judgeMilliseconds),
 		];
-		await this.#holder.start();
+		await Promise.all([...lists, this.#holder.start()]);
 	}
 
 	/** Stops the rounds, and the replica once its steps in progress are on the disk. */
--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -75,8 +75,8 @@
 		});
 	}
 
-	/** Starts the rounds, and asks the others for what they know. */
-	start(): void {
+	/** Starts the rounds, asks the others for what they know, and takes what the run before saved; resolves once that is read. */
+	async start(): Promise<void> {
 		// A round says which servers are silent.
 		this.#stopSharing = intervalAfterInput(shareMilliseconds, () => {
 			this.share();
@@ -84,8 +84,8 @@
 		this.#saveTimer = setInterval(() => {
 			void this.save();
 		}, saveMilliseconds);
-		void this.restore();
 		void this.#askAll();
+		await this.restore();
 	}
 
 	/** Takes the servers that the run before saved, where nothing newer is known of them. */
--- a/packages/gateway/src/control/suspect-news.ts
+++ b/packages/gateway/src/control/suspect-news.ts
@@ -56,13 +56,13 @@
 		});
 	}
 
-	/** Starts the rounds, and takes what the run before saved and the others know. */
-	start(): void {
+	/** Starts the rounds, asks the others for what they know, and takes what the run before saved; resolves once that is read. */
+	async start(): Promise<void> {
 		this.#roundTimer = setInterval(() => {
 			this.#round();
 		}, roundMilliseconds);
-		void this.restore();
 		void this.#askAll();
+		await this.restore();
 	}
 
 	stop(): void {
