--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -22,11 +22,15 @@
 const loadBound = 1.5;
 /** With the loads of all instances known, comparing more servers costs nothing but the comparison. */
 const samples = 4;
+/** The busier the own zone must be before another helps, as a share of its slots. */
+const zonePenalty = 0.1;
 /** The pause after a connection that was not opened; doubles up to the longest. */
 const firstAvoidMilliseconds = 500;
 const longestAvoidMilliseconds = 8000;
 /** The end of a server is remembered for longer than any control instance that missed it goes on telling of the server. */
-const forgetMilliseconds = 2 * defaultForgetMilliseconds;
+const forgetEndedMilliseconds = 2 * defaultForgetMilliseconds;
+/** A silent server is forgotten before control forgets it, so that its end is told to whoever still holds it. */
+const forgetSilentMilliseconds = defaultForgetMilliseconds / 2;
 
 /**
 The backend servers as one entry instance knows them: what control says, what it has in flight itself, and how its own sends ended.
@@ -284,14 +288,14 @@
 
 	#forget(now: number): void {
 		for (const [id, held] of this.#servers) {
-			const isOver = held.record.state === 'gone' || !this.#standings.isHeldByAny(id);
-			if (isOver && held.inFlight === 0 && now - held.toldAt > forgetMilliseconds) {
+			const untold = now - held.toldAt;
+			const isOver = held.record.state === 'gone'
+				? untold > forgetEndedMilliseconds
+				: untold > forgetSilentMilliseconds && !this.#standings.isHeldByAny(id);
+			if (isOver && held.inFlight === 0) {
 				this.#servers.delete(id);
 				this.#standings.forget(id);
 			}
 		}
 	}
 }
-
-/** The busier the own zone must be before another helps, as a share of its slots. */
-const zonePenalty = 0.1;
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -8,7 +8,7 @@
 export type ServerDirectoryOptions = {
 	/** The time without an announcement after which a server counts as silent, in milliseconds. */
 	readonly silentMilliseconds: number;
-	/** The time after which a silent server is forgotten, in milliseconds; an ended one is after twice as long. 60,000 by default. */
+	/** The time after which a silent server is forgotten, in milliseconds; an ended one is after twice as long. 180,000 by default. */
 	readonly forgetMilliseconds?: number;
 };
 
@@ -21,7 +21,7 @@
 };
 
 /** How long a control instance holds a server that it no longer hears, in milliseconds. */
-export const defaultForgetMilliseconds = 60_000;
+export const defaultForgetMilliseconds = 180_000;
 
 /**
 The backend servers that announced themselves to any control instance, with a counter of changes from which others read what is new.
