--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -198,8 +198,7 @@
 		}
 
 		if (result === 'gone') {
-			held.record = {...held.record, state: 'gone'};
-			held.toldAt = now;
+			held.noteEnd(now);
 			return true;
 		}
 
@@ -221,8 +220,7 @@
 	#join(record: ServerRecord, {source, now}: {readonly source: InstanceId; readonly now: number}): void {
 		for (const [id, former] of this.#servers) {
 			if (id === record.id || hasReplaced(record, former.record)) {
-				former.record = {...former.record, state: 'gone'};
-				former.toldAt = now;
+				former.noteEnd(now);
 				this.#drop(former);
 			}
 		}
--- a/packages/gateway/src/entry/held-server.ts
+++ b/packages/gateway/src/entry/held-server.ts
@@ -173,6 +173,16 @@
 		};
 	}
 
+	/**
+	Notes that the process has ended.
+
+	@param now Milliseconds on the monotonic clock.
+	*/
+	noteEnd(now: number): void {
+		this.record = {...this.record, state: 'gone'};
+		this.toldAt = now;
+	}
+
 	/** Ends all sends in progress: their process has ended, and nothing on their connections tells it where it lost its power. */
 	endProcess(): void {
 		this.#processEnd.abort();
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,4 +1,3 @@
-import {type ServerResponse} from 'node:http';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
 import {timeoutAfterInput} from '@valehitch/transport';
 import {match} from 'ts-pattern';
@@ -10,10 +9,10 @@
 import {endExpired} from './end-expired.js';
 import {EventStream} from './event-stream.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
-import {type SendLoad} from './held-server.js';
 import {ModelSteps} from './model-steps.js';
 import {Placement} from './placement.js';
 import {type Next, RequestEnd} from './request-end.js';
+import {type RequestRunOptions, type SentTo} from './request-run-options.js';
 import {RequestSuspicion} from './request-suspicion.js';
 import {SendAllowance} from './send-allowance.js';
 import {type SentAttempt} from './send-attempt.js';
@@ -24,16 +23,6 @@
 	type OutcomeStep, passSpare, takeOutcome, type TakeOutcomeOptions,
 } from './take-outcome.js';
 
-/** One request of a caller, authorized, with its body. */
-export type RequestRunOptions = {
-	readonly request: GatewayRequest;
-	readonly body: Uint8Array;
-	readonly response: ServerResponse;
-	readonly authorized: AuthorizedRequest;
-	/** When the request arrived, in milliseconds on the monotonic clock. */
-	readonly arrivedAt: number;
-};
-
 /** The time after which a place should be free again, for a request that no server took. */
 const retryMilliseconds = 250;
 
@@ -301,11 +290,3 @@
 		}
 	}
 }
-
-type SentTo = {
-	readonly server: ServerRecord;
-	/** Its load there; undefined where it is counted no more. */
-	readonly load?: SendLoad;
-	/** Milliseconds on the monotonic clock. */
-	readonly sentAt: number;
-};
