Doubt restored servers that another control instance does not list

A control instance begins with the servers that it saved, so that all need not announce themselves anew after the end of all processes. One that was without power for longer than ends are remembered told entry instances that servers take work which had left meanwhile, for two heartbeats until they counted as silent there.

With its reply to the question for all servers an instance now says how long it has listened. Restored servers that are not heard yet, and that one does not list which has listened for as long as a server may be silent, count as silent at once; their next heartbeat puts that right. An instance that has only just started itself, with or without its disk, proves nothing, so that the start of all processes is as before. The question is asked once the saved servers are read. Both new tests fail without it: the method is new, and the exchange left the server as ready.

--- a/packages/gateway/src/control/_test-server-world.ts
+++ b/packages/gateway/src/control/_test-server-world.ts
@@ -291,7 +291,7 @@
 			return true;
 		}
 
-		return message.type === 'all-servers' ? {type: 'servers', records: news.directory.records} : undefined;
+		return message.type === 'all-servers' ? news.all : undefined;
 	}
 
 	#isCut(one: string, other: string): boolean {
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -14,7 +14,7 @@
 import {describeResult, LeaderClient} from './leader-client.js';
 import {OperatorCalls} from './operator-calls.js';
 import {
-	type ConfirmReply, type JoinReply, type PeerMessage, type ServersMessage, type ServersReply, type SuspectsMessage,
+	type ConfirmReply, type JoinReply, type PeerMessage, type ServersReply, type SuspectsMessage,
 } from './peer-message.js';
 import {type OpenedFolder, ReopeningGroup} from './reopening-group.js';
 import {RolloutClock} from './rollout-clock.js';
@@ -211,7 +211,7 @@
 				this.#news.end(server);
 				return true;
 			})
-			.with({type: 'all-servers'}, (): ServersMessage => ({type: 'servers', records: this.#news.directory.records}))
+			.with({type: 'all-servers'}, () => this.#news.all)
 			.with({type: 'suspects'}, suspects => {
 				this.#suspects.receive(suspects);
 				return true;
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -67,6 +67,12 @@
 	readonly records: readonly ServerRecord[];
 };
 
+/** All backend servers that a control instance has. */
+export type AllServersReply = ServersMessage & {
+	/** How long it has listened to servers, in milliseconds. */
+	readonly listenedFor: number;
+};
+
 /** Says that news of backend servers were taken. */
 export type ServersReply = {
 	/** Names the run of the process that took them. */
--- a/packages/gateway/src/control/server-news.test.ts
+++ b/packages/gateway/src/control/server-news.test.ts
@@ -21,9 +21,10 @@
 	const lines: Array<Readonly<Record<string, unknown>>> = [];
 	const link = {isCut: false, run: 'one'};
 	const sent: PeerMessage[] = [];
+	const time = {now: 1000};
 	const start = ({self, other, saved: records = []}: Side): ServerNews => {
 		const made = new ServerNews({
-			clock: {now: () => new Date(0), monotonic: () => 1000},
+			clock: {now: () => new Date(0), monotonic: () => time.now},
 			log(kind, fields) {
 				lines.push({...fields, line: kind});
 			},
@@ -48,7 +49,7 @@
 	};
 
 	return {
-		one: start({self: first!, other: second!, saved}), other: start({self: second!, other: first!}), written, lines, link, sent,
+		one: start({self: first!, other: second!, saved}), other: start({self: second!, other: first!}), written, lines, link, sent, time,
 	};
 }
 
@@ -63,7 +64,7 @@
 		return {run};
 	}
 
-	return undefined;
+	return message.type === 'all-servers' ? news?.all : undefined;
 }
 
 function ignore(): void {
@@ -157,3 +158,15 @@
 
 	t.deepEqual(serversOf(sent), [['server-2'], ['server-2'], ['server-2'], ['server-1', 'server-2'], ['server-2']]);
 });
+
+test('a restored server that others have forgotten counts as silent, unless they have only just started', async t => {
+	for (const [listened, isSilent] of [[6000, true], [500, false]] as const) {
+		const {one, other, time} = startPair([testServer()]);
+		await other.announce(testServer({id: 'server-2' as ServerId}));
+		time.now += listened;
+		await one.start();
+		one.stop();
+		await settled();
+		t.is(one.directory.records.find(({id}) => id === testServer().id)?.isSilent, isSilent);
+	}
+});
--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -6,7 +6,9 @@
 import {type SavedList} from '../servers/saved-list.js';
 import {ServerDirectory} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
-import {type PeerMessage, type ServersMessage, type ServersReply} from './peer-message.js';
+import {
+	type AllServersReply, type PeerMessage, type ServersMessage, type ServersReply,
+} from './peer-message.js';
 
 /** What the exchange of servers between control instances needs. */
 export type ServerNewsOptions = {
@@ -59,6 +61,8 @@
 export class ServerNews {
 	readonly directory: ServerDirectory;
 	readonly #options: ServerNewsOptions;
+	readonly #startedAt: number;
+	readonly #silentMilliseconds: number;
 	readonly #saver: ListSaver<ServerRecord>;
 	readonly #heard = new Set<ServerId>();
 	/** How far each other control instance has taken the changes of this directory. */
@@ -68,13 +72,20 @@
 
 	constructor(options: ServerNewsOptions) {
 		this.#options = options;
-		this.directory = new ServerDirectory({silentMilliseconds: missedHeartbeats * options.heartbeatMilliseconds});
+		this.#startedAt = options.clock.monotonic();
+		this.#silentMilliseconds = missedHeartbeats * options.heartbeatMilliseconds;
+		this.directory = new ServerDirectory({silentMilliseconds: this.#silentMilliseconds});
 		this.#saver = new ListSaver({
 			current: () => ({cursor: this.directory.cursor, items: this.directory.records}),
 			saved: options.saved,
 		});
 	}
 
+	/** All servers, for another control instance. */
+	get all(): AllServersReply {
+		return {type: 'servers', records: this.directory.records, listenedFor: this.#options.clock.monotonic() - this.#startedAt};
+	}
+
 	/** Starts the rounds, asks the others for what they know, and takes what the run before saved; resolves once that is read. */
 	async start(): Promise<void> {
 		// A round says which servers are silent.
@@ -84,8 +95,8 @@
 		this.#saveTimer = setInterval(() => {
 			void this.save();
 		}, saveMilliseconds);
-		void this.#askAll();
 		await this.restore();
+		void this.#askAll();
 	}
 
 	/** Takes the servers that the run before saved, where nothing newer is known of them. */
@@ -166,10 +177,7 @@
 	share(): void {
 		const {clock, others, onChange} = this.#options;
 		const silenced = this.directory.sweep(clock.monotonic());
-		for (const {id, service, sequence} of silenced) {
-			this.#options.log('server-silent', {server: id, service, sequence}, 'warn');
-		}
-
+		this.#logSilent(silenced);
 		if (silenced.length > 0) {
 			onChange();
 		}
@@ -235,13 +243,29 @@
 	async #askAll(): Promise<void> {
 		const {others, ask} = this.#options;
 		await Promise.all(others().map(async other => {
-			const reply = await ask(other, {type: 'all-servers'}, allServersMilliseconds) as ServersMessage | undefined;
+			const reply = await ask(other, {type: 'all-servers'}, allServersMilliseconds) as AllServersReply | undefined;
 			if (reply !== undefined) {
 				this.receive(reply);
+				this.#doubtRestored(reply);
 			}
 		}));
 	}
 
+	/** Only an instance that has listened for as long as a server may be silent has heard of all that run. */
+	#doubtRestored({records, listenedFor}: AllServersReply): void {
+		const doubted = listenedFor >= this.#silentMilliseconds ? this.directory.doubtRestored(records) : [];
+		if (doubted.length > 0) {
+			this.#logSilent(doubted);
+			this.#options.onChange();
+		}
+	}
+
+	#logSilent(records: readonly ServerRecord[]): void {
+		for (const {id, service, sequence} of records) {
+			this.#options.log('server-silent', {server: id, service, sequence}, 'warn');
+		}
+	}
+
 	#log(records: readonly ServerRecord[], source: string): void {
 		for (const {id, state, service, version, zone, startedAt, sequence} of records) {
 			this.#options.log(logKinds[state], {
--- a/packages/gateway/src/control/suspect-news.test.ts
+++ b/packages/gateway/src/control/suspect-news.test.ts
@@ -73,7 +73,7 @@
 
 test('a restarted instance knows what it saved and what the others know', async t => {
 	const {news} = startNews({saved: [record(['a', 'b'])], known: [record(['c'])]});
-	news.start();
+	await news.start();
 	await elapsed(20);
 	t.is(news.book.standing(fingerprint, 0), 'quarantined');
 	news.stop();
--- a/packages/gateway/src/servers/server-directory.test.ts
+++ b/packages/gateway/src/servers/server-directory.test.ts
@@ -94,3 +94,15 @@
 	directory.remove(testServer().id, now);
 	t.deepEqual(directory.sweep(now + 7000), []);
 });
+
+test('a restored server that another instance does not list counts as silent until it announces itself', t => {
+	const directory = new ServerDirectory({silentMilliseconds: 6000});
+	const listed = testServer({id: 'server-2' as ServerId});
+	const heard = testServer({id: 'server-3' as ServerId});
+	directory.restore([testServer(), listed, heard], {now, graceMilliseconds: 2400});
+	directory.announce({...heard, sequence: 2}, now);
+	t.deepEqual(directory.doubtRestored([listed]).map(({id}) => id), [testServer().id]);
+	t.deepEqual(directory.records.map(({isSilent}) => isSilent), [true, false, false]);
+	t.like(directory.announce(testServer({sequence: 2}), now + 100)[0], {isSilent: false});
+	t.deepEqual(directory.doubtRestored([listed]), []);
+});
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -18,6 +18,14 @@
 	changedAt: number;
 	/** When its end was learned; undefined while it runs. */
 	endedAt: number | undefined;
+	/** Whether it is known from an earlier run only. */
+	isRestored: boolean;
+};
+
+type AddOptions = {
+	readonly heardAt: number;
+	readonly now: number;
+	readonly isRestored?: boolean;
 };
 
 /** How long a control instance holds a server that it no longer hears, in milliseconds. */
@@ -88,7 +96,25 @@
 	restore(records: readonly ServerRecord[], {now, graceMilliseconds}: {readonly now: number; readonly graceMilliseconds: number}): readonly ServerRecord[] {
 		const heardAt = now + graceMilliseconds - this.#options.silentMilliseconds;
 		const unknown = records.filter(({id}) => !this.#servers.has(id) && !this.#ended.has(id));
-		return unknown.map(record => this.#add(record, {heardAt, now}));
+		return unknown.map(record => this.#add(record, {heardAt, now, isRestored: true}));
+	}
+
+	/**
+	Takes restored servers for silent that another instance does not list: they may have left, and their end been forgotten, while this one did not run.
+
+	@param listed What the other instance has.
+	@returns Those that count as silent from now on.
+	*/
+	doubtRestored(listed: readonly ServerRecord[]): readonly ServerRecord[] {
+		const ids = new Set(listed.map(({id}) => id));
+		const doubted: ServerRecord[] = [];
+		for (const [id, held] of this.#servers) {
+			if (held.isRestored && !ids.has(id) && !held.record.isSilent && held.endedAt === undefined) {
+				doubted.push(this.#silence(held));
+			}
+		}
+
+		return doubted;
 	}
 
 	/**
@@ -136,9 +162,7 @@
 			}
 
 			if (silence >= silentMilliseconds && !held.record.isSilent && held.endedAt === undefined) {
-				held.record = {...held.record, isSilent: true};
-				held.changedAt = this.#next();
-				silenced.push(held.record);
+				silenced.push(this.#silence(held));
 			}
 		}
 
@@ -189,6 +213,7 @@
 
 		if (isNews) {
 			held.heardAt = now;
+			held.isRestored = false;
 		}
 
 		if (isChanged) {
@@ -198,6 +223,12 @@
 		return isChanged ? [merged] : [];
 	}
 
+	#silence(held: Held): ServerRecord {
+		held.record = {...held.record, isSilent: true};
+		held.changedAt = this.#next();
+		return held.record;
+	}
+
 	#end(held: Held, now: number): ServerRecord {
 		held.record = {...held.record, state: 'gone'};
 		held.endedAt = now;
@@ -205,10 +236,10 @@
 		return held.record;
 	}
 
-	#add(record: ServerRecord, {heardAt, now}: {readonly heardAt: number; readonly now: number}): ServerRecord {
+	#add(record: ServerRecord, {heardAt, now, isRestored = false}: AddOptions): ServerRecord {
 		const endedAt = record.state === 'gone' ? now : undefined;
 		this.#servers.set(record.id, {
-			record, heardAt, changedAt: this.#next(), endedAt,
+			record, heardAt, changedAt: this.#next(), endedAt, isRestored,
 		});
 		return record;
 	}
