Have the notice of a shutdown on the disk before it is acknowledged

A control instance that acknowledged that a server leaves kept that in memory for up to a second. Where it and the others that had taken the notice lost their power within that second, all started with the server as ready, and callers' requests went there until it fell silent.

The acknowledgement waits for the save as well as for the others, 600 ms at most, since a server waits a second; a disk that stands still holds up none. A save resolves once what it was asked for is written, also where one was in progress. The new test failed before (the disk had nothing).

--- a/packages/gateway/src/control/server-news.test.ts
+++ b/packages/gateway/src/control/server-news.test.ts
@@ -15,7 +15,7 @@
 };
 
 /** Two control instances that hear each other at once. */
-function startPair(saved: readonly ServerRecord[] = [], takes: () => boolean = () => true) {
+function startPair(saved: readonly ServerRecord[] = [], takes: () => boolean | Promise<boolean> = () => true) {
 	const news = new Map<InstanceId, ServerNews>();
 	const written: Array<readonly ServerRecord[]> = [];
 	const lines: Array<Readonly<Record<string, unknown>>> = [];
@@ -170,3 +170,16 @@
 		t.is(one.directory.records.find(({id}) => id === testServer().id)?.isSilent, isSilent);
 	}
 });
+
+test('a shutdown is on the disk once it is acknowledged, and a disk that stands still holds up no acknowledgement', async t => {
+	const {one, written} = startPair();
+	await one.announce(testServer());
+	await one.announce(testServer({state: 'draining', sequence: 2}));
+	t.is(written.at(-1)?.[0]?.state, 'draining');
+	await one.remove(testServer().id);
+	t.is(written.at(-1)?.[0]?.state, 'gone');
+
+	const stalled = startPair([], async () => new Promise(ignore));
+	await stalled.one.announce(testServer({state: 'draining'}));
+	t.deepEqual(states(stalled.other), ['server-1 draining']);
+});
--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -1,3 +1,4 @@
+import {setTimeout} from 'node:timers/promises';
 import {type Clock, type InstanceId, type ServerId} from '@valehitch/core';
 import {intervalAfterInput} from '@valehitch/transport';
 import {type DecisionKind, type DecisionLog} from '../logs/decision-log.js';
@@ -39,7 +40,7 @@
 const shareMilliseconds = 500;
 /** The time between two looks whether the directory must be saved: a save costs two syncs of the disk, and servers change within seconds at the most. */
 const saveMilliseconds = 1000;
-/** How long the acknowledgement of a shutdown waits for the other control instances; the server waits a second. */
+/** How long the acknowledgement of a shutdown waits for the other control instances and for the disk; the server waits a second. */
 const passOnMilliseconds = 600;
 /** The time that an instance which just started has to answer with all its servers. */
 const allServersMilliseconds = 1000;
@@ -138,7 +139,7 @@
 	*/
 	async remove(server: ServerId): Promise<void> {
 		this.end(server);
-		await this.#tellOthers({type: 'server-ended', server}, [server]);
+		await this.#secure(this.#tellOthers({type: 'server-ended', server}, [server]));
 	}
 
 	/**
@@ -217,10 +218,16 @@
 		const leaving = changed.filter(({state}) => state !== 'ready').map(({id}) => id);
 		const passedOn = this.#tellOthers({type: 'servers', records: changed}, leaving);
 		if (leaving.length > 0) {
-			await passedOn;
+			await this.#secure(passedOn);
 		}
 	}
 
+	/** Waits until a shutdown is told and on the disk; a disk that stands still holds it up for no longer than others may. */
+	async #secure(told: Promise<void>): Promise<void> {
+		const saved = Promise.race([this.save(), setTimeout(passOnMilliseconds)]);
+		await Promise.all([told, saved]);
+	}
+
 	/** Tells the other control instances, and logs the servers whose shutdown one of them did not take in time. */
 	async #tellOthers(message: PeerMessage, leaving: readonly ServerId[]): Promise<void> {
 		const {others, ask, log, metrics} = this.#options;
--- a/packages/gateway/src/servers/list-saver.test.ts
+++ b/packages/gateway/src/servers/list-saver.test.ts
@@ -34,12 +34,16 @@
 	change('a', 'b');
 	void saver.save();
 	change('a', 'b', 'c');
-	void saver.save();
+	let isSaved = false;
+	const last = saver.save().then(() => {
+		isSaved = true;
+	});
 	t.is(writes.length, 1);
 	writes[0]!.end(true);
 	await settled();
+	t.false(isSaved);
 	writes[1]!.end(true);
-	await first;
+	await Promise.all([first, last]);
 	t.deepEqual(writes.map(({items}) => items.length), [1, 3]);
 });
 
--- a/packages/gateway/src/servers/list-saver.ts
+++ b/packages/gateway/src/servers/list-saver.ts
@@ -26,27 +26,27 @@
 export class ListSaver<Item> {
 	readonly #options: ListSaverOptions<Item>;
 	#savedCursor = 0;
-	#isSaving = false;
 	#isWanted = false;
+	#saving: Promise<void> | undefined;
 
 	constructor(options: ListSaverOptions<Item>) {
 		this.#options = options;
 	}
 
-	/** Saves the list where it changed since the last save; what the disk does not take is tried again with the next call. */
+	/** Saves the list where it changed since the last save, and resolves once that is over; what the disk does not take is tried again with the next call. */
 	async save(): Promise<void> {
 		this.#isWanted = true;
-		if (this.#isSaving) {
-			return;
-		}
+		this.#saving ??= this.#saveWanted();
+		await this.#saving;
+	}
 
-		this.#isSaving = true;
+	async #saveWanted(): Promise<void> {
 		while (this.#isWanted) {
 			this.#isWanted = false;
 			await this.#saveOnce();
 		}
 
-		this.#isSaving = false;
+		this.#saving = undefined;
 	}
 
 	async #saveOnce(): Promise<void> {
