List the bills that the ledger refused

A bill that the ledger refuses (of a run that it has not heard of for 30 days, or under too many holes) is acknowledged to its owner, who drops its copy; an error in the log of the leader was all that was left of it, and no call of an operator told that there was one.

They are in no total, and no call adds them: which bills an operator takes over is for the books.

--- a/packages/cli/src/_operator-client.ts
+++ b/packages/cli/src/_operator-client.ts
@@ -51,6 +51,16 @@
 	readonly dropped: number;
 };
 
+/** Which bills are asked for. */
+export type LedgerQuery = {
+	/** Bills of this workspace only. */
+	readonly workspace?: string | undefined;
+	/** How many bills to pass over. */
+	readonly after: number;
+	/** Whether the bills are wanted that the ledger refused. */
+	readonly refused: boolean;
+};
+
 /** A page of the ledger. */
 export type LedgerPage = {
 	readonly bills: ReadonlyArray<Readonly<Record<string, unknown>>>;
@@ -90,8 +100,8 @@
 }
 
 /** Reads a page of the ledger. */
-export async function getLedger(target: Target, {workspace, after}: {readonly workspace?: string | undefined; readonly after: number}): Promise<Either<Failure, LedgerPage>> {
-	const query = new URLSearchParams({...(workspace !== undefined && {workspace}), after: String(after)});
+export async function getLedger(target: Target, {workspace, after, refused}: LedgerQuery): Promise<Either<Failure, LedgerPage>> {
+	const query = new URLSearchParams({...(workspace !== undefined && {workspace}), after: String(after), ...(refused && {refused: 'true'})});
 	const answer = await call(target, {method: 'GET', path: `/v1/ledger?${query.toString()}`});
 	return answer.chain(value => isLedgerPage(value) ? Right(value as LedgerPage) : Left(oddAnswer('a page of the ledger')));
 }
--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -18,7 +18,7 @@
 const keyVariable = 'VALEHITCH_KEY';
 
 type Ran = {readonly code: number; readonly stdout: string; readonly stderr: string};
-type Seen = {readonly method: string; readonly authorization: string; readonly match: string; readonly changeId: string; readonly body: string};
+type Seen = {readonly method: string; readonly url: string; readonly authorization: string; readonly match: string; readonly changeId: string; readonly body: string};
 type Reply = {readonly status: number; readonly body: unknown} | 'hang up';
 
 async function run(commandLine: readonly string[], environment: Readonly<Record<string, string>> = {}): Promise<Ran> {
@@ -58,7 +58,7 @@
 async function look(incoming: IncomingMessage): Promise<Seen> {
 	const {authorization = '', 'if-match': match = '', 'valehitch-change-id': changeId = ''} = incoming.headers;
 	return {
-		method: incoming.method ?? '', authorization, match, changeId: String(changeId), body: await text(incoming),
+		url: incoming.url ?? '', method: incoming.method ?? '', authorization, match, changeId: String(changeId), body: await text(incoming),
 	};
 }
 
@@ -238,6 +238,10 @@
 	]);
 	const bills = await run(['ledger', '--all'], ledger.environment);
 	t.true(bills.stdout.includes('r1') && bills.stdout.includes('r2'));
+	const refused = await standIn(t, [{status: 200, body: {bills: [{workspace: 'w', request: 'r3', lines: []}]}}]);
+	const {stdout: listed} = await run(['ledger', '--refused'], refused.environment);
+	t.true(listed.includes('r3'));
+	t.is(refused.seen[0]?.url, '/v1/ledger?after=0&refused=true');
 	const explain = await standIn(t, [{status: 200, body: {request: 'r1', steps: [{verdict: 'eligible', model: 'small'}]}}]);
 	const {stdout} = await run(['explain', 'r1'], explain.environment);
 	t.is(stdout, 'request: r1\nsteps:\n  verdict eligible, model small\n');
--- a/packages/cli/src/commands/ledger.ts
+++ b/packages/cli/src/commands/ledger.ts
@@ -1,5 +1,7 @@
 import {Flags} from '@oclif/core';
-import {getLedger, type LedgerPage, type Target} from '../_operator-client.js';
+import {
+	getLedger, type LedgerPage, type LedgerQuery, type Target,
+} from '../_operator-client.js';
 import {OperatorCommand, targetFlags} from '../_operator-command.js';
 import {formatTable} from '../_table.js';
 
@@ -16,6 +18,7 @@
 		workspace: Flags.string({summary: 'Bills of this workspace only.'}),
 		after: Flags.integer({summary: 'How many bills to pass over.', min: 0, default: 0}),
 		all: Flags.boolean({summary: 'Read all pages instead of one.', default: false}),
+		refused: Flags.boolean({summary: 'The bills that the ledger refused; they are in no total and must be added by hand.', default: false}),
 	};
 
 	static override readonly examples = ['<%= config.bin %> ledger --workspace yard --all'];
@@ -40,10 +43,10 @@
 		return page;
 	}
 
-	async #read(target: Target, {workspace, after, all}: {readonly workspace: string | undefined; readonly after: number; readonly all: boolean}): Promise<LedgerPage> {
+	async #read(target: Target, {workspace, after, all, refused}: LedgerQuery & {readonly all: boolean}): Promise<LedgerPage> {
 		const bills: Bill[] = [];
 		for (let next: number | undefined = after; next !== undefined;) {
-			const page: LedgerPage = this.unwrap(await getLedger(target, {workspace, after: next}));
+			const page: LedgerPage = this.unwrap(await getLedger(target, {workspace, after: next, refused}));
 			bills.push(...page.bills);
 			if (!all) {
 				return page;
--- a/packages/control/src/_ledger.ts
+++ b/packages/control/src/_ledger.ts
@@ -4,6 +4,7 @@
 import {type RecordBillsCommand} from './command.js';
 import {type ControlLimits} from './control-limits.js';
 import {type LedgerPage, type LedgerQuestion, type WorkspaceTotal} from './ledger-page.js';
+import {RefusedBills} from './_refused-bills.js';
 import {type Addition} from './_sequence-ranges.js';
 
 /** The ledger in a snapshot. */
@@ -13,6 +14,8 @@
 	readonly totals: ReadonlyArray<readonly [WorkspaceId, WorkspaceTotal]>;
 	readonly window: ReadonlyArray<readonly [string, number]>;
 	readonly windowForgotten: number;
+	/** Missing in snapshots of versions that kept no refused bills. */
+	readonly refused?: readonly Bill[];
 };
 
 const emptyLedger: LedgerData = {
@@ -26,6 +29,7 @@
 	#bills: Bill[];
 	readonly #totals: Map<WorkspaceId, WorkspaceTotal>;
 	readonly #origins: BillOrigins;
+	readonly #refused: RefusedBills;
 	/** When each bill without an origin was settled, in the order in which they came. */
 	readonly #window: Map<string, number>;
 	/** The latest `settledAt` of a bill that left the window. */
@@ -36,6 +40,7 @@
 		this.#bills = [...data.bills];
 		this.#totals = new Map(data.totals);
 		this.#origins = new BillOrigins(data);
+		this.#refused = new RefusedBills(data.refused);
 		this.#window = new Map(data.window);
 		this.#windowForgotten = data.windowForgotten;
 	}
@@ -44,6 +49,10 @@
 		return this.#bills;
 	}
 
+	get refused(): readonly Bill[] {
+		return this.#refused.bills;
+	}
+
 	get positions(): {readonly first: number; readonly last: number} {
 		return {first: this.#first, last: this.#first + this.#bills.length - 1};
 	}
@@ -59,6 +68,7 @@
 			const addition = bill.origin === undefined ? this.#addToWindow(bill, limits) : this.#origins.add({instance: bill.instance, ...bill.origin}, time.elapsed);
 			if (addition === 'below-floor') {
 				expired.push(bill.request);
+				this.#refused.add(bill);
 			}
 
 			if (addition === 'added') {
@@ -70,7 +80,11 @@
 		return {recorded, expired};
 	}
 
-	read({workspace, after, limit}: LedgerQuestion): LedgerPage {
+	read({workspace, after, limit, isRefused = false}: LedgerQuestion): LedgerPage {
+		if (isRefused) {
+			return {bills: this.refused.filter(bill => workspace === undefined || bill.workspace === workspace), archivedUpTo: 0};
+		}
+
 		const bills: Bill[] = [];
 		const start = Math.max(after + 1, this.#first);
 		for (const [offset, bill] of this.#bills.slice(start - this.#first).entries()) {
@@ -113,6 +127,7 @@
 			totals: [...this.#totals],
 			window: [...this.#window],
 			windowForgotten: this.#windowForgotten,
+			refused: this.#refused.bills,
 		};
 	}
 
--- a/packages/control/src/control-state.test.ts
+++ b/packages/control/src/control-state.test.ts
@@ -26,6 +26,10 @@
 	return state.apply({type: 'record-bills', bills}, position).map(({recorded, expired}) => ({recorded, expired: expired.length})).extract();
 }
 
+function refused(state: ControlState): readonly Bill[] {
+	return state.readLedger({after: 0, limit: 10, isRefused: true}).bills;
+}
+
 /** Has the clock of a leader read while some time passes, as rarely as it counts in full, with the clock ahead by an error. */
 function passTime(state: ControlState, {from, to, error = 0}: {readonly from: number; readonly to: number; readonly error?: number}): void {
 	for (let at = from; at <= to; at += 2 * clockReadingMilliseconds) {
@@ -241,3 +245,19 @@
 	passTime(state, {from: 0, to: 2 * minute});
 	t.is(take('k2'), 'taken');
 });
+
+test('a refused bill is listed once, on every replica and after a restart, and the latest thousand are kept', t => {
+	const state = new ControlState();
+	record(state, billOf(1, 1000));
+	passTime(state, {from: 0, to: 60 * day});
+	record(state, billOf(2, 1000), billOf(3, 1000));
+	record(state, billOf(3, 1000));
+	const restored = ControlState.fromSnapshot(state.toSnapshot());
+	t.deepEqual(refused(restored), [billOf(2, 1000), billOf(3, 1000)]);
+	t.deepEqual(restored.readLedger({
+		after: 0, limit: 10, isRefused: true, workspace: 'mill',
+	}).bills, []);
+	record(restored, ...Array.from({length: 1000}, (_, index) => billOf(index + 4, 1000)));
+	t.is(refused(restored).length, 1000);
+	t.deepEqual(refused(restored)[0], billOf(4, 1000));
+});
--- a/packages/control/src/control-state.ts
+++ b/packages/control/src/control-state.ts
@@ -124,7 +124,7 @@
 	}
 
 	/**
-	Reads a page of the bills that are not archived yet.
+	Reads a page of the bills that are not archived yet, or the latest 1,000 that were refused.
 
 	@param question The workspace, where to go on, and the size of the page.
 	@returns The page.
--- a/packages/control/src/ledger-page.ts
+++ b/packages/control/src/ledger-page.ts
@@ -8,6 +8,8 @@
 	readonly after: number;
 	/** The most bills of a page. */
 	readonly limit: number;
+	/** Whether the bills are asked for that were refused, all on one page; false by default. */
+	readonly isRefused?: boolean | undefined;
 };
 
 /** A page of the ledger. */
--- a/packages/daemon/src/control/control-answers.ts
+++ b/packages/daemon/src/control/control-answers.ts
@@ -115,9 +115,11 @@
 		return {open: state.openOrders(), completed: state.completedOrders};
 	}
 
-	async #readLedger({workspace, after}: LedgerMessage): Promise<Either<Failure, LedgerPage>> {
+	async #readLedger({workspace, after, isRefused}: LedgerMessage): Promise<Either<Failure, LedgerPage>> {
 		const {host: {state}, archive} = this.#options;
-		const question = {workspace, after, limit: ledgerPageSize};
+		const question = {
+			workspace, after, isRefused, limit: ledgerPageSize,
+		};
 		const recent = state.readLedger(question);
 		if (after >= recent.archivedUpTo) {
 			return Right(pageOf(recent));
--- a/packages/daemon/src/control/expired-bills.ts
+++ b/packages/daemon/src/control/expired-bills.ts
@@ -4,7 +4,7 @@
 import {type AppliedCommand} from './control-host-options.js';
 
 /**
-Raises the alarm for bills that the ledger refused as expired: nobody else keeps them.
+Raises the alarm for bills that the ledger refused as expired: their owners keep no copy.
 
 Only the replica that answers the proposer does so, which is once for each answer.
 
@@ -25,7 +25,7 @@
 	const refused = command.bills.filter(({request}) => expired.includes(request));
 	for (const bill of refused) {
 		metrics.increment('ledger.expired');
-		log.error({bill}, 'The ledger refused a bill as expired; it is not recorded and must be added by hand');
+		log.error({bill}, 'The ledger refused a bill as expired; it is listed as refused and must be added by hand');
 	}
 
 	return refused;
--- a/packages/daemon/src/control/messages.ts
+++ b/packages/daemon/src/control/messages.ts
@@ -27,6 +27,8 @@
 	readonly workspace?: string | undefined;
 	/** The position after which to read. */
 	readonly after: number;
+	/** Whether the bills are asked for that the ledger refused, in place of those that it has. */
+	readonly isRefused?: boolean | undefined;
 	readonly isForwarded?: boolean;
 };
 
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -125,7 +125,9 @@
 		return;
 	}
 
-	const page = await control.ledger({workspace: url.searchParams.get('workspace') ?? undefined, after});
+	const page = await control.ledger({
+		workspace: url.searchParams.get('workspace') ?? undefined, after, isRefused: url.searchParams.get('refused') === 'true',
+	});
 	page.caseOf({
 		Left(failed) {
 			answerProblem(response, failed);
