--- a/packages/testing/src/_control-oracle.ts
+++ b/packages/testing/src/_control-oracle.ts
@@ -189,7 +189,18 @@
 		}
 
 		this.claims = [...this.claims.filter(claim => claim !== known), {
-			workspace, key, digest: requestDigest, owner: request, instance, takenAt: this.#elapsed + 10_000, state: 'open', settledAt: 0, order: 0, size: 0, hasBody: false, releasedBy: known?.releasedBy ?? [],
+			workspace,
+			key,
+			digest: requestDigest,
+			owner: request,
+			instance,
+			takenAt: this.#elapsed + 10_000,
+			state: 'open',
+			settledAt: 0,
+			order: 0,
+			size: 0,
+			hasBody: false,
+			releasedBy: known?.releasedBy ?? [],
 		}];
 		return {claim: 'taken'};
 	}
