Let a request whose answer began without a token wait for a server

Callers of streams got 502, backend-failed, with most of their 30 s left, when the engine ended between the head of its answer and its first token, or fell silent there, and no other server was free at that moment.

Cause: a request waits for a server where it may have run, and is refused at once where it ran and failed. The head of an answer makes its outcome "ran", which was taken for "ran and failed", though no server had said so.

Ruled out as the only cause: a hold-up that outlasts the wait, which breaks streams off after a status of 200.

Change: what a server reports as failed is remembered; only that is refused at once. The new line of the test of the life failed before ("ended" in place of "waiting").

--- a/packages/routing/src/_start-attempt.ts
+++ b/packages/routing/src/_start-attempt.ts
@@ -120,9 +120,9 @@
 	change.act({type: 'set-timer', timer: 'come-back', at: change.now + wait});
 }
 
-/** Whether a server that is back a moment later saves the request: what did not run is refused at once, so that its caller can come again, and what ran and failed would fail again. */
-function isWorthWaiting({state: {attempts, delivered}}: RequestChange): boolean {
-	return delivered > 0 || outcomeOfAttempts(attempts) === 'unknown';
+/** Whether a server that is back a moment later saves the request: what did not run is refused at once, so that its caller can come again, and what a server says has failed would fail again. */
+function isWorthWaiting({state: {attempts, delivered, reportedFailure}}: RequestChange): boolean {
+	return delivered > 0 || (!reportedFailure && outcomeOfAttempts(attempts) !== 'notRun');
 }
 
 /**
--- a/packages/routing/src/_take-attempt-event.ts
+++ b/packages/routing/src/_take-attempt-event.ts
@@ -65,6 +65,7 @@
 		})
 		.with({type: 'attempt-failed'}, ({message, usage}) => {
 			change.setAttempt(attempt.number, ranSoFar(change, attempt));
+			change.set({reportedFailure: true});
 			takeFailure(change, {attempt, message, usage});
 		})
 		.with({type: 'attempt-broken'}, ({message, usage}) => {
--- a/packages/routing/src/request-life.test.ts
+++ b/packages/routing/src/request-life.test.ts
@@ -129,9 +129,9 @@
 	const none: RequestEvent = {
 		type: 'no-server', attempt: 2, reason: 'none', retryAfterMilliseconds: 500,
 	};
-	const endOf = (event: RequestEvent): string => {
+	const endOf = (...events: readonly RequestEvent[]): string => {
 		let step = startRequest(plan);
-		for (const next of [...begun, event, none]) {
+		for (const next of [...begun, ...events, none]) {
 			step = stepRequest(step.state, {event: next, now: 1});
 		}
 
@@ -141,4 +141,6 @@
 	t.is(endOf({type: 'attempt-timed-out', attempt: 1}), 'waiting');
 	t.is(endOf({type: 'attempt-not-run', attempt: 1}), 'ended');
 	t.is(endOf({type: 'attempt-failed', attempt: 1, message: 'Failed'}), 'ended');
+	// The head of an answer tells that the request ran, and not that it failed.
+	t.is(endOf({type: 'attempt-head', attempt: 1}, {type: 'attempt-broken', attempt: 1, message: 'Cut'}), 'waiting');
 });
--- a/packages/routing/src/request-life.ts
+++ b/packages/routing/src/request-life.ts
@@ -50,6 +50,7 @@
 			lost: [],
 			hedged: false,
 			cameBack: false,
+			reportedFailure: false,
 			stopping: false,
 			callerLeft: false,
 		},
--- a/packages/routing/src/request-state.ts
+++ b/packages/routing/src/request-state.ts
@@ -61,6 +61,8 @@
 	readonly hedged: boolean;
 	/** Whether the one wait for a server was used. */
 	readonly cameBack: boolean;
+	/** Whether a server said that the request ran and failed, so that it would fail again. */
+	readonly reportedFailure: boolean;
 	readonly stopping: boolean;
 	readonly callerLeft: boolean;
 };
