Keep a silent attempt and ask for servers until the deadline

Streams broke off, with most of their 30 s left, where one engine was killed and the other held up for longer than a stall of 1.5 s and one wait of a second.

Cause: three parts, one class, a source of an answer given up after a fixed time that does not follow from the deadline. The attempt on the silent engine was cancelled at the stall though no other server could take its place; a request asked for servers once more after a second and never again; and connections that never opened counted among the four attempts of a target, so that a killed engine that is still listed used them up.

Change: silence is an event and not an end. Another server is looked for, as for a hedge; the silent attempt is cancelled once another delivers, and goes on where its server does. A request that may have run asks again each second until its deadline. Connections that never opened are counted by themselves and bound one search, not the request.

The test of the life that held the single wait is replaced: it expected an attempt that timed out to be over, which is the fault. The broken connection stands in its place, and five tests of the new behaviour beside it. The random world has answers that pause and go on, and keeps every promise.

--- a/packages/daemon/src/entry/attempt-end.ts
+++ b/packages/daemon/src/entry/attempt-end.ts
@@ -2,7 +2,7 @@
 import {match} from 'ts-pattern';
 import {type AttemptOutput} from './attempt-output.js';
 
-/** How an attempt ended. */
+/** How an attempt ended, or what is known of it where it fell silent. */
 export type AttemptEnd = {
 	readonly outcome: Outcome;
 	/** What came of it, in words. */
@@ -12,7 +12,7 @@
 };
 
 /**
-Tells from its last output how an attempt ended.
+Tells from its last output how an attempt ended, or what is known of one that fell silent.
 
 @param output The output.
 @returns The end.
@@ -29,6 +29,6 @@
 		.with({type: 'failed'}, ({message}) => ({outcome: 'ran', reason: message, failed: true}))
 		// Where the server has ended, the next attempt finds that out.
 		.with({type: 'kept-connection-lost'}, ({message}) => ({outcome: 'unknown', reason: message, failed: false}))
-		.with({type: 'broken'}, {type: 'timed-out'}, ({message}) => ({outcome: 'unknown', reason: message, failed: true}))
+		.with({type: 'broken'}, {type: 'silent'}, ({message}) => ({outcome: 'unknown', reason: message, failed: true}))
 		.exhaustive();
 }
--- a/packages/daemon/src/entry/attempt-output.ts
+++ b/packages/daemon/src/entry/attempt-output.ts
@@ -19,7 +19,7 @@
 	readonly text?: string;
 };
 
-/** What comes of one attempt, in order; every type but `head` and `piece` is the last. */
+/** What comes of one attempt, in order; every type but `head`, `piece` and `silent` is the last. */
 export type AttemptOutput
 	/** No byte of the request left. */
 	= | {readonly type: 'never-sent'; readonly message: string}
@@ -35,5 +35,5 @@
 		| {readonly type: 'broken'; readonly message: string}
 		/** A kept connection broke before the answer began: the server closed it at that moment, or ended. */
 		| {readonly type: 'kept-connection-lost'; readonly message: string}
-		/** Nothing came for too long. */
-		| {readonly type: 'timed-out'; readonly message: string};
+		/** Nothing came for too long; more may still come. */
+		| {readonly type: 'silent'; readonly message: string};
--- a/packages/daemon/src/entry/engine-call.ts
+++ b/packages/daemon/src/entry/engine-call.ts
@@ -5,6 +5,7 @@
 import {readWholeUsage} from './chat-chunk.js';
 import {readEngineEvents} from './engine-events.js';
 import {readNotRun} from './not-run.js';
+import {reportSilence} from './report-silence.js';
 import {StallTimer} from './stall-timer.js';
 import {unansweredOutput} from './unanswered-output.js';
 
@@ -28,7 +29,7 @@
 	readonly freshConnection: boolean;
 	/** Ends the attempt; its connection is destroyed. */
 	readonly signal: AbortSignal;
-	/** Milliseconds without a word after which the attempt is given up. */
+	/** Milliseconds without a word after which the engine counts as silent. */
 	readonly stallMilliseconds: number;
 	/** The most bytes that an answer may have. */
 	readonly maximumBytes: number;
@@ -51,17 +52,11 @@
 */
 export async function * callEngine(call: EngineCall): AsyncGenerator<AttemptOutput, void> {
 	const stall = new StallTimer(call.stallMilliseconds);
-	try {
-		for await (const output of await openAnswer(call, stall)) {
-			const isStalled = stall.expired && (output.type === 'broken' || output.type === 'kept-connection-lost');
-			// A reader that takes its time is no stall of the engine.
-			stall.clear();
-			yield isStalled ? {type: 'timed-out', message: `Got nothing from the engine for ${call.stallMilliseconds} ms`} : output;
-			stall.touch();
-		}
-	} finally {
-		stall.clear();
-	}
+	yield * reportSilence(readOutputs(call, stall), {stall, message: `Got nothing from the engine for ${call.stallMilliseconds} ms`});
+}
+
+async function * readOutputs(call: EngineCall, stall: StallTimer): AsyncGenerator<AttemptOutput, void> {
+	yield * await openAnswer(call, stall);
 }
 
 type Outputs = AsyncIterable<AttemptOutput> | readonly AttemptOutput[];
@@ -78,7 +73,7 @@
 			'valehitch-priority': String(call.priority),
 		},
 		body: new TextEncoder().encode(JSON.stringify(bodyOf(call))),
-		signal: AbortSignal.any([call.signal, stall.signal]),
+		signal: call.signal,
 		reuseConnection: !call.freshConnection,
 	});
 	if (answer.isLeft()) {
--- a/packages/daemon/src/entry/handle-chat.ts
+++ b/packages/daemon/src/entry/handle-chat.ts
@@ -17,7 +17,7 @@
 import {type Demand} from './traffic/admission-pools.js';
 
 const expectedOutputTokens = 200;
-/** A server that was held up is back within a second or two; a stream that waits so long can still go on. */
+/** How often a request that may have run asks for a server that is back; its caller cannot send it again safely. */
 const comeBackMilliseconds = 1000;
 
 /** An authenticated request of a caller. */
--- a/packages/daemon/src/entry/life/output-event.ts
+++ b/packages/daemon/src/entry/life/output-event.ts
@@ -29,6 +29,6 @@
 		.with({type: 'failed'}, ({message}) => ({type: 'attempt-failed', attempt, message}))
 		.with({type: 'broken'}, ({message}) => ({type: 'attempt-broken', attempt, message}))
 		.with({type: 'kept-connection-lost'}, ({message}) => ({type: 'attempt-connection-lost', attempt, message}))
-		.with({type: 'timed-out'}, () => ({type: 'attempt-timed-out', attempt}))
+		.with({type: 'silent'}, () => ({type: 'attempt-silent', attempt}))
 		.exhaustive();
 }
--- a/packages/daemon/src/entry/life/request-run.ts
+++ b/packages/daemon/src/entry/life/request-run.ts
@@ -268,7 +268,7 @@
 			const {context, requestId} = this.#options;
 			context.log.info({
 				requestId, attempt: number, end: output.type, message: output.message,
-			}, 'An attempt brought no whole answer');
+			}, output.type === 'silent' ? 'An attempt fell silent; its connection is kept' : 'An attempt brought no whole answer');
 		}
 
 		this.take(toRequestEvent(number, output), output.type === 'piece' ? output.piece : undefined);
--- a/packages/daemon/src/entry/service-call.ts
+++ b/packages/daemon/src/entry/service-call.ts
@@ -5,6 +5,7 @@
 } from '@valehitch/transport';
 import {type AnswerHead, type AttemptOutput} from './attempt-output.js';
 import {readNotRun} from './not-run.js';
+import {reportSilence} from './report-silence.js';
 import {StallTimer} from './stall-timer.js';
 import {unansweredOutput} from './unanswered-output.js';
 
@@ -26,7 +27,7 @@
 	readonly address: string;
 	/** Ends the attempt; its connection is destroyed. */
 	readonly signal: AbortSignal;
-	/** Milliseconds without an answer after which the attempt is given up. */
+	/** Milliseconds without an answer after which the service counts as silent. */
 	readonly stallMilliseconds: number;
 	/** The most bytes that an answer may have. */
 	readonly maximumBytes: number;
@@ -49,29 +50,28 @@
 */
 export async function * callService(call: ServiceCall): AsyncGenerator<AttemptOutput, void> {
 	const stall = new StallTimer(call.stallMilliseconds);
-	try {
-		const answer = await sendHttp({
-			address: call.address,
-			method: call.method,
-			path: call.path,
-			headers: headersOf(call),
-			body: call.body,
-			signal: AbortSignal.any([call.signal, stall.signal]),
-			reuseConnection: call.repeatable && !call.freshConnection,
-		});
-		if (answer.isRight()) {
-			yield * readAnswer(answer.extract(), call, stall);
-			return;
-		}
+	yield * reportSilence(readOutputs(call), {stall, message: `Got nothing from the service for ${call.stallMilliseconds} ms`});
+}
 
-		const output = unansweredOutput(answer.extract() as HttpCallFailure, 'service');
-		yield stall.expired && output.type !== 'never-sent' ? {type: 'timed-out', message: `Got nothing from the service for ${call.stallMilliseconds} ms`} : output;
-	} finally {
-		stall.clear();
+async function * readOutputs(call: ServiceCall): AsyncGenerator<AttemptOutput, void> {
+	const answer = await sendHttp({
+		address: call.address,
+		method: call.method,
+		path: call.path,
+		headers: headersOf(call),
+		body: call.body,
+		signal: call.signal,
+		reuseConnection: call.repeatable && !call.freshConnection,
+	});
+	if (answer.isRight()) {
+		yield * readAnswer(answer.extract(), call);
+		return;
 	}
+
+	yield unansweredOutput(answer.extract() as HttpCallFailure, 'service');
 }
 
-async function * readAnswer(answer: HttpAnswer, call: ServiceCall, stall: StallTimer): AsyncGenerator<AttemptOutput, void> {
+async function * readAnswer(answer: HttpAnswer, call: ServiceCall): AsyncGenerator<AttemptOutput, void> {
 	const notRun = readNotRun(answer);
 	if (notRun !== undefined) {
 		yield notRun;
@@ -80,7 +80,7 @@
 
 	const body = await readBody(answer.message, call.maximumBytes);
 	if (body.isLeft()) {
-		yield {type: stall.expired ? 'timed-out' : 'broken', message: 'Got no whole answer from the service'};
+		yield {type: 'broken', message: 'Got no whole answer from the service'};
 		return;
 	}
 
--- a/packages/daemon/src/entry/stall-milliseconds.ts
+++ b/packages/daemon/src/entry/stall-milliseconds.ts
@@ -15,7 +15,7 @@
 A whole answer comes at its end only, so there it is half of the time that is left, so that another attempt can still be made; where little is left, the deadline comes first.
 
 @param options The kind of answer and the time that is left.
-@returns Milliseconds without a word after which an attempt is given up.
+@returns Milliseconds without a word after which a server counts as silent.
 @example
 ```ts
 stallMillisecondsOf({streamed: false, remainingMilliseconds: 60_000, settings}); // 30_000
--- a/packages/daemon/src/entry/stall-timer.ts
+++ b/packages/daemon/src/entry/stall-timer.ts
@@ -1,19 +1,19 @@
 import {timeoutAfterInput} from '@valehitch/transport';
 
 /**
-Raises a signal when nothing has happened for a while; what arrived while this process was held up counts as having happened.
+Tells when nothing has happened for a while; what arrived while this process was held up counts as having happened.
 
 @example
 ```ts
 const stall = new StallTimer(10_000);
+await Promise.race([output, stall.expired()]);
 stall.touch();
-stall.clear();
 ```
 */
 export class StallTimer {
-	readonly #controller = new AbortController();
 	readonly #milliseconds: number;
 	#stopTimeout: (() => void) | undefined;
+	#onExpired: (() => void) | undefined;
 
 	/** @param milliseconds How long nothing may happen. */
 	constructor(milliseconds: number) {
@@ -21,21 +21,18 @@
 		this.touch();
 	}
 
-	/** The signal; raised at most once. */
-	get signal(): AbortSignal {
-		return this.#controller.signal;
-	}
-
-	/** Whether nothing happened for too long. */
-	get expired(): boolean {
-		return this.#controller.signal.aborted;
+	/** Waits until nothing has happened for too long; a later call takes the place of an earlier one. */
+	async expired(): Promise<void> {
+		return new Promise(resolve => {
+			this.#onExpired = resolve;
+		});
 	}
 
 	/** Notes that something happened. */
 	touch(): void {
 		this.clear();
 		this.#stopTimeout = timeoutAfterInput(this.#milliseconds, () => {
-			this.#controller.abort();
+			this.#onExpired?.();
 		});
 	}
 
--- a/packages/daemon/src/entry/traffic/observe-attempt.ts
+++ b/packages/daemon/src/entry/traffic/observe-attempt.ts
@@ -9,7 +9,7 @@
 	readonly streamed: boolean;
 	/** Told how long the server took for each stage, in milliseconds; the time that the caller takes does not count. */
 	readonly onStage: (stage: AttemptStage, milliseconds: number) => void;
-	/** Told once how the attempt ended, unless it was cancelled. */
+	/** Told how the attempt ended, unless it was cancelled, and each time that it fell silent. */
 	readonly onEnd: (output: AttemptOutput) => void;
 };
 
--- a/packages/routing/src/_end-request.ts
+++ b/packages/routing/src/_end-request.ts
@@ -125,13 +125,13 @@
 }
 
 function clearTimers(change: RequestChange): void {
-	const {plan, stage} = change.state;
+	const {plan, comingBack} = change.state;
 	change.act({type: 'clear-timer', timer: 'deadline'});
 	if (plan.hedge !== undefined) {
 		change.act({type: 'clear-timer', timer: 'hedge'});
 	}
 
-	if (stage === 'waiting') {
+	if (comingBack) {
 		change.act({type: 'clear-timer', timer: 'come-back'});
 	}
 }
--- a/packages/routing/src/_request-change.ts
+++ b/packages/routing/src/_request-change.ts
@@ -30,6 +30,11 @@
 		return this.#state.attempts.filter(({status}) => status !== 'over');
 	}
 
+	/** The live attempts from which something is still expected soon. */
+	get active(): AttemptState[] {
+		return this.live.filter(({silent}) => !silent);
+	}
+
 	/** Whether the target gets no new work. */
 	get permissionLost(): boolean {
 		const {lost, target} = this.#state;
--- a/packages/routing/src/_start-attempt.ts
+++ b/packages/routing/src/_start-attempt.ts
@@ -4,6 +4,7 @@
 } from './_end-request.js';
 import {type RequestChange} from './_request-change.js';
 import {type AttemptPurpose} from './request-action.js';
+import {type RequestPlan} from './request-plan.js';
 import {type AttemptState} from './request-state.js';
 
 const defaultMaximumAttempts = 4;
@@ -31,6 +32,8 @@
 		target,
 		status: 'choosing',
 		outcome: 'notRun',
+		silent: false,
+		unsent: false,
 		server: undefined,
 		resumeFrom: delivered,
 		received: delivered,
@@ -75,13 +78,13 @@
 };
 
 /**
-Tries again after an attempt came to nothing, where another is live, allowed and safe; else gives up.
+Tries again after an attempt came to nothing or fell silent, unless another one is active, where that is allowed and safe; else waits or gives up.
 
 @param change The step.
 @param options What follows.
 */
-export function tryAgain(change: RequestChange, {purpose, budgeted, ...options}: TryAgainOptions): void {
-	if (change.live.length > 0) {
+export function tryAgain(change: RequestChange, {purpose, budgeted = true, ...options}: TryAgainOptions): void {
+	if (change.active.length > 0) {
 		return;
 	}
 
@@ -90,49 +93,63 @@
 		return;
 	}
 
-	if (!mayTryAgain(change)) {
-		giveUp(change, options);
+	if (mayTryAgain(change) && !hasTooManyUnreachable(change)) {
+		startAttempt(change, purpose ?? purposeOfNext(change), {budgeted});
 		return;
 	}
 
-	startAttempt(change, purpose ?? purposeOfNext(change), {...(budgeted !== undefined && {budgeted})});
+	waitOrGiveUp(change, options);
 }
 
 /**
-Waits once for a server, where the plan allows it and the caller could not get the answer by coming again, or gives up.
+Waits until servers are asked again, where the caller could not get the answer by coming again; else gives up, unless an attempt that fell silent may still go on.
 
 @param change The step.
 @param options What to say when the request is given up on.
 */
 export function waitOrGiveUp(change: RequestChange, options: GiveUpOptions): void {
-	if (change.live.length > 0) {
+	if (change.active.length > 0) {
 		return;
 	}
 
-	const {plan, cameBack, stopping} = change.state;
+	const {plan, comingBack, stopping} = change.state;
+	const hasLive = change.live.length > 0;
 	const wait = Math.min(plan.comeBackMilliseconds ?? 0, options.retryAfterMilliseconds);
-	if (wait <= 0 || cameBack || stopping || change.now + wait >= plan.deadline || !isWorthWaiting(change)) {
-		giveUp(change, options);
+	const isInTime = wait > 0 && change.now + wait < plan.deadline;
+	if (!isInTime || stopping || !isWorthWaiting(change) || !mayTryAgain(change)) {
+		if (!hasLive) {
+			giveUp(change, options);
+		}
+
 		return;
 	}
 
-	change.set({stage: 'waiting', cameBack: true});
-	change.act({type: 'set-timer', timer: 'come-back', at: change.now + wait});
+	change.set({stage: hasLive ? 'running' : 'waiting'});
+	if (!comingBack) {
+		change.set({comingBack: true});
+		change.act({type: 'set-timer', timer: 'come-back', at: change.now + wait});
+	}
 }
 
-/** Whether a server that is back a moment later saves the request: what did not run is refused at once, so that its caller can come again, and what a server says has failed would fail again. */
+/** Whether a server that is back later saves the request: what did not run is refused at once, so that its caller can come again, and what a server says has failed would fail again. */
 function isWorthWaiting({state: {attempts, delivered, reportedFailure}}: RequestChange): boolean {
 	return delivered > 0 || (!reportedFailure && outcomeOfAttempts(attempts) !== 'notRun');
 }
 
 /**
-Begins the next attempt after a wait; servers that were passed over may be asked again.
+Asks for a server once more after a wait, unless an attempt is active again; servers that were passed over may be asked again.
 
 @param change The step.
 */
 export function comeBack(change: RequestChange): void {
-	change.set({tried: []});
-	startAttempt(change, purposeOfNext(change));
+	change.set({comingBack: false});
+	const isWaiting = change.state.stage === 'waiting' || change.state.stage === 'running';
+	if (!isWaiting || change.active.length > 0) {
+		return;
+	}
+
+	change.set({tried: [], unreachable: 0});
+	tryAgain(change, {message: 'Got no server that can take the request', retryAfterMilliseconds: change.state.plan.comeBackMilliseconds ?? 0});
 }
 
 /**
@@ -174,8 +191,17 @@
 */
 export function hasAttemptsLeft({state}: RequestChange): boolean {
 	const {plan, target, attempts} = state;
-	const made = attempts.filter(attempt => attempt.target === target && attempt.server !== undefined).length;
-	return made < (plan.maximumAttempts ?? defaultMaximumAttempts);
+	const made = attempts.filter(attempt => attempt.target === target && attempt.server !== undefined && !attempt.unsent).length;
+	return made < maximumAttemptsOf(plan);
+}
+
+/** Bounds how many servers that cannot be reached hold a request up before it is refused or waits. */
+function hasTooManyUnreachable({state: {plan, unreachable}}: RequestChange): boolean {
+	return unreachable >= maximumAttemptsOf(plan);
+}
+
+function maximumAttemptsOf({maximumAttempts = defaultMaximumAttempts}: RequestPlan): number {
+	return maximumAttempts;
 }
 
 function mayTryAgain(change: RequestChange): boolean {
--- a/packages/routing/src/_take-attempt-event.ts
+++ b/packages/routing/src/_take-attempt-event.ts
@@ -58,7 +58,7 @@
 			takeNotRun(change, {attempt, retryAfterMilliseconds: retryAfterMilliseconds ?? defaultRetryAfterMilliseconds});
 		})
 		.with({type: 'attempt-head'}, () => {
-			change.setAttempt(attempt.number, ranSoFar(change, attempt));
+			change.setAttempt(attempt.number, {...ranSoFar(change, attempt), silent: false});
 		})
 		.with({type: 'attempt-complete'}, complete => {
 			takeComplete(change, {attempt, event: complete});
@@ -74,8 +74,8 @@
 		.with({type: 'attempt-connection-lost'}, ({message}) => {
 			takeConnectionLoss(change, {attempt, message});
 		})
-		.with({type: 'attempt-timed-out'}, () => {
-			cancelAndFail(change, {attempt, message: 'Got nothing from the server for too long'});
+		.with({type: 'attempt-silent'}, () => {
+			takeSilence(change, attempt);
 		})
 		.exhaustive();
 }
@@ -108,7 +108,7 @@
 
 function takeNoServer(change: RequestChange, {attempt, event}: AttemptTaken<'no-server'>): void {
 	change.removeAttempt(attempt.number);
-	if (change.live.length > 0) {
+	if (change.active.length > 0) {
 		return;
 	}
 
@@ -156,7 +156,8 @@
 
 /** Nothing was sent, so that the next attempt costs no server more than this one and draws on no budget again: with an empty one, a caller would be refused for a server that had just ended while another one is free. */
 function takeNeverSent(change: RequestChange, attempt: AttemptState): void {
-	change.setAttempt(attempt.number, {status: 'over', outcome: 'notRun'});
+	change.setAttempt(attempt.number, {status: 'over', outcome: 'notRun', unsent: true});
+	change.set({unreachable: change.state.unreachable + 1});
 	passOver(change, attempt);
 	tryAgain(change, {
 		message: 'Got no connection to any server that was tried',
@@ -198,6 +199,7 @@
 		...ran,
 		received: offset + length,
 		progressAt: change.now,
+		silent: false,
 		usage: {input: ran.usage.input, output: ran.usage.output + tokens},
 	});
 	if (change.holds) {
@@ -264,6 +266,13 @@
 	takeFailure(change, failed);
 }
 
+/** Another server is looked for, as for a hedge; the connection is kept, since this attempt may be the only source of an answer once its server goes on. */
+function takeSilence(change: RequestChange, attempt: AttemptState): void {
+	change.setAttempt(attempt.number, {silent: true});
+	passOver(change, attempt);
+	tryAgain(change, {message: 'Got nothing from the server for too long', retryAfterMilliseconds: defaultRetryAfterMilliseconds});
+}
+
 function takeFailure(change: RequestChange, {attempt, message, usage}: Failed): void {
 	const {number, received, resumeFrom} = attempt;
 	change.setAttempt(number, {status: 'over', ...(usage !== undefined && {usage, outcome: 'ran'})});
--- a/packages/routing/src/_take-surroundings.ts
+++ b/packages/routing/src/_take-surroundings.ts
@@ -46,9 +46,7 @@
 			hedge(change);
 		})
 		.with('come-back', () => {
-			if (change.state.stage === 'waiting') {
-				comeBack(change);
-			}
+			comeBack(change);
 		})
 		.exhaustive();
 }
@@ -92,7 +90,7 @@
 
 	if (stage === 'waiting') {
 		change.act({type: 'clear-timer', timer: 'come-back'});
-		change.set({stage: 'running'});
+		change.set({stage: 'running', comingBack: false});
 	}
 
 	if (change.state.stage === 'running') {
--- a/packages/routing/src/_test-answer.ts
+++ b/packages/routing/src/_test-answer.ts
@@ -12,6 +12,8 @@
 
 const longestPiece = 15;
 const longestCut = 12;
+/** One in this many answers pauses, and goes on. */
+const silentShare = 8;
 
 /** What a back end that runs an attempt sends: head, pieces of random length, and the end. */
 export function answerMessages({attempt, target, resumeFrom}: Dispatch, {isSound, next}: AnswerOptions): Message[] {
@@ -34,10 +36,11 @@
 		complete,
 		{type: 'attempt-broken', attempt, message: 'Cut'},
 		{type: 'attempt-failed', attempt, message: 'Failed'},
-		{type: 'attempt-timed-out', attempt},
+		{type: 'attempt-silent', attempt},
 		// The server has accepted the request and stalls.
 		undefined,
 	];
 	const last = isSound ? complete : faults[next() % faults.length];
-	return last === undefined ? messages : [...messages, {event: last}];
+	const whole = last === undefined ? messages : [...messages, {event: last}];
+	return next() % silentShare === 0 ? whole.toSpliced(next() % (whole.length + 1), 0, {event: {type: 'attempt-silent', attempt}}) : whole;
 }
--- a/packages/routing/src/request-event.ts
+++ b/packages/routing/src/request-event.ts
@@ -49,8 +49,8 @@
 		| {readonly type: 'attempt-broken'; readonly attempt: number; readonly message: string; readonly usage?: TokenUsage}
 		/** A kept connection broke before the answer began; it may have run, and is no fault of a server that goes on. */
 		| {readonly type: 'attempt-connection-lost'; readonly attempt: number; readonly message: string}
-		/** Nothing came for longer than the adapter waits; it may have run. */
-		| {readonly type: 'attempt-timed-out'; readonly attempt: number}
+		/** Nothing came for longer than the adapter waits; the attempt is not over and may still go on. */
+		| {readonly type: 'attempt-silent'; readonly attempt: number}
 		| {readonly type: 'attempt-judged'; readonly attempt: number; readonly verdict: 'accepted'}
 		/** The answer is not good enough; the next target of the cascade serves the request. */
 		| {readonly type: 'attempt-judged'; readonly attempt: number; readonly verdict: 'escalated'; readonly target: RequestTarget; readonly judged: boolean};
--- a/packages/routing/src/request-life.test.ts
+++ b/packages/routing/src/request-life.test.ts
@@ -121,26 +121,77 @@
 	t.like(askedAfter([...begun, cut, chosen, {type: 'attempt-never-sent', attempt: 2}], {...plainPlan, repeatable: true}), [{attempt: 3, purpose: 'retry', budgeted: false}]);
 });
 
-test('a request without a server left waits once where it may have run, and is refused at once where it did not or where it ran and failed', t => {
-	const plan = {
-		...plainPlan, repeatable: true, streamed: true, comeBackMilliseconds: 50,
-	};
-	const begun: readonly RequestEvent[] = [{type: 'admitted'}, {type: 'bill-opened'}, {type: 'server-chosen', attempt: 1, server}];
-	const none: RequestEvent = {
-		type: 'no-server', attempt: 2, reason: 'none', retryAfterMilliseconds: 500,
-	};
-	const endOf = (...events: readonly RequestEvent[]): string => {
-		let step = startRequest(plan);
-		for (const next of [...begun, ...events, none]) {
-			step = stepRequest(step.state, {event: next, now: 1});
-		}
+const waitingPlan: RequestPlan = {
+	...plainPlan, repeatable: true, streamed: true, comeBackMilliseconds: 50,
+};
+const begunRequest: readonly RequestEvent[] = [{type: 'admitted'}, {type: 'bill-opened'}, {type: 'server-chosen', attempt: 1, server}];
+const broken: RequestEvent = {type: 'attempt-broken', attempt: 1, message: 'Cut'};
 
-		return step.state.stage;
+function noServer(attempt: number): RequestEvent {
+	return {
+		type: 'no-server', attempt, reason: 'none', retryAfterMilliseconds: 500,
 	};
+}
+
+/** The last step of a request with a plan that waits. */
+function lastStep(events: readonly RequestEvent[], now = 1) {
+	let step = startRequest(waitingPlan);
+	for (const event of events) {
+		step = stepRequest(step.state, {event, now});
+	}
+
+	return step;
+}
 
-	t.is(endOf({type: 'attempt-timed-out', attempt: 1}), 'waiting');
+test('a request without a server left waits where it may have run, and is refused at once where it did not or where it ran and failed', t => {
+	const endOf = (event: RequestEvent): string => lastStep([...begunRequest, event, noServer(2)]).state.stage;
+	t.is(endOf(broken), 'waiting');
 	t.is(endOf({type: 'attempt-not-run', attempt: 1}), 'ended');
 	t.is(endOf({type: 'attempt-failed', attempt: 1, message: 'Failed'}), 'ended');
-	// The head of an answer tells that the request ran, and not that it failed.
-	t.is(endOf({type: 'attempt-head', attempt: 1}, {type: 'attempt-broken', attempt: 1, message: 'Cut'}), 'waiting');
+});
+
+test('a request whose answer had begun without a first piece waits for a server', t => {
+	const step = lastStep([...begunRequest, {type: 'attempt-head', attempt: 1}, broken, noServer(2)]);
+	t.is(step.state.stage, 'waiting');
+});
+
+test('a request that found no server after a wait asks again until its deadline', t => {
+	const comeBack: RequestEvent = {type: 'timer', timer: 'come-back'};
+	const waitedTwice = [...begunRequest, broken, noServer(2), comeBack, noServer(3), comeBack, noServer(4)];
+	t.is(lastStep(waitedTwice).state.stage, 'waiting');
+	t.is(lastStep(waitedTwice, waitingPlan.deadline).state.stage, 'ended');
+});
+
+test('a silent attempt is kept while no other server can take its place, and its answer goes on', t => {
+	const silent: RequestEvent = {type: 'attempt-silent', attempt: 1};
+	const kept = lastStep([...begunRequest, silent, noServer(2)]);
+	t.is(kept.state.stage, 'running');
+	t.deepEqual(kept.actions, [{type: 'set-timer', timer: 'come-back', at: 51}]);
+	const goesOn = lastStep([...begunRequest, silent, noServer(2), {
+		type: 'attempt-piece', attempt: 1, offset: 0, length: 3, tokens: 1,
+	}, {type: 'timer', timer: 'come-back'}]);
+	t.is(goesOn.state.delivered, 3);
+	t.deepEqual(goesOn.actions, []);
+});
+
+test('a silent attempt is cancelled once another server delivers', t => {
+	const step = lastStep([...begunRequest, {type: 'attempt-silent', attempt: 1}, {type: 'server-chosen', attempt: 2, server: 'engine-2' as ServerId}]);
+	t.like(step.actions, [{type: 'dispatch', attempt: 2}]);
+	const delivered = stepRequest(step.state, {
+		event: {
+			type: 'attempt-piece', attempt: 2, offset: 0, length: 3, tokens: 1,
+		}, now: 2,
+	});
+	t.deepEqual(delivered.actions, [{type: 'cancel-attempt', attempt: 1}, {type: 'forward-piece', attempt: 2, offset: 0}]);
+});
+
+test('connections that never opened do not use up the attempts of a request that may have run', t => {
+	const events: RequestEvent[] = [...begunRequest, broken];
+	for (let attempt = 2; attempt < 6; attempt++) {
+		events.push({type: 'server-chosen', attempt, server: `engine-${attempt}` as ServerId}, {type: 'attempt-never-sent', attempt});
+	}
+
+	t.is(lastStep(events).state.stage, 'waiting');
+	const asked = stepRequest(lastStep(events).state, {event: {type: 'timer', timer: 'come-back'}, now: 60});
+	t.like(asked.actions, [{type: 'choose-server', attempt: 6, excluded: []}]);
 });
--- a/packages/routing/src/request-plan.ts
+++ b/packages/routing/src/request-plan.ts
@@ -33,9 +33,9 @@
 	readonly promptTokens: number;
 	/** When a second attempt is made; undefined for never. For an answer that is not streamed, `prefillMilliseconds` is about the whole answer. */
 	readonly hedge?: HedgeDelays;
-	/** The most attempts on one target, hedges and resumes included; 4 by default. */
+	/** The most attempts on one target whose connection opened, hedges and resumes included, and the most connections in a row that do not open; 4 by default. */
 	readonly maximumAttempts?: number;
-	/** The most milliseconds to wait once for a server where none is left and the request may have run; 0, the default, gives up at once. */
+	/** The most milliseconds after which servers are asked again where none is left and the request may have run; 0, the default, gives up at once. */
 	readonly comeBackMilliseconds?: number;
 	/** Whether an attempt goes on when the caller leaves, so that the claim can keep its answer; false by default. */
 	readonly finishWithoutCaller?: boolean;
--- a/packages/routing/src/request-state.ts
+++ b/packages/routing/src/request-state.ts
@@ -18,6 +18,10 @@
 	readonly status: AttemptStatus;
 	/** Whether it ran; `unknown` from the dispatch until the server says so. */
 	readonly outcome: Outcome;
+	/** Whether nothing has come of it for too long; it is kept, since it may still go on. */
+	readonly silent: boolean;
+	/** Whether its connection never opened. */
+	readonly unsent: boolean;
 	/** The server, once one was chosen. */
 	readonly server: ServerId | undefined;
 	/** The offset at which it began. */
@@ -59,8 +63,10 @@
 	readonly lost: readonly RequestTarget[];
 	/** Whether the one hedge was asked for. */
 	readonly hedged: boolean;
-	/** Whether the one wait for a server was used. */
-	readonly cameBack: boolean;
+	/** Whether a timer is set after which servers are asked again. */
+	readonly comingBack: boolean;
+	/** Connections that did not open since servers were last asked again. */
+	readonly unreachable: number;
 	/** Whether a server said that the request ran and failed, so that it would fail again. */
 	readonly reportedFailure: boolean;
 	readonly stopping: boolean;
