Tell others of a request that was cleared before a restart

An operator lifted a quarantine, got 200, and after the end of all processes the request was quarantined again at each instance that had missed the lift.

Cause: a record concerns others from two uncleared ends on. One that comes from the disk with all its ends cleared is new to the book and has none, so that it was told to nobody, and was left out of the next save as well. Instances that still held the ends as uncleared were never corrected.

Change: a record with two ends concerns others, cleared or not. A new test of the book failed before ("quarantined" in place of "unknown").

--- a/packages/routing/src/suspect-book.test.ts
+++ b/packages/routing/src/suspect-book.test.ts
@@ -62,6 +62,21 @@
 	t.deepEqual(book.changedSince(cursor).map(({ends}) => ends.every(({isCleared}) => isCleared)), [true]);
 });
 
+test('others are told of a request that was cleared before this book was filled', t => {
+	const cleared = new SuspectBook();
+	for (const process of ['a', 'b', 'c']) {
+		cleared.noteEnd(fingerprint, {process, at: 0});
+	}
+
+	const other = new SuspectBook();
+	other.merge(cleared.records);
+	cleared.clear(fingerprint);
+	const restored = new SuspectBook();
+	restored.merge(cleared.records);
+	other.merge(restored.told);
+	t.is(other.standing(fingerprint, 0), 'unknown');
+});
+
 test('a quarantine ends after ten minutes, and one further end within the hour brings the next', t => {
 	const book = bookWith(['a', 'b', 'c', 'd']);
 	t.is(book.standing(fingerprint, start + (9 * minute)), 'quarantined');
--- a/packages/routing/src/suspect-book.ts
+++ b/packages/routing/src/suspect-book.ts
@@ -175,7 +175,7 @@
 	}
 
 	#hold(record: SuspectRecord, held: Held | undefined): SuspectRecord {
-		const isTold = held?.changedAt !== undefined || unclearedOf(record).length >= toldEnds;
+		const isTold = held?.changedAt !== undefined || record.ends.length >= toldEnds;
 		this.#suspects.set(record.fingerprint, {record, changedAt: isTold ? this.#next() : undefined});
 		if (this.#suspects.size > this.#capacity) {
 			this.#dropLeast();
