Answer operators about quarantines once the disk holds them

After the end of all processes a request that control instances had listed as quarantined ended one more server for each entry instance, and sometimes more.

Cause: the list, and the answer to a lift, told what was in memory; the saves went on behind it.

By reading, a third end that is reported late does not matter here: the list waits for what came while the saves were in progress.

Change: both calls wait for the disk, two seconds at most, and say by isSaved whether it holds the answer, so that a disk that stands still hides nothing. A control instance that starts tells the others at once what it saved: one that lost its disk had asked before the others answered, and learned of it with a round up to a second later. The notice that a server leaves waits by the same bounded save.

The existing test of a restarted control instance compares the whole list still, with the new field. The test servers forget each other at the end of a test: one that ended later read the port of a closed server, an unhandled rejection.

--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -93,7 +93,7 @@
 			return [saved];
 		},
 	});
-	t.deepEqual(control.suspects, [saved]);
+	t.deepEqual(await control.listSuspects(), [{...saved, isSaved: true}]);
 });
 
 test('a full disk refuses changes, and the replica comes back with all that was acknowledged once there is room', async t => {
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -1,7 +1,6 @@
 import {
 	type InstanceId, type RequestFingerprint, type ServerId, SuspensionWatch,
 } from '@valehitch/core';
-import {type SuspectRecord} from '@valehitch/routing';
 import {match, P} from 'ts-pattern';
 import {EvidenceTable} from '../rollouts/evidence-table.js';
 import {isEnded} from '../rollouts/rollout.js';
@@ -21,7 +20,7 @@
 import {RolloutJudge} from './rollout-judge.js';
 import {ServerNews} from './server-news.js';
 import {StateConfirmation} from './state-confirmation.js';
-import {SuspectNews} from './suspect-news.js';
+import {type LiftedQuarantine, type ListedSuspect, SuspectNews} from './suspect-news.js';
 
 /** The time between two questions to the leader about what is newest. */
 const confirmMilliseconds = 200;
@@ -166,18 +165,18 @@
 		await this.#news.remove(server);
 	}
 
-	/** The requests that end servers, as far as instances are told of them. */
-	get suspects(): readonly SuspectRecord[] {
-		return this.#suspects.book.told;
+	/** Lists the requests that end servers, as far as instances are told of them, once the disk holds them. */
+	async listSuspects(): Promise<readonly ListedSuspect[]> {
+		return this.#suspects.list();
 	}
 
 	/**
 	Lifts the quarantine of a request.
 
 	@param fingerprint The request.
-	@returns Whether anything was known of it.
+	@returns Whether it is on the disk; undefined where nothing was known of the request.
 	*/
-	liftQuarantine(fingerprint: RequestFingerprint): boolean {
+	async liftQuarantine(fingerprint: RequestFingerprint): Promise<LiftedQuarantine | undefined> {
 		return this.#suspects.lift(fingerprint);
 	}
 
--- a/packages/gateway/src/control/server-news.ts
+++ b/packages/gateway/src/control/server-news.ts
@@ -1,4 +1,3 @@
-import {setTimeout} from 'node:timers/promises';
 import {type Clock, type InstanceId, type ServerId} from '@valehitch/core';
 import {intervalAfterInput} from '@valehitch/transport';
 import {type DecisionKind, type DecisionLog} from '../logs/decision-log.js';
@@ -224,8 +223,7 @@
 
 	/** Waits until a shutdown is told and on the disk; a disk that stands still holds it up for no longer than others may. */
 	async #secure(told: Promise<void>): Promise<void> {
-		const saved = Promise.race([this.save(), setTimeout(passOnMilliseconds)]);
-		await Promise.all([told, saved]);
+		await Promise.all([told, this.#saver.saveWithin(passOnMilliseconds)]);
 	}
 
 	/** Tells the other control instances, and logs the servers whose shutdown one of them did not take in time. */
--- a/packages/gateway/src/control/suspect-news.test.ts
+++ b/packages/gateway/src/control/suspect-news.test.ts
@@ -11,7 +11,14 @@
 	return {fingerprint, ends: processes.map(process => ({process, at: 0, isCleared: false}))};
 }
 
-function startNews({saved = [], known = []}: {readonly saved?: readonly SuspectRecord[]; readonly known?: readonly SuspectRecord[]} = {}) {
+type NewsOptions = {
+	readonly saved?: readonly SuspectRecord[];
+	readonly known?: readonly SuspectRecord[];
+	/** Whether the disk takes what is written. */
+	readonly isDiskTaking?: boolean;
+};
+
+function startNews({saved = [], known = [], isDiskTaking = true}: NewsOptions = {}) {
 	const sent: PeerMessage[] = [];
 	const written: Array<readonly SuspectRecord[]> = [];
 	const changes = {count: 0};
@@ -30,7 +37,7 @@
 			read: async () => saved,
 			async write(records) {
 				written.push(records);
-				return true;
+				return isDiskTaking;
 			},
 		},
 	});
@@ -91,9 +98,9 @@
 
 test('an operator lifts a quarantine everywhere, and learns where there was none', async t => {
 	const {news, sent} = startNews();
-	t.false(news.lift(fingerprint));
+	t.is(await news.lift(fingerprint), undefined);
 	news.receive({type: 'suspects', records: [record(['a', 'b', 'c'])], isRelayed: true});
-	t.true(news.lift(fingerprint));
+	t.deepEqual(await news.lift(fingerprint), {isSaved: true});
 	t.is(news.book.standing(fingerprint, 0), 'unknown');
 	await elapsed(60);
 	t.true(sent.some(message => message.type === 'suspects' && message.records.every(({ends}) => ends.every(({isCleared}) => isCleared))));
@@ -107,3 +114,22 @@
 	await elapsed(20);
 	t.deepEqual(written.map(([saved]) => saved?.ends.length), [2, 3]);
 });
+
+test('operators read what the disk holds, and what it did not take says so', async t => {
+	const taken = startNews();
+	taken.news.receive({type: 'suspects', records: [record(['a', 'b'])], isRelayed: true});
+	taken.news.receive({type: 'suspects', records: [record(['c'])], isRelayed: true});
+	t.deepEqual(await taken.news.list(), [{...record(['a', 'b', 'c']), isSaved: true}]);
+	t.deepEqual(taken.written.at(-1), [record(['a', 'b', 'c'])]);
+	const refused = startNews({isDiskTaking: false});
+	refused.news.receive({type: 'suspects', records: [record(['a', 'b'])], isRelayed: true});
+	t.deepEqual(await refused.news.list(), [{...record(['a', 'b']), isSaved: false}]);
+	t.deepEqual(await refused.news.lift(fingerprint), {isSaved: false});
+});
+
+test('a control instance that lost its disk learns at the start of another what that one saved', async t => {
+	const {news, sent} = startNews({saved: [record(['a', 'b', 'c'])]});
+	await news.start();
+	t.deepEqual(sent.filter(({type}) => type === 'suspects'), [{type: 'suspects', records: [record(['a', 'b', 'c'])], isRelayed: true}]);
+	news.stop();
+});
--- a/packages/gateway/src/control/suspect-news.ts
+++ b/packages/gateway/src/control/suspect-news.ts
@@ -19,6 +19,18 @@
 	readonly saved: SavedList<SuspectRecord>;
 };
 
+/** A record as operators read it. */
+export type ListedSuspect = SuspectRecord & {
+	/** Whether the disk of the instance that answers holds the record as it stands, so that it is known after the end of all processes. */
+	readonly isSaved: boolean;
+};
+
+/** What became of a lifted quarantine. */
+export type LiftedQuarantine = {
+	/** Whether it stays lifted after the end of all processes. */
+	readonly isSaved: boolean;
+};
+
 /** Reports within this time are passed on together: those of all entry instances that had requests at a server which ended. In milliseconds. */
 const relayMilliseconds = 30;
 /** The time between two rounds that tell the others what is known, for those that missed it behind a cut. In milliseconds. */
@@ -26,6 +38,8 @@
 /** The requests of one round, so that a round stays below 4 KB. */
 const roundSize = 16;
 const askMilliseconds = 600;
+/** How long an operator's call waits for the disk, so that one that stands still hides nothing from operators. */
+const diskMilliseconds = 2000;
 
 /**
 Keeps what is known of requests that end servers the same on all control instances, and on their disks.
@@ -56,13 +70,15 @@
 		});
 	}
 
-	/** Starts the rounds, asks the others for what they know, and takes what the run before saved; resolves once that is read. */
+	/** Starts the rounds, asks the others for what they know, takes what the run before saved and tells them; resolves once that is read. */
 	async start(): Promise<void> {
 		this.#roundTimer = setInterval(() => {
 			this.#round();
 		}, roundMilliseconds);
 		void this.#askAll();
 		await this.restore();
+		// One of the others may have lost its disk, and have asked before this instance answered.
+		this.#tellOthers(this.book.told);
 	}
 
 	stop(): void {
@@ -93,18 +109,28 @@
 	Lifts the quarantine of a request, as an operator wants it; the ends so far count against it no more.
 
 	@param fingerprint The request.
-	@returns Whether anything was known of it.
+	@returns Whether it is on the disk; undefined where nothing was known of the request.
 	*/
-	lift(fingerprint: RequestFingerprint): boolean {
+	async lift(fingerprint: RequestFingerprint): Promise<LiftedQuarantine | undefined> {
 		if (!this.book.clear(fingerprint)) {
-			return false;
+			return undefined;
 		}
 
 		this.#options.log('request-cleared', {fingerprint, source: 'operator'});
 		this.#relay(fingerprint);
 		this.#options.onChange();
-		void this.save();
-		return true;
+		return {isSaved: await this.#saver.saveWithin(diskMilliseconds)};
+	}
+
+	/**
+	Lists what concerns all instances, once the disk holds it.
+
+	@returns The records; one that the disk did not take in time says so.
+	*/
+	async list(): Promise<readonly ListedSuspect[]> {
+		await this.#saver.saveWithin(diskMilliseconds);
+		const unsaved = new Set(this.book.changedSince(this.#saver.savedCursor));
+		return this.book.told.map(record => ({...record, isSaved: !unsaved.has(record)}));
 	}
 
 	/** Saves what concerns others where it changed. */
@@ -135,7 +161,7 @@
 		this.#unsent.add(fingerprint);
 		this.#relayTimer ??= setTimeout(() => {
 			this.#relayTimer = undefined;
-			this.#tellOthers([...this.#unsent]);
+			this.#tellOthers([...this.#unsent].flatMap(known => this.book.get(known) ?? []));
 			this.#unsent.clear();
 		}, relayMilliseconds);
 	}
@@ -143,7 +169,7 @@
 	#round(): void {
 		this.book.forget(this.#now());
 		void this.save();
-		const known = this.book.told.map(({fingerprint}) => fingerprint);
+		const known = this.book.told;
 		if (known.length === 0) {
 			return;
 		}
@@ -153,9 +179,12 @@
 		this.#tellOthers(known.slice(first, this.#nextOfRound));
 	}
 
-	#tellOthers(fingerprints: readonly RequestFingerprint[]): void {
+	#tellOthers(records: readonly SuspectRecord[]): void {
 		const {others, ask} = this.#options;
-		const records = fingerprints.flatMap(fingerprint => this.book.get(fingerprint) ?? []);
+		if (records.length === 0) {
+			return;
+		}
+
 		for (const other of others()) {
 			void ask(other, {type: 'suspects', records, isRelayed: true}, askMilliseconds);
 		}
--- a/packages/gateway/src/servers/list-saver.ts
+++ b/packages/gateway/src/servers/list-saver.ts
@@ -1,3 +1,4 @@
+import {setTimeout} from 'node:timers/promises';
 import {type SavedList} from './saved-list.js';
 
 /** A list at one moment. */
@@ -33,6 +34,23 @@
 		this.#options = options;
 	}
 
+	/** The number of the last change that the disk holds. */
+	get savedCursor(): number {
+		return this.#savedCursor;
+	}
+
+	/**
+	Saves the list, and waits for the disk no longer than a bound.
+
+	@param milliseconds The bound.
+	@returns Whether the disk holds all changes up to the call.
+	*/
+	async saveWithin(milliseconds: number): Promise<boolean> {
+		const {cursor} = this.#options.current();
+		await Promise.race([this.save(), setTimeout(milliseconds, undefined, {ref: false})]);
+		return this.#savedCursor >= cursor;
+	}
+
 	/** Saves the list where it changed since the last save, and resolves once that is over; what the disk does not take is tried again with the next call. */
 	async save(): Promise<void> {
 		this.#isWanted = true;
--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -90,12 +90,13 @@
 		}
 
 		case 'GET quarantine': {
-			return Right({status: 200, body: JSON.stringify({requests: control.suspects})});
+			return Right({status: 200, body: JSON.stringify({requests: await control.listSuspects()})});
 		}
 
 		case 'DELETE quarantine/': {
-			return control.liftQuarantine(toId<RequestFingerprint>(name!))
-				? Right(done)
+			const lifted = await control.liftQuarantine(toId<RequestFingerprint>(name!));
+			return lifted
+				? Right({status: 200, body: JSON.stringify(lifted)})
 				: Left(failure('not-found', `Got ${name!.slice(0, loggedCharacters)}, wanted the fingerprint of a request that is listed`));
 		}
 
--- a/packages/testing/src/crashing-requests.test.ts
+++ b/packages/testing/src/crashing-requests.test.ts
@@ -10,6 +10,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {ask, BackendStandIn, call} from './platform/backend-stand-in.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
+import {slowDisk} from './platform/slow-disk.js';
 import {waitUntil} from './wait-until.js';
 
 const host = 'desk.example';
@@ -24,6 +25,7 @@
 const windowMilliseconds = 3000;
 const allowedSends = 3;
 const saveMilliseconds = 300;
+const slowSaveMilliseconds = 500;
 
 /** Servers of one service that end when they begin the deadly request, and are back after a while as new processes. */
 class CrashingServers {
@@ -72,6 +74,8 @@
 		for (const server of this.#running) {
 			server.close();
 		}
+
+		this.#running.clear();
 	}
 
 	async #end(server: BackendStandIn): Promise<void> {
@@ -94,8 +98,8 @@
 	readonly servers: CrashingServers;
 };
 
-async function start(t: ExecutionContext): Promise<Started> {
-	const deployment = await PlatformDeployment.start({entries: 3});
+async function start(t: ExecutionContext, environment: Readonly<Record<string, string>> = {}): Promise<Started> {
+	const deployment = await PlatformDeployment.start({entries: 3, environment: () => environment});
 	const servers = new CrashingServers();
 	await Promise.all(Array.from({length: serverCount}, async () => servers.start()));
 	const beat = setInterval(() => {
@@ -225,3 +229,50 @@
 		return servers.sends.length > sends || undefined;
 	}, {what: 'a send after the quarantine was lifted'});
 });
+
+// The list said so before any disk held the third end.
+test('a request that is listed as quarantined is known after the end of all processes, however slow their disks are', async t => {
+	const {deployment, servers} = await start(t, slowDisk({file: 'suspects.json', milliseconds: slowSaveMilliseconds}));
+	await Promise.all(Array.from({length: 9}, async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
+	await waitUntil(async () => {
+		const lists = await Promise.all(deployment.controls.map(async ({address}) => listQuarantine(address)));
+		return lists.every(list => list.includes('process')) || undefined;
+	}, {what: 'a request that all control instances list'});
+	await restartAll(deployment);
+	const sends = servers.sends.length;
+	const refused = await Promise.all(deployment.entries.map(async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
+	t.deepEqual(refused.map(({status}) => status), [400, 400, 400]);
+	t.is(servers.sends.length, sends);
+});
+
+// The operator was told so before the disk of the instance held it.
+test('a quarantine that an operator has lifted stays lifted after the end of all processes', async t => {
+	const {deployment, servers} = await start(t, slowDisk({file: 'suspects.json', milliseconds: slowSaveMilliseconds}));
+	await Promise.all(Array.from({length: 9}, async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
+	const fingerprint = await waitUntil(async () => {
+		const lists = await Promise.all(deployment.controls.map(async ({address}) => listQuarantine(address)));
+		return lists.every(list => list.includes('process')) ? /[\da-f]{32}/v.exec(lists[0]!)?.[0] : undefined;
+	}, {what: 'a request that all control instances list'});
+	await elapsed(3 * slowSaveMilliseconds);
+	t.is(await call({method: 'DELETE', address: deployment.controls[0]!.address, path: `/-/quarantine/${fingerprint}`}), 200);
+	await restartAll(deployment);
+	const sends = servers.sends.length;
+	t.true(await waitUntil(async () => {
+		await draft(deployment, {entry: 0, path: deadlyPath});
+		return servers.sends.length > sends || undefined;
+	}, {what: 'a send after the quarantine was lifted'}));
+});
+
+/** Kills all processes at once, starts them again, and waits until each entry instance answers. */
+async function restartAll(deployment: PlatformDeployment): Promise<void> {
+	await Promise.all(deployment.members.map(async member => member.process.kill('SIGKILL')));
+	for (const member of deployment.members) {
+		await member.writeSettings({isFounding: false});
+		member.process.start();
+	}
+
+	await waitUntil(async () => {
+		const answers = await Promise.all(deployment.entries.map(async (_, entry) => draft(deployment, {entry, path: `/drafts/after-${entry}`})));
+		return answers.every(({status}) => status === 200) || undefined;
+	}, {what: 'an answer of each entry instance after the end of all'});
+}
