Elect a leader on disks that are as slow as an election

A group whose disks took 300 ms or more for each sync never had a leader: operators got 503 for every configuration, and entry instances none.

Cause: an election writes the candidate's vote, then a voter's, before the candidate can count it. Timeouts of 300 to 600 ms run meanwhile: with twice the time of a sync above them each candidate begins anew before its votes come, in a term that voids them.

Ruled out: processor time alone, since the machine was idle but for a benchmark.

Change: the driver tells a replica how long its disk takes, and elections and step-downs wait for what an election writes one after the other. The wait of a candidate doubles with each election in vain, for voters that are slower than itself. A leader takes the time that its election waited for votes as that of its followers. One tick comes last in a batch. Leases are as they were.

The new test of the driver failed before (a vote request in place of an answer); those of the replica do not compile against the code before.

--- /dev/null
+++ b/packages/consensus/src/_disk-patience.ts
@@ -0,0 +1,22 @@
+import {type Draft} from './_draft.js';
+import {type LeaderRole, type ReplicaState} from './replica-state.js';
+
+/** What an election writes one after the other: the candidate's vote, a voter's, the first entry of the leader, and a follower's copy of it. */
+const persistsOfElection = 4;
+
+/** How much longer elections and leaders are waited for, since what they write takes time, in milliseconds. */
+export function diskPatienceOf({persistMilliseconds}: Pick<ReplicaState, 'persistMilliseconds'>): number {
+	return persistsOfElection * persistMilliseconds;
+}
+
+/** The same for a leader, whose followers may have slower disks than its own. */
+export function leaderPatienceOf({persistMilliseconds}: Pick<ReplicaState, 'persistMilliseconds'>, {electedIn}: Pick<LeaderRole, 'electedIn'>): number {
+	return persistsOfElection * Math.max(persistMilliseconds, electedIn);
+}
+
+/** Notes how long the disk takes; an election that is waited for already is given the difference. */
+export function notePersistTime({state}: Pick<Draft, 'state'>, persistMilliseconds: number): void {
+	const before = diskPatienceOf(state);
+	state.persistMilliseconds = persistMilliseconds;
+	state.electionDeadline += Math.max(0, diskPatienceOf(state) - before);
+}
--- a/packages/consensus/src/_draft.ts
+++ b/packages/consensus/src/_draft.ts
@@ -1,3 +1,4 @@
+import {diskPatienceOf} from './_disk-patience.js';
 import {type LogEntry, type Snapshot} from './log-entry.js';
 import {lastIndexOf, replicaSetAt, withEntries} from './_log.js';
 import {nextRandom} from './_random.js';
@@ -89,7 +90,7 @@
 	const {minimumElectionTimeout, maximumElectionTimeout} = state.options;
 	const random = nextRandom(state.randomState);
 	state.randomState = random.state;
-	state.electionDeadline = now + minimumElectionTimeout + (random.value * (maximumElectionTimeout - minimumElectionTimeout));
+	state.electionDeadline = now + minimumElectionTimeout + (random.value * (maximumElectionTimeout - minimumElectionTimeout)) + diskPatienceOf(state);
 }
 
 /** Makes the replica a follower; a higher term is taken over and has no vote yet. */
--- a/packages/consensus/src/_election.ts
+++ b/packages/consensus/src/_election.ts
@@ -8,6 +8,12 @@
 import {newProgress, sendRound} from './_replication.js';
 import {type ReplicaId} from './replica-id.js';
 import {type VoteReply, type VoteRequest} from './replica-message.js';
+import {type ReplicaRole} from './replica-state.js';
+
+type CandidateRole = Extract<ReplicaRole, {readonly type: 'candidate'}>;
+
+/** How often the time that a candidate waits for votes is doubled. */
+const maximumDoublings = 5;
 
 /** Begins a pre-vote once the election timeout has passed (Ongaro, 2014, section 9.6). */
 export function campaignWhenDue(draft: Draft): void {
@@ -82,30 +88,35 @@
 		return;
 	}
 
-	becomeLeader(draft);
+	becomeLeader(draft, role);
 }
 
 function becomeCandidate(draft: Draft): void {
-	const {state} = draft;
+	const {state, now} = draft;
 	state.hardState = {term: state.hardState.term + 1, votedFor: state.id};
-	state.role = {type: 'candidate', votes: new Set([state.id])};
+	state.role = {type: 'candidate', votes: new Set([state.id]), since: now};
 	resetElectionDeadline(draft);
+	// Voters whose disks are slow answer late: each election in vain is waited for twice as long as the one before.
+	state.electionDeadline = now + ((state.electionDeadline - now) * (2 ** Math.min(state.failedElections, maximumDoublings)));
+	state.failedElections++;
 	requestVotes(draft, {isPreVote: false});
 	countVotes(draft);
 }
 
-function becomeLeader(draft: Draft): void {
+function becomeLeader(draft: Draft, {since}: CandidateRole): void {
 	const {state, now} = draft;
 	const nextIndex = lastIndexOf(state.log) + 1;
 	state.role = {
 		type: 'leader',
 		since: now,
+		electedIn: now - since,
 		termStartIndex: nextIndex,
 		progress: newProgress(state, new Map()),
 		rounds: [{round: 0, sentAt: now}],
 		roundCommitIndex: state.commitIndex,
 	};
 	state.leader = state.id;
+	state.failedElections = 0;
 	appendToLog(draft, [{index: nextIndex, term: state.hardState.term, payload: {type: 'empty'}}]);
 	sendRound(draft);
 	commitByQuorum(draft);
--- a/packages/consensus/src/_follow.ts
+++ b/packages/consensus/src/_follow.ts
@@ -38,6 +38,7 @@
 
 	becomeFollower(draft, term, from);
 	state.lastContact = now;
+	state.failedElections = 0;
 	resetElectionDeadline(draft);
 	return true;
 }
--- a/packages/consensus/src/_replication.ts
+++ b/packages/consensus/src/_replication.ts
@@ -1,4 +1,5 @@
 import {commitByQuorum} from './_commit.js';
+import {leaderPatienceOf} from './_disk-patience.js';
 import {becomeFollower, type Draft, send} from './_draft.js';
 import {currentRound, openRound} from './_lease.js';
 import {entryAt, lastIndexOf, termAt} from './_log.js';
@@ -108,8 +109,9 @@
 /** Sends from the last known match again where nothing was answered for a round; a snapshot gets longer. */
 function goBackWhenSilent(draft: Draft, peer: ReplicaId, progress: FollowerProgress): void {
 	const {snapshotSentAt, isActive, matchIndex, nextIndex} = progress;
-	const {maximumElectionTimeout} = draft.state.options;
-	if (snapshotSentAt !== undefined && draft.now < snapshotSentAt + maximumElectionTimeout) {
+	const {options: {maximumElectionTimeout}, role} = draft.state;
+	const patience = role.type === 'leader' ? leaderPatienceOf(draft.state, role) : 0;
+	if (snapshotSentAt !== undefined && draft.now < snapshotSentAt + maximumElectionTimeout + patience) {
 		return;
 	}
 
--- a/packages/consensus/src/create-replica.ts
+++ b/packages/consensus/src/create-replica.ts
@@ -67,6 +67,8 @@
 		leader: undefined,
 		lastContact: lastAcknowledgedAt,
 		electionDeadline: isAlone ? now : boundUntil + firstCampaignDelay(id, {...options, voters: placed.replicas?.voters ?? []}),
+		failedElections: 0,
+		persistMilliseconds: 0,
 		randomState: seedRandom(seed),
 	};
 }
--- a/packages/consensus/src/plan-membership.test.ts
+++ b/packages/consensus/src/plan-membership.test.ts
@@ -30,7 +30,7 @@
 
 	return {
 		...base, replicas, commitIndex: 9, role: {
-			type: 'leader', since: 500, termStartIndex: 1, progress, rounds: [{round: 7, sentAt: now - 50}], roundCommitIndex: 9,
+			type: 'leader', since: 500, electedIn: 0, termStartIndex: 1, progress, rounds: [{round: 7, sentAt: now - 50}], roundCommitIndex: 9,
 		},
 	};
 }
--- a/packages/consensus/src/replica-event.ts
+++ b/packages/consensus/src/replica-event.ts
@@ -4,7 +4,8 @@
 
 /** What can happen to a replica. */
 export type ReplicaEvent
-	= | {readonly type: 'tick'}
+	/** Time has passed; `persistMilliseconds` tells how long the disk of this replica took of late to keep what a step asked for, 0 by default. */
+	= | {readonly type: 'tick'; readonly persistMilliseconds?: number}
 		| {readonly type: 'message'; readonly from: ReplicaId; readonly message: ReplicaMessage}
 	/** Commands to put into the log in this order; `proposalId` comes back with the outcome. */
 		| {readonly type: 'propose'; readonly proposals: ReadonlyArray<{readonly proposalId: string; readonly data: Uint8Array}>}
--- a/packages/consensus/src/replica-state.ts
+++ b/packages/consensus/src/replica-state.ts
@@ -43,6 +43,8 @@
 	readonly type: 'leader';
 	/** When the replica became the leader, in milliseconds. */
 	readonly since: number;
+	/** How long its election waited for votes, in milliseconds: its followers take as long to keep entries. */
+	readonly electedIn: number;
 	/** The index of the empty entry that opened the term. */
 	readonly termStartIndex: number;
 	readonly progress: ReadonlyMap<ReplicaId, FollowerProgress>;
@@ -56,7 +58,7 @@
 export type ReplicaRole
 	= | {readonly type: 'follower'}
 		| {readonly type: 'pre-candidate'; readonly votes: ReadonlySet<ReplicaId>}
-		| {readonly type: 'candidate'; readonly votes: ReadonlySet<ReplicaId>}
+		| {readonly type: 'candidate'; readonly votes: ReadonlySet<ReplicaId>; readonly since: number}
 		| LeaderRole;
 
 /** The whole state of a replica; a step never changes it but gives a new one. */
@@ -77,6 +79,10 @@
 	readonly lastContact: number;
 	/** When the replica asks for votes unless it hears from a leader before, in milliseconds. */
 	readonly electionDeadline: number;
+	/** How often the replica asked for votes in vain since it last heard from a leader. */
+	readonly failedElections: number;
+	/** How long the disk of the replica took of late to keep what a step asked for, in milliseconds. */
+	readonly persistMilliseconds: number;
 	/** The state of the random source for election timeouts. */
 	readonly randomState: number;
 };
--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -142,3 +142,48 @@
 	t.like(messages[0]?.message, {type: 'vote-reply', granted: true});
 	t.is(step(state, {type: 'begin-group', initial: {...initial, replicas: {voters: [first], learners: []}}}, campaignTime).state.replicas, replicas);
 });
+
+const {maximumElectionTimeout} = defaultReplicaOptions;
+
+/** A replica that has the pre-votes of a quorum, and asks for votes. */
+function candidate(state: ReplicaState, now: number): ReplicaState {
+	const asked = step(state, {type: 'tick'}, now).state;
+	return step(asked, {
+		type: 'message', from: second, message: {
+			type: 'vote-reply', term: state.hardState.term + 1, isPreVote: true, granted: true,
+		},
+	}, now).state;
+}
+
+test('a candidate whose disk is slow waits for as long as an election takes there', t => {
+	const asking = candidate(started(), campaignTime);
+	const slow = step(asking, {type: 'tick', persistMilliseconds: maximumElectionTimeout}, campaignTime + maximumElectionTimeout).state;
+	t.is(slow.role.type, 'candidate');
+	t.is(step(asking, {type: 'tick'}, campaignTime + maximumElectionTimeout).state.role.type, 'pre-candidate');
+});
+
+test('a candidate whose voters are slow waits longer with each election in vain', t => {
+	let state = candidate(started(), campaignTime);
+	const waits = [state.electionDeadline - campaignTime];
+	for (let election = 0; election < 3; election++) {
+		const now = state.electionDeadline;
+		state = candidate(state, now);
+		waits.push(state.electionDeadline - now);
+	}
+
+	t.is(state.hardState.term, 6);
+	t.true(waits[3]! >= 8 * defaultReplicaOptions.minimumElectionTimeout, `Waited ${waits.join(' ')}`);
+});
+
+test('a leader whose followers keep its entries late does not step down before they can have answered', t => {
+	const asking = candidate(started(), campaignTime);
+	const electedAt = campaignTime + 600;
+	const {state} = step(asking, {
+		type: 'message', from: second, message: {
+			type: 'vote-reply', term: 3, isPreVote: false, granted: true,
+		},
+	}, electedAt);
+	t.true(isLeader(state));
+	t.true(isLeader(step(state, {type: 'tick'}, electedAt + maximumElectionTimeout).state));
+	t.false(isLeader(step(elected(), {type: 'tick'}, campaignTime + maximumElectionTimeout).state));
+});
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -3,6 +3,7 @@
 	beginStep, type Draft, finishStep, type StepResult,
 } from './_draft.js';
 import {beginGroup} from './_begin-group.js';
+import {notePersistTime} from './_disk-patience.js';
 import {campaignWhenDue, handleVoteReply, handleVoteRequest} from './_election.js';
 import {handleAppendRequest} from './_follow.js';
 import {stepDownWithoutQuorum} from './_lease.js';
@@ -34,7 +35,8 @@
 	const draft = beginStep(state, now);
 	stepDownWithoutQuorum(draft);
 	match(event)
-		.with({type: 'tick'}, () => {
+		.with({type: 'tick'}, ({persistMilliseconds = 0}) => {
+			notePersistTime(draft, persistMilliseconds);
 			heartbeatWhenDue(draft);
 			campaignWhenDue(draft);
 		})
--- a/packages/replication/src/replica-driver.test.ts
+++ b/packages/replication/src/replica-driver.test.ts
@@ -1,6 +1,7 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
 import {type ReplicaId, toReplicaId} from '@valehitch/consensus';
 import {type Failure} from '@valehitch/core';
 import {type FileFunctions, openDataFolder, systemFiles} from '@valehitch/storage';
@@ -104,3 +105,77 @@
 	t.is(failures.length, 1);
 	t.regex(failures[0]?.message ?? '', /ENOSPC/v);
 });
+
+/** Files whose syncs wait until the disk is let go on. */
+function busyFiles(disk: {isBusy: boolean; goOn: () => void}): FileFunctions {
+	return {
+		...systemFiles,
+		async create(file) {
+			const open = await systemFiles.create(file);
+			return {
+				...open,
+				async sync() {
+					if (disk.isBusy) {
+						await new Promise<void>(resolve => {
+							disk.goOn = resolve;
+						});
+					}
+
+					await open.sync();
+				},
+			};
+		},
+	};
+}
+
+test('what the others said while the disk was busy is read before their silence is judged', async t => {
+	const place = await mkdtemp(path.join(tmpdir(), 'valehitch-driver-'));
+	const disk = {isBusy: false, goOn: (): void => undefined};
+	const opened = await openDataFolder(place, {files: busyFiles(disk)});
+	const folder = opened.unsafeCoerce();
+	const self: ReplicaId = toReplicaId('entry-1', folder.takeStored().identity);
+	const leader = toReplicaId('entry-2', 'other');
+	const clock = {time: 0, now: () => new Date(0), monotonic: () => clock.time};
+	const sent: string[] = [];
+	const driver = new ReplicaDriver({
+		start: {id: self, replicas: {voters: [self, leader], learners: []}, seed: 1},
+		folder,
+		clock,
+		send(_to, {type}) {
+			sent.push(type);
+		},
+		apply() {
+			// Nothing is committed.
+		},
+		onStepped() {
+			// What was sent tells enough.
+		},
+		onFailure({message}) {
+			t.fail(message);
+		},
+	});
+	const hear = (): void => {
+		driver.push({
+			type: 'message', from: leader, message: {
+				type: 'append-request', term: 1, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0, round: 1,
+			},
+		});
+	};
+
+	disk.isBusy = true;
+	hear();
+	await delay(0);
+	driver.push({type: 'tick'});
+	hear();
+	clock.time = 60_000;
+	disk.isBusy = false;
+	disk.goOn();
+	while (sent.length < 2) {
+		await delay(0);
+	}
+
+	t.deepEqual(sent, ['append-reply', 'append-reply']);
+	await driver.stop();
+	await folder.close();
+	await rm(place, {recursive: true});
+});
--- a/packages/replication/src/replica-driver.ts
+++ b/packages/replication/src/replica-driver.ts
@@ -5,6 +5,9 @@
 import {type DataFolder} from '@valehitch/storage';
 import {ActionBatch} from './_action-batch.js';
 
+/** The share of the longest time of the disk that is left with each further write, so that it is forgotten after some dozen. */
+const persistDecay = 0.8;
+
 /** What the driver of a replica needs. */
 export type ReplicaDriverOptions = {
 	/** What the replica starts from. */
@@ -38,6 +41,8 @@
 	#state: ReplicaState;
 	#events: ReplicaEvent[] = [];
 	#running: Promise<void> | undefined;
+	/** The longest that the disk took of late. */
+	#persistMilliseconds = 0;
 	#isStopped = false;
 
 	constructor(options: ReplicaDriverOptions) {
@@ -77,7 +82,7 @@
 		await Promise.resolve();
 		try {
 			while (!this.#isStopped && this.#events.length > 0) {
-				await this.#takeSteps(mergeProposals(this.#events.splice(0)));
+				await this.#takeSteps(inOrder(this.#events.splice(0), this.#persistMilliseconds));
 			}
 		} catch (error) {
 			this.#fail(failure('internal', error instanceof Error ? error.message : String(error)));
@@ -108,8 +113,11 @@
 
 	async #carryOut(batch: ActionBatch): Promise<void> {
 		const {persist} = batch;
+		const {clock, folder} = this.#options;
 		if (persist !== undefined && !this.#isStopped) {
-			const written = await this.#options.folder.persist(persist);
+			const begunAt = clock.monotonic();
+			const written = await folder.persist(persist);
+			this.#persistMilliseconds = Math.max(clock.monotonic() - begunAt, persistDecay * this.#persistMilliseconds);
 			written.ifLeft(failed => {
 				this.#fail(failed);
 			});
@@ -139,10 +147,18 @@
 	}
 }
 
-/** All proposals that wait go into one step, so that they share one append and one sync. */
-function mergeProposals(events: readonly ReplicaEvent[]): readonly ReplicaEvent[] {
+/** All proposals that wait go into one step, so that they share one append and one sync. One tick comes last: what the others said while the disk was busy is read before their silence is judged. */
+function inOrder(events: readonly ReplicaEvent[], persistMilliseconds: number): readonly ReplicaEvent[] {
 	const proposals = events.flatMap(event => event.type === 'propose' ? event.proposals : []);
-	const others = events.filter(({type}) => type !== 'propose');
-	return proposals.length === 0 ? others : [...others, {type: 'propose', proposals}];
+	const ordered = events.filter(({type}) => type !== 'propose' && type !== 'tick');
+	if (proposals.length > 0) {
+		ordered.push({type: 'propose', proposals});
+	}
+
+	if (events.some(({type}) => type === 'tick')) {
+		ordered.push({type: 'tick', persistMilliseconds});
+	}
+
+	return ordered;
 }
 
