Acknowledge a configuration that is held already without another entry

With a leader on slow disks operators still got 503 for a configuration that was in force: 100 of them were committed within 40 s, each after its caller had been told that its outcome is unknown.

Cause: a change is committed after two syncs in a row, more than the 900 ms that a call waits. Each resend was another entry, as late as the one before, and kept the followers' disks busy, so that the leader's lease lapsed in between.

Evidence: at 500 ms for each sync, 204 answers without a valid lease, 82 without a leader and 34 out of time, while the log held version 1 a hundred times.

Change: a leader that has applied all that its lease confirms answers a version that is not newer from its state; the result is that of applying it.

--- a/packages/gateway/src/control/control-group.ts
+++ b/packages/gateway/src/control/control-group.ts
@@ -7,7 +7,7 @@
 import {
 	readReplicaMessage, ReplicaDriver, StateMachine, StepWaiters, writeReplicaMessage,
 } from '@valehitch/replication';
-import {type Either, Left} from 'purify-ts';
+import {type Either, Left, Right} from 'purify-ts';
 import {type ControlGroupOptions} from './control-group-options.js';
 import {
 	decodeGatewayCommand, encodeGatewayCommand, type GatewayAnswer, type GatewayCommand,
@@ -173,10 +173,17 @@
 	@returns What it gave; a failure `no-quorum` says with its outcome whether it may still be committed.
 	*/
 	async propose(command: GatewayCommand): Promise<Either<Failure, GatewayAnswer>> {
-		if (this.confirmedIndex() === undefined) {
+		const confirmedIndex = this.confirmedIndex();
+		if (confirmedIndex === undefined) {
 			return Left(failure('no-quorum', 'Got a command on a replica without a valid lease, wanted it on the leader', {retryAfterMilliseconds: retryMilliseconds}));
 		}
 
+		// Operators send a change again that was committed late; with a slow disk another entry would be late as well.
+		const known = this.#machine.appliedIndex >= confirmedIndex ? this.state.answerOf(command) : undefined;
+		if (known !== undefined) {
+			return Right(known);
+		}
+
 		const proposalId = String(++this.#proposals);
 		const result = this.#machine.resultOf(proposalId);
 		this.#driver.push({type: 'propose', proposals: [{proposalId, data: encodeGatewayCommand(command)}]});
--- a/packages/gateway/src/control/gateway-state.test.ts
+++ b/packages/gateway/src/control/gateway-state.test.ts
@@ -13,6 +13,18 @@
 	t.deepEqual(state.configuration, {version: 5, document: 'five'});
 });
 
+test('a change that is held already is answered without another entry, and a newer one is not', t => {
+	const state = new GatewayState();
+	t.is(state.answerOf({type: 'put-configuration', version: 5, document: 'five'}), undefined);
+	state.apply({type: 'put-configuration', version: 5, document: 'five'});
+	for (const version of [3, 5]) {
+		const command = {type: 'put-configuration', version, document: 'any'} as const;
+		t.deepEqual(state.answerOf(command), state.apply(command).unsafeCoerce());
+	}
+
+	t.is(state.answerOf({type: 'put-configuration', version: 6, document: 'six'}), undefined);
+});
+
 test('a snapshot holds everything', t => {
 	const state = new GatewayState();
 	state.apply({type: 'put-configuration', version: 5, document: 'five'});
--- a/packages/gateway/src/control/gateway-state.ts
+++ b/packages/gateway/src/control/gateway-state.ts
@@ -72,6 +72,19 @@
 			.exhaustive();
 	}
 
+	/**
+	Answers a command that would change nothing.
+
+	@param command The command.
+	@returns What it would give; undefined where it may change something.
+	*/
+	answerOf(command: GatewayCommand): GatewayAnswer | undefined {
+		const held = this.#configuration?.version;
+		return command.type === 'put-configuration' && held !== undefined && command.version <= held
+			? {type: 'configuration', isNewest: false, version: held}
+			: undefined;
+	}
+
 	/** The whole state as bytes. */
 	toSnapshot(): Uint8Array {
 		const data: SnapshotData = {configuration: this.#configuration, rollouts: this.rollouts};
--- a/packages/testing/src/crashing-requests.test.ts
+++ b/packages/testing/src/crashing-requests.test.ts
@@ -232,7 +232,7 @@
 
 // The list said so before any disk held the third end.
 test('a request that is listed as quarantined is known after the end of all processes, however slow their disks are', async t => {
-	const {deployment, servers} = await start(t, slowDisk({file: 'suspects.json', milliseconds: slowSaveMilliseconds}));
+	const {deployment, servers} = await start(t, slowDisk({file: 'suspects.json', fileMilliseconds: slowSaveMilliseconds}));
 	await Promise.all(Array.from({length: 9}, async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
 	await waitUntil(async () => {
 		const lists = await Promise.all(deployment.controls.map(async ({address}) => listQuarantine(address)));
@@ -247,7 +247,7 @@
 
 // The operator was told so before the disk of the instance held it.
 test('a quarantine that an operator has lifted stays lifted after the end of all processes', async t => {
-	const {deployment, servers} = await start(t, slowDisk({file: 'suspects.json', milliseconds: slowSaveMilliseconds}));
+	const {deployment, servers} = await start(t, slowDisk({file: 'suspects.json', fileMilliseconds: slowSaveMilliseconds}));
 	await Promise.all(Array.from({length: 9}, async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
 	const fingerprint = await waitUntil(async () => {
 		const lists = await Promise.all(deployment.controls.map(async ({address}) => listQuarantine(address)));
--- a/packages/testing/src/platform/slow-disk.ts
+++ b/packages/testing/src/platform/slow-disk.ts
@@ -1,25 +1,28 @@
-/** Which file is slow. */
+/** What is slow about a disk. */
 export type SlowDiskOptions = {
-	/** The name of the file. */
-	readonly file: string;
-	/** How much longer each replacement of it takes, in milliseconds. */
-	readonly milliseconds: number;
+	/** How much longer each sync takes, in milliseconds; 0 by default. */
+	readonly syncMilliseconds?: number;
+	/** The name of files whose replacement takes longer; none by default. */
+	readonly file?: string;
+	/** How much longer each replacement of them takes, in milliseconds; 0 by default. */
+	readonly fileMilliseconds?: number;
 };
 
 /**
 Makes the variables of a process whose disk is slow.
 
-@param options The file, and how slow it is.
+@param options What is slow.
 @returns The variables.
 @example
 ```ts
-await PlatformDeployment.start({environment: () => slowDisk({file: 'suspects.json', milliseconds: 500})});
+await PlatformDeployment.start({environment: () => slowDisk({syncMilliseconds: 400})});
 ```
 */
-export function slowDisk({file, milliseconds}: SlowDiskOptions): Readonly<Record<string, string>> {
+export function slowDisk({syncMilliseconds = 0, file = '', fileMilliseconds = 0}: SlowDiskOptions): Readonly<Record<string, string>> {
 	return {
 		NODE_OPTIONS: `--import ${new URL('slow-saves.js', import.meta.url).href}`,
+		SLOW_SYNC_MILLISECONDS: String(syncMilliseconds),
 		SLOW_FILE: file,
-		SLOW_MILLISECONDS: String(milliseconds),
+		SLOW_FILE_MILLISECONDS: String(fileMilliseconds),
 	};
 }
--- a/packages/testing/src/platform/slow-saves.ts
+++ b/packages/testing/src/platform/slow-saves.ts
@@ -1,19 +1,30 @@
-import fileSystem from 'node:fs/promises';
+import fileSystem, {open} from 'node:fs/promises';
 import {syncBuiltinESMExports} from 'node:module';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout} from 'node:timers/promises';
 
-/** Loaded into a process before its program: each replacement of a file of that name takes longer by so many milliseconds. */
-const {SLOW_FILE: slowFile, SLOW_MILLISECONDS: slowMilliseconds} = process.env;
+/** Loaded into a process before its program: slows down each replacement of files of one name, and each sync. */
+const {SLOW_FILE: slowFile, SLOW_FILE_MILLISECONDS: fileMilliseconds = '0', SLOW_SYNC_MILLISECONDS: syncMilliseconds = '0'} = process.env;
 const {rename} = fileSystem;
 
 fileSystem.rename = async (from, to) => {
 	if (path.basename(String(to)) === slowFile) {
-		await setTimeout(Number(slowMilliseconds));
+		await setTimeout(Number(fileMilliseconds));
 	}
 
 	await rename(from, to);
 };
 
 syncBuiltinESMExports();
+
+const handle = await open(process.execPath, 'r');
+const handles = Object.getPrototypeOf(handle) as Pick<typeof handle, 'datasync' | 'sync'>;
+await handle.close();
+for (const name of ['datasync', 'sync'] as const) {
+	const sync = handles[name];
+	handles[name] = async function (this: typeof handle) {
+		await setTimeout(Number(syncMilliseconds));
+		await sync.call(this);
+	};
+}
--- /dev/null
+++ b/packages/testing/src/slow-disks.test.ts
@@ -0,0 +1,46 @@
+import test, {type ExecutionContext} from 'ava';
+import {call} from './platform/backend-stand-in.js';
+import {PlatformDeployment} from './platform/platform-deployment.js';
+import {slowDisk} from './platform/slow-disk.js';
+import {waitUntil} from './wait-until.js';
+
+const configuration = {
+	version: 1,
+	routes: [{
+		name: 'look', host: 'desk.example', pathPrefix: '/look/', kind: 'safe', timeoutMs: 2000, targetLatencyMs: 500, service: 'labels', maxAttempts: 2, public: true,
+	}],
+	services: [{name: 'labels'}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}],
+};
+
+/** Starts three control instances, some with slow disks, and waits until they acknowledge a configuration. */
+async function acknowledgeOn(t: ExecutionContext, disks: ReadonlyArray<{readonly syncMilliseconds: number}>): Promise<void> {
+	const deployment = await PlatformDeployment.prepare({
+		entries: 0,
+		environment: ({ip}) => slowDisk(disks[Number(ip.split('.').at(-1)) - 1] ?? {}),
+	});
+	t.teardown(async () => {
+		await deployment.stop();
+	});
+	for (const member of deployment.members) {
+		member.process.start();
+	}
+
+	t.true(await waitUntil(async () => {
+		const statuses = await Promise.all(deployment.controls.map(async ({address}) => call({
+			method: 'PUT', address, path: '/-/config', body: configuration,
+		})));
+		return statuses.includes(200) || undefined;
+	}, {what: 'an acknowledged configuration'}));
+}
+
+test('control instances whose disks take as long for a vote as an election elect a leader that takes a configuration', async t => {
+	await acknowledgeOn(t, [{syncMilliseconds: 500}, {syncMilliseconds: 500}, {syncMilliseconds: 500}]);
+});
+
+test('a control instance with a fast disk leads two with slow ones', async t => {
+	await acknowledgeOn(t, [{syncMilliseconds: 800}, {syncMilliseconds: 0}, {syncMilliseconds: 800}]);
+});
