Keep a stream that stalls while it cannot go on elsewhere

On the gateway a stream that stalled was cut though no send was left to go on with, or no other server was there: its caller got a broken answer, and the server's rest of it was thrown away.

The stall ended the stream at its server first, and whether another send is allowed was asked after that.

Evidence: one server, or the last send that a route allows, with a pause of 400 ms where 100 ms count as a stall: both streams were cut off on the code before, and are whole now. The wait for the head of an answer had this rule already: the last send waits as long as its caller.

Change: at a stall the stream is ended only if the route, the shared budget and the servers allow another send at that moment; else it is watched on, until its caller's time ends. The budget tells whether it allows an attempt without counting it.

--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -79,6 +79,20 @@
 		return undefined;
 	}
 
+	/**
+	Tells whether another server than one takes the request.
+
+	@param server The server.
+	@returns Whether there is one that was not tried.
+	*/
+	hasAnother(server: ServerRecord): boolean {
+		const {servers, clock} = this.#context;
+		const another = servers.find({
+			service: this.service, isWanted: () => true, excluded: new Set([...this.#excluded, server.id]), subject: undefined, now: clock.monotonic(),
+		});
+		return another !== undefined;
+	}
+
 	/** Keeps the further sends from a server that was tried; where it has started again since, its next process was not. */
 	exclude(server: ServerRecord): void {
 		if (this.#context.servers.isCurrent(server)) {
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -11,6 +11,8 @@
 	readonly events: EventStream;
 	/** The silence after which the server counts as stalled, in milliseconds; 0 for no bound. */
 	readonly stallTimeout: number;
+	/** Whether a stream that stalls can go on elsewhere; it is kept where it cannot. */
+	readonly canGoOnElsewhere: () => boolean;
 	/** Called as bytes arrive. */
 	readonly onHeard: () => void;
 	/** Called before the first event of this server is passed on. */
@@ -27,10 +29,10 @@
 @returns How it ended; the caller's response is ended only where it is complete.
 @example
 ```ts
-const end = await relayStream({message, isWhole, response, events, stallTimeout: 1500, onHeard, onFirstEvent});
+const end = await relayStream({message, isWhole, response, events, stallTimeout: 1500, canGoOnElsewhere, onHeard, onFirstEvent});
 ```
 */
-export async function relayStream({message, isWhole, response, events, stallTimeout, onHeard, onFirstEvent}: RelayStreamOptions): Promise<RelayEnd> {
+export async function relayStream({message, isWhole, response, events, stallTimeout, canGoOnElsewhere, onHeard, onFirstEvent}: RelayStreamOptions): Promise<RelayEnd> {
 	return new Promise(resolve => {
 		let hasEvents = false;
 		let isOver = false;
@@ -65,7 +67,11 @@
 			stopTimeout = stallTimeout === 0
 				? undefined
 				: timeoutAfterInput(stallTimeout, () => {
-					finish('stalled');
+					if (canGoOnElsewhere()) {
+						finish('stalled');
+					} else {
+						watch();
+					}
 				});
 		};
 
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -224,3 +224,35 @@
 	t.is(answers[0]?.text, 'deadline-exceeded-after-dispatch');
 	t.like(lines.find(([kind]) => kind === 'request-ended')?.[1], {error: 'deadline-exceeded-after-dispatch', mayHaveRun: true});
 });
+
+const pauseMilliseconds = 400;
+const pausingRoute = {
+	kind: 'streaming', isResumable: true, timeout: 8000, targetLatency: 100, targetGap: 100,
+} as const;
+
+/** Answers with two events and a pause between them that is longer than a stall. */
+function answerWithPause(_message: IncomingMessage, response: ServerResponse): void {
+	response.writeHead(200);
+	response.write('id: 1\ndata: one\n\n');
+	setTimeout(() => {
+		response.end('id: 2\ndata: two\n\n');
+	}, pauseMilliseconds);
+}
+
+const bothEvents = {status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'};
+
+test('a stream that stalls at the only server is kept and goes on there', async t => {
+	const port = await listen(t, answerWithPause);
+	const answer = await askThrough(t, servers => {
+		servers.take([testServer({port})], {source: control, now: performance.now()});
+	}, testRoute({...pausingRoute, maximumAttempts: 3}));
+	t.deepEqual(answer, bothEvents);
+});
+
+test('a stream that stalls with its last send is kept and goes on there', async t => {
+	const ports = await Promise.all([listen(t, answerWithPause), listen(t, answerWithPause)]);
+	const answer = await askThrough(t, servers => {
+		servers.take(ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
+	}, testRoute({...pausingRoute, maximumAttempts: 1}));
+	t.deepEqual(answer, bothEvents);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -187,6 +187,7 @@
 				this.#spare.drop();
 				this.#placement.begin(server.version);
 			},
+			canGoOnElsewhere: () => this.#allowance.hasFurther && this.#placement.hasAnother(server),
 			chooseLarger: (head, latency) => this.#largerModel(head, latency),
 		};
 	}
--- a/packages/gateway/src/entry/send-allowance.test.ts
+++ b/packages/gateway/src/entry/send-allowance.test.ts
@@ -7,7 +7,7 @@
 
 test('a route allows so many sends, and connections that did not open use up none', t => {
 	const allowance = new SendAllowance({
-		route: {kind: 'safe', isResumable: false, maximumAttempts: 2}, service, budget: {withdraw: () => true}, clock,
+		route: {kind: 'safe', isResumable: false, maximumAttempts: 2}, service, budget: {allows: () => true, withdraw: () => true}, clock,
 	});
 	t.true(allowance.mayRepeat);
 	t.false(allowance.isNextLast);
@@ -23,7 +23,7 @@
 
 test('no send is allowed beyond the shared budget, nor to ever more servers that cannot be reached', t => {
 	const allowance = new SendAllowance({
-		route: {kind: 'streaming', isResumable: false, maximumAttempts: 9}, service, budget: {withdraw: () => false}, clock,
+		route: {kind: 'streaming', isResumable: false, maximumAttempts: 9}, service, budget: {allows: () => false, withdraw: () => false}, clock,
 	});
 	t.false(allowance.mayRepeat);
 	const tries: boolean[] = [];
--- a/packages/gateway/src/entry/send-allowance.ts
+++ b/packages/gateway/src/entry/send-allowance.ts
@@ -6,7 +6,7 @@
 export type SendAllowanceOptions = {
 	readonly route: Pick<Route, 'kind' | 'isResumable' | 'maximumAttempts'>;
 	readonly service: ServiceId;
-	readonly budget: Pick<RetryWindow, 'withdraw'>;
+	readonly budget: Pick<RetryWindow, 'allows' | 'withdraw'>;
 	readonly clock: Pick<Clock, 'monotonic'>;
 };
 
@@ -51,6 +51,12 @@
 		return this.#sends + 1 >= this.#options.route.maximumAttempts;
 	}
 
+	/** Whether a further send would be allowed now. */
+	get hasFurther(): boolean {
+		const {route, service, budget, clock} = this.#options;
+		return this.mayRepeat && this.#sends < route.maximumAttempts && budget.allows(service, clock.monotonic());
+	}
+
 	/** Counts a send that begins. */
 	begin(): void {
 		this.#sends++;
--- a/packages/gateway/src/entry/take-outcome.ts
+++ b/packages/gateway/src/entry/take-outcome.ts
@@ -53,6 +53,8 @@
 	readonly isOver: () => boolean;
 	/** Called once a stream of this server is taken, before its first event is passed on. */
 	readonly onStream: () => void;
+	/** Whether a stream of this server that stalls can go on at another one. */
+	readonly canGoOnElsewhere: () => boolean;
 	/** The model that should answer in place of the one that did; undefined where the answer will do or no send is left. */
 	readonly chooseLarger: (head: AnswerHead, latency: number) => ModelId | undefined;
 };
@@ -237,7 +239,7 @@
 }
 
 async function passStream({message, isWhole}: ReceivedHead, options: TakeOutcomeOptions & {readonly head: AnswerHead; readonly latency: number}): Promise<OutcomeStep> {
-	const {context, request, suspicion, route, verdicts, models, answer, events, server, isOver, onStream, head, latency} = options;
+	const {context, request, suspicion, route, verdicts, models, answer, events, server, isOver, onStream, canGoOnElsewhere, head, latency} = options;
 	onStream();
 	const headers = context.dialect.answerHeaders(message);
 	const end = await relayStream({
@@ -246,6 +248,7 @@
 		response: answer.response,
 		events,
 		stallTimeout: route.isResumable ? stallFactor * (route.targetGap ?? route.targetLatency) : 0,
+		canGoOnElsewhere,
 		onHeard() {
 			context.servers.hear(server.id, context.clock.monotonic());
 		},
--- a/packages/routing/src/retry-window.ts
+++ b/packages/routing/src/retry-window.ts
@@ -69,6 +69,22 @@
 	@returns Whether the window allows it; if so, it is counted.
 	*/
 	withdraw(key: string, now: number): boolean {
+		const isAllowed = this.allows(key, now);
+		if (isAllowed) {
+			this.#currentSlot(key, now).further++;
+		}
+
+		return isAllowed;
+	}
+
+	/**
+	Tells whether a further attempt is allowed, without counting it.
+
+	@param key What the attempts belong to.
+	@param now Milliseconds on the monotonic clock.
+	@returns Whether the window allows it.
+	*/
+	allows(key: string, now: number): boolean {
 		const {share, slack} = this.#options;
 		const current = this.#currentSlot(key, now);
 		let first = 0;
@@ -78,12 +94,7 @@
 			further += slot.further;
 		}
 
-		if (further + 1 > (share * first) + slack) {
-			return false;
-		}
-
-		current.further++;
-		return true;
+		return further + 1 <= (share * first) + slack;
 	}
 
 	/** The slot of this time; slots that no window reaches any more are dropped. */
