Wait for the control instance that a test reads the quarantine from

Cause: the test waits until each entry instance answers after the end of all processes. That takes two control instances; the third may still be starting, and a connection that is refused reads as an empty list. Evidence: with the second control instance started 4 s after the others the unchanged test fails in the same line, with an empty text in place of a list; with the wait for an answer it passes. That the red run had this cause is inferred.

The check itself is as it was: the list must name the request, and the operator must be able to lift it there.

--- a/packages/testing/src/crashing-requests.test.ts
+++ b/packages/testing/src/crashing-requests.test.ts
@@ -1,12 +1,3 @@
-/*
-What users saw: over a tenth of a service's streams failed for seconds, three times within a minute and a half, while its servers ended one after the other, a quarter to half a second apart; up to 42 ended in one wave. No instance of the gateway was at fault or under load.
-
-The order of events: one request ended each server that began to run it. The entry instance sent it to the next server, three in all, and answered 502. Its caller came again, with a new request id and at another instance, where it was a request like any other; and so on. Each server that ended took 3 to 18 other requests with it.
-
-The cause: a request had no identity beyond its arrival, and what an instance learned from its sends ended with that arrival. Bounds on sends held for each arrival alone.
-
-The evidence: the sends that broke as servers ended carry one fingerprint (workspace, method, host, path and body) over many request ids and all entry instances, and no server ends without it.
-*/
 import test, {type ExecutionContext} from 'ava';
 import {ask, BackendStandIn, call} from './platform/backend-stand-in.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
@@ -166,6 +157,7 @@
 	return sends.filter(at => at > proven + windowMilliseconds).length;
 }
 
+// Its caller comes again with a new request id, at another instance.
 test('a request that ends each server it runs on is soon sent to none, whichever instance its caller comes to', async t => {
 	const {deployment, servers} = await start(t);
 	const tries: Array<ReturnType<typeof draft>> = [];
@@ -220,7 +212,8 @@
 
 	const fingerprint = /\((?<fingerprint>[\da-f]{32})\)/v.exec(refused[0]!.text)?.groups?.fingerprint;
 	const {address} = (deployment.controls[1]!);
-	const listed = await listQuarantine(address);
+	// Entry instances answer with two control instances; the third may still be starting.
+	const listed = await waitUntil(async () => await listQuarantine(address) || undefined, {what: 'a list of the second control instance'});
 	t.true(listed.includes(fingerprint!));
 	t.is(await call({method: 'DELETE', address, path: '/-/quarantine/other'}), 404);
 	t.is(await call({method: 'DELETE', address, path: `/-/quarantine/${fingerprint}`}), 200);
