--- a/packages/daemon/src/entry/traffic/admission-pools.test.ts
+++ b/packages/daemon/src/entry/traffic/admission-pools.test.ts
@@ -39,11 +39,7 @@
 	};
 }
 
-/*
-What callers saw: six callers of one instance, with engines that had places for sixteen, were served one after the other, so that the sixth waited for over three seconds in place of half a second.
-The capacity was the number of places by the mean of the tokens that requests really use, and a request that waits counted with its estimate, which is five times as high where callers do not bound their answers: only one fitted at a time.
-Evidence: in the log of a planned stop six requests are dispatched within 10 ms at first, and from the first answers on each is dispatched 1 to 2 ms after the one before it has ended.
-*/
+// Requests that wait are counted as what requests use, not as their estimates.
 test('answers that are shorter than expected leave no places of the servers empty', async t => {
 	let now = 0;
 	const pools = startPools({monotonic: () => now, now: () => new Date(now)});
--- a/packages/routing/src/admission.test.ts
+++ b/packages/routing/src/admission.test.ts
@@ -192,10 +192,7 @@
 	t.is(admission.inProgress, 0);
 });
 
-/*
-What callers saw: with engines that had places for sixteen, six callers of one instance were refused with 'Got a wait of 54565 ms and 1090 ms of work, wanted them within 30000 ms', a few seconds after the processes had been held up for up to 5.5 s.
-The rate at which requests are worked off was measured also while nothing waited. A few requests at a time, or none for some seconds, then passed for all that the servers can do, and the next rush was refused.
-*/
+// A rate that is measured while nothing waits is no limit of the servers.
 test('what a few requests at a time were worked off is not taken for what the servers can do', t => {
 	const admission = new Admission({capacity: 1000});
 	const serviceMilliseconds = 500;
--- a/packages/testing/src/control-repair.test.ts
+++ b/packages/testing/src/control-repair.test.ts
@@ -152,11 +152,7 @@
 	return requests;
 }
 
-/*
-What an operator saw, on a machine so busy that recording the bills took more than a minute: the list of bills ended early, at request-1830 once and at request-2050 once, and the later bills were in no ledger.
-The lost disks have no part in it. A minute after its start the leader sends the command that forgets what is old. The bills here are dated 1970, as those of an instance whose clock is behind; by these dates the running instance had been silent for years, so it was forgotten, and each bill after that was acknowledged and refused as expired.
-Evidence: with the recording stretched over 88 s the leader started at 05:59:56.6, and from 06:00:56.3 to the end it logged 'The ledger refused a bill as expired' 1160 times, for request-1341 to request-2500, which are just the bills that the list lacked.
-*/
+// Recording may last beyond the time after which silent runs are forgotten.
 test.serial('every disk is lost in turn, each after the repair before it, and the ledger still lists every bill once', async t => {
 	t.timeout(6 * generousMilliseconds);
 	const deployment = await startControl(t, {recentBills: 100});
--- a/packages/testing/src/entry-failures.test.ts
+++ b/packages/testing/src/entry-failures.test.ts
@@ -22,11 +22,7 @@
 	return fakeAnswer({version: versions.first, messages: messagesOf(text), tokens}).join('');
 }
 
-/*
-What callers saw, once in 76 runs beside a load of 30 to 45 on 8 cores: an engine was killed, and not one of eight streams came to its end.
-The other engine was held up for longer than an attempt waits for it. Each stream had then tried both, and was given up at once, with 28 of its 30 seconds left; and attempts that could not be made had used up the budget of resumes.
-Evidence: with the other engine stopped for 2 s all eight end with 'Got no server that can take the request', and where they wait, some with 'Got no further attempt from the budget of retries' (held-up-processes.test.ts). The log of the red run itself was not kept.
-*/
+// The other engine may be held up when the first one ends.
 test.serial('an engine that is killed in the middle of streams: each is whole or an explicit failure, with one bill', async t => {
 	const entry = await startEntryDeployment(t, {settings: {timing}});
 	const behaviour = {answerTokens: tokens, tokenMilliseconds: 25};
--- a/packages/testing/src/entry-lifecycle.test.ts
+++ b/packages/testing/src/entry-lifecycle.test.ts
@@ -49,11 +49,7 @@
 	t.deepEqual(sorted(bills.map(({request, outcome}) => `${String(request)} ${String(outcome)}`)), sorted(requests.map(request => `${request} unknown`)));
 });
 
-/*
-What a caller saw, once on a busy machine: a streamed request through the stopping instance was answered 502, outcome unknown, after 4.2 s, though both engines were up.
-The stop has no part in it. The six callers were served one after the other, 0.6 s each, since requests counted with their estimates where the places were reckoned by real tokens; so connections to the engines idled for seconds, and engines close theirs after five. A request that goes out on a connection which closes at that moment counted as one that a server had failed: two of them left no server of two.
-Evidence: in the log of this test six requests are dispatched within 10 ms at first, and later ones 1 to 2 ms after the one before each has ended; engines that close kept connections at the next request bring about just this answer (kept-connections.test.ts). The log of the red run itself was not kept.
-*/
+// Requests that are served one after the other do not end within the time of a stop.
 test.serial('a planned stop under load loses nothing and refuses the rest as not run', async t => {
 	const entry = await startEntryDeployment(t);
 	await Promise.all(['engine-1', 'engine-2'].map(async server => entry.setBehaviour(server, {answerTokens: tokens, tokenMilliseconds: 20})));
--- a/packages/testing/src/held-up-processes.test.ts
+++ b/packages/testing/src/held-up-processes.test.ts
@@ -21,11 +21,7 @@
 	return [{role: 'user', content: text}];
 }
 
-/*
-What callers saw, on a busy machine: streams were cut, though their engine had gone on and the answers were there.
-The instance had been held up for longer than it waits for a word of a server. A process runs its timers before it reads its sockets, so that it gave the attempts up with the answers waiting to be read.
-Evidence: the log of the instance, stopped and continued by signals, tells 'Got nothing from the engine for 1500 ms' in the instant in which it goes on, while the engine has completed the run.
-*/
+// A process that goes on runs its timers before it reads its sockets.
 test.serial('an instance that is held up for longer than it waits for a server goes on with what came meanwhile', async t => {
 	const entry = await startEntryDeployment(t, {engines: 1, settings: {timing}});
 	await entry.setBehaviour('engine-1', {answerTokens: tokens, tokenMilliseconds: 25});
@@ -44,11 +40,7 @@
 	t.is(await entry.countRuns('engine-1'), texts.length);
 });
 
-/*
-What callers saw, once on a busy machine: one of two engines was killed, and not one of eight streams came to its end.
-The other engine was held up meanwhile, for longer than an attempt waits for it. Each stream had then tried both, and was given up at once, with most of its time left; a second later the engine went on.
-Evidence: with one engine killed and the other stopped for 2 s by a signal all eight end with 'Got no server that can take the request' within 1.6 s.
-*/
+// Each stream has tried both engines when the second one goes on.
 test.serial('one engine is killed and the other is held up: the streams go on once it does', async t => {
 	const entry = await startEntryDeployment(t, {settings: {timing}});
 	const behaviour = {answerTokens: tokens, tokenMilliseconds: 25};
--- a/packages/testing/src/kept-connections.test.ts
+++ b/packages/testing/src/kept-connections.test.ts
@@ -27,11 +27,7 @@
 	await Promise.all(['engine-1', 'engine-2'].map(async server => entry.setBehaviour(server, {answerTokens: tokens, tokenMilliseconds, closesKeptConnections: true})));
 }
 
-/*
-What callers saw: a streamed request was answered 502, outcome unknown, though both engines were up and idle.
-A server closes a kept connection that was idle for its bound, at the moment in which the next request goes out on it; on a busy machine that moment is as long as a process waits for its turn. The request counted as one that may have run on a server that failed it, so that two such connections left no server of two.
-Evidence: with engines that close each kept connection at its next request, the log tells 'Got no answer from the engine: socket hang up' for one attempt on either engine, and then the answer 502.
-*/
+// A server may close a kept connection while a request goes out on it.
 test.serial('engines that close kept connections as requests go out on them: every request is answered whole', async t => {
 	const entry = await startEntryDeployment(t);
 	await closeKeptConnections(entry, 0);
--- a/packages/testing/src/platform/reserve-network.test.ts
+++ b/packages/testing/src/platform/reserve-network.test.ts
@@ -3,11 +3,7 @@
 import test from 'ava';
 import {reserveNetwork, type ReservedNetwork} from './reserve-network.js';
 
-/*
-What was seen, once in CI: a soak ended before its verdict and printed nothing.
-Its processes stood at addresses that followed from its process id; another deployment that ran at the time had the same ones, and a proxy could not listen.
-Evidence: with one address of a soak taken before its start it prints nothing, and 'listen EADDRINUSE' on its standard error.
-*/
+// Two deployments at a time with the same addresses end each other.
 test('a network is handed out once until it is given back', async t => {
 	const reserved: ReservedNetwork[] = [];
 	for (let index = 0; index < 300; index++) {
