--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -187,3 +187,9 @@
 	t.true(isLeader(step(state, {type: 'tick'}, electedAt + maximumElectionTimeout).state));
 	t.false(isLeader(step(elected(), {type: 'tick'}, campaignTime + maximumElectionTimeout).state));
 });
+
+test('a single long pause of the disk does not make the next election late by as much', t => {
+	const state = started();
+	const paused = step(state, {type: 'tick', persistMilliseconds: 60_000}, 0).state;
+	t.true(paused.electionDeadline - state.electionDeadline <= maximumElectionTimeout);
+});
