Keep the process up while a save is waited for

The bounded wait for a save did not keep a process alive by itself: a test without any other handle ended with the promise open. Found by the whole suite on the code before ("a shutdown is on the disk once it is acknowledged", red 1 of 1); a process of the gateway has open servers and is not concerned.

--- a/packages/gateway/src/servers/list-saver.ts
+++ b/packages/gateway/src/servers/list-saver.ts
@@ -47,7 +47,7 @@
 	*/
 	async saveWithin(milliseconds: number): Promise<boolean> {
 		const {cursor} = this.#options.current();
-		await Promise.race([this.save(), setTimeout(milliseconds, undefined, {ref: false})]);
+		await Promise.race([this.save(), setTimeout(milliseconds)]);
 		return this.#savedCursor >= cursor;
 	}
 
