--- a/packages/consensus/src/_disk-patience.ts
+++ b/packages/consensus/src/_disk-patience.ts
@@ -11,9 +11,9 @@
 	return persistsOfElection * Math.min(persistMilliseconds, mostCountedMilliseconds);
 }
 
-/** The same for a leader, whose followers may have slower disks than its own. */
-export function leaderPatienceOf({persistMilliseconds}: Pick<ReplicaState, 'persistMilliseconds'>, {electedIn}: Pick<LeaderRole, 'electedIn'>): number {
-	return diskPatienceOf({persistMilliseconds: Math.max(persistMilliseconds, electedIn)});
+/** How long a leader waits for the answers of its followers, whose disks may be slower than its own, in milliseconds. */
+export function leaderTimeoutOf({persistMilliseconds, options}: Pick<ReplicaState, 'persistMilliseconds' | 'options'>, {electedIn}: Pick<LeaderRole, 'electedIn'>): number {
+	return options.maximumElectionTimeout + diskPatienceOf({persistMilliseconds: Math.max(persistMilliseconds, electedIn)});
 }
 
 /** Notes how long the disk takes; an election that is waited for already is given the difference. */
--- a/packages/consensus/src/_draft.ts
+++ b/packages/consensus/src/_draft.ts
@@ -85,12 +85,13 @@
 	state.replicasIndex = placed.index;
 }
 
-/** Sets the next election at a random time from now. */
-export function resetElectionDeadline({state, now}: Draft): void {
+/** Sets the next election at a random time from now; the time is doubled as often as asked. */
+export function resetElectionDeadline({state, now}: Draft, {doublings = 0}: {readonly doublings?: number} = {}): void {
 	const {minimumElectionTimeout, maximumElectionTimeout} = state.options;
 	const random = nextRandom(state.randomState);
 	state.randomState = random.state;
-	state.electionDeadline = now + minimumElectionTimeout + (random.value * (maximumElectionTimeout - minimumElectionTimeout)) + diskPatienceOf(state);
+	const timeout = minimumElectionTimeout + (random.value * (maximumElectionTimeout - minimumElectionTimeout)) + diskPatienceOf(state);
+	state.electionDeadline = now + (timeout * (2 ** doublings));
 }
 
 /** Makes the replica a follower; a higher term is taken over and has no vote yet. */
--- a/packages/consensus/src/_election.ts
+++ b/packages/consensus/src/_election.ts
@@ -95,9 +95,8 @@
 	const {state, now} = draft;
 	state.hardState = {term: state.hardState.term + 1, votedFor: state.id};
 	state.role = {type: 'candidate', votes: new Set([state.id]), since: now};
-	resetElectionDeadline(draft);
 	// Voters whose disks are slow answer late: each election in vain is waited for twice as long as the one before.
-	state.electionDeadline = now + ((state.electionDeadline - now) * (2 ** Math.min(state.failedElections, maximumDoublings)));
+	resetElectionDeadline(draft, {doublings: Math.min(state.failedElections, maximumDoublings)});
 	state.failedElections++;
 	requestVotes(draft, {isPreVote: false});
 	countVotes(draft);
--- a/packages/consensus/src/_lease.ts
+++ b/packages/consensus/src/_lease.ts
@@ -1,4 +1,4 @@
-import {leaderPatienceOf} from './_disk-patience.js';
+import {leaderTimeoutOf} from './_disk-patience.js';
 import {becomeFollower, type Draft} from './_draft.js';
 import {quorumContact} from './_quorum.js';
 import {type HeartbeatRound, type LeaderRole, type ReplicaState} from './replica-state.js';
@@ -20,7 +20,7 @@
 
 /** Opens a heartbeat round; rounds that are too old to matter are forgotten. */
 export function openRound({state, now}: Draft, role: LeaderRole): LeaderRole {
-	const oldest = now - state.options.maximumElectionTimeout - leaderPatienceOf(state, role);
+	const oldest = now - leaderTimeoutOf(state, role);
 	const rounds = role.rounds.filter(({sentAt}) => sentAt > oldest);
 	const round = currentRound(role).round + 1;
 	return {...role, rounds: [...rounds, {round, sentAt: now}], roundCommitIndex: state.commitIndex};
@@ -46,7 +46,7 @@
 	}
 
 	const contact = Math.max(role.since, quorumContact(state, role, now));
-	if (now - contact >= state.options.maximumElectionTimeout + leaderPatienceOf(state, role)) {
+	if (now - contact >= leaderTimeoutOf(state, role)) {
 		becomeFollower(draft, state.hardState.term);
 	}
 }
--- a/packages/consensus/src/_replication.ts
+++ b/packages/consensus/src/_replication.ts
@@ -1,5 +1,5 @@
 import {commitByQuorum} from './_commit.js';
-import {leaderPatienceOf} from './_disk-patience.js';
+import {leaderTimeoutOf} from './_disk-patience.js';
 import {becomeFollower, type Draft, send} from './_draft.js';
 import {currentRound, openRound} from './_lease.js';
 import {entryAt, lastIndexOf, termAt} from './_log.js';
@@ -44,8 +44,9 @@
 	}
 
 	draft.state.role = openRound(draft, role);
+	const timeout = leaderTimeoutOf(draft.state, role);
 	for (const [peer, progress] of role.progress) {
-		goBackWhenSilent(draft, peer, progress);
+		goBackWhenSilent(draft, peer, {progress, timeout});
 		sendAppend(draft, peer);
 	}
 }
@@ -107,11 +108,9 @@
 }
 
 /** Sends from the last known match again where nothing was answered for a round; a snapshot gets longer. */
-function goBackWhenSilent(draft: Draft, peer: ReplicaId, progress: FollowerProgress): void {
+function goBackWhenSilent(draft: Draft, peer: ReplicaId, {progress, timeout}: {readonly progress: FollowerProgress; readonly timeout: number}): void {
 	const {snapshotSentAt, isActive, matchIndex, nextIndex} = progress;
-	const {options: {maximumElectionTimeout}, role} = draft.state;
-	const patience = role.type === 'leader' ? leaderPatienceOf(draft.state, role) : 0;
-	if (snapshotSentAt !== undefined && draft.now < snapshotSentAt + maximumElectionTimeout + patience) {
+	if (snapshotSentAt !== undefined && draft.now < snapshotSentAt + timeout) {
 		return;
 	}
 
--- a/packages/daemon/src/entry/engine-call.ts
+++ b/packages/daemon/src/entry/engine-call.ts
@@ -56,12 +56,6 @@
 }
 
 async function * readOutputs(call: EngineCall, stall: StallTimer): AsyncGenerator<AttemptOutput, void> {
-	yield * await openAnswer(call, stall);
-}
-
-type Outputs = AsyncIterable<AttemptOutput> | readonly AttemptOutput[];
-
-async function openAnswer(call: EngineCall, stall: StallTimer): Promise<Outputs> {
 	const answer = await sendHttp({
 		address: call.address,
 		method: 'POST',
@@ -77,11 +71,12 @@
 		reuseConnection: !call.freshConnection,
 	});
 	if (answer.isLeft()) {
-		return [unansweredOutput(answer.extract(), 'engine')];
+		yield unansweredOutput(answer.extract(), 'engine');
+		return;
 	}
 
 	stall.touch();
-	return readAnswer(answer.unsafeCoerce(), call, stall);
+	yield * await readAnswer(answer.unsafeCoerce(), call, stall);
 }
 
 function bodyOf({body, versionKey, streamed, resumeText}: EngineCall): Record<string, unknown> {
@@ -93,6 +88,8 @@
 	};
 }
 
+type Outputs = AsyncIterable<AttemptOutput> | readonly AttemptOutput[];
+
 function readAnswer(answer: HttpAnswer, call: EngineCall, stall: StallTimer): Outputs | Promise<Outputs> {
 	const notRun = readNotRun(answer);
 	if (notRun !== undefined) {
--- a/packages/gateway/src/control/gateway-state.ts
+++ b/packages/gateway/src/control/gateway-state.ts
@@ -91,13 +91,15 @@
 		return new Uint8Array(packr.pack(data));
 	}
 
-	#put({version, document}: PutConfigurationCommand): Either<Failure, GatewayAnswer> {
-		const isNewest = version > (this.#configuration?.version ?? Number.NEGATIVE_INFINITY);
-		if (isNewest) {
-			this.#configuration = {version, document};
+	#put(put: PutConfigurationCommand): Either<Failure, GatewayAnswer> {
+		const held = this.answerOf(put);
+		if (held !== undefined) {
+			return Right(held);
 		}
 
-		return Right({type: 'configuration', isNewest, version: this.#configuration?.version ?? version});
+		const {version, document} = put;
+		this.#configuration = {version, document};
+		return Right({type: 'configuration', isNewest: true, version});
 	}
 
 	#start({service, target, duration, orderedAt}: StartRolloutCommand): Either<Failure, GatewayAnswer> {
--- a/packages/gateway/src/entry/send-allowance.ts
+++ b/packages/gateway/src/entry/send-allowance.ts
@@ -53,8 +53,8 @@
 
 	/** Whether a further send would be allowed now. */
 	get hasFurther(): boolean {
-		const {route, service, budget, clock} = this.#options;
-		return this.mayRepeat && this.#sends < route.maximumAttempts && budget.allows(service, clock.monotonic());
+		const {service, budget, clock} = this.#options;
+		return this.mayRepeat && this.#hasSends && budget.allows(service, clock.monotonic());
 	}
 
 	/** Counts a send that begins. */
@@ -79,7 +79,11 @@
 	@returns Whether it is allowed.
 	*/
 	takeFurther(): boolean {
-		const {route, service, budget, clock} = this.#options;
-		return this.#sends < route.maximumAttempts && budget.withdraw(service, clock.monotonic());
+		const {service, budget, clock} = this.#options;
+		return this.#hasSends && budget.withdraw(service, clock.monotonic());
+	}
+
+	get #hasSends(): boolean {
+		return this.#sends < this.#options.route.maximumAttempts;
 	}
 }
--- a/packages/routing/src/retry-window.ts
+++ b/packages/routing/src/retry-window.ts
@@ -69,9 +69,10 @@
 	@returns Whether the window allows it; if so, it is counted.
 	*/
 	withdraw(key: string, now: number): boolean {
-		const isAllowed = this.allows(key, now);
+		const current = this.#currentSlot(key, now);
+		const isAllowed = this.#hasRoom(key, current);
 		if (isAllowed) {
-			this.#currentSlot(key, now).further++;
+			current.further++;
 		}
 
 		return isAllowed;
@@ -85,8 +86,11 @@
 	@returns Whether the window allows it.
 	*/
 	allows(key: string, now: number): boolean {
+		return this.#hasRoom(key, this.#currentSlot(key, now));
+	}
+
+	#hasRoom(key: string, current: Slot): boolean {
 		const {share, slack} = this.#options;
-		const current = this.#currentSlot(key, now);
 		let first = 0;
 		let further = 0;
 		for (const slot of this.#keys.peek(key) ?? []) {
--- a/packages/testing/src/crashing-requests.test.ts
+++ b/packages/testing/src/crashing-requests.test.ts
@@ -187,24 +187,12 @@
 
 test('a request that came in many copies at once is still known after the end of all processes, until an operator lifts it', async t => {
 	const {deployment, servers} = await start(t);
-	const copies = await Promise.all(Array.from({length: 9}, async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
+	const copies = await sendCopies(deployment);
 	t.true(copies.every(({status, isWhole}) => status !== 200 || !isWhole));
-	await waitUntil(async () => {
-		const lists = await Promise.all(deployment.controls.map(async ({address}) => listQuarantine(address)));
-		return lists.every(list => list.includes('process')) || undefined;
-	}, {what: 'a request that all control instances list'});
+	await listedByAll(deployment);
 	// The save begins with the listing, and takes two syncs.
 	await elapsed(saveMilliseconds);
-	await Promise.all(deployment.members.map(async member => member.process.kill('SIGKILL')));
-	for (const member of deployment.members) {
-		await member.writeSettings({isFounding: false});
-		member.process.start();
-	}
-
-	await waitUntil(async () => {
-		const answers = await Promise.all(deployment.entries.map(async (_, entry) => draft(deployment, {entry, path: `/drafts/after-${entry}`})));
-		return answers.every(({status}) => status === 200) || undefined;
-	}, {what: 'an answer of each entry instance after the end of all'});
+	await restartAll(deployment);
 	const sends = servers.sends.length;
 	const refused = await Promise.all(deployment.entries.map(async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
 	t.deepEqual(refused.map(({status}) => status), [400, 400, 400]);
@@ -226,11 +214,8 @@
 // The list said so before any disk held the third end.
 test('a request that is listed as quarantined is known after the end of all processes, however slow their disks are', async t => {
 	const {deployment, servers} = await start(t, slowDisk({file: 'suspects.json', fileMilliseconds: slowSaveMilliseconds}));
-	await Promise.all(Array.from({length: 9}, async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
-	await waitUntil(async () => {
-		const lists = await Promise.all(deployment.controls.map(async ({address}) => listQuarantine(address)));
-		return lists.every(list => list.includes('process')) || undefined;
-	}, {what: 'a request that all control instances list'});
+	await sendCopies(deployment);
+	await listedByAll(deployment);
 	await restartAll(deployment);
 	const sends = servers.sends.length;
 	const refused = await Promise.all(deployment.entries.map(async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
@@ -241,11 +226,9 @@
 // The operator was told so before the disk of the instance held it.
 test('a quarantine that an operator has lifted stays lifted after the end of all processes', async t => {
 	const {deployment, servers} = await start(t, slowDisk({file: 'suspects.json', fileMilliseconds: slowSaveMilliseconds}));
-	await Promise.all(Array.from({length: 9}, async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
-	const fingerprint = await waitUntil(async () => {
-		const lists = await Promise.all(deployment.controls.map(async ({address}) => listQuarantine(address)));
-		return lists.every(list => list.includes('process')) ? /[\da-f]{32}/v.exec(lists[0]!)?.[0] : undefined;
-	}, {what: 'a request that all control instances list'});
+	await sendCopies(deployment);
+	const [list] = await listedByAll(deployment);
+	const fingerprint = /[\da-f]{32}/v.exec(list!)?.[0];
 	await elapsed(3 * slowSaveMilliseconds);
 	t.is(await call({method: 'DELETE', address: deployment.controls[0]!.address, path: `/-/quarantine/${fingerprint}`}), 200);
 	await restartAll(deployment);
@@ -256,6 +239,19 @@
 	}, {what: 'a send after the quarantine was lifted'}));
 });
 
+/** Sends the deadly request in many copies at once, to all entry instances. */
+async function sendCopies(deployment: PlatformDeployment) {
+	return Promise.all(Array.from({length: 9}, async (_, entry) => draft(deployment, {entry, path: deadlyPath})));
+}
+
+/** Waits until all control instances list a request, and gives their lists. */
+async function listedByAll(deployment: PlatformDeployment): Promise<readonly string[]> {
+	return waitUntil(async () => {
+		const lists = await Promise.all(deployment.controls.map(async ({address}) => listQuarantine(address)));
+		return lists.every(list => list.includes('process')) ? lists : undefined;
+	}, {what: 'a request that all control instances list'});
+}
+
 /** Kills all processes at once, starts them again, and waits until each entry instance answers. */
 async function restartAll(deployment: PlatformDeployment): Promise<void> {
 	await Promise.all(deployment.members.map(async member => member.process.kill('SIGKILL')));
