Start the control instances of the server world in a file of their own

`startTestControl` starts them; the world keeps clocks, cuts and rounds. The two properties over it are as they were and green. The hosts that a reply names are the other instances now, which the world does not read.

--- a/packages/gateway/src/control/_test-server-world.ts
+++ b/packages/gateway/src/control/_test-server-world.ts
@@ -2,26 +2,17 @@
 	type InstanceId, type ServerId, type ZoneId,
 } from '@valehitch/core';
 import {EntryServers} from '../entry/entry-servers.js';
-import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
 import {type ServerRecord, type ServerState} from '../servers/server-record.js';
-import {EntryWatches} from './entry-watches.js';
+import {startTestControl, type TestControl} from './_test-control-node.js';
 import {type PeerMessage, type WatchMessage, type WatchReply} from './peer-message.js';
-import {ServerNews} from './server-news.js';
 
-const heartbeatMilliseconds = 1200;
 const roundMilliseconds = 1000;
 const questionMilliseconds = 1400;
 /** An announcement may come this long after it was sent. */
 const latestMilliseconds = 10_000;
 const zone = 'hall-a' as ZoneId;
 
-type Control = {
-	readonly run: string;
-	readonly news: ServerNews;
-	readonly watches: EntryWatches;
-};
-
 type Entry = {
 	readonly servers: EntryServers;
 	readonly positions: Map<InstanceId, {run: string; cursor: number}>;
@@ -53,7 +44,7 @@
 	/** The servers whose notice to leave was acknowledged, with the time of the notice. */
 	readonly left = new Map<ServerId, number>();
 	now = 1000;
-	readonly #controls = new Map<InstanceId, Control>();
+	readonly #controls = new Map<InstanceId, TestControl>();
 	readonly #entries: Entry[] = [];
 	readonly #cuts = new Set<string>();
 	readonly #saved = new Map<InstanceId, readonly ServerRecord[]>();
@@ -241,16 +232,11 @@
 	}
 
 	#start(control: InstanceId): void {
-		const run = `run-${++this.#runs}`;
-		const clock = {now: () => new Date(this.now), monotonic: () => this.now};
-		const news = new ServerNews({
-			clock,
-			log: ignore,
-			metrics: createGatewayMetrics(),
-			heartbeatMilliseconds,
+		const started = startTestControl({
+			run: `run-${++this.#runs}`,
+			clock: {now: () => new Date(this.now), monotonic: () => this.now},
 			others: () => this.controls.filter(other => other !== control),
 			ask: async (to, message) => this.#isCut(control, to) ? undefined : this.#answer(to, message),
-			onChange: ignore,
 			saved: {
 				read: async () => this.#saved.get(control) ?? [],
 				write: async records => {
@@ -259,19 +245,7 @@
 				},
 			},
 		});
-		const watches = new EntryWatches({
-			clock,
-			run,
-			directory: news.directory,
-			suspects: {cursor: 0, changedSince: () => []},
-			news: () => ({
-				configuration: undefined, rollouts: [], confirmedAt: undefined, hosts: this.controls,
-			}),
-		});
-		this.#controls.set(control, {run, news, watches});
-		void news.start();
-		// The rounds come with `pass`.
-		news.stop();
+		this.#controls.set(control, started);
 	}
 
 	async #answer(to: InstanceId, message: PeerMessage): Promise<unknown> {
