Start every queued request that an offer admits

Cause: an offered request that overtakes a large queued one moves its workspace behind another, whose next request may then fit. offer admitted it and returned only that the offered one was admitted; a refused offer dropped what its own removal let in. Such a request held its capacity and was never started.

Ruled out: a caller that starts them on the next release, since the ids are returned once.

Change: each decision names the queued requests that it unblocked, and the pools of the daemon start them.

--- a/packages/daemon/src/entry/traffic/admission-pools.ts
+++ b/packages/daemon/src/entry/traffic/admission-pools.ts
@@ -94,6 +94,7 @@
 		}
 
 		const answer = pool.admission.offer({...demand, cost: correctedCost(pool, demand.cost), serviceMilliseconds: pool.meanMilliseconds}, now);
+		this.#markAdmitted(pool, answer.unblocked);
 		if (answer.type === 'refused') {
 			return {type: 'admission-refused', failure: answer.failure};
 		}
--- a/packages/routing/src/admission-controller.test.ts
+++ b/packages/routing/src/admission-controller.test.ts
@@ -108,7 +108,9 @@
 					workspace: workspaceOf(workspace), weight: weights[workspace]!, priority, cost: cost + (id / 1009),
 				});
 				const answer = admission.offer(request, id);
-				t.is(reference.offer(request).length > 0, answer.type === 'admitted');
+				const expected = reference.offer(request);
+				t.is(expected.includes(request.id), answer.type === 'admitted');
+				t.deepEqual(answer.unblocked, expected.filter(other => other !== request.id));
 			} else if (kind === 'leave') {
 				t.deepEqual(admission.cancel(toId(`r${pick}`)), reference.admitted.has(toId(`r${pick}`)) ? [] : reference.leave(toId(`r${pick}`)));
 			} else {
@@ -119,6 +121,20 @@
 	}), {seed, numRuns: 500, includeErrorInReport: true});
 });
 
+// The offer of r3 overtakes r1, which is too large, and so lets r2 of the same workspace start too.
+test('an offer names every queued request that it admits', t => {
+	const admission = new AdmissionController({capacity: 100});
+	const first = toId<WorkspaceId>('first');
+	const second = toId<WorkspaceId>('second');
+	admission.offer(requestOf(0, {workspace: first, cost: 60, weight: 10}), 0);
+	admission.offer(requestOf(1, {workspace: second, cost: 90}), 0);
+	const blocked = admission.offer(requestOf(2, {workspace: first, cost: 20, weight: 10}), 0);
+	t.is(blocked.type, 'queued');
+	const overtaking = admission.offer(requestOf(3, {workspace: second, cost: 10, priority: 0}), 0);
+	t.deepEqual(overtaking, {type: 'admitted', unblocked: [requestOf(2).id]});
+	t.is(admission.inProgress, 90);
+});
+
 test('shares tokens within the bound of fair queueing, without starvation', t => {
 	const anyWorkspaces = fc.array(fc.record({weight: fc.integer({min: 1, max: 9}), largest: fc.integer({min: 1, max: 500})}), {minLength: 2, maxLength: 10});
 	fc.assert(fc.property(anyWorkspaces, fc.integer({min: 1, max: 1_000_000}), (workspaces, start) => {
--- a/packages/routing/src/admission-controller.ts
+++ b/packages/routing/src/admission-controller.ts
@@ -69,15 +69,17 @@
 
 	@param request The request.
 	@param now Milliseconds on the monotonic clock.
-	@returns The decision: admitted; queued, with the expected wait; or refused, with the time after which a retry may succeed.
+	@returns The decision: admitted; queued, with the expected wait; or refused, with the time after which a retry may succeed. It also names the queued requests that are admitted along with it.
 	*/
 	offer(request: AdmissionRequest, now: number): AdmissionDecision {
 		const queue = this.#getQueue(request);
 		const freeSlots = this.#maximumQueueLength - this.#waiting.size;
 		this.#enqueue(queue, request);
-		// The new request can overtake a queued one that is too large for the remaining capacity.
-		if (this.#admitWhileCapacityLasts().length > 0) {
-			return {type: 'admitted'};
+		// The new request can overtake a queued one that is too large for the remaining capacity, and so unblock others behind it.
+		const admitted = this.#admitWhileCapacityLasts();
+		const unblocked = admitted.filter(id => id !== request.id);
+		if (unblocked.length < admitted.length) {
+			return {type: 'admitted', unblocked};
 		}
 
 		const waitMilliseconds = this.#expectedWait(queue, request, now);
@@ -85,11 +87,10 @@
 			waitMilliseconds, now, freeSlots, queuedOfWorkspace: queue.length - 1,
 		});
 		if (refusal !== undefined) {
-			this.cancel(request.id);
-			return {type: 'refused', failure: refusal};
+			return {type: 'refused', failure: refusal, unblocked: [...unblocked, ...this.cancel(request.id)]};
 		}
 
-		return {type: 'queued', waitMilliseconds};
+		return {type: 'queued', waitMilliseconds, unblocked};
 	}
 
 	/**
--- a/packages/routing/src/admission-request.ts
+++ b/packages/routing/src/admission-request.ts
@@ -17,7 +17,13 @@
 };
 
 /** The decision on an offered request. */
-export type AdmissionDecision
+export type AdmissionDecision = AdmissionOutcome & {
+	/** The queued requests that the offer unblocked and that are admitted now, in order; the caller must start them. */
+	readonly unblocked: readonly RequestId[];
+};
+
+/** What becomes of an offered request. */
+export type AdmissionOutcome
 	= | {readonly type: 'admitted'}
 		| {readonly type: 'queued'; readonly waitMilliseconds: number}
 		| {readonly type: 'refused'; readonly failure: Failure};
