--- a/packages/gateway/src/configuration/routing-configuration.ts
+++ b/packages/gateway/src/configuration/routing-configuration.ts
@@ -57,6 +57,16 @@
 	readonly maximumConnections: number;
 	/** The models that the service offers; empty for a service without models. */
 	readonly models: readonly OfferedModel[];
+	/** What its servers tolerate while they are cold, or `undefined` if as much as otherwise. */
+	readonly cold?: ColdService | undefined;
+};
+
+/** What a backend server tolerates while it is cold. */
+export type ColdService = {
+	/** The requests per second beyond which it may end. */
+	readonly requestsPerSecond: number;
+	/** How long it is cold after its start, in milliseconds. */
+	readonly duration: number;
 };
 
 /** A workspace and its keys. */
--- a/packages/gateway/src/control/_test-control-node.ts
+++ b/packages/gateway/src/control/_test-control-node.ts
@@ -1,4 +1,5 @@
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
+import {noEvacuations} from '../servers/evacuations.js';
 import {EntryWatches} from './entry-watches.js';
 import {ServerDirectorySync, type ServerDirectorySyncOptions} from './server-directory-sync.js';
 
@@ -27,8 +28,9 @@
 		directory: news.directory,
 		suspects: {cursor: 0, changedSince: () => []},
 		currentUpdate: () => ({
-			configuration: undefined, rollouts: [], confirmedAt: undefined, hosts: options.others(),
+			configuration: undefined, rollouts: [], evacuations: noEvacuations, confirmedAt: undefined, hosts: options.others(),
 		}),
+		leases: {grantsFor: () => []},
 	});
 	void news.start();
 	news.stop();
--- a/packages/gateway/src/control/_test-server-simulation.ts
+++ b/packages/gateway/src/control/_test-server-simulation.ts
@@ -122,7 +122,7 @@
 		const {servers, loads} = this.#entries[entry]!;
 		const end = loads.get(server);
 		if (end === undefined) {
-			loads.set(server, servers.beginSend(server, 1).end);
+			loads.set(server, servers.beginSend(server, {load: 1, now: 0}).end);
 		} else {
 			loads.delete(server);
 			end();
--- a/packages/gateway/src/control/control-instance-options.ts
+++ b/packages/gateway/src/control/control-instance-options.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type Failure, type InstanceId, type RandomSource,
+	type Clock, type Failure, type InstanceId, type RandomSource, type ZoneId,
 } from '@valehitch/core';
 import {type SuspectRecord} from '@valehitch/routing';
 import {type DataFolder} from '@valehitch/storage';
@@ -8,6 +8,7 @@
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {type SavedList} from '../servers/saved-list.js';
 import {type ServerRecord} from '../servers/server-record.js';
+import {type ColdLimitsOptions, type ColdTolerance} from './cold-limits.js';
 import {type PeerMessage} from './peer-message.js';
 
 /** Options of a control instance. */
@@ -22,6 +23,12 @@
 	readonly seeds: () => readonly InstanceId[];
 	/** The interval between announcements of a backend server, in milliseconds. */
 	readonly heartbeatMilliseconds: number;
+	/** The availability zones of the deployment. */
+	readonly zones: () => readonly ZoneId[];
+	/** How far the rate of a cold server may exceed the one that its service configures. */
+	readonly coldTolerance: ColdTolerance;
+	/** Parses a configuration document. */
+	readonly parse: ColdLimitsOptions['parse'];
 	/** Opens the data folder; called again after a disk failure. */
 	readonly openFolder: () => Promise<Either<Failure, DataFolder>>;
 	/** Stores the backend servers for the next run. */
--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -3,12 +3,12 @@
 import path from 'node:path';
 import {setTimeout} from 'node:timers/promises';
 import {
-	type InstanceId, type ServiceId, toId, type VersionId, type ZoneId,
+	failure, type InstanceId, type ServiceId, toId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {type FileSystem, openDataFolder, nodeFileSystem} from '@valehitch/storage';
 import {type SuspectRecord} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
-import {Right} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
 import {eventually, submit} from './_test-control.js';
@@ -53,6 +53,9 @@
 		processStartedAt: 0,
 		seeds: () => [self],
 		heartbeatMilliseconds: 1200,
+		zones: () => ['hall-a', 'hall-b'] as ZoneId[],
+		coldTolerance: {factor: 1, slack: 0},
+		parse: () => Left(failure('invalid-configuration', 'not parsed here')),
 		openFolder: async () => openDataFolder(folder, {fileSystem: files, lock: async () => Right(async () => undefined)}),
 		savedServers: {read: async () => [], write: async () => true},
 		savedSuspects: {read: readSuspects, write: async () => true},
@@ -139,3 +142,21 @@
 	const unknown = await control.operators.readRollout('other' as ServiceId);
 	t.is(unknown.swap().unsafeCoerce().kind, 'not-found');
 });
+
+test('an evacuation is acknowledged once it is committed, is told to entry instances, and is kept by a repeated order', async t => {
+	const {control} = await startControl(t);
+	const evacuate = async (zone: string, isEvacuated: boolean) => control.operators.setEvacuation({zone: zone as ZoneId, isEvacuated});
+	const first = await eventually(async () => {
+		const ordered = await evacuate('hall-a', true);
+		return ordered.toMaybe().extract();
+	});
+	t.deepEqual(first, {type: 'evacuation', evacuation: {zone: 'hall-a' as ZoneId, isEvacuated: true, revision: 1}});
+	const repeated = await evacuate('hall-a', true);
+	t.deepEqual(repeated.extract(), first);
+	const reply = await poll(control);
+	t.deepEqual(reply.evacuations, {revision: 1, zones: [{zone: 'hall-a' as ZoneId, isEvacuated: true, revision: 1}]});
+	const unknown = await evacuate('hall-x', true);
+	t.is(unknown.swap().map(({kind}) => kind).extract(), 'not-found');
+	const ended = await evacuate('hall-a', false);
+	t.like(ended.extract(), {type: 'evacuation', evacuation: {isEvacuated: false, revision: 2}});
+});
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -1,11 +1,13 @@
 import {
-	type InstanceId, type RequestFingerprint, type ServerId, SuspensionDetector,
+	type InstanceId, type RequestFingerprint, type ServerId, type ServiceId, SuspensionDetector, type ZoneId,
 } from '@valehitch/core';
 import {match, P} from 'ts-pattern';
 import {EvidenceTable} from '../rollouts/evidence-table.js';
 import {isEnded} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
+import {noEvacuations} from '../servers/evacuations.js';
 import {type ServerRecord} from '../servers/server-record.js';
+import {type ColdLimit, ColdLimits} from './cold-limits.js';
 import {ControlReplica} from './control-replica.js';
 import {type ControlInstanceOptions} from './control-instance-options.js';
 import {type GatewayCommand} from './gateway-command.js';
@@ -16,6 +18,7 @@
 	type ConfirmReply, type JoinReply, type PeerMessage, type ServersReply, type SuspectsMessage,
 } from './peer-message.js';
 import {type OpenedDataFolder, ControlReplicaSupervisor} from './control-replica-supervisor.js';
+import {RateLeaseGrantor} from './rate-lease-grantor.js';
 import {RolloutClock} from './rollout-clock.js';
 import {RolloutController} from './rollout-controller.js';
 import {ServerDirectorySync} from './server-directory-sync.js';
@@ -53,6 +56,7 @@
 	readonly #rolloutController: RolloutController;
 	readonly #supervisor: ControlReplicaSupervisor;
 	readonly #confirmation: StateConfirmation;
+	readonly #coldLimits: ColdLimits;
 	#timers: NodeJS.Timeout[] = [];
 
 	constructor(options: ControlInstanceOptions) {
@@ -65,6 +69,7 @@
 				this.#confirmation.reset();
 			},
 		});
+		this.#coldLimits = new ColdLimits({...options, tolerance: options.coldTolerance});
 		this.#rolloutClock = new RolloutClock(options.clock);
 		this.#serverSync = new ServerDirectorySync({
 			...options,
@@ -92,9 +97,17 @@
 				this.#watches.answerPending();
 			},
 		});
-		this.operators = new OperatorApi({...options, leader: this.#leader, confirmation: this.#confirmation});
+		this.operators = new OperatorApi({
+			...options, leader: this.#leader, confirmation: this.#confirmation, zones: () => this.#zones(),
+		});
 		this.#watches = new EntryWatches({
 			...options, directory: this.#serverSync.directory, suspects: this.#suspectSync.book, currentUpdate: () => this.#entryUpdate(),
+			leases: new RateLeaseGrantor({
+				startedAt: options.processStartedAt,
+				directory: this.#serverSync.directory,
+				limitOf: service => this.#coldLimitOf(service),
+				grantors: () => this.#peers().length + 1,
+			}),
 		});
 		this.#rolloutController = new RolloutController({
 			log: options.log,
@@ -197,7 +210,8 @@
 				this.#discovered.add(from);
 				return this.#replica?.handleJoin(join);
 			})
-			.with({type: 'confirm'}, ({evidence}): ConfirmReply => {
+			.with({type: 'confirm'}, ({evidence, commandFormat}): ConfirmReply => {
+				this.#leader.formats.record(from, commandFormat);
 				this.#evidence.merge(evidence);
 				return {index: this.#replica?.readIndex()};
 			})
@@ -268,17 +282,44 @@
 					service, target, index, stage: 'stage' in rest ? rest.stage : 'canary', result,
 				});
 			})
+			.with({type: 'set-evacuation'}, ({zone, isEvacuated}) => {
+				log('evacuation-adopted', {
+					target: zone, isEvacuated, index, result,
+				}, 'warn');
+				if (!isEvacuated) {
+					this.#requireColdReports(zone);
+				}
+			})
 			.exhaustive();
 		this.#rolloutClock.withAges(this.#replica?.state.rollouts ?? []);
 		this.#watches.answerPending();
 		void this.#confirmation.confirm();
 	}
 
+	/** The servers of a zone whose evacuation ends may have become cold since their last announcement. */
+	#requireColdReports(zone: ZoneId): void {
+		const {clock, heartbeatMilliseconds} = this.#options;
+		const now = clock.monotonic();
+		this.#serverSync.directory.requireCold(zone, ({service}) => ({
+			until: now + (this.#coldLimitOf(service)?.duration ?? 0), confirmedFrom: now + heartbeatMilliseconds,
+		}));
+	}
+
+	#coldLimitOf(service: ServiceId): ColdLimit | undefined {
+		return this.#coldLimits.of(service, this.#replica?.state.configuration);
+	}
+
+	/** The zones of the settings and those of the known servers. */
+	#zones(): readonly ZoneId[] {
+		return [...new Set([...this.#options.zones(), ...this.#serverSync.directory.records.map(({zone}) => zone)])];
+	}
+
 	#entryUpdate(): EntryUpdate {
 		const state = this.#replica?.state;
 		return {
 			configuration: state?.configuration,
 			rollouts: this.#rolloutClock.withAges(state?.rollouts ?? []),
+			evacuations: state?.evacuations ?? noEvacuations,
 			confirmedAt: state === undefined ? undefined : this.#confirmation.confirmedAt,
 			hosts: [this.#options.self, ...this.#peers()],
 		};
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -1,16 +1,19 @@
 import {type Clock, type InstanceId} from '@valehitch/core';
 import {type SuspectRegistry} from '@valehitch/routing';
 import {isEnded, type RolloutWithAge} from '../rollouts/rollout.js';
+import {type Evacuations} from '../servers/evacuations.js';
 import {type ServerDirectory} from '../servers/server-directory.js';
 import {type ConfigurationDocument} from './gateway-state.js';
 import {type ActiveEntry, selectLoadSharingPeers} from './select-load-sharing-peers.js';
 import {type WatchMessage, type WatchReply} from './peer-message.js';
+import {type RateLeaseGrantor} from './rate-lease-grantor.js';
 import {digestRollouts} from './rollout-clock.js';
 
 /** The state that is sent to entry instances. */
 export type EntryUpdate = {
 	readonly configuration: ConfigurationDocument | undefined;
 	readonly rollouts: readonly RolloutWithAge[];
+	readonly evacuations: Evacuations;
 	/** When the state was last confirmed to be current, in milliseconds on the monotonic clock, or `undefined` if it has not been confirmed. */
 	readonly confirmedAt: number | undefined;
 	/** The hosts of the control instances. */
@@ -26,6 +29,8 @@
 	/** The requests suspected of crashing servers. */
 	readonly suspects: Pick<SuspectRegistry, 'cursor' | 'changedSince'>;
 	readonly currentUpdate: () => EntryUpdate;
+	/** Grants sends to cold servers. */
+	readonly leases: Pick<RateLeaseGrantor, 'grantsFor'>;
 };
 
 /** How long a poll waits for an update, in milliseconds; well below the lease duration of the entry instance. */
@@ -68,7 +73,7 @@
 	@returns The changes since that state.
 	*/
 	async answer(from: InstanceId, watch: WatchMessage): Promise<WatchReply> {
-		const {clock, run, directory, suspects, currentUpdate} = this.#options;
+		const {clock, run, directory, suspects, currentUpdate, leases} = this.#options;
 		const receivedAt = clock.monotonic();
 		const entry = {instance: from, zone: watch.zone};
 		this.#entries.set(from, {...entry, at: receivedAt});
@@ -77,31 +82,35 @@
 		}
 
 		const now = clock.monotonic();
-		const {configuration, rollouts, confirmedAt, hosts} = currentUpdate();
+		const {configuration, rollouts, evacuations, confirmedAt, hosts} = currentUpdate();
+		const entries = this.#activeEntries(now);
 		return {
 			run,
 			cursor: directory.cursor,
-			records: directory.changedSince(watch.run === run ? watch.cursor : 0),
+			records: directory.changedSince(watch.run === run ? watch.cursor : 0).map(record => directory.withColdTime(record, now)),
 			suspectCursor: suspects.cursor,
 			suspects: suspects.changedSince(watch.run === run ? watch.suspectCursor : 0),
 			configuration: isNewer(configuration, watch) ? configuration : undefined,
 			rollouts,
 			rolloutDigest: digestRollouts(rollouts),
+			evacuations,
+			rateLeases: leases.grantsFor({entry, entries, now}),
 			held: now - receivedAt,
 			confirmedAgo: confirmedAt === undefined ? undefined : now - confirmedAt,
 			hosts,
-			entries: selectLoadSharingPeers(entry, this.#activeEntries(now)),
+			entries: selectLoadSharingPeers(entry, entries),
 		};
 	}
 
 	#hasUpdate(watch: WatchMessage): boolean {
 		const {run, directory, suspects, currentUpdate} = this.#options;
-		const {configuration, rollouts} = currentUpdate();
+		const {configuration, rollouts, evacuations} = currentUpdate();
 		return watch.run !== run
 			|| watch.cursor < directory.cursor
 			|| watch.suspectCursor < suspects.cursor
 			|| isNewer(configuration, watch)
-			|| watch.rolloutDigest !== digestRollouts(rollouts);
+			|| watch.rolloutDigest !== digestRollouts(rollouts)
+			|| (watch.evacuationRevision ?? Number.POSITIVE_INFINITY) < evacuations.revision;
 	}
 
 	async #waitForUpdate(): Promise<void> {
--- a/packages/gateway/src/control/gateway-command.ts
+++ b/packages/gateway/src/control/gateway-command.ts
@@ -1,5 +1,6 @@
-import {type ServiceId, type VersionId} from '@valehitch/core';
+import {type ServiceId, type VersionId, type ZoneId} from '@valehitch/core';
 import {Packr} from 'msgpackr';
+import {type ZoneEvacuation} from '../servers/evacuations.js';
 import {type Rollout, type RolloutStage} from '../rollouts/rollout.js';
 
 /** Replaces the configuration if the new version is higher than the current one. */
@@ -29,13 +30,23 @@
 	readonly stage: RolloutStage;
 };
 
+/** Begins or ends the evacuation of an availability zone. */
+export type SetEvacuationCommand = {
+	readonly type: 'set-evacuation';
+	readonly zone: ZoneId;
+	readonly isEvacuated: boolean;
+	/** The revision of the zone's last order that was known when this one was received, or 0. An order that was delayed until another one about the zone was committed changes nothing. */
+	readonly after: number;
+};
+
 /** The commands in the replicated log of a gateway. */
-export type GatewayCommand = PutConfigurationCommand | StartRolloutCommand | AdvanceRolloutCommand;
+export type GatewayCommand = PutConfigurationCommand | StartRolloutCommand | AdvanceRolloutCommand | SetEvacuationCommand;
 
 /** The result of a command. */
 export type GatewayCommandResult
 	= | {readonly type: 'configuration'; readonly isNewest: boolean; readonly version: number}
-		| {readonly type: 'rollout'; readonly rollout: Rollout};
+		| {readonly type: 'rollout'; readonly rollout: Rollout}
+		| {readonly type: 'evacuation'; readonly evacuation: ZoneEvacuation};
 
 const packr = new Packr({useRecords: false, encodeUndefinedAsNil: false});
 
--- a/packages/gateway/src/control/gateway-state.test.ts
+++ b/packages/gateway/src/control/gateway-state.test.ts
@@ -1,5 +1,7 @@
-import {type ServiceId, type VersionId} from '@valehitch/core';
+import {type ServiceId, type VersionId, type ZoneId} from '@valehitch/core';
 import test from 'ava';
+import {Packr} from 'msgpackr';
+import {evacuatedZones} from '../servers/evacuations.js';
 import {GatewayState} from './gateway-state.js';
 
 const service = 'summaries' as ServiceId;
@@ -56,3 +58,44 @@
 	t.is(state.rollouts[0]?.stage, 'rolled-back');
 	t.true(state.apply({...start, target: 'v3' as VersionId}).isRight());
 });
+
+const zone = 'hall-a' as ZoneId;
+
+test('an order about a zone that was delayed until a later one was committed changes nothing', t => {
+	const state = new GatewayState();
+	state.apply({
+		type: 'set-evacuation', zone, isEvacuated: true, after: 0,
+	});
+	state.apply({
+		type: 'set-evacuation', zone, isEvacuated: false, after: 1,
+	});
+	const delayed = state.apply({
+		type: 'set-evacuation', zone, isEvacuated: true, after: 0,
+	});
+	t.true(delayed.isLeft());
+	t.false(state.evacuationOf(zone).isEvacuated);
+});
+
+test('orders about other zones do not overtake an order, and a repeated one is answered without a log entry', t => {
+	const state = new GatewayState();
+	const order = {
+		type: 'set-evacuation', zone, isEvacuated: true, after: 0,
+	} as const;
+	state.apply({...order, zone: 'hall-b' as ZoneId});
+	t.is(state.answerWithoutCommit(order), undefined);
+	t.true(state.apply(order).isRight());
+	t.deepEqual(state.answerWithoutCommit(order), {type: 'evacuation', evacuation: {zone, isEvacuated: true, revision: 2}});
+	t.deepEqual([...evacuatedZones(state.evacuations)].toSorted(), ['hall-a', 'hall-b']);
+});
+
+test('a snapshot keeps the evacuations, and one of a version without them has none', t => {
+	const state = new GatewayState();
+	state.apply({
+		type: 'set-evacuation', zone, isEvacuated: true, after: 0,
+	});
+	t.deepEqual(new GatewayState(state.toSnapshot()).evacuations, state.evacuations);
+	const former = new Packr({useRecords: false, encodeUndefinedAsNil: false}).pack({configuration: {version: 5, document: 'five'}, rollouts: []});
+	const restored = new GatewayState(new Uint8Array(former));
+	t.deepEqual(restored.evacuations, {revision: 0, zones: []});
+	t.is(restored.configuration?.version, 5);
+});
--- a/packages/gateway/src/control/gateway-state.ts
+++ b/packages/gateway/src/control/gateway-state.ts
@@ -1,10 +1,13 @@
-import {type Failure, failure, type ServiceId} from '@valehitch/core';
+import {
+	type Failure, failure, type ServiceId, type ZoneId,
+} from '@valehitch/core';
 import {Packr} from 'msgpackr';
 import {type Either, Left, Right} from 'purify-ts';
 import {match} from 'ts-pattern';
 import {isEnded, type Rollout} from '../rollouts/rollout.js';
+import {type Evacuations, noEvacuations, type ZoneEvacuation} from '../servers/evacuations.js';
 import {
-	type AdvanceRolloutCommand, type GatewayCommandResult, type GatewayCommand, type PutConfigurationCommand, type StartRolloutCommand,
+	type AdvanceRolloutCommand, type GatewayCommandResult, type GatewayCommand, type PutConfigurationCommand, type SetEvacuationCommand, type StartRolloutCommand,
 } from './gateway-command.js';
 
 /** The newest configuration, as the operator sent it. */
@@ -16,12 +19,14 @@
 type SnapshotData = {
 	readonly configuration: ConfigurationDocument | undefined;
 	readonly rollouts: readonly Rollout[];
+	/** Absent in snapshots of versions without evacuations. */
+	readonly evacuations?: Evacuations;
 };
 
 const packr = new Packr({useRecords: false, encodeUndefinedAsNil: false});
 
 /**
-The replicated state of a gateway: the configuration with the highest version, and the rollouts.
+The replicated state of a gateway: the configuration with the highest version, the rollouts, and the evacuations of availability zones.
 
 @example
 ```ts
@@ -32,6 +37,7 @@
 export class GatewayState {
 	#configuration: ConfigurationDocument | undefined;
 	readonly #rollouts = new Map<ServiceId, Rollout>();
+	#evacuations = noEvacuations;
 
 	/**
 	@param snapshot The output of `toSnapshot`; the state starts empty without one.
@@ -41,8 +47,9 @@
 			return;
 		}
 
-		const {configuration, rollouts} = packr.unpack(snapshot) as SnapshotData;
+		const {configuration, rollouts, evacuations = noEvacuations} = packr.unpack(snapshot) as SnapshotData;
 		this.#configuration = configuration;
+		this.#evacuations = evacuations;
 		for (const rollout of rollouts) {
 			this.#rollouts.set(rollout.service, rollout);
 		}
@@ -58,6 +65,21 @@
 		return [...this.#rollouts.values()];
 	}
 
+	/** The last order about each availability zone that has had one. */
+	get evacuations(): Evacuations {
+		return this.#evacuations;
+	}
+
+	/**
+	Returns the last order about a zone.
+
+	@param zone The zone.
+	@returns The order; one that was never committed has revision 0.
+	*/
+	evacuationOf(zone: ZoneId): ZoneEvacuation {
+		return this.#evacuations.zones.find(other => other.zone === zone) ?? {zone, isEvacuated: false, revision: 0};
+	}
+
 	/**
 	Applies a committed command.
 
@@ -69,6 +91,7 @@
 			.with({type: 'put-configuration'}, put => this.#put(put))
 			.with({type: 'start-rollout'}, start => this.#start(start))
 			.with({type: 'advance-rollout'}, advance => this.#advance(advance))
+			.with({type: 'set-evacuation'}, order => this.#setEvacuation(order))
 			.exhaustive();
 	}
 
@@ -79,6 +102,11 @@
 	@returns The result that the command would have, or `undefined` if it may change the state.
 	*/
 	answerWithoutCommit(command: GatewayCommand): GatewayCommandResult | undefined {
+		if (command.type === 'set-evacuation') {
+			const evacuation = this.evacuationOf(command.zone);
+			return evacuation.isEvacuated === command.isEvacuated ? {type: 'evacuation', evacuation} : undefined;
+		}
+
 		const currentVersion = this.#configuration?.version;
 		return command.type === 'put-configuration' && currentVersion !== undefined && command.version <= currentVersion
 			? {type: 'configuration', isNewest: false, version: currentVersion}
@@ -87,7 +115,7 @@
 
 	/** Serializes the whole state. */
 	toSnapshot(): Uint8Array {
-		const data: SnapshotData = {configuration: this.#configuration, rollouts: this.rollouts};
+		const data: SnapshotData = {configuration: this.#configuration, rollouts: this.rollouts, evacuations: this.#evacuations};
 		return new Uint8Array(packr.pack(data));
 	}
 
@@ -102,6 +130,23 @@
 		return Right({type: 'configuration', isNewest: true, version});
 	}
 
+	#setEvacuation(order: SetEvacuationCommand): Either<Failure, GatewayCommandResult> {
+		const unchanged = this.answerWithoutCommit(order);
+		if (unchanged !== undefined) {
+			return Right(unchanged);
+		}
+
+		const {zone, isEvacuated, after} = order;
+		if (this.evacuationOf(zone).revision !== after) {
+			return Left(failure('revision-conflict', `Cannot change the evacuation of ${zone}: another order about it was committed first`));
+		}
+
+		const revision = this.#evacuations.revision + 1;
+		const evacuation = {zone, isEvacuated, revision};
+		this.#evacuations = {revision, zones: [...this.#evacuations.zones.filter(other => other.zone !== zone), evacuation]};
+		return Right({type: 'evacuation', evacuation});
+	}
+
 	#start({service, target, duration, orderedAt}: StartRolloutCommand): Either<Failure, GatewayCommandResult> {
 		const current = this.#rollouts.get(service);
 		if (current?.target === target) {
--- a/packages/gateway/src/control/leader-client.ts
+++ b/packages/gateway/src/control/leader-client.ts
@@ -2,9 +2,11 @@
 	type Clock, type Failure, failure, type InstanceId,
 } from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
+import {match} from 'ts-pattern';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
+import {CommandFormats, currentCommandFormat} from './command-formats.js';
 import {type ControlReplica} from './control-replica.js';
 import {type GatewayCommandResult, type GatewayCommand} from './gateway-command.js';
 import {
@@ -40,6 +42,8 @@
 ```
 */
 export class LeaderClient {
+	/** The commands that the other control instances can read. */
+	readonly formats = new CommandFormats();
 	readonly #options: LeaderClientOptions;
 	#sentEvidence: {readonly leader: InstanceId; readonly delta: EvidenceDelta} | undefined;
 
@@ -74,6 +78,12 @@
 	@returns The result.
 	*/
 	async proposeLocally(command: GatewayCommand): Promise<Either<Failure, GatewayCommandResult>> {
+		const unable = this.formats.findUnable(command.type, this.#options.replica()?.members ?? []);
+		if (unable !== undefined) {
+			const message = `Control instance ${unable} runs a version that cannot read this command; update all control instances first`;
+			return Left(failure('no-quorum', message, {retryAfterMilliseconds: retryMilliseconds}));
+		}
+
 		return await this.#options.replica()?.propose(command) ?? Left(noLeaderFailure());
 	}
 
@@ -99,7 +109,7 @@
 			return replica()?.readIndex();
 		}
 
-		const reply = await ask(leader, {type: 'confirm', evidence: this.#changedEvidence(leader)}, confirmTimeoutMilliseconds) as ConfirmReply | undefined;
+		const reply = await ask(leader, {type: 'confirm', evidence: this.#changedEvidence(leader), commandFormat: currentCommandFormat}, confirmTimeoutMilliseconds) as ConfirmReply | undefined;
 		return reply?.index;
 	}
 
@@ -126,7 +136,11 @@
 export function describeResult(result: Either<Failure, GatewayCommandResult>): string {
 	return result.caseOf({
 		Left: ({kind, message}) => `${kind}: ${message}`,
-		Right: answer => answer.type === 'configuration' ? `current version ${answer.version}` : `stage ${answer.rollout.stage}`,
+		Right: answer => match(answer)
+			.with({type: 'configuration'}, ({version}) => `current version ${version}`)
+			.with({type: 'rollout'}, ({rollout}) => `stage ${rollout.stage}`)
+			.with({type: 'evacuation'}, ({evacuation}) => evacuation.isEvacuated ? 'evacuated' : 'not evacuated')
+			.exhaustive(),
 	});
 }
 
--- a/packages/gateway/src/control/leader-suspension.test.ts
+++ b/packages/gateway/src/control/leader-suspension.test.ts
@@ -2,10 +2,10 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {instanceOf, type ReplicaId} from '@valehitch/consensus';
-import {type Clock, type InstanceId} from '@valehitch/core';
+import {type Clock, failure, type InstanceId} from '@valehitch/core';
 import {openDataFolder} from '@valehitch/storage';
 import test, {type ExecutionContext} from 'ava';
-import {Right} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {eventually, submit} from './_test-control.js';
 import {ControlInstance} from './control-instance.js';
@@ -67,6 +67,9 @@
 			processStartedAt: 0,
 			seeds: () => instances,
 			heartbeatMilliseconds: 1200,
+			zones: () => [],
+			coldTolerance: {factor: 1, slack: 0},
+			parse: () => Left(failure('invalid-configuration', 'not parsed here')),
 			openFolder: async () => openDataFolder(folder, {lock: async () => Right(async () => undefined)}),
 			savedServers: {read: async () => [], write: async () => true},
 			savedSuspects: {read: async () => [], write: async () => true},
--- a/packages/gateway/src/control/operator-api.ts
+++ b/packages/gateway/src/control/operator-api.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type Failure, failure, type ServiceId, type VersionId,
+	type Clock, type Failure, failure, type ServiceId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
@@ -16,9 +16,20 @@
 	readonly log: DecisionLog;
 	readonly leader: Pick<LeaderClient, 'propose'>;
 	readonly confirmation: Pick<StateConfirmation, 'newest'>;
+	/** The availability zones that may be evacuated. */
+	readonly zones: () => readonly ZoneId[];
+};
+
+/** An order about an availability zone. */
+export type EvacuationOrder = {
+	readonly zone: ZoneId;
+	/** Whether the servers of the zone get no requests from now on. */
+	readonly isEvacuated: boolean;
 };
 
 const retryMilliseconds = 300;
+/** How often an order is proposed again after another one about the same zone was committed first. */
+const evacuationAttempts = 3;
 
 /**
 Serves operator requests on the replicated state. Changes are proposed to the leader, and reads are linearizable.
@@ -84,4 +95,46 @@
 			return rollout === undefined ? Left(failure('not-found', `Service ${service} has no rollout`)) : Right(rollout);
 		});
 	}
+
+	/**
+	Begins or ends the evacuation of an availability zone. An order that is sent again while its zone is in that state already is acknowledged without another entry in the log.
+
+	@param order The zone, and whether it is evacuated.
+	@returns The committed order; `not-found` for an unknown zone; `no-quorum` if it may or may not have been committed.
+	*/
+	async setEvacuation({zone, isEvacuated}: EvacuationOrder): Promise<Either<Failure, GatewayCommandResult>> {
+		if (!this.#options.zones().includes(zone)) {
+			return Left(failure('not-found', `Cannot evacuate availability zone ${zone}: expected one of ${this.#options.zones().join(', ')}`));
+		}
+
+		const result = await this.#commitEvacuation({zone, isEvacuated});
+		this.#options.log('evacuation-ordered', {target: zone, isEvacuated, result: describeResult(result)});
+		return result;
+	}
+
+	async #commitEvacuation({zone, isEvacuated}: EvacuationOrder): Promise<Either<Failure, GatewayCommandResult>> {
+		const {confirmation, leader} = this.#options;
+		for (let attempt = 0; attempt < evacuationAttempts; attempt++) {
+			const read = await confirmation.newest();
+			const current = read.map(({state}) => state.evacuationOf(zone));
+			if (current.isLeft()) {
+				return Left(current.extract());
+			}
+
+			const evacuation = current.unsafeCoerce();
+			if (evacuation.isEvacuated === isEvacuated) {
+				return Right({type: 'evacuation', evacuation});
+			}
+
+			const result = await leader.propose({
+				type: 'set-evacuation', zone, isEvacuated, after: evacuation.revision,
+			});
+			const isOvertaken = result.isLeft() && result.extract().kind === 'revision-conflict';
+			if (!isOvertaken) {
+				return result;
+			}
+		}
+
+		return Left(failure('no-quorum', `The evacuation of ${zone} was changed by other orders meanwhile`, {retryAfterMilliseconds: retryMilliseconds}));
+	}
 }
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -6,6 +6,7 @@
 import {type SuspectRecord} from '@valehitch/routing';
 import {type RolloutWithAge} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
+import {type Evacuations} from '../servers/evacuations.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type GatewayCommandResult, type GatewayCommand} from './gateway-command.js';
 import {type ConfigurationDocument} from './gateway-state.js';
@@ -41,6 +42,8 @@
 export type ConfirmMessage = {
 	readonly type: 'confirm';
 	readonly evidence: readonly VersionEvidence[];
+	/** The newest format of commands that the sender reads; absent in versions before evacuations. */
+	readonly commandFormat?: number;
 };
 
 /** The leader's reply to a confirmation request. */
@@ -120,6 +123,8 @@
 	readonly suspectCursor: number;
 	/** The digest of the rollouts that the entry instance has received. */
 	readonly rolloutDigest: string;
+	/** The revision of the evacuations that the entry instance has; absent in versions before evacuations. */
+	readonly evacuationRevision?: number;
 	readonly evidence: readonly VersionEvidence[];
 };
 
@@ -134,6 +139,10 @@
 	readonly configuration: ConfigurationDocument | undefined;
 	readonly rollouts: readonly RolloutWithAge[];
 	readonly rolloutDigest: string;
+	/** The evacuations of availability zones; absent in versions before them. */
+	readonly evacuations?: Evacuations;
+	/** The sends per second that the entry instance may make to each cold server where it may make any, for `rateLeaseMilliseconds` after the reply; absent in versions before rate leases. */
+	readonly rateLeases?: ReadonlyArray<readonly [server: ServerId, permits: number]>;
 	/** How long the poll was held before it was answered, in milliseconds. */
 	readonly held: number;
 	/** The time since the state was last confirmed to be current, in milliseconds, or `undefined` if it has not been confirmed in this run. */
--- a/packages/gateway/src/control/server-directory-sync.ts
+++ b/packages/gateway/src/control/server-directory-sync.ts
@@ -76,14 +76,14 @@
 		this.#silentMilliseconds = missedHeartbeatLimit * options.heartbeatMilliseconds;
 		this.directory = new ServerDirectory({silentMilliseconds: this.#silentMilliseconds});
 		this.#saver = new ListSaver({
-			current: () => ({cursor: this.directory.cursor, items: this.directory.records}),
+			current: () => ({cursor: this.directory.cursor, items: this.#withColdTimes(this.directory.records)}),
 			saved: options.saved,
 		});
 	}
 
 	/** The reply that sends all servers to another control instance. */
 	get allServersReply(): AllServersReply {
-		return {type: 'servers', records: this.directory.records, listenedFor: this.#options.clock.monotonic() - this.#startedAt};
+		return {type: 'servers', records: this.#withColdTimes(this.directory.records), listenedFor: this.#options.clock.monotonic() - this.#startedAt};
 	}
 
 	/** Starts the periodic tasks, restores the servers that the previous run saved, and requests the servers known to the other instances; resolves once the saved servers are restored. */
@@ -194,7 +194,7 @@
 		const {run, cursor} = this.#acknowledged.get(other) ?? {run: undefined, cursor: 0};
 		const {cursor: latestCursor, records: all} = this.directory;
 		const changed = new Set(this.directory.changedSince(cursor));
-		const records = all.filter(record => changed.has(record) || announcedIds.has(record.id));
+		const records = this.#withColdTimes(all.filter(record => changed.has(record) || announcedIds.has(record.id)));
 		if (records.length === 0) {
 			return;
 		}
@@ -215,7 +215,7 @@
 		this.#logStates(changed, 'announcement');
 		this.#options.onChange();
 		const leaving = changed.filter(({state}) => state !== 'ready').map(({id}) => id);
-		const broadcast = this.#broadcast({type: 'servers', records: changed}, leaving);
+		const broadcast = this.#broadcast({type: 'servers', records: this.#withColdTimes(changed)}, leaving);
 		if (leaving.length > 0) {
 			await this.#waitUntilDurable(broadcast);
 		}
@@ -245,6 +245,11 @@
 		}
 	}
 
+	#withColdTimes(records: readonly ServerRecord[]): readonly ServerRecord[] {
+		const now = this.#options.clock.monotonic();
+		return records.map(record => this.directory.withColdTime(record, now));
+	}
+
 	async #fetchAll(): Promise<void> {
 		const {others, ask} = this.#options;
 		await Promise.all(others().map(async other => {
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -11,6 +11,8 @@
 	readonly isFullState: boolean;
 	/** The latest time at which the state of the source is known to have been current, in milliseconds on the local monotonic clock; undefined if unknown. */
 	readonly confirmedAt: number | undefined;
+	/** The earliest time at which the reply may have been sent, in milliseconds on the local monotonic clock; undefined if the machine was suspended meanwhile. */
+	readonly sentAt: number | undefined;
 };
 
 /** Options of {@linkcode ControlWatch}. */
@@ -22,7 +24,7 @@
 	/** The control instances listed in the settings. */
 	readonly seeds: () => readonly InstanceId[];
 	/** Returns the fields of a watch request, other than the position that is tracked for each source. */
-	readonly watchFields: (host: InstanceId) => Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evidence'>;
+	readonly watchFields: (host: InstanceId) => Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evacuationRevision' | 'evidence'>;
 	/** Sends a watch request to a control instance; resolves to undefined if no reply arrived within the timeout in milliseconds. */
 	readonly ask: (to: InstanceId, message: WatchMessage, timeout: number) => Promise<WatchReply | undefined>;
 	readonly onUpdate: (update: ControlUpdate) => void;
@@ -137,10 +139,10 @@
 		this.#hosts = reply.hosts as readonly InstanceId[];
 		// The reply was sent no earlier than the request plus the time it was held, so this is a lower bound for the time of the confirmation.
 		// If the machine was suspended after the request was sent, the age of the reply is unknown.
-		const isAgeKnown = reply.confirmedAgo !== undefined && sentAt >= suspension.lastWake();
-		const confirmedAt = isAgeKnown ? sentAt + reply.held - reply.confirmedAgo : undefined;
+		const replySentAt = sentAt >= suspension.lastWake() ? sentAt + reply.held : undefined;
+		const confirmedAt = replySentAt === undefined || reply.confirmedAgo === undefined ? undefined : replySentAt - reply.confirmedAgo;
 		onUpdate({
-			source: host, reply, isFullState, confirmedAt,
+			source: host, reply, isFullState, confirmedAt, sentAt: replySentAt,
 		});
 		return true;
 	}
--- a/packages/gateway/src/entry/decision-shapes.test.ts
+++ b/packages/gateway/src/entry/decision-shapes.test.ts
@@ -105,7 +105,7 @@
 		const loads = new Map<ServerId, number>();
 		for (let request = 0; request < 10 * servers; request++) {
 			const server = chooseId(entryServers)!;
-			entryServers.beginSend(server, 1);
+			entryServers.beginSend(server, {load: 1, now: 0});
 			loads.set(server, (loads.get(server) ?? 0) + 1);
 		}
 
--- a/packages/gateway/src/entry/entry-instance-options.ts
+++ b/packages/gateway/src/entry/entry-instance-options.ts
@@ -32,6 +32,8 @@
 	readonly leaseMilliseconds: number;
 	/** The idle time after which a session ends, in milliseconds. */
 	readonly sessionMilliseconds: number;
+	/** The interval between announcements of a backend server, in milliseconds. */
+	readonly heartbeatMilliseconds: number;
 	/** The retry budget, as a ratio of retries to requests; the same on all instances. */
 	readonly retryShare: number;
 	/** The time window over which the retry budget applies, in milliseconds. */
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,11 +1,12 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
-import {WindowedRetryBudget} from '@valehitch/routing';
+import {rateLeaseMilliseconds, WindowedRetryBudget} from '@valehitch/routing';
 import {RouteTable} from '../configuration/route-table.js';
 import {type LoadMessage, type WatchMessage} from '../control/peer-message.js';
 import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {KnownRollouts} from '../rollouts/known-rollouts.js';
+import {type Evacuations} from '../servers/evacuations.js';
 import {createCallerServer} from './caller-server.js';
 import {hasServerEnded} from './has-server-ended.js';
 import {ConfigurationLease} from './configuration-lease.js';
@@ -74,6 +75,8 @@
 			zone,
 			random,
 			loads: this.#loadExchange,
+			coldDurationOf: service => this.#table?.findService(service)?.cold?.duration,
+			heartbeatMilliseconds: options.heartbeatMilliseconds,
 			onReplaced: closeIdleConnections,
 			onOutdated({id, state}, {held, source}) {
 				options.metrics.outdatedRecords.inc();
@@ -210,23 +213,29 @@
 		}
 	}
 
-	#watchFields(host: InstanceId): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evidence'> {
+	#watchFields(host: InstanceId): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evacuationRevision' | 'evidence'> {
 		const delta = this.#evidenceDeltas.get(host) ?? new EvidenceDelta();
 		this.#evidenceDeltas.set(host, delta);
 		return {
 			zone: this.#options.zone,
 			configurationVersion: this.#table?.version,
 			rolloutDigest: this.#rollouts.digest,
+			evacuationRevision: this.#context.servers.evacuationRevision,
 			evidence: delta.takeChanged(this.#context.evidence.countersOf(this.#rollouts.runningServices), this.#options.clock.monotonic()),
 		};
 	}
 
-	#applyReply({source, reply, isFullState, confirmedAt}: ControlUpdate, now: number): void {
+	#applyReply({source, reply, isFullState, confirmedAt, sentAt}: ControlUpdate, now: number): void {
 		const {log} = this.#options;
 		const {lease, servers, suspects} = this.#context;
 		suspects.merge(reply.suspects, source);
 		this.#reporter.addControl(source, reply.run);
 		const changed = servers.applyRecords(reply.records, {source, now, isFullState});
+		this.#applyEvacuations(reply.evacuations, {source, now});
+		if (sentAt !== undefined) {
+			servers.renewLeases({source, leases: reply.rateLeases ?? [], validUntil: sentAt + rateLeaseMilliseconds});
+		}
+
 		this.#peers = reply.entries;
 		if (changed.length > 0) {
 			this.#serverWaiters.notifyAll();
@@ -255,6 +264,20 @@
 		}
 	}
 
+	#applyEvacuations(evacuations: Evacuations | undefined, {source, now}: {readonly source: InstanceId; readonly now: number}): void {
+		const {servers} = this.#context;
+		if (evacuations === undefined || !servers.applyEvacuations(evacuations, now)) {
+			return;
+		}
+
+		this.#options.metrics.evacuatedZones.set(servers.evacuatedZoneCount);
+		for (const {zone, isEvacuated, revision} of evacuations.zones) {
+			this.#options.log('evacuation-adopted', {
+				target: zone, isEvacuated, revision, source,
+			}, 'warn');
+		}
+	}
+
 	#adoptConfiguration(document: string, source: InstanceId): void {
 		const parsed = this.#options.parse(document);
 		parsed.caseOf({
--- a/packages/gateway/src/entry/entry-servers-options.ts
+++ b/packages/gateway/src/entry/entry-servers-options.ts
@@ -1,4 +1,6 @@
-import {type InstanceId, type RandomSource, type ZoneId} from '@valehitch/core';
+import {
+	type InstanceId, type RandomSource, type ServiceId, type ZoneId,
+} from '@valehitch/core';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type LoadExchange} from './load-exchange.js';
 
@@ -6,6 +8,12 @@
 export type EntryServersOptions = {
 	readonly zone: ZoneId;
 	readonly random: RandomSource;
+	/** Returns how long the servers of a service are cold after their start, in milliseconds; undefined if they tolerate as many requests as otherwise. */
+	readonly coldDurationOf?: (service: ServiceId) => number | undefined;
+	/** The interval between announcements of a server, in milliseconds; 0 by default. */
+	readonly heartbeatMilliseconds?: number;
+	/** When this process started, in milliseconds on the monotonic clock; 0 by default, the origin of that clock. */
+	readonly startedAt?: number;
 	/** The loads of the other entry instances at each server. */
 	readonly loads: Pick<LoadExchange, 'peerLoadAt' | 'recordChange' | 'discardServer'>;
 	/** Called when a control instance sends a record that is older than the known state of the process. */
@@ -24,5 +32,13 @@
 	readonly isFullState?: boolean;
 };
 
+/** A send to a server. */
+export type BeginSendOptions = {
+	/** The load of the request until its answer starts, in units of a short request. */
+	readonly load: number;
+	/** Milliseconds on the monotonic clock. */
+	readonly now: number;
+};
+
 /** The result of a send to a server; `ended` if its process ended in the meantime. */
 export type SendResult = 'answered' | 'failed' | 'unreachable' | 'ended' | 'gone';
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -3,6 +3,7 @@
 } from '@valehitch/core';
 import test from 'ava';
 import {testServer} from '../servers/_test-server.js';
+import {type Evacuations} from '../servers/evacuations.js';
 import {EntryServers} from './entry-servers.js';
 import {LoadExchange} from './load-exchange.js';
 
@@ -39,7 +40,7 @@
 test('an ended server is not restored by a control instance that missed its end', t => {
 	const servers = createServers(testServer(), testServer({id: 'server-2' as ServerId}));
 	const later = now + 65_000;
-	const load = servers.beginSend(testServer().id, 1);
+	const load = servers.beginSend(testServer().id, {load: 1, now: 0});
 	servers.applyRecords([testServer({state: 'gone'})], {source: one, now: later});
 	load.end();
 	servers.applyRecords([testServer({id: 'server-2' as ServerId, sequence: 2})], {source: one, now: later + 500});
@@ -127,8 +128,8 @@
 test('a long prompt counts as a high load until its answer starts', t => {
 	const other = testServer({id: 'server-2' as ServerId});
 	const servers = createServers(testServer(), other);
-	const load = servers.beginSend(testServer().id, 50);
-	servers.beginSend(other.id, 10);
+	const load = servers.beginSend(testServer().id, {load: 50, now: 0});
+	servers.beginSend(other.id, {load: 10, now: 0});
 	t.deepEqual(servers.loads, [[testServer().id, 50], [other.id, 10]]);
 	load.markAnswerStarted();
 	t.deepEqual(servers.loads, [[testServer().id, 1], [other.id, 10]]);
@@ -165,7 +166,7 @@
 
 test('a server that restarts with the same id is used immediately, without the state of its earlier process', t => {
 	const {servers, loads, replaced} = createServersWithPeers(testServer({startedAt: 1000, sequence: 80}));
-	const load = servers.beginSend(testServer().id, 50);
+	const load = servers.beginSend(testServer().id, {load: 50, now: 0});
 	loads.receive('entry-2' as InstanceId, {type: 'load', loads: [[testServer().id, 30]]}, now);
 	servers.recordResult(testServer().id, 'gone', now);
 	servers.recordResult(testServer().id, 'unreachable', now);
@@ -177,7 +178,7 @@
 	t.true(servers.isCurrent(testServer({startedAt: 2000, sequence: 7})));
 	t.deepEqual(replaced, ['server-1 1000']);
 	t.is(loads.peerLoadAt(testServer().id), 0);
-	servers.beginSend(testServer().id, 3);
+	servers.beginSend(testServer().id, {load: 3, now: 0});
 	load.end();
 	t.deepEqual(servers.loads, [[testServer().id, 3]]);
 });
@@ -194,7 +195,7 @@
 
 test('a server that starts at the address of another one aborts the sends to it', t => {
 	const {servers, replaced} = createServersWithPeers(testServer({startedAt: 1000}));
-	const load = servers.beginSend(testServer().id, 1);
+	const load = servers.beginSend(testServer().id, {load: 1, now: 0});
 	servers.applyRecords([testServer({id: 'server-2' as ServerId, startedAt: 2000})], {source: one, now});
 	t.true(load.processEnd.aborted);
 	t.deepEqual(replaced, ['server-1 1000']);
@@ -215,3 +216,68 @@
 	servers.recordResult(other.id, 'unreachable', now);
 	t.is(chooseId(servers, {excluded}), testServer().id);
 });
+
+const zone = 'hall-a' as ZoneId;
+const otherZone = 'hall-b' as ZoneId;
+
+function evacuationsOf(revision: number, ...zones: readonly ZoneId[]): Evacuations {
+	return {revision, zones: zones.map(evacuated => ({zone: evacuated, isEvacuated: true, revision}))};
+}
+
+test('no request goes to an evacuated zone, even if every other server fails', t => {
+	const remote = testServer({id: 'server-2' as ServerId, zone: otherZone});
+	const servers = createServers(testServer(), remote);
+	servers.applyEvacuations(evacuationsOf(1, zone), now);
+	for (let attempt = 0; attempt < 20; attempt++) {
+		t.is(chooseId(servers), remote.id);
+		servers.recordResult(remote.id, 'unreachable', now);
+	}
+
+	t.is(chooseId(servers, {excluded: new Set([remote.id])}), undefined);
+	t.falsy(servers.isEvacuated(testServer().service));
+	servers.applyEvacuations(evacuationsOf(2, zone, otherZone), now);
+	t.is(chooseId(servers), undefined);
+	t.true(servers.isEvacuated(testServer().service));
+});
+
+test('a control instance that lags behind does not end an evacuation', t => {
+	const servers = createServers(testServer());
+	servers.applyEvacuations(evacuationsOf(2, zone), now);
+	t.false(servers.applyEvacuations({revision: 1, zones: []}, now));
+	t.is(chooseId(servers), undefined);
+});
+
+function createColdServers(...records: ReadonlyArray<ReturnType<typeof testServer>>): EntryServers {
+	const servers = new EntryServers({
+		zone, random: () => 0.5, loads: {peerLoadAt: () => 0, recordChange: ignore, discardServer: ignore}, onReplaced: ignore, coldDurationOf: () => 3000, heartbeatMilliseconds: 1200,
+	});
+	servers.applyRecords(records, {source: one, now});
+	return servers;
+}
+
+test('a cold server gets the sends of its leases, also as the last one, and all requests once it is warm', t => {
+	const later = now + 100;
+	const servers = createColdServers(testServer({coldRemaining: 3000}));
+	t.is(chooseId(servers), undefined);
+	servers.renewLeases({source: two, leases: [[testServer().id, 2]], validUntil: later + 2000});
+	for (let send = 0; send < 2; send++) {
+		t.is(chooseId(servers, {now: later}), testServer().id);
+		servers.beginSend(testServer().id, {load: 1, now: later});
+	}
+
+	t.is(chooseId(servers, {now: later}), undefined);
+	t.is(chooseId(servers, {now: later + 1100}), testServer().id, 'the window of the sends has passed');
+	t.is(chooseId(servers, {now: later + 2100}), undefined, 'the lease has expired');
+	t.is(chooseId(servers, {now: now + 3000}), testServer().id);
+});
+
+test('the servers of a zone count as cold after its evacuation until they announce that they are not', t => {
+	const servers = createColdServers(testServer());
+	servers.applyEvacuations(evacuationsOf(1, zone), now);
+	servers.applyEvacuations({revision: 2, zones: [{zone, isEvacuated: false, revision: 2}]}, now);
+	t.is(chooseId(servers), undefined);
+	servers.applyRecords([testServer({sequence: 2})], {source: one, now: now + 100});
+	t.is(chooseId(servers, {now: now + 100}), undefined, 'it may have been sent before the server became cold');
+	servers.applyRecords([testServer({sequence: 3})], {source: one, now: now + 1300});
+	t.is(chooseId(servers, {now: now + 1300}), testServer().id);
+});
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -1,17 +1,20 @@
 import {
-	type InstanceId, type ServerId, type ServiceId,
+	type InstanceId, type ServerId, type ServiceId, type ZoneId,
 } from '@valehitch/core';
 import {
-	chooseServer, OutlierEjection, prefixHash, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
+	chooseServer, LeasedRateLimiter, OutlierEjection, prefixHash, type ReceivedRateLeases, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
 import {compareStartTimes} from '../servers/compare-start-times.js';
+import {type Evacuations, evacuatedZones, noEvacuations} from '../servers/evacuations.js';
 import {hasReplaced} from '../servers/has-replaced.js';
 import {isLaterState} from '../servers/is-later-state.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
 import {defaultRetentionMilliseconds} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
-import {type EntryServersOptions, type SendResult, type ApplyRecordsOptions} from './entry-servers-options.js';
+import {
+	type ApplyRecordsOptions, type BeginSendOptions, type EntryServersOptions, type SendResult,
+} from './entry-servers-options.js';
 import {type FindServerOptions} from './find-server-options.js';
 import {
 	TrackedServer, type ProcessState, type SendLoad, noOpLoad,
@@ -51,9 +54,13 @@
 
 	readonly #zones = new ZoneFailureDetector();
 	readonly #liveness = new ServerLivenessTable();
+	readonly #limiter: LeasedRateLimiter;
+	#evacuations = noEvacuations;
+	#evacuatedZones: ReadonlySet<ZoneId> = new Set();
 
 	constructor(options: EntryServersOptions) {
 		this.#options = options;
+		this.#limiter = new LeasedRateLimiter({startedAt: options.startedAt ?? 0});
 	}
 
 	/**
@@ -80,6 +87,73 @@
 		return changed;
 	}
 
+	/** The revision of the known evacuations. */
+	get evacuationRevision(): number {
+		return this.#evacuations.revision;
+	}
+
+	/** The number of availability zones whose servers get no requests. */
+	get evacuatedZoneCount(): number {
+		return this.#evacuatedZones.size;
+	}
+
+	/**
+	Applies the evacuations that a control instance reports, unless they are older than the known ones.
+
+	@param evacuations The evacuations.
+	@param now Milliseconds on the monotonic clock.
+	@returns Whether they are newer.
+	*/
+	applyEvacuations(evacuations: Evacuations, now: number): boolean {
+		if (evacuations.revision <= this.#evacuations.revision) {
+			return false;
+		}
+
+		const previous = this.#evacuatedZones;
+		this.#evacuations = evacuations;
+		this.#evacuatedZones = evacuatedZones(evacuations);
+		for (const {record, cold} of this.#servers.values()) {
+			if (previous.has(record.zone) && !this.#evacuatedZones.has(record.zone)) {
+				const {coldDurationOf, heartbeatMilliseconds = 0} = this.#options;
+				cold.require({until: now + (coldDurationOf?.(record.service) ?? 0), confirmedFrom: now + heartbeatMilliseconds});
+			}
+		}
+
+		return true;
+	}
+
+	/**
+	Checks whether no server of a service may get requests because all of them are in evacuated zones.
+
+	@param service The service.
+	@returns Whether that is so; false if no server is known.
+	*/
+	isEvacuated(service: ServiceId): boolean {
+		let hasServer = false;
+		for (const {record} of this.#servers.values()) {
+			if (record.service !== service || record.state !== 'ready') {
+				continue;
+			}
+
+			if (!this.#evacuatedZones.has(record.zone)) {
+				return false;
+			}
+
+			hasServer = true;
+		}
+
+		return hasServer;
+	}
+
+	/**
+	Applies the leases for sends to cold servers that a control instance has granted.
+
+	@param received The leases.
+	*/
+	renewLeases(received: ReceivedRateLeases): void {
+		this.#limiter.renew(received);
+	}
+
 	/**
 	Records that a control instance is not responding. Its reports are ignored until it responds again.
 
@@ -106,7 +180,7 @@
 		}
 
 		const criteria: ServerCriteria & ServerChoiceOptions = {
-			target: service, excluded, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
+			target: service, excluded, evacuatedZones: this.#evacuatedZones, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
 			prefix: promptKey === undefined ? undefined : prefixHash(promptKey.name),
 			affinityScope: promptKey?.affinityScope ?? 'none',
 		};
@@ -131,10 +205,14 @@
 	Counts a request sent to a server.
 
 	@param id The server.
-	@param load The load of the request until its answer starts, in units of a short request.
+	@param send The load of the request, and the time.
 	@returns The load of the send, to be reduced as the request progresses.
 	*/
-	beginSend(id: ServerId, load: number): SendLoad {
+	beginSend(id: ServerId, {load, now}: BeginSendOptions): SendLoad {
+		if (this.#servers.has(id)) {
+			this.#limiter.countSend(id, now);
+		}
+
 		return this.#servers.get(id)?.beginSend(load) ?? noOpLoad;
 	}
 
@@ -238,6 +316,10 @@
 	/** Applies a record to a known process; returns whether its state changed. */
 	#update(tracked: TrackedServer, record: ServerRecord, {source, now}: {readonly source: InstanceId; readonly now: number}): boolean {
 		tracked.reportedAt = now;
+		if (compareStartTimes(record, tracked.record) === 0) {
+			tracked.cold.apply(record, now);
+		}
+
 		if (compareStartTimes(record, tracked.record) < 0) {
 			return false;
 		}
@@ -257,6 +339,7 @@
 	#discardState(tracked: TrackedServer): void {
 		const {id, zone} = tracked.record;
 		this.#ejection.forget(id);
+		this.#limiter.removeServer(id);
 		this.#zones.forgetServer(zone, id);
 		this.#options.loads.discardServer(id);
 		this.#options.onReplaced(tracked.record);
@@ -272,9 +355,15 @@
 			isSilent: this.#liveness.of(id) === 'silent',
 			isZoneUnreachable: serverZone !== zone && this.#zones.isSuspect(serverZone, now),
 			isEjected: this.#ejection.isEjected(id, now),
+			isRateLimited: this.#isRateLimited(tracked, now),
 		});
 	}
 
+	#isRateLimited({record: {id, service}, cold}: TrackedServer, now: number): boolean {
+		const hasLimit = this.#options.coldDurationOf?.(service) !== undefined;
+		return hasLimit && cold.remaining(now) > 0 && !this.#limiter.allows(id, now);
+	}
+
 	#countReady(service: ServiceId): number {
 		let count = 0;
 		for (const {record} of this.#servers.values()) {
@@ -292,6 +381,7 @@
 				: unreportedFor > forgetSilentMilliseconds && !this.#liveness.isReportedAlive(id);
 			if (isExpired && tracked.inFlight === 0) {
 				this.#servers.delete(id);
+				this.#limiter.removeServer(id);
 				this.#liveness.removeServer(id);
 			}
 		}
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -26,6 +26,9 @@
 /** The retry delay sent to the caller when no server accepted the request, in milliseconds: the time in which a slot usually becomes free. */
 const retryMilliseconds = 250;
 
+/** The retry delay while all availability zones of a service are evacuated, in milliseconds: an operator takes seconds to end an evacuation. */
+const evacuatedRetryMilliseconds = 2000;
+
 /**
 Runs one request: chooses servers and models, sends the request, retries it if that is safe, and answers exactly once.
 
@@ -137,6 +140,10 @@
 			return this.#sendTo(server, authorized.unsafeCoerce());
 		}
 
+		if (this.#context.servers.isEvacuated(this.#placement.service)) {
+			return this.#fail(failure('no-server', `All servers of ${this.#placement.service} are in evacuated availability zones`, {retryAfterMilliseconds: evacuatedRetryMilliseconds}));
+		}
+
 		if (await awaitFirstServer(this.#context, {allowance: this.#allowance, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt})) {
 			return 'retry';
 		}
@@ -147,7 +154,7 @@
 
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<NextStep> {
 		const sentAt = this.#now();
-		const load = this.#context.servers.beginSend(server.id, this.#models.load);
+		const load = this.#context.servers.beginSend(server.id, {load: this.#models.load, now: sentAt});
 		const attempt = startSend(this.#context, {
 			request: this.#request,
 			body: this.#body,
--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -1,5 +1,6 @@
 import {setMaxListeners} from 'node:events';
 import {type ServerView} from '@valehitch/routing';
+import {ColdPeriod} from '../servers/cold-period.js';
 import {compareStartTimes} from '../servers/compare-start-times.js';
 import {type ServerRecord, type ServerState} from '../servers/server-record.js';
 
@@ -27,6 +28,8 @@
 	/** Whether its zone appears to be partitioned from this one. */
 	readonly isZoneUnreachable: boolean;
 	readonly isEjected: boolean;
+	/** Whether it is cold and no send to it is left. */
+	readonly isRateLimited: boolean;
 };
 
 /** Options of {@linkcode TrackedServer}. */
@@ -79,6 +82,8 @@
 	wasDraining = false;
 	/** The number of consecutive connection failures. */
 	connectionFailures = 0;
+	/** Until when it is cold. */
+	readonly cold: ColdPeriod;
 	readonly #onLoadChange: TrackedServerOptions['onLoadChange'];
 	readonly #processEnd = new AbortController();
 	#inFlight = 0;
@@ -88,6 +93,7 @@
 		this.record = record;
 		this.addedAt = now;
 		this.reportedAt = now;
+		this.cold = new ColdPeriod(record, now);
 		this.#onLoadChange = onLoadChange;
 		// Each send in progress adds a listener; hundreds at a time are normal.
 		setMaxListeners(0, this.#processEnd.signal);
@@ -154,7 +160,7 @@
 	@param conditions What else is known about the server.
 	@returns The view.
 	*/
-	view({now, othersLoad, isSilent, isZoneUnreachable, isEjected}: ServerConditions): ServerView {
+	view({now, othersLoad, isSilent, isZoneUnreachable, isEjected, isRateLimited}: ServerConditions): ServerView {
 		const {id, zone, slots, service} = this.record;
 		return {
 			id,
@@ -167,6 +173,7 @@
 			draining: false,
 			expired: isSilent || this.backoffUntil > now || isZoneUnreachable,
 			ejected: isEjected,
+			rateLimited: isRateLimited,
 			// These servers warm up within milliseconds, so a slow start, as used for cold replicas, would only unbalance the load.
 			uptime: Math.max(warmMilliseconds, now - this.addedAt),
 			loaded: new Set([service]),
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -7,6 +7,7 @@
 		| 'server-joined' | 'server-draining' | 'server-gone' | 'server-silent' | 'server-suspected' | 'announcement-refused'
 		| 'server-notice-missed' | 'server-record-outdated'
 		| 'servers-restored' | 'list-not-restored' | 'list-not-saved'
+		| 'evacuation-ordered' | 'evacuation-adopted'
 		| 'rollout-started' | 'rollout-advanced'
 		| 'request-refused' | 'request-dispatched' | 'request-attempt-ended' | 'request-escalated' | 'request-resumed' | 'request-ended'
 		| 'request-suspected' | 'request-quarantined' | 'request-cleared';
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -1,4 +1,6 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 
 /** Histogram buckets in seconds, which cover the shortest plain answers to the longest streams. */
 const latencyBuckets = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6];
@@ -59,6 +61,9 @@
 		outdatedRecords: new Counter({
 			name: 'valehitch_outdated_records_total', help: 'Records of a control instance that say less than what is known of the server', registers,
 		}),
+		evacuatedZones: new Gauge({
+			name: 'valehitch_evacuated_zones', help: 'Availability zones whose backend servers get no requests by order of the operator', registers,
+		}),
 		watches: new Counter({
 			name: 'valehitch_watches_total', help: 'Polls of control instances, by result', labelNames: ['result'], registers,
 		}),
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -1,4 +1,5 @@
-import {type ServerId} from '@valehitch/core';
+import {type ServerId, type ZoneId} from '@valehitch/core';
+import {ColdPeriod, type RequiredColdPeriod} from './cold-period.js';
 import {compareStartTimes} from './compare-start-times.js';
 import {hasReplaced} from './has-replaced.js';
 import {mergeServerRecord} from './merge-server-record.js';
@@ -18,6 +19,7 @@
 	changedAt: number;
 	/** When the stop of the server was recorded, or `undefined` while it is running. */
 	endedAt: number | undefined;
+	readonly cold: ColdPeriod;
 	/** Whether the record was restored from a previous run and the server has not announced itself since. */
 	isRestored: boolean;
 };
@@ -28,6 +30,9 @@
 	readonly isRestored?: boolean;
 };
 
+/** How far the announced end of a cold period may move without being told again, in milliseconds; announcements take a varying time to arrive. */
+const coldToleranceMilliseconds = 300;
+
 /** How long a control instance keeps a server that no longer announces itself, in milliseconds. */
 export const defaultRetentionMilliseconds = 180_000;
 
@@ -169,6 +174,33 @@
 		return silenced;
 	}
 
+	/**
+	Adds to a record how much longer its server is cold.
+
+	@param record A record of this directory.
+	@param now The current time in milliseconds on the monotonic clock.
+	@returns The record to send.
+	*/
+	withColdTime(record: ServerRecord, now: number): ServerRecord {
+		const remaining = this.#servers.get(record.id)?.cold.remaining(now) ?? 0;
+		return remaining === 0 && record.coldRemaining === undefined ? record : {...record, coldRemaining: remaining};
+	}
+
+	/**
+	Treats the servers of a zone as cold until they announce otherwise.
+
+	@param zone The zone.
+	@param periodOf Returns the period for a server.
+	*/
+	requireCold(zone: ZoneId, periodOf: (record: ServerRecord) => RequiredColdPeriod): void {
+		for (const entry of this.#servers.values()) {
+			if (entry.record.zone === zone && entry.record.state === 'ready') {
+				entry.cold.require(periodOf(entry.record));
+				entry.changedAt = this.#nextCursor();
+			}
+		}
+	}
+
 	/**
 	Lists the servers that changed after a cursor.
 
@@ -205,7 +237,10 @@
 		const {record: previous} = entry;
 		const isNewer = record.sequence > previous.sequence;
 		const merged = {...mergeServerRecord(previous, record), isSilent: previous.isSilent && !isNewer};
-		const isChanged = previous.state !== merged.state || previous.isSilent !== merged.isSilent;
+		const coldBefore = entry.cold.remaining(now);
+		entry.cold.apply(record, now);
+		const isColdChanged = Math.abs(entry.cold.remaining(now) - coldBefore) > coldToleranceMilliseconds;
+		const isChanged = previous.state !== merged.state || previous.isSilent !== merged.isSilent || isColdChanged;
 		entry.record = merged;
 		if (merged.state === 'gone') {
 			entry.endedAt ??= now;
@@ -239,7 +274,7 @@
 	#insert(record: ServerRecord, {lastHeardAt, now, isRestored = false}: AddOptions): ServerRecord {
 		const endedAt = record.state === 'gone' ? now : undefined;
 		this.#servers.set(record.id, {
-			record, lastHeardAt, changedAt: this.#nextCursor(), endedAt, isRestored,
+			record, lastHeardAt, changedAt: this.#nextCursor(), endedAt, isRestored, cold: new ColdPeriod(record, now),
 		});
 		return record;
 	}
--- a/packages/gateway/src/servers/server-record-schema.ts
+++ b/packages/gateway/src/servers/server-record-schema.ts
@@ -16,5 +16,6 @@
 	state: z.enum(['ready', 'draining', 'gone']),
 	startedAt: z.int().optional(),
 	sequence: z.int(),
+	coldRemaining: z.number().optional(),
 	isSilent: z.boolean(),
 });
--- a/packages/gateway/src/servers/server-record.ts
+++ b/packages/gateway/src/servers/server-record.ts
@@ -20,6 +20,8 @@
 	readonly startedAt?: number | undefined;
 	/** Increases with each announcement of a process, so that delayed announcements can be detected. */
 	readonly sequence: number;
+	/** How much longer it is cold, in milliseconds, as of the moment at which the record was sent; absent if it is not cold. A cold server tolerates few requests per second. */
+	readonly coldRemaining?: number | undefined;
 	/** Whether it has not announced itself to any control instance for the silence timeout. */
 	readonly isSilent: boolean;
 };
--- a/packages/platform/src/decode-announcement.ts
+++ b/packages/platform/src/decode-announcement.ts
@@ -19,6 +19,8 @@
 	state: z.enum(['ready', 'draining']),
 	// A sequence number per server process.
 	seq: z.int().nonnegative(),
+	// How much longer the server is cold, in milliseconds. Not all deployments provide it.
+	coldRemainingMs: z.number().nonnegative().optional(),
 	// When the server process started. Not all deployments provide it.
 	born: z.int().positive().optional(),
 });
@@ -39,7 +41,7 @@
 	return id.chain(serverId => parseJsonBody({bytes, schema: announcementSchema}).map(announcement => toRecord(serverId, announcement)));
 }
 
-function toRecord(id: ServerId, {address, seq, born, ...fields}: z.output<typeof announcementSchema>): ServerRecord {
+function toRecord(id: ServerId, {address, seq, born, coldRemainingMs, ...fields}: z.output<typeof announcementSchema>): ServerRecord {
 	return {
 		id,
 		service: toId<ServiceId>(fields.service),
@@ -51,6 +53,7 @@
 		state: fields.state,
 		startedAt: born,
 		sequence: seq,
+		coldRemaining: coldRemainingMs === 0 ? undefined : coldRemainingMs,
 		isSilent: false,
 	};
 }
--- a/packages/platform/src/decode-configuration.ts
+++ b/packages/platform/src/decode-configuration.ts
@@ -8,6 +8,7 @@
 import {type Either, Left} from 'purify-ts';
 import * as z from 'zod';
 
+const millisecondsPerSecond = 1000;
 const kinds = {safe: 'safe', unsafe: 'unsafe', streaming: 'streaming'} as const;
 
 const routeSchema = z.object({
@@ -33,6 +34,9 @@
 const serviceSchema = z.object({
 	name: z.string(),
 	maxConns: z.number().positive().default(100),
+	coldStartS: z.number().nonnegative().default(0),
+	// 0 where the servers of the service tolerate as many requests as otherwise.
+	coldPerS: z.number().nonnegative().default(0),
 	// The platform's name for the models that a service of model engines offers.
 	engine: z.object({models: z.array(z.object({name: z.string(), cost: z.number()})).default([])}).optional(),
 });
@@ -77,10 +81,11 @@
 	return checkRoutingConfiguration({
 		version,
 		routes: routes.map(route => toRoute(route)),
-		services: services.map(({name, maxConns, engine}) => ({
+		services: services.map(({name, maxConns, coldStartS, coldPerS, engine}) => ({
 			id: toId<ServiceId>(name),
 			maximumConnections: maxConns,
 			models: (engine?.models ?? []).map(({name: model, cost}) => ({id: toId<ModelId>(model), cost})),
+			cold: coldPerS === 0 ? undefined : {requestsPerSecond: coldPerS, duration: coldStartS * millisecondsPerSecond},
 		})),
 		limits: {
 			headerBytes: limits.maxHeaderBytes, bodyBytes: limits.maxBodyBytes, headerTimeout: limits.headerTimeoutMs, idleTimeout: limits.idleTimeoutMs,
--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -1,9 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	errorResponses, type Failure, failure, type RequestFingerprint, type ServiceId, toId, type VersionId,
+	errorResponses, type Failure, failure, type RequestFingerprint, type ServiceId, toId, type VersionId, type ZoneId,
 } from '@valehitch/core';
-import {type ControlInstance, type RolloutStage} from '@valehitch/gateway';
+import {type ControlInstance, type EvacuationOrder, type RolloutStage} from '@valehitch/gateway';
 import {parseJsonBody, readBody} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import * as z from 'zod';
@@ -75,6 +75,11 @@
 			return read.map(({stage, target}) => ({status: 200, body: JSON.stringify({state: stateNames[stage], target})}));
 		}
 
+		case 'POST evacuations/':
+		case 'DELETE evacuations/': {
+			return setEvacuation(control, {zone: toId<ZoneId>(name!), isEvacuated: method === 'POST'}, body);
+		}
+
 		case 'PUT instances/': {
 			const record = decodeAnnouncement(name!, body);
 			return record.caseOf<Promise<Either<Failure, Answer>>>({
@@ -117,6 +122,15 @@
 	}
 }
 
+async function setEvacuation(control: ControlInstance, order: EvacuationOrder, body: Uint8Array): Promise<Either<Failure, Answer>> {
+	if (body.byteLength > 0) {
+		return Left(failure('malformed-request', `An order about availability zone ${order.zone} has no body, but ${body.byteLength} bytes were received`));
+	}
+
+	const ordered = await control.operators.setEvacuation(order);
+	return ordered.map(() => emptyAnswer);
+}
+
 async function putConfiguration(control: ControlInstance, document: string): Promise<Either<Failure, Answer>> {
 	const decoded = decodeConfiguration(document);
 	return decoded.caseOf<Promise<Either<Failure, Answer>>>({
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -1,7 +1,7 @@
 import {
 	type InstanceId, toId, type ZoneId,
 } from '@valehitch/core';
-import {type ListenAddress} from '@valehitch/gateway';
+import {type ColdTolerance, type ListenAddress} from '@valehitch/gateway';
 import {type DocumentProblem, parseDocument} from '@valehitch/settings';
 import {type Either} from 'purify-ts';
 import * as z from 'zod';
@@ -38,6 +38,10 @@
 	readonly retryRatio: number;
 	/** The time window over which the retry budget applies, in milliseconds. */
 	readonly retryWindow: number;
+	/** The availability zones of the deployment. */
+	readonly zones: readonly ZoneId[];
+	/** How far the rate of a cold server may exceed the one that its service configures. */
+	readonly coldTolerance: ColdTolerance;
 	/** The idle time after which a session ends, in milliseconds. */
 	readonly sessionTimeout: number;
 };
@@ -54,6 +58,8 @@
 	node: z.string(),
 	ip: z.string(),
 	zone: z.string(),
+	// The region of each availability zone.
+	zones: z.record(z.string(), z.string()).default({}),
 	listen: z.object({front: optional(address), ready: optional(address), control: optional(address)}),
 	portRange: z.tuple([z.int(), z.int()]),
 	seeds: z.array(address),
@@ -67,6 +73,8 @@
 		retryBudgetRatio: z.number().nonnegative().default(0.2),
 		retryWindowS: z.number().positive().default(10),
 		sessionS: z.number().positive().default(5),
+		coldOverage: z.number().positive().default(1),
+		coldSlack: z.number().nonnegative().default(0),
 	}),
 });
 
@@ -87,7 +95,7 @@
 	return parseDocument(text, {file, schema: fileSchema}).map(values => toSettings(values));
 }
 
-function toSettings({node, ip, zone, listen, portRange, seeds, bootstrap, dataDir, heartbeatMs, bounds}: z.output<typeof fileSchema>): PlatformSettings {
+function toSettings({node, ip, zone, zones, listen, portRange, seeds, bootstrap, dataDir, heartbeatMs, bounds}: z.output<typeof fileSchema>): PlatformSettings {
 	return {
 		name: node,
 		instance: toId<InstanceId>(ip),
@@ -105,6 +113,8 @@
 		canaryShare: bounds.canaryShare,
 		retryRatio: bounds.retryBudgetRatio,
 		retryWindow: bounds.retryWindowS * millisecondsPerSecond,
+		zones: Object.keys(zones).map(name => toId<ZoneId>(name)),
+		coldTolerance: {factor: bounds.coldOverage, slack: bounds.coldSlack},
 		sessionTimeout: bounds.sessionS * millisecondsPerSecond,
 	};
 }
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -155,7 +155,7 @@
 
 async function startControlPart(context: ProcessContext, listen: ListenAddress) {
 	const {settings, log, network} = context;
-	const {instance, isFounding, heartbeatInterval, dataFolder = 'data'} = settings();
+	const {instance, isFounding, heartbeatInterval, coldTolerance, dataFolder = 'data'} = settings();
 	const control = new ControlInstance({
 		...context,
 		self: instance,
@@ -165,6 +165,9 @@
 		processStartedAt,
 		seeds: () => settings().seeds,
 		heartbeatMilliseconds: heartbeatInterval,
+		zones: () => settings().zones,
+		coldTolerance,
+		parse: decodeConfiguration,
 		// The platform starts only one process per data folder, and provides no reliable file locks.
 		openFolder: async () => openDataFolder(dataFolder, {lock: async () => Right(async () => undefined)}),
 		savedServers: createSavedList({
@@ -198,7 +201,7 @@
 
 async function startEntryPart(context: ProcessContext, listen: ListenAddress) {
 	const {settings} = context;
-	const {instance, zone, revocationTimeout, canaryShare, retryRatio, retryWindow, sessionTimeout, gracePeriod, readiness} = settings();
+	const {instance, zone, revocationTimeout, canaryShare, retryRatio, retryWindow, sessionTimeout, gracePeriod, heartbeatInterval, readiness} = settings();
 	const entry = new EntryInstance({
 		...context,
 		self: instance,
@@ -208,6 +211,7 @@
 		random: Math.random,
 		dialect: platformDialect,
 		bounds: {canaryShare: usedCanaryShare * canaryShare, minimumConfidence},
+		heartbeatMilliseconds: heartbeatInterval,
 		leaseMilliseconds: Math.min(revocationTimeout - leaseMarginMilliseconds, leaseShare * revocationTimeout),
 		sessionMilliseconds: sessionTimeout,
 		retryShare: usedRetryShare * retryRatio,
--- /dev/null
+++ b/packages/routing/src/rate-leases.test.ts
@@ -0,0 +1,182 @@
+import {type InstanceId, type ServerId, type ZoneId} from '@valehitch/core';
+import test from 'ava';
+import fc from 'fast-check';
+import {LeasedRateLimiter} from './leased-rate-limiter.js';
+import {permitsFor} from './permits-for.js';
+import {RateLeaseBook} from './rate-lease-book.js';
+import {rateLeaseMilliseconds, rateWindowMilliseconds} from './rate-lease-terms.js';
+import {rateLimitShare} from './rate-limit-share.js';
+
+const seed = 20_261_203;
+const server = {id: 'engine-1' as ServerId, zone: 'hall-a' as ZoneId};
+const zones = ['hall-a', 'hall-b', 'hall-c'] as ZoneId[];
+const stepMilliseconds = 10;
+const endMilliseconds = 12_000;
+const entryTimeoutMilliseconds = 3000;
+
+type Scenario = {
+	readonly entries: number;
+	readonly controls: number;
+	/** A replaced control instance grants beside its successor. */
+	readonly extraControls: number;
+	readonly limit: number;
+	/** The chance that an entry instance or control instance restarts in a step. */
+	readonly restartRate: number;
+	/** The chance that a question or its reply is lost. */
+	readonly lossRate: number;
+	/** How long a reply may take, in milliseconds. */
+	readonly delay: number;
+	readonly start: number;
+};
+
+type Entry = {
+	readonly instance: InstanceId;
+	readonly zone: ZoneId;
+	limiter: LeasedRateLimiter;
+	startedAt: number;
+};
+
+type Control = {
+	book: RateLeaseBook;
+	readonly heardAt: Map<Entry, number>;
+};
+
+/** Plays entry instances that send to one server whenever their leases allow it, and returns when they sent. */
+function playSends({entries: entryCount, controls: controlCount, extraControls, limit, restartRate, lossRate, delay, start}: Scenario): readonly number[] {
+	let state = start;
+	const random = (): number => {
+		state = ((state * 48_271) + 1) % 2_147_483_647;
+		return state / 2_147_483_647;
+	};
+
+	const entries: Entry[] = Array.from({length: entryCount}, (_, index) => ({
+		instance: `entry-${index}` as InstanceId, zone: zones[index % zones.length]!, limiter: new LeasedRateLimiter({startedAt: 0}), startedAt: 0,
+	}));
+	const controls: Control[] = Array.from({length: controlCount + extraControls}, () => ({
+		book: new RateLeaseBook({startedAt: 0}), heardAt: new Map(),
+	}));
+	const share = rateLimitShare(limit, {grantors: controlCount});
+	const inFlight: Array<{readonly at: number; readonly apply: () => void}> = [];
+	const sends: number[] = [];
+
+	const poll = (entry: Entry, now: number): void => {
+		const index = Math.floor(random() * controls.length);
+		const control = controls[index]!;
+		if (random() < lossRate) {
+			return;
+		}
+
+		const questionTime = random() * delay;
+		const held = random() < 0.5 ? 0 : random() * 800;
+		const {startedAt} = entry;
+		inFlight.push({
+			at: now + questionTime + held,
+			apply() {
+				const grantedAt = now + questionTime + held;
+				control.heardAt.set(entry, grantedAt);
+				const candidates = [...control.heardAt].filter(([, at]) => grantedAt - at <= entryTimeoutMilliseconds).map(([candidate]) => candidate);
+				const wanted = permitsFor(entry.instance, {server, candidates, share});
+				const permits = control.book.grant(server.id, {
+					holder: entry.instance, wanted, share, now: grantedAt,
+				});
+				if (random() < lossRate) {
+					return;
+				}
+
+				inFlight.push({
+					at: grantedAt + (random() * delay),
+					apply() {
+						if (entry.startedAt === startedAt) {
+							entry.limiter.renew({source: `control-${index}` as InstanceId, leases: [[server.id, permits]], validUntil: now + held + rateLeaseMilliseconds});
+						}
+					},
+				});
+			},
+		});
+	};
+
+	for (let now = 0; now < endMilliseconds; now += stepMilliseconds) {
+		for (let index = 0; index < inFlight.length; index++) {
+			const message = inFlight[index]!;
+			if (message.at <= now) {
+				inFlight.splice(index, 1);
+				index--;
+				message.apply();
+			}
+		}
+
+		for (const control of controls) {
+			if (random() < restartRate) {
+				control.book = new RateLeaseBook({startedAt: now});
+				control.heardAt.clear();
+			}
+		}
+
+		for (const entry of entries) {
+			if (random() < restartRate) {
+				entry.limiter = new LeasedRateLimiter({startedAt: now});
+				entry.startedAt = now;
+			}
+
+			if (random() < stepMilliseconds / 300) {
+				poll(entry, now);
+			}
+
+			while (entry.limiter.allows(server.id, now)) {
+				entry.limiter.countSend(server.id, now);
+				sends.push(now);
+			}
+		}
+	}
+
+	return sends;
+}
+
+function mostInWindow(sends: readonly number[]): number {
+	let most = 0;
+	let first = 0;
+	for (const [index, at] of sends.entries()) {
+		while (at - sends[first]! > rateWindowMilliseconds - stepMilliseconds) {
+			first++;
+		}
+
+		most = Math.max(most, index - first + 1);
+	}
+
+	return most;
+}
+
+test('no second has more sends to a cold server than it tolerates, whoever restarts, is cut off or is replaced', t => {
+	const scenario: fc.Arbitrary<Scenario> = fc.record({
+		entries: fc.integer({min: 1, max: 240}),
+		controls: fc.integer({min: 1, max: 7}),
+		extraControls: fc.integer({min: 0, max: 1}),
+		limit: fc.double({min: 2, max: 60, noNaN: true}),
+		restartRate: fc.constantFrom(0, 0.0005, 0.005),
+		lossRate: fc.constantFrom(0, 0.1, 0.6),
+		delay: fc.constantFrom(2, 50, 900),
+		start: fc.integer({min: 1, max: 1_000_000}),
+	});
+	fc.assert(fc.property(scenario, drawn => {
+		t.true(mostInWindow(playSends(drawn)) <= drawn.limit);
+	}), {seed, numRuns: 25});
+});
+
+// A limit that nobody may use would keep a server idle until it is warm.
+test('a calm deployment may use most of the limit', t => {
+	const sends = playSends({
+		entries: 64, controls: 6, extraControls: 0, limit: 24.5, restartRate: 0, lossRate: 0, delay: 2, start: 1,
+	});
+	t.true(mostInWindow(sends) >= 16);
+	const deployment = {server, share: 3};
+	const candidates = Array.from({length: 2}, (_, index) => ({instance: `entry-${index}` as InstanceId, zone: server.zone}));
+	t.is(permitsFor(candidates[0]!.instance, {...deployment, candidates}), 1);
+	t.is(permitsFor(candidates[0]!.instance, {...deployment, candidates: candidates.slice(0, 1)}), 3);
+});
+
+test('an instance of another zone gets a lease only where none of the zone of the server asks', t => {
+	const local = {instance: 'local' as InstanceId, zone: server.zone};
+	const remote = {instance: 'remote' as InstanceId, zone: zones[1]!};
+	t.is(permitsFor(remote.instance, {server, candidates: [local, remote], share: 4}), 0);
+	t.is(permitsFor(remote.instance, {server, candidates: [remote], share: 4}), 4);
+});
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -15,6 +15,8 @@
 	/** The key of the version, as formatted by `versionKey`, or the name of the service. */
 	readonly target: string;
 	readonly excluded: ReadonlySet<ServerId>;
+	/** The zones whose servers get no requests by order of the operator; none by default. */
+	readonly evacuatedZones?: ReadonlySet<ZoneId>;
 	/** The hash of the prompt prefix; undefined if prompt caching does not matter. */
 	readonly prefix?: number | undefined;
 	/** The share of this instance's requests that have the prefix, from 0 to 1; 0 by default. */
@@ -194,11 +196,19 @@
 
 const notLoadedReason = 'does not have it loaded';
 
-function ineligibilityReason(server: ServerView, {target, excluded}: ServerCriteria): string | undefined {
+function ineligibilityReason(server: ServerView, {target, excluded, evacuatedZones}: ServerCriteria): string | undefined {
 	if (!server.loaded.has(target)) {
 		return notLoadedReason;
 	}
 
+	if (evacuatedZones?.has(server.zone) === true) {
+		return 'is in an evacuated availability zone';
+	}
+
+	if (server.rateLimited === true) {
+		return 'is cold, and no send is left for it';
+	}
+
 	if (server.draining) {
 		return 'is shutting down';
 	}
--- a/packages/routing/src/server-view.ts
+++ b/packages/routing/src/server-view.ts
@@ -20,6 +20,8 @@
 	readonly expired: boolean;
 	/** Whether it is ejected because of failures. */
 	readonly ejected: boolean;
+	/** Whether it is cold and this instance may not send it another request now; false by default. */
+	readonly rateLimited?: boolean;
 	/** The time since its start in milliseconds. */
 	readonly uptime: number;
 	/** The keys of the versions that it has loaded, as formatted by `versionKey`, or the name of the service that it provides. */
--- a/packages/testing/src/emulator/simulate-load.ts
+++ b/packages/testing/src/emulator/simulate-load.ts
@@ -210,7 +210,7 @@
 		const id = ++this.#lastSendId;
 		const networkLatency = engine.zone === zone ? 0 : this.#scenario.interZoneLatency;
 		this.#sends.set(id, {
-			request, engine, load: servers.beginSend(engine.id, Math.max(1, this.#expectedLatency(request) / loadUnitMilliseconds)), sentAt: now, hasBegun: false,
+			request, engine, load: servers.beginSend(engine.id, {load: Math.max(1, this.#expectedLatency(request) / loadUnitMilliseconds), now}), sentAt: now, hasBegun: false,
 		});
 		this.#queue.schedule(networkLatency, () => {
 			this.#deliver(id, engine);
