Count the wait for a commit into the duration of a rollout

Ruled out: shorter stages, which every rollout would pay for.

Change: a control instance remembers when it first got an order, and the age of the rollout begins there; state of earlier versions has no wait.

Tests of the age.

--- a/packages/gateway/src/control/gateway-command.ts
+++ b/packages/gateway/src/control/gateway-command.ts
@@ -20,6 +20,8 @@
 	readonly duration: number;
 	/** The wall-clock time, in milliseconds, of the instance that received the order. */
 	readonly orderedAt: number;
+	/** How long this instance has received the order without being able to commit it, in milliseconds. */
+	readonly waited?: number | undefined;
 };
 
 /** Advances a running rollout to its next stage. */
--- a/packages/gateway/src/control/gateway-state.ts
+++ b/packages/gateway/src/control/gateway-state.ts
@@ -147,7 +147,7 @@
 		return Right({type: 'evacuation', evacuation});
 	}
 
-	#start({service, target, duration, orderedAt}: StartRolloutCommand): Either<Failure, GatewayCommandResult> {
+	#start({service, target, duration, orderedAt, waited}: StartRolloutCommand): Either<Failure, GatewayCommandResult> {
 		const current = this.#rollouts.get(service);
 		if (current?.target === target) {
 			return Right({type: 'rollout', rollout: current});
@@ -158,7 +158,7 @@
 		}
 
 		const rollout: Rollout = {
-			service, target, duration, stage: 'canary', orderedAt,
+			service, target, duration, stage: 'canary', orderedAt, ...(waited !== undefined && {waited}),
 		};
 		this.#rollouts.set(service, rollout);
 		return Right({type: 'rollout', rollout});
--- a/packages/gateway/src/control/operator-api.ts
+++ b/packages/gateway/src/control/operator-api.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type Failure, failure, type ServiceId, type VersionId, type ZoneId,
+	type Clock, type Failure, failure, LruMap, type ServiceId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
@@ -12,7 +12,7 @@
 
 /** Options of the operator API. */
 export type OperatorApiOptions = {
-	readonly clock: Pick<Clock, 'now'>;
+	readonly clock: Clock;
 	readonly log: DecisionLog;
 	readonly leader: Pick<LeaderClient, 'propose'>;
 	readonly confirmation: Pick<StateConfirmation, 'newest'>;
@@ -28,6 +28,8 @@
 };
 
 const retryMilliseconds = 300;
+/** The number of rollouts whose first order is remembered. */
+const maximumOrders = 64;
 /** How often an order is proposed again after another one about the same zone was committed first. */
 const evacuationAttempts = 3;
 
@@ -42,6 +44,8 @@
 */
 export class OperatorApi {
 	readonly #options: OperatorApiOptions;
+	/** When each rollout was first ordered here, in milliseconds on the monotonic clock; an order that could not be committed is sent again. */
+	readonly #firstOrderedAt = new LruMap<string, number>(maximumOrders);
 
 	constructor(options: OperatorApiOptions) {
 		this.#options = options;
@@ -75,7 +79,12 @@
 	@returns The rollout, once it is committed.
 	*/
 	async startRollout(order: {readonly service: ServiceId; readonly target: VersionId; readonly duration: number}): Promise<Either<Failure, GatewayCommandResult>> {
-		const result = await this.#options.leader.propose({type: 'start-rollout', ...order, orderedAt: this.#options.clock.now().getTime()});
+		const {clock, leader} = this.#options;
+		const now = clock.monotonic();
+		const waited = now - this.#firstOrderedAt.getOrCreate(`${order.service} ${order.target}`, () => now);
+		const result = await leader.propose({
+			type: 'start-rollout', ...order, orderedAt: clock.now().getTime() - waited, waited,
+		});
 		this.#options.log('rollout-started', {
 			service: order.service, target: order.target, duration: order.duration, result: describeResult(result),
 		});
--- a/packages/gateway/src/control/rollout-clock.test.ts
+++ b/packages/gateway/src/control/rollout-clock.test.ts
@@ -28,3 +28,11 @@
 	t.is(new RolloutClock(clockAt(-2600)).withAges([rollout])[0]?.age, 0);
 	t.is(new RolloutClock(clockAt(2600)).withAges([rollout])[0]?.age, 0);
 });
+
+// The order arrives at second 2 and is committed at second 7, once the group has a leader again.
+test('the time that an order waited for its commit counts as a part of its duration', t => {
+	const waited = 5000;
+	t.is(new RolloutClock(clockAt(waited + 20)).withAges([{...rollout, waited}])[0]?.age, waited);
+	t.is(new RolloutClock(clockAt(18_000)).withAges([{...rollout, waited}])[0]?.age, 18_000);
+	t.is(new RolloutClock(clockAt(90_000)).withAges([{...rollout, waited: 90_000}])[0]?.age, 19_200);
+});
--- a/packages/gateway/src/control/rollout-clock.ts
+++ b/packages/gateway/src/control/rollout-clock.ts
@@ -43,10 +43,10 @@
 		});
 	}
 
-	/** The age of a rollout that this process sees for the first time, by the wall clock. An age within the clock tolerance counts as 0. */
-	#initialAge({orderedAt, duration}: Rollout): number {
+	/** The age of a rollout that this process sees for the first time, by the wall clock. An age within the clock tolerance counts as the time that the order waited for its commit. */
+	#initialAge({orderedAt, duration, waited = 0}: Rollout): number {
 		const age = this.#clock.now().getTime() - orderedAt;
-		return age < maximumClockSkewMilliseconds ? 0 : Math.min(age, maximumInitialShare * duration);
+		return Math.min(age < waited + maximumClockSkewMilliseconds ? waited : age, maximumInitialShare * duration);
 	}
 }
 
--- a/packages/gateway/src/rollouts/rollout.ts
+++ b/packages/gateway/src/rollouts/rollout.ts
@@ -12,6 +12,8 @@
 	readonly stage: RolloutStage;
 	/** The wall-clock time, in milliseconds, of the instance that received the order. Wall clocks differ and jump, so it is used only after all instances have restarted. */
 	readonly orderedAt: number;
+	/** How long the operator had sent the order when it could be committed, in milliseconds; absent if it was committed at once. */
+	readonly waited?: number | undefined;
 };
 
 /** A rollout with the time since it was ordered. */
