valehitchd: evacuated zones in the document, and valehitch evacuate

Cause: the order existed on the platform only.

Ruled out: a command of its own. The document has compare-and-set, change ids, leases, distribution and the list of zones where it is in force already.

Change: evacuatedZones in the configuration; the choice of a server leaves these zones out, in the one place that both stacks share, and their capacity is not counted for admission. valehitch evacuate ZONE [--end] edits the document; status names the zones.

--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -210,6 +210,28 @@
 	t.not(received[1]?.changeId, received[3]?.changeId);
 });
 
+const withServers: Reply = {status: 200, body: {instance: 'entry-1', servers: [{server: 'engine-1', zone: 'hall-a', kind: 'engine'}]}};
+
+test('evacuate adds a zone that has servers to the document, and --end takes it out', async t => {
+	const evacuated: Reply = {status: 200, body: {revision: 5, document: {models: {}, evacuatedZones: ['hall-b', 'hall-a']}, rollouts: {}}};
+	const {received, environment} = await startFakeInstance(t, [withServers, current, committed(5, []), withServers, evacuated, committed(6, [])]);
+	const begun = await run(['evacuate', 'hall-a'], environment);
+	t.is(begun.stdout, 'Evacuated hall-a with revision 5\nIn force in every zone\n');
+	t.like(received[2], {method: 'PUT', match: '"4"'});
+	t.like(JSON.parse(received[2]?.body ?? ''), {evacuatedZones: ['hall-a']});
+	const ended = await run(['evacuate', 'hall-a', '--end'], environment);
+	t.is(ended.stdout, 'hall-a serves again with revision 6\nIn force in every zone\n');
+	t.like(JSON.parse(received[5]?.body ?? ''), {evacuatedZones: ['hall-b']});
+});
+
+test('evacuate refuses a zone without servers and names those that have some', async t => {
+	const {received, environment} = await startFakeInstance(t, [withServers, current]);
+	const {code, stderr} = await run(['evacuate', 'hall-x'], environment);
+	t.is(code, 1);
+	t.true(stderr.includes('hall-a'));
+	t.is(received.length, 2, 'nothing is submitted');
+});
+
 test('diff shows what a file would change', async t => {
 	const file = path.join(await mkdtemp(path.join(tmpdir(), 'valehitch-')), 'next.yaml');
 	await writeFile(file, 'models:\n  small:\n    versions:\n      v1: {state: withdrawn, quality: 0.9, prices: {input: 1, output: 1}}\n');
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -2,6 +2,7 @@
 import {Check} from './commands/check.js';
 import {Diff} from './commands/diff.js';
 import {Drain} from './commands/drain.js';
+import {Evacuate} from './commands/evacuate.js';
 import {Explain} from './commands/explain.js';
 import {Get} from './commands/get.js';
 import {Ledger} from './commands/ledger.js';
@@ -18,6 +19,7 @@
 	readonly check: typeof Check;
 	readonly diff: typeof Diff;
 	readonly drain: typeof Drain;
+	readonly evacuate: typeof Evacuate;
 	readonly explain: typeof Explain;
 	readonly get: typeof Get;
 	readonly ledger: typeof Ledger;
@@ -32,6 +34,7 @@
 	check: Check,
 	diff: Diff,
 	drain: Drain,
+	evacuate: Evacuate,
 	explain: Explain,
 	get: Get,
 	ledger: Ledger,
--- a/packages/control/src/_changed-paths.ts
+++ b/packages/control/src/_changed-paths.ts
@@ -15,5 +15,9 @@
 		}
 	}
 
+	if (JSON.stringify(before.evacuatedZones ?? []) !== JSON.stringify(after.evacuatedZones ?? [])) {
+		paths.push('evacuatedZones');
+	}
+
 	return paths.slice(0, maximumPaths);
 }
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -1,7 +1,7 @@
 import * as z from 'zod';
 import {typedSchema} from './typed-schema.js';
 import {
-	type ModelId, type Revision, type ServiceId, type VersionId, type WorkspaceId,
+	type ModelId, type Revision, type ServiceId, type VersionId, type WorkspaceId, type ZoneId,
 } from './ids.js';
 import {type Prices} from './money.js';
 
@@ -104,6 +104,8 @@
 	readonly models: Readonly<Record<ModelId, ModelConfiguration>>;
 	readonly services: Readonly<Record<ServiceId, ServiceConfiguration>>;
 	readonly workspaces: Readonly<Record<WorkspaceId, WorkspaceConfiguration>>;
+	/** The availability zones whose backend servers get no requests; none if absent. */
+	readonly evacuatedZones?: readonly ZoneId[] | undefined;
 };
 
 /** The progress of a rollout in the replicated state. */
@@ -186,6 +188,7 @@
 	models: z.record(idText, z.strictObject({versions: z.record(idText, versionSchema)})).default({}),
 	services: z.record(idText, serviceSchema).default({}),
 	workspaces: z.record(idText, workspaceSchema).default({}),
+	evacuatedZones: z.array(idText).max(64).optional(),
 }));
 
 /**
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -77,10 +77,13 @@
 	});
 	const requests = new RequestCounter();
 	const decisions = new DecisionHistory();
+	const evacuatedZones = () => new Set(distribution.effective().document.evacuatedZones);
 	const serverSelector = new ServerSelector({
-		...base, servers: distribution.servers, zone: base.settings.zone, decisions,
+		...base, servers: distribution.servers, zone: base.settings.zone, decisions, evacuatedZones,
+	});
+	const admission = new AdmissionPools({
+		...base, servers: distribution.servers, members: distribution.members, evacuatedZones,
 	});
-	const admission = new AdmissionPools({...base, servers: distribution.servers, members: distribution.members});
 	const admissionTimer = setInterval(() => {
 		admission.refresh();
 	}, admissionMilliseconds);
--- a/packages/daemon/src/entry/traffic/admission-pools.test.ts
+++ b/packages/daemon/src/entry/traffic/admission-pools.test.ts
@@ -29,7 +29,7 @@
 		instance: toId<InstanceId>('entry-a'), zone, host: '127.0.0.1', port: 1,
 	};
 	return new AdmissionPools({
-		clock, servers: table, self, members: () => [self],
+		clock, servers: table, self, members: () => [self], evacuatedZones: () => new Set(),
 	});
 }
 
--- a/packages/daemon/src/entry/traffic/admission-pools.ts
+++ b/packages/daemon/src/entry/traffic/admission-pools.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type RequestId, versionKey, type WorkspaceId,
+	type Clock, type RequestId, versionKey, type WorkspaceId, type ZoneId,
 } from '@valehitch/core';
 import {type ServerTable} from '@valehitch/membership';
 import {AdmissionController, type RequestEvent, type RequestTarget} from '@valehitch/routing';
@@ -9,6 +9,8 @@
 export type AdmissionPoolsOptions = {
 	readonly clock: Clock;
 	readonly servers: ServerTable;
+	/** Returns the availability zones whose servers get no requests. */
+	readonly evacuatedZones: () => ReadonlySet<ZoneId>;
 	readonly self: Pick<Member, 'instance'>;
 	/** The instances that share the servers. */
 	readonly members: () => readonly Member[];
@@ -194,11 +196,12 @@
 
 	#capacityOf({target, meanCost}: Pool): number {
 		let slots = 0;
-		for (const {announcement: {capacity, models, service}, state} of this.#options.servers.available()) {
+		const evacuatedZones = this.#options.evacuatedZones();
+		for (const {announcement: {capacity, models, service, zone}, state} of this.#options.servers.available()) {
 			const serves = target.type === 'service'
 				? service === target.service
 				: models.some(({model, version}) => model === target.model && version === target.version);
-			slots += serves && state === 'joined' ? capacity : 0;
+			slots += serves && state === 'joined' && !evacuatedZones.has(zone) ? capacity : 0;
 		}
 
 		const instanceCount = Math.max(1, this.#options.members().length);
--- a/packages/daemon/src/entry/traffic/server-selector.ts
+++ b/packages/daemon/src/entry/traffic/server-selector.ts
@@ -14,6 +14,8 @@
 export type ServerSelectorOptions = {
 	readonly servers: ServerTable;
 	readonly zone: ZoneId;
+	/** Returns the availability zones whose servers get no requests. */
+	readonly evacuatedZones: () => ReadonlySet<ZoneId>;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly timeline: Timeline;
@@ -62,9 +64,9 @@
 	choose({
 		attempt, purpose, excluded, budgeted,
 	}: ChooseServerAction, {requestId, workspace, target, prefix}: SelectionRequest): ServerChoice {
-		const {clock, zone, random, decisions} = this.#options;
+		const {clock, zone, random, decisions, evacuatedZones} = this.#options;
 		const choice = chooseServer(this.#views.current(), {
-			target, excluded: new Set(excluded), zone, random, ...(prefix !== undefined && {prefix, prefixShare: this.#prefixes.count(prefix)}),
+			target, excluded: new Set(excluded), evacuatedZones: evacuatedZones(), zone, random, ...(prefix !== undefined && {prefix, prefixShare: this.#prefixes.count(prefix)}),
 		});
 		const recordDenial = (reason: string) => {
 			decisions.recordAttempt(requestId, {
--- a/packages/daemon/src/operators/handle-operator.ts
+++ b/packages/daemon/src/operators/handle-operator.ts
@@ -100,6 +100,7 @@
 		zone: settings.zone,
 		roles: settings.roles,
 		revision: distribution.effective().revision,
+		evacuatedZones: distribution.effective().document.evacuatedZones ?? [],
 		isolated: distribution.active()?.isolated ?? true,
 		leader: distribution.leader(),
 		inProgress: requests.inProgress,
