Leave no listener on a reused connection

Cause: each send waited for its connection to open, also on a reused one that never opens again, so that the listener and the request that it holds stayed until the connection closed.

Ruled out: the listeners of a check for a reset, which end with their answer.

Change: the listener is added only while the connection opens.

A test counts them on a reused connection: 2 before, 0 after.

--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -1,8 +1,10 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {testServer} from '../servers/_test-server.js';
+import {connectionPool} from './connection-pool.js';
 import {collectBody} from './collect-body.js';
 import {sendAttempt, type SendAttemptOptions, type HeadTimeouts} from './send-attempt.js';
 
@@ -187,3 +189,18 @@
 		}
 	}
 });
+
+// Each send on a reused connection left a listener there, which held its request in memory.
+test('sends on a reused connection leave no listeners behind', async t => {
+	const options = await serve(t, socket => {
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+	});
+	for (let send = 0; send < 3; send++) {
+		t.true(await isComplete(options));
+		await nextTurn();
+	}
+
+	const sockets = connectionPool.freeSockets[connectionPool.getName({host: options.server.host, port: options.server.port})] ?? [];
+	t.is(sockets.length, 1);
+	t.is(sockets[0]?.listenerCount('connect'), 0);
+});
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -82,9 +82,12 @@
 	let isOpen = false;
 	request.on('socket', socket => {
 		isOpen = !socket.connecting;
-		socket.once('connect', () => {
-			isOpen = true;
-		});
+		// A reused connection would keep the listener until it closes.
+		if (socket.connecting) {
+			socket.once('connect', () => {
+				isOpen = true;
+			});
+		}
 	});
 	const outcome = awaitHead(request, options, {isCancelled: () => isCancelled, isOpen: () => isOpen});
 	request.end(body);
