Choose a server without repeated work

Ruled out: fewer candidates, which would be other decisions.

Change: verdicts only where they are kept, options copied once, the set of services kept with the server. Decisions are the same.

--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -86,6 +86,8 @@
 	readonly cold: ColdPeriod;
 	readonly #onLoadChange: TrackedServerOptions['onLoadChange'];
 	readonly #processEnd = new AbortController();
+	/** A server never changes its service; each choice reads the views of all servers. */
+	readonly #loaded: ReadonlySet<string>;
 	#inFlight = 0;
 	#load = 0;
 
@@ -95,6 +97,7 @@
 		this.reportedAt = now;
 		this.cold = new ColdPeriod(record, now);
 		this.#onLoadChange = onLoadChange;
+		this.#loaded = new Set([record.service]);
 		// Each send in progress adds a listener; hundreds at a time are normal.
 		setMaxListeners(0, this.#processEnd.signal);
 	}
@@ -161,7 +164,7 @@
 	@returns The view.
 	*/
 	view({now, othersLoad, isSilent, isZoneUnreachable, isEjected, isRateLimited}: ServerConditions): ServerView {
-		const {id, zone, slots, service} = this.record;
+		const {id, zone, slots} = this.record;
 		return {
 			id,
 			zone,
@@ -176,7 +179,7 @@
 			rateLimited: isRateLimited,
 			// These servers warm up within milliseconds, so a slow start, as used for cold replicas, would only unbalance the load.
 			uptime: Math.max(warmMilliseconds, now - this.addedAt),
-			loaded: new Set([service]),
+			loaded: this.#loaded,
 		};
 	}
 
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -85,9 +85,9 @@
 		}
 	}
 
-	const meanOtherLoad = meanOtherLoadOf(views);
+	const loadOptions = {...options, meanOtherLoad: meanOtherLoadOf(views)};
 	const eligible = views.map(server => ({
-		server, load: serverLoad(server, {meanOtherLoad, ...options}), capacity: effectiveCapacity(server, options),
+		server, load: serverLoad(server, loadOptions), capacity: effectiveCapacity(server, options),
 	}));
 	const pool = selectZonePool(eligible, options);
 	if (pool.length === 0) {
@@ -97,7 +97,9 @@
 
 	const chosen = choosePreferredServer(options.affinityScope === 'all' ? eligible : pool, options) ?? chooseLeastLoadedSample(pool, options);
 	for (const {server} of eligible) {
-		addVerdict(considered, server, verdictFor(server, {chosen, pool}));
+		if (server === chosen.server || considered.length < maximumVerdicts) {
+			addVerdict(considered, server, verdictFor(server, {chosen, pool}));
+		}
 	}
 
 	return Right({server: chosen.server.id, considered});
