Go on evaluating rollouts after a command that fails

Cause: a rejected command left the flag set that keeps two evaluations apart, so that no rollout of this leader advanced any more, and the rejection itself ended the process.

Change: the error is logged and the next evaluation tries again.

--- a/packages/gateway/src/control/rollout-controller.ts
+++ b/packages/gateway/src/control/rollout-controller.ts
@@ -38,13 +38,18 @@
 		}
 
 		this.#isEvaluating = true;
-		for (const rollout of this.#options.rollouts()) {
-			if (!isEnded(rollout)) {
-				await this.#evaluate(rollout);
+		try {
+			for (const rollout of this.#options.rollouts()) {
+				if (!isEnded(rollout)) {
+					await this.#evaluate(rollout);
+				}
 			}
+		} catch (error) {
+			// The next evaluation tries again; an uncaught error would end the process.
+			this.#options.log('rollout-evaluation-failed', {reason: error instanceof Error ? error.stack ?? error.message : String(error)}, 'error');
+		} finally {
+			this.#isEvaluating = false;
 		}
-
-		this.#isEvaluating = false;
 	}
 
 	async #evaluate(rollout: RolloutWithAge): Promise<void> {
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -8,7 +8,7 @@
 		| 'server-notice-missed' | 'server-record-outdated'
 		| 'servers-restored' | 'list-not-restored' | 'list-not-saved'
 		| 'evacuation-ordered' | 'evacuation-adopted'
-		| 'rollout-started' | 'rollout-advanced'
+		| 'rollout-started' | 'rollout-advanced' | 'rollout-evaluation-failed'
 		| 'request-refused' | 'request-dispatched' | 'request-attempt-ended' | 'request-escalated' | 'request-resumed' | 'request-ended'
 		| 'request-suspected' | 'request-quarantined' | 'request-cleared';
 
