--- a/packages/testing/src/platform-path.test.ts
+++ b/packages/testing/src/platform-path.test.ts
@@ -178,6 +178,41 @@
 	}
 });
 
+test('an evacuated zone gets no requests until its evacuation ends, also after all control instances crashed', async t => {
+	const {deployment, backends} = await start(t, {servers: [labels, {...labels, id: 'i-other', zone: 'hall-b'}]});
+	const order = async (method: 'POST' | 'DELETE', zone: string, body?: unknown) => sendForStatus({
+		method, address: deployment.controls[1]!.address, path: `/-/evacuations/${zone}`, body,
+	});
+	const [evacuated, other] = backends;
+	const isServedBy = async (server: FakeBackendServer | undefined) => {
+		const before = server!.runs.length;
+		const answer = await send(deployment, '/look/7');
+		return (answer.status === 200 && server!.runs.length > before) || undefined;
+	};
+
+	await waitUntil(async () => await order('POST', 'hall-a') === 200 || undefined, {description: 'an acknowledged evacuation'});
+	t.is(await order('POST', 'hall-a'), 200, 'a repeated order is acknowledged again');
+	t.is(await order('POST', 'hall-x'), 404);
+	t.is(await order('POST', 'hall-b', {}), 400);
+	await waitUntil(async () => isServedBy(other), {description: 'a response from the other zone'});
+	await Promise.all(deployment.controls.map(async ({process}) => process.kill('SIGKILL')));
+	for (const {writeSettings, process} of deployment.controls) {
+		await writeSettings({isFounding: false});
+		process.start();
+	}
+
+	await put(deployment, configuration(2));
+	const before = evacuated!.runs.length;
+	for (let index = 0; index < 10; index++) {
+		const answer = await send(deployment, '/look/7');
+		t.is(answer.status, 200);
+	}
+
+	t.is(evacuated!.runs.length, before);
+	await waitUntil(async () => await order('DELETE', 'hall-a') === 200 || undefined, {description: 'an acknowledged end of the evacuation'});
+	await waitUntil(async () => isServedBy(evacuated), {description: 'a response from the zone that was evacuated'});
+});
+
 test('a revoked key stops working, even at an entry instance without contact to control, while public routes keep working', async t => {
 	const {deployment, backends} = await start(t, {servers: [labels], revocationMilliseconds: 2000});
 	await put(deployment, configuration(2, ['k2']));
