Name members of suspects and of the leader's view for what they are

EntryInstanceOptions.tell is reportSuspects, SuspectReporterOptions.tell is send and its book registry, EntrySuspects.book and SuspectSync.book are registry, EntrySuspects.standing is statusOf, LeaderView.leads is isLeader.

--- a/packages/daemon/src/distribution/distribution-node.ts
+++ b/packages/daemon/src/distribution/distribution-node.ts
@@ -191,7 +191,7 @@
 
 	#parentCandidates(): PeerAddress[] {
 		const {base: {settings}} = this.#options;
-		return this.leaderView.leads ? [] : parentAddresses({memberMonitor: this.memberMonitor, settings, leader: this.leader});
+		return this.leaderView.isLeader ? [] : parentAddresses({memberMonitor: this.memberMonitor, settings, leader: this.leader});
 	}
 
 	#memberRecord(instance: InstanceId): MemberRecord | undefined {
@@ -290,7 +290,7 @@
 				...self, region, startedAt, sequence: 0, state: 'joined',
 			},
 			periodMilliseconds: this.#periodMilliseconds,
-			isLeader: () => this.leaderView.leads,
+			isLeader: () => this.leaderView.isLeader,
 			onChange: () => {
 				this.#propagate();
 			},
--- a/packages/daemon/src/distribution/leader-view.ts
+++ b/packages/daemon/src/distribution/leader-view.ts
@@ -39,7 +39,7 @@
 	}
 
 	/** Whether this instance is the leader with a valid leader lease. */
-	get leads(): boolean {
+	get isLeader(): boolean {
 		const {base: {clock}, control} = this.#options;
 		return control.isLeader() && clock.monotonic() < (control.leaseValidUntil() ?? Number.NEGATIVE_INFINITY);
 	}
@@ -47,7 +47,7 @@
 	/** The leader, if known to the control role of this instance. */
 	get leader(): InstanceId | undefined {
 		const {base, control} = this.#options;
-		return this.leads ? base.settings.instance : control.leader();
+		return this.isLeader ? base.settings.instance : control.leader();
 	}
 
 	/**
@@ -63,10 +63,10 @@
 		}
 
 		const now = clock.monotonic();
-		const {leads} = this;
+		const {isLeader} = this;
 		configurations.offer(committed);
-		configurations.activateNewest({granted: leads && this.#term?.hasCaughtUp === true});
-		if (!leads) {
+		configurations.activateNewest({granted: isLeader && this.#term?.hasCaughtUp === true});
+		if (!isLeader) {
 			this.#tracker = undefined;
 			this.#term = undefined;
 			return false;
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -101,7 +101,7 @@
 			...options, leader: this.#leader, confirmation: this.#confirmation, zones: () => this.#zones(),
 		});
 		this.#watches = new EntryWatches({
-			...options, directory: this.#serverSync.directory, suspects: this.#suspectSync.book, currentUpdate: () => this.#entryUpdate(),
+			...options, directory: this.#serverSync.directory, suspects: this.#suspectSync.registry, currentUpdate: () => this.#entryUpdate(),
 			leases: new RateLeaseGrantor({
 				startedAt: options.processStartedAt,
 				directory: this.#serverSync.directory,
@@ -229,7 +229,7 @@
 				this.#suspectSync.receive(suspects);
 				return true;
 			})
-			.with({type: 'all-suspects'}, (): SuspectsMessage => ({type: 'suspects', records: this.#suspectSync.book.sharedRecords, isRelayed: true}))
+			.with({type: 'all-suspects'}, (): SuspectsMessage => ({type: 'suspects', records: this.#suspectSync.registry.sharedRecords, isRelayed: true}))
 			.with({type: 'watch'}, async watch => {
 				this.#evidence.merge(watch.evidence);
 				return this.#watches.answer(from, watch);
--- a/packages/gateway/src/control/suspect-sync.test.ts
+++ b/packages/gateway/src/control/suspect-sync.test.ts
@@ -63,7 +63,7 @@
 	sync.receive({type: 'suspects', records: [record(['c'])], isRelayed: true});
 	await delay(60);
 	t.deepEqual(sent.map(message => message.type === 'suspects' && message.records.map(({ends}) => ends.length)), [[3]]);
-	t.is(sync.book.status(fingerprint, 0), 'quarantined');
+	t.is(sync.registry.status(fingerprint, 0), 'quarantined');
 	sync.receive({type: 'suspects', records: [record(['a'])], isRelayed: false});
 	await delay(60);
 	t.is(sent.length, 1);
@@ -82,7 +82,7 @@
 	const {sync} = startSync({saved: [record(['a', 'b'])], known: [record(['c'])]});
 	await sync.start();
 	await delay(20);
-	t.is(sync.book.status(fingerprint, 0), 'quarantined');
+	t.is(sync.registry.status(fingerprint, 0), 'quarantined');
 	sync.stop();
 });
 
@@ -101,7 +101,7 @@
 	t.is(await sync.liftQuarantine(fingerprint), undefined);
 	sync.receive({type: 'suspects', records: [record(['a', 'b', 'c'])], isRelayed: true});
 	t.deepEqual(await sync.liftQuarantine(fingerprint), {isSaved: true});
-	t.is(sync.book.status(fingerprint, 0), 'unknown');
+	t.is(sync.registry.status(fingerprint, 0), 'unknown');
 	await delay(60);
 	t.true(sent.some(message => message.type === 'suspects' && message.records.every(({ends}) => ends.every(({isCleared}) => isCleared))));
 	sync.stop();
--- a/packages/gateway/src/control/suspect-sync.ts
+++ b/packages/gateway/src/control/suspect-sync.ts
@@ -53,7 +53,7 @@
 ```
 */
 export class SuspectSync {
-	readonly book = new SuspectRegistry();
+	readonly registry = new SuspectRegistry();
 	readonly #options: SuspectSyncOptions;
 	readonly #saver: ListSaver<SuspectRecord>;
 	readonly #unrelayed = new Set<RequestFingerprint>();
@@ -65,7 +65,7 @@
 	constructor(options: SuspectSyncOptions) {
 		this.#options = options;
 		this.#saver = new ListSaver({
-			current: () => ({cursor: this.book.cursor, items: this.book.sharedRecords}),
+			current: () => ({cursor: this.registry.cursor, items: this.registry.sharedRecords}),
 			saved: options.saved,
 		});
 	}
@@ -78,7 +78,7 @@
 		void this.#fetchAll();
 		await this.restore();
 		// Another instance may have lost its disk and requested the records before this instance could reply.
-		this.#broadcast(this.book.sharedRecords);
+		this.#broadcast(this.registry.sharedRecords);
 	}
 
 	stop(): void {
@@ -112,7 +112,7 @@
 	@returns Whether the change is saved to disk, or `undefined` if the request is unknown.
 	*/
 	async liftQuarantine(fingerprint: RequestFingerprint): Promise<QuarantineLiftResult | undefined> {
-		if (!this.book.clear(fingerprint)) {
+		if (!this.registry.clear(fingerprint)) {
 			return undefined;
 		}
 
@@ -129,8 +129,8 @@
 	*/
 	async list(): Promise<readonly ListedSuspect[]> {
 		await this.#saver.saveWithin(diskTimeoutMilliseconds);
-		const unsaved = new Set(this.book.changedSince(this.#saver.savedCursor));
-		return this.book.sharedRecords.map(record => ({...record, isSaved: !unsaved.has(record)}));
+		const unsaved = new Set(this.registry.changedSince(this.#saver.savedCursor));
+		return this.registry.sharedRecords.map(record => ({...record, isSaved: !unsaved.has(record)}));
 	}
 
 	/** Saves the shared records if they have changed. */
@@ -139,16 +139,16 @@
 	}
 
 	#merge(records: readonly SuspectRecord[], source: string): readonly SuspectRecord[] {
-		const {cursor} = this.book;
-		const changed = this.book.merge(records);
+		const {cursor} = this.registry;
+		const changed = this.registry.merge(records);
 		const now = this.#now();
 		for (const {fingerprint, ends} of changed) {
-			if (this.book.status(fingerprint, now) === 'quarantined') {
+			if (this.registry.status(fingerprint, now) === 'quarantined') {
 				this.#options.log('request-quarantined', {fingerprint, processes: ends.map(({process}) => process), source}, 'warn');
 			}
 		}
 
-		if (this.book.cursor !== cursor) {
+		if (this.registry.cursor !== cursor) {
 			this.#options.onChange();
 			// Saved immediately, because requests that crash servers may bring down all instances within a short time.
 			void this.save();
@@ -161,15 +161,15 @@
 		this.#unrelayed.add(fingerprint);
 		this.#relayTimer ??= setTimeout(() => {
 			this.#relayTimer = undefined;
-			this.#broadcast([...this.#unrelayed].flatMap(known => this.book.get(known) ?? []));
+			this.#broadcast([...this.#unrelayed].flatMap(known => this.registry.get(known) ?? []));
 			this.#unrelayed.clear();
 		}, relayDelayMilliseconds);
 	}
 
 	#runSync(): void {
-		this.book.deleteExpired(this.#now());
+		this.registry.deleteExpired(this.#now());
 		void this.save();
-		const known = this.book.sharedRecords;
+		const known = this.registry.sharedRecords;
 		if (known.length === 0) {
 			return;
 		}
--- a/packages/gateway/src/entry/entry-instance-options.ts
+++ b/packages/gateway/src/entry/entry-instance-options.ts
@@ -47,7 +47,7 @@
 	/** Sends a message without waiting for a reply. */
 	readonly send: (to: InstanceId, message: LoadMessage) => void;
 	/** Reports suspects to a control instance; resolves to whether it acknowledged them within the timeout in milliseconds. */
-	readonly tell: (to: InstanceId, message: SuspectsMessage, timeout: number) => Promise<boolean>;
+	readonly reportSuspects: (to: InstanceId, message: SuspectsMessage, timeout: number) => Promise<boolean>;
 	readonly wait: (milliseconds: number) => Promise<void>;
 	/** Parses a configuration document. */
 	readonly parse: (document: string) => Either<Failure, RoutingConfiguration>;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -93,7 +93,7 @@
 				this.#reporter.report(fingerprint);
 			},
 		});
-		this.#reporter = new SuspectReporter({book: suspects.book, tell: options.tell});
+		this.#reporter = new SuspectReporter({registry: suspects.registry, send: options.reportSuspects});
 		this.#context = {
 			...options,
 			lease: new ConfigurationLease({
--- a/packages/gateway/src/entry/entry-suspects.test.ts
+++ b/packages/gateway/src/entry/entry-suspects.test.ts
@@ -39,9 +39,9 @@
 test('a broken connection counts against a request only if the server process has ended', async t => {
 	const {suspects, changed} = createSuspects({ended: ['ended']});
 	t.is(await suspects.recordLoss({fingerprint, request: 'a1', server: server('running')}), 'running');
-	t.is(suspects.standing(fingerprint), 'unknown');
+	t.is(suspects.statusOf(fingerprint), 'unknown');
 	t.is(await suspects.recordLoss({fingerprint, request: 'a1', server: server('ended')}), 'ended');
-	t.is(suspects.standing(fingerprint), 'suspect');
+	t.is(suspects.statusOf(fingerprint), 'suspect');
 	t.deepEqual(changed, [fingerprint]);
 });
 
@@ -49,7 +49,7 @@
 	const {suspects, checks} = createSuspects({ended: ['ended']});
 	const findings = await Promise.all([fingerprint, other].map(async known => suspects.recordLoss({fingerprint: known, request: 'a1', server: server('ended')})));
 	t.deepEqual(findings, ['ended', 'already-ended']);
-	t.deepEqual([fingerprint, other].map(known => suspects.standing(known)), ['suspect', 'suspect']);
+	t.deepEqual([fingerprint, other].map(known => suspects.statusOf(known)), ['suspect', 'suspect']);
 	t.deepEqual(checks, ['ended']);
 });
 
@@ -74,12 +74,12 @@
 		quarantined.push(known);
 	});
 	suspects.merge([{fingerprint, ends: ['a', 'b'].map(process => ({process, at: 0, isCleared: false}))}], control);
-	t.is(suspects.standing(fingerprint), 'doubtful');
+	t.is(suspects.statusOf(fingerprint), 'doubtful');
 	await suspects.recordLoss({fingerprint, request: 'a1', server: server('c')});
 	t.deepEqual(quarantined, [fingerprint]);
 	stop();
 	suspects.merge([{fingerprint: other, ends: ['a', 'b', 'c'].map(process => ({process, at: 0, isCleared: false}))}], control);
-	t.is(suspects.standing(other), 'quarantined');
+	t.is(suspects.statusOf(other), 'quarantined');
 	t.deepEqual(quarantined, [fingerprint]);
 });
 
@@ -89,6 +89,6 @@
 	suspects.recordAnswered(fingerprint);
 	suspects.recordAnswered(fingerprint);
 	suspects.recordAnswered(other);
-	t.is(suspects.standing(fingerprint), 'unknown');
+	t.is(suspects.statusOf(fingerprint), 'unknown');
 	t.deepEqual(changed, [fingerprint, fingerprint]);
 });
--- a/packages/gateway/src/entry/entry-suspects.ts
+++ b/packages/gateway/src/entry/entry-suspects.ts
@@ -45,7 +45,7 @@
 ```
 */
 export class EntrySuspects {
-	readonly book = new SuspectRegistry();
+	readonly registry = new SuspectRegistry();
 	readonly #options: EntrySuspectsOptions;
 	/** Checks in progress; all requests that were in flight at a process share one check. */
 	readonly #checks = new Map<string, Promise<boolean>>();
@@ -62,8 +62,8 @@
 	@param fingerprint The request.
 	@returns Its standing.
 	*/
-	standing(fingerprint: RequestFingerprint): SuspectStatus {
-		return this.book.status(fingerprint, this.#now());
+	statusOf(fingerprint: RequestFingerprint): SuspectStatus {
+		return this.registry.status(fingerprint, this.#now());
 	}
 
 	/**
@@ -80,9 +80,9 @@
 
 		const isKnown = this.#ended.peek(process) === true;
 		this.#ended.set(process, true);
-		if (this.book.recordExit(fingerprint, {process, at: this.#now()})) {
+		if (this.registry.recordExit(fingerprint, {process, at: this.#now()})) {
 			this.#options.log('request-suspected', {
-				request, fingerprint, server: server.id, startedAt: server.startedAt, standing: this.standing(fingerprint),
+				request, fingerprint, server: server.id, startedAt: server.startedAt, standing: this.statusOf(fingerprint),
 			}, 'warn');
 			this.#options.onChanged(fingerprint);
 			this.#notifyQuarantine(fingerprint, {source: 'own'});
@@ -97,7 +97,7 @@
 	@param fingerprint The request.
 	*/
 	recordAnswered(fingerprint: RequestFingerprint): void {
-		if (this.book.clear(fingerprint)) {
+		if (this.registry.clear(fingerprint)) {
 			this.#options.log('request-cleared', {fingerprint});
 			this.#options.onChanged(fingerprint);
 		}
@@ -110,11 +110,11 @@
 	@param source The control instance.
 	*/
 	merge(records: readonly SuspectRecord[], source: InstanceId): void {
-		for (const {fingerprint} of this.book.merge(records)) {
+		for (const {fingerprint} of this.registry.merge(records)) {
 			this.#notifyQuarantine(fingerprint, {source});
 		}
 
-		this.book.deleteExpired(this.#now());
+		this.registry.deleteExpired(this.#now());
 	}
 
 	/**
@@ -135,11 +135,11 @@
 	}
 
 	#notifyQuarantine(fingerprint: RequestFingerprint, {source}: {readonly source: string}): void {
-		if (this.standing(fingerprint) !== 'quarantined') {
+		if (this.statusOf(fingerprint) !== 'quarantined') {
 			return;
 		}
 
-		const processes = this.book.get(fingerprint)?.ends.map(({process}) => process);
+		const processes = this.registry.get(fingerprint)?.ends.map(({process}) => process);
 		this.#options.log('request-quarantined', {fingerprint, processes, source}, 'warn');
 		for (const listener of this.#listeners) {
 			listener(fingerprint);
--- a/packages/gateway/src/entry/suspect-reporter.test.ts
+++ b/packages/gateway/src/entry/suspect-reporter.test.ts
@@ -10,8 +10,8 @@
 	const suspects = new SuspectRegistry();
 	const sent: string[] = [];
 	const reporter = new SuspectReporter({
-		book: suspects,
-		async tell(to, {records}) {
+		registry: suspects,
+		async send(to, {records}) {
 			sent.push(`${to} ${records.map(({fingerprint, ends}) => `${fingerprint}:${ends.length}`).join(',')}`);
 			await Promise.resolve();
 			return answers(to);
--- a/packages/gateway/src/entry/suspect-reporter.ts
+++ b/packages/gateway/src/entry/suspect-reporter.ts
@@ -4,9 +4,9 @@
 
 /** Options of {@linkcode SuspectReporter}. */
 export type SuspectReporterOptions = {
-	readonly book: Pick<SuspectRegistry, 'get' | 'sharedRecords'>;
+	readonly registry: Pick<SuspectRegistry, 'get' | 'sharedRecords'>;
 	/** Sends a report to a control instance; resolves to whether it was acknowledged within the timeout in milliseconds. */
-	readonly tell: (to: InstanceId, message: SuspectsMessage, timeout: number) => Promise<boolean>;
+	readonly send: (to: InstanceId, message: SuspectsMessage, timeout: number) => Promise<boolean>;
 };
 
 type ReportTarget = {
@@ -25,7 +25,7 @@
 
 @example
 ```ts
-const reporter = new SuspectReporter({book, tell});
+const reporter = new SuspectReporter({registry, send});
 reporter.addControl(control, run);
 reporter.report(fingerprint);
 ```
@@ -49,7 +49,7 @@
 			return;
 		}
 
-		this.#targets.set(target, {run, pending: new Set(this.#options.book.sharedRecords.map(({fingerprint}) => fingerprint)), isSending: false});
+		this.#targets.set(target, {run, pending: new Set(this.#options.registry.sharedRecords.map(({fingerprint}) => fingerprint)), isSending: false});
 		void this.#sendPending(target);
 	}
 
@@ -75,7 +75,7 @@
 		target.isSending = true;
 		while (target.pending.size > 0) {
 			const records = this.#takePending(target);
-			if (!await this.#options.tell(to, {type: 'suspects', records, isRelayed: false}, reportTimeoutMilliseconds)) {
+			if (!await this.#options.send(to, {type: 'suspects', records, isRelayed: false}, reportTimeoutMilliseconds)) {
 				this.#remove(to, target);
 				return;
 			}
@@ -87,7 +87,7 @@
 	#takePending({pending}: ReportTarget): readonly SuspectRecord[] {
 		const records: SuspectRecord[] = [];
 		for (const fingerprint of pending) {
-			const record = this.#options.book.get(fingerprint);
+			const record = this.#options.registry.get(fingerprint);
 			if (record !== undefined) {
 				records.push(record);
 			}
--- a/packages/gateway/src/entry/suspect-request.test.ts
+++ b/packages/gateway/src/entry/suspect-request.test.ts
@@ -22,7 +22,7 @@
 function recordServerEnds(count: number) {
 	return ({suspects}: Pick<EntryContext, 'suspects'>): void => {
 		for (let index = 0; index < count; index++) {
-			suspects.book.recordExit(fingerprint, {process: `former ${index}`, at: Date.now()});
+			suspects.registry.recordExit(fingerprint, {process: `former ${index}`, at: Date.now()});
 		}
 	};
 }
@@ -71,7 +71,7 @@
 	});
 	t.like(result, {status: 502, text: 'outcome-unknown'});
 	t.is(result.models.length, 3);
-	t.true(known?.suspects.book.isEmpty);
+	t.true(known?.suspects.registry.isEmpty);
 });
 
 test('a complete answer clears a request during which two servers ended', async t => {
@@ -85,7 +85,7 @@
 		},
 	});
 	t.like(result, {status: 200, text: 'printed'});
-	t.is(known?.suspects.standing(fingerprint), 'unknown');
+	t.is(known?.suspects.statusOf(fingerprint), 'unknown');
 });
 
 test('a send that waits for an answer is cancelled when the request is quarantined elsewhere', async t => {
@@ -142,7 +142,7 @@
 		},
 	});
 	t.is(result.status, 200);
-	t.deepEqual(known?.suspects.book.get(fingerprint)?.ends.map(({isCleared}) => isCleared), [true]);
+	t.deepEqual(known?.suspects.registry.get(fingerprint)?.ends.map(({isCleared}) => isCleared), [true]);
 });
 
 test('the end of one process counts once against its version, however many requests it had', async t => {
--- a/packages/gateway/src/entry/suspect-request.ts
+++ b/packages/gateway/src/entry/suspect-request.ts
@@ -36,12 +36,12 @@
 
 	/** The standing of the request, based on the server processes that ended during it. */
 	get standing(): SuspectStatus {
-		return this.#suspects.book.isEmpty ? 'unknown' : this.#suspects.standing(this.fingerprint);
+		return this.#suspects.registry.isEmpty ? 'unknown' : this.#suspects.statusOf(this.fingerprint);
 	}
 
 	/** The failure for a quarantined request. It is final: it neither asks the caller to retry nor states that the request has not run. */
 	get refusal(): Failure {
-		const ends = this.#suspects.book.get(this.fingerprint)?.ends.length ?? 0;
+		const ends = this.#suspects.registry.get(this.fingerprint)?.ends.length ?? 0;
 		return failure('request-quarantined', `The request is quarantined because ${ends} backend servers ended while processing it (${this.fingerprint})`);
 	}
 
@@ -57,7 +57,7 @@
 
 	/** Records that a server answered the request completely. */
 	recordAnswered(): void {
-		if (!this.#suspects.book.isEmpty) {
+		if (!this.#suspects.registry.isEmpty) {
 			this.#suspects.recordAnswered(this.fingerprint);
 		}
 	}
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -221,7 +221,7 @@
 		send(to, message) {
 			context.network.send(peerAddress(settings(), to), message);
 		},
-		tell: async (to, message, timeout) => await requestPeer(context, to, {message, timeout}) !== undefined,
+		reportSuspects: async (to, message, timeout) => await requestPeer(context, to, {message, timeout}) !== undefined,
 		wait: delay,
 		parse: decodeConfiguration,
 	});
