Soak: a zone is evacuated beside the faults

Change: one of three servers of each service stands in another zone, which the operator evacuates for three quarters of the traffic with faults, beside configurations. Checked: no request of an undisturbed entry instance runs there later than 5 s after the acknowledgement, and both orders are acknowledged.

--- a/packages/soak/src/find-violations.test.ts
+++ b/packages/soak/src/find-violations.test.ts
@@ -4,7 +4,9 @@
 	emptyRecord, type ObservedRequest, type SoakRecord, completeResponse,
 } from './soak-record.js';
 
-const limits = {revocation: 2500, shutdown: 2500, configuration: 2000};
+const limits = {
+	revocation: 2500, shutdown: 2500, configuration: 2000, evacuation: 5000,
+};
 const request: ObservedRequest = {
 	id: '1-1', kind: 'unsafe', key: 'key-1', entry: 'front-1:1', sentAt: 1000, status: 200, text: completeResponse('1-1', 'unsafe'), isComplete: true,
 };
@@ -17,6 +19,9 @@
 test('a valid record has no violations', t => {
 	t.deepEqual(findViolations(validRecord, limits), []);
 	t.deepEqual(findViolations({...validRecord, reads: [{version: 1, askedAt: 5000, control: 'core-1'}], shutdowns: [{server: 'i-1', acknowledgedAt: 900, control: 'core-1:1'}]}, limits), []);
+	const inZone = {...validRecord, runs: [{...run, zone: 'hall-b'}]};
+	t.deepEqual(findViolations({...inZone, evacuations: [{zone: 'hall-b', acknowledgedAt: -3000, endOrderedAt: undefined}]}, limits), [], 'within the limit');
+	t.deepEqual(findViolations({...inZone, evacuations: [{zone: 'hall-b', acknowledgedAt: -6000, endOrderedAt: 1000}]}, limits), [], 'after the end');
 	const cutOff = {ip: 'front-1', from: -2500, to: 500};
 	t.deepEqual(findViolations({...validRecord, shutdowns: [shutdown], disturbances: [cutOff]}, limits), []);
 });
@@ -29,6 +34,7 @@
 	['revoked keys', {...validRecord, requests: [{...request, sentAt: 4000}], revocations: [{key: 'key-1', acknowledgedAt: 1400}]}],
 	['shutdown of servers', {...validRecord, shutdowns: [shutdown]}],
 	['shutdown of servers', {...validRecord, shutdowns: [shutdown], disturbances: [{ip: 'front-2', from: -2500, to: 500}]}],
+	['evacuated zones', {...validRecord, runs: [{...run, zone: 'hall-b'}], evacuations: [{zone: 'hall-b', acknowledgedAt: -5000, endOrderedAt: 2000}]}],
 	['configuration', {...validRecord, reads: [{version: 0, askedAt: 3000, control: 'core-1'}]}],
 	['configuration', {...validRecord, finalVersion: undefined}],
 	['recovery', {...validRecord, unrecovered: ['front-1']}],
--- a/packages/soak/src/find-violations.ts
+++ b/packages/soak/src/find-violations.ts
@@ -8,6 +8,8 @@
 	readonly shutdown: number;
 	/** From the acknowledgement of a configuration until the last read of an older one. */
 	readonly configuration: number;
+	/** From the acknowledgement of an evacuation until the last request runs in its zone. */
+	readonly evacuation: number;
 };
 
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -23,7 +25,7 @@
 @returns A line for each violation.
 @example
 ```ts
-findViolations(record, {revocation: 5000, shutdown: 2500, configuration: 2000});
+findViolations(record, {revocation: 5000, shutdown: 2500, configuration: 2000, evacuation: 5000});
 ```
 */
 export function findViolations(record: SoakRecord, limits: GuaranteeLimits): readonly string[] {
@@ -32,6 +34,7 @@
 		...findResponseViolations(record),
 		...findRevocationViolations(record, limits),
 		...findShutdownViolations(record, limits),
+		...findEvacuationViolations(record, limits),
 		...findConfigurationViolations(record, limits),
 		...findRecoveryViolations(record),
 	];
@@ -109,6 +112,21 @@
 	return violations;
 }
 
+function findEvacuationViolations({requests, runs, evacuations, disturbances}: SoakRecord, {evacuation}: GuaranteeLimits): readonly string[] {
+	const entryByRequest = new Map(requests.map(({id, entry}) => [id, entry]));
+	const violations: string[] = [];
+	for (const {zone, acknowledgedAt, endOrderedAt = Number.POSITIVE_INFINITY} of evacuations) {
+		for (const run of runs) {
+			const isEvacuated = run.zone === zone && run.at > acknowledgedAt + evacuation && run.at < endOrderedAt;
+			if (isEvacuated && !isDisturbed(disturbances, {address: entryByRequest.get(run.id) ?? '', from: acknowledgedAt, to: run.at})) {
+				violations.push(`evacuated zones: ${run.id} ran at ${run.server} in ${zone} ${Math.round(run.at - acknowledgedAt)} ms after the acknowledgement`);
+			}
+		}
+	}
+
+	return violations;
+}
+
 type Interval = {
 	readonly address: string;
 	readonly from: number;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -7,7 +7,9 @@
 import {injectFault} from './inject-fault.js';
 import {type Fault, planFaults} from './plan-faults.js';
 import {SoakCallers} from './soak-callers.js';
-import {dataFolderVariable, proxyPorts, addressVariable} from './soak-environment.js';
+import {
+	addressVariable, dataFolderVariable, evacuatedZone, proxyPorts,
+} from './soak-environment.js';
 import {SoakNetwork} from './soak-network.js';
 import {SoakOperator} from './soak-operator.js';
 import {emptyRecord, type RequestKind, type SoakRecord} from './soak-record.js';
@@ -36,8 +38,12 @@
 
 const revocationMilliseconds = 2500;
 /** The revocation limit has a margin of half a second, because all processes share one machine and an acknowledgement is recorded only when it arrives. */
-const limits = {revocation: revocationMilliseconds + 500, shutdown: 2500, configuration: 2000};
+const limits = {
+	revocation: revocationMilliseconds + 500, shutdown: 2500, configuration: 2000, evacuation: 5000,
+};
 const pollIntervalMilliseconds = 250;
+/** How long a zone is evacuated, as a share of the traffic with faults; longer than the limit that is checked. */
+const evacuatedShare = 0.75;
 const recoveryMilliseconds = 20_000;
 /** The address of all backend servers, which differ by port. */
 const serverHost = '127.0.0.2';
@@ -87,6 +93,7 @@
 			throw new Error(`Expected a successful response from ${entry} before the faults start`);
 		});
 		callers.start();
+		const evacuation = operator.evacuate(evacuatedZone, evacuatedShare * length);
 		const polling = pollConfigurations({operator, controls: controlAddresses, until: now() + length});
 		const injection = injectFaults(faults, {
 			deployment, network, servers, operator, serverHost, record,
@@ -94,6 +101,7 @@
 		// Faults end after their durations, but a change of the configuration waits for its acknowledgement.
 		await Promise.race([injection, sleep(length + recoveryMilliseconds)]);
 		await polling;
+		await Promise.race([evacuation, sleep(recoveryMilliseconds)]);
 		if (!operator.isIdle) {
 			record.unrecovered.push('an operator whose change was not acknowledged');
 		}
--- a/packages/soak/src/soak-environment.ts
+++ b/packages/soak/src/soak-environment.ts
@@ -21,3 +21,6 @@
 
 /** The port on which instances listen for their peers, and the port of the proxy in front of it. */
 export const proxyPorts = {peers: 7340, proxied: 7390} as const;
+
+/** The availability zone that the operator of a soak evacuates. */
+export const evacuatedZone = 'hall-b';
--- a/packages/soak/src/soak-operator.ts
+++ b/packages/soak/src/soak-operator.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {sendForResponse, sendForStatus} from '@valehitch/testing';
 import {soakConfiguration} from './soak-configuration.js';
-import {type SoakRecord} from './soak-record.js';
+import {type ObservedEvacuation, type SoakRecord} from './soak-record.js';
 
 /** Options for the operator of a soak. */
 export type SoakOperatorOptions = {
@@ -72,6 +72,28 @@
 		});
 	}
 
+	/**
+	Evacuates an availability zone for a time, beside the configurations.
+
+	@param zone The zone.
+	@param duration How long the zone stays evacuated after the acknowledgement, in milliseconds.
+	*/
+	async evacuate(zone: string, duration: number): Promise<void> {
+		const {record, now} = this.#options;
+		if (!await this.#order('POST', zone)) {
+			record.unrecovered.push('an operator whose evacuation was not acknowledged');
+			return;
+		}
+
+		const evacuation: ObservedEvacuation = {zone, acknowledgedAt: now(), endOrderedAt: undefined};
+		record.evacuations.push(evacuation);
+		await sleep(duration);
+		evacuation.endOrderedAt = now();
+		if (!await this.#order('DELETE', zone)) {
+			record.unrecovered.push('an operator whose end of an evacuation was not acknowledged');
+		}
+	}
+
 	/**
 	Reads the configuration from one control instance, and records its version.
 
@@ -132,4 +154,22 @@
 
 		return false;
 	}
+
+	/** Sends an order about a zone to one control instance after another until one acknowledges it. */
+	async #order(method: 'POST' | 'DELETE', zone: string): Promise<boolean> {
+		while (!this.#isStopped) {
+			for (const address of this.#options.controls) {
+				const status = await sendForStatus({
+					method, address, path: `/-/evacuations/${zone}`, body: undefined, timeout: callTimeoutMilliseconds,
+				});
+				if (status === acknowledgedStatus) {
+					return true;
+				}
+			}
+
+			await sleep(retryDelayMilliseconds);
+		}
+
+		return false;
+	}
 }
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -20,10 +20,20 @@
 export type ObservedRun = {
 	readonly id: string;
 	readonly server: string;
+	/** The availability zone of the server. */
+	readonly zone?: string;
 	/** The time on the clock of the soak, in milliseconds. */
 	readonly at: number;
 };
 
+/** One evacuation of an availability zone as observed by its operator. */
+export type ObservedEvacuation = {
+	readonly zone: string;
+	readonly acknowledgedAt: number;
+	/** When the end of the evacuation was first ordered; undefined if it was not. */
+	endOrderedAt: number | undefined;
+};
+
 /** A configuration that an operator submitted and a control instance acknowledged. */
 export type AcknowledgedConfiguration = {
 	readonly version: number;
@@ -54,6 +64,8 @@
 	readonly revocations: Array<{readonly key: string; readonly acknowledgedAt: number}>;
 	/** The backend servers that announced a shutdown, and when each announcement was acknowledged. */
 	readonly shutdowns: Array<{readonly server: string; readonly acknowledgedAt: number; readonly control: string}>;
+	/** The evacuations of availability zones. */
+	readonly evacuations: ObservedEvacuation[];
 	/** When faults disturbed which process. The limit on shutdowns applies only to undisturbed processes. */
 	readonly disturbances: Disturbance[];
 	/** What did not recover in time after the last fault: entry instances that did not serve, or an operator whose change was not acknowledged. */
@@ -75,7 +87,7 @@
 */
 export function emptyRecord(): SoakRecord {
 	return {
-		requests: [], runs: [], configurations: [], reads: [], revocations: [], shutdowns: [], disturbances: [], unrecovered: [], unexpectedExits: [], finalVersion: undefined,
+		requests: [], runs: [], configurations: [], reads: [], revocations: [], shutdowns: [], evacuations: [], disturbances: [], unrecovered: [], unexpectedExits: [], finalVersion: undefined,
 	};
 }
 
--- a/packages/soak/src/soak-servers.ts
+++ b/packages/soak/src/soak-servers.ts
@@ -2,7 +2,10 @@
 	FakeBackendServer, type FakeBackendResponse, type ExecutedRequest,
 } from '@valehitch/testing';
 import {type SoakNetwork} from './soak-network.js';
-import {streamEvents, type SoakRecord, completeResponse} from './soak-record.js';
+import {evacuatedZone} from './soak-environment.js';
+import {
+	completeResponse, type ObservedRun, type SoakRecord, streamEvents,
+} from './soak-record.js';
 
 /** Options for the backend servers of a soak. */
 export type SoakServersOptions = {
@@ -18,6 +21,7 @@
 type SoakServer = {
 	readonly id: string;
 	readonly service: SoakService;
+	readonly zone: string;
 	readonly backend: FakeBackendServer;
 	isDraining: boolean;
 };
@@ -27,6 +31,8 @@
 
 const services: readonly SoakService[] = ['models', 'labels'];
 const serversPerService = 3;
+/** The availability zones of the servers of a service; the entry instances are in the first. */
+const serverZones = ['hall-a', 'hall-a', evacuatedZone] as const;
 const heartbeatMilliseconds = 300;
 /** The time for which a server that shuts down keeps serving after the acknowledgement, as the platform specifies. */
 const shutdownGraceMilliseconds = 6000;
@@ -55,7 +61,7 @@
 	async start(): Promise<void> {
 		for (const service of services) {
 			for (let index = 0; index < serversPerService; index++) {
-				await this.#addServer(service);
+				await this.#addServer(service, serverZones[index]!);
 			}
 		}
 
@@ -73,7 +79,7 @@
 	*/
 	async shutDown(pick: number): Promise<void> {
 		const server = this.#select(pick);
-		await this.#addServer(server.service);
+		await this.#addServer(server.service, server.zone);
 		server.isDraining = true;
 		const control = await this.#announce(server, 'draining');
 		if (control !== undefined) {
@@ -93,7 +99,7 @@
 	async crash(pick: number): Promise<void> {
 		const server = this.#select(pick);
 		this.#stop(server);
-		await this.#addServer(server.service);
+		await this.#addServer(server.service, server.zone);
 	}
 
 	close(): void {
@@ -108,24 +114,24 @@
 		return candidates[Math.floor(pick * candidates.length)]!;
 	}
 
-	async #addServer(service: SoakService): Promise<void> {
+	async #addServer(service: SoakService, zone: string): Promise<void> {
 		const {network, host} = this.#options;
 		const id = `i-${++this.#serverCount}`;
 		let announcedPort = 0;
 		const backend = await FakeBackendServer.start({
-			id, service, host, answer: run => this.#recordRun(id, run), announcedPort: () => announcedPort,
+			id, service, host, zone, answer: run => this.#recordRun(run, {server: id, zone}), announcedPort: () => announcedPort,
 		});
 		const proxy = await network.addProxy({host, port: 0, target: {host, port: backend.port}});
 		announcedPort = proxy.port;
 		const server = {
-			id, service, backend, isDraining: false,
+			id, service, zone, backend, isDraining: false,
 		};
 		this.#servers.add(server);
 		await this.#announce(server, 'ready');
 	}
 
-	#recordRun(id: string, {id: request, model}: ExecutedRequest): FakeBackendResponse {
-		this.#options.record.runs.push({id: request, server: id, at: this.#options.now()});
+	#recordRun({id: request, model}: ExecutedRequest, place: Pick<ObservedRun, 'server' | 'zone'>): FakeBackendResponse {
+		this.#options.record.runs.push({id: request, ...place, at: this.#options.now()});
 		return model === undefined
 			? {events: [completeResponse(request, 'safe')]}
 			: {events: streamEvents(request), gap: eventIntervalMilliseconds, confidence: model === 'small' && request.endsWith('3') ? 20 : 90};
