--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -1,5 +1,5 @@
 import {
-	type InstanceId, type RequestFingerprint, type ServerId, type ServiceId, SuspensionDetector, type ZoneId,
+	type InstanceId, type RequestFingerprint, type ServerId, SuspensionDetector, type ZoneId,
 } from '@valehitch/core';
 import {match, P} from 'ts-pattern';
 import {EvidenceTable} from '../rollouts/evidence-table.js';
@@ -7,7 +7,7 @@
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
 import {noEvacuations} from '../servers/evacuations.js';
 import {type ServerRecord} from '../servers/server-record.js';
-import {type ColdLimit, ColdLimits} from './cold-limits.js';
+import {ColdServers} from './cold-servers.js';
 import {ControlReplica} from './control-replica.js';
 import {type ControlInstanceOptions} from './control-instance-options.js';
 import {type GatewayCommand} from './gateway-command.js';
@@ -18,7 +18,6 @@
 	type ConfirmReply, type JoinReply, type PeerMessage, type ServersReply, type SuspectsMessage,
 } from './peer-message.js';
 import {type OpenedDataFolder, ControlReplicaSupervisor} from './control-replica-supervisor.js';
-import {RateLeaseGrantor} from './rate-lease-grantor.js';
 import {RolloutClock} from './rollout-clock.js';
 import {RolloutController} from './rollout-controller.js';
 import {ServerDirectorySync} from './server-directory-sync.js';
@@ -56,7 +55,7 @@
 	readonly #rolloutController: RolloutController;
 	readonly #supervisor: ControlReplicaSupervisor;
 	readonly #confirmation: StateConfirmation;
-	readonly #coldLimits: ColdLimits;
+	readonly #coldServers: ColdServers;
 	#timers: NodeJS.Timeout[] = [];
 
 	constructor(options: ControlInstanceOptions) {
@@ -69,7 +68,6 @@
 				this.#confirmation.reset();
 			},
 		});
-		this.#coldLimits = new ColdLimits({...options, tolerance: options.coldTolerance});
 		this.#rolloutClock = new RolloutClock(options.clock);
 		this.#serverSync = new ServerDirectorySync({
 			...options,
@@ -100,14 +98,17 @@
 		this.operators = new OperatorApi({
 			...options, leader: this.#leader, confirmation: this.#confirmation, zones: () => this.#zones(),
 		});
+		this.#coldServers = new ColdServers({
+			...options,
+			tolerance: options.coldTolerance,
+			startedAt: options.processStartedAt,
+			directory: this.#serverSync.directory,
+			configuration: () => this.#replica?.state.configuration,
+			grantors: () => this.#peers().length + 1,
+		});
 		this.#watches = new EntryWatches({
 			...options, directory: this.#serverSync.directory, suspects: this.#suspectSync.registry, currentUpdate: () => this.#entryUpdate(),
-			leases: new RateLeaseGrantor({
-				startedAt: options.processStartedAt,
-				directory: this.#serverSync.directory,
-				limitOf: service => this.#coldLimitOf(service),
-				grantors: () => this.#peers().length + 1,
-			}),
+			leases: this.#coldServers.leases,
 		});
 		this.#rolloutController = new RolloutController({
 			log: options.log,
@@ -287,7 +288,7 @@
 					target: zone, isEvacuated, index, result,
 				}, 'warn');
 				if (!isEvacuated) {
-					this.#requireColdReports(zone);
+					this.#coldServers.requireReports(zone);
 				}
 			})
 			.exhaustive();
@@ -296,19 +297,6 @@
 		void this.#confirmation.confirm();
 	}
 
-	/** The servers of a zone whose evacuation ends may have become cold since their last announcement. */
-	#requireColdReports(zone: ZoneId): void {
-		const {clock, heartbeatMilliseconds} = this.#options;
-		const now = clock.monotonic();
-		this.#serverSync.directory.requireCold(zone, ({service}) => ({
-			until: now + (this.#coldLimitOf(service)?.duration ?? 0), confirmedFrom: now + heartbeatMilliseconds,
-		}));
-	}
-
-	#coldLimitOf(service: ServiceId): ColdLimit | undefined {
-		return this.#coldLimits.of(service, this.#replica?.state.configuration);
-	}
-
 	/** The zones of the settings and those of the known servers. */
 	#zones(): readonly ZoneId[] {
 		return [...new Set([...this.#options.zones(), ...this.#serverSync.directory.records.map(({zone}) => zone)])];
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -220,7 +220,7 @@
 			zone: this.#options.zone,
 			configurationVersion: this.#table?.version,
 			rolloutDigest: this.#rollouts.digest,
-			evacuationRevision: this.#context.servers.evacuationRevision,
+			evacuationRevision: this.#context.servers.evacuations.revision,
 			evidence: delta.takeChanged(this.#context.evidence.countersOf(this.#rollouts.runningServices), this.#options.clock.monotonic()),
 		};
 	}
@@ -270,7 +270,7 @@
 			return;
 		}
 
-		this.#options.metrics.evacuatedZones.set(servers.evacuatedZoneCount);
+		this.#options.metrics.evacuatedZones.set(servers.evacuations.zones.size);
 		for (const {zone, isEvacuated, revision} of evacuations.zones) {
 			this.#options.log('evacuation-adopted', {
 				target: zone, isEvacuated, revision, source,
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -1,12 +1,12 @@
 import {
-	type InstanceId, type ServerId, type ServiceId, type ZoneId,
+	type InstanceId, type ServerId, type ServiceId,
 } from '@valehitch/core';
 import {
 	chooseServer, LeasedRateLimiter, OutlierEjection, prefixHash, type ReceivedRateLeases, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
 import {compareStartTimes} from '../servers/compare-start-times.js';
-import {type Evacuations, evacuatedZones, noEvacuations} from '../servers/evacuations.js';
+import {type Evacuations} from '../servers/evacuations.js';
 import {hasReplaced} from '../servers/has-replaced.js';
 import {isLaterState} from '../servers/is-later-state.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
@@ -16,6 +16,7 @@
 	type ApplyRecordsOptions, type BeginSendOptions, type EntryServersOptions, type SendResult,
 } from './entry-servers-options.js';
 import {type FindServerOptions} from './find-server-options.js';
+import {KnownEvacuations} from './known-evacuations.js';
 import {
 	TrackedServer, type ProcessState, type SendLoad, noOpLoad,
 } from './tracked-server.js';
@@ -55,8 +56,7 @@
 	readonly #zones = new ZoneFailureDetector();
 	readonly #liveness = new ServerLivenessTable();
 	readonly #limiter: LeasedRateLimiter;
-	#evacuations = noEvacuations;
-	#evacuatedZones: ReadonlySet<ZoneId> = new Set();
+	readonly #evacuations = new KnownEvacuations();
 
 	constructor(options: EntryServersOptions) {
 		this.#options = options;
@@ -87,14 +87,9 @@
 		return changed;
 	}
 
-	/** The revision of the known evacuations. */
-	get evacuationRevision(): number {
-		return this.#evacuations.revision;
-	}
-
-	/** The number of availability zones whose servers get no requests. */
-	get evacuatedZoneCount(): number {
-		return this.#evacuatedZones.size;
+	/** The known evacuations. */
+	get evacuations(): Pick<KnownEvacuations, 'revision' | 'zones'> {
+		return this.#evacuations;
 	}
 
 	/**
@@ -105,21 +100,15 @@
 	@returns Whether they are newer.
 	*/
 	applyEvacuations(evacuations: Evacuations, now: number): boolean {
-		if (evacuations.revision <= this.#evacuations.revision) {
-			return false;
-		}
-
-		const previous = this.#evacuatedZones;
-		this.#evacuations = evacuations;
-		this.#evacuatedZones = evacuatedZones(evacuations);
+		const ended = this.#evacuations.update(evacuations);
+		const {coldDurationOf, heartbeatMilliseconds = 0} = this.#options;
 		for (const {record, cold} of this.#servers.values()) {
-			if (previous.has(record.zone) && !this.#evacuatedZones.has(record.zone)) {
-				const {coldDurationOf, heartbeatMilliseconds = 0} = this.#options;
+			if (ended?.has(record.zone) === true) {
 				cold.require({until: now + (coldDurationOf?.(record.service) ?? 0), confirmedFrom: now + heartbeatMilliseconds});
 			}
 		}
 
-		return true;
+		return ended !== undefined;
 	}
 
 	/**
@@ -129,20 +118,8 @@
 	@returns Whether that is so; false if no server is known.
 	*/
 	isEvacuated(service: ServiceId): boolean {
-		let hasServer = false;
-		for (const {record} of this.#servers.values()) {
-			if (record.service !== service || record.state !== 'ready') {
-				continue;
-			}
-
-			if (!this.#evacuatedZones.has(record.zone)) {
-				return false;
-			}
-
-			hasServer = true;
-		}
-
-		return hasServer;
+		const servers = [...this.#servers.values()].map(({record}) => record);
+		return this.#evacuations.includesAll(servers.filter(record => record.service === service && record.state === 'ready'));
 	}
 
 	/**
@@ -180,7 +157,7 @@
 		}
 
 		const criteria: ServerCriteria & ServerChoiceOptions = {
-			target: service, excluded, evacuatedZones: this.#evacuatedZones, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
+			target: service, excluded, evacuatedZones: this.#evacuations.zones, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
 			prefix: promptKey === undefined ? undefined : prefixHash(promptKey.name),
 			affinityScope: promptKey?.affinityScope ?? 'none',
 		};
