Refuse a command that the leader of an earlier version could not read

Cause: the check of what members can read stood at a leader of this version only; an order that came to a follower of this version was passed on to a leader of the version before, which would have committed it and ended, with each replica of its version.

Ruled out: asking at each order, since each confirmation names the format.

Change: the leader names its format with each confirmation; a follower sends it no command that it cannot read.

--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -8,6 +8,7 @@
 import {noEvacuations} from '../servers/evacuations.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {ColdServers} from './cold-servers.js';
+import {currentCommandFormat} from './command-formats.js';
 import {ControlReplica} from './control-replica.js';
 import {type ControlInstanceOptions} from './control-instance-options.js';
 import {type GatewayCommand} from './gateway-command.js';
@@ -214,7 +215,7 @@
 			.with({type: 'confirm'}, ({evidence, commandFormat}): ConfirmReply => {
 				this.#leader.formats.record(from, commandFormat);
 				this.#evidence.merge(evidence);
-				return {index: this.#replica?.readIndex()};
+				return {index: this.#replica?.readIndex(), commandFormat: currentCommandFormat};
 			})
 			.with({type: 'propose'}, async ({command}) => this.#leader.handleProposal(command))
 			.with({type: 'servers'}, (servers): ServersReply => {
--- a/packages/gateway/src/control/leader-client.ts
+++ b/packages/gateway/src/control/leader-client.ts
@@ -64,6 +64,11 @@
 			return Left(noLeaderFailure());
 		}
 
+		const refusal = this.#refuseUnreadable(command, [leader]);
+		if (refusal !== undefined) {
+			return Left(refusal);
+		}
+
 		const result = leader === self
 			? await this.proposeLocally(command)
 			: toResult(await ask(leader, {type: 'propose', command}, proposeTimeoutMilliseconds) as ProposeReply | undefined);
@@ -78,10 +83,9 @@
 	@returns The result.
 	*/
 	async proposeLocally(command: GatewayCommand): Promise<Either<Failure, GatewayCommandResult>> {
-		const unable = this.formats.findUnable(command.type, this.#options.replica()?.members ?? []);
-		if (unable !== undefined) {
-			const message = `Control instance ${unable} runs a version that cannot read this command; update all control instances first`;
-			return Left(failure('no-quorum', message, {retryAfterMilliseconds: retryMilliseconds}));
+		const refusal = this.#refuseUnreadable(command, this.#options.replica()?.members ?? []);
+		if (refusal !== undefined) {
+			return Left(refusal);
 		}
 
 		return await this.#options.replica()?.propose(command) ?? Left(noLeaderFailure());
@@ -110,9 +114,24 @@
 		}
 
 		const reply = await ask(leader, {type: 'confirm', evidence: this.#changedEvidence(leader), commandFormat: currentCommandFormat}, confirmTimeoutMilliseconds) as ConfirmReply | undefined;
+		if (reply !== undefined) {
+			this.formats.record(leader, reply.commandFormat);
+		}
+
 		return reply?.index;
 	}
 
+	/** Refuses a command that one of the instances would receive, directly or with the log, and could not read. */
+	#refuseUnreadable({type}: GatewayCommand, instances: readonly InstanceId[]): Failure | undefined {
+		const unable = this.formats.findUnable(type, instances);
+		if (unable === undefined) {
+			return undefined;
+		}
+
+		const message = `Control instance ${unable} runs a version that cannot read this command; update all control instances first`;
+		return failure('no-quorum', message, {retryAfterMilliseconds: retryMilliseconds});
+	}
+
 	#changedEvidence(leader: InstanceId): readonly VersionEvidence[] {
 		if (this.#sentEvidence?.leader !== leader) {
 			this.#sentEvidence = {leader, delta: new EvidenceDelta()};
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -50,6 +50,8 @@
 export type ConfirmReply = {
 	/** The commit index when the request was received, or `undefined` if the instance holds no valid leader lease. */
 	readonly index: number | undefined;
+	/** The newest format of commands that the leader reads; absent in versions before evacuations. */
+	readonly commandFormat?: number;
 };
 
 /** Requests that the leader commit a command. */
