Divide the permits of a cold server once, not with each reply

Cause: each reply of a control instance looked through all servers and hashed each of its entry instances for each cold server, some 400 replies a second with 26 cold servers on the shifted site; and each choice of a server looked up the limit of a service before it looked whether the server is cold.

Ruled out: fewer renewals, since a lease must outlast a lost reply.

Change: cold servers are listed by the directory, the division is kept until an entry instance is added or removed, and warm servers are passed by first. Which instances get permits is as before (the same property test).

--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -53,6 +53,8 @@
 	readonly #options: EntryWatchesOptions;
 	readonly #pendingPolls = new Set<() => void>();
 	readonly #entries = new Map<InstanceId, ActiveEntry & {readonly at: number}>();
+	/** The entries as a list; undefined after one was added or removed. */
+	#activeList: readonly ActiveEntry[] | undefined;
 
 	constructor(options: EntryWatchesOptions) {
 		this.#options = options;
@@ -76,6 +78,10 @@
 		const {clock, run, directory, suspects, currentUpdate, leases} = this.#options;
 		const receivedAt = clock.monotonic();
 		const entry = {instance: from, zone: watch.zone};
+		if (!this.#entries.has(from)) {
+			this.#activeList = undefined;
+		}
+
 		this.#entries.set(from, {...entry, at: receivedAt});
 		if (!watch.isUrgent && !this.#hasUpdate(watch)) {
 			await this.#waitForUpdate();
@@ -132,10 +138,12 @@
 		for (const [instance, {at}] of this.#entries) {
 			if (now - at > entryTimeoutMilliseconds) {
 				this.#entries.delete(instance);
+				this.#activeList = undefined;
 			}
 		}
 
-		return [...this.#entries.values()];
+		this.#activeList ??= [...this.#entries.values()];
+		return this.#activeList;
 	}
 }
 
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -337,8 +337,7 @@
 	}
 
 	#isRateLimited({record: {id, service}, cold}: TrackedServer, now: number): boolean {
-		const hasLimit = this.#options.coldDurationOf?.(service) !== undefined;
-		return hasLimit && cold.remaining(now) > 0 && !this.#limiter.allows(id, now);
+		return cold.remaining(now) > 0 && this.#options.coldDurationOf?.(service) !== undefined && !this.#limiter.allows(id, now);
 	}
 
 	#countReady(service: ServiceId): number {
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -186,6 +186,23 @@
 		return remaining === 0 && record.coldRemaining === undefined ? record : {...record, coldRemaining: remaining};
 	}
 
+	/**
+	Lists the ready servers that are cold.
+
+	@param now The current time in milliseconds on the monotonic clock.
+	@returns The records.
+	*/
+	coldServers(now: number): readonly ServerRecord[] {
+		const records: ServerRecord[] = [];
+		for (const {record, cold} of this.#servers.values()) {
+			if (record.state === 'ready' && cold.remaining(now) > 0) {
+				records.push(record);
+			}
+		}
+
+		return records;
+	}
+
 	/**
 	Treats the servers of a zone as cold until they announce otherwise.
 
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -6,12 +6,12 @@
 export type * from './admission-request.js';
 export * from './admission-controller.js';
 export * from './choose-affinity-scope.js';
+export * from './choose-permits.js';
 export * from './decision-history.js';
 export * from './fingerprint-request.js';
 export * from './hedge-policy.js';
 export * from './leased-rate-limiter.js';
 export * from './outlier-ejection.js';
-export * from './permits-for.js';
 export * from './prefix-frequencies.js';
 export * from './rate-lease-book.js';
 export * from './rate-lease-terms.js';
--- a/packages/routing/src/rate-leases.test.ts
+++ b/packages/routing/src/rate-leases.test.ts
@@ -1,8 +1,8 @@
 import {type InstanceId, type ServerId, type ZoneId} from '@valehitch/core';
 import test from 'ava';
 import fc from 'fast-check';
+import {choosePermits} from './choose-permits.js';
 import {LeasedRateLimiter} from './leased-rate-limiter.js';
-import {permitsFor} from './permits-for.js';
 import {RateLeaseBook} from './rate-lease-book.js';
 import {rateLeaseMilliseconds, rateWindowMilliseconds} from './rate-lease-terms.js';
 import {rateLimitShare} from './rate-limit-share.js';
@@ -75,7 +75,7 @@
 				const grantedAt = now + questionTime + held;
 				control.heardAt.set(entry, grantedAt);
 				const candidates = [...control.heardAt].filter(([, at]) => grantedAt - at <= entryTimeoutMilliseconds).map(([candidate]) => candidate);
-				const wanted = permitsFor(entry.instance, {server, candidates, share});
+				const wanted = choosePermits(server, {candidates, share}).get(entry.instance) ?? 0;
 				const permits = control.book.grant(server.id, {
 					holder: entry.instance, wanted, share, now: grantedAt,
 				});
@@ -168,15 +168,14 @@
 		entries: 64, controls: 6, extraControls: 0, limit: 24.5, restartRate: 0, lossRate: 0, delay: 2, start: 1,
 	});
 	t.true(mostInWindow(sends) >= 16);
-	const deployment = {server, share: 3};
 	const candidates = Array.from({length: 2}, (_, index) => ({instance: `entry-${index}` as InstanceId, zone: server.zone}));
-	t.is(permitsFor(candidates[0]!.instance, {...deployment, candidates}), 1);
-	t.is(permitsFor(candidates[0]!.instance, {...deployment, candidates: candidates.slice(0, 1)}), 3);
+	t.is(choosePermits(server, {candidates, share: 3}).get(candidates[0]!.instance), 1);
+	t.is(choosePermits(server, {candidates: candidates.slice(0, 1), share: 3}).get(candidates[0]!.instance), 3);
 });
 
 test('an instance of another zone gets a lease only where none of the zone of the server asks', t => {
 	const local = {instance: 'local' as InstanceId, zone: server.zone};
 	const remote = {instance: 'remote' as InstanceId, zone: zones[1]!};
-	t.is(permitsFor(remote.instance, {server, candidates: [local, remote], share: 4}), 0);
-	t.is(permitsFor(remote.instance, {server, candidates: [remote], share: 4}), 4);
+	t.false(choosePermits(server, {candidates: [local, remote], share: 4}).has(remote.instance));
+	t.is(choosePermits(server, {candidates: [remote], share: 4}).get(remote.instance), 4);
 });
