--- a/packages/platform/src/platform-settings.test.ts
+++ b/packages/platform/src/platform-settings.test.ts
@@ -17,8 +17,6 @@
 bootstrap: true
 dataDir: null
 heartbeatMs: 1200
-limits:
-  cpuShare: 0.324
 somethingNew: [1, 2]
 bounds:
   graceS: 8
@@ -37,7 +35,6 @@
 		}, seeds: ['10.1.0.43'], isFounding: true, dataFolder: undefined,
 	});
 	t.is(settings.gracePeriod, 8000);
-	t.is(settings.processorShare, 0.324);
 });
 
 test('missing and invalid fields are reported with their location', t => {
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -26,8 +26,6 @@
 	/** Whether the deployment starts for the first time. */
 	readonly isFounding: boolean;
 	readonly dataFolder: string | undefined;
-	/** The share of a processor core that the process gets. */
-	readonly processorShare: number;
 	/** The interval between announcements of a backend server, in milliseconds. */
 	readonly heartbeatInterval: number;
 	/** The maximum duration of a shutdown, in milliseconds. */
@@ -68,7 +66,6 @@
 	bootstrap: z.boolean().default(false),
 	dataDir: optional(z.string()),
 	heartbeatMs: z.number().positive(),
-	limits: z.object({cpuShare: z.number().positive().default(1)}).prefault({}),
 	bounds: z.object({
 		graceS: z.number().positive(),
 		revokeMs: z.number().positive().default(5000),
@@ -98,7 +95,7 @@
 	return parseDocument(text, {file, schema: fileSchema}).map(values => toSettings(values));
 }
 
-function toSettings({node, ip, zone, zones, listen, portRange, seeds, bootstrap, dataDir, heartbeatMs, limits, bounds}: z.output<typeof fileSchema>): PlatformSettings {
+function toSettings({node, ip, zone, zones, listen, portRange, seeds, bootstrap, dataDir, heartbeatMs, bounds}: z.output<typeof fileSchema>): PlatformSettings {
 	return {
 		name: node,
 		instance: toId<InstanceId>(ip),
@@ -110,7 +107,6 @@
 		seeds: seeds.map(seed => toId<InstanceId>(hostOf(seed))),
 		isFounding: bootstrap,
 		dataFolder: dataDir,
-		processorShare: limits.cpuShare,
 		heartbeatInterval: heartbeatMs,
 		gracePeriod: bounds.graceS * millisecondsPerSecond,
 		revocationTimeout: bounds.revokeMs,
--- a/packages/platform/src/run-program.ts
+++ b/packages/platform/src/run-program.ts
@@ -1,7 +1,5 @@
 import process from 'node:process';
 import {parseArgs} from 'node:util';
-import {setFlagsFromString} from 'node:v8';
-import {chooseEngineFlags} from './choose-engine-flags.js';
 import {SettingsFile} from './settings-file.js';
 import {startProcess} from './start-process.js';
 
@@ -35,13 +33,8 @@
 		return;
 	}
 
-	const settings = read.unsafeCoerce();
-	for (const flag of chooseEngineFlags(settings)) {
-		setFlagsFromString(flag);
-	}
-
 	const {values: {'metrics-port': port}} = parseArgs({options: {'metrics-port': {type: 'string'}}});
-	const running = await startProcess(settings, {metricsPort: port === undefined ? undefined : Number(port)});
+	const running = await startProcess(read.unsafeCoerce(), {metricsPort: port === undefined ? undefined : Number(port)});
 	reload = async () => {
 		const change = await file.readIfChanged();
 		change.caseOf({
