Count the wait of a rollout only while its order is sent again

Cause: the first order of a rollout was remembered without end, so that a version that is ordered again after another one would have begun at four fifths of its time, with most of the traffic at once.

Ruled out: forgetting with the commit, since the instances that could not commit do not hear of it.

--- a/packages/gateway/src/control/operator-api.ts
+++ b/packages/gateway/src/control/operator-api.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type Failure, failure, LruMap, type ServiceId, type VersionId, type ZoneId,
+	type Clock, type Failure, failure, type ServiceId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
@@ -8,6 +8,7 @@
 import {type GatewayCommandResult} from './gateway-command.js';
 import {type ConfigurationDocument} from './gateway-state.js';
 import {describeResult, type LeaderClient} from './leader-client.js';
+import {OrderWaits} from './order-waits.js';
 import {type StateConfirmation} from './state-confirmation.js';
 
 /** Options of the operator API. */
@@ -28,8 +29,6 @@
 };
 
 const retryMilliseconds = 300;
-/** The number of rollouts whose first order is remembered. */
-const maximumOrders = 64;
 /** How often an order is proposed again after another one about the same zone was committed first. */
 const evacuationAttempts = 3;
 
@@ -44,8 +43,8 @@
 */
 export class OperatorApi {
 	readonly #options: OperatorApiOptions;
-	/** When each rollout was first ordered here, in milliseconds on the monotonic clock; an order that could not be committed is sent again. */
-	readonly #firstOrderedAt = new LruMap<string, number>(maximumOrders);
+	/** How long each rollout has been ordered here without being committed. */
+	readonly #waits = new OrderWaits();
 
 	constructor(options: OperatorApiOptions) {
 		this.#options = options;
@@ -80,8 +79,7 @@
 	*/
 	async startRollout(order: {readonly service: ServiceId; readonly target: VersionId; readonly duration: number}): Promise<Either<Failure, GatewayCommandResult>> {
 		const {clock, leader} = this.#options;
-		const now = clock.monotonic();
-		const waited = now - this.#firstOrderedAt.getOrCreate(`${order.service} ${order.target}`, () => now);
+		const waited = this.#waits.record(`${order.service} ${order.target}`, clock.monotonic());
 		const result = await leader.propose({
 			type: 'start-rollout', ...order, orderedAt: clock.now().getTime() - waited, waited,
 		});
