Log the rate limit that a backend server names in its answers

Change: the adapter decodes the limit once; each head that is the server's own is looked at, also of answers whose request has ended meanwhile. A line tells each beginning, change and end, one each limit that cannot be read, and a metric how many servers have one. An answer without a limit ends it only if its request was sent after the limit was last heard, since answers overtake each other. No choice of a server uses it yet.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -39,6 +39,7 @@
 		isSigned: true,
 		isEncoded: false,
 		confidence: typeof headers.confidence === 'string' ? Number(headers.confidence) : undefined,
+		rateLimit: typeof headers.limit === 'string' ? {type: 'limited', requestsPerSecond: Number(headers.limit)} : {type: 'unlimited'},
 	}),
 	answerHeaders: ({headers: {signature}}) => typeof signature === 'string' ? [['Signature', signature]] : [],
 	refuse: (_request, {kind}) => ({status: errorResponses[kind].status, headers: [], body: kind}),
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -11,6 +11,7 @@
 import {isLaterState} from '../servers/is-later-state.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
 import {defaultRetentionMilliseconds} from '../servers/server-directory.js';
+import {ServerLimits} from '../servers/server-limits.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {
 	type ApplyRecordsOptions, type BeginSendOptions, type EntryServersOptions, type SendResult,
@@ -57,6 +58,7 @@
 	readonly #liveness = new ServerLivenessTable();
 	readonly #limiter: LeasedRateLimiter;
 	readonly #evacuations = new KnownEvacuations();
+	readonly #limits = new ServerLimits();
 
 	constructor(options: EntryServersOptions) {
 		this.#options = options;
@@ -275,6 +277,38 @@
 		return this.#ejection.record(id, {failed: result === 'failed', now, servers: this.#countReady(tracked.record.service)});
 	}
 
+	/**
+	Records that a server named a rate limit.
+
+	@param server The record to which the request was sent.
+	@param named The requests per second, and the time.
+	@returns Whether the limit changed.
+	*/
+	recordLimit(server: ServerRecord, {requestsPerSecond, now}: {readonly requestsPerSecond: number; readonly now: number}): boolean {
+		return this.isCurrent(server) && this.#limits.apply({
+			server: server.id, startedAt: server.startedAt, requestsPerSecond, observedAt: now,
+		});
+	}
+
+	/**
+	Records that a server answered without naming a limit. This ends its limit if the request was sent after the limit was last heard: answers overtake each other.
+
+	@param server The record to which the request was sent.
+	@param answered When the request was sent and answered.
+	@returns Whether a limit ended.
+	*/
+	endLimit(server: ServerRecord, {sentAt, now}: {readonly sentAt: number; readonly now: number}): boolean {
+		const limit = this.#limits.of(server.id, now);
+		return limit !== undefined && sentAt > limit.observedAt && this.isCurrent(server) && this.#limits.apply({
+			server: server.id, startedAt: server.startedAt, observedAt: now,
+		});
+	}
+
+	/** The rate limits that servers have named. */
+	get limits(): ServerLimits {
+		return this.#limits;
+	}
+
 	/** Adds a new process, and discards the state of the process that it replaces, which has the same id or address. */
 	#add(record: ServerRecord, {source, now}: {readonly source: InstanceId; readonly now: number}): void {
 		for (const [id, previous] of this.#servers) {
@@ -321,6 +355,7 @@
 		const {id, zone} = tracked.record;
 		this.#ejection.forget(id);
 		this.#limiter.removeServer(id);
+		this.#limits.remove(id);
 		this.#zones.forgetServer(zone, id);
 		this.#options.loads.discardServer(id);
 		this.#options.onReplaced(tracked.record);
--- a/packages/gateway/src/entry/gateway-request.ts
+++ b/packages/gateway/src/entry/gateway-request.ts
@@ -50,6 +50,13 @@
 	readonly keepsConnection: boolean;
 };
 
+/** What an answer says of the requests that its server takes from all instances together. */
+export type NamedRateLimit
+	= | {readonly type: 'unlimited'}
+		| {readonly type: 'limited'; readonly requestsPerSecond: number}
+	/** A limit that cannot be read. */
+		| {readonly type: 'invalid'; readonly value: string};
+
 /** The parsed head of a backend server's answer. */
 export type AnswerHead = {
 	readonly status: number;
@@ -65,4 +72,5 @@
 	readonly isEncoded: boolean;
 	/** The model's own confidence in its answer, from 0 to 100; undefined if it reports none. */
 	readonly confidence: number | undefined;
+	readonly rateLimit: NamedRateLimit;
 };
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -4,12 +4,13 @@
 import {type Route} from '../configuration/routing-configuration.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type CallerAnswer, type CompleteAnswer} from './caller-answer.js';
-import {classifyAnswer} from './classify-answer.js';
+import {type AnswerClass, classifyAnswer} from './classify-answer.js';
 import {collectBody} from './collect-body.js';
 import {type EntryContext} from './entry-context.js';
 import {type EventStream} from './event-stream.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {type ModelCascade} from './model-cascade.js';
+import {recordRateLimit} from './record-rate-limit.js';
 import {relayStream} from './relay-stream.js';
 import {type SuspectRequest} from './suspect-request.js';
 import {type ReceivedHead, type SendOutcome} from './send-attempt.js';
@@ -78,14 +79,14 @@
 */
 export async function handleOutcome(outcome: SendOutcome, options: HandleOutcomeOptions): Promise<OutcomeStep> {
 	const {context, request, suspect, results, server, hasEnded} = options;
-	if (hasEnded()) {
-		return {type: 'ended'};
-	}
-
 	if (outcome.type === 'head') {
 		return handleHead(outcome, options);
 	}
 
+	if (hasEnded()) {
+		return {type: 'ended'};
+	}
+
 	const reason = reasonFor(outcome);
 	context.log('request-attempt-ended', {
 		request: request.id, fingerprint: suspect.fingerprint, server: server.id, startedAt: server.startedAt, result: outcome.type, reason,
@@ -126,11 +127,20 @@
 }
 
 async function handleHead(received: ReceivedHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
-	const {context: {dialect, servers, clock}, request, route, server} = options;
+	const {context, request, route, server, sentAt, hasEnded} = options;
 	const {message} = received;
-	servers.recordData(server.id, clock.monotonic());
-	const head = dialect.readAnswer(message.statusCode ?? 0, message.headers);
-	return match(classifyAnswer(head, request.id))
+	const head = context.dialect.readAnswer(message.statusCode ?? 0, message.headers);
+	const answerClass = classifyAnswer(head, request.id);
+	if (isFromServer(answerClass, head)) {
+		recordRateLimit(head, context, {server, request: request.id, sentAt});
+	}
+
+	if (hasEnded()) {
+		return {type: 'ended'};
+	}
+
+	context.servers.recordData(server.id, context.clock.monotonic());
+	return match(answerClass)
 		.with('other-request', 'unverified', () => handleUnverified(message, head, options))
 		.with('not-run', () => handleNotRun(message, head, options))
 		.with('failed', async () => handleFailedAnswer(received, head, options))
@@ -138,6 +148,11 @@
 		.exhaustive();
 }
 
+/** Whether an answer is the chosen server's own, so that what it says of its server holds. */
+function isFromServer(answerClass: AnswerClass, {isFromOtherServer}: AnswerHead): boolean {
+	return answerClass !== 'other-request' && answerClass !== 'unverified' && !isFromOtherServer;
+}
+
 /** Handles an answer that is not verified as this server's answer to this request, so whether the request has run is unknown. */
 function handleUnverified(message: IncomingMessage, {requestId}: AnswerHead, {request, results, models, server}: HandleOutcomeOptions): OutcomeStep {
 	message.destroy();
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -64,6 +64,9 @@
 		evacuatedZones: new Gauge({
 			name: 'valehitch_evacuated_zones', help: 'Availability zones whose backend servers get no requests by order of the operator', registers,
 		}),
+		limitedServers: new Gauge({
+			name: 'valehitch_limited_servers', help: 'Backend servers whose answers name a rate limit', registers,
+		}),
 		watches: new Counter({
 			name: 'valehitch_watches_total', help: 'Polls of control instances, by result', labelNames: ['result'], registers,
 		}),
--- /dev/null
+++ b/packages/platform/src/decode-rate-limit.ts
@@ -0,0 +1,22 @@
+import {type NamedRateLimit} from '@valehitch/gateway';
+
+const decimalPattern = /^\d+(?:\.\d+)?$/v;
+
+/**
+Decodes the rate limit that a backend server names in an answer.
+
+@param value The value of the header; undefined if the answer has none.
+@returns The limit.
+@example
+```ts
+decodeRateLimit('1.7'); // {type: 'limited', requestsPerSecond: 1.7}
+```
+*/
+export function decodeRateLimit(value: string | undefined): NamedRateLimit {
+	if (value === undefined) {
+		return {type: 'unlimited'};
+	}
+
+	const requestsPerSecond = decimalPattern.test(value) ? Number(value) : Number.NaN;
+	return Number.isFinite(requestsPerSecond) ? {type: 'limited', requestsPerSecond} : {type: 'invalid', value};
+}
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -4,6 +4,7 @@
 import {
 	type Dialect, type GatewayRequest, type Header, type PromptPart, type SendMetadata,
 } from '@valehitch/gateway';
+import {decodeRateLimit} from './decode-rate-limit.js';
 import {connectionHeaders, reservedHeaders, wireHeader} from './wire-header.js';
 
 /** The value of the model header that leaves the choice of the model to the gateway. */
@@ -27,6 +28,7 @@
 			isSigned: headers[wireHeader.signature] !== undefined,
 			isEncoded: headers[wireHeader.encoding] !== undefined,
 			confidence: confidence === undefined ? undefined : Number(confidence),
+			rateLimit: decodeRateLimit(firstValue(headers[wireHeader.rateLimit])),
 		};
 	},
 	answerHeaders: message => headerPairs(message).filter(([name]) => !connectionHeaders.has(name.toLowerCase())),
