Test that a server gets no more than the rate limit that it names

Callers: none failed; servers in need are flooded.

The servers of the tests can add headers to their responses for this.

--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -41,6 +41,8 @@
 	/** The availability zone; `hall-a` by default. */
 	readonly zone?: string;
 	readonly answer: (run: ExecutedRequest) => FakeBackendResponse;
+	/** Returns the headers by which the server says what it can take, added to each response; none by default. */
+	readonly notices?: () => Readonly<Record<string, string>>;
 	/** The port to listen on; a free port by default. */
 	readonly port?: number;
 	/** The process start time to announce, as Unix time in milliseconds; not announced by default. */
@@ -75,6 +77,8 @@
 	}
 
 	readonly runs: ExecutedRequest[] = [];
+	/** When requests arrived, including those that were not executed, in milliseconds on the monotonic clock. */
+	readonly arrivals: number[] = [];
 	/** The ids of the requests whose connection closed before the response was complete. */
 	readonly abortedRequests: string[] = [];
 	readonly #options: FakeBackendServerOptions;
@@ -138,9 +142,11 @@
 	}
 
 	async #respond(run: ExecutedRequest, response: ServerResponse): Promise<void> {
+		this.arrivals.push(performance.now());
+		const notices = this.#options.notices?.() ?? {};
 		const {status = 200, confidence, events = ['done'], firstEventDelay, gap = 0, breakAfter, isNotExecuted = false} = this.#options.answer(run);
 		if (isNotExecuted) {
-			response.writeHead(503, {'Not-Executed': '1'});
+			response.writeHead(503, {'Not-Executed': '1', ...notices});
 			response.end();
 			return;
 		}
@@ -155,7 +161,7 @@
 		response.writeHead(status, {
 			'Attempt-Id': run.id,
 			'Response-Signature': `signed-${this.#options.id}`,
-			'Content-Type': isStream ? 'text/event-stream' : 'text/plain', ...(confidence !== undefined && {Confidence: String(confidence)}),
+			'Content-Type': isStream ? 'text/event-stream' : 'text/plain', ...(confidence !== undefined && {Confidence: String(confidence)}), ...notices,
 		});
 		if (firstEventDelay !== undefined) {
 			response.flushHeaders();
--- /dev/null
+++ b/packages/testing/src/server-notices.test.ts
@@ -0,0 +1,112 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {
+	FakeBackendServer, type FakeBackendServerOptions, sendForResponse, sendForStatus,
+} from './platform/fake-backend-server.js';
+import {PlatformDeployment} from './platform/platform-deployment.js';
+import {waitUntil} from './wait-until.js';
+
+const configuration = {
+	version: 1,
+	routes: [{
+		name: 'look', host: 'desk.example', pathPrefix: '/look/', kind: 'safe', timeoutMs: 2000, targetLatencyMs: 500, service: 'labels', maxAttempts: 2, public: true,
+	}],
+	services: [{name: 'labels'}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}],
+};
+
+/** The time after a server first named its limit from which the limit holds, in milliseconds. */
+const connectivityMilliseconds = 3000;
+/** The window over which arrivals are counted, in milliseconds. */
+const windowMilliseconds = 4000;
+/** How far the arrivals of a window may exceed the limit. */
+const tolerance = {factor: 1.5, slack: 5};
+const sendMilliseconds = 50;
+
+type Started = {
+	readonly backends: readonly FakeBackendServer[];
+	/** Sends a request through each entry instance at a steady rate for a time in milliseconds, and returns their statuses. */
+	readonly sendFor: (duration: number) => Promise<readonly number[]>;
+};
+
+/** Starts a deployment with servers of one service, and waits until it serves requests. */
+async function start(t: ExecutionContext, servers: ReadonlyArray<Pick<FakeBackendServerOptions, 'id' | 'answer' | 'notices'>>): Promise<Started> {
+	const deployment = await PlatformDeployment.start({entryCount: 3});
+	const backends = await Promise.all(servers.map(async server => FakeBackendServer.start({...server, service: 'labels', host: '127.0.0.1'})));
+	const announceTimer = setInterval(() => {
+		for (const backend of backends) {
+			void backend.announce(deployment.controls[0]!.address);
+		}
+	}, 300);
+	t.teardown(async () => {
+		clearInterval(announceTimer);
+		for (const backend of backends) {
+			backend.close();
+		}
+
+		await deployment.stop();
+	});
+	await waitUntil(async () => await sendForStatus({
+		method: 'PUT', address: deployment.controls[0]!.address, path: '/-/config', body: configuration,
+	}) === 200 || undefined, {description: 'an acknowledged configuration'});
+
+	let requests = 0;
+	const look = async (address: string): Promise<number> => {
+		requests++;
+		const {status} = await sendForResponse({
+			method: 'GET', address, path: '/look/7', headers: {Host: 'desk.example', 'Attempt-Id': `a${requests}`, 'Deadline-Ms': '2000'},
+		});
+		return status;
+	};
+
+	for (const {address} of deployment.entries) {
+		await waitUntil(async () => await look(address) === 200 || undefined, {description: 'a first response'});
+	}
+
+	return {
+		backends,
+		async sendFor(duration) {
+			const answers: Array<Promise<number>> = [];
+			const endsAt = performance.now() + duration;
+			while (performance.now() < endsAt) {
+				answers.push(...deployment.entries.map(async ({address}) => look(address)));
+				await delay(sendMilliseconds);
+			}
+
+			return Promise.all(answers);
+		},
+	};
+}
+
+/** Returns the largest number of arrivals in a window that ends after a time. */
+function mostInWindow(arrivals: readonly number[], from: number): number {
+	const counts = arrivals.filter(at => at > from).map(end => arrivals.filter(at => at > end - windowMilliseconds && at <= end).length);
+	return Math.max(0, ...counts);
+}
+
+test('a server that names a rate limit gets no more than that from all instances together, is still used, and gets its full share once it names none', async t => {
+	const requestsPerSecond = 1.7;
+	let isLimited = true;
+	const {backends: [limited, other], sendFor} = await start(t, [
+		{id: 'i-limited', answer: () => ({}), notices: () => isLimited ? {'Server-Limit': String(requestsPerSecond)} : {}},
+		{id: 'i-other', answer: () => ({})},
+	]);
+	const namedAt = limited!.arrivals[0] ?? performance.now();
+	const statuses = await sendFor(connectivityMilliseconds + (2 * windowMilliseconds));
+	const allowed = (tolerance.factor * requestsPerSecond * windowMilliseconds / 1000) + tolerance.slack;
+	const most = mostInWindow(limited!.arrivals, namedAt + connectivityMilliseconds);
+	t.true(most <= allowed, `${most} requests arrived within ${windowMilliseconds} ms, ${allowed} are allowed`);
+	t.true(limited!.arrivals.some(at => at > performance.now() - windowMilliseconds));
+	t.true(other!.arrivals.length > limited!.arrivals.length);
+	t.deepEqual(new Set(statuses), new Set([200]));
+
+	isLimited = false;
+	const before = limited!.arrivals.length;
+	await waitUntil(async () => {
+		await sendFor(sendMilliseconds);
+		return limited!.arrivals.length > before + 20 || undefined;
+	}, {description: 'a server without a limit that is used like others'});
+});
