Send to a server that names a rate limit only by leases on it

Callers saw no failure; servers in need got up to twice the requests that they had asked for, and answered the more slowly.

Cause: nobody read the limit that answers name. Of a server's answer only the status and the result of the request were used. Class: a peer says in its reply what it can take, and the sender reads only the status.

Change: an entry instance that hears a limit reports it to its control instances at once; they tell the others and grant leases on it, as they do for cold servers. A limit is far lower than that of a cold server, so it is divided into whole sends over a window that is as long as that takes (routing/divide-rate-limit.ts). Without a lease a limited server is left out, also where no other is left; the request is then refused at once with the time until the next send, at different times for different callers. An answer without a limit ends it if its request was sent after the limit was last heard; a new process has none.

Why this works: each control instance grants a fixed part of the limit, which needs no agreement, and a permit goes to another holder only once its window has passed. A property test plays up to 120 instances with restarts, cuts and replaced control instances; no window is over the limit.

--- a/packages/gateway/src/control/_test-control-node.ts
+++ b/packages/gateway/src/control/_test-control-node.ts
@@ -1,6 +1,7 @@
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {noEvacuations} from '../servers/evacuations.js';
 import {EntryWatches} from './entry-watches.js';
+import {LimitedServers} from './limited-servers.js';
 import {ServerDirectorySync, type ServerDirectorySyncOptions} from './server-directory-sync.js';
 
 const heartbeatMilliseconds = 1200;
@@ -31,6 +32,9 @@
 			configuration: undefined, rollouts: [], evacuations: noEvacuations, confirmedAt: undefined, hosts: options.others(),
 		}),
 		leases: {grantsFor: () => []},
+		limitedServers: new LimitedServers({
+			clock: options.clock, log: doNothing, startedAt: 0, directory: news.directory, grantors: () => options.others().length + 1, onChange: doNothing,
+		}),
 	});
 	void news.start();
 	news.stop();
--- a/packages/gateway/src/control/cold-servers.ts
+++ b/packages/gateway/src/control/cold-servers.ts
@@ -1,8 +1,9 @@
 import {type Clock, type ServiceId, type ZoneId} from '@valehitch/core';
+import {rateLimitShare, rateWindowMilliseconds} from '@valehitch/routing';
 import {type ServerDirectory} from '../servers/server-directory.js';
 import {type ColdLimit, ColdLimits, type ColdLimitsOptions} from './cold-limits.js';
 import {type ConfigurationDocument} from './gateway-state.js';
-import {RateLeaseGrantor} from './rate-lease-grantor.js';
+import {type LeasedServer, RateLeaseGrantor} from './rate-lease-grantor.js';
 
 /** Options of {@linkcode ColdServers}. */
 export type ColdServersOptions = ColdLimitsOptions & {
@@ -34,7 +35,7 @@
 	constructor(options: ColdServersOptions) {
 		this.#options = options;
 		this.#limits = new ColdLimits(options);
-		this.leases = new RateLeaseGrantor({...options, limitOf: service => this.#limitOf(service)});
+		this.leases = new RateLeaseGrantor({startedAt: options.startedAt, servers: now => this.#leasedServers(now)});
 	}
 
 	/**
@@ -50,6 +51,20 @@
 		}));
 	}
 
+	#leasedServers(now: number): readonly LeasedServer[] {
+		const {directory, grantors} = this.#options;
+		const servers: LeasedServer[] = [];
+		for (const record of directory.coldServers(now)) {
+			const limit = this.#limitOf(record.service);
+			if (limit !== undefined) {
+				const share = rateLimitShare(limit.requestsPerSecond, {grantors: grantors()});
+				servers.push({record, share, window: rateWindowMilliseconds});
+			}
+		}
+
+		return servers;
+	}
+
 	#limitOf(service: ServiceId): ColdLimit | undefined {
 		return this.#limits.of(service, this.#options.configuration());
 	}
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -14,6 +14,7 @@
 import {type GatewayCommand} from './gateway-command.js';
 import {type EntryUpdate, EntryWatches} from './entry-watches.js';
 import {describeResult, LeaderClient} from './leader-client.js';
+import {LimitedServers} from './limited-servers.js';
 import {OperatorApi} from './operator-api.js';
 import {
 	type ConfirmReply, type JoinReply, type PeerMessage, type ServersReply, type SuspectsMessage,
@@ -57,6 +58,7 @@
 	readonly #supervisor: ControlReplicaSupervisor;
 	readonly #confirmation: StateConfirmation;
 	readonly #coldServers: ColdServers;
+	readonly #limitedServers: LimitedServers;
 	#timers: NodeJS.Timeout[] = [];
 
 	constructor(options: ControlInstanceOptions) {
@@ -107,9 +109,18 @@
 			configuration: () => this.#replica?.state.configuration,
 			grantors: () => this.#peers().length + 1,
 		});
+		this.#limitedServers = new LimitedServers({
+			...options,
+			startedAt: options.processStartedAt,
+			directory: this.#serverSync.directory,
+			grantors: () => this.#peers().length + 1,
+			onChange: () => {
+				this.#watches.answerPending();
+			},
+		});
 		this.#watches = new EntryWatches({
 			...options, directory: this.#serverSync.directory, suspects: this.#suspectSync.registry, currentUpdate: () => this.#entryUpdate(),
-			leases: this.#coldServers.leases,
+			leases: this.#coldServers.leases, limitedServers: this.#limitedServers,
 		});
 		this.#rolloutController = new RolloutController({
 			log: options.log,
@@ -234,6 +245,7 @@
 			.with({type: 'all-suspects'}, (): SuspectsMessage => ({type: 'suspects', records: this.#suspectSync.registry.sharedRecords, isRelayed: true}))
 			.with({type: 'watch'}, async watch => {
 				this.#evidence.merge(watch.evidence);
+				this.#limitedServers.receive(watch.serverLimits ?? [], from);
 				return this.#watches.answer(from, watch);
 			})
 			.with({type: 'load'}, () => undefined)
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -6,6 +6,7 @@
 import {type ConfigurationDocument} from './gateway-state.js';
 import {type ActiveEntry, selectLoadSharingPeers} from './select-load-sharing-peers.js';
 import {type WatchMessage, type WatchReply} from './peer-message.js';
+import {type LimitedServers} from './limited-servers.js';
 import {type RateLeaseGrantor} from './rate-lease-grantor.js';
 import {digestRollouts} from './rollout-clock.js';
 
@@ -31,6 +32,8 @@
 	readonly currentUpdate: () => EntryUpdate;
 	/** Grants sends to cold servers. */
 	readonly leases: Pick<RateLeaseGrantor, 'grantsFor'>;
+	/** The servers that have named a rate limit. */
+	readonly limitedServers: Pick<LimitedServers, 'cursor' | 'changedSince' | 'leases'>;
 };
 
 /** How long a poll waits for an update, in milliseconds; well below the lease duration of the entry instance. */
@@ -75,7 +78,7 @@
 	@returns The changes since that state.
 	*/
 	async answer(from: InstanceId, watch: WatchMessage): Promise<WatchReply> {
-		const {clock, run, directory, suspects, currentUpdate, leases} = this.#options;
+		const {clock, run, directory, suspects, currentUpdate, leases, limitedServers} = this.#options;
 		const receivedAt = clock.monotonic();
 		const entry = {instance: from, zone: watch.zone};
 		if (!this.#entries.has(from)) {
@@ -101,6 +104,9 @@
 			rolloutDigest: digestRollouts(rollouts),
 			evacuations,
 			rateLeases: leases.grantsFor({entry, entries, now}),
+			limitCursor: limitedServers.cursor,
+			serverLimits: limitedServers.changedSince(watch.run === run ? watch.limitCursor : undefined, now),
+			limitLeases: limitedServers.leases.grantsFor({entry, entries, now}),
 			held: now - receivedAt,
 			confirmedAgo: confirmedAt === undefined ? undefined : now - confirmedAt,
 			hosts,
@@ -109,11 +115,12 @@
 	}
 
 	#hasUpdate(watch: WatchMessage): boolean {
-		const {run, directory, suspects, currentUpdate} = this.#options;
+		const {run, directory, suspects, currentUpdate, limitedServers} = this.#options;
 		const {configuration, rollouts, evacuations} = currentUpdate();
 		return watch.run !== run
 			|| watch.cursor < directory.cursor
 			|| watch.suspectCursor < suspects.cursor
+			|| (watch.limitCursor ?? Number.POSITIVE_INFINITY) < limitedServers.cursor
 			|| isNewer(configuration, watch)
 			|| watch.rolloutDigest !== digestRollouts(rollouts)
 			|| (watch.evacuationRevision ?? Number.POSITIVE_INFINITY) < evacuations.revision;
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -7,6 +7,7 @@
 import {type RolloutWithAge} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
 import {type Evacuations} from '../servers/evacuations.js';
+import {type SentServerLimit} from '../servers/server-limits.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type GatewayCommandResult, type GatewayCommand} from './gateway-command.js';
 import {type ConfigurationDocument} from './gateway-state.js';
@@ -128,6 +129,10 @@
 	/** The revision of the evacuations that the entry instance has; absent in versions before evacuations. */
 	readonly evacuationRevision?: number;
 	readonly evidence: readonly VersionEvidence[];
+	/** The last change of the servers' rate limits that the entry instance has received; absent in versions before them. */
+	readonly limitCursor?: number;
+	/** The rate limits that the entry instance itself has heard, and their recent ends; absent in versions before them. */
+	readonly serverLimits?: readonly SentServerLimit[];
 };
 
 /** The reply to a poll: everything that changed since the state named in the request. */
@@ -144,7 +149,13 @@
 	/** The evacuations of availability zones; absent in versions before them. */
 	readonly evacuations?: Evacuations;
 	/** The sends per second that the entry instance may make to each cold server where it may make any, for `rateLeaseMilliseconds` after the reply; absent in versions before rate leases. */
-	readonly rateLeases?: ReadonlyArray<readonly [server: ServerId, permits: number]>;
+	readonly rateLeases?: ReadonlyArray<readonly [server: ServerId, permits: number, window?: number]>;
+	/** The last change of the servers' rate limits; absent in versions before them. */
+	readonly limitCursor?: number;
+	/** The rate limits that servers have named, and their recent ends, unless the requester has them; absent in versions before them. */
+	readonly serverLimits?: readonly SentServerLimit[];
+	/** The sends per window that the entry instance may make to each server that has named a rate limit, with the window in milliseconds, for `rateLeaseMilliseconds` after the reply; absent in versions before them. */
+	readonly limitLeases?: ReadonlyArray<readonly [server: ServerId, permits: number, window: number]>;
 	/** How long the poll was held before it was answered, in milliseconds. */
 	readonly held: number;
 	/** The time since the state was last confirmed to be current, in milliseconds, or `undefined` if it has not been confirmed in this run. */
--- a/packages/gateway/src/control/rate-lease-grantor.ts
+++ b/packages/gateway/src/control/rate-lease-grantor.ts
@@ -1,22 +1,24 @@
-import {
-	type InstanceId, LruMap, type ServerId, type ServiceId,
-} from '@valehitch/core';
-import {choosePermits, RateLeaseBook, rateLimitShare} from '@valehitch/routing';
-import {type ServerDirectory} from '../servers/server-directory.js';
+import {type InstanceId, LruMap, type ServerId} from '@valehitch/core';
+import {choosePermits, RateLeaseBook, type RateLimitPart} from '@valehitch/routing';
 import {type ServerRecord} from '../servers/server-record.js';
-import {type ColdLimit} from './cold-limits.js';
 import {type ActiveEntry} from './select-load-sharing-peers.js';
 
 /** Options of {@linkcode RateLeaseGrantor}. */
 export type RateLeaseGrantorOptions = {
 	/** When this process started, in milliseconds on the monotonic clock. */
 	readonly startedAt: number;
-	readonly directory: Pick<ServerDirectory, 'coldServers'>;
-	readonly limitOf: (service: ServiceId) => ColdLimit | undefined;
-	/** The number of control instances, this one included. */
-	readonly grantors: () => number;
+	/** Returns the servers that get only leased sends at a time in milliseconds on the monotonic clock. */
+	readonly servers: (now: number) => readonly LeasedServer[];
 };
 
+/** A server that gets only leased sends, and the part of them that this control instance may grant. */
+export type LeasedServer = RateLimitPart & {
+	readonly record: ServerRecord;
+};
+
+/** A lease on sends to a server: their number per window, and the window in milliseconds. */
+export type GrantedLease = readonly [server: ServerId, permits: number, window: number];
+
 /** Who asks for leases, and when. */
 export type LeaseQuestion = {
 	readonly entry: ActiveEntry;
@@ -26,15 +28,15 @@
 	readonly now: number;
 };
 
-/** The number of cold servers whose division is remembered. */
+/** The number of servers whose division is remembered. */
 const maximumServers = 1024;
 
 /**
-Grants entry instances the sends that cold servers tolerate.
+Grants entry instances the sends that servers with a rate limit tolerate.
 
 @example
 ```ts
-const grantor = new RateLeaseGrantor({startedAt, directory, limitOf, grantors: () => 3});
+const grantor = new RateLeaseGrantor({startedAt, servers: () => [{record, share: 3, window: 1000}]});
 grantor.grantsFor({entry, entries, now});
 ```
 */
@@ -53,32 +55,25 @@
 	Grants the leases that an entry instance gets with a reply.
 
 	@param question The entry instance.
-	@returns The sends per second at each cold server where it has any.
+	@returns The leases at each server where it has any.
 	*/
-	grantsFor({entry, entries, now}: LeaseQuestion): ReadonlyArray<readonly [ServerId, number]> {
-		const {directory, limitOf, grantors} = this.#options;
+	grantsFor({entry, entries, now}: LeaseQuestion): readonly GrantedLease[] {
 		this.#book.removeExpired(now);
-		const leases: Array<readonly [ServerId, number]> = [];
-		for (const record of directory.coldServers(now)) {
-			const limit = limitOf(record.service);
-			if (limit === undefined) {
-				continue;
-			}
-
-			const share = rateLimitShare(limit.requestsPerSecond, {grantors: grantors()});
+		const leases: GrantedLease[] = [];
+		for (const {record, share, window} of this.#options.servers(now)) {
 			const wanted = this.#permitsAt(record, {entries, share}).get(entry.instance) ?? 0;
 			const permits = this.#book.grant(record.id, {
-				holder: entry.instance, wanted, share, now,
+				holder: entry.instance, wanted, share, window, now,
 			});
 			if (permits > 0) {
-				leases.push([record.id, permits]);
+				leases.push([record.id, permits, window]);
 			}
 		}
 
 		return leases;
 	}
 
-	/** Each reply to an entry instance asks for all cold servers, while the entry instances seldom change. */
+	/** Each reply to an entry instance asks for all of them, while the entry instances seldom change. */
 	#permitsAt(server: ServerRecord, {entries, share}: {readonly entries: readonly ActiveEntry[]; readonly share: number}): ReadonlyMap<InstanceId, number> {
 		if (this.#entries !== entries) {
 			this.#entries = entries;
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -45,6 +45,8 @@
 	readonly nextServerChange: (timeout: number) => Promise<void>;
 	/** Returns the latest rollout of a service. */
 	readonly rolloutOf: (service: ServiceId) => RolloutWithAge | undefined;
+	/** Reports a rate limit that a server has named to the control instances at once. */
+	readonly reportLimit: () => void;
 	/** Returns when the instance stops, in milliseconds on the monotonic clock; undefined unless it is shutting down. */
 	readonly endsAt: () => number | undefined;
 };
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -7,6 +7,7 @@
 import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {KnownRollouts} from '../rollouts/known-rollouts.js';
 import {type Evacuations} from '../servers/evacuations.js';
+import {type SentServerLimit} from '../servers/server-limits.js';
 import {createCallerServer} from './caller-server.js';
 import {hasServerEnded} from './has-server-ended.js';
 import {ConfigurationLease} from './configuration-lease.js';
@@ -115,6 +116,9 @@
 			nextServerChange: async timeout => Promise.race([this.#serverWaiters.waitForNext(), options.wait(timeout)]),
 			rolloutOf: service => this.#rollouts.forService(service),
 			endsAt: () => this.#endsAt,
+			reportLimit: () => {
+				this.#watch.requestConfirmation();
+			},
 		};
 		this.#watch = new ControlWatch({
 			...options,
@@ -213,7 +217,7 @@
 		}
 	}
 
-	#watchFields(host: InstanceId): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evacuationRevision' | 'evidence'> {
+	#watchFields(host: InstanceId): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evacuationRevision' | 'evidence' | 'serverLimits'> {
 		const delta = this.#evidenceDeltas.get(host) ?? new EvidenceDelta();
 		this.#evidenceDeltas.set(host, delta);
 		return {
@@ -221,6 +225,7 @@
 			configurationVersion: this.#table?.version,
 			rolloutDigest: this.#rollouts.digest,
 			evacuationRevision: this.#context.servers.evacuations.revision,
+			serverLimits: this.#context.servers.rateLimits.heard(this.#options.clock.monotonic()),
 			evidence: delta.takeChanged(this.#context.evidence.countersOf(this.#rollouts.runningServices), this.#options.clock.monotonic()),
 		};
 	}
@@ -234,8 +239,11 @@
 		this.#applyEvacuations(reply.evacuations, {source, now});
 		if (sentAt !== undefined) {
 			servers.renewLeases({source, leases: reply.rateLeases ?? [], validUntil: sentAt + rateLeaseMilliseconds});
+			servers.rateLimits.renewLeases({source, leases: reply.limitLeases ?? [], validUntil: sentAt + rateLeaseMilliseconds});
 		}
 
+		this.#applyLimits(reply.serverLimits ?? [], {source, now});
+
 		this.#peers = reply.entries;
 		if (changed.length > 0) {
 			this.#serverWaiters.notifyAll();
@@ -278,6 +286,14 @@
 		}
 	}
 
+	#applyLimits(limits: readonly SentServerLimit[], {source, now}: {readonly source: InstanceId; readonly now: number}): void {
+		const {servers} = this.#context;
+		for (const {server, requestsPerSecond} of servers.rateLimits.merge(limits, now)) {
+			this.#options.log('server-limit-changed', {server, requestsPerSecond, source});
+			this.#options.metrics.limitedServers.set(servers.rateLimits.countAt(now));
+		}
+	}
+
 	#adoptConfiguration(document: string, source: InstanceId): void {
 		const parsed = this.#options.parse(document);
 		parsed.caseOf({
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -281,3 +281,24 @@
 	servers.applyRecords([testServer({sequence: 3})], {source: one, now: now + 1300});
 	t.is(chooseId(servers, {now: now + 1300}), testServer().id);
 });
+
+test('a server that names a rate limit gets no request without a lease, also if it is the only one', t => {
+	const servers = createServers(testServer());
+	servers.rateLimits.hear(testServer(), {requestsPerSecond: 1, now});
+	t.is(chooseId(servers), undefined);
+	t.is(servers.waitFor(testServer().service, now), 1000);
+	servers.applyRecords([testServer({id: 'server-2' as ServerId, sequence: 2})], {source: one, now});
+	t.is(chooseId(servers), 'server-2' as ServerId);
+	t.is(servers.waitFor(testServer().service, now), 0);
+});
+
+test('a new process of a server does not inherit the rate limit of the former one', t => {
+	const servers = createServers(testServer({startedAt: 1}));
+	servers.rateLimits.hear(testServer({startedAt: 1}), {requestsPerSecond: 1, now});
+	servers.applyRecords([testServer({startedAt: 2})], {source: one, now});
+	t.is(chooseId(servers), testServer().id);
+	servers.rateLimits.merge([{
+		server: testServer().id, startedAt: 1, requestsPerSecond: 1, age: 0,
+	}], now + 10);
+	t.is(chooseId(servers, {now: now + 10}), testServer().id);
+});
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -11,13 +11,13 @@
 import {isLaterState} from '../servers/is-later-state.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
 import {defaultRetentionMilliseconds} from '../servers/server-directory.js';
-import {ServerLimits} from '../servers/server-limits.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {
 	type ApplyRecordsOptions, type BeginSendOptions, type EntryServersOptions, type SendResult,
 } from './entry-servers-options.js';
 import {type FindServerOptions} from './find-server-options.js';
 import {KnownEvacuations} from './known-evacuations.js';
+import {KnownRateLimits} from './known-rate-limits.js';
 import {
 	TrackedServer, type ProcessState, type SendLoad, noOpLoad,
 } from './tracked-server.js';
@@ -48,6 +48,8 @@
 ```
 */
 export class EntryServers {
+	/** The rate limits that servers name. */
+	readonly rateLimits: KnownRateLimits;
 	readonly #options: EntryServersOptions;
 	readonly #servers = new Map<ServerId, TrackedServer>();
 	readonly #ejection = new OutlierEjection({
@@ -58,11 +60,12 @@
 	readonly #liveness = new ServerLivenessTable();
 	readonly #limiter: LeasedRateLimiter;
 	readonly #evacuations = new KnownEvacuations();
-	readonly #limits = new ServerLimits();
 
 	constructor(options: EntryServersOptions) {
 		this.#options = options;
-		this.#limiter = new LeasedRateLimiter({startedAt: options.startedAt ?? 0});
+		const startedAt = options.startedAt ?? 0;
+		this.#limiter = new LeasedRateLimiter({startedAt});
+		this.rateLimits = new KnownRateLimits({startedAt});
 	}
 
 	/**
@@ -172,6 +175,24 @@
 		return choice.map(({server}) => this.#servers.get(server)?.record).toMaybe().extractNullable() ?? undefined;
 	}
 
+	/**
+	Returns how long it takes until the rate limits of a service's servers allow a request.
+
+	@param service The service.
+	@param now Milliseconds on the monotonic clock.
+	@returns Milliseconds; 0 if they allow one now or no server is known.
+	*/
+	waitFor(service: ServiceId, now: number): number {
+		const waits: number[] = [];
+		for (const {record} of this.#servers.values()) {
+			if (record.service === service && record.state === 'ready') {
+				waits.push(this.rateLimits.waitFor(record, now));
+			}
+		}
+
+		return waits.length === 0 ? 0 : Math.min(...waits);
+	}
+
 	/** The load of this instance at each server where it has requests in flight. */
 	get loads(): LoadMessage['loads'] {
 		const loads: Array<readonly [ServerId, number]> = [];
@@ -194,6 +215,7 @@
 	beginSend(id: ServerId, {load, now}: BeginSendOptions): SendLoad {
 		if (this.#servers.has(id)) {
 			this.#limiter.countSend(id, now);
+			this.rateLimits.countSend(id, now);
 		}
 
 		return this.#servers.get(id)?.beginSend(load) ?? noOpLoad;
@@ -277,38 +299,6 @@
 		return this.#ejection.record(id, {failed: result === 'failed', now, servers: this.#countReady(tracked.record.service)});
 	}
 
-	/**
-	Records that a server named a rate limit.
-
-	@param server The record to which the request was sent.
-	@param named The requests per second, and the time.
-	@returns Whether the limit changed.
-	*/
-	recordLimit(server: ServerRecord, {requestsPerSecond, now}: {readonly requestsPerSecond: number; readonly now: number}): boolean {
-		return this.isCurrent(server) && this.#limits.apply({
-			server: server.id, startedAt: server.startedAt, requestsPerSecond, observedAt: now,
-		});
-	}
-
-	/**
-	Records that a server answered without naming a limit. This ends its limit if the request was sent after the limit was last heard: answers overtake each other.
-
-	@param server The record to which the request was sent.
-	@param answered When the request was sent and answered.
-	@returns Whether a limit ended.
-	*/
-	endLimit(server: ServerRecord, {sentAt, now}: {readonly sentAt: number; readonly now: number}): boolean {
-		const limit = this.#limits.of(server.id, now);
-		return limit !== undefined && sentAt > limit.observedAt && this.isCurrent(server) && this.#limits.apply({
-			server: server.id, startedAt: server.startedAt, observedAt: now,
-		});
-	}
-
-	/** The rate limits that servers have named. */
-	get limits(): ServerLimits {
-		return this.#limits;
-	}
-
 	/** Adds a new process, and discards the state of the process that it replaces, which has the same id or address. */
 	#add(record: ServerRecord, {source, now}: {readonly source: InstanceId; readonly now: number}): void {
 		for (const [id, previous] of this.#servers) {
@@ -355,7 +345,7 @@
 		const {id, zone} = tracked.record;
 		this.#ejection.forget(id);
 		this.#limiter.removeServer(id);
-		this.#limits.remove(id);
+		this.rateLimits.removeServer(id);
 		this.#zones.forgetServer(zone, id);
 		this.#options.loads.discardServer(id);
 		this.#options.onReplaced(tracked.record);
@@ -371,11 +361,11 @@
 			isSilent: this.#liveness.of(id) === 'silent',
 			isZoneUnreachable: serverZone !== zone && this.#zones.isSuspect(serverZone, now),
 			isEjected: this.#ejection.isEjected(id, now),
-			isRateLimited: this.#isRateLimited(tracked, now),
+			isRateLimited: this.#isColdLimited(tracked, now) || !this.rateLimits.allows(tracked.record, now),
 		});
 	}
 
-	#isRateLimited({record: {id, service}, cold}: TrackedServer, now: number): boolean {
+	#isColdLimited({record: {id, service}, cold}: TrackedServer, now: number): boolean {
 		return cold.remaining(now) > 0 && this.#options.coldDurationOf?.(service) !== undefined && !this.#limiter.allows(id, now);
 	}
 
@@ -397,6 +387,7 @@
 			if (isExpired && tracked.inFlight === 0) {
 				this.#servers.delete(id);
 				this.#limiter.removeServer(id);
+				this.rateLimits.removeServer(id);
 				this.#liveness.removeServer(id);
 			}
 		}
--- a/packages/gateway/src/entry/record-rate-limit.ts
+++ b/packages/gateway/src/entry/record-rate-limit.ts
@@ -15,7 +15,7 @@
 };
 
 /** The part of the context that is used to record a limit. */
-export type RecordRateLimitContext = Pick<EntryContext, 'servers' | 'clock' | 'log' | 'metrics'>;
+export type RecordRateLimitContext = Pick<EntryContext, 'servers' | 'clock' | 'log' | 'metrics' | 'reportLimit'>;
 
 /**
 Records what the head of an answer says of its server's rate limit.
@@ -31,14 +31,18 @@
 export function recordRateLimit({rateLimit}: Pick<AnswerHead, 'rateLimit'>, context: RecordRateLimitContext, {server, request, sentAt}: RecordRateLimitOptions): void {
 	const {servers, clock, log} = context;
 	const now = clock.monotonic();
+	if (!servers.isCurrent(server)) {
+		return;
+	}
+
 	match(rateLimit)
 		.with({type: 'limited'}, ({requestsPerSecond}) => {
-			if (servers.recordLimit(server, {requestsPerSecond, now})) {
+			if (servers.rateLimits.hear(server, {requestsPerSecond, now})) {
 				recordChange(context, {server: server.id, requestsPerSecond, request});
 			}
 		})
 		.with({type: 'unlimited'}, () => {
-			if (servers.endLimit(server, {sentAt, now})) {
+			if (servers.rateLimits.hearNone(server, {sentAt, now})) {
 				recordChange(context, {server: server.id, request});
 			}
 		})
@@ -48,7 +52,8 @@
 		.exhaustive();
 }
 
-function recordChange({servers, clock, log, metrics}: RecordRateLimitContext, fields: DecisionFields): void {
+function recordChange({servers, clock, log, metrics, reportLimit}: RecordRateLimitContext, fields: DecisionFields): void {
 	log('server-limit-changed', fields);
-	metrics.limitedServers.set(servers.limits.inForce(clock.monotonic()).length);
+	metrics.limitedServers.set(servers.rateLimits.countAt(clock.monotonic()));
+	reportLimit();
 }
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -256,3 +256,24 @@
 	}, testRoute({...pausingRoute, maximumAttempts: 1}));
 	t.deepEqual(answer, bothEvents);
 });
+
+test('a rejected answer names a rate limit too, and the request is refused at once if no other server is left', async t => {
+	let arrived = 0;
+	const reports: string[] = [];
+	const port = await listen(t, (_message, response) => {
+		arrived++;
+		response.writeHead(429, {limit: '0.5'}).end();
+	});
+	const {answers} = await sendRequests(t, 2, {
+		nextServers(servers) {
+			servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
+		},
+		route: testRoute({kind: 'safe', maximumAttempts: 2}),
+		log(kind) {
+			reports.push(kind);
+		},
+	});
+	t.deepEqual(answers.map(({status}) => status), [503, 503]);
+	t.is(arrived, 1);
+	t.is(reports.filter(kind => kind === 'server-limit-changed').length, 1);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -149,7 +149,13 @@
 		}
 
 		const message = `No server of ${this.#placement.service} is available for the request (${this.#end.lastProblem})`;
-		return this.#fail(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
+		return this.#fail(failure('no-server', message, {retryAfterMilliseconds: this.#retryAfter()}));
+	}
+
+	/** Callers of servers that take few requests return at different times, so that they do not compete for the same send. */
+	#retryAfter(): number {
+		const wait = this.#context.servers.waitFor(this.#placement.service, this.#now());
+		return Math.max(retryMilliseconds, Math.round(wait * (1 + this.#context.random())));
 	}
 
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<NextStep> {
--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -28,7 +28,7 @@
 	/** Whether its zone appears to be partitioned from this one. */
 	readonly isZoneUnreachable: boolean;
 	readonly isEjected: boolean;
-	/** Whether it is cold and no send to it is left. */
+	/** Whether it is cold or names a rate limit, and no send to it is left. */
 	readonly isRateLimited: boolean;
 };
 
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -70,6 +70,16 @@
 		return [...this.#servers.values()].map(({record}) => record);
 	}
 
+	/**
+	Returns the record of a server.
+
+	@param server The server.
+	@returns The record; undefined if the server is unknown.
+	*/
+	recordOf(server: ServerId): ServerRecord | undefined {
+		return this.#servers.get(server)?.record;
+	}
+
 	/**
 	Applies an announcement received from the server or from another control instance.
 
--- a/packages/gateway/src/servers/server-limits.ts
+++ b/packages/gateway/src/servers/server-limits.ts
@@ -1,5 +1,9 @@
 import {type ServerId} from '@valehitch/core';
 import {compareStartTimes} from './compare-start-times.js';
+import {type ServerRecord} from './server-record.js';
+
+/** A process of a backend server. */
+export type ServerProcess = Pick<ServerRecord, 'id' | 'startedAt'>;
 
 /** What is known of the rate limit of one process of a backend server. */
 export type ServerLimit = {
@@ -20,6 +24,8 @@
 
 /** How long a limit holds after the last answer that named it, in milliseconds; a server with a very low limit answers this seldom. */
 const limitMilliseconds = 120_000;
+/** The factor between two numbers up to which the change is reported only with the next poll. */
+const minorChangeFactor = 1.25;
 /** How long the end of a limit is remembered, in milliseconds; longer than another instance takes to report that the limit was still named. */
 const endMilliseconds = 10_000;
 
@@ -30,7 +36,7 @@
 ```ts
 const limits = new ServerLimits();
 limits.apply({server, requestsPerSecond: 1.7, observedAt: now});
-limits.of(server, now)?.requestsPerSecond; // 1.7
+limits.of({id: server}, now)?.requestsPerSecond; // 1.7
 ```
 */
 export class ServerLimits {
@@ -40,13 +46,13 @@
 	Applies an observation unless a later one is known.
 
 	@param observed The observation.
-	@returns Whether the limit changed.
+	@returns Whether the limit began, ended, or changed by more than a quarter, so that other instances should hear of it at once.
 	*/
 	apply(observed: ServerLimit): boolean {
 		const known = this.#limits.get(observed.server);
 		if (known === undefined) {
 			this.#limits.set(observed.server, observed);
-			return observed.requestsPerSecond !== undefined;
+			return isNews(observed.requestsPerSecond, undefined);
 		}
 
 		const process = compareStartTimes(observed, known);
@@ -55,7 +61,7 @@
 		}
 
 		this.#limits.set(observed.server, observed);
-		return observed.requestsPerSecond !== known.requestsPerSecond;
+		return isNews(observed.requestsPerSecond, known.requestsPerSecond);
 	}
 
 	/**
@@ -63,7 +69,7 @@
 
 	@param limits The observations.
 	@param now Milliseconds on the monotonic clock.
-	@returns The limits that changed.
+	@returns The limits that began, ended, or changed by more than a quarter.
 	*/
 	merge(limits: readonly SentServerLimit[], now: number): readonly ServerLimit[] {
 		const changed: ServerLimit[] = [];
@@ -78,15 +84,16 @@
 	}
 
 	/**
-	Returns the limit of a server.
+	Returns the limit of a process of a server. News of an earlier process may come late.
 
-	@param server The server.
+	@param server The process.
 	@param now Milliseconds on the monotonic clock.
 	@returns The limit; undefined if the server names none.
 	*/
-	of(server: ServerId, now: number): ServerLimit | undefined {
-		const limit = this.#limits.get(server);
-		return limit?.requestsPerSecond !== undefined && now - limit.observedAt <= limitMilliseconds ? limit : undefined;
+	of(server: ServerProcess, now: number): ServerLimit | undefined {
+		const limit = this.#limits.get(server.id);
+		const isInForce = limit?.requestsPerSecond !== undefined && now - limit.observedAt <= limitMilliseconds;
+		return isInForce && compareStartTimes(limit, server) === 0 ? limit : undefined;
 	}
 
 	/**
@@ -128,3 +135,12 @@
 		}
 	}
 }
+
+/** Small changes are not news: a server may name another number in each answer. */
+function isNews(rate: number | undefined, known: number | undefined): boolean {
+	if (rate === undefined || known === undefined) {
+		return rate !== known;
+	}
+
+	return Math.max(rate, known) > minorChangeFactor * Math.min(rate, known);
+}
--- a/packages/routing/src/leased-rate-limiter.ts
+++ b/packages/routing/src/leased-rate-limiter.ts
@@ -10,13 +10,15 @@
 /** The leases in a reply of a control instance. */
 export type ReceivedRateLeases = {
 	readonly source: InstanceId;
-	readonly leases: ReadonlyArray<readonly [server: ServerId, permits: number]>;
+	/** The sends per window at each server; the window is in milliseconds, and `rateWindowMilliseconds` by default. */
+	readonly leases: ReadonlyArray<readonly [server: ServerId, permits: number, window?: number]>;
 	/** When the leases expire, in milliseconds on the monotonic clock. */
 	readonly validUntil: number;
 };
 
 type Lease = {
 	readonly permits: number;
+	readonly window: number;
 	readonly validUntil: number;
 };
 
@@ -34,12 +36,12 @@
 */
 export class LeasedRateLimiter {
 	/** An earlier process of this instance may have used its leases until its end. */
-	readonly #startsAt: number;
+	readonly #startedAt: number;
 	readonly #leases = new Map<ServerId, Map<InstanceId, Lease>>();
 	readonly #sentAt = new Map<ServerId, readonly number[]>();
 
 	constructor({startedAt}: LeasedRateLimiterOptions) {
-		this.#startsAt = startedAt + rateWindowMilliseconds;
+		this.#startedAt = startedAt;
 	}
 
 	/**
@@ -48,9 +50,9 @@
 	@param received The leases.
 	*/
 	renew({source, leases, validUntil}: ReceivedRateLeases): void {
-		for (const [server, permits] of leases) {
+		for (const [server, permits, window = rateWindowMilliseconds] of leases) {
 			const bySource = this.#leases.get(server) ?? new Map<InstanceId, Lease>();
-			this.#leases.set(server, bySource.set(source, {permits, validUntil}));
+			this.#leases.set(server, bySource.set(source, {permits, window, validUntil}));
 		}
 	}
 
@@ -62,21 +64,30 @@
 	@returns Whether the send is allowed; it must be counted with `countSend`.
 	*/
 	allows(server: ServerId, now: number): boolean {
-		if (now < this.#startsAt) {
+		const window = this.#windowOf(server, now);
+		if (now < this.#startedAt + window) {
 			return false;
 		}
 
-		const leases = this.#leases.get(server);
-		if (leases === undefined) {
-			return false;
-		}
+		return this.#recentSends(server, now).length < this.#permitsAt(server, now);
+	}
 
-		let permits = 0;
-		for (const {permits: granted, validUntil} of leases.values()) {
-			permits += validUntil > now ? granted : 0;
+	/**
+	Returns when the leases allow the next send to a server, if they are renewed.
+
+	@param server The server.
+	@param now Milliseconds on the monotonic clock.
+	@returns Milliseconds on the monotonic clock; undefined without a lease.
+	*/
+	nextSendAt(server: ServerId, now: number): number | undefined {
+		const permits = this.#permitsAt(server, now);
+		if (permits === 0) {
+			return undefined;
 		}
 
-		return this.#recentSends(server, now).length < permits;
+		const window = this.#windowOf(server, now);
+		const lastUse = this.#recentSends(server, now).at(-permits);
+		return Math.max(now, this.#startedAt + window, lastUse === undefined ? now : lastUse + window);
 	}
 
 	/**
@@ -100,6 +111,28 @@
 	}
 
 	#recentSends(server: ServerId, now: number): readonly number[] {
-		return (this.#sentAt.get(server) ?? []).filter(at => now - at <= rateWindowMilliseconds);
+		const window = this.#windowOf(server, now);
+		return (this.#sentAt.get(server) ?? []).filter(at => now - at <= window);
+	}
+
+	#permitsAt(server: ServerId, now: number): number {
+		let permits = 0;
+		for (const {permits: granted, validUntil} of this.#leases.get(server)?.values() ?? []) {
+			permits += validUntil > now ? granted : 0;
+		}
+
+		return permits;
+	}
+
+	/** Leases of different windows are added up over the longest one, which never allows more than each of them would. */
+	#windowOf(server: ServerId, now: number): number {
+		let longest = rateWindowMilliseconds;
+		for (const {window, validUntil} of this.#leases.get(server)?.values() ?? []) {
+			if (validUntil + window > now) {
+				longest = Math.max(longest, window);
+			}
+		}
+
+		return longest;
 	}
 }
--- a/packages/routing/src/rate-lease-book.ts
+++ b/packages/routing/src/rate-lease-book.ts
@@ -14,6 +14,8 @@
 	readonly wanted: number;
 	/** The number of sends per window that this instance may grant for the server in total. */
 	readonly share: number;
+	/** The window over which the sends are counted, in milliseconds; `rateWindowMilliseconds` by default. */
+	readonly window?: number;
 	/** Milliseconds on the monotonic clock. */
 	readonly now: number;
 };
@@ -36,11 +38,12 @@
 ```
 */
 export class RateLeaseBook {
+	/** When the last lease of an earlier process has expired. */
 	readonly #startsAt: number;
 	readonly #grants = new Map<ServerId, Map<InstanceId, readonly Grant[]>>();
 
 	constructor({startedAt}: RateLeaseBookOptions) {
-		this.#startsAt = startedAt + rateLeaseMilliseconds + rateWindowMilliseconds;
+		this.#startsAt = startedAt + rateLeaseMilliseconds;
 	}
 
 	/**
@@ -50,8 +53,8 @@
 	@param request The holder, and how much it may have.
 	@returns The number of sends per window, for `rateLeaseMilliseconds` from now; 0 without a lease.
 	*/
-	grant(server: ServerId, {holder, wanted, share, now}: RateLeaseRequest): number {
-		if (now < this.#startsAt) {
+	grant(server: ServerId, {holder, wanted, share, window = rateWindowMilliseconds, now}: RateLeaseRequest): number {
+		if (now < this.#startsAt + window) {
 			return 0;
 		}
 
@@ -63,7 +66,7 @@
 
 		const permits = Math.max(0, Math.min(wanted, share - grantedToOthers));
 		if (permits > 0) {
-			const freeAt = now + rateLeaseMilliseconds + rateWindowMilliseconds;
+			const freeAt = now + rateLeaseMilliseconds + window;
 			holders.set(holder, [...(holders.get(holder) ?? []).filter(grant => grant.permits > permits), {permits, freeAt}]);
 		}
 
--- a/packages/routing/src/rate-lease-terms.ts
+++ b/packages/routing/src/rate-lease-terms.ts
@@ -1,4 +1,4 @@
-/** The window over which the rate limit of a server applies, in milliseconds. */
+/** The window over which the rate limit of a server applies unless a lease names another one, in milliseconds. */
 export const rateWindowMilliseconds = 1000;
 
 /** How long a rate lease is valid after it was granted, in milliseconds; longer than the interval between two polls of a holder. */
--- a/packages/routing/src/rate-leases.test.ts
+++ b/packages/routing/src/rate-leases.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {choosePermits} from './choose-permits.js';
+import {divideRateLimit, type RateLimitPart} from './divide-rate-limit.js';
 import {LeasedRateLimiter} from './leased-rate-limiter.js';
 import {RateLeaseBook} from './rate-lease-book.js';
 import {rateLeaseMilliseconds, rateWindowMilliseconds} from './rate-lease-terms.js';
@@ -27,6 +28,8 @@
 	/** How long a reply may take, in milliseconds. */
 	readonly delay: number;
 	readonly start: number;
+	/** The part of a limit that a control instance grants; by default that of `limit` over one second. */
+	readonly part?: RateLimitPart;
 };
 
 type Entry = {
@@ -42,7 +45,7 @@
 };
 
 /** Plays entry instances that send to one server whenever their leases allow it, and returns when they sent. */
-function playSends({entries: entryCount, controls: controlCount, extraControls, limit, restartRate, lossRate, delay, start}: Scenario): readonly number[] {
+function playSends({entries: entryCount, controls: controlCount, extraControls, limit, restartRate, lossRate, delay, start, part}: Scenario): readonly number[] {
 	let state = start;
 	const random = (): number => {
 		state = ((state * 48_271) + 1) % 2_147_483_647;
@@ -55,7 +58,8 @@
 	const controls: Control[] = Array.from({length: controlCount + extraControls}, () => ({
 		book: new RateLeaseBook({startedAt: 0}), heardAt: new Map(),
 	}));
-	const share = rateLimitShare(limit, {grantors: controlCount});
+	const {share, window} = part ?? {share: rateLimitShare(limit, {grantors: controlCount}), window: rateWindowMilliseconds};
+	const end = Math.max(endMilliseconds, 4 * window);
 	const inFlight: Array<{readonly at: number; readonly apply: () => void}> = [];
 	const sends: number[] = [];
 
@@ -77,7 +81,7 @@
 				const candidates = [...control.heardAt].filter(([, at]) => grantedAt - at <= entryTimeoutMilliseconds).map(([candidate]) => candidate);
 				const wanted = choosePermits(server, {candidates, share}).get(entry.instance) ?? 0;
 				const permits = control.book.grant(server.id, {
-					holder: entry.instance, wanted, share, now: grantedAt,
+					holder: entry.instance, wanted, share, window, now: grantedAt,
 				});
 				if (random() < lossRate) {
 					return;
@@ -87,7 +91,7 @@
 					at: grantedAt + (random() * delay),
 					apply() {
 						if (entry.startedAt === startedAt) {
-							entry.limiter.renew({source: `control-${index}` as InstanceId, leases: [[server.id, permits]], validUntil: now + held + rateLeaseMilliseconds});
+							entry.limiter.renew({source: `control-${index}` as InstanceId, leases: [[server.id, permits, window]], validUntil: now + held + rateLeaseMilliseconds});
 						}
 					},
 				});
@@ -95,7 +99,7 @@
 		});
 	};
 
-	for (let now = 0; now < endMilliseconds; now += stepMilliseconds) {
+	for (let now = 0; now < end; now += stepMilliseconds) {
 		for (let index = 0; index < inFlight.length; index++) {
 			const message = inFlight[index]!;
 			if (message.at <= now) {
@@ -132,11 +136,11 @@
 	return sends;
 }
 
-function mostInWindow(sends: readonly number[]): number {
+function mostInWindow(sends: readonly number[], window = rateWindowMilliseconds): number {
 	let most = 0;
 	let first = 0;
 	for (const [index, at] of sends.entries()) {
-		while (at - sends[first]! > rateWindowMilliseconds - stepMilliseconds) {
+		while (at - sends[first]! > window - stepMilliseconds) {
 			first++;
 		}
 
@@ -179,3 +183,43 @@
 	t.false(choosePermits(server, {candidates: [local, remote], share: 4}).has(remote.instance));
 	t.is(choosePermits(server, {candidates: [remote], share: 4}).get(remote.instance), 4);
 });
+
+/** The window of a limit that a server names itself, and how far it may be exceeded. */
+const named = {window: 4000, factor: 1.5, slack: 5};
+
+test('no window has more sends to a server than the limit that it names, however low, whoever restarts, is cut off or is replaced', t => {
+	const scenario: fc.Arbitrary<Scenario> = fc.record({
+		entries: fc.integer({min: 1, max: 120}),
+		controls: fc.integer({min: 1, max: 7}),
+		extraControls: fc.integer({min: 0, max: 1}),
+		limit: fc.double({min: 0.3, max: 40, noNaN: true}),
+		restartRate: fc.constantFrom(0, 0.0005, 0.005),
+		lossRate: fc.constantFrom(0, 0.1, 0.6),
+		delay: fc.constantFrom(2, 50, 900),
+		start: fc.integer({min: 1, max: 1_000_000}),
+	});
+	fc.assert(fc.property(scenario, drawn => {
+		const part = divideRateLimit(drawn.limit, {grantors: drawn.controls});
+		const sends = playSends({...drawn, part});
+		t.true(mostInWindow(sends, part.window) <= drawn.limit * part.window / 1000);
+		t.true(mostInWindow(sends, named.window) <= (named.factor * drawn.limit * named.window / 1000) + named.slack);
+	}), {seed, numRuns: 25});
+});
+
+// Whole sends per second would leave nothing of a low limit.
+test('a calm deployment uses most of a limit of less than two requests per second', t => {
+	for (const {limit, controls, entries} of [{limit: 1.7, controls: 3, entries: 7}, {limit: 0.3, controls: 5, entries: 64}]) {
+		const part = divideRateLimit(limit, {grantors: controls});
+		const sends = playSends({
+			entries, controls, extraControls: 0, limit, restartRate: 0, lossRate: 0, delay: 2, start: 1, part,
+		});
+		const used = sends.length / (limit * 3 * part.window / 1000);
+		t.true(used >= 0.6, `${sends.length} sends, ${used} of the limit`);
+	}
+});
+
+test('a limit that allows less than a send a minute for each control instance is not divided', t => {
+	t.deepEqual(divideRateLimit(0, {grantors: 3}), {share: 0, window: 60_000});
+	t.deepEqual(divideRateLimit(0.01, {grantors: 3}), {share: 0, window: 60_000});
+	t.deepEqual(divideRateLimit(0.1, {grantors: 3}), {share: 1, window: 40_000});
+});
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -208,7 +208,7 @@
 	}
 
 	if (server.rateLimited === true) {
-		return 'is cold, and no send is left for it';
+		return 'is cold or limits its rate, and no send is left for it';
 	}
 
 	if (server.draining) {
--- a/packages/routing/src/server-view.ts
+++ b/packages/routing/src/server-view.ts
@@ -20,7 +20,7 @@
 	readonly expired: boolean;
 	/** Whether it is ejected because of failures. */
 	readonly ejected: boolean;
-	/** Whether it is cold and this instance may not send it another request now; false by default. */
+	/** Whether it is cold or names a rate limit, and this instance may not send it another request now; false by default. */
 	readonly rateLimited?: boolean;
 	/** The time since its start in milliseconds. */
 	readonly uptime: number;
