Refuse a request at once when all servers name limits

Callers: a request that found all servers of its service without a send left waited for a server to appear, up to a share of its deadline.

Cause: the wait is meant for an instance that knows no server yet; it began for any request that had not been sent.

Evidence: the test counted more than one wait before (red), one after.

Change: there is no wait when the next send that the limits allow is known to be later; the refusal carries the time until then. Why this works: the caller returns to another instance, which may hold a lease.

--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -259,6 +259,7 @@
 
 test('a rejected answer names a rate limit too, and the request is refused at once if no other server is left', async t => {
 	let arrived = 0;
+	let waits = 0;
 	const reports: string[] = [];
 	const port = await listen(t, (_message, response) => {
 		arrived++;
@@ -266,6 +267,7 @@
 	});
 	const {answers} = await sendRequests(t, 2, {
 		nextServers(servers) {
+			waits++;
 			servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
 		},
 		route: testRoute({kind: 'safe', maximumAttempts: 2}),
@@ -275,5 +277,6 @@
 	});
 	t.deepEqual(answers.map(({status}) => status), [503, 503]);
 	t.is(arrived, 1);
+	t.is(waits, 1, 'only the first request waits for a server to appear');
 	t.is(reports.filter(kind => kind === 'server-limit-changed').length, 1);
 });
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -144,17 +144,17 @@
 			return this.#fail(failure('no-server', `All servers of ${this.#placement.service} are in evacuated availability zones`, {retryAfterMilliseconds: evacuatedRetryMilliseconds}));
 		}
 
-		if (await awaitFirstServer(this.#context, {allowance: this.#allowance, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt})) {
+		const wait = this.#context.servers.waitFor(this.#placement.service, this.#now());
+		if (wait === 0 && await awaitFirstServer(this.#context, {allowance: this.#allowance, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt})) {
 			return 'retry';
 		}
 
 		const message = `No server of ${this.#placement.service} is available for the request (${this.#end.lastProblem})`;
-		return this.#fail(failure('no-server', message, {retryAfterMilliseconds: this.#retryAfter()}));
+		return this.#fail(failure('no-server', message, {retryAfterMilliseconds: this.#retryAfter(wait)}));
 	}
 
 	/** Callers of servers that take few requests return at different times, so that they do not compete for the same send. */
-	#retryAfter(): number {
-		const wait = this.#context.servers.waitFor(this.#placement.service, this.#now());
+	#retryAfter(wait: number): number {
 		return Math.max(retryMilliseconds, Math.round(wait * (1 + this.#context.random())));
 	}
 
