Log the pause that a backend server asks for when it rejects a request

Change: the adapter decodes the pause of an answer with status 503; a line and a counter for each, and a line for one that cannot be read. What an answer says of its server is recorded in one place for limits and pauses. No choice of a server uses pauses yet.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -40,6 +40,7 @@
 		isEncoded: false,
 		confidence: typeof headers.confidence === 'string' ? Number(headers.confidence) : undefined,
 		rateLimit: typeof headers.limit === 'string' ? {type: 'limited', requestsPerSecond: Number(headers.limit)} : {type: 'unlimited'},
+		pause: typeof headers.pause === 'string' ? {type: 'requested', milliseconds: Number(headers.pause)} : {type: 'none'},
 	}),
 	answerHeaders: ({headers: {signature}}) => typeof signature === 'string' ? [['Signature', signature]] : [],
 	refuse: (_request, {kind}) => ({status: errorResponses[kind].status, headers: [], body: kind}),
--- a/packages/gateway/src/entry/gateway-request.ts
+++ b/packages/gateway/src/entry/gateway-request.ts
@@ -57,6 +57,13 @@
 	/** A limit that cannot be read. */
 		| {readonly type: 'invalid'; readonly value: string};
 
+/** What an answer says of the time for which its server wants no requests from this instance. */
+export type RequestedPause
+	= | {readonly type: 'none'}
+		| {readonly type: 'requested'; readonly milliseconds: number}
+	/** A time that cannot be read. */
+		| {readonly type: 'invalid'; readonly value: string};
+
 /** The parsed head of a backend server's answer. */
 export type AnswerHead = {
 	readonly status: number;
@@ -73,4 +80,5 @@
 	/** The model's own confidence in its answer, from 0 to 100; undefined if it reports none. */
 	readonly confidence: number | undefined;
 	readonly rateLimit: NamedRateLimit;
+	readonly pause: RequestedPause;
 };
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -10,7 +10,7 @@
 import {type EventStream} from './event-stream.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {type ModelCascade} from './model-cascade.js';
-import {recordRateLimit} from './record-rate-limit.js';
+import {recordNotices} from './record-notices.js';
 import {relayStream} from './relay-stream.js';
 import {type SuspectRequest} from './suspect-request.js';
 import {type ReceivedHead, type SendOutcome} from './send-attempt.js';
@@ -132,7 +132,7 @@
 	const head = context.dialect.readAnswer(message.statusCode ?? 0, message.headers);
 	const answerClass = classifyAnswer(head, request.id);
 	if (isFromServer(answerClass, head)) {
-		recordRateLimit(head, context, {server, request: request.id, sentAt});
+		recordNotices(head, context, {server, request: request.id, sentAt});
 	}
 
 	if (hasEnded()) {
--- a/packages/gateway/src/entry/record-rate-limit.ts
+++ b/packages/gateway/src/entry/record-notices.ts
@@ -4,8 +4,8 @@
 import {type EntryContext} from './entry-context.js';
 import {type AnswerHead} from './gateway-request.js';
 
-/** Options of {@linkcode recordRateLimit}. */
-export type RecordRateLimitOptions = {
+/** Options of {@linkcode recordNotices}. */
+export type RecordNoticesOptions = {
 	/** The server that answered. */
 	readonly server: ServerRecord;
 	/** The id of the request. */
@@ -14,27 +14,30 @@
 	readonly sentAt: number;
 };
 
-/** The part of the context that is used to record a limit. */
-export type RecordRateLimitContext = Pick<EntryContext, 'servers' | 'clock' | 'log' | 'metrics' | 'reportLimit'>;
+/** The part of the context that is used to record notices. */
+export type RecordNoticesContext = Pick<EntryContext, 'servers' | 'clock' | 'log' | 'metrics' | 'reportLimit'>;
 
 /**
-Records what the head of an answer says of its server's rate limit.
+Records what a server says of itself in the head of an answer, unless a later process has replaced it.
 
 @param head The head.
 @param context The context of the instance.
 @param options The server, and the request that it answered.
 @example
 ```ts
-recordRateLimit(head, context, {server, request: 'a1', sentAt});
+recordNotices(head, context, {server, request: 'a1', sentAt});
 ```
 */
-export function recordRateLimit({rateLimit}: Pick<AnswerHead, 'rateLimit'>, context: RecordRateLimitContext, {server, request, sentAt}: RecordRateLimitOptions): void {
-	const {servers, clock, log} = context;
-	const now = clock.monotonic();
-	if (!servers.isCurrent(server)) {
-		return;
+export function recordNotices(head: AnswerHead, context: RecordNoticesContext, options: RecordNoticesOptions): void {
+	if (context.servers.isCurrent(options.server)) {
+		recordRateLimit(head, context, options);
+		recordPause(head, context, options);
 	}
+}
 
+function recordRateLimit({rateLimit}: AnswerHead, context: RecordNoticesContext, {server, request, sentAt}: RecordNoticesOptions): void {
+	const {servers, clock, log} = context;
+	const now = clock.monotonic();
 	match(rateLimit)
 		.with({type: 'limited'}, ({requestsPerSecond}) => {
 			if (servers.rateLimits.hear(server, {requestsPerSecond, now})) {
@@ -52,7 +55,20 @@
 		.exhaustive();
 }
 
-function recordChange({servers, clock, log, metrics, reportLimit}: RecordRateLimitContext, fields: DecisionFields): void {
+function recordPause({pause}: AnswerHead, {log, metrics}: RecordNoticesContext, {server, request}: RecordNoticesOptions): void {
+	match(pause)
+		.with({type: 'none'}, () => undefined)
+		.with({type: 'requested'}, ({milliseconds}) => {
+			metrics.pauses.inc();
+			log('server-pause-requested', {server: server.id, duration: milliseconds, request}, 'warn');
+		})
+		.with({type: 'invalid'}, ({value}) => {
+			log('server-pause-invalid', {server: server.id, value, request}, 'warn');
+		})
+		.exhaustive();
+}
+
+function recordChange({servers, clock, log, metrics, reportLimit}: RecordNoticesContext, fields: DecisionFields): void {
 	log('server-limit-changed', fields);
 	metrics.limitedServers.set(servers.rateLimits.countAt(clock.monotonic()));
 	reportLimit();
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -6,6 +6,7 @@
 		| 'leader-changed' | 'membership-changed' | 'storage-failed' | 'storage-opened'
 		| 'server-joined' | 'server-draining' | 'server-gone' | 'server-silent' | 'server-suspected' | 'announcement-refused'
 		| 'server-notice-missed' | 'server-record-outdated' | 'server-limit-changed' | 'server-limit-invalid'
+		| 'server-pause-requested' | 'server-pause-invalid'
 		| 'servers-restored' | 'list-not-restored' | 'list-not-saved'
 		| 'evacuation-ordered' | 'evacuation-adopted'
 		| 'rollout-started' | 'rollout-advanced' | 'rollout-evaluation-failed'
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -67,6 +67,9 @@
 		limitedServers: new Gauge({
 			name: 'valehitch_limited_servers', help: 'Backend servers whose answers name a rate limit', registers,
 		}),
+		pauses: new Counter({
+			name: 'valehitch_requested_pauses_total', help: 'Answers by which a backend server asked for a time without requests', registers,
+		}),
 		watches: new Counter({
 			name: 'valehitch_watches_total', help: 'Polls of control instances, by result', labelNames: ['result'], registers,
 		}),
--- a/packages/platform/src/decode-rate-limit.ts
+++ b/packages/platform/src/decode-rate-limit.ts
@@ -1,6 +1,5 @@
 import {type NamedRateLimit} from '@valehitch/gateway';
-
-const decimalPattern = /^\d+(?:\.\d+)?$/v;
+import {parseDecimal} from './_parse-decimal.js';
 
 /**
 Decodes the rate limit that a backend server names in an answer.
@@ -17,6 +16,6 @@
 		return {type: 'unlimited'};
 	}
 
-	const requestsPerSecond = decimalPattern.test(value) ? Number(value) : Number.NaN;
-	return Number.isFinite(requestsPerSecond) ? {type: 'limited', requestsPerSecond} : {type: 'invalid', value};
+	const requestsPerSecond = parseDecimal(value);
+	return requestsPerSecond === undefined ? {type: 'invalid', value} : {type: 'limited', requestsPerSecond};
 }
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -4,6 +4,7 @@
 import {
 	type Dialect, type GatewayRequest, type Header, type PromptPart, type SendMetadata,
 } from '@valehitch/gateway';
+import {decodePause} from './decode-pause.js';
 import {decodeRateLimit} from './decode-rate-limit.js';
 import {connectionHeaders, reservedHeaders, wireHeader} from './wire-header.js';
 
@@ -11,6 +12,8 @@
 const anyModel = '*';
 const bearerPattern = /^bearer[ ]+(.+)$/iv;
 const millisecondsPerSecond = 1000;
+/** The status of a backend server that rejects a request for its own load. */
+const unavailableStatus = 503;
 
 /**
 The dialect of the platform: its request headers and answers.
@@ -28,6 +31,7 @@
 			isSigned: headers[wireHeader.signature] !== undefined,
 			isEncoded: headers[wireHeader.encoding] !== undefined,
 			confidence: confidence === undefined ? undefined : Number(confidence),
+			pause: status === unavailableStatus ? decodePause(firstValue(headers[wireHeader.pause])) : {type: 'none'},
 			rateLimit: decodeRateLimit(firstValue(headers[wireHeader.rateLimit])),
 		};
 	},
