Test that a server that asks for a pause gets one

Callers: requests spend their sends on servers that reject all of them, and are refused though others would serve.

Change: a test with the real programs (three entry instances, 60 requests a second, one of two servers rejects all and asks for 3 s).

--- a/packages/testing/src/server-notices.test.ts
+++ b/packages/testing/src/server-notices.test.ts
@@ -27,6 +27,7 @@
 const sendMilliseconds = 50;
 
 type Started = {
+	readonly deployment: PlatformDeployment;
 	readonly backends: readonly FakeBackendServer[];
 	/** Sends a request through each entry instance at a steady rate for a time in milliseconds, and returns their statuses. */
 	readonly sendFor: (duration: number) => Promise<readonly number[]>;
@@ -67,6 +68,7 @@
 	}
 
 	return {
+		deployment,
 		backends,
 		async sendFor(duration) {
 			const answers: Array<Promise<number>> = [];
@@ -110,3 +112,32 @@
 		return limited!.arrivals.length > before + 20 || undefined;
 	}, {description: 'a server without a limit that is used like others'});
 });
+
+/** The pause that a server asks for, the time after the rejection from which it holds, and the requests that may still arrive in it. */
+const pause = {milliseconds: 3000, graceMilliseconds: 500, allowed: 2};
+
+test('a server that rejects a request and asks for a pause gets no more requests from that instance until the pause ends, and is used again after it', async t => {
+	let isRejecting = true;
+	const {backends: [rejecting, other], deployment, sendFor} = await start(t, [
+		{id: 'i-rejecting', answer: () => ({isNotExecuted: isRejecting}), notices: () => isRejecting ? {'Retry-After': String(pause.milliseconds / 1000)} : {}},
+		{id: 'i-other', answer: () => ({})},
+	]);
+	await waitUntil(async () => {
+		await sendFor(sendMilliseconds);
+		return rejecting!.arrivals.length >= deployment.entries.length || undefined;
+	}, {description: 'a rejected request of each instance'});
+	const rejectedAt = performance.now();
+	const statuses = await sendFor(pause.milliseconds - pause.graceMilliseconds);
+	const late = rejecting!.arrivals.filter(at => at > rejectedAt + pause.graceMilliseconds);
+	const allowed = pause.allowed * deployment.entries.length;
+	t.true(late.length <= allowed, `${late.length} requests arrived in the pause, ${allowed} are allowed`);
+	t.deepEqual(new Set(statuses), new Set([200]));
+	t.true(other!.runs.length > 0);
+
+	isRejecting = false;
+	const before = rejecting!.runs.length;
+	await waitUntil(async () => {
+		await sendFor(sendMilliseconds);
+		return rejecting!.runs.length > before + 20 || undefined;
+	}, {description: 'a server that is used again after its pause'});
+});
