Give a server the pause that it asks for

Callers: while a few servers rejected all requests, 67 of some 550 requests in nine seconds were refused after three servers in a row had rejected them, although fourteen others served.

Cause: a rejection left nothing behind but that this one request did not go there again, and its load ended at once, so that a server that rejects looked idle and drew more requests than before. Class: as for limits, a peer says in its reply what it can take, and the sender reads only the status.

Change: an instance keeps the pause that a server asks it for (routing/requested-pauses.ts). In the pause the server is left out of each choice, also where no other is left; then a request is refused at once with the time until the earliest end. After the pause one trial goes there, and others once it was answered without another pause.

Why this works: all sends, first ones, repeats, larger models and resumed streams, choose their server in the one place that leaves it out.

--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -302,3 +302,13 @@
 	}], now + 10);
 	t.is(chooseId(servers, {now: now + 10}), testServer().id);
 });
+
+test('a server that asked for a pause gets no request until it ends, also if it is the only one, and then a single trial', t => {
+	const servers = createServers(testServer());
+	servers.pauses.begin(testServer().id, {milliseconds: 3000, now});
+	t.is(chooseId(servers, {now: now + 2999}), undefined);
+	t.is(servers.waitFor(testServer().service, now + 1000), 2000);
+	t.is(chooseId(servers, {now: now + 3000}), testServer().id);
+	servers.beginSend(testServer().id, {load: 1, now: now + 3000}).end();
+	t.is(chooseId(servers, {now: now + 3100}), undefined);
+});
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -2,7 +2,7 @@
 	type InstanceId, type ServerId, type ServiceId,
 } from '@valehitch/core';
 import {
-	chooseServer, LeasedRateLimiter, OutlierEjection, prefixHash, type ReceivedRateLeases, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
+	chooseServer, LeasedRateLimiter, OutlierEjection, prefixHash, type ReceivedRateLeases, RequestedPauses, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
 import {compareStartTimes} from '../servers/compare-start-times.js';
@@ -50,6 +50,8 @@
 export class EntryServers {
 	/** The rate limits that servers name. */
 	readonly rateLimits: KnownRateLimits;
+	/** The pauses that servers ask this instance for. */
+	readonly pauses = new RequestedPauses();
 	readonly #options: EntryServersOptions;
 	readonly #servers = new Map<ServerId, TrackedServer>();
 	readonly #ejection = new OutlierEjection({
@@ -176,7 +178,7 @@
 	}
 
 	/**
-	Returns how long it takes until the rate limits of a service's servers allow a request.
+	Returns how long it takes until the rate limits and pauses of a service's servers allow a request.
 
 	@param service The service.
 	@param now Milliseconds on the monotonic clock.
@@ -186,7 +188,7 @@
 		const waits: number[] = [];
 		for (const {record} of this.#servers.values()) {
 			if (record.service === service && record.state === 'ready') {
-				waits.push(this.rateLimits.waitFor(record, now));
+				waits.push(Math.max(this.rateLimits.waitFor(record, now), this.pauses.waitFor(record.id, now)));
 			}
 		}
 
@@ -216,6 +218,7 @@
 		if (this.#servers.has(id)) {
 			this.#limiter.countSend(id, now);
 			this.rateLimits.countSend(id, now);
+			this.pauses.countSend(id, now);
 		}
 
 		return this.#servers.get(id)?.beginSend(load) ?? noOpLoad;
@@ -346,6 +349,7 @@
 		this.#ejection.forget(id);
 		this.#limiter.removeServer(id);
 		this.rateLimits.removeServer(id);
+		this.pauses.removeServer(id);
 		this.#zones.forgetServer(zone, id);
 		this.#options.loads.discardServer(id);
 		this.#options.onReplaced(tracked.record);
@@ -362,6 +366,7 @@
 			isZoneUnreachable: serverZone !== zone && this.#zones.isSuspect(serverZone, now),
 			isEjected: this.#ejection.isEjected(id, now),
 			isRateLimited: this.#isColdLimited(tracked, now) || !this.rateLimits.allows(tracked.record, now),
+			isPaused: !this.pauses.allows(id, now),
 		});
 	}
 
@@ -388,6 +393,7 @@
 				this.#servers.delete(id);
 				this.#limiter.removeServer(id);
 				this.rateLimits.removeServer(id);
+				this.pauses.removeServer(id);
 				this.#liveness.removeServer(id);
 			}
 		}
--- a/packages/gateway/src/entry/record-notices.ts
+++ b/packages/gateway/src/entry/record-notices.ts
@@ -17,6 +17,9 @@
 /** The part of the context that is used to record notices. */
 export type RecordNoticesContext = Pick<EntryContext, 'servers' | 'clock' | 'log' | 'metrics' | 'reportLimit'>;
 
+/** The pause of a server that asks for one that cannot be read, in milliseconds. */
+const defaultPauseMilliseconds = 1000;
+
 /**
 Records what a server says of itself in the head of an answer, unless a later process has replaced it.
 
@@ -55,15 +58,25 @@
 		.exhaustive();
 }
 
-function recordPause({pause}: AnswerHead, {log, metrics}: RecordNoticesContext, {server, request}: RecordNoticesOptions): void {
+function recordPause({pause}: AnswerHead, {servers, clock, log, metrics}: RecordNoticesContext, {server, request, sentAt}: RecordNoticesOptions): void {
+	const begin = (milliseconds: number): void => {
+		servers.pauses.begin(server.id, {milliseconds, now: clock.monotonic()});
+		metrics.pauses.inc();
+	};
+
 	match(pause)
-		.with({type: 'none'}, () => undefined)
+		.with({type: 'none'}, () => {
+			servers.pauses.recordAnswer(server.id, sentAt);
+		})
 		.with({type: 'requested'}, ({milliseconds}) => {
-			metrics.pauses.inc();
+			begin(milliseconds);
 			log('server-pause-requested', {server: server.id, duration: milliseconds, request}, 'warn');
 		})
 		.with({type: 'invalid'}, ({value}) => {
-			log('server-pause-invalid', {server: server.id, value, request}, 'warn');
+			begin(defaultPauseMilliseconds);
+			log('server-pause-invalid', {
+				server: server.id, value, duration: defaultPauseMilliseconds, request,
+			}, 'warn');
 		})
 		.exhaustive();
 }
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -280,3 +280,22 @@
 	t.is(waits, 1, 'only the first request waits for a server to appear');
 	t.is(reports.filter(kind => kind === 'server-limit-changed').length, 1);
 });
+
+test('requests go past a server that rejected one and asked for a pause', async t => {
+	let rejected = 0;
+	const rejecting = await listen(t, (_message, response) => {
+		rejected++;
+		response.writeHead(429, {pause: '5000'}).end();
+	});
+	const serving = await listen(t, (_message, response) => {
+		response.end('printed');
+	});
+	const {answers} = await sendRequests(t, 8, {
+		nextServers(servers) {
+			servers.applyRecords([testServer({port: rejecting}), testServer({id: 'server-2' as ServerId, port: serving})], {source: control, now: performance.now()});
+		},
+		route: testRoute({kind: 'safe', maximumAttempts: 2}),
+	});
+	t.deepEqual(new Set(answers.map(({status}) => status)), new Set([200]));
+	t.true(rejected <= 1);
+});
--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -30,6 +30,8 @@
 	readonly isEjected: boolean;
 	/** Whether it is cold or names a rate limit, and no send to it is left. */
 	readonly isRateLimited: boolean;
+	/** Whether it has asked this instance for a pause, which goes on. */
+	readonly isPaused: boolean;
 };
 
 /** Options of {@linkcode TrackedServer}. */
@@ -163,7 +165,7 @@
 	@param conditions What else is known about the server.
 	@returns The view.
 	*/
-	view({now, othersLoad, isSilent, isZoneUnreachable, isEjected, isRateLimited}: ServerConditions): ServerView {
+	view({now, othersLoad, isSilent, isZoneUnreachable, isEjected, isRateLimited, isPaused}: ServerConditions): ServerView {
 		const {id, zone, slots} = this.record;
 		return {
 			id,
@@ -177,6 +179,7 @@
 			expired: isSilent || this.backoffUntil > now || isZoneUnreachable,
 			ejected: isEjected,
 			rateLimited: isRateLimited,
+			paused: isPaused,
 			// These servers warm up within milliseconds, so a slow start, as used for cold replicas, would only unbalance the load.
 			uptime: Math.max(warmMilliseconds, now - this.addedAt),
 			loaded: this.#loaded,
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -24,6 +24,7 @@
 export type * from './request-plan.js';
 export type * from './request-state.js';
 export * from './repeat-rate.js';
+export * from './requested-pauses.js';
 export * from './retry-budget.js';
 export * from './windowed-retry-budget.js';
 export * from './server-choice.js';
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -211,6 +211,10 @@
 		return 'is cold or limits its rate, and no send is left for it';
 	}
 
+	if (server.paused === true) {
+		return 'has asked for a pause';
+	}
+
 	if (server.draining) {
 		return 'is shutting down';
 	}
--- a/packages/routing/src/server-view.ts
+++ b/packages/routing/src/server-view.ts
@@ -22,6 +22,8 @@
 	readonly ejected: boolean;
 	/** Whether it is cold or names a rate limit, and this instance may not send it another request now; false by default. */
 	readonly rateLimited?: boolean;
+	/** Whether it has asked this instance for a pause, which goes on; false by default. */
+	readonly paused?: boolean;
 	/** The time since its start in milliseconds. */
 	readonly uptime: number;
 	/** The keys of the versions that it has loaded, as formatted by `versionKey`, or the name of the service that it provides. */
