Drain a server that announces its shutdown in an answer

Callers: requests may be sent to a server that is leaving until its notice comes over control instances, and fail with it.

Change: the instance that gets such an answer treats the server as draining from then on. Announcements that still call it ready do not change that; a new process does. Why this works: each choice of a server asks for ready ones, and the later state of a process always holds.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -39,6 +39,7 @@
 		isSigned: true,
 		isEncoded: false,
 		confidence: typeof headers.confidence === 'string' ? Number(headers.confidence) : undefined,
+		isDraining: headers.draining === '1',
 		rateLimit: typeof headers.limit === 'string' ? {type: 'limited', requestsPerSecond: Number(headers.limit)} : {type: 'unlimited'},
 		pause: typeof headers.pause === 'string' ? {type: 'requested', milliseconds: Number(headers.pause)} : {type: 'none'},
 	}),
--- a/packages/gateway/src/entry/classify-answer.test.ts
+++ b/packages/gateway/src/entry/classify-answer.test.ts
@@ -3,7 +3,13 @@
 import {type AnswerHead} from './gateway-request.js';
 
 const good: AnswerHead = {
-	status: 200, requestId: 'a1', isNotRun: false, isFromOtherServer: false, isSigned: true, isEncoded: false, confidence: undefined, rateLimit: {type: 'unlimited'}, pause: {type: 'none'},
+	status: 200,
+	requestId: 'a1',
+	isNotRun: false,
+	isFromOtherServer: false,
+	isSigned: true,
+	isEncoded: false,
+	confidence: undefined, isDraining: false, rateLimit: {type: 'unlimited'}, pause: {type: 'none'},
 };
 
 for (const [name, changes, wanted] of [
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -312,3 +312,13 @@
 	servers.beginSend(testServer().id, {load: 1, now: now + 3000}).end();
 	t.is(chooseId(servers, {now: now + 3100}), undefined);
 });
+
+test('a server that announced its shutdown in an answer gets no request though it still announces itself as ready', t => {
+	const servers = createServers(testServer({startedAt: 1}));
+	t.true(servers.markDraining(testServer().id));
+	t.false(servers.markDraining(testServer().id));
+	servers.applyRecords([testServer({startedAt: 1, sequence: 9})], {source: two, now});
+	t.is(chooseId(servers), undefined);
+	servers.applyRecords([testServer({startedAt: 2})], {source: two, now});
+	t.is(chooseId(servers), testServer().id);
+});
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -269,6 +269,22 @@
 		return this.#servers.get(server.id)?.stateOf(server) ?? 'unknown';
 	}
 
+	/**
+	Records that a server has announced its shutdown in an answer. Announcements that still call it ready do not change that.
+
+	@param id The server.
+	@returns Whether it was ready before.
+	*/
+	markDraining(id: ServerId): boolean {
+		const tracked = this.#servers.get(id);
+		if (tracked?.record.state !== 'ready') {
+			return false;
+		}
+
+		tracked.markDraining();
+		return true;
+	}
+
 	/**
 	Records the result of a send.
 
--- a/packages/gateway/src/entry/gateway-request.ts
+++ b/packages/gateway/src/entry/gateway-request.ts
@@ -79,6 +79,8 @@
 	readonly isEncoded: boolean;
 	/** The model's own confidence in its answer, from 0 to 100; undefined if it reports none. */
 	readonly confidence: number | undefined;
+	/** Whether the server is shutting down and wants no more requests. */
+	readonly isDraining: boolean;
 	readonly rateLimit: NamedRateLimit;
 	readonly pause: RequestedPause;
 };
--- a/packages/gateway/src/entry/record-notices.ts
+++ b/packages/gateway/src/entry/record-notices.ts
@@ -33,11 +33,21 @@
 */
 export function recordNotices(head: AnswerHead, context: RecordNoticesContext, options: RecordNoticesOptions): void {
 	if (context.servers.isCurrent(options.server)) {
+		recordShutdown(head, context, options);
 		recordRateLimit(head, context, options);
 		recordPause(head, context, options);
 	}
 }
 
+function recordShutdown({isDraining}: AnswerHead, {servers, log}: RecordNoticesContext, {server, request}: RecordNoticesOptions): void {
+	if (isDraining && servers.markDraining(server.id)) {
+		const {id, service, version, startedAt, sequence} = server;
+		log('server-draining', {
+			server: id, service, version, state: 'draining', startedAt, sequence, request,
+		});
+	}
+}
+
 function recordRateLimit({rateLimit}: AnswerHead, context: RecordNoticesContext, {server, request, sentAt}: RecordNoticesOptions): void {
 	const {servers, clock, log} = context;
 	const now = clock.monotonic();
--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -186,6 +186,12 @@
 		};
 	}
 
+	/** Records that the process has announced its shutdown. */
+	markDraining(): void {
+		this.record = {...this.record, state: 'draining'};
+		this.wasDraining = true;
+	}
+
 	/**
 	Records that the process has ended.
 
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -31,6 +31,7 @@
 			isSigned: headers[wireHeader.signature] !== undefined,
 			isEncoded: headers[wireHeader.encoding] !== undefined,
 			confidence: confidence === undefined ? undefined : Number(confidence),
+			isDraining: firstValue(headers[wireHeader.leaving]) === '1',
 			pause: status === unavailableStatus ? decodePause(firstValue(headers[wireHeader.pause])) : {type: 'none'},
 			rateLimit: decodeRateLimit(firstValue(headers[wireHeader.rateLimit])),
 		};
--- a/packages/platform/src/wire-header.ts
+++ b/packages/platform/src/wire-header.ts
@@ -22,6 +22,8 @@
 	/** The id of the answering backend server, if another one was expected. */
 	answeringServer: 'instance-id',
 	confidence: 'confidence',
+	/** Present with the value 1 if the backend server is shutting down. */
+	leaving: 'server-leaving',
 	/** How many seconds the backend server wants no requests from this instance; counts only if it rejected the request. */
 	pause: 'retry-after',
 	/** The requests per second that a backend server takes from all instances together, not from each. */
--- a/packages/testing/src/server-notices.test.ts
+++ b/packages/testing/src/server-notices.test.ts
@@ -141,3 +141,23 @@
 		return rejecting!.runs.length > before + 20 || undefined;
 	}, {description: 'a server that is used again after its pause'});
 });
+
+/** The time after an answer that announces a shutdown from which no request may arrive, in milliseconds. */
+const drainMilliseconds = 2000;
+
+test('a server that announces its shutdown in its answers only gets no more requests, though it announces itself as ready', async t => {
+	const {backends: [leaving, other], deployment, sendFor} = await start(t, [
+		{id: 'i-leaving', answer: () => ({}), notices: () => ({'Server-Leaving': '1'})},
+		{id: 'i-other', answer: () => ({})},
+	]);
+	await waitUntil(async () => {
+		await sendFor(sendMilliseconds);
+		return leaving!.arrivals.length >= deployment.entries.length || undefined;
+	}, {description: 'a request of each instance'});
+	await sendFor(drainMilliseconds);
+	const before = leaving!.arrivals.length;
+	const statuses = await sendFor(drainMilliseconds);
+	t.is(leaving!.arrivals.length, before);
+	t.deepEqual(new Set(statuses), new Set([200]));
+	t.true(other!.arrivals.length > 0);
+});
