Drop expired limits of servers that are gone at entry instances too

Cause: an entry instance dropped what it was told of limits only when it listed them, which it seldom does; limits of servers that are gone stayed.

Change: they are dropped whenever limits are told. Found by reading.

--- a/packages/gateway/src/servers/server-limits.ts
+++ b/packages/gateway/src/servers/server-limits.ts
@@ -72,6 +72,7 @@
 	@returns The limits that began, ended, or changed by more than a quarter.
 	*/
 	merge(limits: readonly SentServerLimit[], now: number): readonly ServerLimit[] {
+		this.#removeExpired(now);
 		const changed: ServerLimit[] = [];
 		for (const {age, ...limit} of limits) {
 			const observed = {...limit, observedAt: now - age};
