Move what servers tolerate of sends out of EntryServers

The limits of cold servers, the rate limits that servers name and the pauses that they ask for are one matter: how many sends a server takes. They have a class of their own. Behaviour is as before; no test was changed but for the names.

--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -225,7 +225,7 @@
 			configurationVersion: this.#table?.version,
 			rolloutDigest: this.#rollouts.digest,
 			evacuationRevision: this.#context.servers.evacuations.revision,
-			serverLimits: this.#context.servers.rateLimits.heard(this.#options.clock.monotonic()),
+			serverLimits: this.#context.servers.limits.rates.heard(this.#options.clock.monotonic()),
 			evidence: delta.takeChanged(this.#context.evidence.countersOf(this.#rollouts.runningServices), this.#options.clock.monotonic()),
 		};
 	}
@@ -238,8 +238,8 @@
 		const changed = servers.applyRecords(reply.records, {source, now, isFullState});
 		this.#applyEvacuations(reply.evacuations, {source, now});
 		if (sentAt !== undefined) {
-			servers.renewLeases({source, leases: reply.rateLeases ?? [], validUntil: sentAt + rateLeaseMilliseconds});
-			servers.rateLimits.renewLeases({source, leases: reply.limitLeases ?? [], validUntil: sentAt + rateLeaseMilliseconds});
+			servers.limits.renewColdLeases({source, leases: reply.rateLeases ?? [], validUntil: sentAt + rateLeaseMilliseconds});
+			servers.limits.rates.renewLeases({source, leases: reply.limitLeases ?? [], validUntil: sentAt + rateLeaseMilliseconds});
 		}
 
 		this.#applyLimits(reply.serverLimits ?? [], {source, now});
@@ -288,9 +288,9 @@
 
 	#applyLimits(limits: readonly SentServerLimit[], {source, now}: {readonly source: InstanceId; readonly now: number}): void {
 		const {servers} = this.#context;
-		for (const {server, requestsPerSecond} of servers.rateLimits.merge(limits, now)) {
+		for (const {server, requestsPerSecond} of servers.limits.rates.merge(limits, now)) {
 			this.#options.log('server-limit-changed', {server, requestsPerSecond, source});
-			this.#options.metrics.limitedServers.set(servers.rateLimits.countAt(now));
+			this.#options.metrics.limitedServers.set(servers.limits.rates.countAt(now));
 		}
 	}
 
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -259,7 +259,7 @@
 	const later = now + 100;
 	const servers = createColdServers(testServer({coldRemaining: 3000}));
 	t.is(chooseId(servers), undefined);
-	servers.renewLeases({source: two, leases: [[testServer().id, 2]], validUntil: later + 2000});
+	servers.limits.renewColdLeases({source: two, leases: [[testServer().id, 2]], validUntil: later + 2000});
 	for (let send = 0; send < 2; send++) {
 		t.is(chooseId(servers, {now: later}), testServer().id);
 		servers.beginSend(testServer().id, {load: 1, now: later});
@@ -284,7 +284,7 @@
 
 test('a server that names a rate limit gets no request without a lease, also if it is the only one', t => {
 	const servers = createServers(testServer());
-	servers.rateLimits.hear(testServer(), {requestsPerSecond: 1, now});
+	servers.limits.rates.hear(testServer(), {requestsPerSecond: 1, now});
 	t.is(chooseId(servers), undefined);
 	t.is(servers.waitFor(testServer().service, now), 1000);
 	servers.applyRecords([testServer({id: 'server-3' as ServerId, zone: 'hall-b' as ZoneId})], {source: one, now});
@@ -297,10 +297,10 @@
 
 test('a new process of a server does not inherit the rate limit of the former one', t => {
 	const servers = createServers(testServer({startedAt: 1}));
-	servers.rateLimits.hear(testServer({startedAt: 1}), {requestsPerSecond: 1, now});
+	servers.limits.rates.hear(testServer({startedAt: 1}), {requestsPerSecond: 1, now});
 	servers.applyRecords([testServer({startedAt: 2})], {source: one, now});
 	t.is(chooseId(servers), testServer().id);
-	servers.rateLimits.merge([{
+	servers.limits.rates.merge([{
 		server: testServer().id, startedAt: 1, requestsPerSecond: 1, age: 0,
 	}], now + 10);
 	t.is(chooseId(servers, {now: now + 10}), testServer().id);
@@ -308,7 +308,7 @@
 
 test('a server that asked for a pause gets no request until it ends, also if it is the only one, and then a single trial', t => {
 	const servers = createServers(testServer());
-	servers.pauses.begin(testServer().id, {milliseconds: 3000, now});
+	servers.limits.pauses.begin(testServer().id, {milliseconds: 3000, now});
 	t.is(chooseId(servers, {now: now + 2999}), undefined);
 	t.is(servers.waitFor(testServer().service, now + 1000), 2000);
 	t.is(chooseId(servers, {now: now + 3000}), testServer().id);
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -2,7 +2,7 @@
 	type InstanceId, type ServerId, type ServiceId,
 } from '@valehitch/core';
 import {
-	chooseServer, LeasedRateLimiter, OutlierEjection, prefixHash, type ReceivedRateLeases, RequestedPauses, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
+	chooseServer, OutlierEjection, prefixHash, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
 import {compareStartTimes} from '../servers/compare-start-times.js';
@@ -17,10 +17,10 @@
 } from './entry-servers-options.js';
 import {type FindServerOptions} from './find-server-options.js';
 import {KnownEvacuations} from './known-evacuations.js';
-import {KnownRateLimits} from './known-rate-limits.js';
 import {
 	TrackedServer, type ProcessState, type SendLoad, noOpLoad,
 } from './tracked-server.js';
+import {SendLimits} from './send-limits.js';
 import {ServerLivenessTable} from './server-liveness-table.js';
 
 /** The maximum load of a server relative to the mean load. Engines batch requests, so even twice the mean load costs less than processing a prompt without its cached prefix. */
@@ -48,10 +48,8 @@
 ```
 */
 export class EntryServers {
-	/** The rate limits that servers name. */
-	readonly rateLimits: KnownRateLimits;
-	/** The pauses that servers ask this instance for. */
-	readonly pauses = new RequestedPauses();
+	/** What servers tolerate of this instance's sends. */
+	readonly limits: SendLimits;
 	readonly #options: EntryServersOptions;
 	readonly #servers = new Map<ServerId, TrackedServer>();
 	readonly #ejection = new OutlierEjection({
@@ -60,14 +58,12 @@
 
 	readonly #zones = new ZoneFailureDetector();
 	readonly #liveness = new ServerLivenessTable();
-	readonly #limiter: LeasedRateLimiter;
 	readonly #evacuations = new KnownEvacuations();
 
 	constructor(options: EntryServersOptions) {
 		this.#options = options;
-		const startedAt = options.startedAt ?? 0;
-		this.#limiter = new LeasedRateLimiter({startedAt});
-		this.rateLimits = new KnownRateLimits({startedAt});
+		const {startedAt = 0, coldDurationOf} = options;
+		this.limits = new SendLimits({startedAt, coldDurationOf});
 	}
 
 	/**
@@ -133,15 +129,6 @@
 		return this.#evacuations.includesAll(servers.filter(record => record.service === service && record.state === 'ready'));
 	}
 
-	/**
-	Applies the leases for sends to cold servers that a control instance has granted.
-
-	@param received The leases.
-	*/
-	renewLeases(received: ReceivedRateLeases): void {
-		this.#limiter.renew(received);
-	}
-
 	/**
 	Records that a control instance is not responding. Its reports are ignored until it responds again.
 
@@ -186,9 +173,10 @@
 	*/
 	waitFor(service: ServiceId, now: number): number {
 		const waits: number[] = [];
-		for (const {record} of this.#servers.values()) {
+		for (const tracked of this.#servers.values()) {
+			const {record} = tracked;
 			if (record.service === service && record.state === 'ready' && !this.#evacuations.zones.has(record.zone)) {
-				waits.push(Math.max(this.rateLimits.waitFor(record, now), this.pauses.waitFor(record.id, now)));
+				waits.push(this.limits.waitFor(tracked, now));
 			}
 		}
 
@@ -220,9 +208,7 @@
 			return noOpLoad;
 		}
 
-		this.#limiter.countSend(id, now);
-		this.rateLimits.countSend(tracked.record, now);
-		this.pauses.countSend(id, now);
+		this.limits.countSend(tracked, now);
 		return tracked.beginSend(load);
 	}
 
@@ -365,9 +351,7 @@
 	#discardState(tracked: TrackedServer): void {
 		const {id, zone} = tracked.record;
 		this.#ejection.forget(id);
-		this.#limiter.removeServer(id);
-		this.rateLimits.removeServer(id);
-		this.pauses.removeServer(id);
+		this.limits.removeServer(id);
 		this.#zones.forgetServer(zone, id);
 		this.#options.loads.discardServer(id);
 		this.#options.onReplaced(tracked.record);
@@ -383,15 +367,11 @@
 			isSilent: this.#liveness.of(id) === 'silent',
 			isZoneUnreachable: serverZone !== zone && this.#zones.isSuspect(serverZone, now),
 			isEjected: this.#ejection.isEjected(id, now),
-			isRateLimited: this.#isColdLimited(tracked, now) || !this.rateLimits.allows(tracked.record, now),
-			isPaused: !this.pauses.allows(id, now),
+			isRateLimited: this.limits.isRateLimited(tracked, now),
+			isPaused: !this.limits.pauses.allows(id, now),
 		});
 	}
 
-	#isColdLimited({record: {id, service}, cold}: TrackedServer, now: number): boolean {
-		return cold.remaining(now) > 0 && this.#options.coldDurationOf?.(service) !== undefined && !this.#limiter.allows(id, now);
-	}
-
 	#countReady(service: ServiceId): number {
 		let count = 0;
 		for (const {record} of this.#servers.values()) {
@@ -409,9 +389,7 @@
 				: unreportedFor > forgetSilentMilliseconds && !this.#liveness.isReportedAlive(id);
 			if (isExpired && tracked.inFlight === 0) {
 				this.#servers.delete(id);
-				this.#limiter.removeServer(id);
-				this.rateLimits.removeServer(id);
-				this.pauses.removeServer(id);
+				this.limits.removeServer(id);
 				this.#liveness.removeServer(id);
 			}
 		}
--- a/packages/gateway/src/entry/record-notices.ts
+++ b/packages/gateway/src/entry/record-notices.ts
@@ -53,12 +53,12 @@
 	const now = clock.monotonic();
 	match(rateLimit)
 		.with({type: 'limited'}, ({requestsPerSecond}) => {
-			if (servers.rateLimits.hear(server, {requestsPerSecond, now})) {
+			if (servers.limits.rates.hear(server, {requestsPerSecond, now})) {
 				recordChange(context, {server: server.id, requestsPerSecond, request});
 			}
 		})
 		.with({type: 'unlimited'}, () => {
-			if (servers.rateLimits.hearNone(server, {sentAt, now})) {
+			if (servers.limits.rates.hearNone(server, {sentAt, now})) {
 				recordChange(context, {server: server.id, request});
 			}
 		})
@@ -70,13 +70,13 @@
 
 function recordPause({pause}: AnswerHead, {servers, clock, log, metrics}: RecordNoticesContext, {server, request, sentAt}: RecordNoticesOptions): void {
 	const begin = (milliseconds: number): void => {
-		servers.pauses.begin(server.id, {milliseconds, now: clock.monotonic()});
+		servers.limits.pauses.begin(server.id, {milliseconds, now: clock.monotonic()});
 		metrics.pauses.inc();
 	};
 
 	match(pause)
 		.with({type: 'none'}, () => {
-			servers.pauses.recordAnswer(server.id, sentAt);
+			servers.limits.pauses.recordAnswer(server.id, sentAt);
 		})
 		.with({type: 'requested'}, ({milliseconds}) => {
 			begin(milliseconds);
@@ -93,6 +93,6 @@
 
 function recordChange({servers, clock, log, metrics, reportLimit}: RecordNoticesContext, fields: DecisionFields): void {
 	log('server-limit-changed', fields);
-	metrics.limitedServers.set(servers.rateLimits.countAt(clock.monotonic()));
+	metrics.limitedServers.set(servers.limits.rates.countAt(clock.monotonic()));
 	reportLimit();
 }
--- /dev/null
+++ b/packages/gateway/src/entry/send-limits.ts
@@ -0,0 +1,95 @@
+import {type ServerId, type ServiceId} from '@valehitch/core';
+import {
+	LeasedRateLimiter, type LeasedRateLimiterOptions, type ReceivedRateLeases, RequestedPauses,
+} from '@valehitch/routing';
+import {KnownRateLimits} from './known-rate-limits.js';
+import {type TrackedServer} from './tracked-server.js';
+
+/** Options of {@linkcode SendLimits}. */
+export type SendLimitsOptions = LeasedRateLimiterOptions & {
+	/** Returns how long the servers of a service are cold after their start, in milliseconds; undefined if they tolerate as many requests as otherwise. */
+	readonly coldDurationOf?: ((service: ServiceId) => number | undefined) | undefined;
+};
+
+/**
+What servers tolerate of an instance's sends: few while they are cold, those of a rate limit that they name, and none in a pause that they ask for.
+
+@example
+```ts
+const limits = new SendLimits({startedAt});
+limits.rates.hear(server.record, {requestsPerSecond: 1.7, now});
+limits.waitFor(server, now);
+```
+*/
+export class SendLimits {
+	/** The rate limits that servers name. */
+	readonly rates: KnownRateLimits;
+	/** The pauses that servers ask this instance for. */
+	readonly pauses = new RequestedPauses();
+	readonly #coldDurationOf: SendLimitsOptions['coldDurationOf'];
+	readonly #coldLimiter: LeasedRateLimiter;
+
+	constructor({coldDurationOf, ...options}: SendLimitsOptions) {
+		this.#coldDurationOf = coldDurationOf;
+		this.#coldLimiter = new LeasedRateLimiter(options);
+		this.rates = new KnownRateLimits(options);
+	}
+
+	/**
+	Applies the leases for sends to cold servers that a control instance has granted.
+
+	@param received The leases.
+	*/
+	renewColdLeases(received: ReceivedRateLeases): void {
+		this.#coldLimiter.renew(received);
+	}
+
+	/**
+	Checks whether the rate limit of a server, its own or that of a cold one, leaves no send now.
+
+	@param server The server.
+	@param now Milliseconds on the monotonic clock.
+	@returns Whether it leaves none.
+	*/
+	isRateLimited(server: TrackedServer, now: number): boolean {
+		return this.#isColdLimited(server, now) || !this.rates.allows(server.record, now);
+	}
+
+	/**
+	Returns how long it takes until the rate limit and the pause of a server allow a request.
+
+	@param server The server.
+	@param now Milliseconds on the monotonic clock.
+	@returns Milliseconds; 0 if they allow one now.
+	*/
+	waitFor({record}: TrackedServer, now: number): number {
+		return Math.max(this.rates.waitFor(record, now), this.pauses.waitFor(record.id, now));
+	}
+
+	/**
+	Counts a send.
+
+	@param server The server.
+	@param now Milliseconds on the monotonic clock.
+	*/
+	countSend({record}: TrackedServer, now: number): void {
+		this.#coldLimiter.countSend(record.id, now);
+		this.rates.countSend(record, now);
+		this.pauses.countSend(record.id, now);
+	}
+
+	/**
+	Removes what is known of a server whose process has ended.
+
+	@param server The server.
+	*/
+	removeServer(server: ServerId): void {
+		this.#coldLimiter.removeServer(server);
+		this.rates.removeServer(server);
+		this.pauses.removeServer(server);
+	}
+
+	#isColdLimited({record: {id, service}, cold}: TrackedServer, now: number): boolean {
+		return cold.remaining(now) > 0 && this.#coldDurationOf?.(service) !== undefined && !this.#coldLimiter.allows(id, now);
+	}
+}
