End a server's rate limit only with an answer that it served

Callers saw nothing yet; a server in need would be flooded between two answers.

Cause: any answer without a limit ended it. A rejection may be written by a part of the server that does not know the limit; then each rejection would let all instances send freely until the next served answer.

Change: rejected answers can begin and change a limit, but not end it. Why this works: a server with a limit goes on serving, so that its end is still heard from the next served answer.

--- /dev/null
+++ b/packages/gateway/src/entry/record-notices.test.ts
@@ -0,0 +1,85 @@
+import {type InstanceId, type ZoneId} from '@valehitch/core';
+import test from 'ava';
+import {createGatewayMetrics} from '../logs/gateway-metrics.js';
+import {testServer} from '../servers/_test-server.js';
+import {ignore} from './_test-run.js';
+import {EntryServers} from './entry-servers.js';
+import {type AnswerHead} from './gateway-request.js';
+import {recordNotices} from './record-notices.js';
+
+const server = testServer({startedAt: 1});
+const head: AnswerHead = {
+	status: 200,
+	requestId: 'a1',
+	isNotRun: false,
+	isFromOtherServer: false,
+	isSigned: true,
+	isEncoded: false,
+	confidence: undefined,
+	isDraining: false,
+	rateLimit: {type: 'unlimited'},
+	pause: {type: 'none'},
+};
+
+function start() {
+	const lines: string[] = [];
+	const time = {now: 10_000};
+	const servers = new EntryServers({
+		zone: 'hall-a' as ZoneId, random: () => 0.5, loads: {peerLoadAt: () => 0, recordChange: ignore, discardServer: ignore}, onReplaced: ignore,
+	});
+	servers.applyRecords([server], {source: 'control-1' as InstanceId, now: time.now});
+	const answer = (changes: Partial<AnswerHead>, from = server): void => {
+		time.now += 100;
+		recordNotices({...head, ...changes}, {
+			servers,
+			clock: {now: () => new Date(0), monotonic: () => time.now},
+			log(kind) {
+				lines.push(kind);
+			},
+			metrics: createGatewayMetrics(),
+			reportLimit() {
+				lines.push('reported');
+			},
+		}, {server: from, request: 'a1', sentAt: time.now - 50});
+	};
+
+	return {
+		answer, lines, servers, time,
+	};
+}
+
+test('a rejected answer without a limit does not end the limit that served ones name', t => {
+	const {answer, servers, time} = start();
+	answer({rateLimit: {type: 'limited', requestsPerSecond: 2}});
+	answer({status: 503, isNotRun: true});
+	t.false(servers.limits.rates.allows(server, time.now));
+	answer({});
+	t.true(servers.limits.rates.allows(server, time.now));
+});
+
+test('the beginning and the end of a limit are reported at once, and a repeated limit is not', t => {
+	const {answer, lines} = start();
+	answer({rateLimit: {type: 'limited', requestsPerSecond: 2}});
+	answer({rateLimit: {type: 'limited', requestsPerSecond: 2}});
+	answer({});
+	answer({});
+	t.deepEqual(lines, ['server-limit-changed', 'reported', 'server-limit-changed', 'reported']);
+});
+
+test('a limit that cannot be read leaves the known one, and a pause that cannot be read is a short one', t => {
+	const {answer, lines, servers, time} = start();
+	answer({rateLimit: {type: 'limited', requestsPerSecond: 2}});
+	answer({rateLimit: {type: 'invalid', value: 'many'}});
+	t.false(servers.limits.rates.allows(server, time.now));
+	answer({status: 503, isNotRun: true, pause: {type: 'invalid', value: 'tomorrow'}});
+	t.is(servers.limits.pauses.waitFor(server.id, time.now), 1000);
+	t.deepEqual(lines.slice(2), ['server-limit-invalid', 'server-pause-invalid']);
+});
+
+test('an answer of an earlier process says nothing of the current one', t => {
+	const {answer, servers, time} = start();
+	answer({isDraining: true, rateLimit: {type: 'limited', requestsPerSecond: 2}, pause: {type: 'requested', milliseconds: 1000}}, testServer({startedAt: 0}));
+	t.true(servers.limits.rates.allows(server, time.now));
+	t.true(servers.limits.pauses.allows(server.id, time.now));
+	t.is(servers.processStateOf(server), 'ready');
+});
--- a/packages/gateway/src/entry/record-notices.ts
+++ b/packages/gateway/src/entry/record-notices.ts
@@ -48,7 +48,7 @@
 	}
 }
 
-function recordRateLimit({rateLimit}: AnswerHead, context: RecordNoticesContext, {server, request, sentAt}: RecordNoticesOptions): void {
+function recordRateLimit({rateLimit, isNotRun}: AnswerHead, context: RecordNoticesContext, {server, request, sentAt}: RecordNoticesOptions): void {
 	const {servers, clock, log} = context;
 	const now = clock.monotonic();
 	match(rateLimit)
@@ -58,7 +58,8 @@
 			}
 		})
 		.with({type: 'unlimited'}, () => {
-			if (servers.limits.rates.hearNone(server, {sentAt, now})) {
+			// A rejection may come from a part of the server that does not know its limit.
+			if (!isNotRun && servers.limits.rates.hearNone(server, {sentAt, now})) {
 				recordChange(context, {server: server.id, request});
 			}
 		})
