Divide a named rate limit among the control instances without a rest

Cause: a fourth of each limit was kept free for a control instance that is being replaced, as for cold servers, where the limit is a hundred times what is left.

Change: from three control instances on, each grants an equal part and nothing is kept free. While one is replaced, a server may get one part more than its limit, which is within the half that the rule allows beyond it.

--- a/packages/routing/src/divide-rate-limit.ts
+++ b/packages/routing/src/divide-rate-limit.ts
@@ -12,8 +12,10 @@
 	readonly grantors: number;
 };
 
-/** The window that is aimed at, in milliseconds: long enough for whole sends of a limit of a few per second, and short enough to spread a burst. */
-const targetWindowMilliseconds = 2000;
+/** The window up to which the sends of a part may be more than one, in milliseconds, so that a burst of all parts stays short. */
+const targetWindowMilliseconds = 3000;
+/** With fewer grantors, one part is kept free for one that is being replaced while its successor grants already. Among more, its part is a small excess. */
+const grantorsWithoutSpare = 3;
 /** The longest window, in milliseconds. A limit that allows no whole send for each grantor in this time is not used. */
 const maximumWindowMilliseconds = 60_000;
 const millisecondsPerSecond = 1000;
@@ -21,19 +23,17 @@
 /**
 Divides a rate limit into equal parts of whole sends, by a window that is as long as that takes. It answers the load of a server that takes few requests per second from many instances.
 
-One part more than there are grantors is kept free, for one that is being replaced while its successor grants already.
-
 @param requestsPerSecond The limit.
 @param options The number of grantors.
 @returns The part of each grantor.
 @example
 ```ts
-divideRateLimit(1.6, {grantors: 3}); // {share: 1, window: 2500}
+divideRateLimit(1.5, {grantors: 3}); // {share: 1, window: 2000}
 ```
 */
 export function divideRateLimit(requestsPerSecond: number, {grantors}: DivideRateLimitOptions): RateLimitPart {
-	const parts = grantors + 1;
-	const share = Math.max(1, Math.round(requestsPerSecond * targetWindowMilliseconds / millisecondsPerSecond / parts));
+	const parts = grantors < grantorsWithoutSpare ? grantors + 1 : grantors;
+	const share = Math.max(1, Math.floor(requestsPerSecond * targetWindowMilliseconds / millisecondsPerSecond / parts));
 	const window = Math.ceil(share * parts * millisecondsPerSecond / requestsPerSecond);
 	return window <= maximumWindowMilliseconds ? {share, window} : {share: 0, window: maximumWindowMilliseconds};
 }
