Start with the largest model while sends are scarce

Callers: while all servers of a service name limits, half of the sends were second ones for a larger model, and as many other requests were refused.

Cause: a cascade spends a send to find out whether a small model is good enough. That is cheap while engines take any number of requests.

Change: if every server of the service that may get requests names a limit, the cascade begins with the largest model, whose answer needs no second send.

The test of it fails without the change (checked by taking it out of the built code).

--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -164,6 +164,22 @@
 		return choice.map(({server}) => this.#servers.get(server)?.record).toMaybe().extractNullable() ?? undefined;
 	}
 
+	/**
+	Checks whether all servers of a service that may get requests name rate limits, so that sends are scarce.
+
+	@param service The service.
+	@param now Milliseconds on the monotonic clock.
+	@returns Whether that is so; false if no server is known.
+	*/
+	areAllRateLimited(service: ServiceId, now: number): boolean {
+		if (this.limits.rates.countAt(now) === 0) {
+			return false;
+		}
+
+		const servers = this.#availableServers(service);
+		return servers.length > 0 && servers.every(({record}) => this.limits.rates.isLimited(record, now));
+	}
+
 	/**
 	Returns how long it takes until the rate limits and pauses of a service's servers allow a request.
 
@@ -172,14 +188,7 @@
 	@returns Milliseconds; 0 if they allow one now or no server is known.
 	*/
 	waitFor(service: ServiceId, now: number): number {
-		const waits: number[] = [];
-		for (const tracked of this.#servers.values()) {
-			const {record} = tracked;
-			if (record.service === service && record.state === 'ready' && !this.#evacuations.zones.has(record.zone)) {
-				waits.push(this.limits.waitFor(tracked, now));
-			}
-		}
-
+		const waits = this.#availableServers(service).map(tracked => this.limits.waitFor(tracked, now));
 		return waits.length === 0 ? 0 : Math.min(...waits);
 	}
 
@@ -372,6 +381,11 @@
 		});
 	}
 
+	/** The servers of a service that are ready and not in an evacuated zone. */
+	#availableServers(service: ServiceId): readonly TrackedServer[] {
+		return [...this.#servers.values()].filter(({record}) => record.service === service && record.state === 'ready' && !this.#evacuations.zones.has(record.zone));
+	}
+
 	#countReady(service: ServiceId): number {
 		let count = 0;
 		for (const {record} of this.#servers.values()) {
--- a/packages/gateway/src/entry/known-rate-limits.ts
+++ b/packages/gateway/src/entry/known-rate-limits.ts
@@ -90,6 +90,17 @@
 		return this.#limits.inForce(now).length;
 	}
 
+	/**
+	Checks whether a server names a limit.
+
+	@param server The server.
+	@param now Milliseconds on the monotonic clock.
+	@returns Whether it does.
+	*/
+	isLimited(server: ServerProcess, now: number): boolean {
+		return this.#limits.of(server, now) !== undefined;
+	}
+
 	/**
 	Checks whether a request may be sent to a server now.
 
@@ -98,7 +109,7 @@
 	@returns Whether the server has no limit, or a send of this instance's part is left.
 	*/
 	allows(server: ServerProcess, now: number): boolean {
-		return this.#limits.of(server, now) === undefined || this.#limiter.allows(server.id, now);
+		return !this.isLimited(server, now) || this.#limiter.allows(server.id, now);
 	}
 
 	/**
@@ -125,7 +136,7 @@
 	@param now Milliseconds on the monotonic clock.
 	*/
 	countSend(server: ServerProcess, now: number): void {
-		if (this.#limits.of(server, now) !== undefined) {
+		if (this.isLimited(server, now)) {
 			this.#limiter.countSend(server.id, now);
 		}
 	}
--- a/packages/gateway/src/entry/model-cascade.ts
+++ b/packages/gateway/src/entry/model-cascade.ts
@@ -21,6 +21,8 @@
 	readonly choosesModel: boolean;
 	/** The length of the prompt, in tokens; 0 if there is no prompt. */
 	readonly tokens: number;
+	/** Whether the servers allow few sends; the cascade then begins with the largest model, since a second send of this request would be the only one of another request. False by default. */
+	readonly areSendsScarce?: boolean;
 };
 
 /** The part of the context that a cascade uses. */
@@ -57,11 +59,11 @@
 	readonly #tokens: number;
 	#current: ModelId | undefined;
 
-	constructor(context: ModelCascadeContext, {route, choosesModel, tokens}: ModelCascadeOptions) {
+	constructor(context: ModelCascadeContext, {route, choosesModel, tokens, areSendsScarce = false}: ModelCascadeOptions) {
 		this.#context = context;
 		this.#route = route;
 		this.#tokens = tokens;
-		this.#current = choosesModel ? route.sizes[0] : undefined;
+		this.#current = choosesModel ? route.sizes.at(areSendsScarce ? -1 : 0) : undefined;
 	}
 
 	/** The model of the next send; undefined if the caller chose it or the request needs none. */
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -299,3 +299,30 @@
 	t.deepEqual(new Set(answers.map(({status}) => status)), new Set([200]));
 	t.is(rejected, 1);
 });
+
+test('a request starts with the largest model while all servers of the service name rate limits', async t => {
+	const models: Array<string | string[] | undefined> = [];
+	const port = await listen(t, ({headers: {model}}, response) => {
+		models.push(model);
+		response.writeHead(200, {confidence: model === 'small' ? '10' : '90', limit: '100'}).end('id: 1\ndata: drafted\n\n');
+	});
+	const records = [testServer({port}), testServer({id: 'server-2' as ServerId, port})];
+	await sendRequests(t, 1, {
+		nextServers() {
+			// The servers are known from the start.
+		},
+		route: testRoute({
+			kind: 'streaming', isResumable: true, timeout: 8000, maximumAttempts: 2, sizes: ['small', 'large'] as ModelId[],
+		}),
+		prepare({servers}) {
+			const now = performance.now();
+			servers.applyRecords(records, {source: control, now});
+			for (const record of records) {
+				servers.limits.rates.hear(record, {requestsPerSecond: 100, now});
+			}
+
+			servers.limits.rates.renewLeases({source: control, leases: records.map(({id}) => [id, 9, 1]), validUntil: now + 2000});
+		},
+	});
+	t.deepEqual(models, ['large']);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -71,7 +71,12 @@
 		this.#placement = new Placement(context, {request, route, bytes: body.byteLength});
 		this.#results = new SendResults(context, {request: request.id, route: route.id});
 		this.#allowance = new SendAllowance({...context, route, service: this.#placement.service});
-		this.#models = new ModelCascade(context, {route, choosesModel: request.choosesModel, tokens: request.inputTokens});
+		this.#models = new ModelCascade(context, {
+			route,
+			choosesModel: request.choosesModel,
+			tokens: request.inputTokens,
+			areSendsScarce: context.servers.areAllRateLimited(this.#placement.service, arrivedAt),
+		});
 		this.#end = new RequestEnd(context, {
 			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models,
 		});
