Let each control instance choose other holders of a low limit

Callers: while servers name limits, one instance of a zone may hold all the sends of most servers, and the callers of the others are refused.

Cause: all control instances chose the same holders, which suits the dozens of sends that cold servers take.

Change: for limits that servers name, the choice depends on the control instance too, so that three of them spread their sends over up to three holders. Cold servers are as before.

--- a/packages/gateway/src/control/_test-control-node.ts
+++ b/packages/gateway/src/control/_test-control-node.ts
@@ -1,3 +1,4 @@
+import {type InstanceId} from '@valehitch/core';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {noEvacuations} from '../servers/evacuations.js';
 import {EntryWatches} from './entry-watches.js';
@@ -33,7 +34,7 @@
 		}),
 		leases: {grantsFor: () => []},
 		limitedServers: new LimitedServers({
-			clock: options.clock, log: doNothing, startedAt: 0, directory: news.directory, grantors: () => options.others().length + 1, onChange: doNothing,
+			clock: options.clock, log: doNothing, self: 'control-1' as InstanceId, startedAt: 0, directory: news.directory, grantors: () => options.others().length + 1, onChange: doNothing,
 		}),
 	});
 	void news.start();
--- a/packages/gateway/src/control/limited-servers.ts
+++ b/packages/gateway/src/control/limited-servers.ts
@@ -9,6 +9,8 @@
 export type LimitedServersOptions = {
 	readonly clock: Pick<Clock, 'monotonic'>;
 	readonly log: DecisionLog;
+	/** This control instance. */
+	readonly self: InstanceId;
 	/** When this process started, in milliseconds on the monotonic clock. */
 	readonly startedAt: number;
 	readonly directory: Pick<ServerDirectory, 'recordOf'>;
@@ -40,7 +42,7 @@
 
 	constructor(options: LimitedServersOptions) {
 		this.#options = options;
-		this.leases = new RateLeaseGrantor({startedAt: options.startedAt, servers: now => this.#leasedServers(now)});
+		this.leases = new RateLeaseGrantor({self: options.self, startedAt: options.startedAt, servers: now => this.#leasedServers(now)});
 	}
 
 	/** The number of the last change. */
--- a/packages/gateway/src/control/rate-lease-grantor.ts
+++ b/packages/gateway/src/control/rate-lease-grantor.ts
@@ -9,6 +9,8 @@
 	readonly startedAt: number;
 	/** Returns the servers that get only leased sends at a time in milliseconds on the monotonic clock. */
 	readonly servers: (now: number) => readonly LeasedServer[];
+	/** This control instance, if it should choose other holders than others; by default all choose the same. */
+	readonly self?: InstanceId;
 };
 
 /** A server that gets only leased sends, and the part of them that this control instance may grant. */
@@ -80,12 +82,13 @@
 			this.#permits = newPermits();
 		}
 
+		const {self} = this.#options;
 		const known = this.#permits.peek(server.id);
 		if (known?.share === share) {
 			return known.permits;
 		}
 
-		const permits = choosePermits(server, {candidates: entries, share});
+		const permits = choosePermits(server, {candidates: entries, share, ...(self !== undefined && {grantor: self})});
 		this.#permits.set(server.id, {share, permits});
 		return permits;
 	}
--- a/packages/routing/src/choose-permits.ts
+++ b/packages/routing/src/choose-permits.ts
@@ -13,6 +13,8 @@
 	readonly candidates: readonly LeaseCandidate[];
 	/** The number of sends per window that may be granted in total. */
 	readonly share: number;
+	/** The control instance that grants, if each should choose other holders; by default all choose the same. */
+	readonly grantor?: InstanceId;
 };
 
 /**
@@ -28,14 +30,14 @@
 choosePermits(server, {candidates: [{instance, zone}], share: 3}); // Map {instance => 3}
 ```
 */
-export function choosePermits(server: {readonly id: ServerId; readonly zone: ZoneId}, {candidates, share}: ChoosePermitsOptions): ReadonlyMap<InstanceId, number> {
+export function choosePermits(server: {readonly id: ServerId; readonly zone: ZoneId}, {candidates, share, grantor}: ChoosePermitsOptions): ReadonlyMap<InstanceId, number> {
 	const local = candidates.filter(({zone}) => zone === server.zone);
 	const preferred = (local.length > 0 ? local : candidates).map(({instance}) => instance);
 	if (preferred.length <= share) {
 		return new Map(preferred.map(instance => [instance, Math.floor(share / preferred.length)]));
 	}
 
-	const scored = preferred.map(instance => ({instance, score: rendezvousScore(prefixHash(instance), {server: server.id, capacity: 1})}));
+	const scored = preferred.map(instance => ({instance, score: rendezvousScore(prefixHash(grantor === undefined ? instance : `${instance} ${grantor}`), {server: server.id, capacity: 1})}));
 	const chosen = scored.toSorted((one, other) => other.score - one.score).slice(0, share);
 	return new Map(chosen.map(({instance}) => [instance, 1]));
 }
