--- a/packages/routing/src/rate-leases.test.ts
+++ b/packages/routing/src/rate-leases.test.ts
@@ -150,17 +150,21 @@
 	return most;
 }
 
-test('no second has more sends to a cold server than it tolerates, whoever restarts, is cut off or is replaced', t => {
-	const scenario: fc.Arbitrary<Scenario> = fc.record({
-		entries: fc.integer({min: 1, max: 240}),
+function drawScenario({maximumEntries, limit}: {readonly maximumEntries: number; readonly limit: {readonly min: number; readonly max: number}}): fc.Arbitrary<Scenario> {
+	return fc.record({
+		entries: fc.integer({min: 1, max: maximumEntries}),
 		controls: fc.integer({min: 1, max: 7}),
 		extraControls: fc.integer({min: 0, max: 1}),
-		limit: fc.double({min: 2, max: 60, noNaN: true}),
+		limit: fc.double({...limit, noNaN: true}),
 		restartRate: fc.constantFrom(0, 0.0005, 0.005),
 		lossRate: fc.constantFrom(0, 0.1, 0.6),
 		delay: fc.constantFrom(2, 50, 900),
 		start: fc.integer({min: 1, max: 1_000_000}),
 	});
+}
+
+test('no second has more sends to a cold server than it tolerates, whoever restarts, is cut off or is replaced', t => {
+	const scenario = drawScenario({maximumEntries: 240, limit: {min: 2, max: 60}});
 	fc.assert(fc.property(scenario, drawn => {
 		t.true(mostInWindow(playSends(drawn)) <= drawn.limit);
 	}), {seed, numRuns: 25});
@@ -188,16 +192,7 @@
 const named = {window: 4000, factor: 1.5, slack: 5};
 
 test('no window has more sends to a server than the limit that it names, however low, whoever restarts, is cut off or is replaced', t => {
-	const scenario: fc.Arbitrary<Scenario> = fc.record({
-		entries: fc.integer({min: 1, max: 120}),
-		controls: fc.integer({min: 1, max: 7}),
-		extraControls: fc.integer({min: 0, max: 1}),
-		limit: fc.double({min: 0.3, max: 40, noNaN: true}),
-		restartRate: fc.constantFrom(0, 0.0005, 0.005),
-		lossRate: fc.constantFrom(0, 0.1, 0.6),
-		delay: fc.constantFrom(2, 50, 900),
-		start: fc.integer({min: 1, max: 1_000_000}),
-	});
+	const scenario = drawScenario({maximumEntries: 120, limit: {min: 0.3, max: 40}});
 	fc.assert(fc.property(scenario, drawn => {
 		const part = divideRateLimit(drawn.limit, {grantors: drawn.controls});
 		const sends = playSends({...drawn, part});
--- a/packages/testing/src/platform-path.test.ts
+++ b/packages/testing/src/platform-path.test.ts
@@ -3,9 +3,11 @@
 import {PeerNetwork} from '@valehitch/transport';
 import test, {type ExecutionContext} from 'ava';
 import {
-	sendForResponse, FakeBackendServer, type FakeBackendServerOptions, sendForStatus, type ReceivedResponse,
+	sendForResponse, type FakeBackendServer, type FakeBackendServerOptions, sendForStatus, type ReceivedResponse,
 } from './platform/fake-backend-server.js';
 import {PlatformDeployment, type PlatformDeploymentOptions} from './platform/platform-deployment.js';
+import {putConfiguration} from './platform/put-configuration.js';
+import {startBackends} from './platform/start-backends.js';
 import {waitUntil} from './wait-until.js';
 
 const host = 'desk.example';
@@ -66,22 +68,8 @@
 /** Starts a deployment with backend servers and configuration 1, and waits until it serves requests. */
 async function start(t: ExecutionContext, {servers, ...size}: PlatformDeploymentOptions & {readonly servers: ReadonlyArray<Omit<FakeBackendServerOptions, 'host'>>}): Promise<Started> {
 	const deployment = await PlatformDeployment.start(size);
-	const backends = await Promise.all(servers.map(async server => FakeBackendServer.start({...server, host: '127.0.0.1'})));
-	const control = deployment.controls[0]!.address;
-	const announceTimer = setInterval(() => {
-		for (const backend of backends) {
-			void backend.announce(control);
-		}
-	}, 300);
-	t.teardown(async () => {
-		clearInterval(announceTimer);
-		for (const backend of backends) {
-			backend.close();
-		}
-
-		await deployment.stop();
-	});
-	await put(deployment, configuration(1));
+	const backends = await startBackends(t, {deployment, servers});
+	await putConfiguration(deployment, configuration(1));
 	await waitUntil(async () => {
 		const answer = await send(deployment, '/look/first/');
 		return answer.status === 200 || undefined;
@@ -89,20 +77,6 @@
 	return {deployment, backends};
 }
 
-async function put(deployment: PlatformDeployment, body: unknown): Promise<void> {
-	await waitUntil(async () => {
-		for (const {address} of deployment.controls) {
-			if (await sendForStatus({
-				method: 'PUT', address, path: '/-/config', body,
-			}) === 200) {
-				return true;
-			}
-		}
-
-		return undefined;
-	}, {description: 'an acknowledged configuration'});
-}
-
 const labels = {id: 'i-labels', service: 'labels', answer: () => ({events: ['printed']})};
 
 test('requests of each kind are served by the required model or refused with the right status', async t => {
@@ -159,14 +133,14 @@
 
 test('an acknowledged configuration survives the crash of all control instances, and is not replaced by an older one', async t => {
 	const {deployment} = await start(t, {servers: [labels]});
-	await put(deployment, configuration(9, ['k1', 'k2']));
+	await putConfiguration(deployment, configuration(9, ['k1', 'k2']));
 	await Promise.all(deployment.controls.map(async ({process}) => process.kill('SIGKILL')));
 	for (const {writeSettings, process} of deployment.controls) {
 		await writeSettings({isFounding: false});
 		process.start();
 	}
 
-	await put(deployment, configuration(4));
+	await putConfiguration(deployment, configuration(4));
 	for (const {address} of deployment.controls) {
 		const read = await waitUntil(async () => {
 			const answer = await sendForResponse({
@@ -201,7 +175,7 @@
 		process.start();
 	}
 
-	await put(deployment, configuration(2));
+	await putConfiguration(deployment, configuration(2));
 	const before = evacuated!.runs.length;
 	for (let index = 0; index < 10; index++) {
 		const answer = await send(deployment, '/look/7');
@@ -215,7 +189,7 @@
 
 test('a revoked key stops working, even at an entry instance without contact to control, while public routes keep working', async t => {
 	const {deployment, backends} = await start(t, {servers: [labels], revocationMilliseconds: 2000});
-	await put(deployment, configuration(2, ['k2']));
+	await putConfiguration(deployment, configuration(2, ['k2']));
 	const refused = await waitUntil(async () => {
 		const answer = await send(deployment, '/look/7');
 		return answer.status === 401 ? answer : undefined;
--- a/packages/testing/src/server-notices.test.ts
+++ b/packages/testing/src/server-notices.test.ts
@@ -1,9 +1,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {
-	FakeBackendServer, type FakeBackendServerOptions, sendForResponse, sendForStatus,
-} from './platform/fake-backend-server.js';
+import {type FakeBackendServer, type FakeBackendServerOptions, sendForResponse} from './platform/fake-backend-server.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
+import {putConfiguration} from './platform/put-configuration.js';
+import {startBackends} from './platform/start-backends.js';
 import {waitUntil} from './wait-until.js';
 
 const configuration = {
@@ -36,24 +36,8 @@
 /** Starts a deployment with servers of one service, and waits until it serves requests. */
 async function start(t: ExecutionContext, servers: ReadonlyArray<Pick<FakeBackendServerOptions, 'id' | 'answer' | 'notices'>>): Promise<Started> {
 	const deployment = await PlatformDeployment.start({entryCount: 3});
-	const backends = await Promise.all(servers.map(async server => FakeBackendServer.start({...server, service: 'labels', host: '127.0.0.1'})));
-	const announceTimer = setInterval(() => {
-		for (const backend of backends) {
-			void backend.announce(deployment.controls[0]!.address);
-		}
-	}, 300);
-	t.teardown(async () => {
-		clearInterval(announceTimer);
-		for (const backend of backends) {
-			backend.close();
-		}
-
-		await deployment.stop();
-	});
-	await waitUntil(async () => await sendForStatus({
-		method: 'PUT', address: deployment.controls[0]!.address, path: '/-/config', body: configuration,
-	}) === 200 || undefined, {description: 'an acknowledged configuration'});
-
+	const backends = await startBackends(t, {deployment, servers: servers.map(server => ({...server, service: 'labels'}))});
+	await putConfiguration(deployment, configuration);
 	let requests = 0;
 	const look = async (address: string): Promise<number> => {
 		requests++;
