--- a/packages/gateway/src/entry/classify-answer.test.ts
+++ b/packages/gateway/src/entry/classify-answer.test.ts
@@ -1,16 +1,6 @@
 import test from 'ava';
 import {classifyAnswer} from './classify-answer.js';
-import {type AnswerHead} from './gateway-request.js';
-
-const good: AnswerHead = {
-	status: 200,
-	requestId: 'a1',
-	isNotRun: false,
-	isFromOtherServer: false,
-	isSigned: true,
-	isEncoded: false,
-	confidence: undefined, isDraining: false, rateLimit: {type: 'unlimited'}, pause: {type: 'none'},
-};
+import {testAnswerHead} from './_test-answer-head.js';
 
 for (const [name, changes, wanted] of [
 	['a signed success', {}, 'good'],
@@ -24,6 +14,6 @@
 	['a rejection that does not state that the request was not run', {status: 503}, 'failed'],
 ] as const) {
 	test(`${name} is ${wanted}`, t => {
-		t.is(classifyAnswer({...good, ...changes}, 'a1'), wanted);
+		t.is(classifyAnswer(testAnswerHead(changes), 'a1'), wanted);
 	});
 }
--- a/packages/gateway/src/entry/record-notices.test.ts
+++ b/packages/gateway/src/entry/record-notices.test.ts
@@ -2,24 +2,13 @@
 import test from 'ava';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
+import {testAnswerHead} from './_test-answer-head.js';
 import {ignore} from './_test-run.js';
 import {EntryServers} from './entry-servers.js';
 import {type AnswerHead} from './gateway-request.js';
 import {recordNotices} from './record-notices.js';
 
 const server = testServer({startedAt: 1});
-const head: AnswerHead = {
-	status: 200,
-	requestId: 'a1',
-	isNotRun: false,
-	isFromOtherServer: false,
-	isSigned: true,
-	isEncoded: false,
-	confidence: undefined,
-	isDraining: false,
-	rateLimit: {type: 'unlimited'},
-	pause: {type: 'none'},
-};
 
 function start() {
 	const lines: string[] = [];
@@ -30,7 +19,7 @@
 	servers.applyRecords([server], {source: 'control-1' as InstanceId, now: time.now});
 	const answer = (changes: Partial<AnswerHead>, from = server): void => {
 		time.now += 100;
-		recordNotices({...head, ...changes}, {
+		recordNotices(testAnswerHead(changes), {
 			servers,
 			clock: {now: () => new Date(0), monotonic: () => time.now},
 			log(kind) {
