Give the instance of a test an age at which it may use leases

An instance may not use leases in its first second, since its former process may have used them; the instance of the test was as old as the process of the test, which is over a second only on a busy machine.

Evidence: on an idle machine red 6 of 6; with an instance that starts with the test red too; green 6 of 6 after the change.

Change: the instance of these tests has run for two minutes, and the lease lasts for the test. No assertion changed.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -27,6 +27,9 @@
 /** The control instance that reports the servers. */
 export const control = '10.0.0.1' as InstanceId;
 
+/** How long the instance has run, in milliseconds; a new one may not use leases yet, since its former process may have used them. */
+const uptimeMilliseconds = 120_000;
+
 /** A minimal dialect; it treats every answer as signed by the server for the request. */
 const plainDialect: Dialect = {
 	readRequest: () => testRequest(),
@@ -76,7 +79,7 @@
 	const {nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, latencies, log = ignore, confirmEnd = async () => false, prepare = ignore} = options;
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({
-		zone: 'hall-a' as ZoneId, random: () => 0.5, loads: {peerLoadAt: () => 0, recordChange: ignore, discardServer: ignore}, onReplaced: ignore,
+		zone: 'hall-a' as ZoneId, startedAt: clock.monotonic() - uptimeMilliseconds, random: () => 0.5, loads: {peerLoadAt: () => 0, recordChange: ignore, discardServer: ignore}, onReplaced: ignore,
 	});
 	const lease = testLease({duration: 60_000});
 	lease.confirm(clock.monotonic());
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -321,7 +321,7 @@
 				servers.limits.rates.hear(record, {requestsPerSecond: 100, now});
 			}
 
-			servers.limits.rates.renewLeases({source: control, leases: records.map(({id}) => [id, 9, 1]), validUntil: now + 2000});
+			servers.limits.rates.renewLeases({source: control, leases: records.map(({id}) => [id, 9, 1]), validUntil: now + 60_000});
 		},
 	});
 	t.deepEqual(models, ['large']);
