--- a/packages/routing/src/leased-rate-limiter.ts
+++ b/packages/routing/src/leased-rate-limiter.ts
@@ -35,7 +35,7 @@
 ```
 */
 export class LeasedRateLimiter {
-	/** An earlier process of this instance may have used its leases until its end. */
+	/** When this process started, in milliseconds on the monotonic clock; an earlier one may have used its leases until then. */
 	readonly #startedAt: number;
 	readonly #leases = new Map<ServerId, Map<InstanceId, Lease>>();
 	readonly #sentAt = new Map<ServerId, readonly number[]>();
