Log when an instance reaches no server, and when it does again

servers-unreachable names the servers that were unreachable in a row and for how long, servers-reachable the end; valehitch_unreachable_servers counts them. Only new connections count: open ones may go on while new ones fail. Nothing is decided by it yet.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -22,6 +22,7 @@
 import {LatencyEstimator} from './latency-estimator.js';
 import {RequestRun} from './request-run.js';
 import {RepeatTracker} from './repeat-tracker.js';
+import {ServerLinks} from './server-links.js';
 import {VersionPins} from './version-pins.js';
 
 /** The control instance that reports the servers. */
@@ -84,15 +85,17 @@
 	const lease = testLease({duration: 60_000});
 	lease.confirm(clock.monotonic());
 	const table = new RouteTable(testConfiguration({routes: [route]}));
+	const metrics = createGatewayMetrics();
 	const context: EntryContext = {
 		clock,
 		random: () => 0.5,
 		log,
-		metrics: createGatewayMetrics(),
+		metrics,
 		dialect: plainDialect,
 		bounds: {canaryShare: 0.1, minimumConfidence: 50},
 		lease,
 		servers,
+		links: new ServerLinks({clock, log, metrics}),
 		suspects: new EntrySuspects({
 			clock, log, servers, hasEnded: confirmEnd, onChanged: ignore,
 		}),
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -11,6 +11,7 @@
 import {type EvidenceCounter} from './evidence-counter.js';
 import {type LatencyEstimator} from './latency-estimator.js';
 import {type RepeatTracker} from './repeat-tracker.js';
+import {type ServerLinks} from './server-links.js';
 import {type VersionPins} from './version-pins.js';
 
 /** The limits of a deployment that apply to the handling of requests. */
@@ -31,6 +32,7 @@
 	readonly bounds: EntryLimits;
 	readonly lease: ConfigurationLease;
 	readonly servers: EntryServers;
+	readonly links: ServerLinks;
 	readonly suspects: EntrySuspects;
 	readonly budget: WindowedRetryBudget;
 	readonly latencies: LatencyEstimator;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -22,6 +22,7 @@
 import {LatencyEstimator} from './latency-estimator.js';
 import {LoadExchange} from './load-exchange.js';
 import {RepeatTracker} from './repeat-tracker.js';
+import {ServerLinks} from './server-links.js';
 import {SuspectReporter} from './suspect-reporter.js';
 import {VersionPins} from './version-pins.js';
 
@@ -105,6 +106,7 @@
 				},
 			}),
 			servers,
+			links: new ServerLinks(options),
 			suspects,
 			budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
 			latencies: new LatencyEstimator(clock),
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -93,6 +93,7 @@
 	}, 'warn');
 	if (outcome.type === 'unreachable') {
 		results.record(server, 'unreachable');
+		context.links.recordUnreachable(server.id);
 		return {type: 'unreachable'};
 	}
 
--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -32,7 +32,7 @@
 		server: testServer({port: (server.address() as AddressInfo).port}), method: 'GET', target: '/x/', headers: [[
 			'Host',
 			'desk.example',
-		]], body: Buffer.alloc(0), mayReuseConnection: true, connectTimeout: 1000, headTimeouts: undefined, processEnd: new AbortController().signal,
+		]], body: Buffer.alloc(0), mayReuseConnection: true, connectTimeout: 1000, headTimeouts: undefined, onConnect: () => undefined, processEnd: new AbortController().signal,
 	};
 }
 
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -17,6 +17,8 @@
 	readonly connectTimeout: number;
 	/** The timeouts for the head of the answer; undefined for none. */
 	readonly headTimeouts: HeadTimeouts | undefined;
+	/** Called when a new connection to the server is opened. */
+	readonly onConnect: () => void;
 	/** Aborted when the server's process is known to have ended, after which no more data will arrive. */
 	readonly processEnd: AbortSignal;
 };
@@ -66,11 +68,11 @@
 @returns The send in progress.
 @example
 ```ts
-const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuseConnection: true, connectTimeout: 400, headTimeouts: undefined, processEnd});
+const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuseConnection: true, connectTimeout: 400, headTimeouts: undefined, onConnect, processEnd});
 ```
 */
 export function sendAttempt(options: SendAttemptOptions): SentAttempt {
-	const {server, method, target, headers, body, mayReuseConnection, processEnd} = options;
+	const {server, method, target, headers, body, mayReuseConnection, onConnect, processEnd} = options;
 	if (mayReuseConnection) {
 		closeStaleConnections(server);
 	}
@@ -86,6 +88,7 @@
 		if (socket.connecting) {
 			socket.once('connect', () => {
 				isOpen = true;
+				onConnect();
 			});
 		}
 	});
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -49,7 +49,7 @@
 */
 export function startSend(context: EntryContext, options: StartSendOptions): SentAttempt {
 	const {request, body, server, authorized: {route, workspace}, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd} = options;
-	const {dialect, clock, log} = context;
+	const {dialect, clock, log, links} = context;
 	const sentAt = clock.monotonic();
 	const attempt = sendAttempt({
 		server,
@@ -68,6 +68,9 @@
 		mayReuseConnection: allowance.isRepeatable,
 		connectTimeout: Math.min(connectTimeoutMilliseconds, route.targetLatency),
 		headTimeouts: headTimeoutsOf(options, context),
+		onConnect() {
+			links.recordConnected();
+		},
 		processEnd,
 	});
 	allowance.countSend();
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -67,6 +67,9 @@
 		limitedServers: new Gauge({
 			name: 'valehitch_limited_servers', help: 'Backend servers whose answers name a rate limit', registers,
 		}),
+		unreachableServers: new Gauge({
+			name: 'valehitch_unreachable_servers', help: 'Backend servers that were unreachable since the last new connection to any of them', registers,
+		}),
 		pauses: new Counter({
 			name: 'valehitch_requested_pauses_total', help: 'Answers by which a backend server asked for a time without requests', registers,
 		}),
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -28,6 +28,7 @@
 export * from './retry-budget.js';
 export * from './windowed-retry-budget.js';
 export * from './server-choice.js';
+export * from './server-link-detector.js';
 export * from './server-load.js';
 export type * from './server-view.js';
 export * from './session-token.js';
--- /dev/null
+++ b/packages/routing/src/server-link-detector.ts
@@ -0,0 +1,99 @@
+import {type ServerId} from '@valehitch/core';
+
+/**
+What an instance knows of its links to backend servers: connections succeed (`connected`), several servers in a row were unreachable (`suspected`), or trial connections to others failed as well (`cut-off`).
+*/
+export type ServerLinkState = 'connected' | 'suspected' | 'cut-off';
+
+/** Options of {@linkcode ServerLinkDetector}. */
+export type ServerLinkDetectorOptions = {
+	/** The number of servers that must be unreachable without a connection in between; 2 by default, since a single server may have failed on its own. */
+	readonly minimumServers?: number;
+};
+
+/**
+Detects that an instance reaches no backend server, so that it does not take all servers to have failed when only its own links have.
+
+Only new connections count: open ones may go on while new ones fail, and the reverse.
+
+@example
+```ts
+const links = new ServerLinkDetector();
+links.recordUnreachable(first, now);
+links.recordUnreachable(second, now); // true: trial connections are due
+links.recordTrials({connected: false});
+links.state; // 'cut-off'
+```
+*/
+export class ServerLinkDetector {
+	readonly #minimumServers: number;
+	readonly #unreachable = new Set<ServerId>();
+	#since: number | undefined;
+	#state: ServerLinkState = 'connected';
+
+	constructor({minimumServers = 2}: ServerLinkDetectorOptions = {}) {
+		this.#minimumServers = minimumServers;
+	}
+
+	/** What is known of the links. */
+	get state(): ServerLinkState {
+		return this.#state;
+	}
+
+	/** The servers that were unreachable since the last connection. */
+	get unreachable(): ReadonlySet<ServerId> {
+		return this.#unreachable;
+	}
+
+	/** When the first of them was found unreachable, in milliseconds on the monotonic clock; undefined if none was. */
+	get since(): number | undefined {
+		return this.#since;
+	}
+
+	/**
+	Records that no connection to a server could be opened.
+
+	@param server The server.
+	@param now Milliseconds on the monotonic clock.
+	@returns Whether a suspicion begins.
+	*/
+	recordUnreachable(server: ServerId, now: number): boolean {
+		this.#unreachable.add(server);
+		this.#since ??= now;
+		if (this.#state !== 'connected' || this.#unreachable.size < this.#minimumServers) {
+			return false;
+		}
+
+		this.#state = 'suspected';
+		return true;
+	}
+
+	/**
+	Records that a new connection to a server was opened.
+
+	@returns Whether this ends a suspicion or a cut.
+	*/
+	recordConnected(): boolean {
+		const hasEnded = this.#state !== 'connected';
+		this.#unreachable.clear();
+		this.#since = undefined;
+		this.#state = 'connected';
+		return hasEnded;
+	}
+
+	/**
+	Records the result of trial connections to several servers.
+
+	@param trials Whether any of them was opened.
+	@returns Whether the state has changed.
+	*/
+	recordTrials({connected}: {readonly connected: boolean}): boolean {
+		if (connected) {
+			return this.recordConnected();
+		}
+
+		const hasChanged = this.#state === 'suspected';
+		this.#state = hasChanged ? 'cut-off' : this.#state;
+		return hasChanged;
+	}
+}
