--- a/packages/testing/src/platform/platform-deployment.ts
+++ b/packages/testing/src/platform/platform-deployment.ts
@@ -36,7 +36,8 @@
 	readonly removeSettings: () => Promise<void>;
 };
 
-const ports = {
+/** The ports of all instances. */
+export const ports = {
 	callers: 8227, readiness: 8220, control: 8229, peers: 7340, lastPeers: 7355,
 } as const;
 const program = createRequire(import.meta.url).resolve('@valehitch/platform').replace(/mod\.js$/v, 'bin/valehitch-platform.js');
--- /dev/null
+++ b/packages/testing/src/platform/server-cut.ts
@@ -0,0 +1,63 @@
+import {rm, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import {ports} from './platform-deployment.js';
+
+/**
+How an instance without links to backend servers fails to reach them: open and new connections are refused or reset (`refused`) or get no answer (`silent`), or open ones go on while new ones are refused (`open-kept`).
+*/
+export type ServerCut = 'refused' | 'silent' | 'open-kept';
+
+type CutInstance = {
+	readonly folder: string;
+};
+
+/**
+Returns environment variables by which the links of an instance to backend servers can be cut.
+
+@param instance The instance.
+@returns The environment variables.
+@example
+```ts
+await PlatformDeployment.start({environment: serverCutEnvironment});
+```
+*/
+export function serverCutEnvironment(instance: CutInstance): Readonly<Record<string, string>> {
+	const {callers, readiness, control, peers, lastPeers} = ports;
+	const peerPorts = Array.from({length: lastPeers - peers + 1}, (_, index) => peers + index);
+	return {
+		NODE_OPTIONS: `--import ${new URL('cut-server-links.js', import.meta.url).href}`,
+		SERVER_CUT_FILE: cutFileOf(instance),
+		SERVER_CUT_OWN_PORTS: JSON.stringify([callers, readiness, control, ...peerPorts]),
+	};
+}
+
+/**
+Cuts the links of an instance to all backend servers.
+
+@param instance The instance, started with `serverCutEnvironment`.
+@param cut How its connections fail.
+@example
+```ts
+await cutServerLinks(deployment.entries[0]!, 'silent');
+```
+*/
+export async function cutServerLinks(instance: CutInstance, cut: ServerCut): Promise<void> {
+	await writeFile(cutFileOf(instance), cut);
+}
+
+/**
+Restores the links of an instance to backend servers.
+
+@param instance The instance.
+@example
+```ts
+await restoreServerLinks(deployment.entries[0]!);
+```
+*/
+export async function restoreServerLinks(instance: CutInstance): Promise<void> {
+	await rm(cutFileOf(instance), {force: true});
+}
+
+function cutFileOf({folder}: CutInstance): string {
+	return path.join(folder, 'server-cut');
+}
--- /dev/null
+++ b/packages/testing/src/server-partition.test.ts
@@ -0,0 +1,119 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {type FakeBackendServer, sendForResponse} from './platform/fake-backend-server.js';
+import {PlatformDeployment, type PlatformInstance} from './platform/platform-deployment.js';
+import {putConfiguration} from './platform/put-configuration.js';
+import {
+	cutServerLinks, restoreServerLinks, serverCutEnvironment, type ServerCut,
+} from './platform/server-cut.js';
+import {startBackends} from './platform/start-backends.js';
+import {waitUntil} from './wait-until.js';
+
+const route = {
+	host: 'desk.example', timeoutMs: 2000, targetLatencyMs: 500, service: 'labels', maxAttempts: 2, public: true,
+};
+const configuration = {
+	version: 1,
+	routes: [
+		{
+			...route, name: 'look', pathPrefix: '/look/', kind: 'safe',
+		},
+		{
+			...route, name: 'print', pathPrefix: '/print/', kind: 'unsafe',
+		},
+		{
+			...route, name: 'tag', pathPrefix: '/tag/', kind: 'streaming', resumable: true, timeoutMs: 8000, targetGapMs: 1000,
+		},
+	],
+	services: [{name: 'labels'}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}],
+};
+const zones = ['hall-a', 'hall-b', 'hall-c'];
+/** The time after the beginning of a cut from which callers must be served as elsewhere, in milliseconds. */
+const connectivityMilliseconds = 3000;
+const measuredMilliseconds = 2000;
+const sendMilliseconds = 100;
+
+type Started = {
+	readonly deployment: PlatformDeployment;
+	readonly backends: readonly FakeBackendServer[];
+	/** Sends a request of each kind through each of some instances at a steady rate for a time in milliseconds, and returns their statuses. */
+	readonly sendFor: (duration: number, entries: readonly PlatformInstance[]) => Promise<readonly number[]>;
+};
+
+/** Starts three entry instances with a server in each zone, and waits until all of them serve requests. */
+async function start(t: ExecutionContext): Promise<Started> {
+	const deployment = await PlatformDeployment.start({entryCount: 3, environment: serverCutEnvironment});
+	const backends = await startBackends(t, {
+		deployment, servers: zones.map(zone => ({
+			id: `i-${zone}`, service: 'labels', zone, answer: () => ({events: ['one', 'two', 'three'], gap: 10}),
+		})),
+	});
+	await putConfiguration(deployment, configuration);
+	let requests = 0;
+	const send = async (address: string, {method, path}: {readonly method: string; readonly path: string}): Promise<number> => {
+		requests++;
+		const {status, isComplete} = await sendForResponse({
+			method, address, path, headers: {Host: 'desk.example', 'Attempt-Id': `a${requests}`, 'Deadline-Ms': '2000'},
+		});
+		return isComplete ? status : 0;
+	};
+
+	for (const {address} of deployment.entries) {
+		await waitUntil(async () => await send(address, {method: 'GET', path: '/look/7'}) === 200 || undefined, {description: 'a first response'});
+	}
+
+	return {
+		deployment,
+		backends,
+		async sendFor(duration, entries) {
+			const statuses: Array<Promise<number>> = [];
+			const endsAt = performance.now() + duration;
+			while (performance.now() < endsAt) {
+				for (const {address} of entries) {
+					statuses.push(send(address, {method: 'GET', path: '/look/7'}), send(address, {method: 'POST', path: '/print/7'}), send(address, {method: 'POST', path: '/tag/7'}));
+				}
+
+				await delay(sendMilliseconds);
+			}
+
+			return Promise.all(statuses);
+		},
+	};
+}
+
+/** Cuts instances from all servers, and checks that their callers are served like those of the others, and that nothing runs twice. */
+async function assertServedBehindCut(t: ExecutionContext, {cut, count}: {readonly cut: ServerCut; readonly count: number}): Promise<Started> {
+	const started = await start(t);
+	const {deployment, backends, sendFor} = started;
+	const cutEntries = deployment.entries.slice(0, count);
+	await Promise.all(cutEntries.map(async entry => cutServerLinks(entry, cut)));
+	await sendFor(connectivityMilliseconds, deployment.entries);
+	const statuses = await sendFor(measuredMilliseconds, cutEntries);
+	t.deepEqual(new Set(statuses), new Set([200]), `${statuses.filter(status => status === 200).length} of ${statuses.length} requests were served`);
+	const prints = backends.flatMap(({runs}) => runs).filter(({path}) => path.startsWith('/print/')).map(({id}) => id);
+	t.is(new Set(prints).size, prints.length);
+	return started;
+}
+
+test.serial('an instance that is refused by all servers, which the others reach, serves its callers', async t => {
+	await assertServedBehindCut(t, {cut: 'refused', count: 1});
+});
+
+test.serial('two of three instances whose connections to all servers hang serve their callers', async t => {
+	await assertServedBehindCut(t, {cut: 'silent', count: 2});
+});
+
+test.serial('an instance whose new connections to all servers are refused while open ones go on serves its callers, and goes back to its own links', async t => {
+	const {deployment, sendFor} = await assertServedBehindCut(t, {cut: 'open-kept', count: 1});
+	const [entry, ...others] = deployment.entries;
+	await restoreServerLinks(entry!);
+	await Promise.all(others.map(async ({process}) => process.kill('SIGKILL')));
+	await waitUntil(async () => {
+		const statuses = await sendFor(sendMilliseconds, [entry!]);
+		return statuses.every(status => status === 200) || undefined;
+	}, {description: 'an instance that serves by its own links'});
+});
