Open tunnels to backend servers through other instances

An instance whose own links to servers fail needs connections that leave from another instance. A tunnel is a CONNECT request (RFC 9110, 9.3.6) at the peer port: the peer decides whether it may lead there, connects, and passes bytes. Choice, attempts, streams and at-most-once stay where the request is; no byte reaches the server before the tunnel is open, so that a tunnel that fails is a request that has not run.

A reset on one side resets the other, so that a truncated answer does not look complete; the failure tells the target's fault from the peer's. Nothing opens a tunnel yet.

--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -5,9 +5,12 @@
 */
 export * from './http-server.js';
 export * from './set-interval-after-poll.js';
+export * from './open-tunnel.js';
 export * from './parse-json-body.js';
 export * from './peer-network.js';
 export * from './problem-details.js';
 export * from './read-body.js';
 export * from './send-http-request.js';
 export * from './set-timeout-after-poll.js';
+export * from './tunnel-server.js';
+export type {TunnelTarget} from './tunnel-target.js';
--- /dev/null
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -0,0 +1,139 @@
+import {once} from 'node:events';
+import {
+	type AddressInfo, createServer, type Server, type Socket,
+} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
+import {type InstanceId, toId} from '@valehitch/core';
+import test, {type ExecutionContext} from 'ava';
+import {type PeerAddress, PeerNetwork} from './peer-network.js';
+import {type TunnelFailure} from './open-tunnel.js';
+import {type TunnelTarget} from './tunnel-target.js';
+
+const host = '127.0.0.1';
+const timeout = {timeoutMilliseconds: 1000};
+const key = 'a-key-that-all-share';
+
+function doNothing(): void {
+	// The event is not under test.
+}
+
+async function listen(t: ExecutionContext, isTunnelAllowed?: (from: InstanceId, target: TunnelTarget) => boolean): Promise<{readonly network: PeerNetwork<string>; readonly address: PeerAddress}> {
+	const instance = toId<InstanceId>('left');
+	const network = await PeerNetwork.listen<string>({
+		self: instance, key, host, port: 0, onMessage: doNothing, onRequest: async () => undefined, onHandlerError: doNothing, ...(isTunnelAllowed !== undefined && {isTunnelAllowed}),
+	});
+	t.teardown(async () => {
+		await network.close();
+	});
+	return {network, address: {instance, host, port: network.port}};
+}
+
+async function listenTarget(t: ExecutionContext, onConnection: (socket: Socket) => void): Promise<TunnelTarget> {
+	const server: Server = createServer(socket => {
+		socket.on('error', doNothing);
+		onConnection(socket);
+	});
+	server.listen(0, host);
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	return {host, port: (server.address() as AddressInfo).port};
+}
+
+/** Reads a connection until it ends; `isReset` tells whether it was reset. */
+async function readAll(socket: Socket): Promise<{readonly text: string; readonly isReset: boolean}> {
+	return new Promise(resolve => {
+		let text = '';
+		let isReset = false;
+		socket.setEncoding('utf8');
+		socket.on('data', (chunk: string) => {
+			text += chunk;
+		});
+		socket.on('error', () => {
+			isReset = true;
+		});
+		socket.on('close', () => {
+			resolve({text, isReset});
+		});
+	});
+}
+
+test('a tunnel passes bytes in both directions and ends with its target', async t => {
+	const asked: Array<readonly [InstanceId, TunnelTarget]> = [];
+	const {network, address} = await listen(t, (from, wanted) => {
+		asked.push([from, wanted]);
+		return true;
+	});
+	const target = await listenTarget(t, socket => {
+		socket.once('data', (data: Uint8Array) => {
+			socket.end(`echo ${new TextDecoder().decode(data)}`);
+		});
+	});
+	const opened = await network.openTunnel(address, target, timeout);
+	const socket = opened.unsafeCoerce();
+	socket.write('coil');
+	t.deepEqual(await readAll(socket), {text: 'echo coil', isReset: false});
+	t.deepEqual(asked, [[toId<InstanceId>('left'), target]]);
+});
+
+test('a target that resets its connection resets the tunnel', async t => {
+	const {network, address} = await listen(t, () => true);
+	const target = await listenTarget(t, socket => {
+		socket.write('par');
+		socket.once('data', () => {
+			socket.resetAndDestroy();
+		});
+	});
+	const opened = await network.openTunnel(address, target, timeout);
+	const socket = opened.unsafeCoerce();
+	socket.write('coil');
+	const {isReset} = await readAll(socket);
+	t.true(isReset);
+});
+
+test('a tunnel whose opener leaves closes the connection to the target', async t => {
+	const {network, address} = await listen(t, () => true);
+	const closed = new Promise<void>(resolve => {
+		void listenTarget(t, socket => {
+			socket.on('data', doNothing);
+			socket.on('close', () => {
+				resolve();
+			});
+		}).then(async target => {
+			const opened = await network.openTunnel(address, target, timeout);
+			opened.unsafeCoerce().destroy();
+		});
+	});
+	await closed;
+	while (network.tunnelCount > 0) {
+		await setImmediate();
+	}
+
+	t.pass();
+});
+
+async function failureOf(network: PeerNetwork<string>, peer: PeerAddress, target: TunnelTarget): Promise<TunnelFailure['type'] | undefined> {
+	const opened = await network.openTunnel(peer, target, timeout);
+	return opened.swap().toMaybe().map(({type}) => type).extract();
+}
+
+test('a failure to open a tunnel tells a target that refuses from a peer that does', async t => {
+	const refused = {host, port: 1};
+	const {network, address} = await listen(t, () => true);
+	t.is(await failureOf(network, address, refused), 'target-refused');
+	t.is(await failureOf(network, {...address, port: 1}, refused), 'peer-unavailable');
+
+	const closed = await listen(t);
+	t.is(await failureOf(network, closed.address, refused), 'peer-unavailable');
+});
+
+test('a daemon with another key cannot open a tunnel', async t => {
+	const {address} = await listen(t, () => true);
+	const target = await listenTarget(t, doNothing);
+	const stranger = await PeerNetwork.listen<string>({
+		self: toId<InstanceId>('right'), key: 'another-key', host, port: 0, onMessage: doNothing, onRequest: async () => undefined, onHandlerError: doNothing,
+	});
+	t.is(await failureOf(stranger, address, target), 'peer-unavailable');
+	await stranger.close();
+});
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -1,3 +1,5 @@
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+import {type Socket} from 'node:net';
 import {
 	type Failure, failure, type HybridTimestamp, type InstanceId, toId,
 } from '@valehitch/core';
@@ -5,6 +7,9 @@
 import {WebSocketServer} from 'ws';
 import {type Frame, decodeFrame, encodeFrame} from './_frame.js';
 import {PeerLink} from './_peer-link.js';
+import {openTunnel, type TunnelFailure} from './open-tunnel.js';
+import {TunnelServer} from './tunnel-server.js';
+import {type TunnelTarget} from './tunnel-target.js';
 
 /** The address of a daemon's peer port. */
 export type PeerAddress = {
@@ -29,6 +34,8 @@
 	readonly onRequest: (from: InstanceId, message: Message) => Promise<unknown>;
 	/** Called when a handler fails; the message then gets no reply. */
 	readonly onHandlerError: (from: InstanceId, error: unknown) => void;
+	/** Decides whether a peer may open a tunnel to a target through this daemon; by default none may. */
+	readonly isTunnelAllowed?: (from: InstanceId, target: TunnelTarget) => boolean;
 	/** Returns the timestamp to send with a frame; by default frames have no timestamp. */
 	readonly nextTimestamp?: () => HybridTimestamp;
 	/** Called with the timestamp of each received frame that has one, before the frame's message is handled. */
@@ -45,6 +52,7 @@
 
 const maximumFrameBytes = 16 * 1024 * 1024;
 const defaultTimeoutMilliseconds = 2000;
+const upgradeRequiredStatus = 426;
 
 /**
 Exchanges typed messages and requests with other daemons, encoded with msgpackr over WebSocket. A link is opened on first use.
@@ -64,32 +72,46 @@
 	@throws {Error} If the server cannot listen on the address.
 	*/
 	static async listen<Message>(options: PeerNetworkOptions<Message>): Promise<PeerNetwork<Message>> {
+		const httpServer = createServer((_request, response) => {
+			response.writeHead(upgradeRequiredStatus, {'Content-Length': 0, Connection: 'close'});
+			response.end();
+		});
 		const server = new WebSocketServer({
-			host: options.host,
-			port: options.port,
+			server: httpServer,
 			maxPayload: maximumFrameBytes,
 			perMessageDeflate: false,
 			verifyClient: ({req}: {req: {headers: Record<string, unknown>}}) => req.headers.authorization === `Bearer ${options.key}`,
 		});
 		await new Promise<void>((resolve, reject) => {
-			server.once('listening', resolve);
-			server.once('error', reject);
+			httpServer.once('listening', resolve);
+			httpServer.once('error', reject);
+			httpServer.listen(options.port, options.host);
 		});
-		return new PeerNetwork(server, options);
+		return new PeerNetwork({httpServer, server}, options);
 	}
 
 	readonly traffic: PeerTraffic = {
 		bytesSent: 0, bytesReceived: 0, framesSent: 0, framesReceived: 0,
 	};
 
+	readonly #httpServer: Server;
 	readonly #server: WebSocketServer;
+	readonly #tunnels: TunnelServer;
 	readonly #options: PeerNetworkOptions<Message>;
 	readonly #linksByInstance = new Map<InstanceId, PeerLink>();
 	#blockedInstances: ReadonlySet<InstanceId> = new Set();
 
-	private constructor(server: WebSocketServer, options: PeerNetworkOptions<Message>) {
+	private constructor({httpServer, server}: {readonly httpServer: Server; readonly server: WebSocketServer}, options: PeerNetworkOptions<Message>) {
+		this.#httpServer = httpServer;
 		this.#server = server;
 		this.#options = options;
+		this.#tunnels = new TunnelServer({
+			key: options.key,
+			isAllowed: (from, target) => !this.#blockedInstances.has(from) && options.isTunnelAllowed?.(from, target) === true,
+		});
+		httpServer.on('connect', (request: IncomingMessage, socket: Socket) => {
+			this.#tunnels.handle(request, socket);
+		});
 		server.on('connection', (socket, request) => {
 			const from = toId<InstanceId>(String(request.headers['valehitch-instance'] ?? ''));
 			socket.on('message', data => {
@@ -105,7 +127,7 @@
 
 	/** The port the server listens on. */
 	get port(): number {
-		const address = this.#server.address();
+		const address = this.#httpServer.address();
 		return typeof address === 'object' && address !== null ? address.port : this.#options.port;
 	}
 
@@ -154,7 +176,29 @@
 			: Right(reply.body);
 	}
 
-	/** Closes all links and stops listening. */
+	/** The number of tunnels that peers have open through this daemon. */
+	get tunnelCount(): number {
+		return this.#tunnels.count;
+	}
+
+	/**
+	Opens a connection to a target through a peer.
+
+	@param peer The peer.
+	@param target The address to connect to.
+	@param options `timeoutMilliseconds`: the time limit; 2000 by default.
+	@returns The connection, or why it was not opened. No byte reaches the target before it is open.
+	*/
+	async openTunnel(peer: PeerAddress, target: TunnelTarget, options: {readonly timeoutMilliseconds?: number} = {}): Promise<Either<TunnelFailure, Socket>> {
+		const {self, key} = this.#options;
+		return this.#blockedInstances.has(peer.instance)
+			? Left({type: 'peer-unavailable', reason: `The link to ${peer.instance} is blocked`})
+			: openTunnel(peer, {
+				self, key, target, timeout: options.timeoutMilliseconds ?? defaultTimeoutMilliseconds,
+			});
+	}
+
+	/** Closes all links and tunnels, and stops listening. */
 	async close(): Promise<void> {
 		for (const link of this.#linksByInstance.values()) {
 			link.close();
@@ -164,10 +208,13 @@
 			socket.terminate();
 		}
 
+		this.#tunnels.close();
+		this.#server.close();
 		await new Promise<void>(resolve => {
-			this.#server.close(() => {
+			this.#httpServer.close(() => {
 				resolve();
 			});
+			this.#httpServer.closeAllConnections();
 		});
 	}
 
--- /dev/null
+++ b/packages/transport/src/tunnel-server.ts
@@ -0,0 +1,128 @@
+import {type IncomingMessage, STATUS_CODES} from 'node:http';
+import {connect, type Socket} from 'node:net';
+import {type InstanceId, toId} from '@valehitch/core';
+import {joinSockets} from './_join-sockets.js';
+import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
+import {
+	parseTunnelTarget, tunnelHeader, tunnelStatus, type TunnelTarget,
+} from './tunnel-target.js';
+
+/** Options of {@linkcode TunnelServer}. */
+export type TunnelServerOptions = {
+	/** The secret that all daemons share. */
+	readonly key: string;
+	/** Decides whether a peer may open a tunnel to a target; a tunnel that is not allowed is refused as unavailable. */
+	readonly isAllowed: (from: InstanceId, target: TunnelTarget) => boolean;
+};
+
+/** The connection timeout if the request names none, and the longest one, in milliseconds. */
+const maximumConnectMilliseconds = 1000;
+const unauthorizedStatus = 401;
+const malformedStatus = 400;
+const unavailableStatus = 503;
+
+/**
+Opens connections on behalf of peers and passes their bytes on, for peers whose own links to the target fail.
+
+@example
+```ts
+const tunnels = new TunnelServer({key, isAllowed});
+httpServer.on('connect', (request, socket) => {
+	tunnels.handle(request, socket);
+});
+```
+*/
+export class TunnelServer {
+	readonly #options: TunnelServerOptions;
+	readonly #callers = new Set<Socket>();
+
+	constructor(options: TunnelServerOptions) {
+		this.#options = options;
+	}
+
+	/** The number of tunnels that are open or being opened. */
+	get count(): number {
+		return this.#callers.size;
+	}
+
+	/**
+	Handles a CONNECT request.
+
+	@param request The request.
+	@param caller Its connection.
+	*/
+	handle(request: IncomingMessage, caller: Socket): void {
+		const refuse = (status: number): void => {
+			caller.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		};
+
+		caller.on('error', () => {
+			caller.destroy();
+		});
+		const {headers, url = ''} = request;
+		if (headers.authorization !== `Bearer ${this.#options.key}`) {
+			refuse(unauthorizedStatus);
+			return;
+		}
+
+		const target = parseTunnelTarget(url);
+		if (target === undefined) {
+			refuse(malformedStatus);
+			return;
+		}
+
+		if (!this.#options.isAllowed(toId<InstanceId>(String(headers[tunnelHeader.instance] ?? '')), target)) {
+			refuse(unavailableStatus);
+			return;
+		}
+
+		this.#callers.add(caller);
+		caller.on('close', () => {
+			this.#callers.delete(caller);
+		});
+		const timeout = Math.min(maximumConnectMilliseconds, Number(headers[tunnelHeader.connectTimeout]) || maximumConnectMilliseconds);
+		openTarget(target, {timeout, caller, refuse});
+	}
+
+	/** Closes all tunnels. */
+	close(): void {
+		for (const caller of this.#callers) {
+			caller.destroy();
+		}
+	}
+}
+
+type OpenTargetOptions = {
+	readonly timeout: number;
+	readonly caller: Socket;
+	readonly refuse: (status: number) => void;
+};
+
+function openTarget({host, port}: TunnelTarget, {timeout, caller, refuse}: OpenTargetOptions): void {
+	const server = connect({
+		host, port, allowHalfOpen: true, noDelay: true,
+	});
+	const onCallerClose = (): void => {
+		server.destroy();
+	};
+
+	const stopTimeout = setTimeoutAfterPoll(timeout, () => {
+		refuse(tunnelStatus.targetUnanswered);
+		server.destroy();
+	});
+	const onError = ({code}: NodeJS.ErrnoException): void => {
+		stopTimeout();
+		refuse(code === 'ECONNREFUSED' ? tunnelStatus.targetRefused : tunnelStatus.targetUnanswered);
+	};
+
+	caller.once('close', onCallerClose);
+	server.once('error', onError);
+	server.once('close', stopTimeout);
+	server.once('connect', () => {
+		stopTimeout();
+		caller.off('close', onCallerClose);
+		server.off('error', onError);
+		caller.write(`HTTP/1.1 ${tunnelStatus.opened} Connection Established\r\n\r\n`);
+		joinSockets(caller, server);
+	});
+}
