Reach backend servers through other instances while an instance's own links fail

Cause: an instance has no way to a server but its own links, and takes what it cannot reach for down.

Change: two servers in a row that are unreachable make the links suspected; trial connections to three others decide. While the instance is cut off, or once two connections of a request have failed, a send goes through a tunnel of another entry instance, the one with the fewest connections first. Choice, attempts, deadlines, streams and at-most-once stay where the request is, and a tunnel that cannot be opened is a request that has not run. An instance that is cut off itself, stops, or does not know the address opens none, so that there is one such step at most. Trials, not callers, find out when the links are back.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -8,6 +8,7 @@
 } from '@valehitch/core';
 import {WindowedRetryBudget} from '@valehitch/routing';
 import {type ExecutionContext} from 'ava';
+import {Left} from 'purify-ts';
 import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
 import {RouteTable} from '../configuration/route-table.js';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
@@ -23,6 +24,7 @@
 import {RequestRun} from './request-run.js';
 import {RepeatTracker} from './repeat-tracker.js';
 import {ServerLinks} from './server-links.js';
+import {ServerRelays} from './server-relays.js';
 import {VersionPins} from './version-pins.js';
 
 /** The control instance that reports the servers. */
@@ -95,7 +97,12 @@
 		bounds: {canaryShare: 0.1, minimumConfidence: 50},
 		lease,
 		servers,
-		links: new ServerLinks({clock, log, metrics}),
+		links: new ServerLinks({
+			clock, random: () => 0.5, log, metrics, servers: () => servers.available, isReachable: async () => true, wait: async () => undefined, onCutOff: ignore,
+		}),
+		relays: new ServerRelays({
+			clock, random: () => 0.5, log, metrics, peers: () => [], openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}),
+		}),
 		suspects: new EntrySuspects({
 			clock, log, servers, hasEnded: confirmEnd, onChanged: ignore,
 		}),
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -12,6 +12,7 @@
 import {type LatencyEstimator} from './latency-estimator.js';
 import {type RepeatTracker} from './repeat-tracker.js';
 import {type ServerLinks} from './server-links.js';
+import {type ServerRelays} from './server-relays.js';
 import {type VersionPins} from './version-pins.js';
 
 /** The limits of a deployment that apply to the handling of requests. */
@@ -33,6 +34,7 @@
 	readonly lease: ConfigurationLease;
 	readonly servers: EntryServers;
 	readonly links: ServerLinks;
+	readonly relays: ServerRelays;
 	readonly suspects: EntrySuspects;
 	readonly budget: WindowedRetryBudget;
 	readonly latencies: LatencyEstimator;
--- a/packages/gateway/src/entry/entry-instance-options.ts
+++ b/packages/gateway/src/entry/entry-instance-options.ts
@@ -10,6 +10,7 @@
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {type Dialect} from './dialect.js';
 import {type EntryLimits} from './entry-context.js';
+import {type OpenRelayTunnel} from './server-relays.js';
 
 /** The address to listen on. */
 export type ListenAddress = {
@@ -48,6 +49,8 @@
 	readonly send: (to: InstanceId, message: LoadMessage) => void;
 	/** Reports suspects to a control instance; resolves to whether it acknowledged them within the timeout in milliseconds. */
 	readonly reportSuspects: (to: InstanceId, message: SuspectsMessage, timeout: number) => Promise<boolean>;
+	/** Opens a connection to a backend server through another entry instance. */
+	readonly openTunnel: OpenRelayTunnel;
 	readonly wait: (milliseconds: number) => Promise<void>;
 	/** Parses a configuration document. */
 	readonly parse: (document: string) => Either<Failure, RoutingConfiguration>;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,6 +1,7 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
+import {type TunnelTarget} from '@valehitch/transport';
 import {rateLeaseMilliseconds, WindowedRetryBudget} from '@valehitch/routing';
 import {RouteTable} from '../configuration/route-table.js';
 import {type LoadMessage, type WatchMessage} from '../control/peer-message.js';
@@ -22,7 +23,9 @@
 import {LatencyEstimator} from './latency-estimator.js';
 import {LoadExchange} from './load-exchange.js';
 import {RepeatTracker} from './repeat-tracker.js';
+import {isServerReachable} from './is-server-reachable.js';
 import {ServerLinks} from './server-links.js';
+import {ServerRelays} from './server-relays.js';
 import {SuspectReporter} from './suspect-reporter.js';
 import {VersionPins} from './version-pins.js';
 
@@ -32,6 +35,10 @@
 const idleFactor = 2;
 /** The interval at which changed loads are sent to peers, in milliseconds; shorter than most requests take. */
 const loadFlushMilliseconds = 80;
+/** The timeout of a trial connection to a backend server, in milliseconds. */
+const trialTimeoutMilliseconds = 200;
+/** The maximum number of connections to backend servers that other instances may have open through this one. */
+const maximumTunnels = 512;
 /** The interval at which idle connections are closed while the instance drains, in milliseconds. */
 const drainPollMilliseconds = 50;
 
@@ -106,7 +113,15 @@
 				},
 			}),
 			servers,
-			links: new ServerLinks(options),
+			links: new ServerLinks({
+				...options,
+				servers: () => servers.available,
+				isReachable: async server => isServerReachable(server, trialTimeoutMilliseconds),
+				onCutOff() {
+					servers.forgetConnectionFailures();
+				},
+			}),
+			relays: new ServerRelays({...options, peers: () => this.#peers}),
 			suspects,
 			budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
 			latencies: new LatencyEstimator(clock),
@@ -181,6 +196,18 @@
 		this.#loadExchange.receive(from, message, this.#options.clock.monotonic());
 	}
 
+	/**
+	Checks whether another entry instance may reach an address through this one. It may not if this instance reaches no server itself, so that no request takes two such steps.
+
+	@param target The address.
+	@param openTunnels The number of connections that are open through this instance.
+	@returns Whether it may.
+	*/
+	mayRelay(target: TunnelTarget, openTunnels: number): boolean {
+		const {links, servers} = this.#context;
+		return this.#endsAt === undefined && links.areConnected && openTunnels < maximumTunnels && servers.hasAddress(target);
+	}
+
 	/** Closes idle connections, so that their callers connect to other instances before this one stops. */
 	closeIdle(): void {
 		this.#server.closeIdleConnections();
@@ -201,6 +228,8 @@
 	/** Closes all connections. */
 	close(): void {
 		this.#watch.stop();
+		this.#context.links.stop();
+		this.#context.relays.close();
 		clearInterval(this.#loadTimer);
 		this.#server.close();
 		this.#server.closeAllConnections();
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -90,6 +90,43 @@
 		return changed;
 	}
 
+	/** The servers that may get requests. */
+	get available(): readonly ServerRecord[] {
+		const servers: ServerRecord[] = [];
+		for (const {record} of this.#servers.values()) {
+			if (record.state === 'ready' && !this.#evacuations.zones.has(record.zone)) {
+				servers.push(record);
+			}
+		}
+
+		return servers;
+	}
+
+	/**
+	Checks whether an address belongs to a known server that has not ended.
+
+	@param address The address.
+	@returns Whether it does.
+	*/
+	hasAddress({host, port}: Pick<ServerRecord, 'host' | 'port'>): boolean {
+		for (const {record} of this.#servers.values()) {
+			if (record.host === host && record.port === port && record.state !== 'gone') {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/** Forgets failed connections, because they were the fault of this instance's own links. */
+	forgetConnectionFailures(): void {
+		for (const tracked of this.#servers.values()) {
+			tracked.backoffUntil = 0;
+			tracked.connectionFailures = 0;
+			this.#zones.recordContact(tracked.record.zone);
+		}
+	}
+
 	/** The known evacuations. */
 	get evacuations(): Pick<KnownEvacuations, 'revision' | 'zones'> {
 		return this.#evacuations;
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -12,6 +12,7 @@
 import {type ModelCascade} from './model-cascade.js';
 import {recordNotices} from './record-notices.js';
 import {relayStream} from './relay-stream.js';
+import {type Relay} from './relay.js';
 import {type SuspectRequest} from './suspect-request.js';
 import {type ReceivedHead, type SendOutcome} from './send-attempt.js';
 import {type FallbackStream} from './fallback-answer.js';
@@ -23,6 +24,8 @@
 	= | {readonly type: 'ended'}
 	/** No connection was established, so the request has not run there. */
 		| {readonly type: 'unreachable'}
+	/** The relay could not be used, so the request has not run, and nothing is known about the server. */
+		| {readonly type: 'relay-unavailable'}
 	/** A reused connection ended without an answer. The request may have run, and the server is not necessarily at fault. */
 		| {readonly type: 'connection-lost'; readonly failed: Failure}
 	/** The server reported that it did not run the request. */
@@ -48,6 +51,8 @@
 	readonly answer: CallerAnswer;
 	readonly events: EventStream;
 	readonly server: ServerRecord;
+	/** The instance through which the server was reached; undefined for this instance's own links. */
+	readonly relay?: Relay | undefined;
 	/** When the request was sent, in milliseconds on the monotonic clock. */
 	readonly sentAt: number;
 	/** Whether the request has ended in the meantime. */
@@ -78,7 +83,7 @@
 ```
 */
 export async function handleOutcome(outcome: SendOutcome, options: HandleOutcomeOptions): Promise<OutcomeStep> {
-	const {context, request, suspect, results, server, hasEnded} = options;
+	const {context, request, suspect, results, server, relay, hasEnded} = options;
 	if (outcome.type === 'head') {
 		return handleHead(outcome, options);
 	}
@@ -89,11 +94,18 @@
 
 	const reason = reasonFor(outcome);
 	context.log('request-attempt-ended', {
-		request: request.id, fingerprint: suspect.fingerprint, server: server.id, startedAt: server.startedAt, result: outcome.type, reason,
+		request: request.id, fingerprint: suspect.fingerprint, server: server.id, startedAt: server.startedAt, relay: relay?.instance, result: outcome.type, reason,
 	}, 'warn');
+	if (outcome.type === 'relay-unavailable') {
+		return {type: 'relay-unavailable'};
+	}
+
 	if (outcome.type === 'unreachable') {
 		results.record(server, 'unreachable');
-		context.links.recordUnreachable(server.id);
+		if (relay === undefined) {
+			context.links.recordUnreachable(server.id);
+		}
+
 		return {type: 'unreachable'};
 	}
 
--- /dev/null
+++ b/packages/gateway/src/entry/relay.ts
@@ -0,0 +1,47 @@
+import {type Agent} from 'node:http';
+import {type InstanceId} from '@valehitch/core';
+import {type ServerRecord} from '../servers/server-record.js';
+import {type ProbeResult} from './_probe-server.js';
+import {poolOptions, trackIdleTimes} from './connection-pool.js';
+import {type OpenTunnel, TunnelAgent} from './tunnel-agent.js';
+
+/**
+Another entry instance through which backend servers are reached. It only passes bytes on; this instance decides about each request.
+
+@example
+```ts
+const relay = new Relay(instance, openTunnel);
+```
+*/
+export class Relay {
+	readonly instance: InstanceId;
+	/** The kept connections through the relay. */
+	readonly pool: Agent;
+	/** Opens a connection for each request, for those that may not be repeated. */
+	readonly singleUse: Agent;
+	readonly #open: OpenTunnel;
+
+	constructor(instance: InstanceId, open: OpenTunnel) {
+		this.instance = instance;
+		this.#open = open;
+		this.pool = trackIdleTimes(new TunnelAgent(open, poolOptions));
+		this.singleUse = new TunnelAgent(open, {keepAlive: false});
+	}
+
+	/**
+	Checks whether a server accepts a connection from the relay, without sending a request.
+
+	@param server The server.
+	@returns The result; `unanswered` also if the relay cannot be used.
+	*/
+	async probe({host, port}: Pick<ServerRecord, 'host' | 'port'>): Promise<ProbeResult> {
+		const opened = await this.#open({host, port});
+		return opened.caseOf<ProbeResult>({
+			Left: ({type}) => type === 'target-refused' ? 'refused' : 'unanswered',
+			Right(socket) {
+				socket.destroy();
+				return 'open';
+			},
+		});
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/entry/request-path.test.ts
@@ -0,0 +1,35 @@
+import {type InstanceId} from '@valehitch/core';
+import test from 'ava';
+import {Left} from 'purify-ts';
+import {Relay} from './relay.js';
+import {RequestPath} from './request-path.js';
+
+const relays = ['10.0.0.1', '10.0.0.2'].map(instance => new Relay(instance as InstanceId, async () => Left({type: 'peer-unavailable', reason: 'not under test'})));
+
+function createPath({isCutOff, known = relays}: {readonly isCutOff: boolean; readonly known?: readonly Relay[]}): RequestPath {
+	return new RequestPath({
+		links: {isCutOff},
+		relays: {choose: excluded => known.find(({instance}) => !excluded.has(instance))},
+	});
+}
+
+test('a request uses the links of its instance until two of its connections have failed', t => {
+	const path = createPath({isCutOff: false});
+	t.deepEqual(path.next(0), {type: 'direct'});
+	t.deepEqual(path.next(1), {type: 'direct'});
+	t.deepEqual(path.next(2), {type: 'relayed', relay: relays[0]!});
+});
+
+test('a request of an instance that is cut off takes a relay at once, and another one if that fails', t => {
+	const path = createPath({isCutOff: true});
+	t.deepEqual(path.next(0), {type: 'relayed', relay: relays[0]!});
+	path.exclude(relays[0]!);
+	t.deepEqual(path.next(0), {type: 'relayed', relay: relays[1]!});
+	path.exclude(relays[1]!);
+	t.deepEqual(path.next(0), {type: 'direct'});
+	t.deepEqual(path.next(1), {type: 'none'});
+});
+
+test('without a relay, a request goes on by the links of its instance while that is not known to be cut off', t => {
+	t.deepEqual(createPath({isCutOff: false, known: []}).next(3), {type: 'direct'});
+});
--- /dev/null
+++ b/packages/gateway/src/entry/request-path.ts
@@ -0,0 +1,67 @@
+import {type InstanceId} from '@valehitch/core';
+import {type Relay} from './relay.js';
+import {type ServerLinks} from './server-links.js';
+import {type ServerRelays} from './server-relays.js';
+
+/** Options of {@linkcode RequestPath}. */
+export type RequestPathOptions = {
+	readonly links: Pick<ServerLinks, 'isCutOff'>;
+	readonly relays: Pick<ServerRelays, 'choose'>;
+};
+
+/** How the next send of a request reaches its server: by this instance's own links, through a relay, or not at all. */
+export type Path
+	= | {readonly type: 'direct'}
+		| {readonly type: 'relayed'; readonly relay: Relay}
+		| {readonly type: 'none'};
+
+/** The failed connections of a request after which a relay is tried even if the instance does not know yet whether it is cut off. */
+const directFailures = 2;
+
+/**
+Chooses how the sends of one request reach backend servers.
+
+@example
+```ts
+const path = new RequestPath({links, relays});
+path.next(0); // {type: 'direct'}
+```
+*/
+export class RequestPath {
+	readonly #options: RequestPathOptions;
+	readonly #failedRelays = new Set<InstanceId>();
+
+	constructor(options: RequestPathOptions) {
+		this.#options = options;
+	}
+
+	/**
+	Chooses the path of the next send.
+
+	@param connectionFailures How many connections of the request have failed.
+	@returns The path.
+	*/
+	next(connectionFailures: number): Path {
+		const {links: {isCutOff}, relays} = this.#options;
+		if (!isCutOff && connectionFailures < directFailures) {
+			return {type: 'direct'};
+		}
+
+		const relay = relays.choose(this.#failedRelays);
+		if (relay !== undefined) {
+			return {type: 'relayed', relay};
+		}
+
+		// One attempt is made even if the instance is cut off, since an open connection may go on.
+		return isCutOff && connectionFailures > 0 ? {type: 'none'} : {type: 'direct'};
+	}
+
+	/**
+	Leaves out a relay that could not be used.
+
+	@param relay The relay.
+	*/
+	exclude({instance}: Relay): void {
+		this.#failedRelays.add(instance);
+	}
+}
--- a/packages/gateway/src/entry/request-run-options.ts
+++ b/packages/gateway/src/entry/request-run-options.ts
@@ -2,6 +2,7 @@
 import {type ServerRecord} from '../servers/server-record.js';
 import {type AuthorizedRequest} from './authorize-request.js';
 import {type GatewayRequest} from './gateway-request.js';
+import {type Relay} from './relay.js';
 import {type SendLoad} from './tracked-server.js';
 
 /** An authorized request of a caller, with its body. */
@@ -17,6 +18,8 @@
 /** A send of a request to a server. */
 export type StartedSend = {
 	readonly server: ServerRecord;
+	/** The instance through which the server is reached; undefined for this instance's own links. */
+	readonly relay?: Relay | undefined;
 	/** The load of the send; undefined if it is no longer counted. */
 	readonly load?: SendLoad;
 	/** When the request was sent, in milliseconds on the monotonic clock. */
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -12,6 +12,8 @@
 import {ModelCascade} from './model-cascade.js';
 import {Placement} from './placement.js';
 import {type NextStep, RequestEnd} from './request-end.js';
+import {RequestPath} from './request-path.js';
+import {type Relay} from './relay.js';
 import {type RequestRunOptions, type StartedSend} from './request-run-options.js';
 import {SuspectRequest} from './suspect-request.js';
 import {SendAllowance} from './send-allowance.js';
@@ -53,6 +55,7 @@
 	readonly #end: RequestEnd;
 	readonly #fallback: FallbackAnswer;
 	readonly #suspect: SuspectRequest;
+	readonly #path: RequestPath;
 	/** The current or last send. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
 
@@ -81,6 +84,7 @@
 			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models,
 		});
 		this.#suspect = new SuspectRequest(context.suspects, {...request, workspace: authorized.workspace?.id, body});
+		this.#path = new RequestPath(context);
 		this.#fallback = new FallbackAnswer({
 			clock: context.clock,
 			deadlineAt: this.#deadlineAt,
@@ -164,12 +168,19 @@
 	}
 
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<NextStep> {
+		const path = this.#path.next(this.#allowance.connectionFailures);
+		if (path.type === 'none') {
+			return this.#fail(failure('no-server', `This instance reaches no server of ${this.#placement.service} (${this.#end.lastProblem})`, {retryAfterMilliseconds: retryMilliseconds}));
+		}
+
+		const relay = path.type === 'relayed' ? path.relay : undefined;
 		const sentAt = this.#now();
 		const load = this.#context.servers.beginSend(server.id, {load: this.#models.load, now: sentAt});
 		const attempt = startSend(this.#context, {
 			request: this.#request,
 			body: this.#body,
 			server,
+			relay,
 			authorized,
 			models: this.#models,
 			allowance: this.#allowance,
@@ -180,14 +191,16 @@
 		});
 		this.#sent = {attempt, server};
 		const outcome = await attempt.outcome;
-		const step = await handleOutcome(outcome, this.#outcomeOptions({server, sentAt, load}));
-		const next = await this.#handleStep(step, server);
+		const step = await handleOutcome(outcome, this.#outcomeOptions({
+			server, relay, sentAt, load,
+		}));
+		const next = await this.#handleStep(step, {server, relay});
 		load.end();
 		this.#context.metrics.attempts.inc({result: outcome.type});
 		return next;
 	}
 
-	#outcomeOptions({server, sentAt, load}: StartedSend): HandleOutcomeOptions {
+	#outcomeOptions({server, relay, sentAt, load}: StartedSend): HandleOutcomeOptions {
 		return {
 			context: this.#context,
 			request: this.#request,
@@ -198,6 +211,7 @@
 			answer: this.#answer,
 			events: this.#events,
 			server,
+			relay,
 			sentAt,
 			hasEnded: () => this.#end.hasEnded,
 			onStreamStart: () => {
@@ -211,7 +225,7 @@
 	}
 
 	/** Handles the step that follows a send; returns whether the request is sent again. */
-	async #handleStep(step: OutcomeStep, server: ServerRecord): Promise<NextStep> {
+	async #handleStep(step: OutcomeStep, {server, relay}: Pick<StartedSend, 'server' | 'relay'>): Promise<NextStep> {
 		if (this.#end.hasEnded) {
 			return 'ended';
 		}
@@ -219,6 +233,7 @@
 		return match(step)
 			.with({type: 'ended'}, async (): Promise<NextStep> => 'ended')
 			.with({type: 'unreachable'}, async () => this.#handleUnreachable(server))
+			.with({type: 'relay-unavailable'}, async () => this.#handleRelayUnavailable(relay))
 			.with({type: 'not-run'}, async ({failed}) => this.#handleNotRun(server, failed))
 			.with({type: 'connection-lost'}, async ({failed}) => {
 				this.#end.recordPossibleRun();
@@ -253,6 +268,15 @@
 			: this.#fail(failure('no-server', `Could not connect to ${this.#allowance.connectionFailures} servers of ${this.#placement.service}`, {retryAfterMilliseconds: retryMilliseconds}));
 	}
 
+	async #handleRelayUnavailable(relay: Relay | undefined): Promise<NextStep> {
+		this.#allowance.cancelSend();
+		if (relay !== undefined) {
+			this.#path.exclude(relay);
+		}
+
+		return 'retry';
+	}
+
 	async #handleNotRun(server: ServerRecord, {message}: Failure): Promise<NextStep> {
 		this.#end.lastProblem = message;
 		this.#placement.exclude(server);
@@ -280,7 +304,7 @@
 
 		this.#models.restore(fallback.model);
 		const step = await relayFallback(fallback, this.#outcomeOptions({server: fallback.server, sentAt: this.#now()}));
-		return this.#handleStep(step, fallback.server);
+		return this.#handleStep(step, fallback);
 	}
 
 	/** Returns the model that the request escalates to, unless the caller has already received a part of an answer. */
--- a/packages/gateway/src/entry/send-allowance.ts
+++ b/packages/gateway/src/entry/send-allowance.ts
@@ -73,6 +73,11 @@
 		return this.#unreachable < maximumUnreachable;
 	}
 
+	/** Takes back the count of a send that did not reach a server, and says nothing about any. */
+	cancelSend(): void {
+		this.#sends--;
+	}
+
 	/**
 	Withdraws a retry from the shared budget.
 
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -3,6 +3,8 @@
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Header} from './gateway-request.js';
 import {closeIdleConnections, closeStaleConnections, connectionPool} from './connection-pool.js';
+import {type Relay} from './relay.js';
+import {TunnelError} from './tunnel-agent.js';
 
 /** Options of {@linkcode sendAttempt}. */
 export type SendAttemptOptions = {
@@ -13,7 +15,9 @@
 	readonly body: Uint8Array;
 	/** Whether an idle connection may be reused; false if the request may not be repeated. */
 	readonly mayReuseConnection: boolean;
-	/** The connection timeout, in milliseconds. */
+	/** The instance through which the server is reached; undefined for this instance's own links. */
+	readonly relay?: Relay | undefined;
+	/** The timeout of a direct connection, in milliseconds. */
 	readonly connectTimeout: number;
 	/** The timeouts for the head of the answer; undefined for none. */
 	readonly headTimeouts: HeadTimeouts | undefined;
@@ -41,6 +45,8 @@
 export type SendOutcome
 	/** The connection was never established, so the request has not run. */
 	= | {readonly type: 'unreachable'; readonly reason: string}
+	/** The relay could not be used, so the request has not run, and nothing is known about the server. */
+		| {readonly type: 'relay-unavailable'; readonly reason: string}
 	/** The connection broke before an answer, and the request may have run. */
 		| {readonly type: 'lost'; readonly reason: string}
 	/** The same on a reused connection, which the server may have closed before it received the request. */
@@ -72,13 +78,14 @@
 ```
 */
 export function sendAttempt(options: SendAttemptOptions): SentAttempt {
-	const {server, method, target, headers, body, mayReuseConnection, onConnect, processEnd} = options;
+	const {server, method, target, headers, body, mayReuseConnection, relay, onConnect, processEnd} = options;
+	const pool = relay?.pool ?? connectionPool;
 	if (mayReuseConnection) {
-		closeStaleConnections(server);
+		closeStaleConnections(server, pool);
 	}
 
 	const request = openRequest({
-		host: server.host, port: server.port, method, path: target, agent: mayReuseConnection ? connectionPool : false, setHost: false, headers: headers.flat(), signal: processEnd,
+		host: server.host, port: server.port, method, path: target, agent: mayReuseConnection ? pool : relay?.singleUse ?? false, setHost: false, headers: headers.flat(), signal: processEnd,
 	});
 	let isCancelled = false;
 	let isOpen = false;
@@ -109,18 +116,19 @@
 	readonly isOpen: () => boolean;
 };
 
-async function awaitHead(request: ClientRequest, {server, connectTimeout, headTimeouts}: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
+async function awaitHead(request: ClientRequest, {server, relay, connectTimeout, headTimeouts}: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
 	return new Promise(resolve => {
 		let isSilent = false;
 		const stopConnectTimeout = setTimeoutAfterPoll(connectTimeout, () => {
-			if (!isOpen()) {
+			// The opening of a tunnel has its own timeout, which tells whose fault it is.
+			if (!isOpen() && relay === undefined) {
 				request.destroy(new Error(`No connection within ${connectTimeout} ms`));
 			}
 		});
 		const giveUp = (): void => {
 			isSilent = true;
 			request.destroy();
-			closeIdleConnections(server);
+			closeIdleConnections(server, relay?.pool);
 		};
 
 		const stopWatching = headTimeouts === undefined ? undefined : watchHeadTimeouts(headTimeouts, {isReused: () => request.reusedSocket, giveUp});
@@ -130,11 +138,12 @@
 			resolve(outcome);
 		};
 
-		const fail = (reason: string): void => {
+		const fail = (error: Error): void => {
+			const reason = error.message;
 			if (isCancelled()) {
 				settle({type: 'cancelled'});
 			} else if (!isOpen()) {
-				settle({type: 'unreachable', reason});
+				settle({type: error instanceof TunnelError && error.type === 'peer-unavailable' ? 'relay-unavailable' : 'unreachable', reason});
 			} else if (isSilent) {
 				settle({type: 'silent'});
 			} else {
@@ -146,10 +155,10 @@
 			settle({type: 'head', message, isComplete: isFramed(message) ? async () => message.complete : isCompleteUnlessReset(message)});
 		});
 		request.on('error', error => {
-			fail(error.message);
+			fail(error);
 		});
 		request.on('close', () => {
-			fail('The connection was closed before an answer arrived');
+			fail(new Error('The connection was closed before an answer arrived'));
 		});
 	});
 }
--- a/packages/gateway/src/entry/server-links.test.ts
+++ b/packages/gateway/src/entry/server-links.test.ts
@@ -1,28 +1,85 @@
+import {setImmediate} from 'node:timers/promises';
 import {type ServerId} from '@valehitch/core';
 import test from 'ava';
 import {type DecisionFields, type DecisionKind} from '../logs/decision-log.js';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
-import {ServerLinks} from './server-links.js';
+import {testServer} from '../servers/_test-server.js';
+import {ServerLinks, type ServerLinksOptions} from './server-links.js';
 
-test('the beginning and the end of a time in which servers are unreachable are logged with their evidence', t => {
+const ids = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'] as ServerId[];
+
+function createLinks(changes: Partial<ServerLinksOptions>) {
 	const lines: Array<readonly [DecisionKind, DecisionFields]> = [];
-	let now = 1000;
+	const clock = {now: 1000, monotonic: () => clock.now};
+	const tried: ServerId[] = [];
+	const state = {isReachable: false, cuts: 0};
 	const links = new ServerLinks({
-		clock: {monotonic: () => now},
+		clock,
+		random: () => 0.5,
 		metrics: createGatewayMetrics(),
 		log(kind, fields) {
 			lines.push([kind, fields]);
 		},
+		servers: () => ids.map(id => testServer({id})),
+		async isReachable({id}) {
+			tried.push(id);
+			return state.isReachable;
+		},
+		async wait(milliseconds) {
+			clock.now += milliseconds;
+			await setImmediate();
+		},
+		onCutOff() {
+			state.cuts++;
+		},
+		...changes,
 	});
-	links.recordUnreachable('i-1' as ServerId);
-	now += 50;
-	links.recordUnreachable('i-2' as ServerId);
-	links.recordUnreachable('i-3' as ServerId);
-	now += 400;
-	links.recordConnected();
-	links.recordConnected();
-	t.deepEqual(lines, [
-		['servers-unreachable', {servers: ['i-1', 'i-2'], unreachable: 2, duration: 50}],
-		['servers-reachable', {unreachable: 3, duration: 450}],
-	]);
+	return {
+		links, lines, clock, tried, state,
+	};
+}
+
+async function pass(isDone: () => boolean): Promise<void> {
+	while (!isDone()) {
+		await setImmediate();
+	}
+}
+
+test('an instance is cut off when trial connections to other servers fail too, until one of them succeeds', async t => {
+	const {links, lines, clock, tried, state} = createLinks({});
+	links.recordUnreachable(ids[0]!);
+	clock.now += 50;
+	links.recordUnreachable(ids[1]!);
+	t.false(links.areConnected);
+	t.false(links.isCutOff);
+	await pass(() => links.isCutOff);
+	t.deepEqual(tried.slice(0, 3), ids.slice(2, 5));
+	t.is(state.cuts, 1);
+
+	state.isReachable = true;
+	await pass(() => links.areConnected);
+	t.is(state.cuts, 1);
+	t.deepEqual(lines.map(([kind, {unreachable}]) => [kind, unreachable]), [['servers-unreachable', 2], ['servers-reachable', 2]]);
+});
+
+test('an instance whose trial connection succeeds is not cut off', async t => {
+	const {links, lines, state} = createLinks({});
+	state.isReachable = true;
+	links.recordUnreachable(ids[0]!);
+	links.recordUnreachable(ids[1]!);
+	await pass(() => links.areConnected);
+	t.deepEqual(lines, []);
+	t.is(state.cuts, 0);
+});
+
+test('trials end with the instance', async t => {
+	const {links, tried} = createLinks({});
+	links.recordUnreachable(ids[0]!);
+	links.recordUnreachable(ids[1]!);
+	links.stop();
+	await setImmediate();
+	await setImmediate();
+	const before = tried.length;
+	await setImmediate();
+	t.is(tried.length, before);
 });
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -4,6 +4,7 @@
 import {type GatewayRequest} from './gateway-request.js';
 import {type ModelCascade} from './model-cascade.js';
 import {isServerReachable} from './is-server-reachable.js';
+import {type Relay} from './relay.js';
 import {type SendAllowance} from './send-allowance.js';
 import {type SentAttempt, sendAttempt, type HeadTimeouts} from './send-attempt.js';
 
@@ -12,6 +13,8 @@
 	readonly request: GatewayRequest;
 	readonly body: Uint8Array;
 	readonly server: ServerRecord;
+	/** The instance through which the server is reached; undefined for this instance's own links. */
+	readonly relay: Relay | undefined;
 	readonly authorized: AuthorizedRequest;
 	readonly models: ModelCascade;
 	/** The send limit of the request, which counts this send. */
@@ -43,16 +46,17 @@
 @returns The send in progress.
 @example
 ```ts
-const attempt = startSend(context, {request, body, server, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd});
+const attempt = startSend(context, {request, body, server, relay, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd});
 const outcome = await attempt.outcome;
 ```
 */
 export function startSend(context: EntryContext, options: StartSendOptions): SentAttempt {
-	const {request, body, server, authorized: {route, workspace}, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd} = options;
+	const {request, body, server, relay, authorized: {route, workspace}, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd} = options;
 	const {dialect, clock, log, links} = context;
 	const sentAt = clock.monotonic();
 	const attempt = sendAttempt({
 		server,
+		relay,
 		method: request.method,
 		target: request.target,
 		headers: dialect.sendHeaders(request, {
@@ -77,6 +81,7 @@
 	log('request-dispatched', {
 		request: request.id,
 		server: server.id,
+		relay: relay?.instance,
 		version: server.version,
 		model: models.current,
 		send: allowance.sends,
@@ -87,7 +92,7 @@
 }
 
 /** Returns the timeouts for the head of the answer; undefined for the last allowed send, which may take until the caller's deadline. */
-function headTimeoutsOf({server, models, allowance}: StartSendOptions, {servers}: Pick<EntryContext, 'servers'>): HeadTimeouts | undefined {
+function headTimeoutsOf({server, relay, models, allowance}: StartSendOptions, {servers, links}: Pick<EntryContext, 'servers' | 'links'>): HeadTimeouts | undefined {
 	if (!allowance.isRepeatable || allowance.isNextSendLast) {
 		return undefined;
 	}
@@ -96,6 +101,17 @@
 	return {
 		...models.headTimeouts,
 		hasSentData: () => servers.heardAt(server.id) !== heardBefore,
-		isReachable: async () => isServerReachable(server, reachabilityTimeoutMilliseconds),
+		async isReachable() {
+			if (relay !== undefined) {
+				return await relay.probe(server) === 'open';
+			}
+
+			const isReachable = await isServerReachable(server, reachabilityTimeoutMilliseconds);
+			if (!isReachable) {
+				links.recordUnreachable(server.id);
+			}
+
+			return isReachable;
+		},
 	};
 }
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -67,6 +67,12 @@
 		limitedServers: new Gauge({
 			name: 'valehitch_limited_servers', help: 'Backend servers whose answers name a rate limit', registers,
 		}),
+		tunnels: new Counter({
+			name: 'valehitch_tunnels_total', help: 'Connections to backend servers opened through other instances, by result', labelNames: ['result'], registers,
+		}),
+		relayedConnections: new Counter({
+			name: 'valehitch_relayed_connections_total', help: 'Connections to backend servers requested by other instances, by result', labelNames: ['result'], registers,
+		}),
 		unreachableServers: new Gauge({
 			name: 'valehitch_unreachable_servers', help: 'Backend servers that were unreachable since the last new connection to any of them', registers,
 		}),
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -69,6 +69,9 @@
 /** The part of the grace period that is reserved for closing connections, in milliseconds. */
 const closeMarginMilliseconds = 700;
 
+/** The interval at which open tunnels are counted during a shutdown, in milliseconds. */
+const tunnelPollMilliseconds = 50;
+
 /** The origin of `performance.now()` is the start of the process. */
 const processStartedAt = 0;
 
@@ -93,13 +96,18 @@
 	const log = createDecisionLog('valehitch', {clock, output, fields: {instance: settings.instance, zone: settings.zone}});
 	const metrics = createGatewayMetrics();
 	const parts: Parts = {};
-	const network = await PeerNetwork.listen<PeerMessage>({
+	const network: PeerNetwork<PeerMessage> = await PeerNetwork.listen<PeerMessage>({
 		self: settings.instance,
 		key: peerKey,
 		...settings.peers,
 		pingMilliseconds,
 		onMessage: async (from, message) => handlePeerMessage(parts, from, message),
 		onRequest: async (from, message) => handlePeerMessage(parts, from, message),
+		isTunnelAllowed(_from, target) {
+			const isAllowed = parts.entry?.mayRelay(target, network.tunnelCount) === true;
+			metrics.relayedConnections.inc({result: isAllowed ? 'accepted' : 'refused'});
+			return isAllowed;
+		},
 		onHandlerError(from, error) {
 			log('peer-message-failed', {from, reason: error instanceof Error ? error.stack ?? error.message : String(error)}, 'error');
 		},
@@ -222,6 +230,7 @@
 			context.network.send(peerAddress(settings(), to), message);
 		},
 		reportSuspects: async (to, message, timeout) => await requestPeer(context, to, {message, timeout}) !== undefined,
+		openTunnel: async (relay, target, timeout) => context.network.openTunnel(peerAddress(settings(), relay), target, {timeoutMilliseconds: timeout}),
 		wait: delay,
 		parse: decodeConfiguration,
 	});
@@ -232,6 +241,7 @@
 		entry.beginStop(stopBy);
 		await delay(Math.min(removalMilliseconds, gracePeriod - closeMarginMilliseconds));
 		await entry.drained(stopBy);
+		await tunnelsClosed(context, stopBy);
 		entry.close();
 		readinessServer?.close();
 	};
@@ -239,6 +249,13 @@
 	return {entry, stop};
 }
 
+/** Waits until other instances have no connections to backend servers open through this one. */
+async function tunnelsClosed({network}: ProcessContext, until: number): Promise<void> {
+	while (network.tunnelCount > 0 && clock.monotonic() < until) {
+		await delay(tunnelPollMilliseconds);
+	}
+}
+
 async function serveReadiness(entry: EntryInstance, listen: ListenAddress): Promise<Server> {
 	return listenOn(createServer((request, response) => {
 		request.resume();
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -17,6 +17,7 @@
 export * from './rate-lease-book.js';
 export * from './rate-lease-terms.js';
 export * from './rate-limit-share.js';
+export * from './relay-selector.js';
 export * from './rendezvous-score.js';
 export type * from './request-action.js';
 export type * from './request-event.js';
--- /dev/null
+++ b/packages/routing/src/relay-selector.test.ts
@@ -0,0 +1,44 @@
+import {type InstanceId} from '@valehitch/core';
+import test from 'ava';
+import {RelaySelector} from './relay-selector.js';
+
+const one = '10.0.0.1' as InstanceId;
+const two = '10.0.0.2' as InstanceId;
+const candidates = [one, two];
+const excluded: ReadonlySet<InstanceId> = new Set();
+
+test('the relay with the fewest connections goes first', t => {
+	const relays = new RelaySelector({random: () => 0});
+	const close = relays.recordOpened(one);
+	t.is(relays.choose({candidates, excluded, now: 0}), two);
+	relays.recordOpened(two);
+	relays.recordOpened(two);
+	t.is(relays.choose({candidates, excluded, now: 0}), one);
+	close();
+	t.is(relays.choose({candidates, excluded: new Set([one]), now: 0}), two);
+	t.is(relays.choose({candidates: [], excluded, now: 0}), undefined);
+});
+
+test('a relay that failed is left out for a time that doubles, until a connection through it opens', t => {
+	const relays = new RelaySelector({random: () => 0, initialMilliseconds: 500, maximumMilliseconds: 900});
+	relays.recordFailure(one, 0);
+	t.is(relays.choose({candidates: [one], excluded, now: 499}), undefined);
+	t.is(relays.choose({candidates: [one], excluded, now: 500}), one);
+	relays.recordFailure(one, 500);
+	t.is(relays.choose({candidates: [one], excluded, now: 1399}), undefined);
+	t.is(relays.choose({candidates: [one], excluded, now: 1400}), one);
+	relays.recordOpened(one)();
+	relays.recordFailure(one, 2000);
+	t.is(relays.choose({candidates: [one], excluded, now: 2500}), one);
+});
+
+test('an instance that is no longer a candidate is forgotten once its connections are closed', t => {
+	const relays = new RelaySelector({random: () => 0});
+	const close = relays.recordOpened(one);
+	relays.recordFailure(one, 0);
+	relays.retain([two]);
+	t.is(relays.choose({candidates, excluded: new Set([two]), now: 0}), undefined);
+	close();
+	relays.retain([two]);
+	t.is(relays.choose({candidates, excluded: new Set([two]), now: 0}), one);
+});
--- a/packages/routing/src/server-link-detector.test.ts
+++ b/packages/routing/src/server-link-detector.test.ts
@@ -20,7 +20,7 @@
 test('a connection in between prevents a suspicion', t => {
 	const links = new ServerLinkDetector();
 	links.recordUnreachable(one, 0);
-	t.false(links.recordConnected());
+	links.recordConnected();
 	t.false(links.recordUnreachable(two, 10));
 	t.is(links.state, 'connected');
 	t.is(links.since, 10);
@@ -28,23 +28,15 @@
 
 test('only failed trials turn a suspicion into a cut, and any connection ends it', t => {
 	const links = new ServerLinkDetector();
-	t.false(links.recordTrials({connected: false}));
+	t.false(links.recordTrialsFailed());
 	t.is(links.state, 'connected');
 	links.recordUnreachable(one, 0);
 	links.recordUnreachable(two, 0);
-	t.true(links.recordTrials({connected: false}));
+	t.true(links.recordTrialsFailed());
 	t.is(links.state, 'cut-off');
-	t.false(links.recordTrials({connected: false}));
-	t.true(links.recordTrials({connected: true}));
+	t.false(links.recordTrialsFailed());
+	links.recordConnected();
 	t.is(links.state, 'connected');
 	t.is(links.since, undefined);
-});
-
-test('a suspicion whose trials connect does not become a cut', t => {
-	const links = new ServerLinkDetector();
-	links.recordUnreachable(one, 0);
-	links.recordUnreachable(two, 0);
-	t.true(links.recordTrials({connected: true}));
-	t.is(links.state, 'connected');
 	t.false(links.recordUnreachable(one, 10));
 });
--- a/packages/routing/src/server-link-detector.ts
+++ b/packages/routing/src/server-link-detector.ts
@@ -21,7 +21,7 @@
 const links = new ServerLinkDetector();
 links.recordUnreachable(first, now);
 links.recordUnreachable(second, now); // true: trial connections are due
-links.recordTrials({connected: false});
+links.recordTrialsFailed();
 links.state; // 'cut-off'
 ```
 */
@@ -68,32 +68,21 @@
 		return true;
 	}
 
-	/**
-	Records that a new connection to a server was opened.
-
-	@returns Whether this ends a suspicion or a cut.
-	*/
-	recordConnected(): boolean {
-		const hasEnded = this.#state !== 'connected';
+	/** Records that a new connection to a server was opened, which ends a suspicion or a cut. */
+	recordConnected(): void {
 		this.#unreachable.clear();
 		this.#since = undefined;
 		this.#state = 'connected';
-		return hasEnded;
 	}
 
 	/**
-	Records the result of trial connections to several servers.
+	Records that no trial connection to other servers could be opened.
 
-	@param trials Whether any of them was opened.
-	@returns Whether the state has changed.
+	@returns Whether this turns a suspicion into a cut.
 	*/
-	recordTrials({connected}: {readonly connected: boolean}): boolean {
-		if (connected) {
-			return this.recordConnected();
-		}
-
-		const hasChanged = this.#state === 'suspected';
-		this.#state = hasChanged ? 'cut-off' : this.#state;
-		return hasChanged;
+	recordTrialsFailed(): boolean {
+		const isNew = this.#state === 'suspected';
+		this.#state = isNew ? 'cut-off' : this.#state;
+		return isNew;
 	}
 }
--- a/packages/transport/src/open-tunnel.test.ts
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -110,7 +110,7 @@
 		await setImmediate();
 	}
 
-	t.pass();
+	t.is(network.tunnelCount, 0);
 });
 
 async function failureOf(network: PeerNetwork<string>, peer: PeerAddress, target: TunnelTarget): Promise<TunnelFailure['type'] | undefined> {
