--- a/packages/testing/src/server-partition.test.ts
+++ b/packages/testing/src/server-partition.test.ts
@@ -40,21 +40,23 @@
 type Started = {
 	readonly deployment: PlatformDeployment;
 	readonly backends: readonly FakeBackendServer[];
+	/** Sends a request, and returns its status; 0 if the answer was not complete. */
+	readonly send: (address: string, request: {readonly method: string; readonly path: string}) => Promise<number>;
 	/** Sends a request of each kind through each of some instances at a steady rate for a time in milliseconds, and returns their statuses. */
 	readonly sendFor: (duration: number, entries: readonly PlatformInstance[]) => Promise<readonly number[]>;
 };
 
 /** Starts three entry instances with a server in each zone, and waits until all of them serve requests. */
-async function start(t: ExecutionContext): Promise<Started> {
+async function start(t: ExecutionContext, gap = 10): Promise<Started> {
 	const deployment = await PlatformDeployment.start({entryCount: 3, environment: serverCutEnvironment});
 	const backends = await startBackends(t, {
 		deployment, servers: zones.map(zone => ({
-			id: `i-${zone}`, service: 'labels', zone, answer: () => ({events: ['one', 'two', 'three'], gap: 10}),
+			id: `i-${zone}`, service: 'labels', zone, answer: () => ({events: ['one', 'two', 'three'], gap}),
 		})),
 	});
 	await putConfiguration(deployment, configuration);
 	let requests = 0;
-	const send = async (address: string, {method, path}: {readonly method: string; readonly path: string}): Promise<number> => {
+	const send: Started['send'] = async (address, {method, path}) => {
 		requests++;
 		const {status, isComplete} = await sendForResponse({
 			method, address, path, headers: {Host: 'desk.example', 'Attempt-Id': `a${requests}`, 'Deadline-Ms': '2000'},
@@ -69,6 +71,7 @@
 	return {
 		deployment,
 		backends,
+		send,
 		async sendFor(duration, entries) {
 			const statuses: Array<Promise<number>> = [];
 			const endsAt = performance.now() + duration;
@@ -117,3 +120,19 @@
 		return statuses.every(status => status === 200) || undefined;
 	}, {description: 'an instance that serves by its own links'});
 });
+
+test.serial('requests in progress at an instance that loses its links are not suspected of ending their servers', async t => {
+	const {deployment, backends, send} = await start(t, 400);
+	const [entry, other] = deployment.entries;
+	const print = {method: 'POST', path: '/print/7'};
+	const sent = Array.from({length: 12}, async () => send(entry!.address, print));
+	await waitUntil(async () => backends.every(({runs}) => runs.some(({path}) => path === print.path)) || undefined, {description: 'a request in progress at each server'});
+	await cutServerLinks(entry!, 'refused');
+	const statuses = await Promise.all(sent);
+	t.false(statuses.includes(503));
+	t.is(await send(other!.address, print), 200);
+	const {text} = await sendForResponse({
+		method: 'GET', address: deployment.controls[0]!.address, path: '/-/quarantine', headers: {},
+	});
+	t.deepEqual(JSON.parse(text), {requests: []});
+});
