Let another instance confirm that a server has ended

Cause: an instance takes a server that refuses its connections for ended, also when the refusal comes from its own links. Three such findings quarantine a request, and each counts as evidence against a version.

Change: a refusal counts only if a relay is refused as well; if the relay is let in, only the link is lost, which is no evidence about server or request. Without a relay to ask, it counts unless the links are in doubt.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -79,7 +79,7 @@
 
 /** Sends a number of requests in sequence through an instance that knows no server until `nextServers` adds some. */
 export async function sendRequests(t: ExecutionContext, times: number, options: SendRequestsOptions) {
-	const {nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, latencies, log = ignore, confirmEnd = async () => false, prepare = ignore} = options;
+	const {nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, latencies, log = ignore, checkProcess = async () => 'running', prepare = ignore} = options;
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({
 		zone: 'hall-a' as ZoneId, startedAt: clock.monotonic() - uptimeMilliseconds, random: () => 0.5, loads: {peerLoadAt: () => 0, recordChange: ignore, discardServer: ignore}, onReplaced: ignore,
@@ -104,7 +104,7 @@
 			clock, random: () => 0.5, log, metrics, peers: () => [], openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}),
 		}),
 		suspects: new EntrySuspects({
-			clock, log, servers, hasEnded: confirmEnd, onChanged: ignore,
+			clock, log, servers, checkProcess, onChanged: ignore,
 		}),
 		budget: new WindowedRetryBudget({ratio: 1, minimumPerWindow: 5}),
 		latencies: latencies ?? new LatencyEstimator(clock),
@@ -148,8 +148,8 @@
 	readonly inputTokens?: number;
 	/** The known latencies; none by default. */
 	readonly latencies?: LatencyEstimator;
-	/** Checks whether the process of a server has ended; by default none has. */
-	readonly confirmEnd?: EntrySuspectsOptions['hasEnded'];
+	/** Checks the process of a server; by default all of them run. */
+	readonly checkProcess?: EntrySuspectsOptions['checkProcess'];
 	/** Called with the context of the instance before the first request. */
 	readonly prepare?: (context: EntryContext) => void;
 };
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -10,7 +10,7 @@
 import {type Evacuations} from '../servers/evacuations.js';
 import {type SentServerLimit} from '../servers/server-limits.js';
 import {createCallerServer} from './caller-server.js';
-import {hasServerEnded} from './has-server-ended.js';
+import {checkServerProcess} from './check-server-process.js';
 import {ConfigurationLease} from './configuration-lease.js';
 import {type ControlUpdate, ControlWatch} from './control-watch.js';
 import {type EntryContext} from './entry-context.js';
@@ -97,7 +97,7 @@
 		const suspects = new EntrySuspects({
 			...options,
 			servers,
-			hasEnded: hasServerEnded,
+			checkProcess: async server => checkServerProcess(server, this.#context),
 			onChanged: fingerprint => {
 				this.#reporter.report(fingerprint);
 			},
--- a/packages/gateway/src/entry/entry-suspects.test.ts
+++ b/packages/gateway/src/entry/entry-suspects.test.ts
@@ -17,9 +17,9 @@
 		clock: {now: () => new Date(0)},
 		log: ignore,
 		servers: {processStateOf: state},
-		async hasEnded({id}) {
+		async checkProcess({id}) {
 			checks.push(id);
-			return ended.includes(id);
+			return ended.includes(id) ? 'ended' : 'running';
 		},
 		onChanged(known) {
 			changed.push(known);
--- a/packages/gateway/src/entry/entry-suspects.ts
+++ b/packages/gateway/src/entry/entry-suspects.ts
@@ -6,6 +6,7 @@
 } from '@valehitch/routing';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type ServerRecord} from '../servers/server-record.js';
+import {type ProcessCheck} from './check-server-process.js';
 import {type EntryServers} from './entry-servers.js';
 
 /** Options of {@linkcode EntrySuspects}. */
@@ -13,16 +14,16 @@
 	readonly clock: Pick<Clock, 'now'>;
 	readonly log: DecisionLog;
 	readonly servers: Pick<EntryServers, 'processStateOf'>;
-	/** Checks whether the process of a server has ended. */
-	readonly hasEnded: (server: ServerRecord) => Promise<boolean>;
+	/** Checks what has become of the process of a server whose connection broke. */
+	readonly checkProcess: (server: ServerRecord) => Promise<ProcessCheck>;
 	/** Called when this instance itself changes the record of a request. */
 	readonly onChanged: (fingerprint: RequestFingerprint) => void;
 };
 
 /**
-The state of a server after a connection to it broke: its process is assumed to be running (`running`), has just been found to have ended (`ended`), or was already known to have ended (`already-ended`).
+The state of a server after a connection to it broke: its process is assumed to be running (`running`), has just been found to have ended (`ended`), was already known to have ended (`already-ended`), or runs and is unreachable from this instance only (`link-lost`).
 */
-export type LossFinding = 'running' | 'ended' | 'already-ended';
+export type LossFinding = ProcessCheck | 'already-ended';
 
 /** A send whose connection broke. */
 export type LostSend = {
@@ -39,7 +40,7 @@
 
 @example
 ```ts
-const suspects = new EntrySuspects({clock, log, servers, hasEnded: hasServerEnded, onChanged});
+const suspects = new EntrySuspects({clock, log, servers, checkProcess, onChanged});
 const finding = await suspects.recordLoss({fingerprint, request: 'a1', server});
 suspects.standing(fingerprint); // 'suspect' if the server's process has ended
 ```
@@ -48,7 +49,7 @@
 	readonly registry = new SuspectRegistry();
 	readonly #options: EntrySuspectsOptions;
 	/** Checks in progress; all requests that were in flight at a process share one check. */
-	readonly #checks = new Map<string, Promise<boolean>>();
+	readonly #checks = new Map<string, Promise<ProcessCheck>>();
 	readonly #ended = new LruMap<string, true>(maximumEndedProcesses);
 	readonly #listeners = new Set<(fingerprint: RequestFingerprint) => void>();
 
@@ -74,8 +75,9 @@
 	*/
 	async recordLoss({fingerprint, request, server}: LostSend): Promise<LossFinding> {
 		const process = processNameOf(server);
-		if (!await this.#hasEnded(server, process)) {
-			return 'running';
+		const check = await this.#check(server, process);
+		if (check !== 'ended') {
+			return check;
 		}
 
 		const isKnown = this.#ended.peek(process) === true;
@@ -146,22 +148,22 @@
 		}
 	}
 
-	async #hasEnded(server: ServerRecord, process: string): Promise<boolean> {
+	async #check(server: ServerRecord, process: string): Promise<ProcessCheck> {
 		const state = this.#options.servers.processStateOf(server);
 		if (state === 'replaced' || this.#ended.peek(process) === true) {
-			return true;
+			return 'ended';
 		}
 
 		// A draining server may exit at any time, and nothing can be concluded about an unknown one.
-		return state === 'ready' && this.#checkEnd(server, process);
+		return state === 'ready' ? this.#checkOnce(server, process) : 'running';
 	}
 
-	async #checkEnd(server: ServerRecord, process: string): Promise<boolean> {
-		const check = this.#checks.get(process) ?? this.#options.hasEnded(server);
+	async #checkOnce(server: ServerRecord, process: string): Promise<ProcessCheck> {
+		const check = this.#checks.get(process) ?? this.#options.checkProcess(server);
 		this.#checks.set(process, check);
-		const hasEnded = await check;
+		const result = await check;
 		this.#checks.delete(process);
-		return hasEnded;
+		return result;
 	}
 }
 
--- a/packages/gateway/src/entry/relay.ts
+++ b/packages/gateway/src/entry/relay.ts
@@ -5,6 +5,11 @@
 import {poolOptions, trackIdleTimes} from './connection-pool.js';
 import {type OpenTunnel, TunnelAgent} from './tunnel-agent.js';
 
+/** What a tunnel that was not opened says of its target. */
+const probeResults = {
+	'peer-unavailable': 'unavailable', 'target-refused': 'refused', 'target-unanswered': 'unanswered',
+} as const;
+
 /**
 Another entry instance through which backend servers are reached. It only passes bytes on; this instance decides about each request.
 
@@ -32,12 +37,12 @@
 	Checks whether a server accepts a connection from the relay, without sending a request.
 
 	@param server The server.
-	@returns The result; `unanswered` also if the relay cannot be used.
+	@returns The result, or that the relay cannot be used.
 	*/
-	async probe({host, port}: Pick<ServerRecord, 'host' | 'port'>): Promise<ProbeResult> {
+	async probe({host, port}: Pick<ServerRecord, 'host' | 'port'>): Promise<ProbeResult | 'unavailable'> {
 		const opened = await this.#open({host, port});
-		return opened.caseOf<ProbeResult>({
-			Left: ({type}) => type === 'target-refused' ? 'refused' : 'unanswered',
+		return opened.caseOf<ProbeResult | 'unavailable'>({
+			Left: ({type}) => probeResults[type],
 			Right(socket) {
 				socket.destroy();
 				return 'open';
--- a/packages/gateway/src/entry/send-results.ts
+++ b/packages/gateway/src/entry/send-results.ts
@@ -65,6 +65,12 @@
 			return;
 		}
 
+		if (finding === 'link-lost') {
+			this.record(server, 'unreachable');
+			this.#context.links.recordUnreachable(server.id);
+			return;
+		}
+
 		this.record(server, 'ended');
 		if (finding === 'ended') {
 			this.#recordEvidence(server, {model, latency: undefined});
--- a/packages/gateway/src/entry/suspect-request.test.ts
+++ b/packages/gateway/src/entry/suspect-request.test.ts
@@ -57,7 +57,7 @@
 });
 
 test('a request that crashes servers is sent to three of them, and its answer does not state that it was not run', async t => {
-	const result = await requestOnce(t, closeConnection, {confirmEnd: async () => true, route: {...safeRoute, maximumAttempts: 6}});
+	const result = await requestOnce(t, closeConnection, {checkProcess: async () => 'ended', route: {...safeRoute, maximumAttempts: 6}});
 	t.like(result, {status: 400, text: 'request-quarantined'});
 	t.is(result.models.length, 3);
 });
@@ -136,7 +136,7 @@
 		setTimeout(closeConnection, 20, response);
 	}, {
 		route: {...streamRoute, maximumAttempts: 2},
-		confirmEnd: async () => true,
+		checkProcess: async () => 'ended',
 		prepare(context) {
 			known = context;
 		},
@@ -150,7 +150,7 @@
 		closeConnection(response);
 	});
 	const {answers, evidence} = await sendRequests(t, 3, {
-		route: testRoute({kind: 'unsafe', timeout: 8000, maximumAttempts: 1}), nextServers: serversAt(port, 1), confirmEnd: async () => true,
+		route: testRoute({kind: 'unsafe', timeout: 8000, maximumAttempts: 1}), nextServers: serversAt(port, 1), checkProcess: async () => 'ended',
 	});
 	t.deepEqual(answers.map(({status}) => status), [502, 502, 502]);
 	t.deepEqual(evidence.map(({failures}) => failures), [1]);
