Pass a server's pause and shutdown on to the relay through which it was told

A server that asks for a pause in an answer, or announces its shutdown there, holds the instance to it whose connection it answers. Through a tunnel that is the relay, which passes bytes only and went on with its own requests. The instance that reads the answer now tells the relay; rate limits go to the control instances as before.

--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -172,8 +172,21 @@
 	readonly loads: ReadonlyArray<readonly [server: ServerId, load: number]>;
 };
 
+/** Passes on what a backend server said of itself in an answer that came through the receiver, to which the server believes to have said it. */
+export type ServerNoticeMessage = {
+	readonly type: 'server-notice';
+	readonly server: ServerId;
+	/** Whether the server announced its shutdown. */
+	readonly isDraining: boolean;
+	/** The pause that it asked for, in milliseconds; undefined if it asked for none. */
+	readonly pause: number | undefined;
+};
+
+/** The messages that entry instances send to each other. */
+export type EntryMessage = LoadMessage | ServerNoticeMessage;
+
 /** The messages exchanged by the instances of a gateway. */
 export type PeerMessage
 	= ReplicaEnvelope | JoinMessage | ConfirmMessage | ProposeMessage
 		| ServersMessage | ServerEndedMessage | AllServersMessage | SuspectsMessage | AllSuspectsMessage
-		| WatchMessage | LoadMessage;
+		| WatchMessage | EntryMessage;
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -119,6 +119,7 @@
 		rolloutOf: () => undefined,
 		endsAt: () => undefined,
 		reportLimit: ignore,
+		tellRelay: ignore,
 	};
 	prepare(context);
 	const request = testRequest({timeout, inputTokens, choosesModel: route.sizes.length > 0});
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -1,6 +1,9 @@
-import {type Clock, type ServiceId, type RandomSource} from '@valehitch/core';
+import {
+	type Clock, type InstanceId, type ServiceId, type RandomSource,
+} from '@valehitch/core';
 import {type WindowedRetryBudget} from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
+import {type ServerNoticeMessage} from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {type RolloutWithAge} from '../rollouts/rollout.js';
@@ -51,6 +54,8 @@
 	readonly rolloutOf: (service: ServiceId) => RolloutWithAge | undefined;
 	/** Reports a rate limit that a server has named to the control instances at once. */
 	readonly reportLimit: () => void;
+	/** Passes what a server said on to the instance through which its answer came. */
+	readonly tellRelay: (relay: InstanceId, message: ServerNoticeMessage) => void;
 	/** Returns when the instance stops, in milliseconds on the monotonic clock; undefined unless it is shutting down. */
 	readonly endsAt: () => number | undefined;
 };
--- a/packages/gateway/src/entry/entry-instance-options.ts
+++ b/packages/gateway/src/entry/entry-instance-options.ts
@@ -4,7 +4,7 @@
 import {type Either} from 'purify-ts';
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
 import {
-	type LoadMessage, type SuspectsMessage, type WatchMessage, type WatchReply,
+	type EntryMessage, type SuspectsMessage, type WatchMessage, type WatchReply,
 } from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
@@ -46,7 +46,7 @@
 	/** Sends a watch request to a control instance; resolves to undefined if no reply arrived within the timeout in milliseconds. */
 	readonly ask: (to: InstanceId, message: WatchMessage, timeout: number) => Promise<WatchReply | undefined>;
 	/** Sends a message without waiting for a reply. */
-	readonly send: (to: InstanceId, message: LoadMessage) => void;
+	readonly send: (to: InstanceId, message: EntryMessage) => void;
 	/** Reports suspects to a control instance; resolves to whether it acknowledged them within the timeout in milliseconds. */
 	readonly reportSuspects: (to: InstanceId, message: SuspectsMessage, timeout: number) => Promise<boolean>;
 	/** Opens a connection to a backend server through another entry instance. */
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -3,8 +3,9 @@
 import {StepNotifier} from '@valehitch/replication';
 import {type TunnelTarget} from '@valehitch/transport';
 import {rateLeaseMilliseconds, WindowedRetryBudget} from '@valehitch/routing';
+import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
-import {type LoadMessage, type WatchMessage} from '../control/peer-message.js';
+import {type EntryMessage, type ServerNoticeMessage, type WatchMessage} from '../control/peer-message.js';
 import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {KnownRollouts} from '../rollouts/known-rollouts.js';
 import {type Evacuations} from '../servers/evacuations.js';
@@ -133,6 +134,7 @@
 			nextServerChange: async timeout => Promise.race([this.#serverWaiters.waitForNext(), options.wait(timeout)]),
 			rolloutOf: service => this.#rollouts.forService(service),
 			endsAt: () => this.#endsAt,
+			tellRelay: options.send,
 			reportLimit: () => {
 				this.#watch.requestConfirmation();
 			},
@@ -190,10 +192,17 @@
 	Handles a message from another entry instance.
 
 	@param from The sender.
-	@param message The load of the sender at each server.
+	@param message The load of the sender at each server, or what a server said in an answer that came through this instance.
 	*/
-	receive(from: InstanceId, message: LoadMessage): void {
-		this.#loadExchange.receive(from, message, this.#options.clock.monotonic());
+	receive(from: InstanceId, message: EntryMessage): void {
+		match(message)
+			.with({type: 'load'}, loads => {
+				this.#loadExchange.receive(from, loads, this.#options.clock.monotonic());
+			})
+			.with({type: 'server-notice'}, notice => {
+				this.#applyNotice(notice);
+			})
+			.exhaustive();
 	}
 
 	/**
@@ -317,6 +326,17 @@
 		}
 	}
 
+	#applyNotice({server, isDraining, pause}: ServerNoticeMessage): void {
+		const {servers} = this.#context;
+		if (isDraining) {
+			servers.markDraining(server);
+		}
+
+		if (pause !== undefined) {
+			servers.limits.pauses.begin(server, {milliseconds: pause, now: this.#options.clock.monotonic()});
+		}
+	}
+
 	#applyLimits(limits: readonly SentServerLimit[], {source, now}: {readonly source: InstanceId; readonly now: number}): void {
 		const {servers} = this.#context;
 		for (const {server, requestsPerSecond} of servers.limits.rates.merge(limits, now)) {
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -140,12 +140,14 @@
 }
 
 async function handleHead(received: ReceivedHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
-	const {context, request, route, server, sentAt, hasEnded} = options;
+	const {context, request, route, server, relay, sentAt, hasEnded} = options;
 	const {message} = received;
 	const head = context.dialect.readAnswer(message.statusCode ?? 0, message.headers);
 	const answerClass = classifyAnswer(head, request.id);
 	if (isFromServer(answerClass, head)) {
-		recordNotices(head, context, {server, request: request.id, sentAt});
+		recordNotices(head, context, {
+			server, relay, request: request.id, sentAt,
+		});
 	}
 
 	if (hasEnded()) {
--- a/packages/gateway/src/entry/record-notices.test.ts
+++ b/packages/gateway/src/entry/record-notices.test.ts
@@ -1,5 +1,7 @@
 import {type InstanceId, type ZoneId} from '@valehitch/core';
 import test from 'ava';
+import {Left} from 'purify-ts';
+import {type ServerNoticeMessage} from '../control/peer-message.js';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
 import {testAnswerHead} from './_test-answer-head.js';
@@ -7,16 +9,18 @@
 import {EntryServers} from './entry-servers.js';
 import {type AnswerHead} from './gateway-request.js';
 import {recordNotices} from './record-notices.js';
+import {Relay} from './relay.js';
 
 const server = testServer({startedAt: 1});
 
-function start() {
+function start(relay?: Relay) {
 	const lines: string[] = [];
 	const time = {now: 10_000};
 	const servers = new EntryServers({
 		zone: 'hall-a' as ZoneId, random: () => 0.5, loads: {peerLoadAt: () => 0, recordChange: ignore, discardServer: ignore}, onReplaced: ignore,
 	});
 	servers.applyRecords([server], {source: 'control-1' as InstanceId, now: time.now});
+	const told: Array<readonly [InstanceId, ServerNoticeMessage]> = [];
 	const answer = (changes: Partial<AnswerHead>, from = server): void => {
 		time.now += 100;
 		recordNotices(testAnswerHead(changes), {
@@ -29,11 +33,16 @@
 			reportLimit() {
 				lines.push('reported');
 			},
-		}, {server: from, request: 'a1', sentAt: time.now - 50});
+			tellRelay(to, message) {
+				told.push([to, message]);
+			},
+		}, {
+			server: from, relay, request: 'a1', sentAt: time.now - 50,
+		});
 	};
 
 	return {
-		answer, lines, servers, time,
+		answer, lines, servers, time, told,
 	};
 }
 
@@ -72,3 +81,22 @@
 	t.true(servers.limits.pauses.allows(server.id, time.now));
 	t.is(servers.processStateOf(server), 'ready');
 });
+
+test('a pause or a shutdown that a server announces through a relay is passed on to the relay', t => {
+	const relay = new Relay('10.0.0.7' as InstanceId, async () => Left({type: 'peer-unavailable', reason: 'not under test'}));
+	const {answer, told} = start(relay);
+	answer({});
+	answer({status: 503, isNotRun: true, pause: {type: 'requested', milliseconds: 3000}});
+	answer({isDraining: true});
+	t.deepEqual(told, [
+		['10.0.0.7', {
+			type: 'server-notice', server: server.id, isDraining: false, pause: 3000,
+		}],
+		['10.0.0.7', {
+			type: 'server-notice', server: server.id, isDraining: true, pause: undefined,
+		}],
+	]);
+	const direct = start();
+	direct.answer({isDraining: true});
+	t.deepEqual(direct.told, []);
+});
--- a/packages/gateway/src/entry/record-notices.ts
+++ b/packages/gateway/src/entry/record-notices.ts
@@ -2,12 +2,15 @@
 import {type DecisionFields} from '../logs/decision-log.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type EntryContext} from './entry-context.js';
-import {type AnswerHead} from './gateway-request.js';
+import {type AnswerHead, type RequestedPause} from './gateway-request.js';
+import {type Relay} from './relay.js';
 
 /** Options of {@linkcode recordNotices}. */
 export type RecordNoticesOptions = {
 	/** The server that answered. */
 	readonly server: ServerRecord;
+	/** The instance through which the answer came; undefined for this instance's own links. */
+	readonly relay?: Relay | undefined;
 	/** The id of the request. */
 	readonly request: string;
 	/** When the request was sent, in milliseconds on the monotonic clock. */
@@ -15,7 +18,7 @@
 };
 
 /** The part of the context that is used to record notices. */
-export type RecordNoticesContext = Pick<EntryContext, 'servers' | 'clock' | 'log' | 'metrics' | 'reportLimit'>;
+export type RecordNoticesContext = Pick<EntryContext, 'servers' | 'clock' | 'log' | 'metrics' | 'reportLimit' | 'tellRelay'>;
 
 /** The pause of a server that asks for one that cannot be read, in milliseconds. */
 const defaultPauseMilliseconds = 1000;
@@ -36,9 +39,28 @@
 		recordShutdown(head, context, options);
 		recordRateLimit(head, context, options);
 		recordPause(head, context, options);
+		passToRelay(head, context, options);
 	}
 }
 
+/** A server holds the instance to what it says whose connection it answers. */
+function passToRelay({isDraining, pause}: AnswerHead, {tellRelay}: RecordNoticesContext, {server, relay}: RecordNoticesOptions): void {
+	if (relay !== undefined && (isDraining || pause.type !== 'none')) {
+		tellRelay(relay.instance, {
+			type: 'server-notice', server: server.id, isDraining, pause: lengthOf(pause),
+		});
+	}
+}
+
+/** Returns the length of a pause in milliseconds; undefined if none is requested. */
+function lengthOf(pause: RequestedPause): number | undefined {
+	return match(pause)
+		.with({type: 'none'}, () => undefined)
+		.with({type: 'requested'}, ({milliseconds}) => milliseconds)
+		.with({type: 'invalid'}, () => defaultPauseMilliseconds)
+		.exhaustive();
+}
+
 function recordShutdown({isDraining}: AnswerHead, {servers, log}: RecordNoticesContext, {server, request}: RecordNoticesOptions): void {
 	if (isDraining && servers.markDraining(server.id)) {
 		const {id, service, version, startedAt, sequence} = server;
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -151,9 +151,9 @@
 	};
 }
 
-/** Handles a message of a peer: load messages go to the entry instance, all others to the control instance. */
+/** Handles a message of a peer: those of entry instances go to the entry instance, all others to the control instance. */
 async function handlePeerMessage({control, entry}: Parts, from: InstanceId, message: PeerMessage): Promise<unknown> {
-	if (message.type === 'load') {
+	if (message.type === 'load' || message.type === 'server-notice') {
 		entry?.receive(from, message);
 		return undefined;
 	}
