--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -38,6 +38,8 @@
 	readonly service: string;
 	readonly host: string;
 	readonly version?: string;
+	/** The number of requests that it announces to process concurrently; 8 by default. */
+	readonly slots?: number;
 	/** The availability zone; `hall-a` by default. */
 	readonly zone?: string;
 	readonly answer: (run: ExecutedRequest) => FakeBackendResponse;
@@ -105,11 +107,11 @@
 	@returns The status of the acknowledgement.
 	*/
 	async announce(control: string, state: 'ready' | 'draining' = 'ready'): Promise<number> {
-		const {id, service, host, zone = 'hall-a', version = 'v1', startedAt, announcedPort = () => this.port} = this.#options;
+		const {id, service, host, zone = 'hall-a', version = 'v1', slots = 8, startedAt, announcedPort = () => this.port} = this.#options;
 		this.#sequence++;
 		return sendForStatus({
 			method: 'PUT', address: control, path: `/-/instances/${id}`, body: {
-				service, address: `${host}:${announcedPort()}`, zone, version, slots: 8, state, coldRemainingMs: 0, seq: this.#sequence, born: startedAt,
+				service, address: `${host}:${announcedPort()}`, zone, version, slots, state, coldRemainingMs: 0, seq: this.#sequence, born: startedAt,
 			}, timeout: announceTimeoutMilliseconds,
 		});
 	}
