Keep requests at brittle servers within their places, and away after a rejection

What callers would see: a server that says how many rejections it bears in a second (Server-Brittle) falls over under overload, and its load ends the next.

Cause: nobody read the header, and a rejection left no trace at the server, so that a full one got more requests.

Change: of a brittle server each instance uses its share of the announced places only. Shares add up to the places where the ids of all instances are known, and do so on average beyond (property test for up to 7; 64 and 370 instances). After a rejection the instance and its peers leave the server alone for so long that the rejections of all instances stay within the number, each for another time. A request that finds no place is rejected at once with a retry delay. A number that cannot be read counts as one.

--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -110,6 +110,7 @@
 			held: now - receivedAt,
 			confirmedAgo: confirmedAt === undefined ? undefined : now - confirmedAt,
 			hosts,
+			entryCount: entries.length,
 			entries: selectLoadSharingPeers(entry, entries),
 		};
 	}
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -162,6 +162,8 @@
 	readonly confirmedAgo: number | undefined;
 	/** The hosts of the control instances. */
 	readonly hosts: readonly string[];
+	/** The number of entry instances that polled recently; absent in versions before brittle servers. */
+	readonly entryCount?: number;
 	/** The entry instances with which the requester shares its load. */
 	readonly entries: readonly InstanceId[];
 };
@@ -172,13 +174,13 @@
 	readonly loads: ReadonlyArray<readonly [server: ServerId, load: number]>;
 };
 
-/** Passes on what a backend server said of itself in an answer that came through the receiver, to which the server believes to have said it. */
+/** Passes on what a backend server said of itself in an answer that came through the receiver, or that it rejected a request and is full for the receiver too. */
 export type ServerNoticeMessage = {
 	readonly type: 'server-notice';
 	readonly server: ServerId;
 	/** Whether the server announced its shutdown. */
 	readonly isDraining: boolean;
-	/** The pause that it asked for, in milliseconds; undefined if it asked for none. */
+	/** The time for which it should get no requests, in milliseconds; undefined for none. */
 	readonly pause: number | undefined;
 };
 
--- a/packages/gateway/src/entry/_test-answer-head.ts
+++ b/packages/gateway/src/entry/_test-answer-head.ts
@@ -11,6 +11,7 @@
 		isEncoded: false,
 		confidence: undefined,
 		isDraining: false,
+		brittleness: {type: 'none'},
 		rateLimit: {type: 'unlimited'},
 		pause: {type: 'none'},
 		...changes,
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -46,6 +46,7 @@
 		isEncoded: false,
 		confidence: typeof headers.confidence === 'string' ? Number(headers.confidence) : undefined,
 		isDraining: headers.draining === '1',
+		brittleness: {type: 'none'},
 		rateLimit: typeof headers.limit === 'string' ? {type: 'limited', requestsPerSecond: Number(headers.limit)} : {type: 'unlimited'},
 		pause: typeof headers.pause === 'string' ? {type: 'requested', milliseconds: Number(headers.pause)} : {type: 'none'},
 	}),
@@ -120,6 +121,7 @@
 		endsAt: () => undefined,
 		reportLimit: ignore,
 		tellRelay: ignore,
+		tellRejection: () => 0,
 	};
 	prepare(context);
 	const request = testRequest({timeout, inputTokens, choosesModel: route.sizes.length > 0});
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type InstanceId, type ServiceId, type RandomSource,
+	type Clock, type InstanceId, type ServerId, type ServiceId, type RandomSource,
 } from '@valehitch/core';
 import {type WindowedRetryBudget} from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
@@ -56,6 +56,8 @@
 	readonly reportLimit: () => void;
 	/** Passes what a server said on to the instance through which its answer came. */
 	readonly tellRelay: (relay: InstanceId, message: ServerNoticeMessage) => void;
+	/** Tells other instances that a brittle server rejected a request; returns for how long this one leaves it alone, in milliseconds. */
+	readonly tellRejection: (server: ServerId, rejectionsPerSecond: number) => number;
 	/** Returns when the instance stops, in milliseconds on the monotonic clock; undefined unless it is shutting down. */
 	readonly endsAt: () => number | undefined;
 };
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,8 +1,10 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
-import {type InstanceId, SuspensionDetector} from '@valehitch/core';
+import {type InstanceId, type ServerId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
 import {type TunnelTarget} from '@valehitch/transport';
-import {rateLeaseMilliseconds, WindowedRetryBudget} from '@valehitch/routing';
+import {
+	placeShare, rateLeaseMilliseconds, rejectionPause, WindowedRetryBudget,
+} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {type EntryMessage, type ServerNoticeMessage, type WatchMessage} from '../control/peer-message.js';
@@ -66,6 +68,8 @@
 	readonly #evidenceDeltas = new Map<InstanceId, EvidenceDelta>();
 	#table: RouteTable | undefined;
 	#peers: readonly InstanceId[] = [];
+	/** The number of entry instances that each control instance knows. */
+	readonly #entryCounts = new Map<InstanceId, number>();
 	#loadTimer: NodeJS.Timeout | undefined;
 	#hadLease = false;
 	#inProgress = 0;
@@ -85,6 +89,9 @@
 			zone,
 			random,
 			loads: this.#loadExchange,
+			placesOf: ({id, slots}) => placeShare({
+				server: id, slots, self, others: this.#peers, instances: this.#instanceCount,
+			}),
 			coldDurationOf: service => this.#table?.findService(service)?.cold?.duration,
 			heartbeatMilliseconds: options.heartbeatMilliseconds,
 			onReplaced: closeIdleConnections,
@@ -135,6 +142,7 @@
 			rolloutOf: service => this.#rollouts.forService(service),
 			endsAt: () => this.#endsAt,
 			tellRelay: options.send,
+			tellRejection: (server, rejectionsPerSecond) => this.#tellRejection(server, rejectionsPerSecond),
 			reportLimit: () => {
 				this.#watch.requestConfirmation();
 			},
@@ -285,6 +293,7 @@
 		this.#applyLimits(reply.serverLimits ?? [], {source, now});
 
 		this.#peers = reply.entries;
+		this.#entryCounts.set(source, reply.entryCount ?? 0);
 		if (changed.length > 0) {
 			this.#serverWaiters.notifyAll();
 		}
@@ -326,6 +335,23 @@
 		}
 	}
 
+	/** A control instance behind a cut knows only some of the entry instances, so the largest number counts. */
+	get #instanceCount(): number {
+		return Math.max(this.#peers.length + 1, ...this.#entryCounts.values());
+	}
+
+	#tellRejection(server: ServerId, rejectionsPerSecond: number): number {
+		const {send, random} = this.#options;
+		const options = {rejectionsPerSecond, instances: this.#instanceCount, random};
+		for (const peer of this.#peers) {
+			send(peer, {
+				type: 'server-notice', server, isDraining: false, pause: rejectionPause(options),
+			});
+		}
+
+		return rejectionPause(options);
+	}
+
 	#applyNotice({server, isDraining, pause}: ServerNoticeMessage): void {
 		const {servers} = this.#context;
 		if (isDraining) {
--- a/packages/gateway/src/entry/entry-servers-options.ts
+++ b/packages/gateway/src/entry/entry-servers-options.ts
@@ -10,6 +10,8 @@
 	readonly random: RandomSource;
 	/** Returns how long the servers of a service are cold after their start, in milliseconds; undefined if they tolerate as many requests as otherwise. */
 	readonly coldDurationOf?: (service: ServiceId) => number | undefined;
+	/** Returns how many places of a brittle server this instance may use; by default all of them. */
+	readonly placesOf?: (server: ServerRecord) => number;
 	/** The interval between announcements of a server, in milliseconds; 0 by default. */
 	readonly heartbeatMilliseconds?: number;
 	/** When this process started, in milliseconds on the monotonic clock; 0 by default, the origin of that clock. */
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -62,8 +62,8 @@
 
 	constructor(options: EntryServersOptions) {
 		this.#options = options;
-		const {startedAt = 0, coldDurationOf} = options;
-		this.limits = new SendLimits({startedAt, coldDurationOf});
+		const {startedAt = 0, coldDurationOf, placesOf} = options;
+		this.limits = new SendLimits({startedAt, coldDurationOf, placesOf});
 	}
 
 	/**
@@ -413,7 +413,7 @@
 			isSilent: this.#liveness.of(id) === 'silent',
 			isZoneUnreachable: serverZone !== zone && this.#zones.isSuspect(serverZone, now),
 			isEjected: this.#ejection.isEjected(id, now),
-			isRateLimited: this.limits.isRateLimited(tracked, now),
+			isRateLimited: this.limits.isRateLimited(tracked, now) || this.limits.isFull(tracked),
 			isPaused: !this.limits.pauses.allows(id, now),
 		});
 	}
--- a/packages/gateway/src/entry/gateway-request.ts
+++ b/packages/gateway/src/entry/gateway-request.ts
@@ -64,6 +64,13 @@
 	/** A time that cannot be read. */
 		| {readonly type: 'invalid'; readonly value: string};
 
+/** What an answer says of the rejections in a second beyond which its server falls over. */
+export type ServerBrittleness
+	= | {readonly type: 'none'}
+		| {readonly type: 'brittle'; readonly rejectionsPerSecond: number}
+	/** A number that cannot be read. */
+		| {readonly type: 'invalid'; readonly value: string};
+
 /** The parsed head of a backend server's answer. */
 export type AnswerHead = {
 	readonly status: number;
@@ -81,6 +88,7 @@
 	readonly confidence: number | undefined;
 	/** Whether the server is shutting down and wants no more requests. */
 	readonly isDraining: boolean;
+	readonly brittleness: ServerBrittleness;
 	readonly rateLimit: NamedRateLimit;
 	readonly pause: RequestedPause;
 };
--- a/packages/gateway/src/entry/record-notices.test.ts
+++ b/packages/gateway/src/entry/record-notices.test.ts
@@ -33,6 +33,10 @@
 			reportLimit() {
 				lines.push('reported');
 			},
+			tellRejection(id, rejectionsPerSecond) {
+				lines.push(`rejected by ${id}, which bears ${rejectionsPerSecond}`);
+				return 1000;
+			},
 			tellRelay(to, message) {
 				told.push([to, message]);
 			},
@@ -100,3 +104,22 @@
 	direct.answer({isDraining: true});
 	t.deepEqual(direct.told, []);
 });
+
+test('a brittle server that rejects a request is left alone for a time, and others are told', t => {
+	const {answer, lines, servers, time} = start();
+	answer({status: 503, isNotRun: true});
+	t.true(servers.limits.pauses.allows(server.id, time.now));
+	answer({brittleness: {type: 'brittle', rejectionsPerSecond: 5}});
+	answer({status: 503, isNotRun: true, brittleness: {type: 'brittle', rejectionsPerSecond: 5}});
+	t.false(servers.limits.pauses.allows(server.id, time.now + 900));
+	t.true(servers.limits.pauses.allows(server.id, time.now + 1000));
+	answer({});
+	t.deepEqual(lines, ['server-brittleness-changed', 'rejected by server-1, which bears 5', 'server-brittleness-changed']);
+});
+
+test('a server whose brittleness cannot be read counts as one that bears little', t => {
+	const {answer, lines, servers} = start();
+	answer({brittleness: {type: 'invalid', value: 'few'}});
+	t.is(servers.limits.brittle.rejectionsOf(server), 1);
+	t.deepEqual(lines, ['server-brittleness-invalid', 'server-brittleness-changed']);
+});
--- a/packages/gateway/src/entry/record-notices.ts
+++ b/packages/gateway/src/entry/record-notices.ts
@@ -18,10 +18,12 @@
 };
 
 /** The part of the context that is used to record notices. */
-export type RecordNoticesContext = Pick<EntryContext, 'servers' | 'clock' | 'log' | 'metrics' | 'reportLimit' | 'tellRelay'>;
+export type RecordNoticesContext = Pick<EntryContext, 'servers' | 'clock' | 'log' | 'metrics' | 'reportLimit' | 'tellRelay' | 'tellRejection'>;
 
 /** The pause of a server that asks for one that cannot be read, in milliseconds. */
 const defaultPauseMilliseconds = 1000;
+/** The rejections in a second that a brittle server bears whose number cannot be read. */
+const defaultRejectionsPerSecond = 1;
 
 /**
 Records what a server says of itself in the head of an answer, unless a later process has replaced it.
@@ -38,7 +40,9 @@
 	if (context.servers.isCurrent(options.server)) {
 		recordShutdown(head, context, options);
 		recordRateLimit(head, context, options);
+		recordBrittleness(head, context, options);
 		recordPause(head, context, options);
+		recordRejection(head, context, options);
 		passToRelay(head, context, options);
 	}
 }
@@ -91,6 +95,39 @@
 		.exhaustive();
 }
 
+function recordBrittleness({brittleness}: AnswerHead, {servers, clock, log}: RecordNoticesContext, {server, request, sentAt}: RecordNoticesOptions): void {
+	const {brittle} = servers.limits;
+	const hear = (rejectionsPerSecond: number): void => {
+		if (brittle.hear(server, {rejectionsPerSecond, now: clock.monotonic()})) {
+			log('server-brittleness-changed', {server: server.id, rejectionsPerSecond, request}, 'warn');
+		}
+	};
+
+	match(brittleness)
+		.with({type: 'none'}, () => {
+			if (brittle.hearNone(server, sentAt)) {
+				log('server-brittleness-changed', {server: server.id, request}, 'warn');
+			}
+		})
+		.with({type: 'brittle'}, ({rejectionsPerSecond}) => {
+			hear(rejectionsPerSecond);
+		})
+		.with({type: 'invalid'}, ({value}) => {
+			log('server-brittleness-invalid', {server: server.id, value, request}, 'warn');
+			hear(defaultRejectionsPerSecond);
+		})
+		.exhaustive();
+}
+
+/** A brittle server that rejects a request is full for all instances, so that each leaves it alone for some time. */
+function recordRejection({isNotRun, isFromOtherServer}: AnswerHead, {servers, clock, tellRejection}: RecordNoticesContext, {server}: RecordNoticesOptions): void {
+	const rejectionsPerSecond = servers.limits.brittle.rejectionsOf(server);
+	if (rejectionsPerSecond !== undefined && isNotRun && !isFromOtherServer) {
+		const milliseconds = tellRejection(server.id, rejectionsPerSecond);
+		servers.limits.pauses.begin(server.id, {milliseconds, now: clock.monotonic()});
+	}
+}
+
 function recordPause({pause}: AnswerHead, {servers, clock, log, metrics}: RecordNoticesContext, {server, request, sentAt}: RecordNoticesOptions): void {
 	const begin = (milliseconds: number): void => {
 		servers.limits.pauses.begin(server.id, {milliseconds, now: clock.monotonic()});
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -7,6 +7,7 @@
 		| 'server-joined' | 'server-draining' | 'server-gone' | 'server-silent' | 'server-suspected' | 'announcement-refused'
 		| 'server-notice-missed' | 'server-record-outdated' | 'server-limit-changed' | 'server-limit-invalid'
 		| 'server-pause-requested' | 'server-pause-invalid'
+		| 'server-brittleness-changed' | 'server-brittleness-invalid'
 		| 'servers-unreachable' | 'servers-reachable' | 'relay-unavailable'
 		| 'servers-restored' | 'list-not-restored' | 'list-not-saved'
 		| 'evacuation-ordered' | 'evacuation-adopted'
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -4,6 +4,7 @@
 import {
 	type Dialect, type GatewayRequest, type Header, type PromptPart, type SendMetadata,
 } from '@valehitch/gateway';
+import {decodeBrittleness} from './decode-brittleness.js';
 import {decodePause} from './decode-pause.js';
 import {decodeRateLimit} from './decode-rate-limit.js';
 import {connectionHeaders, reservedHeaders, wireHeader} from './wire-header.js';
@@ -33,6 +34,7 @@
 			confidence: confidence === undefined ? undefined : Number(confidence),
 			isDraining: firstValue(headers[wireHeader.leaving]) === '1',
 			pause: status === unavailableStatus ? decodePause(firstValue(headers[wireHeader.pause])) : {type: 'none'},
+			brittleness: decodeBrittleness(firstValue(headers[wireHeader.brittleness])),
 			rateLimit: decodeRateLimit(firstValue(headers[wireHeader.rateLimit])),
 		};
 	},
--- a/packages/platform/src/wire-header.ts
+++ b/packages/platform/src/wire-header.ts
@@ -28,6 +28,8 @@
 	pause: 'retry-after',
 	/** The requests per second that a backend server takes from all instances together, not from each. */
 	rateLimit: 'server-limit',
+	/** How many requests a backend server can reject in a second, from all instances together, before it falls over. */
+	brittleness: 'server-brittle',
 	encoding: 'content-encoding',
 } as const;
 
--- /dev/null
+++ b/packages/routing/src/place-share.test.ts
@@ -0,0 +1,36 @@
+import {testProp, fc} from '@fast-check/ava';
+import {type InstanceId, type ServerId} from '@valehitch/core';
+import test from 'ava';
+import {placeShare} from './place-share.js';
+
+function instancesOf(count: number): readonly InstanceId[] {
+	return Array.from({length: count}, (_, index) => `10.0.${Math.floor(index / 250)}.${index % 250}` as InstanceId);
+}
+
+testProp('the shares of all instances add up to the places of a server where their ids are known', [
+	fc.nat(200), fc.integer({min: 1, max: 7}), fc.uuid(),
+], (t, slots, count, id) => {
+	const instances = instancesOf(count);
+	const shares = instances.map(self => placeShare({
+		server: id as ServerId, slots, self, others: instances.filter(other => other !== self), instances: count,
+	}));
+	t.is(shares.reduce((sum, share) => sum + share, 0), slots);
+});
+
+for (const count of [64, 370]) {
+	test(`the shares of ${count} instances that know six others each come near to the places of the servers`, t => {
+		const instances = instancesOf(count);
+		const servers = Array.from({length: 100}, (_, index) => `i-${index}` as ServerId);
+		let used = 0;
+		for (const server of servers) {
+			for (const self of instances) {
+				used += placeShare({
+					server, slots: 64, self, others: instances.filter(other => other !== self).slice(0, 6), instances: count,
+				});
+			}
+		}
+
+		const mean = used / servers.length;
+		t.true(mean > 0.9 * 64 && mean < 1.1 * 64, `${mean} of 64 places are used on average`);
+	});
+}
--- a/packages/testing/src/brittle-servers.test.ts
+++ b/packages/testing/src/brittle-servers.test.ts
@@ -58,6 +58,7 @@
 	const falls = servers.flatMap(server => server.falls).filter(at => at > startedAt + connectivityMilliseconds);
 	const served = answers.filter(status => status === 200).length;
 	t.true(falls.length <= allowedFalls, `the servers fell over ${falls.length} times, ${allowedFalls} are allowed; ${served} of ${answers.length} requests were served`);
+	t.log(`${served} of ${answers.length} requests were served, ${falls.length} falls`);
 	t.true(servers.every(({served}) => served > 0));
 	t.deepEqual(new Set(answers), new Set([200, 503]));
 });
