--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -99,7 +99,7 @@
 		lease,
 		servers,
 		links: new ServerLinks({
-			clock, random: () => 0.5, log, metrics, servers: () => servers.available, isReachable: async () => true, wait: async () => undefined, onCutOff: ignore,
+			clock, random: () => 0.5, log, metrics, servers: () => servers.availability.available, isReachable: async () => true, wait: async () => undefined, onCutOff: ignore,
 		}),
 		relays: new ServerRelays({
 			clock, random: () => 0.5, log, metrics, peers: () => [], openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}),
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -1,5 +1,5 @@
 import {
-	type Clock, type InstanceId, type ServerId, type ServiceId, type RandomSource,
+	type Clock, type InstanceId, type ServiceId, type RandomSource,
 } from '@valehitch/core';
 import {type WindowedRetryBudget} from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
@@ -12,6 +12,7 @@
 import {type EntryServers} from './entry-servers.js';
 import {type EntrySuspects} from './entry-suspects.js';
 import {type EvidenceCounter} from './evidence-counter.js';
+import {type BrittleRejection} from './known-peers.js';
 import {type LatencyEstimator} from './latency-estimator.js';
 import {type RepeatTracker} from './repeat-tracker.js';
 import {type ServerLinks} from './server-links.js';
@@ -57,7 +58,7 @@
 	/** Passes what a server said on to the instance through which its answer came. */
 	readonly tellRelay: (relay: InstanceId, message: ServerNoticeMessage) => void;
 	/** Tells other instances that a brittle server rejected a request; returns for how long this one leaves it alone, in milliseconds. */
-	readonly tellRejection: (server: ServerId, rejectionsPerSecond: number) => number;
+	readonly tellRejection: (rejection: BrittleRejection) => number;
 	/** Returns when the instance stops, in milliseconds on the monotonic clock; undefined unless it is shutting down. */
 	readonly endsAt: () => number | undefined;
 };
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,17 +1,14 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
-import {type InstanceId, type ServerId, SuspensionDetector} from '@valehitch/core';
+import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
 import {type TunnelTarget} from '@valehitch/transport';
-import {
-	placeShare, rateLeaseMilliseconds, rejectionPause, WindowedRetryBudget,
-} from '@valehitch/routing';
+import {WindowedRetryBudget} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {type EntryMessage, type ServerNoticeMessage, type WatchMessage} from '../control/peer-message.js';
 import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {KnownRollouts} from '../rollouts/known-rollouts.js';
-import {type Evacuations} from '../servers/evacuations.js';
-import {type SentServerLimit} from '../servers/server-limits.js';
+import {applyServerNews} from './apply-server-news.js';
 import {createCallerServer} from './caller-server.js';
 import {checkServerProcess} from './check-server-process.js';
 import {ConfigurationLease} from './configuration-lease.js';
@@ -23,6 +20,7 @@
 import {EvidenceCounter} from './evidence-counter.js';
 import {handleRequest} from './handle-request.js';
 import {closeIdleConnections} from './connection-pool.js';
+import {KnownPeers} from './known-peers.js';
 import {LatencyEstimator} from './latency-estimator.js';
 import {LoadExchange} from './load-exchange.js';
 import {RepeatTracker} from './repeat-tracker.js';
@@ -61,15 +59,13 @@
 	readonly #loadExchange: LoadExchange;
 	readonly #reporter: SuspectReporter;
 	readonly #rollouts: KnownRollouts;
+	readonly #peers: KnownPeers;
 	readonly #server: Server;
 	readonly #replyWaiters = new StepNotifier();
 	readonly #serverWaiters = new StepNotifier();
 	/** The evidence counters last sent to each control instance. */
 	readonly #evidenceDeltas = new Map<InstanceId, EvidenceDelta>();
 	#table: RouteTable | undefined;
-	#peers: readonly InstanceId[] = [];
-	/** The number of entry instances that each control instance knows. */
-	readonly #entryCounts = new Map<InstanceId, number>();
 	#loadTimer: NodeJS.Timeout | undefined;
 	#hadLease = false;
 	#inProgress = 0;
@@ -79,9 +75,10 @@
 		const {clock, random, zone, self, run} = options;
 		this.#options = options;
 		this.#rollouts = new KnownRollouts(options);
+		this.#peers = new KnownPeers(options);
 		this.#loadExchange = new LoadExchange({
 			ownLoads: () => this.#context.servers.loads,
-			peers: () => this.#peers,
+			peers: () => this.#peers.ids,
 			send: options.send,
 		});
 		const suspension = new SuspensionDetector(clock);
@@ -89,9 +86,7 @@
 			zone,
 			random,
 			loads: this.#loadExchange,
-			placesOf: ({id, slots}) => placeShare({
-				server: id, slots, self, others: this.#peers, instances: this.#instanceCount,
-			}),
+			placesOf: server => this.#peers.placesOf(server),
 			coldDurationOf: service => this.#table?.findService(service)?.cold?.duration,
 			heartbeatMilliseconds: options.heartbeatMilliseconds,
 			onReplaced: closeIdleConnections,
@@ -123,13 +118,13 @@
 			servers,
 			links: new ServerLinks({
 				...options,
-				servers: () => servers.available,
+				servers: () => servers.availability.available,
 				isReachable: async server => isServerReachable(server, trialTimeoutMilliseconds),
 				onCutOff() {
 					servers.forgetConnectionFailures();
 				},
 			}),
-			relays: new ServerRelays({...options, peers: () => this.#peers}),
+			relays: new ServerRelays({...options, peers: () => this.#peers.ids}),
 			suspects,
 			budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
 			latencies: new LatencyEstimator(clock),
@@ -142,7 +137,7 @@
 			rolloutOf: service => this.#rollouts.forService(service),
 			endsAt: () => this.#endsAt,
 			tellRelay: options.send,
-			tellRejection: (server, rejectionsPerSecond) => this.#tellRejection(server, rejectionsPerSecond),
+			tellRejection: rejection => this.#peers.tellRejection(rejection),
 			reportLimit: () => {
 				this.#watch.requestConfirmation();
 			},
@@ -222,7 +217,7 @@
 	*/
 	mayRelay(target: TunnelTarget, openTunnels: number): boolean {
 		const {links, servers} = this.#context;
-		return this.#endsAt === undefined && links.areConnected && openTunnels < maximumTunnels && servers.hasAddress(target);
+		return this.#endsAt === undefined && links.areConnected && openTunnels < maximumTunnels && servers.availability.hasAddress(target);
 	}
 
 	/** Closes idle connections, so that their callers connect to other instances before this one stops. */
@@ -280,30 +275,17 @@
 
 	#applyReply({source, reply, isFullState, confirmedAt, sentAt}: ControlUpdate, now: number): void {
 		const {log} = this.#options;
-		const {lease, servers, suspects} = this.#context;
+		const {lease, suspects} = this.#context;
 		suspects.merge(reply.suspects, source);
 		this.#reporter.addControl(source, reply.run);
-		const changed = servers.applyRecords(reply.records, {source, now, isFullState});
-		this.#applyEvacuations(reply.evacuations, {source, now});
-		if (sentAt !== undefined) {
-			servers.limits.renewColdLeases({source, leases: reply.rateLeases ?? [], validUntil: sentAt + rateLeaseMilliseconds});
-			servers.limits.rates.renewLeases({source, leases: reply.limitLeases ?? [], validUntil: sentAt + rateLeaseMilliseconds});
-		}
-
-		this.#applyLimits(reply.serverLimits ?? [], {source, now});
-
-		this.#peers = reply.entries;
-		this.#entryCounts.set(source, reply.entryCount ?? 0);
+		this.#peers.update(source, reply);
+		const changed = applyServerNews(reply, this.#context, {
+			source, now, isFullState, sentAt,
+		});
 		if (changed.length > 0) {
 			this.#serverWaiters.notifyAll();
 		}
 
-		for (const {id, state, service, version, startedAt, sequence} of changed) {
-			log(state === 'ready' ? 'server-joined' : 'server-draining', {
-				server: id, service, version, state, startedAt, sequence, source,
-			});
-		}
-
 		if (reply.configuration !== undefined) {
 			this.#adoptConfiguration(reply.configuration.document, source);
 		}
@@ -321,37 +303,6 @@
 		}
 	}
 
-	#applyEvacuations(evacuations: Evacuations | undefined, {source, now}: {readonly source: InstanceId; readonly now: number}): void {
-		const {servers} = this.#context;
-		if (evacuations === undefined || !servers.applyEvacuations(evacuations, now)) {
-			return;
-		}
-
-		this.#options.metrics.evacuatedZones.set(servers.evacuations.zones.size);
-		for (const {zone, isEvacuated, revision} of evacuations.zones) {
-			this.#options.log('evacuation-adopted', {
-				target: zone, isEvacuated, revision, source,
-			}, 'warn');
-		}
-	}
-
-	/** A control instance behind a cut knows only some of the entry instances, so the largest number counts. */
-	get #instanceCount(): number {
-		return Math.max(this.#peers.length + 1, ...this.#entryCounts.values());
-	}
-
-	#tellRejection(server: ServerId, rejectionsPerSecond: number): number {
-		const {send, random} = this.#options;
-		const options = {rejectionsPerSecond, instances: this.#instanceCount, random};
-		for (const peer of this.#peers) {
-			send(peer, {
-				type: 'server-notice', server, isDraining: false, pause: rejectionPause(options),
-			});
-		}
-
-		return rejectionPause(options);
-	}
-
 	#applyNotice({server, isDraining, pause}: ServerNoticeMessage): void {
 		const {servers} = this.#context;
 		if (isDraining) {
@@ -363,14 +314,6 @@
 		}
 	}
 
-	#applyLimits(limits: readonly SentServerLimit[], {source, now}: {readonly source: InstanceId; readonly now: number}): void {
-		const {servers} = this.#context;
-		for (const {server, requestsPerSecond} of servers.limits.rates.merge(limits, now)) {
-			this.#options.log('server-limit-changed', {server, requestsPerSecond, source});
-			this.#options.metrics.limitedServers.set(servers.limits.rates.countAt(now));
-		}
-	}
-
 	#adoptConfiguration(document: string, source: InstanceId): void {
 		const parsed = this.#options.parse(document);
 		parsed.caseOf({
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -234,10 +234,10 @@
 	}
 
 	t.is(chooseId(servers, {excluded: new Set([remote.id])}), undefined);
-	t.falsy(servers.isEvacuated(testServer().service));
+	t.falsy(servers.availability.isEvacuated(testServer().service));
 	servers.applyEvacuations(evacuationsOf(2, zone, otherZone), now);
 	t.is(chooseId(servers), undefined);
-	t.true(servers.isEvacuated(testServer().service));
+	t.true(servers.availability.isEvacuated(testServer().service));
 });
 
 test('a control instance that lags behind does not end an evacuation', t => {
@@ -286,13 +286,13 @@
 	const servers = createServers(testServer());
 	servers.limits.rates.hear(testServer(), {requestsPerSecond: 1, now});
 	t.is(chooseId(servers), undefined);
-	t.is(servers.waitFor(testServer().service, now), 1000);
+	t.is(servers.availability.waitFor(testServer().service, now), 1000);
 	servers.applyRecords([testServer({id: 'server-3' as ServerId, zone: 'hall-b' as ZoneId})], {source: one, now});
 	servers.applyEvacuations({revision: 1, zones: [{zone: 'hall-b' as ZoneId, isEvacuated: true, revision: 1}]}, now);
-	t.is(servers.waitFor(testServer().service, now), 1000, 'servers of an evacuated zone do not count');
+	t.is(servers.availability.waitFor(testServer().service, now), 1000, 'servers of an evacuated zone do not count');
 	servers.applyRecords([testServer({id: 'server-2' as ServerId, sequence: 2})], {source: one, now});
 	t.is(chooseId(servers), 'server-2' as ServerId);
-	t.is(servers.waitFor(testServer().service, now), 0);
+	t.is(servers.availability.waitFor(testServer().service, now), 0);
 });
 
 test('a new process of a server does not inherit the rate limit of the former one', t => {
@@ -310,7 +310,7 @@
 	const servers = createServers(testServer());
 	servers.limits.pauses.begin(testServer().id, {milliseconds: 3000, now});
 	t.is(chooseId(servers, {now: now + 2999}), undefined);
-	t.is(servers.waitFor(testServer().service, now + 1000), 2000);
+	t.is(servers.availability.waitFor(testServer().service, now + 1000), 2000);
 	t.is(chooseId(servers, {now: now + 3000}), testServer().id);
 	servers.beginSend(testServer().id, {load: 1, now: now + 3000}).end();
 	t.is(chooseId(servers, {now: now + 3100}), undefined);
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -1,5 +1,5 @@
 import {
-	type InstanceId, type ServerId, type ServiceId,
+	type InstanceId, type ServerId,
 } from '@valehitch/core';
 import {
 	chooseServer, OutlierEjection, prefixHash, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
@@ -21,6 +21,7 @@
 	TrackedServer, type ProcessState, type SendLoad, noOpLoad,
 } from './tracked-server.js';
 import {SendLimits} from './send-limits.js';
+import {ServerAvailability} from './server-availability.js';
 import {ServerLivenessTable} from './server-liveness-table.js';
 
 /** The maximum load of a server relative to the mean load. Engines batch requests, so even twice the mean load costs less than processing a prompt without its cached prefix. */
@@ -50,6 +51,8 @@
 export class EntryServers {
 	/** What servers tolerate of this instance's sends. */
 	readonly limits: SendLimits;
+	/** Which servers may get requests at all. */
+	readonly availability: ServerAvailability;
 	readonly #options: EntryServersOptions;
 	readonly #servers = new Map<ServerId, TrackedServer>();
 	readonly #ejection = new OutlierEjection({
@@ -64,6 +67,7 @@
 		this.#options = options;
 		const {startedAt = 0, coldDurationOf, placesOf} = options;
 		this.limits = new SendLimits({startedAt, coldDurationOf, placesOf});
+		this.availability = new ServerAvailability({servers: this.#servers, evacuations: this.#evacuations, limits: this.limits});
 	}
 
 	/**
@@ -90,34 +94,6 @@
 		return changed;
 	}
 
-	/** The servers that may get requests. */
-	get available(): readonly ServerRecord[] {
-		const servers: ServerRecord[] = [];
-		for (const {record} of this.#servers.values()) {
-			if (record.state === 'ready' && !this.#evacuations.zones.has(record.zone)) {
-				servers.push(record);
-			}
-		}
-
-		return servers;
-	}
-
-	/**
-	Checks whether an address belongs to a known server that has not ended.
-
-	@param address The address.
-	@returns Whether it does.
-	*/
-	hasAddress({host, port}: Pick<ServerRecord, 'host' | 'port'>): boolean {
-		for (const {record} of this.#servers.values()) {
-			if (record.host === host && record.port === port && record.state !== 'gone') {
-				return true;
-			}
-		}
-
-		return false;
-	}
-
 	/** Forgets failed connections, because they were the fault of this instance's own links. */
 	forgetConnectionFailures(): void {
 		for (const tracked of this.#servers.values()) {
@@ -155,17 +131,6 @@
 		return true;
 	}
 
-	/**
-	Checks whether no server of a service may get requests because all of them are in evacuated zones.
-
-	@param service The service.
-	@returns Whether that is so; false if no server is known.
-	*/
-	isEvacuated(service: ServiceId): boolean {
-		const servers = [...this.#servers.values()].map(({record}) => record);
-		return this.#evacuations.includesAll(servers.filter(record => record.service === service && record.state === 'ready'));
-	}
-
 	/**
 	Records that a control instance is not responding. Its reports are ignored until it responds again.
 
@@ -201,34 +166,6 @@
 		return choice.map(({server}) => this.#servers.get(server)?.record).toMaybe().extractNullable() ?? undefined;
 	}
 
-	/**
-	Checks whether all servers of a service that may get requests name rate limits, so that sends are scarce.
-
-	@param service The service.
-	@param now Milliseconds on the monotonic clock.
-	@returns Whether that is so; false if no server is known.
-	*/
-	areAllRateLimited(service: ServiceId, now: number): boolean {
-		if (this.limits.rates.countAt(now) === 0) {
-			return false;
-		}
-
-		const servers = this.#availableServers(service);
-		return servers.length > 0 && servers.every(({record}) => this.limits.rates.isLimited(record, now));
-	}
-
-	/**
-	Returns how long it takes until the rate limits and pauses of a service's servers allow a request.
-
-	@param service The service.
-	@param now Milliseconds on the monotonic clock.
-	@returns Milliseconds; 0 if they allow one now or no server is known.
-	*/
-	waitFor(service: ServiceId, now: number): number {
-		const waits = this.#availableServers(service).map(tracked => this.limits.waitFor(tracked, now));
-		return waits.length === 0 ? 0 : Math.min(...waits);
-	}
-
 	/** The load of this instance at each server where it has requests in flight. */
 	get loads(): LoadMessage['loads'] {
 		const loads: Array<readonly [ServerId, number]> = [];
@@ -349,7 +286,7 @@
 		}
 
 		tracked.connectionFailures = 0;
-		return this.#ejection.record(id, {failed: result === 'failed', now, servers: this.#countReady(tracked.record.service)});
+		return this.#ejection.record(id, {failed: result === 'failed', now, servers: this.availability.countReady(tracked.record.service)});
 	}
 
 	/** Adds a new process, and discards the state of the process that it replaces, which has the same id or address. */
@@ -418,20 +355,6 @@
 		});
 	}
 
-	/** The servers of a service that are ready and not in an evacuated zone. */
-	#availableServers(service: ServiceId): readonly TrackedServer[] {
-		return [...this.#servers.values()].filter(({record}) => record.service === service && record.state === 'ready' && !this.#evacuations.zones.has(record.zone));
-	}
-
-	#countReady(service: ServiceId): number {
-		let count = 0;
-		for (const {record} of this.#servers.values()) {
-			count += record.service === service && record.state === 'ready' ? 1 : 0;
-		}
-
-		return count;
-	}
-
 	#removeExpired(now: number): void {
 		for (const [id, tracked] of this.#servers) {
 			const unreportedFor = now - tracked.reportedAt;
--- /dev/null
+++ b/packages/gateway/src/entry/known-peers.test.ts
@@ -0,0 +1,40 @@
+import {type InstanceId, type ServerId} from '@valehitch/core';
+import test from 'ava';
+import {type ServerNoticeMessage} from '../control/peer-message.js';
+import {KnownPeers} from './known-peers.js';
+
+const [self, one, two, control, otherControl] = ['10.0.0.1', '10.0.0.2', '10.0.0.3', '10.0.1.1', '10.0.1.2'] as InstanceId[] as [InstanceId, InstanceId, InstanceId, InstanceId, InstanceId];
+const server = 'i-1' as ServerId;
+
+function createPeers() {
+	const sent: Array<readonly [InstanceId, ServerNoticeMessage]> = [];
+	const peers = new KnownPeers({
+		self,
+		random: () => 0,
+		send(to, message) {
+			sent.push([to, message]);
+		},
+	});
+	return {peers, sent};
+}
+
+test('the places of a server are divided by the largest number of instances that a control instance knows', t => {
+	const {peers} = createPeers();
+	t.is(peers.placesOf({id: server, slots: 60}), 60);
+	peers.update(control, {entries: [one, two], entryCount: 6});
+	t.is(peers.placesOf({id: server, slots: 60}), 10);
+	peers.update(otherControl, {entries: [one], entryCount: 2});
+	t.is(peers.placesOf({id: server, slots: 60}), 10);
+	peers.update(control, {entries: [one, two]});
+	t.is(peers.placesOf({id: server, slots: 60}), 20);
+});
+
+test('the peers are told of a rejection by a brittle server', t => {
+	const {peers, sent} = createPeers();
+	peers.update(control, {entries: [one, two], entryCount: 3});
+	t.is(peers.tellRejection({server, rejectionsPerSecond: 2}), 1500);
+	const notice = {
+		type: 'server-notice', server, isDraining: false, pause: 1500,
+	} as const;
+	t.deepEqual(sent, [[one, notice], [two, notice]]);
+});
--- /dev/null
+++ b/packages/gateway/src/entry/known-peers.ts
@@ -0,0 +1,90 @@
+import {type InstanceId, type RandomSource, type ServerId} from '@valehitch/core';
+import {placeShare, rejectionPause} from '@valehitch/routing';
+import {type ServerNoticeMessage, type WatchReply} from '../control/peer-message.js';
+import {type ServerRecord} from '../servers/server-record.js';
+
+/** Options of {@linkcode KnownPeers}. */
+export type KnownPeersOptions = {
+	readonly self: InstanceId;
+	readonly random: RandomSource;
+	/** Sends a message without waiting for a reply. */
+	readonly send: (to: InstanceId, message: ServerNoticeMessage) => void;
+};
+
+/** A rejection by a server that falls over if it has to reject many requests. */
+export type BrittleRejection = {
+	readonly server: ServerId;
+	/** The rejections in a second that the server bears. */
+	readonly rejectionsPerSecond: number;
+};
+
+/**
+The other entry instances as control instances report them: the few with which this instance exchanges messages, and how many there are in all.
+
+@example
+```ts
+const peers = new KnownPeers({self, random, send});
+peers.update(source, reply);
+peers.placesOf(server);
+```
+*/
+export class KnownPeers {
+	readonly #options: KnownPeersOptions;
+	readonly #entryCounts = new Map<InstanceId, number>();
+	#ids: readonly InstanceId[] = [];
+
+	constructor(options: KnownPeersOptions) {
+		this.#options = options;
+	}
+
+	/** The instances with which this one exchanges messages. */
+	get ids(): readonly InstanceId[] {
+		return this.#ids;
+	}
+
+	/**
+	Applies the report of a control instance.
+
+	@param source The control instance.
+	@param reply Its reply to a poll.
+	*/
+	update(source: InstanceId, {entries, entryCount = 0}: Pick<WatchReply, 'entries' | 'entryCount'>): void {
+		this.#ids = entries;
+		this.#entryCounts.set(source, entryCount);
+	}
+
+	/**
+	Returns how many places of a brittle server this instance may use.
+
+	@param server The server.
+	@returns The number of places.
+	*/
+	placesOf({id, slots}: Pick<ServerRecord, 'id' | 'slots'>): number {
+		return placeShare({
+			server: id, slots, self: this.#options.self, others: this.#ids, instances: this.#instanceCount,
+		});
+	}
+
+	/**
+	Tells the peers that a brittle server rejected a request, so that they leave it alone too.
+
+	@param rejection The rejection.
+	@returns For how long this instance leaves the server alone, in milliseconds.
+	*/
+	tellRejection({server, rejectionsPerSecond}: BrittleRejection): number {
+		const {random, send} = this.#options;
+		const pauseOptions = {rejectionsPerSecond, instances: this.#instanceCount, random};
+		for (const peer of this.#ids) {
+			send(peer, {
+				type: 'server-notice', server, isDraining: false, pause: rejectionPause(pauseOptions),
+			});
+		}
+
+		return rejectionPause(pauseOptions);
+	}
+
+	/** A control instance behind a cut knows only some of the entry instances, so the largest number counts. */
+	get #instanceCount(): number {
+		return Math.max(this.#ids.length + 1, ...this.#entryCounts.values());
+	}
+}
--- a/packages/gateway/src/entry/record-notices.test.ts
+++ b/packages/gateway/src/entry/record-notices.test.ts
@@ -33,7 +33,7 @@
 			reportLimit() {
 				lines.push('reported');
 			},
-			tellRejection(id, rejectionsPerSecond) {
+			tellRejection({server: id, rejectionsPerSecond}) {
 				lines.push(`rejected by ${id}, which bears ${rejectionsPerSecond}`);
 				return 1000;
 			},
--- a/packages/gateway/src/entry/record-notices.ts
+++ b/packages/gateway/src/entry/record-notices.ts
@@ -123,7 +123,7 @@
 function recordRejection({isNotRun, isFromOtherServer}: AnswerHead, {servers, clock, tellRejection}: RecordNoticesContext, {server}: RecordNoticesOptions): void {
 	const rejectionsPerSecond = servers.limits.brittle.rejectionsOf(server);
 	if (rejectionsPerSecond !== undefined && isNotRun && !isFromOtherServer) {
-		const milliseconds = tellRejection(server.id, rejectionsPerSecond);
+		const milliseconds = tellRejection({server: server.id, rejectionsPerSecond});
 		servers.limits.pauses.begin(server.id, {milliseconds, now: clock.monotonic()});
 	}
 }
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -78,7 +78,7 @@
 			route,
 			choosesModel: request.choosesModel,
 			tokens: request.inputTokens,
-			areSendsScarce: context.servers.areAllRateLimited(this.#placement.service, arrivedAt),
+			areSendsScarce: context.servers.availability.areAllRateLimited(this.#placement.service, arrivedAt),
 		});
 		this.#end = new RequestEnd(context, {
 			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models,
@@ -149,11 +149,11 @@
 			return this.#sendTo(server, authorized.unsafeCoerce());
 		}
 
-		if (this.#context.servers.isEvacuated(this.#placement.service)) {
+		if (this.#context.servers.availability.isEvacuated(this.#placement.service)) {
 			return this.#fail(failure('no-server', `All servers of ${this.#placement.service} are in evacuated availability zones`, {retryAfterMilliseconds: evacuatedRetryMilliseconds}));
 		}
 
-		const wait = this.#context.servers.waitFor(this.#placement.service, this.#now());
+		const wait = this.#context.servers.availability.waitFor(this.#placement.service, this.#now());
 		if (wait === 0 && await awaitFirstServer(this.#context, {allowance: this.#allowance, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt})) {
 			return 'retry';
 		}
--- /dev/null
+++ b/packages/gateway/src/entry/server-availability.ts
@@ -0,0 +1,116 @@
+import {type ServerId, type ServiceId} from '@valehitch/core';
+import {type ServerRecord} from '../servers/server-record.js';
+import {type KnownEvacuations} from './known-evacuations.js';
+import {type SendLimits} from './send-limits.js';
+import {type TrackedServer} from './tracked-server.js';
+
+/** Options of {@linkcode ServerAvailability}. */
+export type ServerAvailabilityOptions = {
+	readonly servers: ReadonlyMap<ServerId, TrackedServer>;
+	readonly evacuations: Pick<KnownEvacuations, 'zones' | 'includesAll'>;
+	readonly limits: SendLimits;
+};
+
+/**
+Which of the known servers may get requests, and when those of a service may get the next one.
+
+@example
+```ts
+const availability = new ServerAvailability({servers, evacuations, limits});
+availability.waitFor(service, now);
+```
+*/
+export class ServerAvailability {
+	readonly #options: ServerAvailabilityOptions;
+
+	constructor(options: ServerAvailabilityOptions) {
+		this.#options = options;
+	}
+
+	/** The servers that may get requests. */
+	get available(): readonly ServerRecord[] {
+		const servers: ServerRecord[] = [];
+		for (const {record} of this.#options.servers.values()) {
+			if (record.state === 'ready' && !this.#options.evacuations.zones.has(record.zone)) {
+				servers.push(record);
+			}
+		}
+
+		return servers;
+	}
+
+	/**
+	Checks whether an address belongs to a known server that has not ended.
+
+	@param address The address.
+	@returns Whether it does.
+	*/
+	hasAddress({host, port}: Pick<ServerRecord, 'host' | 'port'>): boolean {
+		for (const {record} of this.#options.servers.values()) {
+			if (record.host === host && record.port === port && record.state !== 'gone') {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/**
+	Checks whether no server of a service may get requests because all of them are in evacuated zones.
+
+	@param service The service.
+	@returns Whether that is so; false if no server is known.
+	*/
+	isEvacuated(service: ServiceId): boolean {
+		const servers = [...this.#options.servers.values()].map(({record}) => record);
+		return this.#options.evacuations.includesAll(servers.filter(record => record.service === service && record.state === 'ready'));
+	}
+
+	/**
+	Checks whether all servers of a service that may get requests name rate limits, so that sends are scarce.
+
+	@param service The service.
+	@param now Milliseconds on the monotonic clock.
+	@returns Whether that is so; false if no server is known.
+	*/
+	areAllRateLimited(service: ServiceId, now: number): boolean {
+		if (this.#options.limits.rates.countAt(now) === 0) {
+			return false;
+		}
+
+		const servers = this.#availableFor(service);
+		return servers.length > 0 && servers.every(({record}) => this.#options.limits.rates.isLimited(record, now));
+	}
+
+	/**
+	Returns how long it takes until the rate limits and pauses of a service's servers allow a request.
+
+	@param service The service.
+	@param now Milliseconds on the monotonic clock.
+	@returns Milliseconds; 0 if they allow one now or no server is known.
+	*/
+	waitFor(service: ServiceId, now: number): number {
+		const waits = this.#availableFor(service).map(tracked => this.#options.limits.waitFor(tracked, now));
+		return waits.length === 0 ? 0 : Math.min(...waits);
+	}
+
+	/**
+	Counts the servers of a service that are ready.
+
+	@param service The service.
+	@returns Their number.
+	*/
+	countReady(service: ServiceId): number {
+		let count = 0;
+		for (const {record} of this.#options.servers.values()) {
+			count += record.service === service && record.state === 'ready' ? 1 : 0;
+		}
+
+		return count;
+	}
+
+	/** The servers of a service that are ready and not in an evacuated zone. */
+	#availableFor(service: ServiceId): readonly TrackedServer[] {
+		return [...this.#options.servers.values()].filter(({record}) => record.service === service && record.state === 'ready' && !this.#options.evacuations.zones.has(record.zone));
+	}
+}
