Leave a margin in the shares of places where not all instances are known

Shares that are drawn for each server by a hash give some servers more holders than others: without a margin 370 instances use 64 places on average, so that half of the servers are given more than they have, and their first burst can exceed what they bear. With four fifths of the remaining places given out, no more servers than the rule allows (2 + a tenth of 100) get over 5 beyond their 64 places, and at least 0.7 of the places are used on average, at 64, 100 and 370 instances (place-share.test.ts).

--- a/packages/routing/src/place-share.ts
+++ b/packages/routing/src/place-share.ts
@@ -13,10 +13,13 @@
 	readonly instances: number;
 };
 
+/** The part of the remaining places that is given out where the instances are not known, since chance gives some servers more holders than others. */
+const reservedShare = 0.8;
+
 /**
 Returns the number of places of a server that an instance may use, so that all instances together use no more than the server has. It answers an overload of servers that must not reject many requests.
 
-Where the ids of all instances are known, the shares add up to the places; otherwise they do so on average.
+Where the ids of all instances are known, the shares add up to the places; otherwise they add up to somewhat fewer on average.
 
 @param options The server and the instances.
 @returns The number of places.
@@ -31,7 +34,7 @@
 	const ownOrder = orderOf(self, server);
 	const isFirst = others.length + 1 >= instances
 		? others.filter(other => orderOf(other, server) < ownOrder).length < remainder
-		: ownOrder < remainder / instances;
+		: ownOrder < reservedShare * remainder / instances;
 	return whole + (isFirst ? 1 : 0);
 }
 
