Do not blame a silent server while the links of the instance are in doubt

What callers may have seen: a good version rolled back, or a server left out, after a cut of an instance whose connections hang. Each send that fell silent on a kept connection behind the cut counted as a failure of its server and as evidence against the version.

The test was red before (two failures counted, none expected) and passes: while several servers in a row are unreachable, a silent one counts as unreachable.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -3,6 +3,7 @@
 	createServer, type IncomingMessage, request as openRequest,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {setTimeout} from 'node:timers/promises';
 import {
 	errorResponses, type InstanceId, type ZoneId,
 } from '@valehitch/core';
@@ -80,7 +81,10 @@
 
 /** Sends a number of requests in sequence through an instance that knows no server until `nextServers` adds some. */
 export async function sendRequests(t: ExecutionContext, times: number, options: SendRequestsOptions) {
-	const {nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, latencies, log = ignore, checkProcess = async () => 'running', prepare = ignore} = options;
+	const {
+		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, latencies, log = ignore,
+		checkProcess = async () => 'running', areServersReachable = true, prepare = ignore,
+	} = options;
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({
 		zone: 'hall-a' as ZoneId, startedAt: clock.monotonic() - uptimeMilliseconds, random: () => 0.5, loads: {peerLoadAt: () => 0, recordChange: ignore, discardServer: ignore}, onReplaced: ignore,
@@ -99,7 +103,7 @@
 		lease,
 		servers,
 		links: new ServerLinks({
-			clock, random: () => 0.5, log, metrics, servers: () => servers.availability.available, isReachable: async () => true, wait: async () => undefined, onCutOff: ignore,
+			clock, random: () => 0.5, log, metrics, servers: () => servers.availability.available, isReachable: async () => areServersReachable, wait: async milliseconds => setTimeout(milliseconds), onCutOff: ignore,
 		}),
 		relays: new ServerRelays({
 			clock, random: () => 0.5, log, metrics, peers: () => [], openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}),
@@ -123,6 +127,9 @@
 		tellRelay: ignore,
 		tellRejection: () => 0,
 	};
+	t.teardown(() => {
+		context.links.stop();
+	});
 	prepare(context);
 	const request = testRequest({timeout, inputTokens, choosesModel: route.sizes.length > 0});
 	const authorized = authorizeRequest(request, {table, lease, now: clock.monotonic()}).unsafeCoerce();
@@ -153,6 +160,8 @@
 	readonly latencies?: LatencyEstimator;
 	/** Checks the process of a server; by default all of them run. */
 	readonly checkProcess?: EntrySuspectsOptions['checkProcess'];
+	/** Whether trial connections to servers succeed; true by default. */
+	readonly areServersReachable?: boolean;
 	/** Called with the context of the instance before the first request. */
 	readonly prepare?: (context: EntryContext) => void;
 };
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -124,6 +124,11 @@
 		return handleLoss(message, options);
 	}
 
+	if (outcome.type === 'silent' && relay === undefined && !context.links.areConnected) {
+		results.record(server, 'unreachable');
+		return unknownOutcome(message);
+	}
+
 	// A send that was cancelled because the request is quarantined says nothing about the server.
 	if (outcome.type !== 'cancelled' || suspect.standing !== 'quarantined') {
 		results.recordFailure(server, options.models.current);
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -6,6 +6,7 @@
 import {
 	control, ignore, listen, sendRequest, sendRequests,
 } from './_test-run.js';
+import {type EntryContext} from './entry-context.js';
 import {type EntryServers} from './entry-servers.js';
 import {LatencyEstimator} from './latency-estimator.js';
 
@@ -326,3 +327,29 @@
 	});
 	t.deepEqual(models, ['large']);
 });
+
+test('a server whose kept connection falls silent while the links of the instance are in doubt is not blamed', async t => {
+	let known: EntryContext | undefined;
+	const requests: string[] = [];
+	const port = await listen(t, (message, response) => {
+		requests.push(message.url ?? '');
+		if (requests.length === 1) {
+			response.end('found');
+			return;
+		}
+
+		known?.links.recordUnreachable('server-8' as ServerId);
+		known?.links.recordUnreachable('server-9' as ServerId);
+	});
+	const {evidence} = await sendRequests(t, 2, {
+		route: testRoute({kind: 'safe', timeout: 1000, maximumAttempts: 2}),
+		areServersReachable: false,
+		prepare(context) {
+			known = context;
+		},
+		nextServers(servers) {
+			servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual(evidence.map(({answers, failures}) => [answers, failures]), [[1, 0]]);
+});
