Keep silent voters while the others could not lose the tolerated disks

Cause: a zone with two of six control instances was cut off at about 33 s. At 39.6 s the leader removed both as silent, which leaves four voters. They were back at 43.5 s as learners, with their disks, and waited ten seconds to be voters. At the final fault two of the four voters lost their disks: two of four are no quorum, so nobody could be elected. The settings say that two disks may be lost at once; the planner only looked at three voters, which bear the loss of one.

Change: the number of losses that is tolerated comes from the settings. A silent voter is removed without a replacement only while 2f + 1 others remain, and one that comes back is promoted at once while there are fewer. Two tests, both red before. With one tolerated loss nothing changes.

--- a/packages/consensus/src/plan-membership.test.ts
+++ b/packages/consensus/src/plan-membership.test.ts
@@ -74,3 +74,16 @@
 test('a replica that is not the leader plans no change', t => {
 	t.is(planMembership({...leader({}), role: {type: 'follower'}}, {joining: joining(four), now}), undefined);
 });
+
+test('silent voters are kept while the others alone could not lose as many disks as are tolerated', t => {
+	const voters = [one, two, three, four, toReplicaId('five', 'a'), toReplicaId('six', 'a')];
+	const unresponsive = voters.slice(4);
+	const plan = (remaining: readonly ReplicaId[]) => planMembership(leader({voters: remaining, unresponsive}), {joining: [], now, toleratedLosses: 2});
+	t.deepEqual(plan(voters), {type: 'remove', replica: unresponsive[0]!});
+	t.is(plan(voters.filter(voter => voter !== unresponsive[0])), undefined);
+});
+
+test('a replica that comes back is promoted at once while there are too few voters for the tolerated losses', t => {
+	const five = toReplicaId('five', 'a');
+	t.deepEqual(planMembership(leader({voters: [one, two, three, four], learners: [five]}), {joining: joining(five), now, toleratedLosses: 2}), {type: 'promote', replica: five});
+});
--- a/packages/consensus/src/plan-membership.ts
+++ b/packages/consensus/src/plan-membership.ts
@@ -22,17 +22,18 @@
 	readonly unresponsiveMilliseconds?: number;
 	/** The waiting time after which a joining replica becomes a voter although no voter is unresponsive, in milliseconds. Default 10,000. */
 	readonly promotionDelayMilliseconds?: number;
+	/** How many voters may lose their disks at the same time. Default 1. */
+	readonly toleratedLosses?: number;
 };
 
 const defaultUnresponsiveMilliseconds = 6000;
 const defaultPromotionDelayMilliseconds = 10_000;
-/** With fewer voters the loss of one cannot be tolerated. */
-const minimumVoters = 3;
+const defaultToleratedLosses = 1;
 
 /**
 Returns the next change of the replica set for deployments without a fixed list of control instances. New identities of existing instances come first, then replicas of new instances.
 
-A joining replica is a learner until it has caught up. An unresponsive voter is removed only if a replacement is ready or at least three other voters remain.
+A joining replica is a learner until it has caught up. An unresponsive voter is removed only if a replacement is ready or the remaining voters bear the tolerated losses, since it may be cut off with its disk intact.
 
 @param state The replica; only a leader plans changes.
 @param options The joining replicas, the time and the timeouts.
@@ -57,9 +58,15 @@
 	}
 
 	const unresponsive = unresponsiveVoter(state, options);
-	const {promotionDelayMilliseconds = defaultPromotionDelayMilliseconds} = options;
+	const {promotionDelayMilliseconds = defaultPromotionDelayMilliseconds, toleratedLosses = defaultToleratedLosses} = options;
+	// A quorum of the voters must be left after the losses.
+	const minimumVoters = (2 * toleratedLosses) + 1;
 	for (const joining of options.joining) {
-		const change = isReplacement(joining.replica) ? undefined : planJoining(state, {joining, unresponsive, promotionDelayMilliseconds});
+		const change = isReplacement(joining.replica)
+			? undefined
+			: planJoining(state, {
+				joining, unresponsive, promotionDelayMilliseconds, minimumVoters,
+			});
 		if (change !== undefined) {
 			return change;
 		}
@@ -71,10 +78,11 @@
 type PlanJoiningOptions = {
 	readonly joining: JoiningReplica;
 	readonly promotionDelayMilliseconds: number;
+	readonly minimumVoters: number;
 	readonly unresponsive: ReplicaId | undefined;
 };
 
-function planJoining(state: ReplicaState, {joining, unresponsive, promotionDelayMilliseconds}: PlanJoiningOptions): ReplicaChange | undefined {
+function planJoining(state: ReplicaState, {joining, unresponsive, promotionDelayMilliseconds, minimumVoters}: PlanJoiningOptions): ReplicaChange | undefined {
 	const {voters, learners} = state.replicas!;
 	const {replica, isFounding, waiting} = joining;
 	if (voters.includes(replica)) {
--- a/packages/gateway/src/control/control-instance-options.ts
+++ b/packages/gateway/src/control/control-instance-options.ts
@@ -23,6 +23,8 @@
 	readonly seeds: () => readonly InstanceId[];
 	/** The interval between announcements of a backend server, in milliseconds. */
 	readonly heartbeatMilliseconds: number;
+	/** How many control instances may lose their disks at the same time. */
+	readonly toleratedLosses: number;
 	/** The availability zones of the deployment. */
 	readonly zones: () => readonly ZoneId[];
 	/** How far the rate of a cold server may exceed the one that its service configures. */
--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -54,6 +54,7 @@
 		seeds: () => [self],
 		heartbeatMilliseconds: 1200,
 		zones: () => ['hall-a', 'hall-b'] as ZoneId[],
+		toleratedLosses: 1,
 		coldTolerance: {factor: 1, slack: 0},
 		parse: () => Left(failure('invalid-configuration', 'not parsed here')),
 		openFolder: async () => openDataFolder(folder, {fileSystem: files, lock: async () => Right(async () => undefined)}),
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -253,9 +253,9 @@
 	}
 
 	#createReplica({folder, lastAcknowledgedAt, onFailure}: OpenedDataFolder): ControlReplica {
-		const {log, clock, random, self, isFounding, seeds, send} = this.#options;
+		const {log, clock, random, self, isFounding, seeds, send, toleratedLosses} = this.#options;
 		return new ControlReplica({
-			self, folder, clock, random, log, lastAcknowledgedAt, isFounding, onFailure,
+			self, folder, clock, random, log, lastAcknowledgedAt, isFounding, onFailure, toleratedLosses,
 			suspension: this.#suspension,
 			initialMembers: seeds(),
 			peers: () => this.#peers(),
--- a/packages/gateway/src/control/control-replica-options.ts
+++ b/packages/gateway/src/control/control-replica-options.ts
@@ -21,6 +21,8 @@
 	readonly isFounding: boolean;
 	/** The instances that form the initial group. */
 	readonly initialMembers: readonly InstanceId[];
+	/** How many control instances may lose their disks at the same time. */
+	readonly toleratedLosses: number;
 	/** All control instances that are currently known. */
 	readonly peers: () => readonly InstanceId[];
 	/** Sends a message to another replica; delivery is not guaranteed. */
--- a/packages/gateway/src/control/control-replica.ts
+++ b/packages/gateway/src/control/control-replica.ts
@@ -238,7 +238,7 @@
 		}
 
 		const now = this.#options.clock.monotonic();
-		const change = planMembership(state, {joining: this.#joining.active(now), now});
+		const change = planMembership(state, {joining: this.#joining.active(now), now, toleratedLosses: this.#options.toleratedLosses});
 		if (change !== undefined) {
 			this.#driver.push({type: 'change-replicas', change});
 		}
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -38,6 +38,8 @@
 	readonly retryRatio: number;
 	/** The time window over which the retry budget applies, in milliseconds. */
 	readonly retryWindow: number;
+	/** How many machines of the control role may be lost at the same time. */
+	readonly toleratedLosses: number;
 	/** The availability zones of the deployment. */
 	readonly zones: readonly ZoneId[];
 	/** How far the rate of a cold server may exceed the one that its service configures. */
@@ -66,6 +68,7 @@
 	bootstrap: z.boolean().default(false),
 	dataDir: optional(z.string()),
 	heartbeatMs: z.number().positive(),
+	faultTolerance: z.object({machines: z.int().nonnegative().default(1)}).default({machines: 1}),
 	bounds: z.object({
 		graceS: z.number().positive(),
 		revokeMs: z.number().positive().default(5000),
@@ -95,7 +98,7 @@
 	return parseDocument(text, {file, schema: fileSchema}).map(values => toSettings(values));
 }
 
-function toSettings({node, ip, zone, zones, listen, portRange, seeds, bootstrap, dataDir, heartbeatMs, bounds}: z.output<typeof fileSchema>): PlatformSettings {
+function toSettings({node, ip, zone, zones, listen, portRange, seeds, bootstrap, dataDir, heartbeatMs, faultTolerance, bounds}: z.output<typeof fileSchema>): PlatformSettings {
 	return {
 		name: node,
 		instance: toId<InstanceId>(ip),
@@ -113,6 +116,7 @@
 		canaryShare: bounds.canaryShare,
 		retryRatio: bounds.retryBudgetRatio,
 		retryWindow: bounds.retryWindowS * millisecondsPerSecond,
+		toleratedLosses: faultTolerance.machines,
 		zones: Object.keys(zones).map(name => toId<ZoneId>(name)),
 		coldTolerance: {factor: bounds.coldOverage, slack: bounds.coldSlack},
 		sessionTimeout: bounds.sessionS * millisecondsPerSecond,
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -163,7 +163,7 @@
 
 async function startControlPart(context: ProcessContext, listen: ListenAddress) {
 	const {settings, log, network} = context;
-	const {instance, isFounding, heartbeatInterval, coldTolerance, dataFolder = 'data'} = settings();
+	const {instance, isFounding, heartbeatInterval, toleratedLosses, coldTolerance, dataFolder = 'data'} = settings();
 	const control = new ControlInstance({
 		...context,
 		self: instance,
@@ -174,6 +174,7 @@
 		seeds: () => settings().seeds,
 		heartbeatMilliseconds: heartbeatInterval,
 		zones: () => settings().zones,
+		toleratedLosses,
 		coldTolerance,
 		parse: decodeConfiguration,
 		// The platform starts only one process per data folder, and provides no reliable file locks.
