--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -103,7 +103,14 @@
 		lease,
 		servers,
 		links: new ServerLinks({
-			clock, random: () => 0.5, log, metrics, servers: () => servers.availability.available, isReachable: async () => areServersReachable, wait: async milliseconds => setTimeout(milliseconds), onCutOff: ignore,
+			clock,
+			random: () => 0.5,
+			log,
+			metrics,
+			servers: () => servers.availability.available,
+			isReachable: async () => areServersReachable,
+			wait: async milliseconds => setTimeout(milliseconds),
+			onCutOff: ignore,
 		}),
 		relays: new ServerRelays({
 			clock, random: () => 0.5, log, metrics, peers: () => [], openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}),
