Log how an answer was framed and how much of an event was left over

Whether a truncated stream ended as complete because its connection closed, because a reset was taken for a close, or on the way out could not be read from the log. request-ended and request-resumed now name the framing of the server's answer and the bytes of an incomplete event. No logic changes.

--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -1,5 +1,6 @@
 import {type IncomingMessage} from 'node:http';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
+import {type ResponseFraming} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {type Route} from '../configuration/routing-configuration.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -33,11 +34,11 @@
 	/** The request may have run; includes the error answer if it can be forwarded. */
 		| {readonly type: 'failed'; readonly failed: Failure; readonly answer?: CompleteAnswer}
 	/** A complete answer to forward. */
-		| {readonly type: 'whole'; readonly answer: CompleteAnswer}
+		| {readonly type: 'whole'; readonly answer: CompleteAnswer; readonly framing: ResponseFraming}
 	/** The request escalates to a larger model. */
 		| {readonly type: 'escalated'; readonly model: ModelId; readonly fallback: FallbackStream}
 	/** The complete stream was forwarded. */
-		| {readonly type: 'streamed'; readonly confidence: number | undefined};
+		| {readonly type: 'streamed'; readonly confidence: number | undefined; readonly framing: ResponseFraming; readonly leftoverBytes: number};
 
 /** Options of {@linkcode handleOutcome}. */
 export type HandleOutcomeOptions = {
@@ -192,7 +193,7 @@
 	return {type: 'not-run', failed: failure('overloaded', `${server.id} answered ${status} without running the request`)};
 }
 
-async function handleFailedAnswer({message, isComplete}: ReceivedHead, {status, isSigned}: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
+async function handleFailedAnswer({message, framing, isComplete}: ReceivedHead, {status, isSigned}: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
 	const {context: {dialect}, suspect, results, models, server, hasEnded} = options;
 	const headers = dialect.answerHeaders(message);
 	const body = await collectBody(message, isComplete);
@@ -213,10 +214,10 @@
 	const answer = {status, headers, body};
 	return status >= firstServerError
 		? {type: 'failed', failed: failure('backend-failed', `${server.id} answered with status ${status}`), answer}
-		: {type: 'whole', answer};
+		: {type: 'whole', answer, framing};
 }
 
-async function handlePlainAnswer({message, isComplete}: ReceivedHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
+async function handlePlainAnswer({message, framing, isComplete}: ReceivedHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
 	const {context: {dialect, clock}, suspect, results, models, server, sentAt, hasEnded} = options;
 	const headers = dialect.answerHeaders(message);
 	const status = message.statusCode ?? 0;
@@ -231,7 +232,7 @@
 
 	suspect.recordAnswered();
 	results.recordSuccess(server, {model: models.current, latency: clock.monotonic() - sentAt});
-	return {type: 'whole', answer: {status, headers, body}};
+	return {type: 'whole', answer: {status, headers, body}, framing};
 }
 
 async function handleStream(received: ReceivedHead, head: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
@@ -273,7 +274,7 @@
 	return relayAnswer(received, {...options, head, latency});
 }
 
-async function relayAnswer({message, isComplete}: ReceivedHead, options: HandleOutcomeOptions & {readonly head: AnswerHead; readonly latency: number}): Promise<OutcomeStep> {
+async function relayAnswer({message, framing, isComplete}: ReceivedHead, options: HandleOutcomeOptions & {readonly head: AnswerHead; readonly latency: number}): Promise<OutcomeStep> {
 	const {context, request, suspect, route, results, models} = options;
 	const {answer, events, server, hasEnded, onStreamStart, canResumeElsewhere, head, latency} = options;
 	onStreamStart();
@@ -297,17 +298,19 @@
 		answer.beginStream(message.statusCode ?? 0, headers);
 		suspect.recordAnswered();
 		results.recordSuccess(server, {model: models.current, latency});
-		return {type: 'streamed', confidence: head.confidence};
+		return {
+			type: 'streamed', confidence: head.confidence, framing, leftoverBytes: events.incomplete.byteLength,
+		};
 	}
 
 	if (hasEnded() || end === 'caller-left') {
 		return {type: 'ended'};
 	}
 
-	events.discardIncomplete();
 	context.log('request-resumed', {
-		request: request.id, fingerprint: suspect.fingerprint, server: server.id, startedAt: server.startedAt, end, lastEvent: events.lastEventId,
+		request: request.id, fingerprint: suspect.fingerprint, server: server.id, startedAt: server.startedAt, end, lastEvent: events.lastEventId, framing, leftoverBytes: events.incomplete.byteLength,
 	}, 'warn');
+	events.discardIncomplete();
 	const reason = `The stream of ${server.id} is ${end}`;
 	if (end === 'broken') {
 		return handleLoss(reason, options);
--- a/packages/gateway/src/entry/request-end.ts
+++ b/packages/gateway/src/entry/request-end.ts
@@ -78,15 +78,16 @@
 	Forwards the complete answer of a backend server.
 
 	@param answer The answer.
+	@param fields Additional fields of the log line; none by default.
 	@returns That the request has ended.
 	*/
-	forward(answer: CompleteAnswer): NextStep {
+	forward(answer: CompleteAnswer, fields: EndFields = {}): NextStep {
 		if (this.#hasEnded) {
 			return 'ended';
 		}
 
 		this.#options.answer.forward(answer);
-		return this.recordEnd('answered', {status: answer.status});
+		return this.recordEnd('answered', {status: answer.status, ...fields});
 	}
 
 	/**
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -245,16 +245,18 @@
 				this.#placement.exclude(server);
 				return this.#retry(failed);
 			})
-			.with({type: 'whole'}, async ({answer}) => this.#end.forward(answer))
+			.with({type: 'whole'}, async ({answer, framing}) => this.#end.forward(answer, {framing}))
 			.with({type: 'escalated'}, async ({model, fallback}): Promise<NextStep> => {
 				this.#end.recordPossibleRun();
 				this.#fallback.keep(fallback);
 				this.#models.escalateTo(model);
 				return 'retry';
 			})
-			.with({type: 'streamed'}, async ({confidence}) => {
+			.with({type: 'streamed'}, async ({confidence, framing, leftoverBytes}) => {
 				this.#answer.finishStream();
-				return this.#end.recordEnd('answered', {server: server.id, confidence});
+				return this.#end.recordEnd('answered', {
+					server: server.id, confidence, framing, leftoverBytes,
+				});
 			})
 			.exhaustive();
 	}
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,5 +1,5 @@
 import {type ClientRequest, type IncomingMessage, request as openRequest} from 'node:http';
-import {setTimeoutAfterPoll} from '@valehitch/transport';
+import {responseFraming, type ResponseFraming, setTimeoutAfterPoll} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Header} from './gateway-request.js';
 import {closeIdleConnections, closeStaleConnections, connectionPool} from './connection-pool.js';
@@ -53,7 +53,7 @@
 		| {readonly type: 'kept-connection-lost'; readonly reason: string}
 		| {readonly type: 'silent'}
 		| {readonly type: 'cancelled'}
-		| {readonly type: 'head'; readonly message: IncomingMessage; readonly isComplete: () => Promise<boolean>};
+		| {readonly type: 'head'; readonly message: IncomingMessage; readonly framing: ResponseFraming; readonly isComplete: () => Promise<boolean>};
 
 /** The head of an answer, and a check of whether the body is complete, to be called when it ends. */
 export type ReceivedHead = Omit<Extract<SendOutcome, {type: 'head'}>, 'type'>;
@@ -116,7 +116,7 @@
 	readonly isOpen: () => boolean;
 };
 
-async function awaitHead(request: ClientRequest, {server, relay, connectTimeout, headTimeouts}: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
+async function awaitHead(request: ClientRequest, {server, method, relay, connectTimeout, headTimeouts}: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
 	return new Promise(resolve => {
 		let isSilent = false;
 		const stopConnectTimeout = setTimeoutAfterPoll(connectTimeout, () => {
@@ -152,7 +152,9 @@
 		};
 
 		request.on('response', message => {
-			settle({type: 'head', message, isComplete: isFramed(message) ? async () => message.complete : isCompleteUnlessReset(message)});
+			settle({
+				type: 'head', message, framing: responseFraming(message, method), isComplete: isFramed(message) ? async () => message.complete : isCompleteUnlessReset(message),
+			});
 		});
 		request.on('error', error => {
 			fail(error);
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -10,6 +10,7 @@
 export * from './peer-network.js';
 export * from './problem-details.js';
 export * from './read-body.js';
+export * from './response-framing.js';
 export * from './send-http-request.js';
 export * from './set-timeout-after-poll.js';
 export * from './tunnel-server.js';
