--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -18,10 +18,23 @@
 	readonly gap?: number;
 	/** The number of events after which the connection is reset, in the middle of the next event. */
 	readonly breakAfter?: number;
+	/** Whether the response has neither a length nor chunks, so that it ends with its connection; false by default. */
+	readonly isUnframed?: boolean;
+	/** How the response ends early; by default it is complete. */
+	readonly truncation?: ResponseTruncation;
 	/** Whether the server responds that it did not execute the request. */
 	readonly isNotExecuted?: boolean;
 };
 
+/** How a response ends early: the server ends it as if it were complete, or its process exits, so that the connection closes and new ones are refused. */
+export type ResponseTruncation = {
+	readonly by: 'end' | 'exit';
+	/** The number of events that are sent. */
+	readonly after: number;
+	/** Whether a part of the next event follows; false by default. */
+	readonly isInsideEvent?: boolean;
+};
+
 /** A request that the fake server executed. */
 export type ExecutedRequest = {
 	readonly id: string;
@@ -75,6 +88,7 @@
 		const fake = new FakeBackendServer(options);
 		fake.#server.listen(options.port ?? 0, options.host);
 		await once(fake.#server, 'listening');
+		fake.#port = (fake.#server.address() as AddressInfo).port;
 		return fake;
 	}
 
@@ -85,6 +99,7 @@
 	readonly abortedRequests: string[] = [];
 	readonly #options: FakeBackendServerOptions;
 	readonly #server: Server;
+	#port = 0;
 	#sequence = 0;
 
 	private constructor(options: FakeBackendServerOptions) {
@@ -96,7 +111,7 @@
 
 	/** The port on which the server listens. */
 	get port(): number {
-		return (this.#server.address() as AddressInfo).port;
+		return this.#port;
 	}
 
 	/**
@@ -104,9 +119,13 @@
 
 	@param control The address of the control instance.
 	@param state Whether the server accepts requests.
-	@returns The status of the acknowledgement.
+	@returns The status of the acknowledgement; 0 if there is none, as for a server that has exited.
 	*/
 	async announce(control: string, state: 'ready' | 'draining' = 'ready'): Promise<number> {
+		if (!this.#server.listening) {
+			return 0;
+		}
+
 		const {id, service, host, zone = 'hall-a', version = 'v1', slots = 8, startedAt, announcedPort = () => this.port} = this.#options;
 		this.#sequence++;
 		return sendForStatus({
@@ -146,7 +165,7 @@
 	async #respond(run: ExecutedRequest, response: ServerResponse): Promise<void> {
 		this.arrivals.push(performance.now());
 		const notices = this.#options.notices?.() ?? {};
-		const {status = 200, confidence, events = ['done'], firstEventDelay, gap = 0, breakAfter, isNotExecuted = false} = this.#options.answer(run);
+		const {status = 200, confidence, events = ['done'], firstEventDelay, gap = 0, breakAfter, isUnframed = false, truncation, isNotExecuted = false} = this.#options.answer(run);
 		if (isNotExecuted) {
 			response.writeHead(503, {'Not-Executed': '1', ...notices});
 			response.end();
@@ -160,11 +179,11 @@
 			}
 		});
 		const isStream = run.model !== undefined;
-		response.writeHead(status, {
-			'Attempt-Id': run.id,
-			'Response-Signature': `signed-${this.#options.id}`,
-			'Content-Type': isStream ? 'text/event-stream' : 'text/plain', ...(confidence !== undefined && {Confidence: String(confidence)}), ...notices,
-		});
+		if (isUnframed) {
+			removeFraming(response);
+		}
+
+		response.writeHead(status, this.#headers(run, {confidence, notices}));
 		if (firstEventDelay !== undefined) {
 			response.flushHeaders();
 			await delay(firstEventDelay);
@@ -183,12 +202,49 @@
 				return;
 			}
 
+			if (index === truncation?.after) {
+				await this.#truncate(response, truncation);
+				return;
+			}
+
 			response.write(isStream ? `id: ${index + 1}\ndata: ${event}\n\n` : event);
 			await delay(gap);
 		}
 
 		response.end();
 	}
+
+	#headers({id, model}: ExecutedRequest, {confidence, notices}: {readonly confidence: number | undefined; readonly notices: Readonly<Record<string, string>>}): Record<string, string> {
+		return {
+			'Attempt-Id': id,
+			'Response-Signature': `signed-${this.#options.id}`,
+			'Content-Type': model === undefined ? 'text/plain' : 'text/event-stream',
+			...(confidence !== undefined && {Confidence: String(confidence)}),
+			...notices,
+		};
+	}
+
+	async #truncate(response: ServerResponse, {by, isInsideEvent = false}: ResponseTruncation): Promise<void> {
+		if (isInsideEvent) {
+			response.write('id');
+		}
+
+		// What was written leaves the process before its end.
+		await delay(20);
+		if (by === 'end') {
+			response.end();
+			return;
+		}
+
+		this.#server.close();
+		response.socket?.end();
+	}
+}
+
+/** Makes a response end with its connection. */
+function removeFraming(response: ServerResponse): void {
+	response.removeHeader('Transfer-Encoding');
+	response.shouldKeepAlive = false;
 }
 
 /** An HTTP request to an instance. */
--- /dev/null
+++ b/packages/testing/src/truncated-answers.test.ts
@@ -0,0 +1,98 @@
+import test, {type ExecutionContext} from 'ava';
+import {
+	type ExecutedRequest, type FakeBackendResponse, type FakeBackendServer, type ReceivedResponse, sendForResponse,
+} from './platform/fake-backend-server.js';
+import {PlatformDeployment} from './platform/platform-deployment.js';
+import {putConfiguration} from './platform/put-configuration.js';
+import {startBackends} from './platform/start-backends.js';
+import {waitUntil} from './wait-until.js';
+
+const host = 'desk.example';
+const route = {
+	host, timeoutMs: 4000, targetLatencyMs: 1000, maxAttempts: 3, public: true,
+};
+const stream = {
+	...route, kind: 'streaming', timeoutMs: 8000, targetGapMs: 1000, service: 'models', sizes: ['large'], sticky: true,
+};
+const configuration = {
+	version: 1,
+	routes: [
+		{
+			...stream, name: 'drafts', pathPrefix: '/drafts/', resumable: true,
+		},
+		{
+			...stream, name: 'once', pathPrefix: '/once/',
+		},
+		{
+			...route, name: 'print', pathPrefix: '/print/', kind: 'unsafe', service: 'labels',
+		},
+		{
+			...route, name: 'look', pathPrefix: '/look/', kind: 'safe', service: 'labels',
+		},
+	],
+	services: [{name: 'models', engine: {models: [{name: 'large', cost: 0.3}]}}, {name: 'labels'}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+	tenants: [],
+};
+const events = ['one', 'two', 'three', 'four'];
+const completeStream = events.map((event, index) => `id: ${index + 1}\ndata: ${event}\n\n`).join('');
+const twoEvents = completeStream.slice(0, completeStream.indexOf('id: 3'));
+
+type Started = {
+	readonly backends: readonly FakeBackendServer[];
+	readonly send: (path: string) => Promise<ReceivedResponse>;
+};
+
+/** Starts two servers of each service whose first answer to a request other than the first ones ends as given; the next one is complete. */
+async function start(t: ExecutionContext, truncated: FakeBackendResponse): Promise<Started> {
+	const deployment = await PlatformDeployment.start({entryCount: 1});
+	const seen = new Set<string>();
+	const answer = ({id, path}: ExecutedRequest): FakeBackendResponse => {
+		if (path.endsWith('/first') || seen.has(id)) {
+			return {confidence: 90, events};
+		}
+
+		seen.add(id);
+		return {confidence: 90, events, ...truncated};
+	};
+
+	const backends = await startBackends(t, {
+		deployment, servers: ['models', 'labels'].flatMap(service => ['1', '2'].map(number => ({id: `i-${service}-${number}`, service, answer}))),
+	});
+	await putConfiguration(deployment, configuration);
+	let requests = 0;
+	const send = async (path: string): Promise<ReceivedResponse> => {
+		requests++;
+		return sendForResponse({
+			method: path.startsWith('/look/') ? 'GET' : 'POST', address: deployment.entries[0]!.address, path, headers: {
+				Host: host, 'Attempt-Id': `a${requests}`, 'Deadline-Ms': '4000', ...(/^\/(?:drafts|once)\//v.test(path) && {Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': '1:50,2:50'}),
+			},
+		});
+	};
+
+	for (const path of ['/drafts/first', '/look/first']) {
+		await waitUntil(async () => {
+			const {status} = await send(path);
+			return status === 200 || undefined;
+		}, {description: `a response to ${path}`});
+	}
+
+	return {backends, send};
+}
+
+/** Returns the runs of a request at all servers, by the event after which they began. */
+function runsOf(backends: readonly FakeBackendServer[], path: string): readonly ExecutedRequest[] {
+	return backends.flatMap(({runs}) => runs).filter(run => run.path === path).toSorted((one, other) => Number(one.lastEventId ?? 0) - Number(other.lastEventId ?? 0));
+}
+
+for (const isUnframed of [true, false]) {
+	test(`a stream ${isUnframed ? 'without a length' : 'in chunks'} that its server ends inside an event does not end as complete`, async t => {
+		const {backends, send} = await start(t, {isUnframed, truncation: {by: 'end', after: 2, isInsideEvent: true}});
+		t.like(await send('/drafts/7'), {status: 200, text: completeStream, isComplete: true});
+		t.deepEqual(runsOf(backends, '/drafts/7').map(({lastEventId}) => lastEventId), [undefined, '2']);
+		t.like(await send('/once/7'), {status: 200, text: twoEvents, isComplete: false});
+		t.is(runsOf(backends, '/once/7').length, 1);
+	});
+}
