Break off streams that end inside an event, however they were framed

What callers saw: 200 with a body that was cut inside an event and framed as complete (ORDER). Cause: a stream with neither a length nor chunks ends with its connection, and the kernel of a process that ends closes it without a reset. The instance took the close for the end, forwarded the half event and ended its own chunks. The same with chunks or a length that the server ends inside an event. Why it works: server-sent events end with an empty line, so that a stream that stops elsewhere is known to be truncated from its bytes alone. It counts as broken: the half event is dropped, a resumable route goes on after the last whole event at another server, any other is aborted. Line ends and whole comments after the last event belong to no event.

--- a/packages/gateway/src/entry/event-stream.test.ts
+++ b/packages/gateway/src/entry/event-stream.test.ts
@@ -27,3 +27,19 @@
 	t.is(stream.lastEventId, '5');
 	t.is(textOf(stream.push(Buffer.from('id: 6\ndata: b\n\n'))?.bytes), 'id: 6\ndata: b\n\n');
 });
+
+test('a stream is inside an event unless it stands after an empty line, line ends or whole comments', t => {
+	const isInside = (text: string): boolean => {
+		const stream = new EventStream();
+		stream.push(Buffer.from(text));
+		return stream.isInsideEvent;
+	};
+
+	for (const text of ['', 'data: a\n\n', 'data: a\r\n\r\n', 'data: a\r\r', 'data: a\n\n\n', 'data: a\n\n: ping\n', 'data: a\n\n: ping\r\n: ping\n\n', ': ping\n']) {
+		t.false(isInside(text), `after ${JSON.stringify(text)}`);
+	}
+
+	for (const text of ['d', 'data: a', 'data: a\n', 'data: a\r\n', 'data: a\r', 'data: a\n\ni', 'data: a\r\rid: 2\r', ': pi', 'data: a\n\n: ping\ndata: b\n', 'data: a\n: ping\n']) {
+		t.true(isInside(text), `after ${JSON.stringify(text)}`);
+	}
+});
--- a/packages/gateway/src/entry/event-stream.ts
+++ b/packages/gateway/src/entry/event-stream.ts
@@ -10,6 +10,9 @@
 const newline = 10;
 const carriageReturn = 13;
 const idPattern = /^id: ?(.*)$/gmv;
+const lineEndPattern = /\r\n?/gv;
+const emptyLine = '\n\n';
+const commentPattern = /^:.*\n/gmv;
 
 /**
 Splits a stream of server-sent events at event boundaries, and tracks the id of the last complete event.
@@ -42,6 +45,13 @@
 		return this.#incomplete;
 	}
 
+	/** Whether a stream that ends here is broken off inside an event. Empty lines and comments belong to no event. */
+	get isInsideEvent(): boolean {
+		const text = Buffer.from(this.#incomplete).toString('latin1').replaceAll(lineEndPattern, '\n');
+		const lastEventStart = text.lastIndexOf(emptyLine);
+		return (lastEventStart === -1 ? text : text.slice(lastEventStart)).replaceAll(commentPattern, '').trim() !== '';
+	}
+
 	/**
 	Appends bytes of the stream.
 
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -19,6 +19,8 @@
 	readonly onFirstEvent: () => void;
 };
 
+const eventStreamType = 'text/event-stream';
+
 /** How the relay of a stream ended. */
 export type RelayEnd = 'complete' | 'broken' | 'stalled' | 'caller-left';
 
@@ -107,12 +109,13 @@
 			}
 		});
 		const end = async (): Promise<void> => {
-			if (!await isComplete()) {
+			stopTimeout?.();
+			if ((isEventStream(message) && events.isInsideEvent) || !await isComplete()) {
 				finish('broken');
 				return;
 			}
 
-			// A complete body may have data after the last empty line.
+			// A complete body may have line ends or comments after the last event.
 			if (events.incomplete.byteLength > 0 && !isFinished) {
 				forward(events.incomplete);
 			}
@@ -133,3 +136,7 @@
 		});
 	});
 }
+
+function isEventStream({headers}: IncomingMessage): boolean {
+	return headers['content-type']?.startsWith(eventStreamType) ?? true;
+}
