--- a/packages/testing/src/truncated-answers.test.ts
+++ b/packages/testing/src/truncated-answers.test.ts
@@ -96,3 +96,32 @@
 		t.is(runsOf(backends, '/once/7').length, 1);
 	});
 }
+
+test('a stream without a length whose server exits between two events does not end as complete', async t => {
+	const {backends, send} = await start(t, {isUnframed: true, truncation: {by: 'exit', after: 2}});
+	t.like(await send('/drafts/7'), {status: 200, text: completeStream, isComplete: true});
+	t.deepEqual(runsOf(backends, '/drafts/7').map(({lastEventId}) => lastEventId), [undefined, '2']);
+	t.like(await send('/once/7'), {status: 200, text: twoEvents, isComplete: false});
+	t.is(runsOf(backends, '/once/7').length, 1);
+});
+
+test('a plain answer without a length whose server exits is repeated or fails, and does not look complete', async t => {
+	const {backends, send} = await start(t, {isUnframed: true, truncation: {by: 'exit', after: 2}});
+	t.like(await send('/look/7'), {status: 200, text: events.join(''), isComplete: true});
+	t.is(runsOf(backends, '/look/7').length, 2);
+	t.like(await send('/print/7'), {status: 502, isComplete: true});
+	t.is(runsOf(backends, '/print/7').length, 1);
+});
+
+test('answers without a length whose servers go on running are complete', async t => {
+	const {backends, send} = await start(t, {isUnframed: true});
+	for (const path of ['/drafts/7', '/once/7']) {
+		t.like(await send(path), {status: 200, text: completeStream, isComplete: true});
+		t.is(runsOf(backends, path).length, 1);
+	}
+
+	for (const path of ['/look/7', '/print/7']) {
+		t.like(await send(path), {status: 200, text: events.join(''), isComplete: true});
+		t.is(runsOf(backends, path).length, 1);
+	}
+});
