End answers without a body at the end of their head

What callers saw: a 204 or 304 without a length, or the answer to a HEAD request, on a connection that the server keeps, came after the server closed that connection or not before the deadline. Cause: any answer with neither a length nor chunks counted as one that ends with its connection, also one that has no body at all. Evidence: the test got no end within a second before, for 204; green now for 204, 304 and HEAD. Why it works: the framing comes from the method and status first, as in RFC 9112, section 6.3, from one function.

--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -65,6 +65,18 @@
 	}
 });
 
+test('an answer that has no body is complete at the end of its head, and its connection is kept', async t => {
+	for (const {status, method} of [{status: 204, method: 'GET'}, {status: 304, method: 'GET'}, {status: 200, method: 'HEAD'}]) {
+		const options = await serve(t, socket => {
+			socket.write(`HTTP/1.1 ${status} Status\r\n\r\n`);
+		});
+		const timeout = new Promise(resolve => {
+			setTimeout(resolve, 1000, 'no end');
+		});
+		t.true(await Promise.race([isComplete({...options, method}), timeout]), `${method} ${status}`);
+	}
+});
+
 test('an answer that is shorter than its Content-Length is incomplete', async t => {
 	t.false(await isComplete(await serve(t, socket => {
 		socket.end('HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf of it');
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -152,8 +152,9 @@
 		};
 
 		request.on('response', message => {
+			const framing = responseFraming(message, method);
 			settle({
-				type: 'head', message, framing: responseFraming(message, method), isComplete: isFramed(message) ? async () => message.complete : isCompleteUnlessReset(message),
+				type: 'head', message, framing, isComplete: framing === 'close' ? isCompleteUnlessReset(message) : async () => message.complete,
 			});
 		});
 		request.on('error', error => {
@@ -199,11 +200,6 @@
 	};
 }
 
-/** Whether the answer is framed by a length or by chunks; any other answer ends when its connection closes. */
-function isFramed({headers}: IncomingMessage): boolean {
-	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
 /**
 Detects whether an answer ended because the connection was closed or because it was reset. If a reset follows closely on data, the event loop reports it as closed.
 
--- /dev/null
+++ b/packages/transport/src/watch-response-end.ts
@@ -0,0 +1,54 @@
+import {type IncomingMessage} from 'node:http';
+import {responseFraming} from './response-framing.js';
+
+/** Options of {@linkcode watchResponseEnd}. */
+export type WatchResponseEndOptions = {
+	/** The method of the request. */
+	readonly method: string;
+	/** Checks whether the process of the server is still running. */
+	readonly isServerRunning: () => Promise<boolean>;
+};
+
+/**
+Watches how a response ends, to tell a complete body from a truncated one. The absence of an error does not show that a body is complete.
+
+A body without a length or chunks ends when its connection is closed (RFC 9112, section 6.3). A process that exits closes its connections in the same way, so that such a body is complete only if the server is still running afterwards.
+
+@param message The response, of which nothing has been read.
+@param options The request and its server.
+@returns A function that reports whether the body is complete, to be called when it has ended.
+@example
+```ts
+const isComplete = watchResponseEnd(message, {method: 'GET', isServerRunning: async () => true});
+```
+*/
+export function watchResponseEnd(message: IncomingMessage, {method, isServerRunning}: WatchResponseEndOptions): () => Promise<boolean> {
+	if (responseFraming(message, method) !== 'close') {
+		return async () => message.complete;
+	}
+
+	const wasClosed = watchClose(message);
+	return async () => message.complete && await wasClosed && isServerRunning();
+}
+
+/**
+Detects whether a connection was closed or reset. If a reset follows closely on data, the event loop reports it as closed.
+
+An empty line is written after the end. The kernel rejects it if the connection was reset, and a server that closed the connection ignores it (RFC 9112, section 2.2).
+*/
+async function watchClose({socket}: IncomingMessage): Promise<boolean> {
+	return new Promise<boolean>(resolve => {
+		socket.once('error', () => {
+			resolve(false);
+		});
+		socket.once('close', () => {
+			resolve(false);
+		});
+		// Runs before the listener of the HTTP client, which ends the writable side.
+		socket.prependOnceListener('end', () => {
+			socket.write('\r\n', error => {
+				resolve(error === undefined || error === null);
+			});
+		});
+	});
+}
