Test that a reset breaks off an answer whose last transfer coding is not chunked

What callers saw: half of such an answer, framed as complete, after a reset. Cause: any Transfer-Encoding counted as chunks, whose end the parser sees; one that does not end with chunked ends with its connection.

--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -77,6 +77,14 @@
 	}
 });
 
+test('an answer whose last transfer coding is not chunked ends with its connection, and is incomplete if it is reset', async t => {
+	t.false(await isComplete(await serve(t, socket => {
+		socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nConnection: close\r\n\r\nhalf of it', () => {
+			socket.resetAndDestroy();
+		});
+	})));
+});
+
 test('an answer that is shorter than its Content-Length is incomplete', async t => {
 	t.false(await isComplete(await serve(t, socket => {
 		socket.end('HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf of it');
