Do not take the closed connection of a server that exited for the end of its answer

Cause: the absence of an error counted as an end. Such an answer ends with its connection, and the kernel of a process that exits closes its connections without a reset. An instance through which the answer came does the same when it exits. Why it works: after such a close, and only then, the instance checks that the server's process is still there, by a connection without a request over the same way. If it is refused, no other instance reaches it either, the relay is gone or another process has taken its place, the answer is broken: a repeatable request is repeated, a stream resumed after its last event, any other ends as unknown.

--- a/packages/gateway/src/entry/check-server-process.test.ts
+++ b/packages/gateway/src/entry/check-server-process.test.ts
@@ -2,10 +2,9 @@
 import {type AddressInfo, createServer} from 'node:net';
 import test from 'ava';
 import {type InstanceId} from '@valehitch/core';
-import {type TunnelFailure} from '@valehitch/transport';
+import {type TunnelFailure, type ProbeResult} from '@valehitch/transport';
 import {Left} from 'purify-ts';
 import {checkServerProcess, type CheckServerProcessOptions} from './check-server-process.js';
-import {type ProbeResult} from './_probe-server.js';
 import {Relay} from './relay.js';
 
 const host = '127.0.0.1';
--- a/packages/gateway/src/entry/check-server-process.ts
+++ b/packages/gateway/src/entry/check-server-process.ts
@@ -1,5 +1,5 @@
+import {type ProbeResult, probeAddress} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
-import {type ProbeResult, probeServer} from './_probe-server.js';
 import {type Relay} from './relay.js';
 import {type ServerLinks} from './server-links.js';
 import {type ServerRelays} from './server-relays.js';
@@ -30,7 +30,7 @@
 ```
 */
 export async function checkServerProcess(server: Pick<ServerRecord, 'host' | 'port'>, {links, relays}: CheckServerProcessOptions): Promise<ProcessCheck> {
-	const result = await probeServer(server, answerMilliseconds);
+	const result = await probeAddress(server, answerMilliseconds);
 	if (result === 'open') {
 		return 'running';
 	}
--- a/packages/gateway/src/entry/is-server-reachable.ts
+++ b/packages/gateway/src/entry/is-server-reachable.ts
@@ -1,5 +1,5 @@
+import {probeAddress} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
-import {probeServer} from './_probe-server.js';
 
 /**
 Checks whether a server accepts a new connection. A server that is processing long prompts does; a server that lost power or is behind a network partition does not.
@@ -15,5 +15,5 @@
 ```
 */
 export async function isServerReachable(server: Pick<ServerRecord, 'host' | 'port'>, timeout: number): Promise<boolean> {
-	return await probeServer(server, timeout) === 'open';
+	return await probeAddress(server, timeout) === 'open';
 }
--- a/packages/gateway/src/entry/relay.ts
+++ b/packages/gateway/src/entry/relay.ts
@@ -1,7 +1,7 @@
 import {type Agent} from 'node:http';
 import {type InstanceId} from '@valehitch/core';
+import {type ProbeResult} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
-import {type ProbeResult} from './_probe-server.js';
 import {poolOptions, trackIdleTimes} from './connection-pool.js';
 import {type OpenTunnel, TunnelAgent} from './tunnel-agent.js';
 
--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -29,10 +29,17 @@
 		}
 	});
 	return {
-		server: testServer({port: (server.address() as AddressInfo).port}), method: 'GET', target: '/x/', headers: [[
-			'Host',
-			'desk.example',
-		]], body: Buffer.alloc(0), mayReuseConnection: true, connectTimeout: 1000, headTimeouts: undefined, onConnect: () => undefined, processEnd: new AbortController().signal,
+		server: testServer({port: (server.address() as AddressInfo).port}),
+		method: 'GET',
+		target: '/x/',
+		headers: [['Host', 'desk.example']],
+		body: Buffer.alloc(0),
+		mayReuseConnection: true,
+		connectTimeout: 1000,
+		headTimeouts: undefined,
+		onConnect: () => undefined,
+		processEnd: new AbortController().signal,
+		isServerRunning: async () => true,
 	};
 }
 
@@ -65,6 +72,13 @@
 	}
 });
 
+test('an answer without a length whose server exited is incomplete, though its connection was closed', async t => {
+	const options = await serve(t, socket => {
+		socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of it');
+	});
+	t.false(await isComplete({...options, isServerRunning: async () => false}));
+});
+
 test('an answer that has no body is complete at the end of its head, and its connection is kept', async t => {
 	for (const {status, method} of [{status: 204, method: 'GET'}, {status: 304, method: 'GET'}, {status: 200, method: 'HEAD'}]) {
 		const options = await serve(t, socket => {
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,5 +1,7 @@
 import {type ClientRequest, type IncomingMessage, request as openRequest} from 'node:http';
-import {responseFraming, type ResponseFraming, setTimeoutAfterPoll} from '@valehitch/transport';
+import {
+	responseFraming, type ResponseFraming, setTimeoutAfterPoll, watchResponseEnd,
+} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Header} from './gateway-request.js';
 import {closeIdleConnections, closeStaleConnections, connectionPool} from './connection-pool.js';
@@ -25,6 +27,8 @@
 	readonly onConnect: () => void;
 	/** Aborted when the server's process is known to have ended, after which no more data will arrive. */
 	readonly processEnd: AbortSignal;
+	/** Checks whether the server's process is still running, after it closed the connection of an answer that ends in this way. */
+	readonly isServerRunning: () => Promise<boolean>;
 };
 
 /** The timeouts for the head of an answer. */
@@ -74,7 +78,7 @@
 @returns The send in progress.
 @example
 ```ts
-const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuseConnection: true, connectTimeout: 400, headTimeouts: undefined, onConnect, processEnd});
+const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuseConnection: true, connectTimeout: 400, headTimeouts: undefined, onConnect, processEnd, isServerRunning});
 ```
 */
 export function sendAttempt(options: SendAttemptOptions): SentAttempt {
@@ -116,7 +120,8 @@
 	readonly isOpen: () => boolean;
 };
 
-async function awaitHead(request: ClientRequest, {server, method, relay, connectTimeout, headTimeouts}: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
+async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
+	const {server, method, relay, connectTimeout, headTimeouts, isServerRunning} = options;
 	return new Promise(resolve => {
 		let isSilent = false;
 		const stopConnectTimeout = setTimeoutAfterPoll(connectTimeout, () => {
@@ -152,9 +157,8 @@
 		};
 
 		request.on('response', message => {
-			const framing = responseFraming(message, method);
 			settle({
-				type: 'head', message, framing, isComplete: framing === 'close' ? isCompleteUnlessReset(message) : async () => message.complete,
+				type: 'head', message, framing: responseFraming(message, method), isComplete: watchResponseEnd(message, {method, isServerRunning}),
 			});
 		});
 		request.on('error', error => {
@@ -199,27 +203,3 @@
 		stopTimeout?.();
 	};
 }
-
-/**
-Detects whether an answer ended because the connection was closed or because it was reset. If a reset follows closely on data, the event loop reports it as closed.
-
-An empty line is written after the end. The kernel rejects it if the connection was reset, and a server that closed the connection ignores it (RFC 9112, section 2.2).
-*/
-function isCompleteUnlessReset(message: IncomingMessage): () => Promise<boolean> {
-	const {socket} = message;
-	const wasClosed = new Promise<boolean>(resolve => {
-		socket.once('error', () => {
-			resolve(false);
-		});
-		socket.once('close', () => {
-			resolve(false);
-		});
-		// Runs before the listener of the HTTP client, which ends the writable side.
-		socket.prependOnceListener('end', () => {
-			socket.write('\r\n', error => {
-				resolve(error === undefined || error === null);
-			});
-		});
-	});
-	return async () => message.complete && wasClosed;
-}
--- a/packages/gateway/src/entry/server-relays.test.ts
+++ b/packages/gateway/src/entry/server-relays.test.ts
@@ -33,7 +33,8 @@
 function sendOptions(port: number, changes: Partial<SendAttemptOptions>): SendAttemptOptions {
 	return {
 		server: testServer({port}), method: 'GET', target: '/', headers: [['Host', 'desk.example']],
-		body: new Uint8Array(), mayReuseConnection: true, connectTimeout: 1000, headTimeouts: undefined, onConnect: ignore, processEnd: new AbortController().signal, ...changes,
+		body: new Uint8Array(), mayReuseConnection: true, connectTimeout: 1000, headTimeouts: undefined, onConnect: ignore,
+		processEnd: new AbortController().signal, isServerRunning: async () => true, ...changes,
 	};
 }
 
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -4,6 +4,7 @@
 import {type GatewayRequest} from './gateway-request.js';
 import {type ModelCascade} from './model-cascade.js';
 import {isServerReachable} from './is-server-reachable.js';
+import {isServerRunning} from './is-server-running.js';
 import {type Relay} from './relay.js';
 import {type SendAllowance} from './send-allowance.js';
 import {type SentAttempt, sendAttempt, type HeadTimeouts} from './send-attempt.js';
@@ -76,6 +77,7 @@
 			links.recordConnected();
 		},
 		processEnd,
+		isServerRunning: async () => isServerRunning(server, {...context, relay}),
 	});
 	allowance.countSend();
 	log('request-dispatched', {
--- a/packages/testing/src/server-partition.test.ts
+++ b/packages/testing/src/server-partition.test.ts
@@ -46,12 +46,21 @@
 	readonly sendFor: (duration: number, entries: readonly PlatformInstance[]) => Promise<readonly number[]>;
 };
 
-/** Starts three entry instances with a server in each zone, and waits until all of them serve requests. */
-async function start(t: ExecutionContext, gap = 10): Promise<Started> {
-	const deployment = await PlatformDeployment.start({entryCount: 3, environment: serverCutEnvironment});
+type StartOptions = {
+	/** The time between two events, in milliseconds; 10 by default. */
+	readonly gap?: number;
+	/** The number of entry instances; 3 by default. */
+	readonly entryCount?: number;
+	/** Whether answers end with their connections; false by default. */
+	readonly isUnframed?: boolean;
+};
+
+/** Starts entry instances with a server in each zone, and waits until all of them serve requests. */
+async function start(t: ExecutionContext, {gap = 10, entryCount = 3, isUnframed = false}: StartOptions = {}): Promise<Started> {
+	const deployment = await PlatformDeployment.start({entryCount, environment: serverCutEnvironment});
 	const backends = await startBackends(t, {
 		deployment, servers: zones.map(zone => ({
-			id: `i-${zone}`, service: 'labels', zone, answer: () => ({events: ['one', 'two', 'three'], gap}),
+			id: `i-${zone}`, service: 'labels', zone, answer: () => ({events: ['one', 'two', 'three'], gap, isUnframed}),
 		})),
 	});
 	await putConfiguration(deployment, configuration);
@@ -122,7 +131,7 @@
 });
 
 test.serial('requests in progress at an instance that loses its links are not suspected of ending their servers', async t => {
-	const {deployment, backends, send} = await start(t, 400);
+	const {deployment, backends, send} = await start(t, {gap: 400});
 	const [entry, other] = deployment.entries;
 	const print = {method: 'POST', path: '/print/7'};
 	const sent = Array.from({length: 12}, async () => send(entry!.address, print));
@@ -136,3 +145,16 @@
 	});
 	t.deepEqual(JSON.parse(text), {requests: []});
 });
+
+test.serial('an answer without a length does not look complete when the instance through which it comes exits', async t => {
+	const {deployment, backends, send} = await start(t, {gap: 400, entryCount: 2, isUnframed: true});
+	const [entry, relay] = deployment.entries;
+	await cutServerLinks(entry!, 'refused');
+	await waitUntil(async () => await send(entry!.address, {method: 'GET', path: '/look/8'}) === 200 || undefined, {description: 'a response through the other instance'});
+	const print = {method: 'POST', path: '/print/7'};
+	const sent = send(entry!.address, print);
+	await waitUntil(async () => backends.some(({runs}) => runs.some(({path}) => path === print.path)) || undefined, {description: 'a request in progress'});
+	await delay(500);
+	await relay!.process.kill('SIGKILL');
+	t.not(await sent, 200);
+});
--- a/packages/gateway/src/entry/_probe-server.ts
+++ b/packages/transport/src/probe-address.ts
@@ -1,12 +1,22 @@
 import {connect} from 'node:net';
-import {setTimeoutAfterPoll} from '@valehitch/transport';
-import {type ServerRecord} from '../servers/server-record.js';
+import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
+import {type TunnelTarget} from './tunnel-target.js';
 
 /** The result of a connection attempt; `unanswered` if it was neither accepted nor refused before the timeout. */
 export type ProbeResult = 'open' | 'refused' | 'unanswered';
 
-/** Tries to open a TCP connection to a server within `timeout` milliseconds, without sending a request. */
-export async function probeServer({host, port}: Pick<ServerRecord, 'host' | 'port'>, timeout: number): Promise<ProbeResult> {
+/**
+Tries to open a TCP connection, without sending anything.
+
+@param address The host and port.
+@param timeout The connection timeout, in milliseconds.
+@returns The result.
+@example
+```ts
+await probeAddress({host: '10.0.0.7', port: 8740}, 100); // 'refused' if no process listens there
+```
+*/
+export async function probeAddress({host, port}: TunnelTarget, timeout: number): Promise<ProbeResult> {
 	return new Promise(resolve => {
 		const socket = connect({host, port});
 		const stopTimeout = setTimeoutAfterPoll(timeout, () => {
