Reset answers of HTTP/1.0 callers that are broken off

What callers saw: a caller of HTTP/1.0 got a clean end of an answer that the instance broke off itself. Cause: such an answer has no chunks and ends with its connection, and destroying a response closes its connection without a reset. The comment said that a caller could not take it for complete, which holds for chunks only. Evidence: a test on the real programs, with a stream of a server that ends inside an event, saw a clean end before and a reset now. Why it works: abortResponse resets the connection where the framing of the response cannot show that its end is missing. Both entry stacks break answers off by it, also those that are in progress when an instance has to stop.

--- a/packages/daemon/src/entry/lifecycle/caller-writer.ts
+++ b/packages/daemon/src/entry/lifecycle/caller-writer.ts
@@ -1,7 +1,7 @@
 import {type ServerResponse} from 'node:http';
 import {type StoredResponse} from '@valehitch/control';
 import {type Failure} from '@valehitch/core';
-import {sendProblem, toProblemDetails} from '@valehitch/transport';
+import {abortResponse, sendProblem, toProblemDetails} from '@valehitch/transport';
 import {type AnswerHead} from '../attempt-output.js';
 
 /** Options of a {@linkcode CallerWriter}. */
@@ -77,12 +77,12 @@
 		}
 
 		if (this.#head?.headers['Content-Type'] !== 'text/event-stream') {
-			this.#response.destroy();
+			abortResponse(this.#response);
 			return;
 		}
 
 		this.#response.write(`data: ${JSON.stringify(toProblemDetails(failed, {requestId: this.#requestId}))}\n\n`, () => {
-			this.#response.destroy();
+			abortResponse(this.#response);
 		});
 	}
 
--- a/packages/gateway/src/entry/caller-answer.ts
+++ b/packages/gateway/src/entry/caller-answer.ts
@@ -1,5 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {type Failure} from '@valehitch/core';
+import {abortResponse} from '@valehitch/transport';
 import {type RouteKind} from '../configuration/routing-configuration.js';
 import {type EntryContext} from './entry-context.js';
 import {type GatewayRequest, type Header} from './gateway-request.js';
@@ -82,9 +83,9 @@
 		this.#options.response.end();
 	}
 
-	/** Aborts a stream by closing the connection, so that the caller cannot take it for a complete one. */
+	/** Aborts a stream, so that the caller cannot take it for a complete one. */
 	abort(): void {
-		this.#options.response.destroy();
+		abortResponse(this.#options.response);
 	}
 
 	/** Forwards the complete answer of a backend server. */
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
-import {type TunnelTarget} from '@valehitch/transport';
+import {abortResponse, type TunnelTarget} from '@valehitch/transport';
 import {WindowedRetryBudget} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
@@ -68,7 +68,8 @@
 	#table: RouteTable | undefined;
 	#loadTimer: NodeJS.Timeout | undefined;
 	#hadLease = false;
-	#inProgress = 0;
+	/** The answers to requests in progress. */
+	readonly #inProgress = new Set<ServerResponse>();
 	#endsAt: number | undefined;
 
 	constructor(options: EntryInstanceOptions) {
@@ -231,7 +232,7 @@
 	@param until The time at which to stop waiting, in milliseconds on the monotonic clock.
 	*/
 	async drained(until: number): Promise<void> {
-		while (this.#inProgress > 0 && this.#options.clock.monotonic() < until) {
+		while (this.#inProgress.size > 0 && this.#options.clock.monotonic() < until) {
 			this.closeIdle();
 			await this.#options.wait(drainPollMilliseconds);
 		}
@@ -244,19 +245,23 @@
 		this.#context.relays.close();
 		clearInterval(this.#loadTimer);
 		this.#server.close();
+		for (const response of this.#inProgress) {
+			abortResponse(response);
+		}
+
 		this.#server.closeAllConnections();
 	}
 
 	async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-		this.#inProgress++;
+		this.#inProgress.add(response);
 		try {
 			await handleRequest(this.#context, message, response);
 		} catch (error) {
 			const reason = error instanceof Error ? error.stack ?? error.message : String(error);
 			this.#options.log('request-ended', {outcome: 'internal', reason}, 'error');
-			response.destroy();
+			abortResponse(response);
 		} finally {
-			this.#inProgress--;
+			this.#inProgress.delete(response);
 		}
 	}
 
--- a/packages/testing/src/truncated-answers.test.ts
+++ b/packages/testing/src/truncated-answers.test.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {
 	type ExecutedRequest, type FakeBackendResponse, type FakeBackendServer, type ReceivedResponse, sendForResponse,
@@ -41,6 +42,7 @@
 const twoEvents = completeStream.slice(0, completeStream.indexOf('id: 3'));
 
 type Started = {
+	readonly deployment: PlatformDeployment;
 	readonly backends: readonly FakeBackendServer[];
 	readonly send: (path: string) => Promise<ReceivedResponse>;
 };
@@ -79,7 +81,7 @@
 		}, {description: `a response to ${path}`});
 	}
 
-	return {backends, send};
+	return {deployment, backends, send};
 }
 
 /** Returns the runs of a request at all servers, by the event after which they began. */
@@ -125,3 +127,23 @@
 		t.is(runsOf(backends, path).length, 1);
 	}
 });
+
+test('a caller of HTTP/1.0 does not see a clean end of a stream that is broken off', async t => {
+	const {deployment} = await start(t, {isUnframed: true, truncation: {by: 'end', after: 2, isInsideEvent: true}});
+	const [hostName, port] = deployment.entries[0]!.address.split(':');
+	const socket = connect(Number(port), hostName);
+	let text = '';
+	let isReset = false;
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	socket.on('error', () => {
+		isReset = true;
+	});
+	socket.write(`POST /once/7 HTTP/1.0\r\nHost: ${host}\r\nAttempt-Id: b1\r\nDeadline-Ms: 4000\r\nModel: *\r\nToken-Usage: 100,20\r\nPrompt-Prefix: 1:50,2:50\r\nContent-Length: 0\r\n\r\n`);
+	await new Promise(resolve => {
+		socket.on('close', resolve);
+	});
+	t.true(text.endsWith(twoEvents));
+	t.true(isReset);
+});
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -3,6 +3,7 @@
 
 @module
 */
+export * from './abort-response.js';
 export * from './http-server.js';
 export * from './set-interval-after-poll.js';
 export * from './open-tunnel.js';
--- a/packages/transport/src/problem-details.ts
+++ b/packages/transport/src/problem-details.ts
@@ -1,5 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {errorResponses, type Failure, outcomeOf} from '@valehitch/core';
+import {abortResponse} from './abort-response.js';
 
 const millisecondsPerSecond = 1000;
 
@@ -47,7 +48,7 @@
 }
 
 /**
-Sends a failure as problem details. Destroys the response instead if its headers were already sent.
+Sends a failure as problem details. Aborts the response instead if its headers were already sent.
 
 @param response The response.
 @param failed The failure.
@@ -59,7 +60,7 @@
 */
 export function sendProblem(response: ServerResponse, failed: Failure, options: ProblemDetailsOptions = {}): void {
 	if (response.headersSent || response.destroyed) {
-		response.destroy();
+		abortResponse(response);
 		return;
 	}
 
