Reset tunnels that are closed before the answer in them has ended

What callers saw: by the same cause as the closed connections of servers, an answer without a length through another instance looked ended when that instance stopped and closed its tunnels. Cause: stopping destroyed the connections of tunnels, which closes them without a reset; so did a server connection that closed without an end. Evidence: the test saw a clean end before and a reset now. Why it works: a reset is never taken for the end of an answer.

--- a/packages/transport/src/_join-sockets.ts
+++ b/packages/transport/src/_join-sockets.ts
@@ -32,7 +32,7 @@
 	});
 	server.on('close', () => {
 		if (!isAnswerComplete) {
-			caller.destroy();
+			caller.resetAndDestroy();
 		}
 	});
 	// An HTTP client ends its side early only if it has abandoned the request.
--- a/packages/transport/src/open-tunnel.test.ts
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -77,6 +77,19 @@
 	t.deepEqual(asked, [[toId<InstanceId>('left'), target]]);
 });
 
+test('a tunnel that its instance closes while it stops is reset, and does not look like the end of an answer', async t => {
+	const {network, address} = await listen(t, () => true);
+	const target = await listenTarget(t, socket => {
+		socket.write('half of it');
+	});
+	const opened = await network.openTunnel(address, target, timeout);
+	const socket = opened.unsafeCoerce();
+	const received = readAll(socket);
+	await once(socket, 'data');
+	void network.close();
+	t.deepEqual(await received, {text: 'half of it', isReset: true});
+});
+
 test('a target that resets its connection resets the tunnel', async t => {
 	const {network, address} = await listen(t, () => true);
 	const target = await listenTarget(t, socket => {
--- a/packages/transport/src/tunnel-server.ts
+++ b/packages/transport/src/tunnel-server.ts
@@ -84,10 +84,10 @@
 		openTarget(target, {timeout, caller, refuse});
 	}
 
-	/** Closes all tunnels. */
+	/** Resets all tunnels, so that no answer that is under way looks complete. */
 	close(): void {
 		for (const caller of this.#callers) {
-			caller.destroy();
+			caller.resetAndDestroy();
 		}
 	}
 }
