Tell truncated responses from complete ones in valehitchd too

What callers saw: half of the answer of a plain service, framed as complete, when the service reset a response without a length, or exited. The check of resets stood in the gateway only. Cause: valehitchd took the parser's word that the message was complete, and the parser takes any end of the connection for the end of such a body. Evidence: of three tests, those with a reset (at once and after 50 ms) and with a server that exits were red before; green now. Streams of engines end with an event of their own and were not concerned. Why it works: sendHttpRequest watches the end with the function that the gateway uses, and readResponseBody returns no body that it calls truncated.

--- a/packages/daemon/src/control/orders/engine-client.ts
+++ b/packages/daemon/src/control/orders/engine-client.ts
@@ -1,6 +1,6 @@
 import {type EngineState, type OrderRecord, type SendOutcome} from '@valehitch/control';
 import {typedSchema} from '@valehitch/core';
-import {readBody, sendHttpRequest} from '@valehitch/transport';
+import {readResponseBody, sendHttpRequest} from '@valehitch/transport';
 import {type Either} from 'purify-ts';
 import * as z from 'zod';
 
@@ -59,9 +59,9 @@
 		return head;
 	}
 
-	const {status, message} = head.unsafeCoerce();
-	const read = await readBody(message, maximumResponseBytes);
-	return read.bimap(({message: failed}) => failed, bytes => ({status, text: new TextDecoder().decode(bytes)}));
+	const received = head.unsafeCoerce();
+	const read = await readResponseBody(received, maximumResponseBytes);
+	return read.bimap(({message}) => message, bytes => ({status: received.status, text: new TextDecoder().decode(bytes)}));
 }
 
 function toSendOutcome(status: number, text: string): SendOutcome {
--- a/packages/daemon/src/entry/engine-call.ts
+++ b/packages/daemon/src/entry/engine-call.ts
@@ -1,5 +1,5 @@
 import {type RequestId, type TokenUsage} from '@valehitch/core';
-import {type HttpResponse, readBody, sendHttpRequest} from '@valehitch/transport';
+import {type HttpResponse, readResponseBody, sendHttpRequest} from '@valehitch/transport';
 import {type AttemptOutput} from './attempt-output.js';
 import {type ChatBody} from './chat-body.js';
 import {readCompletionUsage} from './chat-chunk.js';
@@ -116,8 +116,8 @@
 	return readCompletion(answer, call);
 }
 
-async function readCompletion({message, headers}: HttpResponse, {maximumBytes}: EngineCall): Promise<readonly AttemptOutput[]> {
-	const body = await readBody(message, maximumBytes);
+async function readCompletion(answer: HttpResponse, {maximumBytes}: EngineCall): Promise<readonly AttemptOutput[]> {
+	const body = await readResponseBody(answer, maximumBytes);
 	if (body.isLeft()) {
 		return [{type: 'broken', message: 'Response from the engine is incomplete'}];
 	}
@@ -130,7 +130,7 @@
 
 	const length = payload.byteLength;
 	return [
-		{type: 'head', head: {status: okStatus, headers: completionHeaders(length, headers['valehitch-confidence'])}},
+		{type: 'head', head: {status: okStatus, headers: completionHeaders(length, answer.headers['valehitch-confidence'])}},
 		{
 			type: 'piece', piece: {
 				offset: 0, length, tokens: usage.output, payload,
--- a/packages/daemon/src/entry/service-call.ts
+++ b/packages/daemon/src/entry/service-call.ts
@@ -1,7 +1,7 @@
 import {type IncomingHttpHeaders, type OutgoingHttpHeaders} from 'node:http';
 import {type RequestId} from '@valehitch/core';
 import {
-	type HttpResponse, type HttpRequestFailure, readBody, sendHttpRequest,
+	type HttpResponse, type HttpRequestFailure, readResponseBody, sendHttpRequest,
 } from '@valehitch/transport';
 import {type AnswerHead, type AttemptOutput} from './attempt-output.js';
 import {readNotRun} from './not-run.js';
@@ -78,7 +78,7 @@
 		return;
 	}
 
-	const body = await readBody(answer.message, call.maximumBytes);
+	const body = await readResponseBody(answer, call.maximumBytes);
 	if (body.isLeft()) {
 		yield {type: 'broken', message: 'Response from the service is incomplete'};
 		return;
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -2,7 +2,9 @@
 	Agent, type IncomingHttpHeaders, type IncomingMessage, type OutgoingHttpHeaders, request as sendRequest,
 } from 'node:http';
 import {type Either, Left, Right} from 'purify-ts';
+import {probeAddress} from './probe-address.js';
 import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
+import {watchResponseEnd} from './watch-response-end.js';
 
 /** An HTTP request to a backend server. */
 export type HttpRequest = {
@@ -33,10 +35,15 @@
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
 	readonly message: IncomingMessage;
+	/** Reports whether the body is complete, to be called when it has ended. */
+	readonly isComplete: () => Promise<boolean>;
 };
 
 const maximumIdleSocketsPerServer = 64;
 const connectTimeoutMilliseconds = 1000;
+const defaultPort = 80;
+/** The timeout of a check whether a server still accepts connections, in milliseconds. A running machine accepts or refuses one within one round trip. */
+const probeTimeoutMilliseconds = 100;
 const keepAliveAgent = new Agent({keepAlive: true, maxFreeSockets: maximumIdleSocketsPerServer});
 
 /**
@@ -75,7 +82,9 @@
 		});
 		clientRequest.on('response', message => {
 			cancelConnectTimeout();
-			resolve(Right({status: message.statusCode ?? 0, headers: message.headers, message}));
+			resolve(Right({
+				status: message.statusCode ?? 0, headers: message.headers, message, isComplete: watchResponseEnd(message, {method: call.method, isServerRunning: async () => isRunning(call.address)}),
+			}));
 		});
 		clientRequest.on('error', error => {
 			cancelConnectTimeout();
@@ -84,3 +93,9 @@
 		clientRequest.end(call.body);
 	});
 }
+
+/** Whether the process at an address is still running. It is assumed to be if its machine neither accepts nor refuses a connection in time. */
+async function isRunning(address: string): Promise<boolean> {
+	const {hostname, port} = new URL(address);
+	return await probeAddress({host: hostname, port: port === '' ? defaultPort : Number(port)}, probeTimeoutMilliseconds) !== 'refused';
+}
