Let the test of an evacuated zone wait for a confirmed configuration

The test was red once, beside a load of 37: 503 in place of 200 after the control instances came back. Brought about on an idle machine with the control instances down for 8 s, longer than the lease on keys of 5 s: a request 4 ms after the acknowledged configuration got 503 configuration-expired (last confirmed 8602 ms ago), notRun, in 1 of 2 runs, not in 26 more. The entry instance refuses by design until it has confirmed its configuration; under load, starts take longer than the lease. That the red run had this cause is inferred: its answer was not kept. The test waits for the first 200 and fails at any answer other than 200 or this refusal, so that 503 for another reason stays red. It counts the runs of the evacuated zone from before the end of the processes, not from after their return, so that it is stricter there.

--- a/packages/testing/src/platform-path.test.ts
+++ b/packages/testing/src/platform-path.test.ts
@@ -169,6 +169,7 @@
 	t.is(await order('POST', 'hall-x'), 404);
 	t.is(await order('POST', 'hall-b', {}), 400);
 	await waitUntil(async () => isServedBy(other), {description: 'a response from the other zone'});
+	const before = evacuated!.runs.length;
 	await Promise.all(deployment.controls.map(async ({process}) => process.kill('SIGKILL')));
 	for (const {writeSettings, process} of deployment.controls) {
 		await writeSettings({isFounding: false});
@@ -176,7 +177,12 @@
 	}
 
 	await putConfiguration(deployment, configuration(2));
-	const before = evacuated!.runs.length;
+	// While the control instances were down, the lease on keys may have ended.
+	await waitUntil(async () => {
+		const {status, text} = await send(deployment, '/look/7');
+		t.true(status === 200 || text.includes('configuration-expired'), `status ${status}`);
+		return status === 200 || undefined;
+	}, {description: 'a confirmed configuration'});
 	for (let index = 0; index < 10; index++) {
 		const answer = await send(deployment, '/look/7');
 		t.is(answer.status, 200);
