--- a/packages/gateway/src/entry/event-stream.test.ts
+++ b/packages/gateway/src/entry/event-stream.test.ts
@@ -39,7 +39,7 @@
 		t.false(isInside(text), `after ${JSON.stringify(text)}`);
 	}
 
-	for (const text of ['d', 'data: a', 'data: a\n', 'data: a\r\n', 'data: a\r', 'data: a\n\ni', 'data: a\r\rid: 2\r', ': pi', 'data: a\n\n: ping\ndata: b\n', 'data: a\n: ping\n']) {
+	for (const text of ['d', 'data: a\r\n\r', 'data: a', 'data: a\n', 'data: a\r\n', 'data: a\r', 'data: a\n\ni', 'data: a\r\rid: 2\r', ': pi', 'data: a\n\n: ping\ndata: b\n', 'data: a\n: ping\n']) {
 		t.true(isInside(text), `after ${JSON.stringify(text)}`);
 	}
 });
--- a/packages/gateway/src/entry/event-stream.ts
+++ b/packages/gateway/src/entry/event-stream.ts
@@ -10,7 +10,8 @@
 const newline = 10;
 const carriageReturn = 13;
 const idPattern = /^id: ?(.*)$/gmv;
-const lineEndPattern = /\r\n?/gv;
+/** A carriage return after a line feed is the first half of a truncated line end. */
+const lineEndPattern = /\r\n|(?<!\n)\r/gv;
 const emptyLine = '\n\n';
 const commentPattern = /^:.*\n/gmv;
 
