Let the soak's servers answer without a length, end inside events, and refuse once they have crashed

A third of the responses end with their connection, a seventh of the streams end inside an event at their first server, and the proxy of a server that crashed refuses connections, as a machine without the process does.

--- a/packages/soak/src/loopback-proxy.ts
+++ b/packages/soak/src/loopback-proxy.ts
@@ -73,6 +73,11 @@
 		}
 	}
 
+	/** Refuses new connections, as a machine does whose process has exited; open ones go on. */
+	stopListening(): void {
+		this.#server.close();
+	}
+
 	close(): void {
 		this.#server.close();
 		this.reset();
--- a/packages/soak/src/soak-servers.ts
+++ b/packages/soak/src/soak-servers.ts
@@ -1,6 +1,8 @@
 import {
 	FakeBackendServer, type FakeBackendResponse, type ExecutedRequest,
 } from '@valehitch/testing';
+import {type LoopbackProxy} from './loopback-proxy.js';
+import {responseShape} from './response-shape.js';
 import {type SoakNetwork} from './soak-network.js';
 import {evacuatedZone} from './soak-environment.js';
 import {
@@ -23,6 +25,7 @@
 	readonly service: SoakService;
 	readonly zone: string;
 	readonly backend: FakeBackendServer;
+	readonly proxy: LoopbackProxy;
 	isDraining: boolean;
 };
 
@@ -124,17 +127,23 @@
 		const proxy = await network.addProxy({host, port: 0, target: {host, port: backend.port}});
 		announcedPort = proxy.port;
 		const server = {
-			id, service, zone, backend, isDraining: false,
+			id, service, zone, backend, proxy, isDraining: false,
 		};
 		this.#servers.add(server);
 		await this.#announce(server, 'ready');
 	}
 
-	#recordRun({id: request, model}: ExecutedRequest, place: Pick<ObservedRun, 'server' | 'zone'>): FakeBackendResponse {
-		this.#options.record.runs.push({id: request, ...place, at: this.#options.now()});
+	#recordRun(run: ExecutedRequest, place: Pick<ObservedRun, 'server' | 'zone'>): FakeBackendResponse {
+		const {runs} = this.#options.record;
+		const {id: request, model} = run;
+		const isFirstRun = runs.every(({id}) => id !== request);
+		runs.push({id: request, ...place, at: this.#options.now()});
+		const shape = responseShape(run, isFirstRun);
 		return model === undefined
-			? {events: [completeResponse(request, 'safe')]}
-			: {events: streamEvents(request), gap: eventIntervalMilliseconds, confidence: model === 'small' && request.endsWith('3') ? 20 : 90};
+			? {...shape, events: [completeResponse(request, 'safe')]}
+			: {
+				...shape, events: streamEvents(request), gap: eventIntervalMilliseconds, confidence: model === 'small' && request.endsWith('3') ? 20 : 90,
+			};
 	}
 
 	/** Sends an announcement to one control instance after another until one acknowledges it, and returns that instance. */
@@ -154,6 +163,7 @@
 
 	#stop(server: SoakServer): void {
 		this.#servers.delete(server);
+		server.proxy.stopListening();
 		server.backend.close();
 	}
 }
