--- a/packages/testing/src/_entry-deployment.ts
+++ b/packages/testing/src/_entry-deployment.ts
@@ -2,7 +2,7 @@
 import {type ExecutionContext} from 'ava';
 import {digestOf} from './_settings-file.js';
 import {
-	type BackendPlan, type Deployment, type RunningBackend, type RunningDaemon, startDeployment,
+	type BackendPlan, type Deployment, type DeploymentOptions, type RunningBackend, type RunningDaemon, startDeployment,
 } from './deployment.js';
 import {type Behaviour} from './behaviour.js';
 import {sendRequest} from './send-request.js';
@@ -26,6 +26,8 @@
 	readonly capacity?: number;
 	/** Settings that replace the generated ones. */
 	readonly settings?: Readonly<Record<string, unknown>>;
+	/** Additional environment variables of each daemon; none by default. */
+	readonly environment?: DeploymentOptions['environment'];
 };
 
 /**
@@ -150,6 +152,7 @@
 		backends: [...engines, {server: 'labels-1', zone: zones[0], service: 'labels'}],
 		configuration: entryConfiguration(),
 		settings: options.settings ?? {},
+		...(options.environment !== undefined && {environment: options.environment}),
 		// A long timeout, since a busy machine starts eight processes slowly.
 		startTimeoutMilliseconds: 90_000,
 	});
--- a/packages/testing/src/_prepare-deployment.ts
+++ b/packages/testing/src/_prepare-deployment.ts
@@ -1,4 +1,4 @@
-import {writeFile} from 'node:fs/promises';
+import {mkdir, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {deploymentKeys, type DaemonWithPorts, formatSettings} from './_settings-file.js';
@@ -43,14 +43,18 @@
 	const {instance, ports} = daemon;
 	const file = path.join(folder, `${instance}.yaml`);
 	await writeFile(file, formatSettings(daemon, {folder, daemons: placed, overrides: options.settings}));
+	const daemonFolder = path.join(folder, `${instance}-environment`);
+	await mkdir(daemonFolder, {recursive: true});
 	return {
 		...daemon,
+		folder: daemonFolder,
 		callers: `http://127.0.0.1:${ports.callers}`,
 		operators: `http://127.0.0.1:${ports.operators}`,
 		process: new ManagedProcess({
 			name: instance,
 			command: [options.daemonScript ?? workspaceDaemon, '--settings', file],
 			logFile: path.join(folder, `${instance}.log`),
+			environment: options.environment?.({folder: daemonFolder, peerPorts: placed.map(({ports: {peers}}) => peers)}) ?? {},
 		}),
 	};
 }
--- a/packages/testing/src/deployment-plan.ts
+++ b/packages/testing/src/deployment-plan.ts
@@ -32,6 +32,8 @@
 	readonly folder?: string;
 	/** Top-level members of the settings that replace the generated ones. */
 	readonly settings?: Readonly<Record<string, unknown>>;
+	/** Additional environment variables of each daemon, given its folder and the peer ports of all daemons; none by default. */
+	readonly environment?: (daemon: {readonly folder: string; readonly peerPorts: readonly number[]}) => Readonly<Record<string, string>>;
 	/** The daemon's script; the one built in this repository by default. */
 	readonly daemonScript?: string;
 	/** Timeout of each startup step, in milliseconds; 20 000 by default. */
@@ -45,6 +47,8 @@
 	readonly callers: string;
 	/** The address of the operators' endpoint. */
 	readonly operators: string;
+	/** A folder of the daemon for what its environment variables name. */
+	readonly folder: string;
 	/** Controls the daemon's process. */
 	readonly process: ManagedProcess;
 };
--- a/packages/testing/src/platform/server-cut.ts
+++ b/packages/testing/src/platform/server-cut.ts
@@ -15,19 +15,18 @@
 Returns environment variables by which the links of an instance to backend servers can be cut.
 
 @param instance The instance.
+@param ownPorts The ports on which it connects to other instances; by default those of the platform.
 @returns The environment variables.
 @example
 ```ts
 await PlatformDeployment.start({environment: serverCutEnvironment});
 ```
 */
-export function serverCutEnvironment(instance: CutInstance): Readonly<Record<string, string>> {
-	const {callers, readiness, control, peers, lastPeers} = ports;
-	const peerPorts = Array.from({length: lastPeers - peers + 1}, (_, index) => peers + index);
+export function serverCutEnvironment(instance: CutInstance, ownPorts: readonly number[] = platformPorts()): Readonly<Record<string, string>> {
 	return {
 		NODE_OPTIONS: `--import ${new URL('cut-server-links.js', import.meta.url).href}`,
 		SERVER_CUT_FILE: cutFileOf(instance),
-		SERVER_CUT_OWN_PORTS: JSON.stringify([callers, readiness, control, ...peerPorts]),
+		SERVER_CUT_OWN_PORTS: JSON.stringify(ownPorts),
 	};
 }
 
@@ -61,3 +60,8 @@
 function cutFileOf({folder}: CutInstance): string {
 	return path.join(folder, 'server-cut');
 }
+
+function platformPorts(): readonly number[] {
+	const {callers, readiness, control, peers, lastPeers} = ports;
+	return [callers, readiness, control, ...Array.from({length: lastPeers - peers + 1}, (_, index) => peers + index)];
+}
--- a/packages/testing/src/server-partition.test.ts
+++ b/packages/testing/src/server-partition.test.ts
@@ -57,7 +57,7 @@
 
 /** Starts entry instances with a server in each zone, and waits until all of them serve requests. */
 async function start(t: ExecutionContext, {gap = 10, entryCount = 3, isUnframed = false}: StartOptions = {}): Promise<Started> {
-	const deployment = await PlatformDeployment.start({entryCount, environment: serverCutEnvironment});
+	const deployment = await PlatformDeployment.start({entryCount, environment: instance => serverCutEnvironment(instance)});
 	const backends = await startBackends(t, {
 		deployment, servers: zones.map(zone => ({
 			id: `i-${zone}`, service: 'labels', zone, answer: () => ({events: ['one', 'two', 'three'], gap, isUnframed}),
