Move the links to servers, the paths of requests and the relays to where both entry stacks reach them

ServerLinks and RequestPath decide without input or output and go to routing/; Relay, ServerRelays and TunnelAgent open connections and go to transport/. What they log, count and pool is passed in. The gateway wires them in create-server-links and create-server-relays; it behaves as before.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -4,10 +4,11 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {setTimeout} from 'node:timers/promises';
+import {ServerRelays} from '@valehitch/transport';
 import {
 	errorResponses, type InstanceId, type ZoneId,
 } from '@valehitch/core';
-import {WindowedRetryBudget} from '@valehitch/routing';
+import {RelaySelector, WindowedRetryBudget, ServerLinks} from '@valehitch/routing';
 import {type ExecutionContext} from 'ava';
 import {Left} from 'purify-ts';
 import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
@@ -24,8 +25,6 @@
 import {LatencyEstimator} from './latency-estimator.js';
 import {RequestRun} from './request-run.js';
 import {RepeatTracker} from './repeat-tracker.js';
-import {ServerLinks} from './server-links.js';
-import {ServerRelays} from './server-relays.js';
 import {VersionPins} from './version-pins.js';
 
 /** The control instance that reports the servers. */
@@ -105,15 +104,14 @@
 		links: new ServerLinks({
 			clock,
 			random: () => 0.5,
-			log,
-			metrics,
 			servers: () => servers.availability.available,
 			isReachable: async () => areServersReachable,
 			wait: async milliseconds => setTimeout(milliseconds),
 			onCutOff: ignore,
+			onReachable: ignore,
 		}),
 		relays: new ServerRelays({
-			clock, random: () => 0.5, log, metrics, peers: () => [], openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}),
+			clock, selector: new RelaySelector({random: () => 0.5}), peers: () => [], openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}), onTunnel: ignore,
 		}),
 		suspects: new EntrySuspects({
 			clock, log, servers, checkProcess, onChanged: ignore,
--- a/packages/gateway/src/entry/check-server-process.test.ts
+++ b/packages/gateway/src/entry/check-server-process.test.ts
@@ -2,10 +2,9 @@
 import {type AddressInfo, createServer} from 'node:net';
 import test from 'ava';
 import {type InstanceId} from '@valehitch/core';
-import {type TunnelFailure, type ProbeResult} from '@valehitch/transport';
+import {type TunnelFailure, type ProbeResult, Relay} from '@valehitch/transport';
 import {Left} from 'purify-ts';
 import {checkServerProcess, type CheckServerProcessOptions} from './check-server-process.js';
-import {Relay} from './relay.js';
 
 const host = '127.0.0.1';
 const connected = {areConnected: true};
@@ -14,7 +13,7 @@
 
 /** Creates relays by which a server answers a probe as given. */
 function relaysThatSee(result: ProbeResult | 'unavailable'): CheckServerProcessOptions['relays'] {
-	const relay = new Relay('10.0.0.1' as InstanceId, async () => Left<TunnelFailure>({type: 'peer-unavailable', reason: 'not under test'}));
+	const relay = new Relay('10.0.0.1' as InstanceId, {open: async () => Left<TunnelFailure>({type: 'peer-unavailable', reason: 'not under test'})});
 	relay.probe = async () => result;
 	return {choose: () => relay};
 }
--- a/packages/gateway/src/entry/check-server-process.ts
+++ b/packages/gateway/src/entry/check-server-process.ts
@@ -1,8 +1,8 @@
-import {type ProbeResult, probeAddress} from '@valehitch/transport';
+import {type ServerLinks} from '@valehitch/routing';
+import {
+	type ProbeResult, probeAddress, type Relay, type ServerRelays,
+} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
-import {type Relay} from './relay.js';
-import {type ServerLinks} from './server-links.js';
-import {type ServerRelays} from './server-relays.js';
 
 /** Options of {@linkcode checkServerProcess}. */
 export type CheckServerProcessOptions = {
--- a/packages/gateway/src/entry/server-relays.test.ts
+++ b/packages/gateway/src/entry/create-server-relays.test.ts
@@ -3,21 +3,22 @@
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
 import {type InstanceId} from '@valehitch/core';
-import {type TunnelFailure} from '@valehitch/transport';
+import {type TunnelFailure, type OpenRelayTunnel, type ServerRelays} from '@valehitch/transport';
 import test, {type ExecutionContext} from 'ava';
 import {Left, Right} from 'purify-ts';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
+import {createServerRelays} from './create-server-relays.js';
 import {ignore, listen} from './_test-run.js';
-import {type OpenRelayTunnel, ServerRelays} from './server-relays.js';
 import {sendAttempt, type SendAttemptOptions} from './send-attempt.js';
 
+const systemClock = {now: () => new Date(), monotonic: () => performance.now()};
 const peers = ['10.0.0.1', '10.0.0.2'] as InstanceId[];
 
 function createRelays(openTunnel: OpenRelayTunnel): ServerRelays {
-	return new ServerRelays({
-		clock: {monotonic: () => performance.now()}, random: () => 0, log: ignore, metrics: createGatewayMetrics(), peers: () => peers, openTunnel,
-	});
+	return createServerRelays({
+		clock: systemClock, random: () => 0, log: ignore, metrics: createGatewayMetrics(), openTunnel,
+	}, () => peers);
 }
 
 function failing(type: TunnelFailure['type']): OpenRelayTunnel {
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -1,7 +1,8 @@
+import {type ServerRelays} from '@valehitch/transport';
 import {
 	type Clock, type InstanceId, type ServiceId, type RandomSource,
 } from '@valehitch/core';
-import {type WindowedRetryBudget} from '@valehitch/routing';
+import {type WindowedRetryBudget, type ServerLinks} from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
 import {type ServerNoticeMessage} from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
@@ -15,8 +16,6 @@
 import {type BrittleRejection} from './known-peers.js';
 import {type LatencyEstimator} from './latency-estimator.js';
 import {type RepeatTracker} from './repeat-tracker.js';
-import {type ServerLinks} from './server-links.js';
-import {type ServerRelays} from './server-relays.js';
 import {type VersionPins} from './version-pins.js';
 
 /** The limits of a deployment that apply to the handling of requests. */
--- a/packages/gateway/src/entry/entry-instance-options.ts
+++ b/packages/gateway/src/entry/entry-instance-options.ts
@@ -1,3 +1,4 @@
+import {type OpenRelayTunnel} from '@valehitch/transport';
 import {
 	type Clock, type Failure, type InstanceId, type RandomSource, type ZoneId,
 } from '@valehitch/core';
@@ -10,7 +11,6 @@
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {type Dialect} from './dialect.js';
 import {type EntryLimits} from './entry-context.js';
-import {type OpenRelayTunnel} from './server-relays.js';
 
 /** The address to listen on. */
 export type ListenAddress = {
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -24,9 +24,8 @@
 import {LatencyEstimator} from './latency-estimator.js';
 import {LoadExchange} from './load-exchange.js';
 import {RepeatTracker} from './repeat-tracker.js';
-import {isServerReachable} from './is-server-reachable.js';
-import {ServerLinks} from './server-links.js';
-import {ServerRelays} from './server-relays.js';
+import {createServerLinks} from './create-server-links.js';
+import {createServerRelays} from './create-server-relays.js';
 import {SuspectReporter} from './suspect-reporter.js';
 import {VersionPins} from './version-pins.js';
 
@@ -36,8 +35,6 @@
 const idleFactor = 2;
 /** The interval at which changed loads are sent to peers, in milliseconds; shorter than most requests take. */
 const loadFlushMilliseconds = 80;
-/** The timeout of a trial connection to a backend server, in milliseconds. */
-const trialTimeoutMilliseconds = 200;
 /** The maximum number of connections to backend servers that other instances may have open through this one. */
 const maximumTunnels = 512;
 /** The interval at which idle connections are closed while the instance drains, in milliseconds. */
@@ -117,15 +114,8 @@
 				},
 			}),
 			servers,
-			links: new ServerLinks({
-				...options,
-				servers: () => servers.availability.available,
-				isReachable: async server => isServerReachable(server, trialTimeoutMilliseconds),
-				onCutOff() {
-					servers.forgetConnectionFailures();
-				},
-			}),
-			relays: new ServerRelays({...options, peers: () => this.#peers.ids}),
+			links: createServerLinks(options, servers),
+			relays: createServerRelays(options, () => this.#peers.ids),
 			suspects,
 			budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
 			latencies: new LatencyEstimator(clock),
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -1,6 +1,6 @@
 import {type IncomingMessage} from 'node:http';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
-import {type ResponseFraming} from '@valehitch/transport';
+import {type ResponseFraming, type Relay} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {type Route} from '../configuration/routing-configuration.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -13,7 +13,6 @@
 import {type ModelCascade} from './model-cascade.js';
 import {recordNotices} from './record-notices.js';
 import {relayStream} from './relay-stream.js';
-import {type Relay} from './relay.js';
 import {type SuspectRequest} from './suspect-request.js';
 import {type ReceivedHead, type SendOutcome} from './send-attempt.js';
 import {type FallbackStream} from './fallback-answer.js';
--- a/packages/gateway/src/entry/is-server-running.test.ts
+++ b/packages/gateway/src/entry/is-server-running.test.ts
@@ -1,18 +1,17 @@
 import {once} from 'node:events';
 import {type AddressInfo, createServer} from 'node:net';
 import {type InstanceId} from '@valehitch/core';
-import {type ProbeResult, type TunnelFailure} from '@valehitch/transport';
+import {type ProbeResult, type TunnelFailure, Relay} from '@valehitch/transport';
 import test from 'ava';
 import {Left} from 'purify-ts';
 import {testServer} from '../servers/_test-server.js';
 import {isServerRunning} from './is-server-running.js';
-import {Relay} from './relay.js';
 
 const isReady = {processStateOf: () => 'ready' as const};
 const isReplaced = {processStateOf: () => 'replaced' as const};
 
 function relayThatSees(result: ProbeResult | 'unavailable'): Relay {
-	const relay = new Relay('10.0.0.1' as InstanceId, async () => Left<TunnelFailure>({type: 'peer-unavailable', reason: 'not under test'}));
+	const relay = new Relay('10.0.0.1' as InstanceId, {open: async () => Left<TunnelFailure>({type: 'peer-unavailable', reason: 'not under test'})});
 	relay.probe = async () => result;
 	return relay;
 }
--- a/packages/gateway/src/entry/is-server-running.ts
+++ b/packages/gateway/src/entry/is-server-running.ts
@@ -1,8 +1,6 @@
-import {probeAddress} from '@valehitch/transport';
+import {probeAddress, type Relay, type ServerRelays} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type EntryServers} from './entry-servers.js';
-import {type Relay} from './relay.js';
-import {type ServerRelays} from './server-relays.js';
 
 /** Options of {@linkcode isServerRunning}. */
 export type IsServerRunningOptions = {
--- a/packages/gateway/src/entry/record-notices.test.ts
+++ b/packages/gateway/src/entry/record-notices.test.ts
@@ -1,3 +1,4 @@
+import {Relay} from '@valehitch/transport';
 import {type InstanceId, type ZoneId} from '@valehitch/core';
 import test from 'ava';
 import {Left} from 'purify-ts';
@@ -9,7 +10,6 @@
 import {EntryServers} from './entry-servers.js';
 import {type AnswerHead} from './gateway-request.js';
 import {recordNotices} from './record-notices.js';
-import {Relay} from './relay.js';
 
 const server = testServer({startedAt: 1});
 
@@ -87,7 +87,7 @@
 });
 
 test('a pause or a shutdown that a server announces through a relay is passed on to the relay', t => {
-	const relay = new Relay('10.0.0.7' as InstanceId, async () => Left({type: 'peer-unavailable', reason: 'not under test'}));
+	const relay = new Relay('10.0.0.7' as InstanceId, {open: async () => Left({type: 'peer-unavailable', reason: 'not under test'})});
 	const {answer, told} = start(relay);
 	answer({});
 	answer({status: 503, isNotRun: true, pause: {type: 'requested', milliseconds: 3000}});
--- a/packages/gateway/src/entry/record-notices.ts
+++ b/packages/gateway/src/entry/record-notices.ts
@@ -1,9 +1,9 @@
+import {type Relay} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {type DecisionFields} from '../logs/decision-log.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type EntryContext} from './entry-context.js';
 import {type AnswerHead, type RequestedPause} from './gateway-request.js';
-import {type Relay} from './relay.js';
 
 /** Options of {@linkcode recordNotices}. */
 export type RecordNoticesOptions = {
--- a/packages/gateway/src/entry/request-run-options.ts
+++ b/packages/gateway/src/entry/request-run-options.ts
@@ -1,8 +1,8 @@
 import {type ServerResponse} from 'node:http';
+import {type Relay} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type AuthorizedRequest} from './authorize-request.js';
 import {type GatewayRequest} from './gateway-request.js';
-import {type Relay} from './relay.js';
 import {type SendLoad} from './tracked-server.js';
 
 /** An authorized request of a caller, with its body. */
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,5 +1,6 @@
+import {RequestPath} from '@valehitch/routing';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
-import {setTimeoutAfterPoll} from '@valehitch/transport';
+import {setTimeoutAfterPoll, type Relay} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
@@ -12,8 +13,6 @@
 import {ModelCascade} from './model-cascade.js';
 import {Placement} from './placement.js';
 import {type NextStep, RequestEnd} from './request-end.js';
-import {RequestPath} from './request-path.js';
-import {type Relay} from './relay.js';
 import {type RequestRunOptions, type StartedSend} from './request-run-options.js';
 import {SuspectRequest} from './suspect-request.js';
 import {SendAllowance} from './send-allowance.js';
@@ -55,7 +54,7 @@
 	readonly #end: RequestEnd;
 	readonly #fallback: FallbackAnswer;
 	readonly #suspect: SuspectRequest;
-	readonly #path: RequestPath;
+	readonly #path: RequestPath<Relay>;
 	/** The current or last send. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
 
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,12 +1,10 @@
 import {type ClientRequest, type IncomingMessage, request as openRequest} from 'node:http';
 import {
-	responseFraming, type ResponseFraming, setTimeoutAfterPoll, watchResponseEnd,
+	responseFraming, type ResponseFraming, setTimeoutAfterPoll, watchResponseEnd, type Relay, TunnelError,
 } from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Header} from './gateway-request.js';
 import {closeIdleConnections, closeStaleConnections, connectionPool} from './connection-pool.js';
-import {type Relay} from './relay.js';
-import {TunnelError} from './tunnel-agent.js';
 
 /** Options of {@linkcode sendAttempt}. */
 export type SendAttemptOptions = {
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -1,3 +1,4 @@
+import {type Relay} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type AuthorizedRequest} from './authorize-request.js';
 import {type EntryContext} from './entry-context.js';
@@ -5,7 +6,6 @@
 import {type ModelCascade} from './model-cascade.js';
 import {isServerReachable} from './is-server-reachable.js';
 import {isServerRunning} from './is-server-running.js';
-import {type Relay} from './relay.js';
 import {type SendAllowance} from './send-allowance.js';
 import {type SentAttempt, sendAttempt, type HeadTimeouts} from './send-attempt.js';
 
--- a/packages/gateway/src/entry/request-path.test.ts
+++ b/packages/routing/src/request-path.test.ts
@@ -1,12 +1,10 @@
 import {type InstanceId} from '@valehitch/core';
 import test from 'ava';
-import {Left} from 'purify-ts';
-import {Relay} from './relay.js';
-import {RequestPath} from './request-path.js';
+import {type RelayInstance, RequestPath} from './request-path.js';
 
-const relays = ['10.0.0.1', '10.0.0.2'].map(instance => new Relay(instance as InstanceId, async () => Left({type: 'peer-unavailable', reason: 'not under test'})));
+const relays = ['10.0.0.1', '10.0.0.2'].map(instance => ({instance: instance as InstanceId}));
 
-function createPath({isCutOff, known = relays}: {readonly isCutOff: boolean; readonly known?: readonly Relay[]}): RequestPath {
+function createPath({isCutOff, known = relays}: {readonly isCutOff: boolean; readonly known?: readonly RelayInstance[]}): RequestPath<RelayInstance> {
 	return new RequestPath({
 		links: {isCutOff},
 		relays: {choose: excluded => known.find(({instance}) => !excluded.has(instance))},
--- a/packages/gateway/src/entry/request-path.ts
+++ b/packages/routing/src/request-path.ts
@@ -1,16 +1,18 @@
 import {type InstanceId} from '@valehitch/core';
-import {type Relay} from './relay.js';
 import {type ServerLinks} from './server-links.js';
-import {type ServerRelays} from './server-relays.js';
 
 /** Options of {@linkcode RequestPath}. */
-export type RequestPathOptions = {
+export type RequestPathOptions<Relay extends RelayInstance> = {
 	readonly links: Pick<ServerLinks, 'isCutOff'>;
-	readonly relays: Pick<ServerRelays, 'choose'>;
+	/** Chooses a relay among those that have not failed for the request. */
+	readonly relays: {readonly choose: (excluded: ReadonlySet<InstanceId>) => Relay | undefined};
 };
 
+/** An instance that opens connections for others. */
+export type RelayInstance = {readonly instance: InstanceId};
+
 /** How the next send of a request reaches its server: by this instance's own links, through a relay, or not at all. */
-export type Path
+export type Path<Relay extends RelayInstance>
 	= | {readonly type: 'direct'}
 		| {readonly type: 'relayed'; readonly relay: Relay}
 		| {readonly type: 'none'};
@@ -19,7 +21,7 @@
 const directFailures = 2;
 
 /**
-Chooses how the sends of one request reach backend servers.
+Chooses how the sends of one request reach backend servers. It answers the load of an instance whose own links have failed.
 
 @example
 ```ts
@@ -27,11 +29,11 @@
 path.next(0); // {type: 'direct'}
 ```
 */
-export class RequestPath {
-	readonly #options: RequestPathOptions;
+export class RequestPath<Relay extends RelayInstance> {
+	readonly #options: RequestPathOptions<Relay>;
 	readonly #failedRelays = new Set<InstanceId>();
 
-	constructor(options: RequestPathOptions) {
+	constructor(options: RequestPathOptions<Relay>) {
 		this.#options = options;
 	}
 
@@ -41,7 +43,7 @@
 	@param connectionFailures How many connections of the request have failed.
 	@returns The path.
 	*/
-	next(connectionFailures: number): Path {
+	next(connectionFailures: number): Path<Relay> {
 		const {links: {isCutOff}, relays} = this.#options;
 		if (!isCutOff && connectionFailures < directFailures) {
 			return {type: 'direct'};
--- a/packages/gateway/src/entry/server-links.test.ts
+++ b/packages/routing/src/server-links.test.ts
@@ -1,26 +1,19 @@
 import {setImmediate} from 'node:timers/promises';
 import {type ServerId} from '@valehitch/core';
 import test from 'ava';
-import {type DecisionFields, type DecisionKind} from '../logs/decision-log.js';
-import {createGatewayMetrics} from '../logs/gateway-metrics.js';
-import {testServer} from '../servers/_test-server.js';
 import {ServerLinks, type ServerLinksOptions} from './server-links.js';
 
 const ids = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'] as ServerId[];
 
 function createLinks(changes: Partial<ServerLinksOptions>) {
-	const lines: Array<readonly [DecisionKind, DecisionFields]> = [];
+	const lines: Array<readonly [string, number]> = [];
 	const clock = {now: 1000, monotonic: () => clock.now};
 	const tried: ServerId[] = [];
 	const state = {isReachable: false, cuts: 0};
 	const links = new ServerLinks({
 		clock,
 		random: () => 0.5,
-		metrics: createGatewayMetrics(),
-		log(kind, fields) {
-			lines.push([kind, fields]);
-		},
-		servers: () => ids.map(id => testServer({id})),
+		servers: () => ids.map(id => ({id})),
 		async isReachable({id}) {
 			tried.push(id);
 			return state.isReachable;
@@ -29,8 +22,12 @@
 			clock.now += milliseconds;
 			await setImmediate();
 		},
-		onCutOff() {
+		onCutOff({servers}) {
 			state.cuts++;
+			lines.push(['unreachable', servers.length]);
+		},
+		onReachable({servers}) {
+			lines.push(['reachable', servers.length]);
 		},
 		...changes,
 	});
@@ -59,7 +56,7 @@
 	state.isReachable = true;
 	await pass(() => links.areConnected);
 	t.is(state.cuts, 1);
-	t.deepEqual(lines.map(([kind, {unreachable}]) => [kind, unreachable]), [['servers-unreachable', 2], ['servers-reachable', 2]]);
+	t.deepEqual(lines, [['unreachable', 2], ['reachable', 2]]);
 });
 
 test('an instance whose trial connection succeeds is not cut off', async t => {
--- a/packages/gateway/src/entry/server-links.ts
+++ b/packages/routing/src/server-links.ts
@@ -1,22 +1,30 @@
 import {type Clock, type RandomSource, type ServerId} from '@valehitch/core';
-import {ServerLinkDetector} from '@valehitch/routing';
-import {type DecisionLog} from '../logs/decision-log.js';
-import {type GatewayMetrics} from '../logs/gateway-metrics.js';
-import {type ServerRecord} from '../servers/server-record.js';
+import {ServerLinkDetector} from './server-link-detector.js';
 
 /** Options of {@linkcode ServerLinks}. */
-export type ServerLinksOptions = {
+export type ServerLinksOptions<Server extends LinkedServer = LinkedServer> = {
 	readonly clock: Pick<Clock, 'monotonic'>;
 	readonly random: RandomSource;
-	readonly log: DecisionLog;
-	readonly metrics: Pick<GatewayMetrics, 'unreachableServers'>;
 	/** Returns the servers that may be tried. */
-	readonly servers: () => readonly ServerRecord[];
+	readonly servers: () => readonly Server[];
 	/** Checks whether a server accepts a connection. */
-	readonly isReachable: (server: ServerRecord) => Promise<boolean>;
+	readonly isReachable: (server: Server) => Promise<boolean>;
 	readonly wait: (milliseconds: number) => Promise<void>;
 	/** Called when the instance finds that it reaches no server, so that what its failed connections seemed to say of servers can be forgotten. */
-	readonly onCutOff: () => void;
+	readonly onCutOff: (evidence: ServerLinkEvidence) => void;
+	/** Called when it reaches one again. */
+	readonly onReachable: (evidence: ServerLinkEvidence) => void;
+	/** Called with the number of servers that were unreachable since the last connection. */
+	readonly onCount?: (unreachable: number) => void;
+};
+
+/** A backend server to which connections are opened. */
+export type LinkedServer = {readonly id: ServerId};
+
+/** What speaks for a cut: the servers that were unreachable, and for how long, in milliseconds. */
+export type ServerLinkEvidence = {
+	readonly servers: readonly ServerId[];
+	readonly duration: number;
 };
 
 /** The number of servers to which trial connections are opened at the same time. */
@@ -25,21 +33,21 @@
 const trialMilliseconds = 250;
 
 /**
-The links of an entry instance to backend servers, as its own connections show them. When several servers in a row are unreachable, trial connections to others decide whether the instance is cut off from all of them, and later when it is not any more.
+The links of an entry instance to backend servers, as its own connections show them. It answers the load of an instance whose own links have failed. When several servers in a row are unreachable, trial connections to others decide whether the instance is cut off from all of them, and later when it is not any more.
 
 @example
 ```ts
-const links = new ServerLinks({clock, random, log, metrics, servers, isReachable, wait, onCutOff});
+const links = new ServerLinks({clock, random, servers, isReachable, wait, onCutOff, onReachable});
 links.recordUnreachable(server);
 links.isCutOff;
 ```
 */
-export class ServerLinks {
-	readonly #options: ServerLinksOptions;
+export class ServerLinks<Server extends LinkedServer = LinkedServer> {
+	readonly #options: ServerLinksOptions<Server>;
 	readonly #detector = new ServerLinkDetector();
 	#isStopped = false;
 
-	constructor(options: ServerLinksOptions) {
+	constructor(options: ServerLinksOptions<Server>) {
 		this.#options = options;
 	}
 
@@ -72,7 +80,7 @@
 		const wasCutOff = this.isCutOff;
 		this.#detector.recordConnected();
 		if (wasCutOff) {
-			this.#options.log('servers-reachable', evidence, 'warn');
+			this.#options.onReachable(evidence);
 		}
 
 		this.#count();
@@ -84,7 +92,7 @@
 	}
 
 	async #tryUntilConnected(): Promise<void> {
-		const {random, wait, log, onCutOff} = this.#options;
+		const {random, wait, onCutOff} = this.#options;
 		while (!this.areConnected && !this.#isStopped) {
 			if (await this.#trySome()) {
 				this.recordConnected();
@@ -92,8 +100,7 @@
 			}
 
 			if (this.#detector.recordTrialsFailed()) {
-				log('servers-unreachable', {servers: [...this.#detector.unreachable], ...this.#evidence()}, 'warn');
-				onCutOff();
+				onCutOff(this.#evidence());
 			}
 
 			await wait(trialMilliseconds * (1 + (random() / 2)));
@@ -109,13 +116,13 @@
 		return results.includes(true);
 	}
 
-	#evidence(): {readonly unreachable: number; readonly duration: number} {
+	#evidence(): ServerLinkEvidence {
 		const {unreachable, since} = this.#detector;
 		const now = this.#options.clock.monotonic();
-		return {unreachable: unreachable.size, duration: Math.round(now - (since ?? now))};
+		return {servers: [...unreachable], duration: Math.round(now - (since ?? now))};
 	}
 
 	#count(): void {
-		this.#options.metrics.unreachableServers.set(this.#detector.unreachable.size);
+		this.#options.onCount?.(this.#detector.unreachable.size);
 	}
 }
--- a/packages/gateway/src/entry/relay.ts
+++ b/packages/transport/src/relay.ts
@@ -1,21 +1,27 @@
 import {type Agent} from 'node:http';
 import {type InstanceId} from '@valehitch/core';
-import {type ProbeResult} from '@valehitch/transport';
-import {type ServerRecord} from '../servers/server-record.js';
-import {poolOptions, trackIdleTimes} from './connection-pool.js';
+import {type ProbeResult} from './probe-address.js';
 import {type OpenTunnel, TunnelAgent} from './tunnel-agent.js';
+import {type TunnelTarget} from './tunnel-target.js';
 
 /** What a tunnel that was not opened says of its target. */
 const probeResults = {
 	'peer-unavailable': 'unavailable', 'target-refused': 'refused', 'target-unanswered': 'unanswered',
 } as const;
 
+/** Options of {@linkcode Relay}. */
+export type RelayOptions = {
+	readonly open: OpenTunnel;
+	/** Creates the pool of kept connections; by default one without limits of its own. */
+	readonly createPool?: ((open: OpenTunnel) => Agent) | undefined;
+};
+
 /**
 Another entry instance through which backend servers are reached. It only passes bytes on; this instance decides about each request.
 
 @example
 ```ts
-const relay = new Relay(instance, openTunnel);
+const relay = new Relay(instance, {open: openTunnel});
 ```
 */
 export class Relay {
@@ -26,10 +32,10 @@
 	readonly singleUse: Agent;
 	readonly #open: OpenTunnel;
 
-	constructor(instance: InstanceId, open: OpenTunnel) {
+	constructor(instance: InstanceId, {open, createPool = openTunnel => new TunnelAgent(openTunnel, {keepAlive: true})}: RelayOptions) {
 		this.instance = instance;
 		this.#open = open;
-		this.pool = trackIdleTimes(new TunnelAgent(open, poolOptions));
+		this.pool = createPool(open);
 		this.singleUse = new TunnelAgent(open, {keepAlive: false});
 	}
 
@@ -39,7 +45,7 @@
 	@param server The server.
 	@returns The result, or that the relay cannot be used.
 	*/
-	async probe({host, port}: Pick<ServerRecord, 'host' | 'port'>): Promise<ProbeResult | 'unavailable'> {
+	async probe({host, port}: TunnelTarget): Promise<ProbeResult | 'unavailable'> {
 		const opened = await this.#open({host, port});
 		return opened.caseOf<ProbeResult | 'unavailable'>({
 			Left: ({type}) => probeResults[type],
--- a/packages/gateway/src/entry/server-relays.ts
+++ b/packages/transport/src/server-relays.ts
@@ -1,24 +1,35 @@
 import {type Socket} from 'node:net';
-import {type Clock, type InstanceId, type RandomSource} from '@valehitch/core';
-import {RelaySelector} from '@valehitch/routing';
-import {type TunnelFailure, type TunnelTarget} from '@valehitch/transport';
+import {type Clock, type InstanceId} from '@valehitch/core';
 import {type Either} from 'purify-ts';
-import {type DecisionLog} from '../logs/decision-log.js';
-import {type GatewayMetrics} from '../logs/gateway-metrics.js';
-import {Relay} from './relay.js';
+import {type TunnelFailure} from './open-tunnel.js';
+import {Relay, type RelayOptions} from './relay.js';
+import {type TunnelTarget} from './tunnel-target.js';
 
 /** Opens a tunnel to a target through another entry instance, within a time in milliseconds. */
 export type OpenRelayTunnel = (relay: InstanceId, target: TunnelTarget, timeout: number) => Promise<Either<TunnelFailure, Socket>>;
 
+/** The choice of a relay, and what it depends on. */
+export type RelayChooser = {
+	readonly choose: (choice: {readonly candidates: readonly InstanceId[]; readonly excluded: ReadonlySet<InstanceId>; readonly now: number}) => InstanceId | undefined;
+	/** Counts a connection through a relay; returns a function that ends the count. */
+	readonly recordOpened: (instance: InstanceId) => () => void;
+	readonly recordFailure: (instance: InstanceId, now: number) => void;
+	/** Forgets instances that are no longer candidates. */
+	readonly retain: (candidates: readonly InstanceId[]) => void;
+};
+
 /** Options of {@linkcode ServerRelays}. */
 export type ServerRelaysOptions = {
 	readonly clock: Pick<Clock, 'monotonic'>;
-	readonly random: RandomSource;
-	readonly log: DecisionLog;
-	readonly metrics: Pick<GatewayMetrics, 'tunnels'>;
+	/** Chooses among the instances by what is recorded of them. */
+	readonly selector: RelayChooser;
 	/** Returns the entry instances that may be asked. */
 	readonly peers: () => readonly InstanceId[];
 	readonly openTunnel: OpenRelayTunnel;
+	/** Creates the pool of a relay's kept connections; by default one without limits of its own. */
+	readonly createPool?: RelayOptions['createPool'];
+	/** Called with the result of each tunnel that was opened or not. */
+	readonly onTunnel: (relay: InstanceId, result: 'opened' | TunnelFailure) => void;
 };
 
 /** The time within which a tunnel must be open, in milliseconds. Within a region, it takes a few milliseconds. */
@@ -29,18 +40,16 @@
 
 @example
 ```ts
-const relays = new ServerRelays({clock, random, log, metrics, peers, openTunnel});
+const relays = new ServerRelays({clock, selector, peers, openTunnel, onTunnel});
 const relay = relays.choose(new Set());
 ```
 */
 export class ServerRelays {
 	readonly #options: ServerRelaysOptions;
-	readonly #selector: RelaySelector;
 	readonly #relays = new Map<InstanceId, Relay>();
 
 	constructor(options: ServerRelaysOptions) {
 		this.#options = options;
-		this.#selector = new RelaySelector(options);
 	}
 
 	/**
@@ -50,15 +59,15 @@
 	@returns The relay; undefined if there is none.
 	*/
 	choose(excluded: ReadonlySet<InstanceId>): Relay | undefined {
-		const {peers, clock} = this.#options;
+		const {peers, clock, selector, createPool} = this.#options;
 		const candidates = peers();
-		this.#selector.retain(candidates);
-		const instance = this.#selector.choose({candidates, excluded, now: clock.monotonic()});
+		selector.retain(candidates);
+		const instance = selector.choose({candidates, excluded, now: clock.monotonic()});
 		if (instance === undefined) {
 			return undefined;
 		}
 
-		const relay = this.#relays.get(instance) ?? new Relay(instance, async target => this.#open(instance, target));
+		const relay = this.#relays.get(instance) ?? new Relay(instance, {open: async target => this.#open(instance, target), createPool});
 		this.#relays.set(instance, relay);
 		return relay;
 	}
@@ -73,23 +82,17 @@
 	}
 
 	async #open(instance: InstanceId, target: TunnelTarget): Promise<Either<TunnelFailure, Socket>> {
-		const {openTunnel, metrics} = this.#options;
+		const {openTunnel, onTunnel, selector, clock} = this.#options;
 		const opened = await openTunnel(instance, target, tunnelTimeoutMilliseconds);
 		opened.ifRight(socket => {
-			metrics.tunnels.inc({result: 'opened'});
-			socket.once('close', this.#selector.recordOpened(instance));
+			onTunnel(instance, 'opened');
+			socket.once('close', selector.recordOpened(instance));
 		}).ifLeft(failed => {
-			metrics.tunnels.inc({result: failed.type});
-			this.#recordFailure(instance, failed);
+			onTunnel(instance, failed);
+			if (failed.type === 'peer-unavailable') {
+				selector.recordFailure(instance, clock.monotonic());
+			}
 		});
 		return opened;
 	}
-
-	#recordFailure(instance: InstanceId, {type, reason}: TunnelFailure): void {
-		const {clock, log} = this.#options;
-		if (type === 'peer-unavailable') {
-			this.#selector.recordFailure(instance, clock.monotonic());
-			log('relay-unavailable', {relay: instance, reason}, 'warn');
-		}
-	}
 }
--- a/packages/gateway/src/entry/tunnel-agent.ts
+++ b/packages/transport/src/tunnel-agent.ts
@@ -1,7 +1,8 @@
 import {Agent, type AgentOptions, type ClientRequestArgs} from 'node:http';
 import {type Socket} from 'node:net';
-import {type TunnelFailure, type TunnelTarget} from '@valehitch/transport';
 import {type Either} from 'purify-ts';
+import {type TunnelFailure} from './open-tunnel.js';
+import {type TunnelTarget} from './tunnel-target.js';
 
 /** Opens a tunnel to a target. */
 export type OpenTunnel = (target: TunnelTarget) => Promise<Either<TunnelFailure, Socket>>;
