Reach servers through other daemons while a daemon's own links fail

Why it works: an attempt goes on through a tunnel of another daemon as long as no byte of it has reached its server, decided by the same RequestPath, ServerLinks and RelaySelector as in the gateway. Choice, budgets, claims, streams and at-most-once stay at home: the life of a request sees one attempt. Connections that were never opened say nothing of servers while the links are in doubt. Weighed on paper: excluding the server and choosing another, as the life of a request does today, costs an attempt for each; handing the request over would split its claim and its bill.

--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -17,6 +17,8 @@
 	type ChooseServerAction, type DispatchAction, type Judgement, type RequestAdapter, type SendOptions, type ServerChoice,
 } from './lifecycle/request-adapter.js';
 import {type ChatPlan} from './plan-chat.js';
+import {RequestSender} from './request-sender.js';
+import {saysOfServer} from './says-of-server.js';
 import {stallMillisecondsOf} from './stall-milliseconds.js';
 import {observeAttempt} from './traffic/observe-attempt.js';
 
@@ -45,10 +47,12 @@
 	readonly #options: ChatAdapterOptions;
 	#plan: ChatPlan;
 	readonly #prefixHash: number;
+	readonly #sender: RequestSender;
 
 	constructor(plan: ChatPlan, options: ChatAdapterOptions) {
 		this.#plan = plan;
 		this.#options = options;
+		this.#sender = new RequestSender(options.context.connections);
 		this.#prefixHash = prefixHash(promptPrefixOf(plan.body));
 	}
 
@@ -101,6 +105,7 @@
 			resumeText: partialAnswer.text,
 			tokensBefore: partialAnswer.tokens,
 			address,
+			send: async request => this.#sender.send(dispatch.server, request),
 			freshConnection: dispatch.freshConnection,
 			signal,
 			stallMilliseconds: stallMillisecondsOf({streamed: stream, remainingMilliseconds: deadline - clock.monotonic(), settings}),
@@ -163,13 +168,13 @@
 	}
 
 	#recordResult({target, server, attempt, purpose}: DispatchAction, output: AttemptOutput): void {
-		const {context: {serverSelector, ratings, decisions, clock}} = this.#options;
+		const {context: {serverSelector, ratings, decisions, clock, connections}} = this.#options;
 		const {requestId, workspace, rule} = this.#plan;
 		const {outcome, reason, failed} = attemptEnd(output);
 		decisions.recordAttempt(requestId, {
 			attempt, purpose, servers: decisions.get(requestId)?.attempts.find(recorded => recorded.attempt === attempt)?.servers ?? [], server, outcome, reason,
 		});
-		if (output.type !== 'not-run') {
+		if (saysOfServer(output, connections)) {
 			serverSelector.recordOutcome(server, failed);
 		}
 
--- a/packages/daemon/src/entry/engine-call.ts
+++ b/packages/daemon/src/entry/engine-call.ts
@@ -1,11 +1,12 @@
 import {type RequestId, type TokenUsage} from '@valehitch/core';
-import {type HttpResponse, readResponseBody, sendHttpRequest} from '@valehitch/transport';
+import {type HttpResponse, readResponseBody} from '@valehitch/transport';
 import {type AttemptOutput} from './attempt-output.js';
 import {type ChatBody} from './chat-body.js';
 import {readCompletionUsage} from './chat-chunk.js';
 import {readEngineEvents} from './engine-events.js';
 import {readNotRun} from './not-run.js';
 import {reportStalls} from './report-stalls.js';
+import {type SendRequest} from './request-sender.js';
 import {StallTimer} from './stall-timer.js';
 import {failedCallOutput} from './failed-call-output.js';
 
@@ -23,6 +24,7 @@
 	readonly resumeText: string;
 	/** The number of tokens in that text. */
 	readonly tokensBefore: number;
+	readonly send: SendRequest;
 	/** The base address of the engine. */
 	readonly address: string;
 	/** Whether the attempt must open a new connection. */
@@ -56,7 +58,7 @@
 }
 
 async function * readOutputs(call: EngineCall, stall: StallTimer): AsyncGenerator<AttemptOutput, void> {
-	const answer = await sendHttpRequest({
+	const answer = await call.send({
 		address: call.address,
 		method: 'POST',
 		path: '/v1/chat/completions',
--- a/packages/daemon/src/entry/entry-context.ts
+++ b/packages/daemon/src/entry/entry-context.ts
@@ -9,6 +9,7 @@
 import {type InProgressCounts} from './in-progress-counts.js';
 import {type RequestExecution} from './lifecycle/request-execution.js';
 import {type RequestCounter} from './request-counter.js';
+import {type ServerConnections} from './server-connections.js';
 import {type AdmissionPools} from './traffic/admission-pools.js';
 import {type ServerSelector} from './traffic/server-selector.js';
 
@@ -27,6 +28,8 @@
 	readonly inProgress: InProgressCounts;
 	/** Limits requests to the capacity of the servers. */
 	readonly admission: AdmissionPools;
+	/** The links to backend servers, and the daemons that can stand in for them. */
+	readonly connections: ServerConnections;
 	/** Selects servers and ejects failing ones. */
 	readonly serverSelector: ServerSelector;
 	/** The durations of the stages of recent attempts. */
--- /dev/null
+++ b/packages/daemon/src/entry/request-sender.test.ts
@@ -0,0 +1,83 @@
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {type AddressInfo, connect, type Socket} from 'node:net';
+import {type InstanceId, type ServerId} from '@valehitch/core';
+import {ServerLinks} from '@valehitch/routing';
+import {
+	type HttpRequest, type OpenTunnel, readResponseBody, Relay, type TunnelFailure,
+} from '@valehitch/transport';
+import test, {type ExecutionContext} from 'ava';
+import {Left, Right} from 'purify-ts';
+import {RequestSender} from './request-sender.js';
+import {type LinkedServer} from './linked-server.js';
+
+const server = 'engine-1' as ServerId;
+const closedAddress = 'http://127.0.0.1:1';
+
+function ignore(): void {
+	// The event is not under test.
+}
+
+function createLinks(): ServerLinks<LinkedServer> {
+	return new ServerLinks<LinkedServer>({
+		clock: {monotonic: () => 0}, random: () => 0, servers: () => [], isReachable: async () => false, wait: async () => new Promise<void>(ignore), onCutOff: ignore, onReachable: ignore,
+	});
+}
+
+/** Creates relays that open tunnels as given, in the order in which they are chosen. */
+function relaysOf(...tunnels: readonly OpenTunnel[]): {readonly choose: (excluded: ReadonlySet<InstanceId>) => Relay | undefined} {
+	const relays = tunnels.map((open, index) => new Relay(`daemon-${index}` as InstanceId, {open}));
+	return {choose: excluded => relays.find(({instance}) => !excluded.has(instance))};
+}
+
+function requestTo(address: string): HttpRequest {
+	return {
+		address, method: 'GET', path: '/', headers: {}, body: new Uint8Array(), signal: new AbortController().signal, reuseConnection: false,
+	};
+}
+
+async function startServer(t: ExecutionContext): Promise<number> {
+	const listener = createServer((_request, response) => {
+		response.end('found');
+	}).listen(0, '127.0.0.1');
+	await once(listener, 'listening');
+	t.teardown(() => {
+		listener.closeAllConnections();
+		listener.close();
+	});
+	return (listener.address() as AddressInfo).port;
+}
+
+test('an attempt whose second connection fails goes through another daemon, and past one that cannot be used', async t => {
+	const port = await startServer(t);
+	const unavailable: OpenTunnel = async () => Left<TunnelFailure, Socket>({type: 'peer-unavailable', reason: 'stopping'});
+	const open: OpenTunnel = async () => {
+		const socket = connect({host: '127.0.0.1', port});
+		await once(socket, 'connect');
+		return Right<Socket, TunnelFailure>(socket);
+	};
+
+	const links = createLinks();
+	const sender = new RequestSender({links, relays: relaysOf(unavailable, open)});
+	const first = await sender.send(server, requestTo(closedAddress));
+	t.like(first.extract(), {neverSent: true, isRelayUnavailable: false});
+	t.true(links.areConnected);
+	const second = await sender.send('engine-2' as ServerId, requestTo(closedAddress));
+	const body = await readResponseBody(second.unsafeCoerce(), 1000);
+	t.is(new TextDecoder().decode(body.unsafeCoerce()), 'found');
+	t.false(links.areConnected);
+});
+
+test('a server that another daemon does not reach either has failed, and is not asked again', async t => {
+	let opened = 0;
+	const refused: OpenTunnel = async () => {
+		opened++;
+		return Left<TunnelFailure, Socket>({type: 'target-refused', reason: 'refused'});
+	};
+
+	const sender = new RequestSender({links: createLinks(), relays: relaysOf(refused)});
+	await sender.send(server, requestTo(closedAddress));
+	const answer = await sender.send(server, requestTo(closedAddress));
+	t.like(answer.extract(), {neverSent: true, isRelayUnavailable: false});
+	t.is(opened, 1);
+});
--- /dev/null
+++ b/packages/daemon/src/entry/request-sender.ts
@@ -0,0 +1,83 @@
+import {type ServerId} from '@valehitch/core';
+import {RequestPath} from '@valehitch/routing';
+import {
+	type HttpRequest, type HttpRequestFailure, type HttpResponse, type Relay, sendHttpRequest,
+} from '@valehitch/transport';
+import {type Either, Left} from 'purify-ts';
+import {type ServerConnections} from './server-connections.js';
+
+/** Sends an HTTP request to a backend server. */
+export type SendRequest = (request: HttpRequest) => Promise<Either<HttpRequestFailure, HttpResponse>>;
+
+/**
+Sends the attempts of one request, over the links of this daemon or through another one.
+
+@example
+```ts
+const sender = new RequestSender(connections);
+const answer = await sender.send(server, request);
+```
+*/
+export class RequestSender {
+	readonly #links: ServerConnections['links'];
+	readonly #path: RequestPath<Relay>;
+	#connectionFailures = 0;
+
+	constructor(connections: {readonly links: ServerConnections['links']; readonly relays: Pick<ServerConnections['relays'], 'choose'>}) {
+		this.#links = connections.links;
+		this.#path = new RequestPath(connections);
+	}
+
+	/**
+	Sends an attempt. It goes on with another path as long as it is certain that no byte of it reached the server.
+
+	@param server The server.
+	@param request The request.
+	@returns The response, or why there was none.
+	*/
+	async send(server: ServerId, request: HttpRequest): Promise<Either<HttpRequestFailure, HttpResponse>> {
+		while (true) {
+			const path = this.#path.next(this.#connectionFailures);
+			if (path.type === 'none') {
+				return Left({
+					neverSent: true, onKeptConnection: false, isRelayUnavailable: false, message: 'This daemon reaches no backend server, and no other daemon can be asked',
+				});
+			}
+
+			const relay = path.type === 'relayed' ? path.relay : undefined;
+			const answer = await sendHttpRequest({
+				...request,
+				relay,
+				onConnect: () => {
+					this.#links.recordConnected();
+				},
+			});
+			const isOver = answer.caseOf({
+				Left: failed => request.signal.aborted || !this.#mayTryAgain(failed, {server, relay}),
+				Right: () => true,
+			});
+			if (isOver) {
+				return answer;
+			}
+		}
+	}
+
+	/** Records a connection that was not opened; returns whether another path can be tried. */
+	#mayTryAgain({neverSent, isRelayUnavailable}: HttpRequestFailure, {server, relay}: {readonly server: ServerId; readonly relay: Relay | undefined}): boolean {
+		if (!neverSent) {
+			return false;
+		}
+
+		if (relay === undefined) {
+			this.#connectionFailures++;
+			this.#links.recordUnreachable(server);
+			return this.#path.next(this.#connectionFailures).type === 'relayed';
+		}
+
+		if (isRelayUnavailable) {
+			this.#path.exclude(relay);
+		}
+
+		return isRelayUnavailable;
+	}
+}
--- a/packages/daemon/src/entry/service-adapter.ts
+++ b/packages/daemon/src/entry/service-adapter.ts
@@ -10,7 +10,9 @@
 import {
 	type ChooseServerAction, type DispatchAction, type RequestAdapter, type SendOptions, type ServerChoice,
 } from './lifecycle/request-adapter.js';
+import {RequestSender} from './request-sender.js';
 import {callService} from './service-call.js';
+import {saysOfServer} from './says-of-server.js';
 import {stallMillisecondsOf} from './stall-milliseconds.js';
 import {observeAttempt} from './traffic/observe-attempt.js';
 
@@ -45,10 +47,13 @@
 ```
 */
 export function serviceAdapter(plan: ServicePlan, {context, deadline}: ServiceAdapterOptions): RequestAdapter {
+	const sender = new RequestSender(context.connections);
 	return {
 		chooseServer: action => chooseInstance(action, {plan, context}),
 		checkDispatch: () => denialOf(plan, context),
-		send: options => send(options, {plan, context, deadline}),
+		send: options => send(options, {
+			plan, context, deadline, sender,
+		}),
 		chooseVersion: lost => Left(failure('forbidden', `The workspace is no longer allowed to use service ${serviceOf(lost)}`)),
 		judge: () => ({verdict: 'accepted'}),
 		costOf: () => priceOf(plan.service, context),
@@ -71,7 +76,7 @@
 	return isAllowed ? undefined : 'not-allowed';
 }
 
-function send({dispatch, address, signal}: SendOptions, {plan, context, deadline}: AdapterState & {readonly deadline: number}): AsyncIterable<AttemptOutput> {
+function send({dispatch, address, signal}: SendOptions, {plan, context, deadline, sender}: AdapterState & {readonly deadline: number; readonly sender: RequestSender}): AsyncIterable<AttemptOutput> {
 	const {call: {request, requestId}, path, body, repeatable} = plan;
 	const {settings, clock} = context;
 	const remainingMilliseconds = deadline - clock.monotonic();
@@ -85,6 +90,7 @@
 		repeatable,
 		freshConnection: dispatch.freshConnection,
 		address,
+		send: async sent => sender.send(dispatch.server, sent),
 		signal,
 		stallMilliseconds: repeatable ? stallMillisecondsOf({streamed: false, remainingMilliseconds, settings}) : Math.max(1, remainingMilliseconds),
 		maximumBytes: settings.limits.bodyBytes,
@@ -107,12 +113,12 @@
 	readonly context: EntryContext;
 };
 
-function recordResult({server, attempt, purpose}: DispatchAction, {output, requestId, context: {serverSelector, decisions}}: RecordResultOptions): void {
+function recordResult({server, attempt, purpose}: DispatchAction, {output, requestId, context: {serverSelector, decisions, connections}}: RecordResultOptions): void {
 	const {outcome, reason, failed} = attemptEnd(output);
 	decisions.recordAttempt(requestId, {
 		attempt, purpose, servers: decisions.get(requestId)?.attempts.find(recorded => recorded.attempt === attempt)?.servers ?? [], server, outcome, reason,
 	});
-	if (output.type !== 'not-run') {
+	if (saysOfServer(output, connections)) {
 		serverSelector.recordOutcome(server, failed);
 	}
 }
--- a/packages/daemon/src/entry/service-call.ts
+++ b/packages/daemon/src/entry/service-call.ts
@@ -1,11 +1,12 @@
 import {type IncomingHttpHeaders, type OutgoingHttpHeaders} from 'node:http';
 import {type RequestId} from '@valehitch/core';
 import {
-	type HttpResponse, type HttpRequestFailure, readResponseBody, sendHttpRequest,
+	type HttpResponse, type HttpRequestFailure, readResponseBody,
 } from '@valehitch/transport';
 import {type AnswerHead, type AttemptOutput} from './attempt-output.js';
 import {readNotRun} from './not-run.js';
 import {reportStalls} from './report-stalls.js';
+import {type SendRequest} from './request-sender.js';
 import {StallTimer} from './stall-timer.js';
 import {failedCallOutput} from './failed-call-output.js';
 
@@ -23,6 +24,7 @@
 	readonly repeatable: boolean;
 	/** Whether the attempt must open a new connection even if the call may be repeated. */
 	readonly freshConnection: boolean;
+	readonly send: SendRequest;
 	/** The base address of the instance. */
 	readonly address: string;
 	/** Aborts the attempt and destroys its connection. */
@@ -54,7 +56,7 @@
 }
 
 async function * readOutputs(call: ServiceCall): AsyncGenerator<AttemptOutput, void> {
-	const answer = await sendHttpRequest({
+	const answer = await call.send({
 		address: call.address,
 		method: call.method,
 		path: call.path,
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -2,6 +2,7 @@
 import {type ClaimResponse} from '@valehitch/control';
 import {type Failure, failure} from '@valehitch/core';
 import {DecisionHistory, StageHistory} from '@valehitch/routing';
+import {type TunnelTarget} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import {match} from 'ts-pattern';
 import {type ControlClient} from '../control/control-client.js';
@@ -18,6 +19,7 @@
 import {InProgressCounts} from './in-progress-counts.js';
 import {type EntryMessage, type HoldBillsReply} from './messages.js';
 import {RequestCounter} from './request-counter.js';
+import {ServerConnections} from './server-connections.js';
 import {AdmissionPools} from './traffic/admission-pools.js';
 import {ServerSelector} from './traffic/server-selector.js';
 
@@ -33,6 +35,8 @@
 	readonly context: EntryContext;
 	/** Handles a message from another daemon and returns the reply. */
 	readonly answer: (message: EntryMessage) => Promise<unknown>;
+	/** Checks whether another daemon may reach an address through this one. */
+	readonly mayRelay: (target: TunnelTarget) => boolean;
 	/** Refuses new requests, completes those in progress and hands over the bills. */
 	readonly stop: () => Promise<void>;
 	/** Stops all retries and timers. Bills that were not handed over remain as copies on their holders. */
@@ -75,6 +79,7 @@
 	distribution.onInstanceLost(({instance}) => {
 		void claims.markLost(instance);
 	});
+	const connections = new ServerConnections({...base, servers: distribution.servers, members: distribution.members});
 	const requests = new RequestCounter();
 	const decisions = new DecisionHistory();
 	const evacuatedZones = () => new Set(distribution.effective().document.evacuatedZones);
@@ -98,6 +103,7 @@
 			active: distribution.active,
 			ratings: options.ratings,
 			admission,
+			connections,
 			serverSelector,
 			history: new StageHistory(),
 			decisions,
@@ -113,8 +119,14 @@
 			.with({type: 'owned-bills'}, question => bills.answerOwned(question))
 			.with({type: 'explain'}, ({request}) => decisions.get(request))
 			.exhaustive(),
+		mayRelay: target => connections.mayRelay(target),
 		async stop() {
+			connections.beginStop();
 			await requests.stop();
+			while (!closing.signal.aborted && base.network.tunnelCount > 0) {
+				await wait(handOverPollMilliseconds);
+			}
+
 			billCopies.stop();
 			// Keeps the ledger available for a moment, since other instances may be about to send bills to it.
 			await wait(base.settings.roles.includes('control') ? ledgerLingerMilliseconds : 0);
@@ -130,6 +142,7 @@
 			stopHeartbeat();
 			outbox.close();
 			claims.close();
+			connections.close();
 		},
 	};
 }
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -108,6 +108,7 @@
 		...settings.listen.peers,
 		onMessage: async (_from, message) => handlePeerMessage(message, components),
 		onRequest: async (_from, message) => handlePeerMessage(message, components),
+		isTunnelAllowed: (_from, target) => components.entry?.mayRelay(target) === true,
 		onHandlerError(from, error) {
 			log.error({err: error, from}, 'Failed to handle a peer message');
 		},
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -3,7 +3,10 @@
 } from 'node:http';
 import {type Either, Left, Right} from 'purify-ts';
 import {probeAddress} from './probe-address.js';
+import {type Relay} from './relay.js';
 import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
+import {TunnelError} from './tunnel-agent.js';
+import {type TunnelTarget} from './tunnel-target.js';
 import {watchResponseEnd} from './watch-response-end.js';
 
 /** An HTTP request to a backend server. */
@@ -19,6 +22,10 @@
 	readonly signal: AbortSignal;
 	/** Whether to reuse an idle connection; false if the request must not be retried. */
 	readonly reuseConnection: boolean;
+	/** The instance through which the server is reached; by default this instance's own links are used. */
+	readonly relay?: Relay | undefined;
+	/** Called when a new connection of this instance to the server is opened. */
+	readonly onConnect?: (() => void) | undefined;
 };
 
 /** The failure of a request that received no response. */
@@ -27,6 +34,8 @@
 	readonly neverSent: boolean;
 	/** Whether the request used a kept-alive connection, which the server may legitimately close at any time. */
 	readonly onKeptConnection: boolean;
+	/** Whether the relay could not be used, so that nothing is known about the server. */
+	readonly isRelayUnavailable: boolean;
 	readonly message: string;
 };
 
@@ -62,11 +71,12 @@
 		const clientRequest = sendRequest(new URL(call.path, call.address), {
 			method: call.method,
 			headers: {...call.headers, 'content-length': call.body.byteLength},
-			agent: call.reuseConnection ? keepAliveAgent : false,
+			agent: agentOf(call),
 			signal: call.signal,
 		});
 		const cancelConnectTimeout = setTimeoutAfterPoll(connectTimeoutMilliseconds, () => {
-			if (!connected) {
+			// The opening of a tunnel has its own timeout, which tells whose fault it is.
+			if (!connected && call.relay === undefined) {
 				clientRequest.destroy(new Error(`Connecting timed out after ${connectTimeoutMilliseconds} ms`));
 			}
 		});
@@ -78,24 +88,54 @@
 
 			socket.once('connect', () => {
 				connected = true;
+				call.onConnect?.();
 			});
 		});
 		clientRequest.on('response', message => {
 			cancelConnectTimeout();
 			resolve(Right({
-				status: message.statusCode ?? 0, headers: message.headers, message, isComplete: watchResponseEnd(message, {method: call.method, isServerRunning: async () => isRunning(call.address)}),
+				status: message.statusCode ?? 0, headers: message.headers, message, isComplete: watchResponseEnd(message, {method: call.method, isServerRunning: async () => isRunning(call)}),
 			}));
 		});
 		clientRequest.on('error', error => {
 			cancelConnectTimeout();
-			resolve(Left({neverSent: !connected, onKeptConnection: clientRequest.reusedSocket, message: error.message}));
+			resolve(Left({
+				neverSent: !connected,
+				onKeptConnection: clientRequest.reusedSocket,
+				isRelayUnavailable: error instanceof TunnelError && error.type === 'peer-unavailable',
+				message: error.message,
+			}));
 		});
 		clientRequest.end(call.body);
 	});
 }
 
-/** Whether the process at an address is still running. It is assumed to be if its machine neither accepts nor refuses a connection in time. */
-async function isRunning(address: string): Promise<boolean> {
+function agentOf({relay, reuseConnection}: HttpRequest): Agent | false {
+	if (relay !== undefined) {
+		return reuseConnection ? relay.pool : relay.singleUse;
+	}
+
+	return reuseConnection ? keepAliveAgent : false;
+}
+
+/** Whether the server's process is still running, and the relay through which it was reached. It is assumed to be if its machine neither accepts nor refuses a connection in time. */
+async function isRunning({address, relay}: HttpRequest): Promise<boolean> {
+	const target = parseAddress(address);
+	const result = relay === undefined ? await probeAddress(target, probeTimeoutMilliseconds) : await relay.probe(target);
+	return result === 'open' || result === 'unanswered';
+}
+
+/**
+Parses the base URL of a server.
+
+@param address The URL, such as `http://127.0.0.1:9001`.
+@returns The host and port; port 80 if the URL has none.
+@example
+```ts
+parseAddress('http://127.0.0.1:9001'); // {host: '127.0.0.1', port: 9001}
+```
+*/
+export function parseAddress(address: string): TunnelTarget {
 	const {hostname, port} = new URL(address);
-	return await probeAddress({host: hostname, port: port === '' ? defaultPort : Number(port)}, probeTimeoutMilliseconds) !== 'refused';
+	return {host: hostname, port: port === '' ? defaultPort : Number(port)};
 }
