--- a/packages/soak/src/find-violations.test.ts
+++ b/packages/soak/src/find-violations.test.ts
@@ -26,6 +26,32 @@
 	t.deepEqual(findViolations({...validRecord, shutdowns: [shutdown], disturbances: [cutOff]}, limits), []);
 });
 
+const server = 'i-1';
+/** Requests at a steady rate, which all reach one server through one instance. */
+const steady = {
+	requests: Array.from({length: 60}, (_, index) => ({
+		...request, id: `1-${index}`, kind: 'safe', text: completeResponse(`1-${index}`, 'safe'),
+	}) as const),
+	arrivals: Array.from({length: 60}, (_, index) => ({id: `1-${index}`, server, at: index * 150})),
+};
+const limited: SoakRecord = {
+	...validRecord, ...steady, limits: [{
+		server, requestsPerSecond: 2, from: 0, to: 9000,
+	}],
+};
+const paused: SoakRecord = {
+	...validRecord, ...steady, pauses: [{
+		id: '1-0', server, at: 0, until: 2000,
+	}],
+};
+
+test('a server that named a high limit, or whose instance was disturbed, got no more than it allowed', t => {
+	t.deepEqual(findViolations({...limited, limits: [{...limited.limits[0]!, requestsPerSecond: 5}]}, limits), []);
+	const disturbances = [{ip: 'front-1', from: 500, to: 1000}];
+	t.deepEqual(findViolations({...limited, disturbances}, limits), []);
+	t.deepEqual(findViolations({...paused, disturbances}, limits), []);
+});
+
 const violatingRecords: ReadonlyArray<readonly [guarantee: string, record: SoakRecord]> = [
 	['at most once', {...validRecord, runs: [run, {...run, server: 'i-2'}]}],
 	['not run', {...validRecord, requests: [{...request, status: 503, text: ''}]}],
@@ -37,6 +63,8 @@
 	['evacuated zones', {...validRecord, runs: [{...run, zone: 'hall-b'}], evacuations: [{zone: 'hall-b', acknowledgedAt: -5000, endOrderedAt: 2000}]}],
 	['configuration', {...validRecord, reads: [{version: 0, askedAt: 3000, control: 'core-1'}]}],
 	['configuration', {...validRecord, finalVersion: undefined}],
+	['rate limits', limited],
+	['pauses', paused],
 	['recovery', {...validRecord, unrecovered: ['front-1']}],
 	['processes', {...validRecord, unexpectedExits: ['front-1 does not run at the end']}],
 ];
--- a/packages/soak/src/find-violations.ts
+++ b/packages/soak/src/find-violations.ts
@@ -1,4 +1,6 @@
-import {type Disturbance, type SoakRecord, completeResponse} from './soak-record.js';
+import {findNoticeViolations} from './find-notice-violations.js';
+import {isDisturbed} from './is-disturbed.js';
+import {type SoakRecord, completeResponse} from './soak-record.js';
 
 /** The time limits that the settings of the deployment guarantee, in milliseconds. */
 export type GuaranteeLimits = {
@@ -14,8 +16,6 @@
 
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const successStatus = 200;
-/** The time that an instance has to catch up after a disturbance. */
-const catchUpMilliseconds = 3000;
 
 /**
 Checks the guarantees of a deployment against what callers, backend servers and operators observed during a soak.
@@ -35,6 +35,7 @@
 		...findRevocationViolations(record, limits),
 		...findShutdownViolations(record, limits),
 		...findEvacuationViolations(record, limits),
+		...findNoticeViolations(record),
 		...findConfigurationViolations(record, limits),
 		...findRecoveryViolations(record),
 	];
@@ -127,17 +128,6 @@
 	return violations;
 }
 
-type Interval = {
-	readonly address: string;
-	readonly from: number;
-	readonly to: number;
-};
-
-/** Whether a process was disturbed during an interval, or so shortly before it that it may still be catching up. */
-function isDisturbed(disturbances: readonly Disturbance[], {address, from, to}: Interval): boolean {
-	return disturbances.some(disturbance => address.startsWith(`${disturbance.ip}:`) && disturbance.from <= to && disturbance.to >= from - catchUpMilliseconds);
-}
-
 /** No read returns an older version than one acknowledged more than the limit before, and the final version is no older than the newest acknowledged one. */
 function findConfigurationViolations({reads, configurations, finalVersion}: SoakRecord, {configuration}: GuaranteeLimits): readonly string[] {
 	const violations: string[] = [];
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -6,6 +6,7 @@
 import {findViolations} from './find-violations.js';
 import {injectFault} from './inject-fault.js';
 import {type Fault, planFaults} from './plan-faults.js';
+import {type PlannedNotice, planNotices} from './plan-notices.js';
 import {SoakCallers} from './soak-callers.js';
 import {
 	addressVariable, dataFolderVariable, evacuatedZone, proxyPorts,
@@ -65,6 +66,7 @@
 export async function runSoak({seed, length = 12_000, gap = 500, controls = 3, entries = 3}: RunSoakOptions): Promise<SoakResult> {
 	const random = seededRandom(seed * seedMultiplier);
 	const faults = planFaults({random, length, gap});
+	const notices = planNotices({random: seededRandom((seed * seedMultiplier) + 1), length});
 	const record = emptyRecord();
 	const now = (): number => performance.now();
 	const network = new SoakNetwork();
@@ -95,12 +97,14 @@
 		callers.start();
 		const evacuation = operator.evacuate(evacuatedZone, evacuatedShare * length);
 		const polling = pollConfigurations({operator, controls: controlAddresses, until: now() + length});
+		const stopNotices = giveNotices(notices, servers);
 		const injection = injectFaults(faults, {
 			deployment, network, servers, operator, serverHost, record,
 		});
 		// Faults end after their durations, but a change of the configuration waits for its acknowledgement.
 		await Promise.race([injection, sleep(length + recoveryMilliseconds)]);
 		await polling;
+		stopNotices();
 		await Promise.race([evacuation, sleep(recoveryMilliseconds)]);
 		if (!operator.isIdle) {
 			record.unrecovered.push('an operator whose change was not acknowledged');
@@ -135,6 +139,18 @@
 	}
 }
 
+/** Lets servers give each notice at its time; returns a function that gives no further ones. */
+function giveNotices(notices: readonly PlannedNotice[], servers: SoakServers): () => void {
+	const timers = notices.map(planned => setTimeout(() => {
+		servers.giveNotice(planned);
+	}, planned.at));
+	return () => {
+		for (const timer of timers) {
+			clearTimeout(timer);
+		}
+	};
+}
+
 /** Injects each fault at its time, without waiting for earlier ones to end, so that faults overlap. */
 async function injectFaults(faults: readonly Fault[], options: Parameters<typeof injectFault>[1]): Promise<void> {
 	const start = performance.now();
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -26,6 +26,28 @@
 	readonly at: number;
 };
 
+/** One request that reached a backend server, whether it was executed or rejected. */
+export type ObservedArrival = {
+	readonly id: string;
+	readonly server: string;
+	/** The time on the clock of the soak, in milliseconds. */
+	readonly at: number;
+};
+
+/** A time in which a backend server named a rate limit in its answers. */
+export type ObservedLimit = {
+	readonly server: string;
+	readonly requestsPerSecond: number;
+	readonly from: number;
+	readonly to: number;
+};
+
+/** A rejection of a request by which a backend server asked its instance for a pause. */
+export type ObservedPause = ObservedArrival & {
+	/** When the pause ends. */
+	readonly until: number;
+};
+
 /** One evacuation of an availability zone as observed by its operator. */
 export type ObservedEvacuation = {
 	readonly zone: string;
@@ -58,6 +80,9 @@
 export type SoakRecord = {
 	readonly requests: ObservedRequest[];
 	readonly runs: ObservedRun[];
+	readonly arrivals: ObservedArrival[];
+	readonly limits: ObservedLimit[];
+	readonly pauses: ObservedPause[];
 	readonly configurations: AcknowledgedConfiguration[];
 	readonly reads: ConfigurationRead[];
 	/** The revoked keys, and when each revocation was acknowledged. */
@@ -87,7 +112,20 @@
 */
 export function emptyRecord(): SoakRecord {
 	return {
-		requests: [], runs: [], configurations: [], reads: [], revocations: [], shutdowns: [], evacuations: [], disturbances: [], unrecovered: [], unexpectedExits: [], finalVersion: undefined,
+		requests: [],
+		runs: [],
+		arrivals: [],
+		limits: [],
+		pauses: [],
+		configurations: [],
+		reads: [],
+		revocations: [],
+		shutdowns: [],
+		evacuations: [],
+		disturbances: [],
+		unrecovered: [],
+		unexpectedExits: [],
+		finalVersion: undefined,
 	};
 }
 
--- a/packages/soak/src/soak-servers.ts
+++ b/packages/soak/src/soak-servers.ts
@@ -2,6 +2,7 @@
 	FakeBackendServer, type FakeBackendResponse, type ExecutedRequest,
 } from '@valehitch/testing';
 import {type LoopbackProxy} from './loopback-proxy.js';
+import {type PlannedNotice, type ServerNotice} from './plan-notices.js';
 import {responseShape} from './response-shape.js';
 import {type SoakNetwork} from './soak-network.js';
 import {evacuatedZone} from './soak-environment.js';
@@ -27,6 +28,7 @@
 	readonly backend: FakeBackendServer;
 	readonly proxy: LoopbackProxy;
 	isDraining: boolean;
+	notice: ServerNotice | undefined;
 };
 
 /** The services of a soak: one that serves models and one that serves plain calls. */
@@ -40,6 +42,7 @@
 /** The time for which a server that shuts down keeps serving after the acknowledgement, as the platform specifies. */
 const shutdownGraceMilliseconds = 6000;
 const eventIntervalMilliseconds = 40;
+const millisecondsPerSecond = 1000;
 
 /**
 The backend servers of a soak. They announce themselves, shut down, crash and are replaced.
@@ -105,6 +108,30 @@
 		await this.#addServer(server.service, server.zone);
 	}
 
+	/**
+	Lets a server give a notice for a time.
+
+	@param planned The notice, its duration, and what selects the server.
+	*/
+	giveNotice({notice, duration, pick}: PlannedNotice): void {
+		const {record, now} = this.#options;
+		const server = this.#select(pick);
+		if (server.notice !== undefined) {
+			return;
+		}
+
+		server.notice = notice;
+		const from = now();
+		setTimeout(() => {
+			server.notice = undefined;
+			if (notice.type === 'limit') {
+				record.limits.push({
+					server: server.id, requestsPerSecond: notice.requestsPerSecond, from, to: now(),
+				});
+			}
+		}, duration).unref();
+	}
+
 	close(): void {
 		clearInterval(this.#heartbeatTimer);
 		for (const server of this.#servers) {
@@ -121,18 +148,37 @@
 		const {network, host} = this.#options;
 		const id = `i-${++this.#serverCount}`;
 		let announcedPort = 0;
+		const noticeOf = (): ServerNotice | undefined => [...this.#servers].find(server => server.id === id)?.notice;
 		const backend = await FakeBackendServer.start({
-			id, service, host, zone, answer: run => this.#recordRun(run, {server: id, zone}), announcedPort: () => announcedPort,
+			id,
+			service,
+			host,
+			zone,
+			answer: run => this.#answer(run, {server: id, zone, notice: noticeOf()}),
+			notices: () => headersOf(noticeOf()),
+			announcedPort: () => announcedPort,
 		});
 		const proxy = await network.addProxy({host, port: 0, target: {host, port: backend.port}});
 		announcedPort = proxy.port;
 		const server = {
-			id, service, zone, backend, proxy, isDraining: false,
+			id, service, zone, backend, proxy, isDraining: false, notice: undefined,
 		};
 		this.#servers.add(server);
 		await this.#announce(server, 'ready');
 	}
 
+	#answer(run: ExecutedRequest, {server, zone, notice}: Pick<ObservedRun, 'server'> & {readonly zone: string; readonly notice: ServerNotice | undefined}): FakeBackendResponse {
+		const {record: {arrivals, pauses}, now} = this.#options;
+		const arrival = {id: run.id, server, at: now()};
+		arrivals.push(arrival);
+		if (notice?.type === 'pause') {
+			pauses.push({...arrival, until: arrival.at + (notice.seconds * millisecondsPerSecond)});
+			return {isNotExecuted: true};
+		}
+
+		return this.#recordRun(run, {server, zone});
+	}
+
 	#recordRun(run: ExecutedRequest, place: Pick<ObservedRun, 'server' | 'zone'>): FakeBackendResponse {
 		const {runs} = this.#options.record;
 		const {id: request, model} = run;
@@ -167,3 +213,19 @@
 		server.backend.close();
 	}
 }
+
+function headersOf(notice: ServerNotice | undefined): Readonly<Record<string, string>> {
+	switch (notice?.type) {
+		case 'limit': {
+			return {'Server-Limit': notice.requestsPerSecond.toFixed(1)};
+		}
+
+		case 'pause': {
+			return {'Retry-After': String(notice.seconds)};
+		}
+
+		case undefined: {
+			return {};
+		}
+	}
+}
