--- a/packages/soak/src/find-violations.test.ts
+++ b/packages/soak/src/find-violations.test.ts
@@ -52,6 +52,21 @@
 	t.deepEqual(findViolations({...paused, disturbances}, limits), []);
 });
 
+/** Requests at two instances, of which the first refuses its own. */
+const cutRequests = Array.from({length: 40}, (_, index): ObservedRequest => {
+	const isOwn = index % 2 === 0;
+	const id = `1-${index}`;
+	return {
+		...request, id, entry: isOwn ? 'front-1:1' : 'front-2:1', sentAt: 4000 + index, status: isOwn ? 503 : 200, text: isOwn ? '' : completeResponse(id, 'unsafe'),
+	};
+});
+
+test('a cut instance that was also disturbed is not judged', t => {
+	t.deepEqual(findViolations({
+		...validRecord, runs: [], requests: cutRequests, serverCuts: [{entry: 'front-1:1', from: 0, to: 9000}], disturbances: [{ip: 'front-1', from: 100, to: 200}],
+	}, limits), []);
+});
+
 const violatingRecords: ReadonlyArray<readonly [guarantee: string, record: SoakRecord]> = [
 	['at most once', {...validRecord, runs: [run, {...run, server: 'i-2'}]}],
 	['not run', {...validRecord, requests: [{...request, status: 503, text: ''}]}],
@@ -65,6 +80,9 @@
 	['configuration', {...validRecord, finalVersion: undefined}],
 	['rate limits', limited],
 	['pauses', paused],
+	['server cut', {
+		...validRecord, runs: [], requests: cutRequests, serverCuts: [{entry: 'front-1:1', from: 0, to: 9000}],
+	}],
 	['recovery', {...validRecord, unrecovered: ['front-1']}],
 	['processes', {...validRecord, unexpectedExits: ['front-1 does not run at the end']}],
 ];
--- a/packages/soak/src/find-violations.ts
+++ b/packages/soak/src/find-violations.ts
@@ -1,3 +1,4 @@
+import {findCutViolations} from './find-cut-violations.js';
 import {findNoticeViolations} from './find-notice-violations.js';
 import {isDisturbed} from './is-disturbed.js';
 import {type SoakRecord, completeResponse} from './soak-record.js';
@@ -36,6 +37,7 @@
 		...findShutdownViolations(record, limits),
 		...findEvacuationViolations(record, limits),
 		...findNoticeViolations(record),
+		...findCutViolations(record),
 		...findConfigurationViolations(record, limits),
 		...findRecoveryViolations(record),
 	];
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -3,6 +3,7 @@
 import {catchesSignal, type PlatformDeployment, type PlatformInstance} from '@valehitch/testing';
 import {match, P} from 'ts-pattern';
 import {type Fault, type FaultKind} from './plan-faults.js';
+import {type ServerCut} from './plan-server-cut.js';
 import {faultFile} from './soak-environment.js';
 import {type SoakNetwork} from './soak-network.js';
 import {type SoakOperator} from './soak-operator.js';
@@ -110,6 +111,23 @@
 	return [pickItem(controlFaults.has(kind) ? controls : instances, pick)];
 }
 
+/**
+Lets an entry instance open no connection to any backend server for a time; open ones go on.
+
+@param cut The cut.
+@param options The possible targets.
+@example
+```ts
+await cutServerLinks({at: 0, duration: 5000, pick: 0.5}, {deployment, record});
+```
+*/
+export async function cutServerLinks({duration, pick}: ServerCut, {deployment, record}: Pick<InjectFaultOptions, 'deployment' | 'record'>): Promise<void> {
+	const {address, folder} = pickItem(deployment.entries, pick);
+	const from = performance.now();
+	await writeFaultFile(faultFile(folder, 'links'), {text: '', duration});
+	record.serverCuts.push({entry: address, from, to: performance.now()});
+}
+
 async function writeFaultFile(file: string, {text, duration}: {readonly text: string; readonly duration: number}): Promise<void> {
 	await writeFile(file, text);
 	await sleep(duration);
--- /dev/null
+++ b/packages/soak/src/plan-server-cut.ts
@@ -0,0 +1,42 @@
+import {type RandomSource} from '@valehitch/core';
+
+/** A time in which one entry instance opens no connection to any backend server. */
+export type ServerCut = {
+	/** Milliseconds from the start of the traffic. */
+	readonly at: number;
+	/** The duration in milliseconds. */
+	readonly duration: number;
+	/** Selects the instance: a number in the range [0, 1). */
+	readonly pick: number;
+};
+
+/** Options for a plan of a cut. */
+export type PlanServerCutOptions = {
+	/** A random source of its own, so that the faults of a seed do not depend on it. */
+	readonly random: RandomSource;
+	/** The duration of the traffic with faults, in milliseconds. */
+	readonly length: number;
+};
+
+/** The share of the traffic in which the cut begins, and the shares that it lasts; a cut is judged from three seconds on. */
+const latestStartShare = 0.4;
+const minimumDurationShare = 0.4;
+const maximumDurationShare = 0.6;
+
+/**
+Draws the cut of one entry instance from all servers at random.
+
+@param options The random source and the length.
+@returns The cut, which ends with the traffic at the latest.
+@example
+```ts
+planServerCut({random: seededRandom(7), length: 12_000});
+```
+*/
+export function planServerCut({random, length}: PlanServerCutOptions): ServerCut {
+	return {
+		at: random() * latestStartShare * length,
+		duration: (minimumDurationShare + (random() * (maximumDurationShare - minimumDurationShare))) * length,
+		pick: random(),
+	};
+}
--- a/packages/soak/src/preload/inject-faults.ts
+++ b/packages/soak/src/preload/inject-faults.ts
@@ -1,5 +1,5 @@
 /**
-Preloaded into each process of a soak: routes connections between instances through their proxies, and injects clock and disk faults.
+Preloaded into each process of a soak: routes connections between instances through their proxies, and injects faults of clocks, disks and links to servers.
 
 @module
 */
@@ -9,7 +9,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	dataFolderVariable, faultFile, proxyPorts, addressVariable,
+	controlPort, dataFolderVariable, faultFile, proxyPorts, addressVariable,
 } from '../soak-environment.js';
 
 type ConnectOptions = {
@@ -28,6 +28,9 @@
 const {[addressVariable]: ownAddress = '127.0.0.1', [dataFolderVariable]: dataFolder = ''} = process.env;
 const diskFile = faultFile(dataFolder, 'disk');
 const clockFile = faultFile(dataFolder, 'clock');
+const linksFile = faultFile(dataFolder, 'links');
+/** The ports of instances; all others are those of backend servers. */
+const instancePorts: ReadonlySet<number> = new Set([...Object.values(proxyPorts), controlPort]);
 
 /** Binds a connection to the address of its instance, because proxies identify instances by source address, and replaces the port of a peer with that of its proxy. */
 function routeThroughProxy(options: ConnectOptions): void {
@@ -37,6 +40,13 @@
 	}
 }
 
+function refuseConnection(socket: Socket): void {
+	Object.assign(socket, {connecting: true});
+	setImmediate(() => {
+		socket.destroy(Object.assign(new Error('connect ECONNREFUSED'), {code: 'ECONNREFUSED'}));
+	});
+}
+
 function redirectConnections(): void {
 	const {connect} = Socket.prototype;
 	Socket.prototype.connect = function (this: Socket, ...parameters: unknown[]) {
@@ -45,6 +55,10 @@
 		const options: unknown = Array.isArray(first) ? first[0] : first;
 		if (typeof options === 'object' && options !== null && 'port' in options) {
 			routeThroughProxy(options as ConnectOptions);
+			if (!instancePorts.has(Number(options.port)) && existsSync(linksFile)) {
+				refuseConnection(this);
+				return this;
+			}
 		}
 
 		return Reflect.apply(connect, this, parameters) as Socket;
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -4,9 +4,10 @@
 	PlatformDeployment, type PlatformInstance, seededRandom, waitUntil,
 } from '@valehitch/testing';
 import {findViolations} from './find-violations.js';
-import {injectFault} from './inject-fault.js';
+import {cutServerLinks, injectFault} from './inject-fault.js';
 import {type Fault, planFaults} from './plan-faults.js';
 import {type PlannedNotice, planNotices} from './plan-notices.js';
+import {planServerCut, type ServerCut} from './plan-server-cut.js';
 import {SoakCallers} from './soak-callers.js';
 import {
 	addressVariable, dataFolderVariable, evacuatedZone, proxyPorts,
@@ -67,6 +68,7 @@
 	const random = seededRandom(seed * seedMultiplier);
 	const faults = planFaults({random, length, gap});
 	const notices = planNotices({random: seededRandom((seed * seedMultiplier) + 1), length});
+	const serverCut = planServerCut({random: seededRandom((seed * seedMultiplier) + 2), length});
 	const record = emptyRecord();
 	const now = (): number => performance.now();
 	const network = new SoakNetwork();
@@ -98,12 +100,14 @@
 		const evacuation = operator.evacuate(evacuatedZone, evacuatedShare * length);
 		const polling = pollConfigurations({operator, controls: controlAddresses, until: now() + length});
 		const stopNotices = giveNotices(notices, servers);
+		const cutting = cutServerLinksAt(serverCut, {deployment, record});
 		const injection = injectFaults(faults, {
 			deployment, network, servers, operator, serverHost, record,
 		});
 		// Faults end after their durations, but a change of the configuration waits for its acknowledgement.
 		await Promise.race([injection, sleep(length + recoveryMilliseconds)]);
 		await polling;
+		await cutting;
 		stopNotices();
 		await Promise.race([evacuation, sleep(recoveryMilliseconds)]);
 		if (!operator.isIdle) {
@@ -139,6 +143,11 @@
 	}
 }
 
+async function cutServerLinksAt(cut: ServerCut, options: Parameters<typeof cutServerLinks>[1]): Promise<void> {
+	await sleep(cut.at);
+	await cutServerLinks(cut, options);
+}
+
 /** Lets servers give each notice at its time; returns a function that gives no further ones. */
 function giveNotices(notices: readonly PlannedNotice[], servers: SoakServers): () => void {
 	const timers = notices.map(planned => setTimeout(() => {
--- a/packages/soak/src/soak-environment.ts
+++ b/packages/soak/src/soak-environment.ts
@@ -15,12 +15,15 @@
 faultFile('/tmp/soak/core-1', 'disk');
 ```
 */
-export function faultFile(folder: string, part: 'disk' | 'clock'): string {
+export function faultFile(folder: string, part: 'disk' | 'clock' | 'links'): string {
 	return `${folder}.${part}`;
 }
 
 /** The port on which instances listen for their peers, and the port of the proxy in front of it. */
 export const proxyPorts = {peers: 7340, proxied: 7390} as const;
 
+/** The port of control instances for operators and backend servers. */
+export const controlPort = 8229;
+
 /** The availability zone that the operator of a soak evacuates. */
 export const evacuatedZone = 'hall-b';
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -48,6 +48,14 @@
 	readonly until: number;
 };
 
+/** A time in which an entry instance opened no connection to any backend server. */
+export type ObservedServerCut = {
+	/** The address of the instance for callers. */
+	readonly entry: string;
+	readonly from: number;
+	readonly to: number;
+};
+
 /** One evacuation of an availability zone as observed by its operator. */
 export type ObservedEvacuation = {
 	readonly zone: string;
@@ -83,6 +91,7 @@
 	readonly arrivals: ObservedArrival[];
 	readonly limits: ObservedLimit[];
 	readonly pauses: ObservedPause[];
+	readonly serverCuts: ObservedServerCut[];
 	readonly configurations: AcknowledgedConfiguration[];
 	readonly reads: ConfigurationRead[];
 	/** The revoked keys, and when each revocation was acknowledged. */
@@ -117,6 +126,7 @@
 		arrivals: [],
 		limits: [],
 		pauses: [],
+		serverCuts: [],
 		configurations: [],
 		reads: [],
 		revocations: [],
--- a/packages/testing/src/server-partition.test.ts
+++ b/packages/testing/src/server-partition.test.ts
@@ -21,6 +21,9 @@
 		{
 			...route, name: 'print', pathPrefix: '/print/', kind: 'unsafe',
 		},
+		{
+			...route, name: 'note', pathPrefix: '/note/', kind: 'unsafe', timeoutMs: 1000,
+		},
 		{
 			...route, name: 'tag', pathPrefix: '/tag/', kind: 'streaming', resumable: true, timeoutMs: 8000, targetGapMs: 1000,
 		},
@@ -158,3 +161,18 @@
 	await relay!.process.kill('SIGKILL');
 	t.not(await sent, 200);
 });
+
+test.serial('a stopping instance answers a request that arrives while it waits for the connections of others through it', async t => {
+	const {deployment, backends, send} = await start(t, {gap: 200, entryCount: 2});
+	const [entry, relay] = deployment.entries;
+	await cutServerLinks(entry!, 'refused');
+	await waitUntil(async () => await send(entry!.address, {method: 'GET', path: '/look/8'}) === 200 || undefined, {description: 'a response through the other instance'});
+	relay!.process.signal('SIGTERM');
+	// By then, the load balancer sends it no more callers.
+	await delay(2900);
+	const note = {method: 'POST', path: '/note/9'};
+	const sent = send(relay!.address, note);
+	await waitUntil(async () => backends.some(({runs}) => runs.some(({path}) => path === note.path)) || undefined, {description: 'a request in progress'});
+	await entry!.process.kill('SIGKILL');
+	t.is(await sent, 200);
+});
