Wait for the requests of an instance last when it stops

Cause: the stop waited for the requests in progress, then for the tunnels of other instances, and then closed all connections. A request that came during the second wait was taken and cut.

--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -241,8 +241,9 @@
 		const stopBy = clock.monotonic() + gracePeriod - closeMarginMilliseconds;
 		entry.beginStop(stopBy);
 		await delay(Math.min(removalMilliseconds, gracePeriod - closeMarginMilliseconds));
-		await entry.drained(stopBy);
 		await tunnelsClosed(context, stopBy);
+		// Nothing is awaited between, since the instance takes requests until it closes.
+		await entry.drained(stopBy);
 		entry.close();
 		readinessServer?.close();
 	};
