--- a/packages/daemon/src/entry/server-connections.ts
+++ b/packages/daemon/src/entry/server-connections.ts
@@ -1,15 +1,16 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Clock, type InstanceId, type RandomSource} from '@valehitch/core';
 import {type ServerTable} from '@valehitch/membership';
-import {RelaySelector, ServerLinks} from '@valehitch/routing';
+import {ServerLinks} from '@valehitch/routing';
 import {
-	type PeerAddress, type PeerNetwork, parseAddress, probeAddress, ServerRelays, type TunnelTarget,
+	type PeerNetwork, parseAddress, probeAddress, ServerRelays, type TunnelTarget,
 } from '@valehitch/transport';
 import {Left} from 'purify-ts';
 import type Logger from 'bunyan';
 import {type Member} from '../member.js';
 import {type PeerMessage} from '../messages.js';
 import {type LinkedServer, toLinkedServers} from './linked-server.js';
+import {NearRelaySelector} from './near-relay-selector.js';
 
 /** Options of {@linkcode ServerConnections}. */
 export type ServerConnectionsOptions = {
@@ -41,13 +42,11 @@
 	readonly links: ServerLinks<LinkedServer>;
 	readonly relays: ServerRelays;
 	readonly #options: ServerConnectionsOptions;
-	readonly #selector: RelaySelector;
 	#isStopping = false;
 
 	constructor(options: ServerConnectionsOptions) {
-		const {clock, random, log, servers, network} = options;
+		const {clock, random, log, servers} = options;
 		this.#options = options;
-		this.#selector = new RelaySelector({random});
 		this.links = new ServerLinks({
 			clock,
 			random,
@@ -61,31 +60,7 @@
 				log.warn(evidence, 'This daemon reaches backend servers again');
 			},
 		});
-		this.relays = new ServerRelays({
-			clock,
-			selector: {
-				choose: choice => this.#chooseRelay(choice),
-				recordOpened: instance => this.#selector.recordOpened(instance),
-				recordFailure: (instance, now) => {
-					this.#selector.recordFailure(instance, now);
-				},
-				retain: candidates => {
-					this.#selector.retain(candidates);
-				},
-			},
-			peers: () => this.#others().map(({instance}) => instance),
-			openTunnel: async (relay, target, timeoutMilliseconds) => {
-				const peer = this.#others().find(({instance}) => instance === relay);
-				return peer === undefined
-					? Left({type: 'peer-unavailable', reason: `${relay} is not known any more`})
-					: network.openTunnel(peer satisfies PeerAddress, target, {timeoutMilliseconds});
-			},
-			onTunnel(relay, result) {
-				if (result !== 'opened') {
-					log.warn({relay, failure: result}, 'No connection to a backend server could be opened through another daemon');
-				}
-			},
-		});
+		this.relays = createRelays(options, () => this.#others());
 	}
 
 	/**
@@ -114,15 +89,28 @@
 		this.relays.close();
 	}
 
-	/** Daemons of the own availability zone are asked first. */
-	#chooseRelay(choice: Parameters<RelaySelector['choose']>[0]): InstanceId | undefined {
-		const {self} = this.#options;
-		const near = new Set(this.#others().filter(({zone}) => zone === self.zone).map(({instance}) => instance));
-		return this.#selector.choose({...choice, candidates: choice.candidates.filter(instance => near.has(instance))}) ?? this.#selector.choose(choice);
-	}
-
 	#others(): readonly Member[] {
 		const {self, members} = this.#options;
 		return members().filter(({instance}) => instance !== self.instance);
 	}
 }
+
+function createRelays({self, clock, random, log, network}: ServerConnectionsOptions, others: () => readonly Member[]): ServerRelays {
+	const find = (instance: InstanceId): Member | undefined => others().find(member => member.instance === instance);
+	return new ServerRelays({
+		clock,
+		selector: new NearRelaySelector({random, isNear: instance => find(instance)?.zone === self.zone}),
+		peers: () => others().map(({instance}) => instance),
+		async openTunnel(relay, target, timeoutMilliseconds) {
+			const peer = find(relay);
+			return peer === undefined
+				? Left({type: 'peer-unavailable', reason: `${relay} is not known any more`})
+				: network.openTunnel(peer, target, {timeoutMilliseconds});
+		},
+		onTunnel(relay, result) {
+			if (result !== 'opened') {
+				log.warn({relay, failure: result}, 'No connection to a backend server could be opened through another daemon');
+			}
+		},
+	});
+}
