--- a/packages/testing/src/platform/server-cut.ts
+++ b/packages/testing/src/platform/server-cut.ts
@@ -1,4 +1,4 @@
-import {rm, writeFile} from 'node:fs/promises';
+import {rename, rm, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import {ports} from './platform-deployment.js';
 
@@ -41,7 +41,10 @@
 ```
 */
 export async function cutServerLinks(instance: CutInstance, cut: ServerCut): Promise<void> {
-	await writeFile(cutFileOf(instance), cut);
+	// The instance reads the file while it is written otherwise, and finds it empty.
+	const file = cutFileOf(instance);
+	await writeFile(`${file}.new`, cut);
+	await rename(`${file}.new`, file);
 }
 
 /**
