Ask another daemon before the only server of a service is taken for down

What callers saw: at a daemon whose new connections are refused while open ones go on, 503 for each call that may not be repeated to a service with one server, though other daemons reach it. Cause: another daemon was asked after the second failed connection of a request. With one server the second never comes: the server is excluded and the request refused. And no second server was unreachable, since streams and lookups went on over open connections, so that no cut was found either. Why it works: an attempt asks another daemon after its first failed connection. If that one is refused too, the server is down. It costs one tunnel for each attempt at a server that has just ended.

--- a/packages/daemon/src/entry/request-sender.ts
+++ b/packages/daemon/src/entry/request-sender.ts
@@ -6,6 +6,9 @@
 import {type Either, Left} from 'purify-ts';
 import {type ServerConnections} from './server-connections.js';
 
+/** The server may be the only one of its service, so that a second failed connection may never come. */
+const directFailures = 1;
+
 /** Sends an HTTP request to a backend server. */
 export type SendRequest = (request: HttpRequest) => Promise<Either<HttpRequestFailure, HttpResponse>>;
 
@@ -25,7 +28,7 @@
 
 	constructor(connections: {readonly links: ServerConnections['links']; readonly relays: Pick<ServerConnections['relays'], 'choose'>}) {
 		this.#links = connections.links;
-		this.#path = new RequestPath(connections);
+		this.#path = new RequestPath({...connections, directFailures});
 	}
 
 	/**
--- a/packages/routing/src/request-path.ts
+++ b/packages/routing/src/request-path.ts
@@ -6,6 +6,8 @@
 	readonly links: Pick<ServerLinks, 'isCutOff'>;
 	/** Chooses a relay among those that have not failed for the request. */
 	readonly relays: {readonly choose: (excluded: ReadonlySet<InstanceId>) => Relay | undefined};
+	/** The failed connections of a request after which a relay is tried even if the instance does not know yet whether it is cut off; 2 by default. */
+	readonly directFailures?: number;
 };
 
 /** An instance that opens connections for others. */
@@ -17,9 +19,6 @@
 		| {readonly type: 'relayed'; readonly relay: Relay}
 		| {readonly type: 'none'};
 
-/** The failed connections of a request after which a relay is tried even if the instance does not know yet whether it is cut off. */
-const directFailures = 2;
-
 /**
 Chooses how the sends of one request reach backend servers. It answers the load of an instance whose own links have failed.
 
@@ -44,7 +43,7 @@
 	@returns The path.
 	*/
 	next(connectionFailures: number): Path<Relay> {
-		const {links: {isCutOff}, relays} = this.#options;
+		const {links: {isCutOff}, relays, directFailures = 2} = this.#options;
 		if (!isCutOff && connectionFailures < directFailures) {
 			return {type: 'direct'};
 		}
