Choose the path of a retried attempt once

RequestSender asked for the next path to decide whether to go on, and asked again to go on, so that a relay was chosen twice. The path that is found is the one that is tried now; which attempts go on is as before.

--- a/packages/daemon/src/entry/engine-call.ts
+++ b/packages/daemon/src/entry/engine-call.ts
@@ -24,6 +24,7 @@
 	readonly resumeText: string;
 	/** The number of tokens in that text. */
 	readonly tokensBefore: number;
+	/** Sends the request over a path that reaches the server. */
 	readonly send: SendRequest;
 	/** The base address of the engine. */
 	readonly address: string;
--- a/packages/daemon/src/entry/request-sender.ts
+++ b/packages/daemon/src/entry/request-sender.ts
@@ -1,5 +1,5 @@
 import {type ServerId} from '@valehitch/core';
-import {RequestPath} from '@valehitch/routing';
+import {type Path, RequestPath} from '@valehitch/routing';
 import {
 	type HttpRequest, type HttpRequestFailure, type HttpResponse, type Relay, sendHttpRequest,
 } from '@valehitch/transport';
@@ -39,15 +39,9 @@
 	@returns The response, or why there was none.
 	*/
 	async send(server: ServerId, request: HttpRequest): Promise<Either<HttpRequestFailure, HttpResponse>> {
-		while (true) {
-			const path = this.#path.next(this.#connectionFailures);
-			if (path.type === 'none') {
-				return Left({
-					neverSent: true, onKeptConnection: false, isRelayUnavailable: false, message: 'This daemon reaches no backend server, and no other daemon can be asked',
-				});
-			}
-
-			const relay = path.type === 'relayed' ? path.relay : undefined;
+		let path: Path<Relay> | undefined = this.#path.next(this.#connectionFailures);
+		while (path.type !== 'none') {
+			const relay: Relay | undefined = path.type === 'relayed' ? path.relay : undefined;
 			const answer = await sendHttpRequest({
 				...request,
 				relay,
@@ -55,32 +49,38 @@
 					this.#links.recordConnected();
 				},
 			});
-			const isOver = answer.caseOf({
-				Left: failed => request.signal.aborted || !this.#mayTryAgain(failed, {server, relay}),
-				Right: () => true,
+			path = answer.caseOf({
+				Left: failed => request.signal.aborted ? undefined : this.#nextPath(failed, {server, relay}),
+				Right: () => undefined,
 			});
-			if (isOver) {
+			if (path === undefined) {
 				return answer;
 			}
 		}
+
+		return Left({
+			neverSent: true, onKeptConnection: false, isRelayUnavailable: false, message: 'This daemon reaches no backend server, and no other daemon can be asked',
+		});
 	}
 
-	/** Records a connection that was not opened; returns whether another path can be tried. */
-	#mayTryAgain({neverSent, isRelayUnavailable}: HttpRequestFailure, {server, relay}: {readonly server: ServerId; readonly relay: Relay | undefined}): boolean {
+	/** Records a connection that was not opened, and returns the path to try next; undefined if there is none. */
+	#nextPath({neverSent, isRelayUnavailable}: HttpRequestFailure, {server, relay}: {readonly server: ServerId; readonly relay: Relay | undefined}): Path<Relay> | undefined {
 		if (!neverSent) {
-			return false;
+			return undefined;
 		}
 
 		if (relay === undefined) {
 			this.#connectionFailures++;
 			this.#links.recordUnreachable(server);
-			return this.#path.next(this.#connectionFailures).type === 'relayed';
+			const next = this.#path.next(this.#connectionFailures);
+			return next.type === 'relayed' ? next : undefined;
 		}
 
-		if (isRelayUnavailable) {
-			this.#path.exclude(relay);
+		if (!isRelayUnavailable) {
+			return undefined;
 		}
 
-		return isRelayUnavailable;
+		this.#path.exclude(relay);
+		return this.#path.next(this.#connectionFailures);
 	}
 }
--- a/packages/daemon/src/entry/service-call.ts
+++ b/packages/daemon/src/entry/service-call.ts
@@ -24,6 +24,7 @@
 	readonly repeatable: boolean;
 	/** Whether the attempt must open a new connection even if the call may be repeated. */
 	readonly freshConnection: boolean;
+	/** Sends the request over a path that reaches the server. */
 	readonly send: SendRequest;
 	/** The base address of the instance. */
 	readonly address: string;
