--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -7,6 +7,7 @@
 export * from './http-server.js';
 export * from './set-interval-after-poll.js';
 export * from './open-tunnel.js';
+export * from './parse-address.js';
 export * from './parse-json-body.js';
 export * from './peer-network.js';
 export * from './probe-address.js';
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -2,11 +2,11 @@
 	Agent, type IncomingHttpHeaders, type IncomingMessage, type OutgoingHttpHeaders, request as sendRequest,
 } from 'node:http';
 import {type Either, Left, Right} from 'purify-ts';
+import {parseAddress} from './parse-address.js';
 import {probeAddress} from './probe-address.js';
 import {type Relay} from './relay.js';
 import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
 import {TunnelError} from './tunnel-agent.js';
-import {type TunnelTarget} from './tunnel-target.js';
 import {watchResponseEnd} from './watch-response-end.js';
 
 /** An HTTP request to a backend server. */
@@ -50,7 +50,6 @@
 
 const maximumIdleSocketsPerServer = 64;
 const connectTimeoutMilliseconds = 1000;
-const defaultPort = 80;
 /** The timeout of a check whether a server still accepts connections, in milliseconds. A running machine accepts or refuses one within one round trip. */
 const probeTimeoutMilliseconds = 100;
 const keepAliveAgent = new Agent({keepAlive: true, maxFreeSockets: maximumIdleSocketsPerServer});
@@ -124,18 +123,3 @@
 	const result = relay === undefined ? await probeAddress(target, probeTimeoutMilliseconds) : await relay.probe(target);
 	return result === 'open' || result === 'unanswered';
 }
-
-/**
-Parses the base URL of a server.
-
-@param address The URL, such as `http://127.0.0.1:9001`.
-@returns The host and port; port 80 if the URL has none.
-@example
-```ts
-parseAddress('http://127.0.0.1:9001'); // {host: '127.0.0.1', port: 9001}
-```
-*/
-export function parseAddress(address: string): TunnelTarget {
-	const {hostname, port} = new URL(address);
-	return {host: hostname, port: port === '' ? defaultPort : Number(port)};
-}
