Read the addresses of servers where they are used

A file of its own with a type and a function turned announcements into ids and addresses for two callers, of which one needs the address alone.

--- a/packages/daemon/src/entry/request-sender.test.ts
+++ b/packages/daemon/src/entry/request-sender.test.ts
@@ -9,7 +9,6 @@
 import test, {type ExecutionContext} from 'ava';
 import {Left, Right} from 'purify-ts';
 import {RequestSender} from './request-sender.js';
-import {type LinkedServer} from './linked-server.js';
 
 const server = 'engine-1' as ServerId;
 const closedAddress = 'http://127.0.0.1:1';
@@ -18,8 +17,8 @@
 	// The event is not under test.
 }
 
-function createLinks(): ServerLinks<LinkedServer> {
-	return new ServerLinks<LinkedServer>({
+function createLinks(): ServerLinks {
+	return new ServerLinks({
 		clock: {monotonic: () => 0}, random: () => 0, servers: () => [], isReachable: async () => false, wait: async () => new Promise<void>(ignore), onCutOff: ignore, onReachable: ignore,
 	});
 }
--- a/packages/daemon/src/entry/server-connections.ts
+++ b/packages/daemon/src/entry/server-connections.ts
@@ -9,7 +9,6 @@
 import type Logger from 'bunyan';
 import {type Member} from '../member.js';
 import {type PeerMessage} from '../messages.js';
-import {type LinkedServer, toLinkedServers} from './linked-server.js';
 import {NearRelaySelector} from './near-relay-selector.js';
 
 /** Options of {@linkcode ServerConnections}. */
@@ -39,7 +38,7 @@
 ```
 */
 export class ServerConnections {
-	readonly links: ServerLinks<LinkedServer>;
+	readonly links: ServerLinks;
 	readonly relays: ServerRelays;
 	readonly #options: ServerConnectionsOptions;
 	#isStopping = false;
@@ -50,7 +49,7 @@
 		this.links = new ServerLinks({
 			clock,
 			random,
-			servers: () => toLinkedServers(servers.available()),
+			servers: () => servers.available().map(({announcement: {server, address}}) => ({id: server, address})),
 			isReachable: async ({address}) => await probeAddress(parseAddress(address), trialTimeoutMilliseconds) === 'open',
 			wait: async milliseconds => delay(milliseconds, undefined, {ref: false}),
 			onCutOff(evidence) {
@@ -72,8 +71,8 @@
 	mayRelay({host, port}: TunnelTarget): boolean {
 		const {servers, network} = this.#options;
 		return !this.#isStopping && this.links.areConnected && network.tunnelCount < maximumTunnels
-			&& toLinkedServers(servers.available()).some(({address}) => {
-				const known = parseAddress(address);
+			&& servers.available().some(({announcement}) => {
+				const known = parseAddress(announcement.address);
 				return known.host === host && known.port === port;
 			});
 	}
