--- a/packages/transport/src/_join-sockets.ts
+++ b/packages/transport/src/_join-sockets.ts
@@ -1,7 +1,5 @@
 import {type Socket} from 'node:net';
-
-/** Written to a server after it has ended its side: the kernel rejects the write if the connection was reset, and a server that closed it ignores an empty line (RFC 9112, section 2.2). */
-const emptyLine = '\r\n';
+import {confirmClose} from './_confirm-close.js';
 
 /**
 Passes bytes between an HTTP client and a server until either has ended. A reset of either side resets the other, so that a truncated answer does not look complete.
@@ -16,12 +14,11 @@
 	caller.pipe(server, {end: false});
 	server.pipe(caller, {end: false});
 	server.on('end', () => {
-		// If a reset follows closely on data, the event loop reports it as the end.
-		server.write(emptyLine, error => {
-			if (error) {
-				caller.resetAndDestroy();
-			} else {
+		confirmClose(server, wasClosed => {
+			if (wasClosed) {
 				endAnswer();
+			} else {
+				caller.resetAndDestroy();
 			}
 		});
 	});
--- a/packages/transport/src/watch-response-end.ts
+++ b/packages/transport/src/watch-response-end.ts
@@ -1,4 +1,5 @@
 import {type IncomingMessage} from 'node:http';
+import {confirmClose} from './_confirm-close.js';
 import {responseFraming} from './response-framing.js';
 
 /** Options of {@linkcode watchResponseEnd}. */
@@ -31,11 +32,7 @@
 	return async () => message.complete && await wasClosed && isServerRunning();
 }
 
-/**
-Detects whether a connection was closed or reset. If a reset follows closely on data, the event loop reports it as closed.
-
-An empty line is written after the end. The kernel rejects it if the connection was reset, and a server that closed the connection ignores it (RFC 9112, section 2.2).
-*/
+/** Waits until a connection has ended, and tells whether it was closed rather than reset. */
 async function watchClose({socket}: IncomingMessage): Promise<boolean> {
 	return new Promise<boolean>(resolve => {
 		socket.once('error', () => {
@@ -46,9 +43,7 @@
 		});
 		// Runs before the listener of the HTTP client, which ends the writable side.
 		socket.prependOnceListener('end', () => {
-			socket.write('\r\n', error => {
-				resolve(error === undefined || error === null);
-			});
+			confirmClose(socket, resolve);
 		});
 	});
 }
