--- a/packages/daemon/src/entry/server-connections.ts
+++ b/packages/daemon/src/entry/server-connections.ts
@@ -1,7 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Clock, type InstanceId, type RandomSource} from '@valehitch/core';
 import {type ServerTable} from '@valehitch/membership';
-import {ServerLinks} from '@valehitch/routing';
+import {mayRelay, ServerLinks} from '@valehitch/routing';
 import {
 	type PeerNetwork, parseAddress, probeAddress, ServerRelays, type TunnelTarget,
 } from '@valehitch/transport';
@@ -25,8 +25,6 @@
 
 /** The timeout of a trial connection to a server, in milliseconds. */
 const trialTimeoutMilliseconds = 200;
-/** The maximum number of connections to backend servers that other daemons may have open through this one. */
-const maximumTunnels = 512;
 
 /**
 What a daemon knows of its links to backend servers, and the other daemons through which it reaches servers while its own links fail.
@@ -70,11 +68,15 @@
 	*/
 	mayRelay({host, port}: TunnelTarget): boolean {
 		const {servers, network} = this.#options;
-		return !this.#isStopping && this.links.areConnected && network.tunnelCount < maximumTunnels
-			&& servers.available().some(({announcement}) => {
+		return mayRelay({
+			isStopping: this.#isStopping,
+			links: this.links,
+			openTunnels: network.tunnelCount,
+			isKnownServer: () => servers.available().some(({announcement}) => {
 				const known = parseAddress(announcement.address);
 				return known.host === host && known.port === port;
-			});
+			}),
+		});
 	}
 
 	/** Accepts no further connections for other daemons. */
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -2,7 +2,7 @@
 import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
 import {abortResponse, type TunnelTarget} from '@valehitch/transport';
-import {WindowedRetryBudget} from '@valehitch/routing';
+import {mayRelay, WindowedRetryBudget} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {type EntryMessage, type ServerNoticeMessage, type WatchMessage} from '../control/peer-message.js';
@@ -35,8 +35,6 @@
 const idleFactor = 2;
 /** The interval at which changed loads are sent to peers, in milliseconds; shorter than most requests take. */
 const loadFlushMilliseconds = 80;
-/** The maximum number of connections to backend servers that other instances may have open through this one. */
-const maximumTunnels = 512;
 /** The interval at which idle connections are closed while the instance drains, in milliseconds. */
 const drainPollMilliseconds = 50;
 
@@ -208,7 +206,9 @@
 	*/
 	mayRelay(target: TunnelTarget, openTunnels: number): boolean {
 		const {links, servers} = this.#context;
-		return this.#endsAt === undefined && links.areConnected && openTunnels < maximumTunnels && servers.availability.hasAddress(target);
+		return mayRelay({
+			isStopping: this.#endsAt !== undefined, links, openTunnels, isKnownServer: () => servers.availability.hasAddress(target),
+		});
 	}
 
 	/** Closes idle connections, so that their callers connect to other instances before this one stops. */
