--- a/packages/gateway/src/entry/entry-suspects.test.ts
+++ b/packages/gateway/src/entry/entry-suspects.test.ts
@@ -38,16 +38,22 @@
 
 test('a broken connection counts against a request only if the server process has ended', async t => {
 	const {suspects, changed} = createSuspects({ended: ['ended']});
-	t.is(await suspects.recordLoss({fingerprint, request: 'a1', server: server('running')}), 'running');
+	t.is(await suspects.recordLoss({
+		fingerprint, parts: [], request: 'a1', server: server('running'),
+	}), 'running');
 	t.is(suspects.statusOf(fingerprint), 'unknown');
-	t.is(await suspects.recordLoss({fingerprint, request: 'a1', server: server('ended')}), 'ended');
+	t.is(await suspects.recordLoss({
+		fingerprint, parts: [], request: 'a1', server: server('ended'),
+	}), 'ended');
 	t.is(suspects.statusOf(fingerprint), 'suspect');
 	t.deepEqual(changed, [fingerprint]);
 });
 
 test('all requests in flight at a server share one check, and only the first one reports its end', async t => {
 	const {suspects, checks} = createSuspects({ended: ['ended']});
-	const findings = await Promise.all([fingerprint, other].map(async known => suspects.recordLoss({fingerprint: known, request: 'a1', server: server('ended')})));
+	const findings = await Promise.all([fingerprint, other].map(async known => suspects.recordLoss({
+		fingerprint: known, parts: [], request: 'a1', server: server('ended'),
+	})));
 	t.deepEqual(findings, ['ended', 'already-ended']);
 	t.deepEqual([fingerprint, other].map(known => suspects.statusOf(known)), ['suspect', 'suspect']);
 	t.deepEqual(checks, ['ended']);
@@ -60,7 +66,9 @@
 	const {suspects, checks} = createSuspects({ended: Object.keys(states), state: ({id}) => states[id]!});
 	const findings: string[] = [];
 	for (const id of Object.keys(states)) {
-		findings.push(await suspects.recordLoss({fingerprint, request: 'a1', server: server(id)}));
+		findings.push(await suspects.recordLoss({
+			fingerprint, parts: [], request: 'a1', server: server(id),
+		}));
 	}
 
 	t.deepEqual(findings, ['running', 'running', 'running', 'ended']);
@@ -75,7 +83,9 @@
 	});
 	suspects.merge([{fingerprint, ends: ['a', 'b'].map(process => ({process, at: 0, isCleared: false}))}], control);
 	t.is(suspects.statusOf(fingerprint), 'doubtful');
-	await suspects.recordLoss({fingerprint, request: 'a1', server: server('c')});
+	await suspects.recordLoss({
+		fingerprint, parts: [], request: 'a1', server: server('c'),
+	});
 	t.deepEqual(quarantined, [fingerprint]);
 	stop();
 	suspects.merge([{fingerprint: other, ends: ['a', 'b', 'c'].map(process => ({process, at: 0, isCleared: false}))}], control);
@@ -85,7 +95,9 @@
 
 test('a complete answer clears a request, and is reported once', async t => {
 	const {suspects, changed} = createSuspects({ended: ['ended']});
-	await suspects.recordLoss({fingerprint, request: 'a1', server: server('ended')});
+	await suspects.recordLoss({
+		fingerprint, parts: [], request: 'a1', server: server('ended'),
+	});
 	suspects.recordAnswered(fingerprint);
 	suspects.recordAnswered(fingerprint);
 	suspects.recordAnswered(other);
--- a/packages/gateway/src/entry/entry-suspects.ts
+++ b/packages/gateway/src/entry/entry-suspects.ts
@@ -28,6 +28,8 @@
 /** A send whose connection broke. */
 export type LostSend = {
 	readonly fingerprint: RequestFingerprint;
+	/** The ids of the parts of its prompt that other prompts can have too. */
+	readonly parts: readonly string[];
 	readonly request: string;
 	readonly server: ServerRecord;
 };
@@ -41,7 +43,7 @@
 @example
 ```ts
 const suspects = new EntrySuspects({clock, log, servers, checkProcess, onChanged});
-const finding = await suspects.recordLoss({fingerprint, request: 'a1', server});
+const finding = await suspects.recordLoss({fingerprint, parts: [], request: 'a1', server});
 suspects.standing(fingerprint); // 'suspect' if the server's process has ended
 ```
 */
@@ -73,7 +75,7 @@
 	@param lost The request and the server.
 	@returns The state of the server.
 	*/
-	async recordLoss({fingerprint, request, server}: LostSend): Promise<LossFinding> {
+	async recordLoss({fingerprint, parts, request, server}: LostSend): Promise<LossFinding> {
 		const process = processNameOf(server);
 		const check = await this.#check(server, process);
 		if (check !== 'ended') {
@@ -84,7 +86,7 @@
 		this.#ended.set(process, true);
 		if (this.registry.recordExit(fingerprint, {process, at: this.#now()})) {
 			this.#options.log('request-suspected', {
-				request, fingerprint, server: server.id, startedAt: server.startedAt, standing: this.statusOf(fingerprint),
+				request, fingerprint, parts, server: server.id, startedAt: server.startedAt, standing: this.statusOf(fingerprint),
 			}, 'warn');
 			this.#options.onChanged(fingerprint);
 			this.#notifyQuarantine(fingerprint, {source: 'own'});
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -94,7 +94,7 @@
 
 	const reason = reasonFor(outcome);
 	context.log('request-attempt-ended', {
-		request: request.id, fingerprint: suspect.fingerprint, server: server.id, startedAt: server.startedAt, relay: relay?.instance, result: outcome.type, reason,
+		request: request.id, fingerprint: suspect.fingerprint, parts: suspect.parts, server: server.id, startedAt: server.startedAt, relay: relay?.instance, result: outcome.type, reason,
 	}, 'warn');
 	if (outcome.type === 'relay-unavailable') {
 		return {type: 'relay-unavailable'};
@@ -307,7 +307,8 @@
 	}
 
 	context.log('request-resumed', {
-		request: request.id, fingerprint: suspect.fingerprint, server: server.id, startedAt: server.startedAt, end, lastEvent: events.lastEventId, framing, leftoverBytes: events.incomplete.byteLength,
+		request: request.id, fingerprint: suspect.fingerprint, parts: suspect.parts, server: server.id, startedAt: server.startedAt,
+		end, lastEvent: events.lastEventId, framing, leftoverBytes: events.incomplete.byteLength,
 	}, 'warn');
 	events.discardIncomplete();
 	const reason = `The stream of ${server.id} is ${end}`;
--- a/packages/gateway/src/entry/suspect-request.ts
+++ b/packages/gateway/src/entry/suspect-request.ts
@@ -2,11 +2,14 @@
 import {type FingerprintedRequest, fingerprintRequest, type SuspectStatus} from '@valehitch/routing';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type EntrySuspects, type LossFinding} from './entry-suspects.js';
+import {type PromptPart} from './gateway-request.js';
+import {reusableParts} from './reusable-parts.js';
 
 /** Options of {@linkcode SuspectRequest}. */
 export type SuspectRequestOptions = FingerprintedRequest & {
 	/** The id that the caller gave this attempt of the request. */
 	readonly id: string;
+	readonly promptParts: readonly PromptPart[];
 };
 
 /**
@@ -14,7 +17,9 @@
 
 @example
 ```ts
-const suspect = new SuspectRequest(suspects, {id: 'a1', workspace, method, host, target, body});
+const suspect = new SuspectRequest(suspects, {
+	id: 'a1', promptParts, workspace, method, host, target, body,
+});
 if (suspect.standing === 'quarantined') answer.refuse(suspect.refusal);
 ```
 */
@@ -22,6 +27,7 @@
 	readonly #suspects: EntrySuspects;
 	readonly #options: SuspectRequestOptions;
 	#fingerprint: RequestFingerprint | undefined;
+	#parts: readonly string[] | undefined;
 
 	constructor(suspects: EntrySuspects, options: SuspectRequestOptions) {
 		this.#suspects = suspects;
@@ -34,6 +40,12 @@
 		return this.#fingerprint;
 	}
 
+	/** The ids of the parts of its prompt that other prompts can have too. */
+	get parts(): readonly string[] {
+		this.#parts ??= reusableParts(this.#options.promptParts);
+		return this.#parts;
+	}
+
 	/** The standing of the request, based on the server processes that ended during it. */
 	get standing(): SuspectStatus {
 		return this.#suspects.registry.isEmpty ? 'unknown' : this.#suspects.statusOf(this.fingerprint);
@@ -52,7 +64,9 @@
 	@returns The state of the server.
 	*/
 	async recordLoss(server: ServerRecord): Promise<LossFinding> {
-		return this.#suspects.recordLoss({fingerprint: this.fingerprint, request: this.#options.id, server});
+		return this.#suspects.recordLoss({
+			fingerprint: this.fingerprint, parts: this.parts, request: this.#options.id, server,
+		});
 	}
 
 	/** Records that a server answered the request completely. */
