--- /dev/null
+++ b/packages/testing/src/crashing-prompt-parts.test.ts
@@ -0,0 +1,193 @@
+import test, {type ExecutionContext} from 'ava';
+import {CrashingServers} from './platform/crashing-servers.js';
+import {type ReceivedResponse, sendForResponse, sendForStatus} from './platform/fake-backend-server.js';
+import {PlatformDeployment} from './platform/platform-deployment.js';
+import {waitUntil} from './wait-until.js';
+
+const host = 'desk.example';
+const entryCount = 4;
+const serverCount = 8;
+const fatalPart = 'bad';
+/** Number of server exits after which the part counts as identified. */
+const identifyingExits = 5;
+/** Milliseconds within which all instances must know the part, and the number of requests with it that may reach servers afterwards. */
+const windowMilliseconds = 3000;
+const allowedSends = 3;
+/** The share of the requests served at the first attempt before, that is served again from two windows after the identifying exit. */
+const servedShare = 0.95;
+const intervalMilliseconds = 30;
+/** One in this many requests contains the fatal part. */
+const fatalEvery = 6;
+const quietMilliseconds = 2000;
+const trafficMilliseconds = 11_000;
+
+type Kind = 'fatal' | 'related' | 'unrelated';
+
+type Sent = {
+	readonly kind: Kind;
+	readonly at: number;
+	readonly answer: ReceivedResponse;
+};
+
+type DraftOptions = {
+	readonly number: number;
+	readonly key: string;
+	readonly parts: readonly string[];
+};
+
+type TrafficOptions = {
+	/** Returns the parts of the prompt of a fatal request about a subject, without the last one. */
+	readonly fatalParts: (subject: string) => readonly string[];
+	/** Called in place of sending fatal requests. */
+	readonly onFatalStart?: (servers: CrashingServers) => Promise<void>;
+};
+
+type Played = {
+	readonly servers: CrashingServers;
+	readonly startedAt: number;
+	readonly sent: readonly Sent[];
+};
+
+const configuration = {
+	version: 1,
+	routes: [{
+		name: 'drafts', host, pathPrefix: '/drafts/', kind: 'streaming', timeoutMs: 8000, targetLatencyMs: 2000, targetGapMs: 1000,
+		sizes: ['small', 'large'], service: 'models', maxAttempts: 3, sticky: true, resumable: true, public: false,
+	}],
+	services: [{name: 'models', engine: {models: [{name: 'small', cost: 0.01}, {name: 'large', cost: 0.3}]}}],
+	limits: {
+		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+	},
+	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}, {name: 'yards', apiKeys: ['k2'], priority: 1}],
+};
+
+async function start(t: ExecutionContext): Promise<{readonly deployment: PlatformDeployment; readonly servers: CrashingServers}> {
+	const deployment = await PlatformDeployment.start({entryCount});
+	const servers = new CrashingServers({
+		isFatal: ({promptParts}) => promptParts.includes(fatalPart), exitDelay: 60, restartDelay: 2500, answer: {
+			confidence: 90, events: ['one', 'two', 'three'], firstEventDelay: 40, gap: 100,
+		},
+	});
+	await servers.start(serverCount);
+	const announceTimer = setInterval(() => {
+		void servers.announce(deployment.controls[0]!.address);
+	}, 200);
+	t.teardown(async () => {
+		clearInterval(announceTimer);
+		servers.stop();
+		await deployment.stop();
+	});
+	await waitUntil(async () => {
+		const statuses = await Promise.all(deployment.controls.map(async ({address}) => sendForStatus({
+			method: 'PUT', address, path: '/-/config', body: configuration,
+		})));
+		return statuses.includes(200) || undefined;
+	}, {description: 'an acknowledged configuration'});
+	await waitUntil(async () => {
+		const answers = await Promise.all(deployment.entries.map(async ({address}, index) => send(address, {number: -1 - index, key: 'k1', parts: ['f1', `s${index}`]})));
+		return answers.every(({status}) => status === 200) || undefined;
+	}, {description: 'a response of each entry instance'});
+	return {deployment, servers};
+}
+
+async function send(address: string, {number, key, parts}: DraftOptions): Promise<ReceivedResponse> {
+	return sendForResponse({
+		method: 'POST', address, path: `/drafts/${number}`, body: {draft: number}, headers: {
+			Host: host, 'Attempt-Id': `a${number}`, 'Deadline-Ms': '8000', Authorization: `Bearer ${key}`, Model: '*', 'Token-Usage': '100,20',
+			'Prompt-Prefix': [...parts, `u${number}`].map(id => `${id}:50`).join(','),
+		},
+	});
+}
+
+/** Returns the kind of a request, its key and the parts of its prompt. Related requests have the key and the other part of the fatal ones. */
+function describeRequest(number: number, {fatalParts}: Pick<TrafficOptions, 'fatalParts'>): Omit<DraftOptions, 'number'> & {readonly kind: Kind} {
+	const subject = `s${number % 20}`;
+	if (number % fatalEvery === 0) {
+		return {kind: 'fatal', key: 'k1', parts: fatalParts(subject)};
+	}
+
+	return number % 2 === 0 ? {kind: 'unrelated', key: 'k2', parts: ['f2', subject]} : {kind: 'related', key: 'k1', parts: ['f1', subject]};
+}
+
+/** Sends requests to all entry instances in turn, no two alike, and from some time on fatal ones among them. */
+async function playTraffic(t: ExecutionContext, {fatalParts, onFatalStart}: TrafficOptions): Promise<Played> {
+	const {deployment, servers} = await start(t);
+	const startedAt = performance.now();
+	const fatalFrom = startedAt + quietMilliseconds;
+	const sent: Array<Promise<Sent>> = [];
+	let hasBegun = false;
+	for (let number = 0; performance.now() < fatalFrom + trafficMilliseconds; number++) {
+		const at = performance.now();
+		const {kind, key, parts} = describeRequest(number, {fatalParts});
+		const {address} = (deployment.entries[Math.floor(number / 2) % entryCount]!);
+		if (kind !== 'fatal' || (at >= fatalFrom && onFatalStart === undefined)) {
+			sent.push(record({kind, at, answer: send(address, {number, key, parts})}));
+		}
+
+		if (at >= fatalFrom && !hasBegun) {
+			hasBegun = true;
+			void onFatalStart?.(servers);
+		}
+
+		await sleep(intervalMilliseconds);
+	}
+
+	return {servers, startedAt, sent: await Promise.all(sent)};
+}
+
+async function record({kind, at, answer}: {readonly kind: Kind; readonly at: number; readonly answer: Promise<ReceivedResponse>}): Promise<Sent> {
+	return {kind, at, answer: await answer};
+}
+
+async function sleep(milliseconds: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
+
+/** Returns the share of the requests of a kind that were served whole at the first attempt. */
+function shareServed(sent: readonly Sent[], {kind, from, until}: {readonly kind: Kind; readonly from: number; readonly until: number}): number {
+	const relevant = sent.filter(request => request.kind === kind && request.at >= from && request.at < until);
+	return relevant.filter(({answer: {status, isComplete}}) => status === 200 && isComplete).length / relevant.length;
+}
+
+/** Checks that servers hardly get any request with the fatal part once it is identified, and that the other requests are served. */
+function assertContained(t: ExecutionContext, {servers: {sends, exits}, startedAt, sent}: Played): void {
+	const identifiedAt = exits[identifyingExits - 1] ?? exits.at(-1)!;
+	const late = sends.filter(at => at > identifiedAt + windowMilliseconds).length;
+	t.true(late <= allowedSends, `${late} late sends, ${exits.length} servers exited`);
+	for (const kind of ['related', 'unrelated'] as const) {
+		const before = shareServed(sent, {kind, from: startedAt, until: startedAt + quietMilliseconds});
+		const after = shareServed(sent, {kind, from: identifiedAt + (2 * windowMilliseconds), until: Number.POSITIVE_INFINITY});
+		t.true(after >= servedShare * before, `${kind} requests: ${after.toFixed(2)} served, ${before.toFixed(2)} before`);
+	}
+
+	const quarantined = sent.filter(({kind, answer: {status}}) => kind !== 'fatal' && status === 400);
+	t.is(quarantined.length, 0, 'requests without the fatal part got a final refusal');
+}
+
+for (const [position, fatalParts] of [
+	['second', () => ['f1', fatalPart]],
+	['first', (subject: string) => [fatalPart, subject]],
+] as const) {
+	test(`prompts whose ${position} part crashes servers are soon sent to none, and requests without it are served`, async t => {
+		const played = await playTraffic(t, {fatalParts});
+		t.true(played.servers.exits.length > 0);
+		assertContained(t, played);
+	});
+}
+
+test('no request is refused for the parts of its prompt while servers are killed one after another', async t => {
+	const kills = 6;
+	const played = await playTraffic(t, {
+		fatalParts: () => [],
+		async onFatalStart(servers) {
+			for (let kill = 0; kill < kills; kill++) {
+				servers.exitOldest();
+				await sleep(700);
+			}
+		},
+	});
+	t.is(played.servers.exits.length, kills);
+	assertContained(t, played);
+});
--- a/packages/testing/src/crashing-requests.test.ts
+++ b/packages/testing/src/crashing-requests.test.ts
@@ -1,5 +1,6 @@
 import test, {type ExecutionContext} from 'ava';
-import {sendForResponse, FakeBackendServer, sendForStatus} from './platform/fake-backend-server.js';
+import {CrashingServers} from './platform/crashing-servers.js';
+import {sendForResponse, sendForStatus} from './platform/fake-backend-server.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
 import {slowDiskEnvironment} from './platform/slow-disk.js';
 import {waitUntil} from './wait-until.js';
@@ -18,72 +19,6 @@
 const saveMilliseconds = 300;
 const slowSaveMilliseconds = 500;
 
-/** Servers of one service that exit when they start the deadly request, and restart later as new processes. */
-class CrashingServers {
-	/** Times at which the deadly request reached a server, in milliseconds. */
-	readonly sends: number[] = [];
-	/** Times at which servers exited because of it, in milliseconds. */
-	readonly exits: number[] = [];
-	readonly #running = new Set<FakeBackendServer>();
-	#started = 0;
-	#isStopped = false;
-
-	/**
-	Starts a server.
-
-	@param port The port of the process that it replaces.
-	*/
-	async start(port?: number): Promise<void> {
-		this.#started++;
-		const server: FakeBackendServer = await FakeBackendServer.start({
-			id: `i-${this.#started}`,
-			service: 'models',
-			host: '127.0.0.1',
-			startedAt: Date.now(),
-			...(port !== undefined && {port}),
-			answer: ({path}) => {
-				if (path !== deadlyPath) {
-					return {confidence: 90, events: ['one', 'two'], gap: 20};
-				}
-
-				this.sends.push(performance.now());
-				setTimeout(() => {
-					void this.#exit(server);
-				}, exitDelayMilliseconds);
-				return {confidence: 90, firstEventDelay: 10 * exitDelayMilliseconds};
-			},
-		});
-		this.#running.add(server);
-	}
-
-	async announce(control: string): Promise<void> {
-		await Promise.all([...this.#running].map(async server => server.announce(control)));
-	}
-
-	stop(): void {
-		this.#isStopped = true;
-		for (const server of this.#running) {
-			server.close();
-		}
-
-		this.#running.clear();
-	}
-
-	async #exit(server: FakeBackendServer): Promise<void> {
-		if (!this.#running.delete(server)) {
-			return;
-		}
-
-		const {port} = server;
-		server.close();
-		this.exits.push(performance.now());
-		await sleep(restartDelayMilliseconds);
-		if (!this.#isStopped) {
-			await this.start(port);
-		}
-	}
-}
-
 type Started = {
 	readonly deployment: PlatformDeployment;
 	readonly servers: CrashingServers;
@@ -91,8 +26,10 @@
 
 async function start(t: ExecutionContext, environment: Readonly<Record<string, string>> = {}): Promise<Started> {
 	const deployment = await PlatformDeployment.start({entryCount: 3, environment: () => environment});
-	const servers = new CrashingServers();
-	await Promise.all(Array.from({length: serverCount}, async () => servers.start()));
+	const servers = new CrashingServers({
+		isFatal: ({path}) => path === deadlyPath, exitDelay: exitDelayMilliseconds, restartDelay: restartDelayMilliseconds, answer: {confidence: 90, events: ['one', 'two'], gap: 20},
+	});
+	await servers.start(serverCount);
 	const announceTimer = setInterval(() => {
 		void servers.announce(deployment.controls[0]!.address);
 	}, 200);
--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -42,6 +42,8 @@
 	readonly workspace: string | undefined;
 	readonly lastEventId: string | undefined;
 	readonly path: string;
+	/** The ids of the parts of its prompt, in order. */
+	readonly promptParts: readonly string[];
 	readonly server: string;
 };
 
@@ -157,6 +159,7 @@
 			workspace: firstValueOf(headers.tenant),
 			lastEventId: firstValueOf(headers['last-event-id']),
 			path: url,
+			promptParts: (firstValueOf(headers['prompt-prefix']) ?? '').split(',').map(part => part.split(':')[0]!.trim()),
 			server: this.#options.id,
 		};
 		await this.#respond(run, response);
