Blame a part of prompts for the exits that requests with it cause

Cause: evidence was kept on the whole request. No two of these requests are alike, so that each was new, and what three ends proved of one said nothing of the next. What they share is one part of their prompts. A bystander that was sent again to three servers that ended was quarantined in its place.

Change: an exit counts against the request and against each part of its prompt that other prompts can have (all but the last). A whole answer, at any instance, clears a part of what happened before it. The verdict looks at all records together: few parts have to explain the exits, a part that was answered before only what no other part explains, and an exit that a part explains better does not count against a request. Exits within 100 ms count as one event; three events, or five processes at two, are proof, 150 ms after the last, so that the reports of other instances have arrived. Records keep their form; three optional fields are new, which earlier versions pass over.

Why it works: the bad part is at each exit and never answered, so that its exits add up over all requests and instances; those beside it share some of its exits only, and are explained by it.

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -18,6 +18,10 @@
 export type RequestId = Brand<string, 'RequestId'>;
 /** Identifies the content of a caller's request. The same for each of its retries. */
 export type RequestFingerprint = Brand<string, 'RequestFingerprint'>;
+/** Identifies a part of prompts, whichever requests contain it. */
+export type PromptPartFingerprint = Brand<string, 'PromptPartFingerprint'>;
+/** Identifies what may crash the servers that process it. */
+export type SuspectFingerprint = RequestFingerprint | PromptPartFingerprint;
 /** Identifies one change by an operator, so that a resent change can be distinguished from a new one. */
 export type ChangeId = Brand<string, 'ChangeId'>;
 /** The number of a configuration in commit order, starting at 1. */
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -1,5 +1,5 @@
 import {
-	type InstanceId, type RequestFingerprint, type ServerId, SuspensionDetector, type ZoneId,
+	type InstanceId, type SuspectFingerprint, type ServerId, SuspensionDetector, type ZoneId,
 } from '@valehitch/core';
 import {match, P} from 'ts-pattern';
 import {EvidenceTable} from '../rollouts/evidence-table.js';
@@ -202,7 +202,7 @@
 	@param fingerprint The request.
 	@returns Whether the change is saved to disk, or `undefined` if the request is unknown.
 	*/
-	async liftQuarantine(fingerprint: RequestFingerprint): Promise<QuarantineLiftResult | undefined> {
+	async liftQuarantine(fingerprint: SuspectFingerprint): Promise<QuarantineLiftResult | undefined> {
 		return this.#suspectSync.liftQuarantine(fingerprint);
 	}
 
--- a/packages/gateway/src/control/suspect-sync.ts
+++ b/packages/gateway/src/control/suspect-sync.ts
@@ -1,5 +1,5 @@
-import {type Clock, type InstanceId, type RequestFingerprint} from '@valehitch/core';
-import {SuspectRegistry, type SuspectRecord} from '@valehitch/routing';
+import {type Clock, type InstanceId, type SuspectFingerprint} from '@valehitch/core';
+import {isPromptPart, SuspectRegistry, type SuspectRecord} from '@valehitch/routing';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {ListSaver} from '../servers/list-saver.js';
 import {type SavedList} from '../servers/saved-list.js';
@@ -56,7 +56,9 @@
 	readonly registry = new SuspectRegistry();
 	readonly #options: SuspectSyncOptions;
 	readonly #saver: ListSaver<SuspectRecord>;
-	readonly #unrelayed = new Set<RequestFingerprint>();
+	readonly #unrelayed = new Set<SuspectFingerprint>();
+	/** The quarantined parts of prompts at the last round. */
+	#quarantinedParts: ReadonlySet<SuspectFingerprint> = new Set();
 	#relayTimer: NodeJS.Timeout | undefined;
 	#syncTimer: NodeJS.Timeout | undefined;
 	/** The index of the first record to send in the next round. */
@@ -111,7 +113,7 @@
 	@param fingerprint The request.
 	@returns Whether the change is saved to disk, or `undefined` if the request is unknown.
 	*/
-	async liftQuarantine(fingerprint: RequestFingerprint): Promise<QuarantineLiftResult | undefined> {
+	async liftQuarantine(fingerprint: SuspectFingerprint): Promise<QuarantineLiftResult | undefined> {
 		if (!this.registry.clear(fingerprint)) {
 			return undefined;
 		}
@@ -143,7 +145,7 @@
 		const changed = this.registry.merge(records);
 		const now = this.#now();
 		for (const {fingerprint, ends} of changed) {
-			if (this.registry.status(fingerprint, now) === 'quarantined') {
+			if (!isPromptPart(fingerprint) && this.registry.status(fingerprint, now) === 'quarantined') {
 				this.#options.log('request-quarantined', {fingerprint, processes: ends.map(({process}) => process), source}, 'warn');
 			}
 		}
@@ -157,7 +159,7 @@
 		return changed;
 	}
 
-	#relay(fingerprint: RequestFingerprint): void {
+	#relay(fingerprint: SuspectFingerprint): void {
 		this.#unrelayed.add(fingerprint);
 		this.#relayTimer ??= setTimeout(() => {
 			this.#relayTimer = undefined;
@@ -168,6 +170,7 @@
 
 	#runSync(): void {
 		this.registry.deleteExpired(this.#now());
+		this.#logQuarantinedParts();
 		void this.save();
 		const known = this.registry.sharedRecords;
 		if (known.length === 0) {
@@ -179,6 +182,19 @@
 		this.#broadcast(known.slice(first, this.#syncOffset));
 	}
 
+	/** Logs the parts that became quarantined since the last round; other instances may still have reported exits that explain theirs until then. */
+	#logQuarantinedParts(): void {
+		const quarantined = new Set([...this.registry.quarantined(this.#now())].filter(fingerprint => isPromptPart(fingerprint)));
+		for (const fingerprint of quarantined) {
+			if (!this.#quarantinedParts.has(fingerprint)) {
+				const processes = this.registry.get(fingerprint)?.ends.map(({process}) => process);
+				this.#options.log('prompt-part-quarantined', {fingerprint, processes, source: 'control'}, 'warn');
+			}
+		}
+
+		this.#quarantinedParts = quarantined;
+	}
+
 	#broadcast(records: readonly SuspectRecord[]): void {
 		const {others, ask} = this.#options;
 		if (records.length === 0) {
--- /dev/null
+++ b/packages/gateway/src/entry/_test-crash-simulation.ts
@@ -0,0 +1,233 @@
+import {type InstanceId, type RequestFingerprint, type ServerId} from '@valehitch/core';
+import {promptPartFingerprint, SuspectRegistry, type SuspectRecord} from '@valehitch/routing';
+import {testServer} from '../servers/_test-server.js';
+import {EntrySuspects, type RequestSuspects} from './entry-suspects.js';
+
+/** The size of a simulated deployment, its traffic and its faults. */
+export type CrashSimulationOptions = {
+	readonly instances: number;
+	readonly servers: number;
+	readonly requestsPerSecond: number;
+	/** How long the traffic lasts, in milliseconds. */
+	readonly duration: number;
+	readonly random: () => number;
+	/** The parts that crash each server that answers them: at which position of how many prompts a second, and from when on, in milliseconds. */
+	readonly crashingParts?: ReadonlyArray<{readonly id: string; readonly depth: 0 | 1; readonly requestsPerSecond: number; readonly from: number}>;
+	/** Returns how many servers exit at a time, whatever they process; none by default. */
+	readonly exitsAt?: (time: number) => number;
+};
+
+/** What a simulated deployment did. */
+export type CrashSimulationResult = {
+	readonly crashes: number;
+	/** For each crashing part, when requests with it reached servers and when servers exited during them, in milliseconds. */
+	readonly crashingParts: ReadonlyArray<{readonly sends: readonly number[]; readonly exits: readonly number[]}>;
+	readonly soundRequests: number;
+	/** The requests without a crashing part that were refused as quarantined. */
+	readonly refusedSound: number;
+};
+
+type SimulatedRequest = RequestSuspects & {
+	readonly id: string;
+	/** The number of its crashing part; undefined for sound requests. */
+	readonly crashing: number | undefined;
+	readonly instance: number;
+	readonly sends: number;
+};
+
+type SimulatedSend = {
+	readonly request: SimulatedRequest;
+	readonly endsAt: number;
+};
+
+const stepMilliseconds = 10;
+const answerMilliseconds = 340;
+const crashMilliseconds = 60;
+const restartMilliseconds = 3000;
+/** How long a report takes to a control instance, and its news to the entry instances. */
+const reportMilliseconds = 20;
+const newsMilliseconds = 40;
+const maximumSends = 3;
+const firstPartCount = 6;
+const subjectCount = 200;
+const control = '10.0.0.1' as InstanceId;
+
+/**
+Simulates what entry instances learn about requests that crash servers, with one control instance that passes on their reports.
+
+@param options The deployment and its faults.
+@returns What it did.
+*/
+export async function simulateCrashes(options: CrashSimulationOptions): Promise<CrashSimulationResult> {
+	const simulation = new CrashSimulation(options);
+	for (let time = 0; time < options.duration; time += stepMilliseconds) {
+		await simulation.step(time);
+	}
+
+	return simulation.result;
+}
+
+class CrashSimulation {
+	readonly #options: CrashSimulationOptions;
+	readonly #parts: ReadonlyArray<{readonly sends: number[]; readonly exits: number[]}>;
+	readonly #instances: EntrySuspects[];
+	readonly #cursors: number[];
+	readonly #control = new SuspectRegistry();
+	readonly #servers: Array<{process: number; upAt: number; sends: SimulatedSend[]}>;
+	readonly #reports: Array<{readonly at: number; readonly record: SuspectRecord}> = [];
+	#time = 0;
+	#arrivals = 0;
+	#crashes = 0;
+	#soundRequests = 0;
+	#refusedSound = 0;
+
+	constructor(options: CrashSimulationOptions) {
+		this.#options = options;
+		this.#parts = (options.crashingParts ?? []).map(() => ({sends: [], exits: []}));
+		this.#cursors = Array.from({length: options.instances}, () => 0);
+		this.#servers = Array.from({length: options.servers}, () => ({process: 0, upAt: 0, sends: []}));
+		this.#instances = Array.from({length: options.instances}, () => this.#createInstance());
+	}
+
+	get result(): CrashSimulationResult {
+		return {
+			crashes: this.#crashes, crashingParts: this.#parts, soundRequests: this.#soundRequests, refusedSound: this.#refusedSound,
+		};
+	}
+
+	async step(time: number): Promise<void> {
+		this.#time = time;
+		this.#passReports();
+		this.#passNews();
+		this.#arrive();
+		for (let exits = this.#options.exitsAt?.(time) ?? 0; exits > 0; exits--) {
+			await this.#exit(Math.floor(this.#options.random() * this.#servers.length));
+		}
+
+		for (const [index, {sends}] of this.#servers.entries()) {
+			const due = sends.filter(({endsAt}) => endsAt <= time);
+			if (due.some(({request}) => request.crashing !== undefined)) {
+				await this.#exit(index);
+				continue;
+			}
+
+			for (const {request} of due) {
+				this.#instances[request.instance]!.recordAnswered(request.fingerprint);
+				this.#instances[request.instance]!.recordAnsweredParts(request.parts);
+			}
+
+			this.#servers[index]!.sends = sends.filter(({endsAt}) => endsAt > time);
+		}
+	}
+
+	#createInstance(): EntrySuspects {
+		const suspects: EntrySuspects = new EntrySuspects({
+			clock: {now: () => new Date(this.#time)},
+			log() {
+				// The result is counted from outside.
+			},
+			servers: {processStateOf: () => 'replaced'},
+			checkProcess: async () => 'ended',
+			onChanged: fingerprint => {
+				this.#reports.push({at: this.#time + reportMilliseconds, record: suspects.registry.get(fingerprint)!});
+			},
+		});
+		return suspects;
+	}
+
+	#passReports(): void {
+		while (this.#reports.length > 0 && this.#reports[0]!.at <= this.#time) {
+			this.#control.merge([this.#reports.shift()!.record]);
+		}
+	}
+
+	#passNews(): void {
+		const {cursor} = this.#control;
+		for (const [index, suspects] of this.#instances.entries()) {
+			if (this.#time % newsMilliseconds === 0 && this.#cursors[index]! < cursor) {
+				suspects.merge(this.#control.changedSince(this.#cursors[index]!), control);
+				this.#cursors[index] = cursor;
+			}
+		}
+	}
+
+	#arrive(): void {
+		const {requestsPerSecond, crashingParts = []} = this.#options;
+		for (let count = this.#countArrivals(requestsPerSecond); count > 0; count--) {
+			this.#soundRequests++;
+			this.#send(this.#createRequest([`first ${this.#pick(firstPartCount)}`, `subject ${this.#pick(subjectCount)}`], {crashing: undefined}));
+		}
+
+		for (const [crashing, {id, depth, requestsPerSecond: rate, from}] of crashingParts.entries()) {
+			for (let count = this.#time < from ? 0 : this.#countArrivals(rate); count > 0; count--) {
+				const parts = depth === 0 ? [id, `subject ${this.#pick(subjectCount)}`] : ['first 0', id];
+				this.#send(this.#createRequest(parts, {crashing}));
+			}
+		}
+	}
+
+	#countArrivals(perSecond: number): number {
+		const expected = perSecond * stepMilliseconds / 1000;
+		return Math.floor(expected) + (this.#options.random() < expected % 1 ? 1 : 0);
+	}
+
+	/** Picks a number such that small ones are frequent. */
+	#pick(count: number): number {
+		return Math.floor(count * (this.#options.random() ** 2));
+	}
+
+	#createRequest(parts: readonly string[], {crashing}: Pick<SimulatedRequest, 'crashing'>): SimulatedRequest {
+		this.#arrivals++;
+		return {
+			id: `a${this.#arrivals}`, fingerprint: `request ${this.#arrivals}` as RequestFingerprint, parts: parts.map(id => promptPartFingerprint(id)),
+			crashing, instance: Math.floor(this.#options.random() * this.#instances.length), sends: 0,
+		};
+	}
+
+	#send(request: SimulatedRequest): void {
+		if (request.sends === maximumSends) {
+			return;
+		}
+
+		if (this.#instances[request.instance]!.standingOf(request) === 'quarantined') {
+			this.#refusedSound += request.crashing === undefined ? 1 : 0;
+			return;
+		}
+
+		const running = this.#servers.filter(({upAt}) => upAt <= this.#time);
+		const server = running[Math.floor(this.#options.random() * running.length)];
+		if (server === undefined) {
+			return;
+		}
+
+		if (request.crashing !== undefined) {
+			this.#parts[request.crashing]!.sends.push(this.#time);
+		}
+
+		const duration = request.crashing === undefined ? answerMilliseconds : crashMilliseconds;
+		server.sends.push({request: {...request, sends: request.sends + 1}, endsAt: this.#time + duration});
+	}
+
+	async #exit(index: number): Promise<void> {
+		const server = this.#servers[index]!;
+		if (server.upAt > this.#time) {
+			return;
+		}
+
+		this.#crashes++;
+		const record = testServer({id: `server-${index}` as ServerId, startedAt: server.process});
+		const lost = server.sends;
+		Object.assign(server, {process: server.process + 1, upAt: this.#time + restartMilliseconds, sends: []});
+		for (const crashing of new Set(lost.map(({request}) => request.crashing ?? -1))) {
+			this.#parts[crashing]?.exits.push(this.#time);
+		}
+
+		for (const {request} of lost) {
+			await this.#instances[request.instance]!.recordLoss({...request, request: request.id, server: record});
+		}
+
+		for (const {request} of lost) {
+			this.#send(request);
+		}
+	}
+}
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -22,6 +22,7 @@
 import {EntryServers} from './entry-servers.js';
 import {EntrySuspects, type EntrySuspectsOptions} from './entry-suspects.js';
 import {EvidenceCounter} from './evidence-counter.js';
+import {type PromptPart} from './gateway-request.js';
 import {LatencyEstimator} from './latency-estimator.js';
 import {RequestRun} from './request-run.js';
 import {RepeatTracker} from './repeat-tracker.js';
@@ -81,7 +82,7 @@
 /** Sends a number of requests in sequence through an instance that knows no server until `nextServers` adds some. */
 export async function sendRequests(t: ExecutionContext, times: number, options: SendRequestsOptions) {
 	const {
-		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, latencies, log = ignore,
+		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, promptParts = [], latencies, log = ignore,
 		checkProcess = async () => 'running', areServersReachable = true, prepare = ignore,
 	} = options;
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
@@ -136,7 +137,9 @@
 		context.links.stop();
 	});
 	prepare(context);
-	const request = testRequest({timeout, inputTokens, choosesModel: route.sizes.length > 0});
+	const request = testRequest({
+		timeout, inputTokens, promptParts, choosesModel: route.sizes.length > 0,
+	});
 	const authorized = authorizeRequest(request, {table, lease, now: clock.monotonic()}).unsafeCoerce();
 	const entry = await listen(t, (_message, response) => {
 		void new RequestRun(context, {
@@ -161,6 +164,8 @@
 	readonly timeout?: number;
 	/** The length of the prompt, in tokens. */
 	readonly inputTokens?: number;
+	/** The parts of the prompt; none by default. */
+	readonly promptParts?: readonly PromptPart[];
 	/** The known latencies; none by default. */
 	readonly latencies?: LatencyEstimator;
 	/** Checks the process of a server; by default all of them run. */
--- a/packages/gateway/src/entry/entry-suspects.ts
+++ b/packages/gateway/src/entry/entry-suspects.ts
@@ -1,8 +1,8 @@
 import {
-	type Clock, type InstanceId, LruMap, type RequestFingerprint,
+	type Clock, type InstanceId, LruMap, type PromptPartFingerprint, type RequestFingerprint, type SuspectFingerprint,
 } from '@valehitch/core';
 import {
-	SuspectRegistry, type SuspectRecord, type SuspectStatus,
+	isPromptPart, type ServerExit, SuspectRegistry, type SuspectRecord, type SuspectStatus,
 } from '@valehitch/routing';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -16,8 +16,8 @@
 	readonly servers: Pick<EntryServers, 'processStateOf'>;
 	/** Checks what has become of the process of a server whose connection broke. */
 	readonly checkProcess: (server: ServerRecord) => Promise<ProcessCheck>;
-	/** Called when this instance itself changes the record of a request. */
-	readonly onChanged: (fingerprint: RequestFingerprint) => void;
+	/** Called when this instance itself changes the record of a request or a part. */
+	readonly onChanged: (fingerprint: SuspectFingerprint) => void;
 };
 
 /**
@@ -25,26 +25,37 @@
 */
 export type LossFinding = ProcessCheck | 'already-ended';
 
-/** A send whose connection broke. */
-export type LostSend = {
+/** What may be at fault when a server ends during a request. */
+export type RequestSuspects = {
 	readonly fingerprint: RequestFingerprint;
-	/** The ids of the parts of its prompt that other prompts can have too. */
-	readonly parts: readonly string[];
+	/** The parts of its prompt that other prompts can have too, in order. */
+	readonly parts: readonly PromptPartFingerprint[];
+};
+
+/** A send whose connection broke. */
+export type LostSend = RequestSuspects & {
 	readonly request: string;
 	readonly server: ServerRecord;
 };
 
 /** The maximum number of ended processes that are remembered. They are needed only for the few seconds until all requests in flight at them have failed. */
 const maximumEndedProcesses = 256;
+/** The maximum number of parts whose last complete answer is remembered. */
+const maximumAnsweredParts = 2048;
+/** How long after a complete answer an exit does not count against a part, in milliseconds, so that parts in constant use are not suspected at each exit. */
+const answerGraceMilliseconds = 1000;
+const statuses: readonly SuspectStatus[] = ['unknown', 'suspect', 'doubtful', 'quarantined'];
 
 /**
-The requests during which server processes ended, as known to an entry instance from its own sends and, through the control instances, from other entry instances.
+The requests and parts of prompts during which server processes ended, as known to an entry instance from its own sends and, through the control instances, from other entry instances.
+
+A complete answer clears a part of what happened before it, also where that becomes known later.
 
 @example
 ```ts
 const suspects = new EntrySuspects({clock, log, servers, checkProcess, onChanged});
 const finding = await suspects.recordLoss({fingerprint, parts: [], request: 'a1', server});
-suspects.standing(fingerprint); // 'suspect' if the server's process has ended
+suspects.standingOf({fingerprint, parts: []}); // 'suspect' if the server's process has ended
 ```
 */
 export class EntrySuspects {
@@ -53,6 +64,10 @@
 	/** Checks in progress; all requests that were in flight at a process share one check. */
 	readonly #checks = new Map<string, Promise<ProcessCheck>>();
 	readonly #ended = new LruMap<string, true>(maximumEndedProcesses);
+	/** When each part was last answered completely, in milliseconds since the epoch. */
+	readonly #answered = new LruMap<PromptPartFingerprint, number>(maximumAnsweredParts);
+	/** The quarantined parts that have been logged. */
+	readonly #loggedParts = new LruMap<PromptPartFingerprint, true>(maximumAnsweredParts);
 	readonly #listeners = new Set<(fingerprint: RequestFingerprint) => void>();
 
 	constructor(options: EntrySuspectsOptions) {
@@ -60,15 +75,35 @@
 	}
 
 	/**
-	Returns the standing of a request.
+	Returns the standing of a request by its own exits, whatever its prompt contains.
 
 	@param fingerprint The request.
 	@returns Its standing.
 	*/
-	statusOf(fingerprint: RequestFingerprint): SuspectStatus {
+	statusOf(fingerprint: SuspectFingerprint): SuspectStatus {
 		return this.registry.status(fingerprint, this.#now());
 	}
 
+	/**
+	Returns the standing of a request, which is the worst of its own and those of the parts of its prompt.
+
+	@param request The request.
+	@returns Its standing.
+	*/
+	standingOf({fingerprint, parts}: RequestSuspects): SuspectStatus {
+		let worst = this.statusOf(fingerprint);
+		for (const part of parts) {
+			const status = this.statusOf(part);
+			if (status === 'quarantined') {
+				this.#logQuarantinedPart(part);
+			}
+
+			worst = statuses.indexOf(status) > statuses.indexOf(worst) ? status : worst;
+		}
+
+		return worst;
+	}
+
 	/**
 	Records that a connection broke while its server was processing a request. It counts against the request if the process has ended unexpectedly.
 
@@ -84,7 +119,9 @@
 
 		const isKnown = this.#ended.peek(process) === true;
 		this.#ended.set(process, true);
-		if (this.registry.recordExit(fingerprint, {process, at: this.#now()})) {
+		const at = this.#now();
+		this.#recordExitOfParts(parts, {process, at});
+		if (this.registry.recordExit(fingerprint, {process, at, parts})) {
 			this.#options.log('request-suspected', {
 				request, fingerprint, parts, server: server.id, startedAt: server.startedAt, standing: this.statusOf(fingerprint),
 			}, 'warn');
@@ -96,14 +133,24 @@
 	}
 
 	/**
-	Records that a server answered a request completely, which clears it.
+	Records that a server answered a request completely, which clears the request.
 
 	@param fingerprint The request.
 	*/
 	recordAnswered(fingerprint: RequestFingerprint): void {
-		if (this.registry.clear(fingerprint)) {
-			this.#options.log('request-cleared', {fingerprint});
-			this.#options.onChanged(fingerprint);
+		this.#clear(fingerprint);
+	}
+
+	/**
+	Records that a server answered prompts with some parts completely, which clears the parts.
+
+	@param parts The parts.
+	*/
+	recordAnsweredParts(parts: readonly PromptPartFingerprint[]): void {
+		const now = this.#now();
+		for (const part of parts) {
+			this.#answered.set(part, now);
+			this.#clear(part);
 		}
 	}
 
@@ -114,8 +161,12 @@
 	@param source The control instance.
 	*/
 	merge(records: readonly SuspectRecord[], source: InstanceId): void {
-		for (const {fingerprint} of this.registry.merge(records)) {
-			this.#notifyQuarantine(fingerprint, {source});
+		for (const {fingerprint, ends} of this.registry.merge(records)) {
+			if (isPromptPart(fingerprint)) {
+				this.#applyAnswer(fingerprint, ends);
+			} else {
+				this.#notifyQuarantine(fingerprint, {source});
+			}
 		}
 
 		this.registry.deleteExpired(this.#now());
@@ -138,6 +189,50 @@
 		return this.#options.clock.now().getTime();
 	}
 
+	#recordExitOfParts(parts: readonly PromptPartFingerprint[], {process, at}: {readonly process: string; readonly at: number}): void {
+		for (const [depth, part] of parts.entries()) {
+			if (!this.#wasAnsweredAround(part, at) && this.registry.recordExit(part, {
+				process, at, depth, answeredAt: this.#answered.peek(part),
+			})) {
+				this.#options.onChanged(part);
+			}
+		}
+	}
+
+	/** Applies to a record of other instances what this one knows of the part's answers. */
+	#applyAnswer(part: PromptPartFingerprint, ends: readonly ServerExit[]): void {
+		const answeredAt = this.#answered.peek(part);
+		if (answeredAt === undefined) {
+			return;
+		}
+
+		if (ends.every(({at, isCleared}) => isCleared || this.#wasAnsweredAround(part, at))) {
+			this.#clear(part);
+		} else if (this.registry.recordAnswer(part, answeredAt)) {
+			this.#options.onChanged(part);
+		}
+	}
+
+	/** Checks whether a part was answered after an exit or shortly before it. */
+	#wasAnsweredAround(part: PromptPartFingerprint, exitAt: number): boolean {
+		return (this.#answered.peek(part) ?? Number.NEGATIVE_INFINITY) + answerGraceMilliseconds >= exitAt;
+	}
+
+	#clear(fingerprint: SuspectFingerprint): void {
+		if (this.registry.clear(fingerprint)) {
+			this.#options.log('request-cleared', {fingerprint});
+			this.#options.onChanged(fingerprint);
+		}
+	}
+
+	#logQuarantinedPart(part: PromptPartFingerprint): void {
+		if (this.#loggedParts.peek(part) === undefined) {
+			this.#loggedParts.set(part, true);
+			const processes = this.registry.get(part)?.ends.map(({process}) => process);
+			this.#options.log('prompt-part-quarantined', {fingerprint: part, processes}, 'warn');
+		}
+	}
+
 	#notifyQuarantine(fingerprint: RequestFingerprint, {source}: {readonly source: string}): void {
 		if (this.statusOf(fingerprint) !== 'quarantined') {
 			return;
--- a/packages/gateway/src/entry/suspect-reporter.ts
+++ b/packages/gateway/src/entry/suspect-reporter.ts
@@ -1,4 +1,4 @@
-import {type InstanceId, type RequestFingerprint} from '@valehitch/core';
+import {type InstanceId, type SuspectFingerprint} from '@valehitch/core';
 import {type SuspectRegistry, type SuspectRecord} from '@valehitch/routing';
 import {type SuspectsMessage} from '../control/peer-message.js';
 
@@ -11,7 +11,7 @@
 
 type ReportTarget = {
 	readonly run: string;
-	readonly pending: Set<RequestFingerprint>;
+	readonly pending: Set<SuspectFingerprint>;
 	isSending: boolean;
 };
 
@@ -58,7 +58,7 @@
 
 	@param fingerprint The request.
 	*/
-	report(fingerprint: RequestFingerprint): void {
+	report(fingerprint: SuspectFingerprint): void {
 		for (const [target, {pending}] of this.#targets) {
 			pending.add(fingerprint);
 			void this.#sendPending(target);
--- a/packages/gateway/src/entry/suspect-request.test.ts
+++ b/packages/gateway/src/entry/suspect-request.test.ts
@@ -1,6 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {type ModelId, type ServerId, type WorkspaceId} from '@valehitch/core';
-import {fingerprintRequest} from '@valehitch/routing';
+import {fingerprintRequest, promptPartFingerprint} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
 import {testServer} from '../servers/_test-server.js';
@@ -56,6 +56,19 @@
 	t.like(result, {status: 400, text: 'request-quarantined', models: []});
 });
 
+test('a request with a quarantined part in its prompt is not sent, and its caller gets a final answer', async t => {
+	const part = promptPartFingerprint('5c');
+	const result = await requestOnce(t, ignore, {
+		promptParts: [{id: '5c', tokens: 800}, {id: 'e4', tokens: 250}],
+		prepare({suspects}) {
+			for (const [index, process] of ['a', 'b', 'c'].entries()) {
+				suspects.registry.recordExit(part, {process, at: Date.now() - 10_000 + (index * 1000)});
+			}
+		},
+	});
+	t.like(result, {status: 400, text: 'request-quarantined', models: []});
+});
+
 test('a request that crashes servers is sent to three of them, and its answer does not state that it was not run', async t => {
 	const result = await requestOnce(t, closeConnection, {checkProcess: async () => 'ended', route: {...safeRoute, maximumAttempts: 6}});
 	t.like(result, {status: 400, text: 'request-quarantined'});
--- a/packages/gateway/src/entry/suspect-request.ts
+++ b/packages/gateway/src/entry/suspect-request.ts
@@ -1,5 +1,9 @@
-import {type Failure, failure, type RequestFingerprint} from '@valehitch/core';
-import {type FingerprintedRequest, fingerprintRequest, type SuspectStatus} from '@valehitch/routing';
+import {
+	type Failure, failure, type PromptPartFingerprint, type RequestFingerprint,
+} from '@valehitch/core';
+import {
+	type FingerprintedRequest, fingerprintRequest, promptPartFingerprint, type SuspectStatus,
+} from '@valehitch/routing';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type EntrySuspects, type LossFinding} from './entry-suspects.js';
 import {type PromptPart} from './gateway-request.js';
@@ -13,7 +17,7 @@
 };
 
 /**
-A request as a possible cause of server crashes. It is identified by its content, so the standing combines all attempts with the same content.
+A request as a possible cause of server crashes. It is identified by its content, so the standing combines all attempts with the same content, and all requests with a part of its prompt.
 
 @example
 ```ts
@@ -27,7 +31,7 @@
 	readonly #suspects: EntrySuspects;
 	readonly #options: SuspectRequestOptions;
 	#fingerprint: RequestFingerprint | undefined;
-	#parts: readonly string[] | undefined;
+	#parts: readonly PromptPartFingerprint[] | undefined;
 
 	constructor(suspects: EntrySuspects, options: SuspectRequestOptions) {
 		this.#suspects = suspects;
@@ -40,21 +44,24 @@
 		return this.#fingerprint;
 	}
 
-	/** The ids of the parts of its prompt that other prompts can have too. */
-	get parts(): readonly string[] {
-		this.#parts ??= reusableParts(this.#options.promptParts);
+	/** The parts of its prompt that other prompts can have too. */
+	get parts(): readonly PromptPartFingerprint[] {
+		this.#parts ??= reusableParts(this.#options.promptParts).map(part => promptPartFingerprint(part));
 		return this.#parts;
 	}
 
-	/** The standing of the request, based on the server processes that ended during it. */
+	/** The standing of the request, based on the server processes that ended during it and during others with a part of its prompt. */
 	get standing(): SuspectStatus {
-		return this.#suspects.registry.isEmpty ? 'unknown' : this.#suspects.statusOf(this.fingerprint);
+		return this.#suspects.registry.isEmpty ? 'unknown' : this.#suspects.standingOf(this);
 	}
 
 	/** The failure for a quarantined request. It is final: it neither asks the caller to retry nor states that the request has not run. */
 	get refusal(): Failure {
-		const ends = this.#suspects.registry.get(this.fingerprint)?.ends.length ?? 0;
-		return failure('request-quarantined', `The request is quarantined because ${ends} backend servers ended while processing it (${this.fingerprint})`);
+		const part = this.parts.find(known => this.#suspects.statusOf(known) === 'quarantined');
+		const cause = part ?? this.fingerprint;
+		const ends = this.#suspects.registry.get(cause)?.ends.length ?? 0;
+		const requests = part === undefined ? 'it' : 'requests with a part of its prompt';
+		return failure('request-quarantined', `The request is quarantined because ${ends} backend servers ended while processing ${requests} (${cause})`);
 	}
 
 	/**
@@ -71,6 +78,7 @@
 
 	/** Records that a server answered the request completely. */
 	recordAnswered(): void {
+		this.#suspects.recordAnsweredParts(this.parts);
 		if (!this.#suspects.registry.isEmpty) {
 			this.#suspects.recordAnswered(this.fingerprint);
 		}
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -13,7 +13,7 @@
 		| 'evacuation-ordered' | 'evacuation-adopted'
 		| 'rollout-started' | 'rollout-advanced' | 'rollout-evaluation-failed'
 		| 'request-refused' | 'request-dispatched' | 'request-attempt-ended' | 'request-escalated' | 'request-resumed' | 'request-ended'
-		| 'request-suspected' | 'request-quarantined' | 'request-cleared';
+		| 'request-suspected' | 'request-quarantined' | 'prompt-part-quarantined' | 'request-cleared';
 
 /** The inputs of a decision, such as ages and versions, and its outcome. */
 export type DecisionFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>> & {
--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	errorResponses, type Failure, failure, type RequestFingerprint, type ServiceId, toId, type VersionId, type ZoneId,
+	errorResponses, type Failure, failure, type SuspectFingerprint, type ServiceId, toId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {type ControlInstance, type EvacuationOrder, type RolloutStage} from '@valehitch/gateway';
 import {parseJsonBody, readBody} from '@valehitch/transport';
@@ -99,7 +99,7 @@
 		}
 
 		case 'DELETE quarantine/': {
-			const released = await control.liftQuarantine(toId<RequestFingerprint>(name!));
+			const released = await control.liftQuarantine(toId<SuspectFingerprint>(name!));
 			return released
 				? Right({status: 200, body: JSON.stringify(released)})
 				: Left(failure('not-found', `No quarantined request has the fingerprint ${name!.slice(0, maximumLoggedCharacters)}`));
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -5,6 +5,7 @@
 */
 export type * from './admission-request.js';
 export * from './admission-controller.js';
+export * from './blame-prompt-parts.js';
 export * from './choose-affinity-scope.js';
 export * from './choose-permits.js';
 export * from './decision-history.js';
@@ -16,6 +17,7 @@
 export * from './outlier-ejection.js';
 export * from './place-share.js';
 export * from './prefix-frequencies.js';
+export * from './prompt-part-fingerprint.js';
 export * from './rate-lease-book.js';
 export * from './rate-lease-terms.js';
 export * from './rate-limit-share.js';
--- a/packages/routing/src/suspect-registry.test.ts
+++ b/packages/routing/src/suspect-registry.test.ts
@@ -1,10 +1,13 @@
-import {type RequestFingerprint} from '@valehitch/core';
+import {type PromptPartFingerprint, type RequestFingerprint} from '@valehitch/core';
 import test from 'ava';
+import {promptPartFingerprint} from './prompt-part-fingerprint.js';
 import {SuspectRegistry} from './suspect-registry.js';
 
 const fingerprint = 'f1' as RequestFingerprint;
 const start = 1_700_000_000_000;
 const minute = 60_000;
+const firstPart = promptPartFingerprint('f1');
+const badPart = promptPartFingerprint('bad');
 
 /** Creates a registry with the exits of the given processes during one request, a second apart. */
 function registryWith(processes: readonly string[], registry = new SuspectRegistry()): SuspectRegistry {
@@ -99,6 +102,77 @@
 	t.is(registry.status(fingerprint, start + minute), 'quarantined');
 });
 
+type PartExits = {
+	readonly part: PromptPartFingerprint;
+	readonly depth?: number;
+	readonly processes: readonly string[];
+	/** The time between the exits, in milliseconds; 500 by default. */
+	readonly spacing?: number;
+};
+
+/** Records exits during requests with a part. */
+function recordPartExits(registry: SuspectRegistry, {part, depth = 1, processes, spacing = 500}: PartExits): void {
+	for (const [index, process] of processes.entries()) {
+		registry.recordExit(part, {process, at: start + (index * spacing), depth});
+	}
+}
+
+test('a part of prompts is quarantined after exits at three times, whatever requests contained it', t => {
+	const registry = new SuspectRegistry();
+	const standings = ['a', 'b', 'c'].map((process, index) => {
+		const at = start + (index * 500);
+		registry.recordExit(badPart, {process, at, depth: 1});
+		registry.recordExit(`request ${index}` as RequestFingerprint, {process, at, parts: [firstPart, badPart]});
+		return registry.status(badPart, at + 200);
+	});
+	t.deepEqual(standings, ['suspect', 'doubtful', 'quarantined']);
+	t.is(registry.status('request 0' as RequestFingerprint, start + minute), 'unknown');
+	t.deepEqual([...registry.quarantined(start + minute)], [badPart]);
+});
+
+test('the simultaneous exit of many servers quarantines no part', t => {
+	const registry = new SuspectRegistry();
+	recordPartExits(registry, {part: firstPart, processes: ['a', 'b', 'c', 'd', 'e', 'f'], spacing: 10});
+	t.is(registry.status(firstPart, start + minute), 'suspect');
+});
+
+test('a part is not quarantined before other instances had time to report what they found', t => {
+	const registry = new SuspectRegistry();
+	recordPartExits(registry, {part: badPart, processes: ['a', 'b', 'c']});
+	t.is(registry.status(badPart, start + 1100), 'doubtful');
+	t.is(registry.status(badPart, start + 1200), 'quarantined');
+});
+
+test('a request beside a crashing part is not quarantined for the exits that the part explains', t => {
+	const registry = registryWith(['a', 'b', 'c']);
+	recordPartExits(registry, {part: badPart, processes: ['a', 'b', 'c'], spacing: 1000});
+	t.is(registry.status(fingerprint, start + 2000), 'doubtful');
+	t.is(registry.status(fingerprint, start + minute), 'unknown');
+	t.is(registry.status(badPart, start + minute), 'quarantined');
+});
+
+test('a request that crashes servers is quarantined in place of the parts of its prompt, until they are seen without it', t => {
+	const registry = new SuspectRegistry();
+	for (const [index, process] of ['a', 'b', 'c'].entries()) {
+		registry.recordExit(fingerprint, {process, at: start + (index * 500), parts: [firstPart, badPart]});
+	}
+
+	recordPartExits(registry, {part: badPart, processes: ['a', 'b', 'c']});
+	t.deepEqual([...registry.quarantined(start + minute)], [fingerprint]);
+	registry.recordExit(badPart, {process: 'd', at: start + 2000, depth: 1});
+	t.deepEqual([...registry.quarantined(start + minute)], [badPart]);
+});
+
+test('a part keeps its depth and a request its parts when records are merged', t => {
+	const [registry, other] = [new SuspectRegistry(), new SuspectRegistry()];
+	recordPartExits(registry, {part: badPart, depth: 2, processes: ['a', 'b']});
+	registry.recordExit(fingerprint, {process: 'a', at: start, parts: [badPart]});
+	other.recordExit(badPart, {process: 'c', at: start});
+	other.merge(registry.records);
+	t.is(other.get(badPart)?.depth, 2);
+	t.deepEqual(other.get(fingerprint)?.parts, [badPart]);
+});
+
 test('the number of exits per request is limited to the latest ones', t => {
 	const registry = registryWith(Array.from({length: 40}, (_, index) => `p${index}`));
 	t.is(registry.get(fingerprint)?.ends.length, 8);
--- a/packages/routing/src/suspect-registry.ts
+++ b/packages/routing/src/suspect-registry.ts
@@ -1,12 +1,14 @@
-import {type RequestFingerprint} from '@valehitch/core';
+import {type PromptPartFingerprint, type SuspectFingerprint} from '@valehitch/core';
+import {isPromptPart} from './prompt-part-fingerprint.js';
 import {type ServerExit, type SuspectRecord, type SuspectStatus} from './suspect-record.js';
+import {retentionMilliseconds, SuspectAnalysis} from './_suspect-analysis.js';
 
-/** An exit that an instance observed. */
-export type ObservedExit = Pick<ServerExit, 'process' | 'at'>;
+/** An exit that an instance observed, with what is known of the request or the part. */
+export type ObservedExit = Pick<ServerExit, 'process' | 'at'> & Pick<SuspectRecord, 'parts' | 'depth' | 'answeredAt'>;
 
 /** The limits of a registry. */
 export type SuspectRegistryOptions = {
-	/** The maximum number of requests; 512 by default. */
+	/** The maximum number of requests and parts of prompts; 1,024 by default. */
 	readonly capacity?: number;
 };
 
@@ -16,24 +18,19 @@
 	changedAt: number | undefined;
 };
 
-/** A crash leaves about 20 requests with one exit each, so this holds the requests of two dozen crashes in about 100 KB. */
-const defaultCapacity = 512;
-/** One exit may be a coincidence, and so may a second while servers fail one after another; a third process that exits during the same request is taken as proof. */
-const quarantineThreshold = 3;
-const doubtfulThreshold = 2;
+/** A crash leaves about 20 requests and as many parts with one exit each, so this holds those of two dozen crashes in about 200 KB. */
+const defaultCapacity = 1024;
 /** The number of exits from which a record is shared with other instances; with a lower one, each server exit would share all requests that were in progress there. */
 const sharingThreshold = 2;
-/** How long an exit counts fully: ten minutes, after which the request may be sent once more, which reveals a wrong verdict. */
-const fullWeightMilliseconds = 600_000;
-/** How long an exit counts at all: an hour, within which one more exit is enough for another quarantine. */
-const retentionMilliseconds = 3_600_000;
 /** Enough exits per request for repeated quarantines within the hour. */
 const maximumExitsPerRequest = 8;
+/** More than for a request: while a part is not known yet, requests with it run at many servers at the same time, and an exit that is left out would seem to have another cause. */
+const maximumExitsPerPart = 32;
 
 /**
-Tracks requests during which backend server processes exited, and quarantines those that crash servers repeatedly.
+Tracks requests and parts of prompts during which backend server processes exited, and quarantines those that crash servers repeatedly.
 
-This protects against a request that crashes every server that runs it and is retried under other ids and at other instances. Without such a record, 32 tries of one request caused 44 server exits within 8 s, in a deployment of three entry instances and eight servers that restart after 0.4 s.
+This protects against a request that crashes every server that runs it and is retried under other ids and at other instances, and against a part that crashes servers in prompts that have nothing else in common.
 
 The registries of several instances converge by merging their records in any order and any number of times: exits are only added, and only change from uncleared to cleared.
 
@@ -46,8 +43,9 @@
 */
 export class SuspectRegistry {
 	readonly #capacity: number;
-	readonly #entries = new Map<RequestFingerprint, Entry>();
+	readonly #entries = new Map<SuspectFingerprint, Entry>();
 	#lastChange = 0;
+	#analysis: {readonly at: number; readonly result: SuspectAnalysis} | undefined;
 
 	constructor({capacity = defaultCapacity}: SuspectRegistryOptions = {}) {
 		this.#capacity = capacity;
@@ -91,57 +89,75 @@
 	}
 
 	/**
-	Returns the record of a request.
+	Returns the record of a request or a part.
 
-	@param fingerprint The fingerprint of the request.
+	@param fingerprint The request or the part.
 	@returns The record, or undefined if there is none.
 	*/
-	get(fingerprint: RequestFingerprint): SuspectRecord | undefined {
+	get(fingerprint: SuspectFingerprint): SuspectRecord | undefined {
 		return this.#entries.get(fingerprint)?.record;
 	}
 
 	/**
-	Returns the status of a request.
+	Returns the status of a request or a part by its own exits.
 
-	@param fingerprint The fingerprint of the request.
+	@param fingerprint The request or the part.
 	@param now Milliseconds since the epoch.
 	@returns The status.
 	*/
-	status(fingerprint: RequestFingerprint, now: number): SuspectStatus {
-		const ends = countExits(this.get(fingerprint), now);
-		if (ends >= quarantineThreshold) {
-			return 'quarantined';
-		}
+	status(fingerprint: SuspectFingerprint, now: number): SuspectStatus {
+		return this.#analyze(now).statusOf(fingerprint);
+	}
 
-		if (ends >= doubtfulThreshold) {
-			return 'doubtful';
-		}
+	/**
+	Returns the quarantined requests and parts.
 
-		return ends > 0 ? 'suspect' : 'unknown';
+	@param now Milliseconds since the epoch.
+	@returns Their fingerprints.
+	*/
+	quarantined(now: number): ReadonlySet<SuspectFingerprint> {
+		return this.#analyze(now).blamed;
 	}
 
 	/**
 	Records that a process exited while a request was in progress on it.
 
-	@param fingerprint The fingerprint of the request.
-	@param end The process, and when it exited.
+	@param fingerprint The request, or a part of its prompt.
+	@param exit The process, and when it exited.
 	@returns Whether the record changed.
 	*/
-	recordExit(fingerprint: RequestFingerprint, end: ObservedExit): boolean {
-		return this.merge([{fingerprint, ends: [{...end, isCleared: false}]}]).length > 0;
+	recordExit(fingerprint: SuspectFingerprint, {process, at, ...details}: ObservedExit): boolean {
+		return this.merge([{fingerprint, ends: [{process, at, isCleared: false}], ...details}]).length > 0;
 	}
 
 	/**
 	Clears the exits recorded so far, since a server has answered the request completely or an operator cleared it.
 
-	@param fingerprint The fingerprint of the request.
+	@param fingerprint The request or the part.
 	@returns Whether the record changed.
 	*/
-	clear(fingerprint: RequestFingerprint): boolean {
+	clear(fingerprint: SuspectFingerprint): boolean {
 		const known = this.get(fingerprint);
 		return known !== undefined && this.merge([{...known, ends: known.ends.map(end => ({...end, isCleared: true}))}]).length > 0;
 	}
 
+	/**
+	Records when a server answered a prompt with a part completely, unless an answer is known. It clears nothing by itself.
+
+	@param part The part.
+	@param answeredAt Milliseconds since the epoch.
+	@returns Whether the record changed.
+	*/
+	recordAnswer(part: PromptPartFingerprint, answeredAt: number): boolean {
+		const known = this.#entries.get(part);
+		if (known === undefined || known.record.answeredAt !== undefined) {
+			return false;
+		}
+
+		this.#store({...known.record, answeredAt}, known);
+		return true;
+	}
+
 	/**
 	Merges records from another instance or from an earlier run.
 
@@ -150,11 +166,11 @@
 	*/
 	merge(records: readonly SuspectRecord[]): readonly SuspectRecord[] {
 		const changed: SuspectRecord[] = [];
-		for (const {fingerprint, ends} of records) {
-			const existing = this.#entries.get(fingerprint);
-			const merged = mergeExits(existing?.record.ends ?? [], ends);
-			if (merged !== undefined) {
-				changed.push(this.#store({fingerprint, ends: merged}, existing));
+		for (const record of records) {
+			const existing = this.#entries.get(record.fingerprint);
+			const ends = mergeExits(existing?.record.ends ?? [], record);
+			if (ends !== undefined || (record.answeredAt !== undefined && existing?.record.answeredAt === undefined)) {
+				changed.push(this.#store(mergeRecord(existing?.record, record, {ends: ends ?? existing?.record.ends ?? []}), existing));
 			}
 		}
 
@@ -170,11 +186,25 @@
 		for (const [fingerprint, {record: {ends}}] of this.#entries) {
 			if (ends.every(({at}) => now - at >= retentionMilliseconds)) {
 				this.#entries.delete(fingerprint);
+				this.#analysis = undefined;
 			}
 		}
 	}
 
+	/** Returns the analysis of the current records, which is kept until they change or age. */
+	#analyze(now: number): SuspectAnalysis {
+		const known = this.#analysis;
+		if (known !== undefined && now >= known.at && now < known.result.validUntil) {
+			return known.result;
+		}
+
+		const result = new SuspectAnalysis(this.records, now);
+		this.#analysis = {at: now, result};
+		return result;
+	}
+
 	#store(record: SuspectRecord, previous: Entry | undefined): SuspectRecord {
+		this.#analysis = undefined;
 		const isShared = previous?.changedAt !== undefined || record.ends.length >= sharingThreshold;
 		this.#entries.set(record.fingerprint, {record, changedAt: isShared ? this.#nextChange() : undefined});
 		if (this.#entries.size > this.#capacity) {
@@ -208,23 +238,8 @@
 	return ends.filter(({isCleared}) => !isCleared);
 }
 
-/** Counts the uncleared exits. Those past their full weight count up to one below the quarantine threshold. */
-function countExits(record: SuspectRecord | undefined, now: number): number {
-	let recent = 0;
-	let older = 0;
-	for (const {at} of record === undefined ? [] : unclearedExits(record)) {
-		if (now - at < fullWeightMilliseconds) {
-			recent++;
-		} else if (now - at < retentionMilliseconds) {
-			older++;
-		}
-	}
-
-	return recent + Math.min(older, quarantineThreshold - 1);
-}
-
-/** Returns the union of two lists, limited to the latest exits, or undefined if the second adds nothing to the first. */
-function mergeExits(known: readonly ServerExit[], added: readonly ServerExit[]): readonly ServerExit[] | undefined {
+/** Returns the union of the exits of two records, limited to the latest ones, or undefined if the second adds nothing to the first. */
+function mergeExits(known: readonly ServerExit[], {fingerprint, ends: added}: SuspectRecord): readonly ServerExit[] | undefined {
 	const merged = new Map(known.map(end => [end.process, end]));
 	for (const end of added) {
 		const before = merged.get(end.process);
@@ -233,10 +248,25 @@
 		}
 	}
 
-	const ends = [...merged.values()].toSorted((one, other) => one.at - other.at).slice(-maximumExitsPerRequest);
+	const limit = isPromptPart(fingerprint) ? maximumExitsPerPart : maximumExitsPerRequest;
+	const ends = [...merged.values()].toSorted((one, other) => one.at - other.at).slice(-limit);
 	return ends.every(end => known.includes(end)) ? undefined : ends;
 }
 
+/** Returns the union of two records of the same request or part. Only what is known is stored, so that stored records have the form that earlier versions read. */
+function mergeRecord(known: SuspectRecord | undefined, added: SuspectRecord, {ends}: Pick<SuspectRecord, 'ends'>): SuspectRecord {
+	const parts = known?.parts ?? added.parts;
+	const depth = largest(known?.depth, added.depth);
+	const answeredAt = largest(known?.answeredAt, added.answeredAt);
+	return {
+		fingerprint: added.fingerprint, ends, ...(parts !== undefined && {parts}), ...(depth !== undefined && {depth}), ...(answeredAt !== undefined && {answeredAt}),
+	};
+}
+
+function largest(one: number | undefined, other: number | undefined): number | undefined {
+	return one === undefined || other === undefined ? one ?? other : Math.max(one, other);
+}
+
 function compareEvidence(one: SuspectRecord, other: SuspectRecord): number {
 	const [ends, otherEnds] = [unclearedExits(one).length, unclearedExits(other).length];
 	return ends === otherEnds ? latestExitAt(one) - latestExitAt(other) : ends - otherEnds;
--- a/packages/testing/src/crashing-prompt-parts.test.ts
+++ b/packages/testing/src/crashing-prompt-parts.test.ts
@@ -155,10 +155,12 @@
 function assertContained(t: ExecutionContext, {servers: {sends, exits}, startedAt, sent}: Played): void {
 	const identifiedAt = exits[identifyingExits - 1] ?? exits.at(-1)!;
 	const late = sends.filter(at => at > identifiedAt + windowMilliseconds).length;
+	t.log(`${exits.length} servers exited, ${sends.length} requests with the part reached servers, ${late} of them late`);
 	t.true(late <= allowedSends, `${late} late sends, ${exits.length} servers exited`);
 	for (const kind of ['related', 'unrelated'] as const) {
 		const before = shareServed(sent, {kind, from: startedAt, until: startedAt + quietMilliseconds});
 		const after = shareServed(sent, {kind, from: identifiedAt + (2 * windowMilliseconds), until: Number.POSITIVE_INFINITY});
+		t.log(`${kind} requests: ${after.toFixed(3)} served, ${before.toFixed(3)} before`);
 		t.true(after >= servedShare * before, `${kind} requests: ${after.toFixed(2)} served, ${before.toFixed(2)} before`);
 	}
 
