Borrow sends to servers with rate limits from instances that do not need theirs

Cause: leases on a limit are divided evenly among the instances, and a permit is free for another holder only after its lease and a window, up to five seconds later. The crowded instance runs out while the others have sends left.

Change: a request that finds no send left borrows one from the peers that loads are shared with. The lender gives at most half of what it has unused, under leases that outlast the loan, and counts the loan as sent when it expires, so that every window holds as before; a new process of a lender waits until the loans of the former one are over.

The property tests of leases, now with loans, losses, delays and restarts, hold with the same bounds.

Leases by demand were weighed and not built: they come too late for a crowd of eight seconds (docs/design/shifted-work.md). Older instances lend nothing: they log the unknown message and do not answer.

--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -248,7 +248,7 @@
 				this.#limitedServers.receive(watch.serverLimits ?? [], from);
 				return this.#watches.answer(from, watch);
 			})
-			.with({type: 'load'}, {type: 'server-notice'}, () => undefined)
+			.with({type: 'load'}, {type: 'server-notice'}, {type: 'borrow-sends'}, () => undefined)
 			.exhaustive();
 	}
 
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -184,8 +184,21 @@
 	readonly pause: number | undefined;
 };
 
+/** Asks another entry instance for sends to servers with rate limits that it does not need. */
+export type BorrowMessage = {
+	readonly type: 'borrow-sends';
+	readonly servers: readonly ServerId[];
+	/** The number of sends that are needed, to any of the servers. */
+	readonly count: number;
+};
+
+/** The reply to a request for sends: their number at each server. */
+export type BorrowReply = {
+	readonly sends: ReadonlyArray<readonly [server: ServerId, count: number]>;
+};
+
 /** The messages that entry instances send to each other. */
-export type EntryMessage = LoadMessage | ServerNoticeMessage;
+export type EntryMessage = LoadMessage | ServerNoticeMessage | BorrowMessage;
 
 /** The messages exchanged by the instances of a gateway. */
 export type PeerMessage
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -25,6 +25,7 @@
 import {type PromptPart} from './gateway-request.js';
 import {LatencyEstimator} from './latency-estimator.js';
 import {RequestRun} from './request-run.js';
+import {SendBorrower} from './send-borrower.js';
 import {RepeatTracker} from './repeat-tracker.js';
 import {VersionPins} from './version-pins.js';
 
@@ -114,6 +115,9 @@
 		relays: new ServerRelays({
 			clock, selector: new RelaySelector({random: () => 0.5}), peers: () => [], openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}), onTunnel: ignore,
 		}),
+		borrower: new SendBorrower({
+			clock, random: () => 0.5, rates: servers.limits.rates, peers: () => [], exhaustedServers: () => [], ask: async () => undefined, onBorrowed: ignore,
+		}),
 		suspects: new EntrySuspects({
 			clock, log, servers, checkProcess, onChanged: ignore,
 		}),
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -16,6 +16,7 @@
 import {type BrittleRejection} from './known-peers.js';
 import {type LatencyEstimator} from './latency-estimator.js';
 import {type RepeatTracker} from './repeat-tracker.js';
+import {type SendBorrower} from './send-borrower.js';
 import {type VersionPins} from './version-pins.js';
 
 /** The limits of a deployment that apply to the handling of requests. */
@@ -39,6 +40,7 @@
 	readonly links: ServerLinks;
 	readonly relays: ServerRelays;
 	readonly suspects: EntrySuspects;
+	readonly borrower: SendBorrower;
 	readonly budget: WindowedRetryBudget;
 	readonly latencies: LatencyEstimator;
 	readonly pins: VersionPins;
--- a/packages/gateway/src/entry/entry-instance-options.ts
+++ b/packages/gateway/src/entry/entry-instance-options.ts
@@ -5,7 +5,7 @@
 import {type Either} from 'purify-ts';
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
 import {
-	type EntryMessage, type SuspectsMessage, type WatchMessage, type WatchReply,
+	type BorrowMessage, type BorrowReply, type EntryMessage, type SuspectsMessage, type WatchMessage, type WatchReply,
 } from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
@@ -49,6 +49,8 @@
 	readonly send: (to: InstanceId, message: EntryMessage) => void;
 	/** Reports suspects to a control instance; resolves to whether it acknowledged them within the timeout in milliseconds. */
 	readonly reportSuspects: (to: InstanceId, message: SuspectsMessage, timeout: number) => Promise<boolean>;
+	/** Asks another entry instance for sends; resolves to undefined if it does not reply within the timeout in milliseconds. */
+	readonly askForSends: (to: InstanceId, message: BorrowMessage, timeout: number) => Promise<BorrowReply | undefined>;
 	/** Opens a connection to a backend server through another entry instance. */
 	readonly openTunnel: OpenRelayTunnel;
 	readonly wait: (milliseconds: number) => Promise<void>;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -5,7 +5,9 @@
 import {mayRelay, WindowedRetryBudget} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
-import {type EntryMessage, type ServerNoticeMessage, type WatchMessage} from '../control/peer-message.js';
+import {
+	type BorrowReply, type EntryMessage, type ServerNoticeMessage, type WatchMessage,
+} from '../control/peer-message.js';
 import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {KnownRollouts} from '../rollouts/known-rollouts.js';
 import {applyServerNews} from './apply-server-news.js';
@@ -26,6 +28,7 @@
 import {RepeatTracker} from './repeat-tracker.js';
 import {createServerLinks} from './create-server-links.js';
 import {createServerRelays} from './create-server-relays.js';
+import {SendBorrower} from './send-borrower.js';
 import {SuspectReporter} from './suspect-reporter.js';
 import {VersionPins} from './version-pins.js';
 
@@ -115,6 +118,17 @@
 			links: createServerLinks(options, servers),
 			relays: createServerRelays(options, () => this.#peers.ids),
 			suspects,
+			borrower: new SendBorrower({
+				clock,
+				random,
+				rates: servers.limits.rates,
+				peers: () => this.#peers.ids,
+				exhaustedServers: service => servers.availability.exhausted(service, clock.monotonic()),
+				ask: options.askForSends,
+				onBorrowed(count) {
+					options.metrics.borrowedSends.inc(count);
+				},
+			}),
 			budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
 			latencies: new LatencyEstimator(clock),
 			pins: new VersionPins(options),
@@ -184,16 +198,20 @@
 	Handles a message from another entry instance.
 
 	@param from The sender.
-	@param message The load of the sender at each server, or what a server said in an answer that came through this instance.
+	@param message The load of the sender at each server, what a server said in an answer that came through this instance, or a request for sends.
+	@returns The reply to a request for sends; undefined for the others.
 	*/
-	receive(from: InstanceId, message: EntryMessage): void {
-		match(message)
+	receive(from: InstanceId, message: EntryMessage): BorrowReply | undefined {
+		return match(message)
 			.with({type: 'load'}, loads => {
 				this.#loadExchange.receive(from, loads, this.#options.clock.monotonic());
+				return undefined;
 			})
 			.with({type: 'server-notice'}, notice => {
 				this.#applyNotice(notice);
+				return undefined;
 			})
+			.with({type: 'borrow-sends'}, wanted => this.#context.borrower.lend(wanted))
 			.exhaustive();
 	}
 
--- a/packages/gateway/src/entry/known-rate-limits.ts
+++ b/packages/gateway/src/entry/known-rate-limits.ts
@@ -27,7 +27,7 @@
 	readonly #limiter: LeasedRateLimiter;
 
 	constructor(options: LeasedRateLimiterOptions) {
-		this.#limiter = new LeasedRateLimiter(options);
+		this.#limiter = new LeasedRateLimiter({...options, isLender: true});
 	}
 
 	/**
@@ -141,6 +141,29 @@
 		}
 	}
 
+	/**
+	Lends unused sends to a server to another instance.
+
+	@param server The server.
+	@param count The number of sends that the other instance needs.
+	@param now Milliseconds on the monotonic clock.
+	@returns The number of sends that it may use.
+	*/
+	lend(server: ServerId, count: number, now: number): number {
+		return this.#limiter.lend(server, count, now);
+	}
+
+	/**
+	Adds sends that another instance has lent.
+
+	@param server The server.
+	@param count Their number.
+	@param askedAt When this instance asked for them, in milliseconds on the monotonic clock.
+	*/
+	addBorrowed(server: ServerId, count: number, askedAt: number): void {
+		this.#limiter.addBorrowed(server, count, askedAt);
+	}
+
 	/**
 	Removes what is known of a server whose process has ended.
 
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -27,6 +27,9 @@
 /** The retry delay sent to the caller when no server accepted the request, in milliseconds: the time in which a slot usually becomes free. */
 const retryMilliseconds = 250;
 
+/** How often a request asks other instances for a send. */
+const maximumLoans = 3;
+
 /** The retry delay while all availability zones of a service are evacuated, in milliseconds: an operator takes seconds to end an evacuation. */
 const evacuatedRetryMilliseconds = 2000;
 
@@ -55,6 +58,8 @@
 	readonly #fallback: FallbackAnswer;
 	readonly #suspect: SuspectRequest;
 	readonly #path: RequestPath<Relay>;
+	/** How often the request has asked other instances for a send. */
+	#loans = 0;
 	/** The current or last send. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
 
@@ -153,6 +158,10 @@
 		}
 
 		const wait = this.#context.servers.availability.waitFor(this.#placement.service, this.#now());
+		if (wait > 0 && await this.#borrowSend()) {
+			return 'retry';
+		}
+
 		if (wait === 0 && await awaitFirstServer(this.#context, {allowance: this.#allowance, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt})) {
 			return 'retry';
 		}
@@ -161,6 +170,12 @@
 		return this.#fail(failure('no-server', message, {retryAfterMilliseconds: this.#retryAfter(wait)}));
 	}
 
+	/** Borrows a send from another instance if the rate limits of all servers leave none; a bounded number of times, since other requests may use it first. */
+	async #borrowSend(): Promise<boolean> {
+		this.#loans++;
+		return this.#loans <= maximumLoans && this.#context.borrower.borrow(this.#placement.service);
+	}
+
 	/** Callers of servers that take few requests return at different times, so that they do not compete for the same send. */
 	#retryAfter(wait: number): number {
 		return Math.max(retryMilliseconds, Math.round(wait * (1 + this.#context.random())));
--- a/packages/gateway/src/entry/server-availability.ts
+++ b/packages/gateway/src/entry/server-availability.ts
@@ -82,6 +82,19 @@
 		return servers.length > 0 && servers.every(({record}) => this.#options.limits.rates.isLimited(record, now));
 	}
 
+	/**
+	Lists the servers of a service that would get requests if their rate limits left this instance a send.
+
+	@param service The service.
+	@param now Milliseconds on the monotonic clock.
+	@returns The servers.
+	*/
+	exhausted(service: ServiceId, now: number): readonly ServerId[] {
+		const {limits} = this.#options;
+		const exhausted = this.#availableFor(service).filter(({record}) => !limits.rates.allows(record, now) && limits.pauses.allows(record.id, now));
+		return exhausted.map(({record}) => record.id);
+	}
+
 	/**
 	Returns how long it takes until the rate limits and pauses of a service's servers allow a request.
 
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -67,6 +67,9 @@
 		limitedServers: new Gauge({
 			name: 'valehitch_limited_servers', help: 'Backend servers whose answers name a rate limit', registers,
 		}),
+		borrowedSends: new Counter({
+			name: 'valehitch_borrowed_sends_total', help: 'Sends to backend servers with rate limits that other entry instances lent', registers,
+		}),
 		tunnels: new Counter({
 			name: 'valehitch_tunnels_total', help: 'Connections to backend servers opened through other instances, by result', labelNames: ['result'], registers,
 		}),
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -3,7 +3,7 @@
 import path from 'node:path';
 import {type Clock, type InstanceId} from '@valehitch/core';
 import {
-	ControlInstance, createDecisionLog, createGatewayMetrics, type DecisionLog, EntryInstance, type GatewayMetrics,
+	type BorrowReply, ControlInstance, createDecisionLog, createGatewayMetrics, type DecisionLog, EntryInstance, type GatewayMetrics,
 	type ListenAddress, openBoundedOutput, type PeerMessage, createSavedList, serverRecordSchema, suspectRecordSchema, type WatchReply,
 } from '@valehitch/gateway';
 import {openDataFolder, AtomicFile} from '@valehitch/storage';
@@ -153,9 +153,8 @@
 
 /** Handles a message of a peer: those of entry instances go to the entry instance, all others to the control instance. */
 async function handlePeerMessage({control, entry}: Parts, from: InstanceId, message: PeerMessage): Promise<unknown> {
-	if (message.type === 'load' || message.type === 'server-notice') {
-		entry?.receive(from, message);
-		return undefined;
+	if (message.type === 'load' || message.type === 'server-notice' || message.type === 'borrow-sends') {
+		return entry?.receive(from, message);
 	}
 
 	return control?.answer(from, message);
@@ -231,6 +230,7 @@
 			context.network.send(peerAddress(settings(), to), message);
 		},
 		reportSuspects: async (to, message, timeout) => await requestPeer(context, to, {message, timeout}) !== undefined,
+		askForSends: async (to, message, timeout) => requestPeer(context, to, {message, timeout}) as Promise<BorrowReply | undefined>,
 		openTunnel: async (relay, target, timeout) => context.network.openTunnel(peerAddress(settings(), relay), target, {timeoutMilliseconds: timeout}),
 		wait: delay,
 		parse: decodeConfiguration,
--- a/packages/routing/src/leased-rate-limiter.ts
+++ b/packages/routing/src/leased-rate-limiter.ts
@@ -1,10 +1,12 @@
 import {type InstanceId, type ServerId} from '@valehitch/core';
-import {rateWindowMilliseconds} from './rate-lease-terms.js';
+import {rateLoanMilliseconds, rateWindowMilliseconds} from './rate-lease-terms.js';
 
 /** Options of {@linkcode LeasedRateLimiter}. */
 export type LeasedRateLimiterOptions = {
 	/** When this process started, in milliseconds on the monotonic clock. */
 	readonly startedAt: number;
+	/** Whether sends are lent to other instances, so that a new process waits until the loans of an earlier one have expired; false by default. */
+	readonly isLender?: boolean;
 };
 
 /** The leases in a reply of a control instance. */
@@ -37,11 +39,15 @@
 export class LeasedRateLimiter {
 	/** When this process started, in milliseconds on the monotonic clock; an earlier one may have used its leases until then. */
 	readonly #startedAt: number;
+	readonly #isLender: boolean;
 	readonly #leases = new Map<ServerId, Map<InstanceId, Lease>>();
 	readonly #sentAt = new Map<ServerId, readonly number[]>();
+	/** When each send that another instance lent expires, in milliseconds on the monotonic clock. */
+	readonly #borrowed = new Map<ServerId, readonly number[]>();
 
-	constructor({startedAt}: LeasedRateLimiterOptions) {
+	constructor({startedAt, isLender = false}: LeasedRateLimiterOptions) {
 		this.#startedAt = startedAt;
+		this.#isLender = isLender;
 	}
 
 	/**
@@ -64,12 +70,39 @@
 	@returns Whether the send is allowed; it must be counted with `countSend`.
 	*/
 	allows(server: ServerId, now: number): boolean {
-		const window = this.#windowOf(server, now);
-		if (now < this.#startedAt + window) {
-			return false;
+		return this.#allowsOwn(server, now) || this.#borrowedSends(server, now).length > 0;
+	}
+
+	/**
+	Lends unused sends to another instance, at most half of them. They count as sent when the loan expires, since they may be used until then.
+
+	@param server The server.
+	@param count The number of sends that the other instance needs.
+	@param now Milliseconds on the monotonic clock.
+	@returns The number of sends that it may use, for `rateLoanMilliseconds` from when it asked.
+	*/
+	lend(server: ServerId, count: number, now: number): number {
+		const expiresAt = now + rateLoanMilliseconds;
+		if (!this.#isLender || now < this.#usableFrom(server, now)) {
+			return 0;
 		}
 
-		return this.#recentSends(server, now).length < this.#permitsAt(server, now);
+		const unused = this.#permitsAt(server, expiresAt) - this.#recentSends(server, now).length;
+		const lent = Math.max(0, Math.min(count, Math.floor(unused / 2)));
+		this.#sentAt.set(server, [...this.#recentSends(server, now), ...Array.from({length: lent}, () => expiresAt)]);
+		return lent;
+	}
+
+	/**
+	Adds sends that another instance has lent.
+
+	@param server The server.
+	@param count Their number.
+	@param askedAt When this instance asked for them, in milliseconds on the monotonic clock.
+	*/
+	addBorrowed(server: ServerId, count: number, askedAt: number): void {
+		const added = Array.from({length: count}, () => askedAt + rateLoanMilliseconds);
+		this.#borrowed.set(server, [...this.#borrowedSends(server, askedAt), ...added]);
 	}
 
 	/**
@@ -85,18 +118,23 @@
 			return undefined;
 		}
 
-		const window = this.#windowOf(server, now);
 		const lastUse = this.#recentSends(server, now).at(-permits);
-		return Math.max(now, this.#startedAt + window, lastUse === undefined ? now : lastUse + window);
+		return Math.max(now, this.#usableFrom(server, now), lastUse === undefined ? now : lastUse + this.#windowOf(server, now));
 	}
 
 	/**
-	Counts a send to a server, whether or not the server has a limit now: it may get one within the same window.
+	Counts a send to a server, whether or not the server has a limit now: it may get one within the same window. A borrowed send is used if no own one is left.
 
 	@param server The server.
 	@param now Milliseconds on the monotonic clock.
 	*/
 	countSend(server: ServerId, now: number): void {
+		const [, ...otherBorrowed] = this.#borrowedSends(server, now);
+		if (this.#borrowed.has(server) && !this.#allowsOwn(server, now)) {
+			this.#borrowed.set(server, otherBorrowed);
+			return;
+		}
+
 		this.#sentAt.set(server, [...this.#recentSends(server, now), now]);
 	}
 
@@ -108,6 +146,16 @@
 	removeServer(server: ServerId): void {
 		this.#leases.delete(server);
 		this.#sentAt.delete(server);
+		this.#borrowed.delete(server);
+	}
+
+	/** Returns when no send of an earlier process, or of one that it lent a send, falls into the same window any more. */
+	#usableFrom(server: ServerId, now: number): number {
+		return this.#startedAt + this.#windowOf(server, now) + (this.#isLender ? rateLoanMilliseconds : 0);
+	}
+
+	#allowsOwn(server: ServerId, now: number): boolean {
+		return now >= this.#usableFrom(server, now) && this.#recentSends(server, now).length < this.#permitsAt(server, now);
 	}
 
 	#recentSends(server: ServerId, now: number): readonly number[] {
@@ -115,6 +163,10 @@
 		return (this.#sentAt.get(server) ?? []).filter(at => now - at <= window);
 	}
 
+	#borrowedSends(server: ServerId, now: number): readonly number[] {
+		return (this.#borrowed.get(server) ?? []).filter(expiresAt => expiresAt > now);
+	}
+
 	#permitsAt(server: ServerId, now: number): number {
 		let permits = 0;
 		for (const {permits: granted, validUntil} of this.#leases.get(server)?.values() ?? []) {
--- a/packages/routing/src/rate-lease-terms.ts
+++ b/packages/routing/src/rate-lease-terms.ts
@@ -3,3 +3,6 @@
 
 /** How long a rate lease is valid after it was granted, in milliseconds; longer than the interval between two polls of a holder. */
 export const rateLeaseMilliseconds = 2000;
+
+/** How long a send that another instance lent may be used, in milliseconds. */
+export const rateLoanMilliseconds = 200;
--- a/packages/routing/src/rate-leases.test.ts
+++ b/packages/routing/src/rate-leases.test.ts
@@ -28,6 +28,8 @@
 	/** How long a reply may take, in milliseconds. */
 	readonly delay: number;
 	readonly start: number;
+	/** How often an entry instance asks another one for sends, per step; never by default. */
+	readonly loanRate?: number;
 	/** The part of a limit that a control instance grants; by default that of `limit` over one second. */
 	readonly part?: RateLimitPart;
 };
@@ -45,7 +47,7 @@
 };
 
 /** Plays entry instances that send to one server whenever their leases allow it, and returns when they sent. */
-function playSends({entries: entryCount, controls: controlCount, extraControls, limit, restartRate, lossRate, delay, start, part}: Scenario): readonly number[] {
+function playSends({entries: entryCount, controls: controlCount, extraControls, limit, restartRate, lossRate, delay, start, loanRate = 0, part}: Scenario): readonly number[] {
 	let state = start;
 	const random = (): number => {
 		state = ((state * 48_271) + 1) % 2_147_483_647;
@@ -53,7 +55,7 @@
 	};
 
 	const entries: Entry[] = Array.from({length: entryCount}, (_, index) => ({
-		instance: `entry-${index}` as InstanceId, zone: zones[index % zones.length]!, limiter: new LeasedRateLimiter({startedAt: 0}), startedAt: 0,
+		instance: `entry-${index}` as InstanceId, zone: zones[index % zones.length]!, limiter: new LeasedRateLimiter({startedAt: 0, isLender: true}), startedAt: 0,
 	}));
 	const controls: Control[] = Array.from({length: controlCount + extraControls}, () => ({
 		book: new RateLeaseBook({startedAt: 0}), heardAt: new Map(),
@@ -99,6 +101,26 @@
 		});
 	};
 
+	const borrow = (borrower: Entry, now: number): void => {
+		const lender = entries[Math.floor(random() * entries.length)]!;
+		const {startedAt} = borrower;
+		inFlight.push({
+			at: now + (random() * delay),
+			apply() {
+				const lentAt = this.at;
+				const lent = lender.limiter.lend(server.id, 3, lentAt);
+				inFlight.push({
+					at: lentAt + (random() * delay),
+					apply() {
+						if (borrower.startedAt === startedAt) {
+							borrower.limiter.addBorrowed(server.id, lent, now);
+						}
+					},
+				});
+			},
+		});
+	};
+
 	for (let now = 0; now < end; now += stepMilliseconds) {
 		for (let index = 0; index < inFlight.length; index++) {
 			const message = inFlight[index]!;
@@ -118,7 +140,7 @@
 
 		for (const entry of entries) {
 			if (random() < restartRate) {
-				entry.limiter = new LeasedRateLimiter({startedAt: now});
+				entry.limiter = new LeasedRateLimiter({startedAt: now, isLender: true});
 				entry.startedAt = now;
 			}
 
@@ -126,6 +148,10 @@
 				poll(entry, now);
 			}
 
+			if (random() < loanRate) {
+				borrow(entry, now);
+			}
+
 			while (entry.limiter.allows(server.id, now)) {
 				entry.limiter.countSend(server.id, now);
 				sends.push(now);
@@ -160,6 +186,7 @@
 		lossRate: fc.constantFrom(0, 0.1, 0.6),
 		delay: fc.constantFrom(2, 50, 900),
 		start: fc.integer({min: 1, max: 1_000_000}),
+		loanRate: fc.constantFrom(0, 0.01, 0.05),
 	});
 }
 
