Break off an answer in progress when its caller sends bytes that are no request

What callers saw: a 400 in the middle of the answer that was under way, which reads as a part of it, or as the answer to a request that may have run.

Cause: both entry stacks wrote their 400 on the connection whatever was in progress there.

Change: a connection with an unfinished response is broken off in the way that other truncated answers are; a connection without one still gets the 400.

--- /dev/null
+++ b/packages/gateway/src/entry/caller-server.test.ts
@@ -0,0 +1,35 @@
+import {once} from 'node:events';
+import {type AddressInfo, connect} from 'node:net';
+import test from 'ava';
+import {createCallerServer} from './caller-server.js';
+
+test('bytes of a caller that are no request break off the answer that is in progress, and nothing is written into it', async t => {
+	const logged: string[] = [];
+	const server = createCallerServer({
+		log(kind) {
+			logged.push(kind);
+		},
+		async handle(_message, response) {
+			response.write('first half, ');
+		},
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	socket.on('error', () => {
+		// A reset is one way to break off an answer.
+	});
+	socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+	await once(socket, 'data');
+	socket.write('no request\r\n\r\n');
+	await once(socket, 'close');
+	t.regex(text, /first half, \r\n$/v);
+	t.deepEqual(logged, ['request-refused']);
+});
--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -1,6 +1,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {abortResponse, UnfinishedResponses} from '@valehitch/transport';
 import {type DecisionLog} from '../logs/decision-log.js';
 
 /** Options of {@linkcode createCallerServer}. */
@@ -26,6 +27,7 @@
 ```
 */
 export function createCallerServer({log, handle}: CallerServerOptions): Server {
+	const unfinished = new UnfinishedResponses();
 	const server = createServer({
 		maxHeaderSize: maximumHeaderBytes,
 		keepAliveTimeout: defaultIdleMilliseconds,
@@ -34,11 +36,15 @@
 		headersTimeout: 0,
 		insecureHTTPParser: false,
 	}, (message, response) => {
+		unfinished.add(response);
 		void handle(message, response);
 	});
 	server.on('clientError', (error, socket) => {
 		log('request-refused', {error: 'malformed-request', reason: error.message}, 'warn');
-		if (socket.writable) {
+		const response = unfinished.on(socket);
+		if (response !== undefined) {
+			abortResponse(response);
+		} else if (socket.writable) {
 			socket.end('HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n');
 		} else {
 			socket.destroy();
--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -2,7 +2,9 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {type Failure, failure} from '@valehitch/core';
+import {abortResponse} from './abort-response.js';
 import {sendProblem, toProblemDetails} from './problem-details.js';
+import {UnfinishedResponses} from './unfinished-responses.js';
 
 /** Options for `startHttpServer`. */
 export type HttpServerOptions = {
@@ -38,13 +40,21 @@
 ```
 */
 export async function startHttpServer(options: HttpServerOptions): Promise<HttpServer> {
+	const unfinished = new UnfinishedResponses();
 	const server = createServer({maxHeaderSize: options.headerBytes}, (request, response) => {
+		unfinished.add(response);
 		options.handler(request, response).catch((error: unknown) => {
 			options.onError(error);
 			sendProblem(response, failure('internal', 'Unexpected error in the request handler'));
 		});
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+		const response = unfinished.on(socket);
+		if (response !== undefined) {
+			abortResponse(response);
+			return;
+		}
+
 		sendProblemOnSocket(socket, error.code === 'HPE_HEADER_OVERFLOW'
 			? failure('headers-too-large', `The request headers exceed ${options.headerBytes} bytes`)
 			: failure('malformed-request', 'The request is not valid HTTP/1.1'));
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -22,4 +22,5 @@
 export * from './tunnel-agent.js';
 export * from './tunnel-server.js';
 export type {TunnelTarget} from './tunnel-target.js';
+export * from './unfinished-responses.js';
 export * from './watch-response-end.js';
