Delay a request that is sent again while a part of its prompt is suspected

What callers saw: beside a bad part more answers broke than needed be: 7 to 8 servers ended before the part was quarantined.

Cause: a request is sent again at once after its server ended, up to three times. One with the bad part ends the next server each time, before the ends that other requests cause have added up.

Change: a request that was sent before, whose answer has not begun and that has a suspected part in its prompt waits 300 ms.

--- a/packages/gateway/src/entry/_test-crash-simulation.ts
+++ b/packages/gateway/src/entry/_test-crash-simulation.ts
@@ -1,6 +1,7 @@
 import {type InstanceId, type RequestFingerprint, type ServerId} from '@valehitch/core';
 import {promptPartFingerprint, SuspectRegistry, type SuspectRecord} from '@valehitch/routing';
 import {testServer} from '../servers/_test-server.js';
+import {suspectedPartMilliseconds} from './request-run.js';
 import {EntrySuspects, type RequestSuspects} from './entry-suspects.js';
 
 /** The size of a simulated deployment, its traffic and its faults. */
@@ -75,6 +76,8 @@
 	readonly #control = new SuspectRegistry();
 	readonly #servers: Array<{process: number; upAt: number; sends: SimulatedSend[]}>;
 	readonly #reports: Array<{readonly at: number; readonly record: SuspectRecord}> = [];
+	/** The requests that wait before they are sent again. */
+	#delayed: ReadonlyArray<{readonly at: number; readonly request: SimulatedRequest}> = [];
 	#time = 0;
 	#arrivals = 0;
 	#crashes = 0;
@@ -99,6 +102,7 @@
 		this.#time = time;
 		this.#passReports();
 		this.#passNews();
+		this.#sendDelayed();
 		this.#arrive();
 		for (let exits = this.#options.exitsAt?.(time) ?? 0; exits > 0; exits--) {
 			await this.#exit(Math.floor(this.#options.random() * this.#servers.length));
@@ -151,6 +155,14 @@
 		}
 	}
 
+	#sendDelayed(): void {
+		const due = this.#delayed.filter(({at}) => at <= this.#time);
+		this.#delayed = this.#delayed.filter(({at}) => at > this.#time);
+		for (const {request} of due) {
+			this.#send(request);
+		}
+	}
+
 	#arrive(): void {
 		const {requestsPerSecond, crashingParts = []} = this.#options;
 		for (let count = this.#countArrivals(requestsPerSecond); count > 0; count--) {
@@ -227,7 +239,11 @@
 		}
 
 		for (const {request} of lost) {
-			this.#send(request);
+			if (request.parts.some(part => this.#instances[request.instance]!.statusOf(part) !== 'unknown')) {
+				this.#delayed = [...this.#delayed, {at: this.#time + suspectedPartMilliseconds, request}];
+			} else {
+				this.#send(request);
+			}
 		}
 	}
 }
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -83,7 +83,7 @@
 /** Sends a number of requests in sequence through an instance that knows no server until `nextServers` adds some. */
 export async function sendRequests(t: ExecutionContext, times: number, options: SendRequestsOptions) {
 	const {
-		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, promptParts = [], latencies, log = ignore,
+		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, promptParts = [], wait = async () => undefined, latencies, log = ignore,
 		checkProcess = async () => 'running', areServersReachable = true, prepare = ignore,
 	} = options;
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
@@ -127,6 +127,7 @@
 		repeats: new RepeatTracker(),
 		evidence: new EvidenceCounter({entry: control, run: 'one'}),
 		table: () => table,
+		wait,
 		nextReply: async () => undefined,
 		async nextServerChange() {
 			nextServers(servers);
@@ -170,6 +171,8 @@
 	readonly inputTokens?: number;
 	/** The parts of the prompt; none by default. */
 	readonly promptParts?: readonly PromptPart[];
+	/** Waits for a number of milliseconds; by default not at all. */
+	readonly wait?: EntryContext['wait'];
 	/** The known latencies; none by default. */
 	readonly latencies?: LatencyEstimator;
 	/** Checks the process of a server; by default all of them run. */
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -48,6 +48,8 @@
 	readonly evidence: EvidenceCounter;
 	/** Returns the current configuration; undefined until the first one is received. */
 	readonly table: () => RouteTable | undefined;
+	/** Waits for a number of milliseconds. */
+	readonly wait: (milliseconds: number) => Promise<void>;
 	/** Waits for the next reply of a control instance, up to a timeout in milliseconds. */
 	readonly nextReply: (timeout: number) => Promise<void>;
 	/** Waits until backend servers are added or change, up to a timeout in milliseconds. */
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -27,6 +27,9 @@
 /** The retry delay sent to the caller when no server accepted the request, in milliseconds: the time in which a slot usually becomes free. */
 const retryMilliseconds = 250;
 
+/** How long a request waits before it is sent again while a part of its prompt is suspected, in milliseconds: the time in which a few more exits would prove the part to be their cause. */
+export const suspectedPartMilliseconds = 300;
+
 /** How often a request asks other instances for a send. */
 const maximumLoans = 3;
 
@@ -134,6 +137,14 @@
 	}
 
 	async #send(): Promise<NextStep> {
+		if (this.#allowance.sends > 0 && !this.#answer.hasStarted && this.#suspect.hasSuspectedPart) {
+			await this.#context.wait(suspectedPartMilliseconds);
+		}
+
+		if (this.#end.hasEnded) {
+			return 'ended';
+		}
+
 		const {standing} = this.#suspect;
 		if (standing === 'quarantined') {
 			return this.#fail(this.#suspect.refusal);
--- a/packages/gateway/src/entry/suspect-request.test.ts
+++ b/packages/gateway/src/entry/suspect-request.test.ts
@@ -1,4 +1,5 @@
 import {type ServerResponse} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {type ModelId, type ServerId, type WorkspaceId} from '@valehitch/core';
 import {fingerprintRequest, promptPartFingerprint} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
@@ -69,6 +70,42 @@
 	t.like(result, {status: 400, text: 'request-quarantined', models: []});
 });
 
+test('a request with a suspected part in its prompt waits before it is sent again, and is not once the part is proved to be the cause', async t => {
+	const part = promptPartFingerprint('5c');
+	const waits: number[] = [];
+	let suspects: EntryContext['suspects'] | undefined;
+	const result = await requestOnce(t, closeConnection, {
+		promptParts: [{id: '5c', tokens: 800}, {id: 'e4', tokens: 250}],
+		checkProcess: async () => 'ended',
+		prepare(context) {
+			suspects = context.suspects;
+		},
+		async wait(milliseconds) {
+			waits.push(milliseconds);
+			for (const [index, process] of ['a', 'b'].entries()) {
+				suspects?.registry.recordExit(part, {process, at: Date.now() - 10_000 + (index * 1000)});
+			}
+
+			await delay(milliseconds);
+		},
+	});
+	t.like(result, {status: 400, text: 'request-quarantined'});
+	t.is(result.models.length, 1);
+	t.is(waits.length, 1);
+});
+
+test('a request without a suspected part is sent again at once after its server ended', async t => {
+	const waits: number[] = [];
+	const result = await requestOnce(t, closeConnection, {
+		checkProcess: async () => 'ended',
+		async wait(milliseconds) {
+			waits.push(milliseconds);
+		},
+	});
+	t.is(result.models.length, 3);
+	t.deepEqual(waits, []);
+});
+
 test('a request that crashes servers is sent to three of them, and its answer does not state that it was not run', async t => {
 	const result = await requestOnce(t, closeConnection, {checkProcess: async () => 'ended', route: {...safeRoute, maximumAttempts: 6}});
 	t.like(result, {status: 400, text: 'request-quarantined'});
