Test that a quarantined part outlives all processes, and that operators list and lift it

The real programs: a part is refused without a send once a second request with it ended a server, all processes are killed, the part is refused again, and after a lift it is sent. Restarting a whole deployment moved to a file of its own, which the tests of crashing requests use too.

--- a/packages/testing/src/crashing-prompt-parts.test.ts
+++ b/packages/testing/src/crashing-prompt-parts.test.ts
@@ -2,6 +2,7 @@
 import {CrashingServers} from './platform/crashing-servers.js';
 import {type ReceivedResponse, sendForResponse, sendForStatus} from './platform/fake-backend-server.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
+import {restartAll} from './platform/restart-all.js';
 import {waitUntil} from './wait-until.js';
 
 const host = 'desk.example';
@@ -193,3 +194,49 @@
 	t.is(played.servers.exits.length, kills);
 	assertContained(t, played);
 });
+
+test('a quarantined part stays so when all processes restart, until an operator lifts the quarantine', async t => {
+	const {deployment, servers} = await start(t);
+	const fingerprint = `part-${fatalPart}`;
+	let number = 0;
+	const sendFatal = async (): Promise<number> => {
+		number++;
+		const {status} = await send(deployment.entries[number % entryCount]!.address, {number, key: 'k1', parts: ['f1', fatalPart]});
+		return status;
+	};
+
+	/** Returns the number of exits that a control instance lists for the part and has saved. */
+	const countSavedExits = async (address: string): Promise<number> => {
+		const {text} = await sendForResponse({
+			method: 'GET', address, path: '/-/quarantine', headers: {},
+		});
+		const {requests = []} = JSON.parse(text || '{}') as {readonly requests?: ReadonlyArray<{readonly fingerprint: string; readonly ends: readonly unknown[]; readonly isSaved: boolean}>};
+		const listed = requests.find(request => request.fingerprint === fingerprint);
+		return listed?.isSaved === true ? listed.ends.length : 0;
+	};
+
+	// The first request alone may be the cause of its exits; the part is once others with it end servers too.
+	await waitUntil(async () => {
+		const {length} = servers.sends;
+		return (await sendFatal() === 400 && servers.sends.length === length) || undefined;
+	}, {description: 'a quarantined part'});
+	await waitUntil(async () => {
+		const counts = await Promise.all(deployment.controls.map(async control => countSavedExits(control.address)));
+		return counts.every(count => count === servers.exits.length) || undefined;
+	}, {description: 'all control instances to have saved the exits'});
+	await restartAll(deployment, async entry => {
+		const {status} = await send(deployment.entries[entry]!.address, {number: 1000 + entry, key: 'k1', parts: ['f1', `after ${entry}`]});
+		return status === 200;
+	});
+	const sends = servers.sends.length;
+	t.is(await sendFatal(), 400);
+	t.is(servers.sends.length, sends);
+
+	const {address} = deployment.controls[1]!;
+	await waitUntil(async () => await countSavedExits(address) > 0 || undefined, {description: 'a list of the second control instance'});
+	t.is(await sendForStatus({method: 'DELETE', address, path: `/-/quarantine/${fingerprint}`}), 200);
+	await waitUntil(async () => {
+		await sendFatal();
+		return servers.sends.length > sends || undefined;
+	}, {description: 'a send after the quarantine was lifted'});
+});
--- a/packages/testing/src/crashing-requests.test.ts
+++ b/packages/testing/src/crashing-requests.test.ts
@@ -2,6 +2,7 @@
 import {CrashingServers} from './platform/crashing-servers.js';
 import {sendForResponse, sendForStatus} from './platform/fake-backend-server.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
+import {restartAll} from './platform/restart-all.js';
 import {slowDiskEnvironment} from './platform/slow-disk.js';
 import {waitUntil} from './wait-until.js';
 
@@ -129,7 +130,7 @@
 	await waitUntilListedByAll(deployment);
 	// Saving starts when the request is listed, and takes two syncs.
 	await sleep(saveMilliseconds);
-	await restartAll(deployment);
+	await restartAll(deployment, async entry => isServing(deployment, entry));
 	const sends = servers.sends.length;
 	const refused = await Promise.all(deployment.entries.map(async (_, entry) => sendDraft(deployment, {entry, path: deadlyPath})));
 	t.deepEqual(refused.map(({status}) => status), [400, 400, 400]);
@@ -153,7 +154,7 @@
 	const {deployment, servers} = await start(t, slowDiskEnvironment({delayedFile: 'suspects.json', replaceMilliseconds: slowSaveMilliseconds}));
 	await sendCopies(deployment);
 	await waitUntilListedByAll(deployment);
-	await restartAll(deployment);
+	await restartAll(deployment, async entry => isServing(deployment, entry));
 	const sends = servers.sends.length;
 	const refused = await Promise.all(deployment.entries.map(async (_, entry) => sendDraft(deployment, {entry, path: deadlyPath})));
 	t.deepEqual(refused.map(({status}) => status), [400, 400, 400]);
@@ -168,7 +169,7 @@
 	const fingerprint = /[\da-f]{32}/v.exec(list!)?.[0];
 	await sleep(3 * slowSaveMilliseconds);
 	t.is(await sendForStatus({method: 'DELETE', address: deployment.controls[0]!.address, path: `/-/quarantine/${fingerprint}`}), 200);
-	await restartAll(deployment);
+	await restartAll(deployment, async entry => isServing(deployment, entry));
 	const sends = servers.sends.length;
 	t.true(await waitUntil(async () => {
 		await sendDraft(deployment, {entry: 0, path: deadlyPath});
@@ -181,6 +182,11 @@
 	return Promise.all(Array.from({length: 9}, async (_, entry) => sendDraft(deployment, {entry, path: deadlyPath})));
 }
 
+async function isServing(deployment: PlatformDeployment, entry: number): Promise<boolean> {
+	const {status} = await sendDraft(deployment, {entry, path: `/drafts/after-${entry}`});
+	return status === 200;
+}
+
 /** Waits until all control instances list a request, and returns their lists. */
 async function waitUntilListedByAll(deployment: PlatformDeployment): Promise<readonly string[]> {
 	return waitUntil(async () => {
@@ -188,17 +194,3 @@
 		return lists.every(list => list.includes('process')) ? lists : undefined;
 	}, {description: 'all control instances to list a request'});
 }
-
-/** Kills all processes at once, restarts them, and waits until each entry instance serves requests. */
-async function restartAll(deployment: PlatformDeployment): Promise<void> {
-	await Promise.all(deployment.instances.map(async instance => instance.process.kill('SIGKILL')));
-	for (const instance of deployment.instances) {
-		await instance.writeSettings({isFounding: false});
-		instance.process.start();
-	}
-
-	await waitUntil(async () => {
-		const answers = await Promise.all(deployment.entries.map(async (_, entry) => sendDraft(deployment, {entry, path: `/drafts/after-${entry}`})));
-		return answers.every(({status}) => status === 200) || undefined;
-	}, {description: 'a response of each entry instance after the restart of all processes'});
-}
--- /dev/null
+++ b/packages/testing/src/platform/restart-all.ts
@@ -0,0 +1,26 @@
+import {waitUntil} from '../wait-until.js';
+import {type PlatformDeployment} from './platform-deployment.js';
+
+/**
+Kills all processes of a deployment at once, restarts them, and waits until each entry instance serves requests.
+
+@param deployment The deployment.
+@param serve Sends a request through an entry instance, and returns whether it was served.
+@throws If an entry instance serves none in time.
+@example
+```ts
+await restartAll(deployment, async entry => (await send(entry)).status === 200);
+```
+*/
+export async function restartAll({instances, entries}: PlatformDeployment, serve: (entry: number) => Promise<boolean>): Promise<void> {
+	await Promise.all(instances.map(async instance => instance.process.kill('SIGKILL')));
+	for (const instance of instances) {
+		await instance.writeSettings({isFounding: false});
+		instance.process.start();
+	}
+
+	await waitUntil(async () => {
+		const served = await Promise.all(entries.map(async (_, entry) => serve(entry)));
+		return served.every(Boolean) || undefined;
+	}, {description: 'a response of each entry instance after the restart of all processes'});
+}
