Share the set-up of the tests with crashing servers

The configuration of streamed drafts stood in three tests, the start of a deployment with crashing servers in two.

--- a/packages/testing/src/crashing-prompt-parts.test.ts
+++ b/packages/testing/src/crashing-prompt-parts.test.ts
@@ -1,11 +1,11 @@
 import test, {type ExecutionContext} from 'ava';
-import {CrashingServers} from './platform/crashing-servers.js';
+import {type CrashingServers} from './platform/crashing-servers.js';
+import {draftHost} from './platform/draft-configuration.js';
 import {type ReceivedResponse, sendForResponse, sendForStatus} from './platform/fake-backend-server.js';
-import {PlatformDeployment} from './platform/platform-deployment.js';
 import {restartAll} from './platform/restart-all.js';
+import {startCrashingServers, type StartedCrashingServers} from './platform/start-crashing-servers.js';
 import {waitUntil} from './wait-until.js';
 
-const host = 'desk.example';
 const entryCount = 4;
 const serverCount = 8;
 const fatalPart = 'bad';
@@ -49,52 +49,27 @@
 	readonly sent: readonly Sent[];
 };
 
-const configuration = {
-	version: 1,
-	routes: [{
-		name: 'drafts', host, pathPrefix: '/drafts/', kind: 'streaming', timeoutMs: 8000, targetLatencyMs: 2000, targetGapMs: 1000,
-		sizes: ['small', 'large'], service: 'models', maxAttempts: 3, sticky: true, resumable: true, public: false,
-	}],
-	services: [{name: 'models', engine: {models: [{name: 'small', cost: 0.01}, {name: 'large', cost: 0.3}]}}],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}, {name: 'yards', apiKeys: ['k2'], priority: 1}],
-};
-
-async function start(t: ExecutionContext): Promise<{readonly deployment: PlatformDeployment; readonly servers: CrashingServers}> {
-	const deployment = await PlatformDeployment.start({entryCount});
-	const servers = new CrashingServers({
-		isFatal: ({promptParts}) => promptParts.includes(fatalPart), exitDelay: 60, restartDelay: 2500, answer: {
-			confidence: 90, events: ['one', 'two', 'three'], firstEventDelay: 40, gap: 100,
+async function start(t: ExecutionContext): Promise<StartedCrashingServers> {
+	const started = await startCrashingServers(t, {
+		deployment: {entryCount},
+		servers: {
+			count: serverCount, isFatal: ({promptParts}) => promptParts.includes(fatalPart), exitDelay: 60, restartDelay: 2500, answer: {
+				confidence: 90, events: ['one', 'two', 'three'], firstEventDelay: 40, gap: 100,
+			},
 		},
 	});
-	await servers.start(serverCount);
-	const announceTimer = setInterval(() => {
-		void servers.announce(deployment.controls[0]!.address);
-	}, 200);
-	t.teardown(async () => {
-		clearInterval(announceTimer);
-		servers.stop();
-		await deployment.stop();
-	});
-	await waitUntil(async () => {
-		const statuses = await Promise.all(deployment.controls.map(async ({address}) => sendForStatus({
-			method: 'PUT', address, path: '/-/config', body: configuration,
-		})));
-		return statuses.includes(200) || undefined;
-	}, {description: 'an acknowledged configuration'});
+	const {entries} = started.deployment;
 	await waitUntil(async () => {
-		const answers = await Promise.all(deployment.entries.map(async ({address}, index) => send(address, {number: -1 - index, key: 'k1', parts: ['f1', `s${index}`]})));
+		const answers = await Promise.all(entries.map(async ({address}, index) => send(address, {number: -1 - index, key: 'k1', parts: ['f1', `s${index}`]})));
 		return answers.every(({status}) => status === 200) || undefined;
 	}, {description: 'a response of each entry instance'});
-	return {deployment, servers};
+	return started;
 }
 
 async function send(address: string, {number, key, parts}: DraftOptions): Promise<ReceivedResponse> {
 	return sendForResponse({
 		method: 'POST', address, path: `/drafts/${number}`, body: {draft: number}, headers: {
-			Host: host, 'Attempt-Id': `a${number}`, 'Deadline-Ms': '8000', Authorization: `Bearer ${key}`, Model: '*', 'Token-Usage': '100,20',
+			Host: draftHost, 'Attempt-Id': `a${number}`, 'Deadline-Ms': '8000', Authorization: `Bearer ${key}`, Model: '*', 'Token-Usage': '100,20',
 			'Prompt-Prefix': [...parts, `u${number}`].map(id => `${id}:50`).join(','),
 		},
 	});
--- a/packages/testing/src/crashing-requests.test.ts
+++ b/packages/testing/src/crashing-requests.test.ts
@@ -1,12 +1,13 @@
 import test, {type ExecutionContext} from 'ava';
-import {CrashingServers} from './platform/crashing-servers.js';
+import {type CrashingServers} from './platform/crashing-servers.js';
+import {draftHost} from './platform/draft-configuration.js';
 import {sendForResponse, sendForStatus} from './platform/fake-backend-server.js';
-import {PlatformDeployment} from './platform/platform-deployment.js';
+import {type PlatformDeployment} from './platform/platform-deployment.js';
 import {restartAll} from './platform/restart-all.js';
 import {slowDiskEnvironment} from './platform/slow-disk.js';
+import {startCrashingServers, type StartedCrashingServers} from './platform/start-crashing-servers.js';
 import {waitUntil} from './wait-until.js';
 
-const host = 'desk.example';
 const deadlyPath = '/drafts/deadly';
 const serverCount = 8;
 /** Milliseconds from the start of the deadly request to the server's exit, and from there to its restart as a new process. */
@@ -20,58 +21,29 @@
 const saveMilliseconds = 300;
 const slowSaveMilliseconds = 500;
 
-type Started = {
-	readonly deployment: PlatformDeployment;
-	readonly servers: CrashingServers;
-};
-
-async function start(t: ExecutionContext, environment: Readonly<Record<string, string>> = {}): Promise<Started> {
-	const deployment = await PlatformDeployment.start({entryCount: 3, environment: () => environment});
-	const servers = new CrashingServers({
-		isFatal: ({path}) => path === deadlyPath, exitDelay: exitDelayMilliseconds, restartDelay: restartDelayMilliseconds, answer: {confidence: 90, events: ['one', 'two'], gap: 20},
-	});
-	await servers.start(serverCount);
-	const announceTimer = setInterval(() => {
-		void servers.announce(deployment.controls[0]!.address);
-	}, 200);
-	t.teardown(async () => {
-		clearInterval(announceTimer);
-		servers.stop();
-		await deployment.stop();
+async function start(t: ExecutionContext, environment: Readonly<Record<string, string>> = {}): Promise<StartedCrashingServers> {
+	const started = await startCrashingServers(t, {
+		deployment: {entryCount: 3, environment: () => environment},
+		servers: {
+			count: serverCount, isFatal: ({path}) => path === deadlyPath, exitDelay: exitDelayMilliseconds, restartDelay: restartDelayMilliseconds,
+			answer: {confidence: 90, events: ['one', 'two'], gap: 20},
+		},
 	});
-	await waitUntil(async () => {
-		const statuses = await Promise.all(deployment.controls.map(async ({address}) => sendForStatus({
-			method: 'PUT', address, path: '/-/config', body: configuration,
-		})));
-		return statuses.includes(200) || undefined;
-	}, {description: 'an acknowledged configuration'});
+	const {deployment} = started;
 	await waitUntil(async () => {
 		const answers = await Promise.all(deployment.entries.map(async (_, index) => sendDraft(deployment, {entry: index, path: '/drafts/first'})));
 		return answers.every(({status}) => status === 200) || undefined;
 	}, {description: 'a response of each entry instance'});
-	return {deployment, servers};
+	return started;
 }
 
-const configuration = {
-	version: 1,
-	routes: [{
-		name: 'drafts', host, pathPrefix: '/drafts/', kind: 'streaming', timeoutMs: 8000, targetLatencyMs: 2000, targetGapMs: 1000,
-		sizes: ['small', 'large'], service: 'models', maxAttempts: 3, sticky: true, resumable: true, public: false,
-	}],
-	services: [{name: 'models', engine: {models: [{name: 'small', cost: 0.01}, {name: 'large', cost: 0.3}]}}],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}],
-};
-
 let attempts = 0;
 
 async function sendDraft({entries}: PlatformDeployment, {entry, path}: {readonly entry: number; readonly path: string}) {
 	attempts++;
 	return sendForResponse({
 		method: 'POST', address: entries[entry % entries.length]!.address, path, body: {draft: path}, headers: {
-			Host: host, 'Attempt-Id': `a${attempts}`, 'Deadline-Ms': '8000', Authorization: 'Bearer k1', Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': `1:50,${attempts}:50`,
+			Host: draftHost, 'Attempt-Id': `a${attempts}`, 'Deadline-Ms': '8000', Authorization: 'Bearer k1', Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': `1:50,${attempts}:50`,
 		},
 	});
 }
--- a/packages/testing/src/crowded-instance.test.ts
+++ b/packages/testing/src/crowded-instance.test.ts
@@ -1,25 +1,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
+import {draftConfiguration, draftHost} from './platform/draft-configuration.js';
 import {type FakeBackendServerOptions, sendForResponse} from './platform/fake-backend-server.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
 import {putConfiguration} from './platform/put-configuration.js';
 import {startBackends} from './platform/start-backends.js';
 import {waitUntil} from './wait-until.js';
 
-const host = 'desk.example';
-const configuration = {
-	version: 1,
-	routes: [{
-		name: 'drafts', host, pathPrefix: '/drafts/', kind: 'streaming', timeoutMs: 8000, targetLatencyMs: 2000, targetGapMs: 1000,
-		sizes: ['small', 'large'], service: 'models', maxAttempts: 3, sticky: true, resumable: true, public: false,
-	}],
-	services: [{name: 'models', engine: {models: [{name: 'small', cost: 0.01}, {name: 'large', cost: 0.3}]}}],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}],
-};
-
 /** The time from which requests must be served again after most connections went to another instance, in milliseconds. */
 const windowMilliseconds = 3000;
 /** The share of the requests served at the first attempt before, that must be served while one instance gets most connections. */
@@ -43,7 +30,7 @@
 	requests++;
 	const {status, isComplete} = await sendForResponse({
 		method: 'POST', address, path: `/drafts/${requests}`, body: {draft: 'x'.repeat(bodyCharacters)}, headers: {
-			Host: host, 'Attempt-Id': `a${requests}`, 'Deadline-Ms': '8000', Authorization: 'Bearer k1', Model: '*', 'Token-Usage': '9190,40',
+			Host: draftHost, 'Attempt-Id': `a${requests}`, 'Deadline-Ms': '8000', Authorization: 'Bearer k1', Model: '*', 'Token-Usage': '9190,40',
 			'Prompt-Prefix': `f${requests % 4}:2520,s${requests % 50}:3780,u${requests}:2890`,
 		},
 	});
@@ -69,7 +56,7 @@
 	const deployment = await PlatformDeployment.start({entryCount: 4});
 	const {entries} = deployment;
 	await startBackends(t, {deployment, servers: servers.map(server => ({...server, service: 'models'}))});
-	await putConfiguration(deployment, configuration);
+	await putConfiguration(deployment, draftConfiguration);
 	for (const {address} of entries) {
 		await waitUntil(async () => await sendDraft(address) || undefined, {description: 'a first response'});
 	}
