Delay only requests whose prompt has a part with two exits

Cause: the exit that breaks a request makes a part of its own suspected, unless it was answered a second ago; so bystanders with a rare subject waited too.

Change: a part with one exit delays nothing; with two it does. The blame of parts leaves the door of the package, since only the registry uses it.

A trial that is not taken: polls of entry instances that are held for up to 1.6 s where more than 150 poll.

--- a/packages/gateway/src/entry/_test-crash-simulation.ts
+++ b/packages/gateway/src/entry/_test-crash-simulation.ts
@@ -1,7 +1,7 @@
 import {type InstanceId, type RequestFingerprint, type ServerId} from '@valehitch/core';
 import {promptPartFingerprint, SuspectRegistry, type SuspectRecord} from '@valehitch/routing';
 import {testServer} from '../servers/_test-server.js';
-import {suspectedPartMilliseconds} from './request-run.js';
+import {doubtfulPartMilliseconds} from './request-run.js';
 import {EntrySuspects, type RequestSuspects} from './entry-suspects.js';
 
 /** The size of a simulated deployment, its traffic and its faults. */
@@ -239,8 +239,8 @@
 		}
 
 		for (const {request} of lost) {
-			if (request.parts.some(part => this.#instances[request.instance]!.statusOf(part) !== 'unknown')) {
-				this.#delayed = [...this.#delayed, {at: this.#time + suspectedPartMilliseconds, request}];
+			if (request.parts.some(part => this.#instances[request.instance]!.statusOf(part) === 'doubtful')) {
+				this.#delayed = [...this.#delayed, {at: this.#time + doubtfulPartMilliseconds, request}];
 			} else {
 				this.#send(request);
 			}
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -27,8 +27,8 @@
 /** The retry delay sent to the caller when no server accepted the request, in milliseconds: the time in which a slot usually becomes free. */
 const retryMilliseconds = 250;
 
-/** How long a request waits before it is sent again while a part of its prompt is suspected, in milliseconds: the time in which a few more exits would prove the part to be their cause. */
-export const suspectedPartMilliseconds = 300;
+/** How long a request waits before it is sent again while a part of its prompt is doubtful, in milliseconds: the time in which another exit would prove the part to be their cause. */
+export const doubtfulPartMilliseconds = 300;
 
 /** How often a request asks other instances for a send. */
 const maximumLoans = 3;
@@ -137,8 +137,8 @@
 	}
 
 	async #send(): Promise<NextStep> {
-		if (this.#allowance.sends > 0 && !this.#answer.hasStarted && this.#suspect.hasSuspectedPart) {
-			await this.#context.wait(suspectedPartMilliseconds);
+		if (this.#allowance.sends > 0 && !this.#answer.hasStarted && this.#suspect.hasDoubtfulPart) {
+			await this.#context.wait(doubtfulPartMilliseconds);
 		}
 
 		if (this.#end.hasEnded) {
--- a/packages/gateway/src/entry/suspect-request.ts
+++ b/packages/gateway/src/entry/suspect-request.ts
@@ -55,9 +55,9 @@
 		return this.#suspects.registry.isEmpty ? 'unknown' : this.#suspects.standingOf(this);
 	}
 
-	/** Whether servers ended during requests with a part of its prompt, which no server has answered since. */
-	get hasSuspectedPart(): boolean {
-		return !this.#suspects.registry.isEmpty && this.parts.some(part => this.#suspects.statusOf(part) !== 'unknown');
+	/** Whether servers ended twice during requests with a part of its prompt, which no server has answered since. */
+	get hasDoubtfulPart(): boolean {
+		return !this.#suspects.registry.isEmpty && this.parts.some(part => this.#suspects.statusOf(part) === 'doubtful');
 	}
 
 	/** The failure for a quarantined request. It is final: it neither asks the caller to retry nor states that the request has not run. */
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -5,7 +5,6 @@
 */
 export type * from './admission-request.js';
 export * from './admission-controller.js';
-export * from './blame-prompt-parts.js';
 export * from './choose-affinity-scope.js';
 export * from './choose-permits.js';
 export * from './decision-history.js';
