Count a send whose loan has expired against the own sends

What callers saw: nothing yet; a server with a rate limit could get a request that no instance counted.

Cause: once an instance had borrowed sends to a server, a send that found no own one left was taken for a borrowed one, also when every loan had expired between the choice of the server and the send. Found by reading.

Change: only a loan that is still valid is used up; otherwise the send counts as the instance's own, as before there were loans. The test was red before. The property tests of leases hold with the same bounds.

--- a/packages/routing/src/leased-rate-limiter.test.ts
+++ b/packages/routing/src/leased-rate-limiter.test.ts
@@ -40,3 +40,12 @@
 	limiter.countSend(server, now);
 	t.false(limiter.allows(server, now));
 });
+
+test('a send after a loan has expired counts against the own sends', t => {
+	const limiter = limiterWith(1);
+	limiter.countSend(server, now);
+	limiter.addBorrowed(server, 1, now);
+	const expired = now + rateLoanMilliseconds;
+	limiter.countSend(server, expired);
+	t.false(limiter.allows(server, now + 1100));
+});
--- a/packages/routing/src/leased-rate-limiter.ts
+++ b/packages/routing/src/leased-rate-limiter.ts
@@ -129,9 +129,9 @@
 	@param now Milliseconds on the monotonic clock.
 	*/
 	countSend(server: ServerId, now: number): void {
-		const [, ...otherBorrowed] = this.#borrowedSends(server, now);
-		if (this.#borrowed.has(server) && !this.#allowsOwn(server, now)) {
-			this.#borrowed.set(server, otherBorrowed);
+		const borrowed = this.#borrowedSends(server, now);
+		if (borrowed.length > 0 && !this.#allowsOwn(server, now)) {
+			this.#borrowed.set(server, borrowed.slice(1));
 			return;
 		}
 
