Leave requests and parts without current exits out of the analysis of exits

After a crash most records are cleared. The tests of the registry and the simulation pass as before.

--- a/packages/routing/src/_suspect-analysis.ts
+++ b/packages/routing/src/_suspect-analysis.ts
@@ -45,8 +45,10 @@
 		let validUntil = Number.POSITIVE_INFINITY;
 		for (const record of records) {
 			const subject = {record, exits: currentExits(record, now)};
-			this.#add(subject);
-			validUntil = Math.min(validUntil, nextChangeOf(subject, now));
+			if (subject.exits.size > 0) {
+				this.#add(subject);
+				validUntil = Math.min(validUntil, nextChangeOf(subject, now));
+			}
 		}
 
 		this.validUntil = validUntil;
