Name the innocent requests as elsewhere, and share a random generator of two tests

The simulation of crashes called sound what the registry's tests call innocent. The generator of crashing-parts.test.ts stood in decision-shapes.test.ts too. What is said of requests in the registry's callers holds for parts of prompts as well now, and the processes of a record are listed in one place.

--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -197,10 +197,10 @@
 	}
 
 	/**
-	Lifts the quarantine of a request.
+	Lifts the quarantine of a request or a part of prompts.
 
-	@param fingerprint The request.
-	@returns Whether the change is saved to disk, or `undefined` if the request is unknown.
+	@param fingerprint The request or the part.
+	@returns Whether the change is saved to disk, or `undefined` if nothing is known of it.
 	*/
 	async liftQuarantine(fingerprint: SuspectFingerprint): Promise<QuarantineLiftResult | undefined> {
 		return this.#suspectSync.liftQuarantine(fingerprint);
--- a/packages/gateway/src/control/suspect-sync.ts
+++ b/packages/gateway/src/control/suspect-sync.ts
@@ -108,10 +108,10 @@
 	}
 
 	/**
-	Lifts the quarantine of a request; crashes recorded so far no longer count against it.
+	Lifts the quarantine of a request or a part of prompts; crashes recorded so far no longer count against it.
 
-	@param fingerprint The request.
-	@returns Whether the change is saved to disk, or `undefined` if the request is unknown.
+	@param fingerprint The request or the part.
+	@returns Whether the change is saved to disk, or `undefined` if nothing is known of it.
 	*/
 	async liftQuarantine(fingerprint: SuspectFingerprint): Promise<QuarantineLiftResult | undefined> {
 		if (!this.registry.clear(fingerprint)) {
--- a/packages/gateway/src/entry/_test-crash-simulation.ts
+++ b/packages/gateway/src/entry/_test-crash-simulation.ts
@@ -23,14 +23,14 @@
 	readonly crashes: number;
 	/** For each crashing part, when requests with it reached servers and when servers exited during them, in milliseconds. */
 	readonly crashingParts: ReadonlyArray<{readonly sends: readonly number[]; readonly exits: readonly number[]}>;
-	readonly soundRequests: number;
+	readonly innocentRequests: number;
 	/** The requests without a crashing part that were refused as quarantined. */
-	readonly refusedSound: number;
+	readonly refusedInnocent: number;
 };
 
 type SimulatedRequest = RequestSuspects & {
 	readonly id: string;
-	/** The number of its crashing part; undefined for sound requests. */
+	/** The number of its crashing part; undefined for innocent requests. */
 	readonly crashing: number | undefined;
 	readonly instance: number;
 	readonly sends: number;
@@ -81,8 +81,8 @@
 	#time = 0;
 	#arrivals = 0;
 	#crashes = 0;
-	#soundRequests = 0;
-	#refusedSound = 0;
+	#innocentRequests = 0;
+	#refusedInnocent = 0;
 
 	constructor(options: CrashSimulationOptions) {
 		this.#options = options;
@@ -94,7 +94,7 @@
 
 	get result(): CrashSimulationResult {
 		return {
-			crashes: this.#crashes, crashingParts: this.#parts, soundRequests: this.#soundRequests, refusedSound: this.#refusedSound,
+			crashes: this.#crashes, crashingParts: this.#parts, innocentRequests: this.#innocentRequests, refusedInnocent: this.#refusedInnocent,
 		};
 	}
 
@@ -166,7 +166,7 @@
 	#arrive(): void {
 		const {requestsPerSecond, crashingParts = []} = this.#options;
 		for (let count = this.#countArrivals(requestsPerSecond); count > 0; count--) {
-			this.#soundRequests++;
+			this.#innocentRequests++;
 			this.#send(this.#createRequest([`first ${this.#pick(firstPartCount)}`, `subject ${this.#pick(subjectCount)}`], {crashing: undefined}));
 		}
 
@@ -202,7 +202,7 @@
 		}
 
 		if (this.#instances[request.instance]!.standingOf(request) === 'quarantined') {
-			this.#refusedSound += request.crashing === undefined ? 1 : 0;
+			this.#refusedInnocent += request.crashing === undefined ? 1 : 0;
 			return;
 		}
 
--- a/packages/gateway/src/entry/crashing-parts.test.ts
+++ b/packages/gateway/src/entry/crashing-parts.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import {type CrashSimulationOptions, simulateCrashes} from './_test-crash-simulation.js';
+import {seededRandom} from './_test-random.js';
 
 type Size = Pick<CrashSimulationOptions, 'instances' | 'servers' | 'requestsPerSecond'>;
 
@@ -11,18 +12,9 @@
 const identifyingExits = 5;
 const windowMilliseconds = 3000;
 const allowedSends = 3;
-/** The share of the sound requests that may be refused while a crashing part is not known yet. */
+/** The share of the innocent requests that may be refused while a crashing part is not known yet. */
 const refusedShare = 0.001;
 
-/** Returns a deterministic generator of numbers from 0 to 1 (Park and Miller, 1988). */
-function seededRandom(seed: number): () => number {
-	let state = seed;
-	return () => {
-		state = state * 48_271 % 2_147_483_647;
-		return state / 2_147_483_647;
-	};
-}
-
 for (const size of sizes) {
 	const deployment = `${size.instances} instances and ${size.servers} servers`;
 	test(`with ${deployment}, servers that exit at random and a power failure blame no part`, async t => {
@@ -33,13 +25,13 @@
 				exitsAt: time => time === 5000 ? Math.ceil(size.servers / 3) : Number(random() < 0.015),
 			});
 			t.true(result.crashes > 10);
-			t.is(result.refusedSound, 0, `seed ${seed}`);
+			t.is(result.refusedInnocent, 0, `seed ${seed}`);
 		}
 	});
 
 	for (const depth of [0, 1] as const) {
 		for (const count of [1, 2]) {
-			test(`with ${deployment}, ${count} crashing parts at position ${depth} of prompts are found, and hardly a sound request is refused`, async t => {
+			test(`with ${deployment}, ${count} crashing parts at position ${depth} of prompts are found, and hardly an innocent request is refused`, async t => {
 				for (const seed of [1, 2, 3]) {
 					const crashingParts = Array.from({length: count}, (_, index) => ({
 						id: `bad ${index}`, depth, requestsPerSecond: 6, from: 2000,
@@ -52,7 +44,7 @@
 						t.true(late <= allowedSends, `seed ${seed}: ${late} late sends, ${exits.length} exits`);
 					}
 
-					t.true(result.refusedSound <= refusedShare * result.soundRequests, `seed ${seed}: ${result.refusedSound} of ${result.soundRequests} sound requests refused`);
+					t.true(result.refusedInnocent <= refusedShare * result.innocentRequests, `seed ${seed}: ${result.refusedInnocent} of ${result.innocentRequests} innocent requests refused`);
 				}
 			});
 		}
--- a/packages/gateway/src/entry/decision-shapes.test.ts
+++ b/packages/gateway/src/entry/decision-shapes.test.ts
@@ -9,6 +9,7 @@
 import {EntryServers} from './entry-servers.js';
 import {LatencyEstimator} from './latency-estimator.js';
 import {ModelCascade} from './model-cascade.js';
+import {seededRandom} from './_test-random.js';
 import {RepeatTracker} from './repeat-tracker.js';
 
 /** Deployments of other shapes than those that the thresholds were tuned for. The decisions must still be reasonable. */
@@ -32,15 +33,6 @@
 	return `server-${index}` as ServerId;
 }
 
-/** A deterministic random generator with numbers from 0 to 1 (Park and Miller, 1988). */
-function seededRandom(): () => number {
-	let state = 1;
-	return () => {
-		state = state * 48_271 % 2_147_483_647;
-		return state / 2_147_483_647;
-	};
-}
-
 /** Creates the servers of a shape, distributed over its zones in turn. */
 function createServers({zones, servers}: Shape): EntryServers {
 	const entryServers = new EntryServers({
--- a/packages/gateway/src/entry/entry-suspects.ts
+++ b/packages/gateway/src/entry/entry-suspects.ts
@@ -75,9 +75,9 @@
 	}
 
 	/**
-	Returns the standing of a request by its own exits, whatever its prompt contains.
+	Returns the standing of a request, whatever its prompt contains, or of a part of prompts.
 
-	@param fingerprint The request.
+	@param fingerprint The request or the part.
 	@returns Its standing.
 	*/
 	statusOf(fingerprint: SuspectFingerprint): SuspectStatus {
@@ -228,18 +228,20 @@
 	#logQuarantinedPart(part: PromptPartFingerprint): void {
 		if (this.#loggedParts.peek(part) === undefined) {
 			this.#loggedParts.set(part, true);
-			const processes = this.registry.get(part)?.ends.map(({process}) => process);
-			this.#options.log('prompt-part-quarantined', {fingerprint: part, processes}, 'warn');
+			this.#options.log('prompt-part-quarantined', {fingerprint: part, processes: this.#processesOf(part)}, 'warn');
 		}
 	}
 
+	#processesOf(fingerprint: SuspectFingerprint): readonly string[] | undefined {
+		return this.registry.get(fingerprint)?.ends.map(({process}) => process);
+	}
+
 	#notifyQuarantine(fingerprint: RequestFingerprint, {source}: {readonly source: string}): void {
 		if (this.statusOf(fingerprint) !== 'quarantined') {
 			return;
 		}
 
-		const processes = this.registry.get(fingerprint)?.ends.map(({process}) => process);
-		this.#options.log('request-quarantined', {fingerprint, processes, source}, 'warn');
+		this.#options.log('request-quarantined', {fingerprint, processes: this.#processesOf(fingerprint), source}, 'warn');
 		for (const listener of this.#listeners) {
 			listener(fingerprint);
 		}
--- a/packages/gateway/src/entry/suspect-reporter.ts
+++ b/packages/gateway/src/entry/suspect-reporter.ts
@@ -19,7 +19,7 @@
 const reportTimeoutMilliseconds = 600;
 
 /**
-Reports requests that crash servers to the watched control instances. Reports are sent immediately, because such a request reaches the next instance within half a second.
+Reports requests and parts of prompts that crash servers to the watched control instances. Reports are sent immediately, because such requests reach the next instance within half a second.
 
 Sent along with the watch requests, a report would have to wait up to 0.8 s for the reply to the one in progress.
 
@@ -54,9 +54,9 @@
 	}
 
 	/**
-	Reports a request whose record was changed by this instance.
+	Reports a request or a part of prompts whose record was changed by this instance.
 
-	@param fingerprint The request.
+	@param fingerprint The request or the part.
 	*/
 	report(fingerprint: SuspectFingerprint): void {
 		for (const [target, {pending}] of this.#targets) {
