--- a/packages/testing/src/platform/platform-deployment.ts
+++ b/packages/testing/src/platform/platform-deployment.ts
@@ -13,6 +13,8 @@
 	readonly controlCount?: number;
 	/** The number of entry instances; 2 by default. */
 	readonly entryCount?: number;
+	/** Returns the availability zone of an entry instance, by its position; all are in `hall-a` by default. */
+	readonly entryZone?: (index: number) => string;
 	/** The time within which a revoked key must stop working, in milliseconds; 5000 by default. */
 	readonly revocationMilliseconds?: number;
 	/** Additional environment variables of each process; none by default. */
@@ -40,6 +42,8 @@
 export const ports = {
 	callers: 8227, readiness: 8220, control: 8229, peers: 7340, lastPeers: 7355,
 } as const;
+/** The availability zone of the control instances. */
+const firstZone = 'hall-a';
 const program = createRequire(import.meta.url).resolve('@valehitch/platform').replace(/mod\.js$/v, 'bin/valehitch-platform.js');
 
 /**
@@ -74,7 +78,7 @@
 	@returns The deployment.
 	*/
 	static async prepare(options: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
-		const {controlCount = 3, entryCount = 2, revocationMilliseconds = 5000, environment = () => ({})} = options;
+		const {controlCount = 3, entryCount = 2, entryZone = () => firstZone, revocationMilliseconds = 5000, environment = () => ({})} = options;
 		const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-platform-'));
 		// All instances use the same ports, so each deployment needs its own subnet.
 		const network = await reserveLoopbackSubnet();
@@ -84,7 +88,7 @@
 			const isControl = index < controlCount;
 			const ip = `${network.prefix}.${index + 1}`;
 			const instance = await deployment.#add({
-				name: `${isControl ? 'core' : 'front'}-${index + 1}`, ip, isControl, seeds, revocationMilliseconds, environment,
+				name: `${isControl ? 'core' : 'front'}-${index + 1}`, ip, isControl, zone: isControl ? firstZone : entryZone(index - controlCount), seeds, revocationMilliseconds, environment,
 			});
 			(isControl ? deployment.controls : deployment.entries).push(instance);
 		}
@@ -115,7 +119,7 @@
 		this.#network.release();
 	}
 
-	async #add({name, ip, isControl, seeds, revocationMilliseconds, environment}: InstanceOptions): Promise<PlatformInstance> {
+	async #add({name, ip, isControl, zone, seeds, revocationMilliseconds, environment}: InstanceOptions): Promise<PlatformInstance> {
 		const file = path.join(this.#folder, `${name}.yaml`);
 		const dataFolder = path.join(this.#folder, name);
 		await mkdir(dataFolder, {recursive: true});
@@ -124,7 +128,7 @@
 				node: name,
 				role: name,
 				ip,
-				zone: 'hall-a',
+				zone,
 				listen: isControl ? {control: `${ip}:${ports.control}`} : {front: `${ip}:${ports.callers}`, ready: `${ip}:${ports.readiness}`},
 				portRange: [ports.peers, ports.lastPeers],
 				seeds: newSeeds,
@@ -157,6 +161,7 @@
 	readonly name: string;
 	readonly ip: string;
 	readonly isControl: boolean;
+	readonly zone: string;
 	readonly seeds: readonly string[];
 	readonly revocationMilliseconds: number;
 	readonly environment: NonNullable<PlatformDeploymentOptions['environment']>;
--- a/packages/testing/src/server-partition.test.ts
+++ b/packages/testing/src/server-partition.test.ts
@@ -54,13 +54,15 @@
 	readonly gap?: number;
 	/** The number of entry instances; 3 by default. */
 	readonly entryCount?: number;
+	/** Returns the availability zone of an entry instance, by its position; all are in the first one by default. */
+	readonly entryZone?: (index: number) => string;
 	/** Whether answers end with their connections; false by default. */
 	readonly isUnframed?: boolean;
 };
 
 /** Starts entry instances with a server in each zone, and waits until all of them serve requests. */
-async function start(t: ExecutionContext, {gap = 10, entryCount = 3, isUnframed = false}: StartOptions = {}): Promise<Started> {
-	const deployment = await PlatformDeployment.start({entryCount, environment: instance => serverCutEnvironment(instance)});
+async function start(t: ExecutionContext, {gap = 10, entryCount = 3, entryZone = () => zones[0]!, isUnframed = false}: StartOptions = {}): Promise<Started> {
+	const deployment = await PlatformDeployment.start({entryCount, entryZone, environment: instance => serverCutEnvironment(instance)});
 	const backends = await startBackends(t, {
 		deployment, servers: zones.map(zone => ({
 			id: `i-${zone}`, service: 'labels', zone, answer: () => ({events: ['one', 'two', 'three'], gap, isUnframed}),
@@ -101,8 +103,8 @@
 }
 
 /** Cuts instances from all servers, and checks that their callers are served like those of the others, and that nothing runs twice. */
-async function assertServedBehindCut(t: ExecutionContext, {cut, count}: {readonly cut: ServerCut; readonly count: number}): Promise<Started> {
-	const started = await start(t);
+async function assertServedBehindCut(t: ExecutionContext, {cut, count, ...options}: StartOptions & {readonly cut: ServerCut; readonly count: number}): Promise<Started> {
+	const started = await start(t, options);
 	const {deployment, backends, sendFor} = started;
 	const cutEntries = deployment.entries.slice(0, count);
 	await Promise.all(cutEntries.map(async entry => cutServerLinks(entry, cut)));
@@ -133,6 +135,19 @@
 	}, {description: 'an instance that serves by its own links'});
 });
 
+/** More instances of one availability zone than an instance shares its load with, and two of another one. */
+const zoneOptions: StartOptions & {readonly count: number} = {
+	count: 8, entryCount: 10, entryZone: index => index < 8 ? zones[0]! : zones[1]!,
+};
+
+test.serial('all instances of an availability zone that are refused by all servers, which the other zones reach, serve their callers', async t => {
+	await assertServedBehindCut(t, {cut: 'refused', ...zoneOptions});
+});
+
+test.serial('all instances of an availability zone whose connections to all servers hang serve their callers', async t => {
+	await assertServedBehindCut(t, {cut: 'silent', ...zoneOptions});
+});
+
 test.serial('requests in progress at an instance that loses its links are not suspected of ending their servers', async t => {
 	const {deployment, backends, send} = await start(t, {gap: 400});
 	const [entry, other] = deployment.entries;
