Say in a refusal how many relays were known and asked

A 503 of an instance that reaches no server named the last server only, so that nobody known, all asked refused, and four servers refused through relays could not be told apart. The reason names the relay that refused last, and how many refused of how many are known; servers-unreachable has the number of relays.

--- a/packages/gateway/src/entry/create-server-links.ts
+++ b/packages/gateway/src/entry/create-server-links.ts
@@ -6,6 +6,11 @@
 
 type ServerLinkParts = Pick<EntryInstanceOptions, 'clock' | 'random' | 'wait' | 'log' | 'metrics'>;
 
+type ServerLinkState = {
+	readonly servers: Pick<EntryServers, 'availability' | 'forgetConnectionFailures'>;
+	readonly relayCount: () => number;
+};
+
 /** The timeout of a trial connection to a server, in milliseconds. */
 const trialTimeoutMilliseconds = 200;
 
@@ -13,14 +18,14 @@
 Creates the links of an entry instance to backend servers, with its log and metrics.
 
 @param options The options of the instance.
-@param servers The servers.
+@param state The servers, and the number of instances that can be asked to open connections.
 @returns The links.
 @example
 ```ts
-const links = createServerLinks(options, servers);
+const links = createServerLinks(options, {servers, relayCount: () => relays.candidateCount});
 ```
 */
-export function createServerLinks({clock, random, wait, log, metrics}: ServerLinkParts, servers: Pick<EntryServers, 'availability' | 'forgetConnectionFailures'>): ServerLinks<ServerRecord> {
+export function createServerLinks({clock, random, wait, log, metrics}: ServerLinkParts, {servers, relayCount}: ServerLinkState): ServerLinks<ServerRecord> {
 	return new ServerLinks({
 		clock,
 		random,
@@ -28,7 +33,9 @@
 		servers: () => servers.availability.available,
 		isReachable: async server => isServerReachable(server, trialTimeoutMilliseconds),
 		onCutOff({servers: unreachable, duration}) {
-			log('servers-unreachable', {servers: unreachable, unreachable: unreachable.length, duration}, 'warn');
+			log('servers-unreachable', {
+				servers: unreachable, unreachable: unreachable.length, duration, relays: relayCount(),
+			}, 'warn');
 			servers.forgetConnectionFailures();
 		},
 		onReachable({servers: unreachable, duration}) {
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -115,7 +115,7 @@
 				},
 			}),
 			servers,
-			links: createServerLinks(options, servers),
+			links: createServerLinks(options, {servers, relayCount: () => this.#context.relays.candidateCount}),
 			relays: createServerRelays(options, () => this.#peers.ids),
 			suspects,
 			borrower: new SendBorrower({
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -195,7 +195,8 @@
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<NextStep> {
 		const path = this.#path.next(this.#allowance.connectionFailures);
 		if (path.type === 'none') {
-			return this.#fail(failure('no-server', `This instance reaches no server of ${this.#placement.service} (${this.#end.lastProblem})`, {retryAfterMilliseconds: retryMilliseconds}));
+			const message = `This instance reaches no server of ${this.#placement.service} (${this.#end.lastProblem}; ${this.#relayCounts})`;
+			return this.#fail(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
 		}
 
 		const relay = path.type === 'relayed' ? path.relay : undefined;
@@ -290,20 +291,28 @@
 	async #handleUnreachable(server: ServerRecord): Promise<NextStep> {
 		this.#end.lastProblem = `${server.id} is unreachable`;
 		this.#placement.exclude(server);
-		return this.#allowance.revokeSend()
-			? 'retry'
-			: this.#fail(failure('no-server', `Could not connect to ${this.#allowance.connectionFailures} servers of ${this.#placement.service}`, {retryAfterMilliseconds: retryMilliseconds}));
+		if (this.#allowance.revokeSend()) {
+			return 'retry';
+		}
+
+		const message = `Could not connect to ${this.#allowance.connectionFailures} servers of ${this.#placement.service} (${this.#relayCounts})`;
+		return this.#fail(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
 	}
 
 	async #handleRelayUnavailable(relay: Relay | undefined): Promise<NextStep> {
 		this.#allowance.cancelSend();
 		if (relay !== undefined) {
+			this.#end.lastProblem = `${relay.instance} opens no connection for others`;
 			this.#path.exclude(relay);
 		}
 
 		return 'retry';
 	}
 
+	get #relayCounts(): string {
+		return `${this.#path.failedRelays} of ${this.#context.relays.candidateCount} relays refused`;
+	}
+
 	async #handleNotRun(server: ServerRecord, {message}: Failure): Promise<NextStep> {
 		this.#end.lastProblem = message;
 		this.#placement.exclude(server);
--- a/packages/routing/src/request-path.ts
+++ b/packages/routing/src/request-path.ts
@@ -36,6 +36,11 @@
 		this.#options = options;
 	}
 
+	/** The number of relays that could not be used. */
+	get failedRelays(): number {
+		return this.#failedRelays.size;
+	}
+
 	/**
 	Chooses the path of the next send.
 
--- a/packages/transport/src/server-relays.ts
+++ b/packages/transport/src/server-relays.ts
@@ -52,6 +52,11 @@
 		this.#options = options;
 	}
 
+	/** The number of instances that may be asked. */
+	get candidateCount(): number {
+		return this.#options.peers().length;
+	}
+
 	/**
 	Chooses a relay.
 
