Name relays of all availability zones to each entry instance, those that are cut off last

Cause: an instance asked the peers with which it shares its load to open connections for it. These are six, of the own zone as soon as that has seven instances: a set chosen for nearness was taken for everybody. A zone that is cut, which is one event, leaves it nobody.

Change: control instances name each entry instance twelve relays. The zones take turns and each instance has others (rendezvous hashing); entry instances say in their polls whether they are cut off, and those that are come last. A new cut is told at once. The list stays known while control is out of reach. A relay tells its number of tunnels when it opens one, and the one with the fewest goes first. Peers of earlier versions that name none are asked as before.

--- a/packages/daemon/src/entry/near-relay-selector.test.ts
+++ b/packages/daemon/src/entry/near-relay-selector.test.ts
@@ -13,7 +13,7 @@
 	selector.recordFailure(near!, 0);
 	t.is(choose(1), far);
 	t.is(choose(10_000), near);
-	const end = selector.recordOpened(near!);
+	const end = selector.recordOpened(near!, {now: 10_000, told: undefined});
 	t.is(choose(10_000), near);
 	end();
 });
--- a/packages/daemon/src/entry/near-relay-selector.ts
+++ b/packages/daemon/src/entry/near-relay-selector.ts
@@ -1,5 +1,5 @@
 import {type InstanceId, type RandomSource} from '@valehitch/core';
-import {type RelayCandidates, RelaySelector} from '@valehitch/routing';
+import {type OpenedRelay, type RelayCandidates, RelaySelector} from '@valehitch/routing';
 import {type RelayChooser} from '@valehitch/transport';
 
 /** Options of {@linkcode NearRelaySelector}. */
@@ -32,8 +32,8 @@
 		return this.#selector.choose({...choice, candidates: near}) ?? this.#selector.choose(choice);
 	}
 
-	recordOpened(instance: InstanceId): () => void {
-		return this.#selector.recordOpened(instance);
+	recordOpened(instance: InstanceId, opened: OpenedRelay): () => void {
+		return this.#selector.recordOpened(instance, opened);
 	}
 
 	recordFailure(instance: InstanceId, now: number): void {
--- a/packages/daemon/src/entry/request-sender.test.ts
+++ b/packages/daemon/src/entry/request-sender.test.ts
@@ -1,10 +1,10 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
-import {type AddressInfo, connect, type Socket} from 'node:net';
+import {type AddressInfo, connect} from 'node:net';
 import {type InstanceId, type ServerId} from '@valehitch/core';
 import {ServerLinks} from '@valehitch/routing';
 import {
-	type HttpRequest, type OpenTunnel, readResponseBody, Relay, type TunnelFailure,
+	type HttpRequest, type OpenedTunnel, type OpenTunnel, readResponseBody, Relay, type TunnelFailure,
 } from '@valehitch/transport';
 import test, {type ExecutionContext} from 'ava';
 import {Left, Right} from 'purify-ts';
@@ -49,11 +49,11 @@
 
 test('an attempt whose connection fails goes through another daemon, and past one that cannot be used', async t => {
 	const port = await startServer(t);
-	const unavailable: OpenTunnel = async () => Left<TunnelFailure, Socket>({type: 'peer-unavailable', reason: 'stopping'});
+	const unavailable: OpenTunnel = async () => Left<TunnelFailure, OpenedTunnel>({type: 'peer-unavailable', reason: 'stopping'});
 	const open: OpenTunnel = async () => {
 		const socket = connect({host: '127.0.0.1', port});
 		await once(socket, 'connect');
-		return Right<Socket, TunnelFailure>(socket);
+		return Right<OpenedTunnel, TunnelFailure>({socket, relayTunnels: undefined});
 	};
 
 	const links = createLinks();
@@ -72,7 +72,7 @@
 	let opened = 0;
 	const refused: OpenTunnel = async () => {
 		opened++;
-		return Left<TunnelFailure, Socket>({type: 'target-refused', reason: 'refused'});
+		return Left<TunnelFailure, OpenedTunnel>({type: 'target-refused', reason: 'refused'});
 	};
 
 	const sender = new RequestSender({links: createLinks(), relays: relaysOf(refused)});
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -8,6 +8,7 @@
 import {type WatchMessage, type WatchReply} from './peer-message.js';
 import {type LimitedServers} from './limited-servers.js';
 import {type RateLeaseGrantor} from './rate-lease-grantor.js';
+import {RelayLists} from './relay-lists.js';
 import {digestRollouts} from './rollout-clock.js';
 
 /** The state that is sent to entry instances. */
@@ -55,6 +56,7 @@
 export class EntryWatches {
 	readonly #options: EntryWatchesOptions;
 	readonly #pendingPolls = new Set<() => void>();
+	readonly #relayLists = new RelayLists();
 	readonly #entries = new Map<InstanceId, ActiveEntry & {readonly at: number}>();
 	/** The entries as a list; undefined after one was added or removed. */
 	#activeList: readonly ActiveEntry[] | undefined;
@@ -86,6 +88,7 @@
 		}
 
 		this.#entries.set(from, {...entry, at: receivedAt});
+		this.#relayLists.recordLinks(from, {isCutOff: watch.isCutOff === true});
 		if (!watch.isUrgent && !this.#hasUpdate(watch)) {
 			await this.#waitForUpdate();
 		}
@@ -93,6 +96,7 @@
 		const now = clock.monotonic();
 		const {configuration, rollouts, evacuations, confirmedAt, hosts} = currentUpdate();
 		const entries = this.#activeEntries(now);
+		const {revision: relayRevision, relays} = this.#relayLists.listFor(entry, entries);
 		return {
 			run,
 			cursor: directory.cursor,
@@ -112,6 +116,8 @@
 			hosts,
 			entryCount: entries.length,
 			entries: selectLoadSharingPeers(entry, entries),
+			relayRevision,
+			relays: watch.run === run && watch.relayRevision === relayRevision ? undefined : relays,
 		};
 	}
 
@@ -146,6 +152,7 @@
 		for (const [instance, {at}] of this.#entries) {
 			if (now - at > entryTimeoutMilliseconds) {
 				this.#entries.delete(instance);
+				this.#relayLists.forget(instance);
 				this.#activeList = undefined;
 			}
 		}
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -133,6 +133,10 @@
 	readonly limitCursor?: number;
 	/** The rate limits that the entry instance itself has heard, and their recent ends; absent in versions before them. */
 	readonly serverLimits?: readonly SentServerLimit[];
+	/** Whether the entry instance reaches no server of some service by its own links; absent in versions before relays of all zones. */
+	readonly isCutOff?: boolean;
+	/** The revision of the relays that the entry instance has received; absent in versions before relays of all zones. */
+	readonly relayRevision?: number | undefined;
 };
 
 /** The reply to a poll: everything that changed since the state named in the request. */
@@ -166,6 +170,10 @@
 	readonly entryCount?: number;
 	/** The entry instances with which the requester shares its load. */
 	readonly entries: readonly InstanceId[];
+	/** The revision of the relays; absent in versions before relays of all zones. */
+	readonly relayRevision?: number;
+	/** The entry instances through which the requester can reach servers, unless it has them. */
+	readonly relays?: readonly InstanceId[] | undefined;
 };
 
 /** Reports the load that an entry instance has placed on each server. */
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -24,7 +24,7 @@
 	/** The control instances listed in the settings. */
 	readonly seeds: () => readonly InstanceId[];
 	/** Returns the fields of a watch request, other than the position that is tracked for each source. */
-	readonly watchFields: (host: InstanceId) => Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evacuationRevision' | 'evidence' | 'serverLimits'>;
+	readonly watchFields: (host: InstanceId) => Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evacuationRevision' | 'evidence' | 'serverLimits' | 'isCutOff'>;
 	/** Sends a watch request to a control instance; resolves to undefined if no reply arrived within the timeout in milliseconds. */
 	readonly ask: (to: InstanceId, message: WatchMessage, timeout: number) => Promise<WatchReply | undefined>;
 	readonly onUpdate: (update: ControlUpdate) => void;
@@ -39,6 +39,7 @@
 	cursor: number;
 	suspectCursor: number;
 	limitCursor: number;
+	relayRevision: number | undefined;
 	isAnswering: boolean;
 	failures: number;
 };
@@ -113,7 +114,14 @@
 		const source = this.#sourceOf(host);
 		const sentAt = clock.monotonic();
 		const reply = await ask(host, {
-			type: 'watch', isUrgent, run: source.run, cursor: source.cursor, suspectCursor: source.suspectCursor, limitCursor: source.limitCursor, ...watchFields(host),
+			type: 'watch',
+			isUrgent,
+			run: source.run,
+			cursor: source.cursor,
+			suspectCursor: source.suspectCursor,
+			limitCursor: source.limitCursor,
+			relayRevision: source.relayRevision,
+			...watchFields(host),
 		}, watchTimeoutMilliseconds);
 		metrics.watches.inc({result: reply === undefined ? 'lost' : 'answered'});
 		if (reply === undefined) {
@@ -135,7 +143,13 @@
 
 		const isFullState = reply.run !== source.run;
 		Object.assign(source, {
-			run: reply.run, cursor: reply.cursor, suspectCursor: reply.suspectCursor, limitCursor: reply.limitCursor ?? 0, isAnswering: true, failures: 0,
+			run: reply.run,
+			cursor: reply.cursor,
+			suspectCursor: reply.suspectCursor,
+			limitCursor: reply.limitCursor ?? 0,
+			relayRevision: reply.relayRevision,
+			isAnswering: true,
+			failures: 0,
 		});
 		this.#hosts = reply.hosts as readonly InstanceId[];
 		// The reply was sent no earlier than the request plus the time it was held, so this is a lower bound for the time of the confirmation.
@@ -162,7 +176,7 @@
 		}
 
 		const source: Source = {
-			run: '', cursor: 0, suspectCursor: 0, limitCursor: 0, isAnswering: false, failures: 0,
+			run: '', cursor: 0, suspectCursor: 0, limitCursor: 0, relayRevision: undefined, isAnswering: false, failures: 0,
 		};
 		this.#sources.set(host, source);
 		return source;
--- a/packages/gateway/src/entry/create-server-links.ts
+++ b/packages/gateway/src/entry/create-server-links.ts
@@ -9,6 +9,8 @@
 type ServerLinkState = {
 	readonly servers: Pick<EntryServers, 'availability' | 'forgetConnectionFailures'>;
 	readonly relayCount: () => number;
+	/** Called when the instance finds that it reaches no server. */
+	readonly onCutOff: () => void;
 };
 
 /** The timeout of a trial connection to a server, in milliseconds. */
@@ -18,14 +20,14 @@
 Creates the links of an entry instance to backend servers, with its log and metrics.
 
 @param options The options of the instance.
-@param state The servers, and the number of instances that can be asked to open connections.
+@param state The servers, the number of instances that can be asked to open connections, and who hears of a cut.
 @returns The links.
 @example
 ```ts
-const links = createServerLinks(options, {servers, relayCount: () => relays.candidateCount});
+const links = createServerLinks(options, {servers, relayCount: () => relays.candidateCount, onCutOff});
 ```
 */
-export function createServerLinks({clock, random, wait, log, metrics}: ServerLinkParts, {servers, relayCount}: ServerLinkState): ServerLinks<ServerRecord> {
+export function createServerLinks({clock, random, wait, log, metrics}: ServerLinkParts, {servers, relayCount, onCutOff}: ServerLinkState): ServerLinks<ServerRecord> {
 	return new ServerLinks({
 		clock,
 		random,
@@ -37,6 +39,7 @@
 				servers: unreachable, unreachable: unreachable.length, duration, relays: relayCount(),
 			}, 'warn');
 			servers.forgetConnectionFailures();
+			onCutOff();
 		},
 		onReachable({servers: unreachable, duration}) {
 			log('servers-reachable', {unreachable: unreachable.length, duration}, 'warn');
--- a/packages/gateway/src/entry/create-server-relays.test.ts
+++ b/packages/gateway/src/entry/create-server-relays.test.ts
@@ -3,7 +3,9 @@
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
 import {type InstanceId} from '@valehitch/core';
-import {type TunnelFailure, type OpenRelayTunnel, type ServerRelays} from '@valehitch/transport';
+import {
+	type OpenedTunnel, type TunnelFailure, type OpenRelayTunnel, type ServerRelays,
+} from '@valehitch/transport';
 import test, {type ExecutionContext} from 'ava';
 import {Left, Right} from 'purify-ts';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
@@ -28,7 +30,7 @@
 async function openSocket(_relay: InstanceId, target: {readonly host: string; readonly port: number}) {
 	const socket = connect(target);
 	await once(socket, 'connect');
-	return Right<Socket, TunnelFailure>(socket);
+	return Right<OpenedTunnel, TunnelFailure>({socket, relayTunnels: undefined});
 }
 
 function sendOptions(port: number, changes: Partial<SendAttemptOptions>): SendAttemptOptions {
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -115,8 +115,14 @@
 				},
 			}),
 			servers,
-			links: createServerLinks(options, {servers, relayCount: () => this.#context.relays.candidateCount}),
-			relays: createServerRelays(options, () => this.#peers.ids),
+			links: createServerLinks(options, {
+				servers,
+				relayCount: () => this.#context.relays.candidateCount,
+				onCutOff: () => {
+					this.#watch.requestConfirmation();
+				},
+			}),
+			relays: createServerRelays(options, () => this.#peers.relays),
 			suspects,
 			borrower: new SendBorrower({
 				clock,
@@ -273,11 +279,12 @@
 		}
 	}
 
-	#watchFields(host: InstanceId): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evacuationRevision' | 'evidence' | 'serverLimits'> {
+	#watchFields(host: InstanceId): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evacuationRevision' | 'evidence' | 'serverLimits' | 'isCutOff'> {
 		const delta = this.#evidenceDeltas.get(host) ?? new EvidenceDelta();
 		this.#evidenceDeltas.set(host, delta);
 		return {
 			zone: this.#options.zone,
+			isCutOff: this.#context.links.isCutOff,
 			configurationVersion: this.#table?.version,
 			rolloutDigest: this.#rollouts.digest,
 			evacuationRevision: this.#context.servers.evacuations.revision,
--- a/packages/gateway/src/entry/known-peers.ts
+++ b/packages/gateway/src/entry/known-peers.ts
@@ -31,6 +31,8 @@
 export class KnownPeers {
 	readonly #options: KnownPeersOptions;
 	readonly #entryCounts = new Map<InstanceId, number>();
+	/** The relays that each control instance named last, which stay known while it is out of reach. */
+	readonly #relays = new Map<InstanceId, readonly InstanceId[]>();
 	#ids: readonly InstanceId[] = [];
 
 	constructor(options: KnownPeersOptions) {
@@ -42,14 +44,24 @@
 		return this.#ids;
 	}
 
+	/** The instances through which servers can be reached; the peers if no control instance names any. */
+	get relays(): readonly InstanceId[] {
+		const relays = new Set([...this.#relays.values()].flat());
+		return relays.size === 0 ? this.#ids : [...relays];
+	}
+
 	/**
 	Applies the report of a control instance.
 
 	@param source The control instance.
 	@param reply Its reply to a poll.
 	*/
-	update(source: InstanceId, {entries, entryCount = 0}: Pick<WatchReply, 'entries' | 'entryCount'>): void {
+	update(source: InstanceId, {entries, entryCount = 0, relays}: Pick<WatchReply, 'entries' | 'entryCount' | 'relays'>): void {
 		this.#ids = entries;
+		if (relays !== undefined) {
+			this.#relays.set(source, relays);
+		}
+
 		this.#entryCounts.set(source, entryCount);
 	}
 
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -33,6 +33,7 @@
 export * from './requested-pauses.js';
 export * from './retry-budget.js';
 export * from './windowed-retry-budget.js';
+export * from './select-relays.js';
 export * from './server-choice.js';
 export * from './server-link-detector.js';
 export * from './server-links.js';
--- a/packages/routing/src/relay-selector.test.ts
+++ b/packages/routing/src/relay-selector.test.ts
@@ -6,19 +6,28 @@
 const two = '10.0.0.2' as InstanceId;
 const candidates = [one, two];
 const excluded: ReadonlySet<InstanceId> = new Set();
+const opened = {now: 0, told: undefined};
 
 test('the relay with the fewest connections goes first', t => {
 	const relays = new RelaySelector({random: () => 0});
-	const close = relays.recordOpened(one);
+	const close = relays.recordOpened(one, opened);
 	t.is(relays.choose({candidates, excluded, now: 0}), two);
-	relays.recordOpened(two);
-	relays.recordOpened(two);
+	relays.recordOpened(two, opened);
+	relays.recordOpened(two, opened);
 	t.is(relays.choose({candidates, excluded, now: 0}), one);
 	close();
 	t.is(relays.choose({candidates, excluded: new Set([one]), now: 0}), two);
 	t.is(relays.choose({candidates: [], excluded, now: 0}), undefined);
 });
 
+test('a relay that says it is loaded by others comes after one that is not, until what it said is old', t => {
+	const relays = new RelaySelector({random: () => 0, loadMilliseconds: 1000});
+	relays.recordOpened(one, {now: 0, told: 9})();
+	relays.recordOpened(two, opened);
+	t.is(relays.choose({candidates, excluded, now: 999}), two);
+	t.is(relays.choose({candidates, excluded, now: 1000}), one);
+});
+
 test('a relay that failed is left out for a time that doubles, until a connection through it opens', t => {
 	const relays = new RelaySelector({random: () => 0, initialMilliseconds: 500, maximumMilliseconds: 900});
 	relays.recordFailure(one, 0);
@@ -27,14 +36,14 @@
 	relays.recordFailure(one, 500);
 	t.is(relays.choose({candidates: [one], excluded, now: 1399}), undefined);
 	t.is(relays.choose({candidates: [one], excluded, now: 1400}), one);
-	relays.recordOpened(one)();
+	relays.recordOpened(one, opened)();
 	relays.recordFailure(one, 2000);
 	t.is(relays.choose({candidates: [one], excluded, now: 2500}), one);
 });
 
 test('an instance that is no longer a candidate is forgotten once its connections are closed', t => {
 	const relays = new RelaySelector({random: () => 0});
-	const close = relays.recordOpened(one);
+	const close = relays.recordOpened(one, opened);
 	relays.recordFailure(one, 0);
 	relays.retain([two]);
 	t.is(relays.choose({candidates, excluded: new Set([two]), now: 0}), undefined);
--- a/packages/routing/src/relay-selector.ts
+++ b/packages/routing/src/relay-selector.ts
@@ -7,6 +7,16 @@
 	readonly initialMilliseconds?: number;
 	/** The maximum backoff, in milliseconds; 4000 by default. */
 	readonly maximumMilliseconds?: number;
+	/** How long the load that a relay has told counts, in milliseconds; 1000 by default. */
+	readonly loadMilliseconds?: number;
+};
+
+/** What is known when a connection through a relay opens. */
+export type OpenedRelay = {
+	/** Milliseconds on the monotonic clock. */
+	readonly now: number;
+	/** The connections of all instances that are open through the relay, as it says; undefined if it does not say. */
+	readonly told: number | undefined;
 };
 
 /** What to choose a relay from. */
@@ -22,10 +32,12 @@
 	open: number;
 	failures: number;
 	backoffUntil: number;
+	told: number;
+	toldUntil: number;
 };
 
 /**
-Chooses the instances through which servers are reached that this instance cannot reach itself. It answers the load of an instance whose own links have failed: the one with the fewest connections of this instance goes first, so that no single instance takes over all of it.
+Chooses the instances through which servers are reached that this instance cannot reach itself. It answers the load of instances whose own links have failed: the one with the fewest open connections goes first, as it last told or as this instance counts its own, so that no single instance takes over all of it.
 
 @example
 ```ts
@@ -38,7 +50,9 @@
 	readonly #states = new Map<InstanceId, RelayState>();
 
 	constructor(options: RelaySelectorOptions) {
-		this.#options = {initialMilliseconds: 500, maximumMilliseconds: 4000, ...options};
+		this.#options = {
+			initialMilliseconds: 500, maximumMilliseconds: 4000, loadMilliseconds: 1000, ...options,
+		};
 	}
 
 	/**
@@ -48,16 +62,17 @@
 	@returns The relay; undefined if all candidates are excluded or have failed recently.
 	*/
 	choose({candidates, excluded, now}: RelayCandidates): InstanceId | undefined {
-		let best: {readonly instance: InstanceId; readonly open: number; readonly tie: number} | undefined;
+		let best: {readonly instance: InstanceId; readonly load: number; readonly tie: number} | undefined;
 		for (const instance of candidates) {
-			const {open, backoffUntil} = this.#stateOf(instance);
+			const {open, told, toldUntil, backoffUntil} = this.#stateOf(instance);
 			if (excluded.has(instance) || backoffUntil > now) {
 				continue;
 			}
 
+			const load = toldUntil > now ? Math.max(open, told) : open;
 			const tie = this.#options.random();
-			if (best === undefined || open < best.open || (open === best.open && tie < best.tie)) {
-				best = {instance, open, tie};
+			if (best === undefined || load < best.load || (load === best.load && tie < best.tie)) {
+				best = {instance, load, tie};
 			}
 		}
 
@@ -68,14 +83,20 @@
 	Counts a connection through a relay, which shows that it works.
 
 	@param instance The relay.
+	@param opened When it was opened, and the load of the relay.
 	@returns A function that ends the count, to be called when the connection closes.
 	*/
-	recordOpened(instance: InstanceId): () => void {
+	recordOpened(instance: InstanceId, {now, told}: OpenedRelay): () => void {
 		const state = this.#stateOf(instance);
 		this.#states.set(instance, state);
 		state.failures = 0;
 		state.backoffUntil = 0;
 		state.open++;
+		if (told !== undefined) {
+			state.told = told;
+			state.toldUntil = now + this.#options.loadMilliseconds;
+		}
+
 		return () => {
 			state.open--;
 		};
@@ -109,6 +130,8 @@
 	}
 
 	#stateOf(instance: InstanceId): RelayState {
-		return this.#states.get(instance) ?? {open: 0, failures: 0, backoffUntil: 0};
+		return this.#states.get(instance) ?? {
+			open: 0, failures: 0, backoffUntil: 0, told: 0, toldUntil: 0,
+		};
 	}
 }
--- a/packages/routing/src/rendezvous-score.ts
+++ b/packages/routing/src/rendezvous-score.ts
@@ -1,4 +1,4 @@
-import {type ServerId} from '@valehitch/core';
+import {type InstanceId, type ServerId} from '@valehitch/core';
 
 // A prime below 2^26, so that products of two numbers below it are exact in a double. Cubing permutes these numbers, since 3 does not divide the prime minus 1.
 const modulus = 67_108_859;
@@ -38,9 +38,9 @@
 	return -capacity / Math.log(uniform);
 }
 
-/** The server to score. */
+/** The server or instance to score. */
 export type RendezvousScoreOptions = {
-	readonly server: ServerId;
+	readonly server: ServerId | InstanceId;
 	readonly capacity: number;
 };
 
--- a/packages/transport/src/open-tunnel.test.ts
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -71,7 +71,8 @@
 		});
 	});
 	const opened = await network.openTunnel(address, target, timeout);
-	const socket = opened.unsafeCoerce();
+	const {socket, relayTunnels} = opened.unsafeCoerce();
+	t.is(relayTunnels, 1);
 	socket.write('coil');
 	t.deepEqual(await readAll(socket), {text: 'echo coil', isReset: false});
 	t.deepEqual(asked, [[toId<InstanceId>('left'), target]]);
@@ -83,7 +84,7 @@
 		socket.write('half of it');
 	});
 	const opened = await network.openTunnel(address, target, timeout);
-	const socket = opened.unsafeCoerce();
+	const {socket} = opened.unsafeCoerce();
 	const received = readAll(socket);
 	await once(socket, 'data');
 	void network.close();
@@ -99,7 +100,7 @@
 		});
 	});
 	const opened = await network.openTunnel(address, target, timeout);
-	const socket = opened.unsafeCoerce();
+	const {socket} = opened.unsafeCoerce();
 	socket.write('coil');
 	const {isReset} = await readAll(socket);
 	t.true(isReset);
@@ -115,7 +116,7 @@
 			});
 		}).then(async target => {
 			const opened = await network.openTunnel(address, target, timeout);
-			opened.unsafeCoerce().destroy();
+			opened.unsafeCoerce().socket.destroy();
 		});
 	});
 	await closed;
--- a/packages/transport/src/open-tunnel.ts
+++ b/packages/transport/src/open-tunnel.ts
@@ -12,6 +12,13 @@
 	readonly reason: string;
 };
 
+/** An open tunnel. */
+export type OpenedTunnel = {
+	readonly socket: Socket;
+	/** The number of tunnels that are open through the peer, as it says; undefined if it does not say. */
+	readonly relayTunnels: number | undefined;
+};
+
 /** Options of {@linkcode openTunnel}. */
 export type OpenTunnelOptions = {
 	readonly self: InstanceId;
@@ -36,7 +43,7 @@
 const opened = await openTunnel(peer, {self, key, target: {host: '10.0.0.7', port: 8740}, timeout: 400});
 ```
 */
-export async function openTunnel(peer: PeerAddress, {self, key, target, timeout}: OpenTunnelOptions): Promise<Either<TunnelFailure, Socket>> {
+export async function openTunnel(peer: PeerAddress, {self, key, target, timeout}: OpenTunnelOptions): Promise<Either<TunnelFailure, OpenedTunnel>> {
 	return new Promise(resolve => {
 		const request = openRequest({
 			host: peer.host,
@@ -55,14 +62,14 @@
 		const stopTimeout = setTimeoutAfterPoll(timeout, () => {
 			fail('peer-unavailable', `No answer from ${peer.instance} within ${timeout} ms`);
 		});
-		request.on('connect', ({statusCode = 0}, socket: Socket, head: Uint8Array) => {
+		request.on('connect', ({statusCode = 0, headers}, socket: Socket, head: Uint8Array) => {
 			stopTimeout();
 			if (statusCode === tunnelStatus.opened) {
 				if (head.byteLength > 0) {
 					socket.unshift(head);
 				}
 
-				resolve(Right(socket));
+				resolve(Right({socket, relayTunnels: parseCount(headers[tunnelHeader.openTunnels])}));
 				return;
 			}
 
@@ -94,3 +101,7 @@
 		}
 	}
 }
+
+function parseCount(value: string | readonly string[] | undefined): number | undefined {
+	return typeof value === 'string' && /^\d{1,6}$/v.test(value) ? Number(value) : undefined;
+}
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -7,7 +7,7 @@
 import {WebSocketServer} from 'ws';
 import {type Frame, decodeFrame, encodeFrame} from './_frame.js';
 import {PeerLink} from './_peer-link.js';
-import {openTunnel, type TunnelFailure} from './open-tunnel.js';
+import {type OpenedTunnel, openTunnel, type TunnelFailure} from './open-tunnel.js';
 import {TunnelServer} from './tunnel-server.js';
 import {type TunnelTarget} from './tunnel-target.js';
 
@@ -189,7 +189,7 @@
 	@param options `timeoutMilliseconds`: the time limit; 2000 by default.
 	@returns The connection, or why it was not opened. No byte reaches the target before it is open.
 	*/
-	async openTunnel(peer: PeerAddress, target: TunnelTarget, options: {readonly timeoutMilliseconds?: number} = {}): Promise<Either<TunnelFailure, Socket>> {
+	async openTunnel(peer: PeerAddress, target: TunnelTarget, options: {readonly timeoutMilliseconds?: number} = {}): Promise<Either<TunnelFailure, OpenedTunnel>> {
 		const {self, key} = this.#options;
 		return this.#blockedInstances.has(peer.instance)
 			? Left({type: 'peer-unavailable', reason: `The link to ${peer.instance} is blocked`})
--- a/packages/transport/src/relay.ts
+++ b/packages/transport/src/relay.ts
@@ -49,7 +49,7 @@
 		const opened = await this.#open({host, port});
 		return opened.caseOf<ProbeResult | 'unavailable'>({
 			Left: ({type}) => probeResults[type],
-			Right(socket) {
+			Right({socket}) {
 				socket.destroy();
 				return 'open';
 			},
--- a/packages/transport/src/server-relays.ts
+++ b/packages/transport/src/server-relays.ts
@@ -1,18 +1,17 @@
-import {type Socket} from 'node:net';
 import {type Clock, type InstanceId} from '@valehitch/core';
 import {type Either} from 'purify-ts';
-import {type TunnelFailure} from './open-tunnel.js';
+import {type OpenedTunnel, type TunnelFailure} from './open-tunnel.js';
 import {Relay, type RelayOptions} from './relay.js';
 import {type TunnelTarget} from './tunnel-target.js';
 
 /** Opens a tunnel to a target through another entry instance, within a time in milliseconds. */
-export type OpenRelayTunnel = (relay: InstanceId, target: TunnelTarget, timeout: number) => Promise<Either<TunnelFailure, Socket>>;
+export type OpenRelayTunnel = (relay: InstanceId, target: TunnelTarget, timeout: number) => Promise<Either<TunnelFailure, OpenedTunnel>>;
 
 /** The choice of a relay, and what it depends on. */
 export type RelayChooser = {
 	readonly choose: (choice: {readonly candidates: readonly InstanceId[]; readonly excluded: ReadonlySet<InstanceId>; readonly now: number}) => InstanceId | undefined;
 	/** Counts a connection through a relay; returns a function that ends the count. */
-	readonly recordOpened: (instance: InstanceId) => () => void;
+	readonly recordOpened: (instance: InstanceId, opened: {readonly now: number; readonly told: number | undefined}) => () => void;
 	readonly recordFailure: (instance: InstanceId, now: number) => void;
 	/** Forgets instances that are no longer candidates. */
 	readonly retain: (candidates: readonly InstanceId[]) => void;
@@ -86,12 +85,12 @@
 		this.#relays.clear();
 	}
 
-	async #open(instance: InstanceId, target: TunnelTarget): Promise<Either<TunnelFailure, Socket>> {
+	async #open(instance: InstanceId, target: TunnelTarget): Promise<Either<TunnelFailure, OpenedTunnel>> {
 		const {openTunnel, onTunnel, selector, clock} = this.#options;
 		const opened = await openTunnel(instance, target, tunnelTimeoutMilliseconds);
-		opened.ifRight(socket => {
+		opened.ifRight(({socket, relayTunnels}) => {
 			onTunnel(instance, 'opened');
-			socket.once('close', selector.recordOpened(instance));
+			socket.once('close', selector.recordOpened(instance, {now: clock.monotonic(), told: relayTunnels}));
 		}).ifLeft(failed => {
 			onTunnel(instance, failed);
 			if (failed.type === 'peer-unavailable') {
--- a/packages/transport/src/tunnel-agent.ts
+++ b/packages/transport/src/tunnel-agent.ts
@@ -1,11 +1,10 @@
 import {Agent, type AgentOptions, type ClientRequestArgs} from 'node:http';
-import {type Socket} from 'node:net';
 import {type Either} from 'purify-ts';
-import {type TunnelFailure} from './open-tunnel.js';
+import {type OpenedTunnel, type TunnelFailure} from './open-tunnel.js';
 import {type TunnelTarget} from './tunnel-target.js';
 
 /** Opens a tunnel to a target. */
-export type OpenTunnel = (target: TunnelTarget) => Promise<Either<TunnelFailure, Socket>>;
+export type OpenTunnel = (target: TunnelTarget) => Promise<Either<TunnelFailure, OpenedTunnel>>;
 
 type ConnectionCallback = NonNullable<Parameters<Agent['createConnection']>[1]>;
 
@@ -48,7 +47,7 @@
 				// Node ignores the stream if there is an error.
 				(callback as (error: Error) => void)(new TunnelError(failed));
 			},
-			Right(socket) {
+			Right({socket}) {
 				callback(null, socket);
 			},
 		});
--- a/packages/transport/src/tunnel-server.ts
+++ b/packages/transport/src/tunnel-server.ts
@@ -81,7 +81,9 @@
 			this.#callers.delete(caller);
 		});
 		const timeout = Math.min(maximumConnectMilliseconds, Number(headers[tunnelHeader.connectTimeout]) || maximumConnectMilliseconds);
-		openTarget(target, {timeout, caller, refuse});
+		openTarget(target, {
+			timeout, caller, refuse, openTunnels: this.count,
+		});
 	}
 
 	/** Resets all tunnels, so that no answer that is under way looks complete. */
@@ -96,9 +98,11 @@
 	readonly timeout: number;
 	readonly caller: Socket;
 	readonly refuse: (status: number) => void;
+	/** The number of tunnels that are open, this one included. */
+	readonly openTunnels: number;
 };
 
-function openTarget({host, port}: TunnelTarget, {timeout, caller, refuse}: OpenTargetOptions): void {
+function openTarget({host, port}: TunnelTarget, {timeout, caller, refuse, openTunnels}: OpenTargetOptions): void {
 	const server = connect({
 		host, port, allowHalfOpen: true, noDelay: true,
 	});
@@ -122,7 +126,7 @@
 		stopTimeout();
 		caller.off('close', onCallerClose);
 		server.off('error', onError);
-		caller.write(`HTTP/1.1 ${tunnelStatus.opened} Connection Established\r\n\r\n`);
+		caller.write(`HTTP/1.1 ${tunnelStatus.opened} Connection Established\r\n${tunnelHeader.openTunnels}: ${openTunnels}\r\n\r\n`);
 		joinSockets(caller, server);
 	});
 }
--- a/packages/transport/src/tunnel-target.ts
+++ b/packages/transport/src/tunnel-target.ts
@@ -4,10 +4,11 @@
 	readonly port: number;
 };
 
-/** The request headers of a tunnel. */
+/** The headers of a tunnel: who asks, how long the target may take, and in the answer, how many tunnels are open through the peer. */
 export const tunnelHeader = {
 	instance: 'valehitch-instance',
 	connectTimeout: 'valehitch-connect-timeout',
+	openTunnels: 'valehitch-open-tunnels',
 } as const;
 
 /** The statuses by which a peer says that the target refused the connection or did not answer; all others concern the peer itself. */
