--- a/packages/testing/src/platform/cut-server-links.ts
+++ b/packages/testing/src/platform/cut-server-links.ts
@@ -1,22 +1,28 @@
 /**
-Preloaded into an instance with `--import`: while a file exists, the instance has no links to backend servers. Those to callers and to other instances go on.
+Preloaded into an instance with `--import`: while a file exists, the instance has no links to the backend servers that the file names. Those to callers and to other instances go on.
 
 @module
 */
 import {existsSync, readFileSync} from 'node:fs';
 import {Socket} from 'node:net';
 import process from 'node:process';
-import {type ServerCut} from './server-cut.js';
+import {type ServerCut, type WrittenServerCut} from './server-cut.js';
 
 const {SERVER_CUT_FILE: file = '', SERVER_CUT_OWN_PORTS: ownPortList = '[]'} = process.env;
 const ownPorts = new Set(JSON.parse(ownPortList) as readonly number[]);
 /** How often to check whether the cut has begun, for open connections. */
 const pollMilliseconds = 20;
-const openSockets = new Set<Socket>();
-let current: ServerCut | undefined;
+/** The open connections to servers, and their ports. */
+const openSockets = new Map<Socket, number>();
+let current: WrittenServerCut | undefined;
 
-function readCut(): ServerCut | undefined {
-	return existsSync(file) ? readFileSync(file, 'utf8') as ServerCut : undefined;
+function readCut(): WrittenServerCut | undefined {
+	return existsSync(file) ? JSON.parse(readFileSync(file, 'utf8')) as WrittenServerCut : undefined;
+}
+
+function cutOf(port: number): ServerCut | undefined {
+	const written = readCut();
+	return written?.ports?.includes(port) === false ? undefined : written?.cut;
 }
 
 function portOf(parameters: readonly unknown[]): number | undefined {
@@ -30,8 +36,9 @@
 	// A write into the cut never completes.
 }
 
-function breakOpenSockets(cut: ServerCut): void {
-	for (const socket of openSockets) {
+function breakOpenSockets(): void {
+	for (const [socket, port] of openSockets) {
+		const cut = cutOf(port);
 		if (cut === 'refused') {
 			socket.destroy(new Error('read ECONNRESET'));
 		} else if (cut === 'silent') {
@@ -52,9 +59,9 @@
 		return Reflect.apply(connect, this, parameters) as Socket;
 	}
 
-	const cut = readCut();
+	const cut = cutOf(port);
 	if (cut === undefined) {
-		openSockets.add(this);
+		openSockets.set(this, port);
 		this.once('close', () => {
 			openSockets.delete(this);
 		});
@@ -74,7 +81,7 @@
 setInterval(() => {
 	const cut = readCut();
 	if (cut !== undefined && current === undefined) {
-		breakOpenSockets(cut);
+		breakOpenSockets();
 	}
 
 	current = cut;
--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -111,6 +111,11 @@
 		});
 	}
 
+	/** The service to which the server belongs. */
+	get service(): string {
+		return this.#options.service;
+	}
+
 	/** The port on which the server listens. */
 	get port(): number {
 		return this.#port;
--- a/packages/testing/src/platform/server-cut.ts
+++ b/packages/testing/src/platform/server-cut.ts
@@ -7,6 +7,15 @@
 */
 export type ServerCut = 'refused' | 'silent' | 'open-kept';
 
+/** Options of {@linkcode cutServerLinks}. */
+export type CutServerLinksOptions = {
+	/** The ports of the servers that are out of reach; all by default. */
+	readonly ports?: readonly number[];
+};
+
+/** A cut as it is written for the instance. */
+export type WrittenServerCut = CutServerLinksOptions & {readonly cut: ServerCut};
+
 type CutInstance = {
 	readonly folder: string;
 };
@@ -31,19 +40,21 @@
 }
 
 /**
-Cuts the links of an instance to all backend servers.
+Cuts the links of an instance to backend servers.
 
 @param instance The instance, started with `serverCutEnvironment`.
 @param cut How its connections fail.
+@param options The servers that are out of reach.
 @example
 ```ts
 await cutServerLinks(deployment.entries[0]!, 'silent');
 ```
 */
-export async function cutServerLinks(instance: CutInstance, cut: ServerCut): Promise<void> {
+export async function cutServerLinks(instance: CutInstance, cut: ServerCut, options: CutServerLinksOptions = {}): Promise<void> {
 	// The instance reads the file while it is written otherwise, and finds it empty.
 	const file = cutFileOf(instance);
-	await writeFile(`${file}.new`, cut);
+	const written: WrittenServerCut = {cut, ...options};
+	await writeFile(`${file}.new`, JSON.stringify(written));
 	await rename(`${file}.new`, file);
 }
 
--- a/packages/testing/src/server-partition.test.ts
+++ b/packages/testing/src/server-partition.test.ts
@@ -27,14 +27,18 @@
 		{
 			...route, name: 'tag', pathPrefix: '/tag/', kind: 'streaming', resumable: true, timeoutMs: 8000, targetGapMs: 1000,
 		},
+		{
+			...route, name: 'record', pathPrefix: '/record/', kind: 'safe', service: 'records',
+		},
 	],
-	services: [{name: 'labels'}],
+	services: [{name: 'labels'}, {name: 'records'}],
 	limits: {
 		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 	},
 	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}],
 };
 const zones = ['hall-a', 'hall-b', 'hall-c'];
+const services = ['labels', 'records'];
 /** The time after the beginning of a cut from which callers must be served as elsewhere, in milliseconds. */
 const connectivityMilliseconds = 3000;
 const measuredMilliseconds = 2000;
@@ -64,9 +68,9 @@
 async function start(t: ExecutionContext, {gap = 10, entryCount = 3, entryZone = () => zones[0]!, isUnframed = false}: StartOptions = {}): Promise<Started> {
 	const deployment = await PlatformDeployment.start({entryCount, entryZone, environment: instance => serverCutEnvironment(instance)});
 	const backends = await startBackends(t, {
-		deployment, servers: zones.map(zone => ({
-			id: `i-${zone}`, service: 'labels', zone, answer: () => ({events: ['one', 'two', 'three'], gap, isUnframed}),
-		})),
+		deployment, servers: services.flatMap(service => zones.map(zone => ({
+			id: `i-${service}-${zone}`, service, zone, answer: () => ({events: ['one', 'two', 'three'], gap, isUnframed}),
+		}))),
 	});
 	await putConfiguration(deployment, configuration);
 	let requests = 0;
@@ -91,7 +95,7 @@
 			const endsAt = performance.now() + duration;
 			while (performance.now() < endsAt) {
 				for (const {address} of entries) {
-					statuses.push(send(address, {method: 'GET', path: '/look/7'}), send(address, {method: 'POST', path: '/print/7'}), send(address, {method: 'POST', path: '/tag/7'}));
+					statuses.push(send(address, {method: 'GET', path: '/look/7'}), send(address, {method: 'POST', path: '/print/7'}), send(address, {method: 'POST', path: '/tag/7'}), send(address, {method: 'GET', path: '/record/7'}));
 				}
 
 				await delay(sendMilliseconds);
@@ -102,12 +106,21 @@
 	};
 }
 
-/** Cuts instances from all servers, and checks that their callers are served like those of the others, and that nothing runs twice. */
-async function assertServedBehindCut(t: ExecutionContext, {cut, count, ...options}: StartOptions & {readonly cut: ServerCut; readonly count: number}): Promise<Started> {
+type CutOptions = {
+	readonly cut: ServerCut;
+	/** The number of instances that are cut off. */
+	readonly count: number;
+	/** The service whose servers they do not reach; all by default. */
+	readonly service?: string;
+};
+
+/** Cuts instances from all servers, or those of a service, and checks that their callers are served like those of the others, and that nothing runs twice. */
+async function assertServedBehindCut(t: ExecutionContext, {cut, count, service, ...options}: StartOptions & CutOptions): Promise<Started> {
 	const started = await start(t, options);
 	const {deployment, backends, sendFor} = started;
 	const cutEntries = deployment.entries.slice(0, count);
-	await Promise.all(cutEntries.map(async entry => cutServerLinks(entry, cut)));
+	const ports = backends.filter(backend => service === undefined || backend.service === service).map(({port}) => port);
+	await Promise.all(cutEntries.map(async entry => cutServerLinks(entry, cut, {ports})));
 	await sendFor(connectivityMilliseconds, deployment.entries);
 	const statuses = await sendFor(measuredMilliseconds, cutEntries);
 	t.deepEqual(new Set(statuses), new Set([200]), `${statuses.filter(status => status === 200).length} of ${statuses.length} requests were served`);
@@ -136,7 +149,7 @@
 });
 
 /** More instances of one availability zone than an instance shares its load with, and two of another one. */
-const zoneOptions: StartOptions & {readonly count: number} = {
+const zoneOptions: StartOptions & Pick<CutOptions, 'count'> = {
 	count: 8, entryCount: 10, entryZone: index => index < 8 ? zones[0]! : zones[1]!,
 };
 
@@ -148,12 +161,25 @@
 	await assertServedBehindCut(t, {cut: 'silent', ...zoneOptions});
 });
 
+test.serial('instances that are refused by all servers of one service, and reach those of another, serve their callers', async t => {
+	await assertServedBehindCut(t, {
+		cut: 'refused', count: 3, entryCount: 7, service: 'labels',
+	});
+});
+
+test.serial('instances whose connections to all servers of one service hang, and which reach those of another, serve their callers', async t => {
+	await assertServedBehindCut(t, {
+		cut: 'silent', count: 3, entryCount: 7, service: 'labels',
+	});
+});
+
 test.serial('requests in progress at an instance that loses its links are not suspected of ending their servers', async t => {
 	const {deployment, backends, send} = await start(t, {gap: 400});
 	const [entry, other] = deployment.entries;
 	const print = {method: 'POST', path: '/print/7'};
 	const sent = Array.from({length: 12}, async () => send(entry!.address, print));
-	await waitUntil(async () => backends.every(({runs}) => runs.some(({path}) => path === print.path)) || undefined, {description: 'a request in progress at each server'});
+	const printers = backends.filter(({service}) => service === route.service);
+	await waitUntil(async () => printers.every(({runs}) => runs.some(({path}) => path === print.path)) || undefined, {description: 'a request in progress at each server'});
 	await cutServerLinks(entry!, 'refused');
 	const statuses = await Promise.all(sent);
 	t.false(statuses.includes(503));
