Judge the links to the servers of each service by themselves

Cause: the links to all servers were judged as one. Each connection to the service that was reached ended the suspicion, so that the instance never was cut off: each request paid two failed connections of its own, and a request that could not wait ended after four.

Change: ServiceLinks (the former ServerLinks) holds one service, ServerLinks one of them for each.

--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -19,6 +19,7 @@
 import {type ChatPlan} from './plan-chat.js';
 import {RequestSender} from './request-sender.js';
 import {saysOfServer} from './says-of-server.js';
+import {engineGroup} from './server-group-of.js';
 import {stallMillisecondsOf} from './stall-milliseconds.js';
 import {observeAttempt} from './traffic/observe-attempt.js';
 
@@ -52,7 +53,8 @@
 	constructor(plan: ChatPlan, options: ChatAdapterOptions) {
 		this.#plan = plan;
 		this.#options = options;
-		this.#sender = new RequestSender(options.context.connections);
+		const {links, relays} = options.context.connections;
+		this.#sender = new RequestSender({links: links.of(engineGroup), relays});
 		this.#prefixHash = prefixHash(promptPrefixOf(plan.body));
 	}
 
@@ -174,7 +176,7 @@
 		decisions.recordAttempt(requestId, {
 			attempt, purpose, servers: decisions.get(requestId)?.attempts.find(recorded => recorded.attempt === attempt)?.servers ?? [], server, outcome, reason,
 		});
-		if (saysOfServer(output, connections)) {
+		if (saysOfServer(output, connections.links.of(engineGroup))) {
 			serverSelector.recordOutcome(server, failed);
 		}
 
--- a/packages/daemon/src/entry/request-sender.test.ts
+++ b/packages/daemon/src/entry/request-sender.test.ts
@@ -2,7 +2,7 @@
 import {createServer} from 'node:http';
 import {type AddressInfo, connect} from 'node:net';
 import {type InstanceId, type ServerId} from '@valehitch/core';
-import {ServerLinks} from '@valehitch/routing';
+import {ServiceLinks} from '@valehitch/routing';
 import {
 	type HttpRequest, type OpenedTunnel, type OpenTunnel, readResponseBody, Relay, type TunnelFailure,
 } from '@valehitch/transport';
@@ -17,8 +17,8 @@
 	// The event is not under test.
 }
 
-function createLinks(): ServerLinks {
-	return new ServerLinks({
+function createLinks(): ServiceLinks {
+	return new ServiceLinks({
 		clock: {monotonic: () => 0}, random: () => 0, servers: () => [], isReachable: async () => false, wait: async () => new Promise<void>(ignore), onCutOff: ignore, onReachable: ignore,
 	});
 }
--- a/packages/daemon/src/entry/request-sender.ts
+++ b/packages/daemon/src/entry/request-sender.ts
@@ -1,5 +1,5 @@
 import {type ServerId} from '@valehitch/core';
-import {type Path, RequestPath} from '@valehitch/routing';
+import {type Path, RequestPath, type ServiceLinks} from '@valehitch/routing';
 import {
 	type HttpRequest, type HttpRequestFailure, type HttpResponse, type Relay, sendHttpRequest,
 } from '@valehitch/transport';
@@ -17,16 +17,16 @@
 
 @example
 ```ts
-const sender = new RequestSender(connections);
+const sender = new RequestSender({links: connections.links.of(group), relays: connections.relays});
 const answer = await sender.send(server, request);
 ```
 */
 export class RequestSender {
-	readonly #links: ServerConnections['links'];
+	readonly #links: ServiceLinks;
 	readonly #path: RequestPath<Relay>;
 	#connectionFailures = 0;
 
-	constructor(connections: {readonly links: ServerConnections['links']; readonly relays: Pick<ServerConnections['relays'], 'choose'>}) {
+	constructor(connections: {readonly links: ServiceLinks; readonly relays: Pick<ServerConnections['relays'], 'choose'>}) {
 		this.#links = connections.links;
 		this.#path = new RequestPath({...connections, directFailures});
 	}
--- a/packages/daemon/src/entry/server-connections.ts
+++ b/packages/daemon/src/entry/server-connections.ts
@@ -9,6 +9,7 @@
 import type Logger from 'bunyan';
 import {type Member} from '../member.js';
 import {type PeerMessage} from '../messages.js';
+import {serverGroupOf} from './server-group-of.js';
 import {NearRelaySelector} from './near-relay-selector.js';
 
 /** Options of {@linkcode ServerConnections}. */
@@ -32,7 +33,7 @@
 @example
 ```ts
 const connections = new ServerConnections({self, clock, random, log, network, servers, members});
-connections.links.isCutOff;
+connections.links.of(serverGroupOf(announcement)).isCutOff;
 ```
 */
 export class ServerConnections {
@@ -47,14 +48,14 @@
 		this.links = new ServerLinks({
 			clock,
 			random,
-			servers: () => servers.available().map(({announcement: {server, address}}) => ({id: server, address})),
+			servers: () => servers.available().map(({announcement}) => ({id: announcement.server, service: serverGroupOf(announcement), address: announcement.address})),
 			isReachable: async ({address}) => await probeAddress(parseAddress(address), trialTimeoutMilliseconds) === 'open',
 			wait: async milliseconds => delay(milliseconds, undefined, {ref: false}),
 			onCutOff(evidence) {
-				log.warn(evidence, 'This daemon reaches no backend server; requests go through other daemons');
+				log.warn(evidence, 'This daemon reaches no backend server of a group; requests go through other daemons');
 			},
 			onReachable(evidence) {
-				log.warn(evidence, 'This daemon reaches backend servers again');
+				log.warn(evidence, 'This daemon reaches backend servers of the group again');
 			},
 		});
 		this.relays = createRelays(options, () => this.#others());
@@ -68,14 +69,12 @@
 	*/
 	mayRelay({host, port}: TunnelTarget): boolean {
 		const {servers, network} = this.#options;
-		return mayRelay({
-			isStopping: this.#isStopping,
-			links: this.links,
-			openTunnels: network.tunnelCount,
-			isKnownServer: () => servers.available().some(({announcement}) => {
-				const known = parseAddress(announcement.address);
-				return known.host === host && known.port === port;
-			}),
+		const target = servers.available().find(({announcement}) => {
+			const known = parseAddress(announcement.address);
+			return known.host === host && known.port === port;
+		});
+		return target !== undefined && mayRelay({
+			isStopping: this.#isStopping, links: this.links.of(serverGroupOf(target.announcement)), openTunnels: network.tunnelCount,
 		});
 	}
 
--- a/packages/daemon/src/entry/service-adapter.ts
+++ b/packages/daemon/src/entry/service-adapter.ts
@@ -47,7 +47,8 @@
 ```
 */
 export function serviceAdapter(plan: ServicePlan, {context, deadline}: ServiceAdapterOptions): RequestAdapter {
-	const sender = new RequestSender(context.connections);
+	const {links, relays} = context.connections;
+	const sender = new RequestSender({links: links.of(plan.service), relays});
 	return {
 		chooseServer: action => chooseInstance(action, {plan, context}),
 		checkDispatch: () => denialOf(plan, context),
@@ -77,7 +78,7 @@
 }
 
 function send({dispatch, address, signal}: SendOptions, {plan, context, deadline, sender}: AdapterState & {readonly deadline: number; readonly sender: RequestSender}): AsyncIterable<AttemptOutput> {
-	const {call: {request, requestId}, path, body, repeatable} = plan;
+	const {call: {request, requestId}, service, path, body, repeatable} = plan;
 	const {settings, clock} = context;
 	const remainingMilliseconds = deadline - clock.monotonic();
 	const outputs = callService({
@@ -102,7 +103,9 @@
 			// Durations are not recorded: the calls of a service differ too much for a slow one to be detected by its duration.
 		},
 		onEnd(output) {
-			recordResult(dispatch, {output, requestId, context});
+			recordResult(dispatch, {
+				output, requestId, service, context,
+			});
 		},
 	});
 }
@@ -110,15 +113,16 @@
 type RecordResultOptions = {
 	readonly output: AttemptOutput;
 	readonly requestId: RequestId;
+	readonly service: ServiceId;
 	readonly context: EntryContext;
 };
 
-function recordResult({server, attempt, purpose}: DispatchAction, {output, requestId, context: {serverSelector, decisions, connections}}: RecordResultOptions): void {
+function recordResult({server, attempt, purpose}: DispatchAction, {output, requestId, service, context: {serverSelector, decisions, connections}}: RecordResultOptions): void {
 	const {outcome, reason, failed} = attemptEnd(output);
 	decisions.recordAttempt(requestId, {
 		attempt, purpose, servers: decisions.get(requestId)?.attempts.find(recorded => recorded.attempt === attempt)?.servers ?? [], server, outcome, reason,
 	});
-	if (saysOfServer(output, connections)) {
+	if (saysOfServer(output, connections.links.of(service))) {
 		serverSelector.recordOutcome(server, failed);
 	}
 }
--- a/packages/gateway/src/entry/check-server-process.ts
+++ b/packages/gateway/src/entry/check-server-process.ts
@@ -1,4 +1,4 @@
-import {type ServerLinks} from '@valehitch/routing';
+import {type ServiceLinks} from '@valehitch/routing';
 import {
 	type ProbeResult, probeAddress, type Relay, type ServerRelays,
 } from '@valehitch/transport';
@@ -6,7 +6,8 @@
 
 /** Options of {@linkcode checkServerProcess}. */
 export type CheckServerProcessOptions = {
-	readonly links: Pick<ServerLinks, 'areConnected'>;
+	/** The links to the servers of its service. */
+	readonly links: Pick<ServiceLinks, 'areConnected'>;
 	readonly relays: Pick<ServerRelays, 'choose'>;
 };
 
@@ -59,7 +60,7 @@
 	return relay === undefined ? 'unavailable' : relay.probe(server);
 }
 
-function withoutConfirmation(result: ProbeResult, {areConnected}: Pick<ServerLinks, 'areConnected'>): ProcessCheck {
+function withoutConfirmation(result: ProbeResult, {areConnected}: Pick<ServiceLinks, 'areConnected'>): ProcessCheck {
 	if (!areConnected) {
 		return 'link-lost';
 	}
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -99,7 +99,7 @@
 		const suspects = new EntrySuspects({
 			...options,
 			servers,
-			checkProcess: async server => checkServerProcess(server, this.#context),
+			checkProcess: async server => checkServerProcess(server, {...this.#context, links: this.#context.links.of(server.service)}),
 			onChanged: fingerprint => {
 				this.#reporter.report(fingerprint);
 			},
@@ -230,9 +230,8 @@
 	*/
 	mayRelay(target: TunnelTarget, openTunnels: number): boolean {
 		const {links, servers} = this.#context;
-		return mayRelay({
-			isStopping: this.#endsAt !== undefined, links, openTunnels, isKnownServer: () => servers.availability.hasAddress(target),
-		});
+		const service = servers.availability.serviceAt(target);
+		return service !== undefined && mayRelay({isStopping: this.#endsAt !== undefined, links: links.of(service), openTunnels});
 	}
 
 	/** Closes idle connections, so that their callers connect to other instances before this one stops. */
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -103,7 +103,7 @@
 	if (outcome.type === 'unreachable') {
 		results.record(server, 'unreachable');
 		if (relay === undefined) {
-			context.links.recordUnreachable(server.id);
+			context.links.of(server.service).recordUnreachable(server.id);
 		}
 
 		return {type: 'unreachable'};
@@ -124,7 +124,7 @@
 		return handleLoss(message, options);
 	}
 
-	if (outcome.type === 'silent' && relay === undefined && !context.links.areConnected) {
+	if (outcome.type === 'silent' && relay === undefined && !context.links.of(server.service).areConnected) {
 		results.record(server, 'unreachable');
 		return unknownOutcome(message);
 	}
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -338,8 +338,8 @@
 			return;
 		}
 
-		known?.links.recordUnreachable('server-8' as ServerId);
-		known?.links.recordUnreachable('server-9' as ServerId);
+		known?.links.of(testServer().service).recordUnreachable('server-8' as ServerId);
+		known?.links.of(testServer().service).recordUnreachable('server-9' as ServerId);
 	});
 	const {evidence} = await sendRequests(t, 2, {
 		route: testRoute({kind: 'safe', timeout: 1000, maximumAttempts: 2}),
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -91,7 +91,7 @@
 			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models,
 		});
 		this.#suspect = new SuspectRequest(context.suspects, {...request, workspace: authorized.workspace?.id, body});
-		this.#path = new RequestPath(context);
+		this.#path = new RequestPath({links: context.links.of(this.#placement.service), relays: context.relays});
 		this.#fallback = new FallbackAnswer({
 			clock: context.clock,
 			deadlineAt: this.#deadlineAt,
--- a/packages/gateway/src/entry/send-results.ts
+++ b/packages/gateway/src/entry/send-results.ts
@@ -67,7 +67,7 @@
 
 		if (finding === 'link-lost') {
 			this.record(server, 'unreachable');
-			this.#context.links.recordUnreachable(server.id);
+			this.#context.links.of(server.service).recordUnreachable(server.id);
 			return;
 		}
 
--- a/packages/gateway/src/entry/server-availability.ts
+++ b/packages/gateway/src/entry/server-availability.ts
@@ -40,19 +40,19 @@
 	}
 
 	/**
-	Checks whether an address belongs to a known server that has not ended.
+	Returns the service of the server at an address.
 
 	@param address The address.
-	@returns Whether it does.
+	@returns The service; undefined if no known server that has not ended is there.
 	*/
-	hasAddress({host, port}: Pick<ServerRecord, 'host' | 'port'>): boolean {
+	serviceAt({host, port}: Pick<ServerRecord, 'host' | 'port'>): ServiceId | undefined {
 		for (const {record} of this.#options.servers.values()) {
 			if (record.host === host && record.port === port && record.state !== 'gone') {
-				return true;
+				return record.service;
 			}
 		}
 
-		return false;
+		return undefined;
 	}
 
 	/**
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -74,7 +74,7 @@
 		connectTimeout: Math.min(connectTimeoutMilliseconds, route.targetLatency),
 		headTimeouts: headTimeoutsOf(options, context),
 		onConnect() {
-			links.recordConnected();
+			links.of(server.service).recordConnected();
 		},
 		processEnd,
 		isServerRunning: async () => isServerRunning(server, {...context, relay}),
@@ -110,7 +110,7 @@
 
 			const isReachable = await isServerReachable(server, reachabilityTimeoutMilliseconds);
 			if (!isReachable) {
-				links.recordUnreachable(server.id);
+				links.of(server.service).recordUnreachable(server.id);
 			}
 
 			return isReachable;
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -38,6 +38,7 @@
 export * from './server-link-detector.js';
 export * from './server-links.js';
 export * from './server-load.js';
+export * from './service-links.js';
 export type * from './server-view.js';
 export * from './session-token.js';
 export * from './stage-history.js';
--- a/packages/routing/src/request-path.ts
+++ b/packages/routing/src/request-path.ts
@@ -1,9 +1,9 @@
 import {type InstanceId} from '@valehitch/core';
-import {type ServerLinks} from './server-links.js';
+import {type ServiceLinks} from './service-links.js';
 
 /** Options of {@linkcode RequestPath}. */
 export type RequestPathOptions<Relay extends RelayInstance> = {
-	readonly links: Pick<ServerLinks, 'isCutOff'>;
+	readonly links: Pick<ServiceLinks, 'isCutOff'>;
 	/** Chooses a relay among those that have not failed for the request. */
 	readonly relays: {readonly choose: (excluded: ReadonlySet<InstanceId>) => Relay | undefined};
 	/** The failed connections of a request after which a relay is tried even if the instance does not know yet whether it is cut off; 2 by default. */
--- a/packages/routing/src/server-links.test.ts
+++ b/packages/routing/src/server-links.test.ts
@@ -1,82 +1,50 @@
 import {setImmediate} from 'node:timers/promises';
-import {type ServerId} from '@valehitch/core';
+import {type ServerId, type ServiceId} from '@valehitch/core';
 import test from 'ava';
-import {ServerLinks, type ServerLinksOptions} from './server-links.js';
+import {ServerLinks} from './server-links.js';
 
-const ids = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'] as ServerId[];
+const [labels, records] = ['labels', 'records'] as ServiceId[];
+const servers = [labels!, records!].flatMap(service => ['1', '2', '3', '4'].map(name => ({id: `${service}-${name}` as ServerId, service})));
 
-function createLinks(changes: Partial<ServerLinksOptions>) {
-	const lines: Array<readonly [string, number]> = [];
-	const clock = {now: 1000, monotonic: () => clock.now};
-	const tried: ServerId[] = [];
-	const state = {isReachable: false, cuts: 0};
+function ignore(): void {
+	// The event is not under test.
+}
+
+test('an instance that reaches one service is cut off from another one, whatever connections to the first succeed', async t => {
+	const counts: number[] = [];
+	const tried = new Set<ServiceId>();
 	const links = new ServerLinks({
-		clock,
+		clock: {monotonic: () => 0},
 		random: () => 0.5,
-		servers: () => ids.map(id => ({id})),
-		async isReachable({id}) {
-			tried.push(id);
-			return state.isReachable;
-		},
-		async wait(milliseconds) {
-			clock.now += milliseconds;
-			await setImmediate();
-		},
-		onCutOff({servers}) {
-			state.cuts++;
-			lines.push(['unreachable', servers.length]);
+		servers: () => servers,
+		async isReachable({service}) {
+			tried.add(service);
+			return service === records;
 		},
-		onReachable({servers}) {
-			lines.push(['reachable', servers.length]);
+		wait: async () => setImmediate(),
+		onCutOff: ignore,
+		onReachable: ignore,
+		onCount(count) {
+			counts.push(count);
 		},
-		...changes,
 	});
-	return {
-		links, lines, clock, tried, state,
-	};
-}
+	t.teardown(() => {
+		links.stop();
+	});
+	for (const {id} of servers.slice(0, 2)) {
+		links.of(labels!).recordUnreachable(id);
+		links.of(records!).recordConnected();
+	}
 
-async function pass(isDone: () => boolean): Promise<void> {
-	while (!isDone()) {
+	while (!links.isCutOff) {
 		await setImmediate();
 	}
-}
 
-test('an instance is cut off when trial connections to other servers fail too, until one of them succeeds', async t => {
-	const {links, lines, clock, tried, state} = createLinks({});
-	links.recordUnreachable(ids[0]!);
-	clock.now += 50;
-	links.recordUnreachable(ids[1]!);
-	t.false(links.areConnected);
+	t.true(links.of(labels!).isCutOff);
+	t.true(links.of(records!).areConnected);
+	t.deepEqual(tried, new Set([labels!]));
+	t.is(counts.at(-1), 2);
+	links.of(labels!).recordConnected();
 	t.false(links.isCutOff);
-	await pass(() => links.isCutOff);
-	t.deepEqual(tried.slice(0, 3), ids.slice(2, 5));
-	t.is(state.cuts, 1);
-
-	state.isReachable = true;
-	await pass(() => links.areConnected);
-	t.is(state.cuts, 1);
-	t.deepEqual(lines, [['unreachable', 2], ['reachable', 2]]);
-});
-
-test('an instance whose trial connection succeeds is not cut off', async t => {
-	const {links, lines, state} = createLinks({});
-	state.isReachable = true;
-	links.recordUnreachable(ids[0]!);
-	links.recordUnreachable(ids[1]!);
-	await pass(() => links.areConnected);
-	t.deepEqual(lines, []);
-	t.is(state.cuts, 0);
-});
-
-test('trials end with the instance', async t => {
-	const {links, tried} = createLinks({});
-	links.recordUnreachable(ids[0]!);
-	links.recordUnreachable(ids[1]!);
-	links.stop();
-	await setImmediate();
-	await setImmediate();
-	const before = tried.length;
-	await setImmediate();
-	t.is(tried.length, before);
+	t.is(counts.at(-1), 0);
 });
--- a/packages/routing/src/server-links.ts
+++ b/packages/routing/src/server-links.ts
@@ -1,128 +1,70 @@
-import {type Clock, type RandomSource, type ServerId} from '@valehitch/core';
-import {ServerLinkDetector} from './server-link-detector.js';
+import {type ServiceId} from '@valehitch/core';
+import {type LinkedServer, ServiceLinks, type ServiceLinksOptions} from './service-links.js';
 
 /** Options of {@linkcode ServerLinks}. */
-export type ServerLinksOptions<Server extends LinkedServer = LinkedServer> = {
-	readonly clock: Pick<Clock, 'monotonic'>;
-	readonly random: RandomSource;
-	/** Returns the servers that may be tried. */
+export type ServerLinksOptions<Server extends LinkedServer = LinkedServer> = Omit<ServiceLinksOptions<Server>, 'servers' | 'onCount'> & {
+	/** Returns the servers of all services that may be tried. */
 	readonly servers: () => readonly Server[];
-	/** Checks whether a server accepts a connection. */
-	readonly isReachable: (server: Server) => Promise<boolean>;
-	readonly wait: (milliseconds: number) => Promise<void>;
-	/** Called when the instance finds that it reaches no server, so that what its failed connections seemed to say of servers can be forgotten. */
-	readonly onCutOff: (evidence: ServerLinkEvidence) => void;
-	/** Called when it reaches one again. */
-	readonly onReachable: (evidence: ServerLinkEvidence) => void;
-	/** Called with the number of servers that were unreachable since the last connection. */
+	/** Called with the number of servers that were unreachable since the last connection to a server of the same service. */
 	readonly onCount?: (unreachable: number) => void;
 };
 
-/** A backend server to which connections are opened. */
-export type LinkedServer = {readonly id: ServerId};
-
-/** What speaks for a cut: the servers that were unreachable, and for how long, in milliseconds. */
-export type ServerLinkEvidence = {
-	readonly servers: readonly ServerId[];
-	readonly duration: number;
-};
-
-/** The number of servers to which trial connections are opened at the same time. */
-const trialCount = 3;
-/** The interval between trials while no server is reachable, in milliseconds; up to half of it is added at random, so that instances do not return at the same moment. */
-const trialMilliseconds = 250;
-
 /**
-The links of an entry instance to backend servers, as its own connections show them. It answers the load of an instance whose own links have failed. When several servers in a row are unreachable, trial connections to others decide whether the instance is cut off from all of them, and later when it is not any more.
+The links of an instance to backend servers, for each service by itself: servers of one service may be out of reach while those of another are not, and connections to the latter say nothing of the former.
 
 @example
 ```ts
 const links = new ServerLinks({clock, random, servers, isReachable, wait, onCutOff, onReachable});
-links.recordUnreachable(server);
+links.of(service).recordUnreachable(server);
 links.isCutOff;
 ```
 */
 export class ServerLinks<Server extends LinkedServer = LinkedServer> {
 	readonly #options: ServerLinksOptions<Server>;
-	readonly #detector = new ServerLinkDetector();
-	#isStopped = false;
+	readonly #services = new Map<ServiceId, ServiceLinks<Server>>();
+	readonly #unreachable = new Map<ServiceId, number>();
 
 	constructor(options: ServerLinksOptions<Server>) {
 		this.#options = options;
 	}
 
-	/** Whether this instance reaches no server. */
+	/** Whether this instance reaches no server of some service. */
 	get isCutOff(): boolean {
-		return this.#detector.state === 'cut-off';
-	}
-
-	/** Whether nothing speaks against the links. */
-	get areConnected(): boolean {
-		return this.#detector.state === 'connected';
+		return [...this.#services.values()].some(({isCutOff}) => isCutOff);
 	}
 
 	/**
-	Records that no connection to a server could be opened.
+	Returns the links to the servers of a service.
 
-	@param server The server.
+	@param service The service.
+	@returns The links.
 	*/
-	recordUnreachable(server: ServerId): void {
-		if (this.#detector.recordUnreachable(server, this.#options.clock.monotonic())) {
-			void this.#tryUntilConnected();
-		}
-
-		this.#count();
-	}
-
-	/** Records that a new connection to a server was opened. */
-	recordConnected(): void {
-		const evidence = this.#evidence();
-		const wasCutOff = this.isCutOff;
-		this.#detector.recordConnected();
-		if (wasCutOff) {
-			this.#options.onReachable(evidence);
+	of(service: ServiceId): ServiceLinks<Server> {
+		const known = this.#services.get(service);
+		if (known !== undefined) {
+			return known;
 		}
 
-		this.#count();
+		const links = new ServiceLinks<Server>({
+			...this.#options,
+			servers: () => this.#options.servers().filter(server => server.service === service),
+			onCount: unreachable => {
+				this.#count(service, unreachable);
+			},
+		});
+		this.#services.set(service, links);
+		return links;
 	}
 
 	/** Ends the trials. */
 	stop(): void {
-		this.#isStopped = true;
-	}
-
-	async #tryUntilConnected(): Promise<void> {
-		const {random, wait, onCutOff} = this.#options;
-		while (!this.areConnected && !this.#isStopped) {
-			if (await this.#trySome()) {
-				this.recordConnected();
-				return;
-			}
-
-			if (this.#detector.recordTrialsFailed()) {
-				onCutOff(this.#evidence());
-			}
-
-			await wait(trialMilliseconds * (1 + (random() / 2)));
+		for (const links of this.#services.values()) {
+			links.stop();
 		}
 	}
 
-	/** Tries servers that have not failed, if there are any. */
-	async #trySome(): Promise<boolean> {
-		const {servers, random, isReachable} = this.#options;
-		const candidates = servers().map(server => ({server, order: random() + (this.#detector.unreachable.has(server.id) ? 1 : 0)}));
-		const chosen = candidates.toSorted((one, other) => one.order - other.order).slice(0, trialCount);
-		const results = await Promise.all(chosen.map(async ({server}) => isReachable(server)));
-		return results.includes(true);
-	}
-
-	#evidence(): ServerLinkEvidence {
-		const {unreachable, since} = this.#detector;
-		const now = this.#options.clock.monotonic();
-		return {servers: [...unreachable], duration: Math.round(now - (since ?? now))};
-	}
-
-	#count(): void {
-		this.#options.onCount?.(this.#detector.unreachable.size);
+	#count(service: ServiceId, unreachable: number): void {
+		this.#unreachable.set(service, unreachable);
+		this.#options.onCount?.([...this.#unreachable.values()].reduce((sum, count) => sum + count, 0));
 	}
 }
