Test a relay that has lost most servers itself

Green on the code as it is: a relay that does not answer for two of three servers leaves them alone soon, so that its links are not in doubt for long.

--- a/packages/testing/src/server-partition.test.ts
+++ b/packages/testing/src/server-partition.test.ts
@@ -173,6 +173,17 @@
 	});
 });
 
+test.serial('an instance that reaches no server serves its callers through one that does not answer for most servers', async t => {
+	const {deployment, backends, sendFor} = await start(t, {entryCount: 2});
+	const [entry, relay] = deployment.entries;
+	const lost = backends.filter(({service}) => service === route.service).slice(1);
+	await cutServerLinks(relay!, 'silent', {ports: lost.map(({port}) => port)});
+	await cutServerLinks(entry!, 'refused');
+	await sendFor(connectivityMilliseconds, deployment.entries);
+	const statuses = await sendFor(measuredMilliseconds, [entry!]);
+	t.deepEqual(new Set(statuses), new Set([200]), `${statuses.filter(status => status === 200).length} of ${statuses.length} requests were served`);
+});
+
 test.serial('requests in progress at an instance that loses its links are not suspected of ending their servers', async t => {
 	const {deployment, backends, send} = await start(t, {gap: 400});
 	const [entry, other] = deployment.entries;
