Do not blame servers for what a relay with doubtful links does not reach

Cause: a relay that had not yet found out about its own cut, or took it to be over since one of its servers answered, said of each server that this did not answer, and each such answer used up one of the four connections that a request may fail. What its tunnels found it did not use itself; and while its links were only suspected it refused, so that instances refused each other whenever two servers ended one after the other.

Change: the connections of tunnels count as evidence on the links of the relay. A failure while those are in doubt is told as an unavailable relay, not as a failed server. An instance whose links are only suspected tries.

Tests: a trial that hangs beside one that opens kept the suspicion; a relay in doubt said target-refused (both red before).

--- a/packages/daemon/src/entry/server-connections.ts
+++ b/packages/daemon/src/entry/server-connections.ts
@@ -1,5 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {type Clock, type InstanceId, type RandomSource} from '@valehitch/core';
+import {
+	type Announcement, type Clock, type InstanceId, type RandomSource,
+} from '@valehitch/core';
 import {type ServerTable} from '@valehitch/membership';
 import {mayRelay, ServerLinks} from '@valehitch/routing';
 import {
@@ -67,17 +69,25 @@
 	@param target The address.
 	@returns Whether it may.
 	*/
-	mayRelay({host, port}: TunnelTarget): boolean {
-		const {servers, network} = this.#options;
-		const target = servers.available().find(({announcement}) => {
-			const known = parseAddress(announcement.address);
-			return known.host === host && known.port === port;
-		});
-		return target !== undefined && mayRelay({
-			isStopping: this.#isStopping, links: this.links.of(serverGroupOf(target.announcement)), openTunnels: network.tunnelCount,
+	mayRelay(target: TunnelTarget): boolean {
+		const announcement = this.#announcementAt(target);
+		return announcement !== undefined && mayRelay({
+			isStopping: this.#isStopping, links: this.links.of(serverGroupOf(announcement)), openTunnels: this.#options.network.tunnelCount,
 		});
 	}
 
+	/**
+	Records whether a connection to a server opened that was made for another daemon.
+
+	@param target The address of the server.
+	@param isOpen Whether it opened.
+	@returns Whether the server is to blame for a failure; false if the links of this daemon are in doubt.
+	*/
+	recordTunnelTarget(target: TunnelTarget, isOpen: boolean): boolean {
+		const announcement = this.#announcementAt(target);
+		return announcement === undefined || this.links.of(serverGroupOf(announcement)).recordResult(announcement.server, isOpen);
+	}
+
 	/** Accepts no further connections for other daemons. */
 	beginStop(): void {
 		this.#isStopping = true;
@@ -89,6 +99,14 @@
 		this.relays.close();
 	}
 
+	#announcementAt({host, port}: TunnelTarget): Announcement | undefined {
+		const found = this.#options.servers.available().find(({announcement}) => {
+			const known = parseAddress(announcement.address);
+			return known.host === host && known.port === port;
+		});
+		return found?.announcement;
+	}
+
 	#others(): readonly Member[] {
 		const {self, members} = this.#options;
 		return members().filter(({instance}) => instance !== self.instance);
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -37,6 +37,8 @@
 	readonly answer: (message: EntryMessage) => Promise<unknown>;
 	/** Checks whether another daemon may reach an address through this one. */
 	readonly mayRelay: (target: TunnelTarget) => boolean;
+	/** Records whether a connection to an address opened that was made for another daemon; returns whether its server is to blame for a failure. */
+	readonly recordTunnelTarget: (target: TunnelTarget, isOpen: boolean) => boolean;
 	/** Refuses new requests, completes those in progress and hands over the bills. */
 	readonly stop: () => Promise<void>;
 	/** Stops all retries and timers. Bills that were not handed over remain as copies on their holders. */
@@ -120,6 +122,7 @@
 			.with({type: 'explain'}, ({request}) => decisions.get(request))
 			.exhaustive(),
 		mayRelay: target => connections.mayRelay(target),
+		recordTunnelTarget: (target, isOpen) => connections.recordTunnelTarget(target, isOpen),
 		async stop() {
 			connections.beginStop();
 			await requests.stop();
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -109,6 +109,7 @@
 		onMessage: async (_from, message) => handlePeerMessage(message, components),
 		onRequest: async (_from, message) => handlePeerMessage(message, components),
 		isTunnelAllowed: (_from, target) => components.entry?.mayRelay(target) === true,
+		recordTunnelTarget: (target, isOpen) => components.entry?.recordTunnelTarget(target, isOpen) ?? true,
 		onHandlerError(from, error) {
 			log.error({err: error, from}, 'Failed to handle a peer message');
 		},
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -230,8 +230,21 @@
 	*/
 	mayRelay(target: TunnelTarget, openTunnels: number): boolean {
 		const {links, servers} = this.#context;
-		const service = servers.availability.serviceAt(target);
-		return service !== undefined && mayRelay({isStopping: this.#endsAt !== undefined, links: links.of(service), openTunnels});
+		const server = servers.availability.serverAt(target);
+		return server !== undefined && mayRelay({isStopping: this.#endsAt !== undefined, links: links.of(server.service), openTunnels});
+	}
+
+	/**
+	Records whether a connection to a server opened that was made for another entry instance.
+
+	@param target The address of the server.
+	@param isOpen Whether it opened.
+	@returns Whether the server is to blame for a failure; false if the links of this instance are in doubt.
+	*/
+	recordTunnelTarget(target: TunnelTarget, isOpen: boolean): boolean {
+		const {links, servers} = this.#context;
+		const server = servers.availability.serverAt(target);
+		return server === undefined || links.of(server.service).recordResult(server.id, isOpen);
 	}
 
 	/** Closes idle connections, so that their callers connect to other instances before this one stops. */
--- a/packages/gateway/src/entry/server-availability.ts
+++ b/packages/gateway/src/entry/server-availability.ts
@@ -40,15 +40,15 @@
 	}
 
 	/**
-	Returns the service of the server at an address.
+	Returns the server at an address.
 
 	@param address The address.
-	@returns The service; undefined if no known server that has not ended is there.
+	@returns The server; undefined if no known one that has not ended is there.
 	*/
-	serviceAt({host, port}: Pick<ServerRecord, 'host' | 'port'>): ServiceId | undefined {
+	serverAt({host, port}: Pick<ServerRecord, 'host' | 'port'>): ServerRecord | undefined {
 		for (const {record} of this.#options.servers.values()) {
 			if (record.host === host && record.port === port && record.state !== 'gone') {
-				return record.service;
+				return record;
 			}
 		}
 
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -108,6 +108,7 @@
 			metrics.relayedConnections.inc({result: isAllowed ? 'accepted' : 'refused'});
 			return isAllowed;
 		},
+		recordTunnelTarget: (target, isOpen) => parts.entry?.recordTunnelTarget(target, isOpen) ?? true,
 		onHandlerError(from, error) {
 			log('peer-message-failed', {from, reason: error instanceof Error ? error.stack ?? error.message : String(error)}, 'error');
 		},
--- a/packages/routing/src/may-relay.ts
+++ b/packages/routing/src/may-relay.ts
@@ -4,7 +4,7 @@
 export type RelayConditions = {
 	readonly isStopping: boolean;
 	/** The links to the servers of the service to which the target belongs. */
-	readonly links: Pick<ServiceLinks, 'areConnected'>;
+	readonly links: Pick<ServiceLinks, 'isCutOff'>;
 	/** The number of connections that are open through this instance. */
 	readonly openTunnels: number;
 };
@@ -13,7 +13,7 @@
 const maximumTunnels = 512;
 
 /**
-Checks whether an instance may open a connection to a known server for another one. It answers the load of instances whose own links have failed. It may not if it reaches no server of the service itself, so that no request takes two such steps.
+Checks whether an instance may open a connection to a known server for another one. It answers the load of instances whose own links have failed. It may not if it reaches no server of the service itself, so that no request takes two such steps. While that is only suspected, it tries.
 
 @param conditions The state of the instance.
 @returns Whether it may.
@@ -23,5 +23,5 @@
 ```
 */
 export function mayRelay({isStopping, links, openTunnels}: RelayConditions): boolean {
-	return !isStopping && links.areConnected && openTunnels < maximumTunnels;
+	return !isStopping && !links.isCutOff && openTunnels < maximumTunnels;
 }
--- a/packages/routing/src/service-links.test.ts
+++ b/packages/routing/src/service-links.test.ts
@@ -6,6 +6,10 @@
 const ids = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'] as ServerId[];
 const service = 'labels' as ServiceId;
 
+function ignore(): void {
+	// The promise stays pending.
+}
+
 function createLinks(changes: Partial<ServiceLinksOptions>) {
 	const lines: Array<readonly [string, number]> = [];
 	const clock = {now: 1000, monotonic: () => clock.now};
@@ -70,6 +74,19 @@
 	t.is(state.cuts, 0);
 });
 
+test('a suspicion ends with the first trial connection that succeeds, while others hang', async t => {
+	const {links} = createLinks({
+		isReachable: async ({id}) => id === ids[3] || new Promise<boolean>(ignore),
+	});
+	links.recordUnreachable(ids[0]!);
+	links.recordUnreachable(ids[1]!);
+	for (let turn = 0; turn < 5; turn++) {
+		await setImmediate();
+	}
+
+	t.true(links.areConnected);
+});
+
 test('trials end with the instance', async t => {
 	const {links, tried} = createLinks({});
 	links.recordUnreachable(ids[0]!);
--- a/packages/routing/src/service-links.ts
+++ b/packages/routing/src/service-links.ts
@@ -88,6 +88,23 @@
 		this.#count();
 	}
 
+	/**
+	Records whether a connection to a server could be opened.
+
+	@param server The server.
+	@param isOpen Whether it could.
+	@returns Whether a failure speaks against the server; false if the links are in doubt.
+	*/
+	recordResult(server: ServerId, isOpen: boolean): boolean {
+		if (isOpen) {
+			this.recordConnected();
+		} else {
+			this.recordUnreachable(server);
+		}
+
+		return this.areConnected;
+	}
+
 	/** Ends the trials. */
 	stop(): void {
 		this.#isStopped = true;
@@ -114,8 +131,7 @@
 		const {servers, random, isReachable} = this.#options;
 		const candidates = servers().map(server => ({server, order: random() + (this.#detector.unreachable.has(server.id) ? 1 : 0)}));
 		const chosen = candidates.toSorted((one, other) => one.order - other.order).slice(0, trialCount);
-		const results = await Promise.all(chosen.map(async ({server}) => isReachable(server)));
-		return results.includes(true);
+		return isAnyTrue(chosen.map(async ({server}) => isReachable(server)));
 	}
 
 	#evidence(): ServerLinkEvidence {
@@ -128,3 +144,21 @@
 		this.#options.onCount?.(this.#detector.unreachable.size);
 	}
 }
+
+/** Resolves as soon as one of the results is true, since the others may hang. */
+async function isAnyTrue(results: ReadonlyArray<Promise<boolean>>): Promise<boolean> {
+	return new Promise(resolve => {
+		const check = async (result: Promise<boolean>): Promise<void> => {
+			if (await result) {
+				resolve(true);
+			}
+		};
+
+		const checkAll = async (): Promise<void> => {
+			await Promise.all(results.map(async result => check(result)));
+			resolve(false);
+		};
+
+		void checkAll();
+	});
+}
--- a/packages/transport/src/open-tunnel.test.ts
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -5,7 +5,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {type InstanceId, toId} from '@valehitch/core';
 import test, {type ExecutionContext} from 'ava';
-import {type PeerAddress, PeerNetwork} from './peer-network.js';
+import {type PeerAddress, PeerNetwork, type PeerNetworkOptions} from './peer-network.js';
 import {type TunnelFailure} from './open-tunnel.js';
 import {type TunnelTarget} from './tunnel-target.js';
 
@@ -17,10 +17,12 @@
 	// The event is not under test.
 }
 
-async function listen(t: ExecutionContext, isTunnelAllowed?: (from: InstanceId, target: TunnelTarget) => boolean): Promise<{readonly network: PeerNetwork<string>; readonly address: PeerAddress}> {
+type ListenOptions = Partial<Pick<PeerNetworkOptions<string>, 'isTunnelAllowed' | 'recordTunnelTarget'>>;
+
+async function listen(t: ExecutionContext, options: ListenOptions = {}): Promise<{readonly network: PeerNetwork<string>; readonly address: PeerAddress}> {
 	const instance = toId<InstanceId>('left');
 	const network = await PeerNetwork.listen<string>({
-		self: instance, key, host, port: 0, onMessage: doNothing, onRequest: async () => undefined, onHandlerError: doNothing, ...(isTunnelAllowed !== undefined && {isTunnelAllowed}),
+		self: instance, key, host, port: 0, onMessage: doNothing, onRequest: async () => undefined, onHandlerError: doNothing, ...options,
 	});
 	t.teardown(async () => {
 		await network.close();
@@ -61,9 +63,11 @@
 
 test('a tunnel passes bytes in both directions and ends with its target', async t => {
 	const asked: Array<readonly [InstanceId, TunnelTarget]> = [];
-	const {network, address} = await listen(t, (from, wanted) => {
-		asked.push([from, wanted]);
-		return true;
+	const {network, address} = await listen(t, {
+		isTunnelAllowed(from, wanted) {
+			asked.push([from, wanted]);
+			return true;
+		},
 	});
 	const target = await listenTarget(t, socket => {
 		socket.once('data', (data: Uint8Array) => {
@@ -79,7 +83,7 @@
 });
 
 test('a tunnel that its instance closes while it stops is reset, and does not look like the end of an answer', async t => {
-	const {network, address} = await listen(t, () => true);
+	const {network, address} = await listen(t, {isTunnelAllowed: () => true});
 	const target = await listenTarget(t, socket => {
 		socket.write('half of it');
 	});
@@ -92,7 +96,7 @@
 });
 
 test('a target that resets its connection resets the tunnel', async t => {
-	const {network, address} = await listen(t, () => true);
+	const {network, address} = await listen(t, {isTunnelAllowed: () => true});
 	const target = await listenTarget(t, socket => {
 		socket.write('par');
 		socket.once('data', () => {
@@ -107,7 +111,7 @@
 });
 
 test('a tunnel whose opener leaves closes the connection to the target', async t => {
-	const {network, address} = await listen(t, () => true);
+	const {network, address} = await listen(t, {isTunnelAllowed: () => true});
 	const closed = new Promise<void>(resolve => {
 		void listenTarget(t, socket => {
 			socket.on('data', doNothing);
@@ -134,7 +138,7 @@
 
 test('a failure to open a tunnel tells a target that refuses from a peer that does', async t => {
 	const refused = {host, port: 1};
-	const {network, address} = await listen(t, () => true);
+	const {network, address} = await listen(t, {isTunnelAllowed: () => true});
 	t.is(await failureOf(network, address, refused), 'target-refused');
 	t.is(await failureOf(network, {...address, port: 1}, refused), 'peer-unavailable');
 
@@ -143,7 +147,7 @@
 });
 
 test('a daemon with another key cannot open a tunnel', async t => {
-	const {address} = await listen(t, () => true);
+	const {address} = await listen(t, {isTunnelAllowed: () => true});
 	const target = await listenTarget(t, doNothing);
 	const stranger = await PeerNetwork.listen<string>({
 		self: toId<InstanceId>('right'), key: 'another-key', host, port: 0, onMessage: doNothing, onRequest: async () => undefined, onHandlerError: doNothing,
@@ -151,3 +155,19 @@
 	t.is(await failureOf(stranger, address, target), 'peer-unavailable');
 	await stranger.close();
 });
+
+test('a peer whose own links are in doubt does not blame a target that it does not reach', async t => {
+	const results: boolean[] = [];
+	const {network, address} = await listen(t, {
+		isTunnelAllowed: () => true,
+		recordTunnelTarget(_target, isOpen) {
+			results.push(isOpen);
+			return isOpen;
+		},
+	});
+	t.is(await failureOf(network, address, {host, port: 1}), 'peer-unavailable');
+	const target = await listenTarget(t, doNothing);
+	const opened = await network.openTunnel(address, target, timeout);
+	opened.unsafeCoerce().socket.destroy();
+	t.deepEqual(results, [false, true]);
+});
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -36,6 +36,8 @@
 	readonly onHandlerError: (from: InstanceId, error: unknown) => void;
 	/** Decides whether a peer may open a tunnel to a target through this daemon; by default none may. */
 	readonly isTunnelAllowed?: (from: InstanceId, target: TunnelTarget) => boolean;
+	/** Called when the connection of a tunnel to its target opens or fails. Returns whether the target is to blame for a failure, rather than the links of this daemon; by default it is. */
+	readonly recordTunnelTarget?: (target: TunnelTarget, isOpen: boolean) => boolean;
 	/** Returns the timestamp to send with a frame; by default frames have no timestamp. */
 	readonly nextTimestamp?: () => HybridTimestamp;
 	/** Called with the timestamp of each received frame that has one, before the frame's message is handled. */
@@ -108,6 +110,7 @@
 		this.#tunnels = new TunnelServer({
 			key: options.key,
 			isAllowed: (from, target) => !this.#blockedInstances.has(from) && options.isTunnelAllowed?.(from, target) === true,
+			recordTarget: (target, isOpen) => options.recordTunnelTarget?.(target, isOpen) ?? true,
 		});
 		httpServer.on('connect', (request: IncomingMessage, socket: Socket) => {
 			this.#tunnels.handle(request, socket);
--- a/packages/transport/src/tunnel-server.ts
+++ b/packages/transport/src/tunnel-server.ts
@@ -13,6 +13,8 @@
 	readonly key: string;
 	/** Decides whether a peer may open a tunnel to a target; a tunnel that is not allowed is refused as unavailable. */
 	readonly isAllowed: (from: InstanceId, target: TunnelTarget) => boolean;
+	/** Called when the connection to a target opens or fails. Returns whether the target is to blame for a failure; otherwise the peer is told that this instance is unavailable. */
+	readonly recordTarget: (target: TunnelTarget, isOpen: boolean) => boolean;
 };
 
 /** The connection timeout if the request names none, and the longest one, in milliseconds. */
@@ -26,7 +28,7 @@
 
 @example
 ```ts
-const tunnels = new TunnelServer({key, isAllowed});
+const tunnels = new TunnelServer({key, isAllowed, recordTarget});
 httpServer.on('connect', (request, socket) => {
 	tunnels.handle(request, socket);
 });
@@ -82,7 +84,7 @@
 		});
 		const timeout = Math.min(maximumConnectMilliseconds, Number(headers[tunnelHeader.connectTimeout]) || maximumConnectMilliseconds);
 		openTarget(target, {
-			timeout, caller, refuse, openTunnels: this.count,
+			timeout, caller, refuse, openTunnels: this.count, recordResult: isOpen => this.#options.recordTarget(target, isOpen),
 		});
 	}
 
@@ -100,9 +102,11 @@
 	readonly refuse: (status: number) => void;
 	/** The number of tunnels that are open, this one included. */
 	readonly openTunnels: number;
+	/** Records whether the connection opened; returns whether the target is to blame for a failure. */
+	readonly recordResult: (isOpen: boolean) => boolean;
 };
 
-function openTarget({host, port}: TunnelTarget, {timeout, caller, refuse, openTunnels}: OpenTargetOptions): void {
+function openTarget({host, port}: TunnelTarget, {timeout, caller, refuse, openTunnels, recordResult}: OpenTargetOptions): void {
 	const server = connect({
 		host, port, allowHalfOpen: true, noDelay: true,
 	});
@@ -110,13 +114,17 @@
 		server.destroy();
 	};
 
+	const fail = (status: number): void => {
+		refuse(recordResult(false) ? status : unavailableStatus);
+	};
+
 	const stopTimeout = setTimeoutAfterPoll(timeout, () => {
-		refuse(tunnelStatus.targetUnanswered);
+		fail(tunnelStatus.targetUnanswered);
 		server.destroy();
 	});
 	const onError = ({code}: NodeJS.ErrnoException): void => {
 		stopTimeout();
-		refuse(code === 'ECONNREFUSED' ? tunnelStatus.targetRefused : tunnelStatus.targetUnanswered);
+		fail(code === 'ECONNREFUSED' ? tunnelStatus.targetRefused : tunnelStatus.targetUnanswered);
 	};
 
 	caller.once('close', onCallerClose);
@@ -126,6 +134,7 @@
 		stopTimeout();
 		caller.off('close', onCallerClose);
 		server.off('error', onError);
+		recordResult(true);
 		caller.write(`HTTP/1.1 ${tunnelStatus.opened} Connection Established\r\n${tunnelHeader.openTunnels}: ${openTunnels}\r\n\r\n`);
 		joinSockets(caller, server);
 	});
