Ask a relay that failed recently if there is no other

A cut instance whose relays had all failed once refused its callers for 0.5 to 4 s, also when a relay was sound again: backoff emptied the list in place of ordering it. The relay whose backoff ends first is asked now, once a request; a request asks four relays at most, since each may take 300 ms to fail.

--- a/packages/daemon/src/entry/near-relay-selector.ts
+++ b/packages/daemon/src/entry/near-relay-selector.ts
@@ -29,7 +29,7 @@
 
 	choose(choice: RelayCandidates): InstanceId | undefined {
 		const near = choice.candidates.filter(instance => this.#isNear(instance));
-		return this.#selector.choose({...choice, candidates: near}) ?? this.#selector.choose(choice);
+		return this.#selector.choose({...choice, candidates: near, areFailedExcluded: true}) ?? this.#selector.choose(choice);
 	}
 
 	recordOpened(instance: InstanceId, opened: OpenedRelay): () => void {
--- a/packages/routing/src/relay-selector.ts
+++ b/packages/routing/src/relay-selector.ts
@@ -26,6 +26,8 @@
 	readonly excluded: ReadonlySet<InstanceId>;
 	/** Milliseconds on the monotonic clock. */
 	readonly now: number;
+	/** Whether instances that have failed recently are left out even if there are no others; false by default. */
+	readonly areFailedExcluded?: boolean;
 };
 
 type RelayState = {
@@ -37,7 +39,7 @@
 };
 
 /**
-Chooses the instances through which servers are reached that this instance cannot reach itself. It answers the load of instances whose own links have failed: the one with the fewest open connections goes first, as it last told or as this instance counts its own, so that no single instance takes over all of it.
+Chooses the instances through which servers are reached that this instance cannot reach itself. It answers the load of instances whose own links have failed: the one with the fewest open connections goes first, as it last told or as this instance counts its own, so that no single instance takes over all of it. Those that failed recently come last.
 
 @example
 ```ts
@@ -59,13 +61,19 @@
 	Chooses a relay.
 
 	@param choice The candidates.
-	@returns The relay; undefined if all candidates are excluded or have failed recently.
+	@returns The relay; undefined if all candidates are left out.
 	*/
-	choose({candidates, excluded, now}: RelayCandidates): InstanceId | undefined {
+	choose({candidates, excluded, now, areFailedExcluded = false}: RelayCandidates): InstanceId | undefined {
 		let best: {readonly instance: InstanceId; readonly load: number; readonly tie: number} | undefined;
+		let failed: {readonly instance: InstanceId; readonly backoffUntil: number} | undefined;
 		for (const instance of candidates) {
 			const {open, told, toldUntil, backoffUntil} = this.#stateOf(instance);
-			if (excluded.has(instance) || backoffUntil > now) {
+			if (excluded.has(instance)) {
+				continue;
+			}
+
+			if (backoffUntil > now) {
+				failed = failed === undefined || backoffUntil < failed.backoffUntil ? {instance, backoffUntil} : failed;
 				continue;
 			}
 
@@ -76,7 +84,7 @@
 			}
 		}
 
-		return best?.instance;
+		return best?.instance ?? (areFailedExcluded ? undefined : failed?.instance);
 	}
 
 	/**
--- a/packages/routing/src/request-path.test.ts
+++ b/packages/routing/src/request-path.test.ts
@@ -31,3 +31,16 @@
 test('without a relay, a request goes on by the links of its instance while that is not known to be cut off', t => {
 	t.deepEqual(createPath({isCutOff: false, known: []}).next(3), {type: 'direct'});
 });
+
+test('a request asks a bounded number of relays', t => {
+	const many = Array.from({length: 9}, (_, index) => ({instance: `10.0.0.${index}` as InstanceId}));
+	const path = createPath({isCutOff: true, known: many});
+	let asked = 0;
+	for (let next = path.next(1); next.type === 'relayed'; next = path.next(1)) {
+		asked++;
+		path.exclude(next.relay);
+	}
+
+	t.is(asked, 4);
+	t.deepEqual(path.next(1), {type: 'none'});
+});
--- a/packages/routing/src/request-path.ts
+++ b/packages/routing/src/request-path.ts
@@ -19,6 +19,9 @@
 		| {readonly type: 'relayed'; readonly relay: Relay}
 		| {readonly type: 'none'};
 
+/** The relays that one request asks. Each may take some hundred milliseconds to fail. */
+const maximumRelays = 4;
+
 /**
 Chooses how the sends of one request reach backend servers. It answers the load of an instance whose own links have failed.
 
@@ -53,7 +56,7 @@
 			return {type: 'direct'};
 		}
 
-		const relay = relays.choose(this.#failedRelays);
+		const relay = this.#failedRelays.size < maximumRelays ? relays.choose(this.#failedRelays) : undefined;
 		if (relay !== undefined) {
 			return {type: 'relayed', relay};
 		}
--- a/packages/transport/src/server-relays.ts
+++ b/packages/transport/src/server-relays.ts
@@ -7,9 +7,20 @@
 /** Opens a tunnel to a target through another entry instance, within a time in milliseconds. */
 export type OpenRelayTunnel = (relay: InstanceId, target: TunnelTarget, timeout: number) => Promise<Either<TunnelFailure, OpenedTunnel>>;
 
+/** What a relay is chosen from. */
+export type RelayChoice = {
+	readonly candidates: readonly InstanceId[];
+	/** The instances that have already failed for the request. */
+	readonly excluded: ReadonlySet<InstanceId>;
+	/** Milliseconds on the monotonic clock. */
+	readonly now: number;
+	/** Whether instances that have failed recently are left out even if there are no others. */
+	readonly areFailedExcluded: boolean;
+};
+
 /** The choice of a relay, and what it depends on. */
 export type RelayChooser = {
-	readonly choose: (choice: {readonly candidates: readonly InstanceId[]; readonly excluded: ReadonlySet<InstanceId>; readonly now: number}) => InstanceId | undefined;
+	readonly choose: (choice: RelayChoice) => InstanceId | undefined;
 	/** Counts a connection through a relay; returns a function that ends the count. */
 	readonly recordOpened: (instance: InstanceId, opened: {readonly now: number; readonly told: number | undefined}) => () => void;
 	readonly recordFailure: (instance: InstanceId, now: number) => void;
@@ -57,7 +68,7 @@
 	}
 
 	/**
-	Chooses a relay.
+	Chooses a relay. One that has failed recently is asked if there is no other, but not by a request that another relay has already failed.
 
 	@param excluded The instances that have already failed for the request.
 	@returns The relay; undefined if there is none.
@@ -66,7 +77,9 @@
 		const {peers, clock, selector, createPool} = this.#options;
 		const candidates = peers();
 		selector.retain(candidates);
-		const instance = selector.choose({candidates, excluded, now: clock.monotonic()});
+		const instance = selector.choose({
+			candidates, excluded, now: clock.monotonic(), areFailedExcluded: excluded.size > 0,
+		});
 		if (instance === undefined) {
 			return undefined;
 		}
