Reach the only server of a service through another instance after the first failed connection

A relay was asked after two failed connections of a request, and the only server was excluded after the first; with one server, an instance never finds itself cut off either.

The server is tried once more, through a relay, if there is no other. A connection that never opened is no send, so that nothing can run twice (the test counts the runs).

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -193,7 +193,8 @@
 	}
 
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<NextStep> {
-		const path = this.#path.next(this.#allowance.connectionFailures);
+		const {connectionFailures} = this.#allowance;
+		const path = this.#path.next(connectionFailures, {isOnlyServer: connectionFailures > 0 && !this.#placement.hasAnother(server)});
 		if (path.type === 'none') {
 			const message = `This instance reaches no server of ${this.#placement.service} (${this.#end.lastProblem}; ${this.#relayCounts})`;
 			return this.#fail(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
@@ -258,7 +259,7 @@
 
 		return match(step)
 			.with({type: 'ended'}, async (): Promise<NextStep> => 'ended')
-			.with({type: 'unreachable'}, async () => this.#handleUnreachable(server))
+			.with({type: 'unreachable'}, async () => this.#handleUnreachable(server, relay))
 			.with({type: 'relay-unavailable'}, async () => this.#handleRelayUnavailable(relay))
 			.with({type: 'not-run'}, async ({failed}) => this.#handleNotRun(server, failed))
 			.with({type: 'connection-lost'}, async ({failed}) => {
@@ -287,10 +288,14 @@
 			.exhaustive();
 	}
 
-	/** A failed connection does not count as a send. */
-	async #handleUnreachable(server: ServerRecord): Promise<NextStep> {
+	/** A failed connection does not count as a send. The only server of a service is tried again, through a relay. */
+	async #handleUnreachable(server: ServerRecord, relay: Relay | undefined): Promise<NextStep> {
 		this.#end.lastProblem = `${server.id} is unreachable`;
-		this.#placement.exclude(server);
+		const isTriedAgain = relay === undefined && this.#allowance.connectionFailures === 0 && this.#context.relays.candidateCount > 0 && !this.#placement.hasAnother(server);
+		if (!isTriedAgain) {
+			this.#placement.exclude(server);
+		}
+
 		if (this.#allowance.revokeSend()) {
 			return 'retry';
 		}
--- a/packages/routing/src/request-path.test.ts
+++ b/packages/routing/src/request-path.test.ts
@@ -18,6 +18,12 @@
 	t.deepEqual(path.next(2), {type: 'relayed', relay: relays[0]!});
 });
 
+test('a request to the only server of a service takes a relay after its first failed connection', t => {
+	const path = createPath({isCutOff: false});
+	t.deepEqual(path.next(0, {isOnlyServer: true}), {type: 'direct'});
+	t.deepEqual(path.next(1, {isOnlyServer: true}), {type: 'relayed', relay: relays[0]!});
+});
+
 test('a request of an instance that is cut off takes a relay at once, and another one if that fails', t => {
 	const path = createPath({isCutOff: true});
 	t.deepEqual(path.next(0), {type: 'relayed', relay: relays[0]!});
--- a/packages/routing/src/request-path.ts
+++ b/packages/routing/src/request-path.ts
@@ -6,10 +6,16 @@
 	readonly links: Pick<ServiceLinks, 'isCutOff'>;
 	/** Chooses a relay among those that have not failed for the request. */
 	readonly relays: {readonly choose: (excluded: ReadonlySet<InstanceId>) => Relay | undefined};
-	/** The failed connections of a request after which a relay is tried even if the instance does not know yet whether it is cut off; 2 by default. */
+	/** The failed connections of a request after which a relay is tried even if the instance does not know yet whether it is cut off; 2 by default. A request to the only server of a service tries one after the first. */
 	readonly directFailures?: number;
 };
 
+/** Options of {@linkcode RequestPath.next}. */
+export type NextPathOptions = {
+	/** Whether the request has no other server to try; false by default. */
+	readonly isOnlyServer?: boolean;
+};
+
 /** An instance that opens connections for others. */
 export type RelayInstance = {readonly instance: InstanceId};
 
@@ -48,11 +54,12 @@
 	Chooses the path of the next send.
 
 	@param connectionFailures How many connections of the request have failed.
+	@param options What other servers there are.
 	@returns The path.
 	*/
-	next(connectionFailures: number): Path<Relay> {
+	next(connectionFailures: number, {isOnlyServer = false}: NextPathOptions = {}): Path<Relay> {
 		const {links: {isCutOff}, relays, directFailures = 2} = this.#options;
-		if (!isCutOff && connectionFailures < directFailures) {
+		if (!isCutOff && connectionFailures < (isOnlyServer ? 1 : directFailures)) {
 			return {type: 'direct'};
 		}
 
--- a/packages/testing/src/server-partition.test.ts
+++ b/packages/testing/src/server-partition.test.ts
@@ -30,15 +30,19 @@
 		{
 			...route, name: 'record', pathPrefix: '/record/', kind: 'safe', service: 'records',
 		},
+		{
+			...route, name: 'seal', pathPrefix: '/seal/', kind: 'unsafe', service: 'seals',
+		},
 	],
-	services: [{name: 'labels'}, {name: 'records'}],
+	services: [{name: 'labels'}, {name: 'records'}, {name: 'seals'}],
 	limits: {
 		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 	},
 	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}],
 };
 const zones = ['hall-a', 'hall-b', 'hall-c'];
-const services = ['labels', 'records'];
+/** The zones of the servers of each service. */
+const services: Readonly<Record<string, readonly string[]>> = {labels: zones, records: zones, seals: zones.slice(0, 1)};
 /** The time after the beginning of a cut from which callers must be served as elsewhere, in milliseconds. */
 const connectivityMilliseconds = 3000;
 const measuredMilliseconds = 2000;
@@ -68,7 +72,7 @@
 async function start(t: ExecutionContext, {gap = 10, entryCount = 3, entryZone = () => zones[0]!, isUnframed = false}: StartOptions = {}): Promise<Started> {
 	const deployment = await PlatformDeployment.start({entryCount, entryZone, environment: instance => serverCutEnvironment(instance)});
 	const backends = await startBackends(t, {
-		deployment, servers: services.flatMap(service => zones.map(zone => ({
+		deployment, servers: Object.entries(services).flatMap(([service, serverZones]) => serverZones.map(zone => ({
 			id: `i-${service}-${zone}`, service, zone, answer: () => ({events: ['one', 'two', 'three'], gap, isUnframed}),
 		}))),
 	});
@@ -173,6 +177,23 @@
 	});
 });
 
+test.serial('calls that may not be repeated are served behind a cut from the only server of their service', async t => {
+	const {deployment, backends, send} = await start(t);
+	const [entry] = deployment.entries;
+	const [seals] = backends.filter(({service}) => service === 'seals');
+	const seal = {method: 'POST', path: '/seal/7'};
+	await waitUntil(async () => await send(entry!.address, seal) === 200 || undefined, {description: 'a first response'});
+	await cutServerLinks(entry!, 'refused', {ports: [seals!.port]});
+	const before = seals!.runs.length;
+	const statuses: number[] = [];
+	for (let index = 0; index < 20; index++) {
+		statuses.push(await send(entry!.address, seal));
+	}
+
+	t.deepEqual(new Set(statuses), new Set([200]), `${statuses.filter(status => status === 200).length} of ${statuses.length} requests were served`);
+	t.is(seals!.runs.length, before + statuses.length);
+});
+
 test.serial('an instance that reaches no server serves its callers through one that does not answer for most servers', async t => {
 	const {deployment, backends, sendFor} = await start(t, {entryCount: 2});
 	const [entry, relay] = deployment.entries;
