--- a/packages/testing/src/server-partition.test.ts
+++ b/packages/testing/src/server-partition.test.ts
@@ -47,6 +47,10 @@
 const connectivityMilliseconds = 3000;
 const measuredMilliseconds = 2000;
 const sendMilliseconds = 100;
+/** One request of each kind. */
+const requestsEach = [
+	{method: 'GET', path: '/look/7'}, {method: 'POST', path: '/print/7'}, {method: 'POST', path: '/tag/7'}, {method: 'GET', path: '/record/7'},
+];
 
 type Started = {
 	readonly deployment: PlatformDeployment;
@@ -99,7 +103,7 @@
 			const endsAt = performance.now() + duration;
 			while (performance.now() < endsAt) {
 				for (const {address} of entries) {
-					statuses.push(send(address, {method: 'GET', path: '/look/7'}), send(address, {method: 'POST', path: '/print/7'}), send(address, {method: 'POST', path: '/tag/7'}), send(address, {method: 'GET', path: '/record/7'}));
+					statuses.push(...requestsEach.map(async request => send(address, request)));
 				}
 
 				await delay(sendMilliseconds);
@@ -180,7 +184,7 @@
 test.serial('calls that may not be repeated are served behind a cut from the only server of their service', async t => {
 	const {deployment, backends, send} = await start(t);
 	const [entry] = deployment.entries;
-	const [seals] = backends.filter(({service}) => service === 'seals');
+	const seals = backends.find(({service}) => service === 'seals');
 	const seal = {method: 'POST', path: '/seal/7'};
 	await waitUntil(async () => await send(entry!.address, seal) === 200 || undefined, {description: 'a first response'});
 	await cutServerLinks(entry!, 'refused', {ports: [seals!.port]});
