Cut all entry instances but one from the servers in half of the soaks, and name the service in the log

The soak cut one instance. It draws now, by one more number of the cut's own random source, whether all but the picked one are cut, and compares their callers with those of the instances that are not. That the case is red without the relays of all zones was not shown: three instances know each other.

servers-unreachable and servers-reachable name the service, and how many instances can be asked.

--- a/packages/gateway/src/entry/create-server-links.ts
+++ b/packages/gateway/src/entry/create-server-links.ts
@@ -34,15 +34,15 @@
 		wait,
 		servers: () => servers.availability.available,
 		isReachable: async server => isServerReachable(server, trialTimeoutMilliseconds),
-		onCutOff({servers: unreachable, duration}) {
+		onCutOff({service, servers: unreachable, duration}) {
 			log('servers-unreachable', {
-				servers: unreachable, unreachable: unreachable.length, duration, relays: relayCount(),
+				service, servers: unreachable, unreachable: unreachable.length, duration, relays: relayCount(),
 			}, 'warn');
 			servers.forgetConnectionFailures();
 			onCutOff();
 		},
-		onReachable({servers: unreachable, duration}) {
-			log('servers-reachable', {unreachable: unreachable.length, duration}, 'warn');
+		onReachable({service, servers: unreachable, duration}) {
+			log('servers-reachable', {service, unreachable: unreachable.length, duration}, 'warn');
 		},
 		onCount(unreachable) {
 			metrics.unreachableServers.set(unreachable);
--- a/packages/routing/src/server-links.ts
+++ b/packages/routing/src/server-links.ts
@@ -1,14 +1,23 @@
 import {type ServiceId} from '@valehitch/core';
-import {type LinkedServer, ServiceLinks, type ServiceLinksOptions} from './service-links.js';
+import {
+	type LinkedServer, type ServerLinkEvidence, ServiceLinks, type ServiceLinksOptions,
+} from './service-links.js';
 
 /** Options of {@linkcode ServerLinks}. */
-export type ServerLinksOptions<Server extends LinkedServer = LinkedServer> = Omit<ServiceLinksOptions<Server>, 'servers' | 'onCount'> & {
+export type ServerLinksOptions<Server extends LinkedServer = LinkedServer> = Omit<ServiceLinksOptions<Server>, 'servers' | 'onCutOff' | 'onReachable' | 'onCount'> & {
 	/** Returns the servers of all services that may be tried. */
 	readonly servers: () => readonly Server[];
+	/** Called when the instance finds that it reaches no server of a service. */
+	readonly onCutOff: (evidence: ServerLinksEvidence) => void;
+	/** Called when it reaches one again. */
+	readonly onReachable: (evidence: ServerLinksEvidence) => void;
 	/** Called with the number of servers that were unreachable since the last connection to a server of the same service. */
 	readonly onCount?: (unreachable: number) => void;
 };
 
+/** What speaks for a cut from the servers of a service. */
+export type ServerLinksEvidence = ServerLinkEvidence & {readonly service: ServiceId};
+
 /**
 The links of an instance to backend servers, for each service by itself: servers of one service may be out of reach while those of another are not, and connections to the latter say nothing of the former.
 
@@ -45,9 +54,16 @@
 			return known;
 		}
 
+		const {servers, onCutOff, onReachable} = this.#options;
 		const links = new ServiceLinks<Server>({
 			...this.#options,
-			servers: () => this.#options.servers().filter(server => server.service === service),
+			servers: () => servers().filter(server => server.service === service),
+			onCutOff(evidence) {
+				onCutOff({...evidence, service});
+			},
+			onReachable(evidence) {
+				onReachable({...evidence, service});
+			},
 			onCount: unreachable => {
 				this.#count(service, unreachable);
 			},
--- a/packages/soak/src/find-cut-violations.ts
+++ b/packages/soak/src/find-cut-violations.ts
@@ -22,9 +22,10 @@
 */
 export function findCutViolations({requests, serverCuts, disturbances}: Pick<SoakRecord, 'requests' | 'serverCuts' | 'disturbances'>): readonly string[] {
 	const violations: string[] = [];
+	const cutEntries = new Set(serverCuts.map(({entry}) => entry));
 	for (const {entry, from, to} of serverCuts) {
 		const inCut = requests.filter(({sentAt, entry: address}) => sentAt > from + connectivityMilliseconds && sentAt < to && !isDisturbed(disturbances, {address, from, to}));
-		const [own, others] = [inCut.filter(request => request.entry === entry), inCut.filter(request => request.entry !== entry)];
+		const [own, others] = [inCut.filter(request => request.entry === entry), inCut.filter(request => !cutEntries.has(request.entry))];
 		const [ownServed, othersServed] = [countServed(own), countServed(others)];
 		const failures = own.length - ownServed;
 		const isServedFarLess = others.length > 0 && ownServed * others.length < servedShare * othersServed * own.length;
--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -112,20 +112,21 @@
 }
 
 /**
-Lets an entry instance open no connection to any backend server for a time; open ones go on.
+Lets entry instances open no connection to any backend server for a time; open ones go on.
 
 @param cut The cut.
 @param options The possible targets.
 @example
 ```ts
-await cutServerLinks({at: 0, duration: 5000, pick: 0.5}, {deployment, record});
+await cutServerLinks({at: 0, duration: 5000, pick: 0.5, isOneSpared: true}, {deployment, record});
 ```
 */
-export async function cutServerLinks({duration, pick}: ServerCut, {deployment, record}: Pick<InjectFaultOptions, 'deployment' | 'record'>): Promise<void> {
-	const {address, folder} = pickItem(deployment.entries, pick);
+export async function cutServerLinks({duration, pick, isOneSpared}: ServerCut, {deployment: {entries}, record}: Pick<InjectFaultOptions, 'deployment' | 'record'>): Promise<void> {
+	const picked = pickItem(entries, pick);
+	const cut = isOneSpared ? entries.filter(entry => entry !== picked) : [picked];
 	const from = performance.now();
-	await writeFaultFile(faultFile(folder, 'links'), {text: '', duration});
-	record.serverCuts.push({entry: address, from, to: performance.now()});
+	await Promise.all(cut.map(async ({folder}) => writeFaultFile(faultFile(folder, 'links'), {text: '', duration})));
+	record.serverCuts.push(...cut.map(({address}) => ({entry: address, from, to: performance.now()})));
 }
 
 async function writeFaultFile(file: string, {text, duration}: {readonly text: string; readonly duration: number}): Promise<void> {
--- a/packages/soak/src/plan-server-cut.ts
+++ b/packages/soak/src/plan-server-cut.ts
@@ -1,13 +1,15 @@
 import {type RandomSource} from '@valehitch/core';
 
-/** A time in which one entry instance opens no connection to any backend server. */
+/** A time in which one entry instance, or all but one, open no connection to any backend server. */
 export type ServerCut = {
 	/** Milliseconds from the start of the traffic. */
 	readonly at: number;
 	/** The duration in milliseconds. */
 	readonly duration: number;
-	/** Selects the instance: a number in the range [0, 1). */
+	/** Selects the instance that is cut off, or that is spared: a number in the range [0, 1). */
 	readonly pick: number;
+	/** Whether all instances but the selected one are cut off. */
+	readonly isOneSpared: boolean;
 };
 
 /** Options for a plan of a cut. */
@@ -22,9 +24,10 @@
 const latestStartShare = 0.4;
 const minimumDurationShare = 0.4;
 const maximumDurationShare = 0.6;
+const oneSparedShare = 0.5;
 
 /**
-Draws the cut of one entry instance from all servers at random.
+Draws the cut of one entry instance, or all but one, from all servers at random.
 
 @param options The random source and the length.
 @returns The cut, which ends with the traffic at the latest.
@@ -38,5 +41,6 @@
 		at: random() * latestStartShare * length,
 		duration: (minimumDurationShare + (random() * (maximumDurationShare - minimumDurationShare))) * length,
 		pick: random(),
+		isOneSpared: random() < oneSparedShare,
 	};
 }
--- a/packages/soak/src/run-soak.test.ts
+++ b/packages/soak/src/run-soak.test.ts
@@ -15,6 +15,9 @@
 	{
 		seed: 3, seconds: 12, gap: 6000, cause: 'an instance that reached no server refused its callers',
 	},
+	{
+		seed: 5, seconds: 12, gap: 6000, cause: 'all instances but one reached no server',
+	},
 ];
 const program = fileURLToPath(new URL('bin/soak.js', import.meta.url));
 
