Take relays from a ring of hashes that is built once a change

Selecting the relays of one instance hashed and sorted all instances, 0.42 ms at 84 and 1.43 ms at 300, for each instance after each change of who is there or cut off. At 300 instances whose polls ask a control instance some 460 times a second, a second of changes would have cost it two thirds of a core.

The instances of each zone are placed in a ring by their hash once a change (0.06 ms at 84, 0.22 ms at 300), and an instance takes its successors (0.01 ms and less).

--- a/packages/gateway/src/control/relay-lists.ts
+++ b/packages/gateway/src/control/relay-lists.ts
@@ -1,5 +1,5 @@
 import {type InstanceId} from '@valehitch/core';
-import {selectRelays} from '@valehitch/routing';
+import {RelayRing} from '@valehitch/routing';
 import {type ActiveEntry} from './select-load-sharing-peers.js';
 
 /** The entry instances through which an entry instance can reach servers, and the revision from which the list is. */
@@ -22,6 +22,7 @@
 	readonly #cutOff = new Set<InstanceId>();
 	readonly #lists = new Map<InstanceId, RelayList>();
 	#entries: readonly ActiveEntry[] = [];
+	#ring: RelayRing | undefined;
 	#revision = 0;
 
 	/**
@@ -71,14 +72,15 @@
 			return known;
 		}
 
-		const members = entries.map(({instance, zone}) => ({instance, zone, isCutOff: this.#cutOff.has(instance)}));
-		const list = {revision: this.#revision, relays: selectRelays(entry, members)};
+		this.#ring ??= new RelayRing(entries.map(({instance, zone}) => ({instance, zone, isCutOff: this.#cutOff.has(instance)})));
+		const list = {revision: this.#revision, relays: this.#ring.select(entry)};
 		this.#lists.set(entry.instance, list);
 		return list;
 	}
 
 	#invalidate(): void {
 		this.#revision++;
+		this.#ring = undefined;
 		this.#lists.clear();
 	}
 }
--- a/packages/routing/src/select-relays.test.ts
+++ b/packages/routing/src/relay-ring.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import test from 'ava';
 import {RelaySelector} from './relay-selector.js';
-import {type RelayMember, selectRelays} from './select-relays.js';
+import {type RelayMember, RelayRing} from './relay-ring.js';
 
 const zoneSizes: Readonly<Record<number, readonly number[]>> = {
 	7: [3, 2, 2], 16: [6, 5, 5], 84: [26, 30, 28], 370: [124, 123, 123],
@@ -45,8 +45,9 @@
 /** Opens tunnels of all instances that are cut off, the oldest ones closing; returns the tunnels of each relay. */
 function simulate(members: readonly RelayMember[], random: () => number): ReadonlyMap<InstanceId, number> {
 	const loads = new Map<InstanceId, number>();
+	const ring = new RelayRing(members);
 	const choosers = members.filter(({isCutOff}) => isCutOff).map(self => ({
-		selector: new RelaySelector({random}), candidates: selectRelays(self, members), open: new Array<{readonly relay: InstanceId; readonly close: () => void}>(),
+		selector: new RelaySelector({random}), candidates: ring.select(self), open: new Array<{readonly relay: InstanceId; readonly close: () => void}>(),
 	}));
 	for (let now = 0; now < 3 * tunnelsEach; now++) {
 		for (const {selector, candidates, open} of choosers) {
@@ -69,8 +70,9 @@
 	fc.assert(fc.property(fc.constantFrom(7, 16, 84, 370), cuts, (size, cut) => {
 		const members = createMembers(size, cut);
 		const connected = new Set(members.filter(({isCutOff}) => !isCutOff).map(({instance}) => instance));
+		const ring = new RelayRing(members);
 		for (const self of members.filter(({isCutOff}) => isCutOff)) {
-			const relays = selectRelays(self, members);
+			const relays = ring.select(self);
 			t.false(relays.includes(self.instance));
 			t.is(new Set(relays).size, relays.length);
 			const [first] = relays;
@@ -94,8 +96,9 @@
 	const members = createMembers(84, {
 		kind: 'zones', share: 0, zones: 0, seed: 1,
 	});
+	const ring = new RelayRing(members);
 	for (const self of members) {
-		const zones = selectRelays(self, members).map(relay => members.find(({instance}) => instance === relay)!.zone);
+		const zones = ring.select(self).map(relay => members.find(({instance}) => instance === relay)!.zone);
 		t.is(zones[0], self.zone);
 		t.is(new Set(zones.slice(0, zoneCount)).size, zoneCount);
 	}
