Select the peers of an entry instance once for each set of entry instances

A control instance sorted all entry instances by name for each poll: 0.13 ms at 300 (2,000 calls in a loop), some 6 % of a core at the 460 polls a second that one of six control instances answers then. The peers are kept until an entry instance comes or goes; the answers are the same.

--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -60,6 +60,8 @@
 	readonly #entries = new Map<InstanceId, ActiveEntry & {readonly at: number}>();
 	/** The entries as a list; undefined after one was added or removed. */
 	#activeList: readonly ActiveEntry[] | undefined;
+	/** The peers of the entries in the list, as far as they have been asked for. */
+	readonly #peers = new Map<InstanceId, readonly InstanceId[]>();
 
 	constructor(options: EntryWatchesOptions) {
 		this.#options = options;
@@ -115,7 +117,7 @@
 			confirmedAgo: confirmedAt === undefined ? undefined : now - confirmedAt,
 			hosts,
 			entryCount: entries.length,
-			entries: selectLoadSharingPeers(entry, entries),
+			entries: this.#peersOf(entry, entries),
 			relayRevision,
 			relays: watch.run === run && watch.relayRevision === relayRevision ? undefined : relays,
 		};
@@ -157,9 +159,19 @@
 			}
 		}
 
-		this.#activeList ??= [...this.#entries.values()];
+		if (this.#activeList === undefined) {
+			this.#activeList = [...this.#entries.values()];
+			this.#peers.clear();
+		}
+
 		return this.#activeList;
 	}
+
+	#peersOf(entry: ActiveEntry, entries: readonly ActiveEntry[]): readonly InstanceId[] {
+		const peers = this.#peers.get(entry.instance) ?? selectLoadSharingPeers(entry, entries);
+		this.#peers.set(entry.instance, peers);
+		return peers;
+	}
 }
 
 function isNewer(configuration: ConfigurationDocument | undefined, {configurationVersion = Number.NEGATIVE_INFINITY}: WatchMessage): boolean {
