--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,8 +1,8 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
-import {abortResponse, type TunnelTarget} from '@valehitch/transport';
-import {mayRelay, WindowedRetryBudget} from '@valehitch/routing';
+import {abortResponse} from '@valehitch/transport';
+import {WindowedRetryBudget} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {
@@ -29,6 +29,7 @@
 import {createServerLinks} from './create-server-links.js';
 import {createServerRelays} from './create-server-relays.js';
 import {SendBorrower} from './send-borrower.js';
+import {ServerTunnels} from './server-tunnels.js';
 import {SuspectReporter} from './suspect-reporter.js';
 import {VersionPins} from './version-pins.js';
 
@@ -51,6 +52,8 @@
 ```
 */
 export class EntryInstance {
+	/** The connections to servers that this instance opens for others. */
+	readonly tunnels: ServerTunnels;
 	readonly #options: EntryInstanceOptions;
 	readonly #context: EntryContext;
 	readonly #watch: ControlWatch;
@@ -151,6 +154,7 @@
 				this.#watch.requestConfirmation();
 			},
 		};
+		this.tunnels = new ServerTunnels({...this.#context, isStopping: () => this.#endsAt !== undefined});
 		this.#watch = new ControlWatch({
 			...options,
 			suspension,
@@ -221,32 +225,6 @@
 			.exhaustive();
 	}
 
-	/**
-	Checks whether another entry instance may reach an address through this one. It may not if this instance reaches no server itself, so that no request takes two such steps.
-
-	@param target The address.
-	@param openTunnels The number of connections that are open through this instance.
-	@returns Whether it may.
-	*/
-	mayRelay(target: TunnelTarget, openTunnels: number): boolean {
-		const {links, servers} = this.#context;
-		const server = servers.availability.serverAt(target);
-		return server !== undefined && mayRelay({isStopping: this.#endsAt !== undefined, links: links.of(server.service), openTunnels});
-	}
-
-	/**
-	Records whether a connection to a server opened that was made for another entry instance.
-
-	@param target The address of the server.
-	@param isOpen Whether it opened.
-	@returns Whether the server is to blame for a failure; false if the links of this instance are in doubt.
-	*/
-	recordTunnelTarget(target: TunnelTarget, isOpen: boolean): boolean {
-		const {links, servers} = this.#context;
-		const server = servers.availability.serverAt(target);
-		return server === undefined || links.of(server.service).recordResult(server.id, isOpen);
-	}
-
 	/** Closes idle connections, so that their callers connect to other instances before this one stops. */
 	closeIdle(): void {
 		this.#server.closeIdleConnections();
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -104,11 +104,11 @@
 		onMessage: async (from, message) => handlePeerMessage(parts, from, message),
 		onRequest: async (from, message) => handlePeerMessage(parts, from, message),
 		isTunnelAllowed(_from, target) {
-			const isAllowed = parts.entry?.mayRelay(target, network.tunnelCount) === true;
+			const isAllowed = parts.entry?.tunnels.mayOpen(target, network.tunnelCount) === true;
 			metrics.relayedConnections.inc({result: isAllowed ? 'accepted' : 'refused'});
 			return isAllowed;
 		},
-		recordTunnelTarget: (target, isOpen) => parts.entry?.recordTunnelTarget(target, isOpen) ?? true,
+		recordTunnelTarget: (target, isOpen) => parts.entry?.tunnels.recordTarget(target, isOpen) ?? true,
 		onHandlerError(from, error) {
 			log('peer-message-failed', {from, reason: error instanceof Error ? error.stack ?? error.message : String(error)}, 'error');
 		},
