--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -4,7 +4,6 @@
 import {match} from 'ts-pattern';
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
-import {awaitFirstServer} from './await-first-server.js';
 import {CallerAnswer} from './caller-answer.js';
 import {type EntryContext} from './entry-context.js';
 import {endExpired} from './end-expired.js';
@@ -19,23 +18,16 @@
 import {type SentAttempt} from './send-attempt.js';
 import {SendResults} from './send-results.js';
 import {FallbackAnswer} from './fallback-answer.js';
+import {retryMilliseconds} from './retry-milliseconds.js';
+import {ServerWait} from './server-wait.js';
 import {startSend} from './start-send.js';
 import {
 	type OutcomeStep, relayFallback, handleOutcome, type HandleOutcomeOptions,
 } from './handle-outcome.js';
 
-/** The retry delay sent to the caller when no server accepted the request, in milliseconds: the time in which a slot usually becomes free. */
-const retryMilliseconds = 250;
-
 /** How long a request waits before it is sent again while a part of its prompt is doubtful, in milliseconds: the time in which another exit would prove the part to be their cause. */
 export const doubtfulPartMilliseconds = 300;
 
-/** How often a request asks other instances for a send. */
-const maximumLoans = 3;
-
-/** The retry delay while all availability zones of a service are evacuated, in milliseconds: an operator takes seconds to end an evacuation. */
-const evacuatedRetryMilliseconds = 2000;
-
 /**
 Runs one request: chooses servers and models, sends the request, retries it if that is safe, and answers exactly once.
 
@@ -61,8 +53,7 @@
 	readonly #fallback: FallbackAnswer;
 	readonly #suspect: SuspectRequest;
 	readonly #path: RequestPath<Relay>;
-	/** How often the request has asked other instances for a send. */
-	#loans = 0;
+	readonly #wait: ServerWait;
 	/** The current or last send. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
 
@@ -92,6 +83,9 @@
 		});
 		this.#suspect = new SuspectRequest(context.suspects, {...request, workspace: authorized.workspace?.id, body});
 		this.#path = new RequestPath({links: context.links.of(this.#placement.service), relays: context.relays});
+		this.#wait = new ServerWait(context, {
+			service: this.#placement.service, allowance: this.#allowance, arrivedAt, deadlineAt: this.#deadlineAt,
+		});
 		this.#fallback = new FallbackAnswer({
 			clock: context.clock,
 			deadlineAt: this.#deadlineAt,
@@ -164,32 +158,8 @@
 			return this.#sendTo(server, authorized.unsafeCoerce());
 		}
 
-		if (this.#context.servers.availability.isEvacuated(this.#placement.service)) {
-			return this.#fail(failure('no-server', `All servers of ${this.#placement.service} are in evacuated availability zones`, {retryAfterMilliseconds: evacuatedRetryMilliseconds}));
-		}
-
-		const wait = this.#context.servers.availability.waitFor(this.#placement.service, this.#now());
-		if (wait > 0 && await this.#borrowSend()) {
-			return 'retry';
-		}
-
-		if (wait === 0 && await awaitFirstServer(this.#context, {allowance: this.#allowance, arrivedAt: this.#arrivedAt, deadlineAt: this.#deadlineAt})) {
-			return 'retry';
-		}
-
-		const message = `No server of ${this.#placement.service} is available for the request (${this.#end.lastProblem})`;
-		return this.#fail(failure('no-server', message, {retryAfterMilliseconds: this.#retryAfter(wait)}));
-	}
-
-	/** Borrows a send from another instance if the rate limits of all servers leave none; a bounded number of times, since other requests may use it first. */
-	async #borrowSend(): Promise<boolean> {
-		this.#loans++;
-		return this.#loans <= maximumLoans && this.#context.borrower.borrow(this.#placement.service);
-	}
-
-	/** Callers of servers that take few requests return at different times, so that they do not compete for the same send. */
-	#retryAfter(wait: number): number {
-		return Math.max(retryMilliseconds, Math.round(wait * (1 + this.#context.random())));
+		const failed = await this.#wait.next(this.#end.lastProblem);
+		return failed === undefined ? 'retry' : this.#fail(failed);
 	}
 
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<NextStep> {
