Forget failed connections of the service that is cut off only

When an instance found itself cut off from one service, it also forgot which servers of other services had failed, and sent requests there again. The test fails without the condition.

--- a/packages/gateway/src/entry/create-server-links.ts
+++ b/packages/gateway/src/entry/create-server-links.ts
@@ -38,7 +38,7 @@
 			log('servers-unreachable', {
 				service, servers: unreachable, unreachable: unreachable.length, duration, relays: relayCount(),
 			}, 'warn');
-			servers.forgetConnectionFailures();
+			servers.forgetConnectionFailures(service);
 			onCutOff();
 		},
 		onReachable({service, servers: unreachable, duration}) {
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -1,5 +1,5 @@
 import {
-	type InstanceId, type ServerId, type VersionId, type ZoneId,
+	type InstanceId, type ServerId, type ServiceId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import test from 'ava';
 import {testServer} from '../servers/_test-server.js';
@@ -84,6 +84,22 @@
 	t.is(chooseId(servers, {now: now + 1000, excluded: new Set([testServer().id])}), other.id);
 });
 
+test('connection failures of one service are forgotten without those of another', t => {
+	const [labels, records] = ['labels', 'records'] as ServiceId[];
+	const ids = ['labels-1', 'labels-2', 'records-1', 'records-2'] as ServerId[];
+	const servers = createServers(...ids.map((id, index) => testServer({id, service: index < 2 ? labels! : records!, port: index + 1})));
+	const chosen = () => [labels!, records!].map(service => chooseId(servers, {service}));
+	const before = chosen();
+	for (const id of before) {
+		servers.recordResult(id!, 'unreachable', now);
+	}
+
+	const [, otherRecords] = chosen();
+	t.not(otherRecords, before[1]);
+	servers.forgetConnectionFailures(labels!);
+	t.deepEqual(chosen(), [before[0], otherRecords]);
+});
+
 test('a server that only a partitioned control instance reports as silent is not avoided', t => {
 	const other = testServer({id: 'server-2' as ServerId});
 	const servers = createServers(testServer(), other);
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -1,5 +1,5 @@
 import {
-	type InstanceId, type ServerId,
+	type InstanceId, type ServerId, type ServiceId,
 } from '@valehitch/core';
 import {
 	chooseServer, OutlierEjection, prefixHash, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
@@ -94,9 +94,17 @@
 		return changed;
 	}
 
-	/** Forgets failed connections, because they were the fault of this instance's own links. */
-	forgetConnectionFailures(): void {
+	/**
+	Forgets the failed connections to the servers of a service, because they were the fault of this instance's own links.
+
+	@param service The service.
+	*/
+	forgetConnectionFailures(service: ServiceId): void {
 		for (const tracked of this.#servers.values()) {
+			if (tracked.record.service !== service) {
+				continue;
+			}
+
 			tracked.backoffUntil = 0;
 			tracked.connectionFailures = 0;
 			this.#zones.recordContact(tracked.record.zone);
