End the trials of a suspicion when another one begins

When a suspicion ended and another began while the trials of the first waited, both went on beside each other: nine trial connections in place of three after three suspicions (the test, red before).

--- a/packages/routing/src/service-links.test.ts
+++ b/packages/routing/src/service-links.test.ts
@@ -87,6 +87,34 @@
 	t.true(links.areConnected);
 });
 
+test('a suspicion that begins while the trials of the former one wait does not double them', async t => {
+	const wakes: Array<() => void> = [];
+	const {links, tried} = createLinks({
+		wait: async () => new Promise<void>(resolve => {
+			wakes.push(resolve);
+		}),
+	});
+	for (let suspicion = 1; suspicion <= 2; suspicion++) {
+		links.recordUnreachable(ids[0]!);
+		links.recordUnreachable(ids[1]!);
+		await pass(() => wakes.length === suspicion);
+		links.recordConnected();
+	}
+
+	links.recordUnreachable(ids[0]!);
+	links.recordUnreachable(ids[1]!);
+	await pass(() => wakes.length === 3);
+	const before = tried.length;
+	for (const wake of wakes.splice(0)) {
+		wake();
+	}
+
+	await pass(() => wakes.length > 0);
+	await setImmediate();
+	t.is(tried.length - before, 3);
+	links.stop();
+});
+
 test('trials end with the instance', async t => {
 	const {links, tried} = createLinks({});
 	links.recordUnreachable(ids[0]!);
--- a/packages/routing/src/service-links.ts
+++ b/packages/routing/src/service-links.ts
@@ -47,6 +47,8 @@
 export class ServiceLinks<Server extends LinkedServer = LinkedServer> {
 	readonly #options: ServiceLinksOptions<Server>;
 	readonly #detector = new ServerLinkDetector();
+	/** The number of suspicions so far; the trials of an earlier one end. */
+	#suspicions = 0;
 	#isStopped = false;
 
 	constructor(options: ServiceLinksOptions<Server>) {
@@ -112,8 +114,16 @@
 
 	async #tryUntilConnected(): Promise<void> {
 		const {random, wait, onCutOff} = this.#options;
-		while (!this.areConnected && !this.#isStopped) {
-			if (await this.#trySome()) {
+		this.#suspicions++;
+		const suspicion = this.#suspicions;
+		const isOver = (): boolean => this.areConnected || this.#isStopped || suspicion !== this.#suspicions;
+		while (!isOver()) {
+			const isReachable = await this.#trySome();
+			if (isOver()) {
+				return;
+			}
+
+			if (isReachable) {
 				this.recordConnected();
 				return;
 			}
