--- a/packages/routing/src/_suspect-analysis.ts
+++ b/packages/routing/src/_suspect-analysis.ts
@@ -1,4 +1,5 @@
 import {type PromptPartFingerprint, type SuspectFingerprint} from '@valehitch/core';
+import {addAll} from './_add-all.js';
 import {blamePromptParts, type SuspectedPart} from './blame-prompt-parts.js';
 import {isPromptPart} from './prompt-part-fingerprint.js';
 import {type SuspectRecord, type SuspectStatus} from './suspect-record.js';
@@ -195,10 +196,3 @@
 	const changes = [...exits.values()].flatMap(at => [...settling, fullWeightMilliseconds, retentionMilliseconds].map(age => at + age));
 	return Math.min(...changes.filter(change => change > now));
 }
-
-function addAll<Item>(target: Set<Item>, added: Iterable<Item>): void {
-	for (const item of added) {
-		target.add(item);
-	}
-}
-
--- a/packages/routing/src/blame-prompt-parts.ts
+++ b/packages/routing/src/blame-prompt-parts.ts
@@ -1,4 +1,5 @@
 import {type PromptPartFingerprint} from '@valehitch/core';
+import {addAll} from './_add-all.js';
 
 /** A part of prompts that was in progress on servers whose processes exited, and that no server has answered completely since. */
 export type SuspectedPart = {
@@ -95,12 +96,6 @@
 	return other.processes.size - one.processes.size || other.depth - one.depth || (one.fingerprint < other.fingerprint ? -1 : 1);
 }
 
-function addAll(target: Set<string>, added: ReadonlySet<string>): void {
-	for (const process of added) {
-		target.add(process);
-	}
-}
-
 function without(processes: ReadonlySet<string>, excluded: ReadonlySet<string>): ReadonlySet<string> {
 	return new Set([...processes].filter(process => !excluded.has(process)));
 }
