Interface of the picture that decisions under contention share

Cause: placement, speed of servers, holding back and model choice are built side by side and need one view of a pool. Conclusion: types only; nothing uses them yet.

--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -15,6 +15,7 @@
 export * from './may-relay.js';
 export * from './outlier-ejection.js';
 export * from './place-share.js';
+export type * from './pool-picture.js';
 export * from './prefix-frequencies.js';
 export * from './prompt-part-fingerprint.js';
 export * from './rate-lease-book.js';
