Ping only peers that have sent nothing since the last heartbeat

Cause: each link between instances sent a ping every 700 ms, though an entry instance gets a reply of each watched control instance every 800 ms; pings and their answers were most of the 31 reads and 31 writes a second of an idle entry instance (system calls of one instance counted for 6 s, 12 entry and 3 control instances). Change: what to do at a heartbeat is a class of its own; data counts as a sign of life. A silent peer is found after three heartbeats in place of two, so the interval is 470 ms in place of 700 (default 1300 in place of 2000), and the bound stays.

--- a/packages/transport/src/_peer-link.ts
+++ b/packages/transport/src/_peer-link.ts
@@ -1,6 +1,8 @@
 import {type HybridTimestamp, type InstanceId} from '@valehitch/core';
+import {match} from 'ts-pattern';
 import {WebSocket} from 'ws';
 import {type Frame, decodeFrame} from './_frame.js';
+import {HeartbeatMonitor} from './heartbeat-monitor.js';
 import {type PeerAddress} from './peer-network.js';
 import {setIntervalAfterPoll} from './set-interval-after-poll.js';
 import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
@@ -18,7 +20,7 @@
 	readonly key: string;
 	/** Called with the size of each reply in bytes and the sender's timestamp. */
 	readonly onReceived: (bytes: number, timestamp: HybridTimestamp | undefined) => void;
-	/** The interval between heartbeat pings in milliseconds; 2000 by default. */
+	/** The interval between heartbeats in milliseconds; a peer that is silent for three of them is given up. 1300 by default. */
 	readonly pingMilliseconds?: number;
 };
 
@@ -27,8 +29,8 @@
 /** Each attempt waits twice as long as the one before, because a busy peer accepts connections late: 0.3, 0.6 and 1.2 s. Frames are queued for that time before they are dropped. */
 const connectBackoffFactor = 2;
 const maximumConnectAttempts = 3;
-const defaultPingMilliseconds = 2000;
-const maximumIdlePings = 30;
+const defaultPingMilliseconds = 1300;
+const maximumIdleHeartbeats = 45;
 const maximumBufferedBytes = 4 * 1024 * 1024;
 const maximumQueuedFrames = 1000;
 
@@ -40,7 +42,7 @@
 	#socket: WebSocket | undefined;
 	#queuedFrames: Uint8Array[] = [];
 	#lastId = 0;
-	#wasUsedSincePing = false;
+	#heartbeat: HeartbeatMonitor | undefined;
 
 	constructor(address: PeerAddress, options: PeerLinkOptions) {
 		this.#address = address;
@@ -52,7 +54,7 @@
 	}
 
 	send(data: Uint8Array): void {
-		this.#wasUsedSincePing = true;
+		this.#heartbeat?.recordUse();
 		const socket = this.#getOrOpenSocket();
 		if (socket.readyState === WebSocket.OPEN) {
 			if (socket.bufferedAmount < maximumBufferedBytes) {
@@ -129,30 +131,29 @@
 		return socket;
 	}
 
-	/** Closes the connection if it is idle or if the peer stops answering pings, which TCP alone would detect only after minutes. */
+	/** Closes the connection if it is idle or if the peer falls silent, which TCP alone would detect only after minutes. */
 	#startHeartbeat(socket: WebSocket): void {
-		let isAlive = true;
-		let idlePings = 0;
+		const monitor = new HeartbeatMonitor({maximumIdle: maximumIdleHeartbeats});
+		this.#heartbeat = monitor;
 		socket.on('pong', () => {
-			isAlive = true;
+			monitor.recordData();
+		});
+		const stopHeartbeat = setIntervalAfterPoll(this.#options.pingMilliseconds ?? defaultPingMilliseconds, () => {
+			match(monitor.beat())
+				.with('none', () => undefined)
+				.with('ping', () => {
+					socket.ping();
+				})
+				.with('close', () => {
+					socket.terminate();
+				})
+				.exhaustive();
 		});
-		const checkPeer = (): void => {
-			idlePings = this.#wasUsedSincePing ? 0 : idlePings + 1;
-			this.#wasUsedSincePing = false;
-			if (!isAlive || idlePings > maximumIdlePings) {
-				socket.terminate();
-				return;
-			}
-
-			isAlive = false;
-			socket.ping();
-		};
-
-		const stopHeartbeat = setIntervalAfterPoll(this.#options.pingMilliseconds ?? defaultPingMilliseconds, checkPeer);
 		socket.on('close', stopHeartbeat);
 	}
 
 	#receive(data: Uint8Array): void {
+		this.#heartbeat?.recordData();
 		const frame = decodeFrame(data);
 		if (frame?.type === 'reply') {
 			this.#options.onReceived(data.byteLength, frame.timestamp);
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -26,7 +26,7 @@
 	readonly host: string;
 	/** The port to listen on; 0 selects a free one. */
 	readonly port: number;
-	/** The interval between heartbeat pings in milliseconds; 2000 by default. */
+	/** The interval between heartbeats in milliseconds; a peer that is silent for three of them is given up. 1300 by default. */
 	readonly pingMilliseconds?: number;
 	/** Called with each message that expects no reply. */
 	readonly onMessage: (from: InstanceId, message: Message) => unknown;
