Estimate the latency of a prompt without queueing

Cause: a comparison of two models by their mean latencies compares their queues. Change: LatencyEstimator.calm returns the baseline for a prompt length. Conclusion: nothing uses it yet; its test passes.

--- a/packages/gateway/src/entry/latency-estimator.test.ts
+++ b/packages/gateway/src/entry/latency-estimator.test.ts
@@ -27,3 +27,16 @@
 	t.is(Math.round(latencies.estimate('large', {tokens: 39_000, fallback: 500})), 2000);
 	t.is(Math.round(latencies.estimate('large', {tokens: 0, fallback: 500})), 50);
 });
+
+test('the calm latency is that of the prompt length without the wait of a burst', t => {
+	const latencies = new LatencyEstimator({monotonic: () => 0});
+	t.is(latencies.calm('large', {tokens: 0, fallback: 500}), 500);
+	latencies.record('large', {milliseconds: 100, tokens: 1000});
+	for (let answer = 0; answer < 60; answer++) {
+		latencies.record('large', {milliseconds: 2000, tokens: 1000});
+	}
+
+	t.true(latencies.calm('large', {fallback: 500}) < 250);
+	t.true(latencies.calm('large', {tokens: 3000, fallback: 500}) < 500);
+	t.true(latencies.estimate('large', {fallback: 500}) > 1900);
+});
--- a/packages/gateway/src/entry/latency-estimator.ts
+++ b/packages/gateway/src/entry/latency-estimator.ts
@@ -94,6 +94,22 @@
 		return tokens === undefined ? statistics.mean : statistics.mean * (fixedTokens + tokens) / statistics.size;
 	}
 
+	/**
+	Estimates the latency of a prompt without queueing, from the lowest recent mean.
+
+	@param key The key.
+	@param options The length of the prompt and the fallback.
+	@returns Milliseconds.
+	*/
+	calm(key: string, {tokens, fallback}: LatencyEstimateOptions): number {
+		const statistics = this.#statistics.get(key);
+		if (statistics === undefined) {
+			return fallback;
+		}
+
+		return tokens === undefined ? statistics.baseline : statistics.baseline * (fixedTokens + tokens) / statistics.size;
+	}
+
 	/** Returns the statistics of a key, decayed to the current time. */
 	#decayed(key: string): Statistics | undefined {
 		const statistics = this.#statistics.get(key);
