Choose the first model by escalation share, and price second reads by the pool

Cause: each request began with the smallest model, also where most answers escalate, and under contention all requests stepped down together, each by its own time left, so that long prompts of patient callers filled the queues. Change: a cascade begins with the largest model where it costs no more in processing time and price; an answer escalates if the lack of confidence exceeds the price of the second read, which rises with the predicted wait, the processing time and the priority. Without a picture of the pool and with few escalations nothing changes.

--- a/packages/gateway/src/configuration/route-table.test.ts
+++ b/packages/gateway/src/configuration/route-table.test.ts
@@ -16,3 +16,20 @@
 	t.is(table.findWorkspaceByKey('k2')?.id, 'mills' as never);
 	t.is(table.findWorkspaceByKey('k3'), undefined);
 });
+
+test('the model target of a service is the shortest of the routes that choose among its models', t => {
+	const sizes = ['small', 'large'] as never[];
+	const table = new RouteTable(testConfiguration({
+		routes: [
+			testRoute({targetLatency: 150}),
+			testRoute({
+				id: 'long' as never, pathPrefix: '/long/', targetLatency: 6000, sizes,
+			}),
+			testRoute({
+				id: 'short' as never, pathPrefix: '/short/', targetLatency: 1500, sizes,
+			}),
+		],
+	}));
+	t.is(table.findModelTarget('labels' as never), 1500);
+	t.is(new RouteTable(testConfiguration()).findModelTarget('labels' as never), undefined);
+});
--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -21,6 +21,8 @@
 	readonly #routes = new Map<string, Route[]>();
 	readonly #workspacesByKey = new Map<string, WorkspaceAccess>();
 	readonly #services = new Map<ServiceId, BackendService>();
+	/** The shortest target latency of the routes that choose among models of each service. */
+	readonly #modelTargets = new Map<ServiceId, number>();
 
 	constructor({version, routes, services, limits, workspaces}: RoutingConfiguration) {
 		this.version = version;
@@ -41,6 +43,12 @@
 			this.#routes.set(host, [...this.#routes.get(host) ?? [], route]);
 		}
 
+		for (const {sizes, targetLatency, services: weighted} of routes) {
+			for (const {service} of sizes.length === 0 ? [] : weighted) {
+				this.#modelTargets.set(service, Math.min(targetLatency, this.#modelTargets.get(service) ?? targetLatency));
+			}
+		}
+
 		for (const hostRoutes of this.#routes.values()) {
 			hostRoutes.sort((one, other) => other.pathPrefix.length - one.pathPrefix.length);
 		}
@@ -76,4 +84,14 @@
 	findService(id: ServiceId): BackendService | undefined {
 		return this.#services.get(id);
 	}
+
+	/**
+	Finds the shortest target latency of the routes that choose among the models of a service.
+
+	@param id The service.
+	@returns Milliseconds, or `undefined` if no route does.
+	*/
+	findModelTarget(id: ServiceId): number | undefined {
+		return this.#modelTargets.get(id);
+	}
 }
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -21,6 +21,7 @@
 import {type EntryContext} from './entry-context.js';
 import {EntryServers} from './entry-servers.js';
 import {EntrySuspects, type EntrySuspectsOptions} from './entry-suspects.js';
+import {EscalationDemand} from './escalation-demand.js';
 import {EvidenceCounter} from './evidence-counter.js';
 import {type PromptPart} from './gateway-request.js';
 import {LatencyEstimator} from './latency-estimator.js';
@@ -122,6 +123,7 @@
 			clock, log, servers, checkProcess, onChanged: ignore,
 		}),
 		budget: new WindowedRetryBudget({ratio: 1, minimumPerWindow: 5}),
+		escalations: new EscalationDemand({contentionAt: () => ({wait: 0, target: route.targetLatency})}),
 		latencies: latencies ?? new LatencyEstimator(clock),
 		pins: new VersionPins({sessionMilliseconds: 5000}),
 		repeats: new RepeatTracker(),
--- a/packages/gateway/src/entry/choose-next-model.test.ts
+++ b/packages/gateway/src/entry/choose-next-model.test.ts
@@ -20,3 +20,10 @@
 	t.is(chooseNextModel({...withAmpleTime, expectedLatency: 2000, confidence: 0}), undefined);
 	t.is(chooseNextModel({...withAmpleTime, timeLeft: -10, confidence: 0}), undefined);
 });
+
+test('the confidence threshold falls with the price of the second read', t => {
+	t.is(chooseNextModel({...withAmpleTime, price: 0.5, confidence: 49}), large);
+	t.is(chooseNextModel({...withAmpleTime, price: 0.8, confidence: 21}), undefined);
+	t.is(chooseNextModel({...withAmpleTime, price: 0.8, confidence: 19}), large);
+	t.is(chooseNextModel({...withAmpleTime, price: 40, confidence: 0}), undefined);
+});
--- a/packages/gateway/src/entry/decision-shapes.test.ts
+++ b/packages/gateway/src/entry/decision-shapes.test.ts
@@ -7,6 +7,7 @@
 import {testServer} from '../servers/_test-server.js';
 import {type SendResult} from './entry-servers-options.js';
 import {EntryServers} from './entry-servers.js';
+import {EscalationDemand} from './escalation-demand.js';
 import {LatencyEstimator} from './latency-estimator.js';
 import {ModelCascade} from './model-cascade.js';
 import {seededRandom} from './_test-random.js';
@@ -57,7 +58,12 @@
 
 function createCascade(sizes: readonly ModelId[], tokens = 0): ModelCascade {
 	const route = testRoute({kind: 'streaming', targetLatency: 3000, sizes});
-	return new ModelCascade({latencies: new LatencyEstimator(clock), bounds: {minimumConfidence: 50}}, {route, choosesModel: true, tokens});
+	const escalations = new EscalationDemand({contentionAt: () => ({wait: 0, target: route.targetLatency})});
+	return new ModelCascade({
+		latencies: new LatencyEstimator(clock), bounds: {minimumConfidence: 50}, escalations, random: () => 0.5,
+	}, {
+		route, choosesModel: true, tokens, service: route.services[0]!.service,
+	});
 }
 
 for (const result of ['failed', 'unreachable'] as const satisfies readonly SendResult[]) {
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -12,6 +12,7 @@
 import {type Dialect} from './dialect.js';
 import {type EntryServers} from './entry-servers.js';
 import {type EntrySuspects} from './entry-suspects.js';
+import {type EscalationDemand} from './escalation-demand.js';
 import {type EvidenceCounter} from './evidence-counter.js';
 import {type BrittleRejection} from './known-peers.js';
 import {type LatencyEstimator} from './latency-estimator.js';
@@ -43,6 +44,7 @@
 	readonly borrower: SendBorrower;
 	readonly budget: WindowedRetryBudget;
 	readonly latencies: LatencyEstimator;
+	readonly escalations: EscalationDemand;
 	readonly pins: VersionPins;
 	readonly repeats: RepeatTracker;
 	readonly evidence: EvidenceCounter;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,8 +1,8 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
-import {type InstanceId, SuspensionDetector} from '@valehitch/core';
+import {type InstanceId, type ServiceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
 import {abortResponse} from '@valehitch/transport';
-import {WindowedRetryBudget} from '@valehitch/routing';
+import {type PoolPicture, predictPoolWait, WindowedRetryBudget} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {
@@ -19,6 +19,7 @@
 import {type EntryInstanceOptions} from './entry-instance-options.js';
 import {EntryServers} from './entry-servers.js';
 import {EntrySuspects} from './entry-suspects.js';
+import {EscalationDemand, type PoolContention} from './escalation-demand.js';
 import {EvidenceCounter} from './evidence-counter.js';
 import {handleRequest} from './handle-request.js';
 import {closeIdleConnections} from './connection-pool.js';
@@ -66,6 +67,8 @@
 	readonly #serverWaiters = new StepNotifier();
 	/** The evidence counters last sent to each control instance. */
 	readonly #evidenceDeltas = new Map<InstanceId, EvidenceDelta>();
+	/** Returns the load of the servers over all entry instances; undefined if no control instance tells it. */
+	readonly #poolPicture: () => PoolPicture | undefined;
 	#table: RouteTable | undefined;
 	#loadTimer: NodeJS.Timeout | undefined;
 	#hadLease = false;
@@ -76,6 +79,7 @@
 	constructor(options: EntryInstanceOptions) {
 		const {clock, random, zone, self, run} = options;
 		this.#options = options;
+		this.#poolPicture = () => undefined;
 		this.#rollouts = new KnownRollouts(options);
 		this.#peers = new KnownPeers(options);
 		this.#loadExchange = new LoadExchange({
@@ -140,6 +144,7 @@
 			}),
 			budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
 			latencies: new LatencyEstimator(clock),
+			escalations: new EscalationDemand({contentionAt: service => this.#contentionAt(service)}),
 			pins: new VersionPins(options),
 			repeats: new RepeatTracker(),
 			evidence: new EvidenceCounter({entry: self, run}),
@@ -324,6 +329,17 @@
 		}
 	}
 
+	#contentionAt(service: ServiceId): PoolContention {
+		const target = this.#table?.findModelTarget(service) ?? Number.POSITIVE_INFINITY;
+		const picture = this.#poolPicture();
+		if (picture === undefined) {
+			return {wait: 0, target};
+		}
+
+		const servers = this.#context.servers.availability.available.filter(server => server.service === service);
+		return {wait: predictPoolWait(picture, servers.map(({id}) => id)), target};
+	}
+
 	#adoptConfiguration(document: string, source: InstanceId): void {
 		const parsed = this.#options.parse(document);
 		parsed.caseOf({
--- a/packages/gateway/src/entry/model-cascade.ts
+++ b/packages/gateway/src/entry/model-cascade.ts
@@ -1,7 +1,11 @@
-import {type ModelId} from '@valehitch/core';
-import {type Route} from '../configuration/routing-configuration.js';
-import {chooseNextModel} from './choose-next-model.js';
+import {type ModelId, type RandomSource, type ServiceId} from '@valehitch/core';
+import {
+	chooseFirstModel, type FirstModelReason, type ModelDemand, priceEscalation,
+} from '@valehitch/routing';
+import {type OfferedModel, type Route} from '../configuration/routing-configuration.js';
+import {chooseNextModel, pricedThreshold} from './choose-next-model.js';
 import {type EntryLimits} from './entry-context.js';
+import {type EscalationDemand} from './escalation-demand.js';
 import {type LatencyEstimator} from './latency-estimator.js';
 import {type HeadTimeouts} from './send-attempt.js';
 
@@ -23,12 +27,20 @@
 	readonly tokens: number;
 	/** Whether the servers allow few sends; the cascade then begins with the largest model, since a second send of this request would be the only one of another request. False by default. */
 	readonly areSendsScarce?: boolean;
+	/** The service whose servers get the request. */
+	readonly service: ServiceId;
+	/** The models that the service offers, with their prices; none by default. */
+	readonly offered?: readonly OfferedModel[];
+	/** The priority of the request, that of the route by default; 0 is the most urgent. */
+	readonly priority?: number;
 };
 
 /** The part of the context that a cascade uses. */
 export type ModelCascadeContext = {
 	readonly latencies: LatencyEstimator;
 	readonly bounds: Pick<EntryLimits, 'minimumConfidence'>;
+	readonly escalations: EscalationDemand;
+	readonly random: RandomSource;
 };
 
 /** The timeout for the head of an answer from a reachable server, as a multiple of its expected latency. A short prompt that is queued behind long ones is answered sooner elsewhere; a long prompt that is being processed is not. */
@@ -54,16 +66,27 @@
 ```
 */
 export class ModelCascade {
+	/** Why the request begins with its model; undefined if there is no choice. */
+	readonly firstReason: FirstModelReason | undefined;
 	readonly #context: ModelCascadeContext;
 	readonly #route: Route;
 	readonly #tokens: number;
+	readonly #offered: readonly OfferedModel[];
+	readonly #service: ServiceId;
+	readonly #priority: number;
 	#current: ModelId | undefined;
 
-	constructor(context: ModelCascadeContext, {route, choosesModel, tokens, areSendsScarce = false}: ModelCascadeOptions) {
+	constructor(context: ModelCascadeContext, options: ModelCascadeOptions) {
+		const {route, choosesModel, tokens, areSendsScarce = false, service, offered = [], priority = route.priority} = options;
 		this.#context = context;
 		this.#route = route;
 		this.#tokens = tokens;
-		this.#current = choosesModel ? route.sizes.at(areSendsScarce ? -1 : 0) : undefined;
+		this.#service = service;
+		this.#offered = offered;
+		this.#priority = priority;
+		this.firstReason = choosesModel && !areSendsScarce && route.sizes.length > 1 ? this.#chooseFirst() : undefined;
+		const isLargest = areSendsScarce || this.firstReason === 'most-escalate';
+		this.#current = choosesModel ? route.sizes.at(isLargest ? -1 : 0) : undefined;
 	}
 
 	/** The model of the next send; undefined if the caller chose it or the request needs none. */
@@ -107,6 +130,10 @@
 		}
 
 		latencies.record(this.#key(this.#current), {milliseconds: latency, tokens: this.#tokens});
+		if (this.#current === sizes[0]) {
+			this.#recordConfidence(confidence);
+		}
+
 		return chooseNextModel({
 			sizes,
 			current: this.#current,
@@ -115,6 +142,7 @@
 			timeLeft: targetLatency - age,
 			// Estimated for the mean prompt length: escalation is limited to bound the load, and for a long prompt a good answer is worth a delay.
 			expectedLatency: latencies.estimate(this.#key(largest), {fallback: defaultLatencyShare * targetLatency}),
+			price: this.#price,
 		});
 	}
 
@@ -132,6 +160,46 @@
 		this.#current = model;
 	}
 
+	#chooseFirst(): FirstModelReason {
+		const {escalations, random, bounds: {minimumConfidence}} = this.#context;
+		const known = escalations.forRoute(this.#route.id);
+		const reason = chooseFirstModel({
+			escalationShare: known.confidences.shareBelow(pricedThreshold(minimumConfidence, this.#price)),
+			smallest: this.#demandOf(this.#route.sizes.at(0), 0),
+			largest: this.#demandOf(this.#route.sizes.at(-1), Number.POSITIVE_INFINITY),
+			isLargestInUse: known.isLargestInUse,
+			random,
+		});
+		known.isLargestInUse = reason !== 'few-escalate';
+		return reason;
+	}
+
+	#recordConfidence(confidence: number | undefined): void {
+		const {escalations, bounds: {minimumConfidence}} = this.#context;
+		escalations.forRoute(this.#route.id).confidences.record(confidence);
+		if (confidence !== undefined && confidence < minimumConfidence) {
+			escalations.recordWanted(this.#largestMilliseconds);
+		}
+	}
+
+	/** The price of a read by the largest model, as a share of the value of a right answer. */
+	get #price(): number {
+		const {escalations} = this.#context;
+		const relativeDemand = escalations.relativeTo(this.#largestMilliseconds);
+		return priceEscalation({...escalations.contentionAt(this.#service), relativeDemand, priority: this.#priority});
+	}
+
+	get #largestMilliseconds(): number {
+		return this.#demandOf(this.#route.sizes.at(-1), defaultLatencyShare * this.#route.targetLatency).milliseconds;
+	}
+
+	#demandOf(model: ModelId | undefined, fallback: number): ModelDemand {
+		return {
+			milliseconds: this.#context.latencies.calm(this.#key(model), {tokens: this.#tokens, fallback}),
+			price: this.#offered.find(({id}) => id === model)?.cost,
+		};
+	}
+
 	#estimate(model: ModelId | undefined, fallback: number): number {
 		return this.#context.latencies.estimate(this.#key(model), {tokens: this.#tokens, fallback});
 	}
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -77,7 +77,14 @@
 			choosesModel: request.choosesModel,
 			tokens: request.inputTokens,
 			areSendsScarce: context.servers.availability.areAllRateLimited(this.#placement.service, arrivedAt),
+			service: this.#placement.service,
+			offered: context.table()?.findService(this.#placement.service)?.models ?? [],
+			priority: authorized.workspace?.priority ?? route.priority,
 		});
+		if (this.#models.firstReason !== undefined) {
+			context.metrics.firstModels.inc({reason: this.#models.firstReason});
+		}
+
 		this.#end = new RequestEnd(context, {
 			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models,
 		});
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -86,6 +86,7 @@
 		relay: relay?.instance,
 		version: server.version,
 		model: models.current,
+		firstModelReason: models.firstReason,
 		send: allowance.sends,
 		age: Math.round(sentAt - arrivedAt),
 		resumeAfter: lastEventId,
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -43,6 +43,9 @@
 		escalations: new Counter({
 			name: 'valehitch_escalations_total', help: 'Answers dropped for one of a larger model', registers,
 		}),
+		firstModels: new Counter({
+			name: 'valehitch_first_models_total', help: 'Requests for models, by the reason for the model that they begin with', labelNames: ['reason'], registers,
+		}),
 		firstByte: new Histogram({
 			name: 'valehitch_first_byte_seconds', help: 'Time from a request to the first byte of its answer', labelNames: ['kind'], buckets: latencyBuckets, registers,
 		}),
