Ask relays that are cut off themselves after all others

Cause: a list of fewer than twelve connected instances is filled with those that are cut off, and the choice by load did not know that they come last. Change: control instances say which relays are cut off; these are chosen after all others, also after those that failed recently. With no relay known as cut off, choices and draws are as before.

--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -98,7 +98,8 @@
 		const now = clock.monotonic();
 		const {configuration, rollouts, evacuations, confirmedAt, hosts} = currentUpdate();
 		const entries = this.#activeEntries(now);
-		const {revision: relayRevision, relays} = this.#relayLists.listFor(entry, entries);
+		const {revision: relayRevision, relays, cutOffRelays} = this.#relayLists.listFor(entry, entries);
+		const hasRelays = watch.run === run && watch.relayRevision === relayRevision;
 		return {
 			run,
 			cursor: directory.cursor,
@@ -119,7 +120,8 @@
 			entryCount: entries.length,
 			entries: this.#peersOf(entry, entries),
 			relayRevision,
-			relays: watch.run === run && watch.relayRevision === relayRevision ? undefined : relays,
+			relays: hasRelays ? undefined : relays,
+			cutOffRelays: hasRelays || cutOffRelays.length === 0 ? undefined : cutOffRelays,
 		};
 	}
 
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -174,6 +174,8 @@
 	readonly relayRevision?: number;
 	/** The entry instances through which the requester can reach servers, unless it has them. */
 	readonly relays?: readonly InstanceId[] | undefined;
+	/** Those of the relays that reach no server of some service themselves; absent if there is none, and in versions before the order of relays. */
+	readonly cutOffRelays?: readonly InstanceId[] | undefined;
 };
 
 /** Reports the load that an entry instance has placed on each server. */
--- a/packages/gateway/src/control/relay-lists.test.ts
+++ b/packages/gateway/src/control/relay-lists.test.ts
@@ -29,3 +29,13 @@
 	const few = entries.slice(0, 5);
 	t.true(lists.listFor(entries[0]!, few).relays.includes(gone));
 });
+
+test('a list that needs instances without links to servers says which these are', t => {
+	const lists = new RelayLists();
+	const few = entries.slice(0, 5);
+	const lost = few[1]!.instance;
+	t.deepEqual(lists.listFor(few[0]!, few).cutOffRelays, []);
+	lists.recordLinks(lost, {isCutOff: true});
+	t.deepEqual(lists.listFor(few[0]!, few).cutOffRelays, [lost]);
+	t.deepEqual(lists.listFor(entries[0]!, entries).cutOffRelays, []);
+});
--- a/packages/gateway/src/control/relay-lists.ts
+++ b/packages/gateway/src/control/relay-lists.ts
@@ -6,6 +6,8 @@
 export type RelayList = {
 	readonly revision: number;
 	readonly relays: readonly InstanceId[];
+	/** Those of the relays that reach no server of some service themselves. */
+	readonly cutOffRelays: readonly InstanceId[];
 };
 
 /**
@@ -73,7 +75,8 @@
 		}
 
 		this.#ring ??= new RelayRing(entries.map(({instance, zone}) => ({instance, zone, isCutOff: this.#cutOff.has(instance)})));
-		const list = {revision: this.#revision, relays: this.#ring.select(entry)};
+		const relays = this.#ring.select(entry);
+		const list = {revision: this.#revision, relays, cutOffRelays: relays.filter(relay => this.#cutOff.has(relay))};
 		this.#lists.set(entry.instance, list);
 		return list;
 	}
--- a/packages/gateway/src/entry/create-server-relays.test.ts
+++ b/packages/gateway/src/entry/create-server-relays.test.ts
@@ -20,7 +20,7 @@
 function createRelays(openTunnel: OpenRelayTunnel): ServerRelays {
 	return createServerRelays({
 		clock: systemClock, random: () => 0, log: ignore, metrics: createGatewayMetrics(), openTunnel,
-	}, () => peers);
+	}, {relays: peers, cutOffRelays: new Set()});
 }
 
 function failing(type: TunnelFailure['type']): OpenRelayTunnel {
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -129,7 +129,7 @@
 					this.#watch.requestConfirmation();
 				},
 			}),
-			relays: createServerRelays(options, () => this.#peers.relays),
+			relays: createServerRelays(options, this.#peers),
 			suspects,
 			borrower: new SendBorrower({
 				clock,
--- a/packages/gateway/src/entry/known-peers.test.ts
+++ b/packages/gateway/src/entry/known-peers.test.ts
@@ -38,3 +38,14 @@
 	} as const;
 	t.deepEqual(sent, [[one, notice], [two, notice]]);
 });
+
+test('a relay is known as cut off while one control instance calls it so, also one that is out of reach', t => {
+	const {peers} = createPeers();
+	peers.update(control, {entries: [], relays: [one, two], cutOffRelays: [two]});
+	peers.update(otherControl, {entries: [], relays: [one, two]});
+	t.deepEqual(peers.cutOffRelays, new Set([two]));
+	peers.update(control, {entries: []});
+	t.deepEqual(peers.cutOffRelays, new Set([two]), 'the list is as before');
+	peers.update(control, {entries: [], relays: [one, two]});
+	t.deepEqual(peers.cutOffRelays, new Set());
+});
--- a/packages/gateway/src/entry/known-peers.ts
+++ b/packages/gateway/src/entry/known-peers.ts
@@ -33,6 +33,8 @@
 	readonly #entryCounts = new Map<InstanceId, number>();
 	/** The relays that each control instance named last, which stay known while it is out of reach. */
 	readonly #relays = new Map<InstanceId, readonly InstanceId[]>();
+	/** Those of the relays that each control instance called cut off. */
+	readonly #cutOffRelays = new Map<InstanceId, readonly InstanceId[]>();
 	#ids: readonly InstanceId[] = [];
 
 	constructor(options: KnownPeersOptions) {
@@ -50,16 +52,22 @@
 		return relays.size === 0 ? this.#ids : [...relays];
 	}
 
+	/** The relays that some control instance calls cut off from servers. One that hears nothing of an instance takes it for connected. */
+	get cutOffRelays(): ReadonlySet<InstanceId> {
+		return new Set([...this.#cutOffRelays.values()].flat());
+	}
+
 	/**
 	Applies the report of a control instance.
 
 	@param source The control instance.
 	@param reply Its reply to a poll.
 	*/
-	update(source: InstanceId, {entries, entryCount = 0, relays}: Pick<WatchReply, 'entries' | 'entryCount' | 'relays'>): void {
+	update(source: InstanceId, {entries, entryCount = 0, relays, cutOffRelays = []}: Pick<WatchReply, 'entries' | 'entryCount' | 'relays' | 'cutOffRelays'>): void {
 		this.#ids = entries;
 		if (relays !== undefined) {
 			this.#relays.set(source, relays);
+			this.#cutOffRelays.set(source, cutOffRelays);
 		}
 
 		this.#entryCounts.set(source, entryCount);
--- a/packages/routing/src/relay-selector.test.ts
+++ b/packages/routing/src/relay-selector.test.ts
@@ -72,3 +72,19 @@
 	relays.retain([two]);
 	t.is(relays.choose(withoutTwo), one);
 });
+
+test('an instance that is cut off itself is chosen after those that have failed recently', t => {
+	const relays = new RelaySelector({random: () => 0});
+	const three = '10.0.0.3' as InstanceId;
+	const choice = {
+		candidates: [three, one, two], cutOff: new Set([three]), now: 200, areFailedExcluded: true,
+	};
+	relays.recordOpened(one, {now: 200, told: 9});
+	relays.recordFailure(two, 100);
+	t.is(relays.choose({...choice, excluded}), one, 'whatever its load is');
+	t.is(relays.choose({...choice, excluded: new Set([one])}), two);
+	t.is(relays.choose({...choice, excluded: new Set([one, two])}), three);
+	relays.recordFailure(three, 150);
+	t.is(relays.choose({...choice, excluded: new Set([one, two])}), undefined);
+	t.is(relays.choose({...choice, excluded: new Set([one, two]), areFailedExcluded: false}), three);
+});
--- a/packages/routing/src/relay-selector.ts
+++ b/packages/routing/src/relay-selector.ts
@@ -26,10 +26,14 @@
 	readonly excluded: ReadonlySet<InstanceId>;
 	/** Milliseconds on the monotonic clock. */
 	readonly now: number;
-	/** Whether instances that have failed recently are left out even if there are no others; false by default. */
+	/** Whether instances that have failed recently are left out even if there are no others; false by default. They still go before those that are cut off. */
 	readonly areFailedExcluded?: boolean;
+	/** The candidates that are known to reach no server of some service; none by default. */
+	readonly cutOff?: ReadonlySet<InstanceId>;
 };
 
+const noInstances: ReadonlySet<InstanceId> = new Set();
+
 type RelayState = {
 	open: number;
 	failures: number;
@@ -39,7 +43,7 @@
 };
 
 /**
-Chooses the instances through which servers are reached that this instance cannot reach itself. It answers the load of instances whose own links have failed: the one with the fewest open connections goes first, as it last told or as this instance counts its own, so that no single instance takes over all of it. Those that failed recently come last.
+Chooses the instances through which servers are reached that this instance cannot reach itself. It answers the load of instances whose own links have failed: the one with the fewest open connections goes first, as it last told or as this instance counts its own, so that no single instance takes over all of it. Those that failed recently come last, but before those that are known to be cut off themselves, which would refuse.
 
 @example
 ```ts
@@ -63,28 +67,14 @@
 	@param choice The candidates.
 	@returns The relay; undefined if all candidates are left out.
 	*/
-	choose({candidates, excluded, now, areFailedExcluded = false}: RelayCandidates): InstanceId | undefined {
-		let best: {readonly instance: InstanceId; readonly load: number; readonly tie: number} | undefined;
-		let failed: {readonly instance: InstanceId; readonly backoffUntil: number} | undefined;
-		for (const instance of candidates) {
-			const {open, told, toldUntil, backoffUntil} = this.#stateOf(instance);
-			if (excluded.has(instance)) {
-				continue;
-			}
-
-			if (backoffUntil > now) {
-				failed = failed === undefined || backoffUntil < failed.backoffUntil ? {instance, backoffUntil} : failed;
-				continue;
-			}
-
-			const load = toldUntil > now ? Math.max(open, told) : open;
-			const tie = this.#options.random();
-			if (best === undefined || load < best.load || (load === best.load && tie < best.tie)) {
-				best = {instance, load, tie};
-			}
-		}
-
-		return best?.instance ?? (areFailedExcluded ? undefined : failed?.instance);
+	choose({candidates, excluded, now, areFailedExcluded = false, cutOff = noInstances}: RelayCandidates): InstanceId | undefined {
+		const left = candidates.filter(instance => !excluded.has(instance));
+		const connected = left.filter(instance => !cutOff.has(instance));
+		const lost = left.filter(instance => cutOff.has(instance));
+		return this.#leastLoaded(connected, now)
+			?? (areFailedExcluded && lost.length === 0 ? undefined : this.#firstToRecover(connected))
+			?? this.#leastLoaded(lost, now)
+			?? (areFailedExcluded ? undefined : this.#firstToRecover(lost));
 	}
 
 	/**
@@ -137,6 +127,36 @@
 		}
 	}
 
+	/** Returns the instance with the lowest load among those that have not failed recently, a random one among equals. */
+	#leastLoaded(instances: readonly InstanceId[], now: number): InstanceId | undefined {
+		let best: {readonly instance: InstanceId; readonly load: number; readonly tie: number} | undefined;
+		for (const instance of instances) {
+			const {open, told, toldUntil, backoffUntil} = this.#stateOf(instance);
+			if (backoffUntil > now) {
+				continue;
+			}
+
+			const load = toldUntil > now ? Math.max(open, told) : open;
+			const tie = this.#options.random();
+			if (best === undefined || load < best.load || (load === best.load && tie < best.tie)) {
+				best = {instance, load, tie};
+			}
+		}
+
+		return best?.instance;
+	}
+
+	/** Returns the instance whose backoff ends first. */
+	#firstToRecover(instances: readonly InstanceId[]): InstanceId | undefined {
+		let first: {readonly instance: InstanceId; readonly backoffUntil: number} | undefined;
+		for (const instance of instances) {
+			const {backoffUntil} = this.#stateOf(instance);
+			first = first === undefined || backoffUntil < first.backoffUntil ? {instance, backoffUntil} : first;
+		}
+
+		return first?.instance;
+	}
+
 	#stateOf(instance: InstanceId): RelayState {
 		return this.#states.get(instance) ?? {
 			open: 0, failures: 0, backoffUntil: 0, told: 0, toldUntil: 0,
--- a/packages/transport/src/server-relays.ts
+++ b/packages/transport/src/server-relays.ts
@@ -16,6 +16,8 @@
 	readonly now: number;
 	/** Whether instances that have failed recently are left out even if there are no others. */
 	readonly areFailedExcluded: boolean;
+	/** The candidates that are known to reach no server of some service. */
+	readonly cutOff: ReadonlySet<InstanceId>;
 };
 
 /** The choice of a relay, and what it depends on. */
@@ -35,6 +37,8 @@
 	readonly selector: RelayChooser;
 	/** Returns the entry instances that may be asked. */
 	readonly peers: () => readonly InstanceId[];
+	/** Returns those of them that are known to reach no server of some service; none by default. */
+	readonly cutOffPeers?: () => ReadonlySet<InstanceId>;
 	readonly openTunnel: OpenRelayTunnel;
 	/** Creates the pool of a relay's kept connections; by default one without limits of its own. */
 	readonly createPool?: RelayOptions['createPool'];
@@ -68,17 +72,17 @@
 	}
 
 	/**
-	Chooses a relay. One that has failed recently is asked if there is no other, but not by a request that another relay has already failed.
+	Chooses a relay. One that is cut off from servers itself is asked after all others. One that has failed recently is asked if there is no other, but not by a request that another relay has already failed.
 
 	@param excluded The instances that have already failed for the request.
 	@returns The relay; undefined if there is none.
 	*/
 	choose(excluded: ReadonlySet<InstanceId>): Relay | undefined {
-		const {peers, clock, selector, createPool} = this.#options;
+		const {peers, cutOffPeers = () => new Set<InstanceId>(), clock, selector, createPool} = this.#options;
 		const candidates = peers();
 		selector.retain(candidates);
 		const instance = selector.choose({
-			candidates, excluded, now: clock.monotonic(), areFailedExcluded: excluded.size > 0,
+			candidates, excluded, now: clock.monotonic(), areFailedExcluded: excluded.size > 0, cutOff: cutOffPeers(),
 		});
 		if (instance === undefined) {
 			return undefined;
