Time stalls of streams with one timer a stream

Cause: each chunk of a stream cancelled a timer and started another one.

Change: InactivityTimer notes the time of the last data and runs one timer, again for the rest when it expires early. relayStream reads the clock once a chunk and passes the time to onData, which read it a second time before. Bounds are unchanged.

--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -283,10 +283,11 @@
 		isComplete,
 		response: answer.response,
 		events,
+		clock: context.clock,
 		stallTimeout: route.isResumable ? stallFactor * (route.targetGap ?? route.targetLatency) : 0,
 		canResumeElsewhere,
-		onData() {
-			context.servers.recordData(server.id, context.clock.monotonic());
+		onData(now) {
+			context.servers.recordData(server.id, now);
 		},
 		onFirstEvent() {
 			answer.beginStream(message.statusCode ?? 0, headers);
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -1,5 +1,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {setTimeoutAfterPoll} from '@valehitch/transport';
+import {type Clock} from '@valehitch/core';
+import {InactivityTimer} from '@valehitch/transport';
 import {type EventStream} from './event-stream.js';
 
 /** Options of {@linkcode relayStream}. */
@@ -9,17 +10,20 @@
 	readonly isComplete: () => Promise<boolean>;
 	readonly response: ServerResponse;
 	readonly events: EventStream;
+	/** The clock of the stall timeout; that of the process by default. */
+	readonly clock?: Pick<Clock, 'monotonic'>;
 	/** The time without data after which the stream is considered stalled, in milliseconds; 0 for no timeout. */
 	readonly stallTimeout: number;
 	/** Whether a stalled stream can resume at another server; if not, it is not ended. */
 	readonly canResumeElsewhere: () => boolean;
-	/** Called when data arrives. */
-	readonly onData: () => void;
+	/** Called when data arrives, with the time in milliseconds on the monotonic clock. */
+	readonly onData: (now: number) => void;
 	/** Called before the first event of this server is forwarded. */
 	readonly onFirstEvent: () => void;
 };
 
 const eventStreamType = 'text/event-stream';
+const processClock: Pick<Clock, 'monotonic'> = {monotonic: () => performance.now()};
 
 /** How the relay of a stream ended. */
 export type RelayEnd = 'complete' | 'broken' | 'stalled' | 'caller-left';
@@ -35,18 +39,28 @@
 ```
 */
 export async function relayStream(options: RelayStreamOptions): Promise<RelayEnd> {
-	const {message, isComplete, response, events, stallTimeout, canResumeElsewhere, onData, onFirstEvent} = options;
+	const {message, isComplete, response, events, clock = processClock, stallTimeout, canResumeElsewhere, onData, onFirstEvent} = options;
 	return new Promise(resolve => {
 		let hasForwarded = false;
 		let isFinished = false;
-		let stopTimeout: (() => void) | undefined;
+		const stall = new InactivityTimer({
+			timeout: stallTimeout,
+			clock,
+			onExpired() {
+				if (canResumeElsewhere()) {
+					finish('stalled');
+				} else {
+					stall.start(clock.monotonic());
+				}
+			},
+		});
 		const finish = (end: RelayEnd): void => {
 			if (isFinished) {
 				return;
 			}
 
 			isFinished = true;
-			stopTimeout?.();
+			stall.stop();
 			response.off('close', onCallerClose);
 			response.off('drain', onDrain);
 			if (end !== 'complete') {
@@ -61,23 +75,10 @@
 		};
 
 		const onDrain = (): void => {
-			restartStallTimer();
+			stall.start(clock.monotonic());
 			message.resume();
 		};
 
-		const restartStallTimer = (): void => {
-			stopTimeout?.();
-			stopTimeout = stallTimeout === 0
-				? undefined
-				: setTimeoutAfterPoll(stallTimeout, () => {
-					if (canResumeElsewhere()) {
-						finish('stalled');
-					} else {
-						restartStallTimer();
-					}
-				});
-		};
-
 		const forward = (bytes: Uint8Array): void => {
 			if (!hasForwarded) {
 				hasForwarded = true;
@@ -86,7 +87,7 @@
 
 			if (!response.write(bytes)) {
 				// Under backpressure from the caller, the server is not expected to send data.
-				stopTimeout?.();
+				stall.stop();
 				message.pause();
 			}
 		};
@@ -99,17 +100,18 @@
 			return;
 		}
 
-		restartStallTimer();
+		stall.start(clock.monotonic());
 		message.on('data', (chunk: Uint8Array) => {
-			onData();
-			restartStallTimer();
+			const now = clock.monotonic();
+			onData(now);
+			stall.touch(now);
 			const part = events.push(chunk);
 			if (part !== undefined && !isFinished) {
 				forward(part.bytes);
 			}
 		});
 		const end = async (): Promise<void> => {
-			stopTimeout?.();
+			stall.stop();
 			if ((isEventStream(message) && events.isInsideEvent) || !await isComplete()) {
 				finish('broken');
 				return;
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -5,6 +5,7 @@
 */
 export * from './abort-response.js';
 export * from './http-server.js';
+export * from './inactivity-timer.js';
 export * from './set-interval-after-poll.js';
 export * from './open-tunnel.js';
 export * from './parse-address.js';
