Tell where the processor time of a running instance goes

Cause: nobody could see what a running instance spends its time on; a profile needed a restart with flags of the engine, and the bundled program has minified names in one file.

Change: GET /profile?seconds=N at the metrics port records the stack each millisecond with the engine's own profiler, one profile at a time, and sums it by groups of modules and by functions; libraries and the runtime count for the module that called them, and connections between instances for the kind of message that they carry. The build leaves a list of the places of modules in the bundle beside it, from which functions are named. valehitch profile prints both tables. New error kind profile-in-progress (409).

Checked: summing, groups and locations without a process; the endpoint with a real server; the bundled program with the flags of the deploy file (a dynamic import of the profiler failed there and was replaced). Every module of the program has a group, by a test over all files.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -5,8 +5,11 @@
 import path from 'node:path';
 import process from 'node:process';
 import {build} from 'esbuild';
+import {locateModules} from './locate-modules.mjs';
 
 const bundle = 'target/valehitch-platform.cjs';
+const sourceMap = `${bundle}.map`;
+const modules = 'target/valehitch-platform.modules.json';
 const cache = 'target/valehitch-platform.cache';
 const freePort = '127.0.0.1:0';
 /** Optional parts of libraries that the program has no use for; they are looked for at run time, and found only in some checkouts. */
@@ -40,6 +43,8 @@
 	outfile: bundle,
 	bundle: true,
 	minify: true,
+	sourcemap: 'external',
+	sourcesContent: false,
 	platform: 'node',
 	target: 'node20',
 	format: 'cjs',
@@ -48,6 +53,9 @@
 	logLevel: 'warning',
 });
 
+writeFileSync(modules, JSON.stringify(locateModules(JSON.parse(readFileSync(sourceMap, 'utf8')))));
+rmSync(sourceMap);
+
 // Compiled code is taken only by an engine with the same flags, so the flags are those of the deploy file. The program runs for a moment with both roles on free ports, so that the code that a start needs is compiled too.
 const folder = mkdtempSync(path.join(tmpdir(), 'valehitch-build-'));
 const settings = path.join(folder, 'node.yaml');
--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -13,8 +13,10 @@
 const cache = path.join(__dirname, '../target/valehitch-platform.cache');
 /** Long enough for a start and the first questions of an instance to its seeds. */
 const warmMilliseconds = 1000;
-const script = new Script(`(function (exports, require, module, __filename, __dirname) {${readFileSync(bundle, 'utf8')}\n})`, {
+const script = new Script(`(function (exports, require, module, __filename, __dirname) {\n${readFileSync(bundle, 'utf8')}\n})`, {
 	filename: bundle,
+	// Positions in a profile are those in the bundle.
+	lineOffset: -1,
 	cachedData: existsSync(cache) ? readFileSync(cache) : undefined,
 });
 if (script.cachedDataRejected) {
--- a/packages/cli/src/_operator-client.ts
+++ b/packages/cli/src/_operator-client.ts
@@ -73,6 +73,17 @@
 	readonly path: string;
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: string;
+	/** The time within which the response must arrive; 15 s by default. */
+	readonly timeoutMilliseconds?: number;
+};
+
+/** A question to the metrics port of an instance. */
+export type InspectionQuery = {
+	/** The host and port, such as `10.1.0.40:9464`. */
+	readonly instance: string;
+	readonly path: string;
+	/** The time that the instance takes for the answer, in milliseconds; 0 by default. */
+	readonly durationMilliseconds?: number;
 };
 
 type ApiResponse = {readonly status: number; readonly text: string};
@@ -155,6 +166,19 @@
 	return response.chain(value => isCommitted(value) ? Right(value) : Left(unexpectedResponse('a committed revision')));
 }
 
+/** Fetches what an instance tells of itself at its metrics port. */
+export async function inspect({instance, path, durationMilliseconds = 0}: InspectionQuery): Promise<Either<Failure, Readonly<Record<string, unknown>>>> {
+	const url = parseUrl(`http://${instance}`, path);
+	if (url.isLeft()) {
+		return url;
+	}
+
+	const response = await send(url.unsafeCoerce(), {method: 'GET', path, timeoutMilliseconds: durationMilliseconds + responseTimeoutMilliseconds});
+	return response
+		.chain(({status, text}) => parseResponse(status, text))
+		.chain(value => isRecord(value) ? Right({...value}) : Left(unexpectedResponse('a JSON object')));
+}
+
 async function call(target: Target, apiRequest: ApiRequest): Promise<Either<Failure, unknown>> {
 	const url = parseUrl(target.server, apiRequest.path);
 	if (url.isLeft()) {
@@ -210,8 +234,8 @@
 		.run();
 }
 
-async function sendRequest(url: URL, {method, headers = {}, body}: ApiRequest): Promise<ApiResponse> {
-	const outgoing = request(url, {method, headers, signal: AbortSignal.timeout(responseTimeoutMilliseconds)});
+async function sendRequest(url: URL, {method, headers = {}, body, timeoutMilliseconds = responseTimeoutMilliseconds}: ApiRequest): Promise<ApiResponse> {
+	const outgoing = request(url, {method, headers, signal: AbortSignal.timeout(timeoutMilliseconds)});
 	const response = once(outgoing, 'response') as Promise<[IncomingMessage]>;
 	outgoing.end(body);
 	const [incoming] = await response;
--- a/packages/cli/src/_operator-command.ts
+++ b/packages/cli/src/_operator-command.ts
@@ -19,6 +19,11 @@
 	}),
 };
 
+/** The flag of the commands that ask an instance at its metrics port. */
+export const instanceFlags = {
+	instance: Flags.string({summary: 'The host and metrics port of an instance, such as 10.1.0.40:9464.', env: 'VALEHITCH_INSTANCE', required: true}),
+};
+
 /** A command error that carries the failure for the output of `--json`. */
 class CommandError extends Errors.CLIError {
 	readonly failure: Failure;
--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -281,3 +281,27 @@
 	t.is(stdout, 'TIME                        INSTANCE  ZONE    EVENT             SUBJECT\n1970-01-01T00:00:00.000Z+2  entry-1   zone-a  instance-started\n');
 	t.is(await exitCode(['timeline']), 1);
 });
+
+test('profile asks the metrics port for the given time, prints both tables, and passes on a rejection', async t => {
+	const {received, environment} = await startFakeInstance(t, [
+		{
+			status: 200,
+			body: {
+				milliseconds: 2000,
+				groups: [{name: 'idle', milliseconds: 1500, share: 0.75}, {name: 'forwarding', milliseconds: 500, share: 0.25}],
+				functions: [{name: '(idle)', milliseconds: 1500, share: 0.75}, {name: 'forward gateway/entry/relay-stream:82', milliseconds: 500, share: 0.25}],
+			},
+		},
+		{status: 409, body: {kind: 'profile-in-progress', detail: 'Another profile is recorded'}},
+	]);
+	const instance = environment[serverVariable]?.replace('http://', '') ?? '';
+	const {stdout} = await run(['profile', '--instance', instance, '--seconds', '2']);
+	t.is(received[0]?.url, '/profile?seconds=2&format=json');
+	t.regex(stdout, /500\.0 +25\.0 +forwarding\n/v);
+	t.regex(stdout, /500\.0 +25\.0 +forward gateway\/entry\/relay-stream:82\n/v);
+	const rejected = await run(['profile', '--instance', instance]);
+	t.is(rejected.code, 1);
+	t.regex(rejected.stderr, /Another profile is recorded/v);
+	t.not(await exitCode(['profile', '--instance', instance, '--seconds', '31']), 0);
+	t.is(received.length, 2);
+});
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -7,6 +7,7 @@
 import {Get} from './commands/get.js';
 import {Ledger} from './commands/ledger.js';
 import {Losses} from './commands/losses.js';
+import {Profile} from './commands/profile.js';
 import {Rollout} from './commands/rollout.js';
 import {Status} from './commands/status.js';
 import {Timeline} from './commands/timeline.js';
@@ -24,6 +25,7 @@
 	readonly get: typeof Get;
 	readonly ledger: typeof Ledger;
 	readonly losses: typeof Losses;
+	readonly profile: typeof Profile;
 	readonly rollout: typeof Rollout;
 	readonly status: typeof Status;
 	readonly timeline: typeof Timeline;
@@ -39,6 +41,7 @@
 	get: Get,
 	ledger: Ledger,
 	losses: Losses,
+	profile: Profile,
 	rollout: Rollout,
 	status: Status,
 	timeline: Timeline,
--- a/packages/core/src/error-kinds.ts
+++ b/packages/core/src/error-kinds.ts
@@ -22,6 +22,7 @@
 	'method-not-allowed': {status: 405, outcome: 'notRun', title: 'The method is not allowed here'},
 	'claim-in-progress': {status: 409, outcome: 'unknown', title: 'A request with this idempotency key is in progress'},
 	'change-id-reused': {status: 409, outcome: 'notRun', title: 'The change id was used for another change'},
+	'profile-in-progress': {status: 409, outcome: 'notRun', title: 'Another profile is being recorded'},
 	'session-ended': {status: 410, outcome: 'notRun', title: 'The version of the session was withdrawn'},
 	'revision-conflict': {status: 412, outcome: 'notRun', title: 'Another change was committed first'},
 	'too-large': {status: 413, outcome: 'notRun', title: 'The request is too large'},
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -24,6 +24,8 @@
 export type * from './entry/tracked-server.js';
 export * from './entry/latency-estimator.js';
 export * from './entry/repeat-tracker.js';
+export * from './inspection/inspection-handler.js';
+export type {ProfileSummary, TimeShare} from './inspection/sum-profile.js';
 export * from './logs/bounded-output.js';
 export * from './logs/create-decision-log.js';
 export type * from './logs/decision-log.js';
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -1,13 +1,13 @@
 import {randomUUID} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
 import path from 'node:path';
-import {type Clock, type InstanceId} from '@valehitch/core';
+import {type Clock, failure, type InstanceId} from '@valehitch/core';
 import {
 	type BorrowReply, ControlInstance, createDecisionLog, createGatewayMetrics, type DecisionLog, EntryInstance, type GatewayMetrics,
-	type ListenAddress, openBoundedOutput, type PeerMessage, createSavedList, serverRecordSchema, suspectRecordSchema, type WatchReply,
+	InspectionHandler, type ListenAddress, openBoundedOutput, type PeerMessage, createSavedList, serverRecordSchema, suspectRecordSchema, type WatchReply,
 } from '@valehitch/gateway';
 import {openDataFolder, AtomicFile} from '@valehitch/storage';
-import {PeerNetwork, startHttpServer} from '@valehitch/transport';
+import {PeerNetwork, sendProblem, startHttpServer} from '@valehitch/transport';
 import {Right} from 'purify-ts';
 import {decodeConfiguration} from './decode-configuration.js';
 import {handleControl} from './handle-control.js';
@@ -116,7 +116,7 @@
 	const context: ProcessContext = {
 		settings: () => current, log, metrics, network, run,
 	};
-	const metricsServer = metricsPort === undefined ? undefined : await serveMetrics(metrics, {host: settings.peers.host, port: metricsPort});
+	const metricsServer = metricsPort === undefined ? undefined : await serveInspection(context, {host: settings.peers.host, port: metricsPort});
 	log('process-started', {
 		process: settings.name, run, isFounding: settings.isFounding, seeds: settings.seeds, dataFolder: settings.dataFolder,
 	});
@@ -267,12 +267,12 @@
 	}), listen);
 }
 
-async function serveMetrics({registry}: GatewayMetrics, listen: ListenAddress): Promise<Server> {
+async function serveInspection({metrics: {registry}, log}: ProcessContext, listen: ListenAddress): Promise<Server> {
+	const inspection = new InspectionHandler({registry, wait: delay});
 	return listenOn(createServer((request, response) => {
-		request.resume();
-		void registry.metrics().then(text => {
-			response.writeHead(200, {'Content-Type': registry.contentType});
-			response.end(text);
+		inspection.handle(request, response).catch((error: unknown) => {
+			log('request-ended', {outcome: 'internal', reason: error instanceof Error ? error.stack ?? error.message : String(error)}, 'error');
+			sendProblem(response, failure('internal', 'The inspection failed'));
 		});
 	}), listen);
 }
--- a/packages/testing/src/deploy.test.ts
+++ b/packages/testing/src/deploy.test.ts
@@ -8,11 +8,12 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import test from 'ava';
+import {freePorts} from './free-ports.js';
 
 const root = fileURLToPath(new URL('../../..', import.meta.url));
 const anyPort = '127.0.0.1:0';
 
-test('the deploy command starts the bundled program with its precompiled code', async t => {
+test('the deploy command starts the bundled program with its precompiled code, and its profile names the modules of the bundle', async t => {
 	const [code] = await once(spawn('node', ['deploy/bundle.mjs'], {cwd: root, stdio: 'inherit'}), 'exit') as [number];
 	t.is(code, 0);
 	const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-deploy-'));
@@ -22,7 +23,8 @@
 	}));
 	const deployFile = await readFile(path.join(root, 'deploy/system.toml'), 'utf8');
 	const [, command = ''] = /run = "node (.*) --metrics-port/v.exec(deployFile) ?? [];
-	const child = spawn('node', command.split(' '), {cwd: root, env: {...process.env, VALEHITCH_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
+	const [port = 0] = await freePorts(1);
+	const child = spawn('node', [...command.split(' '), '--metrics-port', String(port)], {cwd: root, env: {...process.env, VALEHITCH_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
 	t.teardown(async () => {
 		child.kill('SIGKILL');
 		await rm(folder, {recursive: true, force: true});
@@ -34,4 +36,8 @@
 	const [lines] = await once(child.stdout.setEncoding('utf8'), 'data') as [string];
 	t.regex(lines, /"kind":"process-started"/v);
 	t.is(errors, '');
+	const response = await fetch(`http://127.0.0.1:${port}/profile?seconds=1`);
+	const profile = await response.text();
+	t.is(response.status, 200);
+	t.regex(profile, / transport\/| gateway\/| platform\//v);
 });
