Tell what an entry instance believes of servers, and why a request went where it went

Cause: the choice of a server knows why each server was passed over, and the gateway threw it away; the logs tell sends, not what they were based on.

Change: GET /servers and /decisions/ID at the metrics port, valehitch beliefs and valehitch why. Notes are objects that the decision has made anyway; text is made when an operator asks. The reason why a server cannot be chosen is exported from routing, so that operators read the rule that decides.

Ruled out: DecisionHistory of routing as it is. It is made for each request with workspace and versions, and copies the record with each attempt.

Conclusion: whole for the platform's entry instances; queue, digest and speed of servers show up once those parts record and pass the picture.

--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -305,3 +305,36 @@
 	t.not(await exitCode(['profile', '--instance', instance, '--seconds', '31']), 0);
 	t.is(received.length, 2);
 });
+
+test('beliefs prints a row for each server, and why prints each decision with the servers considered', async t => {
+	const {received, environment} = await startFakeInstance(t, [
+		{
+			status: 200, body: {
+				servers: [{
+					server: 's1', zone: 'hall-a', state: 'ready', ownLoad: 1.6, othersLoad: 4, reportedAgo: 812.4, conditions: ['paused'], notChosen: 'has asked for a pause', work: {slowness: 2},
+				}],
+			},
+		},
+		{
+			status: 200,
+			body: {
+				request: 'a/1',
+				decisions: [
+					{
+						kind: 'chosen', millisecondsAgo: 900, server: 's1', considered: [{server: 's1', verdict: 'chosen'}, {server: 's2', verdict: 'is shutting down'}],
+					},
+					{kind: 'refused', millisecondsAgo: 20, facts: {error: 'overloaded', share: 0.2}},
+				],
+			},
+		},
+		{status: 404, body: {kind: 'not-found', detail: 'Nothing is kept of request b'}},
+	]);
+	const instance = environment[serverVariable]?.replace('http://', '') ?? '';
+	const beliefs = await run(['beliefs', '--instance', instance]);
+	t.regex(beliefs.stdout, /^s1 +- +hall-a +- +ready +2 +4 +2 +- +812 +- +paused +has asked for a pause$/mv);
+	const why = await run(['why', 'a/1', '--instance', instance]);
+	t.is(why.stdout, '900 ms ago: chosen, server s1\n  s1 chosen\n  s2 is shutting down\n20 ms ago: refused, error overloaded, share 0.2\n');
+	const unknown = await run(['why', 'b', '--instance', instance]);
+	t.is(unknown.code, 1);
+	t.deepEqual(received.map(({url}) => url), ['/servers', '/decisions/a%2F1', '/decisions/b']);
+});
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,4 +1,5 @@
 import {Apply} from './commands/apply.js';
+import {Beliefs} from './commands/beliefs.js';
 import {Check} from './commands/check.js';
 import {Diff} from './commands/diff.js';
 import {Drain} from './commands/drain.js';
@@ -12,11 +13,13 @@
 import {Status} from './commands/status.js';
 import {Timeline} from './commands/timeline.js';
 import {Trace} from './commands/trace.js';
+import {Why} from './commands/why.js';
 import {Withdraw} from './commands/withdraw.js';
 
 /** The commands of `valehitch` by name. */
 export const commands: {
 	readonly apply: typeof Apply;
+	readonly beliefs: typeof Beliefs;
 	readonly check: typeof Check;
 	readonly diff: typeof Diff;
 	readonly drain: typeof Drain;
@@ -30,9 +33,11 @@
 	readonly status: typeof Status;
 	readonly timeline: typeof Timeline;
 	readonly trace: typeof Trace;
+	readonly why: typeof Why;
 	readonly withdraw: typeof Withdraw;
 } = {
 	apply: Apply,
+	beliefs: Beliefs,
 	check: Check,
 	diff: Diff,
 	drain: Drain,
@@ -46,5 +51,6 @@
 	status: Status,
 	timeline: Timeline,
 	trace: Trace,
+	why: Why,
 	withdraw: Withdraw,
 };
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -8,7 +8,9 @@
 import {
 	errorResponses, type InstanceId, type ZoneId,
 } from '@valehitch/core';
-import {RelaySelector, WindowedRetryBudget, ServerLinks} from '@valehitch/routing';
+import {
+	DecisionNotes, RelaySelector, WindowedRetryBudget, ServerLinks,
+} from '@valehitch/routing';
 import {type ExecutionContext} from 'ava';
 import {Left} from 'purify-ts';
 import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
@@ -112,6 +114,7 @@
 			onCutOff: ignore,
 			onReachable: ignore,
 		}),
+		notes: new DecisionNotes(),
 		relays: new ServerRelays({
 			clock, selector: new RelaySelector({random: () => 0.5}), peers: () => [], openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}), onTunnel: ignore,
 		}),
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -2,7 +2,7 @@
 import {
 	type Clock, type InstanceId, type ServiceId, type RandomSource,
 } from '@valehitch/core';
-import {type WindowedRetryBudget, type ServerLinks} from '@valehitch/routing';
+import {type DecisionNotes, type WindowedRetryBudget, type ServerLinks} from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
 import {type ServerNoticeMessage} from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
@@ -46,6 +46,8 @@
 	readonly pins: VersionPins;
 	readonly repeats: RepeatTracker;
 	readonly evidence: EvidenceCounter;
+	/** Why requests went where they went. */
+	readonly notes: DecisionNotes;
 	/** Returns the current configuration; undefined until the first one is received. */
 	readonly table: () => RouteTable | undefined;
 	/** Waits for a number of milliseconds. */
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -2,7 +2,7 @@
 import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
 import {abortResponse} from '@valehitch/transport';
-import {WindowedRetryBudget} from '@valehitch/routing';
+import {DecisionNotes, WindowedRetryBudget} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {
@@ -10,6 +10,7 @@
 } from '../control/peer-message.js';
 import {EvidenceDelta} from '../rollouts/evidence-delta.js';
 import {KnownRollouts} from '../rollouts/known-rollouts.js';
+import {type EntryInspection} from '../inspection/inspection-handler.js';
 import {applyServerNews} from './apply-server-news.js';
 import {createCallerServer} from './caller-server.js';
 import {checkServerProcess} from './check-server-process.js';
@@ -84,9 +85,11 @@
 			send: options.send,
 		});
 		const suspension = new SuspensionDetector(clock);
+		const notes = new DecisionNotes({sampledShare: options.notedShare});
 		const servers = new EntryServers({
 			zone,
 			random,
+			notes,
 			loads: this.#loadExchange,
 			placesOf: server => this.#peers.placesOf(server),
 			coldDurationOf: service => this.#table?.findService(service)?.cold?.duration,
@@ -143,6 +146,7 @@
 			pins: new VersionPins(options),
 			repeats: new RepeatTracker(),
 			evidence: new EvidenceCounter({entry: self, run}),
+			notes,
 			table: () => this.#table,
 			nextReply: async timeout => Promise.race([this.#replyWaiters.waitForNext(), options.wait(timeout)]),
 			nextServerChange: async timeout => Promise.race([this.#serverWaiters.waitForNext(), options.wait(timeout)]),
@@ -178,6 +182,15 @@
 		return this.#endsAt === undefined && this.#table !== undefined && (!this.#table.needsKeys || this.#context.lease.isValid(now));
 	}
 
+	/** What this instance believes of the servers, and why its latest requests went where they went. */
+	get inspection(): EntryInspection {
+		const {servers, notes} = this.#context;
+		return {
+			beliefs: () => servers.beliefs(this.#options.clock.monotonic()),
+			decisionsOf: request => notes.get(request),
+		};
+	}
+
 	/**
 	Starts to watch the control instances and to listen for callers.
 
--- a/packages/gateway/src/entry/entry-servers-options.ts
+++ b/packages/gateway/src/entry/entry-servers-options.ts
@@ -1,6 +1,7 @@
 import {
 	type InstanceId, type RandomSource, type ServiceId, type ZoneId,
 } from '@valehitch/core';
+import {type DecisionNotes} from '@valehitch/routing';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type LoadExchange} from './load-exchange.js';
 
@@ -16,6 +17,8 @@
 	readonly heartbeatMilliseconds?: number;
 	/** When this process started, in milliseconds on the monotonic clock; 0 by default, the origin of that clock. */
 	readonly startedAt?: number;
+	/** Where choices of servers are noted; by default, they are not. */
+	readonly notes?: DecisionNotes | undefined;
 	/** The loads of the other entry instances at each server. */
 	readonly loads: Pick<LoadExchange, 'peerLoadAt' | 'recordChange' | 'discardServer'>;
 	/** Called when a control instance sends a record that is older than the known state of the process. */
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -2,12 +2,14 @@
 	type InstanceId, type ServerId, type ServiceId,
 } from '@valehitch/core';
 import {
-	chooseServer, OutlierEjection, prefixHash, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
+	chooseServer, OutlierEjection, type PoolPicture, prefixHash, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
 import {compareStartTimes} from '../servers/compare-start-times.js';
 import {type Evacuations} from '../servers/evacuations.js';
 import {hasReplaced} from '../servers/has-replaced.js';
+import {describeServer, type ServerBelief} from '../inspection/describe-server.js';
+import {noteChoice} from '../inspection/note-choice.js';
 import {isLaterState} from '../servers/is-later-state.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
 import {defaultRetentionMilliseconds} from '../servers/server-directory.js';
@@ -18,7 +20,7 @@
 import {type FindServerOptions} from './find-server-options.js';
 import {KnownEvacuations} from './known-evacuations.js';
 import {
-	TrackedServer, type ProcessState, type SendLoad, noOpLoad,
+	TrackedServer, type ProcessState, type SendLoad, type ServerConditions, noOpLoad,
 } from './tracked-server.js';
 import {SendLimits} from './send-limits.js';
 import {ServerAvailability} from './server-availability.js';
@@ -154,7 +156,7 @@
 	@param options The criteria.
 	@returns The server, or undefined if none is available.
 	*/
-	choose({service, isAcceptable, excluded, promptKey, now}: FindServerOptions): ServerRecord | undefined {
+	choose({service, isAcceptable, excluded, promptKey, now, noted}: FindServerOptions): ServerRecord | undefined {
 		const views: ServerView[] = [];
 		for (const tracked of this.#servers.values()) {
 			if (tracked.record.service !== service || tracked.record.state !== 'ready' || !isAcceptable(tracked.record.version)) {
@@ -171,9 +173,26 @@
 		};
 		// If every server is expired or ejected, use one of them rather than none.
 		const choice = chooseServer(views, criteria).altLazy(() => chooseServer(views.map(view => ({...view, expired: false, ejected: false})), criteria));
+		if (noted !== undefined && this.#options.notes !== undefined) {
+			noteChoice(this.#options.notes, {choice, noted, now});
+		}
+
 		return choice.map(({server}) => this.#servers.get(server)?.record).toMaybe().extractNullable() ?? undefined;
 	}
 
+	/**
+	Returns what is believed of each server.
+
+	@param now Milliseconds on the monotonic clock.
+	@param picture The work of all entry instances, if it is known.
+	@returns The beliefs.
+	*/
+	beliefs(now: number, picture?: PoolPicture): readonly ServerBelief[] {
+		return [...this.#servers.values()].map(tracked => describeServer(tracked, {
+			conditions: this.#conditionsOf(tracked, now), evacuatedZones: this.#evacuations.zones, picture,
+		}));
+	}
+
 	/** The load of this instance at each server where it has requests in flight. */
 	get loads(): LoadMessage['loads'] {
 		const loads: Array<readonly [ServerId, number]> = [];
@@ -350,9 +369,13 @@
 	}
 
 	#viewOf(tracked: TrackedServer, now: number): ServerView {
+		return tracked.view(this.#conditionsOf(tracked, now));
+	}
+
+	#conditionsOf(tracked: TrackedServer, now: number): ServerConditions {
 		const {zone, loads} = this.#options;
 		const {id, zone: serverZone} = tracked.record;
-		return tracked.view({
+		return {
 			now,
 			othersLoad: loads.peerLoadAt(id),
 			isSilent: this.#liveness.of(id) === 'silent',
@@ -360,7 +383,7 @@
 			isEjected: this.#ejection.isEjected(id, now),
 			isRateLimited: this.limits.isRateLimited(tracked, now) || this.limits.isFull(tracked),
 			isPaused: !this.limits.pauses.allows(id, now),
-		});
+		};
 	}
 
 	#removeExpired(now: number): void {
--- a/packages/gateway/src/entry/find-server-options.ts
+++ b/packages/gateway/src/entry/find-server-options.ts
@@ -1,4 +1,6 @@
-import {type ServerId, type ServiceId, type VersionId} from '@valehitch/core';
+import {
+	type ModelId, type ServerId, type ServiceId, type VersionId,
+} from '@valehitch/core';
 import {type AffinityScope} from '@valehitch/routing';
 
 /** The cache key of a prompt, and the scope in which its home server is chosen. */
@@ -7,6 +9,14 @@
 	readonly affinityScope: AffinityScope;
 };
 
+/** The request that a server is chosen for. */
+export type NotedRequest = {
+	readonly id: string;
+	readonly model: ModelId | undefined;
+	/** Whether other criteria follow if no server meets these. */
+	readonly hasFurtherCriteria: boolean;
+};
+
 /** The criteria for choosing a server. */
 export type FindServerOptions = {
 	readonly service: ServiceId;
@@ -17,4 +27,6 @@
 	readonly promptKey: PromptKey | undefined;
 	/** Milliseconds on the monotonic clock. */
 	readonly now: number;
+	/** The id of the request and its model, for the notes of decisions; by default, the choice is not noted. */
+	readonly noted?: NotedRequest | undefined;
 };
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -74,12 +74,13 @@
 	readonly failed: Failure;
 };
 
-function refuse({dialect, log, metrics, table, lease, clock, endsAt}: EntryContext, {request, response, failed}: RefusedRequest): void {
+function refuse({dialect, log, metrics, table, lease, clock, endsAt, notes}: EntryContext, {request, response, failed}: RefusedRequest): void {
 	const {status, headers, body} = dialect.refuse(request, failed);
 	metrics.refusals.inc({kind: failed.kind});
 	log('request-refused', {
 		request: request.id, error: failed.kind, reason: failed.message, configuration: table()?.version, confirmedAgo: Math.round(lease.age(clock.monotonic())),
 	}, 'warn');
+	notes.record(request.id, {at: clock.monotonic(), kind: 'refused', facts: {error: failed.kind, reason: failed.message}});
 	if (endsAt() !== undefined) {
 		response.shouldKeepAlive = false;
 	}
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -63,9 +63,11 @@
 		const now = clock.monotonic();
 		const {session} = this.#request;
 		const promptKey = isSuspect ? undefined : this.#promptKey(model);
-		for (const isAcceptable of this.#versionPreferences(now)) {
+		const preferences = this.#versionPreferences(now);
+		for (const isAcceptable of preferences) {
+			const noted = {id: this.#request.id, model, hasFurtherCriteria: isAcceptable !== preferences.at(-1)};
 			const server = servers.choose({
-				service: this.service, isAcceptable, excluded: this.#excluded, promptKey, now,
+				service: this.service, isAcceptable, excluded: this.#excluded, promptKey, now, noted,
 			});
 			if (server !== undefined) {
 				if (session !== undefined) {
--- a/packages/gateway/src/entry/request-end.ts
+++ b/packages/gateway/src/entry/request-end.ts
@@ -40,13 +40,13 @@
 export class RequestEnd {
 	/** The problem of the last send. */
 	lastProblem = 'none';
-	readonly #context: Pick<EntryContext, 'clock' | 'log' | 'metrics'>;
+	readonly #context: Pick<EntryContext, 'clock' | 'log' | 'metrics' | 'notes'>;
 	readonly #options: RequestEndOptions;
 	#mayHaveRun = false;
 	#hasEnded = false;
 	#failedAnswer: CompleteAnswer | undefined;
 
-	constructor(context: Pick<EntryContext, 'clock' | 'log' | 'metrics'>, options: RequestEndOptions) {
+	constructor(context: Pick<EntryContext, 'clock' | 'log' | 'metrics' | 'notes'>, options: RequestEndOptions) {
 		this.#context = context;
 		this.#options = options;
 	}
@@ -145,9 +145,20 @@
 			duration: Math.round(milliseconds),
 			...fields,
 		}, outcome === 'answered' ? 'info' : 'warn');
+		this.#note(outcome, fields);
 		return 'ended';
 	}
 
+	#note(outcome: string, facts: EndFields): void {
+		const {notes, clock} = this.#context;
+		const {request, models} = this.#options;
+		if (outcome !== 'answered' || notes.has(request)) {
+			notes.record(request, {
+				at: clock.monotonic(), kind: outcome, model: models.current, facts,
+			});
+		}
+	}
+
 	/** Replaces a failure that implies that the request has not run if a server may have run it, even for requests that may be repeated. */
 	#withoutFalseClaim(failed: Failure): Failure {
 		return this.#mayHaveRun && !kindsWithoutRunClaim.has(failed.kind) ? {...failed, kind: 'outcome-unknown'} : failed;
--- a/packages/gateway/src/inspection/inspection-handler.test.ts
+++ b/packages/gateway/src/inspection/inspection-handler.test.ts
@@ -4,14 +4,20 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {chooseServer} from '@valehitch/routing';
+import {
+	type ServerId, type ServiceId, type VersionId, type ZoneId,
+} from '@valehitch/core';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
-import {InspectionHandler} from './inspection-handler.js';
+import {InspectionHandler, type InspectionHandlerOptions} from './inspection-handler.js';
+import {type ServerBelief} from './describe-server.js';
 import {type ProfileSummary} from './sum-profile.js';
 
 /** Serves the handler; `wait` stands for the time of a profile. */
-async function serve(t: ExecutionContext, wait: (milliseconds: number) => Promise<void>): Promise<string> {
+async function serve(t: ExecutionContext, {wait, entry = () => undefined}: Pick<InspectionHandlerOptions, 'wait'> & Partial<InspectionHandlerOptions>): Promise<string> {
 	const {registry} = createGatewayMetrics();
-	const handler = new InspectionHandler({registry, wait});
+	const handler = new InspectionHandler({
+		registry, wait, entry, clock: {monotonic: () => 5000},
+	});
 	const server = createServer((request, response) => {
 		void handler.handle(request, response);
 	}).listen(0, '127.0.0.1');
@@ -26,9 +32,11 @@
 /** Serves the handler with a profile that is recorded until `end` is called. */
 async function serveHeld(t: ExecutionContext): Promise<{readonly address: string; readonly startProfile: () => Promise<{readonly response: Promise<Response>}>; readonly end: () => void}> {
 	const recordings = new EventTarget();
-	const address = await serve(t, async () => {
-		recordings.dispatchEvent(new Event('started'));
-		await once(recordings, 'ended');
+	const address = await serve(t, {
+		async wait() {
+			recordings.dispatchEvent(new Event('started'));
+			await once(recordings, 'ended');
+		},
 	});
 	return {
 		address,
@@ -49,17 +57,19 @@
 	const end = performance.now() + milliseconds;
 	while (performance.now() < end) {
 		chooseServer([], {
-			target: 'x', excluded: new Set(), zone: 'hall-a' as never, random: () => 0,
+			target: 'x', excluded: new Set(), zone: 'hall-a' as ZoneId, random: () => 0,
 		});
 	}
 }
 
 test.serial('a profile names the work of the process by group and function, and sums to its whole time', async t => {
 	const seconds: number[] = [];
-	const address = await serve(t, async milliseconds => {
-		seconds.push(milliseconds / 1000);
-		decide(200);
-		await delay(100);
+	const address = await serve(t, {
+		async wait(milliseconds) {
+			seconds.push(milliseconds / 1000);
+			decide(200);
+			await delay(100);
+		},
 	});
 	const response = await fetch(`${address}/profile?seconds=2&format=json`);
 	t.is(response.status, 200);
@@ -77,9 +87,11 @@
 
 test.serial('a profile is a table in plain text unless JSON is asked for, and takes five seconds by default', async t => {
 	const waits: number[] = [];
-	const address = await serve(t, async milliseconds => {
-		waits.push(milliseconds);
-		decide(20);
+	const address = await serve(t, {
+		async wait(milliseconds) {
+			waits.push(milliseconds);
+			decide(20);
+		},
 	});
 	const response = await fetch(`${address}/profile`);
 	t.true(response.headers.get('content-type')?.startsWith('text/plain'));
@@ -103,8 +115,10 @@
 });
 
 test.serial('parameters out of range are rejected with the name of the field', async t => {
-	const address = await serve(t, async () => {
-		t.fail('nothing is recorded');
+	const address = await serve(t, {
+		async wait() {
+			t.fail('nothing is recorded');
+		},
 	});
 	for (const query of ['seconds=0', 'seconds=31', 'seconds=1.5', 'seconds=-1', 'seconds=', 'seconds=abc', 'seconds=1e1', 'format=xml']) {
 		const response = await fetch(`${address}/profile?${query}`);
@@ -123,3 +137,33 @@
 	const {status} = await profile.response;
 	t.is(status, 200);
 });
+
+test.serial('an entry instance lists its beliefs and the decisions on a request, formatted only then', async t => {
+	const belief: ServerBelief = {
+		server: 's1' as ServerId, service: 'labels' as ServiceId, zone: 'hall-a' as ZoneId, version: 'v1' as VersionId, state: 'ready', slots: 8,
+		ownRequests: 1, ownLoad: 1, othersLoad: 2, reportedAgo: 300, unreachableFor: 0, conditions: ['paused'], notChosen: 'has asked for a pause',
+	};
+	const decisions = [{at: 4000, kind: 'held', facts: {share: 0.2}}, {at: 4900, kind: 'refused'}];
+	const address = await serve(t, {
+		wait: async () => undefined,
+		entry: () => ({beliefs: () => [belief], decisionsOf: request => request === 'a/1' ? decisions : undefined}),
+	});
+	const servers = await fetch(`${address}/servers`);
+	t.deepEqual(await servers.json(), {servers: [belief]});
+	const why = await fetch(`${address}/decisions/a%2F1`);
+	t.deepEqual(await why.json(), {request: 'a%2F1', decisions: [{kind: 'held', facts: {share: 0.2}, millisecondsAgo: 1000}, {kind: 'refused', millisecondsAgo: 100}]});
+	for (const request of ['b', '%', '']) {
+		const missing = await fetch(`${address}/decisions/${request}`);
+		t.is(missing.status, 404);
+	}
+});
+
+test.serial('an instance that routes no requests says so', async t => {
+	const address = await serve(t, {wait: async () => undefined});
+	for (const path of ['servers', 'decisions/a']) {
+		const response = await fetch(`${address}/${path}`);
+		const text = await response.text();
+		t.is(response.status, 404);
+		t.regex(text, /routes no requests/v);
+	}
+});
--- a/packages/platform/src/platform-settings.test.ts
+++ b/packages/platform/src/platform-settings.test.ts
@@ -44,3 +44,12 @@
 	t.regex(lines.join('\n'), /node\.yaml:6:.*listen\.front/v);
 	t.regex(lines.join('\n'), /heartbeatMs/v);
 });
+
+test('decisions on one request in a hundred are noted unless the settings say otherwise, and a share that is none is reported', t => {
+	t.is(parsePlatformSettings(text, 'node.yaml').unsafeCoerce().notedShare, 0.01);
+	t.is(parsePlatformSettings(`${text}inspection: {notedShare: 0}\n`, 'node.yaml').unsafeCoerce().notedShare, 0);
+	for (const value of ['1.5', '-0.1', 'all']) {
+		const problems = parsePlatformSettings(`${text}inspection: {notedShare: ${value}}\n`, 'node.yaml').swap().unsafeCoerce();
+		t.regex(problems.map(problem => formatProblem(problem)).join('\n'), /inspection\.notedShare/v);
+	}
+});
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -44,6 +44,8 @@
 	readonly zones: readonly ZoneId[];
 	/** How far the rate of a cold server may exceed the one that its service configures. */
 	readonly coldTolerance: ColdTolerance;
+	/** The share of the sends for which an entry instance notes why they went where they went, from 0 to 1. */
+	readonly notedShare: number;
 	/** The idle time after which a session ends, in milliseconds. */
 	readonly sessionTimeout: number;
 };
@@ -69,6 +71,7 @@
 	dataDir: optional(z.string()),
 	heartbeatMs: z.number().positive(),
 	faultTolerance: z.object({machines: z.int().nonnegative().default(1)}).default({machines: 1}),
+	inspection: z.object({notedShare: z.number().min(0).max(1).default(0.01)}).default({notedShare: 0.01}),
 	bounds: z.object({
 		graceS: z.number().positive(),
 		revokeMs: z.number().positive().default(5000),
@@ -98,7 +101,7 @@
 	return parseDocument(text, {file, schema: fileSchema}).map(values => toSettings(values));
 }
 
-function toSettings({node, ip, zone, zones, listen, portRange, seeds, bootstrap, dataDir, heartbeatMs, faultTolerance, bounds}: z.output<typeof fileSchema>): PlatformSettings {
+function toSettings({node, ip, zone, zones, listen, portRange, seeds, bootstrap, dataDir, heartbeatMs, faultTolerance, inspection, bounds}: z.output<typeof fileSchema>): PlatformSettings {
 	return {
 		name: node,
 		instance: toId<InstanceId>(ip),
@@ -119,6 +122,7 @@
 		toleratedLosses: faultTolerance.machines,
 		zones: Object.keys(zones).map(name => toId<ZoneId>(name)),
 		coldTolerance: {factor: bounds.coldOverage, slack: bounds.coldSlack},
+		notedShare: inspection.notedShare,
 		sessionTimeout: bounds.sessionS * millisecondsPerSecond,
 	};
 }
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -116,7 +116,7 @@
 	const context: ProcessContext = {
 		settings: () => current, log, metrics, network, run,
 	};
-	const metricsServer = metricsPort === undefined ? undefined : await serveInspection(context, {host: settings.peers.host, port: metricsPort});
+	const metricsServer = metricsPort === undefined ? undefined : await serveInspection(context, {parts, host: settings.peers.host, port: metricsPort});
 	log('process-started', {
 		process: settings.name, run, isFounding: settings.isFounding, seeds: settings.seeds, dataFolder: settings.dataFolder,
 	});
@@ -210,7 +210,7 @@
 
 async function startEntryPart(context: ProcessContext, listen: ListenAddress) {
 	const {settings} = context;
-	const {instance, zone, revocationTimeout, canaryShare, retryRatio, retryWindow, sessionTimeout, gracePeriod, heartbeatInterval, readiness} = settings();
+	const {instance, zone, revocationTimeout, canaryShare, retryRatio, retryWindow, sessionTimeout, gracePeriod, heartbeatInterval, readiness, notedShare} = settings();
 	const entry = new EntryInstance({
 		...context,
 		self: instance,
@@ -235,6 +235,7 @@
 		openTunnel: async (relay, target, timeout) => context.network.openTunnel(peerAddress(settings(), relay), target, {timeoutMilliseconds: timeout}),
 		wait: delay,
 		parse: decodeConfiguration,
+		notedShare,
 	});
 	await entry.start();
 	const readinessServer = readiness === undefined ? undefined : await serveReadiness(entry, readiness);
@@ -267,8 +268,10 @@
 	}), listen);
 }
 
-async function serveInspection({metrics: {registry}, log}: ProcessContext, listen: ListenAddress): Promise<Server> {
-	const inspection = new InspectionHandler({registry, wait: delay});
+async function serveInspection({metrics: {registry}, log}: ProcessContext, {parts, ...listen}: ListenAddress & {readonly parts: Parts}): Promise<Server> {
+	const inspection = new InspectionHandler({
+		registry, wait: delay, clock, entry: () => parts.entry?.inspection,
+	});
 	return listenOn(createServer((request, response) => {
 		inspection.handle(request, response).catch((error: unknown) => {
 			log('request-ended', {outcome: 'internal', reason: error instanceof Error ? error.stack ?? error.message : String(error)}, 'error');
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -8,6 +8,7 @@
 export * from './choose-affinity-scope.js';
 export * from './choose-permits.js';
 export * from './decision-history.js';
+export * from './decision-notes.js';
 export * from './divide-rate-limit.js';
 export * from './fingerprint-request.js';
 export * from './hedge-policy.js';
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -198,7 +198,18 @@
 
 const notLoadedReason = 'does not have it loaded';
 
-function ineligibilityReason(server: ServerView, {target, excluded, evacuatedZones}: ServerCriteria): string | undefined {
+/**
+Returns why a server cannot be chosen.
+
+@param server The server.
+@param criteria The requirements.
+@returns The reason, as the rest of a sentence that begins with the server; undefined if it can be chosen.
+@example
+```ts
+ineligibilityReason(view, {target, excluded: new Set()}); // 'is shutting down'
+```
+*/
+export function ineligibilityReason(server: ServerView, {target, excluded, evacuatedZones}: ServerCriteria): string | undefined {
 	if (!server.loaded.has(target)) {
 		return notLoadedReason;
 	}
