Buffer answers of slow callers and reject requests that do not fit, within a share of memory

Cause: a server was not read as soon as 16 KiB waited for a caller, so that an answer whose caller paused for longer than the server waits was cut off; and nothing bounded the bodies that an instance holds.

Change: HeldMemory counts request bodies, plain answers and what callers have not read. A body that does not fit into the rest is rejected at once (overloaded, 503, not run, Retry-After). The limit is limits.heldShare (0.25) of limits.memoryMb; without memoryMb nothing is buffered or rejected. Metrics show the bytes held and the pauses.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -9,7 +9,7 @@
 	errorResponses, type InstanceId, type ZoneId,
 } from '@valehitch/core';
 import {
-	DecisionNotes, RelaySelector, WindowedRetryBudget, ServerLinks,
+	DecisionNotes, HeldMemory, RelaySelector, WindowedRetryBudget, ServerLinks,
 } from '@valehitch/routing';
 import {type ExecutionContext} from 'ava';
 import {Left} from 'purify-ts';
@@ -86,7 +86,7 @@
 export async function sendRequests(t: ExecutionContext, times: number, options: SendRequestsOptions) {
 	const {
 		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, promptParts = [], wait = async () => undefined, latencies, log = ignore,
-		checkProcess = async () => 'running', areServersReachable = true, prepare = ignore,
+		checkProcess = async () => 'running', areServersReachable = true, memory = new HeldMemory(), call = get, prepare = ignore,
 	} = options;
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({
@@ -115,6 +115,7 @@
 			onReachable: ignore,
 		}),
 		notes: new DecisionNotes(),
+		memory,
 		relays: new ServerRelays({
 			clock, selector: new RelaySelector({random: () => 0.5}), peers: () => [], openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}), onTunnel: ignore,
 		}),
@@ -151,12 +152,12 @@
 	const authorized = authorizeRequest(request, {table, lease, now: clock.monotonic()}).unsafeCoerce();
 	const entry = await listen(t, (_message, response) => {
 		void new RequestRun(context, {
-			request, body: new Uint8Array(), response, authorized, arrivedAt: clock.monotonic(),
+			request, body: new Uint8Array(), held: memory.open(), response, authorized, arrivedAt: clock.monotonic(),
 		}).run();
 	});
 	const answers: Array<Awaited<ReturnType<typeof get>>> = [];
 	while (answers.length < times) {
-		answers.push(await get(entry));
+		answers.push(await call(entry));
 	}
 
 	return {answers, evidence: context.evidence.countersOf(new Set([route.services[0]!.service]))};
@@ -182,6 +183,10 @@
 	readonly checkProcess?: EntrySuspectsOptions['checkProcess'];
 	/** Whether trial connections to servers succeed; true by default. */
 	readonly areServersReachable?: boolean;
+	/** What the instance holds; without a limit by default. */
+	readonly memory?: HeldMemory;
+	/** Sends a request to the port of the instance and reads the answer; by default as fast as it comes. */
+	readonly call?: typeof get;
 	/** Called with the context of the instance before the first request. */
 	readonly prepare?: (context: EntryContext) => void;
 };
--- a/packages/gateway/src/entry/caller-answer.ts
+++ b/packages/gateway/src/entry/caller-answer.ts
@@ -2,6 +2,7 @@
 import {type Failure} from '@valehitch/core';
 import {abortResponse} from '@valehitch/transport';
 import {type RouteKind} from '../configuration/routing-configuration.js';
+import {AnswerBuffer} from './answer-buffer.js';
 import {type EntryContext} from './entry-context.js';
 import {type GatewayRequest, type Header} from './gateway-request.js';
 
@@ -33,6 +34,8 @@
 ```
 */
 export class CallerAnswer {
+	/** What the caller has not read yet. */
+	readonly buffer: AnswerBuffer;
 	readonly #context: EntryContext;
 	readonly #options: CallerAnswerOptions;
 	#hasBegun = false;
@@ -41,6 +44,13 @@
 	constructor(context: EntryContext, options: CallerAnswerOptions) {
 		this.#context = context;
 		this.#options = options;
+		this.buffer = new AnswerBuffer({
+			response: options.response,
+			memory: context.memory,
+			onFull() {
+				context.metrics.pausedAnswers.inc();
+			},
+		});
 	}
 
 	/** Whether a part of a stream was written to the caller. */
@@ -92,6 +102,7 @@
 	forward({status, headers, body}: CompleteAnswer): void {
 		this.#writeHead(status, [...headers, ['Content-Length', String(body.byteLength)]]);
 		this.#options.response.end(body);
+		this.buffer.recordUnread();
 	}
 
 	/** Answers with a failure of the gateway itself. */
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -2,7 +2,9 @@
 import {
 	type Clock, type InstanceId, type ServiceId, type RandomSource,
 } from '@valehitch/core';
-import {type DecisionNotes, type WindowedRetryBudget, type ServerLinks} from '@valehitch/routing';
+import {
+	type DecisionNotes, type HeldMemory, type ServerLinks, type WindowedRetryBudget,
+} from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
 import {type ServerNoticeMessage} from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
@@ -46,6 +48,8 @@
 	readonly pins: VersionPins;
 	readonly repeats: RepeatTracker;
 	readonly evidence: EvidenceCounter;
+	/** What the instance holds for its requests. */
+	readonly memory: HeldMemory;
 	/** Why requests went where they went. */
 	readonly notes: DecisionNotes;
 	/** Returns the current configuration; undefined until the first one is received. */
--- a/packages/gateway/src/entry/entry-instance-options.ts
+++ b/packages/gateway/src/entry/entry-instance-options.ts
@@ -54,6 +54,8 @@
 	/** Opens a connection to a backend server through another entry instance. */
 	readonly openTunnel: OpenRelayTunnel;
 	readonly wait: (milliseconds: number) => Promise<void>;
+	/** The bytes that the instance may hold for its requests; undefined for no limit. */
+	readonly heldBytes: number | undefined;
 	/** The share of the sends for which it is noted why they went where they went, from 0 to 1. */
 	readonly notedShare: number;
 	/** Parses a configuration document. */
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -2,7 +2,7 @@
 import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
 import {abortResponse} from '@valehitch/transport';
-import {DecisionNotes, WindowedRetryBudget} from '@valehitch/routing';
+import {DecisionNotes, HeldMemory, WindowedRetryBudget} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {
@@ -147,6 +147,7 @@
 			repeats: new RepeatTracker(),
 			evidence: new EvidenceCounter({entry: self, run}),
 			notes,
+			memory: new HeldMemory({totalBytes: options.heldBytes}),
 			table: () => this.#table,
 			nextReply: async timeout => Promise.race([this.#replyWaiters.waitForNext(), options.wait(timeout)]),
 			nextServerChange: async timeout => Promise.race([this.#serverWaiters.waitForNext(), options.wait(timeout)]),
@@ -200,6 +201,7 @@
 		this.#watch.start();
 		this.#loadTimer = setInterval(() => {
 			this.#loadExchange.flush(this.#options.clock.monotonic());
+			this.#options.metrics.heldBytes.set(this.#context.memory.held);
 		}, loadFlushMilliseconds);
 		const {host, port} = this.#options.listen;
 		await new Promise<void>((resolve, reject) => {
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -1,5 +1,6 @@
 import {type IncomingMessage} from 'node:http';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
+import {type HeldBytes} from '@valehitch/routing';
 import {type ResponseFraming, type Relay} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {type Route} from '../configuration/routing-configuration.js';
@@ -50,6 +51,8 @@
 	readonly results: SendResults;
 	readonly answer: CallerAnswer;
 	readonly events: EventStream;
+	/** The bytes that are held for the request. */
+	readonly held: HeldBytes;
 	readonly server: ServerRecord;
 	/** The instance through which the server was reached; undefined for this instance's own links. */
 	readonly relay?: Relay | undefined;
@@ -193,9 +196,9 @@
 }
 
 async function handleFailedAnswer({message, framing, isComplete}: ReceivedHead, {status, isSigned}: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
-	const {context: {dialect}, suspect, results, models, server, hasEnded} = options;
+	const {context: {dialect}, suspect, results, models, server, held, hasEnded} = options;
 	const headers = dialect.answerHeaders(message);
-	const body = await collectBody(message, isComplete);
+	const body = await collectBody(message, isComplete, {held});
 	if (hasEnded()) {
 		return {type: 'ended'};
 	}
@@ -217,10 +220,10 @@
 }
 
 async function handlePlainAnswer({message, framing, isComplete}: ReceivedHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
-	const {context: {dialect, clock}, suspect, results, models, server, sentAt, hasEnded} = options;
+	const {context: {dialect, clock}, suspect, results, models, server, held, sentAt, hasEnded} = options;
 	const headers = dialect.answerHeaders(message);
 	const status = message.statusCode ?? 0;
-	const body = await collectBody(message, isComplete);
+	const body = await collectBody(message, isComplete, {held});
 	if (hasEnded()) {
 		return {type: 'ended'};
 	}
@@ -283,6 +286,7 @@
 		isComplete,
 		response: answer.response,
 		events,
+		buffer: answer.buffer,
 		clock: context.clock,
 		stallTimeout: route.isResumable ? stallFactor * (route.targetGap ?? route.targetLatency) : 0,
 		canResumeElsewhere,
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -1,10 +1,10 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Failure, failure} from '@valehitch/core';
-import {readBody} from '@valehitch/transport';
 import {type Route} from '../configuration/routing-configuration.js';
 import {authorizeAtStartup} from './authorize-at-startup.js';
 import {type EntryContext} from './entry-context.js';
 import {type GatewayRequest} from './gateway-request.js';
+import {readCallerBody} from './read-caller-body.js';
 import {RequestRun} from './request-run.js';
 
 /** The duration that nearly all streams stay below. During a shutdown, streams that arrive with less time left would be cut off, so they are refused. */
@@ -43,19 +43,24 @@
 		return;
 	}
 
-	const body = await readBody(message, context.table()?.limits.bodyBytes ?? defaultBodyBytes);
-	if (response.destroyed) {
-		return;
-	}
+	const held = context.memory.open();
+	try {
+		const body = await readCallerBody(message, {memory: context.memory, held, maximumBytes: context.table()?.limits.bodyBytes ?? defaultBodyBytes});
+		if (response.destroyed) {
+			return;
+		}
 
-	if (body.isLeft()) {
-		refuse(context, {request, response, failed: body.extract()});
-		return;
-	}
+		if (body.isLeft()) {
+			refuse(context, {request, response, failed: body.extract()});
+			return;
+		}
 
-	await new RequestRun(context, {
-		request, body: body.unsafeCoerce(), response, authorized: authorized.unsafeCoerce(), arrivedAt,
-	}).run();
+		await new RequestRun(context, {
+			request, body: body.unsafeCoerce(), held, response, authorized: authorized.unsafeCoerce(), arrivedAt,
+		}).run();
+	} finally {
+		held.set(0);
+	}
 }
 
 /** Checks whether a request that arrives now is expected to finish before the instance stops. */
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -1,6 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Clock} from '@valehitch/core';
 import {InactivityTimer} from '@valehitch/transport';
+import {type AnswerBuffer} from './answer-buffer.js';
 import {type EventStream} from './event-stream.js';
 
 /** Options of {@linkcode relayStream}. */
@@ -10,6 +11,8 @@
 	readonly isComplete: () => Promise<boolean>;
 	readonly response: ServerResponse;
 	readonly events: EventStream;
+	/** Counts what the caller has not read, and decides whether the server may go on sending; by default it may not. */
+	readonly buffer?: Pick<AnswerBuffer, 'mayGrow' | 'recordUnread'>;
 	/** The clock of the stall timeout; that of the process by default. */
 	readonly clock?: Pick<Clock, 'monotonic'>;
 	/** The time without data after which the stream is considered stalled, in milliseconds; 0 for no timeout. */
@@ -39,10 +42,11 @@
 ```
 */
 export async function relayStream(options: RelayStreamOptions): Promise<RelayEnd> {
-	const {message, isComplete, response, events, clock = processClock, stallTimeout, canResumeElsewhere, onData, onFirstEvent} = options;
+	const {message, isComplete, response, events, buffer, clock = processClock, stallTimeout, canResumeElsewhere, onData, onFirstEvent} = options;
 	return new Promise(resolve => {
 		let hasForwarded = false;
 		let isFinished = false;
+		let isPaused = false;
 		const stall = new InactivityTimer({
 			timeout: stallTimeout,
 			clock,
@@ -75,8 +79,12 @@
 		};
 
 		const onDrain = (): void => {
-			stall.start(clock.monotonic());
-			message.resume();
+			buffer?.recordUnread();
+			if (isPaused) {
+				isPaused = false;
+				stall.start(clock.monotonic());
+				message.resume();
+			}
 		};
 
 		const forward = (bytes: Uint8Array): void => {
@@ -85,8 +93,9 @@
 				onFirstEvent();
 			}
 
-			if (!response.write(bytes)) {
-				// Under backpressure from the caller, the server is not expected to send data.
+			if (!response.write(bytes) && buffer?.mayGrow() !== true) {
+				// While it is paused, the server is not expected to send data.
+				isPaused = true;
 				stall.stop();
 				message.pause();
 			}
--- a/packages/gateway/src/entry/request-run-options.ts
+++ b/packages/gateway/src/entry/request-run-options.ts
@@ -1,4 +1,5 @@
 import {type ServerResponse} from 'node:http';
+import {type HeldBytes} from '@valehitch/routing';
 import {type Relay} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type AuthorizedRequest} from './authorize-request.js';
@@ -11,6 +12,8 @@
 	readonly body: Uint8Array;
 	readonly response: ServerResponse;
 	readonly authorized: AuthorizedRequest;
+	/** The bytes that are held for the request, its body among them; the caller of the run releases them. */
+	readonly held: HeldBytes;
 	/** When the request arrived, in milliseconds on the monotonic clock. */
 	readonly arrivedAt: number;
 };
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,4 +1,4 @@
-import {RequestPath} from '@valehitch/routing';
+import {type HeldBytes, RequestPath} from '@valehitch/routing';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
 import {setTimeoutAfterPoll, type Relay} from '@valehitch/transport';
 import {match} from 'ts-pattern';
@@ -33,13 +33,14 @@
 
 @example
 ```ts
-await new RequestRun(context, {request, body, response, authorized, arrivedAt}).run();
+await new RequestRun(context, {request, body, held, response, authorized, arrivedAt}).run();
 ```
 */
 export class RequestRun {
 	readonly #context: EntryContext;
 	readonly #request: GatewayRequest;
 	readonly #body: Uint8Array;
+	readonly #held: HeldBytes;
 	readonly #answer: CallerAnswer;
 	readonly #placement: Placement;
 	readonly #results: SendResults;
@@ -57,11 +58,12 @@
 	/** The current or last send. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
 
-	constructor(context: EntryContext, {request, body, response, authorized, arrivedAt}: RequestRunOptions) {
+	constructor(context: EntryContext, {request, body, held, response, authorized, arrivedAt}: RequestRunOptions) {
 		const {route} = authorized;
 		this.#context = context;
 		this.#request = request;
 		this.#body = body;
+		this.#held = held;
 		this.#authorized = authorized;
 		this.#arrivedAt = arrivedAt;
 		this.#deadlineAt = arrivedAt + Math.min(request.timeout ?? route.timeout, route.timeout);
@@ -207,6 +209,7 @@
 			results: this.#results,
 			answer: this.#answer,
 			events: this.#events,
+			held: this.#held,
 			server,
 			relay,
 			sentAt,
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -70,6 +70,12 @@
 		borrowedSends: new Counter({
 			name: 'valehitch_borrowed_sends_total', help: 'Sends to backend servers with rate limits that other entry instances lent', registers,
 		}),
+		heldBytes: new Gauge({
+			name: 'valehitch_held_bytes', help: 'Bytes of requests and answers that this instance holds, at the last exchange of loads', registers,
+		}),
+		pausedAnswers: new Counter({
+			name: 'valehitch_paused_answers_total', help: 'Times that a server was not read because the caller of its answer reads slowly and no more may be buffered', registers,
+		}),
 		tunnels: new Counter({
 			name: 'valehitch_tunnels_total', help: 'Connections to backend servers opened through other instances, by result', labelNames: ['result'], registers,
 		}),
--- a/packages/platform/src/platform-settings.test.ts
+++ b/packages/platform/src/platform-settings.test.ts
@@ -53,3 +53,16 @@
 		t.regex(problems.map(problem => formatProblem(problem)).join('\n'), /inspection\.notedShare/v);
 	}
 });
+
+test('what an instance may hold is a share of its memory, unlimited without one, and a share that is none is reported', t => {
+	const heldBytes = (limits: string): number | undefined => parsePlatformSettings(`${text}${limits}`, 'node.yaml').unsafeCoerce().heldBytes;
+	t.is(heldBytes(''), undefined);
+	t.is(heldBytes('limits: {cpuShare: 0.3}\n'), undefined);
+	t.is(heldBytes('limits: {memoryMb: null}\n'), undefined);
+	t.is(heldBytes('limits: {memoryMb: 160}\n'), 40 * 1_048_576);
+	t.is(heldBytes('limits: {memoryMb: 160, heldShare: 0.5}\n'), 80 * 1_048_576);
+	for (const [field, value] of [['heldShare', '0'], ['heldShare', '1.1'], ['heldShare', 'half'], ['memoryMb', '0'], ['memoryMb', '-1'], ['memoryMb', 'much']] as const) {
+		const problems = parsePlatformSettings(`${text}limits: {${field}: ${value}}\n`, 'node.yaml').swap().unsafeCoerce();
+		t.regex(problems.map(problem => formatProblem(problem)).join('\n'), new RegExp(String.raw`limits\.${field}`, 'v'));
+	}
+});
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -44,6 +44,8 @@
 	readonly zones: readonly ZoneId[];
 	/** How far the rate of a cold server may exceed the one that its service configures. */
 	readonly coldTolerance: ColdTolerance;
+	/** The bytes that an entry instance may hold for its requests; undefined for no limit. */
+	readonly heldBytes: number | undefined;
 	/** The share of the sends for which an entry instance notes why they went where they went, from 0 to 1. */
 	readonly notedShare: number;
 	/** The idle time after which a session ends, in milliseconds. */
@@ -58,6 +60,10 @@
 // The settings package removes the prefix "Wanted " and states the rest as the expected value.
 const address = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/v, 'Wanted an address such as 10.1.0.40:8227');
 
+/** The share of the memory that is held for requests at most by default; the program itself and the engine's own buffers need the rest. */
+const defaultHeldShare = 0.25;
+const bytesPerMegabyte = 1_048_576;
+
 const fileSchema = z.object({
 	node: z.string(),
 	ip: z.string(),
@@ -71,6 +77,7 @@
 	dataDir: optional(z.string()),
 	heartbeatMs: z.number().positive(),
 	faultTolerance: z.object({machines: z.int().nonnegative().default(1)}).default({machines: 1}),
+	limits: z.object({memoryMb: z.number().positive().nullish(), heldShare: z.number().positive().max(1).default(defaultHeldShare)}).default({heldShare: defaultHeldShare}),
 	inspection: z.object({notedShare: z.number().min(0).max(1).default(0.01)}).default({notedShare: 0.01}),
 	bounds: z.object({
 		graceS: z.number().positive(),
@@ -101,7 +108,9 @@
 	return parseDocument(text, {file, schema: fileSchema}).map(values => toSettings(values));
 }
 
-function toSettings({node, ip, zone, zones, listen, portRange, seeds, bootstrap, dataDir, heartbeatMs, faultTolerance, inspection, bounds}: z.output<typeof fileSchema>): PlatformSettings {
+function toSettings(values: z.output<typeof fileSchema>): PlatformSettings {
+	const {node, ip, zone, zones, listen, portRange, seeds, bootstrap, dataDir, heartbeatMs} = values;
+	const {faultTolerance, limits: {memoryMb, heldShare}, inspection, bounds} = values;
 	return {
 		name: node,
 		instance: toId<InstanceId>(ip),
@@ -122,6 +131,7 @@
 		toleratedLosses: faultTolerance.machines,
 		zones: Object.keys(zones).map(name => toId<ZoneId>(name)),
 		coldTolerance: {factor: bounds.coldOverage, slack: bounds.coldSlack},
+		heldBytes: typeof memoryMb === 'number' ? Math.floor(heldShare * memoryMb * bytesPerMegabyte) : undefined,
 		notedShare: inspection.notedShare,
 		sessionTimeout: bounds.sessionS * millisecondsPerSecond,
 	};
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -210,7 +210,7 @@
 
 async function startEntryPart(context: ProcessContext, listen: ListenAddress) {
 	const {settings} = context;
-	const {instance, zone, revocationTimeout, canaryShare, retryRatio, retryWindow, sessionTimeout, gracePeriod, heartbeatInterval, readiness, notedShare} = settings();
+	const {instance, zone, revocationTimeout, canaryShare, retryRatio, retryWindow, sessionTimeout, gracePeriod, heartbeatInterval, readiness, notedShare, heldBytes} = settings();
 	const entry = new EntryInstance({
 		...context,
 		self: instance,
@@ -236,6 +236,7 @@
 		wait: delay,
 		parse: decodeConfiguration,
 		notedShare,
+		heldBytes,
 	});
 	await entry.start();
 	const readinessServer = readiness === undefined ? undefined : await serveReadiness(entry, readiness);
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -12,6 +12,7 @@
 export * from './divide-rate-limit.js';
 export * from './fingerprint-request.js';
 export * from './hedge-policy.js';
+export * from './held-memory.js';
 export * from './leased-rate-limiter.js';
 export * from './may-relay.js';
 export * from './outlier-ejection.js';
--- a/packages/transport/src/read-body.ts
+++ b/packages/transport/src/read-body.ts
@@ -3,18 +3,25 @@
 import {type Failure, failure} from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
 
+/** Options of {@linkcode readBody}. */
+export type ReadBodyOptions = {
+	/** Returns why no more bytes may be kept; called before each part of the body is kept, with its size. By default, all are kept. */
+	readonly refuse?: (bytes: number) => Failure | undefined;
+};
+
 /**
 Reads the body of an HTTP request or response, up to a size limit.
 
 @param message The request or response.
 @param maximumBytes The maximum size of the body in bytes.
-@returns The body; a `too-large` failure if it exceeds the limit; a `malformed-request` failure if the message is truncated.
+@param options Whether parts of it may be kept.
+@returns The body; a `too-large` failure if it exceeds the limit; the given failure if a part may not be kept; a `malformed-request` failure if the message is truncated.
 @example
 ```ts
 const body = await readBody(request, 4_194_304);
 ```
 */
-export async function readBody(message: IncomingMessage, maximumBytes: number): Promise<Either<Failure, Uint8Array>> {
+export async function readBody(message: IncomingMessage, maximumBytes: number, {refuse}: ReadBodyOptions = {}): Promise<Either<Failure, Uint8Array>> {
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	try {
@@ -26,6 +33,12 @@
 				return Left(failure('too-large', `The body exceeds ${maximumBytes} bytes`));
 			}
 
+			const refused = refuse?.(chunk.byteLength);
+			if (refused !== undefined) {
+				message.resume();
+				return Left(refused);
+			}
+
 			chunks.push(chunk);
 		}
 	} catch {
