--- a/packages/cli/src/cli.test.ts
+++ b/packages/cli/src/cli.test.ts
@@ -281,3 +281,60 @@
 	t.is(stdout, 'TIME                        INSTANCE  ZONE    EVENT             SUBJECT\n1970-01-01T00:00:00.000Z+2  entry-1   zone-a  instance-started\n');
 	t.is(await exitCode(['timeline']), 1);
 });
+
+test('profile asks the metrics port for the given time, prints both tables, and passes on a rejection', async t => {
+	const {received, environment} = await startFakeInstance(t, [
+		{
+			status: 200,
+			body: {
+				milliseconds: 2000,
+				groups: [{name: 'idle', milliseconds: 1500, share: 0.75}, {name: 'forwarding', milliseconds: 500, share: 0.25}],
+				functions: [{name: '(idle)', milliseconds: 1500, share: 0.75}, {name: 'forward gateway/entry/relay-stream:82', milliseconds: 500, share: 0.25}],
+			},
+		},
+		{status: 409, body: {kind: 'profile-in-progress', detail: 'Another profile is recorded'}},
+	]);
+	const instance = environment[serverVariable]?.replace('http://', '') ?? '';
+	const {stdout} = await run(['profile', '--instance', instance, '--seconds', '2']);
+	t.is(received[0]?.url, '/profile?seconds=2&format=json');
+	t.regex(stdout, /500\.0 +25\.0 +forwarding\n/v);
+	t.regex(stdout, /500\.0 +25\.0 +forward gateway\/entry\/relay-stream:82\n/v);
+	const rejected = await run(['profile', '--instance', instance]);
+	t.is(rejected.code, 1);
+	t.regex(rejected.stderr, /Another profile is recorded/v);
+	t.not(await exitCode(['profile', '--instance', instance, '--seconds', '31']), 0);
+	t.is(received.length, 2);
+});
+
+test('beliefs prints a row for each server, and why prints each decision with the servers considered', async t => {
+	const {received, environment} = await startFakeInstance(t, [
+		{
+			status: 200, body: {
+				servers: [{
+					server: 's1', zone: 'hall-a', state: 'ready', ownLoad: 1.6, othersLoad: 4, reportedAgo: 812.4, conditions: ['paused'], notChosen: 'has asked for a pause', work: {slowness: 2},
+				}],
+			},
+		},
+		{
+			status: 200,
+			body: {
+				request: 'a/1',
+				decisions: [
+					{
+						kind: 'chosen', millisecondsAgo: 900, server: 's1', considered: [{server: 's1', verdict: 'chosen'}, {server: 's2', verdict: 'is shutting down'}],
+					},
+					{kind: 'refused', millisecondsAgo: 20, facts: {error: 'overloaded', share: 0.2}},
+				],
+			},
+		},
+		{status: 404, body: {kind: 'not-found', detail: 'Nothing is kept of request b'}},
+	]);
+	const instance = environment[serverVariable]?.replace('http://', '') ?? '';
+	const beliefs = await run(['beliefs', '--instance', instance]);
+	t.regex(beliefs.stdout, /^s1 +- +hall-a +- +ready +2 +4 +2 +- +812 +- +paused +has asked for a pause$/mv);
+	const why = await run(['why', 'a/1', '--instance', instance]);
+	t.is(why.stdout, '900 ms ago: chosen, server s1\n  s1 chosen\n  s2 is shutting down\n20 ms ago: refused, error overloaded, share 0.2\n');
+	const unknown = await run(['why', 'b', '--instance', instance]);
+	t.is(unknown.code, 1);
+	t.deepEqual(received.map(({url}) => url), ['/servers', '/decisions/a%2F1', '/decisions/b']);
+});
