--- /dev/null
+++ b/packages/routing/src/server-slowness.test.ts
@@ -0,0 +1,24 @@
+import test from 'ava';
+import {serverSlowness} from './server-slowness.js';
+
+test('a server is as slow as it answers against the pool, whatever the load of the pool', t => {
+	for (const load of [1, 3]) {
+		const pool = {observed: load * 400_000, expected: 400_000};
+		t.true(Math.abs(serverSlowness({observed: load * 200_000, expected: 100_000}, pool) - 2) < 0.02);
+		t.true(Math.abs(serverSlowness({observed: load * 50_000, expected: 100_000}, pool) - 0.5) < 0.02);
+		t.is(serverSlowness({observed: load * 100_000, expected: 100_000}, pool), 1);
+	}
+});
+
+test('one late answer does not make a server slow, and nothing is known without answers', t => {
+	const pool = {observed: 400_000, expected: 400_000};
+	t.true(serverSlowness({observed: 500, expected: 100}, pool) < 1.5);
+	t.is(serverSlowness({observed: 0, expected: 0}, pool), 1);
+	t.is(serverSlowness({observed: 500, expected: 100}, {observed: 0, expected: 0}), 1);
+});
+
+test('the result is bounded', t => {
+	const pool = {observed: 1e6, expected: 1e6};
+	t.is(serverSlowness({observed: 1e9, expected: 1e6}, pool), 8);
+	t.is(serverSlowness({observed: 0, expected: 1e6}, pool), 0.25);
+});
--- /dev/null
+++ b/packages/routing/src/server-slowness.ts
@@ -0,0 +1,30 @@
+import {type ResponseTimes} from './recent-times.js';
+
+/** The expected time that counts as observed at mean speed, in milliseconds: a few answers, so that one late answer does not make a server slow. */
+const priorMilliseconds = 1000;
+/** The bounds of the result. */
+const minimumSlowness = 0.25;
+const maximumSlowness = 8;
+
+/**
+Estimates how slow a server is against the other servers of its pool.
+
+It answers the load of servers of unlike speeds: times of a pool that is busy as a whole leave all servers at 1.
+
+@param server The sums of the recent times of the server.
+@param pool The sums over all servers.
+@returns 1 for a server of mean speed or without recent answers, 2 for one that takes twice as long; within 0.25 and 8.
+@example
+```ts
+serverSlowness({observed: 40_000, expected: 20_000}, {observed: 400_000, expected: 400_000}); // about 1.95
+```
+*/
+export function serverSlowness(server: ResponseTimes, pool: ResponseTimes): number {
+	if (pool.observed <= 0 || pool.expected <= 0) {
+		return 1;
+	}
+
+	const observedAtMeanLoad = server.observed * pool.expected / pool.observed;
+	const slowness = (observedAtMeanLoad + priorMilliseconds) / (server.expected + priorMilliseconds);
+	return Math.min(maximumSlowness, Math.max(minimumSlowness, slowness));
+}
