One picture of load over all entry instances, by control instances

Cause: an entry instance hears the loads of six others, whatever their number. Change: where more than seven entry instances poll, each sends `work-report` to one watched control instance, about each 300 ms while its work changes, and the reply tells the work of all others; control instances send each other `work-summary` each 250 ms. Only control instances that say that they read these messages get them. PoolLoads stands where EntryServers used LoadExchange; without a reply for 1.5 s, the loads of the peers are used as before. With up to seven entry instances nothing is reported and the peers' loads are used as before. TrackedServer counts unanswered prompts and streams apart. Conclusion: the age of the picture is not weighed yet beyond the decay of 150 ms that the choice of servers had.

--- a/packages/gateway/src/control/_test-control-node.ts
+++ b/packages/gateway/src/control/_test-control-node.ts
@@ -3,6 +3,7 @@
 import {noEvacuations} from '../servers/evacuations.js';
 import {EntryWatches} from './entry-watches.js';
 import {LimitedServers} from './limited-servers.js';
+import {MessageReaders} from './message-readers.js';
 import {ServerDirectorySync, type ServerDirectorySyncOptions} from './server-directory-sync.js';
 
 const heartbeatMilliseconds = 1200;
@@ -22,7 +23,7 @@
 /** Starts the services of a control instance without their timers; the test triggers each round. */
 export function startTestControlServices({run, ...options}: StartTestControlOptions): TestControlServices {
 	const news = new ServerDirectorySync({
-		...options, log: doNothing, metrics: createGatewayMetrics(), heartbeatMilliseconds, onChange: doNothing,
+		...options, log: doNothing, metrics: createGatewayMetrics(), heartbeatMilliseconds, summaryReaders: new MessageReaders(), onChange: doNothing,
 	});
 	const watches = new EntryWatches({
 		clock: options.clock,
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -19,6 +19,7 @@
 import {
 	type ConfirmReply, type JoinReply, type PeerMessage, type ServersReply, type SuspectsMessage,
 } from './peer-message.js';
+import {PoolWork} from './pool-work.js';
 import {type OpenedDataFolder, ControlReplicaSupervisor} from './control-replica-supervisor.js';
 import {RolloutClock} from './rollout-clock.js';
 import {RolloutController} from './rollout-controller.js';
@@ -59,11 +60,13 @@
 	readonly #confirmation: StateConfirmation;
 	readonly #coldServers: ColdServers;
 	readonly #limitedServers: LimitedServers;
+	readonly #poolWork: PoolWork;
 	#timers: NodeJS.Timeout[] = [];
 
 	constructor(options: ControlInstanceOptions) {
 		this.#options = options;
 		this.#suspension = new SuspensionDetector(options.clock);
+		this.#poolWork = new PoolWork({...options, others: () => this.#peers()});
 		this.#supervisor = new ControlReplicaSupervisor({
 			...options,
 			createReplica: opened => this.#createReplica(opened),
@@ -76,6 +79,7 @@
 			...options,
 			saved: options.savedServers,
 			others: () => this.#peers(),
+			summaryReaders: this.#poolWork.summaryReaders,
 			onChange: () => {
 				this.#watches.answerPending();
 			},
@@ -138,6 +142,7 @@
 	/** Opens the data folder, reads the saved lists, and starts the replica and the periodic tasks. */
 	async start(): Promise<void> {
 		const lists = [this.#serverSync.start(), this.#suspectSync.start()];
+		this.#poolWork.start();
 		this.#timers = [
 			setInterval(() => {
 				void this.#confirmation.confirm();
@@ -153,6 +158,7 @@
 	async stop(): Promise<void> {
 		this.#serverSync.stop();
 		this.#suspectSync.stop();
+		this.#poolWork.stop();
 		for (const timer of this.#timers) {
 			clearInterval(timer);
 		}
@@ -231,7 +237,8 @@
 			.with({type: 'propose'}, async ({command}) => this.#leader.handleProposal(command))
 			.with({type: 'servers'}, (servers): ServersReply => {
 				this.#serverSync.receive(servers);
-				return {run: this.#options.run};
+				this.#poolWork.summaryReaders.record(from, {canRead: servers.takesWorkSummaries === true});
+				return {run: this.#options.run, takesWorkSummaries: true};
 			})
 			.with({type: 'server-ended'}, ({server}) => {
 				this.#serverSync.markEnded(server);
@@ -248,6 +255,11 @@
 				this.#limitedServers.receive(watch.serverLimits ?? [], from);
 				return this.#watches.answer(from, watch);
 			})
+			.with({type: 'work-report'}, report => this.#poolWork.answer(from, report))
+			.with({type: 'work-summary'}, summary => {
+				this.#poolWork.receive(from, summary);
+				return true;
+			})
 			.with({type: 'load'}, {type: 'server-notice'}, {type: 'borrow-sends'}, () => undefined)
 			.exhaustive();
 	}
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -120,6 +120,7 @@
 			entries: this.#peersOf(entry, entries),
 			relayRevision,
 			relays: watch.run === run && watch.relayRevision === relayRevision ? undefined : relays,
+			takesWorkReports: true,
 		};
 	}
 
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -3,7 +3,7 @@
 	type Failure, type InstanceId, type ServerId, type ZoneId,
 } from '@valehitch/core';
 import {type EncodedReplicaMessage} from '@valehitch/replication';
-import {type SuspectRecord} from '@valehitch/routing';
+import {type AgedWork, type SuspectRecord, type WorkPart} from '@valehitch/routing';
 import {type RolloutWithAge} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
 import {type Evacuations} from '../servers/evacuations.js';
@@ -71,6 +71,8 @@
 	readonly type: 'servers';
 	/** The records that changed, and those of servers that recently announced themselves to the sender. */
 	readonly records: readonly ServerRecord[];
+	/** Whether the sender reads `work-summary` messages; absent in versions before them. */
+	readonly takesWorkSummaries?: true;
 };
 
 /** All backend servers known to a control instance. */
@@ -83,6 +85,8 @@
 export type ServersReply = {
 	/** Identifies the run of the process that received the records. */
 	readonly run: string;
+	/** Whether the process reads `work-summary` messages; absent in versions before them. */
+	readonly takesWorkSummaries?: true;
 };
 
 /** Reports that a backend server has stopped, even if the receiver has no record of the server. */
@@ -174,6 +178,21 @@
 	readonly relayRevision?: number;
 	/** The entry instances through which the requester can reach servers, unless it has them. */
 	readonly relays?: readonly InstanceId[] | undefined;
+	/** Whether the control instance reads `work-report` messages; absent in versions before them. */
+	readonly takesWorkReports?: true;
+};
+
+/** Reports all work of an entry instance at backend servers to a control instance, which replies with that of all others. */
+export type WorkReportMessage = Omit<WorkPart, 'entries' | 'age'> & {
+	readonly type: 'work-report';
+};
+
+/** The reply to a report of work: the work of all other entry instances, and its mean age in milliseconds. */
+export type WorkReply = Omit<AgedWork, 'entries'>;
+
+/** Sends the work of the entry instances that report to a control instance to another one. */
+export type WorkSummaryMessage = WorkPart & {
+	readonly type: 'work-summary';
 };
 
 /** Reports the load that an entry instance has placed on each server. */
@@ -212,4 +231,4 @@
 export type PeerMessage
 	= ReplicaEnvelope | JoinMessage | ConfirmMessage | ProposeMessage
 		| ServersMessage | ServerEndedMessage | AllServersMessage | SuspectsMessage | AllSuspectsMessage
-		| WatchMessage | EntryMessage;
+		| WatchMessage | WorkReportMessage | WorkSummaryMessage | EntryMessage;
--- a/packages/gateway/src/control/select-load-sharing-peers.ts
+++ b/packages/gateway/src/control/select-load-sharing-peers.ts
@@ -7,7 +7,7 @@
 };
 
 /** The number of peers to which an entry instance reports its load; a small deployment has fewer, and all of them are peers. */
-const maximumPeers = 6;
+export const maximumLoadSharingPeers = 6;
 
 /**
 Selects the entry instances with which an instance shares its load: its successors when the instances are ordered by name in a ring, those in its own availability zone first.
@@ -23,7 +23,7 @@
 export function selectLoadSharingPeers(self: ActiveEntry, entries: readonly ActiveEntry[]): readonly InstanceId[] {
 	const sameZone = successorsInRing(self, entries.filter(({zone}) => zone === self.zone));
 	const otherZones = successorsInRing(self, entries.filter(({zone}) => zone !== self.zone));
-	return [...sameZone, ...otherZones].slice(0, maximumPeers);
+	return [...sameZone, ...otherZones].slice(0, maximumLoadSharingPeers);
 }
 
 function successorsInRing({instance: self}: ActiveEntry, entries: readonly ActiveEntry[]): readonly InstanceId[] {
--- a/packages/gateway/src/control/server-directory-sync.test.ts
+++ b/packages/gateway/src/control/server-directory-sync.test.ts
@@ -3,6 +3,7 @@
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
 import {type ServerRecord} from '../servers/server-record.js';
+import {MessageReaders} from './message-readers.js';
 import {type PeerMessage} from './peer-message.js';
 import {ServerDirectorySync} from './server-directory-sync.js';
 
@@ -35,6 +36,7 @@
 				sent.push(message);
 				return link.isPartitioned ? undefined : answer(syncs.get(to), message, link.run);
 			},
+			summaryReaders: new MessageReaders(),
 			onChange: doNothing,
 			saved: {
 				read: async () => records,
--- a/packages/gateway/src/control/server-directory-sync.ts
+++ b/packages/gateway/src/control/server-directory-sync.ts
@@ -6,6 +6,7 @@
 import {type SavedList} from '../servers/saved-list.js';
 import {ServerDirectory} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
+import {type MessageReaders} from './message-readers.js';
 import {
 	type AllServersReply, type PeerMessage, type ServersMessage, type ServersReply,
 } from './peer-message.js';
@@ -21,6 +22,8 @@
 	readonly others: () => readonly InstanceId[];
 	/** Sends a request to another control instance; resolves to `undefined` if no reply arrives within the timeout in milliseconds. */
 	readonly ask: (to: InstanceId, message: PeerMessage, timeout: number) => Promise<unknown>;
+	/** The other control instances that read summaries of work. */
+	readonly summaryReaders: Pick<MessageReaders, 'record'>;
 	/** Called after each change of the directory. */
 	readonly onChange: () => void;
 	/** Stores the directory, so that the next run of this instance need not wait for all servers to announce themselves. */
@@ -199,8 +202,9 @@
 			return;
 		}
 
-		const reply = await this.#options.ask(other, {type: 'servers', records}, forwardTimeoutMilliseconds) as ServersReply | undefined;
+		const reply = await this.#options.ask(other, {type: 'servers', records, takesWorkSummaries: true}, forwardTimeoutMilliseconds) as ServersReply | undefined;
 		if (reply !== undefined) {
+			this.#options.summaryReaders.record(other, {canRead: reply.takesWorkSummaries === true});
 			// If the process has restarted, it has only received the changes since its restart.
 			const isComplete = cursor === 0 || run === reply.run;
 			this.#acknowledged.set(other, {run: reply.run, cursor: isComplete ? latestCursor : 0});
@@ -215,7 +219,7 @@
 		this.#logStates(changed, 'announcement');
 		this.#options.onChange();
 		const leaving = changed.filter(({state}) => state !== 'ready').map(({id}) => id);
-		const broadcast = this.#broadcast({type: 'servers', records: this.#withColdTimes(changed)}, leaving);
+		const broadcast = this.#broadcast({type: 'servers', records: this.#withColdTimes(changed), takesWorkSummaries: true}, leaving);
 		if (leaving.length > 0) {
 			await this.#waitUntilDurable(broadcast);
 		}
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -103,6 +103,7 @@
 		bounds: {canaryShare: 0.1, minimumConfidence: 50},
 		lease,
 		servers,
+		poolLoads: {picture: () => ({age: Number.POSITIVE_INFINITY, workAt: () => undefined, heldByOthers: []}), recordSample: ignore, slownessOf: () => 1},
 		links: new ServerLinks({
 			clock,
 			random: () => 0.5,
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -15,6 +15,7 @@
 import {type EvidenceCounter} from './evidence-counter.js';
 import {type BrittleRejection} from './known-peers.js';
 import {type LatencyEstimator} from './latency-estimator.js';
+import {type PoolLoads} from './pool-loads.js';
 import {type RepeatTracker} from './repeat-tracker.js';
 import {type SendBorrower} from './send-borrower.js';
 import {type VersionPins} from './version-pins.js';
@@ -37,6 +38,8 @@
 	readonly bounds: EntryLimits;
 	readonly lease: ConfigurationLease;
 	readonly servers: EntryServers;
+	/** What is known of the load of the other entry instances. */
+	readonly poolLoads: Pick<PoolLoads, 'picture' | 'recordSample' | 'slownessOf'>;
 	readonly links: ServerLinks;
 	readonly relays: ServerRelays;
 	readonly suspects: EntrySuspects;
--- a/packages/gateway/src/entry/entry-instance-options.ts
+++ b/packages/gateway/src/entry/entry-instance-options.ts
@@ -5,7 +5,7 @@
 import {type Either} from 'purify-ts';
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
 import {
-	type BorrowMessage, type BorrowReply, type EntryMessage, type SuspectsMessage, type WatchMessage, type WatchReply,
+	type BorrowMessage, type BorrowReply, type EntryMessage, type SuspectsMessage, type WatchMessage, type WatchReply, type WorkReply, type WorkReportMessage,
 } from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
@@ -51,6 +51,8 @@
 	readonly reportSuspects: (to: InstanceId, message: SuspectsMessage, timeout: number) => Promise<boolean>;
 	/** Asks another entry instance for sends; resolves to undefined if it does not reply within the timeout in milliseconds. */
 	readonly askForSends: (to: InstanceId, message: BorrowMessage, timeout: number) => Promise<BorrowReply | undefined>;
+	/** Reports work to a control instance; resolves to undefined if it does not reply within the timeout in milliseconds. */
+	readonly reportWork: (to: InstanceId, message: WorkReportMessage, timeout: number) => Promise<WorkReply | undefined>;
 	/** Opens a connection to a backend server through another entry instance. */
 	readonly openTunnel: OpenRelayTunnel;
 	readonly wait: (milliseconds: number) => Promise<void>;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -5,6 +5,7 @@
 import {WindowedRetryBudget} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
+import {MessageReaders} from '../control/message-readers.js';
 import {
 	type BorrowReply, type EntryMessage, type ServerNoticeMessage, type WatchMessage,
 } from '../control/peer-message.js';
@@ -25,6 +26,7 @@
 import {KnownPeers} from './known-peers.js';
 import {LatencyEstimator} from './latency-estimator.js';
 import {LoadExchange} from './load-exchange.js';
+import {PoolLoads} from './pool-loads.js';
 import {RepeatTracker} from './repeat-tracker.js';
 import {createServerLinks} from './create-server-links.js';
 import {createServerRelays} from './create-server-relays.js';
@@ -58,6 +60,9 @@
 	readonly #context: EntryContext;
 	readonly #watch: ControlWatch;
 	readonly #loadExchange: LoadExchange;
+	readonly #poolLoads: PoolLoads;
+	/** The control instances that read reports of work. */
+	readonly #reportReaders = new MessageReaders();
 	readonly #reporter: SuspectReporter;
 	readonly #rollouts: KnownRollouts;
 	readonly #peers: KnownPeers;
@@ -80,14 +85,23 @@
 		this.#peers = new KnownPeers(options);
 		this.#loadExchange = new LoadExchange({
 			ownLoads: () => this.#context.servers.loads,
-			peers: () => this.#peers.ids,
+			peers: () => this.#poolLoads.usesDigest ? [] : this.#peers.ids,
 			send: options.send,
 		});
+		this.#poolLoads = new PoolLoads({
+			...options,
+			exchange: this.#loadExchange,
+			isLarge: () => this.#peers.reachesFew,
+			controls: this.#reportReaders,
+			ownLoads: () => this.#context.servers.ownLoads,
+			ownLoadAt: server => this.#context.servers.ownLoadAt(server),
+			ask: options.reportWork,
+		});
 		const suspension = new SuspensionDetector(clock);
 		const servers = new EntryServers({
 			zone,
 			random,
-			loads: this.#loadExchange,
+			loads: this.#poolLoads,
 			placesOf: server => this.#peers.placesOf(server),
 			coldDurationOf: service => this.#table?.findService(service)?.cold?.duration,
 			heartbeatMilliseconds: options.heartbeatMilliseconds,
@@ -118,6 +132,7 @@
 				},
 			}),
 			servers,
+			poolLoads: this.#poolLoads,
 			links: createServerLinks(options, {
 				servers,
 				relayCount: () => this.#context.relays.candidateCount,
@@ -162,8 +177,9 @@
 			onUpdate: update => {
 				this.#applyReply(update, clock.monotonic());
 			},
-			onLost(source) {
+			onLost: source => {
 				servers.markSourceLost(source);
+				this.#reportReaders.forget(source);
 			},
 		});
 		this.#server = createCallerServer({
@@ -186,6 +202,7 @@
 	async start(): Promise<void> {
 		this.#watch.start();
 		this.#loadTimer = setInterval(() => {
+			this.#poolLoads.flush();
 			this.#loadExchange.flush(this.#options.clock.monotonic());
 		}, loadFlushMilliseconds);
 		const {host, port} = this.#options.listen;
@@ -289,6 +306,7 @@
 		suspects.merge(reply.suspects, source);
 		this.#reporter.addControl(source, reply.run);
 		this.#peers.update(source, reply);
+		this.#reportReaders.record(source, {canRead: reply.takesWorkReports === true});
 		const changed = applyServerNews(reply, this.#context, {
 			source, now, isFullState, sentAt,
 		});
--- a/packages/gateway/src/entry/entry-servers-options.ts
+++ b/packages/gateway/src/entry/entry-servers-options.ts
@@ -17,7 +17,10 @@
 	/** When this process started, in milliseconds on the monotonic clock; 0 by default, the origin of that clock. */
 	readonly startedAt?: number;
 	/** The loads of the other entry instances at each server. */
-	readonly loads: Pick<LoadExchange, 'peerLoadAt' | 'recordChange' | 'discardServer'>;
+	readonly loads: Pick<LoadExchange, 'peerLoadAt' | 'recordChange' | 'discardServer'> & {
+		/** The age of these loads, in milliseconds; 0 by default. */
+		readonly othersAge?: number;
+	};
 	/** Called when a control instance sends a record that is older than the known state of the process. */
 	readonly onOutdated?: (record: ServerRecord, options: {readonly held: ServerRecord; readonly source: InstanceId}) => void;
 	/** Called when a process is replaced by another one with the same address or id. */
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -18,7 +18,7 @@
 import {type FindServerOptions} from './find-server-options.js';
 import {KnownEvacuations} from './known-evacuations.js';
 import {
-	TrackedServer, type ProcessState, type SendLoad, noOpLoad,
+	TrackedServer, type ServerLoad, type ProcessState, type SendLoad, noOpLoad,
 } from './tracked-server.js';
 import {SendLimits} from './send-limits.js';
 import {ServerAvailability} from './server-availability.js';
@@ -186,6 +186,21 @@
 		return loads;
 	}
 
+	/** The requests of this instance in flight at each known server. */
+	get ownLoads(): Iterable<readonly [ServerId, ServerLoad]> {
+		return this.#servers;
+	}
+
+	/**
+	Returns the requests of this instance in flight at a server.
+
+	@param id The server.
+	@returns The requests; undefined if the server is unknown.
+	*/
+	ownLoadAt(id: ServerId): ServerLoad | undefined {
+		return this.#servers.get(id);
+	}
+
 	/**
 	Counts a request sent to a server.
 
@@ -355,6 +370,7 @@
 		return tracked.view({
 			now,
 			othersLoad: loads.peerLoadAt(id),
+			othersAge: loads.othersAge,
 			isSilent: this.#liveness.of(id) === 'silent',
 			isZoneUnreachable: serverZone !== zone && this.#zones.isSuspect(serverZone, now),
 			isEjected: this.#ejection.isEjected(id, now),
--- a/packages/gateway/src/entry/known-peers.test.ts
+++ b/packages/gateway/src/entry/known-peers.test.ts
@@ -38,3 +38,14 @@
 	} as const;
 	t.deepEqual(sent, [[one, notice], [two, notice]]);
 });
+
+test('with up to seven instances, all others are peers', t => {
+	const {peers} = createPeers();
+	t.false(peers.reachesFew);
+	peers.update(control, {entries: [one, two], entryCount: 7});
+	t.false(peers.reachesFew);
+	peers.update(otherControl, {entries: [one, two], entryCount: 8});
+	t.true(peers.reachesFew);
+	peers.update(otherControl, {entries: [one, two]});
+	t.false(peers.reachesFew);
+});
--- a/packages/gateway/src/entry/known-peers.ts
+++ b/packages/gateway/src/entry/known-peers.ts
@@ -1,5 +1,6 @@
 import {type InstanceId, type RandomSource, type ServerId} from '@valehitch/core';
 import {placeShare, rejectionPause} from '@valehitch/routing';
+import {maximumLoadSharingPeers} from '../control/select-load-sharing-peers.js';
 import {type ServerNoticeMessage, type WatchReply} from '../control/peer-message.js';
 import {type ServerRecord} from '../servers/server-record.js';
 
@@ -44,6 +45,11 @@
 		return this.#ids;
 	}
 
+	/** Whether there are more entry instances than this one exchanges messages with. */
+	get reachesFew(): boolean {
+		return this.#instanceCount > maximumLoadSharingPeers + 1;
+	}
+
 	/** The instances through which servers can be reached; the peers if no control instance names any. */
 	get relays(): readonly InstanceId[] {
 		const relays = new Set([...this.#relays.values()].flat());
--- a/packages/gateway/src/entry/tracked-server.test.ts
+++ b/packages/gateway/src/entry/tracked-server.test.ts
@@ -30,3 +30,16 @@
 	tracked.abortSends();
 	t.true(loads.every(({processEnd}) => processEnd.aborted));
 });
+
+test('a prompt counts as read from the start of its answer, and its answer as a stream until it ends', t => {
+	const tracked = createTracked();
+	const [first, second] = [tracked.beginSend(2.5), tracked.beginSend(1)];
+	t.deepEqual([tracked.reading, tracked.streams], [350, 0]);
+	first.markAnswerStarted();
+	first.markAnswerStarted();
+	t.deepEqual([tracked.reading, tracked.streams], [100, 1]);
+	second.end();
+	t.deepEqual([tracked.reading, tracked.streams], [0, 1]);
+	first.end();
+	t.deepEqual([tracked.reading, tracked.streams], [0, 0]);
+});
--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -4,6 +4,17 @@
 import {compareStartTimes} from '../servers/compare-start-times.js';
 import {type ServerRecord, type ServerState} from '../servers/server-record.js';
 
+/** The requests of an instance in flight at a server. */
+export type ServerLoad = {
+	/** The prompts whose answers have not started, in milliseconds that a server of mean speed takes to process them. */
+	readonly reading: number;
+	/** The number of answers that are being generated. */
+	readonly streams: number;
+};
+
+/** The time that counts as one unit of load, in milliseconds: that of a short request. */
+export const shortRequestMilliseconds = 100;
+
 /** The load that a send puts on its server. */
 export type SendLoad = {
 	/** Reduces the load to that of a request whose answer has started, since the server has processed the prompt and only generates from now on. */
@@ -23,6 +34,8 @@
 	readonly now: number;
 	/** The load of the other entry instances at the server. */
 	readonly othersLoad: number;
+	/** The age of that load, in milliseconds; 0 by default. */
+	readonly othersAge?: number | undefined;
 	/** Whether all responding control instances report it as silent. */
 	readonly isSilent: boolean;
 	/** Whether its zone appears to be partitioned from this one. */
@@ -92,6 +105,9 @@
 	readonly #loaded: ReadonlySet<string>;
 	#inFlight = 0;
 	#load = 0;
+	#reading = 0;
+	/** The number of requests in flight whose answers have not started. */
+	#unread = 0;
 
 	constructor(record: ServerRecord, {now, onLoadChange}: TrackedServerOptions) {
 		this.record = record;
@@ -119,6 +135,16 @@
 		return this.#load;
 	}
 
+	/** The prompts whose answers have not started, in milliseconds that a server of mean speed takes to process them. */
+	get reading(): number {
+		return this.#reading;
+	}
+
+	/** The number of answers that are being generated. */
+	get streams(): number {
+		return this.#inFlight - this.#unread;
+	}
+
 	/**
 	Counts a request sent to the server.
 
@@ -128,13 +154,16 @@
 	beginSend(load: number): SendLoad {
 		this.#adjust(1, load);
 		let remaining = load;
+		const markRead = this.#countUnread(load * shortRequestMilliseconds);
 		return {
 			markAnswerStarted: () => {
 				const reduction = Math.max(0, remaining - streamingLoad);
 				remaining -= reduction;
+				markRead();
 				this.#adjust(0, -reduction);
 			},
 			end: () => {
+				markRead();
 				this.#adjust(-1, -remaining);
 			},
 			processEnd: this.#processEnd.signal,
@@ -165,7 +194,7 @@
 	@param conditions What else is known about the server.
 	@returns The view.
 	*/
-	view({now, othersLoad, isSilent, isZoneUnreachable, isEjected, isRateLimited, isPaused}: ServerConditions): ServerView {
+	view({now, othersLoad, othersAge = 0, isSilent, isZoneUnreachable, isEjected, isRateLimited, isPaused}: ServerConditions): ServerView {
 		const {id, zone, slots} = this.record;
 		return {
 			id,
@@ -173,7 +202,7 @@
 			capacity: Math.max(1, slots),
 			reportedInFlight: othersLoad,
 			ownInFlightAtReport: 0,
-			reportAge: 0,
+			reportAge: othersAge,
 			ownInFlight: this.#load,
 			draining: false,
 			expired: isSilent || this.backoffUntil > now || isZoneUnreachable,
@@ -207,6 +236,22 @@
 		this.#processEnd.abort();
 	}
 
+	/** Counts a prompt, in milliseconds of processing, until the returned function is first called. */
+	#countUnread(milliseconds: number): () => void {
+		this.#unread++;
+		this.#reading += milliseconds;
+		let isRead = false;
+		return () => {
+			if (isRead) {
+				return;
+			}
+
+			isRead = true;
+			this.#unread--;
+			this.#reading = this.#unread === 0 ? 0 : this.#reading - milliseconds;
+		};
+	}
+
 	#adjust(requests: number, loadChange: number): void {
 		this.#inFlight += requests;
 		this.#load = this.#inFlight === 0 ? 0 : this.#load + loadChange;
--- /dev/null
+++ b/packages/gateway/src/entry/work-reporter.ts
@@ -0,0 +1,186 @@
+import {type Clock, type InstanceId, type RandomSource} from '@valehitch/core';
+import {type AgedWork, workExpiryMilliseconds, type WorkSums} from '@valehitch/routing';
+import {type MessageReaders} from '../control/message-readers.js';
+import {type WorkReply, type WorkReportMessage} from '../control/peer-message.js';
+import {type DecisionLog} from '../logs/decision-log.js';
+import {type GatewayMetrics} from '../logs/gateway-metrics.js';
+
+/** Options of {@linkcode WorkReporter}. */
+export type WorkReporterOptions = {
+	readonly clock: Pick<Clock, 'monotonic'>;
+	readonly random: RandomSource;
+	/** Identifies this run of the process. */
+	readonly run: string;
+	readonly log: DecisionLog;
+	readonly metrics: Pick<GatewayMetrics, 'workReports' | 'pictureAge'>;
+	/** The watched control instances that read reports. */
+	readonly controls: Pick<MessageReaders, 'ids' | 'has' | 'forget'>;
+	/** Returns all work of this instance. */
+	readonly ownWork: () => WorkSums;
+	/** Reports to a control instance; resolves to undefined if it does not reply within the timeout in milliseconds. */
+	readonly ask: (to: InstanceId, message: WorkReportMessage, timeout: number) => Promise<WorkReply | undefined>;
+};
+
+/** The work of the other entry instances, and when it was as old as stated, in milliseconds on the monotonic clock. */
+export type ReceivedWork = Omit<AgedWork, 'entries'> & {
+	readonly at: number;
+};
+
+/** The mean interval between reports while the work changes, or while one is unanswered, in milliseconds. */
+const reportMilliseconds = 300;
+/** The share of the interval by which it varies, so that the instances do not report at the same time. */
+const jitter = 0.5;
+/** The mean interval between reports of unchanged work, in milliseconds; its picture stays younger than its limit by the age of the reports that a reply sums up. */
+const repeatMilliseconds = 600;
+/** How long an instance without work goes on reporting, in milliseconds. */
+const idleMilliseconds = 3000;
+/** The timeout of a report, in milliseconds. A late reply counts, and further reports do not wait for it. */
+const timeoutMilliseconds = 900;
+/** The time without a reply after which another control instance is used, in milliseconds: three reports, so that the picture is not lost before. */
+const patienceMilliseconds = 900;
+
+/**
+Reports the work of an entry instance to one control instance, whose replies tell the work of all others. It stays with that control instance until a report is not answered.
+
+@example
+```ts
+const reporter = new WorkReporter(options);
+reporter.recordChange();
+reporter.flush();
+reporter.latest;
+```
+*/
+export class WorkReporter {
+	readonly #options: WorkReporterOptions;
+	#latest: ReceivedWork | undefined;
+	#control: InstanceId | undefined;
+	/** Since when the control instance owes a reply, in milliseconds on the monotonic clock; undefined if it does not. */
+	#unansweredSince: number | undefined;
+	#sequence = 0;
+	/** The last report that was answered. */
+	#answered = 0;
+	#sentAt = Number.NEGATIVE_INFINITY;
+	/** The factor by which the interval until the next report differs from the mean. */
+	#variation = 1;
+	/** When there was last any work, in milliseconds on the monotonic clock. */
+	#busyAt = Number.NEGATIVE_INFINITY;
+	#hasChanged = false;
+	#hadLatest = false;
+
+	constructor(options: WorkReporterOptions) {
+		this.#options = options;
+	}
+
+	/** The last reply; undefined if it is too old. */
+	get latest(): ReceivedWork | undefined {
+		return this.#latest !== undefined && this.#options.clock.monotonic() - this.#latest.at <= workExpiryMilliseconds ? this.#latest : undefined;
+	}
+
+	/** The mean age of what the last reply tells, in milliseconds; infinite if the reply is too old. */
+	get age(): number {
+		const {latest} = this;
+		return latest === undefined ? Number.POSITIVE_INFINITY : this.#options.clock.monotonic() - latest.at + latest.age;
+	}
+
+	/** Records that the work of this instance has changed. */
+	recordChange(): void {
+		this.#hasChanged = true;
+	}
+
+	/** Reports the work if it is time to. */
+	flush(): void {
+		const {random, ownWork, clock} = this.#options;
+		const now = clock.monotonic();
+		const work = ownWork();
+		if (work.rows.length > 0 || work.held.length > 0) {
+			this.#busyAt = now;
+		}
+
+		this.#logState(now);
+		if (!this.#isDue(now)) {
+			return;
+		}
+
+		const control = this.#chooseControl(now);
+		if (control !== undefined) {
+			this.#sentAt = now;
+			this.#variation = 1 + (jitter * (random() - 0.5));
+			this.#hasChanged = false;
+			void this.#report(control, work, now);
+		}
+	}
+
+	#isDue(now: number): boolean {
+		const interval = this.#variation * (this.#hasChanged || this.#unansweredSince !== undefined ? reportMilliseconds : repeatMilliseconds);
+		return this.#isBusy(now) && now - this.#sentAt >= interval;
+	}
+
+	/** Stays with the control instance while it answers. */
+	#chooseControl(now: number): InstanceId | undefined {
+		const {controls, random} = this.#options;
+		if (this.#control !== undefined && now - (this.#unansweredSince ?? now) > patienceMilliseconds) {
+			this.#leave(this.#control);
+		}
+
+		if (this.#control === undefined || !controls.has(this.#control)) {
+			const {ids} = controls;
+			this.#control = ids[Math.floor(random() * ids.length)];
+			this.#unansweredSince = undefined;
+		}
+
+		return this.#control;
+	}
+
+	/** Leaves a control instance that does not answer. If it merely answers late, it is told that the work is reported elsewhere from now on. */
+	#leave(control: InstanceId): void {
+		this.#options.controls.forget(control);
+		void this.#ask(control, {rows: [], held: []});
+	}
+
+	async #report(control: InstanceId, work: WorkSums, now: number): Promise<void> {
+		const {metrics} = this.#options;
+		const sequence = this.#sequence + 1;
+		this.#unansweredSince ??= now;
+		const reply = await this.#ask(control, work);
+		metrics.workReports.inc({result: reply === undefined ? 'lost' : 'answered'});
+		if (reply === undefined || sequence < this.#answered) {
+			return;
+		}
+
+		this.#answered = sequence;
+		this.#latest = {...reply, at: now};
+		if (control === this.#control) {
+			// Later reports, if there are any, are still unanswered.
+			this.#unansweredSince = sequence === this.#sequence ? undefined : now;
+		}
+	}
+
+	async #ask(control: InstanceId, work: WorkSums): Promise<WorkReply | undefined> {
+		const {run, ask} = this.#options;
+		return ask(control, {
+			type: 'work-report', run, sequence: ++this.#sequence, ...work,
+		}, timeoutMilliseconds);
+	}
+
+	#isBusy(now: number): boolean {
+		return now - this.#busyAt <= idleMilliseconds;
+	}
+
+	/** Logs that the digest is lost or regained; an instance without work needs none. */
+	#logState(now: number): void {
+		const {log, metrics} = this.#options;
+		const hasLatest = this.latest !== undefined;
+		if (hasLatest) {
+			metrics.pictureAge.set(this.age / 1000);
+		}
+
+		if (hasLatest === this.#hadLatest || (!hasLatest && !this.#isBusy(now))) {
+			return;
+		}
+
+		this.#hadLatest = hasLatest;
+		log(hasLatest ? 'pool-digest-regained' : 'pool-digest-lost', {
+			control: this.#control, silentFor: this.#latest === undefined ? undefined : Math.round(now - this.#latest.at),
+		}, 'warn');
+	}
+}
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -1,7 +1,7 @@
 /** The kinds of log lines. */
 export type DecisionKind
 	= | 'process-started' | 'process-stopping' | 'process-stopped' | 'settings-reloaded' | 'settings-refused'
-		| 'dependency-lost' | 'dependency-regained' | 'peer-message-failed'
+		| 'dependency-lost' | 'dependency-regained' | 'peer-message-failed' | 'pool-digest-lost' | 'pool-digest-regained'
 		| 'configuration-adopted' | 'configuration-submitted' | 'configuration-refused' | 'lease-lost' | 'lease-regained'
 		| 'leader-changed' | 'membership-changed' | 'storage-failed' | 'storage-opened'
 		| 'server-joined' | 'server-draining' | 'server-gone' | 'server-silent' | 'server-suspected' | 'announcement-refused'
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -82,6 +82,12 @@
 		pauses: new Counter({
 			name: 'valehitch_requested_pauses_total', help: 'Answers by which a backend server asked for a time without requests', registers,
 		}),
+		workReports: new Counter({
+			name: 'valehitch_work_reports_total', help: 'Reports of work to control instances, by result', labelNames: ['result'], registers,
+		}),
+		pictureAge: new Gauge({
+			name: 'valehitch_pool_picture_age_seconds', help: 'Mean age of what is known of the work of other entry instances, as of the last time that it was known', registers,
+		}),
 		watches: new Counter({
 			name: 'valehitch_watches_total', help: 'Polls of control instances, by result', labelNames: ['result'], registers,
 		}),
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -4,7 +4,7 @@
 import {type Clock, type InstanceId} from '@valehitch/core';
 import {
 	type BorrowReply, ControlInstance, createDecisionLog, createGatewayMetrics, type DecisionLog, EntryInstance, type GatewayMetrics,
-	type ListenAddress, openBoundedOutput, type PeerMessage, createSavedList, serverRecordSchema, suspectRecordSchema, type WatchReply,
+	type ListenAddress, openBoundedOutput, type PeerMessage, createSavedList, serverRecordSchema, suspectRecordSchema, type WatchReply, type WorkReply,
 } from '@valehitch/gateway';
 import {openDataFolder, AtomicFile} from '@valehitch/storage';
 import {PeerNetwork, startHttpServer} from '@valehitch/transport';
@@ -232,6 +232,7 @@
 		},
 		reportSuspects: async (to, message, timeout) => await requestPeer(context, to, {message, timeout}) !== undefined,
 		askForSends: async (to, message, timeout) => requestPeer(context, to, {message, timeout}) as Promise<BorrowReply | undefined>,
+		reportWork: async (to, message, timeout) => requestPeer(context, to, {message, timeout}) as Promise<WorkReply | undefined>,
 		openTunnel: async (relay, target, timeout) => context.network.openTunnel(peerAddress(settings(), relay), target, {timeoutMilliseconds: timeout}),
 		wait: delay,
 		parse: decodeConfiguration,
