Spread choices by the age of the digest, and report more often

Fading it to the mean changed nothing at any time constant, since it keeps the order of the servers. Change: chooseServer draws a server by the shares of spreadArrivals when its options name a rate of arrivals and the reports are not of now; without, or with reports of now, it chooses as before. Reports each 150 ms and summaries each 100 ms in place of 300 and 250. Entry instances report within their zone where a control instance of it reads reports, since bytes between zones cost. Not played by real programs.

--- a/packages/gateway/src/control/_test-control-node.ts
+++ b/packages/gateway/src/control/_test-control-node.ts
@@ -1,4 +1,4 @@
-import {type InstanceId} from '@valehitch/core';
+import {type InstanceId, type ZoneId} from '@valehitch/core';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {noEvacuations} from '../servers/evacuations.js';
 import {EntryWatches} from './entry-watches.js';
@@ -28,6 +28,7 @@
 	const watches = new EntryWatches({
 		clock: options.clock,
 		run,
+		zone: 'hall-a' as ZoneId,
 		directory: news.directory,
 		suspects: {cursor: 0, changedSince: () => []},
 		currentUpdate: () => ({
--- a/packages/gateway/src/control/control-instance-options.ts
+++ b/packages/gateway/src/control/control-instance-options.ts
@@ -14,6 +14,7 @@
 /** Options of a control instance. */
 export type ControlInstanceOptions = {
 	readonly self: InstanceId;
+	readonly zone: ZoneId;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly log: DecisionLog;
--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -45,6 +45,7 @@
 	const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-control-'));
 	const control = new ControlInstance({
 		self,
+		zone: 'hall-a' as ZoneId,
 		clock: {now: () => new Date(), monotonic: () => performance.now()},
 		random: () => 0.5,
 		log: doNothing,
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -1,4 +1,4 @@
-import {type Clock, type InstanceId} from '@valehitch/core';
+import {type Clock, type InstanceId, type ZoneId} from '@valehitch/core';
 import {type SuspectRegistry} from '@valehitch/routing';
 import {isEnded, type RolloutWithAge} from '../rollouts/rollout.js';
 import {type Evacuations} from '../servers/evacuations.js';
@@ -27,6 +27,8 @@
 	readonly clock: Clock;
 	/** Identifies this run of the process. */
 	readonly run: string;
+	/** The availability zone of this control instance. */
+	readonly zone: ZoneId;
 	readonly directory: ServerDirectory;
 	/** The requests suspected of crashing servers. */
 	readonly suspects: Pick<SuspectRegistry, 'cursor' | 'changedSince'>;
@@ -82,7 +84,7 @@
 	@returns The changes since that state.
 	*/
 	async answer(from: InstanceId, watch: WatchMessage): Promise<WatchReply> {
-		const {clock, run, directory, suspects, currentUpdate, leases, limitedServers} = this.#options;
+		const {clock, run, zone, directory, suspects, currentUpdate, leases, limitedServers} = this.#options;
 		const receivedAt = clock.monotonic();
 		const entry = {instance: from, zone: watch.zone};
 		if (!this.#entries.has(from)) {
@@ -120,6 +122,7 @@
 			entries: this.#peersOf(entry, entries),
 			relayRevision,
 			relays: watch.run === run && watch.relayRevision === relayRevision ? undefined : relays,
+			zone,
 			takesWorkReports: true,
 		};
 	}
--- a/packages/gateway/src/control/leader-suspension.test.ts
+++ b/packages/gateway/src/control/leader-suspension.test.ts
@@ -2,7 +2,9 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {instanceOf, type ReplicaId} from '@valehitch/consensus';
-import {type Clock, failure, type InstanceId} from '@valehitch/core';
+import {
+	type Clock, failure, type InstanceId, type ZoneId,
+} from '@valehitch/core';
 import {openDataFolder} from '@valehitch/storage';
 import test, {type ExecutionContext} from 'ava';
 import {Left, Right} from 'purify-ts';
@@ -55,6 +57,7 @@
 		const leaders: string[] = [];
 		const control = new ControlInstance({
 			self,
+			zone: 'hall-a' as ZoneId,
 			clock: {now: () => clock.now(), monotonic: () => clock.monotonic()},
 			random: Math.random,
 			log(kind, {leader}) {
--- a/packages/gateway/src/control/message-readers.ts
+++ b/packages/gateway/src/control/message-readers.ts
@@ -1,4 +1,12 @@
-import {type InstanceId} from '@valehitch/core';
+import {type InstanceId, type ZoneId} from '@valehitch/core';
+
+/** What an instance says of itself. */
+export type ReaderState = {
+	/** Whether it reads the message. */
+	readonly canRead: boolean;
+	/** Its availability zone; undefined if it does not say. */
+	readonly zone?: ZoneId | undefined;
+};
 
 /**
 Tracks which other instances say that they read a type of message. One of the version before would end its process on it, and a process that stops answering may have been replaced by that version.
@@ -7,28 +15,35 @@
 ```ts
 const readers = new MessageReaders();
 readers.record(instance, {canRead: reply.takesWorkReports === true});
-readers.ids; // [instance]
+readers.near(zone); // [instance]
 ```
 */
 export class MessageReaders {
-	readonly #ids = new Set<InstanceId>();
+	readonly #zones = new Map<InstanceId, ZoneId | undefined>();
+
+	/**
+	Returns the instances that read the message.
 
-	/** The instances that read the message. */
-	get ids(): readonly InstanceId[] {
-		return [...this.#ids];
+	@param zone The preferred availability zone.
+	@returns Those of the zone; if it has none, all of them.
+	*/
+	near(zone: ZoneId): readonly InstanceId[] {
+		const ids = [...this.#zones.keys()];
+		const local = ids.filter(id => this.#zones.get(id) === zone);
+		return local.length > 0 ? local : ids;
 	}
 
 	/**
 	Records what an instance says of itself.
 
 	@param instance The instance.
-	@param options Whether it reads the message.
+	@param state Whether it reads the message, and its zone.
 	*/
-	record(instance: InstanceId, {canRead}: {readonly canRead: boolean}): void {
+	record(instance: InstanceId, {canRead, zone}: ReaderState): void {
 		if (canRead) {
-			this.#ids.add(instance);
+			this.#zones.set(instance, zone);
 		} else {
-			this.#ids.delete(instance);
+			this.#zones.delete(instance);
 		}
 	}
 
@@ -38,7 +53,7 @@
 	@param instance The instance.
 	*/
 	forget(instance: InstanceId): void {
-		this.#ids.delete(instance);
+		this.#zones.delete(instance);
 	}
 
 	/**
@@ -48,6 +63,6 @@
 	@returns Whether it said so and has answered since.
 	*/
 	has(instance: InstanceId): boolean {
-		return this.#ids.has(instance);
+		return this.#zones.has(instance);
 	}
 }
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -178,6 +178,8 @@
 	readonly relayRevision?: number;
 	/** The entry instances through which the requester can reach servers, unless it has them. */
 	readonly relays?: readonly InstanceId[] | undefined;
+	/** The availability zone of the control instance; absent in versions before reports of work. */
+	readonly zone?: ZoneId;
 	/** Whether the control instance reads `work-report` messages; absent in versions before them. */
 	readonly takesWorkReports?: true;
 };
--- a/packages/gateway/src/control/pool-work.ts
+++ b/packages/gateway/src/control/pool-work.ts
@@ -17,7 +17,7 @@
 };
 
 /** The interval between summaries to the other control instances, in milliseconds. */
-const summaryMilliseconds = 250;
+const summaryMilliseconds = 100;
 const askTimeoutMilliseconds = 500;
 
 /**
--- a/packages/gateway/src/entry/_test-digest-network.ts
+++ b/packages/gateway/src/entry/_test-digest-network.ts
@@ -1,5 +1,5 @@
 import {setImmediate} from 'node:timers/promises';
-import {type InstanceId, type ServerId} from '@valehitch/core';
+import {type InstanceId, type ServerId, type ZoneId} from '@valehitch/core';
 import {pack} from 'msgpackr';
 import {MessageReaders} from '../control/message-readers.js';
 import {type WorkReportMessage, type WorkSummaryMessage} from '../control/peer-message.js';
@@ -89,7 +89,7 @@
 			}
 
 			for (const [index, control] of [...this.#controls.values()].entries()) {
-				if ((this.now + (80 * index)) % 250 === 0) {
+				if ((this.now + (30 * index)) % 100 === 0) {
 					control.sendSummaries();
 				}
 			}
@@ -117,6 +117,7 @@
 		const pool = new PoolLoads({
 			clock: this.#clock,
 			random: this.#random,
+			zone: 'hall-a' as ZoneId,
 			run: 'one',
 			log: kind => {
 				this.lines.push(kind);
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -306,7 +306,7 @@
 		suspects.merge(reply.suspects, source);
 		this.#reporter.addControl(source, reply.run);
 		this.#peers.update(source, reply);
-		this.#reportReaders.record(source, {canRead: reply.takesWorkReports === true});
+		this.#reportReaders.record(source, {canRead: reply.takesWorkReports === true, zone: reply.zone});
 		const changed = applyServerNews(reply, this.#context, {
 			source, now, isFullState, sentAt,
 		});
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -28,6 +28,8 @@
 const loadBound = 1.5;
 /** The number of servers that are sampled and compared. Since the loads of all instances are known, a larger sample costs only the comparison. */
 const sampleCount = 4;
+/** The load that arrives at a server in a millisecond at most: a busy server processes one unit in 100 ms, and the expected times that are counted include the wait, up to twice as long as the processing. */
+const arrivalRate = 0.03;
 /** How much busier the local zone must be, as a share of its slots, before servers of another zone are used. */
 const zonePenalty = 0.1;
 /** The backoff after a failed connection; doubles with each further failure up to the maximum. */
@@ -166,6 +168,8 @@
 
 		const criteria: ServerCriteria & ServerChoiceOptions = {
 			target: service, excluded, evacuatedZones: this.#evacuations.zones, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
+			reportDecayMilliseconds: Number.POSITIVE_INFINITY,
+			arrivalRate,
 			prefix: promptKey === undefined ? undefined : prefixHash(promptKey.name),
 			affinityScope: promptKey?.affinityScope ?? 'none',
 		};
--- a/packages/gateway/src/entry/work-reporter.ts
+++ b/packages/gateway/src/entry/work-reporter.ts
@@ -1,4 +1,6 @@
-import {type Clock, type InstanceId, type RandomSource} from '@valehitch/core';
+import {
+	type Clock, type InstanceId, type RandomSource, type ZoneId,
+} from '@valehitch/core';
 import {type AgedWork, workExpiryMilliseconds, type WorkSums} from '@valehitch/routing';
 import {type MessageReaders} from '../control/message-readers.js';
 import {type WorkReply, type WorkReportMessage} from '../control/peer-message.js';
@@ -9,12 +11,13 @@
 export type WorkReporterOptions = {
 	readonly clock: Pick<Clock, 'monotonic'>;
 	readonly random: RandomSource;
+	readonly zone: ZoneId;
 	/** Identifies this run of the process. */
 	readonly run: string;
 	readonly log: DecisionLog;
 	readonly metrics: Pick<GatewayMetrics, 'workReports' | 'pictureAge'>;
 	/** The watched control instances that read reports. */
-	readonly controls: Pick<MessageReaders, 'ids' | 'has' | 'forget'>;
+	readonly controls: Pick<MessageReaders, 'near' | 'has' | 'forget'>;
 	/** Returns all work of this instance. */
 	readonly ownWork: () => WorkSums;
 	/** Reports to a control instance; resolves to undefined if it does not reply within the timeout in milliseconds. */
@@ -27,16 +30,18 @@
 };
 
 /** The mean interval between reports while the work changes, or while one is unanswered, in milliseconds. */
-const reportMilliseconds = 300;
+const reportMilliseconds = 150;
 /** The share of the interval by which it varies, so that the instances do not report at the same time. */
 const jitter = 0.5;
 /** The mean interval between reports of unchanged work, in milliseconds; its picture stays younger than its limit by the age of the reports that a reply sums up. */
 const repeatMilliseconds = 600;
+/** The longest delay of a due report that the next one makes up for, in milliseconds. */
+const maximumDelay = 100;
 /** How long an instance without work goes on reporting, in milliseconds. */
 const idleMilliseconds = 3000;
 /** The timeout of a report, in milliseconds. A late reply counts, and further reports do not wait for it. */
 const timeoutMilliseconds = 900;
-/** The time without a reply after which another control instance is used, in milliseconds: three reports, so that the picture is not lost before. */
+/** The time without a reply after which another control instance is used, in milliseconds: short enough that the picture is not lost before. */
 const patienceMilliseconds = 900;
 
 /**
@@ -91,50 +96,52 @@
 	flush(): void {
 		const {random, ownWork, clock} = this.#options;
 		const now = clock.monotonic();
+		this.#logState(now);
+		const dueAt = this.#sentAt + this.#interval;
+		if (now < dueAt) {
+			return;
+		}
+
 		const work = ownWork();
 		if (work.rows.length > 0 || work.held.length > 0) {
 			this.#busyAt = now;
 		}
 
-		this.#logState(now);
-		if (!this.#isDue(now)) {
-			return;
-		}
-
-		const control = this.#chooseControl(now);
+		const control = this.#isBusy(now) ? this.#chooseControl(now) : undefined;
 		if (control !== undefined) {
-			this.#sentAt = now;
+			this.#sentAt = Math.max(dueAt, now - maximumDelay);
 			this.#variation = 1 + (jitter * (random() - 0.5));
 			this.#hasChanged = false;
 			void this.#report(control, work, now);
 		}
 	}
 
-	#isDue(now: number): boolean {
-		const interval = this.#variation * (this.#hasChanged || this.#unansweredSince !== undefined ? reportMilliseconds : repeatMilliseconds);
-		return this.#isBusy(now) && now - this.#sentAt >= interval;
+	get #interval(): number {
+		return this.#variation * (this.#hasChanged || this.#unansweredSince !== undefined ? reportMilliseconds : repeatMilliseconds);
 	}
 
-	/** Stays with the control instance while it answers. */
+	/** Stays with a control instance while it answers, unless there is a nearer one. */
 	#chooseControl(now: number): InstanceId | undefined {
-		const {controls, random} = this.#options;
-		if (this.#control !== undefined && now - (this.#unansweredSince ?? now) > patienceMilliseconds) {
-			this.#leave(this.#control);
+		const {controls, random, zone} = this.#options;
+		const left = this.#control;
+		const mayAnswer = left !== undefined && controls.has(left);
+		if (mayAnswer && now - (this.#unansweredSince ?? now) > patienceMilliseconds) {
+			controls.forget(left);
 		}
 
-		if (this.#control === undefined || !controls.has(this.#control)) {
-			const {ids} = controls;
-			this.#control = ids[Math.floor(random() * ids.length)];
-			this.#unansweredSince = undefined;
+		const known = controls.near(zone);
+		if (left !== undefined && known.includes(left)) {
+			return left;
 		}
 
-		return this.#control;
-	}
+		this.#control = known[Math.floor(random() * known.length)];
+		this.#unansweredSince = undefined;
+		if (mayAnswer) {
+			// If it merely answers late, the work would count twice.
+			void this.#ask(left, {rows: [], held: []});
+		}
 
-	/** Leaves a control instance that does not answer. If it merely answers late, it is told that the work is reported elsewhere from now on. */
-	#leave(control: InstanceId): void {
-		this.#options.controls.forget(control);
-		void this.#ask(control, {rows: [], held: []});
+		return this.#control;
 	}
 
 	async #report(control: InstanceId, work: WorkSums, now: number): Promise<void> {
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -163,10 +163,11 @@
 
 async function startControlPart(context: ProcessContext, listen: ListenAddress) {
 	const {settings, log, network} = context;
-	const {instance, isFounding, heartbeatInterval, toleratedLosses, coldTolerance, dataFolder = 'data'} = settings();
+	const {instance, zone, isFounding, heartbeatInterval, toleratedLosses, coldTolerance, dataFolder = 'data'} = settings();
 	const control = new ControlInstance({
 		...context,
 		self: instance,
+		zone,
 		clock,
 		random: Math.random,
 		isFounding,
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -44,6 +44,7 @@
 export * from './service-links.js';
 export type * from './server-view.js';
 export * from './session-token.js';
+export * from './spread-arrivals.js';
 export * from './stage-history.js';
 export * from './suspect-registry.js';
 export type * from './suspect-record.js';
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -5,6 +5,7 @@
 import {type AffinityScope} from './choose-affinity-scope.js';
 import {type ServerVerdict} from './decision-history.js';
 import {rendezvousScore} from './rendezvous-score.js';
+import {spreadArrivals} from './spread-arrivals.js';
 import {
 	reportedOtherLoad, serverLoad, type ServerLoadOptions, effectiveCapacity,
 } from './server-load.js';
@@ -36,6 +37,8 @@
 	readonly loadBound?: number;
 	/** How many randomly drawn servers are compared; 2 by default. */
 	readonly sampleCount?: number;
+	/** The load that arrives at a server in a millisecond at most, by which reports that are not of now are spread; 0 by default, which takes every report as of now. */
+	readonly arrivalRate?: number;
 };
 
 /** The chosen server, and the verdicts on the servers that were considered. */
@@ -138,7 +141,13 @@
 	return chosen.length === 0 ? undefined : chooseLeastLoadedSample(chosen, options);
 }
 
-function chooseLeastLoadedSample(pool: readonly Candidate[], {random, sampleCount = 2}: ServerChoiceOptions): Candidate {
+function chooseLeastLoadedSample(pool: readonly Candidate[], options: ServerChoiceOptions): Candidate {
+	const {random, sampleCount = 2, arrivalRate = 0} = options;
+	const arriving = arrivalRate * Math.max(...pool.map(({server}) => server.reportAge)) * pool.length;
+	if (arriving > 0) {
+		return drawByShare(pool, spreadArrivals(pool, arriving), random);
+	}
+
 	let best = sampleByCapacity(pool, random);
 	for (let drawn = 1; drawn < sampleCount; drawn++) {
 		const other = sampleByCapacity(pool, random);
@@ -152,9 +161,14 @@
 
 /** Draws a random server with a probability proportional to its capacity. */
 function sampleByCapacity(pool: readonly Candidate[], random: RandomSource): Candidate {
-	let remaining = random() * totalCapacity(pool);
-	for (const candidate of pool) {
-		remaining -= candidate.capacity;
+	return drawByShare(pool, pool.map(({capacity}) => capacity), random);
+}
+
+/** Draws a random server with a probability proportional to its share. */
+function drawByShare(pool: readonly Candidate[], shares: readonly number[], random: RandomSource): Candidate {
+	let remaining = random() * sumOf(shares);
+	for (const [index, candidate] of pool.entries()) {
+		remaining -= shares[index]!;
 		if (remaining < 0) {
 			return candidate;
 		}
@@ -188,9 +202,13 @@
 }
 
 function totalCapacity(candidates: readonly Candidate[]): number {
+	return sumOf(candidates.map(({capacity}) => capacity));
+}
+
+function sumOf(values: readonly number[]): number {
 	let sum = 0;
-	for (const {capacity} of candidates) {
-		sum += capacity;
+	for (const value of values) {
+		sum += value;
 	}
 
 	return sum;
--- a/packages/testing/src/emulator/emulated-entry.ts
+++ b/packages/testing/src/emulator/emulated-entry.ts
@@ -23,6 +23,8 @@
 	readonly slots: number;
 	/** Returns the load of a server that other instances reported to this one. */
 	readonly peerLoadAt: (server: ServerId, servers: EntryServers) => number;
+	/** Returns the age of these loads, in milliseconds. */
+	readonly ageAt: (servers: EntryServers) => number;
 };
 
 /** The only service of an emulation. */
@@ -36,12 +38,15 @@
 @param options The instance's zone, engines and sources of time and randomness.
 @returns The instance.
 */
-export function createEmulatedEntry({zone, clock, random, engines, slots, peerLoadAt}: EmulatedEntryOptions): EmulatedEntry {
+export function createEmulatedEntry({zone, clock, random, engines, slots, peerLoadAt, ageAt}: EmulatedEntryOptions): EmulatedEntry {
 	const servers: EntryServers = new EntryServers({
 		zone,
 		random,
 		loads: {
 			peerLoadAt: server => peerLoadAt(server, servers),
+			get othersAge() {
+				return ageAt(servers);
+			},
 			recordChange() {
 				// `SharedLoads` publishes all loads at once.
 			},
--- a/packages/testing/src/emulator/simulate-load.ts
+++ b/packages/testing/src/emulator/simulate-load.ts
@@ -8,6 +8,7 @@
 import {sampleExponential} from '../_bench-tools.js';
 import {type SimulationPolicy} from './simulation-policy.js';
 import {type CallerRequest, drawRequest} from './draw-request.js';
+import {DigestLoads} from './digest-loads.js';
 import {type EmulatedModel, type PromptTokens} from './emulated-engine.js';
 import {type EmulatedEntry, emulatedService, createEmulatedEntry} from './emulated-entry.js';
 import {EventQueue} from './event-queue.js';
@@ -23,6 +24,8 @@
 	readonly loadRandom: RandomSource;
 	/** The random source of routing decisions. */
 	readonly decisionRandom: RandomSource;
+	/** Called with the time to the first token of each response, in milliseconds; does nothing by default. */
+	readonly onResponse?: (milliseconds: number) => void;
 };
 
 type Request = Omit<CallerRequest, 'entry'> & {
@@ -82,17 +85,22 @@
 	readonly #entries: readonly EmulatedEntry[];
 	readonly #sends = new Map<number, Send>();
 	readonly #sharedLoads: SharedLoads | undefined;
+	readonly #digestLoads: DigestLoads | undefined;
+	readonly #onResponse: SimulateLoadOptions['onResponse'];
 	#lastSendId = 0;
 	readonly #result = emptyResult();
 
-	constructor(scenario: LoadScenario, {policy, loadRandom, decisionRandom}: SimulateLoadOptions) {
+	constructor(scenario: LoadScenario, {policy, loadRandom, decisionRandom, onResponse}: SimulateLoadOptions) {
+		this.#onResponse = onResponse;
 		this.#scenario = scenario;
 		this.#policy = policy;
 		this.#loadRandom = loadRandom;
 		this.#decisionRandom = decisionRandom;
 		this.#engines = Array.from({length: scenario.engines}, (_, index) => this.#makeEngine(index));
 		this.#entries = Array.from({length: scenario.entries}, (_, index) => this.#makeEntry(index));
-		this.#sharedLoads = policy.knownLoads === 'none' ? undefined : new SharedLoads(this.#entries, policy.knownLoads);
+		const {knownLoads, digestLossRate} = policy;
+		this.#sharedLoads = knownLoads === 'near' || knownLoads === 'all' ? new SharedLoads(this.#entries, knownLoads) : undefined;
+		this.#digestLoads = knownLoads === 'digest' ? new DigestLoads(this.#entries, {queue: this.#queue, random: decisionRandom, lossRate: digestLossRate ?? 0}) : undefined;
 	}
 
 	run(): LoadResult {
@@ -141,7 +149,8 @@
 			random: this.#decisionRandom,
 			engines: this.#engines,
 			slots: this.#scenario.engineParameters.slots,
-			peerLoadAt: (server, servers) => this.#sharedLoads?.peerLoadAt(server, servers) ?? 0,
+			peerLoadAt: (server, servers) => (this.#sharedLoads ?? this.#digestLoads)?.peerLoadAt(server, servers) ?? 0,
+			ageAt: servers => this.#digestLoads?.ageAt(servers) ?? 0,
 		});
 	}
 
@@ -293,6 +302,7 @@
 			return;
 		}
 
+		this.#onResponse?.(now - arrivedAt);
 		if (now - arrivedAt > kind.targetLatency) {
 			this.#result.late++;
 		} else if (difficulty > model.capability) {
--- a/packages/testing/src/emulator/simulation-policy.ts
+++ b/packages/testing/src/emulator/simulation-policy.ts
@@ -5,8 +5,10 @@
 	readonly name: string;
 	/** Chooses the scope of prompt-cache affinity; undefined disables affinity. */
 	readonly chooseAffinityScope: typeof chooseAffinityScope | undefined;
-	/** The other entry instances whose loads an instance receives: none, its load-sharing peers, or all. */
-	readonly knownLoads: 'none' | 'near' | 'all';
+	/** The other entry instances whose loads an instance receives: none, its load-sharing peers, all by the digest of control instances, or all at once. */
+	readonly knownLoads: 'none' | 'near' | 'digest' | 'all';
+	/** The share of the messages of the digest that are lost; 0 by default. */
+	readonly digestLossRate?: number;
 	/** Whether latencies are estimated in proportion to the prompt length. */
 	readonly scalesWithPrompt: boolean;
 	/** Whether a request is moved to another server if its server does not respond in time. */
