--- a/packages/routing/src/server-choice.test.ts
+++ b/packages/routing/src/server-choice.test.ts
@@ -124,3 +124,31 @@
 	});
 	t.deepEqual(choice.map(({considered}) => considered.map(({verdict}) => verdict)).extract(), ['is shutting down', 'is ejected for its failures', 'chosen']);
 });
+
+test('reports of now are chosen from as without a rate of arrivals, with the same random numbers', t => {
+	const options = fc.record({prefix: fc.option(fc.nat(60_000_000), {nil: undefined}), draws: fc.array(fc.double({min: 0, max: 0.999, noNaN: true}), {minLength: 4, maxLength: 4})});
+	fc.assert(fc.property(anyServers, options, (servers, {prefix, draws}) => {
+		const current = servers.map(server => ({...server, reportAge: 0}));
+		const chooseWith = (spread: Partial<ServerChoiceOptions>) => {
+			let drawn = 0;
+			const chosen = choose(current, {
+				prefix, sampleCount: 4, random: () => draws[drawn++]!, ...spread,
+			});
+			return {chosen, drawn};
+		};
+
+		t.deepEqual(chooseWith({reportDecayMilliseconds: Number.POSITIVE_INFINITY, arrivalRate: 0.03}), chooseWith({}));
+	}), {seed});
+});
+
+test('many instances that choose by the same old report fill the servers up evenly', t => {
+	const servers = [0, 4, 8, 20].map((reportedInFlight, index) => viewOf(index, {reportedInFlight, reportAge: 500}));
+	const counts = new Map<string | undefined, number>();
+	for (let draw = 0; draw < 1000; draw++) {
+		const chosen = choose(servers, {reportDecayMilliseconds: Number.POSITIVE_INFINITY, arrivalRate: 0.006, random: () => (draw + 0.5) / 1000});
+		counts.set(chosen, (counts.get(chosen) ?? 0) + 1);
+	}
+
+	// Twelve units arrive: eight, four and none bring the first three to the same load.
+	t.deepEqual([...counts], [['engine-0', 667], ['engine-1', 333]]);
+});
