Let the digest tell held work soon, and sends name their time of processing

Cause: work that is held back changes without a change of load, so that a report of it could take 0.6 s; and the load of a send is its expected time with the wait, where others need the time of processing alone. Change: an instance that holds work back reports at the interval of changes. BeginSendOptions may name the time of processing; by default it is that of the load, as before. Tests of both, and that a control instance says that it reads reports and answers them. Conclusion: nothing holds work back or names its time of processing yet.

--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -3,7 +3,7 @@
 import path from 'node:path';
 import {setTimeout} from 'node:timers/promises';
 import {
-	failure, type InstanceId, type ServiceId, toId, type VersionId, type ZoneId,
+	failure, type InstanceId, type ServerId, type ServiceId, toId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {type FileSystem, openDataFolder, nodeFileSystem} from '@valehitch/storage';
 import {type SuspectRecord} from '@valehitch/routing';
@@ -13,7 +13,7 @@
 import {testServer} from '../servers/_test-server.js';
 import {eventually, submit} from './_test-control.js';
 import {ControlInstance} from './control-instance.js';
-import {type WatchReply} from './peer-message.js';
+import {type WatchReply, type WorkReply} from './peer-message.js';
 
 const self = '10.0.0.1' as InstanceId;
 const entry = '10.0.0.9' as InstanceId;
@@ -162,3 +162,20 @@
 	const ended = await evacuate('hall-a', false);
 	t.like(ended.extract(), {type: 'evacuation', evacuation: {isEvacuated: false, revision: 2}});
 });
+
+test('a control instance says that it reads reports of work, and answers them with the work of the others', async t => {
+	const {control} = await startControl(t);
+	const reply = await control.answer(entry, {
+		type: 'watch', isUrgent: true, zone: 'hall-a' as ZoneId, configurationVersion: undefined, run: '', cursor: 0, suspectCursor: 0, rolloutDigest: '', evidence: [],
+	}) as WatchReply;
+	t.true(reply.takesWorkReports);
+	t.is(reply.zone, 'hall-a' as ZoneId);
+	const report = {
+		type: 'work-report', run: 'one', sequence: 1, held: [],
+	} as const;
+	const other = '10.0.0.8' as InstanceId;
+	t.deepEqual(await control.answer(other, {...report, rows: [['i-1' as ServerId, 100, 1, 20, 10]]}), {rows: [], held: [], age: 0});
+	const {rows} = await control.answer(entry, {...report, rows: []}) as WorkReply;
+	t.deepEqual(rows, [['i-1' as ServerId, 100, 1, 20, 10]]);
+	t.like(await control.answer(other, {type: 'servers', records: []}), {takesWorkSummaries: true});
+});
--- a/packages/gateway/src/entry/_test-digest-network.ts
+++ b/packages/gateway/src/entry/_test-digest-network.ts
@@ -1,5 +1,6 @@
 import {setImmediate} from 'node:timers/promises';
 import {type InstanceId, type ServerId, type ZoneId} from '@valehitch/core';
+import {type HeldWork} from '@valehitch/routing';
 import {pack} from 'msgpackr';
 import {MessageReaders} from '../control/message-readers.js';
 import {type WorkReportMessage, type WorkSummaryMessage} from '../control/peer-message.js';
@@ -34,6 +35,8 @@
 type TestEntry = {
 	readonly id: InstanceId;
 	readonly loads: Map<ServerId, ServerLoad>;
+	/** The work that it holds back. */
+	readonly held: HeldWork[];
 	readonly pool: PoolLoads;
 	readonly controls: MessageReaders;
 };
@@ -113,6 +116,7 @@
 
 	#createEntry(id: InstanceId): TestEntry {
 		const loads = new Map(this.servers.map(server => [server, {reading: Math.ceil(200 * this.#random()), streams: 3}]));
+		const held: HeldWork[] = [];
 		const controls = new MessageReaders();
 		const pool = new PoolLoads({
 			clock: this.#clock,
@@ -128,10 +132,11 @@
 			isLarge: () => this.#options.entries > 7,
 			ownLoads: () => loads,
 			ownLoadAt: server => loads.get(server),
+			heldWork: () => [...held],
 			ask: async (to, message, timeout) => this.#ask({from: id, to, now: this.now}, message, timeout),
 		});
 		return {
-			id, loads, pool, controls,
+			id, loads, held, pool, controls,
 		};
 	}
 
--- a/packages/gateway/src/entry/entry-servers-options.ts
+++ b/packages/gateway/src/entry/entry-servers-options.ts
@@ -41,6 +41,8 @@
 export type BeginSendOptions = {
 	/** The load of the request until its answer starts, in units of a short request. */
 	readonly load: number;
+	/** The time that a server of mean speed takes to process the prompt, in milliseconds; by default that of the load. */
+	readonly reading?: number;
 	/** Milliseconds on the monotonic clock. */
 	readonly now: number;
 };
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -212,14 +212,14 @@
 	@param send The load of the request, and the time.
 	@returns The load of the send, to be reduced as the request progresses.
 	*/
-	beginSend(id: ServerId, {load, now}: BeginSendOptions): SendLoad {
+	beginSend(id: ServerId, {load, reading, now}: BeginSendOptions): SendLoad {
 		const tracked = this.#servers.get(id);
 		if (tracked === undefined) {
 			return noOpLoad;
 		}
 
 		this.limits.countSend(tracked, now);
-		return tracked.beginSend(load);
+		return tracked.beginSend(load, reading);
 	}
 
 	/**
--- a/packages/gateway/src/entry/pool-loads.test.ts
+++ b/packages/gateway/src/entry/pool-loads.test.ts
@@ -167,6 +167,19 @@
 	}
 });
 
+test('an instance hears what the others hold back, by priority, soon after it changes', async t => {
+	const network = new DigestNetwork({entries: 84, servers});
+	const [first, second, third] = network.entries as [DigestNetwork['entries'][number], DigestNetwork['entries'][number], DigestNetwork['entries'][number]];
+	first.held.push({priority: 0, milliseconds: 300}, {priority: 2, milliseconds: 50});
+	second.held.push({priority: 0, milliseconds: 200});
+	await network.run(settleMilliseconds);
+	t.deepEqual(first.pool.picture().heldByOthers, [{priority: 0, milliseconds: 200}]);
+	t.deepEqual(third.pool.picture().heldByOthers.toSorted((one, other) => one.priority - other.priority), [{priority: 0, milliseconds: 500}, {priority: 2, milliseconds: 50}]);
+	first.held.length = 0;
+	await network.run(settleMilliseconds);
+	t.deepEqual(third.pool.picture().heldByOthers, [{priority: 0, milliseconds: 200}]);
+});
+
 test('the times of all entry instances tell slow servers, and are forgotten with the process of a server', async t => {
 	const network = new DigestNetwork({entries: 84, servers});
 	const [slow, quick] = network.servers as [DigestNetwork['servers'][number], DigestNetwork['servers'][number]];
--- a/packages/gateway/src/entry/tracked-server.test.ts
+++ b/packages/gateway/src/entry/tracked-server.test.ts
@@ -33,7 +33,7 @@
 
 test('a prompt counts as read from the start of its answer, and its answer as a stream until it ends', t => {
 	const tracked = createTracked();
-	const [first, second] = [tracked.beginSend(2.5), tracked.beginSend(1)];
+	const [first, second] = [tracked.beginSend(9, 250), tracked.beginSend(1)];
 	t.deepEqual([tracked.reading, tracked.streams], [350, 0]);
 	first.markAnswerStarted();
 	first.markAnswerStarted();
--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -149,12 +149,13 @@
 	Counts a request sent to the server.
 
 	@param load The load of the request until its answer starts, in units of a short request.
+	@param reading The time that a server of mean speed takes to process the prompt, in milliseconds; by default that of the load.
 	@returns The load of the send, to be reduced as the request progresses.
 	*/
-	beginSend(load: number): SendLoad {
+	beginSend(load: number, reading = load * shortRequestMilliseconds): SendLoad {
 		this.#adjust(1, load);
 		let remaining = load;
-		const markRead = this.#countUnread(load * shortRequestMilliseconds);
+		const markRead = this.#countUnread(reading);
 		return {
 			markAnswerStarted: () => {
 				const reduction = Math.max(0, remaining - streamingLoad);
--- a/packages/gateway/src/entry/work-reporter.ts
+++ b/packages/gateway/src/entry/work-reporter.ts
@@ -111,7 +111,8 @@
 		if (control !== undefined) {
 			this.#sentAt = Math.max(dueAt, now - maximumDelay);
 			this.#variation = 1 + (jitter * (random() - 0.5));
-			this.#hasChanged = false;
+			// Work that is held back changes without being recorded.
+			this.#hasChanged = work.held.length > 0;
 			void this.#report(control, work, now);
 		}
 	}
