--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -3,10 +3,11 @@
 import {StepNotifier} from '@valehitch/replication';
 import {abortResponse} from '@valehitch/transport';
 import {
-	DecisionNotes, HeldMemory, type PoolPicture, predictPoolWait, WindowedRetryBudget,
+	DecisionNotes, HeldMemory, predictPoolWait, WindowedRetryBudget,
 } from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
+import {MessageReaders} from '../control/message-readers.js';
 import {
 	type BorrowReply, type EntryMessage, type ServerNoticeMessage, type WatchMessage,
 } from '../control/peer-message.js';
@@ -29,6 +30,7 @@
 import {KnownPeers} from './known-peers.js';
 import {LatencyEstimator} from './latency-estimator.js';
 import {LoadExchange} from './load-exchange.js';
+import {PoolLoads} from './pool-loads.js';
 import {RepeatTracker} from './repeat-tracker.js';
 import {createServerLinks} from './create-server-links.js';
 import {createServerRelays} from './create-server-relays.js';
@@ -62,6 +64,9 @@
 	readonly #context: EntryContext;
 	readonly #watch: ControlWatch;
 	readonly #loadExchange: LoadExchange;
+	readonly #poolLoads: PoolLoads;
+	/** The control instances that read reports of work. */
+	readonly #reportReaders = new MessageReaders();
 	readonly #reporter: SuspectReporter;
 	readonly #rollouts: KnownRollouts;
 	readonly #peers: KnownPeers;
@@ -70,8 +75,6 @@
 	readonly #serverWaiters = new StepNotifier();
 	/** The evidence counters last sent to each control instance. */
 	readonly #evidenceDeltas = new Map<InstanceId, EvidenceDelta>();
-	/** Returns the load of the servers over all entry instances; undefined if no control instance tells it. */
-	readonly #poolPicture: () => PoolPicture | undefined;
 	#table: RouteTable | undefined;
 	#loadTimer: NodeJS.Timeout | undefined;
 	#hadLease = false;
@@ -82,21 +85,29 @@
 	constructor(options: EntryInstanceOptions) {
 		const {clock, random, zone, self, run} = options;
 		this.#options = options;
-		this.#poolPicture = () => undefined;
 		this.#rollouts = new KnownRollouts(options);
 		this.#peers = new KnownPeers(options);
 		this.#loadExchange = new LoadExchange({
 			ownLoads: () => this.#context.servers.loads,
-			peers: () => this.#peers.ids,
+			peers: () => this.#poolLoads.usesDigest ? [] : this.#peers.ids,
 			send: options.send,
 		});
+		this.#poolLoads = new PoolLoads({
+			...options,
+			exchange: this.#loadExchange,
+			isLarge: () => this.#peers.reachesFew,
+			controls: this.#reportReaders,
+			ownLoads: () => this.#context.servers.ownLoads,
+			ownLoadAt: server => this.#context.servers.ownLoadAt(server),
+			ask: options.reportWork,
+		});
 		const suspension = new SuspensionDetector(clock);
 		const notes = new DecisionNotes({sampledShare: options.notedShare});
 		const servers = new EntryServers({
 			zone,
 			random,
 			notes,
-			loads: this.#loadExchange,
+			loads: this.#poolLoads,
 			placesOf: server => this.#peers.placesOf(server),
 			coldDurationOf: service => this.#table?.findService(service)?.cold?.duration,
 			heartbeatMilliseconds: options.heartbeatMilliseconds,
@@ -127,6 +138,7 @@
 				},
 			}),
 			servers,
+			poolLoads: this.#poolLoads,
 			links: createServerLinks(options, {
 				servers,
 				relayCount: () => this.#context.relays.candidateCount,
@@ -174,8 +186,9 @@
 			onUpdate: update => {
 				this.#applyReply(update, clock.monotonic());
 			},
-			onLost(source) {
+			onLost: source => {
 				servers.markSourceLost(source);
+				this.#reportReaders.forget(source);
 			},
 		});
 		this.#server = createCallerServer({
@@ -207,6 +220,7 @@
 	async start(): Promise<void> {
 		this.#watch.start();
 		this.#loadTimer = setInterval(() => {
+			this.#poolLoads.flush();
 			this.#loadExchange.flush(this.#options.clock.monotonic());
 			this.#options.metrics.heldBytes.set(this.#context.memory.held);
 		}, loadFlushMilliseconds);
@@ -311,6 +325,7 @@
 		suspects.merge(reply.suspects, source);
 		this.#reporter.addControl(source, reply.run);
 		this.#peers.update(source, reply);
+		this.#reportReaders.record(source, {canRead: reply.takesWorkReports === true, zone: reply.zone});
 		const changed = applyServerNews(reply, this.#context, {
 			source, now, isFullState, sentAt,
 		});
@@ -348,8 +363,8 @@
 
 	#contentionAt(service: ServiceId): PoolContention {
 		const target = this.#table?.findModelTarget(service) ?? Number.POSITIVE_INFINITY;
-		const picture = this.#poolPicture();
-		if (picture === undefined) {
+		const picture = this.#poolLoads.picture();
+		if (!Number.isFinite(picture.age)) {
 			return {wait: 0, target};
 		}
 
--- a/packages/gateway/src/entry/entry-servers-options.ts
+++ b/packages/gateway/src/entry/entry-servers-options.ts
@@ -20,7 +20,10 @@
 	/** Where choices of servers are noted; by default, they are not. */
 	readonly notes?: DecisionNotes | undefined;
 	/** The loads of the other entry instances at each server. */
-	readonly loads: Pick<LoadExchange, 'peerLoadAt' | 'recordChange' | 'discardServer'>;
+	readonly loads: Pick<LoadExchange, 'peerLoadAt' | 'recordChange' | 'discardServer'> & {
+		/** The age of these loads, in milliseconds; 0 by default. */
+		readonly othersAge?: number;
+	};
 	/** Called when a control instance sends a record that is older than the known state of the process. */
 	readonly onOutdated?: (record: ServerRecord, options: {readonly held: ServerRecord; readonly source: InstanceId}) => void;
 	/** Called when a process is replaced by another one with the same address or id. */
@@ -41,6 +44,8 @@
 export type BeginSendOptions = {
 	/** The load of the request until its answer starts, in units of a short request. */
 	readonly load: number;
+	/** The time that a server of mean speed takes to process the prompt, in milliseconds; by default that of the load. */
+	readonly reading?: number;
 	/** Milliseconds on the monotonic clock. */
 	readonly now: number;
 };
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -20,7 +20,7 @@
 import {type FindServerOptions} from './find-server-options.js';
 import {KnownEvacuations} from './known-evacuations.js';
 import {
-	TrackedServer, type ProcessState, type SendLoad, type ServerConditions, noOpLoad,
+	TrackedServer, type ServerLoad, type ProcessState, type SendLoad, type ServerConditions, noOpLoad,
 } from './tracked-server.js';
 import {SendLimits} from './send-limits.js';
 import {ServerAvailability} from './server-availability.js';
@@ -30,6 +30,8 @@
 const loadBound = 1.5;
 /** The number of servers that are sampled and compared. Since the loads of all instances are known, a larger sample costs only the comparison. */
 const sampleCount = 4;
+/** The load that arrives at a server in a millisecond at most: a busy server processes one unit in 100 ms, and the expected times that are counted include the wait, up to twice as long as the processing. */
+const arrivalRate = 0.03;
 /** How much busier the local zone must be, as a share of its slots, before servers of another zone are used. */
 const zonePenalty = 0.1;
 /** The backoff after a failed connection; doubles with each further failure up to the maximum. */
@@ -168,6 +170,8 @@
 
 		const criteria: ServerCriteria & ServerChoiceOptions = {
 			target: service, excluded, evacuatedZones: this.#evacuations.zones, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
+			reportDecayMilliseconds: Number.POSITIVE_INFINITY,
+			arrivalRate,
 			prefix: promptKey === undefined ? undefined : prefixHash(promptKey.name),
 			affinityScope: promptKey?.affinityScope ?? 'none',
 		};
@@ -205,6 +209,21 @@
 		return loads;
 	}
 
+	/** The requests of this instance in flight at each known server. */
+	get ownLoads(): Iterable<readonly [ServerId, ServerLoad]> {
+		return this.#servers;
+	}
+
+	/**
+	Returns the requests of this instance in flight at a server.
+
+	@param id The server.
+	@returns The requests; undefined if the server is unknown.
+	*/
+	ownLoadAt(id: ServerId): ServerLoad | undefined {
+		return this.#servers.get(id);
+	}
+
 	/**
 	Counts a request sent to a server.
 
@@ -212,14 +231,14 @@
 	@param send The load of the request, and the time.
 	@returns The load of the send, to be reduced as the request progresses.
 	*/
-	beginSend(id: ServerId, {load, now}: BeginSendOptions): SendLoad {
+	beginSend(id: ServerId, {load, reading, now}: BeginSendOptions): SendLoad {
 		const tracked = this.#servers.get(id);
 		if (tracked === undefined) {
 			return noOpLoad;
 		}
 
 		this.limits.countSend(tracked, now);
-		return tracked.beginSend(load);
+		return tracked.beginSend(load, reading);
 	}
 
 	/**
@@ -378,6 +397,7 @@
 		return {
 			now,
 			othersLoad: loads.peerLoadAt(id),
+			othersAge: loads.othersAge,
 			isSilent: this.#liveness.of(id) === 'silent',
 			isZoneUnreachable: serverZone !== zone && this.#zones.isSuspect(serverZone, now),
 			isEjected: this.#ejection.isEjected(id, now),
--- a/packages/gateway/src/entry/known-peers.test.ts
+++ b/packages/gateway/src/entry/known-peers.test.ts
@@ -49,3 +49,14 @@
 	peers.update(control, {entries: [], relays: [one, two]});
 	t.deepEqual(peers.cutOffRelays, new Set());
 });
+
+test('with up to seven instances, all others are peers', t => {
+	const {peers} = createPeers();
+	t.false(peers.reachesFew);
+	peers.update(control, {entries: [one, two], entryCount: 7});
+	t.false(peers.reachesFew);
+	peers.update(otherControl, {entries: [one, two], entryCount: 8});
+	t.true(peers.reachesFew);
+	peers.update(otherControl, {entries: [one, two]});
+	t.false(peers.reachesFew);
+});
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -4,7 +4,7 @@
 import {type Clock, failure, type InstanceId} from '@valehitch/core';
 import {
 	type BorrowReply, ControlInstance, createDecisionLog, createGatewayMetrics, type DecisionLog, EntryInstance, type GatewayMetrics,
-	InspectionHandler, type ListenAddress, openBoundedOutput, type PeerMessage, createSavedList, serverRecordSchema, suspectRecordSchema, type WatchReply,
+	InspectionHandler, type ListenAddress, openBoundedOutput, type PeerMessage, createSavedList, serverRecordSchema, suspectRecordSchema, type WatchReply, type WorkReply,
 } from '@valehitch/gateway';
 import {openDataFolder, AtomicFile} from '@valehitch/storage';
 import {PeerNetwork, sendProblem, startHttpServer} from '@valehitch/transport';
@@ -163,10 +163,11 @@
 
 async function startControlPart(context: ProcessContext, listen: ListenAddress) {
 	const {settings, log, network} = context;
-	const {instance, isFounding, heartbeatInterval, toleratedLosses, coldTolerance, dataFolder = 'data'} = settings();
+	const {instance, zone, isFounding, heartbeatInterval, toleratedLosses, coldTolerance, dataFolder = 'data'} = settings();
 	const control = new ControlInstance({
 		...context,
 		self: instance,
+		zone,
 		clock,
 		random: Math.random,
 		isFounding,
@@ -232,6 +233,7 @@
 		},
 		reportSuspects: async (to, message, timeout) => await requestPeer(context, to, {message, timeout}) !== undefined,
 		askForSends: async (to, message, timeout) => requestPeer(context, to, {message, timeout}) as Promise<BorrowReply | undefined>,
+		reportWork: async (to, message, timeout) => requestPeer(context, to, {message, timeout}) as Promise<WorkReply | undefined>,
 		openTunnel: async (relay, target, timeout) => context.network.openTunnel(peerAddress(settings(), relay), target, {timeoutMilliseconds: timeout}),
 		wait: delay,
 		parse: decodeConfiguration,
