Wait for the prompts that are queued at a server before it is given up

Change: where the load of the pool is known, a working server may take half of the target, and twice the prompts that wait there besides. A server that is silent on all connections is found as before.

--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -4,6 +4,7 @@
 import {type EntryContext} from './entry-context.js';
 import {type GatewayRequest} from './gateway-request.js';
 import {type ModelCascade} from './model-cascade.js';
+import {extendHeadTimeouts} from './extend-head-timeouts.js';
 import {isServerReachable} from './is-server-reachable.js';
 import {isServerRunning} from './is-server-running.js';
 import {type SendAllowance} from './send-allowance.js';
@@ -95,14 +96,18 @@
 }
 
 /** Returns the timeouts for the head of the answer; undefined for the last allowed send, which may take until the caller's deadline. */
-function headTimeoutsOf({server, relay, models, allowance}: StartSendOptions, {servers, links}: Pick<EntryContext, 'servers' | 'links'>): HeadTimeouts | undefined {
+function headTimeoutsOf(
+	{server, relay, authorized: {route: {targetLatency}}, models, allowance}: StartSendOptions,
+	{servers, links, poolLoads}: Pick<EntryContext, 'servers' | 'links' | 'poolLoads'>,
+): HeadTimeouts | undefined {
 	if (!allowance.isRepeatable || allowance.isNextSendLast) {
 		return undefined;
 	}
 
 	const heardBefore = servers.heardAt(server.id);
+	const timeouts = models.headTimeouts;
 	return {
-		...models.headTimeouts,
+		...(models.current === undefined ? timeouts : extendHeadTimeouts(timeouts, {server: server.id, picture: poolLoads.picture(), targetLatency})),
 		hasSentData: () => servers.heardAt(server.id) !== heardBefore,
 		async isReachable() {
 			if (relay !== undefined) {
