Load test of the price of second reads with a largest model of ten times the work

Cause: the largest model of the deployments takes ten times the smallest, where it never goes first at the tested shares; the test knew three times only. Change: the load takes the cost of the smallest model.

--- a/packages/gateway/src/entry/_test-cascade-load.ts
+++ b/packages/gateway/src/entry/_test-cascade-load.ts
@@ -19,6 +19,8 @@
 	readonly escalationShare: number;
 	/** The processing time that the cascade asks for, over what the pool has. */
 	readonly load: number;
+	/** The processing time and price of the smallest model, where those of the largest one are 3; 1 by default. */
+	readonly smallestCost?: number;
 	/** The number of entry instances; 1 by default. */
 	readonly instances?: number;
 	/** The share of the pictures of the pool that are lost; 0 by default. */
@@ -40,7 +42,7 @@
 	readonly kinds: readonly [KindResult, KindResult, KindResult];
 	/** The processing time of the sends, as a share of what the pool has. */
 	poolShare: number;
-	/** The price of all reads, in units of a thousand tokens by the smallest model. */
+	/** The price of all reads, where a thousand tokens by the largest model cost 3. */
 	price: number;
 	/** The models of all sends, in order. */
 	readonly models: ModelId[];
@@ -61,7 +63,7 @@
 };
 
 const [small, large] = [toId<ModelId>('small'), toId<ModelId>('large')];
-const offered = [{id: small, cost: 1}, {id: large, cost: 3}];
+const largestCost = 3;
 const service = toId<ServiceId>('models');
 const servers = Array.from({length: 8}, (_, index) => toId<ServerId>(`server-${index}`));
 const tokensPerMillisecond = 66;
@@ -83,12 +85,8 @@
 	testKind(2, 6000, {tokens: 11_992, perSecond: 44}),
 ] as const;
 
-function costOf(model: ModelId): number {
-	return model === large ? 3 : 1;
-}
-
-function processingOf(model: ModelId, tokens: number): number {
-	return stepMilliseconds + (tokens * costOf(model) / tokensPerMillisecond);
+function processingOf(cost: number, tokens: number): number {
+	return stepMilliseconds + (tokens * cost / tokensPerMillisecond);
 }
 
 /** Requests of three kinds, as many of each as its rate says, on eight servers that process prompts in order of arrival. */
@@ -108,7 +106,7 @@
 
 	constructor(load: CascadeLoad) {
 		this.#load = {
-			instances: 1, lostShare: 0, seed: 1, ...load,
+			smallestCost: 1, instances: 1, lostShare: 0, seed: 1, ...load,
 		};
 		this.#random = seededRandom(this.#load.seed);
 		this.#contexts = Array.from({length: this.#load.instances}, () => ({
@@ -168,21 +166,23 @@
 
 		this.#send(this.#createRequest());
 		const perSecond = kinds.reduce((sum, kind) => sum + kind.perSecond, 0);
-		const asked = kinds.reduce((sum, kind) => sum + (kind.perSecond * (processingOf(small, kind.tokens) + (this.#load.escalationShare * processingOf(large, kind.tokens)))), 0);
-		const interval = asked / perSecond / (this.#load.load * servers.length);
+		const {smallestCost, escalationShare, load} = this.#load;
+		const asked = kinds.reduce((sum, kind) => sum + (kind.perSecond * (processingOf(smallestCost, kind.tokens) + (escalationShare * processingOf(largestCost, kind.tokens)))), 0);
+		const interval = asked / perSecond / (load * servers.length);
 		this.#schedule(this.#now - (Math.log(1 - this.#random()) * interval), () => {
 			this.#arrive();
 		});
 	}
 
 	#createRequest(): Request {
-		const {rule, escalationShare} = this.#load;
+		const {rule, escalationShare, smallestCost} = this.#load;
 		const drawn = this.#random() * kinds.reduce((sum, {perSecond}) => sum + perSecond, 0);
 		const kind = drawn < kinds[0].perSecond ? kinds[0] : (drawn < kinds[0].perSecond + kinds[1].perSecond ? kinds[1] : kinds[2]);
 		const confidence = (this.#random() < escalationShare ? 0 : 50) + (50 * this.#random());
 		const context = this.#contexts[Math.floor(this.#random() * this.#contexts.length)]!;
 		const models = new ModelCascade(rule === 'known-demand' ? context : {...context, escalations: this.#createDemand()}, {
-			route: kind.route, choosesModel: true, tokens: kind.tokens, service, offered, areSendsScarce: rule === 'largest',
+			route: kind.route, choosesModel: true, tokens: kind.tokens, service, areSendsScarce: rule === 'largest',
+			offered: [{id: small, cost: smallestCost}, {id: large, cost: largestCost}],
 		});
 		const result = this.#now < warmUpMilliseconds ? undefined : this.result.kinds[kind.route.priority];
 		if (result !== undefined) {
@@ -198,14 +198,15 @@
 		const {kind, result, models, confidence, arrivedAt} = request;
 		const [[server, busyUntil]] = [...this.#busyUntil].toSorted(([, one], [, other]) => one - other) as [[ServerId, number]];
 		const model = models.current!;
-		const milliseconds = processingOf(model, kind.tokens);
+		const cost = model === large ? largestCost : this.#load.smallestCost;
+		const milliseconds = processingOf(cost, kind.tokens);
 		const sentAt = this.#now;
 		const firstEventAt = Math.max(sentAt, busyUntil) + milliseconds;
 		this.#busyUntil.set(server, firstEventAt);
 		this.result.models.push(model);
 		if (result !== undefined) {
 			this.result.poolShare += milliseconds / servers.length / (durationMilliseconds - warmUpMilliseconds);
-			this.result.price += kind.tokens * costOf(model) / 1000;
+			this.result.price += kind.tokens * cost / 1000;
 		}
 
 		this.#schedule(firstEventAt, () => {
--- a/packages/gateway/src/entry/cascade-load.test.ts
+++ b/packages/gateway/src/entry/cascade-load.test.ts
@@ -50,6 +50,21 @@
 	});
 }
 
+for (const escalationShare of [0.5, 0.7]) {
+	const load = {escalationShare, smallestCost: 0.3};
+
+	test(`where the smallest model costs a tenth, it goes first while there is room; escalation share ${escalationShare}`, t => {
+		t.deepEqual(playCascadeLoad({...load, load: 0.5, rule: 'known-demand'}), playCascadeLoad({...load, load: 0.5, rule: 'cascade'}));
+	});
+
+	test(`where the smallest model costs a tenth, the urgent are served in time under contention; escalation share ${escalationShare}`, t => {
+		const results = playAll({...load, load: 1.3});
+		const [urgent] = results['known-demand'].kinds;
+		t.true(urgent.inTime >= leastUrgentShare * urgent.asked);
+		t.true(valueOf(results['known-demand']) > Math.max(valueOf(results.cascade), valueOf(results.largest)));
+	});
+}
+
 test('a third of the pictures of the pool may be lost', t => {
 	const [urgent] = playCascadeLoad({
 		rule: 'known-demand', escalationShare: 0.5, load: 1.3, lostShare: 1 / 3,
