Let the heap of start times order any queue

The heap of AdmissionController held its own kind of queue only, and the contention queue needs the same order over other queues.

The heap takes anything with a start time, a tie-breaker and an index.

--- a/packages/routing/src/_start-time-heap.ts
+++ b/packages/routing/src/_start-time-heap.ts
@@ -1,10 +1,18 @@
-import {type WorkspaceQueue} from './_workspace-queue.js';
+/** A queue that a heap orders by its virtual start time. */
+export type StartTimeItem = {
+	/** The virtual time at which the next request starts. */
+	readonly startTime: number;
+	/** Breaks ties between equal start times; the lowest is first. */
+	readonly arrival: number;
+	/** The index in the heap, or -1 outside of it; written by the heap. */
+	heapIndex: number;
+};
 
 /** A binary heap of the workspaces with queued requests, the earliest virtual start time first. */
-export class StartTimeHeap {
-	readonly #items: WorkspaceQueue[] = [];
+export class StartTimeHeap<Item extends StartTimeItem> {
+	readonly #items: Item[] = [];
 
-	get first(): WorkspaceQueue | undefined {
+	get first(): Item | undefined {
 		return this.#items[0];
 	}
 
@@ -13,7 +21,7 @@
 	}
 
 	/** Inserts a workspace, or restores its position after its start time has changed. */
-	insertOrUpdate(item: WorkspaceQueue): void {
+	insertOrUpdate(item: Item): void {
 		if (item.heapIndex === -1) {
 			item.heapIndex = this.#items.length;
 			this.#items.push(item);
@@ -23,7 +31,7 @@
 		this.#siftDown(item);
 	}
 
-	remove(item: WorkspaceQueue): void {
+	remove(item: Item): void {
 		const index = item.heapIndex;
 		const last = this.#items.pop();
 		item.heapIndex = -1;
@@ -36,7 +44,7 @@
 		this.insertOrUpdate(last);
 	}
 
-	#siftUp(item: WorkspaceQueue): void {
+	#siftUp(item: Item): void {
 		while (item.heapIndex > 0) {
 			const parent = this.#items[Math.floor((item.heapIndex - 1) / 2)];
 			if (parent === undefined || !isBefore(item, parent)) {
@@ -47,7 +55,7 @@
 		}
 	}
 
-	#siftDown(item: WorkspaceQueue): void {
+	#siftDown(item: Item): void {
 		for (;;) {
 			const left = this.#items[(2 * item.heapIndex) + 1];
 			const right = this.#items[(2 * item.heapIndex) + 2];
@@ -60,7 +68,7 @@
 		}
 	}
 
-	#swap(first: WorkspaceQueue, second: WorkspaceQueue): void {
+	#swap(first: Item, second: Item): void {
 		const index = first.heapIndex;
 		first.heapIndex = second.heapIndex;
 		second.heapIndex = index;
@@ -69,6 +77,6 @@
 	}
 }
 
-function isBefore(first: WorkspaceQueue, second: WorkspaceQueue): boolean {
+function isBefore(first: StartTimeItem, second: StartTimeItem): boolean {
 	return first.startTime < second.startTime || (first.startTime === second.startTime && first.arrival < second.arrival);
 }
--- a/packages/routing/src/admission-controller.ts
+++ b/packages/routing/src/admission-controller.ts
@@ -35,7 +35,7 @@
 	readonly #queues = new Map<WorkspaceId, WorkspaceQueue>();
 	readonly #waiting = new Map<RequestId, AdmissionRequest>();
 	readonly #admitted = new Map<RequestId, AdmittedRequest>();
-	readonly #startTimeHeap = new StartTimeHeap();
+	readonly #startTimeHeap = new StartTimeHeap<WorkspaceQueue>();
 	readonly #drainRate = new DrainRate();
 	#capacity: number;
 	#inProgress = 0;
