Hold less urgent requests while servers have no room for them

Cause: entry instances send every request at once. In a burst all of them wait in the servers, where they can no longer be ordered over workspaces, moved or rejected in time, and where urgent ones wait behind the rest unless the servers honour urgency.

Change: ContentionQueue decides by the picture of the pool's load whether a request is sent, held or rejected. Each entry instance releases at its share of the rate that keeps the waits at a third of the most urgent target latency. Nothing is held for longer than a quarter of its target latency, and nothing is held while the picture is missing or the pool is calm. Nothing uses the queue yet.

Ruled out: releasing a share of the room that the picture shows, once for each picture.

--- /dev/null
+++ b/packages/routing/src/contention-queue.test.ts
@@ -0,0 +1,244 @@
+import {
+	type RequestId, type ServerId, toId, type WorkspaceId,
+} from '@valehitch/core';
+import test from 'ava';
+import fc from 'fast-check';
+import {type ContentionPool, contentionPool} from './contention-pool.js';
+import {ContentionQueue, maximumHoldShare, releaseIntervalMilliseconds} from './contention-queue.js';
+import {type ContentionRequest} from './contention-request.js';
+import {seededRandom} from './_test-contention.js';
+import {noPicture} from './no-picture.js';
+
+const servers = 4;
+/** With the default share, a server has room up to a wait of 400 ms. */
+const urgentTarget = 1200;
+
+function poolOf(reading: number, changes: Partial<ContentionPool> = {}): ContentionPool {
+	return {
+		servers: Array.from({length: servers}, () => ({reading, streams: 0, slowness: 1})), age: 0, heldByOthers: [], urgentPriority: 0, urgentTarget, ...changes,
+	};
+}
+
+const busy = poolOf(500);
+const calm = poolOf(100);
+
+function requestOf(id: string, changes: Partial<ContentionRequest> = {}): ContentionRequest {
+	return {
+		id: toId<RequestId>(id), priority: 2, workspace: toId<WorkspaceId>('mills'), work: 100, targetLatency: 6000, arrivedAt: 0, deadlineAt: 25_000, ...changes,
+	};
+}
+
+function newQueue(random = () => 0.5): ContentionQueue {
+	return new ContentionQueue({random});
+}
+
+/** Offers requests while the pool is busy, and returns the ids in the order of their release into the given pool within a time. */
+function releaseOrder(requests: readonly ContentionRequest[], pool: ContentionPool, milliseconds = releaseIntervalMilliseconds): readonly string[] {
+	const queue = newQueue();
+	for (const request of requests) {
+		queue.offer(request, {now: 0, pool: busy});
+	}
+
+	const released: string[] = [];
+	for (let now = 0; now <= milliseconds; now += releaseIntervalMilliseconds) {
+		released.push(...queue.release({now, pool}).map(({request: {id}}) => id));
+	}
+
+	return released;
+}
+
+test('a calm pool holds nothing and draws no random number', t => {
+	const queue = newQueue(() => {
+		throw new Error('No random number is expected');
+	});
+	t.deepEqual(queue.offer(requestOf('a'), {now: 0, pool: calm}), {type: 'send'});
+	t.true(queue.isEmpty);
+});
+
+test('the most urgent requests are never held, and neither is one without a known pool', t => {
+	const queue = newQueue();
+	t.is(queue.offer(requestOf('a', {priority: 0}), {now: 0, pool: busy}).type, 'send');
+	t.is(queue.offer(requestOf('b'), {now: 0, pool: undefined}).type, 'send');
+	t.is(queue.offer(requestOf('c', {deadlineAt: 2900}), {now: 0, pool: busy}).type, 'send', 'its deadline is near');
+	t.is(queue.offer(requestOf('d'), {now: 0, pool: busy}).type, 'held');
+	t.deepEqual(queue.held, [{priority: 2, milliseconds: 100}]);
+});
+
+test('a picture that is too old counts as none', t => {
+	const options = {servers: [toId<ServerId>('s1')], routes: [{priority: 1, targetLatency: 900}, {priority: 0, targetLatency: 700}, {priority: 0, targetLatency: 300}]};
+	t.is(contentionPool(noPicture, options), undefined);
+	t.is(contentionPool({...noPicture, age: 1501}, options), undefined);
+	t.is(contentionPool({...noPicture, age: Number.NaN}, options), undefined);
+	t.is(contentionPool({...noPicture, age: 400}, {...options, servers: []}), undefined);
+	t.like(contentionPool({...noPicture, age: 1500}, options), {urgentPriority: 0, urgentTarget: 300});
+});
+
+test('everything is released when the load of the pool is no longer known', t => {
+	const queue = newQueue();
+	queue.offer(requestOf('a'), {now: 0, pool: busy});
+	t.like(queue.release({now: 40, pool: undefined}), [{reason: 'off'}]);
+	t.true(queue.isEmpty);
+});
+
+test('requests are released by priority, then by the work of their workspaces, then by deadline', t => {
+	const other = toId<WorkspaceId>('looms');
+	t.deepEqual(releaseOrder([
+		requestOf('mills-late', {deadlineAt: 25_000}),
+		requestOf('mills-early', {deadlineAt: 24_000}),
+		requestOf('looms', {workspace: other, deadlineAt: 25_000}),
+		requestOf('urgent', {priority: 1, deadlineAt: 26_000}),
+	], calm), ['urgent', 'mills-early', 'looms', 'mills-late']);
+});
+
+test('the room goes to more urgent work held elsewhere first, and is shared by held work', t => {
+	const requests = Array.from({length: 40}, (_, index) => requestOf(`r${index}`));
+	// In 200 ms, 4 servers process 200 ms each, and 300 ms are missing up to the bound.
+	t.is(releaseOrder(requests, calm, 200).length, 20);
+	t.is(releaseOrder(requests, poolOf(100, {heldByOthers: [{priority: 1, milliseconds: 1000}]}), 200).length, 10);
+	t.is(releaseOrder(requests, poolOf(100, {heldByOthers: [{priority: 3, milliseconds: 9000}]}), 200).length, 20);
+	const shared = releaseOrder(requests, poolOf(100, {heldByOthers: [{priority: 2, milliseconds: 4000}]}), 200).length;
+	t.true(shared >= 9 && shared <= 10, `${shared} of half of the room`);
+});
+
+for (const instances of [1, 7, 84, 370]) {
+	test(`${instances} instances that see the same room release about as much as fits in`, t => {
+		const random = seededRandom(instances);
+		const heldByEach = Math.ceil(370 / instances);
+		const pool = poolOf(100, {heldByOthers: [{priority: 2, milliseconds: 100 * heldByEach * (instances - 1)}]});
+		let released = 0;
+		for (let instance = 0; instance < instances; instance++) {
+			const queue = new ContentionQueue({random});
+			for (let index = 0; index < heldByEach; index++) {
+				queue.offer(requestOf(`r${index}`), {now: 0, pool: busy});
+			}
+
+			for (let now = 0; now <= 200; now += releaseIntervalMilliseconds) {
+				released += queue.release({now, pool}).length;
+			}
+		}
+
+		// The room of 2000 ms takes 20 requests; three standard deviations of as many independent draws.
+		t.true(Math.abs(released - 20) <= 13, `${released} were released`);
+	});
+}
+
+test('no request is held for longer than a quarter of its target latency, and the least urgent are sent beside any number of others', t => {
+	const check = fc.property(fc.array(fc.record({
+		priority: fc.integer({min: 1, max: 9}), work: fc.integer({min: 1, max: 4000}), targetLatency: fc.integer({min: 100, max: 8000}), arrivedAt: fc.integer({min: 0, max: 3000}),
+	}), {maxLength: 60}), fc.integer({min: 0, max: 3000}), (drawn, reading) => {
+		const queue = newQueue();
+		const pool = poolOf(reading, {heldByOthers: [{priority: 1, milliseconds: 1e6}]});
+		const requests = drawn.map((members, index) => requestOf(String(index), {...members, deadlineAt: members.arrivedAt + 60_000}));
+		const waiting = new Set<ContentionRequest>();
+		for (let now = 0; now < 8000; now += releaseIntervalMilliseconds) {
+			for (const {request: {id}} of queue.release({now, pool})) {
+				waiting.delete(requests[Number(id)]!);
+			}
+
+			for (const request of requests) {
+				const isNew = request.arrivedAt <= now && request.arrivedAt > now - releaseIntervalMilliseconds;
+				if (isNew && queue.offer(request, {now, pool}).type === 'held') {
+					waiting.add(request);
+				}
+			}
+
+			for (const {arrivedAt, targetLatency} of waiting) {
+				if (now > arrivedAt + (maximumHoldShare * targetLatency)) {
+					return false;
+				}
+			}
+		}
+
+		return waiting.size === 0;
+	});
+	t.notThrows(() => {
+		fc.assert(check, {seed: 20_261_204, numRuns: 60});
+	});
+});
+
+test('a request that can only just meet its target is sent before the room allows it', t => {
+	const queue = newQueue();
+	const pool = poolOf(5000);
+	t.is(queue.offer(requestOf('a', {work: 500}), {now: 0, pool}).type, 'held');
+	t.deepEqual(queue.release({now: 400, pool}), []);
+	t.like(queue.release({now: 480, pool}), [{reason: 'time'}]);
+});
+
+test('a request that no server can serve before its deadline is rejected, with a delay until there is room within a third of its time', t => {
+	const pool = poolOf(9000);
+	const queue = newQueue(() => 1);
+	const rejected = queue.offer(requestOf('a', {deadlineAt: 6000}), {now: 0, pool});
+	t.deepEqual(rejected, {
+		type: 'rejected', workBefore: 4 * 8600, overrun: 3100, retryAfterMilliseconds: 2000,
+	});
+	t.is(queue.offer(requestOf('b', {deadlineAt: 9000}), {now: 0, pool}).type, 'held', 'the prediction may be wrong by a quarter');
+	const excess = poolOf(1200, {heldByOthers: [{priority: 1, milliseconds: 100}, {priority: 3, milliseconds: 9000}]});
+	const soon = new ContentionQueue({random: () => 1}).offer(requestOf('c', {work: 8000, deadlineAt: 7000}), {now: 0, pool: excess});
+	// (4 * 800 ms that wait beyond the bound + 100 ms held elsewhere + 6000 ms of its own) / 4 servers, scattered by half.
+	t.like(soon, {type: 'rejected', workBefore: 3300, retryAfterMilliseconds: 2333});
+});
+
+test('callers that are rejected at the same moment return at different times', t => {
+	let random = 0;
+	const queue = newQueue(() => {
+		random += 0.1;
+		return random;
+	});
+	const delays = Array.from({length: 9}, () => {
+		const decision = queue.offer(requestOf('a', {work: 6000, deadlineAt: 5000}), {now: 0, pool: poolOf(800)});
+		return decision.type === 'rejected' ? decision.retryAfterMilliseconds : undefined;
+	});
+	t.is(new Set(delays).size, 9);
+});
+
+test('a held request whose caller has left takes no room', t => {
+	const queue = newQueue();
+	queue.offer(requestOf('a'), {now: 0, pool: busy});
+	queue.offer(requestOf('b'), {now: 0, pool: busy});
+	queue.cancel(toId<RequestId>('a'));
+	queue.cancel(toId<RequestId>('unknown'));
+	t.deepEqual(queue.held, [{priority: 2, milliseconds: 100}]);
+	queue.release({now: 0, pool: calm});
+	t.deepEqual(queue.release({now: 40, pool: calm}).map(({request: {id}}) => id), ['b']);
+});
+
+test('absurd priorities, work and targets neither throw nor overtake, and the held work stays bounded', t => {
+	const absurd = [Number.NaN, Number.NEGATIVE_INFINITY, -5, 1e300, Number.POSITIVE_INFINITY];
+	const queue = newQueue();
+	for (const [index, value] of absurd.entries()) {
+		t.not(queue.offer(requestOf(`p${index}`, {priority: value}), {now: 0, pool: busy}).type, 'rejected');
+		t.notThrows(() => queue.offer(requestOf(`w${index}`, {work: value}), {now: 0, pool: busy}));
+		t.notThrows(() => queue.offer(requestOf(`t${index}`, {targetLatency: value, work: 10}), {now: 0, pool: busy}));
+	}
+
+	for (const {milliseconds} of queue.held) {
+		t.true(milliseconds > 0 && milliseconds <= 15 * 6000);
+	}
+
+	t.deepEqual(queue.held.map(({priority}) => priority), [2, 9], 'a priority that cannot be read is the least urgent one');
+	queue.release({now: 0, pool: calm});
+	t.notThrows(() => queue.release({now: 60_000, pool: calm}));
+});
+
+test('no credit accrues while nothing is held or the process halts', t => {
+	const queue = newQueue();
+	const fill = (now: number): void => {
+		for (let index = 0; index < 99; index++) {
+			queue.offer(requestOf(`${now}-${index}`, {arrivedAt: now, deadlineAt: now + 25_000}), {now, pool: busy});
+		}
+	};
+
+	fill(0);
+	t.is(queue.release({now: 0, pool: calm}).length, 0);
+	queue.release({now: 40, pool: undefined});
+	fill(1000);
+	t.is(queue.release({now: 1000, pool: calm}).length, 0, 'the time without held requests does not count');
+	t.is(queue.release({now: 2000, pool: calm}).length, 10, 'at most 100 ms count');
+});
+
+test('a wrong picture of the work held elsewhere does not stop the release by time', t => {
+	const queue = newQueue();
+	const pool = poolOf(Number.NaN, {heldByOthers: [{priority: Number.NaN, milliseconds: Number.NaN}, {priority: 1, milliseconds: Number.POSITIVE_INFINITY}]});
+	queue.offer(requestOf('a'), {now: 0, pool: busy});
+	t.like(queue.release({now: 1500, pool}), [{request: {id: 'a'}}]);
+});
--- /dev/null
+++ b/packages/routing/src/contention-queue.ts
@@ -0,0 +1,268 @@
+import {type RandomSource, type RequestId} from '@valehitch/core';
+import {type ContentionPool} from './contention-pool.js';
+import {type ContentionDecision, type ContentionRequest, type ReleasedRequest} from './contention-request.js';
+import {HeldPriority} from './_held-priority.js';
+import {
+	expectedWait, roomBelow, shortestWait, workAbove,
+} from './_pool-room.js';
+import {type HeldWork} from './pool-picture.js';
+
+/** Options of {@linkcode ContentionQueue}. */
+export type ContentionQueueOptions = {
+	readonly random: RandomSource;
+	/** The wait up to which a server has room, as a share of the target latency of the most urgent requests; a third by default. */
+	readonly boundShare?: number;
+};
+
+/** When a decision is made, and what is known of the pool. */
+export type ContentionState = {
+	/** Milliseconds on the monotonic clock. */
+	readonly now: number;
+	/** The servers; undefined if their load is not known, and then nothing is held. */
+	readonly pool: ContentionPool | undefined;
+};
+
+/** The longest time that a request is held, as a share of its target latency. */
+export const maximumHoldShare = 0.25;
+const defaultBoundShare = 1 / 3;
+/** A request with less time left than this share of its target latency is not held. */
+const minimumTimeShare = 0.5;
+/** The longest time between two calls of `release` while requests are held, in milliseconds: a small part of the shortest target latency. */
+export const releaseIntervalMilliseconds = 40;
+/** A request is rejected if the time that it needs exceeds the time left by this factor. */
+const rejectionFactor = 1.25;
+/** The shortest retry delay, in milliseconds. */
+const minimumRetryMilliseconds = 250;
+/** The longest retry delay, as a share of the time left. */
+const maximumRetryShare = 1 / 3;
+/** Retry delays are lengthened by up to this share at random, so that callers return at different times. */
+const retryScatter = 0.5;
+/** The priority of a request whose own cannot be read: the least urgent one. */
+const leastUrgentPriority = 9;
+/** The least work of a prompt, in milliseconds: that of the fixed part of each engine step. */
+const minimumWork = 5;
+/** The time in which the waits return to the bound, as a multiple of the age of the picture: what was released shows only after that age, and a shorter time would overshoot. */
+const correctionFactor = 1.25;
+/** The shortest such time, in milliseconds. */
+const minimumCorrectionMilliseconds = 200;
+
+/**
+Holds less urgent requests for a short time while the servers of a service are busy, so that urgent ones meet a short wait. It answers bursts in which callers of several urgencies compete for the time in which servers process prompts.
+
+Each entry instance has its own queue and releases at the part of the pool's rate that its held work has in that of all instances. Requests are released by priority, then in the order of start-time fair queueing (Goyal, Vin and Cheng, 1997) over workspaces, then by deadline. The most urgent ones are never held, and none is held for longer than a quarter of its target latency, so none starves.
+
+@example
+```ts
+const queue = new ContentionQueue({random});
+if (queue.offer(request, {now, pool}).type === 'held') {
+	for (const {request: {id}} of queue.release({now, pool})) {
+		send(id);
+	}
+}
+```
+*/
+export class ContentionQueue {
+	readonly #random: RandomSource;
+	readonly #boundShare: number;
+	/** The held requests by priority, the most urgent first. */
+	#priorities: HeldPriority[] = [];
+
+	constructor({random, boundShare = defaultBoundShare}: ContentionQueueOptions) {
+		this.#random = random;
+		this.#boundShare = boundShare;
+	}
+
+	/** The held work by priority. */
+	get held(): readonly HeldWork[] {
+		const held: HeldWork[] = [];
+		for (const {priority, work} of this.#priorities) {
+			if (work > 0) {
+				held.push({priority, milliseconds: work});
+			}
+		}
+
+		return held;
+	}
+
+	/** Whether no request is held. */
+	get isEmpty(): boolean {
+		return this.#priorities.every(({first}) => first === undefined);
+	}
+
+	/**
+	Decides whether a request is sent at once, held or rejected.
+
+	@param offered The request. A priority, a work or a target that cannot be read counts as the least favourable one.
+	@param state The time and the pool.
+	@returns The decision; a rejected request has not run.
+	*/
+	offer(offered: ContentionRequest, {now, pool}: ContentionState): ContentionDecision {
+		const request = toReadable(offered);
+		if (pool === undefined || request.priority <= pool.urgentPriority) {
+			return {type: 'send'};
+		}
+
+		const timeLeft = request.deadlineAt - now;
+		const overrun = shortestWait(pool.servers) + atLeast(offered.work, minimumWork) - timeLeft;
+		if (overrun > (rejectionFactor - 1) * timeLeft) {
+			return this.#reject(request, {overrun, timeLeft, pool});
+		}
+
+		const isNearDeadline = timeLeft < minimumTimeShare * request.targetLatency;
+		if (isNearDeadline || latestSendAt(request, {now, pool}) <= now || this.#hasRoomAtOnce(request, pool)) {
+			return {type: 'send'};
+		}
+
+		this.#priorityOf(request.priority).add(request);
+		return {type: 'held'};
+	}
+
+	/**
+	Releases the held requests for which there is room or which may be held no longer.
+
+	@param state The time and the pool.
+	@returns The requests, in the order in which they are to be sent.
+	*/
+	release({now, pool}: ContentionState): readonly ReleasedRequest[] {
+		if (pool === undefined) {
+			return this.#releaseWhere(() => true, 'off');
+		}
+
+		const released = this.#releaseWhere(request => latestSendAt(request, {now, pool}) <= now, 'time');
+		return [...released, ...this.#releaseIntoRoom(pool, now)];
+	}
+
+	/**
+	Drops a held request whose caller has left.
+
+	@param id The request.
+	*/
+	cancel(id: RequestId): void {
+		for (const held of this.#priorities) {
+			for (const request of held.requests) {
+				if (request.id === id) {
+					held.remove(request);
+					return;
+				}
+			}
+		}
+	}
+
+	#boundOf({urgentTarget}: ContentionPool): number {
+		return this.#boundShare * urgentTarget;
+	}
+
+	/** Checks whether a request finds room that nothing held before it needs. */
+	#hasRoomAtOnce({priority}: ContentionRequest, pool: ContentionPool): boolean {
+		const bound = this.#boundOf(pool);
+		if (this.#heldBefore(priority) > 0 || expectedWait(pool.servers) > bound) {
+			return false;
+		}
+
+		const heldByOthers = sumOf(pool.heldByOthers, priority);
+		return heldByOthers === 0 || heldByOthers < roomBelow(pool.servers, bound);
+	}
+
+	/** Releases at this instance's share of the rate that keeps the waits at the bound, the most urgent requests first. */
+	#releaseIntoRoom(pool: ContentionPool, now: number): readonly ReleasedRequest[] {
+		const released: ReleasedRequest[] = [];
+		const correction = Math.max(minimumCorrectionMilliseconds, correctionFactor * pool.age);
+		// What servers process in the meantime, and what is missing up to the bound.
+		const room = roomBelow(pool.servers, this.#boundOf(pool) + correction);
+		for (const held of this.#priorities) {
+			const others = workOf(pool.heldByOthers, held.priority);
+			const share = held.work / Math.max(minimumWork, held.work + others);
+			const moreUrgent = this.#heldBefore(held.priority - 1) + sumOf(pool.heldByOthers, held.priority - 1);
+			held.credit.accrue(share * Math.max(0, room - moreUrgent) / correction, now);
+			for (let {first} = held; first !== undefined && held.credit.trySpend(first.work); {first} = held) {
+				held.release(first);
+				released.push({request: first, reason: 'room'});
+			}
+		}
+
+		return released;
+	}
+
+	#releaseWhere(isDue: (request: ContentionRequest) => boolean, reason: ReleasedRequest['reason']): readonly ReleasedRequest[] {
+		const released: ReleasedRequest[] = [];
+		for (const held of this.#priorities) {
+			for (const request of held.requests) {
+				if (isDue(request)) {
+					held.release(request);
+					released.push({request, reason});
+				}
+			}
+		}
+
+		return released;
+	}
+
+	#reject({priority, work}: ContentionRequest, {overrun, timeLeft, pool}: {readonly overrun: number; readonly timeLeft: number; readonly pool: ContentionPool}): ContentionDecision {
+		const workBefore = workAbove(pool.servers, this.#boundOf(pool)) + this.#heldBefore(priority) + sumOf(pool.heldByOthers, priority);
+		const untilRoom = (workBefore + work) / pool.servers.length;
+		const longest = Math.max(0, maximumRetryShare * timeLeft / (1 + retryScatter));
+		const delay = Math.min(longest, Math.max(minimumRetryMilliseconds, untilRoom));
+		return {
+			type: 'rejected', workBefore, overrun, retryAfterMilliseconds: Math.floor(delay * (1 + (retryScatter * this.#random()))),
+		};
+	}
+
+	/** Returns the work held in this queue of a priority and of all that are more urgent. */
+	#heldBefore(priority: number): number {
+		return sumOf(this.held, priority);
+	}
+
+	#priorityOf(priority: number): HeldPriority {
+		const known = this.#priorities.find(held => held.priority === priority);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const added = new HeldPriority(priority, this.#random);
+		this.#priorities = [...this.#priorities, added].toSorted((one, other) => one.priority - other.priority);
+		return added;
+	}
+}
+
+/** Returns from when a request is held no longer, since the next release may be too late: after a share of its target latency, or when it can only just meet its target. */
+function latestSendAt({arrivedAt, targetLatency, work}: ContentionRequest, {now, pool}: {readonly now: number; readonly pool: ContentionPool}): number {
+	const longest = arrivedAt + (maximumHoldShare * targetLatency);
+	const lastMoment = arrivedAt + targetLatency - expectedWait(pool.servers) - work;
+	const canMeetTarget = lastMoment >= now;
+	return (canMeetTarget ? Math.min(longest, lastMoment) : longest) - releaseIntervalMilliseconds;
+}
+
+function workOf(held: readonly HeldWork[], priority: number): number {
+	let work = 0;
+	for (const {priority: heldPriority, milliseconds} of held) {
+		work += heldPriority === priority ? atLeast(milliseconds, 0) : 0;
+	}
+
+	return work;
+}
+
+/** Returns the held work of a priority and of all that are more urgent. */
+function sumOf(held: readonly HeldWork[], priority: number): number {
+	let work = 0;
+	for (const {priority: heldPriority, milliseconds} of held) {
+		work += heldPriority <= priority ? atLeast(milliseconds, 0) : 0;
+	}
+
+	return work;
+}
+
+/** Bounds what a caller claims, so that a false claim delays its own requests only. A prompt that takes longer than the target latency counts as one that takes as long. */
+function toReadable(request: ContentionRequest): ContentionRequest {
+	const {priority, work, targetLatency} = request;
+	return {
+		...request,
+		priority: priority >= 0 && priority <= leastUrgentPriority ? Math.floor(priority) : leastUrgentPriority,
+		work: Math.min(atLeast(work, minimumWork), Math.max(minimumWork, atLeast(targetLatency, 0))),
+		targetLatency: atLeast(targetLatency, 0),
+	};
+}
+
+/** Returns the number, or the minimum if it is smaller or not a number. */
+function atLeast(value: number, minimum: number): number {
+	return Number.isNaN(value) ? minimum : Math.max(value, minimum);
+}
--- /dev/null
+++ b/packages/routing/src/contention-request.ts
@@ -0,0 +1,42 @@
+import {type RequestId, type WorkspaceId} from '@valehitch/core';
+
+/** A request that competes for the time in which servers process prompts. */
+export type ContentionRequest = {
+	/** Unique within the queue. */
+	readonly id: RequestId;
+	/** 0 is the most urgent. */
+	readonly priority: number;
+	/** The workspace of the caller; undefined if the route is public. */
+	readonly workspace: WorkspaceId | undefined;
+	/** The processing time of its prompt, in milliseconds at a server of mean speed. */
+	readonly work: number;
+	/** The target time to the first event, in milliseconds. */
+	readonly targetLatency: number;
+	/** When it arrived, in milliseconds on the monotonic clock. */
+	readonly arrivedAt: number;
+	/** Its deadline, in milliseconds on the monotonic clock. */
+	readonly deadlineAt: number;
+};
+
+/** What becomes of a request that enters a contention queue. */
+export type ContentionDecision
+	= | {readonly type: 'send'}
+		| {readonly type: 'held'}
+		| {
+			readonly type: 'rejected';
+			/** The time until there is room for the request, in milliseconds. */
+			readonly retryAfterMilliseconds: number;
+			/** The work that is before the request and beyond the room, in milliseconds at a server of mean speed. */
+			readonly workBefore: number;
+			/** The time by which the shortest wait and the request's own processing exceed what is left, in milliseconds. */
+			readonly overrun: number;
+		};
+
+/** Why a held request is sent: there is room for it, it may be held no longer, or the queue holds nothing now because the load of the pool is not known. */
+export type ReleaseReason = 'room' | 'time' | 'off';
+
+/** A held request that is sent now. */
+export type ReleasedRequest = {
+	readonly request: ContentionRequest;
+	readonly reason: ReleaseReason;
+};
