Ask the contention queue before the first send of a request for a model

Only the first send of a request for a model is subject to it: plain services, retries, escalations and resumptions are sent as before, and so is everything during a shutdown. A caller that leaves is dropped from the queue.

The entry instance passes a picture of infinite age until control instances send one, so that no request is held or rejected and no random number is drawn.

Metrics count what is held, released and rejected; request-held and request-rejected tell operators how long, why and what was lacking.

--- a/packages/gateway/src/configuration/route-table.test.ts
+++ b/packages/gateway/src/configuration/route-table.test.ts
@@ -16,3 +16,10 @@
 	t.is(table.findWorkspaceByKey('k2')?.id, 'mills' as never);
 	t.is(table.findWorkspaceByKey('k3'), undefined);
 });
+
+test('the routes with models of a service are those that send it prompts', t => {
+	const prompts = testRoute({id: 'prompts' as never, pathPrefix: '/prompts/', sizes: ['small' as never]});
+	const table = new RouteTable(testConfiguration({routes: [testRoute(), prompts]}));
+	t.deepEqual(table.routesWithModels('labels' as never), [prompts]);
+	t.deepEqual(table.routesWithModels('other' as never), []);
+});
--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -19,6 +19,7 @@
 	readonly needsKeys: boolean;
 	/** The routes of each host, ordered by descending prefix length. */
 	readonly #routes = new Map<string, Route[]>();
+	readonly #routesWithModels = new Map<ServiceId, Route[]>();
 	readonly #workspacesByKey = new Map<string, WorkspaceAccess>();
 	readonly #services = new Map<ServiceId, BackendService>();
 
@@ -39,6 +40,9 @@
 		for (const route of routes) {
 			const host = route.host.toLowerCase();
 			this.#routes.set(host, [...this.#routes.get(host) ?? [], route]);
+			for (const {service} of route.sizes.length > 0 ? route.services : []) {
+				this.#routesWithModels.set(service, [...this.#routesWithModels.get(service) ?? [], route]);
+			}
 		}
 
 		for (const hostRoutes of this.#routes.values()) {
@@ -57,6 +61,16 @@
 		return this.#routes.get(host.toLowerCase())?.find(({pathPrefix}) => path.startsWith(pathPrefix));
 	}
 
+	/**
+	Returns the routes that send requests with a prompt to a service.
+
+	@param service The service.
+	@returns The routes.
+	*/
+	routesWithModels(service: ServiceId): readonly Route[] {
+		return this.#routesWithModels.get(service) ?? [];
+	}
+
 	/**
 	Finds the workspace to which a key belongs.
 
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -84,7 +84,7 @@
 export async function sendRequests(t: ExecutionContext, times: number, options: SendRequestsOptions) {
 	const {
 		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, promptParts = [], wait = async () => undefined, latencies, log = ignore,
-		checkProcess = async () => 'running', areServersReachable = true, prepare = ignore,
+		checkProcess = async () => 'running', areServersReachable = true, prepare = ignore, admission = {admit: async () => undefined, heldWork: () => []},
 	} = options;
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({
@@ -122,6 +122,7 @@
 			clock, log, servers, checkProcess, onChanged: ignore,
 		}),
 		budget: new WindowedRetryBudget({ratio: 1, minimumPerWindow: 5}),
+		admission,
 		latencies: latencies ?? new LatencyEstimator(clock),
 		pins: new VersionPins({sessionMilliseconds: 5000}),
 		repeats: new RepeatTracker(),
@@ -179,6 +180,8 @@
 	readonly checkProcess?: EntrySuspectsOptions['checkProcess'];
 	/** Whether trial connections to servers succeed; true by default. */
 	readonly areServersReachable?: boolean;
+	/** Holds or rejects requests; by default all are sent at once. */
+	readonly admission?: EntryContext['admission'];
 	/** Called with the context of the instance before the first request. */
 	readonly prepare?: (context: EntryContext) => void;
 };
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -16,6 +16,7 @@
 import {type BrittleRejection} from './known-peers.js';
 import {type LatencyEstimator} from './latency-estimator.js';
 import {type RepeatTracker} from './repeat-tracker.js';
+import {type RequestAdmission} from './request-admission.js';
 import {type SendBorrower} from './send-borrower.js';
 import {type VersionPins} from './version-pins.js';
 
@@ -42,6 +43,8 @@
 	readonly suspects: EntrySuspects;
 	readonly borrower: SendBorrower;
 	readonly budget: WindowedRetryBudget;
+	/** Holds or rejects requests that compete for busy servers, and tells how much work it holds. */
+	readonly admission: Pick<RequestAdmission, 'admit' | 'heldWork'>;
 	readonly latencies: LatencyEstimator;
 	readonly pins: VersionPins;
 	readonly repeats: RepeatTracker;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -2,7 +2,7 @@
 import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
 import {abortResponse} from '@valehitch/transport';
-import {WindowedRetryBudget} from '@valehitch/routing';
+import {noPicture, WindowedRetryBudget} from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {
@@ -26,6 +26,7 @@
 import {LatencyEstimator} from './latency-estimator.js';
 import {LoadExchange} from './load-exchange.js';
 import {RepeatTracker} from './repeat-tracker.js';
+import {RequestAdmission} from './request-admission.js';
 import {createServerLinks} from './create-server-links.js';
 import {createServerRelays} from './create-server-relays.js';
 import {SendBorrower} from './send-borrower.js';
@@ -139,6 +140,13 @@
 				},
 			}),
 			budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
+			admission: new RequestAdmission({
+				...options,
+				availability: servers.availability,
+				picture: () => noPicture,
+				table: () => this.#table,
+				endsAt: () => this.#endsAt,
+			}),
 			latencies: new LatencyEstimator(clock),
 			pins: new VersionPins(options),
 			repeats: new RepeatTracker(),
--- /dev/null
+++ b/packages/gateway/src/entry/request-admission.ts
@@ -0,0 +1,202 @@
+import {
+	type Clock, type Failure, failure, type RandomSource, type RequestId, type ServiceId, toId,
+} from '@valehitch/core';
+import {
+	type ContentionDecision, type ContentionPool, contentionPool, ContentionQueue, type ContentionRequest, type HeldWork, type PoolPicture, releaseIntervalMilliseconds, type ReleaseReason,
+} from '@valehitch/routing';
+import {type RouteTable} from '../configuration/route-table.js';
+import {type DecisionLog} from '../logs/decision-log.js';
+import {type GatewayMetrics} from '../logs/gateway-metrics.js';
+import {type ServerAvailability} from './server-availability.js';
+
+/** A request before its first send. */
+export type AdmissionCandidate = Omit<ContentionRequest, 'id'> & {
+	/** The caller's id of the request. */
+	readonly request: string;
+	readonly service: ServiceId;
+	/** Aborted when the request has ended, for example because its caller has left. */
+	readonly ended: AbortSignal;
+};
+
+/** Options of {@linkcode RequestAdmission}. */
+export type RequestAdmissionOptions = {
+	readonly clock: Pick<Clock, 'monotonic'>;
+	readonly random: RandomSource;
+	readonly log: DecisionLog;
+	readonly metrics: Pick<GatewayMetrics, 'heldRequests' | 'releases' | 'holdTime' | 'rejections'>;
+	readonly availability: Pick<ServerAvailability, 'available'>;
+	/** Returns the load of the servers over all entry instances. */
+	readonly picture: () => PoolPicture;
+	/** Returns the current configuration; undefined until the first one is received. */
+	readonly table: () => Pick<RouteTable, 'routesWithModels'> | undefined;
+	/** Waits for a number of milliseconds. */
+	readonly wait: (milliseconds: number) => Promise<void>;
+	/** Returns when the instance stops, in milliseconds on the monotonic clock; undefined unless it is shutting down. */
+	readonly endsAt: () => number | undefined;
+};
+
+/** Why the hold of a request ended. */
+type HoldEnd = ReleaseReason | 'ended';
+
+type Hold = {
+	readonly candidate: AdmissionCandidate;
+	readonly heldAt: number;
+	readonly finish: () => void;
+};
+
+const millisecondsPerSecond = 1000;
+
+/**
+Holds requests before their first send while the servers of their service are busy, and rejects those that no server can serve in time. While the load of the servers is not known, and during a shutdown, all requests are sent at once.
+
+@example
+```ts
+const rejected = await admission.admit(candidate);
+if (rejected === undefined) send();
+```
+*/
+export class RequestAdmission {
+	readonly #options: RequestAdmissionOptions;
+	readonly #queues = new Map<ServiceId, ContentionQueue>();
+	readonly #holds = new Map<RequestId, Hold>();
+	#lastId = 0;
+	#isReleasing = false;
+
+	constructor(options: RequestAdmissionOptions) {
+		this.#options = options;
+	}
+
+	/**
+	Returns the work that this instance holds back.
+
+	@returns The work by priority.
+	*/
+	heldWork(): readonly HeldWork[] {
+		const work = new Map<number, number>();
+		for (const queue of this.#queues.values()) {
+			for (const {priority, milliseconds} of queue.held) {
+				work.set(priority, (work.get(priority) ?? 0) + milliseconds);
+			}
+		}
+
+		return [...work].map(([priority, milliseconds]) => ({priority, milliseconds}));
+	}
+
+	/**
+	Waits until a request may be sent for the first time or has ended.
+
+	@param candidate The request.
+	@returns The failure if no server can serve it in time; otherwise undefined.
+	*/
+	async admit(candidate: AdmissionCandidate): Promise<Failure | undefined> {
+		const {service} = candidate;
+		const now = this.#options.clock.monotonic();
+		const pool = this.#poolOf(service);
+		if (pool === undefined || candidate.ended.aborted) {
+			return undefined;
+		}
+
+		const id = toId<RequestId>(String(++this.#lastId));
+		const decision = this.#queueOf(service).offer({...candidate, id}, {now, pool});
+		if (decision.type === 'rejected') {
+			return this.#reject(candidate, decision);
+		}
+
+		if (decision.type === 'held') {
+			await this.#hold(id, {candidate, heldAt: now});
+		}
+
+		return undefined;
+	}
+
+	async #hold(id: RequestId, hold: Omit<Hold, 'finish'>): Promise<void> {
+		const {candidate: {service, ended}} = hold;
+		const onEnded = (): void => {
+			this.#queueOf(service).cancel(id);
+			this.#finish(id, 'ended');
+		};
+
+		ended.addEventListener('abort', onEnded);
+		await new Promise<void>(resolve => {
+			this.#holds.set(id, {...hold, finish: resolve});
+			this.#options.metrics.heldRequests.set(this.#holds.size);
+			void this.#releaseWhileHeld();
+		});
+		ended.removeEventListener('abort', onEnded);
+	}
+
+	async #releaseWhileHeld(): Promise<void> {
+		if (this.#isReleasing) {
+			return;
+		}
+
+		this.#isReleasing = true;
+		this.#release();
+		while (this.#holds.size > 0) {
+			await this.#options.wait(releaseIntervalMilliseconds);
+			this.#release();
+		}
+
+		this.#isReleasing = false;
+	}
+
+	#release(): void {
+		const now = this.#options.clock.monotonic();
+		for (const [service, queue] of this.#queues) {
+			if (queue.isEmpty) {
+				continue;
+			}
+
+			for (const {request: {id}, reason} of queue.release({now, pool: this.#poolOf(service)})) {
+				this.#finish(id, reason);
+			}
+		}
+	}
+
+	#finish(id: RequestId, reason: HoldEnd): void {
+		const hold = this.#holds.get(id);
+		if (hold === undefined) {
+			return;
+		}
+
+		const {metrics, log, clock} = this.#options;
+		const {candidate: {request, service, priority, work}, heldAt, finish} = hold;
+		const milliseconds = clock.monotonic() - heldAt;
+		this.#holds.delete(id);
+		metrics.heldRequests.set(this.#holds.size);
+		metrics.releases.inc({reason});
+		metrics.holdTime.observe(milliseconds / millisecondsPerSecond);
+		log('request-held', {
+			request, service, priority, work: Math.round(work), held: Math.round(milliseconds), reason,
+		});
+		finish();
+	}
+
+	#reject({request, service, priority, work}: AdmissionCandidate, {retryAfterMilliseconds, workBefore, overrun}: Extract<ContentionDecision, {type: 'rejected'}>): Failure {
+		const {metrics, log} = this.#options;
+		metrics.rejections.inc();
+		log('request-rejected', {
+			request, service, priority, work: Math.round(work), workBefore: Math.round(workBefore), overrun: Math.round(overrun), retryAfter: retryAfterMilliseconds,
+		}, 'warn');
+		const message = `All servers of ${service} are busy for ${Math.ceil(overrun)} ms longer than the deadline of the request allows`;
+		return failure('overloaded', message, {retryAfterMilliseconds});
+	}
+
+	/** Returns what is known of the servers of a service; undefined if nothing may be held. */
+	#poolOf(service: ServiceId): ContentionPool | undefined {
+		const {picture, table, availability, endsAt} = this.#options;
+		const known = picture();
+		if (endsAt() !== undefined || known.age === Number.POSITIVE_INFINITY) {
+			return undefined;
+		}
+
+		const servers = availability.available.filter(record => record.service === service);
+		return contentionPool(known, {servers: servers.map(({id}) => id), routes: table()?.routesWithModels(service) ?? []});
+	}
+
+	#queueOf(service: ServiceId): ContentionQueue {
+		const queue = this.#queues.get(service) ?? new ContentionQueue(this.#options);
+		this.#queues.set(service, queue);
+		return queue;
+	}
+}
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -1,5 +1,6 @@
+import {once} from 'node:events';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {type ModelId, type ServerId} from '@valehitch/core';
+import {failure, type ModelId, type ServerId} from '@valehitch/core';
 import test, {type ExecutionContext} from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
 import {testServer} from '../servers/_test-server.js';
@@ -9,6 +10,7 @@
 import {type EntryContext} from './entry-context.js';
 import {type EntryServers} from './entry-servers.js';
 import {LatencyEstimator} from './latency-estimator.js';
+import {type AdmissionCandidate} from './request-admission.js';
 
 test('a request waits for the first server if there is none', async t => {
 	const port = await listen(t, (_message, response) => {
@@ -353,3 +355,52 @@
 	});
 	t.deepEqual(evidence.map(({answers, failures}) => [answers, failures]), [[1, 0]]);
 });
+
+/** Sends a request on a route with models, and returns its answers and whether admission was asked. */
+async function sendThroughAdmission(t: ExecutionContext, admit: EntryContext['admission']['admit'], route = modelRoute) {
+	const sends: string[] = [];
+	const candidates: AdmissionCandidate[] = [];
+	const port = await listen(t, (_message, response) => {
+		sends.push('sent');
+		response.writeHead(200, {Confidence: '95'});
+		response.end('id: 1\ndata: read\n\n');
+	});
+	const {answers} = await sendRequests(t, 1, {
+		route,
+		timeout: 1000,
+		nextServers(known) {
+			known.applyRecords([testServer({port})], {source: control, now: performance.now()});
+		},
+		admission: {
+			async admit(candidate) {
+				candidates.push(candidate);
+				return admit(candidate);
+			},
+			heldWork: () => [],
+		},
+	});
+	return {answers, sends, candidates};
+}
+
+test('a request for a model is sent only after its admission, and a rejected one is not sent at all', async t => {
+	const {answers, sends, candidates} = await sendThroughAdmission(t, async () => undefined);
+	t.deepEqual([answers[0]?.status, sends.length], [200, 1]);
+	t.like(candidates, [{
+		priority: 1, workspace: 'mills', targetLatency: 2000, work: 200,
+	}]);
+	const rejected = await sendThroughAdmission(t, async () => failure('overloaded', 'All servers are busy', {retryAfterMilliseconds: 400}));
+	t.deepEqual([rejected.answers[0]?.text, rejected.sends.length], ['overloaded', 0]);
+});
+
+test('a request without a choice of models is not subject to admission', async t => {
+	const {answers, candidates} = await sendThroughAdmission(t, async () => failure('overloaded', 'All servers are busy'), testRoute({timeout: 8000}));
+	t.deepEqual([answers[0]?.status, candidates.length], [200, 0]);
+});
+
+test('a request whose deadline passes while it is held leaves the queue and is not sent', async t => {
+	const {answers, sends} = await sendThroughAdmission(t, async ({ended}) => {
+		await once(ended, 'abort');
+		return undefined;
+	});
+	t.deepEqual([answers[0]?.text, sends.length], ['no-server', 0]);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -18,6 +18,7 @@
 import {type SentAttempt} from './send-attempt.js';
 import {SendResults} from './send-results.js';
 import {FallbackAnswer} from './fallback-answer.js';
+import {promptWork} from './prompt-work.js';
 import {retryMilliseconds} from './retry-milliseconds.js';
 import {ServerWait} from './server-wait.js';
 import {startSend} from './start-send.js';
@@ -54,6 +55,8 @@
 	readonly #suspect: SuspectRequest;
 	readonly #path: RequestPath<Relay>;
 	readonly #wait: ServerWait;
+	/** Aborted when the caller has left or the deadline has passed. */
+	readonly #ended = new AbortController();
 	/** The current or last send. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
 
@@ -105,6 +108,7 @@
 				waited: this.#now() - this.#arrivedAt,
 				retryAfter: retryMilliseconds,
 			});
+			this.#ended.abort();
 		});
 		const onClose = (): void => {
 			this.#onCallerClose();
@@ -115,7 +119,7 @@
 		});
 		this.#answer.response.on('close', onClose);
 		this.#context.budget.deposit(this.#placement.service, this.#now());
-		let next: NextStep = 'retry';
+		let next = await this.#admit();
 		while (next === 'retry' && !this.#end.hasEnded) {
 			next = await this.#send();
 		}
@@ -130,6 +134,27 @@
 		return this.#context.clock.monotonic();
 	}
 
+	/** Waits until the request may be sent for the first time. Only the beginning of an answer of a model is subject to admission. */
+	async #admit(): Promise<NextStep> {
+		const {route, workspace} = this.#authorized;
+		if (route.sizes.length === 0 || this.#events.lastEventId !== undefined) {
+			return 'retry';
+		}
+
+		const rejected = await this.#context.admission.admit({
+			request: this.#request.id,
+			service: this.#placement.service,
+			priority: workspace?.priority ?? route.priority,
+			workspace: workspace?.id,
+			work: promptWork(this.#context.latencies, {route, model: this.#models.current, tokens: this.#request.inputTokens}),
+			targetLatency: route.targetLatency,
+			arrivedAt: this.#arrivedAt,
+			deadlineAt: this.#deadlineAt,
+			ended: this.#ended.signal,
+		});
+		return rejected === undefined ? 'retry' : this.#end.fail(rejected);
+	}
+
 	async #send(): Promise<NextStep> {
 		if (this.#allowance.sends > 0 && !this.#answer.hasStarted && this.#suspect.hasDoubtfulPart) {
 			await this.#context.wait(doubtfulPartMilliseconds);
@@ -338,6 +363,7 @@
 	}
 
 	#onCallerClose(): void {
+		this.#ended.abort();
 		if (!this.#end.hasEnded && this.#answer.isUnfinished) {
 			this.#sent?.attempt.cancel();
 			this.#end.recordEnd('caller-left', {});
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -12,6 +12,7 @@
 		| 'servers-restored' | 'list-not-restored' | 'list-not-saved'
 		| 'evacuation-ordered' | 'evacuation-adopted'
 		| 'rollout-started' | 'rollout-advanced' | 'rollout-evaluation-failed'
+		| 'request-held' | 'request-rejected'
 		| 'request-refused' | 'request-dispatched' | 'request-attempt-ended' | 'request-escalated' | 'request-resumed' | 'request-ended'
 		| 'request-suspected' | 'request-quarantined' | 'prompt-part-quarantined' | 'request-cleared';
 
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -67,6 +67,18 @@
 		limitedServers: new Gauge({
 			name: 'valehitch_limited_servers', help: 'Backend servers whose answers name a rate limit', registers,
 		}),
+		heldRequests: new Gauge({
+			name: 'valehitch_held_requests', help: 'Requests held because more urgent ones compete for the same servers', registers,
+		}),
+		releases: new Counter({
+			name: 'valehitch_releases_total', help: 'Requests that were held, by the reason why their hold ended', labelNames: ['reason'], registers,
+		}),
+		holdTime: new Histogram({
+			name: 'valehitch_hold_seconds', help: 'Time for which requests were held', buckets: latencyBuckets, registers,
+		}),
+		rejections: new Counter({
+			name: 'valehitch_rejections_total', help: 'Requests rejected on arrival because no server can meet their deadlines', registers,
+		}),
 		borrowedSends: new Counter({
 			name: 'valehitch_borrowed_sends_total', help: 'Sends to backend servers with rate limits that other entry instances lent', registers,
 		}),
