Reject only the least urgent requests, and predict the return of all that found no room

Cause: a request was rejected when the shortest wait at any server exceeded its deadline.

Change: only the least urgent priority of the service is rejected on arrival. A request that servers rejected and that has no retry left is told the same delay while the pool is known to be busy, and 250 ms otherwise as before. What RequestRun needs for this is a module of its own. The simulation takes a prompt out of the load when its caller leaves, as an entry instance does.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -6,7 +6,7 @@
 import {setTimeout} from 'node:timers/promises';
 import {ServerRelays} from '@valehitch/transport';
 import {
-	errorResponses, type InstanceId, type ZoneId,
+	errorResponses, type Failure, type InstanceId, type ZoneId,
 } from '@valehitch/core';
 import {RelaySelector, WindowedRetryBudget, ServerLinks} from '@valehitch/routing';
 import {type ExecutionContext} from 'ava';
@@ -80,11 +80,17 @@
 	return {status: message.statusCode ?? 0, text, ...(typeof signature === 'string' && {signature})};
 }
 
+const sendAtOnce: EntryContext['admission'] = {
+	admit: async () => undefined,
+	heldWork: () => [],
+	retryAfter: () => undefined,
+};
+
 /** Sends a number of requests in sequence through an instance that knows no server until `nextServers` adds some. */
 export async function sendRequests(t: ExecutionContext, times: number, options: SendRequestsOptions) {
 	const {
 		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, promptParts = [], wait = async () => undefined, latencies, log = ignore,
-		checkProcess = async () => 'running', areServersReachable = true, prepare = ignore, admission = {admit: async () => undefined, heldWork: () => []},
+		checkProcess = async () => 'running', areServersReachable = true, prepare = ignore, admission = sendAtOnce, onRefused = ignore,
 	} = options;
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({
@@ -99,7 +105,13 @@
 		random: () => 0.5,
 		log,
 		metrics,
-		dialect: plainDialect,
+		dialect: {
+			...plainDialect,
+			refuse(refused, failed) {
+				onRefused(failed);
+				return plainDialect.refuse(refused, failed);
+			},
+		},
 		bounds: {canaryShare: 0.1, minimumConfidence: 50},
 		lease,
 		servers,
@@ -182,6 +194,8 @@
 	readonly areServersReachable?: boolean;
 	/** Holds or rejects requests; by default all are sent at once. */
 	readonly admission?: EntryContext['admission'];
+	/** Called with each failure that a caller is told. */
+	readonly onRefused?: (failed: Failure) => void;
 	/** Called with the context of the instance before the first request. */
 	readonly prepare?: (context: EntryContext) => void;
 };
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -44,7 +44,7 @@
 	readonly borrower: SendBorrower;
 	readonly budget: WindowedRetryBudget;
 	/** Holds or rejects requests that compete for busy servers, and tells how much work it holds. */
-	readonly admission: Pick<RequestAdmission, 'admit' | 'heldWork'>;
+	readonly admission: Pick<RequestAdmission, 'admit' | 'heldWork' | 'retryAfter'>;
 	readonly latencies: LatencyEstimator;
 	readonly pins: VersionPins;
 	readonly repeats: RepeatTracker;
--- a/packages/gateway/src/entry/request-admission.test.ts
+++ b/packages/gateway/src/entry/request-admission.test.ts
@@ -120,3 +120,10 @@
 	await admission.admit(candidateOf({arrivedAt: now, deadlineAt: now + 25_000}));
 	t.is(state.lines.length, 4);
 });
+
+test('the delay of a return is predicted only while the servers are known to be busy', t => {
+	t.is(newAdmission(() => noPicture).admission.retryAfter(candidateOf()), undefined);
+	t.is(newAdmission(() => pictureOf(100)).admission.retryAfter(candidateOf()), undefined);
+	// (1500 ms beyond the bound + 200 ms of its own) / 1 server, longer by a quarter.
+	t.is(newAdmission(() => pictureOf(2000)).admission.retryAfter(candidateOf()), 2125);
+});
--- a/packages/gateway/src/entry/request-admission.ts
+++ b/packages/gateway/src/entry/request-admission.ts
@@ -109,6 +109,18 @@
 		return undefined;
 	}
 
+	/**
+	Returns when a caller whose request the servers had no room for is best told to return.
+
+	@param candidate The request.
+	@returns Milliseconds; undefined while the servers are not known to be busy.
+	*/
+	retryAfter(candidate: AdmissionCandidate): number | undefined {
+		const {service} = candidate;
+		const id = toId<RequestId>(String(++this.#lastId));
+		return this.#queueOf(service).retryAfter({...candidate, id}, {now: this.#options.clock.monotonic(), pool: this.#poolOf(service)});
+	}
+
 	async #hold(id: RequestId, hold: Omit<Hold, 'finish'>): Promise<void> {
 		const {candidate: {service, ended}} = hold;
 		const onEnded = (): void => {
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -377,6 +377,7 @@
 				return admit(candidate);
 			},
 			heldWork: () => [],
+			retryAfter: () => undefined,
 		},
 	});
 	return {answers, sends, candidates};
@@ -404,3 +405,24 @@
 	});
 	t.deepEqual([answers[0]?.text, sends.length], ['no-server', 0]);
 });
+
+test('a caller whose request all servers rejected for lack of room is told when there is some', async t => {
+	const port = await listen(t, (_message, response) => {
+		response.writeHead(429).end();
+	});
+	const told: Array<number | undefined> = [];
+	for (const predicted of [1700, undefined]) {
+		await sendRequests(t, 1, {
+			route: {...modelRoute, maximumAttempts: 1},
+			nextServers(known) {
+				known.applyRecords([testServer({port})], {source: control, now: performance.now()});
+			},
+			onRefused({retryAfterMilliseconds}) {
+				told.push(retryAfterMilliseconds);
+			},
+			admission: {admit: async () => undefined, heldWork: () => [], retryAfter: () => predicted},
+		});
+	}
+
+	t.deepEqual(told, [1700, 250]);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -13,12 +13,12 @@
 import {Placement} from './placement.js';
 import {type NextStep, RequestEnd} from './request-end.js';
 import {type RequestRunOptions, type StartedSend} from './request-run-options.js';
+import {RunAdmission} from './run-admission.js';
 import {SuspectRequest} from './suspect-request.js';
 import {SendAllowance} from './send-allowance.js';
 import {type SentAttempt} from './send-attempt.js';
 import {SendResults} from './send-results.js';
 import {FallbackAnswer} from './fallback-answer.js';
-import {promptWork} from './prompt-work.js';
 import {retryMilliseconds} from './retry-milliseconds.js';
 import {ServerWait} from './server-wait.js';
 import {startSend} from './start-send.js';
@@ -55,8 +55,7 @@
 	readonly #suspect: SuspectRequest;
 	readonly #path: RequestPath<Relay>;
 	readonly #wait: ServerWait;
-	/** Aborted when the caller has left or the deadline has passed. */
-	readonly #ended = new AbortController();
+	readonly #admission: RunAdmission;
 	/** The current or last send. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
 
@@ -89,6 +88,9 @@
 		this.#wait = new ServerWait(context, {
 			service: this.#placement.service, allowance: this.#allowance, arrivedAt, deadlineAt: this.#deadlineAt,
 		});
+		this.#admission = new RunAdmission(context, {
+			request, authorized, service: this.#placement.service, models: this.#models, arrivedAt, deadlineAt: this.#deadlineAt,
+		});
 		this.#fallback = new FallbackAnswer({
 			clock: context.clock,
 			deadlineAt: this.#deadlineAt,
@@ -108,7 +110,7 @@
 				waited: this.#now() - this.#arrivedAt,
 				retryAfter: retryMilliseconds,
 			});
-			this.#ended.abort();
+			this.#admission.end();
 		});
 		const onClose = (): void => {
 			this.#onCallerClose();
@@ -119,7 +121,8 @@
 		});
 		this.#answer.response.on('close', onClose);
 		this.#context.budget.deposit(this.#placement.service, this.#now());
-		let next = await this.#admit();
+		const rejected = await this.#admission.admit();
+		let next: NextStep = rejected === undefined ? 'retry' : this.#end.fail(rejected);
 		while (next === 'retry' && !this.#end.hasEnded) {
 			next = await this.#send();
 		}
@@ -134,27 +137,6 @@
 		return this.#context.clock.monotonic();
 	}
 
-	/** Waits until the request may be sent for the first time. Only the beginning of an answer of a model is subject to admission. */
-	async #admit(): Promise<NextStep> {
-		const {route, workspace} = this.#authorized;
-		if (route.sizes.length === 0 || this.#events.lastEventId !== undefined) {
-			return 'retry';
-		}
-
-		const rejected = await this.#context.admission.admit({
-			request: this.#request.id,
-			service: this.#placement.service,
-			priority: workspace?.priority ?? route.priority,
-			workspace: workspace?.id,
-			work: promptWork(this.#context.latencies, {route, model: this.#models.current, tokens: this.#request.inputTokens}),
-			targetLatency: route.targetLatency,
-			arrivedAt: this.#arrivedAt,
-			deadlineAt: this.#deadlineAt,
-			ended: this.#ended.signal,
-		});
-		return rejected === undefined ? 'retry' : this.#end.fail(rejected);
-	}
-
 	async #send(): Promise<NextStep> {
 		if (this.#allowance.sends > 0 && !this.#answer.hasStarted && this.#suspect.hasDoubtfulPart) {
 			await this.#context.wait(doubtfulPartMilliseconds);
@@ -318,7 +300,7 @@
 		this.#placement.exclude(server);
 		return this.#allowance.tryRetry()
 			? 'retry'
-			: this.#fail(failure('overloaded', `${message}, and no retry is left`, {retryAfterMilliseconds: retryMilliseconds}));
+			: this.#fail(failure('overloaded', `${message}, and no retry is left`, {retryAfterMilliseconds: this.#admission.retryAfter}));
 	}
 
 	/** Retries the request if that is safe and the retry limits allow it; otherwise answers with the failure. */
@@ -363,7 +345,7 @@
 	}
 
 	#onCallerClose(): void {
-		this.#ended.abort();
+		this.#admission.end();
 		if (!this.#end.hasEnded && this.#answer.isUnfinished) {
 			this.#sent?.attempt.cancel();
 			this.#end.recordEnd('caller-left', {});
--- a/packages/routing/src/_test-contention.ts
+++ b/packages/routing/src/_test-contention.ts
@@ -202,7 +202,9 @@
 			}
 
 			this.#releaseHeld();
+			this.#dropExpired(this.#common, 0);
 			for (const [index, server] of this.#servers.entries()) {
+				this.#dropExpired(server.waiting, index);
 				this.#advance(server, index);
 			}
 
@@ -303,7 +305,7 @@
 	#advance(server: Server, index: number): void {
 		while (server.busyUntil <= this.#now) {
 			this.#finishCurrent(server, index);
-			const next = this.#takeNext(server, index);
+			const next = this.#takeNext(server);
 			if (next === undefined) {
 				return;
 			}
@@ -331,8 +333,8 @@
 		}
 	}
 
-	/** Takes the most urgent request whose caller has not left; the all-knowing order puts those that can meet their targets first. */
-	#takeNext({waiting}: Server, index: number): Played | undefined {
+	/** Takes the most urgent request; the all-knowing order puts those that can meet their targets first. */
+	#takeNext({waiting}: Server): Played | undefined {
 		const {strategy, honoursUrgency = true} = this.#play;
 		const isAllKnowing = strategy === 'all-knowing';
 		const queue = isAllKnowing ? this.#common : waiting;
@@ -341,22 +343,23 @@
 			return (honoursUrgency || isAllKnowing ? priority : 0) + (isLate ? kinds.length : 0);
 		};
 
-		for (;;) {
-			let best: Played | undefined;
-			for (const request of queue) {
-				best = best === undefined || rankOf(request) < rankOf(best) ? request : best;
-			}
-
-			if (best === undefined) {
-				return undefined;
-			}
+		let best: Played | undefined;
+		for (const request of queue) {
+			best = best === undefined || rankOf(request) < rankOf(best) ? request : best;
+		}
 
+		if (best !== undefined) {
 			queue.splice(queue.indexOf(best), 1);
-			if (best.deadlineAt > this.#now) {
-				return best;
-			}
+		}
+
+		return best;
+	}
 
-			this.#forget(best, index);
+	/** Drops the prompts whose callers have left. */
+	#dropExpired(queue: Played[], index: number): void {
+		for (const request of queue.filter(({deadlineAt}) => deadlineAt <= this.#now)) {
+			queue.splice(queue.indexOf(request), 1);
+			this.#forget(request, index);
 		}
 	}
 
--- a/packages/routing/src/contention-load.test.ts
+++ b/packages/routing/src/contention-load.test.ts
@@ -135,6 +135,21 @@
 	}
 });
 
+test('in an overload of 30 s only the least urgent requests are rejected, and their callers return within a third of their time', t => {
+	const phases = [calmStart, {load: 2.6, milliseconds: 30_000}, calmEnd];
+	const result = play('steep', {phases});
+	const unheld = play('steep', {phases, strategy: 'unheld'});
+	t.log(`queue: ${describe(result, worthOf(unheld))}`);
+	t.log(`unheld: ${describe(unheld, worthOf(unheld))}`);
+	checkHolds(t, result);
+	const rejected = result.requests.filter(({wasRejected}) => wasRejected);
+	t.true(rejected.length > 0);
+	for (const {kind, retryAfter, timeLeft} of rejected.map(request => ({...request, timeLeft: request.deadlineAt - request.arrivedAt}))) {
+		t.is(kind.name, 'summary');
+		t.true(retryAfter !== undefined && retryAfter <= timeLeft / 3);
+	}
+});
+
 /** Returns the share of the requests of all workspaces but the first that are served in time. */
 function othersInTime({requests}: PlayResult): number {
 	return shareOf(requests.filter(({workspace}) => workspace !== '0'), isInTime);
@@ -142,10 +157,17 @@
 
 test('a workspace at ten times its rate takes less than 0.03 of what the others get in time', t => {
 	const phases = [calmStart, {load: 0.95, milliseconds: 10_000}, calmEnd];
-	const without = othersInTime(play('high', {phases}));
-	const beside = othersInTime(play('high', {phases, hotFactor: 10}));
-	t.log(`${without.toFixed(3)} without, ${beside.toFixed(3)} beside it`);
-	t.true(beside >= without - 0.03);
+	for (const strategy of ['today', 'queue'] as const) {
+		for (const honoursUrgency of [true, false]) {
+			const without = othersInTime(play('high', {phases, strategy, honoursUrgency}));
+			const beside = othersInTime(play('high', {
+				phases, strategy, honoursUrgency, hotFactor: 10,
+			}));
+			t.log(`servers ${honoursUrgency ? 'by urgency' : 'in order of arrival'}, ${strategy}: ${without.toFixed(3)} without, ${beside.toFixed(3)} beside it`);
+		}
+	}
+
+	t.true(othersInTime(play('high', {phases, hotFactor: 10})) >= othersInTime(play('high', {phases})) - 0.03);
 });
 
 test('a workspace that states a hundredth or a hundred times its work does not harm the others', t => {
--- a/packages/routing/src/contention-pool.ts
+++ b/packages/routing/src/contention-pool.ts
@@ -13,6 +13,8 @@
 	readonly urgentPriority: number;
 	/** The shortest target latency of the routes of that priority, in milliseconds. */
 	readonly urgentTarget: number;
+	/** The least urgent priority of the service's routes. */
+	readonly patientPriority: number;
 };
 
 /** The routes of a service and the servers that may get its requests. */
@@ -49,7 +51,9 @@
 	}
 
 	let {priority: urgentPriority, targetLatency: urgentTarget} = first;
+	let patientPriority = urgentPriority;
 	for (const {priority, targetLatency} of routes) {
+		patientPriority = Math.max(patientPriority, priority);
 		if (priority < urgentPriority || (priority === urgentPriority && targetLatency < urgentTarget)) {
 			urgentPriority = priority;
 			urgentTarget = targetLatency;
@@ -57,6 +61,6 @@
 	}
 
 	return {
-		servers: servers.map(server => workAt(server) ?? idleServer), age, heldByOthers, urgentPriority, urgentTarget,
+		servers: servers.map(server => workAt(server) ?? idleServer), age, heldByOthers, urgentPriority, urgentTarget, patientPriority,
 	};
 }
--- a/packages/routing/src/contention-queue.test.ts
+++ b/packages/routing/src/contention-queue.test.ts
@@ -15,7 +15,7 @@
 
 function poolOf(reading: number, changes: Partial<ContentionPool> = {}): ContentionPool {
 	return {
-		servers: Array.from({length: servers}, () => ({reading, streams: 0, slowness: 1})), age: 0, heldByOthers: [], urgentPriority: 0, urgentTarget, ...changes,
+		servers: Array.from({length: servers}, () => ({reading, streams: 0, slowness: 1})), age: 0, heldByOthers: [], urgentPriority: 0, urgentTarget, patientPriority: 2, ...changes,
 	};
 }
 
@@ -70,7 +70,7 @@
 	t.is(contentionPool({...noPicture, age: 1501}, options), undefined);
 	t.is(contentionPool({...noPicture, age: Number.NaN}, options), undefined);
 	t.is(contentionPool({...noPicture, age: 400}, {...options, servers: []}), undefined);
-	t.like(contentionPool({...noPicture, age: 1500}, options), {urgentPriority: 0, urgentTarget: 300});
+	t.like(contentionPool({...noPicture, age: 1500}, options), {urgentPriority: 0, urgentTarget: 300, patientPriority: 1});
 });
 
 test('everything is released when the load of the pool is no longer known', t => {
@@ -178,6 +178,10 @@
 	t.like(soon, {type: 'rejected', workBefore: 3300, retryAfterMilliseconds: 2333});
 });
 
+test('a request is not rejected for the wait that less urgent ones cause, which it may overtake', t => {
+	t.is(newQueue().offer(requestOf('a', {priority: 1, targetLatency: 2000, deadlineAt: 5000}), {now: 0, pool: poolOf(9000)}).type, 'held');
+});
+
 test('callers that are rejected at the same moment return at different times', t => {
 	let random = 0;
 	const queue = newQueue(() => {
--- a/packages/routing/src/contention-queue.ts
+++ b/packages/routing/src/contention-queue.ts
@@ -1,4 +1,5 @@
 import {type RandomSource, type RequestId} from '@valehitch/core';
+import {atLeast, boundedRequest, minimumWork} from './_bounded-request.js';
 import {type ContentionPool} from './contention-pool.js';
 import {type ContentionDecision, type ContentionRequest, type ReleasedRequest} from './contention-request.js';
 import {HeldPriority} from './_held-priority.js';
@@ -37,10 +38,6 @@
 const maximumRetryShare = 1 / 3;
 /** Retry delays are lengthened by up to this share at random, so that callers return at different times. */
 const retryScatter = 0.5;
-/** The priority of a request whose own cannot be read: the least urgent one. */
-const leastUrgentPriority = 9;
-/** The least work of a prompt, in milliseconds: that of the fixed part of each engine step. */
-const minimumWork = 5;
 /** The time in which the waits return to the bound, as a multiple of the age of the picture: what was released shows only after that age, and a shorter time would overshoot. */
 const correctionFactor = 1.25;
 /** The shortest such time, in milliseconds. */
@@ -97,19 +94,22 @@
 	@returns The decision; a rejected request has not run.
 	*/
 	offer(offered: ContentionRequest, {now, pool}: ContentionState): ContentionDecision {
-		const request = toReadable(offered);
+		const request = boundedRequest(offered);
 		if (pool === undefined || request.priority <= pool.urgentPriority) {
 			return {type: 'send'};
 		}
 
 		const timeLeft = request.deadlineAt - now;
 		const overrun = shortestWait(pool.servers) + atLeast(offered.work, minimumWork) - timeLeft;
-		if (overrun > (rejectionFactor - 1) * timeLeft) {
-			return this.#reject(request, {overrun, timeLeft, pool});
+		// Others may overtake what waits in the servers, so that their waits are not known for certain.
+		const isLeastUrgent = request.priority >= pool.patientPriority;
+		if (isLeastUrgent && overrun > (rejectionFactor - 1) * timeLeft) {
+			return this.#reject(request, {overrun, now, pool});
 		}
 
 		const isNearDeadline = timeLeft < minimumTimeShare * request.targetLatency;
-		if (isNearDeadline || latestSendAt(request, {now, pool}) <= now || this.#hasRoomAtOnce(request, pool)) {
+		const wait = expectedWait(pool.servers);
+		if (isNearDeadline || latestSendAt(request, {now, wait}) <= now || this.#hasRoomAtOnce(request, {wait, pool})) {
 			return {type: 'send'};
 		}
 
@@ -128,10 +128,22 @@
 			return this.#releaseWhere(() => true, 'off');
 		}
 
-		const released = this.#releaseWhere(request => latestSendAt(request, {now, pool}) <= now, 'time');
+		const wait = expectedWait(pool.servers);
+		const released = this.#releaseWhere(request => latestSendAt(request, {now, wait}) <= now, 'time');
 		return [...released, ...this.#releaseIntoRoom(pool, now)];
 	}
 
+	/**
+	Returns when a caller whose request found no room is best told to return.
+
+	@param offered The request.
+	@param state The time and the pool.
+	@returns Milliseconds; undefined while the pool is not known to be busy.
+	*/
+	retryAfter(offered: ContentionRequest, {now, pool}: ContentionState): number | undefined {
+		return pool === undefined || expectedWait(pool.servers) <= this.#boundOf(pool) ? undefined : this.#delayUntilRoom(boundedRequest(offered), {now, pool});
+	}
+
 	/**
 	Drops a held request whose caller has left.
 
@@ -153,9 +165,9 @@
 	}
 
 	/** Checks whether a request finds room that nothing held before it needs. */
-	#hasRoomAtOnce({priority}: ContentionRequest, pool: ContentionPool): boolean {
+	#hasRoomAtOnce({priority}: ContentionRequest, {wait, pool}: {readonly wait: number; readonly pool: ContentionPool}): boolean {
 		const bound = this.#boundOf(pool);
-		if (this.#heldBefore(priority) > 0 || expectedWait(pool.servers) > bound) {
+		if (this.#heldBefore(priority) > 0 || wait > bound) {
 			return false;
 		}
 
@@ -197,16 +209,24 @@
 		return released;
 	}
 
-	#reject({priority, work}: ContentionRequest, {overrun, timeLeft, pool}: {readonly overrun: number; readonly timeLeft: number; readonly pool: ContentionPool}): ContentionDecision {
-		const workBefore = workAbove(pool.servers, this.#boundOf(pool)) + this.#heldBefore(priority) + sumOf(pool.heldByOthers, priority);
-		const untilRoom = (workBefore + work) / pool.servers.length;
-		const longest = Math.max(0, maximumRetryShare * timeLeft / (1 + retryScatter));
-		const delay = Math.min(longest, Math.max(minimumRetryMilliseconds, untilRoom));
+	#reject(request: ContentionRequest, {overrun, now, pool}: {readonly overrun: number; readonly now: number; readonly pool: ContentionPool}): ContentionDecision {
 		return {
-			type: 'rejected', workBefore, overrun, retryAfterMilliseconds: Math.floor(delay * (1 + (retryScatter * this.#random()))),
+			type: 'rejected', workBefore: this.#workBefore(request, pool), overrun, retryAfterMilliseconds: this.#delayUntilRoom(request, {now, pool}),
 		};
 	}
 
+	/** Returns the work that is released before a request that arrives now, and beyond the room. */
+	#workBefore({priority}: ContentionRequest, pool: ContentionPool): number {
+		return workAbove(pool.servers, this.#boundOf(pool)) + this.#heldBefore(priority) + sumOf(pool.heldByOthers, priority);
+	}
+
+	#delayUntilRoom(request: ContentionRequest, {now, pool}: {readonly now: number; readonly pool: ContentionPool}): number {
+		const untilRoom = (this.#workBefore(request, pool) + request.work) / pool.servers.length;
+		const longest = Math.max(0, maximumRetryShare * (request.deadlineAt - now) / (1 + retryScatter));
+		const delay = Math.min(longest, Math.max(minimumRetryMilliseconds, untilRoom));
+		return Math.floor(delay * (1 + (retryScatter * this.#random())));
+	}
+
 	/** Returns the work held in this queue of a priority and of all that are more urgent. */
 	#heldBefore(priority: number): number {
 		return sumOf(this.held, priority);
@@ -225,9 +245,9 @@
 }
 
 /** Returns from when a request is held no longer, since the next release may be too late: after a share of its target latency, or when it can only just meet its target. */
-function latestSendAt({arrivedAt, targetLatency, work}: ContentionRequest, {now, pool}: {readonly now: number; readonly pool: ContentionPool}): number {
+function latestSendAt({arrivedAt, targetLatency, work}: ContentionRequest, {now, wait}: {readonly now: number; readonly wait: number}): number {
 	const longest = arrivedAt + (maximumHoldShare * targetLatency);
-	const lastMoment = arrivedAt + targetLatency - expectedWait(pool.servers) - work;
+	const lastMoment = arrivedAt + targetLatency - wait - work;
 	const canMeetTarget = lastMoment >= now;
 	return (canMeetTarget ? Math.min(longest, lastMoment) : longest) - releaseIntervalMilliseconds;
 }
@@ -250,19 +270,3 @@
 
 	return work;
 }
-
-/** Bounds what a caller claims, so that a false claim delays its own requests only. A prompt that takes longer than the target latency counts as one that takes as long. */
-function toReadable(request: ContentionRequest): ContentionRequest {
-	const {priority, work, targetLatency} = request;
-	return {
-		...request,
-		priority: priority >= 0 && priority <= leastUrgentPriority ? Math.floor(priority) : leastUrgentPriority,
-		work: Math.min(atLeast(work, minimumWork), Math.max(minimumWork, atLeast(targetLatency, 0))),
-		targetLatency: atLeast(targetLatency, 0),
-	};
-}
-
-/** Returns the number, or the minimum if it is smaller or not a number. */
-function atLeast(value: number, minimum: number): number {
-	return Number.isNaN(value) ? minimum : Math.max(value, minimum);
-}
