--- a/packages/gateway/src/configuration/route-table.test.ts
+++ b/packages/gateway/src/configuration/route-table.test.ts
@@ -33,3 +33,10 @@
 	t.is(table.findModelTarget('labels' as never), 1500);
 	t.is(new RouteTable(testConfiguration()).findModelTarget('labels' as never), undefined);
 });
+
+test('the routes with models of a service are those that send it prompts', t => {
+	const prompts = testRoute({id: 'prompts' as never, pathPrefix: '/prompts/', sizes: ['small' as never]});
+	const table = new RouteTable(testConfiguration({routes: [testRoute(), prompts]}));
+	t.deepEqual(table.routesWithModels('labels' as never), [prompts]);
+	t.deepEqual(table.routesWithModels('other' as never), []);
+});
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -6,7 +6,7 @@
 import {setTimeout} from 'node:timers/promises';
 import {ServerRelays} from '@valehitch/transport';
 import {
-	errorResponses, type InstanceId, type ZoneId,
+	errorResponses, type Failure, type InstanceId, type ZoneId,
 } from '@valehitch/core';
 import {
 	DecisionNotes, HeldMemory, RelaySelector, WindowedRetryBudget, ServerLinks,
@@ -83,11 +83,17 @@
 	return {status: message.statusCode ?? 0, text, ...(typeof signature === 'string' && {signature})};
 }
 
+const sendAtOnce: EntryContext['admission'] = {
+	admit: async () => undefined,
+	heldWork: () => [],
+	retryAfter: () => undefined,
+};
+
 /** Sends a number of requests in sequence through an instance that knows no server until `nextServers` adds some. */
 export async function sendRequests(t: ExecutionContext, times: number, options: SendRequestsOptions) {
 	const {
 		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, promptParts = [], wait = async () => undefined, latencies, log = ignore,
-		checkProcess = async () => 'running', areServersReachable = true, memory = new HeldMemory(), call = get, prepare = ignore,
+		checkProcess = async () => 'running', areServersReachable = true, memory = new HeldMemory(), call = get, prepare = ignore, admission = sendAtOnce, onRefused = ignore,
 	} = options;
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({
@@ -102,7 +108,13 @@
 		random: () => 0.5,
 		log,
 		metrics,
-		dialect: plainDialect,
+		dialect: {
+			...plainDialect,
+			refuse(refused, failed) {
+				onRefused(failed);
+				return plainDialect.refuse(refused, failed);
+			},
+		},
 		bounds: {canaryShare: 0.1, minimumConfidence: 50},
 		lease,
 		servers,
@@ -129,6 +141,7 @@
 		}),
 		budget: new WindowedRetryBudget({ratio: 1, minimumPerWindow: 5}),
 		escalations: new EscalationDemand({contentionAt: () => ({wait: 0, target: route.targetLatency})}),
+		admission,
 		latencies: latencies ?? new LatencyEstimator(clock),
 		pins: new VersionPins({sessionMilliseconds: 5000}),
 		repeats: new RepeatTracker(),
@@ -190,6 +203,10 @@
 	readonly memory?: HeldMemory;
 	/** Sends a request to the port of the instance and reads the answer; by default as fast as it comes. */
 	readonly call?: typeof get;
+	/** Holds or rejects requests; by default all are sent at once. */
+	readonly admission?: EntryContext['admission'];
+	/** Called with each failure that a caller is told. */
+	readonly onRefused?: (failed: Failure) => void;
 	/** Called with the context of the instance before the first request. */
 	readonly prepare?: (context: EntryContext) => void;
 };
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -20,6 +20,7 @@
 import {type LatencyEstimator} from './latency-estimator.js';
 import {type PoolLoads} from './pool-loads.js';
 import {type RepeatTracker} from './repeat-tracker.js';
+import {type RequestAdmission} from './request-admission.js';
 import {type SendBorrower} from './send-borrower.js';
 import {type VersionPins} from './version-pins.js';
 
@@ -48,6 +49,8 @@
 	readonly suspects: EntrySuspects;
 	readonly borrower: SendBorrower;
 	readonly budget: WindowedRetryBudget;
+	/** Holds or rejects requests that compete for busy servers, and tells how much work it holds. */
+	readonly admission: Pick<RequestAdmission, 'admit' | 'heldWork' | 'retryAfter'>;
 	readonly latencies: LatencyEstimator;
 	readonly escalations: EscalationDemand;
 	readonly pins: VersionPins;
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -32,6 +32,7 @@
 import {LoadExchange} from './load-exchange.js';
 import {PoolLoads} from './pool-loads.js';
 import {RepeatTracker} from './repeat-tracker.js';
+import {RequestAdmission} from './request-admission.js';
 import {createServerLinks} from './create-server-links.js';
 import {createServerRelays} from './create-server-relays.js';
 import {SendBorrower} from './send-borrower.js';
@@ -99,6 +100,7 @@
 			controls: this.#reportReaders,
 			ownLoads: () => this.#context.servers.ownLoads,
 			ownLoadAt: server => this.#context.servers.ownLoadAt(server),
+			heldWork: () => this.#context.admission.heldWork(),
 			ask: options.reportWork,
 		});
 		const suspension = new SuspensionDetector(clock);
@@ -160,6 +162,13 @@
 				},
 			}),
 			budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
+			admission: new RequestAdmission({
+				...options,
+				availability: servers.availability,
+				picture: () => this.#poolLoads.picture(),
+				table: () => this.#table,
+				endsAt: () => this.#endsAt,
+			}),
 			latencies: new LatencyEstimator(clock),
 			escalations: new EscalationDemand({contentionAt: service => this.#contentionAt(service)}),
 			pins: new VersionPins(options),
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -13,6 +13,7 @@
 import {Placement} from './placement.js';
 import {type NextStep, RequestEnd} from './request-end.js';
 import {type RequestRunOptions, type StartedSend} from './request-run-options.js';
+import {RunAdmission} from './run-admission.js';
 import {SuspectRequest} from './suspect-request.js';
 import {SendAllowance} from './send-allowance.js';
 import {type SentAttempt} from './send-attempt.js';
@@ -55,6 +56,7 @@
 	readonly #suspect: SuspectRequest;
 	readonly #path: RequestPath<Relay>;
 	readonly #wait: ServerWait;
+	readonly #admission: RunAdmission;
 	/** The current or last send. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
 
@@ -95,6 +97,9 @@
 		this.#wait = new ServerWait(context, {
 			service: this.#placement.service, allowance: this.#allowance, arrivedAt, deadlineAt: this.#deadlineAt,
 		});
+		this.#admission = new RunAdmission(context, {
+			request, authorized, service: this.#placement.service, models: this.#models, arrivedAt, deadlineAt: this.#deadlineAt,
+		});
 		this.#fallback = new FallbackAnswer({
 			clock: context.clock,
 			deadlineAt: this.#deadlineAt,
@@ -114,6 +119,7 @@
 				waited: this.#now() - this.#arrivedAt,
 				retryAfter: retryMilliseconds,
 			});
+			this.#admission.end();
 		});
 		const onClose = (): void => {
 			this.#onCallerClose();
@@ -124,7 +130,8 @@
 		});
 		this.#answer.response.on('close', onClose);
 		this.#context.budget.deposit(this.#placement.service, this.#now());
-		let next: NextStep = 'retry';
+		const rejected = await this.#admission.admit();
+		let next: NextStep = rejected === undefined ? 'retry' : this.#end.fail(rejected);
 		while (next === 'retry' && !this.#end.hasEnded) {
 			next = await this.#send();
 		}
@@ -303,7 +310,7 @@
 		this.#placement.exclude(server);
 		return this.#allowance.tryRetry()
 			? 'retry'
-			: this.#fail(failure('overloaded', `${message}, and no retry is left`, {retryAfterMilliseconds: retryMilliseconds}));
+			: this.#fail(failure('overloaded', `${message}, and no retry is left`, {retryAfterMilliseconds: this.#admission.retryAfter}));
 	}
 
 	/** Retries the request if that is safe and the retry limits allow it; otherwise answers with the failure. */
@@ -348,6 +355,7 @@
 	}
 
 	#onCallerClose(): void {
+		this.#admission.end();
 		if (!this.#end.hasEnded && this.#answer.isUnfinished) {
 			this.#sent?.attempt.cancel();
 			this.#end.recordEnd('caller-left', {});
