--- a/packages/testing/src/deploy.test.ts
+++ b/packages/testing/src/deploy.test.ts
@@ -9,9 +9,24 @@
 import {fileURLToPath} from 'node:url';
 import test from 'ava';
 import {freePorts} from './free-ports.js';
+import {waitUntil} from './wait-until.js';
 
 const root = fileURLToPath(new URL('../../..', import.meta.url));
 const anyPort = '127.0.0.1:0';
+const requestCount = 200;
+
+/** Records a profile while the program answers requests; returns the line of a function of the gateway if there is one. */
+async function profileAtWork(address: string): Promise<string | undefined> {
+	const profile = fetch(`${address}/profile?seconds=1`);
+	for (let request = 0; request < requestCount; request++) {
+		const response = await fetch(`${address}/metrics`);
+		await response.text();
+	}
+
+	const response = await profile;
+	const text = await response.text();
+	return text.split('\n').find(line => line.includes(' gateway/'));
+}
 
 test('the deploy command starts the bundled program with its precompiled code, and its profile names the modules of the bundle', async t => {
 	const [code] = await once(spawn('node', ['deploy/bundle.mjs'], {cwd: root, stdio: 'inherit'}), 'exit') as [number];
@@ -36,8 +51,6 @@
 	const [lines] = await once(child.stdout.setEncoding('utf8'), 'data') as [string];
 	t.regex(lines, /"kind":"process-started"/v);
 	t.is(errors, '');
-	const response = await fetch(`http://127.0.0.1:${port}/profile?seconds=1`);
-	const profile = await response.text();
-	t.is(response.status, 200);
-	t.regex(profile, / transport\/| gateway\/| platform\//v);
+	const named = await waitUntil(async () => profileAtWork(`http://127.0.0.1:${port}`), {description: 'a profile with a module of the bundle', timeoutMilliseconds: 60_000});
+	t.regex(named, / gateway\/[\w\/\-]+:\d+$/v);
 });
--- a/packages/testing/src/platform/platform-deployment.ts
+++ b/packages/testing/src/platform/platform-deployment.ts
@@ -17,6 +17,10 @@
 	readonly entryZone?: (index: number) => string;
 	/** The time within which a revoked key must stop working, in milliseconds; 5000 by default. */
 	readonly revocationMilliseconds?: number;
+	/** Whether the instances open a metrics port; false by default. */
+	readonly hasMetrics?: boolean;
+	/** Additional fields of the settings files; none by default. */
+	readonly settings?: Readonly<Record<string, unknown>>;
 	/** Additional environment variables of each process; none by default. */
 	readonly environment?: (instance: {readonly ip: string; readonly folder: string}) => Readonly<Record<string, string>>;
 };
@@ -40,7 +44,7 @@
 
 /** The ports of all instances. */
 export const ports = {
-	callers: 8227, readiness: 8220, control: 8229, peers: 7340, lastPeers: 7355,
+	callers: 8227, readiness: 8220, control: 8229, peers: 7340, lastPeers: 7355, metrics: 9464,
 } as const;
 /** The availability zone of the control instances. */
 const firstZone = 'hall-a';
@@ -78,7 +82,8 @@
 	@returns The deployment.
 	*/
 	static async prepare(options: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
-		const {controlCount = 3, entryCount = 2, entryZone = () => firstZone, revocationMilliseconds = 5000, environment = () => ({})} = options;
+		const {controlCount = 3, entryCount = 2, entryZone = () => firstZone, environment = () => ({})} = options;
+		const {revocationMilliseconds = 5000, hasMetrics = false, settings = {}} = options;
 		const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-platform-'));
 		// All instances use the same ports, so each deployment needs its own subnet.
 		const network = await reserveLoopbackSubnet();
@@ -88,7 +93,15 @@
 			const isControl = index < controlCount;
 			const ip = `${network.prefix}.${index + 1}`;
 			const instance = await deployment.#add({
-				name: `${isControl ? 'core' : 'front'}-${index + 1}`, ip, isControl, zone: isControl ? firstZone : entryZone(index - controlCount), seeds, revocationMilliseconds, environment,
+				name: `${isControl ? 'core' : 'front'}-${index + 1}`,
+				ip,
+				isControl,
+				zone: isControl ? firstZone : entryZone(index - controlCount),
+				seeds,
+				revocationMilliseconds,
+				hasMetrics,
+				settings,
+				environment,
 			});
 			(isControl ? deployment.controls : deployment.entries).push(instance);
 		}
@@ -119,7 +132,7 @@
 		this.#network.release();
 	}
 
-	async #add({name, ip, isControl, zone, seeds, revocationMilliseconds, environment}: InstanceOptions): Promise<PlatformInstance> {
+	async #add({name, ip, isControl, zone, seeds, revocationMilliseconds, hasMetrics, settings, environment}: InstanceOptions): Promise<PlatformInstance> {
 		const file = path.join(this.#folder, `${name}.yaml`);
 		const dataFolder = path.join(this.#folder, name);
 		await mkdir(dataFolder, {recursive: true});
@@ -138,16 +151,18 @@
 				bounds: {
 					graceS: 5, revokeMs: revocationMilliseconds, canaryShare: 0.15, retryBudgetRatio: 0.9, sessionS: 5,
 				},
+				...settings,
 			}));
 		};
 
 		await writeSettings({isFounding: true});
+		const command = [program, ...(hasMetrics ? ['--metrics-port', String(ports.metrics)] : [])];
 		return {
 			name,
 			ip,
 			folder: dataFolder,
 			process: new ManagedProcess({
-				name, command: [program], logFile: path.join(this.#folder, `${name}.log`), environment: {...environment({ip, folder: dataFolder}), VALEHITCH_CONFIG: file},
+				name, command, logFile: path.join(this.#folder, `${name}.log`), environment: {...environment({ip, folder: dataFolder}), VALEHITCH_CONFIG: file},
 			}),
 			address: `${ip}:${isControl ? ports.control : ports.callers}`,
 			readinessAddress: `${ip}:${isControl ? ports.control : ports.readiness}`,
@@ -164,5 +179,7 @@
 	readonly zone: string;
 	readonly seeds: readonly string[];
 	readonly revocationMilliseconds: number;
+	readonly hasMetrics: boolean;
+	readonly settings: Readonly<Record<string, unknown>>;
 	readonly environment: NonNullable<PlatformDeploymentOptions['environment']>;
 };
