Choose servers by their speed where it is known

Cause: the capacity of a server was its announced slots, so that in a pool whose servers differ in speed by more than two the slow ones got as much work as the fast ones. Views without a speed are chosen in the sequence that the former code gave for the same random numbers (recorded from it, in the test). Conclusion: nothing passes a speed yet.

--- a/packages/routing/src/server-choice.test.ts
+++ b/packages/routing/src/server-choice.test.ts
@@ -1,6 +1,7 @@
 import {type ServerId, toId, type ZoneId} from '@valehitch/core';
 import test from 'ava';
 import fc from 'fast-check';
+import {prefixHash} from './rendezvous-score.js';
 import {chooseServer, type ServerChoiceOptions, type ServerCriteria} from './server-choice.js';
 import {serverLoad, effectiveCapacity} from './server-load.js';
 import {type ServerView} from './server-view.js';
@@ -124,3 +125,84 @@
 	});
 	t.deepEqual(choice.map(({considered}) => considered.map(({verdict}) => verdict)).extract(), ['is shutting down', 'is ejected for its failures', 'chosen']);
 });
+
+/** A pseudorandom source (Park and Miller, 1988). */
+function lehmerRandom(): () => number {
+	let state = 20_261_204;
+	return () => {
+		state = (state * 48_271) % 2_147_483_647;
+		return state / 2_147_483_647;
+	};
+}
+
+test('servers without a speed, or all of mean speed, are chosen in the same sequence as before speeds were known', t => {
+	const formerSequence = '4 6 2 8 8 7 1 10 4 7 4 4 4 0 8 7 8 0 8 11 8 0 8 11 8 8 8 7 8 11 8 4 8 3 7 4 4 9 8 4 8 6 4 8 4 3 8 8 8 3 4 4 8 7 2 1 8 1 8 4';
+	for (const speeds of [{}, {speed: 1, homeSpeed: 1}]) {
+		const random = lehmerRandom();
+		const servers = Array.from({length: 12}, (_, index) => viewOf(index, {
+			zone: zones[index % 3 === 0 ? 1 : 0]!,
+			capacity: 4 + (index % 5),
+			reportedInFlight: (index * 5) % 11,
+			reportAge: index * 40,
+			ownInFlight: index % 4,
+			uptime: index === 5 ? 10_000 : 60_000,
+			...speeds,
+		}));
+		const chosen = Array.from({length: 60}, (_, index) => choose(servers, {
+			random,
+			sampleCount: 2 + (index % 3),
+			prefix: index % 2 === 0 ? undefined : prefixHash(`part ${index}`),
+			affinityScope: index % 4 === 1 ? 'all' : 'zone',
+		})!.slice('engine-'.length));
+		t.is(chosen.join(' '), formerSequence);
+	}
+});
+
+test('requests are divided by speed', t => {
+	const random = lehmerRandom();
+	const speeds = [0.4, 1, 1.6];
+	const loads = speeds.map(() => 0);
+	for (let sent = 0; sent < 300; sent++) {
+		const servers = speeds.map((speed, index) => viewOf(index, {speed, capacity: 100, ownInFlight: loads[index]!}));
+		const chosen = choose(servers, {random});
+		const index = servers.findIndex(({id}) => id === chosen);
+		loads[index] = loads[index]! + 1;
+	}
+
+	for (const [index, speed] of speeds.entries()) {
+		t.true(Math.abs(loads[index]! - (100 * speed)) < 10, `${loads.join(', ')}`);
+	}
+});
+
+test('the load of others that is not known is assumed in proportion to speed', t => {
+	const old = serverLoad(viewOf(1, {reportAge: 60_000, speed: 0.5}), {meanOtherLoad: 0.25});
+	t.true(Math.abs(old - 1) < 1e-6);
+	t.is(effectiveCapacity(viewOf(1, {speed: 0.5})), 4);
+});
+
+test('zones are compared by what their servers can bear, not by their slots', t => {
+	const local = [viewOf(1, {ownInFlight: 4, speed: 0.5}), viewOf(2, {ownInFlight: 4, speed: 0.5})];
+	const other = [viewOf(3, {zone: zones[1]!, ownInFlight: 3})];
+	t.is(choose([...local, ...other]), 'engine-3');
+	t.not(choose([...local.map(server => ({...server, speed: 1})), ...other]), 'engine-3');
+});
+
+test('a prefix leaves its home while the server cannot bear it, and returns', t => {
+	const servers = Array.from({length: 6}, (_, index) => viewOf(index, {ownInFlight: 3, homeSpeed: 1, speed: 1}));
+	const prefix = prefixHash('part 1');
+	const home = choose(servers, {prefix});
+	const withHomeAt = (speed: number) => choose(servers.map(server => server.id === home ? {...server, speed} : server), {prefix});
+	t.not(withHomeAt(0.33), home);
+	t.is(withHomeAt(0.95), home);
+});
+
+test('changes of the speed within a step of the home speed move no prefix', t => {
+	const servers = Array.from({length: 8}, (_, index) => viewOf(index, {capacity: 100, homeSpeed: 1}));
+	let prefix = 0;
+	for (let count = 0; count < 300; count++) {
+		prefix += 50_021;
+		const before = choose(servers, {prefix});
+		const after = choose(servers.map((server, index) => ({...server, speed: 0.9 + (0.025 * index)})), {prefix});
+		t.is(after, before);
+	}
+});
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -6,7 +6,7 @@
 import {type ServerVerdict} from './decision-history.js';
 import {rendezvousScore} from './rendezvous-score.js';
 import {
-	reportedOtherLoad, serverLoad, type ServerLoadOptions, effectiveCapacity,
+	capacityBySpeed, reportedOtherLoad, serverLoad, type ServerLoadOptions, effectiveCapacity,
 } from './server-load.js';
 import {type ServerView} from './server-view.js';
 
@@ -128,7 +128,7 @@
 	for (const candidate of pool) {
 		const {load, capacity, server} = candidate;
 		if (load + 1 <= Math.max(1, Math.ceil((bound * capacity) - roundingTolerance))) {
-			scored.push({candidate, score: rendezvousScore(prefix, {server: server.id, capacity})});
+			scored.push({candidate, score: rendezvousScore(prefix, {server: server.id, capacity: homeCapacity(candidate)})});
 		}
 	}
 
@@ -138,6 +138,11 @@
 	return chosen.length === 0 ? undefined : chooseLeastLoadedSample(chosen, options);
 }
 
+/** Returns the capacity by which a server is the home of prefixes. */
+function homeCapacity({capacity, server: {speed = 1, homeSpeed = speed}}: Candidate): number {
+	return homeSpeed === speed ? capacity : capacity * homeSpeed / speed;
+}
+
 function chooseLeastLoadedSample(pool: readonly Candidate[], {random, sampleCount = 2}: ServerChoiceOptions): Candidate {
 	let best = sampleByCapacity(pool, random);
 	for (let drawn = 1; drawn < sampleCount; drawn++) {
@@ -181,7 +186,7 @@
 	let capacity = 0;
 	for (const server of servers) {
 		others += reportedOtherLoad(server);
-		capacity += server.capacity;
+		capacity += capacityBySpeed(server);
 	}
 
 	return capacity === 0 ? 0 : others / capacity;
--- a/packages/routing/src/server-load.ts
+++ b/packages/routing/src/server-load.ts
@@ -27,7 +27,7 @@
 */
 export function serverLoad(server: ServerView, {reportDecayMilliseconds = 150, meanOtherLoad = 0}: ServerLoadOptions = {}): number {
 	const reportWeight = Math.exp(-server.reportAge / reportDecayMilliseconds);
-	return server.ownInFlight + (reportedOtherLoad(server) * reportWeight) + (meanOtherLoad * server.capacity * (1 - reportWeight));
+	return server.ownInFlight + (reportedOtherLoad(server) * reportWeight) + (meanOtherLoad * capacityBySpeed(server) * (1 - reportWeight));
 }
 
 /**
@@ -45,7 +45,21 @@
 }
 
 /**
-Returns the capacity of a server under slow start, which ramps up to the full capacity after the server has started.
+Returns the capacity of a server that is fully started, by its speed.
+
+@param server The server.
+@returns The capacity in requests of a server of mean speed, above 0.
+@example
+```ts
+capacityBySpeed({...server, capacity: 8, speed: 0.5}); // 4
+```
+*/
+export function capacityBySpeed({capacity, speed = 1}: Pick<ServerView, 'capacity' | 'speed'>): number {
+	return capacity * speed;
+}
+
+/**
+Returns the capacity of a server by its speed and under slow start, which ramps up to the full capacity after the server has started.
 
 @param server The server.
 @param options The duration of the slow start.
@@ -57,5 +71,5 @@
 */
 export function effectiveCapacity(server: ServerView, {slowStartMilliseconds = 30_000}: ServerLoadOptions = {}): number {
 	const share = slowStartMilliseconds === 0 ? 1 : server.uptime / slowStartMilliseconds;
-	return server.capacity * Math.min(1, Math.max(minimumCapacityShare, share));
+	return capacityBySpeed(server) * Math.min(1, Math.max(minimumCapacityShare, share));
 }
--- a/packages/routing/src/server-view.ts
+++ b/packages/routing/src/server-view.ts
@@ -6,6 +6,10 @@
 	readonly zone: ZoneId;
 	/** The number of requests that it processes concurrently. */
 	readonly capacity: number;
+	/** Its speed relative to a server of mean speed, by which its capacity is multiplied; 1 by default. */
+	readonly speed?: number;
+	/** The speed by which the homes of prompt prefixes are spread, which changes rarely; `speed` by default. */
+	readonly homeSpeed?: number;
 	/** The requests of all instances that were in progress according to its last report. */
 	readonly reportedInFlight: number;
 	/** The requests of this instance among the reported ones. */
