Learn the speed of servers from expected and observed first events

Cause: nothing told a slow server from a busy one; each choice went by slots. Change: a send records the first event that a server of mean speed would give after the work that waits (calm latency of the model plus the work of the pool picture), the head of a streamed answer gives the sample. ServerSpeeds reports samples to, and takes the slowness from, optional methods of the loads (recordSample, slownessOf, workAt, age); speeds are relative to the mean of the service. With speeds, three servers are compared by load and request over speed, and the load of others counts less with its age. The estimator tells a moment of slowness from a lasting one: the lasting speed is averaged over 8 s and stays as it is during a moment, because the scatter of single answers made servers alternate. The load exchange has none of the methods, so no server has a speed; a test compares the choices of both. Conclusion: takes effect once the pool digest implements the methods.

--- a/packages/gateway/src/entry/entry-servers-options.ts
+++ b/packages/gateway/src/entry/entry-servers-options.ts
@@ -1,9 +1,22 @@
 import {
-	type InstanceId, type RandomSource, type ServiceId, type ZoneId,
+	type InstanceId, type RandomSource, type ServerId, type ServiceId, type ZoneId,
 } from '@valehitch/core';
+import {type PoolPicture, type SpeedSample} from '@valehitch/routing';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type LoadExchange} from './load-exchange.js';
 
+/** The speeds of servers as all entry instances observe them; without them, servers count by their slots. */
+export type SpeedReports = {
+	/** Reports the times to a first event to the other entry instances. */
+	readonly recordSample?: (server: ServerId, sample: SpeedSample) => void;
+	/** Returns the observed over the expected times to the first event; undefined if they are not known now. */
+	readonly slownessOf?: (server: ServerId) => number | undefined;
+	/** Returns the work of all entry instances at a server. */
+	readonly workAt?: PoolPicture['workAt'];
+	/** The age of the loads of other instances, in milliseconds; 0 by default. */
+	readonly age?: number;
+};
+
 /** Options of {@linkcode EntryServers}. */
 export type EntryServersOptions = {
 	readonly zone: ZoneId;
@@ -17,7 +30,7 @@
 	/** When this process started, in milliseconds on the monotonic clock; 0 by default, the origin of that clock. */
 	readonly startedAt?: number;
 	/** The loads of the other entry instances at each server. */
-	readonly loads: Pick<LoadExchange, 'peerLoadAt' | 'recordChange' | 'discardServer'>;
+	readonly loads: Pick<LoadExchange, 'peerLoadAt' | 'recordChange' | 'discardServer'> & SpeedReports;
 	/** Called when a control instance sends a record that is older than the known state of the process. */
 	readonly onOutdated?: (record: ServerRecord, options: {readonly held: ServerRecord; readonly source: InstanceId}) => void;
 	/** Called when a process is replaced by another one with the same address or id. */
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -5,6 +5,7 @@
 import {testServer} from '../servers/_test-server.js';
 import {type Evacuations} from '../servers/evacuations.js';
 import {EntryServers} from './entry-servers.js';
+import {type SpeedReports} from './entry-servers-options.js';
 import {LoadExchange} from './load-exchange.js';
 
 const one = 'control-1' as InstanceId;
@@ -341,3 +342,66 @@
 	servers.applyRecords([testServer({startedAt: 2})], {source: two, now});
 	t.is(chooseId(servers), testServer().id);
 });
+
+/** Creates nine servers of three zones, whose first events are told as given, and sends requests; returns how many each server received. */
+function sendToNine(reports: SpeedReports, requests = 300): readonly number[] {
+	let state = 20_261_204;
+	const servers = new EntryServers({
+		zone,
+		random() {
+			state = (state * 48_271) % 2_147_483_647;
+			return state / 2_147_483_647;
+		},
+		loads: {
+			peerLoadAt: id => Number(id.slice('server-'.length)) % 3, recordChange: ignore, discardServer: ignore, ...reports,
+		},
+		onReplaced: ignore,
+	});
+	const ids = Array.from({length: 9}, (_, index) => `server-${index}` as ServerId);
+	servers.applyRecords(ids.map((id, index) => testServer({id, port: index + 1, zone: index % 2 === 0 ? zone : otherZone})), {source: one, now});
+	const counts = ids.map(() => 0);
+	for (let sent = 0; sent < requests; sent++) {
+		const promptKey = sent % 3 === 0 ? {name: `part ${sent}`, affinityScope: 'all' as const} : undefined;
+		const chosen = chooseId(servers, {promptKey, load: 1 + (sent % 4), now: now + sent})!;
+		servers.beginSend(chosen, {load: 1 + (sent % 4), now: now + sent});
+		counts[ids.indexOf(chosen)]!++;
+	}
+
+	return counts;
+}
+
+test('while no slowness is told, requests go where they went without speeds', t => {
+	const former = sendToNine({});
+	t.deepEqual(sendToNine({
+		slownessOf: () => undefined, workAt: () => undefined, recordSample: ignore, age: 400,
+	}), former);
+});
+
+test('servers receive requests by their speed', t => {
+	const counts = sendToNine({slownessOf: id => id === 'server-0' ? 3 : 1, age: 400});
+	const others = counts.slice(1).filter((_, index) => index % 2 === 1);
+	t.true(counts[0]! < 0.6 * Math.min(...others), `${counts.join(', ')}`);
+	t.true(counts[0]! > 0);
+});
+
+test('the first event that a server of mean speed would give is expected after the work that waits', t => {
+	const samples: unknown[] = [];
+	const servers = new EntryServers({
+		zone,
+		random: () => 0.5,
+		loads: {
+			peerLoadAt: () => 0,
+			recordChange: ignore,
+			discardServer: ignore,
+			workAt: () => ({reading: 300, streams: 1, slowness: 2}),
+			recordSample(id, sample) {
+				samples.push([id, sample]);
+			},
+		},
+		onReplaced: ignore,
+	});
+	t.is(servers.expectedFirstEvent(testServer().id, 100), 400);
+	t.is(servers.expectedFirstEvent(testServer().id, undefined), undefined);
+	servers.recordFirstEvent(testServer().id, {observed: 800, expected: 400}, now);
+	t.deepEqual(samples, [[testServer().id, {observed: 800, expected: 400}]]);
+});
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -2,7 +2,7 @@
 	type InstanceId, type ServerId, type ServiceId,
 } from '@valehitch/core';
 import {
-	chooseServer, OutlierEjection, prefixHash, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
+	chooseServer, OutlierEjection, prefixHash, type ServerChoiceOptions, type ServerCriteria, type ServerSpeed, type ServerView, type SpeedSample, ZoneFailureDetector,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
 import {compareStartTimes} from '../servers/compare-start-times.js';
@@ -23,11 +23,14 @@
 import {SendLimits} from './send-limits.js';
 import {ServerAvailability} from './server-availability.js';
 import {ServerLivenessTable} from './server-liveness-table.js';
+import {ServerSpeeds} from './server-speeds.js';
 
 /** The maximum load of a server relative to the mean load. Engines batch requests, so even twice the mean load costs less than processing a prompt without its cached prefix. */
 const loadBound = 1.5;
 /** The number of servers that are sampled and compared. Since the loads of all instances are known, a larger sample costs only the comparison. */
 const sampleCount = 4;
+/** How the servers are compared whose speed is known: their loads come from all instances, but late, so that a larger sample would send all to the same server. */
+const bySpeed = {sampleCount: 3, reportDecayMilliseconds: 1000} as const;
 /** How much busier the local zone must be, as a share of its slots, before servers of another zone are used. */
 const zonePenalty = 0.1;
 /** The backoff after a failed connection; doubles with each further failure up to the maximum. */
@@ -62,9 +65,11 @@
 	readonly #zones = new ZoneFailureDetector();
 	readonly #liveness = new ServerLivenessTable();
 	readonly #evacuations = new KnownEvacuations();
+	readonly #speeds: ServerSpeeds;
 
 	constructor(options: EntryServersOptions) {
 		this.#options = options;
+		this.#speeds = new ServerSpeeds(options.loads);
 		const {startedAt = 0, coldDurationOf, placesOf} = options;
 		this.limits = new SendLimits({startedAt, coldDurationOf, placesOf});
 		this.availability = new ServerAvailability({servers: this.#servers, evacuations: this.#evacuations, limits: this.limits});
@@ -154,20 +159,24 @@
 	@param options The criteria.
 	@returns The server, or undefined if none is available.
 	*/
-	choose({service, isAcceptable, excluded, promptKey, now}: FindServerOptions): ServerRecord | undefined {
-		const views: ServerView[] = [];
+	choose({service, isAcceptable, excluded, promptKey, load, now}: FindServerOptions): ServerRecord | undefined {
+		const candidates: TrackedServer[] = [];
 		for (const tracked of this.#servers.values()) {
 			if (tracked.record.service !== service || tracked.record.state !== 'ready' || !isAcceptable(tracked.record.version)) {
 				continue;
 			}
 
-			views.push(this.#viewOf(tracked, now));
+			candidates.push(tracked);
 		}
 
+		const speeds = this.#speeds.speedsOf(candidates.map(({record}) => record.id), now);
+		const views = candidates.map(tracked => this.#viewOf(tracked, {now, speed: speeds.get(tracked.record.id)}));
+
 		const criteria: ServerCriteria & ServerChoiceOptions = {
 			target: service, excluded, evacuatedZones: this.#evacuations.zones, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
 			prefix: promptKey === undefined ? undefined : prefixHash(promptKey.name),
 			affinityScope: promptKey?.affinityScope ?? 'none',
+			...(speeds.size > 0 && {...bySpeed, requestLoad: load ?? 1}),
 		};
 		// If every server is expired or ejected, use one of them rather than none.
 		const choice = chooseServer(views, criteria).altLazy(() => chooseServer(views.map(view => ({...view, expired: false, ejected: false})), criteria));
@@ -203,6 +212,28 @@
 		return tracked.beginSend(load);
 	}
 
+	/**
+	Returns the time to the first event that a server of mean speed would take for a prompt with the work that now waits at a server.
+
+	@param id The server.
+	@param calm The time at an idle server of mean speed, in milliseconds; undefined if it is not known.
+	@returns Milliseconds; undefined if it cannot be told.
+	*/
+	expectedFirstEvent(id: ServerId, calm: number | undefined): number | undefined {
+		return calm === undefined ? undefined : this.#speeds.expectedFirstEvent(id, calm);
+	}
+
+	/**
+	Records the times to the first event of an answer, by which the speed of its server is estimated.
+
+	@param id The server.
+	@param sample The observed and expected times.
+	@param now Milliseconds on the monotonic clock.
+	*/
+	recordFirstEvent(id: ServerId, sample: SpeedSample, now: number): void {
+		this.#speeds.record(id, {...sample, now});
+	}
+
 	/**
 	Records that data was received from a server.
 
@@ -343,13 +374,14 @@
 		const {id, zone} = tracked.record;
 		this.#ejection.forget(id);
 		this.limits.removeServer(id);
+		this.#speeds.forget(id);
 		this.#zones.forgetServer(zone, id);
 		this.#options.loads.discardServer(id);
 		this.#options.onReplaced(tracked.record);
 		tracked.abortSends();
 	}
 
-	#viewOf(tracked: TrackedServer, now: number): ServerView {
+	#viewOf(tracked: TrackedServer, {now, speed}: {readonly now: number; readonly speed: ServerSpeed | undefined}): ServerView {
 		const {zone, loads} = this.#options;
 		const {id, zone: serverZone} = tracked.record;
 		return tracked.view({
@@ -360,6 +392,7 @@
 			isEjected: this.#ejection.isEjected(id, now),
 			isRateLimited: this.limits.isRateLimited(tracked, now) || this.limits.isFull(tracked),
 			isPaused: !this.limits.pauses.allows(id, now),
+			speed: speed === undefined ? undefined : {...speed, reportAge: loads.age ?? 0},
 		});
 	}
 
@@ -372,6 +405,7 @@
 			if (isExpired && tracked.inFlight === 0) {
 				this.#servers.delete(id);
 				this.limits.removeServer(id);
+				this.#speeds.forget(id);
 				this.#liveness.removeServer(id);
 			}
 		}
--- a/packages/gateway/src/entry/find-server-options.ts
+++ b/packages/gateway/src/entry/find-server-options.ts
@@ -15,6 +15,8 @@
 	readonly excluded: ReadonlySet<ServerId>;
 	/** The cache key of the prompt; undefined if caching does not matter. */
 	readonly promptKey: PromptKey | undefined;
+	/** The load of the request, in units of a short request; 1 by default. */
+	readonly load?: number;
 	/** Milliseconds on the monotonic clock. */
 	readonly now: number;
 };
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -55,6 +55,8 @@
 	readonly relay?: Relay | undefined;
 	/** When the request was sent, in milliseconds on the monotonic clock. */
 	readonly sentAt: number;
+	/** The time to the first event that was expected at the send of a server of mean speed, in milliseconds; undefined if it was not known. */
+	readonly expected?: number | undefined;
 	/** Whether the request has ended in the meantime. */
 	readonly hasEnded: () => boolean;
 	/** Called when a stream of this server is accepted, before its first event is forwarded. */
@@ -237,6 +239,7 @@
 async function handleStream(received: ReceivedHead, head: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
 	const {context, request, suspect, results, models, server, sentAt, chooseLarger} = options;
 	const latency = context.clock.monotonic() - sentAt;
+	results.recordFirstEvent(server, {observed: latency, expected: options.expected});
 	const larger = chooseLarger(head, latency);
 	if (larger === undefined) {
 		return relayAnswer(received, {...options, head, latency});
--- a/packages/gateway/src/entry/latency-estimator.test.ts
+++ b/packages/gateway/src/entry/latency-estimator.test.ts
@@ -27,3 +27,20 @@
 	t.is(Math.round(latencies.estimate('large', {tokens: 39_000, fallback: 500})), 2000);
 	t.is(Math.round(latencies.estimate('large', {tokens: 0, fallback: 500})), 50);
 });
+
+test('the calm latency stays where it was while queues raise the estimate', t => {
+	const latencies = new LatencyEstimator({monotonic: () => 0});
+	t.is(latencies.calm('large', {tokens: 7000, fallback: 500}), 500);
+	for (let answer = 0; answer < 50; answer++) {
+		latencies.record('large', {milliseconds: 400, tokens: 7000});
+	}
+
+	for (let answer = 0; answer < 50; answer++) {
+		latencies.record('large', {milliseconds: 2400, tokens: 7000});
+	}
+
+	t.true(latencies.estimate('large', {tokens: 7000, fallback: 500}) > 2000);
+	t.true(latencies.calm('large', {tokens: 7000, fallback: 500}) < 600);
+	t.true(latencies.calm('large', {tokens: 39_000, fallback: 500}) > 1900, 'it is proportional to the length of the prompt');
+	t.is(latencies.calm('large', {fallback: 500}), latencies.calm('large', {tokens: 7000, fallback: 500}));
+});
--- a/packages/gateway/src/entry/latency-estimator.ts
+++ b/packages/gateway/src/entry/latency-estimator.ts
@@ -94,6 +94,26 @@
 		return tokens === undefined ? statistics.mean : statistics.mean * (fixedTokens + tokens) / statistics.size;
 	}
 
+	/**
+	Estimates the latency of a prompt at a server without other requests, from the lowest recent mean.
+
+	@param key The key, such as a route and a model.
+	@param options The length of the prompt and the fallback.
+	@returns Milliseconds.
+	@example
+	```ts
+	latencies.calm('route-1 large', {tokens: 5000, fallback: 500});
+	```
+	*/
+	calm(key: string, {tokens, fallback}: LatencyEstimateOptions): number {
+		const statistics = this.#statistics.get(key);
+		if (statistics === undefined) {
+			return fallback;
+		}
+
+		return tokens === undefined ? statistics.baseline : statistics.baseline * (fixedTokens + tokens) / statistics.size;
+	}
+
 	/** Returns the statistics of a key, decayed to the current time. */
 	#decayed(key: string): Statistics | undefined {
 		const statistics = this.#statistics.get(key);
--- a/packages/gateway/src/entry/model-cascade.ts
+++ b/packages/gateway/src/entry/model-cascade.ts
@@ -77,6 +77,12 @@
 		return this.#current === undefined ? 1 : Math.max(1, expected / loadUnitMilliseconds);
 	}
 
+	/** The expected latency of the first event at an idle server, in milliseconds; undefined if nothing is known of the model. */
+	get calm(): number | undefined {
+		const calm = this.#context.latencies.calm(this.#key(this.#current), {tokens: this.#tokens, fallback: 0});
+		return calm > 0 ? calm : undefined;
+	}
+
 	/** The timeouts for the head of an answer, after which the request is sent to another server. */
 	get headTimeouts(): Omit<HeadTimeouts, 'hasSentData' | 'isReachable'> {
 		if (this.#route.kind === 'safe') {
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -55,17 +55,17 @@
 	Chooses a server.
 
 	@param model The model; undefined if the caller chose it or the request needs none.
-	@param options `isSuspect`: whether a server process ended during the request. A suspect request does not use the home server of its prompt. If it did, the requests that were in flight on the same server would again share a server with it, and the cause of a second crash could not be told apart from them.
+	@param options `load`: the load of the request, in units of a short request. `isSuspect`: whether a server process ended during the request. A suspect request does not use the home server of its prompt. If it did, the requests that were in flight on the same server would again share a server with it, and the cause of a second crash could not be told apart from them.
 	@returns The server, or undefined if none is available.
 	*/
-	choose(model: ModelId | undefined, {isSuspect = false}: {readonly isSuspect?: boolean} = {}): ServerRecord | undefined {
+	choose(model: ModelId | undefined, {isSuspect = false, load}: {readonly isSuspect?: boolean; readonly load?: number} = {}): ServerRecord | undefined {
 		const {servers, pins, clock} = this.#context;
 		const now = clock.monotonic();
 		const {session} = this.#request;
 		const promptKey = isSuspect ? undefined : this.#promptKey(model);
 		for (const isAcceptable of this.#versionPreferences(now)) {
 			const server = servers.choose({
-				service: this.service, isAcceptable, excluded: this.#excluded, promptKey, now,
+				service: this.service, isAcceptable, excluded: this.#excluded, promptKey, now, ...(load !== undefined && {load}),
 			});
 			if (server !== undefined) {
 				if (session !== undefined) {
--- a/packages/gateway/src/entry/request-run-options.ts
+++ b/packages/gateway/src/entry/request-run-options.ts
@@ -22,6 +22,8 @@
 	readonly relay?: Relay | undefined;
 	/** The load of the send; undefined if it is no longer counted. */
 	readonly load?: SendLoad;
+	/** The time to the first event that was expected at the send of a server of mean speed, in milliseconds; undefined if it was not known. */
+	readonly expected?: number | undefined;
 	/** When the request was sent, in milliseconds on the monotonic clock. */
 	readonly sentAt: number;
 };
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -153,7 +153,7 @@
 			return this.#end.fail(authorized.extract());
 		}
 
-		const server = this.#placement.choose(this.#models.current, {isSuspect: standing !== 'unknown'});
+		const server = this.#placement.choose(this.#models.current, {isSuspect: standing !== 'unknown', load: this.#models.load});
 		if (server !== undefined) {
 			return this.#sendTo(server, authorized.unsafeCoerce());
 		}
@@ -172,6 +172,7 @@
 
 		const relay = path.type === 'relayed' ? path.relay : undefined;
 		const sentAt = this.#now();
+		const expected = this.#context.servers.expectedFirstEvent(server.id, this.#models.calm);
 		const load = this.#context.servers.beginSend(server.id, {load: this.#models.load, now: sentAt});
 		const attempt = startSend(this.#context, {
 			request: this.#request,
@@ -189,7 +190,7 @@
 		this.#sent = {attempt, server};
 		const outcome = await attempt.outcome;
 		const step = await handleOutcome(outcome, this.#outcomeOptions({
-			server, relay, sentAt, load,
+			server, relay, sentAt, load, expected,
 		}));
 		const next = await this.#handleStep(step, {server, relay});
 		load.end();
@@ -197,7 +198,7 @@
 		return next;
 	}
 
-	#outcomeOptions({server, relay, sentAt, load}: StartedSend): HandleOutcomeOptions {
+	#outcomeOptions({server, relay, sentAt, load, expected}: StartedSend): HandleOutcomeOptions {
 		return {
 			context: this.#context,
 			request: this.#request,
@@ -210,6 +211,7 @@
 			server,
 			relay,
 			sentAt,
+			expected,
 			hasEnded: () => this.#end.hasEnded,
 			onStreamStart: () => {
 				load?.markAnswerStarted();
--- a/packages/gateway/src/entry/send-results.ts
+++ b/packages/gateway/src/entry/send-results.ts
@@ -40,6 +40,19 @@
 		this.#recordEvidence(server, {model, latency});
 	}
 
+	/**
+	Records the time to the head of a streamed answer, which says how fast its server is.
+
+	@param server The server.
+	@param sample The observed and expected times in milliseconds; the expected one is undefined if it was not known at the send.
+	*/
+	recordFirstEvent(server: ServerRecord, {observed, expected}: {readonly observed: number; readonly expected: number | undefined}): void {
+		const {servers, clock} = this.#context;
+		if (expected !== undefined && servers.isCurrent(server)) {
+			servers.recordFirstEvent(server.id, {observed, expected}, clock.monotonic());
+		}
+	}
+
 	/**
 	Records a failure that the server is responsible for.
 
--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -1,5 +1,5 @@
 import {setMaxListeners} from 'node:events';
-import {type ServerView} from '@valehitch/routing';
+import {type ServerSpeed, type ServerView} from '@valehitch/routing';
 import {ColdPeriod} from '../servers/cold-period.js';
 import {compareStartTimes} from '../servers/compare-start-times.js';
 import {type ServerRecord, type ServerState} from '../servers/server-record.js';
@@ -32,6 +32,8 @@
 	readonly isRateLimited: boolean;
 	/** Whether it has asked this instance for a pause, which goes on. */
 	readonly isPaused: boolean;
+	/** Its speed, and the age of the load of the other entry instances; undefined where servers count by their slots. */
+	readonly speed?: ServerSpeed & Pick<ServerView, 'reportAge'> | undefined;
 };
 
 /** Options of {@linkcode TrackedServer}. */
@@ -165,7 +167,7 @@
 	@param conditions What else is known about the server.
 	@returns The view.
 	*/
-	view({now, othersLoad, isSilent, isZoneUnreachable, isEjected, isRateLimited, isPaused}: ServerConditions): ServerView {
+	view({now, othersLoad, isSilent, isZoneUnreachable, isEjected, isRateLimited, isPaused, speed}: ServerConditions): ServerView {
 		const {id, zone, slots} = this.record;
 		return {
 			id,
@@ -183,6 +185,7 @@
 			// These servers warm up within milliseconds, so a slow start, as used for cold replicas, would only unbalance the load.
 			uptime: Math.max(warmMilliseconds, now - this.addedAt),
 			loaded: this.#loaded,
+			...speed,
 		};
 	}
 
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -36,6 +36,8 @@
 	readonly loadBound?: number;
 	/** How many randomly drawn servers are compared; 2 by default. */
 	readonly sampleCount?: number;
+	/** The load of the request itself, which counts at each compared server; 1 by default. */
+	readonly requestLoad?: number;
 };
 
 /** The chosen server, and the verdicts on the servers that were considered. */
@@ -63,7 +65,7 @@
 /**
 Chooses a server: a preferred server of the prompt prefix while its load is within the bound, otherwise the least loaded of a few random servers.
 
-The load bound is that of consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018). Comparing a few random servers instead of all keeps instances that share an outdated load report from all choosing the same server (Mitzenmacher, 2000).
+The load bound is that of consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018). Comparing a few random servers instead of all keeps instances that share an outdated load report from all choosing the same server (Mitzenmacher, 2000). With the speeds of the servers and the load of the request, the least loaded one is the one with the earliest expected first event.
 
 @param servers All servers.
 @param options The requirements, and how a server is chosen.
@@ -143,11 +145,11 @@
 	return homeSpeed === speed ? capacity : capacity * homeSpeed / speed;
 }
 
-function chooseLeastLoadedSample(pool: readonly Candidate[], {random, sampleCount = 2}: ServerChoiceOptions): Candidate {
+function chooseLeastLoadedSample(pool: readonly Candidate[], {random, sampleCount = 2, requestLoad = 1}: ServerChoiceOptions): Candidate {
 	let best = sampleByCapacity(pool, random);
 	for (let drawn = 1; drawn < sampleCount; drawn++) {
 		const other = sampleByCapacity(pool, random);
-		if (relativeLoad(other) < relativeLoad(best)) {
+		if (relativeLoad(other, requestLoad) < relativeLoad(best, requestLoad)) {
 			best = other;
 		}
 	}
@@ -168,8 +170,8 @@
 	return pool.at(-1)!;
 }
 
-function relativeLoad({load, capacity}: Candidate): number {
-	return (load + 1) / capacity;
+function relativeLoad({load, capacity}: Candidate, requestLoad: number): number {
+	return (load + requestLoad) / capacity;
 }
 
 function utilisation(candidates: readonly Candidate[], additionalLoad = 0): number {
--- a/packages/routing/src/server-speed-estimator.ts
+++ b/packages/routing/src/server-speed-estimator.ts
@@ -29,9 +29,12 @@
 type Estimate = {
 	readonly startedAt: number;
 	updatedAt: number;
-	speed: number;
+	/** The speed that falls quickly and rises slowly. */
+	momentarySpeed: number;
 	/** The speed averaged over a longer time. */
 	lastingSpeed: number;
+	/** Since when it has been much slower than before; undefined if it is not. */
+	slowSince: number | undefined;
 	/** The binary logarithm of the home speed, in halves. */
 	homeStep: number;
 	/** The last slowness that was told, and since when it has not changed. */
@@ -45,11 +48,19 @@
 
 const minimumSpeed = 0.25;
 const maximumSpeed = 2;
-/** The time constants in milliseconds with which a speed falls and rises. Each request that is sent to a slowed server waits there, while one that has recovered only stays idle for a while. */
+/** The time constants in milliseconds with which the momentary speed falls and rises. Each request that is sent to a slowed server waits there, while one that has recovered only stays idle for a while. */
 const fallMilliseconds = 250;
-const riseMilliseconds = 1500;
+const riseMilliseconds = 2000;
 /** The time constant of the lasting speed in milliseconds: longer than a moment of slowness, in which the load bound moves requests away from their home. */
-const lastingMilliseconds = 10_000;
+const lastingMilliseconds = 8000;
+/** The minimum of that for a young estimate, which averages over its age, so that a first slow answer does not last. */
+const youngMilliseconds = 3000;
+/** The share of the lasting speed below which a server counts as slow for a moment, by its momentary speed. Smaller differences are within the scatter of a few answers. */
+const momentShare = 0.5;
+/** The share of the lasting speed at which the moment is over. */
+const momentEndShare = 0.8;
+/** How long a server that has become much slower keeps its lasting speed, in milliseconds. */
+const momentMilliseconds = 4000;
 /** The distance of the lasting speed from the home speed at which that changes, in steps; above 0.5, so that a speed between two steps does not alternate. */
 const homeHysteresis = 0.75;
 /** The time without a change of the slowness after which the server counts as unused, in milliseconds. */
@@ -63,14 +74,14 @@
 /** The half-life of the samples of this instance, in milliseconds; the slowness that is told includes them later. */
 const ownHalfLifeMilliseconds = 500;
 /** The weight of the slowness that is told against the samples of this instance, in milliseconds of expected time. */
-const toldWeightMilliseconds = 2000;
+const toldWeightMilliseconds = 1000;
 /** The minimum time between updates of an estimate, in milliseconds, since each choice reads the speeds of all servers. */
 const updateMilliseconds = 20;
 
 /**
 Estimates how fast servers process prompts from the observed and the expected times to the first event.
 
-It answers a load on servers that differ in speed and turn slow for moments. An expected time includes the work that waited at the server, so a busy server does not count as slow. A speed falls quickly and rises slowly, returns to the mean while nobody uses the server, and is bounded, so that each server still gets requests.
+It answers a load on servers that differ in speed and turn slow for moments. An expected time includes the work that waited at the server, so a busy server does not count as slow. A server counts by its speed over the last seconds, unless it has just become much slower. Its speed falls quickly and rises slowly, returns to the mean while nobody uses the server, and is bounded, so that each server still gets requests.
 
 @example
 ```ts
@@ -124,7 +135,7 @@
 			update(known, {slowness, meanSlowness, now});
 		}
 
-		if (slowness === undefined && Math.abs(known.speed - 1) < forgottenDistance) {
+		if (slowness === undefined && Math.abs(known.result.speed - 1) < forgottenDistance) {
 			this.#estimates.delete(server);
 			return undefined;
 		}
@@ -146,7 +157,7 @@
 		const homeStep = Math.round(stepsOf(speed));
 		const result = {speed, homeSpeed: speedAtStep(homeStep)};
 		this.#estimates.set(server, {
-			startedAt: now, updatedAt: now, speed, lastingSpeed: speed, homeStep, slowness, unchangedSince: now, ownObserved: 0, ownExpected: 0, result,
+			startedAt: now, updatedAt: now, momentarySpeed: speed, lastingSpeed: speed, slowSince: undefined, homeStep, slowness, unchangedSince: now, ownObserved: 0, ownExpected: 0, result,
 		});
 		return result;
 	}
@@ -160,24 +171,31 @@
 		estimate.unchangedSince = now;
 	}
 
-	const target = targetSpeed(estimate, {meanSlowness, now});
-	const timeConstant = target < estimate.speed ? fallMilliseconds : riseMilliseconds;
-	estimate.speed = approach(estimate.speed, {target, elapsed, timeConstant});
-	// A young estimate averages over its whole age, so that a first slow answer does not last.
-	estimate.lastingSpeed = approach(estimate.lastingSpeed, {target, elapsed, timeConstant: Math.min(lastingMilliseconds, now - estimate.startedAt)});
+	const quietFor = Math.max(0, now - estimate.unchangedSince - quietMilliseconds);
+	const target = targetSpeed(estimate, {meanSlowness, quietFor});
+	const timeConstant = target < estimate.momentarySpeed ? fallMilliseconds : riseMilliseconds;
+	estimate.momentarySpeed = approach(estimate.momentarySpeed, {target, elapsed, timeConstant});
+	if (estimate.slowSince === undefined || now - estimate.slowSince >= momentMilliseconds) {
+		const age = Math.max(youngMilliseconds, now - estimate.startedAt);
+		const lastingTimeConstant = Math.min(quietFor > 0 ? returnMilliseconds : lastingMilliseconds, age);
+		estimate.lastingSpeed = approach(estimate.lastingSpeed, {target, elapsed, timeConstant: lastingTimeConstant});
+	}
+
 	const steps = stepsOf(estimate.lastingSpeed);
 	if (Math.abs(steps - estimate.homeStep) > homeHysteresis) {
 		estimate.homeStep = Math.round(steps);
 	}
 
+	const {momentarySpeed, lastingSpeed, slowSince} = estimate;
+	const isSlow = momentarySpeed < (slowSince === undefined ? momentShare : momentEndShare) * lastingSpeed;
+	estimate.slowSince = isSlow ? slowSince ?? now : undefined;
 	estimate.updatedAt = now;
-	estimate.result = {speed: estimate.speed, homeSpeed: speedAtStep(estimate.homeStep)};
+	estimate.result = {speed: isSlow ? momentarySpeed : lastingSpeed, homeSpeed: speedAtStep(estimate.homeStep)};
 }
 
 /** Returns the speed that the samples tell of, which returns to the mean while there are no new ones. */
-function targetSpeed({slowness, unchangedSince, ownObserved, ownExpected}: Estimate, {meanSlowness, now}: {readonly meanSlowness: number; readonly now: number}): number {
+function targetSpeed({slowness, ownObserved, ownExpected}: Estimate, {meanSlowness, quietFor}: {readonly meanSlowness: number; readonly quietFor: number}): number {
 	const combined = ((slowness * toldWeightMilliseconds) + ownObserved) / (toldWeightMilliseconds + ownExpected);
-	const quietFor = Math.max(0, now - unchangedSince - quietMilliseconds);
 	return 1 + ((boundedSpeed(meanSlowness / combined) - 1) * (2 ** (-quietFor / returnMilliseconds)));
 }
 
