Merge the learned speed of servers with the digest

Cause: two rules weighed old loads, three samples by speed and shares that fill servers up. Change: the shares by which servers fill up take the speed into their capacity; sends count by their calm time in the digest; without a digest no slowness is told.

--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -2,7 +2,7 @@
 	type InstanceId, type ServerId, type ServiceId,
 } from '@valehitch/core';
 import {
-	chooseServer, OutlierEjection, type PoolPicture, prefixHash, type ServerChoiceOptions, type ServerCriteria, type ServerView, ZoneFailureDetector,
+	chooseServer, OutlierEjection, type PoolPicture, prefixHash, type ServerChoiceOptions, type ServerCriteria, type ServerSpeed, type ServerView, type SpeedSample, ZoneFailureDetector,
 } from '@valehitch/routing';
 import {type LoadMessage} from '../control/peer-message.js';
 import {compareStartTimes} from '../servers/compare-start-times.js';
@@ -25,6 +25,7 @@
 import {SendLimits} from './send-limits.js';
 import {ServerAvailability} from './server-availability.js';
 import {ServerLivenessTable} from './server-liveness-table.js';
+import {ServerSpeeds} from './server-speeds.js';
 
 /** The maximum load of a server relative to the mean load. Engines batch requests, so even twice the mean load costs less than processing a prompt without its cached prefix. */
 const loadBound = 1.5;
@@ -66,9 +67,11 @@
 	readonly #zones = new ZoneFailureDetector();
 	readonly #liveness = new ServerLivenessTable();
 	readonly #evacuations = new KnownEvacuations();
+	readonly #speeds: ServerSpeeds;
 
 	constructor(options: EntryServersOptions) {
 		this.#options = options;
+		this.#speeds = new ServerSpeeds(options.loads);
 		const {startedAt = 0, coldDurationOf, placesOf} = options;
 		this.limits = new SendLimits({startedAt, coldDurationOf, placesOf});
 		this.availability = new ServerAvailability({servers: this.#servers, evacuations: this.#evacuations, limits: this.limits});
@@ -158,22 +161,26 @@
 	@param options The criteria.
 	@returns The server, or undefined if none is available.
 	*/
-	choose({service, isAcceptable, excluded, promptKey, now, noted}: FindServerOptions): ServerRecord | undefined {
-		const views: ServerView[] = [];
+	choose({service, isAcceptable, excluded, promptKey, load, now, noted}: FindServerOptions): ServerRecord | undefined {
+		const candidates: TrackedServer[] = [];
 		for (const tracked of this.#servers.values()) {
 			if (tracked.record.service !== service || tracked.record.state !== 'ready' || !isAcceptable(tracked.record.version)) {
 				continue;
 			}
 
-			views.push(this.#viewOf(tracked, now));
+			candidates.push(tracked);
 		}
 
+		const speeds = this.#speeds.speedsOf(candidates.map(({record}) => record.id), now);
+		const views = candidates.map(tracked => this.#viewOf(tracked, {now, speed: speeds.get(tracked.record.id)}));
+
 		const criteria: ServerCriteria & ServerChoiceOptions = {
 			target: service, excluded, evacuatedZones: this.#evacuations.zones, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
 			reportDecayMilliseconds: Number.POSITIVE_INFINITY,
 			arrivalRate,
 			prefix: promptKey === undefined ? undefined : prefixHash(promptKey.name),
 			affinityScope: promptKey?.affinityScope ?? 'none',
+			...(speeds.size > 0 && load !== undefined && {requestLoad: load}),
 		};
 		// If every server is expired or ejected, use one of them rather than none.
 		const choice = chooseServer(views, criteria).altLazy(() => chooseServer(views.map(view => ({...view, expired: false, ejected: false})), criteria));
@@ -241,6 +248,28 @@
 		return tracked.beginSend(load, reading);
 	}
 
+	/**
+	Returns the time to the first event that a server of mean speed would take for a prompt with the work that now waits at a server.
+
+	@param id The server.
+	@param calm The time at an idle server of mean speed, in milliseconds; undefined if it is not known.
+	@returns Milliseconds; undefined if it cannot be told.
+	*/
+	expectedFirstEvent(id: ServerId, calm: number | undefined): number | undefined {
+		return calm === undefined ? undefined : this.#speeds.expectedFirstEvent(id, calm);
+	}
+
+	/**
+	Records the times to the first event of an answer, by which the speed of its server is estimated.
+
+	@param id The server.
+	@param sample The observed and expected times.
+	@param now Milliseconds on the monotonic clock.
+	*/
+	recordFirstEvent(id: ServerId, sample: SpeedSample, now: number): void {
+		this.#speeds.record(id, {...sample, now});
+	}
+
 	/**
 	Records that data was received from a server.
 
@@ -381,14 +410,15 @@
 		const {id, zone} = tracked.record;
 		this.#ejection.forget(id);
 		this.limits.removeServer(id);
+		this.#speeds.forget(id);
 		this.#zones.forgetServer(zone, id);
 		this.#options.loads.discardServer(id);
 		this.#options.onReplaced(tracked.record);
 		tracked.abortSends();
 	}
 
-	#viewOf(tracked: TrackedServer, now: number): ServerView {
-		return tracked.view(this.#conditionsOf(tracked, now));
+	#viewOf(tracked: TrackedServer, {now, speed}: {readonly now: number; readonly speed: ServerSpeed | undefined}): ServerView {
+		return tracked.view({...this.#conditionsOf(tracked, now), speed});
 	}
 
 	#conditionsOf(tracked: TrackedServer, now: number): ServerConditions {
@@ -415,6 +445,7 @@
 			if (isExpired && tracked.inFlight === 0) {
 				this.#servers.delete(id);
 				this.limits.removeServer(id);
+				this.#speeds.forget(id);
 				this.#liveness.removeServer(id);
 			}
 		}
--- a/packages/gateway/src/entry/latency-estimator.ts
+++ b/packages/gateway/src/entry/latency-estimator.ts
@@ -95,11 +95,15 @@
 	}
 
 	/**
-	Estimates the latency of a prompt without queueing, from the lowest recent mean.
+	Estimates the latency of a prompt at a server without other requests, from the lowest recent mean.
 
-	@param key The key.
+	@param key The key, such as a route and a model.
 	@param options The length of the prompt and the fallback.
 	@returns Milliseconds.
+	@example
+	```ts
+	latencies.calm('route-1 large', {tokens: 5000, fallback: 500});
+	```
 	*/
 	calm(key: string, {tokens, fallback}: LatencyEstimateOptions): number {
 		const statistics = this.#statistics.get(key);
--- a/packages/gateway/src/entry/pool-loads.ts
+++ b/packages/gateway/src/entry/pool-loads.ts
@@ -124,11 +124,11 @@
 	Returns how slow a server is against the mean of the pool, by the answers of all entry instances.
 
 	@param server The server.
-	@returns 1 for a server of mean speed, 2 for one that takes twice as long; 1 without a digest.
+	@returns 1 for a server of mean speed, 2 for one that takes twice as long; undefined without a digest.
 	*/
-	slownessOf(server: ServerId): number {
+	slownessOf(server: ServerId): number | undefined {
 		if (!this.usesDigest) {
-			return 1;
+			return undefined;
 		}
 
 		return serverSlowness(sumTimes(timesOf(this.#othersAt(server)), this.#times.at(server, this.#now())), this.#readWork()?.times ?? noTimes);
@@ -142,19 +142,25 @@
 	picture(): PoolPicture {
 		return {
 			age: this.usesDigest ? this.#reporter.age : Number.POSITIVE_INFINITY,
-			workAt: server => this.#workAt(server),
+			workAt: server => this.workAt(server),
 			heldByOthers: this.usesDigest ? this.#reporter.latest?.held ?? [] : [],
 		};
 	}
 
-	#workAt(server: ServerId): ServerWork | undefined {
+	/**
+	Returns the work of all entry instances at a server, as far as it is known.
+
+	@param server The server.
+	@returns The work, that of this instance as it is now; undefined if the server is unknown.
+	*/
+	workAt(server: ServerId): ServerWork | undefined {
 		const own = this.#options.ownLoadAt(server);
 		if (own === undefined) {
 			return undefined;
 		}
 
 		const [, reading, streams] = this.#othersAt(server);
-		return {reading: own.reading + reading, streams: own.streams + streams, slowness: this.slownessOf(server)};
+		return {reading: own.reading + reading, streams: own.streams + streams, slowness: this.slownessOf(server) ?? 1};
 	}
 
 	#othersAt(server: ServerId): WorkRow {
--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -1,5 +1,5 @@
 import {setMaxListeners} from 'node:events';
-import {type ServerView} from '@valehitch/routing';
+import {type ServerSpeed, type ServerView} from '@valehitch/routing';
 import {ColdPeriod} from '../servers/cold-period.js';
 import {compareStartTimes} from '../servers/compare-start-times.js';
 import {type ServerRecord, type ServerState} from '../servers/server-record.js';
@@ -45,6 +45,8 @@
 	readonly isRateLimited: boolean;
 	/** Whether it has asked this instance for a pause, which goes on. */
 	readonly isPaused: boolean;
+	/** Its speed; undefined where servers count by their slots. */
+	readonly speed?: ServerSpeed | undefined;
 };
 
 /** Options of {@linkcode TrackedServer}. */
@@ -195,7 +197,7 @@
 	@param conditions What else is known about the server.
 	@returns The view.
 	*/
-	view({now, othersLoad, othersAge = 0, isSilent, isZoneUnreachable, isEjected, isRateLimited, isPaused}: ServerConditions): ServerView {
+	view({now, othersLoad, othersAge = 0, isSilent, isZoneUnreachable, isEjected, isRateLimited, isPaused, speed}: ServerConditions): ServerView {
 		const {id, zone, slots} = this.record;
 		return {
 			id,
@@ -213,6 +215,7 @@
 			// These servers warm up within milliseconds, so a slow start, as used for cold replicas, would only unbalance the load.
 			uptime: Math.max(warmMilliseconds, now - this.addedAt),
 			loaded: this.#loaded,
+			...speed,
 		};
 	}
 
--- a/packages/routing/src/server-choice.ts
+++ b/packages/routing/src/server-choice.ts
@@ -7,7 +7,7 @@
 import {rendezvousScore} from './rendezvous-score.js';
 import {spreadArrivals} from './spread-arrivals.js';
 import {
-	reportedOtherLoad, serverLoad, type ServerLoadOptions, effectiveCapacity,
+	capacityBySpeed, reportedOtherLoad, serverLoad, type ServerLoadOptions, effectiveCapacity,
 } from './server-load.js';
 import {type ServerView} from './server-view.js';
 
@@ -39,6 +39,8 @@
 	readonly sampleCount?: number;
 	/** The load that arrives at a server in a millisecond at most, by which reports that are not of now are spread; 0 by default, which takes every report as of now. */
 	readonly arrivalRate?: number;
+	/** The load of the request itself, which counts at each compared server; 1 by default. */
+	readonly requestLoad?: number;
 };
 
 /** The chosen server, and the verdicts on the servers that were considered. */
@@ -66,7 +68,7 @@
 /**
 Chooses a server: a preferred server of the prompt prefix while its load is within the bound, otherwise the least loaded of a few random servers.
 
-The load bound is that of consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018). Comparing a few random servers instead of all keeps instances that share an outdated load report from all choosing the same server (Mitzenmacher, 2000).
+The load bound is that of consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018). Comparing a few random servers instead of all keeps instances that share an outdated load report from all choosing the same server (Mitzenmacher, 2000). With the speeds of the servers and the load of the request, the least loaded one is the one with the earliest expected first event.
 
 @param servers All servers.
 @param options The requirements, and how a server is chosen.
@@ -131,7 +133,7 @@
 	for (const candidate of pool) {
 		const {load, capacity, server} = candidate;
 		if (load + 1 <= Math.max(1, Math.ceil((bound * capacity) - roundingTolerance))) {
-			scored.push({candidate, score: rendezvousScore(prefix, {server: server.id, capacity})});
+			scored.push({candidate, score: rendezvousScore(prefix, {server: server.id, capacity: homeCapacity(candidate)})});
 		}
 	}
 
@@ -141,8 +143,13 @@
 	return chosen.length === 0 ? undefined : chooseLeastLoadedSample(chosen, options);
 }
 
+/** Returns the capacity by which a server is the home of prefixes. */
+function homeCapacity({capacity, server: {speed = 1, homeSpeed = speed}}: Candidate): number {
+	return homeSpeed === speed ? capacity : capacity * homeSpeed / speed;
+}
+
 function chooseLeastLoadedSample(pool: readonly Candidate[], options: ServerChoiceOptions): Candidate {
-	const {random, sampleCount = 2, arrivalRate = 0} = options;
+	const {random, sampleCount = 2, requestLoad = 1, arrivalRate = 0} = options;
 	const arriving = arrivalRate * Math.max(...pool.map(({server}) => server.reportAge)) * pool.length;
 	if (arriving > 0) {
 		return drawByShare(pool, spreadArrivals(pool, arriving), random);
@@ -151,7 +158,7 @@
 	let best = sampleByCapacity(pool, random);
 	for (let drawn = 1; drawn < sampleCount; drawn++) {
 		const other = sampleByCapacity(pool, random);
-		if (relativeLoad(other) < relativeLoad(best)) {
+		if (relativeLoad(other, requestLoad) < relativeLoad(best, requestLoad)) {
 			best = other;
 		}
 	}
@@ -177,8 +184,8 @@
 	return pool.at(-1)!;
 }
 
-function relativeLoad({load, capacity}: Candidate): number {
-	return (load + 1) / capacity;
+function relativeLoad({load, capacity}: Candidate, requestLoad: number): number {
+	return (load + requestLoad) / capacity;
 }
 
 function utilisation(candidates: readonly Candidate[], additionalLoad = 0): number {
@@ -195,7 +202,7 @@
 	let capacity = 0;
 	for (const server of servers) {
 		others += reportedOtherLoad(server);
-		capacity += server.capacity;
+		capacity += capacityBySpeed(server);
 	}
 
 	return capacity === 0 ? 0 : others / capacity;
