Play the digest without any control instance for three seconds

Cause: the load test of the digest had no outage of its carrier. Change: an emulated digest can have an outage; instances whose last reply is older than 1.5 s use the loads of six peers meanwhile, as the product does.

--- a/packages/testing/src/emulator/digest-loads.test.ts
+++ b/packages/testing/src/emulator/digest-loads.test.ts
@@ -7,6 +7,7 @@
 import {type SimulationPolicy} from './simulation-policy.js';
 
 const seeds = [1, 2];
+const outage = {from: 1500, to: 4500};
 
 /** A pool of 42 servers of one speed that spend about 0.95 of their time on prompts. */
 const scenario: Omit<LoadScenario, 'entries'> = {
@@ -38,7 +39,7 @@
 	readonly p99: number;
 };
 
-function simulate(entries: number, variant: Pick<SimulationPolicy, 'knownLoads' | 'digestLossRate'>): Outcome {
+function simulate(entries: number, variant: Pick<SimulationPolicy, 'knownLoads' | 'digestLossRate' | 'digestOutage'>): Outcome {
 	const times: number[] = [];
 	const results = seeds.map(seed => simulateLoad({...scenario, entries}, {
 		policy: {
@@ -60,15 +61,17 @@
 			peers: simulate(entries, {knownLoads: 'near'}),
 			digest: simulate(entries, {knownLoads: 'digest'}),
 			lossy: simulate(entries, {knownLoads: 'digest', digestLossRate: 1 / 3}),
+			outage: simulate(entries, {knownLoads: 'digest', digestOutage: outage}),
 			all: simulate(entries, {knownLoads: 'all'}),
 		};
 		for (const [name, {late, requests, p99}] of Object.entries(outcomes)) {
 			t.log(`${name}: ${(100 * late / requests).toFixed(2)} % late, p99 ${p99} ms`);
 		}
 
-		const {none, peers, digest, lossy} = outcomes;
+		const {none, peers, digest, lossy, outage: withOutage} = outcomes;
 		t.true(digest.late < peers.late && digest.late < none.late);
 		t.true(digest.p99 < peers.p99 && digest.p99 < none.p99);
 		t.true(lossy.late < none.late, 'also with a third of the messages lost');
+		t.true(withOutage.late < none.late, 'also without any control instance for three seconds');
 	});
 }
--- a/packages/testing/src/emulator/digest-loads.ts
+++ b/packages/testing/src/emulator/digest-loads.ts
@@ -2,7 +2,9 @@
 	type InstanceId, type RandomSource, type ServerId, toId,
 } from '@valehitch/core';
 import {type EntryServers} from '@valehitch/gateway';
-import {type AgedWork, WorkDigest, type WorkRow} from '@valehitch/routing';
+import {
+	type AgedWork, WorkDigest, workExpiryMilliseconds, type WorkRow,
+} from '@valehitch/routing';
 import {type EmulatedEntry} from './emulated-entry.js';
 import {type EventQueue} from './event-queue.js';
 
@@ -12,6 +14,14 @@
 	readonly random: RandomSource;
 	/** The share of reports and replies that are lost; 0 by default. */
 	readonly lossRate?: number;
+	/** The time without any control instance, in simulated milliseconds; none by default. */
+	readonly outage?: DigestOutage | undefined;
+};
+
+/** A time without any control instance. */
+export type DigestOutage = {
+	readonly from: number;
+	readonly to: number;
 };
 
 type Picture = {
@@ -57,6 +67,17 @@
 		}
 	}
 
+	/**
+	Checks whether an instance has a digest that is not too old.
+
+	@param servers The servers of the instance.
+	@returns Whether it uses the digest.
+	*/
+	isKnown(servers: EntryServers): boolean {
+		const picture = this.#pictures.get(servers);
+		return picture !== undefined && this.#options.queue.now - picture.at <= workExpiryMilliseconds;
+	}
+
 	/**
 	Returns the load that the digest tells for a server.
 
@@ -81,15 +102,15 @@
 	}
 
 	#report(index: number, servers: EntryServers): void {
-		const {queue, random, lossRate = 0} = this.#options;
+		const {queue, random} = this.#options;
 		const digest = this.#digests[index % controlCount]!;
 		const entry = toId<InstanceId>(`entry-${index}`);
-		if (random() >= lossRate) {
+		if (this.#arrives()) {
 			const rows = [...servers.ownLoads].map(([server, {reading, streams}]): WorkRow => [server, Math.round(reading), streams, 0, 0]).filter(([, reading, streams]) => reading + streams > 0);
 			digest.receiveReport(entry, {
 				run: 'one', sequence: ++this.#sequence, rows, held: [],
 			}, queue.now);
-			if (random() >= lossRate) {
+			if (this.#arrives()) {
 				this.#pictures.set(servers, this.#pictureOf(digest.others(entry, queue.now)));
 			}
 		}
@@ -99,15 +120,21 @@
 		});
 	}
 
+	/** Whether the next message arrives. */
+	#arrives(): boolean {
+		const {queue: {now}, random, lossRate = 0, outage} = this.#options;
+		return random() >= lossRate && !(outage !== undefined && now >= outage.from && now < outage.to);
+	}
+
 	#pictureOf({rows, age}: AgedWork): Picture {
 		return {rows: new Map(rows.map(row => [row[0], row])), age, at: this.#options.queue.now};
 	}
 
 	#summarize(index: number): void {
-		const {queue, random, lossRate = 0} = this.#options;
+		const {queue} = this.#options;
 		const summary = {run: 'one', sequence: ++this.#sequence, ...this.#digests[index]!.summary(queue.now)};
 		for (const [other, digest] of this.#digests.entries()) {
-			if (other !== index && random() >= lossRate) {
+			if (other !== index && this.#arrives()) {
 				digest.receiveSummary(toId<InstanceId>(`control-${index}`), summary, queue.now);
 			}
 		}
--- a/packages/testing/src/emulator/simulate-load.ts
+++ b/packages/testing/src/emulator/simulate-load.ts
@@ -2,7 +2,7 @@
 	type ModelId, type RandomSource, type ServerId, toId, type ZoneId,
 } from '@valehitch/core';
 import {
-	chooseNextModel, type Route, type SendLoad,
+	chooseNextModel, type EntryServers, type Route, type SendLoad,
 } from '@valehitch/gateway';
 import {type AffinityScope} from '@valehitch/routing';
 import {sampleExponential} from '../_bench-tools.js';
@@ -98,9 +98,13 @@
 		this.#decisionRandom = decisionRandom;
 		this.#engines = Array.from({length: scenario.engines}, (_, index) => this.#makeEngine(index));
 		this.#entries = Array.from({length: scenario.entries}, (_, index) => this.#makeEntry(index));
-		const {knownLoads, digestLossRate} = policy;
-		this.#sharedLoads = knownLoads === 'near' || knownLoads === 'all' ? new SharedLoads(this.#entries, knownLoads) : undefined;
-		this.#digestLoads = knownLoads === 'digest' ? new DigestLoads(this.#entries, {queue: this.#queue, random: decisionRandom, lossRate: digestLossRate ?? 0}) : undefined;
+		const {knownLoads, digestLossRate, digestOutage} = policy;
+		this.#sharedLoads = knownLoads === 'none' ? undefined : new SharedLoads(this.#entries, knownLoads === 'all' ? 'all' : 'near');
+		this.#digestLoads = knownLoads === 'digest'
+			? new DigestLoads(this.#entries, {
+				queue: this.#queue, random: decisionRandom, lossRate: digestLossRate ?? 0, outage: digestOutage,
+			})
+			: undefined;
 	}
 
 	run(): LoadResult {
@@ -149,11 +153,16 @@
 			random: this.#decisionRandom,
 			engines: this.#engines,
 			slots: this.#scenario.engineParameters.slots,
-			peerLoadAt: (server, servers) => (this.#sharedLoads ?? this.#digestLoads)?.peerLoadAt(server, servers) ?? 0,
-			ageAt: servers => this.#digestLoads?.ageAt(servers) ?? 0,
+			peerLoadAt: (server, servers) => (this.#digestFor(servers) ?? this.#sharedLoads)?.peerLoadAt(server, servers) ?? 0,
+			ageAt: servers => this.#digestFor(servers)?.ageAt(servers) ?? 0,
 		});
 	}
 
+	/** Returns the digest if the instance has one; otherwise the loads of its peers count. */
+	#digestFor(servers: EntryServers): DigestLoads | undefined {
+		return this.#digestLoads?.isKnown(servers) === true ? this.#digestLoads : undefined;
+	}
+
 	#zoneOf(index: number): ZoneId {
 		return toId<ZoneId>(`zone-${index % this.#scenario.zones}`);
 	}
--- a/packages/testing/src/emulator/simulation-policy.ts
+++ b/packages/testing/src/emulator/simulation-policy.ts
@@ -1,4 +1,5 @@
 import {type chooseAffinityScope} from '@valehitch/routing';
+import {type DigestOutage} from './digest-loads.js';
 
 /** The mechanisms by which a simulation routes requests; each can be switched independently. */
 export type SimulationPolicy = {
@@ -9,6 +10,8 @@
 	readonly knownLoads: 'none' | 'near' | 'digest' | 'all';
 	/** The share of the messages of the digest that are lost; 0 by default. */
 	readonly digestLossRate?: number;
+	/** The time without any control instance, in which the loads of the peers take over from the digest; none by default. */
+	readonly digestOutage?: DigestOutage;
 	/** Whether latencies are estimated in proportion to the prompt length. */
 	readonly scalesWithPrompt: boolean;
 	/** Whether a request is moved to another server if its server does not respond in time. */
