Compare choices without speeds for loads of the same age

Cause: the age of loads now weighs them also where no speed is known, so the former comparison was between loads of different age. Change: both are compared with and without an age; every choice is still compared.

--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -371,10 +371,11 @@
 }
 
 test('while no slowness is told, requests go where they went without speeds', t => {
-	const former = sendToNine({});
-	t.deepEqual(sendToNine({
-		slownessOf: () => undefined, workAt: () => undefined, recordSample: ignore, othersAge: 400,
-	}), former);
+	for (const age of [{}, {othersAge: 400}]) {
+		t.deepEqual(sendToNine({
+			slownessOf: () => undefined, workAt: () => undefined, recordSample: ignore, ...age,
+		}), sendToNine(age));
+	}
 });
 
 test('servers receive requests by their speed', t => {
