Show operators the work of the pool, and its digest in profiles

Cause: beliefs took a picture of the pool that nobody gave them, and the digest's messages counted as forwarding. Change: the picture is passed on while the digest is in use; profiles have a group for it and count the new decisions as decisions.

--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -216,7 +216,7 @@
 	get inspection(): EntryInspection {
 		const {servers, notes} = this.#context;
 		return {
-			beliefs: () => servers.beliefs(this.#options.clock.monotonic()),
+			beliefs: () => servers.beliefs(this.#options.clock.monotonic(), this.#poolLoads.usesDigest ? this.#poolLoads.picture() : undefined),
 			decisionsOf: request => notes.get(request),
 		};
 	}
--- a/packages/gateway/src/inspection/profile-groups.ts
+++ b/packages/gateway/src/inspection/profile-groups.ts
@@ -11,6 +11,7 @@
 /** The first rule whose pattern matches a module holds. */
 const rules: readonly GroupRule[] = [
 	{pattern: /^gateway\/entry\/load-exchange$/v, group: `${messagePrefix}loads`},
+	{pattern: /^gateway\/(?:entry\/(?:pool-loads|work-reporter)|control\/pool-work)$|^routing\/(?:work-|recent-times|server-slowness)/v, group: `${messagePrefix}pool digest`},
 	{pattern: /^gateway\/entry\/send-borrower$/v, group: `${messagePrefix}borrowed sends`},
 	{pattern: /^gateway\/(?:control\/suspect-|entry\/(?:entry-suspects|suspect-reporter))/v, group: `${messagePrefix}suspects`},
 	{pattern: /^gateway\/(?:entry\/(?:control-watch|apply-server-news)|control\/entry-watches)$/v, group: `${messagePrefix}watches`},
@@ -23,6 +24,7 @@
 	{pattern: /^platform\/handle-control$/v, group: `${messagePrefix}control`},
 	{pattern: /^transport\/(?:_frame|_peer-link|peer-network|set-interval-after-poll)$/v, group: carrierGroup},
 	{pattern: /^(?:routing|policy)\//v, group: 'decisions'},
+	{pattern: /^gateway\/entry\/(?:escalation-demand|extend-head-timeouts|prompt-work|request-admission|run-admission|server-speeds)$/v, group: 'decisions'},
 	{pattern: /^gateway\/entry\/(?:choose-|entry-servers|is-server-|known-|latency-estimator|model-cascade|placement|repeat-tracker)/v, group: 'decisions'},
 	{pattern: /^gateway\/entry\/(?:send-allowance|send-limits|server-availability|server-liveness|tracked-server|version-pins)/v, group: 'decisions'},
 	{pattern: /^(?:settings|gateway\/configuration)\//v, group: 'configuration'},
