Wait on shutdown for answers that slow callers have not read

An instance that stops counted it as finished, and also closed its connection as idle, because Node takes a connection for idle once its answer has ended; the caller got a cut stream. Test: entry-instance.test.js, one instance and a caller that reads nothing until the shutdown has begun.

--- /dev/null
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -0,0 +1,93 @@
+import {once} from 'node:events';
+import {type AddressInfo, createServer} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type InstanceId, type ZoneId} from '@valehitch/core';
+import {type ExecutionContext} from 'ava';
+import {Left, Right} from 'purify-ts';
+import {testConfiguration} from '../configuration/_test-configuration.js';
+import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
+import {type WatchReply, type WorkReply} from '../control/peer-message.js';
+import {createGatewayMetrics} from '../logs/gateway-metrics.js';
+import {type ServerRecord} from '../servers/server-record.js';
+import {testRequest} from './_test-request.js';
+import {
+	control, ignore, plainDialect,
+} from './_test-run.js';
+import {EntryInstance} from './entry-instance.js';
+
+/** The time limit of each request, in milliseconds. */
+const requestMilliseconds = 30_000;
+
+/** Options of {@linkcode startTestEntry}. */
+export type StartTestEntryOptions = {
+	/** The servers that the control instance reports. */
+	readonly records: readonly ServerRecord[];
+	readonly routes: RoutingConfiguration['routes'];
+	/** The number of entry instances; 1 by default. */
+	readonly entryCount?: number;
+	/** The reply to reports of work; none by default. */
+	readonly work?: WorkReply;
+	/** The bytes that the instance may hold; no limit by default. */
+	readonly heldBytes?: number;
+};
+
+/** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
+export async function startTestEntry(t: ExecutionContext, {records, routes, entryCount = 1, work, heldBytes}: StartTestEntryOptions) {
+	const clock = {now: () => new Date(), monotonic: () => performance.now()};
+	const reply: WatchReply = {
+		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version: 1, document: ''}, rollouts: [], rolloutDigest: '',
+		held: 0, confirmedAgo: 0, hosts: [control], entryCount, entries: [], zone: 'hall-a' as ZoneId, takesWorkReports: true,
+	};
+	const port = await freePort();
+	const metrics = createGatewayMetrics();
+	const entry = new EntryInstance({
+		self: '10.0.1.1' as InstanceId,
+		zone: 'hall-a' as ZoneId,
+		listen: {host: '127.0.0.1', port},
+		clock,
+		random: () => 0.5,
+		log: ignore,
+		metrics,
+		dialect: {...plainDialect, readRequest: () => testRequest({timeout: requestMilliseconds})},
+		bounds: {canaryShare: 0.1, minimumConfidence: 50},
+		leaseMilliseconds: 60_000,
+		sessionMilliseconds: 5000,
+		heartbeatMilliseconds: 1000,
+		retryShare: 1,
+		retryWindowMilliseconds: 1000,
+		run: 'one',
+		seeds: () => [control],
+		async ask() {
+			await delay(50);
+			return reply;
+		},
+		send: ignore,
+		reportSuspects: async () => true,
+		askForSends: async () => undefined,
+		reportWork: async () => work,
+		openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}),
+		wait: async milliseconds => delay(milliseconds),
+		heldBytes,
+		notedShare: 0,
+		parse: () => Right(testConfiguration({routes})),
+	});
+	t.teardown(() => {
+		entry.close();
+	});
+	await entry.start();
+	while (!entry.isReady) {
+		await delay(20);
+	}
+
+	return {entry, port, metrics};
+}
+
+async function freePort(): Promise<number> {
+	const server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	return port;
+}
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -39,7 +39,7 @@
 const uptimeMilliseconds = 120_000;
 
 /** A minimal dialect; it treats every answer as signed by the server for the request. */
-const plainDialect: Dialect = {
+export const plainDialect: Dialect = {
 	readRequest: () => testRequest(),
 	sendHeaders: (_request, {model}) => [['Host', 'desk.example'], ['Model', model ?? 'none']],
 	readAnswer: (status, headers) => ({
--- /dev/null
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -0,0 +1,65 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import test from 'ava';
+import {testRoute} from '../configuration/_test-configuration.js';
+import {testServer} from '../servers/_test-server.js';
+import {startTestEntry} from './_test-entry-instance.js';
+import {listen} from './_test-run.js';
+
+const event = `data: ${'x'.repeat(20_000)}\n\n`;
+/** Far less than an instance buffers of an answer, and far more than an event. */
+const bufferedBytes = 200_000;
+
+test('an instance that stops waits until a slow caller has read the answer that it has buffered', async t => {
+	let sent = 0;
+	let end: (() => void) | undefined;
+	const serverPort = await listen(t, (_message, response) => {
+		response.writeHead(200, {'Content-Type': 'text/event-stream'});
+		const timer = setInterval(() => {
+			response.write(event);
+			sent++;
+		}, 2);
+		end = () => {
+			clearInterval(timer);
+			response.end();
+		};
+	});
+	const {entry, port, metrics} = await startTestEntry(t, {
+		records: [testServer({port: serverPort})],
+		routes: [testRoute({kind: 'streaming', isPublic: true, timeout: 30_000})],
+		heldBytes: 100 * bufferedBytes,
+	});
+	const caller = connect(port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+	});
+	caller.write('GET /labels/7 HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n\r\n');
+	let held = 0;
+	while (held <= bufferedBytes) {
+		await delay(20);
+		const {values: [gauge]} = await metrics.heldBytes.get();
+		held = gauge?.value ?? 0;
+	}
+
+	end?.();
+	// The instance takes its time to forward the last bytes.
+	await delay(500);
+	entry.beginStop(performance.now() + 30_000);
+	const stopped = entry.drained(performance.now() + 30_000).then(() => {
+		entry.close();
+	});
+	await delay(500);
+	let text = '';
+	let bytes = 0;
+	caller.on('data', (chunk: Uint8Array) => {
+		bytes += chunk.byteLength;
+		text = (text + Buffer.from(chunk).toString('latin1')).slice(-20);
+	});
+	caller.on('error', () => undefined);
+	await once(caller, 'close');
+	await stopped;
+	t.true(bytes > sent * event.length, `${bytes} of ${sent * event.length} bytes came`);
+	t.true(text.endsWith('0\r\n\r\n'));
+});
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type InstanceId, type ServiceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
-import {abortResponse} from '@valehitch/transport';
+import {abortResponse, whenResponseCloses} from '@valehitch/transport';
 import {
 	DecisionNotes, HeldMemory, predictPoolWait, WindowedRetryBudget,
 } from '@valehitch/routing';
@@ -270,9 +270,13 @@
 			.exhaustive();
 	}
 
-	/** Closes idle connections, so that their callers connect to other instances before this one stops. */
+	/** Closes idle connections, so that their callers connect to other instances before this one stops; none while a caller has yet to read a complete answer. */
 	closeIdle(): void {
-		this.#server.closeIdleConnections();
+		// The server also takes a connection for idle whose answer is complete but not read yet.
+		const isAnswerUnread = [...this.#inProgress].some(({writableEnded, writableLength}) => writableEnded && writableLength > 0);
+		if (!isAnswerUnread) {
+			this.#server.closeIdleConnections();
+		}
 	}
 
 	/**
@@ -310,7 +314,10 @@
 			this.#options.log('request-ended', {outcome: 'internal', reason}, 'error');
 			abortResponse(response);
 		} finally {
-			this.#inProgress.delete(response);
+			// A slow caller may still have to read an answer that is buffered.
+			whenResponseCloses(response, () => {
+				this.#inProgress.delete(response);
+			});
 		}
 	}
 
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -25,3 +25,4 @@
 export type {TunnelTarget} from './tunnel-target.js';
 export * from './unfinished-responses.js';
 export * from './watch-response-end.js';
+export * from './when-response-closes.js';
