Release the bytes of answers that wait on a connection that has closed

Cause: a response that waits behind another one on its connection emits no `close` event when the connection closes, so that its unread bytes, up to 1 MiB, counted as held for as long as the process ran; enough of them would have all requests refused for lack of memory. Change: the bytes are released with the connection, and not counted after it. Test: answer-buffer.test.js.

--- a/packages/gateway/src/entry/answer-buffer.ts
+++ b/packages/gateway/src/entry/answer-buffer.ts
@@ -1,5 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {type HeldBytes, type HeldMemory} from '@valehitch/routing';
+import {whenResponseCloses} from '@valehitch/transport';
 
 /** Options of {@linkcode AnswerBuffer}. */
 export type AnswerBufferOptions = {
@@ -52,15 +53,15 @@
 	recordUnread(): number {
 		const {response, memory} = this.#options;
 		const unread = response.writableLength;
-		if (this.#held === undefined && unread > 0 && !response.closed) {
+		if (this.#held === undefined && unread > 0) {
 			const held = memory.open();
 			this.#held = held;
-			response.once('close', () => {
+			whenResponseCloses(response, () => {
 				held.set(0);
 			});
 		}
 
-		if (!response.closed) {
+		if (!response.closed && !response.req.socket.closed) {
 			this.#held?.set(unread);
 		}
 
