Test that an entry instance tells operators the work of the pool

Cause: `/servers` describes the work of the pool and its age, but the entry instance passed no picture; that was mended in without a test of the instance itself. Change: a test with an entry instance and a control instance that answers reports. One of seven tells none.

--- a/packages/gateway/src/entry/entry-instance.test.ts
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {type ServerId} from '@valehitch/core';
 import test from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
 import {testServer} from '../servers/_test-server.js';
@@ -11,6 +12,8 @@
 const event = `data: ${'x'.repeat(20_000)}\n\n`;
 /** Far less than an instance buffers of an answer, and far more than an event. */
 const bufferedBytes = 200_000;
+/** Longer than the interval between reports of work. */
+const answerMilliseconds = 300;
 
 test('an instance that stops waits until a slow caller has read the answer that it has buffered', async t => {
 	let sent = 0;
@@ -63,3 +66,23 @@
 	t.true(bytes > sent * event.length, `${bytes} of ${sent * event.length} bytes came`);
 	t.true(text.endsWith('0\r\n\r\n'));
 });
+
+for (const [entryCount, expected] of [[8, {reading: 120, streams: 4, slowness: 1}], [7, undefined]] as const) {
+	test(`one of ${entryCount} instances tells its operator ${expected === undefined ? 'no' : 'the'} work of all instances at a server`, async t => {
+		const serverPort = await listen(t, (_message, response) => {
+			setTimeout(() => {
+				response.end('done');
+			}, answerMilliseconds);
+		});
+		const {entry, port} = await startTestEntry(t, {
+			records: [testServer({port: serverPort})],
+			routes: [testRoute({isPublic: true})],
+			entryCount,
+			work: {rows: [['server-1' as ServerId, 120, 4, 0, 0]], held: [], age: 0},
+		});
+		await fetch(`http://127.0.0.1:${port}/labels/7`);
+		const [belief] = entry.inspection.beliefs();
+		t.deepEqual(belief?.work, expected);
+		t.is(belief?.workAge === undefined, expected === undefined);
+	});
+}
