Keep the age of loads finite and forget servers whose rows count again

Cause: the age of the loads was read after the check that the digest is in use; where the digest expired in between, the age was infinite, the loads of servers no number, and the last server of the list chosen. And each server whose process ended was remembered for as long as the instance ran, though its rows are passed over for 1 s only. Change: the age is read once and is 0 unless it is finite; servers are forgotten after that second, when the next one ends. Test: pool-loads.test.js.

--- a/packages/gateway/src/entry/pool-loads.test.ts
+++ b/packages/gateway/src/entry/pool-loads.test.ts
@@ -1,6 +1,11 @@
-import {type InstanceId} from '@valehitch/core';
+import {setImmediate} from 'node:timers/promises';
+import {type InstanceId, type ServerId, type ZoneId} from '@valehitch/core';
 import test from 'ava';
+import {MessageReaders} from '../control/message-readers.js';
+import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {controlId, DigestNetwork, type TestDelivery} from './_test-digest-network.js';
+import {ignore} from './_test-run.js';
+import {PoolLoads} from './pool-loads.js';
 
 /** The time in which all parts of the digest have been reported once, in milliseconds. */
 const settleMilliseconds = 1500;
@@ -202,6 +207,55 @@
 	t.is(pool.slownessOf(slow), 1);
 });
 
+test('the age of the loads is never infinite when the digest expires while it is read', async t => {
+	let now = 0;
+	let step = 0;
+	const reads = () => {
+		now += step;
+		return now;
+	};
+
+	const controls = new MessageReaders();
+	controls.record(firstControl, {canRead: true});
+	const pool = new PoolLoads({
+		clock: {monotonic: reads},
+		random: () => 0.5,
+		zone: 'hall-a' as ZoneId,
+		run: 'one',
+		log: ignore,
+		metrics: createGatewayMetrics(),
+		controls,
+		exchange: {recordChange: ignore, peerLoadAt: () => 0, discardServer: ignore},
+		isLarge: () => true,
+		ownLoads: () => [['server-1' as ServerId, {reading: 100, streams: 0}]],
+		ownLoadAt: () => undefined,
+		ask: async () => ({rows: [], held: [], age: 100}),
+	});
+	pool.flush();
+	await setImmediate();
+	now = 1400;
+	t.is(pool.othersAge, 1500);
+	step = 1;
+	for (now = 1490; now < 1510;) {
+		const before = now;
+		t.true(Number.isFinite(pool.othersAge), `at ${before}`);
+		now = before + 1;
+	}
+});
+
+test('servers whose processes have ended are remembered only as long as their rows are passed over', async t => {
+	const network = new DigestNetwork({entries: 8, servers});
+	const [{pool}] = network.entries as [DigestNetwork['entries'][number]];
+	for (let index = 0; index < 100; index++) {
+		pool.discardServer(`ended-${index}` as ServerId);
+	}
+
+	t.is(pool.discardedCount, 100);
+	await network.run(settleMilliseconds);
+	pool.discardServer('ended-100' as ServerId);
+	t.is(pool.discardedCount, 1);
+});
+
 function isControl(id: InstanceId): boolean {
 	return id.startsWith('10.2.');
 }
--- a/packages/gateway/src/entry/pool-loads.ts
+++ b/packages/gateway/src/entry/pool-loads.ts
@@ -63,7 +63,13 @@
 
 	/** The age of what is known of the other entry instances, in milliseconds; 0 if it comes from the peers. */
 	get othersAge(): number {
-		return this.usesDigest ? this.#reporter.age : 0;
+		const {age} = this.#reporter;
+		return this.#options.isLarge() && Number.isFinite(age) ? age : 0;
+	}
+
+	/** The number of servers whose rows are passed over, or were until recently. */
+	get discardedCount(): number {
+		return this.#discardedUntil.size;
 	}
 
 	/** Reports the work of this instance if there are more instances than peers and it is time to. */
@@ -106,7 +112,14 @@
 	discardServer(server: ServerId): void {
 		this.#options.exchange.discardServer(server);
 		this.#times.forget(server);
-		this.#discardedUntil.set(server, this.#now() + discardMilliseconds);
+		const now = this.#now();
+		for (const [other, until] of this.#discardedUntil) {
+			if (until <= now) {
+				this.#discardedUntil.delete(other);
+			}
+		}
+
+		this.#discardedUntil.set(server, now + discardMilliseconds);
 	}
 
 	/**
