Count the entry instances when a control instance reports, not at each look-up

Cause: whether the digest is in use is asked several times for each server of each choice, and each time the largest of the counts of all control instances was sought with a new list. Change: the count is kept, and changes with the reports. Test: known-peers.test.js passes as before; costs have no test.

--- a/packages/gateway/src/entry/known-peers.ts
+++ b/packages/gateway/src/entry/known-peers.ts
@@ -37,6 +37,8 @@
 	/** Those of the relays that each control instance called cut off. */
 	readonly #cutOffRelays = new Map<InstanceId, readonly InstanceId[]>();
 	#ids: readonly InstanceId[] = [];
+	/** A control instance behind a cut knows only some of the entry instances, so the largest number counts. */
+	#instanceCount = 1;
 
 	constructor(options: KnownPeersOptions) {
 		this.#options = options;
@@ -77,6 +79,7 @@
 		}
 
 		this.#entryCounts.set(source, entryCount);
+		this.#instanceCount = Math.max(entries.length + 1, ...this.#entryCounts.values());
 	}
 
 	/**
@@ -108,9 +111,4 @@
 
 		return rejectionPause(pauseOptions);
 	}
-
-	/** A control instance behind a cut knows only some of the entry instances, so the largest number counts. */
-	get #instanceCount(): number {
-		return Math.max(this.#ids.length + 1, ...this.#entryCounts.values());
-	}
 }
