Report to control instances also where all work ends between two reports

Cause: an instance reported only if it had work at the moment of a report. One whose requests all end within the 80 ms between two looks never reported, so that it got no digest, and nothing of its peers either, which tell no loads while they use the digest: it saw its own load only. Change: a change of the load since the last report counts as work; an idle instance falls silent after 3 s as before. Test: pool-loads.test.js, an instance whose load changes and returns to nothing before each look.

--- a/packages/gateway/src/entry/pool-loads.test.ts
+++ b/packages/gateway/src/entry/pool-loads.test.ts
@@ -6,6 +6,7 @@
 import {controlId, DigestNetwork, type TestDelivery} from './_test-digest-network.js';
 import {ignore} from './_test-run.js';
 import {PoolLoads} from './pool-loads.js';
+import {type ServerLoad} from './tracked-server.js';
 
 /** The time in which all parts of the digest have been reported once, in milliseconds. */
 const settleMilliseconds = 1500;
@@ -207,18 +208,12 @@
 	t.is(pool.slownessOf(slow), 1);
 });
 
-test('the age of the loads is never infinite when the digest expires while it is read', async t => {
-	let now = 0;
-	let step = 0;
-	const reads = () => {
-		now += step;
-		return now;
-	};
-
+/** Creates the loads of an instance whose reports are answered at once. */
+function createPool(clock: {readonly monotonic: () => number}, ownLoads: ReadonlyArray<readonly [ServerId, ServerLoad]>): PoolLoads {
 	const controls = new MessageReaders();
 	controls.record(firstControl, {canRead: true});
-	const pool = new PoolLoads({
-		clock: {monotonic: reads},
+	return new PoolLoads({
+		clock,
 		random: () => 0.5,
 		zone: 'hall-a' as ZoneId,
 		run: 'one',
@@ -227,10 +222,36 @@
 		controls,
 		exchange: {recordChange: ignore, peerLoadAt: () => 0, discardServer: ignore},
 		isLarge: () => true,
-		ownLoads: () => [['server-1' as ServerId, {reading: 100, streams: 0}]],
+		ownLoads: () => ownLoads,
 		ownLoadAt: () => undefined,
 		ask: async () => ({rows: [], held: [], age: 100}),
 	});
+}
+
+test('an instance whose requests all end between two reports has the digest', async t => {
+	let now = 0;
+	const pool = createPool({monotonic: () => now}, []);
+	pool.flush();
+	await setImmediate();
+	t.false(pool.usesDigest);
+	for (; now < 6000; now += 80) {
+		pool.recordChange(1);
+		pool.recordChange(-1);
+		pool.flush();
+		await setImmediate();
+		t.true(pool.usesDigest, `at ${now}`);
+	}
+});
+
+test('the age of the loads is never infinite when the digest expires while it is read', async t => {
+	let now = 0;
+	let step = 0;
+	const reads = () => {
+		now += step;
+		return now;
+	};
+
+	const pool = createPool({monotonic: reads}, [['server-1' as ServerId, {reading: 100, streams: 0}]]);
 	pool.flush();
 	await setImmediate();
 	now = 1400;
--- a/packages/gateway/src/entry/work-reporter.ts
+++ b/packages/gateway/src/entry/work-reporter.ts
@@ -103,7 +103,8 @@
 		}
 
 		const work = ownWork();
-		if (work.rows.length > 0 || work.held.length > 0) {
+		// Work that has come and gone since the last report counts as well.
+		if (work.rows.length > 0 || work.held.length > 0 || this.#hasChanged) {
 			this.#busyAt = now;
 		}
 
