Look up the contention of a pool only for answers that may escalate

Cause: the price of a second read was computed for each answer, also for sure ones and those of the largest or only model; it looks at all servers of the service. Change: such answers end the choice before; the choice itself stays. Test: model-cascade.test.js.

--- a/packages/gateway/src/entry/model-cascade.test.ts
+++ b/packages/gateway/src/entry/model-cascade.test.ts
@@ -112,3 +112,25 @@
 	t.is(largerFor(4000, 2), undefined);
 	t.is(largerFor(12_000, 0), undefined);
 });
+
+test('the contention of the pool is looked up for an answer only if it may escalate', t => {
+	let lookUps = 0;
+	const context = contextWith(undefined, () => {
+		lookUps++;
+		return {wait: 0, target: 3000};
+	});
+	const single = testRoute({kind: 'streaming', targetLatency: 3000, sizes: ['small'] as ModelId[]});
+	const lookUpsFor = (sizedRoute: typeof route, confidence: number | undefined): number => {
+		const models = new ModelCascade(context, {
+			route: sizedRoute, choosesModel: true, tokens: 1000, service,
+		});
+		lookUps = 0;
+		models.chooseLarger({confidence, latency: 100, age: 100});
+		return lookUps;
+	};
+
+	t.is(lookUpsFor(route, 50), 0);
+	t.is(lookUpsFor(route, undefined), 0);
+	t.is(lookUpsFor(single, 10), 0);
+	t.is(lookUpsFor(route, 49), 1);
+});
--- a/packages/gateway/src/entry/model-cascade.ts
+++ b/packages/gateway/src/entry/model-cascade.ts
@@ -140,6 +140,11 @@
 			this.#recordConfidence(confidence);
 		}
 
+		// Nothing else escalates at any price, which takes a look at all servers.
+		if (this.#current === largest || confidence === undefined || confidence >= minimumConfidence) {
+			return undefined;
+		}
+
 		return chooseNextModel({
 			sizes,
 			current: this.#current,
