Leave routes with one model out of the prompts that want the largest

Cause: the smallest model of a route with one model is also its largest, so that its unsure answers counted as prompts that want a second read; short ones made the others look long, and raised the price of their second reads under contention. Change: an answer of the largest model is no sample of escalations. Test: model-cascade.test.js. Before: a prompt of 500 ms counted as 50 times the mean after one answer of a route with one model.

--- a/packages/gateway/src/entry/model-cascade.test.ts
+++ b/packages/gateway/src/entry/model-cascade.test.ts
@@ -134,3 +134,18 @@
 	t.is(lookUpsFor(single, 10), 0);
 	t.is(lookUpsFor(route, 49), 1);
 });
+
+test('routes with one model do not count for the prompts that want the largest model', t => {
+	const context = contextWith();
+	const single = testRoute({kind: 'streaming', targetLatency: 3000, sizes: ['small'] as ModelId[]});
+	const answer = (sizedRoute: typeof route, latency: number): void => {
+		new ModelCascade(context, {
+			route: sizedRoute, choosesModel: true, tokens: 1000, service,
+		}).chooseLarger({confidence: 10, latency, age: latency});
+	};
+
+	answer(single, 10);
+	t.is(context.escalations.relativeTo(500), 1);
+	answer(route, 10);
+	t.not(context.escalations.relativeTo(500), 1);
+});
--- a/packages/gateway/src/entry/model-cascade.ts
+++ b/packages/gateway/src/entry/model-cascade.ts
@@ -136,12 +136,16 @@
 		}
 
 		latencies.record(this.#key(this.#current), {milliseconds: latency, tokens: this.#tokens});
+		if (this.#current === largest) {
+			return undefined;
+		}
+
 		if (this.#current === sizes[0]) {
 			this.#recordConfidence(confidence);
 		}
 
-		// Nothing else escalates at any price, which takes a look at all servers.
-		if (this.#current === largest || confidence === undefined || confidence >= minimumConfidence) {
+		// A sure answer escalates at no price, and the price takes a look at all servers.
+		if (confidence === undefined || confidence >= minimumConfidence) {
 			return undefined;
 		}
 
