--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -51,8 +51,8 @@
 const savedSuspectsName = 'suspects.json';
 /** A constant, so that every instance of a deployment may connect: the platform provides no shared key. */
 const peerKey = 'valehitch';
-/** The heartbeat interval of peer connections, in milliseconds. A partition is detected after three intervals, well within the time that the platform allows. */
-const pingMilliseconds = 470;
+/** The heartbeat interval of peer connections, in milliseconds. A partition is detected after three intervals, well within the time that the platform allows; an instance that pauses for less than one keeps its links. */
+const pingMilliseconds = 600;
 const headerBytes = 32_768;
 /** The margin of the lease within the revocation time, in milliseconds, for network latency of the acknowledgement and for late timers. */
 const leaseMarginMilliseconds = 500;
