Test that the head of a streamed answer gives the sample of its server

Cause: the way from a send to the sample had no test through the request run. Change: a test with two models whose calm latencies and waiting work are known. Conclusion: both sends are reported with the expected time at their send.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -19,6 +19,7 @@
 import {testLease} from './_test-lease.js';
 import {type Dialect} from './dialect.js';
 import {type EntryContext} from './entry-context.js';
+import {type SpeedReports} from './entry-servers-options.js';
 import {EntryServers} from './entry-servers.js';
 import {EntrySuspects, type EntrySuspectsOptions} from './entry-suspects.js';
 import {EvidenceCounter} from './evidence-counter.js';
@@ -83,12 +84,18 @@
 /** Sends a number of requests in sequence through an instance that knows no server until `nextServers` adds some. */
 export async function sendRequests(t: ExecutionContext, times: number, options: SendRequestsOptions) {
 	const {
-		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, promptParts = [], wait = async () => undefined, latencies, log = ignore,
+		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, promptParts = [], wait = async () => undefined, latencies, speedReports, log = ignore,
 		checkProcess = async () => 'running', areServersReachable = true, prepare = ignore,
 	} = options;
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({
-		zone: 'hall-a' as ZoneId, startedAt: clock.monotonic() - uptimeMilliseconds, random: () => 0.5, loads: {peerLoadAt: () => 0, recordChange: ignore, discardServer: ignore}, onReplaced: ignore,
+		zone: 'hall-a' as ZoneId,
+		startedAt: clock.monotonic() - uptimeMilliseconds,
+		random: () => 0.5,
+		loads: {
+			peerLoadAt: () => 0, recordChange: ignore, discardServer: ignore, ...speedReports,
+		},
+		onReplaced: ignore,
 	});
 	const lease = testLease({duration: 60_000});
 	lease.confirm(clock.monotonic());
@@ -175,6 +182,8 @@
 	readonly wait?: EntryContext['wait'];
 	/** The known latencies; none by default. */
 	readonly latencies?: LatencyEstimator;
+	/** The speeds of servers as all entry instances observe them; not known by default. */
+	readonly speedReports?: SpeedReports;
 	/** Checks the process of a server; by default all of them run. */
 	readonly checkProcess?: EntrySuspectsOptions['checkProcess'];
 	/** Whether trial connections to servers succeed; true by default. */
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -353,3 +353,29 @@
 	});
 	t.deepEqual(evidence.map(({answers, failures}) => [answers, failures]), [[1, 0]]);
 });
+
+test('the head of a streamed answer tells the time to the first event beside the one that was expected at the send', async t => {
+	const port = await listenForModels(t, (_message, response) => {
+		response.end('id: 1\ndata: large\n\n');
+	});
+	const latencies = new LatencyEstimator({monotonic: () => performance.now()});
+	latencies.record(`${modelRoute.id} small`, {milliseconds: 100, tokens: 1000});
+	latencies.record(`${modelRoute.id} large`, {milliseconds: 300, tokens: 1000});
+	const expected: number[] = [];
+	await sendRequests(t, 1, {
+		route: modelRoute,
+		inputTokens: 1000,
+		latencies,
+		speedReports: {
+			workAt: () => ({reading: 250, streams: 1, slowness: 2}),
+			recordSample(_server, sample) {
+				expected.push(sample.expected);
+				t.true(sample.observed >= 0);
+			},
+		},
+		nextServers(known) {
+			known.applyRecords([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual(expected.map(milliseconds => Math.round(milliseconds)), [350, 550]);
+});
