--- a/packages/gateway/src/configuration/route-table.test.ts
+++ b/packages/gateway/src/configuration/route-table.test.ts
@@ -40,3 +40,14 @@
 	t.deepEqual(table.routesWithModels('labels' as never), [prompts]);
 	t.deepEqual(table.routesWithModels('other' as never), []);
 });
+
+test('workspaces of the same priority leave the urgency to the routes, and a less urgent workspace comes after all of them', t => {
+	const routes = [testRoute({priority: 0}), testRoute({id: 'patient' as never, pathPrefix: '/patient/', priority: 2})];
+	const same = {priority: 1};
+	const later = {priority: 2};
+	const table = new RouteTable({...testConfiguration({routes}), workspaces: [{id: 'mills' as never, keys: [], ...same}, {id: 'offices' as never, keys: [], ...later}]});
+	t.deepEqual(routes.map(route => table.urgencyOf(route, same)), [0, 2]);
+	t.deepEqual(routes.map(route => table.urgencyOf(route, later)), [3, 5]);
+	t.deepEqual(routes.map(route => table.urgencyOf(route, undefined)), [0, 2]);
+	t.deepEqual(routes.map(route => new RouteTable(testConfiguration({routes})).urgencyOf(route, undefined)), [0, 2]);
+});
--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -24,11 +24,17 @@
 	readonly #services = new Map<ServiceId, BackendService>();
 	/** The shortest target latency of the routes that choose among models of each service. */
 	readonly #modelTargets = new Map<ServiceId, number>();
+	/** The most urgent priority of the workspaces that have one. */
+	readonly #urgentWorkspacePriority: number;
+	/** The number of urgencies of the routes within one priority of workspaces. */
+	readonly #routeUrgencies: number;
 
 	constructor({version, routes, services, limits, workspaces}: RoutingConfiguration) {
 		this.version = version;
 		this.limits = limits;
 		this.needsKeys = workspaces !== undefined;
+		this.#urgentWorkspacePriority = Math.min(...(workspaces ?? []).map(({priority}) => priority ?? Number.POSITIVE_INFINITY));
+		this.#routeUrgencies = 1 + Math.max(0, ...routes.map(({priority}) => priority));
 		for (const service of services) {
 			this.#services.set(service.id, service);
 		}
@@ -99,6 +105,18 @@
 		return this.#services.get(id);
 	}
 
+	/**
+	Ranks a request among all requests: by the priority of its workspace, and among workspaces of the same priority by that of its route.
+
+	@param route The route.
+	@param workspace The workspace; undefined if the request has none.
+	@returns The urgency; a request of the most urgent workspaces has the priority of its route, and a lower number is more urgent.
+	*/
+	urgencyOf({priority}: Pick<Route, 'priority'>, workspace: Pick<WorkspaceAccess, 'priority'> | undefined): number {
+		const levels = workspace?.priority === undefined ? 0 : workspace.priority - this.#urgentWorkspacePriority;
+		return (levels * this.#routeUrgencies) + priority;
+	}
+
 	/**
 	Finds the shortest target latency of the routes that choose among the models of a service.
 
--- a/packages/gateway/src/entry/run-admission.ts
+++ b/packages/gateway/src/entry/run-admission.ts
@@ -29,11 +29,11 @@
 ```
 */
 export class RunAdmission {
-	readonly #context: Pick<EntryContext, 'admission' | 'latencies'>;
+	readonly #context: Pick<EntryContext, 'admission' | 'latencies' | 'table'>;
 	readonly #options: RunAdmissionOptions;
 	readonly #ended = new AbortController();
 
-	constructor(context: Pick<EntryContext, 'admission' | 'latencies'>, options: RunAdmissionOptions) {
+	constructor(context: Pick<EntryContext, 'admission' | 'latencies' | 'table'>, options: RunAdmissionOptions) {
 		this.#context = context;
 		this.#options = options;
 	}
@@ -68,7 +68,7 @@
 		return {
 			request: request.id,
 			service,
-			priority: workspace?.priority ?? route.priority,
+			priority: this.#context.table()?.urgencyOf(route, workspace) ?? route.priority,
 			workspace: workspace?.id,
 			work: promptWork(this.#context.latencies, {route, model: models.current, tokens: request.inputTokens}),
 			targetLatency: route.targetLatency,
