--- a/packages/routing/src/server-speed-estimator.ts
+++ b/packages/routing/src/server-speed-estimator.ts
@@ -157,7 +157,17 @@
 		const homeStep = Math.round(stepsOf(speed));
 		const result = {speed, homeSpeed: speedAtStep(homeStep)};
 		this.#estimates.set(server, {
-			startedAt: now, updatedAt: now, momentarySpeed: speed, lastingSpeed: speed, slowSince: undefined, homeStep, slowness, unchangedSince: now, ownObserved: 0, ownExpected: 0, result,
+			startedAt: now,
+			updatedAt: now,
+			momentarySpeed: speed,
+			lastingSpeed: speed,
+			slowSince: undefined,
+			homeStep,
+			slowness,
+			unchangedSince: now,
+			ownObserved: 0,
+			ownExpected: 0,
+			result,
 		});
 		return result;
 	}
