--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -164,6 +164,7 @@
 			budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
 			admission: new RequestAdmission({
 				...options,
+				notes,
 				availability: servers.availability,
 				picture: () => this.#poolLoads.picture(),
 				table: () => this.#table,
--- a/packages/gateway/src/entry/request-admission.test.ts
+++ b/packages/gateway/src/entry/request-admission.test.ts
@@ -1,7 +1,7 @@
 import {
 	type ServiceId, toId, type WorkspaceId,
 } from '@valehitch/core';
-import {noPicture, type PoolPicture} from '@valehitch/routing';
+import {DecisionNotes, noPicture, type PoolPicture} from '@valehitch/routing';
 import test from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
@@ -21,6 +21,7 @@
 function newAdmission(picture: (now: number) => PoolPicture) {
 	const state = {now: 0, endsAt: undefined as number | undefined, lines: [] as Array<readonly [string, Readonly<Record<string, unknown>>]>};
 	const metrics = createGatewayMetrics();
+	const notes = new DecisionNotes();
 	const admission = new RequestAdmission({
 		clock: {monotonic: () => state.now},
 		random: () => 0.5,
@@ -28,6 +29,7 @@
 			state.lines.push([kind, fields]);
 		},
 		metrics,
+		notes,
 		availability: {available: [server]},
 		picture: () => picture(state.now),
 		table: () => ({routesWithModels: () => [urgent, patient]}),
@@ -36,7 +38,9 @@
 		},
 		endsAt: () => state.endsAt,
 	});
-	return {admission, state, metrics};
+	return {
+		admission, state, metrics, notes,
+	};
 }
 
 function candidateOf(changes: Partial<AdmissionCandidate> = {}): AdmissionCandidate {
@@ -127,3 +131,22 @@
 	// (1500 ms beyond the bound + 200 ms of its own) / 1 server, longer by a quarter.
 	t.is(newAdmission(() => pictureOf(2000)).admission.retryAfter(candidateOf()), 2125);
 });
+
+test('an operator sees why a request was held or rejected, and what was lacking', async t => {
+	const {admission, state, notes} = newAdmission(now => pictureOf(now < 400 ? 2000 : 100));
+	await admission.admit(candidateOf());
+	const {now} = state;
+	t.deepEqual(notes.get('a1'), [{
+		at: 0, kind: 'held', facts: {
+			service, priority: 2, work: 200, wait: 2000, bound: 500, room: 0, heldHere: 0, heldByOthers: 0,
+		},
+	}, {at: now, kind: 'released', facts: {reason: 'room', heldMilliseconds: now}}]);
+
+	const rejecting = newAdmission(() => pictureOf(9000));
+	await rejecting.admission.admit(candidateOf({deadlineAt: 6000}));
+	t.deepEqual(rejecting.notes.get('a1'), [{
+		at: 0, kind: 'rejected', facts: {
+			service, priority: 2, work: 200, workBefore: 8500, overrun: 3200, retryAfterMilliseconds: 1666,
+		},
+	}]);
+});
--- a/packages/gateway/src/entry/request-admission.ts
+++ b/packages/gateway/src/entry/request-admission.ts
@@ -2,7 +2,8 @@
 	type Clock, type Failure, failure, type RandomSource, type RequestId, type ServiceId, toId,
 } from '@valehitch/core';
 import {
-	type ContentionDecision, type ContentionPool, contentionPool, ContentionQueue, type ContentionRequest, type HeldWork, type PoolPicture, releaseIntervalMilliseconds, type ReleaseReason,
+	type ContentionDecision, type ContentionPool, contentionPool, ContentionQueue, type ContentionRequest, type DecisionNotes, type HeldWork,
+	type HoldGrounds, type PoolPicture, releaseIntervalMilliseconds, type ReleaseReason,
 } from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
 import {type DecisionLog} from '../logs/decision-log.js';
@@ -23,6 +24,8 @@
 	readonly clock: Pick<Clock, 'monotonic'>;
 	readonly random: RandomSource;
 	readonly log: DecisionLog;
+	/** Where holds and rejections are noted for operators. */
+	readonly notes: Pick<DecisionNotes, 'record'>;
 	readonly metrics: Pick<GatewayMetrics, 'heldRequests' | 'releases' | 'holdTime' | 'rejections'>;
 	readonly availability: Pick<ServerAvailability, 'available'>;
 	/** Returns the load of the servers over all entry instances. */
@@ -103,6 +106,7 @@
 		}
 
 		if (decision.type === 'held') {
+			this.#noteHold(candidate, {now, grounds: decision});
 			await this.#hold(id, {candidate, heldAt: now});
 		}
 
@@ -121,6 +125,15 @@
 		return this.#queueOf(service).retryAfter({...candidate, id}, {now: this.#options.clock.monotonic(), pool: this.#poolOf(service)});
 	}
 
+	#noteHold({request, service, priority, work}: AdmissionCandidate, {now, grounds}: {readonly now: number; readonly grounds: HoldGrounds}): void {
+		const {wait, bound, room, heldHere, heldByOthers} = grounds;
+		this.#options.notes.record(request, {
+			at: now, kind: 'held', facts: {
+				service, priority, work, wait, bound, room, heldHere, heldByOthers,
+			},
+		});
+	}
+
 	async #hold(id: RequestId, hold: Omit<Hold, 'finish'>): Promise<void> {
 		const {candidate: {service, ended}} = hold;
 		const onEnded = (): void => {
@@ -171,9 +184,10 @@
 			return;
 		}
 
-		const {metrics, log, clock} = this.#options;
+		const {metrics, log, notes, clock} = this.#options;
 		const {candidate: {request, service, priority, work}, heldAt, finish} = hold;
-		const milliseconds = clock.monotonic() - heldAt;
+		const now = clock.monotonic();
+		const milliseconds = now - heldAt;
 		this.#holds.delete(id);
 		metrics.heldRequests.set(this.#holds.size);
 		metrics.releases.inc({reason});
@@ -181,15 +195,21 @@
 		log('request-held', {
 			request, service, priority, work: Math.round(work), held: Math.round(milliseconds), reason,
 		});
+		notes.record(request, {at: now, kind: 'released', facts: {reason, heldMilliseconds: milliseconds}});
 		finish();
 	}
 
 	#reject({request, service, priority, work}: AdmissionCandidate, {retryAfterMilliseconds, workBefore, overrun}: Extract<ContentionDecision, {type: 'rejected'}>): Failure {
-		const {metrics, log} = this.#options;
+		const {metrics, log, notes, clock} = this.#options;
 		metrics.rejections.inc();
 		log('request-rejected', {
 			request, service, priority, work: Math.round(work), workBefore: Math.round(workBefore), overrun: Math.round(overrun), retryAfter: retryAfterMilliseconds,
 		}, 'warn');
+		notes.record(request, {
+			at: clock.monotonic(), kind: 'rejected', facts: {
+				service, priority, work, workBefore, overrun, retryAfterMilliseconds,
+			},
+		});
 		const message = `All servers of ${service} are busy for ${Math.ceil(overrun)} ms longer than the deadline of the request allows`;
 		return failure('overloaded', message, {retryAfterMilliseconds});
 	}
--- a/packages/routing/src/contention-queue.ts
+++ b/packages/routing/src/contention-queue.ts
@@ -1,7 +1,9 @@
 import {type RandomSource, type RequestId} from '@valehitch/core';
 import {atLeast, boundedRequest, minimumWork} from './_bounded-request.js';
 import {type ContentionPool} from './contention-pool.js';
-import {type ContentionDecision, type ContentionRequest, type ReleasedRequest} from './contention-request.js';
+import {
+	type ContentionDecision, type ContentionRequest, type HoldGrounds, type ReleasedRequest,
+} from './contention-request.js';
 import {HeldPriority} from './_held-priority.js';
 import {
 	expectedWait, roomBelow, shortestWait, workAbove,
@@ -113,8 +115,9 @@
 			return {type: 'send'};
 		}
 
+		const grounds = this.#groundsOf(request, {wait, pool});
 		this.#priorityOf(request.priority).add(request);
-		return {type: 'held'};
+		return {type: 'held', ...grounds};
 	}
 
 	/**
@@ -175,6 +178,13 @@
 		return heldByOthers === 0 || heldByOthers < roomBelow(pool.servers, bound);
 	}
 
+	#groundsOf({priority}: ContentionRequest, {wait, pool}: {readonly wait: number; readonly pool: ContentionPool}): HoldGrounds {
+		const bound = this.#boundOf(pool);
+		return {
+			wait, bound, room: roomBelow(pool.servers, bound), heldHere: this.#heldBefore(priority), heldByOthers: sumOf(pool.heldByOthers, priority),
+		};
+	}
+
 	/** Releases at this instance's share of the rate that keeps the waits at the bound, the most urgent requests first. */
 	#releaseIntoRoom(pool: ContentionPool, now: number): readonly ReleasedRequest[] {
 		const released: ReleasedRequest[] = [];
--- a/packages/routing/src/contention-request.ts
+++ b/packages/routing/src/contention-request.ts
@@ -18,10 +18,24 @@
 	readonly deadlineAt: number;
 };
 
+/** What was lacking when a request was held. */
+export type HoldGrounds = {
+	/** The expected wait at the servers, in milliseconds. */
+	readonly wait: number;
+	/** The wait up to which servers have room, in milliseconds. */
+	readonly bound: number;
+	/** What fits in at all servers below that wait, in milliseconds at a server of mean speed. */
+	readonly room: number;
+	/** The work of the same or a more urgent priority that this instance held already, in milliseconds at a server of mean speed. */
+	readonly heldHere: number;
+	/** The same of the other instances. */
+	readonly heldByOthers: number;
+};
+
 /** What becomes of a request that enters a contention queue. */
 export type ContentionDecision
 	= | {readonly type: 'send'}
-		| {readonly type: 'held'}
+		| ({readonly type: 'held'} & HoldGrounds)
 		| {
 			readonly type: 'rejected';
 			/** The time until there is room for the request, in milliseconds. */
--- a/packages/routing/src/decision-notes.ts
+++ b/packages/routing/src/decision-notes.ts
@@ -5,7 +5,7 @@
 export type DecisionNote = {
 	/** Milliseconds on the monotonic clock. */
 	readonly at: number;
-	/** What was decided: `chosen` or `no-server` by the choice of a server, `held` or `rejected` by a queue, or how the request ended, such as `refused`. */
+	/** What was decided: `chosen` or `no-server` by the choice of a server, `held`, `released` or `rejected` by a queue, or how the request ended, such as `refused`. */
 	readonly kind: string;
 	readonly model?: ModelId | undefined;
 	/** The server that was chosen. */
--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -45,6 +45,8 @@
 	/** The ids of the parts of its prompt, in order. */
 	readonly promptParts: readonly string[];
 	readonly server: string;
+	/** Aborted when the connection closes before the response is complete. */
+	readonly ended: AbortSignal;
 };
 
 /** Options of `FakeBackendServer`. */
@@ -57,7 +59,8 @@
 	readonly slots?: number;
 	/** The availability zone; `hall-a` by default. */
 	readonly zone?: string;
-	readonly answer: (run: ExecutedRequest) => FakeBackendResponse;
+	/** Returns the response, or a promise of it, before which nothing is sent. */
+	readonly answer: (run: ExecutedRequest) => FakeBackendResponse | Promise<FakeBackendResponse>;
 	/** Returns the headers by which the server says what it can take, added to each response; none by default. */
 	readonly notices?: () => Readonly<Record<string, string>>;
 	/** The port to listen on; a free port by default. */
@@ -158,6 +161,12 @@
 			return;
 		}
 
+		const ended = new AbortController();
+		response.on('close', () => {
+			if (!response.writableFinished) {
+				ended.abort();
+			}
+		});
 		const run: ExecutedRequest = {
 			id: String(headers['attempt-id']),
 			model: firstValueOf(headers.model),
@@ -166,6 +175,7 @@
 			path: url,
 			promptParts: (firstValueOf(headers['prompt-prefix']) ?? '').split(',').map(part => part.split(':')[0]!.trim()),
 			server: this.#options.id,
+			ended: ended.signal,
 		};
 		await this.#respond(run, response);
 	}
@@ -173,7 +183,10 @@
 	async #respond(run: ExecutedRequest, response: ServerResponse): Promise<void> {
 		this.arrivals.push(performance.now());
 		const notices = this.#options.notices?.() ?? {};
-		const {status = 200, confidence, events = ['done'], firstEventDelay, gap = 0, breakAfter, isUnframed = false, truncation, isNotExecuted = false} = this.#options.answer(run);
+		const answer = this.#options.answer(run);
+		const {
+			status = 200, confidence, events = ['done'], firstEventDelay, gap = 0, breakAfter, isUnframed = false, truncation, isNotExecuted = false,
+		} = answer instanceof Promise ? await answer : answer;
 		if (isNotExecuted) {
 			response.writeHead(503, {'Not-Executed': '1', ...notices});
 			response.end();
@@ -181,10 +194,8 @@
 		}
 
 		this.runs.push(run);
-		response.on('close', () => {
-			if (!response.writableFinished) {
-				this.abortedRequests.push(run.id);
-			}
+		run.ended.addEventListener('abort', () => {
+			this.abortedRequests.push(run.id);
 		});
 		const isStream = run.model !== undefined;
 		if (isUnframed) {
@@ -286,6 +297,8 @@
 	readonly retryAfter: string | undefined;
 	/** Whether the body was received completely. */
 	readonly isComplete: boolean;
+	/** The time to the first byte of the body, in milliseconds; undefined if there is none. */
+	readonly firstByteAfter: number | undefined;
 };
 
 /**
@@ -296,15 +309,18 @@
 */
 export async function sendForResponse({method, address, path, body, headers, agent, timeout}: InstanceRequest & {readonly headers: Readonly<Record<string, string>>}): Promise<ReceivedResponse> {
 	const [host, port] = address.split(':');
+	const startedAt = performance.now();
 	return new Promise(resolve => {
 		const payload = body === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(body));
 		const outgoing = request({
 			host, port, method, path, agent: agent ?? false, headers: {'Content-Length': payload.byteLength, ...headers},
 		}, message => {
 			let text = '';
+			let firstByteAfter: number | undefined;
 			message.setEncoding('utf8');
 			message.on('data', (chunk: string) => {
 				text += chunk;
+				firstByteAfter ??= performance.now() - startedAt;
 			});
 			message.on('error', () => {
 				// The close event follows, and `message.complete` then shows that the body is incomplete.
@@ -312,7 +328,7 @@
 			message.on('close', () => {
 				clearTimeout(timer);
 				resolve({
-					status: message.statusCode ?? 0, text, retryAfter: message.headers['retry-after'], isComplete: message.complete,
+					status: message.statusCode ?? 0, text, retryAfter: message.headers['retry-after'], isComplete: message.complete, firstByteAfter,
 				});
 			});
 		});
@@ -324,7 +340,7 @@
 		outgoing.on('error', () => {
 			clearTimeout(timer);
 			resolve({
-				status: 0, text: '', retryAfter: undefined, isComplete: false,
+				status: 0, text: '', retryAfter: undefined, isComplete: false, firstByteAfter: undefined,
 			});
 		});
 		outgoing.end(payload);
