--- a/packages/gateway/src/entry/entry-servers-options.ts
+++ b/packages/gateway/src/entry/entry-servers-options.ts
@@ -1,10 +1,22 @@
 import {
-	type InstanceId, type RandomSource, type ServiceId, type ZoneId,
+	type InstanceId, type RandomSource, type ServerId, type ServiceId, type ZoneId,
 } from '@valehitch/core';
-import {type DecisionNotes} from '@valehitch/routing';
+import {type DecisionNotes, type PoolPicture, type SpeedSample} from '@valehitch/routing';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type LoadExchange} from './load-exchange.js';
 
+/** The speeds of servers as all entry instances observe them; without them, servers count by their slots. */
+export type SpeedReports = {
+	/** Reports the times to a first event to the other entry instances. */
+	readonly recordSample?: (server: ServerId, sample: SpeedSample) => void;
+	/** Returns the observed over the expected times to the first event; undefined if they are not known now. */
+	readonly slownessOf?: (server: ServerId) => number | undefined;
+	/** Returns the work of all entry instances at a server. */
+	readonly workAt?: PoolPicture['workAt'];
+	/** The age of the loads of other instances, in milliseconds; 0 by default. */
+	readonly othersAge?: number;
+};
+
 /** Options of {@linkcode EntryServers}. */
 export type EntryServersOptions = {
 	readonly zone: ZoneId;
@@ -20,10 +32,7 @@
 	/** Where choices of servers are noted; by default, they are not. */
 	readonly notes?: DecisionNotes | undefined;
 	/** The loads of the other entry instances at each server. */
-	readonly loads: Pick<LoadExchange, 'peerLoadAt' | 'recordChange' | 'discardServer'> & {
-		/** The age of these loads, in milliseconds; 0 by default. */
-		readonly othersAge?: number;
-	};
+	readonly loads: Pick<LoadExchange, 'peerLoadAt' | 'recordChange' | 'discardServer'> & SpeedReports;
 	/** Called when a control instance sends a record that is older than the known state of the process. */
 	readonly onOutdated?: (record: ServerRecord, options: {readonly held: ServerRecord; readonly source: InstanceId}) => void;
 	/** Called when a process is replaced by another one with the same address or id. */
@@ -45,7 +54,7 @@
 	/** The load of the request until its answer starts, in units of a short request. */
 	readonly load: number;
 	/** The time that a server of mean speed takes to process the prompt, in milliseconds; by default that of the load. */
-	readonly reading?: number;
+	readonly reading?: number | undefined;
 	/** Milliseconds on the monotonic clock. */
 	readonly now: number;
 };
