--- a/packages/testing/src/hard-load.test.ts
+++ b/packages/testing/src/hard-load.test.ts
@@ -42,6 +42,8 @@
 const timeoutMilliseconds = 30_000;
 /** Enough requests for each entry instance to know the times of both kinds. */
 const warmUpMilliseconds = 6000;
+/** The share of the requests that must get their first event within their target where the servers are not overloaded. */
+const shareInTime = 0.95;
 const sampleMilliseconds = 25;
 
 const configuration = {
@@ -105,7 +107,7 @@
 	return log.split('\n').filter(line => line.includes(`"${kind}"`)).flatMap(line => /"request":"([^"]+)"/v.exec(line)?.[1] ?? []);
 }
 
-test.serial('no request fails at 0.8 of the rate of servers of three speeds, from ten entry instances', async t => {
+test.serial('no request fails and 0.95 get their first event in time at 0.8 of the rate of servers of three speeds, from ten entry instances', async t => {
 	const speeds = [0.7, 0.7, 1, 1, 1.7, 1.7];
 	const {servers, send} = await start(t, speeds);
 	const backlogs = servers.map(() => 0);
@@ -119,8 +121,10 @@
 	const callers = await send({...queries, tokens: 1600}, {perSecond: 81, duration: 12_000});
 	clearInterval(timer);
 	const means = backlogs.map(sum => Math.round(sum / samples));
-	t.log(`mean backlogs at speeds ${speeds.join(', ')}: ${means.join(', ')} ms; ${callers.filter(caller => isServed(caller)).length} of ${callers.length} served`);
-	t.true(callers.every(caller => isServed(caller)));
+	const served = callers.filter(caller => isServed(caller)).length;
+	t.log(`mean backlogs at speeds ${speeds.join(', ')}: ${means.join(', ')} ms; ${served} of ${callers.length} served, ${countInTime(callers, queries)} in time`);
+	t.is(served, callers.length);
+	t.true(countInTime(callers, queries) >= shareInTime * callers.length, `${countInTime(callers, queries)} of ${callers.length} in time`);
 });
 
 test.serial('each request of a burst of patient ones at twice the rate is answered once, and an operator sees why one was held, from ten entry instances', async t => {
