--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -393,6 +393,29 @@
 	t.deepEqual([rejected.answers[0]?.text, rejected.sends.length], ['overloaded', 0]);
 });
 
+test('servers are told the urgency of the route where no workspace is less urgent than another', async t => {
+	const urgencies: Array<number | undefined> = [];
+	const port = await listenForModels(t, (_message, response) => {
+		response.end('id: 1\ndata: large\n\n');
+	});
+	await sendRequests(t, 1, {
+		route: {...modelRoute, priority: 0},
+		nextServers(known) {
+			known.applyRecords([testServer({port})], {source: control, now: performance.now()});
+		},
+		prepare({dialect}) {
+			const {sendHeaders} = dialect;
+			Object.assign(dialect, {
+				sendHeaders(...[request, metadata]: Parameters<typeof sendHeaders>) {
+					urgencies.push(metadata.urgency);
+					return sendHeaders(request, metadata);
+				},
+			});
+		},
+	});
+	t.deepEqual(urgencies, [0, 0]);
+});
+
 test('a request without a choice of models is not subject to admission', async t => {
 	const {answers, candidates} = await sendThroughAdmission(t, async () => failure('overloaded', 'All servers are busy'), testRoute({timeout: 8000}));
 	t.deepEqual([answers[0]?.status, candidates.length], [200, 0]);
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -66,7 +66,7 @@
 			model: models.current,
 			timeout: Math.max(1, Math.floor(deadlineAt - sentAt - returnMilliseconds)),
 			workspace: workspace?.id,
-			urgency: Math.min(maximumUrgency, workspace?.priority ?? route.priority),
+			urgency: Math.min(maximumUrgency, context.table()?.urgencyOf(route, workspace) ?? route.priority),
 			lastEventId,
 			keepsConnection: allowance.isRepeatable,
 		}),
