--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,9 +1,9 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
-import {type InstanceId, type ServiceId, SuspensionDetector} from '@valehitch/core';
+import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
 import {abortResponse, whenResponseCloses} from '@valehitch/transport';
 import {
-	DecisionNotes, HeldMemory, predictPoolWait, WindowedRetryBudget,
+	DecisionNotes, HeldMemory, WindowedRetryBudget,
 } from '@valehitch/routing';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
@@ -23,13 +23,14 @@
 import {type EntryInstanceOptions} from './entry-instance-options.js';
 import {EntryServers} from './entry-servers.js';
 import {EntrySuspects} from './entry-suspects.js';
-import {EscalationDemand, type PoolContention} from './escalation-demand.js';
+import {EscalationDemand} from './escalation-demand.js';
 import {EvidenceCounter} from './evidence-counter.js';
 import {handleRequest} from './handle-request.js';
 import {closeIdleConnections} from './connection-pool.js';
 import {KnownPeers} from './known-peers.js';
 import {LatencyEstimator} from './latency-estimator.js';
 import {LoadExchange} from './load-exchange.js';
+import {poolContention} from './pool-contention.js';
 import {PoolLoads} from './pool-loads.js';
 import {RepeatTracker} from './repeat-tracker.js';
 import {RequestAdmission} from './request-admission.js';
@@ -171,7 +172,9 @@
 				endsAt: () => this.#endsAt,
 			}),
 			latencies: new LatencyEstimator(clock),
-			escalations: new EscalationDemand({contentionAt: service => this.#contentionAt(service)}),
+			escalations: new EscalationDemand({
+				contentionAt: service => poolContention(service, {picture: this.#poolLoads.picture(), table: this.#table, availability: servers.availability}),
+			}),
 			pins: new VersionPins(options),
 			repeats: new RepeatTracker(),
 			evidence: new EvidenceCounter({entry: self, run}),
@@ -378,17 +381,6 @@
 		}
 	}
 
-	#contentionAt(service: ServiceId): PoolContention {
-		const target = this.#table?.findModelTarget(service) ?? Number.POSITIVE_INFINITY;
-		const picture = this.#poolLoads.picture();
-		if (!Number.isFinite(picture.age)) {
-			return {wait: 0, target};
-		}
-
-		const servers = this.#context.servers.availability.available.filter(server => server.service === service);
-		return {wait: predictPoolWait(picture, servers.map(({id}) => id)), target};
-	}
-
 	#adoptConfiguration(document: string, source: InstanceId): void {
 		const parsed = this.#options.parse(document);
 		parsed.caseOf({
--- a/packages/gateway/src/entry/escalation-demand.ts
+++ b/packages/gateway/src/entry/escalation-demand.ts
@@ -1,14 +1,7 @@
 import {LruMap, type ServiceId} from '@valehitch/core';
 import {ConfidenceDistribution} from '@valehitch/routing';
 import {type RouteId} from '../configuration/routing-configuration.js';
-
-/** The wait at the servers of a service, and what it is measured by. */
-export type PoolContention = {
-	/** The predicted wait, in milliseconds; 0 without a picture of the pool. */
-	readonly wait: number;
-	/** The shortest target latency of the routes that use models of the service, in milliseconds. */
-	readonly target: number;
-};
+import {type PoolContention} from './pool-contention.js';
 
 /** What is known of the escalations of a route. */
 export type RouteEscalations = {
