Tell servers the rank of requests only where the load of the pool is known

Change: without a picture of the pool servers are told the priority of the workspace as before; the test plays both.

--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {failure, type ModelId, type ServerId} from '@valehitch/core';
+import {type PoolPicture} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
 import {testServer} from '../servers/_test-server.js';
@@ -393,7 +394,8 @@
 	t.deepEqual([rejected.answers[0]?.text, rejected.sends.length], ['overloaded', 0]);
 });
 
-test('servers are told the urgency of the route where no workspace is less urgent than another', async t => {
+/** Sends a request of an urgent route whose workspace has the priority 1, and returns the urgencies that its servers are told. */
+async function urgenciesTold(t: ExecutionContext, age: number): Promise<ReadonlyArray<number | undefined>> {
 	const urgencies: Array<number | undefined> = [];
 	const port = await listenForModels(t, (_message, response) => {
 		response.end('id: 1\ndata: large\n\n');
@@ -403,8 +405,9 @@
 		nextServers(known) {
 			known.applyRecords([testServer({port})], {source: control, now: performance.now()});
 		},
-		prepare({dialect}) {
+		prepare({dialect, poolLoads}) {
 			const {sendHeaders} = dialect;
+			Object.assign(poolLoads, {picture: (): PoolPicture => ({age, workAt: () => undefined, heldByOthers: []})});
 			Object.assign(dialect, {
 				sendHeaders(...[request, metadata]: Parameters<typeof sendHeaders>) {
 					urgencies.push(metadata.urgency);
@@ -413,7 +416,12 @@
 			});
 		},
 	});
-	t.deepEqual(urgencies, [0, 0]);
+	return urgencies;
+}
+
+test('servers are told the urgency of the route among equal workspaces, and of the workspace while the load of the pool is not known', async t => {
+	t.deepEqual(await urgenciesTold(t, 200), [0, 0]);
+	t.deepEqual(await urgenciesTold(t, Number.POSITIVE_INFINITY), [1, 1]);
 });
 
 test('a request without a choice of models is not subject to admission', async t => {
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -66,7 +66,7 @@
 			model: models.current,
 			timeout: Math.max(1, Math.floor(deadlineAt - sentAt - returnMilliseconds)),
 			workspace: workspace?.id,
-			urgency: Math.min(maximumUrgency, context.table()?.urgencyOf(route, workspace) ?? route.priority),
+			urgency: Math.min(maximumUrgency, urgencyOf(options, context)),
 			lastEventId,
 			keepsConnection: allowance.isRepeatable,
 		}),
@@ -95,6 +95,12 @@
 	return attempt;
 }
 
+/** Returns the rank of the request by workspace and route where the load of the pool is known and requests compete by rank; otherwise the priority of its workspace replaces that of its route. */
+function urgencyOf({authorized: {route, workspace}}: StartSendOptions, {table, poolLoads}: Pick<EntryContext, 'table' | 'poolLoads'>): number {
+	const rank = Number.isFinite(poolLoads.picture().age) ? table()?.urgencyOf(route, workspace) : undefined;
+	return rank ?? workspace?.priority ?? route.priority;
+}
+
 /** Returns the timeouts for the head of the answer; undefined for the last allowed send, which may take until the caller's deadline. */
 function headTimeoutsOf(
 	{server, relay, authorized: {route: {targetLatency}}, models, allowance}: StartSendOptions,
