--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -31,7 +31,7 @@
 const loadBound = 1.5;
 /** The number of servers that are sampled and compared. Since the loads of all instances are known, a larger sample costs only the comparison. */
 const sampleCount = 4;
-/** The load that arrives at a server in a millisecond at most: a busy server processes one unit in 100 ms, and the expected times that are counted include the wait, up to twice as long as the processing. */
+/** The load that arrives at a server in a millisecond at most: a busy server processes one unit in 100 ms, and in a burst three times as much arrives. */
 const arrivalRate = 0.03;
 /** How much busier the local zone must be, as a share of its slots, before servers of another zone are used. */
 const zonePenalty = 0.1;
