State the age limit of pictures and the routes with models once

Cause: the age from which a picture counts as none stood twice with one meaning, and the routing table went through the routes with models in two loops. Change: one constant and one loop; a comment names the step of a backend server by the house's word.

--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -50,12 +50,7 @@
 			this.#routes.set(host, [...this.#routes.get(host) ?? [], route]);
 			for (const {service} of route.sizes.length > 0 ? route.services : []) {
 				this.#routesWithModels.set(service, [...this.#routesWithModels.get(service) ?? [], route]);
-			}
-		}
-
-		for (const {sizes, targetLatency, services: weighted} of routes) {
-			for (const {service} of sizes.length === 0 ? [] : weighted) {
-				this.#modelTargets.set(service, Math.min(targetLatency, this.#modelTargets.get(service) ?? targetLatency));
+				this.#modelTargets.set(service, Math.min(route.targetLatency, this.#modelTargets.get(service) ?? route.targetLatency));
 			}
 		}
 
--- a/packages/routing/src/_bounded-request.ts
+++ b/packages/routing/src/_bounded-request.ts
@@ -2,7 +2,7 @@
 
 /** The priority of a request whose own cannot be read: the least urgent one. */
 const leastUrgentPriority = 9;
-/** The least work of a prompt, in milliseconds: that of the fixed part of each engine step. */
+/** The least work of a prompt, in milliseconds: that of the fixed part of each step of a backend server. */
 export const minimumWork = 5;
 
 /** Bounds what a caller claims, so that a false claim delays its own requests only. A prompt that takes longer than the target latency counts as one that takes as long. */
--- a/packages/routing/src/predict-pool-wait.ts
+++ b/packages/routing/src/predict-pool-wait.ts
@@ -1,9 +1,7 @@
 import {type ServerId} from '@valehitch/core';
+import {maximumPictureAge} from './contention-pool.js';
 import {type PoolPicture} from './pool-picture.js';
 
-/** The age from which a picture says too little of the load, in milliseconds. */
-const maximumAgeMilliseconds = 1500;
-
 /**
 Predicts how long a request waits at the servers of a pool before its prompt is processed.
 
@@ -16,7 +14,7 @@
 ```
 */
 export function predictPoolWait(picture: PoolPicture | undefined, servers: readonly ServerId[]): number {
-	if (picture === undefined || picture.age > maximumAgeMilliseconds) {
+	if (picture === undefined || picture.age > maximumPictureAge) {
 		return 0;
 	}
 
