gateway: create the context of an entry instance in a file of its own

Change: the context and the suspects' reporter are created in create-entry-context.ts, the responses in progress are a class of their own; nothing is decided otherwise.

--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,10 +1,7 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
-import {abortResponse, whenResponseCloses} from '@valehitch/transport';
-import {
-	DecisionNotes, HeldMemory, WindowedRetryBudget,
-} from '@valehitch/routing';
+import {abortResponse} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {MessageReaders} from '../control/message-readers.js';
@@ -16,33 +13,18 @@
 import {type EntryInspection} from '../inspection/inspection-handler.js';
 import {applyServerNews} from './apply-server-news.js';
 import {createCallerServer} from './caller-server.js';
-import {checkServerProcess} from './check-server-process.js';
-import {ConfigurationLease} from './configuration-lease.js';
 import {type ControlUpdate, ControlWatch} from './control-watch.js';
+import {createEntryContext} from './create-entry-context.js';
 import {type EntryContext} from './entry-context.js';
 import {type EntryInstanceOptions} from './entry-instance-options.js';
-import {EntryServers} from './entry-servers.js';
-import {EntrySuspects} from './entry-suspects.js';
-import {EscalationDemand} from './escalation-demand.js';
-import {EvidenceCounter} from './evidence-counter.js';
 import {handleRequest} from './handle-request.js';
-import {closeIdleConnections} from './connection-pool.js';
 import {KnownPeers} from './known-peers.js';
-import {LatencyEstimator} from './latency-estimator.js';
 import {LoadExchange} from './load-exchange.js';
-import {poolContention} from './pool-contention.js';
 import {PoolLoads} from './pool-loads.js';
-import {RepeatTracker} from './repeat-tracker.js';
-import {RequestAdmission} from './request-admission.js';
-import {createServerLinks} from './create-server-links.js';
-import {createServerRelays} from './create-server-relays.js';
-import {SendBorrower} from './send-borrower.js';
+import {ResponsesInProgress} from './responses-in-progress.js';
 import {ServerTunnels} from './server-tunnels.js';
-import {SuspectReporter} from './suspect-reporter.js';
-import {VersionPins} from './version-pins.js';
+import {type SuspectReporter} from './suspect-reporter.js';
 
-/** The retries that an instance may make in a time window without traffic. The platform allows each instance of its deployments between two and eight. */
-const retrySlack = 2;
 /** Idle connections are kept open for this multiple of the callers' idle timeout, so that the server does not close a connection that a caller is about to reuse. */
 const idleFactor = 2;
 /** The interval at which changed loads are sent to peers, in milliseconds; shorter than most requests take. */
@@ -80,12 +62,11 @@
 	#table: RouteTable | undefined;
 	#loadTimer: NodeJS.Timeout | undefined;
 	#hadLease = false;
-	/** The answers to requests in progress. */
-	readonly #inProgress = new Set<ServerResponse>();
+	readonly #responses = new ResponsesInProgress();
 	#endsAt: number | undefined;
 
 	constructor(options: EntryInstanceOptions) {
-		const {clock, random, zone, self, run} = options;
+		const {clock} = options;
 		this.#options = options;
 		this.#rollouts = new KnownRollouts(options);
 		this.#peers = new KnownPeers(options);
@@ -105,92 +86,21 @@
 			ask: options.reportWork,
 		});
 		const suspension = new SuspensionDetector(clock);
-		const notes = new DecisionNotes({sampledShare: options.notedShare});
-		const servers = new EntryServers({
-			zone,
-			random,
-			notes,
-			loads: this.#poolLoads,
-			placesOf: server => this.#peers.placesOf(server),
-			coldDurationOf: service => this.#table?.findService(service)?.cold?.duration,
-			heartbeatMilliseconds: options.heartbeatMilliseconds,
-			onReplaced: closeIdleConnections,
-			onOutdated({id, state}, {held, source}) {
-				options.metrics.outdatedRecords.inc();
-				options.log('server-record-outdated', {
-					server: id, told: state, held: held.state, source,
-				});
-			},
-		});
-		const suspects = new EntrySuspects({
-			...options,
-			servers,
-			checkProcess: async server => checkServerProcess(server, {...this.#context, links: this.#context.links.of(server.service)}),
-			onChanged: fingerprint => {
-				this.#reporter.report(fingerprint);
-			},
-		});
-		this.#reporter = new SuspectReporter({registry: suspects.registry, send: options.reportSuspects});
-		this.#context = {
-			...options,
-			lease: new ConfigurationLease({
-				duration: options.leaseMilliseconds,
-				suspension,
-				onSuspension: () => {
-					this.#watch.requestConfirmation();
-				},
-			}),
-			servers,
+		const {context, reporter} = createEntryContext(options, {
+			suspension,
+			peers: this.#peers,
 			poolLoads: this.#poolLoads,
-			links: createServerLinks(options, {
-				servers,
-				relayCount: () => this.#context.relays.candidateCount,
-				onCutOff: () => {
-					this.#watch.requestConfirmation();
-				},
-			}),
-			relays: createServerRelays(options, this.#peers),
-			suspects,
-			borrower: new SendBorrower({
-				clock,
-				random,
-				rates: servers.limits.rates,
-				peers: () => this.#peers.ids,
-				exhaustedServers: service => servers.availability.exhausted(service, clock.monotonic()),
-				ask: options.askForSends,
-				onBorrowed(count) {
-					options.metrics.borrowedSends.inc(count);
-				},
-			}),
-			budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
-			admission: new RequestAdmission({
-				...options,
-				notes,
-				availability: servers.availability,
-				picture: () => this.#poolLoads.picture(),
-				table: () => this.#table,
-				endsAt: () => this.#endsAt,
-			}),
-			latencies: new LatencyEstimator(clock),
-			escalations: new EscalationDemand({
-				contentionAt: service => poolContention(service, {picture: this.#poolLoads.picture(), table: this.#table, availability: servers.availability}),
-			}),
-			pins: new VersionPins(options),
-			repeats: new RepeatTracker(),
-			evidence: new EvidenceCounter({entry: self, run}),
-			notes,
-			memory: new HeldMemory({totalBytes: options.heldBytes}),
+			rollouts: this.#rollouts,
+			replyWaiters: this.#replyWaiters,
+			serverWaiters: this.#serverWaiters,
 			table: () => this.#table,
-			nextReply: async timeout => Promise.race([this.#replyWaiters.waitForNext(), options.wait(timeout)]),
-			nextServerChange: async timeout => Promise.race([this.#serverWaiters.waitForNext(), options.wait(timeout)]),
-			rolloutOf: service => this.#rollouts.forService(service),
 			endsAt: () => this.#endsAt,
-			tellRelay: options.send,
-			tellRejection: rejection => this.#peers.tellRejection(rejection),
-			reportLimit: () => {
+			confirmState: () => {
 				this.#watch.requestConfirmation();
 			},
-		};
+		});
+		this.#context = context;
+		this.#reporter = reporter;
 		this.tunnels = new ServerTunnels({...this.#context, isStopping: () => this.#endsAt !== undefined});
 		this.#watch = new ControlWatch({
 			...options,
@@ -200,7 +110,7 @@
 				this.#applyReply(update, clock.monotonic());
 			},
 			onLost: source => {
-				servers.markSourceLost(source);
+				context.servers.markSourceLost(source);
 				this.#reportReaders.forget(source);
 			},
 		});
@@ -277,8 +187,7 @@
 	/** Closes idle connections, so that their callers connect to other instances before this one stops; none while a caller has yet to read a complete answer. */
 	closeIdle(): void {
 		// The server also takes a connection for idle whose answer is complete but not read yet.
-		const isAnswerUnread = [...this.#inProgress].some(({writableEnded, writableLength}) => writableEnded && writableLength > 0);
-		if (!isAnswerUnread) {
+		if (!this.#responses.isCompleteOneUnread) {
 			this.#server.closeIdleConnections();
 		}
 	}
@@ -289,7 +198,7 @@
 	@param until The time at which to stop waiting, in milliseconds on the monotonic clock.
 	*/
 	async drained(until: number): Promise<void> {
-		while (this.#inProgress.size > 0 && this.#options.clock.monotonic() < until) {
+		while (this.#responses.size > 0 && this.#options.clock.monotonic() < until) {
 			this.closeIdle();
 			await this.#options.wait(drainPollMilliseconds);
 		}
@@ -302,15 +211,12 @@
 		this.#context.relays.close();
 		clearInterval(this.#loadTimer);
 		this.#server.close();
-		for (const response of this.#inProgress) {
-			abortResponse(response);
-		}
-
+		this.#responses.abort();
 		this.#server.closeAllConnections();
 	}
 
 	async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-		this.#inProgress.add(response);
+		this.#responses.add(response);
 		try {
 			await handleRequest(this.#context, message, response);
 		} catch (error) {
@@ -318,10 +224,7 @@
 			this.#options.log('request-ended', {outcome: 'internal', reason}, 'error');
 			abortResponse(response);
 		} finally {
-			// A slow caller may still have to read an answer that is buffered.
-			whenResponseCloses(response, () => {
-				this.#inProgress.delete(response);
-			});
+			this.#responses.endWithConnection(response);
 		}
 	}
 
--- /dev/null
+++ b/packages/gateway/src/entry/responses-in-progress.ts
@@ -0,0 +1,59 @@
+import {type ServerResponse} from 'node:http';
+import {abortResponse, whenResponseCloses} from '@valehitch/transport';
+
+/**
+The responses of an instance that their callers have not read to the end.
+
+@example
+```ts
+const responses = new ResponsesInProgress();
+responses.add(response);
+responses.endWithConnection(response);
+```
+*/
+export class ResponsesInProgress {
+	readonly #responses = new Set<ServerResponse>();
+
+	/** The number of responses. */
+	get size(): number {
+		return this.#responses.size;
+	}
+
+	/** Whether a response was written to its end and its caller has yet to read a part of it. */
+	get isCompleteOneUnread(): boolean {
+		for (const {writableEnded, writableLength} of this.#responses) {
+			if (writableEnded && writableLength > 0) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/**
+	Adds the response to a request that has arrived.
+
+	@param response The response.
+	*/
+	add(response: ServerResponse): void {
+		this.#responses.add(response);
+	}
+
+	/**
+	Removes a response once its connection has no more use for it: a slow caller may still have to read what is buffered.
+
+	@param response The response, whose request has been handled.
+	*/
+	endWithConnection(response: ServerResponse): void {
+		whenResponseCloses(response, () => {
+			this.#responses.delete(response);
+		});
+	}
+
+	/** Breaks off all responses. */
+	abort(): void {
+		for (const response of this.#responses) {
+			abortResponse(response);
+		}
+	}
+}
