soak: callers that read late, and a run with eight entry instances

Cause: no soak ran the pool digest, which needs more than seven entry instances, or a caller that leaves its response unread. Change: one caller in eleven reads 1.5 s late; one run of the suite has eight entry instances.

--- a/packages/soak/src/run-soak.test.ts
+++ b/packages/soak/src/run-soak.test.ts
@@ -18,6 +18,9 @@
 	{
 		seed: 5, seconds: 12, gap: 6000, cause: 'all instances but one reached no server',
 	},
+	{
+		seed: 8, seconds: 8, entries: 8, cause: 'more entry instances than tell each other their loads',
+	},
 ];
 const program = fileURLToPath(new URL('bin/soak.js', import.meta.url));
 
@@ -35,9 +38,9 @@
 	});
 }
 
-for (const {seed, seconds, gap = 500, cause} of soaks) {
+for (const {seed, seconds, gap = 500, entries = 3, cause} of soaks) {
 	test.serial(`seed ${seed} violates no guarantee: ${cause}`, async t => {
-		const {output, errors} = await runSoakProcess(['--seed', String(seed), '--seconds', String(seconds), '--gap', String(gap)]);
+		const {output, errors} = await runSoakProcess(['--seed', String(seed), '--seconds', String(seconds), '--gap', String(gap), '--entries', String(entries)]);
 		t.log(output);
 		t.regex(output, /no guarantee violated/v, `Expected a run without violations: ${errors}`);
 	});
--- a/packages/soak/src/soak-callers.ts
+++ b/packages/soak/src/soak-callers.ts
@@ -31,6 +31,9 @@
 const responseTimeoutMilliseconds = 6000;
 const maximumPauseMilliseconds = 60;
 const requestKinds: readonly RequestKind[] = ['safe', 'unsafe', 'unsafe', 'streaming'];
+/** One request in this many is of a caller that leaves the body unread for a while. */
+const slowCallerEvery = 11;
+const readDelayMilliseconds = 1500;
 
 /**
 The callers of a soak. Each sends one request after another over keep-alive connections, whatever happens to the instances.
@@ -75,7 +78,8 @@
 	*/
 	async send({kind, entry, key}: SendOptions): Promise<number> {
 		const {record, now, seed} = this.#options;
-		const id = `${seed}-${++this.#sentCount}`;
+		const number = ++this.#sentCount;
+		const id = `${seed}-${number}`;
 		const sentAt = now();
 		const {status, text, isComplete} = await sendForResponse({
 			method: kind === 'safe' ? 'GET' : 'POST',
@@ -83,6 +87,7 @@
 			path: requestPath(kind),
 			agent: this.#agent,
 			timeout: responseTimeoutMilliseconds,
+			readDelay: number % slowCallerEvery === 0 ? readDelayMilliseconds : 0,
 			headers: {
 				Host: callerHost,
 				'Attempt-Id': id,
--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -277,6 +277,8 @@
 	readonly agent?: Agent;
 	/** The timeout in milliseconds; none by default. */
 	readonly timeout?: number;
+	/** The time for which the body of the response is left unread, in milliseconds; 0 by default. */
+	readonly readDelay?: number;
 };
 
 /**
@@ -307,7 +309,8 @@
 @param options The request.
 @returns The response; its status is 0 if the connection failed before a response.
 */
-export async function sendForResponse({method, address, path, body, headers, agent, timeout}: InstanceRequest & {readonly headers: Readonly<Record<string, string>>}): Promise<ReceivedResponse> {
+export async function sendForResponse(options: InstanceRequest & {readonly headers: Readonly<Record<string, string>>}): Promise<ReceivedResponse> {
+	const {method, address, path, body, headers, agent, timeout, readDelay = 0} = options;
 	const [host, port] = address.split(':');
 	const startedAt = performance.now();
 	return new Promise(resolve => {
@@ -322,6 +325,13 @@
 				text += chunk;
 				firstByteAfter ??= performance.now() - startedAt;
 			});
+			if (readDelay > 0) {
+				message.pause();
+				setTimeout(() => {
+					message.resume();
+				}, readDelay);
+			}
+
 			message.on('error', () => {
 				// The close event follows, and `message.complete` then shows that the body is incomplete.
 			});
