gateway: forget what a control instance reported of peers after a minute

Cause: an entry instance kept the number of entry instances and the relays that a control instance had named last for good, so that one that was replaced kept the largest number up: after a shrink to seven instances the digest stayed in use. Change: a report counts for 60 s beside newer ones; the last one stays.

--- a/packages/gateway/src/entry/cut-off-relays.test.ts
+++ b/packages/gateway/src/entry/cut-off-relays.test.ts
@@ -21,7 +21,9 @@
 
 /** Creates the peers of an instance, as control instances tell them that each hear of the cut of half of the others. */
 function createPeers(): KnownPeers {
-	const peers = new KnownPeers({self: self!.instance, random: () => 0, send: ignore});
+	const peers = new KnownPeers({
+		self: self!.instance, clock: {monotonic: () => 0}, random: () => 0, send: ignore,
+	});
 	for (const [index, control] of controls.entries()) {
 		const lists = new RelayLists();
 		for (const [position, instance] of [...cutOff].entries()) {
--- a/packages/gateway/src/entry/known-peers.test.ts
+++ b/packages/gateway/src/entry/known-peers.test.ts
@@ -8,14 +8,16 @@
 
 function createPeers() {
 	const sent: Array<readonly [InstanceId, ServerNoticeMessage]> = [];
+	const time = {now: 0};
 	const peers = new KnownPeers({
 		self,
+		clock: {monotonic: () => time.now},
 		random: () => 0,
 		send(to, message) {
 			sent.push([to, message]);
 		},
 	});
-	return {peers, sent};
+	return {peers, sent, time};
 }
 
 test('the places of a server are divided by the largest number of instances that a control instance knows', t => {
@@ -60,3 +62,18 @@
 	peers.update(otherControl, {entries: [one, two]});
 	t.false(peers.reachesFew);
 });
+
+test('a control instance that is gone for good no longer keeps the number of instances up', t => {
+	const {peers, time} = createPeers();
+	peers.update(otherControl, {entries: [one, two], entryCount: 8, relays: [two]});
+	time.now = 30_000;
+	peers.update(control, {entries: [one, two], entryCount: 3, relays: [one]});
+	t.true(peers.reachesFew, 'it may be behind a cut');
+	t.deepEqual(peers.relays, [two, one]);
+	time.now = 61_000;
+	peers.update(control, {entries: [one, two], entryCount: 3, relays: [one]});
+	t.false(peers.reachesFew);
+	t.deepEqual(peers.relays, [one]);
+	time.now = 600_000;
+	t.is(peers.placesOf({id: server, slots: 60}), 20, 'the last report stays');
+});
--- a/packages/gateway/src/entry/known-peers.ts
+++ b/packages/gateway/src/entry/known-peers.ts
@@ -1,4 +1,6 @@
-import {type InstanceId, type RandomSource, type ServerId} from '@valehitch/core';
+import {
+	type Clock, type InstanceId, type RandomSource, type ServerId,
+} from '@valehitch/core';
 import {placeShare, rejectionPause} from '@valehitch/routing';
 import {maximumLoadSharingPeers} from '../control/select-load-sharing-peers.js';
 import {type ServerNoticeMessage, type WatchReply} from '../control/peer-message.js';
@@ -7,6 +9,7 @@
 /** Options of {@linkcode KnownPeers}. */
 export type KnownPeersOptions = {
 	readonly self: InstanceId;
+	readonly clock: Pick<Clock, 'monotonic'>;
 	readonly random: RandomSource;
 	/** Sends a message without waiting for a reply. */
 	readonly send: (to: InstanceId, message: ServerNoticeMessage) => void;
@@ -19,23 +22,32 @@
 	readonly rejectionsPerSecond: number;
 };
 
+/** What a control instance has reported. */
+type PeerReport = {
+	readonly at: number;
+	readonly entryCount: number;
+	/** The relays that it named last, which stay known while it is out of reach. */
+	readonly relays: readonly InstanceId[];
+	/** Those of the relays that it called cut off. */
+	readonly cutOffRelays: readonly InstanceId[];
+};
+
+/** How long the report of a control instance counts beside newer ones of others, in milliseconds: longer than a cut, and less than an operator waits for a smaller deployment to settle. */
+const retentionMilliseconds = 60_000;
+
 /**
 The other entry instances as control instances report them: the few with which this instance exchanges messages, and how many there are in all.
 
 @example
 ```ts
-const peers = new KnownPeers({self, random, send});
+const peers = new KnownPeers({self, clock, random, send});
 peers.update(source, reply);
 peers.placesOf(server);
 ```
 */
 export class KnownPeers {
 	readonly #options: KnownPeersOptions;
-	readonly #entryCounts = new Map<InstanceId, number>();
-	/** The relays that each control instance named last, which stay known while it is out of reach. */
-	readonly #relays = new Map<InstanceId, readonly InstanceId[]>();
-	/** Those of the relays that each control instance called cut off. */
-	readonly #cutOffRelays = new Map<InstanceId, readonly InstanceId[]>();
+	readonly #reports = new Map<InstanceId, PeerReport>();
 	#ids: readonly InstanceId[] = [];
 	/** A control instance behind a cut knows only some of the entry instances, so the largest number counts. */
 	#instanceCount = 1;
@@ -56,13 +68,13 @@
 
 	/** The instances through which servers can be reached; the peers if no control instance names any. */
 	get relays(): readonly InstanceId[] {
-		const relays = new Set([...this.#relays.values()].flat());
+		const relays = new Set([...this.#reports.values()].flatMap(report => report.relays));
 		return relays.size === 0 ? this.#ids : [...relays];
 	}
 
 	/** The relays that some control instance calls cut off from servers. One that hears nothing of an instance takes it for connected. */
 	get cutOffRelays(): ReadonlySet<InstanceId> {
-		return new Set([...this.#cutOffRelays.values()].flat());
+		return new Set([...this.#reports.values()].flatMap(report => report.cutOffRelays));
 	}
 
 	/**
@@ -71,15 +83,19 @@
 	@param source The control instance.
 	@param reply Its reply to a poll.
 	*/
-	update(source: InstanceId, {entries, entryCount = 0, relays, cutOffRelays = []}: Pick<WatchReply, 'entries' | 'entryCount' | 'relays' | 'cutOffRelays'>): void {
+	update(source: InstanceId, reply: Pick<WatchReply, 'entries' | 'entryCount' | 'relays' | 'cutOffRelays'>): void {
+		const {entries, entryCount = 0, relays, cutOffRelays = []} = reply;
+		const at = this.#options.clock.monotonic();
+		const known = this.#reports.get(source);
 		this.#ids = entries;
-		if (relays !== undefined) {
-			this.#relays.set(source, relays);
-			this.#cutOffRelays.set(source, cutOffRelays);
-		}
-
-		this.#entryCounts.set(source, entryCount);
-		this.#instanceCount = Math.max(entries.length + 1, ...this.#entryCounts.values());
+		this.#reports.set(source, {
+			at,
+			entryCount,
+			relays: relays ?? known?.relays ?? [],
+			cutOffRelays: relays === undefined ? known?.cutOffRelays ?? [] : cutOffRelays,
+		});
+		this.#removeExpired(at);
+		this.#instanceCount = Math.max(entries.length + 1, ...[...this.#reports.values()].map(report => report.entryCount));
 	}
 
 	/**
@@ -111,4 +127,12 @@
 
 		return rejectionPause(pauseOptions);
 	}
+
+	#removeExpired(now: number): void {
+		for (const [source, {at}] of this.#reports) {
+			if (now - at > retentionMilliseconds) {
+				this.#reports.delete(source);
+			}
+		}
+	}
 }
