Answer the leader's heartbeats while a follower's disk is busy

Change: while a write is in progress, an append request of a term whose hard state is on disk is answered at once, with matched index 0, which every log matches: it confirms contact and no entry. The request stays queued and is processed after the write as before. The promise that goes with it, to withhold the vote, is kept in memory, as for every heartbeat; a started replica withholds its vote for one election timeout. The wire is unchanged.

--- a/packages/consensus/src/fuzz/_node.ts
+++ b/packages/consensus/src/fuzz/_node.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {confirmContact} from '../confirm-contact.js';
 import {createReplica} from '../create-replica.js';
 import {leaseValidUntil} from '../lease-valid-until.js';
 import {
@@ -92,6 +93,11 @@
 	}
 
 	handle(event: ReplicaEvent): ReplicaActions | undefined {
+		if (this.isAwake) {
+			this.#confirmContact(event);
+		}
+
+		// The node may have been crashed on sending the confirmation.
 		if (!this.state || !this.isAwake) {
 			return undefined;
 		}
@@ -138,6 +144,21 @@
 		}
 	}
 
+	#confirmContact(event: ReplicaEvent): void {
+		if (!this.state || this.#pending.length === 0 || event.type !== 'message' || event.message.type !== 'append-request') {
+			return;
+		}
+
+		const {from, message: request} = event;
+		const contact = confirmContact(this.state, {
+			from, request, persistedHardState: this.disk.hardState ?? {term: 0}, now: this.clock,
+		});
+		if (contact) {
+			this.state = contact.state;
+			this.#options.onMessage(this.id, {to: from, message: contact.reply});
+		}
+	}
+
 	#start(): void {
 		const {hardState, snapshot, entries} = this.disk;
 		const {position, replicas} = this.#options;
--- a/packages/consensus/src/mod.ts
+++ b/packages/consensus/src/mod.ts
@@ -4,6 +4,7 @@
 @module
 */
 export type {StepResult} from './_draft.js';
+export * from './confirm-contact.js';
 export * from './create-replica.js';
 export * from './is-leader.js';
 export * from './known-leader.js';
--- a/packages/replication/src/replica-driver.ts
+++ b/packages/replication/src/replica-driver.ts
@@ -1,5 +1,5 @@
 import {
-	createReplica, type CreateReplicaOptions, type ReplicaActions, type ReplicaEvent, type ReplicaId, type ReplicaMessage, type ReplicaState, step,
+	confirmContact, createReplica, type CreateReplicaOptions, type HardState, type ReplicaActions, type ReplicaEvent, type ReplicaId, type ReplicaMessage, type ReplicaState, step,
 } from '@valehitch/consensus';
 import {type Clock, type Failure, failure} from '@valehitch/core';
 import {type DataFolder} from '@valehitch/storage';
@@ -28,7 +28,7 @@
 export type CommittedActions = Pick<ReplicaActions, 'accepted' | 'rejected' | 'restore' | 'committed'>;
 
 /**
-Drives a replica: collects events, runs a step for each, persists the results with one disk sync, and then sends messages and applies committed entries.
+Drives a replica: collects events, runs a step for each, persists the results with one disk sync, and then sends messages and applies committed entries. Meanwhile, heartbeats of the leader are answered without waiting for the disk.
 
 @example
 ```ts
@@ -43,11 +43,14 @@
 	#running: Promise<void> | undefined;
 	/** The maximum recent write time, which decays with each write. */
 	#persistMilliseconds = 0;
+	#persistedHardState: HardState;
+	#isWriting = false;
 	#isStopped = false;
 
 	constructor(options: ReplicaDriverOptions) {
 		this.#options = options;
 		this.#state = createReplica(options.replica, options.clock.monotonic());
+		this.#persistedHardState = this.#state.hardState;
 	}
 
 	/** The state after the last step. */
@@ -63,6 +66,7 @@
 	push(event: ReplicaEvent): void {
 		if (!this.#isStopped) {
 			this.#events.push(event);
+			this.#confirmContact(event);
 			this.#startProcessing();
 		}
 	}
@@ -73,6 +77,22 @@
 		await this.#running;
 	}
 
+	/** Confirms contact with the leader if the disk is busy, so that the leader's lease does not depend on it. */
+	#confirmContact(event: ReplicaEvent): void {
+		if (!this.#isWriting || event.type !== 'message' || event.message.type !== 'append-request') {
+			return;
+		}
+
+		const {from, message: request} = event;
+		const contact = confirmContact(this.#state, {
+			from, request, persistedHardState: this.#persistedHardState, now: this.#options.clock.monotonic(),
+		});
+		if (contact !== undefined) {
+			this.#state = contact.state;
+			this.#options.send(from, contact.reply);
+		}
+	}
+
 	#startProcessing(): void {
 		this.#running ??= this.#processEvents();
 	}
@@ -116,10 +136,17 @@
 		const {clock, folder} = this.#options;
 		if (persist !== undefined && !this.#isStopped) {
 			const startedAt = clock.monotonic();
+			this.#isWriting = true;
 			const written = await folder.persist(persist);
+			this.#isWriting = false;
 			this.#persistMilliseconds = Math.max(clock.monotonic() - startedAt, persistDecay * this.#persistMilliseconds);
-			written.ifLeft(failed => {
-				this.#fail(failed);
+			written.caseOf({
+				Left: failed => {
+					this.#fail(failed);
+				},
+				Right: () => {
+					this.#persistedHardState = persist.hardState ?? this.#persistedHardState;
+				},
 			});
 		}
 
