Wait for the saved quarantine before all processes are restarted

Cause of the known red: a control instance delays its list for 2 s for the disk and then lists a record that it has not saved, and says so. The test looked at neither that nor the number of exits. The first save holds the first two exits; where the second save is not done, two exits are restored, the request is doubtful and not quarantined, and each entry instance sends it once, until these sends are the proof: all 400, three sends.

The test waits for a saved record with three exits now, and saves take 1,500 ms, so that it is red before in any run. Lifting a quarantine is waited for in the same way where the answer says that it is not saved.

Found on the way, not seen: a control instance confirmed a configuration before it had read its list, so that an entry instance could send a request that the previous run had quarantined. It does so only after now; the test with a list that arrives late fails before.

--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -21,10 +21,12 @@
 type TestControlOptions = {
 	/** Reads the suspect records that the previous run saved; none by default. */
 	readonly readSuspects?: () => Promise<readonly SuspectRecord[]>;
+	/** Whether to wait until the instance has started; true by default. */
+	readonly isAwaited?: boolean;
 };
 
 /** Starts a deployment with a single control instance, on a disk that can be made full. */
-async function startControl(t: ExecutionContext, {readSuspects = async () => []}: TestControlOptions = {}) {
+async function startControl(t: ExecutionContext, {readSuspects = async () => [], isAwaited = true}: TestControlOptions = {}) {
 	const disk = {isFull: false};
 	const files: FileSystem = {
 		...nodeFileSystem,
@@ -65,8 +67,13 @@
 		ask: async () => undefined,
 		run: 'one',
 	});
-	await control.start();
+	const started = control.start();
+	if (isAwaited) {
+		await started;
+	}
+
 	t.teardown(async () => {
+		await started;
 		await control.stop();
 		await rm(folder, {recursive: true, force: true});
 	});
@@ -101,6 +108,30 @@
 	t.deepEqual(await control.listSuspects(), [{...saved, isSaved: true}]);
 });
 
+test('an entry instance gets neither a configuration nor a confirmation before the suspect records of the previous run are restored', async t => {
+	const saved: SuspectRecord = {
+		fingerprint: toId('f1'), ends: ['a', 'b', 'c'].map(process => ({process, at: Date.now(), isCleared: false})),
+	};
+	let finish: ((records: readonly SuspectRecord[]) => void) | undefined;
+	const {control} = await startControl(t, {
+		readSuspects: async () => new Promise(resolve => {
+			finish = resolve;
+		}),
+		isAwaited: false,
+	});
+	t.teardown(() => finish?.([]));
+	await eventually(async () => submit(control, 1));
+	const early = await poll(control);
+	t.deepEqual([early.configuration, early.confirmedAgo], [undefined, undefined]);
+	finish!([saved]);
+	const late = await eventually(async () => {
+		const reply = await poll(control);
+		return reply.confirmedAgo === undefined ? undefined : reply;
+	});
+	t.is(late.configuration?.version, 1);
+	t.deepEqual(late.suspects, [saved]);
+});
+
 test('a full disk rejects changes, and the replica recovers with all acknowledged changes once there is space', async t => {
 	const {control, disk} = await startControl(t);
 	await eventually(async () => submit(control, 3));
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -328,7 +328,8 @@
 	}
 
 	#entryUpdate(): EntryUpdate {
-		const state = this.#replica?.state;
+		// Without a configuration and its confirmation, entry instances send no request, which may be one that the previous run quarantined.
+		const state = this.#suspectSync.isRestored ? this.#replica?.state : undefined;
 		return {
 			configuration: state?.configuration,
 			rollouts: this.#rolloutClock.withAges(state?.rollouts ?? []),
--- a/packages/gateway/src/control/suspect-sync.ts
+++ b/packages/gateway/src/control/suspect-sync.ts
@@ -63,6 +63,7 @@
 	#syncTimer: NodeJS.Timeout | undefined;
 	/** The index of the first record to send in the next round. */
 	#syncOffset = 0;
+	#isRestored = false;
 
 	constructor(options: SuspectSyncOptions) {
 		this.#options = options;
@@ -72,6 +73,11 @@
 		});
 	}
 
+	/** Whether the records that the previous run saved are restored. Until then, an entry instance may not send a request on the word of this instance. */
+	get isRestored(): boolean {
+		return this.#isRestored;
+	}
+
 	/** Starts the periodic rounds, requests the records of the other instances, restores the records that the previous run saved, and sends those to the others; resolves once the saved records are restored. */
 	async start(): Promise<void> {
 		this.#syncTimer = setInterval(() => {
@@ -92,6 +98,8 @@
 	async restore(): Promise<void> {
 		const records = await this.#options.saved.read();
 		this.#merge(records, 'disk');
+		this.#isRestored = true;
+		this.#options.onChange();
 	}
 
 	/**
--- a/packages/testing/src/crashing-requests.test.ts
+++ b/packages/testing/src/crashing-requests.test.ts
@@ -1,3 +1,4 @@
+import {isPromptPart, type SuspectRecord} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
 import {type CrashingServers} from './platform/crashing-servers.js';
 import {draftHost} from './platform/draft-configuration.js';
@@ -20,6 +21,8 @@
 const allowedSends = 3;
 const saveMilliseconds = 300;
 const slowSaveMilliseconds = 500;
+/** Two saves of this length take longer than an instance delays its list for them. */
+const verySlowSaveMilliseconds = 1500;
 
 async function start(t: ExecutionContext, environment: Readonly<Record<string, string>> = {}): Promise<StartedCrashingServers> {
 	const started = await startCrashingServers(t, {
@@ -121,9 +124,9 @@
 	}, {description: 'a send after the quarantine was lifted'});
 });
 
-// Guards against listing the quarantine before any disk has saved the third exit.
+// Guards against listing the quarantine as saved before any disk has saved the third exit.
 test('a request that is listed as quarantined stays so when all processes restart, however slow their disks are', async t => {
-	const {deployment, servers} = await start(t, slowDiskEnvironment({delayedFile: 'suspects.json', replaceMilliseconds: slowSaveMilliseconds}));
+	const {deployment, servers} = await start(t, slowDiskEnvironment({delayedFile: 'suspects.json', replaceMilliseconds: verySlowSaveMilliseconds}));
 	await sendCopies(deployment);
 	await waitUntilListedByAll(deployment);
 	await restartAll(deployment, async entry => isServing(deployment, entry));
@@ -140,7 +143,15 @@
 	const [list] = await waitUntilListedByAll(deployment);
 	const fingerprint = /[\da-f]{32}/v.exec(list!)?.[0];
 	await sleep(3 * slowSaveMilliseconds);
-	t.is(await sendForStatus({method: 'DELETE', address: deployment.controls[0]!.address, path: `/-/quarantine/${fingerprint}`}), 200);
+	const {address} = deployment.controls[0]!;
+	const {status, text} = await sendForResponse({
+		method: 'DELETE', address, path: `/-/quarantine/${fingerprint}`, headers: {},
+	});
+	t.is(status, 200);
+	if (!(JSON.parse(text) as {readonly isSaved: boolean}).isSaved) {
+		await waitUntil(async () => parseList(await listQuarantine(address)).every(({isSaved}) => isSaved) || undefined, {description: 'the lifted quarantine to be saved'});
+	}
+
 	await restartAll(deployment, async entry => isServing(deployment, entry));
 	const sends = servers.sends.length;
 	t.true(await waitUntil(async () => {
@@ -159,10 +170,21 @@
 	return status === 200;
 }
 
-/** Waits until all control instances list a request, and returns their lists. */
+/** Waits until all control instances list a request as quarantined and saved, and returns their lists. */
 async function waitUntilListedByAll(deployment: PlatformDeployment): Promise<readonly string[]> {
 	return waitUntil(async () => {
 		const lists = await Promise.all(deployment.controls.map(async ({address}) => listQuarantine(address)));
-		return lists.every(list => list.includes('process')) ? lists : undefined;
-	}, {description: 'all control instances to list a request'});
+		return lists.every(list => listsQuarantined(list)) ? lists : undefined;
+	}, {description: 'all control instances to list a quarantined request'});
+}
+
+/** Checks whether a list contains a saved request with the exits of a quarantined one; unsaved ones and those with fewer exits are listed too. */
+function listsQuarantined(list: string): boolean {
+	return parseList(list).some(({fingerprint, isSaved, ends}) => !isPromptPart(fingerprint) && isSaved && ends.filter(({isCleared}) => !isCleared).length >= identifyingExits);
+}
+
+type ListedRecord = SuspectRecord & {readonly isSaved: boolean};
+
+function parseList(list: string): readonly ListedRecord[] {
+	return (JSON.parse(list) as {readonly requests: readonly ListedRecord[]}).requests;
 }
