Look servers up by address, change and cold period, not through the whole list

Cause: a server that joined was compared with all others (twice, over a copy of the list) at control and entry instances, and each reply to a poll looked at all servers for changes and for cold periods. At 300 entry instances with ten servers each that grows with the square of the size.

Change: ServerAddresses finds the servers at an address, ChangeLog the changes after a cursor, and the directory keeps the set of those that may be cold.

--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -12,6 +12,7 @@
 import {noteChoice} from '../inspection/note-choice.js';
 import {isLaterState} from '../servers/is-later-state.js';
 import {mergeServerRecord} from '../servers/merge-server-record.js';
+import {ServerAddresses} from '../servers/server-addresses.js';
 import {defaultRetentionMilliseconds} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {
@@ -60,6 +61,7 @@
 	readonly availability: ServerAvailability;
 	readonly #options: EntryServersOptions;
 	readonly #servers = new Map<ServerId, TrackedServer>();
+	readonly #addresses = new ServerAddresses();
 	readonly #ejection = new OutlierEjection({
 		threshold: 0.5, baseMilliseconds: 2000, maximumMilliseconds: 8000, maximumShare: 0.4,
 	});
@@ -366,13 +368,20 @@
 
 	/** Adds a new process, and discards the state of the process that it replaces, which has the same id or address. */
 	#add(record: ServerRecord, {source, now}: {readonly source: InstanceId; readonly now: number}): void {
-		for (const [id, previous] of this.#servers) {
-			if (id === record.id || hasReplaced(record, previous.record)) {
+		for (const id of new Set([record.id, ...this.#addresses.at(record)])) {
+			const previous = this.#servers.get(id);
+			if (previous !== undefined && (id === record.id || hasReplaced(record, previous.record))) {
 				previous.markEnded(now);
 				this.#discardState(previous);
 			}
 		}
 
+		const replaced = this.#servers.get(record.id);
+		if (replaced !== undefined) {
+			this.#addresses.remove(replaced.record);
+		}
+
+		this.#addresses.add(record);
 		this.#liveness.removeServer(record.id);
 		this.#liveness.report(record.id, {source, isSilent: record.isSilent});
 		this.#servers.set(record.id, new TrackedServer(record, {
@@ -401,7 +410,13 @@
 		}
 
 		tracked.wasDraining ||= record.state === 'draining';
-		tracked.record = mergeServerRecord(tracked.record, record);
+		const merged = mergeServerRecord(tracked.record, record);
+		if (merged.host !== tracked.record.host || merged.port !== tracked.record.port) {
+			this.#addresses.remove(tracked.record);
+			this.#addresses.add(merged);
+		}
+
+		tracked.record = merged;
 		return tracked.record.state !== state;
 	}
 
@@ -444,6 +459,7 @@
 				: unreportedFor > forgetSilentMilliseconds && !this.#liveness.isReportedAlive(id);
 			if (isExpired && tracked.inFlight === 0) {
 				this.#servers.delete(id);
+				this.#addresses.remove(tracked.record);
 				this.limits.removeServer(id);
 				this.#speeds.forget(id);
 				this.#liveness.removeServer(id);
--- /dev/null
+++ b/packages/gateway/src/servers/server-addresses.test.ts
@@ -0,0 +1,18 @@
+import {type ServerId} from '@valehitch/core';
+import test from 'ava';
+import {testServer} from './_test-server.js';
+import {ServerAddresses} from './server-addresses.js';
+
+test('servers are found by host and port', t => {
+	const addresses = new ServerAddresses();
+	const other = testServer({id: 'server-2' as ServerId});
+	addresses.add(testServer());
+	addresses.add(other);
+	t.deepEqual(addresses.at(other), [testServer().id, other.id]);
+	t.deepEqual(addresses.at({...other, port: 10}), []);
+	addresses.remove(testServer());
+	t.deepEqual(addresses.at(other), [other.id]);
+	addresses.remove(other);
+	addresses.remove(other);
+	t.deepEqual(addresses.at(other), []);
+});
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -1,8 +1,10 @@
 import {type ServerId, type ZoneId} from '@valehitch/core';
+import {ChangeLog} from './change-log.js';
 import {ColdPeriod, type RequiredColdPeriod} from './cold-period.js';
 import {compareStartTimes} from './compare-start-times.js';
 import {hasReplaced} from './has-replaced.js';
 import {mergeServerRecord} from './merge-server-record.js';
+import {ServerAddresses} from './server-addresses.js';
 import {type ServerRecord} from './server-record.js';
 
 /** Options of a server directory. */
@@ -16,7 +18,6 @@
 type DirectoryEntry = {
 	record: ServerRecord;
 	lastHeardAt: number;
-	changedAt: number;
 	/** When the stop of the server was recorded, or `undefined` while it is running. */
 	endedAt: number | undefined;
 	readonly cold: ColdPeriod;
@@ -51,9 +52,12 @@
 	/** The stop of a server is kept longer than an instance that missed it keeps the server. */
 	readonly #endedRetentionMilliseconds: number;
 	readonly #servers = new Map<ServerId, DirectoryEntry>();
+	readonly #addresses = new ServerAddresses();
+	readonly #changes = new ChangeLog<ServerId>();
+	/** The servers that may be cold. */
+	readonly #cold = new Set<ServerId>();
 	/** When unknown servers were reported as stopped, in milliseconds on the monotonic clock; a late announcement must not add them again. */
 	readonly #endedUnknown = new Map<ServerId, number>();
-	#changeCount = 0;
 
 	constructor(options: ServerDirectoryOptions) {
 		this.#options = {retentionMilliseconds: defaultRetentionMilliseconds, ...options};
@@ -62,7 +66,7 @@
 
 	/** The number of the last change. */
 	get cursor(): number {
-		return this.#changeCount;
+		return this.#changes.cursor;
 	}
 
 	/** All servers in the directory. */
@@ -168,11 +172,11 @@
 			}
 		}
 
-		for (const [id, entry] of this.#servers) {
+		for (const entry of this.#servers.values()) {
 			const elapsed = now - entry.lastHeardAt;
 			const isExpired = entry.endedAt === undefined ? elapsed >= retentionMilliseconds : now - entry.endedAt >= this.#endedRetentionMilliseconds;
 			if (isExpired) {
-				this.#servers.delete(id);
+				this.#remove(entry.record);
 				continue;
 			}
 
@@ -204,9 +208,12 @@
 	*/
 	coldServers(now: number): readonly ServerRecord[] {
 		const records: ServerRecord[] = [];
-		for (const {record, cold} of this.#servers.values()) {
-			if (record.state === 'ready' && cold.remaining(now) > 0) {
-				records.push(record);
+		for (const id of this.#cold) {
+			const entry = this.#servers.get(id);
+			if (entry === undefined || entry.cold.remaining(now) === 0) {
+				this.#cold.delete(id);
+			} else if (entry.record.state === 'ready') {
+				records.push(entry.record);
 			}
 		}
 
@@ -223,7 +230,8 @@
 		for (const entry of this.#servers.values()) {
 			if (entry.record.zone === zone && entry.record.state === 'ready') {
 				entry.cold.require(periodOf(entry.record));
-				entry.changedAt = this.#nextCursor();
+				this.#cold.add(entry.record.id);
+				this.#changes.record(entry.record.id);
 			}
 		}
 	}
@@ -235,22 +243,15 @@
 	@returns The records.
 	*/
 	changedSince(cursor: number): readonly ServerRecord[] {
-		const changed: ServerRecord[] = [];
-		for (const {record, changedAt} of this.#servers.values()) {
-			if (changedAt > cursor) {
-				changed.push(record);
-			}
-		}
-
-		return changed;
+		return this.#changes.since(cursor).map(id => this.#servers.get(id)!.record);
 	}
 
 	/** Adds a process that was not known, and marks the processes that it replaced at its address as stopped. */
 	#addProcess(record: ServerRecord, now: number): readonly ServerRecord[] {
-		const isReplaced = this.records.some(other => hasReplaced(other, record));
+		const isReplaced = this.#serversAt(record).some(other => hasReplaced(other.record, record));
 		const joined = this.#insert(isReplaced ? {...record, state: 'gone'} : record, {lastHeardAt: now, now});
 		const ended: ServerRecord[] = [];
-		for (const entry of this.#servers.values()) {
+		for (const entry of this.#serversAt(joined)) {
 			if (entry.record.state !== 'gone' && hasReplaced(joined, entry.record)) {
 				ended.push(this.#setEnded(entry, now));
 			}
@@ -268,7 +269,13 @@
 		entry.cold.apply(record, now);
 		const isColdChanged = Math.abs(entry.cold.remaining(now) - coldBefore) > coldToleranceMilliseconds;
 		const isChanged = previous.state !== merged.state || previous.isSilent !== merged.isSilent || isColdChanged;
+		if (previous.host !== merged.host || previous.port !== merged.port) {
+			this.#addresses.remove(previous);
+			this.#addresses.add(merged);
+		}
+
 		entry.record = merged;
+		this.#noteCold(entry, now);
 		if (merged.state === 'gone') {
 			entry.endedAt ??= now;
 		}
@@ -279,7 +286,7 @@
 		}
 
 		if (isChanged) {
-			entry.changedAt = this.#nextCursor();
+			this.#changes.record(entry.record.id);
 		}
 
 		return isChanged ? [merged] : [];
@@ -287,27 +294,46 @@
 
 	#setSilent(entry: DirectoryEntry): ServerRecord {
 		entry.record = {...entry.record, isSilent: true};
-		entry.changedAt = this.#nextCursor();
+		this.#changes.record(entry.record.id);
 		return entry.record;
 	}
 
 	#setEnded(entry: DirectoryEntry, now: number): ServerRecord {
 		entry.record = {...entry.record, state: 'gone'};
 		entry.endedAt = now;
-		entry.changedAt = this.#nextCursor();
+		this.#changes.record(entry.record.id);
 		return entry.record;
 	}
 
 	#insert(record: ServerRecord, {lastHeardAt, now, isRestored = false}: AddOptions): ServerRecord {
-		const endedAt = record.state === 'gone' ? now : undefined;
-		this.#servers.set(record.id, {
-			record, lastHeardAt, changedAt: this.#nextCursor(), endedAt, isRestored, cold: new ColdPeriod(record, now),
-		});
+		const previous = this.#servers.get(record.id);
+		if (previous !== undefined) {
+			this.#addresses.remove(previous.record);
+		}
+
+		const entry: DirectoryEntry = {
+			record, lastHeardAt, endedAt: record.state === 'gone' ? now : undefined, isRestored, cold: new ColdPeriod(record, now),
+		};
+		this.#servers.set(record.id, entry);
+		this.#addresses.add(record);
+		this.#noteCold(entry, now);
+		this.#changes.record(record.id);
 		return record;
 	}
 
-	#nextCursor(): number {
-		this.#changeCount++;
-		return this.#changeCount;
+	#remove(record: ServerRecord): void {
+		this.#servers.delete(record.id);
+		this.#addresses.remove(record);
+		this.#changes.forget(record.id);
+	}
+
+	#noteCold({record, cold}: DirectoryEntry, now: number): void {
+		if (cold.remaining(now) > 0) {
+			this.#cold.add(record.id);
+		}
+	}
+
+	#serversAt(record: ServerRecord): readonly DirectoryEntry[] {
+		return this.#addresses.at(record).map(id => this.#servers.get(id)!);
 	}
 }
