Tell a burst of changed servers in batches

Cause: each change of a server woke all polls, and a poll that came during the burst was answered at once, so that changes and entry instances multiplied: 100 servers that join in 2 s cost 30,000 replies and 6.0 s of processor time of one control instance with 300 entry instances. That is more than it has, polls went unanswered, and each then asked for the full list.

Change: the first change is told at once; what follows waits for half a millisecond for each poll that was answered, 250 ms at most. With 66 polls that is 33 ms, where an entry instance waits 20 ms between polls anyway. Configurations, rollouts, evacuations, suspects and confirmations do not wait.

--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -81,7 +81,7 @@
 			others: () => this.#peers(),
 			summaryReaders: this.#poolWork.summaryReaders,
 			onChange: () => {
-				this.#watches.answerPending();
+				this.#watches.tellNews();
 			},
 		});
 		this.#suspectSync = new SuspectSync({
@@ -119,7 +119,7 @@
 			directory: this.#serverSync.directory,
 			grantors: () => this.#peers().length + 1,
 			onChange: () => {
-				this.#watches.answerPending();
+				this.#watches.tellNews();
 			},
 		});
 		this.#watches = new EntryWatches({
--- /dev/null
+++ b/packages/gateway/src/control/entry-watches.test.ts
@@ -0,0 +1,63 @@
+import {type InstanceId, type ServerId, type ZoneId} from '@valehitch/core';
+import test from 'ava';
+import {testServer} from '../servers/_test-server.js';
+import {startTestControlServices} from './_test-control-node.js';
+import {type WatchMessage, type WatchReply} from './peer-message.js';
+
+const message: WatchMessage = {
+	type: 'watch', isUrgent: false, zone: 'hall-a' as ZoneId, configurationVersion: undefined, run: '', cursor: 0, suspectCursor: 0,
+	rolloutDigest: '', evacuationRevision: 0, evidence: [], limitCursor: 0,
+};
+
+function start() {
+	return startTestControlServices({
+		run: 'one', clock: {now: () => new Date(0), monotonic: () => 1000}, others: () => [], ask: async () => undefined,
+		saved: {read: async () => [], write: async () => true},
+	});
+}
+
+const entryOf = (index: number): InstanceId => `10.0.0.${index}` as InstanceId;
+const serverOf = (index: number) => testServer({id: `server-${index}` as ServerId, port: index});
+
+async function runPendingTasks(): Promise<void> {
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+}
+
+test('a burst of changes does not cost an answer for each change and entry instance', async t => {
+	const {news, watches} = start();
+	const [polls, changes] = [100, 40];
+	const state = {replies: 0, isPolling: true};
+	const pollContinuously = async (index: number): Promise<void> => {
+		let reply: WatchReply | undefined;
+		while (state.isPolling) {
+			reply = await watches.answer(entryOf(index), {
+				...message, run: reply?.run ?? '', cursor: reply?.cursor ?? 0, relayRevision: reply?.relayRevision,
+			});
+			state.replies++;
+		}
+	};
+
+	const stop = (): void => {
+		state.isPolling = false;
+		watches.answerPending();
+	};
+
+	t.teardown(stop);
+	const polling = Array.from({length: polls}, async (_, index) => pollContinuously(index));
+	await runPendingTasks();
+	state.replies = 0;
+	for (let index = 0; index < changes; index++) {
+		void news.announce(serverOf(index));
+		watches.tellNews();
+		await runPendingTasks();
+	}
+
+	t.true(state.replies >= polls, 'The first change is told at once');
+	t.true(state.replies < changes * polls / 2, `${state.replies} replies`);
+	stop();
+	await Promise.all(polling);
+	const {records} = await watches.answer(entryOf(0), {...message, isUrgent: true});
+	t.is(records.length, changes);
+});
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -8,6 +8,7 @@
 import {type WatchMessage, type WatchReply} from './peer-message.js';
 import {type LimitedServers} from './limited-servers.js';
 import {type RateLeaseGrantor} from './rate-lease-grantor.js';
+import {NoticePacer} from './notice-pacer.js';
 import {RelayLists} from './relay-lists.js';
 import {digestRollouts} from './rollout-clock.js';
 
@@ -59,6 +60,8 @@
 	readonly #options: EntryWatchesOptions;
 	readonly #pendingPolls = new Set<() => void>();
 	readonly #relayLists = new RelayLists();
+	readonly #pacer = new NoticePacer();
+	#newsTimer: NodeJS.Timeout | undefined;
 	readonly #entries = new Map<InstanceId, ActiveEntry & {readonly at: number}>();
 	/** The entries as a list; undefined after one was added or removed. */
 	#activeList: readonly ActiveEntry[] | undefined;
@@ -71,11 +74,27 @@
 
 	/** Answers all pending polls now. */
 	answerPending(): void {
+		clearTimeout(this.#newsTimer);
+		this.#newsTimer = undefined;
+		this.#pacer.recordAnswers(this.#pendingPolls.size, this.#options.clock.monotonic());
 		for (const wake of this.#pendingPolls) {
 			wake();
 		}
 	}
 
+	/** Answers all pending polls because servers have changed, at once unless polls have just been answered. */
+	tellNews(): void {
+		const pause = this.#pacer.pause(this.#options.clock.monotonic());
+		if (pause === 0) {
+			this.answerPending();
+			return;
+		}
+
+		this.#newsTimer ??= setTimeout(() => {
+			this.answerPending();
+		}, pause);
+	}
+
 	/**
 	Answers a poll.
 
@@ -93,8 +112,8 @@
 
 		this.#entries.set(from, {...entry, at: receivedAt});
 		this.#relayLists.recordLinks(from, {isCutOff: watch.isCutOff === true});
-		if (!watch.isUrgent && !this.#hasUpdate(watch)) {
-			await this.#waitForUpdate();
+		if (!watch.isUrgent && !this.#hasUrgentUpdate(watch)) {
+			await this.#waitForNews(watch);
 		}
 
 		const now = clock.monotonic();
@@ -129,18 +148,31 @@
 		};
 	}
 
-	#hasUpdate(watch: WatchMessage): boolean {
-		const {run, directory, suspects, currentUpdate, limitedServers} = this.#options;
+	#hasUrgentUpdate(watch: WatchMessage): boolean {
+		const {run, currentUpdate, suspects} = this.#options;
 		const {configuration, rollouts, evacuations} = currentUpdate();
 		return watch.run !== run
-			|| watch.cursor < directory.cursor
 			|| watch.suspectCursor < suspects.cursor
-			|| (watch.limitCursor ?? Number.POSITIVE_INFINITY) < limitedServers.cursor
 			|| isNewer(configuration, watch)
 			|| watch.rolloutDigest !== digestRollouts(rollouts)
 			|| (watch.evacuationRevision ?? Number.POSITIVE_INFINITY) < evacuations.revision;
 	}
 
+	#hasNews(watch: WatchMessage): boolean {
+		const {directory, limitedServers} = this.#options;
+		return watch.cursor < directory.cursor
+			|| (watch.limitCursor ?? Number.POSITIVE_INFINITY) < limitedServers.cursor;
+	}
+
+	async #waitForNews(watch: WatchMessage): Promise<void> {
+		if (!this.#hasNews(watch)) {
+			await this.#waitForUpdate();
+		} else if (this.#pacer.pause(this.#options.clock.monotonic()) > 0) {
+			this.tellNews();
+			await this.#waitForUpdate();
+		}
+	}
+
 	async #waitForUpdate(): Promise<void> {
 		await new Promise<void>(resolve => {
 			const wake = (): void => {
