Encode the full list of servers once for all who ask within a second

Cause: each entry instance that starts gets all servers from each of three control instances. Encoding the records of 3,000 servers took a control instance some 7 ms each time, and reading them an entry instance several times that.

Change: the list goes as rows without the names of fields, in bytes that are encoded at most once a second; what changed since, and cold servers, follow as records. Entry instances say in polls that they read rows (`takesServerRows`); those of the version before get records, and control instances of the version before send records.

--- a/packages/gateway/src/control/entry-watches.test.ts
+++ b/packages/gateway/src/control/entry-watches.test.ts
@@ -1,9 +1,11 @@
 import {type InstanceId, type ServerId, type ZoneId} from '@valehitch/core';
 import test from 'ava';
 import {testServer} from '../servers/_test-server.js';
+import {decodeServerRows} from '../servers/server-rows.js';
 import {startTestControlServices} from './_test-control-node.js';
 import {type WatchMessage, type WatchReply} from './peer-message.js';
 
+const run = 'one';
 const message: WatchMessage = {
 	type: 'watch', isUrgent: false, zone: 'hall-a' as ZoneId, configurationVersion: undefined, run: '', cursor: 0, suspectCursor: 0,
 	rolloutDigest: '', evacuationRevision: 0, evidence: [], limitCursor: 0,
@@ -11,7 +13,7 @@
 
 function start() {
 	return startTestControlServices({
-		run: 'one', clock: {now: () => new Date(0), monotonic: () => 1000}, others: () => [], ask: async () => undefined,
+		run, clock: {now: () => new Date(0), monotonic: () => 1000}, others: () => [], ask: async () => undefined,
 		saved: {read: async () => [], write: async () => true},
 	});
 }
@@ -61,3 +63,20 @@
 	const {records} = await watches.answer(entryOf(0), {...message, isUrgent: true});
 	t.is(records.length, changes);
 });
+
+test('an entry instance that reads rows gets the full list as rows, one of the version before as records', async t => {
+	const {news, watches} = start();
+	await news.announce(serverOf(1));
+	const former = await watches.answer(entryOf(1), message);
+	t.deepEqual(former.records, [serverOf(1)]);
+	t.is(former.serverRows, undefined);
+	const next = await watches.answer(entryOf(2), {...message, takesServerRows: true});
+	t.deepEqual(next.records, []);
+	t.like(decodeServerRows(next.serverRows!)[0], serverOf(1));
+	await news.announce(serverOf(2));
+	const changed = await watches.answer(entryOf(2), {
+		...message, takesServerRows: true, run, cursor: next.cursor,
+	});
+	t.deepEqual(changed.records, [serverOf(2)]);
+	t.is(changed.serverRows, undefined);
+});
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -8,6 +8,7 @@
 import {type WatchMessage, type WatchReply} from './peer-message.js';
 import {type LimitedServers} from './limited-servers.js';
 import {type RateLeaseGrantor} from './rate-lease-grantor.js';
+import {FullServerList} from './full-server-list.js';
 import {NoticePacer} from './notice-pacer.js';
 import {RelayLists} from './relay-lists.js';
 import {digestRollouts} from './rollout-clock.js';
@@ -61,6 +62,7 @@
 	readonly #pendingPolls = new Set<() => void>();
 	readonly #relayLists = new RelayLists();
 	readonly #pacer = new NoticePacer();
+	readonly #fullList: FullServerList;
 	#newsTimer: NodeJS.Timeout | undefined;
 	readonly #entries = new Map<InstanceId, ActiveEntry & {readonly at: number}>();
 	/** The entries as a list; undefined after one was added or removed. */
@@ -70,6 +72,7 @@
 
 	constructor(options: EntryWatchesOptions) {
 		this.#options = options;
+		this.#fullList = new FullServerList(options.directory);
 	}
 
 	/** Answers all pending polls now. */
@@ -124,7 +127,7 @@
 		return {
 			run,
 			cursor: directory.cursor,
-			records: directory.changedSince(watch.run === run ? watch.cursor : 0).map(record => directory.withColdTime(record, now)),
+			...this.#serversFor(watch, now),
 			suspectCursor: suspects.cursor,
 			suspects: suspects.changedSince(watch.run === run ? watch.suspectCursor : 0),
 			configuration: isNewer(configuration, watch) ? configuration : undefined,
@@ -148,6 +151,15 @@
 		};
 	}
 
+	#serversFor(watch: WatchMessage, now: number): Pick<WatchReply, 'records' | 'serverRows'> {
+		const {run, directory} = this.#options;
+		const isFull = watch.run !== run;
+		const {rows, records} = isFull && watch.takesServerRows === true
+			? this.#fullList.current(now)
+			: {rows: undefined, records: directory.changedSince(isFull ? 0 : watch.cursor)};
+		return {records: records.map(record => directory.withColdTime(record, now)), ...(rows !== undefined && {serverRows: rows})};
+	}
+
 	#hasUrgentUpdate(watch: WatchMessage): boolean {
 		const {run, currentUpdate, suspects} = this.#options;
 		const {configuration, rollouts, evacuations} = currentUpdate();
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -141,6 +141,8 @@
 	readonly isCutOff?: boolean;
 	/** The revision of the relays that the entry instance has received; absent in versions before relays of all zones. */
 	readonly relayRevision?: number | undefined;
+	/** Whether the entry instance reads `serverRows`; absent in versions before them. */
+	readonly takesServerRows?: true;
 };
 
 /** The reply to a poll: everything that changed since the state named in the request. */
@@ -148,6 +150,8 @@
 	readonly run: string;
 	readonly cursor: number;
 	readonly records: readonly ServerRecord[];
+	/** Further servers, which `records` override, encoded by `encodeServerRows`; only for who reads them, and only if the state is a full one. */
+	readonly serverRows?: Uint8Array;
 	readonly suspectCursor: number;
 	/** The suspect records that changed. */
 	readonly suspects: readonly SuspectRecord[];
--- a/packages/gateway/src/entry/apply-server-news.ts
+++ b/packages/gateway/src/entry/apply-server-news.ts
@@ -4,6 +4,7 @@
 import {type Evacuations} from '../servers/evacuations.js';
 import {type SentServerLimit} from '../servers/server-limits.js';
 import {type ServerRecord} from '../servers/server-record.js';
+import {decodeServerRows} from '../servers/server-rows.js';
 import {type EntryContext} from './entry-context.js';
 
 /** Options of {@linkcode applyServerNews}. */
@@ -35,7 +36,8 @@
 */
 export function applyServerNews(reply: WatchReply, context: NewsContext, {source, now, isFullState, sentAt}: ApplyServerNewsOptions): readonly ServerRecord[] {
 	const {servers, log} = context;
-	const changed = servers.applyRecords(reply.records, {source, now, isFullState});
+	const listed = reply.serverRows === undefined ? [] : decodeServerRows(reply.serverRows);
+	const changed = servers.applyRecords([...listed, ...reply.records], {source, now, isFullState});
 	applyEvacuations(reply.evacuations, context, {source, now});
 	if (sentAt !== undefined) {
 		const validUntil = sentAt + rateLeaseMilliseconds;
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -121,6 +121,7 @@
 			suspectCursor: source.suspectCursor,
 			limitCursor: source.limitCursor,
 			relayRevision: source.relayRevision,
+			takesServerRows: true,
 			...watchFields(host),
 		}, watchTimeoutMilliseconds);
 		metrics.watches.inc({result: reply === undefined ? 'lost' : 'answered'});
