--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -23,6 +23,7 @@
 export type * from './entry/gateway-request.js';
 export type * from './entry/tracked-server.js';
 export * from './entry/latency-estimator.js';
+export * from './entry/pool-loads.js';
 export * from './entry/repeat-tracker.js';
 export * from './inspection/inspection-handler.js';
 export type {ProfileSummary, TimeShare} from './inspection/sum-profile.js';
--- a/packages/testing/src/_speed-trial-pool.ts
+++ b/packages/testing/src/_speed-trial-pool.ts
@@ -29,15 +29,16 @@
 const slowStep = 13;
 
 /**
-Creates servers of three speeds with a mean of 1, of which one at a time runs at a third of its speed for three seconds.
+Creates servers of different speeds with a mean of 1, of which one at a time runs at a third of its speed for three seconds.
 
 @param milliseconds The simulated time.
+@param speeds The speeds, in any unit, which the servers have in turn.
 @returns The servers.
 */
-export function createSpeedPool(milliseconds: number): readonly SimulatedServer[] {
-	const mean = announcedSpeeds.reduce((sum, speed) => sum + speed, 0) / announcedSpeeds.length;
+export function createSpeedPool(milliseconds: number, speeds: readonly number[] = announcedSpeeds): readonly SimulatedServer[] {
+	const mean = speeds.reduce((sum, speed) => sum + speed, 0) / speeds.length;
 	const servers = Array.from({length: serverCount}, (_, index) => ({
-		speed: announcedSpeeds[index % announcedSpeeds.length]! / mean, slowMoments: [] as number[], waiting: [], freeAt: 0,
+		speed: speeds[index % speeds.length]! / mean, slowMoments: [] as number[], waiting: [], freeAt: 0,
 	}));
 	for (let at = slowEveryMilliseconds, index = 0; at < milliseconds; at += slowEveryMilliseconds, index += slowStep) {
 		servers[index % serverCount]!.slowMoments.push(at);
@@ -113,6 +114,6 @@
 }
 
 /** Draws from the normal distribution (Box and Muller, 1958). */
-function sampleNormal(random: RandomSource): number {
+export function sampleNormal(random: RandomSource): number {
 	return Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
 }
--- a/packages/testing/src/emulator/event-queue.ts
+++ b/packages/testing/src/emulator/event-queue.ts
@@ -40,26 +40,24 @@
 	}
 
 	/**
-	Runs events up to and including a time. Do not continue afterwards: the first later event is discarded.
+	Runs events up to and including a time.
 
 	@param end The simulated time, in milliseconds.
 	*/
 	runUntil(end: number): void {
-		for (let next = this.#pop(); next !== undefined && next.at <= end; next = this.#pop()) {
+		for (let next = this.#heap[0]; next !== undefined && next.at <= end; next = this.#heap[0]) {
+			this.#pop();
 			this.#now = next.at;
 			next.run();
 		}
 	}
 
-	#pop(): QueuedEvent | undefined {
-		const first = this.#heap[0];
+	#pop(): void {
 		const last = this.#heap.pop();
-		if (last !== undefined && first !== last) {
+		if (last !== undefined && this.#heap.length > 0) {
 			this.#heap[0] = last;
 			this.#siftDown();
 		}
-
-		return first;
 	}
 
 	#siftUp(from: number): void {
