Keep connections to servers for as long as these state

Cause: a connection to a server was used again within 1.5 s at most, while many instances and many servers use each pair every 3 to 5 s, so that most sends opened a new one.

A kept connection is used only where its loss can be retried: not for the last send of a route, not while the retry budget is empty, and not after a send of the request has failed. When one is lost, the other idle ones to that server are closed. So a dead connection costs a request one retry.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -94,13 +94,13 @@
 export async function sendRequests(t: ExecutionContext, times: number, options: SendRequestsOptions) {
 	const {
 		nextServers, route = testRoute(), timeout = 60_000, inputTokens = 0, promptParts = [], wait = async () => undefined, latencies, speedReports, log = ignore,
-		checkProcess = async () => 'running', areServersReachable = true, memory = new HeldMemory(), call = get, prepare = ignore, admission = sendAtOnce, onRefused = ignore,
+		checkProcess = async () => 'running', areServersReachable = true, memory = new HeldMemory(), call = get, prepare = ignore, admission = sendAtOnce, onRefused = ignore, random = () => 0.5,
 	} = options;
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const servers = new EntryServers({
 		zone: 'hall-a' as ZoneId,
 		startedAt: clock.monotonic() - uptimeMilliseconds,
-		random: () => 0.5,
+		random,
 		loads: {
 			peerLoadAt: () => 0, recordChange: ignore, discardServer: ignore, ...speedReports,
 		},
@@ -216,6 +216,8 @@
 	readonly admission?: EntryContext['admission'];
 	/** Called with each failure that a caller is told. */
 	readonly onRefused?: (failed: Failure) => void;
+	/** Draws the servers; always 0.5 by default. */
+	readonly random?: () => number;
 	/** Called with the context of the instance before the first request. */
 	readonly prepare?: (context: EntryContext) => void;
 };
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -88,6 +88,80 @@
 	t.deepEqual(evidence.map(({answers: count, failures}) => [count, failures]), [[12, 0]]);
 });
 
+const foundEvent = 'data: found\n\n';
+
+/** Starts a server that answers the first request on each connection, and drops the connection on the next one. */
+async function listenDroppingKept(t: ExecutionContext, drop: (message: IncomingMessage) => void): Promise<number> {
+	const used = new Set<unknown>();
+	return listen(t, (message, response) => {
+		if (used.has(message.socket)) {
+			drop(message);
+			return;
+		}
+
+		used.add(message.socket);
+		response.end(foundEvent);
+	});
+}
+
+for (const [name, drop] of [
+	['closed', (message: IncomingMessage) => {
+		message.socket.destroy();
+	}],
+	['reset', (message: IncomingMessage) => {
+		message.socket.resetAndDestroy();
+	}],
+] as const) {
+	test(`a request that loses a kept connection that is ${name} takes one retry, though all servers drop theirs`, async t => {
+		const ports = [await listenDroppingKept(t, drop), await listenDroppingKept(t, drop), await listenDroppingKept(t, drop)];
+		const sends: unknown[] = [];
+		let drawn = 0;
+		const {answers} = await sendRequests(t, 12, {
+			route: testRoute({kind: 'safe', timeout: 8000, maximumAttempts: 3}),
+			log(kind, fields) {
+				if (kind === 'request-ended') {
+					sends.push(fields.sends);
+				}
+			},
+			random: () => (drawn++ % 7) / 7,
+			nextServers(known) {
+				known.applyRecords(ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
+			},
+		});
+		t.deepEqual(answers.map(({text}) => text), answers.map(() => foundEvent));
+		t.deepEqual(new Set(sends), new Set([1, 2]));
+	});
+
+	test(`a request that cannot be sent again succeeds where kept connections are ${name}`, async t => {
+		const port = await listenDroppingKept(t, drop);
+		const {answers} = await sendRequests(t, 4, {
+			route: testRoute({kind: 'safe', timeout: 8000, maximumAttempts: 1}),
+			nextServers(known) {
+				known.applyRecords([testServer({port})], {source: control, now: performance.now()});
+			},
+		});
+		t.deepEqual(answers.map(({text}) => text), answers.map(() => foundEvent));
+	});
+}
+
+test('a request on a kept connection that falls silent is answered over a new one, though all kept ones are silent', async t => {
+	const silent = async (): Promise<number> => listenDroppingKept(t, () => {
+		// Neither answers nor closes.
+	});
+	const ports = [await silent(), await silent(), await silent()];
+	let drawn = 0;
+	const {answers} = await sendRequests(t, 8, {
+		route: testRoute({
+			kind: 'streaming', isResumable: true, timeout: 8000, targetLatency: 200, maximumAttempts: 3,
+		}),
+		random: () => (drawn++ % 7) / 7,
+		nextServers(known) {
+			known.applyRecords(ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual(answers.map(({text}) => text), answers.map(() => foundEvent));
+});
+
 test('a request that may have run is not refused as not run, even if it may be repeated', async t => {
 	const port = await listen(t, message => {
 		message.socket.destroy();
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -252,10 +252,12 @@
 			.with({type: 'relay-unavailable'}, async () => this.#handleRelayUnavailable(relay))
 			.with({type: 'not-run'}, async ({failed}) => this.#handleNotRun(server, failed))
 			.with({type: 'connection-lost'}, async ({failed}) => {
+				this.#allowance.requireNewConnections();
 				this.#end.recordPossibleRun();
 				return this.#retry(failed);
 			})
 			.with({type: 'failed'}, async ({failed, answer}) => {
+				this.#allowance.requireNewConnections();
 				this.#end.recordPossibleRun();
 				this.#end.keepFailedAnswer(answer);
 				this.#placement.exclude(server);
--- a/packages/gateway/src/entry/send-allowance.test.ts
+++ b/packages/gateway/src/entry/send-allowance.test.ts
@@ -35,3 +35,17 @@
 	t.deepEqual(tries, [true, true, true, false]);
 	t.false(allowance.tryRetry());
 });
+
+test('a kept connection is used only where its loss can be retried, and not again after a failed send', t => {
+	const create = (maximumAttempts: number, isAllowed = true): SendAllowance => new SendAllowance({
+		route: {kind: 'safe', isResumable: false, maximumAttempts}, service, budget: {allows: () => isAllowed, withdraw: () => isAllowed}, clock,
+	});
+	t.false(create(1).mayUseKeptConnection);
+	t.false(create(3, false).mayUseKeptConnection);
+	const allowance = create(3);
+	t.true(allowance.mayUseKeptConnection);
+	allowance.countSend();
+	t.true(allowance.mayUseKeptConnection);
+	allowance.requireNewConnections();
+	t.false(allowance.mayUseKeptConnection);
+});
--- a/packages/gateway/src/entry/send-allowance.ts
+++ b/packages/gateway/src/entry/send-allowance.ts
@@ -29,6 +29,7 @@
 	readonly #options: SendAllowanceOptions;
 	#sends = 0;
 	#unreachable = 0;
+	#needsNewConnection = false;
 
 	constructor(options: SendAllowanceOptions) {
 		const {kind, isResumable} = options.route;
@@ -57,6 +58,16 @@
 		return this.isRepeatable && this.#hasSends && budget.allows(service, clock.monotonic());
 	}
 
+	/** Whether the next send may go over a kept connection, which its server may have dropped: only if a loss can be retried, and not after a send that failed. */
+	get mayUseKeptConnection(): boolean {
+		return !this.#needsNewConnection && !this.isNextSendLast && this.canRetry;
+	}
+
+	/** Has all further sends use new connections, because one has failed. */
+	requireNewConnections(): void {
+		this.#needsNewConnection = true;
+	}
+
 	/** Counts a send. */
 	countSend(): void {
 		this.#sends++;
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -4,7 +4,9 @@
 } from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Header} from './gateway-request.js';
-import {closeIdleConnections, closeStaleConnections, connectionPool} from './connection-pool.js';
+import {
+	closeIdleConnections, closeStaleConnections, connectionPool, recordKeepAlive, recordReuse,
+} from './connection-pool.js';
 
 /** Options of {@linkcode sendAttempt}. */
 export type SendAttemptOptions = {
@@ -99,6 +101,8 @@
 				isOpen = true;
 				onConnect();
 			});
+		} else {
+			recordReuse(socket);
 		}
 	});
 	const outcome = awaitHead(request, options, {isCancelled: () => isCancelled, isOpen: () => isOpen});
@@ -149,12 +153,17 @@
 				settle({type: error instanceof TunnelError && error.type === 'peer-unavailable' ? 'relay-unavailable' : 'unreachable', reason});
 			} else if (isSilent) {
 				settle({type: 'silent'});
+			} else if (request.reusedSocket) {
+				// A server that dropped one idle connection has probably dropped the others too.
+				closeIdleConnections(server, relay?.pool);
+				settle({type: 'kept-connection-lost', reason});
 			} else {
-				settle({type: request.reusedSocket ? 'kept-connection-lost' : 'lost', reason});
+				settle({type: 'lost', reason});
 			}
 		};
 
 		request.on('response', message => {
+			recordKeepAlive(message);
 			settle({
 				type: 'head', message, framing: responseFraming(message, method), isComplete: watchResponseEnd(message, {method, isServerRunning}),
 			});
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -56,6 +56,7 @@
 	const {request, body, server, relay, authorized: {route, workspace}, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd} = options;
 	const {dialect, clock, log, links} = context;
 	const sentAt = clock.monotonic();
+	const mayReuseConnection = allowance.mayUseKeptConnection;
 	const attempt = sendAttempt({
 		server,
 		relay,
@@ -68,10 +69,10 @@
 			workspace: workspace?.id,
 			urgency: Math.min(maximumUrgency, urgencyOf(options, context)),
 			lastEventId,
-			keepsConnection: allowance.isRepeatable,
+			keepsConnection: mayReuseConnection,
 		}),
 		body,
-		mayReuseConnection: allowance.isRepeatable,
+		mayReuseConnection,
 		connectTimeout: Math.min(connectTimeoutMilliseconds, route.targetLatency),
 		headTimeouts: headTimeoutsOf(options, context),
 		onConnect() {
