--- a/packages/soak/src/find-violations.test.ts
+++ b/packages/soak/src/find-violations.test.ts
@@ -61,6 +61,31 @@
 	};
 });
 
+test('a cut instance is not judged by requests whose key may have been refused, and by the others it is', t => {
+	const cut = {
+		...validRecord, runs: [], requests: cutRequests, serverCuts: [{entry: 'front-1:1', from: 0, to: 9000}],
+	};
+	const isFound = (uncertainKeys: SoakRecord['uncertainKeys']) => findViolations({...cut, uncertainKeys}, limits).some(line => line.startsWith('server cut'));
+	t.false(isFound([{key: request.key, from: 3000, to: undefined}]));
+	t.true(isFound([{key: request.key, from: 0, to: 3000}, {key: request.key, from: 9000, to: undefined}, {key: 'key-2', from: 0, to: undefined}]));
+});
+
+test('a cut instance is judged by each service of which others are served, and by no other', t => {
+	const ofService = (kind: ObservedRequest['kind'], othersStatus: number) => cutRequests.map((known, index): ObservedRequest => {
+		const id = `${kind}-${index}`;
+		const status = known.status === 200 ? othersStatus : known.status;
+		return {
+			...known, kind, id, status, text: status === 200 ? completeResponse(id, kind) : '',
+		};
+	});
+	const findCuts = (requests: readonly ObservedRequest[]) => findViolations({
+		...validRecord, runs: [], requests: [...requests], serverCuts: [{entry: 'front-1:1', from: 0, to: 9000}],
+	}, limits).filter(line => line.startsWith('server cut'));
+	t.deepEqual(findCuts([...ofService('unsafe', 503), ...ofService('streaming', 200).slice(0, 10)]), []);
+	t.deepEqual(findCuts([...ofService('unsafe', 503), ...ofService('streaming', 200)]), ['server cut: front-1:1 served 0 of 20 requests, the others 20 of 20']);
+	t.deepEqual(findCuts([...ofService('unsafe', 200).slice(0, 14), ...ofService('streaming', 200).slice(0, 14)]), ['server cut: front-1:1 served 0 of 14 requests, the others 14 of 14']);
+});
+
 test('a cut instance that was also disturbed is not judged', t => {
 	t.deepEqual(findViolations({
 		...validRecord, runs: [], requests: cutRequests, serverCuts: [{entry: 'front-1:1', from: 0, to: 9000}], disturbances: [{ip: 'front-1', from: 100, to: 200}],
--- a/packages/soak/src/soak-operator.ts
+++ b/packages/soak/src/soak-operator.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {sendForResponse, sendForStatus} from '@valehitch/testing';
 import {soakConfiguration} from './soak-configuration.js';
-import {type ObservedEvacuation, type SoakRecord} from './soak-record.js';
+import {type ObservedEvacuation, type SoakRecord, type UncertainKey} from './soak-record.js';
 
 /** Options for the operator of a soak. */
 export type SoakOperatorOptions = {
@@ -63,10 +63,14 @@
 	/** Submits a configuration with a new key in place of the oldest, which it revokes. */
 	async revokeOldestKey(): Promise<void> {
 		return this.#enqueue(async () => {
-			const [revokedKey, ...validKeys] = [...this.#keys, `key-${++this.#keyCount}`];
-			this.#keys = validKeys;
-			if (revokedKey !== undefined && await this.#submit(validKeys)) {
-				this.#options.record.revocations.push({key: revokedKey, acknowledgedAt: this.#options.now()});
+			const {record, now} = this.#options;
+			const [revokedKey, addedKey] = [this.#keys[0]!, `key-${++this.#keyCount}`];
+			this.#keys = [...this.#keys.slice(1), addedKey];
+			const added: UncertainKey = {key: addedKey, from: now(), to: undefined};
+			record.uncertainKeys.push(added, {key: revokedKey, from: now(), to: undefined});
+			if (await this.#submit(this.#keys)) {
+				added.to = now();
+				record.revocations.push({key: revokedKey, acknowledgedAt: now()});
 				this.#revokedKeys = [revokedKey, ...this.#revokedKeys].slice(0, retainedRevokedKeys);
 			}
 		});
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -64,6 +64,14 @@
 	endOrderedAt: number | undefined;
 };
 
+/** A time in which a key may be refused, since a configuration that adds or revokes it was submitted. */
+export type UncertainKey = {
+	readonly key: string;
+	readonly from: number;
+	/** When the configuration that adds the key was acknowledged; undefined for a key that is revoked. */
+	to: number | undefined;
+};
+
 /** A configuration that an operator submitted and a control instance acknowledged. */
 export type AcknowledgedConfiguration = {
 	readonly version: number;
@@ -96,6 +104,8 @@
 	readonly reads: ConfigurationRead[];
 	/** The revoked keys, and when each revocation was acknowledged. */
 	readonly revocations: Array<{readonly key: string; readonly acknowledgedAt: number}>;
+	/** When which key may have been refused. */
+	readonly uncertainKeys: UncertainKey[];
 	/** The backend servers that announced a shutdown, and when each announcement was acknowledged. */
 	readonly shutdowns: Array<{readonly server: string; readonly acknowledgedAt: number; readonly control: string}>;
 	/** The evacuations of availability zones. */
@@ -130,6 +140,7 @@
 		configurations: [],
 		reads: [],
 		revocations: [],
+		uncertainKeys: [],
 		shutdowns: [],
 		evacuations: [],
 		disturbances: [],
