Let tests wait for deployments from when their programs are loaded

Cause: tests that found no acknowledged configuration within 20 s of the start counted the time in which the processes load their programs. Shown by the kept logs of four deployments started at once (load 60 on 7 cores): 24 processes said that they had started 11 to 21 s after their start, some not at all; once loaded, the configuration was acknowledged within 0.2 to 1.0 s (load 37). That earlier runs, whose logs are gone, had this cause is inferred.

--- a/packages/testing/src/platform/platform-deployment.ts
+++ b/packages/testing/src/platform/platform-deployment.ts
@@ -6,6 +6,7 @@
 import path from 'node:path';
 import {ManagedProcess} from '../managed-process.js';
 import {type ReservedSubnet, reserveLoopbackSubnet} from './reserve-loopback-subnet.js';
+import {startAll} from './start-all.js';
 
 /** Options of `PlatformDeployment`. */
 export type PlatformDeploymentOptions = {
@@ -61,17 +62,14 @@
 */
 export class PlatformDeployment {
 	/**
-	Creates a deployment and starts all its processes.
+	Creates a deployment, starts all its processes and waits until they have loaded their programs.
 
 	@param options The size and settings of the deployment.
 	@returns The deployment.
 	*/
 	static async start(options: PlatformDeploymentOptions = {}): Promise<PlatformDeployment> {
 		const deployment = await PlatformDeployment.prepare(options);
-		for (const instance of deployment.instances) {
-			instance.process.start();
-		}
-
+		await startAll(deployment.instances);
 		return deployment;
 	}
 
--- a/packages/testing/src/platform/restart-all.ts
+++ b/packages/testing/src/platform/restart-all.ts
@@ -1,5 +1,6 @@
 import {waitUntil} from '../wait-until.js';
 import {type PlatformDeployment} from './platform-deployment.js';
+import {startAll} from './start-all.js';
 
 /**
 Kills all processes of a deployment at once, restarts them, and waits until each entry instance serves requests.
@@ -14,10 +15,8 @@
 */
 export async function restartAll({instances, entries}: PlatformDeployment, serve: (entry: number) => Promise<boolean>): Promise<void> {
 	await Promise.all(instances.map(async instance => instance.process.kill('SIGKILL')));
-	for (const instance of instances) {
-		await instance.writeSettings({isFounding: false});
-		instance.process.start();
-	}
+	await Promise.all(instances.map(async instance => instance.writeSettings({isFounding: false})));
+	await startAll(instances);
 
 	await waitUntil(async () => {
 		const served = await Promise.all(entries.map(async (_, entry) => serve(entry)));
