Send heartbeats among control instances as rows

Cause: each heartbeat is passed on to all other control instances as a whole record with the names of its fields, 147 bytes.

Change: control instances that say that they read rows (`takesServerRows` in the acknowledgement) get rows; cold servers and changes that are told at once go as records. A batch is encoded once for all that lack the same changes.

Worth it for the bytes between availability zones only.

--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -238,7 +238,7 @@
 			.with({type: 'servers'}, (servers): ServersReply => {
 				this.#serverSync.receive(servers);
 				this.#poolWork.summaryReaders.record(from, {canRead: servers.takesWorkSummaries === true});
-				return {run: this.#options.run, takesWorkSummaries: true};
+				return {run: this.#options.run, takesWorkSummaries: true, takesServerRows: true};
 			})
 			.with({type: 'server-ended'}, ({server}) => {
 				this.#serverSync.markEnded(server);
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -71,6 +71,8 @@
 	readonly type: 'servers';
 	/** The records that changed, and those of servers that recently announced themselves to the sender. */
 	readonly records: readonly ServerRecord[];
+	/** Further records, encoded by `encodeServerRows`; only for who reads them. */
+	readonly serverRows?: Uint8Array | undefined;
 	/** Whether the sender reads `work-summary` messages; absent in versions before them. */
 	readonly takesWorkSummaries?: true;
 };
@@ -87,6 +89,8 @@
 	readonly run: string;
 	/** Whether the process reads `work-summary` messages; absent in versions before them. */
 	readonly takesWorkSummaries?: true;
+	/** Whether the process reads `serverRows`; absent in versions before them. */
+	readonly takesServerRows?: true;
 };
 
 /** Reports that a backend server has stopped, even if the receiver has no record of the server. */
--- a/packages/gateway/src/control/server-directory-sync.test.ts
+++ b/packages/gateway/src/control/server-directory-sync.test.ts
@@ -20,7 +20,7 @@
 	const syncs = new Map<InstanceId, ServerDirectorySync>();
 	const written: Array<readonly ServerRecord[]> = [];
 	const lines: Array<Readonly<Record<string, unknown>>> = [];
-	const link = {isPartitioned: false, run: 'one'};
+	const link = {isPartitioned: false, run: 'one', takesServerRows: false};
 	const sent: PeerMessage[] = [];
 	const time = {now: 1000};
 	const start = ({self, other, saved: records = []}: Side): ServerDirectorySync => {
@@ -34,7 +34,7 @@
 			others: () => [other],
 			async ask(to, message) {
 				sent.push(message);
-				return link.isPartitioned ? undefined : answer(syncs.get(to), message, link.run);
+				return link.isPartitioned ? undefined : answer(syncs.get(to), message, link);
 			},
 			summaryReaders: new MessageReaders(),
 			onChange: doNothing,
@@ -55,7 +55,12 @@
 	};
 }
 
-async function answer(sync: ServerDirectorySync | undefined, message: PeerMessage, run: string): Promise<unknown> {
+type ServersReplyFields = {
+	readonly run: string;
+	readonly takesServerRows: boolean;
+};
+
+async function answer(sync: ServerDirectorySync | undefined, message: PeerMessage, {run, takesServerRows}: ServersReplyFields): Promise<unknown> {
 	if (message.type === 'server-ended') {
 		sync?.markEnded(message.server);
 		return true;
@@ -63,7 +68,7 @@
 
 	if (message.type === 'servers') {
 		sync?.receive(message);
-		return {run};
+		return {run, ...(takesServerRows && {takesServerRows})};
 	}
 
 	return message.type === 'all-servers' ? sync?.allServersReply : undefined;
@@ -185,3 +190,31 @@
 	await stalled.one.announce(testServer({state: 'draining'}));
 	t.deepEqual(states(stalled.other), ['server-1 draining']);
 });
+
+test('heartbeats go as rows to a control instance that reads them, and as records to one that was replaced by the version before', async t => {
+	const {one, other, link, sent, time} = startPair();
+	link.takesServerRows = true;
+	const cold = testServer({id: 'server-2' as ServerId, port: 10});
+	const coldUntil = time.now + 9000;
+	const beat = async (sequence: number): Promise<void> => {
+		await one.announce(testServer({sequence}));
+		await one.announce({...cold, sequence, coldRemaining: coldUntil - time.now});
+		one.runSyncRound();
+		await runPendingTasks();
+	};
+
+	await beat(1);
+	sent.length = 0;
+	time.now += 5000;
+	await beat(2);
+	t.deepEqual(serversOf(sent), [['server-2']]);
+	t.deepEqual(other.directory.records.map(({id, sequence}) => [id, sequence]), [[testServer().id, 2], [cold.id, 2]]);
+	t.deepEqual(other.directory.sweep(time.now + 5000), []);
+	t.deepEqual(other.directory.coldServers(time.now).map(({id}) => id), [cold.id]);
+	link.takesServerRows = false;
+	await beat(3);
+	sent.length = 0;
+	await beat(4);
+	t.deepEqual(serversOf(sent), [['server-1', 'server-2']]);
+	t.deepEqual(other.directory.records.map(({sequence}) => sequence), [4, 4]);
+});
--- a/packages/gateway/src/control/server-directory-sync.ts
+++ b/packages/gateway/src/control/server-directory-sync.ts
@@ -6,7 +6,8 @@
 import {type SavedList} from '../servers/saved-list.js';
 import {ServerDirectory} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
-import {type MessageReaders} from './message-readers.js';
+import {decodeServerRows, encodeServerRows} from '../servers/server-rows.js';
+import {MessageReaders} from './message-readers.js';
 import {
 	type AllServersReply, type PeerMessage, type ServersMessage, type ServersReply,
 } from './peer-message.js';
@@ -36,6 +37,13 @@
 	readonly cursor: number;
 };
 
+/** The servers to send in one synchronization round. */
+type Batch = {
+	readonly records: readonly ServerRecord[];
+	/** The same servers for who reads rows: all but cold ones, whose remaining time rows lack. */
+	readonly encoded: () => Pick<ServersMessage, 'records' | 'serverRows'>;
+};
+
 /** The number of heartbeats a server may miss before it is considered silent; announcements may arrive seconds late. */
 const missedHeartbeatLimit = 5;
 /** The interval between synchronizations with the other control instances. */
@@ -70,6 +78,8 @@
 	readonly #announcedIds = new Set<ServerId>();
 	/** The changes of this directory that each other control instance has acknowledged. */
 	readonly #acknowledged = new Map<InstanceId, PeerCursor>();
+	/** The other control instances that read rows. */
+	readonly #rowReaders = new MessageReaders();
 	#stopSyncTimer: (() => void) | undefined;
 	#saveTimer: NodeJS.Timeout | undefined;
 
@@ -162,10 +172,11 @@
 
 	@param message The records.
 	*/
-	receive({records}: ServersMessage): void {
+	receive({records, serverRows}: ServersMessage): void {
 		const now = this.#options.clock.monotonic();
 		let isChanged = false;
-		for (const record of records) {
+		const listed = serverRows === undefined ? [] : decodeServerRows(serverRows);
+		for (const record of [...listed, ...records]) {
 			const changed = this.directory.announce(record, now);
 			isChanged ||= changed.length > 0;
 			this.#logStates(changed, 'peer');
@@ -187,22 +198,40 @@
 
 		const announcedIds = new Set(this.#announcedIds);
 		this.#announcedIds.clear();
+		// The other instances nearly always lack the same changes.
+		const batches = new Map<number, Batch>();
 		for (const other of others()) {
-			void this.#sendChanges(other, announcedIds);
+			const cursor = this.#acknowledged.get(other)?.cursor ?? 0;
+			const batch = batches.get(cursor) ?? this.#batchSince(cursor, announcedIds);
+			batches.set(cursor, batch);
+			void this.#sendBatch(other, batch);
 		}
 	}
 
-	/** Sends another control instance the servers that announced themselves, and all changes that it has not acknowledged. */
-	async #sendChanges(other: InstanceId, announcedIds: ReadonlySet<ServerId>): Promise<void> {
-		const {run, cursor} = this.#acknowledged.get(other) ?? {run: undefined, cursor: 0};
-		const {cursor: latestCursor, records: all} = this.directory;
+	/** The servers that announced themselves, and all changes after a cursor. */
+	#batchSince(cursor: number, announcedIds: ReadonlySet<ServerId>): Batch {
 		const changed = new Set(this.directory.changedSince(cursor));
-		const records = this.#withColdTimes(all.filter(record => changed.has(record) || announcedIds.has(record.id)));
+		const records = this.#withColdTimes(this.directory.records.filter(record => changed.has(record) || announcedIds.has(record.id)));
+		let encoded: Pick<ServersMessage, 'records' | 'serverRows'> | undefined;
+		return {
+			records,
+			encoded() {
+				encoded ??= encodeBatch(records);
+				return encoded;
+			},
+		};
+	}
+
+	async #sendBatch(other: InstanceId, {records, encoded}: Batch): Promise<void> {
+		const {run, cursor} = this.#acknowledged.get(other) ?? {run: undefined, cursor: 0};
+		const {cursor: latestCursor} = this.directory;
 		if (records.length === 0) {
 			return;
 		}
 
-		const reply = await this.#options.ask(other, {type: 'servers', records, takesWorkSummaries: true}, forwardTimeoutMilliseconds) as ServersReply | undefined;
+		const servers = this.#rowReaders.has(other) ? encoded() : {records};
+		const reply = await this.#options.ask(other, {type: 'servers', ...servers, takesWorkSummaries: true}, forwardTimeoutMilliseconds) as ServersReply | undefined;
+		this.#rowReaders.record(other, {canRead: reply?.takesServerRows === true});
 		if (reply !== undefined) {
 			this.#options.summaryReaders.record(other, {canRead: reply.takesWorkSummaries === true});
 			// If the process has restarted, it has only received the changes since its restart.
@@ -288,3 +317,8 @@
 		}
 	}
 }
+
+function encodeBatch(records: readonly ServerRecord[]): Pick<ServersMessage, 'records' | 'serverRows'> {
+	const warm = records.filter(({coldRemaining = 0}) => coldRemaining === 0);
+	return {records: records.filter(({coldRemaining = 0}) => coldRemaining > 0), serverRows: encodeServerRows(warm)};
+}
