Find load-sharing peers in one ordered list

Cause: whenever an entry instance comes or goes, the next reply to each other one filtered and sorted all names again for its six peers.

Change: the names are ordered once for each change of the list, and the peers are the next ones in it, as before.

--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -4,7 +4,7 @@
 import {type Evacuations} from '../servers/evacuations.js';
 import {type ServerDirectory} from '../servers/server-directory.js';
 import {type ConfigurationDocument} from './gateway-state.js';
-import {type ActiveEntry, selectLoadSharingPeers} from './select-load-sharing-peers.js';
+import {type ActiveEntry, orderByName, selectLoadSharingPeers} from './select-load-sharing-peers.js';
 import {type WatchMessage, type WatchReply} from './peer-message.js';
 import {type LimitedServers} from './limited-servers.js';
 import {type RateLeaseGrantor} from './rate-lease-grantor.js';
@@ -65,7 +65,7 @@
 	readonly #fullList: FullServerList;
 	#newsTimer: NodeJS.Timeout | undefined;
 	readonly #entries = new Map<InstanceId, ActiveEntry & {readonly at: number}>();
-	/** The entries as a list; undefined after one was added or removed. */
+	/** The entries in the order of their names; undefined after one was added or removed. */
 	#activeList: readonly ActiveEntry[] | undefined;
 	/** The peers of the entries in the list, as far as they have been asked for. */
 	readonly #peers = new Map<InstanceId, readonly InstanceId[]>();
@@ -210,7 +210,7 @@
 		}
 
 		if (this.#activeList === undefined) {
-			this.#activeList = [...this.#entries.values()];
+			this.#activeList = orderByName([...this.#entries.values()]);
 			this.#peers.clear();
 		}
 
--- a/packages/gateway/src/control/select-load-sharing-peers.test.ts
+++ b/packages/gateway/src/control/select-load-sharing-peers.test.ts
@@ -1,6 +1,6 @@
 import {type InstanceId, type ZoneId} from '@valehitch/core';
 import test from 'ava';
-import {type ActiveEntry, selectLoadSharingPeers} from './select-load-sharing-peers.js';
+import {type ActiveEntry, orderByName, selectLoadSharingPeers} from './select-load-sharing-peers.js';
 
 function entries(count: number, zone: string): readonly ActiveEntry[] {
 	return Array.from({length: count}, (_, index) => ({instance: `${zone}-${String(index).padStart(2, '0')}` as InstanceId, zone: zone as ZoneId}));
@@ -19,3 +19,11 @@
 		t.is(peers.filter(other => other === instance).length, 6);
 	}
 });
+
+test('the peers do not depend on the order in which the entry instances came', t => {
+	const all = [...entries(9, 'a'), ...entries(9, 'b')];
+	const ordered = orderByName(all.toReversed());
+	for (const entry of all) {
+		t.deepEqual(selectLoadSharingPeers(entry, ordered), selectLoadSharingPeers(entry, all));
+	}
+});
--- a/packages/gateway/src/control/select-load-sharing-peers.ts
+++ b/packages/gateway/src/control/select-load-sharing-peers.ts
@@ -13,21 +13,33 @@
 Selects the entry instances with which an instance shares its load: its successors when the instances are ordered by name in a ring, those in its own availability zone first.
 
 @param self The instance to select peers for.
-@param entries All entry instances that polled recently.
+@param entries All entry instances that polled recently, as {@linkcode orderByName} returns them.
 @returns At most six other instances.
 @example
 ```ts
-selectLoadSharingPeers({instance, zone}, entries);
+selectLoadSharingPeers({instance, zone}, orderByName(entries));
 ```
 */
 export function selectLoadSharingPeers(self: ActiveEntry, entries: readonly ActiveEntry[]): readonly InstanceId[] {
-	const sameZone = successorsInRing(self, entries.filter(({zone}) => zone === self.zone));
-	const otherZones = successorsInRing(self, entries.filter(({zone}) => zone !== self.zone));
+	const start = Math.max(0, entries.findIndex(({instance}) => instance > self.instance));
+	const sameZone: InstanceId[] = [];
+	const otherZones: InstanceId[] = [];
+	for (let offset = 0; offset < entries.length && sameZone.length < maximumLoadSharingPeers; offset++) {
+		const {instance, zone} = entries[(start + offset) % entries.length]!;
+		if (instance !== self.instance) {
+			(zone === self.zone ? sameZone : otherZones).push(instance);
+		}
+	}
+
 	return [...sameZone, ...otherZones].slice(0, maximumLoadSharingPeers);
 }
 
-function successorsInRing({instance: self}: ActiveEntry, entries: readonly ActiveEntry[]): readonly InstanceId[] {
-	const names = entries.map(({instance}) => instance).filter(instance => instance !== self).toSorted((one, other) => one < other ? -1 : 1);
-	const successors = names.filter(name => name > self);
-	return [...successors, ...names.filter(name => name < self)];
+/**
+Orders entry instances by name.
+
+@param entries The instances.
+@returns The same instances in order.
+*/
+export function orderByName(entries: readonly ActiveEntry[]): readonly ActiveEntry[] {
+	return entries.toSorted((one, other) => one.instance < other.instance ? -1 : 1);
 }
