Count polls that are answered on arrival for the pause between news

Cause: a change that came while no poll was pending began no pause, and the polls after it were answered one by one, each at once. With changes each 20 ms, as long as entry instances wait between polls, all 30,000 replies of the burst were sent again (100 servers that join in 2 s, 300 entry instances; 2,094 ms).

Change: an answer on arrival counts like those that are given together.

--- a/packages/gateway/src/control/entry-watches.test.ts
+++ b/packages/gateway/src/control/entry-watches.test.ts
@@ -64,6 +64,37 @@
 	t.is(records.length, changes);
 });
 
+test('a burst of changes does not cost an answer for each change and entry instance either when each comes between two polls', async t => {
+	const {news, watches} = start();
+	const [polls, changes] = [100, 40];
+	const cursors = Array.from({length: polls}, () => 0);
+	const waiting = new Set(cursors.keys());
+	let replies = 0;
+	const poll = async (index: number): Promise<void> => {
+		waiting.delete(index);
+		const {cursor} = await watches.answer(entryOf(index), {...message, run, cursor: cursors[index]!});
+		replies++;
+		cursors[index] = cursor;
+		waiting.add(index);
+	};
+
+	t.teardown(() => {
+		watches.answerPending();
+	});
+	for (let change = 0; change < changes; change++) {
+		void news.announce(serverOf(change));
+		watches.tellNews();
+		for (const index of waiting) {
+			void poll(index);
+		}
+
+		await runPendingTasks();
+	}
+
+	t.true(replies > 0);
+	t.true(replies < changes * polls / 2, `${replies} replies`);
+});
+
 test('an entry instance that reads rows gets the full list as rows, one of the version before as records', async t => {
 	const {news, watches} = start();
 	await news.announce(serverOf(1));
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -177,11 +177,14 @@
 	}
 
 	async #waitForNews(watch: WatchMessage): Promise<void> {
+		const now = this.#options.clock.monotonic();
 		if (!this.#hasNews(watch)) {
 			await this.#waitForUpdate();
-		} else if (this.#pacer.pause(this.#options.clock.monotonic()) > 0) {
+		} else if (this.#pacer.pause(now) > 0) {
 			this.tellNews();
 			await this.#waitForUpdate();
+		} else {
+			this.#pacer.recordAnswers(1, now);
 		}
 	}
 
--- a/packages/gateway/src/control/notice-pacer.test.ts
+++ b/packages/gateway/src/control/notice-pacer.test.ts
@@ -19,3 +19,13 @@
 	pacer.recordAnswers(100_000, now);
 	t.is(pacer.pause(now), 250);
 });
+
+test('polls that are answered one by one count like those that are answered together', t => {
+	const [together, oneByOne] = [new NoticePacer(), new NoticePacer()];
+	together.recordAnswers(80, now);
+	for (let count = 0; count < 80; count++) {
+		oneByOne.recordAnswers(1, now);
+	}
+
+	t.is(oneByOne.pause(now), together.pause(now));
+});
--- a/packages/gateway/src/control/notice-pacer.ts
+++ b/packages/gateway/src/control/notice-pacer.ts
@@ -27,12 +27,12 @@
 	}
 
 	/**
-	Records that pending polls are answered together.
+	Records that polls are answered.
 
 	@param count The number of polls.
 	@param now Milliseconds on the monotonic clock.
 	*/
 	recordAnswers(count: number, now: number): void {
-		this.#pausedUntil = now + Math.min(maximumPauseMilliseconds, count * answerMilliseconds);
+		this.#pausedUntil = Math.min(now + maximumPauseMilliseconds, Math.max(now, this.#pausedUntil) + (count * answerMilliseconds));
 	}
 }
