Read the clock once where the load of a server is asked for

Cause: with the digest, the load, the speed and the work of one server were each told by asking two to four times whether the digest is in use, and each of these questions reads the clock.

Change: `PoolLoads` reads the time once for each answer, and the age of the load of others is read once a choice in place of once a server, so that all servers of a choice have the same age.

Tests: each answer takes one reading of the clock, at 84 and 370 instances; fails before. The simulated network counts readings.

--- a/packages/gateway/src/entry/_test-digest-network.ts
+++ b/packages/gateway/src/entry/_test-digest-network.ts
@@ -52,7 +52,16 @@
 	/** The encoded bytes that each instance has sent and received. */
 	readonly bytes = new Map<InstanceId, number>();
 	now = 0;
-	readonly #clock = {monotonic: () => this.now};
+	/** How often the clock was read. */
+	clockReadings = 0;
+
+	readonly #clock = {
+		monotonic: () => {
+			this.clockReadings++;
+			return this.now;
+		},
+	};
+
 	readonly #options: DigestNetworkOptions;
 	readonly #random = seededRandom();
 	readonly #controls = new Map<InstanceId, PoolWork>();
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -27,6 +27,15 @@
 import {ServerLivenessTable} from './server-liveness-table.js';
 import {ServerSpeeds} from './server-speeds.js';
 
+type ConditionsOptions = {
+	/** Milliseconds on the monotonic clock. */
+	readonly now: number;
+	/** The age of the load of the other entry instances, in milliseconds. */
+	readonly othersAge: number | undefined;
+	/** The speeds of the servers; by default none is known. */
+	readonly speeds?: ReadonlyMap<ServerId, ServerSpeed>;
+};
+
 /** The maximum load of a server relative to the mean load. Engines batch requests, so even twice the mean load costs less than processing a prompt without its cached prefix. */
 const loadBound = 1.5;
 /** The number of servers that are sampled and compared. Since the loads of all instances are known, a larger sample costs only the comparison. */
@@ -172,7 +181,8 @@
 		}
 
 		const speeds = this.#speeds.speedsOf(candidates.map(({record}) => record.id), now);
-		const views = candidates.map(tracked => tracked.view(this.#conditionsOf(tracked, {now, speeds})));
+		const {othersAge} = this.#options.loads;
+		const views = candidates.map(tracked => tracked.view(this.#conditionsOf(tracked, {now, othersAge, speeds})));
 
 		const criteria: ServerCriteria & ServerChoiceOptions = {
 			target: service, excluded, evacuatedZones: this.#evacuations.zones, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
@@ -200,7 +210,7 @@
 	*/
 	beliefs(now: number, picture?: PoolPicture): readonly ServerBelief[] {
 		return [...this.#servers.values()].map(tracked => describeServer(tracked, {
-			conditions: this.#conditionsOf(tracked, {now}), evacuatedZones: this.#evacuations.zones, picture,
+			conditions: this.#conditionsOf(tracked, {now, othersAge: this.#options.loads.othersAge}), evacuatedZones: this.#evacuations.zones, picture,
 		}));
 	}
 
@@ -417,13 +427,13 @@
 		tracked.abortSends();
 	}
 
-	#conditionsOf(tracked: TrackedServer, {now, speeds}: {readonly now: number; readonly speeds?: ReadonlyMap<ServerId, ServerSpeed>}): ServerConditions {
+	#conditionsOf(tracked: TrackedServer, {now, othersAge, speeds}: ConditionsOptions): ServerConditions {
 		const {zone, loads} = this.#options;
 		const {id, zone: serverZone} = tracked.record;
 		return {
 			now,
 			othersLoad: loads.peerLoadAt(id),
-			othersAge: loads.othersAge,
+			othersAge,
 			isSilent: this.#liveness.of(id) === 'silent',
 			isZoneUnreachable: serverZone !== zone && this.#zones.isSuspect(serverZone, now),
 			isEjected: this.#ejection.isEjected(id, now),
--- a/packages/gateway/src/entry/pool-loads.test.ts
+++ b/packages/gateway/src/entry/pool-loads.test.ts
@@ -57,6 +57,19 @@
 		t.is(pool.picture().workAt('unknown' as typeof server), undefined);
 	});
 
+	test(`the load and the speed of a server are each told with one reading of the clock at ${entries} entry instances`, async t => {
+		const network = new DigestNetwork({entries, servers});
+		await network.run(settleMilliseconds);
+		const [{pool}] = network.entries as [DigestNetwork['entries'][number]];
+		const [server] = network.servers as [DigestNetwork['servers'][number]];
+		const picture = pool.picture();
+		for (const ask of [() => pool.peerLoadAt(server), () => pool.slownessOf(server), () => picture.workAt(server)]) {
+			const before = network.clockReadings;
+			ask();
+			t.is(network.clockReadings - before, 1);
+		}
+	});
+
 	test(`with a third of the messages of ${entries} entry instances lost, most have a picture, and it is right to a tenth`, async t => {
 		const network = new DigestNetwork({entries, servers, lossRate: 1 / 3});
 		await network.run(settleMilliseconds);
--- a/packages/gateway/src/entry/pool-loads.ts
+++ b/packages/gateway/src/entry/pool-loads.ts
@@ -28,6 +28,12 @@
 	readonly times: ResponseTimes;
 };
 
+type WorkAsOf = {
+	readonly work: ReadWork;
+	/** Milliseconds on the monotonic clock. */
+	readonly now: number;
+};
+
 /** How long the rows of a server whose process has ended are passed over, in milliseconds: until the reports of all instances are of its next process. */
 const discardMilliseconds = 1000;
 const noTimes: ResponseTimes = {observed: 0, expected: 0};
@@ -96,11 +102,13 @@
 	@returns The load as far as it is known, in units of a short request.
 	*/
 	peerLoadAt(server: ServerId): number {
-		if (!this.usesDigest) {
+		const now = this.#now();
+		const work = this.#readWork(now);
+		if (work === undefined) {
 			return this.#options.exchange.peerLoadAt(server);
 		}
 
-		const [, reading, streams] = this.#othersAt(server);
+		const [, reading, streams] = this.#othersAt(server, {work, now});
 		return (reading / shortRequestMilliseconds) + streams;
 	}
 
@@ -140,11 +148,9 @@
 	@returns 1 for a server of mean speed, 2 for one that takes twice as long; undefined without a digest.
 	*/
 	slownessOf(server: ServerId): number | undefined {
-		if (!this.usesDigest) {
-			return undefined;
-		}
-
-		return serverSlowness(sumTimes(timesOf(this.#othersAt(server)), this.#times.at(server, this.#now())), this.#readWork()?.times ?? noTimes);
+		const now = this.#now();
+		const work = this.#readWork(now);
+		return work === undefined ? undefined : this.#slownessBy(this.#othersAt(server, {work, now}), {work, now});
 	}
 
 	/**
@@ -172,19 +178,29 @@
 			return undefined;
 		}
 
-		const [, reading, streams] = this.#othersAt(server);
-		return {reading: own.reading + reading, streams: own.streams + streams, slowness: this.slownessOf(server) ?? 1};
+		const now = this.#now();
+		const work = this.#readWork(now);
+		if (work === undefined) {
+			return {reading: own.reading, streams: own.streams, slowness: 1};
+		}
+
+		const row = this.#othersAt(server, {work, now});
+		const [, reading, streams] = row;
+		return {reading: own.reading + reading, streams: own.streams + streams, slowness: this.#slownessBy(row, {work, now})};
+	}
+
+	#slownessBy(row: WorkRow, {work, now}: WorkAsOf): number {
+		return serverSlowness(sumTimes(timesOf(row), this.#times.at(row[0], now)), work.times);
 	}
 
-	#othersAt(server: ServerId): WorkRow {
-		const isDiscarded = (this.#discardedUntil.get(server) ?? Number.NEGATIVE_INFINITY) > this.#now();
-		const row = isDiscarded ? undefined : this.#readWork()?.rows.get(server);
-		return row ?? [server, 0, 0, 0, 0];
+	#othersAt(server: ServerId, {work, now}: WorkAsOf): WorkRow {
+		const isDiscarded = (this.#discardedUntil.get(server) ?? Number.NEGATIVE_INFINITY) > now;
+		return (isDiscarded ? undefined : work.rows.get(server)) ?? [server, 0, 0, 0, 0];
 	}
 
-	/** The digest in use, in the form in which it is looked up. */
-	#readWork(): ReadWork | undefined {
-		const received = this.usesDigest ? this.#reporter.latest : undefined;
+	/** The digest in use, in the form in which it is looked up. Each choice of a server asks for it many times, so that the time is read once by whoever asks. */
+	#readWork(now: number): ReadWork | undefined {
+		const received = this.#options.isLarge() ? this.#reporter.latestAt(now) : undefined;
 		if (received !== undefined && this.#read?.received !== received) {
 			let times = noTimes;
 			for (const row of received.rows) {
--- a/packages/gateway/src/entry/work-reporter.ts
+++ b/packages/gateway/src/entry/work-reporter.ts
@@ -78,7 +78,7 @@
 
 	/** The last reply; undefined if it is too old. */
 	get latest(): ReceivedWork | undefined {
-		return this.#latest !== undefined && this.#options.clock.monotonic() - this.#latest.at <= workExpiryMilliseconds ? this.#latest : undefined;
+		return this.latestAt(this.#options.clock.monotonic());
 	}
 
 	/** The mean age of what the last reply tells, in milliseconds; infinite if the reply is too old. */
@@ -87,6 +87,16 @@
 		return latest === undefined ? Number.POSITIVE_INFINITY : this.#options.clock.monotonic() - latest.at + latest.age;
 	}
 
+	/**
+	Returns the last reply.
+
+	@param now Milliseconds on the monotonic clock.
+	@returns The reply; undefined if it is too old.
+	*/
+	latestAt(now: number): ReceivedWork | undefined {
+		return this.#latest !== undefined && now - this.#latest.at <= workExpiryMilliseconds ? this.#latest : undefined;
+	}
+
 	/** Records that the work of this instance has changed. */
 	recordChange(): void {
 		this.#hasChanged = true;
