Bound what a stated length of a prompt does to other requests

Cause: token counts that are negative, infinite or beyond any model went into the latencies of a route and the loads of servers, which other requests share; a hundredfold length made a server look busy to all instances for a hundred prompts. Change: counts are read as 0 to 4,194,304; where instances decide by the load of the pool, the processing time that is told is within a tenth and ten times the mean of the route. Conclusion: both tests fail before. A true length may still shift the mean length of its route for some answers.

--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -424,6 +424,41 @@
 	t.deepEqual(await urgenciesTold(t, Number.POSITIVE_INFINITY), [1, 1]);
 });
 
+/** Returns what an instance tells of the processing time of a prompt on a route whose prompts of 1,000 tokens take 100 ms. */
+async function readingTold(t: ExecutionContext, {age, inputTokens}: {readonly age: number; readonly inputTokens: number}): Promise<number | undefined> {
+	const port = await listenForModels(t, (_message, response) => {
+		response.end('id: 1\ndata: large\n\n');
+	});
+	const latencies = new LatencyEstimator({monotonic: () => performance.now()});
+	latencies.record(`${modelRoute.id} small`, {milliseconds: 100, tokens: 1000});
+	const told: Array<number | undefined> = [];
+	await sendRequests(t, 1, {
+		route: modelRoute,
+		inputTokens,
+		latencies,
+		nextServers(known) {
+			known.applyRecords([testServer({port})], {source: control, now: performance.now()});
+		},
+		prepare({servers, poolLoads}) {
+			const beginSend = servers.beginSend.bind(servers);
+			Object.assign(poolLoads, {picture: (): PoolPicture => ({age, workAt: () => undefined, heldByOthers: []})});
+			Object.assign(servers, {
+				beginSend(...[id, options]: Parameters<typeof beginSend>) {
+					told.push(options.reading);
+					return beginSend(id, options);
+				},
+			});
+		},
+	});
+	return told[0];
+}
+
+test('a caller that states a hundred times the length of its prompt does not make a server look busy to other instances for more than ten times a mean prompt', async t => {
+	t.is(await readingTold(t, {age: 200, inputTokens: 1000}), 100);
+	t.is(await readingTold(t, {age: 200, inputTokens: 199_000}), 1000);
+	t.is(await readingTold(t, {age: Number.POSITIVE_INFINITY, inputTokens: 199_000}), 10_000, 'as before while instances do not decide by the load of the pool');
+});
+
 test('a request without a choice of models is not subject to admission', async t => {
 	const {answers, candidates} = await sendThroughAdmission(t, async () => failure('overloaded', 'All servers are busy'), testRoute({timeout: 8000}));
 	t.deepEqual([answers[0]?.status, candidates.length], [200, 0]);
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -13,6 +13,7 @@
 import {Placement} from './placement.js';
 import {type NextStep, RequestEnd} from './request-end.js';
 import {type RequestRunOptions, type StartedSend} from './request-run-options.js';
+import {promptWork} from './prompt-work.js';
 import {RunAdmission} from './run-admission.js';
 import {SuspectRequest} from './suspect-request.js';
 import {SendAllowance} from './send-allowance.js';
@@ -146,6 +147,13 @@
 		return this.#context.clock.monotonic();
 	}
 
+	/** The processing time of the prompt as others see it: bounded where they decide by the load of the pool, so that a false length has a bounded effect on them. */
+	get #reading(): number | undefined {
+		const {calm, current} = this.#models;
+		const isPoolKnown = Number.isFinite(this.#context.poolLoads.picture().age);
+		return calm !== undefined && isPoolKnown ? promptWork(this.#context.latencies, {route: this.#authorized.route, model: current, tokens: this.#request.inputTokens}) : calm;
+	}
+
 	async #send(): Promise<NextStep> {
 		if (this.#allowance.sends > 0 && !this.#answer.hasStarted && this.#suspect.hasDoubtfulPart) {
 			await this.#context.wait(doubtfulPartMilliseconds);
@@ -189,7 +197,7 @@
 		const relay = path.type === 'relayed' ? path.relay : undefined;
 		const sentAt = this.#now();
 		const expected = this.#context.servers.expectedFirstEvent(server.id, this.#models.calm);
-		const load = this.#context.servers.beginSend(server.id, {load: this.#models.load, reading: this.#models.calm, now: sentAt});
+		const load = this.#context.servers.beginSend(server.id, {load: this.#models.load, reading: this.#reading, now: sentAt});
 		const attempt = startSend(this.#context, {
 			request: this.#request,
 			body: this.#body,
--- a/packages/platform/src/platform-dialect.test.ts
+++ b/packages/platform/src/platform-dialect.test.ts
@@ -46,6 +46,11 @@
 	} satisfies Partial<GatewayRequest>);
 });
 
+test('a number of tokens that is negative, infinite or beyond what any model reads does not reach the estimates of other requests', t => {
+	const countOf = (usage: string): number => platformDialect.readRequest(message([['Token-Usage', usage]])).inputTokens;
+	t.deepEqual(['-5000,3', 'Infinity,3', '1e300,3', 'NaN,3', '', '12000,3'].map(usage => countOf(usage)), [0, 4_194_304, 4_194_304, 0, 0, 12_000]);
+});
+
 test('a server gets neither the API key nor the caller\'s values of reserved headers, and gets those of the gateway once', t => {
 	const request = platformDialect.readRequest(caller);
 	const sent = platformDialect.sendHeaders(request, {
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -13,6 +13,8 @@
 const anyModel = '*';
 const bearerPattern = /^bearer[ ]+(.+)$/iv;
 const millisecondsPerSecond = 1000;
+/** More tokens than any model reads. */
+const maximumTokens = 4_194_304;
 /** The status of a backend server that rejects a request for its own load. */
 const unavailableStatus = 503;
 
@@ -69,13 +71,19 @@
 		timeout: timeout === undefined ? undefined : Number(timeout),
 		choosesModel: headers[wireHeader.model] === anyModel,
 		promptParts: parsePromptParts(firstValue(headers[wireHeader.promptParts])),
-		inputTokens: Number(input) || 0,
-		outputTokens: Number(output) || 0,
+		inputTokens: parseTokens(input),
+		outputTokens: parseTokens(output),
 		session: firstValue(headers[wireHeader.session]),
 		lastEventId: firstValue(headers[wireHeader.lastEventId]),
 	};
 }
 
+/** Reads a number of tokens; what is not one counts as 0, and what no model could read as the largest number. */
+function parseTokens(text: string): number {
+	const tokens = Number(text);
+	return tokens > 0 ? Math.min(tokens, maximumTokens) : 0;
+}
+
 /** Checks whether a header of the caller is forwarded. A model chosen by the caller is; the value for any model is replaced. */
 function isForwarded(name: string, {headers}: IncomingMessage): boolean {
 	if (name === wireHeader.model) {
