Hold patient requests by the mean wait, and for longer if they are predicted to be served in time

Cause: a request was admitted while the least loaded of four servers showed room, so that bursts went into servers that were busy already, and everything held was sent after a quarter of its target. Change: room is what is left below a mean wait of 0.55 of the most urgent target, each server counted up to 1.5 of it. A request that is predicted to meet its target is held until a tenth of its target before its last moment; others for a quarter, as before. Rejections count held work by the median wait, so that one server that is far behind rejects nobody. Notes and log lines of rejections tell held work, room and predicted wait.

--- a/packages/gateway/src/entry/request-admission.ts
+++ b/packages/gateway/src/entry/request-admission.ts
@@ -126,10 +126,10 @@
 	}
 
 	#noteHold({request, service, priority, work}: AdmissionCandidate, {now, grounds}: {readonly now: number; readonly grounds: HoldGrounds}): void {
-		const {wait, bound, room, heldHere, heldByOthers} = grounds;
+		const {wait, bound, room, heldHere, heldByOthers, predicted} = grounds;
 		this.#options.notes.record(request, {
 			at: now, kind: 'held', facts: {
-				service, priority, work, wait, bound, room, heldHere, heldByOthers,
+				service, priority, work, wait, bound, room, heldHere, heldByOthers, predicted,
 			},
 		});
 	}
@@ -199,15 +199,27 @@
 		finish();
 	}
 
-	#reject({request, service, priority, work}: AdmissionCandidate, {retryAfterMilliseconds, workBefore, overrun}: Extract<ContentionDecision, {type: 'rejected'}>): Failure {
+	#reject({request, service, priority, work}: AdmissionCandidate, decision: Extract<ContentionDecision, {type: 'rejected'}>): Failure {
 		const {metrics, log, notes, clock} = this.#options;
+		const {
+			retryAfterMilliseconds, workBefore, overrun, wait, bound, room, heldHere, heldByOthers, predicted,
+		} = decision;
 		metrics.rejections.inc();
 		log('request-rejected', {
-			request, service, priority, work: Math.round(work), workBefore: Math.round(workBefore), overrun: Math.round(overrun), retryAfter: retryAfterMilliseconds,
+			request,
+			service,
+			priority,
+			work: Math.round(work),
+			workBefore: Math.round(workBefore),
+			room: Math.round(room),
+			held: Math.round(heldHere + heldByOthers),
+			predicted: Math.round(predicted),
+			overrun: Math.round(overrun),
+			retryAfter: retryAfterMilliseconds,
 		}, 'warn');
 		notes.record(request, {
 			at: clock.monotonic(), kind: 'rejected', facts: {
-				service, priority, work, workBefore, overrun, retryAfterMilliseconds,
+				service, priority, work, wait, bound, room, heldHere, heldByOthers, predicted, workBefore, overrun, retryAfterMilliseconds,
 			},
 		});
 		const message = `All servers of ${service} are busy for ${Math.ceil(overrun)} ms longer than the deadline of the request allows`;
--- a/packages/routing/src/_held-priority.ts
+++ b/packages/routing/src/_held-priority.ts
@@ -4,14 +4,20 @@
 import {ReleaseCredit} from './_release-credit.js';
 import {StartTimeHeap} from './_start-time-heap.js';
 
+/** A request that is held. */
+export type HeldRequest = ContentionRequest & {
+	/** Whether it was predicted to be served in time when it arrived. */
+	readonly isPredictedInTime: boolean;
+};
+
 /** The held requests of one priority, in the order of start-time fair queueing over their workspaces. */
 export class HeldPriority {
 	readonly priority: number;
 	/** The work that may be released. */
 	readonly credit: ReleaseCredit;
-	readonly #requests = new Map<RequestId, ContentionRequest>();
-	readonly #workspaces = new Map<WorkspaceId | undefined, HeldWorkspace>();
-	readonly #heap = new StartTimeHeap<HeldWorkspace>();
+	readonly #requests = new Map<RequestId, HeldRequest>();
+	readonly #workspaces = new Map<WorkspaceId | undefined, HeldWorkspace<HeldRequest>>();
+	readonly #heap = new StartTimeHeap<HeldWorkspace<HeldRequest>>();
 	#work = 0;
 	#virtualTime = 0;
 
@@ -26,18 +32,18 @@
 	}
 
 	/** The request that is released next. */
-	get first(): ContentionRequest | undefined {
+	get first(): HeldRequest | undefined {
 		return this.#heap.first?.first;
 	}
 
 	/** The held requests, in the order of their arrival. */
-	get requests(): Iterable<ContentionRequest> {
+	get requests(): Iterable<HeldRequest> {
 		return this.#requests.values();
 	}
 
-	add(request: ContentionRequest): void {
+	add(request: HeldRequest): void {
 		const {workspace} = request;
-		const queue = this.#workspaces.get(workspace) ?? new HeldWorkspace(workspace);
+		const queue = this.#workspaces.get(workspace) ?? new HeldWorkspace<HeldRequest>(workspace);
 		this.#workspaces.set(workspace, queue);
 		if (queue.length === 0) {
 			queue.startTime = Math.max(this.#virtualTime, queue.finishTime);
@@ -50,7 +56,7 @@
 	}
 
 	/** Removes a request that is sent, and charges its work to its workspace. */
-	release(request: ContentionRequest): void {
+	release(request: HeldRequest): void {
 		const queue = this.#workspaces.get(request.workspace);
 		if (queue === undefined) {
 			return;
@@ -63,7 +69,7 @@
 	}
 
 	/** Removes a request whose caller has left. */
-	remove(request: ContentionRequest): void {
+	remove(request: HeldRequest): void {
 		const queue = this.#workspaces.get(request.workspace);
 		if (queue === undefined || !this.#requests.delete(request.id)) {
 			return;
--- a/packages/routing/src/_held-workspace.ts
+++ b/packages/routing/src/_held-workspace.ts
@@ -3,13 +3,13 @@
 import {type StartTimeItem} from './_start-time-heap.js';
 
 /** The held requests of one workspace and priority, the earliest deadline first, with its virtual times for fair queueing. */
-export class HeldWorkspace implements StartTimeItem {
+export class HeldWorkspace<Request extends ContentionRequest> implements StartTimeItem {
 	readonly workspace: WorkspaceId | undefined;
 	startTime = 0;
 	/** The virtual time at which the last released request finishes. */
 	finishTime = 0;
 	heapIndex = -1;
-	readonly #requests: ContentionRequest[] = [];
+	readonly #requests: Request[] = [];
 
 	constructor(workspace: WorkspaceId | undefined) {
 		this.workspace = workspace;
@@ -20,7 +20,7 @@
 		return this.first?.deadlineAt ?? Number.POSITIVE_INFINITY;
 	}
 
-	get first(): ContentionRequest | undefined {
+	get first(): Request | undefined {
 		return this.#requests[0];
 	}
 
@@ -28,12 +28,12 @@
 		return this.#requests.length;
 	}
 
-	insert(request: ContentionRequest): void {
+	insert(request: Request): void {
 		const next = this.#requests.findIndex(({deadlineAt}) => deadlineAt > request.deadlineAt);
 		this.#requests.splice(next === -1 ? this.#requests.length : next, 0, request);
 	}
 
-	remove(request: ContentionRequest): void {
+	remove(request: Request): void {
 		const index = this.#requests.indexOf(request);
 		if (index !== -1) {
 			this.#requests.splice(index, 1);
--- a/packages/routing/src/_pool-room.ts
+++ b/packages/routing/src/_pool-room.ts
@@ -1,40 +1,44 @@
 import {type ServerWork} from './pool-picture.js';
 
-/** How many random servers the choice of a server compares. */
-const sampleCount = 4;
-
 /** Returns the wait of a prompt at a server, in milliseconds. */
 export function waitAt({reading, slowness}: ServerWork): number {
 	return Math.max(0, reading * slowness);
 }
 
-/** Returns the mean wait at the least loaded of a few random servers, in milliseconds. */
-export function expectedWait(servers: readonly ServerWork[]): number {
-	const waits = servers.map(server => waitAt(server)).toSorted((one, other) => one - other);
-	let expected = 0;
-	let previous = 0;
-	for (const [index, wait] of waits.entries()) {
-		// The probability that none of the sampled servers waits for less.
-		expected += (wait - previous) * (((waits.length - index) / waits.length) ** sampleCount);
-		previous = wait;
+/** Returns the mean wait at the servers, in milliseconds; a longer wait at a server counts as the longest. */
+export function meanWait(servers: readonly ServerWork[], longest: number): number {
+	let sum = 0;
+	for (const server of servers) {
+		sum += Math.min(longest, waitAt(server));
 	}
 
-	return expected;
+	return sum / servers.length;
 }
 
-/** Returns the shortest wait at any server, in milliseconds. */
-export function shortestWait(servers: readonly ServerWork[]): number {
-	return Math.min(...servers.map(server => waitAt(server)));
+/** Returns the wait that half of the servers exceed, in milliseconds: what a few that are far behind, or a few false lengths of prompts, do not change. */
+export function medianWait(servers: readonly ServerWork[]): number {
+	const waits = servers.map(server => waitAt(server)).toSorted((one, other) => one - other);
+	return waits[Math.floor(waits.length / 2)] ?? 0;
 }
 
-/** Returns the work that fits in below a wait, in milliseconds at a server of mean speed. */
-export function roomBelow(servers: readonly ServerWork[], bound: number): number {
+/** Returns the work that all servers take until their mean wait is the bound, in milliseconds at a server of mean speed. */
+export function roomBelow(servers: readonly ServerWork[], {bound, longest}: {readonly bound: number; readonly longest: number}): number {
 	let room = 0;
 	for (const server of servers) {
-		room += Math.max(0, bound - waitAt(server)) / server.slowness;
+		room += (bound - Math.min(Math.max(bound, longest), waitAt(server))) / server.slowness;
+	}
+
+	return Math.max(0, room);
+}
+
+/** Returns the work that all servers process in a millisecond, in milliseconds at a server of mean speed. */
+export function processingRate(servers: readonly ServerWork[]): number {
+	let rate = 0;
+	for (const {slowness} of servers) {
+		rate += 1 / slowness;
 	}
 
-	return room;
+	return rate;
 }
 
 /** Returns the work that exceeds the bound, in milliseconds at a server of mean speed. */
--- a/packages/routing/src/_test-contention.ts
+++ b/packages/routing/src/_test-contention.ts
@@ -67,6 +67,8 @@
 	readonly instance: number;
 	/** The milliseconds that its prompt takes. */
 	readonly taken: number;
+	/** What its instance tells of that: what is stated, within a tenth and ten times the mean of its kind. */
+	readonly told: number;
 	sentAt?: number;
 	server?: number;
 	firstEventAt?: number;
@@ -145,6 +147,8 @@
 			const kind = kinds[priority]!;
 			const workspace = Math.max(0, Math.floor((random() * weight) - hotFactor + 1));
 			const taken = kind.work * (0.5 + random());
+			const work = taken * (workspace === 0 ? statedFactor : 1);
+			const told = Math.min(Math.max(work, kind.work / 10), 10 * kind.work);
 			arrivals.push({
 				id: toId<RequestId>(String(arrivals.length)),
 				kind,
@@ -152,7 +156,8 @@
 				instance: Math.floor(random() * instances),
 				workspace: toId<WorkspaceId>(String(workspace)),
 				taken,
-				work: taken * (workspace === 0 ? statedFactor : 1),
+				told,
+				work: told,
 				targetLatency: kind.targetLatency,
 				arrivedAt: now,
 				deadlineAt: now + kind.timeout,
@@ -268,8 +273,8 @@
 		const server = this.#choose(request.instance);
 		request.sentAt = this.#now;
 		request.server = server;
-		this.#own[request.instance]![server]! += request.taken;
-		this.#total[server]! += request.taken;
+		this.#own[request.instance]![server]! += request.told;
+		this.#total[server]! += request.told;
 		this.#servers[server]!.waiting.push(request);
 	}
 
@@ -326,10 +331,10 @@
 		}
 	}
 
-	#forget({instance, taken, server}: Played, index: number): void {
+	#forget({instance, told, server}: Played, index: number): void {
 		if (server !== undefined) {
-			this.#own[instance]![index]! -= taken;
-			this.#total[index]! -= taken;
+			this.#own[instance]![index]! -= told;
+			this.#total[index]! -= told;
 		}
 	}
 
--- a/packages/routing/src/contention-queue.ts
+++ b/packages/routing/src/contention-queue.ts
@@ -4,16 +4,16 @@
 import {
 	type ContentionDecision, type ContentionRequest, type HoldGrounds, type ReleasedRequest,
 } from './contention-request.js';
-import {HeldPriority} from './_held-priority.js';
+import {HeldPriority, type HeldRequest} from './_held-priority.js';
 import {
-	expectedWait, roomBelow, shortestWait, workAbove,
+	meanWait, medianWait, processingRate, roomBelow, workAbove,
 } from './_pool-room.js';
 import {type HeldWork} from './pool-picture.js';
 
 /** Options of {@linkcode ContentionQueue}. */
 export type ContentionQueueOptions = {
 	readonly random: RandomSource;
-	/** The wait up to which a server has room, as a share of the target latency of the most urgent requests; a third by default. */
+	/** The mean wait up to which servers have room, as a share of the target latency of the most urgent requests; 0.55 by default. */
 	readonly boundShare?: number;
 };
 
@@ -25,9 +25,13 @@
 	readonly pool: ContentionPool | undefined;
 };
 
-/** The longest time that a request is held, as a share of its target latency. */
+/** The longest time that a request is held unless it is predicted to be served in time, as a share of its target latency. */
 export const maximumHoldShare = 0.25;
-const defaultBoundShare = 1 / 3;
+/** A request that is held for longer is sent this share of its target latency before it can only just meet its target, since the prediction may be wrong. */
+const reserveShare = 0.1;
+const defaultBoundShare = 0.55;
+/** The longest wait that counts of one server, as a multiple of the most urgent target latency: a single server that is far behind says little of the others. */
+const longestWaitShare = 1.5;
 /** A request with less time left than this share of its target latency is not held. */
 const minimumTimeShare = 0.5;
 /** The longest time between two calls of `release` while requests are held, in milliseconds: a small part of the shortest target latency. */
@@ -46,9 +50,11 @@
 const minimumCorrectionMilliseconds = 200;
 
 /**
-Holds less urgent requests for a short time while the servers of a service are busy, so that urgent ones meet a short wait. It answers bursts in which callers of several urgencies compete for the time in which servers process prompts.
+Holds less urgent requests for a short time while the servers of a service are busy, so that urgent ones meet a short wait at all servers. It answers bursts in which callers of several urgencies compete for the time in which servers process prompts.
 
-Each entry instance has its own queue and releases at the part of the pool's rate that its held work has in that of all instances. Requests are released by priority, then in the order of start-time fair queueing (Goyal, Vin and Cheng, 1997) over workspaces, then by deadline. The most urgent ones are never held, and none is held for longer than a quarter of its target latency, so none starves.
+Each entry instance has its own queue and releases at the part of the pool's rate that its held work has in that of all instances. Requests are released by priority, then in the order of start-time fair queueing (Goyal, Vin and Cheng, 1997) over workspaces, then by deadline. The most urgent ones are never held.
+
+None is held for longer than a quarter of its target latency unless it is predicted to be served in time, and then only while it can be, so none starves. None that was held is rejected.
 
 @example
 ```ts
@@ -101,22 +107,29 @@
 			return {type: 'send'};
 		}
 
+		const grounds = this.#groundsOf(request, pool);
+		if (hasRoomAtOnce(grounds)) {
+			return {type: 'send'};
+		}
+
 		const timeLeft = request.deadlineAt - now;
-		const overrun = shortestWait(pool.servers) + atLeast(offered.work, minimumWork) - timeLeft;
+		// A request is rejected for all that it needs, while others wait for a bounded part of it.
+		const overrun = grounds.predicted - request.work + atLeast(offered.work, minimumWork) - timeLeft;
 		// Others may overtake what waits in the servers, so that their waits are not known for certain.
 		const isLeastUrgent = request.priority >= pool.patientPriority;
 		if (isLeastUrgent && overrun > (rejectionFactor - 1) * timeLeft) {
-			return this.#reject(request, {overrun, now, pool});
+			return this.#reject(request, {
+				grounds, overrun, now, pool,
+			});
 		}
 
+		const held: HeldRequest = {...request, isPredictedInTime: now + grounds.predicted <= request.arrivedAt + request.targetLatency};
 		const isNearDeadline = timeLeft < minimumTimeShare * request.targetLatency;
-		const wait = expectedWait(pool.servers);
-		if (isNearDeadline || latestSendAt(request, {now, wait}) <= now || this.#hasRoomAtOnce(request, {wait, pool})) {
+		if (isNearDeadline || latestSendAt(held, {now, wait: medianWait(pool.servers)}) <= now) {
 			return {type: 'send'};
 		}
 
-		const grounds = this.#groundsOf(request, {wait, pool});
-		this.#priorityOf(request.priority).add(request);
+		this.#priorityOf(request.priority).add(held);
 		return {type: 'held', ...grounds};
 	}
 
@@ -131,7 +144,7 @@
 			return this.#releaseWhere(() => true, 'off');
 		}
 
-		const wait = expectedWait(pool.servers);
+		const wait = medianWait(pool.servers);
 		const released = this.#releaseWhere(request => latestSendAt(request, {now, wait}) <= now, 'time');
 		return [...released, ...this.#releaseIntoRoom(pool, now)];
 	}
@@ -144,7 +157,7 @@
 	@returns Milliseconds; undefined while the pool is not known to be busy.
 	*/
 	retryAfter(offered: ContentionRequest, {now, pool}: ContentionState): number | undefined {
-		return pool === undefined || expectedWait(pool.servers) <= this.#boundOf(pool) ? undefined : this.#delayUntilRoom(boundedRequest(offered), {now, pool});
+		return pool === undefined || waitOf(pool) <= this.#boundOf(pool) ? undefined : this.#delayUntilRoom(boundedRequest(offered), {now, pool});
 	}
 
 	/**
@@ -164,24 +177,21 @@
 	}
 
 	#boundOf({urgentTarget}: ContentionPool): number {
-		return this.#boundShare * urgentTarget;
+		return Math.round(this.#boundShare * urgentTarget);
 	}
 
-	/** Checks whether a request finds room that nothing held before it needs. */
-	#hasRoomAtOnce({priority}: ContentionRequest, {wait, pool}: {readonly wait: number; readonly pool: ContentionPool}): boolean {
+	#groundsOf({priority, work}: ContentionRequest, pool: ContentionPool): HoldGrounds {
+		const {servers, urgentTarget} = pool;
 		const bound = this.#boundOf(pool);
-		if (this.#heldBefore(priority) > 0 || wait > bound) {
-			return false;
-		}
-
+		const heldHere = this.#heldBefore(priority);
 		const heldByOthers = sumOf(pool.heldByOthers, priority);
-		return heldByOthers === 0 || heldByOthers < roomBelow(pool.servers, bound);
-	}
-
-	#groundsOf({priority}: ContentionRequest, {wait, pool}: {readonly wait: number; readonly pool: ContentionPool}): HoldGrounds {
-		const bound = this.#boundOf(pool);
 		return {
-			wait, bound, room: roomBelow(pool.servers, bound), heldHere: this.#heldBefore(priority), heldByOthers: sumOf(pool.heldByOthers, priority),
+			wait: waitOf(pool),
+			bound,
+			room: roomBelow(servers, {bound, longest: longestWaitShare * urgentTarget}),
+			heldHere,
+			heldByOthers,
+			predicted: ((heldHere + heldByOthers) / processingRate(servers)) + medianWait(servers) + work,
 		};
 	}
 
@@ -190,7 +200,7 @@
 		const released: ReleasedRequest[] = [];
 		const correction = Math.max(minimumCorrectionMilliseconds, correctionFactor * pool.age);
 		// What servers process in the meantime, and what is missing up to the bound.
-		const room = roomBelow(pool.servers, this.#boundOf(pool) + correction);
+		const room = roomBelow(pool.servers, {bound: this.#boundOf(pool) + correction, longest: longestWaitShare * pool.urgentTarget});
 		for (const held of this.#priorities) {
 			const others = workOf(pool.heldByOthers, held.priority);
 			const share = held.work / Math.max(minimumWork, held.work + others);
@@ -205,7 +215,7 @@
 		return released;
 	}
 
-	#releaseWhere(isDue: (request: ContentionRequest) => boolean, reason: ReleasedRequest['reason']): readonly ReleasedRequest[] {
+	#releaseWhere(isDue: (request: HeldRequest) => boolean, reason: ReleasedRequest['reason']): readonly ReleasedRequest[] {
 		const released: ReleasedRequest[] = [];
 		for (const held of this.#priorities) {
 			for (const request of held.requests) {
@@ -219,9 +229,9 @@
 		return released;
 	}
 
-	#reject(request: ContentionRequest, {overrun, now, pool}: {readonly overrun: number; readonly now: number; readonly pool: ContentionPool}): ContentionDecision {
+	#reject(request: ContentionRequest, {grounds, overrun, now, pool}: ContentionState & {readonly grounds: HoldGrounds; readonly overrun: number; readonly pool: ContentionPool}): ContentionDecision {
 		return {
-			type: 'rejected', workBefore: this.#workBefore(request, pool), overrun, retryAfterMilliseconds: this.#delayUntilRoom(request, {now, pool}),
+			type: 'rejected', ...grounds, workBefore: this.#workBefore(request, pool), overrun, retryAfterMilliseconds: this.#delayUntilRoom(request, {now, pool}),
 		};
 	}
 
@@ -231,7 +241,7 @@
 	}
 
 	#delayUntilRoom(request: ContentionRequest, {now, pool}: {readonly now: number; readonly pool: ContentionPool}): number {
-		const untilRoom = (this.#workBefore(request, pool) + request.work) / pool.servers.length;
+		const untilRoom = (this.#workBefore(request, pool) + request.work) / processingRate(pool.servers);
 		const longest = Math.max(0, maximumRetryShare * (request.deadlineAt - now) / (1 + retryScatter));
 		const delay = Math.min(longest, Math.max(minimumRetryMilliseconds, untilRoom));
 		return Math.floor(delay * (1 + (retryScatter * this.#random())));
@@ -254,12 +264,21 @@
 	}
 }
 
+/** Checks whether a request finds room that nothing held before it needs. */
+function hasRoomAtOnce({wait, bound, room, heldHere, heldByOthers}: HoldGrounds): boolean {
+	return heldHere === 0 && !(wait > bound) && (heldByOthers === 0 || heldByOthers < room);
+}
+
+function waitOf({servers, urgentTarget}: ContentionPool): number {
+	return meanWait(servers, longestWaitShare * urgentTarget);
+}
+
 /** Returns from when a request is held no longer, since the next release may be too late: after a share of its target latency, or when it can only just meet its target. */
-function latestSendAt({arrivedAt, targetLatency, work}: ContentionRequest, {now, wait}: {readonly now: number; readonly wait: number}): number {
-	const longest = arrivedAt + (maximumHoldShare * targetLatency);
+function latestSendAt({arrivedAt, targetLatency, work, isPredictedInTime}: HeldRequest, {now, wait}: {readonly now: number; readonly wait: number}): number {
+	const afterShare = arrivedAt + (maximumHoldShare * targetLatency);
 	const lastMoment = arrivedAt + targetLatency - wait - work;
-	const canMeetTarget = lastMoment >= now;
-	return (canMeetTarget ? Math.min(longest, lastMoment) : longest) - releaseIntervalMilliseconds;
+	const latest = lastMoment >= now ? Math.min(afterShare, lastMoment) : afterShare;
+	return (isPredictedInTime ? Math.max(latest, lastMoment - (reserveShare * targetLatency)) : latest) - releaseIntervalMilliseconds;
 }
 
 function workOf(held: readonly HeldWork[], priority: number): number {
