--- a/packages/routing/src/_test-contention.ts
+++ b/packages/routing/src/_test-contention.ts
@@ -57,6 +57,8 @@
 	/** Whether servers process what waits there by urgency, rather than in the order of its arrival; true by default. */
 	readonly honoursUrgency?: boolean;
 	readonly boundShare?: number;
+	/** How many times a rejected caller returns after its delay, at another instance; 0 by default. */
+	readonly returns?: number;
 	/** Whether each instance releases its share only; true by default. */
 	readonly isShared?: boolean;
 };
@@ -64,7 +66,7 @@
 /** A request and what became of it. */
 export type Played = ContentionRequest & {
 	readonly kind: Kind;
-	readonly instance: number;
+	instance: number;
 	/** The milliseconds that its prompt takes. */
 	readonly taken: number;
 	/** What its instance tells of that: what is stated, within a tenth and ten times the mean of its kind. */
@@ -74,6 +76,9 @@
 	firstEventAt?: number;
 	wasRejected?: boolean;
 	retryAfter?: number;
+	/** When it came last, if it has returned. */
+	returnedAt?: number;
+	returns?: number;
 };
 
 /** The requests of a play, and what the servers did. */
@@ -182,6 +187,8 @@
 	readonly #common: Played[] = [];
 	readonly #byId: readonly Played[];
 	readonly #held = new Set<Played>();
+	/** The rejected callers that will return. */
+	#returning: Played[] = [];
 	#workInVain = 0;
 	#idle = 0;
 	#idleBesideHeld = 0;
@@ -206,6 +213,7 @@
 				this.#arrive(this.#byId[next]!);
 			}
 
+			this.#takeReturns();
 			this.#releaseHeld();
 			this.#dropExpired(this.#common, 0);
 			for (const [index, server] of this.#servers.entries()) {
@@ -223,7 +231,7 @@
 	}
 
 	get #isBusy(): boolean {
-		return this.#held.size > 0 || this.#servers.some(({current}) => current !== undefined);
+		return this.#held.size > 0 || this.#returning.length > 0 || this.#servers.some(({current}) => current !== undefined);
 	}
 
 	#countIdle(): void {
@@ -245,7 +253,7 @@
 			return;
 		}
 
-		const decision = this.#queues[request.instance]!.offer(request, {now: this.#now, pool: this.#poolOf(request.instance)});
+		const decision = this.#queues[request.instance]!.offer({...request, arrivedAt: request.returnedAt ?? request.arrivedAt}, {now: this.#now, pool: this.#poolOf(request.instance)});
 		if (decision.type === 'send') {
 			this.#send(request);
 		} else if (decision.type === 'held') {
@@ -253,6 +261,21 @@
 		} else {
 			request.wasRejected = true;
 			request.retryAfter = decision.retryAfterMilliseconds;
+			if ((request.returns ?? 0) < (this.#play.returns ?? 0)) {
+				request.returns = (request.returns ?? 0) + 1;
+				request.returnedAt = this.#now + decision.retryAfterMilliseconds;
+				this.#returning.push(request);
+			}
+		}
+	}
+
+	#takeReturns(): void {
+		const due = this.#returning.filter(({returnedAt}) => returnedAt! <= this.#now);
+		this.#returning = this.#returning.filter(({returnedAt}) => returnedAt! > this.#now);
+		for (const request of due) {
+			request.wasRejected = false;
+			request.instance = (request.instance + 1) % this.#own.length;
+			this.#arrive(request);
 		}
 	}
 
--- a/packages/routing/src/contention-load.test.ts
+++ b/packages/routing/src/contention-load.test.ts
@@ -57,8 +57,9 @@
 	return worth;
 }
 
-function heldTime({sentAt, arrivedAt}: Played): number {
-	return (sentAt ?? arrivedAt) - arrivedAt;
+/** Returns how long a request was held since its caller came last. */
+function heldTime({sentAt, arrivedAt, returnedAt = arrivedAt}: Played): number {
+	return (sentAt ?? returnedAt) - returnedAt;
 }
 
 /** Describes what callers got. */
@@ -114,7 +115,9 @@
 ];
 
 test('all loads after each other, a third of the pictures lost and none for 3 s in the steep burst', t => {
-	const changes: Changes = {phases: allLoads, lostPictures: 1 / 3, darkness: [18_500, 21_500]};
+	const changes: Changes = {
+		phases: allLoads, lostPictures: 1 / 3, darkness: [18_500, 21_500], returns: 3,
+	};
 	for (const honoursUrgency of [true, false]) {
 		const order = honoursUrgency ? 'by urgency' : 'in order of arrival';
 		const bound = worthOf(play('steep', {...changes, strategy: 'all-knowing'}));
@@ -136,6 +139,8 @@
 	const result = play('steep', changes);
 	t.true(shareOf(ofKind(result, 'query'), isInTime) >= 0.95);
 	t.true(worthOf(result) >= 0.9 * worthOf(play('steep', {...changes, strategy: 'all-knowing'})));
+	const returned = result.requests.filter(({returns = 0}) => returns > 0);
+	t.log(`${returned.length} callers returned, ${returned.filter(request => isAnswered(request)).length} of them were answered`);
 });
 
 for (const instances of [1, 7, 84, 370]) {
