routing: reject by the deadline of a request, not by its target

Cause: rejecting on arrival what would miss its target by a quarter turns away callers that would be served late, which the users count as service; only what surely cannot be served is to be rejected at once.

--- a/packages/gateway/src/entry/request-admission.ts
+++ b/packages/gateway/src/entry/request-admission.ts
@@ -89,7 +89,7 @@
 	Waits until a request may be sent for the first time or has ended.
 
 	@param candidate The request.
-	@returns The failure if it cannot be served in time; otherwise undefined.
+	@returns The failure if no server can serve it in time; otherwise undefined.
 	*/
 	async admit(candidate: AdmissionCandidate): Promise<Failure | undefined> {
 		const {service} = candidate;
@@ -222,7 +222,7 @@
 				service, priority, work, wait, bound, room, heldHere, heldByOthers, predicted, workBefore, overrun, retryAfterMilliseconds,
 			},
 		});
-		const message = `All servers of ${service} are busy for ${Math.ceil(overrun)} ms longer than the target latency of the request allows`;
+		const message = `All servers of ${service} are busy for ${Math.ceil(overrun)} ms longer than the deadline of the request allows`;
 		return failure('overloaded', message, {retryAfterMilliseconds});
 	}
 
--- a/packages/routing/src/contention-queue.ts
+++ b/packages/routing/src/contention-queue.ts
@@ -36,7 +36,7 @@
 const minimumTimeShare = 0.5;
 /** The longest time between two calls of `release` while requests are held, in milliseconds: a small part of the shortest target latency. */
 export const releaseIntervalMilliseconds = 40;
-/** A request is rejected if the time that it is predicted to need exceeds the time to its target by this factor, since the prediction may be wrong. */
+/** A request is rejected if the time that it needs exceeds the time left by this factor. */
 const rejectionFactor = 1.25;
 /** The shortest retry delay, in milliseconds. */
 const minimumRetryMilliseconds = 250;
@@ -113,18 +113,17 @@
 		}
 
 		const timeLeft = request.deadlineAt - now;
-		const timeToTarget = Math.min(request.arrivedAt + request.targetLatency - now, timeLeft);
 		// A request is rejected for all that it needs, while others wait for a bounded part of it.
-		const overrun = grounds.predicted - request.work + atLeast(offered.work, minimumWork) - timeToTarget;
+		const overrun = grounds.predicted - request.work + atLeast(offered.work, minimumWork) - timeLeft;
 		// Others may overtake what waits in the servers, so that their waits are not known for certain.
 		const isLeastUrgent = request.priority >= pool.patientPriority;
-		if (isLeastUrgent && overrun > (rejectionFactor - 1) * timeToTarget) {
+		if (isLeastUrgent && overrun > (rejectionFactor - 1) * timeLeft) {
 			return this.#reject(request, {
 				grounds, overrun, now, pool,
 			});
 		}
 
-		const held: HeldRequest = {...request, isPredictedInTime: grounds.predicted <= timeToTarget};
+		const held: HeldRequest = {...request, isPredictedInTime: now + grounds.predicted <= request.arrivedAt + request.targetLatency};
 		const isNearDeadline = timeLeft < minimumTimeShare * request.targetLatency;
 		if (isNearDeadline || latestSendAt(held, {now, wait: medianWait(pool.servers)}) <= now) {
 			return {type: 'send'};
--- a/packages/routing/src/contention-request.ts
+++ b/packages/routing/src/contention-request.ts
@@ -44,7 +44,7 @@
 			readonly retryAfterMilliseconds: number;
 			/** The work that is before the request and beyond the room, in milliseconds at a server of mean speed. */
 			readonly workBefore: number;
-			/** The time by which the predicted first event is late, in milliseconds. */
+			/** The time by which the predicted first event exceeds what is left, in milliseconds. */
 			readonly overrun: number;
 		} & HoldGrounds);
 
