Count load at servers by the prompts that wait where a digest tells them

Cause: an answer that is generated counted like 100 ms of prompts, so that the chance number of answers at a server outweighed the prompts that wait there; and three times as much work counted as having arrived within the age of the picture as servers can process, which made the shares nearly equal.

Change: with a digest, load is the prompts that wait plus a tenth of a unit for each answer; answers beyond 0.8 of the slots count one unit each. 0.01 units a millisecond arrive at a server of mean speed, where it was 0.03. Without a digest nothing changes.

--- a/packages/gateway/src/entry/entry-servers-options.ts
+++ b/packages/gateway/src/entry/entry-servers-options.ts
@@ -11,6 +11,8 @@
 	readonly recordSample?: (server: ServerId, sample: SpeedSample) => void;
 	/** Returns the observed over the expected times to the first event; undefined if they are not known now. */
 	readonly slownessOf?: (server: ServerId) => number | undefined;
+	/** Whether the work of all entry instances is known, so that load counts by the prompts that wait; false by default. */
+	readonly usesDigest?: boolean;
 	/** Returns the work of all entry instances at a server. */
 	readonly workAt?: PoolPicture['workAt'];
 	/** The age of the loads of other instances, in milliseconds; 0 by default. */
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -385,6 +385,24 @@
 	t.true(counts[0]! > 0);
 });
 
+test('a server that generates many answers gets prompts while few wait there, until its slots are nearly taken', t => {
+	const countsWith = (streams: number): readonly number[] => sendToNine({
+		slownessOf: () => 1, usesDigest: true, othersAge: 400,
+		workAt: id => id === 'server-0' ? {reading: 0, streams, slowness: 1} : {reading: 900, streams: 0, slowness: 1},
+	});
+	const {slots} = testServer();
+	// Filled up, it gets 0.54 of what is not kept at a home; even shares are 0.2.
+	t.true(countsWith(Math.floor(slots / 2))[0]! > 100, `${countsWith(Math.floor(slots / 2))[0]}`);
+	t.is(countsWith((2 * slots) + 50)[0], 0);
+});
+
+test('by a digest, as much work counts as having arrived as the servers can process', t => {
+	const counts = sendToNine({
+		slownessOf: () => 1, usesDigest: true, othersAge: 200, workAt: id => ({reading: id === 'server-0' ? 0 : 2000, streams: 0, slowness: 1}),
+	});
+	t.true(counts[0]! >= 190, `${counts.join(', ')}`);
+});
+
 test('the first event that a server of mean speed would give is expected after the work that waits', t => {
 	const samples: unknown[] = [];
 	const servers = new EntryServers({
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -33,6 +33,8 @@
 const sampleCount = 4;
 /** The load that arrives at a server in a millisecond at most: a busy server processes one unit in 100 ms, and in a burst three times as much arrives. */
 const arrivalRate = 0.03;
+/** The work of prompts that arrives at a server of mean speed in a millisecond, in units of load, where load counts by that work: as much as it can process, since more does not arrive for long. */
+const promptArrivalRate = 0.01;
 /** How much busier the local zone must be, as a share of its slots, before servers of another zone are used. */
 const zonePenalty = 0.1;
 /** The backoff after a failed connection; doubles with each further failure up to the maximum. */
@@ -171,13 +173,14 @@
 			candidates.push(tracked);
 		}
 
+		const {usesDigest = false} = this.#options.loads;
 		const speeds = this.#speeds.speedsOf(candidates.map(({record}) => record.id), now);
 		const views = candidates.map(tracked => this.#viewOf(tracked, {now, speed: speeds.get(tracked.record.id)}));
 
 		const criteria: ServerCriteria & ServerChoiceOptions = {
 			target: service, excluded, evacuatedZones: this.#evacuations.zones, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
 			reportDecayMilliseconds: Number.POSITIVE_INFINITY,
-			arrivalRate,
+			arrivalRate: usesDigest ? promptArrivalRate : arrivalRate,
 			prefix: promptKey === undefined ? undefined : prefixHash(promptKey.name),
 			affinityScope: promptKey?.affinityScope ?? 'none',
 			...(speeds.size > 0 && load !== undefined && {requestLoad: load}),
@@ -418,7 +421,9 @@
 	}
 
 	#viewOf(tracked: TrackedServer, {now, speed}: {readonly now: number; readonly speed: ServerSpeed | undefined}): ServerView {
-		return tracked.view({...this.#conditionsOf(tracked, now), speed});
+		const {usesDigest = false, workAt} = this.#options.loads;
+		const work = usesDigest ? workAt?.(tracked.record.id) : undefined;
+		return tracked.view({...this.#conditionsOf(tracked, now), speed, work});
 	}
 
 	#conditionsOf(tracked: TrackedServer, now: number): ServerConditions {
--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -1,5 +1,5 @@
 import {setMaxListeners} from 'node:events';
-import {type ServerSpeed, type ServerView} from '@valehitch/routing';
+import {type ServerSpeed, type ServerView, type ServerWork} from '@valehitch/routing';
 import {ColdPeriod} from '../servers/cold-period.js';
 import {compareStartTimes} from '../servers/compare-start-times.js';
 import {type ServerRecord, type ServerState} from '../servers/server-record.js';
@@ -47,6 +47,8 @@
 	readonly isPaused: boolean;
 	/** Its speed; undefined where servers count by their slots. */
 	readonly speed?: ServerSpeed | undefined;
+	/** The work of all entry instances at it; undefined where load counts in units of a short request. */
+	readonly work?: ServerWork | undefined;
 };
 
 /** Options of {@linkcode TrackedServer}. */
@@ -63,6 +65,11 @@
 /** The uptime from which the server choice gives a server its full share, in milliseconds. */
 const warmMilliseconds = 30_000;
 
+/** The load of an answer that is generated where load counts by the prompts of all entry instances, in units of a short request: how much it delays prompts shows in the speed of the server. */
+const streamLoadBesidePrompts = 0.1;
+/** The share of the slots from which each further answer counts as a short request, since a prompt waits for a slot once none is left. */
+const crowdedShare = 0.8;
+
 /** The load of a send to a server that is no longer known; it has no effect. */
 export const noOpLoad: SendLoad = {
 	markAnswerStarted() {
@@ -197,16 +204,16 @@
 	@param conditions What else is known about the server.
 	@returns The view.
 	*/
-	view({now, othersLoad, othersAge = 0, isSilent, isZoneUnreachable, isEjected, isRateLimited, isPaused, speed}: ServerConditions): ServerView {
+	view({now, othersLoad, othersAge = 0, isSilent, isZoneUnreachable, isEjected, isRateLimited, isPaused, speed, work}: ServerConditions): ServerView {
 		const {id, zone, slots} = this.record;
 		return {
 			id,
 			zone,
 			capacity: Math.max(1, slots),
-			reportedInFlight: othersLoad,
+			reportedInFlight: work === undefined ? othersLoad : 0,
 			ownInFlightAtReport: 0,
 			reportAge: othersAge,
-			ownInFlight: this.#load,
+			ownInFlight: work === undefined ? this.#load : promptLoad(work, slots),
 			draining: false,
 			expired: isSilent || this.backoffUntil > now || isZoneUnreachable,
 			ejected: isEjected,
@@ -262,3 +269,9 @@
 		this.#onLoadChange(loadChange);
 	}
 }
+
+/** Returns the load of all entry instances by the prompts that wait, in units of a short request. */
+function promptLoad({reading, streams}: ServerWork, slots: number): number {
+	const crowding = Math.max(0, streams - (crowdedShare * slots)) * streamingLoad;
+	return (Math.max(0, reading) / shortRequestMilliseconds) + (streams * streamLoadBesidePrompts) + crowding;
+}
--- a/packages/testing/src/_uneven-trial.ts
+++ b/packages/testing/src/_uneven-trial.ts
@@ -213,6 +213,9 @@
 		const totalAt = (server: ServerId) => this.#totals[this.#indexes.get(server)!]!;
 		return {
 			slownessOf,
+			get usesDigest() {
+				return pool.usesDigest;
+			},
 			peerLoadAt(server) {
 				const {reading, streams} = totalAt(server);
 				const own = ownLoadAt(server)!;
