Ask the loads of a digest for work as an object, and test choices with the real ones

Change: the method is called on the loads; the trial passes PoolLoads itself where nothing is taken away.

--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -421,8 +421,8 @@
 	}
 
 	#viewOf(tracked: TrackedServer, {now, speed}: {readonly now: number; readonly speed: ServerSpeed | undefined}): ServerView {
-		const {usesDigest = false, workAt} = this.#options.loads;
-		const work = usesDigest ? workAt?.(tracked.record.id) : undefined;
+		const {loads} = this.#options;
+		const work = loads.usesDigest === true ? loads.workAt?.(tracked.record.id) : undefined;
 		return tracked.view({...this.#conditionsOf(tracked, now), speed, work});
 	}
 
--- a/packages/testing/src/_uneven-trial.ts
+++ b/packages/testing/src/_uneven-trial.ts
@@ -209,6 +209,10 @@
 	/** Returns the loads that an instance believes, without the errors that are taken away. */
 	#loadsOf(pool: PoolLoads, ownLoadAt: EntryServers['ownLoadAt']): ConstructorParameters<typeof EntryServers>[0]['loads'] {
 		const {exactSlowness = false, noAge = false} = this.#options;
+		if (!exactSlowness && !noAge) {
+			return pool;
+		}
+
 		const slownessOf = (server: ServerId): number | undefined => exactSlowness ? (1 + (changeShare * this.#random())) / this.#speedNow(server) : pool.slownessOf(server);
 		const totalAt = (server: ServerId) => this.#totals[this.#indexes.get(server)!]!;
 		return {
