Take the work of a prompt from an idle server

Cause: promptWork took the recent latency, which includes waits, so that a busy pool raised the work of what it held back.

Change: the calm latency, as the digest uses it. A new test fails before (1,000 ms thrice after 100 ms).

--- a/packages/gateway/src/entry/prompt-work.test.ts
+++ b/packages/gateway/src/entry/prompt-work.test.ts
@@ -24,3 +24,13 @@
 	t.is(promptWork(latencies, {route, model, tokens: Number.NaN}), 100);
 	t.is(promptWork(latencies, {route, model, tokens: 0}), 50, 'the part that is independent of the length');
 });
+
+test('the waits of a busy pool do not raise the work of a prompt', t => {
+	const latencies = new LatencyEstimator({monotonic: () => 0});
+	for (const milliseconds of [100, 1000, 1000, 1000]) {
+		latencies.record(`${route.id} ${model}`, {milliseconds, tokens: 1000});
+	}
+
+	const work = promptWork(latencies, {route, model, tokens: 1000});
+	t.true(Math.abs(work - 100) < 5, `${work}`);
+});
--- a/packages/gateway/src/entry/prompt-work.ts
+++ b/packages/gateway/src/entry/prompt-work.ts
@@ -16,7 +16,7 @@
 const maximumDeviation = 10;
 
 /**
-Estimates how long a server of mean speed takes to process a prompt.
+Estimates how long an idle server of mean speed takes to process a prompt.
 
 @param latencies The latencies by route and model.
 @param options The route, the model and the length of the prompt.
@@ -26,10 +26,10 @@
 promptWork(latencies, {route, model, tokens: 1460}); // 66
 ```
 */
-export function promptWork(latencies: Pick<LatencyEstimator, 'estimate'>, {route, model, tokens}: PromptWorkOptions): number {
+export function promptWork(latencies: Pick<LatencyEstimator, 'calm'>, {route, model, tokens}: PromptWorkOptions): number {
 	const key = `${route.id} ${model ?? ''}`;
 	const fallback = defaultWorkShare * route.targetLatency;
-	const mean = latencies.estimate(key, {fallback});
-	const estimate = tokens >= 0 ? latencies.estimate(key, {tokens, fallback}) : mean;
+	const mean = latencies.calm(key, {fallback});
+	const estimate = tokens >= 0 ? latencies.calm(key, {tokens, fallback}) : mean;
 	return Math.min(Math.max(estimate, mean / maximumDeviation), mean * maximumDeviation);
 }
