--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -43,6 +43,8 @@
 const sampleCount = 4;
 /** The load that arrives at a server in a millisecond at most: a busy server processes one unit in 100 ms, and in a burst three times as much arrives. */
 const arrivalRate = 0.03;
+/** The work of prompts that arrives at a server of mean speed in a millisecond, in units of load, where load counts by that work: as much as it can process, since more does not arrive for long. */
+const promptArrivalRate = 0.01;
 /** How much busier the local zone must be, as a share of its slots, before servers of another zone are used. */
 const zonePenalty = 0.1;
 /** The backoff after a failed connection; doubles with each further failure up to the maximum. */
@@ -183,13 +185,13 @@
 		}
 
 		const speeds = this.#speeds.speedsOf(candidates.map(({record}) => record.id), now);
-		const {othersAge} = this.#options.loads;
+		const {othersAge, usesDigest = false} = this.#options.loads;
 		const views = candidates.map(tracked => tracked.view(this.#conditionsOf(tracked, {now, othersAge, speeds})));
 
 		const criteria: ServerCriteria & ServerChoiceOptions = {
 			target: service, excluded, evacuatedZones: this.#evacuations.zones, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
 			reportDecayMilliseconds: Number.POSITIVE_INFINITY,
-			arrivalRate,
+			arrivalRate: usesDigest ? promptArrivalRate : arrivalRate,
 			prefix: promptKey === undefined ? undefined : prefixHash(promptKey.name),
 			affinityScope: promptKey?.affinityScope ?? 'none',
 			...(speeds.size > 0 && load !== undefined && {requestLoad: load}),
@@ -455,6 +457,7 @@
 			isRateLimited: this.limits.isRateLimited(tracked, now) || this.limits.isFull(tracked),
 			isPaused: !this.limits.pauses.allows(id, now),
 			speed: speeds?.get(id),
+			work: loads.usesDigest === true ? loads.workAt?.(id) : undefined,
 		};
 	}
 
--- a/packages/gateway/src/entry/prompt-work.ts
+++ b/packages/gateway/src/entry/prompt-work.ts
@@ -16,7 +16,7 @@
 const maximumDeviation = 10;
 
 /**
-Estimates how long a server of mean speed takes to process a prompt.
+Estimates how long an idle server of mean speed takes to process a prompt.
 
 @param latencies The latencies by route and model.
 @param options The route, the model and the length of the prompt.
