Keep idle connections when an answer over a kept one ends

Cause: a request emits 'close' after its answer too. Where its connection was reused, that was taken for a lost kept connection, and closed all other idle connections to the server.

Change: nothing follows once the outcome of a send is settled.

Conclusion: connections are kept for as long as servers state, also where several requests run at one server.

--- a/packages/gateway/src/entry/connection-pool.test.ts
+++ b/packages/gateway/src/entry/connection-pool.test.ts
@@ -70,6 +70,17 @@
 	t.deepEqual([stated, unstated, short].map(({connectionCount}) => connectionCount()), [1, 2, 2]);
 });
 
+test.serial('an answer over a kept connection does not close the other kept ones of its server', async t => {
+	const {server, connectionCount} = await serve(t, 'timeout=5');
+	const sendTogether = async () => Promise.all([send(server), send(server), send(server)]);
+	t.deepEqual(await sendTogether(), [true, true, true]);
+	await delay(20);
+	t.true(await send(server));
+	await delay(20);
+	t.deepEqual(await sendTogether(), [true, true, true]);
+	t.is(connectionCount(), 3);
+});
+
 test.serial('an instance keeps a bounded number of idle connections to all servers together', async t => {
 	const servers = await Promise.all(Array.from({length: 18}, async () => serve(t, 'timeout=30')));
 	const sent = await Promise.all(servers.flatMap(({server}) => Array.from({length: 8}, async () => send(server))));
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -126,6 +126,7 @@
 	const {server, method, relay, connectTimeout, headTimeouts, isServerRunning} = options;
 	return new Promise(resolve => {
 		let isSilent = false;
+		let isSettled = false;
 		const stopConnectTimeout = setTimeoutAfterPoll(connectTimeout, () => {
 			// The opening of a tunnel has its own timeout, which tells whose fault it is.
 			if (!isOpen() && relay === undefined) {
@@ -140,12 +141,18 @@
 
 		const stopWatching = headTimeouts === undefined ? undefined : watchHeadTimeouts(headTimeouts, {isReused: () => request.reusedSocket, giveUp});
 		const settle = (outcome: SendOutcome): void => {
+			isSettled = true;
 			stopConnectTimeout();
 			stopWatching?.();
 			resolve(outcome);
 		};
 
 		const fail = (error: Error): void => {
+			// A request also closes after its answer, when its connection becomes idle.
+			if (isSettled) {
+				return;
+			}
+
 			const reason = error.message;
 			if (isCancelled()) {
 				settle({type: 'cancelled'});
