Count a confirmation of contact not as an answer to entries

Cause: a follower whose disk is busy answers each append request twice, at once with index 0 and after its write. The leader took both for answers to requests in flight, so that a follower that could write nothing was sent the whole rest of the log, and again in each round, into its memory.

Change: a success at index 0 confirms the round and leaves the count of requests in flight, since no request with entries can match at 0.

Conclusion: the limit of requests in flight holds for slow disks again.

--- a/packages/consensus/src/_replication.ts
+++ b/packages/consensus/src/_replication.ts
@@ -78,7 +78,9 @@
 	}
 
 	const ackedRoundSentAt = maximumDefined(progress.ackedRoundSentAt, role.rounds.find(({round}) => round === reply.round)?.sentAt);
-	const updated = {...progress, ackedRoundSentAt, inFlight: Math.max(0, progress.inFlight - 1)};
+	// A success at index 0 only confirms contact; the reply to the entries follows.
+	const answersEntries = !reply.success || reply.matchIndex > 0;
+	const updated = {...progress, ackedRoundSentAt, inFlight: answersEntries ? Math.max(0, progress.inFlight - 1) : progress.inFlight};
 	setProgress(draft, from, reply.success ? advanceProgress(updated, reply) : rewindProgress(updated, reply));
 	if (reply.success) {
 		commitReplicatedEntries(draft);
--- a/packages/consensus/src/step.test.ts
+++ b/packages/consensus/src/step.test.ts
@@ -42,6 +42,24 @@
 	}, now);
 }
 
+test('a follower that confirms contact while its disk is busy is sent no more requests with entries than may be in flight', t => {
+	let {state} = acknowledge(electLeader(), 1, campaignTime);
+	const proposals = Array.from({length: 20}, (_, index) => ({proposalId: `p${index}`, data: new Uint8Array([index])}));
+	const proposed = step(state, {type: 'propose', proposals}, campaignTime);
+	const requests = [...proposed.actions.messages];
+	({state} = proposed);
+	for (const {message} of requests) {
+		if (message.type === 'append-request' && message.entries.length > 0) {
+			const {state: next, actions} = acknowledge(state, 0, campaignTime);
+			state = next;
+			requests.push(...actions.messages);
+		}
+	}
+
+	const inFlight = requests.filter(({to, message}) => to === second && message.type === 'append-request' && message.entries.length > 0);
+	t.is(inFlight.length, defaultReplicaOptions.maximumInFlight);
+});
+
 test('a leader does not commit an entry of an older term by counting replicas', t => {
 	const old: LogEntry = {index: 1, term: 2, payload: {type: 'command', data: new Uint8Array([1])}};
 	const {state, actions} = acknowledge(electLeader([old]), 1, campaignTime);
