Hold polls while the state of a control instance is not confirmed

Cause: a control instance that starts, has no replica while its disk fails, or has not read its saved suspects gives no rollouts. Each poll of an entry instance that knows any was answered at once, and since it ignores unconfirmed rollouts, it asked again after 20 ms, with a full answer each time.

Change: other rollouts are a reason to answer at once only if they are confirmed. The first confirmation wakes all polls, as before.

Figures: npx ava packages/gateway/dist/control/entry-watches.test.js: a poll with another digest at an unconfirmed instance was answered at once, now it waits; at a confirmed one it is answered at once, before and after.

Conclusion: entry instances poll a starting control instance at the usual rate.

--- a/packages/gateway/src/control/_test-control-node.ts
+++ b/packages/gateway/src/control/_test-control-node.ts
@@ -1,7 +1,7 @@
 import {type InstanceId, type ZoneId} from '@valehitch/core';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {noEvacuations} from '../servers/evacuations.js';
-import {EntryWatches} from './entry-watches.js';
+import {type EntryUpdate, EntryWatches} from './entry-watches.js';
 import {LimitedServers} from './limited-servers.js';
 import {MessageReaders} from './message-readers.js';
 import {ServerDirectorySync, type ServerDirectorySyncOptions} from './server-directory-sync.js';
@@ -18,10 +18,12 @@
 type StartTestControlOptions = Pick<ServerDirectorySyncOptions, 'clock' | 'others' | 'ask' | 'saved'> & {
 	/** Identifies the run of the process. */
 	readonly run: string;
+	/** The replicated state that entry instances are told; by default none. */
+	readonly update?: Partial<EntryUpdate>;
 };
 
 /** Starts the services of a control instance without their timers; the test triggers each round. */
-export function startTestControlServices({run, ...options}: StartTestControlOptions): TestControlServices {
+export function startTestControlServices({run, update, ...options}: StartTestControlOptions): TestControlServices {
 	const news = new ServerDirectorySync({
 		...options, log: doNothing, metrics: createGatewayMetrics(), heartbeatMilliseconds, summaryReaders: new MessageReaders(), onChange: doNothing,
 	});
@@ -32,7 +34,7 @@
 		directory: news.directory,
 		suspects: {cursor: 0, changedSince: () => []},
 		currentUpdate: () => ({
-			configuration: undefined, rollouts: [], evacuations: noEvacuations, confirmedAt: undefined, hosts: options.others(),
+			configuration: undefined, rollouts: [], evacuations: noEvacuations, confirmedAt: undefined, hosts: options.others(), ...update,
 		}),
 		leases: {grantsFor: () => []},
 		limitedServers: new LimitedServers({
--- a/packages/gateway/src/control/entry-watches.test.ts
+++ b/packages/gateway/src/control/entry-watches.test.ts
@@ -3,6 +3,7 @@
 import {testServer} from '../servers/_test-server.js';
 import {decodeServerRows} from '../servers/server-rows.js';
 import {startTestControlServices} from './_test-control-node.js';
+import {type EntryUpdate} from './entry-watches.js';
 import {type WatchMessage, type WatchReply} from './peer-message.js';
 
 const run = 'one';
@@ -11,9 +12,9 @@
 	rolloutDigest: '', evacuationRevision: 0, evidence: [], limitCursor: 0,
 };
 
-function start() {
+function start(update: Partial<EntryUpdate> = {}) {
 	return startTestControlServices({
-		run, clock: {now: () => new Date(0), monotonic: () => 1000}, others: () => [], ask: async () => undefined,
+		run, update, clock: {now: () => new Date(0), monotonic: () => 1000}, others: () => [], ask: async () => undefined,
 		saved: {read: async () => [], write: async () => true},
 	});
 }
@@ -111,3 +112,22 @@
 	t.deepEqual(changed.records, [serverOf(2)]);
 	t.is(changed.serverRows, undefined);
 });
+
+test('a control instance without a confirmed state does not answer polls at once because it lacks their rollouts', async t => {
+	const isAnsweredAtOnce = async (confirmedAt: number | undefined): Promise<boolean> => {
+		const {watches} = start({confirmedAt});
+		let isAnswered = false;
+		const answer = (async () => {
+			await watches.answer(entryOf(1), {...message, run, rolloutDigest: 'mills 2.0 canary'});
+			isAnswered = true;
+		})();
+		await runPendingTasks();
+		const wasAnswered = isAnswered;
+		watches.answerPending();
+		await answer;
+		return wasAnswered;
+	};
+
+	t.true(await isAnsweredAtOnce(900));
+	t.false(await isAnsweredAtOnce(undefined));
+});
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -162,11 +162,13 @@
 
 	#hasUrgentUpdate(watch: WatchMessage): boolean {
 		const {run, currentUpdate, suspects} = this.#options;
-		const {configuration, rollouts, evacuations} = currentUpdate();
+		const {configuration, rollouts, evacuations, confirmedAt} = currentUpdate();
+		// Entry instances ignore the rollouts of an unconfirmed state, and would ask again at once.
+		const hasOtherRollouts = confirmedAt !== undefined && watch.rolloutDigest !== digestRollouts(rollouts);
 		return watch.run !== run
 			|| watch.suspectCursor < suspects.cursor
 			|| isNewer(configuration, watch)
-			|| watch.rolloutDigest !== digestRollouts(rollouts)
+			|| hasOtherRollouts
 			|| (watch.evacuationRevision ?? Number.POSITIVE_INFINITY) < evacuations.revision;
 	}
 
