Send held requests before their deadline, and reject none while servers are idle

Cause: a request that is predicted in time was held by its target alone, so that one whose caller states a deadline of 0.5 to 0.9 of the target was held beyond it and ended unsent (target 6000 ms, deadline 3500 ms, wait 650 ms: released at 4640 ms). Rejections count the median wait, which is that of the busier of two servers, and work held elsewhere, which has no service: both rejected requests while half of the servers, or all, were idle. Change: a deadline before the target counts in its place; nothing is rejected while servers below the bound have room for it beside all that is held before it, nor while the mean wait is below half of the bound. Conclusion: work held elsewhere still needs its service on the wire for holds.

--- a/packages/routing/src/_pool-room.ts
+++ b/packages/routing/src/_pool-room.ts
@@ -31,6 +31,16 @@
 	return Math.max(0, room);
 }
 
+/** Returns the work that the servers below a wait take until each reaches it, in milliseconds at a server of mean speed; those beyond it count for nothing. */
+export function unusedBelow(servers: readonly ServerWork[], bound: number): number {
+	let unused = 0;
+	for (const server of servers) {
+		unused += Math.max(0, bound - waitAt(server)) / server.slowness;
+	}
+
+	return unused;
+}
+
 /** Returns the work that all servers process in a millisecond, in milliseconds at a server of mean speed. */
 export function processingRate(servers: readonly ServerWork[]): number {
 	let rate = 0;
--- a/packages/routing/src/contention-queue.test.ts
+++ b/packages/routing/src/contention-queue.test.ts
@@ -292,3 +292,42 @@
 	queue.offer(requestOf('a'), {now: 0, pool: busy});
 	t.like(queue.release({now: 1500, pool}), [{request: {id: 'a'}}]);
 });
+
+test('a request whose deadline comes before its target is sent while it can still be answered by then', t => {
+	const queue = newQueue();
+	const full = poolOf(650);
+	t.is(queue.offer(requestOf('a', {deadlineAt: 3500}), {now: 0, pool: full}).type, 'held');
+	let sentAt = Number.POSITIVE_INFINITY;
+	for (let now = 0; now < 6000; now += releaseIntervalMilliseconds) {
+		if (queue.release({now, pool: full}).length > 0) {
+			sentAt = now;
+		}
+	}
+
+	// 100 ms of its own after 650 ms in the servers.
+	t.true(sentAt + 650 + 100 <= 3500, `sent at ${sentAt}`);
+});
+
+test('a request that a deadline before the target leaves too little time for counts as not predicted in time', t => {
+	const queue = newQueue();
+	const full = poolOf(650, {heldByOthers: [{priority: 2, milliseconds: 4 * 2900}]});
+	t.is(queue.offer(requestOf('a', {deadlineAt: 3500}), {now: 0, pool: full}).type, 'held');
+	t.like(queue.release({now: 1480, pool: full}), [{reason: 'time'}]);
+});
+
+test('a request is not rejected while servers without waiting prompts have room for it beside what is held', t => {
+	const idle = {reading: 0, streams: 0, slowness: 1};
+	const lost = {...idle, reading: 1e6};
+	for (const known of [[idle, lost], [idle, idle, idle, ...Array.from({length: 5}, () => lost)]]) {
+		t.not(newQueue().offer(requestOf('a'), {now: 0, pool: poolOf(0, {servers: known})}).type, 'rejected');
+	}
+
+	const heldByOthers = [{priority: 2, milliseconds: 1e5}];
+	t.is(newQueue().offer(requestOf('a'), {now: 0, pool: poolOf(0, {servers: [idle, lost], heldByOthers})}).type, 'rejected');
+});
+
+test('a request is not rejected for work held elsewhere while the servers are idle, since that may be of another service', t => {
+	const heldByOthers = [{priority: 2, milliseconds: 1e6}];
+	t.is(newQueue().offer(requestOf('a'), {now: 0, pool: poolOf(0, {heldByOthers})}).type, 'held');
+	t.is(newQueue().offer(requestOf('a'), {now: 0, pool: poolOf(1200, {heldByOthers})}).type, 'rejected');
+});
--- a/packages/routing/src/contention-queue.ts
+++ b/packages/routing/src/contention-queue.ts
@@ -6,7 +6,7 @@
 } from './contention-request.js';
 import {HeldPriority, type HeldRequest} from './_held-priority.js';
 import {
-	meanWait, medianWait, processingRate, roomBelow, workAbove,
+	meanWait, medianWait, processingRate, roomBelow, unusedBelow, workAbove,
 } from './_pool-room.js';
 import {type HeldWork} from './pool-picture.js';
 
@@ -34,6 +34,8 @@
 const longestWaitShare = 1.5;
 /** A request with less time left than this share of its target latency is not held. */
 const minimumTimeShare = 0.5;
+/** The share of the bound up to which the mean wait tells of idle servers: work held elsewhere is then of another service, or is released at once. */
+const idleShare = 0.5;
 /** The longest time between two calls of `release` while requests are held, in milliseconds: a small part of the shortest target latency. */
 export const releaseIntervalMilliseconds = 40;
 /** A request is rejected if the time that it needs exceeds the time left by this factor. */
@@ -117,13 +119,13 @@
 		const overrun = grounds.predicted - request.work + atLeast(offered.work, minimumWork) - timeLeft;
 		// Others may overtake what waits in the servers, so that their waits are not known for certain.
 		const isLeastUrgent = request.priority >= pool.patientPriority;
-		if (isLeastUrgent && overrun > (rejectionFactor - 1) * timeLeft) {
+		if (isLeastUrgent && overrun > (rejectionFactor - 1) * timeLeft && isBusyFor(request, {grounds, pool})) {
 			return this.#reject(request, {
 				grounds, overrun, now, pool,
 			});
 		}
 
-		const held: HeldRequest = {...request, isPredictedInTime: now + grounds.predicted <= request.arrivedAt + request.targetLatency};
+		const held: HeldRequest = {...request, isPredictedInTime: now + grounds.predicted <= answerBy(request)};
 		const isNearDeadline = timeLeft < minimumTimeShare * request.targetLatency;
 		if (isNearDeadline || latestSendAt(held, {now, wait: medianWait(pool.servers)}) <= now) {
 			return {type: 'send'};
@@ -269,14 +271,26 @@
 	return heldHere === 0 && !(wait > bound) && (heldByOthers === 0 || heldByOthers < room);
 }
 
+/** Checks whether a request finds no idle server that work held before it does not need. */
+function isBusyFor({work}: ContentionRequest, {grounds: {wait, bound, heldHere, heldByOthers}, pool}: {readonly grounds: HoldGrounds; readonly pool: ContentionPool}): boolean {
+	return wait > idleShare * bound && unusedBelow(pool.servers, bound) < heldHere + heldByOthers + work;
+}
+
+/** Returns until when the first event of a request is of use: its target, or its deadline if that is earlier. */
+function answerBy({arrivedAt, targetLatency, deadlineAt}: ContentionRequest): number {
+	const target = arrivedAt + targetLatency;
+	return deadlineAt < target ? deadlineAt : target;
+}
+
 function waitOf({servers, urgentTarget}: ContentionPool): number {
 	return meanWait(servers, longestWaitShare * urgentTarget);
 }
 
-/** Returns from when a request is held no longer, since the next release may be too late: after a share of its target latency, or when it can only just meet its target. */
-function latestSendAt({arrivedAt, targetLatency, work, isPredictedInTime}: HeldRequest, {now, wait}: {readonly now: number; readonly wait: number}): number {
+/** Returns from when a request is held no longer, since the next release may be too late: after a share of its target latency, or when it can only just meet its target or its deadline. */
+function latestSendAt(request: HeldRequest, {now, wait}: {readonly now: number; readonly wait: number}): number {
+	const {arrivedAt, targetLatency, work, isPredictedInTime} = request;
 	const afterShare = arrivedAt + (maximumHoldShare * targetLatency);
-	const lastMoment = arrivedAt + targetLatency - wait - work;
+	const lastMoment = answerBy(request) - wait - work;
 	const latest = lastMoment >= now ? Math.min(afterShare, lastMoment) : afterShare;
 	return (isPredictedInTime ? Math.max(latest, lastMoment - (reserveShare * targetLatency)) : latest) - releaseIntervalMilliseconds;
 }
