Acknowledge rows only from processes that read them

Cause: rows sent to a control instance that had acknowledged nothing, because it had restarted, counted as received with the next reply, also with that of a process of the version before, which reads no rows.

Change: a reply without takesServerRows to a message with rows acknowledges nothing.

Conclusion: an instance that is rolled back gets all changes.

--- a/packages/gateway/src/control/server-directory-sync.test.ts
+++ b/packages/gateway/src/control/server-directory-sync.test.ts
@@ -218,3 +218,23 @@
 	t.deepEqual(serversOf(sent), [['server-1', 'server-2']]);
 	t.deepEqual(other.directory.records.map(({sequence}) => sequence), [4, 4]);
 });
+
+test('changes sent as rows are sent again to a control instance that was replaced by the version before, though it had acknowledged none', async t => {
+	const {one, link, sent} = startPair();
+	link.takesServerRows = true;
+	await one.announce(testServer());
+	for (const run of ['one', 'two']) {
+		link.run = run;
+		await one.announce(testServer({id: `server-${run}` as ServerId, port: 20 + run.length + run.codePointAt(0)!}));
+		one.runSyncRound();
+		await runPendingTasks();
+	}
+
+	Object.assign(link, {run: 'three', takesServerRows: false});
+	one.runSyncRound();
+	await runPendingTasks();
+	sent.length = 0;
+	one.runSyncRound();
+	await runPendingTasks();
+	t.deepEqual(serversOf(sent).map(ids => ids.toSorted()), [['server-1', 'server-one', 'server-two']]);
+});
--- a/packages/gateway/src/control/server-directory-sync.ts
+++ b/packages/gateway/src/control/server-directory-sync.ts
@@ -229,13 +229,14 @@
 			return;
 		}
 
-		const servers = this.#rowReaders.has(other) ? encoded() : {records};
+		const servers: Pick<ServersMessage, 'records' | 'serverRows'> = this.#rowReaders.has(other) ? encoded() : {records};
 		const reply = await this.#options.ask(other, {type: 'servers', ...servers, takesWorkSummaries: true}, forwardTimeoutMilliseconds) as ServersReply | undefined;
 		this.#rowReaders.record(other, {canRead: reply?.takesServerRows === true});
 		if (reply !== undefined) {
 			this.#options.summaryReaders.record(other, {canRead: reply.takesWorkSummaries === true});
 			// If the process has restarted, it has only received the changes since its restart.
-			const isComplete = cursor === 0 || run === reply.run;
+			const isRead = servers.serverRows === undefined || reply.takesServerRows === true;
+			const isComplete = isRead && (cursor === 0 || run === reply.run);
 			this.#acknowledged.set(other, {run: reply.run, cursor: isComplete ? latestCursor : 0});
 		}
 	}
