Count the answers of plain services wholly where a digest is in use

Cause: by a digest, an answer that is generated counts a tenth, since what it costs shows in the speed of its server. Plain requests have no expected times, so that no speed shows it: a server with six of eight slots in use got 35 of 100 requests beside an empty one. Change: a service that no route with models sends to counts load as without the prompts, with the arrivals that go with it. Also: a deadline that is not a number counts as none in the queue.

--- a/packages/gateway/src/entry/create-entry-context.ts
+++ b/packages/gateway/src/entry/create-entry-context.ts
@@ -74,6 +74,7 @@
 		loads: poolLoads,
 		placesOf: server => peers.placesOf(server),
 		coldDurationOf: service => table()?.findService(service)?.cold?.duration,
+		hasPrompts: service => table()?.routesWithModels(service).length !== 0,
 		heartbeatMilliseconds: options.heartbeatMilliseconds,
 		onReplaced: closeIdleConnections,
 		onOutdated({id, state}, {held, source}) {
--- a/packages/gateway/src/entry/entry-servers-options.ts
+++ b/packages/gateway/src/entry/entry-servers-options.ts
@@ -25,6 +25,8 @@
 	readonly random: RandomSource;
 	/** Returns how long the servers of a service are cold after their start, in milliseconds; undefined if they tolerate as many requests as otherwise. */
 	readonly coldDurationOf?: (service: ServiceId) => number | undefined;
+	/** Returns whether requests with a prompt are sent to a service, whose load then counts by the prompts that wait where a digest is in use; by default they are. */
+	readonly hasPrompts?: (service: ServiceId) => boolean;
 	/** Returns how many places of a brittle server this instance may use; by default all of them. */
 	readonly placesOf?: (server: ServerRecord) => number;
 	/** The interval between announcements of a server, in milliseconds; 0 by default. */
--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -396,6 +396,24 @@
 	t.is(countsWith((2 * slots) + 50)[0], 0);
 });
 
+test('by a digest, a server of a plain service gets no request while six more answers are generated there than elsewhere', t => {
+	const [busy, free] = [testServer(), testServer({id: 'server-2' as ServerId, port: 2})];
+	const streamsAt = (id: ServerId): number => id === busy.id ? 6 : 0;
+	let drawn = 0;
+	const servers = new EntryServers({
+		zone,
+		random: () => (drawn++ % 100) / 100,
+		hasPrompts: () => false,
+		loads: {
+			peerLoadAt: streamsAt, workAt: id => ({reading: 0, streams: streamsAt(id), slowness: 1}), slownessOf: () => 1, usesDigest: true, othersAge: 100, recordChange: ignore, discardServer: ignore,
+		},
+		onReplaced: ignore,
+	});
+	servers.applyRecords([busy, free], {source: one, now});
+	const chosen = Array.from({length: 100}, () => chooseId(servers, {load: 1}));
+	t.is(chosen.filter(id => id === busy.id).length, 0);
+});
+
 test('by a digest, as much work counts as having arrived as the servers can process', t => {
 	const counts = sendToNine({
 		slownessOf: () => 1, usesDigest: true, othersAge: 200, workAt: id => ({reading: id === 'server-0' ? 0 : 2000, streams: 0, slowness: 1}),
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -185,13 +185,13 @@
 		}
 
 		const speeds = this.#speeds.speedsOf(candidates.map(({record}) => record.id), now);
-		const {othersAge, usesDigest = false} = this.#options.loads;
+		const {othersAge} = this.#options.loads;
 		const views = candidates.map(tracked => tracked.view(this.#conditionsOf(tracked, {now, othersAge, speeds})));
 
 		const criteria: ServerCriteria & ServerChoiceOptions = {
 			target: service, excluded, evacuatedZones: this.#evacuations.zones, zone: this.#options.zone, random: this.#options.random, zonePenalty, sampleCount, loadBound,
 			reportDecayMilliseconds: Number.POSITIVE_INFINITY,
-			arrivalRate: usesDigest ? promptArrivalRate : arrivalRate,
+			arrivalRate: this.#countsPrompts(service) ? promptArrivalRate : arrivalRate,
 			prefix: promptKey === undefined ? undefined : prefixHash(promptKey.name),
 			affinityScope: promptKey?.affinityScope ?? 'none',
 			...(speeds.size > 0 && load !== undefined && {requestLoad: load}),
@@ -446,7 +446,7 @@
 
 	#conditionsOf(tracked: TrackedServer, {now, othersAge, speeds}: ConditionsOptions): ServerConditions {
 		const {zone, loads} = this.#options;
-		const {id, zone: serverZone} = tracked.record;
+		const {id, zone: serverZone, service} = tracked.record;
 		return {
 			now,
 			othersLoad: loads.peerLoadAt(id),
@@ -457,10 +457,16 @@
 			isRateLimited: this.limits.isRateLimited(tracked, now) || this.limits.isFull(tracked),
 			isPaused: !this.limits.pauses.allows(id, now),
 			speed: speeds?.get(id),
-			work: loads.usesDigest === true ? loads.workAt?.(id) : undefined,
+			work: this.#countsPrompts(service) ? loads.workAt?.(id) : undefined,
 		};
 	}
 
+	/** Checks whether load counts by the prompts that wait; plain requests have none, and no times by which a busy server would show as slow. */
+	#countsPrompts(service: ServiceId): boolean {
+		const {loads, hasPrompts} = this.#options;
+		return loads.usesDigest === true && hasPrompts?.(service) !== false;
+	}
+
 	#removeExpired(now: number): void {
 		for (const [id, tracked] of this.#servers) {
 			const unreportedFor = now - tracked.reportedAt;
--- a/packages/routing/src/contention-queue.ts
+++ b/packages/routing/src/contention-queue.ts
@@ -278,8 +278,7 @@
 
 /** Returns until when the first event of a request is of use: its target, or its deadline if that is earlier. */
 function answerBy({arrivedAt, targetLatency, deadlineAt}: ContentionRequest): number {
-	const target = arrivedAt + targetLatency;
-	return deadlineAt < target ? deadlineAt : target;
+	return Math.min(arrivedAt + targetLatency, Number.isNaN(deadlineAt) ? Number.POSITIVE_INFINITY : deadlineAt);
 }
 
 function waitOf({servers, urgentTarget}: ContentionPool): number {
