--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -405,7 +405,9 @@
 		random: () => (drawn++ % 100) / 100,
 		hasPrompts: () => false,
 		loads: {
-			peerLoadAt: streamsAt, workAt: id => ({reading: 0, streams: streamsAt(id), slowness: 1}), slownessOf: () => 1, usesDigest: true, othersAge: 100, recordChange: ignore, discardServer: ignore,
+			peerLoadAt: streamsAt,
+			workAt: id => ({reading: 0, streams: streamsAt(id), slowness: 1}),
+			slownessOf: () => 1, usesDigest: true, othersAge: 100, recordChange: ignore, discardServer: ignore,
 		},
 		onReplaced: ignore,
 	});
