gateway, routing: bound a stated idle time, and take sums that are no numbers for none

Cause: a server that states 'timeout=' had its idle connections used after hours, where devices on the way have dropped them silently; a report with a sum that is no number made the slowness of a server no number, and with it room and shares. Change: an idle connection is used for a minute at most; such a slowness is 1.

--- a/packages/gateway/src/entry/keep-alive-time.test.ts
+++ b/packages/gateway/src/entry/keep-alive-time.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {defaultIdleMilliseconds, keepAliveTime} from './keep-alive-time.js';
+import {defaultIdleMilliseconds, keepAliveTime, maximumIdleMilliseconds} from './keep-alive-time.js';
 
 test('an idle connection is used until a second before the timeout that its server states', t => {
 	t.is(keepAliveTime('timeout=5'), 4000);
@@ -14,3 +14,7 @@
 		t.is(keepAliveTime(header), defaultIdleMilliseconds, `header ${header}`);
 	}
 });
+
+test('an idle connection is used for a minute at most, however long its server keeps it', t => {
+	t.is(keepAliveTime('timeout=999999999'), maximumIdleMilliseconds);
+});
--- a/packages/gateway/src/entry/keep-alive-time.ts
+++ b/packages/gateway/src/entry/keep-alive-time.ts
@@ -3,6 +3,9 @@
 /** The time for which a connection may be idle if its server states none, in milliseconds. It is shorter than the usual idle timeouts of servers, which are a few seconds. */
 export const defaultIdleMilliseconds = 1500;
 
+/** The longest time for which a connection may be idle, in milliseconds: devices between instances and servers drop idle connections silently after a minute or more. */
+export const maximumIdleMilliseconds = 60_000;
+
 const timeoutPattern = /(?:^|,)\s*timeout\s*=\s*"?(\d{1,9})"?\s*(?:,|$)/iv;
 const millisecondsPerSecond = 1000;
 
@@ -18,5 +21,10 @@
 */
 export function keepAliveTime(header: string | undefined): number {
 	const seconds = timeoutPattern.exec(header ?? '')?.[1];
-	return seconds === undefined ? defaultIdleMilliseconds : Math.max(0, (Number(seconds) * millisecondsPerSecond) - keepAliveMarginMilliseconds);
+	if (seconds === undefined) {
+		return defaultIdleMilliseconds;
+	}
+
+	const stated = (Number(seconds) * millisecondsPerSecond) - keepAliveMarginMilliseconds;
+	return Math.min(maximumIdleMilliseconds, Math.max(0, stated));
 }
--- a/packages/routing/src/server-slowness.test.ts
+++ b/packages/routing/src/server-slowness.test.ts
@@ -29,3 +29,11 @@
 	const slowness = serverSlowness({observed: 4000 * meanSpeed / 0.7, expected: 4000}, pool);
 	t.true(Math.abs(slowness - 1.62) < 0.05, `${slowness}`);
 });
+
+test('sums that are no numbers tell nothing', t => {
+	const pool = {observed: 40_000, expected: 40_000};
+	t.is(serverSlowness({observed: Number.NaN, expected: 1000}, pool), 1);
+	t.is(serverSlowness({observed: 1000, expected: Number.NaN}, pool), 1);
+	t.is(serverSlowness({observed: Number.POSITIVE_INFINITY, expected: 1000}, pool), 1);
+	t.is(serverSlowness({observed: 1000, expected: Number.NaN}, {observed: Number.NaN, expected: 1}), 1);
+});
--- a/packages/routing/src/server-slowness.ts
+++ b/packages/routing/src/server-slowness.ts
@@ -13,7 +13,7 @@
 
 @param server The sums of the recent times of the server.
 @param pool The sums over all servers.
-@returns 1 for a server of mean speed or without recent answers, 2 for one that takes twice as long; within 0.25 and 8.
+@returns 1 for a server of mean speed, without recent answers or with sums that are no numbers, 2 for one that takes twice as long; within 0.25 and 8.
 @example
 ```ts
 serverSlowness({observed: 40_000, expected: 20_000}, {observed: 400_000, expected: 400_000}); // about 2
@@ -27,5 +27,9 @@
 	const observedAtMeanLoad = server.observed * pool.expected / pool.observed;
 	const prior = priorMilliseconds * priorMilliseconds / (priorMilliseconds + server.expected);
 	const slowness = (observedAtMeanLoad + prior) / (server.expected + prior);
+	if (!Number.isFinite(slowness)) {
+		return 1;
+	}
+
 	return Math.min(maximumSlowness, Math.max(minimumSlowness, slowness));
 }
