--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -71,7 +71,7 @@
 	readonly type: 'servers';
 	/** The records that changed, and those of servers that recently announced themselves to the sender. */
 	readonly records: readonly ServerRecord[];
-	/** Further records, encoded by `encodeServerRows`; only for who reads them. */
+	/** Further records, encoded by `encodeServerRows`; sent only to instances that read them. */
 	readonly serverRows?: Uint8Array | undefined;
 	/** Whether the sender reads `work-summary` messages; absent in versions before them. */
 	readonly takesWorkSummaries?: true;
@@ -154,7 +154,7 @@
 	readonly run: string;
 	readonly cursor: number;
 	readonly records: readonly ServerRecord[];
-	/** Further servers, which `records` override, encoded by `encodeServerRows`; only for who reads them, and only if the state is a full one. */
+	/** Further servers, which `records` override, encoded by `encodeServerRows`; sent only to instances that read them, and only if the state is a full one. */
 	readonly serverRows?: Uint8Array;
 	readonly suspectCursor: number;
 	/** The suspect records that changed. */
--- a/packages/gateway/src/control/server-directory-sync.ts
+++ b/packages/gateway/src/control/server-directory-sync.ts
@@ -40,7 +40,7 @@
 /** The servers to send in one synchronization round. */
 type Batch = {
 	readonly records: readonly ServerRecord[];
-	/** The same servers for who reads rows: all but cold ones, whose remaining time rows lack. */
+	/** The same servers for instances that read rows: all but cold ones, whose remaining time rows lack. */
 	readonly encoded: () => Pick<ServersMessage, 'records' | 'serverRows'>;
 };
 
