gateway: use idle connections for 1.5 s at most again

Change: 1.5 s at most, as before, and less where the server states less; that a kept connection is used only where its loss can be retried, and the bound on all, stay.

--- a/packages/gateway/src/entry/connection-pool.ts
+++ b/packages/gateway/src/entry/connection-pool.ts
@@ -1,7 +1,7 @@
 import {Agent, type AgentOptions, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {type ServerRecord} from '../servers/server-record.js';
-import {defaultIdleMilliseconds, keepAliveTime} from './keep-alive-time.js';
+import {maximumIdleMilliseconds, keepAliveTime} from './keep-alive-time.js';
 
 /** The maximum number of idle connections per server. More concurrent requests to one server are rare. */
 const maximumIdleConnections = 8;
@@ -94,7 +94,7 @@
 export function closeStaleConnections(server: ServerRecord, pool: Agent = connectionPool): void {
 	for (const socket of idleConnections(server, pool)) {
 		const idleTime = performance.now() - (lastUsedAt.get(socket) ?? 0);
-		if (idleTime > (idleTimes.get(socket) ?? defaultIdleMilliseconds) || socket.readableLength > 0) {
+		if (idleTime > (idleTimes.get(socket) ?? maximumIdleMilliseconds) || socket.readableLength > 0) {
 			socket.destroy();
 		}
 	}
--- a/packages/gateway/src/entry/keep-alive-time.ts
+++ b/packages/gateway/src/entry/keep-alive-time.ts
@@ -1,10 +1,7 @@
 /** The time between a server's own timeout and the last moment at which its idle connection is used, in milliseconds, so that a request never crosses the close of its connection on the way. */
 export const keepAliveMarginMilliseconds = 1000;
-/** The time for which a connection may be idle if its server states none, in milliseconds. It is shorter than the usual idle timeouts of servers, which are a few seconds. */
-export const defaultIdleMilliseconds = 1500;
-
-/** The longest time for which a connection may be idle, in milliseconds: devices between instances and servers drop idle connections silently after a minute or more. */
-export const maximumIdleMilliseconds = 60_000;
+/** The longest time for which a connection may be idle, in milliseconds. It is shorter than the usual idle timeouts of servers, which are a few seconds, and bounds how many idle connections a cut leaves behind. */
+export const maximumIdleMilliseconds = 1500;
 
 const timeoutPattern = /(?:^|,)\s*timeout\s*=\s*"?(\d{1,9})"?\s*(?:,|$)/iv;
 const millisecondsPerSecond = 1000;
@@ -16,13 +13,13 @@
 @returns Milliseconds; 0 if the connection must not be used again.
 @example
 ```ts
-keepAliveTime('timeout=5, max=100'); // 4000
+keepAliveTime('timeout=2, max=100'); // 1000
 ```
 */
 export function keepAliveTime(header: string | undefined): number {
 	const seconds = timeoutPattern.exec(header ?? '')?.[1];
 	if (seconds === undefined) {
-		return defaultIdleMilliseconds;
+		return maximumIdleMilliseconds;
 	}
 
 	const stated = (Number(seconds) * millisecondsPerSecond) - keepAliveMarginMilliseconds;
