gateway: move a server between addresses in one place

Cause: the directory and the servers of an entry instance each removed and added the address of a record that may have changed, twice each. Change: ServerAddresses.replace. Nothing is decided otherwise.

--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -398,12 +398,7 @@
 			}
 		}
 
-		const replaced = this.#servers.get(record.id);
-		if (replaced !== undefined) {
-			this.#addresses.remove(replaced.record);
-		}
-
-		this.#addresses.add(record);
+		this.#addresses.replace(this.#servers.get(record.id)?.record, record);
 		this.#liveness.removeServer(record.id);
 		this.#liveness.report(record.id, {source, isSilent: record.isSilent});
 		this.#servers.set(record.id, new TrackedServer(record, {
@@ -433,11 +428,7 @@
 
 		tracked.wasDraining ||= record.state === 'draining';
 		const merged = mergeServerRecord(tracked.record, record);
-		if (merged.host !== tracked.record.host || merged.port !== tracked.record.port) {
-			this.#addresses.remove(tracked.record);
-			this.#addresses.add(merged);
-		}
-
+		this.#addresses.replace(tracked.record, merged);
 		tracked.record = merged;
 		return tracked.record.state !== state;
 	}
--- a/packages/gateway/src/servers/server-addresses.test.ts
+++ b/packages/gateway/src/servers/server-addresses.test.ts
@@ -16,3 +16,13 @@
 	addresses.remove(other);
 	t.deepEqual(addresses.at(other), []);
 });
+
+test('a server that moved is found at its current address only', t => {
+	const addresses = new ServerAddresses();
+	const moved = testServer({port: 10});
+	addresses.replace(undefined, testServer());
+	addresses.replace(testServer(), testServer());
+	t.deepEqual(addresses.at(testServer()), [testServer().id]);
+	addresses.replace(testServer(), moved);
+	t.deepEqual([addresses.at(testServer()), addresses.at(moved)], [[], [moved.id]]);
+});
--- a/packages/gateway/src/servers/server-addresses.ts
+++ b/packages/gateway/src/servers/server-addresses.ts
@@ -41,6 +41,24 @@
 		}
 	}
 
+	/**
+	Moves a server whose address may have changed.
+
+	@param previous The server at its previous address; undefined if it is new.
+	@param current The server at its current address.
+	*/
+	replace(previous: AddressedServer | undefined, current: AddressedServer): void {
+		if (previous !== undefined && keyOf(previous) === keyOf(current)) {
+			return;
+		}
+
+		if (previous !== undefined) {
+			this.remove(previous);
+		}
+
+		this.add(current);
+	}
+
 	/**
 	Lists the servers at an address.
 
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -269,11 +269,7 @@
 		entry.cold.apply(record, now);
 		const isColdChanged = Math.abs(entry.cold.remaining(now) - coldBefore) > coldToleranceMilliseconds;
 		const isChanged = previous.state !== merged.state || previous.isSilent !== merged.isSilent || isColdChanged;
-		if (previous.host !== merged.host || previous.port !== merged.port) {
-			this.#addresses.remove(previous);
-			this.#addresses.add(merged);
-		}
-
+		this.#addresses.replace(previous, merged);
 		entry.record = merged;
 		this.#noteCold(entry, now);
 		if (merged.state === 'gone') {
@@ -306,16 +302,11 @@
 	}
 
 	#insert(record: ServerRecord, {lastHeardAt, now, isRestored = false}: AddOptions): ServerRecord {
-		const previous = this.#servers.get(record.id);
-		if (previous !== undefined) {
-			this.#addresses.remove(previous.record);
-		}
-
+		this.#addresses.replace(this.#servers.get(record.id)?.record, record);
 		const entry: DirectoryEntry = {
 			record, lastHeardAt, endedAt: record.state === 'gone' ? now : undefined, isRestored, cold: new ColdPeriod(record, now),
 		};
 		this.#servers.set(record.id, entry);
-		this.#addresses.add(record);
 		this.#noteCold(entry, now);
 		this.#changes.record(record.id);
 		return record;
