gateway: read the servers of a message in one place

Cause: entry and control instances each joined rows and records of a message. Change: listedServers. Nothing is decided otherwise.

--- a/packages/gateway/src/control/server-directory-sync.ts
+++ b/packages/gateway/src/control/server-directory-sync.ts
@@ -6,7 +6,7 @@
 import {type SavedList} from '../servers/saved-list.js';
 import {ServerDirectory} from '../servers/server-directory.js';
 import {type ServerRecord} from '../servers/server-record.js';
-import {decodeServerRows, encodeServerRows} from '../servers/server-rows.js';
+import {encodeServerRows, listedServers} from '../servers/server-rows.js';
 import {MessageReaders} from './message-readers.js';
 import {
 	type AllServersReply, type PeerMessage, type ServersMessage, type ServersReply,
@@ -172,11 +172,10 @@
 
 	@param message The records.
 	*/
-	receive({records, serverRows}: ServersMessage): void {
+	receive(message: ServersMessage): void {
 		const now = this.#options.clock.monotonic();
 		let isChanged = false;
-		const listed = serverRows === undefined ? [] : decodeServerRows(serverRows);
-		for (const record of [...listed, ...records]) {
+		for (const record of listedServers(message)) {
 			const changed = this.directory.announce(record, now);
 			isChanged ||= changed.length > 0;
 			this.#logStates(changed, 'peer');
--- a/packages/gateway/src/entry/apply-server-news.ts
+++ b/packages/gateway/src/entry/apply-server-news.ts
@@ -4,7 +4,7 @@
 import {type Evacuations} from '../servers/evacuations.js';
 import {type SentServerLimit} from '../servers/server-limits.js';
 import {type ServerRecord} from '../servers/server-record.js';
-import {decodeServerRows} from '../servers/server-rows.js';
+import {listedServers} from '../servers/server-rows.js';
 import {type EntryContext} from './entry-context.js';
 
 /** Options of {@linkcode applyServerNews}. */
@@ -36,8 +36,7 @@
 */
 export function applyServerNews(reply: WatchReply, context: NewsContext, {source, now, isFullState, sentAt}: ApplyServerNewsOptions): readonly ServerRecord[] {
 	const {servers, log} = context;
-	const listed = reply.serverRows === undefined ? [] : decodeServerRows(reply.serverRows);
-	const changed = servers.applyRecords([...listed, ...reply.records], {source, now, isFullState});
+	const changed = servers.applyRecords(listedServers(reply), {source, now, isFullState});
 	applyEvacuations(reply.evacuations, context, {source, now});
 	if (sentAt !== undefined) {
 		const validUntil = sentAt + rateLeaseMilliseconds;
--- a/packages/gateway/src/servers/server-rows.ts
+++ b/packages/gateway/src/servers/server-rows.ts
@@ -27,6 +27,26 @@
 	return Uint8Array.from(packr.pack(records.map(record => toRow(record))));
 }
 
+/** The servers of a message: records, and further ones as encoded rows. */
+export type ListedServers = {
+	readonly records: readonly ServerRecord[];
+	readonly serverRows?: Uint8Array | undefined;
+};
+
+/**
+Returns the servers that a message lists.
+
+@param message The message.
+@returns The records; those that were not encoded come last, since they override the others.
+@example
+```ts
+listedServers(reply);
+```
+*/
+export function listedServers({records, serverRows}: ListedServers): readonly ServerRecord[] {
+	return serverRows === undefined ? records : [...decodeServerRows(serverRows), ...records];
+}
+
 /**
 Decodes the records of servers.
 
