gateway: list the servers of a service that may get requests in one place

Cause: contention and admission filtered all available servers by service, beside the function of ServerAvailability that does so. Change: ServerAvailability.availableOf; the stand-ins of two tests answer it, their assertions are as they were, and a test of its own. Nothing is decided otherwise.

--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -257,6 +257,16 @@
 	t.true(servers.availability.isEvacuated(testServer().service));
 });
 
+test('the servers of a service that may get requests are ready and in no evacuated zone', t => {
+	const remote = testServer({id: 'server-2' as ServerId, zone: otherZone});
+	const leaving = testServer({id: 'server-3' as ServerId, port: 3, state: 'draining'});
+	const ofAnother = testServer({id: 'server-4' as ServerId, port: 4, service: 'another' as ServiceId});
+	const servers = createServers(testServer(), remote, leaving, ofAnother);
+	t.deepEqual(servers.availability.availableOf(testServer().service), [testServer().id, remote.id]);
+	servers.applyEvacuations(evacuationsOf(1, zone), now);
+	t.deepEqual(servers.availability.availableOf(testServer().service), [remote.id]);
+});
+
 test('a control instance that lags behind does not end an evacuation', t => {
 	const servers = createServers(testServer());
 	servers.applyEvacuations(evacuationsOf(2, zone), now);
--- a/packages/gateway/src/entry/pool-contention.test.ts
+++ b/packages/gateway/src/entry/pool-contention.test.ts
@@ -6,7 +6,7 @@
 
 const {service} = testServer();
 const table = {findModelTarget: () => 1500};
-const availability = {available: [testServer()]};
+const availability = {availableOf: (id: ServiceId) => id === service ? [testServer().id] : []};
 
 function pictureOf(age: number): PoolPicture {
 	return {age, workAt: () => ({reading: 300, streams: 1, slowness: 2}), heldByOthers: []};
--- a/packages/gateway/src/entry/pool-contention.ts
+++ b/packages/gateway/src/entry/pool-contention.ts
@@ -17,7 +17,7 @@
 	readonly picture: PoolPicture;
 	/** The current configuration; undefined until the first one is received. */
 	readonly table: Pick<RouteTable, 'findModelTarget'> | undefined;
-	readonly availability: Pick<ServerAvailability, 'available'>;
+	readonly availability: Pick<ServerAvailability, 'availableOf'>;
 };
 
 /**
@@ -37,6 +37,5 @@
 		return {wait: 0, target};
 	}
 
-	const servers = availability.available.filter(record => record.service === service);
-	return {wait: predictPoolWait(picture, servers.map(({id}) => id)), target};
+	return {wait: predictPoolWait(picture, availability.availableOf(service)), target};
 }
--- a/packages/gateway/src/entry/request-admission.test.ts
+++ b/packages/gateway/src/entry/request-admission.test.ts
@@ -30,7 +30,7 @@
 		},
 		metrics,
 		notes,
-		availability: {available: [server]},
+		availability: {availableOf: () => [server.id]},
 		picture: () => picture(state.now),
 		table: () => ({routesWithModels: () => [urgent, patient]}),
 		async wait(milliseconds) {
--- a/packages/gateway/src/entry/request-admission.ts
+++ b/packages/gateway/src/entry/request-admission.ts
@@ -27,7 +27,7 @@
 	/** Where holds and rejections are noted for operators. */
 	readonly notes: Pick<DecisionNotes, 'record'>;
 	readonly metrics: Pick<GatewayMetrics, 'heldRequests' | 'releases' | 'holdTime' | 'rejections'>;
-	readonly availability: Pick<ServerAvailability, 'available'>;
+	readonly availability: Pick<ServerAvailability, 'availableOf'>;
 	/** Returns the load of the servers over all entry instances. */
 	readonly picture: () => PoolPicture;
 	/** Returns the current configuration; undefined until the first one is received. */
@@ -234,8 +234,7 @@
 			return undefined;
 		}
 
-		const servers = availability.available.filter(record => record.service === service);
-		return contentionPool(known, {servers: servers.map(({id}) => id), routes: table()?.routesWithModels(service) ?? []});
+		return contentionPool(known, {servers: availability.availableOf(service), routes: table()?.routesWithModels(service) ?? []});
 	}
 
 	#queueOf(service: ServiceId): ContentionQueue {
--- a/packages/gateway/src/entry/server-availability.ts
+++ b/packages/gateway/src/entry/server-availability.ts
@@ -39,6 +39,16 @@
 		return servers;
 	}
 
+	/**
+	Lists the servers of a service that may get requests.
+
+	@param service The service.
+	@returns The ids of the servers.
+	*/
+	availableOf(service: ServiceId): readonly ServerId[] {
+		return this.#availableFor(service).map(({record}) => record.id);
+	}
+
 	/**
 	Returns the server at an address.
 
