gateway: derive the shortest target of a service from its routes

Cause: the route table kept the shortest target latency of each service beside the routes it follows from. Change: it is worked out from the few routes of the service.

--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -22,8 +22,6 @@
 	readonly #routesWithModels = new Map<ServiceId, Route[]>();
 	readonly #workspacesByKey = new Map<string, WorkspaceAccess>();
 	readonly #services = new Map<ServiceId, BackendService>();
-	/** The shortest target latency of the routes that choose among models of each service. */
-	readonly #modelTargets = new Map<ServiceId, number>();
 	/** The most urgent priority of the workspaces that have one. */
 	readonly #urgentWorkspacePriority: number;
 	/** The number of urgencies of the routes within one priority of workspaces. */
@@ -50,7 +48,6 @@
 			this.#routes.set(host, [...this.#routes.get(host) ?? [], route]);
 			for (const {service} of route.sizes.length > 0 ? route.services : []) {
 				this.#routesWithModels.set(service, [...this.#routesWithModels.get(service) ?? [], route]);
-				this.#modelTargets.set(service, Math.min(route.targetLatency, this.#modelTargets.get(service) ?? route.targetLatency));
 			}
 		}
 
@@ -119,6 +116,7 @@
 	@returns Milliseconds, or `undefined` if no route does.
 	*/
 	findModelTarget(id: ServiceId): number | undefined {
-		return this.#modelTargets.get(id);
+		const targets = this.routesWithModels(id).map(({targetLatency}) => targetLatency);
+		return targets.length === 0 ? undefined : Math.min(...targets);
 	}
 }
