routing: predict the first event only of requests that find no room

Cause: each request of a lower urgency had its first event predicted, which sorts the waits at all servers, also where it was then sent at once. Change: the prediction is made once there is no room. Nothing is decided otherwise.

--- a/packages/routing/src/contention-queue.ts
+++ b/packages/routing/src/contention-queue.ts
@@ -25,6 +25,9 @@
 	readonly pool: ContentionPool | undefined;
 };
 
+/** What is known of the room for a request before its first event is predicted. */
+type RoomGrounds = Omit<HoldGrounds, 'predicted'>;
+
 /** The longest time that a request is held unless it is predicted to be served in time, as a share of its target latency. */
 export const maximumHoldShare = 0.25;
 /** A request that is held for longer is sent this share of its target latency before it can only just meet its target, since the prediction may be wrong. */
@@ -109,11 +112,12 @@
 			return {type: 'send'};
 		}
 
-		const grounds = this.#groundsOf(request, pool);
-		if (hasRoomAtOnce(grounds)) {
+		const poolRoom = this.#roomFor(request.priority, pool);
+		if (hasRoomAtOnce(poolRoom)) {
 			return {type: 'send'};
 		}
 
+		const grounds = {...poolRoom, predicted: predictedFirstEvent(request, {...poolRoom, servers: pool.servers})};
 		const timeLeft = request.deadlineAt - now;
 		// A request is rejected for all that it needs, while others wait for a bounded part of it.
 		const overrun = grounds.predicted - request.work + atLeast(offered.work, minimumWork) - timeLeft;
@@ -182,18 +186,14 @@
 		return Math.round(this.#boundShare * urgentTarget);
 	}
 
-	#groundsOf({priority, work}: ContentionRequest, pool: ContentionPool): HoldGrounds {
-		const {servers, urgentTarget} = pool;
+	#roomFor(priority: number, pool: ContentionPool): RoomGrounds {
 		const bound = this.#boundOf(pool);
-		const heldHere = this.#heldBefore(priority);
-		const heldByOthers = sumOf(pool.heldByOthers, priority);
 		return {
 			wait: waitOf(pool),
 			bound,
-			room: roomBelow(servers, {bound, longest: longestWaitShare * urgentTarget}),
-			heldHere,
-			heldByOthers,
-			predicted: ((heldHere + heldByOthers) / processingRate(servers)) + medianWait(servers) + work,
+			room: roomBelow(pool.servers, {bound, longest: longestWaitShare * pool.urgentTarget}),
+			heldHere: this.#heldBefore(priority),
+			heldByOthers: sumOf(pool.heldByOthers, priority),
 		};
 	}
 
@@ -267,10 +267,15 @@
 }
 
 /** Checks whether a request finds room that nothing held before it needs. */
-function hasRoomAtOnce({wait, bound, room, heldHere, heldByOthers}: HoldGrounds): boolean {
+function hasRoomAtOnce({wait, bound, room, heldHere, heldByOthers}: RoomGrounds): boolean {
 	return heldHere === 0 && !(wait > bound) && (heldByOthers === 0 || heldByOthers < room);
 }
 
+/** Predicts the time to the first event of a request, in milliseconds. */
+function predictedFirstEvent({work}: ContentionRequest, {heldHere, heldByOthers, servers}: Pick<RoomGrounds, 'heldHere' | 'heldByOthers'> & Pick<ContentionPool, 'servers'>): number {
+	return ((heldHere + heldByOthers) / processingRate(servers)) + medianWait(servers) + work;
+}
+
 /** Checks whether a request finds no idle server that work held before it does not need. */
 function isBusyFor({work}: ContentionRequest, {grounds: {wait, bound, heldHere, heldByOthers}, pool}: {readonly grounds: HoldGrounds; readonly pool: ContentionPool}): boolean {
 	return wait > idleShare * bound && unusedBelow(pool.servers, bound) < heldHere + heldByOthers + work;
