routing: sum held work in one place

Cause: two functions of the contention queue summed held work, alike but for one operator. Nothing is decided otherwise.

--- a/packages/routing/src/contention-queue.ts
+++ b/packages/routing/src/contention-queue.ts
@@ -5,6 +5,7 @@
 	type ContentionDecision, type ContentionRequest, type HoldGrounds, type ReleasedRequest,
 } from './contention-request.js';
 import {HeldPriority, type HeldRequest} from './_held-priority.js';
+import {heldAt, heldUpTo} from './_held-work.js';
 import {
 	meanWait, medianWait, processingRate, roomBelow, unusedBelow, workAbove,
 } from './_pool-room.js';
@@ -193,7 +194,7 @@
 			bound,
 			room: roomBelow(pool.servers, {bound, longest: longestWaitShare * pool.urgentTarget}),
 			heldHere: this.#heldBefore(priority),
-			heldByOthers: sumOf(pool.heldByOthers, priority),
+			heldByOthers: heldUpTo(pool.heldByOthers, priority),
 		};
 	}
 
@@ -204,9 +205,9 @@
 		// What servers process in the meantime, and what is missing up to the bound.
 		const room = roomBelow(pool.servers, {bound: this.#boundOf(pool) + correction, longest: longestWaitShare * pool.urgentTarget});
 		for (const held of this.#priorities) {
-			const others = workOf(pool.heldByOthers, held.priority);
+			const others = heldAt(pool.heldByOthers, held.priority);
 			const share = held.work / Math.max(minimumWork, held.work + others);
-			const moreUrgent = this.#heldBefore(held.priority - 1) + sumOf(pool.heldByOthers, held.priority - 1);
+			const moreUrgent = this.#heldBefore(held.priority - 1) + heldUpTo(pool.heldByOthers, held.priority - 1);
 			held.credit.accrue(share * Math.max(0, room - moreUrgent) / correction, now);
 			for (let {first} = held; first !== undefined && held.credit.trySpend(first.work); {first} = held) {
 				held.release(first);
@@ -239,7 +240,7 @@
 
 	/** Returns the work that is released before a request that arrives now, and beyond the room. */
 	#workBefore({priority}: ContentionRequest, pool: ContentionPool): number {
-		return workAbove(pool.servers, this.#boundOf(pool)) + this.#heldBefore(priority) + sumOf(pool.heldByOthers, priority);
+		return workAbove(pool.servers, this.#boundOf(pool)) + this.#heldBefore(priority) + heldUpTo(pool.heldByOthers, priority);
 	}
 
 	#delayUntilRoom(request: ContentionRequest, {now, pool}: {readonly now: number; readonly pool: ContentionPool}): number {
@@ -251,7 +252,7 @@
 
 	/** Returns the work held in this queue of a priority and of all that are more urgent. */
 	#heldBefore(priority: number): number {
-		return sumOf(this.held, priority);
+		return heldUpTo(this.held, priority);
 	}
 
 	#priorityOf(priority: number): HeldPriority {
@@ -298,22 +299,3 @@
 	const latest = lastMoment >= now ? Math.min(afterShare, lastMoment) : afterShare;
 	return (isPredictedInTime ? Math.max(latest, lastMoment - (reserveShare * targetLatency)) : latest) - releaseIntervalMilliseconds;
 }
-
-function workOf(held: readonly HeldWork[], priority: number): number {
-	let work = 0;
-	for (const {priority: heldPriority, milliseconds} of held) {
-		work += heldPriority === priority ? atLeast(milliseconds, 0) : 0;
-	}
-
-	return work;
-}
-
-/** Returns the held work of a priority and of all that are more urgent. */
-function sumOf(held: readonly HeldWork[], priority: number): number {
-	let work = 0;
-	for (const {priority: heldPriority, milliseconds} of held) {
-		work += heldPriority <= priority ? atLeast(milliseconds, 0) : 0;
-	}
-
-	return work;
-}
