gateway: remember a server that drains as long as one that has ended

Callers: requests went to a backend server again 90 s after its shutdown had been reported, where a control instance had missed the shutdown and restarted behind a partition.

Cause: an entry instance forgot a draining server after 90 s without a report, and control instances after 180 s, since only an end was kept longer than those that missed it keep the server. A shutdown by announcement is a shutdown too.

Change: both keep every server that is not ready for twice the retention.

--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -52,8 +52,8 @@
 /** The backoff after a failed connection; doubles with each further failure up to the maximum. */
 const initialBackoffMilliseconds = 500;
 const maximumBackoffMilliseconds = 8000;
-/** The end of a server is remembered for longer than a control instance that missed it keeps reporting the server. */
-const forgetEndedMilliseconds = 2 * defaultRetentionMilliseconds;
+/** The shutdown of a server is remembered for longer than a control instance that missed it keeps reporting the server. */
+const forgetStoppingMilliseconds = 2 * defaultRetentionMilliseconds;
 /** Silent servers are forgotten here before the control instances forget them, so that the end of a server still reaches every instance that has a record of it. */
 const forgetSilentMilliseconds = defaultRetentionMilliseconds / 2;
 
@@ -472,9 +472,9 @@
 	#removeExpired(now: number): void {
 		for (const [id, tracked] of this.#servers) {
 			const unreportedFor = now - tracked.reportedAt;
-			const isExpired = tracked.record.state === 'gone'
-				? unreportedFor > forgetEndedMilliseconds
-				: unreportedFor > forgetSilentMilliseconds && !this.#liveness.isReportedAlive(id);
+			const isExpired = tracked.record.state === 'ready'
+				? unreportedFor > forgetSilentMilliseconds && !this.#liveness.isReportedAlive(id)
+				: unreportedFor > forgetStoppingMilliseconds;
 			if (isExpired && tracked.inFlight === 0) {
 				this.#servers.delete(id);
 				this.#addresses.remove(tracked.record);
--- a/packages/gateway/src/servers/server-directory.ts
+++ b/packages/gateway/src/servers/server-directory.ts
@@ -49,8 +49,8 @@
 */
 export class ServerDirectory {
 	readonly #options: Required<ServerDirectoryOptions>;
-	/** The stop of a server is kept longer than an instance that missed it keeps the server. */
-	readonly #endedRetentionMilliseconds: number;
+	/** The shutdown of a server is kept longer than an instance that missed it keeps the server. */
+	readonly #stoppingRetentionMilliseconds: number;
 	readonly #servers = new Map<ServerId, DirectoryEntry>();
 	readonly #addresses = new ServerAddresses();
 	readonly #changes = new ChangeLog<ServerId>();
@@ -61,7 +61,7 @@
 
 	constructor(options: ServerDirectoryOptions) {
 		this.#options = {retentionMilliseconds: defaultRetentionMilliseconds, ...options};
-		this.#endedRetentionMilliseconds = 2 * this.#options.retentionMilliseconds;
+		this.#stoppingRetentionMilliseconds = 2 * this.#options.retentionMilliseconds;
 	}
 
 	/** The number of the last change. */
@@ -167,15 +167,15 @@
 		const {silentMilliseconds, retentionMilliseconds} = this.#options;
 		const silenced: ServerRecord[] = [];
 		for (const [id, at] of this.#endedUnknown) {
-			if (now - at >= this.#endedRetentionMilliseconds) {
+			if (now - at >= this.#stoppingRetentionMilliseconds) {
 				this.#endedUnknown.delete(id);
 			}
 		}
 
 		for (const entry of this.#servers.values()) {
 			const elapsed = now - entry.lastHeardAt;
-			const isExpired = entry.endedAt === undefined ? elapsed >= retentionMilliseconds : now - entry.endedAt >= this.#endedRetentionMilliseconds;
-			if (isExpired) {
+			const retention = entry.record.state === 'ready' ? retentionMilliseconds : this.#stoppingRetentionMilliseconds;
+			if (now - (entry.endedAt ?? entry.lastHeardAt) >= retention) {
 				this.#remove(entry.record);
 				continue;
 			}
