gateway: evaluate new versions earlier, on all routes together

It was rolled back 12.3 s after the order for its failures, not for its times.

Cause: a stage advanced by time alone, on evidence that did not exist. An answer counted only once its stream had ended, and slowness needed eight answers on one route and model. Class: a step is taken because nothing speaks against it, where nothing has been looked at.

--- a/packages/gateway/src/control/rollout-controller.ts
+++ b/packages/gateway/src/control/rollout-controller.ts
@@ -1,7 +1,9 @@
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type EvidenceTable} from '../rollouts/evidence-table.js';
+import {findRegression} from '../rollouts/find-regression.js';
 import {nextRolloutStage} from '../rollouts/next-rollout-stage.js';
 import {isEnded, type RolloutWithAge} from '../rollouts/rollout.js';
+import {countStarted} from '../rollouts/version-evidence.js';
 import {type AdvanceRolloutCommand} from './gateway-command.js';
 
 /** Options of the rollout controller. */
@@ -56,17 +58,21 @@
 		const {service, target, age} = rollout;
 		const {evidence, log, advance} = this.#options;
 		const serviceEvidence = evidence.forService(service);
-		const stage = nextRolloutStage(rollout, {evidence: serviceEvidence, age});
+		const targetEvidence = serviceEvidence.filter(({version}) => version === target);
+		const regression = findRegression(rollout, serviceEvidence);
+		const started = sum(targetEvidence.map(counter => countStarted(counter).started));
+		const stage = nextRolloutStage(rollout, {regression, started, age});
 		if (stage === undefined) {
 			return;
 		}
 
-		const targetEvidence = serviceEvidence.filter(({version}) => version === target);
 		log('rollout-advanced', {
 			service,
 			target,
 			stage,
 			age: Math.round(age),
+			regression,
+			started,
 			answers: sum(targetEvidence.map(({answers}) => answers)),
 			failures: sum(targetEvidence.map(({failures}) => failures)),
 			routes: targetEvidence.map(({route, model, answers, failures, latencySum}) => `${route} ${model}: ${failures} of ${answers} failed, ${Math.round(latencySum)} ms in total`),
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -235,14 +235,16 @@
 	}
 
 	suspect.recordAnswered();
-	results.recordSuccess(server, {model: models.current, latency: clock.monotonic() - sentAt});
+	const latency = clock.monotonic() - sentAt;
+	results.recordStart(server, {model: models.current, observed: latency});
+	results.recordSuccess(server, {model: models.current, latency});
 	return {type: 'whole', answer: {status, headers, body}, framing};
 }
 
 async function handleStream(received: ReceivedHead, head: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
 	const {context, request, suspect, results, models, server, sentAt, chooseLarger} = options;
 	const latency = context.clock.monotonic() - sentAt;
-	results.recordFirstEvent(server, {observed: latency, expected: options.expected});
+	results.recordStart(server, {model: models.current, observed: latency, expected: options.expected});
 	const larger = chooseLarger(head, latency);
 	if (larger === undefined) {
 		return relayAnswer(received, {...options, head, latency});
--- a/packages/gateway/src/entry/send-results.ts
+++ b/packages/gateway/src/entry/send-results.ts
@@ -41,13 +41,17 @@
 	}
 
 	/**
-	Records the time to the head of a streamed answer, which says how fast its server is.
+	Records the time to the head of an answer, which says how fast its server and its version are.
 
 	@param server The server.
-	@param sample The observed and expected times in milliseconds; the expected one is undefined if it was not known at the send.
+	@param sample The model, and the observed and expected times in milliseconds; the expected one is undefined if it was not known at the send, and for answers that are not streamed.
 	*/
-	recordFirstEvent(server: ServerRecord, {observed, expected}: {readonly observed: number; readonly expected: number | undefined}): void {
-		const {servers, clock} = this.#context;
+	recordStart(server: ServerRecord, {model, observed, expected}: {readonly model: ModelId | undefined; readonly observed: number; readonly expected?: number | undefined}): void {
+		const {servers, clock, evidence} = this.#context;
+		const {service, version} = server;
+		evidence.recordStart({
+			service, version, route: this.#options.route, model,
+		}, observed);
 		if (expected !== undefined && servers.isCurrent(server)) {
 			servers.recordFirstEvent(server.id, {observed, expected}, clock.monotonic());
 		}
--- a/packages/gateway/src/rollouts/assign-cohort.test.ts
+++ b/packages/gateway/src/rollouts/assign-cohort.test.ts
@@ -1,6 +1,6 @@
 import {type ServiceId, type VersionId} from '@valehitch/core';
 import test from 'ava';
-import {assignCohort, type AssignCohortOptions} from './assign-cohort.js';
+import {assignCohort, type AssignCohortOptions, shiftStartShare} from './assign-cohort.js';
 import {type RolloutWithAge} from './rollout.js';
 
 const target = 'v2' as VersionId;
@@ -66,3 +66,20 @@
 	t.is(assignCohort({...rollout, stage: 'completed'}, options), 'target');
 	t.is(assignCohort({...rollout, stage: 'rolled-back'}, options), 'others');
 });
+
+// A version that only sessions use had received five answers in all when its traffic began to grow.
+test('sessions receive the whole canary allowance in the part of the canary stage in which they may use the target', t => {
+	const canaryShare = 0.09;
+	let onTarget = 0;
+	let requests = 0;
+	for (let age = 0; age < shiftStartShare * rollout.duration; age += 10) {
+		const cohort = assignCohort({...rollout, age}, {
+			hashKey: `${(age * 7919).toString(16)}beef`, hasSession: true, pinnedVersion: undefined, canaryShare,
+		});
+		requests++;
+		onTarget += cohort === 'target' ? 1 : 0;
+		t.true(age >= 10_000 || cohort === 'others');
+	}
+
+	t.true(onTarget > 0.75 * canaryShare * requests && onTarget < 1.25 * canaryShare * requests, `${onTarget} of ${requests}`);
+});
--- a/packages/gateway/src/rollouts/assign-cohort.ts
+++ b/packages/gateway/src/rollouts/assign-cohort.ts
@@ -12,7 +12,7 @@
 	readonly hasSession: boolean;
 	/** The version that last served the session, if known. */
 	readonly pinnedVersion: VersionId | undefined;
-	/** The share of requests that the target receives during the canary stage. */
+	/** The share of all requests up to the end of the canary stage that the target may receive. */
 	readonly canaryShare: number;
 };
 
@@ -20,8 +20,10 @@
 /** Sessions stay on the old version for this share of the duration; requests without a session may use the target from the start. */
 const sessionStartShare = 0.5;
 /** Between these shares of the duration the target's share of requests grows to all of them. Its caches fill while the other servers still take load, and failures that occur only under load show before all requests depend on the target. */
-const shiftStartShare = 0.58;
+export const shiftStartShare = 0.62;
 const shiftEndShare = 0.78;
+/** Sessions receive in the rest of the canary stage what they could not use before, since a version that few requests have reached cannot be evaluated. */
+const sessionShareFactor = shiftStartShare / (shiftStartShare - sessionStartShare);
 
 /**
 Assigns a request to a cohort of a rollout.
@@ -48,6 +50,7 @@
 	const progress = age / duration;
 	// The session may have been started on the old version by another instance, and only a pin to the target rules that out.
 	const keepsOldVersion = hasSession && progress < sessionStartShare;
-	const share = stage === 'canary' ? canaryShare : Math.max(canaryShare, (progress - shiftStartShare) / (shiftEndShare - shiftStartShare));
+	const initialShare = hasSession ? sessionShareFactor * canaryShare : canaryShare;
+	const share = stage === 'canary' ? initialShare : Math.max(initialShare, (progress - shiftStartShare) / (shiftEndShare - shiftStartShare));
 	return !keepsOldVersion && prefixHash(hashKey) < share * hashRange ? 'target' : 'others';
 }
--- a/packages/gateway/src/rollouts/evidence-delta.ts
+++ b/packages/gateway/src/rollouts/evidence-delta.ts
@@ -1,4 +1,4 @@
-import {evidenceKey, type VersionEvidence} from './version-evidence.js';
+import {evidenceAmount, evidenceKey, type VersionEvidence} from './version-evidence.js';
 
 /** All counters are sent again after this time, in milliseconds, because a message may be lost and its receiver may have restarted. */
 const fullResendMilliseconds = 2000;
@@ -32,8 +32,9 @@
 		const changed: VersionEvidence[] = [];
 		for (const counter of evidence) {
 			const key = evidenceKey(counter);
-			if (this.#sent.get(key) !== counter.answers) {
-				this.#sent.set(key, counter.answers);
+			const amount = evidenceAmount(counter);
+			if (this.#sent.get(key) !== amount) {
+				this.#sent.set(key, amount);
 				changed.push(counter);
 			}
 		}
--- a/packages/gateway/src/rollouts/evidence-table.ts
+++ b/packages/gateway/src/rollouts/evidence-table.ts
@@ -1,5 +1,5 @@
 import {type ServiceId} from '@valehitch/core';
-import {evidenceKey, type VersionEvidence} from './version-evidence.js';
+import {evidenceAmount, evidenceKey, type VersionEvidence} from './version-evidence.js';
 
 /** The maximum number of counters; the oldest are dropped beyond it, which removes those of entry instances that were replaced. */
 const maximumCounters = 8192;
@@ -31,7 +31,7 @@
 		for (const counter of evidence) {
 			const key = evidenceKey(counter);
 			const known = this.#counters.get(key);
-			if (known === undefined || counter.answers >= known.answers) {
+			if (known === undefined || evidenceAmount(counter) >= evidenceAmount(known)) {
 				this.#counters.set(key, counter);
 			}
 		}
