gateway: log the latency ratio of a new version with each stage

Sight for operators and for what is left of the slow versions: the line of a stage names how many times as long as the old version the new one takes to the first byte, over all routes and models.

So a version is found slow by its sends that time out, not by its times: in the first seconds only the fastest answers have started. Waits in progress are not counted yet.

--- a/packages/gateway/src/control/rollout-controller.ts
+++ b/packages/gateway/src/control/rollout-controller.ts
@@ -1,6 +1,6 @@
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type EvidenceTable} from '../rollouts/evidence-table.js';
-import {findRegression} from '../rollouts/find-regression.js';
+import {findRegression, latencyRatio} from '../rollouts/find-regression.js';
 import {nextRolloutStage} from '../rollouts/next-rollout-stage.js';
 import {isEnded, type RolloutWithAge} from '../rollouts/rollout.js';
 import {countStarted} from '../rollouts/version-evidence.js';
@@ -73,6 +73,7 @@
 			age: Math.round(age),
 			regression,
 			started,
+			latencyRatio: latencyRatio(target, serviceEvidence)?.toFixed(2),
 			answers: sum(targetEvidence.map(({answers}) => answers)),
 			failures: sum(targetEvidence.map(({failures}) => failures)),
 			routes: targetEvidence.map(({route, model, answers, failures, latencySum}) => `${route} ${model}: ${failures} of ${answers} failed, ${Math.round(latencySum)} ms in total`),
--- a/packages/gateway/src/rollouts/find-regression.ts
+++ b/packages/gateway/src/rollouts/find-regression.ts
@@ -1,3 +1,4 @@
+import {type VersionId} from '@valehitch/core';
 import {type Rollout} from './rollout.js';
 import {countStarted, type VersionEvidence} from './version-evidence.js';
 
@@ -13,6 +14,15 @@
 	timeSum: number;
 };
 
+type ComparedTimes = {
+	/** The number of compared times. */
+	readonly timed: number;
+	/** Their sum, in milliseconds. */
+	readonly observed: number;
+	/** The sum that the old version would have taken, in milliseconds. */
+	readonly expected: number;
+};
+
 const emptyTally: Readonly<Tally> = {
 	answers: 0, failures: 0, timed: 0, timeSum: 0,
 };
@@ -45,8 +55,7 @@
 ```
 */
 export function findRegression({target, stage}: Pick<Rollout, 'target' | 'stage'>, evidence: readonly VersionEvidence[]): Regression | undefined {
-	const baseline = tallyByRoute(evidence.filter(({version}) => version !== target));
-	const candidate = tallyByRoute(evidence.filter(({version}) => version === target));
+	const {baseline, candidate} = tallyVersions(target, evidence);
 	for (const [key, tally] of candidate) {
 		const baselineTally = baseline.get(key) ?? emptyTally;
 		if (failsMore(tally, baselineTally)) {
@@ -59,7 +68,31 @@
 	}
 
 	const explainedRatio = explainedLatencyRatios[stage === 'canary' ? 'canary' : 'shifting'];
-	return isSlowerOverall(candidate, {baseline, explainedRatio}) ? 'slow' : undefined;
+	return isSlowerOverall(compareTimes(candidate, baseline), explainedRatio) ? 'slow' : undefined;
+}
+
+/**
+Returns how many times as long as the old version the new one takes to the first byte, over all routes and models.
+
+@param target The new version.
+@param evidence The counters of all entry instances for the service.
+@returns The ratio; `undefined` if no times can be compared.
+@example
+```ts
+latencyRatio('v2', evidence);
+```
+*/
+export function latencyRatio(target: VersionId, evidence: readonly VersionEvidence[]): number | undefined {
+	const {baseline, candidate} = tallyVersions(target, evidence);
+	const {observed, expected} = compareTimes(candidate, baseline);
+	return expected === 0 ? undefined : observed / expected;
+}
+
+function tallyVersions(target: VersionId, evidence: readonly VersionEvidence[]): {readonly baseline: ReadonlyMap<string, Tally>; readonly candidate: ReadonlyMap<string, Tally>} {
+	return {
+		baseline: tallyByRoute(evidence.filter(({version}) => version !== target)),
+		candidate: tallyByRoute(evidence.filter(({version}) => version === target)),
+	};
 }
 
 function failsMore(tally: Tally, baselineTally: Tally): boolean {
@@ -74,7 +107,7 @@
 }
 
 /** Compares the observed times with those that the old version would have taken on the same routes and models, since few answers on each add up to many. */
-function isSlowerOverall(candidate: ReadonlyMap<string, Tally>, {baseline, explainedRatio}: {readonly baseline: ReadonlyMap<string, Tally>; readonly explainedRatio: number}): boolean {
+function compareTimes(candidate: ReadonlyMap<string, Tally>, baseline: ReadonlyMap<string, Tally>): ComparedTimes {
 	let timed = 0;
 	let observed = 0;
 	let expected = 0;
@@ -89,6 +122,10 @@
 		expected += tally.timed * meanLatency(baselineTally);
 	}
 
+	return {timed, observed, expected};
+}
+
+function isSlowerOverall({timed, observed, expected}: ComparedTimes, explainedRatio: number): boolean {
 	const lowestFactor = 1 - (significantErrors * relativeScatter / Math.sqrt(timed));
 	return timed >= minimumTimedAnswers && observed >= timed * minimumSlowMilliseconds && observed * lowestFactor > explainedRatio * expected;
 }
