gateway: break off answers that never end

Callers: a request whose server sent a body, an event or the size of a chunk without end was never answered, and the instance collected all of it in memory until the caller's deadline.

Cause: a body that is collected whole and an event that is not complete yet had no bound in bytes, and bytes that add nothing to a body were seen by nobody, since the parser keeps them. Class: an input is bounded in time, not in size.

Change: a collected body ends at 16 MiB, and at 1 MiB where the instance has no room left; an event at 1 MiB; an answer whose connection brings more than 1 MiB and eight times its body, looked at each 250 ms; 64 interim answers. The connection is closed, the server counts as failing, and the request goes on as after any answer that ended early. Heads were bounded by the parser, at 16 KiB.

Not looked at: bytes without end between our own processes, at health checks and in valehitchd; the time of other requests beside such an answer was not measured.

--- /dev/null
+++ b/packages/gateway/src/entry/endless-answers.test.ts
@@ -0,0 +1,99 @@
+import {once} from 'node:events';
+import {type AddressInfo, createServer, type Socket} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import {type ServerId} from '@valehitch/core';
+import {testRoute} from '../configuration/_test-configuration.js';
+import {testServer} from '../servers/_test-server.js';
+import {control, sendRequests} from './_test-run.js';
+
+const chunkHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n';
+const filler = 'x'.repeat(16 * 1024);
+const fillerChunk = `4000\r\n${filler}\r\n`;
+/** More than any bound on an answer, and less than a server sends before the caller's deadline. */
+const mostBytes = 96 * 1024 * 1024;
+
+/** How an answer begins, and what follows without end. */
+const endlessAnswers: Readonly<Record<string, {readonly start: string; readonly rest: string; readonly kind?: 'streaming'}>> = {
+	'a body in chunks': {start: `${chunkHead}\r\n`, rest: fillerChunk},
+	'a body without a length': {start: 'HTTP/1.1 200 OK\r\n\r\n', rest: filler},
+	'a header line': {start: 'HTTP/1.1 200 OK\r\nA: ', rest: filler},
+	'header lines': {start: 'HTTP/1.1 200 OK\r\n', rest: 'A: b\r\n'.repeat(2000)},
+	'interim answers': {start: '', rest: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(500)},
+	'a status line': {start: 'HTTP/1.1 200 ', rest: filler},
+	'the size of a chunk': {start: `${chunkHead}\r\n`, rest: '0'.repeat(16 * 1024)},
+	'an extension of a chunk': {start: `${chunkHead}\r\n1;a=`, rest: filler},
+	trailers: {start: `${chunkHead}\r\n0\r\n`, rest: 'A: b\r\n'.repeat(2000)},
+	'an event': {start: `${chunkHead}Content-Type: text/event-stream\r\n\r\n`, rest: fillerChunk, kind: 'streaming'},
+	'bytes that are no answer': {start: '', rest: filler},
+};
+
+/** Starts two servers, of which the first that gets a request answers without end, and the other one well. */
+async function startServers(t: ExecutionContext, {start, rest, goodAnswer}: {readonly start: string; readonly rest: string; readonly goodAnswer: string}) {
+	const sent = {bytes: 0, isClosed: false};
+	let requests = 0;
+	const sockets = new Set<Socket>();
+	const answer = (socket: Socket): void => {
+		requests++;
+		if (requests > 1) {
+			socket.end(goodAnswer);
+			return;
+		}
+
+		socket.write(start);
+		const pump = (): void => {
+			while (!socket.destroyed && sent.bytes < mostBytes) {
+				sent.bytes += rest.length;
+				if (!socket.write(rest)) {
+					socket.once('drain', pump);
+					return;
+				}
+			}
+		};
+
+		pump();
+		socket.on('close', () => {
+			sent.isClosed = true;
+		});
+	};
+
+	const ports: number[] = [];
+	for (let index = 0; index < 2; index++) {
+		const server = createServer(socket => {
+			sockets.add(socket);
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				answer(socket);
+			});
+		}).listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		ports.push((server.address() as AddressInfo).port);
+		t.teardown(() => {
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			server.close();
+		});
+	}
+
+	return {ports, sent};
+}
+
+for (const [name, {start, rest, kind = 'safe'}] of Object.entries(endlessAnswers)) {
+	test(`a server that sends ${name} without end is cut off, and the request is answered by another one`, async t => {
+		const text = kind === 'streaming' ? 'data: found\n\n' : 'found';
+		const goodAnswer = `HTTP/1.1 200 OK\r\nContent-Length: ${text.length}\r\nConnection: close\r\n\r\n${text}`;
+		const {ports, sent} = await startServers(t, {start, rest, goodAnswer});
+		const {answers} = await sendRequests(t, 1, {
+			nextServers(servers) {
+				servers.applyRecords(ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
+			},
+			route: testRoute({
+				kind, maximumAttempts: 2, timeout: 8000, isResumable: kind === 'streaming',
+			}),
+		});
+		t.is(answers[0]?.text, text);
+		t.true(sent.bytes < mostBytes, `${sent.bytes} bytes`);
+		t.true(sent.isClosed);
+	});
+}
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -198,9 +198,9 @@
 }
 
 async function handleFailedAnswer({message, framing, isComplete}: ReceivedHead, {status, isSigned}: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
-	const {context: {dialect}, suspect, results, models, server, held, hasEnded} = options;
+	const {context: {dialect, memory}, suspect, results, models, server, held, hasEnded} = options;
 	const headers = dialect.answerHeaders(message);
-	const body = await collectBody(message, isComplete, {held});
+	const body = await collectBody(message, isComplete, {held, room: () => memory.room});
 	if (hasEnded()) {
 		return {type: 'ended'};
 	}
@@ -222,10 +222,10 @@
 }
 
 async function handlePlainAnswer({message, framing, isComplete}: ReceivedHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
-	const {context: {dialect, clock}, suspect, results, models, server, held, sentAt, hasEnded} = options;
+	const {context: {dialect, clock, memory}, suspect, results, models, server, held, sentAt, hasEnded} = options;
 	const headers = dialect.answerHeaders(message);
 	const status = message.statusCode ?? 0;
-	const body = await collectBody(message, isComplete, {held});
+	const body = await collectBody(message, isComplete, {held, room: () => memory.room});
 	if (hasEnded()) {
 		return {type: 'ended'};
 	}
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -3,6 +3,7 @@
 import {InactivityTimer} from '@valehitch/transport';
 import {type AnswerBuffer} from './answer-buffer.js';
 import {type EventStream} from './event-stream.js';
+import {OverheadWatch} from './overhead-watch.js';
 
 /** Options of {@linkcode relayStream}. */
 export type RelayStreamOptions = {
@@ -25,6 +26,8 @@
 	readonly onFirstEvent: () => void;
 };
 
+/** The longest event, in bytes; a server may send without ever ending one. */
+const maximumEventBytes = 1024 * 1024;
 const eventStreamType = 'text/event-stream';
 const processClock: Pick<Clock, 'monotonic'> = {monotonic: () => performance.now()};
 
@@ -44,6 +47,7 @@
 export async function relayStream(options: RelayStreamOptions): Promise<RelayEnd> {
 	const {message, isComplete, response, events, buffer, clock = processClock, stallTimeout, canResumeElsewhere, onData, onFirstEvent} = options;
 	return new Promise(resolve => {
+		const overhead = new OverheadWatch(message);
 		let hasForwarded = false;
 		let isFinished = false;
 		let isPaused = false;
@@ -65,6 +69,7 @@
 
 			isFinished = true;
 			stall.stop();
+			overhead.stop();
 			response.off('close', onCallerClose);
 			response.off('drain', onDrain);
 			if (end !== 'complete') {
@@ -114,10 +119,15 @@
 			const now = clock.monotonic();
 			onData(now);
 			stall.touch(now);
+			overhead.add(chunk.byteLength);
 			const part = events.push(chunk);
 			if (part !== undefined && !isFinished) {
 				forward(part.bytes);
 			}
+
+			if (events.incomplete.byteLength > maximumEventBytes) {
+				finish('broken');
+			}
 		});
 		const end = async (): Promise<void> => {
 			stall.stop();
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -31,6 +31,9 @@
 	readonly isServerRunning: () => Promise<boolean>;
 };
 
+/** The number of interim answers (1xx) after which the connection is closed; a server may send them without end. */
+const maximumInterimAnswers = 64;
+
 /** The timeouts for the head of an answer. */
 export type HeadTimeouts = {
 	/** The time after which the send is abandoned, in milliseconds, if the server sent no data on other connections either and accepts no new one. */
@@ -169,6 +172,13 @@
 			}
 		};
 
+		let interimAnswers = 0;
+		request.on('information', () => {
+			interimAnswers++;
+			if (interimAnswers > maximumInterimAnswers) {
+				request.destroy(new Error(`More than ${maximumInterimAnswers} interim answers`));
+			}
+		});
 		request.on('response', message => {
 			recordKeepAlive(message);
 			settle({
