gateway: stop watching an answer at its end

Callers: none yet; an entry instance would have ended, with all its requests, when a stream on a kept connection had ended and its completeness was being checked for over 250 ms.

Cause: the connection is detached from an answer that has ended, and the check went on until the relay had finished.

Change: the watch ends with the body, and a detached connection counts as one that brings nothing. Besides, the tallies of versions, the latency ratio and the measures of a counter moved to files of their own, without a change.

--- a/packages/gateway/src/control/rollout-controller.ts
+++ b/packages/gateway/src/control/rollout-controller.ts
@@ -1,9 +1,10 @@
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type EvidenceTable} from '../rollouts/evidence-table.js';
-import {findRegression, latencyRatio} from '../rollouts/find-regression.js';
+import {countStarted} from '../rollouts/count-started.js';
+import {findRegression} from '../rollouts/find-regression.js';
+import {latencyRatio} from '../rollouts/latency-ratio.js';
 import {nextRolloutStage} from '../rollouts/next-rollout-stage.js';
 import {isEnded, type RolloutWithAge} from '../rollouts/rollout.js';
-import {countStarted} from '../rollouts/version-evidence.js';
 import {type AdvanceRolloutCommand} from './gateway-command.js';
 
 /** Options of the rollout controller. */
--- a/packages/gateway/src/entry/collect-body.ts
+++ b/packages/gateway/src/entry/collect-body.ts
@@ -43,6 +43,7 @@
 			}
 		});
 		message.on('end', () => {
+			overhead.stop();
 			void isComplete().then(complete => {
 				resolve(complete ? Buffer.concat(chunks) : undefined);
 			});
--- a/packages/gateway/src/entry/overhead-watch.ts
+++ b/packages/gateway/src/entry/overhead-watch.ts
@@ -1,4 +1,8 @@
-import {type IncomingMessage} from 'node:http';
+/** An answer whose connection is watched; the connection is detached once the answer has ended. */
+export type WatchedAnswer = {
+	readonly socket?: {readonly bytesRead: number} | undefined;
+	readonly destroy: () => void;
+};
 
 /** The interval of the checks, in milliseconds; most answers end sooner. */
 const checkMilliseconds = 250;
@@ -18,14 +22,17 @@
 ```
 */
 export class OverheadWatch {
-	readonly #message: IncomingMessage;
+	readonly #answer: WatchedAnswer;
 	readonly #bytesBefore: number;
 	readonly #timer: NodeJS.Timeout;
 	#bodyBytes = 0;
 
-	constructor(message: IncomingMessage) {
-		this.#message = message;
-		this.#bytesBefore = message.socket.bytesRead;
+	/**
+	@param answer The answer, none of whose body has been read.
+	*/
+	constructor(answer: WatchedAnswer) {
+		this.#answer = answer;
+		this.#bytesBefore = answer.socket?.bytesRead ?? 0;
 		this.#timer = setInterval(() => {
 			this.#check();
 		}, checkMilliseconds);
@@ -46,9 +53,10 @@
 	}
 
 	#check(): void {
-		if (this.#message.socket.bytesRead - this.#bytesBefore > freeBytes + (maximumFactor * this.#bodyBytes)) {
+		const received = (this.#answer.socket?.bytesRead ?? this.#bytesBefore) - this.#bytesBefore;
+		if (received > freeBytes + (maximumFactor * this.#bodyBytes)) {
 			this.stop();
-			this.#message.destroy();
+			this.#answer.destroy();
 		}
 	}
 }
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -131,6 +131,7 @@
 		});
 		const end = async (): Promise<void> => {
 			stall.stop();
+			overhead.stop();
 			if ((isEventStream(message) && events.isInsideEvent) || !await isComplete()) {
 				finish('broken');
 				return;
--- a/packages/gateway/src/rollouts/evidence-delta.ts
+++ b/packages/gateway/src/rollouts/evidence-delta.ts
@@ -1,4 +1,5 @@
-import {evidenceAmount, evidenceKey, type VersionEvidence} from './version-evidence.js';
+import {evidenceAmount} from './evidence-amount.js';
+import {evidenceKey, type VersionEvidence} from './version-evidence.js';
 
 /** All counters are sent again after this time, in milliseconds, because a message may be lost and its receiver may have restarted. */
 const fullResendMilliseconds = 2000;
--- a/packages/gateway/src/rollouts/evidence-table.ts
+++ b/packages/gateway/src/rollouts/evidence-table.ts
@@ -1,5 +1,6 @@
 import {type ServiceId} from '@valehitch/core';
-import {evidenceAmount, evidenceKey, type VersionEvidence} from './version-evidence.js';
+import {evidenceAmount} from './evidence-amount.js';
+import {evidenceKey, type VersionEvidence} from './version-evidence.js';
 
 /** The maximum number of counters; the oldest are dropped beyond it, which removes those of entry instances that were replaced. */
 const maximumCounters = 8192;
--- a/packages/gateway/src/rollouts/find-regression.ts
+++ b/packages/gateway/src/rollouts/find-regression.ts
@@ -1,31 +1,12 @@
-import {type VersionId} from '@valehitch/core';
 import {type Rollout} from './rollout.js';
-import {countStarted, type VersionEvidence} from './version-evidence.js';
+import {type VersionEvidence} from './version-evidence.js';
+import {
+	compareTimes, type ComparedTimes, emptyTally, meanLatency, type Tally, tallyVersions,
+} from './_version-tallies.js';
 
 /** How a new version is worse than the old one: it fails more often on a route, or is slower on a route or over all routes. */
 export type Regression = 'failures' | 'slow-route' | 'slow';
 
-type Tally = {
-	answers: number;
-	failures: number;
-	/** The number of answers with a known time to the first byte. */
-	timed: number;
-	/** The sum of these times, in milliseconds. */
-	timeSum: number;
-};
-
-type ComparedTimes = {
-	/** The number of compared times. */
-	readonly timed: number;
-	/** Their sum, in milliseconds. */
-	readonly observed: number;
-	/** The sum that the old version would have taken, in milliseconds. */
-	readonly expected: number;
-};
-
-const emptyTally: Readonly<Tally> = {
-	answers: 0, failures: 0, timed: 0, timeSum: 0,
-};
 /** The number of failures of the new version before its failure share is evaluated; below the 50 failures from which the time limit for a rollback counts. */
 const minimumFailures = 4;
 /** The margin by which the failure share, less its standard error, must exceed that of the old version. */
@@ -71,30 +52,6 @@
 	return isSlowerOverall(compareTimes(candidate, baseline), explainedRatio) ? 'slow' : undefined;
 }
 
-/**
-Returns how many times as long as the old version the new one takes to the first byte, over all routes and models.
-
-@param target The new version.
-@param evidence The counters of all entry instances for the service.
-@returns The ratio; `undefined` if no times can be compared.
-@example
-```ts
-latencyRatio('v2', evidence);
-```
-*/
-export function latencyRatio(target: VersionId, evidence: readonly VersionEvidence[]): number | undefined {
-	const {baseline, candidate} = tallyVersions(target, evidence);
-	const {observed, expected} = compareTimes(candidate, baseline);
-	return expected === 0 ? undefined : observed / expected;
-}
-
-function tallyVersions(target: VersionId, evidence: readonly VersionEvidence[]): {readonly baseline: ReadonlyMap<string, Tally>; readonly candidate: ReadonlyMap<string, Tally>} {
-	return {
-		baseline: tallyByRoute(evidence.filter(({version}) => version !== target)),
-		candidate: tallyByRoute(evidence.filter(({version}) => version === target)),
-	};
-}
-
 function failsMore(tally: Tally, baselineTally: Tally): boolean {
 	const share = failureShare(tally);
 	const standardError = Math.sqrt(share * (1 - share) / Math.max(1, tally.answers));
@@ -106,25 +63,6 @@
 	return tally.timed >= minimumTimedAnswers && mean >= minimumSlowMilliseconds && baselineTally.timed > 0 && mean > maximumLatencyRatio * meanLatency(baselineTally);
 }
 
-/** Compares the observed times with those that the old version would have taken on the same routes and models, since few answers on each add up to many. */
-function compareTimes(candidate: ReadonlyMap<string, Tally>, baseline: ReadonlyMap<string, Tally>): ComparedTimes {
-	let timed = 0;
-	let observed = 0;
-	let expected = 0;
-	for (const [key, tally] of candidate) {
-		const baselineTally = baseline.get(key) ?? emptyTally;
-		if (baselineTally.timed === 0) {
-			continue;
-		}
-
-		timed += tally.timed;
-		observed += tally.timeSum;
-		expected += tally.timed * meanLatency(baselineTally);
-	}
-
-	return {timed, observed, expected};
-}
-
 function isSlowerOverall({timed, observed, expected}: ComparedTimes, explainedRatio: number): boolean {
 	const lowestFactor = 1 - (significantErrors * relativeScatter / Math.sqrt(timed));
 	return timed >= minimumTimedAnswers && observed >= timed * minimumSlowMilliseconds && observed * lowestFactor > explainedRatio * expected;
@@ -133,24 +71,3 @@
 function failureShare({answers, failures}: Tally): number {
 	return answers === 0 ? 0 : failures / answers;
 }
-
-function meanLatency({timed, timeSum}: Tally): number {
-	return timeSum / Math.max(1, timed);
-}
-
-function tallyByRoute(evidence: readonly VersionEvidence[]): ReadonlyMap<string, Tally> {
-	const tallies = new Map<string, Tally>();
-	for (const counter of evidence) {
-		const {route, model, answers, failures} = counter;
-		const {started, startSum} = countStarted(counter);
-		const key = `${route} ${model}`;
-		const tally = tallies.get(key) ?? {...emptyTally};
-		tally.answers += answers;
-		tally.failures += failures;
-		tally.timed += started;
-		tally.timeSum += startSum;
-		tallies.set(key, tally);
-	}
-
-	return tallies;
-}
--- a/packages/gateway/src/rollouts/version-evidence.ts
+++ b/packages/gateway/src/rollouts/version-evidence.ts
@@ -21,34 +21,6 @@
 	readonly startSum?: number;
 };
 
-/**
-Returns how much a counter has counted, which increases with each of its observations.
-
-@param evidence The counter.
-@returns The amount; of two states of one counter the later one has the larger amount.
-@example
-```ts
-evidenceAmount(counter);
-```
-*/
-export function evidenceAmount({answers, started = 0}: VersionEvidence): number {
-	return answers + started;
-}
-
-/**
-Returns the number of answers that have started, and the sum of their times to the first byte.
-
-@param evidence The counter.
-@returns The number, and the sum in milliseconds.
-@example
-```ts
-countStarted(counter);
-```
-*/
-export function countStarted({answers, failures, latencySum, started = answers - failures, startSum = latencySum}: VersionEvidence): {readonly started: number; readonly startSum: number} {
-	return {started, startSum};
-}
-
 /**
 Returns the key that identifies a counter.
 
