--- a/review/lib/engine-process.mjs
+++ b/review/lib/engine-process.mjs
@@ -1,9 +1,10 @@
-// An engine in a process of its own, so that it can be killed: streams one event each `GAP_MS`, as an answer without a length that ends with its channel.
+// An engine in a process of its own, so that it can be killed: streams an event each `gapMs`, by default as an answer without a length that ends with its channel.
+import {once} from 'node:events';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Engine} from './engine.mjs';
 
-const {id, service, host, port, zone, model, cores, controlPort, events, gapMs, isFramed} = JSON.parse(process.argv[2]);
+const {id, service, host, port, zone, model, cores, controlPort, events, gapMs, isFramed, waits} = JSON.parse(process.argv[2]);
 const engine = new Engine({
 	id, service, host, zone, model, slots: 64,
 	async answer(run, response) {
@@ -22,6 +23,12 @@
 		response.end();
 	},
 });
+if (waits) {
+	// Loading the program takes a while; the engine starts when it is told to.
+	await once(process.stdin, 'data');
+	process.stdin.unref();
+}
+
 await engine.start(port);
 engine.register(cores, {port: controlPort});
 process.stdout.write(`${JSON.stringify({type: 'started', id, port: engine.port})}\n`);
