gateway: state the length of a request's body whatever its method

Callers: a request with a body by GET, HEAD, DELETE, OPTIONS or TRACE reached its server without the body, and where the body was the text of a request, the server ran that too, for any workspace that it named.

Cause: the framing of the caller's message is taken out, as it belongs to one connection, and none was put in its place. Node.js writes a head from a flat list of headers before it knows of a body, and adds chunks only for methods that usually have one.

Change: frameRequest replaces any framing by the length of the body that is sent. Ruled out: the callers' side, reused connections, relays and second sends as causes of their own; all of them fail alike. sendHttpRequest, by which valehitchd sends, has always stated the length; a test of all methods was added.

Why it works: a server finds the end of a message by its length alone, so that no byte of a body is left over.

--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -1,8 +1,15 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {createServer as createHttpServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	type AddressInfo, connect, createServer, type Socket,
+} from 'node:net';
+import {text} from 'node:stream/consumers';
 import {setImmediate as nextTurn} from 'node:timers/promises';
+import {type InstanceId} from '@valehitch/core';
+import {Relay} from '@valehitch/transport';
 import test, {type ExecutionContext} from 'ava';
+import {Right} from 'purify-ts';
 import {testServer} from '../servers/_test-server.js';
 import {connectionPool} from './connection-pool.js';
 import {collectBody} from './collect-body.js';
@@ -238,3 +245,46 @@
 	t.is(sockets.length, 1);
 	t.is(sockets[0]?.listenerCount('connect'), 0);
 });
+
+/** Opens connections as a relay does, without another instance. */
+const directRelay = new Relay('10.0.0.9' as InstanceId, {
+	async open({host, port}) {
+		const socket = connect(port, host);
+		await once(socket, 'connect');
+		return Right({socket, relayTunnels: undefined});
+	},
+});
+
+for (const [path, options] of Object.entries({
+	'new connections': {mayReuseConnection: false},
+	'reused connections': {mayReuseConnection: true},
+	'new connections of a relay': {mayReuseConnection: false, relay: directRelay},
+	'reused connections of a relay': {mayReuseConnection: true, relay: directRelay},
+})) {
+	test(`the body of a request does not run as a request of its own, whatever the method, on ${path}`, async t => {
+		const received: Array<readonly [method: string | undefined, body: string]> = [];
+		const answer = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+			received.push([message.method, await text(message)]);
+			response.end('ok');
+		};
+
+		const server = createHttpServer((message, response) => {
+			void answer(message, response);
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		t.teardown(() => {
+			server.close();
+			server.closeAllConnections();
+		});
+		const base = {...await serve(t, () => undefined), server: testServer({port: (server.address() as AddressInfo).port}), ...options};
+		const bodies = ['', '{}', 'POST /hidden HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 2\r\n\r\nhi'];
+		const sent = ['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE', 'POST', 'PUT', 'PATCH', 'PROPFIND'].flatMap(method => bodies.map(body => [method, body] as const));
+		for (const [method, body] of sent) {
+			t.true(await isComplete({...base, method, body: Buffer.from(body)}), `${method} with a body of ${body.length} bytes`);
+			await nextTurn();
+		}
+
+		t.deepEqual(received, sent);
+	});
+}
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,6 +1,6 @@
 import {type ClientRequest, type IncomingMessage, request as openRequest} from 'node:http';
 import {
-	responseFraming, type ResponseFraming, setTimeoutAfterPoll, watchResponseEnd, type Relay, TunnelError,
+	frameRequest, responseFraming, type ResponseFraming, setTimeoutAfterPoll, watchResponseEnd, type Relay, TunnelError,
 } from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Header} from './gateway-request.js';
@@ -92,7 +92,14 @@
 	}
 
 	const request = openRequest({
-		host: server.host, port: server.port, method, path: target, agent: mayReuseConnection ? pool : relay?.singleUse ?? false, setHost: false, headers: headers.flat(), signal: processEnd,
+		host: server.host,
+		port: server.port,
+		method,
+		path: target,
+		agent: mayReuseConnection ? pool : relay?.singleUse ?? false,
+		setHost: false,
+		headers: frameRequest(headers, {method, body}).flat(),
+		signal: processEnd,
 	});
 	let isCancelled = false;
 	let isOpen = false;
--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -4,6 +4,7 @@
 	type Agent, createServer, type IncomingMessage, request, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {text as readText} from 'node:stream/consumers';
 
 /** The response of the fake server to one request. */
 export type FakeBackendResponse = {
@@ -41,7 +42,9 @@
 	readonly model: string | undefined;
 	readonly workspace: string | undefined;
 	readonly lastEventId: string | undefined;
+	readonly method: string;
 	readonly path: string;
+	readonly body: string;
 	/** The ids of the parts of its prompt, in order. */
 	readonly promptParts: readonly string[];
 	readonly server: string;
@@ -151,10 +154,8 @@
 	}
 
 	async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-		message.resume();
-		await once(message, 'end');
-
-		const {headers, url = ''} = message;
+		const body = await readText(message);
+		const {headers, method = '', url = ''} = message;
 		if (headers['expect-instance'] !== this.#options.id) {
 			response.writeHead(421, {'Instance-Id': this.#options.id});
 			response.end();
@@ -172,7 +173,9 @@
 			model: firstValueOf(headers.model),
 			workspace: firstValueOf(headers.tenant),
 			lastEventId: firstValueOf(headers['last-event-id']),
+			method,
 			path: url,
+			body,
 			promptParts: (firstValueOf(headers['prompt-prefix']) ?? '').split(',').map(part => part.split(':')[0]!.trim()),
 			server: this.#options.id,
 			ended: ended.signal,
--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -130,3 +130,31 @@
 	t.like(JSON.parse(new TextDecoder().decode(bytes.unsafeCoerce())), {kind: 'limit-reached', outcome: 'notRun', requestId: 'r1'});
 	server.destroy();
 });
+
+test('the body of a request does not run as a request of its own, whatever the method, on new and on reused connections', async t => {
+	const received: Array<readonly [method: string | undefined, body: string]> = [];
+	const server = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler(request, response) {
+			const body = await readBody(request, bodyLimit);
+			received.push([request.method, new TextDecoder().decode(body.unsafeCoerce())]);
+			response.end('ok');
+		},
+		onError: doNothing,
+	});
+	const bodies = ['', '{}', 'POST /hidden HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 2\r\n\r\nhi'];
+	const sent = ['GET', 'HEAD', 'DELETE', 'OPTIONS', 'TRACE', 'POST', 'PUT', 'PATCH'].flatMap(method => bodies.map(body => [method, body] as const));
+	for (const reuseConnection of [false, true]) {
+		for (const [method, body] of sent) {
+			const answer = await sendHttpRequest({
+				address: `http://127.0.0.1:${server.port}`, method, path: '/', headers: {}, body: new TextEncoder().encode(body), signal: new AbortController().signal, reuseConnection,
+			});
+			await readBody(answer.unsafeCoerce().message, bodyLimit);
+		}
+	}
+
+	t.deepEqual(received, [...sent, ...sent]);
+	server.destroy();
+});
