gateway: state no wrong length in answers without a body

Callers: an answer to HEAD, and one with status 204 or 304, said that its body has 0 bytes; for HEAD and 304 that is the length of the body that a GET would have got (RFC 9110, section 8.6).

Cause: the length of the collected body was stated for every answer.

Change: for HEAD and 304 the length that the server states is passed on, if any, and 204 states none.

--- a/packages/gateway/src/entry/caller-answer.ts
+++ b/packages/gateway/src/entry/caller-answer.ts
@@ -20,9 +20,15 @@
 	readonly status: number;
 	readonly headers: readonly Header[];
 	readonly body: Uint8Array;
+	/** The length that the server states of the body, of which nothing is sent in answer to HEAD. */
+	readonly statedLength?: string | undefined;
 };
 
+type CallerAnswerContext = Pick<EntryContext, 'clock' | 'dialect' | 'endsAt' | 'memory' | 'metrics'>;
+
 const millisecondsPerSecond = 1000;
+const noContentStatus = 204;
+const notModifiedStatus = 304;
 
 /**
 Writes the answer to one request to its caller.
@@ -36,12 +42,12 @@
 export class CallerAnswer {
 	/** What the caller has not read yet. */
 	readonly buffer: AnswerBuffer;
-	readonly #context: EntryContext;
+	readonly #context: CallerAnswerContext;
 	readonly #options: CallerAnswerOptions;
 	#hasBegun = false;
 	#headAfter: number | undefined;
 
-	constructor(context: EntryContext, options: CallerAnswerOptions) {
+	constructor(context: CallerAnswerContext, options: CallerAnswerOptions) {
 		this.#context = context;
 		this.#options = options;
 		this.buffer = new AnswerBuffer({
@@ -99,8 +105,10 @@
 	}
 
 	/** Forwards the complete answer of a backend server. */
-	forward({status, headers, body}: CompleteAnswer): void {
-		this.#writeHead(status, [...headers, ['Content-Length', String(body.byteLength)]]);
+	forward(complete: CompleteAnswer): void {
+		const {status, headers, body} = complete;
+		const length = lengthOf(complete, this.#options.request);
+		this.#writeHead(status, length === undefined ? headers : [...headers, ['Content-Length', length]]);
 		this.#options.response.end(body);
 		this.buffer.recordUnread();
 	}
@@ -127,3 +135,12 @@
 		response.writeHead(status, headers.flat());
 	}
 }
+
+/** Returns the length to state of an answer (RFC 9110, section 8.6); undefined for one that states none. */
+function lengthOf({status, body, statedLength}: CompleteAnswer, {method}: GatewayRequest): string | undefined {
+	if (status === noContentStatus) {
+		return undefined;
+	}
+
+	return method === 'HEAD' || status === notModifiedStatus ? statedLength : String(body.byteLength);
+}
