transport: refuse bodies in transfer codings other than chunks

Callers: the body of a request with Transfer-Encoding: gzip, chunked went on compressed and without its coding, so that its server got other bytes than were sent.

Cause: the parser removes the chunks only, and the header is taken out with the framing.

Change: such a message is refused with 400, in both entry stacks and for orders; the error names the header.

--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -158,3 +158,11 @@
 	t.deepEqual(received, [...sent, ...sent]);
 	server.destroy();
 });
+
+test('a body in a transfer coding other than chunks is refused, not passed on without its coding', async t => {
+	const server = await startEcho();
+	const answer = await sendRaw(server, 'POST / HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n');
+	t.regex(answer, /^HTTP\/1\.1 400 /v);
+	t.regex(answer, /expected chunked, got gzip, chunked/v);
+	server.destroy();
+});
--- a/packages/transport/src/read-body.ts
+++ b/packages/transport/src/read-body.ts
@@ -9,19 +9,28 @@
 	readonly refuse?: (bytes: number) => Failure | undefined;
 };
 
+/** The length at which a coding is cut in a message. */
+const maximumLoggedCharacters = 32;
+
 /**
 Reads the body of an HTTP request or response, up to a size limit.
 
 @param message The request or response.
 @param maximumBytes The maximum size of the body in bytes.
 @param options Whether parts of it may be kept.
-@returns The body; a `too-large` failure if it exceeds the limit; the given failure if a part may not be kept; a `malformed-request` failure if the message is truncated.
+@returns The body; a `too-large` failure if it exceeds the limit; the given failure if a part may not be kept; a `malformed-request` failure if the message is truncated, or is in a transfer coding other than chunks.
 @example
 ```ts
 const body = await readBody(request, 4_194_304);
 ```
 */
 export async function readBody(message: IncomingMessage, maximumBytes: number, {refuse}: ReadBodyOptions = {}): Promise<Either<Failure, Uint8Array>> {
+	const coding = message.headers['transfer-encoding'];
+	if (coding !== undefined && coding.trim().toLowerCase() !== 'chunked') {
+		message.resume();
+		return Left(failure('malformed-request', `Invalid Transfer-Encoding header: expected chunked, got ${coding.slice(0, maximumLoggedCharacters)}`));
+	}
+
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	try {
