gateway: break a resumed stream off that a second server answers with an error

Callers: nothing new; the stream was cut before too, by an exception that was caught at the connection. But the send stayed counted at the server, which looked busier from then on.

Change: RequestEnd aborts the answer and logs the request as broken off.

--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -215,7 +215,9 @@
 		return {type: 'failed', failed: failure('backend-failed', `${server.id} answered with status ${status}, which cannot be forwarded`)};
 	}
 
-	const answer = {status, headers, body, statedLength: message.headers['content-length']};
+	const answer = {
+		status, headers, body, statedLength: message.headers['content-length'],
+	};
 	return status >= firstServerError
 		? {type: 'failed', failed: failure('backend-failed', `${server.id} answered with status ${status}`), answer}
 		: {type: 'whole', answer, framing};
@@ -238,7 +240,11 @@
 	const latency = clock.monotonic() - sentAt;
 	results.recordStart(server, {model: models.current, observed: latency});
 	results.recordSuccess(server, {model: models.current, latency});
-	return {type: 'whole', answer: {status, headers, body, statedLength: message.headers['content-length']}, framing};
+	return {
+		type: 'whole', answer: {
+			status, headers, body, statedLength: message.headers['content-length'],
+		}, framing,
+	};
 }
 
 async function handleStream(received: ReceivedHead, head: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
--- a/packages/gateway/src/entry/request-end.ts
+++ b/packages/gateway/src/entry/request-end.ts
@@ -75,7 +75,7 @@
 	}
 
 	/**
-	Forwards the complete answer of a backend server.
+	Forwards the complete answer of a backend server. After the start of a stream it cannot be sent, so the stream is aborted.
 
 	@param answer The answer.
 	@param fields Additional fields of the log line; none by default.
@@ -86,7 +86,13 @@
 			return 'ended';
 		}
 
-		this.#options.answer.forward(answer);
+		const {answer: writer} = this.#options;
+		if (writer.hasStarted) {
+			writer.abort();
+			return this.recordEnd('broken-off', {reason: `A server answered the resumed stream with status ${answer.status}`, ...fields});
+		}
+
+		writer.forward(answer);
 		return this.recordEnd('answered', {status: answer.status, ...fields});
 	}
 
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type IncomingMessage, request as openRequest, type ServerResponse} from 'node:http';
 import {failure, type ModelId, type ServerId} from '@valehitch/core';
 import {type PoolPicture} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
@@ -592,3 +592,48 @@
 	});
 	t.deepEqual(expected.map(milliseconds => Math.round(milliseconds)), [350, 550]);
 });
+
+test('a stream that a second server answers with an error is broken off, and its send does not stay counted', async t => {
+	let arrived = 0;
+	const ports = await Promise.all(['a', 'b'].map(async () => listen(t, (_message, response) => {
+		arrived++;
+		if (arrived === 1) {
+			response.writeHead(200);
+			response.write('id: 1\ndata: one\n\n', () => {
+				setTimeout(() => {
+					response.socket?.resetAndDestroy();
+				}, 20);
+			});
+			return;
+		}
+
+		response.writeHead(404).end('unknown');
+	})));
+	const lines: Array<readonly [kind: string, fields: Readonly<Record<string, unknown>>]> = [];
+	let known: EntryServers | undefined;
+	const {answers} = await sendRequests(t, 1, {
+		nextServers(servers) {
+			known = servers;
+			servers.applyRecords(ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
+		},
+		route: testRoute({
+			kind: 'streaming', isResumable: true, timeout: 8000, targetLatency: 200, maximumAttempts: 2,
+		}),
+		log(kind, fields) {
+			lines.push([kind, fields]);
+		},
+		async call(port) {
+			const outgoing = openRequest({host: '127.0.0.1', port, agent: false}).end();
+			const [message] = await once(outgoing, 'response') as [IncomingMessage];
+			message.on('error', ignore).resume();
+			await new Promise(resolve => {
+				message.on('close', resolve);
+			});
+			return {status: message.statusCode ?? 0, text: String(message.complete)};
+		},
+	});
+	t.deepEqual(answers, [{status: 200, text: 'false'}]);
+	t.is(arrived, 2);
+	t.like(lines.find(([kind]) => kind === 'request-ended')?.[1], {outcome: 'broken-off', sends: 2});
+	t.deepEqual(known?.loads, []);
+});
