gateway: ask who runs at the address of a server whose end may be late

Callers: streams ended as complete after 17 or 18 of 70 events, where the instance was suspended while their server was killed and another process took its address.

Cause: whether the server of an answer without a length still runs is asked when its end is read, by opening a connection, which the other process accepts. Ruled out: a reset taken for an end (the write after the end succeeds, as the dead process's machine had sent a FIN).

Change: after a pause of 500 ms in the last second of an answer, the process must say that it is that server, by a health check that names the expected one. No answer counts as another process.

--- a/packages/gateway/src/configuration/routing-configuration.ts
+++ b/packages/gateway/src/configuration/routing-configuration.ts
@@ -53,6 +53,8 @@
 /** A service, which is a group of interchangeable backend servers. */
 export type BackendService = {
 	readonly id: ServiceId;
+	/** The path of the health check of its servers; undefined if there is none. */
+	readonly healthPath?: string | undefined;
 	/** The number of connections that a backend server accepts from all instances together. */
 	readonly maximumConnections: number;
 	/** The models that the service offers; empty for a service without models. */
--- /dev/null
+++ b/packages/gateway/src/entry/check-server-identity.test.ts
@@ -0,0 +1,32 @@
+import {type ServerId} from '@valehitch/core';
+import test from 'ava';
+import {testServer} from '../servers/_test-server.js';
+import {listen, plainDialect} from './_test-run.js';
+import {checkServerIdentity, type ServerIdentity} from './check-server-identity.js';
+
+async function check(port: number, timeout = 1000): Promise<ServerIdentity> {
+	return checkServerIdentity(testServer({id: 'i-1' as ServerId, port}), {
+		dialect: plainDialect, healthPath: '/healthz', relay: undefined, timeout,
+	});
+}
+
+test('a process is asked by a health check whether it is the server', async t => {
+	const paths: Array<string | undefined> = [];
+	for (const [id, expected] of [['i-1', 'same'], ['i-2', 'other']] as const) {
+		const port = await listen(t, ({url}, response) => {
+			paths.push(url);
+			response.writeHead(200, {server: id}).end();
+		});
+		t.is(await check(port), expected);
+	}
+
+	t.deepEqual(paths, ['/healthz', '/healthz']);
+});
+
+test('a process that does not answer in time, or no process at all, is not taken for the server', async t => {
+	const port = await listen(t, () => {
+		// Never answers.
+	});
+	t.is(await check(port, 50), 'unknown');
+	t.is(await check(1), 'unknown');
+});
--- a/packages/gateway/src/entry/connection-pool.test.ts
+++ b/packages/gateway/src/entry/connection-pool.test.ts
@@ -59,6 +59,7 @@
 		onConnect: () => undefined,
 		processEnd: new AbortController().signal,
 		isServerRunning: async () => true,
+		clock: {now: () => new Date(), monotonic: () => performance.now()},
 	}).outcome;
 	return outcome.type === 'head' && await collectBody(outcome.message, outcome.isComplete) !== undefined;
 }
--- a/packages/gateway/src/entry/create-server-relays.test.ts
+++ b/packages/gateway/src/entry/create-server-relays.test.ts
@@ -37,7 +37,7 @@
 	return {
 		server: testServer({port}), method: 'GET', target: '/', headers: [['Host', 'desk.example']],
 		body: new Uint8Array(), mayReuseConnection: true, connectTimeout: 1000, headTimeouts: undefined, onConnect: ignore,
-		processEnd: new AbortController().signal, isServerRunning: async () => true, ...changes,
+		processEnd: new AbortController().signal, isServerRunning: async () => true, clock: {now: () => new Date(), monotonic: () => performance.now()}, ...changes,
 	};
 }
 
--- a/packages/gateway/src/entry/dialect.ts
+++ b/packages/gateway/src/entry/dialect.ts
@@ -1,5 +1,6 @@
 import {type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
-import {type Failure} from '@valehitch/core';
+import {type Failure, type ServerId} from '@valehitch/core';
+import {type ServerRecord} from '../servers/server-record.js';
 import {
 	type AnswerHead, type GatewayRequest, type Header, type SendMetadata,
 } from './gateway-request.js';
@@ -21,6 +22,10 @@
 	readonly sendHeaders: (request: GatewayRequest, facts: SendMetadata) => readonly Header[];
 	/** Parses the head of a backend server's answer. */
 	readonly readAnswer: (status: number, headers: IncomingHttpHeaders) => AnswerHead;
+	/** Returns the headers of a health check that no server but the given one answers. */
+	readonly identityHeaders: (server: Pick<ServerRecord, 'id' | 'host' | 'port'>) => readonly Header[];
+	/** Checks whether the answer to such a health check is the given server's own. */
+	readonly isFromServer: (server: ServerId, answer: {readonly status: number; readonly headers: IncomingHttpHeaders}) => boolean;
 	/** Returns the headers of a backend server's answer that are forwarded to the caller. */
 	readonly answerHeaders: (message: IncomingMessage) => readonly Header[];
 	/** Returns the answer to a request that failed in the gateway. */
--- a/packages/gateway/src/entry/relay-stream.test.ts
+++ b/packages/gateway/src/entry/relay-stream.test.ts
@@ -69,6 +69,7 @@
 		onConnect: ignore,
 		processEnd: new AbortController().signal,
 		isServerRunning: async () => ending !== 'exited',
+		clock: {now: () => new Date(), monotonic: () => performance.now()},
 	}).outcome;
 	if (outcome.type !== 'head') {
 		return {end: 'no-head', forwarded: ''};
--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -47,6 +47,7 @@
 		onConnect: () => undefined,
 		processEnd: new AbortController().signal,
 		isServerRunning: async () => true,
+		clock: {now: () => new Date(), monotonic: () => performance.now()},
 	};
 }
 
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,6 +1,7 @@
 import {type ClientRequest, type IncomingMessage, request as openRequest} from 'node:http';
+import {type Clock} from '@valehitch/core';
 import {
-	frameRequest, responseFraming, type ResponseFraming, setTimeoutAfterPoll, watchResponseEnd, type Relay, TunnelError,
+	ArrivalWatch, frameRequest, type ResponseEnd, responseFraming, type ResponseFraming, setTimeoutAfterPoll, watchResponseEnd, type Relay, TunnelError,
 } from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Header} from './gateway-request.js';
@@ -28,7 +29,8 @@
 	/** Aborted when the server's process is known to have ended, after which no more data will arrive. */
 	readonly processEnd: AbortSignal;
 	/** Checks whether the server's process is still running, after it closed the connection of an answer that ends in this way. */
-	readonly isServerRunning: () => Promise<boolean>;
+	readonly isServerRunning: (end: ResponseEnd) => Promise<boolean>;
+	readonly clock: Clock;
 };
 
 /** The number of interim answers (1xx) after which the connection is closed; a server may send them without end. */
@@ -81,7 +83,7 @@
 @returns The send in progress.
 @example
 ```ts
-const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuseConnection: true, connectTimeout: 400, headTimeouts: undefined, onConnect, processEnd, isServerRunning});
+const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuseConnection: true, connectTimeout: 400, headTimeouts: undefined, onConnect, processEnd, isServerRunning, clock});
 ```
 */
 export function sendAttempt(options: SendAttemptOptions): SentAttempt {
@@ -133,7 +135,8 @@
 };
 
 async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
-	const {server, method, relay, connectTimeout, headTimeouts, isServerRunning} = options;
+	const {server, method, relay, connectTimeout, headTimeouts, isServerRunning, clock} = options;
+	const arrivals = new ArrivalWatch(clock);
 	return new Promise(resolve => {
 		let isSilent = false;
 		let isSettled = false;
@@ -189,7 +192,7 @@
 		request.on('response', message => {
 			recordKeepAlive(message);
 			settle({
-				type: 'head', message, framing: responseFraming(message, method), isComplete: watchResponseEnd(message, {method, isServerRunning}),
+				type: 'head', message, framing: responseFraming(message, method), isComplete: watchResponseEnd(message, {method, arrivals, isServerRunning}),
 			});
 		});
 		request.on('error', error => {
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -1,6 +1,7 @@
 import {type Relay} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type AuthorizedRequest} from './authorize-request.js';
+import {checkServerIdentity, type CheckServerIdentityOptions, type ServerIdentity} from './check-server-identity.js';
 import {type EntryContext} from './entry-context.js';
 import {type GatewayRequest} from './gateway-request.js';
 import {type ModelCascade} from './model-cascade.js';
@@ -35,6 +36,8 @@
 const connectTimeoutMilliseconds = 400;
 /** The timeout of a reachability check, in milliseconds. A busy server accepts a connection within a few milliseconds, and a lost SYN packet is retransmitted only after a second. */
 const reachabilityTimeoutMilliseconds = 200;
+/** The timeout of the question whether a server still runs, in milliseconds. A busy server answers health checks like other requests. */
+const identityTimeoutMilliseconds = 400;
 /** The time that is subtracted from the forwarded deadline for the transmission of the answer, in milliseconds. */
 const returnMilliseconds = 5;
 /** The highest urgency number, for the least urgent requests, that servers accept. */
@@ -79,7 +82,10 @@
 			links.of(server.service).recordConnected();
 		},
 		processEnd,
-		isServerRunning: async () => isServerRunning(server, {...context, relay}),
+		isServerRunning: async ({mayBeLate}) => isServerRunning(server, {
+			...context, relay, mayBeLate, identify: async usedRelay => identifyServer(context, server, usedRelay),
+		}),
+		clock,
 	});
 	allowance.countSend();
 	log('request-dispatched', {
@@ -96,6 +102,18 @@
 	return attempt;
 }
 
+/** Asks the process at the address of a server whether it is that server; it cannot be asked where no health check is configured. */
+async function identifyServer({dialect, table}: Pick<EntryContext, 'dialect' | 'table'>, server: ServerRecord, relay: CheckServerIdentityOptions['relay']): Promise<ServerIdentity> {
+	const healthPath = table()?.findService(server.service)?.healthPath;
+	if (healthPath === undefined) {
+		return 'unknown';
+	}
+
+	return checkServerIdentity(server, {
+		dialect, healthPath, relay, timeout: identityTimeoutMilliseconds,
+	});
+}
+
 /** Returns the rank of the request by workspace and route where the load of the pool is known and requests compete by rank; otherwise the priority of its workspace replaces that of its route. */
 function urgencyOf({authorized: {route, workspace}}: StartSendOptions, {table, poolLoads}: Pick<EntryContext, 'table' | 'poolLoads'>): number {
 	const rank = Number.isFinite(poolLoads.picture().age) ? table()?.urgencyOf(route, workspace) : undefined;
--- a/packages/platform/src/decode-configuration.ts
+++ b/packages/platform/src/decode-configuration.ts
@@ -33,6 +33,7 @@
 
 const serviceSchema = z.object({
 	name: z.string(),
+	healthPath: z.string().optional(),
 	maxConns: z.number().positive().default(100),
 	coldStartS: z.number().nonnegative().default(0),
 	// 0 where the servers of the service tolerate as many requests as otherwise.
@@ -81,8 +82,9 @@
 	return checkRoutingConfiguration({
 		version,
 		routes: routes.map(route => toRoute(route)),
-		services: services.map(({name, maxConns, coldStartS, coldPerS, engine}) => ({
+		services: services.map(({name, healthPath, maxConns, coldStartS, coldPerS, engine}) => ({
 			id: toId<ServiceId>(name),
+			healthPath,
 			maximumConnections: maxConns,
 			models: (engine?.models ?? []).map(({name: model, cost}) => ({id: toId<ModelId>(model), cost})),
 			cold: coldPerS === 0 ? undefined : {requestsPerSecond: coldPerS, duration: coldStartS * millisecondsPerSecond},
--- a/packages/platform/src/platform-dialect.test.ts
+++ b/packages/platform/src/platform-dialect.test.ts
@@ -1,5 +1,5 @@
 import {type IncomingMessage} from 'node:http';
-import {failure, type ModelId} from '@valehitch/core';
+import {failure, type ModelId, type ServerId} from '@valehitch/core';
 import {type AnswerHead, type GatewayRequest} from '@valehitch/gateway';
 import test from 'ava';
 import {platformDialect} from './platform-dialect.js';
@@ -100,3 +100,12 @@
 	t.is(status, 503);
 	t.deepEqual(headers.find(([name]) => name === 'Retry-After'), ['Retry-After', '0.25']);
 });
+
+test('a health check names the expected server, and only the answer of another one counts as not its own', t => {
+	const server = 'i-7' as ServerId;
+	t.deepEqual(platformDialect.identityHeaders({id: server, host: '10.0.0.7', port: 8740}), [['Host', '10.0.0.7:8740'], ['Expect-Instance', 'i-7'], ['Connection', 'close']]);
+	t.true(platformDialect.isFromServer(server, {status: 200, headers: {'instance-id': 'i-7'}}));
+	t.true(platformDialect.isFromServer(server, {status: 503, headers: {}}));
+	t.false(platformDialect.isFromServer(server, {status: 421, headers: {}}));
+	t.false(platformDialect.isFromServer(server, {status: 200, headers: {'instance-id': 'i-8'}}));
+});
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -15,6 +15,8 @@
 const millisecondsPerSecond = 1000;
 /** More tokens than any model reads. */
 const maximumTokens = 4_194_304;
+/** The status of a backend server that another one was expected to be. */
+const otherServerStatus = 421;
 /** The status of a backend server that rejects a request for its own load. */
 const unavailableStatus = 503;
 
@@ -29,8 +31,8 @@
 		return {
 			status,
 			requestId: firstValue(headers[wireHeader.requestId]),
-			isNotRun: headers[wireHeader.notRun] !== undefined || status === 421,
-			isFromOtherServer: status === 421,
+			isNotRun: headers[wireHeader.notRun] !== undefined || status === otherServerStatus,
+			isFromOtherServer: status === otherServerStatus,
 			isSigned: headers[wireHeader.signature] !== undefined,
 			isEncoded: headers[wireHeader.encoding] !== undefined,
 			confidence: confidence === undefined ? undefined : Number(confidence),
@@ -40,6 +42,11 @@
 			rateLimit: decodeRateLimit(firstValue(headers[wireHeader.rateLimit])),
 		};
 	},
+	identityHeaders: ({id, host, port}) => [['Host', `${host}:${port}`], ['Expect-Instance', id], ['Connection', 'close']],
+	isFromServer(server, {status, headers}) {
+		const answering = firstValue(headers[wireHeader.answeringServer]);
+		return status !== otherServerStatus && (answering === undefined || answering === server);
+	},
 	answerHeaders: message => headerPairs(message).filter(([name]) => !connectionHeaders.has(name.toLowerCase())),
 	refuse(request, failed) {
 		const {title, status} = errorResponses[failed.kind];
--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -74,6 +74,8 @@
 	readonly announcedPort?: () => number;
 };
 
+/** The path of the health check of all servers. */
+export const healthPath = '/healthz';
 /** The platform's servers time out after one second without an acknowledgement. */
 const announceTimeoutMilliseconds = 1000;
 
@@ -162,6 +164,11 @@
 			return;
 		}
 
+		if (url === healthPath) {
+			response.writeHead(200, {'Instance-Id': this.#options.id}).end();
+			return;
+		}
+
 		const ended = new AbortController();
 		response.on('close', () => {
 			if (!response.writableFinished) {
--- a/packages/testing/src/truncated-answers.test.ts
+++ b/packages/testing/src/truncated-answers.test.ts
@@ -1,7 +1,8 @@
 import {connect} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {
-	type ExecutedRequest, type FakeBackendResponse, type FakeBackendServer, type ReceivedResponse, sendForResponse,
+	type ExecutedRequest, type FakeBackendResponse, FakeBackendServer, healthPath, type ReceivedResponse, sendForResponse,
 } from './platform/fake-backend-server.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
 import {putConfiguration} from './platform/put-configuration.js';
@@ -31,7 +32,7 @@
 			...route, name: 'look', pathPrefix: '/look/', kind: 'safe', service: 'labels',
 		},
 	],
-	services: [{name: 'models', engine: {models: [{name: 'large', cost: 0.3}]}}, {name: 'labels'}],
+	services: [{name: 'models', healthPath, engine: {models: [{name: 'large', cost: 0.3}]}}, {name: 'labels', healthPath}],
 	limits: {
 		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 	},
@@ -147,3 +148,37 @@
 	t.true(text.endsWith(twoEvents));
 	t.true(isReset);
 });
+
+for (const {path, expected} of [
+	{path: '/drafts/7', expected: {status: 200, text: completeStream, isComplete: true}},
+	{path: '/once/7', expected: {status: 200, text: twoEvents, isComplete: false}},
+	{path: '/look/7', expected: {status: 200, text: events.join(''), isComplete: true}},
+	{path: '/print/7', expected: {status: 502, isComplete: true}},
+]) {
+	test(`the answer to ${path} does not end as complete if its server exits and another one takes its address while the instance is suspended`, async t => {
+		const {deployment, backends, send} = await start(t, {isUnframed: true, gap: 300, truncation: {by: 'exit', after: 2}});
+		const {process} = deployment.entries[0]!;
+		const answer = send(path);
+		const cut = await waitUntil(async () => backends.find(({runs}) => runs.some(run => run.path === path)), {description: 'a run'});
+		await delay(150);
+		process.signal('SIGSTOP');
+		await delay(700);
+		const {port, service} = cut;
+		const successor = await FakeBackendServer.start({
+			id: 'i-successor', service, host: '127.0.0.1', port, answer: () => ({events}),
+		});
+		t.teardown(() => {
+			successor.close();
+		});
+		await delay(300);
+		process.signal('SIGCONT');
+		t.like(await answer, expected);
+	});
+}
+
+test('answers without a length that end after a pause are complete if their server goes on running', async t => {
+	const {backends, send} = await start(t, {isUnframed: true, gap: 600});
+	t.like(await send('/once/7'), {status: 200, text: completeStream, isComplete: true});
+	t.like(await send('/look/7'), {status: 200, text: events.join(''), isComplete: true});
+	t.is(runsOf(backends, '/look/7').length, 1);
+});
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -4,6 +4,7 @@
 @module
 */
 export * from './abort-response.js';
+export * from './arrival-watch.js';
 export * from './frame-request.js';
 export * from './http-server.js';
 export * from './inactivity-timer.js';
--- a/packages/transport/src/watch-response-end.ts
+++ b/packages/transport/src/watch-response-end.ts
@@ -1,4 +1,5 @@
 import {type IncomingMessage} from 'node:http';
+import {type ArrivalWatch} from './arrival-watch.js';
 import {confirmClose} from './_confirm-close.js';
 import {responseFraming} from './response-framing.js';
 
@@ -6,8 +7,16 @@
 export type WatchResponseEndOptions = {
 	/** The method of the request. */
 	readonly method: string;
+	/** When data of the response arrived, from the request on. */
+	readonly arrivals: ArrivalWatch;
 	/** Checks whether the process of the server is still running. */
-	readonly isServerRunning: () => Promise<boolean>;
+	readonly isServerRunning: (end: ResponseEnd) => Promise<boolean>;
+};
+
+/** How a response ended whose end is the end of its connection. */
+export type ResponseEnd = {
+	/** Whether the server may have closed the connection long ago, so that another process may be running at its address by now. */
+	readonly mayBeLate: boolean;
 };
 
 /**
@@ -20,20 +29,38 @@
 @returns A function that reports whether the body is complete, to be called when it has ended.
 @example
 ```ts
-const isComplete = watchResponseEnd(message, {method: 'GET', isServerRunning: async () => true});
+const isComplete = watchResponseEnd(message, {method: 'GET', arrivals, isServerRunning: async () => true});
 ```
 */
-export function watchResponseEnd(message: IncomingMessage, {method, isServerRunning}: WatchResponseEndOptions): () => Promise<boolean> {
+export function watchResponseEnd(message: IncomingMessage, {method, arrivals, isServerRunning}: WatchResponseEndOptions): () => Promise<boolean> {
 	if (responseFraming(message, method) !== 'close') {
 		return async () => message.complete;
 	}
 
-	const wasClosed = watchClose(message);
-	return async () => message.complete && await wasClosed && isServerRunning();
+	const wasClosed = watchClose(message, arrivals);
+	return async () => {
+		if (!message.complete || !await wasClosed) {
+			return false;
+		}
+
+		const mayBeLate = arrivals.mayBeLate();
+		if (!await isServerRunning({mayBeLate})) {
+			return false;
+		}
+
+		// This process may also have been suspended before it asked.
+		return mayBeLate || !arrivals.mayBeLate() || isServerRunning({mayBeLate: true});
+	};
 }
 
 /** Waits until a connection has ended, and tells whether it was closed rather than reset. */
-async function watchClose({socket}: IncomingMessage): Promise<boolean> {
+async function watchClose({socket}: IncomingMessage, arrivals: ArrivalWatch): Promise<boolean> {
+	const onData = (): void => {
+		arrivals.record();
+	};
+
+	onData();
+	socket.on('data', onData);
 	return new Promise<boolean>(resolve => {
 		socket.once('error', () => {
 			resolve(false);
@@ -43,6 +70,8 @@
 		});
 		// Runs before the listener of the HTTP client, which ends the writable side.
 		socket.prependOnceListener('end', () => {
+			onData();
+			socket.off('data', onData);
 			confirmClose(socket, resolve);
 		});
 	});
