gateway: drop orders whose callers have given them up

Callers: requests reached a zone for good whose evacuation had been acknowledged, after a control instance went on from a suspension and carried out an order of before it, which another instance had carried out already. The same with a late evacuation, and with a late rollout, which started an ended version again.

Cause: an order is taken as given when it is read, and its guard, the revision of the zone, is read at that moment too.

Change: an order about a zone, a rollout or a quarantine is proposed only if its caller's connection is open 100 ms after the revision was read. A wait that took over 200 ms on either clock is repeated. Configurations and announcements are ordered by versions and sequence numbers already.

Why it works: who gives an order up closes the connection, and the close is read after the order.

--- /dev/null
+++ b/packages/gateway/src/control/confirm-caller.test.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+import {confirmCaller} from './confirm-caller.js';
+
+/** Confirms a caller while waits take the given times in milliseconds, and tells the number of waits. */
+async function confirm(caller: AbortSignal, {waits, onWait = () => undefined}: {readonly waits: readonly number[]; readonly onWait?: () => void}) {
+	let now = 0;
+	let count = 0;
+	const confirmed = await confirmCaller(caller, {
+		clock: {now: () => new Date(1_700_000_000_000 + now), monotonic: () => now},
+		async wait(milliseconds) {
+			now += waits[count] ?? milliseconds;
+			count++;
+			onWait();
+		},
+	});
+	return {isPresent: confirmed.isRight(), count};
+}
+
+test('a caller that keeps its connection open is present after one wait', async t => {
+	t.deepEqual(await confirm(new AbortController().signal, {waits: [100]}), {isPresent: true, count: 1});
+});
+
+test('a caller that has left, before the wait or during it, is not present', async t => {
+	t.deepEqual(await confirm(AbortSignal.abort(), {waits: []}), {isPresent: false, count: 0});
+	const caller = new AbortController();
+	t.deepEqual(await confirm(caller.signal, {
+		waits: [100], onWait() {
+			caller.abort();
+		},
+	}), {isPresent: false, count: 1});
+});
+
+test('a wait that took too long is repeated, since the close of the connection may not be read yet', async t => {
+	const caller = new AbortController();
+	let waits = 0;
+	t.deepEqual(await confirm(caller.signal, {
+		waits: [3900, 100], onWait() {
+			waits++;
+			if (waits === 2) {
+				caller.abort();
+			}
+		},
+	}), {isPresent: false, count: 2});
+});
--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -161,14 +161,17 @@
 	t.true(second.confirmedAgo! < 5000);
 });
 
+/** A caller that waits for its answer. */
+const caller = new AbortController().signal;
+
 test('a repeated rollout order is acknowledged again, and an unknown service has no rollout', async t => {
 	const {control} = await startControl(t);
 	const order = {service: 'models' as ServiceId, target: 'v2' as VersionId, duration: 60_000};
 	await eventually(async () => {
-		const started = await control.operators.startRollout(order);
+		const started = await control.operators.startRollout(order, {caller});
 		return started.isRight() || undefined;
 	});
-	const again = await control.operators.startRollout(order);
+	const again = await control.operators.startRollout(order, {caller});
 	t.true(again.isRight());
 	const known = await control.operators.readRollout(order.service);
 	t.is(known.unsafeCoerce().stage, 'canary');
@@ -178,7 +181,7 @@
 
 test('an evacuation is acknowledged once it is committed, is told to entry instances, and is kept by a repeated order', async t => {
 	const {control} = await startControl(t);
-	const evacuate = async (zone: string, isEvacuated: boolean) => control.operators.setEvacuation({zone: zone as ZoneId, isEvacuated});
+	const evacuate = async (zone: string, isEvacuated: boolean) => control.operators.setEvacuation({zone: zone as ZoneId, isEvacuated}, {caller});
 	const first = await eventually(async () => {
 		const ordered = await evacuate('hall-a', true);
 		return ordered.toMaybe().extract();
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -1,6 +1,7 @@
 import {
-	type InstanceId, type SuspectFingerprint, type ServerId, SuspensionDetector, type ZoneId,
+	type Failure, type InstanceId, type SuspectFingerprint, type ServerId, SuspensionDetector, type ZoneId,
 } from '@valehitch/core';
+import {type Either, Left, Right} from 'purify-ts';
 import {match, P} from 'ts-pattern';
 import {EvidenceTable} from '../rollouts/evidence-table.js';
 import {isEnded} from '../rollouts/rollout.js';
@@ -9,13 +10,14 @@
 import {type ServerRecord} from '../servers/server-record.js';
 import {ColdServers} from './cold-servers.js';
 import {currentCommandFormat} from './command-formats.js';
+import {confirmCaller} from './confirm-caller.js';
 import {ControlReplica} from './control-replica.js';
 import {type ControlInstanceOptions} from './control-instance-options.js';
 import {type GatewayCommand} from './gateway-command.js';
 import {type EntryUpdate, EntryWatches} from './entry-watches.js';
 import {describeResult, LeaderClient} from './leader-client.js';
 import {LimitedServers} from './limited-servers.js';
-import {OperatorApi} from './operator-api.js';
+import {OperatorApi, type OrderOptions} from './operator-api.js';
 import {
 	type ConfirmReply, type JoinReply, type PeerMessage, type ServersReply, type SuspectsMessage,
 } from './peer-message.js';
@@ -206,10 +208,12 @@
 	Lifts the quarantine of a request or a part of prompts.
 
 	@param fingerprint The request or the part.
-	@returns Whether the change is saved to disk, or `undefined` if nothing is known of it.
+	@param options The caller.
+	@returns Whether the change is saved to disk, or `undefined` if nothing is known of it; `deadline-exceeded` if the caller has left.
 	*/
-	async liftQuarantine(fingerprint: SuspectFingerprint): Promise<QuarantineLiftResult | undefined> {
-		return this.#suspectSync.liftQuarantine(fingerprint);
+	async liftQuarantine(fingerprint: SuspectFingerprint, {caller}: OrderOptions): Promise<Either<Failure, QuarantineLiftResult | undefined>> {
+		const confirmed = await confirmCaller(caller, this.#options);
+		return confirmed.isLeft() ? Left(confirmed.extract()) : Right(await this.#suspectSync.liftQuarantine(fingerprint));
 	}
 
 	/**
--- a/packages/gateway/src/control/operator-api.ts
+++ b/packages/gateway/src/control/operator-api.ts
@@ -5,6 +5,7 @@
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {type Rollout} from '../rollouts/rollout.js';
+import {confirmCaller} from './confirm-caller.js';
 import {type GatewayCommandResult} from './gateway-command.js';
 import {type ConfigurationDocument} from './gateway-state.js';
 import {describeResult, type LeaderClient} from './leader-client.js';
@@ -28,6 +29,12 @@
 	readonly isEvacuated: boolean;
 };
 
+/** Options of an order that must not be carried out once its caller has given it up. */
+export type OrderOptions = {
+	/** Aborted once the caller has closed its connection. */
+	readonly caller: AbortSignal;
+};
+
 const retryMilliseconds = 300;
 /** How often an order is proposed again after another one about the same zone was committed first. */
 const evacuationAttempts = 3;
@@ -75,11 +82,17 @@
 	Starts a rollout.
 
 	@param order The service, the target version, and the duration in milliseconds.
-	@returns The rollout, once it is committed.
+	@param options The caller.
+	@returns The rollout, once it is committed; `deadline-exceeded` if the caller has left.
 	*/
-	async startRollout(order: {readonly service: ServiceId; readonly target: VersionId; readonly duration: number}): Promise<Either<Failure, GatewayCommandResult>> {
+	async startRollout(order: {readonly service: ServiceId; readonly target: VersionId; readonly duration: number}, {caller}: OrderOptions): Promise<Either<Failure, GatewayCommandResult>> {
 		const {clock, leader} = this.#options;
 		const waited = this.#waits.record(`${order.service} ${order.target}`, clock.monotonic());
+		const confirmed = await this.#confirm(caller, `rollout of ${order.service} to ${order.target}`);
+		if (confirmed.isLeft()) {
+			return Left(confirmed.extract());
+		}
+
 		const result = await leader.propose({
 			type: 'start-rollout', ...order, orderedAt: clock.now().getTime() - waited, waited,
 		});
@@ -107,19 +120,20 @@
 	Begins or ends the evacuation of an availability zone. An order that is sent again while its zone is in that state already is acknowledged without another entry in the log.
 
 	@param order The zone, and whether it is evacuated.
-	@returns The committed order; `not-found` for an unknown zone; `no-quorum` if it may or may not have been committed.
+	@param options The caller.
+	@returns The committed order; `not-found` for an unknown zone; `deadline-exceeded` if the caller has left; `no-quorum` if it may or may not have been committed.
 	*/
-	async setEvacuation({zone, isEvacuated}: EvacuationOrder): Promise<Either<Failure, GatewayCommandResult>> {
+	async setEvacuation({zone, isEvacuated}: EvacuationOrder, {caller}: OrderOptions): Promise<Either<Failure, GatewayCommandResult>> {
 		if (!this.#options.zones().includes(zone)) {
 			return Left(failure('not-found', `Cannot evacuate availability zone ${zone}: expected one of ${this.#options.zones().join(', ')}`));
 		}
 
-		const result = await this.#commitEvacuation({zone, isEvacuated});
+		const result = await this.#commitEvacuation({zone, isEvacuated}, caller);
 		this.#options.log('evacuation-ordered', {target: zone, isEvacuated, result: describeResult(result)});
 		return result;
 	}
 
-	async #commitEvacuation({zone, isEvacuated}: EvacuationOrder): Promise<Either<Failure, GatewayCommandResult>> {
+	async #commitEvacuation({zone, isEvacuated}: EvacuationOrder, caller: AbortSignal): Promise<Either<Failure, GatewayCommandResult>> {
 		const {confirmation, leader} = this.#options;
 		for (let attempt = 0; attempt < evacuationAttempts; attempt++) {
 			const read = await confirmation.newest();
@@ -133,6 +147,12 @@
 				return Right({type: 'evacuation', evacuation});
 			}
 
+			// The revision was read before, so that an order that is committed meanwhile overtakes this one.
+			const confirmed = await this.#confirm(caller, `evacuation of ${zone}`);
+			if (confirmed.isLeft()) {
+				return Left(confirmed.extract());
+			}
+
 			const result = await leader.propose({
 				type: 'set-evacuation', zone, isEvacuated, after: evacuation.revision,
 			});
@@ -144,4 +164,13 @@
 
 		return Left(failure('no-quorum', `The evacuation of ${zone} was changed by other orders meanwhile`, {retryAfterMilliseconds: retryMilliseconds}));
 	}
+
+	async #confirm(caller: AbortSignal, order: string): Promise<Either<Failure, undefined>> {
+		const {clock, log} = this.#options;
+		const confirmed = await confirmCaller(caller, {clock});
+		confirmed.ifLeft(({message}) => {
+			log('order-abandoned', {order, reason: message}, 'warn');
+		});
+		return confirmed;
+	}
 }
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -10,7 +10,7 @@
 		| 'server-brittleness-changed' | 'server-brittleness-invalid'
 		| 'servers-unreachable' | 'servers-reachable' | 'relay-unavailable'
 		| 'servers-restored' | 'list-not-restored' | 'list-not-saved'
-		| 'evacuation-ordered' | 'evacuation-adopted'
+		| 'order-abandoned' | 'evacuation-ordered' | 'evacuation-adopted'
 		| 'rollout-started' | 'rollout-advanced' | 'rollout-evaluation-failed'
 		| 'request-held' | 'request-rejected'
 		| 'request-refused' | 'request-dispatched' | 'request-attempt-ended' | 'request-escalated' | 'request-resumed' | 'request-ended'
--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -4,7 +4,7 @@
 	errorResponses, type Failure, failure, type SuspectFingerprint, type ServiceId, toId, type VersionId, type ZoneId,
 } from '@valehitch/core';
 import {type ControlInstance, type EvacuationOrder, type RolloutStage} from '@valehitch/gateway';
-import {parseJsonBody, readBody} from '@valehitch/transport';
+import {callerSignal, parseJsonBody, readBody} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import * as z from 'zod';
 import {decodeAnnouncement} from './decode-announcement.js';
@@ -39,8 +39,9 @@
 ```
 */
 export async function handleControl(control: ControlInstance, request: IncomingMessage, response: ServerResponse): Promise<void> {
+	const caller = callerSignal(response);
 	const body = await readBody(request, maximumBodyBytes);
-	const answer = body.isLeft() ? Left(body.extract()) : await routeRequest(control, request, body.unsafeCoerce());
+	const answer = body.isLeft() ? Left(body.extract()) : await routeRequest(control, request, {body: body.unsafeCoerce(), caller});
 	const {status, body: text} = answer.caseOf<Answer>({
 		Left: failed => ({status: errorResponses[failed.kind].status, body: JSON.stringify({error: failed.kind, detail: failed.message})}),
 		Right: value => value,
@@ -49,7 +50,13 @@
 	response.end(text);
 }
 
-async function routeRequest(control: ControlInstance, {method, url = ''}: IncomingMessage, body: Uint8Array): Promise<Either<Failure, Answer>> {
+type ReceivedOrder = {
+	readonly body: Uint8Array;
+	/** Aborted once the caller has closed its connection. */
+	readonly caller: AbortSignal;
+};
+
+async function routeRequest(control: ControlInstance, {method, url = ''}: IncomingMessage, {body, caller}: ReceivedOrder): Promise<Either<Failure, Answer>> {
 	const [collection, name, ...rest] = url.split('?', 1)[0]!.split('/').slice(2);
 	const endpoint = `${method} ${collection}${name === undefined ? '' : '/'}`;
 	if (!url.startsWith('/-/') || rest.length > 0) {
@@ -67,7 +74,7 @@
 		}
 
 		case 'POST rollouts': {
-			return startRollout(control, body);
+			return startRollout(control, {body, caller});
 		}
 
 		case 'GET rollouts/': {
@@ -77,7 +84,7 @@
 
 		case 'POST evacuations/':
 		case 'DELETE evacuations/': {
-			return setEvacuation(control, {zone: toId<ZoneId>(name!), isEvacuated: method === 'POST'}, body);
+			return setEvacuation(control, {zone: toId<ZoneId>(name!), isEvacuated: method === 'POST'}, {body, caller});
 		}
 
 		case 'PUT instances/': {
@@ -99,10 +106,10 @@
 		}
 
 		case 'DELETE quarantine/': {
-			const released = await control.liftQuarantine(toId<SuspectFingerprint>(name!));
-			return released
+			const lifted = await control.liftQuarantine(toId<SuspectFingerprint>(name!), {caller});
+			return lifted.chain(released => released
 				? Right({status: 200, body: JSON.stringify(released)})
-				: Left(failure('not-found', `No quarantined request has the fingerprint ${name!.slice(0, maximumLoggedCharacters)}`));
+				: Left(failure('not-found', `No quarantined request has the fingerprint ${name!.slice(0, maximumLoggedCharacters)}`)));
 		}
 
 		case 'DELETE instances/': {
@@ -122,12 +129,12 @@
 	}
 }
 
-async function setEvacuation(control: ControlInstance, order: EvacuationOrder, body: Uint8Array): Promise<Either<Failure, Answer>> {
+async function setEvacuation(control: ControlInstance, order: EvacuationOrder, {body, caller}: ReceivedOrder): Promise<Either<Failure, Answer>> {
 	if (body.byteLength > 0) {
 		return Left(failure('malformed-request', `An order about availability zone ${order.zone} has no body, but ${body.byteLength} bytes were received`));
 	}
 
-	const ordered = await control.operators.setEvacuation(order);
+	const ordered = await control.operators.setEvacuation(order, {caller});
 	return ordered.map(() => emptyAnswer);
 }
 
@@ -142,14 +149,14 @@
 	});
 }
 
-async function startRollout(control: ControlInstance, body: Uint8Array): Promise<Either<Failure, Answer>> {
+async function startRollout(control: ControlInstance, {body, caller}: ReceivedOrder): Promise<Either<Failure, Answer>> {
 	const parsed = parseJsonBody({bytes: body, schema: rolloutSchema});
 	return parsed.caseOf<Promise<Either<Failure, Answer>>>({
 		Left: async failed => Left(failed),
 		async Right({service, target, durationS}) {
 			const started = await control.operators.startRollout({
 				service: toId<ServiceId>(service), target: toId<VersionId>(target), duration: durationS * millisecondsPerSecond,
-			});
+			}, {caller});
 			return started.map(() => emptyAnswer);
 		},
 	});
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -5,6 +5,7 @@
 */
 export * from './abort-response.js';
 export * from './arrival-watch.js';
+export * from './caller-signal.js';
 export * from './frame-request.js';
 export * from './http-server.js';
 export * from './inactivity-timer.js';
