gateway: let the next founding member form the group of a first start

Callers: no configuration was acknowledged and no request served, for good, where the control instance with the lowest address was started again during the first start of the system.

Cause: only that member may form the group, and it is not founding any more; the others wait for it without end.

Change: join replies say whether their sender is founding, an optional field. The lowest founding member forms the group once all initial members reply that they never belonged to one, for 60 s after its start. No group is formed beside any instance that belongs to one.

--- a/packages/gateway/src/control/bootstrap-replica-set.test.ts
+++ b/packages/gateway/src/control/bootstrap-replica-set.test.ts
@@ -14,7 +14,7 @@
 }
 
 const first: Omit<BootstrapReplicaSetOptions, 'replies'> = {
-	self: founders[0]!, replica: one, isFounding: true, initialMembers: founders,
+	self: founders[0]!, replica: one, isFounding: true, mayStandIn: true, initialMembers: founders,
 };
 
 test('the lowest initial member bootstraps the group once all others have replied that they are empty', t => {
@@ -36,3 +36,19 @@
 		...first, self: '10.0.0.0' as InstanceId, replica: toReplicaId('10.0.0.0', 'a'), replies: [reply(one), reply(two), reply(three)],
 	}), undefined);
 });
+
+test('the next member takes the place of the lowest one, which was started again before the group was there', t => {
+	const second = {...first, self: founders[1]!, replica: two};
+	const restarted = reply(one, {isFounding: false});
+	t.deepEqual(bootstrapReplicaSet({...second, replies: [restarted, reply(three, {isFounding: true})]})?.voters, [two, one, three]);
+	t.is(bootstrapReplicaSet({
+		...first, self: founders[2]!, replica: three, replies: [restarted, reply(two, {isFounding: true})],
+	}), undefined);
+	t.is(bootstrapReplicaSet({...second, mayStandIn: false, replies: [restarted, reply(three)]}), undefined);
+	t.is(bootstrapReplicaSet({...second, replies: [restarted]}), undefined);
+});
+
+test('no group is bootstrapped beside one to which any instance belongs', t => {
+	const member = reply(toReplicaId('10.0.0.9', 'a'), {isEmpty: false});
+	t.is(bootstrapReplicaSet({...first, replies: [reply(two), reply(three), member]}), undefined);
+});
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -269,9 +269,9 @@
 	}
 
 	#createReplica({folder, lastAcknowledgedAt, onFailure}: OpenedDataFolder): ControlReplica {
-		const {log, clock, random, self, isFounding, seeds, send, toleratedLosses} = this.#options;
+		const {log, clock, random, self, isFounding, processStartedAt, seeds, send, toleratedLosses} = this.#options;
 		return new ControlReplica({
-			self, folder, clock, random, log, lastAcknowledgedAt, isFounding, onFailure, toleratedLosses,
+			self, folder, clock, random, log, lastAcknowledgedAt, isFounding, processStartedAt, onFailure, toleratedLosses,
 			suspension: this.#suspension,
 			initialMembers: seeds(),
 			peers: () => this.#peers(),
--- a/packages/gateway/src/control/control-replica-options.ts
+++ b/packages/gateway/src/control/control-replica-options.ts
@@ -19,6 +19,8 @@
 	readonly lastAcknowledgedAt: number;
 	/** Whether the whole system starts for the first time; a group may be bootstrapped only then. */
 	readonly isFounding: boolean;
+	/** When the process started, in milliseconds on the monotonic clock. */
+	readonly processStartedAt: number;
 	/** The instances that form the initial group. */
 	readonly initialMembers: readonly InstanceId[];
 	/** How many control instances may lose their disks at the same time. */
--- a/packages/gateway/src/control/control-replica.ts
+++ b/packages/gateway/src/control/control-replica.ts
@@ -26,6 +26,8 @@
 const retryMilliseconds = 300;
 /** A voter that has not heard from a leader for this long may have been removed from the group, and requests to rejoin. */
 const rejoinMilliseconds = 3000;
+/** The time after the start of its process in which a founding replica may take the place of one that was started again, in milliseconds. Later, empty members are rather ones that lost their disks. */
+const standInMilliseconds = 60_000;
 /** The size of the log since the last snapshot at which the next one is taken; bounds the log for disks of about 100 MB. */
 const snapshotBytes = 2_000_000;
 const snapshotEntries = 400;
@@ -220,6 +222,7 @@
 		return {
 			replica: this.#self,
 			isEmpty: this.#isEmpty(),
+			isFounding: this.#options.isFounding,
 			initial: snapshot?.lastIndex === 0 ? snapshot.replicas : undefined,
 			hosts: this.#options.peers(),
 		};
@@ -261,7 +264,12 @@
 		}
 
 		const initial = bootstrapReplicaSet({
-			self, replica: this.#self, isFounding: isFounding && this.#isEmpty(), initialMembers, replies: received,
+			self,
+			replica: this.#self,
+			isFounding: isFounding && this.#isEmpty(),
+			mayStandIn: this.#options.clock.monotonic() - this.#options.processStartedAt < standInMilliseconds,
+			initialMembers,
+			replies: received,
 		});
 		if (initial !== undefined) {
 			this.#isBootstrapped = true;
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -33,6 +33,8 @@
 	readonly replica: ReplicaId;
 	/** Whether the replica has never belonged to a group. */
 	readonly isEmpty: boolean;
+	/** Whether the instance started as part of the first start of the whole system; absent in earlier versions, where all initial members count as such. */
+	readonly isFounding?: boolean;
 	/** The replica set with which the group was bootstrapped, until its log is first compacted. */
 	readonly initial: ReplicaSet | undefined;
 	/** The hosts of the control instances known to the replica. */
