--- a/packages/soak/src/find-violations.test.ts
+++ b/packages/soak/src/find-violations.test.ts
@@ -94,6 +94,8 @@
 
 const violatingRecords: ReadonlyArray<readonly [guarantee: string, record: SoakRecord]> = [
 	['at most once', {...validRecord, runs: [run, {...run, server: 'i-2'}]}],
+	['sent requests', {...validRecord, runs: [run, {...run, id: 'hidden'}]}],
+	['bodies', {...validRecord, runs: [{...run, body: ''}]}],
 	['not run', {...validRecord, requests: [{...request, status: 503, text: ''}]}],
 	['complete responses', {...validRecord, requests: [{...request, text: 'done'}]}],
 	['matching responses', {...validRecord, requests: [{...request, text: 'done 1-2', isComplete: false}]}],
--- a/packages/soak/src/find-violations.ts
+++ b/packages/soak/src/find-violations.ts
@@ -1,7 +1,7 @@
 import {findCutViolations} from './find-cut-violations.js';
 import {findNoticeViolations} from './find-notice-violations.js';
 import {isDisturbed} from './is-disturbed.js';
-import {type SoakRecord, completeResponse} from './soak-record.js';
+import {type SoakRecord, completeResponse, requestBody} from './soak-record.js';
 
 /** The time limits that the settings of the deployment guarantee, in milliseconds. */
 export type GuaranteeLimits = {
@@ -32,6 +32,7 @@
 export function findViolations(record: SoakRecord, limits: GuaranteeLimits): readonly string[] {
 	return [
 		...findRunViolations(record),
+		...findForeignRuns(record),
 		...findResponseViolations(record),
 		...findRevocationViolations(record, limits),
 		...findShutdownViolations(record, limits),
@@ -65,6 +66,21 @@
 	return violations;
 }
 
+/** Each run is that of a request that was sent, with its body. */
+function findForeignRuns({requests, runs}: SoakRecord): readonly string[] {
+	const sentIds = new Set(requests.map(({id}) => id));
+	const violations: string[] = [];
+	for (const {id, server, body} of runs) {
+		if (!sentIds.has(id)) {
+			violations.push(`sent requests: ${id} ran at ${server} and was not sent`);
+		} else if (body !== undefined && body !== requestBody(id)) {
+			violations.push(`bodies: ${id} ran at ${server} with ${JSON.stringify(body.slice(0, 120))}`);
+		}
+	}
+
+	return violations;
+}
+
 /** A complete response with status 200 is the expected response to this very request, and an incomplete one a prefix of it. */
 function findResponseViolations({requests}: SoakRecord): readonly string[] {
 	const violations: string[] = [];
--- a/packages/soak/src/soak-callers.ts
+++ b/packages/soak/src/soak-callers.ts
@@ -85,6 +85,7 @@
 			method: kind === 'safe' ? 'GET' : 'POST',
 			address: entry,
 			path: requestPath(kind),
+			body: {request: id},
 			agent: this.#agent,
 			timeout: responseTimeoutMilliseconds,
 			readDelay: number % slowCallerEvery === 0 ? readDelayMilliseconds : 0,
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -22,6 +22,8 @@
 	readonly server: string;
 	/** The availability zone of the server. */
 	readonly zone?: string;
+	/** The body that the server received. */
+	readonly body?: string;
 	/** The time on the clock of the soak, in milliseconds. */
 	readonly at: number;
 };
@@ -150,6 +152,20 @@
 	};
 }
 
+/**
+Returns the body of a request, which is sent whatever its method.
+
+@param id The id of the request.
+@returns The body.
+@example
+```ts
+requestBody('7-1');
+```
+*/
+export function requestBody(id: string): string {
+	return JSON.stringify({request: id});
+}
+
 /**
 Returns the complete response to a request.
 
--- a/packages/soak/src/soak-servers.ts
+++ b/packages/soak/src/soak-servers.ts
@@ -183,7 +183,9 @@
 		const {runs} = this.#options.record;
 		const {id: request, model} = run;
 		const isFirstRun = runs.every(({id}) => id !== request);
-		runs.push({id: request, ...place, at: this.#options.now()});
+		runs.push({
+			id: request, ...place, body: run.body, at: this.#options.now(),
+		});
 		const shape = responseShape(run, isFirstRun);
 		return model === undefined
 			? {...shape, events: [completeResponse(request, 'safe')]}
