testing: keep the logs of a deployment whose test has failed

Change: the teardown copies them to a temporary folder that it names in the log of the test. Tests that stop their deployment themselves or share one are as they were.

--- a/packages/testing/src/platform/platform-deployment.ts
+++ b/packages/testing/src/platform/platform-deployment.ts
@@ -1,5 +1,5 @@
 import {
-	mkdir, mkdtemp, rm, writeFile,
+	cp, mkdir, mkdtemp, rm, writeFile,
 } from 'node:fs/promises';
 import {createRequire} from 'node:module';
 import {tmpdir} from 'node:os';
@@ -123,9 +123,17 @@
 		return [...this.controls, ...this.entries];
 	}
 
-	/** Kills all processes and deletes their files. */
-	async stop(): Promise<void> {
+	/**
+	Kills all processes and deletes their files.
+
+	@param options `logFolder`: where the logs are kept; by default they are deleted too.
+	*/
+	async stop({logFolder}: {readonly logFolder?: string | undefined} = {}): Promise<void> {
 		await Promise.all(this.instances.map(async instance => instance.process.kill('SIGKILL')));
+		if (logFolder !== undefined) {
+			await cp(this.#folder, logFolder, {recursive: true, filter: file => file === this.#folder || file.endsWith('.log')});
+		}
+
 		await rm(this.#folder, {recursive: true, force: true});
 		this.#network.release();
 	}
--- a/packages/testing/src/platform/start-backends.ts
+++ b/packages/testing/src/platform/start-backends.ts
@@ -1,6 +1,6 @@
-import {type ExecutionContext} from 'ava';
 import {FakeBackendServer, type FakeBackendServerOptions} from './fake-backend-server.js';
 import {type PlatformDeployment} from './platform-deployment.js';
+import {stopAfterTest, type TestEnd} from './stop-after-test.js';
 
 /** The interval between two announcements of a server, in milliseconds. */
 const announceMilliseconds = 300;
@@ -22,7 +22,7 @@
 const backends = await startBackends(t, {deployment, servers: [{id: 'i-1', service: 'labels', answer: () => ({})}]});
 ```
 */
-export async function startBackends(t: Pick<ExecutionContext, 'teardown'>, {deployment, servers}: StartBackendsOptions): Promise<readonly FakeBackendServer[]> {
+export async function startBackends(t: TestEnd, {deployment, servers}: StartBackendsOptions): Promise<readonly FakeBackendServer[]> {
 	const backends = await Promise.all(servers.map(async server => FakeBackendServer.start({...server, host: '127.0.0.1'})));
 	const control = deployment.controls[0]!.address;
 	const announceTimer = setInterval(() => {
@@ -36,7 +36,7 @@
 			backend.close();
 		}
 
-		await deployment.stop();
+		await stopAfterTest(t, deployment);
 	});
 	return backends;
 }
--- a/packages/testing/src/platform/start-crashing-servers.ts
+++ b/packages/testing/src/platform/start-crashing-servers.ts
@@ -1,8 +1,8 @@
-import {type ExecutionContext} from 'ava';
 import {CrashingServers, type CrashingServersOptions} from './crashing-servers.js';
 import {draftConfiguration} from './draft-configuration.js';
 import {PlatformDeployment, type PlatformDeploymentOptions} from './platform-deployment.js';
 import {putConfiguration} from './put-configuration.js';
+import {stopAfterTest, type TestEnd} from './stop-after-test.js';
 
 const announceMilliseconds = 200;
 
@@ -29,7 +29,7 @@
 const {deployment, servers} = await startCrashingServers(t, {deployment: {entryCount: 3}, servers: {count: 8, isFatal, exitDelay: 30, restartDelay: 400, answer}});
 ```
 */
-export async function startCrashingServers(t: Pick<ExecutionContext, 'teardown'>, options: StartCrashingServersOptions): Promise<StartedCrashingServers> {
+export async function startCrashingServers(t: TestEnd, options: StartCrashingServersOptions): Promise<StartedCrashingServers> {
 	const deployment = await PlatformDeployment.start(options.deployment);
 	const servers = new CrashingServers(options.servers);
 	await servers.start(options.servers.count);
@@ -39,7 +39,7 @@
 	t.teardown(async () => {
 		clearInterval(announceTimer);
 		servers.stop();
-		await deployment.stop();
+		await stopAfterTest(t, deployment);
 	});
 	await putConfiguration(deployment, draftConfiguration);
 	return {deployment, servers};
--- a/packages/testing/src/slow-disks.test.ts
+++ b/packages/testing/src/slow-disks.test.ts
@@ -3,6 +3,7 @@
 import {PlatformDeployment} from './platform/platform-deployment.js';
 import {slowDiskEnvironment} from './platform/slow-disk.js';
 import {startAll} from './platform/start-all.js';
+import {stopAfterTest} from './platform/stop-after-test.js';
 import {waitUntil} from './wait-until.js';
 
 const configuration = {
@@ -24,7 +25,7 @@
 		environment: ({ip}) => slowDiskEnvironment(disks[Number(ip.split('.').at(-1)) - 1] ?? {}),
 	});
 	t.teardown(async () => {
-		await deployment.stop();
+		await stopAfterTest(t, deployment);
 	});
 	await startAll(deployment.instances);
 	t.true(await waitUntil(async () => {
