platform: take a health check path that no request can have for none

Since the health check is used, a path such as "/a b" would have thrown in an entry instance when the end of an answer was checked, which ends the process.

Change: only a path of visible ASCII characters after a slash counts. Any other value is none, as earlier versions took any, and a stored configuration must stay readable after an update. Besides, an abandoned order is logged in one place, a lifted quarantine too.

Evidence: the new test of decode-configuration lists eight values.

--- a/packages/gateway/src/control/confirm-caller.ts
+++ b/packages/gateway/src/control/confirm-caller.ts
@@ -1,10 +1,14 @@
 import {type Clock, type Failure, failure} from '@valehitch/core';
 import {setTimeoutAfterPoll} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
+import {type DecisionLog} from '../logs/decision-log.js';
 
 /** Options of {@linkcode confirmCaller}. */
 export type ConfirmCallerOptions = {
 	readonly clock: Clock;
+	readonly log: DecisionLog;
+	/** What is ordered, for the log. */
+	readonly order: string;
 	/** Waits for a number of milliseconds, after which pending input has been read. Defaults to a timer. */
 	readonly wait?: (milliseconds: number) => Promise<void>;
 };
@@ -20,14 +24,14 @@
 An order may be read long after it was sent, when its caller has sent it elsewhere and other orders after it. A caller that gives up closes its connection, which is read after the order.
 
 @param caller Aborted once the caller has closed its connection.
-@param options The clock.
+@param options The order, and the clock.
 @returns `deadline-exceeded` if the caller has left.
 @example
 ```ts
-await confirmCaller(caller, {clock});
+await confirmCaller(caller, {clock, log, order: 'evacuation of hall-a'});
 ```
 */
-export async function confirmCaller(caller: AbortSignal, {clock, wait = waitAfterPoll}: ConfirmCallerOptions): Promise<Either<Failure, undefined>> {
+export async function confirmCaller(caller: AbortSignal, {clock, log, order, wait = waitAfterPoll}: ConfirmCallerOptions): Promise<Either<Failure, undefined>> {
 	let elapsed = Number.POSITIVE_INFINITY;
 	while (elapsed > maximumWaitMilliseconds && !caller.aborted) {
 		const monotonic = clock.monotonic();
@@ -37,7 +41,13 @@
 		elapsed = Math.max(clock.monotonic() - monotonic, clock.now().getTime() - wall);
 	}
 
-	return caller.aborted ? Left(failure('deadline-exceeded', 'The caller closed the connection before the order was carried out')) : Right(undefined);
+	if (!caller.aborted) {
+		return Right(undefined);
+	}
+
+	const abandoned = failure('deadline-exceeded', 'The caller closed the connection before the order was carried out');
+	log('order-abandoned', {order, reason: abandoned.message}, 'warn');
+	return Left(abandoned);
 }
 
 async function waitAfterPoll(milliseconds: number): Promise<void> {
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -212,7 +212,7 @@
 	@returns Whether the change is saved to disk, or `undefined` if nothing is known of it; `deadline-exceeded` if the caller has left.
 	*/
 	async liftQuarantine(fingerprint: SuspectFingerprint, {caller}: OrderOptions): Promise<Either<Failure, QuarantineLiftResult | undefined>> {
-		const confirmed = await confirmCaller(caller, this.#options);
+		const confirmed = await confirmCaller(caller, {...this.#options, order: `end of the quarantine of ${fingerprint}`});
 		return confirmed.isLeft() ? Left(confirmed.extract()) : Right(await this.#suspectSync.liftQuarantine(fingerprint));
 	}
 
--- a/packages/gateway/src/control/operator-api.ts
+++ b/packages/gateway/src/control/operator-api.ts
@@ -88,7 +88,7 @@
 	async startRollout(order: {readonly service: ServiceId; readonly target: VersionId; readonly duration: number}, {caller}: OrderOptions): Promise<Either<Failure, GatewayCommandResult>> {
 		const {clock, leader} = this.#options;
 		const waited = this.#waits.record(`${order.service} ${order.target}`, clock.monotonic());
-		const confirmed = await this.#confirm(caller, `rollout of ${order.service} to ${order.target}`);
+		const confirmed = await confirmCaller(caller, {...this.#options, order: `rollout of ${order.service} to ${order.target}`});
 		if (confirmed.isLeft()) {
 			return Left(confirmed.extract());
 		}
@@ -148,7 +148,7 @@
 			}
 
 			// The revision was read before, so that an order that is committed meanwhile overtakes this one.
-			const confirmed = await this.#confirm(caller, `evacuation of ${zone}`);
+			const confirmed = await confirmCaller(caller, {...this.#options, order: `${isEvacuated ? 'evacuation' : 'end of the evacuation'} of ${zone}`});
 			if (confirmed.isLeft()) {
 				return Left(confirmed.extract());
 			}
@@ -164,13 +164,4 @@
 
 		return Left(failure('no-quorum', `The evacuation of ${zone} was changed by other orders meanwhile`, {retryAfterMilliseconds: retryMilliseconds}));
 	}
-
-	async #confirm(caller: AbortSignal, order: string): Promise<Either<Failure, undefined>> {
-		const {clock, log} = this.#options;
-		const confirmed = await confirmCaller(caller, {clock});
-		confirmed.ifLeft(({message}) => {
-			log('order-abandoned', {order, reason: message}, 'warn');
-		});
-		return confirmed;
-	}
 }
--- a/packages/platform/src/decode-configuration.test.ts
+++ b/packages/platform/src/decode-configuration.test.ts
@@ -44,3 +44,8 @@
 		t.regex(failed.message, wanted);
 	});
 }
+
+test('the path of a health check is taken if a request can have it, and no other value makes a configuration invalid', t => {
+	const pathOf = (healthPath: unknown): string | undefined => decodeConfiguration(JSON.stringify({...valid, services: [{...valid.services[0], healthPath}, valid.services[1]]})).unsafeCoerce().services[0]?.healthPath;
+	t.deepEqual(['/healthz', '/a?b=1', 'healthz', '/a b', '/a\r\nHost: b', 7, null, undefined].map(path => pathOf(path)), ['/healthz', '/a?b=1', undefined, undefined, undefined, undefined, undefined, undefined]);
+});
--- a/packages/platform/src/decode-configuration.ts
+++ b/packages/platform/src/decode-configuration.ts
@@ -31,9 +31,12 @@
 	resumable: z.boolean().default(false),
 });
 
+const requestPathPattern = /^\/[\u0021-\u007E]*$/v;
+
 const serviceSchema = z.object({
 	name: z.string(),
-	healthPath: z.string().optional(),
+	// Earlier versions took any value, so one that no request can have counts as none.
+	healthPath: z.unknown().optional().transform(value => typeof value === 'string' && requestPathPattern.test(value) ? value : undefined),
 	maxConns: z.number().positive().default(100),
 	coldStartS: z.number().nonnegative().default(0),
 	// 0 where the servers of the service tolerate as many requests as otherwise.
