gateway: break a stream off in one place of RequestEnd

The branch of a stream that has begun was written again when a second server's error answer came to be handled.

--- a/packages/gateway/src/entry/request-end.ts
+++ b/packages/gateway/src/entry/request-end.ts
@@ -88,8 +88,7 @@
 
 		const {answer: writer} = this.#options;
 		if (writer.hasStarted) {
-			writer.abort();
-			return this.recordEnd('broken-off', {reason: `A server answered the resumed stream with status ${answer.status}`, ...fields});
+			return this.#breakOff({reason: `A server answered the resumed stream with status ${answer.status}`, ...fields});
 		}
 
 		writer.forward(answer);
@@ -109,9 +108,7 @@
 
 		const {answer} = this.#options;
 		if (answer.hasStarted) {
-			// The caller must not take a truncated answer for a complete one.
-			answer.abort();
-			return this.recordEnd('broken-off', {reason: failed.message});
+			return this.#breakOff({reason: failed.message});
 		}
 
 		if (this.#failedAnswer !== undefined) {
@@ -155,6 +152,12 @@
 		return 'ended';
 	}
 
+	/** Aborts a stream that has started. The caller must not take a truncated answer for a complete one. */
+	#breakOff(fields: EndFields): NextStep {
+		this.#options.answer.abort();
+		return this.recordEnd('broken-off', fields);
+	}
+
 	#note(outcome: string, facts: EndFields): void {
 		const {notes, clock} = this.#context;
 		const {request, models} = this.#options;
