gateway: collect whole answers in one place

Failed and good plain answers each read the headers, the body and, since the length of answers to HEAD is passed on, the stated length.

--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -7,7 +7,7 @@
 import {type ServerRecord} from '../servers/server-record.js';
 import {type CallerAnswer, type CompleteAnswer} from './caller-answer.js';
 import {type AnswerClass, classifyAnswer} from './classify-answer.js';
-import {collectBody} from './collect-body.js';
+import {collectAnswer} from './collect-answer.js';
 import {type EntryContext} from './entry-context.js';
 import {type EventStream} from './event-stream.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
@@ -197,42 +197,36 @@
 	return {type: 'not-run', failed: failure('overloaded', `${server.id} answered ${status} without running the request`)};
 }
 
-async function handleFailedAnswer({message, framing, isComplete}: ReceivedHead, {status, isSigned}: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
-	const {context: {dialect, memory}, suspect, results, models, server, held, hasEnded} = options;
-	const headers = dialect.answerHeaders(message);
-	const body = await collectBody(message, isComplete, {held, room: () => memory.room});
+async function handleFailedAnswer(received: ReceivedHead, {status, isSigned}: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
+	const {suspect, results, models, server, hasEnded} = options;
+	const answer = await collectAnswer(received, options);
 	if (hasEnded()) {
 		return {type: 'ended'};
 	}
 
-	if (body === undefined) {
+	if (answer === undefined) {
 		results.recordLoss(server, {model: models.current, finding: await suspect.recordLoss(server)});
 	} else if (status >= firstServerError) {
 		results.recordFailure(server, models.current);
 	}
 
-	if (body === undefined || !isSigned || notRunStatuses.has(status)) {
+	if (answer === undefined || !isSigned || notRunStatuses.has(status)) {
 		return {type: 'failed', failed: failure('backend-failed', `${server.id} answered with status ${status}, which cannot be forwarded`)};
 	}
 
-	const answer = {
-		status, headers, body, statedLength: message.headers['content-length'],
-	};
 	return status >= firstServerError
 		? {type: 'failed', failed: failure('backend-failed', `${server.id} answered with status ${status}`), answer}
-		: {type: 'whole', answer, framing};
+		: {type: 'whole', answer, framing: received.framing};
 }
 
-async function handlePlainAnswer({message, framing, isComplete}: ReceivedHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
-	const {context: {dialect, clock, memory}, suspect, results, models, server, held, sentAt, hasEnded} = options;
-	const headers = dialect.answerHeaders(message);
-	const status = message.statusCode ?? 0;
-	const body = await collectBody(message, isComplete, {held, room: () => memory.room});
+async function handlePlainAnswer(received: ReceivedHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
+	const {context: {clock}, suspect, results, models, server, sentAt, hasEnded} = options;
+	const answer = await collectAnswer(received, options);
 	if (hasEnded()) {
 		return {type: 'ended'};
 	}
 
-	if (body === undefined) {
+	if (answer === undefined) {
 		return handleLoss(`The answer body of ${server.id} ended early`, options);
 	}
 
@@ -240,11 +234,7 @@
 	const latency = clock.monotonic() - sentAt;
 	results.recordStart(server, {model: models.current, observed: latency});
 	results.recordSuccess(server, {model: models.current, latency});
-	return {
-		type: 'whole', answer: {
-			status, headers, body, statedLength: message.headers['content-length'],
-		}, framing,
-	};
+	return {type: 'whole', answer, framing: received.framing};
 }
 
 async function handleStream(received: ReceivedHead, head: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
