transport: keep one list of the responses without a body

The framing of responses and the length that callers are told each had the statuses 204 and 304 and the method HEAD.

--- a/packages/gateway/src/entry/caller-answer.ts
+++ b/packages/gateway/src/entry/caller-answer.ts
@@ -1,6 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {type Failure} from '@valehitch/core';
-import {abortResponse} from '@valehitch/transport';
+import {abortResponse, allowsResponseBody} from '@valehitch/transport';
 import {type RouteKind} from '../configuration/routing-configuration.js';
 import {AnswerBuffer} from './answer-buffer.js';
 import {type EntryContext} from './entry-context.js';
@@ -28,7 +28,6 @@
 
 const millisecondsPerSecond = 1000;
 const noContentStatus = 204;
-const notModifiedStatus = 304;
 
 /**
 Writes the answer to one request to its caller.
@@ -138,9 +137,9 @@
 
 /** Returns the length to state of an answer (RFC 9110, section 8.6); undefined for one that states none. */
 function lengthOf({status, body, statedLength}: CompleteAnswer, {method}: GatewayRequest): string | undefined {
-	if (status === noContentStatus) {
-		return undefined;
+	if (allowsResponseBody(status, method)) {
+		return String(body.byteLength);
 	}
 
-	return method === 'HEAD' || status === notModifiedStatus ? statedLength : String(body.byteLength);
+	return status === noContentStatus ? undefined : statedLength;
 }
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -4,6 +4,7 @@
 @module
 */
 export * from './abort-response.js';
+export * from './allows-response-body.js';
 export * from './arrival-watch.js';
 export * from './caller-signal.js';
 export * from './frame-request.js';
--- a/packages/transport/src/response-framing.ts
+++ b/packages/transport/src/response-framing.ts
@@ -1,10 +1,9 @@
 import {type IncomingMessage} from 'node:http';
+import {allowsResponseBody} from './allows-response-body.js';
 
 /** How the end of a response body is found: there is no body, its length was announced, it is sent in chunks, or it ends when its connection is closed. */
 export type ResponseFraming = 'none' | 'length' | 'chunks' | 'close';
 
-const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
-
 /**
 Returns how the body of a response is framed (RFC 9112, section 6.3).
 
@@ -17,7 +16,7 @@
 ```
 */
 export function responseFraming({statusCode = 0, headers}: Pick<IncomingMessage, 'statusCode' | 'headers'>, method: string): ResponseFraming {
-	if (method === 'HEAD' || statusesWithoutBody.has(statusCode)) {
+	if (!allowsResponseBody(statusCode, method)) {
 		return 'none';
 	}
 
