--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -15,6 +15,7 @@
 export * from './money.js';
 export * from './lru-map.js';
 export type * from './request.js';
+export * from './stopwatch.js';
 export * from './timeline-event.js';
 export * from './suspension-detector.js';
 export * from './typed-schema.js';
--- a/packages/gateway/src/control/confirm-caller.ts
+++ b/packages/gateway/src/control/confirm-caller.ts
@@ -1,4 +1,6 @@
-import {type Clock, type Failure, failure} from '@valehitch/core';
+import {
+	type Clock, type Failure, failure, Stopwatch,
+} from '@valehitch/core';
 import {setTimeoutAfterPoll} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import {type DecisionLog} from '../logs/decision-log.js';
@@ -32,12 +34,9 @@
 ```
 */
 export async function confirmCaller(caller: AbortSignal, {clock, log, order, wait = waitAfterPoll}: ConfirmCallerOptions): Promise<Either<Failure, undefined>> {
-	const monotonic = clock.monotonic();
-	const wall = clock.now().getTime();
+	const stopwatch = new Stopwatch(clock);
 	await wait(closeMilliseconds);
-	// The monotonic clock may stop during a suspension.
-	const elapsed = Math.max(clock.monotonic() - monotonic, clock.now().getTime() - wall);
-	if (elapsed > maximumWaitMilliseconds) {
+	if (stopwatch.elapsed() > maximumWaitMilliseconds) {
 		await wait(closeMilliseconds);
 	}
 
--- a/packages/transport/src/arrival-watch.ts
+++ b/packages/transport/src/arrival-watch.ts
@@ -1,4 +1,4 @@
-import {type Clock} from '@valehitch/core';
+import {type Clock, Stopwatch} from '@valehitch/core';
 
 /** A pause after which data may have been sent long before it was read, in milliseconds. A process that takes the address of another one needs longer to start. */
 const longPauseMilliseconds = 500;
@@ -8,8 +8,6 @@
 /**
 Tells whether the data of a connection may have been sent long before it was read, as after a suspension of this process or an interruption of the network.
 
-Both clocks are read, since the monotonic one may stop during a suspension.
-
 @example
 ```ts
 const arrivals = new ArrivalWatch(clock);
@@ -18,28 +16,26 @@
 ```
 */
 export class ArrivalWatch {
-	readonly #clock: Clock;
-	#monotonic: number;
-	#wall: number;
-	/** When the last long pause ended, in milliseconds on the monotonic clock. */
+	readonly #clock: Pick<Clock, 'monotonic'>;
+	readonly #sinceLatest: Stopwatch;
+	/** When the latest data arrived, and when the last long pause ended, in milliseconds on the monotonic clock. */
+	#latestAt: number;
 	#resumedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(clock: Clock) {
 		this.#clock = clock;
-		this.#monotonic = clock.monotonic();
-		this.#wall = clock.now().getTime();
+		this.#sinceLatest = new Stopwatch(clock);
+		this.#latestAt = clock.monotonic();
 	}
 
 	/** Records that data arrived. */
 	record(): void {
-		const monotonic = this.#clock.monotonic();
-		const wall = this.#clock.now().getTime();
-		if (Math.max(monotonic - this.#monotonic, wall - this.#wall) >= longPauseMilliseconds) {
-			this.#resumedAt = monotonic;
+		this.#latestAt = this.#clock.monotonic();
+		if (this.#sinceLatest.elapsed() >= longPauseMilliseconds) {
+			this.#resumedAt = this.#latestAt;
 		}
 
-		this.#monotonic = monotonic;
-		this.#wall = wall;
+		this.#sinceLatest.restart();
 	}
 
 	/**
@@ -48,8 +44,6 @@
 	@returns Whether there was a long pause since or shortly before it arrived.
 	*/
 	mayBeLate(): boolean {
-		const monotonic = this.#clock.monotonic();
-		const wall = this.#clock.now().getTime();
-		return Math.max(monotonic - this.#monotonic, wall - this.#wall) >= longPauseMilliseconds || this.#monotonic - this.#resumedAt < steadyMilliseconds;
+		return this.#sinceLatest.elapsed() >= longPauseMilliseconds || this.#latestAt - this.#resumedAt < steadyMilliseconds;
 	}
 }
