transport: watch arrivals only where the result is used

valehitchd cannot ask who runs at an address, and ignored whether an end may be late: it read two clocks for each piece of an answer without a length, and could probe the same address twice.

--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -1,9 +1,7 @@
 import {
 	Agent, type IncomingHttpHeaders, type IncomingMessage, type OutgoingHttpHeaders, request as sendRequest,
 } from 'node:http';
-import {type Clock} from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
-import {ArrivalWatch} from './arrival-watch.js';
 import {parseAddress} from './parse-address.js';
 import {probeAddress} from './probe-address.js';
 import {type Relay} from './relay.js';
@@ -54,7 +52,6 @@
 const connectTimeoutMilliseconds = 1000;
 /** The timeout of a check whether a server still accepts connections, in milliseconds. A running machine accepts or refuses one within one round trip. */
 const probeTimeoutMilliseconds = 100;
-const processClock: Clock = {now: () => new Date(), monotonic: () => performance.now()};
 const keepAliveAgent = new Agent({keepAlive: true, maxFreeSockets: maximumIdleSocketsPerServer});
 
 /**
@@ -70,7 +67,6 @@
 export async function sendHttpRequest(call: HttpRequest): Promise<Either<HttpRequestFailure, HttpResponse>> {
 	return new Promise(resolve => {
 		let connected = false;
-		const arrivals = new ArrivalWatch(processClock);
 		const clientRequest = sendRequest(new URL(call.path, call.address), {
 			method: call.method,
 			headers: {...call.headers, 'content-length': call.body.byteLength},
@@ -100,7 +96,7 @@
 				status: message.statusCode ?? 0,
 				headers: message.headers,
 				message,
-				isComplete: watchResponseEnd(message, {method: call.method, arrivals, isServerRunning: async () => isRunning(call)}),
+				isComplete: watchResponseEnd(message, {method: call.method, isServerRunning: async () => isRunning(call)}),
 			}));
 		});
 		clientRequest.on('error', error => {
--- a/packages/transport/src/watch-response-end.ts
+++ b/packages/transport/src/watch-response-end.ts
@@ -1,4 +1,5 @@
 import {type IncomingMessage} from 'node:http';
+import {type Socket} from 'node:net';
 import {type ArrivalWatch} from './arrival-watch.js';
 import {confirmClose} from './_confirm-close.js';
 import {responseFraming} from './response-framing.js';
@@ -7,8 +8,8 @@
 export type WatchResponseEndOptions = {
 	/** The method of the request. */
 	readonly method: string;
-	/** When data of the response arrived, from the request on. */
-	readonly arrivals: ArrivalWatch;
+	/** When data of the response arrived, from the request on; by default, every end counts as read at once. */
+	readonly arrivals?: ArrivalWatch;
 	/** Checks whether the process of the server is still running. */
 	readonly isServerRunning: (end: ResponseEnd) => Promise<boolean>;
 };
@@ -43,24 +44,19 @@
 			return false;
 		}
 
-		const mayBeLate = arrivals.mayBeLate();
+		const mayBeLate = arrivals?.mayBeLate() === true;
 		if (!await isServerRunning({mayBeLate})) {
 			return false;
 		}
 
 		// This process may also have been suspended before it asked.
-		return mayBeLate || !arrivals.mayBeLate() || isServerRunning({mayBeLate: true});
+		return mayBeLate || arrivals?.mayBeLate() !== true || isServerRunning({mayBeLate: true});
 	};
 }
 
 /** Waits until a connection has ended, and tells whether it was closed rather than reset. */
-async function watchClose({socket}: IncomingMessage, arrivals: ArrivalWatch): Promise<boolean> {
-	const onData = (): void => {
-		arrivals.record();
-	};
-
-	onData();
-	socket.on('data', onData);
+async function watchClose({socket}: IncomingMessage, arrivals: ArrivalWatch | undefined): Promise<boolean> {
+	const stopRecording = recordArrivals(socket, arrivals);
 	return new Promise<boolean>(resolve => {
 		socket.once('error', () => {
 			resolve(false);
@@ -70,9 +66,26 @@
 		});
 		// Runs before the listener of the HTTP client, which ends the writable side.
 		socket.prependOnceListener('end', () => {
-			onData();
-			socket.off('data', onData);
+			stopRecording();
 			confirmClose(socket, resolve);
 		});
 	});
 }
+
+/** Records when data arrives on a connection, until the returned function is called at its end. */
+function recordArrivals(socket: Socket, arrivals: ArrivalWatch | undefined): () => void {
+	if (arrivals === undefined) {
+		return () => undefined;
+	}
+
+	const record = (): void => {
+		arrivals.record();
+	};
+
+	record();
+	socket.on('data', record);
+	return () => {
+		record();
+		socket.off('data', record);
+	};
+}
