gateway: name the check of who answers a health check apart

isFromServer stood for two things, an answer's own notices and the identity of its server; the latter is isAnswerOf now.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -57,7 +57,7 @@
 		pause: typeof headers.pause === 'string' ? {type: 'requested', milliseconds: Number(headers.pause)} : {type: 'none'},
 	}),
 	identityHeaders: ({id}) => [['Host', 'desk.example'], ['Server', id]],
-	isFromServer: (server, {headers}) => headers.server === server,
+	isAnswerOf: (server, {headers}) => headers.server === server,
 	answerHeaders: ({headers: {signature}}) => typeof signature === 'string' ? [['Signature', signature]] : [],
 	refuse: (_request, {kind}) => ({status: errorResponses[kind].status, headers: [], body: kind}),
 };
--- a/packages/gateway/src/entry/check-server-identity.ts
+++ b/packages/gateway/src/entry/check-server-identity.ts
@@ -5,7 +5,7 @@
 
 /** Options of {@linkcode checkServerIdentity}. */
 export type CheckServerIdentityOptions = {
-	readonly dialect: Pick<Dialect, 'identityHeaders' | 'isFromServer'>;
+	readonly dialect: Pick<Dialect, 'identityHeaders' | 'isAnswerOf'>;
 	/** The path of the health check of its service. */
 	readonly healthPath: string;
 	/** The instance through which the server is reached; undefined for this instance's own links. */
@@ -44,7 +44,7 @@
 			settle('unknown');
 		});
 		request.on('response', ({statusCode = 0, headers}) => {
-			settle(dialect.isFromServer(id, {status: statusCode, headers}) ? 'same' : 'other');
+			settle(dialect.isAnswerOf(id, {status: statusCode, headers}) ? 'same' : 'other');
 		});
 		// Nothing listens there any more, or it cannot be reached.
 		request.on('error', () => {
--- a/packages/gateway/src/entry/dialect.ts
+++ b/packages/gateway/src/entry/dialect.ts
@@ -25,7 +25,7 @@
 	/** Returns the headers of a health check that no server but the given one answers. */
 	readonly identityHeaders: (server: Pick<ServerRecord, 'id' | 'host' | 'port'>) => readonly Header[];
 	/** Checks whether the answer to such a health check is the given server's own. */
-	readonly isFromServer: (server: ServerId, answer: {readonly status: number; readonly headers: IncomingHttpHeaders}) => boolean;
+	readonly isAnswerOf: (server: ServerId, answer: {readonly status: number; readonly headers: IncomingHttpHeaders}) => boolean;
 	/** Returns the headers of a backend server's answer that are forwarded to the caller. */
 	readonly answerHeaders: (message: IncomingMessage) => readonly Header[];
 	/** Returns the answer to a request that failed in the gateway. */
--- a/packages/platform/src/decode-configuration.ts
+++ b/packages/platform/src/decode-configuration.ts
@@ -35,7 +35,7 @@
 
 const serviceSchema = z.object({
 	name: z.string(),
-	// Earlier versions took any value, so one that no request can have counts as none.
+	// A stored configuration must stay readable, so a value that no request can have counts as none.
 	healthPath: z.unknown().optional().transform(value => typeof value === 'string' && requestPathPattern.test(value) ? value : undefined),
 	maxConns: z.number().positive().default(100),
 	coldStartS: z.number().nonnegative().default(0),
--- a/packages/platform/src/platform-dialect.test.ts
+++ b/packages/platform/src/platform-dialect.test.ts
@@ -104,8 +104,8 @@
 test('a health check names the expected server, and only the answer of another one counts as not its own', t => {
 	const server = 'i-7' as ServerId;
 	t.deepEqual(platformDialect.identityHeaders({id: server, host: '10.0.0.7', port: 8740}), [['Host', '10.0.0.7:8740'], ['Expect-Instance', 'i-7'], ['Connection', 'close']]);
-	t.true(platformDialect.isFromServer(server, {status: 200, headers: {'instance-id': 'i-7'}}));
-	t.true(platformDialect.isFromServer(server, {status: 503, headers: {}}));
-	t.false(platformDialect.isFromServer(server, {status: 421, headers: {}}));
-	t.false(platformDialect.isFromServer(server, {status: 200, headers: {'instance-id': 'i-8'}}));
+	t.true(platformDialect.isAnswerOf(server, {status: 200, headers: {'instance-id': 'i-7'}}));
+	t.true(platformDialect.isAnswerOf(server, {status: 503, headers: {}}));
+	t.false(platformDialect.isAnswerOf(server, {status: 421, headers: {}}));
+	t.false(platformDialect.isAnswerOf(server, {status: 200, headers: {'instance-id': 'i-8'}}));
 });
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -43,7 +43,7 @@
 		};
 	},
 	identityHeaders: ({id, host, port}) => [['Host', `${host}:${port}`], ['Expect-Instance', id], ['Connection', 'close']],
-	isFromServer(server, {status, headers}) {
+	isAnswerOf(server, {status, headers}) {
 		const answering = firstValue(headers[wireHeader.answeringServer]);
 		return status !== otherServerStatus && (answering === undefined || answering === server);
 	},
