--- a/packages/soak/src/find-violations.ts
+++ b/packages/soak/src/find-violations.ts
@@ -73,7 +73,7 @@
 	for (const {id, server, body} of runs) {
 		if (!sentIds.has(id)) {
 			violations.push(`sent requests: ${id} ran at ${server} and was not sent`);
-		} else if (body !== undefined && body !== requestBody(id)) {
+		} else if (body !== undefined && body !== JSON.stringify(requestBody(id))) {
 			violations.push(`bodies: ${id} ran at ${server} with ${JSON.stringify(body.slice(0, 120))}`);
 		}
 	}
--- a/packages/soak/src/soak-callers.ts
+++ b/packages/soak/src/soak-callers.ts
@@ -3,7 +3,7 @@
 import {type RandomSource} from '@valehitch/core';
 import {sendForResponse} from '@valehitch/testing';
 import {callerHost, requestPath} from './soak-configuration.js';
-import {type RequestKind, type SoakRecord} from './soak-record.js';
+import {requestBody, type RequestKind, type SoakRecord} from './soak-record.js';
 
 /** Options for the callers of a soak. */
 export type SoakCallersOptions = {
@@ -85,7 +85,7 @@
 			method: kind === 'safe' ? 'GET' : 'POST',
 			address: entry,
 			path: requestPath(kind),
-			body: {request: id},
+			body: requestBody(id),
 			agent: this.#agent,
 			timeout: responseTimeoutMilliseconds,
 			readDelay: number % slowCallerEvery === 0 ? readDelayMilliseconds : 0,
--- a/packages/soak/src/soak-record.ts
+++ b/packages/soak/src/soak-record.ts
@@ -156,14 +156,14 @@
 Returns the body of a request, which is sent whatever its method.
 
 @param id The id of the request.
-@returns The body.
+@returns The body, sent as JSON.
 @example
 ```ts
-requestBody('7-1');
+requestBody('7-1'); // {request: '7-1'}
 ```
 */
-export function requestBody(id: string): string {
-	return JSON.stringify({request: id});
+export function requestBody(id: string): Readonly<Record<string, string>> {
+	return {request: id};
 }
 
 /**
