--- a/packages/testing/src/brittle-servers.test.ts
+++ b/packages/testing/src/brittle-servers.test.ts
@@ -2,21 +2,17 @@
 import test from 'ava';
 import {BrittleServer} from './platform/brittle-server.js';
 import {sendForResponse} from './platform/fake-backend-server.js';
+import {lookConfiguration, lookRoute} from './platform/look-configuration.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
 import {putConfiguration} from './platform/put-configuration.js';
 import {startBackends} from './platform/start-backends.js';
 import {waitUntil} from './wait-until.js';
 
 const configuration = {
-	version: 1,
+	...lookConfiguration,
 	routes: [{
-		name: 'look', host: 'desk.example', pathPrefix: '/look/', kind: 'safe', timeoutMs: 4000, targetLatencyMs: 1000, service: 'labels', maxAttempts: 3, public: true,
+		...lookRoute, timeoutMs: 4000, targetLatencyMs: 1000, maxAttempts: 3,
 	}],
-	services: [{name: 'labels'}],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}],
 };
 /** The time after which servers that say that they are brittle fall over, in milliseconds. */
 const connectivityMilliseconds = 3000;
--- a/packages/testing/src/late-orders.test.ts
+++ b/packages/testing/src/late-orders.test.ts
@@ -1,23 +1,13 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {sendForResponse, sendForStatus} from './platform/fake-backend-server.js';
+import {lookConfiguration} from './platform/look-configuration.js';
 import {PlatformDeployment, type PlatformInstance} from './platform/platform-deployment.js';
 import {putConfiguration} from './platform/put-configuration.js';
 import {startBackends} from './platform/start-backends.js';
 import {waitUntil} from './wait-until.js';
 
 const zone = 'hall-a';
-const configuration = {
-	version: 1,
-	routes: [{
-		name: 'look', host: 'desk.example', pathPrefix: '/look/', kind: 'safe', timeoutMs: 2000, targetLatencyMs: 500, service: 'labels', maxAttempts: 2, public: true,
-	}],
-	services: [{name: 'labels'}],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	tenants: [],
-};
 /** The time after which operators send an order to another instance, in milliseconds. */
 const operatorTimeout = 1000;
 
@@ -42,7 +32,7 @@
 async function start(t: ExecutionContext): Promise<Started> {
 	const deployment = await PlatformDeployment.start({entryCount: 1, settings: {zones: {[zone]: 'region'}}});
 	await startBackends(t, {deployment, servers: [{id: 'i-labels', service: 'labels', answer: () => ({})}]});
-	await putConfiguration(deployment, configuration);
+	await putConfiguration(deployment, lookConfiguration);
 	const acknowledge = async (order: Order): Promise<void> => {
 		await waitUntil(async () => {
 			const status = await sendForStatus({...order, address: deployment.controls[0]!.address, timeout: operatorTimeout});
--- a/packages/testing/src/server-notices.test.ts
+++ b/packages/testing/src/server-notices.test.ts
@@ -1,23 +1,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {type FakeBackendServer, type FakeBackendServerOptions, sendForResponse} from './platform/fake-backend-server.js';
+import {lookConfiguration} from './platform/look-configuration.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
 import {putConfiguration} from './platform/put-configuration.js';
 import {startBackends} from './platform/start-backends.js';
 import {waitUntil} from './wait-until.js';
 
-const configuration = {
-	version: 1,
-	routes: [{
-		name: 'look', host: 'desk.example', pathPrefix: '/look/', kind: 'safe', timeoutMs: 2000, targetLatencyMs: 500, service: 'labels', maxAttempts: 2, public: true,
-	}],
-	services: [{name: 'labels'}],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}],
-};
-
 /** The time after a server first named its limit from which the limit holds, in milliseconds. */
 const connectivityMilliseconds = 3000;
 /** The window over which arrivals are counted, in milliseconds. */
@@ -37,7 +26,7 @@
 async function start(t: ExecutionContext, servers: ReadonlyArray<Pick<FakeBackendServerOptions, 'id' | 'answer' | 'notices'>>): Promise<Started> {
 	const deployment = await PlatformDeployment.start({entryCount: 3});
 	const backends = await startBackends(t, {deployment, servers: servers.map(server => ({...server, service: 'labels'}))});
-	await putConfiguration(deployment, configuration);
+	await putConfiguration(deployment, lookConfiguration);
 	let requests = 0;
 	const look = async (address: string): Promise<number> => {
 		requests++;
--- a/packages/testing/src/slow-disks.test.ts
+++ b/packages/testing/src/slow-disks.test.ts
@@ -1,23 +1,12 @@
 import test, {type ExecutionContext} from 'ava';
 import {sendForStatus} from './platform/fake-backend-server.js';
+import {lookConfiguration} from './platform/look-configuration.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
 import {slowDiskEnvironment} from './platform/slow-disk.js';
 import {startAll} from './platform/start-all.js';
 import {stopAfterTest} from './platform/stop-after-test.js';
 import {waitUntil} from './wait-until.js';
 
-const configuration = {
-	version: 1,
-	routes: [{
-		name: 'look', host: 'desk.example', pathPrefix: '/look/', kind: 'safe', timeoutMs: 2000, targetLatencyMs: 500, service: 'labels', maxAttempts: 2, public: true,
-	}],
-	services: [{name: 'labels'}],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	tenants: [{name: 'mills', apiKeys: ['k1'], priority: 1}],
-};
-
 /** Starts three control instances with the given disk latencies and waits until they acknowledge a configuration. */
 async function assertConfigurationAcknowledged(t: ExecutionContext, disks: ReadonlyArray<{readonly syncMilliseconds: number}>): Promise<void> {
 	const deployment = await PlatformDeployment.prepare({
@@ -30,7 +19,7 @@
 	await startAll(deployment.instances);
 	t.true(await waitUntil(async () => {
 		const statuses = await Promise.all(deployment.controls.map(async ({address}) => sendForStatus({
-			method: 'PUT', address, path: '/-/config', body: configuration,
+			method: 'PUT', address, path: '/-/config', body: lookConfiguration,
 		})));
 		return statuses.includes(200) || undefined;
 	}, {description: 'an acknowledged configuration'}));
