gateway: send a new version no more than a part of its servers can compare

Change: the number of servers is rounded, and the share is lowered to their part where it is larger.

--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -3,7 +3,9 @@
 } from '@valehitch/core';
 import {chooseAffinityScope, type AffinityScope} from '@valehitch/routing';
 import {type Route} from '../configuration/routing-configuration.js';
-import {assignCohort, type RolloutCohort, targetShare} from '../rollouts/assign-cohort.js';
+import {
+	assignCohort, type RolloutCohort, targetShare, type TargetShareOptions,
+} from '../rollouts/assign-cohort.js';
 import {isEnded, type RolloutWithAge} from '../rollouts/rollout.js';
 import {selectTargetServers} from '../rollouts/select-target-servers.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -153,10 +155,17 @@
 	}
 
 	#selectedServers(rollout: RolloutWithAge): ReadonlySet<ServerId> {
-		const {servers, bounds: {canaryShare}} = this.#context;
-		const ofTarget = servers.availability.available.filter(({service, version}) => service === this.service && version === rollout.target);
-		const share = targetShare(rollout, {hasSession: this.#request.session !== undefined, canaryShare});
-		return selectTargetServers(ofTarget.map(({id}) => id), share);
+		const servers = this.#targetServers(rollout);
+		return selectTargetServers(servers, targetShare(rollout, this.#shareOptions(servers.length)));
+	}
+
+	#targetServers({target}: RolloutWithAge): readonly ServerId[] {
+		const ofTarget = this.#context.servers.availability.available.filter(({service, version}) => service === this.service && version === target);
+		return ofTarget.map(({id}) => id);
+	}
+
+	#shareOptions(targetServers: number): TargetShareOptions {
+		return {hasSession: this.#request.session !== undefined, canaryShare: this.#context.bounds.canaryShare, targetServers};
 	}
 
 	#cohort(now: number): RolloutCohort {
@@ -168,9 +177,8 @@
 		const {session, id} = this.#request;
 		return assignCohort(rollout, {
 			hashKey: session ?? id,
-			hasSession: session !== undefined,
 			pinnedVersion: session === undefined ? undefined : this.#context.pins.versionOf(session, now),
-			canaryShare: this.#context.bounds.canaryShare,
+			...this.#shareOptions(this.#targetServers(rollout).length),
 		});
 	}
 }
