Revert "gateway: send a new version no more than a part of its servers can compare"

Cause: a rollout is completed with all its traffic moved a few hundred milliseconds before. Streams that the old servers still generate then end with them.

Conclusion: a rule that protects callers of a good version goes before one of a version that nothing tells from a good one.

--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -3,9 +3,7 @@
 } from '@valehitch/core';
 import {chooseAffinityScope, type AffinityScope} from '@valehitch/routing';
 import {type Route} from '../configuration/routing-configuration.js';
-import {
-	assignCohort, type RolloutCohort, targetShare, type TargetShareOptions,
-} from '../rollouts/assign-cohort.js';
+import {assignCohort, type RolloutCohort, targetShare} from '../rollouts/assign-cohort.js';
 import {isEnded, type RolloutWithAge} from '../rollouts/rollout.js';
 import {selectTargetServers} from '../rollouts/select-target-servers.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -155,17 +153,10 @@
 	}
 
 	#selectedServers(rollout: RolloutWithAge): ReadonlySet<ServerId> {
-		const servers = this.#targetServers(rollout);
-		return selectTargetServers(servers, targetShare(rollout, this.#shareOptions(servers.length)));
-	}
-
-	#targetServers({target}: RolloutWithAge): readonly ServerId[] {
-		const ofTarget = this.#context.servers.availability.available.filter(({service, version}) => service === this.service && version === target);
-		return ofTarget.map(({id}) => id);
-	}
-
-	#shareOptions(targetServers: number): TargetShareOptions {
-		return {hasSession: this.#request.session !== undefined, canaryShare: this.#context.bounds.canaryShare, targetServers};
+		const {servers, bounds: {canaryShare}} = this.#context;
+		const ofTarget = servers.availability.available.filter(({service, version}) => service === this.service && version === rollout.target);
+		const share = targetShare(rollout, {hasSession: this.#request.session !== undefined, canaryShare});
+		return selectTargetServers(ofTarget.map(({id}) => id), share);
 	}
 
 	#cohort(now: number): RolloutCohort {
@@ -177,8 +168,9 @@
 		const {session, id} = this.#request;
 		return assignCohort(rollout, {
 			hashKey: session ?? id,
+			hasSession: session !== undefined,
 			pinnedVersion: session === undefined ? undefined : this.#context.pins.versionOf(session, now),
-			...this.#shareOptions(this.#targetServers(rollout).length),
+			canaryShare: this.#context.bounds.canaryShare,
 		});
 	}
 }
--- a/packages/gateway/src/rollouts/assign-cohort.ts
+++ b/packages/gateway/src/rollouts/assign-cohort.ts
@@ -2,7 +2,6 @@
 import {prefixHash} from '@valehitch/routing';
 import {planRollout} from './plan-rollout.js';
 import {type RolloutWithAge} from './rollout.js';
-import {countSelected} from './select-target-servers.js';
 
 /** The servers to which a request may be sent: those of the target version, those of any other version, or all. */
 export type RolloutCohort = 'target' | 'others' | 'any';
@@ -16,13 +15,8 @@
 	readonly pinnedVersion: VersionId | undefined;
 	/** The share of all requests within the duration that a bad target may receive, from 0 to 1. */
 	readonly canaryShare: number;
-	/** The number of servers of the target that may get requests. */
-	readonly targetServers: number;
 };
 
-/** The inputs that determine the share of requests that may use the target. */
-export type TargetShareOptions = Pick<AssignCohortOptions, 'hasSession' | 'canaryShare' | 'targetServers'>;
-
 const hashRange = 67_108_859;
 
 /**
@@ -35,10 +29,10 @@
 @returns The cohort.
 @example
 ```ts
-assignCohort(rollout, {hashKey: 'crew-7', hasSession: true, pinnedVersion: undefined, canaryShare: 0.1, targetServers: 8});
+assignCohort(rollout, {hashKey: 'crew-7', hasSession: true, pinnedVersion: undefined, canaryShare: 0.1});
 ```
 */
-export function assignCohort(rollout: RolloutWithAge, {hashKey, pinnedVersion, ...options}: AssignCohortOptions): RolloutCohort {
+export function assignCohort(rollout: RolloutWithAge, {hashKey, hasSession, pinnedVersion, canaryShare}: AssignCohortOptions): RolloutCohort {
 	const {target, stage} = rollout;
 	if (stage === 'rolled-back') {
 		return 'others';
@@ -48,27 +42,26 @@
 		return 'target';
 	}
 
-	return prefixHash(hashKey) < targetShare(rollout, options) * hashRange ? 'target' : 'others';
+	return prefixHash(hashKey) < targetShare(rollout, {hasSession, canaryShare}) * hashRange ? 'target' : 'others';
 }
 
 /**
 Returns the share of requests that may use the target of a rollout that has not ended.
 
 @param rollout The newest rollout of the service, with its age.
-@param options The inputs.
-@returns The planned share, from 0 to 1, or the smaller one that loads the selected servers of the target like the old ones.
+@param options Whether the requests have sessions, and the allowance.
+@returns The share, from 0 to 1.
 @example
 ```ts
-targetShare(rollout, {hasSession: true, canaryShare: 0.1, targetServers: 8});
+targetShare(rollout, {hasSession: true, canaryShare: 0.1});
 ```
 */
-export function targetShare({duration, stage, age}: RolloutWithAge, {hasSession, canaryShare, targetServers}: TargetShareOptions): number {
+export function targetShare({duration, stage, age}: RolloutWithAge, {hasSession, canaryShare}: Pick<AssignCohortOptions, 'hasSession' | 'canaryShare'>): number {
 	const {start, share, shiftStart, shiftEnd} = planRollout({duration, canaryShare, hasSession});
 	const progress = age / duration;
 	if (progress < start) {
 		return 0;
 	}
 
-	const planned = stage === 'canary' ? share : Math.min(1, Math.max(share, (progress - shiftStart) / (shiftEnd - shiftStart)));
-	return targetServers === 0 ? planned : Math.min(planned, countSelected(planned, targetServers) / targetServers);
+	return stage === 'canary' ? share : Math.min(1, Math.max(share, (progress - shiftStart) / (shiftEnd - shiftStart)));
 }
--- a/packages/gateway/src/rollouts/plan-rollout.ts
+++ b/packages/gateway/src/rollouts/plan-rollout.ts
@@ -25,7 +25,7 @@
 const sessionStart = 0.5;
 /** What is left of the duration after the completion: time to replicate it, and to announce it to all instances. */
 const reserveShare = 0.032;
-const minimumReserveMilliseconds = 750;
+const minimumReserveMilliseconds = 600;
 const maximumReserveShare = 0.2;
 /** Between the end of the growth and the completion, after which the old servers stop, as a share of the duration. */
 const lastAnswersShare = 0.01;
