Revert "gateway: count sends that are given up as long waits of a version"

Cause: a rollout is completed with all its traffic moved a few hundred milliseconds before. Streams that the old servers still generate then end with them.

Conclusion: a rule that protects callers of a good version goes before one of a version that nothing tells from a good one.

--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -134,10 +134,8 @@
 		return unknownOutcome(message);
 	}
 
-	if (outcome.type === 'silent') {
-		results.recordSilence(server, {model: options.models.current, waited: context.clock.monotonic() - options.sentAt});
-	} else if (outcome.type !== 'cancelled' || suspect.standing !== 'quarantined') {
-		// A send that was cancelled because the request is quarantined says nothing about the server.
+	// A send that was cancelled because the request is quarantined says nothing about the server.
+	if (outcome.type !== 'cancelled' || suspect.standing !== 'quarantined') {
 		results.recordFailure(server, options.models.current);
 	}
 
--- a/packages/gateway/src/entry/send-results.ts
+++ b/packages/gateway/src/entry/send-results.ts
@@ -68,17 +68,6 @@
 		this.#recordEvidence(server, {model, latency: undefined});
 	}
 
-	/**
-	Records that a send was given up because no answer had started. About the version it says how long an answer takes at least: a good one whose caches are cold may still be reading the prompt.
-
-	@param server The server.
-	@param options The model, and the time since the send, in milliseconds.
-	*/
-	recordSilence(server: ServerRecord, {model, waited}: {readonly model: ModelId | undefined; readonly waited: number}): void {
-		this.record(server, 'failed');
-		this.recordStart(server, {model, observed: waited});
-	}
-
 	/**
 	Records that a connection broke while the server was processing the request.
 
--- a/packages/gateway/src/rollouts/find-regression.ts
+++ b/packages/gateway/src/rollouts/find-regression.ts
@@ -13,17 +13,14 @@
 const failureMargin = 0.12;
 /** The number of timed answers of the new version before its latency is evaluated, on a route and over all routes. */
 const minimumTimedAnswers = 8;
-const minimumComparedAnswers = 16;
 /** The ratio of mean latencies above which the new version counts as slow. Bad versions are several times slower, while a cold cache makes good ones up to twice as slow. */
 const maximumLatencyRatio = 3;
 /** The latency ratio over all routes that cold caches explain, and while the traffic grows, cold caches under load. A version counts as slow if its ratio exceeds this significantly. */
-const explainedLatencyRatios: Readonly<Record<'canary' | 'shifting', number>> = {canary: 1.5, shifting: 2};
+const explainedLatencyRatios: Readonly<Record<'canary' | 'shifting', number>> = {canary: 2, shifting: 3};
 /** The scatter of the times to the first byte on one route and model, relative to their mean. */
 const relativeScatter = 1;
 /** The number of standard errors that count as significant; the evidence is evaluated many times during a rollout. */
-const significantErrors = 1.5;
-/** The number of standard errors that the mean latency on a single route must exceed its maximum by; that maximum is above what cold caches explain. */
-const routeErrors = 1;
+const significantErrors = 2.5;
 /** The lowest mean latency that counts as slow, in milliseconds; below it, network jitter dominates the latency. */
 const minimumSlowMilliseconds = 60;
 
@@ -63,18 +60,12 @@
 
 function isSlower(tally: Tally, baselineTally: Tally): boolean {
 	const mean = meanLatency(tally);
-	const lowest = mean * lowestFactor(tally.timed, routeErrors);
-	return tally.timed >= minimumTimedAnswers && mean >= minimumSlowMilliseconds && baselineTally.timed > 0 && lowest > maximumLatencyRatio * meanLatency(baselineTally);
+	return tally.timed >= minimumTimedAnswers && mean >= minimumSlowMilliseconds && baselineTally.timed > 0 && mean > maximumLatencyRatio * meanLatency(baselineTally);
 }
 
 function isSlowerOverall({timed, observed, expected}: ComparedTimes, explainedRatio: number): boolean {
-	const lowest = observed * lowestFactor(timed, significantErrors);
-	return timed >= minimumComparedAnswers && observed >= timed * minimumSlowMilliseconds && lowest > explainedRatio * expected;
-}
-
-/** Returns the part of a mean time that is left if it is lower by some standard errors. */
-function lowestFactor(timed: number, standardErrors: number): number {
-	return 1 - (standardErrors * relativeScatter / Math.sqrt(timed));
+	const lowestFactor = 1 - (significantErrors * relativeScatter / Math.sqrt(timed));
+	return timed >= minimumTimedAnswers && observed >= timed * minimumSlowMilliseconds && observed * lowestFactor > explainedRatio * expected;
 }
 
 function failureShare({answers, failures}: Tally): number {
