Revert "gateway: load a new version like the old one while it is evaluated"

Cause: a rollout is completed with all its traffic moved a few hundred milliseconds before. Streams that the old servers still generate then end with them.

Conclusion: a rule that protects callers of a good version goes before one of a version that nothing tells from a good one.

--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -176,10 +176,10 @@
 	@param options The criteria.
 	@returns The server, or undefined if none is available.
 	*/
-	choose({service, isAcceptable, requiresHealthy = false, excluded, promptKey, load, now, noted}: FindServerOptions): ServerRecord | undefined {
+	choose({service, isAcceptable, excluded, promptKey, load, now, noted}: FindServerOptions): ServerRecord | undefined {
 		const candidates: TrackedServer[] = [];
 		for (const tracked of this.#servers.values()) {
-			if (tracked.record.service !== service || tracked.record.state !== 'ready' || !isAcceptable(tracked.record)) {
+			if (tracked.record.service !== service || tracked.record.state !== 'ready' || !isAcceptable(tracked.record.version)) {
 				continue;
 			}
 
@@ -202,8 +202,7 @@
 			...(speeds.size > 0 && load !== undefined && {requestLoad: load}),
 		};
 		// If every server is expired or ejected, use one of them rather than none.
-		const fallbacks = requiresHealthy ? [] : views.map(view => ({...view, expired: false, ejected: false}));
-		const choice = chooseServer(views, criteria).altLazy(() => chooseServer(fallbacks, criteria));
+		const choice = chooseServer(views, criteria).altLazy(() => chooseServer(views.map(view => ({...view, expired: false, ejected: false})), criteria));
 		if (noted !== undefined && this.#options.notes !== undefined) {
 			noteChoice(this.#options.notes, {choice, noted, now});
 		}
--- a/packages/gateway/src/entry/find-server-options.ts
+++ b/packages/gateway/src/entry/find-server-options.ts
@@ -1,6 +1,7 @@
-import {type ModelId, type ServerId, type ServiceId} from '@valehitch/core';
+import {
+	type ModelId, type ServerId, type ServiceId, type VersionId,
+} from '@valehitch/core';
 import {type AffinityScope} from '@valehitch/routing';
-import {type ServerRecord} from '../servers/server-record.js';
 
 /** The cache key of a prompt, and the scope in which its home server is chosen. */
 export type PromptKey = {
@@ -19,10 +20,8 @@
 /** The criteria for choosing a server. */
 export type FindServerOptions = {
 	readonly service: ServiceId;
-	/** Whether a server is acceptable. */
-	readonly isAcceptable: (server: ServerRecord) => boolean;
-	/** Whether servers that are expired or ejected are left out even if no other one is available; false by default. */
-	readonly requiresHealthy?: boolean;
+	/** Whether a version is acceptable. */
+	readonly isAcceptable: (version: VersionId) => boolean;
 	readonly excluded: ReadonlySet<ServerId>;
 	/** The cache key of the prompt; undefined if caching does not matter. */
 	readonly promptKey: PromptKey | undefined;
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -3,12 +3,10 @@
 } from '@valehitch/core';
 import {chooseAffinityScope, type AffinityScope} from '@valehitch/routing';
 import {type Route} from '../configuration/routing-configuration.js';
-import {assignCohort, type RolloutCohort, targetShare} from '../rollouts/assign-cohort.js';
-import {isEnded, type RolloutWithAge} from '../rollouts/rollout.js';
-import {selectTargetServers} from '../rollouts/select-target-servers.js';
+import {assignCohort, type RolloutCohort} from '../rollouts/assign-cohort.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type EntryContext} from './entry-context.js';
-import {type FindServerOptions, type PromptKey} from './find-server-options.js';
+import {type PromptKey} from './find-server-options.js';
 import {type GatewayRequest, type PromptPart} from './gateway-request.js';
 
 /** Options of {@linkcode Placement}. */
@@ -22,8 +20,7 @@
 /** The part of the context that a placement uses. */
 export type PlacementContext = Pick<EntryContext, 'servers' | 'pins' | 'repeats' | 'clock' | 'random' | 'bounds' | 'rolloutOf'>;
 
-/** Which servers are acceptable for a request. */
-type ServerPreference = Pick<FindServerOptions, 'isAcceptable' | 'requiresHealthy'>;
+type VersionPredicate = (version: VersionId) => boolean;
 
 /**
 Chooses the servers for the sends of one request, based on the rollout of the service, the version of the session or of a stream in progress, and the prompt cache.
@@ -66,11 +63,11 @@
 		const now = clock.monotonic();
 		const {session} = this.#request;
 		const promptKey = isSuspect ? undefined : this.#promptKey(model);
-		const preferences = this.#serverPreferences(now);
-		for (const preference of preferences) {
-			const noted = {id: this.#request.id, model, hasFurtherCriteria: preference !== preferences.at(-1)};
+		const preferences = this.#versionPreferences(now);
+		for (const isAcceptable of preferences) {
+			const noted = {id: this.#request.id, model, hasFurtherCriteria: isAcceptable !== preferences.at(-1)};
 			const server = servers.choose({
-				...preference, service: this.service, excluded: this.#excluded, promptKey, now, noted, ...(load !== undefined && {load}),
+				service: this.service, isAcceptable, excluded: this.#excluded, promptKey, now, noted, ...(load !== undefined && {load}),
 			});
 			if (server !== undefined) {
 				if (session !== undefined) {
@@ -129,34 +126,14 @@
 		return lastShared === undefined ? undefined : {name: `${lastShared.id} ${model ?? ''}`, affinityScope: this.#affinityScope};
 	}
 
-	/** Returns which servers are acceptable, in order of preference. */
-	#serverPreferences(now: number): readonly ServerPreference[] {
-		const rollout = this.#context.rolloutOf(this.service);
+	/** Returns predicates for the acceptable versions, in order of preference. */
+	#versionPreferences(now: number): readonly VersionPredicate[] {
+		const target = this.#context.rolloutOf(this.service)?.target;
 		const cohort = this.#cohort(now);
-		const preferences: ServerPreference[] = [];
+		const matchesCohort: VersionPredicate = version => cohort === 'any' || (cohort === 'target') === (version === target);
 		const startedVersion = this.#startedVersion;
-		if (startedVersion !== undefined) {
-			preferences.push({isAcceptable: ({version}) => version === startedVersion});
-		}
-
-		if (cohort === 'target' && rollout !== undefined && !isEnded(rollout)) {
-			const selected = this.#selectedServers(rollout);
-			preferences.push({isAcceptable: ({id}) => selected.has(id), requiresHealthy: true});
-		}
-
-		preferences.push({isAcceptable: ({version}) => cohort === 'any' || (cohort === 'target') === (version === rollout?.target)});
-		if (cohort === 'target') {
-			preferences.push({isAcceptable: () => true});
-		}
-
-		return preferences;
-	}
-
-	#selectedServers(rollout: RolloutWithAge): ReadonlySet<ServerId> {
-		const {servers, bounds: {canaryShare}} = this.#context;
-		const ofTarget = servers.availability.available.filter(({service, version}) => service === this.service && version === rollout.target);
-		const share = targetShare(rollout, {hasSession: this.#request.session !== undefined, canaryShare});
-		return selectTargetServers(ofTarget.map(({id}) => id), share);
+		const preferences = startedVersion === undefined ? [matchesCohort] : [(version: VersionId) => version === startedVersion, matchesCohort];
+		return cohort === 'target' ? [...preferences, () => true] : preferences;
 	}
 
 	#cohort(now: number): RolloutCohort {
--- a/packages/gateway/src/rollouts/assign-cohort.ts
+++ b/packages/gateway/src/rollouts/assign-cohort.ts
@@ -45,18 +45,7 @@
 	return prefixHash(hashKey) < targetShare(rollout, {hasSession, canaryShare}) * hashRange ? 'target' : 'others';
 }
 
-/**
-Returns the share of requests that may use the target of a rollout that has not ended.
-
-@param rollout The newest rollout of the service, with its age.
-@param options Whether the requests have sessions, and the allowance.
-@returns The share, from 0 to 1.
-@example
-```ts
-targetShare(rollout, {hasSession: true, canaryShare: 0.1});
-```
-*/
-export function targetShare({duration, stage, age}: RolloutWithAge, {hasSession, canaryShare}: Pick<AssignCohortOptions, 'hasSession' | 'canaryShare'>): number {
+function targetShare({duration, stage, age}: RolloutWithAge, {hasSession, canaryShare}: Pick<AssignCohortOptions, 'hasSession' | 'canaryShare'>): number {
 	const {start, share, shiftStart, shiftEnd} = planRollout({duration, canaryShare, hasSession});
 	const progress = age / duration;
 	if (progress < start) {
--- a/packages/gateway/src/rollouts/plan-rollout.ts
+++ b/packages/gateway/src/rollouts/plan-rollout.ts
@@ -56,7 +56,7 @@
 	// Growth and what follows it use half of the allowance; the share grows evenly, so that the growth counts half.
 	const growth = Math.min(maximumGrowth, Math.max(minimumGrowth, canaryShare - (2 * allTraffic)));
 	const shiftStart = shiftEnd - growth;
-	const canaryPart = usedPart - (((growth / 2) + allTraffic) / canaryShare);
+	const canaryPart = usedPart - ((growth / 2) + allTraffic) / canaryShare;
 	const start = hasSession ? sessionStart : 0;
 	const usedCanaryPart = Math.min(maximumCanaryPart, Math.max(minimumCanaryPart, canaryPart));
 	const share = Math.min(1, usedCanaryPart * canaryShare / (shiftStart - start));
