--- a/packages/gateway/src/control/control-instance-options.ts
+++ b/packages/gateway/src/control/control-instance-options.ts
@@ -30,8 +30,6 @@
 	readonly zones: () => readonly ZoneId[];
 	/** How far the rate of a cold server may exceed the one that its service configures. */
 	readonly coldTolerance: ColdTolerance;
-	/** The share of all requests within the duration of a rollout that a bad version may receive, from 0 to 1. */
-	readonly canaryShare: () => number;
 	/** Parses a configuration document. */
 	readonly parse: ColdLimitsOptions['parse'];
 	/** Opens the data folder; called again after a disk failure. */
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -132,7 +132,6 @@
 			log: options.log,
 			evidence: this.#evidence,
 			rollouts: () => this.#replica?.readIndex() === undefined ? [] : this.#rolloutClock.withAges(this.#replica.state.rollouts),
-			canaryShare: options.canaryShare,
 			advance: async command => this.#leader.proposeLocally(command),
 		});
 	}
--- a/packages/gateway/src/control/rollout-controller.ts
+++ b/packages/gateway/src/control/rollout-controller.ts
@@ -13,8 +13,6 @@
 	readonly evidence: EvidenceTable;
 	/** The rollouts with their ages if this instance is the leader; otherwise none. */
 	readonly rollouts: () => readonly RolloutWithAge[];
-	/** The share of all requests within its duration that a bad version may receive, from 0 to 1. */
-	readonly canaryShare: () => number;
 	/** Commits a command. */
 	readonly advance: (command: AdvanceRolloutCommand) => Promise<unknown>;
 };
@@ -59,12 +57,12 @@
 
 	async #evaluate(rollout: RolloutWithAge): Promise<void> {
 		const {service, target, age} = rollout;
-		const {evidence, log, canaryShare, advance} = this.#options;
+		const {evidence, log, advance} = this.#options;
 		const serviceEvidence = evidence.forService(service);
 		const targetEvidence = serviceEvidence.filter(({version}) => version === target);
 		const regression = findRegression(rollout, serviceEvidence);
 		const started = sum(targetEvidence.map(counter => countStarted(counter).started));
-		const stage = nextRolloutStage(rollout, {regression, age, canaryShare: canaryShare()});
+		const stage = nextRolloutStage(rollout, {regression, started, age});
 		if (stage === undefined) {
 			return;
 		}
--- a/packages/gateway/src/rollouts/assign-cohort.ts
+++ b/packages/gateway/src/rollouts/assign-cohort.ts
@@ -1,6 +1,5 @@
 import {type VersionId} from '@valehitch/core';
 import {prefixHash} from '@valehitch/routing';
-import {planRollout} from './plan-rollout.js';
 import {type RolloutWithAge} from './rollout.js';
 
 /** The servers to which a request may be sent: those of the target version, those of any other version, or all. */
@@ -13,16 +12,23 @@
 	readonly hasSession: boolean;
 	/** The version that last served the session, if known. */
 	readonly pinnedVersion: VersionId | undefined;
-	/** The share of all requests within the duration that a bad target may receive, from 0 to 1. */
+	/** The share of all requests up to the end of the canary stage that the target may receive. */
 	readonly canaryShare: number;
 };
 
 const hashRange = 67_108_859;
+/** Sessions stay on the old version for this share of the duration; requests without a session may use the target from the start. */
+const sessionStartShare = 0.5;
+/** Between these shares of the duration the target's share of requests grows to all of them. Its caches fill while the other servers still take load, and failures that occur only under load show before all requests depend on the target. */
+export const shiftStartShare = 0.62;
+const shiftEndShare = 0.78;
+/** Sessions receive in the rest of the canary stage what they could not use before, since a version that few requests have reached cannot be evaluated. */
+const sessionShareFactor = shiftStartShare / (shiftStartShare - sessionStartShare);
 
 /**
 Assigns a request to a cohort of a rollout.
 
-The cohort is determined by a hash of the session, so that all instances assign it alike. A session that has reached the target stays there, because the target's share only grows. One that may have been started on the old version stays there for the first half.
+The cohort is determined by a hash of the session, so that all instances assign it alike. A session that has reached the target stays there, because the target's share only grows.
 
 @param rollout The newest rollout of the service, with its age.
 @param options The inputs.
@@ -32,8 +38,7 @@
 assignCohort(rollout, {hashKey: 'crew-7', hasSession: true, pinnedVersion: undefined, canaryShare: 0.1});
 ```
 */
-export function assignCohort(rollout: RolloutWithAge, {hashKey, hasSession, pinnedVersion, canaryShare}: AssignCohortOptions): RolloutCohort {
-	const {target, stage} = rollout;
+export function assignCohort({target, duration, stage, age}: RolloutWithAge, {hashKey, hasSession, pinnedVersion, canaryShare}: AssignCohortOptions): RolloutCohort {
 	if (stage === 'rolled-back') {
 		return 'others';
 	}
@@ -42,15 +47,10 @@
 		return 'target';
 	}
 
-	return prefixHash(hashKey) < targetShare(rollout, {hasSession, canaryShare}) * hashRange ? 'target' : 'others';
-}
-
-function targetShare({duration, stage, age}: RolloutWithAge, {hasSession, canaryShare}: Pick<AssignCohortOptions, 'hasSession' | 'canaryShare'>): number {
-	const {start, share, shiftStart, shiftEnd} = planRollout({duration, canaryShare, hasSession});
 	const progress = age / duration;
-	if (progress < start) {
-		return 0;
-	}
-
-	return stage === 'canary' ? share : Math.min(1, Math.max(share, (progress - shiftStart) / (shiftEnd - shiftStart)));
+	// The session may have been started on the old version by another instance, and only a pin to the target rules that out.
+	const keepsOldVersion = hasSession && progress < sessionStartShare;
+	const initialShare = hasSession ? sessionShareFactor * canaryShare : canaryShare;
+	const share = stage === 'canary' ? initialShare : Math.max(initialShare, (progress - shiftStartShare) / (shiftEndShare - shiftStartShare));
+	return !keepsOldVersion && prefixHash(hashKey) < share * hashRange ? 'target' : 'others';
 }
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -60,6 +60,8 @@
 const leaseShare = 0.9;
 /** The share of the retry budget that the instances use; the rest allows for uneven traffic. */
 const usedRetryShare = 0.85;
+/** The share of the limit for canary traffic that is used; the rest allows for uneven sessions. */
+const usedCanaryShare = 0.6;
 /** The confidence below which a request escalates to a larger model. Of the values tried, it gave the best results on calm days (docs/design/platform.md). */
 const minimumConfidence = 50;
 /** The time in which the load balancer removes an instance that is not ready, in milliseconds: it checks once a second and removes an instance after two failed checks. */
@@ -175,7 +177,6 @@
 		zones: () => settings().zones,
 		toleratedLosses,
 		coldTolerance,
-		canaryShare: () => settings().canaryShare,
 		parse: decodeConfiguration,
 		// The platform starts only one process per data folder, and provides no reliable file locks.
 		openFolder: async () => openDataFolder(dataFolder, {lock: async () => Right(async () => undefined)}),
@@ -219,7 +220,7 @@
 		clock,
 		random: Math.random,
 		dialect: platformDialect,
-		bounds: {canaryShare, minimumConfidence},
+		bounds: {canaryShare: usedCanaryShare * canaryShare, minimumConfidence},
 		heartbeatMilliseconds: heartbeatInterval,
 		leaseMilliseconds: Math.min(revocationTimeout - leaseMarginMilliseconds, leaseShare * revocationTimeout),
 		sessionMilliseconds: sessionTimeout,
