--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -17,6 +17,8 @@
 	readonly firstEventDelay?: number;
 	/** Delay between two events, in milliseconds. */
 	readonly gap?: number;
+	/** A pause in which the server sends nothing, and after which it goes on; none by default. */
+	readonly pause?: ResponsePause;
 	/** The number of events after which the connection is reset, in the middle of the next event. */
 	readonly breakAfter?: number;
 	/** Whether the response has neither a length nor chunks, so that it ends with its connection; false by default. */
@@ -27,6 +29,16 @@
 	readonly isNotExecuted?: boolean;
 };
 
+/** A pause within a response. */
+export type ResponsePause = {
+	/** The number of events that are sent before it. */
+	readonly after: number;
+	/** Whether a part of the next event precedes it; false by default. */
+	readonly isInsideEvent?: boolean;
+	/** Its length in milliseconds. */
+	readonly duration: number;
+};
+
 /** How a response ends early: the server ends it as if it were complete, or its process exits, so that the connection closes and new ones are refused. */
 export type ResponseTruncation = {
 	readonly by: 'end' | 'exit';
@@ -78,6 +90,8 @@
 export const healthPath = '/healthz';
 /** The platform's servers time out after one second without an acknowledgement. */
 const announceTimeoutMilliseconds = 1000;
+/** How much of an event precedes a pause inside it, in bytes. */
+const splitPosition = 4;
 
 /**
 A backend server for tests that implements the platform's protocol.
@@ -195,7 +209,7 @@
 		const notices = this.#options.notices?.() ?? {};
 		const answer = this.#options.answer(run);
 		const {
-			status = 200, confidence, events = ['done'], firstEventDelay, gap = 0, breakAfter, isUnframed = false, truncation, isNotExecuted = false,
+			status = 200, confidence, events = ['done'], firstEventDelay, gap = 0, pause, breakAfter, isUnframed = false, truncation, isNotExecuted = false,
 		} = answer instanceof Promise ? await answer : answer;
 		if (isNotExecuted) {
 			response.writeHead(503, {'Not-Executed': '1', ...notices});
@@ -236,7 +250,14 @@
 				return;
 			}
 
-			response.write(isStream ? `id: ${index + 1}\ndata: ${event}\n\n` : event);
+			const bytes = isStream ? `id: ${index + 1}\ndata: ${event}\n\n` : event;
+			const bytesBeforePause = index === pause?.after && pause.isInsideEvent === true ? splitPosition : 0;
+			response.write(bytes.slice(0, bytesBeforePause));
+			if (index === pause?.after) {
+				await delay(pause.duration);
+			}
+
+			response.write(bytes.slice(bytesBeforePause));
 			await delay(gap);
 		}
 
