gateway: keep a stalled stream until another server has continued it

What callers saw: a stream whose server was silent for longer than the longest pause that is on time was broken off, though the server went on. Cause: the send to the silent server was closed first, and another server asked then. Where that one was full, failed, broke, began late or was refused by a newer configuration, there was nothing to go back to. Change: the stalled stream is paused and kept. It is closed with the first event of another server, so that no two servers go on with a request. If its own server sends data first, the other send is cancelled; if no other server takes the request, the stream is forwarded again, with the event in which it paused. A stream is asked for elsewhere only if the configuration allows it, and only if a server of a permitted version is left. A fallback answer is no longer dropped for a configuration that came later either. The log names it: request-returned. Conclusion: the class is a stream that is given up before its successor exists.

--- a/packages/gateway/src/entry/event-stream.ts
+++ b/packages/gateway/src/entry/event-stream.ts
@@ -79,6 +79,15 @@
 	discardIncomplete(): void {
 		this.#incomplete = nothing;
 	}
+
+	/**
+	Restores the incomplete event of a stream that continues at its earlier server.
+
+	@param bytes The bytes that were incomplete when it was left.
+	*/
+	restoreIncomplete(bytes: Uint8Array): void {
+		this.#incomplete = bytes;
+	}
 }
 
 function asBuffer(chunk: Uint8Array) {
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -17,6 +17,7 @@
 import {type SuspectRequest} from './suspect-request.js';
 import {type ReceivedHead, type SendOutcome} from './send-attempt.js';
 import {type FallbackStream} from './fallback-answer.js';
+import {type StalledStream} from './stalled-answer.js';
 import {type SendResults} from './send-results.js';
 
 /** The next step of a request after a send. */
@@ -64,8 +65,14 @@
 	readonly hasEnded: () => boolean;
 	/** Called when a stream of this server is accepted, before its first event is forwarded. */
 	readonly onStreamStart: () => void;
+	/** Called before the first event of this server is forwarded. */
+	readonly onFirstEvent: () => void;
 	/** Whether a stalled stream of this server can resume at another one. */
 	readonly canResumeElsewhere: () => boolean;
+	/** Keeps a stalled stream, while another server is asked to continue it. */
+	readonly keepStalled: (stream: StalledStream) => void;
+	/** Whether a stalled stream has continued at its earlier server, so that this send is not needed. */
+	readonly isSuperseded: () => boolean;
 	/** Returns the model that the request escalates to; undefined if the answer is good enough or no retry is left. */
 	readonly chooseLarger: (head: AnswerHead, latency: number) => ModelId | undefined;
 };
@@ -134,8 +141,8 @@
 		return unknownOutcome(message);
 	}
 
-	// A send that was cancelled because the request is quarantined says nothing about the server.
-	if (outcome.type !== 'cancelled' || suspect.standing !== 'quarantined') {
+	// A send that was cancelled because the request is quarantined, or goes on elsewhere, says nothing about the server.
+	if (outcome.type !== 'cancelled' || (suspect.standing !== 'quarantined' && !options.isSuperseded())) {
 		results.recordFailure(server, options.models.current);
 	}
 
@@ -277,9 +284,10 @@
 	return relayAnswer(received, {...options, head, latency});
 }
 
-async function relayAnswer({message, framing, isComplete}: ReceivedHead, options: HandleOutcomeOptions & {readonly head: AnswerHead; readonly latency: number}): Promise<OutcomeStep> {
+async function relayAnswer(received: ReceivedHead, options: HandleOutcomeOptions & {readonly head: AnswerHead; readonly latency: number}): Promise<OutcomeStep> {
+	const {message, framing, isComplete} = received;
 	const {context, request, suspect, route, results, models} = options;
-	const {answer, events, server, hasEnded, onStreamStart, canResumeElsewhere, head, latency} = options;
+	const {answer, events, server, hasEnded, onStreamStart, onFirstEvent, canResumeElsewhere, keepStalled, isSuperseded, head, latency} = options;
 	onStreamStart();
 	const headers = context.dialect.answerHeaders(message);
 	const end = await relayStream({
@@ -295,6 +303,7 @@
 			context.servers.recordData(server.id, now);
 		},
 		onFirstEvent() {
+			onFirstEvent();
 			answer.beginStream(message.statusCode ?? 0, headers);
 		},
 	});
@@ -312,17 +321,26 @@
 		return {type: 'ended'};
 	}
 
+	const reason = `The stream of ${server.id} is ${end}`;
+	if (isSuperseded()) {
+		events.discardIncomplete();
+		return unknownOutcome(reason);
+	}
+
 	context.log('request-resumed', {
 		request: request.id, fingerprint: suspect.fingerprint, parts: suspect.parts, server: server.id, startedAt: server.startedAt,
 		end, lastEvent: events.lastEventId, framing, leftoverBytes: events.incomplete.byteLength,
 	}, 'warn');
+	const {incomplete} = events;
 	events.discardIncomplete();
-	const reason = `The stream of ${server.id} is ${end}`;
 	if (end === 'broken') {
 		return handleLoss(reason, options);
 	}
 
 	results.recordFailure(server, models.current);
+	keepStalled({
+		server, model: models.current, received, head, latency, incomplete,
+	});
 	return unknownOutcome(reason);
 }
 
--- a/packages/gateway/src/entry/placement.ts
+++ b/packages/gateway/src/entry/placement.ts
@@ -85,14 +85,15 @@
 	Checks whether a server other than the given one is available for the request.
 
 	@param server The server.
-	@returns Whether there is one that has not been tried.
+	@returns Whether there is one that has not been tried, of a version that the request may use.
 	*/
 	hasAnother(server: ServerRecord): boolean {
 		const {servers, clock} = this.#context;
-		const another = servers.choose({
-			service: this.service, isAcceptable: () => true, excluded: new Set([...this.#excluded, server.id]), promptKey: undefined, now: clock.monotonic(),
-		});
-		return another !== undefined;
+		const now = clock.monotonic();
+		const excluded = new Set([...this.#excluded, server.id]);
+		return this.#versionPreferences(now).some(isAcceptable => servers.choose({
+			service: this.service, isAcceptable, excluded, promptKey: undefined, now,
+		}) !== undefined);
 	}
 
 	/** Excludes a server from further sends, unless it has restarted in the meantime, since its new process has not been tried. */
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -38,7 +38,7 @@
 Forwards the events of a stream as they arrive. Only complete events are forwarded, so that an interrupted stream can resume at another server.
 
 @param options The stream and the caller.
-@returns How the stream ended. The caller's response is left open.
+@returns How the stream ended. The caller's response is left open, and so is a stalled stream, which is paused.
 @example
 ```ts
 const end = await relayStream({message, isComplete, response, events, stallTimeout: 1500, canResumeElsewhere, onData, onFirstEvent});
@@ -72,7 +72,11 @@
 			overhead.stop();
 			response.off('close', onCallerClose);
 			response.off('drain', onDrain);
-			if (end !== 'complete') {
+			if (end === 'stalled') {
+				message.off('data', onChunk);
+				message.off('end', onEnd);
+				message.pause();
+			} else if (end !== 'complete') {
 				message.destroy();
 			}
 
@@ -106,16 +110,7 @@
 			}
 		};
 
-		response.on('close', onCallerClose);
-		response.on('drain', onDrain);
-		if (message.destroyed) {
-			// The stream was a fallback and its connection ended before it was read, so no further events are emitted, not even 'end'.
-			finish('broken');
-			return;
-		}
-
-		stall.start(clock.monotonic());
-		message.on('data', (chunk: Uint8Array) => {
+		const onChunk = (chunk: Uint8Array): void => {
 			const now = clock.monotonic();
 			onData(now);
 			stall.touch(now);
@@ -128,7 +123,8 @@
 			if (events.incomplete.byteLength > maximumEventBytes) {
 				finish('broken');
 			}
-		});
+		};
+
 		const end = async (): Promise<void> => {
 			stall.stop();
 			overhead.stop();
@@ -145,9 +141,21 @@
 			finish('complete');
 		};
 
-		message.on('end', () => {
+		const onEnd = (): void => {
 			void end();
-		});
+		};
+
+		response.on('close', onCallerClose);
+		response.on('drain', onDrain);
+		if (message.destroyed) {
+			// The stream was kept unread and its connection ended meanwhile, so no further events are emitted, not even 'end'.
+			finish('broken');
+			return;
+		}
+
+		stall.start(clock.monotonic());
+		message.on('data', onChunk);
+		message.on('end', onEnd);
 		message.on('error', () => {
 			finish('broken');
 		});
@@ -156,6 +164,8 @@
 				finish('broken');
 			}
 		});
+		// A stream that has stalled before is paused.
+		message.resume();
 	});
 }
 
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -19,9 +19,10 @@
 import {SendAllowance} from './send-allowance.js';
 import {type SentAttempt} from './send-attempt.js';
 import {SendResults} from './send-results.js';
-import {FallbackAnswer} from './fallback-answer.js';
+import {FallbackAnswer, type FallbackStream} from './fallback-answer.js';
 import {retryMilliseconds} from './retry-milliseconds.js';
 import {ServerWait} from './server-wait.js';
+import {StalledAnswer} from './stalled-answer.js';
 import {startSend} from './start-send.js';
 import {
 	type OutcomeStep, relayFallback, handleOutcome, type HandleOutcomeOptions,
@@ -54,6 +55,7 @@
 	readonly #authorized: AuthorizedRequest;
 	readonly #end: RequestEnd;
 	readonly #fallback: FallbackAnswer;
+	readonly #stalled: StalledAnswer;
 	readonly #suspect: SuspectRequest;
 	readonly #path: RequestPath<Relay>;
 	readonly #wait: ServerWait;
@@ -101,11 +103,15 @@
 		this.#admission = new RunAdmission(context, {
 			request, authorized, service: this.#placement.service, models: this.#models, arrivedAt, deadlineAt: this.#deadlineAt,
 		});
-		this.#fallback = new FallbackAnswer({
-			clock: context.clock,
-			deadlineAt: this.#deadlineAt,
-			onDue: () => {
-				this.#sent?.attempt.cancel();
+		const cancelSend = (): void => {
+			this.#sent?.attempt.cancel();
+		};
+
+		this.#fallback = new FallbackAnswer({clock: context.clock, deadlineAt: this.#deadlineAt, onDue: cancelSend});
+		this.#stalled = new StalledAnswer({
+			onContinue: cancelSend,
+			onLost: ({server}) => {
+				void this.#suspect.recordLoss(server);
 			},
 		});
 	}
@@ -140,6 +146,7 @@
 		stopTimeout();
 		stopListening();
 		this.#fallback.discard();
+		this.#stalled.discard();
 		this.#answer.response.off('close', onClose);
 	}
 
@@ -168,13 +175,17 @@
 			return this.#fail(this.#suspect.refusal);
 		}
 
+		if (this.#stalled.hasContinued) {
+			return this.#fail(failure('outcome-unknown', this.#end.lastProblem));
+		}
+
 		if (this.#fallback.isDue) {
 			return this.#fail(failure('deadline-exceeded-after-dispatch', `No better answer arrived in time (${this.#end.lastProblem})`));
 		}
 
-		const authorized = authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
+		const authorized = this.#authorize();
 		if (authorized.isLeft()) {
-			return this.#end.fail(authorized.extract());
+			return this.#fail(authorized.extract());
 		}
 
 		const server = this.#placement.choose(this.#models.current, {isSuspect: standing !== 'unknown', load: this.#models.load});
@@ -182,10 +193,18 @@
 			return this.#sendTo(server, authorized.unsafeCoerce());
 		}
 
+		if (this.#stalled.isKept) {
+			return this.#fail(failure('no-server', `No other server of ${this.#placement.service} is available for the stream`));
+		}
+
 		const failed = await this.#wait.next(this.#end.lastProblem);
 		return failed === undefined ? 'retry' : this.#fail(failed);
 	}
 
+	#authorize() {
+		return authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
+	}
+
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<NextStep> {
 		const {connectionFailures} = this.#allowance;
 		const path = this.#path.next(connectionFailures, {isOnlyServer: connectionFailures > 0 && !this.#placement.hasAnother(server)});
@@ -243,7 +262,14 @@
 				this.#fallback.discard();
 				this.#placement.recordStreamStart(server.version);
 			},
-			canResumeElsewhere: () => this.#allowance.canRetry && this.#placement.hasAnother(server),
+			onFirstEvent: () => {
+				this.#stalled.discard();
+			},
+			canResumeElsewhere: () => this.#allowance.canRetry && this.#authorize().isRight() && this.#placement.hasAnother(server),
+			keepStalled: stream => {
+				this.#stalled.keep(stream);
+			},
+			isSuperseded: () => this.#stalled.hasContinued,
 			chooseLarger: (head, latency) => this.#chooseLargerModel(head, latency),
 		};
 	}
@@ -271,7 +297,9 @@
 				this.#placement.exclude(server);
 				return this.#retry(failed);
 			})
-			.with({type: 'whole'}, async ({answer, framing}) => this.#end.forward(answer, {framing}))
+			.with({type: 'whole'}, async ({answer, framing}) => this.#stalled.isKept
+				? this.#fail(failure('backend-failed', `${server.id} answered the resumed stream with status ${answer.status}`))
+				: this.#end.forward(answer, {framing}))
 			.with({type: 'escalated'}, async ({model, fallback}): Promise<NextStep> => {
 				this.#end.recordPossibleRun();
 				this.#fallback.keep(fallback);
@@ -320,7 +348,7 @@
 	async #handleNotRun(server: ServerRecord, {message}: Failure): Promise<NextStep> {
 		this.#end.lastProblem = message;
 		this.#placement.exclude(server);
-		return this.#allowance.tryRetry()
+		return this.#mayRetry()
 			? 'retry'
 			: this.#fail(failure('overloaded', `${message}, and no retry is left`, {retryAfterMilliseconds: this.#admission.retryAfter}));
 	}
@@ -332,19 +360,34 @@
 			return this.#fail(this.#suspect.refusal);
 		}
 
-		return this.#allowance.isRepeatable && this.#allowance.tryRetry() ? 'retry' : this.#fail(failed);
+		return this.#allowance.isRepeatable && this.#mayRetry() ? 'retry' : this.#fail(failed);
 	}
 
-	/** Forwards the fallback answer of a smaller model if there is one; otherwise answers with the failure. */
+	/** Withdraws a retry, unless the earlier server of a stalled stream has continued it. */
+	#mayRetry(): boolean {
+		return !this.#stalled.hasContinued && this.#allowance.tryRetry();
+	}
+
+	/** Forwards what an earlier server still sends, a stalled stream or the fallback answer of a smaller model; otherwise answers with the failure. */
 	async #fail(failed: Failure): Promise<NextStep> {
-		const fallback = this.#fallback.take();
-		if (fallback === undefined || this.#end.hasEnded) {
-			return this.#end.fail(failed);
+		if (this.#end.hasEnded) {
+			return 'ended';
+		}
+
+		const stalled = this.#stalled.take();
+		if (stalled !== undefined) {
+			this.#events.restoreIncomplete(stalled.incomplete);
+			this.#context.log('request-returned', {request: this.#request.id, server: stalled.server.id, reason: failed.message});
 		}
 
-		this.#models.restore(fallback.model);
-		const step = await relayFallback(fallback, this.#outcomeOptions({server: fallback.server, sentAt: this.#now()}));
-		return this.#handleStep(step, fallback);
+		const kept = stalled ?? this.#fallback.take();
+		return kept === undefined ? this.#end.fail(failed) : this.#forwardKept(kept);
+	}
+
+	async #forwardKept(stream: FallbackStream): Promise<NextStep> {
+		this.#models.restore(stream.model);
+		const step = await relayFallback(stream, this.#outcomeOptions({server: stream.server, sentAt: this.#now()}));
+		return this.#handleStep(step, stream);
 	}
 
 	/** Returns the model that the request escalates to, unless the caller has already received a part of an answer. */
--- /dev/null
+++ b/packages/gateway/src/entry/stalled-answer.test.ts
@@ -0,0 +1,86 @@
+import {once} from 'node:events';
+import {IncomingMessage} from 'node:http';
+import {Socket} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import {testServer} from '../servers/_test-server.js';
+import {StalledAnswer, type StalledStream} from './stalled-answer.js';
+
+function createStream(t: ExecutionContext): {readonly stream: StalledStream; readonly message: IncomingMessage} {
+	const message = new IncomingMessage(new Socket());
+	message.on('error', () => {
+		// The stream ends with its connection.
+	});
+	t.teardown(() => {
+		message.destroy();
+	});
+	const head = {
+		status: 200, requestId: 'a1', isNotRun: false, isFromOtherServer: false, isSigned: true, isEncoded: false, confidence: undefined, isDraining: false,
+		brittleness: {type: 'none'}, rateLimit: {type: 'unlimited'}, pause: {type: 'none'},
+	} as const;
+	return {
+		message,
+		stream: {
+			server: testServer(), model: undefined, received: {message, framing: 'chunks', isComplete: async () => true}, head, latency: 10, incomplete: new Uint8Array(),
+		},
+	};
+}
+
+function createAnswer() {
+	const calls: string[] = [];
+	const answer = new StalledAnswer({
+		onContinue() {
+			calls.push('continue');
+		},
+		onLost({server}) {
+			calls.push(`lost ${server.id}`);
+		},
+	});
+	return {answer, calls};
+}
+
+test('a stream whose server sends data again is returned with all of its data', async t => {
+	const {answer, calls} = createAnswer();
+	const {stream, message} = createStream(t);
+	answer.keep(stream);
+	t.true(answer.isKept);
+	t.false(answer.hasContinued);
+	message.push('four');
+	await once(message, 'readable');
+	message.push('five');
+	t.true(answer.hasContinued);
+	t.deepEqual(calls, ['continue']);
+	t.is(answer.take(), stream);
+	t.false(answer.hasContinued);
+	t.is(String(message.read()), 'fourfive');
+});
+
+test('a stream whose connection breaks is no longer kept', async t => {
+	const {answer, calls} = createAnswer();
+	const {stream, message} = createStream(t);
+	answer.keep(stream);
+	message.destroy();
+	await once(message, 'close');
+	t.false(answer.isKept);
+	t.false(answer.hasContinued);
+	t.is(answer.take(), undefined);
+	t.deepEqual(calls, [`lost ${stream.server.id}`]);
+});
+
+test('a stream that another server has continued is closed', t => {
+	const {answer, calls} = createAnswer();
+	const {stream, message} = createStream(t);
+	answer.keep(stream);
+	answer.discard();
+	t.true(message.destroyed);
+	t.false(answer.isKept);
+	t.deepEqual(calls, []);
+});
+
+test('a second stream that stalls before its first event is closed, and the first one kept', t => {
+	const {answer} = createAnswer();
+	const [first, second] = [createStream(t), createStream(t)];
+	answer.keep(first.stream);
+	answer.keep(second.stream);
+	t.true(second.message.destroyed);
+	t.is(answer.take(), first.stream);
+});
--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -251,7 +251,7 @@
 			}
 
 			const bytes = isStream ? `id: ${index + 1}\ndata: ${event}\n\n` : event;
-			await writeWithPause(response, bytes, index === pause?.after ? pause : undefined);
+			await writeWithPause(response, {bytes, pause: index === pause?.after ? pause : undefined});
 			await delay(gap);
 		}
 
@@ -292,7 +292,7 @@
 }
 
 /** Writes an event, with a pause before or inside it if one is given. */
-async function writeWithPause(response: ServerResponse, bytes: string, pause: ResponsePause | undefined): Promise<void> {
+async function writeWithPause(response: ServerResponse, {bytes, pause}: {readonly bytes: string; readonly pause: ResponsePause | undefined}): Promise<void> {
 	const bytesBefore = pause?.isInsideEvent === true ? splitPosition : 0;
 	response.write(bytes.slice(0, bytesBefore));
 	if (pause !== undefined) {
