gateway: let a configuration that comes later apply to later requests only

What callers saw: a stream in progress was broken off when its server ended, though another one could have gone on with it, because a configuration had removed its route or key since it began. Cause: a request was authorized anew before each of its sends, by the configuration of that moment. Change: a request is authorized until it has been sent to a server. A revoked key still stops a request that waits for its first send.

--- a/packages/gateway/src/entry/authorize-request.ts
+++ b/packages/gateway/src/entry/authorize-request.ts
@@ -25,7 +25,7 @@
 const retryMilliseconds = 300;
 
 /**
-Finds the route of a request and checks its API key. Called again before every send, because the route or the key may have been removed in the meantime.
+Finds the route of a request and checks its API key. Called again before the first send, because the route or the key may have been removed in the meantime.
 
 @param request The request.
 @param options The configuration and its lease.
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,6 +1,7 @@
 import {type HeldBytes, RequestPath} from '@valehitch/routing';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
 import {setTimeoutAfterPoll, type Relay} from '@valehitch/transport';
+import {type Either, Right} from 'purify-ts';
 import {match} from 'ts-pattern';
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
@@ -201,8 +202,11 @@
 		return failed === undefined ? 'retry' : this.#fail(failed);
 	}
 
-	#authorize() {
-		return authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
+	/** Authorizes the request by the current configuration until it has been sent; a configuration that comes later applies to later requests. */
+	#authorize(): Either<Failure, AuthorizedRequest> {
+		return this.#allowance.sends > 0
+			? Right(this.#authorized)
+			: authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
 	}
 
 	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<NextStep> {
@@ -265,7 +269,7 @@
 			onFirstEvent: () => {
 				this.#stalled.discard();
 			},
-			canResumeElsewhere: () => this.#allowance.canRetry && this.#authorize().isRight() && this.#placement.hasAnother(server),
+			canResumeElsewhere: () => this.#allowance.canRetry && this.#placement.hasAnother(server),
 			keepStalled: stream => {
 				this.#stalled.keep(stream);
 			},
