gateway: forward streams in a module of their own

Change: the forwarding of streams, the steps, the options and lost connections are modules of their own; one function forwards a stream that has begun, was kept or goes on, in place of two. No behaviour changes.

--- /dev/null
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -0,0 +1,83 @@
+import {type FallbackStream} from './fallback-answer.js';
+import {handleLoss} from './handle-loss.js';
+import {type HandleOutcomeOptions} from './handle-outcome-options.js';
+import {type OutcomeStep} from './outcome-step.js';
+import {relayStream} from './relay-stream.js';
+import {unknownOutcome} from './unknown-outcome.js';
+
+/** A stream to forward, whose head has arrived. */
+export type StartedStream = Pick<FallbackStream, 'received' | 'head' | 'latency'>;
+
+/** The stall timeout of a stream, as a multiple of the longest pause between events that the route's targets allow. */
+const stallFactor = 1;
+
+/**
+Forwards a stream to the caller: one that has just begun, one that was kept as a fallback, or one that has stalled and goes on.
+
+@param stream The stream.
+@param options The request and the server.
+@returns The next step of the request.
+@example
+```ts
+const step = await forwardStream({received, head, latency}, options);
+```
+*/
+export async function forwardStream({received, head, latency}: StartedStream, options: HandleOutcomeOptions): Promise<OutcomeStep> {
+	const {message, framing, isComplete} = received;
+	const {context, request, suspect, route, results, models} = options;
+	const {answer, events, server, hasEnded, onStreamStart, onFirstEvent, canResumeElsewhere, keepStalled, isSuperseded} = options;
+	onStreamStart();
+	const headers = context.dialect.answerHeaders(message);
+	const end = await relayStream({
+		message,
+		isComplete,
+		response: answer.response,
+		events,
+		buffer: answer.buffer,
+		clock: context.clock,
+		stallTimeout: route.isResumable ? stallFactor * (route.targetGap ?? route.targetLatency) : 0,
+		canResumeElsewhere,
+		onData(now) {
+			context.servers.recordData(server.id, now);
+		},
+		onFirstEvent() {
+			onFirstEvent();
+			answer.beginStream(message.statusCode ?? 0, headers);
+		},
+	});
+	if (end === 'complete') {
+		// A caller that resumes after the last event receives no further event, but still the head of the answer.
+		answer.beginStream(message.statusCode ?? 0, headers);
+		suspect.recordAnswered();
+		results.recordSuccess(server, {model: models.current, latency});
+		return {
+			type: 'streamed', confidence: head.confidence, framing, leftoverBytes: events.incomplete.byteLength,
+		};
+	}
+
+	if (hasEnded() || end === 'caller-left') {
+		return {type: 'ended'};
+	}
+
+	const reason = `The stream of ${server.id} is ${end}`;
+	if (isSuperseded()) {
+		events.discardIncomplete();
+		return unknownOutcome(reason);
+	}
+
+	context.log('request-resumed', {
+		request: request.id, fingerprint: suspect.fingerprint, parts: suspect.parts, server: server.id, startedAt: server.startedAt,
+		end, lastEvent: events.lastEventId, framing, leftoverBytes: events.incomplete.byteLength,
+	}, 'warn');
+	const {incomplete} = events;
+	events.discardIncomplete();
+	if (end === 'broken') {
+		return handleLoss(reason, options);
+	}
+
+	results.recordFailure(server, models.current);
+	keepStalled({
+		server, model: models.current, received, head, latency, incomplete,
+	});
+	return unknownOutcome(reason);
+}
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -25,9 +25,10 @@
 import {ServerWait} from './server-wait.js';
 import {StalledAnswer} from './stalled-answer.js';
 import {startSend} from './start-send.js';
-import {
-	type OutcomeStep, relayFallback, handleOutcome, type HandleOutcomeOptions,
-} from './handle-outcome.js';
+import {forwardStream} from './forward-stream.js';
+import {handleOutcome} from './handle-outcome.js';
+import {type HandleOutcomeOptions} from './handle-outcome-options.js';
+import {type OutcomeStep} from './outcome-step.js';
 
 /** How long a request waits before it is sent again while a part of its prompt is doubtful, in milliseconds: the time in which another exit would prove the part to be their cause. */
 export const doubtfulPartMilliseconds = 300;
@@ -390,7 +391,7 @@
 
 	async #forwardKept(stream: FallbackStream): Promise<NextStep> {
 		this.#models.restore(stream.model);
-		const step = await relayFallback(stream, this.#outcomeOptions({server: stream.server, sentAt: this.#now()}));
+		const step = await forwardStream(stream, this.#outcomeOptions({server: stream.server, sentAt: this.#now()}));
 		return this.#handleStep(step, stream);
 	}
 
