storage: open a folder to which a power loss brought back removed segments

What was seen: a control instance whose data folder held some of its removed log segments, and not others, reported a missing segment at each start, and never took part again. Callers see it where a quorum needs that instance: after the loss of as many disks as are tolerated with a loss of power of all others, no configuration is read back and none acknowledged.

Cause: segments are removed without a sync of their folder, so that after a power loss each removal may be undone independently. Several segments are removed at once after a few restarts, as each run starts a segment of its own.

Otherwise the missing segment is reported as before.

--- a/packages/storage/src/_load-folder.ts
+++ b/packages/storage/src/_load-folder.ts
@@ -27,7 +27,8 @@
 
 	const snapshotIndex = snapshot?.lastIndex ?? 0;
 	if (log.previousIndex > snapshotIndex) {
-		throw damaged?.error ?? new StorageError(`The data folder ${access.folder} lacks entries: the snapshot ends at entry ${snapshotIndex}, the log starts after entry ${log.previousIndex}`);
+		const lacking = new StorageError(`The data folder ${access.folder} lacks entries: the snapshot ends at entry ${snapshotIndex}, the log starts after entry ${log.previousIndex}`);
+		throw damaged?.error ?? log.gap ?? lacking;
 	}
 
 	const termInLog = memoryLog.termAt(snapshotIndex);
--- a/packages/storage/src/_replay-log.ts
+++ b/packages/storage/src/_replay-log.ts
@@ -27,6 +27,8 @@
 	readonly previousIndex: number;
 	/** The number of bytes truncated from torn writes. */
 	readonly tornBytes: number;
+	/** The last gap between the segments; a snapshot must cover all entries before `previousIndex`. */
+	readonly gap: StorageError | undefined;
 };
 
 export const sealFrame = encodeFrame({type: 'seal'} satisfies SealRecord);
@@ -51,6 +53,8 @@
 	#previousIndex = 0;
 	#highestIndex = 0;
 	#isSealed = false;
+	#gap: StorageError | undefined;
+	#isAfterGap = false;
 	#tornBytes = 0;
 
 	constructor(access: FolderAccess, identity: string) {
@@ -61,7 +65,9 @@
 	async readSegment(sequence: number, isLast: boolean): Promise<void> {
 		const previous = this.#segments.at(-1);
 		if (previous !== undefined && sequence !== previous.sequence + 1) {
-			throw this.#missingSegment(previous.sequence + 1);
+			// A power loss may bring back some of the segments that were removed, and not others.
+			this.#gap = this.#missingSegment(previous.sequence + 1);
+			this.#isAfterGap = true;
 		}
 
 		const file = path.join(this.#access.folder, segmentFileName(sequence));
@@ -79,6 +85,10 @@
 	}
 
 	finish(): ReplayedLog {
+		if (this.#isAfterGap && this.#gap !== undefined) {
+			throw this.#gap;
+		}
+
 		const last = this.#segments.at(-1);
 		if (this.#isSealed && last !== undefined) {
 			throw this.#missingSegment(last.sequence + 1);
@@ -90,6 +100,7 @@
 			segments: this.#segments,
 			previousIndex: this.#previousIndex,
 			tornBytes: this.#tornBytes,
+			gap: this.#gap,
 		};
 	}
 
@@ -151,7 +162,8 @@
 			throw new StorageError(`Found segment ${header.sequence} of folder ${header.identity}, expected segment ${location.sequence} of folder ${this.#identity}`, location);
 		}
 
-		const isOldest = this.#segments.length === 0;
+		const isOldest = this.#segments.length === 0 || this.#isAfterGap;
+		this.#isAfterGap = false;
 		if (isOldest || !header.keepsEarlier) {
 			this.#memoryLog.reset(header.previousIndex);
 			this.#previousIndex = header.previousIndex;
--- a/packages/storage/src/data-folder.test.ts
+++ b/packages/storage/src/data-folder.test.ts
@@ -52,10 +52,19 @@
 		this.#durable = new Map(this.current);
 	};
 
-	/** Returns the state after a power loss, in which the fraction `kept` of each file's unsynced bytes survives. */
-	crash({kept, keepsNames}: {readonly kept: number; readonly keepsNames: boolean}): MemoryFileSystem {
+	/** Returns the state after a power loss, in which the fraction `kept` of each file's unsynced bytes survives. Of the files that were created, renamed or removed since their folder was synced, `keepsName` decides by position which ones are as they were before the loss. */
+	crash({kept, keepsName}: {readonly kept: number; readonly keepsName: (position: number) => boolean}): MemoryFileSystem {
 		const after = new MemoryFileSystem();
-		for (const [file, {data, synced}] of keepsNames ? this.current : this.#durable) {
+		const names = new Set([...this.current.keys(), ...this.#durable.keys()]);
+		const changed = [...names].filter(file => this.current.get(file) !== this.#durable.get(file));
+		for (const file of names) {
+			const position = changed.indexOf(file);
+			const node = position === -1 || keepsName(position) ? this.current.get(file) : this.#durable.get(file);
+			if (node === undefined) {
+				continue;
+			}
+
+			const {data, synced} = node;
 			const length = synced.length + Math.floor((data.length - synced.length) * kept);
 			const rest = Buffer.from(data.subarray(0, length));
 			after.current.set(file, {data: rest, synced: rest});
@@ -66,7 +75,7 @@
 	}
 
 	copy(): MemoryFileSystem {
-		return this.crash({kept: 1, keepsNames: true});
+		return this.crash({kept: 1, keepsName: () => true});
 	}
 
 	#open(file: string): WritableFile {
@@ -248,6 +257,23 @@
 	t.deepEqual(stored.entries.map(({index}) => index), [19, 20, 21]);
 });
 
+test('a power loss that brings back some of the removed segments loses nothing', async t => {
+	for (const installs of [false, true]) {
+		const files = await createFilledFolder(20);
+		const removable = files.current.size;
+		const opened = await openOrThrow(files);
+		await opened.persist(batch([], snapshotAt(18, installs ? 2 : 1), installs));
+		await opened.close();
+		for (let restored = 0; restored <= removable; restored++) {
+			const after = files.crash({kept: 0, keepsName: position => position !== restored});
+			const stored = await readStoredState(after);
+			t.is(stored.snapshot?.lastIndex, 18);
+			t.deepEqual(stored.entries.map(({index}) => index), installs ? [] : [19, 20], `restored ${restored}`);
+			t.deepEqual(await readEntryIndexes(after), installs ? [] : [19, 20], 'the second start');
+		}
+	}
+});
+
 test('a damaged snapshot is skipped only if the log still covers its entries', async t => {
 	const files = await createFilledFolder(12);
 	const opened = await openOrThrow(files);
@@ -272,7 +298,7 @@
 		t.regex(failures[0] ?? '', /ENOSPC|EIO/v);
 		t.is(failures[1], failures[0], 'the folder stays failed after the disk recovers');
 		for (const kept of [0, 0.5, 1]) {
-			const stored = await readStoredState(files.crash({kept, keepsNames: kept > 0}));
+			const stored = await readStoredState(files.crash({kept, keepsName: () => kept > 0}));
 			const last = stored.entries.at(-1)?.index ?? stored.snapshot?.lastIndex ?? 0;
 			t.true(last >= acknowledged, `failed after ${failsAfter}: the last entry is ${last}, expected at least ${acknowledged}`);
 		}
@@ -296,14 +322,14 @@
 	= | Write
 		| {readonly type: 'snapshot'; readonly back: number}
 		| {readonly type: 'install'; readonly ahead: number}
-		| {readonly type: 'crash'; readonly kept: number; readonly keepsNames: boolean; readonly failsAfter: number};
+		| {readonly type: 'crash'; readonly kept: number; readonly keptNames: readonly boolean[]; readonly failsAfter: number};
 
 const operations: fc.Arbitrary<Operation> = fc.oneof(
 	{weight: 6, arbitrary: fc.record({type: fc.constant('write' as const), count: fc.integer({min: 1, max: 5}), back: fc.integer({min: 0, max: 3})})},
 	fc.record({type: fc.constant('snapshot' as const), back: fc.integer({min: 0, max: 4})}),
 	fc.record({type: fc.constant('install' as const), ahead: fc.integer({min: -2, max: 9})}),
 	fc.record({
-		type: fc.constant('crash' as const), kept: fc.constantFrom(0, 0.3, 0.9, 1), keepsNames: fc.boolean(), failsAfter: fc.integer({min: 1, max: 40}),
+		type: fc.constant('crash' as const), kept: fc.constantFrom(0, 0.3, 0.9, 1), keptNames: fc.array(fc.boolean(), {minLength: 1, maxLength: 6}), failsAfter: fc.integer({min: 1, max: 40}),
 	}),
 );
 
@@ -375,14 +401,15 @@
 			continue;
 		}
 
-		files = files.crash(operation);
+		const {kept, keptNames, failsAfter} = operation;
+		files = files.crash({kept, keepsName: position => keptNames[position % keptNames.length] === true});
 		opened = await openOrThrow(files);
 		const stored = opened.takeStoredState();
 		assertStoredState(model, {stored, unacknowledged});
 		model.entries = [...stored.entries];
 		model.snapshot = stored.snapshot;
 		unacknowledged = undefined;
-		files.operationsUntilFailure = operation.failsAfter;
+		files.operationsUntilFailure = failsAfter;
 	}
 
 	t.pass();
