--- a/packages/storage/src/data-folder.test.ts
+++ b/packages/storage/src/data-folder.test.ts
@@ -288,6 +288,16 @@
 	t.regex(String(await readEntryIndexes(earlier)), /damaged snapshot/v);
 });
 
+test('the initial snapshot, whose replica set is in no entry, is durable once it is acknowledged', async t => {
+	const files = new MemoryFileSystem();
+	const opened = await openOrThrow(files);
+	const written = await opened.persist(batch([entry(1)], snapshotAt(0, 0)));
+	t.true(written.isRight());
+	const stored = await readStoredState(files.crash({kept: 0, keepsName: () => false}));
+	t.deepEqual(stored.snapshot?.replicas, replicas);
+	t.deepEqual(stored.entries.map(({index}) => index), [1]);
+});
+
 test('after a full disk or a failed sync every later write fails and no acknowledged write is lost', async t => {
 	for (let failsAfter = 1; failsAfter < 60; failsAfter++) {
 		const files = new MemoryFileSystem();
--- a/packages/storage/src/data-folder.ts
+++ b/packages/storage/src/data-folder.ts
@@ -104,7 +104,7 @@
 	/**
 	Persists the output of one replica step. The hard state and the entries share one write and one sync.
 
-	A snapshot of entries that are still in the log is written in the background, because the log alone is enough for recovery until the snapshot is complete. A snapshot that replaces the log is durable before this method returns.
+	A snapshot of entries that are still in the log is written in the background, because the log alone is enough for recovery until the snapshot is complete. A snapshot that replaces the log, and the initial one, are durable before this method returns.
 
 	@param action The state to persist.
 	@returns Nothing once the data is durable. On failure, the reason; every later call then fails with the same reason.
@@ -135,11 +135,17 @@
 			await this.#installSnapshot(snapshot);
 		}
 
+		// No entry holds the initial replica set, so the log alone is not enough for recovery.
+		const isInitial = snapshot?.lastIndex === 0;
+		if (isInitial) {
+			await writeSnapshot(this.#access, snapshot);
+		}
+
 		if (hardState !== undefined || entries.length > 0) {
 			await this.#append({hardState, entries});
 		}
 
-		if (snapshot !== undefined && !discardsLog) {
+		if (snapshot !== undefined && !discardsLog && !isInitial) {
 			this.#lastSnapshotWrite = this.#writeSnapshotInBackground(snapshot, this.#lastSnapshotWrite);
 		}
 	}
