storage: take a seal that reads as zeros after a power loss for unwritten

What was seen: by tests only, a data folder was refused at each start, as for a torn record in a segment that is not the last, when the seal of the segment before the last one read as zeros: the file's new length was on the disk, its bytes were not.

Cause: only a seal of which the first bytes were written was taken for unfinished. Zeros at the end of the last segment are accepted already.

Evidence: "a seal whose bytes were not written before a power loss is no damage" red before at 1 zero, green after at 1 to 25.

Change: zeros no longer than a seal count as an unfinished one.

--- a/packages/storage/src/_replay-log.ts
+++ b/packages/storage/src/_replay-log.ts
@@ -178,7 +178,7 @@
 
 	async #truncateTornWrite({file, data, end, isLast}: {readonly file: string; readonly data: Uint8Array; readonly end: number; readonly isLast: boolean}): Promise<void> {
 		const tail = Buffer.from(data.buffer, data.byteOffset + end, data.length - end);
-		const isUnfinishedSeal = end > 0 && tail.length < sealFrame.length && tail.equals(sealFrame.subarray(0, tail.length));
+		const isUnfinishedSeal = end > 0 && isPartOfSeal(tail);
 		if (!isLast && !isUnfinishedSeal) {
 			throw new StorageError('Found an incomplete record in a segment that is not the last', {file, offset: end});
 		}
@@ -204,3 +204,10 @@
 		return new StorageError(`The log segment ${segmentFileName(sequence)} is missing in ${this.#access.folder}`);
 	}
 }
+
+/** Returns whether a power loss during the write of a seal may have left these bytes: its first ones, or zeros if only the file's length was written. */
+function isPartOfSeal(tail: Uint8Array): boolean {
+	const isBeginning = tail.every((byte, position) => byte === sealFrame[position]);
+	const isUnwritten = tail.every(byte => byte === 0);
+	return tail.length <= sealFrame.length && (isBeginning || isUnwritten);
+}
--- a/packages/storage/src/data-folder.test.ts
+++ b/packages/storage/src/data-folder.test.ts
@@ -201,6 +201,19 @@
 	}
 });
 
+test('a seal whose bytes were not written before a power loss is no damage', async t => {
+	const sealBytes = 25;
+	const files = await createFilledFolder(12);
+	const [file = ''] = listSegments(files);
+	const sealed = readData(files, file);
+	for (let length = 1; length <= sealBytes; length++) {
+		const torn = files.copy();
+		const unsealed = sealed.subarray(0, -sealBytes);
+		writeSynced(torn, {file, data: Buffer.concat([unsealed, Buffer.alloc(length)])});
+		t.deepEqual(await readEntryIndexes(torn), Array.from({length: 12}, (_, index) => index + 1), `${length} zeros`);
+	}
+});
+
 test('a flipped bit at any position is either reported with the file name or has no effect', async t => {
 	const files = await createFilledFolder(8);
 	t.true(listSegments(files).length > 2);
