gateway: save a shutdown on the other control instances before its notice is acknowledged

What was seen: by reading and a test, a server's notice that it drains or ends was on one disk when it was acknowledged, that of the control instance that the server had called. The others had it in memory, and saved it up to 1 s later. If that disk is lost while all other machines lose power, the server is listed as ready again until its next heartbeat, and an ended one until two heartbeats have passed.

Cause: the reply to a forwarded notice did not wait for the list to be saved.

Evidence: "a shutdown that another control instance forwards is saved before it is acknowledged" red before (nothing written), green after; "a shutdown that another control instance forwards is acknowledged although the disk does not respond" green after.

Change: an instance that is told of a shutdown by another one replies once its list is saved, or after 400 ms, which is less than the other one waits (600 ms). Messages without a new shutdown wait for nothing.

Conclusion: a notice that all control instances answer in time is on all of their disks.

--- a/packages/gateway/src/control/control-instance.test.ts
+++ b/packages/gateway/src/control/control-instance.test.ts
@@ -11,6 +11,7 @@
 import {Left, Right} from 'purify-ts';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
+import {type ServerRecord} from '../servers/server-record.js';
 import {eventually, submit} from './_test-control.js';
 import {ControlInstance} from './control-instance.js';
 import {type WatchReply, type WorkReply} from './peer-message.js';
@@ -21,12 +22,14 @@
 type TestControlOptions = {
 	/** Reads the suspect records that the previous run saved; none by default. */
 	readonly readSuspects?: () => Promise<readonly SuspectRecord[]>;
+	/** Saves the servers; does nothing by default. */
+	readonly writeServers?: (records: readonly ServerRecord[]) => Promise<boolean>;
 	/** Whether to wait until the instance has started; true by default. */
 	readonly isAwaited?: boolean;
 };
 
 /** Starts a deployment with a single control instance, on a disk that can be made full. */
-async function startControl(t: ExecutionContext, {readSuspects = async () => [], isAwaited = true}: TestControlOptions = {}) {
+async function startControl(t: ExecutionContext, {readSuspects = async () => [], writeServers = async () => true, isAwaited = true}: TestControlOptions = {}) {
 	const disk = {isFull: false};
 	const files: FileSystem = {
 		...nodeFileSystem,
@@ -61,7 +64,7 @@
 		coldTolerance: {factor: 1, slack: 0},
 		parse: () => Left(failure('invalid-configuration', 'not parsed here')),
 		openFolder: async () => openDataFolder(folder, {fileSystem: files, lock: async () => Right(async () => undefined)}),
-		savedServers: {read: async () => [], write: async () => true},
+		savedServers: {read: async () => [], write: writeServers},
 		savedSuspects: {read: readSuspects, write: async () => true},
 		send: doNothing,
 		ask: async () => undefined,
@@ -161,6 +164,34 @@
 	t.true(second.confirmedAgo! < 5000);
 });
 
+test('a shutdown that another control instance forwards is saved before it is acknowledged', async t => {
+	const written: Array<readonly ServerRecord[]> = [];
+	const {control} = await startControl(t, {
+		async writeServers(records) {
+			written.push(records);
+			return true;
+		},
+	});
+	const other = '10.0.0.2' as InstanceId;
+	await control.answer(other, {type: 'servers', records: [testServer({state: 'draining'})]});
+	t.deepEqual(written.map(records => records.map(({state}) => state)), [['draining']]);
+	await control.answer(other, {type: 'server-ended', server: testServer().id});
+	t.deepEqual(written.at(-1)?.map(({state}) => state), ['gone']);
+});
+
+test('a shutdown that another control instance forwards is acknowledged although the disk does not respond', async t => {
+	let finish: ((isWritten: boolean) => void) | undefined;
+	const {control} = await startControl(t, {
+		writeServers: async () => new Promise(resolve => {
+			finish = resolve;
+		}),
+	});
+	t.teardown(() => finish?.(false));
+	t.true(await control.answer('10.0.0.2' as InstanceId, {type: 'server-ended', server: testServer().id}));
+	t.truthy(await control.answer('10.0.0.2' as InstanceId, {type: 'servers', records: [testServer({id: 'server-2' as ServerId, state: 'draining'})]}));
+	t.truthy(finish);
+});
+
 /** A caller that waits for its answer. */
 const caller = new AbortController().signal;
 
--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -239,13 +239,15 @@
 				return {index: this.#replica?.readIndex(), commandFormat: currentCommandFormat};
 			})
 			.with({type: 'propose'}, async ({command}) => this.#leader.handleProposal(command))
-			.with({type: 'servers'}, (servers): ServersReply => {
+			.with({type: 'servers'}, async (servers): Promise<ServersReply> => {
 				this.#serverSync.receive(servers);
+				await this.#serverSync.saveShutdowns();
 				this.#poolWork.summaryReaders.record(from, {canRead: servers.takesWorkSummaries === true});
 				return {run: this.#options.run, takesWorkSummaries: true, takesServerRows: true};
 			})
-			.with({type: 'server-ended'}, ({server}) => {
+			.with({type: 'server-ended'}, async ({server}) => {
 				this.#serverSync.markEnded(server);
+				await this.#serverSync.saveShutdowns();
 				return true;
 			})
 			.with({type: 'all-servers'}, () => this.#serverSync.allServersReply)
--- a/packages/gateway/src/control/server-directory-sync.ts
+++ b/packages/gateway/src/control/server-directory-sync.ts
@@ -52,6 +52,8 @@
 const saveMilliseconds = 1000;
 /** How long the acknowledgement of a shutdown waits for the other control instances and for the disk; the server itself waits one second. */
 const forwardTimeoutMilliseconds = 600;
+/** How long an instance that receives a shutdown from another one waits for its disk; shorter than the other one waits for its reply. */
+const receivedShutdownTimeoutMilliseconds = 400;
 /** How long an instance that starts waits for the server lists of the others. */
 const allServersTimeoutMilliseconds = 1000;
 
@@ -80,6 +82,8 @@
 	readonly #acknowledged = new Map<InstanceId, PeerCursor>();
 	/** The other control instances that read rows. */
 	readonly #rowReaders = new MessageReaders();
+	/** The last change of the directory by which a server shut down. */
+	#shutdownCursor = 0;
 	#stopSyncTimer: (() => void) | undefined;
 	#saveTimer: NodeJS.Timeout | undefined;
 
@@ -128,6 +132,13 @@
 		await this.#saver.save();
 	}
 
+	/** Waits until the shutdowns that other instances have sent are saved, so that they outlive the disk of the instance that acknowledges them; a stalled disk delays it for a limited time. */
+	async saveShutdowns(): Promise<void> {
+		if (this.#saver.savedCursor < this.#shutdownCursor) {
+			await this.#saver.saveWithin(receivedShutdownTimeoutMilliseconds);
+		}
+	}
+
 	stop(): void {
 		this.#stopSyncTimer?.();
 		clearInterval(this.#saveTimer);
@@ -162,6 +173,7 @@
 	markEnded(server: ServerId): void {
 		const changed = this.directory.markEnded(server, this.#options.clock.monotonic());
 		if (changed !== undefined) {
+			this.#shutdownCursor = this.directory.cursor;
 			this.#logStates([changed], 'notice');
 			this.#options.onChange();
 		}
@@ -178,6 +190,7 @@
 		for (const record of listedServers(message)) {
 			const changed = this.directory.announce(record, now);
 			isChanged ||= changed.length > 0;
+			this.#shutdownCursor = changed.some(({state}) => state !== 'ready') ? this.directory.cursor : this.#shutdownCursor;
 			this.#logStates(changed, 'peer');
 		}
 
