gateway: handle the requests of a connection one after the other

What callers saw: of several requests that were sent on one connection without waiting, those behind an answer that closed the connection, as in a shutdown, or that was broken off had been sent to servers already and ended without an answer.

Cause: every request was handled when its head had been read, while the server writes the answers in order and drops those that still wait when the connection closes.

Change: a request is handled when those before it on its connection are answered, and not at all if the connection is closed by then; it then has a line in the log. Its deadline still counts from its arrival.

Conclusion: a request whose connection closes without an answer to it has not been sent to a server, unless the answer to itself broke off. Requests sent without waiting for the answer take longer than before, one after the other.

--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -7,6 +7,7 @@
 import {testConfiguration} from '../configuration/_test-configuration.js';
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
 import {type WatchReply, type WorkReply} from '../control/peer-message.js';
+import {type DecisionLog} from '../logs/decision-log.js';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {testRequest} from './_test-request.js';
@@ -29,10 +30,12 @@
 	readonly work?: WorkReply;
 	/** The bytes that the instance may hold; no limit by default. */
 	readonly heldBytes?: number;
+	/** Receives the log lines; they are discarded by default. */
+	readonly log?: DecisionLog;
 };
 
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
-export async function startTestEntry(t: ExecutionContext, {records, routes, entryCount = 1, work, heldBytes}: StartTestEntryOptions) {
+export async function startTestEntry(t: ExecutionContext, {records, routes, entryCount = 1, work, heldBytes, log = ignore}: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const reply: WatchReply = {
 		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version: 1, document: ''}, rollouts: [], rolloutDigest: '',
@@ -46,7 +49,7 @@
 		listen: {host: '127.0.0.1', port},
 		clock,
 		random: () => 0.5,
-		log: ignore,
+		log,
 		metrics,
 		dialect: {...plainDialect, readRequest: () => testRequest({timeout: requestMilliseconds})},
 		bounds: {canaryShare: 0.1, minimumConfidence: 50},
--- a/packages/gateway/src/entry/entry-instance.test.ts
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -12,6 +12,7 @@
 const event = `data: ${'x'.repeat(20_000)}\n\n`;
 /** Far less than an instance buffers of an answer, and far more than an event. */
 const bufferedBytes = 200_000;
+const getRequest = 'GET /labels/7 HTTP/1.1\r\nHost: desk.example\r\n\r\n';
 /** Longer than the interval between reports of work. */
 const answerMilliseconds = 300;
 
@@ -86,3 +87,63 @@
 		t.is(belief?.workAge === undefined, expected === undefined);
 	});
 }
+
+test('a request behind an answer that closes the connection is not sent to a server', async t => {
+	let sent = 0;
+	const serverPort = await listen(t, (_message, response) => {
+		sent++;
+		setTimeout(() => {
+			response.end('done');
+		}, answerMilliseconds);
+	});
+	const logged: string[] = [];
+	const {entry, port} = await startTestEntry(t, {
+		records: [testServer({port: serverPort})],
+		routes: [testRoute({isPublic: true})],
+		log(kind, {outcome}) {
+			logged.push(`${kind} ${String(outcome)}`);
+		},
+	});
+	entry.beginStop(performance.now() + 30_000);
+	const caller = connect(port, '127.0.0.1');
+	let text = '';
+	caller.on('data', chunk => {
+		text += String(chunk);
+	});
+	caller.write(getRequest.repeat(2));
+	await once(caller, 'close');
+	await entry.drained(performance.now() + 30_000);
+	t.is(sent, 1);
+	t.deepEqual(statusesIn(text), ['200']);
+	t.true(logged.includes('request-ended not-handled'));
+});
+
+test('the time that a request waits behind another one on its connection counts towards its deadline', async t => {
+	const serverPort = await listen(t, (_message, response) => {
+		setTimeout(() => {
+			response.end('done');
+		}, answerMilliseconds);
+	});
+	const {port} = await startTestEntry(t, {
+		records: [testServer({port: serverPort})],
+		routes: [testRoute({isPublic: true, timeout: 1.5 * answerMilliseconds, maximumAttempts: 1})],
+	});
+	const caller = connect(port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+	});
+	let text = '';
+	caller.on('data', chunk => {
+		text += String(chunk);
+	});
+	caller.write(getRequest.repeat(2));
+	while (statusesIn(text).length < 2) {
+		await once(caller, 'data');
+	}
+
+	t.deepEqual(statusesIn(text), ['200', '504']);
+});
+
+function statusesIn(text: string): string[] {
+	return Array.from(text.matchAll(/HTTP\/1\.1 (?<status>\d+) /gv), ({groups}) => groups!.status!);
+}
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
-import {abortResponse} from '@valehitch/transport';
+import {abortResponse, ConnectionTurns} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {MessageReaders} from '../control/message-readers.js';
@@ -63,6 +63,7 @@
 	#loadTimer: NodeJS.Timeout | undefined;
 	#hadLease = false;
 	readonly #responses = new ResponsesInProgress();
+	readonly #turns = new ConnectionTurns();
 	#endsAt: number | undefined;
 
 	constructor(options: EntryInstanceOptions) {
@@ -216,9 +217,14 @@
 	}
 
 	async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+		const arrivedAt = this.#options.clock.monotonic();
 		this.#responses.add(response);
 		try {
-			await handleRequest(this.#context, message, response);
+			if (await this.#turns.next(response)) {
+				await handleRequest(this.#context, {message, response, arrivedAt});
+			} else {
+				this.#recordUnhandled(message);
+			}
 		} catch (error) {
 			const reason = error instanceof Error ? error.stack ?? error.message : String(error);
 			this.#options.log('request-ended', {outcome: 'internal', reason}, 'error');
@@ -228,6 +234,12 @@
 		}
 	}
 
+	/** Records a request that was not sent on, so that its caller may repeat it on another connection. */
+	#recordUnhandled(message: IncomingMessage): void {
+		const {log, dialect} = this.#options;
+		log('request-ended', {request: dialect.readRequest(message).id, outcome: 'not-handled', reason: 'The connection closed while the request waited behind another one'}, 'warn');
+	}
+
 	#watchFields(host: InstanceId): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evacuationRevision' | 'evidence' | 'serverLimits' | 'isCutOff'> {
 		const delta = this.#evidenceDeltas.get(host) ?? new EvidenceDelta();
 		this.#evidenceDeltas.set(host, delta);
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -14,19 +14,25 @@
 /** The maximum size of a body until the first configuration arrives, in bytes. */
 const defaultBodyBytes = 4_194_304;
 
+/** A request of a caller. */
+export type ArrivedRequest = {
+	readonly message: IncomingMessage;
+	readonly response: ServerResponse;
+	/** When its head was read, in milliseconds on the monotonic clock. */
+	readonly arrivedAt: number;
+};
+
 /**
 Handles a request of a caller.
 
 @param context The context of the instance.
-@param message The request.
-@param response The response.
+@param arrived The request, its response and when it arrived.
 @example
 ```ts
-createServer((message, response) => void handleRequest(context, message, response));
+createServer((message, response) => void handleRequest(context, {message, response, arrivedAt: clock.monotonic()}));
 ```
 */
-export async function handleRequest(context: EntryContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
-	const arrivedAt = context.clock.monotonic();
+export async function handleRequest(context: EntryContext, {message, response, arrivedAt}: ArrivedRequest): Promise<void> {
 	const request = context.dialect.readRequest(message);
 	const authorized = await authorizeAtStartup(request, {context, arrivedAt});
 	if (authorized.isLeft()) {
@@ -36,7 +42,7 @@
 	}
 
 	const {route} = authorized.unsafeCoerce();
-	if (!canFinish(route, {endsAt: context.endsAt(), now: arrivedAt})) {
+	if (!canFinish(route, {endsAt: context.endsAt(), now: context.clock.monotonic()})) {
 		message.resume();
 		const failed = failure('shutting-down', 'This instance is shutting down; send the request to another instance', {retryAfterMilliseconds: shutdownRetryMilliseconds});
 		refuse(context, {request, response, failed});
