transport: handle the requests of a connection one after the other in valehitchd

What callers saw: as in the gateway, a request behind an answer that closes its connection was carried out and got no answer. This also concerned operators, on the ports of control instances and of valehitchd.

Cause: the HTTP server called the handler for each request at once. Such a response never closes for itself, so that valehitchd counted its request as in progress until the shutdown was cut short.

Evidence: the test with two requests on one connection was red, both were handled; it is green with one.

Conclusion: every request that is handled has a connection for its answer.

--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -3,6 +3,7 @@
 import {type AddressInfo, type Socket} from 'node:net';
 import {type Failure, failure} from '@valehitch/core';
 import {abortResponse} from './abort-response.js';
+import {ConnectionTurns} from './connection-turns.js';
 import {sendProblem, toProblemDetails} from './problem-details.js';
 import {UnfinishedResponses} from './unfinished-responses.js';
 
@@ -13,7 +14,7 @@
 	readonly port: number;
 	/** The maximum size of a request's headers in bytes. */
 	readonly headerBytes: number;
-	/** Handles a request; an exception is answered with an `internal` failure. */
+	/** Handles a request once those before it on its connection are answered; an exception is answered with an `internal` failure. */
 	readonly handler: (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 	/** Called with each error that a handler throws. */
 	readonly onError: (error: unknown) => void;
@@ -41,12 +42,23 @@
 */
 export async function startHttpServer(options: HttpServerOptions): Promise<HttpServer> {
 	const unfinished = new UnfinishedResponses();
-	const server = createServer({maxHeaderSize: options.headerBytes}, (request, response) => {
-		unfinished.add(response);
-		options.handler(request, response).catch((error: unknown) => {
+	const turns = new ConnectionTurns();
+	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		if (!await turns.next(response)) {
+			return;
+		}
+
+		try {
+			await options.handler(request, response);
+		} catch (error) {
 			options.onError(error);
 			sendProblem(response, failure('internal', 'Unexpected error in the request handler'));
-		});
+		}
+	};
+
+	const server = createServer({maxHeaderSize: options.headerBytes}, (request, response) => {
+		unfinished.add(response);
+		void handle(request, response);
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 		const response = unfinished.on(socket);
--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -166,3 +166,23 @@
 	t.regex(answer, /expected chunked, got gzip, chunked/v);
 	server.destroy();
 });
+
+test('a request behind an answer that closes the connection is not handled', async t => {
+	const handled: string[] = [];
+	const server = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler(request, response) {
+			handled.push(request.url ?? '');
+			setTimeout(() => {
+				response.writeHead(200, {Connection: 'close', 'Content-Length': 4}).end('done');
+			}, 50);
+		},
+		onError: doNothing,
+	});
+	t.teardown(server.destroy);
+	const text = await sendRaw(server, 'GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n');
+	t.true(text.endsWith('done'));
+	t.deepEqual(handled, ['/1']);
+});
