gateway: answer a request whose handling throws

What callers saw: an error in the handling of a request, ahead of its answer, closed the connection without an answer. The line in the log did not name the request.

Cause: whatever was thrown broke the response off, also where no byte of it was written. An error after a complete answer broke that one off.

Evidence: tests with a dialect that throws when it reads a request and when it writes the headers of a send were red, closed without an answer; they are green, with status 500 and the connection used again. Without the guard in the answer of a request, the same test ended the process at the deadline of the request (ERR_HTTP_HEADERS_SENT).

Change: a response without a head says 500 with the kind `internal`, which claims nothing about the run; one that has begun is broken off as before, and one that is complete is left alone. The line names the request.

Conclusion: no error of ours closes a connection in silence. A send that is in progress when the handling throws still ends only with its own answer.

--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -14,6 +14,7 @@
 import {
 	control, ignore, plainDialect,
 } from './_test-run.js';
+import {type Dialect} from './dialect.js';
 import {EntryInstance} from './entry-instance.js';
 
 /** The time limit of each request, in milliseconds. */
@@ -30,12 +31,14 @@
 	readonly work?: WorkReply;
 	/** The bytes that the instance may hold; no limit by default. */
 	readonly heldBytes?: number;
+	/** Changes of the dialect; none by default. */
+	readonly dialect?: Partial<Dialect>;
 	/** Receives the log lines; they are discarded by default. */
 	readonly log?: DecisionLog;
 };
 
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
-export async function startTestEntry(t: ExecutionContext, {records, routes, entryCount = 1, work, heldBytes, log = ignore}: StartTestEntryOptions) {
+export async function startTestEntry(t: ExecutionContext, {records, routes, entryCount = 1, work, heldBytes, dialect, log = ignore}: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const reply: WatchReply = {
 		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version: 1, document: ''}, rollouts: [], rolloutDigest: '',
@@ -51,7 +54,7 @@
 		random: () => 0.5,
 		log,
 		metrics,
-		dialect: {...plainDialect, readRequest: () => testRequest({timeout: requestMilliseconds})},
+		dialect: {...plainDialect, readRequest: () => testRequest({timeout: requestMilliseconds}), ...dialect},
 		bounds: {canaryShare: 0.1, minimumConfidence: 50},
 		leaseMilliseconds: 60_000,
 		sessionMilliseconds: 5000,
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
-import {type InstanceId, SuspensionDetector} from '@valehitch/core';
+import {failure, type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
-import {abortResponse, ConnectionTurns} from '@valehitch/transport';
+import {ConnectionTurns, sendProblem} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {MessageReaders} from '../control/message-readers.js';
@@ -228,7 +228,7 @@
 		} catch (error) {
 			const reason = error instanceof Error ? error.stack ?? error.message : String(error);
 			this.#options.log('request-ended', {outcome: 'internal', reason}, 'error');
-			abortResponse(response);
+			sendProblem(response, failure('internal', 'Unexpected error in the request handler'));
 		} finally {
 			this.#responses.endWithConnection(response);
 		}
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -1,5 +1,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Failure, failure} from '@valehitch/core';
+import {abortResponse} from '@valehitch/transport';
 import {type Route} from '../configuration/routing-configuration.js';
 import {authorizeAtStartup} from './authorize-at-startup.js';
 import {type EntryContext} from './entry-context.js';
@@ -32,8 +33,18 @@
 createServer((message, response) => void handleRequest(context, {message, response, arrivedAt: clock.monotonic()}));
 ```
 */
-export async function handleRequest(context: EntryContext, {message, response, arrivedAt}: ArrivedRequest): Promise<void> {
-	const request = context.dialect.readRequest(message);
+export async function handleRequest(context: EntryContext, arrived: ArrivedRequest): Promise<void> {
+	const request = context.dialect.readRequest(arrived.message);
+	try {
+		await runRequest(context, request, arrived);
+	} catch (error) {
+		const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+		context.log('request-ended', {request: request.id, outcome: 'internal', reason}, 'error');
+		endFailed(context, {request, ...arrived});
+	}
+}
+
+async function runRequest(context: EntryContext, request: GatewayRequest, {message, response, arrivedAt}: ArrivedRequest): Promise<void> {
 	const authorized = await authorizeAtStartup(request, {context, arrivedAt});
 	if (authorized.isLeft()) {
 		message.resume();
@@ -79,6 +90,25 @@
 	return now + needed < endsAt;
 }
 
+/** Answers a request that could not be handled, or breaks off the answer if it has begun; one that is complete is left as it is. */
+function endFailed({dialect, metrics}: EntryContext, {request, message, response}: ArrivedRequest & {readonly request: GatewayRequest}): void {
+	if (response.writableEnded) {
+		return;
+	}
+
+	if (response.headersSent || response.destroyed) {
+		abortResponse(response);
+		return;
+	}
+
+	message.resume();
+	const failed = failure('internal', 'Unexpected error in the request handler');
+	const {status, headers, body} = dialect.refuse(request, failed);
+	metrics.refusals.inc({kind: failed.kind});
+	response.writeHead(status, headers.flat());
+	response.end(body);
+}
+
 type RefusedRequest = {
 	readonly request: GatewayRequest;
 	readonly response: ServerResponse;
