transport: leave a complete answer alone when its handler throws

What callers saw: on the ports of control instances and of valehitchd, an answer that was written to its end was cut off if the handler threw after that.

Cause: a failure after the headers breaks the response off, whether or not it is complete.

Evidence: the test was red, 128,000 of 8,388,608 bytes came; it is green with all of them.

Change: a complete response is left as it is. The error still has its line in the log.

Conclusion: an error of ours ends no answer that needs nothing more of us.

--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -186,3 +186,20 @@
 	t.true(text.endsWith('done'));
 	t.deepEqual(handled, ['/1']);
 });
+
+test('an exception after a complete answer does not break the answer off', async t => {
+	const bytes = 8 * 1024 * 1024;
+	const server = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler(_request, response) {
+			response.writeHead(200, {Connection: 'close', 'Content-Length': bytes}).end(new Uint8Array(bytes));
+			throw new Error('Injected handler error');
+		},
+		onError: doNothing,
+	});
+	t.teardown(server.destroy);
+	const text = await sendRaw(server, 'GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+	t.true(text.length > bytes, `${text.length} of ${bytes} bytes came`);
+});
--- a/packages/transport/src/problem-details.ts
+++ b/packages/transport/src/problem-details.ts
@@ -48,7 +48,7 @@
 }
 
 /**
-Sends a failure as problem details. Aborts the response instead if its headers were already sent.
+Sends a failure as problem details. Aborts the response instead if its headers were already sent; a complete one is left as it is.
 
 @param response The response.
 @param failed The failure.
@@ -59,6 +59,10 @@
 ```
 */
 export function sendProblem(response: ServerResponse, failed: Failure, options: ProblemDetailsOptions = {}): void {
+	if (response.writableEnded) {
+		return;
+	}
+
 	if (response.headersSent || response.destroyed) {
 		abortResponse(response);
 		return;
