gateway, transport: close idle connections after pending input was read

What callers saw: a kept connection was closed without an answer although the next request had arrived, if the process was held up across the idle timeout; and a connection that was idle while a configuration raised the idle timeout was closed by the old one, long before its callers stop using it.

Cause: the timer is the runtime's. It runs before sockets are read, and keeps the time that was in force when the connection became idle.

Change: the server leaves the decision to a listener that lets pending input be read first, and lets a raised timeout run from then. The connection is closed for sending first and read on for a second, so that a request that crosses the close is read, named in the log and counted, and does not reset the connection. Idle closes and requests that are not handled are counted. The HTTP server of control instances and valehitchd does the same.

Conclusion: a lowered timeout closes no connection earlier than was told when it became idle. A connection whose timeout was raised may be kept for longer than the new one, by at most the old one.

--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -1,7 +1,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {abortResponse, UnfinishedResponses} from '@valehitch/transport';
+import {abortResponse, closeIdleAfterPoll, UnfinishedResponses} from '@valehitch/transport';
 import {type DecisionLog} from '../logs/decision-log.js';
 
 /** Options of {@linkcode createCallerServer}. */
@@ -9,6 +9,8 @@
 	readonly log: DecisionLog;
 	/** Handles a request; never throws. */
 	readonly handle: (message: IncomingMessage, response: ServerResponse) => Promise<void>;
+	/** Called when a connection is closed for idleness; by default, nothing is called. */
+	readonly onIdleClose?: () => void;
 };
 
 /** The maximum size of a request's headers, in bytes. The server takes this limit only when it is created, so the limit in the configuration is not applied. */
@@ -26,7 +28,7 @@
 const server = createCallerServer({log, handle});
 ```
 */
-export function createCallerServer({log, handle}: CallerServerOptions): Server {
+export function createCallerServer({log, handle, onIdleClose}: CallerServerOptions): Server {
 	const unfinished = new UnfinishedResponses();
 	const server = createServer({
 		maxHeaderSize: maximumHeaderBytes,
@@ -39,6 +41,7 @@
 		unfinished.add(response);
 		void handle(message, response);
 	});
+	closeIdleAfterPoll(server, {onClose: onIdleClose});
 	server.on('clientError', (error, socket) => {
 		log('request-refused', {error: 'malformed-request', reason: error.message}, 'warn');
 		const response = unfinished.on(socket);
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -118,6 +118,9 @@
 		this.#server = createCallerServer({
 			log: options.log,
 			handle: async (message, response) => this.#handle(message, response),
+			onIdleClose() {
+				options.metrics.idleCloses.inc();
+			},
 		});
 	}
 
@@ -236,8 +239,9 @@
 
 	/** Records a request that was not sent on, so that its caller may repeat it on another connection. */
 	#recordUnhandled(message: IncomingMessage): void {
-		const {log, dialect} = this.#options;
-		log('request-ended', {request: dialect.readRequest(message).id, outcome: 'not-handled', reason: 'The connection closed while the request waited behind another one'}, 'warn');
+		const {log, dialect, metrics} = this.#options;
+		metrics.unhandledRequests.inc();
+		log('request-ended', {request: dialect.readRequest(message).id, outcome: 'not-handled', reason: 'The connection was closed before the turn of the request'}, 'warn');
 	}
 
 	#watchFields(host: InstanceId): Pick<WatchMessage, 'zone' | 'configurationVersion' | 'rolloutDigest' | 'evacuationRevision' | 'evidence' | 'serverLimits' | 'isCutOff'> {
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -37,6 +37,12 @@
 		refusals: new Counter({
 			name: 'valehitch_refusals_total', help: 'Requests answered with an error of our own, by error kind', labelNames: ['kind'], registers,
 		}),
+		idleCloses: new Counter({
+			name: 'valehitch_idle_closes_total', help: 'Connections of callers that were closed because they were idle for too long', registers,
+		}),
+		unhandledRequests: new Counter({
+			name: 'valehitch_unhandled_requests_total', help: 'Requests that were read and not sent to a server, since their connection was closed before', registers,
+		}),
 		attempts: new Counter({
 			name: 'valehitch_attempts_total', help: 'Sends to backend servers, by result', labelNames: ['result'], registers,
 		}),
--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -3,6 +3,7 @@
 import {type AddressInfo, type Socket} from 'node:net';
 import {type Failure, failure} from '@valehitch/core';
 import {abortResponse} from './abort-response.js';
+import {closeIdleAfterPoll} from './close-idle-after-poll.js';
 import {ConnectionTurns} from './connection-turns.js';
 import {sendProblem, toProblemDetails} from './problem-details.js';
 import {UnfinishedResponses} from './unfinished-responses.js';
@@ -60,6 +61,7 @@
 		unfinished.add(response);
 		void handle(request, response);
 	});
+	closeIdleAfterPoll(server);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 		const response = unfinished.on(socket);
 		if (response !== undefined) {
