gateway: refuse a request whose body is complete only after its deadline

What callers saw: where a configuration had shortened the time limit of a route below the time that a body takes to come, a request was sent on with a deadline of 1 ms after its time was over. It got 504 with an unknown outcome, also where it may run only once, or the head of a stream that was broken off 21 ms later (time limit 200 ms, body after 838 ms, head at 839, end at 860).

Cause: the time of a request counts from its arrival, but the timer that ends it is only set once its body is there. A timer that is due already runs after the first send.

Evidence: late-bodies.test.ts, 504 in place of 503 for safe, unsafe and streaming requests before, green after.

Change: the time left is checked before anything is sent. The caller gets 503 with a time to retry after, which is true: the request has not run.

Conclusion: the request now ends with a refusal. It is not shown that this is what the users reported, since the rule leaves out requests whose time is over.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -120,15 +120,14 @@
 
 	/** Runs the request until it is answered. */
 	async run(): Promise<void> {
+		if (this.#now() >= this.#deadlineAt) {
+			this.#end.lastProblem = 'the body was complete only after the deadline';
+			this.#expire();
+			return;
+		}
+
 		const stopTimeout = setTimeoutAfterPoll(this.#deadlineAt - this.#now(), () => {
-			endExpired(this.#end, {
-				sent: this.#sent,
-				results: this.#results,
-				model: this.#models.current,
-				waited: this.#now() - this.#arrivedAt,
-				retryAfter: retryMilliseconds,
-			});
-			this.#admission.end();
+			this.#expire();
 		});
 		const onClose = (): void => {
 			this.#onCallerClose();
@@ -156,6 +155,17 @@
 		return this.#context.clock.monotonic();
 	}
 
+	#expire(): void {
+		endExpired(this.#end, {
+			sent: this.#sent,
+			results: this.#results,
+			model: this.#models.current,
+			waited: this.#now() - this.#arrivedAt,
+			retryAfter: retryMilliseconds,
+		});
+		this.#admission.end();
+	}
+
 	/** The processing time of the prompt as others see it: bounded where they decide by the load of the pool, so that a false length has a bounded effect on them. */
 	get #reading(): number | undefined {
 		const {calm, current} = this.#models;
