gateway: parse a configuration once that several control instances report

What callers saw: nothing is shown. An entry instance watches three control instances and gets a new configuration from each. It parsed it three times within a few milliseconds, in which no request and no timer runs; one that it refuses was parsed and logged with each reply.

Cause: the version was compared only after the parse.

Change: the version that comes with the document is compared with the last one parsed.

No request was seen to be lost by it.

--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -35,10 +35,12 @@
 	readonly dialect?: Partial<Dialect>;
 	/** Receives the log lines; they are discarded by default. */
 	readonly log?: DecisionLog;
+	/** Called each time that a configuration is parsed. */
+	readonly onParse?: () => void;
 };
 
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
-export async function startTestEntry(t: ExecutionContext, {records, routes, entryCount = 1, work, heldBytes, dialect, log = ignore}: StartTestEntryOptions) {
+export async function startTestEntry(t: ExecutionContext, {records, routes, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = ignore}: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	const reply: WatchReply = {
 		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version: 1, document: ''}, rollouts: [], rolloutDigest: '',
@@ -75,7 +77,10 @@
 		wait: async milliseconds => delay(milliseconds),
 		heldBytes,
 		notedShare: 0,
-		parse: () => Right(testConfiguration({routes})),
+		parse() {
+			onParse();
+			return Right(testConfiguration({routes}));
+		},
 	});
 	t.teardown(() => {
 		entry.close();
--- a/packages/gateway/src/entry/entry-instance.test.ts
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -88,6 +88,24 @@
 	});
 }
 
+test('a configuration that is reported again, as by several control instances, is parsed once', async t => {
+	let parses = 0;
+	const serverPort = await listen(t, (_message, response) => {
+		response.end('done');
+	});
+	const {entry} = await startTestEntry(t, {
+		records: [testServer({port: serverPort})],
+		routes: [testRoute({isPublic: true})],
+		onParse() {
+			parses++;
+		},
+	});
+	// The control instance reports it with each reply.
+	await delay(500);
+	t.true(entry.isReady);
+	t.is(parses, 1);
+});
+
 test('a request behind an answer that closes the connection is not sent to a server', async t => {
 	let sent = 0;
 	const serverPort = await listen(t, (_message, response) => {
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -4,6 +4,7 @@
 import {ConnectionTurns, sendProblem} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
+import {type ConfigurationDocument} from '../control/gateway-state.js';
 import {MessageReaders} from '../control/message-readers.js';
 import {
 	type BorrowReply, type EntryMessage, type ServerNoticeMessage, type WatchMessage,
@@ -60,6 +61,8 @@
 	/** The evidence counters last sent to each control instance. */
 	readonly #evidenceDeltas = new Map<InstanceId, EvidenceDelta>();
 	#table: RouteTable | undefined;
+	/** The version of the configuration that was parsed last, whether it was adopted or not. */
+	#parsedVersion = Number.NEGATIVE_INFINITY;
 	#loadTimer: NodeJS.Timeout | undefined;
 	#hadLease = false;
 	readonly #responses = new ResponsesInProgress();
@@ -273,7 +276,7 @@
 		}
 
 		if (reply.configuration !== undefined) {
-			this.#adoptConfiguration(reply.configuration.document, source);
+			this.#adoptConfiguration(reply.configuration, source);
 		}
 
 		if (confirmedAt !== undefined) {
@@ -300,17 +303,19 @@
 		}
 	}
 
-	#adoptConfiguration(document: string, source: InstanceId): void {
+	#adoptConfiguration({version, document}: ConfigurationDocument, source: InstanceId): void {
+		// Each watched control instance reports a new configuration, and a large one takes long to parse.
+		if (version <= this.#parsedVersion) {
+			return;
+		}
+
+		this.#parsedVersion = version;
 		const parsed = this.#options.parse(document);
 		parsed.caseOf({
 			Left: ({message}) => {
 				this.#options.log('configuration-refused', {reason: message, source}, 'error');
 			},
 			Right: configuration => {
-				if (configuration.version <= (this.#table?.version ?? Number.NEGATIVE_INFINITY)) {
-					return;
-				}
-
 				this.#table = new RouteTable(configuration);
 				this.#server.keepAliveTimeout = idleFactor * configuration.limits.idleTimeout;
 				this.#options.log('configuration-adopted', {version: configuration.version, routes: configuration.routes.length, source});
