gateway: wait for a late answer while the request cannot go elsewhere

What callers saw: a request that may be repeated got 502 with an unknown outcome after its server had been slow to begin its answer, though the server was sound and would have answered in time. It happens where a change of the configuration has removed the route or the key in the meantime, where the configuration is not confirmed, where no other server is left, and where no retry is left.

Cause: a send is given up after a time without the head of an answer, so that another server can take the request. Whether one may take it was checked only after the send had been closed.

Change: a send whose time has passed is given up only when the request can go on without it: at another server, with the answer of a smaller model or the stream that is kept, or where the links of the instance are in doubt. This is checked again every 100 ms. The late answer counts as a failure of the server at once, as before, but is evidence about its version only when the send has ended.

Conclusion: silence alone no longer ends a request before its deadline. A server that hangs and is the only one now leads to 504 at the deadline in place of 502 before it.

--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -42,10 +42,12 @@
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
 export async function startTestEntry(t: ExecutionContext, {records, routes, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = ignore}: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
-	const reply: WatchReply = {
-		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version: 1, document: ''}, rollouts: [], rolloutDigest: '',
+	let version = 1;
+	let currentRoutes = routes;
+	const reply = (): WatchReply => ({
+		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version, document: ''}, rollouts: [], rolloutDigest: '',
 		held: 0, confirmedAgo: 0, hosts: [control], entryCount, entries: [], zone: 'hall-a' as ZoneId, takesWorkReports: true,
-	};
+	});
 	const port = await freePort();
 	const metrics = createGatewayMetrics();
 	const entry = new EntryInstance({
@@ -67,7 +69,7 @@
 		seeds: () => [control],
 		async ask() {
 			await delay(50);
-			return reply;
+			return reply();
 		},
 		send: ignore,
 		reportSuspects: async () => true,
@@ -79,7 +81,7 @@
 		notedShare: 0,
 		parse() {
 			onParse();
-			return Right(testConfiguration({routes}));
+			return Right(testConfiguration({version, routes: currentRoutes}));
 		},
 	});
 	t.teardown(() => {
@@ -90,7 +92,16 @@
 		await delay(20);
 	}
 
-	return {entry, port, metrics};
+	return {
+		entry,
+		port,
+		metrics,
+		/** Reports another configuration; the instance adopts it with the next reply. */
+		changeRoutes(changed: RoutingConfiguration['routes']) {
+			version++;
+			currentRoutes = changed;
+		},
+	};
 }
 
 async function freePort(): Promise<number> {
--- a/packages/gateway/src/entry/fallback-answer.ts
+++ b/packages/gateway/src/entry/fallback-answer.ts
@@ -45,6 +45,11 @@
 		this.#options = options;
 	}
 
+	/** Whether an answer is kept. */
+	get isKept(): boolean {
+		return this.#stream !== undefined;
+	}
+
 	/** Whether there is no time left for a better answer. */
 	get isDue(): boolean {
 		return this.#isDue;
--- a/packages/gateway/src/entry/model-cascade.ts
+++ b/packages/gateway/src/entry/model-cascade.ts
@@ -107,7 +107,7 @@
 	}
 
 	/** The timeouts for the head of an answer, after which the request is sent to another server. */
-	get headTimeouts(): Omit<HeadTimeouts, 'hasSentData' | 'isReachable'> {
+	get headTimeouts(): Pick<HeadTimeouts, 'checkAfter' | 'maximum' | 'maximumOnReused'> {
 		if (this.#route.kind === 'safe') {
 			const timeout = safeHeadTimeoutShare * this.#route.timeout;
 			return {checkAfter: timeout, maximum: timeout, maximumOnReused: timeout};
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -244,6 +244,11 @@
 			deadlineAt: this.#deadlineAt,
 			lastEventId: this.#events.lastEventId,
 			processEnd: load.processEnd,
+			canGoOn: () => this.#stalled.isKept || this.#fallback.isKept || this.#isLinkInDoubt(server, relay) || this.#canGoElsewhere(server),
+			onOverdue: () => {
+				// A late answer is a failure of the server, but no evidence about its version yet.
+				this.#results.record(server, 'failed');
+			},
 		});
 		this.#sent = {attempt, server};
 		const outcome = await attempt.outcome;
@@ -256,6 +261,14 @@
 		return next;
 	}
 
+	#canGoElsewhere(server: ServerRecord): boolean {
+		return this.#allowance.canRetry && this.#placement.hasAnother(server);
+	}
+
+	#isLinkInDoubt({service}: ServerRecord, relay: Relay | undefined): boolean {
+		return relay === undefined && !this.#context.links.of(service).areConnected;
+	}
+
 	#outcomeOptions({server, relay, sentAt, load, expected}: StartedSend): HandleOutcomeOptions {
 		return {
 			context: this.#context,
@@ -280,7 +293,7 @@
 			onFirstEvent: () => {
 				this.#stalled.discard();
 			},
-			canResumeElsewhere: () => this.#allowance.canRetry && this.#placement.hasAnother(server),
+			canResumeElsewhere: () => this.#canGoElsewhere(server),
 			keepStalled: stream => {
 				this.#stalled.keep(stream);
 			},
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -33,6 +33,8 @@
 	readonly clock: Clock;
 };
 
+/** The interval at which it is checked whether a request can go on without a send whose timeout has passed, in milliseconds; a small part of the time of most requests. */
+const overdueMilliseconds = 100;
 /** The number of interim answers (1xx) after which the connection is closed; a server may send them without end. */
 const maximumInterimAnswers = 64;
 
@@ -48,6 +50,10 @@
 	readonly hasSentData: () => boolean;
 	/** Checks whether the server accepts a new connection. */
 	readonly isReachable: () => Promise<boolean>;
+	/** Whether the request can go on without this send; until it can, the send is not abandoned, since its server may still answer. By default it can. */
+	readonly canGoOn?: () => boolean;
+	/** Called if a timeout has passed and the request cannot go on without this send. */
+	readonly onOverdue?: () => void;
 };
 
 /** The outcome of a send, up to the head of the answer. */
@@ -210,11 +216,27 @@
 	readonly giveUp: () => void;
 };
 
-/** Gives up the send after the first timeout if the server is unresponsive on other connections too, and otherwise after the maximum. */
+/** Gives up the send after the first timeout if the server is unresponsive on other connections too, and otherwise after the maximum; later if the request cannot go on without it. */
 function watchHeadTimeouts(timeouts: HeadTimeouts, {isReused, giveUp}: HeadWatch): () => void {
-	const {checkAfter, maximum, maximumOnReused, hasSentData, isReachable} = timeouts;
+	const {checkAfter, maximum, maximumOnReused, hasSentData, isReachable, canGoOn = () => true, onOverdue} = timeouts;
 	let isOver = false;
 	let stopTimeout: (() => void) | undefined;
+	const giveUpOncePossible = (): void => {
+		if (canGoOn()) {
+			giveUp();
+		} else {
+			stopTimeout = setTimeoutAfterPoll(overdueMilliseconds, giveUpOncePossible);
+		}
+	};
+
+	const onTimeout = (): void => {
+		if (!canGoOn()) {
+			onOverdue?.();
+		}
+
+		giveUpOncePossible();
+	};
+
 	const checkServer = async (): Promise<void> => {
 		const left = (isReused() ? maximumOnReused : maximum) - checkAfter;
 		const isAlive = left > 0 && (hasSentData() || await isReachable());
@@ -223,9 +245,9 @@
 		}
 
 		if (isAlive) {
-			stopTimeout = setTimeoutAfterPoll(left, giveUp);
+			stopTimeout = setTimeoutAfterPoll(left, onTimeout);
 		} else {
-			giveUp();
+			onTimeout();
 		}
 	};
 
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -30,6 +30,10 @@
 	readonly lastEventId: string | undefined;
 	/** Aborted when the server's process is known to have ended. */
 	readonly processEnd: AbortSignal;
+	/** Whether the request can go on without this send. */
+	readonly canGoOn: () => boolean;
+	/** Called if the server is late with its answer and the request cannot go on without it. */
+	readonly onOverdue: () => void;
 };
 
 /** The maximum connection timeout, in milliseconds. Within a region, a connection takes a few milliseconds. The timeout is also limited by the target latency of the route. */
@@ -51,7 +55,7 @@
 @returns The send in progress.
 @example
 ```ts
-const attempt = startSend(context, {request, body, server, relay, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd});
+const attempt = startSend(context, {request, body, server, relay, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd, canGoOn, onOverdue});
 const outcome = await attempt.outcome;
 ```
 */
@@ -122,7 +126,7 @@
 
 /** Returns the timeouts for the head of the answer; undefined for the last allowed send, which may take until the caller's deadline. */
 function headTimeoutsOf(
-	{server, relay, authorized: {route: {targetLatency}}, models, allowance}: StartSendOptions,
+	{server, relay, authorized: {route: {targetLatency}}, models, allowance, canGoOn, onOverdue}: StartSendOptions,
 	{servers, links, poolLoads}: Pick<EntryContext, 'servers' | 'links' | 'poolLoads'>,
 ): HeadTimeouts | undefined {
 	if (!allowance.isRepeatable || allowance.isNextSendLast) {
@@ -133,6 +137,8 @@
 	const timeouts = models.headTimeouts;
 	return {
 		...(models.current === undefined ? timeouts : extendHeadTimeouts(timeouts, {server: server.id, picture: poolLoads.picture(), targetLatency})),
+		canGoOn,
+		onOverdue,
 		hasSentData: () => servers.heardAt(server.id) !== heardBefore,
 		async isReachable() {
 			if (relay !== undefined) {
