daemon: go on after SIGHUP

What callers saw: valehitchd ended at once on SIGHUP, with all requests in progress, though the signal asks other programs to read their settings again.

Cause: the daemon had no handler, and the default of the signal is to end the process.

Change: the daemon logs that its settings are read only at the start, and goes on.

Conclusion: a signal that is meant for a reload no longer loses requests.

--- a/packages/daemon/src/bin/valehitchd.test.ts
+++ b/packages/daemon/src/bin/valehitchd.test.ts
@@ -5,6 +5,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import {createInterface} from 'node:readline';
 import {text} from 'node:stream/consumers';
 import {fileURLToPath} from 'node:url';
 import test from 'ava';
@@ -13,7 +14,7 @@
 const keySecret = 'a-secret-of-the-test-0123456789';
 const listeners = ['callers', 'backends', 'operators', 'peers'] as const;
 
-function renderSettings(occupied: typeof listeners[number], {port, dataFolder}: {readonly port: number; readonly dataFolder: string}): string {
+function renderSettings(occupied: typeof listeners[number] | undefined, {port = 0, dataFolder}: {readonly port?: number; readonly dataFolder: string}): string {
 	return JSON.stringify({
 		instance: 'control-a',
 		region: 'prairie-south',
@@ -51,3 +52,25 @@
 		t.regex(await errors, new RegExp(String.raw`EADDRINUSE.*${port}`, 'v'));
 	});
 }
+
+test('SIGHUP does not end the daemon, which then stops as usual', async t => {
+	t.timeout(60_000);
+	const folder = await mkdtemp(path.join(tmpdir(), 'valehitch-signal-'));
+	t.teardown(async () => rm(folder, {recursive: true, force: true}));
+	const file = path.join(folder, 'settings.yaml');
+	await writeFile(file, renderSettings(undefined, {dataFolder: path.join(folder, 'data')}));
+	const daemon = spawn(process.execPath, [script, '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
+	t.teardown(() => {
+		daemon.kill('SIGKILL');
+	});
+	const exit = once(daemon, 'exit');
+	for await (const line of createInterface({input: daemon.stdout})) {
+		if (line.includes('instance-started')) {
+			daemon.kill('SIGHUP');
+		} else if (line.includes('SIGHUP has no effect')) {
+			daemon.kill('SIGTERM');
+		}
+	}
+
+	t.deepEqual(await exit, [0, null]);
+});
--- a/packages/daemon/src/bin/valehitchd.ts
+++ b/packages/daemon/src/bin/valehitchd.ts
@@ -41,6 +41,9 @@
 	const log = bunyan.createLogger({
 		name: 'valehitchd', level: settings.logging.level, instance: settings.instance, zone: settings.zone,
 	});
+	process.on('SIGHUP', () => {
+		log.warn('The settings are read only at the start; SIGHUP has no effect');
+	});
 	const daemon = await startDaemon(settings, log);
 	let stopping = false;
 	const stop = (): void => {
