gateway: find the servers of a request in a module of its own, and release its send if its handling throws

What callers saw: nothing; a request whose handling threw kept its timer, listeners, kept streams and its send in progress until the send ended. Cause: nothing was released where the run of a request threw. Change: the run releases them in any case. Conclusion: the guard in CallerAnswer stays, as a second line.

--- a/packages/gateway/src/entry/entry-instance.test.ts
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -171,10 +171,15 @@
 	t.true(timeouts[1]! <= routeTimeout - answerMilliseconds, `${timeouts[1]} ms are left`);
 });
 
-for (const failing of ['readRequest', 'sendHeaders'] as const) {
+for (const failing of ['readRequest', 'sendHeaders', 'readAnswer'] as const) {
 	test(`a caller is answered if ${failing} throws, and its connection can be used again`, async t => {
-		const serverPort = await listen(t, (_message, response) => {
-			response.end('done');
+		const isClosed: Array<Promise<unknown>> = [];
+		const serverPort = await listen(t, (message, response) => {
+			isClosed.push(once(message.socket, 'close'));
+			response.write('do');
+			if (failing !== 'readAnswer' || isClosed.length > 1) {
+				response.end('ne');
+			}
 		});
 		const logged: string[] = [];
 		let fails = true;
@@ -212,6 +217,8 @@
 		caller.write(getRequest);
 		await once(caller, 'data');
 		t.deepEqual(statusesIn(text), ['500', '200']);
+		// The send that was in progress is closed.
+		await isClosed[0];
 	});
 }
 
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,6 +1,6 @@
-import {type HeldBytes, RequestPath} from '@valehitch/routing';
+import {type HeldBytes} from '@valehitch/routing';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
-import {setTimeoutAfterPoll, type Relay} from '@valehitch/transport';
+import {setTimeoutAfterPoll} from '@valehitch/transport';
 import {type Either, Right} from 'purify-ts';
 import {match} from 'ts-pattern';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -22,7 +22,7 @@
 import {SendResults} from './send-results.js';
 import {FallbackAnswer, type FallbackStream} from './fallback-answer.js';
 import {retryMilliseconds} from './retry-milliseconds.js';
-import {ServerWait} from './server-wait.js';
+import {ServerSearch, type SendTarget} from './server-search.js';
 import {StalledAnswer} from './stalled-answer.js';
 import {startSend} from './start-send.js';
 import {forwardStream} from './forward-stream.js';
@@ -59,8 +59,7 @@
 	readonly #fallback: FallbackAnswer;
 	readonly #stalled: StalledAnswer;
 	readonly #suspect: SuspectRequest;
-	readonly #path: RequestPath<Relay>;
-	readonly #wait: ServerWait;
+	readonly #search: ServerSearch;
 	readonly #admission: RunAdmission;
 	/** The current or last send. */
 	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
@@ -98,9 +97,8 @@
 			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models,
 		});
 		this.#suspect = new SuspectRequest(context.suspects, {...request, workspace: authorized.workspace?.id, body});
-		this.#path = new RequestPath({links: context.links.of(this.#placement.service), relays: context.relays});
-		this.#wait = new ServerWait(context, {
-			service: this.#placement.service, allowance: this.#allowance, arrivedAt, deadlineAt: this.#deadlineAt,
+		this.#search = new ServerSearch(context, {
+			placement: this.#placement, allowance: this.#allowance, end: this.#end, arrivedAt, deadlineAt: this.#deadlineAt,
 		});
 		this.#admission = new RunAdmission(context, {
 			request, authorized, service: this.#placement.service, models: this.#models, arrivedAt, deadlineAt: this.#deadlineAt,
@@ -137,18 +135,33 @@
 			this.#cancelUnanswered();
 		});
 		this.#answer.response.on('close', onClose);
+		try {
+			await this.#sendUntilEnded();
+		} finally {
+			stopTimeout();
+			stopListening();
+			this.#answer.response.off('close', onClose);
+			this.#release();
+		}
+	}
+
+	async #sendUntilEnded(): Promise<void> {
 		this.#context.budget.deposit(this.#placement.service, this.#now());
 		const rejected = await this.#admission.admit();
 		let next: NextStep = rejected === undefined ? 'retry' : this.#end.fail(rejected);
 		while (next === 'retry' && !this.#end.hasEnded) {
 			next = await this.#send();
 		}
+	}
 
-		stopTimeout();
-		stopListening();
+	/** Closes the streams that are kept, and the send that is in progress if the handling of the request failed. */
+	#release(): void {
 		this.#fallback.discard();
 		this.#stalled.discard();
-		this.#answer.response.off('close', onClose);
+		if (!this.#end.hasEnded) {
+			this.#admission.end();
+			this.#sent?.attempt.cancel();
+		}
 	}
 
 	#now(): number {
@@ -200,17 +213,14 @@
 			return this.#fail(authorized.extract());
 		}
 
-		const server = this.#placement.choose(this.#models.current, {isSuspect: standing !== 'unknown', load: this.#models.load});
-		if (server !== undefined) {
-			return this.#sendTo(server, authorized.unsafeCoerce());
-		}
-
-		if (this.#stalled.isKept) {
-			return this.#fail(failure('no-server', `No other server of ${this.#placement.service} is available for the stream`));
-		}
-
-		const failed = await this.#wait.next(this.#end.lastProblem);
-		return failed === undefined ? 'retry' : this.#fail(failed);
+		const found = await this.#search.next({
+			model: this.#models.current, load: this.#models.load, isSuspect: standing !== 'unknown', mayWait: !this.#stalled.isKept,
+		});
+		return match(found)
+			.with({type: 'target'}, async ({target}) => this.#sendTo(target, authorized.unsafeCoerce()))
+			.with({type: 'retry'}, async (): Promise<NextStep> => 'retry')
+			.with({type: 'none'}, async ({failed}) => this.#fail(failed))
+			.exhaustive();
 	}
 
 	/** Authorizes the request by the current configuration until it has been sent; a configuration that comes later applies to later requests. */
@@ -220,15 +230,8 @@
 			: authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
 	}
 
-	async #sendTo(server: ServerRecord, authorized: AuthorizedRequest): Promise<NextStep> {
-		const {connectionFailures} = this.#allowance;
-		const path = this.#path.next(connectionFailures, {isOnlyServer: connectionFailures > 0 && !this.#placement.hasAnother(server)});
-		if (path.type === 'none') {
-			const message = `This instance reaches no server of ${this.#placement.service} (${this.#end.lastProblem}; ${this.#relayCounts})`;
-			return this.#fail(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
-		}
-
-		const relay = path.type === 'relayed' ? path.relay : undefined;
+	async #sendTo(target: SendTarget, authorized: AuthorizedRequest): Promise<NextStep> {
+		const {server, relay} = target;
 		const sentAt = this.#now();
 		const expected = this.#context.servers.expectedFirstEvent(server.id, this.#models.calm);
 		const load = this.#context.servers.beginSend(server.id, {load: this.#models.load, reading: this.#reading, now: sentAt});
@@ -244,7 +247,7 @@
 			deadlineAt: this.#deadlineAt,
 			lastEventId: this.#events.lastEventId,
 			processEnd: load.processEnd,
-			canGoOn: () => this.#stalled.isKept || this.#fallback.isKept || this.#isLinkInDoubt(server, relay) || this.#canGoElsewhere(server),
+			canGoOn: () => this.#stalled.isKept || this.#fallback.isKept || this.#search.isLinkInDoubt(target) || this.#search.canGoElsewhere(server),
 			onOverdue: () => {
 				// A late answer is a failure of the server, but no evidence about its version yet.
 				this.#results.record(server, 'failed');
@@ -255,20 +258,12 @@
 		const step = await handleOutcome(outcome, this.#outcomeOptions({
 			server, relay, sentAt, load, expected,
 		}));
-		const next = await this.#handleStep(step, {server, relay});
+		const next = await this.#handleStep(step, target);
 		load.end();
 		this.#context.metrics.attempts.inc({result: outcome.type});
 		return next;
 	}
 
-	#canGoElsewhere(server: ServerRecord): boolean {
-		return this.#allowance.canRetry && this.#placement.hasAnother(server);
-	}
-
-	#isLinkInDoubt({service}: ServerRecord, relay: Relay | undefined): boolean {
-		return relay === undefined && !this.#context.links.of(service).areConnected;
-	}
-
 	#outcomeOptions({server, relay, sentAt, load, expected}: StartedSend): HandleOutcomeOptions {
 		return {
 			context: this.#context,
@@ -293,7 +288,7 @@
 			onFirstEvent: () => {
 				this.#stalled.discard();
 			},
-			canResumeElsewhere: () => this.#canGoElsewhere(server),
+			canResumeElsewhere: () => this.#search.canGoElsewhere(server),
 			keepStalled: stream => {
 				this.#stalled.keep(stream);
 			},
@@ -303,15 +298,23 @@
 	}
 
 	/** Handles the step that follows a send; returns whether the request is sent again. */
-	async #handleStep(step: OutcomeStep, {server, relay}: Pick<StartedSend, 'server' | 'relay'>): Promise<NextStep> {
+	async #handleStep(step: OutcomeStep, target: SendTarget): Promise<NextStep> {
 		if (this.#end.hasEnded) {
 			return 'ended';
 		}
 
+		const {server} = target;
+
 		return match(step)
 			.with({type: 'ended'}, async (): Promise<NextStep> => 'ended')
-			.with({type: 'unreachable'}, async () => this.#handleUnreachable(server, relay))
-			.with({type: 'relay-unavailable'}, async () => this.#handleRelayUnavailable(relay))
+			.with({type: 'unreachable'}, async () => {
+				const failed = this.#search.recordUnreachable(target);
+				return failed === undefined ? 'retry' : this.#fail(failed);
+			})
+			.with({type: 'relay-unavailable'}, async (): Promise<NextStep> => {
+				this.#search.recordRelayUnavailable(target);
+				return 'retry';
+			})
 			.with({type: 'not-run'}, async ({failed}) => this.#handleNotRun(server, failed))
 			.with({type: 'connection-lost'}, async ({failed}) => {
 				this.#allowance.requireNewConnections();
@@ -343,36 +346,6 @@
 			.exhaustive();
 	}
 
-	/** A failed connection does not count as a send. The only server of a service is tried again, through a relay. */
-	async #handleUnreachable(server: ServerRecord, relay: Relay | undefined): Promise<NextStep> {
-		this.#end.lastProblem = `${server.id} is unreachable`;
-		const isTriedAgain = relay === undefined && this.#allowance.connectionFailures === 0 && this.#context.relays.candidateCount > 0 && !this.#placement.hasAnother(server);
-		if (!isTriedAgain) {
-			this.#placement.exclude(server);
-		}
-
-		if (this.#allowance.revokeSend()) {
-			return 'retry';
-		}
-
-		const message = `Could not connect to ${this.#allowance.connectionFailures} servers of ${this.#placement.service} (${this.#relayCounts})`;
-		return this.#fail(failure('no-server', message, {retryAfterMilliseconds: retryMilliseconds}));
-	}
-
-	async #handleRelayUnavailable(relay: Relay | undefined): Promise<NextStep> {
-		this.#allowance.cancelSend();
-		if (relay !== undefined) {
-			this.#end.lastProblem = `${relay.instance} opens no connection for others`;
-			this.#path.exclude(relay);
-		}
-
-		return 'retry';
-	}
-
-	get #relayCounts(): string {
-		return `${this.#path.failedRelays} of ${this.#context.relays.candidateCount} relays refused`;
-	}
-
 	async #handleNotRun(server: ServerRecord, {message}: Failure): Promise<NextStep> {
 		this.#end.lastProblem = message;
 		this.#placement.exclude(server);
