transport: let a closing HTTP server finish what has arrived and what is being read

What callers saw: valehitchd, when it stops, cut off an answer that was complete but not read to its end, and answered the requests in progress with connections that it said to keep, and then closed.

Cause: the runtime's close ends connections that look idle at once: a complete answer counts as none, and input is not read before.

Change: the server stops to accept connections first, lets pending input be read, and closes idle connections once no complete answer is unread, and after each answer. Answers that begin after that close their connections. The list of responses in progress moves from the gateway for that.

--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,7 +1,9 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {failure, type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
-import {ConnectionTurns, readPendingInput, sendProblem} from '@valehitch/transport';
+import {
+	ConnectionTurns, readPendingInput, ResponsesInProgress, sendProblem,
+} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {RouteTable} from '../configuration/route-table.js';
 import {type ConfigurationDocument} from '../control/gateway-state.js';
@@ -22,7 +24,6 @@
 import {KnownPeers} from './known-peers.js';
 import {LoadExchange} from './load-exchange.js';
 import {PoolLoads} from './pool-loads.js';
-import {ResponsesInProgress} from './responses-in-progress.js';
 import {ServerTunnels} from './server-tunnels.js';
 import {type SuspectReporter} from './suspect-reporter.js';
 
--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -1,12 +1,15 @@
 import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo, type Socket} from 'node:net';
+import {type AddressInfo, Server as NetServer, type Socket} from 'node:net';
 import {type Failure, failure} from '@valehitch/core';
 import {abortResponse} from './abort-response.js';
 import {closeIdleAfterPoll} from './close-idle-after-poll.js';
 import {ConnectionTurns} from './connection-turns.js';
 import {sendProblem, toProblemDetails} from './problem-details.js';
+import {readPendingInput} from './read-pending-input.js';
+import {ResponsesInProgress} from './responses-in-progress.js';
 import {UnfinishedResponses} from './unfinished-responses.js';
+import {whenResponseCloses} from './when-response-closes.js';
 
 /** Options for `startHttpServer`. */
 export type HttpServerOptions = {
@@ -24,7 +27,7 @@
 /** A running HTTP server. */
 export type HttpServer = {
 	readonly port: number;
-	/** Stops accepting connections and waits for requests in progress. */
+	/** Stops accepting connections, and waits until the requests in progress and those that have arrived are answered and their callers have read the answers. */
 	readonly close: () => Promise<void>;
 	/** Stops accepting connections and closes all open ones immediately. */
 	readonly destroy: () => void;
@@ -44,6 +47,16 @@
 export async function startHttpServer(options: HttpServerOptions): Promise<HttpServer> {
 	const unfinished = new UnfinishedResponses();
 	const turns = new ConnectionTurns();
+	const responses = new ResponsesInProgress();
+	let isClosing = false;
+	const closeIdle = async (): Promise<void> => {
+		await readPendingInput();
+		// The server also takes a connection for idle whose answer is complete but not read yet.
+		if (!responses.isCompleteOneUnread) {
+			server.closeIdleConnections();
+		}
+	};
+
 	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
 		if (!await turns.next(response)) {
 			return;
@@ -59,6 +72,14 @@
 
 	const server = createServer({maxHeaderSize: options.headerBytes}, (request, response) => {
 		unfinished.add(response);
+		responses.add(response);
+		response.shouldKeepAlive &&= !isClosing;
+		responses.endWithConnection(response);
+		whenResponseCloses(response, () => {
+			if (isClosing) {
+				void closeIdle();
+			}
+		});
 		void handle(request, response);
 	});
 	closeIdleAfterPoll(server);
@@ -80,12 +101,16 @@
 	return {
 		port: (server.address() as AddressInfo).port,
 		async close() {
-			await new Promise<void>(resolve => {
-				server.close(() => {
+			isClosing = true;
+			responses.closeConnections();
+			const closed = new Promise<void>(resolve => {
+				// The HTTP server's own method closes idle connections at once.
+				NetServer.prototype.close.call(server, () => {
 					resolve();
 				});
-				server.closeIdleConnections();
 			});
+			await closeIdle();
+			await closed;
 		},
 		destroy() {
 			server.close();
--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -1,4 +1,6 @@
+import {once} from 'node:events';
 import {connect} from 'node:net';
+import {setImmediate as turn} from 'node:timers/promises';
 import {failure} from '@valehitch/core';
 import test from 'ava';
 import {type HttpServer, startHttpServer} from './http-server.js';
@@ -203,3 +205,61 @@
 	const text = await sendRaw(server, 'GET / HTTP/1.1\r\nHost: a\r\n\r\n');
 	t.true(text.length > bytes, `${text.length} of ${bytes} bytes came`);
 });
+
+test('a server that closes answers the request in progress and one that has arrived, and tells their callers to connect anew', async t => {
+	let started: (() => void) | undefined;
+	const isStarted = new Promise<void>(resolve => {
+		started = resolve;
+	});
+	const server = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler(_request, response) {
+			started?.();
+			setTimeout(() => {
+				response.end('done');
+			}, 100);
+		},
+		onError: doNothing,
+	});
+	t.teardown(server.destroy);
+	const first = sendRaw(server, 'GET /1 HTTP/1.1\r\nHost: a\r\n\r\n');
+	await isStarted;
+	const idle = connect(server.port, '127.0.0.1');
+	idle.on('error', doNothing);
+	await once(idle, 'connect');
+	await turn();
+	idle.write('GET /2 HTTP/1.1\r\nHost: a\r\n\r\n');
+	const closed = server.close();
+	const [answer] = await Promise.race([once(idle, 'data'), once(idle, 'close')]) as [unknown];
+	t.regex(String(answer), /^HTTP\/1\.1 200 [\s\S]*Connection: close/v);
+	t.regex(await first, /^HTTP\/1\.1 200 [\s\S]*Connection: close/v);
+	await closed;
+});
+
+test('a server that closes waits until a slow caller has read a complete answer', async t => {
+	const bytes = 32 * 1024 * 1024;
+	const server = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler(_request, response) {
+			response.end(new Uint8Array(bytes));
+		},
+		onError: doNothing,
+	});
+	t.teardown(server.destroy);
+	const caller = connect(server.port, '127.0.0.1');
+	caller.on('error', doNothing);
+	caller.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+	let received = 0;
+	await once(caller, 'readable');
+	const closed = server.close();
+	caller.on('data', (chunk: Uint8Array) => {
+		received += chunk.byteLength;
+	});
+	await once(caller, 'close');
+	await closed;
+	t.true(received > bytes, `${received} of ${bytes} bytes came`);
+});
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -24,6 +24,7 @@
 export * from './read-response-body.js';
 export * from './response-framing.js';
 export * from './relay.js';
+export * from './responses-in-progress.js';
 export * from './send-http-request.js';
 export * from './server-relays.js';
 export * from './set-timeout-after-poll.js';
--- a/packages/gateway/src/entry/responses-in-progress.ts
+++ b/packages/transport/src/responses-in-progress.ts
@@ -1,8 +1,9 @@
 import {type ServerResponse} from 'node:http';
-import {abortResponse, whenResponseCloses} from '@valehitch/transport';
+import {abortResponse} from './abort-response.js';
+import {whenResponseCloses} from './when-response-closes.js';
 
 /**
-The responses of an instance that their callers have not read to the end.
+The responses of a server that their callers have not read to the end.
 
 @example
 ```ts
@@ -50,6 +51,13 @@
 		});
 	}
 
+	/** Asks the callers whose answers have not begun to close their connections. */
+	closeConnections(): void {
+		for (const response of this.#responses) {
+			response.shouldKeepAlive = false;
+		}
+	}
+
 	/** Breaks off all responses. */
 	abort(): void {
 		for (const response of this.#responses) {
