platform: answer the orders in progress when a control instance stops

What operators and servers saw: an order, a configuration or an announcement that a control instance had read was cut off without an answer when the instance was told to stop.

Cause: the HTTP server of the control instance was closed with all connections at once.

Change: the server accepts no connections any more, and answers what it has read and what has arrived, for a second at most and within the grace period.

Conclusion: a control instance without requests stops as fast as before.

--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -69,6 +69,8 @@
 /** The part of the grace period that is reserved for closing connections, in milliseconds. */
 const closeMarginMilliseconds = 700;
 
+/** How long a control instance that stops waits for the requests in progress, in milliseconds; longer than a proposal to the leader may take. */
+const controlCloseMilliseconds = 1000;
 /** The interval at which open tunnels are counted during a shutdown, in milliseconds. */
 const tunnelPollMilliseconds = 50;
 
@@ -163,7 +165,7 @@
 
 async function startControlPart(context: ProcessContext, listen: ListenAddress) {
 	const {settings, log, network} = context;
-	const {instance, zone, isFounding, heartbeatInterval, toleratedLosses, coldTolerance, dataFolder = 'data'} = settings();
+	const {instance, zone, isFounding, heartbeatInterval, toleratedLosses, coldTolerance, gracePeriod, dataFolder = 'data'} = settings();
 	const control = new ControlInstance({
 		...context,
 		self: instance,
@@ -203,7 +205,7 @@
 	return {
 		control,
 		async stop() {
-			server.destroy();
+			await server.close({within: Math.min(controlCloseMilliseconds, gracePeriod - closeMarginMilliseconds)});
 			await control.stop();
 		},
 	};
--- a/packages/testing/src/platform-path.test.ts
+++ b/packages/testing/src/platform-path.test.ts
@@ -231,6 +231,18 @@
 	t.is(end?.code, 0);
 });
 
+test('an order that is in progress when its control instance stops is answered', async t => {
+	const {deployment} = await start(t, {servers: [labels]});
+	const {address, process} = deployment.controls[1]!;
+	const ordered = sendForStatus({method: 'POST', address, path: '/-/evacuations/hall-a'});
+	// An order waits for 100 ms whether its caller is still connected.
+	await new Promise(resolve => {
+		setTimeout(resolve, 30);
+	});
+	await process.kill('SIGTERM');
+	t.is(await ordered, 200);
+});
+
 test('a process keeps its settings while the settings file is being replaced', async t => {
 	const {deployment} = await start(t, {servers: [labels]});
 	const {process, removeSettings, writeSettings} = deployment.entries[0]!;
--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -8,6 +8,7 @@
 import {sendProblem, toProblemDetails} from './problem-details.js';
 import {readPendingInput} from './read-pending-input.js';
 import {ResponsesInProgress} from './responses-in-progress.js';
+import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
 import {UnfinishedResponses} from './unfinished-responses.js';
 import {whenResponseCloses} from './when-response-closes.js';
 
@@ -24,15 +25,24 @@
 	readonly onError: (error: unknown) => void;
 };
 
+/** Options for `close`. */
+export type CloseOptions = {
+	/** How long to wait before all connections are closed, in milliseconds; 24 days by default, the longest time of a timer. */
+	readonly within?: number;
+};
+
 /** A running HTTP server. */
 export type HttpServer = {
 	readonly port: number;
-	/** Stops accepting connections, and waits until the requests in progress and those that have arrived are answered and their callers have read the answers. */
-	readonly close: () => Promise<void>;
+	/** Stops accepting connections, and waits until the requests in progress and those that have arrived are answered and their callers have read the answers, or the time is over. */
+	readonly close: (options?: CloseOptions) => Promise<void>;
 	/** Stops accepting connections and closes all open ones immediately. */
 	readonly destroy: () => void;
 };
 
+/** The longest time of a timer, in milliseconds. */
+const longestTimerMilliseconds = 2_147_483_647;
+
 /**
 Starts an HTTP server that answers malformed requests with problem details.
 
@@ -100,7 +110,7 @@
 	});
 	return {
 		port: (server.address() as AddressInfo).port,
-		async close() {
+		async close({within = longestTimerMilliseconds} = {}) {
 			isClosing = true;
 			responses.closeConnections();
 			const closed = new Promise<void>(resolve => {
@@ -109,8 +119,12 @@
 					resolve();
 				});
 			});
+			const stopTimeout = setTimeoutAfterPoll(within, () => {
+				server.closeAllConnections();
+			});
 			await closeIdle();
 			await closed;
+			stopTimeout();
 		},
 		destroy() {
 			server.close();
--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import {type ServerResponse} from 'node:http';
 import {connect} from 'node:net';
 import {setImmediate as turn} from 'node:timers/promises';
 import {failure} from '@valehitch/core';
@@ -263,3 +264,28 @@
 	await closed;
 	t.true(received > bytes, `${received} of ${bytes} bytes came`);
 });
+
+test('a server that closes within a time answers what is ready within it, and closes the other connections', async t => {
+	const waiting: ServerResponse[] = [];
+	const server = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler(_request, response) {
+			waiting.push(response);
+		},
+		onError: doNothing,
+	});
+	t.teardown(server.destroy);
+	const late = sendRaw(server, 'GET /late HTTP/1.1\r\nHost: a\r\n\r\n');
+	const never = sendRaw(server, 'GET /never HTTP/1.1\r\nHost: a\r\n\r\n');
+	while (waiting.length < 2) {
+		await turn();
+	}
+
+	const closed = server.close({within: 200});
+	waiting.find(({req}) => req.url === '/late')!.end('done');
+	t.regex(await late, /done$/v);
+	await closed;
+	t.is(await never, '');
+});
