gateway: count the connections of callers that the instance closes

What operators saw: a request that a stopping instance cut off at the end of its grace period has the outcome caller-left, as if its caller had gone; nothing told how many there were.

Cause: the end of the connection looks the same to the request, and the close itself had no line and no count.

Evidence: the test of an instance that closes beside an unanswered request finds one line requests-cut-off and one connection counted as stopping.

Change: valehitch_closed_connections_total counts connections that are closed other than after an answer, by reason: idle (before: a counter of its own), malformed, stopping. The instance logs the number of requests that it cuts off.

Conclusion: the outcome of the request itself still reads caller-left; the line of the instance in the same moment tells the cause.

--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -9,8 +9,8 @@
 	readonly log: DecisionLog;
 	/** Handles a request; never throws. */
 	readonly handle: (message: IncomingMessage, response: ServerResponse) => Promise<void>;
-	/** Called when a connection is closed for idleness; by default, nothing is called. */
-	readonly onIdleClose?: () => void;
+	/** Called when a connection is closed, as it was idle or has bytes that are no request; by default, nothing is called. */
+	readonly onClose?: (reason: 'idle' | 'malformed') => void;
 };
 
 /** The maximum size of a request's headers, in bytes. The server takes this limit only when it is created, so the limit in the configuration is not applied. */
@@ -28,7 +28,7 @@
 const server = createCallerServer({log, handle});
 ```
 */
-export function createCallerServer({log, handle, onIdleClose}: CallerServerOptions): Server {
+export function createCallerServer({log, handle, onClose}: CallerServerOptions): Server {
 	const unfinished = new UnfinishedResponses();
 	const server = createServer({
 		maxHeaderSize: maximumHeaderBytes,
@@ -41,9 +41,14 @@
 		unfinished.add(response);
 		void handle(message, response);
 	});
-	closeIdleAfterPoll(server, {onClose: onIdleClose});
-	server.on('clientError', (error, socket) => {
+	closeIdleAfterPoll(server, {
+		onClose() {
+			onClose?.('idle');
+		},
+	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		log('request-refused', {error: 'malformed-request', reason: error.message}, 'warn');
+		onClose?.('malformed');
 		const response = unfinished.on(socket);
 		if (response !== undefined) {
 			abortResponse(response);
--- a/packages/gateway/src/entry/entry-instance.test.ts
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -251,6 +251,32 @@
 	});
 }
 
+test('the requests that a stopping instance cuts off are told apart from callers that leave', async t => {
+	const serverPort = await listen(t, () => undefined);
+	const logged: string[] = [];
+	const {entry, port, metrics} = await startTestEntry(t, {
+		records: [testServer({port: serverPort})],
+		routes: [testRoute({isPublic: true, timeout: 30_000, targetLatency: 30_000})],
+		log(kind, {count}) {
+			logged.push(`${kind} ${String(count)}`);
+		},
+	});
+	const caller = connect(port, '127.0.0.1');
+	caller.on('error', () => undefined);
+	caller.write(getRequest);
+	while (!logged.some(line => line.startsWith('request-dispatched '))) {
+		await delay(20);
+	}
+
+	const closed = once(caller, 'close');
+	entry.close();
+	caller.resume();
+	await closed;
+	t.true(logged.includes('requests-cut-off 1'));
+	const {values} = await metrics.closedConnections.get();
+	t.deepEqual(values.map(({value, labels: {reason}}) => [reason, value]), [['stopping', 1]]);
+});
+
 function statusesIn(text: string): string[] {
 	return Array.from(text.matchAll(/HTTP\/1\.1 (?<status>\d+) /gv), ({groups}) => groups!.status!);
 }
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -122,8 +122,8 @@
 		this.#server = createCallerServer({
 			log: options.log,
 			handle: async (message, response) => this.#handle(message, response),
-			onIdleClose() {
-				options.metrics.idleCloses.inc();
+			onClose(reason) {
+				options.metrics.closedConnections.inc({reason});
 			},
 		});
 	}
@@ -221,6 +221,7 @@
 		this.#context.relays.close();
 		clearInterval(this.#loadTimer);
 		this.#server.close();
+		this.#recordCutOff();
 		this.#responses.abort();
 		this.#server.closeAllConnections();
 	}
@@ -243,6 +244,15 @@
 		}
 	}
 
+	/** Records that requests end without a complete answer because this instance stops; their own lines cannot tell it from callers that leave. */
+	#recordCutOff(): void {
+		const {size} = this.#responses;
+		if (size > 0) {
+			this.#options.metrics.closedConnections.inc({reason: 'stopping'}, size);
+			this.#options.log('requests-cut-off', {count: size}, 'warn');
+		}
+	}
+
 	/** Records a request that was not sent on, so that its caller may repeat it on another connection. */
 	#recordUnhandled(message: IncomingMessage): void {
 		const {log, dialect, metrics} = this.#options;
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -37,8 +37,8 @@
 		refusals: new Counter({
 			name: 'valehitch_refusals_total', help: 'Requests answered with an error of our own, by error kind', labelNames: ['kind'], registers,
 		}),
-		idleCloses: new Counter({
-			name: 'valehitch_idle_closes_total', help: 'Connections of callers that were closed because they were idle for too long', registers,
+		closedConnections: new Counter({
+			name: 'valehitch_closed_connections_total', help: 'Connections of callers that were closed other than after an answer, by reason', labelNames: ['reason'], registers,
 		}),
 		unhandledRequests: new Counter({
 			name: 'valehitch_unhandled_requests_total', help: 'Requests that were read and not sent to a server, since their connection was closed before', registers,
