gateway: tell a connection that its caller resets from a malformed request

What operators saw: request-refused with malformed-request for each connection that a caller reset, also an idle one, without the id of a request.

Cause: the runtime reports both by the same event.

Evidence: the test of a caller that resets an idle connection found the line, and a close counted as malformed; it finds neither now.

Change: only errors of the parser are logged and counted.

Conclusion: what the log calls malformed is what was sent, not how a connection ended.

--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -47,6 +47,12 @@
 		},
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		// The event also tells of connections that callers reset.
+		if (error.code?.startsWith('HPE_') !== true) {
+			socket.destroy();
+			return;
+		}
+
 		log('request-refused', {error: 'malformed-request', reason: error.message}, 'warn');
 		onClose?.('malformed');
 		const response = unfinished.on(socket);
