gateway: read the end of a caller's connection before each send

Callers saw: nothing; requests that they had abandoned were still run.

Cause: the event loop reads the bytes of a connection in one poll and its end in the next one, also if both arrived long before, as after a suspension. A request was sent in the turn that read it, and a retry in the turn that read the refusal. The end was noticed only by the close of the response, a turn after it was read, and never for a response that waits behind another one on its connection.

Evidence: leaving-callers.test.ts, red on the code before in all four tests (5 of 5 requests sent on after their connections were closed), green in all five runs of the file since.

Change: RequestRun waits for one poll before each send (nextPoll) and looks again whether the request has ended; whenCallerLeaves watches the end of the connection itself.

Conclusion: the class is covered by tests.

--- a/packages/gateway/src/entry/caller-answer.ts
+++ b/packages/gateway/src/entry/caller-answer.ts
@@ -73,11 +73,6 @@
 		return this.#options.response;
 	}
 
-	/** Whether the answer has not been written completely; once the response is closed, the caller has disconnected. */
-	get isUnfinished(): boolean {
-		return !this.#options.response.writableFinished;
-	}
-
 	/**
 	Writes the head of a stream. Later calls have no effect, so the head of the first server is kept when the stream resumes at another one.
 
--- /dev/null
+++ b/packages/gateway/src/entry/leaving-callers.test.ts
@@ -0,0 +1,118 @@
+import {once} from 'node:events';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {connect, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type ServerId} from '@valehitch/core';
+import test, {type ExecutionContext} from 'ava';
+import {testRoute} from '../configuration/_test-configuration.js';
+import {type GatewayMetrics} from '../logs/gateway-metrics.js';
+import {testServer} from '../servers/_test-server.js';
+import {startTestEntry} from './_test-entry-instance.js';
+import {listen} from './_test-run.js';
+
+const request = 'GET /labels/7 HTTP/1.1\r\nHost: desk.example\r\n\r\n';
+const callerCount = 5;
+
+async function connectCaller(t: ExecutionContext, port: number): Promise<Socket> {
+	const caller = connect(port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+	});
+	caller.on('error', () => undefined);
+	await once(caller, 'connect');
+	return caller;
+}
+
+/** Waits until a number of requests have ended because their callers left. */
+async function leftCallers(metrics: GatewayMetrics, count: number): Promise<void> {
+	let left = 0;
+	while (left < count) {
+		await delay(10);
+		const {values} = await metrics.requests.get();
+		left = values.find(({labels}) => labels.outcome === 'caller-left')?.value ?? 0;
+	}
+}
+
+async function reached(expected: number, count: () => number): Promise<void> {
+	while (count() < expected) {
+		await delay(10);
+	}
+}
+
+const departures = [
+	['closed', (caller: Socket) => caller.destroy()],
+	['reset', (caller: Socket) => caller.resetAndDestroy()],
+] as const;
+
+// All bytes and the end of each connection have arrived when the instance reads its sockets, as after a suspension.
+for (const [name, leave] of departures) {
+	test(`requests that are read after their callers have ${name} their connections are not sent on`, async t => {
+		let arrived = 0;
+		const serverPort = await listen(t, (_message, response) => {
+			arrived++;
+			response.end('printed');
+		});
+		const {port, metrics} = await startTestEntry(t, {
+			records: [testServer({port: serverPort})], routes: [testRoute({isPublic: true})],
+		});
+		// Opens a connection to the server that the next request can reuse.
+		await fetch(`http://127.0.0.1:${port}/labels/7`);
+		const callers = await Promise.all(Array.from({length: callerCount}, async () => connectCaller(t, port)));
+		await delay(100);
+		for (const caller of callers) {
+			caller.write(request);
+			leave(caller);
+		}
+
+		await leftCallers(metrics, callerCount);
+		await fetch(`http://127.0.0.1:${port}/labels/7`);
+		t.is(arrived, 2);
+	});
+}
+
+test('a request is not sent again when its caller has left by the time that the first server refuses it', async t => {
+	const callers: Socket[] = [];
+	let arrived = 0;
+	const handle = (_message: IncomingMessage, response: ServerResponse): void => {
+		arrived++;
+		response.writeHead(arrived === 2 ? 200 : 429).end();
+		// The refusal and the end of the caller's connection are read in the same turn.
+		callers.pop()?.destroy();
+	};
+
+	const ports = await Promise.all([listen(t, handle), listen(t, handle)]);
+	const {port, metrics} = await startTestEntry(t, {
+		records: ports.map((serverPort, index) => testServer({id: `server-${index + 1}` as ServerId, port: serverPort})),
+		routes: [testRoute({isPublic: true, maximumAttempts: 3})],
+	});
+	// Opens connections to both servers that the next request can reuse.
+	const {status} = await fetch(`http://127.0.0.1:${port}/labels/7`);
+	t.deepEqual([status, arrived], [200, 2]);
+	const caller = await connectCaller(t, port);
+	callers.push(caller);
+	caller.write(request);
+	await leftCallers(metrics, 1);
+	await delay(100);
+	t.is(arrived, 3);
+});
+
+test('requests that wait behind another one on their connection are cancelled when their caller leaves', async t => {
+	let arrived = 0;
+	let cancelled = 0;
+	const serverPort = await listen(t, (message, _response) => {
+		arrived++;
+		message.on('close', () => {
+			cancelled++;
+		});
+	});
+	const {port, metrics} = await startTestEntry(t, {
+		records: [testServer({port: serverPort})], routes: [testRoute({isPublic: true})],
+	});
+	const caller = await connectCaller(t, port);
+	caller.write(request.repeat(3));
+	await reached(3, () => arrived);
+	caller.destroy();
+	await leftCallers(metrics, 3);
+	await reached(3, () => cancelled);
+	t.is(cancelled, 3);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,6 +1,6 @@
 import {type HeldBytes} from '@valehitch/routing';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
-import {setTimeoutAfterPoll} from '@valehitch/transport';
+import {nextPoll, setTimeoutAfterPoll, whenCallerLeaves} from '@valehitch/transport';
 import {type Either, Right} from 'purify-ts';
 import {match} from 'ts-pattern';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -127,20 +127,18 @@
 		const stopTimeout = setTimeoutAfterPoll(this.#deadlineAt - this.#now(), () => {
 			this.#expire();
 		});
-		const onClose = (): void => {
-			this.#onCallerClose();
-		};
-
 		const stopListening = this.#suspect.onQuarantine(() => {
 			this.#cancelUnanswered();
 		});
-		this.#answer.response.on('close', onClose);
+		const stopWatching = whenCallerLeaves(this.#answer.response, () => {
+			this.#onCallerLeft();
+		});
 		try {
 			await this.#sendUntilEnded();
 		} finally {
 			stopTimeout();
 			stopListening();
-			this.#answer.response.off('close', onClose);
+			stopWatching();
 			this.#release();
 		}
 	}
@@ -191,6 +189,8 @@
 			await this.#context.wait(doubtfulPartMilliseconds);
 		}
 
+		// A request that is read late, or released by a timer, is not sent if its caller has left meanwhile.
+		await nextPoll();
 		if (this.#end.hasEnded) {
 			return 'ended';
 		}
@@ -410,9 +410,9 @@
 		}
 	}
 
-	#onCallerClose(): void {
+	#onCallerLeft(): void {
 		this.#admission.end();
-		if (!this.#end.hasEnded && this.#answer.isUnfinished) {
+		if (!this.#end.hasEnded) {
 			this.#sent?.attempt.cancel();
 			this.#end.recordEnd('caller-left', {});
 		}
