daemon: read the end of a caller's connection before each send

Callers saw: nothing; a request that was abandoned while its instance was suspended could still be run by a server.

A request was sent in the turn that read it, and its caller's leaving was noticed later.

Evidence: the test in held-up-processes stops a daemon, and lets six callers send and leave.

Change: RequestSender waits for one poll before each send, whose signal is aborted if the caller has left; RequestExecution watches the end of the connection itself.

Conclusion: both entry stacks behave alike. Claimed requests go on after their callers have left, as before.

--- a/packages/daemon/src/entry/lifecycle/request-execution.ts
+++ b/packages/daemon/src/entry/lifecycle/request-execution.ts
@@ -5,6 +5,7 @@
 	type ClaimOutcome,
 	type RequestAction, type RequestEvent, type RequestPlan, type RequestState, type RequestStep, type RequestTarget, startRequest, stepRequest,
 } from '@valehitch/routing';
+import {whenCallerLeaves} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {type AnswerPiece, type AttemptOutput} from '../attempt-output.js';
 import {type EntryContext} from '../entry-context.js';
@@ -96,11 +97,9 @@
 			this.#onEnded = resolve;
 		});
 		context.executions.add(this);
-		response.once('close', () => {
-			if (!response.writableFinished) {
-				context.timeline.record('request-cancelled', {requestId, workspace: this.#options.workspace});
-				this.handleEvent({type: 'caller-left'});
-			}
+		whenCallerLeaves(response, () => {
+			context.timeline.record('request-cancelled', {requestId, workspace: this.#options.workspace});
+			this.handleEvent({type: 'caller-left'});
 		});
 		this.#perform(startRequest(plan));
 		this.#processQueue();
--- a/packages/daemon/src/entry/request-sender.ts
+++ b/packages/daemon/src/entry/request-sender.ts
@@ -1,7 +1,7 @@
 import {type ServerId} from '@valehitch/core';
 import {type Path, RequestPath, type ServiceLinks} from '@valehitch/routing';
 import {
-	type HttpRequest, type HttpRequestFailure, type HttpResponse, type Relay, sendHttpRequest,
+	type HttpRequest, type HttpRequestFailure, type HttpResponse, nextPoll, type Relay, sendHttpRequest,
 } from '@valehitch/transport';
 import {type Either, Left} from 'purify-ts';
 import {type ServerConnections} from './server-connections.js';
@@ -42,6 +42,8 @@
 		let path: Path<Relay> | undefined = this.#path.next(this.#connectionFailures);
 		while (path.type !== 'none') {
 			const relay: Relay | undefined = path.type === 'relayed' ? path.relay : undefined;
+			// The signal is aborted here if a request is read late and its caller has left meanwhile.
+			await nextPoll();
 			const answer = await sendHttpRequest({
 				...request,
 				relay,
--- a/packages/testing/src/held-up-processes.test.ts
+++ b/packages/testing/src/held-up-processes.test.ts
@@ -1,10 +1,12 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {
 	callerKeys, startEntryDeployment, versions,
 } from './_entry-deployment.js';
 import {generateFakeTokens} from './fake-answer.js';
-import {requestChatStream} from './http-client.js';
+import {requestChatStream, callService} from './http-client.js';
 import {waitUntil} from './wait-until.js';
 
 const key = callerKeys.yard;
@@ -62,3 +64,38 @@
 	const bills = await entry.bills(requests);
 	t.deepEqual(requests.map(request => bills.filter(bill => bill.request === request).length), requests.map(() => 1));
 });
+
+/** Sends a request and leaves; both have arrived at a suspended instance before it resumes. */
+async function sendAndLeave(address: string, request: string): Promise<void> {
+	const {hostname, port} = new URL(address);
+	const caller = connect(Number(port), hostname);
+	caller.on('error', () => undefined);
+	await once(caller, 'connect');
+	caller.write(request);
+	caller.destroy();
+}
+
+test.serial('requests that a suspended instance reads after their callers have left are not sent on', async t => {
+	const entry = await startEntryDeployment(t, {engines: 1, settings: {timing}});
+	const callers = entry.callers(1);
+	const chatBody = JSON.stringify({model: 'auto', messages: messagesOf('Coil 1')});
+	const head = (method: string, path: string) => `${method} ${path} HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer ${key}\r\n`;
+	const requests = [
+		`${head('GET', '/services/labels/7')}\r\n`,
+		`${head('POST', '/v1/chat/completions')}Content-Type: application/json\r\nContent-Length: ${chatBody.length}\r\n\r\n${chatBody}`,
+	];
+	const lookUp = async () => callService(callers, {
+		key, service: 'labels', path: '/7', method: 'GET',
+	});
+	// Opens a connection to the server that the next request can reuse.
+	const {done} = await lookUp();
+	t.true(done);
+	entry.daemon(1).process.signal('SIGSTOP');
+	await Promise.all(Array.from({length: 6}, async (_, index) => sendAndLeave(callers, requests[index % requests.length]!)));
+	entry.daemon(1).process.signal('SIGCONT');
+	await delay(stallMilliseconds);
+	const later = await lookUp();
+	t.true(later.done);
+	t.is(await entry.countRuns('labels-1'), 2);
+	t.is(await entry.countRuns('engine-1'), 0);
+});
