transport: drop bytes that a relay reads after its tunnel was closed

Callers saw: nothing; a request that was abandoned could still reach a server through an instance that read it late.

Cause: a relay passed bytes on in the turn that read them, and read the end of the tunnel a poll later.

Change: the bytes of a caller are passed on after the next poll, those of a server at once as before.

Conclusion: a request is not sent on by a relay either once the close of its tunnel has arrived.

--- a/packages/transport/src/_join-sockets.ts
+++ b/packages/transport/src/_join-sockets.ts
@@ -1,5 +1,10 @@
 import {type Socket} from 'node:net';
+import {Transform} from 'node:stream';
 import {confirmClose} from './_confirm-close.js';
+import {nextPoll} from './next-poll.js';
+
+/** The bytes of a caller that wait for a poll, above which nothing more is read from it: more than one read yields. */
+const pendingBytes = 131_072;
 
 /**
 Passes bytes between an HTTP client and a server until either has ended. A reset of either side resets the other, so that a truncated answer does not look complete.
@@ -11,7 +16,9 @@
 		caller.end();
 	};
 
-	caller.pipe(server, {end: false});
+	const requests = passAfterPoll();
+	caller.pipe(requests, {end: false});
+	requests.pipe(server, {end: false});
 	server.pipe(caller, {end: false});
 	server.on('end', () => {
 		confirmClose(server, wasClosed => {
@@ -41,6 +48,18 @@
 		server.resetAndDestroy();
 	});
 	caller.on('close', () => {
+		requests.destroy();
 		server.destroy();
 	});
 }
+
+/** Passes bytes on after the next poll, so that a request that is read late is not passed on if it was abandoned meanwhile. */
+function passAfterPoll(): Transform {
+	return new Transform({
+		writableHighWaterMark: pendingBytes,
+		async transform(chunk: Uint8Array, _encoding, callback) {
+			await nextPoll();
+			callback(null, chunk);
+		},
+	});
+}
--- a/packages/transport/src/open-tunnel.test.ts
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -82,6 +82,28 @@
 	t.deepEqual(asked, [[toId<InstanceId>('left'), target]]);
 });
 
+test('bytes that a relay reads after the tunnel was closed do not reach the target', async t => {
+	const {network, address} = await listen(t, {isTunnelAllowed: () => true});
+	const received: string[] = [];
+	const ended: Array<Promise<unknown>> = [];
+	const target = await listenTarget(t, socket => {
+		ended.push(once(socket, 'close'));
+		socket.on('data', (data: Uint8Array) => {
+			received.push(new TextDecoder().decode(data));
+		});
+	});
+	const opened = await network.openTunnel(address, target, timeout);
+	const {socket} = opened.unsafeCoerce();
+	socket.write('coil');
+	socket.destroy();
+	while (ended.length === 0) {
+		await setImmediate();
+	}
+
+	await ended[0];
+	t.deepEqual(received, []);
+});
+
 test('a tunnel that its instance closes while it stops is reset, and does not look like the end of an answer', async t => {
 	const {network, address} = await listen(t, {isTunnelAllowed: () => true});
 	const target = await listenTarget(t, socket => {
