transport: close tunnels that are ending when an instance stops

What callers saw: nothing of the answer, which was whole. The instance that stopped kept a connection open: its count of tunnels did not fall to 0, and its event loop did not end.

Cause: TunnelServer.close resets all tunnels. A connection whose end is being sent can't be reset (EINVAL), and the socket then drops its handle without closing it.

Evidence: the test fails before (the error EINVAL, then the test process does not exit) and passes after.

Change: such a connection is closed. All its bytes are with the kernel, and the end that is being sent is that of a whole answer.

Conclusion: a connection that has more to send is reset as before, so that no cut answer looks complete.

--- a/packages/transport/src/open-tunnel.test.ts
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import {createServer as createHttpServer} from 'node:http';
 import {
 	type AddressInfo, createServer, type Server, type Socket,
 } from 'node:net';
@@ -6,7 +7,8 @@
 import {type InstanceId, toId} from '@valehitch/core';
 import test, {type ExecutionContext} from 'ava';
 import {type PeerAddress, PeerNetwork, type PeerNetworkOptions} from './peer-network.js';
-import {type TunnelFailure} from './open-tunnel.js';
+import {openTunnel, type TunnelFailure} from './open-tunnel.js';
+import {TunnelServer} from './tunnel-server.js';
 import {type TunnelTarget} from './tunnel-target.js';
 
 const host = '127.0.0.1';
@@ -193,3 +195,43 @@
 	opened.unsafeCoerce().socket.destroy();
 	t.deepEqual(results, [false, true]);
 });
+
+// The reset of a connection whose end is being sent fails, and left the connection open for good.
+test('an instance that stops while the end of an answer is being sent through a tunnel leaves no connection open', async t => {
+	const target = await listenTarget(t, socket => {
+		socket.end('whole');
+	});
+	const tunnels = new TunnelServer({key, isAllowed: () => true, recordTarget: () => true});
+	const relay = createHttpServer().listen(0, host);
+	await once(relay, 'listening');
+	const errors: Array<string | undefined> = [];
+	const closed = new Promise<void>(resolve => {
+		relay.on('connect', (request, caller: Socket) => {
+			const end = caller.end.bind(caller);
+			caller.end = (): Socket => {
+				end();
+				tunnels.close();
+				return caller;
+			};
+
+			caller.on('error', ({code}: NodeJS.ErrnoException) => {
+				errors.push(code);
+				resolve();
+			});
+			caller.on('close', () => {
+				resolve();
+			});
+			tunnels.handle(request, caller);
+		});
+	});
+	const peer = {instance: toId<InstanceId>('left'), host, port: (relay.address() as AddressInfo).port};
+	const opened = await openTunnel(peer, {
+		self: toId<InstanceId>('right'), key, target, timeout: 1000,
+	});
+	const received = readAll(opened.unsafeCoerce().socket);
+	await closed;
+	t.deepEqual(errors, []);
+	t.deepEqual(await received, {text: 'whole', isReset: false});
+	t.is(tunnels.count, 0);
+	relay.close();
+});
--- a/packages/transport/src/tunnel-server.ts
+++ b/packages/transport/src/tunnel-server.ts
@@ -91,7 +91,12 @@
 	/** Resets all tunnels, so that no answer that is under way looks complete. */
 	close(): void {
 		for (const caller of this.#callers) {
-			caller.resetAndDestroy();
+			// A reset fails while the end is being sent, and would leave the connection open.
+			if (caller.writableEnded && caller.writableLength === 0) {
+				caller.destroy();
+			} else {
+				caller.resetAndDestroy();
+			}
 		}
 	}
 }
