--- a/packages/testing/src/platform/fake-backend-server.ts
+++ b/packages/testing/src/platform/fake-backend-server.ts
@@ -46,6 +46,8 @@
 	readonly after: number;
 	/** Whether a part of the next event follows; false by default. */
 	readonly isInsideEvent?: boolean;
+	/** The number of bytes of the head after which the response ends instead, without any event; by default the whole head is sent. */
+	readonly headBytes?: number;
 };
 
 /** A request that the fake server executed. */
@@ -226,7 +228,13 @@
 			removeFraming(response);
 		}
 
-		response.writeHead(status, this.#headers(run, {confidence, notices}));
+		const headers = this.#headers(run, {confidence, notices});
+		if (truncation?.headBytes !== undefined) {
+			await this.#truncateHead(response, {by: truncation.by, head: `${writeHead(status, headers)}Content-Length: 7\r\n\r\n`.slice(0, truncation.headBytes)});
+			return;
+		}
+
+		response.writeHead(status, headers);
 		if (firstEventDelay !== undefined) {
 			response.flushHeaders();
 			await delay(firstEventDelay);
@@ -268,6 +276,16 @@
 		};
 	}
 
+	async #truncateHead({socket}: ServerResponse, {by, head}: {readonly by: ResponseTruncation['by']; readonly head: string}): Promise<void> {
+		socket?.write(head);
+		await delay(20);
+		if (by === 'exit') {
+			this.#server.close();
+		}
+
+		socket?.end();
+	}
+
 	async #truncate(response: ServerResponse, {by, isInsideEvent = false}: ResponseTruncation): Promise<void> {
 		if (isInsideEvent) {
 			response.write('id');
@@ -285,6 +303,10 @@
 	}
 }
 
+function writeHead(status: number, headers: Readonly<Record<string, string>>): string {
+	return [`HTTP/1.1 ${status} Status`, ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`), ''].join('\r\n');
+}
+
 /** Makes a response end with its connection. */
 function removeFraming(response: ServerResponse): void {
 	response.removeHeader('Transfer-Encoding');
--- a/packages/testing/src/truncated-answers.test.ts
+++ b/packages/testing/src/truncated-answers.test.ts
@@ -49,7 +49,7 @@
 };
 
 /** Starts two servers of each service whose first answer to a request other than the first ones ends as given; the next one is complete. */
-async function start(t: ExecutionContext, truncated: FakeBackendResponse): Promise<Started> {
+async function start(t: ExecutionContext, truncated: FakeBackendResponse | ((path: string) => FakeBackendResponse)): Promise<Started> {
 	const deployment = await PlatformDeployment.start({entryCount: 1});
 	const seen = new Set<string>();
 	const answer = ({id, path}: ExecutedRequest): FakeBackendResponse => {
@@ -58,7 +58,7 @@
 		}
 
 		seen.add(id);
-		return {confidence: 90, events, ...truncated};
+		return {confidence: 90, events, ...(typeof truncated === 'function' ? truncated(path) : truncated)};
 	};
 
 	const backends = await startBackends(t, {
@@ -116,6 +116,39 @@
 	t.is(runsOf(backends, '/print/7').length, 1);
 });
 
+test('an answer whose server closes the connection inside its head does not become a success that is cut', async t => {
+	const {backends, send} = await start(t, path => ({truncation: {by: 'end', after: 0, headBytes: Number(path.split('/').at(-1))}}));
+	const successes = new Set<string>();
+	for (let headBytes = 0; headBytes < 140; headBytes += 9) {
+		for (const [path, text] of [[`/look/${headBytes}`, events.join('')], [`/drafts/${headBytes}`, completeStream]] as const) {
+			const answer = await send(path);
+			const isSuccess = answer.status < 500;
+			t.like(answer, {isComplete: true, ...(isSuccess && {status: 200, text})});
+			if (isSuccess) {
+				successes.add(path);
+			}
+		}
+
+		for (const path of [`/print/${headBytes}`, `/once/${headBytes}`]) {
+			const {status, isComplete} = await send(path);
+			t.true(isComplete && status >= 500, `${path}: ${status}`);
+			t.true(runsOf(backends, path).length <= 1, `runs of ${path}`);
+		}
+	}
+
+	t.true(successes.size > 0);
+});
+
+test('an answer whose server exits inside its head is repeated or fails, and does not look complete', async t => {
+	const {backends, send} = await start(t, {truncation: {by: 'exit', after: 0, headBytes: 60}});
+	t.like(await send('/drafts/7'), {status: 200, text: completeStream, isComplete: true});
+	t.like(await send('/look/7'), {status: 200, text: events.join(''), isComplete: true});
+	for (const path of ['/once/7', '/print/7']) {
+		t.like(await send(path), {status: 502, isComplete: true});
+		t.is(runsOf(backends, path).length, 1);
+	}
+});
+
 test('answers without a length whose servers go on running are complete', async t => {
 	const {backends, send} = await start(t, {isUnframed: true});
 	for (const path of ['/drafts/7', '/once/7']) {
