transport: test answers and replies of peers that are cut at any byte

An answer to CONNECT opens no tunnel, and a reply over a link counts as none, if one byte is missing, whether the connection is closed or reset. Both tables were green at once; nothing had to be changed.

--- a/packages/transport/src/open-tunnel.test.ts
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -235,3 +235,26 @@
 	t.is(tunnels.count, 0);
 	relay.close();
 });
+
+test('an answer of a peer to a request for a tunnel that is cut at any byte opens no tunnel', async t => {
+	const answer = 'HTTP/1.1 200 Connection Established\r\nvalehitch-open-tunnels: 1\r\n\r\n';
+	let length = 0;
+	let isReset = false;
+	const peer = await listenTarget(t, socket => {
+		socket.once('data', () => {
+			socket.write(answer.slice(0, length), () => {
+				if (isReset) {
+					socket.resetAndDestroy();
+				} else {
+					socket.end();
+				}
+			});
+		});
+	});
+	const {network} = await listen(t);
+	for (isReset of [false, true]) {
+		for (length = 0; length < answer.length; length++) {
+			t.is(await failureOf(network, {instance: toId<InstanceId>('right'), ...peer}, {host, port: 1}), 'peer-unavailable', `${length} bytes`);
+		}
+	}
+});
--- a/packages/transport/src/peer-network.test.ts
+++ b/packages/transport/src/peer-network.test.ts
@@ -189,3 +189,48 @@
 	await Promise.all([left.network.close(), right.network.close()]);
 	proxy.close();
 });
+
+test('a reply of a peer that is cut at any byte is no reply', async t => {
+	const left = await listen('left');
+	const right = await listen('right');
+	let remaining = 0;
+	let isReset = false;
+	const proxy = createServer(caller => {
+		const server = connect(right.network.port, '127.0.0.1');
+		caller.on('error', doNothing);
+		server.on('error', doNothing);
+		caller.pipe(server);
+		server.on('data', (bytes: Uint8Array) => {
+			caller.write(bytes.subarray(0, remaining));
+			remaining -= bytes.byteLength;
+			if (remaining <= 0) {
+				server.destroy();
+				if (isReset) {
+					caller.resetAndDestroy();
+				} else {
+					caller.end();
+				}
+			}
+		});
+	}).listen(0, '127.0.0.1');
+	await once(proxy, 'listening');
+	const address = {...right.address, port: (proxy.address() as AddressInfo).port};
+	remaining = Number.MAX_SAFE_INTEGER;
+	const whole = await left.network.request(address, {text: 'one'});
+	t.deepEqual(whole.extract(), {echo: 'one', from: 'left'});
+	const bytes = Number.MAX_SAFE_INTEGER - remaining;
+	t.true(bytes > 100);
+	await left.network.close();
+	for (isReset of [false, true]) {
+		for (let length = 0; length < bytes; length++) {
+			const caller = await listen('left');
+			remaining = length;
+			const reply = await caller.network.request(address, {text: 'one'});
+			t.true(reply.isLeft(), `${length} bytes`);
+			await caller.network.close();
+		}
+	}
+
+	proxy.close();
+	await right.network.close();
+});
