platform: do not pass on a body without its transfer coding

What callers saw: a signed 200 whose body was coded, such as gzip, and which did not say so, framed by a length as if it were the server's body.

Cause: only Content-Encoding made an answer count as encoded. A Transfer-Encoding of more than chunks is removed as a header of one connection, and its coding stayed in the body. The bodies of callers were already refused in this case.

Conclusion: servers are not asked for transfer codings, so that none should send one; no such answer has been seen.

--- a/packages/platform/src/platform-dialect.test.ts
+++ b/packages/platform/src/platform-dialect.test.ts
@@ -109,3 +109,13 @@
 	t.false(platformDialect.isAnswerOf(server, {status: 421, headers: {}}));
 	t.false(platformDialect.isAnswerOf(server, {status: 200, headers: {'instance-id': 'i-8'}}));
 });
+
+test('an answer in a transfer coding other than chunks is not passed on as if it were the body of its server', t => {
+	for (const coding of ['gzip, chunked', 'gzip', 'chunked, gzip', 'x']) {
+		t.true(platformDialect.readAnswer(200, {'response-signature': 's', 'attempt-id': 'a1', 'transfer-encoding': coding}).isEncoded, `as ${coding}`);
+	}
+
+	for (const headers of [{'transfer-encoding': 'Chunked'}, {'transfer-encoding': 'chunked '}, {}]) {
+		t.false(platformDialect.readAnswer(200, {'response-signature': 's', 'attempt-id': 'a1', ...headers}).isEncoded);
+	}
+});
