Keep all headers of an answer, so that none that frames its body is dropped

What callers saw: an answer with more than 1000 header lines, the length after them, came only when its server closed the idle connection, and failed if that was a reset. The receipt or the id could be missing in the same way.

Cause: Node's client drops all headers after the first 1000, and knows the framing itself; we took the answer for one that ends with its connection and waited for the close.

Evidence: both tests, of sendAttempt and of sendHttpRequest, fail before and pass after.

Change: the number of headers is not limited, only the size of the head, as before.

Conclusion: no cut body looked whole by this, since Node marks it as incomplete. No such answer has been seen from a server.

--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -99,6 +99,17 @@
 	}
 });
 
+// The length was dropped as one header too many, and the end of the connection awaited.
+test('an answer that states its length after a thousand other headers is complete at the end of its body', async t => {
+	const options = await serve(t, socket => {
+		socket.write(`HTTP/1.1 200 OK\r\n${'a:b\r\n'.repeat(1200)}Content-Length: 2\r\n\r\nok`);
+		setTimeout(() => {
+			socket.resetAndDestroy();
+		}, 500);
+	});
+	t.true(await isComplete(options));
+});
+
 test('an answer whose last transfer coding is not chunked ends with its connection, and is incomplete if it is reset', async t => {
 	t.false(await isComplete(await serve(t, socket => {
 		socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nConnection: close\r\n\r\nhalf of it', () => {
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -109,6 +109,8 @@
 		headers: frameRequest(headers, {method, body}).flat(),
 		signal: processEnd,
 	});
+	// The size of the head is limited. A header that is dropped may be the one that frames the body.
+	request.maxHeadersCount = 0;
 	let isCancelled = false;
 	let isOpen = false;
 	request.on('socket', socket => {
--- a/packages/transport/src/read-response-body.test.ts
+++ b/packages/transport/src/read-response-body.test.ts
@@ -8,14 +8,16 @@
 
 const limit = 1000;
 
-/** Requests a response that has no length and ends as given; returns its body, or undefined if it is truncated. */
-async function receive(end: (socket: Socket, server: Server) => void): Promise<string | undefined> {
+const unframedHead = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+
+/** Requests a response that has no length, or another head, and ends as given; returns its body, or undefined if it is truncated. */
+async function receive(end: (socket: Socket, server: Server) => void, head = unframedHead): Promise<string | undefined> {
 	const server = createServer(socket => {
 		socket.on('error', () => {
 			socket.destroy();
 		});
 		socket.once('data', () => {
-			socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of it', () => {
+			socket.write(`${head}half of it`, () => {
 				end(socket, server);
 			});
 		});
@@ -51,3 +53,12 @@
 		socket.end();
 	}), undefined);
 });
+
+// The length was dropped as one header too many, and the end of the connection awaited.
+test('a response that states its length after a thousand other headers is complete at the end of its body', async t => {
+	t.is(await receive(socket => {
+		setTimeout(() => {
+			socket.resetAndDestroy();
+		}, 500);
+	}, `HTTP/1.1 200 OK\r\n${'a:b\r\n'.repeat(1200)}Content-Length: 10\r\n\r\n`), 'half of it');
+});
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -73,6 +73,8 @@
 			agent: agentOf(call),
 			signal: call.signal,
 		});
+		// The size of the head is limited. A header that is dropped may be the one that frames the body.
+		clientRequest.maxHeadersCount = 0;
 		const cancelConnectTimeout = setTimeoutAfterPoll(connectTimeoutMilliseconds, () => {
 			// The opening of a tunnel has its own timeout, which tells whose fault it is.
 			if (!connected && call.relay === undefined) {
