soak: end each run with the loss of one disk and of all power

The last fault of a run kills all processes and deletes the folder of one control instance up to 400 ms after a configuration was acknowledged. What was acknowledged must be read back, and all entry instances must serve.

--- a/packages/soak/src/inject-fault.ts
+++ b/packages/soak/src/inject-fault.ts
@@ -102,6 +102,22 @@
 	}
 }
 
+/**
+Ends all processes at once, as a loss of power does, deletes the disk of one control instance, and starts all again.
+
+@param wiped The control instance.
+@param deployment The deployment.
+@example
+```ts
+await losePowerAndDisk(deployment.controls[0]!, deployment);
+```
+*/
+export async function losePowerAndDisk(wiped: PlatformInstance, {instances}: Pick<PlatformDeployment, 'instances'>): Promise<void> {
+	await Promise.all(instances.map(async ({process}) => process.kill('SIGKILL')));
+	await rm(wiped.folder, {recursive: true, force: true});
+	await Promise.all(instances.map(async instance => restart(instance)));
+}
+
 /** Returns the processes that a fault affects. */
 function affectedInstances({kind, pick}: Fault, {controls, instances}: PlatformDeployment): readonly PlatformInstance[] {
 	if (kind === 'kill-all-controls') {
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -1,10 +1,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import {type RandomSource} from '@valehitch/core';
 import {
 	PlatformDeployment, type PlatformInstance, seededRandom, waitUntil,
 } from '@valehitch/testing';
 import {findViolations} from './find-violations.js';
-import {cutServerLinks, injectFault} from './inject-fault.js';
+import {cutServerLinks, injectFault, losePowerAndDisk} from './inject-fault.js';
 import {type Fault, planFaults} from './plan-faults.js';
 import {type PlannedNotice, planNotices} from './plan-notices.js';
 import {planServerCut, type ServerCut} from './plan-server-cut.js';
@@ -47,6 +48,8 @@
 /** How long a zone is evacuated, as a share of the traffic with faults; longer than the limit that is checked. */
 const evacuatedShare = 0.75;
 const recoveryMilliseconds = 20_000;
+/** The longest time from the last acknowledgement to the loss of all power. */
+const maximumEndDelayMilliseconds = 400;
 /** The address of all backend servers, which differ by port. */
 const serverHost = '127.0.0.2';
 const requestKinds: readonly RequestKind[] = ['safe', 'unsafe', 'streaming'];
@@ -110,12 +113,15 @@
 		await cutting;
 		stopNotices();
 		await Promise.race([evacuation, sleep(recoveryMilliseconds)]);
+		await callers.stop();
+		await endWithLostPower({
+			faults, random: seededRandom((seed * seedMultiplier) + 3), deployment, operator, record,
+		});
 		if (!operator.isIdle) {
 			record.unrecovered.push('an operator whose change was not acknowledged');
 		}
 
 		await operator.stop();
-		await callers.stop();
 		await waitUntilServing({callers, operator, entries: deployment.entries}, entry => {
 			record.unrecovered.push(entry);
 		});
@@ -131,6 +137,24 @@
 	return {faults, record, violations: findViolations(record, limits)};
 }
 
+type EndOptions = {
+	readonly faults: readonly Fault[];
+	readonly random: RandomSource;
+	readonly deployment: PlatformDeployment;
+	readonly operator: SoakOperator;
+	readonly record: SoakRecord;
+};
+
+/** Ends the faults with the loss of one disk and of all power, soon after a configuration was acknowledged. The disk is the one that was lost last, which may not have recovered its data yet. */
+async function endWithLostPower({faults, random, deployment, operator, record}: EndOptions): Promise<void> {
+	const {pick} = faults.findLast(({kind}) => kind === 'wipe') ?? {pick: random()};
+	await Promise.race([operator.submitConfiguration(), sleep(recoveryMilliseconds)]);
+	await sleep(random() * maximumEndDelayMilliseconds);
+	const from = performance.now();
+	await losePowerAndDisk(deployment.controls[Math.floor(pick * deployment.controls.length)]!, deployment);
+	record.disturbances.push(...deployment.instances.map(({ip}) => ({ip, from, to: performance.now()})));
+}
+
 /** Describes the exit of a process that should be running. The signal distinguishes a process that a fault killed and has not restarted yet from one that exited by itself. */
 function describeExit({name, process: {lastExit}}: PlatformInstance): string {
 	const {code, signal, runMilliseconds} = lastExit ?? {};
