gateway: let a stream continue at a server whose send was cancelled

A stream that paused, went on and then broke was broken off to its caller though another server would have continued it. The send to the other server had been cancelled when the stream went on, and the cancelled send excluded that server from the request.

Test: returned-streams.test.ts, red before (the answer was aborted), green after. A cancelled send no longer excludes its server.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -325,7 +325,11 @@
 				this.#allowance.requireNewConnections();
 				this.#end.recordPossibleRun();
 				this.#end.keepFailedAnswer(answer);
-				this.#placement.exclude(server);
+				// A send that was cancelled because the stream has continued says nothing about its server.
+				if (!this.#stalled.hasContinued) {
+					this.#placement.exclude(server);
+				}
+
 				return this.#retry(failed);
 			})
 			.with({type: 'whole'}, async ({answer, framing}) => this.#stalled.isKept
