gateway: do not stall a stream of a request that is quarantined

A quarantined request is not sent again, so a stalled stream of it returned to its server at once and stalled again, at each stall timeout until its deadline. Each time, a failure of its server was recorded, for its ejection and as evidence about its version.

Test: returned-streams.test.ts, red before (request-resumed was logged), green after. Such a stream is kept without a notice.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -247,7 +247,7 @@
 			deadlineAt: this.#deadlineAt,
 			lastEventId: this.#events.lastEventId,
 			processEnd: load.processEnd,
-			canGoOn: () => this.#stalled.isKept || this.#fallback.isKept || this.#search.isLinkInDoubt(target) || this.#search.canGoElsewhere(server),
+			canGoOn: () => this.#stalled.isKept || this.#fallback.isKept || this.#search.isLinkInDoubt(target) || this.#canGoElsewhere(server),
 			onOverdue: () => {
 				// A late answer is a failure of the server, but no evidence about its version yet.
 				this.#results.record(server, 'failed');
@@ -264,6 +264,10 @@
 		return next;
 	}
 
+	#canGoElsewhere(server: ServerRecord): boolean {
+		return this.#suspect.standing !== 'quarantined' && this.#search.canGoElsewhere(server);
+	}
+
 	#outcomeOptions({server, relay, sentAt, load, expected}: StartedSend): HandleOutcomeOptions {
 		return {
 			context: this.#context,
@@ -288,7 +292,7 @@
 			onFirstEvent: () => {
 				this.#stalled.discard();
 			},
-			canResumeElsewhere: () => this.#search.canGoElsewhere(server),
+			canResumeElsewhere: () => this.#canGoElsewhere(server),
 			keepStalled: stream => {
 				this.#stalled.keep(stream);
 			},
--- a/packages/gateway/src/entry/returned-streams.test.ts
+++ b/packages/gateway/src/entry/returned-streams.test.ts
@@ -1,9 +1,15 @@
 import {type ServerResponse} from 'node:http';
-import {type ServerId} from '@valehitch/core';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type ServerId, type WorkspaceId} from '@valehitch/core';
+import {fingerprintRequest} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
 import {testServer} from '../servers/_test-server.js';
-import {control, listen, sendRequests} from './_test-run.js';
+import {testRequest} from './_test-request.js';
+import {
+	control, listen, sendRequests, type SendRequestsOptions,
+} from './_test-run.js';
+import {type EntryContext} from './entry-context.js';
 
 const route = testRoute({
 	kind: 'streaming', isResumable: true, timeout: 20_000, targetLatency: 150, targetGap: 100, maximumAttempts: 4,
@@ -11,10 +17,10 @@
 const pauseMilliseconds = 400;
 
 /** Starts two servers that answer the sends of one request in the given order, whichever of the two is asked. */
-async function send(t: ExecutionContext, answers: ReadonlyArray<(response: ServerResponse) => void>) {
+async function send(t: ExecutionContext, answers: ReadonlyArray<(response: ServerResponse) => void | Promise<void>>, options: Partial<SendRequestsOptions> = {}) {
 	let sends = 0;
 	const handle = (_message: unknown, response: ServerResponse): void => {
-		answers[sends]?.(response);
+		void answers[sends]?.(response);
 		sends++;
 	};
 
@@ -25,6 +31,7 @@
 		nextServers(known) {
 			known.applyRecords(ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
 		},
+		...options,
 	});
 }
 
@@ -49,3 +56,28 @@
 	]);
 	t.deepEqual(answers, [{status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n'}]);
 });
+
+test('a stalled stream of a quarantined request, which is not sent again, is kept without further notice', async t => {
+	const fingerprint = fingerprintRequest({...testRequest(), workspace: 'mills' as WorkspaceId, body: new Uint8Array()});
+	const lines: string[] = [];
+	let known: EntryContext | undefined;
+	const {answers} = await send(t, [
+		async response => {
+			response.write('id: 1\ndata: one\n\n');
+			await delay(50);
+			known?.suspects.merge([{fingerprint, ends: ['a', 'b', 'c'].map(process => ({process, at: Date.now(), isCleared: false}))}], control);
+			await delay(pauseMilliseconds);
+			response.end('id: 2\ndata: two\n\n');
+		},
+	], {
+		prepare(context) {
+			known = context;
+		},
+		log(kind) {
+			lines.push(kind);
+		},
+	});
+	t.deepEqual(answers, [{status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'}]);
+	t.false(lines.includes('request-resumed'));
+	t.false(lines.includes('request-returned'));
+});
