gateway: keep a fallback answer until the first event of a better one

A request got 502 where a larger model sent the head of its answer and then broke, though the answer of the smaller model was there. That answer was given up at the head. At the deadline of a stream that had returned to its server, the failure was recorded for the server whose send was cancelled.

Test: request-run.test.ts, red before (502 instead of the answer of the smaller model), green after. The fallback answer is given up with the first event of a better one. If it is due before, the better one is ended; it is preferred over a stream that has stalled before its first event. The cases without an event in time are new with this change. A stream that is forwarded again counts as the current send.

--- a/packages/gateway/src/entry/end-expired.ts
+++ b/packages/gateway/src/entry/end-expired.ts
@@ -8,7 +8,7 @@
 /** Options of {@linkcode endExpired}. */
 export type EndExpiredOptions = {
 	/** The current or last send; undefined if nothing was sent. */
-	readonly sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
+	readonly sent: {readonly attempt: Pick<SentAttempt, 'isConnected' | 'cancel'>; readonly server: ServerRecord} | undefined;
 	readonly results: Pick<SendResults, 'recordFailure' | 'record'>;
 	readonly model: ModelId | undefined;
 	/** The time since the request arrived, in milliseconds. */
--- a/packages/gateway/src/entry/fallback-answer.ts
+++ b/packages/gateway/src/entry/fallback-answer.ts
@@ -26,7 +26,7 @@
 const forwardMarginMilliseconds = 200;
 
 /**
-Holds the unread answer of a smaller model as a fallback, until a better answer has started or there is no time left for one.
+Holds the unread answer of a smaller model as a fallback, until the first event of a better answer has arrived or there is no time left for one.
 
 @example
 ```ts
--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -25,7 +25,7 @@
 export async function forwardStream({received, head, latency}: StartedStream, options: HandleOutcomeOptions): Promise<OutcomeStep> {
 	const {message, framing, isComplete} = received;
 	const {context, request, suspect, route, results, models} = options;
-	const {answer, events, server, hasEnded, onStreamStart, onFirstEvent, canResumeElsewhere, keepStalled, isSuperseded} = options;
+	const {answer, events, server, hasEnded, onStreamStart, onFirstEvent, canResumeElsewhere, keepStalled, isSuperseded, isTooLate} = options;
 	onStreamStart();
 	const headers = context.dialect.answerHeaders(message);
 	const end = await relayStream({
@@ -65,6 +65,12 @@
 		return unknownOutcome(reason);
 	}
 
+	if (isTooLate()) {
+		events.discardIncomplete();
+		results.recordFailure(server, models.current);
+		return unknownOutcome(reason);
+	}
+
 	context.log('request-resumed', {
 		request: request.id, fingerprint: suspect.fingerprint, parts: suspect.parts, server: server.id, startedAt: server.startedAt,
 		end, lastEvent: events.lastEventId, framing, leftoverBytes: events.incomplete.byteLength,
--- a/packages/gateway/src/entry/handle-outcome-options.ts
+++ b/packages/gateway/src/entry/handle-outcome-options.ts
@@ -44,6 +44,8 @@
 	readonly keepStalled: (stream: StalledStream) => void;
 	/** Whether a stalled stream has continued at its earlier server, so that this send is not needed. */
 	readonly isSuperseded: () => boolean;
+	/** Whether the fallback answer is due and the server has sent no event, so that its stream was ended. */
+	readonly isTooLate: () => boolean;
 	/** Returns the model that the request escalates to; undefined if the answer is good enough or no retry is left. */
 	readonly chooseLarger: (head: AnswerHead, latency: number) => ModelId | undefined;
 };
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -220,19 +220,27 @@
 	t.deepEqual(answers.map(({status, text}) => [status, text]), [[200, 'id: 1\ndata: small\n\n']]);
 });
 
-test('the answer of a smaller model is forwarded if the better one does not arrive in time', async t => {
-	const port = await listenForModels(t, () => {
-		// Never answers.
-	});
-	const {answers} = await sendRequests(t, 1, {
-		route: modelRoute,
-		timeout: 1000,
-		nextServers(known) {
-			known.applyRecords([testServer({port})], {source: control, now: performance.now()});
-		},
+function sendHead(_message: IncomingMessage, response: ServerResponse): void {
+	response.flushHeaders();
+}
+
+for (const [name, answerLarge, targetGap, serverCount] of [
+	['does not arrive in time', ignore, undefined, 1],
+	['has no event in time', sendHead, undefined, 1],
+	['has no event in time, and none of another server', sendHead, 100, 2],
+] as const) {
+	test(`the answer of a smaller model is forwarded if the better one ${name}`, async t => {
+		const port = await listenForModels(t, answerLarge);
+		const {answers} = await sendRequests(t, 1, {
+			route: {...modelRoute, targetGap},
+			timeout: 1000,
+			nextServers(known) {
+				known.applyRecords(Array.from({length: serverCount}, (_, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
+			},
+		});
+		t.deepEqual(answers.map(({status, text}) => [status, text]), [[200, 'id: 1\ndata: small\n\n']]);
 	});
-	t.deepEqual(answers.map(({status, text}) => [status, text]), [[200, 'id: 1\ndata: small\n\n']]);
-});
+}
 
 /** Counts the sends of a request to servers that take 1400 ms, when the expected latency of a short prompt is 100 ms. */
 async function countSends(t: ExecutionContext, inputTokens: number): Promise<number> {
@@ -263,6 +271,24 @@
 	t.true(await countSends(t, 1000) > 1);
 });
 
+test('the answer of a smaller model is forwarded if the better one breaks before its first event', async t => {
+	const port = await listenForModels(t, (message, response) => {
+		response.writeHead(200);
+		response.flushHeaders();
+		setTimeout(() => {
+			message.socket.resetAndDestroy();
+		}, 20);
+	});
+	const {answers} = await sendRequests(t, 1, {
+		route: {...modelRoute, maximumAttempts: 2},
+		timeout: 5000,
+		nextServers(known) {
+			known.applyRecords([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual(answers.map(({status, text}) => [status, text]), [[200, 'id: 1\ndata: small\n\n']]);
+});
+
 test('a fallback answer whose connection broke is not used, and the caller gets a failure', async t => {
 	const port = await listen(t, (message, response) => {
 		if (message.headers.model === 'large') {
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -62,7 +62,7 @@
 	readonly #search: ServerSearch;
 	readonly #admission: RunAdmission;
 	/** The current or last send. */
-	#sent: {readonly attempt: SentAttempt; readonly server: ServerRecord} | undefined;
+	#sent: {readonly attempt: Pick<SentAttempt, 'isConnected' | 'cancel'>; readonly server: ServerRecord} | undefined;
 
 	constructor(context: EntryContext, {request, body, held, response, authorized, arrivedAt}: RequestRunOptions) {
 		const {route} = authorized;
@@ -286,10 +286,10 @@
 			hasEnded: () => this.#end.hasEnded,
 			onStreamStart: () => {
 				load?.markAnswerStarted();
-				this.#fallback.discard();
 				this.#placement.recordStreamStart(server.version);
 			},
 			onFirstEvent: () => {
+				this.#fallback.discard();
 				this.#stalled.discard();
 			},
 			canResumeElsewhere: () => this.#canGoElsewhere(server),
@@ -297,6 +297,7 @@
 				this.#stalled.keep(stream);
 			},
 			isSuperseded: () => this.#stalled.hasContinued,
+			isTooLate: () => this.#fallback.isKept && this.#fallback.isDue,
 			chooseLarger: (head, latency) => this.#chooseLargerModel(head, latency),
 		};
 	}
@@ -383,7 +384,7 @@
 			return 'ended';
 		}
 
-		const stalled = this.#stalled.take();
+		const stalled = this.#prefersFallback ? undefined : this.#stalled.take();
 		if (stalled !== undefined) {
 			this.#events.restoreIncomplete(stalled.incomplete);
 			this.#context.log('request-returned', {request: this.#request.id, server: stalled.server.id, reason: failed.message});
@@ -393,7 +394,21 @@
 		return kept === undefined ? this.#end.fail(failed) : this.#forwardKept(kept);
 	}
 
+	/** Whether the fallback answer is forwarded though a stream has stalled before its first event. */
+	get #prefersFallback(): boolean {
+		return this.#fallback.isKept && (this.#fallback.isDue || !this.#stalled.hasContinued);
+	}
+
 	async #forwardKept(stream: FallbackStream): Promise<NextStep> {
+		this.#sent = {
+			server: stream.server,
+			attempt: {
+				isConnected: () => true,
+				cancel() {
+					stream.received.message.destroy();
+				},
+			},
+		};
 		this.#models.restore(stream.model);
 		const step = await forwardStream(stream, this.#outcomeOptions({server: stream.server, sentAt: this.#now()}));
 		return this.#handleStep(step, stream);
