gateway: do not cancel the send of a stream that is kept

A stream that had stalled before its first event, or the answer of a smaller model, was ended if it went on, or was due, while the request waited to be sent elsewhere: the send to cancel was still its own.

Test: returned-streams.test.ts, red before (the request was sent a second time), green after. No send is current while only answers are kept; they are closed as soon as the caller leaves or the deadline passes.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -61,7 +61,7 @@
 	readonly #suspect: SuspectRequest;
 	readonly #search: ServerSearch;
 	readonly #admission: RunAdmission;
-	/** The current or last send. */
+	/** The current or last send; undefined while only answers are kept. */
 	#sent: {readonly attempt: Pick<SentAttempt, 'isConnected' | 'cancel'>; readonly server: ServerRecord} | undefined;
 
 	constructor(context: EntryContext, {request, body, held, response, authorized, arrivedAt}: RequestRunOptions) {
@@ -154,8 +154,7 @@
 
 	/** Closes the streams that are kept, and the send that is in progress if the handling of the request failed. */
 	#release(): void {
-		this.#fallback.discard();
-		this.#stalled.discard();
+		this.#discardKept();
 		if (!this.#end.hasEnded) {
 			this.#admission.end();
 			this.#sent?.attempt.cancel();
@@ -174,9 +173,16 @@
 			waited: this.#now() - this.#arrivedAt,
 			retryAfter: retryMilliseconds,
 		});
+		this.#discardKept();
 		this.#admission.end();
 	}
 
+	/** Closes the answers that are kept. */
+	#discardKept(): void {
+		this.#fallback.discard();
+		this.#stalled.discard();
+	}
+
 	/** The processing time of the prompt as others see it: bounded where they decide by the load of the pool, so that a false length has a bounded effect on them. */
 	get #reading(): number | undefined {
 		const {calm, current} = this.#models;
@@ -289,11 +295,11 @@
 				this.#placement.recordStreamStart(server.version);
 			},
 			onFirstEvent: () => {
-				this.#fallback.discard();
-				this.#stalled.discard();
+				this.#discardKept();
 			},
 			canResumeElsewhere: () => this.#canGoElsewhere(server),
 			keepStalled: stream => {
+				this.#sent = undefined;
 				this.#stalled.keep(stream);
 			},
 			isSuperseded: () => this.#stalled.hasContinued,
@@ -342,6 +348,7 @@
 				: this.#end.forward(answer, {framing}))
 			.with({type: 'escalated'}, async ({model, fallback}): Promise<NextStep> => {
 				this.#end.recordPossibleRun();
+				this.#sent = undefined;
 				this.#fallback.keep(fallback);
 				this.#models.escalateTo(model);
 				return 'retry';
@@ -437,6 +444,7 @@
 		this.#admission.end();
 		if (!this.#end.hasEnded) {
 			this.#sent?.attempt.cancel();
+			this.#discardKept();
 			this.#end.recordEnd('caller-left', {});
 		}
 	}
--- a/packages/gateway/src/entry/returned-streams.test.ts
+++ b/packages/gateway/src/entry/returned-streams.test.ts
@@ -1,7 +1,7 @@
 import {type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ServerId, type WorkspaceId} from '@valehitch/core';
-import {fingerprintRequest} from '@valehitch/routing';
+import {fingerprintRequest, promptPartFingerprint} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
 import {testServer} from '../servers/_test-server.js';
@@ -81,3 +81,27 @@
 	t.false(lines.includes('request-resumed'));
 	t.false(lines.includes('request-returned'));
 });
+
+test('a stream that continues while the request waits to be sent elsewhere is forwarded', async t => {
+	const part = {id: '5c', tokens: 800};
+	let sends = 0;
+	const {answers} = await send(t, Array.from({length: 2}, () => async (response: ServerResponse) => {
+		sends++;
+		response.flushHeaders();
+		await delay(2 * route.targetGap!);
+		response.write('id: 1\ndata: one\n\n');
+		await delay(20);
+		response.end('id: 2\ndata: two\n\n');
+	}), {
+		promptParts: [part, {id: 'e4', tokens: 250}],
+		wait: async milliseconds => delay(milliseconds),
+		prepare({suspects}) {
+			const fingerprint = promptPartFingerprint(part.id);
+			for (const [process, age] of [['a', 10_000], ['b', 9000]] as const) {
+				suspects.registry.recordExit(fingerprint, {process, at: Date.now() - age});
+			}
+		},
+	});
+	t.deepEqual(answers, [{status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'}]);
+	t.is(sends, 1);
+});
