gateway: continue a stream that breaks with its first bytes after a pause

A stream that paused, sent a part of an event and was reset was broken off to its caller, though another server would have continued it. Its bytes had cancelled the send to that server; the reset then removed the stream, so that the cancelled send counted as a failure and excluded its server.

The cancelled send is known by itself, and not by whether the stream is still kept.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -30,6 +30,8 @@
 import {type HandleOutcomeOptions} from './handle-outcome-options.js';
 import {type OutcomeStep} from './outcome-step.js';
 
+type CurrentAttempt = Pick<SentAttempt, 'isConnected' | 'cancel'>;
+
 /** How long a request waits before it is sent again while a part of its prompt is doubtful, in milliseconds: the time in which another exit would prove the part to be their cause. */
 export const doubtfulPartMilliseconds = 300;
 
@@ -62,7 +64,9 @@
 	readonly #search: ServerSearch;
 	readonly #admission: RunAdmission;
 	/** The current or last send; undefined while only answers are kept. */
-	#sent: {readonly attempt: Pick<SentAttempt, 'isConnected' | 'cancel'>; readonly server: ServerRecord} | undefined;
+	#sent: {readonly attempt: CurrentAttempt; readonly server: ServerRecord} | undefined;
+	/** The send that was cancelled because a stalled stream has continued. */
+	#superseded: CurrentAttempt | undefined;
 
 	constructor(context: EntryContext, {request, body, held, response, authorized, arrivedAt}: RequestRunOptions) {
 		const {route} = authorized;
@@ -109,7 +113,10 @@
 
 		this.#fallback = new FallbackAnswer({clock: context.clock, deadlineAt: this.#deadlineAt, onDue: cancelSend});
 		this.#stalled = new StalledAnswer({
-			onContinue: cancelSend,
+			onContinue: () => {
+				this.#superseded = this.#sent?.attempt;
+				cancelSend();
+			},
 			onLost: ({server}) => {
 				void this.#suspect.recordLoss(server);
 			},
@@ -302,7 +309,7 @@
 				this.#sent = undefined;
 				this.#stalled.keep(stream);
 			},
-			isSuperseded: () => this.#stalled.hasContinued,
+			isSuperseded: () => this.#isSuperseded,
 			isTooLate: () => this.#fallback.isKept && this.#fallback.isDue,
 			chooseLarger: (head, latency) => this.#chooseLargerModel(head, latency),
 		};
@@ -337,7 +344,7 @@
 				this.#end.recordPossibleRun();
 				this.#end.keepFailedAnswer(answer);
 				// A send that was cancelled because the stream has continued says nothing about its server.
-				if (!this.#stalled.hasContinued) {
+				if (!this.#isSuperseded) {
 					this.#placement.exclude(server);
 				}
 
@@ -380,6 +387,11 @@
 		return this.#allowance.isRepeatable && this.#mayRetry() ? 'retry' : this.#fail(failed);
 	}
 
+	/** Whether the current send was cancelled because a stalled stream has continued, even if that one has broken since. */
+	get #isSuperseded(): boolean {
+		return this.#superseded !== undefined && this.#superseded === this.#sent?.attempt;
+	}
+
 	/** Withdraws a retry, unless the earlier server of a stalled stream has continued it. */
 	#mayRetry(): boolean {
 		return !this.#stalled.hasContinued && this.#allowance.tryRetry();
--- a/packages/gateway/src/entry/returned-streams.test.ts
+++ b/packages/gateway/src/entry/returned-streams.test.ts
@@ -57,6 +57,26 @@
 	t.deepEqual(answers, [{status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n'}]);
 });
 
+test('a stream that breaks as it continues does so at the server whose send was cancelled', async t => {
+	const {answers} = await send(t, [
+		async response => {
+			response.write('id: 1\ndata: one\n\n');
+			await delay(pauseMilliseconds);
+			const {socket} = response;
+			response.write('id: 2\nda', () => {
+				socket?.resetAndDestroy();
+			});
+		},
+		() => {
+			// Its send is cancelled before it answers.
+		},
+		response => {
+			response.end('id: 2\ndata: two\n\n');
+		},
+	]);
+	t.deepEqual(answers, [{status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'}]);
+});
+
 test('a stalled stream of a quarantined request, which is not sent again, is kept without further notice', async t => {
 	const fingerprint = fingerprintRequest({...testRequest(), workspace: 'mills' as WorkspaceId, body: new Uint8Array()});
 	const lines: string[] = [];
