--- a/packages/gateway/src/inspection/inspection-handler.test.ts
+++ b/packages/gateway/src/inspection/inspection-handler.test.ts
@@ -4,7 +4,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {chooseServer} from '@valehitch/routing';
+import {chooseServer, type ServerView} from '@valehitch/routing';
 import {
 	type ServerId, type ServiceId, type VersionId, type ZoneId,
 } from '@valehitch/core';
@@ -16,6 +16,23 @@
 /** Some dozens of samples each. */
 const decidingMicroseconds = 300_000;
 const idleMilliseconds = 500;
+const decisionsBetweenReadings = 20;
+const servers: readonly ServerView[] = Array.from({length: 50}, (_, index) => ({
+	id: `server-${index}` as ServerId,
+	zone: 'hall-a' as ZoneId,
+	capacity: 8,
+	reportedInFlight: 0,
+	ownInFlightAtReport: 0,
+	reportAge: 0,
+	ownInFlight: 0,
+	draining: false,
+	expired: false,
+	ejected: false,
+	rateLimited: false,
+	paused: false,
+	uptime: 60_000,
+	loaded: new Set(['x']),
+}));
 
 /** Serves the handler; `wait` stands for the time of a profile. */
 async function serve(t: ExecutionContext, {wait, entry = () => undefined}: Pick<InspectionHandlerOptions, 'wait'> & Partial<InspectionHandlerOptions>): Promise<string> {
@@ -57,13 +74,15 @@
 	};
 }
 
-/** Makes decisions for some processor time, which on a busy machine is less than the time that passes. */
+/** Makes decisions for some processor time, which on a busy machine is less than the time that passes. Reading the time takes a small part of it. */
 function decide(): void {
 	const start = process.cpuUsage();
 	while (process.cpuUsage(start).user < decidingMicroseconds) {
-		chooseServer([], {
-			target: 'x', excluded: new Set(), zone: 'hall-a' as ZoneId, random: () => 0,
-		});
+		for (let decision = 0; decision < decisionsBetweenReadings; decision++) {
+			chooseServer(servers, {
+				target: 'x', excluded: new Set(), zone: 'hall-a' as ZoneId, random: () => 0,
+			});
+		}
 	}
 }
 
