transport: check for transfer codings in one place

Cause: the dialect checked a header of answers for codings besides chunks in the same words as the reading of bodies. No behaviour changes. Evidence: 125 tests of transport, platform and the entry, of the files that touch it, pass. Conclusion: one definition of what is not decoded.

--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -1,9 +1,10 @@
 import {Buffer} from 'node:buffer';
-import {type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
+import {type IncomingMessage} from 'node:http';
 import {errorResponses, outcomeOf} from '@valehitch/core';
 import {
 	type Dialect, type GatewayRequest, type Header, type PromptPart, type SendMetadata,
 } from '@valehitch/gateway';
+import {hasTransferCoding} from '@valehitch/transport';
 import {decodeBrittleness} from './decode-brittleness.js';
 import {decodePause} from './decode-pause.js';
 import {decodeRateLimit} from './decode-rate-limit.js';
@@ -34,6 +35,7 @@
 			isNotRun: headers[wireHeader.notRun] !== undefined || status === otherServerStatus,
 			isFromOtherServer: status === otherServerStatus,
 			isSigned: headers[wireHeader.signature] !== undefined,
+			// A body in a transfer coding would be passed on without the header that names it.
 			isEncoded: headers[wireHeader.encoding] !== undefined || hasTransferCoding(headers),
 			confidence: confidence === undefined ? undefined : Number(confidence),
 			isDraining: firstValue(headers[wireHeader.leaving]) === '1',
@@ -85,11 +87,6 @@
 	};
 }
 
-/** Checks whether a body is in a transfer coding besides chunks; it would be passed on without the header that names it. */
-function hasTransferCoding({'transfer-encoding': coding}: IncomingHttpHeaders): boolean {
-	return coding !== undefined && coding.trim().toLowerCase() !== 'chunked';
-}
-
 /** Reads a number of tokens; what is not one counts as 0, and what no model could read as the largest number. */
 function parseTokens(text: string): number {
 	const tokens = Number(text);
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -10,6 +10,7 @@
 export * from './close-idle-after-poll.js';
 export * from './connection-turns.js';
 export * from './frame-request.js';
+export * from './has-transfer-coding.js';
 export * from './http-server.js';
 export * from './inactivity-timer.js';
 export * from './next-poll.js';
--- a/packages/transport/src/read-body.ts
+++ b/packages/transport/src/read-body.ts
@@ -2,6 +2,7 @@
 import {type IncomingMessage} from 'node:http';
 import {type Failure, failure} from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
+import {hasTransferCoding} from './has-transfer-coding.js';
 
 /** Options of {@linkcode readBody}. */
 export type ReadBodyOptions = {
@@ -25,10 +26,9 @@
 ```
 */
 export async function readBody(message: IncomingMessage, maximumBytes: number, {refuse}: ReadBodyOptions = {}): Promise<Either<Failure, Uint8Array>> {
-	const coding = message.headers['transfer-encoding'];
-	if (coding !== undefined && coding.trim().toLowerCase() !== 'chunked') {
+	if (hasTransferCoding(message.headers)) {
 		message.resume();
-		return Left(failure('malformed-request', `Invalid Transfer-Encoding header: expected chunked, got ${coding.slice(0, maximumLoggedCharacters)}`));
+		return Left(failure('malformed-request', `Invalid Transfer-Encoding header: expected chunked, got ${message.headers['transfer-encoding']?.slice(0, maximumLoggedCharacters)}`));
 	}
 
 	const chunks: Uint8Array[] = [];
