gateway: take out a guard that nothing reaches

Cause: CallerAnswer ignored a second answer, written by the timer of a request whose handling had thrown. The run of a request stops its timer in any case since then. Change: the guards in forward and refuse are gone. A second answer would be an error again, and be seen. Evidence: the tests in which the handling throws, which wait past the time limit, pass (entry-instance.test.ts). Conclusion: no behaviour changes.

--- a/packages/gateway/src/entry/caller-answer.ts
+++ b/packages/gateway/src/entry/caller-answer.ts
@@ -98,12 +98,8 @@
 		abortResponse(this.#options.response);
 	}
 
-	/** Forwards the complete answer of a backend server, unless an answer was written already. */
+	/** Forwards the complete answer of a backend server. */
 	forward(complete: CompleteAnswer): void {
-		if (this.#options.response.headersSent) {
-			return;
-		}
-
 		const {status, headers, body} = complete;
 		const length = lengthOf(complete, this.#options.request);
 		this.#writeHead(status, length === undefined ? headers : [...headers, ['Content-Length', length]]);
@@ -111,12 +107,8 @@
 		this.buffer.recordUnread();
 	}
 
-	/** Answers with a failure of the gateway itself, unless an answer was written already, as after an error in the handling of the request. */
+	/** Answers with a failure of the gateway itself. */
 	refuse(failed: Failure): void {
-		if (this.#options.response.headersSent) {
-			return;
-		}
-
 		const {dialect, metrics} = this.#context;
 		const {status, headers, body} = dialect.refuse(this.#options.request, failed);
 		metrics.refusals.inc({kind: failed.kind});
