gateway: write a refusal and name a send that can be ended in one place each

Cause: the answer to a request whose handling throws repeated the writing of a refusal, and the type of a send that can be ended stood in two files. Change: writeRefusal and CancellableSend serve both. No behaviour changes. Conclusion: the twins are gone.

--- a/packages/gateway/src/entry/end-expired.ts
+++ b/packages/gateway/src/entry/end-expired.ts
@@ -2,13 +2,13 @@
 import {type ServerRecord} from '../servers/server-record.js';
 import {expiryFailure} from './expiry-failure.js';
 import {type RequestEnd} from './request-end.js';
-import {type SentAttempt} from './send-attempt.js';
+import {type CancellableSend} from './send-attempt.js';
 import {type SendResults} from './send-results.js';
 
 /** Options of {@linkcode endExpired}. */
 export type EndExpiredOptions = {
 	/** The current or last send; undefined if nothing was sent. */
-	readonly sent: {readonly attempt: Pick<SentAttempt, 'isConnected' | 'cancel'>; readonly server: ServerRecord} | undefined;
+	readonly sent: {readonly attempt: CancellableSend; readonly server: ServerRecord} | undefined;
 	readonly results: Pick<SendResults, 'recordFailure' | 'record'>;
 	readonly model: ModelId | undefined;
 	/** The time since the request arrived, in milliseconds. */
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -91,7 +91,7 @@
 }
 
 /** Answers a request that could not be handled, or breaks off the answer if it has begun; one that is complete is left as it is. */
-function endFailed({dialect, metrics}: EntryContext, {request, message, response}: ArrivedRequest & {readonly request: GatewayRequest}): void {
+function endFailed(context: EntryContext, {request, message, response}: ArrivedRequest & {readonly request: GatewayRequest}): void {
 	if (response.writableEnded) {
 		return;
 	}
@@ -102,11 +102,7 @@
 	}
 
 	message.resume();
-	const failed = failure('internal', 'Unexpected error in the request handler');
-	const {status, headers, body} = dialect.refuse(request, failed);
-	metrics.refusals.inc({kind: failed.kind});
-	response.writeHead(status, headers.flat());
-	response.end(body);
+	writeRefusal(context, {request, response, failed: failure('internal', 'Unexpected error in the request handler')});
 }
 
 type RefusedRequest = {
@@ -115,9 +111,8 @@
 	readonly failed: Failure;
 };
 
-function refuse({dialect, log, metrics, table, lease, clock, endsAt, notes}: EntryContext, {request, response, failed}: RefusedRequest): void {
-	const {status, headers, body} = dialect.refuse(request, failed);
-	metrics.refusals.inc({kind: failed.kind});
+function refuse(context: EntryContext, {request, response, failed}: RefusedRequest): void {
+	const {log, table, lease, clock, endsAt, notes} = context;
 	log('request-refused', {
 		request: request.id, error: failed.kind, reason: failed.message, configuration: table()?.version, confirmedAgo: Math.round(lease.age(clock.monotonic())),
 	}, 'warn');
@@ -126,6 +121,12 @@
 		response.shouldKeepAlive = false;
 	}
 
+	writeRefusal(context, {request, response, failed});
+}
+
+function writeRefusal({dialect, metrics}: EntryContext, {request, response, failed}: RefusedRequest): void {
+	const {status, headers, body} = dialect.refuse(request, failed);
+	metrics.refusals.inc({kind: failed.kind});
 	response.writeHead(status, headers.flat());
 	response.end(body);
 }
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -18,7 +18,7 @@
 import {RunAdmission} from './run-admission.js';
 import {SuspectRequest} from './suspect-request.js';
 import {SendAllowance} from './send-allowance.js';
-import {type SentAttempt} from './send-attempt.js';
+import {type CancellableSend} from './send-attempt.js';
 import {SendResults} from './send-results.js';
 import {FallbackAnswer, type FallbackStream} from './fallback-answer.js';
 import {retryMilliseconds} from './retry-milliseconds.js';
@@ -30,8 +30,6 @@
 import {type HandleOutcomeOptions} from './handle-outcome-options.js';
 import {type OutcomeStep} from './outcome-step.js';
 
-type CurrentAttempt = Pick<SentAttempt, 'isConnected' | 'cancel'>;
-
 /** How long a request waits before it is sent again while a part of its prompt is doubtful, in milliseconds: the time in which another exit would prove the part to be their cause. */
 export const doubtfulPartMilliseconds = 300;
 
@@ -64,9 +62,9 @@
 	readonly #search: ServerSearch;
 	readonly #admission: RunAdmission;
 	/** The current or last send; undefined while only answers are kept. */
-	#sent: {readonly attempt: CurrentAttempt; readonly server: ServerRecord} | undefined;
+	#sent: {readonly attempt: CancellableSend; readonly server: ServerRecord} | undefined;
 	/** The send that was cancelled because a stalled stream has continued. */
-	#superseded: CurrentAttempt | undefined;
+	#superseded: CancellableSend | undefined;
 
 	constructor(context: EntryContext, {request, body, held, response, authorized, arrivedAt}: RequestRunOptions) {
 		const {route} = authorized;
@@ -322,7 +320,6 @@
 		}
 
 		const {server} = target;
-
 		return match(step)
 			.with({type: 'ended'}, async (): Promise<NextStep> => 'ended')
 			.with({type: 'unreachable'}, async () => {
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -82,6 +82,9 @@
 	readonly cancel: () => void;
 };
 
+/** A send, or a stream of an earlier one, that a request can end. */
+export type CancellableSend = Pick<SentAttempt, 'isConnected' | 'cancel'>;
+
 /**
 Sends a request to a backend server. The outcome states exactly whether the request can have run.
 
