gateway: wait for the first server from when none is found

Callers of an instance that was busy got 503 for want of a server at once, where a request waits for the first server to appear for a share of its time.

Cause: the share was counted from the arrival of the request. Since each send waits for one poll of pending input first, a request that is handled late had used its wait up before it looked for a server: 18 ms of a time limit of 300 ms.

Change: the wait is a share of the time that is left when the request first finds no server. It stays bounded: the second look uses the same start.

The wait for a first configuration stays counted from the arrival: a caller has used up a quarter of its time, or a second, by then.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -100,7 +100,7 @@
 		});
 		this.#suspect = new SuspectRequest(context.suspects, {...request, workspace: authorized.workspace?.id, body});
 		this.#search = new ServerSearch(context, {
-			placement: this.#placement, allowance: this.#allowance, end: this.#end, arrivedAt, deadlineAt: this.#deadlineAt,
+			placement: this.#placement, allowance: this.#allowance, end: this.#end, deadlineAt: this.#deadlineAt,
 		});
 		this.#admission = new RunAdmission(context, {
 			request, authorized, service: this.#placement.service, models: this.#models, arrivedAt, deadlineAt: this.#deadlineAt,
--- a/packages/gateway/src/entry/server-search.ts
+++ b/packages/gateway/src/entry/server-search.ts
@@ -29,8 +29,6 @@
 	readonly allowance: SendAllowance;
 	/** Records the problem of the last send. */
 	readonly end: Pick<RequestEnd, 'lastProblem'>;
-	/** When the request arrived, in milliseconds on the monotonic clock. */
-	readonly arrivedAt: number;
 	/** The deadline of the request, in milliseconds on the monotonic clock. */
 	readonly deadlineAt: number;
 };
@@ -51,7 +49,7 @@
 
 @example
 ```ts
-const search = new ServerSearch(context, {placement, allowance, end, arrivedAt, deadlineAt});
+const search = new ServerSearch(context, {placement, allowance, end, deadlineAt});
 const found = await search.next({model, load, isSuspect: false, mayWait: true});
 ```
 */
--- a/packages/gateway/src/entry/server-wait.ts
+++ b/packages/gateway/src/entry/server-wait.ts
@@ -1,13 +1,19 @@
 import {type Failure, failure, type ServiceId} from '@valehitch/core';
-import {awaitFirstServer, type AwaitFirstServerOptions} from './await-first-server.js';
+import {awaitFirstServer, type AwaitFirstServerContext, type AwaitFirstServerOptions} from './await-first-server.js';
 import {type EntryContext} from './entry-context.js';
 import {retryMilliseconds} from './retry-milliseconds.js';
 
 /** Options of {@linkcode ServerWait}. */
-export type ServerWaitOptions = AwaitFirstServerOptions & {
+export type ServerWaitOptions = Omit<AwaitFirstServerOptions, 'since'> & {
 	readonly service: ServiceId;
 };
 
+/** The part of the context that a wait uses. */
+export type ServerWaitContext = AwaitFirstServerContext & Pick<EntryContext, 'random'> & {
+	readonly servers: {readonly availability: Pick<EntryContext['servers']['availability'], 'isEvacuated' | 'waitFor'>};
+	readonly borrower: Pick<EntryContext['borrower'], 'borrow'>;
+};
+
 /** How often a request asks other instances for a send. */
 const maximumLoans = 3;
 /** The retry delay while all availability zones of a service are evacuated, in milliseconds: an operator takes seconds to end an evacuation. */
@@ -18,16 +24,18 @@
 
 @example
 ```ts
-const failed = await new ServerWait(context, {service, allowance, arrivedAt, deadlineAt}).next('none');
+const failed = await new ServerWait(context, {service, allowance, deadlineAt}).next('none');
 ```
 */
 export class ServerWait {
-	readonly #context: EntryContext;
+	readonly #context: ServerWaitContext;
 	readonly #options: ServerWaitOptions;
 	/** How often the request has asked other instances for a send. */
 	#loans = 0;
+	/** When the request first found no server: the handling before, such as a poll of pending input, takes nothing from its wait. */
+	#since: number | undefined;
 
-	constructor(context: EntryContext, options: ServerWaitOptions) {
+	constructor(context: ServerWaitContext, options: ServerWaitOptions) {
 		this.#context = context;
 		this.#options = options;
 	}
@@ -45,8 +53,10 @@
 			return failure('no-server', `All servers of ${service} are in evacuated availability zones`, {retryAfterMilliseconds: evacuatedRetryMilliseconds});
 		}
 
-		const wait = availability.waitFor(service, clock.monotonic());
-		const canRetry = wait > 0 ? await this.#borrowSend() : await awaitFirstServer(this.#context, this.#options);
+		const now = clock.monotonic();
+		this.#since ??= now;
+		const wait = availability.waitFor(service, now);
+		const canRetry = wait > 0 ? await this.#borrowSend() : await awaitFirstServer(this.#context, {...this.#options, since: this.#since});
 		return canRetry ? undefined : failure('no-server', `No server of ${service} is available for the request (${lastProblem})`, {retryAfterMilliseconds: this.#retryAfter(wait)});
 	}
 
