transport: abort an order once its caller's end is read

Orders whose callers had left were dropped some turns of the event loop late: the signal waited for the response to close, which comes after the end of the connection was read.

callerSignal watches the caller by whenCallerLeaves, as requests do. The new test is red before (the response is closed by the time of the abort) and green with the change; 35 tests of the platform's adapter and of late orders pass.

--- a/packages/transport/src/caller-signal.test.ts
+++ b/packages/transport/src/caller-signal.test.ts
@@ -19,3 +19,11 @@
 	await once(response!, 'close');
 	t.false(signal.aborted);
 });
+
+test('the signal is aborted once the end of the connection was read, before the response is closed', async t => {
+	const {responses: [response], caller} = await open(t, 1);
+	const signal = callerSignal(response!);
+	caller.destroy();
+	await once(signal, 'abort');
+	t.false(response!.closed);
+});
--- a/packages/transport/src/caller-signal.ts
+++ b/packages/transport/src/caller-signal.ts
@@ -1,5 +1,5 @@
 import {type ServerResponse} from 'node:http';
-import {whenResponseCloses} from './when-response-closes.js';
+import {whenCallerLeaves} from './when-caller-leaves.js';
 
 /**
 Returns a signal that is aborted if the caller closes its connection before it has been answered.
@@ -13,10 +13,8 @@
 */
 export function callerSignal(response: ServerResponse): AbortSignal {
 	const controller = new AbortController();
-	whenResponseCloses(response, () => {
-		if (!response.writableFinished) {
-			controller.abort();
-		}
+	whenCallerLeaves(response, () => {
+		controller.abort();
 	});
 	return controller.signal;
 }
