transport: write nothing into an answer whose request waited for its turn

A caller that sent two requests without waiting, and bytes that are no request during the second answer, received "HTTP/1.1 400 Bad Request" in the middle of that answer. With a stated length, it counted as a part of the body, and the answer could look whole.

A response has no connection while another one precedes it, so that it was never recorded, and nothing was known of it later. The connection of its request is recorded now, and the first unfinished response on it is the one that is broken off.

--- a/packages/transport/src/unfinished-responses.test.ts
+++ b/packages/transport/src/unfinished-responses.test.ts
@@ -44,3 +44,35 @@
 	t.true(text.includes('second half'));
 	t.regex(text, /HTTP\/1\.1 400 /v);
 });
+
+test('bytes that are no request break an answer off whose request arrived before an earlier answer was complete', async t => {
+	const {port, destroy} = await startHttpServer({
+		host: '127.0.0.1', port: 0, headerBytes: 16_384, onError(error) {
+			throw error;
+		}, async handler({url}, response) {
+			if (url === '/1') {
+				response.end('whole');
+			} else {
+				response.writeHead(200, {'Content-Length': 100});
+				response.write('first half, ');
+			}
+		},
+	});
+	t.teardown(destroy);
+	const socket = connect(port, '127.0.0.1');
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+		if (text.endsWith('first half, ')) {
+			socket.write('no request\r\n\r\n');
+		}
+	});
+	socket.on('error', () => {
+		// A reset is one way to break off an answer.
+	});
+	socket.write('GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n');
+	await new Promise(resolve => {
+		socket.on('close', resolve);
+	});
+	t.true(text.endsWith('first half, '));
+});
--- a/packages/transport/src/unfinished-responses.ts
+++ b/packages/transport/src/unfinished-responses.ts
@@ -12,7 +12,8 @@
 ```
 */
 export class UnfinishedResponses {
-	readonly #bySocket = new WeakMap<Duplex, ServerResponse>();
+	/** The responses on each connection in the order of their requests; only the first one has its connection. */
+	readonly #bySocket = new WeakMap<Duplex, readonly ServerResponse[]>();
 
 	/**
 	Adds the response to a request that has arrived.
@@ -20,9 +21,8 @@
 	@param response The response.
 	*/
 	add(response: ServerResponse): void {
-		if (response.socket !== null) {
-			this.#bySocket.set(response.socket, response);
-		}
+		const {socket} = response.req;
+		this.#bySocket.set(socket, [...this.#unfinishedOn(socket), response]);
 	}
 
 	/**
@@ -32,7 +32,11 @@
 	@returns The response; undefined if there is none or it is complete.
 	*/
 	on(socket: Duplex): ServerResponse | undefined {
-		const response = this.#bySocket.get(socket);
-		return response?.writableFinished === false && !response.destroyed ? response : undefined;
+		const [first] = this.#unfinishedOn(socket);
+		return first;
+	}
+
+	#unfinishedOn(socket: Duplex): readonly ServerResponse[] {
+		return (this.#bySocket.get(socket) ?? []).filter(({writableFinished, destroyed}) => !writableFinished && !destroyed);
 	}
 }
