gateway: repeat a request for the workspace of its last send

A request whose body arrived while its key moved to another workspace was sent for the new workspace, and its repeat for the old one, which no longer holds the key (UNASKED).

Cause: since a request that has been sent keeps its authorization, its repeats took that of its arrival, though the first send is authorized by the configuration in force by then.

Change: the authorization of the last send is kept, and repeats go by it.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -61,6 +61,8 @@
 	readonly #suspect: SuspectRequest;
 	readonly #search: ServerSearch;
 	readonly #admission: RunAdmission;
+	/** The authorization of the last send; that of the arrival before the first one. */
+	#sentAs: AuthorizedRequest;
 	/** The current or last send; undefined while only answers are kept. */
 	#sent: {readonly attempt: CancellableSend; readonly server: ServerRecord} | undefined;
 	/** The send that was cancelled because a stalled stream has continued. */
@@ -73,6 +75,7 @@
 		this.#body = body;
 		this.#held = held;
 		this.#authorized = authorized;
+		this.#sentAs = authorized;
 		this.#arrivedAt = arrivedAt;
 		this.#deadlineAt = arrivedAt + Math.min(request.timeout ?? route.timeout, route.timeout);
 		this.#events = new EventStream(request.lastEventId);
@@ -237,13 +240,14 @@
 	/** Authorizes the request by the current configuration until it has been sent; a configuration that comes later applies to later requests. */
 	#authorize(): Either<Failure, AuthorizedRequest> {
 		return this.#allowance.sends > 0
-			? Right(this.#authorized)
+			? Right(this.#sentAs)
 			: authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
 	}
 
 	async #sendTo(target: SendTarget, authorized: AuthorizedRequest): Promise<NextStep> {
 		const {server, relay} = target;
 		const sentAt = this.#now();
+		this.#sentAs = authorized;
 		const expected = this.#context.servers.expectedFirstEvent(server.id, this.#models.calm);
 		const load = this.#context.servers.beginSend(server.id, {load: this.#models.load, reading: this.#reading, now: sentAt});
 		const attempt = startSend(this.#context, {
--- a/packages/testing/src/configuration-changes.test.ts
+++ b/packages/testing/src/configuration-changes.test.ts
@@ -168,3 +168,23 @@
 		await put({});
 	}
 });
+
+test.serial('a request whose key moves to another workspace before its first send is repeated for the same workspace', async t => {
+	const failing = new Set<string>();
+	let isChanged = false;
+	const {runs, put, beginAll} = await start(t, async ({id}) => {
+		if (!isChanged || failing.has(id)) {
+			return {confidence: 90};
+		}
+
+		failing.add(id);
+		return {status: failed};
+	});
+	const requests = await beginAll();
+	isChanged = true;
+	await put({tenants: [{name: 'movers', apiKeys: ['k1'], priority: 1}]});
+	await finishAll(requests);
+	const repeated = runs().filter(({id}) => failing.has(id));
+	t.true(repeated.length > requests.length);
+	t.deepEqual(new Set(repeated.map(({workspace}) => workspace)), new Set(['movers']));
+});
