gateway: bound the time in which two servers work on one stream

A stream whose server falls silent is kept while another server is asked, and was closed only with the first event of that one.

Cause: the head of an answer, with which the run of the second server has begun, was no step of the handover.

The stalled stream is now closed 250 ms after the head of the second answer (handoverMilliseconds), after input that has arrived was read, and the log says so (request-handed-over). The other way, to give up the second server and go back to the first, was weighed and not taken: the first has said nothing for the longest pause that is on time and another quarter second, the second has just accepted the request, and each return would spend a retry and leave the caller with the silent server. What it costs: a stream that is handed over to a server that then breaks before an event continues at a third one, or is broken off if there is none or no retry, though the first might have gone on (docs/OPEN.md).

Evidence, the product files stashed: of the eight tests of returned-streams.test.ts three were red (closed before a late first event, continues at a third server with the first one closed, broken off for want of a third), and the one in which the first server goes on after the head of the second was green, as it is now. The five new tests of stalled-answer.test.ts use an injected timer, and were not run on the old code, which has no such function. paused-servers.test.ts has a new case, first events that come late, which guards that streams still end whole; it was not run on the old code.

After: all tests of packages/gateway/dist/entry and silent-servers.test.ts green in one run at a load of 34 to 39 on 8 cores. paused-servers.test.ts in the same run: 4 red, two without an acknowledged configuration within 20 s, "break ... removes their route" and "stay silent continue at other servers". Serially at a load of 38: all green but "break ... removes their route". Its log shows servers of the test process with no turn for 1.5 s, so that all streams stalled, retries were spent on sends that were cancelled, and none was left when they broke; none of the failed runs has a line request-handed-over. An earlier run of returned-streams.test.ts, beside stalled-answer.test.ts, had two older tests red ("... at the server whose send was cancelled"); they have no second head, and were green in five runs since. Whether these are red on the old code at this load was not run.

--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -25,8 +25,9 @@
 export async function forwardStream({received, head, latency}: StartedStream, options: HandleOutcomeOptions): Promise<OutcomeStep> {
 	const {message, framing, isComplete} = received;
 	const {context, request, suspect, route, results, models} = options;
-	const {answer, events, server, hasEnded, onStreamStart, onFirstEvent, canResumeElsewhere, keepStalled, isSuperseded, isTooLate} = options;
+	const {answer, events, server, hasEnded, onStreamStart, startHandover, onFirstEvent, canResumeElsewhere, keepStalled, isSuperseded, isTooLate} = options;
 	onStreamStart();
+	const stopHandover = startHandover();
 	const headers = context.dialect.answerHeaders(message);
 	const end = await relayStream({
 		message,
@@ -45,6 +46,7 @@
 			answer.beginStream(message.statusCode ?? 0, headers);
 		},
 	});
+	stopHandover();
 	if (end === 'complete') {
 		// A caller that resumes after the last event receives no further event, but still the head of the answer.
 		answer.beginStream(message.statusCode ?? 0, headers);
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -121,6 +121,9 @@
 			onLost: ({server}) => {
 				void this.#suspect.recordLoss(server);
 			},
+			onHandedOver: ({server}) => {
+				context.log('request-handed-over', {request: request.id, from: server.id, to: this.#sent?.server.id});
+			},
 		});
 	}
 
@@ -303,6 +306,7 @@
 				load?.markAnswerStarted();
 				this.#placement.recordStreamStart(server.version);
 			},
+			startHandover: () => this.#stalled.startHandover(),
 			onFirstEvent: () => {
 				this.#discardKept();
 			},
--- a/packages/gateway/src/entry/returned-streams.test.ts
+++ b/packages/gateway/src/entry/returned-streams.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ServerId, type WorkspaceId} from '@valehitch/core';
@@ -16,15 +17,20 @@
 });
 const pauseMilliseconds = 400;
 
-/** Starts two servers that answer the sends of one request in the given order, whichever of the two is asked. */
-async function send(t: ExecutionContext, answers: ReadonlyArray<(response: ServerResponse) => void | Promise<void>>, options: Partial<SendRequestsOptions> = {}) {
+type SendOptions = Partial<SendRequestsOptions> & {
+	/** Two by default. */
+	readonly serverCount?: number;
+};
+
+/** Starts servers that answer the sends of one request in the given order, whichever of them is asked. */
+async function send(t: ExecutionContext, answers: ReadonlyArray<(response: ServerResponse) => void | Promise<void>>, {serverCount = 2, ...options}: SendOptions = {}) {
 	let sends = 0;
 	const handle = (_message: unknown, response: ServerResponse): void => {
 		void answers[sends]?.(response);
 		sends++;
 	};
 
-	const ports = await Promise.all([listen(t, handle), listen(t, handle)]);
+	const ports = await Promise.all(Array.from({length: serverCount}, async () => listen(t, handle)));
 	return sendRequests(t, 1, {
 		route,
 		timeout: 20_000,
@@ -125,3 +131,85 @@
 	t.deepEqual(answers, [{status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'}]);
 	t.is(sends, 1);
 });
+
+/** A route whose streams stall only after the time that a handover takes. */
+const patientRoute = {...route, targetGap: 600};
+
+test('a stalled stream is closed while the first event of the server that has taken it is still to come', async t => {
+	let stalled: Promise<unknown> | undefined;
+	const {answers} = await send(t, [
+		response => {
+			stalled = once(response, 'close');
+			response.write('id: 1\ndata: one\n\n');
+		},
+		async response => {
+			response.flushHeaders();
+			await stalled;
+			response.end('id: 2\ndata: two\n\n');
+		},
+	], {route: patientRoute, timeout: 4000});
+	t.deepEqual(answers, [{status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'}]);
+});
+
+test('a stream whose server goes on after the head of another one is returned to it', async t => {
+	let first: ServerResponse | undefined;
+	const {answers} = await send(t, [
+		response => {
+			first = response;
+			response.write('id: 1\ndata: one\n\n');
+		},
+		response => {
+			response.flushHeaders();
+			first?.end('id: 2\ndata: two\n\n');
+		},
+	], {route: patientRoute});
+	t.deepEqual(answers, [{status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'}]);
+});
+
+test('a stream that was handed over to a server that breaks before its first event continues at a third one', async t => {
+	let first: ServerResponse | undefined;
+	let wasFirstOpen: boolean | undefined;
+	const {answers} = await send(t, [
+		response => {
+			first = response;
+			response.write('id: 1\ndata: one\n\n');
+		},
+		async response => {
+			response.flushHeaders();
+			await once(first!, 'close');
+			response.socket?.resetAndDestroy();
+		},
+		response => {
+			wasFirstOpen = !first!.closed;
+			response.end('id: 2\ndata: two\n\n');
+		},
+	], {route: patientRoute, serverCount: 3, timeout: 4000});
+	t.false(wasFirstOpen);
+	t.deepEqual(answers, [{status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'}]);
+});
+
+test('a stream that was handed over to a server that breaks before its first event is broken off if no other server is left', async t => {
+	let stalled: Promise<unknown> | undefined;
+	const outcomes: unknown[] = [];
+	await t.throwsAsync(send(t, [
+		response => {
+			stalled = once(response, 'close');
+			response.write('id: 1\ndata: one\n\n');
+		},
+		async response => {
+			response.flushHeaders();
+			await stalled;
+			response.socket?.resetAndDestroy();
+		},
+	], {
+		route: patientRoute,
+		timeout: 4000,
+		log(kind, {outcome, reason}) {
+			if (kind === 'request-ended') {
+				outcomes.push([outcome, reason]);
+			}
+		},
+	}), {code: 'ECONNRESET'});
+	t.is(outcomes.length, 1);
+	t.regex(String(outcomes[0]), /^broken-off,No server of labels is available for the request .The stream of server-\d is broken.$/v);
+});
--- a/packages/gateway/src/entry/stalled-answer.test.ts
+++ b/packages/gateway/src/entry/stalled-answer.test.ts
@@ -3,7 +3,7 @@
 import {Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {testServer} from '../servers/_test-server.js';
-import {StalledAnswer, type StalledStream} from './stalled-answer.js';
+import {handoverMilliseconds, StalledAnswer, type StalledStream} from './stalled-answer.js';
 
 function createStream(t: ExecutionContext): {readonly stream: StalledStream; readonly message: IncomingMessage} {
 	const message = new IncomingMessage(new Socket());
@@ -27,6 +27,7 @@
 
 function createAnswer() {
 	const calls: string[] = [];
+	const timers = new Set<() => void>();
 	const answer = new StalledAnswer({
 		onContinue() {
 			calls.push('continue');
@@ -34,8 +35,24 @@
 		onLost({server}) {
 			calls.push(`lost ${server.id}`);
 		},
+		onHandedOver({server}) {
+			calls.push(`handed over ${server.id}`);
+		},
+		startTimer(milliseconds, callback) {
+			calls.push(`timer ${milliseconds}`);
+			timers.add(callback);
+			return () => {
+				timers.delete(callback);
+			};
+		},
 	});
-	return {answer, calls};
+	const runTimers = (): void => {
+		for (const callback of timers) {
+			callback();
+		}
+	};
+
+	return {answer, calls, runTimers};
 }
 
 test('a stream whose server sends data again is returned with all of its data', async t => {
@@ -84,3 +101,57 @@
 	t.true(second.message.destroyed);
 	t.is(answer.take(), first.stream);
 });
+
+test('a stream is closed some time after the head of another answer, whose first event is late', t => {
+	const {answer, calls, runTimers} = createAnswer();
+	const {stream, message} = createStream(t);
+	answer.keep(stream);
+	answer.startHandover();
+	t.true(answer.isKept);
+	runTimers();
+	t.true(message.destroyed);
+	t.false(answer.isKept);
+	t.deepEqual(calls, [`timer ${handoverMilliseconds}`, `handed over ${stream.server.id}`]);
+});
+
+test('a stream is kept if the other answer ends before the time of the handover has passed', t => {
+	const {answer, runTimers} = createAnswer();
+	const {stream, message} = createStream(t);
+	answer.keep(stream);
+	const stop = answer.startHandover();
+	stop();
+	runTimers();
+	t.false(message.destroyed);
+	t.is(answer.take(), stream);
+});
+
+test('a stream whose server sends data during a handover is kept', async t => {
+	const {answer, calls, runTimers} = createAnswer();
+	const {stream, message} = createStream(t);
+	answer.keep(stream);
+	answer.startHandover();
+	message.push('four');
+	await once(message, 'readable');
+	runTimers();
+	t.false(message.destroyed);
+	t.is(answer.take(), stream);
+	t.deepEqual(calls, [`timer ${handoverMilliseconds}`, 'continue']);
+});
+
+test('a stream that stalls after another one was handed over is kept for its own time', t => {
+	const {answer, runTimers} = createAnswer();
+	const [first, second] = [createStream(t), createStream(t)];
+	answer.keep(first.stream);
+	answer.startHandover();
+	answer.discard();
+	answer.keep(second.stream);
+	runTimers();
+	t.false(second.message.destroyed);
+	t.is(answer.take(), second.stream);
+});
+
+test('an answer that begins while no stream is kept starts no handover', t => {
+	const {answer, calls} = createAnswer();
+	answer.startHandover()();
+	t.deepEqual(calls, []);
+});
--- a/packages/gateway/src/entry/stalled-answer.ts
+++ b/packages/gateway/src/entry/stalled-answer.ts
@@ -1,3 +1,4 @@
+import {setTimeoutAfterPoll} from '@valehitch/transport';
 import {type FallbackStream} from './fallback-answer.js';
 
 /** A stream that has been forwarded up to a pause longer than the stall timeout. */
@@ -12,10 +13,17 @@
 	readonly onContinue: () => void;
 	/** Called when the connection of the stream breaks while it is kept. */
 	readonly onLost: (stream: StalledStream) => void;
+	/** Called before the stream is closed because another server has accepted the request. */
+	readonly onHandedOver: (stream: StalledStream) => void;
+	/** Runs a function after a number of milliseconds, and returns a function that stops it; `setTimeoutAfterPoll` by default. */
+	readonly startTimer?: typeof setTimeoutAfterPoll;
 };
 
+/** How long the stream is kept after the head of another server's answer, in milliseconds. Both servers work on the request meanwhile. */
+export const handoverMilliseconds = 250;
+
 /**
-Keeps a stalled stream open until another server has continued it: a server that pauses may go on, and another one may reject the request.
+Keeps a stalled stream open until another server has continued it, or has begun to answer and the time of a handover has passed: a server that pauses may go on, and another one may reject the request.
 
 @example
 ```ts
@@ -75,6 +83,26 @@
 		return stream;
 	}
 
+	/**
+	Closes the stream after {@linkcode handoverMilliseconds}, unless its server sends data first. Called when another server has sent the head of its answer.
+
+	@returns Stops it, for an answer of the other server that has ended.
+	*/
+	startHandover(): () => void {
+		const {startTimer = setTimeoutAfterPoll, onHandedOver} = this.#options;
+		const stream = this.#stream;
+		if (stream === undefined) {
+			return () => undefined;
+		}
+
+		return startTimer(handoverMilliseconds, () => {
+			if (this.#stream === stream && !this.#hasContinued) {
+				onHandedOver(stream);
+				this.discard();
+			}
+		});
+	}
+
 	/** Closes the stream, because another server has continued it or the request has ended. */
 	discard(): void {
 		this.take()?.received.message.destroy();
--- a/packages/testing/src/paused-servers.test.ts
+++ b/packages/testing/src/paused-servers.test.ts
@@ -93,6 +93,7 @@
 		});
 		return answer;
 	}],
+	['send their first event late', () => ({...answer, firstEventDelay: 400})],
 	['break', () => ({...answer, breakAfter: 3})],
 ] as const) {
 	for (const firstPause of [pause, pauseInsideEvent]) {
