transport: send a request only after the poll in which its connection opens

Callers saw requests run that they had left: a request whose connection to its server, or tunnel through another instance, opened while the process did not get its turn was written as soon as the opening was read. The end of the caller's connection, which had arrived during the same time, was read later in the same poll, and closed a connection whose bytes were on their way. The request was late by as long as the process was held up.

Cause: Node writes a request in the turn in which its connection opens. The poll before each send comes before the connection is begun, so that it does not see what arrives while the connection opens. Sends on kept connections were not affected: the poll is the last thing before them.

`sendOnceOpen` waits for the end of the poll in which a new connection opens and drops a request that was destroyed by then. It costs no poll more: what remains of the current one is waited for. The bytes that arrive during that remainder are still seen one turn later.

Processor time was not measured.

--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -5,6 +5,7 @@
 import {parseAddress} from './parse-address.js';
 import {probeAddress} from './probe-address.js';
 import {type Relay} from './relay.js';
+import {sendOnceOpen} from './send-once-open.js';
 import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
 import {TunnelError} from './tunnel-agent.js';
 import {watchResponseEnd} from './watch-response-end.js';
@@ -110,7 +111,7 @@
 				message: error.message,
 			}));
 		});
-		clientRequest.end(call.body);
+		sendOnceOpen(clientRequest, call.body);
 	});
 }
 
