gateway: test that kept streams close when their caller leaves

A stalled stream and the send that would continue it are closed at their servers once the caller has left.

--- a/packages/gateway/src/entry/leaving-callers.test.ts
+++ b/packages/gateway/src/entry/leaving-callers.test.ts
@@ -118,3 +118,35 @@
 	t.is(unhandled?.value, 2);
 	t.is(arrived, 1);
 });
+
+test('a stalled stream and the send that would continue it are both closed when their caller leaves', async t => {
+	let arrived = 0;
+	let closed = 0;
+	const handle = (message: IncomingMessage, response: ServerResponse): void => {
+		arrived++;
+		message.socket.on('close', () => {
+			closed++;
+		});
+		// The first one pauses after an event, and the second one sends nothing.
+		if (arrived === 1) {
+			response.writeHead(200, {'Content-Type': 'text/event-stream'});
+			response.write('id: 1\ndata: printed\n\n');
+		}
+	};
+
+	const ports = await Promise.all([listen(t, handle), listen(t, handle)]);
+	const {port, metrics} = await startTestEntry(t, {
+		records: ports.map((serverPort, index) => testServer({id: `server-${index + 1}` as ServerId, port: serverPort})),
+		routes: [testRoute({
+			isPublic: true, kind: 'streaming', isResumable: true, timeout: 30_000, targetLatency: 30_000, targetGap: 50, maximumAttempts: 3,
+		})],
+	});
+	const caller = await connectCaller(t, port);
+	caller.write(request);
+	await reached(2, () => arrived);
+	t.is(closed, 0);
+	caller.destroy();
+	await leftCallers(metrics, 1);
+	await reached(2, () => closed);
+	t.is(arrived, 2);
+});
