transport: let the test of a closing server depend on what was received

'a server that closes answers the request in progress and one that has arrived' was red in two runs beside many other test files (loads of 25 to 45). The first answer ended by a timer of 100 ms, so that a process that did not get its turn could answer it before the server began to close, without telling its caller to connect anew; that this was the cause is inferred.

The first answer now ends once the second one was received, so that it is in progress while the server closes. The statements are the same.

--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -240,15 +240,21 @@
 	const isStarted = new Promise<void>(resolve => {
 		started = resolve;
 	});
+	let finish: (() => void) | undefined;
+	const mayFinish = new Promise<void>(resolve => {
+		finish = resolve;
+	});
 	const server = await startHttpServer({
 		host: '127.0.0.1',
 		port: 0,
 		headerBytes: 2048,
-		async handler(_request, response) {
-			started?.();
-			setTimeout(() => {
-				response.end('done');
-			}, 100);
+		async handler({url}, response) {
+			if (url === '/1') {
+				started?.();
+				await mayFinish;
+			}
+
+			response.end('done');
 		},
 		onError: doNothing,
 	});
@@ -263,6 +269,7 @@
 	const closed = server.close();
 	const [answer] = await Promise.race([once(idle, 'data'), once(idle, 'close')]) as [unknown];
 	t.regex(String(answer), /^HTTP\/1\.1 200 [\s\S]*Connection: close/v);
+	finish?.();
 	t.regex(await first, /^HTTP\/1\.1 200 [\s\S]*Connection: close/v);
 	await closed;
 });
