--- a/packages/testing/src/truncated-answers.test.ts
+++ b/packages/testing/src/truncated-answers.test.ts
@@ -2,42 +2,15 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {
-	type ExecutedRequest, type FakeBackendResponse, FakeBackendServer, healthPath, type ReceivedResponse, sendForResponse,
+	type ExecutedRequest, type FakeBackendResponse, FakeBackendServer, type ReceivedResponse, sendForResponse,
 } from './platform/fake-backend-server.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
 import {putConfiguration} from './platform/put-configuration.js';
+import {routeKindsConfiguration, routeKindsHost} from './platform/route-kinds-configuration.js';
 import {startBackends} from './platform/start-backends.js';
 import {waitUntil} from './wait-until.js';
 
-const host = 'desk.example';
-const route = {
-	host, timeoutMs: 4000, targetLatencyMs: 1000, maxAttempts: 3, public: true,
-};
-const stream = {
-	...route, kind: 'streaming', timeoutMs: 8000, targetGapMs: 1000, service: 'models', sizes: ['large'], sticky: true,
-};
-const configuration = {
-	version: 1,
-	routes: [
-		{
-			...stream, name: 'drafts', pathPrefix: '/drafts/', resumable: true,
-		},
-		{
-			...stream, name: 'once', pathPrefix: '/once/',
-		},
-		{
-			...route, name: 'print', pathPrefix: '/print/', kind: 'unsafe', service: 'labels',
-		},
-		{
-			...route, name: 'look', pathPrefix: '/look/', kind: 'safe', service: 'labels',
-		},
-	],
-	services: [{name: 'models', healthPath, engine: {models: [{name: 'large', cost: 0.3}]}}, {name: 'labels', healthPath}],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	tenants: [],
-};
+const configuration = routeKindsConfiguration({timeoutMs: 4000, targetMs: 1000});
 const events = ['one', 'two', 'three', 'four'];
 const completeStream = events.map((event, index) => `id: ${index + 1}\ndata: ${event}\n\n`).join('');
 const twoEvents = completeStream.slice(0, completeStream.indexOf('id: 3'));
@@ -70,7 +43,8 @@
 		requests++;
 		return sendForResponse({
 			method: path.startsWith('/look/') ? 'GET' : 'POST', address: deployment.entries[0]!.address, path, headers: {
-				Host: host, 'Attempt-Id': `a${requests}`, 'Deadline-Ms': '4000', ...(/^\/(?:drafts|once)\//v.test(path) && {Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': '1:50,2:50'}),
+				Host: routeKindsHost, 'Attempt-Id': `a${requests}`, 'Deadline-Ms': '4000',
+				...(/^\/(?:drafts|once)\//v.test(path) && {Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': '1:50,2:50'}),
 			},
 		});
 	};
@@ -174,7 +148,7 @@
 	socket.on('error', () => {
 		isReset = true;
 	});
-	socket.write(`POST /once/7 HTTP/1.0\r\nHost: ${host}\r\nAttempt-Id: b1\r\nDeadline-Ms: 4000\r\nModel: *\r\nToken-Usage: 100,20\r\nPrompt-Prefix: 1:50,2:50\r\nContent-Length: 0\r\n\r\n`);
+	socket.write(`POST /once/7 HTTP/1.0\r\nHost: ${routeKindsHost}\r\nAttempt-Id: b1\r\nDeadline-Ms: 4000\r\nModel: *\r\nToken-Usage: 100,20\r\nPrompt-Prefix: 1:50,2:50\r\nContent-Length: 0\r\n\r\n`);
 	await new Promise(resolve => {
 		socket.on('close', resolve);
 	});
--- a/packages/testing/src/truncated-heads.test.ts
+++ b/packages/testing/src/truncated-heads.test.ts
@@ -1,44 +1,17 @@
 import test, {type ExecutionContext} from 'ava';
-import {FakeBackendServer, healthPath} from './platform/fake-backend-server.js';
+import {FakeBackendServer} from './platform/fake-backend-server.js';
 import {PlatformDeployment, type PlatformInstance} from './platform/platform-deployment.js';
 import {putConfiguration} from './platform/put-configuration.js';
 import {
 	type RawAnswer, type RawEnd, type RawRun, RawServer,
 } from './platform/raw-server.js';
+import {routeKindsConfiguration, routeKindsHost} from './platform/route-kinds-configuration.js';
 import {type RawReceived, sendRaw} from './platform/send-raw.js';
 import {cutServerLinks, serverCutEnvironment} from './platform/server-cut.js';
 import {stopAfterTest} from './platform/stop-after-test.js';
 import {waitUntil} from './wait-until.js';
 
-const host = 'desk.example';
-const route = {
-	host, timeoutMs: 6000, targetLatencyMs: 2000, maxAttempts: 3, public: true,
-};
-const stream = {
-	...route, kind: 'streaming', timeoutMs: 8000, targetGapMs: 2000, service: 'models', sizes: ['large'], sticky: true,
-};
-const configuration = {
-	version: 1,
-	routes: [
-		{
-			...stream, name: 'drafts', pathPrefix: '/drafts/', resumable: true,
-		},
-		{
-			...stream, name: 'once', pathPrefix: '/once/',
-		},
-		{
-			...route, name: 'print', pathPrefix: '/print/', kind: 'unsafe', service: 'labels',
-		},
-		{
-			...route, name: 'look', pathPrefix: '/look/', kind: 'safe', service: 'labels',
-		},
-	],
-	services: [{name: 'models', healthPath, engine: {models: [{name: 'large', cost: 0.3}]}}, {name: 'labels', healthPath}],
-	limits: {
-		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-	},
-	tenants: [],
-};
+const configuration = routeKindsConfiguration({timeoutMs: 6000, targetMs: 2000});
 /** Each request that may be repeated is, once. */
 const bounds = {
 	graceS: 5, revokeMs: 5000, canaryShare: 0.15, retryBudgetRatio: 2, sessionS: 5,
@@ -172,7 +145,7 @@
 			address: entry.address,
 			path,
 			headers: {
-				Host: host, 'Attempt-Id': `a${requests}`, 'Deadline-Ms': '6000', ...(isStream(path) && {Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': `${requests}:100`}),
+				Host: routeKindsHost, 'Attempt-Id': `a${requests}`, 'Deadline-Ms': '6000', ...(isStream(path) && {Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': `${requests}:100`}),
 			},
 		});
 	};
