--- a/packages/transport/src/_settle-probe.ts
+++ b/packages/transport/src/_settle-probe.ts
@@ -13,25 +13,18 @@
 /**
 Tells whether a process that accepts a connection goes on running. A process that ends closes its connections one after another, and the kernel accepts new ones for it until it has closed the socket that listens.
 
-@param open Opens a connection, or tells why none was opened; `reset` if it was reset at once. Through a relay it may also have got no answer, which takes longer and is not tried again.
+@param open Opens a connection, or tells why none was opened; `reset` if it was reset at once. Through a relay it may also have got no answer.
 @param options The way of the connection.
 @returns That it was opened and not reset; otherwise why none was opened.
 */
 export async function settleProbe<Result extends string>(open: () => Promise<Socket | Result | 'reset'>, {isDirect}: SettleProbeOptions): Promise<Result | 'open' | 'unanswered'> {
-	let mayBeReset = true;
-	const stopTimeout = setTimeoutAfterPoll(settleMilliseconds, () => {
-		mayBeReset = isDirect;
-	});
 	const first = await open();
-	stopTimeout();
 	if (first instanceof Socket) {
 		if (await staysOpen(first, isDirect)) {
 			return 'open';
 		}
 	} else if (first !== 'reset') {
 		return first;
-	} else if (!mayBeReset) {
-		return 'unanswered';
 	}
 
 	// A running server may reset a connection for its load; one that has ended refuses the next one.
