--- a/packages/transport/src/relay.ts
+++ b/packages/transport/src/relay.ts
@@ -1,14 +1,12 @@
 import {type Agent} from 'node:http';
-import {type Socket} from 'node:net';
 import {type InstanceId} from '@valehitch/core';
-import {settleProbe} from './_settle-probe.js';
 import {type ProbeResult} from './probe-address.js';
 import {type OpenTunnel, TunnelAgent} from './tunnel-agent.js';
 import {type TunnelTarget} from './tunnel-target.js';
 
-/** What a tunnel that was not opened says of its target. One that did not answer may have reset the connection. */
+/** What a tunnel that was not opened says of its target. */
 const probeResults = {
-	'peer-unavailable': 'unavailable', 'target-refused': 'refused', 'target-unanswered': 'reset',
+	'peer-unavailable': 'unavailable', 'target-refused': 'refused', 'target-unanswered': 'unanswered',
 } as const;
 
 /** Options of {@linkcode Relay}. */
@@ -48,12 +46,13 @@
 	@returns The result, or that the relay cannot be used.
 	*/
 	async probe({host, port}: TunnelTarget): Promise<ProbeResult | 'unavailable'> {
-		return settleProbe(async () => {
-			const opened = await this.#open({host, port});
-			return opened.caseOf<Socket | (typeof probeResults)[keyof typeof probeResults]>({
-				Left: ({type}) => probeResults[type],
-				Right: ({socket}) => socket,
-			});
-		}, {isDirect: false});
+		const opened = await this.#open({host, port});
+		return opened.caseOf<ProbeResult | 'unavailable'>({
+			Left: ({type}) => probeResults[type],
+			Right({socket}) {
+				socket.destroy();
+				return 'open';
+			},
+		});
 	}
 }
