--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -4,6 +4,7 @@
 import {
 	type AddressInfo, connect, createServer, type Socket,
 } from 'node:net';
+import process from 'node:process';
 import {text} from 'node:stream/consumers';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {type InstanceId} from '@valehitch/core';
@@ -271,6 +272,67 @@
 	},
 });
 
+/** Starts a server that takes one connection; resolves to what it receives until the connection closes. */
+async function receiveOnce(t: ExecutionContext): Promise<{readonly options: SendAttemptOptions; readonly received: Promise<string>}> {
+	const server = createServer();
+	const received = new Promise<string>(resolve => {
+		server.once('connection', socket => {
+			let bytes = '';
+			socket.setEncoding('utf8');
+			socket.on('data', (chunk: string) => {
+				bytes += chunk;
+			});
+			socket.on('error', () => undefined);
+			socket.on('close', () => {
+				resolve(bytes);
+			});
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const {port} = server.address() as AddressInfo;
+	return {options: {...await serve(t, () => undefined), server: testServer({port})}, received};
+}
+
+// The end of the caller's connection may be read after another connection has opened, in the same poll.
+for (const mayReuseConnection of [false, true]) {
+	const kind = mayReuseConnection ? 'kept' : 'used once';
+	test(`a request that is cancelled in the turn in which its connection opens does not reach the server, on a connection that is ${kind}`, async t => {
+		const {options, received} = await receiveOnce(t);
+		const sent = sendAttempt({
+			...options, mayReuseConnection, onConnect() {
+				process.nextTick(() => {
+					sent.cancel();
+				});
+			},
+		});
+		t.is(await received, '');
+		const outcome = await sent.outcome;
+		t.is(outcome.type, 'cancelled');
+	});
+
+	test(`a request that is cancelled in the turn in which its tunnel opens does not reach the server, through a tunnel that is ${kind}`, async t => {
+		const {options, received} = await receiveOnce(t);
+		const relay = new Relay('10.0.0.8' as InstanceId, {
+			async open({host, port}) {
+				const socket = connect(port, host);
+				await once(socket, 'connect');
+				setImmediate(() => {
+					sent.cancel();
+				});
+				return Right({socket, relayTunnels: undefined});
+			},
+		});
+		const sent = sendAttempt({...options, relay, mayReuseConnection});
+		t.is(await received, '');
+		const outcome = await sent.outcome;
+		t.is(outcome.type, 'cancelled');
+	});
+}
+
 for (const [path, options] of Object.entries({
 	'new connections': {mayReuseConnection: false},
 	'reused connections': {mayReuseConnection: true},
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,7 +1,7 @@
 import {type ClientRequest, type IncomingMessage, request as openRequest} from 'node:http';
 import {type Clock} from '@valehitch/core';
 import {
-	ArrivalWatch, frameRequest, malformedHead, type ResponseEnd, responseFraming, type ResponseFraming, setTimeoutAfterPoll,
+	ArrivalWatch, frameRequest, malformedHead, type ResponseEnd, responseFraming, type ResponseFraming, sendOnceOpen, setTimeoutAfterPoll,
 	watchHead, watchResponseEnd, type Relay, TunnelError,
 } from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -130,7 +130,7 @@
 		}
 	});
 	const outcome = awaitHead(request, options, {isCancelled: () => isCancelled, isOpen: () => isOpen});
-	request.end(body);
+	sendOnceOpen(request, body);
 	return {
 		outcome,
 		isConnected: () => isOpen,
--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -1,6 +1,10 @@
 import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
-import {connect} from 'node:net';
+import {
+	type AddressInfo, connect, createServer, type Socket,
+} from 'node:net';
+import process from 'node:process';
+import {text as readText} from 'node:stream/consumers';
 import {setImmediate as turn} from 'node:timers/promises';
 import {failure} from '@valehitch/core';
 import test from 'ava';
@@ -97,6 +101,30 @@
 	t.like(answer.extract(), {neverSent: true});
 });
 
+test('a request that is aborted in the turn in which its connection opens does not reach the server', async t => {
+	const server = createServer().listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const received = once(server, 'connection').then(async ([socket]: Socket[]) => readText(socket!));
+	const controller = new AbortController();
+	const answer = await sendHttpRequest({
+		address: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+		method: 'POST',
+		path: '/',
+		headers: {},
+		body: new TextEncoder().encode('coil'),
+		signal: controller.signal,
+		reuseConnection: false,
+		onConnect() {
+			process.nextTick(() => {
+				controller.abort();
+			});
+		},
+	});
+	t.true(answer.isLeft());
+	t.is(await received, '');
+	server.close();
+});
+
 test('a request whose connection the server closes is not reported as never sent', async t => {
 	const server = await startHttpServer({
 		host: '127.0.0.1',
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -28,6 +28,7 @@
 export * from './relay.js';
 export * from './responses-in-progress.js';
 export * from './send-http-request.js';
+export * from './send-once-open.js';
 export * from './server-relays.js';
 export * from './set-timeout-after-poll.js';
 export * from './tunnel-agent.js';
--- a/packages/transport/src/probe-address.ts
+++ b/packages/transport/src/probe-address.ts
@@ -1,12 +1,15 @@
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
+import {settleProbe} from './_settle-probe.js';
 import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
 import {type TunnelTarget} from './tunnel-target.js';
 
 /** The result of a connection attempt; `unanswered` if it was neither accepted nor refused before the timeout. */
 export type ProbeResult = 'open' | 'refused' | 'unanswered';
 
+const failures: Readonly<Record<string, 'refused' | 'reset'>> = {ECONNREFUSED: 'refused', ECONNRESET: 'reset'};
+
 /**
-Tries to open a TCP connection, without sending anything.
+Tries to open a TCP connection, without sending anything. A connection that is reset at once, as by a process that is ending, is tried once more.
 
 @param address The host and port.
 @param timeout The connection timeout, in milliseconds.
@@ -16,23 +19,27 @@
 await probeAddress({host: '10.0.0.7', port: 8740}, 100); // 'refused' if no process listens there
 ```
 */
-export async function probeAddress({host, port}: TunnelTarget, timeout: number): Promise<ProbeResult> {
+export async function probeAddress(address: TunnelTarget, timeout: number): Promise<ProbeResult> {
+	return settleProbe(async () => open(address, timeout), {isDirect: true});
+}
+
+async function open({host, port}: TunnelTarget, timeout: number): Promise<Socket | 'refused' | 'unanswered' | 'reset'> {
 	return new Promise(resolve => {
 		const socket = connect({host, port});
+		const fail = ({code = ''}: NodeJS.ErrnoException): void => {
+			resolve(failures[code] ?? 'unanswered');
+		};
+
 		const stopTimeout = setTimeoutAfterPoll(timeout, () => {
 			socket.destroy();
+			resolve('unanswered');
 		});
-		let result: ProbeResult = 'unanswered';
-		socket.on('connect', () => {
-			result = 'open';
-			socket.destroy();
-		});
-		socket.on('error', (error: NodeJS.ErrnoException) => {
-			result = error.code === 'ECONNREFUSED' ? 'refused' : 'unanswered';
-		});
-		socket.on('close', () => {
+		socket.once('error', fail);
+		socket.once('close', stopTimeout);
+		socket.once('connect', () => {
 			stopTimeout();
-			resolve(result);
+			socket.off('error', fail);
+			resolve(socket);
 		});
 	});
 }
--- a/packages/transport/src/relay.ts
+++ b/packages/transport/src/relay.ts
@@ -1,12 +1,14 @@
 import {type Agent} from 'node:http';
+import {type Socket} from 'node:net';
 import {type InstanceId} from '@valehitch/core';
+import {settleProbe} from './_settle-probe.js';
 import {type ProbeResult} from './probe-address.js';
 import {type OpenTunnel, TunnelAgent} from './tunnel-agent.js';
 import {type TunnelTarget} from './tunnel-target.js';
 
-/** What a tunnel that was not opened says of its target. */
+/** What a tunnel that was not opened says of its target. One that did not answer may have reset the connection. */
 const probeResults = {
-	'peer-unavailable': 'unavailable', 'target-refused': 'refused', 'target-unanswered': 'unanswered',
+	'peer-unavailable': 'unavailable', 'target-refused': 'refused', 'target-unanswered': 'reset',
 } as const;
 
 /** Options of {@linkcode Relay}. */
@@ -46,13 +48,12 @@
 	@returns The result, or that the relay cannot be used.
 	*/
 	async probe({host, port}: TunnelTarget): Promise<ProbeResult | 'unavailable'> {
-		const opened = await this.#open({host, port});
-		return opened.caseOf<ProbeResult | 'unavailable'>({
-			Left: ({type}) => probeResults[type],
-			Right({socket}) {
-				socket.destroy();
-				return 'open';
-			},
-		});
+		return settleProbe(async () => {
+			const opened = await this.#open({host, port});
+			return opened.caseOf<Socket | (typeof probeResults)[keyof typeof probeResults]>({
+				Left: ({type}) => probeResults[type],
+				Right: ({socket}) => socket,
+			});
+		}, {isDirect: false});
 	}
 }
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -5,6 +5,7 @@
 import {parseAddress} from './parse-address.js';
 import {probeAddress} from './probe-address.js';
 import {type Relay} from './relay.js';
+import {sendOnceOpen} from './send-once-open.js';
 import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
 import {TunnelError} from './tunnel-agent.js';
 import {malformedHead, watchHead} from './watch-head.js';
@@ -119,7 +120,7 @@
 		clientRequest.on('error', error => {
 			fail(error.message, error instanceof TunnelError ? error.type : undefined);
 		});
-		clientRequest.end(call.body);
+		sendOnceOpen(clientRequest, call.body);
 	});
 }
 
--- /dev/null
+++ b/packages/transport/src/send-once-open.test.ts
@@ -0,0 +1,70 @@
+import {once} from 'node:events';
+import {
+	Agent, createServer as createHttpServer, type IncomingMessage, request as openRequest,
+} from 'node:http';
+import {type AddressInfo, createServer, type Socket} from 'node:net';
+import process from 'node:process';
+import {text} from 'node:stream/consumers';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import test from 'ava';
+import {sendOnceOpen} from './send-once-open.js';
+
+const host = '127.0.0.1';
+const body = new TextEncoder().encode('coil');
+
+test('requests are sent whole on new and on kept connections', async t => {
+	const server = createHttpServer((message, response) => {
+		message.pipe(response);
+	}).listen(0, host);
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const agent = new Agent({keepAlive: true});
+	const reused: boolean[] = [];
+	for (let count = 0; count < 2; count++) {
+		const request = openRequest({
+			host, port, agent, method: 'POST', headers: {'content-length': body.byteLength},
+		});
+		sendOnceOpen(request, body);
+		const [message] = await once(request, 'response') as [IncomingMessage];
+		t.is(await text(message), 'coil');
+		reused.push(request.reusedSocket);
+		await nextTurn();
+	}
+
+	t.deepEqual(reused, [false, true]);
+	agent.destroy();
+	server.close();
+});
+
+test('a request that is destroyed in the turn in which its connection opens is not sent', async t => {
+	const server = createServer().listen(0, host);
+	await once(server, 'listening');
+	const received = once(server, 'connection').then(async ([socket]: Socket[]) => text(socket!));
+	const {port} = server.address() as AddressInfo;
+	const request = openRequest({
+		host, port, agent: false, method: 'POST',
+	});
+	request.on('error', () => undefined);
+	request.once('socket', socket => {
+		socket.once('connect', () => {
+			process.nextTick(() => {
+				request.destroy();
+			});
+		});
+	});
+	sendOnceOpen(request, body);
+	t.is(await received, '');
+	server.close();
+});
+
+test('a request that is destroyed before it has a connection is not sent', async t => {
+	const request = openRequest({
+		host, port: 1, agent: false, method: 'POST',
+	});
+	const failed = once(request, 'error');
+	sendOnceOpen(request, body);
+	request.destroy();
+	const [{message}] = await failed as [Error];
+	t.is(message, 'socket hang up');
+	t.false(request.writableEnded);
+});
