Check a request once more right before it is written

A request was checked against the configuration at its dispatch, then waited for a poll and, on a new connection, for its opening; it was written without another look. A configuration that was activated during that time did not hold for it, so that a server got a request of a withdrawn version after all instances had reported the revision.

The last check is now made by `sendOnceOpen`, right before the write. A request that is withheld is planned again, as one that is denied at its dispatch; it says nothing about its server, and no other path is tried.

In the same place: a request counted as one that may have run once its connection had opened, though it is written only after that poll. It counts from the write on now, in both entry stacks.

Tests: a withdrawal at the opening of the connection (red without the check: the server answered), an end of the server at that moment (red with the old count), and three of the parts.

--- a/packages/daemon/src/entry/attempt-end.ts
+++ b/packages/daemon/src/entry/attempt-end.ts
@@ -24,7 +24,7 @@
 export function attemptEnd(output: AttemptOutput): AttemptEnd {
 	return match<AttemptOutput, AttemptEnd>(output)
 		.with({type: 'complete'}, {type: 'head'}, {type: 'piece'}, () => ({outcome: 'ran', reason: 'complete', failed: false}))
-		.with({type: 'not-run'}, ({message}) => ({outcome: 'notRun', reason: message, failed: false}))
+		.with({type: 'not-run'}, {type: 'withheld'}, ({message}) => ({outcome: 'notRun', reason: message, failed: false}))
 		.with({type: 'never-sent'}, ({message}) => ({outcome: 'notRun', reason: message, failed: true}))
 		.with({type: 'failed'}, ({message}) => ({outcome: 'ran', reason: message, failed: true}))
 		// Closing an idle connection is no fault of the server; if the server is down, the next attempt detects it.
--- a/packages/daemon/src/entry/attempt-output.ts
+++ b/packages/daemon/src/entry/attempt-output.ts
@@ -23,6 +23,8 @@
 export type AttemptOutput
 	/** No byte of the request was sent. */
 	= | {readonly type: 'never-sent'; readonly message: string}
+		/** The last check before the send did not allow it any more, so no byte of the request was sent. */
+		| {readonly type: 'withheld'; readonly message: string}
 		/** The server reported that it did not run the request. */
 		| {readonly type: 'not-run'; readonly message: string; readonly retryAfterMilliseconds?: number}
 		| {readonly type: 'head'; readonly head: AnswerHead}
--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -94,7 +94,7 @@
 			.otherwise(denial => denial);
 	}
 
-	send({dispatch, address, signal, partialAnswer}: SendOptions): AsyncIterable<AttemptOutput> {
+	send({dispatch, address, signal, mayStillSend, partialAnswer}: SendOptions): AsyncIterable<AttemptOutput> {
 		const {context: {settings, clock}, deadline} = this.#options;
 		const {requestId, body, facts: {stream}, rule} = this.#plan;
 		const outputs = callEngine({
@@ -107,7 +107,7 @@
 			resumeText: partialAnswer.text,
 			tokensBefore: partialAnswer.tokens,
 			address,
-			send: async request => this.#sender.send(dispatch.server, request),
+			send: async request => this.#sender.send(dispatch.server, {...request, mayStillSend}),
 			freshConnection: dispatch.freshConnection,
 			signal,
 			stallMilliseconds: stallMillisecondsOf({streamed: stream, remainingMilliseconds: deadline - clock.monotonic(), settings}),
--- a/packages/daemon/src/entry/failed-call-output.ts
+++ b/packages/daemon/src/entry/failed-call-output.ts
@@ -9,10 +9,14 @@
 @returns The only output of the attempt.
 @example
 ```ts
-failedCallOutput({neverSent: true, onKeptConnection: false, message: 'connect ECONNREFUSED'}, 'engine').type; // 'never-sent'
+failedCallOutput({neverSent: true, isWithheld: false, onKeptConnection: false, isRelayUnavailable: false, message: 'connect ECONNREFUSED'}, 'engine').type; // 'never-sent'
 ```
 */
-export function failedCallOutput({neverSent, onKeptConnection, message}: HttpRequestFailure, backendKind: 'engine' | 'service'): AttemptOutput {
+export function failedCallOutput({neverSent, isWithheld, onKeptConnection, message}: HttpRequestFailure, backendKind: 'engine' | 'service'): AttemptOutput {
+	if (isWithheld) {
+		return {type: 'withheld', message: `Not sent to the ${backendKind}: ${message}`};
+	}
+
 	const type = onKeptConnection ? 'kept-connection-lost' : 'broken';
 	return {type: neverSent ? 'never-sent' : type, message: `No response from the ${backendKind}: ${message}`};
 }
--- a/packages/daemon/src/entry/lifecycle/dispatch-attempt.ts
+++ b/packages/daemon/src/entry/lifecycle/dispatch-attempt.ts
@@ -54,7 +54,11 @@
 		number,
 		resumeFrom,
 		call: signal => adapter.send({
-			dispatch, address: server.announcement.address, signal, partialAnswer: resumed,
+			dispatch,
+			address: server.announcement.address,
+			signal,
+			mayStillSend: () => adapter.checkDispatch(dispatch.target) === undefined,
+			partialAnswer: resumed,
 		}),
 	});
 	server.inFlight--;
--- a/packages/daemon/src/entry/lifecycle/output-event.ts
+++ b/packages/daemon/src/entry/lifecycle/output-event.ts
@@ -19,6 +19,7 @@
 			type: 'attempt-piece', attempt, offset, length, tokens,
 		}))
 		.with({type: 'never-sent'}, () => ({type: 'attempt-never-sent', attempt}))
+		.with({type: 'withheld'}, () => ({type: 'dispatch-denied', attempt, reason: 'not-allowed'}))
 		.with({type: 'not-run'}, ({retryAfterMilliseconds}) => ({
 			type: 'attempt-not-run', attempt, ...(retryAfterMilliseconds !== undefined && {retryAfterMilliseconds}),
 		}))
--- a/packages/daemon/src/entry/lifecycle/request-adapter.ts
+++ b/packages/daemon/src/entry/lifecycle/request-adapter.ts
@@ -28,6 +28,8 @@
 	readonly dispatch: DispatchAction;
 	readonly address: string;
 	readonly signal: AbortSignal;
+	/** Checks whether the target is still allowed, right before the request is written. */
+	readonly mayStillSend: () => boolean;
 	readonly partialAnswer: PartialAnswer;
 };
 
--- a/packages/daemon/src/entry/request-sender.test.ts
+++ b/packages/daemon/src/entry/request-sender.test.ts
@@ -80,3 +80,19 @@
 	t.like(answer.extract(), {neverSent: true, isRelayUnavailable: false});
 	t.is(opened, 1);
 });
+
+test('an attempt that is no longer allowed when its connection is open is sent over no path', async t => {
+	let opened = 0;
+	const open: OpenTunnel = async () => {
+		opened++;
+		return Left<TunnelFailure, OpenedTunnel>({type: 'target-refused', reason: 'refused'});
+	};
+
+	const port = await startServer(t);
+	const links = createLinks();
+	const sender = new RequestSender({links, relays: relaysOf(open)});
+	const answer = await sender.send(server, {...requestTo(`http://127.0.0.1:${port}`), mayStillSend: () => false});
+	t.like(answer.extract(), {neverSent: true, isWithheld: true});
+	t.is(opened, 0);
+	t.true(links.areConnected);
+});
--- a/packages/daemon/src/entry/request-sender.ts
+++ b/packages/daemon/src/entry/request-sender.ts
@@ -61,13 +61,13 @@
 		}
 
 		return Left({
-			neverSent: true, onKeptConnection: false, isRelayUnavailable: false, message: 'This daemon reaches no backend server, and no other daemon can be asked',
+			neverSent: true, onKeptConnection: false, isRelayUnavailable: false, isWithheld: false, message: 'This daemon reaches no backend server, and no other daemon can be asked',
 		});
 	}
 
 	/** Records a connection that was not opened, and returns the path to try next; undefined if there is none. */
-	#nextPath({neverSent, isRelayUnavailable}: HttpRequestFailure, {server, relay}: {readonly server: ServerId; readonly relay: Relay | undefined}): Path<Relay> | undefined {
-		if (!neverSent) {
+	#nextPath({neverSent, isRelayUnavailable, isWithheld}: HttpRequestFailure, {server, relay}: {readonly server: ServerId; readonly relay: Relay | undefined}): Path<Relay> | undefined {
+		if (!neverSent || isWithheld) {
 			return undefined;
 		}
 
--- a/packages/daemon/src/entry/service-adapter.ts
+++ b/packages/daemon/src/entry/service-adapter.ts
@@ -77,7 +77,12 @@
 	return isAllowed ? undefined : 'not-allowed';
 }
 
-function send({dispatch, address, signal}: SendOptions, {plan, context, deadline, sender}: AdapterState & {readonly deadline: number; readonly sender: RequestSender}): AsyncIterable<AttemptOutput> {
+type SendState = AdapterState & {
+	readonly deadline: number;
+	readonly sender: RequestSender;
+};
+
+function send({dispatch, address, signal, mayStillSend}: SendOptions, {plan, context, deadline, sender}: SendState): AsyncIterable<AttemptOutput> {
 	const {call: {request, requestId}, service, path, body, repeatable} = plan;
 	const {settings, clock} = context;
 	const remainingMilliseconds = deadline - clock.monotonic();
@@ -91,7 +96,7 @@
 		repeatable,
 		freshConnection: dispatch.freshConnection,
 		address,
-		send: async sent => sender.send(dispatch.server, sent),
+		send: async sent => sender.send(dispatch.server, {...sent, mayStillSend}),
 		signal,
 		stallMilliseconds: repeatable ? stallMillisecondsOf({streamed: false, remainingMilliseconds, settings}) : Math.max(1, remainingMilliseconds),
 		maximumBytes: settings.limits.bodyBytes,
--- a/packages/gateway/src/entry/end-expired.ts
+++ b/packages/gateway/src/entry/end-expired.ts
@@ -32,7 +32,7 @@
 		return;
 	}
 
-	const wasSent = sent?.attempt.isConnected() === true;
+	const wasSent = sent?.attempt.isSent() === true;
 	sent?.attempt.cancel();
 	if (sent !== undefined && wasSent) {
 		// If the requests of a route may not be repeated, a hanging server is detected only here.
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -427,7 +427,7 @@
 		this.#sent = {
 			server: stream.server,
 			attempt: {
-				isConnected: () => true,
+				isSent: () => true,
 				cancel() {
 					stream.received.message.destroy();
 				},
--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -130,14 +130,31 @@
 		socket.destroy();
 	});
 	const sent = sendAttempt(options);
-	t.false(sent.isConnected());
+	t.false(sent.isSent());
 	const lost = await sent.outcome;
 	t.is(lost.type, 'lost');
-	t.true(sent.isConnected());
+	t.true(sent.isSent());
 	const unreachable = await sendAttempt({...options, server: testServer({port: 1})}).outcome;
 	t.is(unreachable.type, 'unreachable');
 });
 
+test('a request whose server ends in the turn in which its connection opens has not run', async t => {
+	const options = await serve(t, () => {
+		// Never answers.
+	});
+	const controller = new AbortController();
+	const sent = sendAttempt({
+		...options,
+		processEnd: controller.signal,
+		onConnect() {
+			controller.abort();
+		},
+	});
+	const outcome = await sent.outcome;
+	t.is(outcome.type, 'unreachable');
+	t.false(sent.isSent());
+});
+
 test('an unresponsive server and a cancelled send have different outcomes', async t => {
 	const options = await serve(t, () => {
 		// Never answers.
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -59,7 +59,7 @@
 
 /** The outcome of a send, up to the head of the answer. */
 export type SendOutcome
-	/** The connection was never established, so the request has not run. */
+	/** The connection was not established, or closed before the request was sent, so the request has not run. */
 	= | {readonly type: 'unreachable'; readonly reason: string}
 	/** The relay could not be used, so the request has not run, and nothing is known about the server. */
 		| {readonly type: 'relay-unavailable'; readonly reason: string}
@@ -77,14 +77,14 @@
 /** A send in progress. */
 export type SentAttempt = {
 	readonly outcome: Promise<SendOutcome>;
-	/** Whether the connection has been established. Until then, no part of the request has been sent. */
-	readonly isConnected: () => boolean;
+	/** Whether a part of the request may have been sent. */
+	readonly isSent: () => boolean;
 	/** Cancels the send by closing its connection, which also cancels it at the server. */
 	readonly cancel: () => void;
 };
 
 /** A send, or a stream of an earlier one, that a request can end. */
-export type CancellableSend = Pick<SentAttempt, 'isConnected' | 'cancel'>;
+export type CancellableSend = Pick<SentAttempt, 'isSent' | 'cancel'>;
 
 /**
 Sends a request to a backend server. The outcome states exactly whether the request can have run.
@@ -117,6 +117,7 @@
 	request.maxHeadersCount = 0;
 	let isCancelled = false;
 	let isOpen = false;
+	let isSent = false;
 	request.on('socket', socket => {
 		isOpen = !socket.connecting;
 		// A reused connection would keep the listener until it closes.
@@ -129,11 +130,15 @@
 			recordReuse(socket);
 		}
 	});
-	const outcome = awaitHead(request, options, {isCancelled: () => isCancelled, isOpen: () => isOpen});
-	sendOnceOpen(request, body);
+	const outcome = awaitHead(request, options, {isCancelled: () => isCancelled, isOpen: () => isOpen, isSent: () => isSent});
+	sendOnceOpen(request, body, {
+		onSend() {
+			isSent = true;
+		},
+	});
 	return {
 		outcome,
-		isConnected: () => isOpen,
+		isSent: () => isSent,
 		cancel() {
 			isCancelled = true;
 			request.destroy();
@@ -144,9 +149,10 @@
 type SendProgress = {
 	readonly isCancelled: () => boolean;
 	readonly isOpen: () => boolean;
+	readonly isSent: () => boolean;
 };
 
-async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isOpen}: SendProgress): Promise<SendOutcome> {
+async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isOpen, isSent}: SendProgress): Promise<SendOutcome> {
 	const {server, method, relay, connectTimeout, headTimeouts, isServerRunning, clock} = options;
 	const arrivals = new ArrivalWatch(clock);
 	const isHeadMalformed = watchHead(request);
@@ -182,7 +188,7 @@
 			const reason = error.message;
 			if (isCancelled()) {
 				settle({type: 'cancelled'});
-			} else if (!isOpen()) {
+			} else if (!isSent()) {
 				settle({type: error instanceof TunnelError && error.type === 'peer-unavailable' ? 'relay-unavailable' : 'unreachable', reason});
 			} else if (isSilent) {
 				settle({type: 'silent'});
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -26,6 +26,8 @@
 	readonly reuseConnection: boolean;
 	/** The instance through which the server is reached; by default this instance's own links are used. */
 	readonly relay?: Relay | undefined;
+	/** Checked right before the request is written, which may be long after the call; by default it is sent. */
+	readonly mayStillSend?: (() => boolean) | undefined;
 	/** Called when a new connection of this instance to the server is opened. */
 	readonly onConnect?: (() => void) | undefined;
 };
@@ -36,6 +38,8 @@
 	readonly neverSent: boolean;
 	/** Whether the request used a kept-alive connection, which the server may legitimately close at any time. */
 	readonly onKeptConnection: boolean;
+	/** Whether the request was not sent because the last check did not allow it, so that nothing is known about the server. */
+	readonly isWithheld: boolean;
 	/** Whether the relay could not be used, so that nothing is known about the server. */
 	readonly isRelayUnavailable: boolean;
 	readonly message: string;
@@ -69,6 +73,8 @@
 export async function sendHttpRequest(call: HttpRequest): Promise<Either<HttpRequestFailure, HttpResponse>> {
 	return new Promise(resolve => {
 		let connected = false;
+		let isSent = false;
+		let isWithheld = false;
 		const clientRequest = sendRequest(new URL(call.path, call.address), {
 			method: call.method,
 			headers: {...call.headers, 'content-length': call.body.byteLength},
@@ -98,7 +104,7 @@
 		const fail = (message: string, type?: TunnelError['type']): void => {
 			cancelConnectTimeout();
 			resolve(Left({
-				neverSent: !connected, onKeptConnection: clientRequest.reusedSocket, isRelayUnavailable: type === 'peer-unavailable', message,
+				neverSent: !isSent, onKeptConnection: clientRequest.reusedSocket, isRelayUnavailable: type === 'peer-unavailable', isWithheld, message,
 			}));
 		};
 
@@ -120,7 +126,15 @@
 		clientRequest.on('error', error => {
 			fail(error.message, error instanceof TunnelError ? error.type : undefined);
 		});
-		sendOnceOpen(clientRequest, call.body);
+		sendOnceOpen(clientRequest, call.body, {
+			mayStillSend() {
+				isWithheld = call.mayStillSend?.() === false;
+				return !isWithheld;
+			},
+			onSend() {
+				isSent = true;
+			},
+		});
 	});
 }
 
--- a/packages/transport/src/send-once-open.test.ts
+++ b/packages/transport/src/send-once-open.test.ts
@@ -68,3 +68,25 @@
 	t.is(message, 'socket hang up');
 	t.false(request.writableEnded);
 });
+
+test('a request that may no longer be sent when its connection is open is not sent', async t => {
+	const server = createServer().listen(0, host);
+	await once(server, 'listening');
+	const received = once(server, 'connection').then(async ([socket]: Socket[]) => text(socket!));
+	const {port} = server.address() as AddressInfo;
+	const request = openRequest({
+		host, port, agent: false, method: 'POST',
+	});
+	let isSent = false;
+	sendOnceOpen(request, body, {
+		mayStillSend: () => false,
+		onSend() {
+			isSent = true;
+		},
+	});
+	const [error] = await once(request, 'error') as [Error];
+	t.is(error.message, 'The request may no longer be sent');
+	t.is(await received, '');
+	t.false(isSent);
+	server.close();
+});
--- a/packages/transport/src/send-once-open.ts
+++ b/packages/transport/src/send-once-open.ts
@@ -1,35 +1,57 @@
 import {type ClientRequest} from 'node:http';
 import {type Socket} from 'node:net';
 
+/** Options of {@linkcode sendOnceOpen}. */
+export type SendOnceOpenOptions = {
+	/** Checked right before the request is written; if it may no longer be sent, its connection is closed. By default it may. */
+	readonly mayStillSend?: (() => boolean) | undefined;
+	/** Called right before the request is written. Until then, no part of it has been sent. */
+	readonly onSend?: (() => void) | undefined;
+};
+
+/** The message of the error of a request that may no longer be sent. */
+const withheldMessage = 'The request may no longer be sent';
+
 /**
 Sends a request once its connection is open and the poll in which it opened has ended, unless the request was destroyed by then. On a kept connection, it is sent at once.
 
-After the process was blocked or suspended, the end of a caller's connection may be read after the opening of another connection, in the same poll.
+After the process was blocked or suspended, the end of a caller's connection, or a configuration, may be read after the opening of another connection, in the same poll.
 
 @param request The request, of which nothing has been sent.
 @param body Its body.
+@param options The last check, and a callback.
 @example
 ```ts
 const request = openRequest({host, port, method, path, headers});
 sendOnceOpen(request, body);
 ```
 */
-export function sendOnceOpen(request: ClientRequest, body: Uint8Array): void {
+export function sendOnceOpen(request: ClientRequest, body: Uint8Array, {mayStillSend = () => true, onSend}: SendOnceOpenOptions = {}): void {
 	const send = (): void => {
-		setImmediate(() => {
-			if (!request.destroyed) {
-				request.end(body);
-			}
-		});
+		if (request.destroyed) {
+			return;
+		}
+
+		if (!mayStillSend()) {
+			request.destroy(new Error(withheldMessage));
+			return;
+		}
+
+		onSend?.();
+		request.end(body);
+	};
+
+	const sendAfterPoll = (): void => {
+		setImmediate(send);
 	};
 
 	request.once('socket', (socket: Socket) => {
 		if (request.reusedSocket) {
-			request.end(body);
+			send();
 		} else if (socket.connecting) {
-			socket.once('connect', send);
+			socket.once('connect', sendAfterPoll);
 		} else {
-			send();
+			sendAfterPoll();
 		}
 	});
 }
