gateway: authorize the first send once more right before it is written

The first send is authorized again right before the write. If the result is another route or workspace, or a refusal, nothing is written; the send is not counted, says nothing about its server, and the request starts over with the configuration in force. Later sends go by the authorization of the first one, as before.

The new test is red without the check (the server printed), green with it.

--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -41,8 +41,8 @@
 	context.log('request-attempt-ended', {
 		request: request.id, fingerprint: suspect.fingerprint, parts: suspect.parts, server: server.id, startedAt: server.startedAt, relay: relay?.instance, result: outcome.type, reason,
 	}, 'warn');
-	if (outcome.type === 'relay-unavailable') {
-		return {type: 'relay-unavailable'};
+	if (outcome.type === 'relay-unavailable' || outcome.type === 'withheld') {
+		return {type: outcome.type};
 	}
 
 	if (outcome.type === 'unreachable') {
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -3,7 +3,8 @@
 import {failure, type ModelId, type ServerId} from '@valehitch/core';
 import {type PoolPicture} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
-import {testRoute} from '../configuration/_test-configuration.js';
+import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
+import {RouteTable} from '../configuration/route-table.js';
 import {testServer} from '../servers/_test-server.js';
 import {
 	control, ignore, listen, sendRequest, sendRequests,
@@ -25,6 +26,29 @@
 	t.deepEqual(answer, {status: 200, text: 'printed'});
 });
 
+test('a request whose route is removed while its connection opens is not sent, and its server has not failed', async t => {
+	let runs = 0;
+	const port = await listen(t, (_message, response) => {
+		runs++;
+		response.end('printed');
+	});
+	const {answers, evidence} = await sendRequests(t, 1, {
+		nextServers: ignore,
+		prepare(context) {
+			context.servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
+			const {table} = context;
+			let isRemoved = false;
+			Object.assign(context, {table: () => isRemoved ? new RouteTable(testConfiguration({routes: []})) : table()});
+			context.links.of(testServer({port}).service).recordConnected = () => {
+				isRemoved = true;
+			};
+		},
+	});
+	t.deepEqual(answers, [{status: 404, text: 'not-found'}]);
+	t.is(runs, 0);
+	t.deepEqual(evidence.map(({failures}) => failures), []);
+});
+
 test('a request is refused if there is still no server after the wait', async t => {
 	let asked = 0;
 	const answer = await sendRequest(t, () => {
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -247,6 +247,13 @@
 			: authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
 	}
 
+	/** Whether a configuration that arrived while the connection opened authorizes the first send in the same way. */
+	#isStillAuthorized({route, workspace}: AuthorizedRequest): boolean {
+		return this.#allowance.sends > 1 || authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()})
+			.map(current => current.route.id === route.id && current.workspace?.id === workspace?.id)
+			.orDefault(false);
+	}
+
 	async #sendTo(target: SendTarget, authorized: AuthorizedRequest): Promise<NextStep> {
 		const {server, relay} = target;
 		const sentAt = this.#now();
@@ -265,6 +272,7 @@
 			deadlineAt: this.#deadlineAt,
 			lastEventId: this.#events.lastEventId,
 			processEnd: load.processEnd,
+			mayStillSend: () => this.#isStillAuthorized(authorized),
 			canGoOn: () => this.#stalled.isKept || this.#fallback.isKept || this.#search.isLinkInDoubt(target) || this.#canGoElsewhere(server),
 			onOverdue: () => {
 				// A late answer is a failure of the server, but no evidence about its version yet.
@@ -338,6 +346,10 @@
 				this.#search.recordRelayUnavailable(target);
 				return 'retry';
 			})
+			.with({type: 'withheld'}, async (): Promise<NextStep> => {
+				this.#allowance.cancelSend();
+				return 'retry';
+			})
 			.with({type: 'not-run'}, async ({failed}) => this.#handleNotRun(server, failed))
 			.with({type: 'connection-lost'}, async ({failed}) => {
 				this.#allowance.requireNewConnections();
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -25,6 +25,8 @@
 	readonly connectTimeout: number;
 	/** The timeouts for the head of the answer; undefined for none. */
 	readonly headTimeouts: HeadTimeouts | undefined;
+	/** Checked right before the request is written, once its connection is open; by default it is sent. */
+	readonly mayStillSend?: (() => boolean) | undefined;
 	/** Called when a new connection to the server is opened. */
 	readonly onConnect: () => void;
 	/** Aborted when the server's process is known to have ended, after which no more data will arrive. */
@@ -61,6 +63,8 @@
 export type SendOutcome
 	/** The connection was not established, or closed before the request was sent, so the request has not run. */
 	= | {readonly type: 'unreachable'; readonly reason: string}
+	/** The request may no longer be sent, so it has not run, and nothing is known about the server. */
+		| {readonly type: 'withheld'}
 	/** The relay could not be used, so the request has not run, and nothing is known about the server. */
 		| {readonly type: 'relay-unavailable'; readonly reason: string}
 	/** The connection broke before an answer, and the request may have run. */
@@ -97,7 +101,7 @@
 ```
 */
 export function sendAttempt(options: SendAttemptOptions): SentAttempt {
-	const {server, method, target, headers, body, mayReuseConnection, relay, onConnect, processEnd} = options;
+	const {server, method, target, headers, body, mayReuseConnection, relay, mayStillSend, onConnect, processEnd} = options;
 	const pool = relay?.pool ?? connectionPool;
 	if (mayReuseConnection) {
 		closeStaleConnections(server, pool);
@@ -118,6 +122,7 @@
 	let isCancelled = false;
 	let isOpen = false;
 	let isSent = false;
+	let isWithheld = false;
 	request.on('socket', socket => {
 		isOpen = !socket.connecting;
 		// A reused connection would keep the listener until it closes.
@@ -130,8 +135,14 @@
 			recordReuse(socket);
 		}
 	});
-	const outcome = awaitHead(request, options, {isCancelled: () => isCancelled, isOpen: () => isOpen, isSent: () => isSent});
+	const outcome = awaitHead(request, options, {
+		isCancelled: () => isCancelled, isOpen: () => isOpen, isSent: () => isSent, isWithheld: () => isWithheld,
+	});
 	sendOnceOpen(request, body, {
+		mayStillSend() {
+			isWithheld = mayStillSend?.() === false;
+			return !isWithheld;
+		},
 		onSend() {
 			isSent = true;
 		},
@@ -150,9 +161,10 @@
 	readonly isCancelled: () => boolean;
 	readonly isOpen: () => boolean;
 	readonly isSent: () => boolean;
+	readonly isWithheld: () => boolean;
 };
 
-async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isOpen, isSent}: SendProgress): Promise<SendOutcome> {
+async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isOpen, isSent, isWithheld}: SendProgress): Promise<SendOutcome> {
 	const {server, method, relay, connectTimeout, headTimeouts, isServerRunning, clock} = options;
 	const arrivals = new ArrivalWatch(clock);
 	const isHeadMalformed = watchHead(request);
@@ -188,6 +200,8 @@
 			const reason = error.message;
 			if (isCancelled()) {
 				settle({type: 'cancelled'});
+			} else if (isWithheld()) {
+				settle({type: 'withheld'});
 			} else if (!isSent()) {
 				settle({type: error instanceof TunnelError && error.type === 'peer-unavailable' ? 'relay-unavailable' : 'unreachable', reason});
 			} else if (isSilent) {
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -30,6 +30,8 @@
 	readonly lastEventId: string | undefined;
 	/** Aborted when the server's process is known to have ended. */
 	readonly processEnd: AbortSignal;
+	/** Checked right before the request is written. */
+	readonly mayStillSend: () => boolean;
 	/** Whether the request can go on without this send. */
 	readonly canGoOn: () => boolean;
 	/** Called if the server is late with its answer and the request cannot go on without it. */
@@ -80,6 +82,7 @@
 		}),
 		body,
 		mayReuseConnection,
+		mayStillSend: options.mayStillSend,
 		connectTimeout: Math.min(connectTimeoutMilliseconds, route.targetLatency),
 		headTimeouts: headTimeoutsOf(options, context),
 		onConnect() {
