gateway: count the wait for the first server from when none is found

A request that had waited to borrow a send was refused 503 at once if no server was left afterwards: its wait for the first server was counted from the borrow.

It is counted from the first time that no server is found. The new test is red without the change ("No server of labels is available") and green with it.

--- a/packages/gateway/src/entry/server-wait.ts
+++ b/packages/gateway/src/entry/server-wait.ts
@@ -54,12 +54,17 @@
 		}
 
 		const now = clock.monotonic();
-		this.#since ??= now;
 		const wait = availability.waitFor(service, now);
-		const canRetry = wait > 0 ? await this.#borrowSend() : await awaitFirstServer(this.#context, {...this.#options, since: this.#since});
+		const canRetry = wait > 0 ? await this.#borrowSend() : await this.#awaitFirst(now);
 		return canRetry ? undefined : failure('no-server', `No server of ${service} is available for the request (${lastProblem})`, {retryAfterMilliseconds: this.#retryAfter(wait)});
 	}
 
+	/** Waits for the first server, for a bounded time from when none was found. */
+	async #awaitFirst(now: number): Promise<boolean> {
+		this.#since ??= now;
+		return awaitFirstServer(this.#context, {...this.#options, since: this.#since});
+	}
+
 	/** Borrows a send from another instance if the rate limits of all servers leave none; a bounded number of times, since other requests may use it first. */
 	async #borrowSend(): Promise<boolean> {
 		this.#loans++;
