testing: judge requests beside a crashing part however late servers exit

`crashing-prompt-parts` was red on starved machines with "NaN served": traffic ended a fixed time after its start, and servers that exit late left no request to judge.

Requests are sent now until two seconds after the time from which they are judged, and as long as before at least. No bound changed.

--- a/packages/testing/src/crashing-prompt-parts.test.ts
+++ b/packages/testing/src/crashing-prompt-parts.test.ts
@@ -21,6 +21,8 @@
 const fatalEvery = 6;
 const quietMilliseconds = 2000;
 const trafficMilliseconds = 11_000;
+/** The least time for which requests are sent after the part is known, in milliseconds, however late servers exit. */
+const judgedMilliseconds = 2000;
 
 type Kind = 'fatal' | 'related' | 'unrelated';
 
@@ -92,7 +94,7 @@
 	const fatalFrom = startedAt + quietMilliseconds;
 	const sent: Array<Promise<Sent>> = [];
 	let hasBegun = false;
-	for (let number = 0; performance.now() < fatalFrom + trafficMilliseconds; number++) {
+	for (let number = 0; performance.now() < Math.max(fatalFrom + trafficMilliseconds, judgedFrom(servers) + judgedMilliseconds); number++) {
 		const at = performance.now();
 		const {kind, key, parts} = describeRequest(number, {fatalParts});
 		const {address} = (deployment.entries[Math.floor(number / 2) % entryCount]!);
@@ -111,6 +113,16 @@
 	return {servers, startedAt, sent: await Promise.all(sent)};
 }
 
+/** When the part counts as identified; undefined before any exit. */
+function identifiedAt({exits}: CrashingServers): number | undefined {
+	return exits[identifyingExits - 1] ?? exits.at(-1);
+}
+
+/** The time from which on the requests without the fatal part are to be served again. */
+function judgedFrom(servers: CrashingServers): number {
+	return (identifiedAt(servers) ?? Number.NEGATIVE_INFINITY) + (2 * windowMilliseconds);
+}
+
 async function record({kind, at, answer}: {readonly kind: Kind; readonly at: number; readonly answer: Promise<ReceivedResponse>}): Promise<Sent> {
 	return {kind, at, answer: await answer};
 }
@@ -128,14 +140,14 @@
 }
 
 /** Checks that servers hardly get any request with the fatal part once it is identified, and that the other requests are served. */
-function assertContained(t: ExecutionContext, {servers: {sends, exits}, startedAt, sent}: Played): void {
-	const identifiedAt = exits[identifyingExits - 1] ?? exits.at(-1)!;
-	const late = sends.filter(at => at > identifiedAt + windowMilliseconds).length;
+function assertContained(t: ExecutionContext, {servers, startedAt, sent}: Played): void {
+	const {sends, exits} = servers;
+	const late = sends.filter(at => at > identifiedAt(servers)! + windowMilliseconds).length;
 	t.log(`${exits.length} servers exited, ${sends.length} requests with the part reached servers, ${late} of them late`);
 	t.true(late <= allowedSends, `${late} late sends, ${exits.length} servers exited`);
 	for (const kind of ['related', 'unrelated'] as const) {
 		const before = shareServed(sent, {kind, from: startedAt, until: startedAt + quietMilliseconds});
-		const after = shareServed(sent, {kind, from: identifiedAt + (2 * windowMilliseconds), until: Number.POSITIVE_INFINITY});
+		const after = shareServed(sent, {kind, from: judgedFrom(servers), until: Number.POSITIVE_INFINITY});
 		t.log(`${kind} requests: ${after.toFixed(3)} served, ${before.toFixed(3)} before`);
 		t.true(after >= servedShare * before, `${kind} requests: ${after.toFixed(2)} served, ${before.toFixed(2)} before`);
 	}
