gateway: start a request over whose route, service or workspace has changed

Cause: a request was authorized again before its first send and right before it was written, but everything else of its run (deadline, kind, service, servers, limits) stayed that of the route at its arrival. A request whose route was replaced by one of another service was withheld once and then written to a server of the former service after all.

Change: if the current authorization is another route or workspace, or its route has lost the chosen service, the run ends and the request starts over with it, with the arrival and the deadline of before. It may wait in admission again, and is counted twice in the deposits of the retry budget.

--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -1,10 +1,13 @@
 import {once} from 'node:events';
 import {type IncomingMessage, request as openRequest, type ServerResponse} from 'node:http';
-import {failure, type ModelId, type ServerId} from '@valehitch/core';
+import {
+	failure, type ModelId, type ServerId, type ServiceId, type WorkspaceId,
+} from '@valehitch/core';
 import {type PoolPicture} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
 import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
 import {RouteTable} from '../configuration/route-table.js';
+import {type RouteId, type RoutingConfiguration} from '../configuration/routing-configuration.js';
 import {testServer} from '../servers/_test-server.js';
 import {
 	control, ignore, listen, sendRequest, sendRequests,
@@ -14,6 +17,17 @@
 import {LatencyEstimator} from './latency-estimator.js';
 import {type AdmissionCandidate} from './request-admission.js';
 
+/** Has a configuration come into force when a connection to a server of the first service opens. */
+function activateAtOpening(context: EntryContext, configuration: RoutingConfiguration): {table: RouteTable | undefined} {
+	const active = {table: context.table()};
+	Object.assign(context, {table: () => active.table});
+	context.links.of(testServer().service).recordConnected = () => {
+		active.table = new RouteTable(configuration);
+	};
+
+	return active;
+}
+
 test('a request waits for the first server if there is none', async t => {
 	const port = await listen(t, (_message, response) => {
 		response.end('printed');
@@ -32,21 +46,64 @@
 		runs++;
 		response.end('printed');
 	});
+	const suspected: string[] = [];
 	const {answers, evidence} = await sendRequests(t, 1, {
 		nextServers: ignore,
+		log(event) {
+			suspected.push(...event === 'server-suspected' ? [event] : []);
+		},
 		prepare(context) {
 			context.servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
-			const {table} = context;
-			let isRemoved = false;
-			Object.assign(context, {table: () => isRemoved ? new RouteTable(testConfiguration({routes: []})) : table()});
-			context.links.of(testServer({port}).service).recordConnected = () => {
-				isRemoved = true;
-			};
+			activateAtOpening(context, testConfiguration({routes: []}));
 		},
 	});
 	t.deepEqual(answers, [{status: 404, text: 'not-found'}]);
 	t.is(runs, 0);
 	t.deepEqual(evidence.map(({failures}) => failures), []);
+	t.deepEqual(suspected, []);
+});
+
+test('a request whose route is replaced by one of another service while its connection opens is not sent to the former service', async t => {
+	let runs = 0;
+	const former = await listen(t, (_message, response) => {
+		runs++;
+		response.end('printed');
+	});
+	const port = await listen(t, (_message, response) => {
+		response.end('plated');
+	});
+	const plates = 'plates' as ServiceId;
+	const {answers} = await sendRequests(t, 1, {
+		nextServers: ignore,
+		prepare(context) {
+			context.servers.applyRecords([testServer({port: former}), testServer({id: 'server-2' as ServerId, service: plates, port})], {source: control, now: performance.now()});
+			activateAtOpening(context, testConfiguration({
+				routes: [testRoute({id: 'plates' as RouteId, services: [{service: plates, weight: 1}]})],
+				services: [{id: plates, maximumConnections: 100, models: []}],
+			}));
+		},
+	});
+	t.deepEqual(answers, [{status: 200, text: 'plated'}]);
+	t.is(runs, 0);
+});
+
+test('a request whose key goes to another workspace while its connection opens is sent for that workspace', async t => {
+	const workspaces: unknown[] = [];
+	const port = await listen(t, ({headers}, response) => {
+		workspaces.push(headers.workspace);
+		response.end('printed');
+	});
+	const {answers} = await sendRequests(t, 1, {
+		nextServers: ignore,
+		prepare(context) {
+			const sendHeaders: EntryContext['dialect']['sendHeaders'] = (_request, {workspace}) => [['Host', 'desk.example'], ['Workspace', workspace ?? 'none']];
+			Object.assign(context.dialect, {sendHeaders});
+			context.servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
+			activateAtOpening(context, testConfiguration({workspaces: [{id: 'yards' as WorkspaceId, keys: ['k1'], priority: 1}]}));
+		},
+	});
+	t.deepEqual(answers, [{status: 200, text: 'printed'}]);
+	t.deepEqual(workspaces, ['yards']);
 });
 
 test('a request is refused if there is still no server after the wait', async t => {
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -63,6 +63,8 @@
 	readonly #admission: RunAdmission;
 	/** The authorization of the last send; that of the arrival before the first one. */
 	#sentAs: AuthorizedRequest;
+	/** The authorization with which the request starts over, because its route or workspace has changed before it was sent. */
+	#replacement: AuthorizedRequest | undefined;
 	/** The current or last send; undefined while only answers are kept. */
 	#sent: {readonly attempt: CancellableSend; readonly server: ServerRecord} | undefined;
 	/** The send that was cancelled because a stalled stream has continued. */
@@ -152,13 +154,19 @@
 			stopWatching();
 			this.#release();
 		}
+
+		if (this.#replacement !== undefined) {
+			await new RequestRun(this.#context, {
+				request: this.#request, body: this.#body, held: this.#held, response: this.#answer.response, authorized: this.#replacement, arrivedAt: this.#arrivedAt,
+			}).run();
+		}
 	}
 
 	async #sendUntilEnded(): Promise<void> {
 		this.#context.budget.deposit(this.#placement.service, this.#now());
 		const rejected = await this.#admission.admit();
 		let next: NextStep = rejected === undefined ? 'retry' : this.#end.fail(rejected);
-		while (next === 'retry' && !this.#end.hasEnded) {
+		while (next === 'retry' && !this.#end.hasEnded && this.#replacement === undefined) {
 			next = await this.#send();
 		}
 	}
@@ -230,11 +238,17 @@
 			return this.#fail(authorized.extract());
 		}
 
+		const current = authorized.unsafeCoerce();
+		if (!this.#isAuthorizedAs(current)) {
+			this.#replacement = current;
+			return 'retry';
+		}
+
 		const found = await this.#search.next({
 			model: this.#models.current, load: this.#models.load, isSuspect: standing !== 'unknown', mayWait: !this.#stalled.isKept,
 		});
 		return match(found)
-			.with({type: 'target'}, async ({target}) => this.#sendTo(target, authorized.unsafeCoerce()))
+			.with({type: 'target'}, async ({target}) => this.#sendTo(target, current))
 			.with({type: 'retry'}, async (): Promise<NextStep> => 'retry')
 			.with({type: 'none'}, async ({failed}) => this.#fail(failed))
 			.exhaustive();
@@ -247,10 +261,16 @@
 			: authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
 	}
 
+	/** Whether the run of the request goes by the same route, service and workspace. */
+	#isAuthorizedAs({route, workspace}: AuthorizedRequest): boolean {
+		const former = this.#authorized;
+		return route.id === former.route.id && workspace?.id === former.workspace?.id && route.services.some(({service}) => service === this.#placement.service);
+	}
+
 	/** Whether a configuration that arrived while the connection opened authorizes the first send in the same way. */
-	#isStillAuthorized({route, workspace}: AuthorizedRequest): boolean {
+	#mayStillSend(): boolean {
 		return this.#allowance.sends > 1 || authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()})
-			.map(current => current.route.id === route.id && current.workspace?.id === workspace?.id)
+			.map(current => this.#isAuthorizedAs(current))
 			.orDefault(false);
 	}
 
@@ -272,7 +292,7 @@
 			deadlineAt: this.#deadlineAt,
 			lastEventId: this.#events.lastEventId,
 			processEnd: load.processEnd,
-			mayStillSend: () => this.#isStillAuthorized(authorized),
+			mayStillSend: () => this.#mayStillSend(),
 			canGoOn: () => this.#stalled.isKept || this.#fallback.isKept || this.#search.isLinkInDoubt(target) || this.#canGoElsewhere(server),
 			onOverdue: () => {
 				// A late answer is a failure of the server, but no evidence about its version yet.
