gateway: write no request after its deadline, and blame no server that got none

Cause: a process that is held up while a connection opens sees the opening, and writes the request, before its timers run: the deadline was not looked at. When a deadline passed while a request waited after a send that had not run (withheld, unreachable, relay unavailable, rejected), that send was taken for the current one, and its server was recorded as unreachable or failed once more.

Change: the last check before the write looks at the deadline, and so does a request before each send. A send that has not run is forgotten.

Tests, red before, green now: a process held up for 600 ms with a deadline of 500 ms (the server printed; 504 instead of 503), and a withheld send before a wait for a server ('server-suspected' was logged).

--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -106,6 +106,60 @@
 	t.deepEqual(workspaces, ['yards']);
 });
 
+test('a server to which a request was not sent any more is not suspected when its deadline passes', async t => {
+	const port = await listen(t, (_message, response) => {
+		response.end('printed');
+	});
+	const suspected: string[] = [];
+	const {answers} = await sendRequests(t, 1, {
+		nextServers: ignore,
+		route: testRoute({timeout: 1500}),
+		log(event) {
+			suspected.push(...event === 'server-suspected' ? [event] : []);
+		},
+		prepare(context) {
+			const server = testServer({port});
+			context.servers.applyRecords([server], {source: control, now: performance.now()});
+			const {table} = context;
+			const active = activateAtOpening(context, testConfiguration({routes: []}));
+			const {log} = context;
+			Object.assign(context, {
+				log(...line: Parameters<typeof log>) {
+					log(...line);
+					if (line[0] === 'request-attempt-ended') {
+						active.table = table();
+						context.servers.markDraining(server.id);
+					}
+				},
+				nextServerChange: async () => new Promise(ignore),
+			});
+		},
+	});
+	t.is(answers[0]?.status, 503);
+	t.deepEqual(suspected, []);
+});
+
+test.serial('a request whose deadline passes while its connection opens, in a process that is held up, is not sent', async t => {
+	let runs = 0;
+	const port = await listen(t, (_message, response) => {
+		runs++;
+		response.end('printed');
+	});
+	const {answers} = await sendRequests(t, 1, {
+		nextServers: ignore,
+		route: testRoute({timeout: 500}),
+		prepare(context) {
+			const {service} = testServer();
+			context.servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
+			context.links.of(service).recordConnected = () => {
+				Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
+			};
+		},
+	});
+	t.is(answers[0]?.status, 503);
+	t.is(runs, 0);
+});
+
 test('a request is refused if there is still no server after the wait', async t => {
 	let asked = 0;
 	const answer = await sendRequest(t, () => {
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -33,6 +33,9 @@
 /** How long a request waits before it is sent again while a part of its prompt is doubtful, in milliseconds: the time in which another exit would prove the part to be their cause. */
 export const doubtfulPartMilliseconds = 300;
 
+/** The steps after sends that have not run and are no longer in progress: a deadline that passes later says nothing about their servers. */
+const stepsNotRun: ReadonlySet<OutcomeStep['type']> = new Set(['unreachable', 'withheld', 'relay-unavailable', 'not-run']);
+
 /**
 Runs one request: chooses servers and models, sends the request, retries it if that is safe, and answers exactly once.
 
@@ -220,6 +223,12 @@
 			return 'ended';
 		}
 
+		// A timer may be late.
+		if (this.#now() >= this.#deadlineAt) {
+			this.#expire();
+			return 'ended';
+		}
+
 		const {standing} = this.#suspect;
 		if (standing === 'quarantined') {
 			return this.#fail(this.#suspect.refusal);
@@ -267,11 +276,11 @@
 		return route.id === former.route.id && workspace?.id === former.workspace?.id && route.services.some(({service}) => service === this.#placement.service);
 	}
 
-	/** Whether a configuration that arrived while the connection opened authorizes the first send in the same way. */
+	/** Whether a request may be written whose connection has opened: its deadline may have passed meanwhile, or a configuration have arrived that does not authorize the first send in the same way. */
 	#mayStillSend(): boolean {
-		return this.#allowance.sends > 1 || authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()})
+		return this.#now() < this.#deadlineAt && (this.#allowance.sends > 1 || authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()})
 			.map(current => this.#isAuthorizedAs(current))
-			.orDefault(false);
+			.orDefault(false));
 	}
 
 	async #sendTo(target: SendTarget, authorized: AuthorizedRequest): Promise<NextStep> {
@@ -304,6 +313,10 @@
 		const step = await handleOutcome(outcome, this.#outcomeOptions({
 			server, relay, sentAt, load, expected,
 		}));
+		if (stepsNotRun.has(step.type)) {
+			this.#sent = undefined;
+		}
+
 		const next = await this.#handleStep(step, target);
 		load.end();
 		this.#context.metrics.attempts.inc({result: outcome.type});
