valehitchd: check the lease right before an order is written to an engine

Cause: the lease of the leader was checked before the connection to the engine was begun; the order was written when it had opened, up to a second later, and by a process that was held up meanwhile even after the send timeout, as timers run after the poll of the opening.

Change: the order is withheld if the lease has ended or the send timeout has passed when the connection is open.

The send timeout in a process that is held up is not tested.

--- a/packages/daemon/src/control/orders/engine-client.ts
+++ b/packages/daemon/src/control/orders/engine-client.ts
@@ -8,8 +8,15 @@
 export type EngineClient = {
 	/** Reads the state of the engine; returns undefined if it does not send a valid one. */
 	readonly readState: (address: string, signal: AbortSignal) => Promise<EngineState | undefined>;
-	/** Sends an order to the engine. */
-	readonly send: (address: string, order: OrderRecord, signal: AbortSignal) => Promise<SendOutcome>;
+	/** Sends an order to the engine, unless it may not be sent any more once the connection is open. */
+	readonly send: (address: string, order: OrderRecord, options: SendOrderOptions) => Promise<SendOutcome>;
+};
+
+/** Options of the sending of an order. */
+export type SendOrderOptions = {
+	readonly signal: AbortSignal;
+	/** Checked right before the order is written. */
+	readonly mayStillSend: () => boolean;
 };
 
 type Reply = {readonly status: number; readonly text: string};
@@ -31,9 +38,9 @@
 		});
 		return reply.map(({status, text}) => status === 200 ? parseState(text) : undefined).orDefault(undefined);
 	},
-	async send(address, {orderId, fencing, order}, signal) {
+	async send(address, {orderId, fencing, order}, options) {
 		const reply = await call({
-			address, method: 'POST', path: '/v1/orders', body: JSON.stringify({orderId, ...fencing, order}), signal,
+			address, method: 'POST', path: '/v1/orders', body: JSON.stringify({orderId, ...fencing, order}), ...options,
 		});
 		return reply.caseOf<SendOutcome>({
 			Left: detail => ({type: 'failed', detail}),
@@ -48,6 +55,7 @@
 	readonly path: string;
 	readonly body: string;
 	readonly signal: AbortSignal;
+	readonly mayStillSend?: () => boolean;
 };
 
 async function call({body, ...request}: EngineRequest): Promise<Either<string, Reply>> {
--- a/packages/daemon/src/control/orders/order-executor.ts
+++ b/packages/daemon/src/control/orders/order-executor.ts
@@ -100,17 +100,20 @@
 		}
 
 		const address = findEngine(server)?.address;
+		const {clock} = this.#options;
+		const sendUntil = clock.monotonic() + this.#timing.sendTimeoutMilliseconds;
 		const signal = AbortSignal.timeout(this.#timing.sendTimeoutMilliseconds);
 		if (action.type === 'read-state') {
 			return {type: 'state-read', step, state: address === undefined ? undefined : await engineClient.readState(address, signal)};
 		}
 
-		// Check the lease again immediately before sending, with no asynchronous step in between.
 		if (address === undefined || this.#leadership() === undefined) {
 			return {type: 'sent', step, outcome: {type: 'failed', detail: 'The engine or the lease is gone'}};
 		}
 
-		const reply = engineClient.send(address, action.order, signal);
+		// While the connection opens, the lease may end, and a process that is held up does not notice the timeout.
+		const mayStillSend = (): boolean => clock.monotonic() < sendUntil && this.#leadership() !== undefined;
+		const reply = engineClient.send(address, action.order, {signal, mayStillSend});
 		const {orderId, fencing: {term, sequence}, order: {type}} = action.order;
 		this.#options.timeline.record('order-sent', {server, term, details: {orderId, sequence, type}});
 		return {type: 'sent', step, outcome: await reply};
