valehitchd: check right before the write whether the server drains

Cause: the check before a dispatch looks at the target and at the server, the one before the write looked at the target alone. Between them are a connection (up to a second) and up to four relays.

Change: both checks are the same; the reason goes to the state machine, which chooses another server for one that drains and another target otherwise.

The new test was red before (the server got the request), and is green now.

--- a/packages/daemon/src/entry/lifecycle/attempt-set.ts
+++ b/packages/daemon/src/entry/lifecycle/attempt-set.ts
@@ -1,3 +1,4 @@
+import {type DispatchDenialReason} from '@valehitch/routing';
 import {type AnswerHead, type AnswerPiece, type AttemptOutput} from '../attempt-output.js';
 
 /** Options of an {@linkcode AttemptSet}. */
@@ -24,6 +25,8 @@
 	pieces: AnswerPiece[];
 	/** Whether the call has ended, so that there is nothing to cancel. */
 	hasEnded: boolean;
+	/** Why the last check right before the send did not allow it. */
+	denial?: DispatchDenialReason | undefined;
 };
 
 /** Options of {@linkcode AttemptSet.start}. */
@@ -81,6 +84,19 @@
 		attempt.hasEnded = true;
 	}
 
+	/**
+	Records the result of the last check of an attempt.
+
+	@param number The attempt's number.
+	@param denial Why it may not be sent; undefined if it may.
+	*/
+	recordDenial(number: number, denial: DispatchDenialReason | undefined): void {
+		const attempt = this.#attempts.get(number);
+		if (attempt !== undefined) {
+			attempt.denial = denial;
+		}
+	}
+
 	/**
 	Cancels an attempt: its connection is destroyed and its outputs are not forwarded any more.
 
--- a/packages/daemon/src/entry/lifecycle/dispatch-attempt.test.ts
+++ b/packages/daemon/src/entry/lifecycle/dispatch-attempt.test.ts
@@ -2,9 +2,8 @@
 import {createServer} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type ServerId, type ServiceId} from '@valehitch/core';
-import {type RequestTarget, ServiceLinks} from '@valehitch/routing';
-import test from 'ava';
-import {type AttemptOutput} from '../attempt-output.js';
+import {type AttemptEvent, type RequestTarget, ServiceLinks} from '@valehitch/routing';
+import test, {type ExecutionContext} from 'ava';
 import {type EntryContext} from '../entry-context.js';
 import {type AuthenticatedCall} from '../handle-chat.js';
 import {serviceAdapter} from '../service-adapter.js';
@@ -21,14 +20,19 @@
 	// The event is not under test.
 }
 
-/** A context in which the workspace loses the service when the connection to its server opens. */
-function createContext(address: string): EntryContext & {readonly failures: boolean[]} {
-	let services: readonly string[] = [service];
+type ContextState = {
+	services: readonly string[];
+	server: 'joined' | 'draining';
+};
+
+/** A context whose state changes when the connection to the server opens. */
+function createContext(address: string, change: (state: ContextState) => void): EntryContext & {readonly failures: boolean[]} {
+	const state: ContextState = {services: [service], server: 'joined'};
 	const links = new ServiceLinks({
 		clock, random: () => 0, servers: () => [], isReachable: async () => false, wait: async () => new Promise<void>(ignore), onCutOff: ignore, onReachable: ignore,
 	});
 	links.recordConnected = () => {
-		services = [];
+		change(state);
 	};
 
 	const failures: boolean[] = [];
@@ -36,9 +40,9 @@
 		clock,
 		failures,
 		settings: {timing: {stallMilliseconds: 1000}, limits: {bodyBytes: 1000}},
-		active: () => ({effective: {document: {services: {[service]: {}}, workspaces: {yard: {services}}}}}),
+		active: () => ({effective: {document: {services: {[service]: {}}, workspaces: {yard: {services: state.services}}}}}),
 		connections: {links: {of: () => links}, relays: {choose: () => undefined}},
-		servers: {available: () => [{announcement: {server, address}, state: 'joined', inFlight: 0}]},
+		servers: {available: () => [{announcement: {server, address}, state: state.server, inFlight: 0}]},
 		timeline: {record: ignore},
 		decisions: {get: () => undefined, recordAttempt: ignore},
 		serverSelector: {
@@ -50,7 +54,8 @@
 	return context as unknown as EntryContext & {readonly failures: boolean[]};
 }
 
-test('a request whose target is withdrawn while its connection opens is not sent, and its server has not failed', async t => {
+/** Dispatches a request, and returns the event of its end, how many requests the server received, and what was recorded of it. */
+async function dispatchWith(t: ExecutionContext, change: (state: ContextState) => void) {
 	let received = 0;
 	const listener = createServer((_request, response) => {
 		received++;
@@ -61,15 +66,15 @@
 		listener.close();
 	});
 	await once(listener, 'listening');
-	const context = createContext(`http://127.0.0.1:${(listener.address() as AddressInfo).port}`);
+	const context = createContext(`http://127.0.0.1:${(listener.address() as AddressInfo).port}`, change);
 	const call = {request: {method: 'GET', headers: {}}, requestId: 'r-1', workspace: 'yard'} as unknown as AuthenticatedCall;
 	const adapter = serviceAdapter({
 		call, service, path: '/print', body: new Uint8Array(), repeatable: true,
 	}, {context, deadline: 1000});
-	const output = await new Promise<AttemptOutput>(resolve => {
-		const attempts = new AttemptSet({
-			onOutput(_attempt, first) {
-				resolve(first);
+	const event = await new Promise<AttemptEvent>(resolve => {
+		const attempts: AttemptSet = new AttemptSet({
+			onOutput(attempt, output) {
+				resolve(toRequestEvent(attempt, output, attempts.get(attempt)?.denial));
 			},
 			onError(error) {
 				t.fail(String(error));
@@ -83,7 +88,19 @@
 		});
 		t.is(denied, undefined);
 	});
-	t.deepEqual(toRequestEvent(1, output), {type: 'dispatch-denied', attempt: 1, reason: 'not-allowed'});
-	t.is(received, 0);
-	t.deepEqual(context.failures, []);
+	return {event, received, failures: context.failures};
+}
+
+test('a request whose target is withdrawn while its connection opens is not sent, and its server has not failed', async t => {
+	const dispatched = await dispatchWith(t, state => {
+		state.services = [];
+	});
+	t.deepEqual(dispatched, {event: {type: 'dispatch-denied', attempt: 1, reason: 'not-allowed'}, received: 0, failures: []});
+});
+
+test('a request whose server starts to drain while its connection opens is not sent to it', async t => {
+	const dispatched = await dispatchWith(t, state => {
+		state.server = 'draining';
+	});
+	t.deepEqual(dispatched, {event: {type: 'dispatch-denied', attempt: 1, reason: 'server-draining'}, received: 0, failures: []});
 });
--- a/packages/daemon/src/entry/lifecycle/dispatch-attempt.ts
+++ b/packages/daemon/src/entry/lifecycle/dispatch-attempt.ts
@@ -31,10 +31,10 @@
 ```
 */
 export function dispatchAttempt(dispatch: DispatchAction, options: DispatchAttemptOptions): RequestEvent | undefined {
-	const {context, adapter, workspace, requestId} = options;
+	const {context, workspace, requestId} = options;
 	const {attempt, server, target, purpose, resumeFrom} = dispatch;
 	const known = findServer(context.servers, server);
-	const denial = adapter.checkDispatch(target) ?? denialOf(known);
+	const denial = denialOf(dispatch, options);
 	if (denial !== undefined || known === undefined) {
 		return {type: 'dispatch-denied', attempt, reason: denial ?? 'server-gone'};
 	}
@@ -46,7 +46,8 @@
 	return undefined;
 }
 
-async function send(dispatch: DispatchAction, server: KnownServer, {adapter, attempts, partialAnswer}: DispatchAttemptOptions): Promise<void> {
+async function send(dispatch: DispatchAction, server: KnownServer, options: DispatchAttemptOptions): Promise<void> {
+	const {adapter, attempts, partialAnswer} = options;
 	const {attempt: number, resumeFrom} = dispatch;
 	const resumed = resumeFrom === 0 ? emptyAnswer : partialAnswer;
 	server.inFlight++;
@@ -57,14 +58,22 @@
 			dispatch,
 			address: server.announcement.address,
 			signal,
-			mayStillSend: () => adapter.checkDispatch(dispatch.target) === undefined,
+			mayStillSend() {
+				const denial = denialOf(dispatch, options);
+				attempts.recordDenial(number, denial);
+				return denial === undefined;
+			},
 			partialAnswer: resumed,
 		}),
 	});
 	server.inFlight--;
 }
 
-function denialOf(server: KnownServer | undefined): DispatchDenialReason | undefined {
+function denialOf({target, server}: DispatchAction, {adapter, context}: DispatchAttemptOptions): DispatchDenialReason | undefined {
+	return adapter.checkDispatch(target) ?? denialOfServer(findServer(context.servers, server));
+}
+
+function denialOfServer(server: KnownServer | undefined): DispatchDenialReason | undefined {
 	if (server === undefined) {
 		return 'server-gone';
 	}
--- a/packages/daemon/src/entry/lifecycle/request-adapter.ts
+++ b/packages/daemon/src/entry/lifecycle/request-adapter.ts
@@ -28,7 +28,7 @@
 	readonly dispatch: DispatchAction;
 	readonly address: string;
 	readonly signal: AbortSignal;
-	/** Checks whether the target is still allowed, right before the request is written. */
+	/** Checks whether the target and the server may still receive the request, right before it is written. */
 	readonly mayStillSend: () => boolean;
 	readonly partialAnswer: PartialAnswer;
 };
--- a/packages/daemon/src/entry/lifecycle/request-execution.ts
+++ b/packages/daemon/src/entry/lifecycle/request-execution.ts
@@ -270,7 +270,7 @@
 			}, output.type === 'silent' ? 'No data received from the server within the stall timeout; keeping the connection' : 'An attempt ended without a complete answer');
 		}
 
-		this.handleEvent(toRequestEvent(number, output), output.type === 'piece' ? output.piece : undefined);
+		this.handleEvent(toRequestEvent(number, output, this.#attempts.get(number)?.denial), output.type === 'piece' ? output.piece : undefined);
 	}
 
 	#buffersPieces(): boolean {
