--- a/packages/gateway/src/entry/outcome-step.ts
+++ b/packages/gateway/src/entry/outcome-step.ts
@@ -9,7 +9,7 @@
 	= | {readonly type: 'ended'}
 	/** No connection was established, so the request has not run there. */
 		| {readonly type: 'unreachable'}
-	/** The request may no longer be sent as it was authorized, so it has not run. */
+	/** The request may no longer be sent to the server, or not as it was authorized, so it has not run. */
 		| {readonly type: 'withheld'}
 	/** The relay could not be used, so the request has not run, and nothing is known about the server. */
 		| {readonly type: 'relay-unavailable'}
--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -1,13 +1,9 @@
 import {once} from 'node:events';
 import {type IncomingMessage, request as openRequest, type ServerResponse} from 'node:http';
-import {
-	failure, type ModelId, type ServerId, type ServiceId, type WorkspaceId,
-} from '@valehitch/core';
+import {failure, type ModelId, type ServerId} from '@valehitch/core';
 import {type PoolPicture} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
-import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
-import {RouteTable} from '../configuration/route-table.js';
-import {type RouteId, type RoutingConfiguration} from '../configuration/routing-configuration.js';
+import {testRoute} from '../configuration/_test-configuration.js';
 import {testServer} from '../servers/_test-server.js';
 import {
 	control, ignore, listen, sendRequest, sendRequests,
@@ -17,17 +13,6 @@
 import {LatencyEstimator} from './latency-estimator.js';
 import {type AdmissionCandidate} from './request-admission.js';
 
-/** Has a configuration come into force when a connection to a server of the first service opens. */
-function activateAtOpening(context: EntryContext, configuration: RoutingConfiguration): {table: RouteTable | undefined} {
-	const active = {table: context.table()};
-	Object.assign(context, {table: () => active.table});
-	context.links.of(testServer().service).recordConnected = () => {
-		active.table = new RouteTable(configuration);
-	};
-
-	return active;
-}
-
 test('a request waits for the first server if there is none', async t => {
 	const port = await listen(t, (_message, response) => {
 		response.end('printed');
@@ -40,126 +25,6 @@
 	t.deepEqual(answer, {status: 200, text: 'printed'});
 });
 
-test('a request whose route is removed while its connection opens is not sent, and its server has not failed', async t => {
-	let runs = 0;
-	const port = await listen(t, (_message, response) => {
-		runs++;
-		response.end('printed');
-	});
-	const suspected: string[] = [];
-	const {answers, evidence} = await sendRequests(t, 1, {
-		nextServers: ignore,
-		log(event) {
-			suspected.push(...event === 'server-suspected' ? [event] : []);
-		},
-		prepare(context) {
-			context.servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
-			activateAtOpening(context, testConfiguration({routes: []}));
-		},
-	});
-	t.deepEqual(answers, [{status: 404, text: 'not-found'}]);
-	t.is(runs, 0);
-	t.deepEqual(evidence.map(({failures}) => failures), []);
-	t.deepEqual(suspected, []);
-});
-
-test('a request whose route is replaced by one of another service while its connection opens is not sent to the former service', async t => {
-	let runs = 0;
-	const former = await listen(t, (_message, response) => {
-		runs++;
-		response.end('printed');
-	});
-	const port = await listen(t, (_message, response) => {
-		response.end('plated');
-	});
-	const plates = 'plates' as ServiceId;
-	const {answers} = await sendRequests(t, 1, {
-		nextServers: ignore,
-		prepare(context) {
-			context.servers.applyRecords([testServer({port: former}), testServer({id: 'server-2' as ServerId, service: plates, port})], {source: control, now: performance.now()});
-			activateAtOpening(context, testConfiguration({
-				routes: [testRoute({id: 'plates' as RouteId, services: [{service: plates, weight: 1}]})],
-				services: [{id: plates, maximumConnections: 100, models: []}],
-			}));
-		},
-	});
-	t.deepEqual(answers, [{status: 200, text: 'plated'}]);
-	t.is(runs, 0);
-});
-
-test('a request whose key goes to another workspace while its connection opens is sent for that workspace', async t => {
-	const workspaces: unknown[] = [];
-	const port = await listen(t, ({headers}, response) => {
-		workspaces.push(headers.workspace);
-		response.end('printed');
-	});
-	const {answers} = await sendRequests(t, 1, {
-		nextServers: ignore,
-		prepare(context) {
-			const sendHeaders: EntryContext['dialect']['sendHeaders'] = (_request, {workspace}) => [['Host', 'desk.example'], ['Workspace', workspace ?? 'none']];
-			Object.assign(context.dialect, {sendHeaders});
-			context.servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
-			activateAtOpening(context, testConfiguration({workspaces: [{id: 'yards' as WorkspaceId, keys: ['k1'], priority: 1}]}));
-		},
-	});
-	t.deepEqual(answers, [{status: 200, text: 'printed'}]);
-	t.deepEqual(workspaces, ['yards']);
-});
-
-test('a server to which a request was not sent any more is not suspected when its deadline passes', async t => {
-	const port = await listen(t, (_message, response) => {
-		response.end('printed');
-	});
-	const suspected: string[] = [];
-	const {answers} = await sendRequests(t, 1, {
-		nextServers: ignore,
-		route: testRoute({timeout: 1500}),
-		log(event) {
-			suspected.push(...event === 'server-suspected' ? [event] : []);
-		},
-		prepare(context) {
-			const server = testServer({port});
-			context.servers.applyRecords([server], {source: control, now: performance.now()});
-			const {table} = context;
-			const active = activateAtOpening(context, testConfiguration({routes: []}));
-			const {log} = context;
-			Object.assign(context, {
-				log(...line: Parameters<typeof log>) {
-					log(...line);
-					if (line[0] === 'request-attempt-ended') {
-						active.table = table();
-						context.servers.markDraining(server.id);
-					}
-				},
-				nextServerChange: async () => new Promise(ignore),
-			});
-		},
-	});
-	t.is(answers[0]?.status, 503);
-	t.deepEqual(suspected, []);
-});
-
-test.serial('a request whose deadline passes while its connection opens, in a process that is held up, is not sent', async t => {
-	let runs = 0;
-	const port = await listen(t, (_message, response) => {
-		runs++;
-		response.end('printed');
-	});
-	const {answers} = await sendRequests(t, 1, {
-		nextServers: ignore,
-		route: testRoute({timeout: 500}),
-		prepare(context) {
-			const {service} = testServer();
-			context.servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
-			context.links.of(service).recordConnected = () => {
-				Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600);
-			};
-		},
-	});
-	t.is(answers[0]?.status, 503);
-	t.is(runs, 0);
-});
-
 test('a request is refused if there is still no server after the wait', async t => {
 	let asked = 0;
 	const answer = await sendRequest(t, () => {
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -276,11 +276,17 @@
 		return route.id === former.route.id && workspace?.id === former.workspace?.id && route.services.some(({service}) => service === this.#placement.service);
 	}
 
-	/** Whether a request may be written whose connection has opened: its deadline may have passed meanwhile, or a configuration have arrived that does not authorize the first send in the same way. */
-	#mayStillSend(): boolean {
-		return this.#now() < this.#deadlineAt && (this.#allowance.sends > 1 || authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()})
+	/** Whether the request may be written once its connection has opened: by the deadline, the state of the server and, for the first send, the configuration. */
+	#mayStillSend({id}: ServerRecord): boolean {
+		return this.#now() < this.#deadlineAt
+			&& this.#context.servers.availability.includes(id)
+			&& (this.#allowance.sends > 1 || this.#isStillAuthorized());
+	}
+
+	#isStillAuthorized(): boolean {
+		return authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()})
 			.map(current => this.#isAuthorizedAs(current))
-			.orDefault(false));
+			.orDefault(false);
 	}
 
 	async #sendTo(target: SendTarget, authorized: AuthorizedRequest): Promise<NextStep> {
@@ -301,7 +307,7 @@
 			deadlineAt: this.#deadlineAt,
 			lastEventId: this.#events.lastEventId,
 			processEnd: load.processEnd,
-			mayStillSend: () => this.#mayStillSend(),
+			mayStillSend: () => this.#mayStillSend(server),
 			canGoOn: () => this.#stalled.isKept || this.#fallback.isKept || this.#search.isLinkInDoubt(target) || this.#canGoElsewhere(server),
 			onOverdue: () => {
 				// A late answer is a failure of the server, but no evidence about its version yet.
--- a/packages/gateway/src/entry/server-availability.ts
+++ b/packages/gateway/src/entry/server-availability.ts
@@ -31,7 +31,7 @@
 	get available(): readonly ServerRecord[] {
 		const servers: ServerRecord[] = [];
 		for (const {record} of this.#options.servers.values()) {
-			if (record.state === 'ready' && !this.#options.evacuations.zones.has(record.zone)) {
+			if (this.#mayGetRequests(record)) {
 				servers.push(record);
 			}
 		}
@@ -39,6 +39,17 @@
 		return servers;
 	}
 
+	/**
+	Checks whether a server may still get requests.
+
+	@param server The server.
+	@returns Whether it may; false if it is not known.
+	*/
+	includes(server: ServerId): boolean {
+		const tracked = this.#options.servers.get(server);
+		return tracked !== undefined && this.#mayGetRequests(tracked.record);
+	}
+
 	/**
 	Lists the servers of a service that may get requests.
 
@@ -134,6 +145,10 @@
 
 	/** The servers of a service that are ready and not in an evacuated zone. */
 	#availableFor(service: ServiceId): readonly TrackedServer[] {
-		return [...this.#options.servers.values()].filter(({record}) => record.service === service && record.state === 'ready' && !this.#options.evacuations.zones.has(record.zone));
+		return [...this.#options.servers.values()].filter(({record}) => record.service === service && this.#mayGetRequests(record));
+	}
+
+	#mayGetRequests({state, zone}: ServerRecord): boolean {
+		return state === 'ready' && !this.#options.evacuations.zones.has(zone);
 	}
 }
