--- a/packages/transport/src/send-once-open.test.ts
+++ b/packages/transport/src/send-once-open.test.ts
@@ -90,3 +90,37 @@
 	t.false(isSent);
 	server.close();
 });
+
+test('a request that may no longer be sent on a kept connection is not sent', async t => {
+	let received = 0;
+	const server = createHttpServer((message, response) => {
+		received++;
+		message.pipe(response);
+	}).listen(0, host);
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const agent = new Agent({keepAlive: true});
+	const open = () => openRequest({
+		host, port, agent, method: 'POST', headers: {'content-length': body.byteLength},
+	});
+	const first = open();
+	sendOnceOpen(first, body);
+	const [message] = await once(first, 'response') as [IncomingMessage];
+	await text(message);
+	await nextTurn();
+	const second = open();
+	const outcome = new Promise<string>(resolve => {
+		second.on('error', ({message: reason}) => {
+			resolve(reason);
+		});
+		second.on('response', () => {
+			resolve('answered');
+		});
+	});
+	sendOnceOpen(second, body, {mayStillSend: () => false});
+	t.is(await outcome, 'The request may no longer be sent');
+	t.true(second.reusedSocket);
+	t.is(received, 1);
+	agent.destroy();
+	server.close();
+});
