gateway: do not doubt the own links for a connection that has opened

Cause: since a send counts from its write, a server that ends between the opening and the write is `unreachable`, which was recorded against the links of the instance too. Two servers that do so at once put the links in doubt.

Change: the outcome says whether the connection had opened; if so, only the server is recorded. It still counts as a failed connection of the request.

--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -47,7 +47,8 @@
 
 	if (outcome.type === 'unreachable') {
 		results.record(server, 'unreachable');
-		if (relay === undefined) {
+		// A connection that has opened shows that the links work.
+		if (relay === undefined && !outcome.wasOpen) {
 			context.links.of(server.service).recordUnreachable(server.id);
 		}
 
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -62,7 +62,7 @@
 /** The outcome of a send, up to the head of the answer. */
 export type SendOutcome
 	/** The connection was not established, or closed before the request was sent, so the request has not run. */
-	= | {readonly type: 'unreachable'; readonly reason: string}
+	= | {readonly type: 'unreachable'; readonly reason: string; readonly wasOpen: boolean}
 	/** The request may no longer be sent, so it has not run, and nothing is known about the server. */
 		| {readonly type: 'withheld'}
 	/** The relay could not be used, so the request has not run, and nothing is known about the server. */
@@ -203,7 +203,7 @@
 			} else if (isWithheld()) {
 				settle({type: 'withheld'});
 			} else if (!isSent()) {
-				settle({type: error instanceof TunnelError && error.type === 'peer-unavailable' ? 'relay-unavailable' : 'unreachable', reason});
+				settle(error instanceof TunnelError && error.type === 'peer-unavailable' ? {type: 'relay-unavailable', reason} : {type: 'unreachable', reason, wasOpen: isOpen()});
 			} else if (isSilent) {
 				settle({type: 'silent'});
 			} else if (request.reusedSocket) {
--- a/packages/gateway/src/entry/withheld-sends.test.ts
+++ b/packages/gateway/src/entry/withheld-sends.test.ts
@@ -177,3 +177,27 @@
 	t.is(answers[0]?.status, 503);
 	t.is(runs, 0);
 });
+
+test('a server that ends when a connection to it has opened does not speak against the links of the instance', async t => {
+	const port = await listen(t, (_message, response) => {
+		response.end('printed');
+	});
+	const unreachable: ServerId[] = [];
+	const {answers} = await sendRequests(t, 1, {
+		nextServers: ignore,
+		prepare({servers, links}) {
+			const server = testServer({port, startedAt: 1});
+			servers.applyRecords([server], {source: control, now: performance.now()});
+			const serviceLinks = links.of(server.service);
+			serviceLinks.recordUnreachable = id => {
+				unreachable.push(id);
+			};
+
+			serviceLinks.recordConnected = () => {
+				servers.applyRecords([testServer({id: 'server-2' as ServerId, port, startedAt: 2})], {source: control, now: performance.now()});
+			};
+		},
+	});
+	t.deepEqual(answers, [{status: 200, text: 'printed'}]);
+	t.deepEqual(unreachable, []);
+});
