transport: count the waits for replies in turns of the event loop

Cause: the tests of reconnecting and retrying links wait for a reply for 500 and 1,200 ms of wall clock, in the process that also runs the peer. A link takes several turns to open, so a process that gets no turn for that time runs the timeout before the reply can be there.

Change: replies are awaited for 50 and 120 turns of at least 10 ms, the same limits for a process that gets its turns; a block counts as one turn. The restarted peer echoes, so that a reply is compared, not only present. The test of handler errors opens the link first, as its request of 100 ms is not sent otherwise.

Still red: with one attempt in place of three (retry), and with a closed socket that is not replaced (reconnect).

--- a/packages/transport/src/_test-event-loop.ts
+++ b/packages/transport/src/_test-event-loop.ts
@@ -1,5 +1,8 @@
 import {once} from 'node:events';
 import {type AddressInfo, connect, createServer} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+
+const turnMilliseconds = 10;
 
 /** A client connection with received data that has not been read yet. */
 export type PendingInputConnection = {
@@ -39,3 +42,14 @@
 		// Busy wait.
 	}
 }
+
+/**
+Waits for a number of turns of the event loop, in each of which all sockets are polled. A process that is blocked takes one turn in that time.
+
+@param count The number of turns, of at least 10 ms each.
+*/
+export async function takeTurns(count: number): Promise<void> {
+	for (let turn = 0; turn < count; turn++) {
+		await delay(turnMilliseconds);
+	}
+}
--- a/packages/transport/src/peer-network.test.ts
+++ b/packages/transport/src/peer-network.test.ts
@@ -5,6 +5,7 @@
 import {type InstanceId, toId} from '@valehitch/core';
 import test from 'ava';
 import {type WebSocket, WebSocketServer} from 'ws';
+import {takeTurns} from './_test-event-loop.js';
 import {type PeerAddress, PeerNetwork} from './peer-network.js';
 
 type Message = {readonly text: string};
@@ -19,9 +20,21 @@
 	// The handler is not under test.
 }
 
+/** Longer than any test waits for a reply, in milliseconds; the waits are counted in turns, of which a blocked process takes none. */
+const replyTimeoutMilliseconds = 60_000;
+
+/** Sends a request, and returns the reply if it arrives within a number of turns of at least 10 ms each. */
+async function replyWithin(turns: number, {from, to, text}: {readonly from: Peer; readonly to: PeerAddress; readonly text: string}): Promise<unknown> {
+	const reply = await Promise.race([
+		from.network.request(to, {text}, {timeoutMilliseconds: replyTimeoutMilliseconds}),
+		takeTurns(turns),
+	]);
+	return reply?.extract();
+}
+
 async function getsReply(from: Peer, to: Peer, text: string): Promise<boolean> {
-	const reply = await from.network.request(to.address, {text}, {timeoutMilliseconds: 500});
-	return reply.isRight();
+	const reply = await replyWithin(50, {from, to: to.address, text}) as {readonly echo?: string} | undefined;
+	return reply?.echo === text;
 }
 
 async function listen(name: string, key = 'a-key-that-all-share'): Promise<Peer> {
@@ -57,6 +70,7 @@
 test('a handler error is reported, sends no reply and keeps the link usable', async t => {
 	const left = await listen('left');
 	const right = await listen('right');
+	t.true(await getsReply(left, right, 'opens the link'));
 	left.network.send(right.address, JSON.parse('null') as Message);
 	const failed = await left.network.request(right.address, JSON.parse('null') as Message, {timeoutMilliseconds: 100});
 	t.true(failed.isLeft());
@@ -93,7 +107,13 @@
 	await right.network.close();
 	t.false(await getsReply(left, right, 'nobody'));
 	const again = await PeerNetwork.listen<Message>({
-		self: right.address.instance, key: 'a-key-that-all-share', host: '127.0.0.1', port: right.address.port, onMessage: doNothing, onRequest: async () => 'back', onHandlerError: doNothing,
+		self: right.address.instance,
+		key: 'a-key-that-all-share',
+		host: '127.0.0.1',
+		port: right.address.port,
+		onMessage: doNothing,
+		onRequest: async (_from, {text}) => ({echo: text}),
+		onHandlerError: doNothing,
 	});
 	t.true(await getsReply(left, right, 'again'));
 	await Promise.all([left.network.close(), again.close()]);
@@ -184,8 +204,8 @@
 	proxy.listen(0, '127.0.0.1');
 	await once(proxy, 'listening');
 	const left = await listen('left');
-	const reply = await left.network.request({...right.address, port: (proxy.address() as AddressInfo).port}, {text: 'waiting'}, {timeoutMilliseconds: 1200});
-	t.deepEqual(reply.extract(), {echo: 'waiting', from: 'left'});
+	const reply = await replyWithin(120, {from: left, to: {...right.address, port: (proxy.address() as AddressInfo).port}, text: 'waiting'});
+	t.deepEqual(reply, {echo: 'waiting', from: 'left'});
 	await Promise.all([left.network.close(), right.network.close()]);
 	proxy.close();
 });
