gateway: let the returned streams of the tests go on by events

Cause: the first server goes on 400 ms after its first event, in the hope that the stream has stalled for 100 ms and been sent elsewhere by then. If the process gets no turn in that time, the timers of both run in the same turn and the stream never stalls; the second send is then the one after the break, which its server never answers, and the caller's connection is reset after 20 s.

Change: the first server goes on when the second one gets its send, and breaks when that send is cancelled. The handover that two tests spelled out is one function.

--- a/packages/gateway/src/entry/returned-streams.test.ts
+++ b/packages/gateway/src/entry/returned-streams.test.ts
@@ -22,8 +22,11 @@
 	readonly serverCount?: number;
 };
 
+/** Answers one send. */
+type Answer = (response: ServerResponse) => void | Promise<void>;
+
 /** Starts servers that answer the sends of one request in the given order, whichever of them is asked. */
-async function send(t: ExecutionContext, answers: ReadonlyArray<(response: ServerResponse) => void | Promise<void>>, {serverCount = 2, ...options}: SendOptions = {}) {
+async function send(t: ExecutionContext, answers: readonly Answer[], {serverCount = 2, ...options}: SendOptions = {}) {
 	let sends = 0;
 	const handle = (_message: unknown, response: ServerResponse): void => {
 		void answers[sends]?.(response);
@@ -42,19 +45,17 @@
 }
 
 test('a stream that breaks after it has returned to its server continues at the server whose send was cancelled', async t => {
+	let first: ServerResponse | undefined;
 	const {answers} = await send(t, [
 		response => {
+			first = response;
 			response.write('id: 1\ndata: one\n\n');
-			setTimeout(() => {
-				response.write('id: 2\ndata: two\n\n', () => {
-					setTimeout(() => {
-						response.destroy();
-					}, 20);
-				});
-			}, pauseMilliseconds);
 		},
-		() => {
-			// Its send is cancelled before it answers.
+		async response => {
+			const cancelled = once(response, 'close');
+			first?.write('id: 2\ndata: two\n\n');
+			await cancelled;
+			first?.destroy();
 		},
 		response => {
 			response.end('id: 3\ndata: three\n\n');
@@ -64,17 +65,18 @@
 });
 
 test('a stream that breaks as it continues does so at the server whose send was cancelled', async t => {
+	let first: ServerResponse | undefined;
 	const {answers} = await send(t, [
-		async response => {
+		response => {
+			first = response;
 			response.write('id: 1\ndata: one\n\n');
-			await delay(pauseMilliseconds);
-			const {socket} = response;
-			response.write('id: 2\nda', () => {
-				socket?.resetAndDestroy();
-			});
 		},
 		() => {
 			// Its send is cancelled before it answers.
+			const socket = first?.socket;
+			first?.write('id: 2\nda', () => {
+				socket?.resetAndDestroy();
+			});
 		},
 		response => {
 			response.end('id: 2\ndata: two\n\n');
@@ -135,9 +137,10 @@
 /** A route whose streams stall only after the time that a handover takes. */
 const patientRoute = {...route, targetGap: 600};
 
-test('a stalled stream is closed while the first event of the server that has taken it is still to come', async t => {
+/** Returns the answers of a server whose stream stalls, and of one that goes on once the stream has been handed over to it. */
+function handOver(goOn: Answer): readonly Answer[] {
 	let stalled: Promise<unknown> | undefined;
-	const {answers} = await send(t, [
+	return [
 		response => {
 			stalled = once(response, 'close');
 			response.write('id: 1\ndata: one\n\n');
@@ -145,9 +148,15 @@
 		async response => {
 			response.flushHeaders();
 			await stalled;
-			response.end('id: 2\ndata: two\n\n');
+			await goOn(response);
 		},
-	], {route: patientRoute, timeout: 4000});
+	];
+}
+
+test('a stalled stream is closed while the first event of the server that has taken it is still to come', async t => {
+	const {answers} = await send(t, handOver(response => {
+		response.end('id: 2\ndata: two\n\n');
+	}), {route: patientRoute, timeout: 4000});
 	t.deepEqual(answers, [{status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'}]);
 });
 
@@ -189,19 +198,10 @@
 });
 
 test('a stream that was handed over to a server that breaks before its first event is broken off if no other server is left', async t => {
-	let stalled: Promise<unknown> | undefined;
 	const outcomes: unknown[] = [];
-	await t.throwsAsync(send(t, [
-		response => {
-			stalled = once(response, 'close');
-			response.write('id: 1\ndata: one\n\n');
-		},
-		async response => {
-			response.flushHeaders();
-			await stalled;
-			response.socket?.resetAndDestroy();
-		},
-	], {
+	await t.throwsAsync(send(t, handOver(response => {
+		response.socket?.resetAndDestroy();
+	}), {
 		route: patientRoute,
 		timeout: 4000,
 		log(kind, {outcome, reason}) {
