routing: restore retries that were withdrawn and not made

A retry that is withdrawn from the windowed budget was counted until its time slot left the window, whether it was made or not.

`WindowedRetryBudget.restore` takes one back from the slot it was withdrawn from; it does nothing once that slot has left the window, or if nothing is left in it.

--- a/packages/routing/src/windowed-retry-budget.ts
+++ b/packages/routing/src/windowed-retry-budget.ts
@@ -89,6 +89,24 @@
 		return this.#allowsAdditional(key, this.#currentSlot(key, now));
 	}
 
+	/**
+	Restores an additional attempt that was withdrawn and not made, to the time slot from which it was withdrawn. Does nothing if the window no longer covers that slot.
+
+	@param key The key of the budget, such as a model.
+	@param withdrawnAt When the attempt was withdrawn, in milliseconds on the monotonic clock; each withdrawal is restored at most once.
+	*/
+	restore(key: string, withdrawnAt: number): void {
+		const number = this.#slotNumber(withdrawnAt);
+		const slot = this.#slotsByKey.peek(key)?.find(slot => slot.number === number);
+		if (slot !== undefined && slot.additional > 0) {
+			slot.additional--;
+		}
+	}
+
+	#slotNumber(at: number): number {
+		return Math.floor(at * slotsPerWindow / this.#options.windowMilliseconds);
+	}
+
 	#allowsAdditional(key: string, current: TimeSlot): boolean {
 		const {ratio, minimumPerWindow} = this.#options;
 		let initial = 0;
@@ -103,8 +121,7 @@
 
 	/** Returns the current slot, creating it if needed, and deletes slots that no window covers any more. */
 	#currentSlot(key: string, now: number): TimeSlot {
-		const {windowMilliseconds} = this.#options;
-		const number = Math.floor(now * slotsPerWindow / windowMilliseconds);
+		const number = this.#slotNumber(now);
 		const slots = (this.#slotsByKey.peek(key) ?? []).filter(slot => slot.number >= number - slotsPerWindow);
 		const last = slots.at(-1);
 		const current = last?.number === number ? last : {number, initial: 0, additional: 0};
