gateway: restore the retries that a request has withdrawn and not used

A request withdraws its retry before it looks for another server. The retry stayed charged to the budget of all requests if no send followed: because the stalled stream of the first server went on, no server was found, the caller left, or the send was cancelled before its connection had opened.

`SendAllowance` keeps when its retries were withdrawn, and restores those beyond its sends when a kept stream is taken up again and when the request ends. A cancelled send of which nothing was written is no longer counted as a send. One that may have reached its server stays charged.

Without the change, a request that ended without a second send had used 1 retry, and one with two sends 2; now 0 and 1.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -163,13 +163,15 @@
 		}
 	}
 
-	/** Closes the streams that are kept, and the send that is in progress if the handling of the request failed. */
+	/** Closes the streams that are kept, and the send that is in progress if the handling of the request failed, and restores unused retries. */
 	#release(): void {
 		this.#discardKept();
 		if (!this.#end.hasEnded) {
 			this.#admission.end();
 			this.#sent?.attempt.cancel();
 		}
+
+		this.#allowance.restoreUnused();
 	}
 
 	#now(): number {
@@ -281,6 +283,10 @@
 		});
 		this.#sent = {attempt, server};
 		const outcome = await attempt.outcome;
+		if (outcome.type === 'cancelled' && !attempt.isSent()) {
+			this.#allowance.cancelSend();
+		}
+
 		const step = await handleOutcome(outcome, this.#outcomeOptions({
 			server, relay, sentAt, load, expected,
 		}));
@@ -446,6 +452,7 @@
 			},
 		};
 		this.#models.restore(stream.model);
+		this.#allowance.restoreUnused();
 		const step = await forwardStream(stream, this.#outcomeOptions({server: stream.server, sentAt: this.#now()}));
 		return this.#handleStep(step, stream);
 	}
--- a/packages/gateway/src/entry/send-allowance.ts
+++ b/packages/gateway/src/entry/send-allowance.ts
@@ -6,7 +6,7 @@
 export type SendAllowanceOptions = {
 	readonly route: Pick<Route, 'kind' | 'isResumable' | 'maximumAttempts'>;
 	readonly service: ServiceId;
-	readonly budget: Pick<WindowedRetryBudget, 'allows' | 'withdraw'>;
+	readonly budget: Pick<WindowedRetryBudget, 'allows' | 'withdraw' | 'restore'>;
 	readonly clock: Pick<Clock, 'monotonic'>;
 };
 
@@ -21,6 +21,7 @@
 const allowance = new SendAllowance({route, service, budget, clock});
 allowance.countSend();
 allowance.tryRetry();
+allowance.restoreUnused(); // if the request ends without another send
 ```
 */
 export class SendAllowance {
@@ -30,6 +31,8 @@
 	#sends = 0;
 	#unreachable = 0;
 	#needsNewConnection = false;
+	/** When the retries were withdrawn that are not restored, in milliseconds on the monotonic clock. */
+	readonly #withdrawnAt: number[] = [];
 
 	constructor(options: SendAllowanceOptions) {
 		const {kind, isResumable} = options.route;
@@ -96,7 +99,22 @@
 	*/
 	tryRetry(): boolean {
 		const {service, budget, clock} = this.#options;
-		return this.#hasSends && budget.withdraw(service, clock.monotonic());
+		const now = clock.monotonic();
+		const isAllowed = this.#hasSends && budget.withdraw(service, now);
+		if (isAllowed) {
+			this.#withdrawnAt.push(now);
+		}
+
+		return isAllowed;
+	}
+
+	/** Restores the retries that no send has used to the shared budget. A send that reached a server stays charged, since the budget limits the load of the servers. */
+	restoreUnused(): void {
+		const {service, budget} = this.#options;
+		const used = Math.max(0, this.#sends - 1);
+		for (const withdrawnAt of this.#withdrawnAt.splice(used)) {
+			budget.restore(service, withdrawnAt);
+		}
 	}
 
 	get #hasSends(): boolean {
