--- a/packages/gateway/src/entry/unused-retries.test.ts
+++ b/packages/gateway/src/entry/unused-retries.test.ts
@@ -1,4 +1,5 @@
-import {type ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import {request as openRequest, type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ServerId, type WorkspaceId} from '@valehitch/core';
 import {fingerprintRequest, promptPartFingerprint} from '@valehitch/routing';
@@ -114,6 +115,31 @@
 	t.deepEqual({sends, usedRetries}, {sends: 1, usedRetries: 0});
 });
 
+test('a request whose caller leaves before it is sent again uses no retry', async t => {
+	const {start, options} = stallAndContinue(() => undefined);
+	const left = new AbortController();
+	const {sends, usedRetries} = await send(t, [start], {
+		...options,
+		async wait() {
+			left.abort();
+			await once(left.signal, 'request-ended');
+		},
+		log(kind) {
+			if (kind === 'request-ended') {
+				left.signal.dispatchEvent(new Event('request-ended'));
+			}
+		},
+		async call(port) {
+			const request = openRequest({port, signal: left.signal}).end();
+			await t.throwsAsync(once(request, 'response'), {name: 'AbortError'});
+			await once(left.signal, 'request-ended');
+			await delay(50);
+			return {status: 0, text: ''};
+		},
+	});
+	t.deepEqual({sends, usedRetries}, {sends: 1, usedRetries: 0});
+});
+
 test('a send that is cancelled before it reaches its server uses no retry', async t => {
 	const fingerprint = fingerprintRequest({...testRequest(), workspace: 'mills' as WorkspaceId, body: new Uint8Array()});
 	let known: EntryContext | undefined;
