gateway: log why a tunnel is refused, and how late a missing answer was noticed

Cause: an instance that refuses a tunnel answers 503 for four reasons (it stops, it is cut off, it has 512 tunnels, it does not know the server), and for a server that it did not reach while it suspects its own links.

Change: relayRefusal names the reason, and mayRelay is its absence. The instance that refuses logs `tunnel-refused` with who asked, the server, the service, the reason and the number of open tunnels; also when it fails to reach the server, with whether it blames that. At the one that asks, the reason of `relay-unavailable` for a missing answer has the time after which it was noticed, which tells a process without its turn from a late relay. No decision changes; valehitchd logs as before.

--- a/packages/gateway/src/entry/server-tunnels.ts
+++ b/packages/gateway/src/entry/server-tunnels.ts
@@ -1,5 +1,7 @@
-import {mayRelay, type ServerLinks} from '@valehitch/routing';
+import {type InstanceId} from '@valehitch/core';
+import {relayRefusal, type ServerLinks} from '@valehitch/routing';
 import {type TunnelTarget} from '@valehitch/transport';
+import {type DecisionLog} from '../logs/decision-log.js';
 import {type EntryServers} from './entry-servers.js';
 
 /** Options of {@linkcode ServerTunnels}. */
@@ -8,6 +10,16 @@
 	readonly servers: {readonly availability: Pick<EntryServers['availability'], 'serverAt'>};
 	/** Returns whether the instance is shutting down. */
 	readonly isStopping: () => boolean;
+	/** Told why a connection is refused. */
+	readonly log: DecisionLog;
+};
+
+/** A wish of another entry instance for a connection. */
+export type TunnelWish = {
+	/** The instance that asks. */
+	readonly from: InstanceId;
+	/** The number of connections that are open through this instance. */
+	readonly openTunnels: number;
 };
 
 /**
@@ -15,8 +27,8 @@
 
 @example
 ```ts
-const tunnels = new ServerTunnels({links, servers, isStopping});
-tunnels.mayOpen(target, 3);
+const tunnels = new ServerTunnels({links, servers, isStopping, log});
+tunnels.mayOpen(target, {from, openTunnels: 3});
 ```
 */
 export class ServerTunnels {
@@ -30,13 +42,21 @@
 	Checks whether another entry instance may reach an address through this one. It may not if this instance reaches no server of the service itself, so that no request takes two such steps.
 
 	@param target The address.
-	@param openTunnels The number of connections that are open through this instance.
+	@param wish Who asks, and the connections that are open.
 	@returns Whether it may.
 	*/
-	mayOpen(target: TunnelTarget, openTunnels: number): boolean {
-		const {links, servers, isStopping} = this.#options;
+	mayOpen(target: TunnelTarget, {from, openTunnels}: TunnelWish): boolean {
+		const {links, servers, isStopping, log} = this.#options;
 		const server = servers.availability.serverAt(target);
-		return server !== undefined && mayRelay({isStopping: isStopping(), links: links.of(server.service), openTunnels});
+		const reason = server === undefined ? 'unknown-server' : relayRefusal({isStopping: isStopping(), links: links.of(server.service), openTunnels});
+		if (reason === undefined) {
+			return true;
+		}
+
+		log('tunnel-refused', {
+			from, server: server?.id ?? `${target.host}:${target.port}`, service: server?.service, reason, openTunnels,
+		}, 'warn');
+		return false;
 	}
 
 	/**
@@ -47,8 +67,13 @@
 	@returns Whether the server is to blame for a failure; false if the links of this instance are in doubt.
 	*/
 	recordTarget(target: TunnelTarget, isOpen: boolean): boolean {
-		const {links, servers} = this.#options;
+		const {links, servers, log} = this.#options;
 		const server = servers.availability.serverAt(target);
-		return server === undefined || links.of(server.service).recordResult(server.id, isOpen);
+		const isServerToBlame = server === undefined || links.of(server.service).recordResult(server.id, isOpen);
+		if (!isOpen) {
+			log('tunnel-refused', {server: server?.id ?? `${target.host}:${target.port}`, service: server?.service, reason: isServerToBlame ? 'server-unreachable' : 'links-suspected'}, 'warn');
+		}
+
+		return isServerToBlame;
 	}
 }
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -8,7 +8,7 @@
 		| 'server-notice-missed' | 'server-record-outdated' | 'server-limit-changed' | 'server-limit-invalid'
 		| 'server-pause-requested' | 'server-pause-invalid'
 		| 'server-brittleness-changed' | 'server-brittleness-invalid'
-		| 'servers-unreachable' | 'servers-reachable' | 'relay-unavailable'
+		| 'servers-unreachable' | 'servers-reachable' | 'relay-unavailable' | 'tunnel-refused'
 		| 'servers-restored' | 'list-not-restored' | 'list-not-saved'
 		| 'order-abandoned' | 'evacuation-ordered' | 'evacuation-adopted'
 		| 'rollout-started' | 'rollout-advanced' | 'rollout-evaluation-failed'
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -105,8 +105,8 @@
 		pingMilliseconds,
 		onMessage: async (from, message) => handlePeerMessage(parts, from, message),
 		onRequest: async (from, message) => handlePeerMessage(parts, from, message),
-		isTunnelAllowed(_from, target) {
-			const isAllowed = parts.entry?.tunnels.mayOpen(target, network.tunnelCount) === true;
+		isTunnelAllowed(from, target) {
+			const isAllowed = parts.entry?.tunnels.mayOpen(target, {from, openTunnels: network.tunnelCount}) === true;
 			metrics.relayedConnections.inc({result: isAllowed ? 'accepted' : 'refused'});
 			return isAllowed;
 		},
--- a/packages/routing/src/may-relay.test.ts
+++ b/packages/routing/src/may-relay.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
-import {mayRelay, type RelayConditions} from './may-relay.js';
+import {mayRelay} from './may-relay.js';
+import {type RelayConditions} from './relay-refusal.js';
 
 const conditions: RelayConditions = {
 	isStopping: false, links: {isCutOff: false}, openTunnels: 511,
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -34,6 +34,7 @@
 export * from './rate-limit-share.js';
 export * from './recent-times.js';
 export * from './rejection-pause.js';
+export * from './relay-refusal.js';
 export * from './relay-ring.js';
 export * from './relay-selector.js';
 export * from './rendezvous-score.js';
--- a/packages/transport/src/open-tunnel.test.ts
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -170,6 +170,16 @@
 	t.is(await failureOf(network, closed.address, refused), 'peer-unavailable');
 });
 
+test('a peer that gives no answer in time is named with the limit and the time after which that was noticed', async t => {
+	const peer = await listenTarget(t, doNothing);
+	const opened = await openTunnel({...peer, instance: toId<InstanceId>('left')}, {
+		self: toId<InstanceId>('right'), key, target: {host, port: 1}, timeout: 20,
+	});
+	const {type, reason} = opened.swap().unsafeCoerce();
+	t.is(type, 'peer-unavailable');
+	t.regex(reason, /^No answer from left within 20 ms \(noticed after \d+ ms\)$/v);
+});
+
 test('a daemon with another key cannot open a tunnel', async t => {
 	const {address} = await listen(t, {isTunnelAllowed: () => true});
 	const target = await listenTarget(t, doNothing);
--- a/packages/transport/src/open-tunnel.ts
+++ b/packages/transport/src/open-tunnel.ts
@@ -45,6 +45,7 @@
 */
 export async function openTunnel(peer: PeerAddress, {self, key, target, timeout}: OpenTunnelOptions): Promise<Either<TunnelFailure, OpenedTunnel>> {
 	return new Promise(resolve => {
+		const startedAt = performance.now();
 		const request = openRequest({
 			host: peer.host,
 			port: peer.port,
@@ -60,7 +61,7 @@
 		};
 
 		const stopTimeout = setTimeoutAfterPoll(timeout, () => {
-			fail('peer-unavailable', `No answer from ${peer.instance} within ${timeout} ms`);
+			fail('peer-unavailable', `No answer from ${peer.instance} within ${timeout} ms (noticed after ${Math.round(performance.now() - startedAt)} ms)`);
 		});
 		request.on('connect', ({statusCode = 0, headers}, socket: Socket, head: Uint8Array) => {
 			stopTimeout();
