transport: close a tunnel whose opener gives up before it is open

Cause: an opener that gets no answer within its time (300 ms) closes its connection. Where the relay reads that end before the target has connected, nothing listened for it: the relay joined the two sockets later, and no further end came. With a target that says nothing first, as all HTTP servers do, the tunnel stayed for good: a connection at the server, and one of the 512 tunnels after which the relay refuses all others with 503. Some 600 timeouts made an instance useless as a relay until it was restarted.

Change: an end of the opener's side before the tunnel is open closes both connections, as a close did already.

The new test does not end without the line that listens for the end (ended by a timeout of 10 s), and passes with it; the 12 tests of open-tunnel pass.

--- a/packages/transport/src/open-tunnel.test.ts
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {createServer as createHttpServer} from 'node:http';
 import {
-	type AddressInfo, createServer, type Server, type Socket,
+	type AddressInfo, connect, createServer, type Server, type Socket,
 } from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 import {type InstanceId, toId} from '@valehitch/core';
@@ -155,6 +155,30 @@
 	t.is(network.tunnelCount, 0);
 });
 
+test('a tunnel whose opener leaves before it is open is not kept, though the target says nothing', async t => {
+	const asked: TunnelTarget[] = [];
+	const {network, address} = await listen(t, {
+		isTunnelAllowed(_from, wanted) {
+			asked.push(wanted);
+			return true;
+		},
+	});
+	const target = await listenTarget(t, socket => {
+		socket.resume();
+	});
+	const head = `CONNECT ${target.host}:${target.port} HTTP/1.1\r\nHost: left\r\nAuthorization: Bearer ${key}\r\n\r\n`;
+	const opener = connect(address.port, host);
+	opener.write(head, () => {
+		opener.destroy();
+	});
+	while (asked.length === 0 || network.tunnelCount > 0) {
+		await setImmediate();
+	}
+
+	t.deepEqual(asked, [target]);
+	t.is(network.tunnelCount, 0);
+});
+
 async function failureOf(network: PeerNetwork<string>, peer: PeerAddress, target: TunnelTarget): Promise<TunnelFailure['type'] | undefined> {
 	const opened = await network.openTunnel(peer, target, timeout);
 	return opened.swap().toMaybe().map(({type}) => type).extract();
--- a/packages/transport/src/tunnel-server.ts
+++ b/packages/transport/src/tunnel-server.ts
@@ -115,8 +115,10 @@
 	const server = connect({
 		host, port, allowHalfOpen: true, noDelay: true,
 	});
-	const onCallerClose = (): void => {
+	// The peer ends its side before it has an answer only if it has given up. Nothing would tell that later while the target is silent.
+	const onCallerGone = (): void => {
 		server.destroy();
+		caller.destroy();
 	};
 
 	const fail = (status: number): void => {
@@ -132,12 +134,14 @@
 		fail(code === 'ECONNREFUSED' ? tunnelStatus.targetRefused : tunnelStatus.targetUnanswered);
 	};
 
-	caller.once('close', onCallerClose);
+	caller.once('end', onCallerGone);
+	caller.once('close', onCallerGone);
 	server.once('error', onError);
 	server.once('close', stopTimeout);
 	server.once('connect', () => {
 		stopTimeout();
-		caller.off('close', onCallerClose);
+		caller.off('end', onCallerGone);
+		caller.off('close', onCallerGone);
 		server.off('error', onError);
 		recordResult(true);
 		caller.write(`HTTP/1.1 ${tunnelStatus.opened} Connection Established\r\n${tunnelHeader.openTunnels}: ${openTunnels}\r\n\r\n`);
