gateway: split the kept answers out of the run of a request

`RequestRun` held the stalled stream, the fallback answer and the superseded send beside its steps. They are now in `KeptAnswers`, with tests of their order and of the sends that they cancel; the behaviour is unchanged.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -20,10 +20,9 @@
 import {SendAllowance} from './send-allowance.js';
 import {type CancellableSend} from './send-attempt.js';
 import {SendResults} from './send-results.js';
-import {FallbackAnswer, type FallbackStream} from './fallback-answer.js';
+import {KeptAnswers, type KeptStream} from './kept-answers.js';
 import {retryMilliseconds} from './retry-milliseconds.js';
 import {ServerSearch, type SendTarget} from './server-search.js';
-import {StalledAnswer} from './stalled-answer.js';
 import {startSend} from './start-send.js';
 import {forwardStream} from './forward-stream.js';
 import {handleOutcome} from './handle-outcome.js';
@@ -56,8 +55,7 @@
 	readonly #allowance: SendAllowance;
 	readonly #authorized: AuthorizedRequest;
 	readonly #end: RequestEnd;
-	readonly #fallback: FallbackAnswer;
-	readonly #stalled: StalledAnswer;
+	readonly #kept: KeptAnswers;
 	readonly #suspect: SuspectRequest;
 	readonly #search: ServerSearch;
 	readonly #admission: RunAdmission;
@@ -65,8 +63,6 @@
 	#sentAs: AuthorizedRequest;
 	/** The current or last send; undefined while only answers are kept. */
 	#sent: {readonly attempt: CancellableSend; readonly server: ServerRecord} | undefined;
-	/** The send that was cancelled because a stalled stream has continued. */
-	#superseded: CancellableSend | undefined;
 
 	constructor(context: EntryContext, {request, body, held, response, authorized, arrivedAt}: RequestRunOptions) {
 		const {route} = authorized;
@@ -108,16 +104,10 @@
 		this.#admission = new RunAdmission(context, {
 			request, authorized, service: this.#placement.service, models: this.#models, arrivedAt, deadlineAt: this.#deadlineAt,
 		});
-		const cancelSend = (): void => {
-			this.#sent?.attempt.cancel();
-		};
-
-		this.#fallback = new FallbackAnswer({clock: context.clock, deadlineAt: this.#deadlineAt, onDue: cancelSend});
-		this.#stalled = new StalledAnswer({
-			onContinue: () => {
-				this.#superseded = this.#sent?.attempt;
-				cancelSend();
-			},
+		this.#kept = new KeptAnswers({
+			clock: context.clock,
+			deadlineAt: this.#deadlineAt,
+			currentSend: () => this.#sent?.attempt,
 			onLost: ({server}) => {
 				void this.#suspect.recordLoss(server);
 			},
@@ -165,7 +155,7 @@
 
 	/** Closes the streams that are kept, and the send that is in progress if the handling of the request failed, and restores unused retries. */
 	#release(): void {
-		this.#discardKept();
+		this.#kept.discard();
 		if (!this.#end.hasEnded) {
 			this.#admission.end();
 			this.#sent?.attempt.cancel();
@@ -186,16 +176,10 @@
 			waited: this.#now() - this.#arrivedAt,
 			retryAfter: retryMilliseconds,
 		});
-		this.#discardKept();
+		this.#kept.discard();
 		this.#admission.end();
 	}
 
-	/** Closes the answers that are kept. */
-	#discardKept(): void {
-		this.#fallback.discard();
-		this.#stalled.discard();
-	}
-
 	/** The processing time of the prompt as others see it: bounded where they decide by the load of the pool, so that a false length has a bounded effect on them. */
 	get #reading(): number | undefined {
 		const {calm, current} = this.#models;
@@ -219,11 +203,11 @@
 			return this.#fail(this.#suspect.refusal);
 		}
 
-		if (this.#stalled.hasContinued) {
+		if (this.#kept.hasContinued) {
 			return this.#fail(failure('outcome-unknown', this.#end.lastProblem));
 		}
 
-		if (this.#fallback.isDue) {
+		if (this.#kept.isFallbackDue) {
 			return this.#fail(failure('deadline-exceeded-after-dispatch', `No better answer arrived in time (${this.#end.lastProblem})`));
 		}
 
@@ -233,7 +217,7 @@
 		}
 
 		const found = await this.#search.next({
-			model: this.#models.current, load: this.#models.load, isSuspect: standing !== 'unknown', mayWait: !this.#stalled.isKept,
+			model: this.#models.current, load: this.#models.load, isSuspect: standing !== 'unknown', mayWait: !this.#kept.isStalledKept,
 		});
 		return match(found)
 			.with({type: 'target'}, async ({target}) => this.#sendTo(target, authorized.unsafeCoerce()))
@@ -275,7 +259,7 @@
 			lastEventId: this.#events.lastEventId,
 			processEnd: load.processEnd,
 			mayStillSend: () => this.#isStillAuthorized(authorized),
-			canGoOn: () => this.#stalled.isKept || this.#fallback.isKept || this.#search.isLinkInDoubt(target) || this.#canGoElsewhere(server),
+			canGoOn: () => this.#kept.isAnyKept || this.#search.isLinkInDoubt(target) || this.#canGoElsewhere(server),
 			onOverdue: () => {
 				// A late answer is a failure of the server, but no evidence about its version yet.
 				this.#results.record(server, 'failed');
@@ -320,17 +304,17 @@
 				load?.markAnswerStarted();
 				this.#placement.recordStreamStart(server.version);
 			},
-			startHandover: () => this.#stalled.startHandover(),
+			startHandover: () => this.#kept.startHandover(),
 			onFirstEvent: () => {
-				this.#discardKept();
+				this.#kept.discard();
 			},
 			canResumeElsewhere: () => this.#canGoElsewhere(server),
 			keepStalled: stream => {
 				this.#sent = undefined;
-				this.#stalled.keep(stream);
+				this.#kept.keepStalled(stream);
 			},
-			isSuperseded: () => this.#isSuperseded,
-			isTooLate: () => this.#fallback.isKept && this.#fallback.isDue,
+			isSuperseded: () => this.#kept.isSuperseded,
+			isTooLate: () => this.#kept.isTooLate,
 			chooseLarger: (head, latency) => this.#chooseLargerModel(head, latency),
 		};
 	}
@@ -367,19 +351,19 @@
 				this.#end.recordPossibleRun();
 				this.#end.keepFailedAnswer(answer);
 				// A send that was cancelled because the stream has continued says nothing about its server.
-				if (!this.#isSuperseded) {
+				if (!this.#kept.isSuperseded) {
 					this.#placement.exclude(server);
 				}
 
 				return this.#retry(failed);
 			})
-			.with({type: 'whole'}, async ({answer, framing}) => this.#stalled.isKept
+			.with({type: 'whole'}, async ({answer, framing}) => this.#kept.isStalledKept
 				? this.#fail(failure('backend-failed', `${server.id} answered the resumed stream with status ${answer.status}`))
 				: this.#end.forward(answer, {framing}))
 			.with({type: 'escalated'}, async ({model, fallback}): Promise<NextStep> => {
 				this.#end.recordPossibleRun();
 				this.#sent = undefined;
-				this.#fallback.keep(fallback);
+				this.#kept.keepFallback(fallback);
 				this.#models.escalateTo(model);
 				return 'retry';
 			})
@@ -410,14 +394,9 @@
 		return this.#allowance.isRepeatable && this.#mayRetry() ? 'retry' : this.#fail(failed);
 	}
 
-	/** Whether the current send was cancelled because a stalled stream has continued, even if that one has broken since. */
-	get #isSuperseded(): boolean {
-		return this.#superseded !== undefined && this.#superseded === this.#sent?.attempt;
-	}
-
 	/** Withdraws a retry, unless the earlier server of a stalled stream has continued it. */
 	#mayRetry(): boolean {
-		return !this.#stalled.hasContinued && this.#allowance.tryRetry();
+		return !this.#kept.hasContinued && this.#allowance.tryRetry();
 	}
 
 	/** Forwards what an earlier server still sends, a stalled stream or the fallback answer of a smaller model; otherwise answers with the failure. */
@@ -426,22 +405,16 @@
 			return 'ended';
 		}
 
-		const stalled = this.#prefersFallback ? undefined : this.#stalled.take();
-		if (stalled !== undefined) {
-			this.#events.restoreIncomplete(stalled.incomplete);
-			this.#context.log('request-returned', {request: this.#request.id, server: stalled.server.id, reason: failed.message});
+		const kept = this.#kept.take();
+		if (kept?.incomplete !== undefined) {
+			this.#events.restoreIncomplete(kept.incomplete);
+			this.#context.log('request-returned', {request: this.#request.id, server: kept.server.id, reason: failed.message});
 		}
 
-		const kept = stalled ?? this.#fallback.take();
 		return kept === undefined ? this.#end.fail(failed) : this.#forwardKept(kept);
 	}
 
-	/** Whether the fallback answer is forwarded though a stream has stalled before its first event. */
-	get #prefersFallback(): boolean {
-		return this.#fallback.isKept && (this.#fallback.isDue || !this.#stalled.hasContinued);
-	}
-
-	async #forwardKept(stream: FallbackStream): Promise<NextStep> {
+	async #forwardKept(stream: KeptStream): Promise<NextStep> {
 		this.#sent = {
 			server: stream.server,
 			attempt: {
@@ -480,7 +453,7 @@
 		this.#admission.end();
 		if (!this.#end.hasEnded) {
 			this.#sent?.attempt.cancel();
-			this.#discardKept();
+			this.#kept.discard();
 			this.#end.recordEnd('caller-left', {});
 		}
 	}
--- a/packages/gateway/src/entry/stalled-answer.test.ts
+++ b/packages/gateway/src/entry/stalled-answer.test.ts
@@ -1,29 +1,7 @@
 import {once} from 'node:events';
-import {IncomingMessage} from 'node:http';
-import {Socket} from 'node:net';
-import test, {type ExecutionContext} from 'ava';
-import {testServer} from '../servers/_test-server.js';
-import {handoverMilliseconds, StalledAnswer, type StalledStream} from './stalled-answer.js';
-
-function createStream(t: ExecutionContext): {readonly stream: StalledStream; readonly message: IncomingMessage} {
-	const message = new IncomingMessage(new Socket());
-	message.on('error', () => {
-		// The stream ends with its connection.
-	});
-	t.teardown(() => {
-		message.destroy();
-	});
-	const head = {
-		status: 200, requestId: 'a1', isNotRun: false, isFromOtherServer: false, isSigned: true, isEncoded: false, confidence: undefined, isDraining: false,
-		brittleness: {type: 'none'}, rateLimit: {type: 'unlimited'}, pause: {type: 'none'},
-	} as const;
-	return {
-		message,
-		stream: {
-			server: testServer(), model: undefined, received: {message, framing: 'chunks', isComplete: async () => true}, head, latency: 10, incomplete: new Uint8Array(),
-		},
-	};
-}
+import test from 'ava';
+import {stalledStream} from './_test-stalled-stream.js';
+import {handoverMilliseconds, StalledAnswer} from './stalled-answer.js';
 
 function createAnswer() {
 	const calls: string[] = [];
@@ -57,7 +35,7 @@
 
 test('a stream whose server sends data again is returned with all of its data', async t => {
 	const {answer, calls} = createAnswer();
-	const {stream, message} = createStream(t);
+	const {stream, message} = stalledStream(t);
 	answer.keep(stream);
 	t.true(answer.isKept);
 	t.false(answer.hasContinued);
@@ -73,7 +51,7 @@
 
 test('a stream whose connection breaks is no longer kept', async t => {
 	const {answer, calls} = createAnswer();
-	const {stream, message} = createStream(t);
+	const {stream, message} = stalledStream(t);
 	answer.keep(stream);
 	message.destroy();
 	await once(message, 'close');
@@ -85,7 +63,7 @@
 
 test('a stream that another server has continued is closed', t => {
 	const {answer, calls} = createAnswer();
-	const {stream, message} = createStream(t);
+	const {stream, message} = stalledStream(t);
 	answer.keep(stream);
 	answer.discard();
 	t.true(message.destroyed);
@@ -95,7 +73,7 @@
 
 test('a second stream that stalls before its first event is closed, and the first one kept', t => {
 	const {answer} = createAnswer();
-	const [first, second] = [createStream(t), createStream(t)];
+	const [first, second] = [stalledStream(t), stalledStream(t)];
 	answer.keep(first.stream);
 	answer.keep(second.stream);
 	t.true(second.message.destroyed);
@@ -104,7 +82,7 @@
 
 test('a stream is closed some time after the head of another answer, whose first event is late', t => {
 	const {answer, calls, runTimers} = createAnswer();
-	const {stream, message} = createStream(t);
+	const {stream, message} = stalledStream(t);
 	answer.keep(stream);
 	answer.startHandover();
 	t.true(answer.isKept);
@@ -116,7 +94,7 @@
 
 test('a stream is kept if the other answer ends before the time of the handover has passed', t => {
 	const {answer, runTimers} = createAnswer();
-	const {stream, message} = createStream(t);
+	const {stream, message} = stalledStream(t);
 	answer.keep(stream);
 	const stop = answer.startHandover();
 	stop();
@@ -127,7 +105,7 @@
 
 test('a stream whose server sends data during a handover is kept', async t => {
 	const {answer, calls, runTimers} = createAnswer();
-	const {stream, message} = createStream(t);
+	const {stream, message} = stalledStream(t);
 	answer.keep(stream);
 	answer.startHandover();
 	message.push('four');
@@ -140,7 +118,7 @@
 
 test('a stream that stalls after another one was handed over is kept for its own time', t => {
 	const {answer, runTimers} = createAnswer();
-	const [first, second] = [createStream(t), createStream(t)];
+	const [first, second] = [stalledStream(t), stalledStream(t)];
 	answer.keep(first.stream);
 	answer.startHandover();
 	answer.discard();
