--- a/packages/routing/src/suspect-registry.test.ts
+++ b/packages/routing/src/suspect-registry.test.ts
@@ -163,6 +163,61 @@
 	t.deepEqual([...registry.quarantined(start + minute)], [badPart]);
 });
 
+/** Records exits during a request, each named by its process, at a time in milliseconds after the start. */
+function recordRequestExits(registry: SuspectRegistry, request: string, exits: Readonly<Record<string, number>>): RequestFingerprint {
+	const requestFingerprint = request as RequestFingerprint;
+	for (const [process, after] of Object.entries(exits)) {
+		registry.recordExit(requestFingerprint, {process, at: start + after, parts: []});
+	}
+
+	return requestFingerprint;
+}
+
+/** Records exits during requests with a part, each named by its process, at a time in milliseconds after the start. */
+function recordExitsWithPart(registry: SuspectRegistry, part: PromptPartFingerprint, exits: Readonly<Record<string, number>>): void {
+	for (const [process, after] of Object.entries(exits)) {
+		registry.recordExit(part, {process, at: start + after, depth: 1});
+	}
+}
+
+test('a crashing request stays quarantined when a part that was beside it is beside another crashing request', t => {
+	const registry = new SuspectRegistry();
+	const crashing = recordRequestExits(registry, 'crashing', {a: 0, b: 50, c: 100});
+	recordRequestExits(registry, 'other', {d: 3000});
+	recordExitsWithPart(registry, badPart, {b: 50, c: 100, d: 3000});
+	t.deepEqual([...registry.quarantined(start + 3200)], [crashing]);
+	recordExitsWithPart(registry, badPart, {e: 3200});
+	t.true(registry.quarantined(start + 3400).has(crashing));
+});
+
+test('a second crashing request is quarantined after three exits though a part was beside it and the first one', t => {
+	const registry = new SuspectRegistry();
+	const first = recordRequestExits(registry, 'first', {a: 0, b: 50, c: 100});
+	const second = recordRequestExits(registry, 'second', {d: 3000, e: 3200, f: 3400});
+	recordExitsWithPart(registry, badPart, {
+		c: 100, d: 3000, e: 3200, f: 3400,
+	});
+	t.deepEqual([...registry.quarantined(start + minute)].toSorted(), [first, second]);
+});
+
+test('a request that was beside two crashing ones is not quarantined', t => {
+	const registry = new SuspectRegistry();
+	const first = recordRequestExits(registry, 'first', {a: 0, b: 50, c: 100});
+	const beside = recordRequestExits(registry, 'beside', {b: 50, c: 100, d: 3000});
+	t.not(registry.status(beside, start + 3000), 'quarantined');
+	const second = recordRequestExits(registry, 'second', {d: 3000, e: 3200, f: 3400});
+	t.deepEqual([...registry.quarantined(start + minute)].toSorted(), [first, second]);
+});
+
+test('a crashing request is quarantined though one beside it was proven first', t => {
+	const registry = new SuspectRegistry();
+	recordRequestExits(registry, 'beside', {a: 0, b: 500, c: 1000});
+	const crashing = recordRequestExits(registry, 'crashing', {
+		a: 0, b: 500, d: 2000, e: 2500,
+	});
+	t.is(registry.status(crashing, start + 3000), 'quarantined');
+});
+
 test('a part keeps its depth and a request its parts when records are merged', t => {
 	const [registry, other] = [new SuspectRegistry(), new SuspectRegistry()];
 	recordPartExits(registry, {part: badPart, depth: 2, processes: ['a', 'b']});
