gateway: simulate requests that crash servers

Cause: the simulation had parts that crash servers, and no request that comes again, and callers came once, so that two crashing requests were not covered.

--- a/packages/gateway/src/entry/_test-crash-simulation.ts
+++ b/packages/gateway/src/entry/_test-crash-simulation.ts
@@ -14,26 +14,40 @@
 	readonly random: () => number;
 	/** The parts that crash each server that answers them: at which position of how many prompts a second, and from when on, in milliseconds. */
 	readonly crashingParts?: ReadonlyArray<{readonly id: string; readonly depth: 0 | 1; readonly requestsPerSecond: number; readonly from: number}>;
+	/** The requests that crash each server that runs them, with the parts of their prompts: how many of them arrive a second, and from when on, in milliseconds. */
+	readonly crashingRequests?: ReadonlyArray<{readonly id: string; readonly parts: readonly string[]; readonly requestsPerSecond: number; readonly from: number}>;
+	/** How often a caller sends a request that is not answered; once by default. */
+	readonly callerAttempts?: number;
+	/** How long a server takes to answer, in milliseconds; 340 by default. */
+	readonly answerDuration?: number;
 	/** Returns how many servers exit at a time, whatever they process; none by default. */
 	readonly exitsAt?: (time: number) => number;
 };
 
+/** When requests with a certain cause of crashes reached servers and when servers exited during them, in milliseconds. */
+export type CrashTimes = {
+	readonly sends: readonly number[];
+	readonly exits: readonly number[];
+};
+
 /** What a simulated deployment did. */
 export type CrashSimulationResult = {
 	readonly crashes: number;
-	/** For each crashing part, when requests with it reached servers and when servers exited during them, in milliseconds. */
-	readonly crashingParts: ReadonlyArray<{readonly sends: readonly number[]; readonly exits: readonly number[]}>;
+	readonly crashingParts: readonly CrashTimes[];
+	readonly crashingRequests: readonly CrashTimes[];
 	readonly innocentRequests: number;
-	/** The requests without a crashing part that were refused as quarantined. */
+	/** The requests that crash no server and were refused as quarantined. */
 	readonly refusedInnocent: number;
 };
 
 type SimulatedRequest = RequestSuspects & {
 	readonly id: string;
-	/** The number of its crashing part; undefined for innocent requests. */
+	/** The number of the part or the request that crashes servers; undefined for innocent requests. */
 	readonly crashing: number | undefined;
 	readonly instance: number;
 	readonly sends: number;
+	/** How often its caller has sent it. */
+	readonly attempts: number;
 };
 
 type SimulatedSend = {
@@ -49,6 +63,7 @@
 const reportMilliseconds = 20;
 const newsMilliseconds = 40;
 const maximumSends = 3;
+const callerDelayMilliseconds = 400;
 const firstPartCount = 6;
 const subjectCount = 200;
 const control = '10.0.0.1' as InstanceId;
@@ -70,7 +85,8 @@
 
 class CrashSimulation {
 	readonly #options: CrashSimulationOptions;
-	readonly #parts: ReadonlyArray<{readonly sends: number[]; readonly exits: number[]}>;
+	/** The crashing parts, followed by the crashing requests. */
+	readonly #causes: ReadonlyArray<{readonly sends: number[]; readonly exits: number[]}>;
 	readonly #instances: EntrySuspects[];
 	readonly #cursors: number[];
 	readonly #control = new SuspectRegistry();
@@ -86,15 +102,20 @@
 
 	constructor(options: CrashSimulationOptions) {
 		this.#options = options;
-		this.#parts = (options.crashingParts ?? []).map(() => ({sends: [], exits: []}));
+		this.#causes = [...options.crashingParts ?? [], ...options.crashingRequests ?? []].map(() => ({sends: [], exits: []}));
 		this.#cursors = Array.from({length: options.instances}, () => 0);
 		this.#servers = Array.from({length: options.servers}, () => ({process: 0, upAt: 0, sends: []}));
 		this.#instances = Array.from({length: options.instances}, () => this.#createInstance());
 	}
 
 	get result(): CrashSimulationResult {
+		const parts = this.#options.crashingParts?.length ?? 0;
 		return {
-			crashes: this.#crashes, crashingParts: this.#parts, innocentRequests: this.#innocentRequests, refusedInnocent: this.#refusedInnocent,
+			crashes: this.#crashes,
+			crashingParts: this.#causes.slice(0, parts),
+			crashingRequests: this.#causes.slice(parts),
+			innocentRequests: this.#innocentRequests,
+			refusedInnocent: this.#refusedInnocent,
 		};
 	}
 
@@ -164,7 +185,7 @@
 	}
 
 	#arrive(): void {
-		const {requestsPerSecond, crashingParts = []} = this.#options;
+		const {requestsPerSecond, crashingParts = [], crashingRequests = []} = this.#options;
 		for (let count = this.#countArrivals(requestsPerSecond); count > 0; count--) {
 			this.#innocentRequests++;
 			this.#send(this.#createRequest([`first ${this.#pick(firstPartCount)}`, `subject ${this.#pick(subjectCount)}`], {crashing: undefined}));
@@ -176,6 +197,12 @@
 				this.#send(this.#createRequest(parts, {crashing}));
 			}
 		}
+
+		for (const [index, {id, parts, requestsPerSecond: rate, from}] of crashingRequests.entries()) {
+			for (let count = this.#time < from ? 0 : this.#countArrivals(rate); count > 0; count--) {
+				this.#send({...this.#createRequest(parts, {crashing: crashingParts.length + index}), fingerprint: id as RequestFingerprint});
+			}
+		}
 	}
 
 	#countArrivals(perSecond: number): number {
@@ -192,12 +219,28 @@
 		this.#arrivals++;
 		return {
 			id: `a${this.#arrivals}`, fingerprint: `request ${this.#arrivals}` as RequestFingerprint, parts: parts.map(id => promptPartFingerprint(id)),
-			crashing, instance: Math.floor(this.#options.random() * this.#instances.length), sends: 0,
+			crashing, instance: this.#chooseInstance(), sends: 0, attempts: 1,
 		};
 	}
 
+	#chooseInstance(): number {
+		return Math.floor(this.#options.random() * this.#instances.length);
+	}
+
+	/** Lets the caller of a request that is not answered come again at another instance. */
+	#callAgain(request: SimulatedRequest): void {
+		const {callerAttempts = 1} = this.#options;
+		if (request.crashing === undefined && request.attempts < callerAttempts) {
+			const again = {
+				...request, instance: this.#chooseInstance(), sends: 0, attempts: request.attempts + 1,
+			};
+			this.#delayed = [...this.#delayed, {at: this.#time + callerDelayMilliseconds, request: again}];
+		}
+	}
+
 	#send(request: SimulatedRequest): void {
 		if (request.sends === maximumSends) {
+			this.#callAgain(request);
 			return;
 		}
 
@@ -209,14 +252,15 @@
 		const running = this.#servers.filter(({upAt}) => upAt <= this.#time);
 		const server = running[Math.floor(this.#options.random() * running.length)];
 		if (server === undefined) {
+			this.#callAgain(request);
 			return;
 		}
 
 		if (request.crashing !== undefined) {
-			this.#parts[request.crashing]!.sends.push(this.#time);
+			this.#causes[request.crashing]!.sends.push(this.#time);
 		}
 
-		const duration = request.crashing === undefined ? answerMilliseconds : crashMilliseconds;
+		const duration = request.crashing === undefined ? this.#options.answerDuration ?? answerMilliseconds : crashMilliseconds;
 		server.sends.push({request: {...request, sends: request.sends + 1}, endsAt: this.#time + duration});
 	}
 
@@ -231,7 +275,7 @@
 		const lost = server.sends;
 		Object.assign(server, {process: server.process + 1, upAt: this.#time + restartMilliseconds, sends: []});
 		for (const crashing of new Set(lost.map(({request}) => request.crashing ?? -1))) {
-			this.#parts[crashing]?.exits.push(this.#time);
+			this.#causes[crashing]?.exits.push(this.#time);
 		}
 
 		for (const {request} of lost) {
