--- a/packages/routing/src/_suspect-analysis.ts
+++ b/packages/routing/src/_suspect-analysis.ts
@@ -1,8 +1,5 @@
-import {type SuspectFingerprint} from '@valehitch/core';
+import {type PromptPartFingerprint, type SuspectFingerprint} from '@valehitch/core';
 import {addAll} from './_add-all.js';
-import {
-	blameRequests, type ExitTimes, type PartExits, type SuspectedRequest,
-} from './_blame-requests.js';
 import {blamePromptParts, type SuspectedPart} from './blame-prompt-parts.js';
 import {isPromptPart} from './prompt-part-fingerprint.js';
 import {type SuspectRecord, type SuspectStatus} from './suspect-record.js';
@@ -24,13 +21,13 @@
 /** A record with its uncleared exits that still count. */
 type Subject = {
 	readonly record: SuspectRecord;
-	readonly exits: ExitTimes;
+	readonly exits: ReadonlyMap<string, number>;
 };
 
 /**
 Judges which requests and parts of prompts crash servers, from all records of a registry at one time.
 
-A part of prompts is blamed only for exits that no blamed request explains.
+An exit counts against a request unless a part of prompts explains it better: a part that had more exits, or as many without being in the request. A part is blamed for what no such request explains.
 */
 export class SuspectAnalysis {
 	/** The time from which the result may differ without a change of the records, in milliseconds since the epoch. */
@@ -38,7 +35,7 @@
 	readonly #now: number;
 	readonly #subjects = new Map<SuspectFingerprint, Subject>();
 	/** The parts that were in progress at each process. */
-	readonly #partsAt = new Map<string, PartExits[]>();
+	readonly #partsAt = new Map<string, Subject[]>();
 	readonly #blamed = new Set<SuspectFingerprint>();
 	/** The processes whose exits a blamed part explains. */
 	readonly #explainedByParts = new Set<string>();
@@ -85,37 +82,42 @@
 	}
 
 	#add(subject: Subject): void {
-		const {record: {fingerprint}, exits} = subject;
-		this.#subjects.set(fingerprint, subject);
-		if (!isPromptPart(fingerprint)) {
+		this.#subjects.set(subject.record.fingerprint, subject);
+		if (!isPromptPart(subject.record.fingerprint)) {
 			return;
 		}
 
-		const part = {fingerprint, exits};
-		for (const process of exits.keys()) {
+		for (const process of subject.exits.keys()) {
 			const parts = this.#partsAt.get(process) ?? [];
-			parts.push(part);
+			parts.push(subject);
 			this.#partsAt.set(process, parts);
 		}
 	}
 
 	#blameRequests(): void {
-		const requests: SuspectedRequest[] = [];
-		for (const {record: {fingerprint, parts = []}, exits} of this.#subjects.values()) {
-			if (!isPromptPart(fingerprint)) {
-				requests.push({fingerprint, parts, exits});
+		for (const subject of this.#subjects.values()) {
+			const {record: {fingerprint}, exits} = subject;
+			if (isPromptPart(fingerprint) || exits.size < quarantineThreshold) {
+				continue;
+			}
+
+			const own = [...exits].filter(([process]) => !this.#hasBetterExplanation(process, subject));
+			if (countByAge(own.map(([, at]) => at), this.#now) >= quarantineThreshold) {
+				this.#blamed.add(fingerprint);
+				addAll(this.#explained, exits.keys());
 			}
 		}
+	}
 
-		const blamed = blameRequests(requests, {
-			partsAt: this.#partsAt,
-			threshold: quarantineThreshold,
-			isProof: times => countByAge(times, this.#now) >= quarantineThreshold,
-		});
-		for (const {fingerprint, exits} of blamed) {
-			this.#blamed.add(fingerprint);
-			addAll(this.#explained, exits.keys());
+	#hasBetterExplanation(process: string, {record, exits}: Subject): boolean {
+		for (const part of this.#partsAt.get(process) ?? []) {
+			const isOwn = record.parts?.includes(part.record.fingerprint as PromptPartFingerprint) ?? false;
+			if (part.exits.size > exits.size || (part.exits.size === exits.size && !isOwn)) {
+				return true;
+			}
 		}
+
+		return false;
 	}
 
 	#blameParts(): void {
