testing: run the servers of the partition tests in processes of their own

Cause: callers and all backend servers of server-partition shared the event loop of the test, so that servers were silent whenever the test did not get its turn. The links are cut in the processes of the instances already.

Change: BackendProcess runs a fake server that announces itself in a process of its own and tells its executed requests when it is asked. All assertions are as they were; executed requests are read from the processes at the same places.

--- a/packages/testing/src/server-partition.test.ts
+++ b/packages/testing/src/server-partition.test.ts
@@ -1,12 +1,13 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {type FakeBackendServer, sendForResponse} from './platform/fake-backend-server.js';
+import {type BackendProcess, type ProcessRun} from './platform/backend-process.js';
+import {sendForResponse} from './platform/fake-backend-server.js';
 import {PlatformDeployment, type PlatformInstance} from './platform/platform-deployment.js';
 import {putConfiguration} from './platform/put-configuration.js';
 import {
 	cutServerLinks, restoreServerLinks, serverCutEnvironment, type ServerCut,
 } from './platform/server-cut.js';
-import {startBackends} from './platform/start-backends.js';
+import {startBackendProcesses} from './platform/start-backend-processes.js';
 import {waitUntil} from './wait-until.js';
 
 const route = {
@@ -54,7 +55,7 @@
 
 type Started = {
 	readonly deployment: PlatformDeployment;
-	readonly backends: readonly FakeBackendServer[];
+	readonly backends: readonly BackendProcess[];
 	/** Sends a request, and returns its status; 0 if the answer was not complete. */
 	readonly send: (address: string, request: {readonly method: string; readonly path: string}) => Promise<number>;
 	/** Sends a request of each kind through each of some instances at a steady rate for a time in milliseconds, and returns their statuses. */
@@ -72,12 +73,18 @@
 	readonly isUnframed?: boolean;
 };
 
-/** Starts entry instances with a server in each zone, and waits until all of them serve requests. */
+/** Returns the requests that servers have executed so far. */
+async function readRuns(backends: readonly BackendProcess[]): Promise<readonly ProcessRun[]> {
+	const runs = await Promise.all(backends.map(async backend => backend.readRuns()));
+	return runs.flat();
+}
+
+/** Starts entry instances with a server in each zone, each server in a process of its own, and waits until all of them serve requests. */
 async function start(t: ExecutionContext, {gap = 10, entryCount = 3, entryZone = () => zones[0]!, isUnframed = false}: StartOptions = {}): Promise<Started> {
 	const deployment = await PlatformDeployment.start({entryCount, entryZone, environment: instance => serverCutEnvironment(instance)});
-	const backends = await startBackends(t, {
+	const backends = await startBackendProcesses(t, {
 		deployment, servers: Object.entries(services).flatMap(([service, serverZones]) => serverZones.map(zone => ({
-			id: `i-${service}-${zone}`, service, zone, answer: () => ({events: ['one', 'two', 'three'], gap, isUnframed}),
+			id: `i-${service}-${zone}`, service, zone, answer: {events: ['one', 'two', 'three'], gap, isUnframed},
 		}))),
 	});
 	await putConfiguration(deployment, configuration);
@@ -132,7 +139,8 @@
 	await sendFor(connectivityMilliseconds, deployment.entries);
 	const statuses = await sendFor(measuredMilliseconds, cutEntries);
 	t.deepEqual(new Set(statuses), new Set([200]), `${statuses.filter(status => status === 200).length} of ${statuses.length} requests were served`);
-	const prints = backends.flatMap(({runs}) => runs).filter(({path}) => path.startsWith('/print/')).map(({id}) => id);
+	const runs = await readRuns(backends);
+	const prints = runs.filter(({path}) => path.startsWith('/print/')).map(({id}) => id);
 	t.is(new Set(prints).size, prints.length);
 	return started;
 }
@@ -188,14 +196,15 @@
 	const seal = {method: 'POST', path: '/seal/7'};
 	await waitUntil(async () => await send(entry!.address, seal) === 200 || undefined, {description: 'a first response'});
 	await cutServerLinks(entry!, 'refused', {ports: [seals!.port]});
-	const before = seals!.runs.length;
+	const before = await seals!.readRuns();
 	const statuses: number[] = [];
 	for (let index = 0; index < 20; index++) {
 		statuses.push(await send(entry!.address, seal));
 	}
 
 	t.deepEqual(new Set(statuses), new Set([200]), `${statuses.filter(status => status === 200).length} of ${statuses.length} requests were served`);
-	t.is(seals!.runs.length, before + statuses.length);
+	const after = await seals!.readRuns();
+	t.is(after.length, before.length + statuses.length);
 });
 
 test.serial('an instance that reaches no server serves its callers through one that does not answer for most servers', async t => {
@@ -215,7 +224,10 @@
 	const print = {method: 'POST', path: '/print/7'};
 	const sent = Array.from({length: 12}, async () => send(entry!.address, print));
 	const printers = backends.filter(({service}) => service === route.service);
-	await waitUntil(async () => printers.every(({runs}) => runs.some(({path}) => path === print.path)) || undefined, {description: 'a request in progress at each server'});
+	await waitUntil(async () => {
+		const runs = await Promise.all(printers.map(async printer => printer.readRuns()));
+		return runs.every(runsOfOne => runsOfOne.some(({path}) => path === print.path)) || undefined;
+	}, {description: 'a request in progress at each server'});
 	await cutServerLinks(entry!, 'refused');
 	const statuses = await Promise.all(sent);
 	t.false(statuses.includes(503));
@@ -233,7 +245,10 @@
 	await waitUntil(async () => await send(entry!.address, {method: 'GET', path: '/look/8'}) === 200 || undefined, {description: 'a response through the other instance'});
 	const print = {method: 'POST', path: '/print/7'};
 	const sent = send(entry!.address, print);
-	await waitUntil(async () => backends.some(({runs}) => runs.some(({path}) => path === print.path)) || undefined, {description: 'a request in progress'});
+	await waitUntil(async () => {
+		const runs = await readRuns(backends);
+		return runs.some(({path}) => path === print.path) || undefined;
+	}, {description: 'a request in progress'});
 	await delay(500);
 	await relay!.process.kill('SIGKILL');
 	t.not(await sent, 200);
@@ -249,7 +264,10 @@
 	await delay(2900);
 	const note = {method: 'POST', path: '/note/9'};
 	const sent = send(relay!.address, note);
-	await waitUntil(async () => backends.some(({runs}) => runs.some(({path}) => path === note.path)) || undefined, {description: 'a request in progress'});
+	await waitUntil(async () => {
+		const runs = await readRuns(backends);
+		return runs.some(({path}) => path === note.path) || undefined;
+	}, {description: 'a request in progress'});
 	await entry!.process.kill('SIGKILL');
 	t.is(await sent, 200);
 });
