--- a/packages/daemon/src/entry/chat-adapter.test.ts
+++ b/packages/daemon/src/entry/chat-adapter.test.ts
@@ -52,7 +52,13 @@
 	const outputs: Array<AttemptOutput['type']> = [];
 	for await (const {type} of adapter.send({
 		dispatch: {
-			type: 'dispatch', attempt: 1, server: 'engine-1' as ServerId, target: {type: 'version', model: 'tag-small' as ModelId, version: '1.0' as VersionId}, purpose: 'first', resumeFrom: 0, freshConnection: false,
+			type: 'dispatch',
+			attempt: 1,
+			server: 'engine-1' as ServerId,
+			target: {type: 'version', model: 'tag-small' as ModelId, version: '1.0' as VersionId},
+			purpose: 'first',
+			resumeFrom: 0,
+			freshConnection: false,
 		},
 		address: `http://127.0.0.1:${(listener.address() as AddressInfo).port}`,
 		signal: new AbortController().signal,
