transport: let a send tell whether it was written or withheld

Both callers of `sendOnceOpen` kept the same two flags, set by the same two callbacks. It returns them now as its progress, and the callback before the write goes. Behaviour is unchanged.

The test that asserted `isSent` asserts both flags.

--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,7 +1,7 @@
 import {type ClientRequest, type IncomingMessage, request as openRequest} from 'node:http';
 import {type Clock} from '@valehitch/core';
 import {
-	ArrivalWatch, frameRequest, malformedHead, type ResponseEnd, responseFraming, type ResponseFraming, sendOnceOpen, setTimeoutAfterPoll,
+	ArrivalWatch, frameRequest, malformedHead, type ResponseEnd, responseFraming, type ResponseFraming, sendOnceOpen, type SendProgress, setTimeoutAfterPoll,
 	watchHead, watchResponseEnd, type Relay, TunnelError,
 } from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -121,8 +121,6 @@
 	request.maxHeadersCount = 0;
 	let isCancelled = false;
 	let isOpen = false;
-	let isSent = false;
-	let isWithheld = false;
 	request.on('socket', socket => {
 		isOpen = !socket.connecting;
 		// A reused connection would keep the listener until it closes.
@@ -135,21 +133,11 @@
 			recordReuse(socket);
 		}
 	});
-	const outcome = awaitHead(request, options, {
-		isCancelled: () => isCancelled, isOpen: () => isOpen, isSent: () => isSent, isWithheld: () => isWithheld,
-	});
-	sendOnceOpen(request, body, {
-		mayStillSend() {
-			isWithheld = mayStillSend?.() === false;
-			return !isWithheld;
-		},
-		onSend() {
-			isSent = true;
-		},
-	});
+	const progress = sendOnceOpen(request, body, {mayStillSend});
+	const outcome = awaitHead(request, options, {isCancelled: () => isCancelled, isOpen: () => isOpen, progress});
 	return {
 		outcome,
-		isSent: () => isSent,
+		isSent: () => progress.isSent,
 		cancel() {
 			isCancelled = true;
 			request.destroy();
@@ -157,14 +145,13 @@
 	};
 }
 
-type SendProgress = {
+type SendState = {
 	readonly isCancelled: () => boolean;
 	readonly isOpen: () => boolean;
-	readonly isSent: () => boolean;
-	readonly isWithheld: () => boolean;
+	readonly progress: SendProgress;
 };
 
-async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isOpen, isSent, isWithheld}: SendProgress): Promise<SendOutcome> {
+async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isOpen, progress}: SendState): Promise<SendOutcome> {
 	const {server, method, relay, connectTimeout, headTimeouts, isServerRunning, clock} = options;
 	const arrivals = new ArrivalWatch(clock);
 	const isHeadMalformed = watchHead(request);
@@ -200,9 +187,9 @@
 			const reason = error.message;
 			if (isCancelled()) {
 				settle({type: 'cancelled'});
-			} else if (isWithheld()) {
+			} else if (progress.isWithheld) {
 				settle({type: 'withheld'});
-			} else if (!isSent()) {
+			} else if (!progress.isSent) {
 				settle(error instanceof TunnelError && error.type === 'peer-unavailable' ? {type: 'relay-unavailable', reason} : {type: 'unreachable', reason, wasOpen: isOpen()});
 			} else if (isSilent) {
 				settle({type: 'silent'});
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -73,8 +73,6 @@
 export async function sendHttpRequest(call: HttpRequest): Promise<Either<HttpRequestFailure, HttpResponse>> {
 	return new Promise(resolve => {
 		let connected = false;
-		let isSent = false;
-		let isWithheld = false;
 		const clientRequest = sendRequest(new URL(call.path, call.address), {
 			method: call.method,
 			headers: {...call.headers, 'content-length': call.body.byteLength},
@@ -101,10 +99,15 @@
 				call.onConnect?.();
 			});
 		});
+		const progress = sendOnceOpen(clientRequest, call.body, {mayStillSend: call.mayStillSend});
 		const fail = (message: string, type?: TunnelError['type']): void => {
 			cancelConnectTimeout();
 			resolve(Left({
-				neverSent: !isSent, onKeptConnection: clientRequest.reusedSocket, isRelayUnavailable: type === 'peer-unavailable', isWithheld, message,
+				neverSent: !progress.isSent,
+				onKeptConnection: clientRequest.reusedSocket,
+				isRelayUnavailable: type === 'peer-unavailable',
+				isWithheld: progress.isWithheld,
+				message,
 			}));
 		};
 
@@ -126,15 +129,6 @@
 		clientRequest.on('error', error => {
 			fail(error.message, error instanceof TunnelError ? error.type : undefined);
 		});
-		sendOnceOpen(clientRequest, call.body, {
-			mayStillSend() {
-				isWithheld = call.mayStillSend?.() === false;
-				return !isWithheld;
-			},
-			onSend() {
-				isSent = true;
-			},
-		});
 	});
 }
 
--- a/packages/transport/src/send-once-open.test.ts
+++ b/packages/transport/src/send-once-open.test.ts
@@ -77,17 +77,11 @@
 	const request = openRequest({
 		host, port, agent: false, method: 'POST',
 	});
-	let isSent = false;
-	sendOnceOpen(request, body, {
-		mayStillSend: () => false,
-		onSend() {
-			isSent = true;
-		},
-	});
+	const progress = sendOnceOpen(request, body, {mayStillSend: () => false});
 	const [error] = await once(request, 'error') as [Error];
 	t.is(error.message, 'The request may no longer be sent');
 	t.is(await received, '');
-	t.false(isSent);
+	t.deepEqual(progress, {isSent: false, isWithheld: true});
 	server.close();
 });
 
--- a/packages/transport/src/send-once-open.ts
+++ b/packages/transport/src/send-once-open.ts
@@ -5,8 +5,14 @@
 export type SendOnceOpenOptions = {
 	/** Checked right before the request is written; if it may no longer be sent, its connection is closed. By default it may. */
 	readonly mayStillSend?: (() => boolean) | undefined;
-	/** Called right before the request is written. Until then, no part of it has been sent. */
-	readonly onSend?: (() => void) | undefined;
+};
+
+/** How far a request has come. */
+export type SendProgress = {
+	/** Whether a part of the request may have been sent. */
+	readonly isSent: boolean;
+	/** Whether the last check did not allow the request to be sent. */
+	readonly isWithheld: boolean;
 };
 
 /** The message of the error of a request that may no longer be sent. */
@@ -19,25 +25,28 @@
 
 @param request The request, of which nothing has been sent.
 @param body Its body.
-@param options The last check, and a callback.
+@param options The last check.
+@returns The progress of the request, which changes with it.
 @example
 ```ts
 const request = openRequest({host, port, method, path, headers});
-sendOnceOpen(request, body);
+const progress = sendOnceOpen(request, body);
 ```
 */
-export function sendOnceOpen(request: ClientRequest, body: Uint8Array, {mayStillSend = () => true, onSend}: SendOnceOpenOptions = {}): void {
+export function sendOnceOpen(request: ClientRequest, body: Uint8Array, {mayStillSend = () => true}: SendOnceOpenOptions = {}): SendProgress {
+	const progress = {isSent: false, isWithheld: false};
 	const send = (): void => {
 		if (request.destroyed) {
 			return;
 		}
 
 		if (!mayStillSend()) {
+			progress.isWithheld = true;
 			request.destroy(new Error(withheldMessage));
 			return;
 		}
 
-		onSend?.();
+		progress.isSent = true;
 		request.end(body);
 	};
 
@@ -54,4 +63,5 @@
 			sendAfterPoll();
 		}
 	});
+	return progress;
 }
