valehitchd: look a server up once for its dispatch

The check before a dispatch searched the list of servers a second time for the server that had just been found. Only the check right before the write, which is made later, looks it up again. Behaviour is unchanged; the tests of the dispatch pass.

--- a/packages/daemon/src/entry/lifecycle/dispatch-attempt.ts
+++ b/packages/daemon/src/entry/lifecycle/dispatch-attempt.ts
@@ -31,10 +31,10 @@
 ```
 */
 export function dispatchAttempt(dispatch: DispatchAction, options: DispatchAttemptOptions): RequestEvent | undefined {
-	const {context, workspace, requestId} = options;
+	const {context, adapter, workspace, requestId} = options;
 	const {attempt, server, target, purpose, resumeFrom} = dispatch;
 	const known = findServer(context.servers, server);
-	const denial = denialOf(dispatch, options);
+	const denial = adapter.checkDispatch(target) ?? denialOf(known);
 	if (denial !== undefined || known === undefined) {
 		return {type: 'dispatch-denied', attempt, reason: denial ?? 'server-gone'};
 	}
@@ -46,8 +46,7 @@
 	return undefined;
 }
 
-async function send(dispatch: DispatchAction, server: KnownServer, options: DispatchAttemptOptions): Promise<void> {
-	const {adapter, attempts, partialAnswer} = options;
+async function send(dispatch: DispatchAction, server: KnownServer, {context, adapter, attempts, partialAnswer}: DispatchAttemptOptions): Promise<void> {
 	const {attempt: number, resumeFrom} = dispatch;
 	const resumed = resumeFrom === 0 ? emptyAnswer : partialAnswer;
 	server.inFlight++;
@@ -59,7 +58,7 @@
 			address: server.announcement.address,
 			signal,
 			mayStillSend() {
-				const denial = denialOf(dispatch, options);
+				const denial = adapter.checkDispatch(dispatch.target) ?? denialOf(findServer(context.servers, dispatch.server));
 				attempts.recordDenial(number, denial);
 				return denial === undefined;
 			},
@@ -69,11 +68,7 @@
 	server.inFlight--;
 }
 
-function denialOf({target, server}: DispatchAction, {adapter, context}: DispatchAttemptOptions): DispatchDenialReason | undefined {
-	return adapter.checkDispatch(target) ?? denialOfServer(findServer(context.servers, server));
-}
-
-function denialOfServer(server: KnownServer | undefined): DispatchDenialReason | undefined {
+function denialOf(server: KnownServer | undefined): DispatchDenialReason | undefined {
 	if (server === undefined) {
 		return 'server-gone';
 	}
