gateway: authorize a request anew in one place

The first authorization and the last check before the write spelled out the same call. Behaviour is unchanged; the tests of request-run and withheld-sends pass.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -251,9 +251,11 @@
 
 	/** Authorizes the request by the current configuration until it has been sent; a configuration that comes later applies to later requests. */
 	#authorize(): Either<Failure, AuthorizedRequest> {
-		return this.#allowance.sends > 0
-			? Right(this.#sentAs)
-			: authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
+		return this.#allowance.sends > 0 ? Right(this.#sentAs) : this.#authorizeAnew();
+	}
+
+	#authorizeAnew(): Either<Failure, AuthorizedRequest> {
+		return authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()});
 	}
 
 	/** Whether the run of the request goes by the same route, service and workspace. */
@@ -266,13 +268,7 @@
 	#mayStillSend({id}: ServerRecord): boolean {
 		return this.#now() < this.#deadlineAt
 			&& this.#context.servers.availability.includes(id)
-			&& (this.#allowance.sends > 1 || this.#isStillAuthorized());
-	}
-
-	#isStillAuthorized(): boolean {
-		return authorizeRequest(this.#request, {...this.#context, table: this.#context.table(), now: this.#now()})
-			.map(current => this.#isAuthorizedAs(current))
-			.orDefault(false);
+			&& (this.#allowance.sends > 1 || this.#authorizeAnew().map(current => this.#isAuthorizedAs(current)).orDefault(false));
 	}
 
 	async #sendTo(target: SendTarget, authorized: AuthorizedRequest): Promise<NextStep> {
