testing: start the servers of the tests of valehitchd's sends in one place

Four tests spelled out the same HTTP server on a free port, three the same links, and two of send-once-open the same request to a server that takes one connection. They share one function each now.

--- a/packages/daemon/src/control/orders/order-executor.test.ts
+++ b/packages/daemon/src/control/orders/order-executor.test.ts
@@ -1,9 +1,7 @@
-import {once} from 'node:events';
-import {createServer} from 'node:http';
-import {type AddressInfo} from 'node:net';
 import {type EngineOrder, type OrderId, type OrderRecord} from '@valehitch/control';
 import {type ServerId} from '@valehitch/core';
 import test from 'ava';
+import {listen} from '../../entry/_test-listen.js';
 import {httpEngineClient} from './engine-client.js';
 import {OrderExecutor} from './order-executor.js';
 
@@ -18,16 +16,10 @@
 
 test('an order is not sent if the lease of the leader ends while the connection to the engine opens', async t => {
 	const received: Array<string | undefined> = [];
-	const listener = createServer((request, response) => {
+	const address = await listen(t, (request, response) => {
 		received.push(request.method);
 		response.end('{"models":[]}');
-	}).listen(0, '127.0.0.1');
-	t.teardown(() => {
-		listener.closeAllConnections();
-		listener.close();
 	});
-	await once(listener, 'listening');
-	const address = `http://127.0.0.1:${(listener.address() as AddressInfo).port}`;
 	let hasLease = true;
 	const sent = new Promise(resolve => {
 		const executor = new OrderExecutor({
--- a/packages/daemon/src/entry/chat-adapter.test.ts
+++ b/packages/daemon/src/entry/chat-adapter.test.ts
@@ -1,42 +1,29 @@
-import {once} from 'node:events';
-import {createServer} from 'node:http';
-import {type AddressInfo} from 'node:net';
 import {
 	type ModelId, type ServerId, type VersionId, failure,
 } from '@valehitch/core';
-import {ServiceLinks} from '@valehitch/routing';
 import test from 'ava';
 import {Left} from 'purify-ts';
+import {createLinks} from './_test-links.js';
+import {listen} from './_test-listen.js';
 import {type AttemptOutput} from './attempt-output.js';
 import {ChatAdapter, type ChatAdapterOptions} from './chat-adapter.js';
 import {type ChatPlan} from './plan-chat.js';
 
 const clock = {monotonic: () => 0, now: () => new Date(0)};
 
-function ignore(): void {
-	// The event is not under test.
-}
-
 test('a chat request that may no longer be sent when its connection is open is withheld, and its server has not failed', async t => {
 	const failures: boolean[] = [];
 	let received = 0;
-	const listener = createServer((_request, response) => {
+	const address = await listen(t, (_request, response) => {
 		received++;
 		response.end();
-	}).listen(0, '127.0.0.1');
-	t.teardown(() => {
-		listener.closeAllConnections();
-		listener.close();
-	});
-	await once(listener, 'listening');
-	const links = new ServiceLinks({
-		clock, random: () => 0, servers: () => [], isReachable: async () => false, wait: async () => new Promise<void>(ignore), onCutOff: ignore, onReachable: ignore,
 	});
+	const links = createLinks();
 	const context = {
 		clock,
 		settings: {timing: {stallMilliseconds: 1000}, limits: {bodyBytes: 1000}},
 		connections: {links: {of: () => links}, relays: {choose: () => undefined}},
-		decisions: {get: () => undefined, recordAttempt: ignore},
+		decisions: {get: () => undefined, recordAttempt: () => undefined},
 		serverSelector: {
 			recordOutcome(_server: ServerId, failed: boolean) {
 				failures.push(failed);
@@ -60,7 +47,7 @@
 			resumeFrom: 0,
 			freshConnection: false,
 		},
-		address: `http://127.0.0.1:${(listener.address() as AddressInfo).port}`,
+		address,
 		signal: new AbortController().signal,
 		mayStillSend: () => false,
 		partialAnswer: {text: '', tokens: 0},
--- a/packages/daemon/src/entry/lifecycle/dispatch-attempt.test.ts
+++ b/packages/daemon/src/entry/lifecycle/dispatch-attempt.test.ts
@@ -1,9 +1,8 @@
-import {once} from 'node:events';
-import {createServer} from 'node:http';
-import {type AddressInfo} from 'node:net';
 import {type ServerId, type ServiceId} from '@valehitch/core';
-import {type AttemptEvent, type RequestTarget, ServiceLinks} from '@valehitch/routing';
+import {type AttemptEvent, type RequestTarget} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
+import {createLinks} from '../_test-links.js';
+import {listen} from '../_test-listen.js';
 import {type EntryContext} from '../entry-context.js';
 import {type AuthenticatedCall} from '../handle-chat.js';
 import {serviceAdapter} from '../service-adapter.js';
@@ -28,9 +27,7 @@
 /** A context whose state changes when the connection to the server opens. */
 function createContext(address: string, change: (state: ContextState) => void): EntryContext & {readonly failures: boolean[]} {
 	const state: ContextState = {services: [service], server: 'joined'};
-	const links = new ServiceLinks({
-		clock, random: () => 0, servers: () => [], isReachable: async () => false, wait: async () => new Promise<void>(ignore), onCutOff: ignore, onReachable: ignore,
-	});
+	const links = createLinks();
 	links.recordConnected = () => {
 		change(state);
 	};
@@ -57,16 +54,11 @@
 /** Dispatches a request, and returns the event of its end, how many requests the server received, and what was recorded of it. */
 async function dispatchWith(t: ExecutionContext, change: (state: ContextState) => void) {
 	let received = 0;
-	const listener = createServer((_request, response) => {
+	const address = await listen(t, (_request, response) => {
 		received++;
 		response.end();
-	}).listen(0, '127.0.0.1');
-	t.teardown(() => {
-		listener.closeAllConnections();
-		listener.close();
 	});
-	await once(listener, 'listening');
-	const context = createContext(`http://127.0.0.1:${(listener.address() as AddressInfo).port}`, change);
+	const context = createContext(address, change);
 	const call = {request: {method: 'GET', headers: {}}, requestId: 'r-1', workspace: 'yard'} as unknown as AuthenticatedCall;
 	const adapter = serviceAdapter({
 		call, service, path: '/print', body: new Uint8Array(), repeatable: true,
--- a/packages/daemon/src/entry/request-sender.test.ts
+++ b/packages/daemon/src/entry/request-sender.test.ts
@@ -1,28 +1,18 @@
 import {once} from 'node:events';
-import {createServer} from 'node:http';
-import {type AddressInfo, connect} from 'node:net';
+import {connect} from 'node:net';
 import {type InstanceId, type ServerId} from '@valehitch/core';
-import {ServiceLinks} from '@valehitch/routing';
 import {
 	type HttpRequest, type OpenedTunnel, type OpenTunnel, readResponseBody, Relay, type TunnelFailure,
 } from '@valehitch/transport';
 import test, {type ExecutionContext} from 'ava';
 import {Left, Right} from 'purify-ts';
+import {createLinks} from './_test-links.js';
+import {listen} from './_test-listen.js';
 import {RequestSender} from './request-sender.js';
 
 const server = 'engine-1' as ServerId;
 const closedAddress = 'http://127.0.0.1:1';
 
-function ignore(): void {
-	// The event is not under test.
-}
-
-function createLinks(): ServiceLinks {
-	return new ServiceLinks({
-		clock: {monotonic: () => 0}, random: () => 0, servers: () => [], isReachable: async () => false, wait: async () => new Promise<void>(ignore), onCutOff: ignore, onReachable: ignore,
-	});
-}
-
 /** Creates relays that open tunnels as given, in the order in which they are chosen. */
 function relaysOf(...tunnels: readonly OpenTunnel[]): {readonly choose: (excluded: ReadonlySet<InstanceId>) => Relay | undefined} {
 	const relays = tunnels.map((open, index) => new Relay(`daemon-${index}` as InstanceId, {open}));
@@ -35,23 +25,17 @@
 	};
 }
 
-async function startServer(t: ExecutionContext): Promise<number> {
-	const listener = createServer((_request, response) => {
+async function startServer(t: ExecutionContext): Promise<string> {
+	return listen(t, (_request, response) => {
 		response.end('found');
-	}).listen(0, '127.0.0.1');
-	await once(listener, 'listening');
-	t.teardown(() => {
-		listener.closeAllConnections();
-		listener.close();
 	});
-	return (listener.address() as AddressInfo).port;
 }
 
 test('an attempt whose connection fails goes through another daemon, and past one that cannot be used', async t => {
-	const port = await startServer(t);
+	const {port} = new URL(await startServer(t));
 	const unavailable: OpenTunnel = async () => Left<TunnelFailure, OpenedTunnel>({type: 'peer-unavailable', reason: 'stopping'});
 	const open: OpenTunnel = async () => {
-		const socket = connect({host: '127.0.0.1', port});
+		const socket = connect({host: '127.0.0.1', port: Number(port)});
 		await once(socket, 'connect');
 		return Right<OpenedTunnel, TunnelFailure>({socket, relayTunnels: undefined});
 	};
@@ -88,10 +72,10 @@
 		return Left<TunnelFailure, OpenedTunnel>({type: 'target-refused', reason: 'refused'});
 	};
 
-	const port = await startServer(t);
+	const address = await startServer(t);
 	const links = createLinks();
 	const sender = new RequestSender({links, relays: relaysOf(open)});
-	const answer = await sender.send(server, {...requestTo(`http://127.0.0.1:${port}`), mayStillSend: () => false});
+	const answer = await sender.send(server, {...requestTo(address), mayStillSend: () => false});
 	t.like(answer.extract(), {neverSent: true, isWithheld: true});
 	t.is(opened, 0);
 	t.true(links.areConnected);
--- a/packages/transport/src/send-once-open.test.ts
+++ b/packages/transport/src/send-once-open.test.ts
@@ -6,12 +6,27 @@
 import process from 'node:process';
 import {text} from 'node:stream/consumers';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {sendOnceOpen} from './send-once-open.js';
 
 const host = '127.0.0.1';
 const body = new TextEncoder().encode('coil');
 
+/** Begins a request to a server that takes one connection; `received` is what it receives until the connection closes. */
+async function beginRequest(t: ExecutionContext) {
+	const server = createServer().listen(0, host);
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const received = once(server, 'connection').then(async ([socket]: Socket[]) => text(socket!));
+	const {port} = server.address() as AddressInfo;
+	const request = openRequest({
+		host, port, agent: false, method: 'POST',
+	});
+	return {request, received};
+}
+
 test('requests are sent whole on new and on kept connections', async t => {
 	const server = createHttpServer((message, response) => {
 		message.pipe(response);
@@ -37,13 +52,7 @@
 });
 
 test('a request that is destroyed in the turn in which its connection opens is not sent', async t => {
-	const server = createServer().listen(0, host);
-	await once(server, 'listening');
-	const received = once(server, 'connection').then(async ([socket]: Socket[]) => text(socket!));
-	const {port} = server.address() as AddressInfo;
-	const request = openRequest({
-		host, port, agent: false, method: 'POST',
-	});
+	const {request, received} = await beginRequest(t);
 	request.on('error', () => undefined);
 	request.once('socket', socket => {
 		socket.once('connect', () => {
@@ -54,7 +63,6 @@
 	});
 	sendOnceOpen(request, body);
 	t.is(await received, '');
-	server.close();
 });
 
 test('a request that is destroyed before it has a connection is not sent', async t => {
@@ -70,19 +78,12 @@
 });
 
 test('a request that may no longer be sent when its connection is open is not sent', async t => {
-	const server = createServer().listen(0, host);
-	await once(server, 'listening');
-	const received = once(server, 'connection').then(async ([socket]: Socket[]) => text(socket!));
-	const {port} = server.address() as AddressInfo;
-	const request = openRequest({
-		host, port, agent: false, method: 'POST',
-	});
+	const {request, received} = await beginRequest(t);
 	const progress = sendOnceOpen(request, body, {mayStillSend: () => false});
 	const [error] = await once(request, 'error') as [Error];
 	t.is(error.message, 'The request may no longer be sent');
 	t.is(await received, '');
 	t.deepEqual(progress, {isSent: false, isWithheld: true});
-	server.close();
 });
 
 test('a request that may no longer be sent on a kept connection is not sent', async t => {
