gateway: send a request to servers in order in one place of the tests

unused-retries had its own copy of the servers, the route and the send of returned-streams. Both call sendInOrder now.

--- a/packages/gateway/src/entry/returned-streams.test.ts
+++ b/packages/gateway/src/entry/returned-streams.test.ts
@@ -1,52 +1,19 @@
 import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type ServerId, type WorkspaceId} from '@valehitch/core';
+import {type WorkspaceId} from '@valehitch/core';
 import {fingerprintRequest, promptPartFingerprint} from '@valehitch/routing';
-import test, {type ExecutionContext} from 'ava';
-import {testRoute} from '../configuration/_test-configuration.js';
-import {testServer} from '../servers/_test-server.js';
+import test from 'ava';
+import {type SendAnswer, sendInOrder, stallingRoute} from './_test-ordered-sends.js';
 import {testRequest} from './_test-request.js';
-import {
-	control, listen, sendRequests, type SendRequestsOptions,
-} from './_test-run.js';
+import {control} from './_test-run.js';
 import {type EntryContext} from './entry-context.js';
 
-const route = testRoute({
-	kind: 'streaming', isResumable: true, timeout: 20_000, targetLatency: 150, targetGap: 100, maximumAttempts: 4,
-});
 const pauseMilliseconds = 400;
 
-type SendOptions = Partial<SendRequestsOptions> & {
-	/** Two by default. */
-	readonly serverCount?: number;
-};
-
-/** Answers one send. */
-type Answer = (response: ServerResponse) => void | Promise<void>;
-
-/** Starts servers that answer the sends of one request in the given order, whichever of them is asked. */
-async function send(t: ExecutionContext, answers: readonly Answer[], {serverCount = 2, ...options}: SendOptions = {}) {
-	let sends = 0;
-	const handle = (_message: unknown, response: ServerResponse): void => {
-		void answers[sends]?.(response);
-		sends++;
-	};
-
-	const ports = await Promise.all(Array.from({length: serverCount}, async () => listen(t, handle)));
-	return sendRequests(t, 1, {
-		route,
-		timeout: 20_000,
-		nextServers(known) {
-			known.applyRecords(ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
-		},
-		...options,
-	});
-}
-
 test('a stream that breaks after it has returned to its server continues at the server whose send was cancelled', async t => {
 	let first: ServerResponse | undefined;
-	const {answers} = await send(t, [
+	const {answers} = await sendInOrder(t, [
 		response => {
 			first = response;
 			response.write('id: 1\ndata: one\n\n');
@@ -66,7 +33,7 @@
 
 test('a stream that breaks as it continues does so at the server whose send was cancelled', async t => {
 	let first: ServerResponse | undefined;
-	const {answers} = await send(t, [
+	const {answers} = await sendInOrder(t, [
 		response => {
 			first = response;
 			response.write('id: 1\ndata: one\n\n');
@@ -89,7 +56,7 @@
 	const fingerprint = fingerprintRequest({...testRequest(), workspace: 'mills' as WorkspaceId, body: new Uint8Array()});
 	const lines: string[] = [];
 	let known: EntryContext | undefined;
-	const {answers} = await send(t, [
+	const {answers} = await sendInOrder(t, [
 		async response => {
 			response.write('id: 1\ndata: one\n\n');
 			await delay(50);
@@ -113,10 +80,10 @@
 test('a stream that continues while the request waits to be sent elsewhere is forwarded', async t => {
 	const part = {id: '5c', tokens: 800};
 	let sends = 0;
-	const {answers} = await send(t, Array.from({length: 2}, () => async (response: ServerResponse) => {
+	const {answers} = await sendInOrder(t, Array.from({length: 2}, () => async (response: ServerResponse) => {
 		sends++;
 		response.flushHeaders();
-		await delay(2 * route.targetGap!);
+		await delay(2 * stallingRoute.targetGap!);
 		response.write('id: 1\ndata: one\n\n');
 		await delay(20);
 		response.end('id: 2\ndata: two\n\n');
@@ -135,10 +102,10 @@
 });
 
 /** A route whose streams stall only after the time that a handover takes. */
-const patientRoute = {...route, targetGap: 600};
+const patientRoute = {...stallingRoute, targetGap: 600};
 
 /** Returns the answers of a server whose stream stalls, and of one that goes on once the stream has been handed over to it. */
-function handOver(goOn: Answer): readonly Answer[] {
+function handOver(goOn: SendAnswer): readonly SendAnswer[] {
 	let stalled: Promise<unknown> | undefined;
 	return [
 		response => {
@@ -154,7 +121,7 @@
 }
 
 test('a stalled stream is closed while the first event of the server that has taken it is still to come', async t => {
-	const {answers} = await send(t, handOver(response => {
+	const {answers} = await sendInOrder(t, handOver(response => {
 		response.end('id: 2\ndata: two\n\n');
 	}), {route: patientRoute, timeout: 4000});
 	t.deepEqual(answers, [{status: 200, text: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n'}]);
@@ -162,7 +129,7 @@
 
 test('a stream whose server goes on after the head of another one is returned to it', async t => {
 	let first: ServerResponse | undefined;
-	const {answers} = await send(t, [
+	const {answers} = await sendInOrder(t, [
 		response => {
 			first = response;
 			response.write('id: 1\ndata: one\n\n');
@@ -178,7 +145,7 @@
 test('a stream that was handed over to a server that breaks before its first event continues at a third one', async t => {
 	let first: ServerResponse | undefined;
 	let wasFirstOpen: boolean | undefined;
-	const {answers} = await send(t, [
+	const {answers} = await sendInOrder(t, [
 		response => {
 			first = response;
 			response.write('id: 1\ndata: one\n\n');
@@ -199,7 +166,7 @@
 
 test('a stream that was handed over to a server that breaks before its first event is broken off if no other server is left', async t => {
 	const outcomes: unknown[] = [];
-	await t.throwsAsync(send(t, handOver(response => {
+	await t.throwsAsync(sendInOrder(t, handOver(response => {
 		response.socket?.resetAndDestroy();
 	}), {
 		route: patientRoute,
--- a/packages/gateway/src/entry/unused-retries.test.ts
+++ b/packages/gateway/src/entry/unused-retries.test.ts
@@ -1,47 +1,28 @@
 import {once} from 'node:events';
 import {request as openRequest, type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type ServerId, type WorkspaceId} from '@valehitch/core';
+import {type WorkspaceId} from '@valehitch/core';
 import {fingerprintRequest, promptPartFingerprint} from '@valehitch/routing';
 import test, {type ExecutionContext} from 'ava';
-import {testRoute} from '../configuration/_test-configuration.js';
-import {testServer} from '../servers/_test-server.js';
-import {testRequest} from './_test-request.js';
 import {
-	control, listen, sendRequests, type SendRequestsOptions,
-} from './_test-run.js';
+	type SendAnswer, sendInOrder, type SendInOrderOptions, stallingRoute,
+} from './_test-ordered-sends.js';
+import {testRequest} from './_test-request.js';
+import {control} from './_test-run.js';
 import {type EntryContext} from './entry-context.js';
 
-const route = testRoute({
-	kind: 'streaming', isResumable: true, timeout: 20_000, targetLatency: 150, targetGap: 100, maximumAttempts: 4,
-});
-const {service} = route.services[0]!;
-
-type SendOptions = Omit<Partial<SendRequestsOptions>, 'prepare'> & {
-	readonly serverCount: number;
-	readonly prepare?: (context: EntryContext) => void;
-};
+const {service} = stallingRoute.services[0]!;
 
 /** Sends one request, whose sends are answered in the given order, and returns how many retries it has used. */
-async function send(t: ExecutionContext, answers: ReadonlyArray<(response: ServerResponse) => void | Promise<void>>, {serverCount, prepare, ...options}: SendOptions) {
-	let sends = 0;
-	const ports = await Promise.all(Array.from({length: serverCount}, async () => listen(t, (_message, response) => {
-		void answers[sends]?.(response);
-		sends++;
-	})));
+async function send(t: ExecutionContext, answers: readonly SendAnswer[], {prepare, ...options}: SendInOrderOptions) {
 	let context: EntryContext | undefined;
 	const countLeft = (): number => Array.from({length: 100}, () => context!.budget.withdraw(service, performance.now())).filter(Boolean).length;
-	const {answers: [answer]} = await sendRequests(t, 1, {
-		route,
-		timeout: 20_000,
-		nextServers(known) {
-			known.applyRecords(ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
-		},
+	const {answers: [answer], sends} = await sendInOrder(t, answers, {
+		...options,
 		prepare(prepared) {
 			context = prepared;
 			prepare?.(prepared);
 		},
-		...options,
 	});
 	// The budget of the test run: 5 retries, and 1 for each request.
 	return {answer, sends, usedRetries: 6 - countLeft()};
