--- a/packages/testing/src/platform/backend-process.ts
+++ b/packages/testing/src/platform/backend-process.ts
@@ -1,6 +1,6 @@
-import {type ChildProcess, fork} from 'node:child_process';
-import {once} from 'node:events';
+import {type ChildProcess} from 'node:child_process';
 import {type ExecutedRequest, type FakeBackendResponse, type FakeBackendServerOptions} from './fake-backend-server.js';
+import {type ForkedServer, forkServer} from './fork-server.js';
 
 /** A backend server that answers all requests in the same way. */
 export type BackendProcessOptions = Pick<FakeBackendServerOptions, 'id' | 'service' | 'zone'> & {
@@ -38,9 +38,7 @@
 	@returns The running server.
 	*/
 	static async start(options: BackendProcessOptions): Promise<BackendProcess> {
-		const child = fork(program, [JSON.stringify(options)], {stdio: ['ignore', 'ignore', 'inherit', 'ipc']});
-		const [{port}] = await once(child, 'message') as [{readonly port: number}];
-		return new BackendProcess(options.service, {child, port});
+		return new BackendProcess(options.service, await forkServer(program, {argument: JSON.stringify(options), errorOutput: 'inherit'}));
 	}
 
 	readonly service: string;
@@ -49,7 +47,7 @@
 	readonly #queries = new Map<number, (runs: readonly ProcessRun[]) => void>();
 	#lastQuery = 0;
 
-	private constructor(service: string, {child, port}: {readonly child: ChildProcess; readonly port: number}) {
+	private constructor(service: string, {child, port}: ForkedServer) {
 		this.service = service;
 		this.port = port;
 		this.#child = child;
--- a/packages/testing/src/platform/raw-server.ts
+++ b/packages/testing/src/platform/raw-server.ts
@@ -1,6 +1,6 @@
-import {type ChildProcess, fork} from 'node:child_process';
-import {once} from 'node:events';
+import {type ChildProcess} from 'node:child_process';
 import {sendForStatus} from './fake-backend-server.js';
+import {type ForkedServer, forkServer} from './fork-server.js';
 
 /** How a server ends after an answer: its process goes on and closes the connection (`close`), exits, fails with an error, or is ended by a signal. */
 export type RawEnd = 'close' | 'exit' | 'error' | 'SIGKILL' | 'SIGTERM';
@@ -51,9 +51,7 @@
 	@returns The running server.
 	*/
 	static async start(options: RawServerOptions): Promise<RawServer> {
-		const child = fork(program, [options.id], {stdio: ['ignore', 'ignore', 'ignore', 'ipc']});
-		const [{port}] = await once(child, 'message') as [{readonly port: number}];
-		return new RawServer(options, {child, port});
+		return new RawServer(options, await forkServer(program, {argument: options.id, errorOutput: 'ignore'}));
 	}
 
 	readonly port: number;
@@ -62,7 +60,7 @@
 	#isStopped = false;
 	#sequence = 0;
 
-	private constructor(options: RawServerOptions, {child, port}: {readonly child: ChildProcess; readonly port: number}) {
+	private constructor(options: RawServerOptions, {child, port}: ForkedServer) {
 		this.#options = options;
 		this.#child = child;
 		this.port = port;
