gateway: confirm the lease only by a configuration that is in use

What callers saw: an instance that cannot read the current configuration, as between two versions, went on to serve by the one before, without an end; a key that the new one revokes stayed valid there.

Cause: a reply of a control instance confirmed the lease also where its configuration was refused by the parser.

Change: a reply confirms the lease only if the configuration it reports is not newer than the one in use. The lease then ends within its duration, requests with keys are refused as not run, and the instance is not ready.

--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {type AddressInfo, createServer} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type InstanceId, type ZoneId} from '@valehitch/core';
+import {type Failure, type InstanceId, type ZoneId} from '@valehitch/core';
 import {type ExecutionContext} from 'ava';
 import {Left, Right} from 'purify-ts';
 import {testConfiguration} from '../configuration/_test-configuration.js';
@@ -35,12 +35,20 @@
 	readonly dialect?: Partial<Dialect>;
 	/** Receives the log lines; they are discarded by default. */
 	readonly log?: DecisionLog;
-	/** Called each time that a configuration is parsed. */
-	readonly onParse?: () => void;
+	/** Called each time that a configuration is parsed; one for which it returns a failure is refused. */
+	readonly onParse?: () => Failure | undefined;
+	/** How long a confirmation of the configuration is valid, in milliseconds; 60,000 by default. */
+	readonly leaseMilliseconds?: number;
 };
 
+function acceptAll(): undefined {
+	return undefined;
+}
+
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
-export async function startTestEntry(t: ExecutionContext, {records, routes, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = ignore}: StartTestEntryOptions) {
+export async function startTestEntry(t: ExecutionContext, {
+	records, routes, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000,
+}: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	let version = 1;
 	let currentRoutes = routes;
@@ -60,7 +68,7 @@
 		metrics,
 		dialect: {...plainDialect, readRequest: () => testRequest({timeout: requestMilliseconds}), ...dialect},
 		bounds: {canaryShare: 0.1, minimumConfidence: 50},
-		leaseMilliseconds: 60_000,
+		leaseMilliseconds,
 		sessionMilliseconds: 5000,
 		heartbeatMilliseconds: 1000,
 		retryShare: 1,
@@ -80,8 +88,8 @@
 		heldBytes,
 		notedShare: 0,
 		parse() {
-			onParse();
-			return Right(testConfiguration({version, routes: currentRoutes}));
+			const refused = onParse();
+			return refused === undefined ? Right(testConfiguration({version, routes: currentRoutes})) : Left(refused);
 		},
 	});
 	t.teardown(() => {
--- a/packages/gateway/src/entry/entry-instance.test.ts
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type ServerId} from '@valehitch/core';
+import {type Failure, failure, type ServerId} from '@valehitch/core';
 import test from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
 import {testServer} from '../servers/_test-server.js';
@@ -98,6 +98,7 @@
 		routes: [testRoute({isPublic: true})],
 		onParse() {
 			parses++;
+			return undefined;
 		},
 	});
 	// The control instance reports it with each reply.
@@ -106,6 +107,26 @@
 	t.is(parses, 1);
 });
 
+test('the lease ends when the current configuration cannot be read, since it may have revoked a key', async t => {
+	let refused: Failure | undefined;
+	const {entry, changeRoutes} = await startTestEntry(t, {
+		records: [], routes: [testRoute()], leaseMilliseconds: 200, onParse: () => refused,
+	});
+	refused = failure('malformed-request', 'The configuration has an unknown field');
+	changeRoutes([testRoute()]);
+	while (entry.isReady) {
+		await delay(20);
+	}
+
+	refused = undefined;
+	changeRoutes([testRoute()]);
+	while (!entry.isReady) {
+		await delay(20);
+	}
+
+	t.true(entry.isReady);
+});
+
 test('a request behind an answer that closes the connection is not sent to a server', async t => {
 	let sent = 0;
 	const serverPort = await listen(t, (_message, response) => {
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -292,7 +292,8 @@
 			this.#adoptConfiguration(reply.configuration, source);
 		}
 
-		if (confirmedAt !== undefined) {
+		// A configuration that this instance cannot read may have revoked a key.
+		if (confirmedAt !== undefined && !this.#isOutdated(reply.configuration)) {
 			lease.confirm(confirmedAt);
 		}
 
@@ -305,6 +306,11 @@
 		}
 	}
 
+	/** Whether a reported configuration is newer than the one in use. */
+	#isOutdated(reported: ConfigurationDocument | undefined): boolean {
+		return reported !== undefined && reported.version > (this.#table?.version ?? Number.NEGATIVE_INFINITY);
+	}
+
 	#applyNotice({server, isDraining, pause}: ServerNoticeMessage): void {
 		const {servers} = this.#context;
 		if (isDraining) {
