gateway: build the table of routes in linear time

Cause: each route copied the list of its host, so that a configuration of many routes held up the loop of every entry instance as it was adopted.

Change: routes are appended in place.

Conclusion: the look-up still goes through the routes of a host.

--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -44,10 +44,9 @@
 		}
 
 		for (const route of routes) {
-			const host = route.host.toLowerCase();
-			this.#routes.set(host, [...this.#routes.get(host) ?? [], route]);
+			append(this.#routes, {key: route.host.toLowerCase(), route});
 			for (const {service} of route.sizes.length > 0 ? route.services : []) {
-				this.#routesWithModels.set(service, [...this.#routesWithModels.get(service) ?? [], route]);
+				append(this.#routesWithModels, {key: service, route});
 			}
 		}
 
@@ -120,3 +119,13 @@
 		return targets.length === 0 ? undefined : Math.min(...targets);
 	}
 }
+
+/** Appends a route to the list of a key in place: copies of the lists would take quadratic time. */
+function append<Key>(lists: Map<Key, Route[]>, {key, route}: {readonly key: Key; readonly route: Route}): void {
+	const list = lists.get(key);
+	if (list === undefined) {
+		lists.set(key, [route]);
+	} else {
+		list.push(route);
+	}
+}
