storage: flush the entry of a new data folder in its parent folders

What an operator saw: after a power loss soon after the first start of a daemon, its data folder could be missing, with all that had been synced inside.

Cause: the folder was created without a sync of the folder that holds its entry.

Change: each parent folder of a folder that was missing is synced. The platform creates its folders itself, so that nothing changes there.

--- a/packages/storage/src/file-system.ts
+++ b/packages/storage/src/file-system.ts
@@ -1,6 +1,7 @@
 import {
 	type FileHandle, mkdir, open, readdir, readFile, rename, rm,
 } from 'node:fs/promises';
+import {createFolder} from './_create-folder.js';
 
 /** A file open for writing. */
 export type WritableFile = {
@@ -15,6 +16,7 @@
 
 /** The file system operations that this package uses. They are injected so that tests can simulate failures. */
 export type FileSystem = {
+	/** Creates a folder with its missing parents, and flushes their directory entries to the disk. */
 	readonly createFolder: (folder: string) => Promise<void>;
 	/** Lists the file names in a folder. */
 	readonly list: (folder: string) => Promise<readonly string[]>;
@@ -34,7 +36,7 @@
 /** The file system of the machine. */
 export const nodeFileSystem: FileSystem = {
 	async createFolder(folder) {
-		await mkdir(folder, {recursive: true});
+		await createFolder(folder, {make: async missing => mkdir(missing, {recursive: true}), syncFolder});
 	},
 	list: async folder => readdir(folder),
 	read: async file => readFile(file),
@@ -44,16 +46,18 @@
 	async remove(file) {
 		await rm(file, {force: true});
 	},
-	async syncFolder(folder) {
-		const handle = await open(folder, 'r');
-		try {
-			await handle.sync();
-		} finally {
-			await handle.close();
-		}
-	},
+	syncFolder,
 };
 
+async function syncFolder(folder: string): Promise<void> {
+	const handle = await open(folder, 'r');
+	try {
+		await handle.sync();
+	} finally {
+		await handle.close();
+	}
+}
+
 function toOpenFile(handle: FileHandle): WritableFile {
 	return {
 		async append(data) {
