gateway: ask at each send whether a request still fits into the stop of the instance

Callers saw: in a planned stop of one entry instance, with nothing else wrong, requests that came after the signal were passed on and lost their connections at the end of the grace period, requests that may not be repeated among them.

Cause: whether a request can end in time was asked once, when its head arrived, and with 4.7 s for each stream whatever its time limit. A body that is complete late, a hold, a wait for a server, a second send or a longer stream reach past the end; the instance then closed all connections in one turn, also of requests that could still have been given a true answer.

Change: the decision is a function of routing, mayStartWhileStopping, asked when the head arrives, while the body is read, when the stop begins during a hold or a wait, before each send and once its connection is open. A request that has not run is sent only if its whole time limit (its own and its route's) ends before the answers are due, 300 ms before the connections are closed. One that may have run, or whose answer has begun, is sent again while time is left; a larger model is asked only if it has time, since there is an answer already. When the answers are due, each request without one gets a true one: 504 if it may have run, 503 if it has not. That says nothing about the server, so it counts as no failure of it.

Why it works: what is sent after the signal has ended by its own time limit before the close; what cannot is refused at once, with Connection: close, while its caller has time to go elsewhere.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -27,6 +27,7 @@
 import {EscalationDemand} from './escalation-demand.js';
 import {EvidenceCounter} from './evidence-counter.js';
 import {type PromptPart} from './gateway-request.js';
+import {InstanceStop} from './instance-stop.js';
 import {LatencyEstimator} from './latency-estimator.js';
 import {RequestRun} from './request-run.js';
 import {SendBorrower} from './send-borrower.js';
@@ -162,7 +163,7 @@
 			nextServers(servers);
 		},
 		rolloutOf: () => undefined,
-		endsAt: () => undefined,
+		stop: new InstanceStop(clock),
 		reportLimit: ignore,
 		tellRelay: ignore,
 		tellRejection: () => 0,
--- a/packages/gateway/src/entry/caller-answer.ts
+++ b/packages/gateway/src/entry/caller-answer.ts
@@ -24,7 +24,7 @@
 	readonly statedLength?: string | undefined;
 };
 
-type CallerAnswerContext = Pick<EntryContext, 'clock' | 'dialect' | 'endsAt' | 'memory' | 'metrics'>;
+type CallerAnswerContext = Pick<EntryContext, 'clock' | 'dialect' | 'memory' | 'metrics'> & {readonly stop: Pick<EntryContext['stop'], 'endsAt'>};
 
 const millisecondsPerSecond = 1000;
 const noContentStatus = 204;
@@ -118,8 +118,8 @@
 
 	#writeHead(status: number, headers: readonly Header[]): void {
 		const {response, kind, arrivedAt} = this.#options;
-		const {endsAt, metrics, clock} = this.#context;
-		if (endsAt() !== undefined) {
+		const {stop, metrics, clock} = this.#context;
+		if (stop.endsAt !== undefined) {
 			response.shouldKeepAlive = false;
 		}
 
--- a/packages/gateway/src/entry/create-entry-context.ts
+++ b/packages/gateway/src/entry/create-entry-context.ts
@@ -36,8 +36,8 @@
 	readonly serverWaiters: StepNotifier;
 	/** Returns the current configuration; undefined until the first one is received. */
 	readonly table: () => RouteTable | undefined;
-	/** Returns when the instance stops, in milliseconds on the monotonic clock; undefined unless it is shutting down. */
-	readonly endsAt: () => number | undefined;
+	/** The stop of the instance. */
+	readonly stop: EntryContext['stop'];
 	/** Asks the control instances to confirm the state at once. */
 	readonly confirmState: () => void;
 };
@@ -65,7 +65,7 @@
 */
 export function createEntryContext(options: EntryInstanceOptions, parts: EntryContextParts): CreatedEntryContext {
 	const {clock, random, zone, self, run} = options;
-	const {suspension, peers, poolLoads, rollouts, replyWaiters, serverWaiters, table, endsAt, confirmState} = parts;
+	const {suspension, peers, poolLoads, rollouts, replyWaiters, serverWaiters, table, stop, confirmState} = parts;
 	const notes = new DecisionNotes({sampledShare: options.notedShare});
 	const servers = new EntryServers({
 		zone,
@@ -127,7 +127,7 @@
 			availability: servers.availability,
 			picture: () => poolLoads.picture(),
 			table,
-			endsAt,
+			endsAt: () => stop.endsAt,
 		}),
 		latencies: new LatencyEstimator(clock),
 		escalations: new EscalationDemand({
@@ -142,7 +142,7 @@
 		nextReply: async timeout => Promise.race([replyWaiters.waitForNext(), options.wait(timeout)]),
 		nextServerChange: async timeout => Promise.race([serverWaiters.waitForNext(), options.wait(timeout)]),
 		rolloutOf: service => rollouts.forService(service),
-		endsAt,
+		stop,
 		tellRelay: options.send,
 		tellRejection: rejection => peers.tellRejection(rejection),
 		reportLimit: confirmState,
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -16,6 +16,7 @@
 import {type EntrySuspects} from './entry-suspects.js';
 import {type EscalationDemand} from './escalation-demand.js';
 import {type EvidenceCounter} from './evidence-counter.js';
+import {type InstanceStop} from './instance-stop.js';
 import {type BrittleRejection} from './known-peers.js';
 import {type LatencyEstimator} from './latency-estimator.js';
 import {type PoolLoads} from './pool-loads.js';
@@ -76,6 +77,6 @@
 	readonly tellRelay: (relay: InstanceId, message: ServerNoticeMessage) => void;
 	/** Tells other instances that a brittle server rejected a request; returns for how long this one leaves it alone, in milliseconds. */
 	readonly tellRejection: (rejection: BrittleRejection) => number;
-	/** Returns when the instance stops, in milliseconds on the monotonic clock; undefined unless it is shutting down. */
-	readonly endsAt: () => number | undefined;
+	/** The stop of the instance. */
+	readonly stop: Pick<InstanceStop, 'endsAt' | 'answersDueAt' | 'watch'>;
 };
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -21,6 +21,7 @@
 import {type EntryContext} from './entry-context.js';
 import {type EntryInstanceOptions} from './entry-instance-options.js';
 import {handleRequest} from './handle-request.js';
+import {InstanceStop} from './instance-stop.js';
 import {KnownPeers} from './known-peers.js';
 import {LoadExchange} from './load-exchange.js';
 import {PoolLoads} from './pool-loads.js';
@@ -68,11 +69,12 @@
 	#hadLease = false;
 	readonly #responses = new ResponsesInProgress();
 	readonly #turns = new ConnectionTurns();
-	#endsAt: number | undefined;
+	readonly #stop: InstanceStop;
 
 	constructor(options: EntryInstanceOptions) {
 		const {clock} = options;
 		this.#options = options;
+		this.#stop = new InstanceStop(clock);
 		this.#rollouts = new KnownRollouts(options);
 		this.#peers = new KnownPeers(options);
 		this.#loadExchange = new LoadExchange({
@@ -99,14 +101,14 @@
 			replyWaiters: this.#replyWaiters,
 			serverWaiters: this.#serverWaiters,
 			table: () => this.#table,
-			endsAt: () => this.#endsAt,
+			stop: this.#stop,
 			confirmState: () => {
 				this.#watch.requestConfirmation();
 			},
 		});
 		this.#context = context;
 		this.#reporter = reporter;
-		this.tunnels = new ServerTunnels({...this.#context, isStopping: () => this.#endsAt !== undefined});
+		this.tunnels = new ServerTunnels({...this.#context, isStopping: () => this.#stop.endsAt !== undefined});
 		this.#watch = new ControlWatch({
 			...options,
 			suspension,
@@ -131,7 +133,7 @@
 	/** Whether the instance is ready for requests: it has a configuration with a valid lease and is not shutting down. */
 	get isReady(): boolean {
 		const now = this.#options.clock.monotonic();
-		return this.#endsAt === undefined && this.#table !== undefined && (!this.#table.needsKeys || this.#context.lease.isValid(now));
+		return this.#stop.endsAt === undefined && this.#table !== undefined && (!this.#table.needsKeys || this.#context.lease.isValid(now));
 	}
 
 	/** What this instance believes of the servers, and why its latest requests went where they went. */
@@ -163,12 +165,12 @@
 	}
 
 	/**
-	Begins the shutdown: from now on, the instance reports that it is not ready, and answers ask callers to close their connections.
+	Begins the shutdown: from now on, the instance reports that it is not ready, answers ask callers to close their connections, and requests whose time limits end too late are refused as not run.
 
 	@param endsAt When all connections will be closed, in milliseconds on the monotonic clock.
 	*/
 	beginStop(endsAt: number): void {
-		this.#endsAt = endsAt;
+		this.#stop.begin(endsAt);
 	}
 
 	/**
@@ -216,6 +218,7 @@
 
 	/** Closes all connections. */
 	close(): void {
+		this.#stop.close();
 		this.#watch.stop();
 		this.#context.links.stop();
 		this.#context.relays.close();
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -1,17 +1,17 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Failure, failure} from '@valehitch/core';
+import {type HeldBytes, mayStartWhileStopping} from '@valehitch/routing';
 import {abortResponse} from '@valehitch/transport';
-import {type Route} from '../configuration/routing-configuration.js';
+import {type Either} from 'purify-ts';
 import {authorizeAtStartup} from './authorize-at-startup.js';
+import {deadlineOf} from './deadline-of.js';
 import {type EntryContext} from './entry-context.js';
 import {type GatewayRequest} from './gateway-request.js';
+import {type StopMoment} from './instance-stop.js';
 import {readCallerBody} from './read-caller-body.js';
 import {RequestRun} from './request-run.js';
+import {shuttingDownFailure} from './shutting-down-failure.js';
 
-/** The duration that nearly all streams stay below. During a shutdown, streams that arrive with less time left would be cut off, so they are refused. */
-const typicalStreamMilliseconds = 4700;
-/** The retry delay during a shutdown, in milliseconds: other instances can accept the request immediately. */
-const shutdownRetryMilliseconds = 10;
 /** The maximum size of a body until the first configuration arrives, in bytes. */
 const defaultBodyBytes = 4_194_304;
 
@@ -52,18 +52,13 @@
 		return;
 	}
 
-	const {route} = authorized.unsafeCoerce();
-	if (!canFinish(route, {endsAt: context.endsAt(), now: context.clock.monotonic()})) {
-		message.resume();
-		const failed = failure('shutting-down', 'This instance is shutting down; send the request to another instance', {retryAfterMilliseconds: shutdownRetryMilliseconds});
-		refuse(context, {request, response, failed});
-		return;
-	}
-
+	const admitted = authorized.unsafeCoerce();
 	const held = context.memory.open();
 	try {
-		const body = await readCallerBody(message, {memory: context.memory, held, maximumBytes: context.table()?.limits.bodyBytes ?? defaultBodyBytes});
-		if (response.destroyed) {
+		const body = await readUnlessStopping(context, {
+			request, message, response, held, deadlineAt: deadlineOf(request, {route: admitted.route, arrivedAt}),
+		});
+		if (body === undefined || response.destroyed) {
 			return;
 		}
 
@@ -73,21 +68,45 @@
 		}
 
 		await new RequestRun(context, {
-			request, body: body.unsafeCoerce(), held, response, authorized: authorized.unsafeCoerce(), arrivedAt,
+			request, body: body.unsafeCoerce(), held, response, authorized: admitted, arrivedAt,
 		}).run();
 	} finally {
 		held.set(0);
 	}
 }
 
-/** Checks whether a request that arrives now is expected to finish before the instance stops. */
-function canFinish({kind, timeout}: Route, {endsAt, now}: {readonly endsAt: number | undefined; readonly now: number}): boolean {
-	if (endsAt === undefined) {
-		return true;
+type ArrivingBody = {
+	readonly request: GatewayRequest;
+	readonly message: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly held: HeldBytes;
+	/** The deadline of the request, in milliseconds on the monotonic clock. */
+	readonly deadlineAt: number;
+};
+
+/** Reads the body of a request. If the instance stops too early for the request, refuses it without waiting for the rest of the body; returns undefined then. */
+async function readUnlessStopping(context: EntryContext, {request, message, response, held, deadlineAt}: ArrivingBody): Promise<Either<Failure, Uint8Array> | undefined> {
+	const {stop, clock, memory, table} = context;
+	let isRefused = false;
+	const refuseIfLate = (moment: StopMoment): void => {
+		if (!isRefused && (moment === 'answers-due' || !mayStartWhileStopping({
+			deadlineAt, answersDueAt: stop.answersDueAt, isNotRun: true, now: clock.monotonic(),
+		}))) {
+			isRefused = true;
+			message.resume();
+			refuse(context, {request, response, failed: shuttingDownFailure('the time limit of the request ends too late')});
+		}
+	};
+
+	refuseIfLate('begun');
+	if (isRefused) {
+		return undefined;
 	}
 
-	const needed = kind === 'streaming' ? Math.min(timeout, typicalStreamMilliseconds) : timeout;
-	return now + needed < endsAt;
+	const unwatch = stop.watch(refuseIfLate);
+	const body = await readCallerBody(message, {memory, held, maximumBytes: table()?.limits.bodyBytes ?? defaultBodyBytes});
+	unwatch();
+	return isRefused ? undefined : body;
 }
 
 /** Answers a request that could not be handled, or breaks off the answer if it has begun; one that is complete is left as it is. */
@@ -112,12 +131,12 @@
 };
 
 function refuse(context: EntryContext, {request, response, failed}: RefusedRequest): void {
-	const {log, table, lease, clock, endsAt, notes} = context;
+	const {log, table, lease, clock, stop, notes} = context;
 	log('request-refused', {
 		request: request.id, error: failed.kind, reason: failed.message, configuration: table()?.version, confirmedAgo: Math.round(lease.age(clock.monotonic())),
 	}, 'warn');
 	notes.record(request.id, {at: clock.monotonic(), kind: 'refused', facts: {error: failed.kind, reason: failed.message}});
-	if (endsAt() !== undefined) {
+	if (stop.endsAt !== undefined) {
 		response.shouldKeepAlive = false;
 	}
 
--- /dev/null
+++ b/packages/gateway/src/entry/instance-stop.ts
@@ -0,0 +1,83 @@
+import {type Clock} from '@valehitch/core';
+import {setTimeoutAfterPoll} from '@valehitch/transport';
+
+/** A moment of a stop at which requests look again at whether they can go on. */
+export type StopMoment = 'begun' | 'answers-due';
+
+/** Called at each moment of a stop. */
+export type StopListener = (moment: StopMoment) => void;
+
+/** The part of the grace period in which the last answers are written, in milliseconds: a process with a small share of a core has time to write them before its connections are closed. */
+const answerMarginMilliseconds = 300;
+
+/**
+The stop of an instance: when it ends, and the requests that must know of it.
+
+@example
+```ts
+const stop = new InstanceStop(clock);
+const unwatch = stop.watch(moment => log(moment));
+stop.begin(7300);
+unwatch();
+```
+*/
+export class InstanceStop {
+	readonly #clock: Pick<Clock, 'monotonic'>;
+	readonly #listeners = new Set<StopListener>();
+	#endsAt: number | undefined;
+	#cancelTimer: (() => void) | undefined;
+
+	/**
+	@param clock The clock.
+	*/
+	constructor(clock: Pick<Clock, 'monotonic'>) {
+		this.#clock = clock;
+	}
+
+	/** When all connections are closed, in milliseconds on the monotonic clock; undefined unless the instance stops. */
+	get endsAt(): number | undefined {
+		return this.#endsAt;
+	}
+
+	/** When every request without an answer is given one, in milliseconds on the monotonic clock; undefined unless the instance stops. */
+	get answersDueAt(): number | undefined {
+		return this.#endsAt === undefined ? undefined : this.#endsAt - answerMarginMilliseconds;
+	}
+
+	/**
+	Begins the stop.
+
+	@param endsAt When all connections are closed, in milliseconds on the monotonic clock.
+	*/
+	begin(endsAt: number): void {
+		this.#endsAt = endsAt;
+		this.#notify('begun');
+		this.#cancelTimer = setTimeoutAfterPoll(Math.max(0, endsAt - answerMarginMilliseconds - this.#clock.monotonic()), () => {
+			this.#notify('answers-due');
+		});
+	}
+
+	/**
+	Tells a request of the moments of the stop.
+
+	@param listener Called at each of them.
+	@returns A function that ends this.
+	*/
+	watch(listener: StopListener): () => void {
+		this.#listeners.add(listener);
+		return () => {
+			this.#listeners.delete(listener);
+		};
+	}
+
+	/** Ends the wait for the last answers. */
+	close(): void {
+		this.#cancelTimer?.();
+	}
+
+	#notify(moment: StopMoment): void {
+		for (const listener of this.#listeners) {
+			listener(moment);
+		}
+	}
+}
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -6,6 +6,7 @@
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
 import {CallerAnswer} from './caller-answer.js';
+import {deadlineOf} from './deadline-of.js';
 import {type EntryContext} from './entry-context.js';
 import {endExpired} from './end-expired.js';
 import {EventStream} from './event-stream.js';
@@ -16,6 +17,7 @@
 import {type RequestRunOptions, type StartedSend} from './request-run-options.js';
 import {promptWork} from './prompt-work.js';
 import {RunAdmission} from './run-admission.js';
+import {RunStop} from './run-stop.js';
 import {SuspectRequest} from './suspect-request.js';
 import {SendAllowance} from './send-allowance.js';
 import {type CancellableSend} from './send-attempt.js';
@@ -62,6 +64,7 @@
 	readonly #suspect: SuspectRequest;
 	readonly #search: ServerSearch;
 	readonly #admission: RunAdmission;
+	readonly #stop: RunStop;
 	/** The authorization of the last send; that of the arrival before the first one. */
 	#sentAs: AuthorizedRequest;
 	/** The authorization with which the request starts over, because its route or workspace has changed before it was sent. */
@@ -78,7 +81,7 @@
 		this.#authorized = authorized;
 		this.#sentAs = authorized;
 		this.#arrivedAt = arrivedAt;
-		this.#deadlineAt = arrivedAt + Math.min(request.timeout ?? route.timeout, route.timeout);
+		this.#deadlineAt = deadlineOf(request, {route, arrivedAt});
 		this.#events = new EventStream(request.lastEventId);
 		this.#answer = new CallerAnswer(context, {
 			request, response, kind: route.kind, arrivedAt,
@@ -109,6 +112,16 @@
 		this.#admission = new RunAdmission(context, {
 			request, authorized, service: this.#placement.service, models: this.#models, arrivedAt, deadlineAt: this.#deadlineAt,
 		});
+		this.#stop = new RunStop(context, {
+			deadlineAt: this.#deadlineAt,
+			answer: this.#answer,
+			end: this.#end,
+			currentSend: () => this.#sent?.attempt,
+			onEnded: () => {
+				this.#kept.discard();
+				this.#admission.end();
+			},
+		});
 		this.#kept = new KeptAnswers({
 			clock: context.clock,
 			deadlineAt: this.#deadlineAt,
@@ -133,6 +146,7 @@
 		const stopTimeout = setTimeoutAfterPoll(this.#deadlineAt - this.#now(), () => {
 			this.#expire();
 		});
+		const stopWatchingStop = this.#stop.watch();
 		const stopListening = this.#suspect.onQuarantine(() => {
 			this.#cancelUnanswered();
 		});
@@ -143,6 +157,7 @@
 			await this.#sendUntilEnded();
 		} finally {
 			stopTimeout();
+			stopWatchingStop();
 			stopListening();
 			stopWatching();
 			this.#release();
@@ -156,6 +171,11 @@
 	}
 
 	async #sendUntilEnded(): Promise<void> {
+		if (!this.#stop.maySend) {
+			this.#end.fail(this.#stop.refusal);
+			return;
+		}
+
 		this.#context.budget.deposit(this.#placement.service, this.#now());
 		const rejected = await this.#admission.admit();
 		let next: NextStep = rejected === undefined ? 'retry' : this.#end.fail(rejected);
@@ -215,6 +235,10 @@
 			return 'ended';
 		}
 
+		if (!this.#stop.maySend) {
+			return this.#fail(this.#stop.refusal);
+		}
+
 		const {standing} = this.#suspect;
 		if (standing === 'quarantined') {
 			return this.#fail(this.#suspect.refusal);
@@ -264,9 +288,10 @@
 		return route.id === former.route.id && workspace?.id === former.workspace?.id && route.services.some(({service}) => service === this.#placement.service);
 	}
 
-	/** Whether the request may be written once its connection has opened: by the deadline, the state of the server and, for the first send, the configuration. */
+	/** Whether the request may be written once its connection has opened: by the deadline, the stop of the instance, the state of the server and, for the first send, the configuration. */
 	#mayStillSend({id}: ServerRecord): boolean {
 		return this.#now() < this.#deadlineAt
+			&& this.#stop.maySend
 			&& this.#context.servers.availability.includes(id)
 			&& (this.#allowance.sends > 1 || this.#authorizeAnew().map(current => this.#isAuthorizedAs(current)).orDefault(false));
 	}
@@ -469,7 +494,7 @@
 	#chooseLargerModel({confidence}: AnswerHead, latency: number): ModelId | undefined {
 		// If two servers ended during the request, do not put a second server at risk at the same time.
 		const isCrashLikely = ['doubtful', 'quarantined'].includes(this.#suspect.standing);
-		if (isCrashLikely || this.#answer.hasStarted || this.#events.lastEventId !== undefined) {
+		if (isCrashLikely || this.#answer.hasStarted || this.#events.lastEventId !== undefined || !this.#stop.mayImprove) {
 			return undefined;
 		}
 
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -20,6 +20,7 @@
 export * from './held-memory.js';
 export * from './leased-rate-limiter.js';
 export * from './may-relay.js';
+export * from './may-start-while-stopping.js';
 export * from './no-picture.js';
 export * from './outlier-ejection.js';
 export * from './place-share.js';
