gateway: send no more requests through another instance once it stops

Callers saw: while an instance had no links of its own to servers and sent its requests through others, the planned stop of one of those cut requests at the end of its grace period; ones that may be repeated ran twice.

Cause: whether a connection may go through an instance is decided when it is opened. The kept connections of the pool went on taking new requests through the instance that stopped, so that they were open until its end.

Change: an instance that begins to stop tells the instances that have connections to servers open through it (relay-stopping). These close the idle ones, keep none of the others once its request has ended, and ask other instances first. A control instance that gets the message ignores it, as it does the others of entry instances.

Why it works: connections through the instance end with the requests that were under way, which the stop already waits for.

--- a/packages/gateway/src/control/control-instance.ts
+++ b/packages/gateway/src/control/control-instance.ts
@@ -266,7 +266,7 @@
 				this.#poolWork.receive(from, summary);
 				return true;
 			})
-			.with({type: 'load'}, {type: 'server-notice'}, {type: 'borrow-sends'}, () => undefined)
+			.with({type: 'load'}, {type: 'server-notice'}, {type: 'borrow-sends'}, {type: 'relay-stopping'}, () => undefined)
 			.exhaustive();
 	}
 
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -225,6 +225,11 @@
 	readonly pause: number | undefined;
 };
 
+/** Tells an entry instance that has connections to servers open through the sender that the sender shuts down. */
+export type RelayStoppingMessage = {
+	readonly type: 'relay-stopping';
+};
+
 /** Asks another entry instance for sends to servers with rate limits that it does not need. */
 export type BorrowMessage = {
 	readonly type: 'borrow-sends';
@@ -239,7 +244,7 @@
 };
 
 /** The messages that entry instances send to each other. */
-export type EntryMessage = LoadMessage | ServerNoticeMessage | BorrowMessage;
+export type EntryMessage = LoadMessage | ServerNoticeMessage | BorrowMessage | RelayStoppingMessage;
 
 /** The messages exchanged by the instances of a gateway. */
 export type PeerMessage
--- a/packages/gateway/src/entry/create-server-relays.test.ts
+++ b/packages/gateway/src/entry/create-server-relays.test.ts
@@ -77,6 +77,19 @@
 	relays.close();
 });
 
+test('no connection through a relay that shuts down is used for another request', async t => {
+	const port = await listenCounting(t);
+	const relays = createRelays(openSocket);
+	const relay = relays.choose(new Set())!;
+	t.is(await connectionOf(sendOptions(port, {relay})), '0');
+	t.is(await connectionOf(sendOptions(port, {relay})), '0');
+	relays.retire(relay.instance);
+	t.is(await connectionOf(sendOptions(port, {relay})), '1');
+	t.is(await connectionOf(sendOptions(port, {relay})), '2');
+	t.not(relays.choose(new Set())?.instance, relay.instance);
+	relays.close();
+});
+
 test('a relay that cannot be used comes last for a time, and says nothing about the server', async t => {
 	const relays = createRelays(failing('peer-unavailable'));
 	for (const peer of peers) {
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -177,7 +177,7 @@
 	Handles a message from another entry instance.
 
 	@param from The sender.
-	@param message The load of the sender at each server, what a server said in an answer that came through this instance, or a request for sends.
+	@param message The load of the sender at each server, what a server said in an answer that came through this instance, that the sender shuts down, or a request for sends.
 	@returns The reply to a request for sends; undefined for the others.
 	*/
 	receive(from: InstanceId, message: EntryMessage): BorrowReply | undefined {
@@ -190,6 +190,10 @@
 				this.#applyNotice(notice);
 				return undefined;
 			})
+			.with({type: 'relay-stopping'}, () => {
+				this.#context.relays.retire(from);
+				return undefined;
+			})
 			.with({type: 'borrow-sends'}, wanted => this.#context.borrower.lend(wanted))
 			.exhaustive();
 	}
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -156,7 +156,7 @@
 
 /** Handles a message of a peer: those of entry instances go to the entry instance, all others to the control instance. */
 async function handlePeerMessage({control, entry}: Parts, from: InstanceId, message: PeerMessage): Promise<unknown> {
-	if (message.type === 'load' || message.type === 'server-notice' || message.type === 'borrow-sends') {
+	if (message.type === 'load' || message.type === 'server-notice' || message.type === 'relay-stopping' || message.type === 'borrow-sends') {
 		return entry?.receive(from, message);
 	}
 
@@ -247,6 +247,10 @@
 	const stop = async (): Promise<void> => {
 		const stopBy = clock.monotonic() + gracePeriod - closeMarginMilliseconds;
 		entry.beginStop(stopBy);
+		for (const peer of context.network.tunnelPeers) {
+			context.network.send(peerAddress(settings(), peer), {type: 'relay-stopping'});
+		}
+
 		await delay(Math.min(removalMilliseconds, gracePeriod - closeMarginMilliseconds));
 		await tunnelsClosed(context, stopBy);
 		// Nothing is awaited between, since the instance takes requests until it closes.
--- a/packages/testing/src/planned-stops.test.ts
+++ b/packages/testing/src/planned-stops.test.ts
@@ -5,6 +5,7 @@
 import {routeKindsConfiguration, routeKindsHost} from './platform/route-kinds-configuration.js';
 import {type LateBodyAnswer, sendLateBody} from './platform/send-late-body.js';
 import {sendSteadily} from './platform/send-steadily.js';
+import {cutServerLinks, serverCutEnvironment} from './platform/server-cut.js';
 import {startBackendProcesses} from './platform/start-backend-processes.js';
 import {waitUntil} from './wait-until.js';
 
@@ -116,3 +117,38 @@
 	t.true(count(notRun) > 0);
 	t.is(end?.code, 0);
 });
+
+test.serial('requests that an instance sends through another one are not cut when that one stops', async t => {
+	const deployment = await PlatformDeployment.start({controlCount: 1, entryCount: 3, environment: instance => serverCutEnvironment(instance)});
+	const backends = await startBackendProcesses(t, {
+		deployment, servers: ['1', '2'].map(number => ({id: `labels-${number}`, service: 'labels', answer: {firstEventDelay: 700}})),
+	});
+	await putConfiguration(deployment, configuration());
+	const [sender, stopping] = deployment.entries as unknown as readonly [PlatformDeployment['entries'][number], PlatformDeployment['entries'][number]];
+	const send = async (index: number | string): Promise<LateBodyAnswer & {readonly id: string}> => {
+		const id = `t${index}`;
+		const answer = await sendLateBody({
+			address: sender.address, method: 'POST', path: `/look/${index}`, headers: {Host: routeKindsHost, 'Attempt-Id': id, 'Deadline-Ms': String(plainMilliseconds)}, body: 'label', bodyDelay: 0,
+		});
+		return {...answer, id};
+	};
+
+	let attempts = 0;
+	const waitUntilServed = async (description: string) => waitUntil(async () => {
+		const {status} = await send(`first-${++attempts}`);
+		return status === ok || undefined;
+	}, {description});
+	await waitUntilServed('a first answer');
+	await cutServerLinks(sender, 'refused');
+	await waitUntilServed('an answer through another instance');
+	// Both of the other instances have connections to servers open for this one.
+	const warm = await sendSteadily({perSecond: 20, duration: 2000, send: async index => send(`warm-${index}`)});
+	const stopped = stopping.process.stop();
+	const answers = await sendSteadily({perSecond: 20, duration: 6000, send});
+	await stopped;
+	const runsByServer = await Promise.all(backends.map(async backend => backend.readRuns()));
+	const runs = runsByServer.flat().map(({id}) => id);
+	t.log(`${answers.length} requests after the signal, ${warm.length} before`);
+	t.deepEqual(answers.filter(({status, isComplete}) => status !== ok || !isComplete).map(({id, status, text}) => `${id}: ${status} ${text}`), []);
+	t.deepEqual(answers.filter(({id}) => runs.filter(run => run === id).length !== 1).map(({id}) => id), []);
+});
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -184,6 +184,11 @@
 		return this.#tunnels.count;
 	}
 
+	/** The peers that have these tunnels open. */
+	get tunnelPeers(): ReadonlySet<InstanceId> {
+		return this.#tunnels.peers;
+	}
+
 	/**
 	Opens a connection to a target through a peer.
 
--- a/packages/transport/src/relay.ts
+++ b/packages/transport/src/relay.ts
@@ -41,6 +41,16 @@
 		this.singleUse = new TunnelAgent(open, {keepAlive: false});
 	}
 
+	/** Keeps no connection through the relay any longer: idle ones are closed, and the others once their requests have ended. */
+	retire(): void {
+		this.pool.maxFreeSockets = 0;
+		for (const sockets of Object.values(this.pool.freeSockets)) {
+			for (const socket of sockets ?? []) {
+				socket.destroy();
+			}
+		}
+	}
+
 	/**
 	Checks whether a server accepts a connection from the relay, without sending a request.
 
--- a/packages/transport/src/server-relays.ts
+++ b/packages/transport/src/server-relays.ts
@@ -61,6 +61,8 @@
 export class ServerRelays {
 	readonly #options: ServerRelaysOptions;
 	readonly #relays = new Map<InstanceId, Relay>();
+	/** The latest relay of each instance that has stopped, through which requests may still be under way. */
+	readonly #retired = new Map<InstanceId, Relay>();
 
 	constructor(options: ServerRelaysOptions) {
 		this.#options = options;
@@ -93,13 +95,30 @@
 		return relay;
 	}
 
+	/**
+	Sends no more requests through an instance that is shutting down; those under way go on. A later process of the instance is a new relay.
+
+	@param instance The instance.
+	*/
+	retire(instance: InstanceId): void {
+		const {selector, clock} = this.#options;
+		selector.recordFailure(instance, clock.monotonic());
+		const relay = this.#relays.get(instance);
+		if (relay !== undefined) {
+			relay.retire();
+			this.#relays.delete(instance);
+			this.#retired.set(instance, relay);
+		}
+	}
+
 	/** Closes the kept connections of all relays. */
 	close(): void {
-		for (const {pool} of this.#relays.values()) {
+		for (const {pool} of [...this.#relays.values(), ...this.#retired.values()]) {
 			pool.destroy();
 		}
 
 		this.#relays.clear();
+		this.#retired.clear();
 	}
 
 	async #open(instance: InstanceId, target: TunnelTarget): Promise<Either<TunnelFailure, OpenedTunnel>> {
--- a/packages/transport/src/tunnel-server.ts
+++ b/packages/transport/src/tunnel-server.ts
@@ -36,7 +36,7 @@
 */
 export class TunnelServer {
 	readonly #options: TunnelServerOptions;
-	readonly #callers = new Set<Socket>();
+	readonly #callers = new Map<Socket, InstanceId>();
 
 	constructor(options: TunnelServerOptions) {
 		this.#options = options;
@@ -47,6 +47,11 @@
 		return this.#callers.size;
 	}
 
+	/** The peers that have opened these tunnels. */
+	get peers(): ReadonlySet<InstanceId> {
+		return new Set(this.#callers.values());
+	}
+
 	/**
 	Handles a CONNECT request.
 
@@ -73,12 +78,13 @@
 			return;
 		}
 
-		if (!this.#options.isAllowed(toId<InstanceId>(String(headers[tunnelHeader.instance] ?? '')), target)) {
+		const peer = toId<InstanceId>(String(headers[tunnelHeader.instance] ?? ''));
+		if (!this.#options.isAllowed(peer, target)) {
 			refuse(unavailableStatus);
 			return;
 		}
 
-		this.#callers.add(caller);
+		this.#callers.set(caller, peer);
 		caller.on('close', () => {
 			this.#callers.delete(caller);
 		});
@@ -90,7 +96,7 @@
 
 	/** Resets all tunnels, so that no answer that is under way looks complete. */
 	close(): void {
-		for (const caller of this.#callers) {
+		for (const caller of this.#callers.keys()) {
 			// A reset fails while the end is being sent, and would leave the connection open.
 			if (caller.writableEnded && caller.writableLength === 0) {
 				caller.destroy();
