gateway: close the connection of an answer that is thrown away, unless its body is short

Callers saw: while servers rejected requests with 503 or 421 (not run) and bodies without end, callers of other services of the same machine waited seconds or got no answer. Cause: the body of a rejection was read to its end, however long, without any bound. Conclusion: mended for the answers of servers that have not run the request.

--- a/packages/gateway/src/entry/endless-answers.test.ts
+++ b/packages/gateway/src/entry/endless-answers.test.ts
@@ -22,6 +22,10 @@
 	'a status line': {start: 'HTTP/1.1 200 ', rest: filler},
 	'the size of a chunk': {start: `${chunkHead}\r\n`, rest: '0'.repeat(16 * 1024)},
 	'an extension of a chunk': {start: `${chunkHead}\r\n1;a=`, rest: filler},
+	'the body of a rejection in chunks': {start: 'HTTP/1.1 429 Busy\r\nTransfer-Encoding: chunked\r\n\r\n', rest: fillerChunk},
+	'the size of a chunk of a rejection': {start: 'HTTP/1.1 429 Busy\r\nTransfer-Encoding: chunked\r\n\r\n', rest: '0'.repeat(16 * 1024)},
+	'the body of a rejection with a length': {start: `HTTP/1.1 429 Busy\r\nContent-Length: ${2 * mostBytes}\r\n\r\n`, rest: filler},
+	'the body of a rejection without a length': {start: 'HTTP/1.1 429 Busy\r\n\r\n', rest: filler},
 	trailers: {start: `${chunkHead}\r\n0\r\n`, rest: 'A: b\r\n'.repeat(2000)},
 	'an event': {start: `${chunkHead}Content-Type: text/event-stream\r\n\r\n`, rest: fillerChunk, kind: 'streaming'},
 	'bytes that are no answer': {start: '', rest: filler},
@@ -29,7 +33,11 @@
 
 /** Starts two servers, of which the first that gets a request answers without end, and the other one well. */
 async function startServers(t: ExecutionContext, {start, rest, goodAnswer}: {readonly start: string; readonly rest: string; readonly goodAnswer: string}) {
-	const sent = {bytes: 0, isClosed: false};
+	let onClose: (() => void) | undefined;
+	const closed = new Promise<void>(resolve => {
+		onClose = resolve;
+	});
+	const sent = {bytes: 0, closed};
 	let requests = 0;
 	const sockets = new Set<Socket>();
 	const answer = (socket: Socket): void => {
@@ -41,6 +49,10 @@
 
 		socket.write(start);
 		const pump = (): void => {
+			if (sent.bytes >= mostBytes) {
+				socket.destroy();
+			}
+
 			while (!socket.destroyed && sent.bytes < mostBytes) {
 				sent.bytes += rest.length;
 				if (!socket.write(rest)) {
@@ -52,7 +64,7 @@
 
 		pump();
 		socket.on('close', () => {
-			sent.isClosed = true;
+			onClose?.();
 		});
 	};
 
@@ -94,7 +106,7 @@
 			}),
 		});
 		t.is(answers[0]?.text, text);
+		await sent.closed;
 		t.true(sent.bytes < mostBytes, `${sent.bytes} bytes`);
-		t.true(sent.isClosed);
 	});
 }
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -3,6 +3,7 @@
 import {match} from 'ts-pattern';
 import {type AnswerClass, classifyAnswer} from './classify-answer.js';
 import {collectAnswer} from './collect-answer.js';
+import {discardBody} from './discard-body.js';
 import {forwardStream} from './forward-stream.js';
 import {type AnswerHead} from './gateway-request.js';
 import {handleLoss} from './handle-loss.js';
@@ -101,7 +102,7 @@
 	context.servers.recordData(server.id, context.clock.monotonic());
 	return match(answerClass)
 		.with('other-request', 'unverified', () => handleUnverified(message, head, options))
-		.with('not-run', () => handleNotRun(message, head, options))
+		.with('not-run', () => handleNotRun(received, head, options))
 		.with('failed', async () => handleFailedAnswer(received, head, options))
 		.with('good', async () => route.kind === 'streaming' ? handleStream(received, head, options) : handlePlainAnswer(received, options))
 		.exhaustive();
@@ -119,8 +120,8 @@
 	return unknownOutcome(`${server.id} answered request ${requestId ?? '(no id)'}; expected a signed answer to request ${request.id}`);
 }
 
-function handleNotRun(message: IncomingMessage, {status, isFromOtherServer}: AnswerHead, {context, request, results, server}: HandleOutcomeOptions): OutcomeStep {
-	message.resume();
+function handleNotRun({message, framing}: ReceivedHead, {status, isFromOtherServer}: AnswerHead, {context, request, results, server}: HandleOutcomeOptions): OutcomeStep {
+	discardBody(message, framing);
 	if (isFromOtherServer) {
 		results.record(server, 'gone');
 	}
