transport: stop the parser at the 65th interim answer, also inside a chunk

Cause: interim answers were counted after each had become an object of the HTTP client, and a chunk of 64 KiB has 2,300 of them, all of which were parsed after the connection had been given up. Evidence: 'interim answers without end are not parsed beyond a maximum, also in one chunk', red with the stop taken out: 2000 interim answers came for 65. Change: the lines of heads, which are followed before the parser gets them, count interim answers; beyond 64 the rest of the chunk is overwritten, at which the parser ends the connection. Why it works: the parser reads the same bytes, and nothing of them becomes an object. Conclusion: both entry stacks have it, as they share the watch.

--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -38,8 +38,6 @@
 
 /** The interval at which it is checked whether a request can go on without a send whose timeout has passed, in milliseconds; a small part of the time of most requests. */
 const overdueMilliseconds = 100;
-/** The number of interim answers (1xx) after which the connection is closed; a server may send them without end. */
-const maximumInterimAnswers = 64;
 
 /** The timeouts for the head of an answer. */
 export type HeadTimeouts = {
@@ -154,7 +152,12 @@
 async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isOpen, progress}: SendState): Promise<SendOutcome> {
 	const {server, method, relay, connectTimeout, headTimeouts, isServerRunning, clock} = options;
 	const arrivals = new ArrivalWatch(clock);
-	const isHeadMalformed = watchHead(request);
+	let excess: string | undefined;
+	const isHeadMalformed = watchHead(request, {
+		onExcess(reason) {
+			excess = reason;
+		},
+	});
 	return new Promise(resolve => {
 		let isSilent = false;
 		let isSettled = false;
@@ -184,7 +187,7 @@
 				return;
 			}
 
-			const reason = error.message;
+			const reason = excess ?? error.message;
 			if (isCancelled()) {
 				settle({type: 'cancelled'});
 			} else if (progress.isWithheld) {
@@ -202,13 +205,6 @@
 			}
 		};
 
-		let interimAnswers = 0;
-		request.on('information', () => {
-			interimAnswers++;
-			if (interimAnswers > maximumInterimAnswers) {
-				request.destroy(new Error(`More than ${maximumInterimAnswers} interim answers`));
-			}
-		});
 		request.on('response', message => {
 			if (isHeadMalformed()) {
 				fail(new Error(malformedHead));
--- a/packages/transport/src/_head-lines.ts
+++ b/packages/transport/src/_head-lines.ts
@@ -10,7 +10,7 @@
 @example
 ```ts
 const lines = new HeadLines();
-lines.push(chunk);
+lines.push(chunk, 64);
 lines.areMalformed;
 ```
 */
@@ -18,6 +18,7 @@
 	#hasEnded = false;
 	#areMalformed = false;
 	#isInterim = false;
+	#interimAnswers = 0;
 	#afterCarriageReturn = false;
 	/** The bytes of the head and of the line so far, without line ends. */
 	#headLength = 0;
@@ -28,19 +29,30 @@
 		return this.#areMalformed;
 	}
 
+	/** The number of interim answers. */
+	get interimAnswers(): number {
+		return this.#interimAnswers;
+	}
+
 	/**
-	Appends bytes of the connection. Those after the end of the head are left out of account.
+	Appends bytes of the connection, up to the end of the head, of a malformed line, or of one interim answer more than the maximum.
 
 	@param bytes The bytes.
+	@param maximumInterimAnswers The number of interim answers.
+	@returns The position after the last byte that was read.
 	*/
-	push(bytes: Uint8Array): void {
+	push(bytes: Uint8Array, maximumInterimAnswers: number): number {
+		let position = 0;
 		for (const byte of bytes) {
-			if (this.#hasEnded || this.#areMalformed) {
-				return;
+			if (this.#hasEnded || this.#areMalformed || this.#interimAnswers > maximumInterimAnswers) {
+				break;
 			}
 
 			this.#read(byte);
+			position++;
 		}
+
+		return position;
 	}
 
 	#read(byte: number): void {
@@ -64,6 +76,7 @@
 		}
 
 		this.#hasEnded = !this.#isInterim;
+		this.#interimAnswers += Number(this.#isInterim);
 		this.#isInterim = false;
 		this.#headLength = 0;
 	}
--- a/packages/transport/src/watch-head.test.ts
+++ b/packages/transport/src/watch-head.test.ts
@@ -80,3 +80,35 @@
 		}
 	});
 }
+
+test('interim answers without end are not parsed beyond a maximum, also in one chunk', async t => {
+	const server = createServer(socket => {
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(2000));
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const request = openRequest({host: '127.0.0.1', port: (server.address() as AddressInfo).port, agent: false});
+	const reasons: string[] = [];
+	watchHead(request, {
+		onExcess(reason) {
+			reasons.push(reason);
+		},
+	});
+	let interimAnswers = 0;
+	request.on('information', () => {
+		interimAnswers++;
+	});
+	request.on('error', () => undefined);
+	const closed = new Promise<void>(resolve => {
+		request.on('close', resolve);
+	});
+	request.end();
+	await closed;
+	t.true(interimAnswers <= 65, `${interimAnswers}`);
+	t.deepEqual(reasons, ['More than 64 interim answers']);
+});
