transport: close a connection whose refused body does not end

Callers saw: the answer to a refused request, and then a connection that was read without end, or never again: behind a body that is longer than the limit, a second request on the connection was not answered.

Cause: the rest of the body was left to the runtime, which reads it as long as the caller sends, or leaves it paused if a reader gave up.

Change: once the answer is written, the rest of the body is read for 16 MiB or 10 s; if it has not ended by then, the connection is ended and no longer read, and destroyed a second later, so that the caller can read the answer.

Why it works: both limits hold whether the body was read, thrown away or left alone. A body that ends within them leaves the connection in use.

--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -5,6 +5,7 @@
 import {abortResponse} from './abort-response.js';
 import {closeIdleAfterPoll} from './close-idle-after-poll.js';
 import {ConnectionTurns} from './connection-turns.js';
+import {limitUnreadBody} from './limit-unread-body.js';
 import {sendProblem, toProblemDetails} from './problem-details.js';
 import {readPendingInput} from './read-pending-input.js';
 import {ResponsesInProgress} from './responses-in-progress.js';
@@ -81,6 +82,7 @@
 	};
 
 	const server = createServer({maxHeaderSize: options.headerBytes}, (request, response) => {
+		limitUnreadBody(response);
 		unfinished.add(response);
 		responses.add(response);
 		response.shouldKeepAlive &&= !isClosing;
--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -77,6 +77,33 @@
 	server.destroy();
 });
 
+test('a caller whose body never ends is refused, and its connection is closed', async t => {
+	const server = await startEcho();
+	const received = await new Promise<string>(resolve => {
+		const caller = connect(server.port, '127.0.0.1');
+		const chunk = `4000\r\n${'x'.repeat(16 * 1024)}\r\n`;
+		const pump = (): void => {
+			while (!caller.destroyed && caller.write(chunk)) {
+				// The connection takes more.
+			}
+		};
+
+		let text = '';
+		caller.on('data', data => {
+			text += String(data);
+		});
+		caller.on('drain', pump);
+		caller.on('error', doNothing);
+		caller.on('close', () => {
+			resolve(text);
+		});
+		caller.write('POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n');
+		pump();
+	});
+	t.regex(received, /^HTTP\/1\.1 413 /v);
+	server.destroy();
+});
+
 test('an exception in the handler is answered with the outcome unknown', async t => {
 	const server = await startEcho();
 	const answer = await send(server, '/throws', '');
