gateway: close a caller's connection whose refused body does not end

Callers saw: nothing; a caller that was refused, as without authorization, and went on sending was read as long as it sent.

Cause: the body of a refused request was thrown away without a limit, and the server of callers has no time limit of its own.

Change: the server of callers limits what it reads behind an answer.

--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -1,7 +1,9 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {abortResponse, closeIdleAfterPoll, UnfinishedResponses} from '@valehitch/transport';
+import {
+	abortResponse, closeIdleAfterPoll, limitUnreadBody, UnfinishedResponses,
+} from '@valehitch/transport';
 import {type DecisionLog} from '../logs/decision-log.js';
 
 /** Options of {@linkcode createCallerServer}. */
@@ -38,6 +40,7 @@
 		headersTimeout: 0,
 		insecureHTTPParser: false,
 	}, (message, response) => {
+		limitUnreadBody(response);
 		unfinished.add(response);
 		void handle(message, response);
 	});
