platform: limit bodies of requests for readiness and inspection

Cause: both servers throw away bodies without a limit.

Change: both limit what they read behind an answer.

--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -7,7 +7,9 @@
 	InspectionHandler, type ListenAddress, openBoundedOutput, type PeerMessage, createSavedList, serverRecordSchema, suspectRecordSchema, type WatchReply, type WorkReply,
 } from '@valehitch/gateway';
 import {openDataFolder, AtomicFile} from '@valehitch/storage';
-import {PeerNetwork, sendProblem, startHttpServer} from '@valehitch/transport';
+import {
+	PeerNetwork, limitUnreadBody, sendProblem, startHttpServer,
+} from '@valehitch/transport';
 import {Right} from 'purify-ts';
 import {decodeConfiguration} from './decode-configuration.js';
 import {handleControl} from './handle-control.js';
@@ -267,6 +269,7 @@
 
 async function serveReadiness(entry: EntryInstance, listen: ListenAddress): Promise<Server> {
 	return listenOn(createServer((request, response) => {
+		limitUnreadBody(response);
 		request.resume();
 		response.writeHead(entry.isReady ? 200 : 503, {'Content-Length': 0});
 		response.end();
@@ -278,6 +281,7 @@
 		registry, wait: delay, clock, entry: () => parts.entry?.inspection,
 	});
 	return listenOn(createServer((request, response) => {
+		limitUnreadBody(response);
 		inspection.handle(request, response).catch((error: unknown) => {
 			log('request-ended', {outcome: 'internal', reason: error instanceof Error ? error.stack ?? error.message : String(error)}, 'error');
 			sendProblem(response, failure('internal', 'The inspection failed'));
