valehitchd: close a connection whose thrown-away body does not end

Cause: the body was thrown away without a limit, and an attempt that has ended is not aborted any more, so that the connection was read until the engine stopped.

Evidence: the three tests of errors and refusals hung until the time limit of the runner (8 s) without the change; with it, they pass. Those of streams passed before.

--- a/packages/daemon/src/entry/engine-call.ts
+++ b/packages/daemon/src/entry/engine-call.ts
@@ -1,5 +1,5 @@
 import {type RequestId, type TokenUsage} from '@valehitch/core';
-import {type HttpResponse, readResponseBody} from '@valehitch/transport';
+import {discardResponse, type HttpResponse, readResponseBody} from '@valehitch/transport';
 import {type AttemptOutput} from './attempt-output.js';
 import {type ChatBody} from './chat-body.js';
 import {readCompletionUsage} from './chat-chunk.js';
@@ -100,7 +100,7 @@
 	}
 
 	if (answer.status !== okStatus) {
-		answer.message.resume();
+		discardResponse(answer.message);
 		return [{type: 'failed', message: `Engine responded with status ${answer.status}, expected 200`}];
 	}
 
--- a/packages/daemon/src/entry/not-run.ts
+++ b/packages/daemon/src/entry/not-run.ts
@@ -1,4 +1,4 @@
-import {type HttpResponse} from '@valehitch/transport';
+import {discardResponse, type HttpResponse} from '@valehitch/transport';
 import {type AttemptOutput} from './attempt-output.js';
 
 const serviceUnavailable = 503;
@@ -20,7 +20,7 @@
 		return undefined;
 	}
 
-	message.resume();
+	discardResponse(message);
 	const seconds = headers['retry-after'] ?? '';
 	return {
 		type: 'not-run',
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -9,6 +9,7 @@
 export * from './caller-signal.js';
 export * from './close-idle-after-poll.js';
 export * from './connection-turns.js';
+export * from './discard-response.js';
 export * from './frame-request.js';
 export * from './has-transfer-coding.js';
 export * from './http-server.js';
