transport: close the connection of a response that is too long

Callers saw: nothing at first; connections to a faulty server or engine, and what their buffers hold, were kept for each answer that exceeded the limit.

Cause: only a request's connection must outlive a body that is too long, so that the answer can be sent; that of a response was left open too, and an attempt that has ended is not aborted any more.

Evidence: the two tests of answers that do not end hung until the time limit of the runner (8 s) without the change; with it, they pass.

Change: the connection is closed once a response is refused for its length or its coding.

Conclusion: valehitchd's sends and orders keep no such connection.

--- a/packages/daemon/src/entry/endless-answers.test.ts
+++ b/packages/daemon/src/entry/endless-answers.test.ts
@@ -72,6 +72,8 @@
 	['an error', 'engine', 'HTTP/1.1 500 Internal Server Error\r\n\r\n', filler],
 	['a refusal', 'engine', 'HTTP/1.1 503 Service Unavailable\r\nValehitch-Outcome: notRun\r\n\r\n', filler],
 	['a refusal', 'service', 'HTTP/1.1 503 Service Unavailable\r\nValehitch-Outcome: notRun\r\n\r\n', filler],
+	['an answer', 'engine', 'HTTP/1.1 200 OK\r\n\r\n', filler],
+	['an answer', 'service', 'HTTP/1.1 200 OK\r\n\r\n', filler],
 	['a line of a stream', 'engine', 'HTTP/1.1 200 OK\r\n\r\n', filler, true],
 	['comments in a stream', 'engine', 'HTTP/1.1 200 OK\r\n\r\n', ': \n\n'.repeat(4000), true],
 ];
--- a/packages/transport/src/read-response-body.ts
+++ b/packages/transport/src/read-response-body.ts
@@ -4,7 +4,7 @@
 import {type HttpResponse} from './send-http-request.js';
 
 /**
-Reads the body of a response, up to a size limit.
+Reads the body of a response, up to a size limit. The connection of one that is longer or malformed is closed.
 
 @param response The response.
 @param maximumBytes The maximum size of the body in bytes.
@@ -16,7 +16,12 @@
 */
 export async function readResponseBody({message, isComplete}: Pick<HttpResponse, 'message' | 'isComplete'>, maximumBytes: number): Promise<Either<Failure, Uint8Array>> {
 	const body = await readBody(message, maximumBytes);
-	if (body.isLeft() || await isComplete()) {
+	if (body.isLeft()) {
+		message.destroy();
+		return body;
+	}
+
+	if (await isComplete()) {
 		return body;
 	}
 
