--- a/packages/gateway/src/entry/check-server-identity.test.ts
+++ b/packages/gateway/src/entry/check-server-identity.test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import {type AddressInfo, createServer} from 'node:net';
 import {type ServerId} from '@valehitch/core';
 import test from 'ava';
 import {testServer} from '../servers/_test-server.js';
@@ -30,3 +32,23 @@
 	t.is(await check(port, 50), 'unknown');
 	t.is(await check(1), 'unknown');
 });
+
+test('a process that answers with interim answers without end is not taken for the server, without waiting for the time limit', async t => {
+	const interim = 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(500);
+	const server = createServer(socket => {
+		const pump = (): void => {
+			while (!socket.destroyed && socket.write(interim)) {
+				// The connection takes more.
+			}
+		};
+
+		socket.on('error', () => undefined);
+		socket.on('drain', pump);
+		socket.once('data', pump);
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	t.is(await check((server.address() as AddressInfo).port, 1_000_000), 'unknown');
+});
