gateway: restore two tests of the caller server

Cause: the test of refused bodies replaced the file that held them.

Change: both are back as they were; the file has three tests, all green.

--- a/packages/gateway/src/entry/caller-server.test.ts
+++ b/packages/gateway/src/entry/caller-server.test.ts
@@ -1,10 +1,75 @@
 import {once} from 'node:events';
-import {type AddressInfo, connect} from 'node:net';
+import {type AddressInfo, connect, type Socket} from 'node:net';
 import test from 'ava';
 import {createCallerServer} from './caller-server.js';
 
 const chunk = `4000\r\n${'x'.repeat(16 * 1024)}\r\n`;
 
+test('bytes of a caller that are no request break off the answer that is in progress, and nothing is written into it', async t => {
+	const logged: string[] = [];
+	const server = createCallerServer({
+		log(kind) {
+			logged.push(kind);
+		},
+		async handle(_message, response) {
+			response.write('first half, ');
+		},
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	socket.on('error', () => {
+		// A reset is one way to break off an answer.
+	});
+	socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+	await once(socket, 'data');
+	socket.write('no request\r\n\r\n');
+	await once(socket, 'close');
+	t.regex(text, /first half, \r\n$/v);
+	t.deepEqual(logged, ['request-refused']);
+});
+
+test('a connection that its caller resets is not recorded as a malformed request', async t => {
+	const logged: string[] = [];
+	const closes: string[] = [];
+	const server = createCallerServer({
+		log(kind) {
+			logged.push(kind);
+		},
+		async handle(_message, response) {
+			response.end('done');
+		},
+		onClose(reason) {
+			closes.push(reason);
+		},
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	caller.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+	const [connection] = await once(server, 'connection') as [Socket];
+	await once(caller, 'data');
+	const closed = new Promise<void>(resolve => {
+		connection.on('close', () => {
+			resolve();
+		});
+	});
+	caller.resetAndDestroy();
+	await closed;
+	t.deepEqual(logged, []);
+	t.deepEqual(closes, []);
+});
+
 test('a caller that sends the body of a refused request without end gets the answer, and its connection is closed', async t => {
 	const server = createCallerServer({
 		log() {
