daemon: tell each request of valehitchd that the instance stops

Callers saw: in a planned stop of valehitchd, requests that were held or had no answer by the end of the stop lost their connections without one, ones that may not be repeated among them; a request whose body was complete only after the signal was still sent, also when its deadline lay behind the end of the stop.

Cause: the life of a request knows instance-stopping, and no part sent it. A stop was asked about once, when the head arrived.

Evidence: planned-daemon-stops.test.ts, with the real programs, on the code before: a request whose server stalls ended with status 0 in place of 504, and one with a late body was sent and cut (isComplete false); both red.

Change: the stop tells every request when its answers are due, 300 ms before the end of timing.shutdownMilliseconds, and once more at that time; requests that begin their life later are told at once. The decision is the one of the platform's stack, mayStartWhileStopping: asked when the stop begins and before each attempt. What has not run and cannot end in time is refused with 503 shutting-down; what has no answer when the answers are due gets 504 if it may have run, otherwise 503. A stream goes on until the connections close. Refusals during a stop ask the caller to close its connection.

Tests changed: the simulated world of request-state-machine.test.ts also draws answers-due, and gives instance-stopping a time that lies before or behind the deadline; its invariants and counts are as they were.

After: both tests green, twice; the graceful shutdown under load of entry-lifecycle.test.ts and kept-connections.test.ts green once each.

Conclusion: Retry-After stays at one second, the shortest that valehitchd writes.

--- a/packages/daemon/src/entry/lifecycle/request-execution.ts
+++ b/packages/daemon/src/entry/lifecycle/request-execution.ts
@@ -102,6 +102,11 @@
 			this.handleEvent({type: 'caller-left'});
 		});
 		this.#perform(startRequest(plan));
+		const {answersDueAt} = context.requests;
+		if (answersDueAt !== undefined) {
+			this.handleEvent({type: 'instance-stopping', answersDueAt});
+		}
+
 		this.#processQueue();
 		await ended;
 		context.admission.end(requestId, this.#tokens);
--- a/packages/daemon/src/entry/refuse.ts
+++ b/packages/daemon/src/entry/refuse.ts
@@ -23,5 +23,9 @@
 export function refuse(call: RefusedCall, failed: Failure, context: EntryContext): void {
 	context.metrics.increment('request.refused', {kind: failed.kind});
 	context.timeline.record('request-refused', {requestId: call.requestId, details: {kind: failed.kind, outcome: outcomeOf(failed), message: failed.message}});
+	if (context.requests.stopping) {
+		call.response.shouldKeepAlive = false;
+	}
+
 	sendProblem(call.response, failed, {requestId: call.requestId});
 }
--- a/packages/daemon/src/entry/request-counter.ts
+++ b/packages/daemon/src/entry/request-counter.ts
@@ -9,7 +9,7 @@
 */
 export class RequestCounter {
 	#inProgress = 0;
-	#stopping = false;
+	#answersDueAt: number | undefined;
 	readonly #idleListeners: Array<() => void> = [];
 
 	/** The number of requests in progress. */
@@ -19,7 +19,12 @@
 
 	/** Whether a graceful shutdown has begun. */
 	get stopping(): boolean {
-		return this.#stopping;
+		return this.#answersDueAt !== undefined;
+	}
+
+	/** When requests without an answer are given one, in milliseconds of the monotonic clock; undefined before a graceful shutdown. */
+	get answersDueAt(): number | undefined {
+		return this.#answersDueAt;
 	}
 
 	/** Adds a request. */
@@ -37,9 +42,13 @@
 		}
 	}
 
-	/** Begins a graceful shutdown and waits until no request is in progress. */
-	async stop(): Promise<void> {
-		this.#stopping = true;
+	/**
+	Begins a graceful shutdown and waits until no request is in progress.
+
+	@param answersDueAt When requests without an answer are given one, in milliseconds of the monotonic clock.
+	*/
+	async stop(answersDueAt: number): Promise<void> {
+		this.#answersDueAt = answersDueAt;
 		if (this.#inProgress === 0) {
 			return;
 		}
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -2,7 +2,7 @@
 import {type ClaimResponse} from '@valehitch/control';
 import {type Failure, failure} from '@valehitch/core';
 import {DecisionHistory, StageHistory} from '@valehitch/routing';
-import {type TunnelTarget} from '@valehitch/transport';
+import {setTimeoutAfterPoll, type TunnelTarget} from '@valehitch/transport';
 import {type Either, Left, Right} from 'purify-ts';
 import {match} from 'ts-pattern';
 import {type ControlClient} from '../control/control-client.js';
@@ -13,6 +13,7 @@
 import {BillCopyStore} from './bills/bill-copy-store.js';
 import {startRunHeartbeat} from './bills/start-run-heartbeat.js';
 import {LedgerOutbox} from './bills/ledger-outbox.js';
+import {type RequestExecution} from './lifecycle/request-execution.js';
 import {startBillMaintenance} from './bills/start-bill-maintenance.js';
 import {type ClaimCommand, ClaimClient} from './claim-client.js';
 import {type EntryContext} from './entry-context.js';
@@ -39,8 +40,8 @@
 	readonly mayRelay: (target: TunnelTarget) => boolean;
 	/** Records whether a connection to an address opened that was made for another daemon; returns whether its server is to blame for a failure. */
 	readonly recordTunnelTarget: (target: TunnelTarget, isOpen: boolean) => boolean;
-	/** Refuses new requests, completes those in progress and hands over the bills. */
-	readonly stop: () => Promise<void>;
+	/** Refuses new requests, completes those in progress and hands over the bills; what has no answer at a time, in milliseconds of the monotonic clock, is given one then. */
+	readonly stop: (answersDueAt: number) => Promise<void>;
 	/** Stops all retries and timers. Bills that were not handed over remain as copies on their holders. */
 	readonly close: () => void;
 };
@@ -83,6 +84,7 @@
 	});
 	const connections = new ServerConnections({...base, servers: distribution.servers, members: distribution.members});
 	const requests = new RequestCounter();
+	const executions = new Set<RequestExecution>();
 	const decisions = new DecisionHistory();
 	const evacuatedZones = () => new Set(distribution.effective().document.evacuatedZones);
 	const serverSelector = new ServerSelector({
@@ -111,7 +113,7 @@
 			decisions,
 			requests,
 			inProgress: new InProgressCounts(),
-			executions: new Set(),
+			executions,
 			bills,
 			billCopies,
 			claims,
@@ -123,9 +125,20 @@
 			.exhaustive(),
 		mayRelay: target => connections.mayRelay(target),
 		recordTunnelTarget: (target, isOpen) => connections.recordTunnelTarget(target, isOpen),
-		async stop() {
+		async stop(answersDueAt) {
 			connections.beginStop();
-			await requests.stop();
+			const idle = requests.stop(answersDueAt);
+			for (const execution of executions) {
+				execution.handleEvent({type: 'instance-stopping', answersDueAt});
+			}
+
+			const stopTimer = setTimeoutAfterPoll(Math.max(0, answersDueAt - base.clock.monotonic()), () => {
+				for (const execution of executions) {
+					execution.handleEvent({type: 'answers-due'});
+				}
+			});
+			await idle;
+			stopTimer();
 			while (!closing.signal.aborted && base.network.tunnelCount > 0) {
 				await wait(handOverPollMilliseconds);
 			}
--- a/packages/daemon/src/start-daemon.ts
+++ b/packages/daemon/src/start-daemon.ts
@@ -25,6 +25,9 @@
 	readonly stop: () => Promise<void>;
 };
 
+/** The part of a planned stop in which the last answers are written, in milliseconds: a process with a small share of a core has time to write them before its connections are closed. */
+const answerMarginMilliseconds = 300;
+
 type Components = {
 	control?: ControlPart;
 	distribution?: DistributionPart;
@@ -69,7 +72,9 @@
 		async stop() {
 			base.timeline.record('instance-stopping');
 			distribution.drain();
-			await Promise.race([entry.stop(), sleep(settings.timing.shutdownMilliseconds)]);
+			const {shutdownMilliseconds} = settings.timing;
+			const answersDueAt = base.clock.monotonic() + Math.max(0, shutdownMilliseconds - answerMarginMilliseconds);
+			await Promise.race([entry.stop(answersDueAt), sleep(shutdownMilliseconds)]);
 			entry.close();
 			for (const httpServer of httpServers) {
 				await httpServer.close();
--- a/packages/routing/src/_end-request.ts
+++ b/packages/routing/src/_end-request.ts
@@ -88,6 +88,18 @@
 	});
 }
 
+/** The retry delay during a shutdown, in milliseconds: other instances take the request at once. */
+const stoppingRetryMilliseconds = 1000;
+
+/**
+Refuses a request that has not run, because the instance stops before its deadline.
+
+@param transition The transition in progress.
+*/
+export function refuseStopping(transition: RequestTransition): void {
+	refuseRequest(transition, failure('shutting-down', 'The instance is shutting down; send the request to another instance', {retryAfterMilliseconds: stoppingRetryMilliseconds}));
+}
+
 /**
 Refuses the request after its attempts failed, with a failure kind that follows from their outcome.
 
--- a/packages/routing/src/_handle-external-event.ts
+++ b/packages/routing/src/_handle-external-event.ts
@@ -1,9 +1,11 @@
 import {failure} from '@valehitch/core';
 import {match} from 'ts-pattern';
-import {endRequest, outcomeOfAttempts, refuseRequest} from './_end-request.js';
+import {
+	endRequest, outcomeOfAttempts, refuseRequest, refuseStopping,
+} from './_end-request.js';
 import {type RequestTransition} from './_request-transition.js';
 import {
-	abandonTarget, hasAttemptsLeft, retryServerSelection, startAttempt,
+	abandonTarget, hasAttemptsLeft, mayStartAttempt, retryServerSelection, startAttempt,
 } from './_start-attempt.js';
 import {type RequestTarget} from './request-plan.js';
 import {type RequestTimer, type ExternalEvent} from './request-event.js';
@@ -31,12 +33,39 @@
 		.with({type: 'bill-settled'}, () => {
 			finishAnswer(transition);
 		})
-		.with({type: 'instance-stopping'}, () => {
-			transition.update({stopping: true});
+		.with({type: 'instance-stopping'}, ({answersDueAt}) => {
+			handleStop(transition, answersDueAt);
+		})
+		.with({type: 'answers-due'}, () => {
+			answerUnfinished(transition);
 		})
 		.exhaustive();
 }
 
+/** Refuses a request that waits for its first attempt if it can no longer end in time. */
+function handleStop(transition: RequestTransition, answersDueAt: number): void {
+	transition.update({stopping: true, answersDueAt});
+	const {attempts, stage} = transition.state;
+	const isWaiting = stage !== 'settling' && stage !== 'ended' && outcomeOfAttempts(attempts) === 'notRun';
+	if (isWaiting && transition.liveAttempts.length === 0 && !mayStartAttempt(transition)) {
+		refuseStopping(transition);
+	}
+}
+
+/** Answers a request without an answer before the connections are closed; a stream goes on until then. */
+function answerUnfinished(transition: RequestTransition): void {
+	const {attempts, deliveredBytes, stage} = transition.state;
+	if (stage === 'settling' || stage === 'ended' || deliveredBytes > 0) {
+		return;
+	}
+
+	if (outcomeOfAttempts(attempts) === 'notRun') {
+		refuseStopping(transition);
+	} else {
+		refuseRequest(transition, failure('deadline-exceeded-after-dispatch', 'No server answered before the end of this instance'));
+	}
+}
+
 function handleTimer(transition: RequestTransition, timer: RequestTimer): void {
 	match(timer)
 		.with('deadline', () => {
--- a/packages/routing/src/_start-attempt.ts
+++ b/packages/routing/src/_start-attempt.ts
@@ -1,8 +1,9 @@
 import {failure} from '@valehitch/core';
 import {
-	giveUp, type GiveUpOptions, outcomeOfAttempts, refuseRequest,
+	giveUp, type GiveUpOptions, outcomeOfAttempts, refuseRequest, refuseStopping,
 } from './_end-request.js';
 import {type RequestTransition} from './_request-transition.js';
+import {mayStartWhileStopping} from './may-start-while-stopping.js';
 import {type AttemptPurpose} from './request-action.js';
 import {type RequestPlan} from './request-plan.js';
 import {type AttemptState} from './request-state.js';
@@ -24,6 +25,11 @@
 		return;
 	}
 
+	if (!mayStartAttempt(transition)) {
+		endStopping(transition);
+		return;
+	}
+
 	const {nextAttemptNumber, target, attempts, deliveredBytes} = transition.state;
 	const attempt: AttemptState = {
 		number: nextAttemptNumber,
@@ -44,6 +50,31 @@
 	chooseServer(transition, attempt);
 }
 
+/**
+Checks whether the request may be sent if the instance stops.
+
+@param transition The transition in progress.
+@returns Whether it may.
+*/
+export function mayStartAttempt({now, state: {answersDueAt, attempts, plan}}: RequestTransition): boolean {
+	return mayStartWhileStopping({
+		deadlineAt: plan.deadline, answersDueAt, isNotRun: outcomeOfAttempts(attempts) === 'notRun', now,
+	});
+}
+
+/** Ends a request that may not be sent because the instance stops, unless an attempt may still answer it. */
+function endStopping(transition: RequestTransition): void {
+	if (transition.liveAttempts.length > 0) {
+		return;
+	}
+
+	if (outcomeOfAttempts(transition.state.attempts) === 'notRun') {
+		refuseStopping(transition);
+	} else {
+		giveUp(transition, {message: 'The instance stops before the request can be sent again', retryAfterMilliseconds: 0});
+	}
+}
+
 /** The options of `startAttempt`. */
 export type StartAttemptOptions = {
 	/** Whether the attempt is charged to the retry or hedge budget; true by default. */
--- a/packages/routing/src/_test-simulated-world.ts
+++ b/packages/routing/src/_test-simulated-world.ts
@@ -5,7 +5,7 @@
 	assertInvariant, type Dispatch, RequestAudit, type Run, servers, targets,
 } from './_test-request-audit.js';
 import {type RequestAction} from './request-action.js';
-import {type DispatchDenialReason, type RequestEvent} from './request-event.js';
+import {type DispatchDenialReason, type ExternalEvent, type RequestEvent} from './request-event.js';
 import {startRequest, stepRequest} from './request-state-machine.js';
 import {type RequestPlan, type RequestTarget} from './request-plan.js';
 import {type RequestState} from './request-state.js';
@@ -74,10 +74,20 @@
 			this.#step({event: {type: 'timer', timer: 'hedge'}});
 		} else if (roll < 50 && this.#timers.delete('come-back')) {
 			this.#step({event: {type: 'timer', timer: 'come-back'}});
-		} else if (roll === 50) {
-			this.#step({event: {type: 'instance-stopping'}});
-		} else if (roll === 51) {
-			this.#step({event: {type: 'timer', timer: 'deadline'}});
+		} else if (roll >= 50) {
+			this.#injectLateEvent(roll);
+		}
+	}
+
+	#injectLateEvent(roll: number): void {
+		const events: ReadonlyMap<number, ExternalEvent> = new Map<number, ExternalEvent>([
+			[50, {type: 'instance-stopping', answersDueAt: 2 * this.#now}],
+			[51, {type: 'timer', timer: 'deadline'}],
+			[52, {type: 'answers-due'}],
+		]);
+		const event = events.get(roll);
+		if (event !== undefined) {
+			this.#step({event});
 		}
 	}
 
--- a/packages/routing/src/request-event.ts
+++ b/packages/routing/src/request-event.ts
@@ -64,8 +64,10 @@
 		| {readonly type: 'caller-left'}
 		/** A second instance has stored the settled bill. */
 		| {readonly type: 'bill-settled'}
-		/** A planned shutdown of this instance has started. */
-		| {readonly type: 'instance-stopping'};
+		/** A planned shutdown of this instance has started; what has no answer when the answers are due, in milliseconds on the monotonic clock, is given one then. */
+		| {readonly type: 'instance-stopping'; readonly answersDueAt: number}
+		/** The shutdown is about to close the connections. */
+		| {readonly type: 'answers-due'};
 
 /** Every event that a request can receive. */
 export type RequestEvent = PreparationEvent | AttemptEvent | ExternalEvent;
--- a/packages/routing/src/request-state-machine.ts
+++ b/packages/routing/src/request-state-machine.ts
@@ -53,6 +53,7 @@
 			connectionFailures: 0,
 			reportedFailure: false,
 			stopping: false,
+			answersDueAt: undefined,
 			callerLeft: false,
 		},
 		actions: [
@@ -91,7 +92,7 @@
 }
 
 const externalEventTypes: ReadonlySet<string> = new Set<ExternalEvent['type']>([
-	'timer', 'permission-lost', 'server-draining', 'caller-left', 'bill-settled', 'instance-stopping',
+	'timer', 'permission-lost', 'server-draining', 'caller-left', 'bill-settled', 'instance-stopping', 'answers-due',
 ]);
 
 function isExternalEvent(event: PreparationEvent | ExternalEvent): event is ExternalEvent {
--- a/packages/routing/src/request-state.ts
+++ b/packages/routing/src/request-state.ts
@@ -70,5 +70,7 @@
 	/** Whether a server reported that the request ran and failed, so that it would fail again. */
 	readonly reportedFailure: boolean;
 	readonly stopping: boolean;
+	/** When the instance answers what is left, in milliseconds on the monotonic clock; undefined unless it stops. */
+	readonly answersDueAt: number | undefined;
 	readonly callerLeft: boolean;
 };
