platform: use five sixths of any grace period before connections are closed

Callers would see: with a grace period of 2 s, answers that are under way are cut after 1.3 s; with less than 0.7 s at once.

Cause: 700 ms of the grace period were reserved for closing connections, whatever its length.

--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -14,6 +14,7 @@
 import {platformDialect} from './platform-dialect.js';
 import {type PlatformSettings} from './platform-settings.js';
 import {type SettingsProblems} from './settings-file.js';
+import {stopTiming} from './stop-timing.js';
 
 /** A running process. */
 export type RunningProcess = {
@@ -64,11 +65,6 @@
 const usedCanaryShare = 0.6;
 /** The confidence below which a request escalates to a larger model. Of the values tried, it gave the best results on calm days (docs/design/platform.md). */
 const minimumConfidence = 50;
-/** The time in which the load balancer removes an instance that is not ready, in milliseconds: it checks once a second and removes an instance after two failed checks. */
-const removalMilliseconds = 2600;
-/** The part of the grace period that is reserved for closing connections, in milliseconds. */
-const closeMarginMilliseconds = 700;
-
 /** How long a control instance that stops waits for the requests in progress, in milliseconds; longer than a proposal to the leader may take. */
 const controlCloseMilliseconds = 1000;
 /** The interval at which open tunnels are counted during a shutdown, in milliseconds. */
@@ -205,7 +201,7 @@
 	return {
 		control,
 		async stop() {
-			await server.close({within: Math.min(controlCloseMilliseconds, gracePeriod - closeMarginMilliseconds)});
+			await server.close({within: Math.min(controlCloseMilliseconds, stopTiming(gracePeriod).closeAfter)});
 			await control.stop();
 		},
 	};
@@ -245,13 +241,14 @@
 	await entry.start();
 	const readinessServer = readiness === undefined ? undefined : await serveReadiness(entry, readiness);
 	const stop = async (): Promise<void> => {
-		const stopBy = clock.monotonic() + gracePeriod - closeMarginMilliseconds;
+		const {closeAfter, drainAfter} = stopTiming(gracePeriod);
+		const stopBy = clock.monotonic() + closeAfter;
 		entry.beginStop(stopBy);
 		for (const peer of context.network.tunnelPeers) {
 			context.network.send(peerAddress(settings(), peer), {type: 'relay-stopping'});
 		}
 
-		await delay(Math.min(removalMilliseconds, gracePeriod - closeMarginMilliseconds));
+		await delay(drainAfter);
 		await tunnelsClosed(context, stopBy);
 		// Nothing is awaited between, since the instance takes requests until it closes.
 		await entry.drained(stopBy);
