gateway: read a bounded part of an answer in a turn

Callers saw: while a few servers sent bodies or streams without end, requests to sound services of the same instance waited seconds (median 3.5 s of 60 beside 150 callers of three servers with endless bodies,, load 15 to 17; 0.2 s beside 40). Cause: a poll reads up to 32 chunks of 64 KiB of a connection before it goes on to the next one, as long as its server sends fast enough. Change: an answer of which 32 KiB have been read in a turn is paused until the next one. Conclusion: bounds the delay that one answer causes. That of many at once grows with their number.

--- a/packages/gateway/src/entry/collect-body.ts
+++ b/packages/gateway/src/entry/collect-body.ts
@@ -2,6 +2,7 @@
 import {type IncomingMessage} from 'node:http';
 import {type HeldBytes} from '@valehitch/routing';
 import {OverheadWatch} from './overhead-watch.js';
+import {ReadPace} from './read-pace.js';
 
 /** Options of {@linkcode collectBody}. */
 export type CollectBodyOptions = {
@@ -32,11 +33,13 @@
 	return new Promise(resolve => {
 		const chunks: Uint8Array[] = [];
 		const overhead = new OverheadWatch(message);
+		const pace = new ReadPace(message);
 		let bytes = 0;
 		message.on('data', (chunk: Uint8Array) => {
 			chunks.push(chunk);
 			bytes += chunk.byteLength;
 			overhead.add(chunk.byteLength);
+			pace.add(chunk.byteLength);
 			held?.add(chunk.byteLength);
 			if (bytes > maximumBodyBytes || (bytes > smallBodyBytes && room?.() === 0)) {
 				message.destroy();
@@ -53,6 +56,7 @@
 		});
 		message.on('close', () => {
 			overhead.stop();
+			pace.stop();
 			if (!message.readableEnded) {
 				resolve(undefined);
 			}
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -4,6 +4,7 @@
 import {type AnswerBuffer} from './answer-buffer.js';
 import {type EventStream} from './event-stream.js';
 import {OverheadWatch} from './overhead-watch.js';
+import {ReadPace} from './read-pace.js';
 
 /** Options of {@linkcode relayStream}. */
 export type RelayStreamOptions = {
@@ -51,6 +52,7 @@
 		let hasForwarded = false;
 		let isFinished = false;
 		let isPaused = false;
+		const pace = new ReadPace(message, {mayResume: () => !isPaused && !isFinished});
 		const stall = new InactivityTimer({
 			timeout: stallTimeout,
 			clock,
@@ -70,6 +72,7 @@
 			isFinished = true;
 			stall.stop();
 			overhead.stop();
+			pace.stop();
 			response.off('close', onCallerClose);
 			response.off('drain', onDrain);
 			if (end === 'stalled') {
@@ -115,6 +118,7 @@
 			onData(now);
 			stall.touch(now);
 			overhead.add(chunk.byteLength);
+			pace.add(chunk.byteLength);
 			const part = events.push(chunk);
 			if (part !== undefined && !isFinished) {
 				forward(part.bytes);
