gateway: bound the bytes of all answers that are collected at the same time

Callers saw: an instance beside servers whose bodies have no end grew over its limit (544 MiB with 400 callers, where the settings allow 350; 274 MiB with 150). Cause: up to 1 MiB of each answer was kept even where no room was left, so that the sum grew with the number of callers; the bytes of incomplete events were not counted at all; chunks were kept in a list with an object for each, however short, and joined once more at the end; an incomplete event was copied whole at each chunk. Change: a body or an incomplete event of more than 16 KiB may hold a quarter of the room that is left, asked before its memory grows, and is cut off beyond; its bytes are given back at once. Both are kept in one buffer that doubles; its memory is what counts. Why it works: the share of each shrinks with the room, so that the sum stays below all that may be held, however many grow, and one server takes none of the room of others that are small. Conclusion: bounds what is kept, not what the HTTP client reads ahead (up to 192 KiB of an answer in a turn).

--- a/packages/gateway/src/entry/collect-answer.ts
+++ b/packages/gateway/src/entry/collect-answer.ts
@@ -23,7 +23,7 @@
 ```
 */
 export async function collectAnswer({message, isComplete}: ReceivedHead, {context: {dialect, memory}, held}: CollectAnswerOptions): Promise<CompleteAnswer | undefined> {
-	const body = await collectBody(message, isComplete, {held, room: () => memory.room});
+	const body = await collectBody(message, isComplete, {held, mayHold: bytes => memory.mayCollect(bytes)});
 	return body && {
 		status: message.statusCode ?? 0, headers: dialect.answerHeaders(message), body, statedLength: message.headers['content-length'],
 	};
--- a/packages/gateway/src/entry/collect-body.ts
+++ b/packages/gateway/src/entry/collect-body.ts
@@ -1,6 +1,6 @@
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {type HeldBytes} from '@valehitch/routing';
+import {GrowingBytes} from './_growing-bytes.js';
 import {OverheadWatch} from './overhead-watch.js';
 import {ReadPace} from './read-pace.js';
 
@@ -8,14 +8,12 @@
 export type CollectBodyOptions = {
 	/** The bytes that are held for the request; by default, nothing is counted. */
 	readonly held?: HeldBytes;
-	/** Returns the bytes that may be held in addition, by all requests; by default without a limit. */
-	readonly room?: () => number;
+	/** Whether a number of bytes may be held for the body; by default any. */
+	readonly mayHold?: (bytes: number) => boolean;
 };
 
 /** The longest body that is collected, in bytes; a server may send without end. */
 const maximumBodyBytes = 16 * 1024 * 1024;
-/** The length up to which a body is collected even if no room is left, in bytes. */
-const smallBodyBytes = 1024 * 1024;
 
 /**
 Reads the body of a backend server's answer.
@@ -29,36 +27,49 @@
 const body = await collectBody(message, isComplete, {held});
 ```
 */
-export async function collectBody(message: IncomingMessage, isComplete: () => Promise<boolean>, {held, room}: CollectBodyOptions = {}): Promise<Uint8Array | undefined> {
+export async function collectBody(message: IncomingMessage, isComplete: () => Promise<boolean>, {held, mayHold = () => true}: CollectBodyOptions = {}): Promise<Uint8Array | undefined> {
 	return new Promise(resolve => {
-		const chunks: Uint8Array[] = [];
+		const body = new GrowingBytes();
 		const overhead = new OverheadWatch(message);
 		const pace = new ReadPace(message);
-		let bytes = 0;
+		let heldBytes = 0;
+		const finish = (collected: Uint8Array | undefined): void => {
+			if (collected === undefined) {
+				held?.add(-heldBytes);
+				heldBytes = 0;
+			}
+
+			resolve(collected);
+		};
+
 		message.on('data', (chunk: Uint8Array) => {
-			chunks.push(chunk);
-			bytes += chunk.byteLength;
 			overhead.add(chunk.byteLength);
 			pace.add(chunk.byteLength);
-			held?.add(chunk.byteLength);
-			if (bytes > maximumBodyBytes || (bytes > smallBodyBytes && room?.() === 0)) {
+			const capacity = body.capacityWith(chunk.byteLength);
+			held?.add(capacity - heldBytes);
+			heldBytes = capacity;
+			if (body.length + chunk.byteLength > maximumBodyBytes || !mayHold(heldBytes)) {
 				message.destroy();
+				finish(undefined);
+				return;
 			}
+
+			body.append(chunk);
 		});
 		message.on('end', () => {
 			overhead.stop();
 			void isComplete().then(complete => {
-				resolve(complete ? Buffer.concat(chunks) : undefined);
+				finish(complete ? body.view : undefined);
 			});
 		});
 		message.on('error', () => {
-			resolve(undefined);
+			finish(undefined);
 		});
 		message.on('close', () => {
 			overhead.stop();
 			pace.stop();
 			if (!message.readableEnded) {
-				resolve(undefined);
+				finish(undefined);
 			}
 		});
 	});
--- a/packages/gateway/src/entry/event-stream.ts
+++ b/packages/gateway/src/entry/event-stream.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {GrowingBytes} from './_growing-bytes.js';
 
 /** Complete events of a stream, ready to be forwarded. */
 export type CompleteEvents = {
@@ -8,7 +9,6 @@
 const newline = 10;
 const carriageReturn = 13;
 const idField = Buffer.from('id:');
-const nothing = Buffer.alloc(0);
 /** A carriage return after a line feed is the first half of a truncated line end. */
 const lineEndPattern = /\r\n|(?<!\n)\r/gv;
 const emptyLine = '\n\n';
@@ -25,7 +25,7 @@
 ```
 */
 export class EventStream {
-	#incomplete: Uint8Array = nothing;
+	#incomplete = new GrowingBytes();
 	#lastEventId: string | undefined;
 
 	/**
@@ -40,14 +40,19 @@
 		return this.#lastEventId;
 	}
 
+	/** The memory that is held for the incomplete event, in bytes. */
+	get heldBytes(): number {
+		return this.#incomplete.capacity;
+	}
+
 	/** The bytes of the incomplete event. */
 	get incomplete(): Uint8Array {
-		return this.#incomplete;
+		return this.#incomplete.view;
 	}
 
 	/** Whether a stream that ends here is broken off inside an event. Empty lines and comments belong to no event. */
 	get isInsideEvent(): boolean {
-		const text = Buffer.from(this.#incomplete).toString('latin1').replaceAll(lineEndPattern, '\n');
+		const text = asBuffer(this.#incomplete.view).toString('latin1').replaceAll(lineEndPattern, '\n');
 		const lastEventStart = text.lastIndexOf(emptyLine);
 		return (lastEventStart === -1 ? text : text.slice(lastEventStart)).replaceAll(commentPattern, '').trim() !== '';
 	}
@@ -59,25 +64,30 @@
 	@returns The events that are now complete, or undefined if there are none.
 	*/
 	push(chunk: Uint8Array): CompleteEvents | undefined {
-		const checkedBytes = this.#incomplete.byteLength;
-		const buffered = checkedBytes === 0 ? asBuffer(chunk) : Buffer.concat([this.#incomplete, chunk]);
+		const checkedBytes = this.#incomplete.length;
+		if (checkedBytes > 0) {
+			this.#incomplete.append(chunk);
+		}
+
+		const buffered = checkedBytes === 0 ? asBuffer(chunk) : asBuffer(this.#incomplete.view);
 		const end = endOfLastEvent(buffered, checkedBytes);
+		if (end > 0 || checkedBytes === 0) {
+			// The rest is copied, because it may be a part of a much larger buffer.
+			this.restoreIncomplete(buffered.subarray(end));
+		}
+
 		if (end === 0) {
-			// The chunk is copied, because it may be a part of a much larger buffer.
-			this.#incomplete = checkedBytes === 0 ? Buffer.from(buffered) : buffered;
 			return undefined;
 		}
 
-		const isWhole = end === buffered.byteLength;
-		const bytes = isWhole ? buffered : buffered.subarray(0, end);
-		this.#incomplete = isWhole ? nothing : Buffer.from(buffered.subarray(end));
+		const bytes = end === buffered.byteLength ? buffered : buffered.subarray(0, end);
 		this.#lastEventId = lastIdIn(bytes) ?? this.#lastEventId;
 		return {bytes};
 	}
 
 	/** Discards the incomplete event, so that the stream can resume at another server. */
 	discardIncomplete(): void {
-		this.#incomplete = nothing;
+		this.#incomplete = new GrowingBytes();
 	}
 
 	/**
@@ -86,7 +96,8 @@
 	@param bytes The bytes that were incomplete when it was left.
 	*/
 	restoreIncomplete(bytes: Uint8Array): void {
-		this.#incomplete = bytes;
+		this.#incomplete = new GrowingBytes();
+		this.#incomplete.append(bytes);
 	}
 }
 
@@ -96,10 +107,12 @@
 
 /** Returns the position after the last empty line; 0 if there is none. No empty line ends in the first `checkedBytes`. */
 function endOfLastEvent(bytes: Uint8Array, checkedBytes: number): number {
-	for (let index = bytes.lastIndexOf(newline); index > 0 && index >= checkedBytes; index = bytes.lastIndexOf(newline, index - 1)) {
-		const before = bytes[index - 1] === carriageReturn ? index - 2 : index - 1;
+	const unchecked = asBuffer(bytes.subarray(checkedBytes));
+	for (let index = unchecked.lastIndexOf(newline); index >= 0; index = index === 0 ? -1 : unchecked.lastIndexOf(newline, index - 1)) {
+		const position = checkedBytes + index;
+		const before = bytes[position - 1] === carriageReturn ? position - 2 : position - 1;
 		if (before >= 0 && bytes[before] === newline) {
-			return index + 1;
+			return position + 1;
 		}
 	}
 
--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -35,6 +35,8 @@
 		response: answer.response,
 		events,
 		buffer: answer.buffer,
+		held: context.memory.open(),
+		mayHold: bytes => context.memory.mayCollect(bytes),
 		clock: context.clock,
 		stallTimeout: route.isResumable ? stallFactor * (route.targetGap ?? route.targetLatency) : 0,
 		canResumeElsewhere,
--- a/packages/gateway/src/entry/read-pace.ts
+++ b/packages/gateway/src/entry/read-pace.ts
@@ -8,6 +8,8 @@
 
 /** The bytes of an answer after which it is not read on in a turn of the event loop. A poll reads up to 32 chunks of a connection otherwise, each of up to 64 KiB. */
 const turnBytes = 32 * 1024;
+/** What a chunk counts beside its bytes, since it takes time even with a single one, in bytes. */
+const chunkBytes = 64;
 
 /**
 Bounds how much of an answer is read in a turn of the event loop, so that a server that sends fast or without end does not delay the other connections.
@@ -34,12 +36,12 @@
 	}
 
 	/**
-	Counts bytes that were read, and pauses the answer until the other connections have been polled once the turn's bytes are used up.
+	Counts the bytes of a chunk that was read, and pauses the answer until the other connections have been polled once the turn's bytes are used up.
 
 	@param bytes The number of bytes.
 	*/
 	add(bytes: number): void {
-		this.#bytes += bytes;
+		this.#bytes += bytes + chunkBytes;
 		this.#immediate ??= setImmediate(() => {
 			this.#immediate = undefined;
 			this.#bytes = 0;
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -1,5 +1,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Clock} from '@valehitch/core';
+import {type HeldBytes} from '@valehitch/routing';
 import {InactivityTimer} from '@valehitch/transport';
 import {type AnswerBuffer} from './answer-buffer.js';
 import {type EventStream} from './event-stream.js';
@@ -15,6 +16,10 @@
 	readonly events: EventStream;
 	/** Counts what the caller has not read, and decides whether the server may go on sending; by default it may not. */
 	readonly buffer?: Pick<AnswerBuffer, 'mayGrow' | 'recordUnread'>;
+	/** The bytes that are held for the incomplete event; by default, nothing is counted. */
+	readonly held?: HeldBytes;
+	/** Whether a number of bytes may be held for the incomplete event; by default any. */
+	readonly mayHold?: (bytes: number) => boolean;
 	/** The clock of the stall timeout; that of the process by default. */
 	readonly clock?: Pick<Clock, 'monotonic'>;
 	/** The time without data after which the stream is considered stalled, in milliseconds; 0 for no timeout. */
@@ -46,7 +51,7 @@
 ```
 */
 export async function relayStream(options: RelayStreamOptions): Promise<RelayEnd> {
-	const {message, isComplete, response, events, buffer, clock = processClock, stallTimeout, canResumeElsewhere, onData, onFirstEvent} = options;
+	const {message, isComplete, response, events, buffer, held, mayHold = () => true, clock = processClock, stallTimeout, canResumeElsewhere, onData, onFirstEvent} = options;
 	return new Promise(resolve => {
 		const overhead = new OverheadWatch(message);
 		let hasForwarded = false;
@@ -73,6 +78,7 @@
 			stall.stop();
 			overhead.stop();
 			pace.stop();
+			held?.set(0);
 			response.off('close', onCallerClose);
 			response.off('drain', onDrain);
 			if (end === 'stalled') {
@@ -124,7 +130,12 @@
 				forward(part.bytes);
 			}
 
-			if (events.incomplete.byteLength > maximumEventBytes) {
+			if (isFinished) {
+				return;
+			}
+
+			held?.set(events.heldBytes);
+			if (events.incomplete.byteLength > maximumEventBytes || !mayHold(events.heldBytes)) {
 				finish('broken');
 			}
 		};
--- a/packages/routing/src/held-memory.test.ts
+++ b/packages/routing/src/held-memory.test.ts
@@ -60,3 +60,37 @@
 		}
 	}));
 });
+
+test('answers that all grow without end leave room, and none of them keeps another one from being collected', t => {
+	for (const count of [1, 40, 400]) {
+		const memory = new HeldMemory({totalBytes: 90_000_000});
+		const answers = Array.from({length: count}, () => ({held: memory.open(), bytes: 0, isClosed: false}));
+		let leastRoom = memory.room;
+		while (answers.some(({isClosed}) => !isClosed)) {
+			for (const answer of answers) {
+				answer.bytes += answer.isClosed ? 0 : 16_384;
+				answer.held.set(answer.bytes);
+				if (!memory.mayCollect(answer.bytes)) {
+					answer.isClosed = true;
+					answer.bytes = 0;
+					answer.held.set(0);
+				}
+
+				leastRoom = Math.min(leastRoom, memory.room);
+			}
+		}
+
+		t.true(leastRoom > 0, `${leastRoom} bytes left by ${count}`);
+	}
+
+	const full = new HeldMemory({totalBytes: 1000});
+	full.open().set(1000);
+	t.true(full.mayCollect(16_384));
+	t.false(full.mayCollect(16_385));
+});
+
+test('without a limit every answer is collected', t => {
+	const memory = new HeldMemory();
+	memory.open().set(1_000_000_000);
+	t.true(memory.mayCollect(1_000_000_000));
+});
--- a/packages/routing/src/held-memory.ts
+++ b/packages/routing/src/held-memory.ts
@@ -17,11 +17,15 @@
 const defaultAnswerBytes = 1_048_576;
 /** The share of all bytes up to which answers are buffered; the rest is kept for new requests, so that slow callers keep no others out. */
 const answerShare = 0.5;
+/** The bytes of an answer that are collected even if no room is left; most answers are shorter. */
+const smallAnswerBytes = 16_384;
+/** The share of the room that is left up to which an answer is collected. The more answers grow at the same time, the less each of them gets, and some room always remains. */
+const collectedShare = 0.25;
 
 /**
 Counts the bytes that an instance holds for its requests, and decides what else it may hold: whether the server of an answer may go on sending while the caller reads slowly, and whether a request fits.
 
-The load it answers is that of callers and servers that read slowly: without a buffer, a server is not read while its caller is not, and cuts off the answer; without a bound, the instance ends for its memory.
+The load it answers is that of callers and servers that read slowly, and of servers that send without end: without a buffer, a server is not read while its caller is not, and cuts off the answer; without a bound, the instance ends for its memory.
 
 @example
 ```ts
@@ -80,4 +84,14 @@
 	mayBuffer(answerBytes: number): boolean {
 		return this.#totalBytes !== undefined && answerBytes <= this.#answerBytes && this.#held <= answerShare * this.#totalBytes;
 	}
+
+	/**
+	Checks whether an answer may be collected further: a small one always, a longer one up to a share of the room that is left, so that however many servers send without end, they take neither all of the room nor that of one another.
+
+	@param answerBytes The bytes that are held for the answer, which are counted already.
+	@returns Whether it may.
+	*/
+	mayCollect(answerBytes: number): boolean {
+		return answerBytes <= smallAnswerBytes || answerBytes <= collectedShare * this.room;
+	}
 }
