gateway: a stream of comments without end is no answer

Callers saw: a request to a server that sent comments without end got neither an event nor an error, up to its deadline, and callers of other services waited for seconds (54 of 60 served, median 4.2 s, beside 400 callers on; 0.5 s beside 40). Cause: each comment ends with an empty line, so that it counted as a complete event: nothing bounded their bytes, and any data kept the stream from being taken for stalled. Evidence: 'a server that sends comments without end is cut off, and the stream goes on at another one' and 'comments no longer keep a stream from being taken for stalled when they are many', both red with comments counted as events again: the answer to the caller was aborted, and the stream ended as complete. Change: what a server sends without completing an event is bounded by 1 MiB, as the length of an event was; beyond 64 KiB it no longer shows that the stream goes on. Why it works: an event is a block with a line that is no comment. Comments in the pauses of a stream are a few bytes each, and go on to keep it alive ('comments keep a stream from being taken for stalled'); both counts begin anew at each event. Conclusion: the deadline applies as before. An event of more than 64 KiB that takes longer than the stall timeout is now taken for stalled, and goes on if no other server continues it.

--- /dev/null
+++ b/packages/gateway/src/entry/commented-streams.test.ts
@@ -0,0 +1,52 @@
+import {once} from 'node:events';
+import {type IncomingMessage, request as openRequest, type ServerResponse} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {listen} from './_test-run.js';
+import {EventStream} from './event-stream.js';
+import {type RelayEnd, relayStream} from './relay-stream.js';
+
+const comment = ': a\n\n';
+const commentMilliseconds = 20;
+const stallMilliseconds = 500;
+/** The comments that are sent during three stall timeouts. */
+const commentCount = 3 * stallMilliseconds / commentMilliseconds;
+
+async function sendComments(response: ServerResponse, start: string): Promise<void> {
+	response.writeHead(200, {'Content-Type': 'text/event-stream'}).write(start);
+	for (let index = 0; index < commentCount; index++) {
+		await delay(commentMilliseconds);
+		response.write(comment);
+	}
+
+	response.end('data: a\n\n');
+}
+
+/** Relays a stream that begins with some bytes, and has a comment again and again before its only event; returns how it ended. */
+async function relay(t: ExecutionContext, start: string): Promise<RelayEnd> {
+	const port = await listen(t, (_message, response) => {
+		void sendComments(response, start);
+	});
+	const [message] = await once(openRequest({host: '127.0.0.1', port, agent: false}).end(), 'response') as [IncomingMessage];
+	t.teardown(() => {
+		message.destroy();
+	});
+	return relayStream({
+		message,
+		isComplete: async () => message.complete,
+		response: {write: () => true, on: () => undefined, off: () => undefined} as unknown as ServerResponse,
+		events: new EventStream(),
+		stallTimeout: stallMilliseconds,
+		canResumeElsewhere: () => true,
+		onData: () => undefined,
+		onFirstEvent: () => undefined,
+	});
+}
+
+test('comments keep a stream from being taken for stalled', async t => {
+	t.is(await relay(t, comment), 'complete');
+});
+
+test('comments no longer keep a stream from being taken for stalled when they are many', async t => {
+	t.is(await relay(t, comment.repeat(20_000)), 'stalled');
+});
--- a/packages/gateway/src/entry/endless-answers.test.ts
+++ b/packages/gateway/src/entry/endless-answers.test.ts
@@ -110,3 +110,24 @@
 		t.true(sent.bytes < mostBytes, `${sent.bytes} bytes`);
 	});
 }
+
+test('a server that sends comments without end is cut off, and the stream goes on at another one', async t => {
+	const text = 'data: found\n\n';
+	const comments = ': a\n\n'.repeat(4096);
+	const {ports, sent} = await startServers(t, {
+		start: `${chunkHead}Content-Type: text/event-stream\r\n\r\n`,
+		rest: `${comments.length.toString(16)}\r\n${comments}\r\n`,
+		goodAnswer: `HTTP/1.1 200 OK\r\nContent-Length: ${text.length}\r\nConnection: close\r\n\r\n${text}`,
+	});
+	const {answers} = await sendRequests(t, 1, {
+		nextServers(servers) {
+			servers.applyRecords(ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
+		},
+		route: testRoute({
+			kind: 'streaming', maximumAttempts: 2, timeout: 8000, isResumable: true, targetGap: 4000,
+		}),
+	});
+	t.regex(answers[0]?.text ?? '', /^(?:: a\n\n)*data: found\n\n$/v);
+	await sent.closed;
+	t.true(sent.bytes < mostBytes, `${sent.bytes} bytes`);
+});
--- a/packages/gateway/src/entry/event-stream.test.ts
+++ b/packages/gateway/src/entry/event-stream.test.ts
@@ -85,3 +85,12 @@
 	partial.fill(0);
 	t.is(textOf(stream.incomplete), 'id: 3');
 });
+
+test('comments are told from events', t => {
+	const hasEvent = (text: string): boolean | undefined => new EventStream().push(Buffer.from(text))?.hasEvent;
+	t.false(hasEvent(': ping\n\n'));
+	t.false(hasEvent('\r\n: one\r\n: two\r\n\r\n\n'));
+	t.true(hasEvent(': ping\n\ndata: a\n\n'));
+	t.true(hasEvent('data: a\n\n: ping\n\n'));
+	t.true(hasEvent('id\n\n'));
+});
--- a/packages/gateway/src/entry/event-stream.ts
+++ b/packages/gateway/src/entry/event-stream.ts
@@ -4,10 +4,13 @@
 /** Complete events of a stream, ready to be forwarded. */
 export type CompleteEvents = {
 	readonly bytes: Uint8Array;
+	/** Whether there is an event among them; otherwise they are comments, which only keep the connection alive. */
+	readonly hasEvent: boolean;
 };
 
 const newline = 10;
 const carriageReturn = 13;
+const colon = 58;
 const idField = Buffer.from('id:');
 /** A carriage return after a line feed is the first half of a truncated line end. */
 const lineEndPattern = /\r\n|(?<!\n)\r/gv;
@@ -82,7 +85,7 @@
 
 		const bytes = end === buffered.byteLength ? buffered : buffered.subarray(0, end);
 		this.#lastEventId = lastIdIn(bytes) ?? this.#lastEventId;
-		return {bytes};
+		return {bytes, hasEvent: hasEvent(bytes)};
 	}
 
 	/** Discards the incomplete event, so that the stream can resume at another server. */
@@ -119,6 +122,23 @@
 	return 0;
 }
 
+/** Whether there is a line that is neither empty nor a comment. */
+function hasEvent(bytes: Uint8Array): boolean {
+	let position = 0;
+	while (position < bytes.byteLength) {
+		if (isLineEnd(bytes[position])) {
+			position++;
+		} else if (bytes[position] === colon) {
+			const end = bytes.indexOf(newline, position);
+			position = end === -1 ? bytes.byteLength : end + 1;
+		} else {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 /** Returns the value of the last line that is an id; undefined if there is none. */
 function lastIdIn(bytes: Uint8Array): string | undefined {
 	const buffer = asBuffer(bytes);
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -32,8 +32,10 @@
 	readonly onFirstEvent: () => void;
 };
 
-/** The longest event, in bytes; a server may send without ever ending one. */
+/** The most that a server may send without completing an event, in bytes: a long event, or comments. */
 const maximumEventBytes = 1024 * 1024;
+/** The bytes since the last event up to which data shows that a stream goes on: comments keep a connection alive, but are no answer. */
+const keepAliveBytes = 64 * 1024;
 const eventStreamType = 'text/event-stream';
 const processClock: Pick<Clock, 'monotonic'> = {monotonic: () => performance.now()};
 
@@ -55,6 +57,7 @@
 	return new Promise(resolve => {
 		const overhead = new OverheadWatch(message);
 		let hasForwarded = false;
+		let bytesWithoutEvent = events.incomplete.byteLength;
 		let isFinished = false;
 		let isPaused = false;
 		const pace = new ReadPace(message, {mayResume: () => !isPaused && !isFinished});
@@ -122,10 +125,14 @@
 		const onChunk = (chunk: Uint8Array): void => {
 			const now = clock.monotonic();
 			onData(now);
-			stall.touch(now);
 			overhead.add(chunk.byteLength);
 			pace.add(chunk.byteLength);
 			const part = events.push(chunk);
+			bytesWithoutEvent = part?.hasEvent === true ? events.incomplete.byteLength : bytesWithoutEvent + chunk.byteLength;
+			if (bytesWithoutEvent <= keepAliveBytes) {
+				stall.touch(now);
+			}
+
 			if (part !== undefined && !isFinished) {
 				forward(part.bytes);
 			}
@@ -135,7 +142,7 @@
 			}
 
 			held?.set(events.heldBytes);
-			if (events.incomplete.byteLength > maximumEventBytes || !mayHold(events.heldBytes)) {
+			if (bytesWithoutEvent > maximumEventBytes || !mayHold(events.heldBytes)) {
 				finish('broken');
 			}
 		};
