--- a/packages/gateway/src/entry/event-stream.ts
+++ b/packages/gateway/src/entry/event-stream.ts
@@ -1,14 +1,17 @@
 import {Buffer} from 'node:buffer';
+import {GrowingBytes} from './_growing-bytes.js';
 
 /** Complete events of a stream, ready to be forwarded. */
 export type CompleteEvents = {
 	readonly bytes: Uint8Array;
+	/** Whether there is an event among them; otherwise they are comments, which only keep the connection alive. */
+	readonly hasEvent: boolean;
 };
 
 const newline = 10;
 const carriageReturn = 13;
+const colon = 58;
 const idField = Buffer.from('id:');
-const nothing = Buffer.alloc(0);
 /** A carriage return after a line feed is the first half of a truncated line end. */
 const lineEndPattern = /\r\n|(?<!\n)\r/gv;
 const emptyLine = '\n\n';
@@ -25,7 +28,7 @@
 ```
 */
 export class EventStream {
-	#incomplete: Uint8Array = nothing;
+	#incomplete = new GrowingBytes();
 	#lastEventId: string | undefined;
 
 	/**
@@ -40,14 +43,19 @@
 		return this.#lastEventId;
 	}
 
+	/** The memory that is held for the incomplete event, in bytes. */
+	get heldBytes(): number {
+		return this.#incomplete.capacity;
+	}
+
 	/** The bytes of the incomplete event. */
 	get incomplete(): Uint8Array {
-		return this.#incomplete;
+		return this.#incomplete.view;
 	}
 
 	/** Whether a stream that ends here is broken off inside an event. Empty lines and comments belong to no event. */
 	get isInsideEvent(): boolean {
-		const text = Buffer.from(this.#incomplete).toString('latin1').replaceAll(lineEndPattern, '\n');
+		const text = asBuffer(this.#incomplete.view).toString('latin1').replaceAll(lineEndPattern, '\n');
 		const lastEventStart = text.lastIndexOf(emptyLine);
 		return (lastEventStart === -1 ? text : text.slice(lastEventStart)).replaceAll(commentPattern, '').trim() !== '';
 	}
@@ -59,25 +67,30 @@
 	@returns The events that are now complete, or undefined if there are none.
 	*/
 	push(chunk: Uint8Array): CompleteEvents | undefined {
-		const checkedBytes = this.#incomplete.byteLength;
-		const buffered = checkedBytes === 0 ? asBuffer(chunk) : Buffer.concat([this.#incomplete, chunk]);
+		const checkedBytes = this.#incomplete.length;
+		if (checkedBytes > 0) {
+			this.#incomplete.append(chunk);
+		}
+
+		const buffered = checkedBytes === 0 ? asBuffer(chunk) : asBuffer(this.#incomplete.view);
 		const end = endOfLastEvent(buffered, checkedBytes);
+		if (end > 0 || checkedBytes === 0) {
+			// The rest is copied, because it may be a part of a much larger buffer.
+			this.restoreIncomplete(buffered.subarray(end));
+		}
+
 		if (end === 0) {
-			// The chunk is copied, because it may be a part of a much larger buffer.
-			this.#incomplete = checkedBytes === 0 ? Buffer.from(buffered) : buffered;
 			return undefined;
 		}
 
-		const isWhole = end === buffered.byteLength;
-		const bytes = isWhole ? buffered : buffered.subarray(0, end);
-		this.#incomplete = isWhole ? nothing : Buffer.from(buffered.subarray(end));
+		const bytes = end === buffered.byteLength ? buffered : buffered.subarray(0, end);
 		this.#lastEventId = lastIdIn(bytes) ?? this.#lastEventId;
-		return {bytes};
+		return {bytes, hasEvent: hasEvent(bytes)};
 	}
 
 	/** Discards the incomplete event, so that the stream can resume at another server. */
 	discardIncomplete(): void {
-		this.#incomplete = nothing;
+		this.#incomplete = new GrowingBytes();
 	}
 
 	/**
@@ -86,7 +99,8 @@
 	@param bytes The bytes that were incomplete when it was left.
 	*/
 	restoreIncomplete(bytes: Uint8Array): void {
-		this.#incomplete = bytes;
+		this.#incomplete = new GrowingBytes();
+		this.#incomplete.append(bytes);
 	}
 }
 
@@ -96,16 +110,35 @@
 
 /** Returns the position after the last empty line; 0 if there is none. No empty line ends in the first `checkedBytes`. */
 function endOfLastEvent(bytes: Uint8Array, checkedBytes: number): number {
-	for (let index = bytes.lastIndexOf(newline); index > 0 && index >= checkedBytes; index = bytes.lastIndexOf(newline, index - 1)) {
-		const before = bytes[index - 1] === carriageReturn ? index - 2 : index - 1;
+	const unchecked = asBuffer(bytes.subarray(checkedBytes));
+	for (let index = unchecked.lastIndexOf(newline); index >= 0; index = index === 0 ? -1 : unchecked.lastIndexOf(newline, index - 1)) {
+		const position = checkedBytes + index;
+		const before = bytes[position - 1] === carriageReturn ? position - 2 : position - 1;
 		if (before >= 0 && bytes[before] === newline) {
-			return index + 1;
+			return position + 1;
 		}
 	}
 
 	return 0;
 }
 
+/** Whether there is a line that is neither empty nor a comment. */
+function hasEvent(bytes: Uint8Array): boolean {
+	let position = 0;
+	while (position < bytes.byteLength) {
+		if (isLineEnd(bytes[position])) {
+			position++;
+		} else if (bytes[position] === colon) {
+			const end = bytes.indexOf(newline, position);
+			position = end === -1 ? bytes.byteLength : end + 1;
+		} else {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 /** Returns the value of the last line that is an id; undefined if there is none. */
 function lastIdIn(bytes: Uint8Array): string | undefined {
 	const buffer = asBuffer(bytes);
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -1,9 +1,11 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Clock} from '@valehitch/core';
+import {type HeldBytes} from '@valehitch/routing';
 import {InactivityTimer} from '@valehitch/transport';
 import {type AnswerBuffer} from './answer-buffer.js';
 import {type EventStream} from './event-stream.js';
 import {OverheadWatch} from './overhead-watch.js';
+import {ReadPace} from './read-pace.js';
 
 /** Options of {@linkcode relayStream}. */
 export type RelayStreamOptions = {
@@ -14,6 +16,10 @@
 	readonly events: EventStream;
 	/** Counts what the caller has not read, and decides whether the server may go on sending; by default it may not. */
 	readonly buffer?: Pick<AnswerBuffer, 'mayGrow' | 'recordUnread'>;
+	/** The bytes that are held for the incomplete event; by default, nothing is counted. */
+	readonly held?: HeldBytes;
+	/** Whether a number of bytes may be held for the incomplete event; by default any. */
+	readonly mayHold?: (bytes: number) => boolean;
 	/** The clock of the stall timeout; that of the process by default. */
 	readonly clock?: Pick<Clock, 'monotonic'>;
 	/** The time without data after which the stream is considered stalled, in milliseconds; 0 for no timeout. */
@@ -26,8 +32,10 @@
 	readonly onFirstEvent: () => void;
 };
 
-/** The longest event, in bytes; a server may send without ever ending one. */
+/** The most that a server may send without completing an event, in bytes: a long event, or comments. */
 const maximumEventBytes = 1024 * 1024;
+/** The bytes since the last event up to which data shows that a stream goes on: comments keep a connection alive, but are no answer. */
+const keepAliveBytes = 64 * 1024;
 const eventStreamType = 'text/event-stream';
 const processClock: Pick<Clock, 'monotonic'> = {monotonic: () => performance.now()};
 
@@ -45,12 +53,14 @@
 ```
 */
 export async function relayStream(options: RelayStreamOptions): Promise<RelayEnd> {
-	const {message, isComplete, response, events, buffer, clock = processClock, stallTimeout, canResumeElsewhere, onData, onFirstEvent} = options;
+	const {message, isComplete, response, events, buffer, held, mayHold = () => true, clock = processClock, stallTimeout, canResumeElsewhere, onData, onFirstEvent} = options;
 	return new Promise(resolve => {
 		const overhead = new OverheadWatch(message);
 		let hasForwarded = false;
+		let bytesWithoutEvent = events.incomplete.byteLength;
 		let isFinished = false;
 		let isPaused = false;
+		const pace = new ReadPace(message, {mayResume: () => !isPaused && !isFinished});
 		const stall = new InactivityTimer({
 			timeout: stallTimeout,
 			clock,
@@ -70,6 +80,8 @@
 			isFinished = true;
 			stall.stop();
 			overhead.stop();
+			pace.stop();
+			held?.set(0);
 			response.off('close', onCallerClose);
 			response.off('drain', onDrain);
 			if (end === 'stalled') {
@@ -113,14 +125,24 @@
 		const onChunk = (chunk: Uint8Array): void => {
 			const now = clock.monotonic();
 			onData(now);
-			stall.touch(now);
 			overhead.add(chunk.byteLength);
+			pace.add(chunk.byteLength);
 			const part = events.push(chunk);
+			bytesWithoutEvent = part?.hasEvent === true ? events.incomplete.byteLength : bytesWithoutEvent + chunk.byteLength;
+			if (bytesWithoutEvent <= keepAliveBytes) {
+				stall.touch(now);
+			}
+
 			if (part !== undefined && !isFinished) {
 				forward(part.bytes);
 			}
 
-			if (events.incomplete.byteLength > maximumEventBytes) {
+			if (isFinished) {
+				return;
+			}
+
+			held?.set(events.heldBytes);
+			if (bytesWithoutEvent > maximumEventBytes || !mayHold(events.heldBytes)) {
 				finish('broken');
 			}
 		};
