transport: reset the connection of a request that is cancelled before its answer

Callers' servers went on with requests that nobody waits for: a send that was cancelled, or given up as silent, was closed without a reset, so that the kernel still delivered what it held. A server that reads late received the whole request.

Cause: ClientRequest.destroy closes the connection. The kernel then sends the rest of its buffer before the end.

Change: cancelRequest resets the connection of a request that has been written before it destroys the request, in sendAttempt and sendHttpRequest.

Why it works: a reset drops what has not been sent.

--- a/packages/gateway/src/entry/send-attempt.test.ts
+++ b/packages/gateway/src/entry/send-attempt.test.ts
@@ -67,6 +67,9 @@
 	}
 }
 
+/** More than a server that reads nothing is sent, and less than the kernel takes of a request. */
+const longBody = Buffer.alloc(262_144, 'coil');
+
 /** Sends a request and checks whether the body of the answer is complete. */
 async function isComplete(options: SendAttemptOptions): Promise<boolean> {
 	const outcome = await sendAttempt(options).outcome;
@@ -175,6 +178,45 @@
 	t.is(cancelled.type, 'cancelled');
 });
 
+const endings = [
+	['cancelled', undefined],
+	['given up as silent', giveUpAfter(50)],
+] as const;
+for (const [name, headTimeouts] of endings) {
+	test(`a server that reads late does not receive the whole of a request that was ${name}`, async t => {
+		const server = createServer({pauseOnConnect: true}).listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		t.teardown(() => {
+			server.close();
+		});
+		const options = await serve(t, () => undefined);
+		const sent = sendAttempt({
+			...options, server: testServer({port: (server.address() as AddressInfo).port}), method: 'POST', body: longBody, headTimeouts,
+		});
+		const [socket] = await once(server, 'connection') as [Socket];
+		while (!sent.isSent()) {
+			await nextTurn();
+		}
+
+		await takeTurns(endTurns);
+		if (headTimeouts === undefined) {
+			sent.cancel();
+		}
+
+		await sent.outcome;
+		let received = 0;
+		socket.on('data', (bytes: Uint8Array) => {
+			received += bytes.byteLength;
+		});
+		socket.on('error', () => undefined);
+		await new Promise(resolve => {
+			socket.on('close', resolve);
+			socket.resume();
+		});
+		t.true(received < longBody.byteLength, `${received} bytes`);
+	});
+}
+
 test('extra bytes after an answer are not taken for the answer to the next request', async t => {
 	let connections = 0;
 	const options = await serve(t, socket => {
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,7 +1,7 @@
 import {type ClientRequest, type IncomingMessage, request as openRequest} from 'node:http';
 import {type Clock} from '@valehitch/core';
 import {
-	ArrivalWatch, frameRequest, malformedHead, type ResponseEnd, responseFraming, type ResponseFraming, sendOnceOpen, type SendProgress, setTimeoutAfterPoll,
+	ArrivalWatch, cancelRequest, frameRequest, malformedHead, type ResponseEnd, responseFraming, type ResponseFraming, sendOnceOpen, type SendProgress, setTimeoutAfterPoll,
 	watchHead, watchResponseEnd, type Relay, TunnelError,
 } from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -83,7 +83,7 @@
 	readonly outcome: Promise<SendOutcome>;
 	/** Whether a part of the request may have been sent. */
 	readonly isSent: () => boolean;
-	/** Cancels the send by closing its connection, which also cancels it at the server. */
+	/** Cancels the send by resetting its connection, which also cancels it at the server. */
 	readonly cancel: () => void;
 };
 
@@ -140,7 +140,7 @@
 		isSent: () => progress.isSent,
 		cancel() {
 			isCancelled = true;
-			request.destroy();
+			cancelRequest(request);
 		},
 	};
 }
@@ -166,7 +166,7 @@
 		});
 		const giveUp = (): void => {
 			isSilent = true;
-			request.destroy();
+			cancelRequest(request);
 			closeIdleConnections(server, relay?.pool);
 		};
 
--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -125,6 +125,45 @@
 	server.close();
 });
 
+test('a server that reads late does not receive the whole of a request that was aborted', async t => {
+	const server = createServer({pauseOnConnect: true}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const controller = new AbortController();
+	const body = new Uint8Array(262_144);
+	const written = new Promise<void>(resolve => {
+		void sendHttpRequest({
+			address: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+			method: 'POST',
+			path: '/',
+			headers: {},
+			body,
+			signal: controller.signal,
+			reuseConnection: true,
+			mayStillSend() {
+				resolve();
+				return true;
+			},
+		});
+	});
+	const [socket] = await once(server, 'connection') as [Socket];
+	await written;
+	await turn();
+	controller.abort();
+	let received = 0;
+	socket.on('data', (bytes: Uint8Array) => {
+		received += bytes.byteLength;
+	});
+	socket.on('error', doNothing);
+	await new Promise(resolve => {
+		socket.on('close', resolve);
+		socket.resume();
+	});
+	t.true(received < body.byteLength, `${received} bytes`);
+});
+
 test('a request whose connection the server closes is not reported as never sent', async t => {
 	const server = await startHttpServer({
 		host: '127.0.0.1',
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -7,6 +7,7 @@
 export * from './allows-response-body.js';
 export * from './arrival-watch.js';
 export * from './caller-signal.js';
+export * from './cancel-request.js';
 export * from './close-idle-after-poll.js';
 export * from './connection-turns.js';
 export * from './frame-request.js';
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -2,6 +2,7 @@
 	Agent, type IncomingHttpHeaders, type IncomingMessage, type OutgoingHttpHeaders, request as sendRequest,
 } from 'node:http';
 import {type Either, Left, Right} from 'purify-ts';
+import {cancelRequest} from './cancel-request.js';
 import {parseAddress} from './parse-address.js';
 import {probeAddress} from './probe-address.js';
 import {type Relay} from './relay.js';
@@ -20,7 +21,7 @@
 	readonly path: string;
 	readonly headers: OutgoingHttpHeaders;
 	readonly body: Uint8Array;
-	/** Aborts the request and destroys its socket. */
+	/** Aborts the request and resets its connection. */
 	readonly signal: AbortSignal;
 	/** Whether to reuse an idle connection; false if the request must not be retried. */
 	readonly reuseConnection: boolean;
@@ -77,7 +78,18 @@
 			method: call.method,
 			headers: {...call.headers, 'content-length': call.body.byteLength},
 			agent: agentOf(call),
-			signal: call.signal,
+		});
+		const cancel = (): void => {
+			cancelRequest(clientRequest);
+		};
+
+		if (call.signal.aborted) {
+			cancel();
+		}
+
+		call.signal.addEventListener('abort', cancel);
+		clientRequest.on('close', () => {
+			call.signal.removeEventListener('abort', cancel);
 		});
 		// The size of the head is limited. A header that is dropped may be the one that frames the body.
 		clientRequest.maxHeadersCount = 0;
