routing: work out what a record of exits says only when it changes or ages

Callers saw nothing of this. Each change of a record, and each exit is one for every request on that server, made the next look at any request go through the exits of all records again, and a look at a request without a record did as well.

Change: what a record says is kept with it until one of its exits ages. Only subjects with enough exits for a verdict are analyzed, since neither a verdict nor a better explanation of one needs the others. The parts at a process are ordered by their exits, so that the comparison ends at the first smaller one. A request without a record is unknown without an analysis. The union of records moved to a file of its own, without a change.

No new test, as nothing but the cost changes.

--- a/packages/routing/src/_suspect-analysis.ts
+++ b/packages/routing/src/_suspect-analysis.ts
@@ -1,60 +1,39 @@
 import {type PromptPartFingerprint, type SuspectFingerprint} from '@valehitch/core';
 import {addAll} from './_add-all.js';
 import {blamePromptParts, type SuspectedPart} from './blame-prompt-parts.js';
-import {isPromptPart} from './prompt-part-fingerprint.js';
-import {type SuspectRecord, type SuspectStatus} from './suspect-record.js';
+import {type SuspectStatus} from './suspect-record.js';
+import {
+	type ExitTimes, fullWeightMilliseconds, settlingMilliseconds, type SuspectSubject,
+} from './_suspect-subject.js';
 
 /** One exit may be a coincidence, and so may a second while servers fail one after another; a third process that exits is taken as proof. */
-const quarantineThreshold = 3;
+export const quarantineThreshold = 3;
 const doubtfulThreshold = 2;
 /** This many processes are proof against a part already if they exited at two different times. */
 const manyProcesses = 5;
-/** How long an exit counts fully: ten minutes, after which the request may be sent once more, which reveals a wrong verdict. */
-const fullWeightMilliseconds = 600_000;
-/** How long an exit counts at all: an hour, within which one more exit is enough for another quarantine. */
-export const retentionMilliseconds = 3_600_000;
 /** Exits within this time of each other, in milliseconds, count as one against a part, since a power failure ends many processes at once, all with some part in common. */
 const sameEventMilliseconds = 100;
-/** How long an exit does not count against a part yet, in milliseconds, so that what other instances found about it has arrived. */
-const settlingMilliseconds = 150;
-
-/** A record with its uncleared exits that still count. */
-type Subject = {
-	readonly record: SuspectRecord;
-	readonly exits: ReadonlyMap<string, number>;
-};
 
 /**
-Judges which requests and parts of prompts crash servers, from all records of a registry at one time.
+Judges which requests and parts of prompts crash servers, at one time, from those with enough exits for a verdict.
 
 An exit counts against a request unless a part of prompts explains it better: a part that had more exits, or as many without being in the request. A part is blamed for what no such request explains.
 */
 export class SuspectAnalysis {
-	/** The time from which the result may differ without a change of the records, in milliseconds since the epoch. */
-	readonly validUntil: number;
 	readonly #now: number;
-	readonly #subjects = new Map<SuspectFingerprint, Subject>();
-	/** The parts that were in progress at each process. */
-	readonly #partsAt = new Map<string, Subject[]>();
+	/** The parts that were in progress at each process, those with the most exits first. */
+	readonly #partsAt = new Map<string, SuspectSubject[]>();
 	readonly #blamed = new Set<SuspectFingerprint>();
 	/** The processes whose exits a blamed part explains. */
 	readonly #explainedByParts = new Set<string>();
 	readonly #explained = new Set<string>();
 
-	constructor(records: Iterable<SuspectRecord>, now: number) {
+	constructor(subjects: readonly SuspectSubject[], now: number) {
 		this.#now = now;
-		let validUntil = Number.POSITIVE_INFINITY;
-		for (const record of records) {
-			const subject = {record, exits: currentExits(record, now)};
-			if (subject.exits.size > 0) {
-				this.#add(subject);
-				validUntil = Math.min(validUntil, nextChangeOf(subject, now));
-			}
-		}
-
-		this.validUntil = validUntil;
-		this.#blameRequests();
-		this.#blameParts();
+		const parts = subjects.filter(({isPart}) => isPart);
+		this.#indexParts(parts);
+		this.#blameRequests(subjects.filter(({isPart}) => !isPart));
+		this.#blameParts(parts);
 	}
 
 	/** The requests and parts that are quarantined. */
@@ -65,15 +44,15 @@
 	/**
 	Returns the status of a request or a part by its own exits.
 
-	@param fingerprint The request or the part.
+	@param subject What is recorded of the request or the part.
 	@returns The status.
 	*/
-	statusOf(fingerprint: SuspectFingerprint): SuspectStatus {
-		if (this.#blamed.has(fingerprint)) {
+	statusOf(subject: SuspectSubject): SuspectStatus {
+		if (this.#blamed.has(subject.record.fingerprint)) {
 			return 'quarantined';
 		}
 
-		const count = this.#unexplainedExits(fingerprint);
+		const count = this.#unexplainedExits(subject);
 		if (count >= doubtfulThreshold) {
 			return 'doubtful';
 		}
@@ -81,27 +60,20 @@
 		return count > 0 ? 'suspect' : 'unknown';
 	}
 
-	#add(subject: Subject): void {
-		this.#subjects.set(subject.record.fingerprint, subject);
-		if (!isPromptPart(subject.record.fingerprint)) {
-			return;
-		}
-
-		for (const process of subject.exits.keys()) {
-			const parts = this.#partsAt.get(process) ?? [];
-			parts.push(subject);
-			this.#partsAt.set(process, parts);
+	#indexParts(parts: readonly SuspectSubject[]): void {
+		for (const part of parts.toSorted((one, other) => other.exits.size - one.exits.size)) {
+			for (const process of part.exits.keys()) {
+				const partsAt = this.#partsAt.get(process) ?? [];
+				partsAt.push(part);
+				this.#partsAt.set(process, partsAt);
+			}
 		}
 	}
 
-	#blameRequests(): void {
-		for (const subject of this.#subjects.values()) {
-			const {record: {fingerprint}, exits} = subject;
-			if (isPromptPart(fingerprint) || exits.size < quarantineThreshold) {
-				continue;
-			}
-
-			const own = [...exits].filter(([process]) => !this.#hasBetterExplanation(process, subject));
+	#blameRequests(requests: readonly SuspectSubject[]): void {
+		for (const request of requests) {
+			const {record: {fingerprint}, exits} = request;
+			const own = [...exits].filter(([process]) => !this.#hasBetterExplanation(process, request));
 			if (countByAge(own.map(([, at]) => at), this.#now) >= quarantineThreshold) {
 				this.#blamed.add(fingerprint);
 				addAll(this.#explained, exits.keys());
@@ -109,10 +81,13 @@
 		}
 	}
 
-	#hasBetterExplanation(process: string, {record, exits}: Subject): boolean {
+	#hasBetterExplanation(process: string, {record, exits}: SuspectSubject): boolean {
 		for (const part of this.#partsAt.get(process) ?? []) {
-			const isOwn = record.parts?.includes(part.record.fingerprint as PromptPartFingerprint) ?? false;
-			if (part.exits.size > exits.size || (part.exits.size === exits.size && !isOwn)) {
+			if (part.exits.size !== exits.size) {
+				return part.exits.size > exits.size;
+			}
+
+			if (!(record.parts?.includes(part.record.fingerprint as PromptPartFingerprint) ?? false)) {
 				return true;
 			}
 		}
@@ -120,19 +95,21 @@
 		return false;
 	}
 
-	#blameParts(): void {
+	#blameParts(subjects: readonly SuspectSubject[]): void {
 		const times = new Map<string, number>();
 		const parts: SuspectedPart[] = [];
-		for (const {record: {fingerprint, depth = 0, answeredAt}, exits} of this.#subjects.values()) {
+		const exitsOf = new Map<SuspectFingerprint, ExitTimes>();
+		for (const {record: {fingerprint, depth = 0, answeredAt}, exits} of subjects) {
 			const settled = [...exits].filter(([process, at]) => isSettled(at, this.#now) && !this.#explained.has(process));
-			if (!isPromptPart(fingerprint) || settled.length < quarantineThreshold) {
+			if (settled.length < quarantineThreshold) {
 				continue;
 			}
 
 			const wasAnswered = answeredAt !== undefined && this.#now - answeredAt < fullWeightMilliseconds;
 			parts.push({
-				fingerprint, depth, wasAnswered, processes: new Set(settled.map(([process]) => process)),
+				fingerprint: fingerprint as PromptPartFingerprint, depth, wasAnswered, processes: new Set(settled.map(([process]) => process)),
 			});
+			exitsOf.set(fingerprint, exits);
 			for (const [process, at] of settled) {
 				times.set(process, at);
 			}
@@ -143,8 +120,7 @@
 		});
 		for (const fingerprint of blamed) {
 			this.#blamed.add(fingerprint);
-			const processes = this.#subjects.get(fingerprint)!.exits.keys();
-			addAll(this.#explainedByParts, processes);
+			addAll(this.#explainedByParts, exitsOf.get(fingerprint)!.keys());
 		}
 
 		addAll(this.#explained, this.#explainedByParts);
@@ -155,18 +131,13 @@
 		return events >= quarantineThreshold || (events >= doubtfulThreshold && countByAge(times, this.#now) >= manyProcesses);
 	}
 
-	#unexplainedExits(fingerprint: SuspectFingerprint): number {
-		const exits = this.#subjects.get(fingerprint)?.exits ?? new Map<string, number>();
-		const explained = isPromptPart(fingerprint) ? this.#explained : this.#explainedByParts;
+	#unexplainedExits({isPart, exits}: SuspectSubject): number {
+		const explained = isPart ? this.#explained : this.#explainedByParts;
 		const times = [...exits].filter(([process]) => !explained.has(process)).map(([, at]) => at);
-		return isPromptPart(fingerprint) ? countEvents(times, this.#now) : countByAge(times, this.#now);
+		return isPart ? countEvents(times, this.#now) : countByAge(times, this.#now);
 	}
 }
 
-function currentExits({ends}: SuspectRecord, now: number): ReadonlyMap<string, number> {
-	return new Map(ends.filter(({isCleared, at}) => !isCleared && now - at < retentionMilliseconds).map(({process, at}) => [process, at]));
-}
-
 function isSettled(at: number, now: number): boolean {
 	// The clock of the instance that saw the exit may be ahead.
 	return at > now || now - at >= settlingMilliseconds;
@@ -189,10 +160,3 @@
 
 	return countByAge(events, now);
 }
-
-/** Returns the next time at which an exit of a record counts differently. */
-function nextChangeOf({record, exits}: Subject, now: number): number {
-	const settling = isPromptPart(record.fingerprint) ? [settlingMilliseconds] : [];
-	const changes = [...exits.values()].flatMap(at => [...settling, fullWeightMilliseconds, retentionMilliseconds].map(age => at + age));
-	return Math.min(...changes.filter(change => change > now));
-}
--- a/packages/routing/src/suspect-registry.ts
+++ b/packages/routing/src/suspect-registry.ts
@@ -1,7 +1,8 @@
 import {type PromptPartFingerprint, type SuspectFingerprint} from '@valehitch/core';
-import {isPromptPart} from './prompt-part-fingerprint.js';
+import {mergeExits, mergeRecord} from './_merge-suspect-record.js';
 import {type ServerExit, type SuspectRecord, type SuspectStatus} from './suspect-record.js';
-import {retentionMilliseconds, SuspectAnalysis} from './_suspect-analysis.js';
+import {quarantineThreshold, SuspectAnalysis} from './_suspect-analysis.js';
+import {retentionMilliseconds, suspectSubject, type SuspectSubject} from './_suspect-subject.js';
 
 /** An exit that an instance observed, with what is known of the request or the part. */
 export type ObservedExit = Pick<ServerExit, 'process' | 'at'> & Pick<SuspectRecord, 'parts' | 'depth' | 'answeredAt'>;
@@ -16,16 +17,14 @@
 	record: SuspectRecord;
 	/** The number of the last change to a shared record; undefined while the record is not shared with other instances. */
 	changedAt: number | undefined;
+	/** What the record says, which is worked out anew only when the record changes or ages. */
+	subject: SuspectSubject | undefined;
 };
 
 /** A crash leaves about 20 requests and as many parts with one exit each, so this holds those of two dozen crashes in about 200 KB. */
 const defaultCapacity = 1024;
 /** The number of exits from which a record is shared with other instances; with a lower one, each server exit would share all requests that were in progress there. */
 const sharingThreshold = 2;
-/** Enough exits per request for repeated quarantines within the hour. */
-const maximumExitsPerRequest = 8;
-/** More than for a request: while a part is not known yet, requests with it run at many servers at the same time, and an exit that is left out would seem to have another cause. */
-const maximumExitsPerPart = 32;
 
 /**
 Tracks requests and parts of prompts during which backend server processes exited, and quarantines those that crash servers repeatedly.
@@ -45,7 +44,7 @@
 	readonly #capacity: number;
 	readonly #entries = new Map<SuspectFingerprint, Entry>();
 	#lastChange = 0;
-	#analysis: {readonly at: number; readonly result: SuspectAnalysis} | undefined;
+	#analysis: {readonly at: number; readonly validUntil: number; readonly result: SuspectAnalysis} | undefined;
 
 	constructor({capacity = defaultCapacity}: SuspectRegistryOptions = {}) {
 		this.#capacity = capacity;
@@ -106,7 +105,8 @@
 	@returns The status.
 	*/
 	status(fingerprint: SuspectFingerprint, now: number): SuspectStatus {
-		return this.#analyze(now).statusOf(fingerprint);
+		const entry = this.#entries.get(fingerprint);
+		return entry === undefined ? 'unknown' : this.#analyze(now).statusOf(subjectOf(entry, now));
 	}
 
 	/**
@@ -194,19 +194,29 @@
 	/** Returns the analysis of the current records, which is kept until they change or age. */
 	#analyze(now: number): SuspectAnalysis {
 		const known = this.#analysis;
-		if (known !== undefined && now >= known.at && now < known.result.validUntil) {
+		if (known !== undefined && now >= known.at && now < known.validUntil) {
 			return known.result;
 		}
 
-		const result = new SuspectAnalysis(this.records, now);
-		this.#analysis = {at: now, result};
+		const subjects: SuspectSubject[] = [];
+		let validUntil = Number.POSITIVE_INFINITY;
+		for (const entry of this.#entries.values()) {
+			const subject = subjectOf(entry, now);
+			validUntil = Math.min(validUntil, subject.validUntil);
+			if (subject.exits.size >= quarantineThreshold) {
+				subjects.push(subject);
+			}
+		}
+
+		const result = new SuspectAnalysis(subjects, now);
+		this.#analysis = {at: now, validUntil, result};
 		return result;
 	}
 
 	#store(record: SuspectRecord, previous: Entry | undefined): SuspectRecord {
 		this.#analysis = undefined;
 		const isShared = previous?.changedAt !== undefined || record.ends.length >= sharingThreshold;
-		this.#entries.set(record.fingerprint, {record, changedAt: isShared ? this.#nextChange() : undefined});
+		this.#entries.set(record.fingerprint, {record, changedAt: isShared ? this.#nextChange() : undefined, subject: undefined});
 		if (this.#entries.size > this.#capacity) {
 			this.#evictLeastEvidence();
 		}
@@ -234,37 +244,20 @@
 	}
 }
 
-function unclearedExits({ends}: SuspectRecord): readonly ServerExit[] {
-	return ends.filter(({isCleared}) => !isCleared);
-}
-
-/** Returns the union of the exits of two records, limited to the latest ones, or undefined if the second adds nothing to the first. */
-function mergeExits(known: readonly ServerExit[], {fingerprint, ends: added}: SuspectRecord): readonly ServerExit[] | undefined {
-	const merged = new Map(known.map(end => [end.process, end]));
-	for (const end of added) {
-		const before = merged.get(end.process);
-		if (before === undefined || (end.isCleared && !before.isCleared)) {
-			merged.set(end.process, {...end, at: before?.at ?? end.at});
-		}
+/** Returns what a record says at a time. */
+function subjectOf(entry: Entry, now: number): SuspectSubject {
+	const {record, subject: known} = entry;
+	if (known !== undefined && now >= known.validFrom && now < known.validUntil) {
+		return known;
 	}
 
-	const limit = isPromptPart(fingerprint) ? maximumExitsPerPart : maximumExitsPerRequest;
-	const ends = [...merged.values()].toSorted((one, other) => one.at - other.at).slice(-limit);
-	return ends.every(end => known.includes(end)) ? undefined : ends;
-}
-
-/** Returns the union of two records of the same request or part. Only what is known is stored, so that stored records have the form that earlier versions read. */
-function mergeRecord(known: SuspectRecord | undefined, added: SuspectRecord, {ends}: Pick<SuspectRecord, 'ends'>): SuspectRecord {
-	const parts = known?.parts ?? added.parts;
-	const depth = largest(known?.depth, added.depth);
-	const answeredAt = largest(known?.answeredAt, added.answeredAt);
-	return {
-		fingerprint: added.fingerprint, ends, ...(parts !== undefined && {parts}), ...(depth !== undefined && {depth}), ...(answeredAt !== undefined && {answeredAt}),
-	};
+	const subject = suspectSubject(record, now);
+	entry.subject = subject;
+	return subject;
 }
 
-function largest(one: number | undefined, other: number | undefined): number | undefined {
-	return one === undefined || other === undefined ? one ?? other : Math.max(one, other);
+function unclearedExits({ends}: SuspectRecord): readonly ServerExit[] {
+	return ends.filter(({isCleared}) => !isCleared);
 }
 
 function compareEvidence(one: SuspectRecord, other: SuspectRecord): number {
