routing: count exits against few requests, not against parts that are still in use

What callers saw: requests with a harmless part were refused, and a crashing request that was already quarantined was sent again and ended more servers.

Cause: an exit counted against a request unless a part had more exits, or as many without being in the request. A quarantined request is sent to no server and gains no exits, while a part beside it gains one at each later crash, and so released it.

Of the proven requests few have to explain all exits. One is released where too few of its exits are left without those of a part that is proven by exits that no blamed request explains.

Why it costs less: only subjects with three exits are compared, a request only with parts that have as many exits, the largest first, each once, and only until too few of its exits are left for a verdict; requests with the same exits are one in the choice of few. The number of subjects is that of the registry.

A part of the crashing request's own prompt beside another crash still releases it.

--- a/packages/routing/src/_suspect-analysis.ts
+++ b/packages/routing/src/_suspect-analysis.ts
@@ -1,5 +1,6 @@
-import {type PromptPartFingerprint, type SuspectFingerprint} from '@valehitch/core';
+import {type PromptPartFingerprint, type RequestFingerprint, type SuspectFingerprint} from '@valehitch/core';
 import {addAll} from './_add-all.js';
+import {blameRequests, type SuspectedRequest} from './blame-requests.js';
 import {blamePromptParts, type SuspectedPart} from './blame-prompt-parts.js';
 import {type SuspectStatus} from './suspect-record.js';
 import {
@@ -21,8 +22,6 @@
 */
 export class SuspectAnalysis {
 	readonly #now: number;
-	/** The parts that were in progress at each process, those with the most exits first. */
-	readonly #partsAt = new Map<string, SuspectSubject[]>();
 	readonly #blamed = new Set<SuspectFingerprint>();
 	/** The processes whose exits a blamed part explains. */
 	readonly #explainedByParts = new Set<string>();
@@ -31,8 +30,7 @@
 	constructor(subjects: readonly SuspectSubject[], now: number) {
 		this.#now = now;
 		const parts = subjects.filter(({isPart}) => isPart);
-		this.#indexParts(parts);
-		this.#blameRequests(subjects.filter(({isPart}) => !isPart));
+		this.#blameRequests(subjects.filter(({isPart}) => !isPart), parts);
 		this.#blameParts(parts);
 	}
 
@@ -60,39 +58,22 @@
 		return count > 0 ? 'suspect' : 'unknown';
 	}
 
-	#indexParts(parts: readonly SuspectSubject[]): void {
-		for (const part of parts.toSorted((one, other) => other.exits.size - one.exits.size)) {
-			for (const process of part.exits.keys()) {
-				const partsAt = this.#partsAt.get(process) ?? [];
-				partsAt.push(part);
-				this.#partsAt.set(process, partsAt);
-			}
-		}
-	}
-
-	#blameRequests(requests: readonly SuspectSubject[]): void {
-		for (const request of requests) {
-			const {record: {fingerprint}, exits} = request;
-			const own = [...exits].filter(([process]) => !this.#hasBetterExplanation(process, request));
-			if (countByAge(own.map(([, at]) => at), this.#now) >= quarantineThreshold) {
-				this.#blamed.add(fingerprint);
-				addAll(this.#explained, exits.keys());
-			}
-		}
-	}
-
-	#hasBetterExplanation(process: string, {record, exits}: SuspectSubject): boolean {
-		for (const part of this.#partsAt.get(process) ?? []) {
-			if (part.exits.size !== exits.size) {
-				return part.exits.size > exits.size;
-			}
-
-			if (!(record.parts?.includes(part.record.fingerprint as PromptPartFingerprint) ?? false)) {
-				return true;
-			}
+	#blameRequests(subjects: readonly SuspectSubject[], parts: readonly SuspectSubject[]): void {
+		const requests: SuspectedRequest[] = subjects.map(({record, exits}) => ({
+			fingerprint: record.fingerprint as RequestFingerprint, parts: record.parts ?? [], exits,
+		}));
+		const blamed = blameRequests(requests, {
+			parts: parts.map(({record: {answeredAt, fingerprint}, exits}) => ({
+				fingerprint: fingerprint as PromptPartFingerprint, exits, wasAnswered: this.#wasAnsweredRecently(answeredAt),
+			})),
+			threshold: quarantineThreshold,
+			isProof: times => countByAge(times, this.#now) >= quarantineThreshold,
+			isPartProof: times => this.#isProof(times.filter(at => isSettled(at, this.#now))),
+		});
+		for (const {fingerprint, exits} of blamed) {
+			this.#blamed.add(fingerprint);
+			addAll(this.#explained, exits.keys());
 		}
-
-		return false;
 	}
 
 	#blameParts(subjects: readonly SuspectSubject[]): void {
@@ -105,9 +86,8 @@
 				continue;
 			}
 
-			const wasAnswered = answeredAt !== undefined && this.#now - answeredAt < fullWeightMilliseconds;
 			parts.push({
-				fingerprint: fingerprint as PromptPartFingerprint, depth, wasAnswered, processes: new Set(settled.map(([process]) => process)),
+				fingerprint: fingerprint as PromptPartFingerprint, depth, wasAnswered: this.#wasAnsweredRecently(answeredAt), processes: new Set(settled.map(([process]) => process)),
 			});
 			exitsOf.set(fingerprint, exits);
 			for (const [process, at] of settled) {
@@ -126,6 +106,10 @@
 		addAll(this.#explained, this.#explainedByParts);
 	}
 
+	#wasAnsweredRecently(answeredAt: number | undefined): boolean {
+		return answeredAt !== undefined && this.#now - answeredAt < fullWeightMilliseconds;
+	}
+
 	#isProof(times: readonly number[]): boolean {
 		const events = countEvents(times, this.#now);
 		return events >= quarantineThreshold || (events >= doubtfulThreshold && countByAge(times, this.#now) >= manyProcesses);
--- a/packages/routing/src/_suspect-subject.ts
+++ b/packages/routing/src/_suspect-subject.ts
@@ -8,7 +8,7 @@
 /** How long an exit does not count against a part yet, in milliseconds, so that what other instances found about it has arrived. */
 export const settlingMilliseconds = 150;
 
-/** The processes that exited during a request or a part of prompts, and when, in milliseconds since the epoch. */
+/** The processes that exited during a request or a part of prompts, and when, in milliseconds since the epoch and in this order. */
 export type ExitTimes = ReadonlyMap<string, number>;
 
 /** What a record says at a time. */
