--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -1,9 +1,9 @@
 import {type IncomingMessage} from 'node:http';
 import {failure} from '@valehitch/core';
+import {discardResponse} from '@valehitch/transport';
 import {match} from 'ts-pattern';
 import {type AnswerClass, classifyAnswer} from './classify-answer.js';
 import {collectAnswer} from './collect-answer.js';
-import {discardBody} from './discard-body.js';
 import {forwardStream} from './forward-stream.js';
 import {type AnswerHead} from './gateway-request.js';
 import {handleLoss} from './handle-loss.js';
@@ -121,7 +121,7 @@
 }
 
 function handleNotRun({message, framing}: ReceivedHead, {status, isFromOtherServer}: AnswerHead, {context, request, results, server}: HandleOutcomeOptions): OutcomeStep {
-	discardBody(message, framing);
+	discardResponse(message, {framing});
 	if (isFromOtherServer) {
 		results.record(server, 'gone');
 	}
