daemon: send no more requests through another daemon once it stops

Callers would see: a daemon of valehitchd without links of its own goes on using its kept connections through one that stops, and its requests are cut at the end of that stop.

Cause: the same as in the gateway: whether a connection may go through a daemon is decided when it is opened.

Change: a daemon that stops tells those that have connections open through it (relay-stopping), and they retire it as the gateway does.

--- a/packages/daemon/src/entry/messages.ts
+++ b/packages/daemon/src/entry/messages.ts
@@ -55,5 +55,12 @@
 	readonly request: RequestId;
 };
 
+/** Tells a daemon that has connections to servers open through the sender that the sender shuts down. */
+export type RelayStoppingMessage = {
+	readonly scope: 'entry';
+	readonly type: 'relay-stopping';
+	readonly relay: InstanceId;
+};
+
 /** All messages between entry instances. */
-export type EntryMessage = HoldBillsMessage | OwnedBillsMessage | ExplainMessage;
+export type EntryMessage = HoldBillsMessage | OwnedBillsMessage | ExplainMessage | RelayStoppingMessage;
--- a/packages/daemon/src/entry/server-connections.ts
+++ b/packages/daemon/src/entry/server-connections.ts
@@ -20,7 +20,7 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly log: Logger;
-	readonly network: Pick<PeerNetwork<PeerMessage>, 'openTunnel' | 'tunnelCount'>;
+	readonly network: Pick<PeerNetwork<PeerMessage>, 'openTunnel' | 'tunnelCount' | 'tunnelPeers' | 'send'>;
 	readonly servers: ServerTable;
 	/** Returns the daemons that are known to run. */
 	readonly members: () => readonly Member[];
@@ -88,9 +88,15 @@
 		return announcement === undefined || this.links.of(serverGroupOf(announcement)).recordResult(announcement.server, isOpen);
 	}
 
-	/** Accepts no further connections for other daemons. */
+	/** Accepts no further connections for other daemons, and tells those that have some open to send no more requests on them. */
 	beginStop(): void {
+		const {network, self} = this.#options;
 		this.#isStopping = true;
+		for (const other of this.#others()) {
+			if (network.tunnelPeers.has(other.instance)) {
+				network.send(other, {scope: 'entry', type: 'relay-stopping', relay: self.instance});
+			}
+		}
 	}
 
 	/** Ends the trials and closes the kept connections. */
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -121,6 +121,9 @@
 		answer: async message => match(message)
 			.with({type: 'hold-bills'}, hold => billCopies.hold(hold))
 			.with({type: 'owned-bills'}, question => bills.answerOwned(question))
+			.with({type: 'relay-stopping'}, ({relay}) => {
+				connections.relays.retire(relay);
+			})
 			.with({type: 'explain'}, ({request}) => decisions.get(request))
 			.exhaustive(),
 		mayRelay: target => connections.mayRelay(target),
