gateway: forward the answer of a smaller model if the instance stops before a better one

Callers saw: a request that was sent to a larger model before the stop of its instance, and had no better answer by its end, got none, though the answer of the smaller model was kept for it.

Cause: when the kept answer is forwarded was decided at the escalation, by the deadline of the request alone.

Evidence: stopped-escalations.test.ts: 504 in place of 200 before this change.

Change: when the answers are due, a kept answer ends the wait for a better one.

After: 200 with the whole answer of the smaller model; request-run, kept-answers and returned-streams green.

--- a/packages/gateway/src/entry/fallback-answer.ts
+++ b/packages/gateway/src/entry/fallback-answer.ts
@@ -61,14 +61,20 @@
 	@param stream The answer.
 	*/
 	keep(stream: FallbackStream): void {
-		const {clock, deadlineAt, onDue} = this.#options;
+		const {clock, deadlineAt} = this.#options;
 		this.#stream = stream;
 		this.#timer ??= setTimeout(() => {
-			this.#isDue = true;
-			onDue();
+			this.end();
 		}, Math.max(0, deadlineAt - forwardMarginMilliseconds - clock.monotonic()));
 	}
 
+	/** Ends the wait for a better answer, at its time or because the instance stops. */
+	end(): void {
+		clearTimeout(this.#timer);
+		this.#isDue = true;
+		this.#options.onDue();
+	}
+
 	/**
 	Removes and returns the answer.
 
--- a/packages/gateway/src/entry/kept-answers.ts
+++ b/packages/gateway/src/entry/kept-answers.ts
@@ -116,6 +116,20 @@
 		return (prefersFallback ? undefined : this.#stalled.take()) ?? this.#fallback.take();
 	}
 
+	/**
+	Ends the wait for an answer that is better than the fallback.
+
+	@returns Whether a fallback is kept, which is then forwarded.
+	*/
+	endWait(): boolean {
+		if (!this.#fallback.isKept) {
+			return false;
+		}
+
+		this.#fallback.end();
+		return true;
+	}
+
 	/** Closes the answers that are kept. */
 	discard(): void {
 		this.#fallback.discard();
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -117,6 +117,7 @@
 			answer: this.#answer,
 			end: this.#end,
 			currentSend: () => this.#sent?.attempt,
+			forwardKept: () => this.#kept.endWait(),
 			onEnded: () => {
 				this.#kept.discard();
 				this.#admission.end();
--- a/packages/gateway/src/entry/run-stop.test.ts
+++ b/packages/gateway/src/entry/run-stop.test.ts
@@ -27,7 +27,7 @@
 		},
 	};
 	const run = new RunStop({clock, stop}, {
-		deadlineAt, answer: {hasStarted}, end, currentSend: () => sent, onEnded() {
+		deadlineAt, answer: {hasStarted}, end, currentSend: () => sent, forwardKept: () => false, onEnded() {
 			// Nothing is kept or held.
 		},
 	});
--- a/packages/gateway/src/entry/run-stop.ts
+++ b/packages/gateway/src/entry/run-stop.ts
@@ -15,6 +15,8 @@
 	readonly end: Pick<RequestEnd, 'hasEnded' | 'mayHaveRun' | 'recordPossibleRun' | 'fail'>;
 	/** Returns the current or last send; undefined if there is none, as while the request is held. */
 	readonly currentSend: () => CancellableSend | undefined;
+	/** Ends the wait for a better answer than one that is kept; returns whether there is one, which is then forwarded. */
+	readonly forwardKept: () => boolean;
 	/** Called when the request is ended because the instance stops. */
 	readonly onEnded: () => void;
 };
@@ -27,7 +29,7 @@
 
 @example
 ```ts
-const runStop = new RunStop(context, {deadlineAt, answer, end, currentSend, onEnded});
+const runStop = new RunStop(context, {deadlineAt, answer, end, currentSend, forwardKept, onEnded});
 const unwatch = runStop.watch();
 ```
 */
@@ -77,7 +79,9 @@
 		}
 
 		if (moment === 'answers-due') {
-			this.#answerUnfinished();
+			if (!this.#options.forwardKept()) {
+				this.#answerUnfinished();
+			}
 		} else if (currentSend() === undefined && !this.maySend) {
 			this.#end();
 		}
