gateway: say why an answer without end was cut off

Callers saw: nothing; operators saw lost answers of servers that run, without a reason. Cause: an answer that was cut off for its length was recorded like one whose connection broke, and one on a kept connection as if an idle connection had been closed, which is no failure. Evidence: five cases of endless-answers.test.ts (two bodies, the size of a chunk, an event, interim answers), red with the record taken out: no reason was logged. Why it works: each such answer already counted as a failure where the server still runs; the one case that did not is closed. Rejections that are long are not counted: their servers may be sound, and are only overloaded.

--- a/packages/gateway/src/entry/collect-answer.ts
+++ b/packages/gateway/src/entry/collect-answer.ts
@@ -9,6 +9,8 @@
 	readonly context: Pick<EntryContext, 'dialect' | 'memory'>;
 	/** The bytes that are held for the request. */
 	readonly held: HeldBytes;
+	/** Called with the reason if the body is broken off for its length. */
+	readonly onExcess?: (reason: string) => void;
 };
 
 /**
@@ -22,8 +24,8 @@
 const answer = await collectAnswer(received, {context, held});
 ```
 */
-export async function collectAnswer({message, isComplete}: ReceivedHead, {context: {dialect, memory}, held}: CollectAnswerOptions): Promise<CompleteAnswer | undefined> {
-	const body = await collectBody(message, isComplete, {held, mayHold: bytes => memory.mayCollect(bytes)});
+export async function collectAnswer({message, isComplete}: ReceivedHead, {context: {dialect, memory}, held, onExcess}: CollectAnswerOptions): Promise<CompleteAnswer | undefined> {
+	const body = await collectBody(message, isComplete, {held, mayHold: bytes => memory.mayCollect(bytes), onExcess});
 	return body && {
 		status: message.statusCode ?? 0, headers: dialect.answerHeaders(message), body, statedLength: message.headers['content-length'],
 	};
--- a/packages/gateway/src/entry/collect-body.ts
+++ b/packages/gateway/src/entry/collect-body.ts
@@ -10,6 +10,8 @@
 	readonly held?: HeldBytes;
 	/** Whether a number of bytes may be held for the body; by default any. */
 	readonly mayHold?: (bytes: number) => boolean;
+	/** Called with the reason if the body is broken off for its length. */
+	readonly onExcess?: ((reason: string) => void) | undefined;
 };
 
 /** The longest body that is collected, in bytes; a server may send without end. */
@@ -27,12 +29,13 @@
 const body = await collectBody(message, isComplete, {held});
 ```
 */
-export async function collectBody(message: IncomingMessage, isComplete: () => Promise<boolean>, {held, mayHold = () => true}: CollectBodyOptions = {}): Promise<Uint8Array | undefined> {
+export async function collectBody(message: IncomingMessage, isComplete: () => Promise<boolean>, {held, mayHold = () => true, onExcess}: CollectBodyOptions = {}): Promise<Uint8Array | undefined> {
 	return new Promise(resolve => {
 		const body = new GrowingBytes();
-		const overhead = new OverheadWatch(message);
+		const overhead = new OverheadWatch(message, onExcess);
 		const pace = new ReadPace(message);
 		let heldBytes = 0;
+		let isCutOff = false;
 		const finish = (collected: Uint8Array | undefined): void => {
 			if (collected === undefined) {
 				held?.add(-heldBytes);
@@ -43,12 +46,19 @@
 		};
 
 		message.on('data', (chunk: Uint8Array) => {
+			// The rest of what the parser is reading still comes.
+			if (isCutOff) {
+				return;
+			}
+
 			overhead.add(chunk.byteLength);
 			pace.add(chunk.byteLength);
 			const capacity = body.capacityWith(chunk.byteLength);
 			held?.add(capacity - heldBytes);
 			heldBytes = capacity;
 			if (body.length + chunk.byteLength > maximumBodyBytes || !mayHold(heldBytes)) {
+				isCutOff = true;
+				onExcess?.(`A body of more than ${body.length} bytes`);
 				message.destroy();
 				finish(undefined);
 				return;
--- a/packages/gateway/src/entry/endless-answers.test.ts
+++ b/packages/gateway/src/entry/endless-answers.test.ts
@@ -13,21 +13,23 @@
 const mostBytes = 1024 * 1024 * 1024;
 
 /** How an answer begins, and what follows without end. */
-const endlessAnswers: Readonly<Record<string, {readonly start: string; readonly rest: string; readonly kind?: 'streaming'}>> = {
-	'a body in chunks': {start: `${chunkHead}\r\n`, rest: fillerChunk},
-	'a body without a length': {start: 'HTTP/1.1 200 OK\r\n\r\n', rest: filler},
+const endlessAnswers: Readonly<Record<string, {readonly start: string; readonly rest: string; readonly kind?: 'streaming'; readonly reason?: RegExp}>> = {
+	'a body in chunks': {start: `${chunkHead}\r\n`, rest: fillerChunk, reason: /^A body of more than \d+ bytes$/v},
+	'a body without a length': {start: 'HTTP/1.1 200 OK\r\n\r\n', rest: filler, reason: /^A body of more than \d+ bytes$/v},
 	'a header line': {start: 'HTTP/1.1 200 OK\r\nA: ', rest: filler},
 	'header lines': {start: 'HTTP/1.1 200 OK\r\n', rest: 'A: b\r\n'.repeat(2000)},
-	'interim answers': {start: '', rest: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(500)},
+	'interim answers': {start: '', rest: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(500), reason: /^More than 64 interim answers$/v},
 	'a status line': {start: 'HTTP/1.1 200 ', rest: filler},
-	'the size of a chunk': {start: `${chunkHead}\r\n`, rest: '0'.repeat(16 * 1024)},
+	'the size of a chunk': {start: `${chunkHead}\r\n`, rest: '0'.repeat(16 * 1024), reason: /^\d+ bytes for a body of 0$/v},
 	'an extension of a chunk': {start: `${chunkHead}\r\n1;a=`, rest: filler},
 	'the body of a rejection in chunks': {start: 'HTTP/1.1 429 Busy\r\nTransfer-Encoding: chunked\r\n\r\n', rest: fillerChunk},
 	'the size of a chunk of a rejection': {start: 'HTTP/1.1 429 Busy\r\nTransfer-Encoding: chunked\r\n\r\n', rest: '0'.repeat(16 * 1024)},
 	'the body of a rejection with a length': {start: `HTTP/1.1 429 Busy\r\nContent-Length: ${2 * mostBytes}\r\n\r\n`, rest: filler},
 	'the body of a rejection without a length': {start: 'HTTP/1.1 429 Busy\r\n\r\n', rest: filler},
 	trailers: {start: `${chunkHead}\r\n0\r\n`, rest: 'A: b\r\n'.repeat(2000)},
-	'an event': {start: `${chunkHead}Content-Type: text/event-stream\r\n\r\n`, rest: fillerChunk, kind: 'streaming'},
+	'an event': {
+		start: `${chunkHead}Content-Type: text/event-stream\r\n\r\n`, rest: fillerChunk, kind: 'streaming', reason: /^\d+ bytes that complete no event$/v,
+	},
 	'bytes that are no answer': {start: '', rest: filler},
 };
 
@@ -91,12 +93,16 @@
 	return {ports, sent};
 }
 
-for (const [name, {start, rest, kind = 'safe'}] of Object.entries(endlessAnswers)) {
+for (const [name, {start, rest, kind = 'safe', reason = /^none$/v}] of Object.entries(endlessAnswers)) {
 	test(`a server that sends ${name} without end is cut off, and the request is answered by another one`, async t => {
 		const text = kind === 'streaming' ? 'data: found\n\n' : 'found';
 		const goodAnswer = `HTTP/1.1 200 OK\r\nContent-Length: ${text.length}\r\nConnection: close\r\n\r\n${text}`;
 		const {ports, sent} = await startServers(t, {start, rest, goodAnswer});
+		const reasons: string[] = [];
 		const {answers} = await sendRequests(t, 1, {
+			log(event, fields) {
+				reasons.push(...event === 'server-suspected' && typeof fields.reason === 'string' ? [fields.reason] : []);
+			},
 			nextServers(servers) {
 				servers.applyRecords(ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
 			},
@@ -108,6 +114,7 @@
 		t.is(answers[0]?.text, text);
 		await sent.closed;
 		t.true(sent.bytes < mostBytes, `${sent.bytes} bytes`);
+		t.regex(reasons[0] ?? 'none', reason);
 	});
 }
 
--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -37,6 +37,9 @@
 		buffer: answer.buffer,
 		held: context.memory.open(),
 		mayHold: bytes => context.memory.mayCollect(bytes),
+		onExcess(reason) {
+			results.recordExcess(server, reason);
+		},
 		clock: context.clock,
 		stallTimeout: route.isResumable ? stallFactor * (route.targetGap ?? route.targetLatency) : 0,
 		canResumeElsewhere,
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -2,7 +2,7 @@
 import {failure} from '@valehitch/core';
 import {match} from 'ts-pattern';
 import {type AnswerClass, classifyAnswer} from './classify-answer.js';
-import {collectAnswer} from './collect-answer.js';
+import {collectAnswer, type CollectAnswerOptions} from './collect-answer.js';
 import {discardBody} from './discard-body.js';
 import {forwardStream} from './forward-stream.js';
 import {type AnswerHead} from './gateway-request.js';
@@ -39,6 +39,7 @@
 	}
 
 	const reason = reasonFor(outcome);
+	recordExcessOf(outcome, options);
 	context.log('request-attempt-ended', {
 		request: request.id, fingerprint: suspect.fingerprint, parts: suspect.parts, server: server.id, startedAt: server.startedAt, relay: relay?.instance, result: outcome.type, reason,
 	}, 'warn');
@@ -60,7 +61,7 @@
 	if (outcome.type === 'kept-connection-lost') {
 		// If the process is still running, it only closed an idle connection, which is not a fault.
 		const finding = await suspect.recordLoss(server);
-		if (finding !== 'running') {
+		if (finding !== 'running' || outcome.isExcessive) {
 			results.recordLoss(server, {model: options.models.current, finding});
 		}
 
@@ -134,7 +135,7 @@
 
 async function handleFailedAnswer(received: ReceivedHead, {status, isSigned}: AnswerHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
 	const {suspect, results, models, server, hasEnded} = options;
-	const answer = await collectAnswer(received, options);
+	const answer = await collectAnswer(received, collectOptions(options));
 	if (hasEnded()) {
 		return {type: 'ended'};
 	}
@@ -156,7 +157,7 @@
 
 async function handlePlainAnswer(received: ReceivedHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
 	const {context: {clock}, suspect, results, models, server, sentAt, hasEnded} = options;
-	const answer = await collectAnswer(received, options);
+	const answer = await collectAnswer(received, collectOptions(options));
 	if (hasEnded()) {
 		return {type: 'ended'};
 	}
@@ -197,6 +198,23 @@
 	};
 }
 
+/** Records that the server sent more than an answer may have. */
+function recordExcessOf(outcome: SendOutcome, {results, server}: HandleOutcomeOptions): void {
+	if ((outcome.type === 'lost' || outcome.type === 'kept-connection-lost') && outcome.isExcessive) {
+		results.recordExcess(server, outcome.reason);
+	}
+}
+
+function collectOptions({context, held, results, server}: HandleOutcomeOptions): CollectAnswerOptions {
+	return {
+		context,
+		held,
+		onExcess(reason) {
+			results.recordExcess(server, reason);
+		},
+	};
+}
+
 function reasonFor(outcome: Exclude<SendOutcome, {type: 'head'}>): string {
 	return 'reason' in outcome ? outcome.reason : outcome.type;
 }
--- a/packages/gateway/src/entry/overhead-watch.ts
+++ b/packages/gateway/src/entry/overhead-watch.ts
@@ -23,15 +23,18 @@
 */
 export class OverheadWatch {
 	readonly #answer: WatchedAnswer;
+	readonly #onExcess: ((reason: string) => void) | undefined;
 	readonly #bytesBefore: number;
 	readonly #timer: NodeJS.Timeout;
 	#bodyBytes = 0;
 
 	/**
 	@param answer The answer, none of whose body has been read.
+	@param onExcess Called with the reason before the connection is closed.
 	*/
-	constructor(answer: WatchedAnswer) {
+	constructor(answer: WatchedAnswer, onExcess?: (reason: string) => void) {
 		this.#answer = answer;
+		this.#onExcess = onExcess;
 		this.#bytesBefore = answer.socket?.bytesRead ?? 0;
 		this.#timer = setInterval(() => {
 			this.#check();
@@ -56,6 +59,7 @@
 		const received = (this.#answer.socket?.bytesRead ?? this.#bytesBefore) - this.#bytesBefore;
 		if (received > freeBytes + (maximumFactor * this.#bodyBytes)) {
 			this.stop();
+			this.#onExcess?.(`${received} bytes for a body of ${this.#bodyBytes}`);
 			this.#answer.destroy();
 		}
 	}
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -20,6 +20,8 @@
 	readonly held?: HeldBytes;
 	/** Whether a number of bytes may be held for the incomplete event; by default any. */
 	readonly mayHold?: (bytes: number) => boolean;
+	/** Called with the reason if the stream is broken off for what its server sends. */
+	readonly onExcess?: (reason: string) => void;
 	/** The clock of the stall timeout; that of the process by default. */
 	readonly clock?: Pick<Clock, 'monotonic'>;
 	/** The time without data after which the stream is considered stalled, in milliseconds; 0 for no timeout. */
@@ -53,9 +55,9 @@
 ```
 */
 export async function relayStream(options: RelayStreamOptions): Promise<RelayEnd> {
-	const {message, isComplete, response, events, buffer, held, mayHold = () => true, clock = processClock, stallTimeout, canResumeElsewhere, onData, onFirstEvent} = options;
+	const {message, isComplete, response, events, buffer, held, mayHold = () => true, onExcess, clock = processClock, stallTimeout, canResumeElsewhere, onData, onFirstEvent} = options;
 	return new Promise(resolve => {
-		const overhead = new OverheadWatch(message);
+		const overhead = new OverheadWatch(message, onExcess);
 		let hasForwarded = false;
 		let bytesWithoutEvent = events.incomplete.byteLength;
 		let isFinished = false;
@@ -143,6 +145,7 @@
 
 			held?.set(events.heldBytes);
 			if (bytesWithoutEvent > maximumEventBytes || !mayHold(events.heldBytes)) {
+				onExcess?.(`${bytesWithoutEvent} bytes that complete no event`);
 				finish('broken');
 			}
 		};
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -65,10 +65,10 @@
 		| {readonly type: 'withheld'}
 	/** The relay could not be used, so the request has not run, and nothing is known about the server. */
 		| {readonly type: 'relay-unavailable'; readonly reason: string}
-	/** The connection broke before an answer, and the request may have run. */
-		| {readonly type: 'lost'; readonly reason: string}
+	/** The connection broke before an answer, and the request may have run; it is excessive if the server sent more than an answer may have. */
+		| {readonly type: 'lost'; readonly reason: string; readonly isExcessive: boolean}
 	/** The same on a reused connection, which the server may have closed before it received the request. */
-		| {readonly type: 'kept-connection-lost'; readonly reason: string}
+		| {readonly type: 'kept-connection-lost'; readonly reason: string; readonly isExcessive: boolean}
 		| {readonly type: 'silent'}
 		| {readonly type: 'cancelled'}
 		| {readonly type: 'head'; readonly message: IncomingMessage; readonly framing: ResponseFraming; readonly isComplete: () => Promise<boolean>};
@@ -188,6 +188,7 @@
 			}
 
 			const reason = excess ?? error.message;
+			const isExcessive = excess !== undefined;
 			if (isCancelled()) {
 				settle({type: 'cancelled'});
 			} else if (progress.isWithheld) {
@@ -199,9 +200,9 @@
 			} else if (request.reusedSocket) {
 				// A server that dropped one idle connection has probably dropped the others too.
 				closeIdleConnections(server, relay?.pool);
-				settle({type: 'kept-connection-lost', reason});
+				settle({type: 'kept-connection-lost', reason, isExcessive});
 			} else {
-				settle({type: 'lost', reason});
+				settle({type: 'lost', reason, isExcessive});
 			}
 		};
 
--- a/packages/gateway/src/entry/send-results.ts
+++ b/packages/gateway/src/entry/send-results.ts
@@ -94,6 +94,20 @@
 		}
 	}
 
+	/**
+	Records why an answer was cut off that had more bytes than it may have. Its loss is recorded like any other.
+
+	@param server The server.
+	@param reason The reason.
+	*/
+	recordExcess(server: ServerRecord, reason: string): void {
+		const {metrics, log} = this.#context;
+		metrics.excessiveAnswers.inc();
+		log('server-suspected', {
+			server: server.id, service: server.service, result: 'excessive', reason, request: this.#options.request,
+		}, 'warn');
+	}
+
 	/**
 	Records a result that is not evidence about the version.
 
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -37,6 +37,9 @@
 		refusals: new Counter({
 			name: 'valehitch_refusals_total', help: 'Requests answered with an error of our own, by error kind', labelNames: ['kind'], registers,
 		}),
+		excessiveAnswers: new Counter({
+			name: 'valehitch_excessive_answers_total', help: 'Answers of backend servers that were cut off because they had more bytes than they may have', registers,
+		}),
 		closedConnections: new Counter({
 			name: 'valehitch_closed_connections_total', help: 'Connections of callers that were closed other than after an answer, by reason', labelNames: ['reason'], registers,
 		}),
