transport: limit the frames that a link to a peer reads

Cause: a process limits the frames of the peers that connect to it to 16 MiB, but those of a peer that it connects to had the default of the WebSocket client, 100 MiB each.

Evidence: a reply of 16 MiB and a byte was taken (the test failed with it); now the link is closed.

Change: links have the same limit in both directions.

--- a/packages/transport/src/_frame.ts
+++ b/packages/transport/src/_frame.ts
@@ -7,6 +7,8 @@
 		| {readonly type: 'request'; readonly id: number; readonly body: unknown}
 		| {readonly type: 'reply'; readonly id: number; readonly body: unknown};
 
+/** The longest frame that is read, in bytes. */
+export const maximumFrameBytes = 16 * 1024 * 1024;
 const frameTypes = ['message', 'request', 'reply'] as const;
 const packr = new Packr({useRecords: false, encodeUndefinedAsNil: false});
 
--- a/packages/transport/src/_peer-link.ts
+++ b/packages/transport/src/_peer-link.ts
@@ -1,7 +1,7 @@
 import {type HybridTimestamp, type InstanceId} from '@valehitch/core';
 import {match} from 'ts-pattern';
 import {WebSocket} from 'ws';
-import {type Frame, decodeFrame} from './_frame.js';
+import {type Frame, decodeFrame, maximumFrameBytes} from './_frame.js';
 import {HeartbeatMonitor} from './heartbeat-monitor.js';
 import {type PeerAddress} from './peer-network.js';
 import {setIntervalAfterPoll} from './set-interval-after-poll.js';
@@ -100,6 +100,7 @@
 		const socket = new WebSocket(`ws://${this.#address.host}:${this.#address.port}/`, {
 			headers: {authorization: `Bearer ${this.#options.key}`, 'valehitch-instance': this.#options.self},
 			perMessageDeflate: false,
+			maxPayload: maximumFrameBytes,
 		});
 		this.#socket = socket;
 		let hasTimedOut = false;
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -5,7 +5,9 @@
 } from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
 import {WebSocketServer} from 'ws';
-import {type Frame, decodeFrame, encodeFrame} from './_frame.js';
+import {
+	type Frame, decodeFrame, encodeFrame, maximumFrameBytes,
+} from './_frame.js';
 import {PeerLink} from './_peer-link.js';
 import {type OpenedTunnel, openTunnel, type TunnelFailure} from './open-tunnel.js';
 import {TunnelServer} from './tunnel-server.js';
@@ -52,7 +54,6 @@
 	framesReceived: number;
 };
 
-const maximumFrameBytes = 16 * 1024 * 1024;
 const defaultTimeoutMilliseconds = 2000;
 const upgradeRequiredStatus = 426;
 
