transport: close the link of a peer that does not read its replies

Cause: outgoing messages are limited by what waits to be read, replies were not.

Change: once more than 32 MiB of replies wait, the link is closed and that is logged as an error of the peer.

Conclusion: the replies of a link hold 48 MiB at most, with the last frame.

--- a/packages/transport/src/endless-peers.test.ts
+++ b/packages/transport/src/endless-peers.test.ts
@@ -70,6 +70,26 @@
 	await closed;
 });
 
+test('a connection of a peer that sends requests and does not read the replies is closed', async t => {
+	const {address} = await listen(t, 'x'.repeat(1024 * 1024));
+	const socket = await openSocket(t, address.port);
+	socket.pause();
+	const closed = closes(socket);
+	let sent = 0;
+	const request = encodeFrame({type: 'request', id: 1, body: {text: 'one'}});
+	const timer = setInterval(() => {
+		if (sent < mostBytes) {
+			sent += 1024 * 1024;
+			socket.send(request, doNothing);
+		}
+	}, 1);
+	t.teardown(() => {
+		clearInterval(timer);
+	});
+	await closed;
+	t.true(sent < mostBytes);
+});
+
 test('a connection of a peer that pings and does not read the replies is closed', async t => {
 	const {address} = await listen(t);
 	const socket = await openSocket(t, address.port);
--- a/packages/transport/src/peer-network.ts
+++ b/packages/transport/src/peer-network.ts
@@ -4,7 +4,7 @@
 	type Failure, failure, type HybridTimestamp, type InstanceId, toId,
 } from '@valehitch/core';
 import {type Either, Left, Right} from 'purify-ts';
-import {WebSocketServer} from 'ws';
+import {type WebSocket, WebSocketServer} from 'ws';
 import {
 	type Frame, decodeFrame, encodeFrame, maximumFrameBytes,
 } from './_frame.js';
@@ -54,6 +54,8 @@
 	framesReceived: number;
 };
 
+/** The replies that wait for a peer to read them, above which it is taken for faulty, in bytes: more than one of the longest frames. */
+const maximumUnreadBytes = 2 * maximumFrameBytes;
 const defaultTimeoutMilliseconds = 2000;
 const upgradeRequiredStatus = 426;
 
@@ -120,7 +122,7 @@
 			const from = toId<InstanceId>(String(request.headers['valehitch-instance'] ?? ''));
 			socket.on('message', data => {
 				void this.#receive(from, data as Uint8Array, frame => {
-					socket.send(this.#encode(frame));
+					this.#reply(socket, from, frame);
 				});
 			});
 			socket.on('error', () => {
@@ -268,6 +270,15 @@
 		}
 	}
 
+	#reply(socket: WebSocket, from: InstanceId, frame: Frame): void {
+		if (socket.bufferedAmount <= maximumUnreadBytes) {
+			socket.send(this.#encode(frame));
+		} else if (socket.readyState === socket.OPEN) {
+			this.#options.onHandlerError(from, new Error(`${from} does not read its replies, of which ${socket.bufferedAmount} bytes wait; its link is closed`));
+			socket.terminate();
+		}
+	}
+
 	#recordReceivedFrame(bytes: number, timestamp: HybridTimestamp | undefined): void {
 		this.traffic.bytesReceived += bytes;
 		this.traffic.framesReceived++;
