transport: disconnect a peer that was refused a tunnel

Callers saw: nothing; a connection and its buffers stayed open for each refused request for a tunnel, of peers without the key too, that did not close its side.

Cause: a refused connection was ended, but not read, so that neither its end nor its bytes were noticed.

Evidence: the test hung until the time limit of the runner (8 s) without the change; with it, it passes.

Change: a refused connection is destroyed a second after the refusal.

--- a/packages/transport/src/open-tunnel.test.ts
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -184,6 +184,29 @@
 	return opened.swap().toMaybe().map(({type}) => type).extract();
 }
 
+test('a peer that is refused a tunnel and does not end its connection is disconnected', async t => {
+	const {address} = await listen(t);
+	const caller = connect({host, port: address.port, allowHalfOpen: true});
+	t.teardown(() => {
+		caller.destroy();
+	});
+	const closed = new Promise(resolve => {
+		caller.on('error', doNothing);
+		caller.on('close', resolve);
+	});
+	const pump = (): void => {
+		while (!caller.destroyed && caller.write('x'.repeat(64 * 1024))) {
+			// The connection takes more.
+		}
+	};
+
+	caller.on('drain', pump);
+	caller.write(`CONNECT ${host}:1 HTTP/1.1\r\nHost: a\r\n\r\n`);
+	pump();
+	await closed;
+	t.true(caller.destroyed);
+});
+
 test('a failure to open a tunnel tells a target that refuses from a peer that does', async t => {
 	const refused = {host, port: 1};
 	const {network, address} = await listen(t, {isTunnelAllowed: () => true});
--- a/packages/transport/src/tunnel-server.ts
+++ b/packages/transport/src/tunnel-server.ts
@@ -19,6 +19,8 @@
 
 /** The connection timeout if the request names none, and the longest one, in milliseconds. */
 const maximumConnectMilliseconds = 1000;
+/** The time that a peer has to read why it was refused, in milliseconds. */
+const lingerMilliseconds = 1000;
 const unauthorizedStatus = 401;
 const malformedStatus = 400;
 const unavailableStatus = 503;
@@ -56,6 +58,11 @@
 	handle(request: IncomingMessage, caller: Socket): void {
 		const refuse = (status: number): void => {
 			caller.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			// Nothing that the peer sends is read, so that its end would not be noticed.
+			const stopTimeout = setTimeoutAfterPoll(lingerMilliseconds, () => {
+				caller.destroy();
+			});
+			caller.once('close', stopTimeout);
 		};
 
 		caller.on('error', () => {
