transport: limit the bytes that wait for a link to open

Cause: while a link opens, up to 1000 messages wait, whatever their length; of those that wait on an open link, 4 MiB do.

Evidence: of 100 messages of 1 MiB each that were sent to a peer before its link was open, more than 10 MiB arrived (the test failed with it); now fewer do.

Change: both are limited to 4 MiB, and a message longer than that still waits alone.

Conclusion: a peer that accepts connections late, or never, costs the others 4 MiB and a message each.

--- a/packages/transport/src/_peer-link.ts
+++ b/packages/transport/src/_peer-link.ts
@@ -41,6 +41,7 @@
 	readonly #pendingRequests = new Map<number, PendingRequest>();
 	#socket: WebSocket | undefined;
 	#queuedFrames: Uint8Array[] = [];
+	#queuedBytes = 0;
 	#lastId = 0;
 	#heartbeat: HeartbeatMonitor | undefined;
 
@@ -64,8 +65,9 @@
 			return;
 		}
 
-		if (this.#queuedFrames.length < maximumQueuedFrames) {
+		if (this.#queuedFrames.length < maximumQueuedFrames && this.#queuedBytes < maximumBufferedBytes) {
 			this.#queuedFrames.push(data);
+			this.#queuedBytes += data.byteLength;
 		}
 	}
 
@@ -111,7 +113,7 @@
 		socket.on('open', () => {
 			cancelTimeout();
 			this.#startHeartbeat(socket);
-			for (const data of this.#queuedFrames.splice(0)) {
+			for (const data of this.#takeQueuedFrames()) {
 				socket.send(data);
 			}
 		});
@@ -172,7 +174,14 @@
 			settle(undefined);
 		}
 
+		this.#takeQueuedFrames();
+	}
+
+	#takeQueuedFrames(): readonly Uint8Array[] {
+		const frames = this.#queuedFrames;
 		this.#queuedFrames = [];
+		this.#queuedBytes = 0;
+		return frames;
 	}
 
 	/** Removes a frame that is still queued; returns false if it was already sent or dropped. */
@@ -183,6 +192,7 @@
 		}
 
 		this.#queuedFrames.splice(index, 1);
+		this.#queuedBytes -= data.byteLength;
 		return true;
 	}
 
--- a/packages/transport/src/endless-peers.test.ts
+++ b/packages/transport/src/endless-peers.test.ts
@@ -128,6 +128,36 @@
 	await Promise.all(connections);
 });
 
+test('the messages that wait for a link to open are limited in bytes', async t => {
+	const {network} = await listen(t);
+	const peer = new WebSocketServer({host, port: 0, perMessageDeflate: false});
+	await once(peer, 'listening');
+	t.teardown(() => {
+		peer.close();
+	});
+	const address = {instance: toId<InstanceId>('right'), host, port: (peer.address() as AddressInfo).port};
+	for (let count = 0; count < 100; count++) {
+		network.send(address, {text: 'x'.repeat(1024 * 1024)});
+	}
+
+	const [socket] = await once(peer, 'connection') as [WebSocket];
+	let received = 0;
+	const isLast = new Promise<void>(resolve => {
+		socket.on('message', data => {
+			const {byteLength} = data as Uint8Array;
+			received += byteLength;
+			if (byteLength < 1024) {
+				resolve();
+			} else {
+				// Arrives behind those that waited, unless it is dropped.
+				network.send(address, {text: 'last'});
+			}
+		});
+	});
+	await isLast;
+	t.true(received > 1024 * 1024 && received < 10 * 1024 * 1024, `${received} bytes`);
+});
+
 test('a tunnel whose opener does not read holds a bounded number of bytes', async t => {
 	const {network, address} = await listen(t);
 	let written = 0;
