transport: limit what chunk sizes and extensions add to a response

Callers saw: late answers of valehitchd while a faulty engine or service sent a chunk size or chunk extensions without end, up to the time limit of the request.

Cause: only the bytes of the body were limited, and these add none.

Trailers were bounded before.

Conclusion: an answer of an engine or service reads a bounded number of bytes.

--- a/packages/daemon/src/entry/endless-answers.test.ts
+++ b/packages/daemon/src/entry/endless-answers.test.ts
@@ -8,6 +8,8 @@
 import {callService} from './service-call.js';
 
 const filler = 'x'.repeat(16 * 1024);
+const chunkedHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+const extendedChunk = `1;a=${'x'.repeat(4000)}\r\n\n\r\n`;
 const requestId = '1' as RequestId;
 
 type AnsweringServer = {
@@ -75,6 +77,13 @@
 	['an answer', 'engine', 'HTTP/1.1 200 OK\r\n\r\n', filler],
 	['an answer', 'service', 'HTTP/1.1 200 OK\r\n\r\n', filler],
 	['a line of a stream', 'engine', 'HTTP/1.1 200 OK\r\n\r\n', filler, true],
+	['the size of a chunk', 'engine', chunkedHead, '0'.repeat(16 * 1024)],
+	['the size of a chunk', 'service', chunkedHead, '0'.repeat(16 * 1024)],
+	['the size of a chunk', 'engine', chunkedHead, '0'.repeat(16 * 1024), true],
+	['extensions of chunks', 'engine', chunkedHead, extendedChunk],
+	['extensions of chunks', 'service', chunkedHead, extendedChunk],
+	['extensions of chunks', 'engine', chunkedHead, extendedChunk, true],
+	['trailers', 'service', `${chunkedHead}0\r\n`, 'A: b\r\n'.repeat(2000)],
 	['comments in a stream', 'engine', 'HTTP/1.1 200 OK\r\n\r\n', ': \n\n'.repeat(4000), true],
 ];
 
--- a/packages/daemon/src/entry/engine-events.ts
+++ b/packages/daemon/src/entry/engine-events.ts
@@ -1,5 +1,6 @@
 import {type IncomingMessage} from 'node:http';
 import {type TokenUsage} from '@valehitch/core';
+import {limitReceived} from '@valehitch/transport';
 import {createParser} from 'eventsource-parser';
 import {type AnswerHead, type AttemptOutput} from './attempt-output.js';
 import {type ChatChunk, readChatChunk, writeChatChunk} from './chat-chunk.js';
@@ -35,6 +36,7 @@
 ```
 */
 export async function * readEngineEvents(message: IncomingMessage, options: EngineEventOptions): AsyncGenerator<AttemptOutput, void> {
+	limitReceived(message, options.maximumBytes);
 	yield {type: 'head', head: options.head};
 	const events: string[] = [];
 	const parser = createParser({
--- a/packages/transport/src/read-response-body.ts
+++ b/packages/transport/src/read-response-body.ts
@@ -1,5 +1,6 @@
 import {type Failure, failure} from '@valehitch/core';
 import {type Either, Left} from 'purify-ts';
+import {limitReceived} from './limit-received.js';
 import {readBody} from './read-body.js';
 import {type HttpResponse} from './send-http-request.js';
 
@@ -15,6 +16,7 @@
 ```
 */
 export async function readResponseBody({message, isComplete}: Pick<HttpResponse, 'message' | 'isComplete'>, maximumBytes: number): Promise<Either<Failure, Uint8Array>> {
+	limitReceived(message, maximumBytes);
 	const body = await readBody(message, maximumBytes);
 	if (body.isLeft()) {
 		message.destroy();
