platform: limit announcements and orders to 64 KiB

Cause: every request to a control instance could have a body of 8 MiB, as a configuration may; an announcement with a name of that length was accepted, kept and passed on.

Change: only a configuration may be as long as before.

Conclusion: a faulty server costs 64 KiB for each connection.

--- a/packages/platform/src/handle-control.ts
+++ b/packages/platform/src/handle-control.ts
@@ -21,7 +21,9 @@
 const stateNames: Readonly<Record<RolloutStage, string>> = {
 	canary: 'running', shifting: 'running', completed: 'completed', 'rolled-back': 'rolled_back',
 };
-const maximumBodyBytes = 8_388_608;
+const maximumConfigurationBytes = 8_388_608;
+/** The longest body of any other request, in bytes. Any client can send them, and their names are kept. */
+const maximumOrderBytes = 65_536;
 const millisecondsPerSecond = 1000;
 /** The maximum length at which an unvalidated id is logged, so that log lines stay small. Valid server ids are shorter. */
 const maximumLoggedCharacters = 64;
@@ -40,7 +42,7 @@
 */
 export async function handleControl(control: ControlInstance, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	const caller = callerSignal(response);
-	const body = await readBody(request, maximumBodyBytes);
+	const body = await readBody(request, isConfiguration(request) ? maximumConfigurationBytes : maximumOrderBytes);
 	const answer = body.isLeft() ? Left(body.extract()) : await routeRequest(control, request, {body: body.unsafeCoerce(), caller});
 	const {status, body: text} = answer.caseOf<Answer>({
 		Left: failed => ({status: errorResponses[failed.kind].status, body: JSON.stringify({error: failed.kind, detail: failed.message})}),
@@ -50,6 +52,10 @@
 	response.end(text);
 }
 
+function isConfiguration({method, url = ''}: IncomingMessage): boolean {
+	return method === 'PUT' && url.split('?', 1)[0] === '/-/config';
+}
+
 type ReceivedOrder = {
 	readonly body: Uint8Array;
 	/** Aborted once the caller has closed its connection. */
