transport: see that a tunnel was closed while its server reads nothing

A relay whose server took no more of a long request did not see that the caller had left: the tunnel stayed open, and the server received the rest once it read on.

Cause: the relay stopped reading from the instance that had opened the tunnel. The end of a connection is read only after what was sent before it, and a reset is not noticed at all while nothing is read.

Change: a relay reads on while its server takes nothing, up to 8 MiB for all tunnels together (two bodies of the longest size that a configuration allows by default); beyond, each tunnel holds 128 KiB as before. A tunnel that ends while its answer is due resets the connection to the server.

Why it works: all that was sent before the end is read, so the end is. The bound keeps the memory of a relay; a test shows that a request of 56 MiB is not read on, and arrives whole when its server reads.

Not mended: requests that do not fit into the bound.

--- a/packages/transport/src/open-tunnel.test.ts
+++ b/packages/transport/src/open-tunnel.test.ts
@@ -3,7 +3,7 @@
 import {
 	type AddressInfo, connect, createServer, type Server, type Socket,
 } from 'node:net';
-import {setImmediate} from 'node:timers/promises';
+import {setImmediate, setTimeout as delay} from 'node:timers/promises';
 import {type InstanceId, toId} from '@valehitch/core';
 import test, {type ExecutionContext} from 'ava';
 import {type PeerAddress, PeerNetwork, type PeerNetworkOptions} from './peer-network.js';
@@ -155,6 +155,87 @@
 	t.is(network.tunnelCount, 0);
 });
 
+/** Longer than what the kernel takes for a target that reads nothing. */
+const longRequestBytes = 7_340_032;
+const piece = new Uint8Array(65_536);
+
+/** Writes a request in pieces until it is written or its relay reads no more and the kernel takes no more; returns the bytes that were taken by then. */
+async function writeWhileTaken(socket: Socket, size: number): Promise<number> {
+	const written = {bytes: 0};
+	const writePiece = (): void => {
+		if (written.bytes < size && !socket.destroyed) {
+			socket.write(piece, () => {
+				written.bytes += piece.byteLength;
+				writePiece();
+			});
+		}
+	};
+
+	writePiece();
+	let before = -1;
+	while (written.bytes !== before && written.bytes < size) {
+		before = written.bytes;
+		await delay(200);
+	}
+
+	return written.bytes;
+}
+
+const endings = [
+	['closes', (socket: Socket) => socket.destroy()],
+	['resets', (socket: Socket) => socket.resetAndDestroy()],
+] as const;
+for (const [name, leave] of endings) {
+	test(`a tunnel that its opener ${name} is not kept, though the target reads nothing of a long request`, async t => {
+		const {network, address} = await listen(t, {isTunnelAllowed: () => true});
+		const accepted: Socket[] = [];
+		const target = await listenTarget(t, socket => {
+			accepted.push(socket);
+		});
+		const opened = await network.openTunnel(address, target, timeout);
+		const {socket} = opened.unsafeCoerce();
+		socket.on('error', doNothing);
+		await writeWhileTaken(socket, longRequestBytes);
+		leave(socket);
+		while (network.tunnelCount > 0) {
+			await delay(10);
+		}
+
+		let received = 0;
+		accepted[0]?.on('data', (bytes: Uint8Array) => {
+			received += bytes.byteLength;
+		});
+		await new Promise(resolve => {
+			accepted[0]?.on('close', resolve);
+		});
+		t.true(received < longRequestBytes, `${received} bytes`);
+	});
+}
+
+test('a relay stops reading a request whose target reads nothing, and passes it on whole once the target reads', async t => {
+	const {network, address} = await listen(t, {isTunnelAllowed: () => true});
+	const accepted: Socket[] = [];
+	const target = await listenTarget(t, socket => {
+		accepted.push(socket);
+	});
+	const opened = await network.openTunnel(address, target, timeout);
+	const {socket} = opened.unsafeCoerce();
+	const size = 8 * longRequestBytes;
+	t.true(await writeWhileTaken(socket, size) < size);
+	let received = 0;
+	const whole = new Promise<void>(resolve => {
+		accepted[0]?.on('data', (bytes: Uint8Array) => {
+			received += bytes.byteLength;
+			if (received === size) {
+				resolve();
+			}
+		});
+	});
+	await whole;
+	t.is(received, size);
+	socket.destroy();
+});
+
 test('a tunnel whose opener leaves before it is open is not kept, though the target says nothing', async t => {
 	const asked: TunnelTarget[] = [];
 	const {network, address} = await listen(t, {
--- a/packages/transport/src/tunnel-server.ts
+++ b/packages/transport/src/tunnel-server.ts
@@ -2,6 +2,7 @@
 import {connect, type Socket} from 'node:net';
 import {type InstanceId, toId} from '@valehitch/core';
 import {joinSockets} from './_join-sockets.js';
+import {ReadAhead} from './_read-ahead.js';
 import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
 import {
 	parseTunnelTarget, tunnelHeader, tunnelStatus, type TunnelTarget,
@@ -37,6 +38,7 @@
 export class TunnelServer {
 	readonly #options: TunnelServerOptions;
 	readonly #callers = new Set<Socket>();
+	readonly #readAhead = new ReadAhead();
 
 	constructor(options: TunnelServerOptions) {
 		this.#options = options;
@@ -84,7 +86,12 @@
 		});
 		const timeout = Math.min(maximumConnectMilliseconds, Number(headers[tunnelHeader.connectTimeout]) || maximumConnectMilliseconds);
 		openTarget(target, {
-			timeout, caller, refuse, openTunnels: this.count, recordResult: isOpen => this.#options.recordTarget(target, isOpen),
+			timeout,
+			caller,
+			refuse,
+			openTunnels: this.count,
+			readAhead: this.#readAhead,
+			recordResult: isOpen => this.#options.recordTarget(target, isOpen),
 		});
 	}
 
@@ -107,11 +114,12 @@
 	readonly refuse: (status: number) => void;
 	/** The number of tunnels that are open, this one included. */
 	readonly openTunnels: number;
+	readonly readAhead: ReadAhead;
 	/** Records whether the connection opened; returns whether the target is to blame for a failure. */
 	readonly recordResult: (isOpen: boolean) => boolean;
 };
 
-function openTarget({host, port}: TunnelTarget, {timeout, caller, refuse, openTunnels, recordResult}: OpenTargetOptions): void {
+function openTarget({host, port}: TunnelTarget, {timeout, caller, refuse, openTunnels, readAhead, recordResult}: OpenTargetOptions): void {
 	const server = connect({
 		host, port, allowHalfOpen: true, noDelay: true,
 	});
@@ -145,6 +153,6 @@
 		server.off('error', onError);
 		recordResult(true);
 		caller.write(`HTTP/1.1 ${tunnelStatus.opened} Connection Established\r\n${tunnelHeader.openTunnels}: ${openTunnels}\r\n\r\n`);
-		joinSockets(caller, server);
+		joinSockets(caller, server, readAhead);
 	});
 }
