routing: let no part that was answered before release a crashing request

Change: a part that is not in the request and was answered before does not explain its exits better. Parts of its own prompt do, with more exits, as before: a part that turns bad is found.

Evidence: one new test, red before ([] in place of the crashing request), green now; tests of the registry and of the simulations green.

--- a/packages/routing/src/blame-requests.test.ts
+++ b/packages/routing/src/blame-requests.test.ts
@@ -57,3 +57,9 @@
 		request('other', {d: 3000, e: 3200, f: 3400}),
 	]), ['one', 'other', 'same']);
 });
+
+test('a crashing request is blamed though a part that many prompts have, and that was answered before, was at all its exits', t => {
+	const exits = {a: 0, b: 150, c: 220};
+	const popular = {...part('popular', {...exits, d: 300}), wasAnswered: true};
+	t.deepEqual(blame([request('crashing', exits, ['own'])], popular, part('own', exits)), ['crashing']);
+});
--- a/packages/routing/src/blame-requests.ts
+++ b/packages/routing/src/blame-requests.ts
@@ -48,7 +48,7 @@
 An exit counts against a request unless a part of prompts explains it better:
 
 - a part of its own prompt that has more exits;
-- another part that has more exits, or the same number without one that a request proven before explains. Of these only exits until shortly after the last one of the request count, since a quarantined request is sent to no server and has no further exits, whereas the parts beside it are still in use;
+- another part, without an answer before, that has more exits, or the same number without one that a request proven before explains. Of these only exits until shortly after the last one of the request count, since a quarantined request is sent to no server and has no further exits, whereas the parts beside it are still in use;
 - a part without an answer before that is proven by exits that no blamed request explains.
 
 Requests with the same exits are blamed together.
@@ -150,6 +150,10 @@
 		return part.exits.size > exits.size;
 	}
 
+	if (part.wasAnswered) {
+		return false;
+	}
+
 	let [counted, unexplained] = [0, 0];
 	for (const [process, at] of part.exits) {
 		if (at <= comparedUntil || exits.has(process)) {
