routing: compare a request with parts from its first kept exit on

Cause: the latest eight exits of a request are kept, and 32 of a part. From the ninth exit on a part of the request's own prompt had more exits than it, always.

Change: where a request has as many exits as are kept, exits of parts count from its first one on.

Evidence: one new test, red before ([] in place of the crashing request), green now; tests of the registry and of the simulations green.

--- a/packages/routing/src/_merge-suspect-record.ts
+++ b/packages/routing/src/_merge-suspect-record.ts
@@ -2,7 +2,7 @@
 import {type ServerExit, type SuspectRecord} from './suspect-record.js';
 
 /** Enough exits per request for repeated quarantines within the hour. */
-const maximumExitsPerRequest = 8;
+export const maximumExitsPerRequest = 8;
 /** More than for a request: while a part is not known yet, requests with it run at many servers at the same time, and an exit that is left out would seem to have another cause. */
 const maximumExitsPerPart = 32;
 
--- a/packages/routing/src/_suspect-analysis.ts
+++ b/packages/routing/src/_suspect-analysis.ts
@@ -1,5 +1,6 @@
 import {type PromptPartFingerprint, type RequestFingerprint, type SuspectFingerprint} from '@valehitch/core';
 import {addAll} from './_add-all.js';
+import {maximumExitsPerRequest} from './_merge-suspect-record.js';
 import {blameRequests, type SuspectedRequest} from './blame-requests.js';
 import {blamePromptParts, type SuspectedPart} from './blame-prompt-parts.js';
 import {type SuspectStatus} from './suspect-record.js';
@@ -67,6 +68,7 @@
 				fingerprint: fingerprint as PromptPartFingerprint, exits, wasAnswered: this.#wasAnsweredRecently(answeredAt),
 			})),
 			threshold: quarantineThreshold,
+			maximumExits: maximumExitsPerRequest,
 			isProof: times => countByAge(times, this.#now) >= quarantineThreshold,
 			isPartProof: times => this.#isProof(times.filter(at => isSettled(at, this.#now))),
 		});
--- a/packages/routing/src/blame-requests.test.ts
+++ b/packages/routing/src/blame-requests.test.ts
@@ -17,7 +17,7 @@
 function blame(requests: readonly SuspectedRequest[], ...parts: readonly PartExits[]): readonly string[] {
 	const isProof = ({length}: readonly number[]) => length >= 3;
 	const options = {
-		parts, threshold: 3, isProof, isPartProof: isProof,
+		parts, threshold: 3, maximumExits: 8, isProof, isPartProof: isProof,
 	};
 	const orders = [requests, requests.toReversed()].map(order => blameRequests(order, options).map(({fingerprint}) => fingerprint).toSorted());
 	return orders[0]!.join(' ') === orders[1]!.join(' ') ? orders[0]! : [];
@@ -63,3 +63,10 @@
 	const popular = {...part('popular', {...exits, d: 300}), wasAnswered: true};
 	t.deepEqual(blame([request('crashing', exits, ['own'])], popular, part('own', exits)), ['crashing']);
 });
+
+test('a crashing request of which only the latest exits are kept is blamed, not a part of its prompt of which more are kept', t => {
+	const all = Object.entries({
+		a: 0, b: 200, c: 400, d: 600, e: 800, f: 1000, g: 1200, h: 1400, i: 1600,
+	});
+	t.deepEqual(blame([request('crashing', Object.fromEntries(all.slice(-8)), ['own'])], part('own', Object.fromEntries(all))), ['crashing']);
+});
--- a/packages/routing/src/blame-requests.ts
+++ b/packages/routing/src/blame-requests.ts
@@ -24,6 +24,8 @@
 	readonly parts: readonly PartExits[];
 	/** The number of exits that are needed for a verdict, and that no other blamed request may explain. */
 	readonly threshold: number;
+	/** The number of exits that are kept of a request, the latest ones. */
+	readonly maximumExits: number;
 	/** Whether exits at some times are enough for a verdict on a request. */
 	readonly isProof: (times: readonly number[]) => boolean;
 	/** Whether exits at some times are enough for a verdict on a part. */
@@ -36,7 +38,9 @@
 type Candidate = SuspectedRequest & {
 	/** When the last exit that was needed for a verdict happened. */
 	readonly provenAt: number;
-	/** Until when exits of parts count that are not in the request, in milliseconds since the epoch. */
+	/** From when on exits of parts count that are not in the request, in milliseconds since the epoch: its earlier ones may not be kept. */
+	readonly comparedFrom: number;
+	/** Until when exits of other parts count that are not in the request, in milliseconds since the epoch. */
 	readonly comparedUntil: number;
 };
 
@@ -59,7 +63,7 @@
 @example
 ```ts
 const requests = [{fingerprint, parts: [], exits: new Map([['a', 0], ['b', 500], ['c', 1000]])}];
-blameRequests(requests, {parts: [], threshold: 3, isProof: ({length}) => length >= 3, isPartProof: () => false}).length; // 1
+blameRequests(requests, {parts: [], threshold: 3, maximumExits: 8, isProof: ({length}) => length >= 3, isPartProof: () => false}).length; // 1
 ```
 */
 export function blameRequests(requests: readonly SuspectedRequest[], options: BlameRequestsOptions): readonly SuspectedRequest[] {
@@ -79,13 +83,13 @@
 }
 
 /** Chooses the requests with enough exits that no part explains better, in the order in which the evidence against them was complete. */
-function chooseProven(requests: readonly SuspectedRequest[], {parts, threshold, isProof}: BlameRequestsOptions): readonly Candidate[] {
+function chooseProven(requests: readonly SuspectedRequest[], {parts, threshold, maximumExits, isProof}: BlameRequestsOptions): readonly Candidate[] {
 	const index = indexParts(parts);
 	const proven: Candidate[] = [];
 	const explained = new Set<string>();
 	const candidates = requests
 		.filter(({exits}) => exits.size >= threshold)
-		.map(request => createCandidate(request, threshold))
+		.map(request => createCandidate(request, {threshold, maximumExits}))
 		.toSorted((one, other) => one.provenAt - other.provenAt || compareCandidates(one, other));
 	for (const candidate of candidates) {
 		const own = ownExits(candidate, {index, explained, threshold});
@@ -98,9 +102,14 @@
 	return proven;
 }
 
-function createCandidate(request: SuspectedRequest, threshold: number): Candidate {
+function createCandidate(request: SuspectedRequest, {threshold, maximumExits}: Pick<BlameRequestsOptions, 'threshold' | 'maximumExits'>): Candidate {
 	const times = [...request.exits.values()];
-	return {...request, provenAt: times[threshold - 1]!, comparedUntil: times.at(-1)! + comparedMilliseconds};
+	return {
+		...request,
+		provenAt: times[threshold - 1]!,
+		comparedFrom: times.length < maximumExits ? Number.NEGATIVE_INFINITY : times[0]!,
+		comparedUntil: times.at(-1)! + comparedMilliseconds,
+	};
 }
 
 /** Returns the parts that were in progress at each process, those with the most exits first. */
@@ -145,9 +154,9 @@
 }
 
 /** Checks whether a part with at least as many exits as a request explains those that both have better than the request does. */
-function isBetterExplanation(part: PartExits, {parts, exits, comparedUntil}: Candidate, explained: ReadonlySet<string>): boolean {
+function isBetterExplanation(part: PartExits, {parts, exits, comparedFrom, comparedUntil}: Candidate, explained: ReadonlySet<string>): boolean {
 	if (parts.includes(part.fingerprint)) {
-		return part.exits.size > exits.size;
+		return part.exits.size > exits.size && countSince(part.exits, comparedFrom) > exits.size;
 	}
 
 	if (part.wasAnswered) {
@@ -156,7 +165,7 @@
 
 	let [counted, unexplained] = [0, 0];
 	for (const [process, at] of part.exits) {
-		if (at <= comparedUntil || exits.has(process)) {
+		if (exits.has(process) || (at >= comparedFrom && at <= comparedUntil)) {
 			counted++;
 			unexplained += explained.has(process) ? 0 : 1;
 		}
@@ -238,6 +247,15 @@
 	return new Set(subjects.flatMap(({exits}) => [...exits.keys()]));
 }
 
+function countSince(exits: ExitTimes, time: number): number {
+	let count = 0;
+	for (const at of exits.values()) {
+		count += at >= time ? 1 : 0;
+	}
+
+	return count;
+}
+
 function timesOutside(exits: ExitTimes, explained: ReadonlySet<string>): readonly number[] {
 	return [...exits].filter(([process]) => !explained.has(process)).map(([, at]) => at);
 }
