transport: parse nothing of what comes behind a short answer

Callers saw: while servers sent whole answers one after another, requests to a sound service of the same instance waited (median 1.8 s beside 150 callers on, 0.5 s beside 40). Cause: the HTTP client closes the connection at the second answer, but parses the rest of the chunk: an object for each answer in it. Nothing was counted against the server. Evidence: 'answers that follow a short one in the same chunk are not parsed, and the first one is whole', red with the change taken out (no reason told); 'a server that sends answers without end behind its answer is cut off and named' was red while the reason came too late for the handling of the head. Change: where the stated length of an answer ends inside the chunk of its head, what follows is overwritten, at which the parser ends the connection; it is a failure of the server. Why it works: the answer itself is complete before the parser meets the overwritten bytes. Conclusion: behind an answer in chunks, or one longer than a chunk, the rest of one chunk is still parsed before the connection is closed.

--- a/packages/gateway/src/entry/endless-answers.test.ts
+++ b/packages/gateway/src/entry/endless-answers.test.ts
@@ -138,3 +138,21 @@
 	await sent.closed;
 	t.true(sent.bytes < mostBytes, `${sent.bytes} bytes`);
 });
+
+test('a server that sends answers without end behind its answer is cut off and named, and the first one is forwarded', async t => {
+	const answer = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfound';
+	const {ports, sent} = await startServers(t, {start: '', rest: answer.repeat(500), goodAnswer: answer});
+	const reasons: string[] = [];
+	const {answers} = await sendRequests(t, 1, {
+		log(event, fields) {
+			reasons.push(...event === 'server-suspected' && typeof fields.reason === 'string' ? [fields.reason] : []);
+		},
+		nextServers(servers) {
+			servers.applyRecords([testServer({port: ports[0]!})], {source: control, now: performance.now()});
+		},
+	});
+	t.is(answers[0]?.text, 'found');
+	await sent.closed;
+	t.true(sent.bytes < mostBytes, `${sent.bytes} bytes`);
+	t.regex(reasons[0] ?? 'none', /^\d+ bytes behind the answer$/v);
+});
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -86,8 +86,13 @@
 }
 
 async function handleHead(received: ReceivedHead, options: HandleOutcomeOptions): Promise<OutcomeStep> {
-	const {context, request, route, server, relay, sentAt, hasEnded} = options;
-	const {message} = received;
+	const {context, request, route, results, server, relay, sentAt, hasEnded} = options;
+	const {message, excess} = received;
+	if (excess !== undefined) {
+		results.record(server, 'failed');
+		results.recordExcess(server, excess);
+	}
+
 	const head = context.dialect.readAnswer(message.statusCode ?? 0, message.headers);
 	const answerClass = classifyAnswer(head, request.id);
 	if (isFromServer(answerClass, head)) {
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -71,9 +71,9 @@
 		| {readonly type: 'kept-connection-lost'; readonly reason: string; readonly isExcessive: boolean}
 		| {readonly type: 'silent'}
 		| {readonly type: 'cancelled'}
-		| {readonly type: 'head'; readonly message: IncomingMessage; readonly framing: ResponseFraming; readonly isComplete: () => Promise<boolean>};
+		| {readonly type: 'head'; readonly message: IncomingMessage; readonly framing: ResponseFraming; readonly isComplete: () => Promise<boolean>; readonly excess?: string | undefined};
 
-/** The head of an answer, and a check of whether the body is complete, to be called when it ends. */
+/** The head of an answer, a check of whether the body is complete, to be called when it ends, and what came behind a short answer. */
 export type ReceivedHead = Omit<Extract<SendOutcome, {type: 'head'}>, 'type'>;
 
 /** A send in progress. */
@@ -215,7 +215,7 @@
 
 			recordKeepAlive(message);
 			settle({
-				type: 'head', message, framing: responseFraming(message, method), isComplete: watchResponseEnd(message, {method, arrivals, isServerRunning}),
+				type: 'head', message, excess, framing: responseFraming(message, method), isComplete: watchResponseEnd(message, {method, arrivals, isServerRunning}),
 			});
 		});
 		request.on('error', error => {
--- a/packages/transport/src/watch-head.test.ts
+++ b/packages/transport/src/watch-head.test.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {Agent, type IncomingMessage, request as openRequest} from 'node:http';
 import {type AddressInfo, createServer, type Socket} from 'node:net';
+import {text} from 'node:stream/consumers';
 import {setImmediate as turn} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {watchHead} from './watch-head.js';
@@ -81,6 +82,36 @@
 	});
 }
 
+test('answers that follow a short one in the same chunk are not parsed, and the first one is whole', async t => {
+	const answer = `${statusLine}Content-Length: 4\r\n\r\ndone`;
+	const server = createServer(socket => {
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.write(answer.repeat(1000));
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const agent = new Agent({keepAlive: true});
+	const request = openRequest({host: '127.0.0.1', port: (server.address() as AddressInfo).port, agent});
+	const reasons: string[] = [];
+	watchHead(request, {
+		onExcess(reason) {
+			reasons.push(reason);
+		},
+	});
+	request.on('error', () => undefined);
+	request.end();
+	const [message] = await once(request, 'response') as [IncomingMessage];
+	const {socket} = message;
+	t.is(await text(message), 'done');
+	t.true(message.complete);
+	t.true(socket.destroyed);
+	t.deepEqual(reasons, [`${999 * answer.length} bytes behind the answer`]);
+});
+
 test('interim answers without end are not parsed beyond a maximum, also in one chunk', async t => {
 	const server = createServer(socket => {
 		socket.on('error', () => {
--- a/packages/transport/src/watch-head.ts
+++ b/packages/transport/src/watch-head.ts
@@ -1,13 +1,15 @@
-import {type ClientRequest} from 'node:http';
+import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
+import {match} from 'ts-pattern';
 import {HeadLines} from './_head-lines.js';
+import {responseFraming} from './response-framing.js';
 
 /** The reason of a failure for a head that {@linkcode watchHead} found malformed. */
 export const malformedHead = 'A line of the head of the answer ended with a carriage return or a line feed alone';
 
 /** Options of {@linkcode watchHead}. */
 export type WatchHeadOptions = {
-	/** Called with a reason if the server sends more interim answers (1xx) than are read; by default, only the connection is closed. */
+	/** Called with a reason if the server sends more interim answers (1xx) than are read, or bytes behind the answer; by default, only the connection is closed. */
 	readonly onExcess?: (reason: string) => void;
 };
 
@@ -18,7 +20,7 @@
 /**
 Watches the head of the answer to a request, since the HTTP client takes an empty line for the end of the head even if a carriage return or a line feed alone ends it. Such a head may be one that broke off, with the body following it (RFC 9112, section 2.2).
 
-If interim answers are sent without end, the HTTP client does not get those beyond a maximum, and closes the connection.
+The HTTP client gets neither interim answers beyond a maximum nor bytes that come behind a short answer in one chunk, and closes the connection.
 
 @param request The request, before it has a connection.
 @param options What to do then.
@@ -43,22 +45,37 @@
 			request.destroy(new Error(tooManyInterim));
 		}
 	});
-	request.once('socket', (socket: Socket) => {
-		const read = (chunk: Uint8Array): void => {
-			const rest = chunk.subarray(lines.push(chunk, maximumInterimAnswers));
-			if (lines.interimAnswers > maximumInterimAnswers) {
-				// The parser cannot be stopped inside a chunk other than by what is no HTTP.
-				rest.fill(0);
-				onExcess?.(tooManyInterim);
-			}
-		};
+	let rest: Uint8Array = new Uint8Array();
+	const read = (chunk: Uint8Array): void => {
+		rest = chunk.subarray(lines.push(chunk, maximumInterimAnswers));
+		if (lines.interimAnswers > maximumInterimAnswers) {
+			// The parser cannot be stopped inside a chunk other than by what is no HTTP.
+			rest.fill(0);
+			onExcess?.(tooManyInterim);
+		}
+	};
 
+	request.once('socket', (socket: Socket) => {
 		// Runs before the listener of the HTTP client, which parses the same bytes.
 		socket.prependListener('data', read);
+	});
+	request.once('response', message => {
 		// A kept connection outlives the request.
-		request.once('response', () => {
-			socket.off('data', read);
-		});
+		message.socket.off('data', read);
+		const surplus = rest.subarray(lines.areMalformed ? rest.byteLength : bodyLength(message, request.method));
+		if (surplus.byteLength > 0) {
+			surplus.fill(0);
+			onExcess?.(`${surplus.byteLength} bytes behind the answer`);
+		}
 	});
 	return () => lines.areMalformed;
 }
+
+/** Returns the length of a body; infinite where only its end tells. */
+function bodyLength(message: IncomingMessage, method: string): number {
+	return match(responseFraming(message, method))
+		.with('none', () => 0)
+		.with('length', () => Number(message.headers['content-length']))
+		.with('chunks', 'close', () => Number.POSITIVE_INFINITY)
+		.exhaustive();
+}
