gateway: break a stream off at 64 KiB of comments without an event

Cause: the bound of a long event also held for comments. Change: comments since the last event are bounded by 64 KiB; the search for an event is one loop over the bytes. An event may be as long as before. Evidence: 'a stream of many comments without an event is broken off' replaces the case of many comments that were taken for stalled; 'pieces of an event ...' keeps the check that many bytes without an event do not show that a stream goes on. Why it works: 64 KiB are thousands of comments in one pause, more than any stream's time limit has room for, and come in a millisecond from a server that floods.

--- a/packages/gateway/src/entry/commented-streams.test.ts
+++ b/packages/gateway/src/entry/commented-streams.test.ts
@@ -12,20 +12,22 @@
 /** The comments that are sent during three stall timeouts. */
 const commentCount = 3 * stallMilliseconds / commentMilliseconds;
 
-async function sendComments(response: ServerResponse, start: string): Promise<void> {
+type Pieces = {readonly start: string; readonly piece: string};
+
+async function sendPieces(response: ServerResponse, {start, piece}: Pieces): Promise<void> {
 	response.writeHead(200, {'Content-Type': 'text/event-stream'}).write(start);
 	for (let index = 0; index < commentCount; index++) {
 		await delay(commentMilliseconds);
-		response.write(comment);
+		response.write(piece);
 	}
 
 	response.end('data: a\n\n');
 }
 
-/** Relays a stream that begins with some bytes, and has a comment again and again before its only event; returns how it ended. */
-async function relay(t: ExecutionContext, start: string): Promise<RelayEnd> {
+/** Relays a stream that begins with some bytes, and has a piece again and again before its only event; returns how it ended. */
+async function relay(t: ExecutionContext, pieces: Pieces): Promise<RelayEnd> {
 	const port = await listen(t, (_message, response) => {
-		void sendComments(response, start);
+		void sendPieces(response, pieces);
 	});
 	const [message] = await once(openRequest({host: '127.0.0.1', port, agent: false}).end(), 'response') as [IncomingMessage];
 	t.teardown(() => {
@@ -44,9 +46,14 @@
 }
 
 test('comments keep a stream from being taken for stalled', async t => {
-	t.is(await relay(t, comment), 'complete');
+	t.is(await relay(t, {start: comment, piece: comment}), 'complete');
+});
+
+test('a stream of many comments without an event is broken off', async t => {
+	t.is(await relay(t, {start: comment.repeat(20_000), piece: comment}), 'broken');
 });
 
-test('comments no longer keep a stream from being taken for stalled when they are many', async t => {
-	t.is(await relay(t, comment.repeat(20_000)), 'stalled');
+test('pieces of an event do not keep a stream from being taken for stalled once they are many', async t => {
+	t.is(await relay(t, {start: 'data: a', piece: 'a'}), 'complete');
+	t.is(await relay(t, {start: `data: ${'a'.repeat(100_000)}`, piece: 'a'}), 'stalled');
 });
--- a/packages/gateway/src/entry/event-stream.ts
+++ b/packages/gateway/src/entry/event-stream.ts
@@ -124,14 +124,13 @@
 
 /** Whether there is a line that is neither empty nor a comment. */
 function hasEvent(bytes: Uint8Array): boolean {
-	let position = 0;
-	while (position < bytes.byteLength) {
-		if (isLineEnd(bytes[position])) {
-			position++;
-		} else if (bytes[position] === colon) {
-			const end = bytes.indexOf(newline, position);
-			position = end === -1 ? bytes.byteLength : end + 1;
-		} else {
+	let isInComment = false;
+	for (const byte of bytes) {
+		if (isInComment) {
+			isInComment = byte !== newline;
+		} else if (byte === colon) {
+			isInComment = true;
+		} else if (!isLineEnd(byte)) {
 			return true;
 		}
 	}
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -34,9 +34,9 @@
 	readonly onFirstEvent: () => void;
 };
 
-/** The most that a server may send without completing an event, in bytes: a long event, or comments. */
+/** The longest event, in bytes; a server may send without ever ending one. */
 const maximumEventBytes = 1024 * 1024;
-/** The bytes since the last event up to which data shows that a stream goes on: comments keep a connection alive, but are no answer. */
+/** The most comments since the last event, and the bytes since then up to which data shows that a stream goes on, in bytes: comments keep a connection alive, but are no answer. */
 const keepAliveBytes = 64 * 1024;
 const eventStreamType = 'text/event-stream';
 const processClock: Pick<Clock, 'monotonic'> = {monotonic: () => performance.now()};
@@ -144,7 +144,8 @@
 			}
 
 			held?.set(events.heldBytes);
-			if (bytesWithoutEvent > maximumEventBytes || !mayHold(events.heldBytes)) {
+			const incompleteBytes = events.incomplete.byteLength;
+			if (bytesWithoutEvent - incompleteBytes > keepAliveBytes || incompleteBytes > maximumEventBytes || !mayHold(events.heldBytes)) {
 				onExcess?.(`${bytesWithoutEvent} bytes that complete no event`);
 				finish('broken');
 			}
