gateway: schedule the end of a pause only where an answer is paused

Change: a turn's bytes are counted over as many turns as they take, and the answer is paused for one poll then. The bound for a turn is the same.

Evidence: 44 tests of read-pace, streams and held answers are green.

--- a/packages/gateway/src/entry/read-pace.ts
+++ b/packages/gateway/src/entry/read-pace.ts
@@ -36,22 +36,24 @@
 	}
 
 	/**
-	Counts the bytes of a chunk that was read, and pauses the answer until the other connections have been polled once the turn's bytes are used up.
+	Counts the bytes of a chunk that was read. Once a turn's bytes are used up, over as many turns as that takes, the answer is paused until the other connections have been polled.
 
 	@param bytes The number of bytes.
 	*/
 	add(bytes: number): void {
 		this.#bytes += bytes + chunkBytes;
+		if (this.#bytes < turnBytes) {
+			return;
+		}
+
+		this.#message.pause();
 		this.#immediate ??= setImmediate(() => {
 			this.#immediate = undefined;
 			this.#bytes = 0;
-			if (this.#message.isPaused() && this.#mayResume()) {
+			if (this.#mayResume()) {
 				this.#message.resume();
 			}
 		});
-		if (this.#bytes >= turnBytes) {
-			this.#message.pause();
-		}
 	}
 
 	/** Ends it; the answer is left as it is. */
