transport: close the connection of an answered request without a reset

Servers saw a reset where a request was cancelled while its answer was being received. There, the request has been received, and an end says the same.

Cause: the reset for cancelled requests was not limited to those without an answer.

Evidence: entry-instance.test.js, `a caller is answered if readAnswer throws` red in 3 of 3 runs since the reset (ECONNRESET at its server); green now.

Change: cancelRequest resets only if no head of an answer has arrived.

--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -83,7 +83,7 @@
 	readonly outcome: Promise<SendOutcome>;
 	/** Whether a part of the request may have been sent. */
 	readonly isSent: () => boolean;
-	/** Cancels the send by resetting its connection, which also cancels it at the server. */
+	/** Cancels the send by closing its connection, which also cancels it at the server. */
 	readonly cancel: () => void;
 };
 
@@ -121,6 +121,10 @@
 	request.maxHeadersCount = 0;
 	let isCancelled = false;
 	let isOpen = false;
+	let hasAnswer = false;
+	request.once('response', () => {
+		hasAnswer = true;
+	});
 	request.on('socket', socket => {
 		isOpen = !socket.connecting;
 		// A reused connection would keep the listener until it closes.
@@ -140,7 +144,7 @@
 		isSent: () => progress.isSent,
 		cancel() {
 			isCancelled = true;
-			cancelRequest(request);
+			cancelRequest(request, {hasAnswer});
 		},
 	};
 }
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -21,7 +21,7 @@
 	readonly path: string;
 	readonly headers: OutgoingHttpHeaders;
 	readonly body: Uint8Array;
-	/** Aborts the request and resets its connection. */
+	/** Aborts the request and closes its connection, with a reset if there is no answer yet. */
 	readonly signal: AbortSignal;
 	/** Whether to reuse an idle connection; false if the request must not be retried. */
 	readonly reuseConnection: boolean;
@@ -74,13 +74,14 @@
 export async function sendHttpRequest(call: HttpRequest): Promise<Either<HttpRequestFailure, HttpResponse>> {
 	return new Promise(resolve => {
 		let connected = false;
+		let hasAnswer = false;
 		const clientRequest = sendRequest(new URL(call.path, call.address), {
 			method: call.method,
 			headers: {...call.headers, 'content-length': call.body.byteLength},
 			agent: agentOf(call),
 		});
 		const cancel = (): void => {
-			cancelRequest(clientRequest);
+			cancelRequest(clientRequest, {hasAnswer});
 		};
 
 		if (call.signal.aborted) {
@@ -124,6 +125,7 @@
 		};
 
 		clientRequest.on('response', message => {
+			hasAnswer = true;
 			if (isHeadMalformed()) {
 				fail(malformedHead);
 				message.destroy();
