transport: see a caller leave though many of its requests wait

A caller with 16 requests or more waiting on one connection was not seen to leave: the request that ran went on at its server.

Cause: the connection was not read while 16 requests waited on it, and the end of a connection that is not read is not seen.

Change: a connection is read on while all connections together have fewer than 1,024 requests waiting; beyond, each has 16 as before.

Why it works: the end is read like the requests before it.

A caller that leaves while 1,024 wait is still not seen.

--- a/packages/transport/src/connection-turns.test.ts
+++ b/packages/transport/src/connection-turns.test.ts
@@ -6,6 +6,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {abortResponse} from './abort-response.js';
 import {ConnectionTurns} from './connection-turns.js';
+import {whenCallerLeaves} from './when-caller-leaves.js';
 
 /** Starts a server that handles a request when its turn comes, and connects to it. */
 async function connectInTurns(t: ExecutionContext, handle: (response: ServerResponse, url: string) => void) {
@@ -93,6 +94,29 @@
 	});
 }
 
+test('a caller with many waiting requests is seen to leave while the first one is unanswered', async t => {
+	const leaving: Array<Promise<void>> = [];
+	const {caller, arrived, skipped} = await connectInTurns(t, response => {
+		leaving.push(new Promise(resolve => {
+			whenCallerLeaves(response, resolve);
+		}));
+	});
+	const total = 100;
+	caller.write(request('/next').repeat(total));
+	while (arrived.length < total) {
+		await delay(5);
+	}
+
+	caller.destroy();
+	await leaving[0];
+	while (skipped.length < total - 1) {
+		await delay(5);
+	}
+
+	t.is(arrived.length, total);
+	t.is(skipped.length, total - 1);
+});
+
 test('a caller that sends requests without end fills no memory while the first one is unanswered', async t => {
 	let first: ServerResponse | undefined;
 	const {caller, arrived, handled} = await connectInTurns(t, (response, url) => {
--- a/packages/transport/src/connection-turns.ts
+++ b/packages/transport/src/connection-turns.ts
@@ -3,8 +3,10 @@
 import process from 'node:process';
 import {whenResponseCloses} from './when-response-closes.js';
 
-/** How many requests may wait on a connection before it is no longer read. */
+/** How many requests may wait on a connection before it is no longer read, if too many wait on all connections together. */
 const maximumWaiting = 16;
+/** How many requests may wait on all connections together before those with many of them are no longer read. */
+const maximumWaitingTogether = 1024;
 
 type WaitingRequest = {
 	readonly response: ServerResponse;
@@ -14,7 +16,7 @@
 /**
 Lets the requests of a connection be handled one after the other. A caller may send several without waiting (RFC 9112, section 9.3.2), but the answer to one of them may close the connection, and those behind it then must not have been run.
 
-The body of a request that waits is not read.
+The body of a request that waits is not read. A connection is read on while requests wait on it, as far as their number allows it, since the end of a connection that is not read is not seen.
 
 @example
 ```ts
@@ -27,6 +29,8 @@
 export class ConnectionTurns {
 	/** What waits on the connections on which a request is unanswered. */
 	readonly #waiting = new WeakMap<Socket, WaitingRequest[]>();
+	/** The number of requests that wait on all connections. */
+	#count = 0;
 
 	/**
 	Waits until all earlier requests of the connection have been answered.
@@ -45,13 +49,18 @@
 
 		return new Promise(resolve => {
 			waiting.push({response, resolve});
-			if (waiting.length === maximumWaiting) {
+			this.#count++;
+			if (this.#isFull(waiting)) {
 				// The parser reads on when it is done with a request.
 				process.nextTick(() => socket.pause());
 			}
 		});
 	}
 
+	#isFull(waiting: readonly WaitingRequest[]): boolean {
+		return waiting.length >= maximumWaiting && this.#count >= maximumWaitingTogether;
+	}
+
 	#advanceAfter(response: ServerResponse): void {
 		whenResponseCloses(response, () => {
 			this.#advance(response.req.socket);
@@ -63,6 +72,7 @@
 		const following = socket.writable ? waiting.shift() : undefined;
 		if (following === undefined) {
 			this.#waiting.delete(socket);
+			this.#count -= waiting.length;
 			for (const {resolve} of waiting) {
 				resolve(false);
 			}
@@ -70,9 +80,10 @@
 			return;
 		}
 
+		this.#count--;
 		this.#advanceAfter(following.response);
 		following.resolve(true);
-		if (waiting.length < maximumWaiting && socket.isPaused()) {
+		if (!this.#isFull(waiting) && socket.isPaused()) {
 			socket.resume();
 		}
 	}
