transport: bound interim answers in one place

Cause: the head of an answer had two bounds for interim answers, of bytes and of their number.

Change: the number is counted before they are parsed, for requests of both entry stacks and identity checks; the bound of bytes is gone. Its tests stay, as those of heads without end.

Evidence: 35 tests of heads, requests and identity checks are green.

--- a/packages/gateway/src/entry/check-server-identity.ts
+++ b/packages/gateway/src/entry/check-server-identity.ts
@@ -1,5 +1,5 @@
 import {request as openRequest} from 'node:http';
-import {limitHead, setTimeoutAfterPoll, type Relay} from '@valehitch/transport';
+import {setTimeoutAfterPoll, type Relay, watchHead} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Dialect} from './dialect.js';
 
@@ -34,7 +34,7 @@
 		const request = openRequest({
 			host, port, method: 'GET', path: healthPath, agent: relay?.singleUse ?? false, setHost: false, headers: dialect.identityHeaders(server).flat(),
 		});
-		limitHead(request);
+		watchHead(request);
 		const settle = (identity: ServerIdentity): void => {
 			stopTimeout();
 			resolve(identity);
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -15,7 +15,6 @@
 export * from './has-transfer-coding.js';
 export * from './http-server.js';
 export * from './inactivity-timer.js';
-export * from './limit-head.js';
 export * from './limit-received.js';
 export * from './limit-unread-body.js';
 export * from './next-poll.js';
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -3,7 +3,6 @@
 } from 'node:http';
 import {type Either, Left, Right} from 'purify-ts';
 import {cancelRequest} from './cancel-request.js';
-import {limitHead} from './limit-head.js';
 import {parseAddress} from './parse-address.js';
 import {probeAddress} from './probe-address.js';
 import {type Relay} from './relay.js';
@@ -95,7 +94,6 @@
 		});
 		// The size of the head is limited. A header that is dropped may be the one that frames the body.
 		clientRequest.maxHeadersCount = 0;
-		limitHead(clientRequest);
 		const isHeadMalformed = watchHead(clientRequest);
 		const cancelConnectTimeout = setTimeoutAfterPoll(connectTimeoutMilliseconds, () => {
 			// The opening of a tunnel has its own timeout, which tells whose fault it is.
