gateway: let callers read a refusal that comes while their body is sent

What callers saw: in a planned stop, a caller that writes its whole body before it reads lost the 503 for a late body to a reset, and could not know that the request has not run.

Cause: the answer asked for the connection to be closed, at which the runtime closes it though bytes of the body are unread; the kernel then resets it.

Change: the connection is left open where the body still comes.

--- a/packages/daemon/src/entry/refuse.ts
+++ b/packages/daemon/src/entry/refuse.ts
@@ -23,7 +23,8 @@
 export function refuse(call: RefusedCall, failed: Failure, context: EntryContext): void {
 	context.metrics.increment('request.refused', {kind: failed.kind});
 	context.timeline.record('request-refused', {requestId: call.requestId, details: {kind: failed.kind, outcome: outcomeOf(failed), message: failed.message}});
-	if (context.requests.stopping) {
+	// A connection that is closed while the body still comes is reset, and the caller loses the refusal.
+	if (context.requests.stopping && call.response.req.complete) {
 		call.response.shouldKeepAlive = false;
 	}
 
--- a/packages/gateway/src/entry/entry-instance.test.ts
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -127,6 +127,37 @@
 	t.true(entry.isReady);
 });
 
+test('a caller that reads only after it has written a late body learns that an instance that stops has not run it', async t => {
+	const {entry, port} = await startTestEntry(t, {records: [], routes: [testRoute({isPublic: true})]});
+	entry.beginStop(performance.now() + 900);
+	const caller = connect({port, host: '127.0.0.1', noDelay: true});
+	t.teardown(() => {
+		caller.destroy();
+	});
+	caller.on('error', () => undefined);
+	const closed = new Promise(resolve => {
+		caller.on('close', resolve);
+	});
+	caller.pause();
+	caller.write('POST /labels/7 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 400000\r\n\r\n');
+	for (let piece = 0; piece < 4; piece++) {
+		await delay(30);
+		await new Promise(resolve => {
+			caller.write('x'.repeat(100_000), resolve);
+		});
+	}
+
+	let text = '';
+	caller.on('data', chunk => {
+		text += String(chunk);
+	});
+	caller.resume();
+	await Promise.race([closed, new Promise(resolve => {
+		caller.on('data', resolve);
+	})]);
+	t.regex(text, /^HTTP\/1\.1 503 /v);
+});
+
 test('a request behind an answer that closes the connection is not sent to a server', async t => {
 	let sent = 0;
 	const serverPort = await listen(t, (_message, response) => {
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -136,7 +136,8 @@
 		request: request.id, error: failed.kind, reason: failed.message, configuration: table()?.version, confirmedAgo: Math.round(lease.age(clock.monotonic())),
 	}, 'warn');
 	notes.record(request.id, {at: clock.monotonic(), kind: 'refused', facts: {error: failed.kind, reason: failed.message}});
-	if (stop.endsAt !== undefined) {
+	// A connection that is closed while the body still comes is reset, and the caller loses the refusal.
+	if (stop.endsAt !== undefined && response.req.complete) {
 		response.shouldKeepAlive = false;
 	}
 
