transport: let empty lines follow an answer

What callers would see: a server that ends its answers with an empty line is counted as failing with each answer, and ejected.

Cause: all bytes behind a short answer were taken for an excess. The HTTP client skips empty lines.

Change: carriage returns and line feeds are no excess. The chunk of the head is no longer kept for the time of the answer.

Evidence: shown in a review by a script (2 bytes behind the answer, a parse error); the new test is green, two requests share the connection.

--- a/packages/transport/src/watch-head.test.ts
+++ b/packages/transport/src/watch-head.test.ts
@@ -112,6 +112,38 @@
 	t.deepEqual(reasons, [`${999 * answer.length} bytes behind the answer`]);
 });
 
+test('an empty line behind an answer is no excess, and its connection is used again', async t => {
+	const server = createServer(socket => {
+		socket.on('data', () => {
+			socket.write(`${statusLine}Content-Length: 4\r\n\r\ndone\r\n`);
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const agent = new Agent({keepAlive: true});
+	t.teardown(() => {
+		agent.destroy();
+		server.close();
+	});
+	const reasons: string[] = [];
+	const reused: boolean[] = [];
+	for (let count = 0; count < 2; count++) {
+		const request = openRequest({host: '127.0.0.1', port: (server.address() as AddressInfo).port, agent});
+		watchHead(request, {
+			onExcess(reason) {
+				reasons.push(reason);
+			},
+		});
+		request.end();
+		const [message] = await once(request, 'response') as [IncomingMessage];
+		t.is(await text(message), 'done');
+		reused.push(request.reusedSocket);
+		await turn();
+	}
+
+	t.deepEqual(reasons, []);
+	t.deepEqual(reused, [false, true]);
+});
+
 test('interim answers without end are not parsed beyond a maximum, also in one chunk', async t => {
 	const server = createServer(socket => {
 		socket.on('error', () => {
--- a/packages/transport/src/watch-head.ts
+++ b/packages/transport/src/watch-head.ts
@@ -13,6 +13,9 @@
 	readonly onExcess?: (reason: string) => void;
 };
 
+const lineFeed = 10;
+const carriageReturn = 13;
+const nothing = new Uint8Array();
 /** The number of interim answers that are read; a server may send them without end. */
 const maximumInterimAnswers = 64;
 const tooManyInterim = `More than ${maximumInterimAnswers} interim answers`;
@@ -45,7 +48,7 @@
 			request.destroy(new Error(tooManyInterim));
 		}
 	});
-	let rest: Uint8Array = new Uint8Array();
+	let rest: Uint8Array = nothing;
 	const read = (chunk: Uint8Array): void => {
 		rest = chunk.subarray(lines.push(chunk, maximumInterimAnswers));
 		if (lines.interimAnswers > maximumInterimAnswers) {
@@ -63,7 +66,9 @@
 		// A kept connection outlives the request.
 		message.socket.off('data', read);
 		const surplus = rest.subarray(lines.areMalformed ? rest.byteLength : bodyLength(message, request.method));
-		if (surplus.byteLength > 0) {
+		rest = nothing;
+		// The HTTP client skips empty lines.
+		if (surplus.some(byte => byte !== lineFeed && byte !== carriageReturn)) {
 			surplus.fill(0);
 			onExcess?.(`${surplus.byteLength} bytes behind the answer`);
 		}
