gateway: an event whose bytes come is no stalled stream

What callers would see: a stream with an event of more than 64 KiB that takes longer than the longest pause was continued at other servers, though its own server was sending, until no retry was left.

Cause: bytes of an event in progress counted like comments.

Change: only comments stop to show that a stream goes on. The event itself is bounded by 1 MiB and the deadline, as before.

--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -131,7 +131,7 @@
 			pace.add(chunk.byteLength);
 			const part = events.push(chunk);
 			bytesWithoutEvent = part?.hasEvent === true ? events.incomplete.byteLength : bytesWithoutEvent + chunk.byteLength;
-			if (bytesWithoutEvent <= keepAliveBytes) {
+			if (bytesWithoutEvent - events.incomplete.byteLength <= keepAliveBytes) {
 				stall.touch(now);
 			}
 
