gateway: use most of a short grace period for answers

Cause: 300 ms before the end were kept for the last answers, however short the grace period; with one of 300 ms all requests were answered at once.

Change: at most an eighth of the time until the end. The timer is set before the requests are told, so that one of them cannot keep it from being set.

--- a/packages/gateway/src/entry/instance-stop.test.ts
+++ b/packages/gateway/src/entry/instance-stop.test.ts
@@ -20,6 +20,13 @@
 	t.true(stop.answersDueAt! < stop.endsAt!);
 });
 
+test('requests may go on for most of a short time until the end', t => {
+	const stop = new InstanceStop(clock);
+	stop.begin(1200);
+	stop.close();
+	t.true(stop.answersDueAt! - clock.monotonic() >= 170);
+});
+
 test('a request that has ended hears nothing', t => {
 	const stop = new InstanceStop(clock);
 	const unwatch = stop.watch(() => t.fail());
--- a/packages/gateway/src/entry/instance-stop.ts
+++ b/packages/gateway/src/entry/instance-stop.ts
@@ -9,6 +9,8 @@
 
 /** The part of the grace period in which the last answers are written, in milliseconds: a process with a small share of a core has time to write them before its connections are closed. */
 const answerMarginMilliseconds = 300;
+/** The most of the time until the end that this may be, so that short grace periods are used too. */
+const answerMarginShare = 1 / 8;
 
 /**
 The stop of an instance: when it ends, and the requests that must know of it.
@@ -25,6 +27,7 @@
 	readonly #clock: Pick<Clock, 'monotonic'>;
 	readonly #listeners = new Set<StopListener>();
 	#endsAt: number | undefined;
+	#answersDueAt: number | undefined;
 	#cancelTimer: (() => void) | undefined;
 
 	/**
@@ -41,7 +44,7 @@
 
 	/** When every request without an answer is given one, in milliseconds on the monotonic clock; undefined unless the instance stops. */
 	get answersDueAt(): number | undefined {
-		return this.#endsAt === undefined ? undefined : this.#endsAt - answerMarginMilliseconds;
+		return this.#answersDueAt;
 	}
 
 	/**
@@ -50,11 +53,14 @@
 	@param endsAt When all connections are closed, in milliseconds on the monotonic clock.
 	*/
 	begin(endsAt: number): void {
+		const left = Math.max(0, endsAt - this.#clock.monotonic());
+		const margin = Math.min(answerMarginMilliseconds, answerMarginShare * left);
 		this.#endsAt = endsAt;
-		this.#notify('begun');
-		this.#cancelTimer = setTimeoutAfterPoll(Math.max(0, endsAt - answerMarginMilliseconds - this.#clock.monotonic()), () => {
+		this.#answersDueAt = endsAt - margin;
+		this.#cancelTimer = setTimeoutAfterPoll(left - margin, () => {
 			this.#notify('answers-due');
 		});
+		this.#notify('begun');
 	}
 
 	/**
