transport: read callers of tunnels again once there is room for all

What a server would see: requests whose callers had left arrived whole after it read on, and the room of all tunnels stayed taken.

Cause: a paused caller was resumed only when its own bytes were taken.

Change: callers that were paused for the sum of all tunnels are resumed when it falls below its limit.

--- a/packages/transport/src/_pass-requests.ts
+++ b/packages/transport/src/_pass-requests.ts
@@ -19,11 +19,16 @@
 export function passRequests(caller: Socket, server: Socket, readAhead: ReadAhead): PassedRequests {
 	let held = 0;
 	let isAnswerDue = false;
+	let stopWaiting: (() => void) | undefined;
 	const hold = (bytes: number): void => {
 		held += bytes;
 		readAhead.add(bytes);
 	};
 
+	const resume = (): void => {
+		caller.resume();
+	};
+
 	const release = (bytes: number): void => {
 		hold(-bytes);
 		if (held < ownBytes && caller.isPaused()) {
@@ -49,10 +54,14 @@
 		hold(bytes.byteLength);
 		if (held >= ownBytes && readAhead.isFull) {
 			caller.pause();
+			stopWaiting = readAhead.waitForRoom(resume);
 		}
 
 		void pass(bytes);
 	});
+	caller.on('close', () => {
+		stopWaiting?.();
+	});
 	server.on('data', () => {
 		isAnswerDue = false;
 	});
--- a/packages/transport/src/_read-ahead.ts
+++ b/packages/transport/src/_read-ahead.ts
@@ -4,6 +4,7 @@
 /** Counts the bytes that all tunnels of an instance have read and their targets have not taken. */
 export class ReadAhead {
 	#held = 0;
+	readonly #waiting = new Set<() => void>();
 
 	/** Whether no more is read from callers whose targets take nothing. */
 	get isFull(): boolean {
@@ -17,5 +18,26 @@
 	*/
 	add(bytes: number): void {
 		this.#held += bytes;
+		if (this.isFull) {
+			return;
+		}
+
+		for (const resume of this.#waiting) {
+			this.#waiting.delete(resume);
+			resume();
+		}
+	}
+
+	/**
+	Resumes a paused caller once there is room again.
+
+	@param resume Called once then.
+	@returns A function that ends the wait.
+	*/
+	waitForRoom(resume: () => void): () => void {
+		this.#waiting.add(resume);
+		return () => {
+			this.#waiting.delete(resume);
+		};
 	}
 }
