testing: keep a connection through a stopping instance in use while it takes a request

Cause: the test relied on an idle connection of another instance to keep the stopping one waiting.

Change: a stream through the stopping instance lasts beyond the request, which comes 2.7 s after the signal in place of 2.9, as its time limit of 1 s has to end 300 ms before the close. The assertion on the request is the same; the stream, whose instance is killed, must not look whole.

It was not run against the fault that it was written for.

--- a/packages/testing/src/server-partition.test.ts
+++ b/packages/testing/src/server-partition.test.ts
@@ -31,6 +31,9 @@
 		{
 			...route, name: 'record', pathPrefix: '/record/', kind: 'safe', service: 'records',
 		},
+		{
+			...route, name: 'trace', pathPrefix: '/trace/', kind: 'streaming', timeoutMs: 8000, targetGapMs: 1000, service: 'records',
+		},
 		{
 			...route, name: 'seal', pathPrefix: '/seal/', kind: 'unsafe', service: 'seals',
 		},
@@ -65,6 +68,8 @@
 type StartOptions = {
 	/** The time between two events, in milliseconds; 10 by default. */
 	readonly gap?: number;
+	/** The number of events of the service of records; 3 by default. */
+	readonly recordEvents?: number;
 	/** The number of entry instances; 3 by default. */
 	readonly entryCount?: number;
 	/** Returns the availability zone of an entry instance, by its position; all are in the first one by default. */
@@ -80,11 +85,11 @@
 }
 
 /** Starts entry instances with a server in each zone, each server in a process of its own, and waits until all of them serve requests. */
-async function start(t: ExecutionContext, {gap = 10, entryCount = 3, entryZone = () => zones[0]!, isUnframed = false}: StartOptions = {}): Promise<Started> {
+async function start(t: ExecutionContext, {gap = 10, recordEvents = 3, entryCount = 3, entryZone = () => zones[0]!, isUnframed = false}: StartOptions = {}): Promise<Started> {
 	const deployment = await PlatformDeployment.start({entryCount, entryZone, environment: instance => serverCutEnvironment(instance)});
 	const backends = await startBackendProcesses(t, {
 		deployment, servers: Object.entries(services).flatMap(([service, serverZones]) => serverZones.map(zone => ({
-			id: `i-${service}-${zone}`, service, zone, answer: {events: ['one', 'two', 'three'], gap, isUnframed},
+			id: `i-${service}-${zone}`, service, zone, answer: {events: service === 'records' ? Array.from({length: recordEvents}, String) : ['one', 'two', 'three'], gap, isUnframed},
 		}))),
 	});
 	await putConfiguration(deployment, configuration);
@@ -255,13 +260,20 @@
 });
 
 test.serial('a stopping instance answers a request that arrives while it waits for the connections of others through it', async t => {
-	const {deployment, backends, send} = await start(t, {gap: 200, entryCount: 2});
+	const {deployment, backends, send} = await start(t, {gap: 200, recordEvents: 30, entryCount: 2});
 	const [entry, relay] = deployment.entries;
 	await cutServerLinks(entry!, 'refused');
 	await waitUntil(async () => await send(entry!.address, {method: 'GET', path: '/look/8'}) === 200 || undefined, {description: 'a response through the other instance'});
+	const held = sendForResponse({
+		method: 'POST', address: entry!.address, path: '/trace/8', headers: {Host: 'desk.example', 'Attempt-Id': 'held', 'Deadline-Ms': '8000'},
+	});
+	await waitUntil(async () => {
+		const runs = await readRuns(backends);
+		return runs.some(({path}) => path === '/trace/8') || undefined;
+	}, {description: 'a stream through the other instance'});
 	relay!.process.signal('SIGTERM');
 	// By then, the load balancer sends it no more callers.
-	await delay(2900);
+	await delay(2700);
 	const note = {method: 'POST', path: '/note/9'};
 	const sent = send(relay!.address, note);
 	await waitUntil(async () => {
@@ -270,4 +282,6 @@
 	}, {description: 'a request in progress'});
 	await entry!.process.kill('SIGKILL');
 	t.is(await sent, 200);
+	const {isComplete} = await held;
+	t.false(isComplete);
 });
