gateway: count data of a stream as progress without a condition

Cause: the condition under which data showed that a stream goes on had become the one beyond which the stream is broken off in the same chunk.

Change: the condition is gone, and its comment and the operators' page say what is left. Behaviour is the same.

--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -36,7 +36,7 @@
 
 /** The longest event, in bytes; a server may send without ever ending one. */
 const maximumEventBytes = 1024 * 1024;
-/** The most comments since the last event, and the bytes since then up to which data shows that a stream goes on, in bytes: comments keep a connection alive, but are no answer. */
+/** The most comments since the last event, in bytes: comments keep a connection alive, but are no answer. */
 const keepAliveBytes = 64 * 1024;
 const eventStreamType = 'text/event-stream';
 const processClock: Pick<Clock, 'monotonic'> = {monotonic: () => performance.now()};
@@ -127,14 +127,11 @@
 		const onChunk = (chunk: Uint8Array): void => {
 			const now = clock.monotonic();
 			onData(now);
+			stall.touch(now);
 			overhead.add(chunk.byteLength);
 			pace.add(chunk.byteLength);
 			const part = events.push(chunk);
 			bytesWithoutEvent = part?.hasEvent === true ? events.incomplete.byteLength : bytesWithoutEvent + chunk.byteLength;
-			if (bytesWithoutEvent - events.incomplete.byteLength <= keepAliveBytes) {
-				stall.touch(now);
-			}
-
 			if (part !== undefined && !isFinished) {
 				forward(part.bytes);
 			}
