routing: decide on second sends by evidence, not by elapsed time

Change: AnswerTimes estimates quantiles of the time to the head of an answer with sends that were given up as censored values, and counts by how many later sends a waiting one was overtaken. decideOverdue decides by them, by whether the server is responsive, by the time that is left and by an allowance that second sends win back by being answered first.

--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -5,6 +5,7 @@
 */
 export type * from './admission-request.js';
 export * from './admission-controller.js';
+export * from './answer-times.js';
 export * from './choose-affinity-scope.js';
 export * from './choose-first-model.js';
 export * from './choose-permits.js';
@@ -12,6 +13,7 @@
 export * from './contention-pool.js';
 export * from './contention-queue.js';
 export type * from './contention-request.js';
+export * from './decide-overdue.js';
 export * from './decision-history.js';
 export * from './decision-notes.js';
 export * from './divide-rate-limit.js';
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -75,6 +75,28 @@
 		return true;
 	}
 
+	/**
+	Gives back an additional attempt that was worth it, such as a hedge that was answered first.
+
+	@param key The workspace and version.
+	@param now Milliseconds on the monotonic clock.
+	*/
+	restore(key: string, now: number): void {
+		const bucket = this.#bucketOf(key, now);
+		bucket.tokens = Math.min(this.#options.burst, bucket.tokens + 1);
+	}
+
+	/**
+	Checks whether an additional attempt is allowed, without charging it.
+
+	@param key The workspace and version.
+	@param now Milliseconds on the monotonic clock.
+	@returns Whether the attempt would be allowed.
+	*/
+	allows(key: string, now: number): boolean {
+		return this.#bucketOf(key, now).tokens >= 1;
+	}
+
 	#bucketOf(key: string, now: number): Bucket {
 		const {minimumPerSecond, burst} = this.#options;
 		const bucket = this.#buckets.getOrCreate(key, () => ({tokens: 1, filledAt: now}));
