gateway: keep a send whose answer is late while a second server is asked

What callers saw: a safe request whose servers take longer than 0.4 of its time limit ended 504 after three runs, though each run would have been answered; a stream whose first event comes late began later than its first server would have begun it. Cause: the head of an answer was waited for during a fixed part of the time limit, or a multiple of a mean; the send was closed then, whether its server worked or not. Change: the send is kept. A second server is asked when the first one sends and accepts nothing, or when later requests were answered sooner or the answer is late by any measure, within an allowance of 5 % that second sends win back by being answered first. The answer that begins first counts, and the other send is cancelled. A silent server gets no requests until it sends data; it is no longer ejected for it.

--- a/packages/gateway/src/entry/create-entry-context.ts
+++ b/packages/gateway/src/entry/create-entry-context.ts
@@ -1,6 +1,8 @@
 import {type SuspensionDetector} from '@valehitch/core';
 import {type StepNotifier} from '@valehitch/replication';
-import {DecisionNotes, HeldMemory, WindowedRetryBudget} from '@valehitch/routing';
+import {
+	AnswerTimes, DecisionNotes, HeldMemory, RetryBudget, WindowedRetryBudget,
+} from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
 import {type KnownRollouts} from '../rollouts/known-rollouts.js';
 import {checkServerProcess} from './check-server-process.js';
@@ -52,6 +54,9 @@
 /** The retries that an instance may make in a time window without traffic. The platform allows each instance of its deployments between two and eight. */
 const retrySlack = 2;
 
+/** The second sends beside servers that work, as a share of the first ones; those that are answered first are not counted. */
+const hedgeShare = 0.05;
+
 /**
 Creates the state and the services that the handling of all requests shares.
 
@@ -121,6 +126,8 @@
 			},
 		}),
 		budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
+		hedges: new RetryBudget({ratio: hedgeShare}),
+		answerTimes: new AnswerTimes(),
 		admission: new RequestAdmission({
 			...options,
 			notes,
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -3,7 +3,7 @@
 	type Clock, type InstanceId, type ServiceId, type RandomSource,
 } from '@valehitch/core';
 import {
-	type DecisionNotes, type HeldMemory, type ServerLinks, type WindowedRetryBudget,
+	type AnswerTimes, type DecisionNotes, type HeldMemory, type RetryBudget, type ServerLinks, type WindowedRetryBudget,
 } from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
 import {type ServerNoticeMessage} from '../control/peer-message.js';
@@ -50,6 +50,10 @@
 	readonly suspects: EntrySuspects;
 	readonly borrower: SendBorrower;
 	readonly budget: WindowedRetryBudget;
+	/** The allowance for second sends beside servers that work. */
+	readonly hedges: RetryBudget;
+	/** The times until answers begin, by route and model. */
+	readonly answerTimes: AnswerTimes;
 	/** Holds or rejects requests that compete for busy servers, and tells how much work it holds. */
 	readonly admission: Pick<RequestAdmission, 'admit' | 'heldWork' | 'retryAfter'>;
 	readonly latencies: LatencyEstimator;
--- a/packages/gateway/src/entry/entry-servers-options.ts
+++ b/packages/gateway/src/entry/entry-servers-options.ts
@@ -63,5 +63,5 @@
 	readonly now: number;
 };
 
-/** The result of a send to a server; `ended` if its process ended in the meantime. */
-export type SendResult = 'answered' | 'failed' | 'unreachable' | 'ended' | 'gone';
+/** The result of a send to a server; `ended` if its process ended in the meantime, `silent` if it sends and accepts nothing, though it may go on. */
+export type SendResult = 'answered' | 'failed' | 'unreachable' | 'silent' | 'ended' | 'gone';
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -303,7 +303,7 @@
 	recordData(id: ServerId, now: number): void {
 		const tracked = this.#servers.get(id);
 		if (tracked !== undefined) {
-			tracked.heardAt = now;
+			tracked.recordData(now);
 			this.#zones.recordContact(tracked.record.zone);
 		}
 	}
@@ -374,6 +374,11 @@
 			return true;
 		}
 
+		if (result === 'silent') {
+			tracked.recordSilence(now);
+			return true;
+		}
+
 		if (result === 'unreachable' || result === 'ended') {
 			tracked.backoffUntil = now + Math.min(maximumBackoffMilliseconds, initialBackoffMilliseconds * (2 ** tracked.connectionFailures));
 			tracked.connectionFailures++;
--- a/packages/gateway/src/entry/handle-outcome-options.ts
+++ b/packages/gateway/src/entry/handle-outcome-options.ts
@@ -34,6 +34,8 @@
 	readonly expected?: number | undefined;
 	/** Whether the request has ended in the meantime. */
 	readonly hasEnded: () => boolean;
+	/** Called when the head of a success arrives. */
+	readonly onGoodHead: () => void;
 	/** Called when a stream of this server is accepted, before its first event is forwarded. */
 	readonly onStreamStart: () => void;
 	/** Called when the stream of this server is forwarded, which ends that of a stalled one after a time; returns a function that stops this, called when the stream ends. */
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -112,7 +112,10 @@
 		.with('other-request', 'unverified', () => handleUnverified(message, head, options))
 		.with('not-run', () => handleNotRun(received, head, options))
 		.with('failed', async () => handleFailedAnswer(received, head, options))
-		.with('good', async () => route.kind === 'streaming' ? handleStream(received, head, options) : handlePlainAnswer(received, options))
+		.with('good', async () => {
+			options.onGoodHead();
+			return route.kind === 'streaming' ? handleStream(received, head, options) : handlePlainAnswer(received, options);
+		})
 		.exhaustive();
 }
 
--- a/packages/gateway/src/entry/kept-answers.test.ts
+++ b/packages/gateway/src/entry/kept-answers.test.ts
@@ -21,6 +21,10 @@
 		onHandedOver({server}) {
 			calls.push(`handed over ${server.id}`);
 		},
+		isGood: () => true,
+		onFailed({server}) {
+			calls.push(`failed ${server.id}`);
+		},
 		startTimer(_milliseconds, callback) {
 			callback();
 			return () => undefined;
--- a/packages/gateway/src/entry/kept-answers.ts
+++ b/packages/gateway/src/entry/kept-answers.ts
@@ -2,9 +2,10 @@
 import {FallbackAnswer, type FallbackStream} from './fallback-answer.js';
 import {type CancellableSend} from './send-attempt.js';
 import {StalledAnswer, type StalledAnswerOptions, type StalledStream} from './stalled-answer.js';
+import {type UnansweredSend, UnansweredSends, type UnansweredSendsOptions} from './unanswered-sends.js';
 
 /** Options of {@linkcode KeptAnswers}. */
-export type KeptAnswersOptions = Pick<StalledAnswerOptions, 'onLost' | 'onHandedOver' | 'startTimer'> & {
+export type KeptAnswersOptions = Pick<StalledAnswerOptions, 'onLost' | 'onHandedOver' | 'startTimer'> & Pick<UnansweredSendsOptions, 'isGood' | 'onFailed'> & {
 	readonly clock: Pick<Clock, 'monotonic'>;
 	/** The deadline of the request, in milliseconds on the monotonic clock. */
 	readonly deadlineAt: number;
@@ -16,11 +17,11 @@
 export type KeptStream = FallbackStream & Partial<Pick<StalledStream, 'incomplete'>>;
 
 /**
-Keeps the answers of earlier servers while a request is sent elsewhere: a stream that has stalled, and the fallback answer of a smaller model. Cancels the current send when the stalled stream continues, or no time is left for a better answer.
+Keeps what earlier servers may still answer while a request is sent elsewhere: sends without an answer, a stream that has stalled, and the fallback answer of a smaller model. Cancels the current send when one of the former is answered, the stalled stream continues, or no time is left for a better answer.
 
 @example
 ```ts
-const kept = new KeptAnswers({clock, deadlineAt, currentSend, onLost, onHandedOver});
+const kept = new KeptAnswers({clock, deadlineAt, currentSend, onLost, onHandedOver, isGood, onFailed});
 kept.keepStalled(stream);
 const stream = kept.take(); // if no other server answers
 ```
@@ -29,7 +30,8 @@
 	readonly #options: KeptAnswersOptions;
 	readonly #fallback: FallbackAnswer;
 	readonly #stalled: StalledAnswer;
-	/** The send that was cancelled because the stalled stream has continued. */
+	readonly #unanswered: UnansweredSends;
+	/** The send that was cancelled because an earlier one is being answered. */
 	#superseded: CancellableSend | undefined;
 
 	constructor(options: KeptAnswersOptions) {
@@ -43,15 +45,30 @@
 		this.#stalled = new StalledAnswer({
 			...options,
 			onContinue: () => {
-				this.#superseded = options.currentSend();
-				this.#superseded?.cancel();
+				this.#supersede();
+			},
+		});
+		this.#unanswered = new UnansweredSends({
+			...options,
+			onAnswered: () => {
+				this.#supersede();
 			},
 		});
 	}
 
-	/** Whether any answer is kept. */
+	/** Whether anything is kept. */
 	get isAnyKept(): boolean {
-		return this.#stalled.isKept || this.#fallback.isKept;
+		return this.isEarlierKept || this.#fallback.isKept;
+	}
+
+	/** Whether the fallback answer is kept, which can be forwarded at once. */
+	get isFallbackKept(): boolean {
+		return this.#fallback.isKept;
+	}
+
+	/** Whether an earlier server may still go on with the request. */
+	get isEarlierKept(): boolean {
+		return this.#stalled.isKept || this.#unanswered.isAnyKept;
 	}
 
 	/** Whether a stalled stream is kept. */
@@ -59,9 +76,14 @@
 		return this.#stalled.isKept;
 	}
 
-	/** Whether the server of the stalled stream has sent data again, or has ended the stream. */
+	/** The sends that have no answer yet. */
+	get unanswered(): Iterable<UnansweredSend> {
+		return this.#unanswered.sends;
+	}
+
+	/** Whether the server of the stalled stream has sent data again or has ended the stream, or an earlier send is being answered. */
 	get hasContinued(): boolean {
-		return this.#stalled.hasContinued;
+		return this.#stalled.hasContinued || this.#unanswered.isAnswered;
 	}
 
 	/** Whether no time is left for a better answer than the fallback. */
@@ -74,7 +96,7 @@
 		return this.#fallback.isKept && this.#fallback.isDue;
 	}
 
-	/** Whether the current send was cancelled because a stalled stream has continued, even if that one has broken since. */
+	/** Whether the current send was cancelled because an earlier server has continued, even if that one has broken since. */
 	get isSuperseded(): boolean {
 		return this.#superseded !== undefined && this.#superseded === this.#options.currentSend();
 	}
@@ -88,6 +110,25 @@
 		this.#stalled.keep(stream);
 	}
 
+	/**
+	Keeps a send that has no answer yet.
+
+	@param send The send.
+	*/
+	keepUnanswered(send: UnansweredSend): void {
+		this.#unanswered.keep(send);
+	}
+
+	/**
+	Removes and returns a send that is being answered or, if no answer is kept that can be forwarded, the earliest one that may still be.
+
+	@returns The send; undefined if there is none.
+	*/
+	takeUnanswered(): UnansweredSend | undefined {
+		const isAnotherKept = this.#fallback.isKept || this.#stalled.isKept;
+		return this.#unanswered.isAnswered || !isAnotherKept ? this.#unanswered.take() : undefined;
+	}
+
 	/**
 	Keeps the answer of a smaller model.
 
@@ -97,6 +138,11 @@
 		this.#fallback.keep(stream);
 	}
 
+	/** Cancels the sends that have no answer, because another server has begun to answer. */
+	discardUnanswered(): void {
+		this.#unanswered.discard();
+	}
+
 	/**
 	Closes the stalled stream after the time of a handover, unless its server sends data first.
 
@@ -134,5 +180,11 @@
 	discard(): void {
 		this.#fallback.discard();
 		this.#stalled.discard();
+		this.#unanswered.discard();
+	}
+
+	#supersede(): void {
+		this.#superseded = this.#options.currentSend();
+		this.#superseded?.cancel();
 	}
 }
--- a/packages/gateway/src/entry/request-run-options.ts
+++ b/packages/gateway/src/entry/request-run-options.ts
@@ -2,6 +2,7 @@
 import {type HeldBytes} from '@valehitch/routing';
 import {type Relay} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
+import {type AnswerPatience} from './answer-patience.js';
 import {type AuthorizedRequest} from './authorize-request.js';
 import {type GatewayRequest} from './gateway-request.js';
 import {type SendLoad} from './tracked-server.js';
@@ -29,4 +30,6 @@
 	readonly expected?: number | undefined;
 	/** When the request was sent, in milliseconds on the monotonic clock. */
 	readonly sentAt: number;
+	/** How long the head of the answer is waited for; undefined for a stream that was kept. */
+	readonly patience?: AnswerPatience;
 };
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -5,7 +5,9 @@
 import {match} from 'ts-pattern';
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
+import {type AnswerPatience, answerPatience} from './answer-patience.js';
 import {CallerAnswer} from './caller-answer.js';
+import {classifyAnswer} from './classify-answer.js';
 import {deadlineOf} from './deadline-of.js';
 import {type EntryContext} from './entry-context.js';
 import {endExpired} from './end-expired.js';
@@ -20,12 +22,14 @@
 import {RunStop} from './run-stop.js';
 import {SuspectRequest} from './suspect-request.js';
 import {SendAllowance} from './send-allowance.js';
-import {type CancellableSend} from './send-attempt.js';
+import {type CancellableSend, type SendOutcome} from './send-attempt.js';
 import {SendResults} from './send-results.js';
 import {KeptAnswers, type KeptStream} from './kept-answers.js';
 import {retryMilliseconds} from './retry-milliseconds.js';
 import {ServerSearch, type SendTarget} from './server-search.js';
 import {startSend} from './start-send.js';
+import {type UnansweredSend} from './unanswered-sends.js';
+import {extendPatience} from './extend-patience.js';
 import {forwardStream} from './forward-stream.js';
 import {handleOutcome} from './handle-outcome.js';
 import {type HandleOutcomeOptions} from './handle-outcome-options.js';
@@ -127,6 +131,10 @@
 			clock: context.clock,
 			deadlineAt: this.#deadlineAt,
 			currentSend: () => this.#sent?.attempt,
+			isGood: ({statusCode = 0, headers}) => classifyAnswer(context.dialect.readAnswer(statusCode, headers), request.id) === 'good',
+			onFailed: (send, outcome) => {
+				void this.#handleUnansweredLoss(send, outcome);
+			},
 			onLost: ({server}) => {
 				void this.#suspect.recordLoss(server);
 			},
@@ -201,6 +209,10 @@
 	}
 
 	#expire(): void {
+		for (const {server, model} of this.#kept.unanswered) {
+			this.#results.recordFailure(server, model);
+		}
+
 		endExpired(this.#end, {
 			sent: this.#sent,
 			results: this.#results,
@@ -265,7 +277,7 @@
 		}
 
 		const found = await this.#search.next({
-			model: this.#models.current, load: this.#models.load, isSuspect: standing !== 'unknown', mayWait: !this.#kept.isStalledKept,
+			model: this.#models.current, load: this.#models.load, isSuspect: standing !== 'unknown', mayWait: !this.#kept.isEarlierKept,
 		});
 		return match(found)
 			.with({type: 'target'}, async ({target}) => this.#sendTo(target, current))
@@ -298,16 +310,17 @@
 	}
 
 	async #sendTo(target: SendTarget, authorized: AuthorizedRequest): Promise<NextStep> {
-		const {server, relay} = target;
+		const {server} = target;
 		const sentAt = this.#now();
 		this.#sentAs = authorized;
 		const expected = this.#context.servers.expectedFirstEvent(server.id, this.#models.calm);
 		const load = this.#context.servers.beginSend(server.id, {load: this.#models.load, reading: this.#reading, now: sentAt});
+		const patience = this.#patienceAt(server);
 		const attempt = startSend(this.#context, {
 			request: this.#request,
 			body: this.#body,
 			server,
-			relay,
+			relay: target.relay,
 			authorized,
 			models: this.#models,
 			allowance: this.#allowance,
@@ -316,36 +329,126 @@
 			lastEventId: this.#events.lastEventId,
 			processEnd: load.processEnd,
 			mayStillSend: () => this.#mayStillSend(server),
-			canGoOn: () => this.#kept.isAnyKept || this.#search.isLinkInDoubt(target) || this.#canGoElsewhere(server),
-			onOverdue: () => {
-				// A late answer is a failure of the server, but no evidence about its version yet.
-				this.#results.record(server, 'failed');
-			},
+			patience,
+			canGoOn: () => this.#kept.isFallbackKept || this.#search.isLinkInDoubt(target) || this.#canGoElsewhere(server),
 		});
-		this.#sent = {attempt, server};
-		const outcome = await attempt.outcome;
-		if (outcome.type === 'cancelled' && !attempt.isSent()) {
+		const send = {
+			...target, attempt, sentAt, load, expected, model: this.#models.current, patience,
+		};
+		this.#sent = send;
+		const first = await Promise.race([attempt.outcome, attempt.overdue]);
+		if (first.type === 'overdue') {
+			if (this.#keepBeside({...send, reason: first.reason})) {
+				return 'retry';
+			}
+
+			attempt.giveUp();
+		}
+
+		return this.#handleSend(send, await attempt.outcome);
+	}
+
+	async #handleSend(send: Omit<UnansweredSend, 'reason'>, outcome: SendOutcome): Promise<NextStep> {
+		if (outcome.type === 'cancelled' && !send.attempt.isSent()) {
 			this.#allowance.cancelSend();
 		}
 
-		const step = await handleOutcome(outcome, this.#outcomeOptions({
-			server, relay, sentAt, load, expected,
-		}));
+		this.#recordAbandoned(send, outcome);
+		const step = await handleOutcome(outcome, this.#outcomeOptions(send));
 		if (stepsNotRun.has(step.type)) {
 			this.#sent = undefined;
 		}
 
-		const next = await this.#handleStep(step, target);
-		load.end();
+		const next = await this.#handleStep(step, send);
+		send.load?.end();
 		this.#context.metrics.attempts.inc({result: outcome.type});
 		return next;
 	}
 
+	/** Keeps a send whose answer is late while the request is sent to another server; returns false if it must be given up first or there is no other one. */
+	#keepBeside(send: UnansweredSend): boolean {
+		const {server, sentAt, patience, reason} = send;
+		const now = this.#now();
+		// If a server has ended during the request, do not put two at risk at the same time.
+		const isAlone = this.#suspect.standing === 'unknown' && this.#canGoElsewhere(server);
+		if (this.#end.hasEnded || !isAlone || !this.#mayRetry()) {
+			return false;
+		}
+
+		if (reason === 'unresponsive') {
+			this.#results.record(server, 'silent');
+		} else {
+			this.#context.hedges.withdraw(server.service, now);
+		}
+
+		this.#context.log('request-overdue', {
+			request: this.#request.id, server: server.id, reason, waited: Math.round(now - sentAt), lateAfter: Math.round(patience?.lateAfter ?? 0), timeLeft: Math.round(this.#deadlineAt - now),
+		}, 'warn');
+		this.#context.metrics.secondSends.inc({reason});
+		this.#allowance.requireNewConnections();
+		this.#end.recordPossibleRun();
+		this.#end.lastProblem = `${server.id} has not answered yet`;
+		this.#placement.exclude(server);
+		this.#sent = undefined;
+		this.#kept.keepUnanswered(send);
+		return true;
+	}
+
+	/** Ends the sends that were kept, because a later one is answered first. */
+	#endUnanswered(): void {
+		let isWorthIt = false;
+		for (const send of this.#kept.unanswered) {
+			const {server, model, sentAt, reason} = send;
+			isWorthIt ||= reason !== 'unresponsive';
+			if (this.#context.servers.heardAt(server.id) > sentAt) {
+				this.#results.recordFailure(server, model);
+			}
+
+			this.#recordAbandoned(send, {type: 'cancelled'});
+		}
+
+		if (isWorthIt) {
+			this.#context.hedges.restore(this.#placement.service, this.#now());
+		}
+
+		this.#kept.discardUnanswered();
+	}
+
+	/** Handles the end of a send that was kept, while the request goes on elsewhere. */
+	async #handleUnansweredLoss(send: UnansweredSend, outcome: SendOutcome): Promise<void> {
+		this.#recordAbandoned(send, outcome);
+		const step = await handleOutcome(outcome, this.#outcomeOptions(send));
+		if (step.type === 'failed') {
+			this.#end.keepFailedAnswer(step.answer);
+		}
+
+		send.load?.end();
+		this.#context.metrics.attempts.inc({result: outcome.type});
+	}
+
+	/** Records the time of a send that was given up without an answer; its answer would have taken longer. */
+	#recordAbandoned({patience, sentAt, attempt}: Omit<UnansweredSend, 'reason'>, {type}: Pick<SendOutcome, 'type'>): void {
+		if (patience !== undefined && attempt.isSent() && (type === 'cancelled' || type === 'silent')) {
+			this.#context.answerTimes.recordAbandoned(patience.key, {sentAt, now: this.#now(), unit: patience.unit});
+		}
+	}
+
+	/** How long the head of the answer of a server is waited for; longer if prompts wait there. */
+	#patienceAt({id}: ServerRecord): AnswerPatience {
+		const {answerTimes, poolLoads} = this.#context;
+		const {route} = this.#authorized;
+		const {current, expected} = this.#models;
+		const patience = answerPatience(route, {
+			model: current, expected, times: answerTimes, now: this.#now(),
+		});
+		return current === undefined ? patience : extendPatience(patience, {server: id, picture: poolLoads.picture(), targetLatency: route.targetLatency});
+	}
+
 	#canGoElsewhere(server: ServerRecord): boolean {
 		return this.#suspect.standing !== 'quarantined' && this.#search.canGoElsewhere(server);
 	}
 
-	#outcomeOptions({server, relay, sentAt, load, expected}: StartedSend): HandleOutcomeOptions {
+	#outcomeOptions({server, relay, sentAt, load, expected, patience}: StartedSend): HandleOutcomeOptions {
 		return {
 			context: this.#context,
 			request: this.#request,
@@ -361,12 +464,22 @@
 			sentAt,
 			expected,
 			hasEnded: () => this.#end.hasEnded,
+			onGoodHead: () => {
+				if (patience !== undefined) {
+					this.#context.answerTimes.recordAnswered(patience.key, {sentAt, now: this.#now(), unit: patience.unit});
+				}
+
+				if (this.#authorized.route.kind !== 'streaming') {
+					this.#endUnanswered();
+				}
+			},
 			onStreamStart: () => {
 				load?.markAnswerStarted();
 				this.#placement.recordStreamStart(server.version);
 			},
 			startHandover: () => this.#kept.startHandover(),
 			onFirstEvent: () => {
+				this.#endUnanswered();
 				this.#kept.discard();
 			},
 			canResumeElsewhere: () => this.#canGoElsewhere(server),
@@ -423,6 +536,7 @@
 				: this.#end.forward(answer, {framing}))
 			.with({type: 'escalated'}, async ({model, fallback}): Promise<NextStep> => {
 				this.#end.recordPossibleRun();
+				this.#endUnanswered();
 				this.#sent = undefined;
 				this.#kept.keepFallback(fallback);
 				this.#models.escalateTo(model);
@@ -466,6 +580,11 @@
 			return 'ended';
 		}
 
+		const unanswered = this.#kept.takeUnanswered();
+		if (unanswered !== undefined) {
+			return this.#awaitEarlier(unanswered, failed);
+		}
+
 		const kept = this.#kept.take();
 		if (kept?.incomplete !== undefined) {
 			this.#events.restoreIncomplete(kept.incomplete);
@@ -475,6 +594,15 @@
 		return kept === undefined ? this.#end.fail(failed) : this.#forwardKept(kept);
 	}
 
+	/** Waits for the answer of a send that was kept, or handles it if it is there. */
+	async #awaitEarlier(send: UnansweredSend, {message}: Failure): Promise<NextStep> {
+		this.#context.log('request-returned', {request: this.#request.id, server: send.server.id, reason: message});
+		this.#sent = send;
+		this.#models.restore(send.model);
+		this.#allowance.restoreUnused();
+		return this.#handleSend(send, await send.attempt.outcome);
+	}
+
 	async #forwardKept(stream: KeptStream): Promise<NextStep> {
 		this.#sent = {
 			server: stream.server,
@@ -507,6 +635,7 @@
 	#cancelUnanswered(): void {
 		if (!this.#answer.hasStarted) {
 			this.#sent?.attempt.cancel();
+			this.#kept.discardUnanswered();
 		}
 	}
 
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -1,11 +1,13 @@
 import {type ClientRequest, type IncomingMessage, request as openRequest} from 'node:http';
 import {type Clock} from '@valehitch/core';
+import {type SecondSendReason} from '@valehitch/routing';
 import {
 	ArrivalWatch, cancelRequest, frameRequest, malformedHead, type ResponseEnd, responseFraming, type ResponseFraming, sendOnceOpen, type SendProgress, setTimeoutAfterPoll,
 	watchHead, watchResponseEnd, type Relay, TunnelError,
 } from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type Header} from './gateway-request.js';
+import {type OverdueWatchOptions, watchOverdue} from './overdue-watch.js';
 import {
 	closeIdleConnections, closeStaleConnections, connectionPool, recordKeepAlive, recordReuse,
 } from './connection-pool.js';
@@ -23,8 +25,8 @@
 	readonly relay?: Relay | undefined;
 	/** The timeout of a direct connection, in milliseconds. */
 	readonly connectTimeout: number;
-	/** The timeouts for the head of the answer; undefined for none. */
-	readonly headTimeouts: HeadTimeouts | undefined;
+	/** How the send is watched until its answer begins; undefined if no other server may be asked. */
+	readonly watch: OverdueWatchOptions | undefined;
 	/** Checked right before the request is written, once its connection is open; by default it is sent. */
 	readonly mayStillSend?: (() => boolean) | undefined;
 	/** Called when a new connection to the server is opened. */
@@ -36,27 +38,6 @@
 	readonly clock: Clock;
 };
 
-/** The interval at which it is checked whether a request can go on without a send whose timeout has passed, in milliseconds; a small part of the time of most requests. */
-const overdueMilliseconds = 100;
-
-/** The timeouts for the head of an answer. */
-export type HeadTimeouts = {
-	/** The time after which the send is abandoned, in milliseconds, if the server sent no data on other connections either and accepts no new one. */
-	readonly checkAfter: number;
-	/** The time after which the send is abandoned in any case, in milliseconds. */
-	readonly maximum: number;
-	/** The same for a send on a reused connection. */
-	readonly maximumOnReused: number;
-	/** Whether the server sent data on any connection since the send. It is then running, and processes other requests first. */
-	readonly hasSentData: () => boolean;
-	/** Checks whether the server accepts a new connection. */
-	readonly isReachable: () => Promise<boolean>;
-	/** Whether the request can go on without this send; until it can, the send is not abandoned, since its server may still answer. By default it can. */
-	readonly canGoOn?: () => boolean;
-	/** Called if a timeout has passed and the request cannot go on without this send. */
-	readonly onOverdue?: () => void;
-};
-
 /** The outcome of a send, up to the head of the answer. */
 export type SendOutcome
 	/** The connection was not established, or closed before the request was sent, so the request has not run. */
@@ -79,10 +60,20 @@
 /** A send in progress. */
 export type SentAttempt = {
 	readonly outcome: Promise<SendOutcome>;
+	/** Resolves when a second server is to be asked; never once there is an outcome. */
+	readonly overdue: Promise<OverdueSendFinding>;
 	/** Whether a part of the request may have been sent. */
 	readonly isSent: () => boolean;
 	/** Cancels the send by closing its connection, which also cancels it at the server. */
 	readonly cancel: () => void;
+	/** Cancels the send because its server does not answer. */
+	readonly giveUp: () => void;
+};
+
+/** That a second server is to be asked, and why. */
+export type OverdueSendFinding = {
+	readonly type: 'overdue';
+	readonly reason: SecondSendReason;
 };
 
 /** A send, or a stream of an earlier one, that a request can end. */
@@ -95,11 +86,11 @@
 @returns The send in progress.
 @example
 ```ts
-const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuseConnection: true, connectTimeout: 400, headTimeouts: undefined, onConnect, processEnd, isServerRunning, clock});
+const {outcome, cancel} = sendAttempt({server, method: 'GET', target: '/x/', headers: [], body, mayReuseConnection: true, connectTimeout: 400, watch: undefined, onConnect, processEnd, isServerRunning, clock});
 ```
 */
 export function sendAttempt(options: SendAttemptOptions): SentAttempt {
-	const {server, method, target, headers, body, mayReuseConnection, relay, mayStillSend, onConnect, processEnd} = options;
+	const {server, method, target, headers, body, mayReuseConnection, relay, mayStillSend, onConnect, processEnd, watch, clock} = options;
 	const pool = relay?.pool ?? connectionPool;
 	if (mayReuseConnection) {
 		closeStaleConnections(server, pool);
@@ -118,6 +109,7 @@
 	// The size of the head is limited. A header that is dropped may be the one that frames the body.
 	request.maxHeadersCount = 0;
 	let isCancelled = false;
+	let isSilent = false;
 	let isOpen = false;
 	let hasAnswer = false;
 	request.once('response', () => {
@@ -136,25 +128,50 @@
 		}
 	});
 	const progress = sendOnceOpen(request, body, {mayStillSend});
-	const outcome = awaitHead(request, options, {isCancelled: () => isCancelled, isOpen: () => isOpen, progress});
+	const outcome = awaitHead(request, options, {
+		isCancelled: () => isCancelled, isSilent: () => isSilent, isOpen: () => isOpen, progress,
+	});
+	const overdue = new Promise<OverdueSendFinding>(resolve => {
+		const stopWatching = watch === undefined ? undefined : watchOverdue(watch, {
+			clock,
+			isReused: () => request.reusedSocket,
+			isSent: () => progress.isSent,
+			onOverdue(reason) {
+				if (request.reusedSocket) {
+					// If one kept connection is silent, the others to its server may be too.
+					closeIdleConnections(server, pool);
+				}
+
+				resolve({type: 'overdue', reason});
+			},
+		});
+		void outcome.finally(() => stopWatching?.());
+	});
 	return {
 		outcome,
+		overdue,
 		isSent: () => progress.isSent,
 		cancel() {
 			isCancelled = true;
 			cancelRequest(request, {hasAnswer});
 		},
+		giveUp() {
+			isSilent = true;
+			cancelRequest(request);
+		},
 	};
 }
 
 type SendState = {
 	readonly isCancelled: () => boolean;
+	/** Whether the send was given up because its server does not answer. */
+	readonly isSilent: () => boolean;
 	readonly isOpen: () => boolean;
 	readonly progress: SendProgress;
 };
 
-async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isOpen, progress}: SendState): Promise<SendOutcome> {
-	const {server, method, relay, connectTimeout, headTimeouts, isServerRunning, clock} = options;
+async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isSilent, isOpen, progress}: SendState): Promise<SendOutcome> {
+	const {server, method, relay, connectTimeout, isServerRunning, clock} = options;
 	const arrivals = new ArrivalWatch(clock);
 	let excess: string | undefined;
 	const isHeadMalformed = watchHead(request, {
@@ -163,7 +180,6 @@
 		},
 	});
 	return new Promise(resolve => {
-		let isSilent = false;
 		let isSettled = false;
 		const stopConnectTimeout = setTimeoutAfterPoll(connectTimeout, () => {
 			// The opening of a tunnel has its own timeout, which tells whose fault it is.
@@ -171,17 +187,9 @@
 				request.destroy(new Error(`No connection within ${connectTimeout} ms`));
 			}
 		});
-		const giveUp = (): void => {
-			isSilent = true;
-			cancelRequest(request);
-			closeIdleConnections(server, relay?.pool);
-		};
-
-		const stopWatching = headTimeouts === undefined ? undefined : watchHeadTimeouts(headTimeouts, {isReused: () => request.reusedSocket, giveUp});
 		const settle = (outcome: SendOutcome): void => {
 			isSettled = true;
 			stopConnectTimeout();
-			stopWatching?.();
 			resolve(outcome);
 		};
 
@@ -199,7 +207,7 @@
 				settle({type: 'withheld'});
 			} else if (!progress.isSent) {
 				settle(error instanceof TunnelError && error.type === 'peer-unavailable' ? {type: 'relay-unavailable', reason} : {type: 'unreachable', reason, wasOpen: isOpen()});
-			} else if (isSilent) {
+			} else if (isSilent()) {
 				settle({type: 'silent'});
 			} else if (request.reusedSocket) {
 				// A server that dropped one idle connection has probably dropped the others too.
@@ -230,53 +238,3 @@
 		});
 	});
 }
-
-type HeadWatch = {
-	/** Whether the request was sent on a reused connection. */
-	readonly isReused: () => boolean;
-	readonly giveUp: () => void;
-};
-
-/** Gives up the send after the first timeout if the server is unresponsive on other connections too, and otherwise after the maximum; later if the request cannot go on without it. */
-function watchHeadTimeouts(timeouts: HeadTimeouts, {isReused, giveUp}: HeadWatch): () => void {
-	const {checkAfter, maximum, maximumOnReused, hasSentData, isReachable, canGoOn = () => true, onOverdue} = timeouts;
-	let isOver = false;
-	let stopTimeout: (() => void) | undefined;
-	const giveUpOncePossible = (): void => {
-		if (canGoOn()) {
-			giveUp();
-		} else {
-			stopTimeout = setTimeoutAfterPoll(overdueMilliseconds, giveUpOncePossible);
-		}
-	};
-
-	const onTimeout = (): void => {
-		if (!canGoOn()) {
-			onOverdue?.();
-		}
-
-		giveUpOncePossible();
-	};
-
-	const checkServer = async (): Promise<void> => {
-		const left = (isReused() ? maximumOnReused : maximum) - checkAfter;
-		const isAlive = left > 0 && (hasSentData() || await isReachable());
-		if (isOver) {
-			return;
-		}
-
-		if (isAlive) {
-			stopTimeout = setTimeoutAfterPoll(left, onTimeout);
-		} else {
-			onTimeout();
-		}
-	};
-
-	stopTimeout = setTimeoutAfterPoll(checkAfter, () => {
-		void checkServer();
-	});
-	return () => {
-		isOver = true;
-		stopTimeout?.();
-	};
-}
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -1,3 +1,4 @@
+import {decideOverdue} from '@valehitch/routing';
 import {type Relay} from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type AuthorizedRequest} from './authorize-request.js';
@@ -5,11 +6,12 @@
 import {type EntryContext} from './entry-context.js';
 import {type GatewayRequest} from './gateway-request.js';
 import {type ModelCascade} from './model-cascade.js';
-import {extendHeadTimeouts} from './extend-head-timeouts.js';
+import {type AnswerPatience} from './answer-patience.js';
 import {isServerReachable} from './is-server-reachable.js';
 import {isServerRunning} from './is-server-running.js';
 import {type SendAllowance} from './send-allowance.js';
-import {type SentAttempt, sendAttempt, type HeadTimeouts} from './send-attempt.js';
+import {type OverdueWatchOptions} from './overdue-watch.js';
+import {type SentAttempt, sendAttempt} from './send-attempt.js';
 
 /** Options of {@linkcode startSend}. */
 export type StartSendOptions = {
@@ -32,10 +34,10 @@
 	readonly processEnd: AbortSignal;
 	/** Checked right before the request is written. */
 	readonly mayStillSend: () => boolean;
-	/** Whether the request can go on without this send. */
+	/** How long the head of the answer is waited for. */
+	readonly patience: AnswerPatience;
+	/** Whether the request can be sent elsewhere, or goes on without this send. */
 	readonly canGoOn: () => boolean;
-	/** Called if the server is late with its answer and the request cannot go on without it. */
-	readonly onOverdue: () => void;
 };
 
 /** The maximum connection timeout, in milliseconds. Within a region, a connection takes a few milliseconds. The timeout is also limited by the target latency of the route. */
@@ -57,7 +59,7 @@
 @returns The send in progress.
 @example
 ```ts
-const attempt = startSend(context, {request, body, server, relay, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd, canGoOn, onOverdue});
+const attempt = startSend(context, {request, body, server, relay, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd, mayStillSend, patience, canGoOn});
 const outcome = await attempt.outcome;
 ```
 */
@@ -84,7 +86,7 @@
 		mayReuseConnection,
 		mayStillSend: options.mayStillSend,
 		connectTimeout: Math.min(connectTimeoutMilliseconds, route.targetLatency),
-		headTimeouts: headTimeoutsOf(options, context),
+		watch: watchOf(options, context),
 		onConnect() {
 			links.of(server.service).recordConnected();
 		},
@@ -127,21 +129,19 @@
 	return rank ?? workspace?.priority ?? route.priority;
 }
 
-/** Returns the timeouts for the head of the answer; undefined for the last allowed send, which may take until the caller's deadline. */
-function headTimeoutsOf(
-	{server, relay, authorized: {route: {targetLatency}}, models, allowance, canGoOn, onOverdue}: StartSendOptions,
-	{servers, links, poolLoads}: Pick<EntryContext, 'servers' | 'links' | 'poolLoads'>,
-): HeadTimeouts | undefined {
+/** Returns how the send is watched; undefined for the last allowed send, which may take until the caller's deadline. */
+function watchOf(options: StartSendOptions, context: EntryContext): OverdueWatchOptions | undefined {
+	const {server, relay, allowance, patience, canGoOn, deadlineAt} = options;
 	if (!allowance.isRepeatable || allowance.isNextSendLast) {
 		return undefined;
 	}
 
+	const {servers, links, clock, answerTimes, hedges} = context;
+	const sentAt = clock.monotonic();
 	const heardBefore = servers.heardAt(server.id);
-	const timeouts = models.headTimeouts;
 	return {
-		...(models.current === undefined ? timeouts : extendHeadTimeouts(timeouts, {server: server.id, picture: poolLoads.picture(), targetLatency})),
-		canGoOn,
-		onOverdue,
+		firstCheckAfter: Math.min(patience.lateAfter, patience.patienceOnReused),
+		checkAfter: patience.checkAfter,
 		hasSentData: () => servers.heardAt(server.id) !== heardBefore,
 		async isReachable() {
 			if (relay !== undefined) {
@@ -155,5 +155,19 @@
 
 			return isReachable;
 		},
+		decide({waited, isResponsive, isReused}) {
+			const now = clock.monotonic();
+			return decideOverdue({
+				waited,
+				timeLeft: deadlineAt - now,
+				lateAfter: isReused ? Math.min(patience.lateAfter, patience.patienceOnReused) : patience.lateAfter,
+				patience: isReused ? patience.patienceOnReused : patience.patience,
+				answerTime: patience.answerTime,
+				overtakenBy: answerTimes.overtakenBy(patience.key, {sentAt}),
+				isResponsive,
+				canGoElsewhere: canGoOn(),
+				hasAllowance: hedges.allows(server.service, now),
+			});
+		},
 	};
 }
--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -70,6 +70,10 @@
 /** The share of the slots from which each further answer counts as a short request, since a prompt waits for a slot once none is left. */
 const crowdedShare = 0.8;
 
+/** How long a silent server gets no requests, in milliseconds; the time doubles up to the maximum. */
+const initialSilenceMilliseconds = 500;
+const maximumSilenceMilliseconds = 8000;
+
 /** The load of a send to a server that is no longer known; it has no effect. */
 export const noOpLoad: SendLoad = {
 	markAnswerStarted() {
@@ -98,8 +102,6 @@
 	readonly addedAt: number;
 	/** When a control instance last reported it or its end was last recorded, in milliseconds on the monotonic clock. */
 	reportedAt: number;
-	/** When data was last received from it, in milliseconds on the monotonic clock; 0 if none was received yet. */
-	heardAt = 0;
 	/** The end of the backoff before which no requests are sent to it, in milliseconds on the monotonic clock. */
 	backoffUntil = 0;
 	/** Whether the process has announced that it is draining. */
@@ -112,6 +114,11 @@
 	readonly #processEnd = new AbortController();
 	/** A server never changes its service; each choice reads the views of all servers. */
 	readonly #loaded: ReadonlySet<string>;
+	#heardAt = 0;
+	/** Until when it gets no requests if it sends no data before, in milliseconds on the monotonic clock; 0 if it is not silent. */
+	#silentUntil = 0;
+	/** How often it was found to be silent since it sent data. */
+	#silences = 0;
 	#inFlight = 0;
 	#load = 0;
 	#reading = 0;
@@ -134,6 +141,11 @@
 		return this.#processEnd.signal.aborted;
 	}
 
+	/** When data was last received from it, in milliseconds on the monotonic clock; 0 if none was received yet. */
+	get heardAt(): number {
+		return this.#heardAt;
+	}
+
 	/** The number of requests in flight. */
 	get inFlight(): number {
 		return this.#inFlight;
@@ -215,7 +227,7 @@
 			reportAge: othersAge,
 			ownInFlight: work === undefined ? this.#load : promptLoad(work, slots),
 			draining: false,
-			expired: isSilent || this.backoffUntil > now || isZoneUnreachable,
+			expired: isSilent || this.backoffUntil > now || this.#silentUntil > now || isZoneUnreachable,
 			ejected: isEjected,
 			rateLimited: isRateLimited,
 			paused: isPaused,
@@ -228,6 +240,34 @@
 		};
 	}
 
+	/** Until when it gets no requests because it is silent, in milliseconds on the monotonic clock; 0 if it is not. */
+	get silentUntil(): number {
+		return this.#silentUntil;
+	}
+
+	/**
+	Records that it sends and accepts nothing. It gets no requests until it sends data, or for a time that doubles each time.
+
+	@param now Milliseconds on the monotonic clock.
+	*/
+	recordSilence(now: number): void {
+		if (now >= this.#silentUntil) {
+			this.#silentUntil = now + Math.min(maximumSilenceMilliseconds, initialSilenceMilliseconds * (2 ** this.#silences));
+			this.#silences++;
+		}
+	}
+
+	/**
+	Records that data was received from it, which ends a silence.
+
+	@param now Milliseconds on the monotonic clock.
+	*/
+	recordData(now: number): void {
+		this.#heardAt = now;
+		this.#silentUntil = 0;
+		this.#silences = 0;
+	}
+
 	/** Records that the process has announced its shutdown. */
 	markDraining(): void {
 		this.record = {...this.record, state: 'draining'};
--- a/packages/gateway/src/inspection/describe-server.ts
+++ b/packages/gateway/src/inspection/describe-server.ts
@@ -80,10 +80,11 @@
 	};
 }
 
-function namesOf({backoffUntil, cold}: TrackedServer, conditions: ServerConditions): readonly string[] {
+function namesOf({backoffUntil, silentUntil, cold}: TrackedServer, conditions: ServerConditions): readonly string[] {
 	const named: ReadonlyArray<readonly [string, boolean]> = [
 		['silent', conditions.isSilent],
 		['unreachable', backoffUntil > conditions.now],
+		['unresponsive', silentUntil > conditions.now],
 		['zone unreachable', conditions.isZoneUnreachable],
 		['ejected', conditions.isEjected],
 		['limited', conditions.isRateLimited],
@@ -94,7 +95,7 @@
 }
 
 function reasonAgainst(tracked: TrackedServer, {conditions, evacuatedZones}: Pick<DescribeServerOptions, 'conditions' | 'evacuatedZones'>): string | undefined {
-	const {record, backoffUntil} = tracked;
+	const {record, backoffUntil, silentUntil} = tracked;
 	if (record.state !== 'ready') {
 		return record.state === 'draining' ? 'is shutting down' : 'has ended';
 	}
@@ -107,6 +108,10 @@
 		return 'could not be connected to';
 	}
 
+	if (silentUntil > conditions.now) {
+		return 'sent and accepted nothing';
+	}
+
 	if (conditions.isZoneUnreachable) {
 		return 'is in a zone that appears to be cut off';
 	}
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -49,6 +49,9 @@
 		attempts: new Counter({
 			name: 'valehitch_attempts_total', help: 'Sends to backend servers, by result', labelNames: ['result'], registers,
 		}),
+		secondSends: new Counter({
+			name: 'valehitch_second_sends_total', help: 'Sends beside an earlier one without an answer, by the reason', labelNames: ['reason'], registers,
+		}),
 		escalations: new Counter({
 			name: 'valehitch_escalations_total', help: 'Answers dropped for one of a larger model', registers,
 		}),
--- a/packages/routing/src/decide-overdue.ts
+++ b/packages/routing/src/decide-overdue.ts
@@ -6,6 +6,8 @@
 	readonly timeLeft: number;
 	/** The time after which the answer of a working server is late, in milliseconds: a high quantile of the answer times of such requests. */
 	readonly lateAfter: number;
+	/** The time after which the answer is late even if no later request was answered, in milliseconds. */
+	readonly patience: number;
 	/** The time that another send needs to be answered, in milliseconds: a high quantile as well. */
 	readonly answerTime: number;
 	/** How many sends of such requests that were made later have been answered. */
@@ -18,12 +20,15 @@
 	readonly hasAllowance: boolean;
 };
 
+/** Why a request is sent to a second server: the first one is silent, answers later requests sooner, is late by any measure, or leaves no more time for it. */
+export type SecondSendReason = 'unresponsive' | 'overtaken' | 'late' | 'time-short';
+
 /** What is done about a send whose answer has not begun. */
 export type OverdueDecision
 	/** It is waited on. */
 	= | {readonly type: 'wait'; readonly reason: 'not-late' | 'nowhere-else' | 'no-time' | 'not-overtaken' | 'no-allowance'}
 	/** The request is sent to another server too. */
-		| {readonly type: 'send-beside'; readonly reason: 'unresponsive' | 'overtaken' | 'time-short'};
+		| {readonly type: 'send-beside'; readonly reason: SecondSendReason};
 
 /** How many later sends must have been answered before a send counts as overtaken: one or two are chance. */
 const overtakenCount = 3;
@@ -33,7 +38,7 @@
 /**
 Decides whether a request is sent to a second server while the first one still owes its answer.
 
-That time has passed says little: the request may take long anywhere, or all servers are slow, and every second send then adds to the load that delays them. A server that sends nothing and accepts nothing is likely gone, so that a second send adds no load. Behind a server that works, a second send is made only if later requests are answered sooner, or no time would be left for it, within an allowance that second sends win back by being answered first. The first send goes on either way, and the answer that begins first counts.
+That time has passed says little: the request may take long anywhere, or all servers are slow, and every second send then adds to the load that delays them. A server that sends nothing and accepts nothing is likely gone, so that a second send adds no load. Behind a server that works, a second send is made only if later requests are answered sooner, or the answer is late by any measure, within an allowance that second sends win back by being answered first. The first send goes on either way, and the answer that begins first counts.
 
 It answers servers that lose single requests or fall silent, beside servers that are only slow, also all of them at once.
 
@@ -41,10 +46,10 @@
 @returns The decision.
 @example
 ```ts
-const {type, reason} = decideOverdue({waited: 300, timeLeft: 1200, lateAfter: 160, answerTime: 160, overtakenBy: 5, isResponsive: true, canGoElsewhere: true, hasAllowance: true});
+const {type, reason} = decideOverdue({waited: 300, timeLeft: 1200, lateAfter: 160, patience: 400, answerTime: 160, overtakenBy: 5, isResponsive: true, canGoElsewhere: true, hasAllowance: true});
 ```
 */
-export function decideOverdue({waited, timeLeft, lateAfter, answerTime, overtakenBy, isResponsive, canGoElsewhere, hasAllowance}: OverdueSend): OverdueDecision {
+export function decideOverdue({waited, timeLeft, lateAfter, patience, answerTime, overtakenBy, isResponsive, canGoElsewhere, hasAllowance}: OverdueSend): OverdueDecision {
 	if (waited < lateAfter && isResponsive !== false) {
 		return {type: 'wait', reason: 'not-late'};
 	}
@@ -61,14 +66,22 @@
 		return {type: 'wait', reason: 'no-time'};
 	}
 
-	const isOvertaken = overtakenBy >= overtakenCount;
-	if (!isOvertaken && timeLeft > timeShortFactor * answerTime) {
+	const reason = reasonAtWorkingServer({waited, timeLeft, patience, answerTime, overtakenBy});
+	if (reason === undefined) {
 		return {type: 'wait', reason: 'not-overtaken'};
 	}
 
-	if (!hasAllowance) {
-		return {type: 'wait', reason: 'no-allowance'};
+	return hasAllowance ? {type: 'send-beside', reason} : {type: 'wait', reason: 'no-allowance'};
+}
+
+function reasonAtWorkingServer({waited, timeLeft, patience, answerTime, overtakenBy}: Pick<OverdueSend, 'waited' | 'timeLeft' | 'patience' | 'answerTime' | 'overtakenBy'>): SecondSendReason | undefined {
+	if (overtakenBy >= overtakenCount) {
+		return 'overtaken';
+	}
+
+	if (waited >= patience) {
+		return 'late';
 	}
 
-	return {type: 'send-beside', reason: isOvertaken ? 'overtaken' : 'time-short'};
+	return timeLeft <= timeShortFactor * answerTime ? 'time-short' : undefined;
 }
