--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -85,6 +85,22 @@
 	t.is(chooseId(servers, {now: now + 1000, excluded: new Set([testServer().id])}), other.id);
 });
 
+test('a server that sends and accepts nothing is avoided until it sends data, or for a short time that doubles', t => {
+	const other = testServer({id: 'server-2' as ServerId});
+	const servers = createServers(testServer(), other);
+	const isAvoidedAt = (at: number) => servers.beliefs(at).find(({server}) => server === testServer().id)?.conditions.includes('unresponsive');
+	servers.recordResult(testServer().id, 'silent', now);
+	servers.recordResult(testServer().id, 'silent', now + 10);
+	t.is(chooseId(servers), other.id);
+	t.is(chooseId(servers, {excluded: new Set([other.id])}), testServer().id, 'it is used if there is none');
+	t.deepEqual([now + 400, now + 600].map(at => isAvoidedAt(at)), [true, false]);
+	servers.recordResult(testServer().id, 'silent', now + 700);
+	t.deepEqual([now + 1600, now + 1800].map(at => isAvoidedAt(at)), [true, false]);
+	servers.recordResult(testServer().id, 'silent', now + 2000);
+	servers.recordData(testServer().id, now + 2100);
+	t.false(isAvoidedAt(now + 2100));
+});
+
 test('connection failures of one service are forgotten without those of another', t => {
 	const [labels, records] = ['labels', 'records'] as ServiceId[];
 	const ids = ['labels-1', 'labels-2', 'records-1', 'records-2'] as ServerId[];
--- a/packages/routing/src/retry-budget.test.ts
+++ b/packages/routing/src/retry-budget.test.ts
@@ -32,3 +32,15 @@
 
 	t.is(budget.size, 3);
 });
+
+test('an additional attempt that was worth it is given back, up to the burst', t => {
+	const budget = new RetryBudget({ratio: 0, minimumPerSecond: 0, burst: 2});
+	t.true(budget.allows('key', 0));
+	t.true(budget.withdraw('key', 0));
+	t.false(budget.allows('key', 0));
+	for (let attempt = 0; attempt < 5; attempt++) {
+		budget.restore('key', 0);
+	}
+
+	t.deepEqual(Array.from({length: 3}, () => budget.withdraw('key', 0)), [true, true, false]);
+});
