gateway: keep the race of a request's sends in a class of its own

How long a send is waited for and what is recorded when another server is asked or is answered first is in SendRace now.

--- a/packages/gateway/src/entry/request-run-options.ts
+++ b/packages/gateway/src/entry/request-run-options.ts
@@ -31,5 +31,5 @@
 	/** When the request was sent, in milliseconds on the monotonic clock. */
 	readonly sentAt: number;
 	/** How long the head of the answer is waited for; undefined for a stream that was kept. */
-	readonly patience?: AnswerPatience;
+	readonly patience?: AnswerPatience | undefined;
 };
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -5,7 +5,6 @@
 import {match} from 'ts-pattern';
 import {type ServerRecord} from '../servers/server-record.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
-import {type AnswerPatience, answerPatience} from './answer-patience.js';
 import {CallerAnswer} from './caller-answer.js';
 import {classifyAnswer} from './classify-answer.js';
 import {deadlineOf} from './deadline-of.js';
@@ -29,7 +28,7 @@
 import {ServerSearch, type SendTarget} from './server-search.js';
 import {startSend} from './start-send.js';
 import {type UnansweredSend} from './unanswered-sends.js';
-import {extendPatience} from './extend-patience.js';
+import {SendRace} from './send-race.js';
 import {forwardStream} from './forward-stream.js';
 import {handleOutcome} from './handle-outcome.js';
 import {type HandleOutcomeOptions} from './handle-outcome-options.js';
@@ -65,6 +64,7 @@
 	readonly #authorized: AuthorizedRequest;
 	readonly #end: RequestEnd;
 	readonly #kept: KeptAnswers;
+	readonly #race: SendRace;
 	readonly #suspect: SuspectRequest;
 	readonly #search: ServerSearch;
 	readonly #admission: RunAdmission;
@@ -142,6 +142,17 @@
 				context.log('request-handed-over', {request: request.id, from: server.id, to: this.#sent?.server.id});
 			},
 		});
+		this.#race = new SendRace(context, {
+			request: request.id,
+			route,
+			deadlineAt: this.#deadlineAt,
+			placement: this.#placement,
+			results: this.#results,
+			allowance: this.#allowance,
+			models: this.#models,
+			end: this.#end,
+			kept: this.#kept,
+		});
 	}
 
 	/** Runs the request until it is answered. */
@@ -210,10 +221,7 @@
 	}
 
 	#expire(): void {
-		for (const {server, model} of this.#kept.unanswered) {
-			this.#results.recordFailure(server, model);
-		}
-
+		this.#race.expire();
 		endExpired(this.#end, {
 			sent: this.#sent,
 			results: this.#results,
@@ -316,7 +324,7 @@
 		this.#sentAs = authorized;
 		const expected = this.#context.servers.expectedFirstEvent(server.id, this.#models.calm);
 		const load = this.#context.servers.beginSend(server.id, {load: this.#models.load, reading: this.#reading, now: sentAt});
-		const patience = this.#patienceAt(server);
+		const patience = this.#race.patienceAt(server);
 		const attempt = startSend(this.#context, {
 			request: this.#request,
 			body: this.#body,
@@ -339,7 +347,9 @@
 		this.#sent = send;
 		const first = await Promise.race([attempt.outcome, attempt.overdue]);
 		if (first.type === 'overdue') {
-			if (this.#keepBeside({...send, reason: first.reason})) {
+			if (this.#mayKeepBeside(server)) {
+				this.#sent = undefined;
+				this.#race.keep({...send, reason: first.reason});
 				return 'retry';
 			}
 
@@ -354,7 +364,7 @@
 			this.#allowance.cancelSend();
 		}
 
-		this.#recordAbandoned(send, outcome);
+		this.#race.recordOutcome(send, outcome);
 		const step = await handleOutcome(outcome, this.#outcomeOptions(send));
 		if (stepsNotRun.has(step.type)) {
 			this.#sent = undefined;
@@ -366,58 +376,14 @@
 		return next;
 	}
 
-	/** Keeps a send whose answer is late while the request is sent to another server; returns false if it must be given up first or there is no other one. */
-	#keepBeside(send: UnansweredSend): boolean {
-		const {server, sentAt, patience, reason} = send;
-		const now = this.#now();
-		// If a server has ended during the request, do not put two at risk at the same time.
-		const isAlone = this.#suspect.standing === 'unknown' && this.#canGoElsewhere(server);
-		if (this.#end.hasEnded || !isAlone || !this.#mayRetry()) {
-			return false;
-		}
-
-		if (reason === 'unresponsive') {
-			this.#results.record(server, 'silent');
-		} else {
-			this.#context.hedges.withdraw(server.service, now);
-		}
-
-		this.#context.log('request-overdue', {
-			request: this.#request.id, server: server.id, reason, waited: Math.round(now - sentAt), lateAfter: Math.round(patience?.lateAfter ?? 0), timeLeft: Math.round(this.#deadlineAt - now),
-		}, 'warn');
-		this.#context.metrics.secondSends.inc({reason});
-		this.#allowance.requireNewConnections();
-		this.#end.recordPossibleRun();
-		this.#end.lastProblem = `${server.id} has not answered yet`;
-		this.#placement.exclude(server);
-		this.#sent = undefined;
-		this.#kept.keepUnanswered(send);
-		return true;
-	}
-
-	/** Ends the sends that were kept, because a later one is answered first. */
-	#endUnanswered(): void {
-		let isWorthIt = false;
-		for (const send of this.#kept.unanswered) {
-			const {server, model, sentAt, reason} = send;
-			isWorthIt ||= reason !== 'unresponsive';
-			if (this.#context.servers.heardAt(server.id) > sentAt) {
-				this.#results.recordFailure(server, model);
-			}
-
-			this.#recordAbandoned(send, {type: 'cancelled'});
-		}
-
-		if (isWorthIt) {
-			this.#context.hedges.restore(this.#placement.service, this.#now());
-		}
-
-		this.#kept.discardUnanswered();
+	/** Whether the request may be sent to another server while the current send goes on. If a server has ended during it, two are not put at risk at the same time. */
+	#mayKeepBeside(server: ServerRecord): boolean {
+		return !this.#end.hasEnded && this.#suspect.standing === 'unknown' && this.#canGoElsewhere(server) && this.#mayRetry();
 	}
 
 	/** Handles the end of a send that was kept, while the request goes on elsewhere. */
 	async #handleUnansweredLoss(send: UnansweredSend, outcome: SendOutcome): Promise<void> {
-		this.#recordAbandoned(send, outcome);
+		this.#race.recordOutcome(send, outcome);
 		const step = await handleOutcome(outcome, this.#outcomeOptions(send));
 		if (step.type === 'failed') {
 			this.#end.keepFailedAnswer(step.answer);
@@ -427,24 +393,6 @@
 		this.#context.metrics.attempts.inc({result: outcome.type});
 	}
 
-	/** Records the time of a send that was given up without an answer; its answer would have taken longer. */
-	#recordAbandoned({patience, sentAt, attempt}: Omit<UnansweredSend, 'reason'>, {type}: Pick<SendOutcome, 'type'>): void {
-		if (patience !== undefined && attempt.isSent() && (type === 'cancelled' || type === 'silent')) {
-			this.#context.answerTimes.recordAbandoned(patience.key, {sentAt, now: this.#now(), unit: patience.unit});
-		}
-	}
-
-	/** How long the head of the answer of a server is waited for; longer if prompts wait there. */
-	#patienceAt({id}: ServerRecord): AnswerPatience {
-		const {answerTimes, poolLoads} = this.#context;
-		const {route} = this.#authorized;
-		const {current, expected} = this.#models;
-		const patience = answerPatience(route, {
-			model: current, expected, times: answerTimes, now: this.#now(),
-		});
-		return current === undefined ? patience : extendPatience(patience, {server: id, picture: poolLoads.picture(), targetLatency: route.targetLatency});
-	}
-
 	#canGoElsewhere(server: ServerRecord): boolean {
 		return this.#suspect.standing !== 'quarantined' && this.#search.canGoElsewhere(server);
 	}
@@ -466,12 +414,9 @@
 			expected,
 			hasEnded: () => this.#end.hasEnded,
 			onGoodHead: () => {
-				if (patience !== undefined) {
-					this.#context.answerTimes.recordAnswered(patience.key, {sentAt, now: this.#now(), unit: patience.unit});
-				}
-
+				this.#race.recordAnswered({sentAt, patience});
 				if (this.#authorized.route.kind !== 'streaming') {
-					this.#endUnanswered();
+					this.#race.end();
 				}
 			},
 			onStreamStart: () => {
@@ -480,7 +425,7 @@
 			},
 			startHandover: () => this.#kept.startHandover(),
 			onFirstEvent: () => {
-				this.#endUnanswered();
+				this.#race.end();
 				this.#kept.discard();
 			},
 			canResumeElsewhere: () => this.#canGoElsewhere(server),
@@ -537,7 +482,7 @@
 				: this.#end.forward(answer, {framing}))
 			.with({type: 'escalated'}, async ({model, fallback}): Promise<NextStep> => {
 				this.#end.recordPossibleRun();
-				this.#endUnanswered();
+				this.#race.end();
 				this.#sent = undefined;
 				this.#kept.keepFallback(fallback);
 				this.#models.escalateTo(model);
--- a/packages/gateway/src/entry/unanswered-sends.test.ts
+++ b/packages/gateway/src/entry/unanswered-sends.test.ts
@@ -30,7 +30,9 @@
 		},
 		attempt: {
 			outcome,
-			overdue: new Promise(() => undefined),
+			overdue: new Promise(() => {
+				// It is never overdue.
+			}),
 			isSent: () => true,
 			cancel() {
 				calls.push(`cancel ${name}`);
