--- a/packages/testing/src/slow-servers.test.ts
+++ b/packages/testing/src/slow-servers.test.ts
@@ -71,10 +71,10 @@
 	for (const isAlone of [true, false]) {
 		test(`${kind} requests that take ${milliseconds} ms at every server, ${isAlone ? 'alone' : 'beside fast ones'}, are not sent to several servers or given up`, async t => {
 			const {send, countRuns} = await start(t);
-			let isOver = false;
+			const ended = new AbortController();
 			let fastCount = 0;
 			const sendFast = async (): Promise<void> => {
-				while (!isOver) {
+				while (!ended.signal.aborted) {
 					fastCount++;
 					void send(kind, 'fast');
 					await delay(fastGapMilliseconds);
@@ -90,7 +90,7 @@
 				await delay(index * fastGapMilliseconds);
 				return send(kind, `slow-${index}-${milliseconds}`);
 			}));
-			isOver = true;
+			ended.abort();
 			await fast;
 			t.log(`${countRuns('slow')} runs of ${slowCount} slow requests, ${countRuns('fast')} of ${fastCount} fast ones; ${responses.filter(({status}) => status === 200).length} answered`);
 			t.deepEqual(responses.map(({status, isComplete}) => ({status, isComplete})), responses.map(() => ({status: 200, isComplete: true})));
