gateway: say why no second server is asked for a late answer

What operators saw: the reason of a request that ended at its deadline was (none), though its server had been late for long. Change: the last reason for which no second server was asked stands in the reason of the end, such as no-allowance or nowhere-else.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -339,6 +339,9 @@
 			processEnd: load.processEnd,
 			mayStillSend: () => this.#mayStillSend(server),
 			patience,
+			onWait: reason => {
+				this.#end.lastProblem = `${server.id} is late, and no other server is asked: ${reason}`;
+			},
 			canGoOn: () => this.#kept.isFallbackKept || this.#search.isLinkInDoubt(target) || this.#canGoElsewhere(server),
 		});
 		const send = {
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -38,6 +38,8 @@
 	readonly patience: AnswerPatience;
 	/** Whether the request can be sent elsewhere, or goes on without this send. */
 	readonly canGoOn: () => boolean;
+	/** Called when the answer is late and no other server is asked, with the reason. */
+	readonly onWait: (reason: string) => void;
 };
 
 /** The maximum connection timeout, in milliseconds. Within a region, a connection takes a few milliseconds. The timeout is also limited by the target latency of the route. */
@@ -59,7 +61,7 @@
 @returns The send in progress.
 @example
 ```ts
-const attempt = startSend(context, {request, body, server, relay, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd, mayStillSend, patience, canGoOn});
+const attempt = startSend(context, {request, body, server, relay, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd, mayStillSend, patience, canGoOn, onWait});
 const outcome = await attempt.outcome;
 ```
 */
@@ -131,7 +133,7 @@
 
 /** Returns how the send is watched; undefined for the last allowed send, which may take until the caller's deadline. */
 function watchOf(options: StartSendOptions, context: EntryContext): OverdueWatchOptions | undefined {
-	const {server, relay, allowance, patience, canGoOn, deadlineAt} = options;
+	const {server, relay, allowance, patience, canGoOn, onWait, deadlineAt} = options;
 	if (!allowance.isRepeatable || allowance.isNextSendLast) {
 		return undefined;
 	}
@@ -157,7 +159,7 @@
 		},
 		decide({waited, isResponsive, isReused}) {
 			const now = clock.monotonic();
-			return decideOverdue({
+			const decision = decideOverdue({
 				waited,
 				timeLeft: deadlineAt - now,
 				lateAfter: isReused ? Math.min(patience.lateAfter, patience.patienceOnReused) : patience.lateAfter,
@@ -168,6 +170,11 @@
 				canGoElsewhere: canGoOn(),
 				hasAllowance: hedges.allows(server.service, now),
 			});
+			if (decision.type === 'wait' && decision.reason !== 'not-late') {
+				onWait(decision.reason);
+			}
+
+			return decision;
 		},
 	};
 }
