--- a/packages/routing/src/answer-times.ts
+++ b/packages/routing/src/answer-times.ts
@@ -31,6 +31,10 @@
 type Counts = {
 	readonly answered: Uint32Array;
 	readonly abandoned: Uint32Array;
+	/** The sum of the answered ones. */
+	answers: number;
+	/** The sum of all. */
+	samples: number;
 };
 
 type History = {
@@ -82,7 +86,9 @@
 	*/
 	recordAnswered(key: string, sample: AnswerTimeSample): void {
 		const history = this.#historyAt(key, sample.now);
-		increment(history.current.answered, bucketOf(sample));
+		history.current.answered[bucketOf(sample)]!++;
+		history.current.answers++;
+		history.current.samples++;
 		history.sentAt[history.answers % rememberedSends] = sample.sentAt;
 		history.answers++;
 	}
@@ -94,7 +100,9 @@
 	@param sample The send.
 	*/
 	recordAbandoned(key: string, sample: AnswerTimeSample): void {
-		increment(this.#historyAt(key, sample.now).current.abandoned, bucketOf(sample));
+		const {current} = this.#historyAt(key, sample.now);
+		current.abandoned[bucketOf(sample)]!++;
+		current.samples++;
 	}
 
 	/**
@@ -105,20 +113,19 @@
 	@returns The quantile; the longest time seen if fewer were answered; undefined while there is too little history.
 	*/
 	quantile(key: string, {share, now}: AnswerTimeQuantile): number | undefined {
+		// Each send asks for quantiles, so that no counts are copied.
 		const {current, previous} = this.#historyAt(key, now);
-		const answered = current.answered.map((count, bucket) => count + (previous.answered[bucket] ?? 0));
-		const abandoned = current.abandoned.map((count, bucket) => count + (previous.abandoned[bucket] ?? 0));
-		const answers = sum(answered);
-		if (answers < this.#options.minimumCount) {
+		if (current.answers + previous.answers < this.#options.minimumCount) {
 			return undefined;
 		}
 
-		let waiting = answers + sum(abandoned);
+		let waiting = current.samples + previous.samples;
 		let unanswered = 1;
 		let longest = 0;
-		for (const [bucket, count] of answered.entries()) {
-			if (count > 0) {
-				unanswered *= 1 - (count / waiting);
+		for (let bucket = 0; bucket < bucketCount; bucket++) {
+			const answered = current.answered[bucket]! + previous.answered[bucket]!;
+			if (answered > 0) {
+				unanswered *= 1 - (answered / waiting);
 				longest = bucket;
 			}
 
@@ -126,7 +133,7 @@
 				break;
 			}
 
-			waiting -= count + (abandoned[bucket] ?? 0);
+			waiting -= answered + current.abandoned[bucket]! + previous.abandoned[bucket]!;
 		}
 
 		return (growth ** longest) / perUnit;
@@ -172,23 +179,12 @@
 }
 
 function emptyCounts(): Counts {
-	return {answered: new Uint32Array(bucketCount), abandoned: new Uint32Array(bucketCount)};
-}
-
-function increment(counts: Uint32Array, bucket: number): void {
-	counts[bucket] = (counts[bucket] ?? 0) + 1;
+	return {
+		answered: new Uint32Array(bucketCount), abandoned: new Uint32Array(bucketCount), answers: 0, samples: 0,
+	};
 }
 
 function bucketOf({sentAt, now, unit = 1}: AnswerTimeSample): number {
 	const time = perUnit * (now - sentAt) / unit;
 	return Math.min(bucketCount - 1, Math.ceil(Math.log(Math.max(1, time)) / logGrowth));
 }
-
-function sum(counts: Uint32Array): number {
-	let total = 0;
-	for (const count of counts) {
-		total += count;
-	}
-
-	return total;
-}
