--- a/packages/gateway/src/entry/overdue-sends.test.ts
+++ b/packages/gateway/src/entry/overdue-sends.test.ts
@@ -6,8 +6,9 @@
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
 import {testServer} from '../servers/_test-server.js';
 import {startTestEntry} from './_test-entry-instance.js';
-import {listen} from './_test-run.js';
+import {control, listen, sendRequests} from './_test-run.js';
 import {testRequest} from './_test-request.js';
+import {type EntryContext} from './entry-context.js';
 
 type Handle = (message: IncomingMessage, response: ServerResponse) => void;
 
@@ -153,3 +154,22 @@
 
 	t.is(closed, 1);
 });
+
+test('each request adds to the allowance for second sends, so that busy routes may make more', async t => {
+	const port = await listen(t, (_message, response) => {
+		response.end(events);
+	});
+	let context: EntryContext | undefined;
+	await sendRequests(t, 3, {
+		route: plain,
+		prepare(prepared) {
+			context = prepared;
+		},
+		nextServers(servers) {
+			servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	const allowed = Array.from({length: 10}, () => context!.hedges.withdraw(plain.services[0]!.service, performance.now())).filter(Boolean).length;
+	// One from the start, and one for each request at the ratio of the test run.
+	t.true(allowed >= 4, `${allowed} allowed`);
+});
