gateway: spare a server that answers nothing though it accepts connections

What callers saw: with a server that accepts connections and never answers, each further request was sent to it first and waited until a second server was asked, until no allowance was left; the rest was not answered at all. Cause: a server that was reachable was not recorded as silent. When the second server answered, the first send was cancelled, and the server looked idle, which placed the next request there. Conclusion: the first send that is lost is evidence for the next ones.

--- a/packages/gateway/src/entry/overdue-sends.test.ts
+++ b/packages/gateway/src/entry/overdue-sends.test.ts
@@ -173,3 +173,27 @@
 	// One from the start, and one for each request at the ratio of the test run.
 	t.true(allowed >= 4, `${allowed} allowed`);
 });
+
+test('a server that accepts connections and answers nothing gets few further requests', async t => {
+	let mute: number | undefined;
+	let muteRuns = 0;
+	const entry = await startEntry(t, {
+		route: testRoute({...plain, targetLatency: 300}),
+		handle({socket: {localPort}}, response) {
+			mute ??= localPort;
+			if (localPort === mute) {
+				muteRuns++;
+			} else {
+				response.end(events);
+			}
+		},
+	});
+	const statuses: number[] = [];
+	for (let index = 0; index < 60; index++) {
+		const {status} = await entry.request(`any-${index}`);
+		statuses.push(status);
+	}
+
+	t.deepEqual(statuses, Array.from({length: 60}, () => 200));
+	t.true(muteRuns <= 6, `${muteRuns} runs`);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -403,6 +403,9 @@
 			isWorthIt ||= reason !== 'unresponsive';
 			if (this.#context.servers.heardAt(server.id) > sentAt) {
 				this.#results.recordFailure(server, model);
+			} else if (reason !== 'unresponsive') {
+				// Without its unanswered sends it would look idle, and get the next requests.
+				this.#results.record(server, 'silent');
 			}
 
 			this.#recordAbandoned(send, {type: 'cancelled'});
