gateway: expect of a second send what most requests take

What callers saw: a lost request of a route with some long documents, or of a route without a history whose target latency is above half of its time limit, was not sent again, though most requests would still be answered in time. Cause: a second send was made only if the time left was that within which 95 of 100 requests are answered, or the target latency. A send that was lost says nothing about its request, which is most likely an ordinary one. Change: the time left is compared with the median, and with nothing while nothing is known.

--- a/packages/gateway/src/entry/answer-patience.ts
+++ b/packages/gateway/src/entry/answer-patience.ts
@@ -16,7 +16,7 @@
 	readonly patience: number;
 	/** The same for a send on a reused connection, which may have failed silently while the server itself works. */
 	readonly patienceOnReused: number;
-	/** The time that another send needs to be answered. */
+	/** The time within which another send is as likely answered as not. */
 	readonly answerTime: number;
 };
 
@@ -31,8 +31,17 @@
 	readonly now: number;
 };
 
+/** The quantiles of a key; undefined while there is too little history. */
+type KnownTimes = {
+	readonly key: string;
+	readonly late: number | undefined;
+	readonly median: number | undefined;
+};
+
 /** The quantile of the answer times above which an answer is late. */
 const lateShare = 0.95;
+/** The quantile of the answer times that is expected of another send. A request whose send was lost is most likely an ordinary one, even where some requests take far longer. */
+const answerShare = 0.5;
 /** The time without any data from a server after which its reachability is checked, in milliseconds. It is long enough for a pause of the engine or a lost packet. */
 const reachabilityCheckMilliseconds = 500;
 /** The shortest time after which a plain answer is late, in milliseconds, so that jitter causes no second sends. */
@@ -55,20 +64,27 @@
 */
 export function answerPatience(route: Pick<Route, 'id' | 'kind' | 'targetLatency'>, {model, expected, times, now}: AnswerPatienceOptions): AnswerPatience {
 	const key = `${route.id} ${model ?? ''}`;
-	const quantile = times.quantile(key, {share: lateShare, now});
-	return route.kind === 'safe' ? plainPatience(route, {key, quantile}) : streamPatience({key, quantile, expected});
+	const known = {key, late: times.quantile(key, {share: lateShare, now}), median: times.quantile(key, {share: answerShare, now})};
+	return route.kind === 'safe' ? plainPatience(route, known) : streamPatience({...known, expected});
 }
 
-function plainPatience({targetLatency}: Pick<Route, 'targetLatency'>, {key, quantile}: {readonly key: string; readonly quantile: number | undefined}): AnswerPatience {
-	const lateAfter = Math.max(minimumLateMilliseconds, quantile ?? targetLatency);
+function plainPatience({targetLatency}: Pick<Route, 'targetLatency'>, {key, late, median}: KnownTimes): AnswerPatience {
+	const lateAfter = Math.max(minimumLateMilliseconds, late ?? targetLatency);
 	const patience = Math.max(lateAfter, targetLatency);
 	return {
-		key, unit: 1, checkAfter: reachabilityCheckMilliseconds, lateAfter, patience, patienceOnReused: patience, answerTime: lateAfter,
+		key,
+		unit: 1,
+		checkAfter: reachabilityCheckMilliseconds,
+		lateAfter,
+		patience,
+		patienceOnReused: patience,
+		// While nothing is known, any time that is left may be enough.
+		answerTime: Math.max(minimumLateMilliseconds, median ?? 0),
 	};
 }
 
-function streamPatience({key, quantile, expected}: {readonly key: string; readonly quantile: number | undefined; readonly expected: number}): AnswerPatience {
-	const slow = (quantile ?? 1) * expected;
+function streamPatience({key, late, median, expected}: KnownTimes & {readonly expected: number}): AnswerPatience {
+	const slow = (late ?? 1) * expected;
 	const lateAfter = Math.max(reachabilityCheckMilliseconds, slow, reusedPatienceFactor * expected);
 	return {
 		key,
@@ -77,6 +93,6 @@
 		lateAfter,
 		patience: Math.max(lateAfter, patienceFactor * expected),
 		patienceOnReused: lateAfter,
-		answerTime: slow,
+		answerTime: (median ?? 1) * expected,
 	};
 }
--- a/packages/gateway/src/entry/overdue-sends.test.ts
+++ b/packages/gateway/src/entry/overdue-sends.test.ts
@@ -132,6 +132,21 @@
 	t.deepEqual([status, text, entry.runsOf('lost')], [200, events, 2]);
 });
 
+test('the first request of a route is answered by another server if its own loses it, though less than the target latency is left', async t => {
+	let sends = 0;
+	const entry = await startEntry(t, {
+		route: testRoute({...plain, targetLatency: 1500}),
+		handle(_message, response) {
+			sends++;
+			if (sends > 1) {
+				response.end(events);
+			}
+		},
+	});
+	const {status, text} = await entry.request('lost');
+	t.deepEqual([status, text, entry.runsOf('lost')], [200, events, 2]);
+});
+
 test('the server that lost the race is told to stop', async t => {
 	let sends = 0;
 	let closed = 0;
--- a/packages/routing/src/decide-overdue.ts
+++ b/packages/routing/src/decide-overdue.ts
@@ -8,7 +8,7 @@
 	readonly lateAfter: number;
 	/** The time after which the answer is late even if no later request was answered, in milliseconds. */
 	readonly patience: number;
-	/** The time that another send needs to be answered, in milliseconds: a high quantile as well. */
+	/** The time that another send needs to be answered, in milliseconds: the median, since a send that was lost says nothing about its request. */
 	readonly answerTime: number;
 	/** How many sends of such requests that were made later have been answered. */
 	readonly overtakenBy: number;
@@ -66,7 +66,9 @@
 		return {type: 'wait', reason: 'no-time'};
 	}
 
-	const reason = reasonAtWorkingServer({waited, timeLeft, patience, answerTime, overtakenBy});
+	const reason = reasonAtWorkingServer({
+		waited, timeLeft, patience, answerTime, overtakenBy,
+	});
 	if (reason === undefined) {
 		return {type: 'wait', reason: 'not-overtaken'};
 	}
