--- a/packages/gateway/src/entry/overdue-sends.test.ts
+++ b/packages/gateway/src/entry/overdue-sends.test.ts
@@ -6,8 +6,9 @@
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
 import {testServer} from '../servers/_test-server.js';
 import {startTestEntry} from './_test-entry-instance.js';
-import {listen} from './_test-run.js';
+import {control, listen, sendRequests} from './_test-run.js';
 import {testRequest} from './_test-request.js';
+import {type EntryContext} from './entry-context.js';
 
 type Handle = (message: IncomingMessage, response: ServerResponse) => void;
 
@@ -131,6 +132,21 @@
 	t.deepEqual([status, text, entry.runsOf('lost')], [200, events, 2]);
 });
 
+test('the first request of a route is answered by another server if its own loses it, though less than the target latency is left', async t => {
+	let sends = 0;
+	const entry = await startEntry(t, {
+		route: testRoute({...plain, targetLatency: 1500}),
+		handle(_message, response) {
+			sends++;
+			if (sends > 1) {
+				response.end(events);
+			}
+		},
+	});
+	const {status, text} = await entry.request('lost');
+	t.deepEqual([status, text, entry.runsOf('lost')], [200, events, 2]);
+});
+
 test('the server that lost the race is told to stop', async t => {
 	let sends = 0;
 	let stop: () => void;
@@ -154,3 +170,46 @@
 	await entry.request('lost');
 	await t.notThrowsAsync(stopped);
 });
+
+test('each request adds to the allowance for second sends, so that busy routes may make more', async t => {
+	const port = await listen(t, (_message, response) => {
+		response.end(events);
+	});
+	let context: EntryContext | undefined;
+	await sendRequests(t, 3, {
+		route: plain,
+		prepare(prepared) {
+			context = prepared;
+		},
+		nextServers(servers) {
+			servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	const allowed = Array.from({length: 10}, () => context!.hedges.withdraw(plain.services[0]!.service, performance.now())).filter(Boolean).length;
+	// One from the start, and one for each request at the ratio of the test run.
+	t.true(allowed >= 4, `${allowed} allowed`);
+});
+
+test('a server that accepts connections and answers nothing gets few further requests', async t => {
+	let mute: number | undefined;
+	let muteRuns = 0;
+	const entry = await startEntry(t, {
+		route: testRoute({...plain, targetLatency: 300}),
+		handle({socket: {localPort}}, response) {
+			mute ??= localPort;
+			if (localPort === mute) {
+				muteRuns++;
+			} else {
+				response.end(events);
+			}
+		},
+	});
+	const statuses: number[] = [];
+	for (let index = 0; index < 60; index++) {
+		const {status} = await entry.request(`any-${index}`);
+		statuses.push(status);
+	}
+
+	t.deepEqual(statuses, Array.from({length: 60}, () => 200));
+	t.true(muteRuns <= 6, `${muteRuns} runs`);
+});
--- a/packages/gateway/src/entry/send-race.ts
+++ b/packages/gateway/src/entry/send-race.ts
@@ -99,6 +99,9 @@
 			isWorthIt ||= send.reason !== 'unresponsive';
 			if (servers.heardAt(send.server.id) > send.sentAt) {
 				results.recordFailure(send.server, send.model);
+			} else if (send.reason !== 'unresponsive') {
+				// Without its unanswered sends it would look idle, and get the next requests.
+				results.record(send.server, 'silent');
 			}
 
 			this.recordOutcome(send, {type: 'cancelled'});
