gateway: count sends that still wait as evidence about a version

Cause: only answers that have begun count as times, the fastest ones first; what told such versions were the sends that were given up, which counted as failures. Sends are kept now, so that nothing told them. Change: entry instances count the waits of all sends, also of those that wait, as a life table for each version, route and model: how many waited through an interval, how many were answered in it. The counts only increase and add up. The leader compares the answers that have begun with those expected from the old version at 1.4 times its times (log-rank test), and rolls back where four standard errors are missing. Instances of earlier versions leave the field out; without a baseline it says nothing. Evidence: `a version has regressed whose sends still wait long after the old version would have answered` is red without the comparison (undefined), green with it.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -157,7 +157,7 @@
 		latencies: latencies ?? new LatencyEstimator(clock),
 		pins: new VersionPins({sessionMilliseconds: 5000}),
 		repeats: new RepeatTracker(),
-		evidence: new EvidenceCounter({entry: control, run: 'one'}),
+		evidence: new EvidenceCounter({entry: control, run: 'one', clock}),
 		table: () => table,
 		wait,
 		nextReply: async () => undefined,
--- a/packages/gateway/src/entry/create-entry-context.ts
+++ b/packages/gateway/src/entry/create-entry-context.ts
@@ -142,7 +142,7 @@
 		}),
 		pins: new VersionPins(options),
 		repeats: new RepeatTracker(),
-		evidence: new EvidenceCounter({entry: self, run}),
+		evidence: new EvidenceCounter({entry: self, run, clock}),
 		notes,
 		memory: new HeldMemory({totalBytes: options.heldBytes}),
 		table,
--- a/packages/gateway/src/entry/evidence-counter.ts
+++ b/packages/gateway/src/entry/evidence-counter.ts
@@ -1,8 +1,9 @@
 import {
-	type InstanceId, type ModelId, type ServiceId, type VersionId,
+	type Clock, type ModelId, type ServiceId, type VersionId,
 } from '@valehitch/core';
 import {type RouteId} from '../configuration/routing-configuration.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
+import {emptyWaitTable, recordWait, waitIntervalOf} from '../rollouts/wait-table.js';
 
 /** What an answer is counted by. */
 export type AnswerSource = {
@@ -19,7 +20,21 @@
 	readonly latency: number | undefined;
 };
 
-type Counts = Pick<VersionEvidence, 'answers' | 'failures' | 'latencySum'> & Required<Pick<VersionEvidence, 'started' | 'startSum'>>;
+/** A send that has no answer yet. */
+export type WaitingSend = {
+	/** Records the end of the wait, and whether an answer has begun. */
+	readonly end: (options: {readonly isAnswered: boolean}) => void;
+};
+
+type Counts = Pick<VersionEvidence, 'answers' | 'failures' | 'latencySum'> & Required<Pick<VersionEvidence, 'started' | 'startSum' | 'waits'>>;
+
+type Wait = {
+	readonly source: AnswerSource;
+	/** When it was sent, in milliseconds on the monotonic clock. */
+	readonly sentAt: number;
+	/** The number of intervals that are counted. */
+	counted: number;
+};
 
 /** The maximum number of counters; beyond it the least recently used ones, such as those of removed versions, are discarded. */
 const maximumCounters = 512;
@@ -29,18 +44,41 @@
 
 @example
 ```ts
-const counter = new EvidenceCounter({entry: instance, run});
+const counter = new EvidenceCounter({entry: instance, run, clock});
+const wait = counter.beginWait(source);
+wait.end({isAnswered: true});
 counter.record(answer);
 ```
 */
 export class EvidenceCounter {
 	readonly #labels: Pick<VersionEvidence, 'entry' | 'run'>;
+	readonly #clock: Pick<Clock, 'monotonic'>;
 	readonly #counters = new Map<string, VersionEvidence & Counts>();
+	readonly #waiting = new Set<Wait>();
 
-	constructor(labels: {readonly entry: InstanceId; readonly run: string}) {
+	constructor({clock, ...labels}: Pick<VersionEvidence, 'entry' | 'run'> & {readonly clock: Pick<Clock, 'monotonic'>}) {
+		this.#clock = clock;
 		this.#labels = labels;
 	}
 
+	/**
+	Records that a request is sent. A send that still waits is evidence too, since its answer takes longer than it has waited.
+
+	@param source What its answer is counted by.
+	@returns The send, whose end has to be recorded.
+	*/
+	beginWait(source: AnswerSource): WaitingSend {
+		const wait: Wait = {source, sentAt: this.#clock.monotonic(), counted: 0};
+		this.#waiting.add(wait);
+		return {
+			end: ({isAnswered}) => {
+				if (this.#waiting.delete(wait)) {
+					this.#countWait(wait, {isAnswered});
+				}
+			},
+		};
+	}
+
 	/**
 	Records that an answer has started. A slow version shows here long before its streams end.
 
@@ -71,13 +109,29 @@
 	@returns The counters.
 	*/
 	countersOf(services: ReadonlySet<ServiceId>): readonly VersionEvidence[] {
+		for (const wait of this.#waiting) {
+			if (services.has(wait.source.service)) {
+				this.#countWait(wait, {isAnswered: false});
+			}
+		}
+
 		return [...this.#counters.values()].filter(({service}) => services.has(service));
 	}
 
+	/** Counts the intervals that the send has waited through and, if it is answered, the one in which it was. */
+	#countWait(wait: Wait, {isAnswered}: {readonly isAnswered: boolean}): void {
+		const first = wait.counted;
+		const end = waitIntervalOf(this.#clock.monotonic() - wait.sentAt);
+		if (end > first || isAnswered) {
+			wait.counted = end;
+			this.#update(wait.source, ({waits}) => ({waits: recordWait(waits, {first, end, isAnswered})}));
+		}
+	}
+
 	#update({service, version, route, model = '' as ModelId}: AnswerSource, change: (counts: Counts) => Partial<Counts>): void {
 		const key = [service, version, route, model].join(' ');
 		const known = this.#counters.get(key) ?? {
-			...this.#labels, service, version, route, model, answers: 0, failures: 0, latencySum: 0, started: 0, startSum: 0,
+			...this.#labels, service, version, route, model, answers: 0, failures: 0, latencySum: 0, started: 0, startSum: 0, waits: emptyWaitTable,
 		};
 		this.#counters.delete(key);
 		this.#counters.set(key, {...known, ...change(known)});
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -4,6 +4,7 @@
 import {type AuthorizedRequest} from './authorize-request.js';
 import {checkServerIdentity, type CheckServerIdentityOptions, type ServerIdentity} from './check-server-identity.js';
 import {type EntryContext} from './entry-context.js';
+import {type WaitingSend} from './evidence-counter.js';
 import {type GatewayRequest} from './gateway-request.js';
 import {type ModelCascade} from './model-cascade.js';
 import {type AnswerPatience} from './answer-patience.js';
@@ -96,6 +97,9 @@
 		}),
 		clock,
 	});
+	void recordWait(attempt, context.evidence.beginWait({
+		service: server.service, version: server.version, route: route.id, model: models.current,
+	}));
 	allowance.countSend();
 	log('request-dispatched', {
 		request: request.id,
@@ -111,6 +115,12 @@
 	return attempt;
 }
 
+/** Records how long the head of the answer was waited for, as evidence about the version. */
+async function recordWait(attempt: SentAttempt, wait: WaitingSend): Promise<void> {
+	const {type} = await attempt.outcome;
+	wait.end({isAnswered: type === 'head'});
+}
+
 /** Asks the process at the address of a server whether it is that server; it cannot be asked where no health check is configured. */
 async function identifyServer({dialect, table}: Pick<EntryContext, 'dialect' | 'table'>, server: ServerRecord, relay: CheckServerIdentityOptions['relay']): Promise<ServerIdentity> {
 	const healthPath = table()?.findService(server.service)?.healthPath;
--- a/packages/gateway/src/rollouts/_version-tallies.ts
+++ b/packages/gateway/src/rollouts/_version-tallies.ts
@@ -1,6 +1,7 @@
 import {type VersionId} from '@valehitch/core';
 import {countStarted} from './count-started.js';
 import {type VersionEvidence} from './version-evidence.js';
+import {addWaits, emptyWaitTable, type WaitTable} from './wait-table.js';
 
 /** The answers of a version on one route and model. */
 export type Tally = {
@@ -10,6 +11,8 @@
 	timed: number;
 	/** The sum of these times, in milliseconds. */
 	timeSum: number;
+	/** How long sends waited for their answers to begin. */
+	waits: WaitTable;
 };
 
 /** The times of a version, and what another one would have taken on the same routes and models. */
@@ -24,7 +27,7 @@
 
 /** The tally of a version without answers. */
 export const emptyTally: Readonly<Tally> = {
-	answers: 0, failures: 0, timed: 0, timeSum: 0,
+	answers: 0, failures: 0, timed: 0, timeSum: 0, waits: emptyWaitTable,
 };
 /** The tallies of a version by route and model. */
 export type VersionTallies = ReadonlyMap<string, Tally>;
@@ -64,7 +67,7 @@
 function tallyByRoute(evidence: readonly VersionEvidence[]): ReadonlyMap<string, Tally> {
 	const tallies = new Map<string, Tally>();
 	for (const counter of evidence) {
-		const {route, model, answers, failures} = counter;
+		const {route, model, answers, failures, waits = emptyWaitTable} = counter;
 		const {started, startSum} = countStarted(counter);
 		const key = `${route} ${model}`;
 		const tally = tallies.get(key) ?? {...emptyTally};
@@ -72,6 +75,7 @@
 		tally.failures += failures;
 		tally.timed += started;
 		tally.timeSum += startSum;
+		tally.waits = addWaits(tally.waits, waits);
 		tallies.set(key, tally);
 	}
 
--- a/packages/gateway/src/rollouts/evidence-amount.ts
+++ b/packages/gateway/src/rollouts/evidence-amount.ts
@@ -10,6 +10,6 @@
 evidenceAmount(counter);
 ```
 */
-export function evidenceAmount({answers, started = 0}: VersionEvidence): number {
-	return answers + started;
+export function evidenceAmount({answers, started = 0, waits}: VersionEvidence): number {
+	return answers + started + (waits?.exposed.reduce((total, count) => total + count, 0) ?? 0);
 }
--- a/packages/gateway/src/rollouts/find-regression.test.ts
+++ b/packages/gateway/src/rollouts/find-regression.test.ts
@@ -6,6 +6,9 @@
 import {findRegression} from './find-regression.js';
 import {type Rollout} from './rollout.js';
 import {type VersionEvidence} from './version-evidence.js';
+import {
+	addWaits, emptyWaitTable, recordWait, waitIntervalOf, type WaitTable,
+} from './wait-table.js';
 
 const rollout: Rollout = {
 	service: 'summaries' as ServiceId, target: 'v2' as VersionId, duration: 20_000, stage: 'canary', orderedAt: 0,
@@ -26,6 +29,15 @@
 	};
 }
 
+function waits(milliseconds: number, {sends, isAnswered}: {readonly sends: number; readonly isAnswered: boolean}): WaitTable {
+	let table = emptyWaitTable;
+	for (let send = 0; send < sends; send++) {
+		table = recordWait(table, {first: 0, end: waitIntervalOf(milliseconds), isAnswered});
+	}
+
+	return table;
+}
+
 test('a version that fails more often than the old one has regressed well before its 50th failure', t => {
 	t.is(findRegression(rollout, [counted('v1', {failures: 4}), counted('v2', {answers: 12, failures: 4})]), 'failures');
 	t.is(findRegression(rollout, [counted('v1', {failures: 14}), counted('v2', {answers: 40, failures: 6})]), undefined);
@@ -65,3 +77,19 @@
 	t.is(findRegression({...rollout, stage: 'shifting'}, [counted('v1', {failures: 2}), counted('v2', {answers: 28, failures: 4, latencySum: 24 * 200})]), undefined);
 	t.is(findRegression({...rollout, stage: 'shifting'}, [counted('v1', {failures: 2}), counted('v2', {failures: 25})]), 'failures');
 });
+
+// Only the fastest answers have begun, so that the version seemed as fast as the old one.
+test('a version has regressed whose sends still wait long after the old version would have answered', t => {
+	const old = counted('v1', {waits: waits(200, {sends: 100, isAnswered: true})});
+	const begun = waits(200, {sends: 8, isAnswered: true});
+	const after = (waiting: WaitTable): readonly VersionEvidence[] => [old, counted('v2', {
+		answers: 0, latencySum: 0, started: 8, startSum: 8 * 200, waits: addWaits(begun, waiting),
+	})];
+	t.is(findRegression(rollout, after(waits(900, {sends: 40, isAnswered: false}))), 'waiting');
+	t.is(findRegression(rollout, after(waits(150, {sends: 40, isAnswered: false}))), undefined);
+	t.is(findRegression(rollout, after(waits(900, {sends: 4, isAnswered: false}))), undefined);
+});
+
+test('instances that count no waits are no evidence for long waits', t => {
+	t.is(findRegression(rollout, [counted('v1'), counted('v2', {waits: waits(900, {sends: 100, isAnswered: false})})]), undefined);
+});
--- a/packages/gateway/src/rollouts/find-regression.ts
+++ b/packages/gateway/src/rollouts/find-regression.ts
@@ -1,11 +1,12 @@
 import {type Rollout} from './rollout.js';
+import {compareWaits} from './compare-waits.js';
 import {type VersionEvidence} from './version-evidence.js';
 import {
-	compareTimes, type ComparedTimes, emptyTally, meanLatency, type Tally, tallyVersions,
+	compareTimes, type ComparedTimes, emptyTally, meanLatency, type Tally, tallyVersions, type VersionTallies,
 } from './_version-tallies.js';
 
-/** How a new version is worse than the old one: it fails more often on a route, or is slower on a route or over all routes. */
-export type Regression = 'failures' | 'slow-route' | 'slow';
+/** How a new version is worse than the old one: it fails more often on a route, is slower on a route or over all routes, or leaves requests waiting longer. */
+export type Regression = 'failures' | 'slow-route' | 'slow' | 'waiting';
 
 /** The number of failures of the new version before its failure share is evaluated; below the 50 failures from which the time limit for a rollback counts. */
 const minimumFailures = 4;
@@ -21,6 +22,12 @@
 const relativeScatter = 1;
 /** The number of standard errors that count as significant; the evidence is evaluated many times during a rollout. */
 const significantErrors = 2.5;
+/** The number of wait intervals by which the new version may be slower: a factor of 1.4. */
+const explainedIntervals = 1;
+/** The number of answers that must have been expected before waits are compared. */
+const minimumExpectedAnswers = 16;
+/** The number of standard errors by which fewer answers than expected have to have begun. */
+const significantWaitErrors = 4;
 /** The lowest mean latency that counts as slow, in milliseconds; below it, network jitter dominates the latency. */
 const minimumSlowMilliseconds = 60;
 
@@ -49,7 +56,11 @@
 	}
 
 	const explainedRatio = explainedLatencyRatios[stage === 'canary' ? 'canary' : 'shifting'];
-	return isSlowerOverall(compareTimes(candidate, baseline), explainedRatio) ? 'slow' : undefined;
+	if (isSlowerOverall(compareTimes(candidate, baseline), explainedRatio)) {
+		return 'slow';
+	}
+
+	return isWaitedForLonger(candidate, baseline) ? 'waiting' : undefined;
 }
 
 function failsMore(tally: Tally, baselineTally: Tally): boolean {
@@ -68,6 +79,12 @@
 	return timed >= minimumTimedAnswers && observed >= timed * minimumSlowMilliseconds && observed * lowestFactor > explainedRatio * expected;
 }
 
+function isWaitedForLonger(candidate: VersionTallies, baseline: VersionTallies): boolean {
+	const waits = [...candidate].map(([key, tally]) => ({candidate: tally.waits, baseline: (baseline.get(key) ?? emptyTally).waits}));
+	const {observed, expected, variance} = compareWaits(waits, explainedIntervals);
+	return expected >= minimumExpectedAnswers && expected - observed > significantWaitErrors * Math.sqrt(variance);
+}
+
 function failureShare({answers, failures}: Tally): number {
 	return answers === 0 ? 0 : failures / answers;
 }
--- a/packages/gateway/src/rollouts/version-evidence.ts
+++ b/packages/gateway/src/rollouts/version-evidence.ts
@@ -1,5 +1,6 @@
 import {type InstanceId, type ServiceId, type VersionId} from '@valehitch/core';
 import {type RouteId} from '../configuration/routing-configuration.js';
+import {type WaitTable} from './wait-table.js';
 
 /** The counters of one entry instance for one version on one route since the instance started; they only increase. */
 export type VersionEvidence = {
@@ -19,6 +20,8 @@
 	readonly started?: number;
 	/** The sum of the times to the first byte of these answers, in milliseconds. */
 	readonly startSum?: number;
+	/** How long sends waited for their answers to begin, including those that still wait; absent from earlier instances. */
+	readonly waits?: WaitTable;
 };
 
 /**
