gateway: don't eject a server that was silent for a second

Callers saw fewer servers: a server that sends nothing to anybody for a second, with four or more resumable streams in progress, was ejected for two seconds, and for four and eight the next times, though it had gone on meanwhile.

Cause: each stalled stream counted as a failure of its server. All streams of a silent server stall together, so that one silence counted as many failures.

Change: a stall counts as silence if the server has sent nothing to anybody lately: it gets no requests until it sends data, or for half a second at first. A server that sends to others and not to this stream has failed as before. Both still count as evidence about the version.

Evidence: silent-servers.test.ts plays servers that fall silent at each point of a request, and go on. Against the code without the change its rows of stalled streams (between two events, inside an event, before the end, and without a length) are red with 'server-2 is ejected'; all 13 rows are green with it. The rows of other points were green before.

Conclusion: a silence is a state of the server and not of each of its requests.

--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -25,6 +25,8 @@
 	/** The servers that the control instance reports. */
 	readonly records: readonly ServerRecord[];
 	readonly routes: RoutingConfiguration['routes'];
+	/** The services; one without a health check by default. */
+	readonly services?: RoutingConfiguration['services'];
 	/** The number of entry instances; 1 by default. */
 	readonly entryCount?: number;
 	/** The reply to reports of work; none by default. */
@@ -39,6 +41,8 @@
 	readonly onParse?: () => Failure | undefined;
 	/** How long a confirmation of the configuration is valid, in milliseconds; 60,000 by default. */
 	readonly leaseMilliseconds?: number;
+	/** Draws the servers; always 0.5 by default. */
+	readonly random?: () => number;
 };
 
 function acceptAll(): undefined {
@@ -47,11 +51,11 @@
 
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
 export async function startTestEntry(t: ExecutionContext, {
-	records, routes, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000,
+	records, routes, services, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000, random = () => 0.5,
 }: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	let version = 1;
-	let currentRoutes = routes;
+	let current: Partial<RoutingConfiguration> = {routes, ...(services !== undefined && {services})};
 	const reply = (): WatchReply => ({
 		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version, document: ''}, rollouts: [], rolloutDigest: '',
 		held: 0, confirmedAgo: 0, hosts: [control], entryCount, entries: [], zone: 'hall-a' as ZoneId, takesWorkReports: true,
@@ -63,7 +67,7 @@
 		zone: 'hall-a' as ZoneId,
 		listen: {host: '127.0.0.1', port},
 		clock,
-		random: () => 0.5,
+		random,
 		log,
 		metrics,
 		dialect: {...plainDialect, readRequest: () => testRequest({timeout: requestMilliseconds}), ...dialect},
@@ -89,7 +93,7 @@
 		notedShare: 0,
 		parse() {
 			const refused = onParse();
-			return refused === undefined ? Right(testConfiguration({version, routes: currentRoutes})) : Left(refused);
+			return refused === undefined ? Right(testConfiguration({...current, version})) : Left(refused);
 		},
 	});
 	t.teardown(() => {
@@ -107,7 +111,12 @@
 		/** Reports another configuration; the instance adopts it with the next reply. */
 		changeRoutes(changed: RoutingConfiguration['routes']) {
 			version++;
-			currentRoutes = changed;
+			current = {...current, routes: changed};
+		},
+		/** Reports a configuration with other services and routes. */
+		changeServices(changed: Pick<RoutingConfiguration, 'services' | 'routes'>) {
+			version++;
+			current = {...current, ...changed};
 		},
 	};
 }
--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -92,7 +92,7 @@
 		return unknownOutcome(reason);
 	}
 
-	results.recordFailure(server, models.current);
+	results.recordStall(server, models.current);
 	keepStalled({
 		server, model: models.current, received, head, latency, incomplete,
 	});
--- a/packages/gateway/src/entry/send-results.ts
+++ b/packages/gateway/src/entry/send-results.ts
@@ -11,6 +11,9 @@
 	readonly route: RouteId;
 };
 
+/** The time within which a working server sends data to someone, in milliseconds. */
+const quietMilliseconds = 200;
+
 /**
 Records the results of the sends of one request, for the choice of servers and as evidence about versions.
 
@@ -68,6 +71,23 @@
 		this.#recordEvidence(server, {model, latency: undefined});
 	}
 
+	/**
+	Records that a server has not sent what it owes. If it has sent nothing to anybody lately, it is silent and may go on, and counts as failed only for its version; one that sends to others has failed.
+
+	@param server The server.
+	@param model The model.
+	*/
+	recordStall(server: ServerRecord, model: ModelId | undefined): void {
+		const {servers, clock} = this.#context;
+		if (clock.monotonic() - servers.heardAt(server.id) < quietMilliseconds) {
+			this.recordFailure(server, model);
+			return;
+		}
+
+		this.record(server, 'silent');
+		this.#recordEvidence(server, {model, latency: undefined});
+	}
+
 	/**
 	Records that a connection broke while the server was processing the request.
 
--- /dev/null
+++ b/packages/gateway/src/entry/silent-servers.test.ts
@@ -0,0 +1,205 @@
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type ServerId} from '@valehitch/core';
+import test, {type ExecutionContext} from 'ava';
+import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
+import {type Route} from '../configuration/routing-configuration.js';
+import {testServer} from '../servers/_test-server.js';
+import {seededRandom} from './_test-random.js';
+import {startTestEntry} from './_test-entry-instance.js';
+import {testRequest} from './_test-request.js';
+import {type SilenceStart, startSilentServer} from './_test-silent-server.js';
+
+/** How much longer it may be left alone, in milliseconds. */
+const afterSilenceMilliseconds = 500;
+const serverCount = 4;
+/** How many of the servers fall silent, and for how long, in milliseconds. */
+const silences = [{silentCount: 1, duration: 1000}, {silentCount: 1, duration: 1900}, {silentCount: serverCount, duration: 1900}] as const;
+/** The number of requests that are sent together; more fail together than it takes to eject a server. */
+const requestCount = 32;
+/** The time between two events, in milliseconds. */
+const eventMilliseconds = 250;
+const healthPath = '/healthz';
+const services = testConfiguration().services.map(service => ({...service, healthPath}));
+const text = 'one, two, three';
+const events = ['id: 1\ndata: one\n\n', 'id: 2\ndata: two\n\n', 'id: 3\ndata: three\n\n'];
+const limits = {
+	isPublic: true, timeout: 20_000, targetLatency: 300, targetGap: 600, maximumAttempts: 3,
+} as const;
+const routes = {
+	safe: testRoute({...limits, kind: 'safe'}),
+	unsafe: testRoute({...limits, kind: 'unsafe'}),
+	resumable: testRoute({...limits, kind: 'streaming', isResumable: true}),
+	streamed: testRoute({...limits, kind: 'streaming'}),
+};
+
+type RouteKind = keyof typeof routes;
+type Answer = (message: IncomingMessage, response: ServerResponse) => void | Promise<void>;
+
+/** Frames an answer by the end of its connection. */
+function endWithConnection(response: ServerResponse): void {
+	response.removeHeader('Transfer-Encoding');
+	response.setHeader('Connection', 'close');
+}
+
+function sendPlain(_message: IncomingMessage, response: ServerResponse): void {
+	response.setHeader('Content-Length', text.length);
+	response.end(text);
+}
+
+const plainWithoutLength: Answer = (_message, response) => {
+	endWithConnection(response);
+	response.end(text);
+};
+
+/** Sends the events one after the other, so that streams that began together are all in progress. */
+async function sendStream({headers}: IncomingMessage, response: ServerResponse): Promise<void> {
+	for (const event of events.slice(Number(headers['last-event-id'] ?? 0))) {
+		response.write(event);
+		await delay(eventMilliseconds);
+	}
+
+	response.end();
+}
+
+const streamWithoutLength: Answer = async (message, response) => {
+	endWithConnection(response);
+	await sendStream(message, response);
+};
+
+type Row = {
+	readonly name: string;
+	readonly start: SilenceStart;
+	readonly kinds: readonly RouteKind[];
+	/** By default, plain answers have a length, and streams are sent in chunks. */
+	readonly answer?: Answer;
+	/** The number of requests on each connection that come before; 0 by default. */
+	readonly earlier?: number;
+};
+
+const plain: readonly RouteKind[] = ['safe', 'unsafe'];
+const streams: readonly RouteKind[] = ['resumable', 'streamed'];
+const rows: readonly Row[] = [
+	{name: 'before it reads a request', start: {direction: 'request', after: ''}, kinds: [...plain, ...streams]},
+	{name: 'before the rest of a request', start: {direction: 'request', after: 'GET /la'}, kinds: [...plain, ...streams]},
+	{name: 'before the head of an answer', start: {direction: 'answer', after: ''}, kinds: [...plain, ...streams]},
+	{name: 'inside the head of an answer', start: {direction: 'answer', after: 'HTTP/1.1 200'}, kinds: [...plain, ...streams]},
+	{name: 'between two events', start: {direction: 'answer', after: 'data: two\n\n'}, kinds: streams},
+	{name: 'inside an event', start: {direction: 'answer', after: 'id: 3\nda'}, kinds: streams},
+	{name: 'before the end of a stream', start: {direction: 'answer', after: 'data: three\n\n'}, kinds: streams},
+	{name: 'before the last byte of an answer', start: {direction: 'answer', after: text.slice(0, -1)}, kinds: plain},
+	{
+		name: 'inside an answer without a length', start: {direction: 'answer', after: 'one, '}, kinds: plain, answer: plainWithoutLength,
+	},
+	{
+		name: 'before the end of an answer without a length', start: {direction: 'answer', after: text}, kinds: plain, answer: plainWithoutLength,
+	},
+	{
+		name: 'between two events of a stream without a length', start: {direction: 'answer', after: 'data: two\n\n'}, kinds: streams, answer: streamWithoutLength,
+	},
+	{
+		name: 'before the end of a stream without a length', start: {direction: 'answer', after: 'data: three\n\n'}, kinds: streams, answer: streamWithoutLength,
+	},
+	{
+		name: 'on a kept connection', start: {direction: 'request', after: '/late/'}, kinds: [...plain, ...streams], earlier: 1,
+	},
+];
+
+type Scene = Pick<Row, 'start' | 'earlier'> & {
+	readonly route: Route;
+	readonly answer: Answer;
+	/** How many of the servers fall silent. */
+	readonly silentCount: number;
+	/** How long they are silent, in milliseconds. */
+	readonly duration: number;
+};
+
+/** Starts servers that fall silent, and an entry instance before them. */
+async function startServers(t: ExecutionContext, {route, answer, start, silentCount, duration}: Scene) {
+	const runs = new Map<string, number>();
+	let silent = 0;
+	const servers = await Promise.all(Array.from({length: serverCount}, async (_, index) => startSilentServer(t, {
+		start,
+		duration,
+		maySilence() {
+			silent++;
+			return silent <= silentCount;
+		},
+		handle(message, response) {
+			const target = message.url ?? '';
+			if (target === healthPath) {
+				response.writeHead(200, {server: `server-${index}`}).end();
+				return;
+			}
+
+			runs.set(target, (runs.get(target) ?? 0) + 1);
+			void answer(message, response);
+		},
+	})));
+	const started = await startTestEntry(t, {
+		records: servers.map((server, index) => testServer({id: `server-${index}` as ServerId, port: server.port, slots: 64})),
+		routes: [route],
+		services,
+		random: seededRandom(),
+		dialect: {
+			readRequest: ({url = ''}) => testRequest({timeout: 30_000, target: url}),
+			sendHeaders: (_request, {lastEventId}) => [['Host', 'desk.example'], ...(lastEventId === undefined ? [] : [['Last-Event-Id', lastEventId] as const])],
+		},
+	});
+	return {
+		...started,
+		runs,
+		servers,
+		/** Sends requests together and returns their answers. */
+		request: async (name: string) => Promise.all(Array.from({length: requestCount}, async (_, index) => {
+			try {
+				const response = await fetch(`http://127.0.0.1:${started.port}/labels/${name}/${index}`);
+				return `${response.status} ${await response.text()}`;
+			} catch (error) {
+				return String(error);
+			}
+		})),
+	};
+}
+
+/** Returns what was wrong with requests that were sent together to servers that fell silent. */
+async function findFaults(t: ExecutionContext, scene: Scene): Promise<readonly string[]> {
+	const {route, silentCount, earlier = 0} = scene;
+	const {entry, request, runs, servers} = await startServers(t, scene);
+	for (let index = 0; index < earlier; index++) {
+		await request(`earlier-${index}`);
+	}
+
+	const sent = request('late');
+	while (!servers.some(server => server.wasSilent())) {
+		await delay(10);
+	}
+
+	await Promise.all(servers.map(async server => server.goesOn()));
+	await delay(afterSilenceMilliseconds);
+	const avoided = entry.inspection.beliefs().filter(({conditions}) => conditions.length > 0);
+	const whole = `200 ${route.kind === 'streaming' ? events.join('') : text}`;
+	const answers = await sent;
+	const broken = answers.filter(answer => answer !== whole);
+	const isRepeatable = route.kind === 'safe' || route.isResumable;
+	const repeated = isRepeatable ? [] : [...runs].filter(([, count]) => count > 1);
+	const silent = servers.filter(server => server.wasSilent()).length;
+	return [
+		...(silent === silentCount ? [] : [`${silent} servers fell silent`]),
+		...broken,
+		...repeated.map(([target, count]) => `${target} ran ${count} times`),
+		...avoided.map(({server, conditions}) => `${server} is ${conditions.join(', ')}`),
+	];
+}
+
+for (const {name, start, kinds, answer, earlier = 0} of rows) {
+	test.serial(`a server that is silent ${name} and goes on costs no request, no second run and no ejection`, async t => {
+		await Promise.all(kinds.flatMap(kind => silences.map(async silence => {
+			const route = routes[kind];
+			const faults = await findFaults(t, {
+				...silence, start, earlier, route, answer: answer ?? (route.kind === 'streaming' ? sendStream : sendPlain),
+			});
+			t.deepEqual(faults, [], `${kind}, ${silence.silentCount} of ${serverCount} servers for ${silence.duration} ms`);
+		})));
+	});
+}
