gateway: ask a server who it is by the request's configuration, while it may be silent

Callers got 502 (outcome-unknown) or a broken-off stream in place of a whole answer without a length whose server had paused for half a second or more.

Cause: after such a pause the process must say who it is before the end of its connection counts as the end of its answer. The path of this check was looked up in the configuration in force by then, which may have removed the service. The check was also given up after 400 ms, while a sound server may be silent for longer.

Change: the path is that of the configuration by which the request was authorized. Once the process has accepted the connection of the check, it has until the deadline to answer, or up to 2.5 s where the request can be sent again. The check stays on one connection, so that a process that listens there later isn't asked in its place; a connection that doesn't open within 400 ms is given up as before. Another instance is asked as well after 400 ms without an answer.

Conclusion: what a request needs to be judged by belongs to the request.

--- a/packages/gateway/src/entry/check-server-identity.test.ts
+++ b/packages/gateway/src/entry/check-server-identity.test.ts
@@ -1,14 +1,15 @@
 import {once} from 'node:events';
-import {type AddressInfo, createServer} from 'node:net';
+import {createServer as createHttpServer} from 'node:http';
+import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {type ServerId} from '@valehitch/core';
 import test from 'ava';
 import {testServer} from '../servers/_test-server.js';
 import {listen, plainDialect} from './_test-run.js';
-import {checkServerIdentity, type ServerIdentity} from './check-server-identity.js';
+import {checkServerIdentity, type CheckServerIdentityOptions, type ServerIdentity} from './check-server-identity.js';
 
-async function check(port: number, timeout = 1000): Promise<ServerIdentity> {
+async function check(port: number, {timeout = 1000, ...options}: Partial<Pick<CheckServerIdentityOptions, 'timeout' | 'connectTimeout'>> = {}): Promise<ServerIdentity> {
 	return checkServerIdentity(testServer({id: 'i-1' as ServerId, port}), {
-		dialect: plainDialect, healthPath: '/healthz', relay: undefined, timeout,
+		dialect: plainDialect, healthPath: '/healthz', relay: undefined, timeout, ...options,
 	});
 }
 
@@ -29,10 +30,43 @@
 	const port = await listen(t, () => {
 		// Never answers.
 	});
-	t.is(await check(port, 50), 'unknown');
+	t.is(await check(port, {timeout: 50}), 'unknown');
 	t.is(await check(1), 'unknown');
 });
 
+test('a server that is silent after it has accepted the check is asked for as long as it may be silent', async t => {
+	const port = await listen(t, (_message, response) => {
+		setTimeout(() => {
+			response.writeHead(200, {server: 'i-1'}).end();
+		}, 300);
+	});
+	t.is(await check(port, {timeout: 10_000, connectTimeout: 100}), 'same');
+});
+
+test('a process that listens only after the one that was asked has ended is not taken for the server', async t => {
+	const ending = createServer();
+	ending.listen(0, '127.0.0.1');
+	await once(ending, 'listening');
+	const {port} = ending.address() as AddressInfo;
+	const identity = check(port, {timeout: 10_000});
+	const [socket] = await once(ending, 'connection') as [Socket];
+	const replacement = createHttpServer((_message, response) => {
+		response.writeHead(200, {server: 'i-1'}).end();
+	});
+	t.teardown(() => {
+		replacement.closeAllConnections();
+		replacement.close();
+	});
+	ending.close(() => {
+		replacement.listen(port, '127.0.0.1');
+	});
+	const isReplaced = once(replacement, 'listening');
+	socket.destroy();
+	t.is(await identity, 'unknown');
+	await isReplaced;
+	t.is(await check(port), 'same');
+});
+
 test('a process that answers with interim answers without end is not taken for the server, without waiting for the time limit', async t => {
 	const interim = 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(500);
 	const server = createServer(socket => {
@@ -50,5 +84,5 @@
 	t.teardown(() => {
 		server.close();
 	});
-	t.is(await check((server.address() as AddressInfo).port, 1_000_000), 'unknown');
+	t.is(await check((server.address() as AddressInfo).port, {timeout: 1_000_000}), 'unknown');
 });
--- a/packages/gateway/src/entry/check-server-identity.ts
+++ b/packages/gateway/src/entry/check-server-identity.ts
@@ -10,8 +10,12 @@
 	readonly healthPath: string;
 	/** The instance through which the server is reached; undefined for this instance's own links. */
 	readonly relay: Pick<Relay, 'singleUse'> | undefined;
+	/** The time within which a connection must open, in milliseconds; that of the answer by default. */
+	readonly connectTimeout?: number;
 	/** The time within which an answer must arrive, in milliseconds. */
 	readonly timeout: number;
+	/** Aborted when the process of the server is known to have ended; by default that is not known. */
+	readonly processEnd?: AbortSignal | undefined;
 };
 
 /** Whether the process at an address is the given server; `unknown` without an answer in time. */
@@ -20,6 +24,8 @@
 /**
 Asks the process at the address of a server whether it is that server, by a health check that no other server answers.
 
+One that is silent after it has accepted the connection may go on. The check is not repeated on another connection, which a later process might accept.
+
 @param server The server.
 @param options The health check, and the way to the server.
 @returns The answer.
@@ -28,15 +34,16 @@
 await checkServerIdentity(server, {dialect, healthPath: '/healthz', relay: undefined, timeout: 400});
 ```
 */
-export async function checkServerIdentity(server: ServerRecord, {dialect, healthPath, relay, timeout}: CheckServerIdentityOptions): Promise<ServerIdentity> {
+export async function checkServerIdentity(server: ServerRecord, {dialect, healthPath, relay, timeout, connectTimeout = timeout, processEnd}: CheckServerIdentityOptions): Promise<ServerIdentity> {
 	return new Promise(resolve => {
 		const {id, host, port} = server;
 		const request = openRequest({
-			host, port, method: 'GET', path: healthPath, agent: relay?.singleUse ?? false, setHost: false, headers: dialect.identityHeaders(server).flat(),
+			host, port, method: 'GET', path: healthPath, agent: relay?.singleUse ?? false, setHost: false, headers: dialect.identityHeaders(server).flat(), signal: processEnd,
 		});
 		watchHead(request);
 		const settle = (identity: ServerIdentity): void => {
 			stopTimeout();
+			stopConnectTimeout();
 			resolve(identity);
 			request.destroy();
 		};
@@ -44,6 +51,16 @@
 		const stopTimeout = setTimeoutAfterPoll(timeout, () => {
 			settle('unknown');
 		});
+		const stopConnectTimeout = setTimeoutAfterPoll(connectTimeout, () => {
+			settle('unknown');
+		});
+		request.on('socket', socket => {
+			if (socket.connecting) {
+				socket.once('connect', stopConnectTimeout);
+			} else {
+				stopConnectTimeout();
+			}
+		});
 		request.on('response', ({statusCode = 0, headers}) => {
 			settle(dialect.isAnswerOf(id, {status: statusCode, headers}) ? 'same' : 'other');
 		});
--- a/packages/gateway/src/entry/is-server-running.ts
+++ b/packages/gateway/src/entry/is-server-running.ts
@@ -1,5 +1,5 @@
 import {
-	probeAddress, type Relay, type ResponseEnd, type ServerRelays,
+	probeAddress, type Relay, type ResponseEnd, type ServerRelays, setTimeoutAfterPoll,
 } from '@valehitch/transport';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type CheckServerIdentityOptions, type ServerIdentity} from './check-server-identity.js';
@@ -18,6 +18,8 @@
 
 /** The timeout of the connection attempt, in milliseconds. A running machine accepts or refuses a connection within one round trip. */
 const answerMilliseconds = 100;
+/** The time without an answer after which another instance is asked too, in milliseconds. A busy server answers health checks like other requests. */
+const ownLinksMilliseconds = 400;
 
 /**
 Checks whether the process of a server is still running after it closed a connection. It is assumed to be if its machine neither accepts nor refuses a new connection in time, as when its backlog is full.
@@ -51,13 +53,44 @@
 	return result === 'open' || result === 'unanswered';
 }
 
-/** Asks over the way that was used, and through another instance if this one's own links get no answer. */
+/** Asks over the way that was used, and through another instance too if this one's own links get no answer soon. */
 async function isSameServer({relays, relay, identify}: Pick<IsServerRunningOptions, 'relays' | 'relay' | 'identify'>): Promise<boolean> {
-	const identity = await identify(relay);
+	const own = identify(relay);
+	const identity = relay === undefined ? await within(ownLinksMilliseconds, own) : await own;
 	if (identity !== 'unknown' || relay !== undefined) {
 		return identity === 'same';
 	}
 
 	const other = relays.choose(new Set());
-	return other !== undefined && await identify(other) === 'same';
+	return other === undefined ? await own === 'same' : isFirstKnownSame([own, identify(other)]);
+}
+
+/** Returns an identity if it is known in time. */
+async function within(milliseconds: number, identity: Promise<ServerIdentity>): Promise<ServerIdentity> {
+	return new Promise(resolve => {
+		const stopTimeout = setTimeoutAfterPoll(milliseconds, () => {
+			resolve('unknown');
+		});
+		void identity.then(known => {
+			stopTimeout();
+			resolve(known);
+		});
+	});
+}
+
+/** Whether the first identity that becomes known is that of the server. */
+async function isFirstKnownSame(identities: ReadonlyArray<Promise<ServerIdentity>>): Promise<boolean> {
+	return new Promise(resolve => {
+		for (const identity of identities) {
+			void identity.then(known => {
+				if (known !== 'unknown') {
+					resolve(known === 'same');
+				}
+			});
+		}
+
+		void Promise.all(identities).then(() => {
+			resolve(false);
+		});
+	});
 }
--- a/packages/gateway/src/entry/silent-servers.test.ts
+++ b/packages/gateway/src/entry/silent-servers.test.ts
@@ -67,6 +67,24 @@
 	await sendStream(message, response);
 };
 
+/** Longer than a pause after which a server must say who it is. */
+const pauseMilliseconds = 550;
+
+/** Pauses before an answer ends with its connection, so that the server must say who it is. */
+const plainWithPause: Answer = async (_message, response) => {
+	endWithConnection(response);
+	response.write(text.slice(0, -1));
+	await delay(pauseMilliseconds);
+	response.end(text.slice(-1));
+};
+
+const streamWithPause: Answer = async ({headers}, response) => {
+	endWithConnection(response);
+	response.write(events.slice(Number(headers['last-event-id'] ?? 0)).join(''));
+	await delay(pauseMilliseconds);
+	response.end();
+};
+
 type Row = {
 	readonly name: string;
 	readonly start: SilenceStart;
@@ -75,6 +93,8 @@
 	readonly answer?: Answer;
 	/** The number of requests on each connection that come before; 0 by default. */
 	readonly earlier?: number;
+	/** Whether a configuration removes the service during the silence; by default it stays. */
+	readonly isServiceRemoved?: boolean;
 };
 
 const plain: readonly RouteKind[] = ['safe', 'unsafe'];
@@ -103,9 +123,25 @@
 	{
 		name: 'on a kept connection', start: {direction: 'request', after: '/late/'}, kinds: [...plain, ...streams], earlier: 1,
 	},
+	{
+		name: 'in a health check that asks who it is', start: {direction: 'request', after: healthPath}, kinds: plain, answer: plainWithPause,
+	},
+	{
+		name: 'in such a check after a stream', start: {direction: 'request', after: healthPath}, kinds: streams, answer: streamWithPause,
+	},
+	{
+		name: 'before the end of an answer without a length while its service is removed', start: {direction: 'answer', after: text}, kinds: plain, answer: plainWithPause, isServiceRemoved: true,
+	},
+	{
+		name: 'before the end of a stream without a length while its service is removed',
+		start: {direction: 'answer', after: 'data: three\n\n'},
+		kinds: streams,
+		answer: streamWithoutLength,
+		isServiceRemoved: true,
+	},
 ];
 
-type Scene = Pick<Row, 'start' | 'earlier'> & {
+type Scene = Pick<Row, 'start' | 'earlier' | 'isServiceRemoved'> & {
 	readonly route: Route;
 	readonly answer: Answer;
 	/** How many of the servers fall silent. */
@@ -118,6 +154,7 @@
 async function startServers(t: ExecutionContext, {route, answer, start, silentCount, duration}: Scene) {
 	const runs = new Map<string, number>();
 	let silent = 0;
+	let sends = 0;
 	const servers = await Promise.all(Array.from({length: serverCount}, async (_, index) => startSilentServer(t, {
 		start,
 		duration,
@@ -141,6 +178,9 @@
 		routes: [route],
 		services,
 		random: seededRandom(),
+		log(kind) {
+			sends += kind === 'request-dispatched' ? 1 : 0;
+		},
 		dialect: {
 			readRequest: ({url = ''}) => testRequest({timeout: 30_000, target: url}),
 			sendHeaders: (_request, {lastEventId}) => [['Host', 'desk.example'], ...(lastEventId === undefined ? [] : [['Last-Event-Id', lastEventId] as const])],
@@ -150,6 +190,7 @@
 		...started,
 		runs,
 		servers,
+		sends: () => sends,
 		/** Sends requests together and returns their answers. */
 		request: async (name: string) => Promise.all(Array.from({length: requestCount}, async (_, index) => {
 			try {
@@ -164,17 +205,22 @@
 
 /** Returns what was wrong with requests that were sent together to servers that fell silent. */
 async function findFaults(t: ExecutionContext, scene: Scene): Promise<readonly string[]> {
-	const {route, silentCount, earlier = 0} = scene;
-	const {entry, request, runs, servers} = await startServers(t, scene);
+	const {route, silentCount, earlier = 0, isServiceRemoved = false} = scene;
+	const {entry, request, runs, servers, sends, changeServices} = await startServers(t, scene);
 	for (let index = 0; index < earlier; index++) {
 		await request(`earlier-${index}`);
 	}
 
+	const sendsBefore = sends();
 	const sent = request('late');
-	while (!servers.some(server => server.wasSilent())) {
+	while (!servers.some(server => server.wasSilent()) || sends() < sendsBefore + requestCount) {
 		await delay(10);
 	}
 
+	if (isServiceRemoved) {
+		changeServices({routes: [], services: []});
+	}
+
 	await Promise.all(servers.map(async server => server.goesOn()));
 	await delay(afterSilenceMilliseconds);
 	const avoided = entry.inspection.beliefs().filter(({conditions}) => conditions.length > 0);
@@ -192,12 +238,12 @@
 	];
 }
 
-for (const {name, start, kinds, answer, earlier = 0} of rows) {
+for (const {name, start, kinds, answer, earlier = 0, isServiceRemoved = false} of rows) {
 	test.serial(`a server that is silent ${name} and goes on costs no request, no second run and no ejection`, async t => {
 		await Promise.all(kinds.flatMap(kind => silences.map(async silence => {
 			const route = routes[kind];
 			const faults = await findFaults(t, {
-				...silence, start, earlier, route, answer: answer ?? (route.kind === 'streaming' ? sendStream : sendPlain),
+				...silence, start, earlier, isServiceRemoved, route, answer: answer ?? (route.kind === 'streaming' ? sendStream : sendPlain),
 			});
 			t.deepEqual(faults, [], `${kind}, ${silence.silentCount} of ${serverCount} servers for ${silence.duration} ms`);
 		})));
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -44,8 +44,8 @@
 const connectTimeoutMilliseconds = 400;
 /** The timeout of a reachability check, in milliseconds. A busy server accepts a connection within a few milliseconds, and a lost SYN packet is retransmitted only after a second. */
 const reachabilityTimeoutMilliseconds = 200;
-/** The timeout of the question whether a server still runs, in milliseconds. A busy server answers health checks like other requests. */
-const identityTimeoutMilliseconds = 400;
+/** How long a request that can be sent again waits for a server to say who it is, in milliseconds; longer than a running server is silent. */
+const identityTimeoutMilliseconds = 2500;
 /** The time that is subtracted from the forwarded deadline for the transmission of the answer, in milliseconds. */
 const returnMilliseconds = 5;
 /** The highest urgency number, for the least urgent requests, that servers accept. */
@@ -92,7 +92,7 @@
 		},
 		processEnd,
 		isServerRunning: async ({mayBeLate}) => isServerRunning(server, {
-			...context, relay, mayBeLate, identify: async usedRelay => identifyServer(context, server, usedRelay),
+			...context, relay, mayBeLate, identify: async usedRelay => identifyServer(context, options, usedRelay),
 		}),
 		clock,
 	});
@@ -111,15 +111,23 @@
 	return attempt;
 }
 
-/** Asks the process at the address of a server whether it is that server; it cannot be asked where no health check is configured. */
-async function identifyServer({dialect, table}: Pick<EntryContext, 'dialect' | 'table'>, server: ServerRecord, relay: CheckServerIdentityOptions['relay']): Promise<ServerIdentity> {
-	const healthPath = table()?.findService(server.service)?.healthPath;
+/** Asks the process at the address of a server whether it is that server; it cannot be asked where the configuration of the request has no health check. */
+async function identifyServer({dialect, clock}: Pick<EntryContext, 'dialect' | 'clock'>, options: StartSendOptions, relay: CheckServerIdentityOptions['relay']): Promise<ServerIdentity> {
+	const {server, authorized: {table}, allowance, deadlineAt, processEnd} = options;
+	const healthPath = table.findService(server.service)?.healthPath;
 	if (healthPath === undefined) {
 		return 'unknown';
 	}
 
+	const timeLeft = Math.max(0, deadlineAt - clock.monotonic());
 	return checkServerIdentity(server, {
-		dialect, healthPath, relay, timeout: identityTimeoutMilliseconds,
+		dialect,
+		healthPath,
+		relay,
+		connectTimeout: connectTimeoutMilliseconds,
+		// A part of the time is left for another send.
+		timeout: allowance.canRetry ? Math.min(identityTimeoutMilliseconds, timeLeft / 2) : timeLeft,
+		processEnd,
 	});
 }
 
