gateway: end the silence of a server with the end of an answer

Callers saw a server left alone for up to two seconds after it had gone on, when all that it still had to send was the end of an answer.

Cause: a silence ended only with data of an answer in progress. The end of a stream, or of an answer that was verified by asking the server who it is, did not count.

Change: an answer that has ended whole counts as data.

Evidence: send-results.test.ts, the server chosen again once an answer has ended, is red without the change ('unresponsive') and green with it. It was found by silent-servers.test.ts, where one scene of one run in two was red with 'server-3 is unresponsive'; that this was its cause is by reading.

Conclusion: whatever a server completes shows that it works.

--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -389,6 +389,11 @@
 			return true;
 		}
 
+		if (result === 'answered') {
+			// The end of an answer may be all that it has sent since a silence.
+			tracked.recordData(now);
+		}
+
 		tracked.connectionFailures = 0;
 		return this.#ejection.record(id, {failed: result === 'failed', now, servers: this.availability.countReady(tracked.record.service)});
 	}
--- a/packages/gateway/src/entry/send-results.test.ts
+++ b/packages/gateway/src/entry/send-results.test.ts
@@ -32,7 +32,9 @@
 	}
 
 	const conditionsAt = (time: number) => servers.beliefs(time).find(belief => belief.server === server.id)?.conditions;
-	return {atOnce: conditionsAt(now), later: conditionsAt(now + 1000), evidence: evidence.countersOf(new Set([server.service]))};
+	const recorded = {atOnce: conditionsAt(now), later: conditionsAt(now + 1000), evidence: evidence.countersOf(new Set([server.service]))};
+	results.recordSuccess(server, {model: undefined, latency: 1});
+	return {...recorded, afterAnswer: conditionsAt(now)};
 }
 
 test('a server that sent nothing to anybody is not ejected for the streams that stalled together', t => {
@@ -46,3 +48,7 @@
 	const {atOnce, later} = recordStalls(50);
 	t.deepEqual([atOnce, later], [['ejected'], ['ejected']]);
 });
+
+test('a server is chosen again once an answer has ended, though it sent no other data since its silence', t => {
+	t.deepEqual(recordStalls(600).afterAnswer, []);
+});
