gateway: close the connection of a request with a body that a stop refuses

What callers saw: an instance that stops refused a request with a body with `Connection: keep-alive`, so its caller sent the next request on the same connection and was refused again, until the instance ended.

Cause: a refusal closes its connection only if the body is complete, since a connection that is closed while the body comes is reset. It was decided while the head was handled, before a body from the same packet was parsed.

Change: while the instance stops, a request is handled after the next poll of its connection.

Evidence: both cases of `a request with a body that an instance that stops refuses because of ... closes its connection` fail without the change and pass with it.

Conclusion: the refusal of a body that is still arriving keeps the connection as before.

--- a/packages/gateway/src/entry/entry-instance.test.ts
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -303,6 +303,20 @@
 	});
 }
 
+for (const [reason, routes] of [['no route', []], ['a time limit that ends too late', [testRoute({isPublic: true, timeout: 20_000})]]] as const) {
+	test(`a request with a body that an instance that stops refuses because of ${reason} closes its connection`, async t => {
+		const {entry, port} = await startTestEntry(t, {records: [], routes});
+		const caller = connect(port, '127.0.0.1');
+		t.teardown(() => {
+			caller.destroy();
+		});
+		entry.beginStop(performance.now() + 10_000);
+		caller.write('POST /labels/7 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 5\r\n\r\nlabel');
+		const [answer] = await once(caller, 'data') as [unknown];
+		t.regex(String(answer), /^connection: close/imv);
+	});
+}
+
 test('the requests that a stopping instance cuts off are told apart from callers that leave', async t => {
 	const serverPort = await listen(t, () => undefined);
 	const logged: string[] = [];
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -1,7 +1,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Failure, failure} from '@valehitch/core';
 import {type HeldBytes, mayStartWhileStopping} from '@valehitch/routing';
-import {abortResponse} from '@valehitch/transport';
+import {abortResponse, nextPoll} from '@valehitch/transport';
 import {type Either} from 'purify-ts';
 import {authorizeAtStartup} from './authorize-at-startup.js';
 import {deadlineOf} from './deadline-of.js';
@@ -45,6 +45,11 @@
 }
 
 async function runRequest(context: EntryContext, request: GatewayRequest, {message, response, arrivedAt}: ArrivedRequest): Promise<void> {
+	if (context.stop.endsAt !== undefined) {
+		// A body that came with its head is complete then, so that a refusal can close the connection.
+		await nextPoll();
+	}
+
 	const authorized = await authorizeAtStartup(request, {context, arrivedAt});
 	if (authorized.isLeft()) {
 		message.resume();
