gateway: keep idle connections during a stop until their callers are told

What callers saw: an instance closed its kept connections, some three seconds after SIGTERM, though their callers had not been told to leave. A request that crossed the close got no answer, and its caller had to repeat it or, if it was unsafe, could not know whether it had run.

Cause: the stop waited for requests in progress and not for connections whose callers had had no answer with `Connection: close`.

Change: the stop goes on until each connection has had such an answer or has been idle for longer than callers keep connections, at most until the end of the grace period. Idle connections are then closed for sending and read on for a moment.

Evidence: `requests on kept connections are answered or refused throughout a planned stop, and none is reset` sends on 140 connections, each unused since the signal, twenty a second. `an instance that drains keeps an idle connection until its caller has been told to close it` fails without the change. That a stop is not held up by connections that are idle for longer than callers keep them is the third test.

Conclusion: a stop lasts up to the grace period while a connection is open that its caller may still use.

--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -39,6 +39,8 @@
 	readonly onParse?: () => Failure | undefined;
 	/** How long a confirmation of the configuration is valid, in milliseconds; 60,000 by default. */
 	readonly leaseMilliseconds?: number;
+	/** For how long callers keep idle connections, in milliseconds; 15,000 by default. */
+	readonly idleTimeout?: number;
 };
 
 function acceptAll(): undefined {
@@ -47,7 +49,7 @@
 
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
 export async function startTestEntry(t: ExecutionContext, {
-	records, routes, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000,
+	records, routes, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000, idleTimeout = 15_000,
 }: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	let version = 1;
@@ -89,7 +91,7 @@
 		notedShare: 0,
 		parse() {
 			const refused = onParse();
-			return refused === undefined ? Right(testConfiguration({version, routes: currentRoutes})) : Left(refused);
+			return refused === undefined ? Right(withIdleTimeout(testConfiguration({version, routes: currentRoutes}), idleTimeout)) : Left(refused);
 		},
 	});
 	t.teardown(() => {
@@ -112,6 +114,10 @@
 	};
 }
 
+function withIdleTimeout(configuration: RoutingConfiguration, idleTimeout: number): RoutingConfiguration {
+	return {...configuration, limits: {...configuration.limits, idleTimeout}};
+}
+
 async function freePort(): Promise<number> {
 	const server = createServer();
 	server.listen(0, '127.0.0.1');
--- a/packages/gateway/src/entry/entry-instance.test.ts
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -317,6 +317,42 @@
 	});
 }
 
+test('an instance that drains keeps an idle connection until its caller has been told to close it', async t => {
+	const serverPort = await listen(t, (_message, response) => {
+		response.end('done');
+	});
+	const {entry, port} = await startTestEntry(t, {
+		records: [testServer({port: serverPort})],
+		routes: [testRoute({isPublic: true, targetLatency: 800})],
+	});
+	const caller = connect(port, '127.0.0.1');
+	caller.on('error', () => undefined);
+	caller.write(getRequest);
+	await once(caller, 'data');
+	const closed = once(caller, 'close');
+	entry.beginStop(performance.now() + 30_000);
+	const stopped = entry.drained(performance.now() + 30_000).then(() => {
+		entry.close();
+	});
+	await delay(300);
+	caller.write(getRequest);
+	const [answer] = await Promise.race([once(caller, 'data'), closed]) as [unknown];
+	t.regex(String(answer), /^HTTP\/1\.1 200 [\s\S]*^connection: close/imv);
+	await stopped;
+});
+
+test('an instance that drains does not wait for connections that are idle for longer than callers keep them', async t => {
+	const {entry, port} = await startTestEntry(t, {records: [], routes: [testRoute({isPublic: true})], idleTimeout: 200});
+	const caller = connect(port, '127.0.0.1');
+	caller.on('error', () => undefined);
+	const ended = once(caller.resume(), 'end');
+	const until = performance.now() + 30_000;
+	entry.beginStop(until);
+	await entry.drained(until);
+	await ended;
+	t.true(performance.now() < until);
+});
+
 test('the requests that a stopping instance cuts off are told apart from callers that leave', async t => {
 	const serverPort = await listen(t, () => undefined);
 	const logged: string[] = [];
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -1,4 +1,5 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {Server as NetServer} from 'node:net';
 import {failure, type InstanceId, SuspensionDetector} from '@valehitch/core';
 import {StepNotifier} from '@valehitch/replication';
 import {
@@ -15,6 +16,7 @@
 import {KnownRollouts} from '../rollouts/known-rollouts.js';
 import {type EntryInspection} from '../inspection/inspection-handler.js';
 import {applyServerNews} from './apply-server-news.js';
+import {CallerConnections} from './caller-connections.js';
 import {createCallerServer} from './caller-server.js';
 import {type ControlUpdate, ControlWatch} from './control-watch.js';
 import {createEntryContext} from './create-entry-context.js';
@@ -32,8 +34,10 @@
 const idleFactor = 2;
 /** The interval at which changed loads are sent to peers, in milliseconds; shorter than most requests take. */
 const loadFlushMilliseconds = 80;
-/** The interval at which idle connections are closed while the instance drains, in milliseconds. */
+/** The interval at which an instance that drains looks whether its callers still use their connections, in milliseconds. */
 const drainPollMilliseconds = 50;
+/** How long connections are read on after they were closed for sending at the end of a stop, in milliseconds. */
+const lingerMilliseconds = 50;
 
 /**
 An entry instance: accepts requests and routes them by the state received from control instances. It continues with the last known state while no control instance is reachable.
@@ -69,12 +73,14 @@
 	#hadLease = false;
 	readonly #responses = new ResponsesInProgress();
 	readonly #turns = new ConnectionTurns();
+	readonly #connections: CallerConnections;
 	readonly #stop: InstanceStop;
 
 	constructor(options: EntryInstanceOptions) {
 		const {clock} = options;
 		this.#options = options;
 		this.#stop = new InstanceStop(clock);
+		this.#connections = new CallerConnections(clock);
 		this.#rollouts = new KnownRollouts(options);
 		this.#peers = new KnownPeers(options);
 		this.#loadExchange = new LoadExchange({
@@ -128,6 +134,9 @@
 				options.metrics.closedConnections.inc({reason});
 			},
 		});
+		this.#server.on('connection', socket => {
+			this.#connections.add(socket);
+		});
 	}
 
 	/** Whether the instance is ready for requests: it has a configuration with a valid lease and is not shutting down. */
@@ -198,26 +207,24 @@
 			.exhaustive();
 	}
 
-	/** Closes idle connections, so that their callers connect to other instances before this one stops; none while a caller has yet to read a complete answer. */
-	closeIdle(): void {
-		// The server also takes a connection for idle whose answer is complete but not read yet.
-		if (!this.#responses.isCompleteOneUnread) {
-			this.#server.closeIdleConnections();
-		}
-	}
-
 	/**
-	Waits until no request is in progress, and none has arrived unread.
+	Waits until no request is in progress, none has arrived unread, and no caller may send another one: each kept connection has had an answer that closes it, or has been idle for longer than callers keep connections. Then ends the idle connections.
 
 	@param until The time at which to stop waiting, in milliseconds on the monotonic clock.
 	*/
 	async drained(until: number): Promise<void> {
 		await readPendingInput();
-		while (this.#responses.size > 0 && this.#options.clock.monotonic() < until) {
-			this.closeIdle();
+		while (this.#isInUse && this.#options.clock.monotonic() < until) {
 			await this.#options.wait(drainPollMilliseconds);
 			await readPendingInput();
 		}
+
+		// The HTTP server's own method closes idle connections at once.
+		NetServer.prototype.close.call(this.#server);
+		await readPendingInput();
+		if (this.#connections.endIdle()) {
+			await this.#options.wait(lingerMilliseconds);
+		}
 	}
 
 	/** Closes all connections. */
@@ -233,9 +240,14 @@
 		this.#server.closeAllConnections();
 	}
 
+	get #isInUse(): boolean {
+		return this.#responses.size > 0 || this.#connections.isAnyUsedWithin(this.#server.keepAliveTimeout / idleFactor);
+	}
+
 	async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const arrivedAt = this.#options.clock.monotonic();
 		this.#responses.add(response);
+		this.#connections.recordRequest(response);
 		try {
 			if (await this.#turns.next(response)) {
 				await handleRequest(this.#context, {message, response, arrivedAt});
--- a/packages/testing/src/planned-stops.test.ts
+++ b/packages/testing/src/planned-stops.test.ts
@@ -1,9 +1,11 @@
+import {Agent} from 'node:http';
 import test, {type ExecutionContext} from 'ava';
 import {type BackendProcess} from './platform/backend-process.js';
 import {PlatformDeployment} from './platform/platform-deployment.js';
 import {putConfiguration} from './platform/put-configuration.js';
 import {routeKindsConfiguration, routeKindsHost} from './platform/route-kinds-configuration.js';
 import {type LateBodyAnswer, sendLateBody} from './platform/send-late-body.js';
+import {type KeptAnswer, sendOnConnection} from './platform/send-on-connection.js';
 import {sendSteadily} from './platform/send-steadily.js';
 import {cutServerLinks, serverCutEnvironment} from './platform/server-cut.js';
 import {startBackendProcesses} from './platform/start-backend-processes.js';
@@ -17,6 +19,11 @@
 /** The time limits of plain requests, and of those that no server answers in time, in milliseconds. */
 const plainMilliseconds = 5000;
 const longMilliseconds = 20_000;
+/** The time limit of requests that end before the instance does, in milliseconds. */
+const shortMilliseconds = 2000;
+/** How long requests are sent on kept connections after the signal, in seconds; the instance closes its connections after 7.3 s. */
+const keptSeconds = 7;
+const sendsPerSecond = 10;
 const bodyDelays = [0, 700, 2200];
 /** The requests that are sent in turn: streams that may be resumed or not, plain ones that may be repeated or not, and ones whose answer comes too late. */
 const paths = ['/drafts/', '/look/', '/print/', '/once/', '/look/', '/print/', '/late/', '/late-print/'];
@@ -118,6 +125,45 @@
 	t.is(end?.code, 0);
 });
 
+test.serial('requests on kept connections are answered or refused throughout a planned stop, and none is reset', async t => {
+	const {deployment, backends} = await start(t);
+	const [{address, process: stopping}] = deployment.entries as unknown as readonly [PlatformDeployment['entries'][number]];
+	const connections = Array.from({length: 2 * keptSeconds * sendsPerSecond}, () => new Agent({keepAlive: true, maxSockets: 1}));
+	t.teardown(() => {
+		for (const connection of connections) {
+			connection.destroy();
+		}
+	});
+	const send = async (index: number, prefix: string): Promise<KeptAnswer & {readonly id: string}> => {
+		const id = `${prefix}${index}`;
+		// One of two requests may take until after the end of the stop, the other one may not.
+		const timeLimit = index % 2 === 0 ? plainMilliseconds : shortMilliseconds;
+		const answer = await sendOnConnection(connections[index]!, {
+			address, method: 'POST', path: `/print/${index}`, headers: {Host: routeKindsHost, 'Attempt-Id': id, 'Deadline-Ms': String(timeLimit)}, body: 'label',
+		});
+		return {...answer, id};
+	};
+
+	await waitUntil(async () => {
+		const first = await Promise.all([0, 1].map(async index => send(index, `first-${performance.now()}-`)));
+		return first.every(({status}) => status === ok) || undefined;
+	}, {description: 'first answers'});
+	const opened = await Promise.all(connections.map(async (_, index) => send(index, 'opened-')));
+	t.deepEqual(opened.filter(({status}) => status === 0), []);
+	const ended = stopping.stop(graceSeconds * millisecondsPerSecond);
+	const answers = await sendSteadily({perSecond: 2 * sendsPerSecond, duration: keptSeconds * millisecondsPerSecond, send: async index => send(index, 'kept-')});
+	const end = await ended;
+	const runsByServer = await Promise.all(backends.map(async backend => backend.readRuns()));
+	const ran = new Set(runsByServer.flat().map(({id}) => id));
+	const count = (status: number): number => answers.filter(answer => answer.status === status).length;
+	t.log(`${answers.length} requests: ${count(ok)} served, ${count(notRun)} refused`);
+	t.deepEqual(answers.filter(({status, isComplete, isReused, id}) => !isReused || !isComplete || !(status === ok || (status === notRun && !ran.has(id)))), []);
+	t.deepEqual(answers.filter(({headers}) => headers.connection !== 'close'), []);
+	t.true(count(ok) > 0);
+	t.true(count(notRun) > 0);
+	t.is(end?.code, 0);
+});
+
 test.serial('requests that an instance sends through another one are not cut when that one stops', async t => {
 	const deployment = await PlatformDeployment.start({controlCount: 1, entryCount: 3, environment: instance => serverCutEnvironment(instance)});
 	const backends = await startBackendProcesses(t, {
