gateway: check the server of an answer by the request's own configuration

What callers saw: beside a configuration that removes a service, or removes or moves its health check, an answer without a length that a server had sent whole was thrown away. A stream was broken off, and a plain request was answered 502, although its server had run it.

Cause: an answer that ends with its connection counts as whole only if the server still runs. After a pause of half a second the process at its address is also asked whether it is that server, by the health check of its service, which was looked up in the newest configuration at the end of the answer. Where that one has no health check, the answer counted as truncated.

Change: a request keeps the configuration that authorized it, and its servers are asked by the health check that this configuration states.

Conclusion: the class is a request that is judged by a configuration newer than itself. Services without a health check are treated as before.

--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -39,6 +39,8 @@
 	readonly onParse?: () => Failure | undefined;
 	/** How long a confirmation of the configuration is valid, in milliseconds; 60,000 by default. */
 	readonly leaseMilliseconds?: number;
+	/** The services; `labels` without a health check by default. */
+	readonly services?: RoutingConfiguration['services'];
 	/** For how long callers keep idle connections, in milliseconds; 15,000 by default. */
 	readonly idleTimeout?: number;
 };
@@ -49,11 +51,11 @@
 
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
 export async function startTestEntry(t: ExecutionContext, {
-	records, routes, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000, idleTimeout = 15_000,
+	records, routes, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000, services = testConfiguration().services, idleTimeout = 15_000,
 }: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	let version = 1;
-	let currentRoutes = routes;
+	let current = {routes, services};
 	const reply = (): WatchReply => ({
 		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version, document: ''}, rollouts: [], rolloutDigest: '',
 		held: 0, confirmedAgo: 0, hosts: [control], entryCount, entries: [], zone: 'hall-a' as ZoneId, takesWorkReports: true,
@@ -91,7 +93,7 @@
 		notedShare: 0,
 		parse() {
 			const refused = onParse();
-			return refused === undefined ? Right(withIdleTimeout(testConfiguration({version, routes: currentRoutes}), idleTimeout)) : Left(refused);
+			return refused === undefined ? Right(withIdleTimeout(testConfiguration({version, ...current}), idleTimeout)) : Left(refused);
 		},
 	});
 	t.teardown(() => {
@@ -109,7 +111,12 @@
 		/** Reports another configuration; the instance adopts it with the next reply. */
 		changeRoutes(changed: RoutingConfiguration['routes']) {
 			version++;
-			currentRoutes = changed;
+			current = {...current, routes: changed};
+		},
+		/** Reports a configuration with other services; the instance adopts it with the next reply. */
+		changeServices(changed: RoutingConfiguration['services']) {
+			version++;
+			current = {...current, services: changed};
 		},
 	};
 }
--- a/packages/gateway/src/entry/authorize-request.ts
+++ b/packages/gateway/src/entry/authorize-request.ts
@@ -16,6 +16,8 @@
 
 /** The route and the workspace of an authorized request. */
 export type AuthorizedRequest = {
+	/** The configuration that authorized the request. */
+	readonly table: Pick<RouteTable, 'findService'>;
 	readonly route: Route;
 	/** The workspace that the API key belongs to; undefined on routes that need no key. */
 	readonly workspace: WorkspaceAccess | undefined;
@@ -51,7 +53,7 @@
 	}
 
 	if (!table.needsKeys || route.isPublic) {
-		return Right({route, workspace: undefined});
+		return Right({table, route, workspace: undefined});
 	}
 
 	const workspace = key === undefined ? undefined : table.findWorkspaceByKey(key);
@@ -60,7 +62,7 @@
 	}
 
 	return lease.isValid(now)
-		? Right({route, workspace})
+		? Right({table, route, workspace})
 		: Left(leaseExpired(lease.age(now)));
 }
 
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -64,7 +64,8 @@
 ```
 */
 export function startSend(context: EntryContext, options: StartSendOptions): SentAttempt {
-	const {request, body, server, relay, authorized: {route, workspace}, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd} = options;
+	const {request, body, server, relay, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd} = options;
+	const {route, workspace} = authorized;
 	const {dialect, clock, log, links} = context;
 	const sentAt = clock.monotonic();
 	const mayReuseConnection = allowance.mayUseKeptConnection;
@@ -92,7 +93,7 @@
 		},
 		processEnd,
 		isServerRunning: async ({mayBeLate}) => isServerRunning(server, {
-			...context, relay, mayBeLate, identify: async usedRelay => identifyServer(context, server, usedRelay),
+			...context, relay, mayBeLate, identify: async usedRelay => identifyServer(server, {dialect, authorized, relay: usedRelay}),
 		}),
 		clock,
 	});
@@ -111,9 +112,11 @@
 	return attempt;
 }
 
-/** Asks the process at the address of a server whether it is that server; it cannot be asked where no health check is configured. */
-async function identifyServer({dialect, table}: Pick<EntryContext, 'dialect' | 'table'>, server: ServerRecord, relay: CheckServerIdentityOptions['relay']): Promise<ServerIdentity> {
-	const healthPath = table()?.findService(server.service)?.healthPath;
+type IdentifyServerOptions = Pick<CheckServerIdentityOptions, 'dialect' | 'relay'> & Pick<StartSendOptions, 'authorized'>;
+
+/** Asks the process at the address of a server whether it is that server; it cannot be asked where no health check is configured. A configuration that is newer than the request may have removed the service. */
+async function identifyServer(server: ServerRecord, {dialect, authorized, relay}: IdentifyServerOptions): Promise<ServerIdentity> {
+	const healthPath = authorized.table.findService(server.service)?.healthPath;
 	if (healthPath === undefined) {
 		return 'unknown';
 	}
