--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -39,7 +39,7 @@
 
 const packages = readdirSync('packages');
 await build({
-	stdin: {contents: 'import {runProgram} from \'./packages/platform/src/run-program.ts\'; void runProgram();', resolveDir: process.cwd()},
+	stdin: {contents: 'export {runProgram} from \'./packages/platform/src/run-program.ts\';', resolveDir: process.cwd()},
 	outfile: bundle,
 	bundle: true,
 	minify: true,
--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -1,14 +1,33 @@
 // Starts the bundled program with the code that the engine compiled for it at the build; `--write-cache` writes that code instead of staying.
 'use strict';
 
+const process = require('node:process');
+
+// Without a listener, a signal ends the process while the program is loaded.
+const arrived = [];
+const listener = {
+	handle(signal) {
+		arrived.push(signal);
+	},
+};
+
+for (const signal of ['SIGHUP', 'SIGTERM']) {
+	process.on(signal, () => {
+		listener.handle(signal);
+	});
+}
+
+function handleSignals(handle) {
+	listener.handle = handle;
+	for (const signal of arrived) {
+		handle(signal);
+	}
+}
+
 const {existsSync, readFileSync, writeFileSync} = require('node:fs');
 const path = require('node:path');
-const process = require('node:process');
 const {Script} = require('node:vm');
 
-// Nothing can be reloaded while the program is loaded, and without a listener the signal would end the process.
-process.on('SIGHUP', () => {});
-
 const bundle = path.join(__dirname, '../target/valehitch-platform.cjs');
 const cache = path.join(__dirname, '../target/valehitch-platform.cache');
 /** Long enough for a start and the first questions of an instance to its seeds. */
@@ -32,3 +51,4 @@
 }
 
 script.runInThisContext()(exports, require, module, bundle, path.dirname(bundle));
+void module.exports.runProgram({handleSignals, exit: code => process.exit(code)});
--- a/packages/platform/src/bin/valehitch-platform.ts
+++ b/packages/platform/src/bin/valehitch-platform.ts
@@ -1,13 +1,31 @@
 #!/usr/bin/env node
 import process from 'node:process';
 
-/** Ignores SIGHUP until there are settings to reload; without a listener, the signal would end the process. */
-function ignoreSignal(): void {
-	// The program adds its own listener once it is loaded.
+const arrived: NodeJS.Signals[] = [];
+const listener = {
+	handle(signal: NodeJS.Signals): void {
+		arrived.push(signal);
+	},
+};
+
+for (const signal of ['SIGHUP', 'SIGTERM'] as const) {
+	process.on(signal, () => {
+		listener.handle(signal);
+	});
+}
+
+function handleSignals(handle: (signal: NodeJS.Signals) => void): void {
+	listener.handle = handle;
+	for (const signal of arrived) {
+		handle(signal);
+	}
+}
+
+function exit(code: number): void {
+	process.exit(code);
 }
 
-process.on('SIGHUP', ignoreSignal);
-// Imported only after the listener is installed, because loading the program takes a long time.
+// Imported only after the listeners are installed, because loading the program takes a long time.
 const {runProgram} = await import('../run-program.js');
 
-await runProgram();
+await runProgram({handleSignals, exit});
--- a/packages/platform/src/run-program.ts
+++ b/packages/platform/src/run-program.ts
@@ -9,22 +9,25 @@
 /** The interval at which the settings file is checked for changes, since it may change without a signal. It can be long, because the seeds in the file matter only to a process that has lost contact with all other instances. */
 const reloadMilliseconds = 2000;
 
-/** Reloads the settings on SIGHUP. It does nothing until the process has started, because the signal must not end the process. */
-let reload = async (): Promise<void> => undefined;
+/** Options of {@linkcode runProgram}. */
+export type RunProgramOptions = {
+	/** Has a function called with each signal, also with those that arrived before. */
+	readonly handleSignals: (handle: (signal: NodeJS.Signals) => void) => void;
+	/** Ends the process with an exit code. */
+	readonly exit: (code: number) => void;
+};
 
 /**
 Runs the program: reads the settings, starts the process, and handles signals and changed settings until it is stopped.
 
+@param options The signals, and how the process is ended.
 @throws If a port cannot be opened.
 @example
 ```ts
-await runProgram();
+await runProgram({handleSignals, exit});
 ```
 */
-export async function runProgram(): Promise<void> {
-	process.on('SIGHUP', () => {
-		void reload();
-	});
+export async function runProgram({handleSignals, exit}: RunProgramOptions): Promise<void> {
 	const file = new SettingsFile(process.env[settingsVariable] ?? defaultFile);
 	const read = await file.read();
 	if (read.isLeft()) {
@@ -35,7 +38,7 @@
 
 	const {values: {'metrics-port': port}} = parseArgs({options: {'metrics-port': {type: 'string'}}});
 	const running = await startProcess(read.unsafeCoerce(), {metricsPort: port === undefined ? undefined : Number(port)});
-	reload = async () => {
+	const reload = async (): Promise<void> => {
 		const change = await file.readIfChanged();
 		change.caseOf({
 			Left(problems) {
@@ -50,11 +53,13 @@
 	};
 
 	let isStopping = false;
-	process.on('SIGTERM', () => {
-		if (!isStopping) {
+	handleSignals(signal => {
+		if (signal === 'SIGHUP') {
+			void reload();
+		} else if (!isStopping) {
 			isStopping = true;
 			void running.stop().then(() => {
-				process.exit(0);
+				exit(0);
 			});
 		}
 	});
