--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -43,6 +43,8 @@
 	readonly leaseMilliseconds?: number;
 	/** Draws the servers; always 0.5 by default. */
 	readonly random?: () => number;
+	/** For how long callers keep idle connections, in milliseconds; 15,000 by default. */
+	readonly idleTimeout?: number;
 };
 
 function acceptAll(): undefined {
@@ -51,7 +53,7 @@
 
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
 export async function startTestEntry(t: ExecutionContext, {
-	records, routes, services, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000, random = () => 0.5,
+	records, routes, services, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000, random = () => 0.5, idleTimeout = 15_000,
 }: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	let version = 1;
@@ -93,7 +95,7 @@
 		notedShare: 0,
 		parse() {
 			const refused = onParse();
-			return refused === undefined ? Right(testConfiguration({...current, version})) : Left(refused);
+			return refused === undefined ? Right(withIdleTimeout(testConfiguration({...current, version}), idleTimeout)) : Left(refused);
 		},
 	});
 	t.teardown(() => {
@@ -113,14 +115,18 @@
 			version++;
 			current = {...current, routes: changed};
 		},
-		/** Reports a configuration with other services and routes. */
-		changeServices(changed: Pick<RoutingConfiguration, 'services' | 'routes'>) {
+		/** Reports a configuration with other services, and other routes if any are given. */
+		changeServices(changed: Pick<RoutingConfiguration, 'services'> & Partial<Pick<RoutingConfiguration, 'routes'>>) {
 			version++;
 			current = {...current, ...changed};
 		},
 	};
 }
 
+function withIdleTimeout(configuration: RoutingConfiguration, idleTimeout: number): RoutingConfiguration {
+	return {...configuration, limits: {...configuration.limits, idleTimeout}};
+}
+
 async function freePort(): Promise<number> {
 	const server = createServer();
 	server.listen(0, '127.0.0.1');
--- a/packages/gateway/src/entry/send-results.test.ts
+++ b/packages/gateway/src/entry/send-results.test.ts
@@ -1,9 +1,10 @@
 import {type ZoneId} from '@valehitch/core';
+import {ServerLinks} from '@valehitch/routing';
 import test from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
+import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
 import {control, ignore} from './_test-run.js';
-import {type EntryContext} from './entry-context.js';
 import {EntryServers} from './entry-servers.js';
 import {EvidenceCounter} from './evidence-counter.js';
 import {SendResults} from './send-results.js';
@@ -13,6 +14,17 @@
 const stalls = 6;
 const server = testServer();
 
+/** The links of an instance that is connected. */
+const links = new ServerLinks({
+	clock: {now: () => new Date(), monotonic: () => 0},
+	random: () => 0.5,
+	servers: () => [],
+	isReachable: async () => true,
+	wait: async () => undefined,
+	onCutOff: ignore,
+	onReachable: ignore,
+});
+
 /** Records stalls of a server that sent its last data to anybody some time ago, and returns what is believed of it then and a second later. */
 function recordStalls(quietMilliseconds: number) {
 	let now = startMilliseconds;
@@ -22,10 +34,10 @@
 	});
 	servers.applyRecords([0, 1, 2, 3].map(index => index === 0 ? server : testServer({id: `other-${index}` as typeof server.id, port: server.port + index})), {source: control, now});
 	servers.recordData(server.id, now);
-	const evidence = new EvidenceCounter({entry: control, run: 'one'});
+	const evidence = new EvidenceCounter({entry: control, run: 'one', clock});
 	const results = new SendResults({
-		clock, servers, evidence, log: ignore,
-	} as unknown as EntryContext, {request: 'a1', route: testRoute().id});
+		clock, servers, evidence, log: ignore, metrics: createGatewayMetrics(), links,
+	}, {request: 'a1', route: testRoute().id});
 	now += quietMilliseconds;
 	for (let count = 0; count < stalls; count++) {
 		results.recordStall(server, undefined);
--- a/packages/gateway/src/entry/send-results.ts
+++ b/packages/gateway/src/entry/send-results.ts
@@ -14,6 +14,9 @@
 /** The time within which a working server sends data to someone, in milliseconds. */
 const quietMilliseconds = 200;
 
+/** The part of the context that the results use. */
+export type SendResultsContext = Pick<EntryContext, 'servers' | 'log' | 'clock' | 'evidence' | 'metrics' | 'links'>;
+
 /**
 Records the results of the sends of one request, for the choice of servers and as evidence about versions.
 
@@ -24,10 +27,10 @@
 ```
 */
 export class SendResults {
-	readonly #context: EntryContext;
+	readonly #context: SendResultsContext;
 	readonly #options: SendResultsOptions;
 
-	constructor(context: EntryContext, options: SendResultsOptions) {
+	constructor(context: SendResultsContext, options: SendResultsOptions) {
 		this.#context = context;
 		this.#options = options;
 	}
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -67,7 +67,8 @@
 ```
 */
 export function startSend(context: EntryContext, options: StartSendOptions): SentAttempt {
-	const {request, body, server, relay, authorized: {route, workspace}, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd} = options;
+	const {request, body, server, relay, authorized, models, allowance, arrivedAt, deadlineAt, lastEventId, processEnd} = options;
+	const {route, workspace} = authorized;
 	const {dialect, clock, log, links} = context;
 	const sentAt = clock.monotonic();
 	const mayReuseConnection = allowance.mayUseKeptConnection;
