daemon: a cancelled attempt is no failure of its server

What callers saw: after a server had been silent for a moment, it got no requests for 4.1 to 5.2 s, though it had gone on: its share of the load fell on the others. Cause: an attempt that loses against another one is cancelled; its connection is then destroyed, which it reports as broken, and the outlier ejection counted that as a failure. Five in a row eject a server. Change: what an attempt reports after it was cancelled is not recorded. Conclusion: only attempts that end by themselves say something of servers.

--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -115,6 +115,7 @@
 		});
 		return observeAttempt(outputs, {
 			clock,
+			signal,
 			streamed: stream,
 			onStage: (stage, milliseconds) => {
 				this.#recordStage(dispatch, {stage, milliseconds});
--- a/packages/daemon/src/entry/service-adapter.ts
+++ b/packages/daemon/src/entry/service-adapter.ts
@@ -103,6 +103,7 @@
 	});
 	return observeAttempt(outputs, {
 		clock,
+		signal,
 		streamed: false,
 		onStage() {
 			// Durations are not recorded: the calls of a service differ too much for a slow one to be detected by its duration.
--- a/packages/daemon/src/entry/traffic/observe-attempt.ts
+++ b/packages/daemon/src/entry/traffic/observe-attempt.ts
@@ -5,6 +5,8 @@
 /** Options of {@linkcode observeAttempt}. */
 export type AttemptObserver = {
 	readonly clock: Clock;
+	/** Aborted when the attempt is cancelled; what it reports then says nothing about its server. */
+	readonly signal: AbortSignal;
 	/** Whether the answer is streamed. */
 	readonly streamed: boolean;
 	/** Called with the time the server took for each stage, in milliseconds, without the time the caller took. */
@@ -26,10 +28,14 @@
 return observeAttempt(callEngine(call), observer);
 ```
 */
-export async function * observeAttempt(outputs: AsyncIterable<AttemptOutput>, {clock, streamed, onStage, onEnd}: AttemptObserver): AsyncGenerator<AttemptOutput, void> {
+export async function * observeAttempt(outputs: AsyncIterable<AttemptOutput>, {clock, signal, streamed, onStage, onEnd}: AttemptObserver): AsyncGenerator<AttemptOutput, void> {
 	let waitingSince = clock.monotonic();
 	let stage: AttemptStage = streamed ? 'prefill' : 'whole';
 	for await (const output of outputs) {
+		if (signal.aborted) {
+			return;
+		}
+
 		if (output.type === 'piece') {
 			onStage(stage, clock.monotonic() - waitingSince);
 			stage = 'decode';
