--- a/packages/gateway/src/entry/send-results.test.ts
+++ b/packages/gateway/src/entry/send-results.test.ts
@@ -16,7 +16,7 @@
 
 /** The links of an instance that is connected. */
 const links = new ServerLinks({
-	clock: {now: () => new Date(), monotonic: () => 0},
+	clock: {monotonic: () => 0},
 	random: () => 0.5,
 	servers: () => [],
 	isReachable: async () => true,
