daemon: decide on overdue attempts by evidence, not by elapsed time

What callers saw: requests that take 1.5 s at every server, with a deadline of 2.5 s and a stall timeout of 500 ms, ran 1.2 to 1.3 times each, limited only by the retry budget; by reading, five late attempts ejected a server. Cause: an attempt without data for the stall timeout, or for half of the remaining time, counted as stalled and as a failure of its server, whether the server worked or not. Change: until an answer begins, decideOverdue decides, with the answer times of the version or service, later requests that were answered, whether the server sends data or accepts a connection, and an allowance of 5 % that second attempts win back by being answered first. After that the stall timeout decides, as before. A server that owes an answer or its rest and sends nothing is avoided until it sends data, for 0.5 s, doubled up to 8 s, but not ejected; if all are silent, they are used nevertheless. The inputs and the reason are logged with the request's id, and `explain` shows the reason. Tests: contexts made by hand get the two new members; the calls of services have no stall timeout of their own, since their answers come in one piece. Conclusion: one decision for both entry stacks; time alone decides only while there is no history, and inside an answer that has begun.

--- a/packages/daemon/src/entry/attempt-output.ts
+++ b/packages/daemon/src/entry/attempt-output.ts
@@ -37,5 +37,14 @@
 		| {readonly type: 'broken'; readonly message: string}
 		/** A reused connection was lost before the answer began: the server closed it as idle, or exited. */
 		| {readonly type: 'kept-connection-lost'; readonly message: string}
-		/** No data arrived within the stall timeout; more may still follow. */
-		| {readonly type: 'silent'; readonly message: string};
+		| SilentOutput;
+
+/** The server has sent nothing for longer than expected, so that another one is asked. */
+export type SilentOutput = {
+	readonly type: 'silent';
+	readonly message: string;
+	/** The time since the request was sent, or since its last data. */
+	readonly silentMilliseconds: number;
+	/** The inputs and the reason of the decision to ask another server; absent if the answer had begun. */
+	readonly details?: Readonly<Record<string, unknown>>;
+};
--- a/packages/daemon/src/entry/chat-adapter.test.ts
+++ b/packages/daemon/src/entry/chat-adapter.test.ts
@@ -23,6 +23,8 @@
 		clock,
 		settings: {timing: {stallMilliseconds: 1000}, limits: {bodyBytes: 1000}},
 		connections: {links: {of: () => links}, relays: {choose: () => undefined}},
+		activity: {recordData: () => undefined},
+		overdue: {begin: () => () => ({firstReviewAfter: 60_000, recordAnswered: () => undefined, recordAbandoned: () => undefined})},
 		decisions: {get: () => undefined, recordAttempt: () => undefined},
 		serverSelector: {
 			recordOutcome(_server: ServerId, failed: boolean) {
--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -1,5 +1,5 @@
 import {
-	calculateCost, type Failure, type Prices, versionKey,
+	calculateCost, type Failure, type Prices, type ServerId, versionKey,
 } from '@valehitch/core';
 import {findEscalationSign, checkDispatch} from '@valehitch/policy';
 import {
@@ -20,8 +20,9 @@
 import {RequestSender} from './request-sender.js';
 import {saysOfServer} from './says-of-server.js';
 import {engineGroup} from './server-group-of.js';
-import {stallMillisecondsOf} from './stall-milliseconds.js';
+import {reportOverdue} from './report-overdue.js';
 import {observeAttempt} from './traffic/observe-attempt.js';
+import {type WatchedAttempt} from './traffic/overdue-attempts.js';
 
 /** Options of a {@linkcode ChatAdapter}. */
 export type ChatAdapterOptions = {
@@ -49,6 +50,8 @@
 	#plan: ChatPlan;
 	readonly #prefixHash: number;
 	readonly #sender: RequestSender;
+	/** What begins attempts, by version. */
+	readonly #watches = new Map<string, (server: ServerId) => WatchedAttempt>();
 
 	constructor(plan: ChatPlan, options: ChatAdapterOptions) {
 		this.#plan = plan;
@@ -95,8 +98,8 @@
 	}
 
 	send({dispatch, address, signal, mayStillSend, partialAnswer}: SendOptions): AsyncIterable<AttemptOutput> {
-		const {context: {settings, clock}, deadline} = this.#options;
-		const {requestId, body, facts: {stream}, rule} = this.#plan;
+		const {context: {settings, clock, activity, overdue}, deadline} = this.#options;
+		const {requestId, workspace, body, facts: {stream}, rule} = this.#plan;
 		const outputs = callEngine({
 			requestId,
 			attempt: dispatch.attempt,
@@ -110,13 +113,21 @@
 			send: async request => this.#sender.send(dispatch.server, {...request, mayStillSend}),
 			freshConnection: dispatch.freshConnection,
 			signal,
-			stallMilliseconds: stallMillisecondsOf({streamed: stream, remainingMilliseconds: deadline - clock.monotonic(), settings}),
+			stallMilliseconds: settings.timing.stallMilliseconds,
 			maximumBytes: settings.limits.bodyBytes,
 		});
-		return observeAttempt(outputs, {
+		const target = versionKeyOf(dispatch.target);
+		const watch = this.#watches.get(target) ?? overdue.begin({
+			workspace, target, timesKey: `${target} ${stream ? 'streamed' : 'whole'}`, isRepeatable: true, deadline, stallMilliseconds: settings.timing.stallMilliseconds,
+		});
+		this.#watches.set(target, watch);
+		return observeAttempt(reportOverdue(outputs, watch(dispatch.server)), {
 			clock,
 			signal,
 			streamed: stream,
+			onData() {
+				activity.recordData(dispatch.server, clock.monotonic());
+			},
 			onStage: (stage, milliseconds) => {
 				this.#recordStage(dispatch, {stage, milliseconds});
 			},
@@ -171,12 +182,17 @@
 	}
 
 	#recordResult({target, server, attempt, purpose}: DispatchAction, output: AttemptOutput): void {
-		const {context: {serverSelector, ratings, decisions, clock, connections}} = this.#options;
+		const {context: {activity, serverSelector, ratings, decisions, clock, connections}} = this.#options;
 		const {requestId, workspace, rule} = this.#plan;
 		const {outcome, reason, failed} = attemptEnd(output);
 		decisions.recordAttempt(requestId, {
 			attempt, purpose, servers: decisions.get(requestId)?.attempts.find(recorded => recorded.attempt === attempt)?.servers ?? [], server, outcome, reason,
 		});
+		if (output.type === 'silent') {
+			const now = clock.monotonic();
+			activity.recordSilent(server, {now, since: now - output.silentMilliseconds});
+		}
+
 		if (saysOfServer(output, connections.links.of(engineGroup))) {
 			serverSelector.recordOutcome(server, failed);
 		}
--- a/packages/daemon/src/entry/entry-context.ts
+++ b/packages/daemon/src/entry/entry-context.ts
@@ -11,6 +11,8 @@
 import {type RequestCounter} from './request-counter.js';
 import {type ServerConnections} from './server-connections.js';
 import {type AdmissionPools} from './traffic/admission-pools.js';
+import {type OverdueAttempts} from './traffic/overdue-attempts.js';
+import {type ServerActivity} from './traffic/server-activity.js';
 import {type ServerSelector} from './traffic/server-selector.js';
 
 /** The shared state of the handlers of callers' requests. */
@@ -32,6 +34,10 @@
 	readonly connections: ServerConnections;
 	/** Selects servers and ejects failing ones. */
 	readonly serverSelector: ServerSelector;
+	/** When backend servers sent data, and which are silent. */
+	readonly activity: ServerActivity;
+	/** Decides on attempts whose answers have not begun. */
+	readonly overdue: OverdueAttempts;
 	/** The durations of the stages of recent attempts. */
 	readonly history: StageHistory;
 	/** The routing decisions of recent requests. */
--- a/packages/daemon/src/entry/lifecycle/dispatch-attempt.test.ts
+++ b/packages/daemon/src/entry/lifecycle/dispatch-attempt.test.ts
@@ -41,6 +41,8 @@
 		connections: {links: {of: () => links}, relays: {choose: () => undefined}},
 		servers: {available: () => [{announcement: {server, address}, state: state.server, inFlight: 0}]},
 		timeline: {record: ignore},
+		activity: {recordData: ignore},
+		overdue: {begin: () => () => ({firstReviewAfter: 60_000, recordAnswered: ignore, recordAbandoned: ignore})},
 		decisions: {get: () => undefined, recordAttempt: ignore},
 		serverSelector: {
 			recordOutcome(_server: ServerId, failed: boolean) {
--- a/packages/daemon/src/entry/lifecycle/request-execution.ts
+++ b/packages/daemon/src/entry/lifecycle/request-execution.ts
@@ -271,8 +271,8 @@
 		if (output.type !== 'piece' && output.type !== 'head' && output.type !== 'complete') {
 			const {context, requestId} = this.#options;
 			context.log.info({
-				requestId, attempt: number, end: output.type, message: output.message,
-			}, output.type === 'silent' ? 'No data received from the server within the stall timeout; keeping the connection' : 'An attempt ended without a complete answer');
+				requestId, attempt: number, end: output.type, message: output.message, ...(output.type === 'silent' && output.details),
+			}, output.type === 'silent' ? 'The answer is overdue; keeping the connection and asking another server' : 'An attempt ended without a complete answer');
 		}
 
 		this.handleEvent(toRequestEvent(number, output, this.#attempts.get(number)?.denial), output.type === 'piece' ? output.piece : undefined);
--- a/packages/daemon/src/entry/report-stalls.ts
+++ b/packages/daemon/src/entry/report-stalls.ts
@@ -27,7 +27,7 @@
 		while (true) {
 			const result = await Promise.race([next, stall.waitForExpiry()]);
 			if (result === undefined) {
-				yield {type: 'silent', message};
+				yield {type: 'silent', message, silentMilliseconds: stall.milliseconds};
 				continue;
 			}
 
--- a/packages/daemon/src/entry/server-connections.ts
+++ b/packages/daemon/src/entry/server-connections.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	type Announcement, type Clock, type InstanceId, type RandomSource,
+	type Announcement, type Clock, type InstanceId, type RandomSource, type ServerId,
 } from '@valehitch/core';
 import {type ServerTable} from '@valehitch/membership';
 import {mayRelay, ServerLinks} from '@valehitch/routing';
@@ -63,6 +63,22 @@
 		this.relays = createRelays(options, () => this.#others());
 	}
 
+	/**
+	Checks whether a server accepts a connection of this daemon.
+
+	@param server The server.
+	@returns Whether it does; undefined if the server is not known any more, or while the links of this daemon are in doubt.
+	*/
+	async isReachable(server: ServerId): Promise<boolean | undefined> {
+		const announcement = this.#options.servers.available().find(known => known.announcement.server === server)?.announcement;
+		if (announcement === undefined) {
+			return undefined;
+		}
+
+		const result = await probeAddress(parseAddress(announcement.address), trialTimeoutMilliseconds);
+		return this.links.of(serverGroupOf(announcement)).areConnected ? result === 'open' : undefined;
+	}
+
 	/**
 	Checks whether another daemon may reach an address through this one. It may not if this daemon reaches no server itself, so that no request takes two such steps.
 
--- a/packages/daemon/src/entry/service-adapter.ts
+++ b/packages/daemon/src/entry/service-adapter.ts
@@ -1,5 +1,5 @@
 import {
-	failure, type Micros, type RequestId, type ServiceId, toId,
+	failure, type Micros, type RequestId, type ServerId, type ServiceId, toId,
 } from '@valehitch/core';
 import {type DispatchDenialReason, type RequestTarget} from '@valehitch/routing';
 import {Left} from 'purify-ts';
@@ -13,8 +13,9 @@
 import {RequestSender} from './request-sender.js';
 import {callService} from './service-call.js';
 import {saysOfServer} from './says-of-server.js';
-import {stallMillisecondsOf} from './stall-milliseconds.js';
+import {reportOverdue} from './report-overdue.js';
 import {observeAttempt} from './traffic/observe-attempt.js';
+import {type WatchedAttempt} from './traffic/overdue-attempts.js';
 
 /** A validated call to a plain service. */
 export type ServicePlan = {
@@ -49,11 +50,19 @@
 export function serviceAdapter(plan: ServicePlan, {context, deadline}: ServiceAdapterOptions): RequestAdapter {
 	const {links, relays} = context.connections;
 	const sender = new RequestSender({links: links.of(plan.service), relays});
+	const watch = context.overdue.begin({
+		workspace: plan.call.workspace,
+		target: plan.service,
+		timesKey: plan.service,
+		isRepeatable: plan.repeatable,
+		deadline,
+		stallMilliseconds: context.settings.timing.stallMilliseconds,
+	});
 	return {
 		chooseServer: action => chooseInstance(action, {plan, context}),
 		checkDispatch: () => denialOf(plan, context),
 		send: options => send(options, {
-			plan, context, deadline, sender,
+			plan, context, sender, watch,
 		}),
 		chooseVersion: lost => Left(failure('forbidden', `The workspace is no longer allowed to use service ${serviceOf(lost)}`)),
 		judge: () => ({verdict: 'accepted'}),
@@ -78,14 +87,13 @@
 }
 
 type SendState = AdapterState & {
-	readonly deadline: number;
 	readonly sender: RequestSender;
+	readonly watch: (server: ServerId) => WatchedAttempt;
 };
 
-function send({dispatch, address, signal, mayStillSend}: SendOptions, {plan, context, deadline, sender}: SendState): AsyncIterable<AttemptOutput> {
+function send({dispatch, address, signal, mayStillSend}: SendOptions, {plan, context, sender, watch}: SendState): AsyncIterable<AttemptOutput> {
 	const {call: {request, requestId}, service, path, body, repeatable} = plan;
-	const {settings, clock} = context;
-	const remainingMilliseconds = deadline - clock.monotonic();
+	const {settings, clock, activity} = context;
 	const outputs = callService({
 		requestId,
 		attempt: dispatch.attempt,
@@ -98,13 +106,15 @@
 		address,
 		send: async sent => sender.send(dispatch.server, {...sent, mayStillSend}),
 		signal,
-		stallMilliseconds: repeatable ? stallMillisecondsOf({streamed: false, remainingMilliseconds, settings}) : Math.max(1, remainingMilliseconds),
 		maximumBytes: settings.limits.bodyBytes,
 	});
-	return observeAttempt(outputs, {
+	return observeAttempt(reportOverdue(outputs, watch(dispatch.server)), {
 		clock,
 		signal,
 		streamed: false,
+		onData() {
+			activity.recordData(dispatch.server, clock.monotonic());
+		},
 		onStage() {
 			// Durations are not recorded: the calls of a service differ too much for a slow one to be detected by its duration.
 		},
@@ -123,11 +133,16 @@
 	readonly context: EntryContext;
 };
 
-function recordResult({server, attempt, purpose}: DispatchAction, {output, requestId, service, context: {serverSelector, decisions, connections}}: RecordResultOptions): void {
+function recordResult({server, attempt, purpose}: DispatchAction, {output, requestId, service, context: {activity, clock, serverSelector, decisions, connections}}: RecordResultOptions): void {
 	const {outcome, reason, failed} = attemptEnd(output);
 	decisions.recordAttempt(requestId, {
 		attempt, purpose, servers: decisions.get(requestId)?.attempts.find(recorded => recorded.attempt === attempt)?.servers ?? [], server, outcome, reason,
 	});
+	if (output.type === 'silent') {
+		const now = clock.monotonic();
+		activity.recordSilent(server, {now, since: now - output.silentMilliseconds});
+	}
+
 	if (saysOfServer(output, connections.links.of(service))) {
 		serverSelector.recordOutcome(server, failed);
 	}
--- a/packages/daemon/src/entry/service-call.ts
+++ b/packages/daemon/src/entry/service-call.ts
@@ -5,9 +5,7 @@
 } from '@valehitch/transport';
 import {type AnswerHead, type AttemptOutput} from './attempt-output.js';
 import {readNotRun} from './not-run.js';
-import {reportStalls} from './report-stalls.js';
 import {type SendRequest} from './request-sender.js';
-import {StallTimer} from './stall-timer.js';
 import {failedCallOutput} from './failed-call-output.js';
 
 /** A single attempt to call an instance of a plain service. */
@@ -30,8 +28,6 @@
 	readonly address: string;
 	/** Aborts the attempt and destroys its connection. */
 	readonly signal: AbortSignal;
-	/** The time without an answer after which the service is reported as silent, in milliseconds. */
-	readonly stallMilliseconds: number;
 	/** The maximum size of the answer, in bytes. */
 	readonly maximumBytes: number;
 };
@@ -52,11 +48,6 @@
 ```
 */
 export async function * callService(call: ServiceCall): AsyncGenerator<AttemptOutput, void> {
-	const stall = new StallTimer(call.stallMilliseconds);
-	yield * reportStalls(readOutputs(call), {stall, message: `No data received from the service for ${call.stallMilliseconds} ms`});
-}
-
-async function * readOutputs(call: ServiceCall): AsyncGenerator<AttemptOutput, void> {
 	const answer = await call.send({
 		address: call.address,
 		method: call.method,
--- a/packages/daemon/src/entry/stall-timer.ts
+++ b/packages/daemon/src/entry/stall-timer.ts
@@ -11,13 +11,14 @@
 ```
 */
 export class StallTimer {
-	readonly #milliseconds: number;
+	/** The permitted inactivity. */
+	readonly milliseconds: number;
 	#stopTimeout: (() => void) | undefined;
 	#onExpired: (() => void) | undefined;
 
 	/** @param milliseconds The permitted inactivity. */
 	constructor(milliseconds: number) {
-		this.#milliseconds = milliseconds;
+		this.milliseconds = milliseconds;
 		this.touch();
 	}
 
@@ -31,7 +32,7 @@
 	/** Restarts the timer after activity. */
 	touch(): void {
 		this.clear();
-		this.#stopTimeout = setTimeoutAfterPoll(this.#milliseconds, () => {
+		this.#stopTimeout = setTimeoutAfterPoll(this.milliseconds, () => {
 			this.#onExpired?.();
 		});
 	}
--- a/packages/daemon/src/entry/start-entry.ts
+++ b/packages/daemon/src/entry/start-entry.ts
@@ -22,6 +22,8 @@
 import {RequestCounter} from './request-counter.js';
 import {ServerConnections} from './server-connections.js';
 import {AdmissionPools} from './traffic/admission-pools.js';
+import {OverdueAttempts} from './traffic/overdue-attempts.js';
+import {ServerActivity} from './traffic/server-activity.js';
 import {ServerSelector} from './traffic/server-selector.js';
 
 /** The other components of the daemon that the entry component uses. */
@@ -87,8 +89,15 @@
 	const executions = new Set<RequestExecution>();
 	const decisions = new DecisionHistory();
 	const evacuatedZones = () => new Set(distribution.effective().document.evacuatedZones);
+	const activity = new ServerActivity();
 	const serverSelector = new ServerSelector({
-		...base, servers: distribution.servers, zone: base.settings.zone, decisions, evacuatedZones,
+		...base, servers: distribution.servers, zone: base.settings.zone, decisions, evacuatedZones, activity,
+	});
+	const overdue = new OverdueAttempts({
+		clock: base.clock,
+		activity,
+		isReachable: async server => connections.isReachable(server),
+		hasOther: (target, server) => serverSelector.hasOther(target, server),
 	});
 	const admission = new AdmissionPools({
 		...base, servers: distribution.servers, members: distribution.members, evacuatedZones,
@@ -109,6 +118,8 @@
 			admission,
 			connections,
 			serverSelector,
+			activity,
+			overdue,
 			history: new StageHistory(),
 			decisions,
 			requests,
--- a/packages/daemon/src/entry/traffic/observe-attempt.test.ts
+++ b/packages/daemon/src/entry/traffic/observe-attempt.test.ts
@@ -18,6 +18,7 @@
 		clock,
 		signal,
 		streamed: true,
+		onData: ignore,
 		onStage: ignore,
 		onEnd(output) {
 			ends.push(output.type);
--- a/packages/daemon/src/entry/traffic/observe-attempt.ts
+++ b/packages/daemon/src/entry/traffic/observe-attempt.ts
@@ -9,6 +9,8 @@
 	readonly signal: AbortSignal;
 	/** Whether the answer is streamed. */
 	readonly streamed: boolean;
+	/** Called when the server has sent data. */
+	readonly onData: () => void;
 	/** Called with the time the server took for each stage, in milliseconds, without the time the caller took. */
 	readonly onStage: (stage: AttemptStage, milliseconds: number) => void;
 	/** Called with the result of the attempt, unless it was cancelled, and each time the server is reported as silent. */
@@ -16,6 +18,7 @@
 };
 
 const intermediateTypes: ReadonlySet<AttemptOutput['type']> = new Set(['head', 'piece']);
+const dataTypes: ReadonlySet<AttemptOutput['type']> = new Set(['head', 'piece', 'complete', 'not-run', 'failed']);
 
 /**
 Forwards the outputs of an attempt and reports its stages and its result.
@@ -28,7 +31,7 @@
 return observeAttempt(callEngine(call), observer);
 ```
 */
-export async function * observeAttempt(outputs: AsyncIterable<AttemptOutput>, {clock, signal, streamed, onStage, onEnd}: AttemptObserver): AsyncGenerator<AttemptOutput, void> {
+export async function * observeAttempt(outputs: AsyncIterable<AttemptOutput>, {clock, signal, streamed, onData, onStage, onEnd}: AttemptObserver): AsyncGenerator<AttemptOutput, void> {
 	let waitingSince = clock.monotonic();
 	let stage: AttemptStage = streamed ? 'prefill' : 'whole';
 	for await (const output of outputs) {
@@ -36,6 +39,10 @@
 			return;
 		}
 
+		if (dataTypes.has(output.type)) {
+			onData();
+		}
+
 		if (output.type === 'piece') {
 			onStage(stage, clock.monotonic() - waitingSince);
 			stage = 'decode';
--- a/packages/daemon/src/entry/traffic/server-selector.test.ts
+++ b/packages/daemon/src/entry/traffic/server-selector.test.ts
@@ -6,6 +6,7 @@
 import test from 'ava';
 import {Timeline} from '../../timeline.js';
 import {type ServerChoice} from '../lifecycle/request-adapter.js';
+import {ServerActivity} from './server-activity.js';
 import {ServerSelector} from './server-selector.js';
 
 const zone = toId<ZoneId>('hall-a');
@@ -28,7 +29,7 @@
 
 	const evacuated = new Set<ZoneId>();
 	const selector = new ServerSelector({
-		servers, zone, clock, random: () => 0.5, evacuatedZones: () => evacuated, decisions: new DecisionHistory(),
+		servers, zone, clock, random: () => 0.5, evacuatedZones: () => evacuated, decisions: new DecisionHistory(), activity: new ServerActivity(),
 		timeline: new Timeline({
 			clock, instance: toId<InstanceId>('entry-a'), zone, write: ignore,
 		}),
--- a/packages/daemon/src/entry/traffic/server-selector.ts
+++ b/packages/daemon/src/entry/traffic/server-selector.ts
@@ -8,6 +8,7 @@
 import {type Timeline} from '../../timeline.js';
 import {type ChooseServerAction, type ServerChoice} from '../lifecycle/request-adapter.js';
 import {AttemptBudgets} from './attempt-budgets.js';
+import {type ServerActivity} from './server-activity.js';
 import {ServerViews} from './server-views.js';
 
 /** Options of a {@linkcode ServerSelector}. */
@@ -20,6 +21,7 @@
 	readonly random: RandomSource;
 	readonly timeline: Timeline;
 	readonly decisions: DecisionHistory;
+	readonly activity: ServerActivity;
 };
 
 /** The request that needs a server. */
@@ -65,9 +67,11 @@
 		attempt, purpose, excluded, budgeted,
 	}: ChooseServerAction, {requestId, workspace, target, prefix}: SelectionRequest): ServerChoice {
 		const {clock, zone, random, decisions, evacuatedZones} = this.#options;
-		const choice = chooseServer(this.#views.current(), {
+		const options = {
 			target, excluded: new Set(excluded), evacuatedZones: evacuatedZones(), zone, random, ...(prefix !== undefined && {prefix, prefixShare: this.#prefixes.count(prefix)}),
-		});
+		};
+		// A silent server may go on, so that it is better than none.
+		const choice = chooseServer(this.#views.current(), options).altLazy(() => chooseServer(this.#views.current({avoidsSilent: false}), options));
 		const recordDenial = (reason: string) => {
 			decisions.recordAttempt(requestId, {
 				attempt, purpose, servers: [], outcome: 'notRun', reason,
@@ -93,6 +97,18 @@
 		return {type: 'chosen', server};
 	}
 
+	/**
+	Checks whether a server other than a given one could run an attempt now and is not silent.
+
+	@param target The version, as `versionKey` names it, or the service.
+	@param server The server.
+	@returns Whether there is one.
+	*/
+	hasOther(target: string, server: ServerId): boolean {
+		const evacuatedZones = this.#options.evacuatedZones();
+		return this.#views.current().some(({id, zone, loaded, draining, ejected}) => id !== server && loaded.has(target) && !draining && !ejected && !evacuatedZones.has(zone));
+	}
+
 	/**
 	Records the outcome of an attempt for outlier ejection.
 
--- a/packages/daemon/src/entry/traffic/server-views.ts
+++ b/packages/daemon/src/entry/traffic/server-views.ts
@@ -3,11 +3,13 @@
 } from '@valehitch/core';
 import {type KnownServer, type ServerTable} from '@valehitch/membership';
 import {type OutlierEjection, type ServerView} from '@valehitch/routing';
+import {type ServerActivity} from './server-activity.js';
 
 /** Options of {@linkcode ServerViews}. */
 export type ServerViewsOptions = {
 	readonly servers: ServerTable;
 	readonly ejection: OutlierEjection;
+	readonly activity: ServerActivity;
 	readonly clock: Clock;
 };
 
@@ -18,6 +20,12 @@
 	readonly loaded: ReadonlySet<string>;
 };
 
+type ViewOptions = {
+	readonly now: number;
+	readonly wallTime: number;
+	readonly avoidsSilent: boolean;
+};
+
 /**
 Converts the known backend servers into the views used for server selection.
 
@@ -34,17 +42,23 @@
 		this.#options = options;
 	}
 
-	/** Returns the views of all current servers. */
-	current(): readonly ServerView[] {
+	/**
+	Returns the views of all current servers.
+
+	@param options Whether silent servers count as ejected; true by default.
+	@returns The views.
+	*/
+	current({avoidsSilent = true}: {readonly avoidsSilent?: boolean} = {}): readonly ServerView[] {
 		const {servers, clock} = this.#options;
 		const now = clock.monotonic();
 		const wallTime = clock.now().getTime();
 		const current = servers.available();
 		this.#removeStale(current);
-		return current.map(known => this.#view(known, {now, wallTime}));
+		return current.map(known => this.#view(known, {now, wallTime, avoidsSilent}));
 	}
 
-	#view(known: KnownServer, {now, wallTime}: {readonly now: number; readonly wallTime: number}): ServerView {
+	#view(known: KnownServer, {now, wallTime, avoidsSilent}: ViewOptions): ServerView {
+		const {ejection, activity} = this.#options;
 		const {announcement, load, seenAt, inFlight, state} = known;
 		const {server, zone, capacity, startedAt} = announcement;
 		const report = this.#report(known);
@@ -58,7 +72,7 @@
 			ownInFlight: inFlight,
 			draining: state !== 'joined',
 			expired: false,
-			ejected: this.#options.ejection.isEjected(server, now),
+			ejected: ejection.isEjected(server, now) || (avoidsSilent && activity.isSilent(server, now)),
 			uptime: Math.max(0, wallTime - startedAt),
 			loaded: report.loaded,
 		};
@@ -90,6 +104,7 @@
 			if (!currentIds.has(server)) {
 				this.#reports.delete(server);
 				this.#options.ejection.forget(server);
+				this.#options.activity.forget(server);
 			}
 		}
 	}
--- a/packages/routing/src/request-event.ts
+++ b/packages/routing/src/request-event.ts
@@ -49,7 +49,7 @@
 		| {readonly type: 'attempt-broken'; readonly attempt: number; readonly message: string; readonly usage?: TokenUsage}
 		/** A reused connection broke before the answer began; the request may have run, and the server is not at fault. */
 		| {readonly type: 'attempt-connection-lost'; readonly attempt: number; readonly message: string}
-		/** No data arrived within the stall timeout of the adapter; the attempt has not ended and may still continue. */
+		/** Its answer is overdue, so that another server is asked; the attempt has not ended and may still continue. */
 		| {readonly type: 'attempt-silent'; readonly attempt: number}
 		| {readonly type: 'attempt-judged'; readonly attempt: number; readonly verdict: 'accepted'}
 		/** The answer was rejected; the next target of the cascade serves the request. */
