--- a/packages/daemon/src/entry/traffic/server-selector.ts
+++ b/packages/daemon/src/entry/traffic/server-selector.ts
@@ -71,7 +71,7 @@
 			target, excluded: new Set(excluded), evacuatedZones: evacuatedZones(), zone, random, ...(prefix !== undefined && {prefix, prefixShare: this.#prefixes.count(prefix)}),
 		};
 		// A silent server may go on, so that it is better than none.
-		const choice = chooseServer(this.#views.current(), options).alt(chooseServer(this.#views.current({avoidsSilent: false}), options));
+		const choice = chooseServer(this.#views.current(), options).altLazy(() => chooseServer(this.#views.current({avoidsSilent: false}), options));
 		const recordDenial = (reason: string) => {
 			decisions.recordAttempt(requestId, {
 				attempt, purpose, servers: [], outcome: 'notRun', reason,
