gateway: don't eject a server that goes on after a silence

What callers saw: when a silent server went on, its first data made all of its other late sends count as failures once they lost their races; four of them ejected it. So did sends that ended at a deadline, and those given up as silent. Cause: whether a server works was asked at the end of the race, when it had just sent data again, or not at all. Change: it is asked when the second server is; sends that end at a deadline or are given up count as stalls, as streams do. A second send is won back only if it was later than the one that was kept.

--- a/packages/gateway/src/entry/end-expired.ts
+++ b/packages/gateway/src/entry/end-expired.ts
@@ -9,7 +9,7 @@
 export type EndExpiredOptions = {
 	/** The current or last send; undefined if nothing was sent. */
 	readonly sent: {readonly attempt: CancellableSend; readonly server: ServerRecord} | undefined;
-	readonly results: Pick<SendResults, 'recordFailure' | 'record'>;
+	readonly results: Pick<SendResults, 'recordStall' | 'record'>;
 	readonly model: ModelId | undefined;
 	/** The time since the request arrived, in milliseconds. */
 	readonly waited: number;
@@ -36,7 +36,7 @@
 	sent?.attempt.cancel();
 	if (sent !== undefined && wasSent) {
 		// If the requests of a route may not be repeated, a hanging server is detected only here.
-		results.recordFailure(sent.server, model);
+		results.recordStall(sent.server, model);
 		end.recordPossibleRun();
 	} else if (sent !== undefined) {
 		results.record(sent.server, 'unreachable');
--- a/packages/gateway/src/entry/handle-outcome.ts
+++ b/packages/gateway/src/entry/handle-outcome.ts
@@ -81,7 +81,7 @@
 
 	// A send that was cancelled because the request is quarantined, or goes on elsewhere, says nothing about the server.
 	if (outcome.type !== 'cancelled' || (suspect.standing !== 'quarantined' && !options.isSuperseded())) {
-		results.recordFailure(server, options.models.current);
+		results.recordStall(server, options.models.current);
 	}
 
 	return unknownOutcome(message);
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -362,7 +362,7 @@
 		return this.#handleSend(send, await attempt.outcome);
 	}
 
-	async #handleSend(send: Omit<UnansweredSend, 'reason'>, outcome: SendOutcome): Promise<NextStep> {
+	async #handleSend(send: Omit<UnansweredSend, 'reason' | 'wasServerHeard'>, outcome: SendOutcome): Promise<NextStep> {
 		if (outcome.type === 'cancelled' && !send.attempt.isSent()) {
 			this.#allowance.cancelSend();
 		}
@@ -419,7 +419,7 @@
 			onGoodHead: () => {
 				this.#race.recordAnswered({sentAt, patience});
 				if (this.#authorized.route.kind !== 'streaming') {
-					this.#race.end();
+					this.#race.end({sentAt});
 				}
 			},
 			onStreamStart: () => {
@@ -428,7 +428,7 @@
 			},
 			startHandover: () => this.#kept.startHandover(),
 			onFirstEvent: () => {
-				this.#race.end();
+				this.#race.end({sentAt});
 				this.#kept.discard();
 			},
 			canResumeElsewhere: () => this.#canGoElsewhere(server),
@@ -443,7 +443,7 @@
 	}
 
 	/** Handles the step that follows a send; returns whether the request is sent again. */
-	async #handleStep(step: OutcomeStep, target: SendTarget): Promise<NextStep> {
+	async #handleStep(step: OutcomeStep, target: SendTarget & Pick<StartedSend, 'sentAt'>): Promise<NextStep> {
 		if (this.#end.hasEnded) {
 			return 'ended';
 		}
@@ -485,7 +485,7 @@
 				: this.#end.forward(answer, {framing}))
 			.with({type: 'escalated'}, async ({model, fallback}): Promise<NextStep> => {
 				this.#end.recordPossibleRun();
-				this.#race.end();
+				this.#race.end(target);
 				this.#sent = undefined;
 				this.#kept.keepFallback(fallback);
 				this.#models.escalateTo(model);
@@ -564,8 +564,9 @@
 		};
 		this.#models.restore(stream.model);
 		this.#allowance.restoreUnused();
-		const step = await forwardStream(stream, this.#outcomeOptions({server: stream.server, sentAt: this.#now()}));
-		return this.#handleStep(step, stream);
+		const sentAt = this.#now();
+		const step = await forwardStream(stream, this.#outcomeOptions({server: stream.server, sentAt}));
+		return this.#handleStep(step, {...stream, sentAt});
 	}
 
 	/** Returns the model that the request escalates to, unless the caller has already received a part of an answer. */
--- a/packages/gateway/src/entry/send-race.ts
+++ b/packages/gateway/src/entry/send-race.ts
@@ -21,7 +21,7 @@
 	/** The deadline of the request, in milliseconds on the monotonic clock. */
 	readonly deadlineAt: number;
 	readonly placement: Pick<Placement, 'service' | 'exclude'>;
-	readonly results: Pick<SendResults, 'record' | 'recordFailure'>;
+	readonly results: Pick<SendResults, 'record' | 'recordFailure' | 'recordStall'>;
 	readonly allowance: Pick<SendAllowance, 'requireNewConnections'>;
 	readonly models: Pick<ModelCascade, 'current' | 'expected'>;
 	readonly end: Pick<RequestEnd, 'recordPossibleRun' | 'lastProblem'>;
@@ -68,9 +68,9 @@
 
 	@param send The send.
 	*/
-	keep(send: UnansweredSend): void {
+	keep(send: Omit<UnansweredSend, 'wasServerHeard'>): void {
 		const {server, sentAt, patience, reason} = send;
-		const {clock, hedges, log, metrics} = this.#context;
+		const {clock, hedges, log, metrics, servers} = this.#context;
 		const {request, deadlineAt, placement, results, allowance, end, kept} = this.#options;
 		const now = clock.monotonic();
 		if (reason === 'unresponsive') {
@@ -87,21 +87,26 @@
 		end.recordPossibleRun();
 		end.lastProblem = `${server.id} has not answered yet`;
 		placement.exclude(server);
-		kept.keepUnanswered(send);
+		kept.keepUnanswered({...send, wasServerHeard: servers.heardAt(server.id) > sentAt});
 	}
 
-	/** Ends the sends that were kept, because a later one is answered first. Servers that answered others meanwhile have failed. */
-	end(): void {
-		const {clock, hedges, servers} = this.#context;
+	/**
+	Ends the sends that were kept, because another one is answered first. Servers that sent to others while they owed this answer have failed.
+
+	@param winner The send that is answered.
+	*/
+	end(winner: Pick<StartedSend, 'sentAt'>): void {
+		const {clock, hedges} = this.#context;
 		const {placement, results, kept} = this.#options;
 		let isWorthIt = false;
 		for (const send of kept.unanswered) {
-			isWorthIt ||= send.reason !== 'unresponsive';
-			if (servers.heardAt(send.server.id) > send.sentAt) {
-				results.recordFailure(send.server, send.model);
-			} else if (send.reason !== 'unresponsive') {
+			const {server, model, reason, wasServerHeard} = send;
+			isWorthIt ||= reason !== 'unresponsive' && winner.sentAt > send.sentAt;
+			if (wasServerHeard) {
+				results.recordFailure(server, model);
+			} else if (reason !== 'unresponsive') {
 				// Without its unanswered sends it would look idle, and get the next requests.
-				results.record(send.server, 'silent');
+				results.record(server, 'silent');
 			}
 
 			this.recordOutcome(send, {type: 'cancelled'});
@@ -114,11 +119,11 @@
 		kept.discardUnanswered();
 	}
 
-	/** Records the sends that were kept as failures of their servers, because the deadline has passed. */
+	/** Records the sends that were kept as stalls of their servers, because the deadline has passed. */
 	expire(): void {
 		const {results, kept} = this.#options;
 		for (const send of kept.unanswered) {
-			results.recordFailure(send.server, send.model);
+			results.recordStall(send.server, send.model);
 			this.recordOutcome(send, {type: 'cancelled'});
 		}
 	}
@@ -129,7 +134,7 @@
 	@param send The send.
 	@param outcome Its outcome; others than `cancelled` and `silent` are not recorded.
 	*/
-	recordOutcome({patience, sentAt, attempt}: Omit<UnansweredSend, 'reason'>, {type}: Pick<SendOutcome, 'type'>): void {
+	recordOutcome({patience, sentAt, attempt}: Pick<UnansweredSend, 'patience' | 'sentAt' | 'attempt'>, {type}: Pick<SendOutcome, 'type'>): void {
 		if (patience !== undefined && attempt.isSent() && (type === 'cancelled' || type === 'silent')) {
 			this.#context.answerTimes.recordAbandoned(patience.key, {sentAt, now: this.#context.clock.monotonic(), unit: patience.unit});
 		}
--- a/packages/gateway/src/entry/unanswered-sends.test.ts
+++ b/packages/gateway/src/entry/unanswered-sends.test.ts
@@ -22,6 +22,7 @@
 		sentAt: 0,
 		model: undefined,
 		reason: 'late',
+		wasServerHeard: true,
 		load: {
 			...noOpLoad,
 			end() {
--- a/packages/gateway/src/entry/unanswered-sends.ts
+++ b/packages/gateway/src/entry/unanswered-sends.ts
@@ -10,6 +10,8 @@
 	readonly model: ModelId | undefined;
 	/** Why another server was asked. */
 	readonly reason: SecondSendReason;
+	/** Whether its server sent data on any connection between the send and that moment. */
+	readonly wasServerHeard: boolean;
 };
 
 /** Options of {@linkcode UnansweredSends}. */
