--- a/packages/gateway/src/entry/evidence-counter.ts
+++ b/packages/gateway/src/entry/evidence-counter.ts
@@ -22,7 +22,7 @@
 
 /** A send that has no answer yet. */
 export type WaitingSend = {
-	/** Records the end of the wait, and whether an answer has begun. */
+	/** Records the end of the wait, and whether an answer has begun. Without one, only what was counted before remains, since the send may have been cancelled for any reason. */
 	readonly end: (options: {readonly isAnswered: boolean}) => void;
 };
 
@@ -72,7 +72,7 @@
 		this.#waiting.add(wait);
 		return {
 			end: ({isAnswered}) => {
-				if (this.#waiting.delete(wait)) {
+				if (this.#waiting.delete(wait) && isAnswered) {
 					this.#countWait(wait, {isAnswered});
 				}
 			},
