gateway: try a silent server again soon, and count one silence once

What callers saw: a server that had gone on after a silence of one or two seconds got no requests for up to a second more. Cause: sends of the same time were each counted as a further silence once the first one was over, and doubled it. Change: only the request by which a silent server is tried begins another silence, and the first three are short.

--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -70,8 +70,10 @@
 /** The share of the slots from which each further answer counts as a short request, since a prompt waits for a slot once none is left. */
 const crowdedShare = 0.8;
 
-/** How long a silent server gets no requests, in milliseconds; the time doubles up to the maximum. */
+/** How long a silent server gets no requests, in milliseconds; after the short silences, the time doubles up to the maximum. */
 const initialSilenceMilliseconds = 500;
+/** How many silences are short: a sound server may pause for a second or two. */
+const shortSilences = 3;
 const maximumSilenceMilliseconds = 8000;
 
 /** The load of a send to a server that is no longer known; it has no effect. */
@@ -246,14 +248,14 @@
 	}
 
 	/**
-	Records that it sends and accepts nothing. It gets no requests until it sends data, or for a time that doubles each time.
+	Records that it sends and accepts nothing. It gets no requests until it sends data, or for a time after which it is tried.
 
 	@param now Milliseconds on the monotonic clock.
 	*/
 	recordSilence(now: number): void {
-		if (now >= this.#silentUntil) {
-			this.#silentUntil = now + Math.min(maximumSilenceMilliseconds, initialSilenceMilliseconds * (2 ** this.#silences));
-			this.#silences++;
+		// Other sends of that time say the same; a longer silence shows in the request by which it is tried.
+		if (this.#silences === 0) {
+			this.#beginSilence(now);
 		}
 	}
 
@@ -263,8 +265,8 @@
 	@param now Milliseconds on the monotonic clock.
 	*/
 	recordSend(now: number): void {
-		if (this.#silences > 0) {
-			this.recordSilence(now);
+		if (this.#silences > 0 && now >= this.#silentUntil) {
+			this.#beginSilence(now);
 		}
 	}
 
@@ -316,6 +318,11 @@
 		};
 	}
 
+	#beginSilence(now: number): void {
+		this.#silentUntil = now + Math.min(maximumSilenceMilliseconds, initialSilenceMilliseconds * (2 ** Math.max(0, this.#silences + 1 - shortSilences)));
+		this.#silences++;
+	}
+
 	#adjust(requests: number, loadChange: number): void {
 		this.#inFlight += requests;
 		this.#load = this.#inFlight === 0 ? 0 : this.#load + loadChange;
