gateway: go on with a late send that cannot be raced

What callers saw: 502 in place of the answer of the only server of a service, cut while it worked because links to others were in doubt; 504 at the deadline after a kept send had broken unread; a request during which a server had ended sent to a third one while the first was at work; and servers that worked on for over a second, loads and bytes that stayed counted. Cause: a late send that could not be kept was closed whatever the reason; the race ended only with the first event; the end of a kept send was handled by the state of its request. Change: only a server that sends and accepts nothing is left, or one whose fallback can be forwarded. The load ends with the send, error answers of kept sends have bytes of their own, and a stop waits for a kept send.

--- a/packages/gateway/src/entry/collect-body.ts
+++ b/packages/gateway/src/entry/collect-body.ts
@@ -33,6 +33,11 @@
 */
 export async function collectBody(message: IncomingMessage, isComplete: () => Promise<boolean>, options: CollectBodyOptions = {}): Promise<Uint8Array | undefined> {
 	const {held, mayHold = () => true, onExcess, onNoRoom} = options;
+	if (message.destroyed && !message.readableEnded) {
+		// It broke while it was kept unread, so that no further events are emitted.
+		return undefined;
+	}
+
 	return new Promise(resolve => {
 		const body = new GrowingBytes(statedLength(message));
 		const overhead = new OverheadWatch(message, onExcess);
--- a/packages/gateway/src/entry/end-expired.ts
+++ b/packages/gateway/src/entry/end-expired.ts
@@ -11,6 +11,8 @@
 	readonly sent: {readonly attempt: CancellableSend; readonly server: ServerRecord} | undefined;
 	readonly results: Pick<SendResults, 'recordStall' | 'record'>;
 	readonly model: ModelId | undefined;
+	/** Whether the links of this instance are the likely reason for a missing answer. */
+	readonly areLinksInDoubt: boolean;
 	/** The time since the request arrived, in milliseconds. */
 	readonly waited: number;
 	/** The retry delay suggested to the caller, in milliseconds. */
@@ -24,17 +26,20 @@
 @param options The send and what is reported to the caller.
 @example
 ```ts
-endExpired(end, {sent, results, model, waited: 800, retryAfter: 250});
+endExpired(end, {sent, results, model, waited: 800, retryAfter: 250, areLinksInDoubt: false});
 ```
 */
-export function endExpired(end: RequestEnd, {sent, results, model, waited, retryAfter}: EndExpiredOptions): void {
+export function endExpired(end: RequestEnd, {sent, results, model, waited, retryAfter, areLinksInDoubt}: EndExpiredOptions): void {
 	if (end.hasEnded) {
 		return;
 	}
 
 	const wasSent = sent?.attempt.isSent() === true;
 	sent?.attempt.cancel();
-	if (sent !== undefined && wasSent) {
+	if (sent !== undefined && wasSent && areLinksInDoubt) {
+		results.record(sent.server, 'unreachable');
+		end.recordPossibleRun();
+	} else if (sent !== undefined && wasSent) {
 		// If the requests of a route may not be repeated, a hanging server is detected only here.
 		results.recordStall(sent.server, model);
 		end.recordPossibleRun();
--- a/packages/gateway/src/entry/kept-answers.ts
+++ b/packages/gateway/src/entry/kept-answers.ts
@@ -76,6 +76,11 @@
 		return this.#stalled.isKept;
 	}
 
+	/** Whether any send is kept that has no answer yet. */
+	get isAnyUnanswered(): boolean {
+		return this.#unanswered.isAnyKept;
+	}
+
 	/** The sends that have no answer yet. */
 	get unanswered(): Iterable<UnansweredSend> {
 		return this.#unanswered.sends;
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -26,6 +26,7 @@
 import {KeptAnswers, type KeptStream} from './kept-answers.js';
 import {retryMilliseconds} from './retry-milliseconds.js';
 import {ServerSearch, type SendTarget} from './server-search.js';
+import {handoverMilliseconds} from './stalled-answer.js';
 import {startSend} from './start-send.js';
 import {type UnansweredSend} from './unanswered-sends.js';
 import {SendRace} from './send-race.js';
@@ -65,6 +66,8 @@
 	readonly #end: RequestEnd;
 	readonly #kept: KeptAnswers;
 	readonly #race: SendRace;
+	/** The sends that were kept and whose error answers are being read. */
+	readonly #ending = new Set<CancellableSend>();
 	readonly #suspect: SuspectRequest;
 	readonly #search: ServerSearch;
 	readonly #admission: RunAdmission;
@@ -122,6 +125,7 @@
 			end: this.#end,
 			currentSend: () => this.#sent?.attempt,
 			forwardKept: () => this.#kept.endWait(),
+			isEarlierKept: () => this.#kept.isEarlierKept,
 			onEnded: () => {
 				this.#kept.discard();
 				this.#admission.end();
@@ -133,7 +137,7 @@
 			currentSend: () => this.#sent?.attempt,
 			isGood: ({statusCode = 0, headers}) => classifyAnswer(context.dialect.readAnswer(statusCode, headers), request.id) === 'good',
 			onFailed: (send, outcome) => {
-				void this.#handleUnansweredLoss(send, outcome);
+				void this.#handleUnansweredEnd(send, outcome);
 			},
 			onLost: ({server}) => {
 				void this.#suspect.recordLoss(server);
@@ -208,6 +212,10 @@
 	/** Closes the streams that are kept, and the send that is in progress if the handling of the request failed, and restores unused retries. */
 	#release(): void {
 		this.#kept.discard();
+		for (const attempt of this.#ending) {
+			attempt.cancel();
+		}
+
 		if (!this.#end.hasEnded) {
 			this.#admission.end();
 			this.#sent?.attempt.cancel();
@@ -228,6 +236,7 @@
 			model: this.#models.current,
 			waited: this.#now() - this.#arrivedAt,
 			retryAfter: retryMilliseconds,
+			areLinksInDoubt: !this.#context.links.of(this.#placement.service).areConnected,
 		});
 		this.#kept.discard();
 		this.#admission.end();
@@ -342,7 +351,8 @@
 			onWait: reason => {
 				this.#end.lastProblem = `${server.id} is late, and no other server is asked: ${reason}`;
 			},
-			canGoOn: () => this.#kept.isFallbackKept || this.#search.isLinkInDoubt(target) || this.#canGoElsewhere(server),
+			canGoOn: ({isResponsive}) => this.#kept.isFallbackKept
+				|| (isResponsive === false ? this.#search.isLinkInDoubt(target) || this.#canGoElsewhere(server) : this.#canGoBeside(server)),
 		});
 		const send = {
 			...target, attempt, sentAt, load, expected, model: this.#models.current, patience,
@@ -350,13 +360,15 @@
 		this.#sent = send;
 		const first = await Promise.race([attempt.outcome, attempt.overdue]);
 		if (first.type === 'overdue') {
-			if (this.#mayKeepBeside(server)) {
+			if (this.#canGoBeside(server) && this.#mayRetry()) {
 				this.#sent = undefined;
 				this.#race.keep({...send, reason: first.reason});
 				return 'retry';
 			}
 
-			attempt.giveUp();
+			if (first.reason === 'unresponsive' || this.#kept.isFallbackKept) {
+				attempt.giveUp();
+			}
 		}
 
 		return this.#handleSend(send, await attempt.outcome);
@@ -373,21 +385,25 @@
 			this.#sent = undefined;
 		}
 
-		const next = await this.#handleStep(step, send);
 		send.load?.end();
 		this.#context.metrics.attempts.inc({result: outcome.type});
-		return next;
+		return this.#handleStep(step, send);
 	}
 
-	/** Whether the request may be sent to another server while the current send goes on. If a server has ended during it, two are not put at risk at the same time. */
-	#mayKeepBeside(server: ServerRecord): boolean {
-		return !this.#end.hasEnded && this.#suspect.standing === 'unknown' && this.#canGoElsewhere(server) && this.#mayRetry();
+	/** Whether the request can be sent to another server while the current send goes on. If a server has ended during it, two are not put at risk at the same time. */
+	#canGoBeside(server: ServerRecord): boolean {
+		return !this.#end.hasEnded && this.#suspect.standing === 'unknown' && this.#canGoElsewhere(server);
 	}
 
 	/** Handles the end of a send that was kept, while the request goes on elsewhere. */
-	async #handleUnansweredLoss(send: UnansweredSend, outcome: SendOutcome): Promise<void> {
+	async #handleUnansweredEnd(send: UnansweredSend, outcome: SendOutcome): Promise<void> {
 		this.#race.recordOutcome(send, outcome);
-		const step = await handleOutcome(outcome, this.#outcomeOptions(send));
+		// An error answer may still come when the request has ended.
+		const held = this.#context.memory.open();
+		this.#ending.add(send.attempt);
+		const step = await handleOutcome(outcome, {...this.#outcomeOptions(send), held});
+		this.#ending.delete(send.attempt);
+		held.set(0);
 		if (step.type === 'failed') {
 			this.#end.keepFailedAnswer(step.answer);
 		}
@@ -426,7 +442,16 @@
 				load?.markAnswerStarted();
 				this.#placement.recordStreamStart(server.version);
 			},
-			startHandover: () => this.#kept.startHandover(),
+			startHandover: () => {
+				const stopHandover = this.#kept.startHandover();
+				const stopRace = setTimeoutAfterPoll(handoverMilliseconds, () => {
+					this.#race.end({sentAt});
+				});
+				return () => {
+					stopHandover();
+					stopRace();
+				};
+			},
 			onFirstEvent: () => {
 				this.#race.end({sentAt});
 				this.#kept.discard();
@@ -515,7 +540,8 @@
 			return this.#fail(this.#suspect.refusal);
 		}
 
-		return this.#allowance.isRepeatable && this.#mayRetry() ? 'retry' : this.#fail(failed);
+		const wouldRiskTwo = this.#kept.isAnyUnanswered && this.#suspect.standing !== 'unknown';
+		return !wouldRiskTwo && this.#allowance.isRepeatable && this.#mayRetry() ? 'retry' : this.#fail(failed);
 	}
 
 	/** Withdraws a retry, unless the earlier server of a stalled stream has continued it. */
--- a/packages/gateway/src/entry/run-stop.test.ts
+++ b/packages/gateway/src/entry/run-stop.test.ts
@@ -9,8 +9,15 @@
 const early = 5000;
 const late = 6000;
 
+type CreateRunOptions = {
+	readonly mayHaveRun?: boolean;
+	readonly hasStarted?: boolean;
+	readonly isEarlierKept?: boolean;
+	readonly sent?: CancellableSend;
+};
+
 /** Creates a request and the stop of its instance, which is due at once. */
-function createRun({mayHaveRun = false, hasStarted = false, sent}: {readonly mayHaveRun?: boolean; readonly hasStarted?: boolean; readonly sent?: CancellableSend} = {}) {
+function createRun({mayHaveRun = false, hasStarted = false, isEarlierKept = false, sent}: CreateRunOptions = {}) {
 	const state = {now: 0, failed: [] as Failure[]};
 	const clock = {monotonic: () => state.now, now: () => new Date()};
 	const stop = new InstanceStop(clock);
@@ -27,7 +34,7 @@
 		},
 	};
 	const run = new RunStop({clock, stop}, {
-		deadlineAt, answer: {hasStarted}, end, currentSend: () => sent, forwardKept: () => false, onEnded() {
+		deadlineAt, answer: {hasStarted}, end, currentSend: () => sent, forwardKept: () => false, isEarlierKept: () => isEarlierKept, onEnded() {
 			// Nothing is kept or held.
 		},
 	});
@@ -60,6 +67,13 @@
 	inTime.stop.close();
 });
 
+test('a request that waits for its next send goes on when the stop begins if an earlier server may still answer it', t => {
+	const {stop, kinds} = createRun({isEarlierKept: true});
+	stop.begin(early);
+	t.deepEqual(kinds(), []);
+	stop.close();
+});
+
 test('a request that may have run, or whose answer has begun, is sent again while time is left', t => {
 	for (const options of [{mayHaveRun: true}, {hasStarted: true}]) {
 		const {run, stop, state, kinds} = createRun(options);
--- a/packages/gateway/src/entry/run-stop.ts
+++ b/packages/gateway/src/entry/run-stop.ts
@@ -17,6 +17,8 @@
 	readonly currentSend: () => CancellableSend | undefined;
 	/** Ends the wait for a better answer than one that is kept; returns whether there is one, which is then forwarded. */
 	readonly forwardKept: () => boolean;
+	/** Whether an earlier server may still go on with the request. */
+	readonly isEarlierKept: () => boolean;
 	/** Called when the request is ended because the instance stops. */
 	readonly onEnded: () => void;
 };
@@ -29,7 +31,7 @@
 
 @example
 ```ts
-const runStop = new RunStop(context, {deadlineAt, answer, end, currentSend, forwardKept, onEnded});
+const runStop = new RunStop(context, {deadlineAt, answer, end, currentSend, forwardKept, isEarlierKept, onEnded});
 const unwatch = runStop.watch();
 ```
 */
@@ -82,7 +84,7 @@
 			if (!this.#options.forwardKept()) {
 				this.#answerUnfinished();
 			}
-		} else if (currentSend() === undefined && !this.maySend) {
+		} else if (currentSend() === undefined && !this.#options.isEarlierKept() && !this.maySend) {
 			this.#end();
 		}
 	}
--- a/packages/gateway/src/entry/send-race.ts
+++ b/packages/gateway/src/entry/send-race.ts
@@ -96,8 +96,9 @@
 	@param winner The send that is answered.
 	*/
 	end(winner: Pick<StartedSend, 'sentAt'>): void {
-		const {clock, hedges} = this.#context;
-		const {placement, results, kept} = this.#options;
+		const {clock, hedges, log, metrics} = this.#context;
+		const {request, placement, results, kept} = this.#options;
+		const now = clock.monotonic();
 		let isWorthIt = false;
 		for (const send of kept.unanswered) {
 			const {server, model, reason, wasServerHeard} = send;
@@ -110,10 +111,14 @@
 			}
 
 			this.recordOutcome(send, {type: 'cancelled'});
+			log('request-attempt-ended', {
+				request, server: server.id, result: 'overtaken', reason, waited: Math.round(now - send.sentAt),
+			});
+			metrics.attempts.inc({result: 'overtaken'});
 		}
 
 		if (isWorthIt) {
-			hedges.restore(placement.service, clock.monotonic());
+			hedges.restore(placement.service, now);
 		}
 
 		kept.discardUnanswered();
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -11,7 +11,7 @@
 import {isServerReachable} from './is-server-reachable.js';
 import {isServerRunning} from './is-server-running.js';
 import {type SendAllowance} from './send-allowance.js';
-import {type OverdueWatchOptions} from './overdue-watch.js';
+import {type OverdueFacts, type OverdueWatchOptions} from './overdue-watch.js';
 import {type SentAttempt, sendAttempt} from './send-attempt.js';
 
 /** Options of {@linkcode startSend}. */
@@ -37,8 +37,8 @@
 	readonly mayStillSend: () => boolean;
 	/** How long the head of the answer is waited for. */
 	readonly patience: AnswerPatience;
-	/** Whether the request can be sent elsewhere, or goes on without this send. */
-	readonly canGoOn: () => boolean;
+	/** Whether the request can be sent elsewhere, or goes on without this send, by whether its server is responsive. */
+	readonly canGoOn: (facts: Pick<OverdueFacts, 'isResponsive'>) => boolean;
 	/** Called when the answer is late and no other server is asked, with the reason. */
 	readonly onWait: (reason: string) => void;
 };
@@ -186,7 +186,7 @@
 				answerTime: patience.answerTime,
 				overtakenBy: answerTimes.overtakenBy(patience.key, {sentAt}),
 				isResponsive,
-				canGoElsewhere: canGoOn(),
+				canGoElsewhere: canGoOn({isResponsive}),
 				hasAllowance: hedges.allows(server.service, now),
 			});
 			if (decision.type === 'wait' && decision.reason !== 'not-late') {
--- a/packages/routing/src/decide-overdue.ts
+++ b/packages/routing/src/decide-overdue.ts
@@ -30,7 +30,7 @@
 	/** The request is sent to another server too. */
 		| {readonly type: 'send-beside'; readonly reason: SecondSendReason};
 
-type WaitingSend = Pick<OverdueSend, 'waited' | 'timeLeft' | 'patience' | 'answerTime' | 'overtakenBy'>;
+type OverdueTimes = Pick<OverdueSend, 'waited' | 'timeLeft' | 'patience' | 'answerTime' | 'overtakenBy'>;
 
 /** How many later sends must have been answered before a send counts as overtaken: one or two are chance. */
 const overtakenCount = 3;
@@ -78,7 +78,7 @@
 }
 
 /** Returns why a working server is not waited for any longer; undefined if it is. */
-function reasonAtWorkingServer({waited, timeLeft, patience, answerTime, overtakenBy}: WaitingSend): SecondSendReason | undefined {
+function reasonAtWorkingServer({waited, timeLeft, patience, answerTime, overtakenBy}: OverdueTimes): SecondSendReason | undefined {
 	if (overtakenBy >= overtakenCount) {
 		return 'overtaken';
 	}
