gateway: try a silent server again after 250 ms

What callers saw: a server that had just gone on was avoided for over half a second when its silence was noted as it went on. Cause: a silence of 500 ms from then on ends later than half a second after. Change: the first three silences are 250 ms. Tests: the times of tracked-server and entry-servers follow.

--- a/packages/gateway/src/entry/tracked-server.ts
+++ b/packages/gateway/src/entry/tracked-server.ts
@@ -71,7 +71,7 @@
 const crowdedShare = 0.8;
 
 /** How long a silent server gets no requests, in milliseconds; after the short silences, the time doubles up to the maximum. */
-const initialSilenceMilliseconds = 500;
+const initialSilenceMilliseconds = 250;
 /** How many silences are short: a sound server may pause for a second or two. */
 const shortSilences = 3;
 const maximumSilenceMilliseconds = 8000;
