gateway: say when a request has no current send, and when one is given up

Two comments were behind the code: a request has no current send either while an earlier one is kept, and a send is also given up for a fallback that can be forwarded.

--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -76,7 +76,7 @@
 	#sentAs: AuthorizedRequest;
 	/** The authorization with which the request starts over, because its route or workspace has changed before it was sent. */
 	#replacement: AuthorizedRequest | undefined;
-	/** The current or last send; undefined while only answers are kept. */
+	/** The current or last send; undefined while only answers or earlier sends are kept. */
 	#sent: {readonly attempt: CancellableSend; readonly server: ServerRecord} | undefined;
 
 	constructor(context: EntryContext, {request, body, held, response, authorized, arrivedAt}: RequestRunOptions) {
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -66,7 +66,7 @@
 	readonly isSent: () => boolean;
 	/** Cancels the send by closing its connection, which also cancels it at the server. */
 	readonly cancel: () => void;
-	/** Cancels the send because its server does not answer. */
+	/** Cancels the send because its server sends and accepts nothing, or another answer is forwarded in its place. */
 	readonly giveUp: () => void;
 };
 
