gateway: a connection that did not open is no evidence that a paused server is gone

A sound server whose machine stands still for a second accepts no connection either. Missed heartbeats, and two servers of another zone that are unreachable, still count, as do failing links.

--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -173,6 +173,21 @@
 	t.deepEqual(servers.loads, [[other.id, 10]]);
 });
 
+test('a server to which a connection did not open is in doubt only if its heartbeats are missing or its zone is out of reach', t => {
+	const other = testServer({id: 'server-2' as ServerId, zone: 'hall-b' as ZoneId});
+	const third = testServer({id: 'server-3' as ServerId, zone: 'hall-b' as ZoneId});
+	const servers = createServers(testServer(), other, third);
+	t.true(servers.isInDoubt(testServer({id: 'server-9' as ServerId}), now));
+	servers.recordResult(testServer().id, 'unreachable', now);
+	servers.recordResult(other.id, 'unreachable', now);
+	t.false(servers.isInDoubt(testServer(), now));
+	t.false(servers.isInDoubt(other, now));
+	servers.recordResult(third.id, 'unreachable', now);
+	t.true(servers.isInDoubt(other, now));
+	servers.applyRecords([testServer({isSilent: true})], {source: one, now});
+	t.true(servers.isInDoubt(testServer(), now));
+});
+
 test('once two servers of another zone are unreachable, the zone is avoided while other servers are available', t => {
 	const far = ['server-2', 'server-3', 'server-4'].map(id => testServer({id: id as ServerId, zone: 'hall-b' as ZoneId}));
 	const near = ['server-1', 'server-5'].map(id => testServer({id: id as ServerId}));
