transport: keep an idle connection for as long as its last answer announced

What callers saw: an answer that was begun before a configuration with a shorter idle time announced the longer one, and its connection was closed by the shorter one. A request that was sent within the announced time could meet the close and get neither an answer nor a refusal.

Cause: an answer announces the timeout that the server had when its request arrived; the timer is set, by the timeout of that moment, when the answer ends.

Why it works: the timeout of the arrival is kept with the connection, and one whose time was announced to be longer is left open until then. An answer that announces the shorter time is followed by a close after that time (in the test too).

--- a/packages/transport/src/close-idle-after-poll.test.ts
+++ b/packages/transport/src/close-idle-after-poll.test.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import {createServer} from 'node:http';
+import {createServer, type ServerResponse} from 'node:http';
 import {type AddressInfo, connect, type Socket} from 'node:net';
 import {setImmediate as turn, setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
@@ -40,10 +40,9 @@
 }
 
 test('a request that arrived before the idle timeout of its connection is answered, though the process was held up', async t => {
-	const {server, connection, caller, closed} = await connectIdle(t, 60_000);
+	const {server, connection, caller, closed} = await connectIdle(t, 10);
 	// Timers are due before sockets are read again.
 	await turn();
-	server.keepAliveTimeout = 10;
 	connection.setTimeout(server.keepAliveTimeout);
 	caller.write(request);
 	blockEventLoop(100);
@@ -62,6 +61,40 @@
 	t.is(closed(), 0);
 });
 
+test('a connection is kept for as long as its last answer announced, though a shorter timeout was set before the answer ended', async t => {
+	const answers: ServerResponse[] = [];
+	const server = createServer({keepAliveTimeout: 3000}, (_message, response) => {
+		answers.push(response);
+	});
+	closeIdleAfterPoll(server);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	caller.on('error', () => undefined);
+	t.teardown(() => {
+		caller.destroy();
+		server.close();
+	});
+	caller.write(request);
+	await once(server, 'request');
+	server.keepAliveTimeout = 10;
+	answers[0]!.end('done');
+	const [answer] = await once(caller, 'data') as [unknown];
+	t.regex(String(answer), /^keep-alive: timeout=3\r$/imv);
+	let isEnded = false;
+	caller.on('end', () => {
+		isEnded = true;
+	});
+	await delay(2 * addedMilliseconds);
+	t.false(isEnded);
+	caller.write(request);
+	await once(server, 'request');
+	answers[1]!.end('done');
+	const [shorter] = await once(caller, 'data') as [unknown];
+	t.regex(String(shorter), /^keep-alive: timeout=0\r$/imv);
+	await once(caller, 'end');
+});
+
 test('a request that crosses the close of its idle connection is seen, and does not reset the connection', async t => {
 	const {caller, requests, closed} = await connectIdle(t, 100);
 	let error: Error | undefined;
--- a/packages/transport/src/close-idle-after-poll.ts
+++ b/packages/transport/src/close-idle-after-poll.ts
@@ -1,4 +1,4 @@
-import {type Server} from 'node:http';
+import {type IncomingMessage, type Server} from 'node:http';
 import {type Socket} from 'node:net';
 
 /** Options of {@linkcode closeIdleAfterPoll}. */
@@ -11,7 +11,7 @@
 const lingerMilliseconds = 1000;
 
 /**
-Closes the idle connections of a server after pending input was read, by the `keepAliveTimeout` that the server has when the time is over.
+Closes the idle connections of a server after pending input was read, by the `keepAliveTimeout` that the server has when the time is over, or the one that their last answers have announced if that is longer.
 
 Without it, a connection is closed although its next request has arrived if the process was held up, and one that is idle already keeps the timeout that was set when it became idle. A connection is closed for sending first and read on for a second: a request that crosses the close is seen, and does not reset the connection of its caller.
 
@@ -24,6 +24,11 @@
 ```
 */
 export function closeIdleAfterPoll(server: Server, {onClose}: CloseIdleAfterPollOptions = {}): void {
+	const announced = new WeakMap<Socket, number>();
+	// An answer announces the timeout that the server had when its request arrived.
+	server.prependListener('request', ({socket}: IncomingMessage) => {
+		announced.set(socket, server.keepAliveTimeout);
+	});
 	// The server leaves a connection whose timeout has a listener to that listener.
 	server.on('timeout', (socket: Socket) => {
 		const {bytesRead} = socket;
@@ -32,8 +37,9 @@
 				return;
 			}
 
-			if (isTimeoutRaised(socket, server)) {
-				socket.setTimeout(server.keepAliveTimeout);
+			const keptFor = Math.max(server.keepAliveTimeout, announced.get(socket) ?? 0);
+			if (socket.timeout !== undefined && socket.timeout < keptFor) {
+				socket.setTimeout(keptFor);
 				return;
 			}
 
@@ -43,10 +49,6 @@
 	});
 }
 
-function isTimeoutRaised({timeout}: Socket, {keepAliveTimeout}: Server): boolean {
-	return timeout !== undefined && timeout < keepAliveTimeout;
-}
-
 function closeLingering(socket: Socket): void {
 	socket.end();
 	const timer = setTimeout(() => {
