--- a/packages/transport/src/set-timeout-after-poll.test.ts
+++ b/packages/transport/src/set-timeout-after-poll.test.ts
@@ -28,3 +28,15 @@
 	await delay(timeoutMilliseconds);
 	t.false(hasExpired);
 });
+
+for (const milliseconds of [2 ** 31, Number.POSITIVE_INFINITY]) {
+	test(`a timeout of ${milliseconds} ms, longer than a timer can be, does not expire at once`, async t => {
+		let hasExpired = false;
+		const clear = setTimeoutAfterPoll(milliseconds, () => {
+			hasExpired = true;
+		});
+		await delay(timeoutMilliseconds);
+		clear();
+		t.false(hasExpired);
+	});
+}
