gateway: refuse a request for a tunnel, and answer those before it

What callers saw: the connection of a request with the method CONNECT was closed at once. It got no answer, and neither did the requests in progress before it on the connection, which were recorded as caller-left.

Cause: the server closes such a connection itself where nothing listens for tunnels, before any handler is called.

Evidence: the new test of the callers' server is red without the change (not one byte came in answer to a request and the tunnel behind it) and green with it: 200, then 501.

Why it works: a listener for tunnels waits until the earlier answers are sent, then refuses, and closes the connection, also if the caller keeps its side open.

--- a/packages/gateway/src/entry/caller-server.test.ts
+++ b/packages/gateway/src/entry/caller-server.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {type AddressInfo, connect, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {createCallerServer} from './caller-server.js';
 
@@ -106,3 +107,35 @@
 	});
 	t.regex(received, /^HTTP\/1\.1 401 /v);
 });
+
+test('a request to open a tunnel is refused, and the request before it on its connection is answered', async t => {
+	const logged: string[] = [];
+	const server = createCallerServer({
+		log(kind) {
+			logged.push(kind);
+		},
+		async handle(_message, response) {
+			await delay(100);
+			response.writeHead(200, {'Content-Length': 4}).end('done');
+		},
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+		server.close();
+	});
+	let text = '';
+	let error: Error | undefined;
+	caller.on('data', chunk => {
+		text += String(chunk);
+	});
+	caller.on('error', given => {
+		error = given;
+	});
+	caller.write('GET / HTTP/1.1\r\nHost: a\r\n\r\nCONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n');
+	await once(caller, 'close');
+	t.regex(text, /^HTTP\/1\.1 200 [\s\S]*\r\n\r\ndoneHTTP\/1\.1 501 [\s\S]*\r\nConnection: close\r\n\r\n$/v);
+	t.is(error, undefined);
+	t.deepEqual(logged, ['request-refused']);
+});
--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -2,7 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	abortResponse, closeIdleAfterPoll, limitUnreadBody, UnfinishedResponses,
+	abortResponse, closeIdleAfterPoll, limitUnreadBody, refuseTunnels, UnfinishedResponses,
 } from '@valehitch/transport';
 import {type DecisionLog} from '../logs/decision-log.js';
 
@@ -49,6 +49,11 @@
 			onClose?.('idle');
 		},
 	});
+	refuseTunnels(server, {
+		onRefuse() {
+			log('request-refused', {error: 'malformed-request', reason: 'The request is for a tunnel'}, 'warn');
+		},
+	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		// The event also tells of connections that callers reset.
 		if (error.code?.startsWith('HPE_') !== true) {
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -28,6 +28,7 @@
 export * from './read-body.js';
 export * from './read-pending-input.js';
 export * from './read-response-body.js';
+export * from './refuse-tunnels.js';
 export * from './response-framing.js';
 export * from './relay.js';
 export * from './responses-in-progress.js';
--- /dev/null
+++ b/packages/transport/src/refuse-tunnels.test.ts
@@ -0,0 +1,71 @@
+import {once} from 'node:events';
+import {createServer, type RequestListener} from 'node:http';
+import {type AddressInfo, connect, type Socket} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import {refuseTunnels} from './refuse-tunnels.js';
+
+const get = 'GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n';
+const tunnel = 'CONNECT desk.example:80 HTTP/1.1\r\nHost: desk.example:80\r\n\r\n';
+
+/** Starts a server that refuses tunnels, and a caller that keeps its side of its connection open. */
+async function start(t: ExecutionContext, handle: RequestListener) {
+	const server = createServer(handle);
+	let refused = 0;
+	refuseTunnels(server, {
+		onRefuse() {
+			refused++;
+		},
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const caller = connect({port: (server.address() as AddressInfo).port, host: '127.0.0.1', allowHalfOpen: true});
+	caller.on('error', () => undefined);
+	t.teardown(() => {
+		caller.destroy();
+		server.close();
+	});
+	let text = '';
+	caller.on('data', chunk => {
+		text += String(chunk);
+	});
+	return {
+		server, caller, text: () => text, refused: () => refused,
+	};
+}
+
+test('a request for a tunnel is refused and its connection is closed, though its caller keeps its side open', async t => {
+	const {server, caller, text, refused} = await start(t, (_message, response) => {
+		response.end();
+	});
+	caller.write(tunnel);
+	await once(caller, 'end');
+	t.regex(text(), /^HTTP\/1\.1 501 [\s\S]*\r\nConnection: close\r\n\r\n$/v);
+	t.is(refused(), 1);
+	server.close();
+	await once(server, 'close');
+});
+
+test('requests before a request for a tunnel are answered before it is refused', async t => {
+	const {caller, text} = await start(t, (_message, response) => {
+		setTimeout(() => {
+			response.end('done');
+		}, 100);
+	});
+	caller.write(`${get}${get}${tunnel}`);
+	await once(caller, 'end');
+	t.deepEqual(Array.from(text().matchAll(/HTTP\/1\.1 (?<status>\d+) /gv), ({groups}) => groups!.status), ['200', '200', '501']);
+});
+
+test('a caller that leaves before the answer to a request before its request for a tunnel is seen', async t => {
+	const {server, caller} = await start(t, () => undefined);
+	const connected = once(server, 'connection') as Promise<[Socket]>;
+	caller.write(`${get}${get}${tunnel}`);
+	const [connection] = await connected;
+	await once(server, 'connect');
+	const closed = new Promise(resolve => {
+		connection.on('close', resolve);
+	});
+	caller.resetAndDestroy();
+	await closed;
+	t.true(connection.destroyed);
+});
--- /dev/null
+++ b/packages/transport/src/refuse-tunnels.ts
@@ -0,0 +1,67 @@
+import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {type Duplex} from 'node:stream';
+import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
+import {UnfinishedResponses} from './unfinished-responses.js';
+import {whenResponseCloses} from './when-response-closes.js';
+
+/** Options of {@linkcode refuseTunnels}. */
+export type RefuseTunnelsOptions = {
+	/** Called when a request for a tunnel has arrived; by default, nothing is called. */
+	readonly onRefuse?: ((message: IncomingMessage) => void) | undefined;
+};
+
+/** The time that the caller has to read the answer once the connection is closed for sending, in milliseconds. */
+const lingerMilliseconds = 1000;
+
+/**
+Refuses requests with the method CONNECT, once those before them on their connections are answered. The server otherwise closes the connection of such a request at once, without an answer to any request on it.
+
+@param server The server, which has not accepted connections yet.
+@param options What is called.
+@example
+```ts
+refuseTunnels(createServer(handle));
+```
+*/
+export function refuseTunnels(server: Server, {onRefuse}: RefuseTunnelsOptions = {}): void {
+	const unfinished = new UnfinishedResponses();
+	server.prependListener('request', (_message: IncomingMessage, response: ServerResponse) => {
+		unfinished.add(response);
+	});
+	server.on('connect', (message: IncomingMessage, socket: Duplex) => {
+		onRefuse?.(message);
+		// The server no longer handles the connection.
+		socket.on('error', () => {
+			// The connection is closed after it.
+		});
+		// What follows is thrown away, so that the end of the connection is seen.
+		socket.resume();
+		void refuse(socket, unfinished);
+	});
+}
+
+async function refuse(socket: Duplex, unfinished: UnfinishedResponses): Promise<void> {
+	let response = unfinished.on(socket);
+	// Responses that wait behind another one are not destroyed with their connection.
+	while (response !== undefined && !socket.destroyed) {
+		await closed(response);
+		response = unfinished.on(socket);
+	}
+
+	if (!socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	socket.end('HTTP/1.1 501 Not Implemented\r\nContent-Length: 0\r\nConnection: close\r\n\r\n');
+	const stopTimeout = setTimeoutAfterPoll(lingerMilliseconds, () => {
+		socket.destroy();
+	});
+	socket.once('close', stopTimeout);
+}
+
+async function closed(response: ServerResponse): Promise<void> {
+	return new Promise(resolve => {
+		whenResponseCloses(response, resolve);
+	});
+}
