gateway: answer whole requests though what follows them is no request

What callers saw: requests that had come whole got neither an answer nor a refusal if bytes that are no request, or a head of more than 32 KiB, came behind them on their connection before they were answered.

Cause: the answer in progress was broken off at once, also if nothing of it had been sent, and with the connection the answers behind it.

Evidence: two new cases, each a GET and a POST with such bytes behind them, got not one byte before; with the change both are answered, the last one with Connection: close. That a caller that leaves after such bytes is still seen is a test too, green before and after.

Why it works: if every request on the connection is whole and no answer has begun, the last answer closes the connection in place of the abort. An answer that has begun is broken off as before, as its tests ask.

--- a/packages/gateway/src/entry/caller-server.test.ts
+++ b/packages/gateway/src/entry/caller-server.test.ts
@@ -2,6 +2,7 @@
 import {type AddressInfo, connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
+import {whenCallerLeaves} from '@valehitch/transport';
 import {createCallerServer} from './caller-server.js';
 
 const chunk = `4000\r\n${'x'.repeat(16 * 1024)}\r\n`;
@@ -139,3 +140,63 @@
 	t.is(error, undefined);
 	t.deepEqual(logged, ['request-refused']);
 });
+
+/** What is no request, or none that the server reads. */
+const malformed: ReadonlyArray<readonly [name: string, bytes: string]> = [
+	['bytes that are no request', 'no request\r\n\r\n'],
+	['a head that is too large', `GET / HTTP/1.1\r\nHost: a\r\nX: ${'x'.repeat(60_000)}\r\n\r\n`],
+];
+
+for (const [name, bytes] of malformed) {
+	test(`whole requests are answered though ${name} came behind them on their connection`, async t => {
+		const server = createCallerServer({
+			log() {
+				// The log is not under test.
+			},
+			async handle(_message, response) {
+				await delay(100);
+				response.writeHead(200, {'Content-Length': 4}).end('done');
+			},
+		}).listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+		t.teardown(() => {
+			caller.destroy();
+			server.close();
+		});
+		let text = '';
+		caller.on('data', chunk => {
+			text += String(chunk);
+		});
+		caller.on('error', () => undefined);
+		caller.write(`GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok${bytes}`);
+		await once(caller, 'close');
+		t.regex(text, /^HTTP\/1\.1 200 [\s\S]*\r\n\r\ndoneHTTP\/1\.1 200 [\s\S]*\r\nConnection: close\r\n\r\ndone$/v);
+	});
+}
+
+test('a caller that leaves after bytes that are no request is seen, though the request before them is not answered', async t => {
+	let hasLeft = false;
+	const server = createCallerServer({
+		log() {
+			// The log is not under test.
+		},
+		async handle(_message, response) {
+			whenCallerLeaves(response, () => {
+				hasLeft = true;
+			});
+		},
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+		server.close();
+	});
+	caller.write('GET / HTTP/1.1\r\nHost: a\r\n\r\nno request\r\n\r\n');
+	await once(server, 'clientError');
+	t.false(hasLeft);
+	caller.end();
+	await once(caller.resume(), 'close');
+	t.true(hasLeft);
+});
--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -61,11 +61,22 @@
 			return;
 		}
 
+		const last = unfinished.lastOn(socket);
+		if (last?.shouldKeepAlive === false && last.req.complete) {
+			// The connection closes behind the answer already.
+			return;
+		}
+
 		log('request-refused', {error: 'malformed-request', reason: error.message}, 'warn');
 		onClose?.('malformed');
 		const response = unfinished.on(socket);
-		if (response !== undefined) {
-			abortResponse(response);
+		if (response !== undefined && last !== undefined) {
+			// What came whole is answered; the connection is closed behind the last answer.
+			if (response.headersSent || !last.req.complete) {
+				abortResponse(response);
+			} else {
+				last.shouldKeepAlive = false;
+			}
 		} else if (socket.writable) {
 			socket.end('HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n');
 		} else {
--- a/packages/transport/src/unfinished-responses.ts
+++ b/packages/transport/src/unfinished-responses.ts
@@ -36,6 +36,16 @@
 		return first;
 	}
 
+	/**
+	Returns the response to the latest request of a connection.
+
+	@param socket The connection.
+	@returns The response; undefined if none is in progress.
+	*/
+	lastOn(socket: Duplex): ServerResponse | undefined {
+		return this.#unfinishedOn(socket).at(-1);
+	}
+
 	#unfinishedOn(socket: Duplex): readonly ServerResponse[] {
 		return (this.#bySocket.get(socket) ?? []).filter(({writableFinished, destroyed}) => !writableFinished && !destroyed);
 	}
