--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -2,7 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	abortResponse, closeIdleAfterPoll, limitUnreadBody, UnfinishedResponses,
+	abortResponse, closeIdleAfterPoll, limitUnreadBody, refuseTunnels, UnfinishedResponses,
 } from '@valehitch/transport';
 import {type DecisionLog} from '../logs/decision-log.js';
 
@@ -49,6 +49,11 @@
 			onClose?.('idle');
 		},
 	});
+	refuseTunnels(server, {
+		onRefuse() {
+			log('request-refused', {error: 'malformed-request', reason: 'The request is for a tunnel'}, 'warn');
+		},
+	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 		// The event also tells of connections that callers reset.
 		if (error.code?.startsWith('HPE_') !== true) {
@@ -56,11 +61,22 @@
 			return;
 		}
 
+		const last = unfinished.lastOn(socket);
+		if (last?.shouldKeepAlive === false && last.req.complete) {
+			// The connection closes behind the answer already.
+			return;
+		}
+
 		log('request-refused', {error: 'malformed-request', reason: error.message}, 'warn');
 		onClose?.('malformed');
 		const response = unfinished.on(socket);
-		if (response !== undefined) {
-			abortResponse(response);
+		if (response !== undefined && last !== undefined) {
+			// What came whole is answered; the connection is closed behind the last answer.
+			if (response.headersSent || !last.req.complete) {
+				abortResponse(response);
+			} else {
+				last.shouldKeepAlive = false;
+			}
 		} else if (socket.writable) {
 			socket.end('HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n');
 		} else {
