gateway: say in the line of its end why a begun stream ended at its time limit

What operators saw: request-ended with broken-off and the time limit as its reason, and no more. Whether a stream was dispatched late, had a long answer, or had fallen silent could only be put together from other lines, which the log's rate limit drops under load.

Change: RunProgress collects when the request was first dispatched, how long it was held, when its first and last events came and how many, and how often it was sent beside a late send, paused, escalated or given to another server. The line of a stream that is broken off has these fields. Events are counted by the empty lines that end them; comments are none.

--- a/packages/gateway/src/entry/event-stream.test.ts
+++ b/packages/gateway/src/entry/event-stream.test.ts
@@ -45,6 +45,15 @@
 	}
 });
 
+test('events are counted without comments and empty lines', t => {
+	const count = (text: string): number | undefined => new EventStream().push(Buffer.from(text))?.events;
+	t.is(count('data: a\n\n'), 1);
+	t.is(count(': ping\n\n'), 0);
+	t.is(count('\n\n\n'), 0);
+	t.is(count('id: 1\r\ndata: a\r\n\r\n: ping\r\n\r\ndata: b\r\n\r\n'), 2);
+	t.is(count('data: a\n: ping\n\n\ndata: b\n\ndata: c'), 2);
+});
+
 /** States the rules of {@linkcode EventStream} by regular expressions over whole texts. */
 class PlainEventStream {
 	incomplete = '';
--- a/packages/gateway/src/entry/event-stream.ts
+++ b/packages/gateway/src/entry/event-stream.ts
@@ -6,6 +6,8 @@
 	readonly bytes: Uint8Array;
 	/** Whether there is an event among them; otherwise they are comments, which only keep the connection alive. */
 	readonly hasEvent: boolean;
+	/** The number of events among them. */
+	readonly events: number;
 };
 
 const newline = 10;
@@ -85,7 +87,7 @@
 
 		const bytes = end === buffered.byteLength ? buffered : buffered.subarray(0, end);
 		this.#lastEventId = lastIdIn(bytes) ?? this.#lastEventId;
-		return {bytes, hasEvent: hasEvent(bytes)};
+		return {bytes, hasEvent: hasEvent(bytes), events: countEvents(bytes)};
 	}
 
 	/** Discards the incomplete event, so that the stream can resume at another server. */
@@ -138,6 +140,22 @@
 	return false;
 }
 
+/** Counts the empty lines that end an event. */
+function countEvents(bytes: Uint8Array): number {
+	const buffer = asBuffer(bytes);
+	let count = 0;
+	let isInsideEvent = false;
+	let start = 0;
+	for (let end = buffer.indexOf(newline); end !== -1; end = buffer.indexOf(newline, start)) {
+		const isEmpty = end === start || (end === start + 1 && buffer[start] === carriageReturn);
+		count += isEmpty && isInsideEvent ? 1 : 0;
+		isInsideEvent = !isEmpty && (isInsideEvent || buffer[start] !== colon);
+		start = end + 1;
+	}
+
+	return count;
+}
+
 /** Returns the value of the last line that is an id; undefined if there is none. */
 function lastIdIn(bytes: Uint8Array): string | undefined {
 	const buffer = asBuffer(bytes);
--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -49,6 +49,9 @@
 		onData(now) {
 			context.servers.recordData(server.id, now);
 		},
+		onEvents(count, now) {
+			options.progress.recordEvents(count, now);
+		},
 		onFirstEvent() {
 			onFirstEvent();
 			answer.beginStream(message.statusCode ?? 0, headers);
@@ -103,7 +106,7 @@
 }
 
 /** Watches the pauses of a stream; a server that may only be silent for a moment gets no further requests meanwhile. */
-function watchPauses({context, request, route, results, server, relay, send, deadlineAt, patience, canResumeElsewhere}: HandleOutcomeOptions): StallWatch {
+function watchPauses({context, request, route, results, server, relay, send, deadlineAt, patience, progress, canResumeElsewhere}: HandleOutcomeOptions): StallWatch {
 	return new StallWatch(context, {
 		server,
 		route,
@@ -112,6 +115,7 @@
 		resumeTime: patience?.answerTime ?? 0,
 		canResumeElsewhere,
 		onDecision({type, reason}, paused) {
+			progress.recordStep('pauses');
 			context.log('request-paused', {
 				request: request.id, server: server.id, send, decision: type, reason, paused: Math.round(paused), timeLeft: Math.round(deadlineAt - context.clock.monotonic()),
 			}, 'warn');
--- a/packages/gateway/src/entry/handle-outcome-options.ts
+++ b/packages/gateway/src/entry/handle-outcome-options.ts
@@ -9,6 +9,7 @@
 import {type EventStream} from './event-stream.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {type ModelCascade} from './model-cascade.js';
+import {type RunProgress} from './run-progress.js';
 import {type SendResults} from './send-results.js';
 import {type StalledStream} from './stalled-answer.js';
 import {type SuspectRequest} from './suspect-request.js';
@@ -22,6 +23,8 @@
 	readonly route: Route;
 	readonly models: ModelCascade;
 	readonly results: SendResults;
+	/** Where events and pauses are recorded. */
+	readonly progress: Pick<RunProgress, 'recordEvents' | 'recordStep'>;
 	readonly answer: CallerAnswer;
 	readonly events: EventStream;
 	/** The bytes that are held for the request. */
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -34,6 +34,8 @@
 	readonly onData: (now: number) => void;
 	/** Called before the first event of this server is forwarded. */
 	readonly onFirstEvent: () => void;
+	/** Called with the number of events that have arrived, and the time in milliseconds on the monotonic clock; by default nothing is called. */
+	readonly onEvents?: (count: number, now: number) => void;
 };
 
 /** The longest event, in bytes; a server may send without ever ending one. */
@@ -59,7 +61,7 @@
 ```
 */
 export async function relayStream(options: RelayStreamOptions): Promise<RelayEnd> {
-	const {message, isComplete, response, events, buffer, held, mayHold = () => true, onExcess, clock = processClock, stallTimeout, isStalled, abandoned, onData, onFirstEvent} = options;
+	const {message, isComplete, response, events, buffer, held, mayHold = () => true, onExcess, clock = processClock, stallTimeout, isStalled, abandoned, onData, onFirstEvent, onEvents} = options;
 	return new Promise(resolve => {
 		const overhead = new OverheadWatch(message, onExcess);
 		let hasForwarded = false;
@@ -143,6 +145,9 @@
 			bytesWithoutEvent = part?.hasEvent === true ? events.incomplete.byteLength : bytesWithoutEvent + chunk.byteLength;
 			if (part !== undefined && !isFinished) {
 				forward(part.bytes);
+				if (part.hasEvent) {
+					onEvents?.(part.events, now);
+				}
 			}
 
 			if (isFinished) {
--- a/packages/gateway/src/entry/request-end.ts
+++ b/packages/gateway/src/entry/request-end.ts
@@ -3,6 +3,7 @@
 import {type CallerAnswer, type CompleteAnswer} from './caller-answer.js';
 import {type EntryContext} from './entry-context.js';
 import {type ModelCascade} from './model-cascade.js';
+import {type RunProgress} from './run-progress.js';
 import {type SendAllowance} from './send-allowance.js';
 
 /** Whether a request is sent again or has ended. */
@@ -19,6 +20,8 @@
 	readonly answer: CallerAnswer;
 	readonly allowance: Pick<SendAllowance, 'sends'>;
 	readonly models: Pick<ModelCascade, 'current'>;
+	/** What became of the request, for the line of a stream that is broken off. */
+	readonly progress: Pick<RunProgress, 'fields'>;
 };
 
 /** Additional fields of the `request-ended` log line. */
@@ -33,7 +36,7 @@
 
 @example
 ```ts
-const end = new RequestEnd(context, {request: 'a1', route, service, arrivedAt, answer, allowance, models});
+const end = new RequestEnd(context, {request: 'a1', route, service, arrivedAt, answer, allowance, models, progress});
 end.fail(failure('no-server', 'No server is available'));
 ```
 */
@@ -155,7 +158,7 @@
 	/** Aborts a stream that has started. The caller must not take a truncated answer for a complete one. */
 	#breakOff(fields: EndFields): NextStep {
 		this.#options.answer.abort();
-		return this.recordEnd('broken-off', fields);
+		return this.recordEnd('broken-off', {...this.#options.progress.fields, ...fields});
 	}
 
 	#note(outcome: string, facts: EndFields): void {
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -18,6 +18,7 @@
 import {type RequestRunOptions, type StartedSend} from './request-run-options.js';
 import {promptWork} from './prompt-work.js';
 import {RunAdmission} from './run-admission.js';
+import {RunProgress} from './run-progress.js';
 import {RunStop} from './run-stop.js';
 import {SuspectRequest} from './suspect-request.js';
 import {SendAllowance} from './send-allowance.js';
@@ -72,6 +73,7 @@
 	readonly #search: ServerSearch;
 	readonly #admission: RunAdmission;
 	readonly #stop: RunStop;
+	readonly #progress: RunProgress;
 	/** The authorization of the last send; that of the arrival before the first one. */
 	#sentAs: AuthorizedRequest;
 	/** The authorization with which the request starts over, because its route or workspace has changed before it was sent. */
@@ -109,8 +111,9 @@
 			context.metrics.firstModels.inc({reason: this.#models.firstReason});
 		}
 
+		this.#progress = new RunProgress(arrivedAt);
 		this.#end = new RequestEnd(context, {
-			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models,
+			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models, progress: this.#progress,
 		});
 		this.#suspect = new SuspectRequest(context.suspects, {...request, workspace: authorized.workspace?.id, body});
 		this.#search = new ServerSearch(context, {
@@ -143,6 +146,7 @@
 				void this.#suspect.recordLoss(server);
 			},
 			onHandedOver: ({server}) => {
+				this.#progress.recordStep('handovers');
 				context.log('request-handed-over', {request: request.id, from: server.id, to: this.#sent?.server.id});
 			},
 		});
@@ -202,7 +206,9 @@
 
 		this.#context.budget.deposit(this.#placement.service, this.#now());
 		this.#context.hedges.deposit(this.#placement.service, this.#now());
+		const admittedFrom = this.#now();
 		const rejected = await this.#admission.admit();
+		this.#progress.recordHold(this.#now() - admittedFrom);
 		let next: NextStep = rejected === undefined ? 'retry' : this.#end.fail(rejected);
 		while (next === 'retry' && !this.#end.hasEnded && this.#replacement === undefined) {
 			next = await this.#send();
@@ -331,6 +337,7 @@
 		const {server} = target;
 		const sentAt = this.#now();
 		this.#sentAs = authorized;
+		this.#progress.recordDispatch(sentAt);
 		const expected = this.#context.servers.expectedFirstEvent(server.id, this.#models.calm);
 		const load = this.#context.servers.beginSend(server.id, {load: this.#models.load, reading: this.#reading, now: sentAt});
 		const patience = this.#race.patienceAt(server);
@@ -362,6 +369,7 @@
 		if (first.type === 'overdue') {
 			if (this.#canGoBeside(server) && this.#mayRetry()) {
 				this.#sent = undefined;
+				this.#progress.recordStep('overdue');
 				this.#race.keep({...send, reason: first.reason});
 				return 'retry';
 			}
@@ -424,6 +432,7 @@
 			route: this.#authorized.route,
 			models: this.#models,
 			results: this.#results,
+			progress: this.#progress,
 			answer: this.#answer,
 			events: this.#events,
 			held: this.#held,
@@ -525,6 +534,7 @@
 				this.#end.recordPossibleRun();
 				this.#race.end(target);
 				this.#sent = undefined;
+				this.#progress.recordStep('escalations');
 				this.#kept.keepFallback(fallback);
 				this.#models.escalateTo(model);
 				return 'retry';
