--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -22,6 +22,7 @@
 export * from './hedge-policy.js';
 export * from './held-memory.js';
 export * from './leased-rate-limiter.js';
+export * from './may-end-in-time.js';
 export * from './may-relay.js';
 export * from './may-start-while-stopping.js';
 export * from './no-picture.js';
