gateway: refuse a request that is dispatched too late to end, as not run

What callers saw: a request whose wait before its first dispatch left less time than any such answer takes was dispatched nevertheless.

Cause: only the deadline itself was looked at before a send.

Change: AnswerOutlook records the time from dispatch to the end of each whole answer by route, model and the classes (of a factor of four) of prompt and answer length: the caller's estimate where it gives one, else the maximum. Streams that are cut at their limit count as longer; parts of answers and failures say nothing; requests whose caller chose one of several models are not judged. Before the request is held and before each send of a request that has not run, mayEndInTime decides; a refusal is overloaded, with the retry delay of the admission. A request that may have run is never refused so. The history is per instance and counts for 10 to 20 s.

Why it works: the fast tenth bounds what a request can hope for; what is refused had no more than that, and learns it while a retry is still of use.

--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -152,6 +152,7 @@
 		budget: new WindowedRetryBudget({ratio: 1, minimumPerWindow: 5}),
 		hedges: new RetryBudget({ratio: 1}),
 		answerTimes: new AnswerTimes(),
+		wholeTimes: new AnswerTimes(),
 		escalations: new EscalationDemand({contentionAt: () => ({wait: 0, target: route.targetLatency})}),
 		admission,
 		latencies: latencies ?? new LatencyEstimator(clock),
--- a/packages/gateway/src/entry/create-entry-context.ts
+++ b/packages/gateway/src/entry/create-entry-context.ts
@@ -56,6 +56,8 @@
 
 /** The second sends beside servers that work, as a share of the first ones; those that are answered first are not counted. */
 const hedgeShare = 0.05;
+/** How long the time of a whole answer counts at most, in milliseconds; short, since servers that were busy may be idle soon after. */
+const wholeTimesMilliseconds = 20_000;
 
 /**
 Creates the state and the services that the handling of all requests shares.
@@ -128,6 +130,7 @@
 		budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
 		hedges: new RetryBudget({ratio: hedgeShare}),
 		answerTimes: new AnswerTimes(),
+		wholeTimes: new AnswerTimes({windowMilliseconds: wholeTimesMilliseconds}),
 		admission: new RequestAdmission({
 			...options,
 			notes,
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -54,6 +54,8 @@
 	readonly hedges: RetryBudget;
 	/** The times until answers begin, by route and model. */
 	readonly answerTimes: AnswerTimes;
+	/** The times from dispatch to the end of whole answers, by route, model and lengths. */
+	readonly wholeTimes: AnswerTimes;
 	/** Holds or rejects requests that compete for busy servers, and tells how much work it holds. */
 	readonly admission: Pick<RequestAdmission, 'admit' | 'heldWork' | 'retryAfter'>;
 	readonly latencies: LatencyEstimator;
--- a/packages/gateway/src/entry/gateway-request.ts
+++ b/packages/gateway/src/entry/gateway-request.ts
@@ -29,7 +29,10 @@
 	/** The parts of the prompt in order, which other requests may share; empty for requests without a prompt. */
 	readonly promptParts: readonly PromptPart[];
 	readonly inputTokens: number;
+	/** The maximum length of the answer, in tokens; 0 if it is not known. */
 	readonly outputTokens: number;
+	/** The caller's estimate of the length of the answer, in tokens, which may be far off; undefined if there is none. */
+	readonly expectedTokens?: number | undefined;
 	readonly session: string | undefined;
 	/** The id of the last event that the caller received of an interrupted stream; undefined for a new stream. */
 	readonly lastEventId: string | undefined;
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -4,6 +4,7 @@
 import {type Either, Right} from 'purify-ts';
 import {match} from 'ts-pattern';
 import {type ServerRecord} from '../servers/server-record.js';
+import {AnswerOutlook} from './answer-outlook.js';
 import {authorizeRequest, type AuthorizedRequest} from './authorize-request.js';
 import {CallerAnswer} from './caller-answer.js';
 import {classifyAnswer} from './classify-answer.js';
@@ -39,6 +40,7 @@
 /** How long a request waits before it is sent again while a part of its prompt is doubtful, in milliseconds: the time in which another exit would prove the part to be their cause. */
 export const doubtfulPartMilliseconds = 300;
 
+const firstErrorStatus = 400;
 /** The steps after sends that have not run and are no longer in progress: a deadline that passes later says nothing about their servers. */
 const stepsNotRun: ReadonlySet<OutcomeStep['type']> = new Set(['unreachable', 'withheld', 'relay-unavailable', 'not-run']);
 
@@ -74,6 +76,7 @@
 	readonly #admission: RunAdmission;
 	readonly #stop: RunStop;
 	readonly #progress: RunProgress;
+	readonly #outlook: AnswerOutlook;
 	/** The authorization of the last send; that of the arrival before the first one. */
 	#sentAs: AuthorizedRequest;
 	/** The authorization with which the request starts over, because its route or workspace has changed before it was sent. */
@@ -112,6 +115,7 @@
 		}
 
 		this.#progress = new RunProgress(arrivedAt);
+		this.#outlook = new AnswerOutlook(context, {request, route, deadlineAt: this.#deadlineAt});
 		this.#end = new RequestEnd(context, {
 			request: request.id, route, service: this.#placement.service, arrivedAt, answer: this.#answer, allowance: this.#allowance, models: this.#models, progress: this.#progress,
 		});
@@ -207,7 +211,7 @@
 		this.#context.budget.deposit(this.#placement.service, this.#now());
 		this.#context.hedges.deposit(this.#placement.service, this.#now());
 		const admittedFrom = this.#now();
-		const rejected = await this.#admission.admit();
+		const rejected = this.#lateRefusal ?? await this.#admission.admit();
 		this.#progress.recordHold(this.#now() - admittedFrom);
 		let next: NextStep = rejected === undefined ? 'retry' : this.#end.fail(rejected);
 		while (next === 'retry' && !this.#end.hasEnded && this.#replacement === undefined) {
@@ -234,7 +238,18 @@
 		return this.#context.clock.monotonic();
 	}
 
+	/** The failure of a request that has not run and that no server can answer in time. */
+	get #lateRefusal(): Failure | undefined {
+		const isNotRun = !this.#end.mayHaveRun && !this.#answer.hasStarted && !this.#kept.isAnyKept;
+		const {current} = this.#models;
+		return isNotRun && !this.#outlook.mayEnd(current, 'nothing') ? this.#outlook.refusal(current, this.#admission.retryAfter) : undefined;
+	}
+
 	#expire(): void {
+		if (!this.#end.hasEnded && this.#sent?.attempt.isSent() === true) {
+			this.#outlook.cut();
+		}
+
 		this.#race.expire();
 		endExpired(this.#end, {
 			sent: this.#sent,
@@ -289,6 +304,11 @@
 			return this.#fail(failure('deadline-exceeded-after-dispatch', `No better answer arrived in time (${this.#end.lastProblem})`));
 		}
 
+		const late = this.#lateRefusal;
+		if (late !== undefined) {
+			return this.#fail(late);
+		}
+
 		const authorized = this.#authorize();
 		if (authorized.isLeft()) {
 			return this.#fail(authorized.extract());
@@ -338,6 +358,7 @@
 		const sentAt = this.#now();
 		this.#sentAs = authorized;
 		this.#progress.recordDispatch(sentAt);
+		this.#outlook.begin({model: this.#models.current, sentAt, lastEventId: this.#events.lastEventId});
 		const expected = this.#context.servers.expectedFirstEvent(server.id, this.#models.calm);
 		const load = this.#context.servers.beginSend(server.id, {load: this.#models.load, reading: this.#reading, now: sentAt});
 		const patience = this.#race.patienceAt(server);
@@ -389,6 +410,7 @@
 
 		this.#race.recordOutcome(send, outcome);
 		const step = await handleOutcome(outcome, this.#outcomeOptions(send));
+		this.#outlook.end({isWhole: isWholeAnswer(step)});
 		if (stepsNotRun.has(step.type)) {
 			this.#sent = undefined;
 		}
@@ -597,6 +619,7 @@
 		this.#context.log('request-returned', {request: this.#request.id, server: send.server.id, reason: message});
 		this.#sent = send;
 		this.#models.restore(send.model);
+		this.#outlook.begin({...send, lastEventId: this.#events.lastEventId});
 		this.#allowance.restoreUnused();
 		return this.#handleSend(send, await send.attempt.outcome);
 	}
@@ -647,3 +670,8 @@
 		}
 	}
 }
+
+/** Whether a step ends a request with a whole success. */
+function isWholeAnswer(step: OutcomeStep): boolean {
+	return step.type === 'streamed' || (step.type === 'whole' && step.answer.status < firstErrorStatus);
+}
--- a/packages/platform/src/platform-dialect.test.ts
+++ b/packages/platform/src/platform-dialect.test.ts
@@ -51,6 +51,14 @@
 	t.deepEqual(['-5000,3', 'Infinity,3', '1e300,3', 'NaN,3', '', '12000,3'].map(usage => countOf(usage)), [0, 4_194_304, 4_194_304, 0, 0, 12_000]);
 });
 
+test('the estimated length of an answer is read, and one that is none is left out', t => {
+	const lengthOf = (...headers: ReadonlyArray<readonly [string, string]>): number | undefined => platformDialect.readRequest(message(headers)).expectedTokens;
+	t.is(lengthOf(['Length-Hint', '340']), 340);
+	t.is(lengthOf(['Length-Hint', 'many']), undefined);
+	t.is(lengthOf(['Length-Hint', '-4']), undefined);
+	t.is(lengthOf(), undefined);
+});
+
 test('a server gets neither the API key nor the caller\'s values of reserved headers, and gets those of the gateway once', t => {
 	const request = platformDialect.readRequest(caller);
 	const sent = platformDialect.sendHeaders(request, {
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -82,6 +82,7 @@
 		promptParts: parsePromptParts(firstValue(headers[wireHeader.promptParts])),
 		inputTokens: parseTokens(input),
 		outputTokens: parseTokens(output),
+		expectedTokens: parseTokens(firstValue(headers[wireHeader.lengthHint]) ?? '') || undefined,
 		session: firstValue(headers[wireHeader.session]),
 		lastEventId: firstValue(headers[wireHeader.lastEventId]),
 	};
--- a/packages/platform/src/wire-header.ts
+++ b/packages/platform/src/wire-header.ts
@@ -9,6 +9,8 @@
 	model: 'model',
 	/** The number of prompt tokens and the maximum number of output tokens, as known before the request runs. */
 	tokens: 'token-usage',
+	/** The caller's estimate of the number of output tokens. */
+	lengthHint: 'length-hint',
 	promptParts: 'prompt-prefix',
 	session: 'session',
 	lastEventId: 'last-event-id',
