gateway: keep the answer of the smaller model if that of a larger one is unlikely to end in time

What callers saw: a request that escalated late lost the whole answer of the smaller model as soon as the first event of the larger one came, and then got a stream cut at its time limit.

Cause: an escalation was decided by the expected time to the first event and the target latency; whether the answer after it can end was not asked.

Change: chooseLargerModel asks the outlook. Since an answer is lost, the larger model is asked only if its answer is as likely in time as not; while its times are not known, as before.

Evidence: late-dispatches; with 0.7 s left and answers of 1.1 s the caller's stream was cut before (status 0), and is the smaller model's answer now. An escalation with 1.4 s left and answers of 0.5 s is made before and after.

--- a/packages/gateway/src/entry/late-dispatches.test.ts
+++ b/packages/gateway/src/entry/late-dispatches.test.ts
@@ -128,3 +128,40 @@
 	t.true(sends >= 1);
 	t.false(refused.some(({kind}) => kind === 'overloaded'), `${JSON.stringify(refused)}`);
 });
+
+test('an escalation whose answer cannot end forwards the answer of the smaller model', async t => {
+	let small = 0;
+	const {answer} = await sendLate(t, {
+		sizes: ['small', 'large'], before: 48, timeout: 2000, held: 1300,
+		async answer(response, {model}) {
+			if (model === 'large') {
+				await delay(100);
+				await stream(response, 1000);
+				return;
+			}
+
+			// If more escalated, requests would begin with the larger model.
+			response.writeHead(200, {Confidence: small++ % 2 === 0 ? '5' : '90'});
+			response.end('id: 1\ndata: small\n\n');
+		},
+	});
+	t.deepEqual(answer, {status: 200, text: 'id: 1\ndata: small\n\n'});
+});
+
+test('an escalation whose answer can end is made', async t => {
+	let small = 0;
+	const {answer} = await sendLate(t, {
+		sizes: ['small', 'large'], before: 48, timeout: 2000, held: 600,
+		async answer(response, {model}) {
+			if (model === 'large') {
+				await delay(100);
+				await stream(response, 400);
+				return;
+			}
+
+			response.writeHead(200, {Confidence: small++ % 2 === 0 ? '5' : '90'});
+			response.end('id: 1\ndata: small\n\n');
+		},
+	});
+	t.deepEqual(answer, {status: 200, text: events.join('')});
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -650,7 +650,7 @@
 		}
 
 		const larger = this.#models.chooseLarger({confidence, latency, age: this.#now() - this.#arrivedAt});
-		return larger !== undefined && this.#allowance.tryRetry() ? larger : undefined;
+		return larger !== undefined && this.#outlook.mayEnd(larger, 'an-answer') && this.#allowance.tryRetry() ? larger : undefined;
 	}
 
 	/** Cancels the send when the request is quarantined, before the server starts to process it. An answer that has started continues. */
