routing, gateway: don't hold a request until its whole answer cannot end

What callers saw: a request that could still meet its target for the first event was held for nearly that long, 4.6 s of a target of 6 s, though its time limit then left too little for the rest of the answer. It was dispatched late and cut, or would be refused now, for a hold that was this instance's.

Cause: the queue took the deadline for the last moment of the first event.

Change: a held request has answerTime, how long an ordinary answer goes on after its first event (the median of whole answers less the expected time to the first event; 0 while that is not known), and the first event is due that long before the deadline. Who is rejected on arrival, and the longest hold of requests that are not predicted in time (a quarter of the target), stay.

Evidence: contention-queue; with a time limit of 8 s, a target of 6 s and 4 s of answer a request was still held after 2.64 s, and is released then now.

--- a/packages/gateway/src/entry/answer-outlook.test.ts
+++ b/packages/gateway/src/entry/answer-outlook.test.ts
@@ -49,6 +49,15 @@
 	t.true(open({}, 1000).mayEnd(model, 'nothing'));
 });
 
+test('an ordinary answer goes on after its first event for the rest of its time, and for no time while that is not known', t => {
+	const {open, play} = createOutlooks();
+	t.is(open().timeAfter(model, 300), 0);
+	play(20, 1000, endWhole);
+	const after = open().timeAfter(model, 300);
+	t.true(after >= 700 && after <= 801, `${after}`);
+	t.is(open().timeAfter(model, 5000), 0);
+});
+
 test('answers of other models and of other lengths say nothing of a request', t => {
 	const {open, play} = createOutlooks();
 	play(20, 1000, endWhole);
--- a/packages/gateway/src/entry/answer-outlook.ts
+++ b/packages/gateway/src/entry/answer-outlook.ts
@@ -22,6 +22,9 @@
 	readonly lastEventId: string | undefined;
 };
 
+/** The share of the answers that an ordinary one takes no less than. */
+const ordinaryShare = 0.5;
+
 /**
 Whether the answer to one request can end in time, and how long it took for the requests after it.
 
@@ -57,6 +60,20 @@
 		});
 	}
 
+	/**
+	Returns how long an ordinary answer goes on after its first event.
+
+	@param model The model; undefined if the caller chose it or the request needs none.
+	@param firstEvent The expected time from the dispatch to the first event, in milliseconds.
+	@returns Milliseconds; 0 while that is not known.
+	*/
+	timeAfter(model: ModelId | undefined, firstEvent: number): number {
+		const key = this.#keyOf(model, this.#options.request.lastEventId);
+		const {clock, wholeTimes} = this.#context;
+		const whole = key === undefined ? undefined : wholeTimes.quantile(key, {share: ordinaryShare, now: clock.monotonic()});
+		return Math.max(0, (whole ?? 0) - firstEvent);
+	}
+
 	/**
 	Returns the failure of a request that has not run and whose answer cannot end in time any more.
 
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -124,7 +124,7 @@
 			placement: this.#placement, allowance: this.#allowance, end: this.#end, deadlineAt: this.#deadlineAt,
 		});
 		this.#admission = new RunAdmission(context, {
-			request, authorized, service: this.#placement.service, models: this.#models, arrivedAt, deadlineAt: this.#deadlineAt,
+			request, authorized, service: this.#placement.service, models: this.#models, outlook: this.#outlook, arrivedAt, deadlineAt: this.#deadlineAt,
 		});
 		this.#stop = new RunStop(context, {
 			deadlineAt: this.#deadlineAt,
--- a/packages/gateway/src/entry/run-admission.ts
+++ b/packages/gateway/src/entry/run-admission.ts
@@ -1,4 +1,5 @@
 import {type Failure, type ServiceId} from '@valehitch/core';
+import {type AnswerOutlook} from './answer-outlook.js';
 import {type AuthorizedRequest} from './authorize-request.js';
 import {type EntryContext} from './entry-context.js';
 import {type GatewayRequest} from './gateway-request.js';
@@ -12,7 +13,8 @@
 	readonly request: GatewayRequest;
 	readonly authorized: AuthorizedRequest;
 	readonly service: ServiceId;
-	readonly models: Pick<ModelCascade, 'current'>;
+	readonly models: Pick<ModelCascade, 'current' | 'expected'>;
+	readonly outlook: Pick<AnswerOutlook, 'timeAfter'>;
 	/** When the request arrived, in milliseconds on the monotonic clock. */
 	readonly arrivedAt: number;
 	/** The deadline of the request, in milliseconds on the monotonic clock. */
@@ -24,7 +26,7 @@
 
 @example
 ```ts
-const admission = new RunAdmission(context, {request, authorized, service, models, arrivedAt, deadlineAt});
+const admission = new RunAdmission(context, {request, authorized, service, models, outlook, arrivedAt, deadlineAt});
 const rejected = await admission.admit();
 ```
 */
@@ -64,7 +66,7 @@
 	}
 
 	get #candidate(): AdmissionCandidate {
-		const {request, authorized: {route, workspace}, service, models, arrivedAt, deadlineAt} = this.#options;
+		const {request, authorized: {route, workspace}, service, models, outlook, arrivedAt, deadlineAt} = this.#options;
 		return {
 			request: request.id,
 			service,
@@ -74,6 +76,7 @@
 			targetLatency: route.targetLatency,
 			arrivedAt,
 			deadlineAt,
+			answerTime: outlook.timeAfter(models.current, models.expected),
 			ended: this.#ended.signal,
 		};
 	}
--- a/packages/routing/src/contention-queue.test.ts
+++ b/packages/routing/src/contention-queue.test.ts
@@ -308,6 +308,28 @@
 	t.true(sentAt + 650 + 100 <= 3500, `sent at ${sentAt}`);
 });
 
+test('a request that can still meet its target is not held until its whole answer cannot end by its deadline', t => {
+	const queue = newQueue();
+	const full = poolOf(650);
+	queue.offer(requestOf('a', {deadlineAt: 8000, answerTime: 4000}), {now: 0, pool: full});
+	for (let now = 0; now < 2600; now += releaseIntervalMilliseconds) {
+		t.deepEqual(queue.release({now, pool: full}), []);
+	}
+
+	// 8000 ms less 4000 ms of the answer, 100 ms of its prompt, 650 ms in the servers and a tenth of the target.
+	t.like(queue.release({now: 2640, pool: full}), [{reason: 'time'}]);
+});
+
+test('an absurd time of an answer neither throws nor holds a request for longer than a quarter of its target latency', t => {
+	for (const answerTime of [Number.NaN, -1e9, Number.POSITIVE_INFINITY, 1e9]) {
+		const queue = newQueue();
+		const full = poolOf(650);
+		const decision = queue.offer(requestOf('a', {deadlineAt: 8000, answerTime}), {now: 0, pool: full});
+		t.is(decision.type, 'held');
+		t.like(queue.release({now: answerTime > 0 ? 1480 : 4640, pool: full}), [{reason: 'time'}]);
+	}
+});
+
 test('a request that a deadline before the target leaves too little time for counts as not predicted in time', t => {
 	const queue = newQueue();
 	const full = poolOf(650, {heldByOthers: [{priority: 2, milliseconds: 4 * 2900}]});
--- a/packages/routing/src/contention-queue.ts
+++ b/packages/routing/src/contention-queue.ts
@@ -282,9 +282,9 @@
 	return wait > idleShare * bound && unusedBelow(pool.servers, bound) < heldHere + heldByOthers + work;
 }
 
-/** Returns until when the first event of a request is of use: its target, or its deadline if that is earlier. */
-function answerBy({arrivedAt, targetLatency, deadlineAt}: ContentionRequest): number {
-	return Math.min(arrivedAt + targetLatency, Number.isNaN(deadlineAt) ? Number.POSITIVE_INFINITY : deadlineAt);
+/** Returns until when the first event of a request is of use: its target or, if that is earlier, the last moment from which its answer ends by its deadline. */
+function answerBy({arrivedAt, targetLatency, deadlineAt, answerTime = 0}: ContentionRequest): number {
+	return Math.min(arrivedAt + targetLatency, Number.isNaN(deadlineAt) ? Number.POSITIVE_INFINITY : deadlineAt - atLeast(answerTime, 0));
 }
 
 function waitOf({servers, urgentTarget}: ContentionPool): number {
--- a/packages/routing/src/contention-request.ts
+++ b/packages/routing/src/contention-request.ts
@@ -16,6 +16,8 @@
 	readonly arrivedAt: number;
 	/** Its deadline, in milliseconds on the monotonic clock. */
 	readonly deadlineAt: number;
+	/** How long its answer goes on after the first event, in milliseconds; 0 by default. */
+	readonly answerTime?: number;
 };
 
 /** What was lacking when a request was held or rejected. */
