routing: one review of the pauses of a stream for both entry stacks

Which data of a server say that it goes on with other requests was decided within the gateway, so that valehitchd could not use it.

PauseReview has the pause, the evidence and the decision; StallWatch of the gateway only gathers the facts.

--- a/packages/gateway/src/entry/stall-watch.ts
+++ b/packages/gateway/src/entry/stall-watch.ts
@@ -1,4 +1,4 @@
-import {decideStalled, type StalledDecision, type StalledSend} from '@valehitch/routing';
+import {PauseReview, type StalledDecision} from '@valehitch/routing';
 import {type Route} from '../configuration/routing-configuration.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type EntryContext} from './entry-context.js';
@@ -25,9 +25,6 @@
 	readonly links: {readonly of: (service: ServerRecord['service']) => {readonly areConnected: boolean}};
 };
 
-/** How long a server must have gone on with other requests before a stream counts as overtaken, in milliseconds: after a silence, its streams go on one after another. */
-const overtakenMilliseconds = 200;
-
 /**
 Watches the pauses of one stream, and decides when another server is asked to go on with it.
 
@@ -38,21 +35,20 @@
 ```
 */
 export class StallWatch {
-	/** The pause from which on the watch decides, in milliseconds. */
-	readonly targetGap: number;
 	readonly #context: StallWatchContext;
 	readonly #options: StallWatchOptions;
-	/** When the pause began that is decided on, in milliseconds on the monotonic clock. */
-	#pausedAt = Number.NEGATIVE_INFINITY;
-	/** When its server was first found to go on with other requests in this pause, in milliseconds on the monotonic clock. */
-	#overtakenAt: number | undefined;
-	#lastReason: string | undefined;
+	readonly #review: PauseReview;
 
 	constructor(context: StallWatchContext, options: StallWatchOptions) {
-		const {targetGap, targetLatency} = options.route;
+		const {route: {targetGap, targetLatency}, onDecision} = options;
 		this.#context = context;
 		this.#options = options;
-		this.targetGap = targetGap ?? targetLatency;
+		this.#review = new PauseReview({targetGap: targetGap ?? targetLatency, onDecision});
+	}
+
+	/** The pause from which on the watch decides, in milliseconds. */
+	get targetGap(): number {
+		return this.#review.targetGap;
 	}
 
 	/**
@@ -62,49 +58,18 @@
 	@returns Whether another server is asked to go on with the stream.
 	*/
 	isStalled(paused: number): boolean {
-		const now = this.#context.clock.monotonic();
-		this.#beginPause(now - paused);
-		const decision = decideStalled(this.#facts(now, paused));
-		if (decision.reason !== this.#lastReason) {
-			this.#lastReason = decision.reason;
-			this.#options.onDecision(decision, paused);
-		}
-
-		return decision.type === 'resume-elsewhere';
-	}
-
-	/** Forgets what was found in an earlier pause. */
-	#beginPause(pausedAt: number): void {
-		// The time of the pause is measured anew at each call, up to the resolution of the clock.
-		if (pausedAt - this.#pausedAt > 1) {
-			this.#overtakenAt = undefined;
-			this.#lastReason = undefined;
-		}
-
-		this.#pausedAt = pausedAt;
-	}
-
-	#facts(now: number, paused: number): StalledSend {
-		const {servers, links} = this.#context;
+		const {clock, servers, links} = this.#context;
 		const {server, isRelayed, deadlineAt, resumeTime, canResumeElsewhere} = this.#options;
-		return {
+		const now = clock.monotonic();
+		const {type} = this.#review.decide({
+			now,
 			paused,
-			targetGap: this.targetGap,
+			heardAt: servers.heardAt(server.id),
 			timeLeft: deadlineAt - now,
 			resumeTime,
 			canGoElsewhere: canResumeElsewhere(),
 			isServerInDoubt: servers.isInDoubt(server, now) || (!isRelayed && !links.of(server.service).areConnected),
-			isOvertaken: this.#isOvertaken(now),
-		};
-	}
-
-	#isOvertaken(now: number): boolean {
-		const heardAt = this.#context.servers.heardAt(this.#options.server.id);
-		if (heardAt <= this.#pausedAt + this.targetGap) {
-			return false;
-		}
-
-		this.#overtakenAt ??= heardAt;
-		return now - this.#overtakenAt >= overtakenMilliseconds && heardAt - this.#overtakenAt >= overtakenMilliseconds / 2;
+		});
+		return type === 'resume-elsewhere';
 	}
 }
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -26,6 +26,7 @@
 export * from './may-start-while-stopping.js';
 export * from './no-picture.js';
 export * from './outlier-ejection.js';
+export * from './pause-review.js';
 export * from './place-share.js';
 export type * from './pool-picture.js';
 export * from './predict-first-event.js';
