daemon: don't give a paused stream away while its engine may go on

What callers saw: a stream of a sound engine that paused for 1.6 s, longer than timing.stallMilliseconds, was given to another engine. If that one broke soon after its first event, the stream was broken off although its first engine went on: the first events of another run cancel the first one.

Cause: once an answer had begun, the stall timeout alone decided.

Change: decideStalled decides, as in the gateway, by what speaks against the engine (it is not known any more, is ejected, or links that have failed since), whether it goes on with other requests, the time left and whether another engine is there; each 100 ms from the stall timeout on. Each decision on a late event is logged with its reason, the pause and the time left. From the first one on the engine gets no other requests until it sends data, as before. Before an answer has begun nothing changes.

--- a/packages/daemon/src/entry/_test-entry.ts
+++ b/packages/daemon/src/entry/_test-entry.ts
@@ -48,6 +48,8 @@
 	readonly name: string;
 	readonly server: TestServer;
 	readonly place: RunPlace;
+	/** The answer, which a test may break off. */
+	readonly response: ServerResponse;
 };
 
 /** How the servers of a test answer. */
@@ -223,7 +225,9 @@
 		const chat = request.url?.startsWith('/v1/') === true ? JSON.parse(body) as ChatRequest : undefined;
 		const name = chat === undefined ? (request.url ?? '').slice(1) : chat.messages[0]!.content;
 		const pause = async (place: RunPlace): Promise<void> => {
-			await this.#options.pause?.({name, server, place});
+			await this.#options.pause?.({
+				name, server, place, response,
+			});
 			await server.resumed;
 		};
 
--- a/packages/daemon/src/entry/attempt-output.ts
+++ b/packages/daemon/src/entry/attempt-output.ts
@@ -45,6 +45,6 @@
 	readonly message: string;
 	/** The time since the request was sent, or since its last data. */
 	readonly silentMilliseconds: number;
-	/** The inputs and the reason of the decision to ask another server; absent if the answer had begun. */
+	/** The reason of the decision to ask another server, and its inputs if the answer had not begun. */
 	readonly details?: Readonly<Record<string, unknown>>;
 };
--- a/packages/daemon/src/entry/chat-adapter.ts
+++ b/packages/daemon/src/entry/chat-adapter.ts
@@ -23,6 +23,7 @@
 import {reportOverdue} from './report-overdue.js';
 import {observeAttempt} from './traffic/observe-attempt.js';
 import {type WatchedAttempt} from './traffic/overdue-attempts.js';
+import {watchPauses} from './watch-pauses.js';
 
 /** Options of a {@linkcode ChatAdapter}. */
 export type ChatAdapterOptions = {
@@ -98,35 +99,42 @@
 	}
 
 	send({dispatch, address, signal, mayStillSend, partialAnswer}: SendOptions): AsyncIterable<AttemptOutput> {
-		const {context: {settings, clock, activity, overdue}, deadline} = this.#options;
+		const {context, deadline} = this.#options;
+		const {settings: {timing: {stallMilliseconds}, limits}, clock, activity, overdue} = context;
 		const {requestId, workspace, body, facts: {stream}, rule} = this.#plan;
+		const {server, attempt} = dispatch;
+		const target = versionKeyOf(dispatch.target);
+		const watch = this.#watches.get(target) ?? overdue.begin({
+			workspace, target, timesKey: `${target} ${stream ? 'streamed' : 'whole'}`, isRepeatable: true, deadline, stallMilliseconds,
+		});
+		this.#watches.set(target, watch);
+		const watched = watch(server);
 		const outputs = callEngine({
 			requestId,
-			attempt: dispatch.attempt,
-			versionKey: versionKeyOf(dispatch.target),
+			attempt,
+			versionKey: target,
 			body,
 			streamed: stream,
 			priority: rule.priority,
 			resumeText: partialAnswer.text,
 			tokensBefore: partialAnswer.tokens,
 			address,
-			send: async request => this.#sender.send(dispatch.server, {...request, mayStillSend}),
+			send: async request => this.#sender.send(server, {...request, mayStillSend}),
 			freshConnection: dispatch.freshConnection,
 			signal,
-			stallMilliseconds: settings.timing.stallMilliseconds,
-			maximumBytes: settings.limits.bodyBytes,
-		});
-		const target = versionKeyOf(dispatch.target);
-		const watch = this.#watches.get(target) ?? overdue.begin({
-			workspace, target, timesKey: `${target} ${stream ? 'streamed' : 'whole'}`, isRepeatable: true, deadline, stallMilliseconds: settings.timing.stallMilliseconds,
+			clock,
+			stallMilliseconds,
+			reviewPause: watchPauses(context, {
+				requestId, attempt, server, target, deadline, targetGap: stallMilliseconds, resumeTime: watched.answerTime,
+			}),
+			maximumBytes: limits.bodyBytes,
 		});
-		this.#watches.set(target, watch);
-		return observeAttempt(reportOverdue(outputs, watch(dispatch.server)), {
+		return observeAttempt(reportOverdue(outputs, watched), {
 			clock,
 			signal,
 			streamed: stream,
 			onData() {
-				activity.recordData(dispatch.server, clock.monotonic());
+				activity.recordData(server, clock.monotonic());
 			},
 			onStage: (stage, milliseconds) => {
 				this.#recordStage(dispatch, {stage, milliseconds});
--- a/packages/daemon/src/entry/endless-answers.test.ts
+++ b/packages/daemon/src/entry/endless-answers.test.ts
@@ -3,6 +3,7 @@
 import {type RequestId} from '@valehitch/core';
 import {sendHttpRequest} from '@valehitch/transport';
 import test, {type ExecutionContext} from 'ava';
+import {systemClock} from '../system-clock.js';
 import {type AttemptOutput} from './attempt-output.js';
 import {callEngine} from './engine-call.js';
 import {callService} from './service-call.js';
@@ -57,8 +58,9 @@
 	readonly streamed: boolean;
 };
 
+const neverStalled = () => ({type: 'wait', reason: 'on-time'} as const);
 const common = {
-	requestId, attempt: 1, freshConnection: false, send: sendHttpRequest, stallMilliseconds: 60_000, maximumBytes: 100_000,
+	requestId, attempt: 1, freshConnection: false, send: sendHttpRequest, clock: systemClock, stallMilliseconds: 60_000, reviewPause: neverStalled, maximumBytes: 100_000,
 };
 
 const calls: Readonly<Record<string, (options: CallOptions) => AsyncIterable<AttemptOutput>>> = {
--- a/packages/daemon/src/entry/engine-call.ts
+++ b/packages/daemon/src/entry/engine-call.ts
@@ -1,4 +1,5 @@
-import {type RequestId, type TokenUsage} from '@valehitch/core';
+import {type Clock, type RequestId, type TokenUsage} from '@valehitch/core';
+import {type StalledDecision} from '@valehitch/routing';
 import {discardResponse, type HttpResponse, readResponseBody} from '@valehitch/transport';
 import {type AttemptOutput} from './attempt-output.js';
 import {type ChatBody} from './chat-body.js';
@@ -32,8 +33,11 @@
 	readonly freshConnection: boolean;
 	/** Aborts the attempt and destroys its connection. */
 	readonly signal: AbortSignal;
-	/** The time without data after which the engine is reported as silent, in milliseconds. */
+	readonly clock: Pick<Clock, 'monotonic'>;
+	/** The longest pause of an answer that is on time, in milliseconds. */
 	readonly stallMilliseconds: number;
+	/** Decides on a longer pause, in milliseconds. */
+	readonly reviewPause: (paused: number) => StalledDecision;
 	/** The maximum size of the answer, in bytes. */
 	readonly maximumBytes: number;
 };
@@ -54,8 +58,8 @@
 ```
 */
 export async function * callEngine(call: EngineCall): AsyncGenerator<AttemptOutput, void> {
-	const stall = new StallTimer(call.stallMilliseconds);
-	yield * reportStalls(readOutputs(call, stall), {stall, message: `No data received from the engine for ${call.stallMilliseconds} ms`});
+	const stall = new StallTimer(call.stallMilliseconds, call);
+	yield * reportStalls(readOutputs(call, stall), {stall, review: call.reviewPause});
 }
 
 async function * readOutputs(call: EngineCall, stall: StallTimer): AsyncGenerator<AttemptOutput, void> {
--- a/packages/daemon/src/entry/report-stalls.ts
+++ b/packages/daemon/src/entry/report-stalls.ts
@@ -1,3 +1,4 @@
+import {type StalledDecision} from '@valehitch/routing';
 import {type AttemptOutput} from './attempt-output.js';
 import {type StallTimer} from './stall-timer.js';
 
@@ -5,29 +6,44 @@
 export type ReportStallsOptions = {
 	/** The stall timer; restarted for each output, and by the producer when it receives data that yields no output. */
 	readonly stall: StallTimer;
-	/** The message of the `silent` outputs. */
-	readonly message: string;
+	/** Decides on a pause, in milliseconds, of an answer that has begun. */
+	readonly review: (paused: number) => StalledDecision;
 };
 
+/** The interval at which a pause is reviewed again, in milliseconds; a small part of the time that sound servers are silent. */
+const reviewMilliseconds = 100;
+
 /**
-Forwards the outputs of an attempt and inserts a `silent` output whenever the stall timer expires. The attempt itself continues.
+Forwards the outputs of an attempt, and inserts a `silent` output once in each pause of an answer that has begun if another server is to be asked. The attempt itself continues.
 
 @param outputs The outputs of the attempt.
-@param options The timer and the message.
+@param options The timer and the decision.
 @returns The outputs, including the inserted ones.
 @example
 ```ts
-yield * reportStalls(outputs, {stall, message: 'No data received from the engine for 1500 ms'});
+yield * reportStalls(outputs, {stall, review});
 ```
 */
-export async function * reportStalls(outputs: AsyncIterable<AttemptOutput>, {stall, message}: ReportStallsOptions): AsyncGenerator<AttemptOutput, void> {
+export async function * reportStalls(outputs: AsyncIterable<AttemptOutput>, {stall, review}: ReportStallsOptions): AsyncGenerator<AttemptOutput, void> {
 	const iterator = outputs[Symbol.asyncIterator]();
+	let hasBegun = false;
 	try {
 		let next = iterator.next();
 		while (true) {
 			const result = await Promise.race([next, stall.waitForExpiry()]);
 			if (result === undefined) {
-				yield {type: 'silent', message, silentMilliseconds: stall.milliseconds};
+				if (!hasBegun) {
+					continue;
+				}
+
+				const {inactive} = stall;
+				const {type, reason} = review(inactive);
+				if (type === 'resume-elsewhere') {
+					yield silentOutput(inactive, reason);
+				} else {
+					stall.expireAgainAfter(reviewMilliseconds);
+				}
+
 				continue;
 			}
 
@@ -35,6 +51,7 @@
 				return;
 			}
 
+			hasBegun ||= result.value.type === 'piece';
 			// The time that the consumer takes does not count as a stall of the server.
 			stall.clear();
 			yield result.value;
@@ -46,3 +63,11 @@
 		await iterator.return?.();
 	}
 }
+
+function silentOutput(inactive: number, reason: StalledDecision['reason']): AttemptOutput {
+	// The silence must not seem to begin before the last data.
+	const silentMilliseconds = Math.floor(inactive);
+	return {
+		type: 'silent', message: `No data received for ${silentMilliseconds} ms (${reason})`, silentMilliseconds, details: {reason},
+	};
+}
--- a/packages/daemon/src/entry/traffic/overdue-attempts.ts
+++ b/packages/daemon/src/entry/traffic/overdue-attempts.ts
@@ -38,6 +38,8 @@
 export type WatchedAttempt = {
 	/** The time after which the attempt is first reviewed, in milliseconds. */
 	readonly firstReviewAfter: number;
+	/** The time that another server likely needs until its answer begins, in milliseconds; 0 if it is not known. */
+	readonly answerTime: number;
 	/** Decides whether another server is asked; an allowed second attempt is charged. */
 	readonly review: () => Promise<AttemptReview>;
 	/** Records that its answer has begun. */
@@ -90,6 +92,7 @@
 			const limits = this.#limitsOf(request, sentAt);
 			const findResponsive = this.#responsiveness(server, sentAt);
 			return {
+				answerTime: limits.answerTime,
 				firstReviewAfter: Math.min(limits.lateAfter, reachabilityCheckMilliseconds),
 				review: async () => {
 					const isResponsive = await findResponsive();
--- a/packages/daemon/src/entry/traffic/server-activity.ts
+++ b/packages/daemon/src/entry/traffic/server-activity.ts
@@ -43,6 +43,16 @@
 		this.#servers.set(server, {sentDataAt: now, silentUntil: 0, silences: 0});
 	}
 
+	/**
+	Returns when a server last sent data on any connection.
+
+	@param server The server.
+	@returns Milliseconds on the monotonic clock; negative infinity if it has sent none.
+	*/
+	sentDataAt(server: ServerId): number {
+		return this.#servers.get(server)?.sentDataAt ?? Number.NEGATIVE_INFINITY;
+	}
+
 	/**
 	Checks whether a server has sent data on any connection since a time.
 
@@ -51,7 +61,7 @@
 	@returns Whether it has.
 	*/
 	hasSentDataSince(server: ServerId, since: number): boolean {
-		return (this.#servers.get(server)?.sentDataAt ?? Number.NEGATIVE_INFINITY) >= since;
+		return this.sentDataAt(server) >= since;
 	}
 
 	/**
--- a/packages/daemon/src/entry/traffic/server-selector.ts
+++ b/packages/daemon/src/entry/traffic/server-selector.ts
@@ -109,6 +109,16 @@
 		return this.#views.current().some(({id, zone, loaded, draining, ejected}) => id !== server && loaded.has(target) && !draining && !ejected && !evacuatedZones.has(zone));
 	}
 
+	/**
+	Checks whether a server is ejected since its requests failed.
+
+	@param server The server.
+	@returns Whether it is.
+	*/
+	isEjected(server: ServerId): boolean {
+		return this.#ejection.isEjected(server, this.#options.clock.monotonic());
+	}
+
 	/**
 	Records the outcome of an attempt for outlier ejection.
 
--- a/packages/daemon/src/entry/truncated-answers.test.ts
+++ b/packages/daemon/src/entry/truncated-answers.test.ts
@@ -6,6 +6,7 @@
 import {type InstanceId, type RequestId} from '@valehitch/core';
 import {PeerNetwork, Relay, sendHttpRequest} from '@valehitch/transport';
 import test, {type ExecutionContext} from 'ava';
+import {systemClock} from '../system-clock.js';
 import {type AttemptOutput} from './attempt-output.js';
 import {callEngine} from './engine-call.js';
 import {type SendRequest} from './request-sender.js';
@@ -30,8 +31,9 @@
 
 const endings: readonly Ending[] = ['closed', 'half-closed', 'exited', 'reset', 'reset-later'];
 const laterMilliseconds = 3;
+const neverStalled = () => ({type: 'wait', reason: 'on-time'} as const);
 const common = {
-	requestId: 'r1' as RequestId, attempt: 1, signal: new AbortController().signal, stallMilliseconds: 60_000, maximumBytes: 10_000,
+	requestId: 'r1' as RequestId, attempt: 1, signal: new AbortController().signal, clock: systemClock, stallMilliseconds: 60_000, reviewPause: neverStalled, maximumBytes: 10_000,
 };
 const event = (content: string): string => `data: {"choices":[{"delta":{"content":"${content}"}}]}\n\n`;
 const done = 'data: [DONE]\n\n';
