gateway: answer the requests behind one that asks for another protocol

What callers saw: a request that was sent directly behind one with Connection: upgrade and an Upgrade header, without waiting for the answer, got neither an answer nor a refusal: its connection stayed open until it was closed for idleness, and no line was logged.

Cause: the runtime ends its reading at such a request, and throws away what came in the same read, unless something listens for upgrades.

Why it works: a listener for upgrades gives the connection back to the server, without the wish for another protocol, once the requests before it are answered. Bodies come whole, a caller that leaves meanwhile is seen, and no listeners gather on the connection (tests). CallerConnections leaves a connection that it knows as it is.

--- a/packages/gateway/src/entry/caller-connections.test.ts
+++ b/packages/gateway/src/entry/caller-connections.test.ts
@@ -84,3 +84,12 @@
 	t.true(connections.endIdle());
 	await ended;
 });
+
+test('a connection that is added once more keeps its requests, and no listener is added', async t => {
+	const {connections, request} = await start(t);
+	const {req: {socket}} = await request();
+	const listeners = socket.listenerCount('close');
+	connections.add(socket);
+	t.is(socket.listenerCount('close'), listeners);
+	t.false(connections.endIdle());
+});
--- a/packages/gateway/src/entry/caller-connections.ts
+++ b/packages/gateway/src/entry/caller-connections.ts
@@ -33,9 +33,13 @@
 	/**
 	Adds a connection until it closes.
 
-	@param socket The connection, which has just been opened.
+	@param socket The connection; one that was added before is left as it is.
 	*/
 	add(socket: Socket): void {
+		if (this.#uses.has(socket)) {
+			return;
+		}
+
 		this.#uses.set(socket, {requests: 0, usedAt: this.#clock.monotonic()});
 		socket.once('close', () => {
 			this.#uses.delete(socket);
--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -2,7 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	abortResponse, closeIdleAfterPoll, limitUnreadBody, refuseTunnels, UnfinishedResponses,
+	abortResponse, closeIdleAfterPoll, ignoreUpgrades, limitUnreadBody, refuseTunnels, UnfinishedResponses,
 } from '@valehitch/transport';
 import {type DecisionLog} from '../logs/decision-log.js';
 
@@ -49,6 +49,7 @@
 			onClose?.('idle');
 		},
 	});
+	ignoreUpgrades(server);
 	refuseTunnels(server, {
 		onRefuse() {
 			log('request-refused', {error: 'malformed-request', reason: 'The request is for a tunnel'}, 'warn');
--- /dev/null
+++ b/packages/transport/src/ignore-upgrades.test.ts
@@ -0,0 +1,129 @@
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo, connect, type Socket} from 'node:net';
+import {text as readText} from 'node:stream/consumers';
+import {setTimeout as delay} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {ignoreUpgrades} from './ignore-upgrades.js';
+
+const upgrade = 'Connection: keep-alive, Upgrade\r\nUpgrade: h2c';
+const get = 'GET /get HTTP/1.1\r\nHost: a\r\n\r\n';
+const getUpgrade = `GET /upgrade HTTP/1.1\r\nHost: a\r\n${upgrade}\r\n\r\n`;
+const postUpgrade = `POST /post HTTP/1.1\r\nHost: a\r\n${upgrade}\r\nContent-Length: 4\r\n\r\nbody`;
+const chunkedUpgrade = `POST /chunked HTTP/1.1\r\nHost: a\r\n${upgrade}\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n`;
+
+/** Writes parts of requests one after the other, and returns the answers, each the path and the body of its request. */
+async function send(t: ExecutionContext, parts: readonly string[], {count, answerAfter = 20}: {readonly count: number; readonly answerAfter?: number}): Promise<readonly string[]> {
+	const answer = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+		const body = await readText(message);
+		await delay(answerAfter);
+		response.end(`<${message.url} ${message.headers.host} ${body}>`);
+	};
+
+	const server = createServer({keepAliveTimeout: 10}, (message, response) => {
+		void answer(message, response);
+	});
+	ignoreUpgrades(server);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	caller.setNoDelay(true);
+	t.teardown(() => {
+		caller.destroy();
+		server.close();
+	});
+	let received = '';
+	const answers = (): readonly string[] => Array.from(received.matchAll(/<(?<text>[^>]*)>/gv), ({groups}) => groups!.text!);
+	caller.on('data', chunk => {
+		received += String(chunk);
+	});
+	for (const part of parts) {
+		caller.write(part);
+		await delay(50);
+	}
+
+	while (answers().length < count && !caller.destroyed) {
+		await delay(10);
+	}
+
+	return answers();
+}
+
+const rows: ReadonlyArray<readonly [name: string, parts: readonly string[], answers: readonly string[]]> = [
+	['alone', [getUpgrade], ['/upgrade a ']],
+	['with a body', [postUpgrade], ['/post a body']],
+	['with a body in chunks', [chunkedUpgrade], ['/chunked a body']],
+	['in parts', [postUpgrade.slice(0, 30), postUpgrade.slice(30, -2), postUpgrade.slice(-2), get], ['/post a body', '/get a ']],
+	['before another request', [getUpgrade + get], ['/upgrade a ', '/get a ']],
+	['with a body before another request', [postUpgrade + get], ['/post a body', '/get a ']],
+	['behind and before other requests', [get + postUpgrade + getUpgrade + get], ['/get a ', '/post a body', '/upgrade a ', '/get a ']],
+	['many times', Array.from({length: 20}, () => getUpgrade), Array.from({length: 20}, () => '/upgrade a ')],
+];
+
+for (const [name, parts, answers] of rows) {
+	for (const answerAfter of [0, 120]) {
+		test(`a request that asks for another protocol ${name} is answered like any other, ${answerAfter} ms`, async t => {
+			t.deepEqual(await send(t, parts, {count: answers.length, answerAfter}), answers);
+		});
+	}
+}
+
+test('a connection has no more listeners after many requests that ask for another protocol than after one', async t => {
+	const counts: number[] = [];
+	const server = createServer((message, response) => {
+		const {socket} = message;
+		counts.push(socket.eventNames().reduce((sum, name) => sum + socket.listenerCount(name), 0));
+		response.end('done');
+	});
+	ignoreUpgrades(server);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+		server.close();
+	});
+	for (let count = 0; count < 12; count++) {
+		caller.write(getUpgrade);
+		await once(caller, 'data');
+	}
+
+	t.deepEqual(counts, counts.map(() => counts[0]!));
+});
+
+for (const way of ['ends', 'resets'] as const) {
+	test(`a caller that ${way} its connection while its request for another protocol waits is seen, and the request is not handled`, async t => {
+		let requests = 0;
+		const server = createServer(() => {
+			requests++;
+		});
+		ignoreUpgrades(server);
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+		caller.on('error', () => undefined);
+		t.teardown(() => {
+			caller.destroy();
+			server.close();
+		});
+		const connected = once(server, 'connection') as Promise<[Socket]>;
+		const upgraded = once(server, 'upgrade');
+		caller.write(get + getUpgrade);
+		const [connection] = await connected;
+		await upgraded;
+		const left = new Promise(resolve => {
+			connection.once('end', resolve);
+			connection.once('close', resolve);
+		});
+		if (way === 'ends') {
+			caller.end();
+		} else {
+			caller.resetAndDestroy();
+		}
+
+		await left;
+		await delay(50);
+		t.is(requests, 1);
+		connection.destroy();
+	});
+}
--- /dev/null
+++ b/packages/transport/src/ignore-upgrades.ts
@@ -0,0 +1,69 @@
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {UnfinishedResponses} from './unfinished-responses.js';
+import {whenResponseCloses} from './when-response-closes.js';
+
+/**
+Lets a server handle requests that ask for another protocol like any others. It otherwise throws away what arrives together with the end of such a request, so that the requests behind it are never answered.
+
+@param server The server, which has not accepted connections yet. It emits `connection` again for the connection of such a request.
+@example
+```ts
+ignoreUpgrades(createServer(handle));
+```
+*/
+export function ignoreUpgrades(server: Server): void {
+	const unfinished = new UnfinishedResponses();
+	server.prependListener('request', (_message: IncomingMessage, response: ServerResponse) => {
+		unfinished.add(response);
+	});
+	server.on('upgrade', (message: IncomingMessage, socket: Socket, rest: Uint8Array) => {
+		// The server no longer handles the connection.
+		const ignoreError = (): void => {
+			// The connection is closed after it.
+		};
+
+		socket.on('error', ignoreError);
+		void whenAnswered(socket, unfinished).then(() => {
+			socket.off('error', ignoreError);
+			if (!socket.writable || socket.readableEnded) {
+				socket.destroy();
+				return;
+			}
+
+			socket.setTimeout(0);
+			socket.unshift(Buffer.concat([Buffer.from(headWithoutUpgrade(message), 'latin1'), rest]));
+			server.emit('connection', socket);
+		});
+	});
+}
+
+/** Waits until all requests of a connection are answered. */
+async function whenAnswered(socket: Socket, unfinished: UnfinishedResponses): Promise<void> {
+	let response = unfinished.on(socket);
+	// Responses that wait behind another one are not destroyed with their connection.
+	while (response !== undefined && !socket.destroyed) {
+		const waited = response;
+		await new Promise<void>(resolve => {
+			whenResponseCloses(waited, resolve);
+		});
+		response = unfinished.on(socket);
+	}
+}
+
+/** Returns the head of a request without its wish for another protocol. */
+function headWithoutUpgrade({method, url, httpVersion, rawHeaders}: IncomingMessage): string {
+	const lines = [`${method} ${url} HTTP/${httpVersion}`];
+	for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+		const name = rawHeaders[index]!;
+		const value = rawHeaders[index + 1]!;
+		const isConnection = name.toLowerCase() === 'connection';
+		const kept = isConnection ? value.split(',').filter(option => option.trim().toLowerCase() !== 'upgrade').join(',') : value;
+		if (name.toLowerCase() !== 'upgrade' && (kept !== '' || !isConnection)) {
+			lines.push(`${name}: ${kept}`);
+		}
+	}
+
+	return `${lines.join('\r\n')}\r\n\r\n`;
+}
--- a/packages/transport/src/mod.ts
+++ b/packages/transport/src/mod.ts
@@ -14,6 +14,7 @@
 export * from './frame-request.js';
 export * from './has-transfer-coding.js';
 export * from './http-server.js';
+export * from './ignore-upgrades.js';
 export * from './inactivity-timer.js';
 export * from './limit-received.js';
 export * from './limit-unread-body.js';
