--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -56,15 +56,15 @@
 	records, routes, services, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000, random = () => 0.5, idleTimeout = 15_000,
 }: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
+	const limits = {...testConfiguration().limits, idleTimeout};
 	let version = 1;
 	let current: Partial<RoutingConfiguration> = {routes, ...(services !== undefined && {services})};
 	const reply = (): WatchReply => ({
 		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version, document: ''}, rollouts: [], rolloutDigest: '',
 		held: 0, confirmedAgo: 0, hosts: [control], entryCount, entries: [], zone: 'hall-a' as ZoneId, takesWorkReports: true,
 	});
-	const port = await freePort();
 	const metrics = createGatewayMetrics();
-	const entry = new EntryInstance({
+	const {entry, port} = await startOnFreePort(port => new EntryInstance({
 		self: '10.0.1.1' as InstanceId,
 		zone: 'hall-a' as ZoneId,
 		listen: {host: '127.0.0.1', port},
@@ -95,13 +95,12 @@
 		notedShare: 0,
 		parse() {
 			const refused = onParse();
-			return refused === undefined ? Right(withIdleTimeout(testConfiguration({...current, version}), idleTimeout)) : Left(refused);
+			return refused === undefined ? Right(testConfiguration({limits, ...current, version})) : Left(refused);
 		},
-	});
+	}));
 	t.teardown(() => {
 		entry.close();
 	});
-	await entry.start();
 	while (!entry.isReady) {
 		await delay(20);
 	}
@@ -120,11 +119,29 @@
 			version++;
 			current = {...current, ...changed};
 		},
+		/** Reports a configuration that differs in any fields. */
+		changeConfiguration(changed: Partial<Omit<RoutingConfiguration, 'version'>>) {
+			version++;
+			current = {...current, ...changed};
+		},
 	};
 }
 
-function withIdleTimeout(configuration: RoutingConfiguration, idleTimeout: number): RoutingConfiguration {
-	return {...configuration, limits: {...configuration.limits, idleTimeout}};
+/** Starts an instance on a free port; on another one if a connection has taken the port before the instance listens. */
+async function startOnFreePort(create: (port: number) => EntryInstance): Promise<{readonly entry: EntryInstance; readonly port: number}> {
+	for (;;) {
+		const port = await freePort();
+		const entry = create(port);
+		try {
+			await entry.start();
+			return {entry, port};
+		} catch (error) {
+			entry.close();
+			if ((error as NodeJS.ErrnoException).code !== 'EADDRINUSE') {
+				throw error;
+			}
+		}
+	}
 }
 
 async function freePort(): Promise<number> {
