gateway: don't ask a larger model again if its answer is unlikely to end in time

What callers saw: the smaller model's answer was kept, the send to the larger model broke, and it was sent again with too little time left. The first event of that send dropped the answer that was kept, and the stream was cut.

Cause: only the escalation itself asks whether an answer can end.

Change: while an answer is kept and no earlier send may still be answered, the same question stands before each further send; the kept answer is forwarded if it is no.

--- a/packages/gateway/src/entry/late-dispatches.test.ts
+++ b/packages/gateway/src/entry/late-dispatches.test.ts
@@ -1,6 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type Failure, type ModelId} from '@valehitch/core';
+import {type Failure, type ModelId, type ServerId} from '@valehitch/core';
 import test, {type ExecutionContext} from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
 import {testServer} from '../servers/_test-server.js';
@@ -12,6 +12,8 @@
 /** What a test plays: requests that have all the time, then one that is held. */
 type LateDispatch = {
 	readonly sizes: readonly string[];
+	/** The number of servers; 1 by default. */
+	readonly serverCount?: number;
 	/** The number of requests before; none by default. */
 	readonly before?: number;
 	/** The time limit of each request, in milliseconds. */
@@ -23,14 +25,14 @@
 };
 
 /** Sends the requests, those before the last one together, and returns what came of the last one. */
-async function sendLate(t: ExecutionContext, {sizes, before = 0, timeout, held, answer}: LateDispatch) {
+async function sendLate(t: ExecutionContext, {sizes, serverCount = 1, before = 0, timeout, held, answer}: LateDispatch) {
 	let sends = 0;
 	let admitted = 0;
 	const refused: Failure[] = [];
-	const port = await listen(t, (message, response) => {
+	const ports = await Promise.all(Array.from({length: serverCount}, async () => listen(t, (message, response) => {
 		const {model} = message.headers;
 		void answer(response, {number: sends++, model: String(model)});
-	});
+	})));
 	const get = async (entry: number): Promise<{readonly status: number; readonly text: string}> => {
 		try {
 			const response = await fetch(`http://127.0.0.1:${entry}/`);
@@ -47,7 +49,7 @@
 		}),
 		timeout,
 		nextServers(known) {
-			known.applyRecords([testServer({port})], {source: control, now: performance.now()});
+			known.applyRecords(ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port})), {source: control, now: performance.now()});
 		},
 		admission: {
 			async admit() {
@@ -165,3 +167,30 @@
 	});
 	t.deepEqual(answer, {status: 200, text: events.join('')});
 });
+
+test('a larger model whose send has failed is not asked again if its answer cannot end, and the smaller one\'s is forwarded', async t => {
+	let small = 0;
+	let large = 0;
+	const {answer, sends} = await sendLate(t, {
+		sizes: ['small', 'large'], serverCount: 2, before: 48, timeout: 3000, held: 1400,
+		async answer(response, {model}) {
+			if (model === 'large') {
+				large++;
+				if (large === 25) {
+					await delay(700);
+					response.socket?.resetAndDestroy();
+					return;
+				}
+
+				await delay(200);
+				await stream(response, 900);
+				return;
+			}
+
+			response.writeHead(200, {Confidence: small++ % 2 === 0 ? '5' : '90'});
+			response.end('id: 1\ndata: small\n\n');
+		},
+	});
+	t.deepEqual(answer, {status: 200, text: 'id: 1\ndata: small\n\n'});
+	t.is(sends, 2);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -245,6 +245,11 @@
 		return isNotRun && !this.#outlook.mayEnd(current, 'nothing') ? this.#outlook.refusal(current, this.#admission.retryAfter) : undefined;
 	}
 
+	/** Whether an answer is kept that another send would likely only take away. An earlier send may still give a better one. */
+	get #isFallbackBest(): boolean {
+		return this.#kept.isFallbackKept && !this.#kept.isEarlierKept && !this.#outlook.mayEnd(this.#models.current, 'an-answer');
+	}
+
 	#expire(): void {
 		if (!this.#end.hasEnded && this.#sent?.attempt.isSent() === true) {
 			this.#outlook.cut();
@@ -300,7 +305,7 @@
 			return this.#fail(failure('outcome-unknown', this.#end.lastProblem));
 		}
 
-		if (this.#kept.isFallbackDue) {
+		if (this.#kept.isFallbackDue || this.#isFallbackBest) {
 			return this.#fail(failure('deadline-exceeded-after-dispatch', `No better answer arrived in time (${this.#end.lastProblem})`));
 		}
 
