--- a/packages/gateway/src/entry/late-dispatches.test.ts
+++ b/packages/gateway/src/entry/late-dispatches.test.ts
@@ -4,6 +4,8 @@
 import test, {type ExecutionContext} from 'ava';
 import {testRoute} from '../configuration/_test-configuration.js';
 import {testServer} from '../servers/_test-server.js';
+import {startTestEntry} from './_test-entry-instance.js';
+import {testRequest} from './_test-request.js';
 import {control, listen, sendRequests} from './_test-run.js';
 
 const events = Array.from({length: 3}, (_value, index) => `id: ${index + 1}\ndata: ${index + 1}\n\n`);
@@ -194,3 +196,36 @@
 	t.deepEqual(answer, {status: 200, text: 'id: 1\ndata: small\n\n'});
 	t.is(sends, 2);
 });
+
+for (const kind of ['safe', 'unsafe'] as const) {
+	test(`a ${kind} request with less time than any answer takes is refused at once as not run, and one with enough is served`, async t => {
+		let sends = 0;
+		const serverPort = await listen(t, (_message, response) => {
+			sends++;
+			setTimeout(() => {
+				response.end('whole');
+			}, 300);
+		});
+		const {port} = await startTestEntry(t, {
+			records: [testServer({port: serverPort})],
+			routes: [testRoute({
+				kind, isPublic: true, timeout: 30_000, targetLatency: 5000,
+			})],
+			dialect: {
+				readRequest: ({headers}) => testRequest({timeout: Number(headers.timeout)}),
+			},
+		});
+		const get = async (timeout: number): Promise<number> => {
+			const response = await fetch(`http://127.0.0.1:${port}/`, {headers: {timeout: String(timeout)}});
+			await response.text();
+			return response.status;
+		};
+
+		const before = await Promise.all(Array.from({length: 24}, async () => get(20_000)));
+		t.deepEqual(new Set(before), new Set([200]));
+		t.is(sends, 24);
+		t.is(await get(150), 503);
+		t.is(sends, 24);
+		t.is(await get(20_000), 200);
+	});
+}
