daemon: don't hedge an answer that has begun while its engine may go on

What callers saw: with a history of the model (60 streams in the test), a stream of a sound engine that paused for 1.6 s was hedged by the history of gaps alone. If the hedge broke soon after its first event, the stream was broken off, as the first event of a hedge ends the first run.

Cause: hedges of answers that have begun do not ask decideStalled, and are due after some gaps.

Change: such a hedge is due after soundSilenceMilliseconds at the earliest. Hedges before the answer begins are unchanged.

--- a/packages/daemon/src/entry/paused-streams.test.ts
+++ b/packages/daemon/src/entry/paused-streams.test.ts
@@ -1,6 +1,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
-import {assertAnswered, TestEntry, type TestRun} from './_test-entry.js';
+import {
+	assertAnswered, sendMany, TestEntry, type TestRun,
+} from './_test-entry.js';
 
 const pauseMilliseconds = 1600;
 
@@ -66,3 +68,28 @@
 	t.like(entry.logged.find(({end}) => end === 'silent'), {...common, reason: 'silent'});
 	t.is(runs, 2);
 });
+
+test('a stream that pauses at a sound engine is whole though a hedge of it breaks after its first events', async t => {
+	let first: TestRun['response'] | undefined;
+	const entry = await TestEntry.start(t, {
+		serverCount: 3,
+		stallMilliseconds: 400,
+		deadlineMilliseconds: 8000,
+		async pause(run) {
+			if (run.name !== 'paused') {
+				await (run.place === 'before its head' ? delay(30) : undefined);
+				return;
+			}
+
+			first ??= run.response;
+			if (run.response !== first) {
+				await breakAfterEvents(run);
+			} else if (run.place === 'between two pieces') {
+				await delay(pauseMilliseconds);
+			}
+		},
+	});
+	// Hedges begin with a history of the model.
+	assertAnswered(t, await sendMany(entry, {kind: 'stream', count: 60, name: 'before'}));
+	assertAnswered(t, [await entry.send('stream', 'paused')]);
+});
--- a/packages/routing/src/hedge-policy.ts
+++ b/packages/routing/src/hedge-policy.ts
@@ -1,4 +1,5 @@
 import {type ModelId, versionKey, type VersionId} from '@valehitch/core';
+import {soundSilenceMilliseconds} from './decide-stalled.js';
 import {type HedgeDelays} from './request-plan.js';
 import {type AttemptStage, type StageHistory} from './stage-history.js';
 
@@ -51,8 +52,8 @@
 
 	const prefillMilliseconds = Math.max(minimumMilliseconds, slowPrefill);
 	const gap = history.quantile(key, {stage: 'decode', quantile: gapQuantile(quantile)}) ?? 0;
-	// A hedge has to process the whole prompt again before it can take over.
-	return {prefillMilliseconds, decodeMilliseconds: Math.max(prefillMilliseconds, decodeFactor * gap)};
+	// A hedge has to process the whole prompt again before it can take over, and then ends an answer whose server may only be silent for a moment.
+	return {prefillMilliseconds, decodeMilliseconds: Math.max(prefillMilliseconds, decodeFactor * gap, soundSilenceMilliseconds)};
 }
 
 /**
--- a/packages/routing/src/stage-history.test.ts
+++ b/packages/routing/src/stage-history.test.ts
@@ -1,6 +1,7 @@
 import {type ModelId, toId, type VersionId} from '@valehitch/core';
 import test from 'ava';
 import fc from 'fast-check';
+import {soundSilenceMilliseconds} from './decide-stalled.js';
 import {hedgeDelays} from './hedge-policy.js';
 import {StageHistory} from './stage-history.js';
 
@@ -44,6 +45,16 @@
 	t.is(history.size, 5);
 });
 
+test('an answer that has begun is not hedged while its server may only be silent for a moment', t => {
+	const history = new StageHistory();
+	for (let index = 0; index < 100; index++) {
+		history.record('tag-small@1.0', {stage: 'prefill', milliseconds: 30});
+		history.record('tag-small@1.0', {stage: 'decode', milliseconds: 10});
+	}
+
+	t.is(hedgeDelays({...version, streamed: true}, {history})?.decodeMilliseconds, soundSilenceMilliseconds);
+});
+
 test('a hedge is due after the p95 of the stage', t => {
 	const history = new StageHistory();
 	t.is(hedgeDelays({...version, streamed: true}, {history}), undefined);
