transport: keep an idle connection for as long as its last answer announced

Callers saw their kept connection closed before the time that the Keep-Alive header of its last answer gave, when a configuration with a shorter idle time was adopted between that head and its end: a request that crossed the close was lost. The runtime sets the header when the request arrives and the timer when the answer ends, from a value that has changed meanwhile.

The timeout at the arrival of the last request is kept for each connection, and a connection is closed after the longer of the two.

--- a/packages/transport/src/close-idle-after-poll.test.ts
+++ b/packages/transport/src/close-idle-after-poll.test.ts
@@ -62,6 +62,23 @@
 	t.is(closed(), 0);
 });
 
+test('an idle connection is kept for as long as its last answer announced, though the timeout was lowered before the end of that answer', async t => {
+	const announcedMilliseconds = 3000;
+	const {server, caller, closed} = await connectIdle(t, announcedMilliseconds);
+	server.once('request', () => {
+		server.keepAliveTimeout = 10;
+	});
+	caller.write(request);
+	const [head] = await once(caller, 'data') as [unknown];
+	t.regex(String(head), /\r\nKeep-Alive: timeout=3\r\n/v);
+	const ended = once(caller, 'end');
+	await delay(announcedMilliseconds - addedMilliseconds);
+	caller.write(request);
+	const [answer] = await Promise.race([once(caller, 'data'), ended]) as [unknown];
+	t.regex(String(answer), /^HTTP\/1\.1 200 /v);
+	t.is(closed(), 0);
+});
+
 test('a request that crosses the close of its idle connection is seen, and does not reset the connection', async t => {
 	const {caller, requests, closed} = await connectIdle(t, 100);
 	let error: Error | undefined;
--- a/packages/transport/src/close-idle-after-poll.ts
+++ b/packages/transport/src/close-idle-after-poll.ts
@@ -11,9 +11,9 @@
 const lingerMilliseconds = 1000;
 
 /**
-Closes the idle connections of a server after pending input was read, by the `keepAliveTimeout` that the server has when the time is over.
+Closes the idle connections of a server after pending input was read, by the `keepAliveTimeout` that the server has when the time is over, or the longer one that the last answer on the connection announced.
 
-Without it, a connection is closed although its next request has arrived if the process was held up, and one that is idle already keeps the timeout that was set when it became idle. A connection is closed for sending first and read on for a second: a request that crosses the close is seen, and does not reset the connection of its caller.
+Without it, a connection is closed although its next request has arrived if the process was held up, one that is idle already keeps the timeout that was set when it became idle, and one whose timeout is lowered during an answer is closed before the time that the head of that answer announced. A connection is closed for sending first and read on for a second: a request that crosses the close is seen, and does not reset the connection of its caller.
 
 @param server The server.
 @param options What is called.
@@ -24,6 +24,11 @@
 ```
 */
 export function closeIdleAfterPoll(server: Server, {onClose}: CloseIdleAfterPollOptions = {}): void {
+	/** The timeouts that the last answers on the connections announce, in milliseconds: those of the server when their requests arrived. */
+	const announced = new WeakMap<Socket, number>();
+	server.prependListener('request', ({socket}) => {
+		announced.set(socket, server.keepAliveTimeout);
+	});
 	// The server leaves a connection whose timeout has a listener to that listener.
 	server.on('timeout', (socket: Socket) => {
 		const {bytesRead} = socket;
@@ -32,8 +37,9 @@
 				return;
 			}
 
-			if (isTimeoutRaised(socket, server)) {
-				socket.setTimeout(server.keepAliveTimeout);
+			const keptFor = Math.max(server.keepAliveTimeout, announced.get(socket) ?? 0);
+			if (socket.timeout !== undefined && socket.timeout < keptFor) {
+				socket.setTimeout(keptFor);
 				return;
 			}
 
@@ -43,10 +49,6 @@
 	});
 }
 
-function isTimeoutRaised({timeout}: Socket, {keepAliveTimeout}: Server): boolean {
-	return timeout !== undefined && timeout < keepAliveTimeout;
-}
-
 function closeLingering(socket: Socket): void {
 	socket.end();
 	const timer = setTimeout(() => {
