--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -15,6 +15,7 @@
 	control, ignore, plainDialect,
 } from './_test-run.js';
 import {type Dialect} from './dialect.js';
+import {type EntryInstanceOptions} from './entry-instance-options.js';
 import {EntryInstance} from './entry-instance.js';
 
 /** The time limit of each request, in milliseconds. */
@@ -45,6 +46,10 @@
 	readonly random?: () => number;
 	/** For how long callers keep idle connections, in milliseconds; 15,000 by default. */
 	readonly idleTimeout?: number;
+	/** The other entry instances; none by default. */
+	readonly peers?: readonly InstanceId[];
+	/** Opens tunnels through them; by default there is no peer. */
+	readonly openTunnel?: EntryInstanceOptions['openTunnel'];
 };
 
 function acceptAll(): undefined {
@@ -53,14 +58,15 @@
 
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
 export async function startTestEntry(t: ExecutionContext, {
-	records, routes, services, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000, random = () => 0.5, idleTimeout = 15_000,
+	records, routes, services, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000, random = () => 0.5, idleTimeout = 15_000, peers = [],
+	openTunnel = async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}),
 }: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
 	let version = 1;
 	let current: Partial<RoutingConfiguration> = {routes, ...(services !== undefined && {services})};
 	const reply = (): WatchReply => ({
 		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version, document: ''}, rollouts: [], rolloutDigest: '',
-		held: 0, confirmedAgo: 0, hosts: [control], entryCount, entries: [], zone: 'hall-a' as ZoneId, takesWorkReports: true,
+		held: 0, confirmedAgo: 0, hosts: [control], entryCount, entries: peers, zone: 'hall-a' as ZoneId, takesWorkReports: true,
 	});
 	const port = await freePort();
 	const metrics = createGatewayMetrics();
@@ -89,7 +95,7 @@
 		reportSuspects: async () => true,
 		askForSends: async () => undefined,
 		reportWork: async () => work,
-		openTunnel: async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}),
+		openTunnel,
 		wait: async milliseconds => delay(milliseconds),
 		heldBytes,
 		notedShare: 0,
--- a/packages/gateway/src/entry/silent-servers.test.ts
+++ b/packages/gateway/src/entry/silent-servers.test.ts
@@ -1,13 +1,15 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type ServerId} from '@valehitch/core';
+import {type InstanceId, type ServerId} from '@valehitch/core';
+import {PeerNetwork} from '@valehitch/transport';
 import test, {type ExecutionContext} from 'ava';
 import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
 import {type Route} from '../configuration/routing-configuration.js';
 import {testServer} from '../servers/_test-server.js';
 import {seededRandom} from './_test-random.js';
-import {startTestEntry} from './_test-entry-instance.js';
+import {startTestEntry, type StartTestEntryOptions} from './_test-entry-instance.js';
 import {testRequest} from './_test-request.js';
+import {ignore} from './_test-run.js';
 import {type SilenceStart, startSilentServer} from './_test-silent-server.js';
 
 /** How much longer it may be left alone, in milliseconds. */
@@ -141,24 +143,52 @@
 	},
 ];
 
-type Scene = Pick<Row, 'start' | 'earlier' | 'isServiceRemoved'> & {
+type Scene = Pick<Row, 'start'> & {
+	readonly earlier: Row['earlier'] | undefined;
+	readonly isServiceRemoved: Row['isServiceRemoved'] | undefined;
 	readonly route: Route;
 	readonly answer: Answer;
 	/** How many of the servers fall silent. */
 	readonly silentCount: number;
 	/** How long they are silent, in milliseconds. */
 	readonly duration: number;
+	/** Whether the instance's own links to the servers fail, so that it goes through another one. */
+	readonly isTunnelled: boolean;
 };
 
+/** The address at which the servers listen, and one at which connections to their ports are refused. */
+const [host, refusingHost] = ['127.0.0.1', '127.0.0.9'] as const;
+const relay = '10.0.1.2' as InstanceId;
+
+/** Starts another instance that reaches the servers, and opens tunnels through it. */
+async function startRelay(t: ExecutionContext): Promise<Pick<StartTestEntryOptions, 'peers' | 'openTunnel'>> {
+	const key = 'a-key-that-all-share';
+	const network = await PeerNetwork.listen({
+		self: relay, key, host, port: 0, onMessage: ignore, onRequest: async () => undefined, onHandlerError: ignore, isTunnelAllowed: () => true,
+	});
+	t.teardown(async () => network.close());
+	return {
+		peers: [relay],
+		openTunnel: async (instance, {port}, timeoutMilliseconds) => network.openTunnel({instance, host, port: network.port}, {host, port}, {timeoutMilliseconds}),
+	};
+}
+
 /** Starts servers that fall silent, and an entry instance before them. */
-async function startServers(t: ExecutionContext, {route, answer, start, silentCount, duration}: Scene) {
+async function startServers(t: ExecutionContext, {
+	route, answer, start, silentCount, duration, isTunnelled,
+}: Scene) {
 	const runs = new Map<string, number>();
 	let silent = 0;
 	let sends = 0;
+	let mayBeSilent = false;
 	const servers = await Promise.all(Array.from({length: serverCount}, async (_, index) => startSilentServer(t, {
 		start,
 		duration,
 		maySilence() {
+			if (!mayBeSilent) {
+				return false;
+			}
+
 			silent++;
 			return silent <= silentCount;
 		},
@@ -169,12 +199,21 @@
 				return;
 			}
 
+			if (!mayBeSilent) {
+				response.setHeader('Connection', 'close');
+				response.end(events[0]);
+				return;
+			}
+
 			runs.set(target, (runs.get(target) ?? 0) + 1);
 			void answer(message, response);
 		},
 	})));
 	const started = await startTestEntry(t, {
-		records: servers.map((server, index) => testServer({id: `server-${index}` as ServerId, port: server.port, slots: 64})),
+		...isTunnelled && await startRelay(t),
+		records: servers.map((server, index) => testServer({
+			id: `server-${index}` as ServerId, host: isTunnelled ? refusingHost : host, port: server.port, slots: 64,
+		})),
 		routes: [route],
 		services,
 		random: seededRandom(),
@@ -186,20 +225,30 @@
 			sendHeaders: (_request, {lastEventId}) => [['Host', 'desk.example'], ...(lastEventId === undefined ? [] : [['Last-Event-Id', lastEventId] as const])],
 		},
 	});
+	const requestOne = async (target: string): Promise<string> => {
+		try {
+			const response = await fetch(`http://127.0.0.1:${started.port}/labels/${target}`);
+			return `${response.status} ${await response.text()}`;
+		} catch (error) {
+			return String(error);
+		}
+	};
+
+	if (isTunnelled) {
+		// The instance finds that its own links fail, and then that the servers can be reached.
+		while (await requestOne('first') !== `200 ${events[0]}` || started.entry.inspection.beliefs().some(({conditions}) => conditions.length > 0)) {
+			await delay(10);
+		}
+	}
+
+	mayBeSilent = true;
 	return {
 		...started,
 		runs,
 		servers,
 		sends: () => sends,
 		/** Sends requests together and returns their answers. */
-		request: async (name: string) => Promise.all(Array.from({length: requestCount}, async (_, index) => {
-			try {
-				const response = await fetch(`http://127.0.0.1:${started.port}/labels/${name}/${index}`);
-				return `${response.status} ${await response.text()}`;
-			} catch (error) {
-				return String(error);
-			}
-		})),
+		request: async (name: string) => Promise.all(Array.from({length: requestCount}, async (_, index) => requestOne(`${name}/${index}`))),
 	};
 }
 
@@ -238,14 +287,26 @@
 	];
 }
 
-for (const {name, start, kinds, answer, earlier = 0, isServiceRemoved = false} of rows) {
-	test.serial(`a server that is silent ${name} and goes on costs no request, no second run and no ejection`, async t => {
-		await Promise.all(kinds.flatMap(kind => silences.map(async silence => {
-			const route = routes[kind];
-			const faults = await findFaults(t, {
-				...silence, start, earlier, isServiceRemoved, route, answer: answer ?? (route.kind === 'streaming' ? sendStream : sendPlain),
-			});
-			t.deepEqual(faults, [], `${kind}, ${silence.silentCount} of ${serverCount} servers for ${silence.duration} ms`);
-		})));
+/** Checks the requests of a row in all silences, each with servers of its own. */
+async function assertFaultless(t: ExecutionContext, {answer, earlier, isServiceRemoved, start}: Row, {kind, isTunnelled}: Pick<Scene, 'isTunnelled'> & {readonly kind: RouteKind}): Promise<void> {
+	const route = routes[kind];
+	await Promise.all(silences.map(async silence => {
+		const faults = await findFaults(t, {
+			...silence, start, earlier, isServiceRemoved, isTunnelled, route, answer: answer ?? (route.kind === 'streaming' ? sendStream : sendPlain),
+		});
+		t.deepEqual(faults, [], `${kind}, ${silence.silentCount} of ${serverCount} servers for ${silence.duration} ms`);
+	}));
+}
+
+for (const row of rows) {
+	test.serial(`a server that is silent ${row.name} and goes on costs no request, no second run and no ejection`, async t => {
+		await Promise.all(row.kinds.map(async kind => assertFaultless(t, row, {kind, isTunnelled: false})));
+	});
+
+	test.serial(`a server that is silent ${row.name}, in a tunnel, and goes on costs no request, no second run and no ejection`, async t => {
+		// One kind at a time: the other instances run in this process, and tunnels open within a time.
+		for (const kind of row.kinds) {
+			await assertFaultless(t, row, {kind, isTunnelled: true});
+		}
 	});
 }
