gateway: let a draining process answer when a later one has its id or address

Callers lost answers that a draining server was still sending when its successor registered: a newer record with its id or its address was taken as proof of its end, and all sends to it were aborted. A process that drains closes its port first and may be replaced while it answers. Sends to a process that did not drain are aborted as before, since one whose machine lost power does not report its end.

Shown at the records of servers only, not with real programs.

--- a/packages/gateway/src/entry/entry-servers.test.ts
+++ b/packages/gateway/src/entry/entry-servers.test.ts
@@ -239,6 +239,18 @@
 	t.is(chooseId(servers, {excluded: new Set(['server-2' as ServerId])}), undefined);
 });
 
+for (const [name, later] of [['id', {}], ['address', {id: 'server-2' as ServerId}]] as const) {
+	test(`the sends to a process that drains go on when a later one has its ${name}`, t => {
+		const {servers, replaced} = createServersWithPeers(testServer({startedAt: 1000}));
+		const load = servers.beginSend(testServer().id, {load: 1, now: 0});
+		servers.applyRecords([testServer({startedAt: 1000, sequence: 2, state: 'draining'})], {source: one, now});
+		servers.applyRecords([testServer({...later, startedAt: 2000})], {source: one, now});
+		t.false(load.processEnd.aborted);
+		t.deepEqual(replaced, ['server-1 1000']);
+		t.is(chooseId(servers), testServer(later).id);
+	});
+}
+
 test('failures and lost connections of an earlier process do not count against the new one', t => {
 	const other = testServer({id: 'server-2' as ServerId});
 	const {servers} = createServersWithPeers(testServer({startedAt: 1000}), other, ...['server-3', 'server-4'].map(id => testServer({id: id as ServerId})));
--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -457,7 +457,7 @@
 		return tracked.record.state !== state;
 	}
 
-	/** Discards the state of an ended process: outlier and zone statistics, loads of peers, idle connections, and sends in progress. */
+	/** Discards the state of a process that was replaced: outlier and zone statistics, loads of peers, idle connections, and sends in progress. A process that drains may still answer these, though a later one has its id, or listens at its address. */
 	#discardState(tracked: TrackedServer): void {
 		const {id, zone} = tracked.record;
 		this.#ejection.forget(id);
@@ -466,7 +466,9 @@
 		this.#zones.forgetServer(zone, id);
 		this.#options.loads.discardServer(id);
 		this.#options.onReplaced(tracked.record);
-		tracked.abortSends();
+		if (!tracked.wasDraining) {
+			tracked.abortSends();
+		}
 	}
 
 	#conditionsOf(tracked: TrackedServer, {now, othersAge, speeds, countsPrompts}: ConditionsOptions): ServerConditions {
