gateway: prefer a stalled stream that has gone on to a kept send

When the head of a kept send arrived while a stalled stream had just gone on, the request went to the kept send, and the stream that its caller was reading was given up at the first event of the other. The stream comes first now; the kept send stays until its next event, in case it breaks.

--- a/packages/gateway/src/entry/kept-answers.test.ts
+++ b/packages/gateway/src/entry/kept-answers.test.ts
@@ -1,10 +1,14 @@
 import {once} from 'node:events';
+import {IncomingMessage} from 'node:http';
+import {Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {type ServerId} from '@valehitch/core';
 import test from 'ava';
+import {testServer} from '../servers/_test-server.js';
 import {stalledStream} from './_test-stalled-stream.js';
 import {KeptAnswers} from './kept-answers.js';
 import {type CancellableSend} from './send-attempt.js';
+import {type UnansweredSend} from './unanswered-sends.js';
 
 const farDeadline = 60_000;
 
@@ -42,6 +46,29 @@
 	return {kept, calls, startSend};
 }
 
+/** Creates a send whose head has arrived. */
+function answeredSend(): UnansweredSend {
+	return {
+		number: 1,
+		server: testServer(),
+		sentAt: 0,
+		model: undefined,
+		reason: 'late',
+		wasServerHeard: true,
+		attempt: {
+			outcome: Promise.resolve({
+				type: 'head', message: new IncomingMessage(new Socket()), framing: 'chunks', isComplete: async () => true,
+			}),
+			overdue: new Promise(() => {
+				// It is never overdue.
+			}),
+			isSent: () => true,
+			cancel: () => undefined,
+			giveUp: () => undefined,
+		},
+	};
+}
+
 test('a stalled stream that continues cancels the current send, which stays superseded until the next one', async t => {
 	const {kept, calls, startSend} = createKept();
 	const {stream, message} = stalledStream(t);
@@ -111,6 +138,25 @@
 	t.false(kept.isTooLate);
 });
 
+test('a stalled stream that has continued is taken before a kept send whose head has arrived', async t => {
+	for (const hasContinued of [false, true]) {
+		const {kept} = createKept();
+		const {stream, message} = stalledStream(t);
+		const send = answeredSend();
+		kept.keepUnanswered(send);
+		kept.keepStalled(stream);
+		if (hasContinued) {
+			message.push('four');
+			await once(message, 'readable');
+		}
+
+		await nextTurn();
+		t.is(kept.takeUnanswered(), hasContinued ? undefined : send);
+		t.is(kept.take(), stream);
+		kept.discard();
+	}
+});
+
 test('a handover closes the stalled stream, and a discard closes all answers', t => {
 	const {kept, calls} = createKept();
 	const first = stalledStream(t);
--- a/packages/gateway/src/entry/kept-answers.ts
+++ b/packages/gateway/src/entry/kept-answers.ts
@@ -1,7 +1,9 @@
 import {type Clock} from '@valehitch/core';
 import {FallbackAnswer, type FallbackStream} from './fallback-answer.js';
 import {type CancellableSend} from './send-attempt.js';
-import {type HandoverOptions, StalledAnswer, type StalledAnswerOptions, type StalledStream} from './stalled-answer.js';
+import {
+	type HandoverOptions, StalledAnswer, type StalledAnswerOptions, type StalledStream,
+} from './stalled-answer.js';
 import {type UnansweredSend, UnansweredSends, type UnansweredSendsOptions} from './unanswered-sends.js';
 
 /** Options of {@linkcode KeptAnswers}. */
@@ -127,9 +129,13 @@
 	/**
 	Removes and returns a send that is being answered or, if no answer is kept that can be forwarded, the earliest one that may still be.
 
-	@returns The send; undefined if there is none.
+	@returns The send; undefined if there is none, or the stalled stream has continued.
 	*/
 	takeUnanswered(): UnansweredSend | undefined {
+		if (this.#stalled.hasContinued) {
+			return undefined;
+		}
+
 		const isAnotherKept = this.#fallback.isKept || this.#stalled.isKept;
 		return this.#unanswered.isAnswered || !isAnotherKept ? this.#unanswered.take() : undefined;
 	}
