gateway: give back the allowance for a second send that is not made

The allowance for second sends is charged when an answer is late, before another server is found. If none was left by then, the request went on at its first server, and the charge stayed: later requests got fewer second sends than the rule allows. The charge is restored unless a send has been written since.

--- a/packages/gateway/src/entry/overdue-faults.test.ts
+++ b/packages/gateway/src/entry/overdue-faults.test.ts
@@ -220,3 +220,47 @@
 	});
 	t.deepEqual([first!.status, cuts], [200, 0]);
 });
+
+test('a second send that is never made costs no allowance', async t => {
+	const {service} = plain.services[0]!;
+	let known: EntryServers | undefined;
+	let context: EntryContext | undefined;
+	let sends = 0;
+	const handle = async (response: ServerResponse): Promise<void> => {
+		sends++;
+		await delay(1200);
+		answer(response);
+	};
+
+	const listenOne = async (): Promise<number> => listen(t, (_message, response) => {
+		void handle(response);
+	});
+	const records = [
+		testServer({id: 'server-0' as ServerId, port: await listenOne()}),
+		testServer({id: 'server-1' as ServerId, port: await listenOne()}),
+	];
+	const {answers: [first]} = await sendRequests(t, 1, {
+		route: plain,
+		prepare(prepared) {
+			context = prepared;
+		},
+		log(kind) {
+			if (kind === 'request-overdue') {
+				// The other server leaves before it can be asked.
+				for (const {id} of records) {
+					known!.markDraining(id);
+				}
+			}
+		},
+		nextServers(servers) {
+			known = servers;
+			servers.applyRecords(records, {source: control, now: performance.now()});
+		},
+	});
+	let allowed = 0;
+	while (context!.hedges.withdraw(service, 0)) {
+		allowed++;
+	}
+
+	t.deepEqual([first!.status, sends, allowed], [200, 1, 2]);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -222,6 +222,7 @@
 		}
 
 		this.#allowance.restoreUnused();
+		this.#race.restoreUnused();
 	}
 
 	#now(): number {
@@ -359,6 +360,10 @@
 		};
 		this.#sent = send;
 		const first = await Promise.race([attempt.outcome, attempt.overdue]);
+		if (attempt.isSent()) {
+			this.#race.recordSent();
+		}
+
 		if (first.type === 'overdue') {
 			if (this.#canGoBeside(server) && this.#mayRetry()) {
 				this.#sent = undefined;
@@ -588,6 +593,7 @@
 		this.#sent = send;
 		this.#models.restore(send.model);
 		this.#allowance.restoreUnused();
+		this.#race.restoreUnused();
 		return this.#handleSend(send, await send.attempt.outcome);
 	}
 
@@ -603,6 +609,7 @@
 		};
 		this.#models.restore(stream.model);
 		this.#allowance.restoreUnused();
+		this.#race.restoreUnused();
 		const sentAt = this.#now();
 		const step = await forwardStream(stream, this.#outcomeOptions({number: stream.send, server: stream.server, sentAt}));
 		return this.#handleStep(step, {...stream, sentAt});
--- a/packages/gateway/src/entry/send-race.ts
+++ b/packages/gateway/src/entry/send-race.ts
@@ -42,6 +42,8 @@
 export class SendRace {
 	readonly #context: SendRaceContext;
 	readonly #options: SendRaceOptions;
+	/** Whether a second send was charged to the allowance and has not been made yet. */
+	#isChargeUnused = false;
 
 	constructor(context: SendRaceContext, options: SendRaceOptions) {
 		this.#context = context;
@@ -76,7 +78,7 @@
 		if (reason === 'unresponsive') {
 			results.record(server, 'silent');
 		} else {
-			hedges.withdraw(server.service, now);
+			this.#isChargeUnused = hedges.withdraw(server.service, now);
 		}
 
 		log('request-overdue', {
@@ -90,6 +92,20 @@
 		kept.keepUnanswered({...send, wasServerHeard: servers.heardAt(server.id) > sentAt});
 	}
 
+	/** Records that a send has been made, by which the last charge to the allowance is used. */
+	recordSent(): void {
+		this.#isChargeUnused = false;
+	}
+
+	/** Restores the allowance for a second send that was not made. */
+	restoreUnused(): void {
+		const {clock, hedges} = this.#context;
+		if (this.#isChargeUnused) {
+			this.#isChargeUnused = false;
+			hedges.restore(this.#options.placement.service, clock.monotonic());
+		}
+	}
+
 	/**
 	Ends the sends that were kept, because another one is answered first. Servers that sent to others while they owed this answer have failed.
 
