gateway: watch a send again that is waited for again

When the second server had failed or rejected a request, its first send was waited for until the deadline, though another server had become available: a request that its first server had lost was answered with the failure of the second one at the deadline. Such a send is watched once more, as if it were sent then, within the same retries and allowance.

The doubles of sends in two tests have the new function.

--- a/packages/gateway/src/entry/kept-answers.test.ts
+++ b/packages/gateway/src/entry/kept-answers.test.ts
@@ -62,6 +62,9 @@
 			overdue: new Promise(() => {
 				// It is never overdue.
 			}),
+			watchAgain: async () => new Promise(() => {
+				// It is never overdue.
+			}),
 			isSent: () => true,
 			cancel: () => undefined,
 			giveUp: () => undefined,
--- a/packages/gateway/src/entry/overdue-faults.test.ts
+++ b/packages/gateway/src/entry/overdue-faults.test.ts
@@ -264,3 +264,32 @@
 
 	t.deepEqual([first!.status, sends, allowed], [200, 1, 2]);
 });
+
+test('a request that its first server has lost goes to one that joins after the second server has failed', async t => {
+	let known: EntryServers | undefined;
+	let sends = 0;
+	const listenOne = async (): Promise<number> => listen(t, (_message, response) => {
+		sends++;
+		if (sends === 2) {
+			response.writeHead(500).end();
+			void delay(200).then(() => {
+				known!.applyRecords([third], {source: control, now: performance.now()});
+			});
+		} else if (sends === 3) {
+			answer(response);
+		}
+	});
+	const records = [
+		testServer({id: 'server-0' as ServerId, port: await listenOne()}),
+		testServer({id: 'server-1' as ServerId, port: await listenOne()}),
+	];
+	const third = testServer({id: 'server-2' as ServerId, port: await listenOne()});
+	const {answers: [first]} = await sendRequests(t, 1, {
+		route: plain,
+		nextServers(servers) {
+			known = servers;
+			servers.applyRecords(records, {source: control, now: performance.now()});
+		},
+	});
+	t.deepEqual([first!.status, sends], [200, 3]);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,4 +1,4 @@
-import {type HeldBytes} from '@valehitch/routing';
+import {type HeldBytes, type SecondSendReason} from '@valehitch/routing';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
 import {nextPoll, setTimeoutAfterPoll, whenCallerLeaves} from '@valehitch/transport';
 import {type Either, Right} from 'purify-ts';
@@ -365,9 +365,7 @@
 		}
 
 		if (first.type === 'overdue') {
-			if (this.#canGoBeside(server) && this.#mayRetry()) {
-				this.#sent = undefined;
-				this.#race.keep({...send, reason: first.reason});
+			if (this.#tryAskAnother(send, first.reason)) {
 				return 'retry';
 			}
 
@@ -379,6 +377,17 @@
 		return this.#handleSend(send, await attempt.outcome);
 	}
 
+	/** Keeps a send whose answer is late, if the request can be sent to another server; returns whether it can. */
+	#tryAskAnother(send: Omit<UnansweredSend, 'reason' | 'wasServerHeard'>, reason: SecondSendReason): boolean {
+		if (!this.#canGoBeside(send.server) || !this.#mayRetry()) {
+			return false;
+		}
+
+		this.#sent = undefined;
+		this.#race.keep({...send, reason});
+		return true;
+	}
+
 	async #handleSend(send: Omit<UnansweredSend, 'reason' | 'wasServerHeard'>, outcome: SendOutcome): Promise<NextStep> {
 		if (outcome.type === 'cancelled' && !send.attempt.isSent()) {
 			this.#allowance.cancelSend();
@@ -594,7 +603,8 @@
 		this.#models.restore(send.model);
 		this.#allowance.restoreUnused();
 		this.#race.restoreUnused();
-		return this.#handleSend(send, await send.attempt.outcome);
+		const next = await Promise.race([send.attempt.outcome, send.attempt.watchAgain()]);
+		return next.type === 'overdue' && this.#tryAskAnother(send, next.reason) ? 'retry' : this.#handleSend(send, await send.attempt.outcome);
 	}
 
 	async #forwardKept(stream: KeptStream): Promise<NextStep> {
--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -62,6 +62,8 @@
 	readonly outcome: Promise<SendOutcome>;
 	/** Resolves when a second server is to be asked; never once there is an outcome. */
 	readonly overdue: Promise<OverdueSendFinding>;
+	/** Watches the send once more after it was overdue, as if it were sent now; resolves when another server is to be asked. */
+	readonly watchAgain: () => Promise<OverdueSendFinding>;
 	/** Whether a part of the request may have been sent. */
 	readonly isSent: () => boolean;
 	/** Cancels the send by closing its connection, which also cancels it at the server. */
@@ -134,6 +136,7 @@
 	return {
 		outcome,
 		overdue: awaitOverdue(request, options, {outcome, isSent: () => progress.isSent}),
+		watchAgain: async () => awaitOverdue(request, options, {outcome, isSent: () => progress.isSent}),
 		isSent: () => progress.isSent,
 		cancel() {
 			isCancelled = true;
--- a/packages/gateway/src/entry/unanswered-sends.test.ts
+++ b/packages/gateway/src/entry/unanswered-sends.test.ts
@@ -35,6 +35,9 @@
 			overdue: new Promise(() => {
 				// It is never overdue.
 			}),
+			watchAgain: async () => new Promise(() => {
+				// It is never overdue.
+			}),
 			isSent: () => true,
 			cancel() {
 				calls.push(`cancel ${name}`);
