--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -1,4 +1,4 @@
-import {type HeldBytes} from '@valehitch/routing';
+import {type HeldBytes, type SecondSendReason} from '@valehitch/routing';
 import {type Failure, failure, type ModelId} from '@valehitch/core';
 import {nextPoll, setTimeoutAfterPoll, whenCallerLeaves} from '@valehitch/transport';
 import {type Either, Right} from 'purify-ts';
@@ -232,6 +232,7 @@
 		}
 
 		this.#allowance.restoreUnused();
+		this.#race.restoreUnused();
 	}
 
 	#now(): number {
@@ -392,11 +393,12 @@
 		};
 		this.#sent = send;
 		const first = await Promise.race([attempt.outcome, attempt.overdue]);
+		if (attempt.isSent()) {
+			this.#race.recordSent();
+		}
+
 		if (first.type === 'overdue') {
-			if (this.#canGoBeside(server) && this.#mayRetry()) {
-				this.#sent = undefined;
-				this.#progress.recordStep('overdue');
-				this.#race.keep({...send, reason: first.reason});
+			if (this.#tryAskAnother(send, first.reason)) {
 				return 'retry';
 			}
 
@@ -408,6 +410,18 @@
 		return this.#handleSend(send, await attempt.outcome);
 	}
 
+	/** Keeps a send whose answer is late, if the request can be sent to another server; returns whether it can. */
+	#tryAskAnother(send: Omit<UnansweredSend, 'reason' | 'wasServerHeard'>, reason: SecondSendReason): boolean {
+		if (!this.#canGoBeside(send.server) || !this.#mayRetry()) {
+			return false;
+		}
+
+		this.#sent = undefined;
+		this.#progress.recordStep('overdue');
+		this.#race.keep({...send, reason});
+		return true;
+	}
+
 	async #handleSend(send: Omit<UnansweredSend, 'reason' | 'wasServerHeard'>, outcome: SendOutcome): Promise<NextStep> {
 		if (outcome.type === 'cancelled' && !send.attempt.isSent()) {
 			this.#allowance.cancelSend();
@@ -626,7 +640,9 @@
 		this.#models.restore(send.model);
 		this.#outlook.begin({...send, lastEventId: this.#events.lastEventId});
 		this.#allowance.restoreUnused();
-		return this.#handleSend(send, await send.attempt.outcome);
+		this.#race.restoreUnused();
+		const next = await Promise.race([send.attempt.outcome, send.attempt.watchAgain()]);
+		return next.type === 'overdue' && this.#tryAskAnother(send, next.reason) ? 'retry' : this.#handleSend(send, await send.attempt.outcome);
 	}
 
 	async #forwardKept(stream: KeptStream): Promise<NextStep> {
@@ -641,6 +657,7 @@
 		};
 		this.#models.restore(stream.model);
 		this.#allowance.restoreUnused();
+		this.#race.restoreUnused();
 		const sentAt = this.#now();
 		const step = await forwardStream(stream, this.#outcomeOptions({number: stream.send, server: stream.server, sentAt}));
 		return this.#handleStep(step, {...stream, sentAt});
--- a/packages/transport/src/close-idle-after-poll.ts
+++ b/packages/transport/src/close-idle-after-poll.ts
@@ -13,7 +13,7 @@
 /**
 Closes the idle connections of a server after pending input was read, by the `keepAliveTimeout` that the server has when the time is over, or the one that their last answers have announced if that is longer.
 
-Without it, a connection is closed although its next request has arrived if the process was held up, and one that is idle already keeps the timeout that was set when it became idle. A connection is closed for sending first and read on for a second: a request that crosses the close is seen, and does not reset the connection of its caller.
+Without it, a connection is closed although its next request has arrived if the process was held up, one that is idle already keeps the timeout that was set when it became idle, and one whose timeout is lowered during an answer is closed before the time that the head of that answer announced. A connection is closed for sending first and read on for a second: a request that crosses the close is seen, and does not reset the connection of its caller.
 
 @param server The server.
 @param options What is called.
