--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -5,9 +5,11 @@
 import {abortResponse} from './abort-response.js';
 import {closeIdleAfterPoll} from './close-idle-after-poll.js';
 import {ConnectionTurns} from './connection-turns.js';
+import {ignoreUpgrades} from './ignore-upgrades.js';
 import {limitUnreadBody} from './limit-unread-body.js';
 import {sendProblem, toProblemDetails} from './problem-details.js';
 import {readPendingInput} from './read-pending-input.js';
+import {refuseTunnels} from './refuse-tunnels.js';
 import {ResponsesInProgress} from './responses-in-progress.js';
 import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
 import {UnfinishedResponses} from './unfinished-responses.js';
@@ -95,6 +97,8 @@
 		void handle(request, response);
 	});
 	closeIdleAfterPoll(server);
+	ignoreUpgrades(server);
+	refuseTunnels(server);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 		const response = unfinished.on(socket);
 		if (response !== undefined) {
--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -390,3 +390,18 @@
 	await closed;
 	t.is(await never, '');
 });
+
+test('requests behind one that asks for another protocol are answered', async t => {
+	const server = await startEcho();
+	t.teardown(server.destroy);
+	const first = 'POST / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\nContent-Length: 5\r\n\r\nfirst';
+	const second = 'POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 6\r\n\r\nsecond';
+	t.regex(await sendRaw(server, first + second), /^HTTP\/1\.1 200 [\s\S]*firstHTTP\/1\.1 200 [\s\S]*second$/v);
+});
+
+test('a request for a tunnel is refused, and the request before it is answered', async t => {
+	const server = await startEcho();
+	t.teardown(server.destroy);
+	const first = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nfirst';
+	t.regex(await sendRaw(server, `${first}CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n`), /^HTTP\/1\.1 200 [\s\S]*firstHTTP\/1\.1 501 /v);
+});
