routing: no second sends from what quick requests have earned

Callers' requests that take long at every server ran up to 1.8 times: of 16 slow requests a row (two entry instances, three servers, limit 6 s, target 3 s), 20 to 29 runs in 11 of 16 rows, where 1.1 each is 18.

Cause: the allowance for second sends was 5 % of all requests, and 0.2 a second, and was spent on whichever requests were late. Beside fast requests, slow ones are overtaken at once, and used up what the fast ones had earned; alone, time earned the rest. The lines request-overdue said `overtaken` after 0.2 to 4.3 s (lateAfter 100 ms plain, 500 ms streamed) and `late` after 500 ms for streams; none said `time-short`.

Now late sends are compared between servers. Unless far more are late at one server than at any other, by number and by part, second sends beside working servers are also limited to 5 % of the late sends, and one each ten seconds. What may be spent at all is 5 % of the sends and 0.1 a second, as before in valehitchd; the last moment before a request ends unanswered may use all of it. Both entry stacks use it.

Tests changed: slow-servers counted runs when they ended, so that those that began last were missed; it counts them when they begin, in all 16 rows, for the slow requests alone too, and asks for first events within 0.2 s. Its rows run one after the other, since twelve deployments at once delay answers by themselves. overdue-sends: what a request adds to the allowance is now added by its send; the same bound is asserted, and an upper one.

--- a/packages/daemon/src/entry/traffic/overdue-attempts.ts
+++ b/packages/daemon/src/entry/traffic/overdue-attempts.ts
@@ -1,6 +1,6 @@
 import {type Clock, type ServerId, type WorkspaceId} from '@valehitch/core';
 import {
-	AnswerTimes, decideOverdue, type OverdueDecision, type OverdueSend, RetryBudget,
+	AnswerTimes, decideOverdue, type OverdueDecision, type OverdueSend, SecondSendAllowance,
 } from '@valehitch/routing';
 import {type ServerActivity} from './server-activity.js';
 
@@ -67,7 +67,7 @@
 export class OverdueAttempts {
 	readonly #options: OverdueAttemptsOptions;
 	readonly #times = new AnswerTimes();
-	readonly #allowance = new RetryBudget({ratio: 0.05, minimumPerSecond: 0.1, burst: 5});
+	readonly #allowance = new SecondSendAllowance({burst: 5});
 
 	constructor(options: OverdueAttemptsOptions) {
 		this.#options = options;
@@ -82,33 +82,41 @@
 	begin(request: WatchedRequest): (server: ServerId) => WatchedAttempt {
 		const {clock} = this.#options;
 		const allowanceKey = `${request.workspace}/${request.target}`;
-		this.#allowance.deposit(allowanceKey, clock.monotonic());
 		const overdue = new Set<symbol>();
 		return server => {
 			const id = Symbol('attempt');
 			const sentAt = clock.monotonic();
 			const limits = this.#limitsOf(request, sentAt);
 			const findResponsive = this.#responsiveness(server, sentAt);
+			let isLate = false;
+			this.#allowance.recordSend(allowanceKey, {server, now: sentAt});
 			return {
 				firstReviewAfter: Math.min(limits.lateAfter, reachabilityCheckMilliseconds),
 				review: async () => {
 					const isResponsive = await findResponsive();
 					const now = clock.monotonic();
+					const waited = now - sentAt;
+					if (!isLate && waited >= limits.lateAfter) {
+						isLate = true;
+						this.#allowance.recordLate(allowanceKey, {server, now});
+					}
+
 					const inputs: OverdueSend = {
 						...limits,
-						waited: now - sentAt,
+						waited,
 						timeLeft: request.deadline - now,
 						overtakenBy: this.#times.overtakenBy(request.timesKey, {sentAt}),
 						isResponsive,
 						canGoElsewhere: this.#options.hasOther(request.target, server),
 						// What may not be repeated adds no attempt.
-						hasAllowance: !request.isRepeatable || this.#allowance.allows(allowanceKey, now),
+						hasAllowance: !request.isRepeatable || this.#allowance.allows(allowanceKey, {server, now}),
+						hasLastAllowance: this.#allowance.allowsLast(allowanceKey, now),
 					};
 					const decision = decideOverdue(inputs);
 					if (decision.type === 'send-beside') {
 						overdue.add(id);
 						if (request.isRepeatable && decision.reason !== 'unresponsive') {
-							this.#allowance.withdraw(allowanceKey, now);
+							this.#allowance.withdraw(allowanceKey, {server, now});
 						}
 					}
 
@@ -118,7 +126,7 @@
 					const now = clock.monotonic();
 					this.#times.recordAnswered(request.timesKey, {sentAt, now});
 					if (overdue.size > 0 && !overdue.has(id)) {
-						this.#allowance.restore(allowanceKey, now);
+						this.#allowance.recordWorthIt(allowanceKey, now);
 					}
 
 					overdue.clear();
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -9,7 +9,7 @@
 	errorResponses, type Failure, type InstanceId, type ZoneId,
 } from '@valehitch/core';
 import {
-	AnswerTimes, DecisionNotes, HeldMemory, RelaySelector, RetryBudget, WindowedRetryBudget, ServerLinks,
+	AnswerTimes, DecisionNotes, HeldMemory, RelaySelector, SecondSendAllowance, WindowedRetryBudget, ServerLinks,
 } from '@valehitch/routing';
 import {type ExecutionContext} from 'ava';
 import {Left} from 'purify-ts';
@@ -150,7 +150,7 @@
 			clock, log, servers, checkProcess, onChanged: ignore,
 		}),
 		budget: new WindowedRetryBudget({ratio: 1, minimumPerWindow: 5}),
-		hedges: new RetryBudget({ratio: 1}),
+		hedges: new SecondSendAllowance({ratio: 1}),
 		answerTimes: new AnswerTimes(),
 		escalations: new EscalationDemand({contentionAt: () => ({wait: 0, target: route.targetLatency})}),
 		admission,
--- a/packages/gateway/src/entry/create-entry-context.ts
+++ b/packages/gateway/src/entry/create-entry-context.ts
@@ -1,7 +1,7 @@
 import {type SuspensionDetector} from '@valehitch/core';
 import {type StepNotifier} from '@valehitch/replication';
 import {
-	AnswerTimes, DecisionNotes, HeldMemory, RetryBudget, WindowedRetryBudget,
+	AnswerTimes, DecisionNotes, HeldMemory, SecondSendAllowance, WindowedRetryBudget,
 } from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
 import {type KnownRollouts} from '../rollouts/known-rollouts.js';
@@ -54,9 +54,6 @@
 /** The retries that an instance may make in a time window without traffic. The platform allows each instance of its deployments between two and eight. */
 const retrySlack = 2;
 
-/** The second sends beside servers that work, as a share of the first ones; those that are answered first are not counted. */
-const hedgeShare = 0.05;
-
 /**
 Creates the state and the services that the handling of all requests shares.
 
@@ -126,7 +123,7 @@
 			},
 		}),
 		budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
-		hedges: new RetryBudget({ratio: hedgeShare}),
+		hedges: new SecondSendAllowance(),
 		answerTimes: new AnswerTimes(),
 		admission: new RequestAdmission({
 			...options,
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -3,7 +3,7 @@
 	type Clock, type InstanceId, type ServiceId, type RandomSource,
 } from '@valehitch/core';
 import {
-	type AnswerTimes, type DecisionNotes, type HeldMemory, type RetryBudget, type ServerLinks, type WindowedRetryBudget,
+	type AnswerTimes, type DecisionNotes, type HeldMemory, type SecondSendAllowance, type ServerLinks, type WindowedRetryBudget,
 } from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
 import {type ServerNoticeMessage} from '../control/peer-message.js';
@@ -51,7 +51,7 @@
 	readonly borrower: SendBorrower;
 	readonly budget: WindowedRetryBudget;
 	/** The allowance for second sends beside servers that work. */
-	readonly hedges: RetryBudget;
+	readonly hedges: SecondSendAllowance;
 	/** The times until answers begin, by route and model. */
 	readonly answerTimes: AnswerTimes;
 	/** Holds or rejects requests that compete for busy servers, and tells how much work it holds. */
--- a/packages/gateway/src/entry/overdue-sends.test.ts
+++ b/packages/gateway/src/entry/overdue-sends.test.ts
@@ -171,7 +171,7 @@
 	await t.notThrowsAsync(stopped);
 });
 
-test('each request adds to the allowance for second sends, so that busy routes may make more', async t => {
+test('each send adds to the allowance for second sends, so that busy routes may make more', async t => {
 	const port = await listen(t, (_message, response) => {
 		response.end(events);
 	});
@@ -185,9 +185,21 @@
 			servers.applyRecords([testServer({port})], {source: control, now: performance.now()});
 		},
 	});
-	const allowed = Array.from({length: 10}, () => context!.hedges.withdraw(plain.services[0]!.service, performance.now())).filter(Boolean).length;
-	// One from the start, and one for each request at the ratio of the test run.
+	const {service} = plain.services[0]!;
+	const late = {server: 'i-late', now: performance.now()};
+	for (let count = 0; count < 10; count++) {
+		context!.hedges.recordLate(service, late);
+	}
+
+	let allowed = 0;
+	while (allowed < 10 && context!.hedges.allows(service, late)) {
+		context!.hedges.withdraw(service, late);
+		allowed++;
+	}
+
+	// One from the start, and one for each send at the ratio of the test run.
 	t.true(allowed >= 4, `${allowed} allowed`);
+	t.true(allowed < 10, `${allowed} allowed`);
 });
 
 test('a server that accepts connections and answers nothing gets few further requests', async t => {
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -201,7 +201,6 @@
 		}
 
 		this.#context.budget.deposit(this.#placement.service, this.#now());
-		this.#context.hedges.deposit(this.#placement.service, this.#now());
 		const rejected = await this.#admission.admit();
 		let next: NextStep = rejected === undefined ? 'retry' : this.#end.fail(rejected);
 		while (next === 'retry' && !this.#end.hasEnded && this.#replacement === undefined) {
--- a/packages/gateway/src/entry/send-race.ts
+++ b/packages/gateway/src/entry/send-race.ts
@@ -76,7 +76,7 @@
 		if (reason === 'unresponsive') {
 			results.record(server, 'silent');
 		} else {
-			hedges.withdraw(server.service, now);
+			hedges.withdraw(server.service, {server: server.id, now});
 		}
 
 		log('request-overdue', {
@@ -118,7 +118,7 @@
 		}
 
 		if (isWorthIt) {
-			hedges.restore(placement.service, now);
+			hedges.recordWorthIt(placement.service, now);
 		}
 
 		kept.discardUnanswered();
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -104,6 +104,7 @@
 		service: server.service, version: server.version, route: route.id, model: models.current,
 	}));
 	allowance.countSend();
+	context.hedges.recordSend(server.service, {server: server.id, now: sentAt});
 	log('request-dispatched', {
 		request: request.id,
 		server: server.id,
@@ -160,6 +161,7 @@
 	const {servers, links, clock, answerTimes, hedges} = context;
 	const sentAt = clock.monotonic();
 	const heardBefore = servers.heardAt(server.id);
+	let isLate = false;
 	return {
 		firstCheckAfter: Math.min(patience.lateAfter, patience.patienceOnReused),
 		checkAfter: patience.checkAfter,
@@ -178,16 +180,23 @@
 		},
 		decide({waited, isResponsive, isReused}) {
 			const now = clock.monotonic();
+			const lateAfter = isReused ? Math.min(patience.lateAfter, patience.patienceOnReused) : patience.lateAfter;
+			if (!isLate && waited >= lateAfter) {
+				isLate = true;
+				hedges.recordLate(server.service, {server: server.id, now});
+			}
+
 			const decision = decideOverdue({
 				waited,
 				timeLeft: deadlineAt - now,
-				lateAfter: isReused ? Math.min(patience.lateAfter, patience.patienceOnReused) : patience.lateAfter,
+				lateAfter,
 				patience: isReused ? patience.patienceOnReused : patience.patience,
 				answerTime: patience.answerTime,
 				overtakenBy: answerTimes.overtakenBy(patience.key, {sentAt}),
 				isResponsive,
 				canGoElsewhere: canGoOn({isResponsive}),
-				hasAllowance: hedges.allows(server.service, now),
+				hasAllowance: hedges.allows(server.service, {server: server.id, now}),
+				hasLastAllowance: hedges.allowsLast(server.service, now),
 			});
 			if (decision.type === 'wait' && decision.reason !== 'not-late') {
 				onWait(decision.reason);
--- a/packages/routing/src/_test-second-sends.ts
+++ b/packages/routing/src/_test-second-sends.ts
@@ -3,7 +3,7 @@
 import {seededRandom} from './_test-contention.js';
 import {AnswerTimes} from './answer-times.js';
 import {decideOverdue, type SecondSendReason} from './decide-overdue.js';
-import {RetryBudget} from './retry-budget.js';
+import {SecondSendAllowance} from './second-send-allowance.js';
 import {WindowedRetryBudget} from './windowed-retry-budget.js';
 
 /** What is done about a send that is not answered: nothing, giving it up after a fixed part of the time limit, or the decision of this package. */
@@ -96,6 +96,7 @@
 	updatedAt: number;
 	end: Event | undefined;
 	isOver: boolean;
+	isLate: boolean;
 };
 
 type Server = {
@@ -109,7 +110,7 @@
 
 type Entry = {
 	readonly answerTimes: AnswerTimes;
-	readonly hedges: RetryBudget;
+	readonly hedges: SecondSendAllowance;
 	readonly retries: WindowedRetryBudget;
 	readonly inFlight: number[];
 	readonly heardAt: number[];
@@ -136,7 +137,6 @@
 const key = 'route-1';
 const maximumSends = 3;
 const retryShare = 0.1;
-const hedgeShare = 0.05;
 const lateShare = 0.95;
 const answerShare = 0.5;
 const fixedShare = 0.4;
@@ -213,7 +213,7 @@
 		const zeros = (): number[] => Array.from({length: servers}, () => 0);
 		this.#entries = Array.from({length: instances}, () => ({
 			answerTimes: new AnswerTimes(),
-			hedges: new RetryBudget({ratio: hedgeShare}),
+			hedges: new SecondSendAllowance(),
 			retries: new WindowedRetryBudget({ratio: retryShare}),
 			inFlight: zeros(),
 			heardAt: zeros(),
@@ -316,7 +316,6 @@
 
 	#start(request: Request): void {
 		request.entry.retries.deposit(key, this.#now);
-		request.entry.hedges.deposit(key, this.#now);
 		this.#schedule(request.arrivedAt + this.#play.timeLimit, () => {
 			this.#end(request, undefined);
 		});
@@ -340,9 +339,10 @@
 		const second = candidates[Math.floor(this.#choiceRandom() * candidates.length)]!;
 		const server = this.#inFlightAt(second) < this.#inFlightAt(first) ? second : first;
 		const send: Send = {
-			request, server, sentAt: this.#now, left: workTime, updatedAt: this.#now, end: undefined, isOver: false, reason: undefined,
+			request, server, sentAt: this.#now, left: workTime, updatedAt: this.#now, end: undefined, isOver: false, isLate: false, reason: undefined,
 		};
 		request.sends.push(send);
+		entry.hedges.recordSend(key, {server: `${server.index}`, now: this.#now});
 		if (entry.silences[server.index]! > 0) {
 			this.#markSilent(entry, server);
 		}
@@ -414,6 +414,11 @@
 
 			this.#cancel(send);
 		} else {
+			if (waited >= lateAfter && !send.isLate) {
+				send.isLate = true;
+				entry.hedges.recordLate(key, {server: `${server.index}`, now: this.#now});
+			}
+
 			const timeLeft = request.arrivedAt + this.#play.timeLimit - this.#now;
 			const decision = decideOverdue({
 				waited,
@@ -424,7 +429,8 @@
 				overtakenBy: entry.answerTimes.overtakenBy(key, {sentAt}),
 				isResponsive,
 				canGoElsewhere,
-				hasAllowance: entry.hedges.allows(key, this.#now),
+				hasAllowance: entry.hedges.allows(key, {server: `${server.index}`, now: this.#now}),
+				hasLastAllowance: entry.hedges.allowsLast(key, this.#now),
 			});
 			if (decision.type === 'wait') {
 				return false;
@@ -435,7 +441,7 @@
 			if (decision.reason === 'unresponsive') {
 				this.#markSilent(entry, server);
 			} else {
-				entry.hedges.withdraw(key, this.#now);
+				entry.hedges.withdraw(key, {server: `${server.index}`, now: this.#now});
 			}
 		}
 
@@ -508,7 +514,7 @@
 		}
 
 		if (overtaken.length > 0) {
-			entry.hedges.restore(key, this.#now);
+			entry.hedges.recordWorthIt(key, this.#now);
 		}
 
 		this.#end(request, this.#now - request.arrivedAt);
--- a/packages/routing/src/decide-overdue.test.ts
+++ b/packages/routing/src/decide-overdue.test.ts
@@ -2,7 +2,7 @@
 import {decideOverdue, type OverdueSend} from './decide-overdue.js';
 
 const late: OverdueSend = {
-	waited: 500, timeLeft: 5000, lateAfter: 200, patience: 1000, answerTime: 200, overtakenBy: 5, isResponsive: true, canGoElsewhere: true, hasAllowance: true,
+	waited: 500, timeLeft: 5000, lateAfter: 200, patience: 1000, answerTime: 200, overtakenBy: 5, isResponsive: true, canGoElsewhere: true, hasAllowance: true, hasLastAllowance: true,
 };
 
 const decisions: ReadonlyArray<readonly [string, Partial<OverdueSend>, string, string]> = [
@@ -10,7 +10,7 @@
 	['a send that is not late', {waited: 100}, 'wait', 'not-late'],
 	['a request that can go nowhere else', {canGoElsewhere: false, isResponsive: false}, 'wait', 'nowhere-else'],
 	['a server that sends and accepts nothing', {
-		waited: 100, isResponsive: false, overtakenBy: 0, hasAllowance: false,
+		waited: 100, isResponsive: false, overtakenBy: 0, hasAllowance: false, hasLastAllowance: false,
 	}, 'send-beside', 'unresponsive'],
 	['a server that was not checked', {isResponsive: undefined}, 'send-beside', 'overtaken'],
 	['a send among others that are as late', {overtakenBy: 2}, 'wait', 'not-overtaken'],
@@ -18,6 +18,8 @@
 	['the last moment for another send', {overtakenBy: 0, timeLeft: 390}, 'send-beside', 'time-short'],
 	['a send after which no other one can end in time', {timeLeft: 150}, 'wait', 'no-time'],
 	['a send while second sends have gained nothing', {hasAllowance: false}, 'wait', 'no-allowance'],
+	['the last moment while second sends have gained nothing', {hasAllowance: false, timeLeft: 390}, 'send-beside', 'time-short'],
+	['the last moment while no second send is left', {hasAllowance: false, hasLastAllowance: false, timeLeft: 390}, 'wait', 'no-allowance'],
 ];
 
 for (const [name, change, type, reason] of decisions) {
--- a/packages/routing/src/decide-overdue.ts
+++ b/packages/routing/src/decide-overdue.ts
@@ -18,6 +18,8 @@
 	readonly canGoElsewhere: boolean;
 	/** Whether the allowance for second sends to working servers has one left. */
 	readonly hasAllowance: boolean;
+	/** Whether it has one left for a request that most likely ends without an answer otherwise. */
+	readonly hasLastAllowance: boolean;
 };
 
 /** Why a request is sent to a second server: the first one is silent, answers later requests sooner, is late by any measure, or leaves no more time for it. */
@@ -30,7 +32,7 @@
 	/** The request is sent to another server too. */
 		| {readonly type: 'send-beside'; readonly reason: SecondSendReason};
 
-type OverdueTimes = Pick<OverdueSend, 'waited' | 'timeLeft' | 'patience' | 'answerTime' | 'overtakenBy'>;
+type OverdueTimes = Pick<OverdueSend, 'waited' | 'patience' | 'overtakenBy'>;
 
 /** How many later sends must have been answered before a send counts as overtaken: one or two are chance. */
 const overtakenCount = 3;
@@ -40,7 +42,7 @@
 /**
 Decides whether a request is sent to a second server while the first one still owes its answer.
 
-That time has passed says little: the request may take long anywhere, or all servers are slow, and every second send then adds to the load that delays them. A server that sends nothing and accepts nothing is likely gone, so that a second send adds no load. Behind a server that works, a second send is made only if later requests are answered sooner, or the answer is late by any measure, within an allowance that second sends win back by being answered first. The first send goes on either way, and the answer that begins first counts.
+That time has passed says little: the request may take long anywhere, or all servers are slow, and every second send then adds to the load that delays them. A server that sends nothing and accepts nothing is likely gone, so that a second send adds no load. Behind a server that works, a second send is made only if later requests are answered sooner, or the answer is late by any measure, within an allowance that second sends win back by being answered first. If the time runs out meanwhile, a larger allowance counts. The first send goes on either way, and the answer that begins first counts.
 
 It answers servers that lose single requests or fall silent, beside servers that are only slow, also all of them at once.
 
@@ -48,11 +50,11 @@
 @returns The decision.
 @example
 ```ts
-const {type, reason} = decideOverdue({waited: 300, timeLeft: 1200, lateAfter: 160, patience: 400, answerTime: 160, overtakenBy: 5, isResponsive: true, canGoElsewhere: true, hasAllowance: true});
+const {type, reason} = decideOverdue({waited: 300, timeLeft: 1200, lateAfter: 160, patience: 400, answerTime: 160, overtakenBy: 5, isResponsive: true, canGoElsewhere: true, hasAllowance: true, hasLastAllowance: true});
 ```
 */
 export function decideOverdue(send: OverdueSend): OverdueDecision {
-	const {waited, timeLeft, lateAfter, answerTime, isResponsive, canGoElsewhere, hasAllowance} = send;
+	const {waited, timeLeft, lateAfter, answerTime, isResponsive, canGoElsewhere, hasAllowance, hasLastAllowance} = send;
 	if (waited < lateAfter && isResponsive !== false) {
 		return {type: 'wait', reason: 'not-late'};
 	}
@@ -69,23 +71,24 @@
 		return {type: 'wait', reason: 'no-time'};
 	}
 
-	const reason = reasonAtWorkingServer(send);
+	const isTimeShort = timeLeft <= timeShortFactor * answerTime;
+	const reason = reasonAtWorkingServer(send) ?? (isTimeShort ? 'time-short' : undefined);
 	if (reason === undefined) {
 		return {type: 'wait', reason: 'not-overtaken'};
 	}
 
+	if (!hasAllowance && isTimeShort && hasLastAllowance) {
+		return {type: 'send-beside', reason: 'time-short'};
+	}
+
 	return hasAllowance ? {type: 'send-beside', reason} : {type: 'wait', reason: 'no-allowance'};
 }
 
-/** Returns why a working server is not waited for any longer; undefined if it is. */
-function reasonAtWorkingServer({waited, timeLeft, patience, answerTime, overtakenBy}: OverdueTimes): SecondSendReason | undefined {
+/** Returns why the answer of a working server is taken for lost before the time runs out; undefined if it is not. */
+function reasonAtWorkingServer({waited, patience, overtakenBy}: OverdueTimes): SecondSendReason | undefined {
 	if (overtakenBy >= overtakenCount) {
 		return 'overtaken';
 	}
 
-	if (waited >= patience) {
-		return 'late';
-	}
-
-	return timeLeft <= timeShortFactor * answerTime ? 'time-short' : undefined;
+	return waited >= patience ? 'late' : undefined;
 }
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -51,6 +51,7 @@
 export * from './repeat-rate.js';
 export * from './requested-pauses.js';
 export * from './retry-budget.js';
+export * from './second-send-allowance.js';
 export * from './windowed-retry-budget.js';
 export * from './server-choice.js';
 export * from './server-link-detector.js';
--- a/packages/testing/src/slow-servers.test.ts
+++ b/packages/testing/src/slow-servers.test.ts
@@ -19,19 +19,27 @@
 const slowCount = 16;
 const fastMilliseconds = 20;
 const fastGapMilliseconds = 40;
+/** The runs that a request may cost on average. */
+const runsPerRequest = 1.1;
+/** How much later than its server sends it the first event of a stream may reach its caller, in milliseconds. */
+const maximumEventDelay = 200;
 
 type Kind = 'plain' | 'streamed';
 
-/** Returns the answer of a server, after the time that the path names. */
-async function respond({path}: ExecutedRequest): Promise<FakeBackendResponse> {
-	await delay(Number(/\d+$/v.exec(path)?.[0] ?? fastMilliseconds));
-	return {confidence: 90, events: ['one', 'two']};
-}
-
 /** Starts two entry instances before three servers of each service. */
 async function start(t: ExecutionContext) {
 	const deployment = await PlatformDeployment.start({entryCount: 2});
-	const backends = await startBackends(t, {
+	const begun: string[] = [];
+	const answeredAt = new Map<string, number>();
+	/** Answers after the time that the path names. */
+	const respond = async ({path}: ExecutedRequest): Promise<FakeBackendResponse> => {
+		begun.push(path);
+		await delay(Number(/\d+$/v.exec(path)?.[0] ?? fastMilliseconds));
+		answeredAt.set(path, Math.min(performance.now(), answeredAt.get(path) ?? Number.POSITIVE_INFINITY));
+		return {confidence: 90, events: ['one', 'two']};
+	};
+
+	await startBackends(t, {
 		deployment,
 		servers: ['labels', 'models'].flatMap(service => ['1', '2', '3'].map(number => ({
 			id: `i-${service}-${number}`, service, slots: 64, answer: respond,
@@ -41,15 +49,18 @@
 	let requests = 0;
 	const send = async (kind: Kind, name: string) => {
 		requests++;
-		return sendForResponse({
+		const path = `/${kind === 'plain' ? 'look' : 'drafts'}/${name}`;
+		const startedAt = performance.now();
+		const response = await sendForResponse({
 			method: 'POST',
 			address: deployment.entries[requests % deployment.entries.length]!.address,
-			path: `/${kind === 'plain' ? 'look' : 'drafts'}/${name}`,
+			path,
 			headers: {
 				Host: draftHost, 'Attempt-Id': `a${requests}`, 'Deadline-Ms': '8000', Authorization: `Bearer ${key}`,
 				...(kind === 'streamed' && {Model: '*', 'Token-Usage': '100,20', 'Prompt-Prefix': '1:50,2:50'}),
 			},
 		});
+		return {...response, eventDelay: startedAt + (response.firstByteAfter ?? 0) - (answeredAt.get(path) ?? Number.NEGATIVE_INFINITY)};
 	};
 
 	for (const kind of ['plain', 'streamed'] as const) {
@@ -63,13 +74,17 @@
 
 	return {
 		send,
-		countRuns: (part: string) => backends.flatMap(({runs}) => runs).filter(({path}) => path.includes(part)).length,
+		/** Counts the runs that have begun, also those that the end of the test comes before. */
+		countRuns: (part: string) => begun.filter(path => path.includes(part)).length,
 	};
 }
 
-for (const [kind, milliseconds] of [['plain', 2500], ['plain', 4500], ['streamed', 600], ['streamed', 1500], ['streamed', 2500], ['streamed', 4500]] as const) {
+const rows = (['plain', 'streamed'] as const).flatMap(kind => [600, 1500, 2500, 4500].map(milliseconds => ({kind, milliseconds})));
+
+for (const {kind, milliseconds} of rows) {
 	for (const isAlone of [true, false]) {
-		test(`${kind} requests that take ${milliseconds} ms at every server, ${isAlone ? 'alone' : 'beside fast ones'}, are not sent to several servers or given up`, async t => {
+		// One after the other: processes that wait for a processor delay answers like slow servers.
+		test.serial(`${kind} requests that take ${milliseconds} ms at every server, ${isAlone ? 'alone' : 'beside fast ones'}, are not sent to several servers or given up`, async t => {
 			const {send, countRuns} = await start(t);
 			const ended = new AbortController();
 			let fastCount = 0;
@@ -83,7 +98,7 @@
 
 			const fast = isAlone ? undefined : sendFast();
 			if (!isAlone) {
-				await waitUntil(async () => countRuns('fast') >= 3 * slowCount || undefined, {description: 'fast requests to be answered'});
+				await waitUntil(async () => countRuns('fast') >= 3 * slowCount || undefined, {description: 'runs of fast requests'});
 			}
 
 			const responses = await Promise.all(Array.from({length: slowCount}, async (_, index) => {
@@ -92,9 +107,14 @@
 			}));
 			ended.abort();
 			await fast;
-			t.log(`${countRuns('slow')} runs of ${slowCount} slow requests, ${countRuns('fast')} of ${fastCount} fast ones; ${responses.filter(({status}) => status === 200).length} answered`);
+			const eventDelay = Math.max(...responses.map(response => response.eventDelay));
+			const answeredCount = responses.filter(({status}) => status === 200).length;
+			t.log(`${countRuns('slow')} runs of ${slowCount} slow requests, ${countRuns('fast')} of ${fastCount} fast ones`);
+			t.log(`${answeredCount} answered, up to ${Math.round(eventDelay)} ms after their servers`);
 			t.deepEqual(responses.map(({status, isComplete}) => ({status, isComplete})), responses.map(() => ({status: 200, isComplete: true})));
-			t.true(countRuns('slow') + countRuns('fast') <= Math.ceil(1.1 * (slowCount + fastCount)));
+			t.true(countRuns('slow') <= Math.ceil(runsPerRequest * slowCount));
+			t.true(countRuns('slow') + countRuns('fast') <= Math.ceil(runsPerRequest * (slowCount + fastCount)));
+			t.true(kind === 'plain' || eventDelay <= maximumEventDelay);
 		});
 	}
 }
