--- a/packages/gateway/src/entry/create-entry-context.ts
+++ b/packages/gateway/src/entry/create-entry-context.ts
@@ -1,7 +1,7 @@
 import {type SuspensionDetector} from '@valehitch/core';
 import {type StepNotifier} from '@valehitch/replication';
 import {
-	AnswerTimes, DecisionNotes, HeldMemory, RetryBudget, WindowedRetryBudget,
+	AnswerTimes, DecisionNotes, HeldMemory, SecondSendAllowance, WindowedRetryBudget,
 } from '@valehitch/routing';
 import {type RouteTable} from '../configuration/route-table.js';
 import {type KnownRollouts} from '../rollouts/known-rollouts.js';
@@ -54,8 +54,6 @@
 /** The retries that an instance may make in a time window without traffic. The platform allows each instance of its deployments between two and eight. */
 const retrySlack = 2;
 
-/** The second sends beside servers that work, as a share of the first ones; those that are answered first are not counted. */
-const hedgeShare = 0.05;
 /** How long the time of a whole answer counts at most, in milliseconds; short, since servers that were busy may be idle soon after. */
 const wholeTimesMilliseconds = 20_000;
 
@@ -128,7 +126,7 @@
 			},
 		}),
 		budget: new WindowedRetryBudget({ratio: options.retryShare, minimumPerWindow: retrySlack, windowMilliseconds: options.retryWindowMilliseconds}),
-		hedges: new RetryBudget({ratio: hedgeShare}),
+		hedges: new SecondSendAllowance(),
 		answerTimes: new AnswerTimes(),
 		wholeTimes: new AnswerTimes({windowMilliseconds: wholeTimesMilliseconds}),
 		admission: new RequestAdmission({
--- a/packages/gateway/src/entry/overdue-faults.test.ts
+++ b/packages/gateway/src/entry/overdue-faults.test.ts
@@ -258,7 +258,9 @@
 		},
 	});
 	let allowed = 0;
-	while (context!.hedges.withdraw(service, 0)) {
+	const late = {server: 'i-late', now: 0};
+	while (context!.hedges.allows(service, late)) {
+		context!.hedges.withdraw(service, late);
 		allowed++;
 	}
 
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -209,7 +209,6 @@
 		}
 
 		this.#context.budget.deposit(this.#placement.service, this.#now());
-		this.#context.hedges.deposit(this.#placement.service, this.#now());
 		const admittedFrom = this.#now();
 		const rejected = this.#lateRefusal ?? await this.#admission.admit();
 		this.#progress.recordHold(this.#now() - admittedFrom);
--- a/packages/gateway/src/entry/send-race.ts
+++ b/packages/gateway/src/entry/send-race.ts
@@ -1,3 +1,4 @@
+import {type ServerId} from '@valehitch/core';
 import {type Route} from '../configuration/routing-configuration.js';
 import {type ServerRecord} from '../servers/server-record.js';
 import {type AnswerPatience, answerPatience} from './answer-patience.js';
@@ -42,8 +43,8 @@
 export class SendRace {
 	readonly #context: SendRaceContext;
 	readonly #options: SendRaceOptions;
-	/** Whether a second send was charged to the allowance and has not been made yet. */
-	#isChargeUnused = false;
+	/** The server whose late answer a second send was charged for that has not been made yet. */
+	#unusedCharge: ServerId | undefined;
 
 	constructor(context: SendRaceContext, options: SendRaceOptions) {
 		this.#context = context;
@@ -78,7 +79,8 @@
 		if (reason === 'unresponsive') {
 			results.record(server, 'silent');
 		} else {
-			this.#isChargeUnused = hedges.withdraw(server.service, now);
+			hedges.withdraw(server.service, {server: server.id, now});
+			this.#unusedCharge = server.id;
 		}
 
 		log('request-overdue', {
@@ -94,15 +96,15 @@
 
 	/** Records that a send has been made, by which the last charge to the allowance is used. */
 	recordSent(): void {
-		this.#isChargeUnused = false;
+		this.#unusedCharge = undefined;
 	}
 
 	/** Restores the allowance for a second send that was not made. */
 	restoreUnused(): void {
 		const {clock, hedges} = this.#context;
-		if (this.#isChargeUnused) {
-			this.#isChargeUnused = false;
-			hedges.restore(this.#options.placement.service, clock.monotonic());
+		if (this.#unusedCharge !== undefined) {
+			hedges.restore(this.#options.placement.service, {server: this.#unusedCharge, now: clock.monotonic()});
+			this.#unusedCharge = undefined;
 		}
 	}
 
@@ -134,7 +136,7 @@
 		}
 
 		if (isWorthIt) {
-			hedges.restore(placement.service, now);
+			hedges.recordWorthIt(placement.service, now);
 		}
 
 		kept.discardUnanswered();
