gateway: forward the fallback answer though the process was held up until the deadline

What callers saw: 504 in place of the whole answer of a smaller model, which the instance held. The answer is forwarded 200 ms before the deadline, once the send to the larger model is cancelled. If the process was held up over both moments, the deadline expired before the cancelled send had ended, and the answer was thrown away.

Cause: expired timers run in one turn, but a send ends some turns after it is cancelled. The three tests of a fallback that is due (limit 1 s) were red beside other files at loads of some 20 for the same reason, by their status: 504; that is inferred, the earlier output is lost.

Evidence: a test that holds the process up from before the moment until after the deadline, red before (504), green now; request-run 35 of 35.

Why it works: a deadline that finds the fallback due leaves it the time that it had, 200 ms, to be forwarded.

--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -242,6 +242,27 @@
 	});
 }
 
+test('the answer of a smaller model is forwarded though the process was held up from before it was due until after the deadline', async t => {
+	let isHeldUp = false;
+	const port = await listenForModels(t, () => {
+		setTimeout(() => {
+			const until = performance.now() + 1000;
+			while (performance.now() < until) {
+				isHeldUp = true;
+			}
+		}, 300);
+	});
+	const {answers} = await sendRequests(t, 1, {
+		route: modelRoute,
+		timeout: 1000,
+		nextServers(known) {
+			known.applyRecords([testServer({port})], {source: control, now: performance.now()});
+		},
+	});
+	t.true(isHeldUp);
+	t.deepEqual(answers.map(({status, text}) => [status, text]), [[200, 'id: 1\ndata: small\n\n']]);
+});
+
 /** Counts the sends of a request to servers that take 1400 ms, when the expected latency of a short prompt is 100 ms. */
 async function countSends(t: ExecutionContext, inputTokens: number): Promise<number> {
 	let sends = 0;
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -12,6 +12,7 @@
 import {type EntryContext} from './entry-context.js';
 import {endExpired} from './end-expired.js';
 import {EventStream} from './event-stream.js';
+import {forwardMarginMilliseconds} from './fallback-answer.js';
 import {type AnswerHead, type GatewayRequest} from './gateway-request.js';
 import {ModelCascade} from './model-cascade.js';
 import {Placement} from './placement.js';
@@ -175,8 +176,16 @@
 			return;
 		}
 
-		const stopTimeout = setTimeoutAfterPoll(this.#deadlineAt - this.#now(), () => {
-			this.#expire();
+		let stopTimeout = setTimeoutAfterPoll(this.#deadlineAt - this.#now(), () => {
+			if (!this.#kept.isTooLate) {
+				this.#expire();
+				return;
+			}
+
+			// The process was held up, and the fallback answer is about to be forwarded.
+			stopTimeout = setTimeoutAfterPoll(forwardMarginMilliseconds, () => {
+				this.#expire();
+			});
 		});
 		const stopWatchingStop = this.#stop.watch();
 		const stopListening = this.#suspect.onQuarantine(() => {
@@ -287,7 +296,7 @@
 		}
 
 		// A timer may be late.
-		if (this.#now() >= this.#deadlineAt) {
+		if (this.#now() >= this.#deadlineAt && !this.#kept.isTooLate) {
 			this.#expire();
 			return 'ended';
 		}
