--- a/packages/gateway/src/entry/entry-servers.ts
+++ b/packages/gateway/src/entry/entry-servers.ts
@@ -320,7 +320,7 @@
 	}
 
 	/**
-	Checks whether anything but its own silence says that a server is gone or out of reach: its heartbeats are missing, or its zone appears to be partitioned. A connection that did not open says no more than its silence.
+	Checks whether anything but its own silence says that a server is gone or out of reach: its heartbeats are missing, connections to it fail, or its zone appears to be partitioned.
 
 	@param server The server.
 	@param now Milliseconds on the monotonic clock.
@@ -329,7 +329,7 @@
 	isInDoubt({id, zone}: ServerRecord, now: number): boolean {
 		const tracked = this.#servers.get(id);
 		const isZoneSuspect = zone !== this.#options.zone && this.#zones.isSuspect(zone, now);
-		return tracked === undefined || isZoneSuspect || this.#liveness.of(id) === 'silent';
+		return tracked === undefined || tracked.backoffUntil > now || isZoneSuspect || this.#liveness.of(id) === 'silent';
 	}
 
 	/**
--- a/packages/routing/src/decide-stalled.ts
+++ b/packages/routing/src/decide-stalled.ts
@@ -10,7 +10,7 @@
 	readonly resumeTime: number;
 	/** Returns whether the request could be sent to another server now; called only if one is to be asked. */
 	readonly canGoElsewhere: () => boolean;
-	/** Whether anything but the pause says that the server is gone or out of reach: a missed heartbeat, a zone out of reach, links that fail. */
+	/** Whether anything but the pause says that the server is gone or out of reach: a missed heartbeat, a connection that failed, links that fail. */
 	readonly isServerInDoubt: boolean;
 	/** Whether the server goes on sending on other connections. */
 	readonly isOvertaken: boolean;
