transport: keep all headers of a request that asks for another protocol

What callers saw: the body of a request that asks for another protocol, with its length behind more than a thousand headers, was handled as a request of its own, and its request got no body.

Cause: Node collects at most 2000 names and values of headers, and ignoreUpgrades writes the head again from those. A Content-Length or Transfer-Encoding behind them was lost, so that the body was read as what follows the request: requests could be smuggled.

Why it works: without a limit by number all headers are collected; the size of the head still limits them.

--- a/packages/transport/src/ignore-upgrades.test.ts
+++ b/packages/transport/src/ignore-upgrades.test.ts
@@ -49,6 +49,7 @@
 	return answers();
 }
 
+const manyHeaders = `POST /post HTTP/1.1\r\nHost: a\r\n${upgrade}\r\n${'A: b\r\n'.repeat(1100)}Content-Length: ${get.length}\r\n\r\n${get}`;
 const rows: ReadonlyArray<readonly [name: string, parts: readonly string[], answers: readonly string[]]> = [
 	['alone', [getUpgrade], ['/upgrade a ']],
 	['with a body', [postUpgrade], ['/post a body']],
@@ -56,6 +57,7 @@
 	['in parts', [postUpgrade.slice(0, 30), postUpgrade.slice(30, -2), postUpgrade.slice(-2), get], ['/post a body', '/get a ']],
 	['before another request', [getUpgrade + get], ['/upgrade a ', '/get a ']],
 	['with a body before another request', [postUpgrade + get], ['/post a body', '/get a ']],
+	['with its length behind more than a thousand headers', [manyHeaders + get], [`/post a ${get}`, '/get a ']],
 	['behind and before other requests', [get + postUpgrade + getUpgrade + get], ['/get a ', '/post a body', '/upgrade a ', '/get a ']],
 	['many times', Array.from({length: 20}, () => getUpgrade), Array.from({length: 20}, () => '/upgrade a ')],
 ];
--- a/packages/transport/src/ignore-upgrades.ts
+++ b/packages/transport/src/ignore-upgrades.ts
@@ -14,6 +14,8 @@
 ```
 */
 export function ignoreUpgrades(server: Server): void {
+	// The server otherwise leaves out headers from the thousandth on, perhaps the one that tells where the request ends.
+	server.maxHeadersCount = 0;
 	const unfinished = new UnfinishedResponses();
 	server.prependListener('request', (_message: IncomingMessage, response: ServerResponse) => {
 		unfinished.add(response);
