gateway: close a connection with malformed bytes behind an answer that was written before

What callers saw: a connection stayed open after bytes that are no request, for the idle time, if the last answer on it had been written before them and waited behind another one.

Why it works: the connection is closed when the last answer is sent, whatever its head says.

--- a/packages/gateway/src/entry/caller-server.test.ts
+++ b/packages/gateway/src/entry/caller-server.test.ts
@@ -175,6 +175,34 @@
 	});
 }
 
+test('a connection is closed behind bytes that are no request though its last answer was written before them', async t => {
+	const server = createCallerServer({
+		log() {
+			// The log is not under test.
+		},
+		async handle({url}, response) {
+			await delay(url === '/slow' ? 300 : 0);
+			response.writeHead(200, {'Content-Length': 4}).end('done');
+		},
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+		server.close();
+	});
+	let text = '';
+	caller.on('data', chunk => {
+		text += String(chunk);
+	});
+	caller.on('error', () => undefined);
+	caller.write('GET /slow HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n');
+	await delay(100);
+	caller.write('no request\r\n\r\n');
+	await once(caller, 'close', {signal: AbortSignal.timeout(5000)});
+	t.regex(text, /^HTTP\/1\.1 200 [\s\S]*\r\n\r\ndoneHTTP\/1\.1 200 [\s\S]*\r\n\r\ndone$/v);
+});
+
 test('a caller that leaves after bytes that are no request is seen, though the request before them is not answered', async t => {
 	let hasLeft = false;
 	const server = createCallerServer({
--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -2,7 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	abortResponse, closeIdleAfterPoll, ignoreUpgrades, limitUnreadBody, refuseTunnels, UnfinishedResponses,
+	abortResponse, closeIdleAfterPoll, ignoreUpgrades, limitUnreadBody, refuseTunnels, UnfinishedResponses, whenResponseCloses,
 } from '@valehitch/transport';
 import {type DecisionLog} from '../logs/decision-log.js';
 
@@ -77,6 +77,7 @@
 				abortResponse(response);
 			} else {
 				last.shouldKeepAlive = false;
+				closeBehind(last);
 			}
 		} else if (socket.writable) {
 			socket.end('HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n');
@@ -86,3 +87,10 @@
 	});
 	return server;
 }
+
+/** Closes the connection of a response behind it, also if the head of the response announces otherwise. */
+function closeBehind(response: ServerResponse): void {
+	whenResponseCloses(response, () => {
+		response.req.socket.destroySoon();
+	});
+}
