gateway: answer whole requests though the body behind them is malformed

What callers saw: a request that had come whole got neither an answer nor a refusal if the request behind it on its connection had a body that is malformed, such as a chunk without a length.

Cause: the answer in progress was broken off unless the very last request on the connection was whole, though nothing of that answer had been sent.

Evidence: the new case of caller-server, a GET and a POST with such a chunk, got not one byte before; with the change the GET is answered with Connection: close.

Why it works: the last request that is whole closes the connection behind its answer; the one whose body is malformed ends with the connection. If none is whole, or the first answer has begun, the connection is broken off as before.

--- a/packages/gateway/src/entry/caller-server.test.ts
+++ b/packages/gateway/src/entry/caller-server.test.ts
@@ -175,6 +175,34 @@
 	});
 }
 
+test('a whole request is answered though the body of the request behind it is malformed', async t => {
+	const server = createCallerServer({
+		log() {
+			// The log is not under test.
+		},
+		async handle(message, response) {
+			await delay(100);
+			// The body that is malformed breaks with its connection.
+			await once(message.resume(), 'end').catch(() => undefined);
+			response.writeHead(200, {'Content-Length': 4}).end('done');
+		},
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+		server.close();
+	});
+	let text = '';
+	caller.on('data', chunk => {
+		text += String(chunk);
+	});
+	caller.on('error', () => undefined);
+	caller.write('GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n');
+	await once(caller, 'close');
+	t.regex(text, /^HTTP\/1\.1 200 [\s\S]*\r\nConnection: close\r\n\r\ndone$/v);
+});
+
 test('a connection is closed behind bytes that are no request though its last answer was written before them', async t => {
 	const server = createCallerServer({
 		log() {
--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -62,8 +62,8 @@
 			return;
 		}
 
-		const last = unfinished.lastOn(socket);
-		if (last?.shouldKeepAlive === false && last.req.complete) {
+		const last = unfinished.lastWholeOn(socket);
+		if (last?.shouldKeepAlive === false) {
 			// The connection closes behind the answer already.
 			return;
 		}
@@ -71,9 +71,9 @@
 		log('request-refused', {error: 'malformed-request', reason: error.message}, 'warn');
 		onClose?.('malformed');
 		const response = unfinished.on(socket);
-		if (response !== undefined && last !== undefined) {
+		if (response !== undefined) {
 			// What came whole is answered; the connection is closed behind the last answer.
-			if (response.headersSent || !last.req.complete) {
+			if (response.headersSent || last === undefined) {
 				abortResponse(response);
 			} else {
 				last.shouldKeepAlive = false;
--- a/packages/transport/src/unfinished-responses.ts
+++ b/packages/transport/src/unfinished-responses.ts
@@ -37,13 +37,13 @@
 	}
 
 	/**
-	Returns the response to the latest request of a connection.
+	Returns the response to the latest request of a connection that has arrived whole.
 
 	@param socket The connection.
 	@returns The response; undefined if none is in progress.
 	*/
-	lastOn(socket: Duplex): ServerResponse | undefined {
-		return this.#unfinishedOn(socket).at(-1);
+	lastWholeOn(socket: Duplex): ServerResponse | undefined {
+		return this.#unfinishedOn(socket).findLast(({req}) => req.complete);
 	}
 
 	#unfinishedOn(socket: Duplex): readonly ServerResponse[] {
