transport: answer whole requests though what follows them is no request

What callers saw: at valehitchd and the control server, as at the entry instances before, requests that had come whole got neither an answer nor a refusal if bytes that are no request, a head that is too large or a malformed body came behind them on their connection before they were answered.

Cause: startHttpServer broke off the answer in progress at once, also if nothing of it had been sent.

Evidence: three new cases of http, two requests with such bytes behind them, failed; with the change both are answered. That a caller that leaves after such bytes is seen is a test too.

Why it works: the decision of the entry instances moves to UnfinishedResponses and is used by both servers. An answer that has begun is broken off as before, as the tests of unfinished-responses ask.

--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -2,7 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	abortResponse, closeIdleAfterPoll, ignoreUpgrades, limitUnreadBody, refuseTunnels, UnfinishedResponses, whenResponseCloses,
+	closeIdleAfterPoll, ignoreUpgrades, limitUnreadBody, refuseTunnels, UnfinishedResponses,
 } from '@valehitch/transport';
 import {type DecisionLog} from '../logs/decision-log.js';
 
@@ -70,16 +70,12 @@
 
 		log('request-refused', {error: 'malformed-request', reason: error.message}, 'warn');
 		onClose?.('malformed');
-		const response = unfinished.on(socket);
-		if (response !== undefined) {
-			// What came whole is answered; the connection is closed behind the last answer.
-			if (response.headersSent || last === undefined) {
-				abortResponse(response);
-			} else {
-				last.shouldKeepAlive = false;
-				closeBehind(last);
-			}
-		} else if (socket.writable) {
+		// What came whole is answered; the connection is closed behind the last answer.
+		if (unfinished.closeBehindWhole(socket)) {
+			return;
+		}
+
+		if (socket.writable) {
 			socket.end('HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n');
 		} else {
 			socket.destroy();
@@ -87,10 +83,3 @@
 	});
 	return server;
 }
-
-/** Closes the connection of a response behind it, also if the head of the response announces otherwise. */
-function closeBehind(response: ServerResponse): void {
-	whenResponseCloses(response, () => {
-		response.req.socket.destroySoon();
-	});
-}
--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -2,7 +2,6 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, Server as NetServer, type Socket} from 'node:net';
 import {type Failure, failure} from '@valehitch/core';
-import {abortResponse} from './abort-response.js';
 import {closeIdleAfterPoll} from './close-idle-after-poll.js';
 import {ConnectionTurns} from './connection-turns.js';
 import {limitUnreadBody} from './limit-unread-body.js';
@@ -96,9 +95,7 @@
 	});
 	closeIdleAfterPoll(server);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-		const response = unfinished.on(socket);
-		if (response !== undefined) {
-			abortResponse(response);
+		if (unfinished.closeBehindWhole(socket)) {
 			return;
 		}
 
--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -12,6 +12,7 @@
 import {sendProblem} from './problem-details.js';
 import {readBody} from './read-body.js';
 import {sendHttpRequest} from './send-http-request.js';
+import {whenCallerLeaves} from './when-caller-leaves.js';
 
 const bodyLimit = 100;
 
@@ -77,6 +78,48 @@
 	server.destroy();
 });
 
+/** What follows whole requests and is no request that is handled. */
+const following: ReadonlyArray<readonly [name: string, text: string]> = [
+	['bytes that are no request', 'no request\r\n\r\n'],
+	['a head that is too large', `GET / HTTP/1.1\r\nHost: a\r\nX: ${'x'.repeat(4000)}\r\n\r\n`],
+	['a request with a malformed body', 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n'],
+];
+
+for (const [name, text] of following) {
+	test(`whole requests are answered though ${name} came behind them on their connection`, async t => {
+		const server = await startEcho();
+		t.teardown(() => {
+			server.destroy();
+		});
+		const post = (body: string): string => `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+		t.regex(await sendRaw(server, post('first') + post('second') + text), /^HTTP\/1\.1 200 [\s\S]*\r\n\r\nfirstHTTP\/1\.1 200 [\s\S]*\r\n\r\nsecond/v);
+	});
+}
+
+test('a caller that leaves after bytes that are no request is seen, though the request before them is not answered', async t => {
+	let hasLeft = false;
+	const server = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler(_request, response) {
+			await new Promise<void>(resolve => {
+				whenCallerLeaves(response, resolve);
+			});
+			hasLeft = true;
+		},
+		onError: doNothing,
+	});
+	const caller = connect(server.port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+		server.destroy();
+	});
+	caller.end('GET / HTTP/1.1\r\nHost: a\r\n\r\nno request\r\n\r\n');
+	await once(caller.resume(), 'close', {signal: AbortSignal.timeout(5000)});
+	t.true(hasLeft);
+});
+
 test('a caller whose body never ends is refused, and its connection is closed', async t => {
 	const server = await startEcho();
 	const received = await new Promise<string>(resolve => {
--- a/packages/transport/src/unfinished-responses.ts
+++ b/packages/transport/src/unfinished-responses.ts
@@ -1,5 +1,7 @@
 import {type ServerResponse} from 'node:http';
 import {type Duplex} from 'node:stream';
+import {abortResponse} from './abort-response.js';
+import {whenResponseCloses} from './when-response-closes.js';
 
 /**
 Finds the response that is in progress on a connection of a caller, so that nothing else is written into it.
@@ -46,6 +48,36 @@
 		return this.#unfinishedOn(socket).findLast(({req}) => req.complete);
 	}
 
+	/**
+	Closes a connection on which bytes came that are no request: behind the answers to the requests that have arrived whole or, if the answer in progress has begun or is to an incomplete request, at once.
+
+	@param socket The connection.
+	@returns Whether a response is in progress; otherwise, nothing is done.
+	*/
+	closeBehindWhole(socket: Duplex): boolean {
+		const response = this.on(socket);
+		if (response === undefined) {
+			return false;
+		}
+
+		const last = this.lastWholeOn(socket);
+		if (last?.shouldKeepAlive === false) {
+			return true;
+		}
+
+		if (response.headersSent || last === undefined) {
+			abortResponse(response);
+			return true;
+		}
+
+		last.shouldKeepAlive = false;
+		// The head of the last answer may have been written before and announce otherwise.
+		whenResponseCloses(last, () => {
+			last.req.socket.destroySoon();
+		});
+		return true;
+	}
+
 	#unfinishedOn(socket: Duplex): readonly ServerResponse[] {
 		return (this.#bySocket.get(socket) ?? []).filter(({writableFinished, destroyed}) => !writableFinished && !destroyed);
 	}
