transport: answer requests beside ones for a tunnel or another protocol at all servers

What callers saw: at valehitchd and the control server, as at the entry instances before, requests on the connection of one for a tunnel, and requests behind one that asks for another protocol, got neither an answer nor a refusal.

Cause: only the server of the entry instances used refuseTunnels and ignoreUpgrades.

Evidence: two new cases of http, one for each, failed; with the change they pass. With these two alone, a server that closes within a time waited without end for a connection on which such a request waits behind one that is not answered: two more cases, which timed out, and pass.

Why it works: both servers treat such requests alike. A server does not know a connection any more that such a request has taken from it, so that the responses in progress are broken off too when its time is over, as the entry instances do.

--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -4,9 +4,11 @@
 import {type Failure, failure} from '@valehitch/core';
 import {closeIdleAfterPoll} from './close-idle-after-poll.js';
 import {ConnectionTurns} from './connection-turns.js';
+import {ignoreUpgrades} from './ignore-upgrades.js';
 import {limitUnreadBody} from './limit-unread-body.js';
 import {sendProblem, toProblemDetails} from './problem-details.js';
 import {readPendingInput} from './read-pending-input.js';
+import {refuseTunnels} from './refuse-tunnels.js';
 import {ResponsesInProgress} from './responses-in-progress.js';
 import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
 import {UnfinishedResponses} from './unfinished-responses.js';
@@ -67,6 +69,12 @@
 		}
 	};
 
+	const closeAll = (): void => {
+		// The server does not know a connection any more on which a request for a tunnel or another protocol waits.
+		responses.abort();
+		server.closeAllConnections();
+	};
+
 	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
 		if (!await turns.next(response)) {
 			return;
@@ -94,6 +102,8 @@
 		void handle(request, response);
 	});
 	closeIdleAfterPoll(server);
+	ignoreUpgrades(server);
+	refuseTunnels(server);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 		if (unfinished.closeBehindWhole(socket)) {
 			return;
@@ -119,7 +129,7 @@
 				});
 			});
 			const stopTimeout = setTimeoutAfterPoll(within, () => {
-				server.closeAllConnections();
+				closeAll();
 			});
 			await closeIdle();
 			await closed;
@@ -127,7 +137,7 @@
 		},
 		destroy() {
 			server.close();
-			server.closeAllConnections();
+			closeAll();
 		},
 	};
 }
--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -5,7 +5,7 @@
 } from 'node:net';
 import process from 'node:process';
 import {text as readText} from 'node:stream/consumers';
-import {setImmediate as turn} from 'node:timers/promises';
+import {setImmediate as turn, setTimeout as delay} from 'node:timers/promises';
 import {failure} from '@valehitch/core';
 import test from 'ava';
 import {type HttpServer, startHttpServer} from './http-server.js';
@@ -83,6 +83,7 @@
 	['bytes that are no request', 'no request\r\n\r\n'],
 	['a head that is too large', `GET / HTTP/1.1\r\nHost: a\r\nX: ${'x'.repeat(4000)}\r\n\r\n`],
 	['a request with a malformed body', 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n'],
+	['a request for a tunnel', 'CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n'],
 ];
 
 for (const [name, text] of following) {
@@ -120,6 +121,16 @@
 	t.true(hasLeft);
 });
 
+test('requests behind one that asks for another protocol are answered', async t => {
+	const server = await startEcho();
+	t.teardown(() => {
+		server.destroy();
+	});
+	const first = 'POST / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 5\r\n\r\nfirst';
+	const last = 'POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nlast';
+	t.regex(await sendRaw(server, first + last), /^HTTP\/1\.1 200 [\s\S]*\r\n\r\nfirstHTTP\/1\.1 200 [\s\S]*\r\n\r\nlast$/v);
+});
+
 test('a caller whose body never ends is refused, and its connection is closed', async t => {
 	const server = await startEcho();
 	const received = await new Promise<string>(resolve => {
@@ -433,3 +444,28 @@
 	await closed;
 	t.is(await never, '');
 });
+
+for (const text of ['CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n', 'GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n']) {
+	test(`a server that closes within a time closes a connection on which "${text.slice(0, 7)}" waits behind another request`, async t => {
+		const server = await startHttpServer({
+			host: '127.0.0.1',
+			port: 0,
+			headerBytes: 2048,
+			async handler() {
+				// The answer never comes.
+			},
+			onError: doNothing,
+		});
+		t.teardown(server.destroy);
+		const caller = connect(server.port, '127.0.0.1');
+		t.teardown(() => {
+			caller.destroy();
+		});
+		caller.on('error', doNothing);
+		caller.write(`GET / HTTP/1.1\r\nHost: a\r\n\r\n${text}`);
+		await delay(100);
+		const closed = once(caller.resume(), 'close', {signal: AbortSignal.timeout(5000)});
+		await server.close({within: 200});
+		await t.notThrowsAsync(closed);
+	});
+}
