gateway: prefer a stalled stream to its successor once only

What callers saw: a stream that its server had lost was broken off, though that server went on with others and sound servers took the stream, if these needed more than 250 ms from their heads to their first events.

Cause: at the end of a handover without an event, the stream is kept whose server alone sends data meanwhile. A server that goes on with others always does beside one that has nothing else to send, so that each successor was given up before its first event, until no attempt was left.

Why it works: the second successor is not given up for the same silent stream. With two attempts there is no second successor, so that such a stream is still broken off.

--- a/packages/gateway/src/entry/paused-streams.test.ts
+++ b/packages/gateway/src/entry/paused-streams.test.ts
@@ -81,3 +81,42 @@
 	t.is(sends, 1);
 	t.deepEqual(answers, [{status: 200, text: events.join('')}]);
 });
+
+test('a stream that is lost at a server that goes on with others is whole though the server that has taken it needs 400 ms from its head to its first event', async t => {
+	let first: ServerId | undefined;
+	const resume: SendAnswer = async response => {
+		response.flushHeaders();
+		await delay(400);
+		response.end(events.slice(3).join(''));
+	};
+
+	const {answers} = await sendInOrder(t, [
+		response => {
+			response.write(events.slice(0, 3).join(''));
+		},
+		resume,
+		resume,
+	], {
+		serverCount: 3,
+		timeout: 8000,
+		route: {
+			...stallingRoute, targetGap: 400, targetLatency: 400, maximumAttempts: 3,
+		},
+		log(kind, {server}) {
+			if (kind === 'request-dispatched') {
+				first ??= server as ServerId;
+			}
+		},
+		prepare({servers}) {
+			const interval = setInterval(() => {
+				if (first !== undefined) {
+					servers.recordData(first, performance.now());
+				}
+			}, 20);
+			t.teardown(() => {
+				clearInterval(interval);
+			});
+		},
+	});
+	t.deepEqual(answers, [{status: 200, text: events.join('')}]);
+});
--- a/packages/gateway/src/entry/stalled-answer.ts
+++ b/packages/gateway/src/entry/stalled-answer.ts
@@ -44,6 +44,7 @@
 	readonly #options: StalledAnswerOptions;
 	#stream: StalledStream | undefined;
 	#hasContinued = false;
+	#wasPreferred = false;
 
 	constructor(options: StalledAnswerOptions) {
 		this.#options = options;
@@ -86,13 +87,14 @@
 		const stream = this.#stream;
 		this.#stream = undefined;
 		this.#hasContinued = false;
+		this.#wasPreferred = false;
 		stream?.received.message.off('readable', this.#onContinue);
 		stream?.received.message.off('close', this.#onClose);
 		return stream;
 	}
 
 	/**
-	Closes the stream after {@linkcode handoverMilliseconds}, unless its server sends data first or the stream is preferred then. Called when another server has sent the head of its answer.
+	Closes the stream after {@linkcode handoverMilliseconds}, unless its server sends data first or the stream is preferred then, for the first time. Called when another server has sent the head of its answer.
 
 	@param options Which of the two streams is kept; the other one by default.
 	@returns Stops it, for an answer of the other server that has ended.
@@ -109,7 +111,9 @@
 				return;
 			}
 
-			if (isPreferred?.(stream) === true) {
+			// A server that goes on with others only may have lost the stream, and would keep it from all others.
+			if (!this.#wasPreferred && isPreferred?.(stream) === true) {
+				this.#wasPreferred = true;
 				onPreferred?.();
 				return;
 			}
