transport: see a caller leave behind a request for another protocol that waits

What callers saw: a caller that ended its connection was not seen to leave while a request for another protocol waited behind another one, if more requests had come behind it: its first request ran on for nobody.

Cause: what came meanwhile was not read, and the end of a connection is seen only behind it. Without ignoreUpgrades the end is seen.

Why it works: what comes meanwhile is read and held, up to the buffer size of the connection, and handed on with the request.

--- a/packages/transport/src/ignore-upgrades.test.ts
+++ b/packages/transport/src/ignore-upgrades.test.ts
@@ -5,6 +5,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {ignoreUpgrades} from './ignore-upgrades.js';
+import {whenCallerLeaves} from './when-caller-leaves.js';
 
 const upgrade = 'Connection: keep-alive, Upgrade\r\nUpgrade: h2c';
 const get = 'GET /get HTTP/1.1\r\nHost: a\r\n\r\n';
@@ -129,3 +130,29 @@
 		connection.destroy();
 	});
 }
+
+test('a caller that ends its connection with more requests behind one for another protocol is seen', async t => {
+	let hasLeft = false;
+	const server = createServer((_message, response) => {
+		whenCallerLeaves(response, () => {
+			hasLeft = true;
+		});
+	});
+	ignoreUpgrades(server);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+		server.close();
+	});
+	const connected = once(server, 'connection') as Promise<[Socket]>;
+	const upgraded = once(server, 'upgrade');
+	caller.write(get + getUpgrade);
+	const [connection] = await connected;
+	await upgraded;
+	caller.end(get);
+	await delay(500);
+	t.true(hasLeft);
+	connection.destroy();
+});
--- a/packages/transport/src/ignore-upgrades.ts
+++ b/packages/transport/src/ignore-upgrades.ts
@@ -26,17 +26,31 @@
 			// The connection is closed after it.
 		};
 
+		const chunks = [rest];
+		let held = 0;
+		// The end of the connection is seen only behind what came before it.
+		const hold = (chunk: Uint8Array): void => {
+			chunks.push(chunk);
+			held += chunk.byteLength;
+			if (held >= socket.readableHighWaterMark) {
+				socket.pause();
+			}
+		};
+
 		socket.on('error', ignoreError);
+		socket.on('data', hold);
 		void whenAnswered(socket, unfinished).then(() => {
 			socket.off('error', ignoreError);
+			socket.off('data', hold);
 			if (!socket.writable || socket.readableEnded) {
 				socket.destroy();
 				return;
 			}
 
 			socket.setTimeout(0);
-			socket.unshift(Buffer.concat([Buffer.from(headWithoutUpgrade(message), 'latin1'), rest]));
+			socket.unshift(Buffer.concat([Buffer.from(headWithoutUpgrade(message), 'latin1'), ...chunks]));
 			server.emit('connection', socket);
+			socket.resume();
 		});
 	});
 }
