--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -2,7 +2,6 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, Server as NetServer, type Socket} from 'node:net';
 import {type Failure, failure} from '@valehitch/core';
-import {abortResponse} from './abort-response.js';
 import {closeIdleAfterPoll} from './close-idle-after-poll.js';
 import {ConnectionTurns} from './connection-turns.js';
 import {ignoreUpgrades} from './ignore-upgrades.js';
@@ -70,6 +69,12 @@
 		}
 	};
 
+	const closeAll = (): void => {
+		// The server does not know a connection any more on which a request for a tunnel or another protocol waits.
+		responses.abort();
+		server.closeAllConnections();
+	};
+
 	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
 		if (!await turns.next(response)) {
 			return;
@@ -100,9 +105,7 @@
 	ignoreUpgrades(server);
 	refuseTunnels(server);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-		const response = unfinished.on(socket);
-		if (response !== undefined) {
-			abortResponse(response);
+		if (unfinished.closeBehindWhole(socket)) {
 			return;
 		}
 
@@ -126,7 +129,7 @@
 				});
 			});
 			const stopTimeout = setTimeoutAfterPoll(within, () => {
-				server.closeAllConnections();
+				closeAll();
 			});
 			await closeIdle();
 			await closed;
@@ -134,7 +137,7 @@
 		},
 		destroy() {
 			server.close();
-			server.closeAllConnections();
+			closeAll();
 		},
 	};
 }
--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -5,13 +5,14 @@
 } from 'node:net';
 import process from 'node:process';
 import {text as readText} from 'node:stream/consumers';
-import {setImmediate as turn} from 'node:timers/promises';
+import {setImmediate as turn, setTimeout as delay} from 'node:timers/promises';
 import {failure} from '@valehitch/core';
 import test from 'ava';
 import {type HttpServer, startHttpServer} from './http-server.js';
 import {sendProblem} from './problem-details.js';
 import {readBody} from './read-body.js';
 import {sendHttpRequest} from './send-http-request.js';
+import {whenCallerLeaves} from './when-caller-leaves.js';
 
 const bodyLimit = 100;
 
@@ -77,6 +78,59 @@
 	server.destroy();
 });
 
+/** What follows whole requests and is no request that is handled. */
+const following: ReadonlyArray<readonly [name: string, text: string]> = [
+	['bytes that are no request', 'no request\r\n\r\n'],
+	['a head that is too large', `GET / HTTP/1.1\r\nHost: a\r\nX: ${'x'.repeat(4000)}\r\n\r\n`],
+	['a request with a malformed body', 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n'],
+	['a request for a tunnel', 'CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n'],
+];
+
+for (const [name, text] of following) {
+	test(`whole requests are answered though ${name} came behind them on their connection`, async t => {
+		const server = await startEcho();
+		t.teardown(() => {
+			server.destroy();
+		});
+		const post = (body: string): string => `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+		t.regex(await sendRaw(server, post('first') + post('second') + text), /^HTTP\/1\.1 200 [\s\S]*\r\n\r\nfirstHTTP\/1\.1 200 [\s\S]*\r\n\r\nsecond/v);
+	});
+}
+
+test('a caller that leaves after bytes that are no request is seen, though the request before them is not answered', async t => {
+	let hasLeft = false;
+	const server = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler(_request, response) {
+			await new Promise<void>(resolve => {
+				whenCallerLeaves(response, resolve);
+			});
+			hasLeft = true;
+		},
+		onError: doNothing,
+	});
+	const caller = connect(server.port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+		server.destroy();
+	});
+	caller.end('GET / HTTP/1.1\r\nHost: a\r\n\r\nno request\r\n\r\n');
+	await once(caller.resume(), 'close', {signal: AbortSignal.timeout(5000)});
+	t.true(hasLeft);
+});
+
+test('requests behind one that asks for another protocol are answered', async t => {
+	const server = await startEcho();
+	t.teardown(() => {
+		server.destroy();
+	});
+	const first = 'POST / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 5\r\n\r\nfirst';
+	const last = 'POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nlast';
+	t.regex(await sendRaw(server, first + last), /^HTTP\/1\.1 200 [\s\S]*\r\n\r\nfirstHTTP\/1\.1 200 [\s\S]*\r\n\r\nlast$/v);
+});
+
 test('a caller whose body never ends is refused, and its connection is closed', async t => {
 	const server = await startEcho();
 	const received = await new Promise<string>(resolve => {
@@ -391,17 +445,34 @@
 	t.is(await never, '');
 });
 
-test('requests behind one that asks for another protocol are answered', async t => {
-	const server = await startEcho();
-	t.teardown(server.destroy);
-	const first = 'POST / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\nContent-Length: 5\r\n\r\nfirst';
-	const second = 'POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 6\r\n\r\nsecond';
-	t.regex(await sendRaw(server, first + second), /^HTTP\/1\.1 200 [\s\S]*firstHTTP\/1\.1 200 [\s\S]*second$/v);
-});
-
 test('a request for a tunnel is refused, and the request before it is answered', async t => {
 	const server = await startEcho();
 	t.teardown(server.destroy);
 	const first = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nfirst';
 	t.regex(await sendRaw(server, `${first}CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n`), /^HTTP\/1\.1 200 [\s\S]*firstHTTP\/1\.1 501 /v);
 });
+
+for (const text of ['CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n', 'GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n']) {
+	test(`a server that closes within a time closes a connection on which "${text.slice(0, 7)}" waits behind another request`, async t => {
+		const server = await startHttpServer({
+			host: '127.0.0.1',
+			port: 0,
+			headerBytes: 2048,
+			async handler() {
+				// The answer never comes.
+			},
+			onError: doNothing,
+		});
+		t.teardown(server.destroy);
+		const caller = connect(server.port, '127.0.0.1');
+		t.teardown(() => {
+			caller.destroy();
+		});
+		caller.on('error', doNothing);
+		caller.write(`GET / HTTP/1.1\r\nHost: a\r\n\r\n${text}`);
+		await delay(100);
+		const closed = once(caller.resume(), 'close', {signal: AbortSignal.timeout(5000)});
+		await server.close({within: 200});
+		await t.notThrowsAsync(closed);
+	});
+}
--- a/packages/transport/src/ignore-upgrades.test.ts
+++ b/packages/transport/src/ignore-upgrades.test.ts
@@ -5,6 +5,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {ignoreUpgrades} from './ignore-upgrades.js';
+import {whenCallerLeaves} from './when-caller-leaves.js';
 
 const upgrade = 'Connection: keep-alive, Upgrade\r\nUpgrade: h2c';
 const get = 'GET /get HTTP/1.1\r\nHost: a\r\n\r\n';
@@ -49,6 +50,7 @@
 	return answers();
 }
 
+const manyHeaders = `POST /post HTTP/1.1\r\nHost: a\r\n${upgrade}\r\n${'A: b\r\n'.repeat(1100)}Content-Length: ${get.length}\r\n\r\n${get}`;
 const rows: ReadonlyArray<readonly [name: string, parts: readonly string[], answers: readonly string[]]> = [
 	['alone', [getUpgrade], ['/upgrade a ']],
 	['with a body', [postUpgrade], ['/post a body']],
@@ -56,6 +58,7 @@
 	['in parts', [postUpgrade.slice(0, 30), postUpgrade.slice(30, -2), postUpgrade.slice(-2), get], ['/post a body', '/get a ']],
 	['before another request', [getUpgrade + get], ['/upgrade a ', '/get a ']],
 	['with a body before another request', [postUpgrade + get], ['/post a body', '/get a ']],
+	['with its length behind more than a thousand headers', [manyHeaders + get], [`/post a ${get}`, '/get a ']],
 	['behind and before other requests', [get + postUpgrade + getUpgrade + get], ['/get a ', '/post a body', '/upgrade a ', '/get a ']],
 	['many times', Array.from({length: 20}, () => getUpgrade), Array.from({length: 20}, () => '/upgrade a ')],
 ];
@@ -127,3 +130,29 @@
 		connection.destroy();
 	});
 }
+
+test('a caller that ends its connection with more requests behind one for another protocol is seen', async t => {
+	let hasLeft = false;
+	const server = createServer((_message, response) => {
+		whenCallerLeaves(response, () => {
+			hasLeft = true;
+		});
+	});
+	ignoreUpgrades(server);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+		server.close();
+	});
+	const connected = once(server, 'connection') as Promise<[Socket]>;
+	const upgraded = once(server, 'upgrade');
+	caller.write(get + getUpgrade);
+	const [connection] = await connected;
+	await upgraded;
+	caller.end(get);
+	await delay(500);
+	t.true(hasLeft);
+	connection.destroy();
+});
