gateway: close a paused stream at a handover, whatever its server sends to others

The handover preferred the server that alone sent data, and a server that goes on with other requests always does.

Cause: the preference counted data for others as evidence for the stream, but these are evidence against it: by them another server was asked.

--- a/packages/gateway/src/entry/forward-stream.ts
+++ b/packages/gateway/src/entry/forward-stream.ts
@@ -25,10 +25,7 @@
 	const {context, request, suspect, route, results, models} = options;
 	const {answer, events, server, send, hasEnded, onStreamStart, startHandover, onFirstEvent, keepStalled, isSuperseded, isTooLate} = options;
 	onStreamStart();
-	const abandoned = new AbortController();
-	const stopHandover = startHandover(() => {
-		abandoned.abort();
-	});
+	const stopHandover = startHandover();
 	const stall = watchPauses(options);
 	const headers = context.dialect.answerHeaders(message);
 	const end = await relayStream({
@@ -45,7 +42,6 @@
 		clock: context.clock,
 		stallTimeout: route.isResumable ? stall.targetGap : 0,
 		isStalled: paused => stall.isStalled(paused),
-		abandoned: abandoned.signal,
 		onData(now) {
 			context.servers.recordData(server.id, now);
 		},
--- a/packages/gateway/src/entry/handle-outcome-options.ts
+++ b/packages/gateway/src/entry/handle-outcome-options.ts
@@ -48,8 +48,8 @@
 	readonly onGoodHead: () => void;
 	/** Called when a stream of this server is accepted, before its first event is forwarded. */
 	readonly onStreamStart: () => void;
-	/** Called when the stream of this server is forwarded. After a time without an event of it, either the stream of a stalled one ends or, if that one is more likely to go on, the given function is called. Returns a function that stops this, called when the stream ends. */
-	readonly startHandover: (onAbandoned: () => void) => () => void;
+	/** Called when the stream of this server is forwarded, which ends that of a stalled one after a time; returns a function that stops this, called when the stream ends. */
+	readonly startHandover: () => () => void;
 	/** Called before the first event of this server is forwarded. */
 	readonly onFirstEvent: () => void;
 	/** Whether a stalled stream of this server can resume at another one. */
--- a/packages/gateway/src/entry/kept-answers.ts
+++ b/packages/gateway/src/entry/kept-answers.ts
@@ -2,7 +2,7 @@
 import {FallbackAnswer, type FallbackStream} from './fallback-answer.js';
 import {type CancellableSend} from './send-attempt.js';
 import {
-	type HandoverOptions, StalledAnswer, type StalledAnswerOptions, type StalledStream,
+	StalledAnswer, type StalledAnswerOptions, type StalledStream,
 } from './stalled-answer.js';
 import {type UnansweredSend, UnansweredSends, type UnansweredSendsOptions} from './unanswered-sends.js';
 
@@ -155,13 +155,12 @@
 	}
 
 	/**
-	Closes the stalled stream after the time of a handover, unless its server sends data first or the stream is preferred then.
+	Closes the stalled stream after the time of a handover, unless its server sends data first.
 
-	@param options Which of the two streams is kept; the other one by default.
 	@returns Stops it.
 	*/
-	startHandover(options?: HandoverOptions): () => void {
-		return this.#stalled.startHandover(options);
+	startHandover(): () => void {
+		return this.#stalled.startHandover();
 	}
 
 	/**
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -28,8 +28,6 @@
 	readonly stallTimeout: number;
 	/** Whether the stream has stalled, by the time without data in milliseconds; asked again and again from the stall timeout on. */
 	readonly isStalled: (paused: number) => boolean;
-	/** Aborted when the stream counts as stalled whatever its pause; by default it never is. */
-	readonly abandoned?: AbortSignal;
 	/** Called when data arrives, with the time in milliseconds on the monotonic clock. */
 	readonly onData: (now: number) => void;
 	/** Called before the first event of this server is forwarded. */
@@ -61,7 +59,7 @@
 ```
 */
 export async function relayStream(options: RelayStreamOptions): Promise<RelayEnd> {
-	const {message, isComplete, response, events, buffer, held, mayHold = () => true, onExcess, clock = processClock, stallTimeout, isStalled, abandoned, onData, onFirstEvent, onEvents} = options;
+	const {message, isComplete, response, events, buffer, held, mayHold = () => true, onExcess, clock = processClock, stallTimeout, isStalled, onData, onFirstEvent, onEvents} = options;
 	return new Promise(resolve => {
 		const overhead = new OverheadWatch(message, onExcess);
 		let hasForwarded = false;
@@ -92,7 +90,6 @@
 			held?.set(0);
 			response.off('close', onCallerClose);
 			response.off('drain', onDrain);
-			abandoned?.removeEventListener('abort', onAbandoned);
 			if (end === 'stalled') {
 				message.off('data', onChunk);
 				message.off('end', onEnd);
@@ -108,10 +105,6 @@
 			finish('caller-left');
 		};
 
-		const onAbandoned = (): void => {
-			finish('stalled');
-		};
-
 		const onDrain = (): void => {
 			buffer?.recordUnread();
 			if (isPaused) {
@@ -186,7 +179,6 @@
 
 		response.on('close', onCallerClose);
 		response.on('drain', onDrain);
-		abandoned?.addEventListener('abort', onAbandoned);
 		if (message.destroyed) {
 			// The stream was kept unread and its connection ended meanwhile, so no further events are emitted, not even 'end'.
 			finish('broken');
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -503,12 +503,8 @@
 				load?.markAnswerStarted();
 				this.#placement.recordStreamStart(server.version);
 			},
-			startHandover: onAbandoned => {
-				const begunAt = this.#now();
-				const stopHandover = this.#kept.startHandover({
-					isPreferred: stalled => this.#isMoreActive(stalled.server, {than: server, since: begunAt}),
-					onPreferred: onAbandoned,
-				});
+			startHandover: () => {
+				const stopHandover = this.#kept.startHandover();
 				const stopRace = setTimeoutAfterPoll(handoverMilliseconds, () => {
 					this.#race.end({sentAt});
 				});
@@ -532,12 +528,6 @@
 		};
 	}
 
-	/** Whether only one of two servers has sent data to anybody since a time. */
-	#isMoreActive(server: ServerRecord, {than, since}: {readonly than: ServerRecord; readonly since: number}): boolean {
-		const {servers} = this.#context;
-		return servers.heardAt(server.id) > since && servers.heardAt(than.id) <= since;
-	}
-
 	/** Handles the step that follows a send; returns whether the request is sent again. */
 	async #handleStep(step: OutcomeStep, target: SendTarget & Pick<StartedSend, 'sentAt'>): Promise<NextStep> {
 		if (this.#end.hasEnded) {
--- a/packages/gateway/src/entry/stalled-answer.ts
+++ b/packages/gateway/src/entry/stalled-answer.ts
@@ -19,14 +19,6 @@
 	readonly startTimer?: typeof setTimeoutAfterPoll;
 };
 
-/** Options of {@linkcode StalledAnswer.startHandover}. */
-export type HandoverOptions = {
-	/** Whether the stalled stream is more likely to go on than that of the other server; by default it is not. */
-	readonly isPreferred?: (stalled: StalledStream) => boolean;
-	/** Called if it is, in place of closing the stalled stream. */
-	readonly onPreferred?: () => void;
-};
-
 /** How long the stream is kept after the head of another server's answer, in milliseconds. Both servers work on the request meanwhile. */
 export const handoverMilliseconds = 250;
 
@@ -44,7 +36,6 @@
 	readonly #options: StalledAnswerOptions;
 	#stream: StalledStream | undefined;
 	#hasContinued = false;
-	#wasPreferred = false;
 
 	constructor(options: StalledAnswerOptions) {
 		this.#options = options;
@@ -87,19 +78,17 @@
 		const stream = this.#stream;
 		this.#stream = undefined;
 		this.#hasContinued = false;
-		this.#wasPreferred = false;
 		stream?.received.message.off('readable', this.#onContinue);
 		stream?.received.message.off('close', this.#onClose);
 		return stream;
 	}
 
 	/**
-	Closes the stream after {@linkcode handoverMilliseconds}, unless its server sends data first or the stream is preferred then, for the first time. Called when another server has sent the head of its answer.
+	Closes the stream after {@linkcode handoverMilliseconds}, unless its server sends data first. Called when another server has sent the head of its answer.
 
-	@param options Which of the two streams is kept; the other one by default.
 	@returns Stops it, for an answer of the other server that has ended.
 	*/
-	startHandover({isPreferred, onPreferred}: HandoverOptions = {}): () => void {
+	startHandover(): () => void {
 		const {startTimer = setTimeoutAfterPoll, onHandedOver} = this.#options;
 		const stream = this.#stream;
 		if (stream === undefined) {
@@ -107,19 +96,10 @@
 		}
 
 		return startTimer(handoverMilliseconds, () => {
-			if (this.#stream !== stream || this.#hasContinued) {
-				return;
+			if (this.#stream === stream && !this.#hasContinued) {
+				onHandedOver(stream);
+				this.discard();
 			}
-
-			// A server that goes on with others only may have lost the stream, and would keep it from all others.
-			if (!this.#wasPreferred && isPreferred?.(stream) === true) {
-				this.#wasPreferred = true;
-				onPreferred?.();
-				return;
-			}
-
-			onHandedOver(stream);
-			this.discard();
 		});
 	}
 
