routing: allow no second send by time while sends are late at several servers

What callers saw: a slow request ran at a second server without need; 19 runs of 16 slow requests where 18 are allowed.

Cause: an instance that gets all sixteen slow requests earns 0.8 second sends by them (5 %), and the time of one burst (0.1 a second) adds the rest.

Change: time adds to the allowance only while no more sends than usual are late beside those at the latest server. The new test fails on the former code (1 allowed, 0 expected).

Two instances that begin at the same time make one second send each, so that 18 of 16 stays the most.

--- a/packages/routing/src/second-send-allowance.test.ts
+++ b/packages/routing/src/second-send-allowance.test.ts
@@ -116,6 +116,26 @@
 	t.is(countAllowed(allowance, {server: 'i-1', now: 60_000}), 1);
 });
 
+test('while sends are late at several servers, time allows no second send', t => {
+	const allowance = busyAllowance();
+	t.is(countAllowed(allowance, {server: 'i-1', now: 0}), 1);
+	for (const server of servers) {
+		recordLate(allowance, {server, now: 1, count: 13});
+	}
+
+	// 39 late sends earn one, and nearly the next one.
+	t.is(countAllowed(allowance, {server: 'i-1', now: 1}), 1);
+	t.is(countAllowed(allowance, {server: 'i-1', now: 9000}), 0);
+	t.is(countAllowed(allowance, {server: 'i-1', now: 20_000}), 1);
+});
+
+test('late sends at a single server do not stop the second sends that time allows', t => {
+	const allowance = busyAllowance();
+	t.is(countAllowed(allowance, {server: 'i-2', now: 0}), 1);
+	recordLate(allowance, {server: 'i-1', now: 0, count: 12});
+	t.is(countAllowed(allowance, {server: 'i-2', now: 5000}), 1);
+});
+
 test('a number of late sends earns a second send by itself', t => {
 	const allowance = busyAllowance();
 	t.is(countAllowed(allowance, {server: 'i-1', now: 0}), 1);
--- a/packages/routing/src/second-send-allowance.ts
+++ b/packages/routing/src/second-send-allowance.ts
@@ -5,7 +5,7 @@
 export type SecondSendAllowanceOptions = {
 	/** The second sends allowed per send, and per late send beside servers that are no later than others; 0.05 by default. */
 	readonly ratio?: number;
-	/** The second sends allowed per second without any traffic; 0.1 by default. Beside servers that are no later than others, it adds up to one. */
+	/** The second sends allowed per second without any traffic; 0.1 by default. Beside servers that are no later than others, it adds up to one, and nothing while sends are late at several servers. */
 	readonly minimumPerSecond?: number;
 	/** The maximum number of second sends that can accumulate; 10 by default. */
 	readonly burst?: number;
@@ -48,13 +48,15 @@
 const lateFactor = 2;
 /** The late sends at another server that may be missing by chance. */
 const chanceCount = 2;
+/** The share of the sends that are late if nothing is wrong; the quantile after which a send counts as late. */
+const usualLateShare = 0.05;
 /** The sends without a late one from which a server is compared with others. */
 const minimumSends = 3;
 
 /**
 Limits the second sends beside working servers, per key.
 
-They are a small share of all sends. Unless far more sends are late at their server than at any other, or the time of the request runs out, they are also a share of the late sends only: requests that are late at all servers most likely take long anywhere, and would otherwise use up what the quick ones have earned. Second sends that are answered first win their charge back.
+They are a small share of all sends. Unless far more sends are late at their server than at any other, or the time of the request runs out, they are also a share of the late sends only: requests that are late at all servers most likely take long anywhere, and would otherwise use up what the quick ones have earned, and time adds none meanwhile. Second sends that are answered first win their charge back.
 
 @example
 ```ts
@@ -191,8 +193,11 @@
 			history.beganAt = now;
 		}
 
-		const added = minimumPerSecond * Math.max(0, now - history.filledAt) / millisecondsPerSecond;
-		history.left = Math.max(history.left, Math.min(maximumIdleCount, history.left + added));
+		if (history.left < maximumIdleCount && !isLateAtSeveral(history)) {
+			const added = minimumPerSecond * Math.max(0, now - history.filledAt) / millisecondsPerSecond;
+			history.left = Math.min(maximumIdleCount, history.left + added);
+		}
+
 		history.filledAt = Math.max(history.filledAt, now);
 		return history;
 	}
@@ -219,6 +224,21 @@
 	return isCompared;
 }
 
+/** Checks whether more sends than usual are late beside those at the server with the most late ones: such requests most likely take long anywhere. */
+function isLateAtSeveral({current, previous}: Pick<History, 'current' | 'previous'>): boolean {
+	let sends = 0;
+	let late = 0;
+	let latest: Tally = {sends: 0, late: 0};
+	for (const id of new Set([...current.keys(), ...previous.keys()])) {
+		const tally = tallyAt({current, previous}, id);
+		sends += tally.sends;
+		late += tally.late;
+		latest = tally.late > latest.late ? tally : latest;
+	}
+
+	return late - latest.late > chanceCount + (lateFactor * usualLateShare * (sends - latest.sends));
+}
+
 function tallyAt({current, previous}: Pick<History, 'current' | 'previous'>, server: string): Tally {
 	const now = current.get(server);
 	const before = previous.get(server);
