routing: rank the relays of an instance by a hash of both instances

Cause: relays were the successors in a ring of hashes, so that an instance behind a wide gap was a relay of everyone in the gap.

Change: each instance ranks the others by universal hashing of its own hash and theirs.

RelayRing is RelayRanking now; nothing on the wire changes, and lists of both forms may be in use at once.

--- a/packages/gateway/src/control/relay-lists.ts
+++ b/packages/gateway/src/control/relay-lists.ts
@@ -1,5 +1,5 @@
 import {type InstanceId} from '@valehitch/core';
-import {RelayRing} from '@valehitch/routing';
+import {RelayRanking} from '@valehitch/routing';
 import {type ActiveEntry} from './select-load-sharing-peers.js';
 
 /** The entry instances through which an entry instance can reach servers, and the revision from which the list is. */
@@ -24,7 +24,7 @@
 	readonly #cutOff = new Set<InstanceId>();
 	readonly #lists = new Map<InstanceId, RelayList>();
 	#entries: readonly ActiveEntry[] = [];
-	#ring: RelayRing | undefined;
+	#ranking: RelayRanking | undefined;
 	#revision = 0;
 
 	/**
@@ -74,8 +74,8 @@
 			return known;
 		}
 
-		this.#ring ??= new RelayRing(entries.map(({instance, zone}) => ({instance, zone, isCutOff: this.#cutOff.has(instance)})));
-		const relays = this.#ring.select(entry);
+		this.#ranking ??= new RelayRanking(entries.map(({instance, zone}) => ({instance, zone, isCutOff: this.#cutOff.has(instance)})));
+		const relays = this.#ranking.select(entry);
 		const list = {revision: this.#revision, relays, cutOffRelays: relays.filter(relay => this.#cutOff.has(relay))};
 		this.#lists.set(entry.instance, list);
 		return list;
@@ -83,7 +83,7 @@
 
 	#invalidate(): void {
 		this.#revision++;
-		this.#ring = undefined;
+		this.#ranking = undefined;
 		this.#lists.clear();
 	}
 }
--- a/packages/routing/src/relay-ring.test.ts
+++ b/packages/routing/src/relay-ranking.test.ts
@@ -1,8 +1,8 @@
 import {type InstanceId, type ZoneId} from '@valehitch/core';
 import fc from 'fast-check';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
+import {type RelayMember, RelayRanking} from './relay-ranking.js';
 import {RelaySelector} from './relay-selector.js';
-import {type RelayMember, RelayRing} from './relay-ring.js';
 
 const zoneSizes: Readonly<Record<number, readonly number[]>> = {
 	7: [3, 2, 2], 16: [6, 5, 5], 84: [26, 30, 28], 370: [124, 123, 123],
@@ -45,9 +45,9 @@
 /** Opens tunnels of all instances that are cut off, the oldest ones closing; returns the tunnels of each relay. */
 function simulate(members: readonly RelayMember[], random: () => number): ReadonlyMap<InstanceId, number> {
 	const loads = new Map<InstanceId, number>();
-	const ring = new RelayRing(members);
+	const ranking = new RelayRanking(members);
 	const choosers = members.filter(({isCutOff}) => isCutOff).map(self => ({
-		selector: new RelaySelector({random}), candidates: ring.select(self), open: new Array<{readonly relay: InstanceId; readonly close: () => void}>(),
+		selector: new RelaySelector({random}), candidates: ranking.select(self), open: new Array<{readonly relay: InstanceId; readonly close: () => void}>(),
 	}));
 	for (let now = 0; now < 3 * tunnelsEach; now++) {
 		for (const {selector, candidates, open} of choosers) {
@@ -70,9 +70,9 @@
 	fc.assert(fc.property(fc.constantFrom(7, 16, 84, 370), cuts, (size, cut) => {
 		const members = createMembers(size, cut);
 		const connected = new Set(members.filter(({isCutOff}) => !isCutOff).map(({instance}) => instance));
-		const ring = new RelayRing(members);
+		const ranking = new RelayRanking(members);
 		for (const self of members.filter(({isCutOff}) => isCutOff)) {
-			const relays = ring.select(self);
+			const relays = ranking.select(self);
 			t.false(relays.includes(self.instance));
 			t.is(new Set(relays).size, relays.length);
 			const [first] = relays;
@@ -82,23 +82,33 @@
 	}), {numRuns: 60});
 });
 
+function assertIsSpread(t: ExecutionContext, size: number, cut: Cut): void {
+	const members = createMembers(size, cut);
+	const cutCount = members.filter(({isCutOff}) => isCutOff).length;
+	const mean = cutCount / (size - cutCount);
+	const largest = Math.max(...simulate(members, createRandom(cut.seed)).values()) / tunnelsEach;
+	t.true(largest <= Math.max(ownLoad, maximumImbalance * mean), `${largest} of the load of an instance, ${mean} on average`);
+}
+
 test('the load of instances that are cut off is spread over the others', t => {
 	fc.assert(fc.property(fc.constantFrom(7, 16, 84), cuts, (size, cut) => {
-		const members = createMembers(size, cut);
-		const cutCount = members.filter(({isCutOff}) => isCutOff).length;
-		const mean = cutCount / (size - cutCount);
-		const largest = Math.max(...simulate(members, createRandom(cut.seed)).values()) / tunnelsEach;
-		t.true(largest <= Math.max(ownLoad, maximumImbalance * mean), `${largest} of the load of an instance, ${mean} on average`);
+		assertIsSpread(t, size, cut);
 	}), {numRuns: 60});
 });
 
+test('no relay takes the load of all instances in a gap between hashes', t => {
+	assertIsSpread(t, 84, {
+		kind: 'share', share: 0.345, zones: 1, seed: 47,
+	});
+});
+
 test('the relays of an instance that is not cut off are in all zones, its own first', t => {
 	const members = createMembers(84, {
 		kind: 'zones', share: 0, zones: 0, seed: 1,
 	});
-	const ring = new RelayRing(members);
+	const ranking = new RelayRanking(members);
 	for (const self of members) {
-		const zones = ring.select(self).map(relay => members.find(({instance}) => instance === relay)!.zone);
+		const zones = ranking.select(self).map(relay => members.find(({instance}) => instance === relay)!.zone);
 		t.is(zones[0], self.zone);
 		t.is(new Set(zones.slice(0, zoneCount)).size, zoneCount);
 	}
