entry: end the wait for a kept send when the answer of a smaller model is forwarded

What callers saw: nothing by itself. The time of a larger model's send that was given up early was recorded as if it had been waited for until the deadline, so that later requests could be taken for hopeless (not sent to the larger model, or refused as overloaded).

Cause: a send that is kept while another server is asked stays the one whose whole answer the outlook awaits. When no other server is found and the kept answer is forwarded, the wait was not ended, and the deadline recorded it.

Evidence: late-dispatches.test.ts, a fallback that is forwarded until its deadline after a late send to the larger model, whose only other server drains.

Conclusion: the wait ends when a kept answer is forwarded, and nothing is recorded, as for any other answer that is not whole.

--- a/packages/gateway/src/entry/late-dispatches.test.ts
+++ b/packages/gateway/src/entry/late-dispatches.test.ts
@@ -7,6 +7,7 @@
 import {control, listen, sendRequests} from './_test-run.js';
 import {AnswerOutlook} from './answer-outlook.js';
 import {type EntryContext} from './entry-context.js';
+import {type EntryServers} from './entry-servers.js';
 
 const events = 'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n';
 const smallEvents = 'id: 1\ndata: small\n\n';
@@ -240,3 +241,54 @@
 	t.deepEqual(answers, [{status: 200, text: smallEvents}]);
 	t.deepEqual(models, ['small', 'large']);
 });
+
+test('a kept send is not recorded as waited for while the answer of a smaller model is forwarded until the deadline', async t => {
+	const timeout = 4000;
+	const route = testRoute({
+		kind: 'streaming', isResumable: true, sizes: ['small', 'large'] as ModelId[], timeout, targetLatency: 200, maximumAttempts: 5,
+	});
+	const models: string[] = [];
+	const logged = new Set<string>();
+	const abandoned: string[] = [];
+	let known: EntryServers | undefined;
+	const ports = await Promise.all([0, 1].map(async () => listen(t, (message, response) => {
+		const model = String(message.headers.model);
+		models.push(model);
+		if (model === 'small') {
+			response.writeHead(200, {Confidence: '5', 'Content-Type': 'text/event-stream'});
+			response.write(smallEvents);
+		}
+	})));
+	const records = ports.map((port, index) => testServer({id: `server-${index}` as ServerId, port}));
+	const {answers} = await sendRequests(t, 1, {
+		route,
+		timeout,
+		nextServers(servers) {
+			known = servers;
+			servers.applyRecords(records, {source: control, now: performance.now()});
+		},
+		log(kind, {server}) {
+			logged.add(kind);
+			if (kind === 'request-overdue') {
+				// The server that would be asked beside the late one drains.
+				known!.applyRecords(records.map(record => record.id === server ? record : {...record, state: 'draining', sequence: record.sequence + 1}), {source: control, now: performance.now()});
+			}
+		},
+		prepare({wholeTimes}) {
+			Object.assign(wholeTimes, {
+				recordAbandoned(key: string) {
+					abandoned.push(key);
+				},
+			});
+		},
+		async call(port) {
+			const response = await fetch(`http://127.0.0.1:${port}`);
+			const text = await response.text().catch(() => 'broken off');
+			return {status: response.status, text};
+		},
+	});
+	t.deepEqual(answers, [{status: 200, text: 'broken off'}]);
+	t.deepEqual(models, ['small', 'large']);
+	t.true(logged.has('request-overdue'));
+	t.deepEqual(abandoned, []);
+});
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -654,6 +654,8 @@
 			},
 		};
 		this.#models.restore(stream.model);
+		// The send that was last waited for is given up here, and the time of an answer that was kept says nothing.
+		this.#outlook.end({isWhole: false});
 		this.#allowance.restoreUnused();
 		this.#race.restoreUnused();
 		const sentAt = this.#now();
