entry: a stop waits for the longest idle time that was announced on a connection

What callers saw: a request that crosses the close of its connection got neither an answer nor a refusal, if a configuration had set a shorter idle time since the last answer on that connection and the instance was stopped gracefully.

Cause: the stop counted every idle connection by the idle time in force, while the caller goes by the one that was in force at its last requests.

Changed tests: start() of caller-connections.test.ts passes the announced time on, none by default; no assertion of an existing test is changed.

Conclusion: each connection keeps the longest idle time that was in force when a request arrived on it, and counts as used for that or the present one, whichever is longer. As before, this is the idle time of callers, half of what the Keep-Alive header states.

--- a/packages/gateway/src/entry/caller-connections.test.ts
+++ b/packages/gateway/src/entry/caller-connections.test.ts
@@ -10,8 +10,9 @@
 	let now = 0;
 	const connections = new CallerConnections({monotonic: () => now});
 	const responses: ServerResponse[] = [];
+	let announced: number | undefined;
 	const server = createServer((_message, response) => {
-		connections.recordRequest(response);
+		connections.recordRequest(response, {idleTime: announced});
 		responses.push(response);
 	});
 	server.on('connection', socket => {
@@ -38,6 +39,10 @@
 		advance(milliseconds: number) {
 			now += milliseconds;
 		},
+		/** Sets the idle time that the answers to later requests announce. */
+		announce(milliseconds: number) {
+			announced = milliseconds;
+		},
 	};
 }
 
@@ -63,6 +68,35 @@
 	t.false(connections.isAnyUsedWithin(idleMilliseconds));
 });
 
+test('a connection counts as used for the longest idle time that was announced on it', async t => {
+	const {connections, request, advance, announce} = await start(t);
+	for (const idleTime of [3 * idleMilliseconds, idleMilliseconds / 2]) {
+		announce(idleTime);
+		const response = await request();
+		const closed = once(response, 'close');
+		response.end();
+		await closed;
+	}
+
+	advance((3 * idleMilliseconds) - 1);
+	t.true(connections.isAnyUsedWithin(idleMilliseconds));
+	advance(1);
+	t.false(connections.isAnyUsedWithin(idleMilliseconds));
+});
+
+test('a connection counts as used for the idle time in force if a shorter one was announced on it', async t => {
+	const {connections, request, advance, announce} = await start(t);
+	announce(idleMilliseconds / 2);
+	const response = await request();
+	const closed = once(response, 'close');
+	response.end();
+	await closed;
+	advance(idleMilliseconds - 1);
+	t.true(connections.isAnyUsedWithin(idleMilliseconds));
+	advance(1);
+	t.false(connections.isAnyUsedWithin(idleMilliseconds));
+});
+
 test('a connection that has closed does not count as used', async t => {
 	const {connections, request, caller} = await start(t);
 	const response = await request();
--- a/packages/gateway/src/entry/caller-connections.ts
+++ b/packages/gateway/src/entry/caller-connections.ts
@@ -3,10 +3,18 @@
 import {type Clock} from '@valehitch/core';
 import {whenResponseCloses} from '@valehitch/transport';
 
+/** Options of {@linkcode CallerConnections.recordRequest}. */
+export type RecordRequestOptions = {
+	/** For how long its caller may keep the connection idle after the response, in milliseconds; 0 by default. */
+	readonly idleTime?: number | undefined;
+};
+
 type ConnectionUse = {
 	requests: number;
 	/** When the connection was opened or its last request ended, in milliseconds on the monotonic clock. */
 	usedAt: number;
+	/** The longest idle time that was announced on it, in milliseconds; 0 if none was. */
+	idleTime: number;
 };
 
 /**
@@ -40,7 +48,7 @@
 			return;
 		}
 
-		this.#uses.set(socket, {requests: 0, usedAt: this.#clock.monotonic()});
+		this.#uses.set(socket, {requests: 0, usedAt: this.#clock.monotonic(), idleTime: 0});
 		socket.once('close', () => {
 			this.#uses.delete(socket);
 		});
@@ -50,14 +58,16 @@
 	Records that a request has arrived, and that it has ended once its response closes.
 
 	@param response The response to the request.
+	@param options What the response announces.
 	*/
-	recordRequest(response: ServerResponse): void {
+	recordRequest(response: ServerResponse, {idleTime = 0}: RecordRequestOptions = {}): void {
 		const use = this.#uses.get(response.req.socket);
 		if (use === undefined) {
 			return;
 		}
 
 		use.requests++;
+		use.idleTime = Math.max(use.idleTime, idleTime);
 		whenResponseCloses(response, () => {
 			use.requests--;
 			use.usedAt = this.#clock.monotonic();
@@ -67,13 +77,13 @@
 	/**
 	Tells whether a connection has a request in progress or was in use a short time ago, so that its caller may send another request on it.
 
-	@param milliseconds For how long callers keep an idle connection.
+	@param milliseconds For how long callers keep an idle connection; longer where a longer time was announced.
 	@returns Whether there is such a connection.
 	*/
 	isAnyUsedWithin(milliseconds: number): boolean {
 		const now = this.#clock.monotonic();
-		for (const {requests, usedAt} of this.#uses.values()) {
-			if (requests > 0 || now - usedAt < milliseconds) {
+		for (const {requests, usedAt, idleTime} of this.#uses.values()) {
+			if (requests > 0 || now - usedAt < Math.max(milliseconds, idleTime)) {
 				return true;
 			}
 		}
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -241,13 +241,18 @@
 	}
 
 	get #isInUse(): boolean {
-		return this.#responses.size > 0 || this.#connections.isAnyUsedWithin(this.#server.keepAliveTimeout / idleFactor);
+		return this.#responses.size > 0 || this.#connections.isAnyUsedWithin(this.#idleTime);
+	}
+
+	/** For how long callers keep an idle connection, in milliseconds. */
+	get #idleTime(): number {
+		return this.#server.keepAliveTimeout / idleFactor;
 	}
 
 	async #handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const arrivedAt = this.#options.clock.monotonic();
 		this.#responses.add(response);
-		this.#connections.recordRequest(response);
+		this.#connections.recordRequest(response, {idleTime: this.#idleTime});
 		try {
 			if (await this.#turns.next(response)) {
 				await handleRequest(this.#context, {message, response, arrivedAt});
