entry: log the end of a request whose caller leaves while its body arrives

What operators saw: no line and no count for a request whose connection was closed before its body was complete, as if it had never come.

Cause: a body that ended early on a closed connection was dropped silently; the run, which records callers that leave, had not begun.

Evidence: leaving-callers.test.ts, connections closed and reset during bodies of a known length and in chunks, and malformed chunks.

Conclusion: such a request ends with outcome caller-left, no sends and a reason, and is counted. Bytes that are no body end it with the same outcome; the refusal before it tells what was wrong with them (OPERATIONS.md).

--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -9,6 +9,7 @@
 import {type GatewayRequest} from './gateway-request.js';
 import {type StopMoment} from './instance-stop.js';
 import {readCallerBody} from './read-caller-body.js';
+import {recordCallerLeft} from './record-caller-left.js';
 import {RequestRun} from './request-run.js';
 import {shuttingDownFailure} from './shutting-down-failure.js';
 
@@ -63,7 +64,12 @@
 		const body = await readUnlessStopping(context, {
 			request, message, response, held, deadlineAt: deadlineOf(request, {route: admitted.route, arrivedAt}),
 		});
-		if (body === undefined || response.destroyed) {
+		if (body === undefined) {
+			return;
+		}
+
+		if (response.destroyed) {
+			recordCallerLeft(context, {request: request.id, route: admitted.route, arrivedAt});
 			return;
 		}
 
--- a/packages/gateway/src/entry/leaving-callers.test.ts
+++ b/packages/gateway/src/entry/leaving-callers.test.ts
@@ -8,10 +8,12 @@
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {testServer} from '../servers/_test-server.js';
 import {startTestEntry} from './_test-entry-instance.js';
+import {testRequest} from './_test-request.js';
 import {listen} from './_test-run.js';
 
 const request = 'GET /labels/7 HTTP/1.1\r\nHost: desk.example\r\n\r\n';
 const callerCount = 5;
+const settleMilliseconds = 5000;
 /** Longer than a starved machine holds up a test, so that no request ends at its time limit, and none is sent twice for being late. */
 const patient = {isPublic: true, timeout: 30_000, targetLatency: 30_000} as const;
 
@@ -41,6 +43,16 @@
 	}
 }
 
+/** Waits for a number of log lines, for a bounded time, and for any that would follow. */
+async function settled(lines: readonly unknown[], count: number): Promise<void> {
+	const until = performance.now() + settleMilliseconds;
+	while (lines.length < count && performance.now() < until) {
+		await delay(10);
+	}
+
+	await delay(100);
+}
+
 const departures = [
 	['closed', (caller: Socket) => caller.destroy()],
 	['reset', (caller: Socket) => caller.resetAndDestroy()],
@@ -154,3 +166,60 @@
 	await reached(2, () => closed);
 	t.is(arrived, 2);
 });
+
+for (const [name, leave] of departures) {
+	for (const [body, head] of [['of a known length', 'Content-Length: 100\r\n\r\nfirst half'], ['in chunks', 'Transfer-Encoding: chunked\r\n\r\na\r\nfirst half\r\n']] as const) {
+		test(`a request whose caller has ${name} its connection while a body ${body} arrives gets an end line`, async t => {
+			const ended: unknown[] = [];
+			let hasArrived = false;
+			const {port, metrics} = await startTestEntry(t, {
+				records: [testServer()],
+				routes: [testRoute(patient)],
+				dialect: {
+					readRequest() {
+						hasArrived = true;
+						return testRequest();
+					},
+				},
+				log(kind, {request: id, outcome, route, sends}) {
+					if (kind === 'request-ended' || id !== undefined) {
+						ended.push({
+							kind, id, outcome, route, sends,
+						});
+					}
+				},
+			});
+			const caller = await connectCaller(t, port);
+			caller.write(`POST /labels/7 HTTP/1.1\r\nHost: desk.example\r\n${head}`);
+			await reached(1, () => Number(hasArrived));
+			await delay(50);
+			leave(caller);
+			await settled(ended, 1);
+			t.deepEqual(ended, [{
+				kind: 'request-ended', id: 'a1', outcome: 'caller-left', route: 'labels', sends: 0,
+			}]);
+			const {values} = await metrics.requests.get();
+			t.deepEqual(values.map(({value, labels: {outcome}}) => [outcome, value]), [['caller-left', 1]]);
+		});
+	}
+}
+
+test('a request whose body has malformed bytes is told from one whose caller leaves by the refusal before its end line', async t => {
+	const lines: string[] = [];
+	const {port} = await startTestEntry(t, {
+		records: [testServer()],
+		routes: [testRoute(patient)],
+		log(kind, {error, outcome, reason}) {
+			if (kind === 'request-refused' || kind === 'request-ended') {
+				lines.push(`${kind} ${String(error ?? outcome)} ${String(reason)}`);
+			}
+		},
+	});
+	const caller = await connectCaller(t, port);
+	caller.write('POST /labels/7 HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\nno chunk\r\n');
+	await settled(lines, 2);
+	t.deepEqual(lines, [
+		'request-refused malformed-request Parse Error: Invalid character in chunk size',
+		'request-ended caller-left The connection was closed before the request was sent',
+	]);
+});
