entry: tell comments from events by the count of events

What callers saw: nothing. Each part of a stream was passed over twice, for whether it has an event and for how many.

Cause: the count alone would not do: lines of single carriage returns, and comments behind one, counted as events, so that a server that sends only these would escape the bound on bytes without an event.

Changed test: 'comments are told from events' asks the count in place of the field that is gone; its assertions stand, and three are added.

Conclusion: the count takes carriage returns as line ends too, and the second pass is gone.

--- a/packages/gateway/src/entry/event-stream.test.ts
+++ b/packages/gateway/src/entry/event-stream.test.ts
@@ -96,10 +96,38 @@
 });
 
 test('comments are told from events', t => {
-	const hasEvent = (text: string): boolean | undefined => new EventStream().push(Buffer.from(text))?.hasEvent;
+	const hasEvent = (text: string): boolean => {
+		const {events} = new EventStream().push(Buffer.from(text))!;
+		return events > 0;
+	};
+
 	t.false(hasEvent(': ping\n\n'));
 	t.false(hasEvent('\r\n: one\r\n: two\r\n\r\n\n'));
 	t.true(hasEvent(': ping\n\ndata: a\n\n'));
 	t.true(hasEvent('data: a\n\n: ping\n\n'));
 	t.true(hasEvent('id\n\n'));
+	t.false(hasEvent('\r\r\n\n'));
+	t.false(hasEvent('\r: ping\n\n'));
+	t.true(hasEvent('\rdata: a\n\n'));
+});
+
+test('complete bytes count an event exactly if they have a line that is neither empty nor a comment', t => {
+	const characters = ['\n', '\r', ':', 'a'];
+	let texts = [''];
+	let completed = 0;
+	const wrong: string[] = [];
+	for (let length = 1; length <= 7; length++) {
+		texts = texts.flatMap(text => characters.map(character => text + character));
+		for (const text of texts) {
+			const part = new EventStream().push(Buffer.from(text));
+			const hasEvent = part !== undefined && /(?:^|\n)\r*[^:\r\n]/v.test(Buffer.from(part.bytes).toString('latin1'));
+			completed += part === undefined ? 0 : 1;
+			if (hasEvent !== (part !== undefined && part.events > 0)) {
+				wrong.push(text);
+			}
+		}
+	}
+
+	t.deepEqual(wrong, []);
+	t.true(completed > 1000, `${completed}`);
 });
--- a/packages/gateway/src/entry/event-stream.ts
+++ b/packages/gateway/src/entry/event-stream.ts
@@ -4,9 +4,7 @@
 /** Complete events of a stream, ready to be forwarded. */
 export type CompleteEvents = {
 	readonly bytes: Uint8Array;
-	/** Whether there is an event among them; otherwise they are comments, which only keep the connection alive. */
-	readonly hasEvent: boolean;
-	/** The number of events among them. */
+	/** The number of events among them; 0 if they are comments, which only keep the connection alive. */
 	readonly events: number;
 };
 
@@ -87,7 +85,7 @@
 
 		const bytes = end === buffered.byteLength ? buffered : buffered.subarray(0, end);
 		this.#lastEventId = lastIdIn(bytes) ?? this.#lastEventId;
-		return {bytes, hasEvent: hasEvent(bytes), events: countEvents(bytes)};
+		return {bytes, events: countEvents(bytes)};
 	}
 
 	/** Discards the incomplete event, so that the stream can resume at another server. */
@@ -124,22 +122,6 @@
 	return 0;
 }
 
-/** Whether there is a line that is neither empty nor a comment. */
-function hasEvent(bytes: Uint8Array): boolean {
-	let isInComment = false;
-	for (const byte of bytes) {
-		if (isInComment) {
-			isInComment = byte !== newline;
-		} else if (byte === colon) {
-			isInComment = true;
-		} else if (!isLineEnd(byte)) {
-			return true;
-		}
-	}
-
-	return false;
-}
-
 /** Counts the empty lines that end an event. */
 function countEvents(bytes: Uint8Array): number {
 	const buffer = asBuffer(bytes);
@@ -149,13 +131,23 @@
 	for (let end = buffer.indexOf(newline); end !== -1; end = buffer.indexOf(newline, start)) {
 		const isEmpty = end === start || (end === start + 1 && buffer[start] === carriageReturn);
 		count += isEmpty && isInsideEvent ? 1 : 0;
-		isInsideEvent = !isEmpty && (isInsideEvent || buffer[start] !== colon);
+		isInsideEvent = !isEmpty && (isInsideEvent || hasField(buffer, start));
 		start = end + 1;
 	}
 
 	return count;
 }
 
+/** Whether a line has anything but a comment. A carriage return alone ends a line too. */
+function hasField(bytes: Uint8Array, start: number): boolean {
+	let first = start;
+	while (bytes[first] === carriageReturn) {
+		first++;
+	}
+
+	return bytes[first] !== newline && bytes[first] !== colon;
+}
+
 /** Returns the value of the last line that is an id; undefined if there is none. */
 function lastIdIn(bytes: Uint8Array): string | undefined {
 	const buffer = asBuffer(bytes);
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -135,10 +135,11 @@
 			overhead.add(chunk.byteLength);
 			pace.add(chunk.byteLength);
 			const part = events.push(chunk);
-			bytesWithoutEvent = part?.hasEvent === true ? events.incomplete.byteLength : bytesWithoutEvent + chunk.byteLength;
+			const hasEvent = part !== undefined && part.events > 0;
+			bytesWithoutEvent = hasEvent ? events.incomplete.byteLength : bytesWithoutEvent + chunk.byteLength;
 			if (part !== undefined && !isFinished) {
 				forward(part.bytes);
-				if (part.hasEvent) {
+				if (hasEvent) {
 					onEvents?.(part.events, now);
 				}
 			}
