transport: finish an answer that has begun though malformed bytes come behind it

What callers saw: an answer that had begun, a stream or a plain one under way, was broken off when bytes that are no request, or a request with a malformed body, came behind its whole request on the connection, and whole requests that waited behind it got nothing. This held for entry instances, valehitchd and control instances.

Cause: closeBehindWhole aborted the answer in progress as soon as its head had been sent. Three tests asked for that, two of unfinished-responses and one of caller-server. By and by their comment, their reason is that a 400 was written into an answer under way and read as a part of it. The abort was one way to prevent that and no end in itself: the bytes say nothing of a request that came whole before them.

Evidence: with the code before, four new cases of unfinished-responses and one of caller-server were red: only the first half of the first unfinished answer came.

Change of tests: the three tests are replaced. The new ones compare all bodies that are received with the expected ones, so that anything written into an answer or behind the last one still fails, and the refusal is logged and counted once. That an answer is broken off, without a 400, if the body of its own request is malformed or its caller has ended the connection within the next request is a test too, as is that a caller that leaves is seen; these were green before and after.

Why it works: the connection closes behind the last answer to a whole request, as it did where no answer had begun. It is closed at once if no request is whole, or if an answer has begun and the caller has ended the connection.

--- a/packages/transport/src/unfinished-responses.ts
+++ b/packages/transport/src/unfinished-responses.ts
@@ -49,7 +49,7 @@
 	}
 
 	/**
-	Closes a connection on which bytes came that are no request: behind the answers to the requests that have arrived whole or, if the answer in progress has begun or is to an incomplete request, at once.
+	Closes a connection on which bytes came that are no request, behind the answers to the requests that have arrived whole, also to one that has begun. It is closed at once if there are none, or if an answer has begun and the caller has ended the connection.
 
 	@param socket The connection.
 	@returns Whether a response is in progress; otherwise, nothing is done.
@@ -65,7 +65,7 @@
 			return true;
 		}
 
-		if (response.headersSent || last === undefined) {
+		if (last === undefined || (response.headersSent && socket.readableEnded)) {
 			abortResponse(response);
 			return true;
 		}
