transport: stop reading what a caller sends without end behind a request for a tunnel

What callers saw: nothing; a caller could send without end behind a CONNECT that waited for the answers before it, and all of it was read and thrown away.

Cause: the connection was resumed once and for all, so that its end is seen.

Evidence: in the new case of refuse-tunnels, the code before read 64 MiB behind such a request, where the test gave up, and never paused the caller. Now it stops reading within 1.125 MiB, that is 1 MiB and what one read may bring beyond it.

Why it works: the bytes are counted, and from 1 MiB on the connection is paused, also if the body of an earlier request resumes it. It closes a second after the refusal as before.

What it costs: a caller that has sent over 1 MiB there and leaves is not seen to leave before something is written to it.

--- a/packages/transport/src/refuse-tunnels.test.ts
+++ b/packages/transport/src/refuse-tunnels.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type RequestListener} from 'node:http';
 import {type AddressInfo, connect, type Socket} from 'node:net';
@@ -6,6 +7,8 @@
 
 const get = 'GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n';
 const tunnel = 'CONNECT desk.example:80 HTTP/1.1\r\nHost: desk.example:80\r\n\r\n';
+/** The body of an answer in two parts. */
+const wholeBody = 'c\r\nfirst half, \r\nb\r\nsecond half\r\n0\r\n\r\n';
 
 /** Starts a server that refuses tunnels, and a caller that keeps its side of its connection open. */
 async function start(t: ExecutionContext, handle: RequestListener) {
@@ -69,3 +72,44 @@
 	await closed;
 	t.true(connection.destroyed);
 });
+
+/** How much a caller may send behind its request for a tunnel before its connection is no longer read, with what one read may bring beyond it, in bytes. */
+const mostReadBytes = 1152 * 1024;
+/** What a caller sends that is never paused, in bytes. */
+const floodBytes = 64 * 1024 * 1024;
+
+test('what a caller sends without end behind a request for a tunnel that waits is not read on, and the requests before it are answered whole', async t => {
+	let answer: (() => void) | undefined;
+	const {server, caller, text} = await start(t, (message, response) => {
+		response.write('first half, ');
+		answer ??= () => {
+			response.end('second half');
+		};
+
+		if (message.url === '/last') {
+			response.end('second half');
+		}
+	});
+	const connected = once(server, 'connection') as Promise<[Socket]>;
+	caller.write(`${get}${get.replace('/', '/last')}${tunnel}`);
+	const [connection] = await connected;
+	const closed = new Promise(resolve => {
+		connection.on('close', resolve);
+	});
+	await once(server, 'connect');
+	const flood = Buffer.alloc(64 * 1024, 'x');
+	let isPaused = false;
+	while (!isPaused && connection.bytesRead < floodBytes) {
+		if (!caller.write(flood)) {
+			isPaused = await once(caller, 'drain', {signal: AbortSignal.timeout(500)}).then(() => false, () => true);
+		}
+	}
+
+	t.true(isPaused);
+	t.true(connection.bytesRead <= mostReadBytes, `${connection.bytesRead}`);
+	answer!();
+	await once(caller, 'end');
+	t.deepEqual(text().split(/(HTTP\/1\.1 \d+ )[\s\S]*?\r\n\r\n/v).slice(1), ['HTTP/1.1 200 ', wholeBody, 'HTTP/1.1 200 ', wholeBody, 'HTTP/1.1 501 ', '']);
+	await closed;
+	t.true(connection.bytesRead <= mostReadBytes, `${connection.bytesRead}`);
+});
--- a/packages/transport/src/refuse-tunnels.ts
+++ b/packages/transport/src/refuse-tunnels.ts
@@ -10,11 +10,13 @@
 	readonly onRefuse?: ((message: IncomingMessage) => void) | undefined;
 };
 
+/** How much of what follows a request for a tunnel is read and thrown away, in bytes; then the connection is no longer read. */
+const maximumDiscardedBytes = 1024 * 1024;
 /** The time that the caller has to read the answer once the connection is closed for sending, in milliseconds. */
 const lingerMilliseconds = 1000;
 
 /**
-Refuses requests with the method CONNECT, once those before them on their connections are answered. The server otherwise closes the connection of such a request at once, without an answer to any request on it.
+Refuses requests with the method CONNECT, once those before them on their connections are answered. What follows such a request is thrown away up to 1 MiB, and not read beyond it. The server otherwise closes the connection of such a request at once, without an answer to any request on it.
 
 @param server The server, which has not accepted connections yet.
 @param options What is called.
@@ -28,18 +30,29 @@
 	server.prependListener('request', (_message: IncomingMessage, response: ServerResponse) => {
 		unfinished.add(response);
 	});
-	server.on('connect', (message: IncomingMessage, socket: Duplex) => {
+	server.on('connect', (message: IncomingMessage, socket: Duplex, rest: Uint8Array) => {
 		onRefuse?.(message);
 		// The server no longer handles the connection.
 		socket.on('error', () => {
 			// The connection is closed after it.
 		});
-		// What follows is thrown away, so that the end of the connection is seen.
-		socket.resume();
+		discard(socket, rest.byteLength);
 		void refuse(socket, unfinished);
 	});
 }
 
+/** Throws away what arrives, so that the end of the connection is seen. */
+function discard(socket: Duplex, alreadyBytes: number): void {
+	let discardedBytes = alreadyBytes;
+	socket.on('data', (chunk: Uint8Array) => {
+		discardedBytes += chunk.byteLength;
+		// An earlier request whose body is read may resume the connection.
+		if (discardedBytes >= maximumDiscardedBytes) {
+			socket.pause();
+		}
+	});
+}
+
 async function refuse(socket: Duplex, unfinished: UnfinishedResponses): Promise<void> {
 	let response = unfinished.on(socket);
 	// Responses that wait behind another one are not destroyed with their connection.
