transport: close a connection with malformed bytes behind an answer that had begun before a stop

What callers saw: nothing; a stop of valehitchd or of a control instance did not end after all answers were whole, if bytes that are no request had come on a connection behind an answer that had begun before the stop.

Cause: a stop asks all answers to close their connections, also those whose heads are written and announce otherwise. closeBehindWhole took that wish for a connection that closes already, and the server does not count a connection as idle whose next request has begun.

Why it works: the connection is closed behind the last whole answer whatever that answer has announced, and which connections close is kept apart from it.

--- a/packages/transport/src/unfinished-responses.test.ts
+++ b/packages/transport/src/unfinished-responses.test.ts
@@ -1,7 +1,8 @@
+import {once} from 'node:events';
 import {connect} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {startHttpServer} from './http-server.js';
+import {type HttpServer, type HttpServerOptions, startHttpServer} from './http-server.js';
 
 type SendOptions = {
 	/** The requests, which are sent without waiting for their answers. */
@@ -24,24 +25,29 @@
 /** How long an answer that has begun goes on after the bytes, in milliseconds. */
 const goesOnMilliseconds = 100;
 
+async function start(t: ExecutionContext, handler: HttpServerOptions['handler']): Promise<HttpServer> {
+	const server = await startHttpServer({
+		host: '127.0.0.1', port: 0, headerBytes: 16_384, onError: error => t.fail(String(error)), handler,
+	});
+	t.teardown(server.destroy);
+	return server;
+}
+
 /** Sends requests and then bytes on a connection, to a server whose answer to `/begun` is not complete by then; returns what is received. */
 async function sendBehind(t: ExecutionContext, {requests, after, bytes = 'no request\r\n\r\n', endsBehind = false}: SendOptions): Promise<string> {
 	let noteSent: () => void;
 	const sent = new Promise<void>(resolve => {
 		noteSent = resolve;
 	});
-	const {port, destroy} = await startHttpServer({
-		host: '127.0.0.1', port: 0, headerBytes: 16_384, onError: error => t.fail(String(error)), async handler({url}, response) {
-			response.write('first half, ');
-			if (url === '/begun') {
-				await sent;
-				await delay(goesOnMilliseconds);
-			}
+	const {port} = await start(t, async ({url}, response) => {
+		response.write('first half, ');
+		if (url === '/begun') {
+			await sent;
+			await delay(goesOnMilliseconds);
+		}
 
-			response.end('second half');
-		},
+		response.end('second half');
 	});
-	t.teardown(destroy);
 	const socket = connect({port, host: '127.0.0.1', allowHalfOpen: true});
 	let text = '';
 	socket.on('data', chunk => {
@@ -104,3 +110,30 @@
 	t.true(text.includes('second half'));
 	t.regex(text, /HTTP\/1\.1 400 /v);
 });
+
+test('a stop does not wait for a connection on which bytes that are no request came behind an answer that had begun', async t => {
+	let answer: (() => void) | undefined;
+	const server = await start(t, async (_message, response) => {
+		response.write('first half, ');
+		answer = () => {
+			response.end('second half');
+		};
+	});
+	const caller = connect(server.port, '127.0.0.1');
+	t.teardown(() => {
+		caller.destroy();
+	});
+	let text = '';
+	caller.on('data', chunk => {
+		text += String(chunk);
+	});
+	caller.write(begun);
+	await once(caller, 'data');
+	const closed = server.close();
+	caller.write('no request\r\n\r\n');
+	await delay(goesOnMilliseconds);
+	answer!();
+	await once(caller, 'close', {signal: AbortSignal.timeout(5000)});
+	await closed;
+	t.deepEqual(bodiesOf(text), [body]);
+});
--- a/packages/transport/src/unfinished-responses.ts
+++ b/packages/transport/src/unfinished-responses.ts
@@ -16,6 +16,8 @@
 export class UnfinishedResponses {
 	/** The responses on each connection in the order of their requests; only the first one has its connection. */
 	readonly #bySocket = new WeakMap<Duplex, readonly ServerResponse[]>();
+	/** The connections that close behind an answer. */
+	readonly #closing = new WeakSet<Duplex>();
 
 	/**
 	Adds the response to a request that has arrived.
@@ -61,20 +63,20 @@
 		}
 
 		const last = this.lastWholeOn(socket);
-		if (last?.shouldKeepAlive === false) {
-			return true;
-		}
-
 		if (last === undefined || (response.headersSent && socket.readableEnded)) {
 			abortResponse(response);
 			return true;
 		}
 
 		last.shouldKeepAlive = false;
-		// The head of the last answer may have been written before and announce otherwise.
-		whenResponseCloses(last, () => {
-			last.req.socket.destroySoon();
-		});
+		if (!this.#closing.has(socket)) {
+			this.#closing.add(socket);
+			// The head of the last answer may have been written before and announce otherwise.
+			whenResponseCloses(last, () => {
+				last.req.socket.destroySoon();
+			});
+		}
+
 		return true;
 	}
 
