transport: let closeBehindWhole tell whether a connection closes already

Callers see no change.

Cause: the entry server and closeBehindWhole both looked for the last whole request on a connection and asked whether its answer closes it already, one to log a refusal once and the other to close the connection once.

Change: closeBehindWhole returns whether the connection closes by this call, closes already or stays open; lastWholeOn, which nothing else used, is gone.

--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -62,16 +62,15 @@
 			return;
 		}
 
-		const last = unfinished.lastWholeOn(socket);
-		if (last?.shouldKeepAlive === false) {
-			// The connection closes behind the answer already.
+		// What came whole is answered; the connection is closed behind the last answer.
+		const closing = unfinished.closeBehindWhole(socket);
+		if (closing === 'closes-already') {
 			return;
 		}
 
 		log('request-refused', {error: 'malformed-request', reason: error.message}, 'warn');
 		onClose?.('malformed');
-		// What came whole is answered; the connection is closed behind the last answer.
-		if (unfinished.closeBehindWhole(socket)) {
+		if (closing === 'closes') {
 			return;
 		}
 
--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -105,7 +105,7 @@
 	ignoreUpgrades(server);
 	refuseTunnels(server);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-		if (unfinished.closeBehindWhole(socket)) {
+		if (unfinished.closeBehindWhole(socket) !== 'open') {
 			return;
 		}
 
--- a/packages/transport/src/unfinished-responses.ts
+++ b/packages/transport/src/unfinished-responses.ts
@@ -40,34 +40,25 @@
 		return first;
 	}
 
-	/**
-	Returns the response to the latest request of a connection that has arrived whole.
-
-	@param socket The connection.
-	@returns The response; undefined if none is in progress.
-	*/
-	lastWholeOn(socket: Duplex): ServerResponse | undefined {
-		return this.#unfinishedOn(socket).findLast(({req}) => req.complete);
-	}
-
 	/**
 	Closes a connection on which bytes came that are no request, behind the answers to the requests that have arrived whole, also to one that has begun. It is closed at once if there are none, or if an answer has begun and the caller has ended the connection.
 
 	@param socket The connection.
-	@returns Whether a response is in progress; otherwise, nothing is done.
+	@returns Whether the connection closes by this call, or closes already behind an answer; `open` if no response is in progress, and nothing is done.
 	*/
-	closeBehindWhole(socket: Duplex): boolean {
+	closeBehindWhole(socket: Duplex): 'closes' | 'closes-already' | 'open' {
 		const response = this.on(socket);
 		if (response === undefined) {
-			return false;
+			return 'open';
 		}
 
-		const last = this.lastWholeOn(socket);
+		const last = this.#unfinishedOn(socket).findLast(({req}) => req.complete);
 		if (last === undefined || (response.headersSent && socket.readableEnded)) {
 			abortResponse(response);
-			return true;
+			return 'closes';
 		}
 
+		const closes = last.shouldKeepAlive ? 'closes' : 'closes-already';
 		last.shouldKeepAlive = false;
 		if (!this.#closing.has(socket)) {
 			this.#closing.add(socket);
@@ -77,7 +68,7 @@
 			});
 		}
 
-		return true;
+		return closes;
 	}
 
 	#unfinishedOn(socket: Duplex): readonly ServerResponse[] {
