--- a/packages/transport/src/unfinished-responses.ts
+++ b/packages/transport/src/unfinished-responses.ts
@@ -16,6 +16,8 @@
 export class UnfinishedResponses {
 	/** The responses on each connection in the order of their requests; only the first one has its connection. */
 	readonly #bySocket = new WeakMap<Duplex, readonly ServerResponse[]>();
+	/** The connections that close behind an answer. */
+	readonly #closing = new WeakSet<Duplex>();
 
 	/**
 	Adds the response to a request that has arrived.
@@ -39,43 +41,34 @@
 	}
 
 	/**
-	Returns the response to the latest request of a connection that has arrived whole.
+	Closes a connection on which bytes came that are no request, behind the answers to the requests that have arrived whole, also to one that has begun. It is closed at once if there are none, or if an answer has begun and the caller has ended the connection.
 
 	@param socket The connection.
-	@returns The response; undefined if none is in progress.
+	@returns Whether the connection closes by this call, or closes already behind an answer; `open` if no response is in progress, and nothing is done.
 	*/
-	lastWholeOn(socket: Duplex): ServerResponse | undefined {
-		return this.#unfinishedOn(socket).findLast(({req}) => req.complete);
-	}
-
-	/**
-	Closes a connection on which bytes came that are no request: behind the answers to the requests that have arrived whole or, if the answer in progress has begun or is to an incomplete request, at once.
-
-	@param socket The connection.
-	@returns Whether a response is in progress; otherwise, nothing is done.
-	*/
-	closeBehindWhole(socket: Duplex): boolean {
+	closeBehindWhole(socket: Duplex): 'closes' | 'closes-already' | 'open' {
 		const response = this.on(socket);
 		if (response === undefined) {
-			return false;
-		}
-
-		const last = this.lastWholeOn(socket);
-		if (last?.shouldKeepAlive === false) {
-			return true;
+			return 'open';
 		}
 
-		if (response.headersSent || last === undefined) {
+		const last = this.#unfinishedOn(socket).findLast(({req}) => req.complete);
+		if (last === undefined || (response.headersSent && socket.readableEnded)) {
 			abortResponse(response);
-			return true;
+			return 'closes';
 		}
 
+		const closes = last.shouldKeepAlive ? 'closes' : 'closes-already';
 		last.shouldKeepAlive = false;
-		// The head of the last answer may have been written before and announce otherwise.
-		whenResponseCloses(last, () => {
-			last.req.socket.destroySoon();
-		});
-		return true;
+		if (!this.#closing.has(socket)) {
+			this.#closing.add(socket);
+			// The head of the last answer may have been written before and announce otherwise.
+			whenResponseCloses(last, () => {
+				last.req.socket.destroySoon();
+			});
+		}
+
+		return closes;
 	}
 
 	#unfinishedOn(socket: Duplex): readonly ServerResponse[] {
