gateway: adopt configurations with more workspaces than a call takes arguments

What callers saw: nothing yet, found by reading. Adopting a configuration with some 120,000 workspaces or routes throws, outside any handler: the watch of the control instances ends with an unhandled rejection, at all entry instances at about the same time.

Cause: the priorities were passed to Math.min and Math.max as arguments. A frame between instances takes 16 MiB, and a workspace without keys some 15 bytes, so that such a configuration arrives.

Evidence: a table of 150,000 routes and workspaces: RangeError before.

Conclusion: the same pattern is left only over the servers and routes of one service and the leases of one server.

--- a/packages/gateway/src/configuration/route-table.test.ts
+++ b/packages/gateway/src/configuration/route-table.test.ts
@@ -51,3 +51,11 @@
 	t.deepEqual(routes.map(route => table.urgencyOf(route, undefined)), [0, 2]);
 	t.deepEqual(routes.map(route => new RouteTable(testConfiguration({routes})).urgencyOf(route, undefined)), [0, 2]);
 });
+
+test('a table of more routes and workspaces than a call may have arguments can be created', t => {
+	const count = 150_000;
+	const routes = Array.from({length: count}, (_, index) => testRoute({id: `r${index}` as never, pathPrefix: `/${index}/`}));
+	const workspaces = Array.from({length: count}, (_, index) => ({id: `w${index}` as never, keys: [], priority: 1 + (index % 3)}));
+	const table = new RouteTable({...testConfiguration(), routes, workspaces});
+	t.is(table.urgencyOf(routes[0]!, {priority: 2}), 5);
+});
--- a/packages/gateway/src/configuration/route-table.ts
+++ b/packages/gateway/src/configuration/route-table.ts
@@ -31,8 +31,8 @@
 		this.version = version;
 		this.limits = limits;
 		this.needsKeys = workspaces !== undefined;
-		this.#urgentWorkspacePriority = Math.min(...(workspaces ?? []).map(({priority}) => priority ?? Number.POSITIVE_INFINITY));
-		this.#routeUrgencies = 1 + Math.max(0, ...routes.map(({priority}) => priority));
+		this.#urgentWorkspacePriority = leastPriority(workspaces ?? []);
+		this.#routeUrgencies = 1 + greatestPriority(routes);
 		for (const service of services) {
 			this.#services.set(service.id, service);
 		}
@@ -120,6 +120,26 @@
 	}
 }
 
+/** Returns the most urgent priority. A call of `Math.min` takes only some 100,000 arguments. */
+function leastPriority(workspaces: readonly WorkspaceAccess[]): number {
+	let least = Number.POSITIVE_INFINITY;
+	for (const {priority} of workspaces) {
+		least = Math.min(least, priority ?? least);
+	}
+
+	return least;
+}
+
+/** Returns the least urgent priority; 0 if none is higher. */
+function greatestPriority(routes: readonly Route[]): number {
+	let greatest = 0;
+	for (const {priority} of routes) {
+		greatest = Math.max(greatest, priority);
+	}
+
+	return greatest;
+}
+
 /** Appends a route to the list of a key in place: copies of the lists would take quadratic time. */
 function append<Key>(lists: Map<Key, Route[]>, {key, route}: {readonly key: Key; readonly route: Route}): void {
 	const list = lists.get(key);
