gateway: test requests that wait beside changes of the configuration

What callers saw: nothing; the series of whole-requests does not reach requests that are held, borrow a send or wait for a first server.

A request that borrows a send is refused with 503 though its route has been moved to a service with a sound server meanwhile.

--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -48,6 +48,10 @@
 	readonly idleTimeout?: number;
 	/** The other entry instances; none by default. */
 	readonly peers?: readonly InstanceId[];
+	/** Asks them for sends; by default none replies. */
+	readonly askForSends?: EntryInstanceOptions['askForSends'];
+	/** The rate limits of servers that the control instance reports; none by default. */
+	readonly serverLimits?: WatchReply['serverLimits'];
 	/** Opens tunnels through them; by default there is no peer. */
 	readonly openTunnel?: EntryInstanceOptions['openTunnel'];
 };
@@ -59,6 +63,7 @@
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
 export async function startTestEntry(t: ExecutionContext, {
 	records, routes, services, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000, random = () => 0.5, idleTimeout = 15_000, peers = [],
+	askForSends = async () => undefined, serverLimits = [],
 	openTunnel = async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}),
 }: StartTestEntryOptions) {
 	const clock = {now: () => new Date(), monotonic: () => performance.now()};
@@ -67,7 +72,7 @@
 	let current: Partial<RoutingConfiguration> = {routes, ...(services !== undefined && {services})};
 	const reply = (): WatchReply => ({
 		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version, document: ''}, rollouts: [], rolloutDigest: '',
-		held: 0, confirmedAgo: 0, hosts: [control], entryCount, entries: peers, zone: 'hall-a' as ZoneId, takesWorkReports: true,
+		held: 0, confirmedAgo: 0, hosts: [control], entryCount, entries: peers, zone: 'hall-a' as ZoneId, takesWorkReports: true, serverLimits,
 	});
 	const metrics = createGatewayMetrics();
 	const {entry, port} = await startOnFreePort(port => new EntryInstance({
@@ -93,7 +98,7 @@
 		},
 		send: ignore,
 		reportSuspects: async () => true,
-		askForSends: async () => undefined,
+		askForSends,
 		reportWork: async () => work,
 		openTunnel,
 		wait: async milliseconds => delay(milliseconds),
