routing: keep the cost of a send constant beside many servers

What callers saw: nothing yet. Since time adds to the allowance for second sends only while sends are not late at several servers, each send of a service whose allowance is below one counted the sends to all of its servers again.

Cause: the check went over all tallies at each call.

The totals and the server with the most late sends are kept now, and counted again only when the tallies move.

Conclusion: the rule itself is as it was.

--- a/packages/routing/src/second-send-allowance.test.ts
+++ b/packages/routing/src/second-send-allowance.test.ts
@@ -129,6 +129,24 @@
 	t.is(countAllowed(allowance, {server: 'i-1', now: 20_000}), 1);
 });
 
+/** Returns how long sends take while time adds to the allowance, in milliseconds. */
+function timeSends(serverCount: number): number {
+	const allowance = new SecondSendAllowance();
+	for (let index = 0; index < serverCount; index++) {
+		recordSends(allowance, {server: `i-${index}`, now: 0, count: 1});
+	}
+
+	countAllowed(allowance, {server: 'i-1', now: 0});
+	const startedAt = performance.now();
+	recordSends(allowance, {server: 'i-1', now: 1, count: 5000});
+	return performance.now() - startedAt;
+}
+
+test('a send takes no longer beside many servers while time adds to the allowance', t => {
+	const [few, many] = [2, 5000].map(serverCount => Math.min(...Array.from({length: 3}, () => timeSends(serverCount))));
+	t.true(many! < 20 * few!, `${many!.toFixed(1)} ms beside many servers, ${few!.toFixed(1)} ms beside few`);
+});
+
 test('late sends at a single server do not stop the second sends that time allows', t => {
 	const allowance = busyAllowance();
 	t.is(countAllowed(allowance, {server: 'i-2', now: 0}), 1);
--- a/packages/routing/src/second-send-allowance.ts
+++ b/packages/routing/src/second-send-allowance.ts
@@ -31,6 +31,9 @@
 type History = {
 	current: Map<string, Tally>;
 	previous: Map<string, Tally>;
+	/** The sends to all servers, and the server with the most late ones. */
+	all: Tally;
+	latest: string | undefined;
 	/** When the current tallies began, in milliseconds on the monotonic clock. */
 	beganAt: number;
 	/** The second sends that are left beside servers that are no later than others. */
@@ -87,7 +90,9 @@
 	*/
 	recordSend(key: string, send: AllowanceSend): void {
 		this.#budget.deposit(key, send.now);
-		this.#tallyOf(key, send).sends++;
+		const history = this.#historyAt(key, send.now);
+		tallyOf(history, send.server).sends++;
+		history.all.sends++;
 	}
 
 	/**
@@ -97,7 +102,10 @@
 	@param send The send, and the time at which it is late.
 	*/
 	recordLate(key: string, send: AllowanceSend): void {
-		this.#tallyOf(key, send).late++;
+		const history = this.#historyAt(key, send.now);
+		tallyOf(history, send.server).late++;
+		history.all.late++;
+		history.latest = laterOf(history, send.server);
 		this.#add(key, {now: send.now, count: this.#options.ratio});
 	}
 
@@ -169,28 +177,18 @@
 		history.left = Math.min(this.#options.burst, history.left + count);
 	}
 
-	#tallyOf(key: string, {server, now}: AllowanceSend): Tally {
-		const {current} = this.#historyAt(key, now);
-		let tally = current.get(server);
-		if (tally === undefined) {
-			tally = {sends: 0, late: 0};
-			current.set(server, tally);
-		}
-
-		return tally;
-	}
-
 	/** Returns the history of a key; half a window after its current tallies began, they become the previous ones. */
 	#historyAt(key: string, now: number): History {
 		const {minimumPerSecond, windowMilliseconds} = this.#options;
 		const history = this.#histories.getOrCreate(key, () => ({
-			current: new Map<string, Tally>(), previous: new Map<string, Tally>(), beganAt: now, left: maximumIdleCount, filledAt: now,
+			current: new Map<string, Tally>(), previous: new Map<string, Tally>(), all: {sends: 0, late: 0}, latest: undefined, beganAt: now, left: maximumIdleCount, filledAt: now,
 		}));
 		const elapsed = now - history.beganAt;
 		if (elapsed >= windowMilliseconds / 2) {
 			history.previous = elapsed >= windowMilliseconds ? new Map<string, Tally>() : history.current;
 			history.current = new Map<string, Tally>();
 			history.beganAt = now;
+			countAgain(history);
 		}
 
 		if (history.left < maximumIdleCount && !isLateAtSeveral(history)) {
@@ -225,18 +223,38 @@
 }
 
 /** Checks whether more sends than usual are late beside those at the server with the most late ones: such requests most likely take long anywhere. */
-function isLateAtSeveral({current, previous}: Pick<History, 'current' | 'previous'>): boolean {
-	let sends = 0;
-	let late = 0;
-	let latest: Tally = {sends: 0, late: 0};
-	for (const id of new Set([...current.keys(), ...previous.keys()])) {
-		const tally = tallyAt({current, previous}, id);
-		sends += tally.sends;
-		late += tally.late;
-		latest = tally.late > latest.late ? tally : latest;
+function isLateAtSeveral(history: History): boolean {
+	const {all, latest} = history;
+	const {sends, late} = latest === undefined ? all : tallyAt(history, latest);
+	return all.late - late > chanceCount + (lateFactor * usualLateShare * (all.sends - sends));
+}
+
+/** Returns the server with the most late sends, after another one at a server was counted. */
+function laterOf(history: History, server: string): string {
+	const {latest = server} = history;
+	return tallyAt(history, server).late > tallyAt(history, latest).late ? server : latest;
+}
+
+/** Counts the sends to all servers again after the tallies have moved. */
+function countAgain(history: History): void {
+	history.all = {sends: 0, late: 0};
+	history.latest = undefined;
+	for (const [server, {sends, late}] of history.previous) {
+		history.all.sends += sends;
+		history.all.late += late;
+		history.latest = laterOf(history, server);
+	}
+}
+
+/** Returns the current tally of a server, which may be changed. */
+function tallyOf({current}: History, server: string): Tally {
+	let tally = current.get(server);
+	if (tally === undefined) {
+		tally = {sends: 0, late: 0};
+		current.set(server, tally);
 	}
 
-	return late - latest.late > chanceCount + (lateFactor * usualLateShare * (sends - latest.sends));
+	return tally;
 }
 
 function tallyAt({current, previous}: Pick<History, 'current' | 'previous'>, server: string): Tally {
