transport: answer all whole requests of a connection when a server closes

What callers saw: of several whole requests that had been sent together to a control instance or valehitchd, only the first was answered if the server closed meanwhile; those behind it got neither an answer nor a refusal.

Conclusion: a request that comes behind them after the close has begun may still be lost, as its caller has been told to connect anew.

--- a/packages/transport/src/http.test.ts
+++ b/packages/transport/src/http.test.ts
@@ -394,6 +394,37 @@
 	await closed;
 });
 
+test('a server that closes answers all whole requests that have arrived on a connection, and closes it behind the last one', async t => {
+	const handled: string[] = [];
+	let finish: (() => void) | undefined;
+	const mayFinish = new Promise<void>(resolve => {
+		finish = resolve;
+	});
+	const server = await startHttpServer({
+		host: '127.0.0.1',
+		port: 0,
+		headerBytes: 2048,
+		async handler({url = ''}, response) {
+			handled.push(url);
+			await mayFinish;
+			response.end(`done ${url}`);
+		},
+		onError: doNothing,
+	});
+	t.teardown(server.destroy);
+	const text = sendRaw(server, ['/1', '/2', '/3'].map(url => `GET ${url} HTTP/1.1\r\nHost: a\r\n\r\n`).join(''));
+	while (handled.length === 0) {
+		await turn();
+	}
+
+	const closed = server.close();
+	finish?.();
+	const answers = await text;
+	t.regex(answers, /done \/1[\s\S]*done \/2[\s\S]*Connection: close[\s\S]*done \/3$/v);
+	t.is(answers.match(/Connection: close/gv)?.length, 1);
+	await closed;
+});
+
 test('a server that closes waits until a slow caller has read a complete answer', async t => {
 	const bytes = 32 * 1024 * 1024;
 	const server = await startHttpServer({
--- a/packages/transport/src/responses-in-progress.ts
+++ b/packages/transport/src/responses-in-progress.ts
@@ -1,4 +1,5 @@
 import {type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {abortResponse} from './abort-response.js';
 import {whenResponseCloses} from './when-response-closes.js';
 
@@ -51,9 +52,14 @@
 		});
 	}
 
-	/** Asks the callers whose answers have not begun to close their connections. */
+	/** Asks the callers whose answers have not begun to close their connections, each with the last answer on its connection: those behind an answer that closes it would be lost. */
 	closeConnections(): void {
+		const lastOf = new Map<Socket, ServerResponse>();
 		for (const response of this.#responses) {
+			lastOf.set(response.req.socket, response);
+		}
+
+		for (const response of lastOf.values()) {
 			response.shouldKeepAlive = false;
 		}
 	}
