gateway: answer all whole requests of a connection when an instance stops

What callers saw: of several whole requests that had been sent together, only the first was answered if its instance began to stop meanwhile; those behind it ended as not-handled, with neither an answer nor a refusal.

Evidence: three whole requests on a connection, and a stop while the first one runs: 1 of 3 answered before, 3 of 3 now.

Conclusion: a request that arrives behind another one after the stop has begun is still not run, as a test asks: the answer before it closes the connection. The context of caller-answer.test has the new method in place of the field that is no longer read; what it checks is as it was.

--- a/packages/gateway/src/entry/caller-answer.test.ts
+++ b/packages/gateway/src/entry/caller-answer.test.ts
@@ -12,7 +12,7 @@
 async function lengthFor(t: ExecutionContext, method: string, answer: CompleteAnswer): Promise<string | undefined> {
 	const port = await listen(t, (_message, response) => {
 		const writer = new CallerAnswer({
-			clock: {now: () => new Date(), monotonic: () => 0}, metrics: createGatewayMetrics(), memory: new HeldMemory(), dialect: plainDialect, stop: {endsAt: undefined},
+			clock: {now: () => new Date(), monotonic: () => 0}, metrics: createGatewayMetrics(), memory: new HeldMemory(), dialect: plainDialect, stop: {closesConnection: () => false},
 		}, {
 			request: testRequest({method}), response, kind: 'safe', arrivedAt: 0,
 		});
--- a/packages/gateway/src/entry/caller-answer.ts
+++ b/packages/gateway/src/entry/caller-answer.ts
@@ -24,7 +24,7 @@
 	readonly statedLength?: string | undefined;
 };
 
-type CallerAnswerContext = Pick<EntryContext, 'clock' | 'dialect' | 'memory' | 'metrics'> & {readonly stop: Pick<EntryContext['stop'], 'endsAt'>};
+type CallerAnswerContext = Pick<EntryContext, 'clock' | 'dialect' | 'memory' | 'metrics'> & {readonly stop: Pick<EntryContext['stop'], 'closesConnection'>};
 
 const millisecondsPerSecond = 1000;
 const noContentStatus = 204;
@@ -119,7 +119,7 @@
 	#writeHead(status: number, headers: readonly Header[]): void {
 		const {response, kind, arrivedAt} = this.#options;
 		const {stop, metrics, clock} = this.#context;
-		if (stop.endsAt !== undefined) {
+		if (stop.closesConnection(response)) {
 			response.shouldKeepAlive = false;
 		}
 
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -84,5 +84,5 @@
 	/** Tells other instances that a brittle server rejected a request; returns for how long this one leaves it alone, in milliseconds. */
 	readonly tellRejection: (rejection: BrittleRejection) => number;
 	/** The stop of the instance. */
-	readonly stop: Pick<InstanceStop, 'endsAt' | 'answersDueAt' | 'watch'>;
+	readonly stop: Pick<InstanceStop, 'endsAt' | 'answersDueAt' | 'closesConnection' | 'watch'>;
 };
--- a/packages/gateway/src/entry/entry-instance.test.ts
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -188,6 +188,33 @@
 	t.true(logged.includes('request-ended not-handled'));
 });
 
+test('all whole requests that have arrived on a connection before an instance stops are answered or refused', async t => {
+	const sent: unknown[] = [];
+	const serverPort = await listen(t, ({url}, response) => {
+		sent.push(url);
+		setTimeout(() => {
+			response.end('done');
+		}, answerMilliseconds);
+	});
+	const {entry, port} = await startTestEntry(t, {
+		records: [testServer({port: serverPort})],
+		routes: [testRoute({isPublic: true, timeout: 5000, targetLatency: 800})],
+	});
+	const caller = connect(port, '127.0.0.1');
+	let text = '';
+	caller.on('data', chunk => {
+		text += String(chunk);
+	});
+	caller.write(getRequest.repeat(3));
+	while (sent.length === 0) {
+		await delay(20);
+	}
+
+	entry.beginStop(performance.now() + 30_000);
+	await once(caller, 'close');
+	t.is(statusesIn(text).length, 3);
+});
+
 test('the time that a request waits behind another one on its connection counts towards its deadline', async t => {
 	const serverPort = await listen(t, (_message, response) => {
 		setTimeout(() => {
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -174,12 +174,12 @@
 	}
 
 	/**
-	Begins the shutdown: from now on, the instance reports that it is not ready, answers ask callers to close their connections, and requests whose time limits end too late are refused as not run.
+	Begins the shutdown: from now on, the instance reports that it is not ready, the last answers on connections ask callers to close them, and requests whose time limits end too late are refused as not run.
 
 	@param endsAt When all connections will be closed, in milliseconds on the monotonic clock.
 	*/
 	beginStop(endsAt: number): void {
-		this.#stop.begin(endsAt);
+		this.#stop.begin(endsAt, this.#responses.followed);
 	}
 
 	/**
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -142,7 +142,7 @@
 	}, 'warn');
 	notes.record(request.id, {at: clock.monotonic(), kind: 'refused', facts: {error: failed.kind, reason: failed.message}});
 	// A connection that is closed while the body still comes is reset, and the caller loses the refusal.
-	if (stop.endsAt !== undefined && response.req.complete) {
+	if (response.req.complete && stop.closesConnection(response)) {
 		response.shouldKeepAlive = false;
 	}
 
--- a/packages/gateway/src/entry/instance-stop.ts
+++ b/packages/gateway/src/entry/instance-stop.ts
@@ -1,3 +1,4 @@
+import {type ServerResponse} from 'node:http';
 import {type Clock} from '@valehitch/core';
 import {setTimeoutAfterPoll} from '@valehitch/transport';
 
@@ -28,6 +29,7 @@
 	readonly #listeners = new Set<StopListener>();
 	#endsAt: number | undefined;
 	#answersDueAt: number | undefined;
+	#followed: ReadonlySet<ServerResponse> = new Set();
 	#cancelTimer: (() => void) | undefined;
 
 	/**
@@ -47,12 +49,24 @@
 		return this.#answersDueAt;
 	}
 
+	/**
+	Checks whether an answer closes its connection: while the instance stops, unless another request that had arrived before waits behind it.
+
+	@param response The response.
+	@returns Whether it does.
+	*/
+	closesConnection(response: ServerResponse): boolean {
+		return this.#endsAt !== undefined && !this.#followed.has(response);
+	}
+
 	/**
 	Begins the stop.
 
 	@param endsAt When all connections are closed, in milliseconds on the monotonic clock.
+	@param followed The responses behind which another one waits on their connection; none by default.
 	*/
-	begin(endsAt: number): void {
+	begin(endsAt: number, followed: ReadonlySet<ServerResponse> = new Set()): void {
+		this.#followed = followed;
 		const left = Math.max(0, endsAt - this.#clock.monotonic());
 		const margin = Math.min(answerMarginMilliseconds, answerMarginShare * left);
 		this.#endsAt = endsAt;
--- a/packages/transport/src/responses-in-progress.ts
+++ b/packages/transport/src/responses-in-progress.ts
@@ -52,14 +52,15 @@
 		});
 	}
 
+	/** The responses behind which another one waits on their connection. */
+	get followed(): ReadonlySet<ServerResponse> {
+		const last = new Set(this.#lastOnConnections());
+		return new Set([...this.#responses].filter(response => !last.has(response)));
+	}
+
 	/** Asks the callers whose answers have not begun to close their connections, each with the last answer on its connection: those behind an answer that closes it would be lost. */
 	closeConnections(): void {
-		const lastOf = new Map<Socket, ServerResponse>();
-		for (const response of this.#responses) {
-			lastOf.set(response.req.socket, response);
-		}
-
-		for (const response of lastOf.values()) {
+		for (const response of this.#lastOnConnections()) {
 			response.shouldKeepAlive = false;
 		}
 	}
@@ -70,4 +71,13 @@
 			abortResponse(response);
 		}
 	}
+
+	#lastOnConnections(): Iterable<ServerResponse> {
+		const lastOf = new Map<Socket, ServerResponse>();
+		for (const response of this.#responses) {
+			lastOf.set(response.req.socket, response);
+		}
+
+		return lastOf.values();
+	}
 }
