--- a/packages/gateway/src/entry/caller-connections.ts
+++ b/packages/gateway/src/entry/caller-connections.ts
@@ -24,6 +24,7 @@
 ```ts
 const connections = new CallerConnections(clock);
 server.on('connection', socket => connections.add(socket));
+connections.recordRequest(response, {idleTime: 15_000});
 connections.isAnyUsedWithin(15_000);
 ```
 */
