gateway: give two tests of request runs longer time limits than a process is held up

What was seen: "requests go past a server that rejected one" and "the last log line and the answer of a request that timed out" were red once beside other files (KNOWN-RED.txt), not traced.

Cause: their requests had time limits of 800 and 300 ms, and a process that is held up for longer answers them as not run, which is true. That the earlier runs had this cause is inferred.

Change: time limits of 8 s and 3 s; what is asserted stays.

The test of sendHeaders has the same weakness and stays listed.

--- a/packages/gateway/src/entry/request-run.test.ts
+++ b/packages/gateway/src/entry/request-run.test.ts
@@ -339,8 +339,8 @@
 	const port = await listen(t, ignore);
 	const lines: Array<readonly [string, Readonly<Record<string, unknown>>]> = [];
 	const {answers} = await sendRequests(t, 1, {
-		route: testRoute({kind: 'unsafe'}),
-		timeout: 300,
+		route: testRoute({kind: 'unsafe', timeout: 3000}),
+		timeout: 3000,
 		nextServers(servers) {
 			servers.applyRecords([testServer({port})], {source: control, now: 0});
 		},
@@ -421,7 +421,7 @@
 		nextServers(servers) {
 			servers.applyRecords([testServer({port: rejecting, slots: 24}), testServer({id: 'server-2' as ServerId, port: serving})], {source: control, now: performance.now()});
 		},
-		route: testRoute({kind: 'safe', maximumAttempts: 2}),
+		route: testRoute({kind: 'safe', maximumAttempts: 2, timeout: 8000}),
 	});
 	t.deepEqual(new Set(answers.map(({status}) => status)), new Set([200]));
 	t.is(rejected, 1);
