transport: wait for the answers of a connection in one place

Cause: ignoreUpgrades and refuseTunnels had the same loop that waits until the requests of a connection are answered, and each tracked the responses of its server once more, so that a request was added to three lists.

Change: UnfinishedResponses.whenAnswered is that loop, and both take the responses that their server tracks already. Their tests and that of closeIdleAfterPoll share how a server listens and a caller connects (connectCaller); what they assert is as it was.

Conclusion: behaviour is as it was, with two lists fewer for each request.

--- a/packages/gateway/src/entry/caller-server.ts
+++ b/packages/gateway/src/entry/caller-server.ts
@@ -49,8 +49,9 @@
 			onClose?.('idle');
 		},
 	});
-	ignoreUpgrades(server);
+	ignoreUpgrades(server, unfinished);
 	refuseTunnels(server, {
+		unfinished,
 		onRefuse() {
 			log('request-refused', {error: 'malformed-request', reason: 'The request is for a tunnel'}, 'warn');
 		},
--- a/packages/transport/src/close-idle-after-poll.test.ts
+++ b/packages/transport/src/close-idle-after-poll.test.ts
@@ -1,8 +1,9 @@
 import {once} from 'node:events';
 import {createServer, type ServerResponse} from 'node:http';
-import {type AddressInfo, connect, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import {setImmediate as turn, setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
+import {connectCaller} from './_test-caller.js';
 import {blockEventLoop} from './_test-event-loop.js';
 import {closeIdleAfterPoll} from './close-idle-after-poll.js';
 
@@ -23,14 +24,8 @@
 			closed++;
 		},
 	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const caller = connect({port: (server.address() as AddressInfo).port, host: '127.0.0.1', allowHalfOpen: true});
+	const caller = await connectCaller(t, server, {allowHalfOpen: true});
 	caller.on('error', () => undefined);
-	t.teardown(() => {
-		caller.destroy();
-		server.close();
-	});
 	caller.write(request);
 	const [connection] = await once(server, 'connection') as [Socket];
 	await once(caller, 'data');
@@ -67,14 +62,8 @@
 		answers.push(response);
 	});
 	closeIdleAfterPoll(server);
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	const caller = await connectCaller(t, server);
 	caller.on('error', () => undefined);
-	t.teardown(() => {
-		caller.destroy();
-		server.close();
-	});
 	caller.write(request);
 	await once(server, 'request');
 	server.keepAliveTimeout = 10;
--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -102,8 +102,8 @@
 		void handle(request, response);
 	});
 	closeIdleAfterPoll(server);
-	ignoreUpgrades(server);
-	refuseTunnels(server);
+	ignoreUpgrades(server, unfinished);
+	refuseTunnels(server, {unfinished});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 		if (unfinished.closeBehindWhole(socket) !== 'open') {
 			return;
--- a/packages/transport/src/ignore-upgrades.test.ts
+++ b/packages/transport/src/ignore-upgrades.test.ts
@@ -1,9 +1,10 @@
 import {once} from 'node:events';
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo, connect, type Socket} from 'node:net';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {text as readText} from 'node:stream/consumers';
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
+import {connectCaller, createTrackedServer} from './_test-caller.js';
 import {ignoreUpgrades} from './ignore-upgrades.js';
 import {whenCallerLeaves} from './when-caller-leaves.js';
 
@@ -21,18 +22,12 @@
 		response.end(`<${message.url} ${message.headers.host} ${body}>`);
 	};
 
-	const server = createServer({keepAliveTimeout: 10}, (message, response) => {
+	const {server, unfinished} = createTrackedServer((message, response) => {
 		void answer(message, response);
-	});
-	ignoreUpgrades(server);
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	}, {keepAliveTimeout: 10});
+	ignoreUpgrades(server, unfinished);
+	const caller = await connectCaller(t, server);
 	caller.setNoDelay(true);
-	t.teardown(() => {
-		caller.destroy();
-		server.close();
-	});
 	let received = '';
 	const answers = (): readonly string[] => Array.from(received.matchAll(/<(?<text>[^>]*)>/gv), ({groups}) => groups!.text!);
 	caller.on('data', chunk => {
@@ -73,19 +68,13 @@
 
 test('a connection has no more listeners after many requests that ask for another protocol than after one', async t => {
 	const counts: number[] = [];
-	const server = createServer((message, response) => {
+	const {server, unfinished} = createTrackedServer((message, response) => {
 		const {socket} = message;
 		counts.push(socket.eventNames().reduce((sum, name) => sum + socket.listenerCount(name), 0));
 		response.end('done');
 	});
-	ignoreUpgrades(server);
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
-	t.teardown(() => {
-		caller.destroy();
-		server.close();
-	});
+	ignoreUpgrades(server, unfinished);
+	const caller = await connectCaller(t, server);
 	for (let count = 0; count < 12; count++) {
 		caller.write(getUpgrade);
 		await once(caller, 'data');
@@ -97,18 +86,12 @@
 for (const way of ['ends', 'resets'] as const) {
 	test(`a caller that ${way} its connection while its request for another protocol waits is seen, and the request is not handled`, async t => {
 		let requests = 0;
-		const server = createServer(() => {
+		const {server, unfinished} = createTrackedServer(() => {
 			requests++;
 		});
-		ignoreUpgrades(server);
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+		ignoreUpgrades(server, unfinished);
+		const caller = await connectCaller(t, server);
 		caller.on('error', () => undefined);
-		t.teardown(() => {
-			caller.destroy();
-			server.close();
-		});
 		const connected = once(server, 'connection') as Promise<[Socket]>;
 		const upgraded = once(server, 'upgrade');
 		caller.write(get + getUpgrade);
@@ -133,19 +116,13 @@
 
 test('a caller that ends its connection with more requests behind one for another protocol is seen', async t => {
 	let hasLeft = false;
-	const server = createServer((_message, response) => {
+	const {server, unfinished} = createTrackedServer((_message, response) => {
 		whenCallerLeaves(response, () => {
 			hasLeft = true;
 		});
 	});
-	ignoreUpgrades(server);
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
-	t.teardown(() => {
-		caller.destroy();
-		server.close();
-	});
+	ignoreUpgrades(server, unfinished);
+	const caller = await connectCaller(t, server);
 	const connected = once(server, 'connection') as Promise<[Socket]>;
 	const upgraded = once(server, 'upgrade');
 	caller.write(get + getUpgrade);
--- a/packages/transport/src/ignore-upgrades.ts
+++ b/packages/transport/src/ignore-upgrades.ts
@@ -1,25 +1,21 @@
 import {Buffer} from 'node:buffer';
-import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {type IncomingMessage, type Server} from 'node:http';
 import {type Socket} from 'node:net';
-import {UnfinishedResponses} from './unfinished-responses.js';
-import {whenResponseCloses} from './when-response-closes.js';
+import {type UnfinishedResponses} from './unfinished-responses.js';
 
 /**
 Lets a server handle requests that ask for another protocol like any others. It otherwise throws away what arrives together with the end of such a request, so that the requests behind it are never answered.
 
 @param server The server, which has not accepted connections yet. It emits `connection` again for the connection of such a request.
+@param unfinished The responses of the server that are in progress, each added when its request arrives.
 @example
 ```ts
-ignoreUpgrades(createServer(handle));
+ignoreUpgrades(server, unfinished);
 ```
 */
-export function ignoreUpgrades(server: Server): void {
+export function ignoreUpgrades(server: Server, unfinished: Pick<UnfinishedResponses, 'whenAnswered'>): void {
 	// The server otherwise leaves out headers from the thousandth on, perhaps the one that tells where the request ends.
 	server.maxHeadersCount = 0;
-	const unfinished = new UnfinishedResponses();
-	server.prependListener('request', (_message: IncomingMessage, response: ServerResponse) => {
-		unfinished.add(response);
-	});
 	server.on('upgrade', (message: IncomingMessage, socket: Socket, rest: Uint8Array) => {
 		// The server no longer handles the connection.
 		const ignoreError = (): void => {
@@ -39,7 +35,7 @@
 
 		socket.on('error', ignoreError);
 		socket.on('data', hold);
-		void whenAnswered(socket, unfinished).then(() => {
+		void unfinished.whenAnswered(socket).then(() => {
 			socket.off('error', ignoreError);
 			socket.off('data', hold);
 			if (!socket.writable || socket.readableEnded) {
@@ -55,19 +51,6 @@
 	});
 }
 
-/** Waits until all requests of a connection are answered. */
-async function whenAnswered(socket: Socket, unfinished: UnfinishedResponses): Promise<void> {
-	let response = unfinished.on(socket);
-	// Responses that wait behind another one are not destroyed with their connection.
-	while (response !== undefined && !socket.destroyed) {
-		const waited = response;
-		await new Promise<void>(resolve => {
-			whenResponseCloses(waited, resolve);
-		});
-		response = unfinished.on(socket);
-	}
-}
-
 /** Returns the head of a request without its wish for another protocol. */
 function headWithoutUpgrade({method, url, httpVersion, rawHeaders}: IncomingMessage): string {
 	const lines = [`${method} ${url} HTTP/${httpVersion}`];
--- a/packages/transport/src/refuse-tunnels.test.ts
+++ b/packages/transport/src/refuse-tunnels.test.ts
@@ -1,8 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createServer, type RequestListener} from 'node:http';
-import {type AddressInfo, connect, type Socket} from 'node:net';
+import {type RequestListener} from 'node:http';
+import {type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
+import {connectCaller, createTrackedServer} from './_test-caller.js';
 import {refuseTunnels} from './refuse-tunnels.js';
 
 const get = 'GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n';
@@ -12,21 +13,16 @@
 
 /** Starts a server that refuses tunnels, and a caller that keeps its side of its connection open. */
 async function start(t: ExecutionContext, handle: RequestListener) {
-	const server = createServer(handle);
+	const {server, unfinished} = createTrackedServer(handle);
 	let refused = 0;
 	refuseTunnels(server, {
+		unfinished,
 		onRefuse() {
 			refused++;
 		},
 	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const caller = connect({port: (server.address() as AddressInfo).port, host: '127.0.0.1', allowHalfOpen: true});
+	const caller = await connectCaller(t, server, {allowHalfOpen: true});
 	caller.on('error', () => undefined);
-	t.teardown(() => {
-		caller.destroy();
-		server.close();
-	});
 	let text = '';
 	caller.on('data', chunk => {
 		text += String(chunk);
--- a/packages/transport/src/refuse-tunnels.ts
+++ b/packages/transport/src/refuse-tunnels.ts
@@ -1,11 +1,12 @@
-import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {type IncomingMessage, type Server} from 'node:http';
 import {type Duplex} from 'node:stream';
 import {setTimeoutAfterPoll} from './set-timeout-after-poll.js';
-import {UnfinishedResponses} from './unfinished-responses.js';
-import {whenResponseCloses} from './when-response-closes.js';
+import {type UnfinishedResponses} from './unfinished-responses.js';
 
 /** Options of {@linkcode refuseTunnels}. */
 export type RefuseTunnelsOptions = {
+	/** The responses of the server that are in progress, each added when its request arrives. */
+	readonly unfinished: Pick<UnfinishedResponses, 'whenAnswered'>;
 	/** Called when a request for a tunnel has arrived; by default, nothing is called. */
 	readonly onRefuse?: ((message: IncomingMessage) => void) | undefined;
 };
@@ -19,17 +20,13 @@
 Refuses requests with the method CONNECT, once those before them on their connections are answered. What follows such a request is thrown away up to 1 MiB, and not read beyond it. The server otherwise closes the connection of such a request at once, without an answer to any request on it.
 
 @param server The server, which has not accepted connections yet.
-@param options What is called.
+@param options The responses, and what is called.
 @example
 ```ts
-refuseTunnels(createServer(handle));
+refuseTunnels(server, {unfinished});
 ```
 */
-export function refuseTunnels(server: Server, {onRefuse}: RefuseTunnelsOptions = {}): void {
-	const unfinished = new UnfinishedResponses();
-	server.prependListener('request', (_message: IncomingMessage, response: ServerResponse) => {
-		unfinished.add(response);
-	});
+export function refuseTunnels(server: Server, {unfinished, onRefuse}: RefuseTunnelsOptions): void {
 	server.on('connect', (message: IncomingMessage, socket: Duplex, rest: Uint8Array) => {
 		onRefuse?.(message);
 		// The server no longer handles the connection.
@@ -53,14 +50,8 @@
 	});
 }
 
-async function refuse(socket: Duplex, unfinished: UnfinishedResponses): Promise<void> {
-	let response = unfinished.on(socket);
-	// Responses that wait behind another one are not destroyed with their connection.
-	while (response !== undefined && !socket.destroyed) {
-		await closed(response);
-		response = unfinished.on(socket);
-	}
-
+async function refuse(socket: Duplex, unfinished: RefuseTunnelsOptions['unfinished']): Promise<void> {
+	await unfinished.whenAnswered(socket);
 	if (!socket.writable) {
 		socket.destroy();
 		return;
@@ -72,9 +63,3 @@
 	});
 	socket.once('close', stopTimeout);
 }
-
-async function closed(response: ServerResponse): Promise<void> {
-	return new Promise(resolve => {
-		whenResponseCloses(response, resolve);
-	});
-}
--- a/packages/transport/src/unfinished-responses.ts
+++ b/packages/transport/src/unfinished-responses.ts
@@ -40,6 +40,23 @@
 		return first;
 	}
 
+	/**
+	Waits until all requests of a connection that have arrived are answered, or the connection is closed.
+
+	@param socket The connection.
+	*/
+	async whenAnswered(socket: Duplex): Promise<void> {
+		let response = this.on(socket);
+		// Responses that wait behind another one are not destroyed with their connection.
+		while (response !== undefined && !socket.destroyed) {
+			const waited = response;
+			await new Promise<void>(resolve => {
+				whenResponseCloses(waited, resolve);
+			});
+			response = this.on(socket);
+		}
+	}
+
 	/**
 	Closes a connection on which bytes came that are no request, behind the answers to the requests that have arrived whole, also to one that has begun. It is closed at once if there are none, or if an answer has begun and the caller has ended the connection.
 
