transport: leave the longest time of a timer to setTimeoutAfterPoll

Cause: the limit of a timer stood in http-server.ts too, since longer times expired at once until setTimeoutAfterPoll bounded them.

Change: a close without a time waits without a limit, which is the same 24 days.

Conclusion: the number is known in one place.

--- a/packages/transport/src/http-server.ts
+++ b/packages/transport/src/http-server.ts
@@ -42,9 +42,6 @@
 	readonly destroy: () => void;
 };
 
-/** The longest time of a timer, in milliseconds. */
-const longestTimerMilliseconds = 2_147_483_647;
-
 /**
 Starts an HTTP server that answers malformed requests with problem details.
 
@@ -119,7 +116,7 @@
 	});
 	return {
 		port: (server.address() as AddressInfo).port,
-		async close({within = longestTimerMilliseconds} = {}) {
+		async close({within = Number.POSITIVE_INFINITY} = {}) {
 			isClosing = true;
 			responses.closeConnections();
 			const closed = new Promise<void>(resolve => {
