routing: move the halves of a time window in one place

Cause: SecondSendAllowance had the same rotation of two half windows as AnswerTimes, and looked its history up twice when it recorded a late send.

Change: moveHalfWindows serves both, and #add takes the history.

--- a/packages/routing/src/answer-times.ts
+++ b/packages/routing/src/answer-times.ts
@@ -1,4 +1,5 @@
 import {LruMap} from '@valehitch/core';
+import {type HalfWindows, moveHalfWindows} from './_half-windows.js';
 
 /** The limits of the history of answer times. */
 export type AnswerTimesOptions = {
@@ -37,11 +38,7 @@
 	samples: number;
 };
 
-type History = {
-	current: Counts;
-	previous: Counts;
-	/** When the current counts began, in milliseconds on the monotonic clock. */
-	beganAt: number;
+type History = HalfWindows<Counts> & {
 	/** When the latest answered sends were sent, in milliseconds on the monotonic clock; the oldest one is overwritten. */
 	readonly sentAt: Float64Array;
 	answers: number;
@@ -161,19 +158,12 @@
 		return count;
 	}
 
-	/** Returns the history of a key; half a window after its current counts began, they become the previous ones. */
+	/** Returns the history of a key, with the counts of the window up to now. */
 	#historyAt(key: string, now: number): History {
 		const history = this.#histories.getOrCreate(key, () => ({
 			current: emptyCounts(), previous: emptyCounts(), beganAt: now, sentAt: new Float64Array(rememberedSends), answers: 0,
 		}));
-		const half = this.#options.windowMilliseconds / 2;
-		const elapsed = now - history.beganAt;
-		if (elapsed >= half) {
-			history.previous = elapsed >= 2 * half ? emptyCounts() : history.current;
-			history.current = emptyCounts();
-			history.beganAt = now;
-		}
-
+		moveHalfWindows(history, {now, windowMilliseconds: this.#options.windowMilliseconds, createEmpty: emptyCounts});
 		return history;
 	}
 }
--- a/packages/routing/src/second-send-allowance.ts
+++ b/packages/routing/src/second-send-allowance.ts
@@ -1,4 +1,5 @@
 import {LruMap} from '@valehitch/core';
+import {type HalfWindows, moveHalfWindows} from './_half-windows.js';
 import {RetryBudget} from './retry-budget.js';
 
 /** The limits of the allowance for second sends. */
@@ -28,14 +29,13 @@
 	late: number;
 };
 
-type History = {
-	current: Map<string, Tally>;
-	previous: Map<string, Tally>;
+/** The sends by server. */
+type Tallies = Map<string, Tally>;
+
+type History = HalfWindows<Tallies> & {
 	/** The sends to all servers, and the server with the most late ones. */
 	all: Tally;
 	latest: string | undefined;
-	/** When the current tallies began, in milliseconds on the monotonic clock. */
-	beganAt: number;
 	/** The second sends that are left beside servers that are no later than others. */
 	left: number;
 	/** When time last added to them, in milliseconds on the monotonic clock. */
@@ -106,7 +106,7 @@
 		tallyOf(history, send.server).late++;
 		history.all.late++;
 		history.latest = laterOf(history, send.server);
-		this.#add(key, {now: send.now, count: this.#options.ratio});
+		this.#add(history, this.#options.ratio);
 	}
 
 	/**
@@ -154,8 +154,9 @@
 	@param send The send that is late, and the current time.
 	*/
 	restore(key: string, {server, now}: AllowanceSend): void {
-		if (!isLaterThanOthers(this.#historyAt(key, now), server)) {
-			this.#add(key, {now, count: 1});
+		const history = this.#historyAt(key, now);
+		if (!isLaterThanOthers(history, server)) {
+			this.#add(history, 1);
 		}
 
 		this.#budget.restore(key, now);
@@ -168,26 +169,21 @@
 	@param now Milliseconds on the monotonic clock.
 	*/
 	recordWorthIt(key: string, now: number): void {
-		this.#add(key, {now, count: worthItCount});
+		this.#add(this.#historyAt(key, now), worthItCount);
 		this.#budget.restore(key, now);
 	}
 
-	#add(key: string, {now, count}: {readonly now: number; readonly count: number}): void {
-		const history = this.#historyAt(key, now);
+	#add(history: History, count: number): void {
 		history.left = Math.min(this.#options.burst, history.left + count);
 	}
 
-	/** Returns the history of a key; half a window after its current tallies began, they become the previous ones. */
+	/** Returns the history of a key, with the sends of the window and what time has added up to now. */
 	#historyAt(key: string, now: number): History {
 		const {minimumPerSecond, windowMilliseconds} = this.#options;
 		const history = this.#histories.getOrCreate(key, () => ({
-			current: new Map<string, Tally>(), previous: new Map<string, Tally>(), all: {sends: 0, late: 0}, latest: undefined, beganAt: now, left: maximumIdleCount, filledAt: now,
+			current: emptyTallies(), previous: emptyTallies(), all: {sends: 0, late: 0}, latest: undefined, beganAt: now, left: maximumIdleCount, filledAt: now,
 		}));
-		const elapsed = now - history.beganAt;
-		if (elapsed >= windowMilliseconds / 2) {
-			history.previous = elapsed >= windowMilliseconds ? new Map<string, Tally>() : history.current;
-			history.current = new Map<string, Tally>();
-			history.beganAt = now;
+		if (moveHalfWindows(history, {now, windowMilliseconds, createEmpty: emptyTallies})) {
 			countAgain(history);
 		}
 
@@ -201,6 +197,10 @@
 	}
 }
 
+function emptyTallies(): Tallies {
+	return new Map();
+}
+
 /** Checks whether far more sends are late at a server than at any other, both by their number and as a part of its sends: servers whose requests take long get fewer others. */
 function isLaterThanOthers(history: Pick<History, 'current' | 'previous'>, server: string): boolean {
 	const {sends, late} = tallyAt(history, server);
