routing: keep the modulus of hashes in one place, and name RelayRanking in its options

Cause: relay-ranking.ts had the prime of rendezvous-score.ts once more, and its options named RelayRing, which is gone.

Change: both use hashModulus; each comment stands where its reason acts.

Figures: relay-ranking and server-choice passed.

Conclusion: all hashes and ranks are as they were.

--- a/packages/routing/src/relay-ranking.ts
+++ b/packages/routing/src/relay-ranking.ts
@@ -1,4 +1,5 @@
 import {type InstanceId, type ZoneId} from '@valehitch/core';
+import {hashModulus} from './_hash-modulus.js';
 import {prefixHash} from './rendezvous-score.js';
 
 /** An instance that may open connections to backend servers for others. */
@@ -9,7 +10,7 @@
 	readonly isCutOff: boolean;
 };
 
-/** Options of {@linkcode RelayRing.select}. */
+/** Options of {@linkcode RelayRanking.select}. */
 export type SelectRelaysOptions = {
 	/** The maximum number of relays; 12 by default. */
 	readonly count?: number;
@@ -23,14 +24,12 @@
 
 type Zones = ReadonlyMap<ZoneId, readonly Candidate[]>;
 
-type Scored = {
+type ScoredCandidate = {
 	readonly instance: InstanceId;
 	readonly score: number;
 };
 
 const defaultCount = 12;
-/** A prime above all hashes; products of two numbers below it are exact in a double. */
-const hashPrime = 67_108_859;
 
 /**
 The instances through which others reach backend servers once their own links fail. It answers the load of instances that lose their links together, as all those of an availability zone do.
@@ -102,9 +101,9 @@
 }
 
 /** Returns the candidates with the highest scores for an instance, in their order; sorting all of them costs more. */
-function rank(candidates: readonly Candidate[], {self, count}: {readonly self: InstanceId; readonly count: number}): readonly Scored[] {
+function rank(candidates: readonly Candidate[], {self, count}: {readonly self: InstanceId; readonly count: number}): readonly ScoredCandidate[] {
 	const selfHash = prefixHash(self);
-	const highest: Scored[] = [];
+	const highest: ScoredCandidate[] = [];
 	for (const {instance, hash} of candidates) {
 		const score = scorePair(selfHash, hash);
 		const isAmong = highest.length < count || score > highest.at(-1)!.score;
@@ -124,5 +123,5 @@
 
 /** Scores a candidate for an instance by universal hashing (Carter and Wegman, 1979). */
 function scorePair(selfHash: number, candidateHash: number): number {
-	return (selfHash + 1) * candidateHash % hashPrime;
+	return (selfHash + 1) * candidateHash % hashModulus;
 }
--- a/packages/routing/src/rendezvous-score.ts
+++ b/packages/routing/src/rendezvous-score.ts
@@ -1,8 +1,8 @@
 import {type InstanceId, type ServerId} from '@valehitch/core';
+import {hashModulus} from './_hash-modulus.js';
 
-// A prime below 2^26, so that products of two numbers below it are exact in a double. Cubing permutes these numbers, since 3 does not divide the prime minus 1.
-const modulus = 67_108_859;
 const multiplier = 31;
+// Cubing permutes the hashes, since 3 does not divide their prime modulus minus 1.
 const roundConstants = [12_345_701, 48_271_003, 29_986_577, 61_113_311] as const;
 
 /**
@@ -34,7 +34,7 @@
 ```
 */
 export function rendezvousScore(prefix: number, {server, capacity}: RendezvousScoreOptions): number {
-	const uniform = (mixHashes(prefix, hashText(server)) + 1) / (modulus + 1);
+	const uniform = (mixHashes(prefix, hashText(server)) + 1) / (hashModulus + 1);
 	return -capacity / Math.log(uniform);
 }
 
@@ -48,7 +48,7 @@
 function hashText(text: string): number {
 	let hash = text.length;
 	for (let index = 0; index < text.length; index++) {
-		hash = ((hash * multiplier) + (text.codePointAt(index) ?? 0)) % modulus;
+		hash = ((hash * multiplier) + (text.codePointAt(index) ?? 0)) % hashModulus;
 	}
 
 	return hash;
@@ -58,8 +58,8 @@
 function mixHashes(value: number, key: number): number {
 	let mixed = value;
 	for (const constant of roundConstants) {
-		const sum = (mixed + key + constant) % modulus;
-		mixed = sum * (sum * sum % modulus) % modulus;
+		const sum = (mixed + key + constant) % hashModulus;
+		mixed = sum * (sum * sum % hashModulus) % hashModulus;
 	}
 
 	return mixed;
