routing: run the simulations of sends and of streams on one event queue

Cause: both had the same queue of events in simulated time.

Change: EventQueue in the tests of the package.

--- a/packages/routing/src/_test-second-sends.ts
+++ b/packages/routing/src/_test-second-sends.ts
@@ -1,6 +1,6 @@
 import {type RandomSource} from '@valehitch/core';
-import {StartTimeHeap} from './_start-time-heap.js';
 import {seededRandom} from './_test-contention.js';
+import {EventQueue, type SimulatedEvent} from './_test-event-queue.js';
 import {AnswerTimes} from './answer-times.js';
 import {decideOverdue, type SecondSendReason} from './decide-overdue.js';
 import {SecondSendAllowance} from './second-send-allowance.js';
@@ -77,13 +77,6 @@
 	readonly reasons: ReadonlyMap<string, number>;
 };
 
-type Event = {
-	readonly startTime: number;
-	readonly arrival: number;
-	heapIndex: number;
-	readonly run: () => void;
-};
-
 type Send = {
 	readonly request: Request;
 	readonly server: Server;
@@ -94,7 +87,7 @@
 	left: number;
 	/** When the work left was last updated. */
 	updatedAt: number;
-	end: Event | undefined;
+	end: SimulatedEvent | undefined;
 	isOver: boolean;
 	isLate: boolean;
 };
@@ -190,14 +183,12 @@
 	readonly #random: RandomSource;
 	readonly #lossRandom: RandomSource;
 	readonly #choiceRandom: RandomSource;
-	readonly #events = new StartTimeHeap<Event>();
+	readonly #events = new EventQueue();
 	readonly #servers: readonly Server[];
 	readonly #entries: readonly Entry[];
 	readonly #ended: PlayedRequest[] = [];
 	readonly #waitingWork: number[] = [];
 	readonly #reasons = new Map<string, number>();
-	#now = 0;
-	#eventCount = 0;
 
 	constructor(play: SecondSendsPlay) {
 		this.#play = {
@@ -227,32 +218,18 @@
 		this.#scheduleFaults();
 		const duration = this.#play.phases.reduce((sum, {milliseconds}) => sum + milliseconds, 0);
 		for (let at = 0; at < duration; at += sampleMilliseconds) {
-			this.#schedule(at, () => {
+			this.#events.schedule(at, () => {
 				this.#waitingWork.push(this.#workAtServers());
 			});
 		}
 
-		for (let event = this.#events.first; event !== undefined; event = this.#events.first) {
-			this.#events.remove(event);
-			this.#now = event.startTime;
-			event.run();
-		}
+		this.#events.run();
 
 		return {requests: this.#ended, waitingWork: this.#waitingWork, reasons: this.#reasons};
 	}
 
-	#schedule(at: number, run: () => void): Event {
-		const event: Event = {
-			startTime: at, arrival: this.#eventCount++, heapIndex: -1, run,
-		};
-		this.#events.insertOrUpdate(event);
-		return event;
-	}
-
-	#unschedule(event: Event | undefined): void {
-		if (event !== undefined && event.heapIndex !== -1) {
-			this.#events.remove(event);
-		}
+	get #now(): number {
+		return this.#events.now;
 	}
 
 	#scheduleArrivals(): void {
@@ -267,7 +244,7 @@
 				const request: Request = {
 					arrivedAt: at, workTime: drawTime(this.#random), entry: this.#drawEntry(), sends: [], isLost: false, hasEnded: false,
 				};
-				this.#schedule(at, () => {
+				this.#events.schedule(at, () => {
 					this.#start(request);
 				});
 				at -= gap * Math.log(1 - this.#random());
@@ -282,14 +259,14 @@
 	#scheduleFaults(): void {
 		for (const {server, from, until, lostShare = 0, isDark = false, speed = 1} of this.#play.faults) {
 			const affected = this.#servers.filter(({index}) => server === undefined || index === server);
-			this.#schedule(from, () => {
+			this.#events.schedule(from, () => {
 				for (const one of affected) {
 					one.lostShare = lostShare;
 					one.isDark = isDark;
 					this.#setSpeed(one, isDark ? 0 : speed);
 				}
 			});
-			this.#schedule(until, () => {
+			this.#events.schedule(until, () => {
 				for (const one of affected) {
 					one.lostShare = 0;
 					one.isDark = false;
@@ -316,7 +293,7 @@
 
 	#start(request: Request): void {
 		request.entry.retries.deposit(key, this.#now);
-		this.#schedule(request.arrivedAt + this.#play.timeLimit, () => {
+		this.#events.schedule(request.arrivedAt + this.#play.timeLimit, () => {
 			this.#end(request, undefined);
 		});
 		this.#send(request);
@@ -390,11 +367,11 @@
 			if (!this.#act(send, {
 				waited, isResponsive, lateAfter, answerTime,
 			})) {
-				this.#schedule(this.#now + repeatMilliseconds, look);
+				this.#events.schedule(this.#now + repeatMilliseconds, look);
 			}
 		};
 
-		this.#schedule(sentAt + Math.min(lateAfter, reachabilityCheckMilliseconds), look);
+		this.#events.schedule(sentAt + Math.min(lateAfter, reachabilityCheckMilliseconds), look);
 	}
 
 	/** Sends the request to another server too if the rule says so; returns whether it did. */
@@ -478,10 +455,10 @@
 	}
 
 	#scheduleEnd(send: Send): void {
-		this.#unschedule(send.end);
+		this.#events.cancel(send.end);
 		send.end = send.server.speed === 0
 			? undefined
-			: this.#schedule(this.#now + (send.left / send.server.speed), () => {
+			: this.#events.schedule(this.#now + (send.left / send.server.speed), () => {
 				this.#answer(send);
 			});
 	}
@@ -531,7 +508,7 @@
 		const {server, request} = send;
 		send.isOver = true;
 		request.entry.inFlight[server.index]!--;
-		this.#unschedule(send.end);
+		this.#events.cancel(send.end);
 		server.queue.delete(send);
 		server.active.delete(send);
 		this.#fillSlots(server);
--- a/packages/routing/src/_test-stalled-streams.ts
+++ b/packages/routing/src/_test-stalled-streams.ts
@@ -1,6 +1,6 @@
 import {type RandomSource} from '@valehitch/core';
-import {StartTimeHeap} from './_start-time-heap.js';
 import {seededRandom} from './_test-contention.js';
+import {EventQueue} from './_test-event-queue.js';
 import {soundSilenceMilliseconds} from './decide-stalled.js';
 import {PauseReview} from './pause-review.js';
 
@@ -58,13 +58,6 @@
 	readonly longestPause: number;
 };
 
-type Event = {
-	readonly startTime: number;
-	readonly arrival: number;
-	heapIndex: number;
-	readonly run: () => void;
-};
-
 type Server = {
 	readonly index: number;
 	silentUntil: number;
@@ -177,11 +170,9 @@
 	readonly #play: Required<StalledStreamsPlay>;
 	readonly #random: RandomSource;
 	readonly #wakeRandom: RandomSource;
-	readonly #events = new StartTimeHeap<Event>();
+	readonly #events = new EventQueue();
 	readonly #servers: readonly Server[];
 	readonly #ended: PlayedStream[] = [];
-	#now = 0;
-	#eventCount = 0;
 
 	constructor(play: StalledStreamsPlay) {
 		this.#play = {
@@ -199,19 +190,13 @@
 	run(): readonly PlayedStream[] {
 		this.#scheduleFaults();
 		this.#scheduleArrivals();
-		for (let event = this.#events.first; event !== undefined; event = this.#events.first) {
-			this.#events.remove(event);
-			this.#now = event.startTime;
-			event.run();
-		}
+		this.#events.run();
 
 		return this.#ended;
 	}
 
-	#schedule(at: number, run: () => void): void {
-		this.#events.insertOrUpdate({
-			startTime: at, arrival: this.#eventCount++, heapIndex: -1, run,
-		});
+	get #now(): number {
+		return this.#events.now;
 	}
 
 	#scheduleFaults(): void {
@@ -224,7 +209,7 @@
 			let at = -silenceInterval * Math.log(1 - this.#random());
 			while (at < duration) {
 				const until = at + shortest + ((longest - shortest) * this.#random());
-				this.#schedule(at, () => {
+				this.#events.schedule(at, () => {
 					server.silentUntil = until;
 				});
 				at = until + awakeMilliseconds - (silenceInterval * Math.log(1 - this.#random()));
@@ -237,7 +222,7 @@
 		for (let at = 0; at < duration; at -= 1000 / arrivals * Math.log(1 - this.#random())) {
 			const arrivedAt = at;
 			const random = seededRandom(mixSeed(Math.floor(maximumSeed * this.#random())));
-			this.#schedule(at, () => {
+			this.#events.schedule(at, () => {
 				this.#start(arrivedAt, random);
 			});
 		}
@@ -256,7 +241,7 @@
 			longestPause: 0,
 			hasEnded: false,
 		};
-		this.#schedule(arrivedAt + timeLimit, () => {
+		this.#events.schedule(arrivedAt + timeLimit, () => {
 			this.#end(stream, false);
 		});
 		this.#send(stream);
@@ -308,7 +293,7 @@
 	/** Schedules something that a server does, later by its silences and never once it is dark. */
 	#whenServerActs(run: Run, {delay, act}: {readonly delay: number; readonly act: () => void}): void {
 		const {server} = run;
-		this.#schedule(this.#now + delay, () => {
+		this.#events.schedule(this.#now + delay, () => {
 			if (run.isOver || this.#now >= server.darkFrom) {
 				return;
 			}
@@ -326,13 +311,13 @@
 
 	#receiveHead(run: Run): void {
 		if (run.stream.runs[0] !== run) {
-			this.#schedule(this.#now + handoverMilliseconds, () => {
+			this.#events.schedule(this.#now + handoverMilliseconds, () => {
 				this.#handOver(run);
 			});
 		}
 
 		if (run.breaks === 'after-head') {
-			this.#schedule(this.#now + breakMilliseconds, () => {
+			this.#events.schedule(this.#now + breakMilliseconds, () => {
 				this.#breakOff(run);
 			});
 			return;
@@ -385,7 +370,7 @@
 		}
 
 		if (run.breaks === 'after-event') {
-			this.#schedule(this.#now + breakMilliseconds, () => {
+			this.#events.schedule(this.#now + breakMilliseconds, () => {
 				this.#breakOff(run);
 			});
 		} else if (run.events < run.lostAfter) {
@@ -428,7 +413,7 @@
 			this.#send(stream);
 		}
 
-		this.#schedule(this.#now + reviewMilliseconds, () => {
+		this.#events.schedule(this.#now + reviewMilliseconds, () => {
 			this.#look(stream);
 		});
 	}
