gateway: write the end of a request in one place

Cause: recordCallerLeft counted and logged the end of a request as RequestEnd does, with the same metrics and fields.

Change: recordRequestEnd serves both.

Conclusion: lines and metrics are as they were; fields of the line come in another order.

--- a/packages/gateway/src/entry/record-caller-left.ts
+++ b/packages/gateway/src/entry/record-caller-left.ts
@@ -1,17 +1,10 @@
-import {type Route} from '../configuration/routing-configuration.js';
 import {type EntryContext} from './entry-context.js';
+import {type EndedRequest, recordRequestEnd} from './record-request-end.js';
 
 /** A request that has not been sent, and whose connection is closed. */
-export type LeftRequest = {
-	/** The caller's id of the request. */
-	readonly request: string;
-	readonly route: Pick<Route, 'id' | 'kind'>;
-	/** When it arrived, in milliseconds on the monotonic clock. */
-	readonly arrivedAt: number;
-};
+export type LeftRequest = Pick<EndedRequest, 'request' | 'route' | 'arrivedAt'>;
 
 const reason = 'The connection was closed before the request was sent';
-const millisecondsPerSecond = 1000;
 
 /**
 Records the end of a request whose caller has left before its run began, as while its body was arriving.
@@ -23,13 +16,8 @@
 recordCallerLeft(context, {request: 'a1', route, arrivedAt});
 ```
 */
-export function recordCallerLeft({clock, log, metrics, notes}: Pick<EntryContext, 'clock' | 'log' | 'metrics' | 'notes'>, {request, route, arrivedAt}: LeftRequest): void {
+export function recordCallerLeft(context: Pick<EntryContext, 'clock' | 'log' | 'metrics' | 'notes'>, left: LeftRequest): void {
 	const outcome = 'caller-left';
-	const now = clock.monotonic();
-	metrics.requests.inc({kind: route.kind, outcome});
-	metrics.duration.observe({kind: route.kind}, (now - arrivedAt) / millisecondsPerSecond);
-	log('request-ended', {
-		request, route: route.id, outcome, sends: 0, duration: Math.round(now - arrivedAt), reason,
-	}, 'warn');
-	notes.record(request, {at: now, kind: outcome, facts: {reason}});
+	recordRequestEnd(context, {...left, outcome, fields: {sends: 0, reason}});
+	context.notes.record(left.request, {at: context.clock.monotonic(), kind: outcome, facts: {reason}});
 }
--- a/packages/gateway/src/entry/request-end.ts
+++ b/packages/gateway/src/entry/request-end.ts
@@ -3,6 +3,7 @@
 import {type CallerAnswer, type CompleteAnswer} from './caller-answer.js';
 import {type EntryContext} from './entry-context.js';
 import {type ModelCascade} from './model-cascade.js';
+import {type EndedRequest, recordRequestEnd, type RequestOutcome} from './record-request-end.js';
 import {type RunProgress} from './run-progress.js';
 import {type SendAllowance} from './send-allowance.js';
 
@@ -25,11 +26,10 @@
 };
 
 /** Additional fields of the `request-ended` log line. */
-type EndFields = Readonly<Record<string, string | number | boolean | undefined>>;
+type EndFields = EndedRequest['fields'];
 
 /** Error kinds that do not imply that the request has not run. */
 const kindsWithoutRunClaim: ReadonlySet<ErrorKind> = new Set(['deadline-exceeded-after-dispatch', 'request-quarantined']);
-const millisecondsPerSecond = 1000;
 
 /**
 Ends a request exactly once: with an answer, with a failure that states correctly whether the request may have run, or by aborting a stream.
@@ -129,28 +129,26 @@
 	@param fields Additional fields of the log line.
 	@returns That the request has ended.
 	*/
-	recordEnd(outcome: 'answered' | 'broken-off' | 'refused' | 'caller-left', fields: EndFields): NextStep {
+	recordEnd(outcome: RequestOutcome, fields: EndFields): NextStep {
 		if (this.#hasEnded) {
 			return 'ended';
 		}
 
 		this.#hasEnded = true;
 		const {request, route, service, arrivedAt, answer, allowance, models} = this.#options;
-		const {metrics, log, clock} = this.#context;
-		const milliseconds = clock.monotonic() - arrivedAt;
-		metrics.requests.inc({kind: route.kind, outcome});
-		metrics.duration.observe({kind: route.kind}, milliseconds / millisecondsPerSecond);
-		log('request-ended', {
+		recordRequestEnd(this.#context, {
 			request,
-			route: route.id,
-			service,
+			route,
 			outcome,
-			model: models.current,
-			sends: allowance.sends,
-			headAfter: answer.timeToHead === undefined ? undefined : Math.round(answer.timeToHead),
-			duration: Math.round(milliseconds),
-			...fields,
-		}, outcome === 'answered' ? 'info' : 'warn');
+			arrivedAt,
+			fields: {
+				service,
+				model: models.current,
+				sends: allowance.sends,
+				headAfter: answer.timeToHead === undefined ? undefined : Math.round(answer.timeToHead),
+				...fields,
+			},
+		});
 		this.#note(outcome, fields);
 		return 'ended';
 	}
