gateway: stop instances in one place in the tests of entry instances

Cause: three tests stopped an instance and closed it once drained by the same lines.

Change: stop does so; the assertions are as they were.

Conclusion: shorter tests, nothing else.

--- a/packages/gateway/src/entry/entry-instance.test.ts
+++ b/packages/gateway/src/entry/entry-instance.test.ts
@@ -7,6 +7,7 @@
 import {testConfiguration, testRoute} from '../configuration/_test-configuration.js';
 import {testServer} from '../servers/_test-server.js';
 import {startTestEntry} from './_test-entry-instance.js';
+import {type EntryInstance} from './entry-instance.js';
 import {listen, plainDialect} from './_test-run.js';
 
 const event = `data: ${'x'.repeat(20_000)}\n\n`;
@@ -50,10 +51,7 @@
 	end?.();
 	// The instance takes its time to forward the last bytes.
 	await delay(500);
-	entry.beginStop(performance.now() + 30_000);
-	const stopped = entry.drained(performance.now() + 30_000).then(() => {
-		entry.close();
-	});
+	const stopped = stop(entry);
 	await delay(500);
 	let text = '';
 	let bytes = 0;
@@ -344,6 +342,14 @@
 	});
 }
 
+/** Stops an instance, and closes it once it has drained. */
+async function stop(entry: EntryInstance): Promise<void> {
+	const until = performance.now() + 30_000;
+	entry.beginStop(until);
+	await entry.drained(until);
+	entry.close();
+}
+
 test('an instance that drains keeps an idle connection until its caller has been told to close it', async t => {
 	const serverPort = await listen(t, (_message, response) => {
 		response.end('done');
@@ -357,10 +363,7 @@
 	caller.write(getRequest);
 	await once(caller, 'data');
 	const closed = once(caller, 'close');
-	entry.beginStop(performance.now() + 30_000);
-	const stopped = entry.drained(performance.now() + 30_000).then(() => {
-		entry.close();
-	});
+	const stopped = stop(entry);
 	await delay(300);
 	caller.write(getRequest);
 	const [answer] = await Promise.race([once(caller, 'data'), closed]) as [unknown];
@@ -393,10 +396,7 @@
 	}
 
 	const closed = once(caller, 'close');
-	entry.beginStop(performance.now() + 30_000);
-	const stopped = entry.drained(performance.now() + 30_000).then(() => {
-		entry.close();
-	});
+	const stopped = stop(entry);
 	await delay(300);
 	caller.write(getRequest);
 	const [answer] = await Promise.race([once(caller, 'data'), closed]) as [unknown];
