--- a/packages/routing/src/second-send-allowance.ts
+++ b/packages/routing/src/second-send-allowance.ts
@@ -59,7 +59,7 @@
 /**
 Limits the second sends beside working servers, per key.
 
-They are a small share of all sends. Unless far more sends are late at their server than at any other, or the time of the request runs out, they are also a share of the late sends only: requests that are late at all servers most likely take long anywhere, and would otherwise use up what the quick ones have earned, and time adds none meanwhile. Second sends that are answered first win their charge back.
+They are a small share of all sends. Unless far more sends are late at their server than at any other, or the time of the request runs out, they are also a share of the late sends only: requests that are late at all servers most likely take long anywhere, and would otherwise use up what the quick ones have earned. While sends are late at several servers, time adds none. Second sends that are answered first win their charge back.
 
 @example
 ```ts
