daemon: end a request, and not the process, when its answer cannot be written

What callers saw: a server of a plain service answered with the status 000. `valehitchd` wrote that status to its caller, Node.js refused it with an exception, nothing handled the exception, and the process ended with all requests that it was serving.

Cause: the actions of a request run in callbacks and in tasks that nobody waits for (`void this.#settleBill(...)`). An exception in one of them was unhandled; where something caught it, the request never went on, since it still counted as being in a step.

Change: an exception in an action or a task of a request ends that request: a log line, its attempts and timers end, and its caller gets an `internal` failure, or a broken answer if it has begun.

That the status was accepted as an answer is another fault.

--- a/packages/daemon/src/entry/_test-entry.ts
+++ b/packages/daemon/src/entry/_test-entry.ts
@@ -61,6 +61,8 @@
 	readonly stallMilliseconds: number;
 	/** The deadline of every request, in milliseconds. */
 	readonly deadlineMilliseconds: number;
+	/** Called with the response to each caller, before its request is handled; nothing is called by default. */
+	readonly onRequest?: (request: IncomingMessage, response: ServerResponse) => void;
 };
 
 /** An answer as the caller received it. */
@@ -317,6 +319,7 @@
 		} as unknown as EntryContext;
 		this.#address = await listen(t, (request, response) => {
 			this.#requests++;
+			this.#options.onRequest?.(request, response);
 			const call = {
 				request,
 				response,
--- a/packages/daemon/src/entry/lifecycle/request-execution.ts
+++ b/packages/daemon/src/entry/lifecycle/request-execution.ts
@@ -1,5 +1,5 @@
 import {type ServerResponse} from 'node:http';
-import {type RequestId, type WorkspaceId} from '@valehitch/core';
+import {failure, type RequestId, type WorkspaceId} from '@valehitch/core';
 import {
 	type CallerAction,
 	type ClaimOutcome,
@@ -59,6 +59,7 @@
 	#state: RequestState | undefined;
 	#stepping = false;
 	#isAnswered = false;
+	#hasFailed = false;
 	/** The number of tokens used by all attempts. */
 	#tokens = 0;
 	#currentPiece: AnswerPiece | undefined;
@@ -122,12 +123,16 @@
 	@param piece The piece of the answer that belongs to the event.
 	*/
 	handleEvent(event: RequestEvent, piece?: AnswerPiece): void {
+		if (this.#hasFailed) {
+			return;
+		}
+
 		this.#queue.push({event, piece});
 		this.#processQueue();
 	}
 
 	#processQueue(): void {
-		while (!this.#stepping && this.#state !== undefined) {
+		while (!this.#stepping && !this.#hasFailed && this.#state !== undefined) {
 			const queued = this.#queue.shift();
 			if (queued === undefined) {
 				return;
@@ -142,8 +147,13 @@
 		this.#stepping = true;
 		const isEnd = state.stage === 'ended' && this.#state?.stage !== 'ended';
 		this.#state = state;
-		for (const action of actions) {
-			this.#performAction(action);
+		try {
+			for (const action of actions) {
+				this.#performAction(action);
+			}
+		} catch (error) {
+			this.#endUnexpectedly(error);
+			return;
 		}
 
 		this.#stepping = false;
@@ -167,22 +177,22 @@
 				this.#timers.clear(timer);
 			})
 			.with({type: 'request-admission'}, () => {
-				void this.#admit();
+				this.#start(this.#admit());
 			})
 			.with({type: 'pin-session'}, ({target}) => {
 				this.handleEvent({type: 'session-pinned', target});
 			})
 			.with({type: 'take-claim'}, () => {
-				void this.#takeClaim();
+				this.#start(this.#takeClaim());
 			})
 			.with({type: 'settle-claim'}, ({outcome: end}) => {
 				this.#settleClaim(end);
 			})
 			.with({type: 'open-bill'}, () => {
-				void this.#openBill();
+				this.#start(this.#openBill());
 			})
 			.with({type: 'settle-bill'}, settlement => {
-				void this.#settleBill(settlement);
+				this.#start(this.#settleBill(settlement));
 			})
 			.with({type: 'choose-version'}, ({lost}) => {
 				this.handleEvent(chooseVersionEvent(this.#options.adapter, lost));
@@ -228,6 +238,30 @@
 			.exhaustive();
 	}
 
+	/** Starts a task of this request. An error ends the request, not the process. */
+	#start(task: Promise<void>): void {
+		task.catch((error: unknown) => {
+			this.#endUnexpectedly(error);
+		});
+	}
+
+	/** Ends the request after an error. Its answer is refused, or broken off if it has begun. */
+	#endUnexpectedly(error: unknown): void {
+		if (this.#hasFailed) {
+			return;
+		}
+
+		const {context, requestId} = this.#options;
+		context.log.error({err: error, requestId}, 'Unexpected error in the request');
+		this.#hasFailed = true;
+		this.#isAnswered = false;
+		this.#queue.splice(0);
+		this.#timers.clearAll();
+		this.#attempts.cancelAll();
+		this.#answer.refuse(failure('internal', 'Unexpected error in the request handler'));
+		this.#onEnded?.();
+	}
+
 	async #admit(): Promise<void> {
 		const {context: {admission}, demand} = this.#options;
 		this.handleEvent(await admission.admit(demand));
