transport: a request whose answer upgrades its connection fails at once

What callers saw: a server answered 101 with an Upgrade header. A caller of `valehitchd` got nothing until its deadline, then 504; a request without a deadline would have waited for good.

Cause: Node.js closes the connection of such an answer without an error and without a response, if nothing listens for an upgrade. The gateway listens for the close, `sendHttpRequest` did not.

Evidence: `broken-heads` of the daemon, the status 101 and an upgrade: red before (waits for its deadline), green now. The rows of the status 101 send no body now, which hid that it was forwarded: the one of the gateway is red if 101 counts as a final status again.

--- a/packages/daemon/src/entry/broken-heads.test.ts
+++ b/packages/daemon/src/entry/broken-heads.test.ts
@@ -7,6 +7,7 @@
 	'the status 000': `HTTP/1.1 000 OK\r\n${framing}`,
 	'the status 099': `HTTP/1.1 099 OK\r\n${framing}`,
 	'the status 101': 'HTTP/1.1 101 Switching Protocols\r\n',
+	'the status 101 and an upgrade': 'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n',
 	'the status 600': `HTTP/1.1 600 OK\r\n${framing}`,
 	'another protocol': `RTSP/1.0 200 OK\r\n${framing}`,
 	'a control byte in the reason phrase': `HTTP/1.1 200 O\u0001K\r\n${framing}`,
@@ -22,7 +23,7 @@
 }
 
 async function writeAnswer({socket}: ServerResponse, head: string): Promise<void> {
-	socket?.write(`${head}\r\nhi`, 'latin1');
+	socket?.write(`${head}\r\n${head.includes(' 101 ') ? '' : 'hi'}`, 'latin1');
 	return never();
 }
 
--- a/packages/gateway/src/entry/broken-heads.test.ts
+++ b/packages/gateway/src/entry/broken-heads.test.ts
@@ -39,7 +39,7 @@
 	const server = createServer(socket => {
 		socket.on('error', ignore);
 		socket.on('data', () => {
-			socket.write(`${head}\r\n${event}`, 'latin1');
+			socket.write(`${head}\r\n${head.includes(' 101 ') ? '' : event}`, 'latin1');
 		});
 		t.teardown(() => {
 			socket.destroy();
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -91,6 +91,8 @@
 		call.signal.addEventListener('abort', cancel);
 		clientRequest.on('close', () => {
 			call.signal.removeEventListener('abort', cancel);
+			// An answer that upgrades the connection closes it, without an error.
+			fail('The connection was closed before an answer arrived');
 		});
 		// The size of the head is limited. A header that is dropped may be the one that frames the body.
 		clientRequest.maxHeadersCount = 0;
