gateway: end a stream, and not the process, when its head cannot be written

What callers saw: the process that read an answer with a spoilt head ended, and requests that it was serving were cut.

Cause: the head of a stream is written to the caller from a listener of its body. An exception there, as Node.js throws for a status or the name of a header field that it does not write, has no handler. Which heads its client accepts and its server refuses to write depends on the version: 20.20.2 accepts no name that it would not write, and the statuses that it would not write are no success. On this machine the head of a server does not bring it about; the exception is injected in the test. That the reported process ended so is inferred.

Change: an exception in a listener of a stream rejects the relay, so that the request ends as any other that fails: a log line, 500 or a broken stream. The handling of a send that was kept, which nobody waited for, has a handler too.

Evidence: `unwritable-answers`: before, an uncaught exception that ends the process of the test; green now, the other requests are answered.

--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -53,6 +53,7 @@
 
 @param options The stream and the caller.
 @returns How the stream ended. The caller's response is left open, and so is a stalled stream, which is paused.
+@throws What a listener threw, such as an error of writing to the caller; the stream is closed then.
 @example
 ```ts
 const end = await relayStream({message, isComplete, response, events, stallTimeout: 1500, isStalled, onData, onFirstEvent});
@@ -60,7 +61,7 @@
 */
 export async function relayStream(options: RelayStreamOptions): Promise<RelayEnd> {
 	const {message, isComplete, response, events, buffer, held, mayHold = () => true, onExcess, clock = processClock, stallTimeout, isStalled, onData, onFirstEvent, onEvents} = options;
-	return new Promise(resolve => {
+	return new Promise((resolve, reject) => {
 		const overhead = new OverheadWatch(message, onExcess);
 		let hasForwarded = false;
 		let bytesWithoutEvent = events.incomplete.byteLength;
@@ -101,6 +102,16 @@
 			resolve(end);
 		};
 
+		/** Runs a part of a listener. An error in it ends this stream, not the process. */
+		const run = (part: () => void): void => {
+			try {
+				part();
+			} catch (error) {
+				reject(error instanceof Error ? error : new Error(String(error)));
+				finish('broken');
+			}
+		};
+
 		const onCallerClose = (): void => {
 			finish('caller-left');
 		};
@@ -128,7 +139,7 @@
 			}
 		};
 
-		const onChunk = (chunk: Uint8Array): void => {
+		const readChunk = (chunk: Uint8Array): void => {
 			const now = clock.monotonic();
 			onData(now);
 			stall.touch(now);
@@ -158,6 +169,12 @@
 			}
 		};
 
+		const onChunk = (chunk: Uint8Array): void => {
+			run(() => {
+				readChunk(chunk);
+			});
+		};
+
 		const end = async (): Promise<void> => {
 			stall.stop();
 			overhead.stop();
@@ -167,10 +184,11 @@
 			}
 
 			// A complete body may have line ends or comments after the last event.
-			if (events.incomplete.byteLength > 0 && !isFinished) {
-				forward(events.incomplete);
-			}
-
+			run(() => {
+				if (events.incomplete.byteLength > 0 && !isFinished) {
+					forward(events.incomplete);
+				}
+			});
 			finish('complete');
 		};
 
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -145,7 +145,11 @@
 			currentSend: () => this.#sent?.attempt,
 			isGood: ({statusCode = 0, headers}) => classifyAnswer(context.dialect.readAnswer(statusCode, headers), request.id) === 'good',
 			onFailed: (send, outcome) => {
-				void this.#handleUnansweredEnd(send, outcome);
+				this.#handleUnansweredEnd(send, outcome).catch((error: unknown) => {
+					context.log('request-attempt-ended', {
+						request: request.id, server: send.server.id, result: 'internal', reason: error instanceof Error ? error.stack ?? error.message : String(error),
+					}, 'error');
+				});
 			},
 			onLost: ({server}) => {
 				void this.#suspect.recordLoss(server);
