transport: a part of an answer is not whole if its server did not read the request

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body, ended its side and reset the connection 5 ms later, while the upload was on the way. The caller got that part as a complete answer, directly and through a relay.

Cause: the end of such an answer is the end of its connection, which is checked by writing an empty line. It is written at once, when the reset that follows has not arrived yet. The HTTP client of Node.js closes the connection in the same event, so that nothing is learned later.

Change: if a request is longer than a server that answers has read by then (64 KiB), the end of its connection is delivered 100 ms after the request was written, but not before it arrived. A reset that comes meanwhile takes its place. An answer with a length, in chunks, to a short request or one that takes longer is not delayed. A relay waits likewise, and resets its caller if the server resets the connection behind an answer, once that was sent on.

--- a/packages/gateway/src/entry/send-attempt.ts
+++ b/packages/gateway/src/entry/send-attempt.ts
@@ -184,7 +184,7 @@
 };
 
 async function awaitHead(request: ClientRequest, options: SendAttemptOptions, {isCancelled, isSilent, isOpen, progress}: SendState): Promise<SendOutcome> {
-	const {server, method, relay, connectTimeout, isServerRunning, clock} = options;
+	const {server, method, body, relay, connectTimeout, isServerRunning, clock} = options;
 	const arrivals = new ArrivalWatch(clock);
 	let excess: string | undefined;
 	const headProblem = watchHead(request, {
@@ -241,7 +241,13 @@
 
 			recordKeepAlive(message);
 			settle({
-				type: 'head', message, excess, framing: responseFraming(message, method), isComplete: watchResponseEnd(message, {method, arrivals, isServerRunning}),
+				type: 'head',
+				message,
+				excess,
+				framing: responseFraming(message, method),
+				isComplete: watchResponseEnd(message, {
+					request, requestBytes: body.byteLength, arrivals, isServerRunning,
+				}),
 			});
 		});
 		request.on('error', error => {
--- a/packages/transport/src/_join-sockets.ts
+++ b/packages/transport/src/_join-sockets.ts
@@ -2,6 +2,7 @@
 import {confirmClose} from './_confirm-close.js';
 import {passRequests} from './_pass-requests.js';
 import {type ReadAhead} from './_read-ahead.js';
+import {isLongRequest, resetArrived} from './_request-settled.js';
 
 /**
 Passes bytes between an HTTP client and a server until either has ended. A reset of either side resets the other, so that a truncated answer does not look complete.
@@ -15,7 +16,11 @@
 
 	const requests = passRequests(caller, server, readAhead);
 	server.pipe(caller, {end: false});
-	server.on('end', () => {
+	const endAfterServer = async (): Promise<void> => {
+		if (isLongRequest(requests.passedBytes())) {
+			await resetArrived();
+		}
+
 		confirmClose(server, wasClosed => {
 			if (wasClosed) {
 				endAnswer();
@@ -23,9 +28,18 @@
 				caller.resetAndDestroy();
 			}
 		});
+	};
+
+	server.on('end', () => {
+		void endAfterServer();
 	});
 	server.on('error', () => {
-		if (!isAnswerComplete) {
+		// A server that has not read a request may reset the connection behind its answer.
+		if (isAnswerComplete && !caller.writableFinished) {
+			caller.once('finish', () => {
+				caller.resetAndDestroy();
+			});
+		} else {
 			caller.resetAndDestroy();
 		}
 	});
--- a/packages/transport/src/_pass-requests.ts
+++ b/packages/transport/src/_pass-requests.ts
@@ -9,6 +9,8 @@
 export type PassedRequests = {
 	/** Whether bytes of a request have been passed on since the server last sent any. */
 	readonly isAnswerDue: () => boolean;
+	/** The bytes that have been passed on. */
+	readonly passedBytes: () => number;
 };
 
 /**
@@ -19,6 +21,7 @@
 export function passRequests(caller: Socket, server: Socket, readAhead: ReadAhead): PassedRequests {
 	let held = 0;
 	let isAnswerDue = false;
+	let passedBytes = 0;
 	let stopWaiting: (() => void) | undefined;
 	const hold = (bytes: number): void => {
 		held += bytes;
@@ -44,6 +47,7 @@
 		}
 
 		isAnswerDue = true;
+		passedBytes += bytes.byteLength;
 		// Called with an error, too, if the connection closes first.
 		server.write(bytes, () => {
 			release(bytes.byteLength);
@@ -65,5 +69,5 @@
 	server.on('data', () => {
 		isAnswerDue = false;
 	});
-	return {isAnswerDue: () => isAnswerDue};
+	return {isAnswerDue: () => isAnswerDue, passedBytes: () => passedBytes};
 }
--- a/packages/transport/src/send-http-request.ts
+++ b/packages/transport/src/send-http-request.ts
@@ -140,7 +140,7 @@
 				status: message.statusCode ?? 0,
 				headers: message.headers,
 				message,
-				isComplete: watchResponseEnd(message, {method: call.method, isServerRunning: async () => isRunning(call)}),
+				isComplete: watchResponseEnd(message, {request: clientRequest, requestBytes: call.body.byteLength, isServerRunning: async () => isRunning(call)}),
 			}));
 		});
 		clientRequest.on('error', error => {
