gateway, daemon: errors while an answer's end is checked end the request too

Cause: the step of the state machine of `valehitchd` lay outside the handler of the request, and the checks of the end of an answer in the gateway (`relayStream`, `collectBody`) were waited for by nobody, so that an error there would end the process. Found by reading the change afresh; no answer is known that brings it about, and there is no red test.

Change: all three reach the handler of their request.

--- a/packages/daemon/src/entry/lifecycle/request-execution.ts
+++ b/packages/daemon/src/entry/lifecycle/request-execution.ts
@@ -102,7 +102,7 @@
 			context.timeline.record('request-cancelled', {requestId, workspace: this.#options.workspace});
 			this.handleEvent({type: 'caller-left'});
 		});
-		this.#perform(startRequest(plan));
+		this.#perform(() => startRequest(plan));
 		const {answersDueAt} = context.requests;
 		if (answersDueAt !== undefined) {
 			this.handleEvent({type: 'instance-stopping', answersDueAt});
@@ -139,15 +139,18 @@
 			}
 
 			this.#currentPiece = queued.piece;
-			this.#perform(stepRequest(this.#state, {event: queued.event, now: this.#options.context.clock.monotonic()}));
+			const state = this.#state;
+			this.#perform(() => stepRequest(state, {event: queued.event, now: this.#options.context.clock.monotonic()}));
 		}
 	}
 
-	#perform({state, actions}: RequestStep): void {
+	#perform(step: () => RequestStep): void {
 		this.#stepping = true;
-		const isEnd = state.stage === 'ended' && this.#state?.stage !== 'ended';
-		this.#state = state;
+		let isEnd = false;
 		try {
+			const {state, actions} = step();
+			isEnd = state.stage === 'ended' && this.#state?.stage !== 'ended';
+			this.#state = state;
 			for (const action of actions) {
 				this.#performAction(action);
 			}
--- a/packages/gateway/src/entry/collect-body.ts
+++ b/packages/gateway/src/entry/collect-body.ts
@@ -38,7 +38,7 @@
 		return undefined;
 	}
 
-	return new Promise(resolve => {
+	return new Promise((resolve, reject) => {
 		const body = new GrowingBytes(statedLength(message));
 		const overhead = new OverheadWatch(message, onExcess);
 		const pace = new ReadPace(message);
@@ -82,9 +82,9 @@
 		});
 		message.on('end', () => {
 			overhead.stop();
-			void isComplete().then(complete => {
+			isComplete().then(complete => {
 				finish(complete ? body.view : undefined);
-			});
+			}, reject);
 		});
 		message.on('error', () => {
 			finish(undefined);
--- a/packages/gateway/src/entry/relay-stream.ts
+++ b/packages/gateway/src/entry/relay-stream.ts
@@ -102,14 +102,10 @@
 			resolve(end);
 		};
 
-		/** Runs a part of a listener. An error in it ends this stream, not the process. */
-		const run = (part: () => void): void => {
-			try {
-				part();
-			} catch (error) {
-				reject(error instanceof Error ? error : new Error(String(error)));
-				finish('broken');
-			}
+		/** Ends this stream, and not the process, for an error in a listener. */
+		const fail = (error: unknown): void => {
+			reject(error instanceof Error ? error : new Error(String(error)));
+			finish('broken');
 		};
 
 		const onCallerClose = (): void => {
@@ -170,9 +166,11 @@
 		};
 
 		const onChunk = (chunk: Uint8Array): void => {
-			run(() => {
+			try {
 				readChunk(chunk);
-			});
+			} catch (error) {
+				fail(error);
+			}
 		};
 
 		const end = async (): Promise<void> => {
@@ -184,16 +182,15 @@
 			}
 
 			// A complete body may have line ends or comments after the last event.
-			run(() => {
-				if (events.incomplete.byteLength > 0 && !isFinished) {
-					forward(events.incomplete);
-				}
-			});
+			if (events.incomplete.byteLength > 0 && !isFinished) {
+				forward(events.incomplete);
+			}
+
 			finish('complete');
 		};
 
 		const onEnd = (): void => {
-			void end();
+			end().catch(fail);
 		};
 
 		response.on('close', onCallerClose);
