testing: malformed heads behind the real programs

What callers saw: with the real programs of the platform, 14 of 48 answers with malformed heads reached callers: the status 101 on plain routes, and another protocol, another version or a control byte in the reason phrase on all four kinds of routes.

This is its test from outside, which also shows that no process ends: each request after another one is answered.

--- a/packages/testing/src/truncated-heads.test.ts
+++ b/packages/testing/src/truncated-heads.test.ts
@@ -83,6 +83,32 @@
 	'a head without a length, and half of the body': run => `${startOfHead(run)}\r\n${bodyOf(run.path).slice(0, 20)}`,
 };
 
+/** Returns a whole answer with another status line. */
+function withStatusLine(line: string): (run: RawRun) => string {
+	return run => wholeAnswer(run).replace('HTTP/1.1 200 OK', line);
+}
+
+/** Returns a whole answer with one more line in its head. */
+function withField(line: string): (run: RawRun) => string {
+	return run => wholeAnswer(run).replace('\r\n', `\r\n${line}\r\n`);
+}
+
+/** Whole heads that are malformed. */
+const malformedHeads: typeof cutHeads = {
+	'with the status 000': withStatusLine('HTTP/1.1 000 OK'),
+	'with the status 099': withStatusLine('HTTP/1.1 099 OK'),
+	'with the status 101': withStatusLine('HTTP/1.1 101 Switching Protocols'),
+	'with the status 101 and an upgrade': run => withField('Connection: upgrade\r\nUpgrade: x')(run).replace('200 OK', '101 Switching Protocols'),
+	'with the status 600': withStatusLine('HTTP/1.1 600 OK'),
+	'of another protocol': withStatusLine('RTSP/1.0 200 OK'),
+	'of another version': withStatusLine('HTTP/2.0 200 OK'),
+	'with a control byte in the reason phrase': withStatusLine('HTTP/1.1 200 O\u0001K'),
+	'with a blank in a name': withField('X Y: 1'),
+	'with a blank behind a name': withField('Note : 1'),
+	'with a control byte in a name': withField('X\u0001Y: 1'),
+	'with a control byte in a value': withField('Note: a\u0000b'),
+};
+
 type Cut = {
 	readonly name: string;
 	readonly head: (run: RawRun) => string;
@@ -220,6 +246,15 @@
 	t.deepEqual(new Set(started.runs.map(({isKept}) => isKept)), new Set([false, true]));
 });
 
+test('an answer with a malformed head never reaches a caller, and ends no process', async t => {
+	const started = await start(t, 2);
+	const [, entry] = started.deployment.entries;
+	const cuts = Object.entries(malformedHeads).flatMap(([name, head]) => kinds.map(({prefix}): Cut => ({
+		name, head, end: 'close', prefix,
+	})));
+	t.true(await assertNotWhole(t, started, {entry: entry!, cuts}) > 0);
+});
+
 test('an answer whose server process ends inside the head never looks whole, also through a relay, and if another process takes its address while the instance is suspended', async t => {
 	const started = await start(t, 12);
 	const {deployment: {entries: [cutOff, entry]}, events: handlers} = started;
