--- a/packages/daemon/src/entry/_test-entry.ts
+++ b/packages/daemon/src/entry/_test-entry.ts
@@ -61,7 +61,7 @@
 	readonly stallMilliseconds: number;
 	/** The deadline of every request, in milliseconds. */
 	readonly deadlineMilliseconds: number;
-	/** Called with the response to each caller, before its request is handled; nothing is called by default. */
+	/** Called with each request of a caller and its response, before it is handled; nothing is called by default. */
 	readonly onRequest?: (request: IncomingMessage, response: ServerResponse) => void;
 };
 
