daemon, transport: a check that could not differ, and a sentence

Cause: after an error a request stays in its step, and takes no events, so that the loop of its queue needs no check of its own. A sentence on what the HTTP client accepts named a protocol of three digits.

Change: the check is gone, the sentence is right. No change of behaviour.

--- a/packages/daemon/src/entry/lifecycle/request-execution.ts
+++ b/packages/daemon/src/entry/lifecycle/request-execution.ts
@@ -132,7 +132,7 @@
 	}
 
 	#processQueue(): void {
-		while (!this.#stepping && !this.#hasFailed && this.#state !== undefined) {
+		while (!this.#stepping && this.#state !== undefined) {
 			const queued = this.#queue.shift();
 			if (queued === undefined) {
 				return;
--- a/packages/transport/src/watch-head.ts
+++ b/packages/transport/src/watch-head.ts
@@ -27,7 +27,7 @@
 /**
 Watches the head of the answer to a request for what the HTTP client accepts in a malformed one.
 
-The client takes an empty line for the end of the head even if a carriage return or a line feed alone ends it. Such a head may be one that broke off, with the body following it (RFC 9112, section 2.2). It accepts any status and protocol of three digits and, depending on its version, blanks in names of header fields, by which the framing of a body is lost.
+The client takes an empty line for the end of the head even if a carriage return or a line feed alone ends it. Such a head may be one that broke off, with the body following it (RFC 9112, section 2.2). It accepts any status of three digits, other protocols and, depending on its version, blanks in names of header fields, by which the framing of a body is lost.
 
 The HTTP client gets neither interim answers beyond a maximum nor bytes that come behind a short answer in one chunk, and closes the connection.
 
