gateway: send entry instances the changes of a configuration, not the whole document

Cause: each of the three control instances that an entry instance polls answered each version with the whole document. With 1,449 routes it has some 355 kB, so that seven versions in a second take 7.4 MB, eight seconds of a link of 7 Mbit/s. Shutdowns of servers, confirmations and pings wait behind these bytes, polls are lost after 1.4 s, and what is asked next is answered with everything again.

Change: a poll says that its sender reads encoded configurations. The reply describes the newest document by the blocks that it shares with the version that the poll names, compressed; the whole one, compressed, only where that version is not kept. Versions and digests tell a reader whether the changes fit. All three control instances still tell every version, so that none has to be waited for. Entry instances of the version before get the whole document.

Before, the reply held the whole document by construction.

--- a/packages/gateway/src/control/entry-watches.test.ts
+++ b/packages/gateway/src/control/entry-watches.test.ts
@@ -131,3 +131,20 @@
 	t.true(await isAnsweredAtOnce(900));
 	t.false(await isAnsweredAtOnce(undefined));
 });
+
+test('a change of a large configuration does not cost each entry instance the whole document', async t => {
+	const documentOf = (version: number) => ({version, document: Array.from({length: 5000}, (_, index) => `{"route":${index === 9 ? version : index}}`).join(',')});
+	const update: {configuration: EntryUpdate['configuration']} = {configuration: documentOf(1)};
+	const {watches} = start(update);
+	const poll = {...message, run, takesEncodedConfiguration: true as const};
+	const first = await watches.answer(entryOf(1), poll);
+	t.is(first.encodedConfiguration?.base, undefined);
+	t.is(first.encodedConfiguration?.version, 1);
+	update.configuration = documentOf(2);
+	const next = await watches.answer(entryOf(1), {...poll, configurationVersion: 1});
+	t.is(next.configuration, undefined);
+	t.is(next.encodedConfiguration?.base, 1);
+	t.true(next.encodedConfiguration!.parts.length < 200);
+	const earlier = await watches.answer(entryOf(2), {...message, run, configurationVersion: 1});
+	t.deepEqual(earlier.configuration, documentOf(2));
+});
--- a/packages/gateway/src/control/entry-watches.ts
+++ b/packages/gateway/src/control/entry-watches.ts
@@ -1,5 +1,6 @@
 import {type Clock, type InstanceId, type ZoneId} from '@valehitch/core';
 import {type SuspectRegistry} from '@valehitch/routing';
+import {ConfigurationEncodings} from '../configuration/configuration-encodings.js';
 import {isEnded, type RolloutWithAge} from '../rollouts/rollout.js';
 import {type Evacuations} from '../servers/evacuations.js';
 import {type ServerDirectory} from '../servers/server-directory.js';
@@ -63,6 +64,7 @@
 	readonly #relayLists = new RelayLists();
 	readonly #pacer = new NoticePacer();
 	readonly #fullList: FullServerList;
+	readonly #encodings = new ConfigurationEncodings();
 	#newsTimer: NodeJS.Timeout | undefined;
 	readonly #entries = new Map<InstanceId, ActiveEntry & {readonly at: number}>();
 	/** The entries in the order of their names; undefined after one was added or removed. */
@@ -77,6 +79,7 @@
 
 	/** Answers all pending polls now. */
 	answerPending(): void {
+		this.#encodings.record(this.#options.currentUpdate().configuration);
 		clearTimeout(this.#newsTimer);
 		this.#newsTimer = undefined;
 		this.#pacer.recordAnswers(this.#pendingPolls.size, this.#options.clock.monotonic());
@@ -130,7 +133,7 @@
 			...this.#serversFor(watch, now),
 			suspectCursor: suspects.cursor,
 			suspects: suspects.changedSince(watch.run === run ? watch.suspectCursor : 0),
-			configuration: isNewer(configuration, watch) ? configuration : undefined,
+			...this.#configurationFor(watch, configuration),
 			rollouts,
 			rolloutDigest: digestRollouts(rollouts),
 			evacuations,
@@ -160,6 +163,15 @@
 		return {records: records.map(record => directory.withColdTime(record, now)), ...(rows !== undefined && {serverRows: rows})};
 	}
 
+	#configurationFor(watch: WatchMessage, configuration: ConfigurationDocument | undefined): Pick<WatchReply, 'configuration' | 'encodedConfiguration'> {
+		if (watch.takesEncodedConfiguration !== true) {
+			return {configuration: isNewer(configuration, watch) ? configuration : undefined};
+		}
+
+		this.#encodings.record(configuration);
+		return {configuration: undefined, encodedConfiguration: this.#encodings.since(watch.configurationVersion)};
+	}
+
 	#hasUrgentUpdate(watch: WatchMessage): boolean {
 		const {run, currentUpdate, suspects} = this.#options;
 		const {configuration, rollouts, evacuations, confirmedAt} = currentUpdate();
--- a/packages/gateway/src/control/peer-message.ts
+++ b/packages/gateway/src/control/peer-message.ts
@@ -6,6 +6,7 @@
 import {type AgedWork, type SuspectRecord, type WorkPart} from '@valehitch/routing';
 import {type RolloutWithAge} from '../rollouts/rollout.js';
 import {type VersionEvidence} from '../rollouts/version-evidence.js';
+import {type EncodedConfiguration} from '../configuration/encode-configuration.js';
 import {type Evacuations} from '../servers/evacuations.js';
 import {type SentServerLimit} from '../servers/server-limits.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -149,6 +150,8 @@
 	readonly relayRevision?: number | undefined;
 	/** Whether the entry instance reads `serverRows`; absent in versions before them. */
 	readonly takesServerRows?: true;
+	/** Whether the entry instance reads `encodedConfiguration`; absent in versions before it. */
+	readonly takesEncodedConfiguration?: true;
 };
 
 /** The reply to a poll: everything that changed since the state named in the request. */
@@ -161,7 +164,10 @@
 	readonly suspectCursor: number;
 	/** The suspect records that changed. */
 	readonly suspects: readonly SuspectRecord[];
+	/** The whole newest configuration, unless the requester has it or reads `encodedConfiguration`. */
 	readonly configuration: ConfigurationDocument | undefined;
+	/** The newest configuration, unless the requester has it; sent only to instances that read it. */
+	readonly encodedConfiguration?: EncodedConfiguration | undefined;
 	readonly rollouts: readonly RolloutWithAge[];
 	readonly rolloutDigest: string;
 	/** The evacuations of availability zones; absent in versions before them. */
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -122,6 +122,7 @@
 			limitCursor: source.limitCursor,
 			relayRevision: source.relayRevision,
 			takesServerRows: true,
+			takesEncodedConfiguration: true,
 			...watchFields(host),
 		}, watchTimeoutMilliseconds);
 		metrics.watches.inc({result: reply === undefined ? 'lost' : 'answered'});
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -6,8 +6,6 @@
 	ConnectionTurns, readPendingInput, ResponsesInProgress, sendProblem,
 } from '@valehitch/transport';
 import {match} from 'ts-pattern';
-import {RouteTable} from '../configuration/route-table.js';
-import {type ConfigurationDocument} from '../control/gateway-state.js';
 import {MessageReaders} from '../control/message-readers.js';
 import {
 	type BorrowReply, type EntryMessage, type ServerNoticeMessage, type WatchMessage,
@@ -24,6 +22,7 @@
 import {type EntryInstanceOptions} from './entry-instance-options.js';
 import {handleRequest} from './handle-request.js';
 import {InstanceStop} from './instance-stop.js';
+import {KnownConfiguration} from './known-configuration.js';
 import {KnownPeers} from './known-peers.js';
 import {LoadExchange} from './load-exchange.js';
 import {PoolLoads} from './pool-loads.js';
@@ -66,9 +65,7 @@
 	readonly #serverWaiters = new StepNotifier();
 	/** The evidence counters last sent to each control instance. */
 	readonly #evidenceDeltas = new Map<InstanceId, EvidenceDelta>();
-	#table: RouteTable | undefined;
-	/** The version of the configuration that was parsed last, whether it was adopted or not. */
-	#parsedVersion = Number.NEGATIVE_INFINITY;
+	readonly #configuration: KnownConfiguration;
 	#loadTimer: NodeJS.Timeout | undefined;
 	#hadLease = false;
 	readonly #responses = new ResponsesInProgress();
@@ -81,6 +78,12 @@
 		this.#options = options;
 		this.#stop = new InstanceStop(clock);
 		this.#connections = new CallerConnections(clock);
+		this.#configuration = new KnownConfiguration({
+			...options,
+			onAdopted: ({limits}) => {
+				this.#server.keepAliveTimeout = idleFactor * limits.idleTimeout;
+			},
+		});
 		this.#rollouts = new KnownRollouts(options);
 		this.#peers = new KnownPeers(options);
 		this.#loadExchange = new LoadExchange({
@@ -106,7 +109,7 @@
 			rollouts: this.#rollouts,
 			replyWaiters: this.#replyWaiters,
 			serverWaiters: this.#serverWaiters,
-			table: () => this.#table,
+			table: () => this.#configuration.table,
 			stop: this.#stop,
 			confirmState: () => {
 				this.#watch.requestConfirmation();
@@ -142,7 +145,7 @@
 	/** Whether the instance is ready for requests: it has a configuration with a valid lease and is not shutting down. */
 	get isReady(): boolean {
 		const now = this.#options.clock.monotonic();
-		return this.#stop.endsAt === undefined && this.#table !== undefined && (!this.#table.needsKeys || this.#context.lease.isValid(now));
+		return this.#stop.endsAt === undefined && this.#configuration.table !== undefined && (!this.#configuration.table.needsKeys || this.#context.lease.isValid(now));
 	}
 
 	/** What this instance believes of the servers, and why its latest requests went where they went. */
@@ -290,7 +293,7 @@
 		return {
 			zone: this.#options.zone,
 			isCutOff: this.#context.links.isCutOff,
-			configurationVersion: this.#table?.version,
+			configurationVersion: this.#configuration.version,
 			rolloutDigest: this.#rollouts.digest,
 			evacuationRevision: this.#context.servers.evacuations.revision,
 			serverLimits: this.#context.servers.limits.rates.heard(this.#options.clock.monotonic()),
@@ -312,12 +315,9 @@
 			this.#serverWaiters.notifyAll();
 		}
 
-		if (reply.configuration !== undefined) {
-			this.#adoptConfiguration(reply.configuration, source);
-		}
-
 		// A configuration that this instance cannot read may have revoked a key.
-		if (confirmedAt !== undefined && !this.#isOutdated(reply.configuration)) {
+		const isNewest = this.#configuration.update(reply, source);
+		if (confirmedAt !== undefined && isNewest) {
 			lease.confirm(confirmedAt);
 		}
 
@@ -326,15 +326,10 @@
 		const hasLease = lease.isValid(now);
 		if (hasLease !== this.#hadLease) {
 			this.#hadLease = hasLease;
-			log(hasLease ? 'lease-regained' : 'lease-lost', {age: Math.round(lease.age(now)), configuration: this.#table?.version, source}, 'warn');
+			log(hasLease ? 'lease-regained' : 'lease-lost', {age: Math.round(lease.age(now)), configuration: this.#configuration.table?.version, source}, 'warn');
 		}
 	}
 
-	/** Whether a reported configuration is newer than the one in use. */
-	#isOutdated(reported: ConfigurationDocument | undefined): boolean {
-		return reported !== undefined && reported.version > (this.#table?.version ?? Number.NEGATIVE_INFINITY);
-	}
-
 	#applyNotice({server, isDraining, pause}: ServerNoticeMessage): void {
 		const {servers} = this.#context;
 		if (isDraining) {
@@ -345,24 +340,4 @@
 			servers.limits.pauses.begin(server, {milliseconds: pause, now: this.#options.clock.monotonic()});
 		}
 	}
-
-	#adoptConfiguration({version, document}: ConfigurationDocument, source: InstanceId): void {
-		// Each watched control instance reports a new configuration, and a large one takes long to parse.
-		if (version <= this.#parsedVersion) {
-			return;
-		}
-
-		this.#parsedVersion = version;
-		const parsed = this.#options.parse(document);
-		parsed.caseOf({
-			Left: ({message}) => {
-				this.#options.log('configuration-refused', {reason: message, source}, 'error');
-			},
-			Right: configuration => {
-				this.#table = new RouteTable(configuration);
-				this.#server.keepAliveTimeout = idleFactor * configuration.limits.idleTimeout;
-				this.#options.log('configuration-adopted', {version: configuration.version, routes: configuration.routes.length, source});
-			},
-		});
-	}
 }
