gateway: ask for a current state before an old one is acted on

What callers saw: 404 for a route that had been added 2.6 s before, and requests at servers 2.56 s after their shutdown was acknowledged. The instances had heard from no control instance for over two seconds and went by what they knew: a refusal for good needed no recent confirmation at all, and what is known of servers had no age. The only lease, of 4.5 s, comes from the time limit for revoked keys.

Class: knowledge without an age. Three uses of it have an answer of their own now (decideByAge, a pure module): a refusal for good waits for a current state and is 503 without one; a permission and a server are asked for, and used if no reply comes, so that an instance that is cut off goes on serving. Knowledge counts as current for a second less than the time within which changes of the configuration and shutdowns of servers have to apply, which are read from the settings. All requests wait for one reply, a quarter of their time and a second at most; after one that did not come nothing waits until the state was current again.

For sight: the age of what is known at each dispatch, state-outdated, reply-late with the part of the delay that is the process's own, a histogram of the time of polls on the way.

New: state-freshness, decide-by-age.

--- a/packages/gateway/src/entry/_test-entry-instance.ts
+++ b/packages/gateway/src/entry/_test-entry-instance.ts
@@ -6,7 +6,7 @@
 import {Left, Right} from 'purify-ts';
 import {testConfiguration} from '../configuration/_test-configuration.js';
 import {type RoutingConfiguration} from '../configuration/routing-configuration.js';
-import {type WatchReply, type WorkReply} from '../control/peer-message.js';
+import {type WatchMessage, type WatchReply, type WorkReply} from '../control/peer-message.js';
 import {type DecisionLog} from '../logs/decision-log.js';
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {type ServerRecord} from '../servers/server-record.js';
@@ -42,6 +42,12 @@
 	readonly onParse?: () => Failure | undefined;
 	/** How long a confirmation of the configuration is valid, in milliseconds; 60,000 by default. */
 	readonly leaseMilliseconds?: number;
+	/** For how long the instance goes by what it was told, in milliseconds; as long as the lease by default. */
+	readonly freshMilliseconds?: number;
+	/** Changes the servers that the control instance reports; by default they stay the same. */
+	readonly recordsOf?: () => readonly ServerRecord[];
+	/** When a poll is answered; after 50 ms by default. */
+	readonly beforeReply?: (message: WatchMessage) => Promise<void>;
 	/** Draws the servers; always 0.5 by default. */
 	readonly random?: () => number;
 	/** For how long callers keep idle connections, in milliseconds; 15,000 by default. */
@@ -63,6 +69,7 @@
 /** Starts an entry instance that watches one control instance, and waits until it has a configuration. */
 export async function startTestEntry(t: ExecutionContext, {
 	records, routes, services, entryCount = 1, work, heldBytes, dialect, log = ignore, onParse = acceptAll, leaseMilliseconds = 60_000, random = () => 0.5, idleTimeout = 15_000, peers = [],
+	freshMilliseconds = leaseMilliseconds, recordsOf = () => records, beforeReply = async () => delay(50),
 	askForSends = async () => undefined, serverLimits = [],
 	openTunnel = async () => Left({type: 'peer-unavailable', reason: 'There is no peer'}),
 }: StartTestEntryOptions) {
@@ -71,7 +78,7 @@
 	let version = 1;
 	let current: Partial<RoutingConfiguration> = {routes, ...(services !== undefined && {services})};
 	const reply = (): WatchReply => ({
-		run: 'one', cursor: 1, records, suspectCursor: 0, suspects: [], configuration: {version, document: ''}, rollouts: [], rolloutDigest: '',
+		run: 'one', cursor: 1, records: recordsOf(), suspectCursor: 0, suspects: [], configuration: {version, document: ''}, rollouts: [], rolloutDigest: '',
 		held: 0, confirmedAgo: 0, hosts: [control], entryCount, entries: peers, zone: 'hall-a' as ZoneId, takesWorkReports: true, serverLimits,
 	});
 	const metrics = createGatewayMetrics();
@@ -86,15 +93,16 @@
 		dialect: {...plainDialect, readRequest: () => testRequest({timeout: requestMilliseconds}), ...dialect},
 		bounds: {canaryShare: 0.1, minimumConfidence: 50},
 		leaseMilliseconds,
+		freshness: {configuration: freshMilliseconds, servers: freshMilliseconds},
 		sessionMilliseconds: 5000,
 		heartbeatMilliseconds: 1000,
 		retryShare: 1,
 		retryWindowMilliseconds: 1000,
 		run: 'one',
 		seeds: () => [control],
-		async ask() {
-			await delay(50);
-			return reply();
+		async ask(_to, message, timeout) {
+			const isAnswered = await Promise.race([beforeReply(message).then(() => true), delay(timeout, false)]);
+			return isAnswered ? reply() : undefined;
 		},
 		send: ignore,
 		reportSuspects: async () => true,
--- a/packages/gateway/src/entry/_test-lease.ts
+++ b/packages/gateway/src/entry/_test-lease.ts
@@ -4,6 +4,7 @@
 export function testLease(changes: Partial<ConfigurationLeaseOptions> = {}): ConfigurationLease {
 	return new ConfigurationLease({
 		duration: 4500,
+		finalRefusalDuration: 1500,
 		suspension: {lastWake: () => Number.NEGATIVE_INFINITY},
 		onSuspension() {
 			// There is no control instance to ask.
--- a/packages/gateway/src/entry/_test-run.ts
+++ b/packages/gateway/src/entry/_test-run.ts
@@ -18,6 +18,7 @@
 import {createGatewayMetrics} from '../logs/gateway-metrics.js';
 import {testRequest} from './_test-request.js';
 import {authorizeRequest} from './authorize-request.js';
+import {testFreshness} from './_test-freshness.js';
 import {testLease} from './_test-lease.js';
 import {type Dialect} from './dialect.js';
 import {type EntryContext} from './entry-context.js';
@@ -127,6 +128,7 @@
 		},
 		bounds: {canaryShare: 0.1, minimumConfidence: 50},
 		lease,
+		freshness: testFreshness(clock, {lease}),
 		servers,
 		poolLoads: {picture: () => ({age: Number.POSITIVE_INFINITY, workAt: () => undefined, heldByOthers: []}), recordSample: ignore, slownessOf: () => 1},
 		links: new ServerLinks({
--- a/packages/gateway/src/entry/authorize-request.test.ts
+++ b/packages/gateway/src/entry/authorize-request.test.ts
@@ -35,3 +35,12 @@
 	t.is(kindOf({path: '/none/'}, {confirmedAgo}), 'configuration-expired');
 	t.is(kindOf({key: 'other'}, {confirmedAgo}), 'configuration-expired');
 });
+
+for (const age of [0, 1000, 1500, 2600, 4400, 4600, 60_000]) {
+	test(`no caller is refused for good by a configuration that was confirmed ${age} ms ago if a newer one may have to be in force`, t => {
+		const isRecent = age <= 1500;
+		t.is(kindOf({path: '/none/'}, {confirmedAgo: age}), isRecent ? 'not-found' : 'configuration-expired');
+		t.is(kindOf({key: 'other'}, {confirmedAgo: age}), isRecent ? 'unauthenticated' : 'configuration-expired');
+		t.is(kindOf({}, {confirmedAgo: age}), age < 4500 ? 'mills' : 'configuration-expired');
+	});
+}
--- a/packages/gateway/src/entry/authorize-request.ts
+++ b/packages/gateway/src/entry/authorize-request.ts
@@ -42,8 +42,8 @@
 		return Left(failure('no-configuration', 'This instance has not received a configuration yet', {retryAfterMilliseconds: retryMilliseconds}));
 	}
 
-	// Right after a start the configuration may be outdated, so it must not be the reason for a permanent refusal.
-	return authorizeWithTable(table, request, {lease, now}).mapLeft(failed => lease.wasConfirmed ? failed : leaseExpired(lease.age(now)));
+	// A configuration that may be outdated must not be the reason for a permanent refusal.
+	return authorizeWithTable(table, request, {lease, now}).mapLeft(failed => lease.allowsFinalRefusal(now) ? failed : leaseExpired(lease.age(now)));
 }
 
 function authorizeWithTable(table: RouteTable, {host, path, key}: GatewayRequest, {lease, now}: Omit<AuthorizeRequestOptions, 'table'>): Either<Failure, AuthorizedRequest> {
--- a/packages/gateway/src/entry/configuration-lease.ts
+++ b/packages/gateway/src/entry/configuration-lease.ts
@@ -1,9 +1,12 @@
 import {type SuspensionDetector} from '@valehitch/core';
+import {decideByAge} from '@valehitch/routing';
 
 /** Options of {@linkcode ConfigurationLease}. */
 export type ConfigurationLeaseOptions = {
 	/** How long a confirmation is valid, in milliseconds. */
 	readonly duration: number;
+	/** How long a confirmation allows refusing callers for good, in milliseconds; shorter than the time within which a change has to apply. */
+	readonly finalRefusalDuration: number;
 	/** Reports when the machine may last have resumed from a suspension. */
 	readonly suspension: Pick<SuspensionDetector, 'lastWake'>;
 	/** Called when the machine may have been suspended, after which the age of the last confirmation is unknown. */
@@ -17,7 +20,7 @@
 
 @example
 ```ts
-const lease = new ConfigurationLease({duration: 4500, suspension, onSuspension});
+const lease = new ConfigurationLease({duration: 4500, finalRefusalDuration: 1500, suspension, onSuspension});
 lease.confirm(now - 120);
 lease.isValid(now);
 ```
@@ -66,6 +69,19 @@
 		return this.age(now) < this.#options.duration;
 	}
 
+	/**
+	Checks whether the configuration may be the reason to refuse a caller for good, rather than for now.
+
+	@param now Milliseconds on the monotonic clock.
+	@returns Whether the last confirmation is recent enough.
+	*/
+	allowsFinalRefusal(now: number): boolean {
+		const {duration, finalRefusalDuration} = this.#options;
+		return decideByAge({
+			use: 'final-refusal', age: this.age(now), currentFor: finalRefusalDuration, permitsFor: duration, wasAsked: true,
+		}) === 'use';
+	}
+
 	/**
 	Returns the age of the last confirmation.
 
--- a/packages/gateway/src/entry/control-watch.ts
+++ b/packages/gateway/src/entry/control-watch.ts
@@ -52,6 +52,9 @@
 const retryMilliseconds = 100;
 /** The delay between two watch requests, which limits the cost of a burst of changes. */
 const pauseMilliseconds = 20;
+/** The time from a poll to its reply, without the time that it is held, above which it is logged; on a calm deployment it takes some milliseconds. */
+const lateTransitMilliseconds = 500;
+const millisecondsPerSecond = 1000;
 
 /**
 Watches a few control instances for changes by long polling, and moves on to others when one does not reply.
@@ -68,6 +71,8 @@
 	readonly #watched = new Set<InstanceId>();
 	#hosts: readonly InstanceId[] = [];
 	#isStopped = false;
+	/** How late the last timer between two polls was, in milliseconds. */
+	#timerLate = 0;
 
 	constructor(options: ControlWatchOptions) {
 		this.#options = options;
@@ -101,7 +106,7 @@
 
 			this.#watched.add(host);
 			while (!this.#isStopped && await this.#poll(host)) {
-				await this.#options.wait(pauseMilliseconds);
+				await this.#pause();
 			}
 
 			this.#watched.delete(host);
@@ -143,6 +148,7 @@
 			});
 		}
 
+		this.#recordTransit(host, clock.monotonic() - sentAt - reply.held);
 		const isFullState = reply.run !== source.run;
 		Object.assign(source, {
 			run: reply.run,
@@ -164,6 +170,21 @@
 		return true;
 	}
 
+	#recordTransit(host: InstanceId, transit: number): void {
+		this.#options.metrics.replyTransit.observe(transit / millisecondsPerSecond);
+		if (transit > lateTransitMilliseconds) {
+			this.#options.log('reply-late', {control: host, transit: Math.round(transit), timerLate: Math.round(this.#timerLate)}, 'warn');
+		}
+	}
+
+	/** Waits between two polls, and measures how late a timer is, which tells a busy process from a slow link. */
+	async #pause(): Promise<void> {
+		const {clock, wait} = this.#options;
+		const startedAt = clock.monotonic();
+		await wait(pauseMilliseconds);
+		this.#timerLate = clock.monotonic() - startedAt - pauseMilliseconds;
+	}
+
 	/** Returns the control instance with the fewest recent failures among those that are not watched. */
 	#chooseHost(): InstanceId | undefined {
 		const known = [...new Set([...this.#hosts, ...this.#options.seeds()])];
--- a/packages/gateway/src/entry/create-entry-context.ts
+++ b/packages/gateway/src/entry/create-entry-context.ts
@@ -23,6 +23,7 @@
 import {RepeatTracker} from './repeat-tracker.js';
 import {RequestAdmission} from './request-admission.js';
 import {SendBorrower} from './send-borrower.js';
+import {StateFreshness} from './state-freshness.js';
 import {SuspectReporter} from './suspect-reporter.js';
 import {VersionPins} from './version-pins.js';
 
@@ -98,12 +99,27 @@
 		},
 	});
 	const reporter = new SuspectReporter({registry: suspects.registry, send: options.reportSuspects});
+	const nextReply = async (timeout: number): Promise<void> => Promise.race([replyWaiters.waitForNext(), options.wait(timeout)]);
+	const lease = new ConfigurationLease({
+		duration: options.leaseMilliseconds,
+		finalRefusalDuration: options.freshness.configuration,
+		suspension,
+		onSuspension: confirmState,
+	});
 	const context: EntryContext = {
 		...options,
-		lease: new ConfigurationLease({
-			duration: options.leaseMilliseconds,
+		lease,
+		freshness: new StateFreshness({
+			clock,
 			suspension,
-			onSuspension: confirmState,
+			limits: options.freshness,
+			lease,
+			confirmState,
+			nextReply,
+			onStale({configuration, servers: serversAge}) {
+				options.metrics.outdatedStates.inc();
+				options.log('state-outdated', {configurationAge: Math.round(configuration), serversAge: Math.round(serversAge), configuration: table()?.version}, 'warn');
+			},
 		}),
 		servers,
 		poolLoads,
@@ -147,7 +163,7 @@
 		notes,
 		memory: new HeldMemory({totalBytes: options.heldBytes}),
 		table,
-		nextReply: async timeout => Promise.race([replyWaiters.waitForNext(), options.wait(timeout)]),
+		nextReply,
 		nextServerChange: async timeout => Promise.race([serverWaiters.waitForNext(), options.wait(timeout)]),
 		rolloutOf: service => rollouts.forService(service),
 		stop,
--- a/packages/gateway/src/entry/entry-context.ts
+++ b/packages/gateway/src/entry/entry-context.ts
@@ -23,6 +23,7 @@
 import {type RepeatTracker} from './repeat-tracker.js';
 import {type RequestAdmission} from './request-admission.js';
 import {type SendBorrower} from './send-borrower.js';
+import {type StateFreshness} from './state-freshness.js';
 import {type VersionPins} from './version-pins.js';
 
 /** The limits of a deployment that apply to the handling of requests. */
@@ -42,6 +43,8 @@
 	readonly dialect: Dialect;
 	readonly bounds: EntryLimits;
 	readonly lease: ConfigurationLease;
+	/** How old the state is by which the instance decides. */
+	readonly freshness: StateFreshness;
 	readonly servers: EntryServers;
 	/** What is known of the load of the other entry instances. */
 	readonly poolLoads: Pick<PoolLoads, 'picture' | 'recordSample' | 'slownessOf'>;
--- a/packages/gateway/src/entry/entry-instance-options.ts
+++ b/packages/gateway/src/entry/entry-instance-options.ts
@@ -11,6 +11,7 @@
 import {type GatewayMetrics} from '../logs/gateway-metrics.js';
 import {type Dialect} from './dialect.js';
 import {type EntryLimits} from './entry-context.js';
+import {type FreshnessLimits} from './state-freshness.js';
 
 /** The address to listen on. */
 export type ListenAddress = {
@@ -31,6 +32,8 @@
 	readonly bounds: EntryLimits;
 	/** How long a confirmation of the configuration is valid, in milliseconds. */
 	readonly leaseMilliseconds: number;
+	/** For how long the instance goes by what control instances have told it without asking again. */
+	readonly freshness: FreshnessLimits;
 	/** The idle time after which a session ends, in milliseconds. */
 	readonly sessionMilliseconds: number;
 	/** The interval between announcements of a backend server, in milliseconds. */
--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -321,6 +321,7 @@
 			lease.confirm(confirmedAt);
 		}
 
+		this.#context.freshness.recordReply(sentAt);
 		this.#replyWaiters.notifyAll();
 		this.#rollouts.update(reply, {confirmedAt, now});
 		const hasLease = lease.isValid(now);
--- a/packages/gateway/src/entry/handle-request.ts
+++ b/packages/gateway/src/entry/handle-request.ts
@@ -51,6 +51,7 @@
 		await nextPoll();
 	}
 
+	await context.freshness.refresh(request.timeout ?? 0);
 	const authorized = await authorizeAtStartup(request, {context, arrivedAt});
 	if (authorized.isLeft()) {
 		message.resume();
--- a/packages/gateway/src/entry/request-run.ts
+++ b/packages/gateway/src/entry/request-run.ts
@@ -293,6 +293,7 @@
 			await this.#context.wait(doubtfulPartMilliseconds);
 		}
 
+		await this.#context.freshness.refresh(this.#deadlineAt - this.#now());
 		// A request that is read late, or released by a timer, is not sent if its caller has left meanwhile.
 		await nextPoll();
 		if (this.#end.hasEnded) {
--- a/packages/gateway/src/entry/start-send.ts
+++ b/packages/gateway/src/entry/start-send.ts
@@ -105,6 +105,7 @@
 	}));
 	allowance.countSend();
 	context.hedges.recordSend(server.service, {server: server.id, now: sentAt});
+	const {ages} = context.freshness;
 	log('request-dispatched', {
 		request: request.id,
 		server: server.id,
@@ -114,6 +115,8 @@
 		firstModelReason: models.firstReason,
 		send: allowance.sends,
 		age: Math.round(sentAt - arrivedAt),
+		configurationAge: Math.round(ages.configuration),
+		serversAge: Math.round(ages.servers),
 		resumeAfter: lastEventId,
 	});
 	return attempt;
--- a/packages/gateway/src/logs/decision-log.ts
+++ b/packages/gateway/src/logs/decision-log.ts
@@ -2,7 +2,7 @@
 export type DecisionKind
 	= | 'process-started' | 'process-stopping' | 'process-stopped' | 'settings-reloaded' | 'settings-refused'
 		| 'dependency-lost' | 'dependency-regained' | 'peer-message-failed' | 'pool-digest-lost' | 'pool-digest-regained'
-		| 'configuration-adopted' | 'configuration-submitted' | 'configuration-refused' | 'lease-lost' | 'lease-regained'
+		| 'configuration-adopted' | 'configuration-submitted' | 'configuration-refused' | 'lease-lost' | 'lease-regained' | 'reply-late' | 'state-outdated'
 		| 'leader-changed' | 'membership-changed' | 'storage-failed' | 'storage-opened'
 		| 'server-joined' | 'server-draining' | 'server-gone' | 'server-silent' | 'server-suspected' | 'announcement-refused'
 		| 'server-notice-missed' | 'server-record-outdated' | 'server-limit-changed' | 'server-limit-invalid'
--- a/packages/gateway/src/logs/gateway-metrics.ts
+++ b/packages/gateway/src/logs/gateway-metrics.ts
@@ -76,6 +76,12 @@
 		outdatedRecords: new Counter({
 			name: 'valehitch_outdated_records_total', help: 'Records of a control instance that say less than what is known of the server', registers,
 		}),
+		outdatedStates: new Counter({
+			name: 'valehitch_outdated_states_total', help: 'Times that control instances were asked for a current state and none came in time', registers,
+		}),
+		replyTransit: new Histogram({
+			name: 'valehitch_reply_transit_seconds', help: 'Time that polls and their replies took besides being held at the control instance', buckets: latencyBuckets, registers,
+		}),
 		evacuatedZones: new Gauge({
 			name: 'valehitch_evacuated_zones', help: 'Availability zones whose backend servers get no requests by order of the operator', registers,
 		}),
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -32,6 +32,10 @@
 	readonly gracePeriod: number;
 	/** The time after which a revoked API key must no longer be accepted, in milliseconds. */
 	readonly revocationTimeout: number;
+	/** The time after which a new configuration must be in force, in milliseconds. */
+	readonly configurationTimeout: number;
+	/** The time after which a backend server that shuts down must no longer get requests, in milliseconds. */
+	readonly drainTimeout: number;
 	/** The maximum share of a service's requests that a canary version may receive. */
 	readonly canaryShare: number;
 	/** The retry budget over all instances, as a ratio of retries to requests. */
@@ -82,6 +86,8 @@
 	bounds: z.object({
 		graceS: z.number().positive(),
 		revokeMs: z.number().positive().default(5000),
+		configApplyMs: z.number().positive().default(2000),
+		drainMs: z.number().positive().default(2000),
 		canaryShare: z.number().positive().default(0.1),
 		retryBudgetRatio: z.number().nonnegative().default(0.2),
 		retryWindowS: z.number().positive().default(10),
@@ -125,6 +131,8 @@
 		heartbeatInterval: heartbeatMs,
 		gracePeriod: bounds.graceS * millisecondsPerSecond,
 		revocationTimeout: bounds.revokeMs,
+		configurationTimeout: bounds.configApplyMs,
+		drainTimeout: bounds.drainMs,
 		canaryShare: bounds.canaryShare,
 		retryRatio: bounds.retryBudgetRatio,
 		retryWindow: bounds.retryWindowS * millisecondsPerSecond,
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -61,6 +61,10 @@
 const leaseMarginMilliseconds = 500;
 /** The maximum duration of the lease as a share of the revocation time; the rest allows for clock drift. */
 const leaseShare = 0.9;
+/** The part of the time within which news has to apply that is left to ask for it, and to send a request that has been decided on, in milliseconds. */
+const freshnessMarginMilliseconds = 1000;
+/** The shortest time for which news counts as current, in milliseconds; control instances reply to a poll within 800 ms. */
+const minimumFreshMilliseconds = 1000;
 /** The share of the retry budget that the instances use; the rest allows for uneven traffic. */
 const usedRetryShare = 0.85;
 /** The share of the limit for canary traffic that is used; the rest allows for uneven sessions. */
@@ -152,6 +156,11 @@
 	};
 }
 
+/** Returns for how long an instance goes by what it has been told, in milliseconds, where news has to apply within a time. */
+function currentFor(timeout: number): number {
+	return Math.max(minimumFreshMilliseconds, timeout - freshnessMarginMilliseconds);
+}
+
 /** Handles a message of a peer: those of entry instances go to the entry instance, all others to the control instance. */
 async function handlePeerMessage({control, entry}: Parts, from: InstanceId, message: PeerMessage): Promise<unknown> {
 	if (message.type === 'load' || message.type === 'server-notice' || message.type === 'relay-stopping' || message.type === 'borrow-sends') {
@@ -211,7 +220,9 @@
 
 async function startEntryPart(context: ProcessContext, listen: ListenAddress) {
 	const {settings} = context;
-	const {instance, zone, revocationTimeout, canaryShare, retryRatio, retryWindow, sessionTimeout, gracePeriod, heartbeatInterval, readiness, notedShare, heldBytes} = settings();
+	const {
+		instance, zone, revocationTimeout, configurationTimeout, drainTimeout, canaryShare, retryRatio, retryWindow, sessionTimeout, gracePeriod, heartbeatInterval, readiness, notedShare, heldBytes,
+	} = settings();
 	const entry = new EntryInstance({
 		...context,
 		self: instance,
@@ -223,6 +234,7 @@
 		bounds: {canaryShare: usedCanaryShare * canaryShare, minimumConfidence},
 		heartbeatMilliseconds: heartbeatInterval,
 		leaseMilliseconds: Math.min(revocationTimeout - leaseMarginMilliseconds, leaseShare * revocationTimeout),
+		freshness: {configuration: currentFor(configurationTimeout), servers: currentFor(drainTimeout)},
 		sessionMilliseconds: sessionTimeout,
 		retryShare: usedRetryShare * retryRatio,
 		retryWindowMilliseconds: retryWindow,
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -13,6 +13,7 @@
 export * from './contention-pool.js';
 export * from './contention-queue.js';
 export type * from './contention-request.js';
+export * from './decide-by-age.js';
 export * from './decide-overdue.js';
 export * from './decide-stalled.js';
 export * from './decision-history.js';
