gateway: adopt the newest of a burst of configurations, with pauses between

A configuration of 1,449 routes takes 9 to 40 ms of a whole core to parse, one of 5,000 routes some 70 ms; on a third of a core seven versions in a second leave little or no time for requests. The first change is adopted at once; after that the newest one once three times the time of the last adoption has passed, half a second at most. A version that is not in use yet is not confirmed; what confirmed it counts once it is in use.

--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -82,6 +82,10 @@
 			...options,
 			onAdopted: ({limits}) => {
 				this.#server.keepAliveTimeout = idleFactor * limits.idleTimeout;
+				this.#replyWaiters.notifyAll();
+			},
+			onConfirmed: at => {
+				this.#context.lease.confirm(at);
 			},
 		});
 		this.#rollouts = new KnownRollouts(options);
@@ -315,11 +319,7 @@
 			this.#serverWaiters.notifyAll();
 		}
 
-		// A configuration that this instance cannot read may have revoked a key.
-		const isNewest = this.#configuration.update(reply, source);
-		if (confirmedAt !== undefined && isNewest) {
-			lease.confirm(confirmedAt);
-		}
+		this.#configuration.update(reply, {source, confirmedAt});
 
 		this.#context.freshness.recordReply(sentAt);
 		this.#replyWaiters.notifyAll();
--- a/packages/gateway/src/entry/known-configuration.ts
+++ b/packages/gateway/src/entry/known-configuration.ts
@@ -1,4 +1,4 @@
-import {type Failure, type InstanceId} from '@valehitch/core';
+import {type Clock, type Failure, type InstanceId} from '@valehitch/core';
 import {type Either} from 'purify-ts';
 import {decodeConfigurationParts} from '../configuration/decode-configuration-parts.js';
 import {DocumentHistory} from '../configuration/document-history.js';
@@ -11,32 +11,55 @@
 
 /** Options of {@linkcode KnownConfiguration}. */
 export type KnownConfigurationOptions = {
+	readonly clock: Clock;
 	readonly log: DecisionLog;
 	/** Parses a configuration document. */
 	readonly parse: (document: string) => Either<Failure, RoutingConfiguration>;
 	/** Called with each configuration that comes into use. */
 	readonly onAdopted: (configuration: RoutingConfiguration) => void;
+	/** Called when the configuration in use is known to have been the newest one, with the time in milliseconds on the monotonic clock. */
+	readonly onConfirmed: (at: number) => void;
+	/** Waits for a number of milliseconds. */
+	readonly wait: (milliseconds: number) => Promise<void>;
+};
+
+/** Where a reply came from, and what it confirms. */
+export type ConfigurationSource = {
+	/** The control instance. */
+	readonly source: InstanceId;
+	/** The time at which the configuration of the reply was the newest one, in milliseconds on the monotonic clock; undefined if unknown. */
+	readonly confirmedAt: number | undefined;
 };
 
 /** The documents that are kept: a reply may describe its changes from a version that another reply has replaced meanwhile. */
 const historyCount = 4;
 const historyCharacters = 4 * 1024 * 1024;
+/** The pause between two adoptions, as a multiple of the time that the first one took, so that a burst of changes leaves most of the process to requests. */
+const pauseFactor = 3;
+/** The longest pause, in milliseconds; well below the time within which a change has to apply. */
+const maximumPauseMilliseconds = 500;
 
 /**
 The configuration that an entry instance goes by, as several control instances report it.
 
+Of a burst of changes, the first one is adopted at once and then the newest one after each pause, since a large configuration takes long to parse.
+
 @example
 ```ts
-const configuration = new KnownConfiguration({log, parse, onAdopted});
-configuration.update(reply, source);
+const configuration = new KnownConfiguration({clock, log, parse, onAdopted, onConfirmed, wait});
+configuration.update(reply, {source, confirmedAt});
 configuration.table?.findRoute(host, path);
 ```
 */
 export class KnownConfiguration {
 	readonly #options: KnownConfigurationOptions;
 	readonly #documents = new DocumentHistory({maximumCount: historyCount, maximumCharacters: historyCharacters});
+	/** When each version that is not in use yet was last the newest one. */
+	readonly #confirmations = new Map<number, number>();
 	#table: RouteTable | undefined;
 	#needsWhole = false;
+	#pausedUntil = Number.NEGATIVE_INFINITY;
+	#isWaiting = false;
 
 	constructor(options: KnownConfigurationOptions) {
 		this.#options = options;
@@ -47,32 +70,33 @@
 		return this.#table;
 	}
 
-	/** The version of the newest document that was received, whether it could be used or not; undefined if a whole document is needed. */
+	/** The version of the newest document that was received, whether it is in use or not; undefined if a whole document is needed. */
 	get version(): number | undefined {
 		return this.#needsWhole ? undefined : this.#documents.newest?.version;
 	}
 
 	/**
-	Adopts the configuration of a reply if it is newer.
+	Adopts the configuration of a reply if it is newer, now or after the pause that follows another one.
 
 	@param reply The reply of a control instance.
-	@param source The control instance.
-	@returns Whether the configuration in use is at least as new as that of the reply.
+	@param origin Where it came from, and what it confirms.
 	*/
-	update({configuration, encodedConfiguration}: Pick<WatchReply, 'configuration' | 'encodedConfiguration'>, source: InstanceId): boolean {
+	update({configuration, encodedConfiguration}: Pick<WatchReply, 'configuration' | 'encodedConfiguration'>, {source, confirmedAt}: ConfigurationSource): void {
 		const reported = encodedConfiguration ?? configuration;
-		const newestVersion = this.#documents.newest?.version ?? Number.NEGATIVE_INFINITY;
-		if (reported !== undefined && reported.version > newestVersion) {
+		if (reported !== undefined && reported.version > this.#newestVersion) {
 			this.#receive(reported, source);
 		}
 
-		const usedVersion = this.#table?.version ?? Number.NEGATIVE_INFINITY;
-		return usedVersion >= (reported?.version ?? newestVersion);
+		this.#confirm(reported?.version ?? this.#newestVersion, confirmedAt);
+	}
+
+	get #newestVersion(): number {
+		return this.#documents.newest?.version ?? Number.NEGATIVE_INFINITY;
 	}
 
 	#receive(reported: ConfigurationDocument | EncodedConfiguration, source: InstanceId): void {
 		if ('document' in reported) {
-			this.#adopt(reported, source);
+			this.#record(reported, source);
 			return;
 		}
 
@@ -88,24 +112,65 @@
 				this.#options.log('configuration-refused', {reason: message, source}, 'error');
 			},
 			Right: document => {
-				this.#adopt(document, source);
+				this.#record(document, source);
 			},
 		});
 	}
 
-	#adopt(received: ConfigurationDocument, source: InstanceId): void {
-		const {parse, log, onAdopted} = this.#options;
-		this.#documents.record(received);
+	#record(document: ConfigurationDocument, source: InstanceId): void {
+		this.#documents.record(document);
 		this.#needsWhole = false;
-		parse(received.document).caseOf({
+		const pause = this.#pausedUntil - this.#options.clock.monotonic();
+		if (pause <= 0) {
+			this.#adopt(document, source);
+		} else if (!this.#isWaiting) {
+			this.#isWaiting = true;
+			void this.#adoptAfter(pause, source);
+		}
+	}
+
+	async #adoptAfter(pause: number, source: InstanceId): Promise<void> {
+		await this.#options.wait(pause);
+		this.#isWaiting = false;
+		const {newest} = this.#documents;
+		if (newest !== undefined) {
+			this.#adopt(newest, source);
+		}
+	}
+
+	#adopt({document}: ConfigurationDocument, source: InstanceId): void {
+		const {clock, parse, log, onAdopted} = this.#options;
+		const startedAt = clock.monotonic();
+		parse(document).caseOf({
 			Left({message}) {
 				log('configuration-refused', {reason: message, source}, 'error');
 			},
 			Right: configuration => {
 				this.#table = new RouteTable(configuration);
+				this.#confirmUsed();
 				onAdopted(configuration);
 				log('configuration-adopted', {version: configuration.version, routes: configuration.routes.length, source});
 			},
 		});
+		const now = clock.monotonic();
+		this.#pausedUntil = now + Math.min(maximumPauseMilliseconds, pauseFactor * (now - startedAt));
+	}
+
+	/** Records that a version was the newest one; a configuration that this instance cannot read, or has not received, may have revoked a key. */
+	#confirm(version: number, confirmedAt: number | undefined): void {
+		if (confirmedAt !== undefined) {
+			this.#confirmations.set(version, Math.max(confirmedAt, this.#confirmations.get(version) ?? Number.NEGATIVE_INFINITY));
+			this.#confirmUsed();
+		}
+	}
+
+	#confirmUsed(): void {
+		const usedVersion = this.#table?.version ?? Number.NEGATIVE_INFINITY;
+		for (const [version, confirmedAt] of this.#confirmations) {
+			if (version <= usedVersion) {
+				this.#confirmations.delete(version);
+				this.#options.onConfirmed(confirmedAt);
+			}
+		}
 	}
 }
--- a/packages/gateway/src/entry/narrow-links.test.ts
+++ b/packages/gateway/src/entry/narrow-links.test.ts
@@ -41,11 +41,14 @@
 	const adoptedAt = new Map<number, number>();
 	const state = {lost: 0, bytes: 0, linkFreeAt: 0};
 	const configuration = new KnownConfiguration({
+		clock,
 		log: ignore,
 		parse: document => Right(testConfiguration({version: (JSON.parse(document) as {version: number}).version})),
 		onAdopted({version}) {
 			adoptedAt.set(version, clock.monotonic());
 		},
+		onConfirmed: ignore,
+		wait: async milliseconds => delay(milliseconds),
 	});
 	const watch = new ControlWatch({
 		clock,
@@ -68,7 +71,7 @@
 			return isLost ? undefined : reply;
 		},
 		onUpdate({reply, source}) {
-			configuration.update(reply, source);
+			configuration.update(reply, {source, confirmedAt: undefined});
 		},
 		onLost: ignore,
 		wait: async milliseconds => delay(milliseconds),
