gateway: bound a request's wait for a current state by the one that is asked for

A request that came late in such a wait stayed for a second of its own, though the state had been asked for before. News counts as current for 0.6 of the time within which it has to apply (1.5 s of 2.5 s, 1.2 s of 2 s) in place of a second less than it: at 2 s a calm instance, whose replies come every 0.8 s with a confirmation of up to 0.2 s, would have asked without a reason.

Test: state-freshness, a request that comes while a current state is waited for.

--- a/packages/gateway/src/entry/state-freshness.test.ts
+++ b/packages/gateway/src/entry/state-freshness.test.ts
@@ -93,6 +93,14 @@
 	t.is(await refresh(1500), 375);
 });
 
+test('a request that comes while a current state is waited for does not wait for longer than that', async t => {
+	const {freshness, refresh, asked} = createFreshness(3000, {replyAfter: undefined});
+	t.is(await refresh(1600), 400);
+	t.is(await refresh(20_000), 600);
+	t.is(asked(), 1);
+	t.true(freshness.wasAsked);
+});
+
 test('an instance that was cut off asks again once its state was current and is too old anew', async t => {
 	const {freshness, refresh, asked} = createFreshness(3000, {replyAfter: 2000});
 	t.is(await refresh(20_000), 1000);
--- a/packages/gateway/src/entry/state-freshness.ts
+++ b/packages/gateway/src/entry/state-freshness.ts
@@ -51,6 +51,8 @@
 	readonly #options: StateFreshnessOptions;
 	/** The time up to which the states of servers are known, in milliseconds on the monotonic clock. */
 	#serversAt = Number.NEGATIVE_INFINITY;
+	/** Until when a current state is waited for, in milliseconds on the monotonic clock. */
+	#askedUntil = Number.NEGATIVE_INFINITY;
 	#isAsking = false;
 	#wasAsked = false;
 
@@ -92,7 +94,7 @@
 		// Right after a start, requests wait for the first configuration instead.
 		if (this.#options.lease.wasConfirmed && this.#mustAsk) {
 			void this.#ask();
-			await this.#untilCurrent(Math.min(askMilliseconds, waitShare * timeLeft));
+			await this.#waitUntilCurrent(Math.min(this.#askedUntil, this.#options.clock.monotonic() + (waitShare * timeLeft)));
 		}
 	}
 
@@ -125,8 +127,9 @@
 		}
 
 		this.#isAsking = true;
+		this.#askedUntil = this.#options.clock.monotonic() + askMilliseconds;
 		this.#options.confirmState();
-		await this.#untilCurrent(askMilliseconds);
+		await this.#waitUntilCurrent(this.#askedUntil);
 		this.#isAsking = false;
 		if (!this.#isCurrent) {
 			this.#wasAsked = true;
@@ -134,10 +137,9 @@
 		}
 	}
 
-	async #untilCurrent(limit: number): Promise<void> {
+	async #waitUntilCurrent(until: number): Promise<void> {
 		const {clock, nextReply} = this.#options;
-		const until = clock.monotonic() + limit;
-		while (!this.#isCurrent && !this.#wasAsked && clock.monotonic() < until) {
+		while (!this.#isCurrent && clock.monotonic() < until) {
 			await nextReply(until - clock.monotonic());
 		}
 	}
--- a/packages/platform/src/start-process.ts
+++ b/packages/platform/src/start-process.ts
@@ -61,10 +61,10 @@
 const leaseMarginMilliseconds = 500;
 /** The maximum duration of the lease as a share of the revocation time; the rest allows for clock drift. */
 const leaseShare = 0.9;
-/** The part of the time within which news has to apply that is left to ask for it, and to send a request that has been decided on, in milliseconds. */
-const freshnessMarginMilliseconds = 1000;
-/** The shortest time for which news counts as current, in milliseconds; control instances reply to a poll within 800 ms. */
-const minimumFreshMilliseconds = 1000;
+/** The share of the time within which news has to apply for which it counts as current; the rest is left to ask for it, and to send a request that has been decided on. */
+const freshShare = 0.6;
+/** The shortest time for which news counts as current, in milliseconds: control instances reply to a poll within 800 ms, by a state that is confirmed every 200 ms. */
+const minimumFreshMilliseconds = 1100;
 /** The share of the retry budget that the instances use; the rest allows for uneven traffic. */
 const usedRetryShare = 0.85;
 /** The share of the limit for canary traffic that is used; the rest allows for uneven sessions. */
@@ -158,7 +158,7 @@
 
 /** Returns for how long an instance goes by what it has been told, in milliseconds, where news has to apply within a time. */
 function currentFor(timeout: number): number {
-	return Math.max(minimumFreshMilliseconds, timeout - freshnessMarginMilliseconds);
+	return Math.max(minimumFreshMilliseconds, freshShare * timeout);
 }
 
 /** Handles a message of a peer: those of entry instances go to the entry instance, all others to the control instance. */
