daemon: refuse no caller for good by a configuration whose lease has expired

Looked for the class of the late news elsewhere: valehitchd answered 401, 403 and 404 by its last configuration for as long as it was cut off, though a newer one may allow the call; the leader calls a newer one in force once the lease of such an instance has run out. It answers 503 with a time to come back now.

Found by reading.

--- a/packages/daemon/src/entry/handle-caller.ts
+++ b/packages/daemon/src/entry/handle-caller.ts
@@ -9,6 +9,7 @@
 import {type EntryContext} from './entry-context.js';
 import {type AuthenticatedCall, handleChat} from './handle-chat.js';
 import {handleService} from './handle-service.js';
+import {refusalByConfiguration} from './refusal-by-configuration.js';
 import {refuse} from './refuse.js';
 import {createRequestId} from './request-id.js';
 
@@ -91,7 +92,7 @@
 	return readCallerHeaders(incoming.request).chain(headers => {
 		const workspace = active.workspaces.get(bearerDigest(incoming.request) ?? '');
 		return workspace === undefined
-			? Left(failure('unauthenticated', 'Missing or unknown API key; expected Authorization: Bearer KEY'))
+			? Left(refusalByConfiguration(failure('unauthenticated', 'Missing or unknown API key; expected Authorization: Bearer KEY'), active))
 			: Right({
 				...incoming, workspace, headers, active,
 			});
--- a/packages/daemon/src/entry/handle-chat.ts
+++ b/packages/daemon/src/entry/handle-chat.ts
@@ -13,6 +13,7 @@
 import {RequestExecution} from './lifecycle/request-execution.js';
 import {type ChatPlan, newSessionValue, planChat} from './plan-chat.js';
 import {readCallerBody} from './read-caller-body.js';
+import {refusalByConfiguration} from './refusal-by-configuration.js';
 import {refuse} from './refuse.js';
 import {type AdmissionDemand} from './traffic/admission-pools.js';
 
@@ -47,7 +48,7 @@
 	const parsed = body.chain(parseChatBody);
 	const planned = parsed.chain(chat => planChat({...call, body: chat}, context));
 	if (planned.isLeft()) {
-		refuse(call, planned.extract(), context);
+		refuse(call, refusalByConfiguration(planned.extract(), call.active), context);
 		return;
 	}
 
--- a/packages/daemon/src/entry/handle-service.ts
+++ b/packages/daemon/src/entry/handle-service.ts
@@ -8,6 +8,7 @@
 import {type AuthenticatedCall, requestKey} from './handle-chat.js';
 import {RequestExecution} from './lifecycle/request-execution.js';
 import {readCallerBody} from './read-caller-body.js';
+import {refusalByConfiguration} from './refusal-by-configuration.js';
 import {refuse} from './refuse.js';
 import {serviceAdapter, type ServicePlan} from './service-adapter.js';
 import {type AdmissionDemand} from './traffic/admission-pools.js';
@@ -31,7 +32,7 @@
 	const body = await readCallerBody(call.request, context.settings.limits.bodyBytes);
 	const planned = body.chain(bytes => planService({call, body: bytes}, context));
 	if (planned.isLeft()) {
-		refuse(call, planned.extract(), context);
+		refuse(call, refusalByConfiguration(planned.extract(), call.active), context);
 		return;
 	}
 
