gateway: count news of servers only from control instances that the leader confirms

Found in the review: a control instance that is cut off from the others replies in time and may have missed the shutdowns that they acknowledged, so that its replies kept what is known of servers current. The age of it goes by the confirmation now.

--- a/packages/gateway/src/entry/entry-instance.ts
+++ b/packages/gateway/src/entry/entry-instance.ts
@@ -321,7 +321,7 @@
 
 		this.#configuration.update(reply, {source, confirmedAt});
 
-		this.#context.freshness.recordReply(sentAt);
+		this.#context.freshness.recordReply(confirmedAt);
 		this.#replyWaiters.notifyAll();
 		this.#rollouts.update(reply, {confirmedAt, now});
 		const hasLease = lease.isValid(now);
--- a/packages/gateway/src/entry/state-freshness.test.ts
+++ b/packages/gateway/src/entry/state-freshness.test.ts
@@ -9,6 +9,7 @@
 function createFreshness(age: number, {replyAfter}: {readonly replyAfter: number | undefined}) {
 	let now = 0;
 	let asked = 0;
+	let stale = 0;
 	let repliesAt = Number.POSITIVE_INFINITY;
 	let waiting: Array<{readonly until: number; readonly resolve: () => void}> = [];
 	const lease = testLease();
@@ -22,6 +23,9 @@
 		nextReply: async timeout => new Promise(resolve => {
 			waiting.push({until: now + timeout, resolve});
 		}),
+		onStale() {
+			stale++;
+		},
 	});
 	const confirm = (): void => {
 		lease.confirm(now);
@@ -48,6 +52,7 @@
 	return {
 		freshness,
 		asked: () => asked,
+		stale: () => stale,
 		/** Has a request wait; returns for how long, in milliseconds. */
 		async refresh(timeLeft: number): Promise<number> {
 			const startedAt = now;
@@ -70,21 +75,21 @@
 for (const age of [0, 500, 1000, 1500, 2000, 2600, 3000, 4400, 6000]) {
 	const isCurrent = age <= currentFor;
 	test(`a state of ${age} ms is ${isCurrent ? 'used at once' : 'asked for, once for all requests'}, where control instances reply`, async t => {
-		const {freshness, refresh, asked} = createFreshness(age, {replyAfter: 40});
+		const {freshness, refresh, asked, stale} = createFreshness(age, {replyAfter: 40});
 		const others = [freshness.refresh(20_000), freshness.refresh(20_000)];
 		t.is(await refresh(20_000), isCurrent ? 0 : 40);
 		await Promise.all(others);
 		t.is(asked(), isCurrent ? 0 : 1);
-		t.false(freshness.wasAsked);
+		t.is(stale(), 0);
 		t.deepEqual(freshness.ages, isCurrent ? {configuration: age, servers: age} : {configuration: 0, servers: 0});
 	});
 
 	test(`a state of ${age} ms is waited for once by an instance that is cut off, and used by the requests after that`, async t => {
-		const {freshness, refresh, asked} = createFreshness(age, {replyAfter: undefined});
+		const {refresh, asked, stale} = createFreshness(age, {replyAfter: undefined});
 		t.is(await refresh(20_000), isCurrent ? 0 : 1000);
 		t.is(await refresh(20_000), 0);
 		t.is(asked(), isCurrent ? 0 : 1);
-		t.is(freshness.wasAsked, !isCurrent);
+		t.is(stale(), isCurrent ? 0 : 1);
 	});
 }
 
@@ -94,19 +99,18 @@
 });
 
 test('a request that comes while a current state is waited for does not wait for longer than that', async t => {
-	const {freshness, refresh, asked} = createFreshness(3000, {replyAfter: undefined});
+	const {refresh, asked, stale} = createFreshness(3000, {replyAfter: undefined});
 	t.is(await refresh(1600), 400);
 	t.is(await refresh(20_000), 600);
 	t.is(asked(), 1);
-	t.true(freshness.wasAsked);
+	t.is(stale(), 1);
 });
 
 test('an instance that was cut off asks again once its state was current and is too old anew', async t => {
 	const {freshness, refresh, asked} = createFreshness(3000, {replyAfter: 2000});
 	t.is(await refresh(20_000), 1000);
 	freshness.recordReply(4000);
-	t.true(freshness.wasAsked, 'The configuration is not confirmed yet');
-	t.is(await refresh(20_000), 0);
+	t.is(await refresh(20_000), 0, 'The configuration is not confirmed yet');
 	t.is(asked(), 1);
 });
 
--- a/packages/gateway/src/entry/state-freshness.ts
+++ b/packages/gateway/src/entry/state-freshness.ts
@@ -43,13 +43,12 @@
 @example
 ```ts
 const freshness = new StateFreshness(options);
-await freshness.refresh(500);
-freshness.wasAsked;
+await freshness.refresh(8000);
 ```
 */
 export class StateFreshness {
 	readonly #options: StateFreshnessOptions;
-	/** The time up to which the states of servers are known, in milliseconds on the monotonic clock. */
+	/** The latest time at which a control instance that has reported its servers was confirmed, in milliseconds on the monotonic clock. */
 	#serversAt = Number.NEGATIVE_INFINITY;
 	/** Until when a current state is waited for, in milliseconds on the monotonic clock. */
 	#askedUntil = Number.NEGATIVE_INFINITY;
@@ -60,11 +59,6 @@
 		this.#options = options;
 	}
 
-	/** Whether a current state was asked for, and has not come. */
-	get wasAsked(): boolean {
-		return this.#wasAsked;
-	}
-
 	/** The ages of what is known now. */
 	get ages(): StateAges {
 		const {clock, suspension, lease} = this.#options;
@@ -76,12 +70,12 @@
 	}
 
 	/**
-	Records a reply of a control instance.
+	Records a reply of a control instance. One that is cut off from the leader may miss the shutdowns of servers, so that its replies do not count.
 
-	@param sentAt The earliest time at which it may have been sent, in milliseconds on the monotonic clock; undefined if the machine was suspended meanwhile.
+	@param confirmedAt The time at which the leader confirmed its state, in milliseconds on the monotonic clock; undefined if that is not known.
 	*/
-	recordReply(sentAt: number | undefined): void {
-		this.#serversAt = Math.max(this.#serversAt, sentAt ?? Number.NEGATIVE_INFINITY);
+	recordReply(confirmedAt: number | undefined): void {
+		this.#serversAt = Math.max(this.#serversAt, confirmedAt ?? Number.NEGATIVE_INFINITY);
 		this.#wasAsked &&= !this.#isCurrent;
 	}
 
