gateway: adopt a configuration once, and log the control instance that sent it

A wait between two adoptions that ended late adopted the newest document again, which parses it twice, and the line of a delayed adoption named the control instance of the first document that waited. What waits is kept with its source, and taken by whichever adoption comes first.

--- a/packages/gateway/src/entry/known-configuration.test.ts
+++ b/packages/gateway/src/entry/known-configuration.test.ts
@@ -39,6 +39,9 @@
 	});
 	return {
 		known, adopted, confirmed, waits,
+		advance(milliseconds: number) {
+			now += milliseconds;
+		},
 		/** Applies a reply that confirms its configuration as of a time. */
 		update(reported: ConfigurationDocument | EncodedConfiguration | undefined, confirmedAt = 0) {
 			const reply = reported === undefined || 'document' in reported
@@ -110,3 +113,14 @@
 	update(documentOf(2));
 	t.is(waits[0]!.milliseconds, 500);
 });
+
+test('a version is not adopted again, nor an older one, by a wait that ends late', async t => {
+	const {adopted, waits, update, advance} = createKnown({parseMilliseconds: 50});
+	update(documentOf(1));
+	update(documentOf(2));
+	advance(1000);
+	update(documentOf(3));
+	waits[0]!.end();
+	await delay(0);
+	t.deepEqual(adopted, [1, 3]);
+});
--- a/packages/gateway/src/entry/known-configuration.ts
+++ b/packages/gateway/src/entry/known-configuration.ts
@@ -59,7 +59,8 @@
 	#table: RouteTable | undefined;
 	#needsWhole = false;
 	#pausedUntil = Number.NEGATIVE_INFINITY;
-	#isWaiting = false;
+	/** The newest document that waits for the end of the pause, and the control instance that sent it. */
+	#pending: {readonly document: ConfigurationDocument; readonly source: InstanceId} | undefined;
 
 	constructor(options: KnownConfigurationOptions) {
 		this.#options = options;
@@ -121,20 +122,25 @@
 		this.#documents.record(document);
 		this.#needsWhole = false;
 		const pause = this.#pausedUntil - this.#options.clock.monotonic();
+		const isWaiting = this.#pending !== undefined;
+		this.#pending = {document, source};
 		if (pause <= 0) {
-			this.#adopt(document, source);
-		} else if (!this.#isWaiting) {
-			this.#isWaiting = true;
-			void this.#adoptAfter(pause, source);
+			this.#adoptPending();
+		} else if (!isWaiting) {
+			void this.#adoptAfter(pause);
 		}
 	}
 
-	async #adoptAfter(pause: number, source: InstanceId): Promise<void> {
+	async #adoptAfter(pause: number): Promise<void> {
 		await this.#options.wait(pause);
-		this.#isWaiting = false;
-		const {newest} = this.#documents;
-		if (newest !== undefined) {
-			this.#adopt(newest, source);
+		this.#adoptPending();
+	}
+
+	#adoptPending(): void {
+		const pending = this.#pending;
+		this.#pending = undefined;
+		if (pending !== undefined) {
+			this.#adopt(pending.document, pending.source);
 		}
 	}
 
